--- a/libs/upstreams/src/hemlockhoist/upstreams/connections.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/connections.py
@@ -1,6 +1,7 @@
 """Connections that show when their other end is gone, and how an answer ended."""
 
 import functools
+import os
 import socket
 
 import aiohttp
@@ -50,17 +51,31 @@
     Failure: an answer without a length ends with its connection. The HTTP library
     takes a reset for such an end too, and a caller gets a part of an answer that looks
     whole. Here the body's reader is failed before the library marks its end.
+
+    The event loop hides some resets besides: where one arrives together with the last
+    data, libuv reports an orderly end. The socket still holds the error then.
     """
 
     def connection_lost(self, exc):
         """Take the end of the connection; ``exc`` is None for an orderly one."""
         payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            error = aiohttp.ClientPayloadError(f"the connection was lost: {exc!r}")
-            payload.set_exception(error)
+        if payload is not None and not payload.is_eof():
+            exc = exc or _pending_error(self.transport)
+            if exc is not None:
+                error = aiohttp.ClientPayloadError(f"the connection was lost: {exc!r}")
+                payload.set_exception(error)
         super().connection_lost(exc)
 
 
+def _pending_error(transport):
+    """Return the error that a connection's socket holds, or None."""
+    found = transport.get_extra_info("socket") if transport is not None else None
+    if found is None:
+        return None
+    number = found.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    return OSError(number, os.strerror(number)) if number else None
+
+
 class ExactEndConnector(aiohttp.TCPConnector):
     """A connector whose connections report exactly how an answer ended."""
 
