--- a/libs/upstreams/src/hemlockhoist/upstreams/tests/test_connections.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/tests/test_connections.py
@@ -33,7 +33,7 @@
         self._resets = resets
         self._with_data = with_data
         self._listener = socket.create_server(("127.0.0.1", 0))
-        self.address = "127.0.0.1:%d" % self._listener.getsockname()[1]
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         self._thread = threading.Thread(target=self._serve)
 
     def start(self):
