Place by each engine's own pace and reach; renew connections that carry nothing

Change: upstreams that declare their places are tracked by pace (time of a token; what prompts cost in it), reach (pauses after failed connections) and failure rate; units are taken once; a link to a peer is renewed where an answer is missed or the peer's run is new. Each decision on a request has a log line; lines go to standard output by a thread, bounded in rate and memory.

--- a/libs/base/src/hemlockhoist/base/__init__.py
+++ b/libs/base/src/hemlockhoist/base/__init__.py
@@ -17,6 +17,8 @@
     StoreConflict,
 )
 from hemlockhoist.base.invariants import InvariantLog, Property
+from hemlockhoist.base.log_volume import VolumeLimit
+from hemlockhoist.base.log_writer import LineWriter
 from hemlockhoist.base.logs import configure_logs, get_logger
 from hemlockhoist.base.periodic import PeriodicTask
 from hemlockhoist.base.results import RESULTS, Ran, ResultCode, ResultInfo, info
@@ -30,6 +32,7 @@
     "DispatchError",
     "HemlockhoistError",
     "InvariantLog",
+    "LineWriter",
     "LeaseLost",
     "MoveError",
     "PeerError",
@@ -45,6 +48,7 @@
     "StoreAnswerLost",
     "StoreConflict",
     "SuspendAwareClock",
+    "VolumeLimit",
     "configure_logs",
     "get_logger",
     "info",
--- a/libs/base/src/hemlockhoist/base/logs.py
+++ b/libs/base/src/hemlockhoist/base/logs.py
@@ -18,7 +18,7 @@
     return event
 
 
-def configure_logs(level="info", stream=None):
+def configure_logs(level="info", stream=None, limit=None):
     """Set up structured logs for the process.
 
     Parameters
@@ -27,10 +27,14 @@
         ``debug``, ``info``, ``warning`` or ``error``.
     stream : file object, optional
         Where lines go; standard error by default.
+    limit : VolumeLimit, optional
+        Drops lines beyond a rate.
     """
     number = logging.getLevelNamesMapping()[level.upper()]
+    limits = [limit] if limit is not None else []
     structlog.configure(
         processors=[
+            *limits,
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso"),
--- a/libs/decisions/src/hemlockhoist/decisions/limits/allowances.py
+++ b/libs/decisions/src/hemlockhoist/decisions/limits/allowances.py
@@ -115,6 +115,11 @@
         rate = self._share * bucket.allowance.units_per_s
         return max(1, math.ceil((wanted - level) * MS_PER_S / max(rate, 1e-9)))
 
+    def units_left(self, customer, now_ms):
+        """Return the units that a customer may still send, or None without a limit."""
+        bucket = self._buckets.get(customer)
+        return None if bucket is None else int(bucket.level(self._share, now_ms))
+
     def give_back(self, customer, units):
         """Put back what was taken for a request that did not run."""
         bucket = self._buckets.get(customer)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/fleet.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/fleet.py
@@ -3,7 +3,6 @@
 import statistics
 
 from hemlockhoist.decisions.scheduling.recovery import RecoveryPhase
-from hemlockhoist.decisions.scheduling.tracking import UpstreamTracks
 from hemlockhoist.decisions.scheduling.upstreams import UpstreamTable
 
 # A grant is not called overdue by a multiple of less: a few long prompts at one
@@ -19,17 +18,16 @@
     Parameters
     ==========
     grants : GrantBook
-    max_limit : int
-        The pool's upper bound of an upstream's limit.
+    tracks : UpstreamTracks or DeclaredTracks
     """
 
     __slots__ = ("_grants", "_reviewed_ms", "recovery", "table", "tracks")
 
-    def __init__(self, grants, max_limit):
+    def __init__(self, grants, tracks):
         self._grants = grants
         self._reviewed_ms = 0
         self.table = UpstreamTable()
-        self.tracks = UpstreamTracks(max_limit)
+        self.tracks = tracks
         self.recovery = RecoveryPhase()
 
     def replace(self, upstreams, now_ms):
@@ -81,6 +79,7 @@
 
     def review(self, estimate, now_ms):
         """Find upstreams that hold grants far longer than predicted; once a second."""
+        self.tracks.review(now_ms)
         if now_ms - self._reviewed_ms < REVIEW_MS:
             return
         self._reviewed_ms = now_ms
--- /dev/null
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/pace.py
@@ -0,0 +1,123 @@
+"""How fast each engine is, and what the pool's work costs in its time."""
+
+# Start values until the first answers: a large model on one accelerator.
+INITIAL_TOKEN_MS = 4.0
+# What every request takes to its first token, and what a prompt token takes, both in
+# units of the time of one output token. The ratios are the model's and hardly differ
+# between engines of one pool; the time of a token is the engine's own.
+INITIAL_BASE_TOKENS = 10.0
+INITIAL_PROMPT_TOKENS = 0.0075
+# An engine's pace follows its own answers within a few, so that one that turns slow is
+# known before its next batch; the pool's ratios follow slowly.
+PACE_WEIGHT = 0.4
+RATIO_WEIGHT = 0.05
+# A first token that took this many times the expected time moves the pace at once, by
+# at most this factor: the end of the answer, which tells it well, may be seconds off.
+SLOW_FIRST_RATIO = 2.0
+MAX_FIRST_FACTOR = 1.5
+# A prompt of fewer tokens says too little of what a token costs, one of more too
+# little of what every request costs.
+LONG_PROMPT = 1_500
+SHORT_PROMPT = 800
+
+
+class PoolPace:
+    """What requests cost on any engine of a pool, in output tokens of its time."""
+
+    __slots__ = ("_token_ms", "base_tokens", "prompt_tokens")
+
+    def __init__(self):
+        self._token_ms = None
+        self.base_tokens = INITIAL_BASE_TOKENS
+        self.prompt_tokens = INITIAL_PROMPT_TOKENS
+
+    @property
+    def token_ms(self):
+        """The time of a token on an engine of which nothing is known yet."""
+        return INITIAL_TOKEN_MS if self._token_ms is None else self._token_ms
+
+    def observe_token(self, token_ms):
+        """Take the time of a token of one answer, of any engine."""
+        if self._token_ms is None:
+            self._token_ms = token_ms
+        self._token_ms += RATIO_WEIGHT * (token_ms - self._token_ms)
+
+    def observe_first(self, prompt_tokens, first_tokens):
+        """Take the time to a first token that waited for nothing.
+
+        Parameters
+        ==========
+        prompt_tokens : int
+        first_tokens : float
+            The time, in output tokens of the engine's.
+        """
+        if prompt_tokens >= LONG_PROMPT:
+            sample = max(0.0, first_tokens - self.base_tokens) / prompt_tokens
+            self.prompt_tokens += RATIO_WEIGHT * (sample - self.prompt_tokens)
+        elif prompt_tokens <= SHORT_PROMPT:
+            sample = max(0.0, first_tokens - prompt_tokens * self.prompt_tokens)
+            self.base_tokens += RATIO_WEIGHT * (sample - self.base_tokens)
+
+
+class EnginePace:
+    """How fast one engine is.
+
+    Parameters
+    ==========
+    pool : PoolPace
+
+    Examples
+    ========
+    >>> from hemlockhoist.decisions.scheduling.pace import EnginePace, PoolPace
+    >>> pool = PoolPace()
+    >>> fast, slow = EnginePace(pool), EnginePace(pool)
+    >>> for _ in range(10):
+    ...     fast.observe_token(2.0)
+    ...     slow.observe_token(8.0)
+    >>> round(slow.prompt_ms(1_000) / fast.prompt_ms(1_000))
+    4
+    """
+
+    __slots__ = ("_pool", "_token_ms")
+
+    def __init__(self, pool):
+        self._pool = pool
+        self._token_ms = None
+
+    @property
+    def token_ms(self):
+        """The time of one output token."""
+        return self._pool.token_ms if self._token_ms is None else self._token_ms
+
+    def observe_token(self, token_ms):
+        """Take the time of a token of one of its answers."""
+        self._pool.observe_token(token_ms)
+        if self._token_ms is None:
+            self._token_ms = token_ms
+        self._token_ms += PACE_WEIGHT * (token_ms - self._token_ms)
+
+    def observe_whole(self, total_ms):
+        """Take the time of an answer without tokens, of a plain service."""
+        self._pool.base_tokens = 1.0
+        self.observe_token(total_ms)
+
+    def observe_first(self, prompt_tokens, first_ms):
+        """Take the time to a first token that waited for nothing."""
+        expected_ms = self.prompt_ms(prompt_tokens) + self.base_ms()
+        ratio = first_ms / max(1.0, expected_ms)
+        if self._token_ms is not None and ratio > SLOW_FIRST_RATIO:
+            self._token_ms *= min(MAX_FIRST_FACTOR, ratio)
+            return
+        self._pool.observe_first(prompt_tokens, first_ms / self.token_ms)
+
+    def prompt_ms(self, prompt_tokens):
+        """Return how long a prompt keeps the engine busy."""
+        return self.token_ms * self._pool.prompt_tokens * prompt_tokens
+
+    def base_ms(self):
+        """Return what every request's first token takes beside its prompt."""
+        return self.token_ms * self._pool.base_tokens
+
+    def decode_ms(self, output_tokens):
+        """Return how long an answer's tokens take."""
+        return self.token_ms * output_tokens
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -13,6 +13,7 @@
 from hemlockhoist.decisions.scheduling.grants import GrantBook, Held
 from hemlockhoist.decisions.scheduling.queue import RequestQueue, Waiting
 from hemlockhoist.decisions.scheduling.shedding import Shedder
+from hemlockhoist.decisions.scheduling.tracking import UpstreamTracks
 from hemlockhoist.decisions.work import Grant, Granted, OutcomeKind
 
 # A grant that is not used within this time is void: the entry host must dispatch at
@@ -51,7 +52,7 @@
         "_shedder",
     )
 
-    def __init__(self, pool, tiers, incarnation, policy, invariants):
+    def __init__(self, pool, tiers, incarnation, policy, invariants, tracks):
         self._pool = pool
         self._incarnation = incarnation
         self._policy = policy
@@ -60,7 +61,7 @@
         self._queue = RequestQueue([tier.rank for tier in tiers])
         self._estimate = ServiceEstimate()
         self._grants = GrantBook()
-        self._fleet = Fleet(self._grants, pool.max_in_flight_per_upstream)
+        self._fleet = Fleet(self._grants, tracks)
         self._shedder = Shedder(
             self._queue, self._admission, invariants, self._retry_after_ms
         )
@@ -68,7 +69,9 @@
         self._order = 0
 
     @classmethod
-    def from_config(cls, pool, tiers, incarnation, policy=None, invariants=None):
+    def from_config(
+        cls, pool, tiers, incarnation, policy=None, invariants=None, tracks=None
+    ):
         """Return a scheduler without upstreams.
 
         Parameters
@@ -80,9 +83,13 @@
         policy : VersionPolicy, optional
         invariants : hemlockhoist.base.InvariantLog, optional
             Takes the checks of tier order and of leaving upstreams.
+        tracks : DeclaredTracks, optional
+            For upstreams that declare their places; by default their limits are
+            found.
         """
         log = invariants or InvariantLog(fatal=False)
-        return cls(pool, tiers, incarnation, policy or VersionPolicy(), log)
+        found = tracks or UpstreamTracks(pool.max_in_flight_per_upstream)
+        return cls(pool, tiers, incarnation, policy or VersionPolicy(), log, found)
 
     @property
     def queued(self):
@@ -353,6 +360,7 @@
         held = self._grants.get(grant_id)
         self._grants.remove(grant_id)
         if held is not None:
+            self._fleet.tracks.forget(held, now_ms)
             self._policy.on_forget(held.request, held.grant.version, now_ms)
 
     def _learn(self, held, outcome, now_ms):
--- /dev/null
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_declared.py
@@ -0,0 +1,204 @@
+import doctest
+import unittest
+
+from hemlockhoist.decisions import Granted, Outcome, OutcomeKind, Upstream
+from hemlockhoist.decisions.scheduling import DeclaredTracks, PoolScheduler, pace, reach
+from hemlockhoist.decisions.scheduling.tests import builders as b
+from hemlockhoist.declarations import Pool, PoolKind
+
+FAST_US = 2_000
+SLOW_US = 9_000
+PLACES = 4
+
+
+def upstream(name, **fields):
+    values = {"pool": "dossiers", "version": "v1", "address": "127.0.0.1:1"}
+    return Upstream(upstream_id=name, places=PLACES, **(values | fields))
+
+
+def scheduler(*names):
+    pool = Pool(name="dossiers", kind=PoolKind.MODEL, stable_version="")
+    made = PoolScheduler.from_config(pool, (), "i1", tracks=DeclaredTracks())
+    made.set_upstreams([upstream(name) for name in names], 0)
+    return made
+
+
+def success(token_us, first_ms=60):
+    return Outcome(
+        kind=OutcomeKind.SUCCESS,
+        first_token_ms=first_ms,
+        total_ms=first_ms + 100 * token_us // 1_000,
+        output_tokens=100,
+        token_us=token_us,
+    )
+
+
+def ended(kind):
+    return Outcome(kind=kind, total_ms=1)
+
+
+class Load:
+    """Sends requests one by one, and ends each as its upstream would."""
+
+    def __init__(self, sched):
+        self.sched = sched
+        self.now_ms = 0
+        self.sent = []
+
+    def send(self, outcome_of, count=1, every_ms=100, **fields):
+        """Return where the requests went."""
+        placed = []
+        for _ in range(count):
+            self.now_ms += every_ms
+            request = b.request(now_ms=self.now_ms, **fields)
+            for granted in self.sched.submit(request, self.now_ms):
+                if not isinstance(granted, Granted):
+                    continue
+                name = granted.grant.upstream_id
+                placed.append(name)
+                grant_id = granted.grant.grant_id
+                self.sched.release(grant_id, outcome_of(name), self.now_ms + 1)
+        return placed
+
+    def learn(self, paces):
+        """Let each upstream answer a few requests at its pace."""
+        for name, token_us in paces.items():
+            self.sched.set_upstreams([upstream(name)], self.now_ms)
+            self.send(lambda _, us=token_us: success(us), count=5)
+        self.sched.set_upstreams([upstream(name) for name in paces], self.now_ms)
+
+
+class UnreachableTests(unittest.TestCase):
+    def test_crashed_upstream_is_not_tried_by_every_request(self):
+        """Every caller waits for two dead engines before a live one.
+
+        An engine crashed and is still listed. It holds nothing, so each request of the
+        next seconds is sent there first; half of all places given were useless.
+        """
+        load = Load(scheduler("dead", "live"))
+        placed = load.send(
+            lambda name: (
+                ended(OutcomeKind.CONNECT_FAILED)
+                if name == "dead"
+                else success(FAST_US)
+            ),
+            count=40,
+            every_ms=50,
+        )
+        self.assertLessEqual(placed.count("dead"), 4)
+
+    def test_upstream_that_is_back_is_used_again(self):
+        load = Load(scheduler("once", "other"))
+        load.send(
+            lambda name: (
+                ended(OutcomeKind.CONNECT_FAILED)
+                if name == "once"
+                else success(FAST_US)
+            ),
+            count=10,
+        )
+        placed = load.send(lambda name: success(FAST_US), count=60)
+        self.assertIn("once", placed[-20:])
+
+    def test_all_unreachable_upstreams_are_tried_in_turn(self):
+        """With nothing else left, a pause ends after two seconds at most."""
+        load = Load(scheduler("a", "b"))
+        placed = load.send(
+            lambda name: ended(OutcomeKind.CONNECT_FAILED), count=100, every_ms=100
+        )
+        self.assertGreater(len(placed), 8)
+
+
+class FailingTests(unittest.TestCase):
+    def test_upstream_that_fails_half_its_answers_is_avoided(self):
+        """Bookings fail at one replica that says it is well."""
+        count = {"bad": 0}
+
+        def outcome_of(name):
+            if name == "bad":
+                count["bad"] += 1
+                if count["bad"] % 2:
+                    return ended(OutcomeKind.FAILED)
+            return success(FAST_US)
+
+        load = Load(scheduler("bad", "good", "fine"))
+        placed = load.send(outcome_of, count=60)
+        self.assertLess(placed.count("bad"), 15)
+
+    def test_failures_that_all_have_alike_change_nothing(self):
+        """Where every replica fails as often, none is avoided for it."""
+        turn = {"n": 0}
+
+        def outcome_of(name):
+            turn["n"] += 1
+            return ended(OutcomeKind.FAILED) if turn["n"] % 3 == 0 else success(FAST_US)
+
+        load = Load(scheduler("a", "b"))
+        placed = load.send(outcome_of, count=200, every_ms=20)
+        self.assertGreater(min(placed.count("a"), placed.count("b")), 20)
+
+
+class PaceTests(unittest.TestCase):
+    def setUp(self):
+        self.load = Load(scheduler("fast", "slow"))
+        self.load.learn({"fast": FAST_US, "slow": SLOW_US})
+        self.load.now_ms += 1_000
+
+    def place(self, **fields):
+        request = b.request(now_ms=self.load.now_ms, **fields)
+        decisions = self.load.sched.submit(request, self.load.now_ms)
+        return decisions[0].grant.upstream_id
+
+    def test_long_prompts_go_to_the_fast_engine(self):
+        self.assertEqual(self.place(prompt_tokens=20_000), "fast")
+
+    def test_short_prompts_use_the_slow_engine_beside_a_long_one(self):
+        """A short question waits behind a long report, and an engine stands idle.
+
+        The fast engine computes a report's prompt for half a second; the slow one
+        would have answered the question in a tenth of that.
+        """
+        self.place(prompt_tokens=40_000)
+        self.assertEqual(self.place(prompt_tokens=300), "slow")
+
+    def test_engine_that_turns_slow_is_known_after_a_few_answers(self):
+        self.load.sched.set_upstreams([upstream("fast")], self.load.now_ms)
+        self.load.send(lambda name: success(10 * SLOW_US), count=4)
+        both = [upstream("fast"), upstream("slow")]
+        self.load.sched.set_upstreams(both, self.load.now_ms)
+        self.load.sched.release("none", success(FAST_US), self.load.now_ms)
+        self.assertEqual(self.place(prompt_tokens=5_000), "slow")
+
+    def test_no_more_is_granted_than_the_upstreams_declare(self):
+        placed = []
+        for _ in range(3 * PLACES):
+            request = b.request(now_ms=self.load.now_ms)
+            placed += self.load.sched.submit(request, self.load.now_ms)
+        self.assertEqual(len(placed), 2 * PLACES)
+
+
+class StallTests(unittest.TestCase):
+    def test_upstream_that_has_gone_silent_is_avoided(self):
+        """An engine goes dark while it holds two requests; new ones follow them.
+
+        No connection breaks and no answer fails. It shows in first tokens that are
+        long overdue.
+        """
+        sched = scheduler("dark", "live")
+        load = Load(sched)
+        load.learn({"dark": FAST_US, "live": FAST_US})
+        now_ms = load.now_ms + 1_000
+        sched.set_upstreams([upstream("dark")], now_ms)
+        for _ in range(2):
+            sched.submit(b.request(now_ms=now_ms), now_ms)
+        sched.set_upstreams([upstream("dark"), upstream("live")], now_ms)
+        load.now_ms = now_ms + 2_000
+        sched.tick(load.now_ms)
+        placed = load.send(lambda name: success(FAST_US), count=6)
+        self.assertEqual(set(placed), {"live"})
+
+
+class ExampleTests(unittest.TestCase):
+    def test_examples_run(self):
+        for module in (pace, reach):
+            self.assertEqual(doctest.testmod(module).failed, 0)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tracking.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tracking.py
@@ -203,6 +203,9 @@
                 best, best_ms = item, score_ms
         return best
 
+    def review(self, now_ms):
+        """Do nothing: overdue grants are told by ``on_overdue``."""
+
     def drift(self):
         """Let speeds that are not measured return to their generation's."""
         for track in self._tracks.values():
@@ -259,6 +262,12 @@
         computed = request.prompt_tokens - cached
         self._observe_first_token(track, held, computed, first_token_ms, now_ms)
 
+    def forget(self, held, now_ms):
+        """Stop counting a grant whose outcome nobody will report."""
+        track = self._tracks.get(held.grant.upstream_id)
+        if track is not None:
+            track.on_prompt_done(held, now_ms)
+
     def on_overdue(self, upstream_id, overdue, ratio, now_ms):
         """Take notice of grants that are held far longer than predicted.
 
--- a/libs/decisions/src/hemlockhoist/decisions/work.py
+++ b/libs/decisions/src/hemlockhoist/decisions/work.py
@@ -39,7 +39,10 @@
     attempt : int
         1 for the first send of the request.
     units : int
-        What the request counts as against its customer's allowance.
+        What the request counts as against its customer's allowance; 0 where that was
+        taken with an earlier grant.
+    is_new : bool
+        Whether this is the first that any home hears of the request.
     avoid : tuple of str
         Upstreams that failed the request before.
     """
@@ -61,6 +64,7 @@
     attempt: int = 1
     units: int = 0
     avoid: tuple[str, ...] = ()
+    is_new: bool = True
 
 
 class UpstreamState(enum.Enum):
@@ -153,6 +157,8 @@
         From dispatch; -1 where it never came.
     output_tokens, cached_tokens : int
         As the engine reported.
+    token_us : int
+        The usual time of one output token, in microseconds; -1 where it is not known.
     """
 
     kind: OutcomeKind
@@ -160,6 +166,7 @@
     total_ms: int = -1
     output_tokens: int = 0
     cached_tokens: int = 0
+    token_us: int = -1
 
 
 class Granted(msgspec.Struct, frozen=True, kw_only=True):
--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -28,6 +28,8 @@
 MAX_ANSWER_BYTES = 8_388_608
 _OK = 200
 _SERVER_ERROR = 500
+# Enough of an incarnation to tell the hosts of one fleet apart.
+RUN_DIGITS = 6
 # Where an answer never came, this is told as the time to come back.
 RETRY_AFTER_MS = 300
 
@@ -57,6 +59,7 @@
         "may_connect",
         "output_tokens",
         "reason",
+        "token_us",
     )
 
     def __init__(self, hold, guard):
@@ -67,6 +70,7 @@
         self.may_connect = True
         self.first_ms = None
         self.output_tokens = 0
+        self.token_us = -1
         self.reason = ""
 
     def outcome(self, now_ms):
@@ -82,6 +86,7 @@
             first_token_ms=-1 if self.first_ms is None else self.first_ms - sent_ms,
             total_ms=now_ms - sent_ms,
             output_tokens=self.output_tokens,
+            token_us=self.token_us,
         )
 
 
@@ -167,7 +172,6 @@
                 self._sends,
                 self._unsent,
             )
-            self._log_attempt_ended(hold, end, step)
             if step is not Step.TRY_ANOTHER:
                 return self._end(step, end)
 
@@ -181,9 +185,8 @@
 
     def _brief(self, now_ms):
         admitted = self._admitted
-        incarnation = self._context.identity.incarnation
         return RequestBrief(
-            request_id=f"{incarnation}-{self._number}.{self._attempts}",
+            request_id=self._attempt_id,
             route=admitted.route.name,
             customer=admitted.customer.name if admitted.customer else "",
             tier_rank=admitted.rank,
@@ -195,10 +198,22 @@
             failure_domain=self._context.identity.failure_domain,
             trace=text_of_context(),
             attempt=1 + self._sends,
-            units=admitted.units,
+            # Taken once: a request whose upstream could not be reached asks again.
+            units=admitted.units if self._attempts == 1 else 0,
+            is_new=self._attempts == 1,
             avoid=tuple(self._failed_upstreams),
         )
 
+    @property
+    def _attempt_id(self):
+        """What the present attempt is called between hosts.
+
+        It begins with the caller's id, so that one search finds all lines of a request
+        on all hosts, and stays unique where a caller uses its id twice.
+        """
+        run = self._context.identity.incarnation[:RUN_DIGITS]
+        return f"{self.request_id}/{run}{self._number:x}.{self._attempts}"
+
     # One attempt.
 
     async def _attempt(self, hold):
@@ -212,15 +227,18 @@
             return answer, end
         finally:
             self._note_sent(attempt)
-            now_ms = self._context.clock.now_ms()
-            self._context.grants.release(hold, attempt.outcome(now_ms))
+            if self._is_over and attempt.kind is OutcomeKind.CANCELLED:
+                attempt.kind = OutcomeKind.TIMEOUT
+            outcome = attempt.outcome(self._context.clock.now_ms())
+            self._context.grants.release(hold, outcome)
+            self._log_attempt(attempt, outcome)
 
     def _guard(self, hold):
         return SendGuard(
             self._context.clock,
             hold.expires_ms,
             self._context.register,
-            f"{self._context.identity.incarnation}-{self._number}.{self._attempts}",
+            self._attempt_id,
             lambda: self._check_before_send(hold),
         )
 
@@ -341,6 +359,9 @@
             tokens_per_event = engine.tokens_per_event if engine else 1
             events = self._relay.events - before
             attempt.output_tokens = events * tokens_per_event
+            event_us = self._relay.usual_event_us()
+            if event_us > 0:
+                attempt.token_us = event_us // tokens_per_event
         return response, None
 
     # Ends.
@@ -375,6 +396,16 @@
             raise DispatchError("", ResultCode.UPSTREAM_TIMEOUT)
         raise Refused("", ResultCode.DEADLINE_PASSED, RETRY_AFTER_MS)
 
+    @property
+    def _is_over(self):
+        """Whether the time for the request's final answer has come."""
+        return self._context.clock.now_ms() >= self._admitted.deadline_ms
+
+    @property
+    def attempts(self):
+        """Attempts begun so far."""
+        return self._attempts
+
     @property
     def may_have_run(self):
         """Whether any attempt may have run the request."""
@@ -384,12 +415,19 @@
     def _stream_started(self):
         return self._relay is not None and self._relay.started
 
-    def _log_attempt_ended(self, hold, end, step):
-        _log.warning(
+    def _log_attempt(self, attempt, outcome):
+        hold = attempt.hold
+        went_well = outcome.kind in (OutcomeKind.SUCCESS, OutcomeKind.CANCELLED)
+        log = _log.info if went_well else _log.warning
+        log(
             "attempt_ended",
             request=self.request_id,
             attempt=self._attempts,
             upstream=hold.upstream_id,
-            end=end.name,
-            next=step.name,
+            version=hold.version,
+            outcome=outcome.kind.value,
+            sent=attempt.guard.opened,
+            first_ms=outcome.first_token_ms,
+            total_ms=outcome.total_ms,
+            reason=attempt.reason,
         )
--- a/libs/entry/src/hemlockhoist/entry/gate.py
+++ b/libs/entry/src/hemlockhoist/entry/gate.py
@@ -1,9 +1,11 @@
 """Refusals that come before any question of places: allowances and retries."""
 
-from hemlockhoist.base import ResultCode
+from hemlockhoist.base import ResultCode, get_logger
 from hemlockhoist.decisions.limits import AllowanceBook, RetryWindow
 from hemlockhoist.host.home import OpenGate
 
+_log = get_logger("entry.gate")
+
 # A retry that was refused may be sent by the caller itself, when the failed upstream
 # has had time to come back or to be avoided.
 RETRY_REFUSED_MS = 300
@@ -25,22 +27,36 @@
         self.allowances = AllowanceBook()
 
     def refusal(self, pool, request, now_ms):
-        """Return ``(code, retry_after_ms)`` to refuse a request, or None.
-
-        Units are taken with a request's first attempt only: the caller asked once.
-        """
+        """Return ``(code, retry_after_ms)`` to refuse a request, or None."""
         window = self._window(pool)
         if request.attempt > 1:
             if window.take(now_ms):
                 return None
+            _log.warning(
+                "retry_refused",
+                request=request.request_id,
+                pool=pool,
+                attempt=request.attempt,
+            )
             return ResultCode.RETRIES_EXHAUSTED, RETRY_REFUSED_MS
-        window.count_request(now_ms)
+        if request.is_new:
+            window.count_request(now_ms)
         wait_ms = self.allowances.take(request.customer, request.units, now_ms)
-        return (ResultCode.ALLOWANCE_SPENT, wait_ms) if wait_ms else None
+        if not wait_ms:
+            return None
+        _log.warning(
+            "allowance_spent",
+            request=request.request_id,
+            customer=request.customer,
+            units=request.units,
+            units_left=self.allowances.units_left(request.customer, now_ms),
+            wait_ms=wait_ms,
+        )
+        return ResultCode.ALLOWANCE_SPENT, wait_ms
 
     def on_not_run(self, request):
         """Give back what a refused request had taken of its customer's allowance."""
-        if request.attempt == 1:
+        if request.units:
             self.allowances.give_back(request.customer, request.units)
 
     def _window(self, pool):
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -4,6 +4,7 @@
 import contextlib
 import os
 import signal
+import sys
 
 import aiomisc
 
@@ -11,13 +12,16 @@
     MS_PER_S,
     Clock,
     InvariantLog,
+    LineWriter,
     PeriodicTask,
     SuspendAwareClock,
+    VolumeLimit,
     configure_logs,
     get_logger,
 )
 from hemlockhoist.base.metrics import Metrics
 from hemlockhoist.base.traces import Traces
+from hemlockhoist.decisions.scheduling import DeclaredTracks
 from hemlockhoist.declarations import Declarations, Pool, PoolKind
 from hemlockhoist.entry.context import EntryContext
 from hemlockhoist.entry.gate import FleetGate
@@ -53,6 +57,7 @@
 DRAIN_CHECK_MS = 50
 FLUSH_MS = 300
 THREADS = 2
+LEFT_OUT_REPORT_MS = 1_000
 PEER_KEY_VARIABLE = "HEMLOCKHOIST_PEER_KEY"
 TEST_VARIABLE = "HEMLOCKHOIST_TEST"
 # All pools of today's fleets have one home, so that a customer's allowance and the
@@ -146,10 +151,18 @@
             self._on_upstreams,
         )
         context.homes = HomeService(
-            context, context.bus.send, context.gate, lambda pool: ONLY_CELL
+            context,
+            context.bus.send,
+            context.gate,
+            cell_of=lambda pool: ONLY_CELL,
+            new_tracks=DeclaredTracks,
         )
         context.grants = GrantClient(
-            context.clock, context.bus.send, context.homes.home_of, self._on_silent
+            context.clock,
+            context.bus.send,
+            context.homes.home_of,
+            self._on_silent,
+            context.bus.renew,
         )
         context.register = DispatchRegister(context.invariants)
         context.upstreams = UpstreamClient(
@@ -259,7 +272,9 @@
     return Declarations(version=table.version, pools=pools)
 
 
-async def _main(settings, make_platform):
+async def _main(settings, make_platform, writer):
+    limit = VolumeLimit(Clock.from_running_loop().now_ms)
+    configure_logs("info", writer, limit)
     boot_clock = SuspendAwareClock.from_system()
     host = EntryProcess(settings, make_platform(settings, boot_clock), boot_clock)
     loop = asyncio.get_running_loop()
@@ -268,11 +283,21 @@
     loop.add_signal_handler(signal.SIGHUP, lambda: _log.info("reload_asked"))
     try:
         await host.start()
+        report = PeriodicTask(LEFT_OUT_REPORT_MS, lambda: _tell_left_out(limit, writer))
+        await report.start()
         await host.finished.wait()
+        await report.close()
     finally:
         await host.close()
 
 
+def _tell_left_out(limit, writer):
+    """Say how many lines were left out, so that a gap does not pass for quiet."""
+    left_out, dropped = limit.take_left_out(), writer.take_dropped()
+    if left_out or dropped:
+        _log.warning("lines_left_out", **left_out, unread=dropped)
+
+
 def run(settings, make_platform):
     """Run an entry host until it has been drained.
 
@@ -282,6 +307,10 @@
     make_platform : callable
         ``make_platform(settings, boot_clock)`` gives the ``Platform``.
     """
-    configure_logs("info")
-    with aiomisc.entrypoint(pool_size=THREADS, log_config=False) as loop:
-        loop.run_until_complete(_main(settings, make_platform))
+    writer = LineWriter(sys.stdout)
+    writer.start()
+    try:
+        with aiomisc.entrypoint(pool_size=THREADS, log_config=False) as loop:
+            loop.run_until_complete(_main(settings, make_platform, writer))
+    finally:
+        writer.close()
--- a/libs/entry/src/hemlockhoist/entry/stream.py
+++ b/libs/entry/src/hemlockhoist/entry/stream.py
@@ -1,6 +1,7 @@
 """Passing a stream's events on to the caller, over one upstream or several."""
 
 import asyncio
+import statistics
 
 from aiohttp import web
 
@@ -8,6 +9,7 @@
 from hemlockhoist.entry.answers import add_headers
 from hemlockhoist.entry.events import EventReader
 
+US_PER_MS = 1_000
 # A stream that may go on elsewhere is given up at an upstream after this silence. Made
 # for an upstream that has gone dark: nothing else shows it, and its callers wait. Less
 # would give up one that computes a long prompt beside this stream.
@@ -32,6 +34,8 @@
     __slots__ = (
         "_admitted",
         "_clock",
+        "_event_times_us",
+        "_last_event_ms",
         "_reader",
         "_request",
         "_response",
@@ -44,6 +48,8 @@
         self._clock = clock
         self._reader = EventReader(admitted.call.last_event_id)
         self._response = None
+        self._event_times_us = []
+        self._last_event_ms = None
         self.events = 0
 
     @property
@@ -77,6 +83,8 @@
             When the stream broke, or stalled where it may go on elsewhere.
         """
         self._reader.restart()
+        self._event_times_us = []
+        self._last_event_ms = None
         first = True
         chunks = answer.chunks().__aiter__()
         while True:
@@ -127,6 +135,24 @@
             await self._start(head)
         await self._response.write(b"".join(event.raw for event in events))
         self.events += len(events)
+        self._note_times(len(events))
+
+    def _note_times(self, count):
+        now_ms = self._clock.now_ms()
+        if self._last_event_ms is not None:
+            passed_us = (now_ms - self._last_event_ms) * US_PER_MS
+            self._event_times_us.append(passed_us // count)
+        self._last_event_ms = now_ms
+
+    def usual_event_us(self):
+        """Return the median time between this upstream's events, or -1.
+
+        The median, as an answer's pauses are those of prompts computed beside it, and
+        say nothing of how fast the engine is.
+        """
+        if not self._event_times_us:
+            return -1
+        return int(statistics.median(self._event_times_us))
 
     async def _start(self, head):
         response = web.StreamResponse(status=head.status)
--- a/libs/entry/src/hemlockhoist/entry/surface.py
+++ b/libs/entry/src/hemlockhoist/entry/surface.py
@@ -1,5 +1,7 @@
 """The HTTP surface of an entry host: callers, readiness, and which hosts to use."""
 
+import asyncio
+
 from aiohttp import web
 
 from hemlockhoist.base import (
@@ -120,10 +122,21 @@
     async def _serve(self, request, call):
         arrived_ms = self._context.clock.now_ms()
         admitted = self._admission.admit(call, arrived_ms)
+        self._log_admitted(admitted)
         body = await self._read_body(request)
         exchange = Exchange(self._context, request, admitted, body, self._admission)
         try:
-            return await exchange.run()
+            response = await exchange.run()
+            self._log_ended(exchange, response, arrived_ms)
+            return response
+        except asyncio.CancelledError:
+            _log.info(
+                "caller_left",
+                request=exchange.request_id,
+                after_ms=self._context.clock.now_ms() - arrived_ms,
+                attempts=exchange.attempts,
+            )
+            raise
         except HemlockhoistError as error:
             check_not_run(self._context.invariants, exchange, error)
             raise
@@ -134,6 +147,31 @@
         limits = self._limits
         return await read_body(request, limits.max_body_bytes, limits.header_timeout_ms)
 
+    def _log_admitted(self, admitted):
+        knowledge = self._context.knowledge
+        _log.info(
+            "request_admitted",
+            request=admitted.call.request_id,
+            route=admitted.route.name,
+            customer=admitted.customer.name if admitted.customer else "",
+            pool=admitted.pool,
+            rank=admitted.rank,
+            units=admitted.units,
+            prompt_tokens=admitted.call.prompt_tokens,
+            left_ms=admitted.deadline_ms - admitted.arrived_ms,
+            routes_version=knowledge.routes.version,
+            proof_age_ms=knowledge.proof_age_ms(),
+        )
+
+    def _log_ended(self, exchange, response, arrived_ms):
+        _log.info(
+            "request_ended",
+            request=exchange.request_id,
+            status=response.status,
+            attempts=exchange.attempts,
+            after_ms=self._context.clock.now_ms() - arrived_ms,
+        )
+
     def _log_refused(self, call, request, error):
         _log.info(
             "request_refused",
--- a/libs/host/src/hemlockhoist/host/grants.py
+++ b/libs/host/src/hemlockhoist/host/grants.py
@@ -20,9 +20,10 @@
     RequestBrief,
 )
 
-# A reply takes a few milliseconds; after this the request or its reply is taken for
-# lost and is sent again, which is harmless (the home knows it by its id).
-RESEND_MS = 300
+# A reply takes a few milliseconds, and up to a tenth of a second where the home's
+# processor is rationed; after this the request or its reply is taken for lost and is
+# sent again, which is harmless (the home knows it by its id).
+RESEND_MS = 120
 # A queued request asks this often whether it is still queued.
 QUEUED_RESEND_MS = 1_000
 # A home that misses two questions is frozen, cut off or dead, and the pool is better
@@ -90,11 +91,22 @@
         ``home_of(pool)`` gives the host id of the pool's home, or "".
     on_silent : callable
         ``on_silent(host_id)`` is called when a home does not answer.
+    renew : callable, optional
+        ``renew(host_id)`` takes a new connection to a home that missed a question.
     """
 
-    __slots__ = ("_clock", "_held", "_home_of", "_on_silent", "_send", "_waiters")
+    __slots__ = (
+        "_clock",
+        "_held",
+        "_home_of",
+        "_on_silent",
+        "_renew",
+        "_send",
+        "_waiters",
+    )
 
-    def __init__(self, clock, send, home_of, on_silent):
+    def __init__(self, clock, send, home_of, on_silent, renew=lambda host_id: None):
+        self._renew = renew
         self._on_silent = on_silent
         self._clock = clock
         self._send = send
@@ -204,6 +216,8 @@
     def _count_silence(self, waiter):
         """Report a home that leaves several questions in a row without an answer."""
         waiter.unanswered += 1
+        if waiter.asked:
+            self._renew(waiter.asked)
         if waiter.asked and waiter.unanswered == MAX_UNANSWERED:
             waiter.unanswered = 0
             self._on_silent(waiter.asked)
@@ -273,6 +287,7 @@
             total_ms=outcome.total_ms if outcome else -1,
             output_tokens=outcome.output_tokens if outcome else 0,
             cached_tokens=outcome.cached_tokens if outcome else 0,
+            token_us=outcome.token_us if outcome else -1,
         )
         home = self._home_of(hold.pool)
         if home:
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -59,6 +59,8 @@
     metrics : Metrics, optional
     gate : Gate, optional
         Refuses before the scheduler is asked.
+    renew : callable, optional
+        ``renew(host_id)`` takes a new connection to a host that missed an answer.
     """
 
     __slots__ = (
@@ -70,6 +72,7 @@
         "_identity",
         "_metrics",
         "_queued",
+        "_renew",
         "_resend_ms",
         "_send",
         "_spans",
@@ -93,7 +96,9 @@
         traces,
         metrics=None,
         gate=None,
+        renew=lambda host_id: None,
     ):
+        self._renew = renew
         self.pool = pool
         self.declared = declared
         self.scheduler = scheduler
@@ -162,6 +167,7 @@
         brief = message.brief
         granted = self._granted.get(brief.request_id)
         if granted is not None:
+            self._renew(sender)
             self._resend(sender, granted[0])
             return
         if brief.request_id in self._queued:
@@ -177,6 +183,14 @@
         self._queued[request.request_id] = request
         self._emit(self.scheduler.submit(request, now_ms), now_ms)
         if request.request_id in self._queued:
+            _log.info(
+                "request_queued",
+                request=request.request_id,
+                pool=self.pool,
+                tier=request.tier_rank,
+                queued=len(self._queued),
+                granted=len(self._granted),
+            )
             self._send(request.entry_host, self._queued_note(request.request_id))
 
     def _begin_span(self, brief):
@@ -218,6 +232,7 @@
             total_ms=message.total_ms,
             output_tokens=message.output_tokens,
             cached_tokens=message.cached_tokens,
+            token_us=message.token_us,
         )
         now_ms = self._clock.now_ms()
         self._release(message.grant_id, message.request_id, outcome, now_ms)
@@ -328,8 +343,22 @@
             else:
                 self._end_span(request.request_id, code=int(decision.code))
                 self._gate.on_not_run(request)
+                self._log_refused(decision)
                 self._refuse(request, decision.code, decision.retry_after_ms)
 
+    def _log_refused(self, decision):
+        request = decision.request
+        _log.warning(
+            "place_refused",
+            request=request.request_id,
+            pool=self.pool,
+            tier=request.tier_rank,
+            code=int(decision.code),
+            retry_after_ms=decision.retry_after_ms,
+            queued=len(self._queued),
+            granted=len(self._granted),
+        )
+
     def _refuse(self, request, code, retry_after_ms):
         refusal = GrantRefusal(
             pool=self.pool,
@@ -347,6 +376,16 @@
             grant.request_id, upstream=grant.upstream_id, version=grant.version
         )
         entry_host = decision.request.entry_host
+        _log.info(
+            "place_granted",
+            request=grant.request_id,
+            pool=self.pool,
+            tier=decision.request.tier_rank,
+            upstream=grant.upstream_id,
+            version=grant.version,
+            queued=len(self._queued),
+            granted=len(self._granted),
+        )
         self._granted[grant.request_id] = (grant, entry_host)
         held = self.scheduler.cached_elsewhere(decision.request, grant.upstream_id)
         if held:
@@ -402,4 +441,5 @@
         attempt=brief.attempt,
         units=brief.units,
         avoid=brief.avoid,
+        is_new=brief.is_new,
     )
--- a/libs/host/src/hemlockhoist/host/homes.py
+++ b/libs/host/src/hemlockhoist/host/homes.py
@@ -25,11 +25,22 @@
     cell_of : callable, optional
         ``cell_of(pool)`` names what is hashed to find a pool's home; pools of one
         cell have one home.
+    new_tracks : callable, optional
+        Makes what a scheduler keeps of its upstreams.
     """
 
-    __slots__ = ("_cell_of", "_context", "_gate", "_homes", "_send", "_upstreams")
-
-    def __init__(self, context, send, gate=None, cell_of=str):
+    __slots__ = (
+        "_cell_of",
+        "_context",
+        "_gate",
+        "_homes",
+        "_new_tracks",
+        "_send",
+        "_upstreams",
+    )
+
+    def __init__(self, context, send, gate=None, cell_of=str, new_tracks=lambda: None):
+        self._new_tracks = new_tracks
         self._context = context
         self._send = send
         self._gate = gate
@@ -71,6 +82,7 @@
             self._context.identity.incarnation,
             controller,
             self._context.invariants,
+            self._new_tracks(),
         )
         home = PoolHome(
             pool.name,
@@ -82,6 +94,7 @@
             self._context.traces,
             self._context.metrics,
             self._gate,
+            self._context.bus.renew,
         )
         self._homes[pool.name] = home
         home.set_upstreams(self._upstreams.get(pool.name, ()))
--- a/libs/host/src/hemlockhoist/host/process.py
+++ b/libs/host/src/hemlockhoist/host/process.py
@@ -168,7 +168,11 @@
         context.tokens = StreamTokens(self.settings.peer_key.encode())
         context.homes = HomeService(context, send)
         context.grants = GrantClient(
-            clock, send, context.homes.home_of, self._on_silent
+            clock,
+            send,
+            context.homes.home_of,
+            self._on_silent,
+            context.bus.renew,
         )
         context.dispatcher = Dispatcher(
             context.grants, clock, context.invariants, context.traces, context.metrics
--- a/libs/messages/src/hemlockhoist/messages/grants.py
+++ b/libs/messages/src/hemlockhoist/messages/grants.py
@@ -26,7 +26,10 @@
     attempt : int
         1 for the first send of the request.
     units : int
-        What the request counts as against its customer's allowance.
+        What the request counts as against its customer's allowance; 0 where that was
+        taken with an earlier grant.
+    is_new : bool
+        Whether this is the first that any home hears of the request.
     avoid : tuple of str
         Upstreams that failed the request before.
     """
@@ -48,6 +51,7 @@
     attempt: int = 1
     units: int = 0
     avoid: tuple[str, ...] = ()
+    is_new: bool = True
 
 
 class GrantRequest(
@@ -129,6 +133,7 @@
     total_ms: int = -1
     output_tokens: int = 0
     cached_tokens: int = 0
+    token_us: int = -1
 
 
 class FirstToken(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
--- a/libs/peers/src/hemlockhoist/peers/bus.py
+++ b/libs/peers/src/hemlockhoist/peers/bus.py
@@ -123,6 +123,12 @@
             link = self._links[address] = self._connect(address)
         link.send(message)
 
+    def renew(self, address):
+        """Take a new connection to a peer that seems not to hear this host."""
+        link = self._links.get(address)
+        if link is not None:
+            link.renew()
+
     def _connect(self, address):
         link = PeerLink(
             self._codec,
@@ -152,6 +158,9 @@
                     "peer_rejected", code=int(error.code), reason=error.message
                 )
                 continue
+            if self._inbox.is_new_run(envelope.sender):
+                # The connection was to the run before, and may hang.
+                self.renew(envelope.sender)
             for message in envelope.messages:
                 self._deliver(envelope.sender, message, late_ms)
 
--- a/libs/peers/src/hemlockhoist/peers/inbox.py
+++ b/libs/peers/src/hemlockhoist/peers/inbox.py
@@ -48,11 +48,12 @@
     3000
     """
 
-    __slots__ = ("_address", "_senders")
+    __slots__ = ("_address", "_new_run", "_senders")
 
     def __init__(self, address):
         self._address = address
         self._senders = {}
+        self._new_run = ""
 
     def accept(self, envelope, now_ms):
         """Return the lateness of an envelope in milliseconds.
@@ -76,12 +77,17 @@
             state.min_offset_ms = offset_ms
         return offset_ms - state.min_offset_ms
 
+    def is_new_run(self, sender):
+        """Return whether the last envelope began another run of a known sender."""
+        return self._new_run == sender
+
     def forget(self, sender):
         """Drop what is known of a host that has left the fleet."""
         self._senders.pop(sender, None)
 
     def _state(self, envelope):
         state = self._senders.get(envelope.sender)
+        self._new_run = ""
         if state is None:
             state = _SenderState(envelope.incarnation, ())
         elif envelope.incarnation in state.retired:
@@ -92,5 +98,6 @@
         elif state.incarnation != envelope.incarnation:
             retired = (*state.retired, state.incarnation)[-MAX_RETIRED:]
             state = _SenderState(envelope.incarnation, retired)
+            self._new_run = envelope.sender
         self._senders[envelope.sender] = state
         return state
--- a/libs/peers/src/hemlockhoist/peers/link.py
+++ b/libs/peers/src/hemlockhoist/peers/link.py
@@ -21,6 +21,9 @@
 MAX_QUEUED = 4_096
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 1_000
+# Between two renewals of a connection: a new one is there within a few round trips,
+# and whoever has no answer asks for a renewal with each question.
+MIN_RENEWAL_MS = 400
 
 
 class PeerLink:
@@ -47,6 +50,7 @@
         "_on_broken",
         "_queue",
         "_reachable",
+        "_renewed_ms",
         "_sender",
         "_sequence",
         "_socket",
@@ -70,6 +74,7 @@
         self._sequence = 0
         self._reachable = True
         self._closed = False
+        self._renewed_ms = None
         self._socket = None
         self._task = None
         self.bytes_sent = 0
@@ -77,22 +82,44 @@
 
     def start(self):
         """Begin to dial the peer, and go on until ``close``."""
-        self._socket = pynng.Push0(
+        self._dial()
+        self._task = asyncio.create_task(self._run())
+
+    def _dial(self):
+        found = pynng.Push0(
             send_timeout=SEND_TIMEOUT_MS,
             reconnect_time_min=RECONNECT_MIN_MS,
             reconnect_time_max=RECONNECT_MAX_MS,
         )
-        self._socket.add_post_pipe_remove_cb(self._pipe_removed)
-        self._socket.dial(f"tcp://{self.address}", block=False)
-        self._task = asyncio.create_task(self._run())
+        found.add_post_pipe_remove_cb(lambda pipe: self._pipe_removed(found))
+        found.dial(f"tcp://{self.address}", block=False)
+        self._socket = found
+
+    def renew(self):
+        """Take a new connection in the place of one that may carry nothing.
+
+        Failure: a peer's machine lost its power, or a connection has gone silent; what
+        is sent on it is lost, without an error, for as long as the kernel tries. The
+        peer's own messages still arrive, so that it looks well. Whoever misses answers
+        asks for this. What is still queued goes by the new connection, under numbers
+        that go on: the receiver takes no envelope twice.
+        """
+        now_ms = self._clock.now_ms()
+        if self._renewed_ms is not None and now_ms - self._renewed_ms < MIN_RENEWAL_MS:
+            return
+        self._renewed_ms = now_ms
+        former = self._socket
+        self._dial()
+        if former is not None:
+            former.close()
 
-    def _pipe_removed(self, _pipe):
+    def _pipe_removed(self, found):
         # Called in a thread of the library.
         if not self._loop.is_closed():
-            self._loop.call_soon_threadsafe(self._note_broken)
+            self._loop.call_soon_threadsafe(self._note_broken, found)
 
-    def _note_broken(self):
-        if not self._closed:
+    def _note_broken(self, found):
+        if not self._closed and found is self._socket:
             self._on_broken(self.address)
 
     async def close(self):
--- a/libs/peers/src/hemlockhoist/peers/tests/test_bus.py
+++ b/libs/peers/src/hemlockhoist/peers/tests/test_bus.py
@@ -184,3 +184,52 @@
             link = self.a._links[address]
             self.assertLessEqual(len(link._queue), 4096)
             self.assertGreater(link.dropped, 0)
+
+
+class SilentConnectionTests(unittest.IsolatedAsyncioTestCase):
+    async def test_renewed_link_reaches_a_peer_behind_a_silent_connection(self):
+        """Requests of one host get no place, though every host looks well.
+
+        The peer's machine lost its power and is back. This host's connection to it
+        never broke; what is sent on it is lost, for as long as the kernel tries.
+        """
+        received = asyncio.Queue()
+        accepted = []
+        silent = await asyncio.start_server(
+            lambda reader, writer: accepted.append(writer), "127.0.0.1", 0
+        )
+        port = silent.sockets[0].getsockname()[1]
+        clock = Clock.from_running_loop()
+        sender = PeerBus("1", "127.0.0.1:0", None, b"k", clock, lambda *message: None)
+        await sender.start()
+        sender.send(f"127.0.0.1:{port}", _message(1))
+        while not accepted:
+            await asyncio.sleep(0.01)
+        silent.close()
+        peer = PeerBus(
+            "1",
+            f"127.0.0.1:{port}",
+            None,
+            b"k",
+            clock,
+            lambda sender, message, late_ms: received.put_nowait(message),
+        )
+        await peer.start()
+        sender.renew(peer.address)
+        sender.send(peer.address, _message(2))
+        message = await asyncio.wait_for(received.get(), WAIT_S)
+        while message != _message(2):
+            message = await asyncio.wait_for(received.get(), WAIT_S)
+        await sender.close()
+        await peer.close()
+        for writer in accepted:
+            writer.close()
+
+    def test_another_run_of_a_sender_shows(self):
+        box = Inbox("b")
+        box.accept(_envelope(1, incarnation="1"), 10)
+        self.assertFalse(box.is_new_run("a"))
+        box.accept(_envelope(1, incarnation="2"), 20)
+        self.assertTrue(box.is_new_run("a"))
+        box.accept(_envelope(2, incarnation="2"), 30)
+        self.assertFalse(box.is_new_run("a"))
