Hold customers to their declared window; decide alone where no home answers

A bucket refuses what operators grant. And a home that had refuted a suspicion could not be suspected again for 5 s, in which each request to it waited; after a restart of all hosts a new home stood still for up to 3 s.

Ruled out: counting per host (the sums are exact at the one home).

Change: allowances by sliding window at 0.9 of the declared bound; each side of a cut gives out its hosts' part times 1.25; a request whose home misses three questions is decided by its entry host; a new home over declared places grants after 200 ms.

--- a/libs/decisions/src/hemlockhoist/decisions/limits/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/limits/__init__.py
@@ -1,6 +1,6 @@
 """Bounds over all hosts: customers' allowances and retries."""
 
-from hemlockhoist.decisions.limits.allowances import AllowanceBook
+from hemlockhoist.decisions.limits.allowances import AllowanceBook, AllowanceBounds
 from hemlockhoist.decisions.limits.retry_window import RetryWindow
 
-__all__ = ["AllowanceBook", "RetryWindow"]
+__all__ = ["AllowanceBook", "AllowanceBounds", "RetryWindow"]
--- a/libs/decisions/src/hemlockhoist/decisions/limits/allowances.py
+++ b/libs/decisions/src/hemlockhoist/decisions/limits/allowances.py
@@ -1,98 +1,143 @@
-"""Customers' allowances, as token buckets."""
+"""Customers' allowances, counted over a sliding window."""
 
-import math
-
-from hemlockhoist.base import MS_PER_S
+import collections
 
 FULL_SHARE = 1.0
+# The window is kept in this many parts; a part leaves it as a whole.
+PARTS = 16
+# Of the declared bound, what is given out. The rest is for what other hosts count and
+# this one does not know: requests whose host has died, and the part of a window that a
+# home had counted and its successor was not told.
+USED_SHARE = 0.9
+
+
+class AllowanceBounds:
+    """The window in which customers are held to their allowances, and its tolerance.
+
+    Parameters
+    ==========
+    window_ms : int
+    overshoot : float
+        By which part of its allowance a customer may be over it.
+    tolerance : float
+        By how many units it may be over it besides.
+    """
 
+    __slots__ = ("overshoot", "tolerance", "window_ms")
 
-class _Bucket:
-    """One customer's allowance and what is left of it."""
+    def __init__(self, window_ms, overshoot=0.0, tolerance=0.0):
+        self.window_ms = window_ms
+        self.overshoot = overshoot
+        self.tolerance = tolerance
 
-    __slots__ = ("_at_ms", "_level", "allowance")
+    def units(self, allowance):
+        """Return the most that a customer may have run in one window."""
+        declared = allowance.units_per_s * self.window_ms / 1_000
+        declared += allowance.burst_units
+        return declared * (1.0 + self.overshoot) + self.tolerance
 
-    def __init__(self, allowance, now_ms):
-        self.allowance = allowance
-        self._level = float(allowance.burst_units)
-        self._at_ms = now_ms
-
-    def level(self, share, now_ms):
-        """Return the units that may be taken now."""
-        passed_ms = max(0, now_ms - self._at_ms)
-        self._at_ms = max(self._at_ms, now_ms)
-        gained = share * self.allowance.units_per_s * passed_ms / MS_PER_S
-        self._level = min(share * self.allowance.burst_units, self._level + gained)
-        return self._level
-
-    def add(self, units):
-        """Put units back, or take them with a negative count."""
-        self._level += units
-
-    def follow(self, allowance):
-        """Take a changed allowance; what is left is cut to the new burst."""
+
+class _Spending:
+    """What one customer has spent in the present window."""
+
+    __slots__ = ("_part_ms", "_parts", "allowance", "total")
+
+    def __init__(self, allowance, window_ms):
         self.allowance = allowance
-        self._level = min(self._level, float(allowance.burst_units))
+        self.total = 0
+        self._part_ms = max(1, window_ms // PARTS)
+        self._parts = collections.deque()
+
+    def add(self, units, now_ms):
+        """Count units, or take them back with a negative count."""
+        number = now_ms // self._part_ms
+        if not self._parts or self._parts[-1][0] != number:
+            self._parts.append([number, 0])
+        self._parts[-1][1] += units
+        self.total += units
+
+    def forget(self, now_ms):
+        """Drop the parts that have left the window."""
+        oldest = now_ms // self._part_ms - PARTS
+        while self._parts and self._parts[0][0] < oldest:
+            self.total -= self._parts.popleft()[1]
+
+    def wait_ms(self, over, now_ms):
+        """Return after how long ``over`` units will have left the window."""
+        for number, units in self._parts:
+            over -= units
+            if over <= 0:
+                leaves_ms = (number + PARTS + 1) * self._part_ms
+                return max(1, leaves_ms - now_ms)
+        return PARTS * self._part_ms
+
+    def by_age(self, now_ms):
+        """Return ``(age_ms, units)`` of the window's parts, for another home."""
+        return tuple(
+            (max(0, now_ms - number * self._part_ms), units)
+            for number, units in self._parts
+            if units
+        )
 
 
 class AllowanceBook:
-    """What each customer may still send.
+    """What each customer has spent, and may still send.
 
     Load: one customer sends several times its usual, and others theirs. Harm without
-    it: the engines fill with that customer's requests, and all others' are late. The
-    rate and burst are the operator's; a request that needs more than the whole burst
-    is let through once the bucket is full, since it could never run otherwise.
+    it: the engines fill with that customer's requests, and all others' are late. Rate,
+    burst and tolerance are the operator's. A customer is refused only what goes beyond
+    all of them: a stricter count would refuse what the operator grants.
+
+    Parameters
+    ==========
+    bounds : AllowanceBounds
 
     Examples
     ========
     >>> from hemlockhoist.declarations import Allowance, KeyedCustomer
-    >>> from hemlockhoist.decisions.limits import AllowanceBook
-    >>> book = AllowanceBook()
+    >>> from hemlockhoist.decisions.limits import AllowanceBook, AllowanceBounds
+    >>> book = AllowanceBook(AllowanceBounds(window_ms=8_000))
     >>> allowance = Allowance(units_per_s=10, burst_units=20)
-    >>> book.declare([KeyedCustomer(name="port", allowance=allowance)], now_ms=0)
-    >>> book.take("port", 20, now_ms=0), book.take("port", 5, now_ms=0)
-    (0, 500)
-    >>> book.take("port", 5, now_ms=500)
+    >>> book.declare([KeyedCustomer(name="port", allowance=allowance)])
+    >>> book.take("port", 90, now_ms=0), book.take("port", 5, now_ms=0)
+    (0, 8500)
+    >>> book.take("port", 5, now_ms=9_000)
     0
     """
 
-    __slots__ = ("_buckets", "_share")
+    __slots__ = ("_bounds", "_share", "_spending")
 
-    def __init__(self):
-        self._buckets = {}
+    def __init__(self, bounds):
+        self._bounds = bounds
+        self._spending = {}
         self._share = FULL_SHARE
 
-    def declare(self, customers, now_ms):
-        """Take the declared customers; what is used of their allowances is kept.
+    def declare(self, customers):
+        """Take the declared customers; what they have spent is kept.
 
         Parameters
         ==========
         customers : iterable of KeyedCustomer
-        now_ms : int
         """
-        former = self._buckets
-        self._buckets = {}
+        former = self._spending
+        self._spending = {}
         for customer in customers:
             if customer.allowance is None:
                 continue
-            bucket = former.get(customer.name)
-            if bucket is None:
-                bucket = _Bucket(customer.allowance, now_ms)
-            else:
-                bucket.follow(customer.allowance)
-            self._buckets[customer.name] = bucket
-
-    def set_share(self, share, now_ms):
+            spending = former.get(customer.name)
+            if spending is None:
+                spending = _Spending(customer.allowance, self._bounds.window_ms)
+            spending.allowance = customer.allowance
+            self._spending[customer.name] = spending
+
+    def set_share(self, share):
         """Take the part of all allowances that is given out here.
 
         Parameters
         ==========
         share : float
             Less than 1 while other hosts give out the rest.
-        now_ms : int
         """
-        for bucket in self._buckets.values():
-            bucket.level(self._share, now_ms)
         self._share = share
 
     def take(self, customer, units, now_ms):
@@ -101,27 +146,33 @@
         Returns
         =======
         int
-            0 when they were taken, else after how many milliseconds they will be
-            there.
+            0 when they were taken, else after how many milliseconds to come back.
         """
-        bucket = self._buckets.get(customer)
-        if bucket is None:
-            return 0
-        level = bucket.level(self._share, now_ms)
-        wanted = min(units, self._share * bucket.allowance.burst_units)
-        if level >= wanted:
-            bucket.add(-units)
+        spending = self._spending.get(customer)
+        if spending is None:
             return 0
-        rate = self._share * bucket.allowance.units_per_s
-        return max(1, math.ceil((wanted - level) * MS_PER_S / max(rate, 1e-9)))
+        spending.forget(now_ms)
+        over = spending.total + units - self._bound(spending)
+        # A request that is larger than the whole bound runs when nothing else does; it
+        # could never run otherwise.
+        if over > 0 and spending.total > 0:
+            return spending.wait_ms(over, now_ms)
+        spending.add(units, now_ms)
+        return 0
+
+    def give_back(self, customer, units, now_ms):
+        """Put back what was taken for a request that did not run."""
+        spending = self._spending.get(customer)
+        if spending is not None:
+            spending.add(-units, now_ms)
 
     def units_left(self, customer, now_ms):
         """Return the units that a customer may still send, or None without a limit."""
-        bucket = self._buckets.get(customer)
-        return None if bucket is None else int(bucket.level(self._share, now_ms))
-
-    def give_back(self, customer, units):
-        """Put back what was taken for a request that did not run."""
-        bucket = self._buckets.get(customer)
-        if bucket is not None:
-            bucket.add(units)
+        spending = self._spending.get(customer)
+        if spending is None:
+            return None
+        spending.forget(now_ms)
+        return int(self._bound(spending) - spending.total)
+
+    def _bound(self, spending):
+        return USED_SHARE * self._share * self._bounds.units(spending.allowance)
--- /dev/null
+++ b/libs/decisions/src/hemlockhoist/decisions/limits/tests/test_allowances.py
@@ -0,0 +1,91 @@
+import doctest
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hemlockhoist.decisions.limits import AllowanceBook, AllowanceBounds, allowances
+from hemlockhoist.decisions.limits.allowances import USED_SHARE
+from hemlockhoist.declarations import Allowance, KeyedCustomer
+
+WINDOW_MS = 8_000
+ALLOWANCE = Allowance(units_per_s=1_000, burst_units=2_000)
+BOUND = 8 * 1_000 + 2_000
+
+
+def book(overshoot=0.0, tolerance=0.0):
+    made = AllowanceBook(AllowanceBounds(WINDOW_MS, overshoot, tolerance))
+    made.declare([KeyedCustomer(name="port", allowance=ALLOWANCE)])
+    return made
+
+
+class WindowTests(unittest.TestCase):
+    def test_customer_within_its_declared_bound_is_not_refused(self):
+        """A customer sends a burst that its operators grant, and is told to wait.
+
+        A bucket that refills at the rate refuses what the bound of the window allows:
+        after a first burst, every further one within the window.
+        """
+        made = book(tolerance=5_000)
+        for second in range(8):
+            self.assertEqual(made.take("port", 1_500, second * 1_000), 0)
+
+    def test_hot_customer_is_held_to_its_bound(self):
+        made = book()
+        taken = sum(
+            500 for at in range(0, WINDOW_MS, 50) if not made.take("port", 500, at)
+        )
+        self.assertLessEqual(taken, USED_SHARE * BOUND)
+        self.assertGreater(taken, USED_SHARE * BOUND - 500)
+
+    def test_told_time_is_when_there_is_room(self):
+        made = book()
+        made.take("port", 9_000, 0)
+        wait_ms = made.take("port", 1_000, 100)
+        self.assertGreater(made.take("port", 1_000, 100 + wait_ms // 2), 0)
+        self.assertEqual(made.take("port", 1_000, 100 + wait_ms), 0)
+
+    def test_request_beyond_the_whole_bound_runs_when_nothing_else_does(self):
+        self.assertEqual(book().take("port", 10 * BOUND, 0), 0)
+
+    def test_what_did_not_run_is_given_back(self):
+        made = book()
+        made.take("port", 9_000, 0)
+        made.give_back("port", 9_000, 10)
+        self.assertEqual(made.take("port", 9_000, 20), 0)
+
+    def test_lower_limit_counts_what_was_spent_before(self):
+        made = book()
+        made.take("port", 9_000, 0)
+        lower = Allowance(units_per_s=100, burst_units=0)
+        made.declare([KeyedCustomer(name="port", allowance=lower)])
+        self.assertGreater(made.take("port", 10, 100), 0)
+
+    def test_customer_without_allowance_is_not_counted(self):
+        made = book()
+        made.declare([KeyedCustomer(name="port")])
+        self.assertEqual(made.take("port", 10**9, 0), 0)
+
+    def test_hosts_on_both_sides_of_a_cut_give_out_their_parts(self):
+        sides = [book(), book()]
+        sides[0].set_share(0.7)
+        sides[1].set_share(0.3)
+        taken = sum(
+            100 for at in range(200) for side in sides if not side.take("port", 100, at)
+        )
+        self.assertLessEqual(taken, BOUND)
+
+    @given(st.lists(st.tuples(st.integers(0, 900), st.integers(1, 4_000)), max_size=80))
+    def test_no_window_ever_holds_more_than_the_bound(self, steps):
+        made, now_ms, taken = book(overshoot=0.1, tolerance=500), 0, []
+        bound = BOUND * 1.1 + 500
+        for step_ms, units in steps:
+            now_ms += step_ms
+            if made.take("port", units, now_ms) == 0:
+                taken.append((now_ms, units))
+        for start, _ in taken:
+            inside = [u for at, u in taken if start <= at < start + WINDOW_MS]
+            self.assertLessEqual(sum(inside), bound)
+
+    def test_examples_run(self):
+        self.assertEqual(doctest.testmod(allowances).failed, 0)
--- a/libs/decisions/src/hemlockhoist/decisions/membership/membership.py
+++ b/libs/decisions/src/hemlockhoist/decisions/membership/membership.py
@@ -215,6 +215,19 @@
         members = [entry.member for entry in self.table if entry.is_live]
         return sorted(members, key=lambda item: item.address)
 
+    def count_lost(self, now_ms, within_ms):
+        """Return how many hosts were lost lately without having said that they leave.
+
+        They may be cut off and go on serving.
+        """
+        return sum(
+            1
+            for entry in self.table.troubled()
+            if not entry.is_live
+            and not entry.is_leaving
+            and now_ms - entry.changed_ms < within_ms
+        )
+
     def find(self, incarnation):
         """Return the live member of an incarnation, or None."""
         for entry in self.table:
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared.py
@@ -3,6 +3,7 @@
 from hemlockhoist.decisions.scheduling.limits import DeclaredLimit
 from hemlockhoist.decisions.scheduling.pace import EnginePace, PoolPace
 from hemlockhoist.decisions.scheduling.reach import FailureRate, Reach
+from hemlockhoist.decisions.scheduling.recovery import DECLARED_RECOVERY_MS
 from hemlockhoist.decisions.work import OutcomeKind
 
 US_PER_MS = 1_000
@@ -104,6 +105,7 @@
     """The tracks of a pool's upstreams; the interface is that of ``UpstreamTracks``."""
 
     __slots__ = ("_pace", "_tracks")
+    recovery_ms = DECLARED_RECOVERY_MS
 
     def __init__(self):
         self._tracks = {}
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/fleet.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/fleet.py
@@ -28,7 +28,7 @@
         self._reviewed_ms = 0
         self.table = UpstreamTable()
         self.tracks = tracks
-        self.recovery = RecoveryPhase()
+        self.recovery = RecoveryPhase(tracks.recovery_ms)
 
     def replace(self, upstreams, now_ms):
         """Take a new list; an empty one keeps the former."""
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/recovery.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/recovery.py
@@ -3,6 +3,10 @@
 # Entry hosts report the grants they hold within a second of learning of a new home.
 # A report that is lost is sent again once within the rest.
 RECOVERY_MS = 3_000
+# Where upstreams declare their places, reports are not read; entry hosts answer within
+# a few round trips, and what the dead ones held is ending. Too many grants for a moment
+# only wait in the upstreams' own queues, which costs less than standing still.
+DECLARED_RECOVERY_MS = 200
 
 
 class RecoveryPhase:
@@ -16,15 +20,16 @@
     what is known to be granted, whichever is more.
     """
 
-    __slots__ = ("_granted_ms", "_until_ms")
+    __slots__ = ("_duration_ms", "_granted_ms", "_until_ms")
 
-    def __init__(self):
+    def __init__(self, duration_ms=RECOVERY_MS):
+        self._duration_ms = duration_ms
         self._until_ms = None
         self._granted_ms = {}
 
     def begin(self, now_ms):
-        """Start the phase, for at most ``RECOVERY_MS``."""
-        self._until_ms = now_ms + RECOVERY_MS
+        """Start the phase, for at most its duration."""
+        self._until_ms = now_ms + self._duration_ms
         self._granted_ms = {}
 
     def end(self):
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tracking.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tracking.py
@@ -15,6 +15,7 @@
 )
 from hemlockhoist.decisions.scheduling.placement import INITIAL_TOKEN_MS, Speed, score
 from hemlockhoist.decisions.scheduling.prefixes import PrefixMap
+from hemlockhoist.decisions.scheduling.recovery import RECOVERY_MS
 from hemlockhoist.decisions.work import OutcomeKind
 
 # A grant that has been held this many times longer than predicted counts as an
@@ -115,6 +116,7 @@
         "_tracks",
         "_usable",
     )
+    recovery_ms = RECOVERY_MS
 
     def __init__(self, max_limit):
         self._max_limit = max_limit
--- a/libs/entry/src/hemlockhoist/entry/gate.py
+++ b/libs/entry/src/hemlockhoist/entry/gate.py
@@ -1,7 +1,11 @@
 """Refusals that come before any question of places: allowances and retries."""
 
 from hemlockhoist.base import ResultCode, get_logger
-from hemlockhoist.decisions.limits import AllowanceBook, RetryWindow
+from hemlockhoist.decisions.limits import (
+    AllowanceBook,
+    AllowanceBounds,
+    RetryWindow,
+)
 from hemlockhoist.host.home import OpenGate
 
 _log = get_logger("entry.gate")
@@ -9,6 +13,9 @@
 # A retry that was refused may be sent by the caller itself, when the failed upstream
 # has had time to come back or to be avoided.
 RETRY_REFUSED_MS = 300
+# The declared tolerances are meant for this: 1.25 times the allowance on one side of a
+# cut and the rest on the other stay within them.
+PART_FACTOR = 1.25
 
 
 class FleetGate(OpenGate):
@@ -19,12 +26,19 @@
     bounds : FleetBounds
     """
 
-    __slots__ = ("_bounds", "_retries", "allowances")
+    __slots__ = ("_bounds", "_retries", "_share", "allowances")
 
     def __init__(self, bounds):
         self._bounds = bounds
         self._retries = {}
-        self.allowances = AllowanceBook()
+        self._share = 1.0
+        self.allowances = AllowanceBook(
+            AllowanceBounds(
+                bounds.allowance_window_ms,
+                bounds.allowance_overshoot,
+                bounds.allowance_tolerance,
+            )
+        )
 
     def refusal(self, pool, request, now_ms):
         """Return ``(code, retry_after_ms)`` to refuse a request, or None."""
@@ -54,17 +68,33 @@
         )
         return ResultCode.ALLOWANCE_SPENT, wait_ms
 
-    def on_not_run(self, request):
+    def set_part(self, part):
+        """Take the part of the fleet for which this host decides.
+
+        Failure: hosts are cut off from one another, and each side gives a customer its
+        whole allowance. Each side gives out its hosts' part, and a little more: most
+        hosts that are lost are gone, and their callers come to the others.
+        """
+        share = min(1.0, PART_FACTOR * part)
+        self.allowances.set_share(share)
+        for window in self._retries.values():
+            window.share = share
+        self._share = share
+
+    def on_not_run(self, request, now_ms):
         """Give back what a refused request had taken of its customer's allowance."""
         if request.units:
-            self.allowances.give_back(request.customer, request.units)
+            self.allowances.give_back(request.customer, request.units, now_ms)
 
     def _window(self, pool):
         window = self._retries.get(pool)
         if window is None:
             bounds = self._bounds
             window = RetryWindow(
-                bounds.retry_window_ms, bounds.retry_ratio, bounds.retry_base
+                bounds.retry_window_ms,
+                bounds.retry_ratio,
+                bounds.retry_base,
+                self._share,
             )
             self._retries[pool] = window
         return window
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -63,6 +63,9 @@
 # All pools of today's fleets have one home, so that a customer's allowance and the
 # bound on retries are exact in one place.
 ONLY_CELL = "cell"
+# A host that was lost may be cut off and go on serving for this long; after it, its
+# proof of the routes is long too old.
+LOST_HOST_MS = 15_000
 
 
 class EntryProcess:
@@ -163,6 +166,7 @@
             context.homes.home_of,
             self._on_silent,
             context.bus.renew,
+            lambda: context.identity.host_id,
         )
         context.register = DispatchRegister(context.invariants)
         context.upstreams = UpstreamClient(
@@ -214,7 +218,7 @@
         """Put newer routes in force."""
         context = self.context
         context.declarations = declarations_of(table)
-        context.gate.allowances.declare(table.customers, context.clock.now_ms())
+        context.gate.allowances.declare(table.customers)
         context.homes.redeclare()
 
     def _on_upstreams(self):
@@ -226,11 +230,21 @@
 
     def _tick(self):
         context = self.context
+        self._share_allowances()
         due_ms = context.knowledge.listing.next_change_ms()
         if due_ms is not None and due_ms <= context.clock.now_ms():
             self._on_upstreams()
         context.homes.tick()
 
+    def _share_allowances(self):
+        """Give out this host's part of what is bounded over all hosts."""
+        context = self.context
+        part = context.fleet.part_in_touch(LOST_HOST_MS)
+        if context.homes.home_of("") != context.identity.host_id:
+            # Used only where this host decides alone.
+            part /= max(1, len(context.fleet.live_hosts()))
+        context.gate.set_part(part)
+
     def _report_held(self):
         pools = [pool.name for pool in self.context.declarations.pools]
         self.context.grants.send_held_ids(pools)
--- a/libs/host/src/hemlockhoist/host/fleet.py
+++ b/libs/host/src/hemlockhoist/host/fleet.py
@@ -130,6 +130,16 @@
         """Return the ids of the hosts that are not gone, this one included."""
         return tuple(member.address for member in self._membership.live_hosts())
 
+    def part_in_touch(self, within_ms):
+        """Return the part of the fleet's hosts that this host takes for live.
+
+        Hosts that were lost within the time count as part of the fleet: they may be
+        cut off, and not gone.
+        """
+        now_ms = self._context.clock.now_ms()
+        live = len(self._membership.live_hosts())
+        return live / (live + self._membership.count_lost(now_ms, within_ms))
+
     def members(self):
         """Return the members that are not gone."""
         return tuple(self._membership.live_hosts())
--- a/libs/host/src/hemlockhoist/host/grants.py
+++ b/libs/host/src/hemlockhoist/host/grants.py
@@ -29,6 +29,10 @@
 # A home that misses two questions is frozen, cut off or dead, and the pool is better
 # scheduled by the next one; a single message may be lost.
 MAX_UNANSWERED = 2
+# Questions in a row that no home answered, after which the entry host decides alone by
+# what it knows itself. With the resend time, a caller then waits less than half a second
+# for a home that is frozen or cut off, whatever the other hosts think of it.
+ALONE_AFTER = 3
 # Longest time without a word from any home. Membership finds a dead host within
 # about two seconds, and the next home answers at once.
 HOME_SILENCE_MS = 5_000
@@ -48,6 +52,7 @@
     address: str
     version: str
     expires_ms: int
+    is_alone: bool = False
 
 
 # Put into a waiter's inbox when the home that it asked is home no longer.
@@ -63,8 +68,10 @@
         "heard_ms",
         "hint",
         "inbox",
+        "is_alone",
         "pool",
         "request_id",
+        "silences",
         "unanswered",
     )
 
@@ -74,6 +81,8 @@
         self.asked = ""
         self.hint = ""
         self.unanswered = 0
+        self.silences = 0
+        self.is_alone = False
         self.ask_ms = 0
         self.heard_ms = 0
         self.inbox = asyncio.Queue()
@@ -93,6 +102,8 @@
         ``on_silent(host_id)`` is called when a home does not answer.
     renew : callable, optional
         ``renew(host_id)`` takes a new connection to a home that missed a question.
+    own_id : callable, optional
+        Returns this host's id where it may decide alone; by default it may not.
     """
 
     __slots__ = (
@@ -100,12 +111,22 @@
         "_held",
         "_home_of",
         "_on_silent",
+        "_own_id",
         "_renew",
         "_send",
         "_waiters",
     )
 
-    def __init__(self, clock, send, home_of, on_silent, renew=lambda host_id: None):
+    def __init__(
+        self,
+        clock,
+        send,
+        home_of,
+        on_silent,
+        renew=lambda host_id: None,
+        own_id=lambda: "",
+    ):
+        self._own_id = own_id
         self._renew = renew
         self._on_silent = on_silent
         self._clock = clock
@@ -176,11 +197,17 @@
 
     def _send_question(self, waiter, brief):
         now_ms = self._clock.now_ms()
-        waiter.asked = waiter.hint or self._home_of(waiter.pool)
+        waiter.is_alone = waiter.silences >= ALONE_AFTER and bool(self._own_id())
+        if waiter.is_alone:
+            waiter.asked = self._own_id()
+        else:
+            waiter.asked = waiter.hint or self._home_of(waiter.pool)
         waiter.hint = ""
         waiter.ask_ms = now_ms + RESEND_MS
         if waiter.asked:
-            message = GrantRequest(pool=waiter.pool, brief=brief(now_ms))
+            message = GrantRequest(
+                pool=waiter.pool, brief=brief(now_ms), is_alone=waiter.is_alone
+            )
             self._send(waiter.asked, message)
 
     def _take_reply(self, waiter, brief, message, late_ms):
@@ -197,10 +224,11 @@
             waiter.ask_ms = now_ms
             return None
         waiter.heard_ms = now_ms
+        waiter.silences = 0
         if isinstance(message, GrantRefusal):
             raise Refused("", message.code, message.retry_after_ms)
         if isinstance(message, GrantReply):
-            hold = self._take(message, brief(now_ms), late_ms)
+            hold = self._take(message, brief(now_ms), late_ms, waiter.is_alone)
             # One that came too late has been given back; ask for another.
             waiter.ask_ms = now_ms
             return hold
@@ -216,6 +244,7 @@
     def _count_silence(self, waiter):
         """Report a home that leaves several questions in a row without an answer."""
         waiter.unanswered += 1
+        waiter.silences += 1
         if waiter.asked:
             self._renew(waiter.asked)
         if waiter.asked and waiter.unanswered == MAX_UNANSWERED:
@@ -230,7 +259,7 @@
         except TimeoutError:
             return None
 
-    def _take(self, message, brief, late_ms):
+    def _take(self, message, brief, late_ms, is_alone):
         """Return the grant, or None when it was too long under way."""
         hold = GrantHold(
             pool=message.pool,
@@ -240,6 +269,7 @@
             address=message.address,
             version=message.version,
             expires_ms=self._clock.now_ms() + message.expires_in_ms - late_ms,
+            is_alone=is_alone,
         )
         if message.expires_in_ms <= late_ms:
             self._release_unsent(hold)
@@ -250,16 +280,23 @@
     def _cancel(self, waiter, home):
         target = home or self._home_of(waiter.pool)
         if target:
-            message = GrantCancel(pool=waiter.pool, request_id=waiter.request_id)
+            message = GrantCancel(
+                pool=waiter.pool,
+                request_id=waiter.request_id,
+                is_alone=waiter.is_alone,
+            )
             self._send(target, message)
 
     def report_first_token(self, hold, first_token_ms):
         """Tell the home how long the first token of an answer took."""
-        home = self._home_of(hold.pool)
+        message = FirstToken(
+            pool=hold.pool,
+            grant_id=hold.grant_id,
+            first_token_ms=first_token_ms,
+            is_alone=hold.is_alone,
+        )
+        home = self._own_id() if hold.is_alone else self._home_of(hold.pool)
         if home:
-            message = FirstToken(
-                pool=hold.pool, grant_id=hold.grant_id, first_token_ms=first_token_ms
-            )
             self._send(home, message)
 
     def release(self, hold, outcome):
@@ -291,7 +328,11 @@
         )
         home = self._home_of(hold.pool)
         if home:
+            # Also a grant given alone: a home that came since may have taken it over.
             self._send(home, message)
+        if hold.is_alone:
+            own = msgspec.structs.replace(message, is_alone=True)
+            self._send(self._own_id(), own)
 
     def on_message(self, message, late_ms):
         """Take a reply of a home."""
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -38,7 +38,7 @@
         """Return ``(code, retry_after_ms)`` to refuse a request, or None."""
         return
 
-    def on_not_run(self, request):
+    def on_not_run(self, request, now_ms):
         """Take notice that a request which was let through did not run."""
 
 
@@ -64,6 +64,7 @@
     """
 
     __slots__ = (
+        "_asked_ms",
         "_awaited",
         "_clock",
         "_gate",
@@ -114,6 +115,7 @@
         self._granted = {}
         self._spans = {}
         self._started_ms = 0
+        self._asked_ms = clock.now_ms()
         self._resend_ms = 0
         self.first_grant_ms = None
         self.recovered_ms = None
@@ -173,7 +175,7 @@
         if brief.request_id in self._queued:
             self._send(sender, self._queued_note(brief.request_id))
             return
-        now_ms = self._clock.now_ms()
+        now_ms = self._asked_ms = self._clock.now_ms()
         request = work_request(brief, sender, now_ms - late_ms)
         refusal = self._gate.refusal(self.pool, request, now_ms)
         if refusal is not None:
@@ -271,9 +273,10 @@
             )
             self._granted[request.request_id] = (grant, sender)
             self._emit(self.scheduler.adopt(request, grant, now_ms), now_ms)
-        self._awaited.discard(sender)
-        if not self._awaited:
-            self._end_recovery(now_ms)
+        if sender in self._awaited:
+            self._awaited.discard(sender)
+            if not self._awaited:
+                self._end_recovery(now_ms)
 
     def on_held_ids(self, sender, message):
         """Free the places of grants that their entry host does not hold.
@@ -330,6 +333,12 @@
         now_ms = self._clock.now_ms()
         self._emit(self.scheduler.observe_load(report, now_ms), now_ms)
 
+    def is_idle(self, idle_ms):
+        """Return whether it has nothing in hand, and was asked for nothing lately."""
+        if self._queued or self._granted:
+            return False
+        return self._clock.now_ms() - self._asked_ms >= idle_ms
+
     def counts(self):
         """Return (queued, granted) requests."""
         return len(self._queued), len(self._granted)
@@ -342,7 +351,7 @@
                 self._send_grant(decision, now_ms)
             else:
                 self._end_span(request.request_id, code=int(decision.code))
-                self._gate.on_not_run(request)
+                self._gate.on_not_run(request, now_ms)
                 self._log_refused(decision)
                 self._refuse(request, decision.code, decision.retry_after_ms)
 
--- a/libs/host/src/hemlockhoist/host/homes.py
+++ b/libs/host/src/hemlockhoist/host/homes.py
@@ -10,6 +10,9 @@
 
 # Today's pools are one shard each, so tier order and version shares are exact.
 ONLY_SHARD = 0
+# A host that decided alone forgets what it knew for that after this time without a
+# request: the home knows better.
+STANDBY_IDLE_MS = 2_000
 
 
 class HomeService:
@@ -36,6 +39,7 @@
         "_homes",
         "_new_tracks",
         "_send",
+        "_standbys",
         "_upstreams",
     )
 
@@ -46,6 +50,7 @@
         self._gate = gate
         self._cell_of = cell_of
         self._homes = {}
+        self._standbys = {}
         self._upstreams = {}
 
     def home_of(self, pool):
@@ -75,6 +80,24 @@
         return declarations.pool(name), declarations.tiers
 
     def _begin(self, pool):
+        home = self._homes[pool.name] = self._new_home(pool)
+        home.start(self._context.fleet.live_hosts())
+
+    def _standby(self, name):
+        """Return the home that decides for this host's own requests alone, or None.
+
+        Made for a home that is frozen, cut off or gone, until the fleet agrees on the
+        next one; and for a host that is cut off from all others. It knows the upstreams
+        and what this host has sent there, and nothing of other hosts' requests.
+        """
+        pool = self._context.declarations.pool(name)
+        if pool is not None and name not in self._standbys:
+            _log.warning("deciding_alone", pool=name)
+            self._standbys[name] = home = self._new_home(pool)
+            home.start((self._context.identity.host_id,))
+        return self._standbys.get(name)
+
+    def _new_home(self, pool):
         controller = self._context.moves.open_pool(pool)
         scheduler = PoolScheduler.from_config(
             pool,
@@ -96,13 +119,12 @@
             self._gate,
             self._context.bus.renew,
         )
-        self._homes[pool.name] = home
         home.set_upstreams(self._upstreams.get(pool.name, ()))
-        home.start(self._context.fleet.live_hosts())
+        return home
 
     def redeclare(self):
         """Put changed declarations in force in the homes at this host."""
-        for name, home in list(self._homes.items()):
+        for name, home in self._all():
             declared = self._declared(name)
             if home.declared != declared and declared[0] is not None:
                 self._context.moves.redeclare(declared[0])
@@ -112,6 +134,8 @@
     def on_request(self, sender, message, late_ms):
         """Take a grant request, or say that this host is not the pool's home."""
         home = self._homes.get(message.pool)
+        if home is None and message.is_alone:
+            home = self._standby(message.pool)
         if home is not None:
             home.on_request(sender, message, late_ms)
             return
@@ -123,8 +147,20 @@
         )
         self._send(sender, reply)
 
-    def find(self, pool):
-        """Return the home of a pool at this host, or None."""
+    def _all(self):
+        return [*self._homes.items(), *self._standbys.items()]
+
+    def find(self, pool, is_alone=False):
+        """Return the home of a pool at this host, or None.
+
+        Parameters
+        ==========
+        pool : str
+        is_alone : bool, optional
+            For what this host granted to itself, where no home answered.
+        """
+        if is_alone and pool in self._standbys:
+            return self._standbys[pool]
         return self._homes.get(pool)
 
     def set_upstreams(self, upstreams):
@@ -133,7 +169,7 @@
         for upstream in upstreams:
             by_pool.setdefault(upstream.pool, []).append(upstream)
         self._upstreams = by_pool
-        for name, home in self._homes.items():
+        for name, home in self._all():
             home.set_upstreams(by_pool.get(name, ()))
 
     def upstreams(self):
@@ -161,8 +197,12 @@
 
     def tick(self):
         """Do what time alone brings about."""
-        for home in list(self._homes.values()):
+        for _, home in self._all():
             home.tick()
+        for name, home in list(self._standbys.items()):
+            if home.is_idle(STANDBY_IDLE_MS):
+                del self._standbys[name]
+                _log.info("no_longer_alone", pool=name)
 
     def close(self):
         """Give up all pools, on leaving."""
--- a/libs/host/src/hemlockhoist/host/inbound.py
+++ b/libs/host/src/hemlockhoist/host/inbound.py
@@ -89,21 +89,21 @@
 
 @_handle.register
 def _(message: GrantCancel, context, sender, late_ms):
-    home = context.homes.find(message.pool)
+    home = context.homes.find(message.pool, message.is_alone)
     if home is not None:
         home.on_cancel(message)
 
 
 @_handle.register
 def _(message: FirstToken, context, sender, late_ms):
-    home = context.homes.find(message.pool)
+    home = context.homes.find(message.pool, message.is_alone)
     if home is not None:
         home.on_first_token(message)
 
 
 @_handle.register
 def _(message: GrantRelease, context, sender, late_ms):
-    home = context.homes.find(message.pool)
+    home = context.homes.find(message.pool, message.is_alone)
     if home is not None:
         home.on_release(message)
 
--- a/libs/host/src/hemlockhoist/host/tests/test_grants.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_grants.py
@@ -75,7 +75,7 @@
         self.client.on_message(message, late_ms)
 
 
-class GrantTests(PausedTestCase):
+class GrantHarness(PausedTestCase):
     async def asyncSetUp(self):
         self.clock = Clock(asyncio.get_running_loop())
         self.wire = Wire()
@@ -129,6 +129,8 @@
             home.tick()
             await asyncio.sleep(0.05)
 
+
+class GrantTests(GrantHarness):
     async def test_a_lost_reply_gives_the_same_grant_again(self):
         """The home's reply is lost; the repeated question gets the same grant."""
         lost = []
@@ -249,3 +251,58 @@
         await asyncio.sleep(1)
         self.assertEqual(len(self.client.held()), 1)
         self.assertEqual(self.wire.homes["h1"].counts(), (0, 1))
+
+
+class AloneTests(GrantHarness):
+    """Callers of one host wait while the home of all pools is frozen.
+
+    The home answered a suspicion a moment ago, so the fleet keeps it; then it was
+    frozen. Nobody else may be asked. Before, each request waited five seconds and was
+    refused; now the entry host decides by what it knows itself.
+    """
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.client = GrantClient(
+            self.clock,
+            self.wire.from_entry,
+            lambda pool: self.home,
+            self.silent.append,
+            own_id=lambda: ENTRY,
+        )
+        self.wire.client = self.client
+        self._add_home(ENTRY)
+        self.wire.drop = self._is_for_the_frozen_home
+        self.frozen = True
+
+    def _is_for_the_frozen_home(self, message):
+        return self.frozen and not getattr(message, "is_alone", True)
+
+    async def test_entry_host_decides_alone_within_half_a_second(self):
+        began_ms = self.clock.now_ms()
+        hold = await self.client.acquire(
+            "chat", self._brief("r1"), self.clock.now_ms() + 60_000
+        )
+        self.assertTrue(hold.is_alone)
+        self.assertLess(self.clock.now_ms() - began_ms, 500)
+
+    async def test_release_reaches_its_own_decision_and_the_home_that_came_back(self):
+        """Either may count the grant: a new home takes over what the hosts hold."""
+        hold = await self.client.acquire(
+            "chat", self._brief("r1"), self.clock.now_ms() + 60_000
+        )
+        self.frozen = False
+        self.wire.sent.clear()
+        self.client.release(hold, Outcome(kind=OutcomeKind.SUCCESS, total_ms=5))
+        released = [m for m in self.wire.sent if isinstance(m, GrantRelease)]
+        self.assertEqual({m.is_alone for m in released}, {False, True})
+
+    async def test_home_that_answers_again_is_asked_again(self):
+        await self.client.acquire(
+            "chat", self._brief("r1"), self.clock.now_ms() + 9_000
+        )
+        self.frozen = False
+        hold = await self.client.acquire(
+            "chat", self._brief("r2"), self.clock.now_ms() + 9_000
+        )
+        self.assertFalse(hold.is_alone)
--- a/libs/messages/src/hemlockhoist/messages/grants.py
+++ b/libs/messages/src/hemlockhoist/messages/grants.py
@@ -59,11 +59,13 @@
 ):
     """An entry host asks a pool's home for permission to dispatch.
 
-    Idempotent by request id: it is sent again when no reply came.
+    Idempotent by request id: it is sent again when no reply came. With ``is_alone`` it
+    is the entry host's question to itself, where no home answers.
     """
 
     pool: str
     brief: RequestBrief
+    is_alone: bool = False
 
 
 class GrantReply(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
@@ -115,6 +117,7 @@
 
     pool: str
     request_id: str
+    is_alone: bool = False
 
 
 class GrantRelease(
@@ -134,6 +137,7 @@
     output_tokens: int = 0
     cached_tokens: int = 0
     token_us: int = -1
+    is_alone: bool = False
 
 
 class FirstToken(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
@@ -145,6 +149,7 @@
     pool: str
     grant_id: str
     first_token_ms: int
+    is_alone: bool = False
 
 
 class HeldGrant(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
