Let callers connect while the program loads, and wait for its first reading

Loading takes a third of a second, in which every connection is refused and uses up the callers' retries.

Change: the socket for callers is opened before the program is imported; a host that has just started lets its first callers wait up to half a second for routes and upstreams.

--- a/libs/entry/src/hemlockhoist/entry/knowledge.py
+++ b/libs/entry/src/hemlockhoist/entry/knowledge.py
@@ -1,6 +1,10 @@
 """What this host knows of the store: routes, upstreams, and since when."""
 
+import asyncio
+import contextlib
+
 from hemlockhoist.base import (
+    MS_PER_S,
     DeclarationError,
     Property,
     Refused,
@@ -40,6 +44,7 @@
         "_boot_clock",
         "_bounds",
         "_clock",
+        "_completed",
         "_invariants",
         "_on_routes",
         "_on_upstreams",
@@ -60,6 +65,7 @@
         self._invariants = invariants
         self._on_routes = on_routes
         self._on_upstreams = on_upstreams
+        self._completed = asyncio.Event()
         self.freshness = Freshness()
         self.listing = UpstreamListing()
         self.routes = None
@@ -70,6 +76,18 @@
         """Whether routes and upstreams were read at all."""
         return self.routes is not None and self.has_upstreams
 
+    async def wait_complete(self, limit_ms):
+        """Wait until routes and upstreams were read, at most ``limit_ms``."""
+        if self._completed.is_set():
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_ms / MS_PER_S):
+                await self._completed.wait()
+
+    def _note_complete(self):
+        if self.is_complete:
+            self._completed.set()
+
     def proof_age_ms(self):
         """Return the age of the newest proof of the routes, or None."""
         return self.freshness.age_ms(self._boot_clock.now_ms())
@@ -134,6 +152,7 @@
         )
         _log.info("routes_in_force", version=table.version, routes=len(table.routes))
         self._on_routes(table)
+        self._note_complete()
 
     def take_reading(self, reading):
         """Take a successful reading of the routes' table as proof."""
@@ -150,6 +169,7 @@
             for row in rows:
                 self._take_upstream(row, now_ms)
         self._on_upstreams()
+        self._note_complete()
 
     def _take_upstream(self, row, now_ms):
         upstream = None
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -76,9 +76,12 @@
     settings : EntrySettings
     platform : Platform
     boot_clock : SuspendAwareClock
+    listener : socket.socket, optional
+        Listens for callers already.
     """
 
-    def __init__(self, settings, platform, boot_clock):
+    def __init__(self, settings, platform, boot_clock, listener=None):
+        self._listener = listener
         self.settings = settings
         self.finished = asyncio.Event()
         self.context = None
@@ -112,7 +115,7 @@
         await self._open(context.fleet)
         await self._open_watches(context)
         await self._open(StatusSurface(context))
-        self._callers = await self._open(CallerSurface(context))
+        self._callers = await self._open(CallerSurface(context, self._listener))
         await self._open(PeriodicTask(HOME_TICK_MS, self._tick))
         await self._open(PeriodicTask(HELD_REPORT_MS, self._report_held))
         _log.info(
@@ -286,11 +289,12 @@
     return Declarations(version=table.version, pools=pools)
 
 
-async def _main(settings, make_platform, writer):
+async def _main(settings, make_platform, listener, writer):
     limit = VolumeLimit(Clock.from_running_loop().now_ms)
     configure_logs("info", writer, limit)
     boot_clock = SuspendAwareClock.from_system()
-    host = EntryProcess(settings, make_platform(settings, boot_clock), boot_clock)
+    platform = make_platform(settings, boot_clock)
+    host = EntryProcess(settings, platform, boot_clock, listener)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, host.begin_drain)
@@ -312,7 +316,7 @@
         _log.warning("lines_left_out", **left_out, unread=dropped)
 
 
-def run(settings, make_platform):
+def run(settings, make_platform, listener=None):
     """Run an entry host until it has been drained.
 
     Parameters
@@ -320,11 +324,13 @@
     settings : EntrySettings
     make_platform : callable
         ``make_platform(settings, boot_clock)`` gives the ``Platform``.
+    listener : socket.socket, optional
+        Listens for callers already.
     """
     writer = LineWriter(sys.stdout)
     writer.start()
     try:
         with aiomisc.entrypoint(pool_size=THREADS, log_config=False) as loop:
-            loop.run_until_complete(_main(settings, make_platform, writer))
+            loop.run_until_complete(_main(settings, make_platform, listener, writer))
     finally:
         writer.close()
--- a/libs/entry/src/hemlockhoist/entry/surface.py
+++ b/libs/entry/src/hemlockhoist/entry/surface.py
@@ -31,6 +31,10 @@
 # request that crosses a close on its way is lost, and its caller can not tell.
 KEEP_ALIVE_S = 75.0
 SHUTDOWN_TIMEOUT_S = 0.5
+# A host that has just started reads the routes and upstreams within some 20 ms where
+# the store answers. Its first callers are let wait for that: a refusal would use up one
+# of their few retries.
+START_WAIT_MS = 500
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Until the declared ones are known.
 _DEFAULT_LIMITS = RequestLimits()
@@ -42,12 +46,15 @@
     Parameters
     ==========
     context : EntryContext
+    listener : socket.socket, optional
+        Listens for callers already.
     """
 
-    __slots__ = ("_admission", "_context", "_runner")
+    __slots__ = ("_admission", "_context", "_listener", "_runner")
 
-    def __init__(self, context):
+    def __init__(self, context, listener=None):
         self._context = context
+        self._listener = listener
         self._admission = Admission(context.knowledge, PoolChooser())
         self._runner = None
 
@@ -63,7 +70,8 @@
             max_field_size=limits.max_header_bytes,
             auto_decompress=False,
         )
-        self._runner = await listen(server, self._context.settings.caller_address)
+        address = self._context.settings.caller_address
+        self._runner = await listen(server, address, self._listener)
 
     async def close(self):
         """Close all connections."""
@@ -121,6 +129,7 @@
 
     async def _serve(self, request, call):
         arrived_ms = self._context.clock.now_ms()
+        await self._context.knowledge.wait_complete(START_WAIT_MS)
         admitted = self._admission.admit(call, arrived_ms)
         self._log_admitted(admitted)
         body = await self._read_body(request)
@@ -242,12 +251,15 @@
         return web.Response(status=status, body=body, content_type="application/json")
 
 
-async def listen(server, address):
-    """Return the started runner of a server on ``IP:port``."""
+async def listen(server, address, listener=None):
+    """Return the started runner of a server on ``IP:port``, or on an open socket."""
     runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
     await runner.setup()
-    ip, _, port = address.rpartition(":")
-    site = web.TCPSite(runner, ip, int(port), reuse_address=True)
+    if listener is not None:
+        site = web.SockSite(runner, listener)
+    else:
+        ip, _, port = address.rpartition(":")
+        site = web.TCPSite(runner, ip, int(port), reuse_address=True)
     await site.start()
     return runner
 
--- a/libs/host/src/hemlockhoist/host/grants.py
+++ b/libs/host/src/hemlockhoist/host/grants.py
@@ -345,15 +345,23 @@
         )
         self._tell_homes(hold, message)
 
-    def on_message(self, message, late_ms):
-        """Take a reply of a home."""
+    def on_message(self, message, late_ms, sender=""):
+        """Take a reply of a home.
+
+        Parameters
+        ==========
+        message : GrantReply, GrantRefusal, GrantQueued or NotHome
+        late_ms : int
+        sender : str, optional
+            The home.
+        """
         waiter = self._waiters.get(message.request_id)
         if waiter is not None:
             waiter.inbox.put_nowait((message, late_ms))
         elif isinstance(message, GrantReply) and message.grant_id not in self._held:
             # The request was given up, or has another grant, while this one was
             # under way: the home must have the place back.
-            self._send_release(_hold_of(message), "not_sent", None)
+            self._send_release(_hold_of(message, sender), "not_sent", None)
 
     def on_homes_changed(self):
         """Ask the new homes at once for what waits at former ones."""
@@ -386,7 +394,7 @@
     )
 
 
-def _hold_of(message):
+def _hold_of(message, home):
     brief = RequestBrief(
         request_id=message.request_id,
         route="",
@@ -403,4 +411,5 @@
         address=message.address,
         version=message.version,
         expires_ms=0,
+        home=home,
     )
--- a/libs/host/src/hemlockhoist/host/inbound.py
+++ b/libs/host/src/hemlockhoist/host/inbound.py
@@ -84,7 +84,7 @@
 @_handle.register(GrantQueued)
 @_handle.register(NotHome)
 def _(message, context, sender, late_ms):
-    context.grants.on_message(message, late_ms)
+    context.grants.on_message(message, late_ms, sender)
 
 
 @_handle.register
