--- a/libs/decisions/src/hemlockhoist/decisions/limits/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/limits/__init__.py
@@ -6,5 +6,12 @@
     SpentLog,
 )
 from hemlockhoist.decisions.limits.retry_window import RetryWindow
+from hemlockhoist.decisions.limits.sides import share_of_side
 
-__all__ = ["AllowanceBook", "AllowanceBounds", "RetryWindow", "SpentLog"]
+__all__ = [
+    "AllowanceBook",
+    "AllowanceBounds",
+    "RetryWindow",
+    "SpentLog",
+    "share_of_side",
+]
--- a/libs/decisions/src/hemlockhoist/decisions/limits/allowances.py
+++ b/libs/decisions/src/hemlockhoist/decisions/limits/allowances.py
@@ -209,28 +209,34 @@
     window_ms : int
     """
 
-    __slots__ = ("_by_pool", "_window_ms")
+    __slots__ = ("_spent", "_window_ms")
 
     def __init__(self, window_ms):
         self._window_ms = window_ms
-        self._by_pool = {}
+        self._spent = {}
 
-    def add(self, pool, customer, units, now_ms):
-        """Note that a request was given a place."""
+    def add(self, pool, home, customer, units, now_ms):
+        """Note that a home gave a request a place."""
         if not units:
             return
-        spendings = self._by_pool.setdefault(pool, {})
-        if customer not in spendings:
-            spendings[customer] = _Spending(self._window_ms)
-        spendings[customer].forget(now_ms)
-        spendings[customer].add(units, now_ms)
-
-    def report(self, pool, now_ms):
-        """Return ``(customer, ((age_ms, units), …))`` of the present window."""
+        key = (pool, home, customer)
+        spending = self._spent.get(key)
+        if spending is None:
+            spending = self._spent[key] = _Spending(self._window_ms)
+        spending.forget(now_ms)
+        spending.add(units, now_ms)
+
+    def report(self, pool, asking_home, now_ms):
+        """Return ``(customer, ((age_ms, units), …))`` of the present window.
+
+        Without what the home that asks has counted itself.
+        """
         found = []
-        for customer, spending in self._by_pool.get(pool, {}).items():
+        for key, spending in list(self._spent.items()):
             spending.forget(now_ms)
             parts = spending.by_age(now_ms)
-            if parts:
-                found.append((customer, parts))
+            if not parts:
+                del self._spent[key]
+            elif key[0] == pool and key[1] != asking_home:
+                found.append((key[2], parts))
         return tuple(found)
--- a/libs/decisions/src/hemlockhoist/decisions/limits/tests/test_allowances.py
+++ b/libs/decisions/src/hemlockhoist/decisions/limits/tests/test_allowances.py
@@ -105,13 +105,18 @@
         """
         log, heir = SpentLog(WINDOW_MS), book()
         for at in range(0, 2_000, 100):
-            log.add("dossiers", "port", 400, at)
-        heir.add_spent(log.report("dossiers", 2_000), 9_000)
+            log.add("dossiers", "h1", "port", 400, at)
+        heir.add_spent(log.report("dossiers", "h2", 2_000), 9_000)
         taken = sum(100 for _ in range(200) if not heir.take("port", 100, 9_000))
         self.assertLessEqual(taken, BOUND - 8_000)
 
     def test_old_spending_is_not_told(self):
         log = SpentLog(WINDOW_MS)
-        log.add("dossiers", "port", 400, 0)
-        self.assertEqual(log.report("dossiers", 3 * WINDOW_MS), ())
-        self.assertEqual(log.report("labels", 0), ())
+        log.add("dossiers", "h1", "port", 400, 0)
+        self.assertEqual(log.report("dossiers", "h2", 3 * WINDOW_MS), ())
+        self.assertEqual(log.report("labels", "h2", 0), ())
+
+    def test_home_is_not_told_what_it_counted_itself(self):
+        log = SpentLog(WINDOW_MS)
+        log.add("dossiers", "h1", "port", 400, 0)
+        self.assertEqual(log.report("dossiers", "h1", 0), ())
--- a/libs/entry/src/hemlockhoist/entry/gate.py
+++ b/libs/entry/src/hemlockhoist/entry/gate.py
@@ -65,13 +65,8 @@
         )
         return ResultCode.ALLOWANCE_SPENT, wait_ms
 
-    def set_part(self, part):
-        """Take the part of the fleet for which this host decides.
-
-        Failure: hosts are cut off from one another, and each side gives a customer its
-        whole allowance. Each side gives out its hosts' part.
-        """
-        share = min(1.0, part)
+    def set_share(self, share):
+        """Take the part of all bounds that this host gives out."""
         self.allowances.set_share(share)
         for window in self._retries.values():
             window.share = share
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -21,7 +21,7 @@
 )
 from hemlockhoist.base.metrics import Metrics
 from hemlockhoist.base.traces import Traces
-from hemlockhoist.decisions.limits import SpentLog
+from hemlockhoist.decisions.limits import SpentLog, share_of_side
 from hemlockhoist.decisions.scheduling import DeclaredTracks
 from hemlockhoist.declarations import Declarations, Pool, PoolKind
 from hemlockhoist.entry.context import EntryContext
@@ -70,9 +70,6 @@
 # Under a load at which allowances bind, a host that is in touch is heard from several
 # times in this time.
 HEARD_MS = 1_000
-# What a host that decides alone gives out, of its part of the fleet: beside the home,
-# which notices only after a while that the host is not heard any more.
-ALONE_PART = 0.5
 
 
 class EntryProcess:
@@ -250,11 +247,9 @@
     def _share_allowances(self):
         """Give out this host's part of what is bounded over all hosts."""
         context = self.context
-        part = context.fleet.part_in_touch(HEARD_MS, LOST_HOST_MS)
-        if context.homes.home_of("") != context.identity.host_id:
-            # Used only where this host decides alone.
-            part = ALONE_PART / max(1, len(context.fleet.live_hosts()))
-        context.gate.set_part(part)
+        heard, known = context.fleet.hosts_in_touch(HEARD_MS, LOST_HOST_MS)
+        is_home = context.homes.home_of("") == context.identity.host_id
+        context.gate.set_share(share_of_side(heard, known, is_home))
 
     def _report_held(self):
         pools = [pool.name for pool in self.context.declarations.pools]
--- a/libs/host/src/hemlockhoist/host/fleet.py
+++ b/libs/host/src/hemlockhoist/host/fleet.py
@@ -130,8 +130,8 @@
         """Return the ids of the hosts that are not gone, this one included."""
         return tuple(member.address for member in self._membership.live_hosts())
 
-    def part_in_touch(self, heard_ms, lost_ms):
-        """Return the part of the fleet's hosts that this host is in touch with.
+    def hosts_in_touch(self, heard_ms, lost_ms):
+        """Return how many hosts this host is in touch with, and how many there are.
 
         Parameters
         ==========
@@ -147,7 +147,7 @@
         bus = self._context.bus
         heard = sum(1 for host in live if host == own or bus.heard(host, heard_ms))
         known = len(live) + self._membership.count_lost(now_ms, lost_ms)
-        return heard / max(1, known)
+        return heard, known
 
     def members(self):
         """Return the members that are not gone."""
@@ -216,6 +216,7 @@
 @_handle.register
 def _(event: MemberJoined, context):
     _log.info("host_joined", host=event.member.address)
+    context.homes.on_host_joined(event.member.address)
 
 
 @_handle.register
--- a/libs/host/src/hemlockhoist/host/grants.py
+++ b/libs/host/src/hemlockhoist/host/grants.py
@@ -287,7 +287,7 @@
         self._held[hold.grant_id] = hold
         if self._spent is not None:
             now_ms = self._clock.now_ms()
-            self._spent.add(hold.pool, brief.customer, brief.units, now_ms)
+            self._spent.add(hold.pool, hold.home, brief.customer, brief.units, now_ms)
         return hold
 
     def _cancel(self, waiter, home):
@@ -377,13 +377,20 @@
             if waiter.asked != self._home_of(waiter.pool):
                 waiter.inbox.put_nowait((_ASK_AGAIN, 0))
 
-    def report(self, pool, home_incarnation):
-        """Return the answer to a new home's question."""
+    def report(self, pool, home_incarnation, home=""):
+        """Return the answer to a new home's question.
+
+        Parameters
+        ==========
+        pool, home_incarnation : str
+        home : str, optional
+            Its host id.
+        """
         held = [hold for hold in self._held.values() if hold.pool == pool]
         grants = tuple(_held_grant(hold) for hold in held)
         spent = ()
         if self._spent is not None:
-            spent = self._spent.report(pool, self._clock.now_ms())
+            spent = self._spent.report(pool, home, self._clock.now_ms())
         return HeldGrants(
             pool=pool, home_incarnation=home_incarnation, grants=grants, spent=spent
         )
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -67,6 +67,7 @@
     """
 
     __slots__ = (
+        "_asked",
         "_asked_ms",
         "_awaited",
         "_clock",
@@ -113,6 +114,7 @@
         self._metrics = metrics or Metrics(None)
         self._gate = gate or OpenGate()
         self._held_elsewhere = {}
+        self._asked = set()
         self._awaited = set()
         self._queued = {}
         self._granted = {}
@@ -134,10 +136,22 @@
         now_ms = self._clock.now_ms()
         self._started_ms = now_ms
         self._awaited = set(hosts)
+        self._asked = set(hosts)
         self._emit(self.scheduler.begin_recovery(now_ms), now_ms)
         self._ask_holders(now_ms)
         _log.info("home_started", pool=self.pool, asked=len(self._awaited))
 
+    def on_host_joined(self, host_id):
+        """Ask a host that was not known yet what it holds.
+
+        Failure: a home has just started itself, and knows half of the fleet. What the
+        other half holds, and what its customers have spent, would never be counted.
+        """
+        if host_id not in self._asked:
+            self._asked.add(host_id)
+            self._awaited.add(host_id)
+            self._ask_holders(self._clock.now_ms())
+
     def _ask_holders(self, now_ms):
         self._resend_ms = now_ms + TAKEOVER_RESEND_MS
         message = HomeTakeover(
--- a/libs/host/src/hemlockhoist/host/homes.py
+++ b/libs/host/src/hemlockhoist/host/homes.py
@@ -190,6 +190,11 @@
         if home is not None:
             home.observe_load(report)
 
+    def on_host_joined(self, host_id):
+        """Tell the homes of a host that was not known yet."""
+        for home in self._homes.values():
+            home.on_host_joined(host_id)
+
     def forget_host(self, host_id):
         """Tell the homes that an entry host is gone."""
         for home in self._homes.values():
--- a/libs/host/src/hemlockhoist/host/inbound.py
+++ b/libs/host/src/hemlockhoist/host/inbound.py
@@ -110,7 +110,7 @@
 
 @_handle.register
 def _(message: HomeTakeover, context, sender, late_ms):
-    report = context.grants.report(message.pool, message.home_incarnation)
+    report = context.grants.report(message.pool, message.home_incarnation, sender)
     context.bus.send(sender, report)
 
 
--- a/libs/host/src/hemlockhoist/host/tests/test_grants.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_grants.py
@@ -324,3 +324,18 @@
         self.client.release(hold, Outcome(kind=OutcomeKind.SUCCESS, total_ms=5))
         await asyncio.sleep(0.1)
         self.assertEqual(self.wire.homes["h1"].counts(), (0, 0))
+
+    async def test_home_asks_a_host_that_it_learns_of_later(self):
+        """A home that has just started knows half of the fleet.
+
+        The other half's requests run at the engines meanwhile, and were not counted.
+        """
+        await self.client.acquire(
+            "chat", self._brief("r1"), self.clock.now_ms() + 60_000
+        )
+        new = self._add_home("h2")
+        new.start(())
+        self.home = "h2"
+        new.on_host_joined(ENTRY)
+        await asyncio.sleep(0.1)
+        self.assertEqual(new.counts(), (0, 1))
