Cut a stream that has begun instead of writing a refusal into it; test against stand-ins

On waking the time limit for silence had passed although the events were there to be read; the stream was to go on elsewhere, the proof of the routes was too old for that, and the refusal was written into the open answer.

Change: an error after the head has gone cuts the stream; silence counts only when the loop has had time to read; streams of a leaving host say that they close. Stand-ins of the published protocol (store, replicas, whole sites in one process) and tests of calm and broken answers, streams, freshness and stops.

--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -6,6 +6,7 @@
 from hemlockhoist.base import (
     MS_PER_S,
     DispatchError,
+    HemlockhoistError,
     Property,
     Refused,
     ResultCode,
@@ -136,7 +137,9 @@
         self.request_id = admitted.call.request_id or f"r{self._number}"
         self._relay = None
         if admitted.route.kind is CallKind.STREAM:
-            self._relay = StreamRelay(request, admitted, context.clock)
+            self._relay = StreamRelay(
+                request, admitted, context.clock, lambda: context.leaving
+            )
 
     async def run(self):
         """Return the final answer.
@@ -154,6 +157,14 @@
                 return await self._try_until_answered()
         except TimeoutError:
             return self._end_at_deadline()
+        except HemlockhoistError as error:
+            if not self._stream_started:
+                raise
+            # Failure: a host wakes from a suspension in the middle of a stream. Its
+            # proof of the routes is too old to go on at another upstream, and the
+            # refusal that follows would be written into the answer that has begun.
+            _log.warning("stream_cut", request=self.request_id, reason=error.message)
+            return self._relay.cut()
 
     async def _try_until_answered(self):
         while True:
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -89,6 +89,7 @@
         self.settings = settings
         self.finished = asyncio.Event()
         self.context = None
+        self.status = None
         self._platform = platform
         self._boot_clock = boot_clock
         self._closers = contextlib.AsyncExitStack()
@@ -118,7 +119,7 @@
         await self._open(context.upstreams)
         await self._open(context.fleet)
         await self._open_watches(context)
-        await self._open(StatusSurface(context))
+        self.status = await self._open(StatusSurface(context))
         self._callers = await self._open(CallerSurface(context, self._listener))
         await self._open(PeriodicTask(HOME_TICK_MS, self._tick))
         await self._open(PeriodicTask(HELD_REPORT_MS, self._report_held))
--- a/libs/entry/src/hemlockhoist/entry/stream.py
+++ b/libs/entry/src/hemlockhoist/entry/stream.py
@@ -15,12 +15,78 @@
 # would give up one that computes a long prompt beside this stream.
 MIN_STALL_MS = 1_500
 GAP_FACTOR = 2
+# Enough for the loop to read what waits in its sockets.
+READ_GRACE_MS = 50
 # For the first event an upstream may have a long prompt to compute, of its own or of
 # those before it: at the slowest engines seen some 12 tokens a millisecond.
 MIN_FIRST_STALL_MS = 2_500
 SLOWEST_TOKENS_PER_MS = 8
 
 
+class StallWatch:
+    """Closes an upstream's answer that has been silent for too long.
+
+    Failure: this host was suspended. On waking, the time limit has passed, and the
+    events that came meanwhile wait unread; the stream would be given up with its rest
+    at hand. So the limit is only taken for passed when the loop has had time to read.
+
+    Parameters
+    ==========
+    answer : UpstreamAnswer
+    limit_ms : int or None
+        None watches nothing.
+    clock : Clock
+    """
+
+    __slots__ = ("_answer", "_clock", "_due_ms", "_limit_ms", "_timer", "_warned")
+
+    def __init__(self, answer, limit_ms, clock):
+        self._answer = answer
+        self._limit_ms = limit_ms
+        self._clock = clock
+        self._due_ms = 0
+        self._timer = None
+        self._warned = False
+
+    def start(self):
+        """Begin to watch."""
+        if self._limit_ms is not None:
+            self._due_ms = self._clock.now_ms() + self._limit_ms
+            self._wait(self._limit_ms)
+
+    def close(self):
+        """Stop watching."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def on_progress(self, limit_ms):
+        """Take a sign of life; from here on another limit may hold."""
+        if limit_ms is not None:
+            self._due_ms = self._clock.now_ms() + limit_ms
+            self._warned = False
+
+    def explain(self, error):
+        """Return the error to raise for a read that has failed."""
+        if not self._warned or self._clock.now_ms() < self._due_ms:
+            return error
+        text = "the upstream was silent for too long"
+        return DispatchError(text, ResultCode.UPSTREAM_TIMEOUT)
+
+    def _wait(self, wait_ms):
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(wait_ms / MS_PER_S, self._look)
+
+    def _look(self):
+        left_ms = self._due_ms - self._clock.now_ms()
+        if left_ms > 0:
+            self._wait(left_ms)
+        elif not self._warned:
+            self._warned = True
+            self._wait(READ_GRACE_MS)
+        else:
+            self._answer.close()
+
+
 class StreamRelay:
     """The caller's side of one stream, whatever upstreams its events come from.
 
@@ -29,12 +95,15 @@
     request : aiohttp.web.BaseRequest
     admitted : AdmittedCall
     clock : Clock
+    is_leaving : callable, optional
+        Whether this host is about to close its callers' connections.
     """
 
     __slots__ = (
         "_admitted",
         "_clock",
         "_event_times_us",
+        "_is_leaving",
         "_last_event_ms",
         "_reader",
         "_request",
@@ -42,7 +111,8 @@
         "events",
     )
 
-    def __init__(self, request, admitted, clock):
+    def __init__(self, request, admitted, clock, is_leaving=lambda: False):
+        self._is_leaving = is_leaving
         self._request = request
         self._admitted = admitted
         self._clock = clock
@@ -86,34 +156,26 @@
         self._event_times_us = []
         self._last_event_ms = None
         first = True
-        chunks = answer.chunks().__aiter__()
-        while True:
-            chunk = await self._next(chunks, first)
-            if chunk is None:
-                break
-            if first:
-                on_first()
-                first = False
-            await self._pass_on(head, self._reader.feed(chunk))
-            if self._reader.error is not None:
-                raise self._reader.error
+        watch = StallWatch(answer, self._stall_limit_ms(True), self._clock)
+        watch.start()
+        try:
+            async for chunk in answer.chunks():
+                if first:
+                    on_first()
+                    first = False
+                watch.on_progress(self._stall_limit_ms(False))
+                await self._pass_on(head, self._reader.feed(chunk))
+                if self._reader.error is not None:
+                    raise self._reader.error
+        except DispatchError as error:
+            raise watch.explain(error) from error
+        finally:
+            watch.close()
         if not self._reader.is_between_events:
             text = "the stream ended in the middle of an event"
             raise DispatchError(text, ResultCode.UPSTREAM_BROKE_OFF)
         return await self._finish(head)
 
-    async def _next(self, chunks, first):
-        """Return the next chunk, or None at the end."""
-        limit_ms = self._stall_limit_ms(first)
-        try:
-            if limit_ms is None:
-                return await anext(chunks, None)
-            async with asyncio.timeout(limit_ms / MS_PER_S):
-                return await anext(chunks, None)
-        except TimeoutError as error:
-            text = f"no event for {limit_ms} ms"
-            raise DispatchError(text, ResultCode.UPSTREAM_TIMEOUT) from error
-
     def _stall_limit_ms(self, first):
         """Return after which silence to give the upstream up; None for never.
 
@@ -157,6 +219,8 @@
     async def _start(self, head):
         response = web.StreamResponse(status=head.status)
         add_headers(response, head.headers)
+        if self._is_leaving():
+            response.force_close()
         await response.prepare(self._request)
         self._response = response
 
--- a/libs/entry/src/hemlockhoist/entry/surface.py
+++ b/libs/entry/src/hemlockhoist/entry/surface.py
@@ -218,6 +218,12 @@
             server = web.Server(self._handle, access_log=None)
             self._runners.append(await listen(server, address))
 
+    @property
+    def addresses(self):
+        """The addresses that are listened on, ports of the kernel's choice included."""
+        found = (address for item in self._runners for address in item.addresses)
+        return [f"{ip}:{port}" for ip, port in found]
+
     async def close(self):
         """Close all connections."""
         for runner in self._runners:
--- /dev/null
+++ b/libs/standins/src/hemlockhoist/standins/published/__init__.py
@@ -0,0 +1,15 @@
+"""Stand-ins that speak the users' published protocol: store, replicas, hosts."""
+
+from hemlockhoist.standins.published.replica import Behaviour, Replica, SeenRequest
+from hemlockhoist.standins.published.site import Site, route
+from hemlockhoist.standins.published.store import StoreFaults, StoreStandin
+
+__all__ = [
+    "Behaviour",
+    "Replica",
+    "SeenRequest",
+    "Site",
+    "StoreFaults",
+    "StoreStandin",
+    "route",
+]
--- /dev/null
+++ b/libs/standins/src/hemlockhoist/standins/published/site.py
@@ -0,0 +1,167 @@
+"""A whole site in one process: store, replicas and entry hosts on the platform."""
+
+import asyncio
+import contextlib
+import socket
+
+import aiohttp
+import yarl
+
+from hemlockhoist.base import SuspendAwareClock
+from hemlockhoist.entry import EntrySettings, FleetBounds
+from hemlockhoist.entry.process import EntryProcess
+from hemlockhoist.platform.adapter import UsersPlatform
+from hemlockhoist.standins.published.store import StoreStandin
+
+HOST_NAME = "halls.example"
+KEY = "key-of-aulas"
+READY_WAIT_S = 5
+
+
+def route(name, service, kind="idempotent", **fields):
+    """Return a declared route ``/NAME/``, as the operator writes it."""
+    values = {
+        "name": name,
+        "host": HOST_NAME,
+        "prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_ms": 2_000,
+        "target_latency_ms": 400,
+        "priority": 0,
+        "service": service,
+        "max_attempts": 2,
+        "anonymous": False,
+    }
+    return {**values, **fields}
+
+
+class Site:
+    """Starts and stops a site; use it as an asynchronous context manager.
+
+    Parameters
+    ==========
+    replicas : mapping of str to list of Replica
+        By service.
+    routes : list of dict
+    hosts : int
+    bounds : FleetBounds, optional
+    tenants : list of dict, optional
+    boot_ns : callable, optional
+        The clock that counts suspensions.
+    """
+
+    def __init__(
+        self, replicas, routes, hosts=1, bounds=None, tenants=None, boot_ns=None
+    ):
+        self.replicas = replicas
+        self.store = StoreStandin()
+        self.hosts = []
+        self.session = None
+        self._routes = routes
+        self._host_count = hosts
+        self._bounds = bounds or FleetBounds()
+        self._tenants = tenants
+        self._boot_ns = boot_ns
+        self._version = 0
+        self._closers = contextlib.AsyncExitStack()
+
+    async def __aenter__(self):
+        await self._open(self.store)
+        for service, replicas in self.replicas.items():
+            for replica in replicas:
+                await self._open(replica)
+                await self.list_replica(service, replica)
+        await self.declare(self._routes)
+        for number in range(self._host_count):
+            await self.add_host(number)
+        self.session = await self._closers.enter_async_context(
+            aiohttp.ClientSession(auto_decompress=False)
+        )
+        await self.wait_ready()
+        return self
+
+    async def __aexit__(self, *error):
+        await self._closers.aclose()
+
+    async def _open(self, part):
+        await part.start()
+        self._closers.push_async_callback(part.close)
+        return part
+
+    async def declare(self, routes, **fields):
+        """Write a newer desired state."""
+        self._version += 3
+        tenants = self._tenants
+        if tenants is None:
+            tenants = [{"name": "aulas", "api_keys": [KEY], "priority": 1}]
+        body = {
+            "version": self._version,
+            "route_table": routes,
+            "services": [
+                {"name": name, "health_path": "/healthz", "max_connections": 100}
+                for name in self.replicas
+            ],
+            "limits": {},
+            "tenants": tenants,
+        }
+        await self.store.put("op", "config", {**body, **fields})
+
+    async def list_replica(self, service, replica, **fields):
+        """Enter a replica into the store, as it does itself."""
+        row = replica.row(service, **fields)
+        await self.store.put("servers", replica.replica_id, row)
+
+    async def add_host(self, number):
+        """Start one more entry host."""
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.setblocking(False)
+        port = listener.getsockname()[1]
+        settings = EntrySettings(
+            name=f"h{number}",
+            failure_domain="a",
+            caller_address=f"127.0.0.1:{port}",
+            readiness_address="127.0.0.1:0",
+            directory_address="",
+            peer_address="127.0.0.1:0",
+            store_address=self.store.address,
+            bounds=self._bounds,
+        )
+        clock = SuspendAwareClock.from_system()
+        if self._boot_ns is not None:
+            clock = SuspendAwareClock(self._boot_ns)
+        platform = UsersPlatform(settings, clock)
+        host = EntryProcess(settings, platform, clock, listener)
+        self.hosts.append(await self._open(host))
+        return host
+
+    async def wait_ready(self):
+        """Wait until all hosts serve and know one another."""
+        async with asyncio.timeout(READY_WAIT_S):
+            while not all(self._is_ready(host) for host in self.hosts):
+                await asyncio.sleep(0.01)
+
+    def _is_ready(self, host):
+        knowledge = host.context.knowledge
+        live = len(host.context.fleet.live_hosts())
+        return (
+            knowledge.is_complete and knowledge.is_fresh() and live >= len(self.hosts)
+        )
+
+    def url(self, path, host=0):
+        """Return the URL of a path at one of the hosts, as it is encoded."""
+        address = self.hosts[host].settings.caller_address
+        return yarl.URL(f"http://{address}{path}", encoded=True)
+
+    def call(self, path, host=0, method="GET", body=None, **headers):
+        """Return the context manager of a caller's request."""
+        values = {
+            "Host": HOST_NAME,
+            "Attempt-Id": "a1",
+            "Deadline-Ms": "2000",
+            "Authorization": f"Bearer {KEY}",
+        }
+        named = {name.replace("_", "-"): text for name, text in headers.items()}
+        sent = {k: v for k, v in {**values, **named}.items() if v is not None}
+        return self.session.request(
+            method, self.url(path, host), data=body, headers=sent
+        )
--- /dev/null
+++ b/libs/standins/src/hemlockhoist/standins/published/store.py
@@ -0,0 +1,208 @@
+"""A store of rows with one version counter, transactions and a feed, in memory."""
+
+import asyncio
+import base64
+import json
+
+import msgspec
+from aiohttp import web
+
+from hemlockhoist.base import MS_PER_S
+
+
+class StoreFaults:
+    """What is wrong with the store now.
+
+    Attributes
+    ==========
+    status : int or None
+        Every call is answered with it.
+    is_silent : bool
+        No call is answered.
+    loses_answers : bool
+        Commits are done, and their connection is closed without an answer.
+    delay_ms : int
+        Before each answer.
+    """
+
+    __slots__ = ("delay_ms", "is_silent", "loses_answers", "status")
+
+    def __init__(self):
+        self.heal()
+
+    def heal(self):
+        """Work well again."""
+        self.status = None
+        self.is_silent = False
+        self.loses_answers = False
+        self.delay_ms = 0
+
+
+class _Row(msgspec.Struct):
+    table: str
+    key: str
+    value: str | None
+    version: int
+
+
+class StoreStandin:
+    """The store; start it in a running event loop.
+
+    Attributes
+    ==========
+    address : str
+    faults : StoreFaults
+    calls : list of str
+        The paths that were called.
+    """
+
+    def __init__(self):
+        self.address = ""
+        self.faults = StoreFaults()
+        self.calls = []
+        self._rows = {}
+        self._history = []
+        self._oldest = 0
+        self._version = 0
+        self._changed = asyncio.Condition()
+        self._runner = None
+
+    async def start(self):
+        """Listen on a port of the kernel's choice."""
+        application = web.Application(middlewares=[self._meet_faults])
+        application.router.add_get("/v1/rows-get", self._get)
+        application.router.add_get("/v1/rows-feed", self._feed)
+        application.router.add_post("/v1/rows-tx", self._commit)
+        self._runner = web.AppRunner(application, shutdown_timeout=0.1)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        host, port = self._runner.addresses[0]
+        self.address = f"{host}:{port}"
+
+    async def close(self):
+        """Close all connections."""
+        await self._runner.cleanup()
+
+    async def put(self, table, key, payload):
+        """Write a row as the operator or a replica does; None drops it."""
+        value = None
+        if payload is not None:
+            raw = payload if isinstance(payload, bytes) else json.dumps(payload)
+            raw = raw if isinstance(raw, bytes) else raw.encode()
+            value = base64.b64encode(raw).decode()
+        self._version += 1
+        self._write(table, key, value)
+        await self._notify()
+
+    def payload(self, table, key):
+        """Return the decoded JSON of a row, or None."""
+        row = self._rows.get((table, key))
+        if row is None or row.value is None:
+            return None
+        return json.loads(base64.b64decode(row.value))
+
+    def forget_history(self):
+        """Drop all changes, so that followers have to read anew."""
+        self._oldest = self._version
+        self._history.clear()
+
+    def _write(self, table, key, value):
+        row = _Row(table, key, value, self._version)
+        self._history.append(row)
+        if value is None:
+            self._rows.pop((table, key), None)
+        else:
+            self._rows[table, key] = row
+
+    async def _notify(self):
+        async with self._changed:
+            self._changed.notify_all()
+
+    @web.middleware
+    async def _meet_faults(self, request, handler):
+        self.calls.append(request.path)
+        faults = self.faults
+        if faults.is_silent:
+            await asyncio.Event().wait()
+        if faults.status is not None:
+            return web.Response(status=faults.status)
+        response = await handler(request)
+        if faults.delay_ms:
+            await asyncio.sleep(faults.delay_ms / MS_PER_S)
+        if faults.loses_answers and request.method == "POST":
+            request.transport.abort()
+        return response
+
+    async def _get(self, request):
+        table = request.query["table"]
+        start = request.query.get("from", "")
+        limit = int(request.query.get("limit", 500))
+        found = sorted(
+            (row for row in self._rows.values() if row.table == table),
+            key=lambda row: row.key,
+        )
+        found = [row for row in found if row.key >= start]
+        return self._answer(found[:limit], has_more=len(found) > limit)
+
+    async def _feed(self, request):
+        table = request.query["table"]
+        since = int(request.query["start_revision"])
+        wait_s = int(request.query.get("wait_ms", 0)) / MS_PER_S
+
+        def changes():
+            latest = {}
+            for row in self._history:
+                if row.version > since and row.table == table:
+                    latest.pop(row.key, None)
+                    latest[row.key] = row
+            return list(latest.values())
+
+        if since < self._oldest:
+            return web.Response(status=410)
+        try:
+            async with asyncio.timeout(wait_s), self._changed:
+                await self._changed.wait_for(lambda: changes() or self._is_cut(since))
+        except TimeoutError:
+            pass
+        if self._is_cut(since):
+            return web.Response(status=410)
+        return self._answer(changes())
+
+    def _is_cut(self, since):
+        return since < self._oldest
+
+    async def _commit(self, request):
+        body = await request.json()
+        for item in body["expected_revision"]:
+            row = self._rows.get((item["table"], item["key"]))
+            if (row.version if row else 0) != item["schema_version"]:
+                return self._answer([row] if row else [], status=412)
+        self._version += 1
+        for item in body["write"]:
+            self._write(item["table"], item["key"], item["value"])
+        for item in body["drop"]:
+            self._write(item["table"], item["key"], None)
+        await self._notify()
+        return self._answer([])
+
+    def _answer(self, rows, has_more=False, status=200):
+        loop = asyncio.get_running_loop()
+        body = {
+            "rows": [_wire(row) for row in rows],
+            "has_more": has_more,
+            "schema_version": self._version,
+            "now_ms": int(loop.time() * MS_PER_S),
+        }
+        return web.json_response(body, status=status)
+
+
+def _wire(row):
+    wire = {
+        "table": row.table,
+        "part": "",
+        "key": row.key,
+        "schema_version": row.version,
+    }
+    if row.value is None:
+        return {**wire, "deleted": True}
+    return {**wire, "value": row.value}
--- /dev/null
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_site.py
@@ -0,0 +1,246 @@
+import asyncio
+import unittest
+
+import aiohttp
+
+from hemlockhoist.standins.published import Behaviour, Replica, Site, route
+
+
+def services(*names):
+    return {"reservas": [Replica(name) for name in names]}
+
+
+def engines(*names, events=6):
+    return {"asistente": [Replica(name, events=events) for name in names]}
+
+
+LOOKUP = route("check-free", "reservas")
+BOOKING = route("book-hall", "reservas", "non_idempotent", max_attempts=1)
+REPORT = route("conflict-report", "asistente", "streaming", resumable=True)
+SUMMARY = route("access-summary", "asistente", "streaming", max_attempts=1)
+
+
+class CalmTests(unittest.IsolatedAsyncioTestCase):
+    async def test_lookup_reaches_its_replica_as_it_was_sent(self):
+        replicas = services("s1")
+        async with Site(replicas, [LOOKUP]) as site:
+            path = "/check-free/7?day=mon&x=%2F"
+            async with site.call(path, Tenant="other", Hold="c1", X_Note="n") as answer:
+                body = await answer.text()
+            self.assertEqual(answer.status, 200)
+            self.assertEqual(body, f"answer of s1 to {path}")
+            self.assertEqual(answer.headers["Response-Signature"], "receipt-of-s1")
+            self.assertEqual(answer.headers["Attempt-Id"], "a1")
+        seen = replicas["reservas"][0].ran[0]
+        self.assertEqual(seen.target, path)
+        self.assertEqual(seen.headers["expected-instance"], "s1")
+        self.assertEqual(seen.headers["tenant"], "aulas")
+        self.assertEqual(seen.headers["x-note"], "n")
+        self.assertLessEqual(int(seen.headers["deadline-ms"]), 2_000)
+        self.assertNotIn("authorization", seen.headers)
+        self.assertNotIn("hold", seen.headers)
+
+    async def test_stream_is_passed_on_event_by_event(self):
+        replicas = engines("e1")
+        replicas["asistente"][0].event_ms = 20
+        async with (
+            Site(replicas, [REPORT]) as site,
+            site.call("/conflict-report/1", method="POST", body=b"x") as answer,
+        ):
+            first = await answer.content.readuntil(b"\n\n")
+            rest = await answer.content.read()
+        self.assertEqual(first, b"id: 1\ndata: piece 1\n\n")
+        self.assertEqual(rest.count(b"data:"), 5)
+
+    async def test_refusals_for_good(self):
+        async with Site(services("s1"), [LOOKUP]) as site:
+            async with site.call("/nowhere/1") as answer:
+                self.assertEqual(answer.status, 404)
+            async with site.call("/check-free/1", Authorization="Bearer no") as answer:
+                self.assertEqual(answer.status, 401)
+            async with site.call("/check-free/1", Deadline_Ms="soon") as answer:
+                self.assertEqual(answer.status, 400)
+
+    async def test_routes_change_and_hosts_agree(self):
+        replicas = services("s1")
+        async with Site(replicas, [LOOKUP], hosts=3) as site:
+            await site.declare([LOOKUP, route("new", "reservas", anonymous=True)])
+            await asyncio.sleep(0.2)
+            for host in range(3):
+                async with site.call("/new/1", host, Authorization=None) as answer:
+                    self.assertEqual(answer.status, 200)
+
+    async def test_hosts_tell_callers_of_one_another(self):
+        async with Site(services("s1"), [LOOKUP], hosts=3) as site:
+            address = site.hosts[0].status.addresses[0]
+            url = f"http://{address}/v1/resolve?name=halls.example&region=r&zone=a"
+            async with site.session.get(url) as answer:
+                told = await answer.json()
+            wanted = {host.settings.caller_address for host in site.hosts}
+            self.assertEqual(set(told["addresses"]), wanted)
+            async with site.session.get(f"http://{address}/v1/readyz") as answer:
+                self.assertEqual(answer.status, 200)
+
+
+class BrokenAnswerTests(unittest.IsolatedAsyncioTestCase):
+    async def ask(self, route_, behaviour, path, others=(), **call):
+        replicas = {"reservas": [Replica("bad"), *others]}
+        replicas["reservas"][0].behaviour = behaviour
+        async with Site(replicas, [route_]) as site, site.call(path, **call) as answer:
+            body = await answer.read()
+        return answer.status, body, replicas["reservas"]
+
+    async def test_booking_that_may_have_run_is_never_sent_again(self):
+        """A hall is booked twice, and two groups stand before one door.
+
+        A replica runs the booking and its answer is lost on the way. The host sends it
+        to another replica, or says "not run" and the caller does.
+        """
+        for behaviour in (
+            Behaviour.RESETS,
+            Behaviour.CUT_SHORT,
+            Behaviour.CROSSED,
+            Behaviour.NO_RECEIPT,
+        ):
+            with self.subTest(behaviour=behaviour):
+                status, _, replicas = await self.ask(
+                    BOOKING,
+                    behaviour,
+                    "/book-hall/1",
+                    method="POST",
+                    body=b"hall 7",
+                )
+                self.assertEqual(status, 502)
+                self.assertEqual(sum(len(item.ran) for item in replicas), 1)
+
+    async def test_lookup_is_tried_at_another_replica(self):
+        for behaviour in (Behaviour.FAILS, Behaviour.RESETS, Behaviour.CROSSED):
+            with self.subTest(behaviour=behaviour):
+                status, body, _ = await self.ask(
+                    LOOKUP, behaviour, "/check-free/1", others=[Replica("good")]
+                )
+                self.assertEqual(status, 200)
+                self.assertIn(b"good", body)
+
+    async def test_booking_that_a_replica_did_not_run_is_refused_with_a_time(self):
+        status, _, _ = await self.ask(
+            BOOKING, Behaviour.SHEDS, "/book-hall/1", method="POST", body=b"x"
+        )
+        self.assertEqual(status, 503)
+
+    async def test_booking_that_failed_is_passed_on_as_it_is(self):
+        status, body, _ = await self.ask(
+            BOOKING, Behaviour.FAILS, "/book-hall/1", method="POST", body=b"x"
+        )
+        self.assertEqual((status, body[:13]), (500, b"answer of bad"))
+
+    async def test_second_answer_on_a_connection_reaches_nobody(self):
+        status, body, _ = await self.ask(LOOKUP, Behaviour.DOUBLED, "/check-free/1")
+        self.assertEqual((status, body), (200, b"answer of bad to /check-free/1"))
+
+    async def test_silent_replica_is_given_up_at_the_routes_time(self):
+        short = route("check-free", "reservas", timeout_ms=300)
+        status, _, replicas = await self.ask(short, Behaviour.SILENT, "/check-free/1")
+        self.assertEqual(status, 504)
+        await asyncio.sleep(0.1)
+        self.assertTrue(replicas[0].ran[0].closed)
+
+
+class BrokenStreamTests(unittest.IsolatedAsyncioTestCase):
+    async def read(self, route_, behaviour, *others):
+        bad = Replica("bad", events=8)
+        bad.behaviour = behaviour
+        replicas = {"asistente": [bad, *others]}
+        path = f"/{route_['name']}/1"
+        async with Site(replicas, [route_]) as site:
+            try:
+                async with site.call(path, method="POST", body=b"x") as answer:
+                    return answer.status, await answer.read(), replicas["asistente"]
+            except aiohttp.ClientPayloadError:
+                return None, b"", replicas["asistente"]
+
+    async def test_resumable_stream_goes_on_at_another_replica(self):
+        """A report breaks off in its middle as its engine crashes."""
+        for behaviour in (Behaviour.STOPS, Behaviour.SKIPS):
+            with self.subTest(behaviour=behaviour):
+                good = Replica("good", events=8)
+                status, body, _ = await self.read(REPORT, behaviour, good)
+                self.assertEqual(status, 200)
+                wanted = b"".join(
+                    b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 9)
+                )
+                self.assertEqual(body, wanted)
+                self.assertEqual(good.ran[0].headers["last-event-id"], "3")
+
+    async def test_stream_that_can_not_go_on_does_not_look_whole(self):
+        status, _, replicas = await self.read(SUMMARY, Behaviour.STOPS, Replica("o"))
+        self.assertIsNone(status)
+        self.assertEqual(len(replicas[1].ran), 0)
+
+
+class CallerLeavesTests(unittest.IsolatedAsyncioTestCase):
+    async def test_upstream_is_told_when_the_caller_leaves(self):
+        """An engine goes on for nobody after its caller has closed the page."""
+        replicas = engines("e1", events=500)
+        replicas["asistente"][0].event_ms = 10
+        async with Site(replicas, [REPORT]) as site:
+            async with site.call("/conflict-report/1", method="POST") as answer:
+                await answer.content.readuntil(b"\n\n")
+                answer.close()
+            await asyncio.sleep(0.3)
+            self.assertTrue(replicas["asistente"][0].ran[0].closed)
+
+
+class FreshnessTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.boot_ns = 10**12
+
+    async def test_host_cut_off_from_the_store_honours_no_key_for_long(self):
+        """A key was taken away, and a host that did not hear of it still serves it."""
+        replicas = services("s1")
+        async with Site(replicas, [LOOKUP], boot_ns=lambda: self.boot_ns) as site:
+            site.store.faults.status = 503
+            self.boot_ns += 6 * 10**9
+            async with site.call("/check-free/1") as answer:
+                self.assertEqual(answer.status, 503)
+                self.assertIn("Retry-After", answer.headers)
+            async with site.call("/check-free/1", Authorization="Bearer no") as answer:
+                self.assertEqual(answer.status, 503)
+        self.assertEqual(replicas["reservas"][0].ran, [])
+
+    async def test_stream_goes_on_when_the_proof_grows_old_and_is_cut_if_it_breaks(
+        self,
+    ):
+        """A caller's answer is followed by a refusal in the middle of its events.
+
+        The host was suspended while it passed a stream on. The engine broke off, and
+        the proof was too old to go on at another; the refusal went into the open answer.
+        """
+        bad = Replica("bad", events=8)
+        bad.behaviour = Behaviour.STOPS
+        bad.event_ms = 50
+        replicas = {"asistente": [bad, Replica("good", events=8)]}
+        replicas["asistente"][1].delay_ms = 0
+        async with Site(replicas, [REPORT], boot_ns=lambda: self.boot_ns) as site:
+            site.store.faults.status = 503
+            with self.assertRaises(aiohttp.ClientPayloadError):
+                async with site.call("/conflict-report/1", method="POST") as answer:
+                    await answer.content.readuntil(b"\n\n")
+                    self.boot_ns += 6 * 10**9
+                    await answer.content.read()
+
+
+class StopTests(unittest.IsolatedAsyncioTestCase):
+    async def test_planned_stop_cuts_no_stream_and_answers_newcomers(self):
+        replicas = engines("e1", events=30)
+        replicas["asistente"][0].event_ms = 20
+        async with Site(replicas, [REPORT], hosts=2) as site:
+            async with site.call("/conflict-report/1", 0, method="POST") as answer:
+                await answer.content.readuntil(b"\n\n")
+                site.hosts[0].begin_drain()
+                async with site.call("/conflict-report/2", 0, method="POST") as late:
+                    self.assertEqual(late.headers["Connection"], "close")
+                    await late.read()
+                rest = await answer.content.read()
+            self.assertEqual(rest.count(b"data:"), 29)
+            self.assertFalse(site.hosts[0].status.is_ready())
