Treat the answer of another run at an address like a refused connection

Change: such an answer counts as nothing sent (its arrival still counts as a retry over all hosts), the upstream rests as after a refused connection.

A test with two such replicas and a booking.

--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -56,6 +56,7 @@
         "first_ms",
         "guard",
         "hold",
+        "is_misdirected",
         "kind",
         "may_connect",
         "output_tokens",
@@ -69,6 +70,7 @@
         # What a request that its caller left ends as; every other end says its own.
         self.kind = OutcomeKind.CANCELLED
         self.may_connect = True
+        self.is_misdirected = False
         self.first_ms = None
         self.output_tokens = 0
         self.token_us = -1
@@ -77,7 +79,7 @@
     def outcome(self, now_ms):
         """Return the outcome, for the home of the pool."""
         sent_ms = self.guard.opened_ms
-        if sent_ms is None:
+        if sent_ms is None or self.is_misdirected:
             kind = OutcomeKind.NOT_SENT
             if not self.may_connect:
                 kind = OutcomeKind.CONNECT_FAILED
@@ -109,6 +111,7 @@
     __slots__ = (
         "_admission",
         "_admitted",
+        "_arrivals",
         "_attempts",
         "_body",
         "_context",
@@ -128,6 +131,7 @@
         self._admission = admission
         self._body = body
         self._attempts = 0
+        self._arrivals = 0
         self._sends = 0
         self._unsent = 0
         self._may_have_run = False
@@ -208,7 +212,7 @@
             first_token_in_ms=admitted.target_by_ms - now_ms,
             failure_domain=self._context.identity.failure_domain,
             trace=text_of_context(),
-            attempt=1 + self._sends,
+            attempt=1 + self._arrivals,
             # Taken once: a request whose upstream could not be reached asks again.
             units=admitted.units if self._attempts == 1 else 0,
             is_new=self._attempts == 1,
@@ -278,10 +282,11 @@
             self._failed_upstreams.append(attempt.hold.upstream_id)
 
     def _note_sent(self, attempt):
-        if attempt.guard.opened:
-            self._sends += 1
-        else:
+        self._arrivals += attempt.guard.opened
+        if attempt.is_misdirected or not attempt.guard.opened:
             self._unsent += 1
+        else:
+            self._sends += 1
 
     async def _send(self, attempt):
         may_have_run = self._may_have_run
@@ -302,6 +307,8 @@
             return None, AttemptEnd.BROKEN
         if end is AttemptEnd.NOT_RUN:
             self._may_have_run = may_have_run
+            if attempt.is_misdirected:
+                end = AttemptEnd.NOT_SENT
         return answer, end
 
     def _call(self, attempt):
@@ -330,6 +337,12 @@
     async def _take(self, answer, attempt):
         wire = self._context.platform.wire
         head = wire.read_answer(answer.status, answer.headers)
+        if head.is_misdirected:
+            # The run that the list names is not there any more: like a connection
+            # that is refused, and as harmless to try elsewhere.
+            attempt.is_misdirected = True
+            attempt.may_connect = False
+            attempt.reason = "another run answers at the address"
         if head.is_not_run:
             return None, AttemptEnd.NOT_RUN
         if not answer.is_for(self._admitted.call.request_id):
--- a/libs/entry/src/hemlockhoist/entry/wire.py
+++ b/libs/entry/src/hemlockhoist/entry/wire.py
@@ -88,6 +88,8 @@
         Whether it carries the upstream's receipt for its answer.
     is_not_run : bool
         Whether the upstream says that it did not run the request.
+    is_misdirected : bool
+        Whether it says that it is not the run that was asked for.
     running, waiting : int or None
         Requests that the upstream has, where it says so.
     """
@@ -96,6 +98,7 @@
     headers: tuple[tuple[str, str], ...] = ()
     has_receipt: bool = False
     is_not_run: bool = False
+    is_misdirected: bool = False
     running: int | None = None
     waiting: int | None = None
 
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_site.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_site.py
@@ -128,6 +128,23 @@
         )
         self.assertEqual(status, 503)
 
+    async def test_address_of_another_run_costs_a_booking_nothing(self):
+        """Bookings are refused though replicas are free.
+
+        Two replicas crashed and others began at their addresses; the list still shows
+        the former ones. Each answers "not me", and the request's attempts are used up.
+        """
+        gone = [Replica("gone-1"), Replica("gone-2")]
+        for replica in gone:
+            replica.behaviour = Behaviour.MISDIRECTED
+        replicas = {"reservas": [*gone, Replica("good")]}
+        async with (
+            Site(replicas, [BOOKING]) as site,
+            site.call("/book-hall/1", method="POST", body=b"x") as answer,
+        ):
+            self.assertEqual(answer.status, 200)
+        self.assertEqual(sum(len(item.ran) for item in replicas["reservas"]), 1)
+
     async def test_booking_that_failed_is_passed_on_as_it_is(self):
         status, body, _ = await self.ask(
             BOOKING, Behaviour.FAILS, "/book-hall/1", method="POST", body=b"x"
