Serve metrics as text, name the host in each log line, explain a request by its id

Cause: on-call engineers have a request's id, the hosts' logs and the metrics address, and had to put the lines together by hand; a stream's cut was not logged at all, and its reason was an exception's text of the HTTP library.

Change: counters and histograms in Prometheus' text format on the metrics port; each metric says its unit and what to do; `hemlockhoist explain ID` sorts the lines of all hosts into what was decided and what happened around it; cut streams are logged.

Five tests of explained failures, 558 tests pass.

--- a/libs/base/src/hemlockhoist/base/logs.py
+++ b/libs/base/src/hemlockhoist/base/logs.py
@@ -9,6 +9,7 @@
     {"authorization", "caller_key", "operator_key", "peer_key", "secret", "token"}
 )
 _MASK = "***"
+KEY_ORDER = ("timestamp", "level", "event")
 
 
 def _mask_secrets(_logger, _method, event):
@@ -18,7 +19,16 @@
     return event
 
 
-def configure_logs(level="info", stream=None, limit=None):
+def _add_fields(fields):
+    """Return a processor that puts fixed fields into every line."""
+
+    def add(_logger, _method, event):
+        return {**fields, **event}
+
+    return add
+
+
+def configure_logs(level="info", stream=None, limit=None, fields=None):
     """Set up structured logs for the process.
 
     Parameters
@@ -29,6 +39,8 @@
         Where lines go; standard error by default.
     limit : VolumeLimit, optional
         Drops lines beyond a rate.
+    fields : mapping of str to str, optional
+        That every line carries, such as the host's name.
     """
     number = logging.getLevelNamesMapping()[level.upper()]
     limits = [limit] if limit is not None else []
@@ -36,12 +48,13 @@
         processors=[
             *limits,
             structlog.contextvars.merge_contextvars,
+            _add_fields(fields or {}),
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso"),
             structlog.processors.format_exc_info,
             _mask_secrets,
             structlog.processors.LogfmtRenderer(
-                key_order=["timestamp", "level", "event"], bool_as_flag=False
+                key_order=KEY_ORDER, bool_as_flag=False
             ),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(number),
--- a/libs/base/src/hemlockhoist/base/metrics.py
+++ b/libs/base/src/hemlockhoist/base/metrics.py
@@ -1,6 +1,7 @@
 """Metrics by statsd, summed up in the process and sent once a second."""
 
 import asyncio
+import bisect
 import collections
 import re
 
@@ -20,9 +21,26 @@
 # to another host, would be shown with its last value for ever. After this many
 # intervals it is sent as 0 once, and forgotten.
 GAUGE_LIFETIME = 10
+# Upper bounds of the histograms' buckets: from a round trip to the longest answer.
+BUCKETS_MS = (5, 10, 20, 50, 100, 200, 300, 500, 1_000, 2_000, 5_000, 10_000)
 _UNSAFE = re.compile(r"[^A-Za-z0-9_-]")
 
 
+class Histogram:
+    """Durations, counted by bucket."""
+
+    __slots__ = ("counts", "sum_ms")
+
+    def __init__(self):
+        self.counts = [0] * (len(BUCKETS_MS) + 1)
+        self.sum_ms = 0
+
+    def observe(self, duration_ms):
+        """Count a duration."""
+        self.counts[bisect.bisect_left(BUCKETS_MS, duration_ms)] += 1
+        self.sum_ms += duration_ms
+
+
 class Metrics:
     """Counts, gauges and timings of one host.
 
@@ -44,7 +62,16 @@
     1
     """
 
-    __slots__ = ("_client", "_counts", "_gauges", "_task", "_timings", "totals")
+    __slots__ = (
+        "_client",
+        "_counts",
+        "_gauges",
+        "_task",
+        "_timings",
+        "histograms",
+        "series",
+        "totals",
+    )
 
     def __init__(self, client):
         self._client = client
@@ -53,6 +80,8 @@
         self._timings = []
         self._task = None
         self.totals = collections.Counter()
+        self.histograms = {}
+        self.series = {}
 
     @classmethod
     def from_config(cls, address):
@@ -108,10 +137,17 @@
 
     def time(self, metric, duration_ms, label=""):
         """Report a duration."""
-        name = self._series(metric, MetricKind.TIMER, label, ())
+        name = self._series(metric, MetricKind.TIMER, label, self.histograms)
+        if name not in self.histograms:
+            self.histograms[name] = Histogram()
+        self.histograms[name].observe(duration_ms)
         if self._client is not None and len(self._timings) < MAX_TIMINGS:
             self._timings.append((name, duration_ms))
 
+    def gauges(self):
+        """Return the present value of each gauge, by name."""
+        return {name: value for name, (value, _) in self._gauges.items()}
+
     def flush(self):
         """Send what has come together since the last time."""
         counts, timings = self._counts, self._timings
@@ -150,8 +186,10 @@
         if metric.kind is not kind or bool(metric.label) != bool(label):
             raise TypeError(f"{metric.name} is a {metric.kind.value} by {metric.label}")
         if not label:
+            self.series.setdefault(metric.name, (metric, ""))
             return metric.name
         name = f"{metric.name}.{_UNSAFE.sub('_', str(label))}"
         if name not in known and len(known) >= MAX_SERIES:
             return SERIES_DROPPED.name
+        self.series.setdefault(name, (metric, str(label)))
         return name
--- a/libs/base/src/hemlockhoist/base/metrics_doc.py
+++ b/libs/base/src/hemlockhoist/base/metrics_doc.py
@@ -16,11 +16,16 @@
 letters, digits, `-` and `_` replaced by `_`: `{PREFIX}.requests.good.interactive`.
 Each host sends its own; add them up over the fleet.
 
+On the metrics address the same values are served as text in Prometheus' format, from
+the same registry: dots become underscores, counters end in `_total`, the label is called
+`label`, and timers are histograms: `{PREFIX}_queue_wait_ms_bucket`. On the users'
+platform the address is the host's, port 9464, path `/metrics` (`deploy/system.toml`).
+
 The brief's four measures are `requests.good` (goodput by tier),
 `prefill.wasted_tokens`, `moves.finished_in_time` and `moves.taken_back`.
 
-| Name | Kind | Label | Meaning |
-|---|---|---|---|
+| Name | Kind | Label | Unit | Meaning | When it moves |
+|---|---|---|---|---|---|
 """
 
 _TRACES = """
@@ -39,7 +44,8 @@
 def metrics_page():
     """Return the page as Markdown text."""
     rows = "".join(
-        f"| `{item.name}` | {item.kind.value} | {item.label or 'none'} | {item.help} |\n"
+        f"| `{item.name}` | {item.kind.value} | {item.label or 'none'} "
+        f"| {item.unit or 'count'} | {item.help} | {item.remedy} |\n"
         for item in METRICS
     )
     spans = "".join(
--- a/libs/base/src/hemlockhoist/base/tests/test_metrics.py
+++ b/libs/base/src/hemlockhoist/base/tests/test_metrics.py
@@ -4,6 +4,7 @@
 import unittest
 
 from hemlockhoist.base import metrics
+from hemlockhoist.base.exposition import exposition
 from hemlockhoist.base.metrics import GAUGE_LIFETIME, MAX_SERIES, Metrics
 from hemlockhoist.base.metrics_doc import metrics_page
 from hemlockhoist.base.metrics_table import (
@@ -106,3 +107,23 @@
             found.count(REQUESTS_GOOD)
         with self.assertRaises(TypeError):
             found.gauge(REQUESTS_OPEN, 1, "t")
+
+
+class ExpositionTests(unittest.TestCase):
+    def test_values_are_served_in_the_format_of_prometheus(self):
+        found = Metrics(None)
+        found.count(REQUESTS_GOOD, "interactive", 3)
+        found.gauge(REQUESTS_OPEN, 7)
+        for duration_ms in (4, 15, 90_000):
+            found.time(FIRST_TOKEN_MS, duration_ms, "interactive")
+        text = exposition(found).decode()
+        wanted = (
+            'hemlockhoist_requests_good_total{label="interactive"} 3.0',
+            "hemlockhoist_requests_open 7.0",
+            'first_token_ms_bucket{label="interactive",le="5"} 1.0',
+            'first_token_ms_bucket{label="interactive",le="20"} 2.0',
+            'first_token_ms_bucket{label="interactive",le="+Inf"} 3.0',
+            'first_token_ms_sum{label="interactive"} 90019.0',
+        )
+        for line in wanted:
+            self.assertIn(line, text)
--- /dev/null
+++ b/libs/cli/src/hemlockhoist/cli/log_lines.py
@@ -0,0 +1,70 @@
+"""Log lines of hosts, read back: key=value pairs, from any number of hosts."""
+
+import re
+
+import msgspec
+
+_PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
+
+
+class LogLine(msgspec.Struct, frozen=True, kw_only=True):
+    """One line.
+
+    Parameters
+    ==========
+    timestamp : str
+        By the clock of the host that wrote it; sorts as text.
+    event, host : str
+    fields : dict of str to str
+        All others.
+    """
+
+    timestamp: str
+    event: str
+    host: str = ""
+    fields: dict[str, str] = {}
+
+    def get(self, name):
+        """Return a field, or the empty text."""
+        return self.fields.get(name, "")
+
+    @property
+    def request(self):
+        """The request that it is about, as its caller named it, or the empty text."""
+        return self.get("request").partition("/")[0]
+
+
+def parse_line(text):
+    """Return the ``LogLine`` of a text, or None where it is none.
+
+    Whatever stands before the first pair, such as what a collector adds, is left out.
+
+    Examples
+    ========
+    >>> from hemlockhoist.cli.log_lines import parse_line
+    >>> line = parse_line(
+    ...     'h1 | timestamp=2026-01-02T03:04:05Z level=info event=request_ended '
+    ...     'host=h1 request=a1 reason="no place"')
+    >>> line.event, line.request, line.get("reason")
+    ('request_ended', 'a1', 'no place')
+    >>> parse_line("Traceback (most recent call last):") is None
+    True
+    """
+    start = text.find("timestamp=")
+    if start < 0:
+        return None
+    fields = {key: _plain(value) for key, value in _PAIR.findall(text[start:])}
+    if "event" not in fields:
+        return None
+    return LogLine(
+        timestamp=fields.pop("timestamp"),
+        event=fields.pop("event"),
+        host=fields.pop("host", ""),
+        fields=fields,
+    )
+
+
+def _plain(value):
+    if len(value) < 2 or value[0] != '"':
+        return value
+    return value[1:-1].replace('\\"', '"').replace("\\\\", "\\")
--- a/libs/cli/src/hemlockhoist/cli/main.py
+++ b/libs/cli/src/hemlockhoist/cli/main.py
@@ -4,6 +4,7 @@
 
 from hemlockhoist.cli.codes import codes
 from hemlockhoist.cli.declare import declare
+from hemlockhoist.cli.explain import explain_command
 from hemlockhoist.cli.host import host
 from hemlockhoist.cli.move import move
 from hemlockhoist.cli.status import status
@@ -17,5 +18,5 @@
     """
 
 
-for _command in (host, declare, move, status, codes):
+for _command in (host, declare, move, status, codes, explain_command):
     main.add_command(_command)
--- a/libs/entry/src/hemlockhoist/entry/admission.py
+++ b/libs/entry/src/hemlockhoist/entry/admission.py
@@ -43,6 +43,12 @@
         customer_rank = self.customer.rank if self.customer else 0
         return customer_rank * RANKS_OF_ROUTES + self.route.rank
 
+    @property
+    def tier(self):
+        """The name of its tier, for metrics: the customer's rank and the route's."""
+        customer_rank = self.customer.rank if self.customer else 0
+        return f"{customer_rank}-{self.route.rank}"
+
     @property
     def units(self):
         """What it counts as against its customer's allowance."""
--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -12,6 +12,14 @@
     ResultCode,
     get_logger,
 )
+from hemlockhoist.base.metrics_table import (
+    ANSWER_MS,
+    ATTEMPTS_ENDED,
+    FIRST_TOKEN_MS,
+    QUEUE_WAIT_MS,
+    REQUESTS_GOOD,
+    REQUESTS_WHOLE,
+)
 from hemlockhoist.base.traces import Hop, text_of_context
 from hemlockhoist.decisions import Outcome, OutcomeKind
 from hemlockhoist.decisions.entry import AttemptEnd, Step, next_step
@@ -119,6 +127,7 @@
         "_failed_upstreams",
         "_may_have_run",
         "_number",
+        "_reason",
         "_relay",
         "_sends",
         "_unsent",
@@ -137,6 +146,7 @@
         self._may_have_run = False
         self._failed_answer = None
         self._failed_upstreams = []
+        self._reason = ""
         self._number = next(self._numbers)
         self.request_id = admitted.call.request_id or f"r{self._number}"
         self._relay = None
@@ -167,8 +177,7 @@
             # Failure: a host wakes from a suspension in the middle of a stream. Its
             # proof of the routes is too old to go on at another upstream, and the
             # refusal that follows would be written into the answer that has begun.
-            _log.warning("stream_cut", request=self.request_id, reason=error.message)
-            return self._relay.cut()
+            return self._cut(error.message)
 
     async def _try_until_answered(self):
         while True:
@@ -193,10 +202,14 @@
     # Grants.
 
     async def _acquire(self):
+        asked_ms = self._context.clock.now_ms()
         with self._context.traces.span(Hop.GRANT, pool=self._admitted.pool):
-            return await self._context.grants.acquire(
+            hold = await self._context.grants.acquire(
                 self._admitted.pool, self._brief, self._admitted.deadline_ms
             )
+        waited_ms = self._context.clock.now_ms() - asked_ms
+        self._context.metrics.time(QUEUE_WAIT_MS, waited_ms, self._admitted.tier)
+        return hold
 
     def _brief(self, now_ms):
         admitted = self._admitted
@@ -238,6 +251,8 @@
             with self._context.traces.span(Hop.UPSTREAM, upstream=hold.upstream_id):
                 answer, end = await self._send(attempt)
             attempt.kind = OutcomeKind.SUCCESS if end is None else _OUTCOMES[end]
+            if end is None:
+                self._count_whole(attempt)
             self._note_failed(attempt, end)
             return answer, end
         finally:
@@ -246,8 +261,20 @@
                 attempt.kind = OutcomeKind.TIMEOUT
             outcome = attempt.outcome(self._context.clock.now_ms())
             self._context.grants.release(hold, outcome)
+            self._context.metrics.count(ATTEMPTS_ENDED, outcome.kind.value)
             self._log_attempt(attempt, outcome)
 
+    def _count_whole(self, attempt):
+        """Count a whole answer, and whether it was in time."""
+        metrics, admitted = self._context.metrics, self._admitted
+        now_ms = self._context.clock.now_ms()
+        metrics.count(REQUESTS_WHOLE, admitted.tier)
+        metrics.time(ANSWER_MS, now_ms - admitted.arrived_ms, admitted.tier)
+        first_ms = now_ms if attempt.first_ms is None else attempt.first_ms
+        metrics.time(FIRST_TOKEN_MS, first_ms - admitted.arrived_ms, admitted.tier)
+        if first_ms <= admitted.target_by_ms:
+            metrics.count(REQUESTS_GOOD, admitted.tier)
+
     def _guard(self, hold):
         return SendGuard(
             self._context.clock,
@@ -275,7 +302,8 @@
         self._may_have_run = True
 
     def _note_failed(self, attempt, end):
-        """Remember an upstream that is not to be tried again while there are others."""
+        """Remember why, and not to try the upstream again while there are others."""
+        self._reason = attempt.reason
         if end is not None and (
             end is not AttemptEnd.NOT_SENT or not attempt.may_connect
         ):
@@ -395,31 +423,35 @@
         if self._failed_answer is not None and not self._stream_started:
             return self._failed_answer
         if self._stream_started:
-            return self._relay.cut()
+            return self._cut(f"no further place: {error.message}")
         if self._may_have_run:
             raise DispatchError(error.message, ResultCode.OUTCOME_UNKNOWN)
         raise error
 
     def _end(self, step, end):
         if self._stream_started:
-            return self._relay.cut()
+            return self._cut(self._reason or end.value)
         if step is Step.ANSWER and self._failed_answer is not None:
             return self._failed_answer
         if step is Step.REFUSE:
             code = ResultCode.CONNECT_FAILED
-            raise Refused(f"the upstream: {end.value}", code, RETRY_AFTER_MS)
+            raise Refused(self._reason or end.value, code, RETRY_AFTER_MS)
         code = ResultCode.OUTCOME_UNKNOWN
         if end is AttemptEnd.SILENT:
             code = ResultCode.UPSTREAM_TIMEOUT
-        raise DispatchError(f"the upstream: {end.value}", code)
+        raise DispatchError(self._reason or end.value, code)
 
     def _end_at_deadline(self):
         if self._stream_started:
-            return self._relay.cut()
+            return self._cut("its time was over")
         if self._may_have_run:
             raise DispatchError("", ResultCode.UPSTREAM_TIMEOUT)
         raise Refused("", ResultCode.DEADLINE_PASSED, RETRY_AFTER_MS)
 
+    def _cut(self, reason):
+        _log.warning("stream_cut", request=self.request_id, reason=reason)
+        return self._relay.cut()
+
     @property
     def _is_over(self):
         """Whether the time for the request's final answer has come."""
--- a/libs/entry/src/hemlockhoist/entry/knowledge.py
+++ b/libs/entry/src/hemlockhoist/entry/knowledge.py
@@ -1,6 +1,7 @@
 """What this host knows of the store: routes, upstreams, and since when."""
 
 import asyncio
+import collections
 import contextlib
 
 from hemlockhoist.base import (
@@ -192,6 +193,11 @@
         """Return the upstreams that may be given work, leaving ones marked."""
         return self.listing.usable(self._clock.now_ms())
 
+    def count_live(self):
+        """Return how many upstreams may be given work, by pool."""
+        live = (item for item in self.usable() if item.state is UpstreamState.LIVE)
+        return collections.Counter(item.pool for item in live)
+
     def check_upstream(self, upstream_id):
         """Refuse to send to an upstream that left since the grant.
 
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -20,6 +20,19 @@
     get_logger,
 )
 from hemlockhoist.base.metrics import Metrics
+from hemlockhoist.base.metrics_table import (
+    DECLARATIONS_VERSION,
+    GRANTS_IN_FLIGHT,
+    HOSTS_LIVE,
+    LINES_LEFT_OUT,
+    PROOF_AGE_MS,
+    QUEUE_LENGTH,
+    REQUESTS_OPEN,
+    STORE_CALLS,
+    STORE_FAILURES,
+    UPSTREAMS_LISTED,
+    VIOLATIONS,
+)
 from hemlockhoist.base.traces import Traces
 from hemlockhoist.decisions.limits import SpentLog, share_of_side
 from hemlockhoist.decisions.scheduling import DeclaredTracks
@@ -49,6 +62,7 @@
 UPSTREAMS_WAIT_MS = 20_000
 HOME_TICK_MS = 50
 HELD_REPORT_MS = 10_000
+GAUGE_MS = 1_000
 # Of an upstream that is well, a connection is there within a few milliseconds.
 CONNECT_TIMEOUT_MS = 250
 # Callers may hold an address for three times its time to live; the leaving host keeps
@@ -123,6 +137,7 @@
         self._callers = await self._open(CallerSurface(context, self._listener))
         await self._open(PeriodicTask(HOME_TICK_MS, self._tick))
         await self._open(PeriodicTask(HELD_REPORT_MS, self._report_held))
+        await self._open(PeriodicTask(GAUGE_MS, self._report_gauges))
         _log.info(
             "host_started", host=self.settings.name, address=context.identity.address
         )
@@ -215,6 +230,7 @@
         await self._closers.aclose()
 
     def _on_reading(self, reading):
+        self.context.metrics.count(STORE_CALLS, self._platform.config_table)
         self.context.knowledge.take_reading(reading)
         if self._store_failed:
             self._store_failed = False
@@ -222,6 +238,7 @@
                 watch.read_again()
 
     def _on_store_failure(self):
+        self.context.metrics.count(STORE_FAILURES, self._platform.config_table)
         self._store_failed = True
 
     def _on_routes(self, table):
@@ -257,6 +274,23 @@
         pools = [pool.name for pool in self.context.declarations.pools]
         self.context.grants.send_held_ids(pools)
 
+    def _report_gauges(self):
+        context, metrics = self.context, self.context.metrics
+        metrics.gauge(REQUESTS_OPEN, context.open_requests)
+        metrics.gauge(HOSTS_LIVE, len(context.fleet.live_hosts()))
+        if context.knowledge.routes is not None:
+            metrics.gauge(DECLARATIONS_VERSION, context.knowledge.routes.version)
+        if context.knowledge.proof_age_ms() is not None:
+            metrics.gauge(PROOF_AGE_MS, context.knowledge.proof_age_ms())
+        for pool, count in context.knowledge.count_live().items():
+            metrics.gauge(UPSTREAMS_LISTED, count, pool)
+        for prop, count in context.invariants.violations.items():
+            metrics.gauge(VIOLATIONS, count, prop.name)
+        for pool, home in context.homes.active().items():
+            queued, granted = home.counts()
+            metrics.gauge(QUEUE_LENGTH, queued, pool)
+            metrics.gauge(GRANTS_IN_FLIGHT, granted, pool)
+
     def begin_drain(self):
         """Begin a graceful shutdown; a second call changes nothing."""
         if self._drain_task is not None:
@@ -296,7 +330,7 @@
 
 async def _main(settings, make_platform, listener, writer):
     limit = VolumeLimit(Clock.from_running_loop().now_ms)
-    configure_logs("info", writer, limit)
+    configure_logs("info", writer, limit, {"host": settings.name})
     boot_clock = SuspendAwareClock.from_system()
     platform = make_platform(settings, boot_clock)
     host = EntryProcess(settings, platform, boot_clock, listener)
@@ -306,7 +340,10 @@
     loop.add_signal_handler(signal.SIGHUP, lambda: _log.info("reload_asked"))
     try:
         await host.start()
-        report = PeriodicTask(LEFT_OUT_REPORT_MS, lambda: _tell_left_out(limit, writer))
+        report = PeriodicTask(
+            LEFT_OUT_REPORT_MS,
+            lambda: _tell_left_out(limit, writer, host.context.metrics),
+        )
         await report.start()
         await host.finished.wait()
         await report.close()
@@ -314,10 +351,11 @@
         await host.close()
 
 
-def _tell_left_out(limit, writer):
+def _tell_left_out(limit, writer, metrics):
     """Say how many lines were left out, so that a gap does not pass for quiet."""
     left_out, dropped = limit.take_left_out(), writer.take_dropped()
     if left_out or dropped:
+        metrics.count(LINES_LEFT_OUT, value=sum(left_out.values()) + dropped)
         _log.warning("lines_left_out", **left_out, unread=dropped)
 
 
--- a/libs/entry/src/hemlockhoist/entry/surface.py
+++ b/libs/entry/src/hemlockhoist/entry/surface.py
@@ -12,7 +12,8 @@
     ResultCode,
     get_logger,
 )
-from hemlockhoist.base.metrics_table import REQUESTS_ENDED
+from hemlockhoist.base.exposition import exposition
+from hemlockhoist.base.metrics_table import REQUESTS_ARRIVED, REQUESTS_ENDED
 from hemlockhoist.base.traces import Hop, parent_of_headers
 from hemlockhoist.decisions.entry import PoolChooser
 from hemlockhoist.declarations import RequestLimits
@@ -27,6 +28,8 @@
 # that a host which leaves or fails is asked by nobody new after a few seconds.
 ADDRESS_TTL_MS = 2_000
 MAX_ADDRESSES = 64
+METRICS_PATH = "/metrics"
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 # Longer than any declared idle time: the callers end idle connections, not the host. A
 # request that crosses a close on its way is lost, and its caller can not tell.
 KEEP_ALIVE_S = 75.0
@@ -131,6 +134,7 @@
         arrived_ms = self._context.clock.now_ms()
         await self._context.knowledge.wait_complete(START_WAIT_MS)
         admitted = self._admission.admit(call, arrived_ms)
+        self._context.metrics.count(REQUESTS_ARRIVED, admitted.tier)
         self._log_admitted(admitted)
         body = await self._read_body(request)
         exchange = Exchange(self._context, request, admitted, body, self._admission)
@@ -213,6 +217,7 @@
             settings.readiness_address,
             settings.directory_address,
             settings.operator_address,
+            settings.metrics_address,
         }
         for address in sorted(filter(None, addresses)):
             server = web.Server(self._handle, access_log=None)
@@ -235,6 +240,9 @@
             return web.Response(status=200 if self.is_ready() else 503)
         if request.path == platform.directory_path:
             return self._directory()
+        if request.path == METRICS_PATH:
+            body = exposition(self._context.metrics)
+            return web.Response(body=body, headers={"Content-Type": METRICS_TYPE})
         error = BadRequest("", ResultCode.NOT_FOUND)
         return own_answer(platform.wire, None, error)
 
--- a/libs/host/src/hemlockhoist/host/homes.py
+++ b/libs/host/src/hemlockhoist/host/homes.py
@@ -1,6 +1,7 @@
 """The pools that this host is home of, as the view of the fleet changes."""
 
 from hemlockhoist.base import get_logger
+from hemlockhoist.base.metrics_table import HOMES_ALONE
 from hemlockhoist.decisions.scheduling import PoolScheduler
 from hemlockhoist.declarations import PoolKind
 from hemlockhoist.host.home import PoolHome
@@ -93,6 +94,7 @@
         pool = self._context.declarations.pool(name)
         if pool is not None and name not in self._standbys:
             _log.warning("deciding_alone", pool=name)
+            self._context.metrics.count(HOMES_ALONE, name)
             self._standbys[name] = home = self._new_home(pool)
             home.start((self._context.identity.host_id,))
         return self._standbys.get(name)
--- /dev/null
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_explained.py
@@ -0,0 +1,101 @@
+import asyncio
+import contextlib
+import io
+import unittest
+
+import aiohttp
+import structlog
+from click.testing import CliRunner
+
+from hemlockhoist.base import configure_logs
+from hemlockhoist.cli.main import main
+from hemlockhoist.standins.published import Behaviour, Replica, Site, route
+
+
+class ExplainedTests(unittest.IsolatedAsyncioTestCase):
+    """On-call engineers have a request's id and the hosts' logs, and nothing else."""
+
+    def setUp(self):
+        self.log = io.StringIO()
+        configure_logs("info", self.log, fields={"host": "h0"})
+        self.addCleanup(structlog.reset_defaults)
+
+    def explain(self, request_id):
+        found = CliRunner().invoke(main, ["explain", request_id], self.log.getvalue())
+        self.assertEqual(found.exit_code, 0, found.output)
+        return found.output
+
+    async def wait_for_line(self, *parts):
+        async with asyncio.timeout(10):
+            while not any(
+                all(part in line for part in parts)
+                for line in self.log.getvalue().splitlines()
+            ):
+                await asyncio.sleep(0.02)
+
+    async def test_refused_though_engines_are_free(self):
+        """A caller is refused while nobody else asks for anything."""
+        tenants = [
+            {
+                "name": "aulas",
+                "api_keys": ["key-of-aulas"],
+                "rate_per_s": 1,
+                "burst": 1,
+            }
+        ]
+        replicas = {"reservas": [Replica("s1")]}
+        lookup = route("check-free", "reservas")
+        async with Site(replicas, [lookup], tenants=tenants) as site:
+            for number in range(12):
+                async with site.call("/check-free/1", Attempt_Id=f"a{number}") as last:
+                    await last.read()
+        self.assertEqual(last.status, 429)
+        text = self.explain("a11")
+        self.assertIn("code 214", text)
+        self.assertIn("allowance_spent customer=aulas", text)
+
+    async def test_booking_whose_outcome_is_unknown(self):
+        bad = Replica("s1")
+        bad.behaviour = Behaviour.RESETS
+        booking = route("book-hall", "reservas", "non_idempotent", max_attempts=1)
+        async with (
+            Site({"reservas": [bad]}, [booking]) as site,
+            site.call("/book-hall/7", method="POST", body=b"x") as answer,
+        ):
+            self.assertEqual(answer.status, 502)
+        text = self.explain("a1")
+        self.assertIn("Ran: outcome unknown", text)
+        self.assertIn("upstream=s1", text)
+        self.assertIn("outcome=broke_off", text)
+
+    async def test_stream_that_was_cut(self):
+        bad = Replica("e1", events=8)
+        bad.behaviour = Behaviour.STOPS
+        summary = route("summary", "asistente", "streaming", max_attempts=1)
+        async with Site({"asistente": [bad]}, [summary]) as site:
+            with contextlib.suppress(aiohttp.ClientPayloadError):
+                async with site.call("/summary/1", method="POST") as answer:
+                    await answer.read()
+        text = self.explain("a1")
+        self.assertIn("stream was cut", text)
+        self.assertIn("the answer broke off before its end", text)
+
+    async def test_refused_by_a_host_without_the_store(self):
+        boot = {"ns": 10**12}
+        lookup = route("check-free", "reservas")
+        replicas = {"reservas": [Replica("s1")]}
+        async with Site(replicas, [lookup], boot_ns=lambda: boot["ns"]) as site:
+            site.store.faults.status = 503
+            # The call that waits for changes is answered first, with good news.
+            await self.wait_for_line("event=store_lost", "table=op")
+            boot["ns"] += 6 * 10**9
+            async with site.call("/check-free/1") as answer:
+                self.assertEqual(answer.status, 503)
+        text = self.explain("a1")
+        self.assertIn("code 216", text)
+        self.assertIn("store_lost table=op", text)
+
+    async def test_unknown_id_is_said_so(self):
+        found = CliRunner().invoke(main, ["explain", "nobody"], self.log.getvalue())
+        self.assertNotEqual(found.exit_code, 0)
+        self.assertIn("no line names", found.output)
--- a/libs/upstreams/src/hemlockhoist/upstreams/client.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/client.py
@@ -133,7 +133,11 @@
     try:
         yield
     except (TimeoutError, aiohttp.ServerTimeoutError) as error:
-        raise DispatchError(str(error), ResultCode.UPSTREAM_TIMEOUT) from error
+        text = "the upstream was silent for too long"
+        raise DispatchError(text, ResultCode.UPSTREAM_TIMEOUT) from error
+    except aiohttp.ClientPayloadError as error:
+        text = "the answer broke off before its end"
+        raise DispatchError(text, ResultCode.UPSTREAM_BROKE_OFF) from error
     except (aiohttp.ClientError, OSError, ValueError) as error:
         raise DispatchError(repr(error), ResultCode.UPSTREAM_BROKE_OFF) from error
 
