Test the entry host's parts; index the listing; drop entries of hosts lost long ago

Cause: the parts of the new path were tested only as a whole. Writing their tests showed four faults: a code whose outcome is unknown could be answered with 503, which callers take for "not run"; the check before each send went through the whole list of upstreams (12,000 at the size to design for); entries of killed hosts stayed in the store for good; a whole reading of the table of hosts did not drop what it no longer held.

--- a/libs/decisions/src/hemlockhoist/decisions/entry/listing.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/listing.py
@@ -1,5 +1,7 @@
 """Which upstreams may be used, from a list that is kept by leases."""
 
+import collections
+
 from hemlockhoist.decisions.work import UpstreamState
 
 # An upstream that vanished from the list without saying that it leaves is used this
@@ -17,26 +19,36 @@
     gets work after its time.
     """
 
-    __slots__ = ("_listed", "_vanished")
+    __slots__ = ("_listed", "_served", "_vanished")
 
     def __init__(self):
         self._listed = {}
         self._vanished = {}
+        # Live upstreams of each pool, counted: asked before each send.
+        self._served = collections.Counter()
 
     def __len__(self):
         return len(self._listed)
 
     def put(self, upstream):
         """Take an entry as it is now."""
+        self._forget(upstream.upstream_id)
         self._listed[upstream.upstream_id] = upstream
+        self._served[upstream.pool] += upstream.state is UpstreamState.LIVE
         self._vanished.pop(upstream.upstream_id, None)
 
     def drop(self, upstream_id, now_ms):
         """Take notice that an entry has gone."""
-        upstream = self._listed.pop(upstream_id, None)
+        upstream = self._forget(upstream_id)
         if upstream is not None and upstream.state is UpstreamState.LIVE:
             self._vanished[upstream_id] = (upstream, now_ms)
 
+    def _forget(self, upstream_id):
+        upstream = self._listed.pop(upstream_id, None)
+        if upstream is not None:
+            self._served[upstream.pool] -= upstream.state is UpstreamState.LIVE
+        return upstream
+
     def replace(self, upstreams, now_ms):
         """Take a whole new list."""
         found = {item.upstream_id: item for item in upstreams}
@@ -62,11 +74,19 @@
             for key, (item, at_ms) in self._vanished.items()
             if now_ms - at_ms < LAPSE_MS
         }
-        served = {
-            item.pool
-            for item in self._listed.values()
-            if item.state is UpstreamState.LIVE
-        }
         lapsed = [item for item, _ in self._vanished.values()]
-        kept = [item for item in lapsed if item.pool not in served]
+        kept = [item for item in lapsed if not self._served[item.pool]]
         return (*self._listed.values(), *kept)
+
+    def get(self, upstream_id, now_ms):
+        """Return the upstream of that id where it is among the usable, or None.
+
+        The cost does not grow with the list: this is asked before each send.
+        """
+        upstream = self._listed.get(upstream_id)
+        if upstream is not None:
+            return upstream
+        upstream, at_ms = self._vanished.get(upstream_id, (None, 0))
+        if upstream is None or now_ms - at_ms >= LAPSE_MS:
+            return None
+        return None if self._served[upstream.pool] else upstream
--- /dev/null
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_attempts.py
@@ -0,0 +1,81 @@
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hemlockhoist.decisions.entry import AttemptEnd, Step, next_step
+from hemlockhoist.decisions.entry.attempts import MAX_UNSENT
+from hemlockhoist.declarations import CallKind, Route
+
+
+def route(kind=CallKind.IDEMPOTENT, attempts=2, resumable=False):
+    return Route(
+        name="r",
+        host="halls.example",
+        prefix="/r/",
+        kind=kind,
+        timeout_ms=1_000,
+        target_ms=300,
+        max_attempts=attempts,
+        is_resumable=resumable,
+    )
+
+
+BOOKING = route(CallKind.NON_IDEMPOTENT, attempts=3)
+
+
+class BookingTests(unittest.TestCase):
+    @given(
+        st.sampled_from([AttemptEnd.BROKEN, AttemptEnd.SILENT, AttemptEnd.NOT_RUN]),
+        st.integers(1, 5),
+        st.integers(0, 5),
+    )
+    def test_booking_that_may_have_run_is_not_sent_again(self, end, sends, unsent):
+        """A hall is booked twice.
+
+        The first replica runs the booking and its connection breaks before the
+        answer; the second replica runs it again.
+        """
+        step = next_step(end, BOOKING, True, sends, unsent)
+        self.assertIs(step, Step.FAIL)
+
+    def test_booking_that_did_not_run_goes_to_another_replica(self):
+        step = next_step(AttemptEnd.NOT_RUN, BOOKING, False, 1, 0)
+        self.assertIs(step, Step.TRY_ANOTHER)
+
+    def test_failed_answer_of_a_booking_is_the_answer(self):
+        step = next_step(AttemptEnd.FAILED_ANSWER, BOOKING, True, 1, 0)
+        self.assertIs(step, Step.ANSWER)
+
+
+class LimitsTests(unittest.TestCase):
+    def test_lookup_is_sent_as_often_as_declared(self):
+        lookup = route(attempts=2)
+        again = next_step(AttemptEnd.BROKEN, lookup, True, 1, 0)
+        self.assertIs(again, Step.TRY_ANOTHER)
+        last = next_step(AttemptEnd.BROKEN, lookup, True, 2, 0)
+        self.assertIs(last, Step.FAIL)
+
+    def test_last_refusal_of_a_lookup_that_ran_before_does_not_say_not_run(self):
+        """A caller is told that its lookup did not run, and an earlier try has run.
+
+        The first try breaks off after the replica ran it, the second replica says
+        that it did not run its own: only that one is known not to have run.
+        """
+        step = next_step(AttemptEnd.NOT_RUN, route(attempts=2), True, 2, 0)
+        self.assertIs(step, Step.FAIL)
+
+    def test_connections_that_fail_do_not_count_as_sends(self):
+        single = route(attempts=1)
+        step = next_step(AttemptEnd.NOT_SENT, single, False, 0, MAX_UNSENT)
+        self.assertIs(step, Step.TRY_ANOTHER)
+        step = next_step(AttemptEnd.NOT_SENT, single, False, 0, MAX_UNSENT + 1)
+        self.assertIs(step, Step.REFUSE)
+
+    def test_stream_that_may_be_resumed_goes_on(self):
+        resumable = route(CallKind.STREAM, attempts=2, resumable=True)
+        step = next_step(AttemptEnd.BROKEN, resumable, True, 1, 0)
+        self.assertIs(step, Step.TRY_ANOTHER)
+        plain = route(CallKind.STREAM, attempts=2)
+        step = next_step(AttemptEnd.BROKEN, plain, True, 1, 0)
+        self.assertIs(step, Step.FAIL)
--- /dev/null
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_freshness.py
@@ -0,0 +1,47 @@
+import random
+import unittest
+
+from hemlockhoist.decisions.entry import Freshness
+
+# A host's clock and the store's, at the same moment.
+HOST_MS, STORE_MS = 10_000, 777_000
+
+
+class FreshnessTests(unittest.TestCase):
+    def test_age_is_never_understated(self):
+        """A key that was taken away goes on opening halls.
+
+        A host that takes an old answer for a new one honours keys for longer than
+        declared. Calls and answers take any time; the age must cover the true one.
+        """
+        draw = random.Random(5)
+        for _ in range(200):
+            freshness = Freshness()
+            now_ms = 0
+            proven_ms = None
+            for _ in range(20):
+                sent_ms = now_ms
+                answered_ms = sent_ms + draw.randint(0, 3_000)
+                arrived_ms = answered_ms + draw.randint(0, 3_000)
+                freshness.note(HOST_MS + sent_ms, STORE_MS + answered_ms)
+                proven_ms = max(answered_ms, proven_ms or 0)
+                now_ms = arrived_ms + draw.randint(0, 500)
+                age_ms = freshness.age_ms(HOST_MS + now_ms)
+                self.assertGreaterEqual(age_ms, now_ms - proven_ms)
+
+    def test_answer_that_waited_proves_its_own_moment(self):
+        """Hosts refuse callers though they hear from the store every three seconds.
+
+        A call for changes is answered after seconds. Counted from its sending, each
+        proof would be seconds old when it comes.
+        """
+        freshness = Freshness()
+        freshness.note(HOST_MS, STORE_MS + 4)
+        freshness.note(HOST_MS + 10, STORE_MS + 2_410)
+        self.assertLessEqual(freshness.age_ms(HOST_MS + 2_420), 20)
+
+    def test_older_answer_that_comes_late_changes_nothing(self):
+        freshness = Freshness()
+        freshness.note(HOST_MS + 1_000, STORE_MS + 1_004)
+        freshness.note(HOST_MS, STORE_MS + 900)
+        self.assertEqual(freshness.age_ms(HOST_MS + 1_500), 500)
--- /dev/null
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_sweep.py
@@ -0,0 +1,23 @@
+import unittest
+
+from hemlockhoist.decisions.entry import StaleEntries
+
+
+class StaleEntriesTests(unittest.TestCase):
+    def setUp(self):
+        self.stale = StaleEntries(kept_ms=1_000)
+
+    def test_host_that_comes_back_in_time_keeps_its_entry(self):
+        self.stale.find({"a": 1, "b": 1}, ["a", "b"], 0)
+        self.stale.find({"a": 1, "b": 1}, ["a"], 900)
+        self.stale.find({"a": 1, "b": 1}, ["a", "b"], 1_000)
+        self.assertEqual(self.stale.find({"a": 1, "b": 1}, ["a"], 1_900), ())
+        self.assertEqual(self.stale.find({"a": 1, "b": 1}, ["a"], 2_000), ("b",))
+
+    def test_host_that_has_just_started_drops_nothing(self):
+        """All entries vanish as one host restarts and knows nobody yet."""
+        self.assertEqual(self.stale.find({"a": 1, "b": 1, "c": 1}, ["a"], 50_000), ())
+
+    def test_entry_that_is_written_anew_starts_anew(self):
+        self.stale.find({"a": 1, "b": 1}, ["a"], 0)
+        self.assertEqual(self.stale.find({"a": 1, "b": 2}, ["a"], 1_500), ())
--- a/libs/entry/src/hemlockhoist/entry/answers.py
+++ b/libs/entry/src/hemlockhoist/entry/answers.py
@@ -6,6 +6,9 @@
 
 CODE_HEADER = "X-Result-Code"
 _NOT_RUN_STATUS = 503
+# Callers take these for "not run".
+_PROMISING_STATUSES = frozenset({429, 503})
+_UNKNOWN_STATUS = 502
 _KEPT_NOT_RUN_STATUSES = frozenset({400, 401, 403, 404, 408, 413, 429, 431})
 # What a caller is told where a refusal gives no time of its own.
 DEFAULT_RETRY_AFTER_MS = 500
@@ -50,6 +53,8 @@
     retry_after_ms = None
     if row.ran is Ran.NO and status not in _KEPT_NOT_RUN_STATUSES:
         status = _NOT_RUN_STATUS
+    if row.ran is not Ran.NO and status in _PROMISING_STATUSES:
+        status = _UNKNOWN_STATUS
     if row.ran is Ran.NO and row.retryable:
         retry_after_ms = error.retry_after_ms or DEFAULT_RETRY_AFTER_MS
     headers = wire.refusal_headers(call, retry_after_ms)
--- a/libs/entry/src/hemlockhoist/entry/knowledge.py
+++ b/libs/entry/src/hemlockhoist/entry/knowledge.py
@@ -205,9 +205,6 @@
         ======
         Refused
         """
-        for item in self.usable():
-            if item.upstream_id == upstream_id:
-                if item.state is UpstreamState.LIVE:
-                    return
-                break
-        raise Refused(f"{upstream_id} leaves", ResultCode.GRANT_EXPIRED)
+        upstream = self.listing.get(upstream_id, self._clock.now_ms())
+        if upstream is None or upstream.state is not UpstreamState.LIVE:
+            raise Refused(f"{upstream_id} leaves", ResultCode.GRANT_EXPIRED)
--- /dev/null
+++ b/libs/entry/src/hemlockhoist/entry/tests/builders.py
@@ -0,0 +1,120 @@
+"""Routes, calls and readings for the tests of an entry host's parts."""
+
+from hemlockhoist.base import Clock, InvariantLog, SuspendAwareClock
+from hemlockhoist.declarations import (
+    Allowance,
+    CallKind,
+    KeyedCustomer,
+    PoolShare,
+    Route,
+    RoutedPool,
+    RouteTable,
+)
+from hemlockhoist.entry.knowledge import Knowledge
+from hemlockhoist.entry.settings import FleetBounds
+from hemlockhoist.entry.wire import CallerCall
+from hemlockhoist.store import Reading, StoreRow
+
+HOST = "halls.example"
+KEY = "key-of-aulas"
+
+
+def route(name="check", pool="halls", **fields):
+    """Return a route ``/NAME/``."""
+    values = {
+        "host": HOST,
+        "prefix": f"/{name}/",
+        "kind": CallKind.IDEMPOTENT,
+        "timeout_ms": 1_000,
+        "target_ms": 300,
+        "shares": (PoolShare(pool=pool, weight=1),),
+    }
+    return Route(name=name, **{**values, **fields})
+
+
+def customer(name="aulas", key=KEY, units_per_s=0, **fields):
+    """Return a customer, with an allowance where ``units_per_s`` is given."""
+    allowance = None
+    if units_per_s:
+        allowance = Allowance(units_per_s=units_per_s, burst_units=units_per_s)
+    return KeyedCustomer(name=name, keys=(key,), allowance=allowance, **fields)
+
+
+def table(version=1, routes=None, customers=None):
+    """Return a route table with one pool."""
+    return RouteTable(
+        version,
+        [route()] if routes is None else routes,
+        [RoutedPool(name="halls", max_connections=10)],
+        [customer()] if customers is None else customers,
+    )
+
+
+def call(path="/check/7", key=KEY, **fields):
+    """Return a caller's request."""
+    values = {"request_id": "a1", "method": "GET", "host": HOST}
+    return CallerCall(target=path, key=key, **{**values, **fields})
+
+
+class TablePlatform:
+    """Rows whose values are the decoded things themselves."""
+
+    config_key = "config"
+
+    def decode_routes(self, value):
+        """Return the table, or raise what stands in its place."""
+        if isinstance(value, Exception):
+            raise value
+        return value
+
+    def decode_upstream(self, row):
+        """Return the upstream."""
+        return row.value
+
+
+class KnowingHost:
+    """A host's knowledge on clocks that tests set.
+
+    Attributes
+    ==========
+    knowledge : Knowledge
+    boot_ms : int
+        The clock that counts suspensions.
+    """
+
+    def __init__(self):
+        self.boot_ms = 1_000_000
+        self.clock = Clock.from_running_loop()
+        self.tables = []
+        self.knowledge = Knowledge(
+            TablePlatform(),
+            FleetBounds(),
+            self.clock,
+            SuspendAwareClock(lambda: self.boot_ms * 1_000_000),
+            InvariantLog(fatal=True),
+            self.tables.append,
+            lambda: None,
+        )
+
+    def take_routes(self, routes, version=1):
+        """Give the knowledge a row of routes."""
+        row = StoreRow(key="config", value=routes, version=version)
+        self.knowledge.take_config_rows([row], False)
+
+    def take_proof(self):
+        """Give the knowledge a reading of now."""
+        reading = Reading(
+            rows=(), version=1, store_ms=self.boot_ms, sent_ms=self.boot_ms
+        )
+        self.knowledge.take_reading(reading)
+
+    def take_upstreams(self, *upstreams):
+        """Give the knowledge a whole list."""
+        rows = [StoreRow(key=u.upstream_id, value=u, version=1) for u in upstreams]
+        self.knowledge.take_upstream_rows(rows, True)
+
+    def know_all(self, routes=None):
+        """Read routes and upstreams once."""
+        self.take_routes(routes or table())
+        self.take_proof()
+        self.take_upstreams()
--- /dev/null
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_events.py
@@ -0,0 +1,60 @@
+import doctest
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hemlockhoist.entry import events
+from hemlockhoist.entry.events import MAX_EVENT_BYTES, EventReader
+
+
+def event(number, text="x"):
+    return f"id: {number}\ndata: {text}\n\n".encode()
+
+
+def cut(raw, places):
+    """Return the bytes in chunks that end at the places given."""
+    ends = sorted({place % (len(raw) + 1) for place in places} | {0, len(raw)})
+    return [raw[start:end] for start, end in zip(ends, ends[1:], strict=False)]
+
+
+class EventReaderTests(unittest.TestCase):
+    @given(st.integers(1, 12), st.lists(st.integers(0, 500), max_size=20))
+    def test_events_come_once_and_in_order_however_they_are_cut(self, count, places):
+        raw = b"".join(event(number) for number in range(1, count + 1))
+        reader = EventReader()
+        given_out = [e for chunk in cut(raw, places) for e in reader.feed(chunk)]
+        self.assertEqual(b"".join(e.raw for e in given_out), raw)
+        self.assertTrue(reader.is_between_events)
+        self.assertIsNone(reader.error)
+
+    def test_other_upstream_that_begins_anew_repeats_nothing(self):
+        """A report has the same paragraph twice.
+
+        Its engine crashed; the next one does not go on at the last event but begins
+        at the first.
+        """
+        reader = EventReader()
+        reader.feed(event(1) + event(2) + b"id: 3\nda")
+        reader.restart()
+        found = reader.feed(event(1) + event(2) + event(3) + event(4))
+        self.assertEqual([e.number for e in found], [3, 4])
+
+    def test_skipped_event_breaks_the_stream(self):
+        reader = EventReader()
+        found = reader.feed(event(1) + event(3))
+        self.assertEqual([e.number for e in found], [1])
+        self.assertIn("event 3 after 1", reader.error.message)
+
+    def test_event_without_a_number_breaks_the_stream(self):
+        reader = EventReader()
+        self.assertEqual(reader.feed(b"data: x\n\n"), [])
+        self.assertIsNotNone(reader.error)
+
+    def test_bytes_without_an_end_do_not_fill_the_memory(self):
+        reader = EventReader()
+        reader.feed(b"x" * (MAX_EVENT_BYTES + 1))
+        self.assertIsNotNone(reader.error)
+
+    def test_examples_run(self):
+        self.assertEqual(doctest.testmod(events).failed, 0)
--- /dev/null
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_roster.py
@@ -0,0 +1,137 @@
+import asyncio
+import types
+
+from hemlockhoist.base import Clock, PlatformError, StoreConflict
+from hemlockhoist.base.testing import PausedTestCase
+from hemlockhoist.entry.roster import Roster
+from hemlockhoist.store import Reading, RowStore, StoreRow
+
+HOUR_S = 3_600
+
+
+class MemoryStore(RowStore):
+    """One table of rows, with versions and a feed."""
+
+    def __init__(self):
+        self.rows = {}
+        self.version = 0
+        self.fails = False
+        self.changed = asyncio.Condition()
+
+    async def start(self):
+        """Nothing to open."""
+
+    async def close(self):
+        """Nothing to close."""
+
+    async def read_table(self, table):
+        return self._reading(self.rows.values())
+
+    async def read_changes(self, table, since_version, wait_ms):
+        async with self.changed:
+            await self.changed.wait_for(lambda: self.version > since_version)
+        return self._reading(
+            row for row in self.rows.values() if row.version > since_version
+        )
+
+    async def commit(self, changes):
+        if self.fails:
+            raise PlatformError("the store is away")
+        for change in changes:
+            row = self.rows.get(change.key)
+            if change.if_version not in (None, row.version if row else 0):
+                raise StoreConflict("another version")
+        self.version += 1
+        for change in changes:
+            self.rows[change.key] = StoreRow(
+                key=change.key, value=change.value, version=self.version
+            )
+        async with self.changed:
+            self.changed.notify_all()
+        return self.version
+
+    def names(self):
+        return sorted(key for key, row in self.rows.items() if row.value is not None)
+
+    def _reading(self, rows):
+        return Reading(rows=tuple(rows), version=self.version, store_ms=0, sent_ms=0)
+
+
+class FakeFleet:
+    """Knows who is live because it is told."""
+
+    def __init__(self, own):
+        self.live = {own}
+        self.listed = ()
+
+    def on_list(self, listed):
+        self.listed = sorted(item.address for item in listed)
+
+    def live_hosts(self):
+        return tuple(self.live)
+
+
+class RosterTests(PausedTestCase):
+    async def asyncSetUp(self):
+        self.store = MemoryStore()
+
+    async def start(self, name, seeds=()):
+        settings = types.SimpleNamespace(seed_peer_addresses=seeds)
+        platform = types.SimpleNamespace(store=self.store, host_table="hosts")
+        identity = types.SimpleNamespace(
+            host_id=name, address=f"{name}:80", failure_domain="a", incarnation="r1"
+        )
+        context = types.SimpleNamespace(
+            settings=settings,
+            platform=platform,
+            identity=identity,
+            clock=Clock.from_running_loop(),
+            fleet=FakeFleet(name),
+            leaving=False,
+        )
+        roster = Roster(context)
+        await roster.start()
+        self.addAsyncCleanup(roster.close)
+        await asyncio.sleep(0.1)
+        return roster, context
+
+    async def test_host_enters_itself_and_finds_others_and_seeds(self):
+        await self.start("h1")
+        _, context = await self.start("h2", seeds=("h1", "h9"))
+        self.assertEqual(context.fleet.listed, ["h1", "h2", "h9"])
+        self.assertEqual(self.store.names(), ["h1", "h2"])
+
+    async def test_store_that_fails_is_asked_again(self):
+        self.store.fails = True
+        await self.start("h1")
+        self.store.fails = False
+        await asyncio.sleep(3)
+        self.assertEqual(self.store.names(), ["h1"])
+
+    async def test_entry_of_a_host_lost_long_ago_is_dropped(self):
+        """The list grows by each host that was killed, and all probe dead addresses."""
+        lost, _ = await self.start("h2")
+        _, context = await self.start("h1")
+        await lost.close()
+        await asyncio.sleep(HOUR_S - 60)
+        self.assertEqual(self.store.names(), ["h1", "h2"])
+        await asyncio.sleep(180)
+        self.assertEqual(self.store.names(), ["h1"])
+        self.assertEqual(context.fleet.listed, ["h1"])
+
+    async def test_host_that_was_taken_for_lost_enters_itself_anew(self):
+        _, first = await self.start("h1")
+        _, second = await self.start("h2")
+        await asyncio.sleep(2 * HOUR_S)
+        self.assertEqual(self.store.names(), ["h1", "h2"])
+        first.fleet.live.add("h2")
+        second.fleet.live.add("h1")
+        version = self.store.rows["h2"].version
+        self.assertGreater(version, 2)
+
+    async def test_leaving_host_drops_its_entry_for_good(self):
+        roster, context = await self.start("h1")
+        context.leaving = True
+        await roster.leave()
+        await asyncio.sleep(10)
+        self.assertEqual(self.store.names(), [])
--- a/libs/standins/src/hemlockhoist/standins/published/__init__.py
+++ b/libs/standins/src/hemlockhoist/standins/published/__init__.py
@@ -1,7 +1,7 @@
 """Stand-ins that speak the users' published protocol: store, replicas, hosts."""
 
 from hemlockhoist.standins.published.replica import Behaviour, Replica, SeenRequest
-from hemlockhoist.standins.published.site import Site, route
+from hemlockhoist.standins.published.site import Site, SkippingClock, route
 from hemlockhoist.standins.published.store import StoreFaults, StoreStandin
 
 __all__ = [
@@ -9,6 +9,7 @@
     "Replica",
     "SeenRequest",
     "Site",
+    "SkippingClock",
     "StoreFaults",
     "StoreStandin",
     "route",
--- a/libs/standins/src/hemlockhoist/standins/published/site.py
+++ b/libs/standins/src/hemlockhoist/standins/published/site.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import time
 
 import aiohttp
 import yarl
@@ -35,6 +36,27 @@
     return {**values, **fields}
 
 
+class SkippingClock:
+    """A clock that runs as the machine's does, and jumps ahead when told.
+
+    It stands for a suspension: the loop's own clock knows nothing of the time that
+    passed.
+    """
+
+    __slots__ = ("_skipped_ns",)
+
+    def __init__(self):
+        self._skipped_ns = 0
+
+    def skip_s(self, seconds):
+        """Let time pass at once."""
+        self._skipped_ns += seconds * 10**9
+
+    def read_ns(self):
+        """Return nanoseconds."""
+        return time.monotonic_ns() + self._skipped_ns
+
+
 class Site:
     """Starts and stops a site; use it as an asynchronous context manager.
 
@@ -46,12 +68,12 @@
     hosts : int
     bounds : FleetBounds, optional
     tenants : list of dict, optional
-    boot_ns : callable, optional
+    boot_clock : SkippingClock, optional
         The clock that counts suspensions.
     """
 
     def __init__(
-        self, replicas, routes, hosts=1, bounds=None, tenants=None, boot_ns=None
+        self, replicas, routes, hosts=1, bounds=None, tenants=None, boot_clock=None
     ):
         self.replicas = replicas
         self.store = StoreStandin()
@@ -61,7 +83,7 @@
         self._host_count = hosts
         self._bounds = bounds or FleetBounds()
         self._tenants = tenants
-        self._boot_ns = boot_ns
+        self._boot_clock = boot_clock
         self._version = 0
         self._closers = contextlib.AsyncExitStack()
 
@@ -127,8 +149,8 @@
             bounds=self._bounds,
         )
         clock = SuspendAwareClock.from_system()
-        if self._boot_ns is not None:
-            clock = SuspendAwareClock(self._boot_ns)
+        if self._boot_clock is not None:
+            clock = SuspendAwareClock(self._boot_clock.read_ns)
         platform = UsersPlatform(settings, clock)
         host = EntryProcess(settings, platform, clock, listener)
         self.hosts.append(await self._open(host))
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_explained.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_explained.py
@@ -9,7 +9,13 @@
 
 from hemlockhoist.base import configure_logs
 from hemlockhoist.cli.main import main
-from hemlockhoist.standins.published import Behaviour, Replica, Site, route
+from hemlockhoist.standins.published import (
+    Behaviour,
+    Replica,
+    Site,
+    SkippingClock,
+    route,
+)
 
 
 class ExplainedTests(unittest.IsolatedAsyncioTestCase):
@@ -81,14 +87,14 @@
         self.assertIn("the answer broke off before its end", text)
 
     async def test_refused_by_a_host_without_the_store(self):
-        boot = {"ns": 10**12}
+        clock = SkippingClock()
         lookup = route("check-free", "reservas")
         replicas = {"reservas": [Replica("s1")]}
-        async with Site(replicas, [lookup], boot_ns=lambda: boot["ns"]) as site:
+        async with Site(replicas, [lookup], boot_clock=clock) as site:
             site.store.faults.status = 503
             # The call that waits for changes is answered first, with good news.
             await self.wait_for_line("event=store_lost", "table=op")
-            boot["ns"] += 6 * 10**9
+            clock.skip_s(6)
             async with site.call("/check-free/1") as answer:
                 self.assertEqual(answer.status, 503)
         text = self.explain("a1")
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_site.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_site.py
@@ -3,7 +3,13 @@
 
 import aiohttp
 
-from hemlockhoist.standins.published import Behaviour, Replica, Site, route
+from hemlockhoist.standins.published import (
+    Behaviour,
+    Replica,
+    Site,
+    SkippingClock,
+    route,
+)
 
 
 def services(*names):
@@ -210,14 +216,14 @@
 
 class FreshnessTests(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
-        self.boot_ns = 10**12
+        self.clock = SkippingClock()
 
     async def test_host_cut_off_from_the_store_honours_no_key_for_long(self):
         """A key was taken away, and a host that did not hear of it still serves it."""
         replicas = services("s1")
-        async with Site(replicas, [LOOKUP], boot_ns=lambda: self.boot_ns) as site:
+        async with Site(replicas, [LOOKUP], boot_clock=self.clock) as site:
             site.store.faults.status = 503
-            self.boot_ns += 6 * 10**9
+            self.clock.skip_s(6)
             async with site.call("/check-free/1") as answer:
                 self.assertEqual(answer.status, 503)
                 self.assertIn("Retry-After", answer.headers)
@@ -238,12 +244,12 @@
         bad.event_ms = 50
         replicas = {"asistente": [bad, Replica("good", events=8)]}
         replicas["asistente"][1].delay_ms = 0
-        async with Site(replicas, [REPORT], boot_ns=lambda: self.boot_ns) as site:
+        async with Site(replicas, [REPORT], boot_clock=self.clock) as site:
             site.store.faults.status = 503
             with self.assertRaises(aiohttp.ClientPayloadError):
                 async with site.call("/conflict-report/1", method="POST") as answer:
                     await answer.content.readuntil(b"\n\n")
-                    self.boot_ns += 6 * 10**9
+                    self.clock.skip_s(6)
                     await answer.content.read()
 
 
