Write the last log lines before the thread ends; read a test's pipe to its end

Its reader asked for one more read when the writer still counted the last write as held, which it had taken already; nothing more came, and the read never returned. Looking at it showed another fault: a line that is written between the thread's last look and its look at the closing was never written.

Ruled out: the writer itself; it had written all lines.

Change: the test reads in a thread to the end of the pipe and still checks that nothing is held; the thread writes once more after its loop.

The new test fails without the change.

--- a/libs/base/src/hemlockhoist/base/log_writer.py
+++ b/libs/base/src/hemlockhoist/base/log_writer.py
@@ -60,6 +60,10 @@
         self._filled.set()
         self._thread.join(CLOSE_WAIT_S)
 
+    def join(self):
+        """Wait until the thread has ended, after ``close``."""
+        self._thread.join()
+
     @property
     def is_empty(self):
         """Whether the reader has taken everything."""
@@ -91,6 +95,9 @@
             self._closing.wait(COLLECT_S)
             self._filled.clear()
             self._write_held()
+        # Failure: the line that says why a process ends is missing. It was written
+        # between the thread's last look at the lines and its look at the closing.
+        self._write_held()
 
     def _write_held(self):
         while text := self._take():
--- a/libs/base/src/hemlockhoist/base/tests/test_log_volume.py
+++ b/libs/base/src/hemlockhoist/base/tests/test_log_volume.py
@@ -2,6 +2,7 @@
 import os
 import threading
 import unittest
+import unittest.mock
 
 import structlog
 
@@ -53,6 +54,21 @@
         writer.close()
         self.assertEqual(stream.getvalue().split(), [str(n) for n in range(100)])
 
+    def test_line_written_just_before_the_close_is_not_lost(self):
+        """The log of a host ends without the line that says why.
+
+        The thread looks for the end after the close, and has not looked at the lines
+        since the last one was written.
+        """
+        stream = io.StringIO()
+        writer = LineWriter(stream)
+        writer.write("last\n")
+        with unittest.mock.patch.object(threading.Thread, "join"):
+            writer.close()
+        writer.start()
+        writer.join()
+        self.assertEqual(stream.getvalue(), "last\n")
+
     def test_structured_logs_go_through_it(self):
         stream = io.StringIO()
         writer = LineWriter(stream)
@@ -85,8 +101,13 @@
         self.assertTrue(finished.wait(10))
         thread.join()
         self.assertGreater(writer.dropped, 1_000)
+        # A thread reads to the end of the pipe: what the last write counts as held says
+        # nothing of whether another read would find anything.
         with os.fdopen(read_end, "rb") as reader:
-            while reader.read1(65_536) and not writer.is_empty:
-                continue
+            drain = threading.Thread(target=reader.read)
+            drain.start()
             writer.close()
+            writer.join()
             stream.close()
+            drain.join()
+        self.assertTrue(writer.is_empty)
