Carry out the operators' orders to move a service to a version

Cause: on the platform every version of a service served alike, whatever the operators ordered: a bad version would have got its full part of the requests, and no order was ever told to be completed or rolled back.

Ruled out: a second controller; the one of the product's own path judges here too.

Change: orders are read from the operators' table and carried out at the pool's home, under a lease of 2 s, with the row in the store; every host keeps an ordered version back until its move has begun, hosts that decide alone too; the end is told when the old version's last answer has ended. A bound on what an unproven version gets over all routes (0.6 of the declared share and tolerance) holds until three quarters of the time, so that a version that turns bad later is within it as well. Dates are the store's clock: the time of day may jump. Streams that may not be resumed are not handled like bookings here: one that breaks books nothing.

--- a/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
@@ -3,15 +3,29 @@
 from hemlockhoist.decisions.entry.attempts import AttemptEnd, Step, next_step
 from hemlockhoist.decisions.entry.freshness import Freshness
 from hemlockhoist.decisions.entry.listing import UpstreamListing
+from hemlockhoist.decisions.entry.ordered import (
+    HeldBackPolicy,
+    MoveOrder,
+    OrderState,
+    former_version,
+    live_versions,
+    order_state,
+)
 from hemlockhoist.decisions.entry.shares import PoolChooser
 from hemlockhoist.decisions.entry.sweep import StaleEntries
 
 __all__ = [
     "AttemptEnd",
     "Freshness",
+    "HeldBackPolicy",
+    "MoveOrder",
+    "OrderState",
     "PoolChooser",
     "StaleEntries",
     "Step",
     "UpstreamListing",
+    "former_version",
+    "live_versions",
     "next_step",
+    "order_state",
 ]
--- a/libs/decisions/src/hemlockhoist/decisions/entry/freshness.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/freshness.py
@@ -57,3 +57,7 @@
         if self._proven_ms is None:
             return None
         return now_ms - self._proven_ms
+
+    def store_ms(self, now_ms):
+        """Return the time of the store's clock, or 0 before the first reading."""
+        return 0 if self._offset_ms is None else now_ms - self._offset_ms
--- /dev/null
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_ordered.py
@@ -0,0 +1,98 @@
+import unittest
+
+from hemlockhoist.decisions import Upstream, UpstreamState, VersionPolicy, WorkRequest
+from hemlockhoist.decisions.entry import (
+    HeldBackPolicy,
+    MoveOrder,
+    OrderState,
+    former_version,
+    live_versions,
+    order_state,
+)
+from hemlockhoist.decisions.versions import MoveRequest, MoveState, start_move
+from hemlockhoist.decisions.versions.move import take_back_move
+
+ORDER = MoveOrder(order_id="halls@7", pool="halls", to_version="v2", duration_ms=12_000)
+REQUEST = WorkRequest(
+    request_id="r1",
+    route="check",
+    customer="c",
+    tier_rank=0,
+    deadline_ms=1_000,
+    first_token_by_ms=500,
+)
+
+
+def upstream(name, version, pool="halls", state=UpstreamState.LIVE):
+    return Upstream(
+        upstream_id=name,
+        pool=pool,
+        version=version,
+        address="10.0.0.1:80",
+        failure_domain="a",
+        state=state,
+    )
+
+
+def move(**fields):
+    request = MoveRequest(
+        move_id=ORDER.order_id,
+        pool="halls",
+        from_version="v1",
+        to_version="v2",
+        moved_by_unix_ms=10_000,
+        reason="ordered",
+        author="operator",
+    )
+    return start_move(None, request, 0)
+
+
+class NoMove(VersionPolicy):
+    row = None
+
+
+class VersionsTests(unittest.TestCase):
+    def test_leaving_and_foreign_upstreams_do_not_count(self):
+        found = live_versions(
+            [
+                upstream("a", "v1"),
+                upstream("b", "v1", state=UpstreamState.LEAVING),
+                upstream("c", "v2", pool="other"),
+            ],
+            "halls",
+        )
+        self.assertEqual(found, {"v1": 1})
+
+    def test_move_is_away_from_the_version_of_most_upstreams(self):
+        counts = {"v0": 1, "v1": 4, "v2": 5}
+        self.assertEqual(former_version(ORDER, counts), "v1")
+        self.assertEqual(former_version(ORDER, {"v2": 5}), "")
+
+
+class OrderStateTests(unittest.TestCase):
+    def test_end_is_told_when_the_old_version_is_idle(self):
+        """Answers under way are lost when the old upstreams stop at the end's word."""
+        row = move()
+        self.assertIs(order_state(row, 0), OrderState.IN_PROGRESS)
+        row = type(row)(**{**_fields(row), "state": MoveState.FINISHED})
+        self.assertIs(order_state(row, 2), OrderState.IN_PROGRESS)
+        self.assertIs(order_state(row, 0), OrderState.COMPLETED)
+
+    def test_move_that_was_taken_back(self):
+        row = take_back_move(move(), ORDER.order_id, "bad", "home")
+        self.assertIs(order_state(row, 3), OrderState.ROLLED_BACK)
+
+
+class HeldBackTests(unittest.TestCase):
+    def test_ordered_version_gets_nothing_before_its_move(self):
+        policy = HeldBackPolicy(NoMove(), lambda: ORDER)
+        self.assertEqual(policy.candidates(REQUEST, ("v1", "v2"), 0), ("v1",))
+        self.assertEqual(policy.candidates(REQUEST, ("v2",), 0), ())
+
+    def test_without_an_order_all_versions_serve(self):
+        policy = HeldBackPolicy(NoMove(), lambda: None)
+        self.assertEqual(policy.candidates(REQUEST, ("v1", "v2"), 0), ("v1", "v2"))
+
+
+def _fields(row):
+    return {name: getattr(row, name) for name in row.__struct_fields__}
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/grants.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/grants.py
@@ -115,6 +115,10 @@
         """Return a grant, or None."""
         return self._by_grant.get(grant_id)
 
+    def of_version(self, version):
+        """Return how many grants upstreams of a version hold."""
+        return sum(held.grant.version == version for held in self._by_grant.values())
+
     def of_request(self, request_id):
         """Return the grant of a request, or None."""
         return self._by_request.get(request_id)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -101,6 +101,10 @@
         """Number of grants that entry hosts hold."""
         return len(self._grants)
 
+    def in_flight_at(self, version):
+        """Return the number of grants that upstreams of a version have."""
+        return self._grants.of_version(version)
+
     def cached_elsewhere(self, request, upstream_id):
         """Return the most prompt tokens that another upstream probably has cached."""
         return self._fleet.tracks.cached_elsewhere(request, upstream_id)
--- a/libs/decisions/src/hemlockhoist/decisions/versions/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/versions/__init__.py
@@ -23,6 +23,7 @@
     widen_move,
 )
 from hemlockhoist.decisions.versions.orders import Order, OrderBook, OrderState
+from hemlockhoist.decisions.versions.trial import TrialBound
 
 __all__ = [
     "Finished",
@@ -39,6 +40,7 @@
     "OrderBook",
     "OrderState",
     "TakenBack",
+    "TrialBound",
     "UpstreamSetApart",
     "Widened",
     "cancel_move",
--- a/libs/decisions/src/hemlockhoist/decisions/versions/controller.py
+++ b/libs/decisions/src/hemlockhoist/decisions/versions/controller.py
@@ -24,6 +24,7 @@
 )
 from hemlockhoist.decisions.versions.planner import MAX_TRIAL_CALLS, Planner
 from hemlockhoist.decisions.versions.schedule import Schedule
+from hemlockhoist.decisions.versions.trial import UNBOUND
 
 # Evidence is gathered this long after the end, while the old version can return.
 WATCH_MS = 600_000
@@ -61,11 +62,15 @@
         "_pool",
         "_row",
         "_seen_ms",
+        "_trial",
         "_unix_offset_ms",
+        "_watch_ms",
     )
 
-    def __init__(self, pool, now_ms, unix_offset_ms, invariants):
+    def __init__(self, pool, now_ms, unix_offset_ms, invariants, trial, watch_ms):
         self._pool = pool
+        self._trial = trial
+        self._watch_ms = watch_ms
         self._unix_offset_ms = unix_offset_ms
         self._invariants = invariants
         self._halts = HaltSet()
@@ -75,7 +80,16 @@
         self._is_stale = False
 
     @classmethod
-    def from_config(cls, pool, move, now_ms, unix_ms, invariants=None):
+    def from_config(
+        cls,
+        pool,
+        move,
+        now_ms,
+        unix_ms,
+        invariants=None,
+        trial=UNBOUND,
+        watch_ms=WATCH_MS,
+    ):
         """Return a controller that goes on where the row stands.
 
         Parameters
@@ -86,13 +100,25 @@
         now_ms, unix_ms : int
             The home's clock, and the date at the same moment.
         invariants : hemlockhoist.base.InvariantLog, optional
+        trial : TrialBound, optional
+            On what the pool's unproven version may get over all routes.
+        watch_ms : int, optional
+            How long the version is watched after the end, while the old one can
+            return; 0 where the old one stops with the end.
         """
         log = invariants if invariants is not None else InvariantLog(fatal=False)
-        controller = cls(pool, now_ms, unix_ms - now_ms, log)
+        controller = cls(pool, now_ms, unix_ms - now_ms, log, trial, watch_ms)
         controller.observe_row(move, now_ms)
         controller._events.clear()
         return controller
 
+    def note_unix_ms(self, now_ms, unix_ms):
+        """Take the date; the times of rows that come from here on are read by it.
+
+        Made for a home that begins before it has heard the date from the store.
+        """
+        self._unix_offset_ms = unix_ms - now_ms
+
     def redeclare(self, pool):
         """Take a changed record of the pool; a move under way keeps its rules."""
         self._pool = pool
@@ -270,7 +296,7 @@
             return (old,)
         lane = self._lanes.get(request, now_ms)
         is_full = lane.effective_permille >= FULL_PERMILLE
-        if not lane.is_due or not self._may_hold_another(lane):
+        if not lane.is_due or not self._may_hold_another(lane, now_ms):
             return (old, new) if is_full else (old,)
         return (new, old)
 
@@ -283,8 +309,10 @@
             return False
         return version in (row.from_version, row.to_version)
 
-    def _may_hold_another(self, lane):
+    def _may_hold_another(self, lane, now_ms):
         """Return whether one more request may wait for the new version's answer."""
+        if not self._is_trial_open(lane, now_ms):
+            return False
         if lane.effective_permille >= FULL_PERMILLE:
             return lane.outstanding < lane.max_watched
         if not self._planner.is_trial(lane):
@@ -293,6 +321,17 @@
         # when the one before has been answered, or has been judged as overdue.
         return lane.outstanding == 0 and lane.new_count < MAX_TRIAL_CALLS
 
+    def _is_trial_open(self, lane, now_ms):
+        """Return whether the trial's bound allows one more request."""
+        schedule = self._planner.schedule
+        trial = list(self._lanes)
+        if schedule.passed_part(now_ms) >= self._trial.until_part:
+            if not schedule.is_unproven(lane.share_permille):
+                return True
+            trial = [x for x in trial if schedule.is_unproven(x.share_permille)]
+        new = sum(item.new_count for item in trial)
+        return self._trial.allows(new, sum(item.granted_count for item in trial))
+
     # The course of a move.
 
     def _begin(self, row, now_ms):
@@ -311,7 +350,7 @@
             # A home that takes over after the end has no answers of the old version
             # to compare with, and goes on to watch by the new one's own past.
             self._finished_ms = row.ended_unix_ms - self._unix_offset_ms
-            self._is_over = now_ms - self._finished_ms >= WATCH_MS
+            self._is_over = now_ms - self._finished_ms >= self._watch_ms
         self._halts.forget_others(row.move_id)
         self._follow_halt(now_ms)
 
@@ -334,6 +373,7 @@
             self._finished_ms = now_ms
             late_ms = max(0, now_ms - self._planner.schedule.end_ms)
             self._tell(Finished, row.to_version, now_ms, late_ms=late_ms)
+            self._end_watch(now_ms)
             return
         self._is_over = True
         self._follow_halt(now_ms)
@@ -360,7 +400,8 @@
 
     def _wider_row(self, now_ms, fencing):
         lanes = tuple(self._lanes)
-        if lanes and all(item.share_permille >= FULL_PERMILLE for item in lanes):
+        is_tried = self._planner.schedule.passed_part(now_ms) >= self._trial.end_part
+        if is_tried and lanes and all(x.share_permille >= FULL_PERMILLE for x in lanes):
             reason = "all routes are on the new version"
             unix_ms = now_ms + self._unix_offset_ms
             return finish_move(
@@ -385,7 +426,9 @@
         self._events += self._delays.look(self._lanes, now_ms)
 
     def _end_watch(self, now_ms):
-        if self._finished_ms is None or now_ms - self._finished_ms < WATCH_MS:
+        if self._finished_ms is None:
+            return
+        if now_ms - self._finished_ms < self._watch_ms:
             return
         self._is_over = True
         self._lanes.clear()
--- a/libs/decisions/src/hemlockhoist/decisions/versions/schedule.py
+++ b/libs/decisions/src/hemlockhoist/decisions/versions/schedule.py
@@ -83,6 +83,10 @@
         """Return whether a share is one that needs no evidence yet."""
         return share_permille <= self._rules.unproven_share_permille
 
+    def passed_part(self, now_ms):
+        """Return which part of the move's time has passed."""
+        return (now_ms - self.start_ms) / max(1, self.end_ms - self.start_ms)
+
     def is_settled(self, now_ms):
         """Return whether enough time has passed for estimates to mean something."""
         grace_ms = _SETTLE_PART * (self.end_ms - self.start_ms)
--- a/libs/entry/src/hemlockhoist/entry/__init__.py
+++ b/libs/entry/src/hemlockhoist/entry/__init__.py
@@ -1,5 +1,6 @@
 """The entry host that serves declared routes on a platform."""
 
+from hemlockhoist.decisions.entry import MoveOrder, OrderState
 from hemlockhoist.entry.platform import Platform
 from hemlockhoist.entry.settings import EntrySettings, FleetBounds
 from hemlockhoist.entry.wire import AnswerHead, CallerCall, UpstreamOrder, WireFormat
@@ -9,6 +10,8 @@
     "CallerCall",
     "EntrySettings",
     "FleetBounds",
+    "MoveOrder",
+    "OrderState",
     "Platform",
     "UpstreamOrder",
     "WireFormat",
--- a/libs/entry/src/hemlockhoist/entry/context.py
+++ b/libs/entry/src/hemlockhoist/entry/context.py
@@ -23,7 +23,7 @@
     gate : FleetGate
     homes : HomeService
     grants : GrantClient
-    moves : NoMoves or RolloutService
+    moves : OrderedMoves
     upstreams : UpstreamClient
     register : DispatchRegister
     leaving : bool
--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -218,7 +218,8 @@
             route=admitted.route.name,
             customer=admitted.customer.name if admitted.customer else "",
             tier_rank=admitted.rank,
-            idempotent=admitted.route.is_repeatable,
+            # A stream that breaks off at a bad version is lost, and books nothing.
+            idempotent=admitted.route.kind is not CallKind.NON_IDEMPOTENT,
             prompt_tokens=admitted.call.prompt_tokens,
             output_tokens=admitted.output_tokens,
             deadline_in_ms=admitted.deadline_ms - now_ms,
@@ -294,6 +295,7 @@
         if self._admitted.customer is not None:
             self._admission.customer_of(self._admitted.call)
         self._context.knowledge.check_upstream(hold.upstream_id)
+        self._context.moves.check_version(hold.pool, hold.version)
         self._context.invariants.check(
             Property.NON_IDEMPOTENT_RUNS_AT_MOST_ONCE,
             self._admitted.route.is_repeatable or not self._may_have_run,
--- a/libs/entry/src/hemlockhoist/entry/knowledge.py
+++ b/libs/entry/src/hemlockhoist/entry/knowledge.py
@@ -39,6 +39,8 @@
         ``on_routes(table)`` after each newer version.
     on_upstreams : callable
         ``on_upstreams()`` after each change of the listing.
+    on_order : callable
+        ``on_order(order)`` for each order to move a pool to a version.
     """
 
     __slots__ = (
@@ -47,6 +49,7 @@
         "_clock",
         "_completed",
         "_invariants",
+        "_on_order",
         "_on_routes",
         "_on_upstreams",
         "_platform",
@@ -57,8 +60,17 @@
     )
 
     def __init__(
-        self, platform, bounds, clock, boot_clock, invariants, on_routes, on_upstreams
+        self,
+        platform,
+        bounds,
+        clock,
+        boot_clock,
+        invariants,
+        on_routes,
+        on_upstreams,
+        on_order,
     ):
+        self._on_order = on_order
         self._platform = platform
         self._bounds = bounds
         self._clock = clock
@@ -93,6 +105,14 @@
         """Return the age of the newest proof of the routes, or None."""
         return self.freshness.age_ms(self._boot_clock.now_ms())
 
+    def store_now_ms(self):
+        """Return the time of the store's clock, which all hosts share.
+
+        It runs steadily where the time of day may jump; late by the time that the
+        quickest answer was under way.
+        """
+        return self.freshness.store_ms(self._boot_clock.now_ms())
+
     def is_fresh(self):
         """Return whether keys may be honoured, and requests refused for good."""
         age_ms = self.proof_age_ms()
@@ -128,8 +148,14 @@
     def take_config_rows(self, rows, is_whole):
         """Take rows of the table that holds the routes."""
         for row in rows:
-            if row.key == self._platform.config_key and row.value is not None:
+            if row.value is None:
+                continue
+            if row.key == self._platform.config_key:
                 self._take_routes(row)
+                continue
+            order = self._platform.decode_order(row)
+            if order is not None:
+                self._on_order(order)
 
     def _take_routes(self, row):
         try:
--- a/libs/entry/src/hemlockhoist/entry/moves.py
+++ b/libs/entry/src/hemlockhoist/entry/moves.py
@@ -1,19 +1,264 @@
-"""Version moves of the pools at home here."""
+"""Version moves that operators order through the store."""
 
-from hemlockhoist.decisions import VersionPolicy
+from hemlockhoist.base import (
+    MoveError,
+    PeriodicTask,
+    PlatformError,
+    Refused,
+    ResultCode,
+    StoreConflict,
+    get_logger,
+)
+from hemlockhoist.decisions.entry import (
+    HeldBackPolicy,
+    OrderState,
+    former_version,
+    live_versions,
+    order_state,
+)
+from hemlockhoist.decisions.versions import (
+    MoveController,
+    MoveRequest,
+    MoveState,
+    TrialBound,
+    cancel_move,
+    start_move,
+)
+from hemlockhoist.host.moves import MoveService
 
+_log = get_logger("entry.moves")
 
-class NoMoves:
-    """Lets every version serve: no move is under way."""
+ORDERS_MS = 200
+# After the store failed, before an order is begun or told again: it has a time limit
+# of some seconds, of which a longer rest would be a large part.
+RETRY_MS = 500
+# Part of an order's time by which all requests are to be on the new version. In the
+# rest the old version's last answers end and the operators are told.
+MOVED_PART = 0.85
+# Parts of that time: while the bound on the trial holds for all routes, and before
+# which a move does not end. The rest is for the evidence under the whole load.
+TRIAL_UNTIL_PART = 0.75
+TRIAL_END_PART = 0.9
+# Of the declared bound on an unproven version, what is used: hosts that decide alone
+# give out a little besides, and answers under way when it is halted count too.
+TRIAL_PART = 0.6
+AUTHOR = "hemlockhoist"
+# Of the lease on a pool's moves: an order has to be over in seconds, and the next home
+# widens nothing before its predecessor's lease has ended.
+LEASE_MS = 2_000
+_FINAL = frozenset({OrderState.COMPLETED, OrderState.ROLLED_BACK})
 
-    __slots__ = ()
+
+def trial_bound(bounds):
+    """Return the bound on what an unproven version may get.
+
+    Parameters
+    ==========
+    bounds : FleetBounds
+    """
+    return TrialBound(
+        share_permille=int(1_000 * TRIAL_PART * bounds.trial_share),
+        requests=int(TRIAL_PART * bounds.trial_tolerance),
+        until_part=TRIAL_UNTIL_PART,
+        end_part=TRIAL_END_PART,
+    )
+
+
+class OrderedMoves(MoveService):
+    """Carries out the operators' orders at the pools' home.
+
+    Parameters
+    ==========
+    context : EntryContext
+    rows : TypedRows
+        Holds the moves and the lease on them.
+    send : callable
+        ``send(host_id, message)``.
+    """
+
+    lease_ms = LEASE_MS
+
+    __slots__ = ("_halted", "_orders", "_received_ms", "_retry_ms", "_task", "_told")
+
+    def __init__(self, context, rows, send):
+        super().__init__(context, rows, send)
+        self._orders = {}
+        self._received_ms = {}
+        self._halted = set()
+        self._told = {}
+        self._retry_ms = 0
+        self._task = PeriodicTask(ORDERS_MS, self._follow_orders)
+
+    async def start(self):
+        """Begin to carry orders out."""
+        await super().start()
+        await self._task.start()
+
+    async def close(self):
+        """Stop, and give leases up."""
+        await self._task.close()
+        await super().close()
+
+    def take_order(self, order):
+        """Take an operator's order, or its repetition by a reading."""
+        former = self._orders.get(order.pool)
+        if former is not None and former.order_id == order.order_id:
+            return
+        self._orders[order.pool] = order
+        self._received_ms[order.pool] = self._context.clock.now_ms()
+        # A version that was halted in an earlier move is tried again by a new order.
+        self._halted.discard((order.pool, order.to_version))
+        _log.info(
+            "move_ordered",
+            pool=order.pool,
+            order=order.order_id,
+            version=order.to_version,
+            duration_ms=order.duration_ms,
+        )
+
+    def check_version(self, pool, version):
+        """Refuse to send to a version that was halted since the grant.
+
+        Raises
+        ======
+        Refused
+        """
+        if (pool, version) in self._halted:
+            raise Refused(f"{version} is halted", ResultCode.GRANT_EXPIRED)
+
+    # What differs from a fleet with declared versions.
 
     def open_pool(self, pool):
-        """Return the version policy of a pool that this host is now home of."""
-        return VersionPolicy()
+        """Return the version policy for a pool that this host is now home of."""
+        return self._held_back(super().open_pool(pool), pool.name)
+
+    def open_standby(self, pool):
+        """Return the version policy of a pool for which this host decides alone."""
+        return self._held_back(super().open_standby(pool), pool.name)
+
+    def _held_back(self, controller, pool):
+        if isinstance(controller, HeldBackPolicy):
+            return controller
+        return HeldBackPolicy(controller, lambda: self._pending_order(pool))
+
+    def _pending_order(self, pool):
+        order = self._orders.get(pool)
+        if order is None or not former_version(order, self._versions(pool)):
+            return None
+        return order
+
+    def _versions(self, pool):
+        return live_versions(self._context.homes.upstreams(), pool)
+
+    def _new_controller(self, pool, row, now_ms):
+        return MoveController.from_config(
+            pool,
+            row,
+            now_ms,
+            self._shared_ms(),
+            self._context.invariants,
+            trial_bound(self._context.settings.bounds),
+            # The old version's upstreams stop with the end of the move.
+            watch_ms=0,
+        )
+
+    def _shared_ms(self):
+        return self._context.knowledge.store_now_ms()
+
+    def _is_watched(self, pool):
+        order = self._orders.get(pool)
+        if order is None:
+            return False
+        told_id, told_state = self._told.get(pool, ("", None))
+        return told_id != order.order_id or told_state not in _FINAL
+
+    def _audience(self, pool):
+        # Each host may have to decide alone.
+        return self._context.fleet.live_hosts()
+
+    def _share_halt(self, pool, move_id, version):
+        self._halted.add((pool, version))
+
+    def _is_halted(self, move):
+        return (move.pool, move.to_version) in self._halted
+
+    def _revoke(self, message):
+        order = self._orders.get(message.pool)
+        if order is None or order.order_id == message.move_id:
+            self._halted.add((message.pool, message.version))
+
+    # Orders.
+
+    async def _follow_orders(self):
+        if self._context.clock.now_ms() < self._retry_ms:
+            return
+        for pool, order in list(self._orders.items()):
+            controller = self._controllers.get(pool)
+            if controller is None:
+                continue
+            try:
+                await self._follow(order, controller)
+            except (PlatformError, MoveError) as error:
+                _log.warning("move_not_followed", pool=pool, reason=error.message)
+                self._retry_ms = self._context.clock.now_ms() + RETRY_MS
+
+    async def _follow(self, order, controller):
+        row = controller.row
+        if row is None or row.move_id != order.order_id:
+            row = await self._begin(order)
+        if row is None:
+            return
+        in_flight = 0
+        home = self._context.homes.find(order.pool)
+        if home is not None:
+            in_flight = home.scheduler.in_flight_at(row.from_version)
+        await self._tell(order, order_state(row, in_flight))
+
+    async def _begin(self, order):
+        """Begin the move of an order; return its row, or None while it has to wait."""
+        versions = self._versions(order.pool)
+        former = former_version(order, versions)
+        if not versions[order.to_version]:
+            return None
+        if not former:
+            await self._tell(order, OrderState.COMPLETED)
+            return None
+        return await self._change(
+            order.pool, lambda row: self._started(row, order, former)
+        )
 
-    def close_pool(self, name):
-        """Forget a pool that has another home."""
+    def _started(self, row, order, former):
+        """Return the row of an order's move, in the place of the row there is."""
+        if row is not None and row.move_id != order.order_id:
+            if row.state is MoveState.RUNNING:
+                reason = f"replaced by order {order.order_id}"
+                row = cancel_move(row, row.move_id, reason, AUTHOR)
+            if row.serving_version != former:
+                # Upstreams were replaced without a move since.
+                row = None
+        now_ms = self._shared_ms()
+        waited_ms = self._context.clock.now_ms() - self._received_ms[order.pool]
+        left_ms = max(1, int(MOVED_PART * order.duration_ms) - waited_ms)
+        request = MoveRequest(
+            move_id=order.order_id,
+            pool=order.pool,
+            from_version=former,
+            to_version=order.to_version,
+            moved_by_unix_ms=now_ms + left_ms,
+            reason="ordered by an operator",
+            author=AUTHOR,
+        )
+        return start_move(row, request, now_ms)
 
-    def redeclare(self, pool):
-        """Take a pool's changed record."""
+    async def _tell(self, order, state):
+        """Tell the operators where an order stands, once for each state."""
+        told = (order.order_id, state)
+        if self._told.get(order.pool) == told:
+            return
+        platform = self._context.platform
+        try:
+            await platform.store.commit((platform.order_status(order, state),))
+        except StoreConflict as error:
+            raise PlatformError(error.message) from error
+        self._told[order.pool] = told
+        _log.info("move_told", pool=order.pool, order=order.order_id, state=state.value)
--- a/libs/entry/src/hemlockhoist/entry/platform.py
+++ b/libs/entry/src/hemlockhoist/entry/platform.py
@@ -32,6 +32,20 @@
     def decode_upstream(self, row):
         """Return the ``Upstream`` of a row, or None where it names none."""
 
+    @abc.abstractmethod
+    def decode_order(self, row):
+        """Return the ``MoveOrder`` of a row beside the declared routes, or None."""
+
+    @abc.abstractmethod
+    def order_status(self, order, state):
+        """Return the ``RowChange`` that tells the operators where an order stands.
+
+        Parameters
+        ==========
+        order : MoveOrder
+        state : OrderState
+        """
+
     @abc.abstractmethod
     def directory_body(self, addresses, ttl_ms):
         """Return the body that tells callers which hosts to use."""
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -36,11 +36,11 @@
 from hemlockhoist.base.traces import Traces
 from hemlockhoist.decisions.limits import SpentLog, share_of_side
 from hemlockhoist.decisions.scheduling import DeclaredTracks
-from hemlockhoist.declarations import Declarations, Pool, PoolKind
+from hemlockhoist.declarations import Declarations, Pool, PoolKind, VersionRules
 from hemlockhoist.entry.context import EntryContext
 from hemlockhoist.entry.gate import FleetGate
 from hemlockhoist.entry.knowledge import Knowledge
-from hemlockhoist.entry.moves import NoMoves
+from hemlockhoist.entry.moves import OrderedMoves
 from hemlockhoist.entry.roster import Roster
 from hemlockhoist.entry.surface import CallerSurface, StatusSurface
 from hemlockhoist.host.fleet import Fleet
@@ -49,7 +49,7 @@
 from hemlockhoist.host.identity import HostIdentity, new_incarnation
 from hemlockhoist.host.inbound import Inbound
 from hemlockhoist.peers import PeerBus
-from hemlockhoist.store import PATIENT, TableWatch
+from hemlockhoist.store import PATIENT, TableWatch, TypedRows
 from hemlockhoist.upstreams import DispatchRegister, UpstreamClient
 
 _log = get_logger("entry.process")
@@ -78,6 +78,10 @@
 # All pools of today's fleets have one home, so that a customer's allowance and the
 # bound on retries are exact in one place.
 ONLY_CELL = "cell"
+# Orders on the platform are to be over in some ten seconds: a share of a few in a
+# hundred would not give the answers that prove a version. What an unproven version may
+# get over all routes is bounded besides, see ``OrderedMoves``.
+MOVE_RULES = VersionRules(first_share_permille=100, unproven_share_permille=300)
 # A host that was lost may be cut off and go on serving for this long; after it, its
 # proof of the routes is long too old.
 LOST_HOST_MS = 15_000
@@ -133,6 +137,7 @@
         await self._open(context.upstreams)
         await self._open(context.fleet)
         await self._open_watches(context)
+        await self._open(context.moves)
         self.status = await self._open(StatusSurface(context))
         self._callers = await self._open(CallerSurface(context, self._listener))
         await self._open(PeriodicTask(HOME_TICK_MS, self._tick))
@@ -166,7 +171,9 @@
     def _build(self, context):
         context.declarations = Declarations()
         context.gate = FleetGate(self.settings.bounds)
-        context.moves = NoMoves()
+        context.moves = OrderedMoves(
+            context, TypedRows(self._platform.store), context.bus.send
+        )
         context.knowledge = Knowledge(
             self._platform,
             self.settings.bounds,
@@ -175,6 +182,7 @@
             context.invariants,
             self._on_routes,
             self._on_upstreams,
+            context.moves.take_order,
         )
         context.homes = HomeService(
             context,
@@ -322,6 +330,7 @@
             name=pool.name,
             kind=PoolKind.SERVICE if pool.engine is None else PoolKind.MODEL,
             stable_version="",
+            version_rules=MOVE_RULES,
         )
         for pool in table.pools
     )
--- a/libs/entry/src/hemlockhoist/entry/tests/builders.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/builders.py
@@ -71,6 +71,10 @@
         """Return the upstream."""
         return row.value
 
+    def decode_order(self, row):
+        """Return the order."""
+        return row.value
+
 
 class KnowingHost:
     """A host's knowledge on clocks that tests set.
@@ -86,6 +90,7 @@
         self.boot_ms = 1_000_000
         self.clock = Clock.from_running_loop()
         self.tables = []
+        self.orders = []
         self.knowledge = Knowledge(
             TablePlatform(),
             FleetBounds(),
@@ -94,6 +99,7 @@
             InvariantLog(fatal=True),
             self.tables.append,
             lambda: None,
+            self.orders.append,
         )
 
     def take_routes(self, routes, version=1):
--- /dev/null
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_move_trial.py
@@ -0,0 +1,170 @@
+"""What a version gets between an operator's order and the end of its time."""
+
+import heapq
+import itertools
+import random
+import unittest
+
+from hemlockhoist.base import InvariantLog
+from hemlockhoist.decisions import Outcome, OutcomeKind, WorkRequest
+from hemlockhoist.decisions.versions import (
+    MoveController,
+    MoveRequest,
+    MoveState,
+    start_move,
+)
+from hemlockhoist.declarations import Pool, PoolKind
+from hemlockhoist.entry.moves import MOVED_PART, trial_bound
+from hemlockhoist.entry.process import MOVE_RULES
+from hemlockhoist.entry.settings import FleetBounds
+
+BOUNDS = FleetBounds()
+TICK_MS = 200
+ORDER_MS = 60_000
+# Routes of an engine pool with requests a second, as on the smaller of today's sites.
+ROUTES = {"conflict-report": 8.65, "access-summary": 6.2, "hall-faq": 10.4}
+USUAL_MS = 900
+SEEDS = range(4)
+
+
+class Answers:
+    """How the versions answer; the new one may be bad."""
+
+    def __init__(self, rng, is_bad=lambda route, now_ms: False, bad_part=0.4):
+        self._rng = rng
+        self._is_bad = is_bad
+        self._bad_part = bad_part
+
+    def outcome(self, route, version, now_ms):
+        total_ms = int(self._rng.lognormvariate(0, 0.5) * USUAL_MS)
+        is_bad = version == "v2" and self._is_bad(route, now_ms)
+        fails = is_bad and self._rng.random() < self._bad_part
+        kind = OutcomeKind.FAILED if fails else OutcomeKind.SUCCESS
+        return Outcome(
+            kind=kind,
+            first_token_ms=total_ms // 3,
+            total_ms=total_ms,
+            output_tokens=20,
+        )
+
+
+class Trial:
+    """One order, played on a virtual clock.
+
+    Attributes
+    ==========
+    new, total : int
+        Requests that the new version got, and all.
+    """
+
+    def __init__(self, answers, seed):
+        self._answers = answers
+        self._rng = random.Random(seed)
+        self._events = []
+        self._numbers = itertools.count()
+        self.new = self.total = 0
+        pool = Pool(
+            name="engines",
+            kind=PoolKind.MODEL,
+            stable_version="",
+            version_rules=MOVE_RULES,
+        )
+        order = MoveRequest(
+            move_id="m1",
+            pool="engines",
+            from_version="v1",
+            to_version="v2",
+            moved_by_unix_ms=int(MOVED_PART * ORDER_MS),
+            reason="ordered",
+            author="operator",
+        )
+        self.controller = MoveController.from_config(
+            pool,
+            start_move(None, order, 0),
+            0,
+            0,
+            InvariantLog(fatal=True),
+            trial_bound(BOUNDS),
+            watch_ms=0,
+        )
+
+    def _at(self, now_ms, step, *args):
+        heapq.heappush(self._events, (now_ms, next(self._numbers), step, args))
+
+    def play(self):
+        """Play the order's whole time."""
+        for route in ROUTES:
+            self._at(0, self._arrive, route)
+        for at_ms in range(0, ORDER_MS, TICK_MS):
+            self._at(at_ms, self._tick)
+        while self._events:
+            now_ms, _, step, args = heapq.heappop(self._events)
+            if now_ms <= ORDER_MS:
+                step(int(now_ms), *args)
+        return self
+
+    def _tick(self, now_ms):
+        self.controller.tick(now_ms)
+        wanted = self.controller.wanted_row(now_ms, fencing=1)
+        if wanted is not None:
+            self.controller.observe_row(wanted, now_ms)
+
+    def _arrive(self, now_ms, route):
+        pause_ms = 1_000 * self._rng.expovariate(ROUTES[route])
+        self._at(now_ms + pause_ms, self._arrive, route)
+        self.total += 1
+        request = WorkRequest(
+            request_id=f"r{self.total}",
+            route=route,
+            customer="c",
+            tier_rank=0,
+            deadline_ms=now_ms + 8_000,
+            first_token_by_ms=now_ms + 1_000,
+            idempotent=True,
+        )
+        version = self.controller.candidates(request, ("v1", "v2"), now_ms)[0]
+        self.new += version == "v2"
+        self.controller.on_grant(request, version, now_ms, "u-" + version)
+        outcome = self._answers.outcome(route, version, now_ms)
+        self._at(now_ms + outcome.total_ms, self._end, request, version, outcome)
+
+    def _end(self, now_ms, request, version, outcome):
+        self.controller.on_outcome(request, version, outcome, now_ms, "u-" + version)
+
+    @property
+    def state(self):
+        """Where the move stands."""
+        return self.controller.row.state
+
+
+class MoveTrialTests(unittest.TestCase):
+    def play(self, is_bad, seed):
+        return Trial(Answers(random.Random(seed), is_bad), seed).play()
+
+    def check_bad(self, is_bad):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                trial = self.play(is_bad, seed)
+                self.assertIs(trial.state, MoveState.TAKEN_BACK)
+                allowed = BOUNDS.trial_share * trial.total + BOUNDS.trial_tolerance
+                self.assertLessEqual(trial.new, allowed)
+
+    def test_version_that_is_bad_from_the_start(self):
+        self.check_bad(lambda route, now_ms: True)
+
+    def test_version_that_is_bad_on_one_route(self):
+        self.check_bad(lambda route, now_ms: route == "conflict-report")
+
+    def test_version_that_turns_bad_after_it_was_proven(self):
+        """Half of a customer's requests fail on a version that looked well.
+
+        All its requests count, those before it turned bad too: a share that had been
+        widened by then is over the bound before the first failure.
+        """
+        self.check_bad(lambda route, now_ms: now_ms > 0.4 * ORDER_MS)
+
+    def test_good_version_is_moved_in_its_time(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                trial = self.play(lambda route, now_ms: False, seed)
+                self.assertIs(trial.state, MoveState.FINISHED)
--- a/libs/host/src/hemlockhoist/host/homes.py
+++ b/libs/host/src/hemlockhoist/host/homes.py
@@ -81,7 +81,8 @@
         return declarations.pool(name), declarations.tiers
 
     def _begin(self, pool):
-        home = self._homes[pool.name] = self._new_home(pool)
+        policy = self._context.moves.open_pool(pool)
+        home = self._homes[pool.name] = self._new_home(pool, policy)
         home.start(self._context.fleet.live_hosts())
 
     def _standby(self, name):
@@ -95,17 +96,17 @@
         if pool is not None and name not in self._standbys:
             _log.warning("deciding_alone", pool=name)
             self._context.metrics.count(HOMES_ALONE, name)
-            self._standbys[name] = home = self._new_home(pool)
+            policy = self._context.moves.open_standby(pool)
+            self._standbys[name] = home = self._new_home(pool, policy)
             home.start((self._context.identity.host_id,))
         return self._standbys.get(name)
 
-    def _new_home(self, pool):
-        controller = self._context.moves.open_pool(pool)
+    def _new_home(self, pool, policy):
         scheduler = PoolScheduler.from_config(
             pool,
             self._context.declarations.tiers,
             self._context.identity.incarnation,
-            controller,
+            policy,
             self._context.invariants,
             self._new_tracks(),
         )
--- a/libs/host/src/hemlockhoist/host/moves.py
+++ b/libs/host/src/hemlockhoist/host/moves.py
@@ -57,6 +57,8 @@
         ``send(host_id, message)``.
     """
 
+    lease_ms = LEASE_MS
+
     __slots__ = (
         "_announced",
         "_context",
@@ -102,20 +104,59 @@
 
     def open_pool(self, pool):
         """Return the version policy for a pool that this host is now home of."""
-        clock = self._context.clock
+        controller = self._controllers[pool.name] = self._open(pool)
+        return controller
+
+    def open_standby(self, pool):
+        """Return the version policy of a pool for which this host decides alone.
+
+        It grants within the shares that are known here and halts by its own evidence;
+        only the pool's home widens shares.
+        """
+        return self._open(pool)
+
+    def _open(self, pool):
+        now_ms = self._context.clock.now_ms()
         announcement = self._announced.get(pool.name)
-        controller = MoveController.from_config(
-            pool,
-            announcement.row if announcement else None,
-            clock.now_ms(),
-            clock.unix_ms(),
-            self._context.invariants,
-        )
+        row = announcement.row if announcement else None
+        controller = self._new_controller(pool, row, now_ms)
         if announcement is not None:
-            controller.observe_announcement(announcement, clock.now_ms())
-        self._controllers[pool.name] = controller
+            controller.observe_announcement(announcement, now_ms)
         return controller
 
+    def _new_controller(self, pool, row, now_ms):
+        return MoveController.from_config(
+            pool, row, now_ms, self._shared_ms(), self._context.invariants
+        )
+
+    # What a fleet on another platform does in its own way.
+
+    def _shared_ms(self):
+        """Return the time that all hosts agree on, in milliseconds."""
+        return self._context.clock.unix_ms()
+
+    def _is_watched(self, pool):
+        """Return whether a pool may have a move that its home has to read."""
+        return True
+
+    def _audience(self, pool):
+        """Return the hosts that need to know where a pool's move stands."""
+        return self._context.fleet.homes(pool, 0)
+
+    def _share_halt(self, pool, move_id, version):
+        """Put a halt where hosts that missed its message find it."""
+        self._context.configuration.halt(pool, move_id, version)
+
+    def _is_halted(self, move):
+        """Return whether any host has halted the new version of a move."""
+        return self._context.configuration.is_halted(
+            move.pool, move.move_id, move.to_version
+        )
+
+    def _revoke(self, message):
+        """Stop what this host holds and has not sent to a halted version."""
+        self._context.dispatcher.revoke(message.pool, message.version, message.reason)
+
     def redeclare(self, pool):
         """Put a changed record of a pool in force."""
         controller = self._controllers.get(pool.name)
@@ -181,7 +222,7 @@
             )
             for host in self._context.fleet.live_hosts():
                 self._send(host, message)
-            self._context.configuration.halt(pool, message.move_id, version)
+            self._share_halt(pool, message.move_id, version)
 
     async def _fencing(self, pool):
         """Return the fencing number of a live lease on the pool's moves, or None."""
@@ -192,13 +233,13 @@
                 self._context.clock,
                 f"move/{pool}",
                 self._context.identity.incarnation,
-                LEASE_MS,
+                self.lease_ms,
             )
             self._leases[pool] = lease
         try:
             if not lease.held():
                 await lease.acquire()
-            elif lease.remaining_ms() < LEASE_MS // 2:
+            elif lease.remaining_ms() < self.lease_ms // 2:
                 await lease.renew()
         except PlatformError:
             # The store is out, or another host has the lease: both take a while.
@@ -230,14 +271,15 @@
             return
         now_ms = self._context.clock.now_ms()
         move = row.value
+        controller.note_unix_ms(now_ms, self._shared_ms())
         controller.observe_row(move, now_ms)
-        halted = self._context.configuration.is_halted
-        if halted(move.pool, move.move_id, move.to_version):
+        if self._is_halted(move):
             controller.halt(move.to_version, "halted by another host", now_ms)
 
     async def _read_all(self):
         for pool, controller in list(self._controllers.items()):
-            if self._context.clock.now_ms() >= self._rest_until_ms:
+            is_resting = self._context.clock.now_ms() < self._rest_until_ms
+            if self._is_watched(pool) and not is_resting:
                 await self._read(pool, controller)
 
     async def _read(self, pool, controller):
@@ -259,7 +301,7 @@
             return
         message = MoveAnnounced(pool=pool, row=msgspec.json.encode(announcement))
         own = self._context.identity.host_id
-        for host in self._context.fleet.homes(pool, 0):
+        for host in self._audience(pool):
             if host != own:
                 self._send(host, message)
 
@@ -272,8 +314,8 @@
             controller.observe_announcement(announcement, self._context.clock.now_ms())
 
     def on_halted(self, message):
-        """Stop what this host holds and has not sent to a halted version."""
-        self._context.dispatcher.revoke(message.pool, message.version, message.reason)
+        """Stop granting, and using grants of, a version that another host halted."""
+        self._revoke(message)
         controller = self._controllers.get(message.pool)
         row = controller.row if controller is not None else None
         if row is not None and row.move_id == message.move_id:
@@ -310,7 +352,7 @@
         """
         if self._context.declarations.pool(request.pool) is None:
             raise MoveError(f"no pool {request.pool!r}")
-        unix_ms = self._context.clock.unix_ms()
+        unix_ms = self._shared_ms()
         row = await self._change(
             request.pool, lambda row: start_move(row, request, unix_ms)
         )
--- a/libs/store/src/hemlockhoist/store/__init__.py
+++ b/libs/store/src/hemlockhoist/store/__init__.py
@@ -18,6 +18,7 @@
     new_change_id,
 )
 from hemlockhoist.store.transport import PlatformTransport
+from hemlockhoist.store.typed_rows import TypedRows
 from hemlockhoist.store.watch import PATIENT, RetryPace, TableWatch
 
 __all__ = [
@@ -41,5 +42,6 @@
     "Row",
     "RowPut",
     "TableClient",
+    "TypedRows",
     "new_change_id",
 ]
--- /dev/null
+++ b/libs/store/src/hemlockhoist/store/typed_rows.py
@@ -0,0 +1,94 @@
+"""Typed rows in a ``RowStore``: read, and compare-and-set."""
+
+import msgspec
+
+from hemlockhoist.base import PlatformError
+from hemlockhoist.store.rows import RowChange
+from hemlockhoist.store.tables import Row, new_change_id
+
+
+class TypedRows:
+    """Rows that hold values of a type; the interface is that of ``TableClient``.
+
+    A row's version is that of the transaction that wrote it, so that it only goes up.
+    A write whose answer was lost is not settled here: its condition keeps it from
+    taking effect after a later write, and whoever wrote it reads the row again.
+
+    Parameters
+    ==========
+    store : RowStore
+        Started and closed by its owner.
+    """
+
+    __slots__ = ("_store",)
+
+    def __init__(self, store):
+        self._store = store
+
+    async def read(self, table, key, value_type):
+        """Read one row.
+
+        Returns
+        =======
+        Row or None
+
+        Raises
+        ======
+        PlatformError
+            When the store failed, or the row is of another type.
+        """
+        for row in await self.list(table, value_type, key):
+            return row
+        return None
+
+    async def list(self, table, value_type, key=None):
+        """Read all rows of a table, or the one with a key.
+
+        Returns
+        =======
+        tuple of Row
+
+        Raises
+        ======
+        PlatformError
+        """
+        reading = await self._store.read_table(table)
+        return tuple(
+            _typed(table, row, value_type)
+            for row in reading.rows
+            if row.value is not None and key in (None, row.key)
+        )
+
+    async def put(self, table, key, value, if_version, change_id=None):
+        """Write one row if its version is still ``if_version``.
+
+        Returns
+        =======
+        Row
+
+        Raises
+        ======
+        StoreConflict
+            When someone else changed the row; nothing was written.
+        StoreAnswerLost
+            When the write may have taken effect, or may still.
+        PlatformError
+            When nothing was written.
+        """
+        change = RowChange(
+            table=table,
+            key=key,
+            value=msgspec.json.encode(value),
+            if_version=if_version,
+        )
+        version = await self._store.commit((change,))
+        change_id = change_id or new_change_id()
+        return Row(key=key, value=value, version=version, change_id=change_id)
+
+
+def _typed(table, row, value_type):
+    try:
+        value = msgspec.json.decode(row.value, type=value_type)
+    except msgspec.DecodeError as error:
+        raise PlatformError(f"{table}/{row.key} is not readable: {error}") from error
+    return Row(key=row.key, value=value, version=row.version, change_id="")
