Refuse queued requests before a planned stop ends; tell a host that decides alone what it holds

Its test showed a second fault: a host that decides alone asked itself what it holds and never got the answer, so that it gave places which were taken.

Ruled out: waiting to the end of the stop for a place; an answer that begins then is cut.

Change: at 0.6 of the declared stop, requests that still wait are refused as not run; the answer to the question what a host holds reaches all that decide for the pool there.

A test that fails first.

--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -14,6 +14,7 @@
     InvariantLog,
     LineWriter,
     PeriodicTask,
+    ResultCode,
     SuspendAwareClock,
     VolumeLimit,
     configure_logs,
@@ -42,7 +43,11 @@
 from hemlockhoist.entry.knowledge import Knowledge
 from hemlockhoist.entry.moves import OrderedMoves
 from hemlockhoist.entry.roster import Roster
-from hemlockhoist.entry.surface import CallerSurface, StatusSurface
+from hemlockhoist.entry.surface import (
+    LEAVING_RETRY_MS,
+    CallerSurface,
+    StatusSurface,
+)
 from hemlockhoist.host.fleet import Fleet
 from hemlockhoist.host.grants import GrantClient
 from hemlockhoist.host.homes import HomeService
@@ -71,6 +76,9 @@
 # who comes later is sent elsewhere at once.
 LISTEN_AFTER_STOP_MS = 2_700
 STOP_REST_MS = 700
+# Part of the declared stop after which requests that still wait for a place are sent
+# elsewhere: an answer that begins later may not end before the process does.
+QUEUE_PART_OF_STOP = 0.6
 DRAIN_CHECK_MS = 50
 FLUSH_MS = 300
 THREADS = 2
@@ -311,7 +319,10 @@
     async def _drain(self):
         context = self.context
         _log.info("drain_begun", open_requests=context.open_requests)
-        end_ms = context.clock.now_ms() + self.settings.bounds.stop_ms - STOP_REST_MS
+        stop_ms = self.settings.bounds.stop_ms
+        begun_ms = context.clock.now_ms()
+        end_ms = begun_ms + stop_ms - STOP_REST_MS
+        queue_end_ms = begun_ms + int(QUEUE_PART_OF_STOP * stop_ms)
         context.leaving = True
         context.fleet.leave()
         context.homes.close()
@@ -320,6 +331,8 @@
         await self._callers.stop_listening()
         context.refuses = True
         while context.open_requests and context.clock.now_ms() < end_ms:
+            if context.clock.now_ms() >= queue_end_ms:
+                context.grants.stop_waiting(ResultCode.LEAVING, LEAVING_RETRY_MS)
             await asyncio.sleep(DRAIN_CHECK_MS / MS_PER_S)
         await context.bus.flush(FLUSH_MS)
         _log.info("drain_ended", open_requests=context.open_requests)
--- a/libs/host/src/hemlockhoist/host/grants.py
+++ b/libs/host/src/hemlockhoist/host/grants.py
@@ -118,6 +118,7 @@
         "_home_of",
         "_on_silent",
         "_own_id",
+        "_refusal",
         "_renew",
         "_send",
         "_spent",
@@ -143,11 +144,23 @@
         self._home_of = home_of
         self._waiters = {}
         self._held = {}
+        self._refusal = None
 
     def held(self):
         """Return the grants held now."""
         return tuple(self._held.values())
 
+    def stop_waiting(self, code, retry_after_ms):
+        """Refuse all requests that wait for a place, from here on.
+
+        Failure: a host that was told to stop still has requests in a queue. When the
+        process ends, their callers see a closed connection, and can not tell that
+        nothing ran.
+        """
+        self._refusal = (code, retry_after_ms)
+        for waiter in self._waiters.values():
+            waiter.inbox.put_nowait((_ASK_AGAIN, 0))
+
     async def acquire(self, pool, brief, deadline_ms):
         """Wait for a grant.
 
@@ -198,6 +211,8 @@
                 return waiter.asked, hold
 
     def _check_patience(self, waiter, deadline_ms):
+        if self._refusal is not None:
+            raise Refused("", *self._refusal)
         now_ms = self._clock.now_ms()
         if now_ms >= deadline_ms:
             raise Refused("", ResultCode.DEADLINE_PASSED, RETRY_AFTER_MS)
--- a/libs/host/src/hemlockhoist/host/homes.py
+++ b/libs/host/src/hemlockhoist/host/homes.py
@@ -153,6 +153,15 @@
     def _all(self):
         return [*self._homes.items(), *self._standbys.items()]
 
+    def of_pool(self, pool):
+        """Return all that decide for a pool at this host.
+
+        Failure: a host that decides alone is never told what it holds itself, as the
+        answer to its question is kept from it. It gives places that are taken.
+        """
+        found = (self._homes.get(pool), self._standbys.get(pool))
+        return [home for home in found if home is not None]
+
     def find(self, pool, is_alone=False):
         """Return the home of a pool at this host, or None.
 
--- a/libs/host/src/hemlockhoist/host/inbound.py
+++ b/libs/host/src/hemlockhoist/host/inbound.py
@@ -116,8 +116,7 @@
 
 @_handle.register
 def _(message: HeldGrants, context, sender, late_ms):
-    home = context.homes.find(message.pool)
-    if home is not None:
+    for home in context.homes.of_pool(message.pool):
         home.on_held(sender, message)
 
 
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_site.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_site.py
@@ -4,7 +4,7 @@
 
 import aiohttp
 
-from hemlockhoist.entry import process
+from hemlockhoist.entry import FleetBounds, process
 from hemlockhoist.standins.published import (
     Behaviour,
     Replica,
@@ -290,3 +290,34 @@
                     self.assertEqual(late.headers["Connection"], "close")
                     self.assertIn("Retry-After", late.headers)
         self.assertEqual(len(replicas["asistente"][0].ran), 1)
+
+    async def test_request_that_waits_for_a_place_is_refused_before_the_end(self):
+        """A caller's connection is closed without an answer by a planned stop.
+
+        All replicas are busy, and its request waits in the queue when the host is told
+        to stop. Nothing frees a place before the process ends.
+        """
+        replicas = {"reservas": [Replica("s1", places=1)]}
+        replicas["reservas"][0].behaviour = Behaviour.SILENT
+        bounds = FleetBounds(stop_ms=3_000)
+        slow = route("check-free", "reservas", timeout_ms=5_000)
+        with unittest.mock.patch.object(process, "LISTEN_AFTER_STOP_MS", 100):
+            async with Site(replicas, [slow], bounds=bounds) as site:
+                long = {"Deadline_Ms": "5000"}
+                first = asyncio.create_task(self.ask(site, "/check-free/1", **long))
+                while not replicas["reservas"][0].ran:
+                    await asyncio.sleep(0.01)
+                queued = asyncio.create_task(self.ask(site, "/check-free/2", **long))
+                await asyncio.sleep(0.1)
+                site.hosts[0].begin_drain()
+                status, headers = await queued
+                self.assertEqual(status, 503)
+                self.assertIn("Retry-After", headers)
+                self.assertFalse(site.hosts[0].finished.is_set())
+                first.cancel()
+                await asyncio.gather(first, return_exceptions=True)
+
+    async def ask(self, site, path, **headers):
+        async with site.call(path, **headers) as answer:
+            await answer.read()
+            return answer.status, answer.headers
