Make strong hosts home, and read the store at one host a failure domain

Ruled out: sharding for now; one home of 2.15 cores carries the load of this site.

Change: hosts tell their processor, and only those of at least half of the strongest one's may be home. Beyond 12 hosts the first host of each failure domain reads the store; the others ask it every second, and the store itself where it is silent, has lost the store or does not know. A reading that is passed on carries the store's time, so that its age is never understated. The list of hosts is read at the start and each minute; a host that starts introduces itself.

--- a/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
@@ -1,6 +1,7 @@
 """What an entry host decides about one request, or about what it knows itself."""
 
 from hemlockhoist.decisions.entry.attempts import AttemptEnd, Step, next_step
+from hemlockhoist.decisions.entry.copies import TableCopy
 from hemlockhoist.decisions.entry.freshness import Freshness
 from hemlockhoist.decisions.entry.listing import UpstreamListing
 from hemlockhoist.decisions.entry.ordered import (
@@ -11,6 +12,7 @@
     live_versions,
     order_state,
 )
+from hemlockhoist.decisions.entry.readers import find_readers, reader_for
 from hemlockhoist.decisions.entry.shares import PoolChooser
 from hemlockhoist.decisions.entry.sweep import StaleEntries
 
@@ -23,9 +25,12 @@
     "PoolChooser",
     "StaleEntries",
     "Step",
+    "TableCopy",
     "UpstreamListing",
+    "find_readers",
     "former_version",
     "live_versions",
     "next_step",
     "order_state",
+    "reader_for",
 ]
--- a/libs/decisions/src/hemlockhoist/decisions/entry/freshness.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/freshness.py
@@ -36,7 +36,7 @@
         self._proven_ms = None
 
     def note(self, sent_ms, store_ms):
-        """Take a reading.
+        """Take a reading of this host's own.
 
         Parameters
         ==========
@@ -45,10 +45,34 @@
         store_ms : int
             The moment of the answer, on the store's clock.
         """
-        offset_ms = sent_ms - store_ms
+        self._note_offset(sent_ms - store_ms)
+        self._note_proven(max(sent_ms, store_ms + self._offset_ms))
+
+    def note_relayed(self, sent_ms, store_ms, clock_ms):
+        """Take another host's reading that was passed on to this one.
+
+        The reading may be older than the question for it. The other host's account of
+        the store's clock is never late, so that it bounds the offset as an answer of
+        the store's own does: what is left is that it is early by the other's quickest
+        answer.
+
+        Parameters
+        ==========
+        sent_ms : int
+            When the question left, on this host's clock.
+        store_ms : int
+            The moment of the reading, on the store's clock.
+        clock_ms : int
+            The store's clock when the answer left the other host, or later.
+        """
+        self._note_offset(sent_ms - clock_ms)
+        self._note_proven(store_ms + self._offset_ms)
+
+    def _note_offset(self, offset_ms):
         if self._offset_ms is None or offset_ms > self._offset_ms:
             self._offset_ms = offset_ms
-        proven_ms = max(sent_ms, store_ms + self._offset_ms)
+
+    def _note_proven(self, proven_ms):
         if self._proven_ms is None or proven_ms > self._proven_ms:
             self._proven_ms = proven_ms
 
--- a/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_freshness.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_freshness.py
@@ -45,3 +45,38 @@
         freshness.note(HOST_MS + 1_000, STORE_MS + 1_004)
         freshness.note(HOST_MS, STORE_MS + 900)
         self.assertEqual(freshness.age_ms(HOST_MS + 1_500), 500)
+
+    def test_age_of_a_relayed_reading_is_never_understated(self):
+        """A key that was taken away goes on opening halls at hosts that ask another.
+
+        The reader's reading is older than the question, its clock is off by its own
+        calls' time, and question and answer take any time on their way.
+        """
+        draw = random.Random(6)
+        reader_host_ms = 55_000
+        for _ in range(200):
+            reader, asker = Freshness(), Freshness()
+            now_ms = 0
+            read_ms = None
+            for _ in range(20):
+                sent_ms = now_ms
+                read_ms = sent_ms + draw.randint(0, 3_000)
+                now_ms = read_ms + draw.randint(0, 3_000)
+                reader.note(reader_host_ms + sent_ms, STORE_MS + read_ms)
+                asked_ms = now_ms
+                left_ms = asked_ms + draw.randint(0, 2_000)
+                asker.note_relayed(
+                    HOST_MS + asked_ms,
+                    STORE_MS + read_ms,
+                    reader.store_ms(reader_host_ms + left_ms),
+                )
+                now_ms = left_ms + draw.randint(0, 2_000)
+                age_ms = asker.age_ms(HOST_MS + now_ms)
+                self.assertGreaterEqual(age_ms, now_ms - read_ms)
+
+    def test_relayed_reading_is_about_as_fresh_as_the_reader_has_it(self):
+        reader, asker = Freshness(), Freshness()
+        reader.note(HOST_MS, STORE_MS + 4)
+        clock_ms = reader.store_ms(HOST_MS + 902)
+        asker.note_relayed(HOST_MS + 900, STORE_MS + 4, clock_ms)
+        self.assertLessEqual(asker.age_ms(HOST_MS + 904), 910)
--- a/libs/decisions/src/hemlockhoist/decisions/membership/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/membership/__init__.py
@@ -10,6 +10,10 @@
     Outgoing,
     SuccessorNamed,
 )
+from hemlockhoist.decisions.membership.rendezvous import (
+    rank_members,
+    strong_members,
+)
 from hemlockhoist.decisions.membership.upstreams import UpstreamView
 
 __all__ = [
@@ -22,4 +26,6 @@
     "Outgoing",
     "SuccessorNamed",
     "UpstreamView",
+    "rank_members",
+    "strong_members",
 ]
--- a/libs/decisions/src/hemlockhoist/decisions/membership/membership.py
+++ b/libs/decisions/src/hemlockhoist/decisions/membership/membership.py
@@ -14,7 +14,10 @@
 from hemlockhoist.decisions.membership.gossip import GossipQueue
 from hemlockhoist.decisions.membership.prober import Prober, is_overdue
 from hemlockhoist.decisions.membership.records import Outgoing
-from hemlockhoist.decisions.membership.rendezvous import rank_members
+from hemlockhoist.decisions.membership.rendezvous import (
+    rank_members,
+    strong_members,
+)
 from hemlockhoist.decisions.membership.table import MemberTable
 from hemlockhoist.messages.membership import (
     Health,
@@ -123,6 +126,7 @@
                     address=item.address,
                     caller_address=item.caller_address,
                     failure_domain=item.failure_domain,
+                    processor_millicores=item.processor_millicores,
                 )
                 self.table.add_listed(member, now_ms)
                 entry = self.table.get(item.address)
@@ -148,6 +152,19 @@
         protocol.take_updates(self, getattr(message, "updates", ()), now_ms)
         return protocol.respond(message, self, now_ms)
 
+    def introduce(self):
+        """Return the messages that tell others of this host, which has just started.
+
+        Waiting to be found by probes takes some seconds in a fleet of fifty, in which
+        callers are not told of it and its requests go to a home that does not know it.
+        """
+        message = Probe(number=0, sender=self.own, updates=())
+        return [Outgoing(address, message) for address in self._some_others()]
+
+    def _some_others(self):
+        peers = self._others()
+        return self._rng.sample(peers, min(LEAVE_FANOUT, len(peers)))
+
     def leave(self, now_ms, successor=""):
         """Say that this host takes no new work; return the messages that tell it.
 
@@ -159,12 +176,8 @@
         """
         own = self.table.set_own(leaving=True, successor=successor)
         self.gossip.put(own)
-        peers = self._others()
-        chosen = self._rng.sample(peers, min(LEAVE_FANOUT, len(peers)))
-        return [
-            Outgoing(address, Probe(number=0, sender=own, updates=()))
-            for address in chosen
-        ]
+        message = Probe(number=0, sender=own, updates=())
+        return [Outgoing(address, message) for address in self._some_others()]
 
     def report_silent(self, address, now_ms):
         """Take a host's silence to repeated questions as a failed probe.
@@ -185,11 +198,9 @@
         if refuted and now_ms - entry.changed_ms < REFUTED_REST_MS:
             return []
         self._suspect(address, now_ms)
-        peers = self._others()
-        chosen = self._rng.sample(peers, min(LEAVE_FANOUT, len(peers)))
         return [
             Outgoing(item, Probe(number=0, sender=self.own, updates=(entry.update,)))
-            for item in {*chosen, address}
+            for item in {*self._some_others(), address}
         ]
 
     def report_refused(self, address, now_ms):
@@ -215,6 +226,13 @@
         members = [entry.member for entry in self.table if entry.is_live]
         return sorted(members, key=lambda item: item.address)
 
+    def steady(self):
+        """Return the members that have been heard of and neither leave nor miss probes.
+
+        This host is among them, unless it leaves.
+        """
+        return [member for member in self._answering() if member.incarnation]
+
     def count_lost(self, now_ms, within_ms):
         """Return how many hosts were lost lately without having said that they leave.
 
@@ -261,7 +279,9 @@
         name = (pool, shard, domains)
         if name not in self._homes:
             ranked = rank_members(
-                self._answering(), f"{pool}/{shard}", upstreams_by_domain
+                strong_members(self._answering()),
+                f"{pool}/{shard}",
+                upstreams_by_domain,
             )
             self._homes[name] = tuple(ranked[:MAX_HOMES])
         return self._homes[name][:count]
--- a/libs/decisions/src/hemlockhoist/decisions/membership/records.py
+++ b/libs/decisions/src/hemlockhoist/decisions/membership/records.py
@@ -15,12 +15,15 @@
     caller_address : str
     failure_domain : str
     leaving : bool
+    processor_millicores : int
+        0 where it is not told.
     """
 
     address: str
     caller_address: str = ""
     failure_domain: str = ""
     leaving: bool = False
+    processor_millicores: int = 0
 
 
 class Outgoing(msgspec.Struct, frozen=True):
--- a/libs/decisions/src/hemlockhoist/decisions/membership/rendezvous.py
+++ b/libs/decisions/src/hemlockhoist/decisions/membership/rendezvous.py
@@ -9,6 +9,9 @@
 # on most grants, and still spread when one domain holds most upstreams.
 NEAR_WEIGHT = 8
 _HASH_SPACE = 1 << 64
+# Hosts of at least this part of the strongest one's processor may be home: among unlike
+# machines some are several times as strong, and one that varies a little is as good.
+STRONG_PART = 0.5
 
 
 def rank_members(members, name, upstreams_by_domain=None):
@@ -39,6 +42,31 @@
     return [item[2] for item in scored]
 
 
+def strong_members(members):
+    """Return the members that are about as strong as the strongest.
+
+    Load: a fleet of 59 hosts, most of half a core and some of two, that sends 300
+    requests a second and twice that in bursts. Harm prevented: a weak host is home; its
+    processor and its link are full in each burst, and every request of the pool waits
+    there. A host that has told nothing counts as the others do.
+
+    Parameters
+    ==========
+    members : iterable of Member
+
+    Returns
+    =======
+    list of Member
+    """
+    members = list(members)
+    most = max((member.processor_millicores for member in members), default=0)
+    return [
+        member
+        for member in members
+        if STRONG_PART * most <= (member.processor_millicores or most)
+    ]
+
+
 def _score(address, name, weight):
     hashed = xxhash.xxh3_64_intdigest(f"{name}\n{address}".encode())
     uniform = (hashed + 0.5) / _HASH_SPACE
--- a/libs/decisions/src/hemlockhoist/decisions/membership/tests/test_membership.py
+++ b/libs/decisions/src/hemlockhoist/decisions/membership/tests/test_membership.py
@@ -6,10 +6,16 @@
     MemberLeaving,
     Membership,
     SuccessorNamed,
+    strong_members,
 )
 from hemlockhoist.decisions.membership.membership import LEAVE_FANOUT
 from hemlockhoist.decisions.membership.tests.fleet import Fleet, list_of, make_member
-from hemlockhoist.messages.membership import Health, MemberUpdate, Probe
+from hemlockhoist.messages.membership import (
+    Health,
+    Member,
+    MemberUpdate,
+    Probe,
+)
 
 
 class DetectionTests(unittest.TestCase):
@@ -122,6 +128,16 @@
         self.assertIn(new.address, self.fleet.live_at(7))
 
 
+class IntroductionTests(unittest.TestCase):
+    def test_new_host_is_known_to_all_that_it_has_read_of_at_once(self):
+        """Callers are not told of a host for seconds after its start."""
+        members = [make_member(number) for number in range(5)]
+        host = Membership.from_config(members[0], seed=1)
+        host.set_list(list_of(members), 0)
+        told = {item.address for item in host.introduce()}
+        self.assertEqual(told, {member.address for member in members[1:]})
+
+
 class LeavingTests(unittest.TestCase):
     def setUp(self):
         self.fleet = Fleet(8)
@@ -210,6 +226,19 @@
         share = sum(address in near for address in homes) / len(homes)
         self.assertGreater(share, 0.6)
 
+    def test_weak_hosts_are_home_only_where_there_are_no_strong_ones(self):
+        """Every request of a pool waits in each burst, with engines to spare.
+
+        Its home is one of fifty hosts with half a core; eight others have two cores.
+        """
+        names = [f"10.0.0.{number}:1" for number in range(58)]
+        weak = [Member(address=a, processor_millicores=516) for a in names[:50]]
+        strong = [Member(address=a, processor_millicores=2_151) for a in names[50:]]
+        self.assertEqual(strong_members([*weak, *strong]), strong)
+        self.assertEqual(strong_members(weak), weak)
+        untold = Member(address="10.0.1.1:1")
+        self.assertEqual(strong_members([*weak, untold]), [*weak, untold])
+
     def test_addresses_spread_over_domains(self):
         """An answer names four hosts of four failure domains."""
         answer = self.host.address_answer(0)
--- a/libs/entry/src/hemlockhoist/entry/context.py
+++ b/libs/entry/src/hemlockhoist/entry/context.py
@@ -15,6 +15,7 @@
     metrics : Metrics
     traces : Traces
     bus : PeerBus
+    feeds : FeedStore
     fleet : Fleet
     declarations : Declarations
         The pools of the route table, as homes see them.
@@ -38,6 +39,7 @@
         "bus",
         "clock",
         "declarations",
+        "feeds",
         "fleet",
         "gate",
         "grants",
--- a/libs/entry/src/hemlockhoist/entry/knowledge.py
+++ b/libs/entry/src/hemlockhoist/entry/knowledge.py
@@ -183,7 +183,11 @@
 
     def take_reading(self, reading):
         """Take a successful reading of the routes' table as proof."""
-        self.freshness.note(reading.sent_ms, reading.store_ms)
+        sent_ms, store_ms = reading.sent_ms, reading.store_ms
+        if reading.clock_ms is None:
+            self.freshness.note(sent_ms, store_ms)
+        else:
+            self.freshness.note_relayed(sent_ms, store_ms, reading.clock_ms)
 
     def take_upstream_rows(self, rows, is_whole):
         """Take rows of the list of upstreams."""
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -39,6 +39,7 @@
 from hemlockhoist.decisions.scheduling import DeclaredTracks
 from hemlockhoist.declarations import Declarations, Pool, PoolKind, VersionRules
 from hemlockhoist.entry.context import EntryContext
+from hemlockhoist.entry.feeds import FeedStore
 from hemlockhoist.entry.gate import FleetGate
 from hemlockhoist.entry.knowledge import Knowledge
 from hemlockhoist.entry.moves import OrderedMoves
@@ -211,15 +212,20 @@
             SpentLog(self.settings.bounds.allowance_window_ms),
         )
         context.register = DispatchRegister(context.invariants)
+        context.feeds = FeedStore(
+            context,
+            self._platform.store,
+            (self._platform.config_table, self._platform.upstream_table),
+        )
         context.upstreams = UpstreamClient(
             self._platform.wire.request_id_header, CONNECT_TIMEOUT_MS
         )
-        context.fleet = Fleet.from_context(context)
+        context.fleet = Fleet.from_context(context, self.settings.processor_millicores)
 
     async def _open_watches(self, context):
         platform, knowledge = self._platform, context.knowledge
         routes = TableWatch(
-            platform.store,
+            context.feeds,
             platform.config_table,
             ROUTES_WAIT_MS,
             knowledge.take_config_rows,
@@ -227,7 +233,7 @@
             self._on_store_failure,
         )
         upstreams = TableWatch(
-            platform.store,
+            context.feeds,
             platform.upstream_table,
             UPSTREAMS_WAIT_MS,
             knowledge.take_upstream_rows,
@@ -248,7 +254,8 @@
         await self._closers.aclose()
 
     def _on_reading(self, reading):
-        self.context.metrics.count(STORE_CALLS, self._platform.config_table)
+        if reading.clock_ms is None:
+            self.context.metrics.count(STORE_CALLS, self._platform.config_table)
         self.context.knowledge.take_reading(reading)
         if self._store_failed:
             self._store_failed = False
--- a/libs/entry/src/hemlockhoist/entry/roster.py
+++ b/libs/entry/src/hemlockhoist/entry/roster.py
@@ -10,17 +10,19 @@
 )
 from hemlockhoist.decisions.entry import StaleEntries
 from hemlockhoist.decisions.membership import ListedHost
-from hemlockhoist.store import PATIENT, RowChange, TableWatch
+from hemlockhoist.store import RowChange
 
 _log = get_logger("entry.roster")
 
-# Hosts find each other by their probes once they know one another; the table changes
-# when hosts come and go, and a change wakes the call.
-WATCH_WAIT_MS = 30_000
-# The row is written once; while the store fails, it is tried again this often.
+# While the store fails, what is due is tried again this often.
 RETRY_MS = 2_000
-# Entries are kept for an hour; a look each minute costs nothing and is soon enough.
-SWEEP_MS = 60_000
+# A host that starts reads the list and introduces itself to all others; from there on
+# hosts know each other by their probes. The list is read again for what probes can not
+# show: hosts that a cut has kept from each other since they started. A feed of the list
+# would wake every host for each that comes or goes, thousands of calls at a fleet's start.
+READ_AGAIN_MS = 60_000
+# Hosts that start together write and read within some hundred milliseconds.
+FIRST_READ_AGAIN_MS = 2_000
 # Dropped in one transaction; the store takes at least this many.
 SWEPT_AT_ONCE = 50
 
@@ -31,11 +33,13 @@
     Parameters
     ==========
     caller_address, failure_domain, incarnation : str
+    processor_millicores : int
     """
 
     caller_address: str
     failure_domain: str
     incarnation: str
+    processor_millicores: int = 0
 
 
 class Roster:
@@ -51,11 +55,11 @@
     __slots__ = (
         "_context",
         "_entries",
+        "_is_introduced",
+        "_read_due_ms",
         "_stale",
-        "_sweep_task",
         "_task",
         "_versions",
-        "_watch",
         "_written",
     )
 
@@ -65,30 +69,41 @@
         self._versions = {}
         self._stale = StaleEntries()
         self._written = False
-        table = context.platform.host_table
-        store = context.platform.store
-        self._watch = TableWatch(
-            store, table, WATCH_WAIT_MS, self._take_rows, pace=PATIENT
-        )
-        self._task = PeriodicTask(RETRY_MS, self._enter)
-        self._sweep_task = PeriodicTask(SWEEP_MS, self._sweep)
+        self._is_introduced = False
+        self._read_due_ms = 0
+        self._task = PeriodicTask(RETRY_MS, self._follow)
 
     async def start(self):
         """Enter this host, and begin to follow the others."""
         self._tell_fleet()
-        await self._watch.start()
         await self._task.start()
-        await self._sweep_task.start()
 
     async def close(self):
         """Stop following."""
-        await self._sweep_task.close()
         await self._task.close()
-        await self._watch.close()
 
     def read_again(self):
-        """Ask anew, after the store was out of reach."""
-        self._watch.read_again()
+        """Read the list soon, after the store was out of reach."""
+        self._read_due_ms = 0
+
+    async def _follow(self):
+        """Do what is due: enter this host first, so that whoever reads later sees it."""
+        await self._enter()
+        now_ms = self._context.clock.now_ms()
+        if now_ms < self._read_due_ms:
+            return
+        try:
+            reading = await self._context.platform.store.read_table(self._table)
+        except PlatformError as error:
+            _log.warning("host_rows_not_read", reason=error.message)
+            return
+        pause_ms = READ_AGAIN_MS if self._is_introduced else FIRST_READ_AGAIN_MS
+        self._read_due_ms = now_ms + pause_ms
+        self._take_rows(reading.rows)
+        if not self._is_introduced:
+            self._is_introduced = True
+            self._context.fleet.introduce()
+        await self._sweep()
 
     async def leave(self):
         """Take this host's row back."""
@@ -105,6 +120,7 @@
             caller_address=identity.address,
             failure_domain=identity.failure_domain,
             incarnation=identity.incarnation,
+            processor_millicores=self._context.settings.processor_millicores,
         )
         try:
             await self._context.platform.store.commit(
@@ -149,22 +165,19 @@
             _log.warning("host_rows_not_dropped", reason=error.message)
             return
         _log.info("host_rows_dropped", hosts=",".join(stale[:SWEPT_AT_ONCE]))
+        self._read_due_ms = 0
 
-    def _take_rows(self, rows, is_whole):
-        if is_whole:
-            self._entries, self._versions = {}, {}
+    def _take_rows(self, rows):
+        self._entries, self._versions = {}, {}
         for row in rows:
-            self._take_row(row)
+            if row.value is not None:
+                self._take_row(row)
+        if self._context.identity.host_id not in self._versions:
+            # Taken for lost, by a host that could not reach this one.
+            self._written = False
         self._tell_fleet()
 
     def _take_row(self, row):
-        if row.value is None:
-            self._entries.pop(row.key, None)
-            self._versions.pop(row.key, None)
-            if row.key == self._context.identity.host_id:
-                # Taken for lost, by a host that could not reach this one.
-                self._written = False
-            return
         try:
             host = msgspec.json.decode(row.value, type=HostRow)
         except msgspec.MsgspecError as error:
@@ -175,6 +188,7 @@
             address=row.key,
             caller_address=host.caller_address,
             failure_domain=host.failure_domain,
+            processor_millicores=host.processor_millicores,
         )
 
     def _tell_fleet(self):
--- a/libs/entry/src/hemlockhoist/entry/settings.py
+++ b/libs/entry/src/hemlockhoist/entry/settings.py
@@ -65,6 +65,8 @@
     bounds : FleetBounds
     max_memory_mb, max_descriptors : int
         0 where no limit is told.
+    processor_millicores : int
+        What the process may use, in thousandths of a core; 0 where it is not told.
     """
 
     name: str
@@ -80,3 +82,4 @@
     bounds: FleetBounds = FleetBounds()
     max_memory_mb: int = 0
     max_descriptors: int = 0
+    processor_millicores: int = 0
--- a/libs/entry/src/hemlockhoist/entry/tests/test_roster.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_roster.py
@@ -62,11 +62,15 @@
 
     def __init__(self, own):
         self.live = {own}
+        self.introductions = 0
         self.listed = ()
 
     def on_list(self, listed):
         self.listed = sorted(item.address for item in listed)
 
+    def introduce(self):
+        self.introductions += 1
+
     def live_hosts(self):
         return tuple(self.live)
 
@@ -76,7 +80,9 @@
         self.store = MemoryStore()
 
     async def start(self, name, seeds=()):
-        settings = types.SimpleNamespace(seed_peer_addresses=seeds)
+        settings = types.SimpleNamespace(
+            seed_peer_addresses=seeds, processor_millicores=500
+        )
         platform = types.SimpleNamespace(store=self.store, host_table="hosts")
         identity = types.SimpleNamespace(
             host_id=name, address=f"{name}:80", failure_domain="a", incarnation="r1"
--- a/libs/host/src/hemlockhoist/host/fleet.py
+++ b/libs/host/src/hemlockhoist/host/fleet.py
@@ -32,7 +32,15 @@
     membership : Membership
     """
 
-    __slots__ = ("_checks", "_context", "_membership", "_seen_version", "_task")
+    __slots__ = (
+        "_checks",
+        "_context",
+        "_membership",
+        "_seen_version",
+        "_steady",
+        "_steady_version",
+        "_task",
+    )
 
     def __init__(self, context, membership):
         self._context = context
@@ -40,10 +48,19 @@
         self._task = PeriodicTask(TICK_MS, self._tick)
         self._checks = set()
         self._seen_version = None
+        self._steady = []
+        self._steady_version = None
 
     @classmethod
-    def from_context(cls, context):
-        """Return the view of a process that has just started."""
+    def from_context(cls, context, processor_millicores=0):
+        """Return the view of a process that has just started.
+
+        Parameters
+        ==========
+        context : HostContext
+        processor_millicores : int, optional
+            What this host may use, where its settings tell.
+        """
         identity = context.identity
         own = Member(
             address=identity.host_id,
@@ -51,6 +68,7 @@
             started_unix_ms=context.clock.unix_ms(),
             caller_address=identity.address,
             failure_domain=identity.failure_domain,
+            processor_millicores=processor_millicores,
         )
         return cls(context, Membership.from_config(own, identity.incarnation))
 
@@ -84,6 +102,10 @@
         self._membership.set_list(listed, self._context.clock.now_ms())
         self._handle_events()
 
+    def introduce(self):
+        """Tell the hosts of the list that this one is there."""
+        self._send(self._membership.introduce())
+
     def on_broken(self, host_id):
         """Find out whether a peer whose connection ended still listens."""
         task = asyncio.create_task(self._check_listening(host_id))
@@ -149,6 +171,13 @@
         known = len(live) + self._membership.count_lost(now_ms, lost_ms)
         return heard, known
 
+    def steady_members(self):
+        """Return this host's own member, and the members that are well and stay."""
+        if self._steady_version != self._membership.version:
+            self._steady_version = self._membership.version
+            self._steady = self._membership.steady()
+        return self._membership.own.member, self._steady
+
     def members(self):
         """Return the members that are not gone."""
         return tuple(self._membership.live_hosts())
--- a/libs/host/src/hemlockhoist/host/inbound.py
+++ b/libs/host/src/hemlockhoist/host/inbound.py
@@ -9,6 +9,8 @@
     ConfigurationRequest,
     ConfigurationSummary,
     ConfigurationSummaryRequest,
+    FeedAnswer,
+    FeedQuestion,
     FirstToken,
     GrantCancel,
     GrantQueued,
@@ -127,6 +129,16 @@
         home.on_held_ids(sender, message)
 
 
+@_handle.register
+def _(message: FeedQuestion, context, sender, late_ms):
+    context.feeds.on_question(sender, message)
+
+
+@_handle.register
+def _(message: FeedAnswer, context, sender, late_ms):
+    context.feeds.on_answer(message)
+
+
 @_handle.register
 def _(message: MoveAnnounced, context, sender, late_ms):
     context.moves.on_announced(message)
--- a/libs/messages/src/hemlockhoist/messages/__init__.py
+++ b/libs/messages/src/hemlockhoist/messages/__init__.py
@@ -17,6 +17,12 @@
     HaltedVersion,
     HaltedVersions,
 )
+from hemlockhoist.messages.feeds import (
+    FeedAnswer,
+    FeedQuestion,
+    FeedRow,
+    FeedState,
+)
 from hemlockhoist.messages.grants import (
     FirstToken,
     GrantCancel,
@@ -72,6 +78,10 @@
     "ConfigurationSummary",
     "ConfigurationSummaryRequest",
     "Envelope",
+    "FeedAnswer",
+    "FeedQuestion",
+    "FeedRow",
+    "FeedState",
     "FirstToken",
     "GrantCancel",
     "GrantQueued",
--- a/libs/messages/src/hemlockhoist/messages/membership.py
+++ b/libs/messages/src/hemlockhoist/messages/membership.py
@@ -27,6 +27,8 @@
     caller_address : str
         ``IP:port`` for callers.
     failure_domain : str
+    processor_millicores : int
+        What the host may use, in thousandths of a core; 0 where it is not told.
     """
 
     address: str
@@ -34,6 +36,7 @@
     started_unix_ms: int = 0
     caller_address: str = ""
     failure_domain: str = ""
+    processor_millicores: int = 0
 
 
 class MemberUpdate(
--- a/libs/messages/src/hemlockhoist/messages/registry.py
+++ b/libs/messages/src/hemlockhoist/messages/registry.py
@@ -14,6 +14,7 @@
     ConfigurationSummaryRequest,
     HaltedVersions,
 )
+from hemlockhoist.messages.feeds import FeedAnswer, FeedQuestion
 from hemlockhoist.messages.grants import (
     FirstToken,
     GrantCancel,
@@ -56,6 +57,8 @@
     ConfigurationRequest,
     ConfigurationSummary,
     ConfigurationSummaryRequest,
+    FeedAnswer,
+    FeedQuestion,
     FirstToken,
     GrantCancel,
     GrantQueued,
--- a/libs/store/src/hemlockhoist/store/rows.py
+++ b/libs/store/src/hemlockhoist/store/rows.py
@@ -36,12 +36,16 @@
         That moment on the store's own steady clock.
     sent_ms : int
         When the call left, on this host's clock that counts suspensions.
+    clock_ms : int or None
+        Where another host passed its reading on: the store's clock when that left it,
+        or later. None for a reading of this host's own.
     """
 
     rows: tuple[StoreRow, ...]
     version: int
     store_ms: int
     sent_ms: int
+    clock_ms: int | None = None
 
 
 class RowChange(msgspec.Struct, frozen=True, kw_only=True):
--- a/libs/store/src/hemlockhoist/store/watch.py
+++ b/libs/store/src/hemlockhoist/store/watch.py
@@ -163,8 +163,12 @@
         try:
             if reading.rows or is_whole:
                 self._on_rows(reading.rows, is_whole)
-            self._version = reading.version
+            self._note_version(reading)
             self._on_reading(reading)
         except Exception:
             _log.error("store_rows_failed", table=self._table, exc_info=True)
-            self._version = reading.version
+            self._note_version(reading)
+
+    def _note_version(self, reading):
+        """Take a reading's version, unless it is an older one that was passed on."""
+        self._version = max(self._version or 0, reading.version)
