--- a/libs/decisions/src/hemlockhoist/decisions/entry/readers.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/readers.py
@@ -35,16 +35,25 @@
     return readers
 
 
-def reader_for(members, own):
+def reader_for(members, own, avoid=frozenset()):
     """Return the host that reads the store for a host, or None for itself.
 
     Parameters
     ==========
     members : sequence of Member
     own : Member
+    avoid : collection of str, optional
+        Addresses of readers that have failed lately; another domain's is asked then.
     """
     readers = find_readers(members)
     if not readers or own in readers.values():
         return None
-    near = readers.get(own.failure_domain)
-    return near or rank_members(readers.values(), own.address)[0]
+    well = {
+        domain: member
+        for domain, member in readers.items()
+        if member.address not in avoid
+    }
+    if not well:
+        return None
+    near = well.get(own.failure_domain)
+    return near or rank_members(well.values(), own.address)[0]
--- a/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_readers.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_readers.py
@@ -41,6 +41,18 @@
         reader = reader_for([*weak, *strong], weak[0])
         self.assertEqual(reader.failure_domain, "d1")
 
+    def test_other_domains_reader_is_asked_while_the_near_one_fails(self):
+        """The store is met by each host of a domain whose reader it turns away."""
+        members = fleet(60)
+        readers = find_readers(members)
+        own = next(m for m in members if m not in readers.values())
+        near = reader_for(members, own)
+        other = reader_for(members, own, {near.address})
+        self.assertIn(other, readers.values())
+        self.assertNotEqual(other, near)
+        failed = {member.address for member in readers.values()}
+        self.assertIsNone(reader_for(members, own, failed))
+
     def test_another_host_reads_when_the_reader_is_gone(self):
         members = fleet(60)
         former = find_readers(members)["d0"]
--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -374,6 +374,7 @@
             attempt.may_connect = False
             attempt.reason = "another run answers at the address"
         if head.is_not_run:
+            attempt.reason = attempt.reason or "it did not run the request"
             return None, AttemptEnd.NOT_RUN
         if not answer.is_for(self._admitted.call.request_id):
             attempt.reason = "the answer is another request's"
@@ -394,6 +395,7 @@
         if head.status < _SERVER_ERROR:
             return response, None
         self._failed_answer = response
+        attempt.reason = f"it answered with status {head.status}"
         return None, AttemptEnd.FAILED_ANSWER
 
     async def _take_stream(self, answer, head, attempt):
--- a/libs/entry/src/hemlockhoist/entry/feeds.py
+++ b/libs/entry/src/hemlockhoist/entry/feeds.py
@@ -46,7 +46,7 @@
         "_copies",
         "_numbers",
         "_relayed",
-        "_rest_until_ms",
+        "_resting",
         "_store",
         "_store_due_ms",
         "_waiting",
@@ -60,7 +60,7 @@
         self._waiting = {}
         self._asked = {}
         self._numbers = itertools.count(1)
-        self._rest_until_ms = 0
+        self._resting = {}
         self._store_due_ms = 0
 
     # As a store.
@@ -117,17 +117,18 @@
         self._answer_waiting(table)
         if not self.is_reader:
             now_ms = self._context.clock.now_ms()
-            self._rest_until_ms = 0
+            self._resting.clear()
             self._store_due_ms = now_ms + STORE_RETRY_MS
 
     # As a host that asks another.
 
     def _reader(self):
         """Return the host to ask, or None to ask the store."""
-        if self._context.clock.now_ms() < self._rest_until_ms:
-            return None
+        now_ms = self._context.clock.now_ms()
+        resting = self._resting.items()
+        self._resting = {host: until for host, until in resting if until > now_ms}
         own, members = self._context.fleet.steady_members()
-        return reader_for(members, own)
+        return reader_for(members, own, self._resting)
 
     @property
     def is_reader(self):
@@ -137,21 +138,33 @@
 
     async def _relayed_reading(self, table, since_version, wait_ms):
         """Return a reader's answer, or None where the store has to be asked."""
-        reader = self._reader() if table in self._relayed else None
-        if reader is None:
-            return None
+        while table in self._relayed:
+            reader = self._reader()
+            if reader is None:
+                self._check_due()
+                return None
+            reading = await self._reading_of(reader, table, since_version, wait_ms)
+            if reading is not None:
+                return reading
+            # The next one is asked for what it has: a host that is cut off from all
+            # of them has to come to the store itself before its proof is too old.
+            wait_ms = 0
+        return None
+
+    async def _reading_of(self, reader, table, since_version, wait_ms):
+        """Return one reader's answer, or None where it has to be left alone."""
         wait_ms = min(wait_ms, RELAYED_WAIT_MS)
         sent_ms = self._context.boot_clock.now_ms()
         answer = await self._ask(reader.address, table, since_version, wait_ms)
         if answer is None or answer.state is FeedState.FAILED:
-            self._rest_until_ms = self._context.clock.now_ms() + READER_REST_MS
+            now_ms = self._context.clock.now_ms()
+            self._resting[reader.address] = now_ms + READER_REST_MS
             _log.info(
                 "reader_failed",
                 table=table,
                 reader=reader.address,
                 silent=answer is None,
             )
-            self._check_due(reader)
             return None
         if answer.state is FeedState.HISTORY_GONE:
             raise HistoryGone(f"{reader.address} has no history of {table}")
@@ -167,7 +180,7 @@
             clock_ms=answer.clock_ms,
         )
 
-    def _check_due(self, reader):
+    def _check_due(self):
         """Leave the store alone for a while where it was out of reach before.
 
         Harm prevented: in an outage each host of a large fleet asks the store several
@@ -177,9 +190,9 @@
         ======
         PlatformError
         """
-        if self._context.clock.now_ms() < self._store_due_ms:
-            self._rest_until_ms = 0
-            raise PlatformError(f"reader {reader.address} has lost the store too")
+        if self._resting and self._context.clock.now_ms() < self._store_due_ms:
+            self._resting.clear()
+            raise PlatformError("the readers have lost the store too")
 
     async def _ask(self, address, table, since_version, wait_ms):
         number = next(self._numbers)
