Make connections by the event loop itself; a fault soak on the published protocol

Cause: a caller that left in the moment in which the HTTP library handed a connected socket to the event loop made the library close a socket whose number the loop went on to own; every later connection that was given the number failed, or the process ended. Ruled out: the proxy, the stand-ins' listening (a unit test without them aborts the process). Change: connections are made by the loop (DirectConnector), and a write to a caller that has just left is logged, not passed on as an error.

--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 soak: $(STAMP)
 	$(PY) -m hemlockhoist.standins.soak --seed $(SEED) --seconds $(SECONDS)
 	$(PY) -m hemlockhoist.standins.soak_processes --seed $(SEED) --seconds $(SECONDS)
+	$(PY) -m hemlockhoist.standins.published.soak --seed $(SEED) --seconds $(SECONDS)
 
 measure: $(STAMP)
 	$(PY) -m hemlockhoist.standins.measure
--- a/libs/entry/src/hemlockhoist/entry/surface.py
+++ b/libs/entry/src/hemlockhoist/entry/surface.py
@@ -41,6 +41,8 @@
 START_WAIT_MS = 500
 # Told to callers that come to a host about to end: any other host takes them at once.
 LEAVING_RETRY_MS = 1
+# By custom, for a caller that closed its connection; never sent.
+CALLER_LEFT_STATUS = 499
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Until the declared ones are known.
 _DEFAULT_LIMITS = RequestLimits()
@@ -122,9 +124,14 @@
         except HemlockhoistError as error:
             self._log_refused(call, request, error)
             return own_answer(wire, call, error)
-        except OSError:
-            # The caller closed its connection while its answer was written.
-            raise
+        except OSError as error:
+            # Failure: the caller closed its connection while its answer was written.
+            # Passed on, the server writes a traceback for each, past the bound on the
+            # volume of logs. Nobody reads what is returned.
+            _log.info(
+                "caller_left", request=call and call.request_id, reason=repr(error)
+            )
+            return web.Response(status=CALLER_LEFT_STATUS)
         except Exception as error:
             # A fault of this program: the caller must not read "not run" into it.
             _log.error(
--- a/libs/standins/src/hemlockhoist/standins/published/replica.py
+++ b/libs/standins/src/hemlockhoist/standins/published/replica.py
@@ -34,6 +34,8 @@
     headers: dict[str, str]
     body: bytes
     closed: bool = False
+    replica_id: str = ""
+    started_s: float = 0.0
 
 
 class Replica:
@@ -108,7 +110,15 @@
         method, target, _ = first.split(" ")
         headers = {k.lower(): v for k, v in (line.split(": ", 1) for line in lines)}
         body = await reader.readexactly(int(headers.get("content-length", 0)))
-        seen = SeenRequest(method, target, headers, body)
+        started_s = asyncio.get_running_loop().time()
+        seen = SeenRequest(
+            method,
+            target,
+            headers,
+            body,
+            replica_id=self.replica_id,
+            started_s=started_s,
+        )
         if await self._reject(seen, writer):
             return
         self.ran.append(seen)
--- /dev/null
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/run.py
@@ -0,0 +1,276 @@
+"""One seed's run: callers, faults, and the verdict."""
+
+import asyncio
+import contextlib
+import itertools
+import pathlib
+import random
+
+import msgspec
+
+from hemlockhoist.standins.published.replica import Replica
+from hemlockhoist.standins.published.site import route
+from hemlockhoist.standins.published.soak.callers import Callers, now_s
+from hemlockhoist.standins.published.soak.checks import Findings
+from hemlockhoist.standins.published.soak.faults import SoakFaults
+from hemlockhoist.standins.published.soak.hosts import START_LIMIT_S, HostProcess
+from hemlockhoist.standins.published.soak.proxy import Proxy
+from hemlockhoist.standins.published.store import StoreStandin
+
+HOSTS = 3
+REPLICAS = 3
+CALLERS = 8
+EVENTS = 6
+KEYS = 12
+REVOCATION_MS = 3_000
+DRAIN_MS = 2_000
+FAULT_PAUSE_S = (0.1, 0.9)
+# After the last fault: leases and pauses run out, and every host serves again.
+RECOVERY_LIMIT_S = 20.0
+# Lines that no run may write: an assertion of the program, or an error it did not expect.
+BAD_LINES = ("property_violated", "Traceback", "request_failed", "level=error")
+
+ROUTES = (
+    route("check-free", "reservas", timeout_ms=1_000),
+    route("book-hall", "reservas", "non_idempotent", max_attempts=1, timeout_ms=1_000),
+    route("report", "asistente", "streaming", resumable=True, timeout_ms=2_000),
+    route("summary", "asistente", "streaming", max_attempts=1, timeout_ms=2_000),
+)
+
+
+class Verdict(msgspec.Struct):
+    """What a run found.
+
+    Parameters
+    ==========
+    found : list of str
+    checked, faults : dict of str to int
+        How often each check was made, and each fault.
+    calls, served : int
+    """
+
+    found: list[str]
+    checked: dict[str, int]
+    faults: dict[str, int]
+    calls: int
+    served: int
+
+
+class SoakRun:
+    """Starts the processes of one seed, disturbs and judges them.
+
+    Parameters
+    ==========
+    seed : int
+    folder : pathlib.Path
+        For settings and logs.
+    """
+
+    usual_delay_ms = 15
+
+    def __init__(self, seed, folder):
+        self.store = StoreStandin()
+        self.store_proxies = []
+        self.hosts = []
+        self._folder = pathlib.Path(folder)
+        self._rng = random.Random(seed)
+        self._replicas = {}
+        self._ended_replicas = []
+        self._numbers = itertools.count(1)
+        self._version = 0
+        self._keys = [f"key-{number}" for number in range(KEYS)]
+        self._revoked = {}
+        self._closers = contextlib.AsyncExitStack()
+        self.callers = Callers(self._addresses, list(self._keys), CALLERS, self._rng)
+        self.faults = SoakFaults(self, self._rng)
+
+    async def run(self, seconds):
+        """Play the seed; return the ``Verdict``."""
+        async with self._closers:
+            await self._start()
+            await self._open(self.callers)
+            await asyncio.sleep(0.5)
+            await self.faults.disturb(seconds, FAULT_PAUSE_S)
+            await self.faults.heal()
+            recovered = await self._wait_ready()
+            await asyncio.sleep(0.5)
+            await self.callers.finish()
+            return self._judge(recovered)
+
+    async def _open(self, part):
+        await part.start()
+        self._closers.push_async_callback(part.close)
+        return part
+
+    async def _start(self):
+        await self._open(self.store)
+        for service, events in (("reservas", 0), ("asistente", EVENTS)):
+            for _ in range(REPLICAS):
+                await self._add_replica(service, events)
+        await self.declare()
+        bounds = {"revocation_ms": REVOCATION_MS, "drain_ms": DRAIN_MS}
+        for number in range(HOSTS):
+            proxy = await self._open(Proxy(self.store.address))
+            self.store_proxies.append(proxy)
+            host = HostProcess(number, proxy.address, self._folder, bounds)
+            self.hosts.append(await self._open(host))
+        self._closers.push_async_callback(self.faults.close)
+        if not await self._wait_ready():
+            raise TimeoutError("the hosts did not become ready")
+
+    async def _wait_ready(self):
+        """Wait until all hosts serve; return whether they did."""
+        end_s = now_s() + max(RECOVERY_LIMIT_S, START_LIMIT_S)
+        while now_s() < end_s:
+            ready = await asyncio.gather(*(_is_ready(host) for host in self.hosts))
+            if all(ready):
+                return True
+            await asyncio.sleep(0.1)
+        return False
+
+    def _addresses(self):
+        return [host.address for host in self.hosts]
+
+    # Replicas.
+
+    def live_replicas(self):
+        """Return the replicas that answer."""
+        return [replica for replica, _, _ in self._replicas.values()]
+
+    def replica_proxies(self):
+        """Return the proxies before them."""
+        return [proxy for _, proxy, _ in self._replicas.values()]
+
+    async def _add_replica(self, service, events, version="v1", target=None):
+        replica = Replica(f"i-{next(self._numbers)}", events=events)
+        replica.delay_ms = self.usual_delay_ms
+        replica.event_ms = 5
+        await self._open(replica)
+        proxy = target
+        if proxy is None:
+            proxy = await self._open(Proxy(replica.address))
+        proxy.target = replica.address
+        self._replicas[replica.replica_id] = (replica, proxy, (service, version))
+        await self._list(replica)
+
+    async def _list(self, replica, **fields):
+        _, proxy, (service, version) = self._replicas[replica.replica_id]
+        row = replica.row(service, version=version, **fields)
+        row["address"] = proxy.address
+        await self.store.put("servers", replica.replica_id, row)
+
+    async def replace_replica(self, replica, pause_s):
+        """End a replica; another one begins where it was, before the list says so."""
+        entry = self._replicas.pop(replica.replica_id, None)
+        if entry is None:
+            return
+        self._ended_replicas.append(replica)
+        await replica.close()
+        _, proxy, (service, version) = entry
+        proxy.reset_all()
+        await self._add_replica(service, replica.events, version, proxy)
+        await asyncio.sleep(pause_s)
+        await self.store.put("servers", replica.replica_id, None)
+
+    async def drain_replica(self, replica):
+        """Let a replica leave as its page says, and another take its place."""
+        if replica.replica_id not in self._replicas:
+            return
+        await self._list(replica, state="draining")
+        service, version = self._replicas[replica.replica_id][2]
+        await self._add_replica(service, replica.events, version)
+        await asyncio.sleep(DRAIN_MS / 1_000 + 1.0)
+        if self._replicas.pop(replica.replica_id, None) is not None:
+            self._ended_replicas.append(replica)
+            await self.store.put("servers", replica.replica_id, None)
+
+    # Operators.
+
+    async def declare(self):
+        """Write a newer version of the routes, with the keys that are left."""
+        self._version += self._rng.randint(1, 4)
+        added = route(f"added-{self._version}", "reservas")
+        tenants = [
+            {"name": self._tenant(key), "api_keys": [key], "priority": 1}
+            for key in self._keys
+            if key not in self._revoked
+        ]
+        body = {
+            "version": self._version,
+            "route_table": [*ROUTES, added],
+            "services": [
+                {"name": name, "health_path": "/healthz", "max_connections": 100}
+                for name in ("reservas", "asistente")
+            ],
+            "limits": {},
+            "tenants": tenants,
+        }
+        await self.store.put("op", "config", body)
+
+    def _tenant(self, key):
+        return f"customer-of-{key}"
+
+    async def take_key_away(self):
+        """Take one key away, and go on sending with it."""
+        left = self.callers.keys
+        if len(left) <= KEYS // 2:
+            return
+        key = self._rng.choice(left)
+        left.remove(key)
+        # Noted before the store has confirmed: no later than that.
+        self._revoked[key] = now_s()
+        await self.declare()
+        self._revoked[key] = now_s()
+        self.callers.taken_away.append(key)
+
+    async def order_version(self):
+        """Order the bookings' service to move to a version that two replicas have."""
+        version = f"v{next(self._numbers)}"
+        for _ in range(2):
+            await self._add_replica("reservas", 0, version)
+        body = {"service": "reservas", "target": version, "duration_s": 6}
+        await self.store.put("op", "rollout/reservas", body)
+
+    # The verdict.
+
+    def _judge(self, recovered):
+        replicas = [*self.live_replicas(), *self._ended_replicas]
+        findings = Findings(self.callers.calls, replicas, EVENTS)
+        tenants = {key: self._tenant(key) for key in self._keys}
+        faults = self.faults
+        findings.judge(
+            self._revoked, REVOCATION_MS, tenants, faults.stops, faults.disturbances
+        )
+        if not recovered:
+            findings.found.append("a host was not ready after all was healed")
+        findings.found += self._bad_lines()
+        calls = self.callers.calls
+        served = sum(call.status == 200 and call.is_whole for call in calls)
+        return Verdict(
+            found=findings.found,
+            checked=dict(findings.checked),
+            faults=faults.counts,
+            calls=len(calls),
+            served=served,
+        )
+
+    def _bad_lines(self):
+        found = []
+        for host in self.hosts:
+            for line in host.log_path.read_text(errors="replace").splitlines():
+                if any(text in line for text in BAD_LINES):
+                    found.append(f"log of {host.name}: {line[:300]}")
+        return found
+
+
+async def _is_ready(host):
+    ip, _, port = host.ready_address.rpartition(":")
+    try:
+        async with asyncio.timeout(0.5):
+            reader, writer = await asyncio.open_connection(ip, int(port))
+            writer.write(b"GET /v1/readyz HTTP/1.0\r\n\r\n")
+            line = await reader.readline()
+            writer.close()
+    except (OSError, TimeoutError):
+        return False
+    return b" 200 " in line
--- /dev/null
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/tests/test_soak.py
@@ -0,0 +1,20 @@
+import pathlib
+import tempfile
+import unittest
+
+from hemlockhoist.standins.published.soak import SoakRun
+
+# Long enough for some ten faults, which overlap.
+SECONDS = 5
+SEED = 1
+
+
+class SoakTests(unittest.IsolatedAsyncioTestCase):
+    async def test_one_short_run_finds_nothing(self):
+        with tempfile.TemporaryDirectory() as folder:
+            verdict = await SoakRun(SEED, pathlib.Path(folder)).run(SECONDS)
+        self.assertEqual(verdict.found, [])
+        self.assertGreater(verdict.served, 50)
+        self.assertGreater(sum(verdict.faults.values()), 3)
+        for check in ("at most once", "a whole answer of its own"):
+            self.assertGreater(verdict.checked[check], 10)
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_site.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_site.py
@@ -1,8 +1,10 @@
 import asyncio
+import contextlib
 import unittest
 import unittest.mock
 
 import aiohttp
+from aiohttp import web
 
 from hemlockhoist.entry import FleetBounds, process
 from hemlockhoist.standins.published import (
@@ -215,6 +217,22 @@
             await asyncio.sleep(0.3)
             self.assertTrue(replicas["asistente"][0].ran[0].closed)
 
+    async def test_answer_that_can_not_be_written_is_no_error(self):
+        """The log fills with tracebacks while callers leave.
+
+        A caller closes its connection between two events; the write of the next one
+        fails before the server has noticed the close.
+        """
+        replicas = engines("e1")
+        broken = unittest.mock.patch.object(
+            web.StreamResponse, "write", side_effect=ConnectionResetError("closing")
+        )
+        with broken, self.assertNoLogs("aiohttp.server", "ERROR"):
+            async with Site(replicas, [REPORT]) as site:
+                with contextlib.suppress(aiohttp.ClientError):
+                    async with site.call("/conflict-report/1", method="POST") as got:
+                        await got.read()
+
 
 class FreshnessTests(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
--- a/libs/upstreams/src/hemlockhoist/upstreams/__init__.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/__init__.py
@@ -9,9 +9,9 @@
     cancel_stream,
 )
 from hemlockhoist.upstreams.connections import (
+    DirectConnector,
     ExactEndConnector,
     guard_socket,
-    open_socket,
 )
 from hemlockhoist.upstreams.events import (
     EventSplitter,
@@ -41,5 +41,5 @@
     "UpstreamClient",
     "cancel_stream",
     "guard_socket",
-    "open_socket",
+    "DirectConnector",
 ]
--- a/libs/upstreams/src/hemlockhoist/upstreams/client.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/client.py
@@ -14,7 +14,7 @@
     Refused,
     ResultCode,
 )
-from hemlockhoist.upstreams.connections import ExactEndConnector
+from hemlockhoist.upstreams.connections import DirectConnector, ExactEndConnector
 from hemlockhoist.upstreams.guard import RepeatedDispatch
 from hemlockhoist.upstreams.names import AnswerNames
 
@@ -187,7 +187,7 @@
         self._session = _open_session(connector, [trace])
         # Load reports change nothing and are asked for all the time: they may use a
         # kept connection, and the library may repeat them.
-        connector = aiohttp.TCPConnector(limit=0, limit_per_host=1)
+        connector = DirectConnector(limit=0, limit_per_host=1)
         self._own_session = _open_session(connector, [])
 
     async def close(self):
--- a/libs/upstreams/src/hemlockhoist/upstreams/connections.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/connections.py
@@ -1,5 +1,6 @@
 """Connections that show when their other end is gone, and how an answer ended."""
 
+import asyncio
 import functools
 import os
 import socket
@@ -17,24 +18,6 @@
 KEEPALIVE_PROBES = 2
 
 
-def open_socket(address_info):
-    """Return a socket for an outgoing connection, for ``aiohttp.TCPConnector``.
-
-    Parameters
-    ==========
-    address_info : tuple
-        As ``socket.getaddrinfo`` gives it.
-    """
-    family, kind, protocol, _, _ = address_info
-    found = socket.socket(family, kind, protocol)
-    try:
-        guard_socket(found)
-    except OSError:
-        found.close()
-        raise
-    return found
-
-
 def guard_socket(found):
     """Set the options that end a connection whose other end is silent."""
     found.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -76,10 +59,50 @@
     return OSError(number, os.strerror(number)) if number else None
 
 
-class ExactEndConnector(aiohttp.TCPConnector):
-    """A connector whose connections report exactly how an answer ended."""
+class DirectConnector(aiohttp.BaseConnector):
+    """Connects to ``IP:port`` addresses, without names and without TLS.
 
-    def __init__(self, **options):
+    Failure: a caller leaves, or a time limit passes, in the moment in which a connection
+    has been made and the HTTP library hands its socket to the event loop. The library
+    closes the socket, of which the loop goes on to own the number. Every connection that
+    is given that number from there on fails, for as long as the process runs, or the
+    loop ends the process. Here the loop makes the connection itself, and a cancelled one
+    is taken back by who owns it.
+
+    Parameters
+    ==========
+    protocol : type, optional
+        Of the connections.
+    is_guarded : bool, optional
+        Whether a connection whose other end is silent ends by itself.
+    options
+        Those of ``aiohttp.BaseConnector``.
+    """
+
+    def __init__(self, protocol=ResponseHandler, is_guarded=False, **options):
         super().__init__(**options)
         # The library has no public way to give a protocol of one's own.
-        self._factory = functools.partial(_ExactEndHandler, loop=self._loop)
+        self._factory = functools.partial(protocol, loop=self._loop)
+        self._is_guarded = is_guarded
+
+    async def _create_connection(self, req, traces, timeout):
+        try:
+            async with asyncio.timeout(timeout.sock_connect):
+                transport, protocol = await self._loop.create_connection(
+                    self._factory, req.url.host, req.url.port
+                )
+        except TimeoutError as error:
+            text = f"no connection to {req.url.host}:{req.url.port} in time"
+            raise aiohttp.ConnectionTimeoutError(text) from error
+        except OSError as error:
+            raise aiohttp.ClientConnectorError(req.connection_key, error) from error
+        if self._is_guarded:
+            guard_socket(transport.get_extra_info("socket"))
+        return protocol
+
+
+class ExactEndConnector(DirectConnector):
+    """A connector whose connections report exactly how an answer ended."""
+
+    def __init__(self, **options):
+        super().__init__(_ExactEndHandler, **options)
--- a/libs/upstreams/src/hemlockhoist/upstreams/tests/test_connections.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/tests/test_connections.py
@@ -1,4 +1,6 @@
 import asyncio
+import contextlib
+import random
 import socket
 import struct
 import threading
@@ -99,3 +101,56 @@
     def test_reset_together_with_the_data_breaks_the_answer(self):
         with self.assertRaises(DispatchError):
             self.run_loop(resets=True, with_data=True)
+
+
+async def answer_shortly(reader, writer):
+    with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        await writer.drain()
+    writer.close()
+
+
+class CancelledConnectTests(unittest.TestCase):
+    """A host answers nobody any more, or its process ends, after callers have left.
+
+    A caller left in the moment in which the connection to the upstream had been made
+    and its socket was handed to the event loop. The loop went on to own the number of a
+    socket that was closed, and each later connection was given that number.
+    """
+
+    ROUNDS = 500
+    AT_ONCE = 8
+
+    def test_connections_are_made_after_many_were_cancelled(self):
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(self.leave_and_ask())
+
+    async def leave_and_ask(self):
+        server = await asyncio.start_server(answer_shortly, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        client = UpstreamClient()
+        await client.start()
+        clock = Clock.from_running_loop()
+        register = DispatchRegister(InvariantLog(fatal=True))
+        rng = random.Random(1)
+
+        async def ask(name):
+            guard = SendGuard(clock, clock.now_ms() + HOUR_MS, register, name)
+            call = UpstreamCall(address=f"127.0.0.1:{port}", method="GET", path="/")
+            async with client.dispatch(call, guard) as answer:
+                return await answer.read(100)
+
+        async def leave(name):
+            task = asyncio.create_task(ask(name))
+            for _ in range(rng.randrange(40)):
+                await asyncio.sleep(0)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+        for number in range(self.ROUNDS):
+            names = [f"left-{number}-{at}" for at in range(self.AT_ONCE)]
+            await asyncio.gather(*(leave(name) for name in names))
+            self.assertEqual(await ask(f"asked-{number}"), b"ok")
+        await client.close()
+        server.close()
