End within the planned stop with a stream still open

Cause: after the drain, closing the callers' connections waited another half second for open requests; with the rest of the end it did not fit into what is left of the stop, and the process was killed. Ruled out: the peers' flush (hosts without open requests end within 0.1 s). Change: the surfaces close without waiting again.

--- a/libs/entry/src/hemlockhoist/entry/surface.py
+++ b/libs/entry/src/hemlockhoist/entry/surface.py
@@ -34,7 +34,9 @@
 # Longer than any declared idle time: the callers end idle connections, not the host. A
 # request that crosses a close on its way is lost, and its caller can not tell.
 KEEP_ALIVE_S = 75.0
-SHUTDOWN_TIMEOUT_S = 0.5
+# Open requests have been waited for before the surfaces close. Failure: waiting here
+# once more, with a stream still open, makes the process outlast its planned stop.
+SHUTDOWN_TIMEOUT_S = 0.05
 # A host that has just started reads the routes and upstreams within some 20 ms where
 # the store answers. Its first callers are let wait for that: a refusal would use up one
 # of their few retries.
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_site.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_site.py
@@ -335,6 +335,28 @@
                 first.cancel()
                 await asyncio.gather(first, return_exceptions=True)
 
+    async def test_process_ends_in_time_with_a_stream_still_open(self):
+        """A process outlasts its planned stop and is killed.
+
+        A stream runs to the end of the stop. Closing the callers' connections waited
+        half a second more for it, and the rest of the process's end did not fit into
+        what was left.
+        """
+        replicas = engines("e1", events=200)
+        replicas["asistente"][0].event_ms = 50
+        bounds = FleetBounds(stop_ms=1_500)
+        with unittest.mock.patch.object(process, "LISTEN_AFTER_STOP_MS", 100):
+            async with Site(replicas, [REPORT], bounds=bounds) as site:
+                patient = {"Deadline_Ms": "9000"}
+                async with site.call("/conflict-report/1", **patient) as answer:
+                    await answer.content.readuntil(b"\n\n")
+                    site.hosts[0].begin_drain()
+                    await site.hosts[0].finished.wait()
+                    async with asyncio.timeout(process.STOP_REST_MS / 1_000 / 2):
+                        await site.hosts[0].close()
+                    with self.assertRaises(aiohttp.ClientPayloadError):
+                        await answer.read()
+
     async def ask(self, site, path, **headers):
         async with site.call(path, **headers) as answer:
             await answer.read()
