--- a/libs/decisions/src/hemlockhoist/decisions/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/__init__.py
@@ -11,6 +11,8 @@
     Upstream,
     UpstreamState,
     WorkRequest,
+    granting_run,
+    new_grant_id,
 )
 
 __all__ = [
@@ -24,4 +26,6 @@
     "UpstreamState",
     "VersionPolicy",
     "WorkRequest",
+    "granting_run",
+    "new_grant_id",
 ]
--- a/libs/decisions/src/hemlockhoist/decisions/limits/allowances.py
+++ b/libs/decisions/src/hemlockhoist/decisions/limits/allowances.py
@@ -281,21 +281,21 @@
         self._window_ms = window_ms
         self._spent = {}
 
-    def add(self, pool, home, customer, units, now_ms):
-        """Note that a home gave a request a place."""
+    def add(self, pool, home_run, customer, units, now_ms):
+        """Note that a run of a home gave a request a place."""
         if not units:
             return
-        key = (pool, home, customer)
+        key = (pool, home_run, customer)
         spending = self._spent.get(key)
         if spending is None:
             spending = self._spent[key] = _Spending(self._window_ms)
         spending.forget(now_ms)
         spending.add(units, now_ms)
 
-    def report(self, pool, asking_home, now_ms):
+    def report(self, pool, asking_run, now_ms):
         """Return ``(customer, ((age_ms, units), …))`` of the present window.
 
-        Without what the home that asks has counted itself.
+        Without what the run of the home that asks has counted itself.
         """
         found = []
         for key, spending in list(self._spent.items()):
@@ -303,6 +303,6 @@
             parts = spending.by_age(now_ms)
             if not parts:
                 del self._spent[key]
-            elif key[0] == pool and key[1] != asking_home:
+            elif key[0] == pool and key[1] != asking_run:
                 found.append((key[2], parts))
         return tuple(found)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/admission.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/admission.py
@@ -31,6 +31,11 @@
 # A prediction may be wrong by half: a request is not called hopeless before its
 # deadline is nearer than this part of the predicted time.
 HOPELESS_PART = 0.5
+# A request gets the last place that is free, often of a slow engine with prompts before
+# it: its first token is allowed this many times the usual, ...
+FIRST_ALLOWANCE = 2.0
+# ... and this for the messages between a home's decision and its caller.
+LEAVE_MARGIN_MS = 100
 
 
 class TierRates:
@@ -154,12 +159,12 @@
             return ResultCode.DEADLINE_PASSED
         if not estimate.known:
             return None
-        whole_ms = left_ms - HOPELESS_PART * estimate.hold_ms(request)
-        if whole_ms < 0:
+        longest_ms = hopeless_ms(request, estimate) - now_ms
+        if longest_ms < 0:
             return ResultCode.DEADLINE_UNREACHABLE
         slack = slack_ms(request, estimate, now_ms)
         if self.lower_served(request.tier_rank, now_ms):
-            slack = max(slack, whole_ms)
+            slack = max(slack, longest_ms)
         if self.wait_ms(request, queue, places, now_ms) > slack:
             return ResultCode.OVERLOADED
         return None
@@ -174,9 +179,18 @@
 
 
 def hopeless_ms(request, estimate):
-    """Return when a waiting request can no longer be answered by its deadline."""
+    """Return until when a request may wait and still be answered.
+
+    Made for callers of streams, who leave long before their deadline when nothing has
+    come. Failure: requests are held in a burst for places that they get when nobody
+    waits any more; they end unanswered, instead of with a time to come back.
+    """
     hold_ms = estimate.hold_ms(request) if estimate.known else 0.0
-    return int(request.deadline_ms - HOPELESS_PART * hold_ms)
+    by_deadline_ms = request.deadline_ms - HOPELESS_PART * hold_ms
+    if request.leaves_ms is None:
+        return int(by_deadline_ms)
+    first_ms = FIRST_ALLOWANCE * estimate.first_token_ms(request) + LEAVE_MARGIN_MS
+    return int(min(by_deadline_ms, request.leaves_ms - first_ms))
 
 
 def slack_ms(request, estimate, now_ms):
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared.py
@@ -24,15 +24,17 @@
 # A request waits for a better upstream only where it would be in time there with this
 # part of its time: what it waits for is an estimate.
 IN_TIME_PART = 0.8
+# An answer's length is an estimate: an upstream counts as too slow for a request where
+# one that is this much longer would not end by the deadline.
+LENGTH_ALLOWANCE = 1.5
 # Until an upstream's first answer has ended.
 INITIAL_HOLD_MS = 500.0
 HOLD_WEIGHT = 0.1
 # Prompts are computed between the tokens of the answers under way. Where a prompt
-# would make their pauses longer than this, it counts as much for each of them.
-MAX_PAUSE_MS = 600.0
+# would make their pauses longer than declared, it counts as much for each of them.
 PAUSED_ANSWER_MS = 400.0
-# Tokens of prompts that are computed between two events of an answer, at most.
-PAUSE_TOKENS = 24_576
+# Part of a declared pause that prompts may take: the rest is for the tokens.
+PROMPT_PART = 0.8
 
 _FAILURES = frozenset({OutcomeKind.FAILED, OutcomeKind.BROKE_OFF, OutcomeKind.TIMEOUT})
 _UNREACHED = frozenset({OutcomeKind.CONNECT_FAILED})
@@ -70,12 +72,23 @@
         self.pending = {}
         self.stalled = 0
 
+    def prompts_ms(self, request):
+        """Return for how long the prompts here and a request's take the engine."""
+        tokens = sum(tokens for tokens, _ in self.pending.values())
+        return self.pace.prompt_ms(tokens + request.prompt_tokens)
+
     def first_token_ms(self, request, now_ms):
         """Return the expected time until a request's first token here."""
         wait_ms = max(0.0, self.prompts_done_ms - now_ms)
         prompt_ms = self.pace.prompt_ms(request.prompt_tokens)
         return wait_ms + prompt_ms + self.pace.base_ms()
 
+    def ends_in_time(self, request, now_ms):
+        """Return whether a whole answer is expected here before the deadline."""
+        decode_ms = LENGTH_ALLOWANCE * self.pace.decode_ms(request.output_tokens)
+        end_ms = now_ms + self.first_token_ms(request, now_ms) + decode_ms
+        return end_ms <= request.deadline_ms
+
     def on_grant(self, held, now_ms):
         """Count a request's prompt."""
         request = held.request
@@ -112,12 +125,14 @@
 class DeclaredTracks:
     """The tracks of a pool's upstreams; the interface is that of ``UpstreamTracks``."""
 
-    __slots__ = ("_pace", "_tracks")
+    __slots__ = ("_gaps_ms", "_pace", "_tracks")
     recovery_ms = DECLARED_RECOVERY_MS
 
     def __init__(self):
         self._tracks = {}
         self._pace = PoolPace()
+        # By route, as declared.
+        self._gaps_ms = {}
 
     def set_max_limit(self, max_limit):
         """Do nothing: the upstreams' own word is the bound."""
@@ -154,6 +169,10 @@
         """Return True: prompts that wait at an upstream count where it is chosen."""
         return True
 
+    def hold_ms(self, request):
+        """Return for how long a request holds a place, at the pool's usual pace."""
+        return self._pace.hold_ms(request)
+
     def turn_ms(self, arrived_ms, cost_ms, due_ms):
         """Return when a request's turn is, within its customer's.
 
@@ -184,20 +203,28 @@
             ),
             default=None,
         )
-        if best is None or self._is_better_later(request, best, ahead, now_ms):
+        if best is None:
+            return None
+        held = in_flight(best.upstream_id)
+        if self._is_better_later(request, best, held, ahead, now_ms):
             return None
         return best
 
-    def _is_better_later(self, request, best, ahead, now_ms):
+    def _is_better_later(self, request, best, held, ahead, now_ms):
         """Return whether a request should wait for an upstream that is full.
 
         Made for long prompts in a burst, on engines of unlike speed: the place that is
         free first is a slow engine's, where the prompt alone takes longer than its
-        caller's target. It waits only where it would be late here and in time there.
+        caller's target, or makes the answers under way pause for longer than declared.
+        It waits only where it would be late or do harm here, and neither there.
         """
         left_ms = request.first_token_by_ms - now_ms
         here = self._tracks[best.upstream_id]
-        if left_ms <= 0 or here.first_token_ms(request, now_ms) <= left_ms:
+        if left_ms <= 0:
+            return False
+        is_late = here.first_token_ms(request, now_ms) > left_ms
+        is_late = is_late or not here.ends_in_time(request, now_ms)
+        if not is_late and not (held and self._makes_pause(request, here)):
             return False
         frees_per_ms = 0.0
         soonest_ms = None
@@ -205,6 +232,10 @@
             first_ms = track.first_token_ms(request, now_ms)
             if track is here or not track.reach.is_open(now_ms, len(track.pending)):
                 continue
+            if self._makes_pause(request, track):
+                continue
+            if not track.ends_in_time(request, now_ms):
+                continue
             if first_ms <= IN_TIME_PART * left_ms:
                 frees_per_ms += track.limit.places / max(1.0, track.hold_ms)
                 soonest_ms = min(first_ms, soonest_ms or first_ms)
@@ -227,16 +258,23 @@
         cost_ms += FAILED_ANSWER_MS * max(0.0, more_failures)
         cost_ms += STALLED_MS * track.stalled
         cost_ms += self._paused_ms(request, track, held)
+        if not track.ends_in_time(request, now_ms):
+            cost_ms += FAILED_ANSWER_MS
         if request.failure_domain != track.failure_domain:
             cost_ms += OTHER_DOMAIN_MS
         return cost_ms
 
     def _paused_ms(self, request, track, held):
-        pending = sum(tokens for tokens, _ in track.pending.values())
-        tokens = min(PAUSE_TOKENS, pending + request.prompt_tokens)
-        if track.pace.prompt_ms(tokens) <= MAX_PAUSE_MS:
-            return 0.0
-        return PAUSED_ANSWER_MS * held
+        return PAUSED_ANSWER_MS * held if self._makes_pause(request, track) else 0.0
+
+    def _makes_pause(self, request, track):
+        """Return whether a request's prompt makes answers pause longer than declared.
+
+        The shortest pause that any route of the pool declares is kept to; where none
+        does, no pause counts.
+        """
+        gap_ms = min(self._gaps_ms.values(), default=None)
+        return gap_ms is not None and track.prompts_ms(request) > PROMPT_PART * gap_ms
 
     def _usual_failure_rate(self, now_ms):
         """Return the lowest failure rate: what a request can not escape anywhere."""
@@ -248,6 +286,8 @@
 
     def on_grant(self, held, now_ms):
         """Count a grant."""
+        if held.request.max_gap_ms > 0:
+            self._gaps_ms[held.request.route] = held.request.max_gap_ms
         self._tracks[held.grant.upstream_id].on_grant(held, now_ms)
 
     def on_first_token(self, held, first_token_ms, now_ms):
--- /dev/null
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/out_of_turn.py
@@ -0,0 +1,71 @@
+"""Which requests of a lower tier may pass waiting ones of higher tiers."""
+
+from hemlockhoist.decisions.scheduling.tier_shares import TierShares
+
+# Of the time of all places, what short requests may take out of their turn: the most by
+# which they delay the tiers above them.
+PLACE_SHARE = 0.05
+# A request is short where it holds a place for no more than this part of the time of
+# each request that it passes.
+SHORT_PART = 0.25
+# Place time that is not used is kept for this long.
+KEPT_MS = 1_000
+
+
+class OutOfTurn:
+    """Lets short requests of a lower tier pass longer ones of higher tiers.
+
+    Made for a burst in which a higher tier holds all places for seconds, and a lower
+    one asks for some hundredths of a second each. Harm without it: the lower tier is
+    refused as a whole, for place time that the higher one would not notice.
+
+    A higher tier is never shed before a lower one by it: a tier's requests pass only
+    while at least as great a part of them was refused lately as of every tier above,
+    and all that pass take a small part of the places' time together.
+    """
+
+    __slots__ = ("_at_ms", "_left_ms", "_shares")
+
+    def __init__(self):
+        self._shares = TierShares()
+        self._left_ms = 0.0
+        self._at_ms = 0
+
+    def note(self, rank, was_refused, now_ms):
+        """Count a request that was given a place or refused for want of one."""
+        self._shares.add(rank, was_refused, now_ms)
+
+    def charge(self, hold_ms):
+        """Count the place time of a request that passed."""
+        self._left_ms -= hold_ms
+
+    def allows(self, rank, hold_ms, passed, places, now_ms):
+        """Return whether a request may pass those of higher tiers that wait.
+
+        Parameters
+        ==========
+        rank : int
+        hold_ms : float or None
+            For how long it is expected to hold a place; None where that is not known.
+        passed : iterable of (int, float)
+            Rank and expected holding time of what it would pass.
+        places : int
+            Of all upstreams that take work.
+        now_ms : int
+        """
+        self._accrue(places, now_ms)
+        if hold_ms is None or self._left_ms < hold_ms:
+            return False
+        own = self._shares.refused(rank, now_ms)
+        return all(
+            hold_ms <= SHORT_PART * other_ms
+            and own >= self._shares.refused(other, now_ms)
+            for other, other_ms in passed
+        )
+
+    def _accrue(self, places, now_ms):
+        passed_ms = max(0, now_ms - self._at_ms)
+        self._at_ms = max(self._at_ms, now_ms)
+        most_ms = PLACE_SHARE * places * KEPT_MS
+        gained_ms = PLACE_SHARE * places * passed_ms
+        self._left_ms = min(most_ms, self._left_ms + gained_ms)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/pace.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/pace.py
@@ -36,6 +36,11 @@
         """The time of a token on an engine of which nothing is known yet."""
         return INITIAL_TOKEN_MS if self._token_ms is None else self._token_ms
 
+    def hold_ms(self, request):
+        """Return for how long a request keeps a place of a usual engine."""
+        tokens = self.base_tokens + self.prompt_tokens * request.prompt_tokens
+        return self.token_ms * (tokens + request.output_tokens)
+
     def observe_token(self, token_ms):
         """Take the time of a token of one answer, of any engine."""
         if self._token_ms is None:
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/queue.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/queue.py
@@ -25,11 +25,16 @@
         Breaks ties: counts up with each arrival.
     is_late : bool
         Whether its first token target has passed.
+    is_returned : bool
+        Whether it was refused before, and came back as it was told.
     """
 
-    __slots__ = ("cost_ms", "is_late", "rank_key", "request")
+    __slots__ = ("cost_ms", "is_late", "is_returned", "rank_key", "request")
 
-    def __init__(self, request, cost_ms, turn_ms, order, is_late=False):
+    def __init__(
+        self, request, cost_ms, turn_ms, order, is_late=False, is_returned=False
+    ):
+        self.is_returned = is_returned
         self.request = request
         self.cost_ms = cost_ms
         self.is_late = is_late
@@ -82,13 +87,18 @@
         self.cost_ms += waiting.cost_ms
         self.size += 1
 
-    def take(self):
-        """Remove and return the request that is next, or None."""
+    def first(self):
+        """Return the request that is next, or None."""
         if not self._active:
             return None
         _, name = self._active[0]
-        waiting = self._customers[name].waiting[0]
-        self.remove(waiting)
+        return self._customers[name].waiting[0]
+
+    def take(self):
+        """Remove and return the request that is next, or None."""
+        waiting = self.first()
+        if waiting is not None:
+            self.remove(waiting)
         return waiting
 
     def charge(self, waiting):
@@ -177,22 +187,24 @@
 
 
 class TierQueue:
-    """One tier: requests that are in time, and behind them those that are late.
+    """One tier: requests in time, then those that came back, then the late ones.
 
     A late request does not count as goodput any more, yet its caller may still get a
-    whole answer; it is served when nobody in time waits.
+    whole answer; it is served when nobody in time waits. One that was refused and came
+    back is late too, and goes first of these: its caller will not come a third time.
     """
 
-    __slots__ = ("_in_time", "_late")
+    __slots__ = ("_in_time", "_late", "_returned")
 
     def __init__(self):
+        self._returned = FairQueue()
         self._in_time = FairQueue()
         self._late = FairQueue()
 
     @property
     def size(self):
         """Number of waiting requests."""
-        return self._in_time.size + self._late.size
+        return self._returned.size + self._in_time.size + self._late.size
 
     @property
     def cost_ms(self):
@@ -203,9 +215,13 @@
         """Add a request."""
         self._part(waiting).push(waiting)
 
+    def first(self):
+        """Return the request that is next, or None."""
+        return self._in_time.first() or self._returned.first() or self._late.first()
+
     def take(self):
         """Remove and return the request that is next, or None."""
-        return self._in_time.take() or self._late.take()
+        return self._in_time.take() or self._returned.take() or self._late.take()
 
     def charge(self, waiting):
         """Count a taken request that was granted against its customer's share."""
@@ -217,11 +233,14 @@
 
     def heaviest(self):
         """Return the request that gives way first, or None."""
-        return self._late.heaviest() or self._in_time.heaviest()
+        first = self._late.heaviest() or self._in_time.heaviest()
+        return first or self._returned.heaviest()
 
     def is_heavier(self, waiting, request):
         """Return whether a waiting request gives way to a new one."""
-        return waiting.is_late or self._in_time.is_heavier(waiting, request)
+        if waiting.is_late:
+            return True
+        return not waiting.is_returned and self._in_time.is_heavier(waiting, request)
 
     def share_of_backlog_ms(self, request):
         """Return the predicted work that is served before a new request."""
@@ -229,10 +248,13 @@
 
     def forget_idle(self):
         """Drop idle customers whose share is used up by the passing of time."""
+        self._returned.forget_idle()
         self._in_time.forget_idle()
         self._late.forget_idle()
 
     def _part(self, waiting):
+        if waiting.is_returned:
+            return self._returned
         return self._late if waiting.is_late else self._in_time
 
 
@@ -318,6 +340,17 @@
         """Return how many requests of lower tiers wait."""
         return sum(self._tiers[r].size for r in self._ranks if r > rank)
 
+    def first_above(self, rank):
+        """Return the next request of each higher tier that has any."""
+        tiers = (self._tiers[r] for r in self._ranks if r < rank)
+        return [tier.first() for tier in tiers if tier.size]
+
+    def waiting_below(self, rank):
+        """Return the waiting requests of lower tiers, the highest tier's first."""
+        found = [item for item, _ in self._by_id.values()]
+        found = [item for item in found if item.request.tier_rank > rank]
+        return sorted(found, key=lambda item: item.request.tier_rank)
+
     def lowest(self):
         """Return the request that is shed first, or None."""
         for rank in reversed(self._ranks):
--- /dev/null
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/returns.py
@@ -0,0 +1,89 @@
+"""Refused requests that come back as they were told."""
+
+import collections
+
+from hemlockhoist.decisions.scheduling.admission import MIN_RETRY_AFTER_MS
+
+# A caller comes back after at most this part of the time that it has left, whatever it
+# is told.
+RETURN_PART = 1 / 3
+# A returned request waits for a place once more, and may get a slow upstream: of its time,
+# this many usual answers are kept for it.
+ANSWER_ALLOWANCE = 3.0
+# Messages and callers' clocks make the time of a return inexact by about this.
+EARLY_MS = 100
+# How long after the told time a request still counts as having come back.
+LATE_MS = 2_000
+# Bound on what is remembered, for a burst that is refused as a whole.
+MAX_REMEMBERED = 10_000
+
+
+class ReturnBook:
+    """Knows a request that comes back after it was refused.
+
+    Made for bursts that outlast what a caller can wait. A caller comes back once; one
+    that is refused again has waited in vain, while a new one still has its return. A
+    caller that comes back before the time that it was told gains nothing by it.
+
+    A request has another id when it comes back, and is known by its route, customer
+    and size. One without a size can not be told from others.
+    """
+
+    __slots__ = ("_due",)
+
+    def __init__(self):
+        self._due = collections.OrderedDict()
+
+    def note_refused(self, request, retry_after_ms, now_ms):
+        """Remember a refused request."""
+        if not request.prompt_tokens:
+            return
+        self._forget(now_ms)
+        key = _key(request)
+        self._due[key] = now_ms + retry_after_ms
+        self._due.move_to_end(key)
+        if len(self._due) > MAX_REMEMBERED:
+            self._due.popitem(last=False)
+
+    def take(self, request, now_ms):
+        """Return whether a request was refused before, and has waited as told."""
+        due_ms = self._due.get(_key(request))
+        if due_ms is None or now_ms < due_ms - EARLY_MS:
+            return False
+        del self._due[_key(request)]
+        return now_ms <= due_ms + LATE_MS
+
+    def _forget(self, now_ms):
+        while self._due:
+            key, due_ms = next(iter(self._due.items()))
+            if now_ms <= due_ms + LATE_MS:
+                return
+            del self._due[key]
+
+
+def longest_return_ms(request, hold_ms, now_ms):
+    """Return after how long a refused request should come back.
+
+    Made for bursts of some seconds: who comes back sooner is refused again by the same
+    burst. It is the longest time that a caller waits and that leaves enough of its own
+    for a whole answer.
+
+    Parameters
+    ==========
+    request : hemlockhoist.decisions.WorkRequest
+    hold_ms : float
+        How long its answer takes on a usual upstream.
+    now_ms : int
+    """
+    left_ms = request.deadline_ms - now_ms
+    spare_ms = left_ms - ANSWER_ALLOWANCE * hold_ms
+    return int(max(MIN_RETRY_AFTER_MS, min(RETURN_PART * left_ms, spare_ms)))
+
+
+def _key(request):
+    return (
+        request.customer,
+        request.route,
+        request.prompt_tokens,
+        request.output_tokens,
+    )
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -11,10 +11,12 @@
 from hemlockhoist.decisions.scheduling.estimates import ServiceEstimate
 from hemlockhoist.decisions.scheduling.fleet import Fleet
 from hemlockhoist.decisions.scheduling.grants import GrantBook, Held
+from hemlockhoist.decisions.scheduling.out_of_turn import OutOfTurn
 from hemlockhoist.decisions.scheduling.queue import RequestQueue, Waiting
+from hemlockhoist.decisions.scheduling.returns import ReturnBook, longest_return_ms
 from hemlockhoist.decisions.scheduling.shedding import Shedder
 from hemlockhoist.decisions.scheduling.tracking import UpstreamTracks
-from hemlockhoist.decisions.work import Grant, Granted, OutcomeKind
+from hemlockhoist.decisions.work import Grant, Granted, OutcomeKind, new_grant_id
 
 # A grant that is not used within this time is void: the entry host must dispatch at
 # once or give it back, so that a place is never held by a request that went away.
@@ -48,8 +50,10 @@
         "_policy",
         "_pool",
         "_queue",
+        "_returns",
         "_sequence",
         "_shedder",
+        "_turns",
     )
 
     def __init__(self, pool, tiers, incarnation, policy, invariants, tracks):
@@ -62,8 +66,16 @@
         self._estimate = ServiceEstimate()
         self._grants = GrantBook()
         self._fleet = Fleet(self._grants, tracks)
+        self._turns = OutOfTurn()
+        self._returns = ReturnBook()
         self._shedder = Shedder(
-            self._queue, self._admission, invariants, self._retry_after_ms
+            self._queue,
+            self._admission,
+            self._turns,
+            self._returns,
+            invariants,
+            self._retry_after_ms,
+            self._may_pass,
         )
         self._sequence = 0
         self._order = 0
@@ -229,7 +241,8 @@
         return self._queue.next_due_ms()
 
     def _admit(self, request, now_ms):
-        code = self._refusal(request, now_ms)
+        is_returned = self._returns.take(request, now_ms)
+        code = self._refusal(request, is_returned, now_ms)
         if code is ResultCode.OVERLOADED:
             return self._shedder.shed(request, code, now_ms)
         if code is not None:
@@ -240,19 +253,27 @@
         self._order += 1
         cost_ms = self._estimate.hold_ms(request)
         wait_ms = slack_ms(request, self._estimate, now_ms)
+        if is_returned:
+            wait_ms = hopeless_ms(request, self._estimate) - now_ms
         due_ms = int(now_ms + max(1, wait_ms))
         turn_ms = self._fleet.tracks.turn_ms(now_ms, cost_ms, due_ms)
-        waiting = Waiting(request, cost_ms, turn_ms, self._order)
+        waiting = Waiting(
+            request, cost_ms, turn_ms, self._order, is_returned=is_returned
+        )
         self._queue.push(waiting, due_ms)
         return decisions
 
-    def _refusal(self, request, now_ms):
+    def _refusal(self, request, is_returned, now_ms):
         if not self._fleet.table.usable():
             return ResultCode.NO_UPSTREAM
         held = self._grants.of_customer(request.customer)
         held += self._queue.of_customer(request.customer)
         if held >= request.max_in_flight:
             return ResultCode.CUSTOMER_LIMIT
+        if self._queue.above(request.tier_rank) and self._may_pass(request, now_ms):
+            return None
+        if is_returned:
+            return None
         if self._admission.shed_above(request.tier_rank, self._queue):
             return ResultCode.OVERLOADED
         places = self._fleet.places(now_ms)
@@ -266,9 +287,39 @@
         decisions = self._grant_all(now_ms)
         return decisions + self._give_up(now_ms)
 
-    def _grant_all(self, now_ms):
+    def _may_pass(self, request, now_ms):
+        """Return whether a request may pass those of higher tiers that wait."""
+        tracks = self._fleet.tracks
+        above = self._queue.first_above(request.tier_rank)
+        passed = [
+            (item.request.tier_rank, tracks.hold_ms(item.request)) for item in above
+        ]
+        places = self._fleet.places(now_ms)
+        hold_ms = tracks.hold_ms(request)
+        return self._turns.allows(request.tier_rank, hold_ms, passed, places, now_ms)
+
+    def _grant_out_of_turn(self, free, now_ms):
+        """Give places to requests that may pass those of higher tiers that wait."""
         decisions = []
+        for rank in self._queue.ranks:
+            while free and self._queue.above(rank):
+                first = self._queue.tier(rank).first()
+                if first is None or not self._may_pass(first.request, now_ms):
+                    break
+                waiting, due_ms = self._queue.take(rank)
+                upstream = self._place(waiting.request, free, 0, now_ms)
+                if upstream is None:
+                    self._queue.push(waiting, due_ms)
+                    break
+                self._turns.charge(self._fleet.tracks.hold_ms(waiting.request))
+                decisions.append(self._grant(waiting, upstream, now_ms))
+                if not self._fleet.has_place(upstream, now_ms):
+                    free.remove(upstream)
+        return decisions
+
+    def _grant_all(self, now_ms):
         free = self._fleet.free(now_ms)
+        decisions = self._grant_out_of_turn(free, now_ms)
         held_back = []
         for rank in self._queue.ranks:
             while free and len(held_back) < MAX_HELD_BACK:
@@ -279,6 +330,7 @@
                 if upstream is None:
                     held_back.append(taken)
                     continue
+                self._check_turn(taken[0].request)
                 decisions.append(self._grant(taken[0], upstream, now_ms))
                 if not self._fleet.has_place(upstream, now_ms):
                     free.remove(upstream)
@@ -332,12 +384,13 @@
 
     def _grant(self, waiting, upstream, now_ms):
         request = waiting.request
-        self._check_grant(request, upstream)
+        self._check_staying(request, upstream)
+        self._turns.note(request.tier_rank, False, now_ms)
         self._queue.tier(request.tier_rank).charge(waiting)
         self._admission.note_grant(request.tier_rank, waiting.cost_ms, now_ms)
         self._sequence += 1
         grant = Grant(
-            grant_id=f"{self._incarnation}:{self._pool.name}:{self._sequence}",
+            grant_id=new_grant_id(self._incarnation, self._pool.name, self._sequence),
             request_id=request.request_id,
             upstream_id=upstream.upstream_id,
             address=upstream.address,
@@ -350,12 +403,14 @@
         self._policy.on_grant(request, upstream.version, now_ms, upstream.upstream_id)
         return Granted(request=request, grant=grant)
 
-    def _check_grant(self, request, upstream):
+    def _check_turn(self, request):
         self._invariants.check(
             Property.TIER_ORDER,
             self._queue.above(request.tier_rank) == 0,
-            f"{request.request_id} granted while a higher tier waits",
+            f"{request.request_id} granted in turn while a higher tier waits",
         )
+
+    def _check_staying(self, request, upstream):
         self._invariants.check(
             Property.LEAVING_UPSTREAM_NO_WORK,
             not self._fleet.table.is_leaving(upstream.upstream_id),
@@ -385,6 +440,9 @@
 
     def _retry_after_ms(self, request, now_ms):
         places = self._fleet.places(now_ms)
+        hold_ms = self._fleet.tracks.hold_ms(request)
+        if places and hold_ms is not None:
+            return longest_return_ms(request, hold_ms, now_ms)
         return self._admission.retry_after_ms(
             request, self._queue, places, self._estimate, now_ms
         )
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/shedding.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/shedding.py
@@ -12,18 +12,39 @@
     refused while it still has waiting ones. They would wait behind that tier's whole
     queue anyway; kept, they could be served after a higher one was turned away.
 
+    What may pass the refused tier, as ``OutOfTurn`` says, does not wait behind it, and
+    stays.
+
     Parameters
     ==========
     queue : RequestQueue
     admission : Admission
+    turns : OutOfTurn
+    returns : ReturnBook
     invariants : hemlockhoist.base.InvariantLog
     retry_after_ms : callable
         Works out from the queue when a request should come back.
+    may_pass : callable
+        ``may_pass(request, now_ms)`` says whether a request of a lower tier may pass
+        those of higher ones that wait.
     """
 
-    __slots__ = ("_admission", "_invariants", "_queue", "_retry_after_ms")
+    __slots__ = (
+        "_admission",
+        "_invariants",
+        "_may_pass",
+        "_queue",
+        "_retry_after_ms",
+        "_returns",
+        "_turns",
+    )
 
-    def __init__(self, queue, admission, invariants, retry_after_ms):
+    def __init__(
+        self, queue, admission, turns, returns, invariants, retry_after_ms, may_pass
+    ):
+        self._returns = returns
+        self._turns = turns
+        self._may_pass = may_pass
         self._queue = queue
         self._admission = admission
         self._invariants = invariants
@@ -32,16 +53,19 @@
     def reject(self, request, code, now_ms):
         """Return the refusal of a request that doesn't wait."""
         retry_after_ms = self._retry_after_ms(request, now_ms)
+        self._returns.note_refused(request, retry_after_ms, now_ms)
         return Rejected(request=request, code=code, retry_after_ms=retry_after_ms)
 
     def shed(self, request, code, now_ms):
         """Return the refusal of a request for want of places, lower tiers' first."""
-        rank = request.tier_rank
-        decisions = []
-        while self._queue.below(rank):
-            decisions.append(self._displace(self._queue.lowest(), now_ms))
-        decisions.append(self._refuse(request, code, now_ms))
-        return decisions
+        refusal = self._refuse(request, code, now_ms)
+        decisions = [
+            self._displace(waiting, now_ms)
+            for waiting in self._queue.waiting_below(request.tier_rank)
+            if not self._may_pass(waiting.request, now_ms)
+        ]
+        self._check_order(request, now_ms)
+        return [*decisions, refusal]
 
     def make_room(self, request, now_ms):
         """Return the refusals that a full tier queue needs, perhaps of ``request``.
@@ -69,9 +93,15 @@
 
     def _refuse(self, request, code, now_ms):
         self._admission.note_shed(request.tier_rank)
+        self._turns.note(request.tier_rank, True, now_ms)
+        return self.reject(request, code, now_ms)
+
+    def _check_order(self, request, now_ms):
         self._invariants.check(
             Property.TIER_ORDER,
-            self._queue.below(request.tier_rank) == 0,
-            f"{request.request_id} refused while a lower tier waits",
+            all(
+                self._may_pass(waiting.request, now_ms)
+                for waiting in self._queue.waiting_below(request.tier_rank)
+            ),
+            f"{request.request_id} refused while a lower tier waits behind it",
         )
-        return self.reject(request, code, now_ms)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tracking.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tracking.py
@@ -179,6 +179,10 @@
         waiting_ms = self._tracks[upstream_id].prompts_done_ms - now_ms
         return waiting_ms < MAX_PROMPT_WAIT_MS
 
+    def hold_ms(self, request):
+        """Return None: how long places are held is not known before limits are."""
+        return
+
     def turn_ms(self, arrived_ms, cost_ms, due_ms):
         """Return when a request's turn is, within its customer's."""
         return short_first_ms(arrived_ms, cost_ms)
--- a/libs/decisions/src/hemlockhoist/decisions/work.py
+++ b/libs/decisions/src/hemlockhoist/decisions/work.py
@@ -32,6 +32,12 @@
         Chained hashes of the prompt's leading blocks, shortest prefix first.
     deadline_ms, first_token_by_ms : int
         On the home's clock.
+    leaves_ms : int or None
+        On the home's clock: when its caller leaves if nothing of the answer has come;
+        None where it waits to the deadline.
+    max_gap_ms : int
+        The longest pause between events of an answer that is in time; 0 where none is
+        declared.
     entry_host : str
         Host id of the owner of the request.
     failure_domain : str
@@ -65,6 +71,8 @@
     units: int = 0
     avoid: tuple[str, ...] = ()
     is_new: bool = True
+    leaves_ms: int | None = None
+    max_gap_ms: int = 0
 
 
 class UpstreamState(enum.Enum):
@@ -135,6 +143,16 @@
     expires_ms: int
 
 
+def new_grant_id(incarnation, pool, number):
+    """Return a grant's id, unique over all homes and their runs."""
+    return f"{incarnation}:{pool}:{number}"
+
+
+def granting_run(grant_id):
+    """Return the incarnation of the home that gave a grant."""
+    return grant_id.partition(":")[0]
+
+
 class OutcomeKind(enum.Enum):
     """How a dispatched (or granted and never dispatched) request ended."""
 
--- a/libs/declarations/src/hemlockhoist/declarations/routes.py
+++ b/libs/declarations/src/hemlockhoist/declarations/routes.py
@@ -51,6 +51,9 @@
     max_gap_ms : int
         Of a stream: the longest pause between events of an answer that is in time; 0
         where none is declared.
+    caller_patience_ms : int
+        Of a stream: a caller that gets no event for this long leaves; 0 where callers
+        wait for the whole time that they state.
     rank : int
         0 is the highest.
     shares : tuple of PoolShare
@@ -69,6 +72,7 @@
     timeout_ms: int
     target_ms: int
     max_gap_ms: int = 0
+    caller_patience_ms: int = 0
     rank: int = 0
     shares: tuple[PoolShare, ...] = ()
     max_attempts: int = 1
--- a/libs/entry/src/hemlockhoist/entry/admission.py
+++ b/libs/entry/src/hemlockhoist/entry/admission.py
@@ -24,9 +24,9 @@
     customer : KeyedCustomer or None
         None on routes without a key.
     pool : str
-    arrived_ms, deadline_ms, target_by_ms : int
-        On this host's clock: when it came, when its final answer is due, and until
-        when an answer is in time.
+    arrived_ms, deadline_ms, target_by_ms, leaves_ms : int
+        On this host's clock: when it came, when its final answer is due, until when an
+        answer is in time, and when its caller leaves if nothing of it has come.
     """
 
     call: CallerCall
@@ -36,6 +36,7 @@
     arrived_ms: int
     deadline_ms: int
     target_by_ms: int
+    leaves_ms: int
 
     @property
     def rank(self):
@@ -104,14 +105,19 @@
         patience_ms = call.patience_ms
         if patience_ms is None:
             patience_ms = DEFAULT_PATIENCE_MS
+        deadline_ms = arrived_ms + min(patience_ms, route.timeout_ms)
+        leaves_ms = deadline_ms
+        if route.caller_patience_ms:
+            leaves_ms = min(leaves_ms, arrived_ms + route.caller_patience_ms)
         return AdmittedCall(
             call=call,
             route=route,
             customer=customer,
             pool=self._chooser.choose(route.name, route.shares),
             arrived_ms=arrived_ms,
-            deadline_ms=arrived_ms + min(patience_ms, route.timeout_ms),
+            deadline_ms=deadline_ms,
             target_by_ms=arrived_ms + route.target_ms,
+            leaves_ms=leaves_ms,
         )
 
     def customer_of(self, call):
--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -66,6 +66,7 @@
         "hold",
         "is_misdirected",
         "kind",
+        "longest_gap_ms",
         "may_connect",
         "output_tokens",
         "reason",
@@ -81,6 +82,7 @@
         self.is_misdirected = False
         self.first_ms = None
         self.output_tokens = 0
+        self.longest_gap_ms = 0
         self.token_us = -1
         self.reason = ""
 
@@ -224,6 +226,8 @@
             output_tokens=admitted.output_tokens,
             deadline_in_ms=admitted.deadline_ms - now_ms,
             first_token_in_ms=admitted.target_by_ms - now_ms,
+            leaves_in_ms=admitted.leaves_ms - now_ms,
+            max_gap_ms=admitted.route.max_gap_ms,
             failure_domain=self._context.identity.failure_domain,
             trace=self._context.traces.text_for_peer(),
             attempt=1 + self._arrivals,
@@ -415,6 +419,7 @@
             tokens_per_event = engine.tokens_per_event if engine else 1
             events = self._relay.events - before
             attempt.output_tokens = events * tokens_per_event
+            attempt.longest_gap_ms = self._relay.longest_gap_ms
             event_us = self._relay.usual_event_us()
             if event_us > 0:
                 attempt.token_us = event_us // tokens_per_event
@@ -489,5 +494,6 @@
             sent=attempt.guard.opened,
             first_ms=outcome.first_token_ms,
             total_ms=outcome.total_ms,
+            longest_gap_ms=attempt.longest_gap_ms,
             reason=attempt.reason,
         )
--- a/libs/entry/src/hemlockhoist/entry/stream.py
+++ b/libs/entry/src/hemlockhoist/entry/stream.py
@@ -105,6 +105,7 @@
         "_event_times_us",
         "_is_leaving",
         "_last_event_ms",
+        "_longest_gap_ms",
         "_reader",
         "_request",
         "_response",
@@ -120,6 +121,7 @@
         self._response = None
         self._event_times_us = []
         self._last_event_ms = None
+        self._longest_gap_ms = 0
         self.events = 0
 
     @property
@@ -155,6 +157,7 @@
         self._reader.restart()
         self._event_times_us = []
         self._last_event_ms = None
+        self._longest_gap_ms = 0
         first = True
         watch = StallWatch(answer, self._stall_limit_ms(True), self._clock)
         watch.start()
@@ -202,10 +205,16 @@
     def _note_times(self, count):
         now_ms = self._clock.now_ms()
         if self._last_event_ms is not None:
-            passed_us = (now_ms - self._last_event_ms) * US_PER_MS
-            self._event_times_us.append(passed_us // count)
+            passed_ms = now_ms - self._last_event_ms
+            self._longest_gap_ms = max(self._longest_gap_ms, passed_ms)
+            self._event_times_us.append(passed_ms * US_PER_MS // count)
         self._last_event_ms = now_ms
 
+    @property
+    def longest_gap_ms(self):
+        """The longest pause between this upstream's events; 0 before the second."""
+        return self._longest_gap_ms
+
     def usual_event_us(self):
         """Return the median time between this upstream's events, or -1.
 
--- a/libs/host/src/hemlockhoist/host/grants.py
+++ b/libs/host/src/hemlockhoist/host/grants.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from hemlockhoist.base import MS_PER_S, Refused, ResultCode
+from hemlockhoist.decisions import granting_run
 from hemlockhoist.messages import (
     FirstToken,
     GrantCancel,
@@ -304,7 +305,8 @@
         self._held[hold.grant_id] = hold
         if self._spent is not None:
             now_ms = self._clock.now_ms()
-            self._spent.add(hold.pool, hold.home, brief.customer, brief.units, now_ms)
+            home_run = granting_run(hold.grant_id)
+            self._spent.add(hold.pool, home_run, brief.customer, brief.units, now_ms)
         return hold
 
     def _cancel(self, waiter, home):
@@ -394,20 +396,23 @@
             if waiter.asked != self._home_of(waiter.pool):
                 waiter.inbox.put_nowait((_ASK_AGAIN, 0))
 
-    def report(self, pool, home_incarnation, home=""):
+    def report(self, pool, home_incarnation):
         """Return the answer to a new home's question.
 
+        Failure: a home is killed and starts again at its address. Taken for the run
+        that had counted what was spent, it is not told, and gives a customer its
+        allowance once more. So runs are told apart, not hosts.
+
         Parameters
         ==========
         pool, home_incarnation : str
-        home : str, optional
-            Its host id.
         """
         held = [hold for hold in self._held.values() if hold.pool == pool]
         grants = tuple(_held_grant(hold) for hold in held)
         spent = ()
         if self._spent is not None:
-            spent = self._spent.report(pool, home, self._clock.now_ms())
+            now_ms = self._clock.now_ms()
+            spent = self._spent.report(pool, home_incarnation, now_ms)
         return HeldGrants(
             pool=pool,
             home_incarnation=home_incarnation,
--- a/libs/host/src/hemlockhoist/host/inbound.py
+++ b/libs/host/src/hemlockhoist/host/inbound.py
@@ -112,7 +112,7 @@
 
 @_handle.register
 def _(message: HomeTakeover, context, sender, late_ms):
-    report = context.grants.report(message.pool, message.home_incarnation, sender)
+    report = context.grants.report(message.pool, message.home_incarnation)
     context.bus.send(sender, report)
 
 
--- a/libs/host/src/hemlockhoist/host/tests/test_grants.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_grants.py
@@ -4,6 +4,7 @@
 from hemlockhoist.base.testing import PausedTestCase
 from hemlockhoist.base.traces import Traces
 from hemlockhoist.decisions import Outcome, OutcomeKind, Upstream
+from hemlockhoist.decisions.limits import SpentLog
 from hemlockhoist.decisions.scheduling import PoolScheduler
 from hemlockhoist.declarations import Pool, PoolKind, Tier
 from hemlockhoist.host.grants import GrantClient
@@ -130,6 +131,55 @@
             await asyncio.sleep(0.05)
 
 
+class SpentReportTests(PausedTestCase):
+    async def test_home_that_restarted_is_told_what_it_had_granted(self):
+        """A customer is served more than its allowance after its home was killed.
+
+        The home's process starts again at its address, and is home again. The entry
+        hosts took it for the one that had counted their requests itself, and left them
+        out of their answer.
+        """
+        clock = Clock(asyncio.get_running_loop())
+        sent = []
+        client = GrantClient(
+            clock,
+            lambda host, message: sent.append(message),
+            lambda pool: "10.0.0.1:7400",
+            lambda host: None,
+            spent=SpentLog(8_000),
+        )
+
+        def brief(now_ms):
+            return RequestBrief(
+                request_id="r1",
+                route="r",
+                customer="port",
+                tier_rank=0,
+                units=500,
+                deadline_in_ms=9_000,
+                first_token_in_ms=9_000,
+            )
+
+        asked = asyncio.create_task(client.acquire("chat", brief, clock.now_ms() + 900))
+        await asyncio.sleep(0)
+        client.on_message(
+            GrantReply(
+                pool="chat",
+                request_id="r1",
+                grant_id="run1:chat:1",
+                upstream_id="u",
+                address="127.0.0.1:1",
+                version="v1",
+                expires_in_ms=2_000,
+            ),
+            0,
+        )
+        await asked
+        self.assertEqual(client.report("chat", "run1").spent, ())
+        ((customer, parts),) = client.report("chat", "run2").spent
+        self.assertEqual((customer, sum(units for _, units in parts)), ("port", 500))
+
+
 class GrantTests(GrantHarness):
     async def test_a_lost_reply_gives_the_same_grant_again(self):
         """The home's reply is lost; the repeated question gets the same grant."""
--- a/libs/messages/src/hemlockhoist/messages/grants.py
+++ b/libs/messages/src/hemlockhoist/messages/grants.py
@@ -32,6 +32,12 @@
         Whether this is the first that any home hears of the request.
     avoid : tuple of str
         Upstreams that failed the request before.
+    leaves_in_ms : int or None
+        Until its caller leaves if nothing of the answer has come; None where it waits
+        to the deadline.
+    max_gap_ms : int
+        The longest pause between events of an answer that is in time; 0 where none is
+        declared.
     """
 
     request_id: str
@@ -52,6 +58,8 @@
     units: int = 0
     avoid: tuple[str, ...] = ()
     is_new: bool = True
+    leaves_in_ms: int | None = None
+    max_gap_ms: int = 0
 
 
 class GrantRequest(
