Dial a peer again soon while no connection is there

Cause: after a loss of all hosts the first ones dial others that have no power yet; the packet is lost and the kernel sends it again after a second. Until then each knows half of the fleet and five of eight make themselves home, give places several times, and wait 1.0 s for hosts that they have asked. Ruled out: a blocked loop (the host served callers meanwhile), the store. Change: a connection that is not there is dialled anew after 150 ms, then twice as long up to a second.

--- a/libs/peers/src/hemlockhoist/peers/link.py
+++ b/libs/peers/src/hemlockhoist/peers/link.py
@@ -5,7 +5,7 @@
 
 import pynng
 
-from hemlockhoist.base import get_logger
+from hemlockhoist.base import MS_PER_S, get_logger
 from hemlockhoist.messages import Envelope
 from hemlockhoist.peers.ending import end_task
 
@@ -21,6 +21,11 @@
 MAX_QUEUED = 4_096
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 1_000
+# A peer is dialled again after this while no connection is there, and twice as long
+# each further time. Many round trips, and much less than the second after which the
+# kernel repeats the first packet of a connection.
+REDIAL_MIN_MS = 150
+REDIAL_MAX_MS = 1_000
 # Between two renewals of a connection: a new one is there within a few round trips,
 # and whoever has no answer asks for a renewal with each question.
 MIN_RENEWAL_MS = 400
@@ -45,11 +50,13 @@
         "_clock",
         "_closed",
         "_codec",
+        "_dialer",
         "_incarnation",
         "_loop",
         "_on_broken",
         "_queue",
         "_reachable",
+        "_redial",
         "_renewed_ms",
         "_sender",
         "_sequence",
@@ -76,6 +83,8 @@
         self._closed = False
         self._renewed_ms = None
         self._socket = None
+        self._dialer = None
+        self._redial = None
         self._task = None
         self.bytes_sent = 0
         self.dropped = 0
@@ -92,8 +101,29 @@
             reconnect_time_max=RECONNECT_MAX_MS,
         )
         found.add_post_pipe_remove_cb(lambda pipe: self._pipe_removed(found))
-        found.dial(f"tcp://{self.address}", block=False)
         self._socket = found
+        self._dialer = found.dial(f"tcp://{self.address}", block=False)
+        self._wait_connected(REDIAL_MIN_MS)
+
+    def _wait_connected(self, wait_ms):
+        if self._redial is not None:
+            self._redial.cancel()
+        self._redial = self._loop.call_later(
+            wait_ms / MS_PER_S, self._dial_again, wait_ms
+        )
+
+    def _dial_again(self, waited_ms):
+        """Dial anew where the connection is not there yet.
+
+        Failure: hosts come up one after the other, and the first dials one that has no
+        power yet. Its packet is lost, and the kernel sends it again only after a
+        second, in which the two do not hear each other and each makes itself home.
+        """
+        if self._closed or self._socket.pipes:
+            return
+        self._dialer.close()
+        self._dialer = self._socket.dial(f"tcp://{self.address}", block=False)
+        self._wait_connected(min(REDIAL_MAX_MS, 2 * waited_ms))
 
     def renew(self):
         """Take a new connection in the place of one that may carry nothing.
@@ -125,6 +155,8 @@
     async def close(self):
         """Stop sending; what is still queued is dropped."""
         self._closed = True
+        if self._redial is not None:
+            self._redial.cancel()
         await end_task(self._task)
         if self._socket is not None:
             self._socket.close()
--- a/libs/peers/src/hemlockhoist/peers/tests/test_bus.py
+++ b/libs/peers/src/hemlockhoist/peers/tests/test_bus.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 import doctest
 import socket
 import unittest
@@ -8,6 +9,7 @@
 from hemlockhoist.base import Clock, PeerError
 from hemlockhoist.messages import Codec, Envelope, GrantCancel
 from hemlockhoist.peers import Inbox, PeerBus, inbox
+from hemlockhoist.peers.link import PeerLink
 
 WAIT_S = 5
 
@@ -186,6 +188,54 @@
             self.assertGreater(link.dropped, 0)
 
 
+class LostPacketTests(unittest.IsolatedAsyncioTestCase):
+    async def test_peer_that_was_not_there_yet_is_dialled_again_soon(self):
+        """After a loss of all hosts, five of eight make themselves home for a second.
+
+        A host dials one that has no power yet. The packet is lost, the kernel sends it
+        again after a second, and only then do the two hear of each other. Here the
+        packet is lost at a listener whose queue is full.
+        """
+        with socket.create_server(("127.0.0.1", 0), backlog=0) as listener:
+            address = listener.getsockname()
+            with contextlib.ExitStack() as stack:
+                for _ in range(2):
+                    filler = stack.enter_context(socket.socket())
+                    filler.setblocking(False)
+                    filler.connect_ex(address)
+                link = PeerLink(
+                    Codec(b"k"),
+                    Clock(asyncio.get_running_loop()),
+                    "a",
+                    "1",
+                    f"127.0.0.1:{address[1]}",
+                    lambda peer: None,
+                )
+                link.start()
+                await asyncio.sleep(0.1)
+            listener.setblocking(False)
+            loop = asyncio.get_running_loop()
+            accepted = []
+            try:
+                async with asyncio.timeout(0.6):
+                    while not await self._is_link(loop, listener, accepted):
+                        pass
+            finally:
+                await link.close()
+                for found in accepted:
+                    found.close()
+
+    async def _is_link(self, loop, listener, accepted):
+        """Accept a connection; return whether it sends the library's greeting."""
+        found, _ = await loop.sock_accept(listener)
+        accepted.append(found)
+        found.setblocking(False)
+        try:
+            return bool(await loop.sock_recv(found, 8))
+        except ConnectionResetError:
+            return False
+
+
 class SilentConnectionTests(unittest.IsolatedAsyncioTestCase):
     async def test_renewed_link_reaches_a_peer_behind_a_silent_connection(self):
         """Requests of one host get no place, though every host looks well.
