Keep a customer to its bound in the first moments after a loss of all hosts

Cause: of the record of spending a new home counted only what was newer than a second in which more had been taken back than spent: units of refused requests were taken back from the present part of the window, which became negative, and the reading stopped there. Besides, what the home had given out before it read the record was taken for a part of it, and the record was read after the first wave of callers. Ruled out: several homes (one gave the places), shares of hosts out of touch. Change: units are taken back from the parts that hold them; told and recorded units are told apart from the home's own; the record is read at a host's start and counted when it takes over.

--- a/libs/decisions/src/hemlockhoist/decisions/limits/allowances.py
+++ b/libs/decisions/src/hemlockhoist/decisions/limits/allowances.py
@@ -47,18 +47,29 @@
 class _Spending:
     """What one customer has spent in the present window."""
 
-    __slots__ = ("_part_ms", "_parts", "allowance", "recorded_ms", "total")
+    __slots__ = (
+        "_part_ms",
+        "_parts",
+        "allowance",
+        "recorded",
+        "recorded_ms",
+        "told",
+        "total",
+    )
 
     def __init__(self, window_ms, allowance=None):
         self.allowance = allowance
         # When a record of a former home was taken into account, if ever.
         self.recorded_ms = None
+        # Units spent under former homes, by their record and by what hosts told.
+        self.recorded = 0
+        self.told = 0
         self.total = 0
         self._part_ms = max(1, window_ms // PARTS)
         self._parts = collections.deque()
 
     def add(self, units, now_ms):
-        """Count units, or take them back with a negative count."""
+        """Count units."""
         number = now_ms // self._part_ms
         self.total += units
         for part in reversed(self._parts):
@@ -71,6 +82,19 @@
         if len(self._parts) > 1 and self._parts[-2][0] > number:
             self._parts = collections.deque(sorted(self._parts))
 
+    def take_back(self, units):
+        """Stop counting units, of what was counted last.
+
+        Failure: units that were taken back later than they were counted made a later
+        part negative. It stood when the first had left the window, and a record of the
+        parts was read only as far as the negative one.
+        """
+        for part in reversed(self._parts):
+            taken = min(units, part[1])
+            part[1] -= taken
+            self.total -= taken
+            units -= taken
+
     def forget(self, now_ms):
         """Drop the parts that have left the window."""
         oldest = now_ms // self._part_ms - PARTS
@@ -156,6 +180,11 @@
         """
         self._share = share
 
+    def begin_takeover(self):
+        """Forget what was told and recorded for an earlier takeover."""
+        for spending in self._spending.values():
+            spending.recorded = spending.told = 0
+
     def set_past(self, past):
         """Take how much of what was spent lately is not known.
 
@@ -189,7 +218,8 @@
         """Put back what was taken for a request that did not run."""
         spending = self._spending.get(customer)
         if spending is not None:
-            spending.add(-units, now_ms)
+            spending.forget(now_ms)
+            spending.take_back(units)
 
     def add_spent(self, spent, now_ms):
         """Count what an entry host says was spent under a home before this one.
@@ -203,7 +233,11 @@
         for customer, parts in spent:
             spending = self._spending.get(customer)
             for age_ms, units in parts if spending is not None else ():
-                spending.add(units, now_ms - age_ms)
+                spending.told += units
+                # What is on record is counted already.
+                missing = spending.told - max(spending.recorded, spending.told - units)
+                if missing > 0:
+                    spending.add(missing, now_ms - age_ms)
 
     def notable(self, now_ms):
         """Return the customers that the next home has to know of, after a loss of all.
@@ -224,6 +258,10 @@
     def add_recorded(self, spent, now_ms):
         """Count what was on record beyond what hosts have told.
 
+        Failure: what this home gave out before it read the record was taken for told,
+        and as much less was counted. After a loss of all hosts the first wave of
+        callers is large, and a customer got that much over its bound.
+
         Parameters
         ==========
         spent : iterable of (str, sequence of (int, int))
@@ -235,7 +273,10 @@
                 continue
             spending.forget(now_ms)
             spending.recorded_ms = now_ms
-            missing = sum(units for _, units in parts) - spending.total
+            known = max(spending.recorded, spending.told)
+            inside = (units for age, units in parts if age < self._bounds.window_ms)
+            spending.recorded = max(spending.recorded, sum(inside))
+            missing = spending.recorded - known
             # The newest first: of what is on record and was not told, it is not known
             # when it was spent, and what was spent last leaves the window last.
             for age_ms, units in sorted(parts):
--- a/libs/decisions/src/hemlockhoist/decisions/limits/tests/test_allowances.py
+++ b/libs/decisions/src/hemlockhoist/decisions/limits/tests/test_allowances.py
@@ -164,6 +164,51 @@
         taken = sum(100 for _ in range(200) if not heir.take("port", 100, 9_000))
         self.assertLessEqual(taken, BOUND - 8_000)
 
+    def test_what_a_home_gave_out_itself_is_not_taken_for_told(self):
+        """A customer is served a tenth more than its bound after a loss of all hosts.
+
+        The first wave of callers came before the new home had read what was on record.
+        What it gave to them was taken for a part of the record.
+        """
+        heir = book()
+        heir.begin_takeover()
+        heir.take("port", 1_500, 0)
+        heir.add_recorded([("port", ((500, 7_000),))], 30)
+        self.assertEqual(heir.units_left("port", 30), int(USED_SHARE * BOUND) - 8_500)
+
+    def test_what_was_refused_leaves_no_gap_in_the_record(self):
+        """A customer is served 4 % more than its bound after a loss of all hosts.
+
+        Requests that had taken from its allowance were refused a second later, and the
+        record showed less than nothing spent in that second. The home that read it
+        counted only what was newer.
+        """
+        former, heir = book(), book()
+        former.take("port", 4_000, 0)
+        former.take("port", 3_000, 1_000)
+        for _ in range(3):
+            former.give_back("port", 1_000, 2_000)
+        former.take("port", 1_000, 2_600)
+        self.assertEqual(
+            former.units_left("port", 2_600), int(USED_SHARE * BOUND) - 5_000
+        )
+        heir.begin_takeover()
+        heir.add_recorded(former.notable(2_600), 3_000)
+        self.assertEqual(
+            heir.units_left("port", 3_000), int(USED_SHARE * BOUND) - 5_000
+        )
+
+    def test_what_is_told_and_on_record_counts_once(self):
+        spent = (("port", ((500, 3_000), (900, 2_000))),)
+        for first, second in ((0, 1), (1, 0)):
+            heir = book()
+            heir.begin_takeover()
+            for which in (first, second):
+                add = (heir.add_spent, heir.add_recorded)[which]
+                add(spent, 10)
+            left = int(USED_SHARE * BOUND) - 5_000
+            self.assertEqual(heir.units_left("port", 10), left)
+
     def test_old_spending_is_not_told(self):
         log = SpentLog(WINDOW_MS)
         log.add("dossiers", "h1", "port", 400, 0)
--- a/libs/entry/src/hemlockhoist/entry/gate.py
+++ b/libs/entry/src/hemlockhoist/entry/gate.py
@@ -95,6 +95,7 @@
         window_ms = self._bounds.allowance_window_ms
         if self._history is None or not self._history.is_of(now_ms):
             self._history = SpendingHistory(window_ms, now_ms)
+            self.allowances.begin_takeover()
         self._history.ask(hosts)
         self._note_past()
         self.on_takeover_begun()
--- a/libs/entry/src/hemlockhoist/entry/spending.py
+++ b/libs/entry/src/hemlockhoist/entry/spending.py
@@ -15,6 +15,11 @@
 # After a takeover, hosts tell what they know within a round trip or two; where that is
 # too little, the record is read then.
 ASKED_MS = 30
+# A store that does not answer delays a host's start by no more than this.
+START_READ_MS = 100
+# What was read at the start is used by a home that takes over this soon after it; what
+# was written since, only a home beside it can have.
+FRESH_MS = 1_000
 # While this host decides for nobody there is nothing to write or to read.
 IDLE_MS = 500
 
@@ -46,7 +51,15 @@
     context : EntryContext
     """
 
-    __slots__ = ("_context", "_failed", "_read_for", "_task", "_written")
+    __slots__ = (
+        "_at_start",
+        "_context",
+        "_failed",
+        "_read_for",
+        "_started_ms",
+        "_task",
+        "_written",
+    )
 
     def __init__(self, context):
         self._context = context
@@ -54,18 +67,32 @@
         self._read_for = None
         self._written = ()
         self._failed = False
+        self._at_start = None
+        self._started_ms = None
 
     async def start(self):
-        """Begin to write and to read."""
-        self._context.gate.on_takeover_begun = self._look_soon
+        """Read the record, then begin to write and to read."""
+        try:
+            async with asyncio.timeout(START_READ_MS / MS_PER_S):
+                self._at_start = await self._read()
+        except (PlatformError, TimeoutError) as error:
+            _log.warning("spending_not_read", reason=repr(error))
+        self._started_ms = self._context.clock.now_ms()
+        self._context.gate.on_takeover_begun = self._on_takeover
         await self._task.start()
 
-    def _look_soon(self):
-        """Read the record as soon as hosts have told what they know.
+    def _on_takeover(self):
+        """Count what was on record at the start; read the record where that is old.
 
-        Failure: a home that takes over after a loss of all hosts looks half a second
-        later, and gives out meanwhile what customers at their bounds have spent.
+        Failure: a home that takes over after a loss of all hosts looks at the record
+        when the first callers have been served, and has given out to them what
+        customers at their bounds had spent.
         """
+        up_ms = self._context.clock.now_ms() - self._started_ms
+        if self._at_start is not None and up_ms < FRESH_MS:
+            self._read_for = self._context.gate.takeover
+            self._count(self._at_start, up_ms)
+            return
         loop = asyncio.get_running_loop()
         loop.call_later(ASKED_MS / MS_PER_S, self._task.wake)
 
@@ -94,15 +121,22 @@
         takeover = gate.takeover
         if takeover is self._read_for or not gate.lacks_past:
             return
-        platform = self._context.platform
-        reading = await platform.store.read_table(platform.spending_table)
+        reading = await self._read()
         self._read_for = takeover
+        self._count(reading, 0)
+
+    async def _read(self):
+        platform = self._context.platform
+        return await platform.store.read_table(platform.spending_table)
+
+    def _count(self, reading, read_ago_ms):
+        gate = self._context.gate
         now_ms = self._context.clock.now_ms()
         for row in reading.rows:
             record = _decode(row)
             if record is None:
                 continue
-            passed_ms = max(0, reading.store_ms - record.store_ms)
+            passed_ms = max(0, reading.store_ms - record.store_ms) + read_ago_ms
             spent = tuple(
                 (customer, tuple((age + passed_ms, units) for age, units in parts))
                 for customer, parts in record.spent
