Place prompts that pause answers everywhere by their first token

Cause: a declared pause of 300 ms made most prompts over 20,000 tokens count as pausing on every engine, for each answer there; an idle engine five times slower then looked best, and the largest bulletins were late. Fast engines compute long prompts in parts: no answer there paused for over 205 ms. Change: pauses count only where some engine would not pause. The record of spending is read beside a host's start instead of before it: after a loss of power the store dropped the first packets of second connections, and each host started 100 ms later.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared.py
@@ -196,21 +196,21 @@
             Requests before this one that wait for a better upstream.
         """
         usual_rate = self._usual_failure_rate(now_ms)
+        pausing = self._pausing(request, now_ms)
         best = min(
             choices,
             key=lambda item: self._cost_ms(
-                request, item, in_flight(item.upstream_id), usual_rate, now_ms
+                request, item, in_flight(item.upstream_id), usual_rate, pausing, now_ms
             ),
             default=None,
         )
         if best is None:
             return None
-        held = in_flight(best.upstream_id)
-        if self._is_better_later(request, best, held, ahead, now_ms):
+        if self._is_better_later(request, best, pausing, ahead, now_ms):
             return None
         return best
 
-    def _is_better_later(self, request, best, held, ahead, now_ms):
+    def _is_better_later(self, request, best, pausing, ahead, now_ms):
         """Return whether a request should wait for an upstream that is full.
 
         Made for long prompts in a burst, on engines of unlike speed: the place that is
@@ -224,7 +224,7 @@
             return False
         is_late = here.first_token_ms(request, now_ms) > left_ms
         is_late = is_late or not here.ends_in_time(request, now_ms)
-        if not is_late and not (held and self._makes_pause(request, here)):
+        if not is_late and here not in pausing:
             return False
         frees_per_ms = 0.0
         soonest_ms = None
@@ -232,7 +232,7 @@
             first_ms = track.first_token_ms(request, now_ms)
             if track is here or not track.reach.is_open(now_ms, len(track.pending)):
                 continue
-            if self._makes_pause(request, track):
+            if track in pausing:
                 continue
             if not track.ends_in_time(request, now_ms):
                 continue
@@ -244,7 +244,7 @@
         wait_ms = (1 + ahead) / frees_per_ms
         return soonest_ms + wait_ms <= IN_TIME_PART * left_ms
 
-    def _cost_ms(self, request, upstream, held, usual_rate, now_ms):
+    def _cost_ms(self, request, upstream, held, usual_rate, pausing, now_ms):
         """Return what a request costs at an upstream, in its caller's time.
 
         Made for engines that differ several times in speed: a slow one is as good as
@@ -257,24 +257,32 @@
         more_failures = track.failures.rate(now_ms) - usual_rate
         cost_ms += FAILED_ANSWER_MS * max(0.0, more_failures)
         cost_ms += STALLED_MS * track.stalled
-        cost_ms += self._paused_ms(request, track, held)
+        if track in pausing:
+            cost_ms += PAUSED_ANSWER_MS * max(1, held)
         if not track.ends_in_time(request, now_ms):
             cost_ms += FAILED_ANSWER_MS
         if request.failure_domain != track.failure_domain:
             cost_ms += OTHER_DOMAIN_MS
         return cost_ms
 
-    def _paused_ms(self, request, track, held):
-        return PAUSED_ANSWER_MS * held if self._makes_pause(request, track) else 0.0
-
-    def _makes_pause(self, request, track):
-        """Return whether a request's prompt makes answers pause longer than declared.
+    def _pausing(self, request, now_ms):
+        """Return the upstreams whose answers a prompt would pause beyond the declared.
 
         The shortest pause that any route of the pool declares is kept to; where none
-        does, no pause counts.
+        does, no pause counts. A prompt that no upstream computes within it is one that
+        engines compute in parts: it would go to an idle slow one, where it is late.
         """
         gap_ms = min(self._gaps_ms.values(), default=None)
-        return gap_ms is not None and track.prompts_ms(request) > PROMPT_PART * gap_ms
+        if gap_ms is None:
+            return frozenset()
+        usable = [
+            track
+            for track in self._tracks.values()
+            if track.reach.is_open(now_ms, len(track.pending))
+        ]
+        most_ms = PROMPT_PART * gap_ms
+        found = frozenset(t for t in usable if t.prompts_ms(request) > most_ms)
+        return found if len(found) < len(usable) else frozenset()
 
     def _usual_failure_rate(self, now_ms):
         """Return the lowest failure rate: what a request can not escape anywhere."""
--- a/libs/entry/src/hemlockhoist/entry/spending.py
+++ b/libs/entry/src/hemlockhoist/entry/spending.py
@@ -15,8 +15,6 @@
 # After a takeover, hosts tell what they know within a round trip or two; where that is
 # too little, the record is read then.
 ASKED_MS = 30
-# A store that does not answer delays a host's start by no more than this.
-START_READ_MS = 100
 # What was read at the start is used by a home that takes over this soon after it; what
 # was written since, only a home beside it can have.
 FRESH_MS = 1_000
@@ -53,10 +51,10 @@
 
     __slots__ = (
         "_at_start",
+        "_at_start_ms",
         "_context",
         "_failed",
         "_read_for",
-        "_started_ms",
         "_task",
         "_written",
     )
@@ -68,16 +66,10 @@
         self._written = ()
         self._failed = False
         self._at_start = None
-        self._started_ms = None
+        self._at_start_ms = None
 
     async def start(self):
-        """Read the record, then begin to write and to read."""
-        try:
-            async with asyncio.timeout(START_READ_MS / MS_PER_S):
-                self._at_start = await self._read()
-        except (PlatformError, TimeoutError) as error:
-            _log.warning("spending_not_read", reason=repr(error))
-        self._started_ms = self._context.clock.now_ms()
+        """Begin to write and to read; the record is read once at the start."""
         self._context.gate.on_takeover_begun = self._on_takeover
         await self._task.start()
 
@@ -88,11 +80,12 @@
         when the first callers have been served, and has given out to them what
         customers at their bounds had spent.
         """
-        up_ms = self._context.clock.now_ms() - self._started_ms
-        if self._at_start is not None and up_ms < FRESH_MS:
-            self._read_for = self._context.gate.takeover
-            self._count(self._at_start, up_ms)
-            return
+        if self._at_start is not None:
+            passed_ms = self._context.clock.now_ms() - self._at_start_ms
+            if passed_ms < FRESH_MS:
+                self._read_for = self._context.gate.takeover
+                self._count(self._at_start, passed_ms)
+                return
         loop = asyncio.get_running_loop()
         loop.call_later(ASKED_MS / MS_PER_S, self._task.wake)
 
@@ -104,9 +97,10 @@
         return WRITE_MS if self._context.homes.active() else IDLE_MS
 
     async def _keep(self):
-        if not self._context.homes.active():
-            return
         try:
+            await self._read_at_start()
+            if not self._context.homes.active():
+                return
             await self._read_once()
             await self._write()
             self._failed = False
@@ -115,6 +109,12 @@
                 _log.warning("spending_not_kept", reason=error.message)
             self._failed = True
 
+    async def _read_at_start(self):
+        """Read the record once, for the case that this host becomes home at once."""
+        if self._at_start_ms is None:
+            self._at_start_ms = self._context.clock.now_ms()
+            self._at_start = await self._read()
+
     async def _read_once(self):
         """Read the record once after each takeover that knows too little."""
         gate = self._context.gate
