Give back what a caller that leaves the queue had taken of its allowance

Cause: a request takes from its customer's allowance when it begins to wait for a place. Where its caller left, or its entry host died, nothing gave it back, and requests within the allowance were refused for the window's length. Change: both give it back. The test fails before.

--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -231,7 +231,7 @@
     def on_cancel(self, message):
         """Forget a request whose caller has gone."""
         now_ms = self._clock.now_ms()
-        self._queued.pop(message.request_id, None)
+        self._leave_queue(message.request_id, now_ms)
         self._end_span(message.request_id, cancelled=True)
         self._emit(self.scheduler.cancel(message.request_id, now_ms), now_ms)
         granted = self._granted.get(message.request_id)
@@ -239,6 +239,12 @@
             outcome = Outcome(kind=OutcomeKind.NOT_SENT)
             self._release(granted[0].grant_id, message.request_id, outcome, now_ms)
 
+    def _leave_queue(self, request_id, now_ms):
+        """Forget a waiting request, which has run nowhere."""
+        request = self._queued.pop(request_id, None)
+        if request is not None:
+            self._gate.on_not_run(request, now_ms)
+
     def on_first_token(self, message):
         """Learn an upstream's speed while its answer is still under way."""
         now_ms = self._clock.now_ms()
@@ -320,7 +326,7 @@
         self._emit(self.scheduler.forget_entry_host(host_id, now_ms), now_ms)
         gone = [r for r in self._queued.values() if r.entry_host == host_id]
         for request in gone:
-            del self._queued[request.request_id]
+            self._leave_queue(request.request_id, now_ms)
             self._end_span(request.request_id, cancelled=True)
         # The scheduler has forgotten these; kept here, they would be shown as granted
         # and take memory until this host is no longer home.
--- a/libs/host/src/hemlockhoist/host/tests/test_home_counts.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_home_counts.py
@@ -8,9 +8,10 @@
 from hemlockhoist.decisions import OutcomeKind, Upstream
 from hemlockhoist.decisions.scheduling import PoolScheduler
 from hemlockhoist.declarations import Pool, PoolKind, Tier
-from hemlockhoist.host.home import PoolHome
+from hemlockhoist.host.home import OpenGate, PoolHome
 from hemlockhoist.host.identity import HostIdentity
 from hemlockhoist.messages import (
+    GrantCancel,
     GrantRelease,
     GrantReply,
     GrantRequest,
@@ -44,6 +45,16 @@
     )
 
 
+class NotingGate(OpenGate):
+    """Notes which requests are given back."""
+
+    def __init__(self):
+        self.not_run = []
+
+    def on_not_run(self, request, now_ms):
+        self.not_run.append(request.request_id)
+
+
 class HomeCountTests(PausedTestCase):
     async def asyncSetUp(self):
         clock = Clock(asyncio.get_running_loop())
@@ -56,6 +67,7 @@
         )
         self.metrics = Metrics(None)
         self.sent = []
+        self.gate = NotingGate()
         self.home = PoolHome(
             "chat",
             PoolScheduler.from_config(POOL, TIERS, "i"),
@@ -65,6 +77,7 @@
             (POOL, TIERS),
             Traces.from_config(None, 0, "home"),
             self.metrics,
+            self.gate,
         )
         self.home.set_upstreams([upstream("a"), upstream("b")])
         self.home.start([ENTRY])
@@ -101,6 +114,21 @@
         self.release(second, 300)
         self.assertEqual(self.metrics.totals[WASTED], 700)
 
+    async def test_a_caller_that_leaves_the_queue_has_sent_nothing(self):
+        """Requests within their customer's allowance are refused as over it.
+
+        Callers that left while they waited for a place, or whose entry host died, had
+        taken from the allowance, and nothing gave it back.
+        """
+        for request_id in ("r1", "r2"):
+            self.ask(request_id)
+        for request_id in ("r3", "r4"):
+            message = GrantRequest(pool="chat", brief=brief(request_id))
+            self.home.on_request(ENTRY, message, 0)
+        self.home.on_cancel(GrantCancel(pool="chat", request_id="r3"))
+        self.home.forget_host(ENTRY)
+        self.assertEqual(self.gate.not_run, ["r3", "r4"])
+
     async def test_a_dead_hosts_grants_are_forgotten(self):
         """
         An entry host dies with requests in progress. The scheduler frees their
