Read waits, holds, refusals and comebacks from the hosts' logs

Operators have the same question.

Change: `hemlockhoist load` prints by rank what became of the requests (answered, refused, cut, left, left without a place and after how long), waits for a place, callers that came back as told and what became of them; by upstream the outcomes, times to the first part and to the end; refusals by rank and code. `--json` for scripts. Lines are read in one place for `explain` and `load`.

Ruled out: to let the home log each comeback: it is known by customer, route and size, which the admission's line has, so that the reader finds it.

--- a/libs/cli/src/hemlockhoist/cli/explain.py
+++ b/libs/cli/src/hemlockhoist/cli/explain.py
@@ -5,8 +5,8 @@
 
 from hemlockhoist.base import RESULTS, ResultCode
 from hemlockhoist.cli.errors import reports_errors
-from hemlockhoist.cli.log_lines import parse_line
-from hemlockhoist.cli.options import json_option
+from hemlockhoist.cli.log_lines import read_lines
+from hemlockhoist.cli.options import json_option, log_option
 from hemlockhoist.cli.output import show
 
 # Lines that are about a host, an upstream or a customer, and explain what became of the
@@ -143,21 +143,13 @@
 
 @click.command("explain")
 @click.argument("request_id")
-@click.option(
-    "--log",
-    "files",
-    type=click.File("r", errors="replace"),
-    multiple=True,
-    help="A host's log; standard input by default, several may be given.",
-)
+@log_option
 @json_option
 @reports_errors
 def explain_command(request_id, files, as_json):
     """Say what became of the request REQUEST_ID, from the logs of hosts."""
-    files = files or (click.get_text_stream("stdin", errors="replace"),)
-    found = (parse_line(text) for file in files for text in file)
     try:
-        explanation = explain(request_id, [line for line in found if line])
+        explanation = explain(request_id, read_lines(files))
     except LookupError as error:
         raise click.ClickException(str(error.args[0])) from None
     show(explanation, as_json, _page(explanation))
--- a/libs/cli/src/hemlockhoist/cli/log_lines.py
+++ b/libs/cli/src/hemlockhoist/cli/log_lines.py
@@ -2,6 +2,7 @@
 
 import re
 
+import click
 import msgspec
 
 _PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
@@ -64,6 +65,20 @@
     )
 
 
+def read_lines(files):
+    """Yield the ``LogLine`` of each line of some files; of standard input without any.
+
+    Parameters
+    ==========
+    files : sequence of file
+    """
+    for file in files or (click.get_text_stream("stdin", errors="replace"),):
+        for text in file:
+            line = parse_line(text)
+            if line is not None:
+                yield line
+
+
 def _plain(value):
     if len(value) < 2 or value[0] != '"':
         return value
--- a/libs/cli/src/hemlockhoist/cli/main.py
+++ b/libs/cli/src/hemlockhoist/cli/main.py
@@ -6,6 +6,7 @@
 from hemlockhoist.cli.declare import declare
 from hemlockhoist.cli.explain import explain_command
 from hemlockhoist.cli.host import host
+from hemlockhoist.cli.load_command import load_command
 from hemlockhoist.cli.move import move
 from hemlockhoist.cli.status import status
 
@@ -18,5 +19,13 @@
     """
 
 
-for _command in (host, declare, move, status, codes, explain_command):
+for _command in (
+    host,
+    declare,
+    move,
+    status,
+    codes,
+    explain_command,
+    load_command,
+):
     main.add_command(_command)
--- a/libs/cli/src/hemlockhoist/cli/options.py
+++ b/libs/cli/src/hemlockhoist/cli/options.py
@@ -17,6 +17,13 @@
 json_option = click.option(
     "--json", "as_json", is_flag=True, help="Print JSON for scripts."
 )
+log_option = click.option(
+    "--log",
+    "files",
+    type=click.File("r", errors="replace"),
+    multiple=True,
+    help="A host's log; standard input by default, several may be given.",
+)
 author_option = click.option(
     "--author",
     envvar="HEMLOCKHOIST_AUTHOR",
