Believe a host that knows of an upstream's leaving before the home does

Change: an entry host that refuses to send says at which version of the list the upstream left; a home whose entry is older drops it, and older rows do not bring it back. The request itself is not granted that upstream again. Entries carry the version of their row. A host that is behind the list itself is not believed. The line of an attempt has the home and how long the place was waited for.

Ruled out: to let the home read the list anew whenever versions differ; each change of the list would make several calls, as hosts learn of it some milliseconds apart.

--- a/libs/base/src/hemlockhoist/base/__init__.py
+++ b/libs/base/src/hemlockhoist/base/__init__.py
@@ -15,6 +15,7 @@
     SettingError,
     StoreAnswerLost,
     StoreConflict,
+    UpstreamLeft,
 )
 from hemlockhoist.base.invariants import InvariantLog, Property
 from hemlockhoist.base.log_volume import VolumeLimit
@@ -48,6 +49,7 @@
     "StoreAnswerLost",
     "StoreConflict",
     "SuspendAwareClock",
+    "UpstreamLeft",
     "VolumeLimit",
     "configure_logs",
     "get_logger",
--- a/libs/base/src/hemlockhoist/base/caller_results.py
+++ b/libs/base/src/hemlockhoist/base/caller_results.py
@@ -249,6 +249,14 @@
         "This host has not heard from the store for too long to honour a key.",
         "Come back after Retry-After, at another host.",
     ),
+    (
+        _C.UPSTREAM_LEFT,
+        503,
+        _NO,
+        True,
+        "The upstream that was to take the request leaves.",
+        "Come back after Retry-After.",
+    ),
     (
         _C.UPSTREAM_FAILED,
         502,
--- a/libs/base/src/hemlockhoist/base/errors.py
+++ b/libs/base/src/hemlockhoist/base/errors.py
@@ -43,6 +43,25 @@
     code = ResultCode.OVERLOADED
 
 
+class UpstreamLeft(Refused):
+    """The upstream of a grant leaves; nothing was sent to it.
+
+    Parameters
+    ==========
+    upstream_id : str
+    version : int or None
+        Of the platform's list at which it left; None where this host's list never had
+        it.
+    """
+
+    code = ResultCode.UPSTREAM_LEFT
+
+    def __init__(self, upstream_id, version):
+        self.upstream_id = upstream_id
+        self.version = version
+        super().__init__(f"{upstream_id} leaves")
+
+
 class DispatchError(HemlockhoistError):
     """The request failed after dispatch, or may have."""
 
--- a/libs/decisions/src/hemlockhoist/decisions/entry/listing.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/listing.py
@@ -9,6 +9,9 @@
 # lapse together, and are back within two seconds of its return. It is less than the
 # time within which a removed upstream must get nothing more.
 LAPSE_MS = 1_500
+# Entries that are gone, remembered with the version at which they went, so that others
+# can be told of it. A fleet replaces some upstreams a minute.
+MAX_LEFT = 1_024
 
 
 class UpstreamListing:
@@ -19,11 +22,12 @@
     gets work after its time.
     """
 
-    __slots__ = ("_listed", "_served", "_vanished")
+    __slots__ = ("_left", "_listed", "_served", "_vanished")
 
     def __init__(self):
         self._listed = {}
         self._vanished = {}
+        self._left = collections.OrderedDict()
         # Live upstreams of each pool, counted: asked before each send.
         self._served = collections.Counter()
 
@@ -31,17 +35,54 @@
         return len(self._listed)
 
     def put(self, upstream):
-        """Take an entry as it is now."""
+        """Take an entry, unless what is known of it is newer."""
+        if upstream.listed_version < self._left.get(upstream.upstream_id, 0):
+            return
+        self._left.pop(upstream.upstream_id, None)
         self._forget(upstream.upstream_id)
         self._listed[upstream.upstream_id] = upstream
         self._served[upstream.pool] += upstream.state is UpstreamState.LIVE
         self._vanished.pop(upstream.upstream_id, None)
 
-    def drop(self, upstream_id, now_ms):
-        """Take notice that an entry has gone."""
+    def drop(self, upstream_id, now_ms, version=0):
+        """Take notice that an entry has gone.
+
+        Parameters
+        ==========
+        upstream_id : str
+        now_ms : int
+        version : int, optional
+            Of the list without it.
+        """
         upstream = self._forget(upstream_id)
         if upstream is not None and upstream.state is UpstreamState.LIVE:
             self._vanished[upstream_id] = (upstream, now_ms)
+        self._left[upstream_id] = max(version, self._left.get(upstream_id, 0))
+        if len(self._left) > MAX_LEFT:
+            self._left.popitem(last=False)
+
+    def left_version(self, upstream_id):
+        """Return the version of the list at which an upstream left, or None.
+
+        None also stands for one that was never listed here: this host may be behind.
+        """
+        upstream = self._listed.get(upstream_id)
+        if upstream is not None and upstream.state is UpstreamState.LEAVING:
+            return upstream.listed_version
+        return self._left.get(upstream_id)
+
+    def believe_left(self, upstream_id, version, now_ms):
+        """Drop an entry that another host knows to have left; return whether it was.
+
+        Failure: a host was cut off from the store when an upstream left, and goes on
+        granting it to hosts that know better. An entry that is newer than what they
+        know stays.
+        """
+        upstream = self._listed.get(upstream_id)
+        if upstream is None or upstream.listed_version >= version:
+            return False
+        self.drop(upstream_id, now_ms, version)
+        return True
 
     def _forget(self, upstream_id):
         upstream = self._listed.pop(upstream_id, None)
@@ -52,8 +93,10 @@
     def replace(self, upstreams, now_ms):
         """Take a whole new list."""
         found = {item.upstream_id: item for item in upstreams}
+        # The list is at least as new as its newest entry.
+        version = max((item.listed_version for item in upstreams), default=0)
         for upstream_id in [key for key in self._listed if key not in found]:
-            self.drop(upstream_id, now_ms)
+            self.drop(upstream_id, now_ms, version)
         for upstream in upstreams:
             self.put(upstream)
 
--- a/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_listing.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_listing.py
@@ -2,12 +2,17 @@
 
 from hemlockhoist.decisions import Upstream, UpstreamState
 from hemlockhoist.decisions.entry import UpstreamListing
-from hemlockhoist.decisions.entry.listing import LAPSE_MS
+from hemlockhoist.decisions.entry.listing import LAPSE_MS, MAX_LEFT
 
 
-def upstream(name, pool="halls", state=UpstreamState.LIVE):
+def upstream(name, pool="halls", state=UpstreamState.LIVE, listed_version=0):
     return Upstream(
-        upstream_id=name, pool=pool, version="v1", address="127.0.0.1:1", state=state
+        upstream_id=name,
+        pool=pool,
+        version="v1",
+        address="127.0.0.1:1",
+        state=state,
+        listed_version=listed_version,
     )
 
 
@@ -56,3 +61,44 @@
             for name in ("a", "b", "c", "d"):
                 found = self.listing.get(name, now_ms) is not None
                 self.assertEqual(found, name in usable, (name, now_ms))
+
+
+class ToldTests(unittest.TestCase):
+    """A home that missed a change of the list is told by a host that has it."""
+
+    def setUp(self):
+        self.listing = UpstreamListing()
+        self.listing.put(upstream("a", listed_version=5))
+        self.listing.put(upstream("b", listed_version=6))
+
+    def test_newer_word_drops_an_entry_and_older_rows_do_not_bring_it_back(self):
+        self.assertTrue(self.listing.believe_left("a", 9, 1_000))
+        self.assertEqual(names(self.listing, 1_000), ["b"])
+        self.listing.put(upstream("a", listed_version=8))
+        self.assertEqual(names(self.listing, 1_000), ["b"])
+        self.listing.put(upstream("a", listed_version=10))
+        self.assertEqual(names(self.listing, 1_000), ["a", "b"])
+
+    def test_word_of_a_host_that_is_behind_changes_nothing(self):
+        """A new upstream is refused by a host that has not read of it yet."""
+        self.assertFalse(self.listing.believe_left("a", 5, 1_000))
+        self.assertFalse(self.listing.believe_left("unknown", 9, 1_000))
+        self.assertEqual(names(self.listing, 1_000), ["a", "b"])
+
+    def test_version_at_which_an_upstream_left(self):
+        self.listing.put(upstream("a", state=UpstreamState.LEAVING, listed_version=7))
+        self.listing.drop("b", 1_000, 8)
+        self.assertEqual(self.listing.left_version("a"), 7)
+        self.assertEqual(self.listing.left_version("b"), 8)
+        self.assertIsNone(self.listing.left_version("never listed"))
+
+    def test_missing_from_a_whole_list(self):
+        """The list is at least as new as its newest entry, and may be no newer."""
+        self.listing.replace([upstream("b", listed_version=6)], 1_000)
+        self.assertEqual(self.listing.left_version("a"), 6)
+
+    def test_memory_of_what_left_is_bounded(self):
+        for number in range(2 * MAX_LEFT):
+            self.listing.drop(f"u{number}", 1_000, number)
+        self.assertIsNone(self.listing.left_version("u0"))
+        self.assertEqual(self.listing.left_version(f"u{2 * MAX_LEFT - 1}"), 2_047)
--- a/libs/decisions/src/hemlockhoist/decisions/work.py
+++ b/libs/decisions/src/hemlockhoist/decisions/work.py
@@ -98,6 +98,8 @@
         Requests that it says it works on at once; 0 where it does not say.
     started_unix_ms : int
         Tells its runs under one id apart; 0 where it does not say.
+    listed_version : int
+        Of its entry in the platform's list; a newer one says more.
     """
 
     upstream_id: str
@@ -109,6 +111,7 @@
     state: UpstreamState = UpstreamState.LIVE
     places: int = 0
     started_unix_ms: int = 0
+    listed_version: int = 0
 
 
 class LoadReport(msgspec.Struct, frozen=True, kw_only=True):
--- /dev/null
+++ b/libs/entry/src/hemlockhoist/entry/attempt.py
@@ -0,0 +1,74 @@
+"""One send of a request, and what its home is told of it."""
+
+from hemlockhoist.decisions import Outcome, OutcomeKind
+from hemlockhoist.decisions.entry import AttemptEnd
+
+_OUTCOMES = {
+    AttemptEnd.NOT_SENT: OutcomeKind.NOT_SENT,
+    AttemptEnd.NOT_RUN: OutcomeKind.FAILED,
+    AttemptEnd.FAILED_ANSWER: OutcomeKind.FAILED,
+    AttemptEnd.BROKEN: OutcomeKind.BROKE_OFF,
+    AttemptEnd.SILENT: OutcomeKind.TIMEOUT,
+}
+
+
+class Attempt:
+    """One send of a request, and what is learnt in its course.
+
+    Parameters
+    ==========
+    hold : GrantHold
+    guard : SendGuard
+    waited_ms : int
+        From asking for its place to having it.
+    """
+
+    __slots__ = (
+        "first_ms",
+        "guard",
+        "has_left",
+        "hold",
+        "is_misdirected",
+        "kind",
+        "longest_gap_ms",
+        "may_connect",
+        "output_tokens",
+        "reason",
+        "token_us",
+        "waited_ms",
+    )
+
+    def __init__(self, hold, guard, waited_ms):
+        self.hold = hold
+        self.guard = guard
+        self.waited_ms = waited_ms
+        # What a request that its caller left ends as; every other end says its own.
+        self.kind = OutcomeKind.CANCELLED
+        self.may_connect = True
+        self.has_left = False
+        self.is_misdirected = False
+        self.first_ms = None
+        self.output_tokens = 0
+        self.longest_gap_ms = 0
+        self.token_us = -1
+        self.reason = ""
+
+    def note_end(self, end):
+        """Take how it ended; None stands for an answer."""
+        self.kind = OutcomeKind.SUCCESS if end is None else _OUTCOMES[end]
+
+    def outcome(self, now_ms):
+        """Return the outcome, for the home of the pool."""
+        sent_ms = self.guard.opened_ms
+        if sent_ms is None or self.is_misdirected:
+            kind = OutcomeKind.NOT_SENT
+            if not self.may_connect:
+                kind = OutcomeKind.CONNECT_FAILED
+            return Outcome(kind=kind)
+        return Outcome(
+            kind=self.kind,
+            first_token_ms=-1 if self.first_ms is None else self.first_ms - sent_ms,
+            total_ms=now_ms - sent_ms,
+            output_tokens=self.output_tokens,
+            token_us=self.token_us,
+        )
--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -10,6 +10,7 @@
     Property,
     Refused,
     ResultCode,
+    UpstreamLeft,
     get_logger,
 )
 from hemlockhoist.base.metrics_table import (
@@ -21,10 +22,11 @@
     REQUESTS_WHOLE,
 )
 from hemlockhoist.base.traces import Hop
-from hemlockhoist.decisions import Outcome, OutcomeKind
+from hemlockhoist.decisions import OutcomeKind
 from hemlockhoist.decisions.entry import AttemptEnd, Step, next_step
 from hemlockhoist.declarations import CallKind
 from hemlockhoist.entry.answers import whole_answer
+from hemlockhoist.entry.attempt import Attempt
 from hemlockhoist.entry.stream import StreamRelay
 from hemlockhoist.entry.wire import UpstreamOrder
 from hemlockhoist.messages import RequestBrief
@@ -42,66 +44,6 @@
 # Where an answer never came, this is told as the time to come back.
 RETRY_AFTER_MS = 300
 
-_OUTCOMES = {
-    AttemptEnd.NOT_SENT: OutcomeKind.NOT_SENT,
-    AttemptEnd.NOT_RUN: OutcomeKind.FAILED,
-    AttemptEnd.FAILED_ANSWER: OutcomeKind.FAILED,
-    AttemptEnd.BROKEN: OutcomeKind.BROKE_OFF,
-    AttemptEnd.SILENT: OutcomeKind.TIMEOUT,
-}
-
-
-class Attempt:
-    """One send of a request, and what is learnt in its course.
-
-    Parameters
-    ==========
-    hold : GrantHold
-    guard : SendGuard
-    """
-
-    __slots__ = (
-        "first_ms",
-        "guard",
-        "hold",
-        "is_misdirected",
-        "kind",
-        "longest_gap_ms",
-        "may_connect",
-        "output_tokens",
-        "reason",
-        "token_us",
-    )
-
-    def __init__(self, hold, guard):
-        self.hold = hold
-        self.guard = guard
-        # What a request that its caller left ends as; every other end says its own.
-        self.kind = OutcomeKind.CANCELLED
-        self.may_connect = True
-        self.is_misdirected = False
-        self.first_ms = None
-        self.output_tokens = 0
-        self.longest_gap_ms = 0
-        self.token_us = -1
-        self.reason = ""
-
-    def outcome(self, now_ms):
-        """Return the outcome, for the home of the pool."""
-        sent_ms = self.guard.opened_ms
-        if sent_ms is None or self.is_misdirected:
-            kind = OutcomeKind.NOT_SENT
-            if not self.may_connect:
-                kind = OutcomeKind.CONNECT_FAILED
-            return Outcome(kind=kind)
-        return Outcome(
-            kind=self.kind,
-            first_token_ms=-1 if self.first_ms is None else self.first_ms - sent_ms,
-            total_ms=now_ms - sent_ms,
-            output_tokens=self.output_tokens,
-            token_us=self.token_us,
-        )
-
 
 class Exchange:
     """Takes one admitted request to its final answer.
@@ -185,10 +127,10 @@
         while True:
             self._attempts += 1
             try:
-                hold = await self._acquire()
+                hold, waited_ms = await self._acquire()
             except Refused as error:
                 return self._end_without_place(error)
-            answer, end = await self._attempt(hold)
+            answer, end = await self._attempt(hold, waited_ms)
             if answer is not None:
                 return answer
             step = next_step(
@@ -204,6 +146,7 @@
     # Grants.
 
     async def _acquire(self):
+        """Return a grant, and how long it was waited for."""
         asked_ms = self._context.clock.now_ms()
         with self._context.traces.span(Hop.GRANT, pool=self._admitted.pool):
             hold = await self._context.grants.acquire(
@@ -211,7 +154,7 @@
             )
         waited_ms = self._context.clock.now_ms() - asked_ms
         self._context.metrics.time(QUEUE_WAIT_MS, waited_ms, self._admitted.tier)
-        return hold
+        return hold, waited_ms
 
     def _brief(self, now_ms):
         admitted = self._admitted
@@ -249,13 +192,13 @@
 
     # One attempt.
 
-    async def _attempt(self, hold):
+    async def _attempt(self, hold, waited_ms):
         """Return ``(answer, None)`` or ``(None, AttemptEnd)``."""
-        attempt = Attempt(hold, self._guard(hold))
+        attempt = Attempt(hold, self._guard(hold), waited_ms)
         try:
             with self._context.traces.span(Hop.UPSTREAM, upstream=hold.upstream_id):
                 answer, end = await self._send(attempt)
-            attempt.kind = OutcomeKind.SUCCESS if end is None else _OUTCOMES[end]
+            attempt.note_end(end)
             if end is None:
                 self._count_whole(attempt)
             self._note_failed(attempt, end)
@@ -310,9 +253,10 @@
     def _note_failed(self, attempt, end):
         """Remember why, and not to try the upstream again while there are others."""
         self._reason = attempt.reason
-        if end is not None and (
-            end is not AttemptEnd.NOT_SENT or not attempt.may_connect
-        ):
+        if end is None:
+            return
+        is_reached = attempt.may_connect and not attempt.has_left
+        if end is not AttemptEnd.NOT_SENT or not is_reached:
             self._failed_upstreams.append(attempt.hold.upstream_id)
 
     def _note_sent(self, attempt):
@@ -328,6 +272,12 @@
             client = self._context.upstreams
             async with client.dispatch(self._call(attempt), attempt.guard) as answer:
                 answer, end = await self._take(answer, attempt)
+        except UpstreamLeft as error:
+            attempt.reason = error.message
+            attempt.has_left = True
+            if error.version is not None:
+                self._context.grants.report_left(attempt.hold, error.version)
+            return None, AttemptEnd.NOT_SENT
         except Refused as error:
             if error.code is ResultCode.CONFIGURATION_STALE:
                 raise
@@ -490,8 +440,10 @@
             attempt=self._attempts,
             upstream=hold.upstream_id,
             version=hold.version,
+            home=hold.home,
             outcome=outcome.kind.value,
             sent=attempt.guard.opened,
+            waited_ms=attempt.waited_ms,
             first_ms=outcome.first_token_ms,
             total_ms=outcome.total_ms,
             longest_gap_ms=attempt.longest_gap_ms,
--- a/libs/entry/src/hemlockhoist/entry/knowledge.py
+++ b/libs/entry/src/hemlockhoist/entry/knowledge.py
@@ -10,6 +10,7 @@
     Property,
     Refused,
     ResultCode,
+    UpstreamLeft,
     get_logger,
 )
 from hemlockhoist.decisions import UpstreamState
@@ -207,7 +208,7 @@
         if row.value is not None:
             upstream = self._platform.decode_upstream(row)
         if upstream is None:
-            self.listing.drop(row.key, now_ms)
+            self.listing.drop(row.key, now_ms, row.version)
             _log.info("upstream_gone", upstream=row.key, version=row.version)
             return
         self.listing.put(upstream)
@@ -233,8 +234,14 @@
 
         Raises
         ======
-        Refused
+        UpstreamLeft
         """
         upstream = self.listing.get(upstream_id, self._clock.now_ms())
         if upstream is None or upstream.state is not UpstreamState.LIVE:
-            raise Refused(f"{upstream_id} leaves", ResultCode.GRANT_EXPIRED)
+            raise UpstreamLeft(upstream_id, self.listing.left_version(upstream_id))
+
+    def on_upstream_left(self, upstream_id, version):
+        """Take another host's word that an upstream left, where it is newer."""
+        if self.listing.believe_left(upstream_id, version, self._clock.now_ms()):
+            _log.info("upstream_gone", upstream=upstream_id, version=version, told=True)
+            self._on_upstreams()
--- a/libs/host/src/hemlockhoist/host/grants.py
+++ b/libs/host/src/hemlockhoist/host/grants.py
@@ -17,6 +17,7 @@
     HeldGrant,
     HeldGrantIds,
     HeldGrants,
+    LeftUpstream,
     NotHome,
     RequestBrief,
 )
@@ -253,7 +254,7 @@
         waiter.heard_ms = now_ms
         waiter.silences = 0
         if isinstance(message, GrantRefusal):
-            raise Refused("", message.code, message.retry_after_ms)
+            raise Refused(message.reason, message.code, message.retry_after_ms)
         if isinstance(message, GrantReply):
             hold = self._take(waiter, message, brief(now_ms), late_ms)
             # One that came too late has been given back; ask for another.
@@ -326,6 +327,18 @@
         )
         self._tell_homes(hold, message)
 
+    def report_left(self, hold, version):
+        """Tell the home that the upstream which it granted has left the list.
+
+        Parameters
+        ==========
+        hold : GrantHold
+        version : int
+            Of the list at which it left.
+        """
+        message = LeftUpstream(upstream_id=hold.upstream_id, version=version)
+        self._send(hold.home, message)
+
     def _tell_homes(self, hold, message):
         """Send a message on a grant to whoever may count it.
 
--- a/libs/host/src/hemlockhoist/host/inbound.py
+++ b/libs/host/src/hemlockhoist/host/inbound.py
@@ -25,6 +25,7 @@
     HeldGrants,
     HomeTakeover,
     KeyLookup,
+    LeftUpstream,
     LookupReply,
     MembersPage,
     MembersRequest,
@@ -139,6 +140,11 @@
     context.feeds.on_answer(message)
 
 
+@_handle.register
+def _(message: LeftUpstream, context, sender, late_ms):
+    context.knowledge.on_upstream_left(message.upstream_id, message.version)
+
+
 @_handle.register
 def _(message: MoveAnnounced, context, sender, late_ms):
     context.moves.on_announced(message)
--- a/libs/messages/src/hemlockhoist/messages/__init__.py
+++ b/libs/messages/src/hemlockhoist/messages/__init__.py
@@ -22,6 +22,7 @@
     FeedQuestion,
     FeedRow,
     FeedState,
+    LeftUpstream,
 )
 from hemlockhoist.messages.grants import (
     FirstToken,
@@ -99,6 +100,7 @@
     "HeldGrants",
     "HomeTakeover",
     "KeyLookup",
+    "LeftUpstream",
     "LookupDone",
     "LookupExpired",
     "LookupFull",
--- a/libs/messages/src/hemlockhoist/messages/feeds.py
+++ b/libs/messages/src/hemlockhoist/messages/feeds.py
@@ -31,6 +31,22 @@
     version: int
 
 
+class LeftUpstream(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
+    """Tells a home that an upstream which it granted has left the platform's list.
+
+    Parameters
+    ==========
+    upstream_id : str
+    version : int
+        Of the list at which it left.
+    """
+
+    upstream_id: str
+    version: int
+
+
 class FeedQuestion(
     msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
 ):
--- a/libs/messages/src/hemlockhoist/messages/grants.py
+++ b/libs/messages/src/hemlockhoist/messages/grants.py
@@ -94,12 +94,16 @@
 class GrantRefusal(
     msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
 ):
-    """The home refuses; nothing of the request has been sent to an upstream."""
+    """The home refuses; nothing of the request has been sent to an upstream.
+
+    ``reason`` says by which figures, for the entry host's log.
+    """
 
     pool: str
     request_id: str
     code: int
     retry_after_ms: int
+    reason: str = ""
 
 
 class NotHome(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
--- a/libs/messages/src/hemlockhoist/messages/registry.py
+++ b/libs/messages/src/hemlockhoist/messages/registry.py
@@ -14,7 +14,7 @@
     ConfigurationSummaryRequest,
     HaltedVersions,
 )
-from hemlockhoist.messages.feeds import FeedAnswer, FeedQuestion
+from hemlockhoist.messages.feeds import FeedAnswer, FeedQuestion, LeftUpstream
 from hemlockhoist.messages.grants import (
     FirstToken,
     GrantCancel,
@@ -73,6 +73,7 @@
     HeldGrants,
     HomeTakeover,
     KeyLookup,
+    LeftUpstream,
     LookupDone,
     LookupExpired,
     LookupFull,
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_site.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_site.py
@@ -14,6 +14,7 @@
     SkippingClock,
     route,
 )
+from hemlockhoist.store import StoreRow
 
 
 def services(*names):
@@ -173,6 +174,49 @@
         self.assertTrue(replicas[0].ran[0].closed)
 
 
+class StaleHomeTests(unittest.IsolatedAsyncioTestCase):
+    """A home that missed that an upstream left goes on granting it."""
+
+    async def asyncSetUp(self):
+        self.replicas = services("gone", "good")
+        # The good one is the slower, so that the other is granted first.
+        self.replicas["reservas"][1].delay_ms = 40
+        site = Site(self.replicas, [LOOKUP], hosts=2)
+        self.site = await self.enterAsyncContext(site)
+        home = site.hosts[0].context.homes.home_of("reservas")
+        hosts = [host.context for host in site.hosts]
+        self.home, self.other = sorted(
+            hosts, key=lambda context: context.identity.host_id != home
+        )
+        self.number = hosts.index(self.other)
+        listed = self.other.knowledge.listing.get("gone", 0)
+        self.row = StoreRow(key="gone", value=None, version=listed.listed_version + 50)
+
+    async def test_caller_is_served_and_the_home_believes_the_newer_list(self):
+        """Callers are refused, with other upstreams free, until the home reads anew."""
+        self.other.knowledge.take_upstream_rows([self.row], False)
+        for number in range(6):
+            call = self.site.call(f"/check-free/{number}", host=self.number)
+            async with call as answer:
+                self.assertEqual(answer.status, 200)
+        self.assertEqual(len(self.replicas["reservas"][0].ran), 0)
+        self.assertIsNone(self.home.knowledge.listing.get("gone", 0))
+
+    async def test_home_that_knows_better_goes_on_granting(self):
+        """A host that is behind the list takes a new upstream for one that left."""
+        await self.site.list_replica("reservas", self.replicas["reservas"][0])
+        async with asyncio.timeout(5):
+            while not self._is_relisted():
+                await asyncio.sleep(0.01)
+        version = self.row.version - 50
+        self.home.knowledge.on_upstream_left("gone", version)
+        self.assertIsNotNone(self.home.knowledge.listing.get("gone", 0))
+
+    def _is_relisted(self):
+        listed = self.home.knowledge.listing.get("gone", 0)
+        return listed is not None and listed.listed_version > self.row.version - 50
+
+
 class BrokenStreamTests(unittest.IsolatedAsyncioTestCase):
     async def read(self, route_, behaviour, *others):
         bad = Replica("bad", events=8)
