Carry messages between hosts by the event loop's own connections

Change: length-prefixed frames over TCP. One task and one connection for each peer that a host sends to, one task for each connection that a peer opened. A peer is dialled with the first message, not again and again while there is none. What one bad frame did stays: it is dropped alone; a length beyond any frame ends its connection.

UDP: a list of upstreams does not fit a datagram.

The tests of the transport hold as they were; the two that named the library's inside were rewritten as strict.

--- a/libs/peers/src/hemlockhoist/peers/bus.py
+++ b/libs/peers/src/hemlockhoist/peers/bus.py
@@ -1,14 +1,12 @@
-"""All of a host's links to its peers, and its listening socket."""
+"""All of a host's links to its peers, and where it listens for them."""
 
 import asyncio
 
-import pynng
-
 from hemlockhoist.base import HemlockhoistError, PeerError, get_logger
-from hemlockhoist.messages import MAX_FRAME_BYTES, Codec
-from hemlockhoist.peers.ending import end_task
+from hemlockhoist.messages import Codec
 from hemlockhoist.peers.inbox import Inbox
 from hemlockhoist.peers.link import PeerLink
+from hemlockhoist.peers.listener import PeerListener
 
 _log = get_logger("peers.bus")
 
@@ -41,10 +39,8 @@
         "_inbox",
         "_incarnation",
         "_links",
-        "_listen",
+        "_listener",
         "_on_broken",
-        "_socket",
-        "_task",
         "address",
         "bytes_received",
         "rejected",
@@ -62,36 +58,29 @@
     ):
         self._on_broken = on_broken
         self._incarnation = incarnation
-        self._listen = listen
+        self._listener = PeerListener(listen, self._take, self._reject)
         self._advertise = advertise
         self._codec = Codec(peer_key)
         self._clock = clock
         self._handler = handler
         self._inbox = None
         self._links = {}
-        self._socket = None
-        self._task = None
         self.address = ""
         self.bytes_received = 0
         self.rejected = 0
 
     async def start(self):
         """Listen for peers."""
-        self._socket = pynng.Pull0(recv_max_size=MAX_FRAME_BYTES)
-        self._socket.listen(f"tcp://{self._listen}")
-        listened = str(self._socket.listeners[0].local_address)
-        self.address = self._advertise or listened
+        # What arrives before this host knows its address is dropped, as if lost.
+        await self._listener.start()
+        self.address = self._advertise or self._listener.address
         self._inbox = Inbox(self.address)
-        self._task = asyncio.create_task(self._receive())
 
     async def close(self):
-        """Close all sockets."""
-        await end_task(self._task)
-        for link in self._links.values():
-            await link.close()
+        """Close all connections."""
+        await self._listener.close()
+        await asyncio.gather(*(link.close() for link in self._links.values()))
         self._links.clear()
-        if self._socket is not None:
-            self._socket.close()
 
     async def disconnect(self, address):
         """Drop the link to a peer that has left."""
@@ -150,24 +139,26 @@
         """Return the bytes sent on all present links."""
         return sum(link.bytes_sent for link in self._links.values())
 
-    async def _receive(self):
-        while True:
-            frame = await self._socket.arecv()
-            self.bytes_received += len(frame)
-            try:
-                envelope = self._codec.decode(frame)
-                late_ms = self._inbox.accept(envelope, self._clock.now_ms())
-            except PeerError as error:
-                self.rejected += 1
-                _log.warning(
-                    "peer_rejected", code=int(error.code), reason=error.message
-                )
-                continue
-            if self._inbox.is_new_run(envelope.sender):
-                # The connection was to the run before, and may hang.
-                self.renew(envelope.sender)
-            for message in envelope.messages:
-                self._deliver(envelope.sender, message, late_ms)
+    def _take(self, frame):
+        """Take a frame of a peer; one that can not be trusted is dropped alone."""
+        self.bytes_received += len(frame)
+        if self._inbox is None:
+            return
+        try:
+            envelope = self._codec.decode(frame)
+            late_ms = self._inbox.accept(envelope, self._clock.now_ms())
+        except PeerError as error:
+            self._reject(error)
+            return
+        if self._inbox.is_new_run(envelope.sender):
+            # The connection was to the run before, and may hang.
+            self.renew(envelope.sender)
+        for message in envelope.messages:
+            self._deliver(envelope.sender, message, late_ms)
+
+    def _reject(self, error):
+        self.rejected += 1
+        _log.warning("peer_rejected", code=int(error.code), reason=error.message)
 
     def _deliver(self, sender, message, late_ms):
         # One message that a handler fails on must not end the task that all peers'
--- a/libs/peers/src/hemlockhoist/peers/link.py
+++ b/libs/peers/src/hemlockhoist/peers/link.py
@@ -1,24 +1,22 @@
-"""The sending side: one task and one socket for each peer, messages in batches."""
+"""The sending side: one task and one connection for each peer, messages in batches."""
 
 import asyncio
 import collections
 
-import pynng
-
 from hemlockhoist.base import MS_PER_S, get_logger
 from hemlockhoist.messages import Envelope
-from hemlockhoist.peers.ending import end_task
+from hemlockhoist.peers.connection import Connection
 
 _log = get_logger("peers.link")
 
-# A pynng message costs some 200 microseconds of hand-over between threads, whatever
-# its size; batching keeps that cost per envelope and not per message.
+# Bounds what one envelope may hold up behind it.
 MAX_BATCH = 256
 # A peer that takes nothing for this long is dead or cut off: what is queued for it
 # is stale by then, and every exchange between hosts is repeated by its sender.
-SEND_TIMEOUT_MS = 1_000
+STALE_MS = 1_000
 # Bounds the memory that an unreachable peer can cost; the oldest go first.
 MAX_QUEUED = 4_096
+# Pause after a connection that was refused, twice as long after each in a row.
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 1_000
 # A peer is dialled again after this while no connection is there, and twice as long
@@ -29,6 +27,7 @@
 # Between two renewals of a connection: a new one is there within a few round trips,
 # and whoever has no answer asks for a renewal with each question.
 MIN_RENEWAL_MS = 400
+FLUSH_CHECK_MS = 5
 
 
 class PeerLink:
@@ -50,17 +49,14 @@
         "_clock",
         "_closed",
         "_codec",
-        "_dialer",
+        "_connection",
         "_incarnation",
-        "_loop",
         "_on_broken",
         "_queue",
         "_reachable",
-        "_redial",
         "_renewed_ms",
         "_sender",
         "_sequence",
-        "_socket",
         "_task",
         "_wake",
         "address",
@@ -70,7 +66,6 @@
 
     def __init__(self, codec, clock, sender, incarnation, address, on_broken):
         self._on_broken = on_broken
-        self._loop = asyncio.get_running_loop()
         self._codec = codec
         self._clock = clock
         self._sender = sender
@@ -82,48 +77,41 @@
         self._reachable = True
         self._closed = False
         self._renewed_ms = None
-        self._socket = None
-        self._dialer = None
-        self._redial = None
+        self._connection = None
         self._task = None
         self.bytes_sent = 0
         self.dropped = 0
 
     def start(self):
-        """Begin to dial the peer, and go on until ``close``."""
-        self._dial()
+        """Begin to send; the peer is dialled with the first message."""
         self._task = asyncio.create_task(self._run())
 
-    def _dial(self):
-        found = pynng.Push0(
-            send_timeout=SEND_TIMEOUT_MS,
-            reconnect_time_min=RECONNECT_MIN_MS,
-            reconnect_time_max=RECONNECT_MAX_MS,
-        )
-        found.add_post_pipe_remove_cb(lambda pipe: self._pipe_removed(found))
-        self._socket = found
-        self._dialer = found.dial(f"tcp://{self.address}", block=False)
-        self._wait_connected(REDIAL_MIN_MS)
-
-    def _wait_connected(self, wait_ms):
-        if self._redial is not None:
-            self._redial.cancel()
-        self._redial = self._loop.call_later(
-            wait_ms / MS_PER_S, self._dial_again, wait_ms
-        )
+    async def close(self):
+        """Stop sending; what is still queued is dropped."""
+        self._closed = True
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        if self._connection is not None:
+            self._connection.close()
 
-    def _dial_again(self, waited_ms):
-        """Dial anew where the connection is not there yet.
+    async def flush(self, timeout_ms):
+        """Wait until all that was queued has left, at most ``timeout_ms``."""
+        deadline_ms = self._clock.now_ms() + timeout_ms
+        while self._is_sending and self._clock.now_ms() < deadline_ms:
+            await asyncio.sleep(FLUSH_CHECK_MS / MS_PER_S)
 
-        Failure: hosts come up one after the other, and the first dials one that has no
-        power yet. Its packet is lost, and the kernel sends it again only after a
-        second, in which the two do not hear each other and each makes itself home.
-        """
-        if self._closed or self._socket.pipes:
-            return
-        self._dialer.close()
-        self._dialer = self._socket.dial(f"tcp://{self.address}", block=False)
-        self._wait_connected(min(REDIAL_MAX_MS, 2 * waited_ms))
+    @property
+    def _is_sending(self):
+        connection = self._connection
+        return bool(self._queue or (connection and connection.unsent_bytes))
+
+    def send(self, message):
+        """Queue a message; it leaves with the next envelope."""
+        if len(self._queue) == MAX_QUEUED:
+            self.dropped += 1
+        self._queue.append((self._clock.now_ms(), message))
+        self._wake.set()
 
     def renew(self):
         """Take a new connection in the place of one that may carry nothing.
@@ -138,56 +126,82 @@
         if self._renewed_ms is not None and now_ms - self._renewed_ms < MIN_RENEWAL_MS:
             return
         self._renewed_ms = now_ms
-        former = self._socket
-        self._dial()
+        former, self._connection = self._connection, None
         if former is not None:
             former.close()
 
-    def _pipe_removed(self, found):
-        # Called in a thread of the library.
-        if not self._loop.is_closed():
-            self._loop.call_soon_threadsafe(self._note_broken, found)
-
-    def _note_broken(self, found):
-        if not self._closed and found is self._socket:
-            self._on_broken(self.address)
-
-    async def close(self):
-        """Stop sending; what is still queued is dropped."""
-        self._closed = True
-        if self._redial is not None:
-            self._redial.cancel()
-        await end_task(self._task)
-        if self._socket is not None:
-            self._socket.close()
+    async def _run(self):
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._queue:
+                connection = await self._connected()
+                await connection.wait_writable()
+                self._send_queued(connection)
 
-    async def flush(self, timeout_ms):
-        """Wait until all that was queued has left, at most ``timeout_ms``."""
-        deadline_ms = self._clock.now_ms() + timeout_ms
-        while self._queue and self._clock.now_ms() < deadline_ms:
-            await asyncio.sleep(0.005)
+    async def _connected(self):
+        """Return the present connection; dial the peer where there is none."""
+        if self._connection is None:
+            self._connection = await self._dial()
+        return self._connection
 
-    def send(self, message):
-        """Queue a message; it leaves with the next envelope."""
-        if len(self._queue) == MAX_QUEUED:
-            self.dropped += 1
-        self._queue.append(message)
-        self._wake.set()
+    async def _dial(self):
+        """Return a new connection.
 
-    async def _run(self):
+        Failure: hosts come up one after the other, and the first dials one that has no
+        power yet. Its packet is lost, and the kernel sends it again only after a
+        second, in which the two do not hear each other and each makes itself home. So
+        it is dialled anew where the connection is not there soon.
+        """
+        limit_ms, rest_ms = REDIAL_MIN_MS, RECONNECT_MIN_MS
         while True:
-            await self._wake.wait()
-            batch = self._take_batch()
-            if not batch:
-                self._wake.clear()
-                continue
-            await self._send_batch(batch)
+            try:
+                return await self._dial_once(limit_ms)
+            except TimeoutError:
+                self._note_state(reachable=False, reason="no connection in time")
+                limit_ms = min(REDIAL_MAX_MS, 2 * limit_ms)
+            except OSError as error:
+                self._note_state(reachable=False, reason=str(error))
+                await asyncio.sleep(rest_ms / MS_PER_S)
+                rest_ms = min(RECONNECT_MAX_MS, 2 * rest_ms)
+            self._drop_stale()
+
+    async def _dial_once(self, limit_ms):
+        ip, _, port = self.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(limit_ms / MS_PER_S):
+            _, connection = await loop.create_connection(
+                lambda: Connection(self._note_lost), ip.strip("[]"), int(port)
+            )
+        self._note_state(reachable=True)
+        return connection
+
+    def _note_lost(self, connection):
+        """Forget a connection that has ended, and tell it where it was in use."""
+        if connection is self._connection:
+            self._connection = None
+            if not self._closed:
+                self._on_broken(self.address)
+
+    def _drop_stale(self):
+        before_ms = self._clock.now_ms() - STALE_MS
+        while self._queue and self._queue[0][0] < before_ms:
+            self._queue.popleft()
+            self.dropped += 1
 
-    def _take_batch(self):
+    def _send_queued(self, connection):
+        if connection is not self._connection or connection.is_closing:
+            # It ended, or was renewed, while this waited.
+            return
+        self._drop_stale()
         count = min(MAX_BATCH, len(self._queue))
-        return [self._queue.popleft() for _ in range(count)]
+        batch = [self._queue.popleft()[1] for _ in range(count)]
+        frame = self._encode(batch) if batch else None
+        if frame is not None:
+            connection.write(frame)
+            self.bytes_sent += len(frame)
 
-    async def _send_batch(self, batch):
+    def _encode(self, batch):
         self._sequence += 1
         envelope = Envelope(
             sender=self._sender,
@@ -197,18 +211,6 @@
             sent_ms=self._clock.now_ms(),
             messages=batch,
         )
-        frame = self._encode(envelope)
-        if frame is None:
-            return
-        try:
-            await self._socket.asend(frame)
-            self.bytes_sent += len(frame)
-            self._note_state(reachable=True)
-        except pynng.exceptions.NNGException as error:
-            self.dropped += len(batch)
-            self._note_state(reachable=False, reason=str(error))
-
-    def _encode(self, envelope):
         # A message that can not be encoded is a fault of this program, and must not
         # end this task: the peer would hear nothing more from a host that looks
         # alive to all others.
--- /dev/null
+++ b/libs/peers/src/hemlockhoist/peers/listener.py
@@ -0,0 +1,78 @@
+"""The receiving side: one task for each connection that a peer has opened."""
+
+import asyncio
+
+from hemlockhoist.base import PeerError, get_logger
+from hemlockhoist.peers.frames import FrameReader
+
+_log = get_logger("peers.listener")
+
+READ_BYTES = 65_536
+# Connections of a fleet that starts at once.
+BACKLOG = 1_024
+
+
+class PeerListener:
+    """Takes peers' connections and hands their frames on.
+
+    Parameters
+    ==========
+    address : str
+        ``IP:port``; port 0 takes a free one, see ``address`` after ``start``.
+    on_frame : callable
+        ``on_frame(frame)``; must neither block nor raise.
+    on_rejected : callable
+        ``on_rejected(error)`` is called with a ``PeerError`` where a connection is
+        ended for what came on it.
+    """
+
+    __slots__ = ("_on_frame", "_on_rejected", "_server", "_tasks", "address")
+
+    def __init__(self, address, on_frame, on_rejected):
+        self._on_frame = on_frame
+        self._on_rejected = on_rejected
+        self._server = None
+        self._tasks = set()
+        self.address = address
+
+    async def start(self):
+        """Listen for peers."""
+        ip, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(
+            self._serve, ip.strip("[]"), int(port), backlog=BACKLOG
+        )
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"{ip}:{port}"
+
+    async def close(self):
+        """Stop listening, and end all connections."""
+        if self._server is not None:
+            self._server.close()
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _serve(self, reader, writer):
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        try:
+            await self._read(reader)
+        except PeerError as error:
+            self._on_rejected(error)
+        except OSError as error:
+            # The peer's process or machine is gone; its host shows so to the probes.
+            _log.info("peer_connection_lost", reason=str(error))
+        except asyncio.CancelledError:
+            # Only ``close`` cancels. Raised on, the stream's own callback would log it
+            # as a fault.
+            return
+        finally:
+            self._tasks.discard(task)
+            writer.close()
+
+    async def _read(self, reader):
+        frames = FrameReader()
+        while data := await reader.read(READ_BYTES):
+            for frame in frames.feed(data):
+                self._on_frame(frame)
--- a/libs/peers/src/hemlockhoist/peers/tests/test_bus.py
+++ b/libs/peers/src/hemlockhoist/peers/tests/test_bus.py
@@ -4,12 +4,11 @@
 import socket
 import unittest
 
-import pynng
-
 from hemlockhoist.base import Clock, PeerError
 from hemlockhoist.messages import Codec, Envelope, GrantCancel
-from hemlockhoist.peers import Inbox, PeerBus, inbox
-from hemlockhoist.peers.link import PeerLink
+from hemlockhoist.peers import Inbox, PeerBus, frames, inbox
+from hemlockhoist.peers.frames import framed
+from hemlockhoist.peers.link import REDIAL_MIN_MS, PeerLink
 
 WAIT_S = 5
 
@@ -67,7 +66,8 @@
 
     def test_docstring_examples_run(self):
         """The examples in the docstrings give what they show."""
-        self.assertEqual(doctest.testmod(inbox).failed, 0)
+        for module in (frames, inbox):
+            self.assertEqual(doctest.testmod(module).failed, 0)
 
 
 class BusTests(unittest.IsolatedAsyncioTestCase):
@@ -117,19 +117,42 @@
 
     async def test_garbage_ends_neither_the_task_nor_the_host(self):
         """Truncated and random frames are dropped; the next message arrives."""
-        with pynng.Push0(dial=f"tcp://{self.b.address}") as raw:
-            for frame in (
-                b"",
-                b"\x01",
-                b"\xff" * 100,
-                Codec(b"k").encode(_envelope(9))[:-3],
-            ):
-                await raw.asend(frame)
-            while self.b.rejected < 4:
-                await asyncio.sleep(0.01)
+        for frame in (
+            b"",
+            b"\x01",
+            b"\xff" * 100,
+            Codec(b"k").encode(_envelope(9))[:-3],
+        ):
+            await self._send_raw(framed(frame))
+        await self._wait_rejected(4)
+        self.a.send(self.b.address, _message(2))
+        await asyncio.wait_for(self.received.get(), WAIT_S)
+
+    async def test_frame_longer_than_any_ends_its_connection_alone(self):
+        """A host is told to keep four gigabytes, and has 64 MB for control."""
+        raw = await self._send_raw(b"\xff\xff\xff\xff", close=False)
+        await self._wait_rejected(1)
+        async with asyncio.timeout(WAIT_S):
+            self.assertEqual(await raw.read(), b"")
         self.a.send(self.b.address, _message(2))
         await asyncio.wait_for(self.received.get(), WAIT_S)
 
+    async def _send_raw(self, data, close=True):
+        """Send bytes on a connection of its own; return what reads its end."""
+        ip, _, port = self.b.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        self.addCleanup(writer.close)
+        writer.write(data)
+        await writer.drain()
+        if close:
+            writer.close()
+        return reader
+
+    async def _wait_rejected(self, count):
+        async with asyncio.timeout(WAIT_S):
+            while self.b.rejected < count:
+                await asyncio.sleep(0.01)
+
     async def test_message_that_can_not_be_encoded_does_not_end_the_link(self):
         """A booking is repeated at a second host, which asks the first for its answer.
 
@@ -148,33 +171,38 @@
         self.assertEqual(message, _message(2))
 
     async def test_message_that_arrives_with_the_stop_keeps_the_host_from_ending(self):
-        """
-        A host has drained and closes its sockets; a peer's message arrives in that
-        moment. The library returns the message and swallows the cancellation, and the
-        host waited for its receiving task until a supervisor killed it.
-        """
-        socket_ = self.b._socket
-        swallowed = []
-
-        class Swallowing:
-            async def arecv(self):
-                try:
-                    return await socket_.arecv()
-                except asyncio.CancelledError:
-                    if swallowed:
-                        raise
-                    swallowed.append(1)
-                    return b""
-
-            def close(self):
-                socket_.close()
-
-        self.b._socket = Swallowing()
-        self.a.send(self.b.address, _message(1))
+        """A stopping host's receiving task misses its cancellation while messages come,
+        and the host is killed by its supervisor."""
+        for round_ in range(20):
+            peer = self._bus(b"k")
+            await peer.start()
+            for number in range(50):
+                self.a.send(peer.address, _message(number))
+            # A different moment of the messages' way each time.
+            await asyncio.sleep(round_ / 2_000)
+            await asyncio.wait_for(peer.close(), 2)
+
+    async def test_peer_that_ended_is_told_and_reached_again_at_its_address(self):
+        """A host restarts at its address, and is taken for lost by those who sent to
+        it before."""
+        broken = asyncio.Queue()
+        sender = PeerBus(
+            "1", "127.0.0.1:0", None, b"k", self.clock, self._take, broken.put_nowait
+        )
+        await sender.start()
+        self.addAsyncCleanup(sender.close)
+        address = self.b.address
+        sender.send(address, _message(1))
         await asyncio.wait_for(self.received.get(), WAIT_S)
-        await asyncio.sleep(0.05)
-        await asyncio.wait_for(self.b.close(), 2)
-        self.assertTrue(swallowed)
+        await self.b.close()
+        self.assertEqual(await asyncio.wait_for(broken.get(), WAIT_S), address)
+        again = PeerBus("2", address, None, b"k", self.clock, self._take)
+        await again.start()
+        self.addAsyncCleanup(again.close)
+        sender.send(address, _message(2))
+        _, message = await asyncio.wait_for(self.received.get(), WAIT_S)
+        self.assertEqual(message, _message(2))
+        self.assertTrue(broken.empty())
 
     async def test_a_peer_that_is_not_there_costs_bounded_memory(self):
         """Messages to an unreachable peer are dropped, the oldest first."""
@@ -212,7 +240,8 @@
                     lambda peer: None,
                 )
                 link.start()
-                await asyncio.sleep(0.1)
+                link.send(_message(1))
+                await asyncio.sleep(REDIAL_MIN_MS / 1_000 / 2)
             listener.setblocking(False)
             loop = asyncio.get_running_loop()
             accepted = []
@@ -226,7 +255,7 @@
                     found.close()
 
     async def _is_link(self, loop, listener, accepted):
-        """Accept a connection; return whether it sends the library's greeting."""
+        """Accept a connection; return whether the message comes by it."""
         found, _ = await loop.sock_accept(listener)
         accepted.append(found)
         found.setblocking(False)
