Place prompts on engines that probably keep their parts

Nothing was done with the parts that callers name.

Change: a home remembers which parts it granted to which upstream, least recently used first, up to what the pool's engines declare to keep (`PromptCache`). The expected first token counts only what has to be computed; what need not be computed counts twice more, as it delays nobody else. A gone or restarted upstream keeps nothing. Waste is counted at the grant: what another upstream keeps beyond the chosen one.

--- a/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
@@ -12,11 +12,13 @@
     live_versions,
     order_state,
 )
+from hemlockhoist.decisions.entry.prefixes import chained_hashes
 from hemlockhoist.decisions.entry.readers import find_readers, reader_for
 from hemlockhoist.decisions.entry.shares import PoolChooser
 from hemlockhoist.decisions.entry.sweep import StaleEntries
 
 __all__ = [
+    "chained_hashes",
     "AttemptEnd",
     "Freshness",
     "HeldBackPolicy",
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared.py
@@ -4,6 +4,7 @@
 
 from hemlockhoist.decisions.scheduling.declared_track import DeclaredTrack
 from hemlockhoist.decisions.scheduling.pace import PoolPace
+from hemlockhoist.decisions.scheduling.prompt_cache import PromptCache
 from hemlockhoist.decisions.scheduling.recovery import DECLARED_RECOVERY_MS
 from hemlockhoist.decisions.scheduling.tracks import Tracks
 from hemlockhoist.decisions.work import OutcomeKind
@@ -27,18 +28,28 @@
 PAUSED_ANSWER_MS = 400.0
 # Part of a declared pause that prompts may take: the rest is for the tokens.
 PROMPT_PART = 0.8
+# What an engine need not compute of a prompt delays none of the answers under way
+# there: besides its own first token, it counts so much more.
+SAVED_PART = 2.0
 
 _FAILURES = frozenset({OutcomeKind.FAILED, OutcomeKind.BROKE_OFF, OutcomeKind.TIMEOUT})
 _UNREACHED = frozenset({OutcomeKind.CONNECT_FAILED})
 
 
 class DeclaredTracks(Tracks):
-    """The tracks of a pool's upstreams that declare their places."""
+    """The tracks of a pool's upstreams that declare their places.
 
-    __slots__ = ("_counted", "_gaps_ms", "_pace", "_tracks", "_unreached")
+    Parameters
+    ==========
+    cache_tokens : int, optional
+        Of prompts that one upstream keeps; 0 where that is not declared.
+    """
+
+    __slots__ = ("_cache", "_counted", "_gaps_ms", "_pace", "_tracks", "_unreached")
     recovery_ms = DECLARED_RECOVERY_MS
 
-    def __init__(self):
+    def __init__(self, cache_tokens=0):
+        self._cache = PromptCache(cache_tokens)
         self._tracks = {}
         self._pace = PoolPace()
         # By route, as declared.
@@ -55,10 +66,13 @@
         self._tracks = {}
         for item in upstreams:
             track = former.get(item.upstream_id)
-            if track is None:
+            if track is None or track.started_unix_ms != item.started_unix_ms:
                 track = DeclaredTrack(item, self._pace)
+                self._cache.forget(item.upstream_id)
             track.limit.places = item.places
             self._tracks[item.upstream_id] = track
+        for upstream_id in former.keys() - self._tracks.keys():
+            self._cache.forget(upstream_id)
         self._unreached &= self._tracks.keys()
 
     def get(self, upstream_id):
@@ -118,15 +132,18 @@
         work = self._pace.work(request)
         usual_rate = self._usual_failure_rate(now_ms)
         most_ms = self._most_prompts_ms(work, now_ms)
+        kept_at = self._kept(request)
         best, best_ms = None, math.inf
         for item in choices:
             track = self._tracks[item.upstream_id]
-            first_ms = track.first_token_ms(work, now_ms)
-            if first_ms >= best_ms:
+            kept = kept_at.get(item.upstream_id, 0)
+            first_ms = track.first_token_ms(work, now_ms, kept)
+            saved_ms = SAVED_PART * track.pace.prompt_ms(kept) if kept else 0.0
+            if first_ms - saved_ms >= best_ms:
                 # The rest of the cost is never below zero.
                 continue
             held = in_flight(item.upstream_id)
-            cost_ms = _cost_ms(work, track, first_ms, held, now_ms)
+            cost_ms = _cost_ms(work, track, first_ms, held, now_ms) - saved_ms
             cost_ms += _risk_ms(work, track, held, usual_rate, most_ms, now_ms)
             if cost_ms < best_ms:
                 best, best_ms = item, cost_ms
@@ -134,6 +151,17 @@
             return None
         return best
 
+    def _kept(self, request):
+        """Return by upstream how many tokens of a request's prompt it keeps."""
+        if len(request.prefix_tokens) != len(request.prefix_hashes):
+            return {}
+        return self._cache.kept(request.prefix_hashes, request.prefix_tokens)
+
+    def cached_elsewhere(self, request, upstream_id):
+        """Return how many tokens are computed here though another upstream has them."""
+        kept_at = self._kept(request)
+        return max(kept_at.values(), default=0) - kept_at.get(upstream_id, 0)
+
     def _is_better_later(self, work, best, most_ms, ahead, now_ms):
         """Return whether a request should wait for an upstream that is full.
 
@@ -199,8 +227,12 @@
         request = held.request
         if request.max_gap_ms > 0:
             self._gaps_ms[request.route] = request.max_gap_ms
-        track = self._tracks[held.grant.upstream_id]
-        track.on_grant(held, self._pace.work(request), now_ms)
+        upstream_id = held.grant.upstream_id
+        track = self._tracks[upstream_id]
+        kept = self._kept(request).get(upstream_id, 0)
+        track.on_grant(held, self._pace.work(request), now_ms, kept)
+        if len(request.prefix_tokens) == len(request.prefix_hashes):
+            self._cache.note(upstream_id, request.prefix_hashes, request.prefix_tokens)
 
     def on_first_token(self, held, first_token_ms, now_ms):
         """Learn from a first token that is told before the answer's end."""
@@ -210,7 +242,9 @@
         held.first_token_known = True
         track.on_prompt_done(held, now_ms)
         self._note_reached(held.grant.upstream_id, track)
-        if held.prompt_wait_ms <= 0:
+        is_whole = held.pending_tokens == held.request.prompt_tokens
+        if held.prompt_wait_ms <= 0 and is_whole:
+            # What is kept is only believed, and says nothing of an engine's pace.
             track.pace.observe_first(held.request.prompt_tokens, first_token_ms)
 
     def on_outcome(self, held, outcome, hold_ms, predicted_ms, now_ms):
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_track.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_track.py
@@ -36,10 +36,12 @@
         "prompts_done_ms",
         "reach",
         "stalled",
+        "started_unix_ms",
     )
 
     def __init__(self, upstream, pool_pace):
         self.failure_domain = upstream.failure_domain
+        self.started_unix_ms = upstream.started_unix_ms
         self.limit = DeclaredLimit(upstream.places)
         self.pace = EnginePace(pool_pace)
         self.reach = Reach()
@@ -55,38 +57,38 @@
         """Return whether it may be given a request, places aside."""
         return self.reach.is_open(now_ms, len(self.pending))
 
-    def prompts_ms(self, work):
+    def prompts_ms(self, work, kept=0):
         """Return for how long the prompts here and a request's take the engine."""
-        return self.pace.prompt_ms(self.pending_tokens + work.prompt_tokens)
+        return self.pace.prompt_ms(self.pending_tokens + work.prompt_tokens - kept)
 
-    def first_token_ms(self, work, now_ms):
+    def first_token_ms(self, work, now_ms, kept=0):
         """Return the expected time until a request's first token here.
 
         Parameters
         ==========
         work : hemlockhoist.decisions.scheduling.pace.Work
         now_ms : int
+        kept : int, optional
+            Tokens of its prompt that need not be computed here.
         """
         wait_ms = self.prompts_done_ms - now_ms
-        first_ms = self.pace.token_ms * work.first_tokens
+        first_tokens = work.first_tokens - work.prompt_part * kept
+        first_ms = self.pace.token_ms * first_tokens
         return wait_ms + first_ms if wait_ms > 0 else first_ms
 
-    def ends_in_time(self, work, now_ms):
-        """Return whether a whole answer is expected here before the deadline."""
-        return self.ends_within(work, self.first_token_ms(work, now_ms), now_ms)
-
     def ends_within(self, work, first_token_ms, now_ms):
-        """Return the same where the time to the first token is known already."""
+        """Return whether a whole answer is expected here before the deadline."""
         decode_ms = LENGTH_ALLOWANCE * self.pace.token_ms * work.output_tokens
         return now_ms + first_token_ms + decode_ms <= work.deadline_ms
 
-    def on_grant(self, held, work, now_ms):
-        """Count a request's prompt."""
+    def on_grant(self, held, work, now_ms, kept=0):
+        """Count a request's prompt, but for what is kept of it."""
         held.prompt_wait_ms = max(0.0, self.prompts_done_ms - now_ms)
-        due_ms = now_ms + self.first_token_ms(work, now_ms)
+        due_ms = now_ms + self.first_token_ms(work, now_ms, kept)
         self.prompts_done_ms = due_ms - self.pace.base_ms()
-        self.pending[held.grant.grant_id] = (work.prompt_tokens, due_ms)
-        self.pending_tokens += work.prompt_tokens
+        held.pending_tokens = work.prompt_tokens - kept
+        self.pending[held.grant.grant_id] = (held.pending_tokens, due_ms)
+        self.pending_tokens += held.pending_tokens
 
     def on_prompt_done(self, held, now_ms):
         """Stop counting a prompt: its first token came, or its grant came back.
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/pace.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/pace.py
@@ -35,7 +35,9 @@
     Attributes
     ==========
     first_tokens : float
-        To the first token of an answer that waits for nothing.
+        To the first token of an answer that waits for nothing, of which nothing is kept.
+    prompt_part : float
+        What a prompt token takes.
     prompt_tokens, output_tokens : int
     deadline_ms, first_token_by_ms : int
     failure_domain : str
@@ -49,11 +51,13 @@
         "first_token_by_ms",
         "first_tokens",
         "output_tokens",
+        "prompt_part",
         "prompt_tokens",
     )
 
     def __init__(self, request, base_tokens, prompt_part):
         self.base_tokens = base_tokens
+        self.prompt_part = prompt_part
         self.first_tokens = base_tokens + prompt_part * request.prompt_tokens
         self.prompt_tokens = request.prompt_tokens
         self.output_tokens = request.output_tokens
--- a/libs/decisions/src/hemlockhoist/decisions/work.py
+++ b/libs/decisions/src/hemlockhoist/decisions/work.py
@@ -30,6 +30,8 @@
         Expected.
     prefix_hashes : tuple of int
         Chained hashes of the prompt's leading blocks, shortest prefix first.
+    prefix_tokens : tuple of int
+        Of each of these blocks; empty where all are of one size.
     deadline_ms, first_token_by_ms : int
         On the home's clock.
     leaves_ms : int or None
@@ -73,6 +75,7 @@
     is_new: bool = True
     leaves_ms: int | None = None
     max_gap_ms: int = 0
+    prefix_tokens: tuple[int, ...] = ()
 
 
 class UpstreamState(enum.Enum):
--- a/libs/entry/src/hemlockhoist/entry/admission.py
+++ b/libs/entry/src/hemlockhoist/entry/admission.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from hemlockhoist.base import BadRequest, ResultCode
+from hemlockhoist.decisions.entry import chained_hashes
 from hemlockhoist.declarations import KeyedCustomer, Route
 from hemlockhoist.entry.wire import CallerCall
 
@@ -27,6 +28,8 @@
     arrived_ms, deadline_ms, target_by_ms, leaves_ms : int
         On this host's clock: when it came, when its final answer is due, until when an
         answer is in time, and when its caller leaves if nothing of it has come.
+    prefix_hashes : tuple of int
+        Of the parts of its prompt, each chained to those before it.
     """
 
     call: CallerCall
@@ -37,6 +40,12 @@
     deadline_ms: int
     target_by_ms: int
     leaves_ms: int
+    prefix_hashes: tuple[int, ...] = ()
+
+    @property
+    def prefix_tokens(self):
+        """The tokens of each part of its prompt."""
+        return tuple(count for _, count in self.call.prompt_parts)
 
     @property
     def rank(self):
@@ -118,6 +127,7 @@
             deadline_ms=deadline_ms,
             target_by_ms=arrived_ms + route.target_ms,
             leaves_ms=leaves_ms,
+            prefix_hashes=chained_hashes(name for name, _ in call.prompt_parts),
         )
 
     def customer_of(self, call):
--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -178,6 +178,8 @@
             units=admitted.units if self._attempts == 1 else 0,
             is_new=self._attempts == 1,
             avoid=tuple(self._failed_upstreams),
+            prefix_hashes=admitted.prefix_hashes,
+            prefix_tokens=admitted.prefix_tokens,
         )
 
     @property
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -209,7 +209,7 @@
             context.bus.send,
             context.gate,
             cell_of=lambda pool: ONLY_CELL,
-            new_tracks=DeclaredTracks,
+            new_tracks=self._new_tracks,
         )
         context.grants = GrantClient(
             context.clock,
@@ -282,6 +282,14 @@
         context.gate.allowances.declare(table.customers)
         context.homes.redeclare()
 
+    def _new_tracks(self, name):
+        """Return what is kept of the upstreams of a pool."""
+        routes = self.context.knowledge.routes
+        pool = routes.pool(name) if routes is not None else None
+        if pool is None or pool.engine is None:
+            return DeclaredTracks()
+        return DeclaredTracks(pool.engine.cache_tokens)
+
     def _on_upstreams(self):
         context = self.context
         context.homes.set_upstreams(context.knowledge.usable())
--- a/libs/entry/src/hemlockhoist/entry/wire.py
+++ b/libs/entry/src/hemlockhoist/entry/wire.py
@@ -34,6 +34,8 @@
         The caller's estimate; 0 for none.
     last_event_id : int or None
         Where the caller goes on reading a stream.
+    prompt_parts : tuple of (str, int)
+        The parts of its prompt in order, as it names them, and their tokens.
     """
 
     request_id: str
@@ -48,6 +50,7 @@
     states_tokens: bool = False
     expected_output_tokens: int = 0
     last_event_id: int | None = None
+    prompt_parts: tuple[tuple[str, int], ...] = ()
 
     @property
     def path(self):
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -492,6 +492,7 @@
         prompt_tokens=brief.prompt_tokens,
         output_tokens=brief.output_tokens,
         prefix_hashes=brief.prefix_hashes,
+        prefix_tokens=brief.prefix_tokens,
         deadline_ms=now_ms + brief.deadline_in_ms,
         first_token_by_ms=now_ms + brief.first_token_in_ms,
         leaves_ms=leaves_ms,
--- a/libs/host/src/hemlockhoist/host/homes.py
+++ b/libs/host/src/hemlockhoist/host/homes.py
@@ -16,6 +16,11 @@
 STANDBY_IDLE_MS = 2_000
 
 
+def _no_tracks(pool):
+    """Return None: the scheduler finds the limits of its upstreams."""
+    return
+
+
 class HomeService:
     """Begins and ends being home of pools, and hands messages to the right one.
 
@@ -30,7 +35,7 @@
         ``cell_of(pool)`` names what is hashed to find a pool's home; pools of one
         cell have one home.
     new_tracks : callable, optional
-        Makes what a scheduler keeps of its upstreams.
+        ``new_tracks(pool)`` makes what a scheduler keeps of a pool's upstreams.
     """
 
     __slots__ = (
@@ -44,7 +49,7 @@
         "_upstreams",
     )
 
-    def __init__(self, context, send, gate=None, cell_of=str, new_tracks=lambda: None):
+    def __init__(self, context, send, gate=None, cell_of=str, new_tracks=_no_tracks):
         self._new_tracks = new_tracks
         self._context = context
         self._send = send
@@ -113,7 +118,7 @@
             self._context.identity.incarnation,
             policy,
             self._context.invariants,
-            self._new_tracks(),
+            self._new_tracks(pool.name),
         )
         home = PoolHome(
             pool.name,
--- a/libs/messages/src/hemlockhoist/messages/grants.py
+++ b/libs/messages/src/hemlockhoist/messages/grants.py
@@ -38,6 +38,8 @@
     max_gap_ms : int
         The longest pause between events of an answer that is in time; 0 where none is
         declared.
+    prefix_tokens : tuple of int
+        Of each block of ``prefix_hashes``; empty where all are of one size.
     """
 
     request_id: str
@@ -60,6 +62,7 @@
     is_new: bool = True
     leaves_in_ms: int | None = None
     max_gap_ms: int = 0
+    prefix_tokens: tuple[int, ...] = ()
 
 
 class GrantRequest(
