Keep a halt to the order it was made for

Cause, from that log: order @8 is halted and told as rolled back; order @14 for the same version is taken 0.3 s later, and only then does the home's next round share the halt of @8. OrderedMoves kept halts by pool and version, so this put the version on the list that take_order had just cleared; the home read it as "halted by another host" under @14 and rolled the mended version back untried. An operator who orders again within a round (200 ms, more on a busy host) met it.

Change: halts are kept with the order they were made for (HaltedVersions). The other half of the same fault goes too: a halt heard before its order was thrown away.

--- a/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
@@ -3,6 +3,7 @@
 from hemlockhoist.decisions.entry.attempts import AttemptEnd, Step, next_step
 from hemlockhoist.decisions.entry.copies import TableCopy
 from hemlockhoist.decisions.entry.freshness import Freshness
+from hemlockhoist.decisions.entry.halted import HaltedVersions
 from hemlockhoist.decisions.entry.listing import UpstreamListing
 from hemlockhoist.decisions.entry.ordered import (
     HeldBackPolicy,
@@ -21,6 +22,7 @@
     "chained_hashes",
     "AttemptEnd",
     "Freshness",
+    "HaltedVersions",
     "HeldBackPolicy",
     "MoveOrder",
     "OrderState",
--- a/libs/entry/src/hemlockhoist/entry/moves.py
+++ b/libs/entry/src/hemlockhoist/entry/moves.py
@@ -10,6 +10,7 @@
     get_logger,
 )
 from hemlockhoist.decisions.entry import (
+    HaltedVersions,
     HeldBackPolicy,
     OrderState,
     former_version,
@@ -84,7 +85,7 @@
         super().__init__(context, rows, send)
         self._orders = {}
         self._received_ms = {}
-        self._halted = set()
+        self._halted = HaltedVersions()
         self._told = {}
         self._retry_ms = 0
         self._task = PeriodicTask(self._follow_ms, self._follow_orders)
@@ -107,7 +108,7 @@
         self._orders[order.pool] = order
         self._received_ms[order.pool] = self._context.clock.now_ms()
         # A version that was halted in an earlier move is tried again by a new order.
-        self._halted.discard((order.pool, order.to_version))
+        self._halted.keep_only(order.pool, order.to_version, order.order_id)
         _log.info(
             "move_ordered",
             pool=order.pool,
@@ -123,7 +124,7 @@
         ======
         Refused
         """
-        if (pool, version) in self._halted:
+        if self._halted.has(pool, version, self._order_id(pool)):
             raise Refused(f"{version} is halted", ResultCode.GRANT_EXPIRED)
 
     # What differs from a fleet with declared versions.
@@ -177,15 +178,17 @@
         return self._context.fleet.live_hosts()
 
     def _share_halt(self, pool, move_id, version):
-        self._halted.add((pool, version))
+        self._halted.note(pool, version, move_id)
 
     def _is_halted(self, move):
-        return (move.pool, move.to_version) in self._halted
+        return self._halted.has(move.pool, move.to_version, move.move_id)
 
     def _revoke(self, message):
-        order = self._orders.get(message.pool)
-        if order is None or order.order_id == message.move_id:
-            self._halted.add((message.pool, message.version))
+        self._halted.note(message.pool, message.version, message.move_id)
+
+    def _order_id(self, pool):
+        order = self._orders.get(pool)
+        return order.order_id if order is not None else None
 
     # Orders.
 
