Let an experiment leave out mechanisms of scheduling

Cause: ablation was made by patched copies of the code, so that it could not be repeated with the binary that serves, and two mechanisms were never measured.

Change: HEMLOCKHOIST_EXPERIMENTS names mechanisms to leave out; nothing by default. decisions/scheduling/experiments.py is the one place that knows of it: it hands the scheduler its usual parts or parts that do nothing. A name that is not known stops the process, as a misspelt one would be measured as worth nothing.

Ruled out: conditions in the scheduler's methods (scattered over the hot path); the platform adapter reading the decisions' types itself (its boundary test forbids it).

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/returns.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/returns.py
@@ -27,12 +27,18 @@
 
     A request has another id when it comes back, and is known by its route, customer
     and size. One without a size can not be told from others.
+
+    Attributes
+    ==========
+    returned : int
+        How many have come back as told.
     """
 
-    __slots__ = ("_due",)
+    __slots__ = ("_due", "returned")
 
     def __init__(self):
         self._due = collections.OrderedDict()
+        self.returned = 0
 
     def note_refused(self, request, retry_after_ms, now_ms):
         """Remember a refused request."""
@@ -45,13 +51,34 @@
         if len(self._due) > MAX_REMEMBERED:
             self._due.popitem(last=False)
 
+    def return_ms(self, request, hold_ms, now_ms):
+        """Return after how long a refused request should come back.
+
+        Parameters
+        ==========
+        request : hemlockhoist.decisions.WorkRequest
+        hold_ms : float or None
+            How long its answer takes on a usual upstream.
+        now_ms : int
+
+        Returns
+        =======
+        int or None
+            None where the queue is to say it.
+        """
+        if hold_ms is None:
+            return None
+        return longest_return_ms(request, hold_ms, now_ms)
+
     def take(self, request, now_ms):
         """Return whether a request was refused before, and has waited as told."""
         due_ms = self._due.get(_key(request))
         if due_ms is None or now_ms < due_ms - EARLY_MS:
             return False
         del self._due[_key(request)]
-        return now_ms <= due_ms + LATE_MS
+        is_returned = now_ms <= due_ms + LATE_MS
+        self.returned += is_returned
+        return is_returned
 
     def _forget(self, now_ms):
         while self._due:
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -9,11 +9,10 @@
     slack_ms,
 )
 from hemlockhoist.decisions.scheduling.estimates import ServiceEstimate
+from hemlockhoist.decisions.scheduling.experiments import Experiments
 from hemlockhoist.decisions.scheduling.fleet import Fleet
 from hemlockhoist.decisions.scheduling.grants import GrantBook, Held
-from hemlockhoist.decisions.scheduling.out_of_turn import OutOfTurn
 from hemlockhoist.decisions.scheduling.queue import RequestQueue, Waiting
-from hemlockhoist.decisions.scheduling.returns import ReturnBook, longest_return_ms
 from hemlockhoist.decisions.scheduling.shedding import Shedder
 from hemlockhoist.decisions.scheduling.tracking import UpstreamTracks
 from hemlockhoist.decisions.work import Grant, Granted, OutcomeKind, new_grant_id
@@ -42,6 +41,7 @@
     __slots__ = (
         "_admission",
         "_estimate",
+        "_experiments",
         "_fleet",
         "_grants",
         "_incarnation",
@@ -56,7 +56,10 @@
         "_turns",
     )
 
-    def __init__(self, pool, tiers, incarnation, policy, invariants, tracks):
+    def __init__(
+        self, pool, tiers, incarnation, policy, invariants, tracks, experiments
+    ):
+        self._experiments = experiments
         self._pool = pool
         self._incarnation = incarnation
         self._policy = policy
@@ -66,8 +69,8 @@
         self._estimate = ServiceEstimate()
         self._grants = GrantBook()
         self._fleet = Fleet(self._grants, tracks)
-        self._turns = OutOfTurn()
-        self._returns = ReturnBook()
+        self._turns = experiments.turns()
+        self._returns = experiments.returns()
         self._shedder = Shedder(
             self._queue,
             self._admission,
@@ -82,7 +85,14 @@
 
     @classmethod
     def from_config(
-        cls, pool, tiers, incarnation, policy=None, invariants=None, tracks=None
+        cls,
+        pool,
+        tiers,
+        incarnation,
+        policy=None,
+        invariants=None,
+        tracks=None,
+        experiments=None,
     ):
         """Return a scheduler without upstreams.
 
@@ -98,10 +108,18 @@
         tracks : DeclaredTracks, optional
             For upstreams that declare their places; by default their limits are
             found.
+        experiments : Experiments, optional
+            Mechanisms that are left out.
         """
-        log = invariants or InvariantLog(fatal=False)
-        found = tracks or UpstreamTracks(pool.max_in_flight_per_upstream)
-        return cls(pool, tiers, incarnation, policy or VersionPolicy(), log, found)
+        return cls(
+            pool,
+            tiers,
+            incarnation,
+            policy or VersionPolicy(),
+            invariants or InvariantLog(fatal=False),
+            tracks or UpstreamTracks(pool.max_in_flight_per_upstream),
+            experiments or Experiments(),
+        )
 
     @property
     def queued(self):
@@ -113,6 +131,11 @@
         """Number of grants that entry hosts hold."""
         return len(self._grants)
 
+    @property
+    def returned(self):
+        """Number of requests so far that came back as they were told."""
+        return self._returns.returned
+
     def in_flight_at(self, version):
         """Return the number of grants that upstreams of a version have."""
         return self._grants.of_version(version)
@@ -149,7 +172,7 @@
             return []
         if self._grants.has_ended(request.request_id):
             return []
-        decisions = self._admit(request, now_ms)
+        decisions = self._admit(self._experiments.request(request), now_ms)
         return decisions + self._drain(now_ms)
 
     def cancel(self, request_id, now_ms):
@@ -459,8 +482,9 @@
     def _retry_after_ms(self, request, now_ms):
         places = self._fleet.places(now_ms)
         hold_ms = self._fleet.tracks.hold_ms(request)
-        if places and hold_ms is not None:
-            return longest_return_ms(request, hold_ms, now_ms)
+        return_ms = self._returns.return_ms(request, hold_ms, now_ms)
+        if places and return_ms is not None:
+            return return_ms
         return self._admission.retry_after_ms(
             request, self._queue, places, self._estimate, now_ms
         )
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/play.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/play.py
@@ -6,7 +6,7 @@
 
 from hemlockhoist.base import InvariantLog, Property
 from hemlockhoist.decisions import Granted, Outcome, OutcomeKind, Upstream
-from hemlockhoist.decisions.scheduling import DeclaredTracks, PoolScheduler
+from hemlockhoist.decisions.scheduling import Experiments, PoolScheduler
 from hemlockhoist.decisions.scheduling.tests import builders as b
 from hemlockhoist.declarations import Pool, PoolKind
 
@@ -90,6 +90,7 @@
         The time of a token on each engine.
     places : int
         Of each engine.
+    experiments : Experiments, optional
 
     Attributes
     ==========
@@ -99,11 +100,17 @@
         By kind: the engines.
     """
 
-    def __init__(self, tokens_ms, places=4):
+    def __init__(self, tokens_ms, places=4, experiments=None):
+        experiments = experiments or Experiments()
         pool = Pool(name="dossiers", kind=PoolKind.MODEL, stable_version="")
         self.invariants = InvariantLog(fatal=True)
         self.sched = PoolScheduler.from_config(
-            pool, (), "i1", invariants=self.invariants, tracks=DeclaredTracks()
+            pool,
+            (),
+            "i1",
+            invariants=self.invariants,
+            tracks=experiments.declared_tracks(),
+            experiments=experiments,
         )
         self.engines = {name: _Engine(ms) for name, ms in tokens_ms.items()}
         self.ends = collections.defaultdict(collections.Counter)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_bursts.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_bursts.py
@@ -9,9 +9,9 @@
 PACES_MS = {"fast": 1.5, "usual": 2.8, "slow": 7.8}
 
 
-def play_burst(notice_every_ms=12, tag_every_ms=50):
+def play_burst(notice_every_ms=12, tag_every_ms=50, experiments=None):
     """A burst of notices for five seconds, with tags and bulletins beside it."""
-    play = Play(PACES_MS, places=12)
+    play = Play(PACES_MS, places=12, experiments=experiments)
     play.send_each(BULLETIN, 250, 0, 20_000)
     play.send_each(NOTICE, 4 * notice_every_ms, 0, 5_000)
     play.send_each(NOTICE, notice_every_ms, 5_000, 10_000)
--- a/libs/entry/src/hemlockhoist/entry/__init__.py
+++ b/libs/entry/src/hemlockhoist/entry/__init__.py
@@ -1,6 +1,7 @@
 """The entry host that serves declared routes on a platform."""
 
 from hemlockhoist.decisions.entry import MoveOrder, OrderState
+from hemlockhoist.decisions.scheduling import Experiments
 from hemlockhoist.entry.platform import Platform
 from hemlockhoist.entry.settings import EntrySettings, FleetBounds
 from hemlockhoist.entry.wire import AnswerHead, CallerCall, UpstreamOrder, WireFormat
@@ -9,6 +10,7 @@
     "AnswerHead",
     "CallerCall",
     "EntrySettings",
+    "Experiments",
     "FleetBounds",
     "MoveOrder",
     "OrderState",
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -36,7 +36,6 @@
 )
 from hemlockhoist.base.traces import Traces
 from hemlockhoist.decisions.limits import SpentLog, share_of_side
-from hemlockhoist.decisions.scheduling import DeclaredTracks
 from hemlockhoist.declarations import Declarations, Pool, PoolKind, VersionRules
 from hemlockhoist.entry.context import EntryContext
 from hemlockhoist.entry.feeds import FeedStore
@@ -210,6 +209,7 @@
             context.gate,
             cell_of=lambda pool: ONLY_CELL,
             new_tracks=self._new_tracks,
+            experiments=self.settings.experiments,
         )
         context.grants = GrantClient(
             context.clock,
@@ -286,9 +286,10 @@
         """Return what is kept of the upstreams of a pool."""
         routes = self.context.knowledge.routes
         pool = routes.pool(name) if routes is not None else None
+        experiments = self.settings.experiments
         if pool is None or pool.engine is None:
-            return DeclaredTracks()
-        return DeclaredTracks(pool.engine.cache_tokens)
+            return experiments.declared_tracks()
+        return experiments.declared_tracks(pool.engine.cache_tokens)
 
     def _on_upstreams(self):
         context = self.context
--- a/libs/entry/src/hemlockhoist/entry/settings.py
+++ b/libs/entry/src/hemlockhoist/entry/settings.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from hemlockhoist.decisions.scheduling import Experiments
+
 
 class FleetBounds(msgspec.Struct, frozen=True, kw_only=True):
     """Bounds that the operators of the platform declare for the whole fleet.
@@ -67,6 +69,8 @@
         0 where no limit is told.
     processor_millicores : int
         What the process may use, in thousandths of a core; 0 where it is not told.
+    experiments : Experiments
+        Mechanisms of scheduling that are left out; for measurements only.
     """
 
     name: str
@@ -83,3 +87,4 @@
     max_memory_mb: int = 0
     max_descriptors: int = 0
     processor_millicores: int = 0
+    experiments: Experiments = msgspec.field(default_factory=Experiments)
--- a/libs/host/src/hemlockhoist/host/homes.py
+++ b/libs/host/src/hemlockhoist/host/homes.py
@@ -2,7 +2,7 @@
 
 from hemlockhoist.base import get_logger
 from hemlockhoist.base.metrics_table import HOMES_ALONE
-from hemlockhoist.decisions.scheduling import PoolScheduler
+from hemlockhoist.decisions.scheduling import Experiments, PoolScheduler
 from hemlockhoist.declarations import PoolKind
 from hemlockhoist.host.home import PoolHome
 from hemlockhoist.messages import NotHome
@@ -36,11 +36,14 @@
         cell have one home.
     new_tracks : callable, optional
         ``new_tracks(pool)`` makes what a scheduler keeps of a pool's upstreams.
+    experiments : Experiments, optional
+        Mechanisms that the schedulers leave out.
     """
 
     __slots__ = (
         "_cell_of",
         "_context",
+        "_experiments",
         "_gate",
         "_homes",
         "_new_tracks",
@@ -49,7 +52,16 @@
         "_upstreams",
     )
 
-    def __init__(self, context, send, gate=None, cell_of=str, new_tracks=_no_tracks):
+    def __init__(
+        self,
+        context,
+        send,
+        gate=None,
+        cell_of=str,
+        new_tracks=_no_tracks,
+        experiments=None,
+    ):
+        self._experiments = experiments or Experiments()
         self._new_tracks = new_tracks
         self._context = context
         self._send = send
@@ -119,6 +131,7 @@
             policy,
             self._context.invariants,
             self._new_tracks(pool.name),
+            self._experiments,
         )
         home = PoolHome(
             pool.name,
