Count waits, holds, comebacks and callers that left on the metrics address

Cause: what the load verb reads from logs could not be seen while the hosts run: how long requests hold a place, who came back as told, who left unanswered and after how long.

Change: upstreams.hold_ms, callers.returned, callers.left and callers.left_ms; the page of metrics is made from the table.

Ruled out: counting a caller that leaves in the middle of its answer (it has had a part, and its time says nothing of the queue).

--- a/libs/base/src/hemlockhoist/base/metrics_table.py
+++ b/libs/base/src/hemlockhoist/base/metrics_table.py
@@ -165,6 +165,37 @@
     "Grants given and not yet back, on the home.",
     "At the sum of places with a queue: full. At it without load: grants are lost.",
 )
+HOLD_MS = Metric(
+    "upstreams.hold_ms",
+    _T,
+    "pool",
+    "For how long requests held a place at an upstream.",
+    "Grows without longer answers: the upstreams are slow; look at attempts.ended.",
+    "milliseconds",
+)
+CALLERS_RETURNED = Metric(
+    "callers.returned",
+    _C,
+    "pool",
+    "Requests that were refused before and came back as told, at the pool's home.",
+    "Far below the refusals with a time: callers give up, or come back elsewhere.",
+)
+CALLERS_LEFT = Metric(
+    "callers.left",
+    _C,
+    "tier",
+    "Callers that left before anything of their answer was sent.",
+    "Compare callers.left_ms with queue.wait_ms: a queue that holds requests for "
+    "longer than their callers wait serves nobody.",
+)
+CALLERS_LEFT_MS = Metric(
+    "callers.left_ms",
+    _T,
+    "tier",
+    "From arrival until the caller left unanswered.",
+    "Shorter than the routes declare: look for a time limit on the callers' side.",
+    "milliseconds",
+)
 HOMES_ALONE = Metric(
     "homes.alone",
     _C,
--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -17,6 +17,7 @@
     ANSWER_MS,
     ATTEMPTS_ENDED,
     FIRST_TOKEN_MS,
+    HOLD_MS,
     QUEUE_WAIT_MS,
     REQUESTS_GOOD,
     REQUESTS_WHOLE,
@@ -116,7 +117,7 @@
         except TimeoutError:
             return self._end_at_deadline()
         except HemlockhoistError as error:
-            if not self._stream_started:
+            if not self.has_begun:
                 raise
             # Failure: a host wakes from a suspension in the middle of a stream. Its
             # proof of the routes is too old to go on at another upstream, and the
@@ -211,9 +212,15 @@
                 attempt.kind = OutcomeKind.TIMEOUT
             outcome = attempt.outcome(self._context.clock.now_ms())
             self._context.grants.release(hold, outcome)
-            self._context.metrics.count(ATTEMPTS_ENDED, outcome.kind.value)
+            self._count_attempt(attempt, outcome)
             self._log_attempt(attempt, outcome)
 
+    def _count_attempt(self, attempt, outcome):
+        metrics = self._context.metrics
+        metrics.count(ATTEMPTS_ENDED, outcome.kind.value)
+        if outcome.total_ms >= 0:
+            metrics.time(HOLD_MS, outcome.total_ms, attempt.hold.pool)
+
     def _count_whole(self, attempt):
         """Count a whole answer, and whether it was in time."""
         metrics, admitted = self._context.metrics, self._admitted
@@ -381,16 +388,16 @@
 
     def _end_without_place(self, error):
         """End when no further place was given."""
-        if self._failed_answer is not None and not self._stream_started:
+        if self._failed_answer is not None and not self.has_begun:
             return self._failed_answer
-        if self._stream_started:
+        if self.has_begun:
             return self._cut(f"no further place: {error.message}")
         if self._may_have_run:
             raise DispatchError(error.message, ResultCode.OUTCOME_UNKNOWN)
         raise error
 
     def _end(self, step, end):
-        if self._stream_started:
+        if self.has_begun:
             return self._cut(self._reason or end.value)
         if step is Step.ANSWER and self._failed_answer is not None:
             return self._failed_answer
@@ -403,7 +410,7 @@
         raise DispatchError(self._reason or end.value, code)
 
     def _end_at_deadline(self):
-        if self._stream_started:
+        if self.has_begun:
             return self._cut("its time was over")
         if self._may_have_run:
             raise DispatchError("", ResultCode.UPSTREAM_TIMEOUT)
@@ -429,7 +436,8 @@
         return self._may_have_run
 
     @property
-    def _stream_started(self):
+    def has_begun(self):
+        """Whether any of the answer was sent to the caller."""
         return self._relay is not None and self._relay.started
 
     def _log_attempt(self, attempt, outcome):
--- a/libs/entry/src/hemlockhoist/entry/surface.py
+++ b/libs/entry/src/hemlockhoist/entry/surface.py
@@ -14,7 +14,12 @@
     get_logger,
 )
 from hemlockhoist.base.exposition import exposition
-from hemlockhoist.base.metrics_table import REQUESTS_ARRIVED, REQUESTS_ENDED
+from hemlockhoist.base.metrics_table import (
+    CALLERS_LEFT,
+    CALLERS_LEFT_MS,
+    REQUESTS_ARRIVED,
+    REQUESTS_ENDED,
+)
 from hemlockhoist.base.traces import Hop, parent_of_headers
 from hemlockhoist.decisions.entry import PoolChooser
 from hemlockhoist.declarations import RequestLimits
@@ -156,17 +161,24 @@
             self._log_ended(exchange, response, arrived_ms)
             return response
         except asyncio.CancelledError:
-            _log.info(
-                "caller_left",
-                request=exchange.request_id,
-                after_ms=self._context.clock.now_ms() - arrived_ms,
-                attempts=exchange.attempts,
-            )
+            self._note_left(exchange, admitted.tier, arrived_ms)
             raise
         except HemlockhoistError as error:
             check_not_run(self._context.invariants, exchange, error)
             raise
 
+    def _note_left(self, exchange, tier, arrived_ms):
+        after_ms = self._context.clock.now_ms() - arrived_ms
+        _log.info(
+            "caller_left",
+            request=exchange.request_id,
+            after_ms=after_ms,
+            attempts=exchange.attempts,
+        )
+        if not exchange.has_begun:
+            self._context.metrics.count(CALLERS_LEFT, tier)
+            self._context.metrics.time(CALLERS_LEFT_MS, after_ms, tier)
+
     def _check_staying(self):
         """Refuse a request that may not end before this host does.
 
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -4,7 +4,7 @@
 
 from hemlockhoist.base import ResultCode, get_logger
 from hemlockhoist.base.metrics import Metrics
-from hemlockhoist.base.metrics_table import WASTED_TOKENS
+from hemlockhoist.base.metrics_table import CALLERS_RETURNED, WASTED_TOKENS
 from hemlockhoist.base.traces import Hop, parent_of_text
 from hemlockhoist.decisions import (
     Grant,
@@ -220,8 +220,12 @@
             self._refuse(request, refusal.code, refusal.retry_after_ms, refusal.reason)
             return
         self._begin_span(brief)
+        returned = self.scheduler.returned
         decisions = self.scheduler.submit(request, now_ms)
-        is_decided = any(item.request is request for item in decisions)
+        if self.scheduler.returned > returned:
+            self._metrics.count(CALLERS_RETURNED, self.pool)
+        request_id = request.request_id
+        is_decided = any(item.request.request_id == request_id for item in decisions)
         if not is_decided:
             self._queued[request.request_id] = request
         self._emit(decisions, now_ms)
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_site.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_site.py
@@ -1,4 +1,5 @@
 import asyncio
+import collections
 import contextlib
 import unittest
 import unittest.mock
@@ -261,6 +262,25 @@
             await asyncio.sleep(0.3)
             self.assertTrue(replicas["asistente"][0].ran[0].closed)
 
+    async def test_callers_that_leave_without_an_answer_are_counted(self):
+        """Operators see late answers, and not those that nobody waited for."""
+        replicas = engines("e1")
+        replicas["asistente"][0].behaviour = Behaviour.SILENT
+        async with Site(replicas, [REPORT]) as site:
+            for _ in range(2):
+                with contextlib.suppress(TimeoutError):
+                    async with (
+                        asyncio.timeout(0.3),
+                        site.call("/conflict-report/1", method="POST"),
+                    ):
+                        pass
+            await asyncio.sleep(0.2)
+            totals = collections.Counter()
+            for host in site.hosts:
+                totals.update(host.context.metrics.totals)
+        left = {name: n for name, n in totals.items() if "callers.left" in name}
+        self.assertEqual(list(left.values()), [2], totals)
+
     async def test_answer_that_can_not_be_written_is_no_error(self):
         """The log fills with tracebacks while callers leave.
 
