Ask a waiting request again only when room may have been made

Change: a waiting request that found no place is passed over until something may have made room: the end of an answer, a change of the list, a tick. Arrivals and first tokens ask only for requests that were not asked yet. The search among engines reads each once.

Ruled out: fewer held back requests a round (a lower tier could pass untried higher ones).

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared.py
@@ -178,23 +178,20 @@
         is_late = first_ms > left_ms or not here.ends_within(work, first_ms, now_ms)
         if not is_late and here.prompts_ms(work) <= most_ms:
             return False
+        within_ms = IN_TIME_PART * left_ms
         frees_per_ms = 0.0
         soonest_ms = None
         for track in self._tracks.values():
-            if track is here or not track.is_open(now_ms):
+            if track is here:
                 continue
-            if track.prompts_ms(work) > most_ms:
-                continue
-            first_ms = track.first_token_ms(work, now_ms)
-            if first_ms > IN_TIME_PART * left_ms:
-                continue
-            if track.ends_within(work, first_ms, now_ms):
+            first_ms = track.first_token_within(work, within_ms, most_ms, now_ms)
+            if first_ms is not None:
                 frees_per_ms += track.limit.places / max(1.0, track.hold_ms)
                 soonest_ms = min(first_ms, soonest_ms or first_ms)
         if not frees_per_ms:
             return False
         wait_ms = (1 + ahead) / frees_per_ms
-        return soonest_ms + wait_ms <= IN_TIME_PART * left_ms
+        return soonest_ms + wait_ms <= within_ms
 
     def _most_prompts_ms(self, work, now_ms):
         """Return how long prompts may take an upstream before its answers pause.
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_track.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_track.py
@@ -81,6 +81,33 @@
         decode_ms = LENGTH_ALLOWANCE * self.pace.token_ms * work.output_tokens
         return now_ms + first_token_ms + decode_ms <= work.deadline_ms
 
+    def first_token_within(self, work, within_ms, most_prompts_ms, now_ms):
+        """Return the expected time until a request's first token here, or None.
+
+        Load: asked of all upstreams for each request that may wait for one of them.
+
+        Parameters
+        ==========
+        work : hemlockhoist.decisions.scheduling.pace.Work
+        within_ms : float
+            Until then the first token has to come.
+        most_prompts_ms : float
+            For how long the prompts here may take the engine.
+        now_ms : int
+
+        Returns
+        =======
+        float or None
+            None where it would come later, the engine would be taken for longer, the
+            answer would not end by the deadline, or no request may be given here.
+        """
+        first_ms = self.first_token_ms(work, now_ms)
+        if first_ms > within_ms or self.prompts_ms(work) > most_prompts_ms:
+            return None
+        if not self.is_open(now_ms) or not self.ends_within(work, first_ms, now_ms):
+            return None
+        return first_ms
+
     def on_grant(self, held, work, now_ms, kept=0):
         """Count a request's prompt, but for what is kept of it."""
         held.prompt_wait_ms = max(0.0, self.prompts_done_ms - now_ms)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/queue.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/queue.py
@@ -27,14 +27,27 @@
         Whether its first token target has passed.
     is_returned : bool
         Whether it was refused before, and came back as it was told.
+
+    Attributes
+    ==========
+    passed_over : int or None
+        The scheduler's round in which it last found no place.
     """
 
-    __slots__ = ("cost_ms", "is_late", "is_returned", "rank_key", "request")
+    __slots__ = (
+        "cost_ms",
+        "is_late",
+        "is_returned",
+        "passed_over",
+        "rank_key",
+        "request",
+    )
 
     def __init__(
         self, request, cost_ms, turn_ms, order, is_late=False, is_returned=False
     ):
         self.is_returned = is_returned
+        self.passed_over = None
         self.request = request
         self.cost_ms = cost_ms
         self.is_late = is_late
@@ -347,6 +360,8 @@
 
     def waiting_below(self, rank):
         """Return the waiting requests of lower tiers, the highest tier's first."""
+        if not self.below(rank):
+            return []
         found = [item for item, _ in self._by_id.values()]
         found = [item for item in found if item.request.tier_rank > rank]
         return sorted(found, key=lambda item: item.request.tier_rank)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -51,6 +51,7 @@
         "_pool",
         "_queue",
         "_returns",
+        "_round",
         "_sequence",
         "_shedder",
         "_turns",
@@ -82,6 +83,7 @@
         )
         self._sequence = 0
         self._order = 0
+        self._round = 0
 
     @classmethod
     def from_config(
@@ -173,7 +175,7 @@
         if self._grants.has_ended(request.request_id):
             return []
         decisions = self._admit(self._experiments.request(request), now_ms)
-        return decisions + self._drain(now_ms)
+        return decisions + self._decide(now_ms)
 
     def cancel(self, request_id, now_ms):
         """Forget a queued request, whose caller has gone."""
@@ -204,7 +206,7 @@
         held = self._grants.get(grant_id)
         if held is not None:
             self._fleet.tracks.on_first_token(held, first_token_ms, now_ms)
-        return self._drain(now_ms)
+        return self._decide(now_ms)
 
     def adopt(self, request, grant, now_ms):
         """Count a grant of a former home that an entry host still holds.
@@ -305,6 +307,16 @@
         )
 
     def _drain(self, now_ms):
+        """Decide after a change that may have made room for who found no place.
+
+        Load: at the home of some dozen upstreams, a burst keeps a score of requests
+        waiting for better ones than are free. Asked for each of them at each arrival,
+        that took most of the home's processor time.
+        """
+        self._round += 1
+        return self._decide(now_ms)
+
+    def _decide(self, now_ms):
         if not len(self._queue):
             return []
         decisions = self._grant_all(now_ms)
@@ -345,11 +357,14 @@
         for rank in self._queue.ranks:
             while free and self._queue.above(rank):
                 first = self._queue.tier(rank).first()
-                if first is None or not self._may_pass(first.request, now_ms):
+                if first is None or first.passed_over == self._round:
+                    break
+                if not self._may_pass(first.request, now_ms):
                     break
                 waiting, due_ms = self._queue.take(rank)
                 upstream = self._place(waiting.request, free, 0, now_ms)
                 if upstream is None:
+                    waiting.passed_over = self._round
                     self._queue.push(waiting, due_ms)
                     break
                 self._turns.charge(self._fleet.tracks.hold_ms(waiting.request))
@@ -367,12 +382,17 @@
                 taken = self._queue.take(rank)
                 if taken is None:
                     break
-                upstream = self._place(taken[0].request, free, len(held_back), now_ms)
+                waiting = taken[0]
+                if waiting.passed_over == self._round:
+                    held_back.append(taken)
+                    continue
+                upstream = self._place(waiting.request, free, len(held_back), now_ms)
                 if upstream is None:
+                    waiting.passed_over = self._round
                     held_back.append(taken)
                     continue
-                self._check_turn(taken[0].request)
-                decisions.append(self._grant(taken[0], upstream, now_ms))
+                self._check_turn(waiting.request)
+                decisions.append(self._grant(waiting, upstream, now_ms))
                 if not self._fleet.has_place(upstream, now_ms):
                     free.remove(upstream)
         for waiting, due_ms in held_back:
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_bursts.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_bursts.py
@@ -1,4 +1,6 @@
+import itertools
 import unittest
+import unittest.mock
 
 from hemlockhoist.decisions.scheduling import declared, out_of_turn
 from hemlockhoist.decisions.scheduling.out_of_turn import OutOfTurn
@@ -62,6 +64,29 @@
         self.assertLess(notices["refused"], 0.18 * sum(notices.values()))
 
 
+class LargeFleetTests(unittest.TestCase):
+    REQUESTS = 2_000
+
+    def test_an_arrival_is_not_looked_at_for_all_that_wait(self):
+        """The home of 41 engines has no processor time left in a burst.
+
+        It asked at each arrival whether each of a score of waiting requests should go
+        on waiting for a better engine: 28 times for each request.
+        """
+        paces = itertools.cycle(PACES_MS.values())
+        play = Play(dict(zip(map(str, range(41)), paces, strict=False)), places=4)
+        for kind, every_ms in ((BULLETIN, 6.4), (NOTICE, 2.8), (TAG, 3.2)):
+            play.send_each(kind, every_ms, 0, 3_000)
+        choose = declared.DeclaredTracks.choose
+        with unittest.mock.patch.object(
+            declared.DeclaredTracks, "choose", autospec=True, side_effect=choose
+        ) as chosen:
+            play.run(8_000)
+        arrived = sum(sum(ends.values()) for ends in play.ends.values())
+        self.assertGreater(arrived, self.REQUESTS)
+        self.assertLess(chosen.call_count, 6 * arrived)
+
+
 class OutOfTurnTests(unittest.TestCase):
     PLACES = 40
 
