Offer a waiting request only the upstream at which something changed

Change: the end of an answer, or its first token, offers what waits the upstream where it happened and no other; a tick and a change of the list offer all again.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -188,7 +188,7 @@
         if held is None:
             return []
         self._learn(held, outcome, now_ms)
-        return self._drain(now_ms)
+        return self._decide(now_ms, held.grant.upstream_id)
 
     def observe_first_token(self, grant_id, first_token_ms, now_ms):
         """Take the first token time of an answer that is still under way.
@@ -204,9 +204,10 @@
         now_ms : int
         """
         held = self._grants.get(grant_id)
-        if held is not None:
-            self._fleet.tracks.on_first_token(held, first_token_ms, now_ms)
-        return self._decide(now_ms)
+        if held is None:
+            return []
+        self._fleet.tracks.on_first_token(held, first_token_ms, now_ms)
+        return self._decide(now_ms, held.grant.upstream_id)
 
     def adopt(self, request, grant, now_ms):
         """Count a grant of a former home that an entry host still holds.
@@ -307,19 +308,26 @@
         )
 
     def _drain(self, now_ms):
-        """Decide after a change that may have made room for who found no place.
-
-        Load: at the home of some dozen upstreams, a burst keeps a score of requests
-        waiting for better ones than are free. Asked for each of them at each arrival,
-        that took most of the home's processor time.
-        """
+        """Decide after a change that may have made room anywhere."""
         self._round += 1
         return self._decide(now_ms)
 
-    def _decide(self, now_ms):
+    def _decide(self, now_ms, changed=""):
+        """Decide after a change at one upstream, or at none.
+
+        Load: at the home of some dozen upstreams, a burst keeps a score of requests
+        waiting for better ones than are free. Asked for each of them at each arrival
+        and each end of an answer, that took most of the home's processor time.
+
+        Parameters
+        ==========
+        now_ms : int
+        changed : str, optional
+            The upstream; requests that found no place are offered no other.
+        """
         if not len(self._queue):
             return []
-        decisions = self._grant_all(now_ms)
+        decisions = self._grant_all(now_ms, changed)
         return decisions + self._give_up(now_ms)
 
     def _may_pass(self, request, now_ms):
@@ -351,18 +359,25 @@
         places = self._fleet.places(now_ms)
         return self._turns.longest_ms(rank, passed, places, now_ms)
 
-    def _grant_out_of_turn(self, free, now_ms):
+    def _offered(self, waiting, free, changed):
+        """Return the free upstreams that a waiting request has not turned down."""
+        if waiting.passed_over != self._round:
+            return free
+        return [item for item in free if item.upstream_id == changed]
+
+    def _grant_out_of_turn(self, free, changed, now_ms):
         """Give places to requests that may pass those of higher tiers that wait."""
         decisions = []
         for rank in self._queue.ranks:
             while free and self._queue.above(rank):
                 first = self._queue.tier(rank).first()
-                if first is None or first.passed_over == self._round:
+                if first is None or not self._may_pass(first.request, now_ms):
                     break
-                if not self._may_pass(first.request, now_ms):
+                offered = self._offered(first, free, changed)
+                if not offered:
                     break
                 waiting, due_ms = self._queue.take(rank)
-                upstream = self._place(waiting.request, free, 0, now_ms)
+                upstream = self._place(waiting.request, offered, 0, now_ms)
                 if upstream is None:
                     waiting.passed_over = self._round
                     self._queue.push(waiting, due_ms)
@@ -373,9 +388,9 @@
                     free.remove(upstream)
         return decisions
 
-    def _grant_all(self, now_ms):
+    def _grant_all(self, now_ms, changed):
         free = self._fleet.free(now_ms)
-        decisions = self._grant_out_of_turn(free, now_ms)
+        decisions = self._grant_out_of_turn(free, changed, now_ms)
         held_back = []
         for rank in self._queue.ranks:
             while free and len(held_back) < MAX_HELD_BACK:
@@ -383,10 +398,9 @@
                 if taken is None:
                     break
                 waiting = taken[0]
-                if waiting.passed_over == self._round:
-                    held_back.append(taken)
-                    continue
-                upstream = self._place(waiting.request, free, len(held_back), now_ms)
+                offered = self._offered(waiting, free, changed)
+                ahead = len(held_back)
+                upstream = self._place(waiting.request, offered, ahead, now_ms)
                 if upstream is None:
                     waiting.passed_over = self._round
                     held_back.append(taken)
@@ -432,6 +446,8 @@
         return ResultCode.OVERLOADED if self._queue.tier(rank).size else None
 
     def _place(self, request, free, ahead, now_ms):
+        if not free:
+            return None
         versions = sorted({item.version for item in free})
         for version in self._policy.candidates(request, versions, now_ms):
             choices = [item for item in free if item.version == version]
