Give places in a module of its own, apart from admission and refusal

Cause: the scheduler had grown to 534 lines and two subjects: who may wait and who is refused, and which waiting request gets which free place.

Change: PlaceGiver (giving.py) gives the places, Passing (passing.py) says who may pass higher tiers; the scheduler is 384 lines.

Ruled out: splitting refusal off as well (the shedder has most of it already).

--- /dev/null
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/passing.py
@@ -0,0 +1,53 @@
+"""Which waiting requests may pass others of higher tiers, as the pool stands."""
+
+
+class Passing:
+    """Says which requests may pass those of higher tiers that wait.
+
+    Parameters
+    ==========
+    queue : RequestQueue
+    fleet : Fleet
+    turns : OutOfTurn
+    """
+
+    __slots__ = ("_fleet", "_queue", "_turns")
+
+    def __init__(self, queue, fleet, turns):
+        self._queue = queue
+        self._fleet = fleet
+        self._turns = turns
+
+    def may_pass(self, request, now_ms):
+        """Return whether a request may pass those of higher tiers that wait."""
+        return self.at(now_ms)(request)
+
+    def at(self, now_ms):
+        """Return what says at one moment which requests may pass.
+
+        Load: a refusal in a burst looks at all waiting requests of lower tiers. What
+        is the same for all of a tier is worked out once.
+
+        Returns
+        =======
+        callable
+            ``may_pass(request)``.
+        """
+        tracks = self._fleet.tracks
+        longest_ms = {}
+
+        def may_pass(request):
+            rank = request.tier_rank
+            if rank not in longest_ms:
+                longest_ms[rank] = self._longest_ms(rank, now_ms)
+            hold_ms = tracks.hold_ms(request)
+            return hold_ms is not None and hold_ms <= longest_ms[rank]
+
+        return may_pass
+
+    def _longest_ms(self, rank, now_ms):
+        tracks = self._fleet.tracks
+        above = [item.request for item in self._queue.first_above(rank)]
+        passed = [(item.tier_rank, tracks.hold_ms(item) or 0.0) for item in above]
+        places = self._fleet.places(now_ms)
+        return self._turns.longest_ms(rank, passed, places, now_ms)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -1,6 +1,6 @@
 """The scheduler of one pool shard: admits, queues, refuses and places requests."""
 
-from hemlockhoist.base import InvariantLog, Property, ResultCode
+from hemlockhoist.base import InvariantLog, ResultCode
 from hemlockhoist.decisions.policy import VersionPolicy
 from hemlockhoist.decisions.scheduling.admission import (
     LATE_REVIEW_MS,
@@ -11,22 +11,17 @@
 from hemlockhoist.decisions.scheduling.estimates import ServiceEstimate
 from hemlockhoist.decisions.scheduling.experiments import Experiments
 from hemlockhoist.decisions.scheduling.fleet import Fleet
+from hemlockhoist.decisions.scheduling.giving import PlaceGiver
 from hemlockhoist.decisions.scheduling.grants import GrantBook, Held
+from hemlockhoist.decisions.scheduling.passing import Passing
 from hemlockhoist.decisions.scheduling.queue import RequestQueue, Waiting
 from hemlockhoist.decisions.scheduling.shedding import Shedder
 from hemlockhoist.decisions.scheduling.tracking import UpstreamTracks
-from hemlockhoist.decisions.work import Grant, Granted, OutcomeKind, new_grant_id
+from hemlockhoist.decisions.work import Granted, OutcomeKind
 
-# A grant that is not used within this time is void: the entry host must dispatch at
-# once or give it back, so that a place is never held by a request that went away.
-GRANT_TTL_MS = 2_000
 # A grant is counted no longer than this after its request's deadline. Made for a
 # release that was lost with a message: without it the place would be lost for good.
 LOST_GRANT_MS = 5_000
-# Requests that the version policy holds back are passed over, up to this many in one
-# round; then the round ends, since a lower tier must not pass untried higher ones.
-MAX_HELD_BACK = 16
-
 _NOT_SENT = frozenset({OutcomeKind.CONNECT_FAILED, OutcomeKind.NOT_SENT})
 
 
@@ -43,47 +38,51 @@
         "_estimate",
         "_experiments",
         "_fleet",
+        "_giver",
         "_grants",
-        "_incarnation",
-        "_invariants",
         "_order",
+        "_passing",
         "_policy",
-        "_pool",
         "_queue",
         "_returns",
-        "_round",
-        "_sequence",
         "_shedder",
-        "_turns",
     )
 
     def __init__(
         self, pool, tiers, incarnation, policy, invariants, tracks, experiments
     ):
         self._experiments = experiments
-        self._pool = pool
-        self._incarnation = incarnation
         self._policy = policy
-        self._invariants = invariants
         self._admission = Admission.from_config(tiers)
         self._queue = RequestQueue([tier.rank for tier in tiers])
         self._estimate = ServiceEstimate()
         self._grants = GrantBook()
         self._fleet = Fleet(self._grants, tracks)
-        self._turns = experiments.turns()
+        turns = experiments.turns()
         self._returns = experiments.returns()
+        self._passing = Passing(self._queue, self._fleet, turns)
+        self._giver = PlaceGiver(
+            pool.name,
+            incarnation,
+            self._queue,
+            self._fleet,
+            self._grants,
+            self._passing,
+            turns,
+            self._admission,
+            policy,
+            invariants,
+        )
         self._shedder = Shedder(
             self._queue,
             self._admission,
-            self._turns,
+            turns,
             self._returns,
             invariants,
             self._retry_after_ms,
-            self._passing,
+            self._passing.at,
         )
-        self._sequence = 0
         self._order = 0
-        self._round = 0
 
     @classmethod
     def from_config(
@@ -148,7 +147,6 @@
 
     def reconfigure(self, pool, tiers, now_ms):
         """Take changed declarations without losing queue or grants."""
-        self._pool = pool
         self._admission.set_tiers(tiers)
         self._fleet.tracks.set_max_limit(pool.max_in_flight_per_upstream)
         return self._drain(now_ms)
@@ -296,7 +294,9 @@
         held += self._queue.of_customer(request.customer)
         if held >= request.max_in_flight:
             return ResultCode.CUSTOMER_LIMIT
-        if self._queue.above(request.tier_rank) and self._may_pass(request, now_ms):
+        if self._queue.above(request.tier_rank) and self._passing.may_pass(
+            request, now_ms
+        ):
             return None
         if is_returned:
             return None
@@ -309,110 +309,16 @@
 
     def _drain(self, now_ms):
         """Decide after a change that may have made room anywhere."""
-        self._round += 1
+        self._giver.begin_round()
         return self._decide(now_ms)
 
     def _decide(self, now_ms, changed=""):
-        """Decide after a change at one upstream, or at none.
-
-        Load: at the home of some dozen upstreams, a burst keeps a score of requests
-        waiting for better ones than are free. Asked for each of them at each arrival
-        and each end of an answer, that took most of the home's processor time.
-
-        Parameters
-        ==========
-        now_ms : int
-        changed : str, optional
-            The upstream; requests that found no place are offered no other.
-        """
+        """Decide after a change at one upstream, or at none."""
         if not len(self._queue):
             return []
-        decisions = self._grant_all(now_ms, changed)
+        decisions = self._giver.give(now_ms, changed)
         return decisions + self._give_up(now_ms)
 
-    def _may_pass(self, request, now_ms):
-        """Return whether a request may pass those of higher tiers that wait."""
-        return self._passing(now_ms)(request)
-
-    def _passing(self, now_ms):
-        """Return what says which requests may pass those of higher tiers that wait.
-
-        Load: a refusal in a burst looks at all waiting requests of lower tiers. What
-        is the same for all of a tier is worked out once.
-        """
-        tracks = self._fleet.tracks
-        longest_ms = {}
-
-        def may_pass(request):
-            rank = request.tier_rank
-            if rank not in longest_ms:
-                longest_ms[rank] = self._longest_passing_ms(rank, now_ms)
-            hold_ms = tracks.hold_ms(request)
-            return hold_ms is not None and hold_ms <= longest_ms[rank]
-
-        return may_pass
-
-    def _longest_passing_ms(self, rank, now_ms):
-        tracks = self._fleet.tracks
-        above = [item.request for item in self._queue.first_above(rank)]
-        passed = [(item.tier_rank, tracks.hold_ms(item) or 0.0) for item in above]
-        places = self._fleet.places(now_ms)
-        return self._turns.longest_ms(rank, passed, places, now_ms)
-
-    def _offered(self, waiting, free, changed):
-        """Return the free upstreams that a waiting request has not turned down."""
-        if waiting.passed_over != self._round:
-            return free
-        return [item for item in free if item.upstream_id == changed]
-
-    def _grant_out_of_turn(self, free, changed, now_ms):
-        """Give places to requests that may pass those of higher tiers that wait."""
-        decisions = []
-        for rank in self._queue.ranks:
-            while free and self._queue.above(rank):
-                first = self._queue.tier(rank).first()
-                if first is None or not self._may_pass(first.request, now_ms):
-                    break
-                offered = self._offered(first, free, changed)
-                if not offered:
-                    break
-                waiting, due_ms = self._queue.take(rank)
-                upstream = self._place(waiting.request, offered, 0, now_ms)
-                if upstream is None:
-                    waiting.passed_over = self._round
-                    self._queue.push(waiting, due_ms)
-                    break
-                self._turns.charge(self._fleet.tracks.hold_ms(waiting.request))
-                decisions.append(self._grant(waiting, upstream, now_ms))
-                if not self._fleet.has_place(upstream, now_ms):
-                    free.remove(upstream)
-        return decisions
-
-    def _grant_all(self, now_ms, changed):
-        free = self._fleet.free(now_ms)
-        decisions = self._grant_out_of_turn(free, changed, now_ms)
-        held_back = []
-        for rank in self._queue.ranks:
-            while free and len(held_back) < MAX_HELD_BACK:
-                taken = self._queue.take(rank)
-                if taken is None:
-                    break
-                waiting = taken[0]
-                offered = self._offered(waiting, free, changed)
-                ahead = len(held_back)
-                upstream = self._place(waiting.request, offered, ahead, now_ms)
-                if upstream is None:
-                    waiting.passed_over = self._round
-                    held_back.append(taken)
-                    continue
-                self._check_turn(waiting.request)
-                decisions.append(self._grant(waiting, upstream, now_ms))
-                if not self._fleet.has_place(upstream, now_ms):
-                    free.remove(upstream)
-        for waiting, due_ms in held_back:
-            self._queue.push(waiting, due_ms)
-        return decisions
-
     def _give_up(self, now_ms):
         """Refuse the waiting requests whose time has come.
 
@@ -445,55 +351,6 @@
             return None
         return ResultCode.OVERLOADED if self._queue.tier(rank).size else None
 
-    def _place(self, request, free, ahead, now_ms):
-        if not free:
-            return None
-        versions = sorted({item.version for item in free})
-        for version in self._policy.candidates(request, versions, now_ms):
-            choices = [item for item in free if item.version == version]
-            choices = _untried(request, choices)
-            upstream = self._fleet.tracks.choose(
-                request, choices, self._grants.in_flight, now_ms, ahead
-            )
-            if upstream is not None:
-                return upstream
-        return None
-
-    def _grant(self, waiting, upstream, now_ms):
-        request = waiting.request
-        self._check_staying(request, upstream)
-        self._turns.note(request.tier_rank, False, now_ms)
-        self._queue.tier(request.tier_rank).charge(waiting)
-        self._admission.note_grant(request.tier_rank, waiting.cost_ms, now_ms)
-        self._sequence += 1
-        grant = Grant(
-            grant_id=new_grant_id(self._incarnation, self._pool.name, self._sequence),
-            request_id=request.request_id,
-            upstream_id=upstream.upstream_id,
-            address=upstream.address,
-            version=upstream.version,
-            expires_ms=now_ms + GRANT_TTL_MS,
-        )
-        held = Held(request, grant, now_ms, waiting.cost_ms)
-        self._grants.add(held)
-        self._fleet.on_grant(held, now_ms)
-        self._policy.on_grant(request, upstream.version, now_ms, upstream.upstream_id)
-        return Granted(request=request, grant=grant)
-
-    def _check_turn(self, request):
-        self._invariants.check(
-            Property.TIER_ORDER,
-            self._queue.above(request.tier_rank) == 0,
-            f"{request.request_id} granted in turn while a higher tier waits",
-        )
-
-    def _check_staying(self, request, upstream):
-        self._invariants.check(
-            Property.LEAVING_UPSTREAM_NO_WORK,
-            not self._fleet.table.is_leaving(upstream.upstream_id),
-            f"{request.request_id} granted to leaving {upstream.upstream_id}",
-        )
-
     def _lose(self, grant_id, now_ms):
         held = self._grants.get(grant_id)
         self._grants.remove(grant_id)
@@ -524,11 +381,3 @@
         return self._admission.retry_after_ms(
             request, self._queue, places, self._estimate, now_ms
         )
-
-
-def _untried(request, choices):
-    """Return the choices that have not failed the request, or all where all have."""
-    if not request.avoid:
-        return choices
-    untried = [item for item in choices if item.upstream_id not in request.avoid]
-    return untried or choices
