Wait for a stream's upstream where no other would be given

From 0.6 of the stop on, a host gives its requests no further places; so the stream was given up for another upstream, and refused one.

Change: where no other upstream would be given, a silent one is waited for.

Before: the new test's stream is cut ("no further place"). After: whole.

--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -97,7 +97,11 @@
         self._relay = None
         if admitted.route.kind is CallKind.STREAM:
             self._relay = StreamRelay(
-                request, admitted, context.clock, lambda: context.leaving
+                request,
+                admitted,
+                context.clock,
+                is_leaving=lambda: context.leaving,
+                may_go_on=lambda: not context.grants.is_refusing,
             )
 
     async def run(self):
--- a/libs/entry/src/hemlockhoist/entry/stream.py
+++ b/libs/entry/src/hemlockhoist/entry/stream.py
@@ -36,11 +36,23 @@
     limit_ms : int or None
         None watches nothing.
     clock : Clock
+    may_go_on : callable, optional
+        Whether the stream could go on elsewhere. Where it can not, the answer is waited
+        for: it may still come, and nothing is won by ending it.
     """
 
-    __slots__ = ("_answer", "_clock", "_due_ms", "_limit_ms", "_timer", "_warned")
+    __slots__ = (
+        "_answer",
+        "_clock",
+        "_due_ms",
+        "_limit_ms",
+        "_may_go_on",
+        "_timer",
+        "_warned",
+    )
 
-    def __init__(self, answer, limit_ms, clock):
+    def __init__(self, answer, limit_ms, clock, may_go_on=lambda: True):
+        self._may_go_on = may_go_on
         self._answer = answer
         self._limit_ms = limit_ms
         self._clock = clock
@@ -80,6 +92,8 @@
         left_ms = self._due_ms - self._clock.now_ms()
         if left_ms > 0:
             self._wait(left_ms)
+        elif not self._may_go_on():
+            self._wait(self._limit_ms)
         elif not self._warned:
             self._warned = True
             self._wait(READ_GRACE_MS)
@@ -97,6 +111,8 @@
     clock : Clock
     is_leaving : callable, optional
         Whether this host is about to close its callers' connections.
+    may_go_on : callable, optional
+        Whether the stream would be given another upstream.
     """
 
     __slots__ = (
@@ -106,14 +122,23 @@
         "_is_leaving",
         "_last_event_ms",
         "_longest_gap_ms",
+        "_may_go_on",
         "_reader",
         "_request",
         "_response",
         "events",
     )
 
-    def __init__(self, request, admitted, clock, is_leaving=lambda: False):
+    def __init__(
+        self,
+        request,
+        admitted,
+        clock,
+        is_leaving=lambda: False,
+        may_go_on=lambda: True,
+    ):
         self._is_leaving = is_leaving
+        self._may_go_on = may_go_on
         self._request = request
         self._admitted = admitted
         self._clock = clock
@@ -159,7 +184,8 @@
         self._last_event_ms = None
         self._longest_gap_ms = 0
         first = True
-        watch = StallWatch(answer, self._stall_limit_ms(True), self._clock)
+        limit_ms = self._stall_limit_ms(True)
+        watch = StallWatch(answer, limit_ms, self._clock, self._may_go_on)
         watch.start()
         try:
             async for chunk in answer.chunks():
--- a/libs/host/src/hemlockhoist/host/grants.py
+++ b/libs/host/src/hemlockhoist/host/grants.py
@@ -154,6 +154,11 @@
         """Return the grants held now."""
         return tuple(self._held.values())
 
+    @property
+    def is_refusing(self):
+        """Whether requests of this host are given no further places."""
+        return self._refusal is not None
+
     def stop_waiting(self, code, retry_after_ms):
         """Refuse all requests that wait for a place, from here on.
 
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_site.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_site.py
@@ -7,7 +7,7 @@
 import aiohttp
 from aiohttp import web
 
-from hemlockhoist.entry import FleetBounds, process
+from hemlockhoist.entry import FleetBounds, process, stream
 from hemlockhoist.standins.published import (
     Behaviour,
     Replica,
@@ -399,6 +399,37 @@
                 first.cancel()
                 await asyncio.gather(first, return_exceptions=True)
 
+    async def test_stream_that_pauses_late_in_a_stop_is_not_cut(self):
+        """A stream is cut in its middle by a planned stop.
+
+        Its engine paused for longer than streams are waited for that may go on at
+        another; the host was about to end, and gave it no place there.
+        """
+        replicas = engines("e1", "e2", events=4)
+        for engine in replicas["asistente"]:
+            engine.event_ms = 600
+        resumable = route(
+            "conflict-report",
+            "asistente",
+            "streaming",
+            resumable=True,
+            timeout_ms=6_000,
+        )
+        with (
+            unittest.mock.patch.object(process, "LISTEN_AFTER_STOP_MS", 50),
+            unittest.mock.patch.object(process, "QUEUE_PART_OF_STOP", 0.01),
+            unittest.mock.patch.object(stream, "MIN_FIRST_STALL_MS", 300),
+            unittest.mock.patch.object(stream, "MIN_STALL_MS", 300),
+            unittest.mock.patch.object(stream, "GAP_FACTOR", 0),
+        ):
+            async with Site(replicas, [resumable]) as site:
+                patient = {"Deadline_Ms": "9000"}
+                async with site.call("/conflict-report/1", **patient) as answer:
+                    await answer.content.readuntil(b"\n\n")
+                    site.hosts[0].begin_drain()
+                    rest = await answer.content.read()
+                self.assertEqual(rest.count(b"data:"), 3)
+
     async def test_process_ends_in_time_with_a_stream_still_open(self):
         """A process outlasts its planned stop and is killed.
 
