Do not spin on a peer's connection that is closing

Cause: the task that sends to a peer took its present connection, found it closing, sent nothing and asked again, without ever letting the event loop run; the loop's notice of the connection's end was the very thing it waited for. A host whose peer ends its connection in the moment in which a message is queued hung for good with its processor full.

Ruled out: a pause before asking again (a connection that is closing may take long to end where its peer takes nothing).

Change: a connection that is closing counts as lost, and the peer is dialled anew.

Before: the new test stops the loop (it counts questions and ends at a thousand). After: the message arrives, with fewer than ten questions.

--- a/libs/peers/src/hemlockhoist/peers/link.py
+++ b/libs/peers/src/hemlockhoist/peers/link.py
@@ -140,7 +140,13 @@
                 self._send_queued(connection)
 
     async def _connected(self):
-        """Return the present connection; dial the peer where there is none."""
+        """Return the present connection; dial the peer where there is none.
+
+        A connection that is closing counts as none, though its end was not told yet:
+        nothing can be sent on it.
+        """
+        if self._connection is not None and self._connection.is_closing:
+            self._note_lost(self._connection)
         if self._connection is None:
             self._connection = await self._dial()
         return self._connection
--- a/libs/peers/src/hemlockhoist/peers/tests/test_bus.py
+++ b/libs/peers/src/hemlockhoist/peers/tests/test_bus.py
@@ -1,12 +1,15 @@
 import asyncio
 import contextlib
 import doctest
+import itertools
 import socket
 import unittest
+import unittest.mock
 
 from hemlockhoist.base import Clock, PeerError
 from hemlockhoist.messages import Codec, Envelope, GrantCancel
 from hemlockhoist.peers import Inbox, PeerBus, frames, inbox
+from hemlockhoist.peers.connection import Connection
 from hemlockhoist.peers.frames import framed
 from hemlockhoist.peers.link import REDIAL_MIN_MS, PeerLink
 
@@ -204,6 +207,32 @@
         self.assertEqual(message, _message(2))
         self.assertTrue(broken.empty())
 
+    async def test_connection_that_is_closing_does_not_stop_the_host(self):
+        """A host hangs with its processor full when a peer ends at a bad moment.
+
+        The connection was closing, its end not told yet; the task that sends asked for
+        it again and again, and let nothing else of the process run.
+        """
+        self.a.send(self.b.address, _message(1))
+        await asyncio.wait_for(self.received.get(), WAIT_S)
+        is_closing = Connection.is_closing.fget
+        asked = itertools.count()
+
+        def is_closing_counted(connection):
+            if next(asked) > 1_000:
+                raise RecursionError("nothing else runs")
+            return is_closing(connection)
+
+        with unittest.mock.patch.object(
+            Connection, "is_closing", property(is_closing_counted)
+        ):
+            link = self.a._links[self.b.address]
+            link.send(_message(2))
+            link._connection.close()
+            _, message = await asyncio.wait_for(self.received.get(), WAIT_S)
+        self.assertEqual(message, _message(2))
+        self.assertLess(next(asked), 10)
+
     async def test_a_peer_that_is_not_there_costs_bounded_memory(self):
         """Messages to an unreachable peer are dropped, the oldest first."""
         with socket.socket() as taken:
