--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_bursts.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_bursts.py
@@ -68,11 +68,7 @@
     REQUESTS = 2_000
 
     def test_an_arrival_is_not_looked_at_for_all_that_wait(self):
-        """The home of 41 engines has no processor time left in a burst.
-
-        It asked at each arrival whether each of a score of waiting requests should go
-        on waiting for a better engine: 28 times for each request.
-        """
+        """The home of 41 engines has no processor time left in a burst."""
         paces = itertools.cycle(PACES_MS.values())
         play = Play(dict(zip(map(str, range(41)), paces, strict=False)), places=4)
         for kind, every_ms in ((BULLETIN, 6.4), (NOTICE, 2.8), (TAG, 3.2)):
--- a/libs/entry/src/hemlockhoist/entry/tests/test_moves.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_moves.py
@@ -27,11 +27,7 @@
         self.moves = OrderedMoves(context, rows=None, send=None)
 
     def test_old_halt_shared_after_the_next_order_does_not_stop_it(self):
-        """A mended version, ordered again at once, is rolled back untried.
-
-        The home shares the halt of the first order in its next round, when the
-        second order is known already.
-        """
+        """A mended version, ordered again at once, is rolled back untried."""
         self.moves.take_order(order(8))
         self.moves.take_order(order(14))
         self.moves._share_halt("halls", "halls@8", "v2")
--- a/libs/peers/src/hemlockhoist/peers/tests/test_bus.py
+++ b/libs/peers/src/hemlockhoist/peers/tests/test_bus.py
@@ -208,11 +208,7 @@
         self.assertTrue(broken.empty())
 
     async def test_connection_that_is_closing_does_not_stop_the_host(self):
-        """A host hangs with its processor full when a peer ends at a bad moment.
-
-        The connection was closing, its end not told yet; the task that sends asked for
-        it again and again, and let nothing else of the process run.
-        """
+        """A host hangs with its processor full as a peer's connection ends."""
         self.a.send(self.b.address, _message(1))
         await asyncio.wait_for(self.received.get(), WAIT_S)
         is_closing = Connection.is_closing.fget
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_site.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_site.py
@@ -400,11 +400,7 @@
                 await asyncio.gather(first, return_exceptions=True)
 
     async def test_stream_that_pauses_late_in_a_stop_is_not_cut(self):
-        """A stream is cut in its middle by a planned stop.
-
-        Its engine paused for longer than streams are waited for that may go on at
-        another; the host was about to end, and gave it no place there.
-        """
+        """A planned stop cuts a stream whose engine pauses, as no other is given."""
         replicas = engines("e1", "e2", events=4)
         for engine in replicas["asistente"]:
             engine.event_ms = 600
