Count what a customer spent under other homes once, however often homes change

Cause: at each takeover what hosts tell and what is on record was added to what had been told before, and a record written by the home between contains what this host had counted itself. Ruled out: the share of a cut's side and the presumed part; neither takes a customer below zero by more than its own requests. Change: each source's newest account takes the place of its former one; a record counts only for what neither this host had counted by then nor any host has told; what is known from elsewhere is never more than can have been given.

--- a/libs/decisions/src/hemlockhoist/decisions/limits/allowances.py
+++ b/libs/decisions/src/hemlockhoist/decisions/limits/allowances.py
@@ -1,12 +1,13 @@
 """Customers' allowances, counted over a sliding window."""
 
-import collections
-
 from hemlockhoist.decisions.limits.history import UnknownPast
+from hemlockhoist.decisions.limits.spending import (
+    Account,
+    CustomerSpending,
+    SpendingWindow,
+)
 
 FULL_SHARE = 1.0
-# The window is kept in this many parts; a part leaves it as a whole.
-PARTS = 16
 # Of the declared bound, what is given out. The rest is for what other hosts count and
 # this one does not know: requests whose host has died, and the part of a window that a
 # home had counted and its successor was not told.
@@ -44,83 +45,6 @@
         return declared * (1.0 + self.overshoot) + self.tolerance
 
 
-class _Spending:
-    """What one customer has spent in the present window."""
-
-    __slots__ = (
-        "_part_ms",
-        "_parts",
-        "allowance",
-        "recorded",
-        "recorded_ms",
-        "told",
-        "total",
-    )
-
-    def __init__(self, window_ms, allowance=None):
-        self.allowance = allowance
-        # When a record of a former home was taken into account, if ever.
-        self.recorded_ms = None
-        # Units spent under former homes, by their record and by what hosts told.
-        self.recorded = 0
-        self.told = 0
-        self.total = 0
-        self._part_ms = max(1, window_ms // PARTS)
-        self._parts = collections.deque()
-
-    def add(self, units, now_ms):
-        """Count units."""
-        number = now_ms // self._part_ms
-        self.total += units
-        for part in reversed(self._parts):
-            if part[0] == number:
-                part[1] += units
-                return
-            if part[0] < number:
-                break
-        self._parts.append([number, units])
-        if len(self._parts) > 1 and self._parts[-2][0] > number:
-            self._parts = collections.deque(sorted(self._parts))
-
-    def take_back(self, units):
-        """Stop counting units, of what was counted last.
-
-        Failure: units that were taken back later than they were counted made a later
-        part negative. It stood when the first had left the window, and a record of the
-        parts was read only as far as the negative one.
-        """
-        for part in reversed(self._parts):
-            taken = min(units, part[1])
-            part[1] -= taken
-            self.total -= taken
-            units -= taken
-            if not units:
-                return
-
-    def forget(self, now_ms):
-        """Drop the parts that have left the window."""
-        oldest = now_ms // self._part_ms - PARTS
-        while self._parts and self._parts[0][0] < oldest:
-            self.total -= self._parts.popleft()[1]
-
-    def wait_ms(self, over, now_ms):
-        """Return after how long ``over`` units will have left the window."""
-        for number, units in self._parts:
-            over -= units
-            if over <= 0:
-                leaves_ms = (number + PARTS + 1) * self._part_ms
-                return max(1, leaves_ms - now_ms)
-        return PARTS * self._part_ms
-
-    def by_age(self, now_ms):
-        """Return ``(age_ms, units)`` of the window's parts, for another home."""
-        return tuple(
-            (max(0, now_ms - number * self._part_ms), units)
-            for number, units in self._parts
-            if units
-        )
-
-
 class AllowanceBook:
     """What each customer has spent, and may still send.
 
@@ -168,7 +92,7 @@
                 continue
             spending = former.get(customer.name)
             if spending is None:
-                spending = _Spending(self._bounds.window_ms)
+                spending = CustomerSpending(self._bounds.window_ms)
             spending.allowance = customer.allowance
             self._spending[customer.name] = spending
 
@@ -182,11 +106,6 @@
         """
         self._share = share
 
-    def begin_takeover(self):
-        """Forget what was told and recorded for an earlier takeover."""
-        for spending in self._spending.values():
-            spending.recorded = spending.told = 0
-
     def set_past(self, past):
         """Take how much of what was spent lately is not known.
 
@@ -223,23 +142,23 @@
             spending.forget(now_ms)
             spending.take_back(units)
 
-    def add_spent(self, spent, now_ms):
-        """Count what an entry host says was spent under a home before this one.
+    def add_spent(self, source, spent, now_ms):
+        """Count what an entry host says was spent under homes before this one.
 
         Parameters
         ==========
+        source : tuple
+            The host's run and the pool; a later account takes the place of an earlier
+            one.
         spent : iterable of (str, sequence of (int, int))
             Customers, each with the age in milliseconds and the units of what it spent.
         now_ms : int
         """
         for customer, parts in spent:
             spending = self._spending.get(customer)
-            for age_ms, units in parts if spending is not None else ():
-                spending.told += units
-                # What is on record is counted already.
-                missing = spending.told - max(spending.recorded, spending.told - units)
-                if missing > 0:
-                    spending.add(missing, now_ms - age_ms)
+            if spending is not None:
+                account = _account(parts, now_ms)
+                spending.note_told(source, account, self._most(spending), now_ms)
 
     def notable(self, now_ms):
         """Return the customers that the next home has to know of, after a loss of all.
@@ -257,7 +176,7 @@
                 found.append((customer, spending.by_age(now_ms)))
         return tuple(found)
 
-    def add_recorded(self, spent, now_ms):
+    def add_recorded(self, home, spent, written_ms, now_ms):
         """Count what was on record beyond what hosts have told.
 
         Failure: what this home gave out before it read the record was taken for told,
@@ -266,27 +185,19 @@
 
         Parameters
         ==========
+        home : str
+            That wrote the record.
         spent : iterable of (str, sequence of (int, int))
+            As ``notable`` gave it.
+        written_ms : int
+            When, on this host's clock.
         now_ms : int
         """
         for customer, parts in spent:
             spending = self._spending.get(customer)
-            if spending is None:
-                continue
-            spending.forget(now_ms)
-            spending.recorded_ms = now_ms
-            known = max(spending.recorded, spending.told)
-            inside = (units for age, units in parts if age < self._bounds.window_ms)
-            spending.recorded = max(spending.recorded, sum(inside))
-            missing = spending.recorded - known
-            # The newest first: of what is on record and was not told, it is not known
-            # when it was spent, and what was spent last leaves the window last.
-            for age_ms, units in sorted(parts):
-                units = min(units, missing)
-                if units <= 0:
-                    break
-                spending.add(units, now_ms - age_ms)
-                missing -= units
+            if spending is not None:
+                account = _account(parts, written_ms)
+                spending.note_record(home, account, self._most(spending), now_ms)
 
     def units_left(self, customer, now_ms):
         """Return the units that a customer may still send, or None without a limit."""
@@ -296,6 +207,10 @@
         spending.forget(now_ms)
         return int(self._bound(spending, now_ms) - spending.total)
 
+    def _most(self, spending):
+        """Return the most that all homes together may have given out in a window."""
+        return USED_SHARE * self._bounds.units(spending.allowance)
+
     def _unknown(self, spending, now_ms):
         recorded_ms = spending.recorded_ms
         if recorded_ms is not None and recorded_ms >= self._past.since_ms:
@@ -331,7 +246,7 @@
         key = (pool, home_run, customer)
         spending = self._spent.get(key)
         if spending is None:
-            spending = self._spent[key] = _Spending(self._window_ms)
+            spending = self._spent[key] = SpendingWindow(self._window_ms)
         spending.forget(now_ms)
         spending.add(units, now_ms)
 
@@ -349,3 +264,9 @@
             elif key[0] == pool and key[1] != asking_run:
                 found.append((key[2], parts))
         return tuple(found)
+
+
+def _account(parts, told_ms):
+    return Account(
+        at_ms=told_ms, parts=tuple((told_ms - age, units) for age, units in parts)
+    )
--- a/libs/decisions/src/hemlockhoist/decisions/limits/tests/test_allowances.py
+++ b/libs/decisions/src/hemlockhoist/decisions/limits/tests/test_allowances.py
@@ -74,13 +74,7 @@
         record = former.notable(lost_ms)
         made = book()
         made.set_past(UnknownPast(part=1.0, since_ms=back_ms))
-        made.add_recorded(
-            [
-                (name, [(age + back_ms - lost_ms, units) for age, units in parts])
-                for name, parts in record
-            ],
-            back_ms,
-        )
+        made.add_recorded("former", record, lost_ms, back_ms)
         for at in range(back_ms, back_ms + 12_000, 20):
             if not made.take("port", 100, at):
                 taken.append(at)
@@ -116,8 +110,8 @@
 
     def test_record_adds_nothing_to_what_hosts_have_told(self):
         made = book()
-        made.add_spent([("port", [(100, 4_000)])], 1_000)
-        made.add_recorded([("port", [(300, 3_900)])], 1_000)
+        made.add_spent("h1", [("port", [(100, 4_000)])], 1_000)
+        made.add_recorded("former", [("port", [(300, 3_900)])], 1_000, 1_000)
         self.assertEqual(made.units_left("port", 1_000), int(0.88 * BOUND) - 4_000)
 
     def test_customer_without_allowance_is_not_counted(self):
@@ -160,7 +154,7 @@
         log, heir = SpentLog(WINDOW_MS), book()
         for at in range(0, 2_000, 100):
             log.add("dossiers", "h1", "port", 400, at)
-        heir.add_spent(log.report("dossiers", "h2", 2_000), 9_000)
+        heir.add_spent("h3", log.report("dossiers", "h2", 2_000), 9_000)
         taken = sum(100 for _ in range(200) if not heir.take("port", 100, 9_000))
         self.assertLessEqual(taken, BOUND - 8_000)
 
@@ -171,9 +165,8 @@
         What it gave to them was taken for a part of the record.
         """
         heir = book()
-        heir.begin_takeover()
         heir.take("port", 1_500, 0)
-        heir.add_recorded([("port", ((500, 7_000),))], 30)
+        heir.add_recorded("former", [("port", ((500, 7_000),))], 0, 30)
         self.assertEqual(heir.units_left("port", 30), int(USED_SHARE * BOUND) - 8_500)
 
     def test_what_was_refused_leaves_no_gap_in_the_record(self):
@@ -192,8 +185,7 @@
         self.assertEqual(
             former.units_left("port", 2_600), int(USED_SHARE * BOUND) - 5_000
         )
-        heir.begin_takeover()
-        heir.add_recorded(former.notable(2_600), 3_000)
+        heir.add_recorded("former", former.notable(2_600), 2_600, 3_000)
         self.assertEqual(
             heir.units_left("port", 3_000), int(USED_SHARE * BOUND) - 5_000
         )
@@ -202,10 +194,11 @@
         spent = (("port", ((500, 3_000), (900, 2_000))),)
         for first, second in ((0, 1), (1, 0)):
             heir = book()
-            heir.begin_takeover()
             for which in (first, second):
-                add = (heir.add_spent, heir.add_recorded)[which]
-                add(spent, 10)
+                if which:
+                    heir.add_recorded("former", spent, 10, 10)
+                else:
+                    heir.add_spent("h1", spent, 10)
             left = int(USED_SHARE * BOUND) - 5_000
             self.assertEqual(heir.units_left("port", 10), left)
 
@@ -219,3 +212,58 @@
         log = SpentLog(WINDOW_MS)
         log.add("dossiers", "h1", "port", 400, 0)
         self.assertEqual(log.report("dossiers", "h1", 0), ())
+
+    def test_host_that_is_home_again_counts_nothing_twice(self):
+        """A customer within its bound is refused for seconds as homes change."""
+        first, between = book(), book()
+        log = SpentLog(WINDOW_MS)
+
+        def serve(home, run, at):
+            self.assertEqual(home.take("port", 400, at), 0)
+            log.add("dossiers", run, "port", 400, at)
+
+        for at in range(0, 2_000, 500):
+            serve(first, "r1", at)
+        between.add_spent("h1", log.report("dossiers", "r2", 2_000), 2_000)
+        for at in range(2_000, 4_000, 500):
+            serve(between, "r2", at)
+        first.add_recorded("h2", between.notable(3_500), 3_500, 4_000)
+        first.add_spent("h1", log.report("dossiers", "r1", 4_000), 4_000)
+        left = first.units_left("port", 4_000)
+        self.assertAlmostEqual(left, USED_SHARE * BOUND - 3_200, delta=400)
+        for at in range(4_000, 6_000, 500):
+            serve(first, "r1", at)
+        between.add_spent("h1", log.report("dossiers", "r2", 6_000), 6_000)
+        left = between.units_left("port", 6_000)
+        self.assertEqual(left, int(USED_SHARE * BOUND) - 4_800)
+
+    def test_accounts_never_add_up_to_more_than_can_have_been_given(self):
+        """A customer stands far over its bound, and is refused for the whole window."""
+        heir = book()
+        for host in range(5):
+            heir.add_spent(f"h{host}", [("port", ((100, 8_000),))], 1_000)
+        self.assertEqual(heir.units_left("port", 1_000), 0)
+        self.assertGreater(heir.units_left("port", 1_000 + WINDOW_MS), BOUND / 2)
+
+    @given(
+        st.lists(
+            st.tuples(st.integers(0, 600), st.integers(50, 900), st.booleans()),
+            max_size=60,
+        )
+    )
+    def test_no_window_holds_more_than_the_bound_as_homes_change(self, steps):
+        """Two hosts are home by turns, and each tells the other what was spent."""
+        homes, log = {"r1": book(), "r2": book()}, SpentLog(WINDOW_MS)
+        run, now_ms, taken = "r1", 0, []
+        for step_ms, units, changes in steps:
+            now_ms += step_ms
+            if changes:
+                run = "r2" if run == "r1" else "r1"
+                spent = log.report("dossiers", run, now_ms)
+                homes[run].add_spent("h1", spent, now_ms)
+            if homes[run].take("port", units, now_ms) == 0:
+                log.add("dossiers", run, "port", units, now_ms)
+                taken.append((now_ms, units))
+        for start, _ in taken:
+            inside = [u for at, u in taken if start <= at < start + WINDOW_MS]
+            self.assertLessEqual(sum(inside), BOUND)
--- a/libs/entry/src/hemlockhoist/entry/gate.py
+++ b/libs/entry/src/hemlockhoist/entry/gate.py
@@ -82,16 +82,15 @@
         window_ms = self._bounds.allowance_window_ms
         if self._history is None or not self._history.is_of(now_ms):
             self._history = SpendingHistory(window_ms, now_ms)
-            self.allowances.begin_takeover()
         self._history.ask(hosts)
         self._note_past()
         self.on_takeover_begun()
 
-    def on_spent(self, host, spent, up_ms, now_ms):
+    def on_spent(self, host, held, now_ms):
         """Count what was spent under a home before this one."""
-        self.allowances.add_spent(spent, now_ms)
+        self.allowances.add_spent((held.run, held.pool), held.spent, now_ms)
         if self._history is not None:
-            self._history.tell(host, up_ms)
+            self._history.tell(host, held.up_ms)
             self._note_past()
 
     @property
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -219,6 +219,7 @@
             context.bus.renew,
             lambda: context.identity.host_id,
             SpentLog(self.settings.bounds.allowance_window_ms),
+            context.identity.incarnation,
         )
         context.register = DispatchRegister(context.invariants)
         context.feeds = FeedStore(
--- a/libs/entry/src/hemlockhoist/entry/spending.py
+++ b/libs/entry/src/hemlockhoist/entry/spending.py
@@ -137,13 +137,14 @@
             if record is None:
                 continue
             passed_ms = max(0, reading.store_ms - record.store_ms) + read_ago_ms
-            spent = tuple(
-                (customer, tuple((age + passed_ms, units) for age, units in parts))
-                for customer, parts in record.spent
+            gate.allowances.add_recorded(
+                row.key, record.spent, now_ms - passed_ms, now_ms
             )
-            gate.allowances.add_recorded(spent, now_ms)
             _log.info(
-                "spending_read", home=row.key, age_ms=passed_ms, customers=len(spent)
+                "spending_read",
+                home=row.key,
+                age_ms=passed_ms,
+                customers=len(record.spent),
             )
 
     async def _write(self):
--- a/libs/entry/src/hemlockhoist/entry/tests/test_spending.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_spending.py
@@ -9,12 +9,18 @@
 from hemlockhoist.entry.spending import SpendingRecord
 from hemlockhoist.entry.tests.builders import customer
 from hemlockhoist.entry.tests.test_feeds import ClockedStore
+from hemlockhoist.messages import HeldGrants
 
 BOUNDS = FleetBounds(allowance_window_ms=8_000, allowance_overshoot=0.0)
 BOUND = 9_000
 HOSTS = ("h1", "h2", "h3")
 
 
+def held(up_ms):
+    """Return what a host tells that has spent nothing under other homes."""
+    return HeldGrants(pool="halls", home_incarnation="", grants=(), up_ms=up_ms)
+
+
 class Home:
     """A host that is home, with its gate and its record."""
 
@@ -64,7 +70,7 @@
         home = Home(self.store)
         home.gate.on_takeover(HOSTS, home.clock.now_ms())
         for host in HOSTS:
-            home.gate.on_spent(host, (), up_ms, home.clock.now_ms())
+            home.gate.on_spent(host, held(up_ms), home.clock.now_ms())
         await home.record.start()
         await asyncio.sleep(0.3)
         return home
@@ -108,7 +114,7 @@
         active["halls"] = home
         home.gate.on_takeover(HOSTS, home.clock.now_ms())
         for host in HOSTS:
-            home.gate.on_spent(host, (), 20, home.clock.now_ms())
+            home.gate.on_spent(host, held(20), home.clock.now_ms())
         await asyncio.sleep(0.05)
         await home.send_for(2, 500)
         taken = sum(units for _, units in former.taken + home.taken)
--- a/libs/host/src/hemlockhoist/host/grants.py
+++ b/libs/host/src/hemlockhoist/host/grants.py
@@ -112,6 +112,8 @@
         Returns this host's id where it may decide alone; by default it may not.
     spent : SpentLog, optional
         Notes what customers spend.
+    run : str, optional
+        This host's incarnation.
     """
 
     __slots__ = (
@@ -122,6 +124,7 @@
         "_own_id",
         "_refusal",
         "_renew",
+        "_run",
         "_send",
         "_spent",
         "_started_ms",
@@ -137,7 +140,9 @@
         renew=lambda host_id: None,
         own_id=lambda: "",
         spent=None,
+        run="",
     ):
+        self._run = run
         self._spent = spent
         self._own_id = own_id
         self._renew = renew
@@ -437,6 +442,7 @@
             grants=grants,
             spent=spent,
             up_ms=self._clock.now_ms() - self._started_ms,
+            run=self._run,
         )
 
     def send_held_ids(self, pools):
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -61,8 +61,15 @@
     def on_takeover(self, hosts, now_ms):
         """Take notice that this host decides from here on, and which hosts it asks."""
 
-    def on_spent(self, host, spent, up_ms, now_ms):
-        """Take what an entry host says was spent under a home before this one."""
+    def on_spent(self, host, held, now_ms):
+        """Take what an entry host says was spent under a home before this one.
+
+        Parameters
+        ==========
+        host : str
+        held : HeldGrants
+        now_ms : int
+        """
 
 
 class PoolHome:
@@ -328,7 +335,7 @@
             self._granted[request.request_id] = (grant, sender)
             self._emit(self.scheduler.adopt(request, grant, now_ms), now_ms)
         if sender in self._awaited:
-            self._gate.on_spent(sender, message.spent, message.up_ms, now_ms)
+            self._gate.on_spent(sender, message, now_ms)
             self._awaited.discard(sender)
             if not self._awaited:
                 self._end_recovery(now_ms)
--- a/libs/messages/src/hemlockhoist/messages/grants.py
+++ b/libs/messages/src/hemlockhoist/messages/grants.py
@@ -190,8 +190,8 @@
     """The answer to ``HomeTakeover``: all grants of the pool held by the sender.
 
     ``spent`` tells what customers have spent there lately: each with the ages in
-    milliseconds and the units. ``up_ms`` tells for how long the sender has run, and so
-    how far back it can tell.
+    milliseconds and the units. ``run`` is the sender's incarnation; ``up_ms`` tells for
+    how long it has run, and so how far back it can tell.
     """
 
     pool: str
@@ -199,6 +199,7 @@
     grants: tuple[HeldGrant, ...]
     spent: tuple[tuple[str, tuple[tuple[int, int], ...]], ...] = ()
     up_ms: int = 0
+    run: str = ""
 
 
 class HeldGrantIds(
