--- a/libs/base/src/hemlockhoist/base/__init__.py
+++ b/libs/base/src/hemlockhoist/base/__init__.py
@@ -5,6 +5,7 @@
     BadRequest,
     DeclarationError,
     DispatchError,
+    GrantOutdated,
     HemlockhoistError,
     LeaseLost,
     MoveError,
@@ -15,6 +16,8 @@
     SettingError,
     StoreAnswerLost,
     StoreConflict,
+    UpstreamCold,
+    UpstreamEvacuated,
     UpstreamLeft,
 )
 from hemlockhoist.base.invariants import InvariantLog, Property
@@ -31,6 +34,7 @@
     "Clock",
     "DeclarationError",
     "DispatchError",
+    "GrantOutdated",
     "HemlockhoistError",
     "InvariantLog",
     "LineWriter",
@@ -49,6 +53,8 @@
     "StoreAnswerLost",
     "StoreConflict",
     "SuspendAwareClock",
+    "UpstreamCold",
+    "UpstreamEvacuated",
     "UpstreamLeft",
     "VolumeLimit",
     "configure_logs",
--- a/libs/base/src/hemlockhoist/base/caller_results.py
+++ b/libs/base/src/hemlockhoist/base/caller_results.py
@@ -254,7 +254,7 @@
         503,
         _NO,
         True,
-        "The upstream that was to take the request leaves.",
+        "The upstream of a grant leaves, turned cold, or is in an evacuated domain.",
         "Come back after Retry-After.",
     ),
     (
--- a/libs/base/src/hemlockhoist/base/errors.py
+++ b/libs/base/src/hemlockhoist/base/errors.py
@@ -43,23 +43,75 @@
     code = ResultCode.OVERLOADED
 
 
-class UpstreamLeft(Refused):
-    """The upstream of a grant leaves; nothing was sent to it.
+class GrantOutdated(Refused):
+    """This host knows better than the home that gave a grant; nothing was sent.
 
     Parameters
     ==========
+    message : str
     upstream_id : str
     version : int or None
-        Of the platform's list at which it left; None where this host's list never had
-        it.
+        Of the platform's list that says so; None where this host's list never had the
+        upstream.
+
+    Attributes
+    ==========
+    cause : str
+        For metrics.
     """
 
     code = ResultCode.UPSTREAM_LEFT
+    cause = "outdated"
 
-    def __init__(self, upstream_id, version):
+    def __init__(self, message, upstream_id, version):
         self.upstream_id = upstream_id
         self.version = version
-        super().__init__(f"{upstream_id} leaves")
+        super().__init__(message)
+
+
+class UpstreamLeft(GrantOutdated):
+    """The upstream of a grant leaves."""
+
+    cause = "left"
+
+    def __init__(self, upstream_id, version):
+        super().__init__(f"{upstream_id} leaves", upstream_id, version)
+
+
+class UpstreamEvacuated(GrantOutdated):
+    """The failure domain of a grant's upstream is evacuated.
+
+    Parameters
+    ==========
+    upstream_id, failure_domain : str
+    version : int
+        Of the order.
+    """
+
+    cause = "evacuated"
+
+    def __init__(self, upstream_id, failure_domain, version):
+        self.failure_domain = failure_domain
+        super().__init__(f"{failure_domain} is evacuated", upstream_id, version)
+
+
+class UpstreamCold(GrantOutdated):
+    """The upstream of a grant has turned cold, and its home did not know.
+
+    Parameters
+    ==========
+    upstream_id : str
+    version : int
+        Of its entry in the platform's list.
+    cold_ms : int
+        For how long it is still cold.
+    """
+
+    cause = "cold"
+
+    def __init__(self, upstream_id, version, cold_ms):
+        self.cold_ms = cold_ms
+        super().__init__(f"{upstream_id} is cold", upstream_id, version)
 
 
 class DispatchError(HemlockhoistError):
--- a/libs/base/src/hemlockhoist/base/metrics_table.py
+++ b/libs/base/src/hemlockhoist/base/metrics_table.py
@@ -246,6 +246,20 @@
     "Upstreams in the list that are not leaving.",
     "At 0: nothing of the pool is registered.",
 )
+DOMAINS_EVACUATED = Metric(
+    "domains.evacuated",
+    _G,
+    "",
+    "Failure domains whose upstreams get nothing, by an operator's order.",
+    "Above 0 longer than meant: the order still stands in the store.",
+)
+GRANTS_OUTDATED = Metric(
+    "grants.outdated",
+    _C,
+    "cause",
+    "Grants that were not used: their upstream leaves, is evacuated, or turned cold.",
+    "Some at each change of the list; steadily: the home is cut off from the store.",
+)
 LEDGER_IN_PROGRESS = Metric(
     "ledger.in_progress",
     _G,
--- a/libs/cli/src/hemlockhoist/cli/explain.py
+++ b/libs/cli/src/hemlockhoist/cli/explain.py
@@ -14,6 +14,8 @@
 CONTEXT_EVENTS = frozenset(
     {
         "deciding_alone",
+        "domain_evacuated",
+        "domain_taken_back",
         "drain_begun",
         "home_closed",
         "home_started",
@@ -24,6 +26,7 @@
         "routes_in_force",
         "store_lost",
         "store_regained",
+        "upstream_cold",
         "upstream_gone",
         "upstream_listed",
     }
--- a/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
@@ -2,9 +2,11 @@
 
 from hemlockhoist.decisions.entry.attempts import AttemptEnd, Step, next_step
 from hemlockhoist.decisions.entry.copies import TableCopy
+from hemlockhoist.decisions.entry.evacuation import DomainOrder, EvacuatedDomains
 from hemlockhoist.decisions.entry.freshness import Freshness
 from hemlockhoist.decisions.entry.halted import HaltedVersions
 from hemlockhoist.decisions.entry.listing import UpstreamListing
+from hemlockhoist.decisions.entry.naming import members_near
 from hemlockhoist.decisions.entry.ordered import (
     HeldBackPolicy,
     MoveOrder,
@@ -21,6 +23,8 @@
 __all__ = [
     "chained_hashes",
     "AttemptEnd",
+    "DomainOrder",
+    "EvacuatedDomains",
     "Freshness",
     "HaltedVersions",
     "HeldBackPolicy",
@@ -34,6 +38,7 @@
     "find_readers",
     "former_version",
     "live_versions",
+    "members_near",
     "next_step",
     "order_state",
     "reader_for",
--- a/libs/decisions/src/hemlockhoist/decisions/entry/listing.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/listing.py
@@ -2,6 +2,8 @@
 
 import collections
 
+import msgspec
+
 from hemlockhoist.decisions.work import UpstreamState
 
 # An upstream that vanished from the list without saying that it leaves is used this
@@ -38,6 +40,12 @@
         """Take an entry, unless what is known of it is newer."""
         if upstream.listed_version < self._left.get(upstream.upstream_id, 0):
             return
+        former = self._listed.get(upstream.upstream_id)
+        if former is not None and former.listed_version == upstream.listed_version:
+            # Read again: how long it is cold counts from the first reading.
+            upstream = msgspec.structs.replace(
+                upstream, cold_until_ms=former.cold_until_ms
+            )
         self._left.pop(upstream.upstream_id, None)
         self._forget(upstream.upstream_id)
         self._listed[upstream.upstream_id] = upstream
@@ -84,6 +92,19 @@
         self.drop(upstream_id, now_ms, version)
         return True
 
+    def believe_cold(self, upstream_id, version, cold_until_ms):
+        """Take another host's word that an upstream is cold; return whether it was.
+
+        An entry that is as new as what the other knows says it itself.
+        """
+        upstream = self._listed.get(upstream_id)
+        if upstream is None or upstream.listed_version >= version:
+            return False
+        self._listed[upstream_id] = msgspec.structs.replace(
+            upstream, cold_until_ms=max(cold_until_ms, upstream.cold_until_ms)
+        )
+        return True
+
     def _forget(self, upstream_id):
         upstream = self._listed.pop(upstream_id, None)
         if upstream is not None:
--- a/libs/decisions/src/hemlockhoist/decisions/entry/ordered.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/ordered.py
@@ -37,7 +37,9 @@
 
 
 def live_versions(upstreams, pool):
-    """Return the versions of a pool's live upstreams, each with its count.
+    """Return the versions of a pool's upstreams that stay, each with its count.
+
+    Those of an evacuated failure domain stay: their version has not gone.
 
     Parameters
     ==========
@@ -51,7 +53,7 @@
     return collections.Counter(
         item.version
         for item in upstreams
-        if item.pool == pool and item.state is UpstreamState.LIVE
+        if item.pool == pool and item.state is not UpstreamState.LEAVING
     )
 
 
--- a/libs/decisions/src/hemlockhoist/decisions/membership/membership.py
+++ b/libs/decisions/src/hemlockhoist/decisions/membership/membership.py
@@ -304,9 +304,13 @@
         """Return the callers' addresses of all hosts that are neither suspect nor
         leaving, in a random order.
         """
-        addresses = [member.caller_address for member in self._named()]
-        self._rng.shuffle(addresses)
-        return addresses
+        return [member.caller_address for member in self.named_members()]
+
+    def named_members(self):
+        """Return the members that callers may be told of, in a random order."""
+        members = self._named()
+        self._rng.shuffle(members)
+        return members
 
     def _named(self):
         return [
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared.py
@@ -7,6 +7,7 @@
 from hemlockhoist.decisions.scheduling.prompt_cache import PromptCache
 from hemlockhoist.decisions.scheduling.recovery import DECLARED_RECOVERY_MS
 from hemlockhoist.decisions.scheduling.tracks import Tracks
+from hemlockhoist.decisions.scheduling.warmup import Warmup
 from hemlockhoist.decisions.work import OutcomeKind
 
 US_PER_MS = 1_000
@@ -43,14 +44,28 @@
     ==========
     cache_tokens : int, optional
         Of prompts that one upstream keeps; 0 where that is not declared.
+    warmup : Warmup, optional
+        Bounds what cold upstreams are given.
     """
 
-    __slots__ = ("_cache", "_counted", "_gaps_ms", "_pace", "_tracks", "_unreached")
+    __slots__ = (
+        "_cache",
+        "_counted",
+        "_gaps_ms",
+        "_pace",
+        "_tracks",
+        "_unreached",
+        "_usable",
+        "_warmup",
+    )
     recovery_ms = DECLARED_RECOVERY_MS
 
-    def __init__(self, cache_tokens=0):
+    def __init__(self, cache_tokens=0, warmup=None):
+        self._warmup = warmup or Warmup()
         self._cache = PromptCache(cache_tokens)
         self._tracks = {}
+        # Those of the upstreams that are given work.
+        self._usable = {}
         self._pace = PoolPace()
         # By route, as declared.
         self._gaps_ms = {}
@@ -74,6 +89,13 @@
         for upstream_id in former.keys() - self._tracks.keys():
             self._cache.forget(upstream_id)
         self._unreached &= self._tracks.keys()
+        self._warmup.keep(upstreams)
+
+    def set_usable(self, upstreams, now_ms):
+        """Take the upstreams that are given work."""
+        self._usable = {
+            item.upstream_id: self._tracks[item.upstream_id] for item in upstreams
+        }
 
     def get(self, upstream_id):
         """Return the track of a listed upstream, or None."""
@@ -86,6 +108,26 @@
             return 0
         return track.limit.places
 
+    def takes_more(self, upstream_id, now_ms):
+        """Return whether an upstream may be given another request, places aside."""
+        return self._warmup.allows(upstream_id, now_ms)
+
+    def begin_takeover(self, now_ms):
+        """Take notice that this home decides from here on, perhaps after another."""
+        self._warmup.begin(now_ms)
+
+    def set_share(self, share):
+        """Take the part of what is bounded over all hosts that is given out here."""
+        self._warmup.set_share(share)
+
+    def is_cold(self, upstream_id, now_ms):
+        """Return whether an upstream warms up after its start."""
+        return self._warmup.is_cold(upstream_id, now_ms)
+
+    def on_adopt(self, held, now_ms):
+        """Count a grant of a former home."""
+        self._warmup.note_grant(held.grant.upstream_id, now_ms)
+
     def with_place(self, upstreams, in_flight, now_ms):
         """Return those of some upstreams that may be given one more request.
 
@@ -97,6 +139,9 @@
             for item in upstreams
             if in_flight(item.upstream_id) < tracks[item.upstream_id].limit.places
         ]
+        if self._warmup.any_cold(now_ms):
+            allows = self._warmup.allows
+            free = [item for item in free if allows(item.upstream_id, now_ms)]
         if not unreached:
             return free
         return [
@@ -181,8 +226,8 @@
         within_ms = IN_TIME_PART * left_ms
         frees_per_ms = 0.0
         soonest_ms = None
-        for track in self._tracks.values():
-            if track is here:
+        for track in self._usable.values():
+            if track is here or not work.may_go_to(track.region):
                 continue
             first_ms = track.first_token_within(work, within_ms, most_ms, now_ms)
             if first_ms is not None:
@@ -204,7 +249,7 @@
         if gap_ms is None:
             return math.inf
         most_ms = PROMPT_PART * gap_ms
-        for track in self._tracks.values():
+        for track in self._usable.values():
             if track.prompts_ms(work) <= most_ms and track.is_open(now_ms):
                 return most_ms
         return math.inf
@@ -212,7 +257,7 @@
     def _usual_failure_rate(self, now_ms):
         """Return the lowest failure rate: what a request can not escape anywhere."""
         lowest = None
-        for track in self._tracks.values():
+        for track in self._usable.values():
             rate = track.failures.rate(now_ms)
             if not rate:
                 return 0.0
@@ -226,6 +271,7 @@
             self._gaps_ms[request.route] = request.max_gap_ms
         upstream_id = held.grant.upstream_id
         track = self._tracks[upstream_id]
+        self._warmup.note_grant(upstream_id, now_ms)
         kept = self._kept(request).get(upstream_id, 0)
         track.on_grant(held, self._pace.work(request), now_ms, kept)
         if len(request.prefix_tokens) == len(request.prefix_hashes):
@@ -238,7 +284,7 @@
             return
         held.first_token_known = True
         track.on_prompt_done(held, now_ms)
-        self._note_reached(held.grant.upstream_id, track)
+        self._note_reached(held.grant.upstream_id, track, now_ms)
         is_whole = held.pending_tokens == held.request.prompt_tokens
         if held.prompt_wait_ms <= 0 and is_whole:
             # What is kept is only believed, and says nothing of an engine's pace.
@@ -258,12 +304,18 @@
             track.failures.observe(True, now_ms)
         elif outcome.kind is OutcomeKind.SUCCESS:
             track.on_success(hold_ms, now_ms)
-            self._unreached.discard(upstream_id)
+            self._note_back(upstream_id, now_ms)
             _learn_pace(track, outcome)
 
-    def _note_reached(self, upstream_id, track):
+    def _note_reached(self, upstream_id, track, now_ms):
         track.reach.on_reached()
-        self._unreached.discard(upstream_id)
+        self._note_back(upstream_id, now_ms)
+
+    def _note_back(self, upstream_id, now_ms):
+        """Take a sign of life; one that was out of reach may just have started."""
+        if upstream_id in self._unreached:
+            self._unreached.discard(upstream_id)
+            self._warmup.presume_cold(upstream_id, now_ms)
 
     def forget(self, held, now_ms):
         """Stop counting a grant whose outcome nobody will report."""
@@ -272,9 +324,10 @@
             track.on_prompt_done(held, now_ms)
 
     def review(self, now_ms):
-        """Count what has stalled; to be called at each tick."""
-        for track in self._tracks.values():
+        """Count what has stalled, and see what is cold; to be called at each tick."""
+        for upstream_id, track in self._tracks.items():
             track.count_stalled(now_ms)
+            track.set_cold(self._warmup.is_cold(upstream_id, now_ms))
 
 
 def _cost_ms(work, track, first_ms, held, now_ms):
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_track.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_track.py
@@ -35,15 +35,20 @@
         "pending_tokens",
         "prompts_done_ms",
         "reach",
+        "region",
         "stalled",
         "started_unix_ms",
+        "warm_pace",
     )
 
     def __init__(self, upstream, pool_pace):
         self.failure_domain = upstream.failure_domain
+        self.region = upstream.region
         self.started_unix_ms = upstream.started_unix_ms
         self.limit = DeclaredLimit(upstream.places)
         self.pace = EnginePace(pool_pace)
+        # What it is without the coldness, while it is cold.
+        self.warm_pace = None
         self.reach = Reach()
         self.failures = FailureRate()
         self.prompts_done_ms = 0.0
@@ -53,6 +58,14 @@
         self.pending_tokens = 0
         self.stalled = 0
 
+    def set_cold(self, is_cold):
+        """Take notice that it warms up, or is warm; each has a pace of its own."""
+        if is_cold and self.warm_pace is None:
+            self.warm_pace = self.pace
+            self.pace = self.warm_pace.cold()
+        elif not is_cold and self.warm_pace is not None:
+            self.pace, self.warm_pace = self.warm_pace, None
+
     def is_open(self, now_ms):
         """Return whether it may be given a request, places aside."""
         return self.reach.is_open(now_ms, len(self.pending))
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/experiments.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/experiments.py
@@ -79,11 +79,11 @@
         """Return what knows the requests that come back."""
         return NoReturns() if Mechanism.RETURNS in self.left_out else ReturnBook()
 
-    def declared_tracks(self, cache_tokens=0):
+    def declared_tracks(self, cache_tokens=0, warmup=None):
         """Return the tracks of upstreams that declare their places."""
         if Mechanism.BETTER_LATER in self.left_out:
-            return FirstFreeTracks(cache_tokens)
-        return DeclaredTracks(cache_tokens)
+            return FirstFreeTracks(cache_tokens, warmup)
+        return DeclaredTracks(cache_tokens, warmup)
 
 
 class NoTurns(OutOfTurn):
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/fleet.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/fleet.py
@@ -59,7 +59,7 @@
             held = self.recovery.held(upstream_id, held, report, now_ms)
         if held is None or held >= self.tracks.places(upstream_id, now_ms):
             return False
-        return self.tracks.takes_prompts(upstream_id, now_ms)
+        return self.tracks.takes_more(upstream_id, now_ms)
 
     def places(self, now_ms):
         """Return the places of all upstreams that take work."""
@@ -72,11 +72,13 @@
         self.tracks.on_grant(held, now_ms)
         self.recovery.note_grant(upstream_id, now_ms)
 
-    def on_adopt(self, upstream_id):
+    def on_adopt(self, held, now_ms):
         """Let an upstream keep what a former home had granted."""
+        upstream_id = held.grant.upstream_id
         track = self.tracks.get(upstream_id)
         if track is not None:
             track.limit.at_least(self._grants.in_flight(upstream_id))
+            self.tracks.on_adopt(held, now_ms)
 
     def review(self, estimate, now_ms):
         """Find upstreams that hold grants far longer than predicted; once a second."""
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/giving.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/giving.py
@@ -154,7 +154,7 @@
         versions = sorted({item.version for item in free})
         for version in self._policy.candidates(request, versions, now_ms):
             choices = [item for item in free if item.version == version]
-            choices = _untried(request, choices)
+            choices = _untried(request, _within(request, choices))
             upstream = self._fleet.tracks.choose(
                 request, choices, self._grants.in_flight, now_ms, ahead
             )
@@ -176,6 +176,7 @@
             address=upstream.address,
             version=upstream.version,
             expires_ms=now_ms + GRANT_TTL_MS,
+            is_cold=self._fleet.tracks.is_cold(upstream.upstream_id, now_ms),
         )
         held = Held(request, grant, now_ms, waiting.cost_ms)
         self._grants.add(held)
@@ -198,6 +199,17 @@
         )
 
 
+def _within(request, choices):
+    """Return the choices in the regions to which a request is bound.
+
+    Harm prevented: a body leaves the regions where its customer or its route's owner
+    allows it to be kept.
+    """
+    if not request.regions:
+        return choices
+    return [item for item in choices if item.region in request.regions]
+
+
 def _untried(request, choices):
     """Return the choices that have not failed the request, or all where all have."""
     if not request.avoid:
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/pace.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/pace.py
@@ -42,6 +42,8 @@
     deadline_ms, first_token_by_ms : int
     failure_domain : str
         Of the entry host.
+    regions : tuple of str
+        Where the engine has to be; empty for anywhere.
     """
 
     __slots__ = (
@@ -53,6 +55,7 @@
         "output_tokens",
         "prompt_part",
         "prompt_tokens",
+        "regions",
     )
 
     def __init__(self, request, base_tokens, prompt_part):
@@ -64,6 +67,11 @@
         self.deadline_ms = request.deadline_ms
         self.first_token_by_ms = request.first_token_by_ms
         self.failure_domain = request.failure_domain
+        self.regions = request.regions
+
+    def may_go_to(self, region):
+        """Return whether an engine of a region may have the request."""
+        return not self.regions or region in self.regions
 
 
 class PoolPace:
@@ -119,6 +127,10 @@
     Parameters
     ==========
     pool : PoolPace
+    token_ms : float or None, optional
+        Of the engine, where that is known.
+    teaches : bool, optional
+        Whether its answers say anything of the pool's other engines.
 
     Examples
     ========
@@ -132,11 +144,20 @@
     4
     """
 
-    __slots__ = ("_pool", "_token_ms")
+    __slots__ = ("_pool", "_teaches", "_token_ms")
 
-    def __init__(self, pool):
+    def __init__(self, pool, token_ms=None, teaches=True):
         self._pool = pool
-        self._token_ms = None
+        self._teaches = teaches
+        self._token_ms = token_ms
+
+    def cold(self):
+        """Return the pace of the same engine while it warms up.
+
+        Failure: engines come back cold, and all engines of their pool are taken to be
+        as slow as they are for a while.
+        """
+        return EnginePace(self._pool, self._token_ms, teaches=False)
 
     @property
     def token_ms(self):
@@ -145,7 +166,8 @@
 
     def observe_token(self, token_ms):
         """Take the time of a token of one of its answers."""
-        self._pool.observe_token(token_ms)
+        if self._teaches:
+            self._pool.observe_token(token_ms)
         if self._token_ms is None:
             self._token_ms = token_ms
         self._token_ms += PACE_WEIGHT * (token_ms - self._token_ms)
@@ -162,7 +184,8 @@
         if self._token_ms is not None and ratio > SLOW_FIRST_RATIO:
             self._token_ms *= min(MAX_FIRST_FACTOR, ratio)
             return
-        self._pool.observe_first(prompt_tokens, first_ms / self.token_ms)
+        if self._teaches:
+            self._pool.observe_first(prompt_tokens, first_ms / self.token_ms)
 
     def prompt_ms(self, prompt_tokens):
         """Return how long a prompt keeps the engine busy."""
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -137,6 +137,10 @@
         """Number of requests so far that came back as they were told."""
         return self._returns.returned
 
+    def evacuated_domains(self):
+        """Return the failure domains whose upstreams get nothing, by order."""
+        return self._fleet.table.evacuated_domains()
+
     def in_flight_at(self, version):
         """Return the number of grants that upstreams of a version have."""
         return self._grants.of_version(version)
@@ -215,16 +219,22 @@
         """
         self._queue.remove(request.request_id)
         cost_ms = self._estimate.hold_ms(request)
-        if self._grants.add(Held(request, grant, now_ms, cost_ms)):
-            self._fleet.on_adopt(grant.upstream_id)
+        held = Held(request, grant, now_ms, cost_ms)
+        if self._grants.add(held):
+            self._fleet.on_adopt(held, now_ms)
             self._policy.on_adopt(request, grant.version, now_ms, grant.upstream_id)
         return []
 
     def begin_recovery(self, now_ms):
         """Begin the time in which grants of a former home are still unknown."""
         self._fleet.recovery.begin(now_ms)
+        self._fleet.tracks.begin_takeover(now_ms)
         return []
 
+    def set_share(self, share):
+        """Take the part of what is bounded over all hosts that is given out here."""
+        self._fleet.tracks.set_share(share)
+
     def end_recovery(self, now_ms):
         """Take notice that all entry hosts have reported the grants they hold."""
         self._fleet.recovery.end()
@@ -288,7 +298,7 @@
         return decisions
 
     def _refusal(self, request, is_returned, now_ms):
-        if not self._fleet.table.usable():
+        if not self._fleet.table.serves(request.regions):
             return ResultCode.NO_UPSTREAM
         held = self._grants.of_customer(request.customer)
         held += self._queue.of_customer(request.customer)
@@ -316,9 +326,25 @@
         """Decide after a change at one upstream, or at none."""
         if not len(self._queue):
             return []
+        if self._fleet.table.is_evacuated():
+            return self._refuse_waiting(now_ms)
         decisions = self._giver.give(now_ms, changed)
         return decisions + self._give_up(now_ms)
 
+    def _refuse_waiting(self, now_ms):
+        """Refuse all that waits, the lowest tier first.
+
+        Harm prevented: all failure domains of a pool are evacuated, and callers wait to
+        the end of their time for what will not come.
+        """
+        decisions = []
+        for rank in reversed(list(self._queue.ranks)):
+            while (taken := self._queue.take(rank)) is not None:
+                request = taken[0].request
+                code = ResultCode.NO_UPSTREAM
+                decisions.append(self._shedder.reject(request, code, now_ms))
+        return decisions
+
     def _give_up(self, now_ms):
         """Refuse the waiting requests whose time has come.
 
@@ -376,7 +402,8 @@
         places = self._fleet.places(now_ms)
         hold_ms = self._fleet.tracks.hold_ms(request)
         return_ms = self._returns.return_ms(request, hold_ms, now_ms)
-        if places and return_ms is not None:
+        has_rest = places or self._fleet.table.is_evacuated()
+        if has_rest and return_ms is not None:
             return return_ms
         return self._admission.retry_after_ms(
             request, self._queue, places, self._estimate, now_ms
--- /dev/null
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_warmup.py
@@ -0,0 +1,184 @@
+import doctest
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hemlockhoist.decisions import Granted, Outcome, OutcomeKind, Upstream
+from hemlockhoist.decisions.scheduling import (
+    ColdBound,
+    DeclaredTracks,
+    PoolScheduler,
+    Warmup,
+    warmup,
+)
+from hemlockhoist.decisions.scheduling.declared_track import DeclaredTrack
+from hemlockhoist.decisions.scheduling.pace import PoolPace
+from hemlockhoist.decisions.scheduling.tests import builders as b
+from hemlockhoist.declarations import Pool, PoolKind
+
+COLD_MS = 3_000
+BOUND = ColdBound(cold_ms=COLD_MS, requests_per_s=14.9)
+SHORT_MS = 40
+# The longest that requests are under way from a home to an upstream.
+MOST_DELAY_MS = warmup.WINDOW_MS - 1_000
+
+
+def upstream(name, cold_until_ms=0, version=1):
+    return Upstream(
+        upstream_id=name,
+        pool="assistant",
+        version="v1",
+        address="127.0.0.1:1",
+        places=4,
+        cold_until_ms=cold_until_ms,
+        listed_version=version,
+    )
+
+
+def scheduler(*upstreams, bound=BOUND):
+    pool = Pool(name="assistant", kind=PoolKind.MODEL, stable_version="")
+    tracks = DeclaredTracks(warmup=Warmup(lambda: bound))
+    made = PoolScheduler.from_config(pool, (), "i1", tracks=tracks)
+    made.set_upstreams(upstreams, 0)
+    return made
+
+
+class Flood:
+    """Short requests, each of which ends soon: far more than an upstream may get."""
+
+    def __init__(self, sched):
+        self.sched = sched
+        self.sent = []
+        self._ends = []
+
+    def run(self, from_ms, until_ms, every_ms=5):
+        """Send; ``sent`` gets ``(at_ms, upstream, is_cold)``."""
+        for now_ms in range(from_ms, until_ms, every_ms):
+            while self._ends and self._ends[0][0] <= now_ms:
+                _, grant_id = self._ends.pop(0)
+                outcome = Outcome(kind=OutcomeKind.SUCCESS, total_ms=SHORT_MS)
+                self._take(self.sched.release(grant_id, outcome, now_ms), now_ms)
+            self._take(self.sched.submit(b.request(now_ms=now_ms), now_ms), now_ms)
+            self._take(self.sched.tick(now_ms), now_ms)
+
+    def _take(self, decisions, now_ms):
+        for decision in decisions:
+            if isinstance(decision, Granted):
+                grant = decision.grant
+                self.sent.append((now_ms, grant.upstream_id, grant.is_cold))
+                self._ends.append((now_ms + SHORT_MS, grant.grant_id))
+
+    def count(self, name, from_ms, until_ms):
+        """Return how many requests an upstream was given in a time."""
+        return sum(
+            item[1] == name and from_ms <= item[0] < until_ms for item in self.sent
+        )
+
+    def most(self, name, until_ms):
+        """Return the most that an upstream was given in any second up to a moment."""
+        starts = [item[0] for item in self.sent if item[0] < until_ms]
+        return max(self.count(name, at, min(at + 1_000, until_ms)) for at in starts)
+
+
+class ColdTests(unittest.TestCase):
+    def test_cold_upstream_gets_no_more_than_it_bears(self):
+        """Engines crash again as soon as they are back from a crash.
+
+        They hold nothing, look the best of all, and get the whole pool's requests.
+        """
+        flood = Flood(scheduler(upstream("cold", COLD_MS), upstream("warm")))
+        flood.run(0, COLD_MS + 2_000)
+        self.assertLessEqual(flood.most("cold", COLD_MS), 12)
+        self.assertGreater(flood.count("cold", 0, 1_000), 8)
+        self.assertGreater(flood.count("warm", 0, 1_000), 30)
+        self.assertGreater(flood.count("cold", COLD_MS, COLD_MS + 1_000), 30)
+
+    def test_grants_say_that_the_upstream_is_cold(self):
+        flood = Flood(scheduler(upstream("cold", COLD_MS), upstream("warm")))
+        flood.run(0, 500)
+        told = {(name, is_cold) for _, name, is_cold in flood.sent}
+        self.assertEqual(told, {("cold", True), ("warm", False)})
+
+    def test_upstream_that_turns_cold_has_its_last_second_counted(self):
+        """A busy upstream turns cold, and gets a cold one's share on top."""
+        flood = Flood(scheduler(upstream("u"), upstream("other")))
+        flood.run(0, 1_000)
+        before = flood.count("u", 0, 1_000)
+        self.assertGreater(before, 20)
+        flood.sched.set_upstreams(
+            [upstream("u", 1_000 + COLD_MS, version=2), upstream("other")], 1_000
+        )
+        flood.run(1_000, 2_000)
+        self.assertEqual(flood.count("u", 1_000, 1_300), 0)
+
+    def test_upstream_that_was_out_of_reach_is_taken_for_cold(self):
+        """An upstream restarts under its id before the list shows it."""
+        sched = scheduler(upstream("u"), upstream("other"))
+        flood = Flood(sched)
+        refused = Outcome(kind=OutcomeKind.CONNECT_FAILED, total_ms=1)
+        first = [sched.submit(b.request(), 0)[0].grant for _ in range(2)]
+        for grant in first:
+            if grant.upstream_id == "u":
+                sched.release(grant.grant_id, refused, 1)
+        flood.run(600, 2_600)
+        self.assertGreater(flood.count("u", 600, 2_600), 4)
+        self.assertLessEqual(flood.most("u", 2_600), 12)
+
+    def test_new_home_begins_as_if_the_bound_were_spent(self):
+        """Two homes in turn give a cold engine its share of the same second."""
+        sched = scheduler(upstream("cold", COLD_MS), upstream("warm"))
+        sched.begin_recovery(0)
+        sched.end_recovery(0)
+        flood = Flood(sched)
+        flood.run(0, 2_000)
+        self.assertEqual(flood.count("cold", 0, 1_300), 0)
+        self.assertGreater(flood.count("cold", 1_300, 2_000), 4)
+
+    def test_host_that_decides_alone_leaves_cold_upstreams_to_the_home(self):
+        """Many hosts that are cut off from the home each send a few: too many."""
+        sched = scheduler(upstream("cold", COLD_MS), upstream("warm"))
+        sched.set_share(0.5 / 71)
+        flood = Flood(sched)
+        flood.run(0, 1_000)
+        self.assertEqual(flood.count("cold", 0, 1_000), 0)
+
+    def test_service_without_a_bound_is_given_its_places(self):
+        bound = ColdBound(cold_ms=COLD_MS)
+        sched = scheduler(upstream("cold", COLD_MS), upstream("warm"), bound=bound)
+        flood = Flood(sched)
+        flood.run(0, 1_000)
+        self.assertGreater(flood.count("cold", 0, 1_000), 30)
+
+    def test_cold_engine_does_not_teach_the_pace_of_warm_ones(self):
+        """All engines are taken for slow while a few warm up, and prompts wait."""
+        pool = PoolPace()
+        warm, other = (DeclaredTrack(upstream("u"), pool) for _ in range(2))
+        for _ in range(20):
+            warm.pace.observe_token(2.0)
+        warm.set_cold(True)
+        for _ in range(20):
+            warm.pace.observe_token(20.0)
+        self.assertGreater(warm.pace.token_ms, 15.0)
+        self.assertAlmostEqual(other.pace.token_ms, 2.0)
+        warm.set_cold(False)
+        self.assertAlmostEqual(warm.pace.token_ms, 2.0)
+
+    @given(st.integers(0, 1_000))
+    def test_late_grants_stay_within_the_bound(self, seed):
+        """Grants that are under way for some time arrive in heaps."""
+        rng = random.Random(seed)
+        made = Warmup(lambda: BOUND)
+        made.presume_cold("u", 0)
+        arrivals = []
+        for now_ms in range(0, COLD_MS, 7):
+            if made.allows("u", now_ms):
+                made.note_grant("u", now_ms)
+                arrivals.append(now_ms + rng.randrange(MOST_DELAY_MS))
+        for start in arrivals:
+            inside = sum(start <= at <= start + 1_000 for at in arrivals)
+            self.assertLessEqual(inside, BOUND.requests_per_s)
+
+    def test_examples_run(self):
+        self.assertEqual(doctest.testmod(warmup).failed, 0)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tracking.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tracking.py
@@ -175,7 +175,7 @@
         """Return how many requests an upstream may hold."""
         return self._tracks[upstream_id].places(now_ms)
 
-    def takes_prompts(self, upstream_id, now_ms):
+    def takes_more(self, upstream_id, now_ms):
         """Return whether the prompts waiting at an upstream leave room for another."""
         waiting_ms = self._tracks[upstream_id].prompts_done_ms - now_ms
         return waiting_ms < MAX_PROMPT_WAIT_MS
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tracks.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tracks.py
@@ -79,6 +79,19 @@
         """Stop counting a grant whose outcome nobody will report."""
         raise NotImplementedError
 
+    def begin_takeover(self, now_ms):
+        """Take notice that this home decides from here on, perhaps after another."""
+
+    def set_share(self, share):
+        """Take the part of what is bounded over all hosts that is given out here."""
+
+    def is_cold(self, upstream_id, now_ms):
+        """Return whether an upstream warms up after its start."""
+        return False
+
+    def on_adopt(self, held, now_ms):
+        """Count a grant of a former home."""
+
     def set_max_limit(self, max_limit):
         """Take a changed upper bound of the limits, where they are found."""
 
@@ -89,8 +102,8 @@
         """Return the most prompt tokens that another upstream probably has cached."""
         return 0
 
-    def takes_prompts(self, upstream_id, now_ms):
-        """Return whether the prompts waiting at an upstream leave room for another."""
+    def takes_more(self, upstream_id, now_ms):
+        """Return whether an upstream may be given another request, places aside."""
         return True
 
     def with_place(self, upstreams, in_flight, now_ms):
@@ -107,7 +120,7 @@
             item
             for item in upstreams
             if in_flight(item.upstream_id) < self.places(item.upstream_id, now_ms)
-            and self.takes_prompts(item.upstream_id, now_ms)
+            and self.takes_more(item.upstream_id, now_ms)
         ]
 
     def count_places(self, upstreams, now_ms):
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/upstreams.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/upstreams.py
@@ -58,12 +58,38 @@
         return self._reports.get(upstream_id)
 
     def is_leaving(self, upstream_id):
-        """Return whether the list or the upstream itself says that it is leaving."""
+        """Return whether it gets nothing more: the list, an operator, or it says so."""
         upstream = self._upstreams.get(upstream_id)
-        if upstream is None or upstream.state is UpstreamState.LEAVING:
+        if upstream is None or upstream.state is not UpstreamState.LIVE:
             return True
         return upstream_id in self._leaving
 
+    def evacuated_domains(self):
+        """Return the failure domains of evacuated upstreams, in order."""
+        return sorted(
+            {
+                item.failure_domain
+                for item in self._upstreams.values()
+                if item.state is UpstreamState.EVACUATED
+            }
+        )
+
+    def is_evacuated(self):
+        """Return whether evacuations leave no upstream that may be given work."""
+        return not self.usable() and bool(self.evacuated_domains())
+
+    def serves(self, regions):
+        """Return whether any upstream of some regions may be given work.
+
+        Parameters
+        ==========
+        regions : tuple of str
+            Empty for anywhere.
+        """
+        if not regions:
+            return bool(self.usable())
+        return any(item.region in regions for item in self.usable())
+
     def usable(self):
         """Return the upstreams that are not leaving.
 
--- a/libs/decisions/src/hemlockhoist/decisions/work.py
+++ b/libs/decisions/src/hemlockhoist/decisions/work.py
@@ -53,6 +53,8 @@
         Whether this is the first that any home hears of the request.
     avoid : tuple of str
         Upstreams that failed the request before.
+    regions : tuple of str
+        Where its upstream has to be; empty for anywhere.
     """
 
     request_id: str
@@ -76,13 +78,18 @@
     leaves_ms: int | None = None
     max_gap_ms: int = 0
     prefix_tokens: tuple[int, ...] = ()
+    regions: tuple[str, ...] = ()
 
 
 class UpstreamState(enum.Enum):
-    """What the platform's list or the upstream itself says of an upstream."""
+    """What the platform's list, the upstream itself, or an operator says of it.
+
+    ``EVACUATED``: it is well, and its failure domain is to get no work.
+    """
 
     LIVE = "live"
     LEAVING = "leaving"
+    EVACUATED = "evacuated"
 
 
 class Upstream(msgspec.Struct, frozen=True, kw_only=True):
@@ -93,7 +100,7 @@
     upstream_id, pool, version : str
     address : str
         ``IP:port``.
-    failure_domain : str
+    failure_domain, region : str
     generation : str
         Hardware generation.
     state : UpstreamState
@@ -103,6 +110,8 @@
         Tells its runs under one id apart; 0 where it does not say.
     listed_version : int
         Of its entry in the platform's list; a newer one says more.
+    cold_until_ms : int
+        On this host's clock: until when it warms up; 0 where it is warm.
     """
 
     upstream_id: str
@@ -115,6 +124,8 @@
     places: int = 0
     started_unix_ms: int = 0
     listed_version: int = 0
+    cold_until_ms: int = 0
+    region: str = ""
 
 
 class LoadReport(msgspec.Struct, frozen=True, kw_only=True):
@@ -139,6 +150,8 @@
         Unique over all homes and their incarnations.
     expires_ms : int
         On the clock of the home that gave it; messages carry the remainder.
+    is_cold : bool
+        Whether it was given as one of the few that a cold upstream may get.
     """
 
     grant_id: str
@@ -147,6 +160,7 @@
     address: str
     version: str
     expires_ms: int
+    is_cold: bool = False
 
 
 def new_grant_id(incarnation, pool, number):
--- a/libs/declarations/src/hemlockhoist/declarations/routes.py
+++ b/libs/declarations/src/hemlockhoist/declarations/routes.py
@@ -63,6 +63,8 @@
         Whether it takes requests without a key.
     is_resumable : bool
         Whether a stream may be continued by another upstream.
+    regions : tuple of str
+        Where its requests may be sent; empty for anywhere.
     """
 
     name: str
@@ -78,6 +80,7 @@
     max_attempts: int = 1
     is_open: bool = False
     is_resumable: bool = False
+    regions: tuple[str, ...] = ()
 
     @property
     def is_repeatable(self):
@@ -112,11 +115,17 @@
         That one upstream takes from all hosts together.
     engine : EngineShape or None
         None for a plain service.
+    cold_ms : int
+        For how long an upstream is cold after its start.
+    cold_requests_per_s : float
+        What a cold upstream bears; 0 where that is not bounded.
     """
 
     name: str
     max_connections: int
     engine: EngineShape | None = None
+    cold_ms: int = 0
+    cold_requests_per_s: float = 0.0
 
 
 class RequestLimits(msgspec.Struct, frozen=True, kw_only=True):
@@ -157,12 +166,15 @@
         Goes before the route's rank.
     allowance : Allowance or None
         None for no limit.
+    regions : tuple of str
+        Where its requests may be sent; empty for anywhere.
     """
 
     name: str
     keys: tuple[str, ...] = ()
     rank: int = DEFAULT_CUSTOMER_RANK
     allowance: Allowance | None = None
+    regions: tuple[str, ...] = ()
 
 
 class RouteTable:
@@ -228,6 +240,11 @@
         """All declared customers."""
         return tuple(self._customers.values())
 
+    def regions_of(self, host):
+        """Return all regions that some routes of a host name are bound to."""
+        routes = self._by_host.get(host, {}).values()
+        return tuple({region for route in routes for region in route.regions})
+
     def pool(self, name):
         """Return the pool of that name, or None."""
         return self._pools.get(name)
--- a/libs/entry/src/hemlockhoist/entry/admission.py
+++ b/libs/entry/src/hemlockhoist/entry/admission.py
@@ -47,6 +47,12 @@
         """The tokens of each part of its prompt."""
         return tuple(count for _, count in self.call.prompt_parts)
 
+    @property
+    def regions(self):
+        """Where its body may go; empty for anywhere."""
+        customer_regions = self.customer.regions if self.customer else ()
+        return common_regions(self.route.regions, customer_regions)
+
     @property
     def rank(self):
         """Its place in the order of tiers; 0 is the highest."""
@@ -78,6 +84,25 @@
         return int(OUTPUT_PART * self.call.max_output_tokens)
 
 
+def common_regions(first, second):
+    """Return the regions that two declarations allow; empty for anywhere.
+
+    Where they have none in common, the request may go nowhere: the name of no region
+    stands for that.
+
+    Examples
+    ========
+    >>> from hemlockhoist.entry.admission import common_regions
+    >>> common_regions(("north", "south"), ("south",)), common_regions((), ("south",))
+    (('south',), ('south',))
+    >>> common_regions(("north",), ("south",)), common_regions((), ())
+    (('',), ())
+    """
+    if not first or not second:
+        return tuple(first or second)
+    return tuple(item for item in first if item in second) or ("",)
+
+
 class Admission:
     """Finds route and customer of a request, or refuses it.
 
--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -6,17 +6,18 @@
 from hemlockhoist.base import (
     MS_PER_S,
     DispatchError,
+    GrantOutdated,
     HemlockhoistError,
     Property,
     Refused,
     ResultCode,
-    UpstreamLeft,
     get_logger,
 )
 from hemlockhoist.base.metrics_table import (
     ANSWER_MS,
     ATTEMPTS_ENDED,
     FIRST_TOKEN_MS,
+    GRANTS_OUTDATED,
     HOLD_MS,
     QUEUE_WAIT_MS,
     REQUESTS_GOOD,
@@ -185,6 +186,7 @@
             avoid=tuple(self._failed_upstreams),
             prefix_hashes=admitted.prefix_hashes,
             prefix_tokens=admitted.prefix_tokens,
+            regions=admitted.regions,
         )
 
     @property
@@ -254,7 +256,8 @@
         """
         if self._admitted.customer is not None:
             self._admission.customer_of(self._admitted.call)
-        self._context.knowledge.check_upstream(hold.upstream_id)
+        self._context.knowledge.check_upstream(hold.upstream_id, hold.is_cold)
+        self._context.knowledge.check_region(hold.upstream_id, self._admitted.regions)
         self._context.moves.check_version(hold.pool, hold.version)
         self._context.invariants.check(
             Property.NON_IDEMPOTENT_RUNS_AT_MOST_ONCE,
@@ -285,11 +288,11 @@
             client = self._context.upstreams
             async with client.dispatch(self._call(attempt), attempt.guard) as answer:
                 answer, end = await self._take(answer, attempt)
-        except UpstreamLeft as error:
+        except GrantOutdated as error:
             attempt.reason = error.message
             attempt.has_left = True
-            if error.version is not None:
-                self._context.grants.report_left(attempt.hold, error.version)
+            self._context.grants.report_outdated(attempt.hold, error)
+            self._context.metrics.count(GRANTS_OUTDATED, error.cause)
             return None, AttemptEnd.NOT_SENT
         except Refused as error:
             if error.code is ResultCode.CONFIGURATION_STALE:
--- a/libs/entry/src/hemlockhoist/entry/knowledge.py
+++ b/libs/entry/src/hemlockhoist/entry/knowledge.py
@@ -4,17 +4,26 @@
 import collections
 import contextlib
 
+import msgspec
+
 from hemlockhoist.base import (
     MS_PER_S,
     DeclarationError,
     Property,
     Refused,
     ResultCode,
+    UpstreamCold,
+    UpstreamEvacuated,
     UpstreamLeft,
     get_logger,
 )
 from hemlockhoist.decisions import UpstreamState
-from hemlockhoist.decisions.entry import Freshness, UpstreamListing
+from hemlockhoist.decisions.entry import (
+    DomainOrder,
+    EvacuatedDomains,
+    Freshness,
+    UpstreamListing,
+)
 
 _log = get_logger("entry.knowledge")
 
@@ -54,6 +63,7 @@
         "_on_routes",
         "_on_upstreams",
         "_platform",
+        "evacuated",
         "freshness",
         "has_upstreams",
         "listing",
@@ -80,6 +90,7 @@
         self._on_routes = on_routes
         self._on_upstreams = on_upstreams
         self._completed = asyncio.Event()
+        self.evacuated = EvacuatedDomains()
         self.freshness = Freshness()
         self.listing = UpstreamListing()
         self.routes = None
@@ -146,9 +157,10 @@
         if not self.is_complete:
             raise Refused("", ResultCode.NOT_READY, NOT_READY_RETRY_MS)
 
-    def take_config_rows(self, rows, is_whole):
-        """Take rows of the table that holds the routes."""
-        for row in rows:
+    def take_config_rows(self, reading, is_whole):
+        """Take rows of the table that holds the routes and the operators' orders."""
+        self._take_domain_orders(reading, is_whole)
+        for row in reading.rows:
             if row.value is None:
                 continue
             if row.key == self._platform.config_key:
@@ -158,6 +170,33 @@
             if order is not None:
                 self._on_order(order)
 
+    def _take_domain_orders(self, reading, is_whole):
+        found = (self._platform.decode_domain_order(row) for row in reading.rows)
+        orders = [order for order in found if order is not None]
+        if is_whole:
+            changed = self.evacuated.replace(orders, reading.version)
+        else:
+            taken = [order for order in orders if self.evacuated.take(order)]
+            changed = [order.failure_domain for order in taken]
+        self._on_domains(changed)
+
+    def _on_domains(self, changed):
+        """Put evacuations, and their ends, in force."""
+        for name in changed:
+            version = self.evacuated.version(name)
+            event = "domain_taken_back" if version is None else "domain_evacuated"
+            _log.info(event, failure_domain=name, version=version)
+        if changed:
+            self._on_upstreams()
+
+    def on_domain_evacuated(self, failure_domain, version):
+        """Take another host's word that a failure domain is evacuated."""
+        order = DomainOrder(
+            failure_domain=failure_domain, is_evacuated=True, version=version
+        )
+        if self.evacuated.take(order):
+            self._on_domains((failure_domain,))
+
     def _take_routes(self, row):
         try:
             table = self._platform.decode_routes(row.value)
@@ -190,15 +229,16 @@
         else:
             self.freshness.note_relayed(sent_ms, store_ms, reading.clock_ms)
 
-    def take_upstream_rows(self, rows, is_whole):
+    def take_upstream_rows(self, reading, is_whole):
         """Take rows of the list of upstreams."""
         now_ms = self._clock.now_ms()
         self.has_upstreams = True
         if is_whole:
-            found = [self._platform.decode_upstream(row) for row in rows if row.value]
+            decode = self._platform.decode_upstream
+            found = [decode(row, now_ms) for row in reading.rows if row.value]
             self.listing.replace([item for item in found if item], now_ms)
         else:
-            for row in rows:
+            for row in reading.rows:
                 self._take_upstream(row, now_ms)
         self._on_upstreams()
         self._note_complete()
@@ -206,7 +246,7 @@
     def _take_upstream(self, row, now_ms):
         upstream = None
         if row.value is not None:
-            upstream = self._platform.decode_upstream(row)
+            upstream = self._platform.decode_upstream(row, now_ms)
         if upstream is None:
             self.listing.drop(row.key, now_ms, row.version)
             _log.info("upstream_gone", upstream=row.key, version=row.version)
@@ -218,30 +258,85 @@
             pool=upstream.pool,
             state=upstream.state.value,
             version=row.version,
+            cold_ms=max(0, upstream.cold_until_ms - now_ms),
         )
 
     def usable(self):
-        """Return the upstreams that may be given work, leaving ones marked."""
-        return self.listing.usable(self._clock.now_ms())
+        """Return the upstreams, leaving and evacuated ones marked."""
+        upstreams = self.listing.usable(self._clock.now_ms())
+        evacuated = frozenset(self.evacuated.names())
+        if not evacuated:
+            return upstreams
+        return tuple(
+            _evacuated(item) if item.failure_domain in evacuated else item
+            for item in upstreams
+        )
 
     def count_live(self):
         """Return how many upstreams may be given work, by pool."""
         live = (item for item in self.usable() if item.state is UpstreamState.LIVE)
         return collections.Counter(item.pool for item in live)
 
-    def check_upstream(self, upstream_id):
-        """Refuse to send to an upstream that left since the grant.
+    def check_upstream(self, upstream_id, is_cold):
+        """Refuse to send to an upstream under a grant that is outdated.
+
+        Parameters
+        ==========
+        upstream_id : str
+        is_cold : bool
+            Whether its home knew that it is cold.
 
         Raises
         ======
-        UpstreamLeft
+        UpstreamLeft, UpstreamEvacuated, UpstreamCold
         """
-        upstream = self.listing.get(upstream_id, self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        upstream = self.listing.get(upstream_id, now_ms)
         if upstream is None or upstream.state is not UpstreamState.LIVE:
             raise UpstreamLeft(upstream_id, self.listing.left_version(upstream_id))
+        domain = upstream.failure_domain
+        evacuated_version = self.evacuated.version(domain)
+        if evacuated_version is not None:
+            raise UpstreamEvacuated(upstream_id, domain, evacuated_version)
+        cold_ms = upstream.cold_until_ms - now_ms
+        if cold_ms > 0 and not is_cold and self._bounds_cold(upstream.pool):
+            raise UpstreamCold(upstream_id, upstream.listed_version, cold_ms)
+
+    def regions_of(self, host):
+        """Return the regions that the routes of a host name allow; empty for any."""
+        return self.routes.regions_of(host) if self.routes is not None else ()
+
+    def check_region(self, upstream_id, regions):
+        """Refuse to send a body to where it may not be kept.
+
+        Raises
+        ======
+        Refused
+        """
+        upstream = self.listing.get(upstream_id, self._clock.now_ms())
+        if regions and (upstream is None or upstream.region not in regions):
+            raise Refused(f"{upstream_id} is not in {','.join(regions)}")
+
+    def _bounds_cold(self, pool):
+        declared = self.routes.pool(pool) if self.routes is not None else None
+        return declared is not None and declared.cold_requests_per_s > 0
+
+    def on_upstream_cold(self, upstream_id, version, cold_ms):
+        """Take another host's word that an upstream is cold, where it is newer."""
+        cold_until_ms = self._clock.now_ms() + cold_ms
+        if self.listing.believe_cold(upstream_id, version, cold_until_ms):
+            _log.info("upstream_cold", upstream=upstream_id, cold_ms=cold_ms, told=True)
+            self._on_upstreams()
 
     def on_upstream_left(self, upstream_id, version):
         """Take another host's word that an upstream left, where it is newer."""
         if self.listing.believe_left(upstream_id, version, self._clock.now_ms()):
             _log.info("upstream_gone", upstream=upstream_id, version=version, told=True)
             self._on_upstreams()
+
+
+def _evacuated(upstream):
+    """Return a live upstream as one that gets no work; a leaving one as it is."""
+    if upstream.state is not UpstreamState.LIVE:
+        return upstream
+    return msgspec.structs.replace(upstream, state=UpstreamState.EVACUATED)
--- a/libs/entry/src/hemlockhoist/entry/platform.py
+++ b/libs/entry/src/hemlockhoist/entry/platform.py
@@ -31,13 +31,24 @@
         """
 
     @abc.abstractmethod
-    def decode_upstream(self, row):
-        """Return the ``Upstream`` of a row, or None where it names none."""
+    def decode_upstream(self, row, now_ms):
+        """Return the ``Upstream`` of a row, or None where it names none.
+
+        Parameters
+        ==========
+        row : StoreRow
+        now_ms : int
+            When it was read.
+        """
 
     @abc.abstractmethod
     def decode_order(self, row):
         """Return the ``MoveOrder`` of a row beside the declared routes, or None."""
 
+    @abc.abstractmethod
+    def decode_domain_order(self, row):
+        """Return the ``DomainOrder`` of such a row, dropped ones included, or None."""
+
     @abc.abstractmethod
     def order_status(self, order, state):
         """Return the ``RowChange`` that tells the operators where an order stands.
@@ -48,6 +59,10 @@
         state : OrderState
         """
 
+    @abc.abstractmethod
+    def read_directory_question(self, query):
+        """Return the ``DirectoryQuestion`` of a question's query."""
+
     @abc.abstractmethod
     def directory_body(self, addresses, ttl_ms):
         """Return the body that tells callers which hosts to use."""
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -23,6 +23,7 @@
 from hemlockhoist.base.metrics import Metrics
 from hemlockhoist.base.metrics_table import (
     DECLARATIONS_VERSION,
+    DOMAINS_EVACUATED,
     GRANTS_IN_FLIGHT,
     HOSTS_LIVE,
     LINES_LEFT_OUT,
@@ -36,6 +37,7 @@
 )
 from hemlockhoist.base.traces import Traces
 from hemlockhoist.decisions.limits import SpentLog, share_of_side
+from hemlockhoist.decisions.scheduling import ColdBound, Warmup
 from hemlockhoist.declarations import Declarations, Pool, PoolKind, VersionRules
 from hemlockhoist.entry.context import EntryContext
 from hemlockhoist.entry.feeds import FeedStore
@@ -288,9 +290,23 @@
         routes = self.context.knowledge.routes
         pool = routes.pool(name) if routes is not None else None
         experiments = self.settings.experiments
-        if pool is None or pool.engine is None:
-            return experiments.declared_tracks()
-        return experiments.declared_tracks(pool.engine.cache_tokens)
+        cache_tokens = 0
+        if pool is not None and pool.engine is not None:
+            cache_tokens = pool.engine.cache_tokens
+        warmup = Warmup(lambda: self._cold_bound(name))
+        return experiments.declared_tracks(cache_tokens, warmup)
+
+    def _cold_bound(self, name):
+        """Return what is declared at present of the cold upstreams of a pool."""
+        routes, bounds = self.context.knowledge.routes, self.settings.bounds
+        pool = routes.pool(name) if routes is not None else None
+        if pool is None:
+            return ColdBound()
+        requests_per_s = 0.0
+        if pool.cold_requests_per_s:
+            requests_per_s = pool.cold_requests_per_s * bounds.cold_overshoot
+            requests_per_s += bounds.cold_tolerance
+        return ColdBound(cold_ms=pool.cold_ms, requests_per_s=requests_per_s)
 
     def _on_upstreams(self):
         context = self.context
@@ -318,7 +334,9 @@
         is_home = context.homes.home_of("") == context.identity.host_id
         known = context.fleet.count_known(LOST_HOST_MS)
         heard = context.fleet.count_in_touch(HEARD_MS) if is_home else 1
-        context.gate.set_share(share_of_side(heard, known, is_home))
+        share = share_of_side(heard, known, is_home)
+        context.gate.set_share(share)
+        context.homes.set_share(share)
 
     def _report_held(self):
         pools = [pool.name for pool in self.context.declarations.pools]
@@ -332,6 +350,8 @@
             metrics.gauge(DECLARATIONS_VERSION, context.knowledge.routes.version)
         if context.knowledge.proof_age_ms() is not None:
             metrics.gauge(PROOF_AGE_MS, context.knowledge.proof_age_ms())
+        evacuated = context.knowledge.evacuated.names()
+        metrics.gauge(DOMAINS_EVACUATED, len(evacuated))
         for pool, count in context.knowledge.count_live().items():
             metrics.gauge(UPSTREAMS_LISTED, count, pool)
         for prop, count in context.invariants.violations.items():
--- a/libs/entry/src/hemlockhoist/entry/settings.py
+++ b/libs/entry/src/hemlockhoist/entry/settings.py
@@ -26,6 +26,9 @@
         in its units.
     trial_share, trial_tolerance : float
         Of the requests that an unproven version may get: as a part, and beside that.
+    cold_overshoot, cold_tolerance : float
+        By how much the requests that a cold upstream gets in a second may be over what
+        is declared for it: as a factor, and beside that.
     address_ttl_ms : int
         The longest that callers may be told to keep an answer on which hosts to use.
     """
@@ -41,6 +44,8 @@
     allowance_tolerance: float = 0.0
     trial_share: float = 0.1
     trial_tolerance: float = 50.0
+    cold_overshoot: float = 1.0
+    cold_tolerance: float = 0.0
     address_ttl_ms: int = 5_000
 
 
@@ -53,7 +58,9 @@
     ==========
     name : str
         For people.
-    failure_domain : str
+    failure_domain, region : str
+    regions_by_domain : dict of str to str
+        Of all failure domains; empty where they are not told.
     caller_address, readiness_address, directory_address : str
         Where requests, questions for readiness, and questions for hosts are answered.
     operator_address : str
@@ -75,6 +82,8 @@
 
     name: str
     failure_domain: str
+    region: str = ""
+    regions_by_domain: dict[str, str] = {}
     caller_address: str
     readiness_address: str
     directory_address: str
--- a/libs/entry/src/hemlockhoist/entry/surface.py
+++ b/libs/entry/src/hemlockhoist/entry/surface.py
@@ -21,7 +21,7 @@
     REQUESTS_ENDED,
 )
 from hemlockhoist.base.traces import Hop, parent_of_headers
-from hemlockhoist.decisions.entry import PoolChooser
+from hemlockhoist.decisions.entry import PoolChooser, members_near
 from hemlockhoist.declarations import RequestLimits
 from hemlockhoist.entry.admission import Admission
 from hemlockhoist.entry.answers import CODE_HEADER, own_answer
@@ -278,7 +278,7 @@
         if request.path == platform.readiness_path:
             return web.Response(status=200 if self.is_ready() else 503)
         if request.path == platform.directory_path:
-            return self._directory()
+            return self._directory(platform.read_directory_question(request.query))
         if request.path == METRICS_PATH:
             body = exposition(self._context.metrics)
             return web.Response(body=body, headers={"Content-Type": METRICS_TYPE})
@@ -293,8 +293,15 @@
         routes = context.knowledge.routes
         return not routes.asks_for_keys or context.knowledge.is_fresh()
 
-    def _directory(self):
-        addresses = self._context.fleet.caller_addresses()
+    def _directory(self, question):
+        context = self._context
+        members = members_near(
+            context.fleet.named_members(),
+            context.settings.regions_by_domain,
+            question.region,
+            context.knowledge.regions_of(question.host),
+        )
+        addresses = [member.caller_address for member in members]
         own = self._context.identity.address
         if not self.is_ready() and len(addresses) > 1:
             addresses = [item for item in addresses if item != own]
--- a/libs/entry/src/hemlockhoist/entry/tests/builders.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/builders.py
@@ -1,6 +1,7 @@
 """Routes, calls and readings for the tests of an entry host's parts."""
 
 from hemlockhoist.base import Clock, InvariantLog, SuspendAwareClock
+from hemlockhoist.decisions.entry import DomainOrder
 from hemlockhoist.declarations import (
     Allowance,
     CallKind,
@@ -56,6 +57,11 @@
     return CallerCall(target=path, key=key, **{**values, **fields})
 
 
+def reading(rows, version, at_ms=0):
+    """Return a reading of some rows."""
+    return Reading(rows=tuple(rows), version=version, store_ms=at_ms, sent_ms=at_ms)
+
+
 class TablePlatform:
     """Rows whose values are the decoded things themselves."""
 
@@ -67,13 +73,23 @@
             raise value
         return value
 
-    def decode_upstream(self, row):
+    def decode_upstream(self, row, now_ms):
         """Return the upstream."""
         return row.value
 
+    def decode_domain_order(self, row):
+        """Return the order that stands in a row, or that a dropped row ends."""
+        if not row.key.startswith("evacuate/"):
+            return None
+        return DomainOrder(
+            failure_domain=row.key.removeprefix("evacuate/"),
+            is_evacuated=row.value is not None,
+            version=row.version,
+        )
+
     def decode_order(self, row):
         """Return the order."""
-        return row.value
+        return None if row.key.startswith("evacuate/") else row.value
 
 
 class KnowingHost:
@@ -105,19 +121,22 @@
     def take_routes(self, routes, version=1):
         """Give the knowledge a row of routes."""
         row = StoreRow(key="config", value=routes, version=version)
-        self.knowledge.take_config_rows([row], False)
+        self.knowledge.take_config_rows(reading([row], version), False)
+
+    def take_evacuation(self, domain, version, is_evacuated=True):
+        """Give the knowledge an operator's order on a failure domain, or its end."""
+        value = "evacuated" if is_evacuated else None
+        row = StoreRow(key=f"evacuate/{domain}", value=value, version=version)
+        self.knowledge.take_config_rows(reading([row], version), False)
 
     def take_proof(self):
         """Give the knowledge a reading of now."""
-        reading = Reading(
-            rows=(), version=1, store_ms=self.boot_ms, sent_ms=self.boot_ms
-        )
-        self.knowledge.take_reading(reading)
+        self.knowledge.take_reading(reading((), 1, self.boot_ms))
 
     def take_upstreams(self, *upstreams):
         """Give the knowledge a whole list."""
         rows = [StoreRow(key=u.upstream_id, value=u, version=1) for u in upstreams]
-        self.knowledge.take_upstream_rows(rows, True)
+        self.knowledge.take_upstream_rows(reading(rows, 1), True)
 
     def know_all(self, routes=None):
         """Read routes and upstreams once."""
--- a/libs/entry/src/hemlockhoist/entry/tests/test_feeds.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_feeds.py
@@ -97,8 +97,8 @@
     def proof_age_ms(self):
         return self.freshness.age_ms(self.boot_clock.now_ms())
 
-    def take_rows(self, rows, is_whole):
-        self.rows.update({row.key: row.value for row in rows})
+    def take_rows(self, reading, is_whole):
+        self.rows.update({row.key: row.value for row in reading.rows})
 
     def take_reading(self, reading):
         if reading.clock_ms is None:
--- a/libs/entry/src/hemlockhoist/entry/tests/test_knowledge.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_knowledge.py
@@ -1,9 +1,26 @@
-from hemlockhoist.base import DeclarationError, PropertyViolation, Refused
+import asyncio
+
+import msgspec
+
+from hemlockhoist.base import (
+    DeclarationError,
+    PropertyViolation,
+    Refused,
+    UpstreamCold,
+    UpstreamEvacuated,
+)
 from hemlockhoist.base.testing import PausedTestCase
 from hemlockhoist.decisions import Upstream, UpstreamState
+from hemlockhoist.declarations import RoutedPool, RouteTable
 from hemlockhoist.entry.knowledge import PROOF_MARGIN_MS
 from hemlockhoist.entry.settings import FleetBounds
-from hemlockhoist.entry.tests.builders import KnowingHost, table
+from hemlockhoist.entry.tests.builders import (
+    KnowingHost,
+    customer,
+    reading,
+    route,
+    table,
+)
 
 LIMIT_MS = FleetBounds().revocation_ms - PROOF_MARGIN_MS
 
@@ -14,6 +31,18 @@
     )
 
 
+def in_domain(name, state=UpstreamState.LIVE):
+    found = upstream(name, state)
+    return msgspec.structs.replace(found, failure_domain=name[0])
+
+
+def cold(name, until_ms, version=1):
+    found = upstream(name)
+    return msgspec.structs.replace(
+        found, cold_until_ms=until_ms, listed_version=version
+    )
+
+
 class RoutesTests(PausedTestCase):
     async def asyncSetUp(self):
         self.host = KnowingHost()
@@ -62,9 +91,83 @@
         """A replica that drains gets a booking and stops before it answers."""
         host = KnowingHost()
         host.take_upstreams(upstream("a"), upstream("b"))
-        host.knowledge.check_upstream("a")
+        host.knowledge.check_upstream("a", False)
         host.take_upstreams(upstream("a", UpstreamState.LEAVING), upstream("b"))
         for name in ("a", "gone"):
             with self.assertRaises(Refused):
-                host.knowledge.check_upstream(name)
-        host.knowledge.check_upstream("b")
+                host.knowledge.check_upstream(name, False)
+        host.knowledge.check_upstream("b", False)
+
+
+class EvacuationTests(PausedTestCase):
+    async def asyncSetUp(self):
+        self.host = KnowingHost()
+        self.knowledge = self.host.knowledge
+        self.host.take_upstreams(in_domain("a1"), in_domain("b1"))
+
+    def states(self):
+        return {item.upstream_id: item.state for item in self.knowledge.usable()}
+
+    async def test_evacuated_domain_gets_nothing_until_it_is_taken_back(self):
+        """Requests reach a zone long after its operator has evacuated it."""
+        self.host.take_evacuation("a", version=5)
+        self.assertIs(self.states()["a1"], UpstreamState.EVACUATED)
+        self.assertIs(self.states()["b1"], UpstreamState.LIVE)
+        with self.assertRaises(UpstreamEvacuated) as caught:
+            self.knowledge.check_upstream("a1", False)
+        self.assertEqual(caught.exception.version, 5)
+        self.knowledge.check_upstream("b1", False)
+        self.host.take_evacuation("a", version=7, is_evacuated=False)
+        self.assertIs(self.states()["a1"], UpstreamState.LIVE)
+        self.knowledge.check_upstream("a1", False)
+
+    async def test_whole_reading_without_the_order_ends_it(self):
+        self.host.take_evacuation("a", version=5)
+        self.knowledge.take_config_rows(reading((), 4), True)
+        self.assertIs(self.states()["a1"], UpstreamState.EVACUATED)
+        self.knowledge.take_config_rows(reading((), 8), True)
+        self.assertIs(self.states()["a1"], UpstreamState.LIVE)
+
+    async def test_another_hosts_word_counts_where_it_is_newer(self):
+        """A home that reads late goes on granting an evacuated zone."""
+        self.knowledge.on_domain_evacuated("a", 5)
+        self.assertIs(self.states()["a1"], UpstreamState.EVACUATED)
+        self.host.take_evacuation("a", version=7, is_evacuated=False)
+        self.knowledge.on_domain_evacuated("a", 5)
+        self.assertIs(self.states()["a1"], UpstreamState.LIVE)
+
+    async def test_upstream_that_leaves_from_an_evacuated_domain_leaves(self):
+        self.host.take_evacuation("a", version=5)
+        self.host.take_upstreams(in_domain("a1", UpstreamState.LEAVING))
+        self.assertIs(self.states()["a1"], UpstreamState.LEAVING)
+
+
+class ColdTests(PausedTestCase):
+    async def asyncSetUp(self):
+        self.host = KnowingHost()
+        self.knowledge = self.host.knowledge
+        pool = RoutedPool(name="halls", max_connections=9, cold_requests_per_s=4.0)
+        self.host.take_routes(RouteTable(3, [route()], [pool], [customer()]))
+
+    async def test_grant_of_a_home_that_does_not_know_is_not_used(self):
+        """A cold engine gets a warm one's load from a home that reads late."""
+        self.host.take_upstreams(cold("a1", self.host.clock.now_ms() + 900))
+        with self.assertRaises(UpstreamCold) as caught:
+            self.knowledge.check_upstream("a1", False)
+        self.assertEqual(caught.exception.cold_ms, 900)
+        self.knowledge.check_upstream("a1", True)
+        await asyncio.sleep(0.95)
+        self.knowledge.check_upstream("a1", False)
+
+    async def test_home_believes_a_host_that_has_read_a_newer_entry(self):
+        self.host.take_upstreams(cold("a1", 0, version=4))
+        self.knowledge.on_upstream_cold("a1", 4, 900)
+        self.assertEqual(self.knowledge.usable()[0].cold_until_ms, 0)
+        self.knowledge.on_upstream_cold("a1", 5, 900)
+        until_ms = self.host.clock.now_ms() + 900
+        self.assertEqual(self.knowledge.usable()[0].cold_until_ms, until_ms)
+
+    async def test_entry_that_is_read_again_is_not_cold_for_longer(self):
+        self.host.take_upstreams(cold("a1", 900, version=4))
+        self.host.take_upstreams(cold("a1", 1_500, version=4))
+        self.assertEqual(self.knowledge.usable()[0].cold_until_ms, 900)
--- a/libs/entry/src/hemlockhoist/entry/wire.py
+++ b/libs/entry/src/hemlockhoist/entry/wire.py
@@ -58,6 +58,21 @@
         return self.target.partition("?")[0]
 
 
+class DirectoryQuestion(msgspec.Struct, frozen=True, kw_only=True):
+    """A caller's question which hosts to use.
+
+    Parameters
+    ==========
+    host : str
+        The name under which its routes are declared; empty where it does not say.
+    region : str
+        Where it is; empty where it does not say.
+    """
+
+    host: str = ""
+    region: str = ""
+
+
 class UpstreamOrder(msgspec.Struct, frozen=True, kw_only=True):
     """What the system itself tells the upstream with a request.
 
--- a/libs/host/src/hemlockhoist/host/fleet.py
+++ b/libs/host/src/hemlockhoist/host/fleet.py
@@ -219,6 +219,10 @@
         """Return all callers' addresses of hosts that take new work."""
         return self._membership.caller_addresses()
 
+    def named_members(self):
+        """Return the members that callers may be told of, in a random order."""
+        return self._membership.named_members()
+
     def hosts_response(self):
         """Return the answer to "which hosts shall I use".
 
--- a/libs/host/src/hemlockhoist/host/grants.py
+++ b/libs/host/src/hemlockhoist/host/grants.py
@@ -1,12 +1,22 @@
 """The entry side of grants: ask the pool's home, wait, give back."""
 
 import asyncio
+import functools
 
 import msgspec
 
-from hemlockhoist.base import MS_PER_S, Refused, ResultCode
+from hemlockhoist.base import (
+    MS_PER_S,
+    Refused,
+    ResultCode,
+    UpstreamCold,
+    UpstreamEvacuated,
+    UpstreamLeft,
+)
 from hemlockhoist.decisions import granting_run
 from hemlockhoist.messages import (
+    ColdUpstream,
+    EvacuatedDomain,
     FirstToken,
     GrantCancel,
     GrantQueued,
@@ -47,7 +57,8 @@
 class GrantHold(msgspec.Struct, frozen=True, kw_only=True):
     """A grant as the entry host holds it, on its own clock.
 
-    ``home`` is the host that gave it.
+    ``home`` is the host that gave it; ``is_cold`` says that it knew the upstream to be
+    cold.
     """
 
     pool: str
@@ -59,6 +70,7 @@
     expires_ms: int
     home: str = ""
     is_alone: bool = False
+    is_cold: bool = False
 
 
 # Put into a waiter's inbox when the home that it asked is home no longer.
@@ -309,6 +321,7 @@
             expires_ms=self._clock.now_ms() + message.expires_in_ms - late_ms,
             home=waiter.asked,
             is_alone=waiter.is_alone,
+            is_cold=message.is_cold,
         )
         if message.expires_in_ms <= late_ms:
             self._release_unsent(hold)
@@ -337,17 +350,19 @@
         )
         self._tell_homes(hold, message)
 
-    def report_left(self, hold, version):
-        """Tell the home that the upstream which it granted has left the list.
+    def report_outdated(self, hold, error):
+        """Tell the home what it did not know of the upstream that it granted.
+
+        Failure: a home that is behind grants an upstream again and again that no host
+        may send to.
 
         Parameters
         ==========
         hold : GrantHold
-        version : int
-            Of the list at which it left.
+        error : GrantOutdated
         """
-        message = LeftUpstream(upstream_id=hold.upstream_id, version=version)
-        self._send(hold.home, message)
+        if error.version is not None:
+            self._send(hold.home, _news(error))
 
     def _tell_homes(self, hold, message):
         """Send a message on a grant to whoever may count it.
@@ -454,6 +469,29 @@
                 self._send(home, HeldGrantIds(pool=pool, grant_ids=ids))
 
 
+@functools.singledispatch
+def _news(error):
+    """Return the message that tells a home why a grant is outdated."""
+    raise TypeError(type(error).__name__)
+
+
+@_news.register
+def _(error: UpstreamLeft):
+    return LeftUpstream(upstream_id=error.upstream_id, version=error.version)
+
+
+@_news.register
+def _(error: UpstreamEvacuated):
+    return EvacuatedDomain(failure_domain=error.failure_domain, version=error.version)
+
+
+@_news.register
+def _(error: UpstreamCold):
+    return ColdUpstream(
+        upstream_id=error.upstream_id, version=error.version, cold_ms=error.cold_ms
+    )
+
+
 def _held_grant(hold):
     return HeldGrant(
         brief=hold.brief,
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -414,8 +414,16 @@
             else:
                 self._end_span(request.request_id, code=int(decision.code))
                 self._gate.on_not_run(request, now_ms)
-                reason = f"queued {len(self._queued)} granted {len(self._granted)}"
-                self._refuse(request, decision.code, decision.retry_after_ms, reason)
+                code = decision.code
+                self._refuse(request, code, decision.retry_after_ms, self._reason())
+
+    def _reason(self):
+        """Return by which figures a request is refused."""
+        reason = f"queued {len(self._queued)} granted {len(self._granted)}"
+        evacuated = self.scheduler.evacuated_domains()
+        if evacuated:
+            reason += f" evacuated {','.join(evacuated)}"
+        return reason
 
     def _refuse(self, request, code, retry_after_ms, reason):
         """Refuse a request; its entry host writes the line that says why."""
@@ -477,6 +485,7 @@
             address=grant.address,
             version=grant.version,
             expires_in_ms=grant.expires_ms - now_ms,
+            is_cold=grant.is_cold,
         )
 
     def _queued_note(self, request_id):
@@ -514,4 +523,5 @@
         units=brief.units,
         avoid=brief.avoid,
         is_new=brief.is_new,
+        regions=brief.regions,
     )
--- a/libs/host/src/hemlockhoist/host/homes.py
+++ b/libs/host/src/hemlockhoist/host/homes.py
@@ -48,6 +48,7 @@
         "_homes",
         "_new_tracks",
         "_send",
+        "_share",
         "_standbys",
         "_upstreams",
     )
@@ -70,6 +71,7 @@
         self._homes = {}
         self._standbys = {}
         self._upstreams = {}
+        self._share = 1.0
 
     def home_of(self, pool):
         """Return the host id of a pool's home, or "" when no host is live."""
@@ -145,6 +147,7 @@
             self._gate,
             self._context.bus.renew,
         )
+        scheduler.set_share(self._share)
         home.set_upstreams(self._upstreams.get(pool.name, ()))
         return home
 
@@ -185,6 +188,12 @@
         found = (self._homes.get(pool), self._standbys.get(pool))
         return [home for home in found if home is not None]
 
+    def set_share(self, share):
+        """Take the part of the fleet's bounds that this host gives out."""
+        self._share = share
+        for _, home in self._all():
+            home.scheduler.set_share(share)
+
     def find(self, pool, is_alone=False):
         """Return the home of a pool at this host, or None.
 
--- a/libs/host/src/hemlockhoist/host/inbound.py
+++ b/libs/host/src/hemlockhoist/host/inbound.py
@@ -3,12 +3,14 @@
 import functools
 
 from hemlockhoist.messages import (
+    ColdUpstream,
     ConfigurationAck,
     ConfigurationContent,
     ConfigurationDigest,
     ConfigurationRequest,
     ConfigurationSummary,
     ConfigurationSummaryRequest,
+    EvacuatedDomain,
     FeedAnswer,
     FeedQuestion,
     FirstToken,
@@ -145,6 +147,17 @@
     context.knowledge.on_upstream_left(message.upstream_id, message.version)
 
 
+@_handle.register
+def _(message: EvacuatedDomain, context, sender, late_ms):
+    context.knowledge.on_domain_evacuated(message.failure_domain, message.version)
+
+
+@_handle.register
+def _(message: ColdUpstream, context, sender, late_ms):
+    cold_ms = max(0, message.cold_ms - late_ms)
+    context.knowledge.on_upstream_cold(message.upstream_id, message.version, cold_ms)
+
+
 @_handle.register
 def _(message: MoveAnnounced, context, sender, late_ms):
     context.moves.on_announced(message)
--- a/libs/messages/src/hemlockhoist/messages/__init__.py
+++ b/libs/messages/src/hemlockhoist/messages/__init__.py
@@ -18,6 +18,8 @@
     HaltedVersions,
 )
 from hemlockhoist.messages.feeds import (
+    ColdUpstream,
+    EvacuatedDomain,
     FeedAnswer,
     FeedQuestion,
     FeedRow,
@@ -72,6 +74,7 @@
     "MESSAGE_TYPES",
     "WIRE_VERSION",
     "Codec",
+    "ColdUpstream",
     "ConfigurationAck",
     "ConfigurationContent",
     "ConfigurationDigest",
@@ -79,6 +82,7 @@
     "ConfigurationSummary",
     "ConfigurationSummaryRequest",
     "Envelope",
+    "EvacuatedDomain",
     "FeedAnswer",
     "FeedQuestion",
     "FeedRow",
--- a/libs/messages/src/hemlockhoist/messages/feeds.py
+++ b/libs/messages/src/hemlockhoist/messages/feeds.py
@@ -47,6 +47,41 @@
     version: int
 
 
+class EvacuatedDomain(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
+    """Tells a home that the failure domain of an upstream it granted is evacuated.
+
+    Parameters
+    ==========
+    failure_domain : str
+    version : int
+        Of the order.
+    """
+
+    failure_domain: str
+    version: int
+
+
+class ColdUpstream(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
+    """Tells a home that an upstream which it granted as a warm one is cold.
+
+    Parameters
+    ==========
+    upstream_id : str
+    version : int
+        Of the upstream's entry in the platform's list.
+    cold_ms : int
+        For how long it is still cold.
+    """
+
+    upstream_id: str
+    version: int
+    cold_ms: int
+
+
 class FeedQuestion(
     msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
 ):
--- a/libs/messages/src/hemlockhoist/messages/grants.py
+++ b/libs/messages/src/hemlockhoist/messages/grants.py
@@ -40,6 +40,8 @@
         declared.
     prefix_tokens : tuple of int
         Of each block of ``prefix_hashes``; empty where all are of one size.
+    regions : tuple of str
+        Where its upstream has to be; empty for anywhere.
     """
 
     request_id: str
@@ -63,6 +65,7 @@
     leaves_in_ms: int | None = None
     max_gap_ms: int = 0
     prefix_tokens: tuple[int, ...] = ()
+    regions: tuple[str, ...] = ()
 
 
 class GrantRequest(
@@ -82,7 +85,7 @@
 class GrantReply(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
     """The home permits one dispatch to one upstream, for a limited time.
 
-    ``checks_fencing`` and ``move_id`` describe the version it was granted under.
+    ``is_cold`` says that the home knows the upstream to be cold.
     """
 
     pool: str
@@ -92,6 +95,7 @@
     address: str
     version: str
     expires_in_ms: int
+    is_cold: bool = False
 
 
 class GrantRefusal(
--- a/libs/messages/src/hemlockhoist/messages/registry.py
+++ b/libs/messages/src/hemlockhoist/messages/registry.py
@@ -14,7 +14,13 @@
     ConfigurationSummaryRequest,
     HaltedVersions,
 )
-from hemlockhoist.messages.feeds import FeedAnswer, FeedQuestion, LeftUpstream
+from hemlockhoist.messages.feeds import (
+    ColdUpstream,
+    EvacuatedDomain,
+    FeedAnswer,
+    FeedQuestion,
+    LeftUpstream,
+)
 from hemlockhoist.messages.grants import (
     FirstToken,
     GrantCancel,
@@ -57,6 +63,8 @@
     ConfigurationRequest,
     ConfigurationSummary,
     ConfigurationSummaryRequest,
+    ColdUpstream,
+    EvacuatedDomain,
     FeedAnswer,
     FeedQuestion,
     FirstToken,
--- a/libs/standins/src/hemlockhoist/standins/published/site.py
+++ b/libs/standins/src/hemlockhoist/standins/published/site.py
@@ -17,6 +17,7 @@
 HOST_NAME = "halls.example"
 KEY = "key-of-aulas"
 READY_WAIT_S = 5
+REGIONS = {"a": "north", "b": "north", "c": "south"}
 
 
 def route(name, service, kind="idempotent", **fields):
@@ -70,11 +71,21 @@
     tenants : list of dict, optional
     boot_clock : SkippingClock, optional
         The clock that counts suspensions.
+    services : dict of str to dict, optional
+        More fields of declared services.
     """
 
     def __init__(
-        self, replicas, routes, hosts=1, bounds=None, tenants=None, boot_clock=None
+        self,
+        replicas,
+        routes,
+        hosts=1,
+        bounds=None,
+        tenants=None,
+        boot_clock=None,
+        services=None,
     ):
+        self._services = services or {}
         self.replicas = replicas
         self.store = StoreStandin()
         self.hosts = []
@@ -120,7 +131,12 @@
             "version": self._version,
             "route_table": routes,
             "services": [
-                {"name": name, "health_path": "/healthz", "max_connections": 100}
+                {
+                    "name": name,
+                    "health_path": "/healthz",
+                    "max_connections": 100,
+                    **self._services.get(name, {}),
+                }
                 for name in self.replicas
             ],
             "limits": {},
@@ -133,6 +149,14 @@
         row = replica.row(service, **fields)
         await self.store.put("servers", replica.replica_id, row)
 
+    async def evacuate(self, zone):
+        """Order that nothing more be sent to a zone's replicas."""
+        await self.store.put("op", f"evacuate/{zone}", {})
+
+    async def take_back(self, zone):
+        """End such an order."""
+        await self.store.put("op", f"evacuate/{zone}", None)
+
     async def add_host(self, number):
         """Start one more entry host."""
         listener = socket.create_server(("127.0.0.1", 0))
@@ -141,6 +165,8 @@
         settings = EntrySettings(
             name=f"h{number}",
             failure_domain="a",
+            region=REGIONS["a"],
+            regions_by_domain=REGIONS,
             caller_address=f"127.0.0.1:{port}",
             readiness_address="127.0.0.1:0",
             directory_address="",
--- /dev/null
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_domains.py
@@ -0,0 +1,150 @@
+"""Failure domains that are evacuated, cold upstreams, and regions, end to end."""
+
+import asyncio
+import unittest
+
+from hemlockhoist.entry import FleetBounds
+from hemlockhoist.standins.published import Replica, Site, route
+from hemlockhoist.standins.published.site import KEY
+
+LOOKUP = route("check-free", "reservas")
+REPORT = route("conflict-report", "asistente", "streaming", resumable=True)
+BOUNDS = FleetBounds(cold_overshoot=1.5, cold_tolerance=5)
+COLD = {"reservas": {"cold_start_s": 3.0, "cold_per_s": 6.6}}
+# An order is in force on all hosts within some round trips.
+IN_FORCE_S = 0.15
+
+
+async def list_in(site, service, zones, **fields):
+    """Enter a site's replicas into the store, each in its zone."""
+    for replica, zone in zip(site.replicas[service], zones, strict=True):
+        await site.list_replica(service, replica, zone=zone, **fields)
+    await asyncio.sleep(IN_FORCE_S)
+
+
+async def look_up(site, count, host=0):
+    """Return the statuses of some lookups."""
+    statuses = []
+    for number in range(count):
+        async with site.call(f"/check-free/{number}", host=host) as answer:
+            await answer.read()
+            statuses.append(answer.status)
+    return statuses
+
+
+class EvacuationTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.replicas = {"reservas": [Replica("a1"), Replica("b1")]}
+        site = Site(self.replicas, [LOOKUP], hosts=3)
+        self.site = await self.enterAsyncContext(site)
+        await list_in(self.site, "reservas", "ab")
+
+    def ran(self, number=0):
+        return len(self.replicas["reservas"][number].ran)
+
+    async def test_evacuated_zone_gets_nothing_until_it_is_taken_back(self):
+        """An operator empties a zone for repairs, and requests go on to it."""
+        await self.site.evacuate("a")
+        await asyncio.sleep(IN_FORCE_S)
+        before = self.ran()
+        for host in range(3):
+            self.assertEqual(set(await look_up(self.site, 6, host)), {200})
+        self.assertEqual(self.ran(), before)
+        await self.site.take_back("a")
+        await asyncio.sleep(IN_FORCE_S)
+        for host in range(3):
+            await look_up(self.site, 8, host)
+        self.assertGreater(self.ran(), before)
+
+    async def test_host_that_joins_later_sends_nothing_there(self):
+        """A host starts while a zone is evacuated, and knows nothing of the order."""
+        await self.site.evacuate("a")
+        await self.site.add_host(3)
+        await self.site.wait_ready()
+        before = self.ran()
+        self.assertEqual(set(await look_up(self.site, 6, 3)), {200})
+        self.assertEqual(self.ran(), before)
+
+    async def test_home_that_does_not_know_believes_a_host_that_does(self):
+        """The home reads late, and its grants of the zone go on being used."""
+        contexts = [host.context for host in self.site.hosts]
+        home_id = contexts[0].homes.home_of("reservas")
+        home = next(c for c in contexts if c.identity.host_id == home_id)
+        other = next(c for c in contexts if c is not home)
+        other.knowledge.on_domain_evacuated("a", 10_000)
+        before = self.ran()
+        statuses = await look_up(self.site, 8, contexts.index(other))
+        self.assertEqual(set(statuses), {200})
+        self.assertEqual(self.ran(), before)
+        self.assertEqual(home.knowledge.evacuated.names(), ("a",))
+
+    async def test_callers_are_told_when_all_zones_are_evacuated(self):
+        await self.site.evacuate("a")
+        await self.site.evacuate("b")
+        await asyncio.sleep(IN_FORCE_S)
+        before = self.ran(0), self.ran(1)
+        async with self.site.call("/check-free/1") as answer:
+            self.assertEqual(answer.status, 503)
+            self.assertGreater(float(answer.headers["Retry-After"]), 0)
+        self.assertEqual((self.ran(0), self.ran(1)), before)
+
+    async def test_rows_that_nobody_can_read_change_nothing(self):
+        await self.site.store.put("op", "evacuate/a", b"soon")
+        await self.site.evacuate("nowhere")
+        await asyncio.sleep(IN_FORCE_S)
+        before = self.ran()
+        await look_up(self.site, 12)
+        self.assertGreater(self.ran(), before)
+
+
+class StreamTests(unittest.IsolatedAsyncioTestCase):
+    async def test_stream_under_way_in_an_evacuated_zone_ends_whole(self):
+        """An evacuation cuts the answers that callers are reading."""
+        replicas = {"asistente": [Replica("a1", events=8)]}
+        replicas["asistente"][0].event_ms = 60
+        async with Site(replicas, [REPORT]) as site:
+            await list_in(site, "asistente", "a")
+            path = "/conflict-report/1"
+            async with site.call(path, method="POST", body=b"x") as answer:
+                await answer.content.readuntil(b"\n\n")
+                await site.evacuate("a")
+                rest = await answer.content.read()
+            self.assertEqual(rest.count(b"data:"), 7)
+
+
+class ColdTests(unittest.IsolatedAsyncioTestCase):
+    async def test_cold_replica_gets_no_more_than_it_bears(self):
+        """A replica crashes again under the load of the whole fleet."""
+        replicas = {"reservas": [Replica("cold"), Replica("warm")]}
+        replicas["reservas"][1].delay_ms = 30
+        site = Site(replicas, [LOOKUP], hosts=2, bounds=BOUNDS, services=COLD)
+        async with site:
+            cold, warm = replicas["reservas"]
+            row = {**cold.row("reservas"), "cold_remaining_ms": 3_000, "born": 2}
+            await site.store.put("servers", "cold", row)
+            await asyncio.sleep(IN_FORCE_S)
+            before = len(cold.ran)
+            callers = (look_up(site, 12, number % 2) for number in range(6))
+            for statuses in await asyncio.gather(*callers):
+                self.assertEqual(set(statuses), {200})
+            self.assertLessEqual(len(cold.ran) - before, 14)
+            self.assertGreater(len(warm.ran), 40)
+
+
+class RegionTests(unittest.IsolatedAsyncioTestCase):
+    async def test_body_stays_in_the_regions_of_route_and_customer(self):
+        """A customer's body reaches a region where it may not be kept."""
+        replicas = {"reservas": [Replica("north"), Replica("south")]}
+        bound = route("check-free", "reservas", allowed_regions=["north", "south"])
+        tenants = [
+            {"name": "aulas", "api_keys": [KEY], "allowed_regions": ["south", "west"]}
+        ]
+        async with Site(replicas, [bound], tenants=tenants) as site:
+            await list_in(site, "reservas", "ac")
+            before = len(replicas["reservas"][0].ran)
+            self.assertEqual(set(await look_up(site, 8)), {200})
+            self.assertEqual(len(replicas["reservas"][0].ran), before)
+            await site.store.put("servers", "south", None)
+            await asyncio.sleep(2)
+            self.assertEqual(await look_up(site, 1), [503])
+            self.assertEqual(len(replicas["reservas"][0].ran), before)
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_site.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_site.py
@@ -15,7 +15,7 @@
     SkippingClock,
     route,
 )
-from hemlockhoist.store import StoreRow
+from hemlockhoist.store import Reading, StoreRow
 
 
 def services(*names):
@@ -195,7 +195,10 @@
 
     async def test_caller_is_served_and_the_home_believes_the_newer_list(self):
         """Callers are refused, with other upstreams free, until the home reads anew."""
-        self.other.knowledge.take_upstream_rows([self.row], False)
+        reading = Reading(
+            rows=(self.row,), version=self.row.version, store_ms=0, sent_ms=0
+        )
+        self.other.knowledge.take_upstream_rows(reading, False)
         for number in range(6):
             call = self.site.call(f"/check-free/{number}", host=self.number)
             async with call as answer:
--- a/libs/store/src/hemlockhoist/store/tests/test_watch.py
+++ b/libs/store/src/hemlockhoist/store/tests/test_watch.py
@@ -47,7 +47,7 @@
             self.store,
             "op",
             1_000,
-            lambda rows, is_whole: self.taken.append((rows, is_whole)),
+            lambda reading, is_whole: self.taken.append((reading.rows, is_whole)),
             self.readings.append,
             **options,
         )
--- a/libs/store/src/hemlockhoist/store/watch.py
+++ b/libs/store/src/hemlockhoist/store/watch.py
@@ -38,7 +38,7 @@
         The longest that a call waits for changes; also the longest time between two
         proofs that nothing has changed.
     on_rows : callable
-        ``on_rows(rows, is_whole)``; with ``is_whole`` the rows are all there are.
+        ``on_rows(reading, is_whole)``; with ``is_whole`` its rows are all there are.
     on_reading : callable, optional
         ``on_reading(reading)`` after each successful call.
     on_failure : callable, optional
@@ -162,7 +162,7 @@
         # for good with what it knew.
         try:
             if reading.rows or is_whole:
-                self._on_rows(reading.rows, is_whole)
+                self._on_rows(reading, is_whole)
             self._note_version(reading)
             self._on_reading(reading)
         except Exception:
