Tell less of hosts that join: a third of the bytes between failure domains was that

Each host that starts introduced itself to 64 others, each answered with up to eight pieces of news, and each piece was repeated 21 times. Change: introductions go to the hosts that may be home or read the store and to 12 others; their answers carry only what is held against the newcomer; a leaving host is not answered; a join is repeated once for each doubling of the fleet, all else three times as before.

--- a/libs/decisions/src/hemlockhoist/decisions/membership/gossip.py
+++ b/libs/decisions/src/hemlockhoist/decisions/membership/gossip.py
@@ -2,10 +2,15 @@
 
 import math
 
+from hemlockhoist.messages.membership import Health
+
 # 8 updates are about 1 KB: at four messages a period well inside a host's budget of
 # 27 KB a second for control.
 MAX_UPDATES_PER_MESSAGE = 8
 _REPEATS_PER_DOUBLING = 3
+# A host that has joined tells many others itself, and each reads the list from time to
+# time; what is held against a host, or that it leaves, nobody else tells.
+_JOIN_REPEATS_PER_DOUBLING = 1
 
 
 class GossipQueue:
@@ -35,12 +40,16 @@
         member_count : int
             Of the whole fleet.
         """
-        doublings = math.ceil(math.log2(member_count + 1))
-        limit = _REPEATS_PER_DOUBLING * max(1, doublings)
+        doublings = max(1, math.ceil(math.log2(member_count + 1)))
         chosen = sorted(self._news.items(), key=lambda item: item[1][0])
         chosen = chosen[:MAX_UPDATES_PER_MESSAGE]
         for address, news in chosen:
             news[0] += 1
-            if news[0] >= limit:
+            if news[0] >= doublings * _repeats(news[1]):
                 del self._news[address]
         return tuple(news[1] for _, news in chosen)
+
+
+def _repeats(update):
+    is_join = update.health is Health.ALIVE and not (update.revision or update.leaving)
+    return _JOIN_REPEATS_PER_DOUBLING if is_join else _REPEATS_PER_DOUBLING
--- a/libs/decisions/src/hemlockhoist/decisions/membership/membership.py
+++ b/libs/decisions/src/hemlockhoist/decisions/membership/membership.py
@@ -31,6 +31,9 @@
 # Told directly, a fleet of today's size knows of a leaving host after one message; in
 # a large one the rest hear it from these within a few periods.
 LEAVE_FANOUT = 64
+# A host that starts introduces itself to those that may be home or read the store, and
+# to so many others: the rest hear of it within a few periods.
+INTRODUCED_TO = 12
 GONE_KEPT_MS = 600_000
 REFUTED_REST_MS = 5_000
 # Reading the whole list again heals what gossip has lost; at 1,300 hosts that is
@@ -163,13 +166,19 @@
 
         Waiting to be found by probes takes some seconds in a fleet of fifty, in which
         callers are not told of it and its requests go to a home that does not know it.
+
+        Load: all hosts of a fleet start at once. Told to all, and answered with news by
+        each, it was a third of all bytes between failure domains.
         """
         message = Probe(number=0, sender=self.own, updates=())
-        return [Outgoing(address, message) for address in self._some_others()]
+        strong = (member.address for member in strong_members(self._usable()))
+        addresses = {*strong, *self._some_others(INTRODUCED_TO)}
+        addresses.discard(self.own.member.address)
+        return [Outgoing(address, message) for address in sorted(addresses)]
 
-    def _some_others(self):
+    def _some_others(self, count=LEAVE_FANOUT):
         peers = self._others()
-        return self._rng.sample(peers, min(LEAVE_FANOUT, len(peers)))
+        return self._rng.sample(peers, min(count, len(peers)))
 
     def leave(self, now_ms, successor=""):
         """Say that this host takes no new work; return the messages that tell it.
@@ -327,11 +336,14 @@
         What is held against the addressee itself is always among them: only it can
         refute that, under a higher revision.
         """
-        news = self.gossip.take(len(self.table))
+        return (*self.held_against(address), *self.gossip.take(len(self.table)))
+
+    def held_against(self, address):
+        """Return what is held against a host, for itself to refute; mostly nothing."""
         entry = self.table.get(address)
         if entry is None or entry.update.health is Health.ALIVE:
-            return news
-        return (entry.update, *news)
+            return ()
+        return (entry.update,)
 
     def next_page(self, page, now_ms):
         """Take a page of members; return the request for the next one, if any."""
--- a/libs/decisions/src/hemlockhoist/decisions/membership/protocol.py
+++ b/libs/decisions/src/hemlockhoist/decisions/membership/protocol.py
@@ -61,11 +61,13 @@
 @respond.register
 def _(message: Probe, membership, now_ms):
     address = message.sender.member.address
-    ack = ProbeAck(
-        number=message.number,
-        sender=membership.own,
-        updates=membership.news_for(address),
-    )
+    if message.number:
+        updates = membership.news_for(address)
+    elif message.sender.leaving:
+        return []
+    else:
+        updates = membership.held_against(address)
+    ack = ProbeAck(number=message.number, sender=membership.own, updates=updates)
     return [Outgoing(address, ack)]
 
 
