Ask the store less at a host's start

Change: the record is read by hosts that may be home, once the list tells them; the list is read again soon only by a host that finds itself alone; a host that has entered itself and read the list does not read it again when the store is back.

--- a/libs/decisions/src/hemlockhoist/decisions/membership/membership.py
+++ b/libs/decisions/src/hemlockhoist/decisions/membership/membership.py
@@ -248,6 +248,11 @@
         """
         return [member for member in self._answering() if member.incarnation]
 
+    @property
+    def is_strong(self):
+        """Whether this host is among those that may be home, as far as it knows."""
+        return self.own.member in strong_members(self._usable())
+
     def count_lost(self, now_ms, within_ms):
         """Return how many hosts were lost lately without having said that they leave.
 
--- a/libs/entry/src/hemlockhoist/entry/roster.py
+++ b/libs/entry/src/hemlockhoist/entry/roster.py
@@ -21,8 +21,9 @@
 # show: hosts that a cut has kept from each other since they started. A feed of the list
 # would wake every host for each that comes or goes, thousands of calls at a fleet's start.
 READ_AGAIN_MS = 60_000
-# Hosts that start together write and read within some hundred milliseconds.
-FIRST_READ_AGAIN_MS = 2_000
+# A host that finds itself alone looks again soon. Of two that start together, the one
+# that reads later finds the other, as each enters itself before it reads.
+ALONE_READ_AGAIN_MS = 2_000
 # Dropped in one transaction; the store takes at least this many.
 SWEPT_AT_ONCE = 50
 
@@ -83,8 +84,13 @@
         await self._task.close()
 
     def read_again(self):
-        """Read the list soon, after the store was out of reach."""
-        self._read_due_ms = 0
+        """Read the list soon, after the store was out of reach.
+
+        A host that has entered itself and read the list waits for its usual turn: a
+        host that starts meanwhile introduces itself.
+        """
+        if not (self._written and self._is_introduced):
+            self._read_due_ms = 0
 
     async def _follow(self):
         """Do what is due: enter this host first, so that whoever reads later sees it."""
@@ -97,9 +103,10 @@
         except PlatformError as error:
             _log.warning("host_rows_not_read", reason=error.message)
             return
-        pause_ms = READ_AGAIN_MS if self._is_introduced else FIRST_READ_AGAIN_MS
-        self._read_due_ms = now_ms + pause_ms
         self._take_rows(reading.rows)
+        is_alone = len(self._entries) < 2
+        pause_ms = ALONE_READ_AGAIN_MS if is_alone else READ_AGAIN_MS
+        self._read_due_ms = now_ms + pause_ms
         if not self._is_introduced:
             self._is_introduced = True
             self._context.fleet.introduce()
--- a/libs/entry/src/hemlockhoist/entry/spending.py
+++ b/libs/entry/src/hemlockhoist/entry/spending.py
@@ -18,6 +18,8 @@
 # What was read at the start is used by a home that takes over this soon after it; what
 # was written since, only a home beside it can have.
 FRESH_MS = 1_000
+# The list of hosts is read within some tens of milliseconds where the store answers.
+LISTED_MS = 500
 # While this host decides for nobody there is nothing to write or to read.
 IDLE_MS = 500
 
@@ -110,9 +112,16 @@
             self._failed = True
 
     async def _read_at_start(self):
-        """Read the record once, for the case that this host becomes home at once."""
-        if self._at_start_ms is None:
-            self._at_start_ms = self._context.clock.now_ms()
+        """Read the record once, for the case that this host becomes home at once.
+
+        Load: a fleet of which few hosts are strong enough to be home; each call of the
+        others would be paid for in vain.
+        """
+        if self._at_start_ms is not None:
+            return
+        await self._context.fleet.wait_introduced(LISTED_MS)
+        self._at_start_ms = self._context.clock.now_ms()
+        if self._context.fleet.is_strong:
             self._at_start = await self._read()
 
     async def _read_once(self):
--- a/libs/entry/src/hemlockhoist/entry/tests/test_spending.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_spending.py
@@ -16,6 +16,10 @@
 HOSTS = ("h1", "h2", "h3")
 
 
+async def wait_nothing(limit_ms):
+    """The list of hosts has been read."""
+
+
 def held(up_ms):
     """Return what a host tells that has spent nothing under other homes."""
     return HeldGrants(pool="halls", home_incarnation="", grants=(), up_ms=up_ms)
@@ -35,6 +39,7 @@
             gate=self.gate,
             platform=platform,
             homes=types.SimpleNamespace(active=lambda: {"halls": self}),
+            fleet=types.SimpleNamespace(is_strong=True, wait_introduced=wait_nothing),
             identity=types.SimpleNamespace(host_id="h1"),
             knowledge=types.SimpleNamespace(store_now_ms=self.clock.now_ms),
         )
--- a/libs/host/src/hemlockhoist/host/fleet.py
+++ b/libs/host/src/hemlockhoist/host/fleet.py
@@ -1,6 +1,7 @@
 """This host's view of the fleet: membership, and messages that keep it."""
 
 import asyncio
+import contextlib
 import functools
 
 from hemlockhoist.base import MS_PER_S, PeriodicTask, Refused, ResultCode, get_logger
@@ -38,6 +39,7 @@
     __slots__ = (
         "_checks",
         "_context",
+        "_introduced",
         "_live",
         "_live_version",
         "_membership",
@@ -52,6 +54,7 @@
         self._membership = membership
         self._task = PeriodicTask(self._tick_ms, self._tick)
         self._checks = set()
+        self._introduced = asyncio.Event()
         self._seen_version = None
         self._live = ()
         self._live_version = None
@@ -114,9 +117,21 @@
         self._handle_events()
 
     def introduce(self):
-        """Tell the hosts of the list that this one is there."""
+        """Tell hosts of the list that this one is there."""
+        self._introduced.set()
         self._send(self._membership.introduce())
 
+    async def wait_introduced(self, limit_ms):
+        """Wait until the list was read, at most ``limit_ms``."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_ms / MS_PER_S):
+                await self._introduced.wait()
+
+    @property
+    def is_strong(self):
+        """Whether this host may be home, as far as it knows."""
+        return self._membership.is_strong
+
     def on_broken(self, host_id):
         """Find out whether a peer whose connection ended still listens."""
         task = asyncio.create_task(self._check_listening(host_id))
