Do not take the end of a move back as homes change

A host that becomes home begins with the row that the home before announced, up to a second old, and told what follows from it. Change: a home reads the row from the store before it first tells where an order stands; while the store is away it tells nothing.

--- a/libs/entry/src/hemlockhoist/entry/moves.py
+++ b/libs/entry/src/hemlockhoist/entry/moves.py
@@ -210,6 +210,14 @@
                 self._retry_ms = self._context.clock.now_ms() + RETRY_MS
 
     async def _follow(self, order, controller):
+        """Begin an order's move, or tell the operators where it stands.
+
+        Failure: a host becomes home just after the end of a move, and knows what the
+        home before announced a moment earlier. Operators who were told of the end are
+        told that the move is under way. So the store is read before the first telling.
+        """
+        if not self._has_told(order) and not await self._read(order.pool, controller):
+            return
         row = controller.row
         if row is None or row.move_id != order.order_id:
             row = await self._begin(order)
@@ -221,6 +229,10 @@
             in_flight = home.scheduler.in_flight_at(row.from_version)
         await self._tell(order, order_state(row, in_flight))
 
+    def _has_told(self, order):
+        told_id, _ = self._told.get(order.pool, ("", None))
+        return told_id == order.order_id
+
     async def _begin(self, order):
         """Begin the move of an order; return its row, or None while it has to wait."""
         versions = self._versions(order.pool)
--- a/libs/entry/src/hemlockhoist/entry/tests/test_moves.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_moves.py
@@ -1,8 +1,9 @@
 import types
 import unittest
 
-from hemlockhoist.base import Refused, SuspendAwareClock
-from hemlockhoist.decisions.entry import MoveOrder
+from hemlockhoist.base import PlatformError, Refused, SuspendAwareClock
+from hemlockhoist.decisions.entry import MoveOrder, OrderState
+from hemlockhoist.decisions.versions import Move, MoveState
 from hemlockhoist.entry.moves import OrderedMoves
 from hemlockhoist.messages import VersionHalted
 
@@ -42,5 +43,77 @@
             self.moves.check_version("halls", "v2")
 
 
+def move(state):
+    """Return the row of the move of the first order."""
+    return Move(
+        move_id="halls@1",
+        pool="halls",
+        from_version="v1",
+        to_version="v2",
+        started_unix_ms=0,
+        moved_by_unix_ms=8_000,
+        reason="ordered by an operator",
+        author="hemlockhoist",
+        state=state,
+    )
+
+
+class KnowingController:
+    """Knows a row until it is told of another."""
+
+    def __init__(self, row):
+        self.row = row
+
+    def note_unix_ms(self, now_ms, unix_ms):
+        """Nothing here depends on dates."""
+
+    def observe_row(self, row, now_ms):
+        self.row = row
+
+
+class Rows:
+    """A store with one move, and what was written to it for the operators."""
+
+    def __init__(self, row):
+        self.row = row
+        self.told = []
+        self.fails = False
+
+    async def read(self, table, key, kind):
+        if self.fails:
+            raise PlatformError("the store is away")
+        return types.SimpleNamespace(value=self.row, version=3)
+
+    async def commit(self, changes):
+        self.told += changes
+
+
+class TellingTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.rows = Rows(move(MoveState.FINISHED))
+        platform = types.SimpleNamespace(
+            store=self.rows, order_status=lambda order, state: state
+        )
+        context = types.SimpleNamespace(
+            clock=SuspendAwareClock(lambda: 0),
+            knowledge=types.SimpleNamespace(store_now_ms=lambda: 0),
+            homes=types.SimpleNamespace(find=lambda pool: None),
+            platform=platform,
+        )
+        self.moves = OrderedMoves(context, self.rows, send=None)
+        self.moves.take_order(order(1))
+        self.heir = KnowingController(move(MoveState.RUNNING))
+
+    async def test_heir_of_a_home_does_not_take_the_end_of_a_move_back(self):
+        """Operators read "in progress" of a move that they were told is completed."""
+        await self.moves._follow(order(1), self.heir)
+        self.assertEqual(self.rows.told, [OrderState.COMPLETED])
+
+    async def test_heir_tells_nothing_while_the_store_is_away(self):
+        self.rows.fails = True
+        await self.moves._follow(order(1), self.heir)
+        self.assertEqual(self.rows.told, [])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/libs/host/src/hemlockhoist/host/moves.py
+++ b/libs/host/src/hemlockhoist/host/moves.py
@@ -289,13 +289,15 @@
                 await self._read(pool, controller)
 
     async def _read(self, pool, controller):
+        """Take the row as the store has it; return whether it could be read."""
         try:
             row = await self._tables.read(TABLE, pool, Move)
         except PlatformError as error:
             _log.warning("move_not_read", pool=pool, reason=error.message)
             self._rest()
-            return
+            return False
         self._observe(controller, row)
+        return True
 
     def _announce_all(self):
         for pool, controller in list(self._controllers.items()):
