Let operators of the own interface evacuate a failure domain, with a reason

Cause: evacuations came from the users' platform alone; the product's own operators had no such order, and nothing showed one. Change: an exception of kind failure_domain, field evacuated, with its reason as every exception; homes take its upstreams out of work at once, answers under way end; status and logs name the domains and the reasons. Ruled out: a section of its own in the declarations (sections, differences, history and checks would each learn of it; an exception has them all).

--- a/libs/decisions/src/hemlockhoist/decisions/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/__init__.py
@@ -11,6 +11,7 @@
     Upstream,
     UpstreamState,
     WorkRequest,
+    evacuated_upstream,
     granting_run,
     new_grant_id,
 )
@@ -26,6 +27,7 @@
     "UpstreamState",
     "VersionPolicy",
     "WorkRequest",
+    "evacuated_upstream",
     "granting_run",
     "new_grant_id",
 ]
--- a/libs/decisions/src/hemlockhoist/decisions/work.py
+++ b/libs/decisions/src/hemlockhoist/decisions/work.py
@@ -128,6 +128,13 @@
     region: str = ""
 
 
+def evacuated_upstream(upstream):
+    """Return a live upstream as one that gets no work; a leaving one as it is."""
+    if upstream.state is not UpstreamState.LIVE:
+        return upstream
+    return msgspec.structs.replace(upstream, state=UpstreamState.EVACUATED)
+
+
 class LoadReport(msgspec.Struct, frozen=True, kw_only=True):
     """An upstream's own, late account of its load.
 
--- a/libs/declarations/src/hemlockhoist/declarations/checks.py
+++ b/libs/declarations/src/hemlockhoist/declarations/checks.py
@@ -109,7 +109,7 @@
             kind, name, field = (values.get(n) for n in ("kind", "name", "field"))
             if kind is None or name is None:
                 continue
-            names = self._names(kind)
+            names = self._names(kind) if kind in _SECTION_OF else {name}
             if name not in names:
                 problem = f"names the {kind} {name!r}, which is not declared"
                 allowed = "one of " + ", ".join(sorted(names))
--- a/libs/declarations/src/hemlockhoist/declarations/model.py
+++ b/libs/declarations/src/hemlockhoist/declarations/model.py
@@ -9,6 +9,9 @@
 
 import msgspec
 
+# The kind of an exception that names a failure domain. Domains are not declared: the
+# platform's list tells where hosts and upstreams are.
+DOMAIN_KIND = "failure_domain"
 # A slash, a backslash, and a percent sign that hides one of them.
 _ENCODED_SEPARATORS = ("%2f", "%5c", "%25")
 
@@ -195,6 +198,18 @@
     version_rules: VersionRules = VersionRules()
 
 
+class DomainDefaults(msgspec.Struct, frozen=True, kw_only=True):
+    """What holds for every failure domain that no exception names.
+
+    Parameters
+    ==========
+    evacuated : bool
+        Whether its upstreams are to get nothing.
+    """
+
+    evacuated: bool = False
+
+
 class Defaults(msgspec.Struct, frozen=True, kw_only=True):
     """The fleet's one set of defaults.
 
@@ -213,7 +228,7 @@
     Parameters
     ==========
     kind : str
-        ``customer``, ``pool`` or ``tier``.
+        ``customer``, ``pool``, ``tier`` or ``failure_domain``.
     name : str
         Which one.
     field : str
@@ -252,6 +267,14 @@
     exceptions: tuple[FleetException, ...] = ()
     defaults: Defaults = Defaults()
 
+    def evacuations(self):
+        """Return the failure domains that are out of use, each with the reason."""
+        return {
+            item.name: item.reason
+            for item in self.exceptions
+            if item.kind == DOMAIN_KIND and item.value is True
+        }
+
     def tier(self, name):
         """Return the tier of that name, or None."""
         return next((tier for tier in self.tiers if tier.name == name), None)
--- a/libs/declarations/src/hemlockhoist/declarations/reader.py
+++ b/libs/declarations/src/hemlockhoist/declarations/reader.py
@@ -210,8 +210,8 @@
         path = f"{entry.path}.{name}"
         value = _text(node)
         if name == "kind":
-            sound = value in schema.RECORD_TYPES
-            allowed = "one of " + ", ".join(schema.RECORD_TYPES)
+            sound = value in schema.EXCEPTION_KINDS
+            allowed = "one of " + ", ".join(schema.EXCEPTION_KINDS)
         elif name == "reason":
             sound = value is not None and is_reason(value)
             allowed = REASON_ALLOWED
--- a/libs/declarations/src/hemlockhoist/declarations/record_checks.py
+++ b/libs/declarations/src/hemlockhoist/declarations/record_checks.py
@@ -85,9 +85,9 @@
     if not is_reason(values["reason"]):
         problem = f"is {values['reason'][:60]!r}"
         faults.append(_fault(f"{entry.path}.reason", problem, REASON_ALLOWED))
-    if values["kind"] not in schema.RECORD_TYPES:
+    if values["kind"] not in schema.EXCEPTION_KINDS:
         entry.values = {}
-        allowed = "one of " + ", ".join(schema.RECORD_TYPES)
+        allowed = "one of " + ", ".join(schema.EXCEPTION_KINDS)
         faults.append(_fault(f"{entry.path}.kind", f"is {values['kind']!r}", allowed))
         return faults
     specs = schema.exception_fields(values["kind"])
--- a/libs/declarations/src/hemlockhoist/declarations/schema.py
+++ b/libs/declarations/src/hemlockhoist/declarations/schema.py
@@ -12,8 +12,10 @@
 import msgspec
 
 from hemlockhoist.declarations.model import (
+    DOMAIN_KIND,
     Customer,
     Defaults,
+    DomainDefaults,
     IdempotentCall,
     Pool,
     Tier,
@@ -21,6 +23,7 @@
 
 RECORD_TYPES = {"tier": Tier, "customer": Customer, "pool": Pool}
 DEFAULT_TYPES = {info.name: info.type for info in msgspec.structs.fields(Defaults)}
+EXCEPTION_KINDS = (*RECORD_TYPES, DOMAIN_KIND)
 _DAY_MS = 86_400_000
 
 # record, field: least, greatest.
@@ -187,6 +190,8 @@
     >>> sorted(exception_fields("customer"))
     ['max_in_flight', 'weight']
     """
+    if kind == DOMAIN_KIND:
+        return fields_of(DomainDefaults)
     specs = {}
     for name, spec in defaulted_fields(kind).items():
         if isinstance(spec.type, type) and issubclass(spec.type, msgspec.Struct):
--- a/libs/entry/src/hemlockhoist/entry/knowledge.py
+++ b/libs/entry/src/hemlockhoist/entry/knowledge.py
@@ -4,8 +4,6 @@
 import collections
 import contextlib
 
-import msgspec
-
 from hemlockhoist.base import (
     MS_PER_S,
     DeclarationError,
@@ -17,7 +15,7 @@
     UpstreamLeft,
     get_logger,
 )
-from hemlockhoist.decisions import UpstreamState
+from hemlockhoist.decisions import UpstreamState, evacuated_upstream
 from hemlockhoist.decisions.entry import (
     DomainOrder,
     EvacuatedDomains,
@@ -268,7 +266,7 @@
         if not evacuated:
             return upstreams
         return tuple(
-            _evacuated(item) if item.failure_domain in evacuated else item
+            evacuated_upstream(item) if item.failure_domain in evacuated else item
             for item in upstreams
         )
 
@@ -333,10 +331,3 @@
         if self.listing.believe_left(upstream_id, version, self._clock.now_ms()):
             _log.info("upstream_gone", upstream=upstream_id, version=version, told=True)
             self._on_upstreams()
-
-
-def _evacuated(upstream):
-    """Return a live upstream as one that gets no work; a leaving one as it is."""
-    if upstream.state is not UpstreamState.LIVE:
-        return upstream
-    return msgspec.structs.replace(upstream, state=UpstreamState.EVACUATED)
--- a/libs/host/src/hemlockhoist/host/operators.py
+++ b/libs/host/src/hemlockhoist/host/operators.py
@@ -163,6 +163,7 @@
         "incarnation": identity.incarnation,
         "failure_domain": identity.failure_domain,
         "leaving": context.leaving,
+        "evacuated_domains": context.declarations.evacuations(),
         "declarations_version": context.declarations.version,
         "open_requests": context.open_requests,
         "grants_held": len(context.grants.held()),
--- a/libs/host/src/hemlockhoist/host/process.py
+++ b/libs/host/src/hemlockhoist/host/process.py
@@ -47,6 +47,7 @@
 from hemlockhoist.host.upstream_watch import (
     HostListWatch,
     LoadWatch,
+    in_service,
     listed_hosts,
     upstreams_of,
 )
@@ -90,6 +91,7 @@
         self._drain_task = None
         self._closers = contextlib.AsyncExitStack()
         self._server = None
+        self._upstreams = ()
 
     async def start(self):
         """Start all parts; the host serves when this returns."""
@@ -226,13 +228,28 @@
 
     def _on_list(self, members):
         self.context.fleet.on_list(listed_hosts(members))
-        self.context.homes.set_upstreams(upstreams_of(members))
+        self._upstreams = upstreams_of(members)
+        self._put_upstreams_in_force()
+
+    def _put_upstreams_in_force(self):
+        evacuated = self.context.declarations.evacuations()
+        self.context.homes.set_upstreams(in_service(self._upstreams, evacuated))
+
+    def _log_evacuations(self, former, declarations):
+        """Say which failure domains go out of use and why, and which are back."""
+        before, after = former.evacuations(), declarations.evacuations()
+        for name in sorted(after.keys() - before.keys()):
+            _log.info("domain_evacuated", failure_domain=name, reason=after[name])
+        for name in sorted(before.keys() - after.keys()):
+            _log.info("domain_taken_back", failure_domain=name)
 
     def _on_change(self, declarations):
         """Put a newer version of the declarations in force."""
+        self._log_evacuations(self.context.declarations, declarations)
         self.context.declarations = declarations
         self.context.callers = CallerDirectory(declarations)
         self.context.homes.redeclare()
+        self._put_upstreams_in_force()
         _log.info("declarations_in_force", version=declarations.version)
 
     def _report_held(self):
--- /dev/null
+++ b/libs/host/src/hemlockhoist/host/tests/test_upstream_watch.py
@@ -0,0 +1,26 @@
+import unittest
+
+from hemlockhoist.decisions import Upstream, UpstreamState
+from hemlockhoist.host.upstream_watch import in_service
+
+
+def upstream(name, state=UpstreamState.LIVE):
+    return Upstream(
+        upstream_id=name,
+        pool="halls",
+        version="v1",
+        address="127.0.0.1:1",
+        failure_domain=name[0],
+        state=state,
+    )
+
+
+class EvacuationTests(unittest.TestCase):
+    def test_upstreams_of_evacuated_domains_get_nothing(self):
+        """An operator empties a zone, and its engines go on getting requests."""
+        leaving = upstream("a2", UpstreamState.LEAVING)
+        found = in_service([upstream("a1"), leaving, upstream("b1")], {"a": "repairs"})
+        states = {item.upstream_id: item.state for item in found}
+        self.assertIs(states["a1"], UpstreamState.EVACUATED)
+        self.assertIs(states["a2"], UpstreamState.LEAVING)
+        self.assertIs(states["b1"], UpstreamState.LIVE)
--- a/libs/host/src/hemlockhoist/host/upstream_watch.py
+++ b/libs/host/src/hemlockhoist/host/upstream_watch.py
@@ -11,7 +11,12 @@
     Refused,
     get_logger,
 )
-from hemlockhoist.decisions import LoadReport, Upstream, UpstreamState
+from hemlockhoist.decisions import (
+    LoadReport,
+    Upstream,
+    UpstreamState,
+    evacuated_upstream,
+)
 from hemlockhoist.decisions.membership import ListedHost
 from hemlockhoist.store import MemberKind, MemberState
 from hemlockhoist.upstreams import UpstreamCall
@@ -99,6 +104,21 @@
     ]
 
 
+def in_service(upstreams, evacuated):
+    """Return the upstreams, those of evacuated failure domains marked.
+
+    Parameters
+    ==========
+    upstreams : iterable of Upstream
+    evacuated : collection of str
+        Failure domains.
+    """
+    return [
+        evacuated_upstream(item) if item.failure_domain in evacuated else item
+        for item in upstreams
+    ]
+
+
 def _state_of(member):
     if member.state is MemberState.LEAVING:
         return UpstreamState.LEAVING
--- a/libs/standins/src/hemlockhoist/standins/tests/test_operator_commands.py
+++ b/libs/standins/src/hemlockhoist/standins/tests/test_operator_commands.py
@@ -161,6 +161,19 @@
         authors = [entry["author"] for entry in history["entries"]]
         self.assertEqual(authors, ["two", "one"])
 
+    async def test_an_evacuated_domain_is_in_force_and_shown(self):
+        """An operator empties a zone, and can not see whether it is in force."""
+        reason = "Its power is replaced until Friday."
+        mine = self.edited(
+            "exceptions:\n",
+            "exceptions:\n  - kind: failure_domain\n    name: coast-a\n"
+            f"    field: evacuated\n    value: true\n    reason: {reason}\n",
+        )
+        answer = await self.ask("declare", "apply", mine)
+        self.assertEqual(answer.exit_code, ExitCode.OK, answer)
+        status = json.loads((await self.ask("status", "--json")).stdout)
+        self.assertEqual(status["evacuated_domains"], {"coast-a": reason})
+
     async def test_the_stores_answer_is_lost(self):
         """
         The table service takes the write and its answer is lost. Applied again, the
