Send messages between hosts in fewer bytes

Ruled out: a greeting for each connection that would spare the sender's address too (state at both ends for some 17 bytes). Change: the receiver is not sent, the digest covers it; addresses and incarnations are packed; types have numbers; a join is told four times by each host, however large the fleet.

--- a/libs/decisions/src/hemlockhoist/decisions/membership/gossip.py
+++ b/libs/decisions/src/hemlockhoist/decisions/membership/gossip.py
@@ -8,9 +8,10 @@
 # 27 KB a second for control.
 MAX_UPDATES_PER_MESSAGE = 8
 _REPEATS_PER_DOUBLING = 3
-# A host that has joined tells many others itself, and each reads the list from time to
-# time; what is held against a host, or that it leaves, nobody else tells.
-_JOIN_REPEATS_PER_DOUBLING = 1
+# A host that has joined tells some others itself, probes all in turn, and each reads the
+# list from time to time; what is held against a host, or that it leaves, nobody else
+# tells.
+_JOIN_REPEATS = 4
 
 
 class GossipQueue:
@@ -45,11 +46,11 @@
         chosen = chosen[:MAX_UPDATES_PER_MESSAGE]
         for address, news in chosen:
             news[0] += 1
-            if news[0] >= doublings * _repeats(news[1]):
+            if news[0] >= _repeats(news[1], doublings):
                 del self._news[address]
         return tuple(news[1] for _, news in chosen)
 
 
-def _repeats(update):
+def _repeats(update, doublings):
     is_join = update.health is Health.ALIVE and not (update.revision or update.leaving)
-    return _JOIN_REPEATS_PER_DOUBLING if is_join else _REPEATS_PER_DOUBLING
+    return _JOIN_REPEATS if is_join else _REPEATS_PER_DOUBLING * doublings
--- a/libs/messages/src/hemlockhoist/messages/configuration.py
+++ b/libs/messages/src/hemlockhoist/messages/configuration.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from hemlockhoist.declarations.model import Declarations
+from hemlockhoist.messages.codes import code_of
 
 
 class HaltedVersion(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -14,7 +15,7 @@
 
 
 class ConfigurationDigest(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
 ):
     """Tells which declarations and halted versions the sender has.
 
@@ -44,7 +45,7 @@
 
 
 class ConfigurationRequest(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
 ):
     """Asks for declarations newer than ``have_version``."""
 
@@ -53,7 +54,7 @@
 
 
 class ConfigurationContent(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
 ):
     """Declarations, whole or as changes.
 
@@ -77,7 +78,7 @@
 
 
 class HaltedVersions(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
 ):
     """All halted versions that the sender knows."""
 
@@ -86,7 +87,7 @@
 
 
 class ConfigurationAck(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
 ):
     """The sender has ``version`` in force, and never again an older one."""
 
@@ -96,7 +97,7 @@
 
 
 class ConfigurationSummaryRequest(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
 ):
     """Asks a collector of acknowledgements for its summary."""
 
@@ -104,7 +105,7 @@
 
 
 class ConfigurationSummary(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
 ):
     """What one collector of acknowledgements knows of the hosts that report to it.
 
--- a/libs/messages/src/hemlockhoist/messages/feeds.py
+++ b/libs/messages/src/hemlockhoist/messages/feeds.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from hemlockhoist.messages.codes import code_of
+
 
 class FeedState(enum.IntEnum):
     """What an answer is worth."""
@@ -32,7 +34,7 @@
 
 
 class LeftUpstream(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
 ):
     """Tells a home that an upstream which it granted has left the platform's list.
 
@@ -48,7 +50,7 @@
 
 
 class EvacuatedDomain(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
 ):
     """Tells a home that the failure domain of an upstream it granted is evacuated.
 
@@ -64,7 +66,7 @@
 
 
 class ColdUpstream(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
 ):
     """Tells a home that an upstream which it granted as a warm one is cold.
 
@@ -83,7 +85,7 @@
 
 
 class FeedQuestion(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
 ):
     """Asks a host that reads the store for the changes of a table.
 
@@ -104,7 +106,9 @@
     wait_ms: int
 
 
-class FeedAnswer(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
+class FeedAnswer(
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
+):
     """What a reader knows of a table.
 
     Parameters
--- a/libs/messages/src/hemlockhoist/messages/grants.py
+++ b/libs/messages/src/hemlockhoist/messages/grants.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from hemlockhoist.messages.codes import code_of
+
 
 class RequestBrief(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """What a home needs to know about one request.
@@ -69,7 +71,7 @@
 
 
 class GrantRequest(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
 ):
     """An entry host asks a pool's home for permission to dispatch.
 
@@ -82,7 +84,9 @@
     is_alone: bool = False
 
 
-class GrantReply(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
+class GrantReply(
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
+):
     """The home permits one dispatch to one upstream, for a limited time.
 
     ``is_cold`` says that the home knows the upstream to be cold.
@@ -99,7 +103,7 @@
 
 
 class GrantRefusal(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
 ):
     """The home refuses; nothing of the request has been sent to an upstream.
 
@@ -113,7 +117,7 @@
     reason: str = ""
 
 
-class NotHome(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
+class NotHome(msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True):
     """The receiver of a grant request is not, or no longer, the pool's home.
 
     ``home_host`` is the host that it takes for the home; empty when it knows none.
@@ -124,14 +128,18 @@
     home_host: str
 
 
-class GrantQueued(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
+class GrantQueued(
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
+):
     """The request waits in the home's queue; the entry host need not ask elsewhere."""
 
     pool: str
     request_id: str
 
 
-class GrantCancel(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
+class GrantCancel(
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
+):
     """The entry host no longer wants a place for a queued request."""
 
     pool: str
@@ -140,7 +148,7 @@
 
 
 class GrantRelease(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
 ):
     """The entry host gives a grant back, with what came of it.
 
@@ -159,7 +167,9 @@
     is_alone: bool = False
 
 
-class FirstToken(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
+class FirstToken(
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
+):
     """The first token of an answer came; its end may be many seconds off.
 
     ``first_token_ms`` counts from dispatch.
@@ -182,7 +192,7 @@
 
 
 class HomeTakeover(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
 ):
     """A host has become home of a pool and asks what the entry hosts hold."""
 
@@ -190,7 +200,9 @@
     home_incarnation: str
 
 
-class HeldGrants(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
+class HeldGrants(
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
+):
     """The answer to ``HomeTakeover``: all grants of the pool held by the sender.
 
     ``spent`` tells what customers have spent there lately: each with the ages in
@@ -207,7 +219,7 @@
 
 
 class HeldGrantIds(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
 ):
     """The grants that an entry host holds of a pool, told from time to time.
 
--- a/libs/messages/src/hemlockhoist/messages/ledger.py
+++ b/libs/messages/src/hemlockhoist/messages/ledger.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from hemlockhoist.messages.codes import code_of
+
 
 class StoredAnswer(msgspec.Struct, frozen=True, kw_only=True):
     """An upstream's whole answer, kept to be replayed to a repeated call.
@@ -23,7 +25,9 @@
         return len(self.body) + sum(len(name) + len(v) for name, v in self.headers)
 
 
-class KeyLookup(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
+class KeyLookup(
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
+):
     """Asks a key's holder for the outcome, or else for the right to dispatch it.
 
     Parameters
@@ -50,7 +54,9 @@
     fingerprint: bytes
 
 
-class LookupReply(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
+class LookupReply(
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
+):
     """Base of the replies to ``KeyLookup``; echoes what it answers."""
 
     asker: str
@@ -61,39 +67,47 @@
     key: str
 
 
-class LookupDone(LookupReply, frozen=True, kw_only=True, tag=True, array_like=True):
+class LookupDone(LookupReply, frozen=True, kw_only=True, tag=code_of, array_like=True):
     """The request ran; ``answer`` is None when it is no longer kept."""
 
     answer: StoredAnswer | None = None
 
 
 class LookupInProgress(
-    LookupReply, frozen=True, kw_only=True, tag=True, array_like=True
+    LookupReply, frozen=True, kw_only=True, tag=code_of, array_like=True
 ):
     """The request is queued or running."""
 
 
-class LookupUnknown(LookupReply, frozen=True, kw_only=True, tag=True, array_like=True):
+class LookupUnknown(
+    LookupReply, frozen=True, kw_only=True, tag=code_of, array_like=True
+):
     """The request may have run, or the replier can not tell."""
 
 
-class LookupExpired(LookupReply, frozen=True, kw_only=True, tag=True, array_like=True):
+class LookupExpired(
+    LookupReply, frozen=True, kw_only=True, tag=code_of, array_like=True
+):
     """The key is past its retention: its record is no longer kept."""
 
 
-class LookupReused(LookupReply, frozen=True, kw_only=True, tag=True, array_like=True):
+class LookupReused(
+    LookupReply, frozen=True, kw_only=True, tag=code_of, array_like=True
+):
     """The key belongs to another request of the same customer."""
 
 
-class LookupFull(LookupReply, frozen=True, kw_only=True, tag=True, array_like=True):
+class LookupFull(LookupReply, frozen=True, kw_only=True, tag=code_of, array_like=True):
     """The key never ran, and its holder has no room to record passing it on."""
 
 
-class LookupGranted(LookupReply, frozen=True, kw_only=True, tag=True, array_like=True):
+class LookupGranted(
+    LookupReply, frozen=True, kw_only=True, tag=code_of, array_like=True
+):
     """The key never ran; only the asker may dispatch it from now on."""
 
 
-class LookupMoved(LookupReply, frozen=True, kw_only=True, tag=True, array_like=True):
+class LookupMoved(LookupReply, frozen=True, kw_only=True, tag=code_of, array_like=True):
     """The right to dispatch the key went to another incarnation, ``holder``."""
 
     holder: str
@@ -149,7 +163,7 @@
     epoch_ms: int
 
 
-class Handover(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
+class Handover(msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True):
     """One part of a leaving host's ledger, for its only successor.
 
     Parameters
@@ -174,7 +188,9 @@
     records: tuple[HandedRecord, ...] = ()
 
 
-class HandoverAck(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
+class HandoverAck(
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
+):
     """The successor has taken a part, or never will (``accepted`` is false)."""
 
     leaver: str
--- a/libs/messages/src/hemlockhoist/messages/membership.py
+++ b/libs/messages/src/hemlockhoist/messages/membership.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from hemlockhoist.messages.codes import code_of
+
 
 class Health(enum.IntEnum):
     """What probes say of a host; of equal revisions the higher value counts."""
@@ -40,7 +42,7 @@
 
 
 class MemberUpdate(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
 ):
     """What a host knows of one member, passed on with probes.
 
@@ -63,7 +65,7 @@
     successor: str = ""
 
 
-class Probe(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
+class Probe(msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True):
     """Asks a host for a sign of life.
 
     Parameters
@@ -81,7 +83,7 @@
     updates: tuple[MemberUpdate, ...] = ()
 
 
-class ProbeAck(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
+class ProbeAck(msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True):
     """A probed host's sign of life, given directly or passed on for it."""
 
     number: int
@@ -90,7 +92,7 @@
 
 
 class ProbeRequest(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
 ):
     """Asks a host to probe ``target_address`` and to pass its answer on."""
 
@@ -101,7 +103,7 @@
 
 
 class MembersRequest(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
 ):
     """Asks for one page of the members with an address after ``after``."""
 
@@ -109,7 +111,9 @@
     after: str = ""
 
 
-class MembersPage(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
+class MembersPage(
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
+):
     """One page of members; ``next_after`` is empty on the last page."""
 
     sender: MemberUpdate
--- a/libs/messages/src/hemlockhoist/messages/moves.py
+++ b/libs/messages/src/hemlockhoist/messages/moves.py
@@ -2,9 +2,11 @@
 
 import msgspec
 
+from hemlockhoist.messages.codes import code_of
+
 
 class VersionHalted(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
 ):
     """A version was seen to be bad: no host grants or dispatches to it any more.
 
@@ -18,7 +20,7 @@
 
 
 class MoveAnnounced(
-    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
 ):
     """The home's present view of a pool's move, for whoever is home next.
 
@@ -29,7 +31,9 @@
     row: bytes
 
 
-class StreamTaken(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
+class StreamTaken(
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
+):
     """A caller resumed a stream at the sender: its former host must not cancel it."""
 
     request_id: str
--- a/libs/messages/src/hemlockhoist/messages/tests/test_codec.py
+++ b/libs/messages/src/hemlockhoist/messages/tests/test_codec.py
@@ -1,29 +1,40 @@
 import doctest
 import unittest
 
+import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 
 from hemlockhoist.base import PeerError, ResultCode
-from hemlockhoist.messages import WIRE_VERSION, Codec, Envelope, GrantCancel, codec
+from hemlockhoist.messages import (
+    MESSAGE_TYPES,
+    WIRE_VERSION,
+    Codec,
+    Envelope,
+    GrantCancel,
+    codec,
+)
 
 
-def _frame(key=b"k"):
-    envelope = Envelope(
-        sender="a",
-        incarnation="1",
+def _envelope(sender="a", incarnation="1"):
+    return Envelope(
+        sender=sender,
+        incarnation=incarnation,
         receiver="b",
         sequence=1,
         sent_ms=5,
         messages=[GrantCancel(pool="chat", request_id="r")],
     )
-    return Codec(key).encode(envelope)
+
+
+def _frame(key=b"k"):
+    return Codec(key).encode(_envelope())
 
 
 class CodecTests(unittest.TestCase):
     def _code(self, frame):
         with self.assertRaises(PeerError) as caught:
-            Codec(b"k").decode(frame)
+            Codec(b"k").decode(frame, "b")
         return caught.exception.code
 
     def test_a_frame_under_another_key_is_refused(self):
@@ -45,7 +56,39 @@
     def test_arbitrary_bytes_raise_only_peer_errors(self, frame):
         """Garbage from the network ends in a numbered error."""
         with self.assertRaises(PeerError):
-            Codec(b"k").decode(frame)
+            Codec(b"k").decode(frame, "b")
+
+    def test_a_frame_for_another_host_is_refused(self):
+        """A frame that was taken on the way does nothing elsewhere."""
+        with self.assertRaises(PeerError) as caught:
+            Codec(b"k").decode(_frame(), "c")
+        self.assertIs(caught.exception.code, ResultCode.PEER_UNAUTHENTIC)
+
+    @given(
+        st.sampled_from(["10.1.0.35:7600", "[::1]:7600", "h1", "1.2.3.4:007", ""]),
+        st.sampled_from(["00ff12", "1", "", "XY", "0F"]),
+    )
+    def test_names_arrive_as_they_were(self, sender, incarnation):
+        """Packed for the way, a name that only looks like an address would change."""
+        envelope = _envelope(sender, incarnation)
+        codec_ = Codec(b"k")
+        self.assertEqual(codec_.decode(codec_.encode(envelope), "b"), envelope)
+
+    def test_a_sender_that_is_no_address_is_refused(self):
+        made = Codec(b"k")
+        wire = codec._WireEnvelope(
+            sender=b"\x00123", incarnation=b"\x011", sequence=1, sent_ms=1, messages=[]
+        )
+        body = msgspec.msgpack.encode(wire)
+        frame = bytes([WIRE_VERSION]) + made._digest("b", body) + body
+        with self.assertRaises(PeerError) as caught:
+            made.decode(frame, "b")
+        self.assertIs(caught.exception.code, ResultCode.PEER_MALFORMED)
+
+    def test_each_message_has_a_number_of_its_own(self):
+        """Two types under one number: a host reads a message as another one."""
+        numbers = [kind.__struct_config__.tag for kind in MESSAGE_TYPES]
+        self.assertEqual(len(set(numbers)), len(numbers))
 
     def test_docstring_examples_run(self):
         """The examples in the docstrings give what they show."""
--- a/libs/peers/src/hemlockhoist/peers/bus.py
+++ b/libs/peers/src/hemlockhoist/peers/bus.py
@@ -145,7 +145,7 @@
         if self._inbox is None:
             return
         try:
-            envelope = self._codec.decode(frame)
+            envelope = self._codec.decode(frame, self.address)
             late_ms = self._inbox.accept(envelope, self._clock.now_ms())
         except PeerError as error:
             self._reject(error)
