Keep requests in their failure domain where that costs little of their time

An upstream's single failure moved its requests away for seconds (0.2 x 1,500 ms against 30 ms for another domain), and a seventh of check-free fails wherever it is sent: of first tries 60 of 305 failed, of second ones 37 of 59, the same requests at other upstreams. Change: a request stays in its domain where its first token comes within its target and no later than a tenth of what is left of it; failures are counted against the answers of all others, and what chance explains (1.5 standard deviations) is left aside; of upstreams that are alike the one that was used less is taken. The fixed 30 ms for another domain is gone (6 ms for the way).

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared.py
@@ -1,8 +1,14 @@
 """Upstreams that declare how many requests they work on at once."""
 
-import math
-
 from hemlockhoist.decisions.scheduling.declared_track import DeclaredTrack
+from hemlockhoist.decisions.scheduling.offers import (
+    NO_PAUSE_BOUND_MS,
+    Offer,
+    Offers,
+    cost_ms,
+    risk_ms,
+    saved_ms,
+)
 from hemlockhoist.decisions.scheduling.pace import PoolPace
 from hemlockhoist.decisions.scheduling.prompt_cache import PromptCache
 from hemlockhoist.decisions.scheduling.recovery import DECLARED_RECOVERY_MS
@@ -11,28 +17,11 @@
 from hemlockhoist.decisions.work import OutcomeKind
 
 US_PER_MS = 1_000
-# One way to another failure domain takes about 1.5 ms more, and a request makes a few
-# of them; bytes between domains are paid for besides.
-OTHER_DOMAIN_MS = 30.0
-# An answer that fails costs its caller about this much: the time until it is tried
-# elsewhere. Counted by how much more often than others an upstream fails.
-FAILED_ANSWER_MS = 1_500.0
-STALLED_MS = 1_000.0
-# The part of an answer's decoding that counts when upstreams are compared. Decoding
-# does not delay the first token; it holds a place that others will want.
-DECODE_PART = 0.25
 # A request waits for a better upstream only where it would be in time there with this
 # part of its time: what it waits for is an estimate.
 IN_TIME_PART = 0.8
-# Prompts are computed between the tokens of the answers under way. Where a prompt
-# would make their pauses longer than declared, it counts as much for each of them.
-PAUSED_ANSWER_MS = 400.0
 # Part of a declared pause that prompts may take: the rest is for the tokens.
 PROMPT_PART = 0.8
-# What an engine need not compute of a prompt delays none of the answers under way
-# there: besides its own first token, it counts so much more.
-SAVED_PART = 2.0
-
 _FAILURES = frozenset({OutcomeKind.FAILED, OutcomeKind.BROKE_OFF, OutcomeKind.TIMEOUT})
 _UNREACHED = frozenset({OutcomeKind.CONNECT_FAILED})
 
@@ -175,26 +164,33 @@
     def choose(self, request, choices, in_flight, now_ms, ahead=0):
         """Return the upstream for a request, or None where it should wait."""
         work = self._pace.work(request)
-        usual_rate = self._usual_failure_rate(now_ms)
         most_ms = self._most_prompts_ms(work, now_ms)
+        best = self._offers(request, work, choices, in_flight, most_ms, now_ms).taken(
+            work.first_token_by_ms - now_ms
+        )
+        if best is None or self._is_better_later(work, best, most_ms, ahead, now_ms):
+            return None
+        return best
+
+    def _offers(self, request, work, choices, in_flight, most_ms, now_ms):
+        """Return what the request may expect at the choices."""
         kept_at = self._kept(request)
-        best, best_ms = None, math.inf
+        counts = self._failure_counts(now_ms)
+        offers = Offers()
         for item in choices:
             track = self._tracks[item.upstream_id]
             kept = kept_at.get(item.upstream_id, 0)
             first_ms = track.first_token_ms(work, now_ms, kept)
-            saved_ms = SAVED_PART * track.pace.prompt_ms(kept) if kept else 0.0
-            if first_ms - saved_ms >= best_ms:
-                # The rest of the cost is never below zero.
+            spared_ms = saved_ms(track, kept)
+            is_near = work.failure_domain == track.failure_domain
+            # The rest of the cost is never below zero.
+            if offers.is_hopeless(first_ms - spared_ms, is_near):
                 continue
             held = in_flight(item.upstream_id)
-            cost_ms = _cost_ms(work, track, first_ms, held, now_ms) - saved_ms
-            cost_ms += _risk_ms(work, track, held, usual_rate, most_ms, now_ms)
-            if cost_ms < best_ms:
-                best, best_ms = item, cost_ms
-        if best is None or self._is_better_later(work, best, most_ms, ahead, now_ms):
-            return None
-        return best
+            risk = risk_ms(work, track, held, counts, most_ms, now_ms)
+            cost = cost_ms(work, track, first_ms, held, now_ms) + risk - spared_ms
+            offers.add(Offer(item, first_ms, cost, risk, is_near))
+        return offers
 
     def _kept(self, request):
         """Return by upstream how many tokens of a request's prompt it keeps."""
@@ -247,22 +243,21 @@
         """
         gap_ms = min(self._gaps_ms.values(), default=None)
         if gap_ms is None:
-            return math.inf
+            return NO_PAUSE_BOUND_MS
         most_ms = PROMPT_PART * gap_ms
         for track in self._usable.values():
             if track.prompts_ms(work) <= most_ms and track.is_open(now_ms):
                 return most_ms
-        return math.inf
+        return NO_PAUSE_BOUND_MS
 
-    def _usual_failure_rate(self, now_ms):
-        """Return the lowest failure rate: what a request can not escape anywhere."""
-        lowest = None
+    def _failure_counts(self, now_ms):
+        """Return the failures and the answers of all upstreams, lately."""
+        failures = answers = 0.0
         for track in self._usable.values():
-            rate = track.failures.rate(now_ms)
-            if not rate:
-                return 0.0
-            lowest = rate if lowest is None else min(lowest, rate)
-        return lowest or 0.0
+            failed, ended = track.failures.counts(now_ms)
+            failures += failed
+            answers += ended
+        return failures, answers
 
     def on_grant(self, held, now_ms):
         """Count a grant."""
@@ -330,33 +325,6 @@
             track.set_cold(self._warmup.is_cold(upstream_id, now_ms))
 
 
-def _cost_ms(work, track, first_ms, held, now_ms):
-    """Return what a request costs at an upstream, in its caller's time.
-
-    Made for engines that differ several times in speed: a slow one is as good as any
-    for a short prompt, and no good for a long one.
-    """
-    token_ms = track.pace.token_ms
-    beside = held * work.base_tokens / max(1, track.limit.places)
-    cost_ms = first_ms + token_ms * (DECODE_PART * work.output_tokens + beside)
-    if not track.ends_within(work, first_ms, now_ms):
-        cost_ms += FAILED_ANSWER_MS
-    if work.failure_domain != track.failure_domain:
-        cost_ms += OTHER_DOMAIN_MS
-    return cost_ms
-
-
-def _risk_ms(work, track, held, usual_rate, most_ms, now_ms):
-    """Return what an upstream's failures, stalls and pauses may cost, in time."""
-    risk_ms = STALLED_MS * track.stalled
-    more_failures = track.failures.rate(now_ms) - usual_rate
-    if more_failures > 0:
-        risk_ms += FAILED_ANSWER_MS * more_failures
-    if track.prompts_ms(work) > most_ms:
-        risk_ms += PAUSED_ANSWER_MS * max(1, held)
-    return risk_ms
-
-
 def _learn_pace(track, outcome):
     if not outcome.output_tokens:
         track.pace.observe_whole(outcome.total_ms)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/reach.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/reach.py
@@ -12,10 +12,10 @@
 # Failures are forgotten by half in this time, so that an upstream that has recovered
 # is used again without answers to show it.
 FAILURE_HALF_LIFE_MS = 2_500
-# An answer counts this much of the failure rate.
-FAILURE_WEIGHT = 0.2
-# Below this a rate is none: it would make no difference to where a request goes.
-LEAST_RATE = 0.001
+# Standard deviations of a failure rate that are put down to chance.
+CHANCE = 1.5
+# Until it has answered this often, an upstream is taken to fail as often as others.
+USUAL_ANSWERS = 4.0
 
 
 class Reach:
@@ -61,24 +61,49 @@
 
 
 class FailureRate:
-    """The part of an upstream's answers that were failures, lately."""
+    """The part of an upstream's answers that were failures, lately.
 
-    __slots__ = ("_at_ms", "_rate")
+    Answers and failures are counted and fade alike, so that one failure among many
+    answers says little, and some in a row much.
+    """
+
+    __slots__ = ("_answers", "_at_ms", "_failures")
 
     def __init__(self):
-        self._rate = 0.0
+        self._answers = 0.0
+        self._failures = 0.0
         self._at_ms = 0
 
     def observe(self, failed, now_ms):
         """Take the end of an answer."""
-        self._rate = self.rate(now_ms)
+        kept = self._kept(now_ms)
+        self._answers = kept * self._answers + 1
+        self._failures = kept * self._failures + failed
         self._at_ms = now_ms
-        self._rate += FAILURE_WEIGHT * (failed - self._rate)
 
-    def rate(self, now_ms):
-        """Return the rate, faded by the time since the last answer."""
-        if not self._rate:
+    def counts(self, now_ms):
+        """Return the faded counts of failures and of answers."""
+        kept = self._kept(now_ms)
+        return kept * self._failures, kept * self._answers
+
+    def excess(self, counts, now_ms):
+        """Return by how much it fails more often than others, chance left aside.
+
+        Parameters
+        ==========
+        counts : tuple of float
+            Failures and answers of all upstreams, this one included.
+        now_ms : int
+        """
+        failures, answers = self.counts(now_ms)
+        if not failures:
             return 0.0
+        usual = (counts[0] - failures) / (counts[1] - answers + 1.0)
+        known = answers + USUAL_ANSWERS
+        rate = (failures + USUAL_ANSWERS * usual) / known
+        by_chance = math.sqrt(usual * (1.0 - usual) / known)
+        return max(0.0, rate - usual - CHANCE * by_chance)
+
+    def _kept(self, now_ms):
         passed = max(0, now_ms - self._at_ms) / FAILURE_HALF_LIFE_MS
-        rate = self._rate * math.pow(0.5, passed)
-        return rate if rate >= LEAST_RATE else 0.0
+        return math.pow(0.5, passed)
