Count what a former home gave out after the next one had asked

Two hosts were home of each pool for 1.2 s, as one came back from a loss of power; the next one asked what was spent as it began, and the former gave out 0.126 of the customer's bound more before it ended (from logs with each home's count in them). Ruled out: hosts that decide alone (none), units of waiting requests (moved), the record (read at each takeover). Change: a home that ends tells the one that it ends for, which asks all hosts once more; their accounts replace the former ones.

--- a/libs/host/src/hemlockhoist/host/grants.py
+++ b/libs/host/src/hemlockhoist/host/grants.py
@@ -130,6 +130,7 @@
 
     __slots__ = (
         "_clock",
+        "_counted_at",
         "_held",
         "_home_of",
         "_on_silent",
@@ -165,6 +166,8 @@
         self._started_ms = clock.now_ms()
         self._waiters = {}
         self._held = {}
+        # By grant: the homes that count it since they asked what is held here.
+        self._counted_at = {}
         self._refusal = None
 
     def held(self):
@@ -369,10 +372,10 @@
 
         Failure: hosts disagree for a second on which of them is home. A grant of one
         home is given back to the other, and holds its place at the first until long
-        after its request's deadline. So the home that gave it hears of it, and the
-        present one, which may have taken it over.
+        after its request's deadline. So the home that gave it hears of it, the present
+        one, which may have taken it over, and each that has asked for it since.
         """
-        homes = {self._home_of(hold.pool)}
+        homes = {self._home_of(hold.pool), *self._counted_at.get(hold.grant_id, ())}
         if hold.is_alone:
             own = msgspec.structs.replace(message, is_alone=True)
             self._send(self._own_id(), own)
@@ -392,6 +395,7 @@
         if self._held.pop(hold.grant_id, None) is None:
             return
         self._send_release(hold, outcome.kind.value, outcome)
+        self._counted_at.pop(hold.grant_id, None)
 
     def _release_unsent(self, hold):
         self._send_release(hold, "not_sent", None)
@@ -434,7 +438,7 @@
             if waiter.asked != self._home_of(waiter.pool):
                 waiter.inbox.put_nowait((_ASK_AGAIN, 0))
 
-    def report(self, pool, home_incarnation):
+    def report(self, pool, home_incarnation, home):
         """Return the answer to a new home's question.
 
         Failure: a home is killed and starts again at its address. Taken for the run
@@ -443,9 +447,12 @@
 
         Parameters
         ==========
-        pool, home_incarnation : str
+        pool, home_incarnation, home : str
+            The home by its run and by its address.
         """
         held = [hold for hold in self._held.values() if hold.pool == pool]
+        for hold in held:
+            self._counted_at.setdefault(hold.grant_id, set()).add(home)
         grants = tuple(_held_grant(hold) for hold in held)
         spent = ()
         if self._spent is not None:
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -17,6 +17,7 @@
     GrantQueued,
     GrantRefusal,
     GrantReply,
+    HomeClosed,
     HomeTakeover,
     NotHome,
 )
@@ -204,8 +205,20 @@
         for host in self._awaited:
             self._send(host, message)
 
+    def on_former_closed(self):
+        """Ask all hosts once more, as the home before this one has only now ended.
+
+        Failure: hosts disagree for a second on which of two is home, and both give out
+        customers' allowances. What the former gave after this one had asked would never
+        be counted, and a customer at its bound gets as much more.
+        """
+        self._awaited = set(self._asked)
+        self._ask_holders(self._clock.now_ms())
+
     def close(self, new_home):
         """Stop granting; send waiting requests on to the new home."""
+        if new_home:
+            self._send(new_home, HomeClosed(pool=self.pool))
         for queued in list(self._queued.values()):
             request = queued.request
             self._send_not_home(request.entry_host, request.request_id, new_home)
@@ -386,6 +399,7 @@
         for request_id in lost:
             del self._granted[request_id]
             self._held_elsewhere.pop(request_id, None)
+        self._asked.discard(host_id)
         if host_id in self._awaited:
             self._awaited.discard(host_id)
             if not self._awaited:
--- a/libs/host/src/hemlockhoist/host/inbound.py
+++ b/libs/host/src/hemlockhoist/host/inbound.py
@@ -25,6 +25,7 @@
     HandoverAck,
     HeldGrantIds,
     HeldGrants,
+    HomeClosed,
     HomeTakeover,
     KeyLookup,
     LeftUpstream,
@@ -115,10 +116,17 @@
 
 @_handle.register
 def _(message: HomeTakeover, context, sender, late_ms):
-    report = context.grants.report(message.pool, message.home_incarnation)
+    report = context.grants.report(message.pool, message.home_incarnation, sender)
     context.bus.send(sender, report)
 
 
+@_handle.register
+def _(message: HomeClosed, context, sender, late_ms):
+    home = context.homes.find(message.pool)
+    if home is not None:
+        home.on_former_closed()
+
+
 @_handle.register
 def _(message: HeldGrants, context, sender, late_ms):
     for home in context.homes.of_pool(message.pool):
--- a/libs/host/src/hemlockhoist/host/tests/test_grants.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_grants.py
@@ -17,6 +17,7 @@
     GrantRequest,
     HeldGrantIds,
     HeldGrants,
+    HomeClosed,
     HomeTakeover,
     RequestBrief,
 )
@@ -48,7 +49,7 @@
             asyncio.get_running_loop().call_soon(self._to_home, host, message)
 
     def from_home(self, host, message):
-        if self.drop(message):
+        if self.drop(message) or isinstance(message, HomeClosed):
             return
         loop = asyncio.get_running_loop()
         loop.call_later(self.delay_ms / 1000, self._to_entry, message, self.delay_ms)
@@ -70,7 +71,9 @@
 
     def _to_entry(self, message, late_ms):
         if isinstance(message, HomeTakeover):
-            report = self.client.report(message.pool, message.home_incarnation)
+            report = self.client.report(
+                message.pool, message.home_incarnation, message.home_incarnation
+            )
             self.from_entry(message.home_incarnation, report)
             return
         self.client.on_message(message, late_ms)
@@ -131,6 +134,63 @@
             await asyncio.sleep(0.05)
 
 
+class CountedElsewhereTests(GrantHarness):
+    async def test_each_home_that_asked_is_told_of_the_end(self):
+        """All places are taken for seconds as homes change, with engines idle.
+
+        A home asked what is held and counted it. To the entry host another one was
+        home, which alone heard of the end.
+        """
+        hold = await self._acquire("r1")
+        heir = self._add_home("h2")
+        heir.start((ENTRY,))
+        await asyncio.sleep(0.1)
+        self.assertEqual(heir.counts(), (0, 1))
+        self.client.release(hold, Outcome(kind=OutcomeKind.SUCCESS, total_ms=5))
+        await asyncio.sleep(0.1)
+        self.assertEqual(heir.counts(), (0, 0))
+        self.assertEqual(self.wire.homes["h1"].counts(), (0, 0))
+
+
+class FormerHomeTests(PausedTestCase):
+    def home(self, name, sent):
+        scheduler = PoolScheduler.from_config(POOL, TIERS, name)
+        identity = HostIdentity(
+            name=name, incarnation=name, address="", host_id=name, failure_domain=""
+        )
+        return PoolHome(
+            "chat",
+            scheduler,
+            identity,
+            Clock(asyncio.get_running_loop()),
+            lambda host, message: sent.append((host, message)),
+            (POOL, TIERS),
+            Traces.from_config(None, 0, name),
+        )
+
+    async def test_home_asks_again_when_the_former_one_has_ended(self):
+        """A customer is served 2 % more than its bound as two hosts are home at once.
+
+        Each took itself for it for a second. What the former gave out after the next
+        one had asked was counted by neither.
+        """
+        sent = []
+        heir = self.home("h2", sent)
+        heir.start((ENTRY, "other"))
+        heir.forget_host("other")
+        report = HeldGrants(pool="chat", home_incarnation="h2", grants=())
+        heir.on_held(ENTRY, report)
+        self.assertFalse(heir.recovering)
+        self.home("h1", sent).close("h2")
+        self.assertEqual(sent[-1], ("h2", HomeClosed(pool="chat")))
+        sent.clear()
+        heir.on_former_closed()
+        self.assertEqual([host for host, _ in sent], [ENTRY])
+        self.assertTrue(heir.recovering)
+        heir.on_held(ENTRY, report)
+        self.assertFalse(heir.recovering)
+
+
 class SpentReportTests(PausedTestCase):
     async def test_home_that_restarted_is_told_what_it_had_granted(self):
         """A customer is served more than its allowance after its home was killed.
@@ -175,8 +235,8 @@
             0,
         )
         await asked
-        self.assertEqual(client.report("chat", "run1").spent, ())
-        ((customer, parts),) = client.report("chat", "run2").spent
+        self.assertEqual(client.report("chat", "run1", "h1").spent, ())
+        ((customer, parts),) = client.report("chat", "run2", "h1").spent
         self.assertEqual((customer, sum(units for _, units in parts)), ("port", 500))
 
 
--- a/libs/messages/src/hemlockhoist/messages/codes.py
+++ b/libs/messages/src/hemlockhoist/messages/codes.py
@@ -50,6 +50,7 @@
     "MoveAnnounced": 42,
     "VersionHalted": 43,
     "StreamTaken": 44,
+    "HomeClosed": 45,
 }
 
 
--- a/libs/messages/src/hemlockhoist/messages/grants.py
+++ b/libs/messages/src/hemlockhoist/messages/grants.py
@@ -200,6 +200,14 @@
     home_incarnation: str
 
 
+class HomeClosed(
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
+):
+    """A former home of a pool tells the next one that it grants nothing more."""
+
+    pool: str
+
+
 class HeldGrants(
     msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
 ):
--- a/libs/messages/src/hemlockhoist/messages/registry.py
+++ b/libs/messages/src/hemlockhoist/messages/registry.py
@@ -31,6 +31,7 @@
     GrantRequest,
     HeldGrantIds,
     HeldGrants,
+    HomeClosed,
     HomeTakeover,
     NotHome,
 )
@@ -79,6 +80,7 @@
     Handover,
     HandoverAck,
     HeldGrants,
+    HomeClosed,
     HomeTakeover,
     KeyLookup,
     LeftUpstream,
