Read tables through readers from a host's start

Change: a host that starts waits for the list, and at most 60 ms for a reader to be known, before its first reading; where all start at once no reader is up and it reads the store as before.

--- a/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
@@ -16,11 +16,16 @@
     order_state,
 )
 from hemlockhoist.decisions.entry.prefixes import chained_hashes
-from hemlockhoist.decisions.entry.readers import find_readers, reader_for
+from hemlockhoist.decisions.entry.readers import (
+    MAX_DIRECT,
+    find_readers,
+    reader_for,
+)
 from hemlockhoist.decisions.entry.shares import PoolChooser
 from hemlockhoist.decisions.entry.sweep import StaleEntries
 
 __all__ = [
+    "MAX_DIRECT",
     "chained_hashes",
     "AttemptEnd",
     "DomainOrder",
--- a/libs/entry/src/hemlockhoist/entry/feeds.py
+++ b/libs/entry/src/hemlockhoist/entry/feeds.py
@@ -4,7 +4,7 @@
 import itertools
 
 from hemlockhoist.base import MS_PER_S, PlatformError, get_logger
-from hemlockhoist.decisions.entry import TableCopy, reader_for
+from hemlockhoist.decisions.entry import MAX_DIRECT, TableCopy, reader_for
 from hemlockhoist.messages import FeedAnswer, FeedQuestion, FeedRow, FeedState
 from hemlockhoist.store import HistoryGone, Reading, RowStore, StoreRow
 
@@ -24,6 +24,11 @@
 # The list of hosts tells a host that starts which readers there are; read within some
 # tens of milliseconds where the store answers.
 INTRODUCED_WAIT_MS = 500
+# Before a table is read for the first time, which callers wait for: for the list, and
+# then for a reader to answer. A reader that is up does so within a round trip or two.
+FIRST_LIST_WAIT_MS = 100
+FIRST_READER_WAIT_MS = 60
+READER_CHECK_MS = 5
 # Between two calls for the changes of a table that no proof hangs on: upstreams that
 # leave, come or warm up together show in one answer.
 CHANGES_APART_MS = 200
@@ -76,17 +81,14 @@
 
     async def read_table(self, table):
         """Return a ``Reading`` of all rows of a table."""
+        await self._wait_reader()
         reading = await self._relayed_reading(table, None, 0)
         if reading is not None:
             return reading
         return await self._own_table(table)
 
     async def read_changes(self, table, since_version, wait_ms):
-        """Return a ``Reading`` of the rows changed since a version.
-
-        The first reading of a table is urgent where all hosts start at once, and comes
-        from the store; what follows comes from a reader, as soon as one is known.
-        """
+        """Return a ``Reading`` of the rows changed since a version."""
         await self._context.fleet.wait_introduced(INTRODUCED_WAIT_MS)
         reading = await self._relayed_reading(table, since_version, wait_ms)
         if reading is not None:
@@ -94,6 +96,25 @@
         await self._keep_apart(table)
         return await self._own_changes(table, since_version, wait_ms)
 
+    async def _wait_reader(self):
+        """Wait a little for a reader to be known, where another host may be one.
+
+        Load: hosts of a large fleet that are restarted one after the other, each of
+        which would read all tables from the store. Where all start at once no reader is
+        up, and callers wait: so not for long.
+        """
+        fleet, clock = self._context.fleet, self._context.clock
+        await fleet.wait_introduced(FIRST_LIST_WAIT_MS)
+        until_ms = clock.now_ms() + FIRST_READER_WAIT_MS
+        while self._may_be_read_for() and clock.now_ms() < until_ms:
+            await asyncio.sleep(READER_CHECK_MS / MS_PER_S)
+
+    def _may_be_read_for(self):
+        """Return whether a reader that is not known yet may read for this host."""
+        fleet = self._context.fleet
+        is_small = len(fleet.live_hosts()) <= MAX_DIRECT
+        return not is_small and not fleet.is_strong and self._reader() is None
+
     async def _keep_apart(self, table):
         """Wait a little where the store was asked for a table's changes just now."""
         now_ms = self._context.clock.now_ms()
--- a/libs/entry/src/hemlockhoist/entry/tests/test_feeds.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_feeds.py
@@ -71,6 +71,7 @@
 
     def __init__(self, member, members, store, network):
         self.member = member
+        self.known = members
         self.store = CountedStore(store)
         self.rows = {}
         clock = Clock.from_running_loop()
@@ -81,7 +82,9 @@
             boot_clock=self.boot_clock,
             platform=types.SimpleNamespace(config_table=TABLE),
             fleet=types.SimpleNamespace(
-                steady_members=lambda: (member, members),
+                steady_members=lambda: (member, self.known),
+                live_hosts=lambda: [item.address for item in members],
+                is_strong=False,
                 wait_introduced=wait_nothing,
             ),
             knowledge=types.SimpleNamespace(
@@ -165,6 +168,28 @@
         for host in self.hosts:
             self.assertLess(host.proof_age_ms(), 2 * RELAYED_WAIT_MS)
 
+    async def start_one(self, is_known_after_ms):
+        """Start a host that hears of the others after a time; return its calls."""
+        member = Member(address="late", incarnation="r1", failure_domain="a")
+        members = [*self.others[0].known, member]
+        host = FeedHost(member, members, self.store, self.network)
+        host.known = [member]
+        loop = asyncio.get_running_loop()
+        loop.call_later(is_known_after_ms / 1_000, setattr, host, "known", members)
+        await host.watch.start()
+        self.addAsyncCleanup(host.watch.close)
+        await asyncio.sleep(2)
+        self.assertEqual(host.rows["config"], "v1")
+        return host.store.calls
+
+    async def test_host_that_starts_beside_others_asks_a_reader(self):
+        """Each restart of a host reads all tables, of a store that is paid by call."""
+        self.assertEqual(await self.start_one(is_known_after_ms=20), 0)
+
+    async def test_host_that_starts_alone_does_not_wait_for_long(self):
+        """Callers wait for routes as all hosts start, and no reader is up."""
+        self.assertGreater(await self.start_one(is_known_after_ms=1_000), 0)
+
     async def test_reader_that_falls_silent_costs_no_news(self):
         """A leaving upstream goes on getting requests while the reader is frozen."""
         self.network.silent.add(self.reader.member.address)
