--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/experiments.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/experiments.py
@@ -16,6 +16,7 @@
     BETTER_LATER = "better-later"
     KEPT_PARTS = "kept-parts"
     OUT_OF_TURN = "out-of-turn"
+    OWN_DOMAIN = "own-domain"
     PATIENCE = "patience"
     PAUSES = "pauses"
     RETURNS = "returns"
@@ -69,6 +70,9 @@
             fields["max_gap_ms"] = 0
         if Mechanism.KEPT_PARTS in self.left_out:
             fields["prefix_hashes"] = fields["prefix_tokens"] = ()
+        if Mechanism.OWN_DOMAIN in self.left_out:
+            # No upstream is in a domain without a name: none is nearer than another.
+            fields["failure_domain"] = ""
         return msgspec.structs.replace(request, **fields)
 
     def turns(self):
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_experiments.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_experiments.py
@@ -7,6 +7,7 @@
 from hemlockhoist.decisions.scheduling.tests.test_bursts import play_burst
 
 HINTS = {
+    "failure_domain": "coast-a",
     "request_id": "r1",
     "leaves_ms": 900,
     "max_gap_ms": 80,
@@ -33,6 +34,7 @@
             Mechanism.PATIENCE: {"leaves_ms": None},
             Mechanism.PAUSES: {"max_gap_ms": 0},
             Mechanism.KEPT_PARTS: {"prefix_hashes": (), "prefix_tokens": ()},
+            Mechanism.OWN_DOMAIN: {"failure_domain": ""},
         }
         for mechanism, fields in cases.items():
             with self.subTest(mechanism):
