Log the request limit that an upstream advertises

Cause: in the incident's logs nothing shows whether a host heard the limit of an upstream, when, or which figure, so that 'nobody reads it' can't be told from 'each host keeps it to itself' or 'grants go round it'.

The stand-in of a replica speaks the header. No decision uses any of it yet.

--- a/libs/base/src/hemlockhoist/base/metrics_table.py
+++ b/libs/base/src/hemlockhoist/base/metrics_table.py
@@ -252,6 +252,13 @@
     "Upstreams in the list that are not leaving.",
     "At 0, no upstream of the pool is registered.",
 )
+UPSTREAMS_LIMITED = Metric(
+    "upstreams.limited",
+    _G,
+    "pool",
+    "Upstreams whose latest answer to this host advertised a limit on requests.",
+    "The upstreams are in need: see limit_advertised in the logs, and why they are.",
+)
 DOMAINS_EVACUATED = Metric(
     "domains.evacuated",
     _G,
--- a/libs/cli/src/hemlockhoist/cli/explain.py
+++ b/libs/cli/src/hemlockhoist/cli/explain.py
@@ -22,6 +22,8 @@
         "host_gone",
         "host_leaving",
         "host_started",
+        "limit_advertised",
+        "limit_withdrawn",
         "lines_left_out",
         "routes_in_force",
         "store_lost",
--- a/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
@@ -1,5 +1,10 @@
 """Decisions an entry host makes for a single request or from its own state."""
 
+from hemlockhoist.decisions.entry.advertised_limits import (
+    NO_LIMIT,
+    AdvertisedLimit,
+    AdvertisedLimits,
+)
 from hemlockhoist.decisions.entry.attempts import AttemptEnd, Step, next_step
 from hemlockhoist.decisions.entry.copies import TableCopy
 from hemlockhoist.decisions.entry.evacuation import DomainOrder, EvacuatedDomains
@@ -26,6 +31,9 @@
 
 __all__ = [
     "MAX_DIRECT_READERS",
+    "NO_LIMIT",
+    "AdvertisedLimit",
+    "AdvertisedLimits",
     "chained_hashes",
     "AttemptEnd",
     "DomainOrder",
--- /dev/null
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/advertised_limits.py
@@ -0,0 +1,89 @@
+"""Limits on their request rate that upstreams advertise in their answers."""
+
+import math
+
+import msgspec
+
+NO_LIMIT = math.inf
+
+
+class AdvertisedLimit(msgspec.Struct, frozen=True):
+    """The limit that an upstream advertised in the latest answer to a host.
+
+    Parameters
+    ==========
+    pool : str
+    requests_per_s : float
+        From all hosts together; ``NO_LIMIT`` if the latest answer advertised none.
+    heard_ms : int
+        When the host received the answer, on its clock.
+    """
+
+    pool: str
+    requests_per_s: float
+    heard_ms: int
+
+
+class AdvertisedLimits:
+    """Tracks the limits that upstreams advertised in their answers to one host.
+
+    An upstream in need advertises in each answer how many requests a second it takes
+    from all hosts together. Upstreams that never advertised a limit use no memory.
+
+    Examples
+    ========
+    >>> from hemlockhoist.decisions.entry import NO_LIMIT, AdvertisedLimits
+    >>> limits = AdvertisedLimits()
+    >>> limits.record("halls", "u1", 1.5, now_ms=0)
+    True
+    >>> limits.record("halls", "u1", 1.5, now_ms=10)
+    False
+    >>> limits.record("halls", "u2", NO_LIMIT, now_ms=10)
+    False
+    >>> limits.count_by_pool()
+    {'halls': 1}
+    """
+
+    __slots__ = ("_limits", "_started_unix_ms")
+
+    def __init__(self):
+        self._limits = {}
+        self._started_unix_ms = {}
+
+    def record(self, pool, upstream_id, requests_per_s, now_ms):
+        """Record what an answer advertises; return whether the limit changed.
+
+        Parameters
+        ==========
+        pool, upstream_id : str
+        requests_per_s : float or None
+            None if the answer advertises a limit that cannot be read, which leaves the
+            known one in force.
+        now_ms : int
+        """
+        known = self._limits.get(upstream_id)
+        if requests_per_s is None:
+            return False
+        if known is None and requests_per_s == NO_LIMIT:
+            return False
+        self._limits[upstream_id] = AdvertisedLimit(pool, requests_per_s, now_ms)
+        return known is None or known.requests_per_s != requests_per_s
+
+    def set_listed(self, upstreams):
+        """Forget the limits of upstreams that are gone or have restarted."""
+        started = {item.upstream_id: item.started_unix_ms for item in upstreams}
+        self._limits = {
+            key: limit
+            for key, limit in self._limits.items()
+            if key in started
+            and self._started_unix_ms.get(key, started[key]) == started[key]
+        }
+        self._started_unix_ms = started
+
+    def count_by_pool(self):
+        """Return the number of upstreams with a limit, by pool."""
+        counts = {}
+        for limit in self._limits.values():
+            limited = limit.requests_per_s != NO_LIMIT
+            counts[limit.pool] = counts.get(limit.pool, 0) + limited
+        return counts
--- /dev/null
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_advertised_limits.py
@@ -0,0 +1,45 @@
+import unittest
+
+from hemlockhoist.decisions import Upstream
+from hemlockhoist.decisions.entry import NO_LIMIT, AdvertisedLimits
+
+
+def upstream(upstream_id, started_unix_ms=1):
+    return Upstream(
+        upstream_id=upstream_id,
+        pool="halls",
+        version="v1",
+        address="ip:1",
+        started_unix_ms=started_unix_ms,
+    )
+
+
+class AdvertisedLimitsTests(unittest.TestCase):
+    def setUp(self):
+        self.limits = AdvertisedLimits()
+        self.limits.set_listed([upstream("u1"), upstream("u2")])
+
+    def record(self, requests_per_s, upstream_id="u1", now_ms=0):
+        return self.limits.record("halls", upstream_id, requests_per_s, now_ms)
+
+    def test_changes_are_reported_once(self):
+        self.assertEqual(
+            [self.record(value) for value in (NO_LIMIT, 1.5, 1.5, 1.2, NO_LIMIT)],
+            [False, True, False, True, True],
+        )
+        self.assertEqual(self.limits.count_by_pool(), {"halls": 0})
+
+    def test_unreadable_limit_leaves_the_known_one(self):
+        """Guards against an upstream in need that is flooded after a garbled header."""
+        self.record(1.5)
+        self.assertFalse(self.record(None))
+        self.assertEqual(self.limits.count_by_pool(), {"halls": 1})
+        self.assertFalse(self.record(None, "u2"))
+
+    def test_limits_of_gone_and_restarted_upstreams_are_forgotten(self):
+        self.record(1.5, "u1")
+        self.record(1.5, "u2")
+        self.limits.set_listed([upstream("u1"), upstream("u2", started_unix_ms=2)])
+        self.assertEqual(self.limits.count_by_pool(), {"halls": 1})
+        self.limits.set_listed([])
+        self.assertEqual(self.limits.count_by_pool(), {})
--- a/libs/entry/src/hemlockhoist/entry/attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt.py
@@ -1,7 +1,7 @@
 """One attempt to send a request, and the outcome reported to the pool's home."""
 
 from hemlockhoist.decisions import Outcome, OutcomeKind
-from hemlockhoist.decisions.entry import AttemptEnd
+from hemlockhoist.decisions.entry import NO_LIMIT, AttemptEnd
 
 _OUTCOMES = {
     AttemptEnd.NOT_SENT: OutcomeKind.NOT_SENT,
@@ -31,6 +31,7 @@
         "is_misdirected",
         "is_reachable",
         "kind",
+        "limit_per_s",
         "longest_gap_ms",
         "output_tokens",
         "reason",
@@ -52,6 +53,13 @@
         self.longest_gap_ms = 0
         self.token_us = -1
         self.reason = ""
+        # As in ``ResponseHead``; None also before any answer.
+        self.limit_per_s = None
+
+    @property
+    def limit_text(self):
+        """The limit that the upstream advertised, for logs; empty if it has none."""
+        return "" if self.limit_per_s in (None, NO_LIMIT) else self.limit_per_s
 
     def record_end(self, end):
         """Set the outcome kind from how the attempt ended; None means success."""
--- a/libs/entry/src/hemlockhoist/entry/context.py
+++ b/libs/entry/src/hemlockhoist/entry/context.py
@@ -25,6 +25,8 @@
     homes : HomeService
     grants : GrantClient
     moves : OrderedMoveService
+    advertised_limits : AdvertisedLimits
+        The limits that upstreams advertised in answers to this host.
     upstreams : UpstreamClient
     register : DispatchRegister
     leaving : bool
@@ -35,6 +37,7 @@
     """
 
     __slots__ = (
+        "advertised_limits",
         "boot_clock",
         "bus",
         "clock",
--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -25,7 +25,7 @@
 )
 from hemlockhoist.base.traces import Hop
 from hemlockhoist.decisions import OutcomeKind
-from hemlockhoist.decisions.entry import AttemptEnd, Step, next_step
+from hemlockhoist.decisions.entry import NO_LIMIT, AttemptEnd, Step, next_step
 from hemlockhoist.declarations import CallKind
 from hemlockhoist.entry.attempt import Attempt
 from hemlockhoist.entry.responses import upstream_response
@@ -341,6 +341,7 @@
     async def _read_response(self, response, attempt):
         wire = self._context.platform.wire
         head = wire.read_response_head(response.status, response.headers)
+        self._record_limit(head, attempt)
         if head.is_misdirected:
             # The listed process has been replaced by another one: equivalent to a
             # refused connection, so another upstream can be tried safely.
@@ -360,6 +361,26 @@
             return await self._relay_stream(response, head, attempt)
         return await self._read_full_response(response, head, attempt)
 
+    def _record_limit(self, head, attempt):
+        """Record the limit that the upstream advertises in the head of its answer.
+
+        Another process that answers at its address says nothing about the upstream.
+        """
+        if head.is_misdirected:
+            return
+        attempt.limit_per_s = head.limit_per_s
+        hold, limits = attempt.hold, self._context.advertised_limits
+        now_ms = self._context.clock.now_ms()
+        if limits.record(hold.pool, hold.upstream_id, head.limit_per_s, now_ms):
+            is_limited = head.limit_per_s != NO_LIMIT
+            _log.info(
+                "limit_advertised" if is_limited else "limit_withdrawn",
+                request=self.request_id,
+                upstream=hold.upstream_id,
+                pool=hold.pool,
+                requests_per_s=attempt.limit_text,
+            )
+
     async def _read_full_response(self, response, head, attempt):
         body = await response.read(MAX_RESPONSE_BYTES)
         attempt.first_ms = self._context.clock.now_ms()
@@ -468,5 +489,6 @@
             first_ms=outcome.first_token_ms,
             total_ms=outcome.total_ms,
             longest_gap_ms=attempt.longest_gap_ms,
+            limit_per_s=attempt.limit_text,
             reason=attempt.reason,
         )
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -33,9 +33,11 @@
     REQUESTS_OPEN,
     STORE_CALLS,
     STORE_FAILURES,
+    UPSTREAMS_LIMITED,
     UPSTREAMS_LISTED,
 )
 from hemlockhoist.base.traces import Traces
+from hemlockhoist.decisions.entry import AdvertisedLimits
 from hemlockhoist.decisions.limits import UsageLog, partition_share
 from hemlockhoist.decisions.scheduling import ColdStartLimit, Warmup
 from hemlockhoist.declarations import Declarations, Pool, PoolKind, VersionRules
@@ -195,6 +197,7 @@
 
     def _build(self, context):
         context.declarations = Declarations()
+        context.advertised_limits = AdvertisedLimits()
         context.gate = QuotaGate(self.settings.bounds)
         context.moves = OrderedMoveService(
             context, TypedRows(self._platform.store), context.bus.send
@@ -314,7 +317,9 @@
 
     def _on_upstreams(self):
         context = self.context
-        context.homes.set_upstreams(context.store_view.usable())
+        upstreams = context.store_view.usable()
+        context.advertised_limits.set_listed(upstreams)
+        context.homes.set_upstreams(upstreams)
 
     def _on_unresponsive(self, host_id):
         self.context.fleet.on_unresponsive(host_id)
@@ -366,6 +371,8 @@
         metrics.gauge(DOMAINS_EVACUATED, len(evacuated))
         for pool, count in context.store_view.count_live().items():
             metrics.gauge(UPSTREAMS_LISTED, count, pool)
+        for pool, count in context.advertised_limits.count_by_pool().items():
+            metrics.gauge(UPSTREAMS_LIMITED, count, pool)
         for prop, count in context.invariants.violations.items():
             metrics.gauge(INVARIANT_VIOLATIONS, count, prop.name)
         for pool, home in context.homes.active().items():
--- a/libs/entry/src/hemlockhoist/entry/wire.py
+++ b/libs/entry/src/hemlockhoist/entry/wire.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from hemlockhoist.decisions.entry import NO_LIMIT
+
 
 class CallerCall(msgspec.Struct, frozen=True, kw_only=True):
     """A caller's request, parsed from its head.
@@ -110,6 +112,9 @@
         Whether the upstream reports that it is not the addressed process.
     running, waiting : int or None
         Number of requests that the upstream runs and queues, if reported.
+    limit_per_s : float or None
+        Requests per second that the upstream takes from all hosts together;
+        ``NO_LIMIT`` if it advertises no limit, None if the limit cannot be read.
     """
 
     status: int
@@ -119,6 +124,7 @@
     is_misdirected: bool = False
     running: int | None = None
     waiting: int | None = None
+    limit_per_s: float | None = NO_LIMIT
 
 
 class WireFormat(abc.ABC):
--- a/libs/standins/src/hemlockhoist/standins/published/replica.py
+++ b/libs/standins/src/hemlockhoist/standins/published/replica.py
@@ -58,6 +58,8 @@
         The requests that it began to run.
     rejected : list of ReceivedRequest
         The requests that it answered without running them.
+    limit_per_s : float or str, optional
+        The limit on requests per second that it names in its answers; None for none.
     """
 
     def __init__(self, replica_id, events=0, slots=4):
@@ -67,6 +69,7 @@
         self.behaviour = Behaviour.NORMAL
         self.delay_ms = 0
         self.event_ms = 0
+        self.limit_per_s = None
         self.ran = []
         self.rejected = []
         self.address = ""
@@ -146,6 +149,7 @@
         else:
             return False
         self.rejected.append(received)
+        extra += self._condition()
         text = f"HTTP/1.1 {status}\r\n{extra}Content-Length: 0\r\n\r\n"
         writer.write(text.encode())
         await writer.drain()
@@ -173,9 +177,15 @@
             receipt = ""
         return (
             f"HTTP/1.1 {status}\r\nAttempt-Id: {attempt}\r\n{receipt}"
-            f"Server-Load: 1,0,{self.slots}\r\n{framing}\r\n"
+            f"Server-Load: 1,0,{self.slots}\r\n{self._condition()}{framing}\r\n"
         ).encode()
 
+    def _condition(self):
+        """Return the header lines in which it tells of its own condition."""
+        if self.limit_per_s is None:
+            return ""
+        return f"Server-Limit: {self.limit_per_s}\r\n"
+
     async def _send_body(self, received, writer):
         body = f"answer of {self.replica_id} to {received.target}".encode()
         failed = self.behaviour is Behaviour.FAILS
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_explained.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_explained.py
@@ -101,6 +101,19 @@
         self.assertIn("code 216", text)
         self.assertIn("store_lost table=op", text)
 
+    async def test_limit_that_an_upstream_advertises(self):
+        limited = Replica("s1")
+        limited.limit_per_s = 1.5
+        lookup = route("check-free", "reservas")
+        async with Site({"reservas": [limited]}, [lookup]) as site:
+            async with site.call("/check-free/1") as answer:
+                await answer.read()
+            limits = site.hosts[0].context.advertised_limits
+            self.assertEqual(limits.count_by_pool(), {"reservas": 1})
+        text = self.explain("a1")
+        self.assertIn("limit_advertised upstream=s1 pool=reservas", text)
+        self.assertIn("limit_per_s=1.5", text)
+
     async def test_unknown_request_id(self):
         found = CliRunner().invoke(main, ["explain", "nobody"], self.log.getvalue())
         self.assertNotEqual(found.exit_code, 0)
