--- a/libs/base/src/hemlockhoist/base/metrics_table.py
+++ b/libs/base/src/hemlockhoist/base/metrics_table.py
@@ -274,6 +274,14 @@
     "A few at each change of the list are normal. If they are continuous, the home "
     "cannot reach the store.",
 )
+GRANTS_HELD_BACK = Metric(
+    "grants.held_back",
+    _C,
+    "cause",
+    "Requests that were queued or refused while an upstream had a free slot that it "
+    "asked not to be given: it advertises a limit on its requests.",
+    "If it is continuous, the upstreams can't take the load: see limit_advertised.",
+)
 LEDGER_IN_PROGRESS = Metric(
     "ledger.in_progress",
     _G,
--- a/libs/cli/src/hemlockhoist/cli/explain.py
+++ b/libs/cli/src/hemlockhoist/cli/explain.py
@@ -23,6 +23,8 @@
         "host_leaving",
         "host_started",
         "limit_advertised",
+        "limit_enforced",
+        "limit_lifted",
         "limit_withdrawn",
         "lines_left_out",
         "routes_in_force",
--- a/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
@@ -1,7 +1,6 @@
 """Decisions an entry host makes for a single request or from its own state."""
 
 from hemlockhoist.decisions.entry.advertised_limits import (
-    NO_LIMIT,
     AdvertisedLimit,
     AdvertisedLimits,
 )
@@ -31,7 +30,6 @@
 
 __all__ = [
     "MAX_DIRECT_READERS",
-    "NO_LIMIT",
     "AdvertisedLimit",
     "AdvertisedLimits",
     "chained_hashes",
--- a/libs/decisions/src/hemlockhoist/decisions/entry/advertised_limits.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/advertised_limits.py
@@ -1,10 +1,14 @@
 """Limits on their request rate that upstreams advertise in their answers."""
 
-import math
+import itertools
 
 import msgspec
 
-NO_LIMIT = math.inf
+from hemlockhoist.messages import NO_LIMIT, HeardLimit
+
+# A new home asks all hosts what they have heard. Where a thousand hosts hear of a
+# thousand limits, the latest ones of each host are enough to cover all upstreams.
+MAX_REPORTED = 200
 
 
 class AdvertisedLimit(msgspec.Struct, frozen=True):
@@ -32,7 +36,8 @@
 
     Examples
     ========
-    >>> from hemlockhoist.decisions.entry import NO_LIMIT, AdvertisedLimits
+    >>> from hemlockhoist.decisions.entry import AdvertisedLimits
+    >>> from hemlockhoist.messages import NO_LIMIT
     >>> limits = AdvertisedLimits()
     >>> limits.record("halls", "u1", 1.5, now_ms=0)
     True
@@ -61,9 +66,10 @@
             known one in force.
         now_ms : int
         """
-        known = self._limits.get(upstream_id)
         if requests_per_s is None:
             return False
+        # Removed first, so that the limits stay in the order in which they were heard.
+        known = self._limits.pop(upstream_id, None)
         if known is None and requests_per_s == NO_LIMIT:
             return False
         self._limits[upstream_id] = AdvertisedLimit(pool, requests_per_s, now_ms)
@@ -80,6 +86,24 @@
         }
         self._started_unix_ms = started
 
+    def report(self, pool, now_ms):
+        """Return what the upstreams of a pool advertised to this host most recently.
+
+        Returns
+        =======
+        tuple of HeardLimit
+        """
+        found = (
+            HeardLimit(
+                upstream_id=upstream_id,
+                requests_per_s=limit.requests_per_s,
+                age_ms=now_ms - limit.heard_ms,
+            )
+            for upstream_id, limit in reversed(self._limits.items())
+            if limit.pool == pool
+        )
+        return tuple(itertools.islice(found, MAX_REPORTED))
+
     def count_by_pool(self):
         """Return the number of upstreams with a limit, by pool."""
         counts = {}
--- a/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_advertised_limits.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_advertised_limits.py
@@ -1,7 +1,9 @@
 import unittest
 
 from hemlockhoist.decisions import Upstream
-from hemlockhoist.decisions.entry import NO_LIMIT, AdvertisedLimits
+from hemlockhoist.decisions.entry import AdvertisedLimits
+from hemlockhoist.decisions.entry.advertised_limits import MAX_REPORTED
+from hemlockhoist.messages import NO_LIMIT
 
 
 def upstream(upstream_id, started_unix_ms=1):
@@ -36,6 +38,19 @@
         self.assertEqual(self.limits.count_by_pool(), {"halls": 1})
         self.assertFalse(self.record(None, "u2"))
 
+    def test_latest_limits_of_a_pool_are_reported_first(self):
+        """Guards against a new home that a thousand hosts send all they ever heard."""
+        for number in range(2 * MAX_REPORTED):
+            self.record(1.5, f"u{number}", now_ms=number)
+        self.record(2.5, "u0", now_ms=1_000)
+        self.limits.record("labels", "other", 1.0, 1_000)
+        reported = self.limits.report("halls", 1_010)
+        self.assertEqual(len(reported), MAX_REPORTED)
+        newest = reported[0]
+        self.assertEqual(
+            (newest.upstream_id, newest.requests_per_s, newest.age_ms), ("u0", 2.5, 10)
+        )
+
     def test_limits_of_gone_and_restarted_upstreams_are_forgotten(self):
         self.record(1.5, "u1")
         self.record(1.5, "u2")
--- a/libs/decisions/src/hemlockhoist/decisions/limits/retry_limiter.py
+++ b/libs/decisions/src/hemlockhoist/decisions/limits/retry_limiter.py
@@ -77,6 +77,13 @@
         bucket[2] += 1
         return True
 
+    def refund(self, acquired_ms):
+        """Stop counting a retry that was allowed at ``acquired_ms`` and not sent."""
+        number = acquired_ms // self._bucket_ms
+        for bucket in self._buckets:
+            if bucket[0] == number and bucket[2]:
+                bucket[2] -= 1
+
     def _current_bucket(self, now_ms):
         """Return the current bucket, after dropping those that left the window."""
         number = now_ms // self._bucket_ms
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/admission.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/admission.py
@@ -1,5 +1,7 @@
 """Admission control: whether a request is queued, and when to retry if it is not."""
 
+import msgspec
+
 from hemlockhoist.base import ResultCode
 
 # A retry that comes sooner than this only adds load.
@@ -38,6 +40,21 @@
 DISCONNECT_MARGIN_MS = 100
 
 
+class PoolCapacity(msgspec.Struct, frozen=True):
+    """How many requests the upstreams of a pool can take.
+
+    Parameters
+    ==========
+    slots : float
+        Of all upstreams that accept work.
+    start_wait_ms : int
+        Time until the first of them may be sent a request at all.
+    """
+
+    slots: float
+    start_wait_ms: int = 0
+
+
 class TierLoad:
     """Granted work by tier, as the average number of slots held over recent seconds."""
 
@@ -123,29 +140,30 @@
                 self._shedding_ranks.discard(shed)
         return any(shed < rank for shed in self._shedding_ranks)
 
-    def wait_ms(self, request, queue, slots, now_ms):
+    def wait_ms(self, request, queue, capacity, now_ms):
         """Return how long the request is expected to wait for a slot.
 
         Parameters
         ==========
         request : hemlockhoist.decisions.WorkRequest
         queue : RequestQueue
-        slots : int
-            Of all upstreams that accept work.
+        capacity : PoolCapacity
         now_ms : int
         """
         rank = request.tier_rank
         ahead_ms = queue.tier(rank).work_ahead_ms(request)
         ahead_ms += sum(queue.tier(r).cost_ms for r in queue.ranks if r < rank)
         if ahead_ms <= 0:
-            return 0.0
+            return capacity.start_wait_ms
+        slots = capacity.slots
         left = slots - self._load.slots_above(rank, now_ms)
         # At least one slot is counted. Failure prevented: after a home has moved, two
         # of three upstreams leave and the third fails, so no slot is left while
         # requests wait; the division by zero made each submit end as an internal error.
-        return ahead_ms / max(MIN_SLOT_FRACTION * max(1, slots), left)
+        queue_wait_ms = ahead_ms / max(MIN_SLOT_FRACTION * max(1, slots), left)
+        return capacity.start_wait_ms + queue_wait_ms
 
-    def refusal_code(self, request, queue, slots, estimate, now_ms):
+    def refusal_code(self, request, queue, capacity, estimate, now_ms):
         """Return the code with which the request is refused, or None to admit it.
 
         Returns
@@ -165,15 +183,15 @@
         slack = slack_ms(request, estimate, now_ms)
         if self.lower_tier_served(request.tier_rank, now_ms):
             slack = max(slack, longest_ms)
-        if self.wait_ms(request, queue, slots, now_ms) > slack:
+        if self.wait_ms(request, queue, capacity, now_ms) > slack:
             return ResultCode.OVERLOADED
         return None
 
-    def retry_after_ms(self, request, queue, slots, estimate, now_ms):
+    def retry_after_ms(self, request, queue, capacity, estimate, now_ms):
         """Return the time until the queue is short enough for the request."""
-        if slots <= 0:
+        if capacity.slots <= 0:
             return NO_UPSTREAM_RETRY_AFTER_MS
-        wait_ms = self.wait_ms(request, queue, slots, now_ms)
+        wait_ms = self.wait_ms(request, queue, capacity, now_ms)
         over_ms = wait_ms - slack_ms(request, estimate, now_ms) / 2
         return int(min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, over_ms)))
 
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/assignment.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/assignment.py
@@ -138,7 +138,7 @@
                     first.request, now_ms
                 ):
                     break
-                eligible = self._eligible(first, free, changed)
+                eligible = self._without_limit(self._eligible(first, free, changed))
                 if not eligible:
                     break
                 waiting, due_ms = self._queue.take(rank)
@@ -155,6 +155,15 @@
                     free.remove(upstream)
         return decisions
 
+    def _without_limit(self, upstreams):
+        """Return the upstreams that advertise no limit on their request rate.
+
+        What is left of a limit is for the highest tier that waits: a request that
+        overtakes others is short, but uses up as much of a limit as a long one.
+        """
+        is_limited = self._upstreams.tracker.is_limited
+        return [item for item in upstreams if not is_limited(item.upstream_id)]
+
     def _choose_upstream(self, request, free, ahead, now_ms):
         if not free:
             return None
@@ -184,6 +193,7 @@
             version=upstream.version,
             expires_ms=now_ms + GRANT_TTL_MS,
             is_cold=self._upstreams.tracker.is_cold(upstream.upstream_id, now_ms),
+            is_limited=self._upstreams.tracker.is_limited(upstream.upstream_id),
         )
         held = InFlightGrant(request, grant, now_ms, waiting.cost_ms)
         self._grants.add(held)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
@@ -11,11 +11,11 @@
 from hemlockhoist.decisions.scheduling.declared_slots_upstream import (
     DeclaredSlotsUpstream,
 )
+from hemlockhoist.decisions.scheduling.intake import UpstreamIntake
 from hemlockhoist.decisions.scheduling.pace import PoolPace
 from hemlockhoist.decisions.scheduling.prompt_cache import PromptCache
 from hemlockhoist.decisions.scheduling.recovery import DECLARED_RECOVERY_MS
 from hemlockhoist.decisions.scheduling.upstream_tracker import UpstreamTracker
-from hemlockhoist.decisions.scheduling.warmup import Warmup
 from hemlockhoist.decisions.work import OutcomeKind
 
 US_PER_MS = 1_000
@@ -26,6 +26,7 @@
 PROMPT_GAP_FRACTION = 0.8
 _FAILURES = frozenset({OutcomeKind.FAILED, OutcomeKind.BROKE_OFF, OutcomeKind.TIMEOUT})
 _CONNECT_FAILURES = frozenset({OutcomeKind.CONNECT_FAILED})
+_UNSENT = frozenset({OutcomeKind.CONNECT_FAILED, OutcomeKind.NOT_SENT})
 
 
 class DeclaredSlotsTracker(UpstreamTracker):
@@ -41,18 +42,18 @@
 
     __slots__ = (
         "_cache",
+        "_intake",
         "_max_gaps_ms",
         "_pace",
         "_slot_count",
         "_tracked",
         "_unreachable",
         "_usable",
-        "_warmup",
     )
     recovery_ms = DECLARED_RECOVERY_MS
 
     def __init__(self, cache_tokens=0, warmup=None):
-        self._warmup = warmup or Warmup()
+        self._intake = UpstreamIntake(warmup)
         self._cache = PromptCache(cache_tokens)
         self._tracked = {}
         # The tracked upstreams that may be assigned work.
@@ -70,17 +71,19 @@
         previous = self._tracked
         self._slot_count = ((), 0)
         self._tracked = {}
+        new_ids = set()
         for item in upstreams:
             tracked = previous.get(item.upstream_id)
             if tracked is None or tracked.started_unix_ms != item.started_unix_ms:
                 tracked = DeclaredSlotsUpstream(item, self._pace)
                 self._cache.forget(item.upstream_id)
+                new_ids.add(item.upstream_id)
             tracked.limit.slots = item.slot_count
             self._tracked[item.upstream_id] = tracked
         for upstream_id in previous.keys() - self._tracked.keys():
             self._cache.forget(upstream_id)
         self._unreachable &= self._tracked.keys()
-        self._warmup.set_listed(upstreams)
+        self._intake.set_listed(upstreams, new_ids)
 
     def set_usable(self, upstreams, now_ms):
         """Set the upstreams that may be assigned work."""
@@ -101,23 +104,42 @@
 
     def accepts_more(self, upstream_id, now_ms):
         """Return whether an upstream may take a request, apart from free slots."""
-        return self._warmup.allows(upstream_id, now_ms)
+        return self._intake.allows(upstream_id, now_ms)
 
     def begin_takeover(self, now_ms):
         """Begin as a new home, possibly as the successor of another one."""
-        self._warmup.assume_limit_used(now_ms)
+        self._intake.begin_takeover(now_ms)
 
     def set_share(self, share):
         """Set the share of the fleet-wide bounds that this home may use."""
-        self._warmup.set_share(share)
+        self._intake.set_share(share)
 
     def is_cold(self, upstream_id, now_ms):
         """Return whether an upstream is still warming up after its start."""
-        return self._warmup.is_cold(upstream_id, now_ms)
+        return self._intake.warmup.is_cold(upstream_id, now_ms)
+
+    def observe_limit(self, upstream_id, requests_per_s, heard_ms, now_ms):
+        """Record the limit that an upstream advertised; return whether it changed."""
+        limits = self._intake.limits
+        self._slot_count = ((), 0)
+        return limits.observe(upstream_id, requests_per_s, heard_ms, now_ms)
+
+    @property
+    def any_limited(self):
+        """Whether any upstream advertises a limit on its request rate."""
+        return self._intake.limits.any_limited
+
+    def is_limited(self, upstream_id):
+        """Return whether an upstream advertises a limit on its request rate."""
+        return self._intake.limits.is_limited(upstream_id)
+
+    def limit_wait_ms(self, upstream_id, now_ms):
+        """Return when an advertised limit allows the next request, as time from now."""
+        return self._intake.limits.wait_ms(upstream_id, now_ms)
 
     def on_adopt(self, held, now_ms):
         """Record a grant of a previous home."""
-        self._warmup.record_grant(held.grant.upstream_id, now_ms)
+        self._intake.warmup.record_grant(held.grant.upstream_id, now_ms)
 
     def with_free_slot(self, upstreams, in_flight, now_ms):
         """Return those of the given upstreams that may be assigned one more request.
@@ -130,9 +152,7 @@
             for item in upstreams
             if in_flight(item.upstream_id) < tracked[item.upstream_id].limit.slots
         ]
-        if self._warmup.any_cold(now_ms):
-            allows = self._warmup.allows
-            free = [item for item in free if allows(item.upstream_id, now_ms)]
+        free = self._intake.allowed(free, now_ms)
         if not unreachable:
             return free
         return [
@@ -143,14 +163,33 @@
         ]
 
     def count_slots(self, upstreams, now_ms):
-        """Return the total number of slots of the given upstreams."""
-        if self._unreachable:
+        """Return the total number of slots of the given upstreams.
+
+        Of an upstream that advertises a limit, only those count that requests at its
+        rate keep busy, so that expected waits and retry times are true.
+        """
+        if self._unreachable and not self.any_limited:
             return super().count_slots(upstreams, now_ms)
         if self._slot_count[0] is not upstreams:
-            count = super().count_slots(upstreams, now_ms)
+            count = self._count_slots_in_use(upstreams, now_ms)
             self._slot_count = (upstreams, count)
         return self._slot_count[1]
 
+    def _count_slots_in_use(self, upstreams, now_ms):
+        if not self.any_limited:
+            return super().count_slots(upstreams, now_ms)
+        count = 0.0
+        for item in upstreams:
+            tracked = self._tracked[item.upstream_id]
+            in_use = tracked.hold_ms * self._starts_per_ms(item.upstream_id, tracked)
+            count += min(self.slots(item.upstream_id, now_ms), in_use)
+        return count
+
+    def _starts_per_ms(self, upstream_id, tracked):
+        return self._intake.starts_per_ms(
+            upstream_id, tracked.limit.slots, tracked.hold_ms
+        )
+
     def hold_ms(self, request):
         """Return how long a request is expected to hold a slot at the pool's pace."""
         return self._pace.hold_ms(request)
@@ -224,14 +263,16 @@
         within_ms = IN_TIME_FRACTION * left_ms
         slots_per_ms = 0.0
         earliest_ms = None
-        for tracked in self._usable.values():
+        for upstream_id, tracked in self._usable.items():
             if tracked is here or not work.allows_region(tracked.region):
                 continue
+            limit_wait_ms = self.limit_wait_ms(upstream_id, now_ms)
             first_ms = tracked.first_token_within(
-                work, within_ms, max_prompts_ms, now_ms
+                work, within_ms - limit_wait_ms, max_prompts_ms, now_ms
             )
             if first_ms is not None:
-                slots_per_ms += tracked.limit.slots / max(1.0, tracked.hold_ms)
+                first_ms += limit_wait_ms
+                slots_per_ms += self._starts_per_ms(upstream_id, tracked)
                 earliest_ms = min(first_ms, earliest_ms or first_ms)
         if not slots_per_ms:
             return False
@@ -273,7 +314,7 @@
             self._max_gaps_ms[request.route] = request.max_gap_ms
         upstream_id = held.grant.upstream_id
         tracked = self._tracked[upstream_id]
-        self._warmup.record_grant(upstream_id, now_ms)
+        self._intake.record_grant(upstream_id, now_ms)
         cached = self._cached_tokens(request).get(upstream_id, 0)
         tracked.on_grant(held, self._pace.work(request), now_ms, cached)
         if len(request.prefix_tokens) == len(request.prefix_hashes):
@@ -302,6 +343,8 @@
         if tracked is None:
             return
         tracked.on_prompt_done(held, now_ms)
+        if outcome.kind in _UNSENT:
+            self._intake.limits.record_unsent(upstream_id)
         if outcome.kind in _CONNECT_FAILURES:
             tracked.breaker.on_connect_failure(now_ms)
             self._unreachable.add(upstream_id)
@@ -323,7 +366,7 @@
         """
         if upstream_id in self._unreachable:
             self._unreachable.discard(upstream_id)
-            self._warmup.assume_cold(upstream_id, now_ms)
+            self._intake.warmup.assume_cold(upstream_id, now_ms)
 
     def forget(self, held, now_ms):
         """Remove a grant whose outcome will not be reported."""
@@ -335,7 +378,10 @@
         """Update which requests have stalled and which upstreams are cold."""
         for upstream_id, tracked in self._tracked.items():
             tracked.count_stalled(now_ms)
-            tracked.set_cold(self._warmup.is_cold(upstream_id, now_ms))
+            tracked.set_cold(self._intake.warmup.is_cold(upstream_id, now_ms))
+        if self.any_limited:
+            # Under limits, the count depends on how long requests hold their slots.
+            self._slot_count = ((), 0)
 
 
 def _observe_pace(tracked, outcome):
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/overtaking.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/overtaking.py
@@ -46,6 +46,10 @@
         return may_overtake
 
     def _max_hold_ms(self, rank, now_ms):
+        if self._upstreams.all_limited():
+            # The next request that a limit allows is for the highest tier, however
+            # short those of lower tiers are.
+            return -1.0
         tracker = self._upstreams.tracker
         above = [item.request for item in self._queue.first_above(rank)]
         overtaken = [(item.tier_rank, tracker.hold_ms(item) or 0.0) for item in above]
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -6,6 +6,7 @@
 from hemlockhoist.decisions.scheduling.admission import (
     LATE_REVIEW_MS,
     Admission,
+    PoolCapacity,
     latest_start_ms,
     slack_ms,
 )
@@ -213,6 +214,46 @@
         self._upstreams.tracker.on_first_token(held, first_token_ms, now_ms)
         return self._decide(now_ms, held.grant.upstream_id)
 
+    def grant(self, grant_id):
+        """Return the ``Grant`` in flight of an id, or None."""
+        held = self._grants.get(grant_id)
+        return None if held is None else held.grant
+
+    def grant_of(self, request_id):
+        """Return the ``Grant`` in flight of a request, or None."""
+        held = self._grants.of_request(request_id)
+        return None if held is None else held.grant
+
+    def observe_limit(self, upstream_id, requests_per_s, heard_ms, now_ms):
+        """Record the limit on its request rate that an upstream advertised.
+
+        Parameters
+        ==========
+        upstream_id : str
+        requests_per_s : float
+            From all hosts together; infinite if it no longer advertises a limit.
+        heard_ms : int
+            When an entry host heard it, on this home's clock.
+        now_ms : int
+
+        Returns
+        =======
+        bool
+            Whether the limit changed. Decisions that follow are made at the next tick.
+        """
+        tracker = self._upstreams.tracker
+        return tracker.observe_limit(upstream_id, requests_per_s, heard_ms, now_ms)
+
+    def held_back(self, now_ms, max_count):
+        """Return upstreams with a free slot that their limits keep from requests.
+
+        Returns
+        =======
+        list of str
+            At most ``max_count``.
+        """
+        return self._upstreams.held_back(now_ms, max_count)
+
     def adopt(self, request, grant, now_ms):
         """Count a grant of a previous home that an entry host still holds.
 
@@ -314,9 +355,13 @@
             return None
         if self._admission.is_shedding_above(request.tier_rank, self._queue):
             return ResultCode.OVERLOADED
-        slots = self._upstreams.slots(now_ms)
         return self._admission.refusal_code(
-            request, self._queue, slots, self._estimate, now_ms
+            request, self._queue, self._capacity(now_ms), self._estimate, now_ms
+        )
+
+    def _capacity(self, now_ms):
+        return PoolCapacity(
+            self._upstreams.slots(now_ms), self._upstreams.limit_wait_ms(now_ms)
         )
 
     def _decide_everywhere(self, now_ms):
@@ -402,12 +447,12 @@
         )
 
     def _retry_after_ms(self, request, now_ms):
-        slots = self._upstreams.slots(now_ms)
+        capacity = self._capacity(now_ms)
         hold_ms = self._upstreams.tracker.hold_ms(request)
         wait_ms = self._client_retries.wait_before_retry_ms(request, hold_ms, now_ms)
-        has_upstreams = slots or self._upstreams.table.is_evacuated()
+        has_upstreams = capacity.slots or self._upstreams.table.is_evacuated()
         if has_upstreams and wait_ms is not None:
-            return wait_ms
+            return max(wait_ms, capacity.start_wait_ms)
         return self._admission.retry_after_ms(
-            request, self._queue, slots, self._estimate, now_ms
+            request, self._queue, capacity, self._estimate, now_ms
         )
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
@@ -1,5 +1,6 @@
 """The upstreams of a pool shard and their free slots, also during recovery."""
 
+import itertools
 import statistics
 
 from hemlockhoist.decisions.scheduling.recovery import RecoveryPhase
@@ -66,6 +67,44 @@
         """Return the number of slots of all usable upstreams."""
         return self.tracker.count_slots(self.table.usable(), now_ms)
 
+    def limit_wait_ms(self, now_ms):
+        """Return after how long advertised limits allow the next request.
+
+        It is 0 as long as any usable upstream advertises none.
+        """
+        if not self.all_limited():
+            return 0
+        wait_ms = self.tracker.limit_wait_ms
+        usable = self.table.usable()
+        return min(wait_ms(item.upstream_id, now_ms) for item in usable)
+
+    def all_limited(self):
+        """Return whether all usable upstreams advertise a limit, and there are any."""
+        if not self.tracker.any_limited:
+            return False
+        usable = self.table.usable()
+        is_limited = self.tracker.is_limited
+        return bool(usable) and all(is_limited(item.upstream_id) for item in usable)
+
+    def held_back(self, now_ms, max_count):
+        """Return upstreams with a free slot that their limits keep from requests.
+
+        Returns
+        =======
+        list of str
+            At most ``max_count``, as there may be hundreds.
+        """
+        if not self.tracker.any_limited:
+            return []
+        found = (
+            item.upstream_id
+            for item in self.table.usable()
+            if self.tracker.limit_wait_ms(item.upstream_id, now_ms)
+            and self._grants.in_flight(item.upstream_id)
+            < self.tracker.slots(item.upstream_id, now_ms)
+        )
+        return list(itertools.islice(found, max_count))
+
     def on_grant(self, held, now_ms):
         """Record a grant that was just issued."""
         upstream_id = held.grant.upstream_id
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/scheduler_simulation.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/scheduler_simulation.py
@@ -9,6 +9,7 @@
 from hemlockhoist.decisions.scheduling import Experiments, PoolScheduler
 from hemlockhoist.decisions.scheduling.tests import builders as b
 from hemlockhoist.declarations import Pool, PoolKind
+from hemlockhoist.messages import NO_LIMIT
 
 TICK_MS = 50
 BASE_COST = 10
@@ -71,6 +72,7 @@
         self.token_ms = token_ms
         self.prompts_done_ms = 0.0
         self.running = {}
+        self.limit_per_s = NO_LIMIT
 
     def compute_times(self, caller, now_ms):
         """Return the times of the first and the last event of the answer."""
@@ -101,6 +103,10 @@
         by request class.
     assigned : dict of str to Counter
         Counts of engines by request class.
+    starts : dict of str to list of int
+        Times at which each engine was sent a request.
+    refusals : list of (str, int)
+        Request class and time of each refusal, also of those that were retried.
     """
 
     def __init__(self, tokens_ms, slots=4, experiments=None):
@@ -118,6 +124,8 @@
         self.engines = {name: _Engine(ms) for name, ms in tokens_ms.items()}
         self.outcomes = collections.defaultdict(collections.Counter)
         self.assigned = collections.defaultdict(collections.Counter)
+        self.starts = collections.defaultdict(list)
+        self.refusals = []
         self._events = []
         self._event_numbers = itertools.count()
         self._callers = {}
@@ -145,6 +153,11 @@
         for number in range(count):
             self.send(request_class, int(from_ms + number * every_ms))
 
+    def advertise(self, name, limit_per_s, from_ms):
+        """Let an engine advertise a limit in its answers from a time on."""
+        engine = self.engines[name]
+        self._schedule(from_ms, lambda _: setattr(engine, "limit_per_s", limit_per_s))
+
     def run(self, until_ms):
         """Run the simulation; return ``outcomes``."""
         for at_ms in range(0, until_ms, TICK_MS):
@@ -211,6 +224,7 @@
     def _dispatch(self, caller, grant, now_ms):
         caller.grant = grant
         self.assigned[caller.request_class.name][grant.upstream_id] += 1
+        self.starts[grant.upstream_id].append(now_ms)
         first_ms, end_ms = self.engines[grant.upstream_id].compute_times(caller, now_ms)
         self._schedule(first_ms, self._on_first_token, caller, grant, now_ms)
         self._schedule(end_ms, self._on_end, caller, grant, now_ms, first_ms)
@@ -222,6 +236,9 @@
             self.outcomes[caller.request_class.name][
                 "in_time" if in_time else "late"
             ] += 1
+        limit_per_s = self.engines[grant.upstream_id].limit_per_s
+        if limit_per_s != NO_LIMIT or grant.is_limited:
+            self.scheduler.observe_limit(grant.upstream_id, limit_per_s, now_ms, now_ms)
         found = self.scheduler.observe_first_token(
             grant.grant_id, now_ms - sent_ms, now_ms
         )
@@ -239,6 +256,7 @@
         self._handle(self.scheduler.release(grant.grant_id, outcome, now_ms), now_ms)
 
     def _on_refusal(self, caller, retry_after_ms, now_ms):
+        self.refusals.append((caller.request_class.name, now_ms))
         if caller.attempts > 1:
             caller.grant = "refused"
             self.outcomes[caller.request_class.name]["refused"] += 1
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/upstream_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/upstream_tracker.py
@@ -92,6 +92,33 @@
         """Return whether an upstream is still warming up after its start."""
         return False
 
+    def observe_limit(self, upstream_id, requests_per_s, heard_ms, now_ms):
+        """Record the limit that an upstream advertised; return whether it changed.
+
+        Parameters
+        ==========
+        upstream_id : str
+        requests_per_s : float
+            From all hosts together; infinite if it no longer advertises a limit.
+        heard_ms : int
+            When an entry host heard it, on this home's clock.
+        now_ms : int
+        """
+        return False
+
+    @property
+    def any_limited(self):
+        """Whether any upstream advertises a limit on its request rate."""
+        return False
+
+    def is_limited(self, upstream_id):
+        """Return whether an upstream advertises a limit on its request rate."""
+        return False
+
+    def limit_wait_ms(self, upstream_id, now_ms):
+        """Return when an advertised limit allows the next request, as time from now."""
+        return 0
+
     def on_adopt(self, held, now_ms):
         """Record a grant of a previous home."""
 
--- a/libs/decisions/src/hemlockhoist/decisions/work.py
+++ b/libs/decisions/src/hemlockhoist/decisions/work.py
@@ -162,6 +162,8 @@
         Expiry on the clock of the issuing home; messages carry the remaining time.
     is_cold : bool
         Whether the grant counts towards the limit of a cold upstream.
+    is_limited : bool
+        Whether it counts towards a limit that the upstream advertises.
     """
 
     grant_id: str
@@ -171,6 +173,7 @@
     version: str
     expires_ms: int
     is_cold: bool = False
+    is_limited: bool = False
 
 
 def new_grant_id(incarnation, pool, number):
--- a/libs/entry/src/hemlockhoist/entry/__init__.py
+++ b/libs/entry/src/hemlockhoist/entry/__init__.py
@@ -11,8 +11,10 @@
     UpstreamDirectives,
     WireFormat,
 )
+from hemlockhoist.messages import NO_LIMIT
 
 __all__ = [
+    "NO_LIMIT",
     "ResponseHead",
     "CallerCall",
     "DirectoryQuery",
--- a/libs/entry/src/hemlockhoist/entry/attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt.py
@@ -1,7 +1,8 @@
 """One attempt to send a request, and the outcome reported to the pool's home."""
 
 from hemlockhoist.decisions import Outcome, OutcomeKind
-from hemlockhoist.decisions.entry import NO_LIMIT, AttemptEnd
+from hemlockhoist.decisions.entry import AttemptEnd
+from hemlockhoist.messages import NO_LIMIT
 
 _OUTCOMES = {
     AttemptEnd.NOT_SENT: OutcomeKind.NOT_SENT,
@@ -31,6 +32,7 @@
         "is_misdirected",
         "is_reachable",
         "kind",
+        "limit_is_reported",
         "limit_per_s",
         "longest_gap_ms",
         "output_tokens",
@@ -55,6 +57,12 @@
         self.reason = ""
         # As in ``ResponseHead``; None also before any answer.
         self.limit_per_s = None
+        self.limit_is_reported = False
+
+    @property
+    def unreported_limit_per_s(self):
+        """The advertised limit, or None if the home was told with the first token."""
+        return None if self.limit_is_reported else self.limit_per_s
 
     @property
     def limit_text(self):
--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -25,13 +25,13 @@
 )
 from hemlockhoist.base.traces import Hop
 from hemlockhoist.decisions import OutcomeKind
-from hemlockhoist.decisions.entry import NO_LIMIT, AttemptEnd, Step, next_step
+from hemlockhoist.decisions.entry import AttemptEnd, Step, next_step
 from hemlockhoist.declarations import CallKind
 from hemlockhoist.entry.attempt import Attempt
 from hemlockhoist.entry.responses import upstream_response
 from hemlockhoist.entry.stream import StreamRelay
 from hemlockhoist.entry.wire import UpstreamDirectives
-from hemlockhoist.messages import RequestBrief
+from hemlockhoist.messages import NO_LIMIT, RequestBrief
 from hemlockhoist.upstreams import SendGuard, UpstreamCall
 
 _log = get_logger("entry.exchange")
@@ -218,7 +218,7 @@
             if self._is_past_deadline and attempt.kind is OutcomeKind.CANCELLED:
                 attempt.kind = OutcomeKind.TIMEOUT
             outcome = attempt.outcome(self._context.clock.now_ms())
-            self._context.grants.release(hold, outcome)
+            self._context.grants.release(hold, outcome, attempt.unreported_limit_per_s)
             self._count_attempt(attempt, outcome)
             self._log_attempt(attempt, outcome)
 
@@ -399,7 +399,8 @@
         def on_first():
             attempt.first_ms = self._context.clock.now_ms()
             first_ms = attempt.first_ms - attempt.guard.dispatched_ms
-            grants.report_first_token(attempt.hold, first_ms)
+            grants.report_first_token(attempt.hold, first_ms, attempt.limit_per_s)
+            attempt.limit_is_reported = True
 
         before = self._relay.event_count
         try:
--- a/libs/entry/src/hemlockhoist/entry/gate.py
+++ b/libs/entry/src/hemlockhoist/entry/gate.py
@@ -112,10 +112,12 @@
         for limiter in self._retry_limiters.values():
             limiter.unknown_usage = assumed_usage
 
-    def on_not_run(self, request, now_ms):
-        """Refund the quota units of a request that did not run."""
+    def on_not_run(self, pool, request, since_ms, now_ms):
+        """Refund the quota units, or the retry, of a request that did not run."""
         if request.units:
             self.quotas.refund(request.customer, request.units, now_ms)
+        if request.attempt > 1:
+            self._retry_limiter(pool).refund(since_ms)
 
     def on_dequeued(self, request, since_ms, now_ms):
         """Charge a request's quota units to the time at which it starts to run.
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -229,6 +229,7 @@
             lambda: context.identity.host_id,
             UsageLog(self.settings.bounds.quota_window_ms),
             context.identity.incarnation,
+            context.advertised_limits,
         )
         context.register = DispatchRegister(context.invariants)
         context.feeds = FeedStore(
--- a/libs/entry/src/hemlockhoist/entry/tests/test_gate.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_gate.py
@@ -48,7 +48,7 @@
     def test_request_that_did_not_run_is_refunded(self):
         self.gate.quotas.declare([customer(units_per_s=10)])
         self.assertEqual(self.refusal_codes(FULL_WINDOW), [])
-        self.gate.on_not_run(request(), 0)
+        self.gate.on_not_run("halls", request(), 0, 0)
         self.assertIsNone(self.gate.refusal("halls", request(), 0))
 
     def test_retries_are_limited_by_the_requests_of_the_pool(self):
@@ -64,6 +64,22 @@
         self.assertEqual(len(refused), 60 - allowed)
         self.assertIs(refused[0], ResultCode.RETRIES_EXHAUSTED)
 
+    def test_retry_that_was_not_sent_is_refunded(self):
+        """Guards against retries that are refused as others were queued and not sent.
+
+        Upstreams that advertise limits keep requests in the queue, from which retries
+        are refused or withdrawn; the retry budget is for what reaches upstreams.
+        """
+        self.refusal_codes(100)
+        allowed = int(retry_limiter.USED_FRACTION * 22)
+        retry = request(attempt=2, is_new=False)
+        for _ in range(allowed):
+            self.assertIsNone(self.gate.refusal("halls", retry, 0))
+        self.assertIsNotNone(self.gate.refusal("halls", retry, 0))
+        self.gate.on_not_run("halls", retry, 0, 4_000)
+        self.assertIsNone(self.gate.refusal("halls", retry, 4_000))
+        self.assertIsNotNone(self.gate.refusal("halls", retry, 4_000))
+
     def test_repeated_request_that_is_not_new_is_not_counted(self):
         self.refusal_codes(100, is_new=False)
         allowed = int(retry_limiter.USED_FRACTION * 2)
--- a/libs/entry/src/hemlockhoist/entry/wire.py
+++ b/libs/entry/src/hemlockhoist/entry/wire.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from hemlockhoist.decisions.entry import NO_LIMIT
+from hemlockhoist.messages import NO_LIMIT
 
 
 class CallerCall(msgspec.Struct, frozen=True, kw_only=True):
--- a/libs/host/src/hemlockhoist/host/grants.py
+++ b/libs/host/src/hemlockhoist/host/grants.py
@@ -15,6 +15,7 @@
 )
 from hemlockhoist.decisions import granting_incarnation
 from hemlockhoist.messages import (
+    NO_LIMIT,
     ColdUpstream,
     EvacuatedDomain,
     FirstToken,
@@ -59,7 +60,8 @@
     """A grant held by an entry host, with times on that host's clock.
 
     ``home`` is the host that issued it. ``is_alone`` marks a grant by the entry host's
-    own standby home, ``is_cold`` one to an upstream that the home knew to be cold.
+    own standby home, ``is_cold`` one to an upstream that the home knew to be cold, and
+    ``is_limited`` one that counts towards a limit that the upstream advertises.
     """
 
     pool: str
@@ -72,6 +74,7 @@
     home: str = ""
     is_alone: bool = False
     is_cold: bool = False
+    is_limited: bool = False
 
 
 # Put into a waiter's inbox in place of a reply to have its request checked and sent
@@ -126,11 +129,14 @@
         Returns this host's id if it may act as a standby home, or "", the default.
     usage_log : UsageLog, optional
         Records customers' usage.
+    advertised_limits : AdvertisedLimits, optional
+        The limits that upstreams advertised to this host.
     incarnation : str, optional
         This host's incarnation.
     """
 
     __slots__ = (
+        "_advertised_limits",
         "_claiming_homes",
         "_clock",
         "_held",
@@ -156,7 +162,9 @@
         own_id=lambda: "",
         usage_log=None,
         incarnation="",
+        advertised_limits=None,
     ):
+        self._advertised_limits = advertised_limits
         self._incarnation = incarnation
         self._usage_log = usage_log
         self._own_id = own_id
@@ -332,6 +340,7 @@
             home=waiter.queried_home,
             is_alone=waiter.is_alone,
             is_cold=message.is_cold,
+            is_limited=message.is_limited,
         )
         if message.expires_in_ms <= late_ms:
             self._release_unsent(hold)
@@ -355,10 +364,21 @@
             )
             self._send(target, message)
 
-    def report_first_token(self, hold, first_token_ms):
-        """Report the time to first token of an answer to the home."""
+    def report_first_token(self, hold, first_token_ms, limit_per_s=None):
+        """Report the time to first token of an answer to the home.
+
+        Parameters
+        ==========
+        hold : GrantHold
+        first_token_ms : int
+        limit_per_s : float or None, optional
+            The limit that the upstream advertised; None if unknown.
+        """
         message = FirstToken(
-            pool=hold.pool, grant_id=hold.grant_id, first_token_ms=first_token_ms
+            pool=hold.pool,
+            grant_id=hold.grant_id,
+            first_token_ms=first_token_ms,
+            limit_per_s=_limit_news(hold, limit_per_s),
         )
         self._notify_homes(hold, message)
 
@@ -394,23 +414,26 @@
         for home in homes - {""}:
             self._send(home, message)
 
-    def release(self, hold, outcome):
+    def release(self, hold, outcome, limit_per_s=None):
         """Release a grant and report its outcome to the homes that may count it.
 
         Parameters
         ==========
         hold : GrantHold
         outcome : hemlockhoist.decisions.Outcome
+        limit_per_s : float or None, optional
+            The limit that the upstream advertised; None if unknown or reported before.
         """
         if self._held.pop(hold.grant_id, None) is None:
             return
-        self._send_release(hold, outcome.kind.value, outcome)
+        news = _limit_news(hold, limit_per_s)
+        self._send_release(hold, outcome.kind.value, outcome, news)
         self._claiming_homes.pop(hold.grant_id, None)
 
     def _release_unsent(self, hold):
         self._send_release(hold, "not_sent", None)
 
-    def _send_release(self, hold, kind, outcome):
+    def _send_release(self, hold, kind, outcome, limit_per_s=None):
         message = GrantRelease(
             pool=hold.pool,
             request_id=hold.brief.request_id,
@@ -421,6 +444,7 @@
             output_tokens=outcome.output_tokens if outcome else 0,
             cached_tokens=outcome.cached_tokens if outcome else 0,
             token_us=outcome.token_us if outcome else -1,
+            limit_per_s=limit_per_s,
         )
         self._notify_homes(hold, message)
 
@@ -465,17 +489,21 @@
         for hold in held:
             self._claiming_homes.setdefault(hold.grant_id, set()).add(home)
         grants = tuple(_held_grant_message(hold) for hold in held)
+        now_ms = self._clock.now_ms()
+        limits = ()
+        if self._advertised_limits is not None:
+            limits = self._advertised_limits.report(pool, now_ms)
         usage_by_customer = ()
         if self._usage_log is not None:
-            now_ms = self._clock.now_ms()
             usage_by_customer = self._usage_log.report(pool, home_incarnation, now_ms)
         return HeldGrants(
             pool=pool,
             home_incarnation=home_incarnation,
             grants=grants,
             usage=usage_by_customer,
-            up_ms=self._clock.now_ms() - self._started_ms,
+            up_ms=now_ms - self._started_ms,
             incarnation=self._incarnation,
+            limits=limits,
         )
 
     def send_held_ids(self, pools):
@@ -510,6 +538,16 @@
     )
 
 
+def _limit_news(hold, limit_per_s):
+    """Return the advertised limit as the home is to be told of it.
+
+    An answer without a limit is news only if its grant was issued under one: then the
+    upstream has withdrawn it. Answers to other grants may have begun before the
+    upstream advertised the limit.
+    """
+    return None if limit_per_s == NO_LIMIT and not hold.is_limited else limit_per_s
+
+
 def _held_grant_message(hold):
     return HeldGrant(
         brief=hold.brief,
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -4,7 +4,11 @@
 
 from hemlockhoist.base import ResultCode, get_logger
 from hemlockhoist.base.metrics import Metrics
-from hemlockhoist.base.metrics_table import CALLERS_RETRIED, WASTED_TOKENS
+from hemlockhoist.base.metrics_table import (
+    CALLERS_RETRIED,
+    GRANTS_HELD_BACK,
+    WASTED_TOKENS,
+)
 from hemlockhoist.base.traces import Hop, parent_from_text
 from hemlockhoist.decisions import (
     Grant,
@@ -14,6 +18,7 @@
     WorkRequest,
 )
 from hemlockhoist.messages import (
+    NO_LIMIT,
     GrantQueued,
     GrantRefusal,
     GrantReply,
@@ -31,6 +36,10 @@
 # was never used: a list already in transit when the grant was issued would have
 # arrived before.
 LOST_GRANT_MS = 5_000
+# Number of upstreams that a log line names.
+MAX_NAMED = 5
+# Value of the label of metrics: an upstream advertised a limit on its request rate.
+LIMIT_CAUSE = "limit"
 
 
 class GateRefusal(msgspec.Struct, frozen=True):
@@ -71,8 +80,8 @@
         """Return the ``GateRefusal`` of a request, or None when it is admitted."""
         return
 
-    def on_not_run(self, request, now_ms):
-        """Handle the end of an admitted request that did not run."""
+    def on_not_run(self, pool, request, since_ms, now_ms):
+        """Handle the end of a request, admitted at ``since_ms``, that did not run."""
 
     def on_dequeued(self, request, since_ms, now_ms):
         """Handle the grant of an admitted request that was queued at ``since_ms``."""
@@ -267,12 +276,19 @@
             self._metrics.count(CALLERS_RETRIED, self.pool)
         request_id = request.request_id
         is_decided = any(item.request.request_id == request_id for item in decisions)
+        if not is_decided or not self.scheduler.grant_of(request_id):
+            self._count_held_back(now_ms)
         if not is_decided:
             self._queued[request.request_id] = QueueEntry(request, now_ms)
         self._emit(decisions, now_ms)
         if not is_decided:
             self._notify_queued(request)
 
+    def _count_held_back(self, now_ms):
+        """Count a request that got no slot at once, if a limit kept one from it."""
+        if self.scheduler.held_back(now_ms, 1):
+            self._metrics.count(GRANTS_HELD_BACK, LIMIT_CAUSE)
+
     def _notify_queued(self, request):
         _log.info(
             "request_queued",
@@ -281,9 +297,14 @@
             tier=request.tier_rank,
             queued=len(self._queued),
             granted=len(self._granted),
+            held_back=self._held_back_names(),
         )
         self._send(request.entry_host, self._queued_message(request.request_id))
 
+    def _held_back_names(self):
+        """Return the upstreams that only their limits keep from requests, for logs."""
+        return ",".join(self.scheduler.held_back(self._clock.now_ms(), MAX_NAMED))
+
     def _begin_span(self, brief):
         parent = parent_from_text(brief.trace)
         self._spans[brief.request_id] = self._traces.start_span(
@@ -311,18 +332,39 @@
         """Drop a queued request and report to the gate that it did not run."""
         queued = self._queued.pop(request_id, None)
         if queued is not None:
-            self._gate.on_not_run(queued.request, now_ms)
+            self._gate.on_not_run(self.pool, queued.request, queued.since_ms, now_ms)
 
     def on_first_token(self, message):
         """Record the time to first token of an answer that is still in progress."""
         now_ms = self._clock.now_ms()
+        self._observe_limit(message)
         decisions = self.scheduler.observe_first_token(
             message.grant_id, message.first_token_ms, now_ms
         )
         self._emit(decisions, now_ms)
 
+    def _observe_limit(self, message):
+        """Record the limit in a message about a grant, before the grant is released."""
+        granted = self.scheduler.grant(message.grant_id)
+        if message.limit_per_s is None or granted is None:
+            return
+        now_ms = self._clock.now_ms()
+        self._record_limit(granted.upstream_id, message.limit_per_s, now_ms)
+
+    def _record_limit(self, upstream_id, requests_per_s, heard_ms):
+        now_ms = self._clock.now_ms()
+        if self.scheduler.observe_limit(upstream_id, requests_per_s, heard_ms, now_ms):
+            is_lifted = requests_per_s == NO_LIMIT
+            _log.info(
+                "limit_lifted" if is_lifted else "limit_enforced",
+                pool=self.pool,
+                upstream=upstream_id,
+                requests_per_s="" if is_lifted else requests_per_s,
+            )
+
     def on_release(self, message):
         """Release a grant and record its outcome."""
+        self._observe_limit(message)
         outcome = Outcome(
             kind=OutcomeKind(message.outcome),
             first_token_ms=message.first_token_ms,
@@ -368,6 +410,9 @@
             )
             self._granted[request.request_id] = (grant, sender)
             self._emit(self.scheduler.adopt(request, grant, now_ms), now_ms)
+        for limit in message.limits:
+            heard_ms = now_ms - limit.age_ms
+            self._record_limit(limit.upstream_id, limit.requests_per_s, heard_ms)
         if sender in self._pending_hosts:
             self._gate.on_usage_report(sender, message, now_ms)
             self._pending_hosts.discard(sender)
@@ -451,7 +496,8 @@
                 self._send_grant(decision, queued is not None, now_ms)
             else:
                 self._end_span(request.request_id, code=int(decision.code))
-                self._gate.on_not_run(request, now_ms)
+                since_ms = now_ms if queued is None else queued.since_ms
+                self._gate.on_not_run(self.pool, request, since_ms, now_ms)
                 code = decision.code
                 self._refuse(
                     request, code, decision.retry_after_ms, self._refusal_reason()
@@ -463,6 +509,9 @@
         evacuated = self.scheduler.evacuated_domains()
         if evacuated:
             reason += f" evacuated {','.join(evacuated)}"
+        held_back = self._held_back_names()
+        if held_back:
+            reason += f" limited {held_back}"
         return reason
 
     def _refuse(self, request, code, retry_after_ms, reason):
@@ -527,6 +576,7 @@
             version=grant.version,
             expires_in_ms=grant.expires_ms - now_ms,
             is_cold=grant.is_cold,
+            is_limited=grant.is_limited,
         )
 
     def _queued_message(self, request_id):
--- a/libs/host/src/hemlockhoist/host/tests/test_grants.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_grants.py
@@ -11,6 +11,7 @@
 from hemlockhoist.host.home import PoolHome
 from hemlockhoist.host.identity import HostIdentity
 from hemlockhoist.messages import (
+    FirstToken,
     GrantCancel,
     GrantRelease,
     GrantReply,
@@ -62,6 +63,8 @@
             home.on_request(ENTRY, message, 0)
         elif isinstance(message, GrantRelease):
             home.on_release(message)
+        elif isinstance(message, FirstToken):
+            home.on_first_token(message)
         elif isinstance(message, GrantCancel):
             home.on_cancel(message)
         elif isinstance(message, HeldGrants):
@@ -80,6 +83,9 @@
 
 
 class GrantHarness(PausedTestCase):
+    upstreams = (UPSTREAM,)
+    advertised_limits = None
+
     async def asyncSetUp(self):
         self.clock = Clock(asyncio.get_running_loop())
         self.network = FakeNetwork()
@@ -90,13 +96,18 @@
             self.network.from_entry,
             lambda pool: self.home,
             self.unresponsive.append,
+            advertised_limits=self.advertised_limits,
         )
         self.network.client = self.client
         self._add_home("h1")
 
     def _add_home(self, name):
         scheduler = PoolScheduler.from_config(
-            POOL, TIERS, name, invariants=InvariantLog(fatal=True)
+            POOL,
+            TIERS,
+            name,
+            invariants=InvariantLog(fatal=True),
+            tracker=self._new_tracker(),
         )
         identity = HostIdentity(
             name=name, incarnation=name, address="", host_id=name, failure_domain=""
@@ -110,10 +121,13 @@
             (POOL, TIERS),
             Traces.from_config(None, 0, name),
         )
-        home.set_upstreams([UPSTREAM])
+        home.set_upstreams(self.upstreams)
         self.network.homes[name] = home
         return home
 
+    def _new_tracker(self):
+        return None
+
     def _brief(self, request_id):
         def brief(now_ms):
             return RequestBrief(
--- a/libs/host/src/hemlockhoist/host/tests/test_home_counts.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_home_counts.py
@@ -51,7 +51,7 @@
     def __init__(self):
         self.not_run = []
 
-    def on_not_run(self, request, now_ms):
+    def on_not_run(self, pool, request, since_ms, now_ms):
         self.not_run.append(request.request_id)
 
 
--- a/libs/messages/src/hemlockhoist/messages/__init__.py
+++ b/libs/messages/src/hemlockhoist/messages/__init__.py
@@ -27,6 +27,7 @@
     LeftUpstream,
 )
 from hemlockhoist.messages.grants import (
+    NO_LIMIT,
     FirstToken,
     GrantCancel,
     GrantQueued,
@@ -34,6 +35,7 @@
     GrantRelease,
     GrantReply,
     GrantRequest,
+    HeardLimit,
     HeldGrant,
     HeldGrantIds,
     HeldGrants,
@@ -72,6 +74,7 @@
 
 __all__ = [
     "MAX_FRAME_BYTES",
+    "NO_LIMIT",
     "MESSAGE_TYPES",
     "WIRE_VERSION",
     "Codec",
@@ -100,6 +103,7 @@
     "Handover",
     "HandoverAck",
     "Health",
+    "HeardLimit",
     "HeldGrant",
     "HeldGrantIds",
     "HeldGrants",
--- a/libs/messages/src/hemlockhoist/messages/grants.py
+++ b/libs/messages/src/hemlockhoist/messages/grants.py
@@ -4,10 +4,15 @@
 have no common clock. The receiver subtracts the delay of the envelope.
 """
 
+import math
+
 import msgspec
 
 from hemlockhoist.messages.codes import code_of
 
+# Request rate limit of an upstream that advertises none.
+NO_LIMIT = math.inf
+
 
 class RequestBrief(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Description of a request for the home that grants it.
@@ -92,7 +97,8 @@
 ):
     """The home's permission for one dispatch to one upstream, for a limited time.
 
-    ``is_cold`` states whether the home knows the upstream to be cold.
+    ``is_cold`` states whether the home knows the upstream to be cold, ``is_limited``
+    whether it knows that the upstream advertises a limit on its request rate.
     """
 
     pool: str
@@ -103,6 +109,7 @@
     version: str
     expires_in_ms: int
     is_cold: bool = False
+    is_limited: bool = False
 
 
 class GrantRefusal(
@@ -156,6 +163,9 @@
     """Releases a grant and reports the outcome of its request.
 
     ``outcome`` is the value of an ``OutcomeKind`` of the decisions library.
+    ``limit_per_s`` is the limit that the upstream advertised in the head of its answer,
+    in requests per second from all hosts together: infinite if it no longer advertises
+    one, None if there is no news.
     """
 
     pool: str
@@ -168,6 +178,7 @@
     cached_tokens: int = 0
     token_us: int = -1
     is_alone: bool = False
+    limit_per_s: float | None = None
 
 
 class FirstToken(
@@ -175,13 +186,15 @@
 ):
     """Reports the first token of an answer, which may end many seconds later.
 
-    ``first_token_ms`` is the time since dispatch.
+    ``first_token_ms`` is the time since dispatch, ``limit_per_s`` as in
+    ``GrantRelease``.
     """
 
     pool: str
     grant_id: str
     first_token_ms: int
     is_alone: bool = False
+    limit_per_s: float | None = None
 
 
 class HeldGrant(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -194,6 +207,18 @@
     version: str
 
 
+class HeardLimit(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """The limit on its request rate that an upstream advertised to an entry host.
+
+    ``requests_per_s`` is infinite if the latest answer advertised none. ``age_ms`` is
+    the time since that answer.
+    """
+
+    upstream_id: str
+    requests_per_s: float
+    age_ms: int
+
+
 class HomeTakeover(
     msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
 ):
@@ -218,7 +243,8 @@
 
     ``usage`` is the recent usage of each customer at the sender: ages in milliseconds,
     with the units. ``incarnation`` is that of the sender. ``up_ms`` is how long it has
-    run, which limits how far back its usage reaches.
+    run, which limits how far back its usage reaches. ``limits`` are those that the
+    pool's upstreams advertised to the sender.
     """
 
     pool: str
@@ -227,6 +253,7 @@
     usage: tuple[tuple[str, tuple[tuple[int, int], ...]], ...] = ()
     up_ms: int = 0
     incarnation: str = ""
+    limits: tuple[HeardLimit, ...] = ()
 
 
 class HeldGrantIds(
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_explained.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_explained.py
@@ -114,6 +114,28 @@
         self.assertIn("limit_advertised upstream=s1 pool=reservas", text)
         self.assertIn("limit_per_s=1.5", text)
 
+    async def test_refusal_because_of_an_advertised_limit(self):
+        """A caller is refused although the only upstream has free slots."""
+        limited = Replica("s1")
+        limited.limit_per_s = 0.2
+        lookup = route("check-free", "reservas")
+        async with Site({"reservas": [limited]}, [lookup]) as site:
+            async with site.call("/check-free/1") as first:
+                await first.read()
+            await self.wait_for_line("event=limit_enforced", "upstream=s1")
+            # The second request is sent, as the first one's share of the limit.
+            for number in (2, 3):
+                call = site.call("/check-free/1", Attempt_Id=f"a{number}")
+                async with call as answer:
+                    await answer.read()
+            self.assertEqual(answer.status, 503)
+            self.assertGreater(float(answer.headers["Retry-After"]), 0.5)
+            totals = site.hosts[0].context.metrics.totals
+            self.assertGreater(totals["grants.held_back.limit"], 0)
+        text = self.explain("a3")
+        self.assertIn("limited s1", text)
+        self.assertIn("limit_enforced pool=reservas upstream=s1", text)
+
     async def test_unknown_request_id(self):
         found = CliRunner().invoke(main, ["explain", "nobody"], self.log.getvalue())
         self.assertNotEqual(found.exit_code, 0)
