Let replicas of the soak name request limits, and check that they are kept

Cause: no run of ours let an upstream name a limit, so nothing could show that it was not kept; the checks of the soak followed what hosts refuse and answer.

Change: a fault that lets a replica name a limit for some seconds, and a check that it gets what it tolerates at most, from hosts that were not killed, stopped or suspended.

--- a/libs/standins/src/hemlockhoist/standins/published/soak/checks.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/checks.py
@@ -3,6 +3,7 @@
 import collections
 
 from hemlockhoist.standins.published.soak.callers import elapsed_ms
+from hemlockhoist.standins.published.soak.limit_checks import find_limit_violations
 
 # Statuses that tell a caller that its request did not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -57,6 +58,20 @@
                 execution = Execution(replica, received)
                 self._executions[execution.attempt_id].append(execution)
 
+    def check_limits(self, spans, outages):
+        """Check the limits that replicas named.
+
+        Parameters
+        ==========
+        spans : list of LimitSpan
+        outages : list of (str, float, float)
+            Host, begin and end of each time in which it did not run normally.
+        """
+        host_of = {key: call.host for key, call in self._calls.items()}
+        violations, checked = find_limit_violations(spans, host_of, outages)
+        self.violations += violations
+        self.check_counts["request limits"] += checked
+
     def check(self, revoked, revocation_ms, tenants, stops, disturbances):
         """Run all checks, adding to ``violations`` and ``check_counts``.
 
--- a/libs/standins/src/hemlockhoist/standins/published/soak/faults.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/faults.py
@@ -5,6 +5,7 @@
 
 from hemlockhoist.standins.published.replica import Behaviour
 from hemlockhoist.standins.published.soak.callers import now_s
+from hemlockhoist.standins.published.soak.limit_checks import LimitSpan
 from hemlockhoist.standins.published.soak.proxy import Mode
 
 # The effects of a fault, such as a lost host, last up to this long after its end.
@@ -30,6 +31,12 @@
     ==========
     run : SoakRun
     rng : random.Random
+
+    Attributes
+    ==========
+    outages : list of (str, float, float)
+        Host, begin and end of each time in which it was killed, stopped or suspended.
+    limit_spans : list of LimitSpan
     """
 
     def __init__(self, run, rng):
@@ -37,6 +44,8 @@
         self._rng = rng
         self._tasks = set()
         self.disturbances = []
+        self.outages = []
+        self.limit_spans = []
         self.stops = []
         self.counts = {}
 
@@ -60,6 +69,7 @@
             self.crash_replica,
             self.drain_replica,
             self.slow_replica,
+            self.limit_replica,
             self.revoke_key,
             self.change_routes,
             self.order_rollout,
@@ -87,6 +97,7 @@
         for replica in run.live_replicas():
             replica.behaviour = Behaviour.NORMAL
             replica.delay_ms = run.default_delay_ms
+            replica.limit_per_s = None
         for host in run.hosts:
             host.resume()
             if not host.is_running:
@@ -109,6 +120,9 @@
     def _record_disturbance(self, begin_s, settle_s=SETTLE_S):
         self.disturbances.append((begin_s, now_s() + settle_s))
 
+    def _record_outage(self, host, begin_s):
+        self.outages.append((host.address, begin_s, now_s()))
+
     # Hosts.
 
     async def kill_host(self):
@@ -121,6 +135,7 @@
         await host.kill()
         await self._sleep_between(0.0, 1.0)
         await host.start()
+        self._record_outage(host, begin_s)
         self._record_disturbance(begin_s)
 
     async def kill_all_hosts(self):
@@ -133,6 +148,7 @@
         await self._sleep_between(0.0, 1.0)
         for host in hosts:
             await host.start()
+            self._record_outage(host, begin_s)
         self._record_disturbance(begin_s)
 
     async def pause_host(self):
@@ -144,6 +160,7 @@
         host.pause()
         await self._sleep_between(0.3, 4.0)
         host.resume()
+        self._record_outage(host, begin_s)
         self._record_disturbance(begin_s)
 
     async def stop_host(self):
@@ -155,6 +172,7 @@
         if await host.stop():
             self.stops.append((host.address, signal_s, now_s()))
         await host.start()
+        self._record_outage(host, signal_s)
 
     async def stop_hosts_in_turn(self):
         """Stop and start all hosts in turn, each before the previous one is back."""
@@ -169,6 +187,7 @@
         if await host.stop():
             self.stops.append((host.address, signal_s, now_s()))
         await host.start()
+        self._record_outage(host, signal_s)
 
     async def reload_host(self):
         """Signal a host twice in a row that its settings have changed."""
@@ -266,6 +285,17 @@
         replica.delay_ms = self._run.default_delay_ms
         self._record_disturbance(begin_s)
 
+    async def limit_replica(self):
+        """Let a replica name a limit on requests, and withdraw it."""
+        replica = self._rng.choice(self._run.live_replicas())
+        if replica.limit_per_s is not None:
+            return
+        begin_s = now_s()
+        replica.limit_per_s = limit_per_s = self._rng.choice((0.5, 1.5, 6.0))
+        await self._sleep_between(6.0, 10.0)
+        replica.limit_per_s = None
+        self.limit_spans.append(LimitSpan(replica, limit_per_s, begin_s, now_s()))
+
     # Operators.
 
     async def revoke_key(self):
--- a/libs/standins/src/hemlockhoist/standins/published/soak/run.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/run.py
@@ -249,6 +249,7 @@
         checker.check(
             self._revoked, REVOCATION_MS, tenants, faults.stops, faults.disturbances
         )
+        checker.check_limits(faults.limit_spans, faults.outages)
         if not recovered:
             checker.violations.append(
                 "a host was not ready after all faults were removed"
--- a/libs/standins/src/hemlockhoist/standins/published/soak/tests/test_checks.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/tests/test_checks.py
@@ -3,6 +3,7 @@
 from hemlockhoist.standins.published.replica import ReceivedRequest, Replica
 from hemlockhoist.standins.published.soak.callers import REQUEST_KINDS, Call
 from hemlockhoist.standins.published.soak.checks import RunChecker
+from hemlockhoist.standins.published.soak.limit_checks import LimitSpan
 
 LOOKUP, BOOKING, REPORT, _ = REQUEST_KINDS
 EVENTS = 2
@@ -99,6 +100,36 @@
             self.violations_of(call(body=b"else"), {}), ["answer of another request"]
         )
 
+    def limit_violations(self, times_s, limit_per_s=1.5, host="h", outages=()):
+        limited = Replica("i-1")
+        for number, at_s in enumerate(times_s):
+            headers = {"attempt-id": f"c{number}"}
+            received = ReceivedRequest("GET", "/", headers, b"", started_s=at_s)
+            limited.ran.append(received)
+        calls = [
+            Call(f"c{number}", LOOKUP, "k1", host, sent_s=at_s)
+            for number, at_s in enumerate(times_s)
+        ]
+        checker = RunChecker(calls, [limited], EVENTS)
+        checker.check_limits([LimitSpan(limited, limit_per_s, 0.0, 20.0)], outages)
+        return len(checker.violations)
+
+    def test_exceeded_request_limit(self):
+        """The limit of 1.5 a second tolerates 14 requests in 4 s."""
+        flood_s = [5.0 + number / 10 for number in range(15)]
+        self.assertEqual(self.limit_violations(flood_s), 1)
+        self.assertEqual(self.limit_violations(flood_s[:14]), 0)
+        self.assertEqual(self.limit_violations(flood_s, limit_per_s=6.0), 0)
+
+    def test_requests_that_a_limit_does_not_bind(self):
+        flood_s = [5.0 + number / 10 for number in range(15)]
+        before_s = [1.0 + number / 10 for number in range(15)]
+        self.assertEqual(self.limit_violations(before_s), 0)
+        outages = [("h", 4.0, 4.5)]
+        self.assertEqual(self.limit_violations(flood_s, outages=outages), 0)
+        outages = [("other", 4.0, 4.5)]
+        self.assertEqual(self.limit_violations(flood_s, outages=outages), 1)
+
     def test_incomplete_stream(self):
         broken = call(REPORT, body=COMPLETE_STREAM[:20])
         self.assertEqual(
