Keep what an upstream said through a lapse of its entry

Cause: an upstream that is missing from the list for a moment, as after an outage of the store, was forgotten with the limit that it had named, though the same process goes on and is listed again within two seconds.

Change: what a process said of itself is forgotten when its id is listed with another start, or after it was missing for 10 s, at the hosts that heard it and at the home (incarnations).

--- a/libs/decisions/src/hemlockhoist/decisions/entry/advertised_limits.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/advertised_limits.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from hemlockhoist.decisions.incarnations import Incarnations
 from hemlockhoist.messages import NO_LIMIT, HeardLimit
 
 # A new home asks all hosts what they have heard. Where a thousand hosts hear of a
@@ -49,11 +50,11 @@
     {'halls': 1}
     """
 
-    __slots__ = ("_limits", "_started_unix_ms")
+    __slots__ = ("_incarnations", "_limits")
 
     def __init__(self):
         self._limits = {}
-        self._started_unix_ms = {}
+        self._incarnations = Incarnations()
 
     def record(self, pool, upstream_id, requests_per_s, now_ms):
         """Record what an answer advertises; return whether the limit changed.
@@ -75,16 +76,10 @@
         self._limits[upstream_id] = AdvertisedLimit(pool, requests_per_s, now_ms)
         return known is None or known.requests_per_s != requests_per_s
 
-    def set_listed(self, upstreams):
+    def set_listed(self, upstreams, now_ms):
         """Forget the limits of upstreams that are gone or have restarted."""
-        started = {item.upstream_id: item.started_unix_ms for item in upstreams}
-        self._limits = {
-            key: limit
-            for key, limit in self._limits.items()
-            if key in started
-            and self._started_unix_ms.get(key, started[key]) == started[key]
-        }
-        self._started_unix_ms = started
+        for upstream_id in self._incarnations.replace(upstreams, now_ms):
+            self._limits.pop(upstream_id, None)
 
     def report(self, pool, now_ms):
         """Return what the upstreams of a pool advertised to this host most recently.
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/adaptive_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/adaptive_tracker.py
@@ -143,7 +143,7 @@
         for tracked in self._tracked.values():
             tracked.limit.set_max(max_limit)
 
-    def set_listed(self, upstreams):
+    def set_listed(self, upstreams, now_ms):
         """Start tracking new upstreams, and forget those that are no longer listed."""
         previous = self._tracked
         self._tracked = {}
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
@@ -66,24 +66,22 @@
         # The upstreams whose slots were last counted, and the count.
         self._slot_count = ((), 0)
 
-    def set_listed(self, upstreams):
+    def set_listed(self, upstreams, now_ms):
         """Start tracking new upstreams, and forget those that are no longer listed."""
         previous = self._tracked
         self._slot_count = ((), 0)
         self._tracked = {}
-        new_ids = set()
         for item in upstreams:
             tracked = previous.get(item.upstream_id)
             if tracked is None or tracked.started_unix_ms != item.started_unix_ms:
                 tracked = DeclaredSlotsUpstream(item, self._pace)
                 self._cache.forget(item.upstream_id)
-                new_ids.add(item.upstream_id)
             tracked.limit.slots = item.slot_count
             self._tracked[item.upstream_id] = tracked
         for upstream_id in previous.keys() - self._tracked.keys():
             self._cache.forget(upstream_id)
         self._unreachable &= self._tracked.keys()
-        self._intake.set_listed(upstreams, new_ids)
+        self._intake.set_listed(upstreams, now_ms)
 
     def set_usable(self, upstreams, now_ms):
         """Set the upstreams that may be assigned work."""
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/intake.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/intake.py
@@ -1,6 +1,7 @@
 """How fast upstreams may be assigned requests, apart from their free slots."""
 
 from hemlockhoist.base import MS_PER_S
+from hemlockhoist.decisions.incarnations import Incarnations
 from hemlockhoist.decisions.scheduling.rate_limits import RateLimits
 from hemlockhoist.decisions.scheduling.warmup import Warmup
 
@@ -20,28 +21,17 @@
         The limits that upstreams advertise.
     """
 
-    __slots__ = ("limits", "warmup")
+    __slots__ = ("_incarnations", "limits", "warmup")
 
     def __init__(self, warmup=None):
         self.warmup = warmup or Warmup()
         self.limits = RateLimits()
+        self._incarnations = Incarnations()
 
-    def set_listed(self, upstreams, new_ids):
-        """Forget upstreams that are not listed, and limits of restarted ones.
-
-        Parameters
-        ==========
-        upstreams : iterable of hemlockhoist.decisions.Upstream
-        new_ids : collection of str
-            Those that were not listed before or have restarted since.
-        """
+    def set_listed(self, upstreams, now_ms):
+        """Forget upstreams that are not listed, and limits of restarted ones."""
         self.warmup.set_listed(upstreams)
-        listed = {item.upstream_id for item in upstreams}
-        self.limits.forget(
-            key
-            for key in self.limits.known_ids()
-            if key not in listed or key in new_ids
-        )
+        self.limits.forget(self._incarnations.replace(upstreams, now_ms))
 
     def begin_takeover(self, now_ms):
         """Assume that another home has just used up all bounds."""
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/rate_limits.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/rate_limits.py
@@ -98,10 +98,6 @@
             self._known.pop(upstream_id, None)
             self._due_ms.pop(upstream_id, None)
 
-    def known_ids(self):
-        """Return the ids of the upstreams that advertise or advertised a limit."""
-        return tuple(self._known)
-
     def set_share(self, share):
         """Set the share of all limits that this home may use."""
         self._share = share
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
@@ -35,7 +35,7 @@
     def replace(self, upstreams, now_ms):
         """Replace the list of upstreams; an empty list is ignored."""
         if self.table.replace(upstreams):
-            self.tracker.set_listed(self.table)
+            self.tracker.set_listed(self.table, now_ms)
             self.tracker.set_usable(self.table.usable(), now_ms)
 
     def observe(self, report, now_ms):
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_rate_limits.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_rate_limits.py
@@ -214,6 +214,16 @@
         self.assertEqual(self.submit(now_ms=5_000), [])
         self.assertEqual(len(self.sched.tick(6_000)), 1)
 
+    def test_limit_outlasts_a_lapse_of_the_list(self):
+        """Guards against an upstream that is flooded after an outage of the store."""
+        self.sched.observe_limit("u1", 1.0, 0, 0)
+        self.sched.set_upstreams([upstream("u2")], 1_000)
+        self.sched.set_upstreams([upstream("u1"), upstream("u2")], 1_001)
+        for _ in range(4):
+            (decision,) = self.submit()
+            self.assertEqual(decision.grant.upstream_id, "u2")
+        self.assertEqual(self.submit(), [])
+
     def test_limit_of_a_restarted_upstream_is_forgotten(self):
         self.sched.observe_limit("u1", 1.0, 0, 0)
         self.sched.observe_limit("u2", 1.0, 0, 0)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/upstream_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/upstream_tracker.py
@@ -16,7 +16,7 @@
     __slots__ = ()
     recovery_ms = 0
 
-    def set_listed(self, upstreams):
+    def set_listed(self, upstreams, now_ms):
         """Start tracking new upstreams, and forget those that are no longer listed."""
         raise NotImplementedError
 
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -319,7 +319,7 @@
     def _on_upstreams(self):
         context = self.context
         upstreams = context.store_view.usable()
-        context.advertised_limits.set_listed(upstreams)
+        context.advertised_limits.set_listed(upstreams, context.clock.now_ms())
         context.homes.set_upstreams(upstreams)
 
     def _on_unresponsive(self, host_id):
