Log the rest that upstreams ask for, and that they leave

Cause: in the incident's logs nothing shows whether a host heard for how long an upstream wants nothing from it, so that 'nobody reads it' can't be told from 'it is kept for one request' or 'the home doesn't know'. The same holds for an upstream that says it leaves.

Change: the platform's adapter decodes both; a host records until when each upstream wants rest (BackOffs), logs it, each attempt's line has what its answer said, a gauge counts such upstreams, explain shows the lines. The stand-in of a replica speaks both. No decision uses any of it yet.

--- a/libs/base/src/hemlockhoist/base/metrics_table.py
+++ b/libs/base/src/hemlockhoist/base/metrics_table.py
@@ -259,6 +259,13 @@
     "Upstreams whose latest answer to this host advertised a limit on requests.",
     "The upstreams are in need: see limit_advertised in the logs, and why they are.",
 )
+UPSTREAMS_BACKED_OFF = Metric(
+    "upstreams.backed_off",
+    _G,
+    "pool",
+    "Upstreams that turned this host away and want no requests from it for a while.",
+    "If it is high on all hosts, the upstreams are overloaded or failing.",
+)
 DOMAINS_EVACUATED = Metric(
     "domains.evacuated",
     _G,
--- a/libs/cli/src/hemlockhoist/cli/explain.py
+++ b/libs/cli/src/hemlockhoist/cli/explain.py
@@ -13,6 +13,7 @@
 # requests at about the same time.
 CONTEXT_EVENTS = frozenset(
     {
+        "back_off_requested",
         "deciding_alone",
         "domain_evacuated",
         "domain_taken_back",
--- a/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
@@ -5,6 +5,7 @@
     AdvertisedLimits,
 )
 from hemlockhoist.decisions.entry.attempts import AttemptEnd, Step, next_step
+from hemlockhoist.decisions.entry.back_offs import BackOffs
 from hemlockhoist.decisions.entry.copies import TableCopy
 from hemlockhoist.decisions.entry.evacuation import DomainOrder, EvacuatedDomains
 from hemlockhoist.decisions.entry.freshness import Freshness
@@ -34,6 +35,7 @@
     "AdvertisedLimits",
     "chained_hashes",
     "AttemptEnd",
+    "BackOffs",
     "DomainOrder",
     "EvacuatedDomains",
     "Freshness",
--- a/libs/entry/src/hemlockhoist/entry/attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt.py
@@ -25,10 +25,12 @@
     """
 
     __slots__ = (
+        "back_off_ms",
         "first_ms",
         "grant_outdated",
         "guard",
         "hold",
+        "is_leaving",
         "is_misdirected",
         "is_reachable",
         "kind",
@@ -58,6 +60,8 @@
         # As in ``ResponseHead``; None also before any answer.
         self.limit_per_s = None
         self.limit_is_reported = False
+        self.back_off_ms = 0
+        self.is_leaving = False
 
     @property
     def unreported_limit_per_s(self):
--- a/libs/entry/src/hemlockhoist/entry/context.py
+++ b/libs/entry/src/hemlockhoist/entry/context.py
@@ -27,6 +27,8 @@
     moves : OrderedMoveService
     advertised_limits : AdvertisedLimits
         The limits that upstreams advertised in answers to this host.
+    back_offs : BackOffs
+        The upstreams that asked this host not to send them requests for a while.
     upstreams : UpstreamClient
     register : DispatchRegister
     leaving : bool
@@ -38,6 +40,7 @@
 
     __slots__ = (
         "advertised_limits",
+        "back_offs",
         "boot_clock",
         "bus",
         "clock",
--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -342,6 +342,7 @@
         wire = self._context.platform.wire
         head = wire.read_response_head(response.status, response.headers)
         self._record_limit(head, attempt)
+        self._record_back_off(head, attempt)
         if head.is_misdirected:
             # The listed process has been replaced by another one: equivalent to a
             # refused connection, so another upstream can be tried safely.
@@ -381,6 +382,26 @@
                 requests_per_s=attempt.limit_text,
             )
 
+    def _record_back_off(self, head, attempt):
+        """Record that the upstream wants no requests for a while, or none any more.
+
+        Another process that answers at its address says nothing about the upstream.
+        """
+        if head.is_misdirected:
+            return
+        attempt.back_off_ms = head.back_off_ms
+        attempt.is_leaving = head.is_leaving
+        hold, now_ms = attempt.hold, self._context.clock.now_ms()
+        back_offs = self._context.back_offs
+        if back_offs.record(hold.pool, hold.upstream_id, head.back_off_ms, now_ms):
+            _log.info(
+                "back_off_requested",
+                request=self.request_id,
+                upstream=hold.upstream_id,
+                pool=hold.pool,
+                back_off_ms=head.back_off_ms,
+            )
+
     async def _read_full_response(self, response, head, attempt):
         body = await response.read(MAX_RESPONSE_BYTES)
         attempt.first_ms = self._context.clock.now_ms()
@@ -491,5 +512,7 @@
             total_ms=outcome.total_ms,
             longest_gap_ms=attempt.longest_gap_ms,
             limit_per_s=attempt.limit_text,
+            back_off_ms=attempt.back_off_ms or "",
+            leaving="true" if attempt.is_leaving else "",
             reason=attempt.reason,
         )
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -33,11 +33,12 @@
     REQUESTS_OPEN,
     STORE_CALLS,
     STORE_FAILURES,
+    UPSTREAMS_BACKED_OFF,
     UPSTREAMS_LIMITED,
     UPSTREAMS_LISTED,
 )
 from hemlockhoist.base.traces import Traces
-from hemlockhoist.decisions.entry import AdvertisedLimits
+from hemlockhoist.decisions.entry import AdvertisedLimits, BackOffs
 from hemlockhoist.decisions.limits import UsageLog, partition_share
 from hemlockhoist.decisions.scheduling import ColdStartLimit, Warmup
 from hemlockhoist.declarations import Declarations, Pool, PoolKind, VersionRules
@@ -198,6 +199,7 @@
     def _build(self, context):
         context.declarations = Declarations()
         context.advertised_limits = AdvertisedLimits()
+        context.back_offs = BackOffs()
         context.gate = QuotaGate(self.settings.bounds)
         context.moves = OrderedMoveService(
             context, TypedRows(self._platform.store), context.bus.send
@@ -319,7 +321,9 @@
     def _on_upstreams(self):
         context = self.context
         upstreams = context.store_view.usable()
-        context.advertised_limits.set_listed(upstreams, context.clock.now_ms())
+        now_ms = context.clock.now_ms()
+        context.advertised_limits.set_listed(upstreams, now_ms)
+        context.back_offs.set_listed(upstreams, now_ms)
         context.homes.set_upstreams(upstreams)
 
     def _on_unresponsive(self, host_id):
@@ -374,6 +378,9 @@
             metrics.gauge(UPSTREAMS_LISTED, count, pool)
         for pool, count in context.advertised_limits.count_by_pool().items():
             metrics.gauge(UPSTREAMS_LIMITED, count, pool)
+        backed_off = context.back_offs.count_by_pool(context.clock.now_ms())
+        for pool, count in backed_off.items():
+            metrics.gauge(UPSTREAMS_BACKED_OFF, count, pool)
         for prop, count in context.invariants.violations.items():
             metrics.gauge(INVARIANT_VIOLATIONS, count, prop.name)
         for pool, home in context.homes.active().items():
--- a/libs/entry/src/hemlockhoist/entry/wire.py
+++ b/libs/entry/src/hemlockhoist/entry/wire.py
@@ -115,6 +115,11 @@
     limit_per_s : float or None
         Requests per second that the upstream takes from all hosts together;
         ``NO_LIMIT`` if it advertises no limit, None if the limit cannot be read.
+    back_off_ms : int
+        Time for which the upstream, which turned the request away, wants no requests
+        from this host; 0 if it does not say so.
+    is_leaving : bool
+        Whether the upstream announces that it is about to stop.
     """
 
     status: int
@@ -125,6 +130,8 @@
     running: int | None = None
     waiting: int | None = None
     limit_per_s: float | None = NO_LIMIT
+    back_off_ms: int = 0
+    is_leaving: bool = False
 
 
 class WireFormat(abc.ABC):
--- a/libs/standins/src/hemlockhoist/standins/published/replica.py
+++ b/libs/standins/src/hemlockhoist/standins/published/replica.py
@@ -60,6 +60,10 @@
         The requests that it answered without running them.
     limit_per_s : float or str, optional
         The limit on requests per second that it names in its answers; None for none.
+    rest_s : float or str, optional
+        The rest that it asks for when it turns a request away; None for none.
+    is_leaving : bool
+        Whether it says in its answers that it leaves.
     """
 
     def __init__(self, replica_id, events=0, slots=4):
@@ -70,6 +74,8 @@
         self.delay_ms = 0
         self.event_ms = 0
         self.limit_per_s = None
+        self.rest_s = None
+        self.is_leaving = False
         self.ran = []
         self.rejected = []
         self.address = ""
@@ -144,6 +150,8 @@
         expected = received.headers.get("expected-instance", self.replica_id)
         if self.behaviour is Behaviour.SHEDS:
             status, extra = "503 Service Unavailable", "Not-Executed: 1\r\n"
+            if self.rest_s is not None:
+                extra += f"Retry-After: {self.rest_s}\r\n"
         elif self.behaviour is Behaviour.MISDIRECTED or expected != self.replica_id:
             status, extra = "421 Misdirected Request", "Instance-Id: other\r\n"
         else:
@@ -182,9 +190,12 @@
 
     def _condition(self):
         """Return the header lines in which it tells of its own condition."""
-        if self.limit_per_s is None:
-            return ""
-        return f"Server-Limit: {self.limit_per_s}\r\n"
+        lines = ""
+        if self.limit_per_s is not None:
+            lines += f"Server-Limit: {self.limit_per_s}\r\n"
+        if self.is_leaving:
+            lines += "Server-Leaving: 1\r\n"
+        return lines
 
     async def _send_body(self, received, writer):
         body = f"answer of {self.replica_id} to {received.target}".encode()
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_explained.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_explained.py
@@ -136,6 +136,21 @@
         self.assertIn("limited s1", text)
         self.assertIn("limit_enforced pool=reservas upstream=s1", text)
 
+    async def test_back_off_that_an_upstream_asks_for(self):
+        busy = Replica("s1")
+        busy.behaviour = Behaviour.SHEDS
+        busy.rest_s = 3
+        lookup = route("check-free", "reservas")
+        async with Site({"reservas": [busy]}, [lookup]) as site:
+            async with site.call("/check-free/1") as answer:
+                self.assertEqual(answer.status, 503)
+            context = site.hosts[0].context
+            counts = context.back_offs.count_by_pool(context.clock.now_ms())
+            self.assertEqual(counts, {"reservas": 1})
+        text = self.explain("a1")
+        self.assertIn("back_off_requested upstream=s1 pool=reservas", text)
+        self.assertIn("back_off_ms=3000", text)
+
     async def test_unknown_request_id(self):
         found = CliRunner().invoke(main, ["explain", "nobody"], self.log.getvalue())
         self.assertNotEqual(found.exit_code, 0)
