Leave an upstream in peace for as long as it asked a host to

Cause: nothing read the time that comes with a 503. The request went elsewhere and kept the upstream out of its own next attempt; the host's next request was granted the same upstream, whose slots were free as it turned all away.

Ruled out: repeats of one request, grants in flight, a second home.

Change: a host tells its home with the release of the grant for how long the upstream wants nothing from it; the home grants that upstream to other hosts only, until then (decisions: host_back_offs), doesn't let a request wait for it, and refuses at once, with the time that is left, where all upstreams want rest from the host. The host checks again before it sends. A new home is told by all hosts; a rest outlasts a lapse of the list, and ends with its time, a restart of the upstream, or of the host. Queued and refused requests, explain and a counter name it.

Why it works: all requests to an upstream are granted by the home, which now knows host by host, and the host that heard it checks in the step before the first byte.

--- a/libs/base/src/hemlockhoist/base/errors.py
+++ b/libs/base/src/hemlockhoist/base/errors.py
@@ -78,6 +78,16 @@
         super().__init__(f"{upstream_id} is leaving", upstream_id, version)
 
 
+class UpstreamBackedOff(GrantOutdated):
+    """The upstream of a grant wants no requests from this host for a while."""
+
+    cause = "back_off"
+
+    def __init__(self, upstream_id, remaining_ms):
+        text = f"{upstream_id} wants no requests for {remaining_ms} ms"
+        super().__init__(text, upstream_id, None)
+
+
 class UpstreamEvacuated(GrantOutdated):
     """The failure domain of a grant's upstream is evacuated.
 
--- a/libs/base/src/hemlockhoist/base/metrics_table.py
+++ b/libs/base/src/hemlockhoist/base/metrics_table.py
@@ -277,7 +277,8 @@
     "grants.outdated",
     _C,
     "cause",
-    "Grants that were not used: their upstream leaves, is evacuated, or turned cold.",
+    "Grants that were not used: their upstream leaves, is evacuated, turned cold, or "
+    "wants no requests from the host.",
     "A few at each change of the list are normal. If they are continuous, the home "
     "cannot reach the store.",
 )
@@ -286,8 +287,10 @@
     _C,
     "cause",
     "Requests that were queued or refused while an upstream had a free slot that it "
-    "asked not to be given: it advertises a limit on its requests.",
-    "If it is continuous, the upstreams can't take the load: see limit_advertised.",
+    "asked not to be given: it advertises a limit on its requests (limit), or wants "
+    "none from the entry host for a while (back_off).",
+    "If it is continuous, the upstreams can't take the load: see limit_advertised and "
+    "back_off_requested.",
 )
 LEDGER_IN_PROGRESS = Metric(
     "ledger.in_progress",
--- a/libs/decisions/src/hemlockhoist/decisions/entry/back_offs.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/back_offs.py
@@ -1,6 +1,7 @@
 """Upstreams that asked a host not to send them requests for a while."""
 
 from hemlockhoist.decisions.incarnations import Incarnations
+from hemlockhoist.messages import BackedOffUpstream
 
 # A garbled time must not take an upstream out of use for days.
 MAX_BACK_OFF_MS = 300_000
@@ -63,6 +64,19 @@
             if key not in ended and entry[1] > now_ms
         }
 
+    def report(self, pool, now_ms):
+        """Return the upstreams of a pool that want no requests from this host now.
+
+        Returns
+        =======
+        tuple of BackedOffUpstream
+        """
+        return tuple(
+            BackedOffUpstream(upstream_id=upstream_id, remaining_ms=until_ms - now_ms)
+            for upstream_id, (name, until_ms) in self._until.items()
+            if name == pool and until_ms > now_ms
+        )
+
     def count_by_pool(self, now_ms):
         """Return the number of upstreams that want no requests now, by pool."""
         counts = {}
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/admission.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/admission.py
@@ -175,6 +175,8 @@
         left_ms = request.deadline_ms - now_ms
         if left_ms <= 0:
             return ResultCode.DEADLINE_PASSED
+        if capacity.start_wait_ms >= left_ms:
+            return ResultCode.OVERLOADED
         if not estimate.has_samples:
             return None
         longest_ms = latest_start_ms(request, estimate) - now_ms
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/assignment.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/assignment.py
@@ -167,12 +167,15 @@
     def _choose_upstream(self, request, free, ahead, now_ms):
         if not free:
             return None
+        closed = self._upstreams.back_offs.closed_to(request.entry_host, now_ms)
+        if closed:
+            free = [item for item in free if item.upstream_id not in closed]
         versions = sorted({item.version for item in free})
         for version in self._policy.candidates(request, versions, now_ms):
             choices = [item for item in free if item.version == version]
             choices = _untried(request, _in_allowed_regions(request, choices))
             upstream = self._upstreams.tracker.choose(
-                request, choices, self._grants.in_flight, now_ms, ahead
+                request, choices, self._grants.in_flight, now_ms, ahead, closed
             )
             if upstream is not None:
                 return upstream
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
@@ -200,14 +200,16 @@
         """
         return due_ms
 
-    def choose(self, request, choices, in_flight, now_ms, ahead=0):
+    def choose(self, request, choices, in_flight, now_ms, ahead=0, closed=()):
         """Return the upstream for a request, or None if it should wait."""
         work = self._pace.work(request)
         max_prompts_ms = self._max_prompts_ms(work, now_ms)
         best = self._candidates(
             request, work, choices, in_flight, max_prompts_ms, now_ms
         ).select(work.first_token_by_ms - now_ms)
-        if best is None or self._should_wait(work, best, max_prompts_ms, ahead, now_ms):
+        if best is None or self._should_wait(
+            work, best, max_prompts_ms, ahead, closed, now_ms
+        ):
             return None
         return best
 
@@ -242,7 +244,7 @@
         cached_at = self._cached_tokens(request)
         return max(cached_at.values(), default=0) - cached_at.get(upstream_id, 0)
 
-    def _should_wait(self, work, best, max_prompts_ms, ahead, now_ms):
+    def _should_wait(self, work, best, max_prompts_ms, ahead, closed, now_ms):
         """Return whether a request should wait for an upstream that is full.
 
         In a burst of long prompts on engines of different speed, the first free slot is
@@ -262,7 +264,9 @@
         slots_per_ms = 0.0
         earliest_ms = None
         for upstream_id, tracked in self._usable.items():
-            if tracked is here or not work.allows_region(tracked.region):
+            if upstream_id in closed or tracked is here:
+                continue
+            if not work.allows_region(tracked.region):
                 continue
             limit_wait_ms = self.limit_wait_ms(upstream_id, now_ms)
             first_ms = tracked.first_token_within(
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/experiments.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/experiments.py
@@ -128,5 +128,5 @@
 
     __slots__ = ()
 
-    def _should_wait(self, work, best, max_prompts_ms, ahead, now_ms):
+    def _should_wait(self, work, best, max_prompts_ms, ahead, closed, now_ms):
         return False
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -214,15 +214,13 @@
         self._upstreams.tracker.on_first_token(held, first_token_ms, now_ms)
         return self._decide(now_ms, held.grant.upstream_id)
 
-    def grant(self, grant_id):
-        """Return the ``Grant`` in flight of an id, or None."""
-        held = self._grants.get(grant_id)
-        return None if held is None else held.grant
+    def in_flight_grant(self, grant_id):
+        """Return the ``InFlightGrant`` of an id, or None."""
+        return self._grants.get(grant_id)
 
-    def grant_of(self, request_id):
-        """Return the ``Grant`` in flight of a request, or None."""
-        held = self._grants.of_request(request_id)
-        return None if held is None else held.grant
+    def is_granted(self, request_id):
+        """Return whether a request holds a grant."""
+        return self._grants.of_request(request_id) is not None
 
     def observe_limit(self, upstream_id, requests_per_s, heard_ms, now_ms):
         """Record the limit on its request rate that an upstream advertised.
@@ -244,15 +242,19 @@
         tracker = self._upstreams.tracker
         return tracker.observe_limit(upstream_id, requests_per_s, heard_ms, now_ms)
 
-    def held_back(self, now_ms, max_count):
-        """Return upstreams with a free slot that their limits keep from requests.
+    def observe_back_off(self, upstream_id, host, until_ms):
+        """Record that an upstream wants no requests from an entry host until a time."""
+        self._upstreams.back_offs.record(upstream_id, host, until_ms)
+
+    def held_back(self, host, now_ms, max_count):
+        """Return the upstreams with a free slot that a host's requests may not use.
 
         Returns
         =======
-        list of str
-            At most ``max_count``.
+        HeldBack
+            With at most ``max_count`` upstreams for each cause.
         """
-        return self._upstreams.held_back(now_ms, max_count)
+        return self._upstreams.held_back(host, now_ms, max_count)
 
     def adopt(self, request, grant, now_ms):
         """Count a grant of a previous home that an entry host still holds.
@@ -285,6 +287,7 @@
 
     def forget_entry_host(self, host_id, now_ms):
         """Drop the grants and the queued requests of a dead entry host."""
+        self._upstreams.back_offs.forget_host(host_id)
         for request_id in self._queue.of_entry_host(host_id):
             self._queue.remove(request_id)
         for grant_id in self._grants.of_entry_host(host_id):
@@ -356,12 +359,17 @@
         if self._admission.is_shedding_above(request.tier_rank, self._queue):
             return ResultCode.OVERLOADED
         return self._admission.refusal_code(
-            request, self._queue, self._capacity(now_ms), self._estimate, now_ms
+            request,
+            self._queue,
+            self._capacity(request, now_ms),
+            self._estimate,
+            now_ms,
         )
 
-    def _capacity(self, now_ms):
+    def _capacity(self, request, now_ms):
         return PoolCapacity(
-            self._upstreams.slots(now_ms), self._upstreams.limit_wait_ms(now_ms)
+            self._upstreams.slots(now_ms),
+            self._upstreams.start_wait_ms(request.entry_host, now_ms),
         )
 
     def _decide_everywhere(self, now_ms):
@@ -447,7 +455,7 @@
         )
 
     def _retry_after_ms(self, request, now_ms):
-        capacity = self._capacity(now_ms)
+        capacity = self._capacity(request, now_ms)
         hold_ms = self._upstreams.tracker.hold_ms(request)
         wait_ms = self._client_retries.wait_before_retry_ms(request, hold_ms, now_ms)
         has_upstreams = capacity.slots or self._upstreams.table.is_evacuated()
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
@@ -3,6 +3,9 @@
 import itertools
 import statistics
 
+import msgspec
+
+from hemlockhoist.decisions.scheduling.host_back_offs import HostBackOffs
 from hemlockhoist.decisions.scheduling.recovery import RecoveryPhase
 from hemlockhoist.decisions.scheduling.upstreams import UpstreamTable
 
@@ -14,6 +17,29 @@
 OVERDUE_CHECK_INTERVAL_MS = 1_000
 
 
+class HeldBack(msgspec.Struct, frozen=True):
+    """Upstreams with a free slot that ask not to be sent a request now.
+
+    Parameters
+    ==========
+    limited : tuple of str
+        Those whose advertised limits are used up.
+    backed_off : tuple of str
+        Those that want no requests from the entry host.
+    """
+
+    limited: tuple[str, ...] = ()
+    backed_off: tuple[str, ...] = ()
+
+    def __str__(self):
+        parts = []
+        if self.limited:
+            parts.append(f"limited {','.join(self.limited)}")
+        if self.backed_off:
+            parts.append(f"backed off {','.join(self.backed_off)}")
+        return " ".join(parts)
+
+
 class ShardUpstreams:
     """Finds the upstreams with a free slot, and updates what is known of them.
 
@@ -23,11 +49,19 @@
     tracker : UpstreamTracker
     """
 
-    __slots__ = ("_grants", "_overdue_checked_ms", "recovery", "table", "tracker")
+    __slots__ = (
+        "_grants",
+        "_overdue_checked_ms",
+        "back_offs",
+        "recovery",
+        "table",
+        "tracker",
+    )
 
     def __init__(self, grants, tracker):
         self._grants = grants
         self._overdue_checked_ms = 0
+        self.back_offs = HostBackOffs()
         self.table = UpstreamTable()
         self.tracker = tracker
         self.recovery = RecoveryPhase(tracker.recovery_ms)
@@ -36,6 +70,7 @@
         """Replace the list of upstreams; an empty list is ignored."""
         if self.table.replace(upstreams):
             self.tracker.set_listed(self.table, now_ms)
+            self.back_offs.set_listed(self.table, now_ms)
             self.tracker.set_usable(self.table.usable(), now_ms)
 
     def observe(self, report, now_ms):
@@ -67,16 +102,27 @@
         """Return the number of slots of all usable upstreams."""
         return self.tracker.count_slots(self.table.usable(), now_ms)
 
-    def limit_wait_ms(self, now_ms):
-        """Return after how long advertised limits allow the next request.
+    def start_wait_ms(self, host, now_ms):
+        """Return after how long any upstream takes the next request of a host.
 
-        It is 0 as long as any usable upstream advertises none.
+        It is 0 as long as any usable upstream neither advertises a limit nor wants no
+        requests from the host.
         """
-        if not self.all_limited():
+        if not self.tracker.any_limited and not self.back_offs.any_recorded:
             return 0
-        wait_ms = self.tracker.limit_wait_ms
-        usable = self.table.usable()
-        return min(wait_ms(item.upstream_id, now_ms) for item in usable)
+        wait_ms = None
+        for item in self.table.usable():
+            item_ms = self._item_wait_ms(item.upstream_id, host, now_ms)
+            if not item_ms:
+                return 0
+            wait_ms = item_ms if wait_ms is None else min(wait_ms, item_ms)
+        return wait_ms or 0
+
+    def _item_wait_ms(self, upstream_id, host, now_ms):
+        return max(
+            self.tracker.limit_wait_ms(upstream_id, now_ms),
+            self.back_offs.wait_ms(upstream_id, host, now_ms),
+        )
 
     def all_limited(self):
         """Return whether all usable upstreams advertise a limit, and there are any."""
@@ -86,24 +132,43 @@
         is_limited = self.tracker.is_limited
         return bool(usable) and all(is_limited(item.upstream_id) for item in usable)
 
-    def held_back(self, now_ms, max_count):
-        """Return upstreams with a free slot that their limits keep from requests.
+    def held_back(self, host, now_ms, max_count):
+        """Return the upstreams with a free slot that a host's requests may not use.
+
+        Parameters
+        ==========
+        host : str
+        now_ms : int
+        max_count : int
+            Bound on the number of upstreams for each cause, of which there may be
+            hundreds.
 
         Returns
         =======
-        list of str
-            At most ``max_count``, as there may be hundreds.
+        HeldBack
         """
-        if not self.tracker.any_limited:
-            return []
-        found = (
-            item.upstream_id
-            for item in self.table.usable()
-            if self.tracker.limit_wait_ms(item.upstream_id, now_ms)
-            and self._grants.in_flight(item.upstream_id)
-            < self.tracker.slots(item.upstream_id, now_ms)
-        )
-        return list(itertools.islice(found, max_count))
+        limited = backed_off = ()
+        if self.tracker.any_limited:
+            found = self._with_unused_slot(self.tracker.limit_wait_ms, now_ms)
+            limited = tuple(itertools.islice(found, max_count))
+        if self.back_offs.any_recorded:
+
+            def wait_ms(upstream_id, now_ms):
+                return self.back_offs.wait_ms(upstream_id, host, now_ms)
+
+            found = self._with_unused_slot(wait_ms, now_ms)
+            backed_off = tuple(itertools.islice(found, max_count))
+        return HeldBack(limited, backed_off)
+
+    def _with_unused_slot(self, wait_ms, now_ms):
+        """Yield the upstreams with a free slot whose ``wait_ms`` is not 0."""
+        for item in self.table.usable():
+            upstream_id = item.upstream_id
+            if not wait_ms(upstream_id, now_ms):
+                continue
+            held = self._grants.in_flight(upstream_id)
+            if held < self.tracker.slots(upstream_id, now_ms):
+                yield upstream_id
 
     def on_grant(self, held, now_ms):
         """Record a grant that was just issued."""
@@ -129,6 +194,7 @@
         if now_ms - self._overdue_checked_ms < OVERDUE_CHECK_INTERVAL_MS:
             return
         self._overdue_checked_ms = now_ms
+        self.back_offs.forget_passed(now_ms)
         self.tracker.drift()
         if not estimate.has_samples:
             return
--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -11,6 +11,7 @@
     Property,
     Refused,
     ResultCode,
+    UpstreamBackedOff,
     get_logger,
 )
 from hemlockhoist.base.metrics_table import (
@@ -24,7 +25,7 @@
     REQUESTS_WHOLE,
 )
 from hemlockhoist.base.traces import Hop
-from hemlockhoist.decisions import OutcomeKind
+from hemlockhoist.decisions import OutcomeKind, UpstreamState
 from hemlockhoist.decisions.entry import AttemptEnd, Step, next_step
 from hemlockhoist.declarations import CallKind
 from hemlockhoist.entry.attempt import Attempt
@@ -218,7 +219,9 @@
             if self._is_past_deadline and attempt.kind is OutcomeKind.CANCELLED:
                 attempt.kind = OutcomeKind.TIMEOUT
             outcome = attempt.outcome(self._context.clock.now_ms())
-            self._context.grants.release(hold, outcome, attempt.unreported_limit_per_s)
+            self._context.grants.release(
+                hold, outcome, attempt.unreported_limit_per_s, attempt.back_off_ms
+            )
             self._count_attempt(attempt, outcome)
             self._log_attempt(attempt, outcome)
 
@@ -259,6 +262,7 @@
         if self._admitted.customer is not None:
             self._admission.customer_of(self._admitted.call)
         self._context.store_view.check_upstream(hold.upstream_id, hold.is_cold)
+        self._check_not_backed_off(hold.upstream_id)
         self._context.store_view.check_region(hold.upstream_id, self._admitted.regions)
         self._context.moves.check_version(hold.pool, hold.version)
         self._context.invariants.check(
@@ -268,6 +272,16 @@
         )
         self._may_have_run = True
 
+    def _check_not_backed_off(self, upstream_id):
+        """Refuse to send to an upstream that wants no requests from this host.
+
+        Its home may have granted it before it learned of that.
+        """
+        now_ms = self._context.clock.now_ms()
+        remaining_ms = self._context.back_offs.remaining_ms(upstream_id, now_ms)
+        if remaining_ms:
+            raise UpstreamBackedOff(upstream_id, remaining_ms)
+
     def _record_failure(self, attempt, end):
         """Record why an attempt failed; avoid its upstream while there are others."""
         self._reason = attempt.reason
@@ -295,6 +309,10 @@
         except GrantOutdated as error:
             attempt.reason = error.message
             attempt.grant_outdated = True
+            now_ms = self._context.clock.now_ms()
+            attempt.back_off_ms = self._context.back_offs.remaining_ms(
+                attempt.hold.upstream_id, now_ms
+            )
             self._context.grants.report_outdated(attempt.hold, error)
             self._context.metrics.count(GRANTS_OUTDATED, error.cause)
             return None, AttemptEnd.NOT_SENT
@@ -457,12 +475,22 @@
             return self._failed_response
         if step is Step.REFUSE:
             code = ResultCode.CONNECT_FAILED
-            raise Refused(self._reason or end.value, code, RETRY_AFTER_MS)
+            raise Refused(self._reason or end.value, code, self._retry_after_ms())
         code = ResultCode.OUTCOME_UNKNOWN
         if end is AttemptEnd.TIMED_OUT:
             code = ResultCode.UPSTREAM_TIMEOUT
         raise DispatchError(self._reason or end.value, code)
 
+    def _retry_after_ms(self):
+        """Return after how long an upstream of the pool may accept the request."""
+        back_offs, now_ms = self._context.back_offs, self._context.clock.now_ms()
+        waits_ms = (
+            back_offs.remaining_ms(item.upstream_id, now_ms)
+            for item in self._context.store_view.usable()
+            if item.pool == self._admitted.pool and item.state is UpstreamState.LIVE
+        )
+        return max(RETRY_AFTER_MS, min(waits_ms, default=0))
+
     def _deadline_result(self):
         if self.response_started:
             return self._abort_stream("deadline passed")
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -232,6 +232,7 @@
             UsageLog(self.settings.bounds.quota_window_ms),
             context.identity.incarnation,
             context.advertised_limits,
+            context.back_offs,
         )
         context.register = DispatchRegister(context.invariants)
         context.feeds = FeedStore(
--- a/libs/host/src/hemlockhoist/host/grants.py
+++ b/libs/host/src/hemlockhoist/host/grants.py
@@ -131,12 +131,15 @@
         Records customers' usage.
     advertised_limits : AdvertisedLimits, optional
         The limits that upstreams advertised to this host.
+    back_offs : BackOffs, optional
+        The upstreams that want no requests from this host for a while.
     incarnation : str, optional
         This host's incarnation.
     """
 
     __slots__ = (
         "_advertised_limits",
+        "_back_offs",
         "_claiming_homes",
         "_clock",
         "_held",
@@ -163,7 +166,9 @@
         usage_log=None,
         incarnation="",
         advertised_limits=None,
+        back_offs=None,
     ):
+        self._back_offs = back_offs
         self._advertised_limits = advertised_limits
         self._incarnation = incarnation
         self._usage_log = usage_log
@@ -414,7 +419,7 @@
         for home in homes - {""}:
             self._send(home, message)
 
-    def release(self, hold, outcome, limit_per_s=None):
+    def release(self, hold, outcome, limit_per_s=None, back_off_ms=0):
         """Release a grant and report its outcome to the homes that may count it.
 
         Parameters
@@ -423,17 +428,19 @@
         outcome : hemlockhoist.decisions.Outcome
         limit_per_s : float or None, optional
             The limit that the upstream advertised; None if unknown or reported before.
+        back_off_ms : int, optional
+            Time for which the upstream wants no requests from this host.
         """
         if self._held.pop(hold.grant_id, None) is None:
             return
         news = _limit_news(hold, limit_per_s)
-        self._send_release(hold, outcome.kind.value, outcome, news)
+        self._send_release(hold, outcome.kind.value, outcome, news, back_off_ms)
         self._claiming_homes.pop(hold.grant_id, None)
 
     def _release_unsent(self, hold):
         self._send_release(hold, "not_sent", None)
 
-    def _send_release(self, hold, kind, outcome, limit_per_s=None):
+    def _send_release(self, hold, kind, outcome, limit_per_s=None, back_off_ms=0):
         message = GrantRelease(
             pool=hold.pool,
             request_id=hold.brief.request_id,
@@ -445,6 +452,7 @@
             cached_tokens=outcome.cached_tokens if outcome else 0,
             token_us=outcome.token_us if outcome else -1,
             limit_per_s=limit_per_s,
+            back_off_ms=back_off_ms,
         )
         self._notify_homes(hold, message)
 
@@ -493,6 +501,9 @@
         limits = ()
         if self._advertised_limits is not None:
             limits = self._advertised_limits.report(pool, now_ms)
+        back_offs = ()
+        if self._back_offs is not None:
+            back_offs = self._back_offs.report(pool, now_ms)
         usage_by_customer = ()
         if self._usage_log is not None:
             usage_by_customer = self._usage_log.report(pool, home_incarnation, now_ms)
@@ -504,6 +515,7 @@
             up_ms=now_ms - self._started_ms,
             incarnation=self._incarnation,
             limits=limits,
+            back_offs=back_offs,
         )
 
     def send_held_ids(self, pools):
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -38,8 +38,10 @@
 LOST_GRANT_MS = 5_000
 # Number of upstreams that a log line names.
 MAX_NAMED = 5
-# Value of the label of metrics: an upstream advertised a limit on its request rate.
+# Values of the label of metrics: an upstream advertised a limit on its request rate, or
+# wants no requests from the entry host for a while.
 LIMIT_CAUSE = "limit"
+BACK_OFF_CAUSE = "back_off"
 
 
 class GateRefusal(msgspec.Struct, frozen=True):
@@ -276,18 +278,21 @@
             self._metrics.count(CALLERS_RETRIED, self.pool)
         request_id = request.request_id
         is_decided = any(item.request.request_id == request_id for item in decisions)
-        if not is_decided or not self.scheduler.grant_of(request_id):
-            self._count_held_back(now_ms)
+        if not self.scheduler.is_granted(request_id):
+            self._count_held_back(request, now_ms)
         if not is_decided:
             self._queued[request.request_id] = QueueEntry(request, now_ms)
         self._emit(decisions, now_ms)
         if not is_decided:
             self._notify_queued(request)
 
-    def _count_held_back(self, now_ms):
-        """Count a request that got no slot at once, if a limit kept one from it."""
-        if self.scheduler.held_back(now_ms, 1):
+    def _count_held_back(self, request, now_ms):
+        """Count a request that got no slot at once, by what kept free ones from it."""
+        held_back = self.scheduler.held_back(request.entry_host, now_ms, 1)
+        if held_back.limited:
             self._metrics.count(GRANTS_HELD_BACK, LIMIT_CAUSE)
+        if held_back.backed_off:
+            self._metrics.count(GRANTS_HELD_BACK, BACK_OFF_CAUSE)
 
     def _notify_queued(self, request):
         _log.info(
@@ -297,13 +302,14 @@
             tier=request.tier_rank,
             queued=len(self._queued),
             granted=len(self._granted),
-            held_back=self._held_back_names(),
+            held_back=self._held_back_text(request),
         )
         self._send(request.entry_host, self._queued_message(request.request_id))
 
-    def _held_back_names(self):
-        """Return the upstreams that only their limits keep from requests, for logs."""
-        return ",".join(self.scheduler.held_back(self._clock.now_ms(), MAX_NAMED))
+    def _held_back_text(self, request):
+        """Return which upstreams have a slot that a request may not use, for logs."""
+        now_ms = self._clock.now_ms()
+        return str(self.scheduler.held_back(request.entry_host, now_ms, MAX_NAMED))
 
     def _begin_span(self, brief):
         parent = parent_from_text(brief.trace)
@@ -345,11 +351,11 @@
 
     def _observe_limit(self, message):
         """Record the limit in a message about a grant, before the grant is released."""
-        granted = self.scheduler.grant(message.grant_id)
-        if message.limit_per_s is None or granted is None:
-            return
-        now_ms = self._clock.now_ms()
-        self._record_limit(granted.upstream_id, message.limit_per_s, now_ms)
+        held = self.scheduler.in_flight_grant(message.grant_id)
+        if message.limit_per_s is not None and held is not None:
+            heard_ms = self._clock.now_ms()
+            upstream_id = held.grant.upstream_id
+            self._record_limit(upstream_id, message.limit_per_s, heard_ms)
 
     def _record_limit(self, upstream_id, requests_per_s, heard_ms):
         now_ms = self._clock.now_ms()
@@ -362,9 +368,18 @@
                 requests_per_s="" if is_lifted else requests_per_s,
             )
 
+    def _observe_back_off(self, message):
+        """Record that the upstream of a grant wants no requests from its host."""
+        held = self.scheduler.in_flight_grant(message.grant_id)
+        if message.back_off_ms and held is not None:
+            until_ms = self._clock.now_ms() + message.back_off_ms
+            host = held.request.entry_host
+            self.scheduler.observe_back_off(held.grant.upstream_id, host, until_ms)
+
     def on_release(self, message):
         """Release a grant and record its outcome."""
         self._observe_limit(message)
+        self._observe_back_off(message)
         outcome = Outcome(
             kind=OutcomeKind(message.outcome),
             first_token_ms=message.first_token_ms,
@@ -413,6 +428,9 @@
         for limit in message.limits:
             heard_ms = now_ms - limit.age_ms
             self._record_limit(limit.upstream_id, limit.requests_per_s, heard_ms)
+        for item in message.back_offs:
+            until_ms = now_ms + item.remaining_ms
+            self.scheduler.observe_back_off(item.upstream_id, sender, until_ms)
         if sender in self._pending_hosts:
             self._gate.on_usage_report(sender, message, now_ms)
             self._pending_hosts.discard(sender)
@@ -499,19 +517,18 @@
                 since_ms = now_ms if queued is None else queued.since_ms
                 self._gate.on_not_run(self.pool, request, since_ms, now_ms)
                 code = decision.code
-                self._refuse(
-                    request, code, decision.retry_after_ms, self._refusal_reason()
-                )
+                reason = self._refusal_reason(request)
+                self._refuse(request, code, decision.retry_after_ms, reason)
 
-    def _refusal_reason(self):
+    def _refusal_reason(self, request):
         """Return the state that explains a refusal, for the entry host's log."""
         reason = f"queued {len(self._queued)} granted {len(self._granted)}"
         evacuated = self.scheduler.evacuated_domains()
         if evacuated:
             reason += f" evacuated {','.join(evacuated)}"
-        held_back = self._held_back_names()
+        held_back = self._held_back_text(request)
         if held_back:
-            reason += f" limited {held_back}"
+            reason += f" {held_back}"
         return reason
 
     def _refuse(self, request, code, retry_after_ms, reason):
--- a/libs/host/src/hemlockhoist/host/tests/test_grants.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_grants.py
@@ -85,6 +85,7 @@
 class GrantHarness(PausedTestCase):
     upstreams = (UPSTREAM,)
     advertised_limits = None
+    back_offs = None
 
     async def asyncSetUp(self):
         self.clock = Clock(asyncio.get_running_loop())
@@ -97,6 +98,7 @@
             lambda pool: self.home,
             self.unresponsive.append,
             advertised_limits=self.advertised_limits,
+            back_offs=self.back_offs,
         )
         self.network.client = self.client
         self._add_home("h1")
--- a/libs/messages/src/hemlockhoist/messages/__init__.py
+++ b/libs/messages/src/hemlockhoist/messages/__init__.py
@@ -28,6 +28,7 @@
 )
 from hemlockhoist.messages.grants import (
     NO_LIMIT,
+    BackedOffUpstream,
     FirstToken,
     GrantCancel,
     GrantQueued,
@@ -103,6 +104,7 @@
     "Handover",
     "HandoverAck",
     "Health",
+    "BackedOffUpstream",
     "HeardLimit",
     "HeldGrant",
     "HeldGrantIds",
--- a/libs/messages/src/hemlockhoist/messages/grants.py
+++ b/libs/messages/src/hemlockhoist/messages/grants.py
@@ -165,7 +165,8 @@
     ``outcome`` is the value of an ``OutcomeKind`` of the decisions library.
     ``limit_per_s`` is the limit that the upstream advertised in the head of its answer,
     in requests per second from all hosts together: infinite if it no longer advertises
-    one, None if there is no news.
+    one, None if there is no news. ``back_off_ms`` is the time for which the upstream
+    wants no requests from the sender.
     """
 
     pool: str
@@ -179,6 +180,7 @@
     token_us: int = -1
     is_alone: bool = False
     limit_per_s: float | None = None
+    back_off_ms: int = 0
 
 
 class FirstToken(
@@ -219,6 +221,13 @@
     age_ms: int
 
 
+class BackedOffUpstream(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """An upstream that wants no requests from the sender for the remaining time."""
+
+    upstream_id: str
+    remaining_ms: int
+
+
 class HomeTakeover(
     msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
 ):
@@ -244,7 +253,8 @@
     ``usage`` is the recent usage of each customer at the sender: ages in milliseconds,
     with the units. ``incarnation`` is that of the sender. ``up_ms`` is how long it has
     run, which limits how far back its usage reaches. ``limits`` are those that the
-    pool's upstreams advertised to the sender.
+    pool's upstreams advertised to the sender, ``back_offs`` the upstreams that want no
+    requests from it.
     """
 
     pool: str
@@ -254,6 +264,7 @@
     up_ms: int = 0
     incarnation: str = ""
     limits: tuple[HeardLimit, ...] = ()
+    back_offs: tuple[BackedOffUpstream, ...] = ()
 
 
 class HeldGrantIds(
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_explained.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_explained.py
@@ -144,12 +144,15 @@
         async with Site({"reservas": [busy]}, [lookup]) as site:
             async with site.call("/check-free/1") as answer:
                 self.assertEqual(answer.status, 503)
+            async with site.call("/check-free/1", Attempt_Id="a2") as answer:
+                self.assertGreater(float(answer.headers["Retry-After"]), 2.0)
             context = site.hosts[0].context
             counts = context.back_offs.count_by_pool(context.clock.now_ms())
             self.assertEqual(counts, {"reservas": 1})
         text = self.explain("a1")
         self.assertIn("back_off_requested upstream=s1 pool=reservas", text)
         self.assertIn("back_off_ms=3000", text)
+        self.assertIn("(queued 0 granted 0 backed off s1)", self.explain("a2"))
 
     async def test_unknown_request_id(self):
         found = CliRunner().invoke(main, ["explain", "nobody"], self.log.getvalue())
