A failing test: an upstream that says it leaves goes on getting requests

What callers see: requests that an upstream loses as it stops, where its row in the list comes late or never.

Evidence: three hosts, two upstreams, one of which says in all its answers that it leaves: it gets requests more than 2 s after a host has passed on such an answer.

Ruled out: the list; its row says that it is ready throughout.

--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_back_offs.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_back_offs.py
@@ -7,6 +7,8 @@
 
 LOOKUP = route("check-free", "reservas")
 REST_S = 3.0
+# An upstream that has said that it leaves gets nothing new after this time.
+DRAIN_S = 2.0
 # A host may have sent more by the time that the answer reaches it; after that, no more
 # than two requests are tolerated until the rest is over.
 REACHED_AFTER_S = 0.5
@@ -124,3 +126,20 @@
             answers = await send_steadily(site, 2.0, [0])
         self.assertEqual({status for status, _ in answers}, {200})
         self.assertGreater(len(resting.ran), 5)
+
+
+class LeavingTests(unittest.IsolatedAsyncioTestCase):
+    async def test_upstream_that_says_it_leaves_gets_no_new_requests(self):
+        """Guards against requests that an upstream loses as it stops.
+
+        It says in its answers that it leaves, while its row still says that it is ready.
+        """
+        leaving, other = Replica("s1"), Replica("s2")
+        leaving.is_leaving = True
+        async with Site({"reservas": [leaving, other]}, [LOOKUP], HOSTS) as site:
+            answers = await send_steadily(site, DRAIN_S + 1.5)
+        self.assertEqual({status for status, _ in answers}, {200})
+        for host in range(HOSTS):
+            times_s = arrivals_s(leaving.ran, host)
+            late_s = [item for item in times_s if item > times_s[0] + DRAIN_S]
+            self.assertEqual(late_s, [])
