Carry what an upstream says about itself in one record

Cause: each word that an upstream says of itself was a field and a parameter of its own, in two messages, three methods and the attempt; the next one would have been a fourth.

Change: one record (UpstreamSignals) in the head, the attempt and the messages. A message without news holds one byte for it. No decision changes.

--- a/libs/entry/src/hemlockhoist/entry/attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt.py
@@ -25,7 +25,6 @@
     """
 
     __slots__ = (
-        "back_off_ms",
         "first_ms",
         "grant_outdated",
         "guard",
@@ -34,11 +33,11 @@
         "is_misdirected",
         "is_reachable",
         "kind",
-        "limit_is_reported",
-        "limit_per_s",
         "longest_gap_ms",
         "output_tokens",
         "reason",
+        "signals",
+        "signals_are_reported",
         "token_us",
         "waited_ms",
     )
@@ -57,21 +56,26 @@
         self.longest_gap_ms = 0
         self.token_us = -1
         self.reason = ""
-        # As in ``ResponseHead``; None also before any answer.
-        self.limit_per_s = None
-        self.limit_is_reported = False
-        self.back_off_ms = 0
+        # What the answer said about the upstream; None before any answer.
+        self.signals = None
+        self.signals_are_reported = False
         self.is_leaving = False
 
     @property
-    def unreported_limit_per_s(self):
-        """The advertised limit, or None if the home was told with the first token."""
-        return None if self.limit_is_reported else self.limit_per_s
+    def unreported_signals(self):
+        """The signals, or None if the home was told of them with the first token."""
+        return None if self.signals_are_reported else self.signals
 
     @property
     def limit_text(self):
         """The limit that the upstream advertised, for logs; empty if it has none."""
-        return "" if self.limit_per_s in (None, NO_LIMIT) else self.limit_per_s
+        limit_per_s = self.signals.limit_per_s if self.signals else None
+        return "" if limit_per_s in (None, NO_LIMIT) else limit_per_s
+
+    @property
+    def back_off_text(self):
+        """The back-off that the upstream asked for, for logs; empty if none."""
+        return self.signals.back_off_ms or "" if self.signals else ""
 
     def record_end(self, end):
         """Set the outcome kind from how the attempt ended; None means success."""
--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -32,7 +32,7 @@
 from hemlockhoist.entry.responses import upstream_response
 from hemlockhoist.entry.stream import StreamRelay
 from hemlockhoist.entry.wire import UpstreamDirectives
-from hemlockhoist.messages import NO_LIMIT, RequestBrief
+from hemlockhoist.messages import NO_LIMIT, RequestBrief, UpstreamSignals
 from hemlockhoist.upstreams import SendGuard, UpstreamCall
 
 _log = get_logger("entry.exchange")
@@ -219,9 +219,7 @@
             if self._is_past_deadline and attempt.kind is OutcomeKind.CANCELLED:
                 attempt.kind = OutcomeKind.TIMEOUT
             outcome = attempt.outcome(self._context.clock.now_ms())
-            self._context.grants.release(
-                hold, outcome, attempt.unreported_limit_per_s, attempt.back_off_ms
-            )
+            self._context.grants.release(hold, outcome, attempt.unreported_signals)
             self._count_attempt(attempt, outcome)
             self._log_attempt(attempt, outcome)
 
@@ -309,10 +307,7 @@
         except GrantOutdated as error:
             attempt.reason = error.message
             attempt.grant_outdated = True
-            now_ms = self._context.clock.now_ms()
-            attempt.back_off_ms = self._context.back_offs.remaining_ms(
-                attempt.hold.upstream_id, now_ms
-            )
+            attempt.signals = self._known_signals(attempt.hold.upstream_id)
             self._context.grants.report_outdated(attempt.hold, error)
             self._context.metrics.count(GRANTS_OUTDATED, error.cause)
             return None, AttemptEnd.NOT_SENT
@@ -359,8 +354,7 @@
     async def _read_response(self, response, attempt):
         wire = self._context.platform.wire
         head = wire.read_response_head(response.status, response.headers)
-        self._record_limit(head, attempt)
-        self._record_back_off(head, attempt)
+        self._record_signals(head, attempt)
         if head.is_misdirected:
             # The listed process has been replaced by another one: equivalent to a
             # refused connection, so another upstream can be tried safely.
@@ -380,18 +374,25 @@
             return await self._relay_stream(response, head, attempt)
         return await self._read_full_response(response, head, attempt)
 
-    def _record_limit(self, head, attempt):
-        """Record the limit that the upstream advertises in the head of its answer.
+    def _record_signals(self, head, attempt):
+        """Record what the upstream says about itself in the head of its answer.
 
         Another process that answers at its address says nothing about the upstream.
         """
         if head.is_misdirected:
             return
-        attempt.limit_per_s = head.limit_per_s
-        hold, limits = attempt.hold, self._context.advertised_limits
-        now_ms = self._context.clock.now_ms()
-        if limits.record(hold.pool, hold.upstream_id, head.limit_per_s, now_ms):
-            is_limited = head.limit_per_s != NO_LIMIT
+        attempt.is_leaving = head.is_leaving
+        attempt.signals = UpstreamSignals(
+            limit_per_s=head.limit_per_s, back_off_ms=head.back_off_ms
+        )
+        self._record_limit(attempt)
+        self._record_back_off(attempt)
+
+    def _record_limit(self, attempt):
+        hold, limit_per_s = attempt.hold, attempt.signals.limit_per_s
+        limits, now_ms = self._context.advertised_limits, self._context.clock.now_ms()
+        if limits.record(hold.pool, hold.upstream_id, limit_per_s, now_ms):
+            is_limited = limit_per_s != NO_LIMIT
             _log.info(
                 "limit_advertised" if is_limited else "limit_withdrawn",
                 request=self.request_id,
@@ -400,26 +401,24 @@
                 requests_per_s=attempt.limit_text,
             )
 
-    def _record_back_off(self, head, attempt):
-        """Record that the upstream wants no requests for a while, or none any more.
-
-        Another process that answers at its address says nothing about the upstream.
-        """
-        if head.is_misdirected:
-            return
-        attempt.back_off_ms = head.back_off_ms
-        attempt.is_leaving = head.is_leaving
-        hold, now_ms = attempt.hold, self._context.clock.now_ms()
-        back_offs = self._context.back_offs
-        if back_offs.record(hold.pool, hold.upstream_id, head.back_off_ms, now_ms):
+    def _record_back_off(self, attempt):
+        hold, back_off_ms = attempt.hold, attempt.signals.back_off_ms
+        back_offs, now_ms = self._context.back_offs, self._context.clock.now_ms()
+        if back_offs.record(hold.pool, hold.upstream_id, back_off_ms, now_ms):
             _log.info(
                 "back_off_requested",
                 request=self.request_id,
                 upstream=hold.upstream_id,
                 pool=hold.pool,
-                back_off_ms=head.back_off_ms,
+                back_off_ms=back_off_ms,
             )
 
+    def _known_signals(self, upstream_id):
+        """Return what this host knows and the upstream's home does not seem to know."""
+        now_ms = self._context.clock.now_ms()
+        remaining_ms = self._context.back_offs.remaining_ms(upstream_id, now_ms)
+        return UpstreamSignals(back_off_ms=remaining_ms)
+
     async def _read_full_response(self, response, head, attempt):
         body = await response.read(MAX_RESPONSE_BYTES)
         attempt.first_ms = self._context.clock.now_ms()
@@ -438,8 +437,8 @@
         def on_first():
             attempt.first_ms = self._context.clock.now_ms()
             first_ms = attempt.first_ms - attempt.guard.dispatched_ms
-            grants.report_first_token(attempt.hold, first_ms, attempt.limit_per_s)
-            attempt.limit_is_reported = True
+            grants.report_first_token(attempt.hold, first_ms, attempt.signals)
+            attempt.signals_are_reported = True
 
         before = self._relay.event_count
         try:
@@ -540,7 +539,7 @@
             total_ms=outcome.total_ms,
             longest_gap_ms=attempt.longest_gap_ms,
             limit_per_s=attempt.limit_text,
-            back_off_ms=attempt.back_off_ms or "",
+            back_off_ms=attempt.back_off_text,
             leaving="true" if attempt.is_leaving else "",
             reason=attempt.reason,
         )
--- a/libs/host/src/hemlockhoist/host/grants.py
+++ b/libs/host/src/hemlockhoist/host/grants.py
@@ -31,6 +31,7 @@
     LeftUpstream,
     NotHome,
     RequestBrief,
+    UpstreamSignals,
 )
 
 # A reply takes a few milliseconds, and up to a tenth of a second where the home's
@@ -369,21 +370,21 @@
             )
             self._send(target, message)
 
-    def report_first_token(self, hold, first_token_ms, limit_per_s=None):
+    def report_first_token(self, hold, first_token_ms, signals=None):
         """Report the time to first token of an answer to the home.
 
         Parameters
         ==========
         hold : GrantHold
         first_token_ms : int
-        limit_per_s : float or None, optional
-            The limit that the upstream advertised; None if unknown.
+        signals : UpstreamSignals or None, optional
+            What the answer said about the upstream.
         """
         message = FirstToken(
             pool=hold.pool,
             grant_id=hold.grant_id,
             first_token_ms=first_token_ms,
-            limit_per_s=_limit_news(hold, limit_per_s),
+            signals=_news(hold, signals),
         )
         self._notify_homes(hold, message)
 
@@ -419,28 +420,25 @@
         for home in homes - {""}:
             self._send(home, message)
 
-    def release(self, hold, outcome, limit_per_s=None, back_off_ms=0):
+    def release(self, hold, outcome, signals=None):
         """Release a grant and report its outcome to the homes that may count it.
 
         Parameters
         ==========
         hold : GrantHold
         outcome : hemlockhoist.decisions.Outcome
-        limit_per_s : float or None, optional
-            The limit that the upstream advertised; None if unknown or reported before.
-        back_off_ms : int, optional
-            Time for which the upstream wants no requests from this host.
+        signals : UpstreamSignals or None, optional
+            What the answer said about the upstream; None if that was reported before.
         """
         if self._held.pop(hold.grant_id, None) is None:
             return
-        news = _limit_news(hold, limit_per_s)
-        self._send_release(hold, outcome.kind.value, outcome, news, back_off_ms)
+        self._send_release(hold, outcome.kind.value, outcome, _news(hold, signals))
         self._claiming_homes.pop(hold.grant_id, None)
 
     def _release_unsent(self, hold):
         self._send_release(hold, "not_sent", None)
 
-    def _send_release(self, hold, kind, outcome, limit_per_s=None, back_off_ms=0):
+    def _send_release(self, hold, kind, outcome, signals=None):
         message = GrantRelease(
             pool=hold.pool,
             request_id=hold.brief.request_id,
@@ -451,8 +449,7 @@
             output_tokens=outcome.output_tokens if outcome else 0,
             cached_tokens=outcome.cached_tokens if outcome else 0,
             token_us=outcome.token_us if outcome else -1,
-            limit_per_s=limit_per_s,
-            back_off_ms=back_off_ms,
+            signals=signals,
         )
         self._notify_homes(hold, message)
 
@@ -527,6 +524,9 @@
                 self._send(home, HeldGrantIds(pool=pool, grant_ids=ids))
 
 
+_NO_SIGNALS = UpstreamSignals()
+
+
 @functools.singledispatch
 def _outdated_message(error):
     """Return the message that reports to a home why a grant is outdated."""
@@ -550,14 +550,18 @@
     )
 
 
-def _limit_news(hold, limit_per_s):
-    """Return the advertised limit as the home is to be told of it.
+def _news(hold, signals):
+    """Return what the home is to be told of an answer's signals, or None.
 
     An answer without a limit is news only if its grant was issued under one: then the
     upstream has withdrawn it. Answers to other grants may have begun before the
     upstream advertised the limit.
     """
-    return None if limit_per_s == NO_LIMIT and not hold.is_limited else limit_per_s
+    if signals is None:
+        return None
+    if signals.limit_per_s == NO_LIMIT and not hold.is_limited:
+        signals = msgspec.structs.replace(signals, limit_per_s=None)
+    return None if signals == _NO_SIGNALS else signals
 
 
 def _held_grant_message(hold):
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -343,19 +343,25 @@
     def on_first_token(self, message):
         """Record the time to first token of an answer that is still in progress."""
         now_ms = self._clock.now_ms()
-        self._observe_limit(message)
+        self._observe_signals(message)
         decisions = self.scheduler.observe_first_token(
             message.grant_id, message.first_token_ms, now_ms
         )
         self._emit(decisions, now_ms)
 
-    def _observe_limit(self, message):
-        """Record the limit in a message about a grant, before the grant is released."""
+    def _observe_signals(self, message):
+        """Record what an upstream said, before the grant of the message is released."""
         held = self.scheduler.in_flight_grant(message.grant_id)
-        if message.limit_per_s is not None and held is not None:
-            heard_ms = self._clock.now_ms()
-            upstream_id = held.grant.upstream_id
-            self._record_limit(upstream_id, message.limit_per_s, heard_ms)
+        signals = message.signals
+        if held is None or signals is None:
+            return
+        now_ms, upstream_id = self._clock.now_ms(), held.grant.upstream_id
+        if signals.limit_per_s is not None:
+            self._record_limit(upstream_id, signals.limit_per_s, now_ms)
+        if signals.back_off_ms:
+            until_ms = now_ms + signals.back_off_ms
+            host = held.request.entry_host
+            self.scheduler.observe_back_off(upstream_id, host, until_ms)
 
     def _record_limit(self, upstream_id, requests_per_s, heard_ms):
         now_ms = self._clock.now_ms()
@@ -368,18 +374,9 @@
                 requests_per_s="" if is_lifted else requests_per_s,
             )
 
-    def _observe_back_off(self, message):
-        """Record that the upstream of a grant wants no requests from its host."""
-        held = self.scheduler.in_flight_grant(message.grant_id)
-        if message.back_off_ms and held is not None:
-            until_ms = self._clock.now_ms() + message.back_off_ms
-            host = held.request.entry_host
-            self.scheduler.observe_back_off(held.grant.upstream_id, host, until_ms)
-
     def on_release(self, message):
         """Release a grant and record its outcome."""
-        self._observe_limit(message)
-        self._observe_back_off(message)
+        self._observe_signals(message)
         outcome = Outcome(
             kind=OutcomeKind(message.outcome),
             first_token_ms=message.first_token_ms,
--- a/libs/host/src/hemlockhoist/host/tests/test_advertised_limits.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_advertised_limits.py
@@ -4,12 +4,21 @@
 from hemlockhoist.decisions.entry import AdvertisedLimits
 from hemlockhoist.decisions.scheduling import DeclaredSlotsTracker
 from hemlockhoist.host.tests.test_grants import ENTRY, GrantHarness
-from hemlockhoist.messages import NO_LIMIT, FirstToken, GrantRelease
+from hemlockhoist.messages import (
+    NO_LIMIT,
+    FirstToken,
+    GrantRelease,
+    UpstreamSignals,
+)
 
 SUCCESS = Outcome(kind=OutcomeKind.SUCCESS, first_token_ms=5, total_ms=10)
 ALLOWED_IN_2_S = 4
 
 
+def limit(requests_per_s):
+    return UpstreamSignals(limit_per_s=requests_per_s)
+
+
 class AdvertisedLimitTests(GrantHarness):
     """One upstream with four slots, which advertises two requests a second."""
 
@@ -39,10 +48,10 @@
         now_ms = self.clock.now_ms()
         self.advertised_limits.record("chat", "u", limit_per_s, now_ms)
         if by_first_token:
-            self.client.report_first_token(hold, 5, limit_per_s)
+            self.client.report_first_token(hold, 5, limit(limit_per_s))
             self.client.release(hold, SUCCESS)
         else:
-            self.client.release(hold, SUCCESS, limit_per_s)
+            self.client.release(hold, SUCCESS, limit(limit_per_s))
         await asyncio.sleep(0.01)
         return hold
 
@@ -70,10 +79,10 @@
                 await super().asyncSetUp()
                 hold = await self._acquire("r1")
                 if report == "first token":
-                    self.client.report_first_token(hold, 5, 2.0)
+                    self.client.report_first_token(hold, 5, limit(2.0))
                 else:
                     outcome = failed if report == "failed answer" else SUCCESS
-                    self.client.release(hold, outcome, 2.0)
+                    self.client.release(hold, outcome, limit(2.0))
                 await asyncio.sleep(0.01)
                 home = self.network.homes["h1"]
                 count = await self.granted_within(home, 900)
@@ -91,18 +100,18 @@
         """Guards against an old answer that ends the limit of an upstream in need."""
         hold = await self._acquire("r1")
         await self.answer("r2", 2.0)
-        self.client.release(hold, SUCCESS, NO_LIMIT)
+        self.client.release(hold, SUCCESS, limit(NO_LIMIT))
         await asyncio.sleep(0.01)
         home = self.network.homes["h1"]
         self.assertLessEqual(await self.granted_within(home, 400), 1)
 
     async def test_unlimited_upstream_costs_no_bytes(self):
         hold = await self._acquire("r1")
-        self.client.report_first_token(hold, 5, NO_LIMIT)
-        self.client.release(hold, SUCCESS, NO_LIMIT)
+        self.client.report_first_token(hold, 5, limit(NO_LIMIT))
+        self.client.release(hold, SUCCESS, limit(NO_LIMIT))
         kinds = (FirstToken, GrantRelease)
         news = [item for item in self.network.sent if isinstance(item, kinds)]
-        self.assertEqual([item.limit_per_s for item in news], [None, None])
+        self.assertEqual([item.signals for item in news], [None, None])
 
     async def test_next_home_is_told_of_the_limits_that_hosts_have_heard(self):
         """Guards against an upstream in need that is flooded when its home moves."""
--- a/libs/host/src/hemlockhoist/host/tests/test_back_offs.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_back_offs.py
@@ -4,6 +4,7 @@
 from hemlockhoist.decisions.entry import BackOffs
 from hemlockhoist.decisions.scheduling import DeclaredSlotsTracker
 from hemlockhoist.host.tests.test_grants import ENTRY, GrantHarness
+from hemlockhoist.messages import UpstreamSignals
 
 TURNED_AWAY = Outcome(kind=OutcomeKind.FAILED, total_ms=3)
 REST_MS = 3_000
@@ -32,7 +33,8 @@
     async def turn_away(self):
         hold = await self._acquire("r1")
         self.back_offs.record("chat", "u", REST_MS, self.clock.now_ms())
-        self.client.release(hold, TURNED_AWAY, back_off_ms=REST_MS)
+        signals = UpstreamSignals(back_off_ms=REST_MS)
+        self.client.release(hold, TURNED_AWAY, signals)
         await asyncio.sleep(0.01)
 
     async def granted_after_ms(self, home):
--- a/libs/messages/src/hemlockhoist/messages/__init__.py
+++ b/libs/messages/src/hemlockhoist/messages/__init__.py
@@ -44,6 +44,7 @@
     HomeTakeover,
     NotHome,
     RequestBrief,
+    UpstreamSignals,
 )
 from hemlockhoist.messages.ledger import (
     Handover,
@@ -106,6 +107,7 @@
     "Health",
     "BackedOffUpstream",
     "HeardLimit",
+    "UpstreamSignals",
     "HeldGrant",
     "HeldGrantIds",
     "HeldGrants",
--- a/libs/messages/src/hemlockhoist/messages/grants.py
+++ b/libs/messages/src/hemlockhoist/messages/grants.py
@@ -157,16 +157,30 @@
     is_alone: bool = False
 
 
+class UpstreamSignals(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """What an upstream said about itself in the head of an answer.
+
+    Parameters
+    ==========
+    limit_per_s : float or None
+        Requests per second that it takes from all hosts together: infinite if it no
+        longer advertises a limit, None if there is no news.
+    back_off_ms : int
+        Time for which it wants no requests from the host that got the answer.
+    """
+
+    limit_per_s: float | None = None
+    back_off_ms: int = 0
+
+
 class GrantRelease(
     msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
 ):
     """Releases a grant and reports the outcome of its request.
 
     ``outcome`` is the value of an ``OutcomeKind`` of the decisions library.
-    ``limit_per_s`` is the limit that the upstream advertised in the head of its answer,
-    in requests per second from all hosts together: infinite if it no longer advertises
-    one, None if there is no news. ``back_off_ms`` is the time for which the upstream
-    wants no requests from the sender.
+    ``signals`` is what the upstream's answer said about the upstream, or None if that
+    is no news.
     """
 
     pool: str
@@ -179,8 +193,7 @@
     cached_tokens: int = 0
     token_us: int = -1
     is_alone: bool = False
-    limit_per_s: float | None = None
-    back_off_ms: int = 0
+    signals: UpstreamSignals | None = None
 
 
 class FirstToken(
@@ -188,15 +201,14 @@
 ):
     """Reports the first token of an answer, which may end many seconds later.
 
-    ``first_token_ms`` is the time since dispatch, ``limit_per_s`` as in
-    ``GrantRelease``.
+    ``first_token_ms`` is the time since dispatch, ``signals`` as in ``GrantRelease``.
     """
 
     pool: str
     grant_id: str
     first_token_ms: int
     is_alone: bool = False
-    limit_per_s: float | None = None
+    signals: UpstreamSignals | None = None
 
 
 class HeldGrant(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
