Send nothing new to an upstream that says that it leaves

Only the list said who leaves.

Change: a host that hears it marks the upstream as leaving at once, whatever its row says, and tells its home with the first token or the release; the home grants it to nobody. The mark belongs to the process that said it (its start), so that the next one under the same id is used; it outlasts newer rows of the same process and a lapse of the list. The host checks in the step before the first byte, as for what the list says. Refusals, explain, a log line and a gauge name it.

Why it works: the mark stands where the check before each send looks, and doesn't depend on the store.

--- a/libs/base/src/hemlockhoist/base/metrics_table.py
+++ b/libs/base/src/hemlockhoist/base/metrics_table.py
@@ -259,6 +259,13 @@
     "Upstreams whose latest answer to this host advertised a limit on requests.",
     "The upstreams are in need: see limit_advertised in the logs, and why they are.",
 )
+UPSTREAMS_LEAVING = Metric(
+    "upstreams.leaving",
+    _G,
+    "pool",
+    "Upstreams that announced in their answers that they are about to stop.",
+    "No action is needed; if they stay, they do not stop: see upstream_leaving.",
+)
 UPSTREAMS_BACKED_OFF = Metric(
     "upstreams.backed_off",
     _G,
--- a/libs/cli/src/hemlockhoist/cli/explain.py
+++ b/libs/cli/src/hemlockhoist/cli/explain.py
@@ -33,6 +33,7 @@
         "store_regained",
         "upstream_cold",
         "upstream_gone",
+        "upstream_leaving",
         "upstream_listed",
     }
 )
--- a/libs/decisions/src/hemlockhoist/decisions/entry/listing.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/listing.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from hemlockhoist.decisions.work import UpstreamState
+from hemlockhoist.decisions.work import UpstreamState, leaving_upstream
 
 # An upstream that vanished from the list without announcing that it leaves is used for
 # this much longer if its pool has no other. This covers an outage of the store: all
@@ -24,10 +24,13 @@
     that was really removed must get no work after its time.
     """
 
-    __slots__ = ("_listed", "_live_counts", "_removed", "_vanished")
+    __slots__ = ("_leaving", "_listed", "_live_counts", "_removed", "_vanished")
 
     def __init__(self):
         self._listed = {}
+        # Upstreams that announced themselves that they are about to stop, with the
+        # start time of the process that did.
+        self._leaving = collections.OrderedDict()
         self._vanished = {}
         self._removed = collections.OrderedDict()
         # Number of live upstreams of each pool; read before each send.
@@ -46,6 +49,8 @@
             upstream = msgspec.structs.replace(
                 upstream, cold_until_ms=previous.cold_until_ms
             )
+        if self._leaving.get(upstream.upstream_id) == upstream.started_unix_ms:
+            upstream = leaving_upstream(upstream)
         self._removed.pop(upstream.upstream_id, None)
         self._remove(upstream.upstream_id)
         self._listed[upstream.upstream_id] = upstream
@@ -80,6 +85,46 @@
             return upstream.listed_version
         return self._removed.get(upstream_id)
 
+    def announce_leaving(self, upstream_id, started_unix_ms):
+        """Record an upstream's own word that it leaves; return whether that is news.
+
+        It holds until the upstream is listed with another start, whatever the list says
+        of this process: its entry may change late or never, and a request that is sent
+        to it after the time that it allows is lost when it stops.
+
+        Parameters
+        ==========
+        upstream_id : str
+        started_unix_ms : int
+            Start time of the process that announced it.
+        """
+        upstream = self._listed.get(upstream_id)
+        if upstream is None:
+            upstream, _ = self._vanished.get(upstream_id, (None, 0))
+        if upstream is None or upstream.started_unix_ms != started_unix_ms:
+            return False
+        if upstream.state is UpstreamState.LEAVING:
+            return False
+        self._leaving[upstream_id] = started_unix_ms
+        self._leaving.move_to_end(upstream_id)
+        if len(self._leaving) > MAX_REMOVED:
+            self._leaving.popitem(last=False)
+        if self._vanished.pop(upstream_id, None) is None:
+            self.put(upstream)
+        return True
+
+    def announced_start(self, upstream_id):
+        """Return the start time of an upstream that announced that it leaves, or None."""
+        return self._leaving.get(upstream_id)
+
+    def count_announced(self):
+        """Return the number of listed upstreams that announced it, by pool."""
+        return collections.Counter(
+            item.pool
+            for key, item in self._listed.items()
+            if self._leaving.get(key) == item.started_unix_ms
+        )
+
     def mark_removed(self, upstream_id, version, now_ms):
         """Remove an entry on another host's report; return whether it was removed.
 
--- a/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_listing.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_listing.py
@@ -5,7 +5,7 @@
 from hemlockhoist.decisions.entry.listing import MAX_REMOVED, VANISHED_GRACE_MS
 
 
-def upstream(name, pool="halls", state=UpstreamState.LIVE, listed_version=0):
+def upstream(name, pool="halls", state=UpstreamState.LIVE, listed_version=0, started=1):
     return Upstream(
         upstream_id=name,
         pool=pool,
@@ -13,6 +13,7 @@
         address="127.0.0.1:1",
         state=state,
         listed_version=listed_version,
+        started_unix_ms=started,
     )
 
 
@@ -103,3 +104,48 @@
             self.listing.drop(f"u{number}", 1_000, number)
         self.assertIsNone(self.listing.removed_version("u0"))
         self.assertEqual(self.listing.removed_version(f"u{2 * MAX_REMOVED - 1}"), 2_047)
+
+
+class AnnouncedLeavingTests(unittest.TestCase):
+    """An upstream says in its answers that it leaves, and the list says nothing."""
+
+    def setUp(self):
+        self.listing = UpstreamListing()
+        self.listing.replace([upstream("a", listed_version=5), upstream("b")], 0)
+        self.assertTrue(self.listing.announce_leaving("a", 1))
+
+    def state(self, now_ms=0):
+        return self.listing.get("a", now_ms).state
+
+    def test_repeated_announcement_is_no_news(self):
+        self.assertIs(self.state(), UpstreamState.LEAVING)
+        self.assertFalse(self.listing.announce_leaving("a", 1))
+        self.assertEqual(self.listing.count_announced(), {"halls": 1})
+
+    def test_newer_entry_of_the_same_process_does_not_end_it(self):
+        """Guards against an entry that was written before the announcement."""
+        self.listing.put(upstream("a", listed_version=9))
+        self.assertIs(self.state(), UpstreamState.LEAVING)
+
+    def test_entry_of_the_next_process_ends_it(self):
+        """Guards against a restarted upstream that gets no requests ever again."""
+        self.listing.put(upstream("a", listed_version=9, started=2))
+        self.assertIs(self.state(), UpstreamState.LIVE)
+        self.assertFalse(self.listing.announce_leaving("a", 1))
+        self.assertIs(self.state(), UpstreamState.LIVE)
+
+    def test_it_outlasts_a_lapse_of_the_list(self):
+        self.listing.replace([], 1_000)
+        self.assertIsNone(self.listing.get("a", 1_000))
+        self.listing.replace([upstream("a", listed_version=12)], 2_000)
+        self.assertIs(self.state(2_000), UpstreamState.LEAVING)
+
+    def test_lapsed_upstream_that_announces_it_is_not_kept(self):
+        self.listing.replace([], 1_000)
+        self.assertIsNotNone(self.listing.get("b", 1_000))
+        self.assertTrue(self.listing.announce_leaving("b", 1))
+        self.assertIsNone(self.listing.get("b", 1_000))
+
+    def test_unknown_upstream_is_ignored(self):
+        self.assertFalse(self.listing.announce_leaving("z", 1))
+        self.assertEqual(len(self.listing), 2)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -144,6 +144,10 @@
         """Return the evacuated failure domains, whose upstreams get no work, sorted."""
         return self._upstreams.table.evacuated_domains()
 
+    def leaving_upstreams(self):
+        """Return the ids of the listed upstreams that leave, sorted."""
+        return self._upstreams.table.leaving()
+
     def in_flight_at(self, version):
         """Return the number of grants in flight at upstreams of a version."""
         return self._grants.of_version(version)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/upstreams.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/upstreams.py
@@ -6,10 +6,12 @@
 class UpstreamTable:
     """Upstreams from the platform's list, with the latest load report of each."""
 
-    __slots__ = ("_leaving", "_reports", "_upstreams", "_usable")
+    __slots__ = ("_leaving", "_leaving_ids", "_reports", "_upstreams", "_usable")
 
     def __init__(self):
+        # Computed when needed, and dropped with each change of the upstreams.
         self._usable = None
+        self._leaving_ids = None
         self._upstreams = {}
         self._reports = {}
         self._leaving = {}
@@ -35,7 +37,7 @@
         """
         if not upstreams and self._upstreams:
             return False
-        self._usable = None
+        self._usable = self._leaving_ids = None
         self._upstreams = {item.upstream_id: item for item in upstreams}
         self._reports = _retain(self._reports, self._upstreams)
         self._leaving = _retain(self._leaving, self._upstreams)
@@ -48,7 +50,7 @@
         if previous is not None and measured_ms < previous[0]:
             return
         self._reports[report.upstream_id] = (measured_ms, report)
-        self._usable = None
+        self._usable = self._leaving_ids = None
         if report.state is UpstreamState.LEAVING:
             self._leaving[report.upstream_id] = measured_ms
         else:
@@ -68,6 +70,24 @@
             return True
         return upstream_id in self._leaving
 
+    def leaving(self):
+        """Return the sorted ids of the upstreams that leave.
+
+        Returns
+        =======
+        tuple of str
+        """
+        if self._leaving_ids is None:
+            self._leaving_ids = tuple(
+                sorted(
+                    item.upstream_id
+                    for item in self._upstreams.values()
+                    if item.state is UpstreamState.LEAVING
+                    or item.upstream_id in self._leaving
+                )
+            )
+        return self._leaving_ids
+
     def evacuated_domains(self):
         """Return the sorted failure domains of evacuated upstreams."""
         return sorted(
--- a/libs/decisions/src/hemlockhoist/decisions/work.py
+++ b/libs/decisions/src/hemlockhoist/decisions/work.py
@@ -138,6 +138,11 @@
     return msgspec.structs.replace(upstream, state=UpstreamState.EVACUATED)
 
 
+def leaving_upstream(upstream):
+    """Return ``upstream`` marked as leaving."""
+    return msgspec.structs.replace(upstream, state=UpstreamState.LEAVING)
+
+
 class LoadReport(msgspec.Struct, frozen=True, kw_only=True):
     """Load that an upstream reports about itself, with a delay.
 
--- a/libs/entry/src/hemlockhoist/entry/attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt.py
@@ -29,7 +29,6 @@
         "grant_outdated",
         "guard",
         "hold",
-        "is_leaving",
         "is_misdirected",
         "is_reachable",
         "kind",
@@ -38,6 +37,7 @@
         "reason",
         "signals",
         "signals_are_reported",
+        "started_unix_ms",
         "token_us",
         "waited_ms",
     )
@@ -59,7 +59,8 @@
         # What the answer said about the upstream; None before any answer.
         self.signals = None
         self.signals_are_reported = False
-        self.is_leaving = False
+        # Start time of the upstream's process as listed; None if it is not listed.
+        self.started_unix_ms = None
 
     @property
     def unreported_signals(self):
@@ -77,6 +78,12 @@
         """The back-off that the upstream asked for, for logs; empty if none."""
         return self.signals.back_off_ms or "" if self.signals else ""
 
+    @property
+    def leaving_text(self):
+        """Whether the upstream announced that it is about to stop, for logs."""
+        started_unix_ms = self.signals.leaving_started_unix_ms if self.signals else None
+        return "" if started_unix_ms is None else "true"
+
     def record_end(self, end):
         """Set the outcome kind from how the attempt ended; None means success."""
         self.kind = OutcomeKind.SUCCESS if end is None else _OUTCOMES[end]
--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -206,6 +206,9 @@
     async def _attempt(self, hold, waited_ms):
         """Run one attempt; return ``(response, None)`` or ``(None, AttemptEnd)``."""
         attempt = Attempt(hold, self._send_guard(hold), waited_ms)
+        attempt.started_unix_ms = self._context.store_view.started_unix_ms(
+            hold.upstream_id
+        )
         try:
             with self._context.traces.span(Hop.UPSTREAM, upstream=hold.upstream_id):
                 response, end = await self._send(attempt)
@@ -381,12 +384,16 @@
         """
         if head.is_misdirected:
             return
-        attempt.is_leaving = head.is_leaving
         attempt.signals = UpstreamSignals(
-            limit_per_s=head.limit_per_s, back_off_ms=head.back_off_ms
+            limit_per_s=head.limit_per_s,
+            back_off_ms=head.back_off_ms,
+            leaving_started_unix_ms=attempt.started_unix_ms
+            if head.is_leaving
+            else None,
         )
         self._record_limit(attempt)
         self._record_back_off(attempt)
+        self._record_leaving(attempt)
 
     def _record_limit(self, attempt):
         hold, limit_per_s = attempt.hold, attempt.signals.limit_per_s
@@ -413,11 +420,20 @@
                 back_off_ms=back_off_ms,
             )
 
+    def _record_leaving(self, attempt):
+        started_unix_ms = attempt.signals.leaving_started_unix_ms
+        if started_unix_ms is not None:
+            upstream_id = attempt.hold.upstream_id
+            self._context.store_view.on_upstream_leaving(upstream_id, started_unix_ms)
+
     def _known_signals(self, upstream_id):
         """Return what this host knows and the upstream's home does not seem to know."""
         now_ms = self._context.clock.now_ms()
-        remaining_ms = self._context.back_offs.remaining_ms(upstream_id, now_ms)
-        return UpstreamSignals(back_off_ms=remaining_ms)
+        listing = self._context.store_view.listing
+        return UpstreamSignals(
+            back_off_ms=self._context.back_offs.remaining_ms(upstream_id, now_ms),
+            leaving_started_unix_ms=listing.announced_start(upstream_id),
+        )
 
     async def _read_full_response(self, response, head, attempt):
         body = await response.read(MAX_RESPONSE_BYTES)
@@ -540,6 +556,6 @@
             longest_gap_ms=attempt.longest_gap_ms,
             limit_per_s=attempt.limit_text,
             back_off_ms=attempt.back_off_text,
-            leaving="true" if attempt.is_leaving else "",
+            leaving=attempt.leaving_text,
             reason=attempt.reason,
         )
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -34,6 +34,7 @@
     STORE_CALLS,
     STORE_FAILURES,
     UPSTREAMS_BACKED_OFF,
+    UPSTREAMS_LEAVING,
     UPSTREAMS_LIMITED,
     UPSTREAMS_LISTED,
 )
@@ -221,6 +222,7 @@
             home_key_of=lambda pool: SINGLE_HOME_KEY,
             new_tracker=self._new_tracker,
             experiments=self.settings.experiments,
+            on_leaving=context.store_view.on_upstream_leaving,
         )
         context.grants = GrantClient(
             context.clock,
@@ -379,6 +381,8 @@
             metrics.gauge(UPSTREAMS_LISTED, count, pool)
         for pool, count in context.advertised_limits.count_by_pool().items():
             metrics.gauge(UPSTREAMS_LIMITED, count, pool)
+        for pool, count in context.store_view.listing.count_announced().items():
+            metrics.gauge(UPSTREAMS_LEAVING, count, pool)
         backed_off = context.back_offs.count_by_pool(context.clock.now_ms())
         for pool, count in backed_off.items():
             metrics.gauge(UPSTREAMS_BACKED_OFF, count, pool)
--- a/libs/entry/src/hemlockhoist/entry/store_view.py
+++ b/libs/entry/src/hemlockhoist/entry/store_view.py
@@ -326,6 +326,17 @@
             _log.info("upstream_cold", upstream=upstream_id, cold_ms=cold_ms, told=True)
             self._on_upstreams()
 
+    def on_upstream_leaving(self, upstream_id, started_unix_ms):
+        """Apply an upstream's announcement, heard here or by another host."""
+        if self.listing.announce_leaving(upstream_id, started_unix_ms):
+            _log.info("upstream_leaving", upstream=upstream_id)
+            self._on_upstreams()
+
+    def started_unix_ms(self, upstream_id):
+        """Return the start time of an upstream's process, or None if not listed."""
+        upstream = self.listing.get(upstream_id, self._clock.now_ms())
+        return None if upstream is None else upstream.started_unix_ms
+
     def on_upstream_left(self, upstream_id, version):
         """Apply another host's report that an upstream left, if it is newer."""
         if self.listing.mark_removed(upstream_id, version, self._clock.now_ms()):
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -121,6 +121,9 @@
         Refuses requests before they reach the scheduler.
     reconnect : callable, optional
         ``reconnect(host_id)`` replaces the connection to a host that missed a reply.
+    on_leaving : callable, optional
+        ``on_leaving(upstream_id, started_unix_ms)`` is called when an upstream has
+        announced to an entry host that it is about to stop.
     """
 
     __slots__ = (
@@ -131,6 +134,7 @@
         "_identity",
         "_last_request_ms",
         "_metrics",
+        "_on_leaving",
         "_pending_hosts",
         "_queried_hosts",
         "_queued",
@@ -159,7 +163,9 @@
         metrics=None,
         gate=None,
         reconnect=lambda host_id: None,
+        on_leaving=lambda upstream_id, started_unix_ms: None,
     ):
+        self._on_leaving = on_leaving
         self._reconnect = reconnect
         self.pool = pool
         self.declared = declared
@@ -362,6 +368,8 @@
             until_ms = now_ms + signals.back_off_ms
             host = held.request.entry_host
             self.scheduler.observe_back_off(upstream_id, host, until_ms)
+        if signals.leaving_started_unix_ms is not None:
+            self._on_leaving(upstream_id, signals.leaving_started_unix_ms)
 
     def _record_limit(self, upstream_id, requests_per_s, heard_ms):
         now_ms = self._clock.now_ms()
@@ -523,6 +531,9 @@
         evacuated = self.scheduler.evacuated_domains()
         if evacuated:
             reason += f" evacuated {','.join(evacuated)}"
+        leaving = self.scheduler.leaving_upstreams()[:MAX_NAMED]
+        if leaving:
+            reason += f" leaving {','.join(leaving)}"
         held_back = self._held_back_text(request)
         if held_back:
             reason += f" {held_back}"
--- a/libs/host/src/hemlockhoist/host/homes.py
+++ b/libs/host/src/hemlockhoist/host/homes.py
@@ -38,6 +38,9 @@
         ``new_tracker(pool)`` returns the tracker of a pool's upstreams for a scheduler.
     experiments : Experiments, optional
         Mechanisms that are disabled in the schedulers.
+    on_leaving : callable, optional
+        ``on_leaving(upstream_id, started_unix_ms)`` is called when an upstream has
+        announced to an entry host that it is about to stop.
     """
 
     __slots__ = (
@@ -48,6 +51,7 @@
         "_home_key_of",
         "_homes",
         "_new_tracker",
+        "_on_leaving",
         "_send",
         "_standbys",
         "_upstreams",
@@ -61,7 +65,9 @@
         home_key_of=str,
         new_tracker=_no_tracker,
         experiments=None,
+        on_leaving=lambda upstream_id, started_unix_ms: None,
     ):
+        self._on_leaving = on_leaving
         self._experiments = experiments or Experiments()
         self._new_tracker = new_tracker
         self._context = context
@@ -147,6 +153,7 @@
             self._context.metrics,
             self._gate,
             self._context.bus.reconnect,
+            self._on_leaving,
         )
         scheduler.set_share(self._fleet_share)
         home.set_upstreams(self._upstreams.get(pool.name, ()))
--- a/libs/host/src/hemlockhoist/host/tests/test_back_offs.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_back_offs.py
@@ -51,6 +51,18 @@
         self.assertGreaterEqual(waited_ms, REST_MS - 50)
         self.assertLessEqual(waited_ms, REST_MS + 100)
 
+    async def test_home_is_told_of_an_upstream_that_leaves(self):
+        """Guards against a home that goes on granting it to hosts that don't know."""
+        heard = []
+        home = self.network.homes["h1"]
+        home._on_leaving = lambda *announced: heard.append(announced)
+        hold = await self._acquire("r1")
+        signals = UpstreamSignals(leaving_started_unix_ms=7)
+        self.client.report_first_token(hold, 5, signals)
+        self.client.release(hold, TURNED_AWAY)
+        await asyncio.sleep(0.01)
+        self.assertEqual(heard, [("u", 7)])
+
     async def test_next_home_is_told(self):
         """Guards against an upstream that is asked again when its home moves."""
         await self.turn_away()
--- a/libs/messages/src/hemlockhoist/messages/grants.py
+++ b/libs/messages/src/hemlockhoist/messages/grants.py
@@ -167,10 +167,14 @@
         longer advertises a limit, None if there is no news.
     back_off_ms : int
         Time for which it wants no requests from the host that got the answer.
+    leaving_started_unix_ms : int or None
+        Start time of its process if it announced that it is about to stop, so that the
+        next process with its id is not taken for it.
     """
 
     limit_per_s: float | None = None
     back_off_ms: int = 0
+    leaving_started_unix_ms: int | None = None
 
 
 class GrantRelease(
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_back_offs.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_back_offs.py
@@ -143,3 +143,29 @@
             times_s = arrivals_s(leaving.ran, host)
             late_s = [item for item in times_s if item > times_s[0] + DRAIN_S]
             self.assertEqual(late_s, [])
+
+    async def test_host_that_has_not_heard_it_sends_nothing_either(self):
+        """Guards against a home that knows less than the hosts that it grants."""
+        leaving, other = Replica("s1"), Replica("s2")
+        leaving.is_leaving = True
+        async with Site({"reservas": [leaving, other]}, [LOOKUP], HOSTS) as site:
+            await send_steadily(site, 0.5, [0])
+            await send_steadily(site, 1.0, [1, 2])
+        self.assertTrue(arrivals_s(leaving.ran, 0))
+        for host in (1, 2):
+            self.assertEqual(arrivals_s(leaving.ran, host), [])
+
+    async def test_restarted_upstream_is_used_again(self):
+        """Guards against an upstream that gets no requests ever again."""
+        leaving = Replica("s1")
+        leaving.is_leaving = True
+        async with Site({"reservas": [leaving]}, [LOOKUP]) as site:
+            answers = await send_steadily(site, 0.5, [0])
+            self.assertEqual({status for status, _ in answers[1:]}, {503})
+            self.assertGreater(min(seconds for _, seconds in answers[1:]), 0)
+            leaving.is_leaving = False
+            row = {**leaving.row("reservas"), "born": 2}
+            await site.store.put("servers", "s1", row)
+            await asyncio.sleep(0.3)
+            answers = await send_steadily(site, 0.5, [0])
+        self.assertEqual({status for status, _ in answers}, {200})
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_explained.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_explained.py
@@ -154,6 +154,18 @@
         self.assertIn("back_off_ms=3000", text)
         self.assertIn("(queued 0 granted 0 backed off s1)", self.explain("a2"))
 
+    async def test_refusal_because_the_upstream_leaves(self):
+        leaving = Replica("s1")
+        leaving.is_leaving = True
+        lookup = route("check-free", "reservas")
+        async with Site({"reservas": [leaving]}, [lookup]) as site:
+            async with site.call("/check-free/1") as first:
+                await first.read()
+            async with site.call("/check-free/1", Attempt_Id="a2") as answer:
+                self.assertEqual(answer.status, 503)
+        self.assertIn("leaving=true", self.explain("a1"))
+        self.assertIn("(queued 0 granted 0 leaving s1)", self.explain("a2"))
+
     async def test_unknown_request_id(self):
         found = CliRunner().invoke(main, ["explain", "nobody"], self.log.getvalue())
         self.assertNotEqual(found.exit_code, 0)
