Let replicas of the soak ask hosts for rest and say that they leave, with checks

Cause: no run of ours let an upstream say either, so nothing could show that it was not kept.

Change: two faults, and two checks from what replicas saw: no more than two requests of a host in the rest that it was asked for, and nothing new from a host 2 s after it was told; hosts that were killed, stopped or suspended meanwhile are excused.

--- a/libs/standins/src/hemlockhoist/standins/published/replica.py
+++ b/libs/standins/src/hemlockhoist/standins/published/replica.py
@@ -62,8 +62,12 @@
         The limit on requests per second that it names in its answers; None for none.
     rest_s : float or str, optional
         The rest that it asks for when it turns a request away; None for none.
+    rests : list of (ReceivedRequest, float)
+        The rejected requests for which it asked for rest, and for how long, in seconds.
     is_leaving : bool
         Whether it says in its answers that it leaves.
+    leaving_s : float or None
+        Since when it says so, if it was told to by ``announce_leaving``.
     """
 
     def __init__(self, replica_id, events=0, slots=4):
@@ -75,7 +79,9 @@
         self.event_ms = 0
         self.limit_per_s = None
         self.rest_s = None
+        self.rests = []
         self.is_leaving = False
+        self.leaving_s = None
         self.ran = []
         self.rejected = []
         self.address = ""
@@ -95,6 +101,11 @@
             writer.transport.abort()
         await self._server.wait_closed()
 
+    def announce_leaving(self):
+        """Say in all answers from now on that it leaves."""
+        self.is_leaving = True
+        self.leaving_s = asyncio.get_running_loop().time()
+
     def row(self, service, zone="a", version="v1", state="ready"):
         """Return the row by which it registers itself in the store."""
         return {
@@ -152,6 +163,7 @@
             status, extra = "503 Service Unavailable", "Not-Executed: 1\r\n"
             if self.rest_s is not None:
                 extra += f"Retry-After: {self.rest_s}\r\n"
+                self.rests.append((received, self.rest_s))
         elif self.behaviour is Behaviour.MISDIRECTED or expected != self.replica_id:
             status, extra = "421 Misdirected Request", "Instance-Id: other\r\n"
         else:
--- a/libs/standins/src/hemlockhoist/standins/published/soak/checks.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/checks.py
@@ -2,8 +2,14 @@
 
 import collections
 
+from hemlockhoist.base import MS_PER_S
 from hemlockhoist.standins.published.soak.callers import elapsed_ms
 from hemlockhoist.standins.published.soak.limit_checks import find_limit_violations
+from hemlockhoist.standins.published.soak.rest_checks import (
+    find_leaving_violations,
+    find_rest_violations,
+    find_rests,
+)
 
 # Statuses that tell a caller that its request did not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -72,6 +78,27 @@
         self.violations += violations
         self.check_counts["request limits"] += checked
 
+    def check_rests(self, replicas, outages, drain_ms):
+        """Check that hosts kept to what replicas asked of them.
+
+        Parameters
+        ==========
+        replicas : list of Replica
+        outages : list of (str, float, float)
+            Host, begin and end of each time in which it did not run normally.
+        drain_ms : int
+            Time after which a host sends nothing new to a replica that leaves.
+        """
+        host_of = {key: call.host for key, call in self._calls.items()}
+        rests = find_rests(replicas, host_of)
+        self.violations += find_rest_violations(rests, host_of, outages)
+        self.check_counts["rests"] += len(rests)
+        violations, checked = find_leaving_violations(
+            replicas, host_of, outages, drain_ms / MS_PER_S
+        )
+        self.violations += violations
+        self.check_counts["announced ends"] += checked
+
     def check(self, revoked, revocation_ms, tenants, stops, disturbances):
         """Run all checks, adding to ``violations`` and ``check_counts``.
 
--- a/libs/standins/src/hemlockhoist/standins/published/soak/faults.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/faults.py
@@ -70,6 +70,8 @@
             self.drain_replica,
             self.slow_replica,
             self.limit_replica,
+            self.make_replica_ask_for_rest,
+            self.announce_leaving,
             self.revoke_key,
             self.change_routes,
             self.order_rollout,
@@ -97,7 +99,7 @@
         for replica in run.live_replicas():
             replica.behaviour = Behaviour.NORMAL
             replica.delay_ms = run.default_delay_ms
-            replica.limit_per_s = None
+            replica.limit_per_s = replica.rest_s = None
         for host in run.hosts:
             host.resume()
             if not host.is_running:
@@ -296,6 +298,24 @@
         replica.limit_per_s = None
         self.limit_spans.append(LimitSpan(replica, limit_per_s, begin_s, now_s()))
 
+    async def make_replica_ask_for_rest(self):
+        """Let a replica turn all requests away and ask for rest, for a while."""
+        begin_s = now_s()
+        replica = self._rng.choice(self._run.live_replicas())
+        replica.rest_s = self._rng.choice((1.0, 3.0))
+        replica.behaviour = Behaviour.SHEDS
+        await self._sleep_between(1.0, 4.0)
+        replica.behaviour = Behaviour.NORMAL
+        replica.rest_s = None
+        self._record_disturbance(begin_s)
+
+    async def announce_leaving(self):
+        """Let a replica say in its answers that it leaves; its row changes late."""
+        replica = self._rng.choice(self._run.live_replicas())
+        replica.announce_leaving()
+        await self._sleep_between(0.0, 3.0)
+        await self._run.drain_replica(replica)
+
     # Operators.
 
     async def revoke_key(self):
--- a/libs/standins/src/hemlockhoist/standins/published/soak/run.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/run.py
@@ -250,6 +250,7 @@
             self._revoked, REVOCATION_MS, tenants, faults.stops, faults.disturbances
         )
         checker.check_limits(faults.limit_spans, faults.outages)
+        checker.check_rests(replicas, faults.outages, DRAIN_MS)
         if not recovered:
             checker.violations.append(
                 "a host was not ready after all faults were removed"
--- a/libs/standins/src/hemlockhoist/standins/published/soak/tests/test_checks.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/tests/test_checks.py
@@ -130,6 +130,52 @@
         outages = [("other", 4.0, 4.5)]
         self.assertEqual(self.limit_violations(flood_s, outages=outages), 1)
 
+    def rest_violations(self, replica, calls, outages=()):
+        checker = RunChecker(calls, [replica], EVENTS)
+        checker.check_rests([replica], outages, 2_000)
+        return [text.partition(":")[0] for text in checker.violations]
+
+    def received(self, times_s, host="h"):
+        """Return requests that arrive at given times, and the calls to their host."""
+        calls, requests = [], []
+        for at_s in times_s:
+            attempt_id = f"{host}-{at_s}"
+            headers = {"attempt-id": attempt_id}
+            requests.append(
+                ReceivedRequest("GET", "/", headers, b"", started_s=float(at_s))
+            )
+            calls.append(Call(attempt_id, LOOKUP, "k1", host, sent_s=at_s))
+        return requests, calls
+
+    def test_disturbed_rest(self):
+        """Three requests reach a replica in the rest that it asked their host for."""
+        resting = Replica("i-1")
+        resting.rejected, calls = self.received([1.0, 1.2, 1.6, 2.0, 3.0])
+        resting.rests = [(resting.rejected[0], 3.0)]
+        self.assertEqual(self.rest_violations(resting, calls), ["rest disturbed"])
+        outages = [("h", 1.8, 1.9)]
+        self.assertEqual(self.rest_violations(resting, calls, outages), [])
+        resting.rejected.pop()
+        self.assertEqual(self.rest_violations(resting, calls), [])
+
+    def test_requests_of_other_hosts_disturb_no_rest(self):
+        resting = Replica("i-1")
+        resting.rejected, calls = self.received([1.0])
+        others, other_calls = self.received([1.6, 1.7, 1.8, 1.9], host="other")
+        resting.ran = others
+        resting.rests = [(resting.rejected[0], 3.0)]
+        self.assertEqual(self.rest_violations(resting, calls + other_calls), [])
+
+    def test_work_for_a_leaving_replica(self):
+        leaving = Replica("i-1")
+        leaving.leaving_s = 1.0
+        leaving.ran, calls = self.received([0.5, 1.5, 3.4, 3.6])
+        self.assertEqual(
+            self.rest_violations(leaving, calls), ["leaving i-1 got work from h"]
+        )
+        outages = [("h", 2.0, 2.5)]
+        self.assertEqual(self.rest_violations(leaving, calls, outages), [])
+
     def test_incomplete_stream(self):
         broken = call(REPORT, body=COMPLETE_STREAM[:20])
         self.assertEqual(
