Ask an upstream that sheds its load on behalf of all hosts, not of each

Load: an upstream turns everything away and asks each host for rest. Its slots are free, and each host that has not been turned away yet is granted it: one request of every host, again each time the rest is over, and callers are refused after two such upstreams.

Change: after two requests in a row that it turned away, whoever sent them, the home takes it for an upstream that doesn't take requests: single requests at growing intervals (the circuit breaker of failed connections, 250 ms to 2 s), until one succeeds. An upstream that was suspended for rejections isn't assumed to be cold afterwards.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
@@ -24,6 +24,8 @@
 IN_TIME_FRACTION = 0.8
 # Fraction of a declared maximum gap that prefill may take; the rest is for decoding.
 PROMPT_GAP_FRACTION = 0.8
+# Number of requests that an upstream turns away in a row before it is suspended.
+MIN_REJECTIONS = 2
 _FAILURES = frozenset({OutcomeKind.FAILED, OutcomeKind.BROKE_OFF, OutcomeKind.TIMEOUT})
 _CONNECT_FAILURES = frozenset({OutcomeKind.CONNECT_FAILED})
 _UNSENT = frozenset({OutcomeKind.CONNECT_FAILED, OutcomeKind.NOT_SENT})
@@ -47,7 +49,7 @@
         "_pace",
         "_slot_count",
         "_tracked",
-        "_unreachable",
+        "_suspended",
         "_usable",
     )
     recovery_ms = DECLARED_RECOVERY_MS
@@ -61,8 +63,9 @@
         self._pace = PoolPace()
         # Declared maximum gap between tokens by route.
         self._max_gaps_ms = {}
-        # Upstreams whose last connection failed; all others have their declared slots.
-        self._unreachable = set()
+        # Upstreams whose circuit breaker may be open, and whether they may have
+        # restarted; all others have their declared slots.
+        self._suspended = {}
         # The upstreams whose slots were last counted, and the count.
         self._slot_count = ((), 0)
 
@@ -80,7 +83,11 @@
             self._tracked[item.upstream_id] = tracked
         for upstream_id in previous.keys() - self._tracked.keys():
             self._cache.forget(upstream_id)
-        self._unreachable &= self._tracked.keys()
+        self._suspended = {
+            key: may_be_new
+            for key, may_be_new in self._suspended.items()
+            if key in self._tracked
+        }
         self._intake.set_listed(upstreams, now_ms)
 
     def set_usable(self, upstreams, now_ms):
@@ -96,7 +103,7 @@
     def slots(self, upstream_id, now_ms):
         """Return how many requests an upstream may hold."""
         tracked = self._tracked[upstream_id]
-        if upstream_id in self._unreachable and not tracked.allows_request(now_ms):
+        if upstream_id in self._suspended and not tracked.allows_request(now_ms):
             return 0
         return tracked.limit.slots
 
@@ -144,19 +151,19 @@
 
         Hot path: called for each request, also at the home of some hundred upstreams.
         """
-        tracked, unreachable = self._tracked, self._unreachable
+        tracked, suspended = self._tracked, self._suspended
         free = [
             item
             for item in upstreams
             if in_flight(item.upstream_id) < tracked[item.upstream_id].limit.slots
         ]
         free = self._intake.allowed(free, now_ms)
-        if not unreachable:
+        if not suspended:
             return free
         return [
             item
             for item in free
-            if item.upstream_id not in unreachable
+            if item.upstream_id not in suspended
             or tracked[item.upstream_id].allows_request(now_ms)
         ]
 
@@ -166,7 +173,7 @@
         Of an upstream that advertises a limit, only those count that requests at its
         rate keep busy, so that expected waits and retry times are true.
         """
-        if self._unreachable and not self.any_limited:
+        if self._suspended and not self.any_limited:
             return super().count_slots(upstreams, now_ms)
         if self._slot_count[0] is not upstreams:
             count = self._count_slots_in_use(upstreams, now_ms)
@@ -348,28 +355,41 @@
         if outcome.kind in _UNSENT:
             self._intake.limits.record_unsent(upstream_id)
         if outcome.kind in _CONNECT_FAILURES:
-            tracked.breaker.on_connect_failure(now_ms)
-            self._unreachable.add(upstream_id)
+            tracked.breaker.on_failure(now_ms)
+            self._suspended[upstream_id] = True
         elif outcome.kind in _FAILURES:
             tracked.failures.observe(True, now_ms)
         elif outcome.kind is OutcomeKind.SUCCESS:
             tracked.on_success(hold_ms, now_ms)
-            self._clear_unreachable(upstream_id, now_ms)
+            self._clear_suspended(upstream_id, now_ms)
             _observe_pace(tracked, outcome)
 
     def _on_reachable(self, upstream_id, tracked, now_ms):
         tracked.breaker.on_reachable()
-        self._clear_unreachable(upstream_id, now_ms)
+        self._clear_suspended(upstream_id, now_ms)
 
-    def _clear_unreachable(self, upstream_id, now_ms):
-        """Remove an upstream from the unreachable ones.
+    def _clear_suspended(self, upstream_id, now_ms):
+        """Remove an upstream from the suspended ones.
 
         One that was unreachable may have just restarted, so it is assumed to be cold.
         """
-        if upstream_id in self._unreachable:
-            self._unreachable.discard(upstream_id)
+        if self._suspended.pop(upstream_id, False):
             self._intake.warmup.assume_cold(upstream_id, now_ms)
 
+    def on_turned_away(self, upstream_id, now_ms):
+        """Suspend an upstream that turns requests away, until one succeeds there.
+
+        A single rejection is no reason: an upstream that turns away some requests and
+        serves the others is worth more than its rest.
+        """
+        tracked = self._tracked.get(upstream_id)
+        if tracked is None:
+            return
+        tracked.rejections += 1
+        if tracked.rejections >= MIN_REJECTIONS:
+            tracked.breaker.on_failure(now_ms)
+            self._suspended.setdefault(upstream_id, False)
+
     def forget(self, held, now_ms):
         """Remove a grant whose outcome will not be reported."""
         tracked = self._tracked.get(held.grant.upstream_id)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_upstream.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_upstream.py
@@ -36,6 +36,7 @@
         "pending_tokens",
         "prompts_done_ms",
         "region",
+        "rejections",
         "stalled",
         "started_unix_ms",
         "warm_pace",
@@ -51,6 +52,8 @@
         self.warm_pace = None
         self.breaker = CircuitBreaker()
         self.failures = FailureRate()
+        # Requests that it turned away since its last success.
+        self.rejections = 0
         self.prompts_done_ms = 0.0
         self.hold_ms = INITIAL_HOLD_MS
         # Prompts without a first token, by grant id: tokens, expected first token time.
@@ -147,6 +150,7 @@
 
     def on_success(self, hold_ms, now_ms):
         """Record a complete answer and how long it held its slot."""
+        self.rejections = 0
         self.breaker.on_reachable()
         self.failures.observe(False, now_ms)
         self.hold_ms += HOLD_EWMA_WEIGHT * (hold_ms - self.hold_ms)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/reliability.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/reliability.py
@@ -1,12 +1,13 @@
-"""Circuit breaker for connections to an upstream, and failure rate of its answers."""
+"""Circuit breaker of an upstream, and failure rate of its answers."""
 
 import math
 
-# After a failed connection an upstream gets no request for this long, then one at a
-# time; the time doubles with each consecutive failure. Otherwise each request would
-# first try a crashed upstream that is still listed, as it holds the fewest requests. A
-# connection is refused within milliseconds and a restart takes seconds, so the first
-# backoff is short and the longest not much longer than a restart.
+# After a failed connection, or a request that it turned away, an upstream gets no request
+# for this long, then one at a time; the time doubles with each consecutive failure.
+# Otherwise each request would first try a crashed upstream that is still listed, as it
+# holds the fewest requests. A connection is refused within milliseconds and a restart
+# takes seconds, so the first backoff is short and the longest not much longer than a
+# restart.
 INITIAL_BACKOFF_MS = 250
 MAX_BACKOFF_MS = 2_000
 # Half-life of the failure counts, so that a recovered upstream is used again although
@@ -19,13 +20,13 @@
 
 
 class CircuitBreaker:
-    """Circuit breaker that opens on failed connections to an upstream.
+    """Circuit breaker that opens when an upstream does not take requests.
 
     Examples
     ========
     >>> from hemlockhoist.decisions.scheduling.reliability import CircuitBreaker
     >>> breaker = CircuitBreaker()
-    >>> breaker.on_connect_failure(now_ms=1_000)
+    >>> breaker.on_failure(now_ms=1_000)
     >>> breaker.allows_request(1_100, in_flight=0)
     False
     >>> breaker.allows_request(1_250, in_flight=0)
@@ -43,8 +44,8 @@
         self._backoff_ms = 0
         self._open_until_ms = 0
 
-    def on_connect_failure(self, now_ms):
-        """Record a failed connection; ignored during the backoff."""
+    def on_failure(self, now_ms):
+        """Record a failed connection or a rejection; ignored during the backoff."""
         if now_ms < self._open_until_ms:
             return
         self._backoff_ms = min(
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -246,9 +246,9 @@
         tracker = self._upstreams.tracker
         return tracker.observe_limit(upstream_id, requests_per_s, heard_ms, now_ms)
 
-    def observe_back_off(self, upstream_id, host, until_ms):
+    def observe_back_off(self, upstream_id, host, until_ms, now_ms):
         """Record that an upstream wants no requests from an entry host until a time."""
-        self._upstreams.back_offs.record(upstream_id, host, until_ms)
+        self._upstreams.on_back_off(upstream_id, host, until_ms, now_ms)
 
     def held_back(self, host, now_ms, max_count):
         """Return the upstreams with a free slot that a host's requests may not use.
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
@@ -102,6 +102,18 @@
         """Return the number of slots of all usable upstreams."""
         return self.tracker.count_slots(self.table.usable(), now_ms)
 
+    def on_back_off(self, upstream_id, host, until_ms, now_ms):
+        """Record that an upstream wants no requests from a host until a time.
+
+        An upstream that sheds its load asks each host in turn. If each had to find out
+        by itself, it would turn away a request of every host again and again, and some
+        callers would be refused after two such upstreams. So it gets single requests of
+        the other hosts, at growing intervals, until one succeeds.
+        """
+        if until_ms > now_ms and not self.back_offs.wait_ms(upstream_id, host, now_ms):
+            self.tracker.on_turned_away(upstream_id, now_ms)
+        self.back_offs.record(upstream_id, host, until_ms)
+
     def start_wait_ms(self, host, now_ms):
         """Return after how long any upstream takes the next request of a host.
 
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_host_back_offs.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_host_back_offs.py
@@ -12,6 +12,7 @@
 )
 
 REST_MS = 3_000
+EVERY_MS = 20
 
 
 def load_tests(loader, tests, pattern):
@@ -46,7 +47,7 @@
         return self.sched.submit(b.request(**fields), now_ms)
 
     def back_off(self, upstream_id, host="h1", until_ms=REST_MS):
-        self.sched.observe_back_off(upstream_id, host, until_ms)
+        self.sched.observe_back_off(upstream_id, host, until_ms, 0)
 
     def test_requests_of_that_host_go_elsewhere_and_others_may_come(self):
         self.back_off("u1")
@@ -113,3 +114,65 @@
         self.sched.set_upstreams([upstream("u1"), upstream("u2")], 600)
         granted = [self.submit(now_ms=600)[0].grant.upstream_id for _ in range(4)]
         self.assertEqual(set(granted), {"u2"})
+
+
+class SheddingUpstreamTests(unittest.TestCase):
+    """One upstream turns everything away and asks each host for rest; 200 hosts send."""
+
+    def setUp(self):
+        self.sched = scheduler("u1", "u2")
+        self.away_ms = []
+        self.served = []
+        self.ends = []
+        self.sheds = True
+
+    def run_load(self, from_ms, until_ms):
+        """Send more requests than one upstream serves, each from another host."""
+        for now_ms in range(from_ms, until_ms, EVERY_MS):
+            decisions = []
+            while self.ends and self.ends[0][0] <= now_ms:
+                decisions += self.end(self.ends.pop(0)[1], now_ms)
+            host = f"h{now_ms // EVERY_MS % 200}"
+            request = b.request(now_ms=now_ms, entry_host=host)
+            decisions += self.sched.submit(request, now_ms)
+            decisions += self.sched.tick(now_ms)
+            for decision in decisions:
+                if isinstance(decision, Granted):
+                    self.ends.append((now_ms + 100, decision))
+
+    def end(self, decision, now_ms):
+        grant, request = decision.grant, decision.request
+        outcome = Outcome(kind=OutcomeKind.SUCCESS, first_token_ms=20, total_ms=100)
+        self.served.append(grant.upstream_id)
+        if grant.upstream_id == "u1" and self.sheds:
+            self.away_ms.append(now_ms)
+            outcome = Outcome(kind=OutcomeKind.FAILED, total_ms=100)
+            self.sched.observe_back_off(
+                "u1", request.entry_host, now_ms + REST_MS, now_ms
+            )
+        return self.sched.release(grant.grant_id, outcome, now_ms)
+
+    def test_it_is_asked_rarely_and_not_by_each_host(self):
+        """Guards against callers that are refused after two such upstreams.
+
+        Each of many hosts found out by itself, and again every three seconds.
+        """
+        self.run_load(0, 20_000)
+        self.assertLess(len(self.away_ms), 20)
+        self.assertGreater(len(self.away_ms), 5)
+
+    def test_it_gets_its_share_again_after_a_success(self):
+        self.run_load(0, 5_000)
+        self.sheds = False
+        self.run_load(5_000, 8_000)
+        self.served.clear()
+        self.run_load(8_000, 12_000)
+        self.assertGreater(self.served.count("u1"), 40)
+
+    def test_single_rejection_does_not_suspend_an_upstream(self):
+        """Guards against rest for an upstream that serves most of its requests."""
+        self.sched = scheduler("u1")
+        self.sched.observe_back_off("u1", "h1", REST_MS, 0)
+        for number in range(4):
+            request = b.request(entry_host=f"g{number}")
+            self.assertEqual(len(self.sched.submit(request, 0)), 1)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/upstream_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/upstream_tracker.py
@@ -121,6 +121,9 @@
         """Return when an advertised limit allows the next request, as time from now."""
         return 0
 
+    def on_turned_away(self, upstream_id, now_ms):
+        """Record that an upstream turned a request away and asked its host for rest."""
+
     def on_adopt(self, held, now_ms):
         """Record a grant of a previous home."""
 
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -367,7 +367,7 @@
         if signals.back_off_ms:
             until_ms = now_ms + signals.back_off_ms
             host = held.request.entry_host
-            self.scheduler.observe_back_off(upstream_id, host, until_ms)
+            self.scheduler.observe_back_off(upstream_id, host, until_ms, now_ms)
         if signals.leaving_started_unix_ms is not None:
             self._on_leaving(upstream_id, signals.leaving_started_unix_ms)
 
@@ -435,7 +435,8 @@
             self._record_limit(limit.upstream_id, limit.requests_per_s, heard_ms)
         for item in message.back_offs:
             until_ms = now_ms + item.remaining_ms
-            self.scheduler.observe_back_off(item.upstream_id, sender, until_ms)
+            upstream_id = item.upstream_id
+            self.scheduler.observe_back_off(upstream_id, sender, until_ms, now_ms)
         if sender in self._pending_hosts:
             self._gate.on_usage_report(sender, message, now_ms)
             self._pending_hosts.discard(sender)
