Split the home and the exchange by job

Change: of the home, the queries of a takeover (takeover.py), what upstreams said (home_signals.py), gates and the conversion of requests have modules of their own; of the exchange, the signals (signals.py).

--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -11,7 +11,6 @@
     Property,
     Refused,
     ResultCode,
-    UpstreamBackedOff,
     get_logger,
 )
 from hemlockhoist.base.metrics_table import (
@@ -25,14 +24,15 @@
     REQUESTS_WHOLE,
 )
 from hemlockhoist.base.traces import Hop
-from hemlockhoist.decisions import OutcomeKind, UpstreamState
+from hemlockhoist.decisions import OutcomeKind
 from hemlockhoist.decisions.entry import AttemptEnd, Step, next_step
 from hemlockhoist.declarations import CallKind
 from hemlockhoist.entry.attempt import Attempt
 from hemlockhoist.entry.responses import upstream_response
+from hemlockhoist.entry.signals import SignalRecorder
 from hemlockhoist.entry.stream import StreamRelay
 from hemlockhoist.entry.wire import UpstreamDirectives
-from hemlockhoist.messages import NO_LIMIT, RequestBrief, UpstreamSignals
+from hemlockhoist.messages import RequestBrief
 from hemlockhoist.upstreams import SendGuard, UpstreamCall
 
 _log = get_logger("entry.exchange")
@@ -77,6 +77,7 @@
         "_reason",
         "_relay",
         "_sent_count",
+        "_signals",
         "_unsent_count",
         "request_id",
     )
@@ -85,6 +86,7 @@
         self._context = context
         self._admitted = admitted
         self._admission = admission
+        self._signals = SignalRecorder(context)
         self._body = body
         self._attempts = 0
         self._dispatch_count = 0
@@ -263,7 +265,7 @@
         if self._admitted.customer is not None:
             self._admission.customer_of(self._admitted.call)
         self._context.store_view.check_upstream(hold.upstream_id, hold.is_cold)
-        self._check_not_backed_off(hold.upstream_id)
+        self._signals.check_not_backed_off(hold.upstream_id)
         self._context.store_view.check_region(hold.upstream_id, self._admitted.regions)
         self._context.moves.check_version(hold.pool, hold.version)
         self._context.invariants.check(
@@ -273,16 +275,6 @@
         )
         self._may_have_run = True
 
-    def _check_not_backed_off(self, upstream_id):
-        """Refuse to send to an upstream that wants no requests from this host.
-
-        Its home may have granted it before it learned of that.
-        """
-        now_ms = self._context.clock.now_ms()
-        remaining_ms = self._context.back_offs.remaining_ms(upstream_id, now_ms)
-        if remaining_ms:
-            raise UpstreamBackedOff(upstream_id, remaining_ms)
-
     def _record_failure(self, attempt, end):
         """Record why an attempt failed; avoid its upstream while there are others."""
         self._reason = attempt.reason
@@ -310,7 +302,7 @@
         except GrantOutdated as error:
             attempt.reason = error.message
             attempt.grant_outdated = True
-            attempt.signals = self._known_signals(attempt.hold.upstream_id)
+            attempt.signals = self._signals.known(attempt.hold.upstream_id)
             self._context.grants.report_outdated(attempt.hold, error)
             self._context.metrics.count(GRANTS_OUTDATED, error.cause)
             return None, AttemptEnd.NOT_SENT
@@ -357,7 +349,7 @@
     async def _read_response(self, response, attempt):
         wire = self._context.platform.wire
         head = wire.read_response_head(response.status, response.headers)
-        self._record_signals(head, attempt)
+        self._signals.record(head, attempt, self.request_id)
         if head.is_misdirected:
             # The listed process has been replaced by another one: equivalent to a
             # refused connection, so another upstream can be tried safely.
@@ -377,64 +369,6 @@
             return await self._relay_stream(response, head, attempt)
         return await self._read_full_response(response, head, attempt)
 
-    def _record_signals(self, head, attempt):
-        """Record what the upstream says about itself in the head of its answer.
-
-        Another process that answers at its address says nothing about the upstream.
-        """
-        if head.is_misdirected:
-            return
-        attempt.signals = UpstreamSignals(
-            limit_per_s=head.limit_per_s,
-            back_off_ms=head.back_off_ms,
-            leaving_started_unix_ms=attempt.started_unix_ms
-            if head.is_leaving
-            else None,
-        )
-        self._record_limit(attempt)
-        self._record_back_off(attempt)
-        self._record_leaving(attempt)
-
-    def _record_limit(self, attempt):
-        hold, limit_per_s = attempt.hold, attempt.signals.limit_per_s
-        limits, now_ms = self._context.advertised_limits, self._context.clock.now_ms()
-        if limits.record(hold.pool, hold.upstream_id, limit_per_s, now_ms):
-            is_limited = limit_per_s != NO_LIMIT
-            _log.info(
-                "limit_advertised" if is_limited else "limit_withdrawn",
-                request=self.request_id,
-                upstream=hold.upstream_id,
-                pool=hold.pool,
-                requests_per_s=attempt.limit_text,
-            )
-
-    def _record_back_off(self, attempt):
-        hold, back_off_ms = attempt.hold, attempt.signals.back_off_ms
-        back_offs, now_ms = self._context.back_offs, self._context.clock.now_ms()
-        if back_offs.record(hold.pool, hold.upstream_id, back_off_ms, now_ms):
-            _log.info(
-                "back_off_requested",
-                request=self.request_id,
-                upstream=hold.upstream_id,
-                pool=hold.pool,
-                back_off_ms=back_off_ms,
-            )
-
-    def _record_leaving(self, attempt):
-        started_unix_ms = attempt.signals.leaving_started_unix_ms
-        if started_unix_ms is not None:
-            upstream_id = attempt.hold.upstream_id
-            self._context.store_view.on_upstream_leaving(upstream_id, started_unix_ms)
-
-    def _known_signals(self, upstream_id):
-        """Return what this host knows and the upstream's home does not seem to know."""
-        now_ms = self._context.clock.now_ms()
-        listing = self._context.store_view.listing
-        return UpstreamSignals(
-            back_off_ms=self._context.back_offs.remaining_ms(upstream_id, now_ms),
-            leaving_started_unix_ms=listing.announced_start(upstream_id),
-        )
-
     async def _read_full_response(self, response, head, attempt):
         body = await response.read(MAX_RESPONSE_BYTES)
         attempt.first_ms = self._context.clock.now_ms()
@@ -490,22 +424,15 @@
             return self._failed_response
         if step is Step.REFUSE:
             code = ResultCode.CONNECT_FAILED
-            raise Refused(self._reason or end.value, code, self._retry_after_ms())
+            retry_after_ms = max(
+                RETRY_AFTER_MS, self._signals.back_off_wait_ms(self._admitted.pool)
+            )
+            raise Refused(self._reason or end.value, code, retry_after_ms)
         code = ResultCode.OUTCOME_UNKNOWN
         if end is AttemptEnd.TIMED_OUT:
             code = ResultCode.UPSTREAM_TIMEOUT
         raise DispatchError(self._reason or end.value, code)
 
-    def _retry_after_ms(self):
-        """Return after how long an upstream of the pool may accept the request."""
-        back_offs, now_ms = self._context.back_offs, self._context.clock.now_ms()
-        waits_ms = (
-            back_offs.remaining_ms(item.upstream_id, now_ms)
-            for item in self._context.store_view.usable()
-            if item.pool == self._admitted.pool and item.state is UpstreamState.LIVE
-        )
-        return max(RETRY_AFTER_MS, min(waits_ms, default=0))
-
     def _deadline_result(self):
         if self.response_started:
             return self._abort_stream("deadline passed")
--- a/libs/entry/src/hemlockhoist/entry/gate.py
+++ b/libs/entry/src/hemlockhoist/entry/gate.py
@@ -7,7 +7,7 @@
     RetryLimiter,
     UsageCoverage,
 )
-from hemlockhoist.host.home import AllowAllGate, GateRefusal
+from hemlockhoist.host.gates import AllowAllGate, GateRefusal
 
 # Retry-After of a refused retry: the caller may retry itself once the failed upstream
 # has had time to recover or to be avoided.
--- /dev/null
+++ b/libs/entry/src/hemlockhoist/entry/signals.py
@@ -0,0 +1,110 @@
+"""What upstreams say about themselves in the heads of their answers to this host."""
+
+from hemlockhoist.base import UpstreamBackedOff, get_logger
+from hemlockhoist.decisions import UpstreamState
+from hemlockhoist.messages import NO_LIMIT, UpstreamSignals
+
+_log = get_logger("entry.exchange")
+
+
+class SignalRecorder:
+    """Records and applies the signals of upstreams.
+
+    Parameters
+    ==========
+    context : EntryContext
+    """
+
+    __slots__ = ("_context",)
+
+    def __init__(self, context):
+        self._context = context
+
+    def record(self, head, attempt, request_id):
+        """Record the signals in the head of an answer.
+
+        Another process that answers at its address says nothing about the upstream.
+
+        Parameters
+        ==========
+        head : ResponseHead
+        attempt : Attempt
+            Gets the ``UpstreamSignals``.
+        request_id : str
+        """
+        if head.is_misdirected:
+            return
+        attempt.signals = UpstreamSignals(
+            limit_per_s=head.limit_per_s,
+            back_off_ms=head.back_off_ms,
+            leaving_started_unix_ms=attempt.started_unix_ms
+            if head.is_leaving
+            else None,
+        )
+        self._record_limit(attempt, request_id)
+        self._record_back_off(attempt, request_id)
+        self._record_leaving(attempt)
+
+    def _record_limit(self, attempt, request_id):
+        hold, limit_per_s = attempt.hold, attempt.signals.limit_per_s
+        limits, now_ms = self._context.advertised_limits, self._context.clock.now_ms()
+        if limits.record(hold.pool, hold.upstream_id, limit_per_s, now_ms):
+            is_limited = limit_per_s != NO_LIMIT
+            _log.info(
+                "limit_advertised" if is_limited else "limit_withdrawn",
+                request=request_id,
+                upstream=hold.upstream_id,
+                pool=hold.pool,
+                requests_per_s=attempt.limit_text,
+            )
+
+    def _record_back_off(self, attempt, request_id):
+        hold, back_off_ms = attempt.hold, attempt.signals.back_off_ms
+        back_offs, now_ms = self._context.back_offs, self._context.clock.now_ms()
+        if back_offs.record(hold.pool, hold.upstream_id, back_off_ms, now_ms):
+            _log.info(
+                "back_off_requested",
+                request=request_id,
+                upstream=hold.upstream_id,
+                pool=hold.pool,
+                back_off_ms=back_off_ms,
+            )
+
+    def _record_leaving(self, attempt):
+        started_unix_ms = attempt.signals.leaving_started_unix_ms
+        if started_unix_ms is not None:
+            upstream_id = attempt.hold.upstream_id
+            self._context.store_view.on_upstream_leaving(upstream_id, started_unix_ms)
+
+    def known(self, upstream_id):
+        """Return what this host knows and the upstream's home does not seem to know."""
+        now_ms = self._context.clock.now_ms()
+        listing = self._context.store_view.listing
+        return UpstreamSignals(
+            back_off_ms=self._context.back_offs.remaining_ms(upstream_id, now_ms),
+            leaving_started_unix_ms=listing.announced_start(upstream_id),
+        )
+
+    def check_not_backed_off(self, upstream_id):
+        """Refuse to send to an upstream that wants no requests from this host.
+
+        Its home may have granted it before it learned of that.
+
+        Raises
+        ======
+        UpstreamBackedOff
+        """
+        now_ms = self._context.clock.now_ms()
+        remaining_ms = self._context.back_offs.remaining_ms(upstream_id, now_ms)
+        if remaining_ms:
+            raise UpstreamBackedOff(upstream_id, remaining_ms)
+
+    def back_off_wait_ms(self, pool):
+        """Return after how long any upstream of a pool takes requests of this host."""
+        back_offs, now_ms = self._context.back_offs, self._context.clock.now_ms()
+        waits_ms = (
+            back_offs.remaining_ms(item.upstream_id, now_ms)
+            for item in self._context.store_view.usable()
+            if item.pool == pool and item.state is UpstreamState.LIVE
+        )
+        return min(waits_ms, default=0)
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -2,11 +2,10 @@
 
 import msgspec
 
-from hemlockhoist.base import ResultCode, get_logger
+from hemlockhoist.base import get_logger
 from hemlockhoist.base.metrics import Metrics
 from hemlockhoist.base.metrics_table import (
     CALLERS_RETRIED,
-    GRANTS_HELD_BACK,
     WASTED_TOKENS,
 )
 from hemlockhoist.base.traces import Hop, parent_from_text
@@ -17,46 +16,24 @@
     OutcomeKind,
     WorkRequest,
 )
+from hemlockhoist.host.gates import AllowAllGate
+from hemlockhoist.host.home_signals import HomeSignals
+from hemlockhoist.host.takeover import HolderQueries
+from hemlockhoist.host.work_requests import work_request
 from hemlockhoist.messages import (
-    NO_LIMIT,
     GrantQueued,
     GrantRefusal,
     GrantReply,
     HomeClosed,
-    HomeTakeover,
     NotHome,
 )
 
 _log = get_logger("host.home")
 
-# A running entry host answers a new home within milliseconds; after this time the
-# query is assumed to be lost and is sent again.
-TAKEOVER_RESEND_MS = 300
 # A grant that expired longer ago than this and is missing from its entry host's list
 # was never used: a list already in transit when the grant was issued would have
 # arrived before.
 LOST_GRANT_MS = 5_000
-# Number of upstreams that a log line names.
-MAX_NAMED = 5
-# Values of the label of metrics: an upstream advertised a limit on its request rate, or
-# wants no requests from the entry host for a while.
-LIMIT_CAUSE = "limit"
-BACK_OFF_CAUSE = "back_off"
-
-
-class GateRefusal(msgspec.Struct, frozen=True):
-    """A refusal of a request before it reaches the scheduler.
-
-    Parameters
-    ==========
-    code : ResultCode
-    retry_after_ms : int
-    reason : str
-    """
-
-    code: ResultCode
-    retry_after_ms: int
-    reason: str
 
 
 class QueueEntry(msgspec.Struct, frozen=True):
@@ -73,35 +50,6 @@
     since_ms: int
 
 
-class AllowAllGate:
-    """A gate that admits every request to the scheduler."""
-
-    __slots__ = ()
-
-    def refusal(self, pool, request, now_ms):
-        """Return the ``GateRefusal`` of a request, or None when it is admitted."""
-        return
-
-    def on_not_run(self, pool, request, since_ms, now_ms):
-        """Handle the end of a request, admitted at ``since_ms``, that did not run."""
-
-    def on_dequeued(self, request, since_ms, now_ms):
-        """Handle the grant of an admitted request that was queued at ``since_ms``."""
-
-    def on_takeover(self, hosts, now_ms):
-        """Handle the start of a home at this host, which queries ``hosts``."""
-
-    def on_usage_report(self, host, held, now_ms):
-        """Handle an entry host's report of usage under a previous home.
-
-        Parameters
-        ==========
-        host : str
-        held : HeldGrants
-        now_ms : int
-        """
-
-
 class PoolHome:
     """The home of one pool: queues requests and issues grants for its upstreams.
 
@@ -131,16 +79,14 @@
         "_clock",
         "_gate",
         "_granted",
+        "_holders",
         "_identity",
         "_last_request_ms",
         "_metrics",
-        "_on_leaving",
-        "_pending_hosts",
-        "_queried_hosts",
         "_queued",
         "_reconnect",
-        "_requery_ms",
         "_send",
+        "_signals",
         "_spans",
         "_started_ms",
         "_traces",
@@ -165,7 +111,6 @@
         reconnect=lambda host_id: None,
         on_leaving=lambda upstream_id, started_unix_ms: None,
     ):
-        self._on_leaving = on_leaving
         self._reconnect = reconnect
         self.pool = pool
         self.declared = declared
@@ -176,15 +121,14 @@
         self._traces = traces
         self._metrics = metrics or Metrics(None)
         self._gate = gate or AllowAllGate()
+        self._holders = HolderQueries(pool, identity.incarnation, clock, send)
+        self._signals = HomeSignals(pool, scheduler, clock, self._metrics, on_leaving)
         self._cached_elsewhere_tokens = {}
-        self._queried_hosts = set()
-        self._pending_hosts = set()
         self._queued = {}
         self._granted = {}
         self._spans = {}
         self._started_ms = 0
         self._last_request_ms = clock.now_ms()
-        self._requery_ms = 0
         self.first_grant_ms = None
         self.recovered_ms = None
 
@@ -198,32 +142,15 @@
         """
         now_ms = self._clock.now_ms()
         self._started_ms = now_ms
-        self._pending_hosts = set(hosts)
-        self._queried_hosts = set(hosts)
-        self._gate.on_takeover(self._queried_hosts, now_ms)
+        self._holders.start(hosts)
+        self._gate.on_takeover(self._holders.queried, now_ms)
         self._emit(self.scheduler.begin_recovery(now_ms), now_ms)
-        self._query_holders(now_ms)
-        _log.info("home_started", pool=self.pool, asked=len(self._pending_hosts))
+        self._holders.send()
+        _log.info("home_started", pool=self.pool, asked=self._holders.pending_count)
 
     def on_host_joined(self, host_id):
-        """Query a host that was not known before for the grants that it holds.
-
-        Failure prevented: a home that has just started knows only half of the fleet.
-        The grants that the other half holds, and its customers' usage, would never be
-        counted.
-        """
-        if host_id not in self._queried_hosts:
-            self._queried_hosts.add(host_id)
-            self._pending_hosts.add(host_id)
-            self._query_holders(self._clock.now_ms())
-
-    def _query_holders(self, now_ms):
-        self._requery_ms = now_ms + TAKEOVER_RESEND_MS
-        message = HomeTakeover(
-            pool=self.pool, home_incarnation=self._identity.incarnation
-        )
-        for host in self._pending_hosts:
-            self._send(host, message)
+        """Query a host that was not known before for the grants that it holds."""
+        self._holders.add(host_id)
 
     def on_predecessor_closed(self):
         """Query all hosts again, since the previous home has only now closed.
@@ -233,8 +160,7 @@
         admitted after this one had sent its queries would never be counted, and a
         customer at its quota would get that much on top.
         """
-        self._pending_hosts = set(self._queried_hosts)
-        self._query_holders(self._clock.now_ms())
+        self._holders.restart()
 
     def close(self, new_home):
         """Stop issuing grants and refer queued requests to the new home."""
@@ -252,7 +178,7 @@
     @property
     def recovering(self):
         """Whether some entry host has not reported the grants that it holds."""
-        return bool(self._pending_hosts)
+        return bool(self._holders.pending_count)
 
     def reconfigure(self, declared):
         """Apply a changed declaration of the pool or of the tiers."""
@@ -285,21 +211,13 @@
         request_id = request.request_id
         is_decided = any(item.request.request_id == request_id for item in decisions)
         if not self.scheduler.is_granted(request_id):
-            self._count_held_back(request, now_ms)
+            self._signals.count_held_back(request)
         if not is_decided:
             self._queued[request.request_id] = QueueEntry(request, now_ms)
         self._emit(decisions, now_ms)
         if not is_decided:
             self._notify_queued(request)
 
-    def _count_held_back(self, request, now_ms):
-        """Count a request that got no slot at once, by what kept free ones from it."""
-        held_back = self.scheduler.held_back(request.entry_host, now_ms, 1)
-        if held_back.limited:
-            self._metrics.count(GRANTS_HELD_BACK, LIMIT_CAUSE)
-        if held_back.backed_off:
-            self._metrics.count(GRANTS_HELD_BACK, BACK_OFF_CAUSE)
-
     def _notify_queued(self, request):
         _log.info(
             "request_queued",
@@ -308,15 +226,10 @@
             tier=request.tier_rank,
             queued=len(self._queued),
             granted=len(self._granted),
-            held_back=self._held_back_text(request),
+            held_back=self._signals.held_back_text(request),
         )
         self._send(request.entry_host, self._queued_message(request.request_id))
 
-    def _held_back_text(self, request):
-        """Return which upstreams have a slot that a request may not use, for logs."""
-        now_ms = self._clock.now_ms()
-        return str(self.scheduler.held_back(request.entry_host, now_ms, MAX_NAMED))
-
     def _begin_span(self, brief):
         parent = parent_from_text(brief.trace)
         self._spans[brief.request_id] = self._traces.start_span(
@@ -349,42 +262,15 @@
     def on_first_token(self, message):
         """Record the time to first token of an answer that is still in progress."""
         now_ms = self._clock.now_ms()
-        self._observe_signals(message)
+        self._signals.observe(message)
         decisions = self.scheduler.observe_first_token(
             message.grant_id, message.first_token_ms, now_ms
         )
         self._emit(decisions, now_ms)
 
-    def _observe_signals(self, message):
-        """Record what an upstream said, before the grant of the message is released."""
-        held = self.scheduler.in_flight_grant(message.grant_id)
-        signals = message.signals
-        if held is None or signals is None:
-            return
-        now_ms, upstream_id = self._clock.now_ms(), held.grant.upstream_id
-        if signals.limit_per_s is not None:
-            self._record_limit(upstream_id, signals.limit_per_s, now_ms)
-        if signals.back_off_ms:
-            until_ms = now_ms + signals.back_off_ms
-            host = held.request.entry_host
-            self.scheduler.observe_back_off(upstream_id, host, until_ms, now_ms)
-        if signals.leaving_started_unix_ms is not None:
-            self._on_leaving(upstream_id, signals.leaving_started_unix_ms)
-
-    def _record_limit(self, upstream_id, requests_per_s, heard_ms):
-        now_ms = self._clock.now_ms()
-        if self.scheduler.observe_limit(upstream_id, requests_per_s, heard_ms, now_ms):
-            is_lifted = requests_per_s == NO_LIMIT
-            _log.info(
-                "limit_lifted" if is_lifted else "limit_enforced",
-                pool=self.pool,
-                upstream=upstream_id,
-                requests_per_s="" if is_lifted else requests_per_s,
-            )
-
     def on_release(self, message):
         """Release a grant and record its outcome."""
-        self._observe_signals(message)
+        self._signals.observe(message)
         outcome = Outcome(
             kind=OutcomeKind(message.outcome),
             first_token_ms=message.first_token_ms,
@@ -430,17 +316,10 @@
             )
             self._granted[request.request_id] = (grant, sender)
             self._emit(self.scheduler.adopt(request, grant, now_ms), now_ms)
-        for limit in message.limits:
-            heard_ms = now_ms - limit.age_ms
-            self._record_limit(limit.upstream_id, limit.requests_per_s, heard_ms)
-        for item in message.back_offs:
-            until_ms = now_ms + item.remaining_ms
-            upstream_id = item.upstream_id
-            self.scheduler.observe_back_off(upstream_id, sender, until_ms, now_ms)
-        if sender in self._pending_hosts:
+        self._signals.adopt(sender, message)
+        if self._holders.is_pending(sender):
             self._gate.on_usage_report(sender, message, now_ms)
-            self._pending_hosts.discard(sender)
-            if not self._pending_hosts:
+            if self._holders.discard(sender):
                 self._end_recovery(now_ms)
 
     def on_held_ids(self, sender, message):
@@ -472,11 +351,8 @@
         for request_id in lost:
             del self._granted[request_id]
             self._cached_elsewhere_tokens.pop(request_id, None)
-        self._queried_hosts.discard(host_id)
-        if host_id in self._pending_hosts:
-            self._pending_hosts.discard(host_id)
-            if not self._pending_hosts:
-                self._end_recovery(now_ms)
+        if self._holders.forget(host_id):
+            self._end_recovery(now_ms)
 
     def _end_recovery(self, now_ms):
         self.recovered_ms = now_ms - self._started_ms
@@ -486,8 +362,7 @@
     def tick(self):
         """Do the periodic work: repeat unanswered queries, let the scheduler tick."""
         now_ms = self._clock.now_ms()
-        if self.recovering and now_ms >= self._requery_ms:
-            self._query_holders(now_ms)
+        self._holders.resend_if_due()
         self._emit(self.scheduler.tick(now_ms), now_ms)
 
     def set_upstreams(self, upstreams):
@@ -519,26 +394,16 @@
                     self._gate.on_dequeued(request, queued.since_ms, now_ms)
                 self._send_grant(decision, queued is not None, now_ms)
             else:
-                self._end_span(request.request_id, code=int(decision.code))
                 since_ms = now_ms if queued is None else queued.since_ms
-                self._gate.on_not_run(self.pool, request, since_ms, now_ms)
-                code = decision.code
-                reason = self._refusal_reason(request)
-                self._refuse(request, code, decision.retry_after_ms, reason)
+                self._reject(decision, since_ms, now_ms)
 
-    def _refusal_reason(self, request):
-        """Return the state that explains a refusal, for the entry host's log."""
+    def _reject(self, decision, since_ms, now_ms):
+        request, code = decision.request, decision.code
+        self._end_span(request.request_id, code=int(code))
+        self._gate.on_not_run(self.pool, request, since_ms, now_ms)
         reason = f"queued {len(self._queued)} granted {len(self._granted)}"
-        evacuated = self.scheduler.evacuated_domains()
-        if evacuated:
-            reason += f" evacuated {','.join(evacuated)}"
-        leaving = self.scheduler.leaving_upstreams()[:MAX_NAMED]
-        if leaving:
-            reason += f" leaving {','.join(leaving)}"
-        held_back = self._held_back_text(request)
-        if held_back:
-            reason += f" {held_back}"
-        return reason
+        reason += self._signals.refusal_text(request)
+        self._refuse(request, code, decision.retry_after_ms, reason)
 
     def _refuse(self, request, code, retry_after_ms, reason):
         """Send a refusal; the entry host logs it with its reason."""
@@ -611,37 +476,3 @@
     def _send_not_home(self, host, request_id, new_home):
         message = NotHome(pool=self.pool, request_id=request_id, home_host=new_home)
         self._send(host, message)
-
-
-def work_request(brief, entry_host, now_ms):
-    """Return the request that a brief describes, with times on the home's clock.
-
-    The brief's durations are counted from ``now_ms``.
-    """
-    waits_until_ms = None
-    if brief.max_wait_ms is not None:
-        waits_until_ms = now_ms + brief.max_wait_ms
-    return WorkRequest(
-        request_id=brief.request_id,
-        route=brief.route,
-        customer=brief.customer,
-        tier_rank=brief.tier_rank,
-        weight=brief.weight,
-        max_in_flight=brief.max_in_flight,
-        idempotent=brief.idempotent,
-        prompt_tokens=brief.prompt_tokens,
-        output_tokens=brief.output_tokens,
-        prefix_hashes=brief.prefix_hashes,
-        prefix_tokens=brief.prefix_tokens,
-        deadline_ms=now_ms + brief.deadline_in_ms,
-        first_token_by_ms=now_ms + brief.first_token_in_ms,
-        waits_until_ms=waits_until_ms,
-        max_gap_ms=brief.max_gap_ms,
-        entry_host=entry_host,
-        failure_domain=brief.failure_domain,
-        attempt=brief.attempt,
-        units=brief.units,
-        avoid=brief.avoid,
-        is_new=brief.is_new,
-        regions=brief.regions,
-    )
--- /dev/null
+++ b/libs/host/src/hemlockhoist/host/home_signals.py
@@ -0,0 +1,118 @@
+"""What upstreams said about themselves to entry hosts, as their pool's home uses it."""
+
+from hemlockhoist.base import get_logger
+from hemlockhoist.base.metrics_table import GRANTS_HELD_BACK
+from hemlockhoist.messages import NO_LIMIT
+
+_log = get_logger("host.home")
+
+# Number of upstreams that a log line names.
+MAX_NAMED = 5
+# Values of the label of metrics: an upstream advertised a limit on its request rate, or
+# wants no requests from the entry host for a while.
+LIMIT_CAUSE = "limit"
+BACK_OFF_CAUSE = "back_off"
+
+
+class HomeSignals:
+    """Passes what upstreams said to a pool's scheduler, and explains its effects.
+
+    Parameters
+    ==========
+    pool : str
+    scheduler : PoolScheduler
+    clock : Clock
+    metrics : Metrics
+    on_leaving : callable
+        ``on_leaving(upstream_id, started_unix_ms)`` is called when an upstream has
+        announced to an entry host that it is about to stop.
+    """
+
+    __slots__ = ("_clock", "_metrics", "_on_leaving", "_pool", "_scheduler")
+
+    def __init__(self, pool, scheduler, clock, metrics, on_leaving):
+        self._pool = pool
+        self._scheduler = scheduler
+        self._clock = clock
+        self._metrics = metrics
+        self._on_leaving = on_leaving
+
+    def observe(self, message):
+        """Record the signals in a message about a grant that is still in flight.
+
+        Parameters
+        ==========
+        message : FirstToken or GrantRelease
+        """
+        held = self._scheduler.in_flight_grant(message.grant_id)
+        signals = message.signals
+        if held is None or signals is None:
+            return
+        now_ms, upstream_id = self._clock.now_ms(), held.grant.upstream_id
+        if signals.limit_per_s is not None:
+            self._record_limit(upstream_id, signals.limit_per_s, now_ms)
+        if signals.back_off_ms:
+            host = held.request.entry_host
+            self._record_back_off(upstream_id, host, signals.back_off_ms)
+        if signals.leaving_started_unix_ms is not None:
+            self._on_leaving(upstream_id, signals.leaving_started_unix_ms)
+
+    def adopt(self, sender, report):
+        """Record what an entry host reports to a new home.
+
+        Parameters
+        ==========
+        sender : str
+        report : HeldGrants
+        """
+        now_ms = self._clock.now_ms()
+        for item in report.limits:
+            heard_ms = now_ms - item.age_ms
+            self._record_limit(item.upstream_id, item.requests_per_s, heard_ms)
+        for item in report.back_offs:
+            self._record_back_off(item.upstream_id, sender, item.remaining_ms)
+
+    def _record_limit(self, upstream_id, requests_per_s, heard_ms):
+        now_ms = self._clock.now_ms()
+        if not self._scheduler.observe_limit(
+            upstream_id, requests_per_s, heard_ms, now_ms
+        ):
+            return
+        is_lifted = requests_per_s == NO_LIMIT
+        _log.info(
+            "limit_lifted" if is_lifted else "limit_enforced",
+            pool=self._pool,
+            upstream=upstream_id,
+            requests_per_s="" if is_lifted else requests_per_s,
+        )
+
+    def _record_back_off(self, upstream_id, host, back_off_ms):
+        now_ms = self._clock.now_ms()
+        until_ms = now_ms + back_off_ms
+        self._scheduler.observe_back_off(upstream_id, host, until_ms, now_ms)
+
+    def count_held_back(self, request):
+        """Count a request that got no slot at once, by what kept free ones from it."""
+        held_back = self._held_back(request, 1)
+        if held_back.limited:
+            self._metrics.count(GRANTS_HELD_BACK, LIMIT_CAUSE)
+        if held_back.backed_off:
+            self._metrics.count(GRANTS_HELD_BACK, BACK_OFF_CAUSE)
+
+    def held_back_text(self, request):
+        """Return which upstreams have a slot that a request may not use, for logs."""
+        return str(self._held_back(request, MAX_NAMED))
+
+    def refusal_text(self, request):
+        """Return what the upstreams' states contribute to a refusal, for logs."""
+        evacuated = self._scheduler.evacuated_domains()
+        leaving = self._scheduler.leaving_upstreams()[:MAX_NAMED]
+        text = f" evacuated {','.join(evacuated)}" if evacuated else ""
+        if leaving:
+            text += f" leaving {','.join(leaving)}"
+        held_back = self.held_back_text(request)
+        return f"{text} {held_back}" if held_back else text
+
+    def _held_back(self, request, max_count):
+        now_ms = self._clock.now_ms()
+        return self._scheduler.held_back(request.entry_host, now_ms, max_count)
--- a/libs/host/src/hemlockhoist/host/tests/test_back_offs.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_back_offs.py
@@ -55,7 +55,7 @@
         """Guards against a home that goes on granting it to hosts that don't know."""
         heard = []
         home = self.network.homes["h1"]
-        home._on_leaving = lambda *announced: heard.append(announced)
+        home._signals._on_leaving = lambda *announced: heard.append(announced)
         hold = await self._acquire("r1")
         signals = UpstreamSignals(leaving_started_unix_ms=7)
         self.client.report_first_token(hold, 5, signals)
--- a/libs/host/src/hemlockhoist/host/tests/test_home_counts.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_home_counts.py
@@ -8,7 +8,8 @@
 from hemlockhoist.decisions import OutcomeKind, Upstream
 from hemlockhoist.decisions.scheduling import PoolScheduler
 from hemlockhoist.declarations import Pool, PoolKind, Tier
-from hemlockhoist.host.home import AllowAllGate, PoolHome
+from hemlockhoist.host.gates import AllowAllGate
+from hemlockhoist.host.home import PoolHome
 from hemlockhoist.host.identity import HostIdentity
 from hemlockhoist.messages import (
     GrantCancel,
