Give grants as hosts hold them, and messages on outdated ones, modules of their own

Change: GrantHold and its forms in messages (grant_hold.py) and the messages that say why a grant is outdated (outdated.py) are moved; nothing else changes.

--- /dev/null
+++ b/libs/host/src/hemlockhoist/host/grant_hold.py
@@ -0,0 +1,80 @@
+"""A grant as its entry host holds it, and its form in messages."""
+
+import msgspec
+
+from hemlockhoist.messages import (
+    NO_LIMIT,
+    HeldGrant,
+    RequestBrief,
+    UpstreamSignals,
+)
+
+NO_SIGNALS = UpstreamSignals()
+
+
+class GrantHold(msgspec.Struct, frozen=True, kw_only=True):
+    """A grant held by an entry host, with times on that host's clock.
+
+    ``home`` is the host that issued it. ``is_alone`` marks a grant by the entry host's
+    own standby home, ``is_cold`` one to an upstream that the home knew to be cold, and
+    ``is_limited`` one that counts towards a limit that the upstream advertises.
+    """
+
+    pool: str
+    brief: RequestBrief
+    grant_id: str
+    upstream_id: str
+    address: str
+    version: str
+    expires_ms: int
+    home: str = ""
+    is_alone: bool = False
+    is_cold: bool = False
+    is_limited: bool = False
+
+
+def signals_for_home(hold, signals):
+    """Return what the home is to be told of an answer's signals, or None.
+
+    An answer without a limit is news only if its grant was issued under one: then the
+    upstream has withdrawn it. Answers to other grants may have begun before the
+    upstream advertised the limit.
+    """
+    if signals is None:
+        return None
+    if signals.limit_per_s == NO_LIMIT and not hold.is_limited:
+        signals = msgspec.structs.replace(signals, limit_per_s=None)
+    return None if signals == NO_SIGNALS else signals
+
+
+def held_grant_message(hold):
+    """Return the ``HeldGrant`` that reports a grant to a new home."""
+    return HeldGrant(
+        brief=hold.brief,
+        grant_id=hold.grant_id,
+        upstream_id=hold.upstream_id,
+        address=hold.address,
+        version=hold.version,
+    )
+
+
+def hold_from_reply(message, home):
+    """Return the hold of a grant that no request waits for any more."""
+    brief = RequestBrief(
+        request_id=message.request_id,
+        route="",
+        customer="",
+        tier_rank=0,
+        deadline_in_ms=0,
+        first_token_in_ms=0,
+    )
+    return GrantHold(
+        pool=message.pool,
+        brief=brief,
+        grant_id=message.grant_id,
+        upstream_id=message.upstream_id,
+        address=message.address,
+        version=message.version,
+        expires_ms=0,
+        home=home,
+    )
--- a/libs/host/src/hemlockhoist/host/grants.py
+++ b/libs/host/src/hemlockhoist/host/grants.py
@@ -1,23 +1,19 @@
 """The entry side of grants: requests them from a pool's home and releases them."""
 
 import asyncio
-import functools
 
 import msgspec
 
-from hemlockhoist.base import (
-    MS_PER_S,
-    Refused,
-    ResultCode,
-    UpstreamCold,
-    UpstreamEvacuated,
-    UpstreamLeft,
-)
+from hemlockhoist.base import MS_PER_S, Refused, ResultCode
 from hemlockhoist.decisions import granting_incarnation
+from hemlockhoist.host.grant_hold import (
+    GrantHold,
+    held_grant_message,
+    hold_from_reply,
+    signals_for_home,
+)
+from hemlockhoist.host.outdated import outdated_message
 from hemlockhoist.messages import (
-    NO_LIMIT,
-    ColdUpstream,
-    EvacuatedDomain,
     FirstToken,
     GrantCancel,
     GrantQueued,
@@ -25,13 +21,9 @@
     GrantRelease,
     GrantReply,
     GrantRequest,
-    HeldGrant,
     HeldGrantIds,
     HeldGrants,
-    LeftUpstream,
     NotHome,
-    RequestBrief,
-    UpstreamSignals,
 )
 
 # A reply takes a few milliseconds, and up to a tenth of a second where the home's
@@ -57,27 +49,6 @@
 RETRY_AFTER_MS = 1_000
 
 
-class GrantHold(msgspec.Struct, frozen=True, kw_only=True):
-    """A grant held by an entry host, with times on that host's clock.
-
-    ``home`` is the host that issued it. ``is_alone`` marks a grant by the entry host's
-    own standby home, ``is_cold`` one to an upstream that the home knew to be cold, and
-    ``is_limited`` one that counts towards a limit that the upstream advertises.
-    """
-
-    pool: str
-    brief: RequestBrief
-    grant_id: str
-    upstream_id: str
-    address: str
-    version: str
-    expires_ms: int
-    home: str = ""
-    is_alone: bool = False
-    is_cold: bool = False
-    is_limited: bool = False
-
-
 # Put into a waiter's inbox in place of a reply to have its request checked and sent
 # again at once: the home of its pool has changed, or this host refuses its requests.
 _RESEND = object()
@@ -384,7 +355,7 @@
             pool=hold.pool,
             grant_id=hold.grant_id,
             first_token_ms=first_token_ms,
-            signals=_news(hold, signals),
+            signals=signals_for_home(hold, signals),
         )
         self._notify_homes(hold, message)
 
@@ -400,7 +371,7 @@
         error : GrantOutdated
         """
         if error.version is not None:
-            self._send(hold.home, _outdated_message(error))
+            self._send(hold.home, outdated_message(error))
 
     def _notify_homes(self, hold, message):
         """Send a message about a grant to every home that may count it.
@@ -432,7 +403,9 @@
         """
         if self._held.pop(hold.grant_id, None) is None:
             return
-        self._send_release(hold, outcome.kind.value, outcome, _news(hold, signals))
+        self._send_release(
+            hold, outcome.kind.value, outcome, signals_for_home(hold, signals)
+        )
         self._claiming_homes.pop(hold.grant_id, None)
 
     def _release_unsent(self, hold):
@@ -469,7 +442,7 @@
         elif isinstance(message, GrantReply) and message.grant_id not in self._held:
             # The request ended, or got another grant, while this one was in transit:
             # the home has to free the slot.
-            self._send_release(_hold_from_reply(message, sender), "not_sent", None)
+            self._send_release(hold_from_reply(message, sender), "not_sent", None)
 
     def on_homes_changed(self):
         """Send requests that wait at a previous home to the new one at once."""
@@ -493,7 +466,7 @@
         held = [hold for hold in self._held.values() if hold.pool == pool]
         for hold in held:
             self._claiming_homes.setdefault(hold.grant_id, set()).add(home)
-        grants = tuple(_held_grant_message(hold) for hold in held)
+        grants = tuple(held_grant_message(hold) for hold in held)
         now_ms = self._clock.now_ms()
         limits = ()
         if self._advertised_limits is not None:
@@ -522,74 +495,3 @@
             ids = tuple(h.grant_id for h in self._held.values() if h.pool == pool)
             if home:
                 self._send(home, HeldGrantIds(pool=pool, grant_ids=ids))
-
-
-_NO_SIGNALS = UpstreamSignals()
-
-
-@functools.singledispatch
-def _outdated_message(error):
-    """Return the message that reports to a home why a grant is outdated."""
-    raise TypeError(type(error).__name__)
-
-
-@_outdated_message.register
-def _(error: UpstreamLeft):
-    return LeftUpstream(upstream_id=error.upstream_id, version=error.version)
-
-
-@_outdated_message.register
-def _(error: UpstreamEvacuated):
-    return EvacuatedDomain(failure_domain=error.failure_domain, version=error.version)
-
-
-@_outdated_message.register
-def _(error: UpstreamCold):
-    return ColdUpstream(
-        upstream_id=error.upstream_id, version=error.version, cold_ms=error.cold_ms
-    )
-
-
-def _news(hold, signals):
-    """Return what the home is to be told of an answer's signals, or None.
-
-    An answer without a limit is news only if its grant was issued under one: then the
-    upstream has withdrawn it. Answers to other grants may have begun before the
-    upstream advertised the limit.
-    """
-    if signals is None:
-        return None
-    if signals.limit_per_s == NO_LIMIT and not hold.is_limited:
-        signals = msgspec.structs.replace(signals, limit_per_s=None)
-    return None if signals == _NO_SIGNALS else signals
-
-
-def _held_grant_message(hold):
-    return HeldGrant(
-        brief=hold.brief,
-        grant_id=hold.grant_id,
-        upstream_id=hold.upstream_id,
-        address=hold.address,
-        version=hold.version,
-    )
-
-
-def _hold_from_reply(message, home):
-    brief = RequestBrief(
-        request_id=message.request_id,
-        route="",
-        customer="",
-        tier_rank=0,
-        deadline_in_ms=0,
-        first_token_in_ms=0,
-    )
-    return GrantHold(
-        pool=message.pool,
-        brief=brief,
-        grant_id=message.grant_id,
-        upstream_id=message.upstream_id,
-        address=message.address,
-        version=message.version,
-        expires_ms=0,
-        home=home,
-    )
