Lose a lease whose row was removed, without an internal error

Cause: after a conflict the holder reads its row again to see whether it wrote the version itself, and used what it read without asking whether there is a row (found by reading). A renewal beside the removal of the row ended with AttributeError in place of LeaseLost.

Change: no row is no version of this holder.

--- a/libs/store/src/hemlockhoist/store/lease.py
+++ b/libs/store/src/hemlockhoist/store/lease.py
@@ -171,6 +171,8 @@
     async def _refresh_own_version(self):
         """Adopt the row's version if this holder wrote it; return whether it did."""
         row = await self._tables.read(self.TABLE, self._key, LeaseRow)
+        if row is None:
+            return False
         lease = row.value
         if lease.holder != self._holder or lease.fencing != self.fencing:
             return False
--- a/libs/store/src/hemlockhoist/store/tests/test_lease.py
+++ b/libs/store/src/hemlockhoist/store/tests/test_lease.py
@@ -162,3 +162,18 @@
         except PlatformError:
             pass
         await asyncio.sleep(rng.choice((0.2, 1, 4, 12)))
+
+
+class RemovedRowTests(PausedTestCase):
+    async def test_renewal_without_its_row_loses_the_lease(self):
+        """Guards against a holder that ends with an internal error.
+
+        Its row was removed while it renewed, by an operator or with the table.
+        """
+        store = TableStore()
+        one = _lease(store, "one")
+        await one.acquire()
+        store._tables.clear()
+        with self.assertRaises(LeaseLost):
+            await one.renew()
+        self.assertFalse(one.held())
