Write a move's row anew that was removed during the order

Cause: after a conflict the order reads the row again and changes what it read, without asking whether there is a row (found by reading): an order beside the removal of an earlier move's row ended with AttributeError.

Change: both reads give the move or None, and the version to write over.

Figures: the new test ended with AttributeError before, and passes.

--- a/libs/host/src/hemlockhoist/host/moves.py
+++ b/libs/host/src/hemlockhoist/host/moves.py
@@ -393,10 +393,13 @@
                 )
         return cancel_move(None, move_id, reason, author)
 
-    async def _update_row(self, pool, change):
+    async def _read_row(self, pool):
+        """Return the stored move of a pool, or None, and the version of its row."""
         row = await self._tables.read(TABLE, pool, Move)
-        current = row.value if row is not None else None
-        version = row.version if row is not None else ABSENT
+        return (None, ABSENT) if row is None else (row.value, row.version)
+
+    async def _update_row(self, pool, change):
+        current, version = await self._read_row(pool)
         wanted = change(current)
         if wanted == current:
             return wanted
@@ -404,11 +407,11 @@
             written = await self._tables.put(TABLE, pool, wanted, version)
         except StoreConflict:
             # Another operator or the home wrote first: apply the change to its row.
-            row = await self._tables.read(TABLE, pool, Move)
-            wanted = change(row.value)
-            if wanted == row.value:
+            current, version = await self._read_row(pool)
+            wanted = change(current)
+            if wanted == current:
                 return wanted
-            written = await self._tables.put(TABLE, pool, wanted, row.version)
+            written = await self._tables.put(TABLE, pool, wanted, version)
         controller = self._controllers.get(pool)
         if controller is not None:
             self._observe(controller, written)
--- a/libs/host/src/hemlockhoist/host/tests/test_moves.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_moves.py
@@ -199,6 +199,24 @@
         self.assertIs(row.state, MoveState.CANCELLED)
         self.assertEqual(await self._traffic(5_000, lambda version: GOOD), 0)
 
+    async def test_row_removed_during_an_order_is_written_anew(self):
+        """Guards against an order that ends with an internal error.
+
+        The row of an earlier move is removed between the read and the write.
+        """
+        await self._order()
+        await self.service.cancel("m1", "wrong week", "luis")
+        put, tables = self.tables.put, self.tables
+
+        async def put_beside_removal(*args, **fields):
+            tables.rows.clear()
+            tables.put = put
+            return await put(*args, **fields)
+
+        tables.put = put_beside_removal
+        row = await self._order(move_id="m2")
+        self.assertEqual((row.move_id, row.state), ("m2", MoveState.RUNNING))
+
     async def test_repeated_order_returns_the_same_move(self):
         """An order that is sent again after its reply was lost starts no new move."""
         first = await self._order()
