Count a customer's usage once where a queued request is refunded

Cause: a refund is taken from the newest usage, which may be that of another request that counts from when it runs. As that one's usage is moved, its bucket is short, and the move added more than it took: the customer stood above what it used until the window passed (found by reading).

Change: what is missing in the bucket is taken from the newest ones. Usage that has left the window is taken from no other.

--- a/libs/decisions/src/hemlockhoist/decisions/limits/tests/test_quotas.py
+++ b/libs/decisions/src/hemlockhoist/decisions/limits/tests/test_quotas.py
@@ -13,6 +13,7 @@
     usage,
 )
 from hemlockhoist.decisions.limits.quotas import USED_FRACTION
+from hemlockhoist.decisions.limits.usage import UsageWindow
 from hemlockhoist.declarations import KeyedCustomer, Quota
 
 WINDOW_MS = 8_000
@@ -302,3 +303,28 @@
         for start, _ in acquired:
             inside = [u for at, u in acquired if start <= at < start + WINDOW_MS]
             self.assertLessEqual(sum(inside), BOUND)
+
+
+class RetimedUsageTests(unittest.TestCase):
+    def test_refund_of_a_queued_request_is_not_counted_twice(self):
+        """Guards against a customer that is refused though it is within its quota.
+
+        Two requests are queued at once, and a third is granted a second later. The first
+        leaves the queue, and its refund is taken from the newest usage, which is that of
+        the third; the second, and then the third, count from when they run.
+        """
+        window = UsageWindow(window_ms=8_000)
+        window.add(20, now_ms=0)
+        window.add(10, now_ms=1_000)
+        window.subtract(10)
+        window.retime(10, from_ms=0, now_ms=2_000)
+        window.retime(10, from_ms=1_000, now_ms=2_000)
+        self.assertEqual(window.total, 20)
+
+    def test_usage_that_has_left_the_window_is_taken_from_no_other(self):
+        window = UsageWindow(window_ms=8_000)
+        window.add(10, now_ms=0)
+        window.add(5, now_ms=9_000)
+        window.expire(now_ms=9_000)
+        window.retime(10, from_ms=0, now_ms=9_500)
+        self.assertEqual(window.total, 15)
--- a/libs/decisions/src/hemlockhoist/decisions/limits/usage.py
+++ b/libs/decisions/src/hemlockhoist/decisions/limits/usage.py
@@ -63,13 +63,19 @@
                 return
 
     def retime(self, units, from_ms, now_ms):
-        """Move units from the bucket in which they were counted to the current one."""
+        """Move units from the bucket in which they were counted to the current one.
+
+        A refund may have taken units of that bucket for others; what is missing there
+        is taken from the newest buckets, as a refund is.
+        """
         number = from_ms // self._bucket_ms
         for bucket in self._buckets:
             if bucket[0] == number:
                 subtracted = min(units, bucket[1])
                 bucket[1] -= subtracted
                 self.total -= subtracted
+                self.subtract(units - subtracted)
+                break
         self.add(units, now_ms)
 
     def expire(self, now_ms):
