Report a delay of a move that can't be estimated before known ones

Cause: a delay that can't be estimated is -1, and the longest was picked by that number, so that operators were told of some seconds of one route where another had no answers at all (found by reading).

Change: a delay that is not known is the longest.

--- a/libs/decisions/src/hemlockhoist/decisions/versions/planner.py
+++ b/libs/decisions/src/hemlockhoist/decisions/versions/planner.py
@@ -91,14 +91,12 @@
 
     def delay(self, lanes, now_ms):
         """Return the longest expected delay of a lane, or None."""
-        late = None
-        for lane in lanes:
-            if lane.share_permille >= FULL_PERMILLE:
-                continue
-            found = self._lane_delay(lane, lanes, now_ms)
-            if found and (late is None or found.late_ms > late.late_ms):
-                late = found
-        return late
+        delays = [
+            self._lane_delay(lane, lanes, now_ms)
+            for lane in lanes
+            if lane.share_permille < FULL_PERMILLE
+        ]
+        return max(filter(None, delays), key=_delay_rank, default=None)
 
     def _share(self, lane, lanes, now_ms):
         share = lane.share_permille
@@ -223,3 +221,8 @@
         return Delay(
             reason=reason, late_ms=int(late_ms) if late_ms < float("inf") else -1
         )
+
+
+def _delay_rank(delay):
+    """Return a key by which delays are ordered; one that is not known is longest."""
+    return delay.late_ms < 0, delay.late_ms
