Forget the summaries of collectors that are gone

Cause: hosts that are gone are dropped from the acknowledgements, but the summaries of collectors stayed (found by reading): memory grew with each collector that was replaced, and one that came back counted by what its former process had said.

Change: both are dropped.

Figures: the new test counted the gone collector as reported before, and passes.

--- a/libs/decisions/src/hemlockhoist/decisions/configuration/acknowledgements.py
+++ b/libs/decisions/src/hemlockhoist/decisions/configuration/acknowledgements.py
@@ -69,9 +69,12 @@
             self._summaries[summary.address] = summary
 
     def keep_only(self, addresses):
-        """Drop the acknowledgements of all hosts not in ``addresses``."""
+        """Drop the acknowledgements and summaries of all hosts not in ``addresses``."""
         wanted = set(addresses)
         self._acks = {key: v for key, v in self._acks.items() if key in wanted}
+        self._summaries = {
+            key: v for key, v in self._summaries.items() if key in wanted
+        }
 
     def summarize(self, version, members):
         """Return this collector's ``ConfigurationSummary``.
