Age gauges on hosts without a statsd server too

Cause: a gauge that is no longer set is sent as 0 and dropped, but only as values are sent to statsd (found by reading). Hosts on the users' platform serve their metrics on an address, and there the queue of a pool whose home had moved, or the number of upstreams of a pool that no longer limit their requests, stayed for ever.

Change: the task that ages gauges runs on every host, once a second; counters that nobody takes are dropped with it.

--- a/libs/base/src/hemlockhoist/base/metrics.py
+++ b/libs/base/src/hemlockhoist/base/metrics.py
@@ -105,9 +105,8 @@
         return cls(client)
 
     async def start(self):
-        """Start to send the values once a second."""
-        if self._client is not None:
-            self._task = asyncio.create_task(self._run())
+        """Start to send the values, and to age gauges, once a second."""
+        self._task = asyncio.create_task(self._run())
 
     async def close(self):
         """Send the remaining values and stop."""
@@ -115,6 +114,7 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
             self.flush()
+        if self._client is not None:
             self._client.close()
 
     def count(self, metric, label="", value=1):
@@ -153,8 +153,11 @@
         """Send the values recorded since the last call."""
         counts, timings = self._counts, self._timings
         self._counts, self._timings = collections.Counter(), []
-        if self._client is None:
-            return
+        if self._client is not None:
+            self._send(counts, timings)
+        self._age_gauges()
+
+    def _send(self, counts, timings):
         with self._client.pipeline() as pipeline:
             for name, value in counts.items():
                 pipeline.incr(name, value)
@@ -162,7 +165,6 @@
                 pipeline.gauge(name, value)
             for name, value in timings:
                 pipeline.timing(name, value)
-        self._age_gauges()
 
     def _age_gauges(self):
         aged = {}
--- a/libs/base/src/hemlockhoist/base/tests/test_metrics.py
+++ b/libs/base/src/hemlockhoist/base/tests/test_metrics.py
@@ -87,6 +87,27 @@
         self.assertEqual(set(values[:-1]), {"hemlockhoist.requests.open:7|g"})
         self.assertEqual(values[-1], "hemlockhoist.requests.open:0|g")
 
+    async def test_gauges_age_without_a_statsd_server(self):
+        """Guards against a value that is served long after it was last set.
+
+        The queue length of a pool whose home has moved, or the number of upstreams that
+        wanted rest, stayed on the metrics address for ever.
+        """
+        host_metrics = Metrics(None)
+        host_metrics.gauge(REQUESTS_OPEN, 7)
+        for _ in range(GAUGE_LIFETIME):
+            self.assertEqual(host_metrics.gauges(), {REQUESTS_OPEN.name: 7})
+            host_metrics.flush()
+        self.assertEqual(host_metrics.gauges(), {REQUESTS_OPEN.name: 0})
+        host_metrics.flush()
+        self.assertEqual(host_metrics.gauges(), {})
+
+    async def test_values_are_aggregated_without_a_statsd_server(self):
+        host_metrics = Metrics(None)
+        await host_metrics.start()
+        self.assertIsNotNone(host_metrics._task)
+        await host_metrics.close()
+
     async def test_nothing_is_sent_without_address(self):
         """Without an address totals are kept, and memory use is bounded."""
         host_metrics = Metrics.from_config(None)
