--- a/libs/cli/src/hemlockhoist/cli/explain.py
+++ b/libs/cli/src/hemlockhoist/cli/explain.py
@@ -1,5 +1,8 @@
 """The command ``hemlockhoist explain``, which traces a request in the hosts' logs."""
 
+import datetime
+import math
+
 import click
 import msgspec
 
@@ -121,12 +124,12 @@
     """Return the context lines about the hosts and upstreams of the request."""
     hosts = {line.host for line in request_lines}
     upstreams = {line.get("upstream") for line in request_lines} - {""}
-    first, last = _time_of_day_s(request_lines[0]), _time_of_day_s(request_lines[-1])
+    first, last = _time_s(request_lines[0]), _time_s(request_lines[-1])
     return [
         line
         for line in lines
         if line.event in CONTEXT_EVENTS
-        and first - CONTEXT_S <= _time_of_day_s(line) <= last + CONTEXT_S
+        and first - CONTEXT_S <= _time_s(line) <= last + CONTEXT_S
         and (line.get("upstream") in upstreams or _concerns_hosts(line, hosts))
     ]
 
@@ -135,14 +138,12 @@
     return line.host in hosts and not line.event.startswith("upstream_")
 
 
-def _time_of_day_s(line):
-    """Return the time of day of a line in seconds.
-
-    The date is ignored, as only differences of a few seconds are compared.
-    """
-    time = line.timestamp.partition("T")[2].rstrip("Z")
-    hours, minutes, seconds = time.split(":")
-    return int(hours) * 3_600 + int(minutes) * 60 + float(seconds)
+def _time_s(line):
+    """Return the time of a line in seconds; NaN if it cannot be read."""
+    try:
+        return datetime.datetime.fromisoformat(line.timestamp).timestamp()
+    except ValueError:
+        return math.nan
 
 
 def _format_line(line):
--- /dev/null
+++ b/libs/cli/src/hemlockhoist/cli/tests/test_explain.py
@@ -0,0 +1,34 @@
+import unittest
+
+from hemlockhoist.cli.explain import explain
+from hemlockhoist.cli.log_lines import parse_line
+
+
+def line(timestamp, event, host="h1", **fields):
+    pairs = " ".join(f"{key}={value}" for key, value in fields.items())
+    return parse_line(f"timestamp={timestamp} event={event} host={host} {pairs}")
+
+
+class ContextTests(unittest.TestCase):
+    REQUEST = line("2026-03-02T10:00:00.500000Z", "request_ended", request="a1")
+
+    def around(self, *lines):
+        return explain("a1", [self.REQUEST, *lines]).around
+
+    def test_events_of_other_days_are_not_related(self):
+        """Guards against a cause that lay at the same time of another day."""
+        found = self.around(
+            line("2026-03-01T10:00:00.200000Z", "store_lost", table="op"),
+            line("2026-03-02T10:00:00.200000Z", "store_regained", table="op"),
+        )
+        self.assertEqual(len(found), 1)
+        self.assertIn("store_regained", found[0])
+
+    def test_events_before_midnight_are_related(self):
+        """Guards against a cause that is missing as the date changed after it."""
+        request = line("2026-03-02T00:00:01Z", "request_ended", request="a2")
+        lost = line("2026-03-01T23:59:59Z", "store_lost", table="op")
+        self.assertEqual(len(explain("a2", [request, lost]).around), 1)
+
+    def test_line_without_a_readable_time_is_not_related(self):
+        self.assertEqual(self.around(line("soon", "store_lost")), [])
