Read escaped values of log lines as they were logged

Cause: line breaks in values are written as escapes, and were not read back; a backslash before an n was taken apart one replacement after the other (found by reading).

Change: escapes are undone in one pass over the value.

--- a/libs/cli/src/hemlockhoist/cli/log_lines.py
+++ b/libs/cli/src/hemlockhoist/cli/log_lines.py
@@ -8,6 +8,11 @@
 _PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
 
 
+_ESCAPE = re.compile(r"\\(.)")
+# All other escaped characters stand for themselves.
+_ESCAPED = {"n": "\n", "r": "\r"}
+
+
 class LogLine(msgspec.Struct, frozen=True, kw_only=True):
     """A log line.
 
@@ -83,4 +88,8 @@
 def _unquote(value):
     if len(value) < 2 or value[0] != '"':
         return value
-    return value[1:-1].replace('\\"', '"').replace("\\\\", "\\")
+    return _ESCAPE.sub(_unescape, value[1:-1])
+
+
+def _unescape(match):
+    return _ESCAPED.get(match.group(1), match.group(1))
--- a/libs/cli/src/hemlockhoist/cli/tests/test_explain.py
+++ b/libs/cli/src/hemlockhoist/cli/tests/test_explain.py
@@ -1,5 +1,6 @@
 import unittest
 
+from hemlockhoist.base.logfmt import LineRenderer
 from hemlockhoist.cli.explain import explain
 from hemlockhoist.cli.log_lines import parse_line
 
@@ -9,6 +10,15 @@
     return parse_line(f"timestamp={timestamp} event={event} host={host} {pairs}")
 
 
+class LogLineTests(unittest.TestCase):
+    def test_values_are_read_as_they_were_logged(self):
+        """Guards against reasons that show escapes in place of what was logged."""
+        render = LineRenderer({})
+        for value in ('a "b"', "two\nlines\r", "c:\\new", 'tail\\"', "\\n"):
+            text = render(None, "info", {"event": "x", "reason": value})
+            self.assertEqual(parse_line(text).get("reason"), value, text)
+
+
 class ContextTests(unittest.TestCase):
     REQUEST = line("2026-03-02T10:00:00.500000Z", "request_ended", request="a1")
 
