Bound the streams that a host remembers as resumed elsewhere

Cause: a host that is told that its caller resumed a stream elsewhere kept the id until it saw the caller disconnect. Where it had handed the stream over it never did, and the ids of a host's whole life stayed (found by reading).

--- a/libs/host/src/hemlockhoist/host/chat.py
+++ b/libs/host/src/hemlockhoist/host/chat.py
@@ -151,9 +151,7 @@
 
     async def _cancel_unless_resumed(self, hold, request_id):
         await asyncio.sleep(RESUME_GRACE_MS / 1000)
-        taken = self._context.streams_taken
-        if request_id in taken:
-            taken.discard(request_id)
+        if self._context.streams_taken.take(request_id):
             return
         await cancel_stream(self._context.upstreams, hold.address, request_id)
 
--- a/libs/host/src/hemlockhoist/host/context.py
+++ b/libs/host/src/hemlockhoist/host/context.py
@@ -1,6 +1,7 @@
 """State and services shared within a host process."""
 
 from hemlockhoist.host.handover import StreamHandover
+from hemlockhoist.host.taken_streams import TakenStreams
 
 
 class HostContext:
@@ -66,4 +67,4 @@
         self.handover = StreamHandover()
         self.leaving = False
         self.open_requests = 0
-        self.streams_taken = set()
+        self.streams_taken = TakenStreams()
