Judge an ejected upstream by its probes only

Cause: answers to grants from before an ejection counted as probes (found by reading): an upstream that hung and then ended what it had begun was taken back at once, and one that failed an old request while it was probed was ejected for longer.

Change: a probe is a grant from since the probing began.

Figures: the new test found the upstream ramping after twelve old answers before, and passes.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/adaptive_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/adaptive_tracker.py
@@ -234,14 +234,14 @@
         tracked.on_prompt_done(held, now_ms)
         if outcome.kind in _FAILURES:
             health.observe_failure(now_ms)
-            health.observe_probe(False, now_ms)
+            health.observe_probe(False, held.granted_ms, now_ms)
         elif outcome.kind is OutcomeKind.SUCCESS:
             self._learn_latency(tracked, held, outcome, now_ms)
             ratio = self._slowness(outcome, hold_ms, predicted_ms)
             health.observe_slowness(ratio, now_ms)
             reference = reference_slowness(health, self._peers(tracked))
             is_good = reference is None or ratio <= RECOVERED_RATIO * reference
-            health.observe_probe(is_good, now_ms)
+            health.observe_probe(is_good, held.granted_ms, now_ms)
             if health.state is HealthState.RAMPING:
                 tracked.speed.reset(self._speeds[tracked.generation])
         self._eject_if_due(tracked, now_ms)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/ejection.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/ejection.py
@@ -107,9 +107,12 @@
         """Return whether the consecutive failures justify an ejection."""
         return self._failures >= MAX_FAILURES
 
-    def observe_probe(self, is_good, now_ms):
-        """Record the outcome of a probe; ignored in other states."""
-        if self.state is not HealthState.PROBING:
+    def observe_probe(self, is_good, granted_ms, now_ms):
+        """Record the outcome of a probe; ignored in other states.
+
+        A grant from before the probing says nothing about the upstream's recovery.
+        """
+        if self.state is not HealthState.PROBING or granted_ms < self._entered_ms:
             return
         if not is_good:
             self.eject(now_ms)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_ejection.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_ejection.py
@@ -1,12 +1,20 @@
 import unittest
 
 from hemlockhoist.decisions import (
+    Grant,
     LoadReport,
     Outcome,
     OutcomeKind,
     Upstream,
     UpstreamState,
 )
+from hemlockhoist.decisions.scheduling.adaptive_tracker import AdaptiveTracker
+from hemlockhoist.decisions.scheduling.ejection import (
+    FIRST_EJECTION_MS,
+    PROBES_TO_RECOVER,
+    HealthState,
+)
+from hemlockhoist.decisions.scheduling.grants import InFlightGrant
 from hemlockhoist.decisions.scheduling.tests import builders as b
 
 
@@ -164,3 +172,61 @@
         second = sched.submit(lookup, now_ms)[0].grant
         self.assertNotEqual(first.upstream_id, "u0")
         self.assertEqual(second.upstream_id, "u0")
+
+
+class ProbeTests(unittest.TestCase):
+    def test_answers_to_grants_from_before_an_ejection_are_no_probes(self):
+        """Guards against an upstream that is used again because of old answers.
+
+        It hangs, is ejected, and then ends a dozen answers that it had begun before.
+        """
+        tracker = AdaptiveTracker(16)
+        listed = b.upstreams(4)
+        tracker.set_listed(listed, 0)
+        tracker.set_usable(listed, 0)
+        old = [
+            InFlightGrant(b.request(), grant_of("u0", number), 0, 100.0)
+            for number in range(12)
+        ]
+        for held in old:
+            tracker.on_grant(held, 0)
+        health = tracker.get("u0").health
+        health.eject(1_000)
+        later_ms = 1_000 + FIRST_EJECTION_MS
+        self.assertEqual(tracker.slots("u0", later_ms), 1)
+        self.assertIs(health.state, HealthState.PROBING)
+        for held in old:
+            tracker.on_outcome(held, b.SUCCESS, 1_000, 1_000.0, later_ms + 10)
+        self.assertIs(health.state, HealthState.PROBING)
+        failed = Outcome(kind=OutcomeKind.FAILED)
+        late = InFlightGrant(b.request(), grant_of("u0", 99), 0, 100.0)
+        tracker.on_outcome(late, failed, 1_000, 1_000.0, later_ms + 20)
+        self.assertIs(health.state, HealthState.PROBING)
+
+    def test_answers_to_probes_count(self):
+        tracker = AdaptiveTracker(16)
+        listed = b.upstreams(4)
+        tracker.set_listed(listed, 0)
+        tracker.set_usable(listed, 0)
+        health = tracker.get("u0").health
+        health.eject(0)
+        tracker.slots("u0", FIRST_EJECTION_MS)
+        for number in range(PROBES_TO_RECOVER):
+            probe = InFlightGrant(
+                b.request(), grant_of("u0", number), FIRST_EJECTION_MS + 1, 100.0
+            )
+            tracker.on_grant(probe, FIRST_EJECTION_MS + 1)
+            at_ms = FIRST_EJECTION_MS + 100
+            tracker.on_outcome(probe, b.SUCCESS, 100, 1_000.0, at_ms)
+        self.assertIs(health.state, HealthState.RAMPING)
+
+
+def grant_of(upstream_id, number):
+    return Grant(
+        grant_id=f"g{number}",
+        request_id=f"r{number}",
+        upstream_id=upstream_id,
+        address="127.0.0.1:1",
+        version="v1",
+        expires_ms=0,
+    )
