Give a key back whose caller leaves as the reply arrives

Cause: between the reply that grants a key and the step in which the lookup goes on, a caller that disconnects cancels the lookup; the granted attempt was dropped, and the key stayed "in progress" (found by reading).

Change: a granted attempt that the cancelled lookup already has is marked as not run.

Figures: the new test ended with "in progress" for the repeat before, and passes.

--- a/libs/host/src/hemlockhoist/host/ledger_service.py
+++ b/libs/host/src/hemlockhoist/host/ledger_service.py
@@ -147,6 +147,8 @@
             # The caller has disconnected. If its record kept waiting, it would be
             # granted the key later and stay "in progress" forever.
             self._ledger.abandon_lookup(customer, key, self._clock.now_ms())
+            if future.done():
+                self._give_back(future.result())
             raise
         finally:
             if self._waiters.get((customer, key.text)) is future:
@@ -227,8 +229,12 @@
             return
         if future is not None and not future.done():
             future.set_result(result)
-        elif isinstance(result, Proceed):
-            # The key was granted, but no caller waits to use it.
+        else:
+            self._give_back(result)
+
+    def _give_back(self, result):
+        """Give a key back that was granted, but that no caller waits to use."""
+        if isinstance(result, Proceed):
             self._ledger.mark_not_run(result.attempt, self._clock.now_ms())
 
     def _on_handover(self, sender, message):
--- a/libs/host/src/hemlockhoist/host/tests/test_ledger_service.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_ledger_service.py
@@ -104,6 +104,28 @@
             )
         self.assertEqual(self.runs, 1)
 
+    async def test_key_is_usable_after_a_caller_disconnects_as_the_reply_arrives(self):
+        """Guards against a key that stays "in progress" for ever.
+
+        The reply that grants the key has arrived, and its caller disconnects before the
+        lookup goes on.
+        """
+        key = self.a.mint_prefix() + ".1"
+        claim = asyncio.create_task(self.b.claim("office", key, FINGERPRINT))
+        deliver = self._deliver
+
+        def deliver_and_disconnect(sender, host, message):
+            deliver(sender, host, message)
+            if host == "b":
+                claim.cancel()
+
+        self._deliver = deliver_and_disconnect
+        await asyncio.gather(claim, return_exceptions=True)
+        self._deliver = deliver
+        self.assertTrue(claim.cancelled())
+        self.assertEqual(await self._book(self.b, key), ANSWER)
+        self.assertEqual(self.runs, 1)
+
     async def test_key_is_usable_after_a_caller_disconnects_during_a_lookup(self):
         """A caller disconnects while its host looks its key up at another host.
 
