Bound the ledgers that a successor has received in part

Cause: the parts of a host that died in the middle of its handover stayed at its successor for good (found by reading).

Change: at most eight ledgers are received at a time; the one that has been incomplete for longest is refused, so that its host, if it lives, takes its ledger back as after any refusal.

--- a/libs/decisions/src/hemlockhoist/decisions/ledger/handover.py
+++ b/libs/decisions/src/hemlockhoist/decisions/ledger/handover.py
@@ -28,6 +28,9 @@
 # milliseconds, so that a handover does not delay streams.
 MAX_RECORDS_PER_PART = 256
 MAX_BYTES_PER_PART = 262_144
+# Number of leaving hosts whose ledgers are being received. A handover takes seconds, and
+# few hosts have the same successor; a host that died in the middle sends no more.
+MAX_INCOMPLETE = 8
 
 
 class HandoverState:
@@ -99,12 +102,24 @@
             return _ack(message, False)
         if message.update:
             return None
+        if leaver not in self._incoming_parts:
+            self._make_room()
         parts = self._incoming_parts.setdefault(leaver, {})
         parts[message.part] = message
         if len(parts) == message.part_count:
             return self._complete(ledger, message, now_ms)
         return _ack(message, True)
 
+    def _make_room(self):
+        """Refuse the ledger that has been incomplete for longest, if there are many.
+
+        Its host, if it is alive, then takes its ledger back.
+        """
+        if len(self._incoming_parts) >= MAX_INCOMPLETE:
+            oldest = next(iter(self._incoming_parts))
+            del self._incoming_parts[oldest]
+            self._refused.add(oldest)
+
     def _begin(self, ledger, successor):
         self.successor = successor
         self._handed_ranges = dict(ledger.ranges)
--- a/libs/decisions/src/hemlockhoist/decisions/ledger/tests/test_handover.py
+++ b/libs/decisions/src/hemlockhoist/decisions/ledger/tests/test_handover.py
@@ -9,7 +9,10 @@
     Proceed,
     Replay,
 )
-from hemlockhoist.decisions.ledger.handover import MAX_RECORDS_PER_PART
+from hemlockhoist.decisions.ledger.handover import (
+    MAX_INCOMPLETE,
+    MAX_RECORDS_PER_PART,
+)
 from hemlockhoist.decisions.ledger.tests.ledgers import (
     ANSWER,
     CUSTOMER,
@@ -23,6 +26,7 @@
     make_ledger,
     run,
 )
+from hemlockhoist.messages import Handover
 
 
 class HandoverTests(unittest.TestCase):
@@ -263,3 +267,28 @@
         self.assertEqual(begin(self.s, unused, end_ms - EPOCH_MS), Expired())
         later = begin(self.s, unused, 2 * end_ms)
         self.assertNotIsInstance(later, Proceed)
+
+
+class IncompleteHandoverTests(unittest.TestCase):
+    """Hosts die in the middle of handing their ledgers over, one after the other."""
+
+    def setUp(self):
+        self.successor = make_ledger("s")
+
+    def send_part(self, leaver, part=0):
+        message = Handover(leaver=leaver, successor="s", part=part, part_count=2)
+        return self.successor.adopt_handover(message, 0)
+
+    def test_incomplete_ledgers_use_bounded_memory(self):
+        """Guards against a successor that keeps what dead hosts had begun to send."""
+        for number in range(3 * MAX_INCOMPLETE):
+            self.assertTrue(self.send_part(f"h{number}").accepted)
+        incoming = self.successor._handover._incoming_parts
+        self.assertEqual(len(incoming), MAX_INCOMPLETE)
+
+    def test_leaver_whose_parts_were_dropped_keeps_its_ledger(self):
+        """Guards against keys that no host holds after a dropped handover."""
+        for number in range(MAX_INCOMPLETE + 1):
+            self.send_part(f"h{number}")
+        self.assertFalse(self.send_part("h0", part=1).accepted)
+        self.assertTrue(self.send_part(f"h{MAX_INCOMPLETE}", part=1).accepted)
