Say what counts as a prompt computed in vain, by kind of upstream

Cause: the interface said that the most tokens held by any other upstream are returned, while for upstreams that declare their slots it is the surplus over this one (found by reading, as a possible under-count).

Ruled out: an under-count. What an answer reports as cached is subtracted afterwards, and answers of such upstreams report nothing; the most of any other would count prompts as waste that this upstream had as well.

Change: the docstrings say so, and a test holds it.

Figures: the test passes on the code as it was.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
@@ -247,7 +247,10 @@
         return self._cache.cached_tokens(request.prefix_hashes, request.prefix_tokens)
 
     def cached_elsewhere(self, request, upstream_id):
-        """Return how many more prompt tokens another upstream has cached than this."""
+        """Return how many more prompt tokens another upstream holds than this one.
+
+        The answers of these upstreams do not report what they had cached.
+        """
         cached_at = self._cached_tokens(request)
         return max(cached_at.values(), default=0) - cached_at.get(upstream_id, 0)
 
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -153,7 +153,10 @@
         return self._grants.of_version(version)
 
     def cached_elsewhere(self, request, upstream_id):
-        """Return the most prompt tokens that any other upstream probably has cached."""
+        """Return how many prompt tokens are computed here though another holds them.
+
+        As ``UpstreamTracker.cached_elsewhere``.
+        """
         return self._upstreams.tracker.cached_elsewhere(request, upstream_id)
 
     def reconfigure(self, pool, tiers, now_ms):
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/upstream_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/upstream_tracker.py
@@ -134,7 +134,12 @@
         """Set the upstreams that may be assigned work."""
 
     def cached_elsewhere(self, request, upstream_id):
-        """Return the most prompt tokens that any other upstream probably has cached."""
+        """Return how many prompt tokens are computed here though another holds them.
+
+        Prompt tokens that the answer reports as cached are still to be subtracted, if
+        answers report them; otherwise those that this upstream probably holds already
+        are.
+        """
         return 0
 
     def accepts_more(self, upstream_id, now_ms):
--- a/libs/host/src/hemlockhoist/host/tests/test_home_counts.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_home_counts.py
@@ -1,16 +1,19 @@
 import asyncio
 
+import msgspec
+
 from hemlockhoist.base import Clock
 from hemlockhoist.base.metrics import Metrics
 from hemlockhoist.base.metrics_table import WASTED_TOKENS
 from hemlockhoist.base.testing import PausedTestCase
 from hemlockhoist.base.traces import Traces
 from hemlockhoist.decisions import OutcomeKind, Upstream
-from hemlockhoist.decisions.scheduling import PoolScheduler
+from hemlockhoist.decisions.scheduling import DeclaredSlotsTracker, PoolScheduler
 from hemlockhoist.declarations import Pool, PoolKind, Tier
 from hemlockhoist.host.gates import AllowAllGate
 from hemlockhoist.host.home import PoolHome
 from hemlockhoist.host.identity import HostIdentity
+from hemlockhoist.host.work_requests import work_request
 from hemlockhoist.messages import (
     GrantCancel,
     GrantRelease,
@@ -115,6 +118,35 @@
         self.release(second, 300)
         self.assertEqual(self.metrics.totals[WASTED], 700)
 
+    async def test_prompt_cached_here_as_well_is_not_wasted(self):
+        """Guards against waste that is counted where an answer tells no cached tokens.
+
+        Of upstreams that declare their slots only what another holds beyond this one
+        counts, as their answers don't say what they reused.
+        """
+        tracker = DeclaredSlotsTracker(cache_tokens=100_000)
+        listed = [
+            Upstream(
+                upstream_id=name,
+                pool="chat",
+                version="v1",
+                address="127.0.0.1:1",
+                slot_count=4,
+            )
+            for name in ("a", "b")
+        ]
+        tracker.set_listed(listed, 0)
+        tracker.set_usable(listed, 0)
+        prompt = work_request(
+            msgspec.structs.replace(brief("r1"), prefix_tokens=(100,) * 10), ENTRY, 0
+        )
+        self.assertEqual(tracker.cached_elsewhere(prompt, "a"), 0)
+        tracker._cache.record("b", prompt.prefix_hashes, prompt.prefix_tokens)
+        self.assertEqual(tracker.cached_elsewhere(prompt, "a"), 1_000)
+        half = prompt.prefix_hashes[:5], prompt.prefix_tokens[:5]
+        tracker._cache.record("a", *half)
+        self.assertEqual(tracker.cached_elsewhere(prompt, "a"), 500)
+
     async def test_request_that_leaves_the_queue_is_refunded(self):
         """Guards against refusing customers who are within their quota.
 
