Cancel a resumed stream whose caller leaves again

Cause, found by reading: the host that begins a stream cancels it at its engine when the caller disconnects and doesn't resume within 3 s. A host that resumes a stream did nothing when the caller left, so the engine generated the answer to its end for nobody. The test fails on the code before: the stream isn't cancelled within 2 s (grace of 300 ms).

Ruled out: that the resuming host cancels by itself. It can't know of a third host at which the caller goes on, and would cut a stream that is read.

Change: the host that began the stream stays the only one that cancels it, and is told of each reader that comes and of each that leaves, with the reader's id: a report that a reader left counts only if no later one has come. The message keeps its number and its first field, so hosts of the release before read it as before (they keep the stream in both cases). If the host that began the stream has stopped, nobody cancels, as before.

--- a/libs/host/src/hemlockhoist/host/chat.py
+++ b/libs/host/src/hemlockhoist/host/chat.py
@@ -1,7 +1,5 @@
 """Serves ``POST /v1/chat/completions`` and resumes its streams."""
 
-import asyncio
-
 import msgspec
 from aiohttp import web
 
@@ -31,17 +29,14 @@
     EventSink,
     read_usage,
 )
+from hemlockhoist.host.stream_readers import FIRST_READER
 from hemlockhoist.host.tokens import StreamTicket
-from hemlockhoist.messages import StreamTaken
-from hemlockhoist.upstreams import UpstreamCall, cancel_stream
+from hemlockhoist.upstreams import UpstreamCall
 
 _log = get_logger("host.chat")
 
 CHAT_PATH = "/v1/chat/completions"
 ROUTE = f"POST {CHAT_PATH}"
-# Time that a disconnected caller has to resume its stream, at any host, before the
-# stream is cancelled at the engine.
-RESUME_GRACE_MS = 3_000
 # Limit on the bytes read of an engine's error body; its start goes into the error
 # message.
 MAX_ERROR_BYTES = 65_536
@@ -55,17 +50,10 @@
     context : HostContext
     """
 
-    __slots__ = ("_context", "_resume_waits")
+    __slots__ = ("_context",)
 
     def __init__(self, context):
         self._context = context
-        self._resume_waits = set()
-
-    async def close(self):
-        """Cancel the pending waits for resumes."""
-        for task in self._resume_waits:
-            task.cancel()
-        await asyncio.gather(*self._resume_waits, return_exceptions=True)
 
     async def models(self, request):
         """Answer ``GET /v1/models``."""
@@ -137,24 +125,14 @@
         except StreamHandedOver:
             return await sink.finish()
         except CallerDisconnected:
-            self._start_resume_wait(exchange.hold, work.request_id)
+            address = exchange.hold.address
+            self._context.stream_readers.on_left(work.request_id, FIRST_READER, address)
             return web.Response(status=result_info(ResultCode.CANCELLED).http_status)
         except HemlockhoistError as error:
             if not sink.started:
                 raise
             return await _end_with_error(sink, error)
 
-    def _start_resume_wait(self, hold, request_id):
-        task = asyncio.create_task(self._cancel_unless_resumed(hold, request_id))
-        self._resume_waits.add(task)
-        task.add_done_callback(self._resume_waits.discard)
-
-    async def _cancel_unless_resumed(self, hold, request_id):
-        await asyncio.sleep(RESUME_GRACE_MS / 1000)
-        if self._context.streams_taken.take(request_id):
-            return
-        await cancel_stream(self._context.upstreams, hold.address, request_id)
-
     async def resume(self, request):
         """Answer ``GET /v1/streams/{token}?offset=N`` with the rest of a stream.
 
@@ -166,8 +144,9 @@
         ticket = self._context.tokens.read(token)
         if ticket.customer != caller.customer.name:
             raise BadRequest("", ResultCode.UNKNOWN_STREAM)
+        reader_id = request["request_id"]
         request["request_id"] = ticket.request_id
-        self._announce_resume(ticket)
+        self._context.stream_readers.report_resumed(ticket, reader_id)
         sink = EventSink(request, ticket.request_id, token)
         relay = StreamRelay(
             self._context.upstreams,
@@ -179,9 +158,9 @@
             self._context.handover,
             _read_offset(request),
         )
-        return await self._answer_resumed(relay, sink)
+        return await self._answer_resumed(relay, sink, ticket, reader_id)
 
-    async def _answer_resumed(self, relay, sink):
+    async def _answer_resumed(self, relay, sink, ticket, reader_id):
         try:
             with self._context.traces.span(Hop.RESUME):
                 await relay.run(None)
@@ -189,16 +168,13 @@
         except StreamHandedOver:
             return await sink.finish()
         except CallerDisconnected:
+            self._context.stream_readers.report_left(ticket, reader_id)
             return web.Response(status=result_info(ResultCode.CANCELLED).http_status)
         except HemlockhoistError as error:
             if not sink.started:
                 raise
             return await _end_with_error(sink, error)
 
-    def _announce_resume(self, ticket):
-        owner = ticket.owner
-        self._context.bus.send(owner, StreamTaken(request_id=ticket.request_id))
-
 
 def _read_offset(request):
     text = request.query.get("offset") or request.headers.get("Last-Event-ID")
--- a/libs/host/src/hemlockhoist/host/context.py
+++ b/libs/host/src/hemlockhoist/host/context.py
@@ -1,7 +1,6 @@
 """State and services shared within a host process."""
 
 from hemlockhoist.host.handover import StreamHandover
-from hemlockhoist.host.taken_streams import TakenStreams
 
 
 class HostContext:
@@ -27,6 +26,8 @@
     traces : Traces
     handover : StreamHandover
         Hands open streams over when a planned stop takes too long.
+    stream_readers : StreamReaders
+        Cancels streams whose callers disconnect and do not resume them.
     leaving : bool
         Whether a planned stop has begun.
     open_requests : int
@@ -53,7 +54,7 @@
         "open_requests",
         "operators",
         "settings",
-        "streams_taken",
+        "stream_readers",
         "tokens",
         "traces",
         "upstreams",
@@ -67,4 +68,3 @@
         self.handover = StreamHandover()
         self.leaving = False
         self.open_requests = 0
-        self.streams_taken = TakenStreams()
--- a/libs/host/src/hemlockhoist/host/message_router.py
+++ b/libs/host/src/hemlockhoist/host/message_router.py
@@ -178,7 +178,7 @@
 
 @_handle.register
 def _(message: StreamTaken, context, sender, late_ms):
-    context.streams_taken.add(message.request_id)
+    context.stream_readers.on_message(message)
 
 
 @_handle.register(KeyLookup)
--- a/libs/host/src/hemlockhoist/host/process.py
+++ b/libs/host/src/hemlockhoist/host/process.py
@@ -43,6 +43,7 @@
 from hemlockhoist.host.operators import OperatorHandlers
 from hemlockhoist.host.server import HttpServer
 from hemlockhoist.host.services import ServiceHandlers
+from hemlockhoist.host.stream_readers import StreamReaders
 from hemlockhoist.host.tokens import StreamTokens
 from hemlockhoist.host.upstream_watch import (
     HostListWatch,
@@ -205,7 +206,8 @@
         """Start to listen for callers, which determines this host's address."""
         await self._open(context.upstreams)
         chat = ChatHandlers(context)
-        self._exit_stack.push_async_callback(chat.close)
+        context.stream_readers = StreamReaders(context)
+        self._exit_stack.push_async_callback(context.stream_readers.close)
         operators = OperatorHandlers(
             context, OperatorDeclarations(tables, context.clock), self.begin_drain
         )
--- a/libs/messages/src/hemlockhoist/messages/moves.py
+++ b/libs/messages/src/hemlockhoist/messages/moves.py
@@ -34,9 +34,19 @@
 class StreamTaken(
     msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
 ):
-    """Reports that a caller resumed a stream at the sender.
-
-    The host that served the stream before must not cancel the request.
+    """Tells the host that began a stream of a reader at the sender.
+
+    Attributes
+    ==========
+    request_id : str
+    reader_id : str
+        Id of the caller's request that resumed the stream. It is "unknown" from a host
+        of a release that does not report when a reader disconnects.
+    left_address : str
+        Empty if the reader resumes the stream; the address of the engine if it has
+        disconnected before the end.
     """
 
     request_id: str
+    reader_id: str = "unknown"
+    left_address: str = ""
--- a/libs/standins/src/hemlockhoist/standins/tests/test_host_process.py
+++ b/libs/standins/src/hemlockhoist/standins/tests/test_host_process.py
@@ -14,7 +14,7 @@
 from hemlockhoist.base import ResultCode
 from hemlockhoist.base.traces import Hop, Traces
 from hemlockhoist.declarations import parse_declarations
-from hemlockhoist.host import HostProcess, Settings
+from hemlockhoist.host import HostProcess, Settings, stream_readers
 from hemlockhoist.host.fleet import Fleet
 from hemlockhoist.host.ledger_service import LedgerService
 from hemlockhoist.standins.engine.app import EngineStandin
@@ -221,6 +221,59 @@
             self.assertEqual(code, ResultCode.UNKNOWN_STREAM)
 
 
+class AbandonedStreamTests(HostCase):
+    GRACE_MS = 300
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        patch = mock.patch.object(stream_readers, "RESUME_GRACE_MS", self.GRACE_MS)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    async def begin_and_leave(self):
+        """Begin a long stream, disconnect, and return its token and engine stream."""
+        url = f"http://{self.host.context.identity.address}{_CHAT}"
+        body = json.dumps({**_QUESTION, "stream": True, "max_tokens": 8_000})
+        async with self.session.post(url, headers=_CALLER, data=body) as response:
+            token = response.headers["X-Stream-Token"]
+            await response.content.readuntil(b"\n\n")
+            response.close()
+        return token, self.engine.core.streams.newest_except("")
+
+    async def resume_and_leave(self, token):
+        url = f"http://{self.host.context.identity.address}/v1/streams/{token}"
+        async with self.session.get(url, headers=_CALLER) as response:
+            self.assertEqual(response.status, 200)
+            await response.content.readuntil(b"\n\n")
+            response.close()
+
+    async def is_cancelled(self, stream):
+        for _ in range(100):
+            if stream.cancelled:
+                return True
+            await asyncio.sleep(0.02)
+        return False
+
+    async def test_stream_whose_caller_leaves_is_cancelled(self):
+        _, stream = await self.begin_and_leave()
+        self.assertTrue(await self.is_cancelled(stream))
+
+    async def test_resumed_stream_whose_caller_leaves_again_is_cancelled(self):
+        """Guards against an engine that generates an answer that nobody reads."""
+        token, stream = await self.begin_and_leave()
+        await self.resume_and_leave(token)
+        self.assertTrue(await self.is_cancelled(stream))
+
+    async def test_resumed_stream_is_not_cancelled_while_it_is_read(self):
+        token, stream = await self.begin_and_leave()
+        url = f"http://{self.host.context.identity.address}/v1/streams/{token}"
+        async with self.session.get(url, headers=_CALLER) as response:
+            await response.content.readuntil(b"\n\n")
+            await asyncio.sleep(3 * self.GRACE_MS / 1_000)
+            self.assertFalse(stream.cancelled)
+            response.close()
+
+
 class BookingTests(HostCase):
     async def test_repeated_key_returns_the_answer_only_for_the_same_body(self):
         """A key runs once; the same key with another body is refused."""
