Look for each deliberate fault with one seed and more steps

Cause, from the list of faults found by reading: two breaks were caught only with the steps that seeds 2 and 3 happened to draw in 12 batches, so that a renamed rule could turn the check red, or its seed had to be sought anew.

Ruled out: seed 11 for all, at which a successor's break is caught by a check that isn't among those expected of it; the list of expected checks stays as it is.

Change: one seed (3) for all breaks and up to 60 batches.

--- a/libs/standins/src/hemlockhoist/standins/randomised/tests/mutations.py
+++ b/libs/standins/src/hemlockhoist/standins/randomised/tests/mutations.py
@@ -25,20 +25,19 @@
 from hemlockhoist.standins.randomised.table import FaultyTable, WriteResult
 
 P = Property
-MAX_BATCHES = 12
-SEED = 11
+MAX_BATCHES = 60
+SEED = 3
 
 
 class Mutation:
     """A fault in the code, and the properties whose checks may detect it."""
 
-    def __init__(self, mechanism, target, name, broken, caught_by, seed=SEED):
+    def __init__(self, mechanism, target, name, broken, caught_by):
         self.mechanism = mechanism
         self.target = target
         self.name = name
         self.broken = broken
         self.caught_by = caught_by
-        self.seed = seed
 
     @contextlib.contextmanager
     def applied(self):
@@ -207,7 +206,6 @@
         "forget_until",
         _forget_in_progress,
         DUPLICATE_EXECUTION,
-        seed=3,
     ),
     Mutation(
         "a broken connection means outcome unknown",
@@ -215,7 +213,6 @@
         "mark_unknown",
         _drop_unknown,
         DUPLICATE_EXECUTION,
-        seed=3,
     ),
     Mutation(
         "an answer is replayed to its own call only",
@@ -258,7 +255,6 @@
         "_claim_unseen_keys",
         _claim_all_unseen,
         DUPLICATE_EXECUTION,
-        seed=2,
     ),
     Mutation(
         "a repeat with another body keeps the record",
@@ -266,7 +262,6 @@
         "_apply",
         _drop_record_on_reuse,
         DUPLICATE_EXECUTION,
-        seed=2,
     ),
     Mutation(
         "only a newer version is applied",
@@ -274,7 +269,6 @@
         "apply_if_newer",
         _apply_any_version,
         (P.CONFIGURATION_NEVER_REVERTS,),
-        seed=3,
     ),
     Mutation(
         "a change is a compare-and-set",
@@ -310,7 +304,7 @@
 def run_mutation(mutation):
     """Return the tally of a run with the mutation applied."""
     with mutation.applied():
-        return run_seed(mutation.seed, batches=MAX_BATCHES).tally
+        return run_seed(SEED, batches=MAX_BATCHES).tally
 
 
 def main():
