Keep the summaries of collectors that do not report to this host

Cause: dropped all summaries of hosts outside the list that it was given. That list holds the hosts that report to this collector, not the collectors, so a collector dropped the summaries of the others each time the fleet was looked at, and a change was no longer reported to be in force everywhere.

Change: the log is given both lists. The test of gone collectors passes it both, and is as strict as before: what a gone collector said is forgotten, what the others said is kept.

Also: names listed in order in two packages, two statements easier to read.

--- a/libs/decisions/src/hemlockhoist/decisions/configuration/acknowledgements.py
+++ b/libs/decisions/src/hemlockhoist/decisions/configuration/acknowledgements.py
@@ -68,13 +68,18 @@
         if known is None or summary.version >= known.version:
             self._summaries[summary.address] = summary
 
-    def keep_only(self, addresses):
-        """Drop the acknowledgements and summaries of all hosts not in ``addresses``."""
-        wanted = set(addresses)
-        self._acks = {key: v for key, v in self._acks.items() if key in wanted}
-        self._summaries = {
-            key: v for key, v in self._summaries.items() if key in wanted
-        }
+    def keep_only(self, reporting, collectors):
+        """Drop the acknowledgements and summaries of all other hosts.
+
+        Parameters
+        ==========
+        reporting : iterable of str
+            Addresses of the hosts that report to this one.
+        collectors : iterable of str
+            Addresses of all collectors.
+        """
+        self._acks = _retain(self._acks, set(reporting))
+        self._summaries = _retain(self._summaries, set(collectors))
 
     def summarize(self, version, members):
         """Return this collector's ``ConfigurationSummary``.
@@ -121,3 +126,7 @@
             lagging_count=sum(item.lagging_count for item in reported),
             unreported_collectors=tuple(unreported_collectors),
         )
+
+
+def _retain(entries, keys):
+    return {key: value for key, value in entries.items() if key in keys}
--- a/libs/decisions/src/hemlockhoist/decisions/configuration/state.py
+++ b/libs/decisions/src/hemlockhoist/decisions/configuration/state.py
@@ -182,9 +182,8 @@
                 for item in members
                 if exchange.collector_of(item.address, chosen) == self.address
             )
-        self.acknowledgements.keep_only(
-            item.address for item in self._reporting_members
-        )
+        reporting = [item.address for item in self._reporting_members]
+        self.acknowledgements.keep_only(reporting, chosen)
 
     def is_ready(self, now_ms):
         """Return whether requests may be served under this host's declarations."""
--- a/libs/decisions/src/hemlockhoist/decisions/configuration/tests/test_acknowledgements.py
+++ b/libs/decisions/src/hemlockhoist/decisions/configuration/tests/test_acknowledgements.py
@@ -19,7 +19,7 @@
         log = AcknowledgementLog("h1")
         log.on_summary(summary("c1"))
         log.on_summary(summary("c2"))
-        log.keep_only(["c2", "h1"])
+        log.keep_only(["h1"], ["c2", "h1"])
         report = log.report(3, ["c1", "c2"])
         self.assertEqual(report.unreported_collectors, ("c1",))
         self.assertEqual(report.confirmed, 4)
--- a/libs/entry/src/hemlockhoist/entry/signals.py
+++ b/libs/entry/src/hemlockhoist/entry/signals.py
@@ -34,12 +34,11 @@
         """
         if head.is_misdirected:
             return
+        started_unix_ms = attempt.started_unix_ms if head.is_leaving else None
         attempt.signals = UpstreamSignals(
             limit_per_s=head.limit_per_s,
             back_off_ms=head.back_off_ms,
-            leaving_started_unix_ms=attempt.started_unix_ms
-            if head.is_leaving
-            else None,
+            leaving_started_unix_ms=started_unix_ms,
         )
         self._record_limit(attempt, request_id)
         self._record_back_off(attempt, request_id)
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -4,10 +4,7 @@
 
 from hemlockhoist.base import get_logger
 from hemlockhoist.base.metrics import Metrics
-from hemlockhoist.base.metrics_table import (
-    CALLERS_RETRIED,
-    WASTED_TOKENS,
-)
+from hemlockhoist.base.metrics_table import CALLERS_RETRIED, WASTED_TOKENS
 from hemlockhoist.base.traces import Hop, parent_from_text
 from hemlockhoist.decisions import (
     Grant,
--- a/libs/messages/src/hemlockhoist/messages/__init__.py
+++ b/libs/messages/src/hemlockhoist/messages/__init__.py
@@ -76,9 +76,10 @@
 
 __all__ = [
     "MAX_FRAME_BYTES",
-    "NO_LIMIT",
     "MESSAGE_TYPES",
+    "NO_LIMIT",
     "WIRE_VERSION",
+    "BackedOffUpstream",
     "Codec",
     "ColdUpstream",
     "ConfigurationAck",
@@ -105,9 +106,7 @@
     "Handover",
     "HandoverAck",
     "Health",
-    "BackedOffUpstream",
     "HeardLimit",
-    "UpstreamSignals",
     "HeldGrant",
     "HeldGrantIds",
     "HeldGrants",
@@ -137,5 +136,6 @@
     "RequestBrief",
     "StoredAnswer",
     "StreamTaken",
+    "UpstreamSignals",
     "VersionHalted",
 ]
