Hold the test of cold replicas to requests in a second, and to some requests

On a quick machine the home, which begins as if the bound were spent, gave the cold replica nothing in the whole run, so that the test passed with no request to count.

Change: the largest number within any second has to be at least 1 and at most 14, the bound that stood there, after the home's first caution. Only the test changed.

--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_domains.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_domains.py
@@ -11,6 +11,8 @@
 REPORT = route("conflict-report", "asistente", "streaming", resumable=True)
 BOUNDS = FleetBounds(cold_overshoot=1.5, cold_tolerance=5)
 COLD = {"reservas": {"cold_start_s": 3.0, "cold_per_s": 6.6}}
+# A new home gives cold replicas nothing for this long.
+HOME_CAUTION_S = 1.4
 # An order takes effect on all hosts within a few round trips.
 IN_FORCE_S = 0.15
 
@@ -22,6 +24,13 @@
     await asyncio.sleep(IN_FORCE_S)
 
 
+def max_per_second(requests):
+    """Return the largest number of requests that began within one second."""
+    begun_s = [item.started_s for item in requests]
+    counts = (sum(start <= item < start + 1.0 for item in begun_s) for start in begun_s)
+    return max(counts, default=0)
+
+
 async def send_lookups(site, count, host=0):
     """Send ``count`` lookups and return their statuses."""
     statuses = []
@@ -120,6 +129,7 @@
         site = Site(replicas, [LOOKUP], hosts=2, bounds=BOUNDS, services=COLD)
         async with site:
             cold, warm = replicas["reservas"]
+            await asyncio.sleep(HOME_CAUTION_S)
             row = {**cold.row("reservas"), "cold_remaining_ms": 3_000, "born": 2}
             await site.store.put("servers", "cold", row)
             await asyncio.sleep(IN_FORCE_S)
@@ -127,7 +137,7 @@
             callers = (send_lookups(site, 12, number % 2) for number in range(6))
             for statuses in await asyncio.gather(*callers):
                 self.assertEqual(set(statuses), {200})
-            self.assertLessEqual(len(cold.ran) - before, 14)
+            self.assertIn(max_per_second(cold.ran[before:]), range(1, 15))
             self.assertGreater(len(warm.ran), 40)
 
 
