Log and count why a stream was cut, and how long its upstream was silent

Cause: after a cut, the logs said neither who closed first nor whether the upstream was silent or sending: `attempt_ended` had the longest pause between events but not the one at the end, and `stream_cut` only the reason of a refused grant, the same after an upstream that broke off and after one that this host gave up.

Change: `attempt_ended silent_ms=`, the time without data before the end of a stream's attempt; `stream_cut cause= last_event=`, with `streams.cut` counted by cause (silent, broke_off, failed, deadline, refused). No decision changes.

--- a/libs/base/src/hemlockhoist/base/metrics_table.py
+++ b/libs/base/src/hemlockhoist/base/metrics_table.py
@@ -86,6 +86,15 @@
     "Sends to upstreams by what came of them.",
     "For failures of one upstream, search the attempt_ended log lines for its id.",
 )
+STREAMS_CUT = Metric(
+    "streams.cut",
+    _C,
+    "cause",
+    "Streams that were cut after their first event: their upstream was silent, broke "
+    "off or failed and no other continued them, their deadline passed, or this host "
+    "refused to continue them.",
+    "Search the stream_cut log lines for the cause; deadline means slow upstreams.",
+)
 PROMPT_TOKENS = Metric(
     "prefill.prompt_tokens",
     _C,
--- a/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
@@ -4,7 +4,12 @@
     AdvertisedLimit,
     AdvertisedLimits,
 )
-from hemlockhoist.decisions.entry.attempts import AttemptEnd, Step, next_step
+from hemlockhoist.decisions.entry.attempts import (
+    AttemptEnd,
+    CutCause,
+    Step,
+    next_step,
+)
 from hemlockhoist.decisions.entry.back_offs import BackOffs
 from hemlockhoist.decisions.entry.copies import TableCopy
 from hemlockhoist.decisions.entry.evacuation import DomainOrder, EvacuatedDomains
@@ -35,6 +40,7 @@
     "AdvertisedLimits",
     "AttemptEnd",
     "BackOffs",
+    "CutCause",
     "DomainOrder",
     "EvacuatedDomains",
     "Freshness",
--- a/libs/decisions/src/hemlockhoist/decisions/entry/attempts.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/attempts.py
@@ -22,6 +22,30 @@
     FAIL = "say that its outcome is not known"
 
 
+class CutCause(enum.Enum):
+    """Why a stream was cut before its end, as logged and counted."""
+
+    SILENT = "silent"
+    BROKE_OFF = "broke_off"
+    FAILED = "failed"
+    DEADLINE = "deadline"
+    REFUSED = "refused"
+
+    @classmethod
+    def after(cls, end):
+        """Return the cause of a cut that follows an attempt that ended this way.
+
+        Examples
+        ========
+        >>> from hemlockhoist.decisions.entry import AttemptEnd, CutCause
+        >>> CutCause.after(AttemptEnd.TIMED_OUT)
+        <CutCause.SILENT: 'silent'>
+        """
+        if end is AttemptEnd.TIMED_OUT:
+            return cls.SILENT
+        return cls.BROKE_OFF if end is AttemptEnd.BROKEN else cls.FAILED
+
+
 # Further attempts to connect to upstreams that do not accept connections only delay the
 # caller: with one more than this, the caller's own retry would be sooner.
 MAX_UNSENT = 3
--- a/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_attempts.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_attempts.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hemlockhoist.decisions.entry import AttemptEnd, Step, next_step
+from hemlockhoist.decisions.entry import AttemptEnd, CutCause, Step, next_step
 from hemlockhoist.decisions.entry.attempts import MAX_UNSENT
 from hemlockhoist.declarations import CallKind, Route
 
@@ -81,3 +81,16 @@
         plain = route(CallKind.STREAM, attempts=2)
         step = next_step(AttemptEnd.BROKEN, plain, True, 1, 0)
         self.assertIs(step, Step.FAIL)
+
+
+class CutCauseTests(unittest.TestCase):
+    def test_silent_upstream_is_told_apart_from_one_that_broke_off(self):
+        """Guards against logs that do not say who closed a stream first."""
+        self.assertIs(CutCause.after(AttemptEnd.TIMED_OUT), CutCause.SILENT)
+        self.assertIs(CutCause.after(AttemptEnd.BROKEN), CutCause.BROKE_OFF)
+        for end in (
+            AttemptEnd.FAILED_ANSWER,
+            AttemptEnd.NOT_RUN,
+            AttemptEnd.NOT_SENT,
+        ):
+            self.assertIs(CutCause.after(end), CutCause.FAILED)
--- a/libs/entry/src/hemlockhoist/entry/attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt.py
@@ -37,6 +37,7 @@
         "reason",
         "signals",
         "signals_are_reported",
+        "silent_ms",
         "started_unix_ms",
         "token_us",
         "waited_ms",
@@ -54,6 +55,8 @@
         self.first_ms = None
         self.output_tokens = 0
         self.longest_gap_ms = 0
+        # Time between the last data of a stream and the attempt's end; -1 if it had none.
+        self.silent_ms = -1
         self.token_us = -1
         self.reason = ""
         # What the answer said about the upstream; None before any answer.
--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -22,10 +22,11 @@
     QUEUE_WAIT_MS,
     REQUESTS_GOOD,
     REQUESTS_WHOLE,
+    STREAMS_CUT,
 )
 from hemlockhoist.base.traces import Hop
 from hemlockhoist.decisions import OutcomeKind
-from hemlockhoist.decisions.entry import AttemptEnd, Step, next_step
+from hemlockhoist.decisions.entry import AttemptEnd, CutCause, Step, next_step
 from hemlockhoist.declarations import CallKind
 from hemlockhoist.entry.attempt import Attempt
 from hemlockhoist.entry.responses import upstream_response
@@ -69,6 +70,7 @@
         "_attempts",
         "_body",
         "_context",
+        "_cut_cause",
         "_dispatch_count",
         "_failed_response",
         "_failed_upstreams",
@@ -96,6 +98,8 @@
         self._failed_response = None
         self._failed_upstreams = []
         self._reason = ""
+        # Why a started stream would be cut if no other upstream can continue it.
+        self._cut_cause = CutCause.REFUSED
         self._number = next(self._numbers)
         self.request_id = admitted.call.request_id or f"r{self._number}"
         self._relay = None
@@ -130,7 +134,7 @@
             # Failure prevented: a host resumes from a suspension in the middle of a
             # stream. Its proof of the routes is too old to continue at another
             # upstream, and the refusal would be written into the started response.
-            return self._abort_stream(error.message)
+            return self._abort_stream(CutCause.REFUSED, error.message)
 
     async def _run_attempts(self):
         while True:
@@ -280,6 +284,7 @@
         self._reason = attempt.reason
         if end is None:
             return
+        self._cut_cause = CutCause.after(end)
         is_reached = attempt.is_reachable and not attempt.grant_outdated
         if end is not AttemptEnd.NOT_SENT or not is_reached:
             self._failed_upstreams.append(attempt.hold.upstream_id)
@@ -400,6 +405,7 @@
             events = self._relay.event_count - before
             attempt.output_tokens = events * tokens_per_event
             attempt.longest_gap_ms = self._relay.longest_gap_ms
+            attempt.silent_ms = self._relay.silent_ms()
             event_us = self._relay.median_event_us()
             if event_us > 0:
                 attempt.token_us = event_us // tokens_per_event
@@ -412,14 +418,15 @@
         if self._failed_response is not None and not self.response_started:
             return self._failed_response
         if self.response_started:
-            return self._abort_stream(f"no further grant: {error.message}")
+            reason = f"no further grant: {error.message}"
+            return self._abort_stream(self._cut_cause, reason)
         if self._may_have_run:
             raise DispatchError(error.message, ResultCode.OUTCOME_UNKNOWN)
         raise error
 
     def _final_result(self, step, end):
         if self.response_started:
-            return self._abort_stream(self._reason or end.value)
+            return self._abort_stream(self._cut_cause, self._reason or end.value)
         if step is Step.ANSWER and self._failed_response is not None:
             return self._failed_response
         if step is Step.REFUSE:
@@ -435,13 +442,20 @@
 
     def _deadline_result(self):
         if self.response_started:
-            return self._abort_stream("deadline passed")
+            return self._abort_stream(CutCause.DEADLINE, "deadline passed")
         if self._may_have_run:
             raise DispatchError("", ResultCode.UPSTREAM_TIMEOUT)
         raise Refused("", ResultCode.DEADLINE_PASSED, RETRY_AFTER_MS)
 
-    def _abort_stream(self, reason):
-        _log.warning("stream_cut", request=self.request_id, reason=reason)
+    def _abort_stream(self, cause, reason):
+        self._context.metrics.count(STREAMS_CUT, cause.value)
+        _log.warning(
+            "stream_cut",
+            request=self.request_id,
+            cause=cause.value,
+            last_event=self._relay.last_event_id,
+            reason=reason,
+        )
         return self._relay.abort()
 
     @property
@@ -481,6 +495,7 @@
             first_ms=outcome.first_token_ms,
             total_ms=outcome.total_ms,
             longest_gap_ms=attempt.longest_gap_ms,
+            silent_ms=attempt.silent_ms,
             limit_per_s=attempt.limit_text,
             back_off_ms=attempt.back_off_text,
             leaving=attempt.leaving_text,
--- a/libs/entry/src/hemlockhoist/entry/stream.py
+++ b/libs/entry/src/hemlockhoist/entry/stream.py
@@ -124,6 +124,7 @@
         "_clock",
         "_event_gaps_us",
         "_is_leaving",
+        "_last_data_ms",
         "_last_event_ms",
         "_longest_gap_ms",
         "_may_resume",
@@ -148,6 +149,7 @@
         self._reader = EventReader(admitted.call.last_event_id)
         self._caller_response = None
         self._event_gaps_us = []
+        self._last_data_ms = None
         self._last_event_ms = None
         self._longest_gap_ms = 0
         self.event_count = 0
@@ -184,6 +186,7 @@
         """
         self._reader.restart()
         self._event_gaps_us = []
+        self._last_data_ms = None
         self._last_event_ms = None
         self._longest_gap_ms = 0
         first = True
@@ -195,6 +198,7 @@
                 if first:
                     on_first()
                     first = False
+                self._last_data_ms = self._clock.now_ms()
                 watchdog.on_progress(self._stall_limit_ms(False))
                 await self._write_events(head, self._reader.feed(chunk))
                 if self._reader.error is not None:
@@ -244,6 +248,12 @@
         """The longest gap between this upstream's events; 0 before the second one."""
         return self._longest_gap_ms
 
+    def silent_ms(self):
+        """Return the time since this upstream's last data, or -1 if there was none."""
+        if self._last_data_ms is None:
+            return -1
+        return self._clock.now_ms() - self._last_data_ms
+
     def median_event_us(self):
         """Return the median time between this upstream's events, or -1.
 
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_explained.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_explained.py
@@ -85,6 +85,8 @@
         text = self.explain("a1")
         self.assertIn("stream was cut", text)
         self.assertIn("the answer broke off before its end", text)
+        self.assertIn("stream_cut cause=broke_off last_event=3", text)
+        self.assertIn("silent_ms=", text)
 
     async def test_refusal_without_store(self):
         clock = SkippingClock()
