Read a silent upstream until another one has been granted

What callers saw: a chat answer that stopped in the middle, its connection closed before the end of the body.

Cause: a resumable stream whose upstream sent nothing for max(1.5 s, twice the declared pause) was closed at the upstream first, and a grant elsewhere was asked for after that. An engine that computes long prompts of other requests is silent in all its streams for seconds, above all when all engines are busy, which is when the home grants no other.

Ruled out: the upstream that leaves (scale_in) was another one; the change of the configuration only brings the rule into force, the same cuts happen away from it; the upstream did not break off (silent, not broke_off); the deadline was 3 to 5 s away; callers can tell (the body lacks its end: ClientPayloadError in the test), so no answer looked whole.

Change: the watchdog seeks a grant while the silent response is still read, closes it only with a grant in hand, and gives the search up with the next data; without a grant, or with no attempt left, it reads on and seeks again after further silence. `stream_kept` logs why none was granted. A grant that is not needed any more is released.

Why it works: silence alone now ends nothing; a stream ends early only if the upstream breaks it off or another has a slot for it.

--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -25,7 +25,7 @@
     STREAMS_CUT,
 )
 from hemlockhoist.base.traces import Hop
-from hemlockhoist.decisions import OutcomeKind
+from hemlockhoist.decisions import Outcome, OutcomeKind
 from hemlockhoist.decisions.entry import AttemptEnd, CutCause, Step, next_step
 from hemlockhoist.declarations import CallKind
 from hemlockhoist.entry.attempt import Attempt
@@ -70,14 +70,17 @@
         "_attempts",
         "_body",
         "_context",
+        "_current",
         "_cut_cause",
         "_dispatch_count",
         "_failed_response",
         "_failed_upstreams",
+        "_grant_requests",
         "_may_have_run",
         "_number",
         "_reason",
         "_relay",
+        "_replacement",
         "_sent_count",
         "_signals",
         "_unsent_count",
@@ -91,6 +94,11 @@
         self._signals = SignalRecorder(context)
         self._body = body
         self._attempts = 0
+        self._grant_requests = 0
+        # The attempt in progress, and the grant of another upstream that continues its
+        # stream. None if there is none.
+        self._current = None
+        self._replacement = None
         self._dispatch_count = 0
         self._sent_count = 0
         self._unsent_count = 0
@@ -109,7 +117,7 @@
                 admitted,
                 context.clock,
                 is_leaving=lambda: context.leaving,
-                may_resume=lambda: not context.grants.is_refusing,
+                find_replacement=self._find_replacement,
             )
 
     async def run(self):
@@ -135,12 +143,14 @@
             # stream. Its proof of the routes is too old to continue at another
             # upstream, and the refusal would be written into the started response.
             return self._abort_stream(CutCause.REFUSED, error.message)
+        finally:
+            self._release_replacement()
 
     async def _run_attempts(self):
         while True:
             self._attempts += 1
             try:
-                hold, waited_ms = await self._acquire()
+                hold, waited_ms = await self._next_grant()
             except Refused as error:
                 return self._end_without_grant(error)
             response, end = await self._attempt(hold, waited_ms)
@@ -158,8 +168,16 @@
 
     # Grants.
 
+    async def _next_grant(self):
+        """Return the grant of the next attempt, and the time spent waiting for it."""
+        if self._replacement is None:
+            return await self._acquire()
+        grant, self._replacement = self._replacement, None
+        return grant
+
     async def _acquire(self):
         """Return a grant and the time spent waiting for it, in milliseconds."""
+        self._grant_requests += 1
         requested_ms = self._context.clock.now_ms()
         with self._context.traces.span(Hop.GRANT, pool=self._admitted.pool):
             hold = await self._context.grants.acquire(
@@ -169,10 +187,47 @@
         self._context.metrics.time(QUEUE_WAIT_MS, waited_ms, self._admitted.tier)
         return hold, waited_ms
 
+    async def _find_replacement(self):
+        """Acquire a grant to continue the current stream elsewhere; return success."""
+        if not self._may_continue_elsewhere():
+            return False
+        try:
+            self._replacement = await self._acquire()
+        except Refused as error:
+            _log.info(
+                "stream_kept",
+                request=self.request_id,
+                upstream=self._current.hold.upstream_id,
+                silent_ms=self._relay.silent_ms(),
+                reason=error.message,
+            )
+            return False
+        return True
+
+    def _may_continue_elsewhere(self):
+        step = next_step(
+            AttemptEnd.TIMED_OUT,
+            self._admitted.route,
+            self._may_have_run,
+            self._sent_count + 1,
+            self._unsent_count,
+        )
+        return step is Step.TRY_ANOTHER and not self._context.grants.is_refusing
+
+    def _release_replacement(self):
+        """Release a grant that was acquired for a stream that has ended meanwhile."""
+        if self._replacement is not None:
+            hold, _waited_ms = self._replacement
+            self._context.grants.release(hold, Outcome(kind=OutcomeKind.NOT_SENT))
+
     def _request_brief(self, now_ms):
         admitted = self._admitted
+        dispatched, avoid = self._dispatch_count, tuple(self._failed_upstreams)
+        if self._current is not None:
+            dispatched += self._current.guard.dispatched
+            avoid += (self._current.hold.upstream_id,)
         return RequestBrief(
-            request_id=self._attempt_id,
+            request_id=self._grant_request_id,
             route=admitted.route.name,
             customer=admitted.customer.name if admitted.customer else "",
             tier_rank=admitted.rank,
@@ -186,32 +241,33 @@
             max_gap_ms=admitted.route.max_gap_ms,
             failure_domain=self._context.identity.failure_domain,
             trace=self._context.traces.context_for_peer(),
-            attempt=1 + self._dispatch_count,
+            attempt=1 + dispatched,
             # Charged once: a request whose upstream was unreachable requests another
             # grant without being counted again.
-            units=admitted.units if self._attempts == 1 else 0,
-            is_new=self._attempts == 1,
-            avoid=tuple(self._failed_upstreams),
+            units=admitted.units if self._grant_requests == 1 else 0,
+            is_new=self._grant_requests == 1,
+            avoid=avoid,
             prefix_hashes=admitted.prefix_hashes,
             prefix_tokens=admitted.prefix_tokens,
             regions=admitted.regions,
         )
 
     @property
-    def _attempt_id(self):
-        """The id of the current attempt between hosts.
+    def _grant_request_id(self):
+        """The id of the latest request for a grant between hosts.
 
         It starts with the caller's request id, so that one search finds all log lines
         of a request on all hosts, and is unique even if a caller reuses its id.
         """
         prefix = self._context.identity.incarnation[:INCARNATION_DIGITS]
-        return f"{self.request_id}/{prefix}{self._number:x}.{self._attempts}"
+        return f"{self.request_id}/{prefix}{self._number:x}.{self._grant_requests}"
 
     # One attempt.
 
     async def _attempt(self, hold, waited_ms):
         """Run one attempt; return ``(response, None)`` or ``(None, AttemptEnd)``."""
         attempt = Attempt(hold, self._send_guard(hold), waited_ms)
+        self._current = attempt
         attempt.started_unix_ms = self._context.store_view.started_unix_ms(
             hold.upstream_id
         )
@@ -224,6 +280,7 @@
             self._record_failure(attempt, end)
             return response, end
         finally:
+            self._current = None
             self._record_dispatch(attempt)
             if self._is_past_deadline and attempt.kind is OutcomeKind.CANCELLED:
                 attempt.kind = OutcomeKind.TIMEOUT
@@ -254,7 +311,7 @@
             self._context.clock,
             hold.expires_ms,
             self._context.register,
-            self._attempt_id,
+            hold.brief.request_id,
             lambda: self._check_before_send(hold),
         )
 
--- a/libs/entry/src/hemlockhoist/entry/stream.py
+++ b/libs/entry/src/hemlockhoist/entry/stream.py
@@ -1,23 +1,21 @@
 """Relaying of a stream's events to the caller, from one upstream or several."""
 
-import asyncio
 import statistics
 
 from aiohttp import web
 
-from hemlockhoist.base import MS_PER_S, DispatchError, ResultCode
+from hemlockhoist.base import DispatchError, ResultCode
 from hemlockhoist.entry.events import EventReader
 from hemlockhoist.entry.responses import add_headers
+from hemlockhoist.entry.stalls import StallWatchdog, always_replaced
 
 US_PER_MS = 1_000
-# Silence after which a resumable stream is abandoned at its upstream. It detects an
+# Silence after which another upstream is sought for a resumable stream. It detects an
 # upstream that no longer sends anything, which nothing else shows while callers wait. A
 # shorter limit would abandon an upstream that is computing another request's long
 # prompt.
 MIN_STALL_MS = 1_500
 GAP_FACTOR = 2
-# Time for the event loop to read what is buffered in its sockets.
-READ_GRACE_MS = 50
 # Before the first event, an upstream may have a long prompt to compute, of this request
 # or of those ahead of it. The slowest engines observed compute about 12 tokens per
 # millisecond.
@@ -25,85 +23,6 @@
 SLOWEST_TOKENS_PER_MS = 8
 
 
-class StallWatchdog:
-    """Closes an upstream's response that has been silent for too long.
-
-    Failure prevented: this host is suspended. When it resumes, the time limit has
-    passed while the events received meanwhile are still unread, and the stream would be
-    abandoned although its rest is available. The limit therefore only takes effect
-    after the event loop has had time to read.
-
-    Parameters
-    ==========
-    response : UpstreamResponse
-    limit_ms : int or None
-        Initial limit; None disables the watchdog.
-    clock : Clock
-    may_resume : callable, optional
-        Whether the stream could resume at another upstream. If not, the response is
-        kept open: it may still arrive, and closing it gains nothing.
-    """
-
-    __slots__ = (
-        "_clock",
-        "_due_ms",
-        "_in_grace_period",
-        "_limit_ms",
-        "_may_resume",
-        "_response",
-        "_timer",
-    )
-
-    def __init__(self, response, limit_ms, clock, may_resume=lambda: True):
-        self._may_resume = may_resume
-        self._response = response
-        self._limit_ms = limit_ms
-        self._clock = clock
-        self._due_ms = 0
-        self._timer = None
-        self._in_grace_period = False
-
-    def start(self):
-        """Start the watchdog."""
-        if self._limit_ms is not None:
-            self._due_ms = self._clock.now_ms() + self._limit_ms
-            self._schedule(self._limit_ms)
-
-    def close(self):
-        """Stop the watchdog."""
-        if self._timer is not None:
-            self._timer.cancel()
-
-    def on_progress(self, limit_ms):
-        """Restart the watchdog after data arrived, with a possibly different limit."""
-        if limit_ms is not None:
-            self._due_ms = self._clock.now_ms() + limit_ms
-            self._in_grace_period = False
-
-    def classify_error(self, error):
-        """Return the error to raise for a failed read; a timeout if it had stalled."""
-        if not self._in_grace_period or self._clock.now_ms() < self._due_ms:
-            return error
-        text = "the upstream sent no data within the stall limit"
-        return DispatchError(text, ResultCode.UPSTREAM_TIMEOUT)
-
-    def _schedule(self, wait_ms):
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(wait_ms / MS_PER_S, self._check)
-
-    def _check(self):
-        remaining_ms = self._due_ms - self._clock.now_ms()
-        if remaining_ms > 0:
-            self._schedule(remaining_ms)
-        elif not self._may_resume():
-            self._schedule(self._limit_ms)
-        elif not self._in_grace_period:
-            self._in_grace_period = True
-            self._schedule(READ_GRACE_MS)
-        else:
-            self._response.close()
-
-
 class StreamRelay:
     """Relays one stream to its caller, possibly from several upstreams in turn.
 
@@ -114,8 +33,8 @@
     clock : Clock
     is_leaving : callable, optional
         Whether this host is about to close its callers' connections.
-    may_resume : callable, optional
-        Whether the stream would be granted another upstream.
+    find_replacement : callable, optional
+        See ``StallWatchdog``.
     """
 
     __slots__ = (
@@ -123,11 +42,11 @@
         "_caller_response",
         "_clock",
         "_event_gaps_us",
+        "_find_replacement",
         "_is_leaving",
         "_last_data_ms",
         "_last_event_ms",
         "_longest_gap_ms",
-        "_may_resume",
         "_reader",
         "_request",
         "event_count",
@@ -139,10 +58,10 @@
         admitted,
         clock,
         is_leaving=lambda: False,
-        may_resume=lambda: True,
+        find_replacement=always_replaced,
     ):
         self._is_leaving = is_leaving
-        self._may_resume = may_resume
+        self._find_replacement = find_replacement
         self._request = request
         self._admitted = admitted
         self._clock = clock
@@ -182,7 +101,7 @@
         Raises
         ======
         DispatchError
-            If the stream broke off, or stalled while it may resume elsewhere.
+            If the stream broke off, or stalled and can be resumed elsewhere.
         """
         self._reader.restart()
         self._event_gaps_us = []
@@ -191,7 +110,9 @@
         self._longest_gap_ms = 0
         first = True
         limit_ms = self._stall_limit_ms(True)
-        watchdog = StallWatchdog(response, limit_ms, self._clock, self._may_resume)
+        watchdog = StallWatchdog(
+            response, limit_ms, self._clock, self._find_replacement
+        )
         watchdog.start()
         try:
             async for chunk in response.chunks():
@@ -213,11 +134,7 @@
         return await self._finish_response(head)
 
     def _stall_limit_ms(self, first):
-        """Return the silence after which the upstream is abandoned; None for never.
-
-        A stream that cannot resume elsewhere is never abandoned: its response may still
-        arrive, and closing it gains nothing.
-        """
+        """Return the silence after which another upstream is sought; None for never."""
         route = self._admitted.route
         if not route.is_resumable:
             return None
--- a/libs/standins/src/hemlockhoist/standins/published/replica.py
+++ b/libs/standins/src/hemlockhoist/standins/published/replica.py
@@ -23,6 +23,7 @@
     HANGS = "runs the request and never answers"
     STOPS_MID_EVENT = "closes in the middle of an event"
     SKIPS_EVENT = "omits an event"
+    STALLS = "sends nothing more after half of its events"
     EXTRA_RESPONSE = "sends a second answer after the first"
 
 
@@ -177,8 +178,7 @@
 
     async def _respond(self, received, writer):
         if self.behaviour is Behaviour.HANGS:
-            while not received.closed:
-                await asyncio.sleep(0.01)
+            await self._wait_disconnected(received)
             return
         if self.behaviour is Behaviour.RESETS:
             writer.transport.abort()
@@ -188,6 +188,10 @@
         else:
             await self._send_events(received, writer)
 
+    async def _wait_disconnected(self, received):
+        while not received.closed:
+            await asyncio.sleep(0.01)
+
     def _head(self, received, status, framing):
         attempt = received.headers.get("attempt-id", "")
         if self.behaviour is Behaviour.WRONG_ATTEMPT_ID:
@@ -228,6 +232,9 @@
         for number in range(start, self.events + 1):
             if self.behaviour is Behaviour.SKIPS_EVENT and number == self.events // 2:
                 continue
+            if self.behaviour is Behaviour.STALLS and number > self.events // 2:
+                await self._wait_disconnected(received)
+                return
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
             if (
                 self.behaviour is Behaviour.STOPS_MID_EVENT
--- /dev/null
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_stalls.py
@@ -0,0 +1,86 @@
+"""End-to-end tests of streams whose upstream falls silent in their middle."""
+
+import asyncio
+import contextlib
+import unittest
+import unittest.mock
+
+from hemlockhoist.entry import stream
+from hemlockhoist.standins.published import Behaviour, Replica, Site, route
+
+STALL_MS = 300
+# A gap between events that exceeds the stall limit.
+LONG_GAP_MS = 600
+EVENTS = 4
+DEADLINE = {"Deadline_Ms": "9000"}
+
+
+def report(max_attempts=2):
+    """Return a resumable route of streams."""
+    return route(
+        "conflict-report",
+        "asistente",
+        "streaming",
+        resumable=True,
+        timeout_ms=9_000,
+        target_latency_ms=4_000,
+        max_attempts=max_attempts,
+    )
+
+
+def engines(count, slots=4, event_ms=LONG_GAP_MS):
+    """Return engines whose events are further apart than the stall limit."""
+    found = [Replica(f"e{number}", EVENTS, slots) for number in range(count)]
+    for engine in found:
+        engine.event_ms = event_ms
+    return found
+
+
+def ran(replicas):
+    """Return the number of runs at each of the replicas."""
+    return [len(replica.ran) for replica in replicas]
+
+
+class SilentUpstreamTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        with contextlib.ExitStack() as patches:
+            for name, value in (
+                ("MIN_FIRST_STALL_MS", STALL_MS),
+                ("MIN_STALL_MS", STALL_MS),
+                ("GAP_FACTOR", 0),
+            ):
+                patches.enter_context(unittest.mock.patch.object(stream, name, value))
+            self.addCleanup(patches.pop_all().close)
+
+    async def read(self, site, number):
+        """Send a request; return its status and the number of its events."""
+        path, attempt_id = f"/conflict-report/{number}", f"a{number}"
+        async with site.call(path, Attempt_Id=attempt_id, **DEADLINE) as answer:
+            body = await answer.read()
+            return answer.status, body.count(b"data:")
+
+    async def test_busy_upstreams_that_fall_silent_finish_their_streams(self):
+        """Guards against streams that are cut as their busy upstream falls silent."""
+        replicas = engines(2, slots=1)
+        async with Site({"asistente": replicas}, [report()]) as site:
+            answers = [self.read(site, number) for number in range(4)]
+            found = await asyncio.gather(*answers)
+        self.assertEqual(found, [(200, EVENTS)] * 4)
+        self.assertEqual(ran(replicas), [2, 2])
+
+    async def test_silent_upstream_is_kept_after_the_last_attempt(self):
+        """Guards against a stream that is cut for silence, with no attempt left."""
+        replicas = engines(2)
+        async with Site({"asistente": replicas}, [report(max_attempts=1)]) as site:
+            self.assertEqual(await self.read(site, 1), (200, EVENTS))
+        self.assertEqual(sorted(ran(replicas)), [0, 1])
+
+    async def test_free_upstream_continues_a_stalled_stream(self):
+        """Guards against a stream that waits for a dead upstream beside a free one."""
+        stalled, free = engines(2, event_ms=10)
+        async with Site({"asistente": [stalled, free]}, [report()]) as site:
+            stalled.behaviour = Behaviour.STALLS
+            found = [await self.read(site, number) for number in range(4)]
+        self.assertEqual(found, [(200, EVENTS)] * 4)
+        self.assertTrue(stalled.ran)
+        self.assertTrue(all(received.closed for received in stalled.ran))
