Log each attempt of the own interface; say what the soak injected, and when

A refused connection at the end names no upstream, no fault and not whether the process runs; a "lookup lost" names only its last attempt, and no host logs to which upstream the others were sent.

Change: hosts log `attempt_ended` for each dispatch (upstream, home, outcome, whether it was sent, times, reason), as entry hosts do. The soak prints each fault with its time and target, also when the run ends with an error; faults that an upstream does not accept are a FaultNotSet with its name, process id and state; findings name the requests of all refused attempts. Nothing is decided otherwise.

--- a/libs/host/src/hemlockhoist/host/dispatcher.py
+++ b/libs/host/src/hemlockhoist/host/dispatcher.py
@@ -210,6 +210,7 @@
             self._clock, hold.expires_ms, self.register, work.request_id, on_dispatch
         )
         report = DispatchReport(guard)
+        reason = ""
         self._guards[hold.grant_id] = (hold, guard)
         span = self._traces.span(
             Hop.UPSTREAM, upstream=hold.upstream_id, version=hold.version
@@ -219,12 +220,14 @@
                 return await consume(hold, report)
         except (DispatchError, Refused) as error:
             report.kind = _OUTCOME_KINDS.get(error.code, OutcomeKind.FAILED)
+            reason = error.message
             raise
         finally:
             del self._guards[hold.grant_id]
             outcome = report.outcome(self._clock.now_ms())
             self._grants.release(hold, outcome)
             self._record_metrics(work, report)
+            _log_attempt(work, hold, report, outcome, reason)
 
     def _record_metrics(self, work, report):
         """Record the attempt's metrics.
@@ -263,3 +266,19 @@
     def in_flight(self):
         """Return the number of requests that hold a grant."""
         return len(self._guards)
+
+
+def _log_attempt(work, hold, report, outcome, reason):
+    log = _log.info if outcome.kind is OutcomeKind.SUCCESS else _log.warning
+    log(
+        "attempt_ended",
+        request=work.request_id,
+        upstream=hold.upstream_id,
+        version=hold.version,
+        home=hold.home,
+        outcome=outcome.kind.value,
+        sent=report.guard.dispatched,
+        first_ms=outcome.first_token_ms,
+        total_ms=outcome.total_ms,
+        reason=reason,
+    )
--- a/libs/standins/src/hemlockhoist/standins/consistency.py
+++ b/libs/standins/src/hemlockhoist/standins/consistency.py
@@ -108,8 +108,9 @@
 
 def _describe(record):
     ids = ", ".join(record.request_ids) or record.key
+    refused = ", ".join(refusal.request_id for refusal in record.refusals)
     last = record.refusals[-1] if record.refusals else ""
-    who = f"{record.customer} {record.tier} [{ids}]"
+    who = f"{record.customer} {record.tier} [{ids}] refused [{refused}]"
     when = (
         f"at {record.started_ms} ms, {record.total_ms} ms, {record.attempts} attempts"
     )
--- a/libs/standins/src/hemlockhoist/standins/process_faults.py
+++ b/libs/standins/src/hemlockhoist/standins/process_faults.py
@@ -5,7 +5,7 @@
 
 import aiohttp
 
-from hemlockhoist.base import Clock
+from hemlockhoist.base import MS_PER_S, Clock
 from hemlockhoist.declarations import parse_declarations
 from hemlockhoist.standins.operator_client import OperatorRequestFailed
 
@@ -18,6 +18,10 @@
 OPERATOR_TIMEOUT_S = 10.0
 
 
+class FaultNotSet(Exception):
+    """An upstream did not accept the faults that it was to have."""
+
+
 class ProcessFaults:
     """Injects randomly drawn faults into a fleet; several may be active at once.
 
@@ -27,16 +31,24 @@
     operator : OperatorClient
     declarations_text : str
     rng : random.Random
+
+    Attributes
+    ==========
+    events : list of str
+        What was injected, with the time since the first fault in seconds.
     """
 
     __slots__ = (
+        "_clock",
         "_fleet",
         "_next_host",
         "_operator",
         "_rng",
+        "_started_ms",
         "_tasks",
         "_text",
         "counts",
+        "events",
         "moves",
         "version",
     )
@@ -46,9 +58,12 @@
         self._operator = operator
         self._text = declarations_text
         self._rng = rng
+        self._clock = Clock.from_running_loop()
+        self._started_ms = self._clock.now_ms()
         self._tasks = set()
         self._next_host = len(fleet.hosts)
         self.counts = {}
+        self.events = []
         self.moves = 0
         self.version = 1
 
@@ -86,16 +101,32 @@
         fault = self._rng.choice(self.kinds)
         name = fault.__name__
         self.counts[name] = self.counts.get(name, 0) + 1
+        self._record(name)
         task = asyncio.create_task(fault())
         self._tasks.add(task)
         await asyncio.wait([task], timeout=1.0)
 
+    def _record(self, text):
+        elapsed_s = (self._clock.now_ms() - self._started_ms) / MS_PER_S
+        self.events.append(f"{elapsed_s:.3f} {text}")
+
+    async def _set_faults(self, member, faults):
+        self._record(f"{member['id']} {faults}")
+        try:
+            await self._fleet.set_faults(member, faults)
+        except aiohttp.ClientError as error:
+            process = self._fleet.process(member["id"])
+            state = "running" if process.running else "ended"
+            text = f"{member['id']} ({state}, pid {process.pid}) {faults}: {error!r}"
+            self._record(f"not set: {text}")
+            raise FaultNotSet(text) from error
+
     async def heal(self):
         """Wait for the faults that are in progress, then clear all faults."""
         if self._tasks:
             await asyncio.gather(*self._tasks)
         for member in self._fleet.upstreams():
-            await self._fleet.set_faults(member, {"state": member["state"]})
+            await self._set_faults(member, {"state": member["state"]})
         await self._set_platform_faults({})
 
     def _running_hosts(self):
@@ -151,7 +182,7 @@
 
     async def _set_upstream_faults(self, pool, faults):
         members = [m for m in self._fleet.upstreams(pool) if m["state"] == "live"]
-        await self._fleet.set_faults(self._rng.choice(members), faults)
+        await self._set_faults(self._rng.choice(members), faults)
 
     async def break_streams(self):
         """Break the next streams of an engine, which continues to generate."""
--- a/libs/standins/src/hemlockhoist/standins/soak_processes.py
+++ b/libs/standins/src/hemlockhoist/standins/soak_processes.py
@@ -145,15 +145,18 @@
         )
         run = ProcessRun(fleet, operator, text, seed)
         await run.start()
-        findings = await run.run(seconds)
-        _print_counts(run)
-        return findings
+        try:
+            return await run.run(seconds)
+        finally:
+            _print_counts(run)
     finally:
         await fleet.close()
 
 
 def _print_counts(run):
     print(f"steps={run.steps} moves={run.faults.moves}")
+    for event in run.faults.events:
+        print(f"injected {event}")
     for name, count in sorted(run.faults.counts.items()):
         print(f"fault kind={name} count={count}")
     for name, count in sorted(run.checks.items()):
