Let the soak's clean-up wait for upstreams that refuse on command

Cause: the fault `refuse_connections` returned as soon as the upstream had been told to refuse connections for 2 s, so that the clean-up, which waits for the faults in progress, did not wait for this one, and posted to an upstream that still refused.

Ruled out: an upstream that died (it runs, and its id is that of its start), one not yet listening (it had served for 20 s).

Change: the fault lasts until the upstream listens again, at most 10 s after it should; other faults for it wait as long. One that does not listen again, or has ended, is an error as before. The same class elsewhere: a fault in the middle of a run that drew an upstream which refused failed in the same way; the published soak has no such fault.

--- a/libs/standins/src/hemlockhoist/standins/process_faults.py
+++ b/libs/standins/src/hemlockhoist/standins/process_faults.py
@@ -16,6 +16,10 @@
 DRAIN_TIMEOUT_S = 30.0
 MOVE_DURATION_MS = 10_000
 OPERATOR_TIMEOUT_S = 10.0
+REFUSE_MS = 2_000
+# A busy machine delays the moment at which an upstream listens again.
+LISTEN_TIMEOUT_S = 10.0
+LISTEN_CHECK_S = 0.05
 
 
 class FaultNotSet(Exception):
@@ -43,6 +47,7 @@
         "_fleet",
         "_next_host",
         "_operator",
+        "_refusing",
         "_rng",
         "_started_ms",
         "_tasks",
@@ -61,6 +66,8 @@
         self._clock = Clock.from_running_loop()
         self._started_ms = self._clock.now_ms()
         self._tasks = set()
+        # For each upstream that refuses connections, an event set when it listens again.
+        self._refusing = {}
         self._next_host = len(fleet.hosts)
         self.counts = {}
         self.events = []
@@ -111,6 +118,9 @@
         self.events.append(f"{elapsed_s:.3f} {text}")
 
     async def _set_faults(self, member, faults):
+        listening = self._refusing.get(member["id"])
+        if listening is not None:
+            await listening.wait()
         self._record(f"{member['id']} {faults}")
         try:
             await self._fleet.set_faults(member, faults)
@@ -180,9 +190,12 @@
         if status != 0:
             raise AssertionError(f"{name} did not stop gracefully: {status}")
 
-    async def _set_upstream_faults(self, pool, faults):
+    def _pick_upstream(self, pool):
         members = [m for m in self._fleet.upstreams(pool) if m["state"] == "live"]
-        await self._set_faults(self._rng.choice(members), faults)
+        return self._rng.choice(members)
+
+    async def _set_upstream_faults(self, pool, faults):
+        await self._set_faults(self._pick_upstream(pool), faults)
 
     async def break_streams(self):
         """Break the next streams of an engine, which continues to generate."""
@@ -216,7 +229,30 @@
     async def refuse_connections(self):
         """Make an upstream refuse connections for two seconds."""
         pool = self._rng.choice((MODEL, SERVICE))
-        await self._set_upstream_faults(pool, {"refuse_ms": 2_000})
+        member = self._pick_upstream(pool)
+        await self._set_faults(member, {"refuse_ms": REFUSE_MS})
+        self._refusing[member["id"]] = listening = asyncio.Event()
+        try:
+            await asyncio.sleep(REFUSE_MS / MS_PER_S)
+            await self._wait_listening(member)
+        finally:
+            del self._refusing[member["id"]]
+            listening.set()
+
+    async def _wait_listening(self, member):
+        """Wait until an upstream accepts connections again, as it must."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + LISTEN_TIMEOUT_S
+        while True:
+            try:
+                await self._fleet.run_counts(member)
+            except aiohttp.ClientError as error:
+                if loop.time() >= end_s:
+                    text = f"{member['id']} still refuses connections: {error!r}"
+                    raise FaultNotSet(text) from error
+                await asyncio.sleep(LISTEN_CHECK_S)
+            else:
+                return
 
     async def drop_calls_after_running(self):
         """Make a service drop the connection of calls after running them."""
