Test an upstream with one request soon after its failure

Cause: one failed answer added 2 s to an upstream's expected time for 10 s. While others have free slots that is never less than theirs, so that the upstream got no request at all and nobody learned whether it still failed. When another one failed, the requests that their callers sent again, within 100 ms, were the first to test the upstreams that had failed before.

Evidence: in a run beside load, the finding's three requests, logged by `attempt_ended`: service-8 broke off at 11.8 s (its fault was injected at 11.800), service-7 failed 114 ms later (injected at 3.482, one failure used at 3.5 s, not one call in between), service-6 118 ms after that (injected at 7.504, likewise). service-8 had served 8 to 17 lookups a second meanwhile, service-7 none for 8 s.

Ruled out: a wrong statement (all three attempts were sent, and are told as "outcome unknown" truly); a repeat by the host (none: each request was sent once); the entry hosts' path (its rate of failures decays with answers and does not close an upstream for one).

Change: one idempotent request at a time tests such an upstream, 1 s after its failure; the time doubles with each later failure within a minute, to the 10 s of the memory. Requests that are not idempotent never test.

Why it works: upstreams that failed are tested while the others are well, one request of one caller at a time, and have their share again before the next one fails.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/ejection.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/ejection.py
@@ -22,6 +22,11 @@
 RAMP_MS = 10_000
 # Time for which a failure that does not eject an upstream lowers its preference.
 FAILURE_MEMORY_MS = 10_000
+# Time after a failure at which one request tests the upstream. It doubles, up to the
+# memory, when the upstream fails again later, and is reset after a longer time without
+# a failure.
+FIRST_TEST_MS = 1_000
+TEST_RESET_MS = 60_000
 _SLOWNESS_EWMA_WEIGHT = 0.2
 
 
@@ -44,6 +49,7 @@
         "_failures",
         "_good_probes",
         "_samples",
+        "_test_after_ms",
         "slowness",
         "state",
     )
@@ -55,6 +61,7 @@
         self._failures = 0
         self._good_probes = 0
         self._failed_ms = 0
+        self._test_after_ms = 0
         self._entered_ms = 0
         self._ejection_ms = FIRST_EJECTION_MS
 
@@ -94,6 +101,11 @@
 
     def observe_failure(self, now_ms):
         """Record a failed answer or a failed connection attempt."""
+        quiet_ms = now_ms - self._failed_ms
+        if not self._test_after_ms or quiet_ms > TEST_RESET_MS:
+            self._test_after_ms = FIRST_TEST_MS
+        elif quiet_ms >= self._test_after_ms:
+            self._test_after_ms = min(FAILURE_MEMORY_MS, 2 * self._test_after_ms)
         self._failures += 1
         self._failed_ms = now_ms
 
@@ -103,6 +115,17 @@
             return 0
         return self._failures
 
+    def is_test_due(self, in_flight, now_ms):
+        """Return whether one request should test the upstream after its failure.
+
+        Load: a pool with free slots, in which an upstream that failed once is never
+        chosen while the memory of its failure lasts. Failure prevented: the others fail
+        later, and the requests that are sent again after that are the first to test it.
+        """
+        if not self._failures or in_flight:
+            return False
+        return now_ms - self._failed_ms >= self._test_after_ms
+
     def failed_too_often(self):
         """Return whether the consecutive failures justify an ejection."""
         return self._failures >= MAX_FAILURES
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/placement.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/placement.py
@@ -91,7 +91,9 @@
     decode_ms = request.output_tokens * tracked.speed.token_ms
     score_ms = max(0.0, tracked.prompts_done_ms - now_ms)
     score_ms += PROMPT_WEIGHT * computed * tracked.speed.prompt_token_ms
-    score_ms += FAILURE_COST_MS * tracked.health.recent_failures(now_ms)
+    # A request that is not idempotent could not be sent again after a failed test.
+    if not (request.idempotent and tracked.health.is_test_due(in_flight, now_ms)):
+        score_ms += FAILURE_COST_MS * tracked.health.recent_failures(now_ms)
     score_ms += decode_ms * (1.0 + FULL_BATCH_SLOWDOWN * used)
     if request.failure_domain != tracked.failure_domain:
         score_ms += CROSS_DOMAIN_COST_MS
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_ejection.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_ejection.py
@@ -1,3 +1,4 @@
+import random
 import unittest
 
 from hemlockhoist.decisions import (
@@ -230,3 +231,147 @@
         version="v1",
         expires_ms=0,
     )
+
+
+class _LookupSimulation:
+    """Simulates calls at three upstreams; failed ones are sent again up to twice.
+
+    Parameters
+    ==========
+    fails : callable
+        ``fails(upstream_id, now_ms)`` returns whether a call fails that ends now.
+    idempotent : callable, optional
+        Returns for each call whether it may be sent again.
+    gap_ms : int, optional
+        Time between two calls.
+    """
+
+    HOLD_MS = 5
+    RESEND_MS = 100
+    MAX_RESENDS = 2
+    DOMAINS = "abc"
+
+    def __init__(self, fails, idempotent=lambda: True, gap_ms=25):
+        self.sched = b.scheduler(slots=4, count=3, max_queued=100)
+        listed = [
+            Upstream(
+                upstream_id=f"s{number}",
+                pool="assistant",
+                version="v1",
+                address="127.0.0.1:1",
+                failure_domain=domain,
+            )
+            for number, domain in enumerate(self.DOMAINS)
+        ]
+        self.sched.set_upstreams(listed, 0)
+        self.fails = fails
+        self.idempotent = idempotent
+        self.gap_ms = gap_ms
+        self.rng = random.Random(1)
+        self.open = []
+        self.resends = []
+        self.sent = []
+        self.failed = 0
+        self.lost = 0
+
+    def run(self, until_ms):
+        """Send a call every ``gap_ms``."""
+        for now_ms in range(0, until_ms, self.HOLD_MS):
+            self._finish(now_ms)
+            if now_ms % self.gap_ms == 0:
+                self._submit(0, now_ms)
+            due = [item for item in self.resends if item[0] <= now_ms]
+            self.resends = [item for item in self.resends if item[0] > now_ms]
+            for _, resends in due:
+                self._submit(resends, now_ms)
+
+    def times_ms(self, upstream_id):
+        """Return when calls were sent to an upstream."""
+        return [item[0] for item in self.sent if item[1] == upstream_id]
+
+    def _submit(self, resends, now_ms):
+        request = b.request(
+            now_ms=now_ms,
+            prompt_tokens=0,
+            output_tokens=0,
+            idempotent=self.idempotent(),
+            failure_domain=self.rng.choice(self.DOMAINS),
+        )
+        for decision in self.sched.submit(request, now_ms):
+            upstream_id = decision.grant.upstream_id
+            self.sent.append((now_ms, upstream_id, request.idempotent))
+            self.open.append((now_ms + self.HOLD_MS, decision.grant, resends))
+
+    def _finish(self, now_ms):
+        due = [item for item in self.open if item[0] <= now_ms]
+        self.open = [item for item in self.open if item[0] > now_ms]
+        for _, grant, resends in due:
+            kind = OutcomeKind.SUCCESS
+            if self.fails(grant.upstream_id, now_ms):
+                kind = OutcomeKind.FAILED
+                self._record_failure(resends, now_ms)
+            outcome = Outcome(kind=kind, first_token_ms=1, total_ms=self.HOLD_MS)
+            self.sched.release(grant.grant_id, outcome, now_ms)
+
+    def _record_failure(self, resends, now_ms):
+        self.failed += 1
+        if resends < self.MAX_RESENDS:
+            self.resends.append((now_ms + self.RESEND_MS, resends + 1))
+        else:
+            self.lost += 1
+
+
+class _FailingCalls:
+    """Fails the next two calls at each upstream from a given time on."""
+
+    def __init__(self, from_ms):
+        self._from_ms = from_ms
+        self._left = dict.fromkeys(from_ms, 2)
+
+    def __call__(self, upstream_id, now_ms):
+        if now_ms < self._from_ms.get(upstream_id, now_ms + 1):
+            return False
+        if not self._left[upstream_id]:
+            return False
+        self._left[upstream_id] -= 1
+        return True
+
+
+class FailedOnceTests(unittest.TestCase):
+    def test_lookup_sent_again_does_not_meet_three_failing_upstreams(self):
+        """Guards against resent lookups as the first to test upstreams that failed."""
+        fails = _FailingCalls({"s0": 1_000, "s1": 5_000, "s2": 9_300})
+        pool = _LookupSimulation(fails, gap_ms=200)
+        pool.run(20_000)
+        self.assertEqual(pool.failed, 6)
+        self.assertEqual(pool.lost, 0)
+
+    def test_upstream_that_failed_once_gets_its_share_again_within_seconds(self):
+        """Guards against a pool that leaves an upstream idle for one failed answer."""
+        fails = _FailingCalls({"s0": 1_000})
+        pool = _LookupSimulation(fails)
+        pool.run(8_000)
+        late = [now_ms for now_ms in pool.times_ms("s0") if now_ms > 5_000]
+        self.assertGreater(len(late), 0.2 * 3_000 / pool.gap_ms)
+
+    def test_bookings_do_not_test_an_upstream_that_failed(self):
+        """Guards against bookings of unknown outcome as tests of a failed upstream."""
+        fails = _FailingCalls({"s0": 1_000})
+        pool = _LookupSimulation(fails, idempotent=lambda: False)
+        pool.run(8_000)
+        self.assertEqual(pool.failed, 1)
+
+    def test_upstream_that_always_fails_is_tested_ever_less_often(self):
+        """Guards against callers that pay for frequent tests of a lost upstream."""
+        pool = _LookupSimulation(lambda upstream_id, now_ms: upstream_id == "s0")
+        pool.run(60_000)
+        self.assertLess(pool.failed, 10)
+
+    def test_upstream_that_often_fails_gets_few_requests(self):
+        """Guards against an upstream that passes each test and fails soon after it."""
+        chance = random.Random(3)
+        pool = _LookupSimulation(
+            lambda upstream_id, now_ms: upstream_id == "s0" and chance.random() < 0.3
+        )
+        pool.run(60_000)
+        self.assertLess(pool.failed, 20)
