Test that a host keeps a rest whose upstream its home still grants

Change: a test in which the hosts know of the rest and the home does not: ten requests at once at one host, more than two upstreams have slots for, then a second of steady traffic at all. All are answered by the other upstream, none reaches the one that rests.

Conclusion: the guard stands and is tested; no change of the product.

--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_back_offs.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_back_offs.py
@@ -18,6 +18,8 @@
 # At this time for each request, an upstream with four slots is nearly busy.
 BUSY_MS = 160
 HOSTS = 3
+# More requests at once than two upstreams have slots.
+BURST = 10
 
 
 async def send_steadily(site, seconds, hosts=range(HOSTS)):
@@ -115,6 +117,23 @@
         for host in hosts:
             self.check_rest(resting, host)
 
+    async def test_requests_granted_before_the_home_knows_of_the_rest_are_not_sent(
+        self,
+    ):
+        """Guards against requests on grants that were on their way as a host heard."""
+        resting, other = Replica("s1"), Replica("s2")
+        async with Site({"reservas": [resting, other]}, [LOOKUP], HOSTS) as site:
+            for host in site.hosts:
+                context = host.context
+                now_ms = context.clock.now_ms()
+                context.back_offs.record("reservas", "s1", int(REST_S * 1_000), now_ms)
+            bursts = [send_steadily(site, REQUEST_GAP_S, [0]) for _ in range(BURST)]
+            found = await asyncio.gather(*bursts)
+            found.append(await send_steadily(site, 1.0))
+        statuses = {status for answers in found for status, _ in answers}
+        self.assertEqual(statuses, {200})
+        self.assertEqual(resting.ran, [])
+
     async def test_garbled_rest_changes_nothing(self):
         """Guards against a garbled time that closes an upstream for ever."""
         resting, other = Replica("s1"), Replica("s2")
