Keep a late request queued while the queue is about to empty

Cause: a request past its first token target is reviewed after ten seconds, and refused if others of its tier wait and no lower tier was given a slot in that time. When the ten seconds end with a burst, the queue is empty a moment later.

Ruled out: a lower request that waited at the refusal (the checked property holds at each decision), a full queue (`max_queued` is never reached).

Change: where the expected wait of a late request is 300 ms or less it stays, and is reviewed after a second. Without samples nothing is known of the wait, and the rule is as before.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/admission.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/admission.py
@@ -30,6 +30,10 @@
 # requests of a burst were refused ten seconds after its beginning, and lower tiers
 # were served as it ended.
 LATE_REVIEW_MS = 10_000
+# A late request whose expected wait is not longer than this stays queued: the queue is
+# about to empty, and lower tiers that arrive a moment later would be served instead.
+SHORT_WAIT_MS = 300
+SHORT_WAIT_REVIEW_MS = 1_000
 # A prediction may be wrong by half: a request is treated as answerable in time unless
 # its deadline is nearer than this fraction of the predicted time.
 MIN_HOLD_FRACTION = 0.5
@@ -189,6 +193,22 @@
             return ResultCode.OVERLOADED
         return None
 
+    def late_review_ms(self, request, queue, capacity, estimate, now_ms):
+        """Return the time to the next review of a late request, or None to refuse it.
+
+        Load: the end of a burst. Late requests stay queued while they wait alone in
+        their tier, while lower tiers are served, or while the queue is about to empty.
+        Otherwise every answer would be late under saturation.
+        """
+        rank = request.tier_rank
+        if self.lower_tier_served(rank, now_ms) or not queue.tier(rank).size:
+            return LATE_REVIEW_MS
+        if not estimate.has_samples:
+            return None
+        if self.wait_ms(request, queue, capacity, now_ms) <= SHORT_WAIT_MS:
+            return SHORT_WAIT_REVIEW_MS
+        return None
+
     def retry_after_ms(self, request, queue, capacity, estimate, now_ms):
         """Return the time until the queue is short enough for the request."""
         if capacity.slots <= 0:
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -4,7 +4,6 @@
 from hemlockhoist.decisions.policy import VersionPolicy
 from hemlockhoist.decisions.scheduling.adaptive_tracker import AdaptiveTracker
 from hemlockhoist.decisions.scheduling.admission import (
-    LATE_REVIEW_MS,
     Admission,
     PoolCapacity,
     latest_start_ms,
@@ -410,35 +409,38 @@
     def _refuse_due(self, now_ms):
         """Refuse the waiting requests whose due time has passed.
 
-        A request that has missed its first token target stays queued only while no
-        other request of its tier waits, or while lower tiers are assigned slots.
-        Serving late requests ahead of others of their tier would make every answer
-        late under saturation; refusing them while lower tiers are served would shed a
-        higher tier before a lower one.
+        A request that has missed its first token target stays queued only as long as
+        ``Admission.late_review_ms`` allows. Serving late requests ahead of others of
+        their tier would make every answer late under saturation; refusing them while
+        lower tiers are served would shed a higher tier before a lower one.
         """
         decisions = []
         for waiting in self._queue.take_due(now_ms):
             request = waiting.request
-            code = self._due_refusal_code(request, now_ms)
+            code = self._unanswerable_code(request, now_ms)
+            review_ms = None
             if code is None:
-                waiting.is_late = True
-                due_ms = latest_start_ms(request, self._estimate)
-                due_ms = min(now_ms + LATE_REVIEW_MS, max(now_ms + 1, due_ms))
-                self._queue.push(waiting, due_ms)
-            else:
+                capacity = self._capacity(request, now_ms)
+                review_ms = self._admission.late_review_ms(
+                    request, self._queue, capacity, self._estimate, now_ms
+                )
+            if review_ms is None:
+                code = code or ResultCode.OVERLOADED
                 decisions += self._shedder.shed(request, code, now_ms)
+                continue
+            waiting.is_late = True
+            due_ms = latest_start_ms(request, self._estimate)
+            due_ms = min(now_ms + review_ms, max(now_ms + 1, due_ms))
+            self._queue.push(waiting, due_ms)
         return decisions
 
-    def _due_refusal_code(self, request, now_ms):
-        """Return the code with which a due request is refused, or None."""
+    def _unanswerable_code(self, request, now_ms):
+        """Return the code for a request that cannot be answered any more, or None."""
         if request.deadline_ms <= now_ms:
             return ResultCode.DEADLINE_PASSED
         if latest_start_ms(request, self._estimate) <= now_ms:
             return ResultCode.DEADLINE_UNREACHABLE
-        rank = request.tier_rank
-        if self._admission.lower_tier_served(rank, now_ms):
-            return None
-        return ResultCode.OVERLOADED if self._queue.tier(rank).size else None
+        return None
 
     def _drop_grant(self, grant_id, now_ms):
         held = self._grants.get(grant_id)
--- a/libs/standins/src/hemlockhoist/standins/measure/tests/test_measure.py
+++ b/libs/standins/src/hemlockhoist/standins/measure/tests/test_measure.py
@@ -134,6 +134,22 @@
         self.assertLess(result.refused_permille[0], result.refused_permille[2])
 
 
+class TierOrderTests(unittest.TestCase):
+    def test_a_burst_that_ends_does_not_shed_a_tier_before_a_lower_one(self):
+        """Guards against a late request refused a moment before lower tiers are served.
+
+        The burst's late requests are reviewed as it ends, when its queue is nearly empty.
+        """
+        for seed in (1, 2):
+            run = Run(
+                load="burst 3x",
+                deployment=ASSISTANT_DEPLOYMENT,
+                policy=PRODUCT_POLICY,
+                seed=seed,
+            )
+            self.assertEqual(execute(run).priority_inversions, 0)
+
+
 class SlopeTests(unittest.TestCase):
     def test_fits_a_line_and_its_spread(self):
         """The fit and its spread are those of three repeats with different slopes."""
