Let bookings wait for lookups that an earlier move or home has seen

What callers would see: a booking handled by a new version that no lookup has tested.

Cause: a home that gets a hundred calls that may not be repeated, and no other, takes the pool for one that gets no others. It counted anew in each move and in each home, although the same home had served lookups in the move before, and that move's row named their route.

Ruled out: the gate itself (it holds where a route of lookups is known), a share that was written under an old lease.

Change: the row says whether the pool gets calls that may be repeated, a new move takes that over, and a home remembers them through all moves. Where they are known bookings wait. The field has a default; rows of hosts before it read as they did.

In a pool's first move what other hosts saw stays unknown until a share of a route of lookups is written.

--- a/libs/decisions/src/hemlockhoist/decisions/versions/controller.py
+++ b/libs/decisions/src/hemlockhoist/decisions/versions/controller.py
@@ -19,6 +19,7 @@
     MoveState,
     finish_move,
     is_newer,
+    record_idempotent_calls,
     roll_back_move,
     widen_move,
 )
@@ -55,6 +56,7 @@
         "_events",
         "_finished_ms",
         "_halts",
+        "_has_idempotent_calls",
         "_invariants",
         "_is_over",
         "_is_stale",
@@ -78,6 +80,8 @@
         self._halts = HaltReasons()
         self._events = []
         self._row = None
+        # Whether this home served idempotent calls, in any move.
+        self._has_idempotent_calls = False
         self._last_time_ms = now_ms
         self._is_stale = False
 
@@ -160,6 +164,7 @@
         if not self._is_counted(version):
             return
         self._evaluator.loads.count_grant(version, upstream_id, now_ms)
+        self._has_idempotent_calls |= request.idempotent
         lane = self._lanes.get(request, now_ms)
         if version == self._row.to_version:
             lane.record_new_grant(request, upstream_id, now_ms)
@@ -413,12 +418,15 @@
             return finish_move(
                 self._row, self._row.move_id, reason, AUTHOR, fencing, unix_ms
             )
-        wider = self._planner.wider_lanes(lanes, now_ms)
+        row = self._row
+        if self._has_idempotent_calls:
+            row = record_idempotent_calls(row)
+        wider = self._planner.wider_lanes(lanes, now_ms, row.has_idempotent_calls)
         if not wider:
             return None
-        known = {(item.route, item.idempotent): item for item in self._row.lanes}
+        known = {(item.route, item.idempotent): item for item in row.lanes}
         known |= {(item.route, item.idempotent): item for item in wider}
-        return widen_move(self._row, self._row.move_id, tuple(known.values()), fencing)
+        return widen_move(row, row.move_id, tuple(known.values()), fencing)
 
     def _record_time(self, now_ms):
         if now_ms - self._last_time_ms > SUSPENSION_LIMIT_MS:
--- a/libs/decisions/src/hemlockhoist/decisions/versions/move.py
+++ b/libs/decisions/src/hemlockhoist/decisions/versions/move.py
@@ -77,6 +77,8 @@
         Fencing token of the last lease under which the shares were increased.
     lanes : tuple of LaneShare
         A route that is not listed has the first share of the pool's rules.
+    has_idempotent_calls : bool
+        Whether the pool got idempotent calls, in this move or an earlier one.
     """
 
     move_id: str
@@ -92,6 +94,7 @@
     fencing: int = 0
     lanes: tuple[LaneShare, ...] = ()
     ended_unix_ms: int = 0
+    has_idempotent_calls: bool = False
 
     @property
     def serving_version(self):
@@ -161,6 +164,7 @@
         reason=request.reason,
         author=request.author,
         fencing=0 if row is None else row.fencing,
+        has_idempotent_calls=row is not None and _has_idempotent_calls(row),
     )
 
 
@@ -220,6 +224,15 @@
     )
 
 
+def record_idempotent_calls(row):
+    """Return the row of a pool that got idempotent calls."""
+    return msgspec.structs.replace(row, has_idempotent_calls=True)
+
+
+def _has_idempotent_calls(row):
+    return row.has_idempotent_calls or any(lane.idempotent for lane in row.lanes)
+
+
 def finish_move(row, move_id, reason, author, fencing, unix_ms):
     """Return the row of a finished move; raises the errors of ``widen_move``.
 
--- a/libs/decisions/src/hemlockhoist/decisions/versions/planner.py
+++ b/libs/decisions/src/hemlockhoist/decisions/versions/planner.py
@@ -63,13 +63,16 @@
             lane.share_permille
         )
 
-    def wider_lanes(self, lanes, now_ms):
+    def wider_lanes(self, lanes, now_ms, has_idempotent_calls=False):
         """Return the shares that may be increased now, each by one step.
 
         Parameters
         ==========
         lanes : sequence of Lane
         now_ms : int
+        has_idempotent_calls : bool, optional
+            Whether the pool is known to get idempotent calls, though none of these
+            lanes may be idempotent.
 
         Returns
         =======
@@ -78,6 +81,8 @@
         """
         wider = []
         for lane in lanes:
+            if not self._may_start(lane, lanes, has_idempotent_calls):
+                continue
             share = self._share(lane, lanes, now_ms)
             if share > lane.share_permille:
                 wider.append(
@@ -100,11 +105,7 @@
 
     def _share(self, lane, lanes, now_ms):
         share = lane.share_permille
-        if (
-            lane.is_suspect
-            or share >= FULL_PERMILLE
-            or not self._may_start(lane, lanes)
-        ):
+        if lane.is_suspect or share >= FULL_PERMILLE:
             return share
         # Slow answers arrive last. A step that is evaluated before they can have
         # arrived would be evaluated by the fast ones alone.
@@ -154,12 +155,18 @@
             return []
         return [lane for lane in lanes if self._is_deferred(lane)]
 
-    def _may_start(self, lane, lanes):
-        """Return whether the lane has begun, is not deferred, or may begin now."""
+    def _may_start(self, lane, lanes, has_idempotent_calls):
+        """Return whether the lane has begun, is not deferred, or may begin now.
+
+        Failure prevented: a home gets only non-idempotent calls for a while, takes the
+        pool for one without others, and sends them to a version that was not tested.
+        """
         if lane.share_permille or not self._is_deferred(lane):
             return True
         ahead = [item for item in lanes if item.idempotent]
         total = sum(item.granted_count for item in ahead)
+        if not ahead and has_idempotent_calls:
+            return False
         if not ahead:
             return lane.granted_count >= NON_IDEMPOTENT_ONLY_GRANTS
         if not total:
--- a/libs/decisions/src/hemlockhoist/decisions/versions/tests/test_fleet.py
+++ b/libs/decisions/src/hemlockhoist/decisions/versions/tests/test_fleet.py
@@ -183,6 +183,18 @@
         print(f"mutation: overdue answers: verdict after {traffic.sequence} requests")
 
 
+class IdempotentFirstTest(unittest.TestCase):
+    def test_bookings_wait_where_an_earlier_home_or_move_saw_lookups(self):
+        """Guards against bookings as the first calls of an unproven version.
+
+        A home gets a hundred bookings of a new move before any lookup, and takes the
+        pool for one without lookups.
+        """
+        for seed in (37, 61, 67):
+            with self.subTest(seed=seed):
+                self.assertIsNone(steps_until_failure(seed))
+
+
 class StrictBoundTest(unittest.TestCase):
     def test_bad_version_at_full_share_is_bounded_over_all_homes(self):
         """Guards against bad answers that start again with each new home.
--- a/libs/decisions/src/hemlockhoist/decisions/versions/tests/test_move.py
+++ b/libs/decisions/src/hemlockhoist/decisions/versions/tests/test_move.py
@@ -52,6 +52,19 @@
         back = start_move(done, request("m2", "v2", "v1"), 2_000)
         self.assertEqual((back.state, back.fencing), (MoveState.RUNNING, 3))
 
+    def test_next_move_knows_that_the_pool_gets_idempotent_calls(self):
+        """Guards against a new move that takes its pool for one without lookups."""
+        row = start_move(None, request(), 1_000)
+        self.assertFalse(row.has_idempotent_calls)
+        lanes = (LaneShare(route="GET /x", idempotent=True, share_permille=50),)
+        widened = widen_move(row, "m1", lanes, 1)
+        back = roll_back_move(widened, "m1", "slow", "hemlockhoist")
+        second = start_move(back, request("m2"), 2_000)
+        self.assertTrue(second.has_idempotent_calls)
+        again = roll_back_move(second, "m2", "slow", "hemlockhoist")
+        third = start_move(again, request("m3"), 3_000)
+        self.assertTrue(third.has_idempotent_calls)
+
     def test_invalid_requests_are_refused(self):
         for bad in (
             request(to_version="v1"),
