Split the grants and the records of an exchange from it

Cause: entry/exchange.py had grown to 560 lines with the grant that is acquired beside a running attempt; grants, attempts, metrics and final responses stood in one class.

Change: RequestGrants holds the grants of one request (briefs, the upstreams to avoid, the grant that continues a silent stream), attempt_records counts and logs what an attempt came to, and an attempt records its own stream. Statements are moved, none is changed; 411 lines are left.

--- a/libs/entry/src/hemlockhoist/entry/attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt.py
@@ -87,6 +87,23 @@
         started_unix_ms = self.signals.leaving_started_unix_ms if self.signals else None
         return "" if started_unix_ms is None else "true"
 
+    def record_stream(self, relay, earlier_events, tokens_per_event):
+        """Record what was relayed of a stream in this attempt.
+
+        Parameters
+        ==========
+        relay : StreamRelay
+        earlier_events : int
+            Number of events that were relayed before this attempt.
+        tokens_per_event : int
+        """
+        self.output_tokens = (relay.event_count - earlier_events) * tokens_per_event
+        self.longest_gap_ms = relay.longest_gap_ms
+        self.silent_ms = relay.silent_ms()
+        event_us = relay.median_event_us()
+        if event_us > 0:
+            self.token_us = event_us // tokens_per_event
+
     def record_end(self, end):
         """Set the outcome kind from how the attempt ended; None means success."""
         self.kind = OutcomeKind.SUCCESS if end is None else _OUTCOMES[end]
--- /dev/null
+++ b/libs/entry/src/hemlockhoist/entry/attempt_records.py
@@ -0,0 +1,81 @@
+"""Metrics and the log line of an attempt that has ended."""
+
+from hemlockhoist.base import get_logger
+from hemlockhoist.base.metrics_table import (
+    ANSWER_MS,
+    ATTEMPTS_ENDED,
+    FIRST_TOKEN_MS,
+    HOLD_MS,
+    REQUESTS_GOOD,
+    REQUESTS_WHOLE,
+)
+from hemlockhoist.decisions import OutcomeKind
+
+_log = get_logger("entry.exchange")
+
+
+def count_attempt(metrics, attempt, outcome):
+    """Count an attempt by its outcome.
+
+    Parameters
+    ==========
+    metrics : Metrics
+    attempt : Attempt
+    outcome : Outcome
+    """
+    metrics.count(ATTEMPTS_ENDED, outcome.kind.value)
+    if outcome.total_ms >= 0:
+        metrics.time(HOLD_MS, outcome.total_ms, attempt.hold.pool)
+
+
+def count_success(metrics, admitted, attempt, now_ms):
+    """Count a successful response, and whether it met its target time.
+
+    Parameters
+    ==========
+    metrics : Metrics
+    admitted : AdmittedCall
+    attempt : Attempt
+    now_ms : int
+    """
+    metrics.count(REQUESTS_WHOLE, admitted.tier)
+    metrics.time(ANSWER_MS, now_ms - admitted.arrived_ms, admitted.tier)
+    first_ms = now_ms if attempt.first_ms is None else attempt.first_ms
+    metrics.time(FIRST_TOKEN_MS, first_ms - admitted.arrived_ms, admitted.tier)
+    if first_ms <= admitted.target_by_ms:
+        metrics.count(REQUESTS_GOOD, admitted.tier)
+
+
+def log_attempt(request_id, number, attempt, outcome):
+    """Log the end of an attempt.
+
+    Parameters
+    ==========
+    request_id : str
+    number : int
+        1 for the request's first attempt.
+    attempt : Attempt
+    outcome : Outcome
+    """
+    hold = attempt.hold
+    went_well = outcome.kind in (OutcomeKind.SUCCESS, OutcomeKind.CANCELLED)
+    log = _log.info if went_well else _log.warning
+    log(
+        "attempt_ended",
+        request=request_id,
+        attempt=number,
+        upstream=hold.upstream_id,
+        version=hold.version,
+        home=hold.home,
+        outcome=outcome.kind.value,
+        sent=attempt.guard.dispatched,
+        waited_ms=attempt.waited_ms,
+        first_ms=outcome.first_token_ms,
+        total_ms=outcome.total_ms,
+        longest_gap_ms=attempt.longest_gap_ms,
+        silent_ms=attempt.silent_ms,
+        limit_per_s=attempt.limit_text,
+        back_off_ms=attempt.back_off_text,
+        leaving=attempt.leaving_text,
+        reason=attempt.reason,
+    )
--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -1,7 +1,6 @@
 """Execution of one admitted request: grants, attempts and the final response."""
 
 import asyncio
-import itertools
 
 from hemlockhoist.base import (
     MS_PER_S,
@@ -13,27 +12,22 @@
     ResultCode,
     get_logger,
 )
-from hemlockhoist.base.metrics_table import (
-    ANSWER_MS,
-    ATTEMPTS_ENDED,
-    FIRST_TOKEN_MS,
-    GRANTS_OUTDATED,
-    HOLD_MS,
-    QUEUE_WAIT_MS,
-    REQUESTS_GOOD,
-    REQUESTS_WHOLE,
-    STREAMS_CUT,
-)
+from hemlockhoist.base.metrics_table import GRANTS_OUTDATED, STREAMS_CUT
 from hemlockhoist.base.traces import Hop
-from hemlockhoist.decisions import Outcome, OutcomeKind
+from hemlockhoist.decisions import OutcomeKind
 from hemlockhoist.decisions.entry import AttemptEnd, CutCause, Step, next_step
 from hemlockhoist.declarations import CallKind
 from hemlockhoist.entry.attempt import Attempt
+from hemlockhoist.entry.attempt_records import (
+    count_attempt,
+    count_success,
+    log_attempt,
+)
+from hemlockhoist.entry.request_grants import RequestGrants
 from hemlockhoist.entry.responses import upstream_response
 from hemlockhoist.entry.signals import SignalRecorder
 from hemlockhoist.entry.stream import StreamRelay
 from hemlockhoist.entry.wire import UpstreamDirectives
-from hemlockhoist.messages import RequestBrief
 from hemlockhoist.upstreams import SendGuard, UpstreamCall
 
 _log = get_logger("entry.exchange")
@@ -43,8 +37,6 @@
 MAX_RESPONSE_BYTES = 8_388_608
 _OK = 200
 _SERVER_ERROR = 500
-# Prefix of the incarnation in attempt ids; long enough to distinguish a fleet's hosts.
-INCARNATION_DIGITS = 6
 # Retry-After of requests that are refused as no upstream responded.
 RETRY_AFTER_MS = 300
 
@@ -62,29 +54,21 @@
         Queried again just before each send, as the key may have been revoked.
     """
 
-    _numbers = itertools.count(1)
-
     __slots__ = (
         "_admission",
         "_admitted",
         "_attempts",
         "_body",
         "_context",
-        "_current",
         "_cut_cause",
-        "_dispatch_count",
         "_failed_response",
-        "_failed_upstreams",
-        "_grant_requests",
+        "_grants",
         "_may_have_run",
-        "_number",
         "_reason",
         "_relay",
-        "_replacement",
         "_sent_count",
         "_signals",
         "_unsent_count",
-        "request_id",
     )
 
     def __init__(self, context, request, admitted, body, admission):
@@ -94,22 +78,14 @@
         self._signals = SignalRecorder(context)
         self._body = body
         self._attempts = 0
-        self._grant_requests = 0
-        # The attempt in progress, and the grant of another upstream that continues its
-        # stream. None if there is none.
-        self._current = None
-        self._replacement = None
-        self._dispatch_count = 0
         self._sent_count = 0
         self._unsent_count = 0
         self._may_have_run = False
         self._failed_response = None
-        self._failed_upstreams = []
         self._reason = ""
         # Why a started stream would be cut if no other upstream can continue it.
         self._cut_cause = CutCause.REFUSED
-        self._number = next(self._numbers)
-        self.request_id = admitted.call.request_id or f"r{self._number}"
+        self._grants = RequestGrants(context, admitted)
         self._relay = None
         if admitted.route.kind is CallKind.STREAM:
             self._relay = StreamRelay(
@@ -144,13 +120,13 @@
             # upstream, and the refusal would be written into the started response.
             return self._abort_stream(CutCause.REFUSED, error.message)
         finally:
-            self._release_replacement()
+            self._grants.release_unused()
 
     async def _run_attempts(self):
         while True:
             self._attempts += 1
             try:
-                hold, waited_ms = await self._next_grant()
+                hold, waited_ms = await self._grants.next_grant()
             except Refused as error:
                 return self._end_without_grant(error)
             response, end = await self._attempt(hold, waited_ms)
@@ -166,45 +142,8 @@
             if step is not Step.TRY_ANOTHER:
                 return self._final_result(step, end)
 
-    # Grants.
-
-    async def _next_grant(self):
-        """Return the grant of the next attempt, and the time spent waiting for it."""
-        if self._replacement is None:
-            return await self._acquire()
-        grant, self._replacement = self._replacement, None
-        return grant
-
-    async def _acquire(self):
-        """Return a grant and the time spent waiting for it, in milliseconds."""
-        self._grant_requests += 1
-        requested_ms = self._context.clock.now_ms()
-        with self._context.traces.span(Hop.GRANT, pool=self._admitted.pool):
-            hold = await self._context.grants.acquire(
-                self._admitted.pool, self._request_brief, self._admitted.deadline_ms
-            )
-        waited_ms = self._context.clock.now_ms() - requested_ms
-        self._context.metrics.time(QUEUE_WAIT_MS, waited_ms, self._admitted.tier)
-        return hold, waited_ms
-
     async def _find_replacement(self):
         """Acquire a grant to continue the current stream elsewhere; return success."""
-        if not self._may_continue_elsewhere():
-            return False
-        try:
-            self._replacement = await self._acquire()
-        except Refused as error:
-            _log.info(
-                "stream_kept",
-                request=self.request_id,
-                upstream=self._current.hold.upstream_id,
-                silent_ms=self._relay.silent_ms(),
-                reason=error.message,
-            )
-            return False
-        return True
-
-    def _may_continue_elsewhere(self):
         step = next_step(
             AttemptEnd.TIMED_OUT,
             self._admitted.route,
@@ -212,62 +151,16 @@
             self._sent_count + 1,
             self._unsent_count,
         )
-        return step is Step.TRY_ANOTHER and not self._context.grants.is_refusing
-
-    def _release_replacement(self):
-        """Release a grant that was acquired for a stream that has ended meanwhile."""
-        if self._replacement is not None:
-            hold, _waited_ms = self._replacement
-            self._context.grants.release(hold, Outcome(kind=OutcomeKind.NOT_SENT))
-
-    def _request_brief(self, now_ms):
-        admitted = self._admitted
-        dispatched, avoid = self._dispatch_count, tuple(self._failed_upstreams)
-        if self._current is not None:
-            dispatched += self._current.guard.dispatched
-            avoid += (self._current.hold.upstream_id,)
-        return RequestBrief(
-            request_id=self._grant_request_id,
-            route=admitted.route.name,
-            customer=admitted.customer.name if admitted.customer else "",
-            tier_rank=admitted.rank,
-            # A stream broken by a bad version is lost but has no side effects.
-            idempotent=admitted.route.kind is not CallKind.NON_IDEMPOTENT,
-            prompt_tokens=admitted.call.prompt_tokens,
-            output_tokens=admitted.output_tokens,
-            deadline_in_ms=admitted.deadline_ms - now_ms,
-            first_token_in_ms=admitted.target_by_ms - now_ms,
-            max_wait_ms=admitted.waits_until_ms - now_ms,
-            max_gap_ms=admitted.route.max_gap_ms,
-            failure_domain=self._context.identity.failure_domain,
-            trace=self._context.traces.context_for_peer(),
-            attempt=1 + dispatched,
-            # Charged once: a request whose upstream was unreachable requests another
-            # grant without being counted again.
-            units=admitted.units if self._grant_requests == 1 else 0,
-            is_new=self._grant_requests == 1,
-            avoid=avoid,
-            prefix_hashes=admitted.prefix_hashes,
-            prefix_tokens=admitted.prefix_tokens,
-            regions=admitted.regions,
-        )
-
-    @property
-    def _grant_request_id(self):
-        """The id of the latest request for a grant between hosts.
-
-        It starts with the caller's request id, so that one search finds all log lines
-        of a request on all hosts, and is unique even if a caller reuses its id.
-        """
-        prefix = self._context.identity.incarnation[:INCARNATION_DIGITS]
-        return f"{self.request_id}/{prefix}{self._number:x}.{self._grant_requests}"
+        if step is not Step.TRY_ANOTHER or self._context.grants.is_refusing:
+            return False
+        return await self._grants.find_replacement(self._relay)
 
     # One attempt.
 
     async def _attempt(self, hold, waited_ms):
         """Run one attempt; return ``(response, None)`` or ``(None, AttemptEnd)``."""
         attempt = Attempt(hold, self._send_guard(hold), waited_ms)
-        self._current = attempt
+        self._grants.on_attempt_started(attempt)
         attempt.started_unix_ms = self._context.store_view.started_unix_ms(
             hold.upstream_id
         )
@@ -276,35 +169,19 @@
                 response, end = await self._send(attempt)
             attempt.record_end(end)
             if end is None:
-                self._count_success(attempt)
+                now_ms = self._context.clock.now_ms()
+                count_success(self._context.metrics, self._admitted, attempt, now_ms)
             self._record_failure(attempt, end)
             return response, end
         finally:
-            self._current = None
+            self._grants.on_attempt_ended()
             self._record_dispatch(attempt)
             if self._is_past_deadline and attempt.kind is OutcomeKind.CANCELLED:
                 attempt.kind = OutcomeKind.TIMEOUT
             outcome = attempt.outcome(self._context.clock.now_ms())
             self._context.grants.release(hold, outcome, attempt.unreported_signals)
-            self._count_attempt(attempt, outcome)
-            self._log_attempt(attempt, outcome)
-
-    def _count_attempt(self, attempt, outcome):
-        metrics = self._context.metrics
-        metrics.count(ATTEMPTS_ENDED, outcome.kind.value)
-        if outcome.total_ms >= 0:
-            metrics.time(HOLD_MS, outcome.total_ms, attempt.hold.pool)
-
-    def _count_success(self, attempt):
-        """Count a successful response, and whether it met its target time."""
-        metrics, admitted = self._context.metrics, self._admitted
-        now_ms = self._context.clock.now_ms()
-        metrics.count(REQUESTS_WHOLE, admitted.tier)
-        metrics.time(ANSWER_MS, now_ms - admitted.arrived_ms, admitted.tier)
-        first_ms = now_ms if attempt.first_ms is None else attempt.first_ms
-        metrics.time(FIRST_TOKEN_MS, first_ms - admitted.arrived_ms, admitted.tier)
-        if first_ms <= admitted.target_by_ms:
-            metrics.count(REQUESTS_GOOD, admitted.tier)
+            count_attempt(self._context.metrics, attempt, outcome)
+            log_attempt(self.request_id, self._attempts, attempt, outcome)
 
     def _send_guard(self, hold):
         return SendGuard(
@@ -344,10 +221,9 @@
         self._cut_cause = CutCause.after(end)
         is_reached = attempt.is_reachable and not attempt.grant_outdated
         if end is not AttemptEnd.NOT_SENT or not is_reached:
-            self._failed_upstreams.append(attempt.hold.upstream_id)
+            self._grants.avoid(attempt.hold.upstream_id)
 
     def _record_dispatch(self, attempt):
-        self._dispatch_count += attempt.guard.dispatched
         if attempt.is_misdirected or not attempt.guard.dispatched:
             self._unsent_count += 1
         else:
@@ -459,13 +335,7 @@
             pool = self._context.store_view.routes.pool(self._admitted.pool)
             engine = pool.engine if pool is not None else None
             tokens_per_event = engine.tokens_per_event if engine else 1
-            events = self._relay.event_count - before
-            attempt.output_tokens = events * tokens_per_event
-            attempt.longest_gap_ms = self._relay.longest_gap_ms
-            attempt.silent_ms = self._relay.silent_ms()
-            event_us = self._relay.median_event_us()
-            if event_us > 0:
-                attempt.token_us = event_us // tokens_per_event
+            attempt.record_stream(self._relay, before, tokens_per_event)
         return caller_response, None
 
     # Final responses.
@@ -520,6 +390,11 @@
         """Whether the deadline of the request has passed."""
         return self._context.clock.now_ms() >= self._admitted.deadline_ms
 
+    @property
+    def request_id(self):
+        """The caller's id of the request, or one of this host."""
+        return self._grants.request_id
+
     @property
     def attempts(self):
         """Number of attempts begun so far."""
@@ -534,27 +409,3 @@
     def response_started(self):
         """Whether any part of the response has been sent to the caller."""
         return self._relay is not None and self._relay.started
-
-    def _log_attempt(self, attempt, outcome):
-        hold = attempt.hold
-        went_well = outcome.kind in (OutcomeKind.SUCCESS, OutcomeKind.CANCELLED)
-        log = _log.info if went_well else _log.warning
-        log(
-            "attempt_ended",
-            request=self.request_id,
-            attempt=self._attempts,
-            upstream=hold.upstream_id,
-            version=hold.version,
-            home=hold.home,
-            outcome=outcome.kind.value,
-            sent=attempt.guard.dispatched,
-            waited_ms=attempt.waited_ms,
-            first_ms=outcome.first_token_ms,
-            total_ms=outcome.total_ms,
-            longest_gap_ms=attempt.longest_gap_ms,
-            silent_ms=attempt.silent_ms,
-            limit_per_s=attempt.limit_text,
-            back_off_ms=attempt.back_off_text,
-            leaving=attempt.leaving_text,
-            reason=attempt.reason,
-        )
--- /dev/null
+++ b/libs/entry/src/hemlockhoist/entry/request_grants.py
@@ -0,0 +1,168 @@
+"""The grants of one request: for its attempts, and to continue a silent stream."""
+
+import itertools
+
+from hemlockhoist.base import Refused, get_logger
+from hemlockhoist.base.metrics_table import QUEUE_WAIT_MS
+from hemlockhoist.base.traces import Hop
+from hemlockhoist.decisions import Outcome, OutcomeKind
+from hemlockhoist.declarations import CallKind
+from hemlockhoist.messages import RequestBrief
+
+_log = get_logger("entry.exchange")
+
+# Prefix of the incarnation in grant request ids; long enough to distinguish a fleet's
+# hosts.
+INCARNATION_DIGITS = 6
+
+
+class RequestGrants:
+    """Acquires the grants of one request, one at a time.
+
+    Parameters
+    ==========
+    context : EntryContext
+    admitted : AdmittedCall
+
+    Attributes
+    ==========
+    request_id : str
+        The caller's id, or one of this host.
+    """
+
+    _numbers = itertools.count(1)
+
+    __slots__ = (
+        "_admitted",
+        "_avoided_upstreams",
+        "_context",
+        "_current",
+        "_dispatch_count",
+        "_number",
+        "_replacement",
+        "_request_count",
+        "request_id",
+    )
+
+    def __init__(self, context, admitted):
+        self._context = context
+        self._admitted = admitted
+        self._number = next(self._numbers)
+        self._request_count = 0
+        self._dispatch_count = 0
+        self._avoided_upstreams = []
+        # The attempt in progress, and the grant of another upstream that continues its
+        # stream. None if there is none.
+        self._current = None
+        self._replacement = None
+        self.request_id = admitted.call.request_id or f"r{self._number}"
+
+    async def next_grant(self):
+        """Return the grant of the next attempt, and the time spent waiting for it.
+
+        Returns
+        =======
+        (GrantHold, int)
+            The time is in milliseconds.
+
+        Raises
+        ======
+        Refused
+        """
+        if self._replacement is None:
+            return await self._acquire()
+        grant, self._replacement = self._replacement, None
+        return grant
+
+    async def find_replacement(self, relay):
+        """Acquire a grant to continue the current stream elsewhere; return success.
+
+        Parameters
+        ==========
+        relay : StreamRelay
+        """
+        try:
+            self._replacement = await self._acquire()
+        except Refused as error:
+            _log.info(
+                "stream_kept",
+                request=self.request_id,
+                upstream=self._current.hold.upstream_id,
+                silent_ms=relay.silent_ms(),
+                reason=error.message,
+            )
+            return False
+        return True
+
+    def release_unused(self):
+        """Release a grant that was acquired for a stream that has ended meanwhile."""
+        if self._replacement is not None:
+            hold, _waited_ms = self._replacement
+            self._context.grants.release(hold, Outcome(kind=OutcomeKind.NOT_SENT))
+
+    def on_attempt_started(self, attempt):
+        """Record the attempt that is in progress."""
+        self._current = attempt
+
+    def on_attempt_ended(self):
+        """Record the end of the attempt in progress."""
+        self._dispatch_count += self._current.guard.dispatched
+        self._current = None
+
+    def avoid(self, upstream_id):
+        """Ask for other upstreams from now on, while there are any."""
+        self._avoided_upstreams.append(upstream_id)
+
+    async def _acquire(self):
+        admitted, clock = self._admitted, self._context.clock
+        self._request_count += 1
+        requested_ms = clock.now_ms()
+        with self._context.traces.span(Hop.GRANT, pool=admitted.pool):
+            hold = await self._context.grants.acquire(
+                admitted.pool, self._brief, admitted.deadline_ms
+            )
+        waited_ms = clock.now_ms() - requested_ms
+        self._context.metrics.time(QUEUE_WAIT_MS, waited_ms, admitted.tier)
+        return hold, waited_ms
+
+    def _brief(self, now_ms):
+        admitted = self._admitted
+        dispatch_count, avoid = self._dispatch_count, tuple(self._avoided_upstreams)
+        if self._current is not None:
+            dispatch_count += self._current.guard.dispatched
+            avoid += (self._current.hold.upstream_id,)
+        return RequestBrief(
+            request_id=self._grant_request_id,
+            route=admitted.route.name,
+            customer=admitted.customer.name if admitted.customer else "",
+            tier_rank=admitted.rank,
+            # A stream broken by a bad version is lost but has no side effects.
+            idempotent=admitted.route.kind is not CallKind.NON_IDEMPOTENT,
+            prompt_tokens=admitted.call.prompt_tokens,
+            output_tokens=admitted.output_tokens,
+            deadline_in_ms=admitted.deadline_ms - now_ms,
+            first_token_in_ms=admitted.target_by_ms - now_ms,
+            max_wait_ms=admitted.waits_until_ms - now_ms,
+            max_gap_ms=admitted.route.max_gap_ms,
+            failure_domain=self._context.identity.failure_domain,
+            trace=self._context.traces.context_for_peer(),
+            attempt=1 + dispatch_count,
+            # Charged once: a request whose upstream was unreachable requests another
+            # grant without being counted again.
+            units=admitted.units if self._request_count == 1 else 0,
+            is_new=self._request_count == 1,
+            avoid=avoid,
+            prefix_hashes=admitted.prefix_hashes,
+            prefix_tokens=admitted.prefix_tokens,
+            regions=admitted.regions,
+        )
+
+    @property
+    def _grant_request_id(self):
+        """The id of the latest request for a grant between hosts.
+
+        It starts with the caller's request id, so that one search finds all log lines
+        of a request on all hosts, and is unique even if a caller reuses its id.
+        """
+        prefix = self._context.identity.incarnation[:INCARNATION_DIGITS]
+        return f"{self.request_id}/{prefix}{self._number:x}.{self._request_count}"
