Log which upstreams the home suspends, and name them in refusals

Added: upstream_suspended and upstream_resumed with the host that reported the outcome, the suspended upstreams in the texts of refusals and of queued requests, and the cause 'suspension' of grants.held_back. No decision changes.

--- a/libs/base/src/hemlockhoist/base/metrics_table.py
+++ b/libs/base/src/hemlockhoist/base/metrics_table.py
@@ -302,11 +302,11 @@
     "grants.held_back",
     _C,
     "cause",
-    "Requests that were queued or refused while an upstream had a free slot that it "
-    "asked not to be given: it advertises a limit on its requests (limit), or wants "
-    "none from the entry host for a while (back_off).",
-    "If it is continuous, the upstreams can't take the load: see limit_advertised and "
-    "back_off_requested.",
+    "Requests that were queued or refused while an upstream had a free slot that was "
+    "not to be given: it advertises a limit on its requests (limit), wants none from "
+    "the entry host for a while (back_off), or requests failed there (suspension).",
+    "If it is continuous, the upstreams can't take the load: see limit_advertised, "
+    "back_off_requested and upstream_suspended.",
 )
 LEDGER_IN_PROGRESS = Metric(
     "ledger.in_progress",
--- a/libs/cli/src/hemlockhoist/cli/explain.py
+++ b/libs/cli/src/hemlockhoist/cli/explain.py
@@ -38,6 +38,8 @@
         "upstream_gone",
         "upstream_leaving",
         "upstream_listed",
+        "upstream_resumed",
+        "upstream_suspended",
     }
 )
 # The context covers this time before a request's first line and after its last line.
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
@@ -102,10 +102,15 @@
 
     def slots(self, upstream_id, now_ms):
         """Return how many requests an upstream may hold."""
-        tracked = self._tracked[upstream_id]
-        if upstream_id in self._suspended and not tracked.allows_request(now_ms):
+        if self.is_suspended(upstream_id, now_ms):
             return 0
-        return tracked.limit.slots
+        return self._tracked[upstream_id].limit.slots
+
+    def is_suspended(self, upstream_id, now_ms):
+        """Return whether an upstream gets no request now, as others failed there."""
+        if upstream_id not in self._suspended:
+            return False
+        return not self._tracked[upstream_id].allows_request(now_ms)
 
     def accepts_more(self, upstream_id, now_ms):
         """Return whether an upstream may take a request, apart from free slots."""
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -252,6 +252,13 @@
         """Record that an upstream wants no requests from an entry host until a time."""
         self._upstreams.on_back_off(upstream_id, host, until_ms, now_ms)
 
+    def is_suspended(self, upstream_id, now_ms):
+        """Return whether an upstream gets no request now, as others failed there."""
+        tracker = self._upstreams.tracker
+        return tracker.get(upstream_id) is not None and tracker.is_suspended(
+            upstream_id, now_ms
+        )
+
     def held_back(self, host, now_ms, max_count):
         """Return the upstreams with a free slot that a host's requests may not use.
 
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
@@ -18,7 +18,7 @@
 
 
 class HeldBack(msgspec.Struct, frozen=True):
-    """Upstreams with a free slot that ask not to be sent a request now.
+    """Upstreams with a free slot that are not to be sent a request now.
 
     Parameters
     ==========
@@ -26,10 +26,14 @@
         Those whose advertised limits are used up.
     backed_off : tuple of str
         Those that want no requests from the entry host.
+    suspended : tuple of str
+        Those that get no requests for a while, as connections to them failed or they
+        turned requests away.
     """
 
     limited: tuple[str, ...] = ()
     backed_off: tuple[str, ...] = ()
+    suspended: tuple[str, ...] = ()
 
     def __str__(self):
         parts = []
@@ -37,6 +41,8 @@
             parts.append(f"limited {','.join(self.limited)}")
         if self.backed_off:
             parts.append(f"backed off {','.join(self.backed_off)}")
+        if self.suspended:
+            parts.append(f"suspended {','.join(self.suspended)}")
         return " ".join(parts)
 
 
@@ -170,7 +176,13 @@
 
             found = self._with_unused_slot(wait_ms, now_ms)
             backed_off = tuple(itertools.islice(found, max_count))
-        return HeldBack(limited, backed_off)
+        suspended = (
+            item.upstream_id
+            for item in self.table.usable()
+            if self.tracker.is_suspended(item.upstream_id, now_ms)
+        )
+        suspended = tuple(itertools.islice(suspended, max_count))
+        return HeldBack(limited, backed_off, suspended)
 
     def _with_unused_slot(self, wait_ms, now_ms):
         """Yield the upstreams with a free slot whose ``wait_ms`` is not 0."""
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/upstream_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/upstream_tracker.py
@@ -121,6 +121,10 @@
         """Return when an advertised limit allows the next request, as time from now."""
         return 0
 
+    def is_suspended(self, upstream_id, now_ms):
+        """Return whether an upstream gets no request now, as others failed there."""
+        return False
+
     def on_turned_away(self, upstream_id, now_ms):
         """Record that an upstream turned a request away and asked its host for rest."""
 
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -284,7 +284,10 @@
         if granted is not None and granted[0].grant_id == grant_id:
             del self._granted[request_id]
             self._count_wasted(request_id, outcome)
-        self._emit(self.scheduler.release(grant_id, outcome, now_ms), now_ms)
+        held = self.scheduler.in_flight_grant(grant_id)
+        decisions = self.scheduler.release(grant_id, outcome, now_ms)
+        self._signals.log_suspension(held, outcome.kind)
+        self._emit(decisions, now_ms)
 
     def _count_wasted(self, request_id, outcome):
         """Count prompt tokens computed again although another upstream had them cached.
--- a/libs/host/src/hemlockhoist/host/home_signals.py
+++ b/libs/host/src/hemlockhoist/host/home_signals.py
@@ -2,6 +2,7 @@
 
 from hemlockhoist.base import get_logger
 from hemlockhoist.base.metrics_table import GRANTS_HELD_BACK
+from hemlockhoist.decisions import OutcomeKind
 from hemlockhoist.messages import NO_LIMIT
 
 _log = get_logger("host.home")
@@ -12,6 +13,8 @@
 # wants no requests from the entry host for a while.
 LIMIT_CAUSE = "limit"
 BACK_OFF_CAUSE = "back_off"
+# Connections to an upstream failed, or it turned requests away.
+SUSPENSION_CAUSE = "suspension"
 
 
 class HomeSignals:
@@ -28,7 +31,14 @@
         announced to an entry host that it is about to stop.
     """
 
-    __slots__ = ("_clock", "_metrics", "_on_leaving", "_pool", "_scheduler")
+    __slots__ = (
+        "_clock",
+        "_metrics",
+        "_on_leaving",
+        "_pool",
+        "_scheduler",
+        "_suspended",
+    )
 
     def __init__(self, pool, scheduler, clock, metrics, on_leaving):
         self._pool = pool
@@ -36,6 +46,37 @@
         self._clock = clock
         self._metrics = metrics
         self._on_leaving = on_leaving
+        self._suspended = set()
+
+    def log_suspension(self, held, kind):
+        """Log that an outcome suspended an upstream, or ended its suspension.
+
+        Parameters
+        ==========
+        held : InFlightGrant or None
+            The grant that was released, None if it was not in flight.
+        kind : OutcomeKind
+        """
+        if held is None:
+            return
+        upstream_id = held.grant.upstream_id
+        is_suspended = self._scheduler.is_suspended(upstream_id, self._clock.now_ms())
+        if is_suspended and upstream_id not in self._suspended:
+            self._suspended.add(upstream_id)
+            self._log_suspension("upstream_suspended", held, kind)
+        elif kind is OutcomeKind.SUCCESS and upstream_id in self._suspended:
+            self._suspended.discard(upstream_id)
+            self._log_suspension("upstream_resumed", held, kind)
+
+    def _log_suspension(self, event, held, kind):
+        _log.info(
+            event,
+            pool=self._pool,
+            upstream=held.grant.upstream_id,
+            reported_by=held.request.entry_host,
+            outcome=kind.value,
+            request=held.request.request_id,
+        )
 
     def observe(self, message):
         """Record the signals in a message about a grant that is still in flight.
@@ -98,6 +139,8 @@
             self._metrics.count(GRANTS_HELD_BACK, LIMIT_CAUSE)
         if held_back.backed_off:
             self._metrics.count(GRANTS_HELD_BACK, BACK_OFF_CAUSE)
+        if held_back.suspended:
+            self._metrics.count(GRANTS_HELD_BACK, SUSPENSION_CAUSE)
 
     def held_back_text(self, request):
         """Return which upstreams have a slot that a request may not use, for logs."""
