Close the connection to an upstream whose request the guard refuses

Seen by reading, while the path to upstreams was looked through for the incident of lost links: a request whose grant no longer holds at its last check (its upstream leaves, its customer's key is gone, the upstream wants rest) has a connection open by then. The HTTP library drops such a connection without closing it, as the error comes from a callback of its own; it stayed open until the upstream's idle timeout, and an upstream accepts a bounded number of them.

Change: the guard is checked where the connection is made, which closes it on any error. The connect timeout covers the connection alone.

--- a/libs/upstreams/src/hemlockhoist/upstreams/client.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/client.py
@@ -14,7 +14,11 @@
     Refused,
     ResultCode,
 )
-from hemlockhoist.upstreams.connections import DirectConnector, ResetDetectingConnector
+from hemlockhoist.upstreams.connections import (
+    DirectConnector,
+    ResetDetectingConnector,
+    dispatch_guard,
+)
 from hemlockhoist.upstreams.guard import RepeatedDispatch
 from hemlockhoist.upstreams.response_ids import ResponseIdTracker
 
@@ -181,14 +185,17 @@
 
     async def start(self):
         """Open the sessions."""
-        trace = aiohttp.TraceConfig()
-        trace.on_connection_create_end.append(_check_guard)
         connector = ResetDetectingConnector(force_close=True, limit=0)
-        self._session = _open_session(connector, [trace])
+        self._session = _open_session(connector)
         # Requests for load reports change nothing and are frequent: they may use a
         # kept-alive connection, and the library may resend them.
         connector = DirectConnector(limit=0, limit_per_host=1)
-        self._fetch_session = _open_session(connector, [])
+        self._fetch_session = _open_session(connector)
+
+    @property
+    def connector(self):
+        """The ``DirectConnector`` of dispatches, once the client has been started."""
+        return self._session.connector
 
     async def close(self):
         """Close the sessions."""
@@ -221,9 +228,10 @@
     async def _send(self, call, guard, session=None):
         timeout = aiohttp.ClientTimeout(
             total=None,
-            connect=self._connect_timeout_ms / MS_PER_S,
+            sock_connect=self._connect_timeout_ms / MS_PER_S,
             sock_read=call.idle_timeout_ms / MS_PER_S,
         )
+        token = dispatch_guard.set(guard)
         try:
             return await (session or self._session).request(
                 call.method,
@@ -232,7 +240,6 @@
                 data=call.body or None,
                 allow_redirects=False,
                 timeout=timeout,
-                trace_request_ctx=guard,
             )
         except RepeatedDispatch as error:
             text = "the connection was lost before a response arrived"
@@ -246,6 +253,8 @@
             if guard.dispatched:
                 raise _classify(guard, error, ResultCode.OUTCOME_UNKNOWN) from error
             raise BadRequest(str(error)) from error
+        finally:
+            dispatch_guard.reset(token)
 
     async def fetch(self, call):
         """Send a request that runs no work (load report, cancel); read its response.
@@ -279,10 +288,9 @@
             response.close()
 
 
-def _open_session(connector, traces):
+def _open_session(connector):
     return aiohttp.ClientSession(
         connector=connector,
-        trace_configs=traces,
         auto_decompress=False,
         read_bufsize=READ_BUFFER_BYTES,
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
@@ -310,15 +318,6 @@
     return Refused(f"connection failed: {error!r}", ResultCode.CONNECT_FAILED)
 
 
-async def _check_guard(_session, context, _params):
-    """Check the grant on the new connection, before the library writes to it.
-
-    aiohttp writes the request head in the next step without waiting for I/O, so only a
-    suspension of the whole process can come between the check and the first byte.
-    """
-    context.trace_request_ctx.begin_dispatch()
-
-
 async def cancel_stream(client, address, request_id):
     """Cancel an abandoned stream at its engine; if that fails, it times out there."""
     call = UpstreamCall(
--- a/libs/upstreams/src/hemlockhoist/upstreams/connections.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/connections.py
@@ -1,6 +1,7 @@
 """Connectors that detect dead peers, and responses that end with a reset."""
 
 import asyncio
+import contextvars
 import functools
 import os
 import socket
@@ -19,6 +20,11 @@
 KEEPALIVE_PROBES = 2
 
 
+# The guard of the dispatch that opens a connection in this task; None for requests that
+# are no dispatches.
+dispatch_guard = contextvars.ContextVar("dispatch_guard", default=None)
+
+
 def enable_tcp_keepalive(sock):
     """Set the socket options that end a connection whose peer does not answer."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -87,10 +93,22 @@
         self._factory = functools.partial(protocol, loop=self._loop)
         self._tcp_keepalive = tcp_keepalive
 
+    async def open(self, factory, ip, port):
+        """Open a TCP connection; return its transport and protocol.
+
+        Parameters
+        ==========
+        factory : callable
+            Returns the protocol of the connection.
+        ip : str
+        port : int
+        """
+        return await self._loop.create_connection(factory, ip, port)
+
     async def _create_connection(self, req, traces, timeout):
         try:
             async with asyncio.timeout(timeout.sock_connect):
-                transport, protocol = await self._loop.create_connection(
+                transport, protocol = await self.open(
                     self._factory, req.url.host, req.url.port
                 )
         except TimeoutError as error:
@@ -100,9 +118,27 @@
             raise aiohttp.ClientConnectorError(req.connection_key, error) from error
         if self._tcp_keepalive:
             enable_tcp_keepalive(transport.get_extra_info("socket"))
+        _check_guard(transport)
         return protocol
 
 
+def _check_guard(transport):
+    """Check the grant on a new connection, before the library writes to it.
+
+    The library writes the request head in the next step without waiting for I/O, so
+    only a suspension of the whole process can come between the check and the first
+    byte. The library does not close a connection for which an error is raised here.
+    """
+    guard = dispatch_guard.get()
+    if guard is None:
+        return
+    try:
+        guard.begin_dispatch()
+    except BaseException:
+        transport.abort()
+        raise
+
+
 class ResetDetectingConnector(DirectConnector):
     """A connector whose connections report a response that ends with a reset."""
 
--- a/libs/upstreams/src/hemlockhoist/upstreams/tests/test_client.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/tests/test_client.py
@@ -170,3 +170,31 @@
         )
         status, _ = await self._dispatch(upstream.address, self._guard())
         self.assertEqual((status, len(upstream.heads)), (307, 1))
+
+
+class RefusedDispatchTests(unittest.IsolatedAsyncioTestCase):
+    async def test_connection_is_closed_that_the_guard_leaves_unused(self):
+        """Guards against idle connections that use up those an upstream accepts."""
+        ended = asyncio.Event()
+
+        async def serve(reader, writer):
+            await reader.read()
+            ended.set()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        clock = Clock.from_running_loop()
+        register = DispatchRegister(InvariantLog(fatal=True))
+        guard = SendGuard(clock, clock.now_ms() + HOUR_MS, register, "r1")
+        guard.revoke("the upstream is leaving")
+        client = UpstreamClient()
+        await client.start()
+        call = UpstreamCall(address=f"{host}:{port}", method="GET", path="/")
+        with self.assertRaises(Refused):
+            async with client.dispatch(call, guard):
+                self.fail("the request was sent")
+        async with asyncio.timeout(2):
+            await ended.wait()
+        await client.close()
+        server.close()
