Hold failed connections against upstreams only where the host can reach others

Cause: a failed connection opened the upstream's circuit breaker at the home for all hosts. One request of a cut host fails at up to four upstreams within milliseconds, so that few requests kept all upstreams from everyone; the breakers' growing back-offs and their test requests, granted to cut hosts again, kept it so. Evidence: upstream_suspended names the cut hosts as reporters, and all refusals with code 200 name the suspended upstreams. The same reports counted as failures of the version that the upstream runs.

Ruled out: slots lost to grants of cut hosts (granted=0 beside queued requests), estimates.

Change: whether a host reaches an upstream is taken as a property of the pair. A host that failed at two upstreams since it last reached one counts as having lost its links; its failures no longer count, those that did are taken back, and the home logs host_failures_distrusted. One place for both trackers and for the evidence on versions.

test_failed_connects_eject_at_most_a_third let one host fail everywhere; it lets each request be another host's now, with the same bound, and a test beside it has one host fail alone and expects no ejection. The test of retryable outcomes names the new kind, in which nothing was sent.

--- a/libs/cli/src/hemlockhoist/cli/explain.py
+++ b/libs/cli/src/hemlockhoist/cli/explain.py
@@ -23,6 +23,8 @@
         "drain_begun",
         "home_closed",
         "home_started",
+        "host_failures_distrusted",
+        "host_failures_trusted",
         "host_gone",
         "host_leaving",
         "host_started",
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
@@ -28,7 +28,9 @@
 MIN_REJECTIONS = 2
 _FAILURES = frozenset({OutcomeKind.FAILED, OutcomeKind.BROKE_OFF, OutcomeKind.TIMEOUT})
 _CONNECT_FAILURES = frozenset({OutcomeKind.CONNECT_FAILED})
-_UNSENT = frozenset({OutcomeKind.CONNECT_FAILED, OutcomeKind.NOT_SENT})
+_UNSENT = frozenset(
+    {OutcomeKind.CONNECT_FAILED, OutcomeKind.LINK_FAILED, OutcomeKind.NOT_SENT}
+)
 
 
 class DeclaredSlotsTracker(UpstreamTracker):
@@ -346,7 +348,8 @@
             return
         held.first_token_reported = True
         tracked.on_prompt_done(held, now_ms)
-        self._on_reachable(held.grant.upstream_id, tracked, now_ms)
+        tracked.breaker.on_reachable()
+        self._clear_suspended(held.grant.upstream_id, now_ms)
         is_uncached = held.pending_tokens == held.request.prompt_tokens
         if held.prompt_wait_ms <= 0 and is_uncached:
             # The cached part of a prompt is only presumed, so that the first token of a
@@ -372,9 +375,14 @@
             self._clear_suspended(upstream_id, now_ms)
             _observe_pace(tracked, outcome)
 
-    def _on_reachable(self, upstream_id, tracked, now_ms):
-        tracked.breaker.on_reachable()
-        self._clear_suspended(upstream_id, now_ms)
+    def on_reachable(self, upstream_id, now_ms):
+        """Record that an upstream can be reached, though connections to it failed.
+
+        It was not out of reach of other hosts, so it is no colder than before.
+        """
+        tracked = self._tracked.get(upstream_id)
+        if tracked is not None and self._suspended.pop(upstream_id, False):
+            tracked.breaker.on_reachable()
 
     def _clear_suspended(self, upstream_id, now_ms):
         """Remove an upstream from the suspended ones.
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/retries.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/retries.py
@@ -5,7 +5,9 @@
 
 # Only outcomes in which no byte of the request can have been sent: after any other, the
 # request may have run.
-RETRYABLE = frozenset({OutcomeKind.CONNECT_FAILED, OutcomeKind.NOT_SENT})
+RETRYABLE = frozenset(
+    {OutcomeKind.CONNECT_FAILED, OutcomeKind.LINK_FAILED, OutcomeKind.NOT_SENT}
+)
 # Ratio of retries to requests. When a failure domain becomes unreachable while the list
 # still contains it, each request would without a budget try one dead upstream after the
 # other, and connection attempts would multiply just when the rest of the pool is short
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -22,7 +22,9 @@
 # A grant is dropped this long after its request's deadline. Where the message that
 # carried its release was lost, the slot would otherwise stay occupied permanently.
 LOST_GRANT_MS = 5_000
-_NOT_SENT = frozenset({OutcomeKind.CONNECT_FAILED, OutcomeKind.NOT_SENT})
+_NOT_SENT = frozenset(
+    {OutcomeKind.CONNECT_FAILED, OutcomeKind.LINK_FAILED, OutcomeKind.NOT_SENT}
+)
 
 
 class PoolScheduler:
@@ -217,7 +219,7 @@
         held = self._grants.get(grant_id)
         if held is None:
             return []
-        self._upstreams.tracker.on_first_token(held, first_token_ms, now_ms)
+        self._upstreams.on_first_token(held, first_token_ms, now_ms)
         return self._decide(now_ms, held.grant.upstream_id)
 
     def in_flight_grant(self, grant_id):
@@ -259,6 +261,10 @@
             upstream_id, now_ms
         )
 
+    def trusts_failures_of(self, host):
+        """Return whether a host's failed connections count against upstreams."""
+        return self._upstreams.trusts_failures_of(host)
+
     def held_back(self, host, now_ms, max_count):
         """Return the upstreams with a free slot that a host's requests may not use.
 
@@ -300,7 +306,7 @@
 
     def forget_entry_host(self, host_id, now_ms):
         """Drop the grants and the queued requests of a dead entry host."""
-        self._upstreams.back_offs.forget_host(host_id)
+        self._upstreams.forget_host(host_id)
         for request_id in self._queue.of_entry_host(host_id):
             self._queue.remove(request_id)
         for grant_id in self._grants.of_entry_host(host_id):
@@ -458,6 +464,7 @@
 
     def _record_outcome(self, held, outcome, now_ms):
         request = held.request
+        outcome = self._upstreams.attributed(held, outcome, now_ms)
         hold_ms = now_ms - held.granted_ms
         predicted_ms = self._estimate.hold_ms(request)
         self._upstreams.tracker.on_outcome(held, outcome, hold_ms, predicted_ms, now_ms)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
@@ -5,9 +5,11 @@
 
 import msgspec
 
+from hemlockhoist.decisions.scheduling.connect_failures import ConnectFailures
 from hemlockhoist.decisions.scheduling.host_back_offs import HostBackOffs
 from hemlockhoist.decisions.scheduling.recovery import RecoveryPhase
 from hemlockhoist.decisions.scheduling.upstreams import UpstreamTable
+from hemlockhoist.decisions.work import OutcomeKind
 
 # Lower bound of the expected time that overdue ratios are computed from: behind a few
 # long prompts, every short request at an engine waits about this long.
@@ -15,6 +17,8 @@
 # The check for overdue grants iterates over all grants in flight, so it runs at this
 # interval instead of at each tick.
 OVERDUE_CHECK_INTERVAL_MS = 1_000
+# Outcomes of a request that its host passed on to its upstream.
+_REACHED = frozenset({OutcomeKind.SUCCESS, OutcomeKind.FAILED})
 
 
 class HeldBack(msgspec.Struct, frozen=True):
@@ -56,6 +60,7 @@
     """
 
     __slots__ = (
+        "_connect_failures",
         "_grants",
         "_overdue_checked_ms",
         "back_offs",
@@ -66,6 +71,7 @@
 
     def __init__(self, grants, tracker):
         self._grants = grants
+        self._connect_failures = ConnectFailures()
         self._overdue_checked_ms = 0
         self.back_offs = HostBackOffs()
         self.table = UpstreamTable()
@@ -120,6 +126,42 @@
             self.tracker.on_turned_away(upstream_id, now_ms)
         self.back_offs.record(upstream_id, host, until_ms)
 
+    def attributed(self, held, outcome, now_ms):
+        """Return an outcome, with its kind changed if its host's links are at fault.
+
+        Parameters
+        ==========
+        held : InFlightGrant
+        outcome : hemlockhoist.decisions.Outcome
+        now_ms : int
+        """
+        host, upstream_id = held.request.entry_host, held.grant.upstream_id
+        if outcome.kind in _REACHED:
+            self._connect_failures.record_reached(host, upstream_id)
+        if outcome.kind is not OutcomeKind.CONNECT_FAILED:
+            return outcome
+        is_blamed = self._connect_failures.record(host, upstream_id, now_ms)
+        for retracted in self._connect_failures.take_retracted():
+            self.tracker.on_reachable(retracted, now_ms)
+        if is_blamed:
+            return outcome
+        return msgspec.structs.replace(outcome, kind=OutcomeKind.LINK_FAILED)
+
+    def trusts_failures_of(self, host):
+        """Return whether a host's failed connections count against upstreams."""
+        return self._connect_failures.is_credible(host)
+
+    def on_first_token(self, held, first_token_ms, now_ms):
+        """Record the time to first token of an answer that is still in progress."""
+        host, upstream_id = held.request.entry_host, held.grant.upstream_id
+        self._connect_failures.record_reached(host, upstream_id)
+        self.tracker.on_first_token(held, first_token_ms, now_ms)
+
+    def forget_host(self, host):
+        """Forget what is known of a host that is gone."""
+        self.back_offs.forget_host(host)
+        self._connect_failures.forget_host(host)
+
     def start_wait_ms(self, host, now_ms):
         """Return after how long any upstream takes the next request of a host.
 
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_ejection.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_ejection.py
@@ -115,15 +115,28 @@
         unsent. If all were ejected, the pool would refuse everything; a third is.
         """
         sched = b.scheduler(slots=4, count=6)
+        used = self.fail_to_connect(sched, lambda number: f"h{number}")
+        self.assertEqual(len(set(used[-20:])), 4)
+
+    def test_failed_connects_of_one_host_eject_nothing(self):
+        """Guards against upstreams that get no work as one host lost its links."""
+        sched = b.scheduler(slots=4, count=6)
+        self.fail_to_connect(sched, lambda number: "h1")
+        slots = [sched._upstreams.tracker.slots(f"u{n}", 3_000) for n in range(6)]
+        self.assertEqual(slots.count(0), 0)
+
+    def fail_to_connect(self, sched, host_of):
+        """Let all requests fail to connect; return the upstreams that were granted."""
         failed = Outcome(kind=OutcomeKind.CONNECT_FAILED)
         used = []
-        for now_ms in range(0, 3_000, 50):
-            for decision in sched.submit(b.request(now_ms=now_ms), now_ms):
+        for number, now_ms in enumerate(range(0, 3_000, 50)):
+            request = b.request(now_ms=now_ms, entry_host=host_of(number))
+            for decision in sched.submit(request, now_ms):
                 if not hasattr(decision, "grant"):
                     continue
                 used.append(decision.grant.upstream_id)
                 sched.release(decision.grant.grant_id, failed, now_ms + 1)
-        self.assertEqual(len(set(used[-20:])), 4)
+        return used
 
     def test_last_upstream_that_is_not_leaving_is_readmitted(self):
         """Guards against refusing requests while an ejected upstream is left.
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_retries.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_retries.py
@@ -9,7 +9,11 @@
         """Only failed connection attempts and unsent requests are retried."""
         for kind in OutcomeKind:
             with self.subTest(kind=kind):
-                expected = kind in (OutcomeKind.CONNECT_FAILED, OutcomeKind.NOT_SENT)
+                expected = kind in (
+                    OutcomeKind.CONNECT_FAILED,
+                    OutcomeKind.LINK_FAILED,
+                    OutcomeKind.NOT_SENT,
+                )
                 self.assertEqual(RetryBudget().acquire(kind, 1, 0), expected)
 
     def test_an_unreachable_failure_domain_adds_a_tenth_of_the_load(self):
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/upstream_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/upstream_tracker.py
@@ -125,6 +125,9 @@
         """Return whether an upstream gets no request now, as others failed there."""
         return False
 
+    def on_reachable(self, upstream_id, now_ms):
+        """Record that an upstream can be reached, though connections to it failed."""
+
     def on_turned_away(self, upstream_id, now_ms):
         """Record that an upstream turned a request away and asked its host for rest."""
 
--- a/libs/decisions/src/hemlockhoist/decisions/versions/evidence.py
+++ b/libs/decisions/src/hemlockhoist/decisions/versions/evidence.py
@@ -231,7 +231,7 @@
     """
     if outcome.kind is OutcomeKind.CANCELLED:
         return outcome.total_ms <= reference.duration.slow_ms(load)
-    return outcome.kind is OutcomeKind.NOT_SENT
+    return outcome.kind in (OutcomeKind.NOT_SENT, OutcomeKind.LINK_FAILED)
 
 
 def _profile(reference, measure):
--- a/libs/decisions/src/hemlockhoist/decisions/work.py
+++ b/libs/decisions/src/hemlockhoist/decisions/work.py
@@ -199,6 +199,9 @@
     BROKE_OFF = "broke_off"
     TIMEOUT = "timeout"
     CONNECT_FAILED = "connect_failed"
+    # No connection could be made through the fault of the host's own links, which says
+    # nothing about the upstream.
+    LINK_FAILED = "link_failed"
     NOT_SENT = "not_sent"
     CANCELLED = "cancelled"
 
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -286,7 +286,7 @@
             self._count_wasted(request_id, outcome)
         held = self.scheduler.in_flight_grant(grant_id)
         decisions = self.scheduler.release(grant_id, outcome, now_ms)
-        self._signals.log_suspension(held, outcome.kind)
+        self._signals.log_changes(held, outcome.kind)
         self._emit(decisions, now_ms)
 
     def _count_wasted(self, request_id, outcome):
--- a/libs/host/src/hemlockhoist/host/home_signals.py
+++ b/libs/host/src/hemlockhoist/host/home_signals.py
@@ -33,6 +33,7 @@
 
     __slots__ = (
         "_clock",
+        "_distrusted_hosts",
         "_metrics",
         "_on_leaving",
         "_pool",
@@ -47,9 +48,10 @@
         self._metrics = metrics
         self._on_leaving = on_leaving
         self._suspended = set()
+        self._distrusted_hosts = set()
 
-    def log_suspension(self, held, kind):
-        """Log that an outcome suspended an upstream, or ended its suspension.
+    def log_changes(self, held, kind):
+        """Log what an outcome changed in the states of its upstream and of its host.
 
         Parameters
         ==========
@@ -59,6 +61,7 @@
         """
         if held is None:
             return
+        self._log_trust(held.request.entry_host)
         upstream_id = held.grant.upstream_id
         is_suspended = self._scheduler.is_suspended(upstream_id, self._clock.now_ms())
         if is_suspended and upstream_id not in self._suspended:
@@ -68,6 +71,16 @@
             self._suspended.discard(upstream_id)
             self._log_suspension("upstream_resumed", held, kind)
 
+    def _log_trust(self, host):
+        """Log that a host seems to have lost its links, or has them again."""
+        is_trusted = self._scheduler.trusts_failures_of(host)
+        if is_trusted and host in self._distrusted_hosts:
+            self._distrusted_hosts.discard(host)
+            _log.info("host_failures_trusted", pool=self._pool, entry_host=host)
+        elif not is_trusted and host not in self._distrusted_hosts:
+            self._distrusted_hosts.add(host)
+            _log.warning("host_failures_distrusted", pool=self._pool, entry_host=host)
+
     def _log_suspension(self, event, held, kind):
         _log.info(
             event,
