Let a stream be continued elsewhere however long ago its request came

What callers saw: a resumable stream whose upstream had fallen silent for good was cut at its deadline, beside free upstreams, if more than the time had passed since its request came for which a caller waits for a first event.

Cause: the request for another upstream named the time at which the caller would leave if it had received nothing at all. For a stream that is under way it had passed, and the home refused the request as one that nobody waits for (stream_kept, 'queued 0 granted 1', every 0.35 s until the deadline).

The upstreams have to have answered before, since a home without samples refuses nothing; that is why the tests of silent streams missed it.

Change: once a response has begun, the caller's patience counts from what it was sent last.

--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -85,7 +85,7 @@
         self._reason = ""
         # Why a started stream would be cut if no other upstream can continue it.
         self._cut_cause = CutCause.REFUSED
-        self._grants = RequestGrants(context, admitted)
+        self._grants = RequestGrants(context, admitted, self._waits_until_ms)
         self._relay = None
         if admitted.route.kind is CallKind.STREAM:
             self._relay = StreamRelay(
@@ -142,6 +142,20 @@
             if step is not Step.TRY_ANOTHER:
                 return self._final_result(step, end)
 
+    def _waits_until_ms(self):
+        """Return when the caller disconnects if it receives nothing more until then.
+
+        Failure prevented: a stream is to be continued elsewhere seconds after its
+        request came, and is refused for being later than its first event was due.
+        """
+        admitted = self._admitted
+        if not self.response_started:
+            return admitted.waits_until_ms
+        limit_ms = admitted.route.caller_wait_limit_ms
+        if not limit_ms:
+            return admitted.deadline_ms
+        return min(admitted.deadline_ms, self._relay.passed_ms + limit_ms)
+
     async def _find_replacement(self):
         """Acquire a grant to continue the current stream elsewhere; return success."""
         step = next_step(
--- a/libs/entry/src/hemlockhoist/entry/request_grants.py
+++ b/libs/entry/src/hemlockhoist/entry/request_grants.py
@@ -23,6 +23,8 @@
     ==========
     context : EntryContext
     admitted : AdmittedCall
+    waits_until_ms : callable
+        Returns when the caller disconnects if it receives nothing more until then.
 
     Attributes
     ==========
@@ -41,10 +43,12 @@
         "_number",
         "_replacement",
         "_request_count",
+        "_waits_until_ms",
         "request_id",
     )
 
-    def __init__(self, context, admitted):
+    def __init__(self, context, admitted, waits_until_ms):
+        self._waits_until_ms = waits_until_ms
         self._context = context
         self._admitted = admitted
         self._number = next(self._numbers)
@@ -142,7 +146,7 @@
             output_tokens=admitted.output_tokens,
             deadline_in_ms=admitted.deadline_ms - now_ms,
             first_token_in_ms=admitted.target_by_ms - now_ms,
-            max_wait_ms=admitted.waits_until_ms - now_ms,
+            max_wait_ms=self._waits_until_ms() - now_ms,
             max_gap_ms=admitted.route.max_gap_ms,
             failure_domain=self._context.identity.failure_domain,
             trace=self._context.traces.context_for_peer(),
--- a/libs/entry/src/hemlockhoist/entry/stream.py
+++ b/libs/entry/src/hemlockhoist/entry/stream.py
@@ -50,6 +50,7 @@
         "_reader",
         "_request",
         "event_count",
+        "passed_ms",
     )
 
     def __init__(
@@ -72,6 +73,8 @@
         self._last_event_ms = None
         self._longest_gap_ms = 0
         self.event_count = 0
+        # When the caller was last sent something; None before the response began.
+        self.passed_ms = None
 
     @property
     def started(self):
@@ -149,6 +152,7 @@
         if self._caller_response is None:
             await self._start_response(head)
         await self._caller_response.write(b"".join(event.raw for event in events))
+        self.passed_ms = self._clock.now_ms()
         self.event_count += len(events)
         self._record_gap(len(events))
 
@@ -188,6 +192,7 @@
             caller_response.force_close()
         await caller_response.prepare(self._request)
         self._caller_response = caller_response
+        self.passed_ms = self._clock.now_ms()
 
     async def _finish_response(self, head):
         if self._caller_response is None:
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_stalls.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_stalls.py
@@ -12,19 +12,21 @@
 # A gap between events that exceeds the stall limit.
 LONG_GAP_MS = 600
 EVENTS = 4
+# How long callers of a route with a short target wait for the first event.
+WAIT_LIMIT_MS = 2_000
 DEADLINE = {"Deadline_Ms": "9000"}
 
 
-def report(max_attempts=2):
+def report(**fields):
     """Return a resumable route of streams."""
+    values = {"target_latency_ms": 4_000, **fields}
     return route(
         "conflict-report",
         "asistente",
         "streaming",
         resumable=True,
         timeout_ms=9_000,
-        target_latency_ms=4_000,
-        max_attempts=max_attempts,
+        **values,
     )
 
 
@@ -75,6 +77,24 @@
             self.assertEqual(await self.read(site, 1), (200, EVENTS))
         self.assertEqual(sorted(ran(replicas)), [0, 1])
 
+    async def test_stalled_stream_is_continued_when_its_caller_has_waited_long(self):
+        """Guards against a stream that is cut as its request came seconds ago."""
+        replicas = engines(2, event_ms=10)
+        routes = [report(target_latency_ms=400)]
+        async with Site({"asistente": replicas}, routes) as site:
+            for number in range(4):
+                await self.read(site, number)
+            for replica in replicas:
+                replica.ran.clear()
+                replica.behaviour = Behaviour.STALLS
+                replica.delay_ms = WAIT_LIMIT_MS + 300
+            answer = asyncio.create_task(self.read(site, 9))
+            await asyncio.sleep(0.5)
+            (free,) = (replica for replica in replicas if not replica.ran)
+            free.behaviour, free.delay_ms = Behaviour.NORMAL, 0
+            self.assertEqual(await answer, (200, EVENTS))
+        self.assertEqual(ran(replicas), [1, 1])
+
     async def test_free_upstream_continues_a_stalled_stream(self):
         """Guards against a stream that waits for a dead upstream beside a free one."""
         stalled, free = engines(2, event_ms=10)
