Notice silence after a stream's first event in time

What callers saw: a resumable stream whose upstream fell silent soon after its first event was continued elsewhere up to a second later than the limit says, at some routes after its caller had left.

Cause: the watchdog's timer is set for the limit before the first event, 2.5 s and more. The first data brings a shorter limit into force, and the timer went on with the longer one.

Evidence: in a test of cut links beside load the search for another upstream began 1.84 to 2.1 s after the last event, with a limit of 1.5 s and a caller that waits 2 s. test_shorter_limit_holds_from_the_first_data fails before and passes now.

Change: a shorter limit restarts the timer.

--- a/libs/entry/src/hemlockhoist/entry/stalls.py
+++ b/libs/entry/src/hemlockhoist/entry/stalls.py
@@ -79,6 +79,7 @@
         """Restart the watchdog after data arrived, with a possibly different limit."""
         if limit_ms is None:
             return
+        is_shorter = limit_ms < self._limit_ms
         self._limit_ms = limit_ms
         self._due_ms = self._clock.now_ms() + limit_ms
         self._in_grace_period = False
@@ -86,6 +87,10 @@
             self._search.cancel()
             self._search = None
             self._schedule(limit_ms)
+        elif is_shorter:
+            # The timer would end with the longer limit that was in force before.
+            self._timer.cancel()
+            self._schedule(limit_ms)
 
     def classify_error(self, error):
         """Return the error to raise for a failed read; a timeout if it had stalled."""
--- a/libs/entry/src/hemlockhoist/entry/tests/test_stalls.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_stalls.py
@@ -37,6 +37,12 @@
             self.watchdog.on_progress(1_000)
         self.assertFalse(self.response.closed)
 
+    async def test_shorter_limit_holds_from_the_first_data(self):
+        """Guards against silence after a first event that is noticed a second late."""
+        self.watchdog.on_progress(300)
+        await asyncio.sleep(0.3 + 2 * READ_GRACE_MS / 1_000)
+        self.assertTrue(self.response.closed)
+
     async def test_events_received_during_a_suspension_are_read_first(self):
         """Guards against abandoning a stream whose rest is available.
 
