--- a/libs/standins/src/hemlockhoist/standins/tests/test_deploy_build.py
+++ b/libs/standins/src/hemlockhoist/standins/tests/test_deploy_build.py
@@ -30,13 +30,15 @@
             (self.root / name).write_text("")
 
     def build(self):
+        """Build; return what differs for a folder that was made anew."""
         subprocess.run(["sh", "deploy/build.sh"], cwd=self.root, check=True)
-        return self.program.stat().st_ino
+        found = self.program.stat()
+        return found.st_ino, found.st_ctime_ns
 
     def test_unchanged_program_is_left_alone(self):
         """Guards against processes that find no program while it is built again."""
-        inode = self.build()
-        self.assertEqual(self.build(), inode)
+        built = self.build()
+        self.assertEqual(self.build(), built)
 
     def test_changed_program_replaces_the_previous_one_as_a_whole(self):
         self.build()
