Have another host pass requests on to upstreams that this one can't reach

Callers keep the hosts that they were told, so that naming others to them is no help.

Cause: a host tried upstreams by its own links alone. A request that failed at one was granted another, which the same host could not reach either.

Change (docs/design/relays.md): the host that took a request keeps all of it (key, quota, order, grant, deadline, retries, resumption), and sends one granted attempt through another host: an offer, the other host's connection, the last check and the permission, the answer as it arrives. Hosts of the same failure domain first, bounded, asked beside one another after 60 ms. A connection that fails is tried that way at once, which tells whose fault it was; only a host that reaches others is a witness against an upstream. What links lose counts against no upstream and no version. A host's own probes find the way back. Logged, counted, traced (a span for the hop), explained.

Why it works: whether a host reaches an upstream is a property of the pair, and hosts reach one another when they don't reach upstreams.

Ruled out: handing callers' requests over as a whole (key, quota and grant twice), messages between peers (no flow control, lost at a reconnect).

--- a/libs/base/src/hemlockhoist/base/caller_results.py
+++ b/libs/base/src/hemlockhoist/base/caller_results.py
@@ -169,6 +169,14 @@
         "No connection to an upstream could be made; nothing was sent.",
         "Come back after Retry-After.",
     ),
+    (
+        _C.LINK_LOST,
+        503,
+        _NO,
+        True,
+        "This host lost its link to the upstream, and no other host relayed the request.",
+        "Come back after Retry-After, or ask another host.",
+    ),
     (
         _C.LEAVING,
         503,
--- a/libs/base/src/hemlockhoist/base/metrics_table.py
+++ b/libs/base/src/hemlockhoist/base/metrics_table.py
@@ -282,6 +282,28 @@
     "Upstreams that turned this host away and want no requests from it for a while.",
     "If it is high on all hosts, the upstreams are overloaded or failing.",
 )
+LINKS_LOST = Metric(
+    "links.lost",
+    _G,
+    "pool",
+    "Upstreams to which this host has lost its link.",
+    "If it stays, check the network between the host and the upstreams: see "
+    "upstream_link_lost and links_lost.",
+)
+RELAYS_REQUESTED = Metric(
+    "relays.requested",
+    _C,
+    "result",
+    "Requests that this host asked others to relay: relayed, or why one did not.",
+    "If it grows, this host has lost links: see links.lost.",
+)
+RELAYS_CARRIED = Metric(
+    "relays.carried",
+    _C,
+    "result",
+    "Requests of other hosts that this host relayed, by their end, or why it did not.",
+    "If busy is frequent, too few hosts have links to the upstreams.",
+)
 DOMAINS_EVACUATED = Metric(
     "domains.evacuated",
     _G,
--- a/libs/base/src/hemlockhoist/base/traces.py
+++ b/libs/base/src/hemlockhoist/base/traces.py
@@ -37,6 +37,7 @@
     GRANT = "grant request"
     HOME = "grant decision"
     UPSTREAM = "upstream call"
+    RELAY = "relayed call"
     RESUME = "stream resume"
 
 
@@ -45,6 +46,7 @@
     Hop.GRANT: trace.SpanKind.CLIENT,
     Hop.HOME: trace.SpanKind.SERVER,
     Hop.UPSTREAM: trace.SpanKind.CLIENT,
+    Hop.RELAY: trace.SpanKind.SERVER,
     Hop.RESUME: trace.SpanKind.SERVER,
 }
 HOP_HELP = {
@@ -52,6 +54,7 @@
     Hop.GRANT: "On the entry host: from the request to the pool's home to its answer.",
     Hop.HOME: "On the home: from the request to the grant or refusal.",
     Hop.UPSTREAM: "On the entry host: from dispatch to the last byte received.",
+    Hop.RELAY: "On a host that relays for another: from the offer to the last byte.",
     Hop.RESUME: "On the host that resumes an interrupted stream for the caller.",
 }
 
--- a/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
@@ -31,8 +31,14 @@
     find_readers,
     reader_for,
 )
+from hemlockhoist.decisions.entry.relay_peers import (
+    RelayCandidate,
+    RelayCause,
+    RelayPeers,
+)
 from hemlockhoist.decisions.entry.shares import PoolChooser
 from hemlockhoist.decisions.entry.sweep import StaleEntries
+from hemlockhoist.decisions.entry.upstream_links import LostLink, UpstreamLinks
 
 __all__ = [
     "MAX_DIRECT_READERS",
@@ -45,12 +51,17 @@
     "EvacuatedDomains",
     "Freshness",
     "HaltedOrders",
+    "LostLink",
     "MoveOrder",
     "MoveOrderState",
     "PoolChooser",
+    "RelayCandidate",
+    "RelayCause",
+    "RelayPeers",
     "StaleEntries",
     "Step",
     "TableCopy",
+    "UpstreamLinks",
     "UpstreamListing",
     "WithheldVersionPolicy",
     "chained_hashes",
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/connect_failures.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/connect_failures.py
@@ -14,7 +14,8 @@
 
     So a host that has failed at two upstreams since it last reached one counts as
     having lost its links: its failures no longer count, and those that did are taken
-    back unless another host has failed there too.
+    back unless another host has failed there too. A failure that a second host has
+    confirmed always counts.
 
     Examples
     ========
@@ -38,14 +39,18 @@
         self._failed = {}
         self._retracted = []
 
-    def record(self, host, upstream_id, now_ms):
+    def record(self, host, upstream_id, now_ms, is_confirmed=False):
         """Record that a host could not connect; return whether the upstream is blamed.
 
         Parameters
         ==========
         host, upstream_id : str
         now_ms : int
+        is_confirmed : bool, optional
+            Whether a host that reaches other upstreams failed there too.
         """
+        if is_confirmed:
+            return True
         failed = self._failed[host] = self._recent(host, now_ms)
         was_credible = self.is_credible(host)
         others = failed.keys() - {upstream_id}
@@ -55,7 +60,14 @@
         return not others
 
     def record_reached(self, host, upstream_id):
-        """Record that a host reached an upstream, which clears both."""
+        """Record that an upstream was reached, which clears both.
+
+        Parameters
+        ==========
+        host : str
+            Empty if it was reached by another host than the one that had tried.
+        upstream_id : str
+        """
         self._failed.pop(host, None)
         for failed in self._failed.values():
             failed.pop(upstream_id, None)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -203,7 +203,7 @@
         self._record_outcome(held, outcome, now_ms)
         return self._decide(now_ms, held.grant.upstream_id)
 
-    def observe_first_token(self, grant_id, first_token_ms, now_ms):
+    def observe_first_token(self, grant_id, first_token_ms, now_ms, relay=""):
         """Record the time to first token of an answer that is still in progress.
 
         Optional: without it the time is learned from the outcome, which for a long
@@ -215,11 +215,13 @@
         first_token_ms : int
             From dispatch.
         now_ms : int
+        relay : str, optional
+            The host through which the upstream was reached; empty for none.
         """
         held = self._grants.get(grant_id)
         if held is None:
             return []
-        self._upstreams.on_first_token(held, first_token_ms, now_ms)
+        self._upstreams.on_first_token(held, first_token_ms, now_ms, relay)
         return self._decide(now_ms, held.grant.upstream_id)
 
     def in_flight_grant(self, grant_id):
@@ -250,6 +252,11 @@
         tracker = self._upstreams.tracker
         return tracker.observe_limit(upstream_id, requests_per_s, heard_ms, now_ms)
 
+    def observe_reachable(self, upstream_id, now_ms):
+        """Record that another host reaches an upstream that one could not."""
+        self._upstreams.on_reachable(upstream_id, now_ms)
+        return self._decide_everywhere(now_ms)
+
     def observe_back_off(self, upstream_id, host, until_ms, now_ms):
         """Record that an upstream wants no requests from an entry host until a time."""
         self._upstreams.on_back_off(upstream_id, host, until_ms, now_ms)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
@@ -137,10 +137,12 @@
         """
         host, upstream_id = held.request.entry_host, held.grant.upstream_id
         if outcome.kind in _REACHED:
-            self._connect_failures.record_reached(host, upstream_id)
+            self._on_reached(host, upstream_id, outcome.relay)
         if outcome.kind is not OutcomeKind.CONNECT_FAILED:
             return outcome
-        is_blamed = self._connect_failures.record(host, upstream_id, now_ms)
+        is_blamed = self._connect_failures.record(
+            host, upstream_id, now_ms, bool(outcome.relay)
+        )
         for retracted in self._connect_failures.take_retracted():
             self.tracker.on_reachable(retracted, now_ms)
         if is_blamed:
@@ -151,12 +153,20 @@
         """Return whether a host's failed connections count against upstreams."""
         return self._connect_failures.is_credible(host)
 
-    def on_first_token(self, held, first_token_ms, now_ms):
+    def on_first_token(self, held, first_token_ms, now_ms, relay=""):
         """Record the time to first token of an answer that is still in progress."""
         host, upstream_id = held.request.entry_host, held.grant.upstream_id
-        self._connect_failures.record_reached(host, upstream_id)
+        self._on_reached(host, upstream_id, relay)
         self.tracker.on_first_token(held, first_token_ms, now_ms)
 
+    def on_reachable(self, upstream_id, now_ms):
+        """Record that a host reaches an upstream to which another could not connect."""
+        self._connect_failures.record_reached("", upstream_id)
+        self.tracker.on_reachable(upstream_id, now_ms)
+
+    def _on_reached(self, host, upstream_id, relay):
+        self._connect_failures.record_reached("" if relay else host, upstream_id)
+
     def forget_host(self, host):
         """Forget what is known of a host that is gone."""
         self.back_offs.forget_host(host)
--- a/libs/decisions/src/hemlockhoist/decisions/versions/evidence.py
+++ b/libs/decisions/src/hemlockhoist/decisions/versions/evidence.py
@@ -16,6 +16,9 @@
         OutcomeKind.CONNECT_FAILED,
     }
 )
+_UNINFORMATIVE_KINDS = frozenset(
+    {OutcomeKind.NOT_SENT, OutcomeKind.LINK_FAILED, OutcomeKind.LINK_LOST}
+)
 
 
 class Measure(enum.Enum):
@@ -231,7 +234,7 @@
     """
     if outcome.kind is OutcomeKind.CANCELLED:
         return outcome.total_ms <= reference.duration.slow_ms(load)
-    return outcome.kind in (OutcomeKind.NOT_SENT, OutcomeKind.LINK_FAILED)
+    return outcome.kind in _UNINFORMATIVE_KINDS
 
 
 def _profile(reference, measure):
--- a/libs/decisions/src/hemlockhoist/decisions/work.py
+++ b/libs/decisions/src/hemlockhoist/decisions/work.py
@@ -202,6 +202,9 @@
     # No connection could be made through the fault of the host's own links, which says
     # nothing about the upstream.
     LINK_FAILED = "link_failed"
+    # The answer was lost through the fault of a host's links, or of a host that relayed
+    # the request: this says nothing about the upstream either.
+    LINK_LOST = "link_lost"
     NOT_SENT = "not_sent"
     CANCELLED = "cancelled"
 
@@ -219,6 +222,9 @@
         Counts that the engine reported.
     token_us : int
         Typical time per output token in microseconds; -1 if unknown.
+    relay : str
+        Host through which the upstream was reached, or that could not reach it either;
+        empty if the entry host used its own link.
     """
 
     kind: OutcomeKind
@@ -227,6 +233,19 @@
     output_tokens: int = 0
     cached_tokens: int = 0
     token_us: int = -1
+    relay: str = ""
+
+    def for_home(self):
+        """Return the outcome in the kinds that homes of earlier releases know.
+
+        Faults of links say nothing about an upstream, and neither does a request that
+        was not sent, or cancelled without a duration.
+        """
+        if self.kind is OutcomeKind.LINK_FAILED:
+            return Outcome(kind=OutcomeKind.NOT_SENT)
+        if self.kind is OutcomeKind.LINK_LOST:
+            return Outcome(kind=OutcomeKind.CANCELLED)
+        return self
 
 
 class Granted(msgspec.Struct, frozen=True, kw_only=True):
--- a/libs/entry/src/hemlockhoist/entry/attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt.py
@@ -22,17 +22,22 @@
     guard : SendGuard
     waited_ms : int
         Time between requesting the grant and receiving it.
+    number : int
+        1 for the request's first attempt.
     """
 
     __slots__ = (
+        "ended_ms",
         "first_ms",
         "grant_outdated",
         "guard",
         "hold",
+        "is_link_at_fault",
         "is_misdirected",
         "is_reachable",
         "kind",
         "longest_gap_ms",
+        "number",
         "output_tokens",
         "reason",
         "signals",
@@ -43,13 +48,17 @@
         "waited_ms",
     )
 
-    def __init__(self, hold, guard, waited_ms):
+    def __init__(self, hold, guard, waited_ms, number):
+        self.number = number
+        self.ended_ms = None
         self.hold = hold
         self.guard = guard
         self.waited_ms = waited_ms
         # Remains only if the caller disconnects; every other end sets its own kind.
         self.kind = OutcomeKind.CANCELLED
         self.is_reachable = True
+        # Whether this host's links, or a host that relayed, are at fault for a failure.
+        self.is_link_at_fault = False
         self.grant_outdated = False
         self.is_misdirected = False
         self.first_ms = None
@@ -108,18 +117,29 @@
         """Set the outcome kind from how the attempt ended; None means success."""
         self.kind = OutcomeKind.SUCCESS if end is None else _OUTCOMES[end]
 
-    def outcome(self, now_ms):
-        """Return the ``Outcome`` that is reported to the home of the pool."""
+    def outcome(self):
+        """Return the ``Outcome`` of the attempt, which has ended."""
         sent_ms = self.guard.dispatched_ms
         if sent_ms is None or self.is_misdirected:
-            kind = OutcomeKind.NOT_SENT
-            if not self.is_reachable:
-                kind = OutcomeKind.CONNECT_FAILED
-            return Outcome(kind=kind)
+            return Outcome(kind=self._unsent_kind, relay=self.guard.relay)
         return Outcome(
-            kind=self.kind,
+            kind=self._sent_kind,
             first_token_ms=-1 if self.first_ms is None else self.first_ms - sent_ms,
-            total_ms=now_ms - sent_ms,
+            total_ms=self.ended_ms - sent_ms,
             output_tokens=self.output_tokens,
             token_us=self.token_us,
+            relay=self.guard.relay,
         )
+
+    @property
+    def _unsent_kind(self):
+        if self.is_link_at_fault:
+            return OutcomeKind.LINK_FAILED
+        return OutcomeKind.NOT_SENT if self.is_reachable else OutcomeKind.CONNECT_FAILED
+
+    @property
+    def _sent_kind(self):
+        is_lost = self.kind in (OutcomeKind.BROKE_OFF, OutcomeKind.TIMEOUT)
+        if is_lost and (self.is_link_at_fault or self.guard.relay):
+            return OutcomeKind.LINK_LOST
+        return self.kind
--- a/libs/entry/src/hemlockhoist/entry/attempt_records.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt_records.py
@@ -46,14 +46,12 @@
         metrics.count(REQUESTS_GOOD, admitted.tier)
 
 
-def log_attempt(request_id, number, attempt, outcome):
+def log_attempt(request_id, attempt, outcome):
     """Log the end of an attempt.
 
     Parameters
     ==========
     request_id : str
-    number : int
-        1 for the request's first attempt.
     attempt : Attempt
     outcome : Outcome
     """
@@ -63,8 +61,9 @@
     log(
         "attempt_ended",
         request=request_id,
-        attempt=number,
+        attempt=attempt.number,
         upstream=hold.upstream_id,
+        relay=attempt.guard.relay,
         version=hold.version,
         home=hold.home,
         outcome=outcome.kind.value,
--- a/libs/entry/src/hemlockhoist/entry/context.py
+++ b/libs/entry/src/hemlockhoist/entry/context.py
@@ -36,6 +36,8 @@
     refuses_requests : bool
         Whether new requests are refused because the host is about to stop.
     open_requests : int
+    relay_address : str
+        Address at which this host relays for others; empty if it does not.
     """
 
     __slots__ = (
@@ -58,6 +60,7 @@
         "open_requests",
         "platform",
         "refuses_requests",
+        "relay_address",
         "register",
         "settings",
         "store_view",
@@ -74,3 +77,4 @@
         self.leaving = False
         self.refuses_requests = False
         self.open_requests = 0
+        self.relay_address = ""
--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -1,6 +1,7 @@
 """Execution of one admitted request: grants, attempts and the final response."""
 
 import asyncio
+import functools
 
 from hemlockhoist.base import (
     MS_PER_S,
@@ -69,6 +70,7 @@
         "_sent_count",
         "_signals",
         "_unsent_count",
+        "_unsent_error",
     )
 
     def __init__(self, context, request, admitted, body, admission):
@@ -80,6 +82,7 @@
         self._attempts = 0
         self._sent_count = 0
         self._unsent_count = 0
+        self._unsent_error = None
         self._may_have_run = False
         self._failed_response = None
         self._reason = ""
@@ -173,7 +176,7 @@
 
     async def _attempt(self, hold, waited_ms):
         """Run one attempt; return ``(response, None)`` or ``(None, AttemptEnd)``."""
-        attempt = Attempt(hold, self._send_guard(hold), waited_ms)
+        attempt = Attempt(hold, self._send_guard(hold), waited_ms, self._attempts)
         self._grants.on_attempt_started(attempt)
         attempt.started_unix_ms = self._context.store_view.started_unix_ms(
             hold.upstream_id
@@ -192,10 +195,28 @@
             self._record_dispatch(attempt)
             if self._is_past_deadline and attempt.kind is OutcomeKind.CANCELLED:
                 attempt.kind = OutcomeKind.TIMEOUT
-            outcome = attempt.outcome(self._context.clock.now_ms())
-            self._context.grants.release(hold, outcome, attempt.unreported_signals)
-            count_attempt(self._context.metrics, attempt, outcome)
-            log_attempt(self.request_id, self._attempts, attempt, outcome)
+            self._release(attempt)
+
+    def _release(self, attempt):
+        """Report the outcome of an attempt, once it is known whose fault it was."""
+        attempt.ended_ms = self._context.clock.now_ms()
+        paths, hold = self._context.upstreams, attempt.hold
+        if attempt.kind is OutcomeKind.TIMEOUT:
+            attempt.is_link_at_fault = paths.links.is_lost(hold.pool, hold.upstream_id)
+        if attempt.kind is OutcomeKind.BROKE_OFF and not attempt.guard.relay:
+            call = self._upstream_call(attempt)
+            report = functools.partial(self._report, attempt)
+            paths.check_link(call, report)
+            return
+        self._report(attempt, attempt.is_link_at_fault)
+
+    def _report(self, attempt, is_link_at_fault):
+        attempt.is_link_at_fault = is_link_at_fault
+        outcome = attempt.outcome()
+        signals = attempt.unreported_signals
+        self._context.grants.release(attempt.hold, outcome, signals)
+        count_attempt(self._context.metrics, attempt, outcome)
+        log_attempt(self.request_id, attempt, outcome)
 
     def _send_guard(self, hold):
         return SendGuard(
@@ -233,7 +254,9 @@
         if end is None:
             return
         self._cut_cause = CutCause.after(end)
-        is_reached = attempt.is_reachable and not attempt.grant_outdated
+        is_reached = attempt.is_reachable and not (
+            attempt.grant_outdated or attempt.is_link_at_fault
+        )
         if end is not AttemptEnd.NOT_SENT or not is_reached:
             self._grants.avoid(attempt.hold.upstream_id)
 
@@ -263,6 +286,8 @@
                 raise
             attempt.reason = error.message
             attempt.is_reachable = error.code is not ResultCode.CONNECT_FAILED
+            attempt.is_link_at_fault = error.code is ResultCode.LINK_LOST
+            self._unsent_error = error
             return None, AttemptEnd.NOT_SENT
         except DispatchError as error:
             attempt.reason = error.message
@@ -296,6 +321,12 @@
             body=self._body,
             request_id=admitted.call.request_id,
             idle_timeout_ms=remaining_ms,
+            pool=attempt.hold.pool,
+            upstream_id=attempt.hold.upstream_id,
+            version=attempt.hold.version,
+            is_cold=attempt.hold.is_cold,
+            is_repeatable=admitted.route.is_repeatable,
+            regions=admitted.regions,
         )
 
     async def _read_response(self, response, attempt):
@@ -339,12 +370,17 @@
         def on_first():
             attempt.first_ms = self._context.clock.now_ms()
             first_ms = attempt.first_ms - attempt.guard.dispatched_ms
-            grants.report_first_token(attempt.hold, first_ms, attempt.signals)
+            grants.report_first_token(
+                attempt.hold, first_ms, attempt.signals, attempt.guard.relay
+            )
             attempt.signals_are_reported = True
 
         before = self._relay.event_count
+        paths, hold = self._context.upstreams, attempt.hold
+        on_lost = self._relay.on_link_lost
         try:
-            caller_response = await self._relay.relay(response, head, on_first)
+            with paths.watched(hold.pool, hold.upstream_id, on_lost):
+                caller_response = await self._relay.relay(response, head, on_first)
         finally:
             pool = self._context.store_view.routes.pool(self._admitted.pool)
             engine = pool.engine if pool is not None else None
@@ -371,10 +407,12 @@
         if step is Step.ANSWER and self._failed_response is not None:
             return self._failed_response
         if step is Step.REFUSE:
-            code = ResultCode.CONNECT_FAILED
-            retry_after_ms = max(
-                RETRY_AFTER_MS, self._signals.back_off_wait_ms(self._admitted.pool)
-            )
+            code, retry_after_ms = ResultCode.CONNECT_FAILED, RETRY_AFTER_MS
+            error = self._unsent_error
+            if error is not None and error.code is ResultCode.LINK_LOST:
+                code, retry_after_ms = error.code, error.retry_after_ms or 0
+            back_off_ms = self._signals.back_off_wait_ms(self._admitted.pool)
+            retry_after_ms = max(RETRY_AFTER_MS, retry_after_ms, back_off_ms)
             raise Refused(self._reason or end.value, code, retry_after_ms)
         code = ResultCode.OUTCOME_UNKNOWN
         if end is AttemptEnd.TIMED_OUT:
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -27,6 +27,7 @@
     GRANTS_IN_FLIGHT,
     HOSTS_LIVE,
     INVARIANT_VIOLATIONS,
+    LINKS_LOST,
     LOG_LINES_DROPPED,
     PROOF_AGE_MS,
     QUEUE_LENGTH,
@@ -48,6 +49,7 @@
 from hemlockhoist.entry.gate import QuotaGate
 from hemlockhoist.entry.host_registry import HostRegistry
 from hemlockhoist.entry.moves import OrderedMoveService
+from hemlockhoist.entry.relay_rules import EntryRelayRules
 from hemlockhoist.entry.servers import (
     LEAVING_RETRY_AFTER_MS,
     CallerServer,
@@ -61,6 +63,7 @@
 from hemlockhoist.host.identity import HostIdentity, new_incarnation
 from hemlockhoist.host.message_router import MessageRouter
 from hemlockhoist.peers import PeerBus
+from hemlockhoist.relays import RelayFrames, RelayServer, UpstreamPaths
 from hemlockhoist.store import SLOW_RETRY, TableWatch, TypedRows
 from hemlockhoist.upstreams import DispatchRegister, UpstreamClient
 
@@ -133,6 +136,7 @@
         self.finished = asyncio.Event()
         self.context = None
         self.status = None
+        self.relay_server = None
         self._platform = platform
         self._boot_clock = boot_clock
         self._closers = contextlib.AsyncExitStack()
@@ -153,6 +157,7 @@
         self.context = context
         message_router = MessageRouter()
         await self._open_bus(context, message_router)
+        self.relay_server = await self._open_relay_server(context)
         context.metrics = await self._open(Metrics.from_config(None))
         context.traces = await self._open(
             Traces.from_config(None, 0, context.identity.host_id)
@@ -178,12 +183,11 @@
 
     async def _open_bus(self, context, message_router):
         incarnation = new_incarnation()
-        key = os.environ.get(PEER_KEY_VARIABLE, "").encode()
         context.bus = PeerBus(
             incarnation,
             self.settings.peer_address,
             None,
-            key,
+            _peer_key(),
             context.clock,
             message_router.on_message,
             message_router.on_connection_lost,
@@ -197,6 +201,28 @@
             failure_domain=self.settings.failure_domain,
         )
 
+    async def _open_relay_server(self, context):
+        """Listen for other hosts' requests; return the server, or None."""
+        context.register = DispatchRegister(context.invariants)
+        if not self.settings.relay_address:
+            return None
+        server = RelayServer(
+            self.settings.relay_address,
+            self._relay_frames(context),
+            context,
+            self._boot_clock,
+            context.register,
+        )
+        await self._open(server)
+        context.relay_address = server.address
+        return server
+
+    def _relay_frames(self, context):
+        identity = context.identity
+        return RelayFrames(
+            _peer_key(), identity.host_id, identity.incarnation, context.clock
+        )
+
     def _build(self, context):
         context.declarations = Declarations()
         context.advertised_limits = AdvertisedLimits()
@@ -236,16 +262,36 @@
             context.advertised_limits,
             context.back_offs,
         )
-        context.register = DispatchRegister(context.invariants)
         context.feeds = FeedStore(
             context,
             self._platform.store,
             (self._platform.config_table, self._platform.upstream_table),
         )
-        context.upstreams = UpstreamClient(
-            self._platform.wire.request_id_header, CONNECT_TIMEOUT_MS
-        )
         context.fleet = Fleet.from_context(context, self.settings.processor_millicores)
+        self._build_paths(context)
+
+    def _build_paths(self, context):
+        """Create the ways to upstreams: this host's links, and those of others."""
+        header = self._platform.wire.request_id_header
+        client = UpstreamClient(header, CONNECT_TIMEOUT_MS)
+        frames = self._relay_frames(context)
+        context.upstreams = UpstreamPaths.from_context(
+            context, client, frames, header, self._relay_members
+        )
+        if self.relay_server is not None:
+            rules = EntryRelayRules(context)
+            self.relay_server.serve(client, context.upstreams.links, rules)
+
+    def _relay_members(self, regions):
+        """Return the other hosts that may relay a request, by its allowed regions."""
+        own, members = self.context.fleet.stable_members()
+        region_of = self.settings.regions_by_domain.get
+        return [
+            member
+            for member in members
+            if member.address != own.address
+            and (not regions or region_of(member.failure_domain) in regions)
+        ]
 
     async def _open_watches(self, context):
         platform, store_view = self._platform, context.store_view
@@ -327,6 +373,7 @@
         now_ms = context.clock.now_ms()
         context.advertised_limits.set_listed(upstreams, now_ms)
         context.back_offs.set_listed(upstreams, now_ms)
+        context.upstreams.links.set_listed({item.upstream_id for item in upstreams})
         context.homes.set_upstreams(upstreams)
 
     def _on_unresponsive(self, host_id):
@@ -377,8 +424,10 @@
             metrics.gauge(PROOF_AGE_MS, context.store_view.proof_age_ms())
         evacuated = context.store_view.evacuated.names()
         metrics.gauge(DOMAINS_EVACUATED, len(evacuated))
+        lost_links = context.upstreams.links.count_by_pool()
         for pool, count in context.store_view.count_live().items():
             metrics.gauge(UPSTREAMS_LISTED, count, pool)
+            metrics.gauge(LINKS_LOST, lost_links.get(pool, 0), pool)
         for pool, count in context.advertised_limits.count_by_pool().items():
             metrics.gauge(UPSTREAMS_LIMITED, count, pool)
         for pool, count in context.store_view.listing.count_announced().items():
@@ -425,6 +474,10 @@
         self.finished.set()
 
 
+def _peer_key():
+    return os.environ.get(PEER_KEY_VARIABLE, "").encode()
+
+
 def declarations_from_table(table):
     """Return the declarations of a route table's pools for homes and schedulers."""
     pools = tuple(
--- a/libs/entry/src/hemlockhoist/entry/request_grants.py
+++ b/libs/entry/src/hemlockhoist/entry/request_grants.py
@@ -14,6 +14,8 @@
 # Prefix of the incarnation in grant request ids; long enough to distinguish a fleet's
 # hosts.
 INCARNATION_DIGITS = 6
+# Upstreams without a link that a request names; more would make it long.
+MAX_UNREACHABLE = 8
 
 
 class RequestGrants:
@@ -135,6 +137,7 @@
         if self._current is not None:
             dispatch_count += self._current.guard.dispatched
             avoid += (self._current.hold.upstream_id,)
+        avoid += self._unreachable_upstreams()
         return RequestBrief(
             request_id=self._grant_request_id,
             route=admitted.route.name,
@@ -161,6 +164,17 @@
             regions=admitted.regions,
         )
 
+    def _unreachable_upstreams(self):
+        """Return upstreams to avoid as this host's links to them are lost.
+
+        None where the links to all of a pool are: then any may be reached only through
+        another host.
+        """
+        links, pool = self._context.upstreams.links, self._admitted.pool
+        if links.is_pool_lost(pool):
+            return ()
+        return tuple(links.lost_in(pool)[:MAX_UNREACHABLE])
+
     @property
     def _grant_request_id(self):
         """The id of the latest request for a grant between hosts.
--- a/libs/entry/src/hemlockhoist/entry/settings.py
+++ b/libs/entry/src/hemlockhoist/entry/settings.py
@@ -69,6 +69,8 @@
     metrics_address : str
         Address that serves metrics; empty for none.
     peer_address : str
+    relay_address : str
+        Address at which the host relays for others; empty if it does not.
     seed_peer_addresses : tuple of str
         Hosts that may exist; they may also be down or removed.
     store_address : str
@@ -92,6 +94,7 @@
     operator_address: str = ""
     metrics_address: str = ""
     peer_address: str
+    relay_address: str = ""
     seed_peer_addresses: tuple[str, ...] = ()
     store_address: str
     bounds: FleetBounds = FleetBounds()
--- a/libs/entry/src/hemlockhoist/entry/signals.py
+++ b/libs/entry/src/hemlockhoist/entry/signals.py
@@ -1,5 +1,7 @@
 """What upstreams say about themselves in the heads of their answers to this host."""
 
+import msgspec
+
 from hemlockhoist.base import UpstreamBackedOff, get_logger
 from hemlockhoist.decisions import UpstreamState
 from hemlockhoist.messages import NO_LIMIT, UpstreamSignals
@@ -7,6 +9,21 @@
 _log = get_logger("entry.exchange")
 
 
+class SignalSource(msgspec.Struct, frozen=True):
+    """The upstream process that sent an answer.
+
+    Parameters
+    ==========
+    pool, upstream_id : str
+    started_unix_ms : int or None
+        Its start time as listed; None if it is not listed.
+    """
+
+    pool: str
+    upstream_id: str
+    started_unix_ms: int | None
+
+
 class SignalRecorder:
     """Records and applies the signals of upstreams.
 
@@ -21,9 +38,7 @@
         self._context = context
 
     def record(self, head, attempt, request_id):
-        """Record the signals in the head of an answer.
-
-        Another process that answers at its address says nothing about the upstream.
+        """Record the signals in the head of an answer to this host's own request.
 
         Parameters
         ==========
@@ -32,49 +47,62 @@
             Gets the ``UpstreamSignals``.
         request_id : str
         """
+        hold = attempt.hold
+        source = SignalSource(hold.pool, hold.upstream_id, attempt.started_unix_ms)
+        attempt.signals = self.apply(head, source, request_id) or attempt.signals
+
+    def apply(self, head, source, request_id):
+        """Record the signals in the head of an answer; return them, or None.
+
+        Another process that answers at its address says nothing about the upstream.
+
+        Parameters
+        ==========
+        head : ResponseHead
+        source : SignalSource
+        request_id : str
+
+        Returns
+        =======
+        UpstreamSignals or None
+        """
         if head.is_misdirected:
-            return
-        started_unix_ms = attempt.started_unix_ms if head.is_leaving else None
-        attempt.signals = UpstreamSignals(
+            return None
+        self._record_limit(head, source, request_id)
+        self._record_back_off(head, source, request_id)
+        started_unix_ms = source.started_unix_ms if head.is_leaving else None
+        if started_unix_ms is not None:
+            store_view = self._context.store_view
+            store_view.on_upstream_leaving(source.upstream_id, started_unix_ms)
+        return UpstreamSignals(
             limit_per_s=head.limit_per_s,
             back_off_ms=head.back_off_ms,
             leaving_started_unix_ms=started_unix_ms,
         )
-        self._record_limit(attempt, request_id)
-        self._record_back_off(attempt, request_id)
-        self._record_leaving(attempt)
 
-    def _record_limit(self, attempt, request_id):
-        hold, limit_per_s = attempt.hold, attempt.signals.limit_per_s
+    def _record_limit(self, head, source, request_id):
         limits, now_ms = self._context.advertised_limits, self._context.clock.now_ms()
-        if limits.record(hold.pool, hold.upstream_id, limit_per_s, now_ms):
-            is_limited = limit_per_s != NO_LIMIT
+        if limits.record(source.pool, source.upstream_id, head.limit_per_s, now_ms):
+            is_limited = head.limit_per_s != NO_LIMIT
             _log.info(
                 "limit_advertised" if is_limited else "limit_withdrawn",
                 request=request_id,
-                upstream=hold.upstream_id,
-                pool=hold.pool,
-                requests_per_s=attempt.limit_text,
+                upstream=source.upstream_id,
+                pool=source.pool,
+                requests_per_s=head.limit_per_s if is_limited else "",
             )
 
-    def _record_back_off(self, attempt, request_id):
-        hold, back_off_ms = attempt.hold, attempt.signals.back_off_ms
+    def _record_back_off(self, head, source, request_id):
         back_offs, now_ms = self._context.back_offs, self._context.clock.now_ms()
-        if back_offs.record(hold.pool, hold.upstream_id, back_off_ms, now_ms):
+        if back_offs.record(source.pool, source.upstream_id, head.back_off_ms, now_ms):
             _log.info(
                 "back_off_requested",
                 request=request_id,
-                upstream=hold.upstream_id,
-                pool=hold.pool,
-                back_off_ms=back_off_ms,
+                upstream=source.upstream_id,
+                pool=source.pool,
+                back_off_ms=head.back_off_ms,
             )
 
-    def _record_leaving(self, attempt):
-        started_unix_ms = attempt.signals.leaving_started_unix_ms
-        if started_unix_ms is not None:
-            upstream_id = attempt.hold.upstream_id
-            self._context.store_view.on_upstream_leaving(upstream_id, started_unix_ms)
-
     def known(self, upstream_id):
         """Return what this host knows and the upstream's home does not seem to know."""
         now_ms = self._context.clock.now_ms()
--- a/libs/entry/src/hemlockhoist/entry/stalls.py
+++ b/libs/entry/src/hemlockhoist/entry/stalls.py
@@ -92,6 +92,14 @@
             self._timer.cancel()
             self._schedule(limit_ms)
 
+    def on_link_lost(self, limit_ms):
+        """Seek another upstream sooner, as this one can no longer be reached."""
+        if self._limit_ms is None or self._search is not None:
+            return
+        self._due_ms = min(self._due_ms, self._clock.now_ms() + limit_ms)
+        self._timer.cancel()
+        self._schedule(max(0, self._due_ms - self._clock.now_ms()))
+
     def classify_error(self, error):
         """Return the error to raise for a failed read; a timeout if it had stalled."""
         if not self._is_replaced:
--- a/libs/entry/src/hemlockhoist/entry/stream.py
+++ b/libs/entry/src/hemlockhoist/entry/stream.py
@@ -16,6 +16,8 @@
 # prompt.
 MIN_STALL_MS = 1_500
 GAP_FACTOR = 2
+# The same, where new connections to the upstream fail; open ones may live on.
+LOST_LINK_STALL_MS = 400
 # Before the first event, an upstream may have a long prompt to compute, of this request
 # or of those ahead of it. The slowest engines observed compute about 12 tokens per
 # millisecond.
@@ -49,6 +51,7 @@
         "_longest_gap_ms",
         "_reader",
         "_request",
+        "_watchdog",
         "event_count",
         "passed_ms",
     )
@@ -72,10 +75,16 @@
         self._last_data_ms = None
         self._last_event_ms = None
         self._longest_gap_ms = 0
+        self._watchdog = None
         self.event_count = 0
         # When the caller was last sent something; None before the response began.
         self.passed_ms = None
 
+    def on_link_lost(self):
+        """Seek another upstream soon if nothing more arrives from the present one."""
+        if self._watchdog is not None:
+            self._watchdog.on_link_lost(LOST_LINK_STALL_MS)
+
     @property
     def started(self):
         """Whether any part of the response has been sent to the caller."""
@@ -113,7 +122,7 @@
         self._longest_gap_ms = 0
         first = True
         limit_ms = self._stall_limit_ms(True)
-        watchdog = StallWatchdog(
+        watchdog = self._watchdog = StallWatchdog(
             response, limit_ms, self._clock, self._find_replacement
         )
         watchdog.start()
@@ -131,6 +140,7 @@
             raise watchdog.classify_error(error) from error
         finally:
             watchdog.close()
+            self._watchdog = None
         if not self._reader.is_between_events:
             text = "the stream ended in the middle of an event"
             raise DispatchError(text, ResultCode.UPSTREAM_BROKE_OFF)
--- a/libs/host/src/hemlockhoist/host/context.py
+++ b/libs/host/src/hemlockhoist/host/context.py
@@ -32,6 +32,8 @@
         Whether a planned stop has begun.
     open_requests : int
         The number of callers' requests whose answer is not complete.
+    relay_address : str
+        Address at which this host relays for others; empty if it does not.
     """
 
     __slots__ = (
@@ -52,6 +54,7 @@
         "metrics",
         "moves",
         "open_requests",
+        "relay_address",
         "operators",
         "settings",
         "stream_readers",
@@ -68,3 +71,4 @@
         self.handover = StreamHandover()
         self.leaving = False
         self.open_requests = 0
+        self.relay_address = ""
--- a/libs/host/src/hemlockhoist/host/fleet.py
+++ b/libs/host/src/hemlockhoist/host/fleet.py
@@ -79,6 +79,7 @@
             caller_address=identity.address,
             failure_domain=identity.failure_domain,
             processor_millicores=processor_millicores,
+            relay_address=context.relay_address,
         )
         return cls(context, Membership.from_config(own, identity.incarnation))
 
--- a/libs/host/src/hemlockhoist/host/grants.py
+++ b/libs/host/src/hemlockhoist/host/grants.py
@@ -24,6 +24,7 @@
     HeldGrantIds,
     HeldGrants,
     NotHome,
+    UpstreamReached,
 )
 
 # A reply takes a few milliseconds, and up to a tenth of a second where the home's
@@ -341,7 +342,7 @@
             )
             self._send(target, message)
 
-    def report_first_token(self, hold, first_token_ms, signals=None):
+    def report_first_token(self, hold, first_token_ms, signals=None, relay=""):
         """Report the time to first token of an answer to the home.
 
         Parameters
@@ -350,12 +351,15 @@
         first_token_ms : int
         signals : UpstreamSignals or None, optional
             What the answer said about the upstream.
+        relay : str, optional
+            The host through which the upstream was reached; empty for none.
         """
         message = FirstToken(
             pool=hold.pool,
             grant_id=hold.grant_id,
             first_token_ms=first_token_ms,
             signals=signals_for_home(hold, signals),
+            relay=relay,
         )
         self._notify_homes(hold, message)
 
@@ -373,6 +377,16 @@
         if error.version is not None:
             self._send(hold.home, outdated_message(error))
 
+    def report_reachable(self, pool, upstream_id):
+        """Report that another host reaches an upstream that this one could not.
+
+        The home was told of a failed connection, and keeps the upstream from all hosts
+        for a while.
+        """
+        home = self._home_of(pool)
+        if home:
+            self._send(home, UpstreamReached(pool=pool, upstream_id=upstream_id))
+
     def _notify_homes(self, hold, message):
         """Send a message about a grant to every home that may count it.
 
@@ -403,6 +417,7 @@
         """
         if self._held.pop(hold.grant_id, None) is None:
             return
+        outcome = outcome.for_home()
         self._send_release(
             hold, outcome.kind.value, outcome, signals_for_home(hold, signals)
         )
@@ -423,6 +438,7 @@
             cached_tokens=outcome.cached_tokens if outcome else 0,
             token_us=outcome.token_us if outcome else -1,
             signals=signals,
+            relay=outcome.relay if outcome else "",
         )
         self._notify_homes(hold, message)
 
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -261,7 +261,7 @@
         now_ms = self._clock.now_ms()
         self._signals.observe(message)
         decisions = self.scheduler.observe_first_token(
-            message.grant_id, message.first_token_ms, now_ms
+            message.grant_id, message.first_token_ms, now_ms, message.relay
         )
         self._emit(decisions, now_ms)
 
@@ -275,10 +275,16 @@
             output_tokens=message.output_tokens,
             cached_tokens=message.cached_tokens,
             token_us=message.token_us,
+            relay=message.relay,
         )
         now_ms = self._clock.now_ms()
         self._release(message.grant_id, message.request_id, outcome, now_ms)
 
+    def on_upstream_reached(self, upstream_id):
+        """Record that a host reaches an upstream to which another could not connect."""
+        now_ms = self._clock.now_ms()
+        self._emit(self.scheduler.observe_reachable(upstream_id, now_ms), now_ms)
+
     def _release(self, grant_id, request_id, outcome, now_ms):
         granted = self._granted.get(request_id)
         if granted is not None and granted[0].grant_id == grant_id:
--- a/libs/host/src/hemlockhoist/host/message_router.py
+++ b/libs/host/src/hemlockhoist/host/message_router.py
@@ -38,6 +38,7 @@
     ProbeAck,
     ProbeRequest,
     StreamTaken,
+    UpstreamReached,
     VersionHalted,
 )
 
@@ -114,6 +115,12 @@
         home.on_release(message)
 
 
+@_handle.register
+def _(message: UpstreamReached, context, sender, late_ms):
+    for home in context.homes.all_for_pool(message.pool):
+        home.on_upstream_reached(message.upstream_id)
+
+
 @_handle.register
 def _(message: HomeTakeover, context, sender, late_ms):
     report = context.grants.report_held(message.pool, message.home_incarnation, sender)
--- a/libs/messages/src/hemlockhoist/messages/__init__.py
+++ b/libs/messages/src/hemlockhoist/messages/__init__.py
@@ -73,6 +73,15 @@
 )
 from hemlockhoist.messages.moves import MoveAnnounced, StreamTaken, VersionHalted
 from hemlockhoist.messages.registry import MESSAGE_TYPES
+from hemlockhoist.messages.relays import (
+    RelayedHead,
+    RelayFailure,
+    RelayOffer,
+    RelayReady,
+    RelayRefusal,
+    RelaySend,
+    UpstreamReached,
+)
 
 __all__ = [
     "MAX_FRAME_BYTES",
@@ -133,9 +142,16 @@
     "Probe",
     "ProbeAck",
     "ProbeRequest",
+    "RelayFailure",
+    "RelayOffer",
+    "RelayReady",
+    "RelayRefusal",
+    "RelaySend",
+    "RelayedHead",
     "RequestBrief",
     "StoredAnswer",
     "StreamTaken",
+    "UpstreamReached",
     "UpstreamSignals",
     "VersionHalted",
 ]
--- a/libs/messages/src/hemlockhoist/messages/codes.py
+++ b/libs/messages/src/hemlockhoist/messages/codes.py
@@ -51,6 +51,13 @@
     "VersionHalted": 43,
     "StreamTaken": 44,
     "HomeClosed": 45,
+    "RelayOffer": 46,
+    "RelayReady": 47,
+    "RelaySend": 48,
+    "RelayRefusal": 49,
+    "RelayedHead": 50,
+    "RelayFailure": 51,
+    "UpstreamReached": 52,
 }
 
 
--- a/libs/messages/src/hemlockhoist/messages/grants.py
+++ b/libs/messages/src/hemlockhoist/messages/grants.py
@@ -184,7 +184,8 @@
 
     ``outcome`` is the value of an ``OutcomeKind`` of the decisions library.
     ``signals`` is what the upstream's answer said about the upstream, or None if that
-    is no news.
+    is no news. ``relay`` is the host through which the upstream was reached, or that
+    could not reach it either; empty if the entry host used its own link.
     """
 
     pool: str
@@ -198,6 +199,7 @@
     token_us: int = -1
     is_alone: bool = False
     signals: UpstreamSignals | None = None
+    relay: str = ""
 
 
 class FirstToken(
@@ -205,7 +207,8 @@
 ):
     """Reports the first token of an answer, which may end many seconds later.
 
-    ``first_token_ms`` is the time since dispatch, ``signals`` as in ``GrantRelease``.
+    ``first_token_ms`` is the time since dispatch, ``signals`` and ``relay`` are as in
+    ``GrantRelease``.
     """
 
     pool: str
@@ -213,6 +216,7 @@
     first_token_ms: int
     is_alone: bool = False
     signals: UpstreamSignals | None = None
+    relay: str = ""
 
 
 class HeldGrant(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/libs/messages/src/hemlockhoist/messages/membership.py
+++ b/libs/messages/src/hemlockhoist/messages/membership.py
@@ -34,6 +34,9 @@
     failure_domain : str
     processor_millicores : int
         Processor time available to the host, in thousandths of a core; 0 if unknown.
+    relay_address : str
+        ``IP:port`` at which it passes other hosts' requests on to upstreams; empty if
+        it does not.
     """
 
     address: str
@@ -42,6 +45,7 @@
     caller_address: str = ""
     failure_domain: str = ""
     processor_millicores: int = 0
+    relay_address: str = ""
 
 
 class MemberUpdate(
--- a/libs/messages/src/hemlockhoist/messages/registry.py
+++ b/libs/messages/src/hemlockhoist/messages/registry.py
@@ -56,6 +56,15 @@
     ProbeRequest,
 )
 from hemlockhoist.messages.moves import MoveAnnounced, StreamTaken, VersionHalted
+from hemlockhoist.messages.relays import (
+    RelayedHead,
+    RelayFailure,
+    RelayOffer,
+    RelayReady,
+    RelayRefusal,
+    RelaySend,
+    UpstreamReached,
+)
 
 MESSAGE_TYPES = (
     ConfigurationAck,
@@ -99,6 +108,13 @@
     Probe,
     ProbeAck,
     ProbeRequest,
+    RelayFailure,
+    RelayOffer,
+    RelayReady,
+    RelayRefusal,
+    RelaySend,
+    RelayedHead,
     StreamTaken,
+    UpstreamReached,
     VersionHalted,
 )
--- a/libs/standins/src/hemlockhoist/standins/published/site.py
+++ b/libs/standins/src/hemlockhoist/standins/published/site.py
@@ -172,6 +172,7 @@
             readiness_address="127.0.0.1:0",
             directory_address="",
             peer_address="127.0.0.1:0",
+            relay_address="127.0.0.1:0",
             store_address=self.store.address,
             bounds=self._bounds,
         )
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_explained.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_explained.py
@@ -16,6 +16,7 @@
     SkippingClock,
     route,
 )
+from hemlockhoist.standins.published.links import HostLinks, LinkMode
 
 
 class ExplainedTests(unittest.IsolatedAsyncioTestCase):
@@ -138,6 +139,23 @@
         self.assertIn("limited s1", text)
         self.assertIn("limit_enforced pool=reservas upstream=s1", text)
 
+    async def test_request_that_another_host_relayed(self):
+        """A host lost its link, and its request was served through another one."""
+        replica = Replica("s1")
+        lookup = route("check-free", "reservas")
+        async with Site({"reservas": [replica]}, [lookup], 2) as site:
+            HostLinks(site.hosts[0]).cut([replica], LinkMode.REFUSED)
+            async with site.call("/check-free/1", Attempt_Id="a7") as answer:
+                self.assertEqual(answer.status, 200)
+                await answer.read()
+            await self.wait_for_line("relay_ended", "request=a7")
+            relay = site.hosts[1].context.identity.host_id
+        text = self.explain("a7")
+        self.assertIn("answered with status 200", text)
+        self.assertIn("upstream_link_lost pool=reservas upstream=s1", text)
+        self.assertIn(f"relay={relay}", text)
+        self.assertRegex(text, "relay_ended upstream=s1 .*result=answered")
+
     async def test_back_off_that_an_upstream_asks_for(self):
         busy = Replica("s1")
         busy.behaviour = Behaviour.SHEDS
--- a/libs/upstreams/src/hemlockhoist/upstreams/client.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/client.py
@@ -41,19 +41,34 @@
     method, path : str
         ``path`` includes the query.
     headers : tuple of (str, str)
-    body : bytes
+    body : bytes or asynchronous iterable of bytes
+        An iterable needs a ``Content-Length`` among the headers.
     request_id : str
     idle_timeout_ms : int
         Longest time without data from the upstream.
+    pool, upstream_id, version : str
+        The upstream; empty where only its address is known.
+    is_cold : bool
+        Whether the grant was given for a cold upstream.
+    is_repeatable : bool
+        Whether the request may be sent again without an answer to this one.
+    regions : tuple of str
+        Regions that the body may be sent to; empty for any.
     """
 
     address: str
     method: str
     path: str
     headers: tuple[tuple[str, str], ...] = ()
-    body: bytes = b""
+    body: bytes | object = b""
     request_id: str = ""
     idle_timeout_ms: int = 30_000
+    pool: str = ""
+    upstream_id: str = ""
+    version: str = ""
+    is_cold: bool = False
+    is_repeatable: bool = False
+    regions: tuple[str, ...] = ()
 
 
 class UpstreamResponse:
@@ -256,6 +271,19 @@
         finally:
             dispatch_guard.reset(token)
 
+    async def probe(self, address):
+        """Return whether a connection to an address can be made; close it again."""
+        ip, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(self._connect_timeout_ms / MS_PER_S):
+                transport, _ = await self.connector.open(
+                    asyncio.Protocol, ip, int(port)
+                )
+        except OSError:
+            return False
+        transport.close()
+        return True
+
     async def fetch(self, call):
         """Send a request that runs no work (load report, cancel); read its response.
 
@@ -307,6 +335,9 @@
     __slots__ = ()
     dispatched = True
 
+    async def prepare(self):
+        """Do nothing."""
+
     def begin_dispatch(self):
         """Do nothing."""
 
--- a/libs/upstreams/src/hemlockhoist/upstreams/connections.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/connections.py
@@ -118,11 +118,11 @@
             raise aiohttp.ClientConnectorError(req.connection_key, error) from error
         if self._tcp_keepalive:
             enable_tcp_keepalive(transport.get_extra_info("socket"))
-        _check_guard(transport)
+        await _check_guard(transport)
         return protocol
 
 
-def _check_guard(transport):
+async def _check_guard(transport):
     """Check the grant on a new connection, before the library writes to it.
 
     The library writes the request head in the next step without waiting for I/O, so
@@ -133,6 +133,7 @@
     if guard is None:
         return
     try:
+        await guard.prepare()
         guard.begin_dispatch()
     except BaseException:
         transport.abort()
--- a/libs/upstreams/src/hemlockhoist/upstreams/guard.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/guard.py
@@ -75,6 +75,13 @@
     request_id : str
     on_dispatch : callable, optional
         Called without arguments when the dispatch is permitted, before the first byte.
+
+    Attributes
+    ==========
+    on_connected : callable
+        Called without arguments when a connection to the upstream has been made.
+    relay : str
+        Id of the host through which the upstream is reached; empty for none.
     """
 
     __slots__ = (
@@ -83,6 +90,8 @@
         "_register",
         "dispatched_ms",
         "expires_ms",
+        "on_connected",
+        "relay",
         "request_id",
         "revoked",
     )
@@ -95,6 +104,8 @@
         self.request_id = request_id
         self.dispatched_ms = None
         self.revoked = None
+        self.on_connected = lambda: None
+        self.relay = ""
 
     @property
     def dispatched(self):
@@ -105,6 +116,10 @@
         """Forbid the dispatch; has no effect once it has begun."""
         self.revoked = reason
 
+    async def prepare(self):
+        """Do what is due between the connection and the last check."""
+        self.on_connected()
+
     def begin_dispatch(self):
         """Check the grant and permit the dispatch.
 
