Let hosts of the own interface relay for one another too

The same fault on the other request path: a host of the own interface that lost its links to the upstreams refused chats, calls and bookings, beside hosts that had them.

Change: the same paths and relay server serve both surfaces. A host listens for other hosts' requests beside the address for peers (relay_listen_address, by default at a free port) and tells the fleet where. What breaks off through a relaying host is no outcome of the upstream here either.

Not done on this path: a connection that breaks off over the host's own link counts against the upstream without a check of the link, and streams are resumed over a host's own link only.

--- a/libs/host/src/hemlockhoist/host/dispatcher.py
+++ b/libs/host/src/hemlockhoist/host/dispatcher.py
@@ -21,8 +21,10 @@
 
 _log = get_logger("host.dispatcher")
 
+_LOST_KINDS = frozenset({OutcomeKind.BROKE_OFF, OutcomeKind.TIMEOUT})
 _OUTCOME_KINDS = {
     ResultCode.CONNECT_FAILED: OutcomeKind.CONNECT_FAILED,
+    ResultCode.LINK_LOST: OutcomeKind.LINK_FAILED,
     ResultCode.GRANT_EXPIRED: OutcomeKind.NOT_SENT,
     ResultCode.UPSTREAM_TIMEOUT: OutcomeKind.TIMEOUT,
     ResultCode.UPSTREAM_BROKE_OFF: OutcomeKind.BROKE_OFF,
@@ -112,16 +114,21 @@
 
     def outcome(self, now_ms):
         """Return the outcome of the attempt, which ends at ``now_ms``."""
-        sent_ms = self.guard.dispatched_ms
+        sent_ms, relay = self.guard.dispatched_ms, self.guard.relay
         if sent_ms is None:
-            return Outcome(kind=self.kind)
+            return Outcome(kind=self.kind, relay=relay)
+        kind = self.kind
+        if relay and kind in _LOST_KINDS:
+            # Whether the upstream or the relaying host is at fault is not known.
+            kind = OutcomeKind.LINK_LOST
         first_ms = -1 if self.first_ms is None else self.first_ms - sent_ms
         return Outcome(
-            kind=self.kind,
+            kind=kind,
             first_token_ms=first_ms,
             total_ms=now_ms - sent_ms,
             output_tokens=self.output_tokens,
             cached_tokens=self.cached_tokens,
+            relay=relay,
         )
 
 
@@ -274,6 +281,7 @@
         "attempt_ended",
         request=work.request_id,
         upstream=hold.upstream_id,
+        relay=report.guard.relay,
         version=hold.version,
         home=hold.home,
         outcome=outcome.kind.value,
--- a/libs/host/src/hemlockhoist/host/process.py
+++ b/libs/host/src/hemlockhoist/host/process.py
@@ -12,6 +12,7 @@
     Clock,
     InvariantLog,
     PeriodicTask,
+    SuspendAwareClock,
     configure_logs,
     get_logger,
 )
@@ -22,6 +23,7 @@
     HOSTS_LIVE,
     INVARIANT_VIOLATIONS,
     LEDGER_IN_PROGRESS,
+    LINKS_LOST,
     QUEUE_LENGTH,
     REQUESTS_OPEN,
 )
@@ -53,13 +55,14 @@
     mark_evacuated,
 )
 from hemlockhoist.peers import PeerBus
+from hemlockhoist.relays import RelayFrames, RelayRules, RelayServer, UpstreamPaths
 from hemlockhoist.store import (
     HostListClient,
     PlatformConfig,
     PlatformTransport,
     TableClient,
 )
-from hemlockhoist.upstreams import UpstreamClient
+from hemlockhoist.upstreams import REQUEST_ID_HEADER, UpstreamClient
 
 _log = get_logger("host.process")
 
@@ -113,6 +116,7 @@
         transport = await self._open(self._transport())
         tables = TableClient.from_config(transport)
         self._create_components(context, tables)
+        await self._open_paths(context)
         await self._start_serving(context, tables)
         message_router.open(context)
         await self._open(context.fleet)
@@ -182,7 +186,6 @@
         context.dispatcher = Dispatcher(
             context.grants, clock, context.invariants, context.traces, context.metrics
         )
-        context.upstreams = UpstreamClient()
         context.moves = MoveService(context, tables, send)
         context.configuration = ConfigurationService(
             context, tables, send, self._on_declarations
@@ -202,6 +205,42 @@
     def _find_host(self, incarnation):
         return self.context.fleet.host_of(incarnation)
 
+    async def _open_paths(self, context):
+        """Open the ways to upstreams: this host's links, and those of others."""
+        frames = RelayFrames(
+            self.settings.peer_key.encode(),
+            context.identity.host_id,
+            context.identity.incarnation,
+            context.clock,
+        )
+        client = UpstreamClient()
+        context.upstreams = UpstreamPaths.from_context(
+            context, client, frames, REQUEST_ID_HEADER, self._relay_members
+        )
+        server = RelayServer(
+            self._relay_listen_address(),
+            frames,
+            context,
+            SuspendAwareClock.from_system(),
+            context.dispatcher.register,
+        )
+        await self._open(server)
+        server.serve(client, context.upstreams.links, RelayRules(context))
+        ip, _, _ = context.identity.host_id.rpartition(":")
+        _, _, port = server.address.rpartition(":")
+        context.relay_address = f"{ip}:{port}"
+
+    def _relay_listen_address(self):
+        if self.settings.relay_listen_address:
+            return str(self.settings.relay_listen_address)
+        ip, _, _ = str(self.settings.peer_listen_address).rpartition(":")
+        return f"{ip}:0"
+
+    def _relay_members(self, regions):
+        """Return the other hosts that may relay a request."""
+        own, members = self.context.fleet.stable_members()
+        return [member for member in members if member.address != own.address]
+
     async def _start_serving(self, context, tables):
         """Start to listen for callers, which determines this host's address."""
         await self._open(context.upstreams)
@@ -233,6 +272,8 @@
     def _on_host_list(self, members):
         self.context.fleet.on_list(listed_hosts(members))
         self._upstreams = listed_upstreams(members)
+        listed = {item.upstream_id for item in self._upstreams}
+        self.context.upstreams.links.set_listed(listed)
         self._apply_upstreams()
 
     def _apply_upstreams(self):
@@ -266,6 +307,8 @@
         context.metrics.gauge(HOSTS_LIVE, len(context.fleet.live_hosts()))
         context.metrics.gauge(DECLARATIONS_VERSION, context.declarations.version)
         context.metrics.gauge(LEDGER_IN_PROGRESS, context.ledger.in_progress)
+        for pool, count in context.upstreams.links.count_by_pool().items():
+            context.metrics.gauge(LINKS_LOST, count, pool)
         for prop, count in context.invariants.violations.items():
             context.metrics.gauge(INVARIANT_VIOLATIONS, count, prop.name)
         for pool, home in context.homes.active().items():
--- a/libs/host/src/hemlockhoist/host/services.py
+++ b/libs/host/src/hemlockhoist/host/services.py
@@ -183,6 +183,10 @@
             body=self._body,
             request_id=self._work.request_id,
             idle_timeout_ms=max(1, self._work.deadline_ms - now_ms),
+            pool=hold.pool,
+            upstream_id=hold.upstream_id,
+            version=hold.version,
+            is_repeatable=self._work.idempotent,
         )
 
 
--- a/libs/host/src/hemlockhoist/host/settings_table.py
+++ b/libs/host/src/hemlockhoist/host/settings_table.py
@@ -88,6 +88,13 @@
         "",
         "Address advertised to other hosts; by default the one listened on.",
     ),
+    Setting(
+        "relay_listen_address",
+        Address(any_port=True),
+        "",
+        "Address where other hosts that lost their links to upstreams have requests "
+        "relayed; by default a free port beside the address for other hosts.",
+    ),
     Setting(
         "failure_domain",
         Text(64),
--- a/libs/standins/src/hemlockhoist/standins/tests/test_host_process.py
+++ b/libs/standins/src/hemlockhoist/standins/tests/test_host_process.py
@@ -353,3 +353,59 @@
         }
     )
     return endpoint.platform_address
+
+
+class CutHostTests(HostCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        other = HostProcess(self._settings(), self._traces())
+        await other.start()
+        self.addAsyncCleanup(other.close)
+        members = [self._member("engine", "assistant")]
+        members.append(self._member("service", "reservations"))
+        members += [_host_row(host) for host in (self.host, other)]
+        url = self.servers["platform"].url + "/-/hosts"
+        async with self.session.put(url, json={"members": members}) as response:
+            response.raise_for_status()
+        fleet = self.host.context.fleet
+        async with asyncio.timeout(5):
+            while len(fleet.stable_members()[1]) < 2:
+                await asyncio.sleep(0.02)
+        self.cut_off = {self.servers[name].address for name in ("engine", "service")}
+        connector = self.host.context.upstreams.connector
+        self.open = connector.open
+        connector.open = self._open_if_linked
+
+    async def _open_if_linked(self, factory, ip, port):
+        if f"{ip}:{port}" in self.cut_off:
+            raise ConnectionRefusedError(111, "Connection refused")
+        return await self.open(factory, ip, port)
+
+    async def test_chats_and_calls_are_served_through_another_host(self):
+        """Guards against a host that serves nobody, beside one with links."""
+        for _ in range(4):
+            status, *_ = await self._call("POST", _CHAT, _CALLER, _QUESTION)
+            self.assertEqual(status, 200)
+            path = "/services/reservations/availability"
+            status, *_ = await self._call("GET", path, _CALLER)
+            self.assertEqual(status, 200)
+
+    async def test_booking_runs_once_through_another_host(self):
+        """Guards against a hall that is booked twice as another host helps."""
+        headers = await self._key_headers("relayed")
+        for _ in range(2):
+            status, *_ = await self._call("POST", _BOOKINGS, headers, b"hall 1")
+            self.assertEqual(status, 200)
+        self.assertEqual(len(self._runs()), 1)
+
+
+def _host_row(host):
+    identity = host.context.identity
+    return {
+        "id": identity.host_id,
+        "kind": "entry",
+        "address": identity.address,
+        "peer_address": identity.host_id,
+        "failure_domain": identity.failure_domain,
+        "state": "live",
+    }
