Read what is in force on each kind of socket, and drop a count without effect

As on Linux, a TCP_USER_TIMEOUT that is set also decides when keep-alive probes give up, whatever their count: a connection ends once nothing has come for so long and a probe is unanswered. Connections to the store and to relaying hosts set 3 s beside probes at 1 s and 2 s, so that the count of 2 did nothing; both ways of reading it give 3 s. The count goes, and the comment says what holds.

No library sets a user timeout by itself here.

--- a/libs/upstreams/src/hemlockhoist/upstreams/connections.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/connections.py
@@ -11,13 +11,13 @@
 
 # A machine that lost power or is behind a network partition does not answer, and a
 # connection to it hangs while the kernel retransmits, for many minutes. With these
-# options the connection ends within about three seconds, sending or idle. They are not
-# used for connections to upstreams: a response delayed by a short partition still
-# arrives, and may be the only one there is.
+# options the connection ends within about three seconds, sending or idle: where the
+# user timeout is set, it also decides when the keep-alive probes give up, and their
+# count has no effect. They are not used for connections to upstreams: a response
+# delayed by a short partition still arrives, and may be the only one there is.
 TCP_USER_TIMEOUT_MS = 3_000
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
 
 
 # The guard of the dispatch that opens a connection in this task; None for requests that
@@ -31,7 +31,6 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
 
 
