Give the gauges of an entry host a module of their own

entry/process.py builds, starts and stops a host; what it reports each second is another subject.

Tests: test_explained and the metrics table, as before.

--- /dev/null
+++ b/libs/entry/src/hemlockhoist/entry/gauges.py
@@ -0,0 +1,62 @@
+"""The gauges of an entry host."""
+
+from hemlockhoist.base.metrics_table import (
+    DECLARATIONS_VERSION,
+    DOMAINS_EVACUATED,
+    GRANTS_IN_FLIGHT,
+    HOSTS_LIVE,
+    INVARIANT_VIOLATIONS,
+    LINKS_LOST,
+    PROOF_AGE_MS,
+    QUEUE_LENGTH,
+    REQUESTS_OPEN,
+    UPSTREAMS_BACKED_OFF,
+    UPSTREAMS_LEAVING,
+    UPSTREAMS_LIMITED,
+    UPSTREAMS_LISTED,
+)
+
+
+def update_gauges(context):
+    """Set the gauges to the present state of a host.
+
+    Parameters
+    ==========
+    context : EntryContext
+    """
+    metrics = context.metrics
+    metrics.gauge(REQUESTS_OPEN, context.open_requests)
+    metrics.gauge(HOSTS_LIVE, len(context.fleet.live_hosts()))
+    _update_store_gauges(context)
+    _update_upstream_gauges(context)
+    for prop, count in context.invariants.violations.items():
+        metrics.gauge(INVARIANT_VIOLATIONS, count, prop.name)
+    for pool, home in context.homes.active().items():
+        queued, granted = home.counts()
+        metrics.gauge(QUEUE_LENGTH, queued, pool)
+        metrics.gauge(GRANTS_IN_FLIGHT, granted, pool)
+
+
+def _update_store_gauges(context):
+    metrics, store_view = context.metrics, context.store_view
+    if store_view.routes is not None:
+        metrics.gauge(DECLARATIONS_VERSION, store_view.routes.version)
+    if store_view.proof_age_ms() is not None:
+        metrics.gauge(PROOF_AGE_MS, store_view.proof_age_ms())
+    metrics.gauge(DOMAINS_EVACUATED, len(store_view.evacuated.names()))
+
+
+def _update_upstream_gauges(context):
+    live_counts = context.store_view.count_live()
+    # Every pool has a value, so that a gauge falls to 0 when the last link is back.
+    lost_links = dict.fromkeys(live_counts, 0) | context.upstreams.links.count_by_pool()
+    counts_by_gauge = {
+        UPSTREAMS_LISTED: live_counts,
+        LINKS_LOST: lost_links,
+        UPSTREAMS_LIMITED: context.advertised_limits.count_by_pool(),
+        UPSTREAMS_LEAVING: context.store_view.listing.count_announced(),
+        UPSTREAMS_BACKED_OFF: context.back_offs.count_by_pool(context.clock.now_ms()),
+    }
+    for gauge, counts in counts_by_gauge.items():
+        for pool, count in counts.items():
+            context.metrics.gauge(gauge, count, pool)
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -22,22 +22,9 @@
 )
 from hemlockhoist.base.metrics import Metrics
 from hemlockhoist.base.metrics_table import (
-    DECLARATIONS_VERSION,
-    DOMAINS_EVACUATED,
-    GRANTS_IN_FLIGHT,
-    HOSTS_LIVE,
-    INVARIANT_VIOLATIONS,
-    LINKS_LOST,
     LOG_LINES_DROPPED,
-    PROOF_AGE_MS,
-    QUEUE_LENGTH,
-    REQUESTS_OPEN,
     STORE_CALLS,
     STORE_FAILURES,
-    UPSTREAMS_BACKED_OFF,
-    UPSTREAMS_LEAVING,
-    UPSTREAMS_LIMITED,
-    UPSTREAMS_LISTED,
 )
 from hemlockhoist.base.traces import Traces
 from hemlockhoist.decisions.entry import AdvertisedLimits, BackOffs
@@ -47,6 +34,7 @@
 from hemlockhoist.entry.context import EntryContext
 from hemlockhoist.entry.feeds import FeedStore
 from hemlockhoist.entry.gate import QuotaGate
+from hemlockhoist.entry.gauges import update_gauges
 from hemlockhoist.entry.host_registry import HostRegistry
 from hemlockhoist.entry.moves import OrderedMoveService
 from hemlockhoist.entry.relay_rules import EntryRelayRules
@@ -176,7 +164,9 @@
         await self._open(
             PeriodicTask(HELD_REPORT_INTERVAL_MS, self._report_held_grants)
         )
-        await self._open(PeriodicTask(GAUGE_INTERVAL_MS, self._update_gauges))
+        await self._open(
+            PeriodicTask(GAUGE_INTERVAL_MS, lambda: update_gauges(context))
+        )
         _log.info(
             "host_started", host=self.settings.name, address=context.identity.address
         )
@@ -414,34 +404,6 @@
         pools = [pool.name for pool in self.context.declarations.pools]
         self.context.grants.send_held_ids(pools)
 
-    def _update_gauges(self):
-        context, metrics = self.context, self.context.metrics
-        metrics.gauge(REQUESTS_OPEN, context.open_requests)
-        metrics.gauge(HOSTS_LIVE, len(context.fleet.live_hosts()))
-        if context.store_view.routes is not None:
-            metrics.gauge(DECLARATIONS_VERSION, context.store_view.routes.version)
-        if context.store_view.proof_age_ms() is not None:
-            metrics.gauge(PROOF_AGE_MS, context.store_view.proof_age_ms())
-        evacuated = context.store_view.evacuated.names()
-        metrics.gauge(DOMAINS_EVACUATED, len(evacuated))
-        lost_links = context.upstreams.links.count_by_pool()
-        for pool, count in context.store_view.count_live().items():
-            metrics.gauge(UPSTREAMS_LISTED, count, pool)
-            metrics.gauge(LINKS_LOST, lost_links.get(pool, 0), pool)
-        for pool, count in context.advertised_limits.count_by_pool().items():
-            metrics.gauge(UPSTREAMS_LIMITED, count, pool)
-        for pool, count in context.store_view.listing.count_announced().items():
-            metrics.gauge(UPSTREAMS_LEAVING, count, pool)
-        backed_off = context.back_offs.count_by_pool(context.clock.now_ms())
-        for pool, count in backed_off.items():
-            metrics.gauge(UPSTREAMS_BACKED_OFF, count, pool)
-        for prop, count in context.invariants.violations.items():
-            metrics.gauge(INVARIANT_VIOLATIONS, count, prop.name)
-        for pool, home in context.homes.active().items():
-            queued, granted = home.counts()
-            metrics.gauge(QUEUE_LENGTH, queued, pool)
-            metrics.gauge(GRANTS_IN_FLIGHT, granted, pool)
-
     def begin_drain(self):
         """Begin a graceful shutdown; a second call changes nothing."""
         if self._drain_task is not None:
