Keep brittle upstreams from turning away more requests than they bear

What callers would see: an upstream that says that it is brittle (Server-Brittle, N) fails if it has to turn away more than N requests in a second, and the others get its load.

Cause: the word was not read. The home frees a slot when its request is given up, but the upstream may work on, so the next request finds no room and is turned away.

BrittleUpstreams, beside RateLimits in the home, decides: as many requests as there are slots, less those of abandoned requests for twice the usual time (3 s at most); after a takeover, beside other homes or after a rejection no more requests in doubt than the upstream bears to turn away. Upstreams that never said that they are brittle are not tracked: with none, a home does no more than to look whether there is any.

--- a/libs/base/src/hemlockhoist/base/metrics_table.py
+++ b/libs/base/src/hemlockhoist/base/metrics_table.py
@@ -268,6 +268,14 @@
     "Upstreams whose latest answer to this host advertised a limit on requests.",
     "The upstreams are in need: see limit_advertised in the logs, and why they are.",
 )
+UPSTREAMS_BRITTLE = Metric(
+    "upstreams.brittle",
+    _G,
+    "pool",
+    "Upstreams whose latest answer to this host said that they are brittle: they fail "
+    "if they have to turn too many requests away.",
+    "Nothing waits at such upstreams; see brittle_advertised in the logs, and why.",
+)
 UPSTREAMS_LEAVING = Metric(
     "upstreams.leaving",
     _G,
@@ -326,7 +334,8 @@
     "cause",
     "Requests that were queued or refused while an upstream had a free slot that was "
     "not to be given: it advertises a limit on its requests (limit), wants none from "
-    "the entry host for a while (back_off), or requests failed there (suspension).",
+    "the entry host for a while (back_off), would fail if it had to turn the request "
+    "away (brittle), or requests failed there (suspension).",
     "If it is continuous, the upstreams can't take the load: see limit_advertised, "
     "back_off_requested and upstream_suspended.",
 )
--- a/libs/cli/src/hemlockhoist/cli/explain.py
+++ b/libs/cli/src/hemlockhoist/cli/explain.py
@@ -17,6 +17,10 @@
 CONTEXT_EVENTS = frozenset(
     {
         "back_off_requested",
+        "brittle_advertised",
+        "brittle_lifted",
+        "brittle_respected",
+        "brittle_withdrawn",
         "deciding_alone",
         "domain_evacuated",
         "domain_taken_back",
--- a/libs/decisions/src/hemlockhoist/decisions/entry/advertised_limits.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/advertised_limits.py
@@ -1,4 +1,4 @@
-"""Limits on their request rate that upstreams advertise in their answers."""
+"""Limits that upstreams advertise in their answers, as numbers a second."""
 
 import itertools
 
@@ -18,14 +18,14 @@
     Parameters
     ==========
     pool : str
-    requests_per_s : float
-        From all hosts together; ``NO_LIMIT`` if the latest answer advertised none.
+    per_s : float
+        Over all hosts together; ``NO_LIMIT`` if the latest answer advertised none.
     heard_ms : int
         When the host received the answer, on its clock.
     """
 
     pool: str
-    requests_per_s: float
+    per_s: float
     heard_ms: int
 
 
@@ -33,7 +33,8 @@
     """Tracks the limits that upstreams advertised in their answers to one host.
 
     An upstream in need advertises in each answer how many requests a second it takes
-    from all hosts together. Upstreams that never advertised a limit use no memory.
+    from all hosts together, or how many it bears to turn away. Each of these has an
+    instance of this class. Upstreams that never advertised a limit use no memory.
 
     Examples
     ========
@@ -56,25 +57,25 @@
         self._limits = {}
         self._incarnations = Incarnations()
 
-    def record(self, pool, upstream_id, requests_per_s, now_ms):
+    def record(self, pool, upstream_id, per_s, now_ms):
         """Record what an answer advertises; return whether the limit changed.
 
         Parameters
         ==========
         pool, upstream_id : str
-        requests_per_s : float or None
+        per_s : float or None
             None if the answer advertises a limit that cannot be read, which leaves the
             known one in force.
         now_ms : int
         """
-        if requests_per_s is None:
+        if per_s is None:
             return False
         # Removed first, so that the limits stay in the order in which they were heard.
         known = self._limits.pop(upstream_id, None)
-        if known is None and requests_per_s == NO_LIMIT:
+        if known is None and per_s == NO_LIMIT:
             return False
-        self._limits[upstream_id] = AdvertisedLimit(pool, requests_per_s, now_ms)
-        return known is None or known.requests_per_s != requests_per_s
+        self._limits[upstream_id] = AdvertisedLimit(pool, per_s, now_ms)
+        return known is None or known.per_s != per_s
 
     def set_listed(self, upstreams, now_ms):
         """Forget the limits of upstreams that are gone or have restarted."""
@@ -91,7 +92,7 @@
         found = (
             HeardLimit(
                 upstream_id=upstream_id,
-                requests_per_s=limit.requests_per_s,
+                per_s=limit.per_s,
                 age_ms=now_ms - limit.heard_ms,
             )
             for upstream_id, limit in reversed(self._limits.items())
@@ -103,6 +104,6 @@
         """Return the number of upstreams with a limit, by pool."""
         counts = {}
         for limit in self._limits.values():
-            limited = limit.requests_per_s != NO_LIMIT
+            limited = limit.per_s != NO_LIMIT
             counts[limit.pool] = counts.get(limit.pool, 0) + limited
         return counts
--- a/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_advertised_limits.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_advertised_limits.py
@@ -49,7 +49,7 @@
         self.assertEqual(len(reported), MAX_REPORTED)
         newest = reported[0]
         self.assertEqual(
-            (newest.upstream_id, newest.requests_per_s, newest.age_ms), ("u0", 2.5, 10)
+            (newest.upstream_id, newest.per_s, newest.age_ms), ("u0", 2.5, 10)
         )
 
     def test_limits_of_gone_and_restarted_upstreams_are_forgotten(self):
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/assignment.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/assignment.py
@@ -196,7 +196,7 @@
             version=upstream.version,
             expires_ms=now_ms + GRANT_TTL_MS,
             is_cold=self._upstreams.tracker.is_cold(upstream.upstream_id, now_ms),
-            is_limited=self._upstreams.tracker.is_limited(upstream.upstream_id),
+            is_limited=self._has_advertised(upstream.upstream_id),
         )
         held = InFlightGrant(request, grant, now_ms, waiting.cost_ms)
         self._grants.add(held)
@@ -204,6 +204,11 @@
         self._policy.on_grant(request, upstream.version, now_ms, upstream.upstream_id)
         return Granted(request=request, grant=grant)
 
+    def _has_advertised(self, upstream_id):
+        """Return whether an upstream's next answer is news if it advertises nothing."""
+        tracker = self._upstreams.tracker
+        return tracker.is_limited(upstream_id) or tracker.is_brittle(upstream_id)
+
     def _check_tier_order(self, request):
         self._invariants.check(
             Property.TIER_ORDER,
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
@@ -31,6 +31,15 @@
 _UNSENT = frozenset(
     {OutcomeKind.CONNECT_FAILED, OutcomeKind.LINK_FAILED, OutcomeKind.NOT_SENT}
 )
+# Outcomes of requests that an upstream may still work on.
+_ABANDONED = frozenset(
+    {
+        OutcomeKind.BROKE_OFF,
+        OutcomeKind.CANCELLED,
+        OutcomeKind.LINK_LOST,
+        OutcomeKind.TIMEOUT,
+    }
+)
 
 
 class DeclaredSlotsTracker(UpstreamTracker):
@@ -106,7 +115,8 @@
         """Return how many requests an upstream may hold."""
         if self.is_suspended(upstream_id, now_ms):
             return 0
-        return self._tracked[upstream_id].limit.slots
+        slots = self._tracked[upstream_id].limit.slots
+        return slots - self._intake.brittle.count_abandoned(upstream_id, now_ms)
 
     def is_suspended(self, upstream_id, now_ms):
         """Return whether an upstream gets no request now, as others failed there."""
@@ -116,7 +126,10 @@
 
     def accepts_more(self, upstream_id, now_ms):
         """Return whether an upstream may take a request, apart from free slots."""
-        return self._intake.allows(upstream_id, now_ms)
+        if not self._intake.allows(upstream_id, now_ms):
+            return False
+        in_doubt = len(self._tracked[upstream_id].pending)
+        return self._intake.brittle.allows(upstream_id, in_doubt, now_ms)
 
     def begin_takeover(self, now_ms):
         """Begin as a new home, possibly as the successor of another one."""
@@ -136,6 +149,24 @@
         self._slot_count = ((), 0)
         return limits.observe(upstream_id, requests_per_s, heard_ms, now_ms)
 
+    def observe_brittle(self, upstream_id, rejections_per_s, heard_ms, now_ms):
+        """Record how many rejections an upstream bears; return whether it changed."""
+        brittle = self._intake.brittle
+        return brittle.observe(upstream_id, rejections_per_s, heard_ms, now_ms)
+
+    def observe_rejection(self, upstream_id, now_ms):
+        """Record that an upstream turned a request away for want of room."""
+        self._intake.brittle.record_rejection(upstream_id, now_ms)
+
+    @property
+    def any_brittle(self):
+        """Whether any upstream advertises that it is brittle, or recently did."""
+        return self._intake.brittle.any_brittle
+
+    def is_brittle(self, upstream_id):
+        """Return whether an upstream advertises that it is brittle."""
+        return self._intake.brittle.is_brittle(upstream_id)
+
     @property
     def any_limited(self):
         """Whether any upstream advertises a limit on its request rate."""
@@ -165,6 +196,13 @@
             if in_flight(item.upstream_id) < tracked[item.upstream_id].limit.slots
         ]
         free = self._intake.allowed(free, now_ms)
+        if self._intake.brittle.any_brittle:
+            free = [
+                item
+                for item in free
+                if in_flight(item.upstream_id) < self.slots(item.upstream_id, now_ms)
+                and self.accepts_more(item.upstream_id, now_ms)
+            ]
         if not suspended:
             return free
         return [
@@ -365,6 +403,8 @@
         tracked.on_prompt_done(held, now_ms)
         if outcome.kind in _UNSENT:
             self._intake.limits.record_unsent(upstream_id)
+        if outcome.kind in _ABANDONED:
+            self._intake.brittle.record_abandoned(upstream_id, tracked.hold_ms, now_ms)
         if outcome.kind in _CONNECT_FAILURES:
             tracked.breaker.on_failure(now_ms)
             self._suspended[upstream_id] = True
@@ -408,9 +448,11 @@
 
     def forget(self, held, now_ms):
         """Remove a grant whose outcome will not be reported."""
-        tracked = self._tracked.get(held.grant.upstream_id)
+        upstream_id = held.grant.upstream_id
+        tracked = self._tracked.get(upstream_id)
         if tracked is not None:
             tracked.on_prompt_done(held, now_ms)
+            self._intake.brittle.record_abandoned(upstream_id, tracked.hold_ms, now_ms)
 
     def on_tick(self, now_ms):
         """Update which requests have stalled and which upstreams are cold."""
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/intake.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/intake.py
@@ -2,6 +2,7 @@
 
 from hemlockhoist.base import MS_PER_S
 from hemlockhoist.decisions.incarnations import Incarnations
+from hemlockhoist.decisions.scheduling.brittle_upstreams import BrittleUpstreams
 from hemlockhoist.decisions.scheduling.rate_limits import RateLimits
 from hemlockhoist.decisions.scheduling.warmup import Warmup
 
@@ -19,29 +20,36 @@
     warmup : Warmup
     limits : RateLimits
         The limits that upstreams advertise.
+    brittle : BrittleUpstreams
+        The upstreams that fail if they turn too many requests away.
     """
 
-    __slots__ = ("_incarnations", "limits", "warmup")
+    __slots__ = ("_incarnations", "brittle", "limits", "warmup")
 
     def __init__(self, warmup=None):
         self.warmup = warmup or Warmup()
         self.limits = RateLimits()
+        self.brittle = BrittleUpstreams()
         self._incarnations = Incarnations()
 
     def set_listed(self, upstreams, now_ms):
         """Forget upstreams that are not listed, and limits of restarted ones."""
         self.warmup.set_listed(upstreams)
-        self.limits.forget(self._incarnations.replace(upstreams, now_ms))
+        ended = self._incarnations.replace(upstreams, now_ms)
+        self.limits.forget(ended)
+        self.brittle.forget(ended)
 
     def begin_takeover(self, now_ms):
         """Assume that another home has just used up all bounds."""
         self.warmup.assume_limit_used(now_ms)
         self.limits.assume_used(now_ms)
+        self.brittle.begin_takeover(now_ms)
 
     def set_share(self, share):
         """Set the share of the fleet-wide bounds that this home may use."""
         self.warmup.set_share(share)
         self.limits.set_share(share)
+        self.brittle.set_share(share)
 
     def allows(self, upstream_id, now_ms):
         """Return whether an upstream may be assigned another request now."""
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -252,6 +252,18 @@
         tracker = self._upstreams.tracker
         return tracker.observe_limit(upstream_id, requests_per_s, heard_ms, now_ms)
 
+    def observe_brittle(self, upstream_id, rejections_per_s, heard_ms, now_ms):
+        """Record how many rejections a second an upstream bears; return if it changed.
+
+        Parameters as of ``observe_limit``.
+        """
+        tracker = self._upstreams.tracker
+        return tracker.observe_brittle(upstream_id, rejections_per_s, heard_ms, now_ms)
+
+    def observe_rejection(self, upstream_id, now_ms):
+        """Record that an upstream turned a request away for want of room."""
+        self._upstreams.tracker.observe_rejection(upstream_id, now_ms)
+
     def observe_reachable(self, upstream_id, now_ms):
         """Record that another host reaches an upstream that one could not."""
         self._upstreams.on_reachable(upstream_id, now_ms)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
@@ -33,11 +33,14 @@
     suspended : tuple of str
         Those that get no requests for a while, as connections to them failed or they
         turned requests away.
+    brittle : tuple of str
+        Those that would fail if they had to turn it away.
     """
 
     limited: tuple[str, ...] = ()
     backed_off: tuple[str, ...] = ()
     suspended: tuple[str, ...] = ()
+    brittle: tuple[str, ...] = ()
 
     def __str__(self):
         parts = []
@@ -47,6 +50,8 @@
             parts.append(f"backed off {','.join(self.backed_off)}")
         if self.suspended:
             parts.append(f"suspended {','.join(self.suspended)}")
+        if self.brittle:
+            parts.append(f"brittle {','.join(self.brittle)}")
         return " ".join(parts)
 
 
@@ -234,7 +239,20 @@
             if self.tracker.is_suspended(item.upstream_id, now_ms)
         )
         suspended = tuple(itertools.islice(suspended, max_count))
-        return HeldBack(limited, backed_off, suspended)
+        brittle = itertools.islice(self._brittle_without_room(now_ms), max_count)
+        return HeldBack(limited, backed_off, suspended, tuple(brittle))
+
+    def _brittle_without_room(self, now_ms):
+        """Yield the brittle upstreams that get no request in spite of a free slot."""
+        if not self.tracker.any_brittle:
+            return
+        for item in self.table.usable():
+            upstream_id = item.upstream_id
+            if not self.tracker.is_brittle(upstream_id):
+                continue
+            has_slot = self._grants.in_flight(upstream_id) < item.slot_count
+            if has_slot and not self.has_free_slot(item, now_ms):
+                yield upstream_id
 
     def _with_unused_slot(self, wait_ms, now_ms):
         """Yield the upstreams with a free slot whose ``wait_ms`` is not 0."""
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/upstream_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/upstream_tracker.py
@@ -117,6 +117,32 @@
         """Return whether an upstream advertises a limit on its request rate."""
         return False
 
+    def observe_brittle(self, upstream_id, rejections_per_s, heard_ms, now_ms):
+        """Record how many rejections an upstream bears; return whether it changed.
+
+        Parameters
+        ==========
+        upstream_id : str
+        rejections_per_s : float
+            Infinite if it does not say that it is brittle.
+        heard_ms : int
+            When an entry host heard it, on this home's clock.
+        now_ms : int
+        """
+        return False
+
+    def observe_rejection(self, upstream_id, now_ms):
+        """Record that an upstream turned a request away for want of room."""
+
+    @property
+    def any_brittle(self):
+        """Whether any upstream advertises that it is brittle, or recently did."""
+        return False
+
+    def is_brittle(self, upstream_id):
+        """Return whether an upstream advertises that it is brittle."""
+        return False
+
     def limit_wait_ms(self, upstream_id, now_ms):
         """Return when an advertised limit allows the next request, as time from now."""
         return 0
--- a/libs/decisions/src/hemlockhoist/decisions/work.py
+++ b/libs/decisions/src/hemlockhoist/decisions/work.py
@@ -168,7 +168,7 @@
     is_cold : bool
         Whether the grant counts towards the limit of a cold upstream.
     is_limited : bool
-        Whether it counts towards a limit that the upstream advertises.
+        Whether the upstream advertised a limit, or that it is brittle.
     """
 
     grant_id: str
--- a/libs/entry/src/hemlockhoist/entry/context.py
+++ b/libs/entry/src/hemlockhoist/entry/context.py
@@ -27,6 +27,8 @@
     moves : OrderedMoveService
     advertised_limits : AdvertisedLimits
         The limits that upstreams advertised in answers to this host.
+    brittle_limits : AdvertisedLimits
+        The rejections that brittle upstreams bear, as advertised to this host.
     back_offs : BackOffs
         The upstreams that asked this host not to send them requests for a while.
     upstreams : UpstreamClient
@@ -44,6 +46,7 @@
         "advertised_limits",
         "back_offs",
         "boot_clock",
+        "brittle_limits",
         "bus",
         "clock",
         "declarations",
--- a/libs/entry/src/hemlockhoist/entry/gauges.py
+++ b/libs/entry/src/hemlockhoist/entry/gauges.py
@@ -11,6 +11,7 @@
     QUEUE_LENGTH,
     REQUESTS_OPEN,
     UPSTREAMS_BACKED_OFF,
+    UPSTREAMS_BRITTLE,
     UPSTREAMS_LEAVING,
     UPSTREAMS_LIMITED,
     UPSTREAMS_LISTED,
@@ -54,6 +55,7 @@
         UPSTREAMS_LISTED: live_counts,
         LINKS_LOST: lost_links,
         UPSTREAMS_LIMITED: context.advertised_limits.count_by_pool(),
+        UPSTREAMS_BRITTLE: context.brittle_limits.count_by_pool(),
         UPSTREAMS_LEAVING: context.store_view.listing.count_announced(),
         UPSTREAMS_BACKED_OFF: context.back_offs.count_by_pool(context.clock.now_ms()),
     }
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -216,6 +216,7 @@
     def _build(self, context):
         context.declarations = Declarations()
         context.advertised_limits = AdvertisedLimits()
+        context.brittle_limits = AdvertisedLimits()
         context.back_offs = BackOffs()
         context.gate = QuotaGate(self.settings.bounds)
         context.moves = OrderedMoveService(
@@ -251,6 +252,7 @@
             context.identity.incarnation,
             context.advertised_limits,
             context.back_offs,
+            context.brittle_limits,
         )
         context.feeds = FeedStore(
             context,
@@ -362,6 +364,7 @@
         upstreams = context.store_view.usable()
         now_ms = context.clock.now_ms()
         context.advertised_limits.set_listed(upstreams, now_ms)
+        context.brittle_limits.set_listed(upstreams, now_ms)
         context.back_offs.set_listed(upstreams, now_ms)
         context.upstreams.links.set_listed({item.upstream_id for item in upstreams})
         context.homes.set_upstreams(upstreams)
--- a/libs/entry/src/hemlockhoist/entry/signals.py
+++ b/libs/entry/src/hemlockhoist/entry/signals.py
@@ -69,6 +69,7 @@
         if head.is_misdirected:
             return None
         self._record_limit(head, source, request_id)
+        self._record_brittle(head, source, request_id)
         self._record_back_off(head, source, request_id)
         started_unix_ms = source.started_unix_ms if head.is_leaving else None
         if started_unix_ms is not None:
@@ -78,6 +79,8 @@
             limit_per_s=head.limit_per_s,
             back_off_ms=head.back_off_ms,
             leaving_started_unix_ms=started_unix_ms,
+            rejections_per_s=head.rejections_per_s,
+            is_rejection=head.is_rejection and head.rejections_per_s != NO_LIMIT,
         )
 
     def _record_limit(self, head, source, request_id):
@@ -92,6 +95,19 @@
                 requests_per_s=head.limit_per_s if is_limited else "",
             )
 
+    def _record_brittle(self, head, source, request_id):
+        limits, now_ms = self._context.brittle_limits, self._context.clock.now_ms()
+        per_s = head.rejections_per_s
+        if limits.record(source.pool, source.upstream_id, per_s, now_ms):
+            is_brittle = per_s != NO_LIMIT
+            _log.info(
+                "brittle_advertised" if is_brittle else "brittle_withdrawn",
+                request=request_id,
+                upstream=source.upstream_id,
+                pool=source.pool,
+                rejections_per_s=per_s if is_brittle else "",
+            )
+
     def _record_back_off(self, head, source, request_id):
         back_offs, now_ms = self._context.back_offs, self._context.clock.now_ms()
         if back_offs.record(source.pool, source.upstream_id, head.back_off_ms, now_ms):
--- a/libs/entry/src/hemlockhoist/entry/wire.py
+++ b/libs/entry/src/hemlockhoist/entry/wire.py
@@ -120,6 +120,11 @@
         from this host; 0 if it does not say so.
     is_leaving : bool
         Whether the upstream announces that it is about to stop.
+    rejections_per_s : float or None
+        How many requests a second the upstream, which is brittle, bears to turn away
+        for want of room; ``NO_LIMIT`` if it is not brittle, None if it can't be read.
+    is_rejection : bool
+        Whether the upstream turned the request away for want of room.
     """
 
     status: int
@@ -132,6 +137,8 @@
     limit_per_s: float | None = NO_LIMIT
     back_off_ms: int = 0
     is_leaving: bool = False
+    rejections_per_s: float | None = NO_LIMIT
+    is_rejection: bool = False
 
 
 class WireFormat(abc.ABC):
--- a/libs/host/src/hemlockhoist/host/grant_hold.py
+++ b/libs/host/src/hemlockhoist/host/grant_hold.py
@@ -17,7 +17,7 @@
 
     ``home`` is the host that issued it. ``is_alone`` marks a grant by the entry host's
     own standby home, ``is_cold`` one to an upstream that the home knew to be cold, and
-    ``is_limited`` one that counts towards a limit that the upstream advertises.
+    ``is_limited`` one to an upstream that advertised a limit, or that it is brittle.
     """
 
     pool: str
@@ -42,8 +42,11 @@
     """
     if signals is None:
         return None
-    if signals.limit_per_s == NO_LIMIT and not hold.is_limited:
-        signals = msgspec.structs.replace(signals, limit_per_s=None)
+    if not hold.is_limited:
+        if signals.limit_per_s == NO_LIMIT:
+            signals = msgspec.structs.replace(signals, limit_per_s=None)
+        if signals.rejections_per_s == NO_LIMIT:
+            signals = msgspec.structs.replace(signals, rejections_per_s=None)
     return None if signals == NO_SIGNALS else signals
 
 
--- a/libs/host/src/hemlockhoist/host/grants.py
+++ b/libs/host/src/hemlockhoist/host/grants.py
@@ -106,6 +106,8 @@
         The limits that upstreams advertised to this host.
     back_offs : BackOffs, optional
         The upstreams that want no requests from this host for a while.
+    brittle_limits : AdvertisedLimits, optional
+        The rejections that brittle upstreams bear, as they advertised to this host.
     incarnation : str, optional
         This host's incarnation.
     """
@@ -113,6 +115,7 @@
     __slots__ = (
         "_advertised_limits",
         "_back_offs",
+        "_brittle_limits",
         "_claiming_homes",
         "_clock",
         "_held",
@@ -140,8 +143,10 @@
         incarnation="",
         advertised_limits=None,
         back_offs=None,
+        brittle_limits=None,
     ):
         self._back_offs = back_offs
+        self._brittle_limits = brittle_limits
         self._advertised_limits = advertised_limits
         self._incarnation = incarnation
         self._usage_log = usage_log
@@ -490,6 +495,9 @@
         back_offs = ()
         if self._back_offs is not None:
             back_offs = self._back_offs.report(pool, now_ms)
+        brittle = ()
+        if self._brittle_limits is not None:
+            brittle = self._brittle_limits.report(pool, now_ms)
         usage_by_customer = ()
         if self._usage_log is not None:
             usage_by_customer = self._usage_log.report(pool, home_incarnation, now_ms)
@@ -502,6 +510,7 @@
             incarnation=self._incarnation,
             limits=limits,
             back_offs=back_offs,
+            brittle=brittle,
         )
 
     def send_held_ids(self, pools):
--- a/libs/host/src/hemlockhoist/host/home_signals.py
+++ b/libs/host/src/hemlockhoist/host/home_signals.py
@@ -15,6 +15,8 @@
 BACK_OFF_CAUSE = "back_off"
 # Connections to an upstream failed, or it turned requests away.
 SUSPENSION_CAUSE = "suspension"
+# An upstream fails if it has to turn too many requests away.
+BRITTLE_CAUSE = "brittle"
 
 
 class HomeSignals:
@@ -105,6 +107,10 @@
         now_ms, upstream_id = self._clock.now_ms(), held.grant.upstream_id
         if signals.limit_per_s is not None:
             self._record_limit(upstream_id, signals.limit_per_s, now_ms)
+        if signals.rejections_per_s is not None:
+            self._record_brittle(upstream_id, signals.rejections_per_s, now_ms)
+        if signals.is_rejection:
+            self._scheduler.observe_rejection(upstream_id, now_ms)
         if signals.back_off_ms:
             host = held.request.entry_host
             self._record_back_off(upstream_id, host, signals.back_off_ms)
@@ -122,7 +128,10 @@
         now_ms = self._clock.now_ms()
         for item in report.limits:
             heard_ms = now_ms - item.age_ms
-            self._record_limit(item.upstream_id, item.requests_per_s, heard_ms)
+            self._record_limit(item.upstream_id, item.per_s, heard_ms)
+        for item in report.brittle:
+            heard_ms = now_ms - item.age_ms
+            self._record_brittle(item.upstream_id, item.per_s, heard_ms)
         for item in report.back_offs:
             self._record_back_off(item.upstream_id, sender, item.remaining_ms)
 
@@ -140,6 +149,20 @@
             requests_per_s="" if is_lifted else requests_per_s,
         )
 
+    def _record_brittle(self, upstream_id, rejections_per_s, heard_ms):
+        now_ms = self._clock.now_ms()
+        if not self._scheduler.observe_brittle(
+            upstream_id, rejections_per_s, heard_ms, now_ms
+        ):
+            return
+        is_over = rejections_per_s == NO_LIMIT
+        _log.info(
+            "brittle_lifted" if is_over else "brittle_respected",
+            pool=self._pool,
+            upstream=upstream_id,
+            rejections_per_s="" if is_over else rejections_per_s,
+        )
+
     def _record_back_off(self, upstream_id, host, back_off_ms):
         now_ms = self._clock.now_ms()
         until_ms = now_ms + back_off_ms
@@ -154,6 +177,8 @@
             self._metrics.count(GRANTS_HELD_BACK, BACK_OFF_CAUSE)
         if held_back.suspended:
             self._metrics.count(GRANTS_HELD_BACK, SUSPENSION_CAUSE)
+        if held_back.brittle:
+            self._metrics.count(GRANTS_HELD_BACK, BRITTLE_CAUSE)
 
     def held_back_text(self, request):
         """Return which upstreams have a slot that a request may not use, for logs."""
--- a/libs/messages/src/hemlockhoist/messages/grants.py
+++ b/libs/messages/src/hemlockhoist/messages/grants.py
@@ -98,7 +98,7 @@
     """The home's permission for one dispatch to one upstream, for a limited time.
 
     ``is_cold`` states whether the home knows the upstream to be cold, ``is_limited``
-    whether it knows that the upstream advertises a limit on its request rate.
+    whether it knows that the upstream advertises a limit, or that it is brittle.
     """
 
     pool: str
@@ -170,11 +170,18 @@
     leaving_started_unix_ms : int or None
         Start time of its process if it announced that it is about to stop, so that the
         next process with its id is not taken for it.
+    rejections_per_s : float or None
+        How many requests a second it bears to turn away for want of room: infinite if
+        it is no longer brittle, None if there is no news.
+    is_rejection : bool
+        Whether a brittle upstream turned the request away for want of room.
     """
 
     limit_per_s: float | None = None
     back_off_ms: int = 0
     leaving_started_unix_ms: int | None = None
+    rejections_per_s: float | None = None
+    is_rejection: bool = False
 
 
 class GrantRelease(
@@ -230,14 +237,14 @@
 
 
 class HeardLimit(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """The limit on its request rate that an upstream advertised to an entry host.
+    """A limit that an upstream advertised to an entry host.
 
-    ``requests_per_s`` is infinite if the latest answer advertised none. ``age_ms`` is
-    the time since that answer.
+    ``per_s`` is infinite if the latest answer advertised none. ``age_ms`` is the time
+    since that answer.
     """
 
     upstream_id: str
-    requests_per_s: float
+    per_s: float
     age_ms: int
 
 
@@ -274,7 +281,7 @@
     with the units. ``incarnation`` is that of the sender. ``up_ms`` is how long it has
     run, which limits how far back its usage reaches. ``limits`` are those that the
     pool's upstreams advertised to the sender, ``back_offs`` the upstreams that want no
-    requests from it.
+    requests from it, ``brittle`` the rejections that brittle upstreams bear.
     """
 
     pool: str
@@ -285,6 +292,7 @@
     incarnation: str = ""
     limits: tuple[HeardLimit, ...] = ()
     back_offs: tuple[BackedOffUpstream, ...] = ()
+    brittle: tuple[HeardLimit, ...] = ()
 
 
 class HeldGrantIds(
--- a/libs/standins/src/hemlockhoist/standins/published/replica.py
+++ b/libs/standins/src/hemlockhoist/standins/published/replica.py
@@ -69,6 +69,15 @@
         Whether it says in its answers that it leaves.
     leaving_s : float or None
         Since when it says so, if it was told to by ``announce_leaving``.
+    brittle_at : float or str, optional
+        How many requests it bears to turn away in a second; it says so in its answers,
+        lets no request wait, and falls over at one more. None if it is not brittle.
+    down_s : float
+        For how long it is down after a fall.
+    falls : list of float
+        When it fell over.
+    is_silent : bool
+        Whether it sends nothing for the time being, although it works.
     """
 
     def __init__(self, replica_id, events=0, slots=4):
@@ -83,6 +92,13 @@
         self.rests = []
         self.is_leaving = False
         self.leaving_s = None
+        self.brittle_at = None
+        self.down_s = 1.0
+        self.falls = []
+        self.is_silent = False
+        self._running = set()
+        self._turned_away_s = []
+        self._restart = None
         self.ran = []
         self.rejected = []
         self.address = ""
@@ -97,10 +113,29 @@
 
     async def close(self):
         """Stop listening and abort all connections."""
+        if self._restart is not None:
+            self._restart.cancel()
+        self._stop()
+        await self._server.wait_closed()
+
+    def _stop(self):
         self._server.close()
         for writer in self._writers:
             writer.transport.abort()
-        await self._server.wait_closed()
+
+    def _fall_over(self):
+        """End all connections, and listen again at the same address after a while."""
+        self.falls.append(asyncio.get_running_loop().time())
+        self._turned_away_s.clear()
+        for task in self._running:
+            task.cancel()
+        self._stop()
+        self._restart = asyncio.create_task(self._listen_again())
+
+    async def _listen_again(self):
+        await asyncio.sleep(self.down_s)
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
 
     def announce_leaving(self):
         """Say in all answers from now on that it leaves."""
@@ -123,7 +158,8 @@
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
-        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+        ended = (asyncio.IncompleteReadError, asyncio.CancelledError, OSError)
+        with contextlib.suppress(*ended):
             await self._answer(reader, writer)
         self._writers.discard(writer)
         writer.close()
@@ -146,12 +182,17 @@
         if await self._reject(received, writer):
             return
         self.ran.append(received)
-        await asyncio.sleep(self.delay_ms / MS_PER_S)
-        watcher = asyncio.create_task(self._detect_disconnect(reader, received))
+        task = asyncio.current_task()
+        self._running.add(task)
         try:
-            await self._respond(received, writer)
+            await asyncio.sleep(self.delay_ms / MS_PER_S)
+            watcher = asyncio.create_task(self._detect_disconnect(reader, received))
+            try:
+                await self._respond(received, writer)
+            finally:
+                watcher.cancel()
         finally:
-            watcher.cancel()
+            self._running.discard(task)
 
     async def _detect_disconnect(self, reader, received):
         with contextlib.suppress(OSError):
@@ -165,6 +206,9 @@
             if self.rest_s is not None:
                 extra += f"Retry-After: {self.rest_s}\r\n"
                 self.rests.append((received, self.rest_s))
+        elif self.brittle_at is not None and len(self._running) >= self.slots:
+            status, extra = "503 Service Unavailable", "Not-Executed: 1\r\n"
+            self._count_turned_away()
         elif self.behaviour is Behaviour.MISDIRECTED or expected != self.replica_id:
             status, extra = "421 Misdirected Request", "Instance-Id: other\r\n"
         else:
@@ -176,7 +220,19 @@
         await writer.drain()
         return True
 
+    def _count_turned_away(self):
+        now_s = asyncio.get_running_loop().time()
+        recent = [at_s for at_s in self._turned_away_s if now_s - at_s < 1.0]
+        self._turned_away_s = [*recent, now_s]
+        if len(self._turned_away_s) > float(self.brittle_at):
+            self._fall_over()
+
+    async def _wait_until_heard(self):
+        while self.is_silent:
+            await asyncio.sleep(0.01)
+
     async def _respond(self, received, writer):
+        await self._wait_until_heard()
         if self.behaviour is Behaviour.HANGS:
             await self._wait_disconnected(received)
             return
@@ -211,6 +267,8 @@
             lines += f"Server-Limit: {self.limit_per_s}\r\n"
         if self.is_leaving:
             lines += "Server-Leaving: 1\r\n"
+        if self.brittle_at is not None:
+            lines += f"Server-Brittle: {self.brittle_at}\r\n"
         return lines
 
     async def _send_body(self, received, writer):
@@ -230,6 +288,7 @@
         writer.write(self._head(received, "200 OK", framing))
         start = int(received.headers.get("last-event-id", 0)) + 1
         for number in range(start, self.events + 1):
+            await self._wait_until_heard()
             if self.behaviour is Behaviour.SKIPS_EVENT and number == self.events // 2:
                 continue
             if self.behaviour is Behaviour.STALLS and number > self.events // 2:
