Read a silent stream until another upstream has begun to answer

A sound upstream may also say nothing for a second or so.

Cause: a silent stream was closed as soon as another upstream was granted. What follows can still fail: no connection, turned away, broken off, silent as well. The limit of 1.5 s of silence leaves little above a pause of a second and the pause between events.

Change: the other upstream gets the request while the silent one is read. The first of the two to send something goes on, the other is closed. If the other one fails, the stream stays where it is and another search follows. The limit is 2 s, or three quarters of the time for which callers wait, if that is less.

Evidence: with the old order test_silent_upstream_goes_on_before_another_has_answered and test_failure_of_the_next_upstream_leaves_a_silent_stream_open fail, with the old limit test_streams_and_calls_outlast_a_short_silence (1.7 s at all upstreams: nothing sent twice, no slot kept) does.

--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -1,6 +1,7 @@
 """Execution of one admitted request: grants, attempts and the final response."""
 
 import asyncio
+import contextlib
 import functools
 
 from hemlockhoist.base import (
@@ -24,6 +25,7 @@
     count_success,
     log_attempt,
 )
+from hemlockhoist.entry.opened_attempt import OpenedAttempt
 from hemlockhoist.entry.request_grants import RequestGrants
 from hemlockhoist.entry.responses import upstream_response
 from hemlockhoist.entry.signals import SignalRecorder
@@ -67,6 +69,7 @@
         "_may_have_run",
         "_reason",
         "_relay",
+        "_replacement",
         "_sent_count",
         "_signals",
         "_unsent_count",
@@ -89,6 +92,8 @@
         # Why a started stream would be cut if no other upstream can continue it.
         self._cut_cause = CutCause.REFUSED
         self._grants = RequestGrants(context, admitted, self._waits_until_ms)
+        # An attempt whose upstream continues the stream of a silent one.
+        self._replacement = None
         self._relay = None
         if admitted.route.kind is CallKind.STREAM:
             self._relay = StreamRelay(
@@ -123,16 +128,16 @@
             # upstream, and the refusal would be written into the started response.
             return self._abort_stream(CutCause.REFUSED, error.message)
         finally:
-            self._grants.release_unused()
+            if self._replacement is not None:
+                await self._discard(self._replacement)
 
     async def _run_attempts(self):
         while True:
-            self._attempts += 1
             try:
-                hold, waited_ms = await self._grants.next_grant()
+                opened = await self._next_attempt()
             except Refused as error:
                 return self._end_without_grant(error)
-            response, end = await self._attempt(hold, waited_ms)
+            response, end = await self._attempt(opened)
             if response is not None:
                 return response
             step = next_step(
@@ -159,8 +164,10 @@
             return admitted.deadline_ms
         return min(admitted.deadline_ms, self._relay.passed_ms + limit_ms)
 
+    # Continuing the stream of a silent upstream.
+
     async def _find_replacement(self):
-        """Acquire a grant to continue the current stream elsewhere; return success."""
+        """Have another upstream continue the current stream; return success."""
         step = next_step(
             AttemptEnd.TIMED_OUT,
             self._admitted.route,
@@ -170,32 +177,113 @@
         )
         if step is not Step.TRY_ANOTHER or self._context.grants.is_refusing:
             return False
-        return await self._grants.find_replacement(self._relay)
+        try:
+            hold, waited_ms = await self._grants.acquire()
+        except Refused as error:
+            self._log_kept(error.message)
+            return False
+        self._attempts += 1
+        opened = self._new_attempt(hold, waited_ms)
+        if await self._open_replacement(opened):
+            self._replacement = opened
+            return True
+        self._log_kept(opened.attempt.reason)
+        return False
+
+    async def _open_replacement(self, opened):
+        """Send to another upstream; return whether it has begun to answer.
+
+        The silent upstream is read meanwhile, so that its stream goes on if it is the
+        first to send something, or if the other one fails.
+        """
+        attempt, has_begun = opened.attempt, False
+        try:
+            with self._span(attempt), self._failure_recorded(opened):
+                await self._open_in_time(opened)
+            has_begun = opened.end is None
+        except Refused as error:
+            attempt.reason = error.message
+            opened.end = AttemptEnd.NOT_SENT
+        finally:
+            if not has_begun:
+                await self._discard(opened)
+        return has_begun
+
+    async def _discard(self, opened):
+        """Close an attempt that was to continue a stream, and is of no use."""
+        await opened.close()
+        if opened.end is not None:
+            opened.attempt.record_end(opened.end)
+            self._record_failure(opened.attempt, opened.end)
+        self._end_attempt(opened.attempt)
+
+    async def _open_in_time(self, opened):
+        limit_ms = self._relay.first_data_limit_ms
+        try:
+            async with asyncio.timeout(limit_ms / MS_PER_S):
+                await self._open(opened)
+                if opened.end is None and opened.head.status != _OK:
+                    opened.attempt.reason = f"status {opened.head.status}"
+                    opened.end = AttemptEnd.FAILED_ANSWER
+                if opened.end is None:
+                    await opened.response.wait_for_data()
+        except TimeoutError as error:
+            text = "the upstream sent no data within the stall limit"
+            raise DispatchError(text, ResultCode.UPSTREAM_TIMEOUT) from error
+
+    def _log_kept(self, reason):
+        _log.info(
+            "stream_kept",
+            request=self.request_id,
+            upstream=self._grants.current.hold.upstream_id,
+            silent_ms=self._relay.silent_ms(),
+            reason=reason,
+        )
 
     # One attempt.
 
-    async def _attempt(self, hold, waited_ms):
-        """Run one attempt; return ``(response, None)`` or ``(None, AttemptEnd)``."""
+    async def _next_attempt(self):
+        if self._replacement is not None:
+            opened, self._replacement = self._replacement, None
+            return opened
+        self._attempts += 1
+        hold, waited_ms = await self._grants.acquire()
+        return self._new_attempt(hold, waited_ms)
+
+    def _new_attempt(self, hold, waited_ms):
         attempt = Attempt(hold, self._send_guard(hold), waited_ms, self._attempts)
-        self._grants.on_attempt_started(attempt)
         attempt.started_unix_ms = self._context.store_view.started_unix_ms(
             hold.upstream_id
         )
+        return OpenedAttempt(attempt)
+
+    async def _attempt(self, opened):
+        """Run one attempt; return ``(response, None)`` or ``(None, AttemptEnd)``."""
+        attempt = opened.attempt
+        self._grants.on_attempt_started(attempt)
         try:
-            with self._context.traces.span(Hop.UPSTREAM, upstream=hold.upstream_id):
-                response, end = await self._send(attempt)
-            attempt.record_end(end)
-            if end is None:
+            with self._span(attempt):
+                response = await self._send(opened)
+            attempt.record_end(opened.end)
+            if opened.end is None:
                 now_ms = self._context.clock.now_ms()
                 count_success(self._context.metrics, self._admitted, attempt, now_ms)
-            self._record_failure(attempt, end)
-            return response, end
+            self._record_failure(attempt, opened.end)
+            return response, opened.end
         finally:
-            self._grants.on_attempt_ended()
-            self._record_dispatch(attempt)
-            if self._is_past_deadline and attempt.kind is OutcomeKind.CANCELLED:
-                attempt.kind = OutcomeKind.TIMEOUT
-            self._release(attempt)
+            self._end_attempt(attempt)
+
+    def _span(self, attempt):
+        return self._context.traces.span(
+            Hop.UPSTREAM, upstream=attempt.hold.upstream_id
+        )
+
+    def _end_attempt(self, attempt):
+        self._grants.on_attempt_ended(attempt)
+        self._record_dispatch(attempt)
+        if self._is_past_deadline and attempt.kind is OutcomeKind.CANCELLED:
+            attempt.kind = OutcomeKind.TIMEOUT
+        self._release(attempt)
 
     def _release(self, attempt):
         """Report the outcome of an attempt, once it is known whose fault it was."""
@@ -266,21 +354,40 @@
         else:
             self._sent_count += 1
 
-    async def _send(self, attempt):
-        may_have_run = self._may_have_run
+    async def _send(self, opened):
+        """Return the response for the caller, or None if the attempt failed."""
+        with self._failure_recorded(opened):
+            async with opened:
+                if opened.response is None:
+                    await self._open(opened)
+                if opened.end is None:
+                    return await self._read_response(opened)
+        return None
+
+    async def _open(self, opened):
+        """Send the request, and read and check the head of the response."""
+        attempt, may_have_run = opened.attempt, self._may_have_run
+        call = self._upstream_call(attempt)
+        await opened.open(self._context.upstreams.dispatch(call, attempt.guard))
+        opened.end = self._read_head(opened)
+        if opened.end is AttemptEnd.NOT_RUN:
+            self._may_have_run = may_have_run
+            if attempt.is_misdirected:
+                opened.end = AttemptEnd.NOT_SENT
+
+    @contextlib.contextmanager
+    def _failure_recorded(self, opened):
+        """Record how an attempt ended, and why, if it fails."""
+        attempt = opened.attempt
         try:
-            client = self._context.upstreams
-            async with client.dispatch(
-                self._upstream_call(attempt), attempt.guard
-            ) as response:
-                response, end = await self._read_response(response, attempt)
+            yield
         except GrantOutdated as error:
             attempt.reason = error.message
             attempt.grant_outdated = True
             attempt.signals = self._signals.known(attempt.hold.upstream_id)
             self._context.grants.report_outdated(attempt.hold, error)
             self._context.metrics.count(GRANTS_OUTDATED, error.cause)
-            return None, AttemptEnd.NOT_SENT
+            opened.end = AttemptEnd.NOT_SENT
         except Refused as error:
             if error.code is ResultCode.CONFIGURATION_STALE:
                 raise
@@ -288,17 +395,11 @@
             attempt.is_reachable = error.code is not ResultCode.CONNECT_FAILED
             attempt.is_link_at_fault = error.code is ResultCode.LINK_LOST
             self._unsent_error = error
-            return None, AttemptEnd.NOT_SENT
+            opened.end = AttemptEnd.NOT_SENT
         except DispatchError as error:
             attempt.reason = error.message
-            if error.code is ResultCode.UPSTREAM_TIMEOUT:
-                return None, AttemptEnd.TIMED_OUT
-            return None, AttemptEnd.BROKEN
-        if end is AttemptEnd.NOT_RUN:
-            self._may_have_run = may_have_run
-            if attempt.is_misdirected:
-                end = AttemptEnd.NOT_SENT
-        return response, end
+            is_silent = error.code is ResultCode.UPSTREAM_TIMEOUT
+            opened.end = AttemptEnd.TIMED_OUT if is_silent else AttemptEnd.BROKEN
 
     def _upstream_call(self, attempt):
         admitted = self._admitted
@@ -329,9 +430,12 @@
             regions=admitted.regions,
         )
 
-    async def _read_response(self, response, attempt):
+    def _read_head(self, opened):
+        """Read the head of a response; return how the attempt ended, or None."""
+        attempt, response = opened.attempt, opened.response
         wire = self._context.platform.wire
         head = wire.read_response_head(response.status, response.headers)
+        opened.head = head
         self._signals.record(head, attempt, self.request_id)
         if head.is_misdirected:
             # The listed process has been replaced by another one: equivalent to a
@@ -341,30 +445,37 @@
             attempt.reason = "another upstream process answers at this address"
         if head.is_not_run:
             attempt.reason = attempt.reason or "the upstream did not run the request"
-            return None, AttemptEnd.NOT_RUN
+            return AttemptEnd.NOT_RUN
         if not response.matches_request(self._admitted.call.request_id):
             attempt.reason = "the response belongs to another request"
-            return None, AttemptEnd.BROKEN
+            return AttemptEnd.BROKEN
         if head.status < 300 and not head.has_signature:
             attempt.reason = "successful response without a signature"
-            return None, AttemptEnd.BROKEN
-        if self._relay is not None and head.status == _OK:
-            return await self._relay_stream(response, head, attempt)
-        return await self._read_full_response(response, head, attempt)
+            return AttemptEnd.BROKEN
+        return None
+
+    async def _read_response(self, opened):
+        if self._relay is not None and opened.head.status == _OK:
+            return await self._relay_stream(opened)
+        return await self._read_full_response(opened)
 
-    async def _read_full_response(self, response, head, attempt):
-        body = await response.read(MAX_RESPONSE_BYTES)
+    async def _read_full_response(self, opened):
+        attempt, head = opened.attempt, opened.head
+        body = await opened.response.read(MAX_RESPONSE_BYTES)
         attempt.first_ms = self._context.clock.now_ms()
         if self._relay is not None and self._relay.started:
-            return None, AttemptEnd.FAILED_ANSWER
+            opened.end = AttemptEnd.FAILED_ANSWER
+            return None
         caller_response = upstream_response(head, body)
         if head.status < _SERVER_ERROR:
-            return caller_response, None
+            return caller_response
         self._failed_response = caller_response
         attempt.reason = f"the upstream answered with status {head.status}"
-        return None, AttemptEnd.FAILED_ANSWER
+        opened.end = AttemptEnd.FAILED_ANSWER
+        return None
 
-    async def _relay_stream(self, response, head, attempt):
+    async def _relay_stream(self, opened):
+        attempt = opened.attempt
         grants = self._context.grants
 
         def on_first():
@@ -380,13 +491,15 @@
         on_lost = self._relay.on_link_lost
         try:
             with paths.watched(hold.pool, hold.upstream_id, on_lost):
-                caller_response = await self._relay.relay(response, head, on_first)
+                caller_response = await self._relay.relay(
+                    opened.response, opened.head, on_first
+                )
         finally:
             pool = self._context.store_view.routes.pool(self._admitted.pool)
             engine = pool.engine if pool is not None else None
             tokens_per_event = engine.tokens_per_event if engine else 1
             attempt.record_stream(self._relay, before, tokens_per_event)
-        return caller_response, None
+        return caller_response
 
     # Final responses.
 
--- a/libs/entry/src/hemlockhoist/entry/request_grants.py
+++ b/libs/entry/src/hemlockhoist/entry/request_grants.py
@@ -2,15 +2,11 @@
 
 import itertools
 
-from hemlockhoist.base import Refused, get_logger
 from hemlockhoist.base.metrics_table import QUEUE_WAIT_MS
 from hemlockhoist.base.traces import Hop
-from hemlockhoist.decisions import Outcome, OutcomeKind
 from hemlockhoist.declarations import CallKind
 from hemlockhoist.messages import RequestBrief
 
-_log = get_logger("entry.exchange")
-
 # Prefix of the incarnation in grant request ids; long enough to distinguish a fleet's
 # hosts.
 INCARNATION_DIGITS = 6
@@ -32,6 +28,8 @@
     ==========
     request_id : str
         The caller's id, or one of this host.
+    current : Attempt
+        The attempt in progress; None if there is none.
     """
 
     _numbers = itertools.count(1)
@@ -40,12 +38,11 @@
         "_admitted",
         "_avoided_upstreams",
         "_context",
-        "_current",
         "_dispatch_count",
         "_number",
-        "_replacement",
         "_request_count",
         "_waits_until_ms",
+        "current",
         "request_id",
     )
 
@@ -57,13 +54,10 @@
         self._request_count = 0
         self._dispatch_count = 0
         self._avoided_upstreams = []
-        # The attempt in progress, and the grant of another upstream that continues its
-        # stream. None if there is none.
-        self._current = None
-        self._replacement = None
+        self.current = None
         self.request_id = admitted.call.request_id or f"r{self._number}"
 
-    async def next_grant(self):
+    async def acquire(self):
         """Return the grant of the next attempt, and the time spent waiting for it.
 
         Returns
@@ -75,51 +69,6 @@
         ======
         Refused
         """
-        if self._replacement is None:
-            return await self._acquire()
-        grant, self._replacement = self._replacement, None
-        return grant
-
-    async def find_replacement(self, relay):
-        """Acquire a grant to continue the current stream elsewhere; return success.
-
-        Parameters
-        ==========
-        relay : StreamRelay
-        """
-        try:
-            self._replacement = await self._acquire()
-        except Refused as error:
-            _log.info(
-                "stream_kept",
-                request=self.request_id,
-                upstream=self._current.hold.upstream_id,
-                silent_ms=relay.silent_ms(),
-                reason=error.message,
-            )
-            return False
-        return True
-
-    def release_unused(self):
-        """Release a grant that was acquired for a stream that has ended meanwhile."""
-        if self._replacement is not None:
-            hold, _waited_ms = self._replacement
-            self._context.grants.release(hold, Outcome(kind=OutcomeKind.NOT_SENT))
-
-    def on_attempt_started(self, attempt):
-        """Record the attempt that is in progress."""
-        self._current = attempt
-
-    def on_attempt_ended(self):
-        """Record the end of the attempt in progress."""
-        self._dispatch_count += self._current.guard.dispatched
-        self._current = None
-
-    def avoid(self, upstream_id):
-        """Ask for other upstreams from now on, while there are any."""
-        self._avoided_upstreams.append(upstream_id)
-
-    async def _acquire(self):
         admitted, clock = self._admitted, self._context.clock
         self._request_count += 1
         requested_ms = clock.now_ms()
@@ -131,12 +80,26 @@
         self._context.metrics.time(QUEUE_WAIT_MS, waited_ms, admitted.tier)
         return hold, waited_ms
 
+    def on_attempt_started(self, attempt):
+        """Record the attempt that is in progress."""
+        self.current = attempt
+
+    def on_attempt_ended(self, attempt):
+        """Record the end of an attempt, which may not have been the one in progress."""
+        self._dispatch_count += attempt.guard.dispatched
+        if attempt is self.current:
+            self.current = None
+
+    def avoid(self, upstream_id):
+        """Ask for other upstreams from now on, while there are any."""
+        self._avoided_upstreams.append(upstream_id)
+
     def _brief(self, now_ms):
         admitted = self._admitted
         dispatch_count, avoid = self._dispatch_count, tuple(self._avoided_upstreams)
-        if self._current is not None:
-            dispatch_count += self._current.guard.dispatched
-            avoid += (self._current.hold.upstream_id,)
+        if self.current is not None:
+            dispatch_count += self.current.guard.dispatched
+            avoid += (self.current.hold.upstream_id,)
         avoid += self._unreachable_upstreams()
         return RequestBrief(
             request_id=self._grant_request_id,
--- a/libs/entry/src/hemlockhoist/entry/stalls.py
+++ b/libs/entry/src/hemlockhoist/entry/stalls.py
@@ -18,9 +18,9 @@
 
     Load: an engine computes long prompts of other requests, and is silent meanwhile in
     all the streams that it runs. Most engines are then busy, and none may be left to
-    continue the stream. Failure prevented: the stream is closed for its silence, is
-    granted no other upstream, and its caller loses an answer that was about to go on.
-    The response is therefore read until another upstream has been granted, and the
+    continue the stream. Failure prevented: the stream is closed for its silence, no
+    other upstream continues it, and its caller loses an answer that was about to go on.
+    The response is therefore read until another upstream has begun to answer, and the
     search for one ends with the next data.
 
     Failure prevented: this host is suspended. When it resumes, the time limit has
@@ -35,7 +35,7 @@
         Initial limit; None disables the watchdog.
     clock : Clock
     find_replacement : callable, optional
-        Coroutine function that returns whether another upstream was granted. It is
+        Coroutine function that returns whether another upstream has begun to answer. It is
         cancelled when data arrives, and called again after further silence if it
         returned False.
     """
--- a/libs/entry/src/hemlockhoist/entry/stream.py
+++ b/libs/entry/src/hemlockhoist/entry/stream.py
@@ -12,10 +12,12 @@
 US_PER_MS = 1_000
 # Silence after which another upstream is sought for a resumable stream. It detects an
 # upstream that no longer sends anything, which nothing else shows while callers wait. A
-# shorter limit would abandon an upstream that is computing another request's long
-# prompt.
-MIN_STALL_MS = 1_500
+# shorter limit would have another upstream run what one runs that is computing another
+# request's long prompt, or pauses.
+MIN_STALL_MS = 2_000
 GAP_FACTOR = 2
+# The other upstream needs the rest of the time for which callers wait.
+MAX_STALL_SHARE = 0.75
 # The same, where new connections to the upstream fail; open ones may live on.
 LOST_LINK_STALL_MS = 400
 # Before the first event, an upstream may have a long prompt to compute, of this request
@@ -121,7 +123,9 @@
         self._last_event_ms = None
         self._longest_gap_ms = 0
         first = True
-        limit_ms = self._stall_limit_ms(True)
+        limit_ms = (
+            self.first_data_limit_ms if self._admitted.route.is_resumable else None
+        )
         watchdog = self._watchdog = StallWatchdog(
             response, limit_ms, self._clock, self._find_replacement
         )
@@ -132,7 +136,7 @@
                     on_first()
                     first = False
                 self._last_data_ms = self._clock.now_ms()
-                watchdog.on_progress(self._stall_limit_ms(False))
+                watchdog.on_progress(self._stall_limit_ms())
                 await self._write_events(head, self._reader.feed(chunk))
                 if self._reader.error is not None:
                     raise self._reader.error
@@ -146,15 +150,21 @@
             raise DispatchError(text, ResultCode.UPSTREAM_BROKE_OFF)
         return await self._finish_response(head)
 
-    def _stall_limit_ms(self, first):
+    @property
+    def first_data_limit_ms(self):
+        """Return the time within which an upstream's first data should arrive."""
+        prompt_ms = self._admitted.call.prompt_tokens // SLOWEST_TOKENS_PER_MS
+        return MIN_FIRST_STALL_MS + prompt_ms
+
+    def _stall_limit_ms(self):
         """Return the silence after which another upstream is sought; None for never."""
         route = self._admitted.route
         if not route.is_resumable:
             return None
-        if first:
-            prompt_ms = self._admitted.call.prompt_tokens // SLOWEST_TOKENS_PER_MS
-            return MIN_FIRST_STALL_MS + prompt_ms
-        return max(MIN_STALL_MS, GAP_FACTOR * route.max_gap_ms)
+        limit_ms = max(MIN_STALL_MS, GAP_FACTOR * route.max_gap_ms)
+        if route.caller_wait_limit_ms:
+            limit_ms = min(limit_ms, MAX_STALL_SHARE * route.caller_wait_limit_ms)
+        return limit_ms
 
     async def _write_events(self, head, events):
         if not events:
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_stalls.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_stalls.py
@@ -104,3 +104,84 @@
         self.assertEqual(found, [(200, EVENTS)] * 4)
         self.assertTrue(stalled.ran)
         self.assertTrue(all(received.closed for received in stalled.ran))
+
+    async def test_silent_upstream_goes_on_before_another_has_answered(self):
+        """Guards against a stream that is closed when another is asked to continue."""
+        silent, other = engines(2, event_ms=50)
+        async with Site({"asistente": [silent, other]}, [report()]) as site:
+            answer = asyncio.create_task(self.read(site, 0))
+            await wait_until(lambda: silent.ran or other.ran)
+            if other.ran:
+                silent, other = other, silent
+            await asyncio.sleep(0.08)
+            silent.is_silent, other.delay_ms = True, 5_000
+            await wait_until(lambda: other.ran)
+            await asyncio.sleep(0.1)
+            silent.is_silent = False
+            self.assertEqual(await answer, (200, EVENTS))
+            self.assertFalse(silent.ran[0].closed)
+        self.assertEqual(ran([silent, other]), [1, 1])
+
+    async def test_failure_of_the_next_upstream_leaves_a_silent_stream_open(self):
+        """Guards against a stream that is lost as another failed to continue it."""
+        silent, other = engines(2, event_ms=50)
+        async with Site({"asistente": [silent, other]}, [report()]) as site:
+            answer = asyncio.create_task(self.read(site, 0))
+            await wait_until(lambda: silent.ran or other.ran)
+            if other.ran:
+                silent, other = other, silent
+            await asyncio.sleep(0.08)
+            silent.is_silent, other.behaviour = True, Behaviour.RESETS
+            await wait_until(lambda: other.ran)
+            await asyncio.sleep(0.1)
+            silent.is_silent = False
+            self.assertEqual(await answer, (200, EVENTS))
+
+
+class ShortSilenceTests(unittest.IsolatedAsyncioTestCase):
+    """Sound upstreams are silent for a second or so, with the limits in use."""
+
+    SILENCE_S = 1.7
+
+    async def test_streams_and_calls_outlast_a_short_silence(self):
+        """Guards against a sound upstream that is given up for a second's silence."""
+        streams, calls = engines(2, event_ms=100), [Replica("s0"), Replica("s1")]
+        lookup = route("check-free", "reservas", timeout_ms=4_000)
+        services = {"asistente": streams, "reservas": calls}
+        async with Site(services, [report(), lookup]) as site:
+            answers = [asyncio.create_task(self.stream(site, n)) for n in range(4)]
+            answers += [asyncio.create_task(self.call(site, n)) for n in range(4)]
+            await wait_until(lambda: sum(ran(streams)) == 4)
+            replicas = streams + calls
+            for replica in replicas:
+                replica.is_silent = True
+            answers += [asyncio.create_task(self.call(site, n)) for n in range(4, 8)]
+            await asyncio.sleep(self.SILENCE_S)
+            for replica in replicas:
+                replica.is_silent = False
+            found = await asyncio.gather(*answers)
+            for home in site.hosts[0].context.homes.active().values():
+                self.assertEqual(home.counts(), (0, 0))
+            self.assertEqual(await self.call(site, 9), 200)
+        self.assertEqual(found, [(200, EVENTS)] * 4 + [200] * 8)
+        self.assertEqual(sum(ran(streams)), 4)
+        self.assertEqual(sum(ran(calls)), 9)
+
+    async def stream(self, site, number):
+        headers = {"Attempt_Id": f"a{number}", **DEADLINE}
+        async with site.call(f"/conflict-report/{number}", **headers) as answer:
+            body = await answer.read()
+            return answer.status, body.count(b"data:")
+
+    async def call(self, site, number):
+        headers = {"Attempt_Id": f"c{number}", "Deadline_Ms": "4000"}
+        async with site.call(f"/check-free/{number}", **headers) as answer:
+            await answer.read()
+            return answer.status
+
+
+async def wait_until(condition):
+    """Wait until a condition without arguments holds."""
+    async with asyncio.timeout(5):
+        while not condition():
+            await asyncio.sleep(0.005)
--- a/libs/upstreams/src/hemlockhoist/upstreams/client.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/client.py
@@ -81,9 +81,10 @@
         Header in which upstreams echo the request's id.
     """
 
-    __slots__ = ("_request_id_header", "_response")
+    __slots__ = ("_first_data", "_request_id_header", "_response")
 
     def __init__(self, response, request_id_header=REQUEST_ID_HEADER):
+        self._first_data = b""
         self._response = response
         self._request_id_header = request_id_header
 
@@ -115,6 +116,18 @@
         """Close the connection; a pending read raises an error."""
         self._response.close()
 
+    async def wait_for_data(self):
+        """Wait until the body has begun; ``chunks`` yields what has arrived.
+
+        Raises
+        ======
+        DispatchError
+            As in ``chunks``.
+        """
+        if not self._first_data:
+            with _dispatch_errors():
+                self._first_data = await self._response.content.readany()
+
     async def chunks(self):
         """Yield the body in chunks as they arrive.
 
@@ -123,6 +136,9 @@
         DispatchError
             When the body breaks off, or no data arrives within the idle timeout.
         """
+        first, self._first_data = self._first_data, b""
+        if first:
+            yield first
         with _dispatch_errors():
             async for chunk in self._response.content.iter_any():
                 yield chunk
