Do not offer a relayed request a second time after its upstream dropped it

Cause: the HTTP library connects once more for a GET without a body whose connection was lost. The guard forbids the second sending, but only after it had asked the entry host for a second permission.

Change: a guard that was used refuses at once, before it does what is due between connection and last check. At most one sending as before.

Evidence: test_upstream_that_drops_a_relayed_request_is_told_as_such fails without it.

--- a/libs/relays/src/hemlockhoist/relays/tests/test_relaying.py
+++ b/libs/relays/src/hemlockhoist/relays/tests/test_relaying.py
@@ -67,6 +67,9 @@
                 if line.startswith("content-length: "):
                     length = int(line.split(": ")[1])
             self.requests.append((head, await reader.readexactly(length)))
+            if self.answer is None:
+                writer.transport.abort()
+                return
             writer.write(self.answer)
             await writer.drain()
         writer.close()
@@ -205,6 +208,14 @@
         self.assertIs(caught.exception.cause, RelayCause.EXPIRED)
         self.assertEqual(len(self.upstream.requests), 1)
 
+    async def test_upstream_that_drops_a_relayed_request_is_told_as_such(self):
+        """Guards against a second connection, on which the library sends it again."""
+        self.upstream.answer = None
+        with self.assertRaises(DispatchError) as caught:
+            await self.relay(offer=self.offer(method="GET", body_bytes=0))
+        self.assertIn("the connection was lost", caught.exception.message)
+        self.assertEqual(len(self.upstream.requests), 1)
+
     async def test_dead_upstream_is_reported_by_a_host_that_reaches_others(self):
         await self.upstream.close()
         other = Upstream()
--- a/libs/upstreams/src/hemlockhoist/upstreams/guard.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/guard.py
@@ -117,7 +117,15 @@
         self.revoked = reason
 
     async def prepare(self):
-        """Do what is due between the connection and the last check."""
+        """Do what is due between the connection and the last check.
+
+        Raises
+        ======
+        RepeatedDispatch
+            The HTTP library connected once more to send the request again.
+        """
+        if self.dispatched:
+            raise RepeatedDispatch(self.request_id)
         self.on_connected()
 
     def begin_dispatch(self):
