Ask a host without one link for the other upstreams of the pool

Cause: a host that refuses to relay for want of a link is left alone for a second, for the whole pool.

Change: a refusing host says whether it lacks this link (it is then left alone for this upstream) or all of the pool (then for the pool).

--- a/libs/decisions/src/hemlockhoist/decisions/entry/relay_peers.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/relay_peers.py
@@ -20,6 +20,8 @@
 
     # It has no link to the upstream itself, or can't tell whose fault it is.
     NO_LINK = "no link"
+    # It has no link to any upstream of the pool.
+    NO_LINKS = "no links"
     # It reaches other upstreams of the pool, but not this one.
     UNREACHABLE = "upstream unreachable"
     BUSY = "busy"
@@ -34,6 +36,7 @@
 # For how long a host is not asked again after each of these answers.
 _REST_MS = {
     RelayCause.NO_LINK: 1_000,
+    RelayCause.NO_LINKS: 1_000,
     RelayCause.BUSY: 200,
     RelayCause.LEAVING: 1_000,
     RelayCause.SILENT: 1_000,
@@ -76,17 +79,18 @@
         self._failure_domain = failure_domain
         self._rng = random.Random(seed)
         self._in_flight = {}
-        # By host and pool: until when the host is not asked.
+        # By host, pool and upstream, which is empty for all of the pool: until when the
+        # host is not asked.
         self._resting = {}
 
-    def candidates(self, members, pool, now_ms):
+    def candidates(self, members, pool, upstream_id, now_ms):
         """Return the hosts to ask, the best one first.
 
         Parameters
         ==========
         members : iterable of hemlockhoist.messages.Member
             The other hosts that are neither suspect nor leaving.
-        pool : str
+        pool, upstream_id : str
         now_ms : int
 
         Returns
@@ -97,7 +101,9 @@
         self._forget_passed(now_ms)
         local, others = [], []
         for member in members:
-            if not member.relay_address or (member.address, pool) in self._resting:
+            if not member.relay_address:
+                continue
+            if self._is_resting(member.address, pool, upstream_id):
                 continue
             is_local = member.failure_domain == self._failure_domain
             has_room = self._in_flight.get(member.address, 0) < LOCAL_IN_FLIGHT
@@ -118,20 +124,32 @@
         if not self._in_flight[host_id]:
             del self._in_flight[host_id]
 
-    def record_refusal(self, host_id, pool, cause, now_ms):
-        """Record that a host did not relay a request, and why."""
-        if cause in _REST_MS:
-            self._resting[host_id, pool] = now_ms + _REST_MS[cause]
+    def record_refusal(self, host_id, pool, upstream_id, cause, now_ms):
+        """Record that a host did not relay a request to an upstream, and why.
+
+        Failure prevented: a host that has lost the link to one upstream is not asked
+        for the others of the pool, which it alone may still reach.
+        """
+        if cause not in _REST_MS:
+            return
+        refused = upstream_id if cause is RelayCause.NO_LINK else ""
+        self._resting[host_id, pool, refused] = now_ms + _REST_MS[cause]
 
     def wait_ms(self, pool, now_ms):
         """Return after how long a host that could not relay may be asked again."""
         waits_ms = (
             until_ms - now_ms
-            for (_, name), until_ms in self._resting.items()
+            for (_, name, _), until_ms in self._resting.items()
             if name == pool
         )
         return max(0, min(waits_ms, default=0))
 
+    def _is_resting(self, host_id, pool, upstream_id):
+        resting = self._resting
+        if not resting:
+            return False
+        return (host_id, pool, "") in resting or (host_id, pool, upstream_id) in resting
+
     def _least_used(self, members):
         sample = self._rng.sample(members, min(SAMPLE_SIZE, len(members)))
         sample.sort(key=lambda member: self._in_flight.get(member.address, 0))
--- a/libs/relays/src/hemlockhoist/relays/paths.py
+++ b/libs/relays/src/hemlockhoist/relays/paths.py
@@ -228,7 +228,9 @@
         RelayRefused
             The refusal of a host that reaches other upstreams, or of the last one.
         """
-        candidates = self._peers.candidates(members, call.pool, self._now_ms())
+        candidates = self._peers.candidates(
+            members, call.pool, call.upstream_id, self._now_ms()
+        )
         waiting = collections.deque(candidates)
         running, refusal = set(), RelayRefused(RelayCause.NO_LINK, NO_HOST_LEFT)
         try:
@@ -248,7 +250,7 @@
                     if not isinstance(error, RelayRefused):
                         raise error
                     refusal = error
-                    self._on_refused(call.pool, error)
+                    self._on_refused(call, error)
                     if error.cause is RelayCause.UNREACHABLE:
                         raise error
         finally:
@@ -315,9 +317,15 @@
             lost = ",".join(self.links.lost_in(pool))
             _log.warning("links_lost", pool=pool, upstreams=lost)
 
-    def _on_refused(self, pool, refusal):
+    def _on_refused(self, call, refusal):
         self._context.metrics.count(RELAYS_REQUESTED, refusal.cause.value)
-        self._peers.record_refusal(refusal.host_id, pool, refusal.cause, self._now_ms())
+        self._peers.record_refusal(
+            refusal.host_id,
+            call.pool,
+            call.upstream_id,
+            refusal.cause,
+            self._now_ms(),
+        )
 
     @contextlib.contextmanager
     def watched(self, pool, upstream_id, on_lost):
--- a/libs/relays/src/hemlockhoist/relays/server.py
+++ b/libs/relays/src/hemlockhoist/relays/server.py
@@ -165,6 +165,8 @@
     def _refusal(self, offer):
         if self.rules is None:
             return RelayCause.BUSY
+        if self.links.is_pool_lost(offer.pool):
+            return RelayCause.NO_LINKS
         if self.links.is_lost(offer.pool, offer.upstream_id):
             return RelayCause.NO_LINK
         if offer.request_id in self._register:
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_cut_links.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_cut_links.py
@@ -67,3 +67,15 @@
                 )
                 self.assertEqual(served[1], REQUEST_COUNT)
                 self.assertEqual(served[2], REQUEST_COUNT)
+
+    async def test_only_helper_may_have_lost_a_link_itself(self):
+        """Guards against a helper that is left out for the one upstream it lost."""
+        replicas = new_replicas()
+        async with Site({"reservas": replicas}, [LOOKUP], HOSTS) as site:
+            for number, lost in ((0, replicas), (1, replicas), (2, replicas[:1])):
+                HostLinks(site.hosts[number]).cut(lost, LinkMode.SILENT)
+            await send_to_each(site, int(KNOWN_AFTER_S / REQUEST_GAP_S))
+            statuses = await send_to_each(site)
+        served = {host: found.count(200) for host, found in statuses.items()}
+        for count in served.values():
+            self.assertGreaterEqual(count, SERVED_FRACTION * REQUEST_COUNT, served)
