Let both soaks cut single hosts off from single upstreams, and silence upstreams

Why: the soaks' faults of connections concerned all hosts at once; a host that has lost its own links was never among them.

Change: each host of a soak connects from an IP address of its own (own_address), and a packet filter of the kernel on an upstream's sockets drops what comes from some of them (packet_filter): new connections hang, open ones fall silent or live on, and all go on when it is removed, as on a real network. The published soak cuts one or two hosts from one replica, a service's or all, both ways, of the answers only, or of new connections only; makes a service's replicas brittle; silences replicas for up to 1.3 s. It checks that the callers of hosts without links are served at least two thirds as often as the others', and that brittle replicas fall over twice and a tenth of their number at most. Replicas have two slots instead of four, so that they can be full. In the process soak the new faults are drawn beside the old ones, whose draws stay what they were.

--- a/libs/standins/src/hemlockhoist/standins/fleet.py
+++ b/libs/standins/src/hemlockhoist/standins/fleet.py
@@ -40,6 +40,9 @@
         Folder for the processes' logs; empty for no logs.
     host_settings : dict
         Additional environment variables for the hosts.
+    has_own_addresses : bool
+        Whether each host connects from an IP address of its own, by which upstreams can
+        tell it.
     """
 
     hosts: int = 4
@@ -49,6 +52,7 @@
     hosts_lag_ms: int = 500
     log_dir: str = ""
     host_settings: dict[str, str] = {}
+    has_own_addresses: bool = False
 
 
 class Fleet:
@@ -141,7 +145,10 @@
             **self._config.host_settings,
             **(addresses or {}),
         }
-        process = await self._group.start(name, _HOST_MODULE, environment=environment)
+        arguments = (_HOST_MODULE,)
+        if self._config.has_own_addresses:
+            arguments = (_STANDINS + "own_address", self.host_ip(name), _HOST_MODULE)
+        process = await self._group.start(name, *arguments, environment=environment)
         self.hosts[name] = process
         self._members[name] = {
             "id": name,
@@ -152,6 +159,10 @@
             "state": "live",
         }
 
+    def host_ip(self, name):
+        """Return the address that a host connects from, if it has its own."""
+        return f"127.0.8.{int(name.rpartition('-')[2]) % 250 + 1}"
+
     async def publish(self):
         """Send the host list to the platform, which shows it after its delay."""
         body = {"members": list(self._members.values())}
@@ -205,6 +216,17 @@
         async with self.session.post(url, json=faults) as response:
             response.raise_for_status()
 
+    async def cut_links(self, member, host_names, duration_ms, is_open_cut):
+        """Cut hosts with addresses of their own off from an upstream, for a time."""
+        body = {
+            "ips": [self.host_ip(name) for name in host_names],
+            "duration_ms": duration_ms,
+            "is_open_cut": is_open_cut,
+        }
+        url = f"http://{member['address']}/-/links"
+        async with self.session.post(url, json=body) as response:
+            response.raise_for_status()
+
     async def run_counts(self, member):
         """Return the run counts of an upstream."""
         url = f"http://{member['address']}/-/runs"
--- a/libs/standins/src/hemlockhoist/standins/process_faults.py
+++ b/libs/standins/src/hemlockhoist/standins/process_faults.py
@@ -1,6 +1,7 @@
 """Faults that the randomised soak test injects into real processes."""
 
 import asyncio
+import contextlib
 import signal
 
 import aiohttp
@@ -17,6 +18,9 @@
 MOVE_DURATION_MS = 10_000
 OPERATOR_TIMEOUT_S = 10.0
 REFUSE_MS = 2_000
+CUT_MS = (1_000, 6_000)
+SILENCE_S = (0.5, 1.3)
+LINK_FAULT_INTERVAL_S = (0.5, 3.0)
 # A busy machine delays the moment at which an upstream listens again.
 LISTEN_TIMEOUT_S = 10.0
 LISTEN_CHECK_S = 0.05
@@ -35,6 +39,8 @@
     operator : OperatorClient
     declarations_text : str
     rng : random.Random
+    link_rng : random.Random, optional
+        Of the faults of links and the silences, so that they change no other draw.
 
     Attributes
     ==========
@@ -45,6 +51,8 @@
     __slots__ = (
         "_clock",
         "_fleet",
+        "_link_faults",
+        "_link_rng",
         "_next_host",
         "_operator",
         "_refusing",
@@ -58,7 +66,9 @@
         "version",
     )
 
-    def __init__(self, fleet, operator, declarations_text, rng):
+    def __init__(self, fleet, operator, declarations_text, rng, link_rng=None):
+        self._link_rng = link_rng
+        self._link_faults = None
         self._fleet = fleet
         self._operator = operator
         self._text = declarations_text
@@ -131,8 +141,32 @@
             self._record(f"not set: {text}")
             raise FaultNotSet(text) from error
 
+    def start_link_faults(self):
+        """Begin to cut links and to silence upstreams, beside the other faults."""
+        self._link_faults = asyncio.create_task(self._repeat_link_faults())
+
+    async def _repeat_link_faults(self):
+        while True:
+            fault = self._link_rng.choice((self.cut_links, self.silence_upstream))
+            name = fault.__name__
+            self.counts[name] = self.counts.get(name, 0) + 1
+            await fault()
+            await asyncio.sleep(self._link_rng.uniform(*LINK_FAULT_INTERVAL_S))
+
+    async def _stop_link_faults(self):
+        if self._link_faults is None:
+            return
+        if not self._link_faults.done():
+            self._link_faults.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._link_faults
+        for member in self._fleet.upstreams():
+            self._fleet.process(member["id"]).signal(signal.SIGCONT)
+        await asyncio.sleep(CUT_MS[1] / MS_PER_S)
+
     async def heal(self):
         """Wait for the faults that are in progress, then clear all faults."""
+        await self._stop_link_faults()
         if self._tasks:
             await asyncio.gather(*self._tasks)
         for member in self._fleet.upstreams():
@@ -254,6 +288,30 @@
             else:
                 return
 
+    async def cut_links(self):
+        """Cut one or two hosts from one upstream, or from all of a pool."""
+        rng = self._link_rng
+        members = self._fleet.upstreams(rng.choice((MODEL, SERVICE)))
+        if rng.random() < 0.5:
+            members = [rng.choice(members)]
+        names = self._running_hosts()
+        hosts = rng.sample(names, min(len(names), rng.choice((1, 2))))
+        duration_ms, is_open_cut = rng.randint(*CUT_MS), rng.random() < 0.5
+        for member in members:
+            self._record(f"{member['id']} is cut from {hosts} for {duration_ms} ms")
+            # It may have ended, or refuse connections on command.
+            with contextlib.suppress(aiohttp.ClientError):
+                await self._fleet.cut_links(member, hosts, duration_ms, is_open_cut)
+
+    async def silence_upstream(self):
+        """Suspend an upstream's process for about a second; it loses nothing."""
+        member = self._link_rng.choice(self._fleet.upstreams())
+        process = self._fleet.process(member["id"])
+        self._record(f"{member['id']} is silent")
+        process.signal(signal.SIGSTOP)
+        await asyncio.sleep(self._link_rng.uniform(*SILENCE_S))
+        process.signal(signal.SIGCONT)
+
     async def drop_calls_after_running(self):
         """Make a service drop the connection of calls after running them."""
         await self._set_upstream_faults(SERVICE, {"drop_after": 2})
--- a/libs/standins/src/hemlockhoist/standins/published/replica.py
+++ b/libs/standins/src/hemlockhoist/standins/published/replica.py
@@ -37,6 +37,8 @@
     closed: bool = False
     replica_id: str = ""
     started_s: float = 0.0
+    # Address of the host that sent it, if the replica can tell.
+    sender: str = ""
 
 
 class Replica:
@@ -78,6 +80,9 @@
         When it fell over.
     is_silent : bool
         Whether it sends nothing for the time being, although it works.
+    sender_of : callable
+        Takes the port of a connection, and returns the address of the host that it is
+        of, or an empty text.
     """
 
     def __init__(self, replica_id, events=0, slots=4):
@@ -96,6 +101,7 @@
         self.down_s = 1.0
         self.falls = []
         self.is_silent = False
+        self.sender_of = lambda port: ""
         self._running = set()
         self._turned_away_s = []
         self._restart = None
@@ -178,6 +184,7 @@
             body,
             replica_id=self.replica_id,
             started_s=started_s,
+            sender=self.sender_of(writer.get_extra_info("peername")[1]),
         )
         if await self._reject(received, writer):
             return
--- a/libs/standins/src/hemlockhoist/standins/published/soak/__main__.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/__main__.py
@@ -10,9 +10,9 @@
 from hemlockhoist.standins.published.soak.run import SoakRun
 
 
-async def run_seed(seed, seconds, folder):
+async def run_seed(seed, seconds, folder, fault_names):
     """Run one seed and print its result; return whether it is green."""
-    run = SoakRun(seed, folder)
+    run = SoakRun(seed, folder, fault_names)
     result = await run.run(seconds)
     is_green = not result.violations
     click.echo(
@@ -21,7 +21,7 @@
     )
     for text in result.violations:
         click.echo(f"  found {text}")
-    if not is_green:
+    if not is_green or fault_names:
         click.echo(f"  checked {result.check_counts}")
         click.echo(f"  faults {result.fault_counts}")
     return is_green
@@ -34,14 +34,15 @@
     "--seconds", default=12.0, help="How long faults are injected for each seed."
 )
 @click.option("--logs", default=None, help="Folder that keeps the hosts' logs.")
-def main(seed, seeds, seconds, logs):
+@click.option("--fault", "faults", multiple=True, help="Draw only from such faults.")
+def main(seed, seeds, seconds, logs, faults):
     """Run entry hosts as processes under random faults, and check their answers."""
     red_seeds = []
     for number in range(seed, seed + seeds):
         with tempfile.TemporaryDirectory() as scratch:
             folder = pathlib.Path(logs or scratch, f"seed-{number}")
             folder.mkdir(parents=True, exist_ok=True)
-            if not asyncio.run(run_seed(number, seconds, folder)):
+            if not asyncio.run(run_seed(number, seconds, folder, faults)):
                 red_seeds.append(number)
     click.echo(f"{seeds} seeds, {len(red_seeds)} red: {red_seeds}")
     sys.exit(1 if red_seeds else 0)
--- a/libs/standins/src/hemlockhoist/standins/published/soak/callers.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/callers.py
@@ -21,7 +21,7 @@
 
     Parameters
     ==========
-    path, method : str
+    path, method, service : str
     is_idempotent : bool
         Whether it may run more than once.
     is_stream : bool
@@ -29,15 +29,16 @@
 
     path: str
     method: str
+    service: str
     is_idempotent: bool
     is_stream: bool
 
 
 REQUEST_KINDS = (
-    RequestKind("check-free", "GET", True, False),
-    RequestKind("book-hall", "POST", False, False),
-    RequestKind("report", "POST", True, True),
-    RequestKind("summary", "POST", False, True),
+    RequestKind("check-free", "GET", "reservas", True, False),
+    RequestKind("book-hall", "POST", "reservas", False, False),
+    RequestKind("report", "POST", "asistente", True, True),
+    RequestKind("summary", "POST", "asistente", False, True),
 )
 
 
--- a/libs/standins/src/hemlockhoist/standins/published/soak/checks.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/checks.py
@@ -4,6 +4,8 @@
 
 from hemlockhoist.base import MS_PER_S
 from hemlockhoist.standins.published.soak.callers import elapsed_ms
+from hemlockhoist.standins.published.soak.cut_checks import find_cut_violations
+from hemlockhoist.standins.published.soak.fall_checks import find_fall_violations
 from hemlockhoist.standins.published.soak.limit_checks import find_limit_violations
 from hemlockhoist.standins.published.soak.rest_checks import (
     find_leaving_violations,
@@ -99,6 +101,30 @@
         self.violations += violations
         self.check_counts["announced ends"] += checked
 
+    def check_cuts(self, spans, outages):
+        """Check that hosts without links to replicas served like the others.
+
+        Parameters
+        ==========
+        spans : list of CutSpan
+        outages : list of (str, float, float)
+            Host, begin and end of each time in which it did not run normally.
+        """
+        calls = list(self._calls.values())
+        violations, checked = find_cut_violations(calls, spans, outages)
+        self.violations += violations
+        self.check_counts["calls of cut hosts"] += checked
+
+    def check_falls(self, spans):
+        """Check that brittle replicas did not fall over too often.
+
+        Parameters
+        ==========
+        spans : list of BrittleSpan
+        """
+        self.violations += find_fall_violations(spans)
+        self.check_counts["times of brittle replicas"] += len(spans)
+
     def check(self, revoked, revocation_ms, tenants, stops, disturbances):
         """Run all checks, adding to ``violations`` and ``check_counts``.
 
--- a/libs/standins/src/hemlockhoist/standins/published/soak/faults.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/faults.py
@@ -5,9 +5,13 @@
 
 from hemlockhoist.standins.published.replica import Behaviour
 from hemlockhoist.standins.published.soak.callers import now_s
+from hemlockhoist.standins.published.soak.cut_checks import CutSpan
+from hemlockhoist.standins.published.soak.fall_checks import BrittleSpan
 from hemlockhoist.standins.published.soak.limit_checks import LimitSpan
-from hemlockhoist.standins.published.soak.proxy import Mode
+from hemlockhoist.standins.published.soak.proxy import Cut, Mode
 
+# The services whose replicas have faults in common.
+SERVICES = ("asistente", "reservas")
 # The effects of a fault, such as a lost host, last up to this long after its end.
 SETTLE_S = 2.0
 _FAULTY_BEHAVIOURS = (
@@ -31,28 +35,36 @@
     ==========
     run : SoakRun
     rng : random.Random
+    names : sequence of str, optional
+        The names of the faults to draw from; by default all.
 
     Attributes
     ==========
     outages : list of (str, float, float)
         Host, begin and end of each time in which it was killed, stopped or suspended.
     limit_spans : list of LimitSpan
+    cut_spans : list of CutSpan
+    brittle_spans : list of BrittleSpan
     """
 
-    def __init__(self, run, rng):
+    def __init__(self, run, rng, names=()):
+        self._names = frozenset(names)
         self._run = run
         self._rng = rng
         self._tasks = set()
         self.disturbances = []
         self.outages = []
         self.limit_spans = []
+        self.cut_spans = []
+        self.brittle_spans = []
+        self._has_cut = False
         self.stops = []
         self.counts = {}
 
     @property
     def fault_kinds(self):
         """The methods that inject a fault; one is drawn at a time."""
-        return (
+        kinds = (
             self.kill_host,
             self.kill_all_hosts,
             self.pause_host,
@@ -69,6 +81,9 @@
             self.crash_replica,
             self.drain_replica,
             self.slow_replica,
+            self.silence_replica,
+            self.make_service_brittle,
+            self.cut_links,
             self.limit_replica,
             self.make_replica_ask_for_rest,
             self.announce_leaving,
@@ -76,6 +91,9 @@
             self.change_routes,
             self.order_rollout,
         )
+        if not self._names:
+            return kinds
+        return tuple(kind for kind in kinds if kind.__name__ in self._names)
 
     async def inject(self, seconds, interval_s):
         """Inject random faults for ``seconds``, at intervals drawn from a range."""
@@ -99,7 +117,8 @@
         for replica in run.live_replicas():
             replica.behaviour = Behaviour.NORMAL
             replica.delay_ms = run.default_delay_ms
-            replica.limit_per_s = replica.rest_s = None
+            replica.limit_per_s = replica.rest_s = replica.brittle_at = None
+            replica.is_silent = False
         for host in run.hosts:
             host.resume()
             if not host.is_running:
@@ -287,6 +306,54 @@
         replica.delay_ms = self._run.default_delay_ms
         self._record_disturbance(begin_s)
 
+    async def silence_replica(self):
+        """Let a replica send nothing for about a second, and go on."""
+        replica = self._rng.choice(self._run.live_replicas())
+        replica.is_silent = True
+        await self._sleep_between(0.5, 1.3)
+        replica.is_silent = False
+
+    async def make_service_brittle(self):
+        """Let all replicas of a service fall over at more than a few rejections."""
+        service = self._rng.choice(SERVICES)
+        replicas = self._run.live_replicas(service)
+        if any(replica.brittle_at is not None for replica in replicas):
+            return
+        begin_s = now_s()
+        rejections_per_s = self._rng.choice((0, 1, 4))
+        for replica in replicas:
+            replica.brittle_at = rejections_per_s
+        await self._sleep_between(4.0, 8.0)
+        for replica in replicas:
+            replica.brittle_at = None
+        self.brittle_spans.append(BrittleSpan(tuple(replicas), begin_s, now_s()))
+
+    async def cut_links(self):
+        """Cut one or two hosts from one replica, from a service's or from all."""
+        if self._has_cut:
+            return
+        self._has_cut = True
+        service = self._rng.choice((None, *SERVICES))
+        proxies = self._run.replica_proxies(service)
+        is_one = self._rng.random() < 0.25
+        if is_one:
+            proxies = [self._rng.choice(proxies)]
+        hosts = self._rng.sample(self._run.hosts, self._rng.choice((1, 1, 2)))
+        kind = self._rng.choice(tuple(Cut))
+        begin_s = now_s()
+        for proxy in proxies:
+            for host in hosts:
+                proxy.cut(host.ip, kind)
+        await self._sleep_between(1.0, 7.0)
+        for proxy in proxies:
+            for host in hosts:
+                proxy.mend(host.ip, kind)
+        self._has_cut = False
+        addresses = frozenset(host.address for host in hosts)
+        services = () if is_one else (service,) if service else SERVICES
+        self.cut_spans.append(CutSpan(addresses, services, begin_s, now_s()))
+        self._record_disturbance(begin_s)
+
     async def limit_replica(self):
         """Let a replica name a limit on requests, and withdraw it."""
         replica = self._rng.choice(self._run.live_replicas())
--- a/libs/standins/src/hemlockhoist/standins/published/soak/hosts.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/hosts.py
@@ -1,6 +1,7 @@
 """Entry hosts as separate processes, controlled by signals."""
 
 import asyncio
+import contextlib
 import os
 import pathlib
 import signal
@@ -15,7 +16,7 @@
 node_name = "{name}"
 ip = "{ip}"
 zone = "{zone}"
-internal_ports = [{peer_port}, {peer_port}]
+internal_ports = [{peer_port}, {relay_port}]
 seeds = []
 [listen]
 frontend = "{ip}:{port}"
@@ -51,7 +52,8 @@
         self.is_paused = False
         # Whether the process was killed or told to stop, and not started again since.
         self.is_stopping = False
-        ports = _free_ports(self.ip, 3)
+        ports = _free_ports(self.ip, 2)
+        peer_port = _free_adjacent_ports(self.ip)
         self.address = f"{self.ip}:{ports[0]}"
         self.ready_address = f"{self.ip}:{ports[1]}"
         self.log_path = pathlib.Path(folder, f"{self.name}.log")
@@ -62,7 +64,8 @@
             zone=f"z{number % 2}",
             port=ports[0],
             ready_port=ports[1],
-            peer_port=ports[2],
+            peer_port=peer_port,
+            relay_port=peer_port + 1,
             store=store_address,
             stop_s=STOP_MS / MS_PER_S,
             **bounds,
@@ -85,6 +88,8 @@
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
+                "hemlockhoist.standins.own_address",
+                self.ip,
                 "hemlockhoist.platform",
                 stdout=log,
                 stderr=log,
@@ -137,3 +142,12 @@
     for item in sockets:
         item.close()
     return ports
+
+
+def _free_adjacent_ports(ip):
+    """Return a port that is free now, like the next one."""
+    while True:
+        (port,) = _free_ports(ip, 1)
+        with contextlib.suppress(OSError, OverflowError):
+            socket.create_server((ip, port + 1)).close()
+            return port
--- a/libs/standins/src/hemlockhoist/standins/published/soak/limit_checks.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/limit_checks.py
@@ -67,12 +67,23 @@
         item.started_s
         for item in received
         if span.from_s + BINDING_AFTER_S <= item.started_s < span.until_s
-        and not _is_excused(
-            host_of.get(item.headers.get("attempt-id")), item.started_s, outages
-        )
+        and not _is_excused(sender_of(item, host_of), item.started_s, outages)
     )
 
 
+def sender_of(item, host_of):
+    """Return the host that sent a request to a replica, or an empty text.
+
+    Parameters
+    ==========
+    item : ReceivedRequest
+    host_of : dict of str to str
+        The host that got each attempt from its caller; it sent the request, unless the
+        replica knows that another host relayed it.
+    """
+    return item.sender or host_of.get(item.headers.get("attempt-id"), "")
+
+
 def _is_excused(host, at_s, outages):
     return any(
         name == host and begin_s <= at_s < end_s + EXCUSED_S
--- a/libs/standins/src/hemlockhoist/standins/published/soak/proxy.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/proxy.py
@@ -7,10 +7,12 @@
 import struct
 
 from hemlockhoist.base import MS_PER_S
+from hemlockhoist.standins.packet_filter import drop_packets
 
 CHUNK_BYTES = 65_536
 # With a linger time of 0 seconds, closing a socket sends a reset.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_CUT_CHECK_S = 0.01
 
 
 class Mode(enum.Enum):
@@ -24,6 +26,17 @@
     REFUSE = "refuse"
 
 
+class Cut(enum.Enum):
+    """What a proxy keeps from one address that connects to it."""
+
+    # Open connections are silent both ways, and new ones get no answer.
+    ALL = "all"
+    # Of open connections the requests arrive, but no answers; new ones get no answer.
+    REPLIES = "replies"
+    # Open connections live on.
+    NEW = "new"
+
+
 class Proxy:
     """Forwards connections to one address.
 
@@ -46,6 +59,10 @@
         self.address = ""
         self.mode = Mode.PASS
         self.delay_ms = 0
+        # The cuts in force, as (IP, Cut), possibly several of the same kind.
+        self._cuts = []
+        # For each open connection to the target, the IP that it is forwarded for.
+        self._senders = {}
         self._server = None
         self._writers = set()
         self._tasks = set()
@@ -68,6 +85,40 @@
         """Remove all faults; connections that were blocked stay blocked."""
         self.mode = Mode.PASS
         self.delay_ms = 0
+        self._cuts.clear()
+        self._apply_cuts()
+
+    def cut(self, ip, kind):
+        """Cut an IP address off; what was lost is sent again once it is mended."""
+        self._cuts.append((ip, kind))
+        self._apply_cuts()
+
+    def mend(self, ip, kind):
+        """End one cut of an IP address."""
+        if (ip, kind) in self._cuts:
+            self._cuts.remove((ip, kind))
+            self._apply_cuts()
+
+    def is_cut(self, ip):
+        """Return whether new connections of an IP address get no answer."""
+        return any(ip == cut_ip for cut_ip, _ in self._cuts)
+
+    def sender(self, port):
+        """Return the IP whose requests come from a port of this proxy, or None."""
+        return self._senders.get(port)
+
+    def _apply_cuts(self):
+        for sock in self._server.sockets:
+            drop_packets(sock, {ip for ip, _ in self._cuts})
+        silent = {ip for ip, kind in self._cuts if kind is Cut.ALL}
+        for writer in self._writers:
+            sock = writer.get_extra_info("socket")
+            if sock is not None and not writer.is_closing():
+                drop_packets(sock, silent & {_peer_ip(writer)})
+
+    async def _wait_for_replies(self, ip):
+        while (ip, Cut.REPLIES) in self._cuts:
+            await asyncio.sleep(_CUT_CHECK_S)
 
     def reset_all(self):
         """Reset all open connections."""
@@ -87,10 +138,12 @@
             _reset(writer)
             return
         self._writers.add(target_writer)
+        sender = _peer_ip(writer)
+        self._senders[_own_port(target_writer)] = sender
         tasks = [
             asyncio.create_task(self._forward(reader, target_writer, Mode.BLACKHOLE)),
             asyncio.create_task(
-                self._forward(target_reader, writer, Mode.BLACKHOLE_REPLIES)
+                self._forward(target_reader, writer, Mode.BLACKHOLE_REPLIES, sender)
             ),
         ]
         self._tasks.update(tasks)
@@ -100,7 +153,7 @@
             self._writers.discard(side)
             side.close()
 
-    async def _forward(self, reader, writer, blocking_mode):
+    async def _forward(self, reader, writer, blocking_mode, replies_to=""):
         """Forward bytes in one direction until a side closes or the mode blocks."""
         try:
             while chunk := await reader.read(CHUNK_BYTES):
@@ -110,14 +163,25 @@
                     # Blocked permanently: bytes in transit during a cut are lost with
                     # their connection, which never closes by itself.
                     await asyncio.Event().wait()
+                await self._wait_for_replies(replies_to)
                 writer.write(chunk)
                 await writer.drain()
+            await self._wait_for_replies(replies_to)
             if writer.can_write_eof():
                 writer.write_eof()
         except OSError:
             _reset(writer)
 
 
+def _peer_ip(writer):
+    address = writer.get_extra_info("peername")
+    return address[0] if address else ""
+
+
+def _own_port(writer):
+    return writer.get_extra_info("sockname")[1]
+
+
 def _reset(writer):
     sock = writer.get_extra_info("socket")
     # The peer may have closed the connection meanwhile.
--- a/libs/standins/src/hemlockhoist/standins/published/soak/rest_checks.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/rest_checks.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from hemlockhoist.standins.published.soak.limit_checks import sender_of
+
 # A host is bound this long after a replica has asked it for rest.
 REACHED_AFTER_S = 0.5
 MAX_REQUESTS = 2
@@ -35,7 +37,7 @@
         The host that got each attempt from its caller.
     """
     return [
-        Rest(replica, _host(item, host_of), item.started_s, item.started_s + rest_s)
+        Rest(replica, sender_of(item, host_of), item.started_s, item.started_s + rest_s)
         for replica in replicas
         for item, rest_s in replica.rests
     ]
@@ -86,7 +88,7 @@
             continue
         told_s = {}
         for item in sorted(replica.ran, key=lambda item: item.started_s):
-            host = _host(item, host_of)
+            host = sender_of(item, host_of)
             if item.started_s < replica.leaving_s:
                 continue
             checked += 1
@@ -102,15 +104,11 @@
     arrivals = collections.defaultdict(list)
     for replica in {rest.replica.replica_id: rest.replica for rest in rests}.values():
         for item in (*replica.ran, *replica.rejected):
-            key = replica.replica_id, _host(item, host_of)
+            key = replica.replica_id, sender_of(item, host_of)
             arrivals[key].append(item.started_s)
     return arrivals
 
 
-def _host(item, host_of):
-    return host_of.get(item.headers.get("attempt-id"), "")
-
-
 def _is_excused(rest, outages):
     return any(
         name == rest.host and begin_s < rest.until_s and end_s > rest.from_s
--- a/libs/standins/src/hemlockhoist/standins/published/soak/run.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/run.py
@@ -21,6 +21,10 @@
 REPLICA_COUNT = 3
 CALLER_COUNT = 8
 EVENT_COUNT = 6
+# The services, and the events of a stream of theirs; 0 for answers with a plain body.
+SERVICES = {"reservas": 0, "asistente": EVENT_COUNT}
+# With fewer slots than callers, some requests wait for a slot, or are refused.
+SLOT_COUNT = 2
 KEY_COUNT = 12
 REVOCATION_MS = 3_000
 DRAIN_MS = 2_000
@@ -70,11 +74,13 @@
     seed : int
     folder : pathlib.Path
         Folder for settings and logs.
+    fault_names : sequence of str, optional
+        The faults to draw from, of ``SoakFaults``; by default all.
     """
 
     default_delay_ms = 15
 
-    def __init__(self, seed, folder):
+    def __init__(self, seed, folder, fault_names=()):
         self.store = StoreStandin()
         self.store_proxies = []
         self.hosts = []
@@ -90,7 +96,7 @@
         self.callers = Callers(
             self._addresses, list(self._keys), CALLER_COUNT, self._rng
         )
-        self.faults = SoakFaults(self, self._rng)
+        self.faults = SoakFaults(self, self._rng, fault_names)
 
     async def run(self, seconds):
         """Run the seed, with faults for ``seconds``, and return the ``SoakResult``."""
@@ -112,7 +118,7 @@
 
     async def _start(self):
         await self._open(self.store)
-        for service, events in (("reservas", 0), ("asistente", EVENT_COUNT)):
+        for service, events in SERVICES.items():
             for _ in range(REPLICA_COUNT):
                 await self._add_replica(service, events)
         await self.declare()
@@ -139,18 +145,30 @@
     def _addresses(self):
         return [host.address for host in self.hosts]
 
+    def _host_address(self, ip):
+        found = (host.address for host in self.hosts if host.ip == ip)
+        return next(found, "")
+
     # Replicas.
 
-    def live_replicas(self):
-        """Return the replicas that have not ended."""
-        return [replica for replica, _, _ in self._replicas.values()]
+    def live_replicas(self, service=None):
+        """Return the replicas that have not ended, of one service or of all."""
+        return [
+            replica
+            for replica, _, (name, _) in self._replicas.values()
+            if service in (None, name)
+        ]
 
-    def replica_proxies(self):
-        """Return the proxies in front of the replicas."""
-        return [proxy for _, proxy, _ in self._replicas.values()]
+    def replica_proxies(self, service=None):
+        """Return the proxies in front of the replicas of one service or of all."""
+        return [
+            proxy
+            for _, proxy, (name, _) in self._replicas.values()
+            if service in (None, name)
+        ]
 
     async def _add_replica(self, service, events, version="v1", target=None):
-        replica = Replica(f"i-{next(self._numbers)}", events=events)
+        replica = Replica(f"i-{next(self._numbers)}", events, SLOT_COUNT)
         replica.delay_ms = self.default_delay_ms
         replica.event_ms = 5
         await self._open(replica)
@@ -158,6 +176,7 @@
         if proxy is None:
             proxy = await self._open(Proxy(replica.address))
         proxy.target = replica.address
+        replica.sender_of = lambda port: self._host_address(proxy.sender(port))
         self._replicas[replica.replica_id] = (replica, proxy, (service, version))
         await self._register(replica)
 
@@ -251,6 +270,8 @@
         )
         checker.check_limits(faults.limit_spans, faults.outages)
         checker.check_rests(replicas, faults.outages, DRAIN_MS)
+        checker.check_cuts(faults.cut_spans, faults.outages)
+        checker.check_falls(faults.brittle_spans)
         if not recovered:
             checker.violations.append(
                 "a host was not ready after all faults were removed"
--- a/libs/standins/src/hemlockhoist/standins/published/soak/tests/test_checks.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/tests/test_checks.py
@@ -3,6 +3,8 @@
 from hemlockhoist.standins.published.replica import ReceivedRequest, Replica
 from hemlockhoist.standins.published.soak.callers import REQUEST_KINDS, Call
 from hemlockhoist.standins.published.soak.checks import RunChecker
+from hemlockhoist.standins.published.soak.cut_checks import CutSpan
+from hemlockhoist.standins.published.soak.fall_checks import BrittleSpan
 from hemlockhoist.standins.published.soak.limit_checks import LimitSpan
 
 LOOKUP, BOOKING, REPORT, _ = REQUEST_KINDS
@@ -176,6 +178,51 @@
         outages = [("h", 2.0, 2.5)]
         self.assertEqual(self.rest_violations(leaving, calls, outages), [])
 
+    def test_hosts_without_links_that_serve_less(self):
+        span = CutSpan(frozenset({"cut"}), ("reservas",), from_s=0.0, until_s=9.0)
+        for served, outages, expected in (
+            (0, (), 1),
+            (9, (), 1),
+            (20, (), 0),
+            (0, (("other", 4.0, 4.5),), 0),
+        ):
+            calls = [self.call_to("cut", n, n < served) for n in range(20)]
+            calls += [self.call_to("other", n, True) for n in range(20, 40)]
+            checker = RunChecker(calls, [], EVENTS)
+            checker.check_cuts([span], outages)
+            self.assertEqual(len(checker.violations), expected, (served, outages))
+
+    def test_calls_that_no_cut_concerns(self):
+        span = CutSpan(frozenset({"cut"}), ("asistente",), from_s=0.0, until_s=9.0)
+        calls = [self.call_to("cut", n, False) for n in range(20)]
+        calls += [self.call_to("other", n, True) for n in range(20, 40)]
+        checker = RunChecker(calls, [], EVENTS)
+        checker.check_cuts([span], ())
+        self.assertEqual(checker.violations, [])
+        self.assertEqual(checker.check_counts["calls of cut hosts"], 0)
+
+    def call_to(self, host, number, is_served):
+        status = 200 if is_served else 503
+        return Call(
+            attempt_id=f"c{number}",
+            kind=LOOKUP,
+            key="k1",
+            host=host,
+            sent_s=5.0,
+            ended_s=5.1,
+            status=status,
+            is_complete=True,
+        )
+
+    def test_brittle_replicas_that_fall_over_too_often(self):
+        replicas = tuple(Replica(f"i-{number}") for number in range(3))
+        span = BrittleSpan(replicas, from_s=0.0, until_s=9.0)
+        for falls, expected in (([4.0, 5.0], 0), ([4.0, 5.0, 6.0], 1), ([1.0] * 5, 0)):
+            replicas[1].falls = falls
+            checker = RunChecker([], replicas, EVENTS)
+            checker.check_falls([span])
+            self.assertEqual(len(checker.violations), expected, falls)
+
     def test_incomplete_stream(self):
         broken = call(REPORT, body=COMPLETE_STREAM[:20])
         self.assertEqual(
--- a/libs/standins/src/hemlockhoist/standins/serving.py
+++ b/libs/standins/src/hemlockhoist/standins/serving.py
@@ -4,13 +4,32 @@
 import contextlib
 import signal
 
+import msgspec
 import uvloop
 from aiohttp import web
 
+from hemlockhoist.standins.packet_filter import drop_packets
+
 # Stand-ins do not drain: open streams are closed as soon as they stop.
 _SHUTDOWN_TIMEOUT_S = 0.2
 
 
+class LinkCut(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """A loss of all that arrives from some addresses; ``POST /-/links`` begins one.
+
+    Parameters
+    ==========
+    ips : tuple of str
+    duration_ms : int
+    is_open_cut : bool
+        Whether open connections fall silent as well, and not only new ones.
+    """
+
+    ips: tuple[str, ...]
+    duration_ms: int
+    is_open_cut: bool = False
+
+
 class Server:
     """Serves an HTTP application on one TCP address.
 
@@ -22,13 +41,14 @@
         0 for a port chosen by the kernel.
     """
 
-    __slots__ = ("_app", "_reopen", "_runner", "_site", "ip", "port")
+    __slots__ = ("_app", "_cuts", "_reopen", "_runner", "_site", "ip", "port")
 
     def __init__(self, app, ip, port):
         self._app = app
         self._runner = None
         self._site = None
         self._reopen = None
+        self._cuts = []
         self.ip = ip
         self.port = port
 
@@ -57,6 +77,7 @@
 
     async def start(self):
         """Start listening and store the port chosen by the kernel."""
+        self._app.router.add_post("/-/links", self._begin_cut)
         self._runner = web.AppRunner(
             self._app, access_log=None, shutdown_timeout=_SHUTDOWN_TIMEOUT_S
         )
@@ -80,15 +101,44 @@
         duration_ms : int
         """
         await self._site.stop()
+        self._site = None
         for connection in self._runner.server.connections:
             connection.close()
         self._reopen = asyncio.create_task(self._listen_after(duration_ms))
 
+    async def _begin_cut(self, request):
+        try:
+            cut = msgspec.json.decode(await request.read(), type=LinkCut)
+        except msgspec.ValidationError as error:
+            return web.json_response({"error": str(error)}, status=400)
+        self._cuts.append(cut)
+        self._apply_cuts()
+        loop = asyncio.get_running_loop()
+        loop.call_later(cut.duration_ms / 1000, self._end_cut, cut)
+        return web.json_response(msgspec.to_builtins(cut))
+
+    def _end_cut(self, cut):
+        self._cuts.remove(cut)
+        self._apply_cuts()
+
+    def _apply_cuts(self):
+        lost = {ip for cut in self._cuts for ip in cut.ips}
+        silent = {ip for cut in self._cuts if cut.is_open_cut for ip in cut.ips}
+        if self._site is not None:
+            for sock in self._site._server.sockets:
+                drop_packets(sock, lost)
+        for connection in self._runner.server.connections:
+            transport = connection.transport
+            if transport is not None and not transport.is_closing():
+                drop_packets(transport.get_extra_info("socket"), silent)
+
     async def _listen(self):
-        self._site = web.TCPSite(
+        site = web.TCPSite(
             self._runner, self.ip, self.port, reuse_address=True, backlog=1024
         )
-        await self._site.start()
+        await site.start()
+        self._site = site
+        self._apply_cuts()
 
     async def _listen_after(self, duration_ms):
         await asyncio.sleep(duration_ms / 1000)
--- a/libs/standins/src/hemlockhoist/standins/soak_processes.py
+++ b/libs/standins/src/hemlockhoist/standins/soak_processes.py
@@ -54,13 +54,23 @@
     seed : int
     """
 
-    __slots__ = ("_fleet", "_operator", "_rng", "_text", "checks", "faults", "steps")
+    __slots__ = (
+        "_fleet",
+        "_link_rng",
+        "_operator",
+        "_rng",
+        "_text",
+        "checks",
+        "faults",
+        "steps",
+    )
 
     def __init__(self, fleet, operator, text, seed):
         self._fleet = fleet
         self._operator = operator
         self._text = text
         self._rng = random.Random(seed)
+        self._link_rng = random.Random(f"links of {seed}")
         self.checks = {}
         self.faults = None
         self.steps = 0
@@ -82,7 +92,9 @@
 
     async def run(self, seconds):
         """Send traffic under faults for ``seconds``; return the findings."""
-        self.faults = ProcessFaults(self._fleet, self._operator, self._text, self._rng)
+        self.faults = ProcessFaults(
+            self._fleet, self._operator, self._text, self._rng, self._link_rng
+        )
         traffic = Traffic.from_config(
             example_callers(self._fleet.host_addresses()),
             MODEL,
@@ -91,6 +103,7 @@
             self._rng.random(),
         )
         await traffic.start()
+        self.faults.start_link_faults()
         try:
             await self._inject_faults(seconds)
             await self.faults.heal()
@@ -135,7 +148,10 @@
 
 async def _run(text, seed, seconds, log_dir):
     config = FleetConfig(
-        hosts=5, log_dir=log_dir, host_settings={"HEMLOCKHOIST_TEST": "1"}
+        hosts=5,
+        log_dir=log_dir,
+        host_settings={"HEMLOCKHOIST_TEST": "1"},
+        has_own_addresses=True,
     )
     fleet = Fleet.from_config(config)
     try:
