Take the withdrawal of an offer for what it is when it is refused

Cause: an entry host that asks a second host beside the first withdraws one offer. Where the asked host was just refusing it, the write to the closed connection was raised out of the handler.

Change: a refusal that nobody waits for any more ends quietly, and is counted and logged as the refusal that it is.

Evidence: test_refusal_of_an_offer_that_was_withdrawn_is_no_error fails without it.

--- a/libs/relays/src/hemlockhoist/relays/server.py
+++ b/libs/relays/src/hemlockhoist/relays/server.py
@@ -176,8 +176,10 @@
         return self.rules.refusal(offer)
 
     async def _refuse(self, offer, answer, cause, reason=""):
-        await answer.send(RelayRefusal(cause=cause.value, reason=reason))
-        await answer.finish()
+        # The other host may have withdrawn its offer meanwhile.
+        with contextlib.suppress(_Withdrawn):
+            await answer.send(RelayRefusal(cause=cause.value, reason=reason))
+            await answer.finish()
         self._context.metrics.count(RELAYS_CARRIED, cause.value)
         _log.info(
             "relay_refused",
--- a/libs/relays/src/hemlockhoist/relays/tests/test_relaying.py
+++ b/libs/relays/src/hemlockhoist/relays/tests/test_relaying.py
@@ -248,6 +248,24 @@
             await self.relay()
         self.assertIs(caught.exception.cause, RelayCause.LEAVING)
 
+    async def test_refusal_of_an_offer_that_was_withdrawn_is_no_error(self):
+        """Guards against an unexpected error for each offer that was withdrawn."""
+        server = self.helper.server
+
+        class WithdrawingRules(RelayRules):
+            def refusal(self, offer):
+                for connection in server._runner.server.connections:
+                    connection.transport.abort()
+                return RelayCause.LEAVING
+
+        server.rules = WithdrawingRules(self.helper.context)
+        with (
+            self.assertNoLogs("aiohttp.server"),
+            self.assertRaises(RelayRefused) as caught,
+        ):
+            await self.relay()
+        self.assertIs(caught.exception.cause, RelayCause.SILENT)
+
     async def test_silent_host_is_given_up_before_anything_is_sent(self):
         async def ignore(reader, writer):
             await reader.read()
