Move the sending of attempts out of the exchange

What sends one attempt and judges its head (the guard before the first byte, the upstream's call, how a failure is recorded) is AttemptSender now; the exchange keeps the order of steps and the answer. No behaviour changes.

--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -1,37 +1,30 @@
 """Execution of one admitted request: grants, attempts and the final response."""
 
 import asyncio
-import contextlib
 import functools
 
 from hemlockhoist.base import (
     MS_PER_S,
     DispatchError,
-    GrantOutdated,
     HemlockhoistError,
-    Property,
     Refused,
     ResultCode,
     get_logger,
 )
-from hemlockhoist.base.metrics_table import GRANTS_OUTDATED, STREAMS_CUT
+from hemlockhoist.base.metrics_table import STREAMS_CUT
 from hemlockhoist.base.traces import Hop
 from hemlockhoist.decisions import OutcomeKind
 from hemlockhoist.decisions.entry import AttemptEnd, CutCause, Step, next_step
 from hemlockhoist.declarations import CallKind
-from hemlockhoist.entry.attempt import Attempt
 from hemlockhoist.entry.attempt_records import (
     count_attempt,
     count_success,
     log_attempt,
 )
-from hemlockhoist.entry.opened_attempt import OpenedAttempt
+from hemlockhoist.entry.attempt_sender import AttemptSender
 from hemlockhoist.entry.request_grants import RequestGrants
 from hemlockhoist.entry.responses import upstream_response
-from hemlockhoist.entry.signals import SignalRecorder
 from hemlockhoist.entry.stream import StreamRelay
-from hemlockhoist.entry.wire import UpstreamDirectives
-from hemlockhoist.upstreams import SendGuard, UpstreamCall
 
 _log = get_logger("entry.exchange")
 
@@ -58,40 +51,39 @@
     """
 
     __slots__ = (
-        "_admission",
         "_admitted",
         "_attempts",
-        "_body",
         "_context",
         "_cut_cause",
         "_failed_response",
         "_grants",
-        "_may_have_run",
         "_reason",
         "_relay",
         "_replacement",
+        "_sender",
         "_sent_count",
-        "_signals",
         "_unsent_count",
-        "_unsent_error",
     )
 
     def __init__(self, context, request, admitted, body, admission):
         self._context = context
         self._admitted = admitted
-        self._admission = admission
-        self._signals = SignalRecorder(context)
-        self._body = body
         self._attempts = 0
         self._sent_count = 0
         self._unsent_count = 0
-        self._unsent_error = None
-        self._may_have_run = False
         self._failed_response = None
         self._reason = ""
         # Why a started stream would be cut if no other upstream can continue it.
         self._cut_cause = CutCause.REFUSED
         self._grants = RequestGrants(context, admitted, self._waits_until_ms)
+        self._sender = AttemptSender(
+            context,
+            admitted,
+            body,
+            admission,
+            self.request_id,
+            self._last_event_id,
+        )
         # An attempt whose upstream continues the stream of a silent one.
         self._replacement = None
         self._relay = None
@@ -143,7 +135,7 @@
             step = next_step(
                 end,
                 self._admitted.route,
-                self._may_have_run,
+                self._sender.may_have_run,
                 self._sent_count,
                 self._unsent_count,
             )
@@ -164,6 +156,11 @@
             return admitted.deadline_ms
         return min(admitted.deadline_ms, self._relay.passed_ms + limit_ms)
 
+    def _last_event_id(self):
+        if self._relay is None:
+            return self._admitted.call.last_event_id
+        return self._relay.last_event_id
+
     # Continuing the stream of a silent upstream.
 
     async def _find_replacement(self):
@@ -171,7 +168,7 @@
         step = next_step(
             AttemptEnd.TIMED_OUT,
             self._admitted.route,
-            self._may_have_run,
+            self._sender.may_have_run,
             self._sent_count + 1,
             self._unsent_count,
         )
@@ -183,7 +180,7 @@
             self._log_kept(error.message)
             return False
         self._attempts += 1
-        opened = self._new_attempt(hold, waited_ms)
+        opened = self._sender.new_attempt(hold, waited_ms, self._attempts)
         if await self._open_replacement(opened):
             self._replacement = opened
             return True
@@ -198,7 +195,7 @@
         """
         attempt, has_begun = opened.attempt, False
         try:
-            with self._span(attempt), self._failure_recorded(opened):
+            with self._span(attempt), self._sender.failure_recorded(opened):
                 await self._open_in_time(opened)
             has_begun = opened.end is None
         except Refused as error:
@@ -221,7 +218,7 @@
         limit_ms = self._relay.first_data_limit_ms
         try:
             async with asyncio.timeout(limit_ms / MS_PER_S):
-                await self._open(opened)
+                await self._sender.open(opened)
                 if opened.end is None and opened.head.status != _OK:
                     opened.attempt.reason = f"status {opened.head.status}"
                     opened.end = AttemptEnd.FAILED_ANSWER
@@ -248,14 +245,7 @@
             return opened
         self._attempts += 1
         hold, waited_ms = await self._grants.acquire()
-        return self._new_attempt(hold, waited_ms)
-
-    def _new_attempt(self, hold, waited_ms):
-        attempt = Attempt(hold, self._send_guard(hold), waited_ms, self._attempts)
-        attempt.started_unix_ms = self._context.store_view.started_unix_ms(
-            hold.upstream_id
-        )
-        return OpenedAttempt(attempt)
+        return self._sender.new_attempt(hold, waited_ms, self._attempts)
 
     async def _attempt(self, opened):
         """Run one attempt; return ``(response, None)`` or ``(None, AttemptEnd)``."""
@@ -292,7 +282,7 @@
         if attempt.kind is OutcomeKind.TIMEOUT:
             attempt.is_link_at_fault = paths.links.is_lost(hold.pool, hold.upstream_id)
         if attempt.kind is OutcomeKind.BROKE_OFF and not attempt.guard.relay:
-            call = self._upstream_call(attempt)
+            call = self._sender.upstream_call(attempt)
             report = functools.partial(self._report, attempt)
             paths.check_link(call, report)
             return
@@ -306,36 +296,6 @@
         count_attempt(self._context.metrics, attempt, outcome)
         log_attempt(self.request_id, attempt, outcome)
 
-    def _send_guard(self, hold):
-        return SendGuard(
-            self._context.clock,
-            hold.expires_ms,
-            self._context.register,
-            hold.brief.request_id,
-            lambda: self._check_before_send(hold),
-        )
-
-    def _check_before_send(self, hold):
-        """Check all preconditions again, and mark the request as possibly run.
-
-        An error is raised before anything has been sent. Failure prevented: while a
-        request waits for a slot, its customer's key is revoked, its upstream leaves or
-        the host is suspended. The checks at admission no longer hold then, and no later
-        step would detect it.
-        """
-        if self._admitted.customer is not None:
-            self._admission.customer_of(self._admitted.call)
-        self._context.store_view.check_upstream(hold.upstream_id, hold.is_cold)
-        self._signals.check_not_backed_off(hold.upstream_id)
-        self._context.store_view.check_region(hold.upstream_id, self._admitted.regions)
-        self._context.moves.check_version(hold.pool, hold.version)
-        self._context.invariants.check(
-            Property.NON_IDEMPOTENT_RUNS_AT_MOST_ONCE,
-            self._admitted.route.is_repeatable or not self._may_have_run,
-            f"{self.request_id} is sent again although it may have run",
-        )
-        self._may_have_run = True
-
     def _record_failure(self, attempt, end):
         """Record why an attempt failed; avoid its upstream while there are others."""
         self._reason = attempt.reason
@@ -356,104 +316,14 @@
 
     async def _send(self, opened):
         """Return the response for the caller, or None if the attempt failed."""
-        with self._failure_recorded(opened):
+        with self._sender.failure_recorded(opened):
             async with opened:
                 if opened.response is None:
-                    await self._open(opened)
+                    await self._sender.open(opened)
                 if opened.end is None:
                     return await self._read_response(opened)
         return None
 
-    async def _open(self, opened):
-        """Send the request, and read and check the head of the response."""
-        attempt, may_have_run = opened.attempt, self._may_have_run
-        call = self._upstream_call(attempt)
-        await opened.open(self._context.upstreams.dispatch(call, attempt.guard))
-        opened.end = self._read_head(opened)
-        if opened.end is AttemptEnd.NOT_RUN:
-            self._may_have_run = may_have_run
-            if attempt.is_misdirected:
-                opened.end = AttemptEnd.NOT_SENT
-
-    @contextlib.contextmanager
-    def _failure_recorded(self, opened):
-        """Record how an attempt ended, and why, if it fails."""
-        attempt = opened.attempt
-        try:
-            yield
-        except GrantOutdated as error:
-            attempt.reason = error.message
-            attempt.grant_outdated = True
-            attempt.signals = self._signals.known(attempt.hold.upstream_id)
-            self._context.grants.report_outdated(attempt.hold, error)
-            self._context.metrics.count(GRANTS_OUTDATED, error.cause)
-            opened.end = AttemptEnd.NOT_SENT
-        except Refused as error:
-            if error.code is ResultCode.CONFIGURATION_STALE:
-                raise
-            attempt.reason = error.message
-            attempt.is_reachable = error.code is not ResultCode.CONNECT_FAILED
-            attempt.is_link_at_fault = error.code is ResultCode.LINK_LOST
-            self._unsent_error = error
-            opened.end = AttemptEnd.NOT_SENT
-        except DispatchError as error:
-            attempt.reason = error.message
-            is_silent = error.code is ResultCode.UPSTREAM_TIMEOUT
-            opened.end = AttemptEnd.TIMED_OUT if is_silent else AttemptEnd.BROKEN
-
-    def _upstream_call(self, attempt):
-        admitted = self._admitted
-        remaining_ms = max(1, admitted.deadline_ms - self._context.clock.now_ms())
-        last = admitted.call.last_event_id
-        if self._relay is not None:
-            last = self._relay.last_event_id
-        directives = UpstreamDirectives(
-            upstream_id=attempt.hold.upstream_id,
-            customer=admitted.customer.name if admitted.customer else "",
-            remaining_ms=remaining_ms,
-            last_event_id=last,
-        )
-        wire = self._context.platform.wire
-        return UpstreamCall(
-            address=attempt.hold.address,
-            method=admitted.call.method,
-            path=admitted.call.target,
-            headers=wire.upstream_headers(admitted.call, directives),
-            body=self._body,
-            request_id=admitted.call.request_id,
-            idle_timeout_ms=remaining_ms,
-            pool=attempt.hold.pool,
-            upstream_id=attempt.hold.upstream_id,
-            version=attempt.hold.version,
-            is_cold=attempt.hold.is_cold,
-            is_repeatable=admitted.route.is_repeatable,
-            regions=admitted.regions,
-        )
-
-    def _read_head(self, opened):
-        """Read the head of a response; return how the attempt ended, or None."""
-        attempt, response = opened.attempt, opened.response
-        wire = self._context.platform.wire
-        head = wire.read_response_head(response.status, response.headers)
-        opened.head = head
-        self._signals.record(head, attempt, self.request_id)
-        if head.is_misdirected:
-            # The listed process has been replaced by another one: equivalent to a
-            # refused connection, so another upstream can be tried safely.
-            attempt.is_misdirected = True
-            attempt.is_reachable = False
-            attempt.reason = "another upstream process answers at this address"
-        if head.is_not_run:
-            attempt.reason = attempt.reason or "the upstream did not run the request"
-            return AttemptEnd.NOT_RUN
-        if not response.matches_request(self._admitted.call.request_id):
-            attempt.reason = "the response belongs to another request"
-            return AttemptEnd.BROKEN
-        if head.status < 300 and not head.has_signature:
-            attempt.reason = "successful response without a signature"
-            return AttemptEnd.BROKEN
-        return None
-
     async def _read_response(self, opened):
         if self._relay is not None and opened.head.status == _OK:
             return await self._relay_stream(opened)
@@ -510,7 +380,7 @@
         if self.response_started:
             reason = f"no further grant: {error.message}"
             return self._abort_stream(self._cut_cause, reason)
-        if self._may_have_run:
+        if self._sender.may_have_run:
             raise DispatchError(error.message, ResultCode.OUTCOME_UNKNOWN)
         raise error
 
@@ -521,10 +391,10 @@
             return self._failed_response
         if step is Step.REFUSE:
             code, retry_after_ms = ResultCode.CONNECT_FAILED, RETRY_AFTER_MS
-            error = self._unsent_error
+            error = self._sender.unsent_error
             if error is not None and error.code is ResultCode.LINK_LOST:
                 code, retry_after_ms = error.code, error.retry_after_ms or 0
-            back_off_ms = self._signals.back_off_wait_ms(self._admitted.pool)
+            back_off_ms = self._sender.signals.back_off_wait_ms(self._admitted.pool)
             retry_after_ms = max(RETRY_AFTER_MS, retry_after_ms, back_off_ms)
             raise Refused(self._reason or end.value, code, retry_after_ms)
         code = ResultCode.OUTCOME_UNKNOWN
@@ -535,7 +405,7 @@
     def _deadline_result(self):
         if self.response_started:
             return self._abort_stream(CutCause.DEADLINE, "deadline passed")
-        if self._may_have_run:
+        if self._sender.may_have_run:
             raise DispatchError("", ResultCode.UPSTREAM_TIMEOUT)
         raise Refused("", ResultCode.DEADLINE_PASSED, RETRY_AFTER_MS)
 
@@ -568,7 +438,7 @@
     @property
     def may_have_run(self):
         """Whether any attempt may have run the request."""
-        return self._may_have_run
+        return self._sender.may_have_run
 
     @property
     def response_started(self):
