Keep what upstreams say about limits in one class

RateLimits and BrittleUpstreams kept the same table of the latest word of each upstream, with the same rule for words that overtake each other, and HomeSignals logged both changes twice over. KnownLimits holds the table now. No behaviour changes.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/brittle_upstreams.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/brittle_upstreams.py
@@ -4,7 +4,7 @@
 import math
 
 from hemlockhoist.base import MS_PER_S
-from hemlockhoist.decisions.scheduling.rate_limits import KnownLimit
+from hemlockhoist.decisions.scheduling.known_limits import KnownLimits
 from hemlockhoist.messages import NO_LIMIT
 
 # After a takeover, grants of the previous home may be unknown for about this long.
@@ -44,7 +44,7 @@
     __slots__ = ("_abandoned", "_known", "_rejected_ms", "_share", "_takeover_ms")
 
     def __init__(self):
-        self._known = {}
+        self._known = KnownLimits()
         # For each upstream, when it turned requests away in the last second.
         self._rejected_ms = {}
         # For each upstream, until when abandoned requests may occupy slots.
@@ -64,22 +64,19 @@
             When it was heard; what was heard before the known word is ignored.
         now_ms : int
         """
-        known = self._known.get(upstream_id)
-        if known is None and rejections_per_s == NO_LIMIT:
+        if not self._known.record(upstream_id, rejections_per_s, heard_ms):
             return False
-        if known is not None and heard_ms < known.heard_ms:
-            return False
-        self._known[upstream_id] = KnownLimit(rejections_per_s, heard_ms)
         if rejections_per_s == NO_LIMIT:
             self._rejected_ms.pop(upstream_id, None)
             self._abandoned.pop(upstream_id, None)
-        return known is None or known.requests_per_s != rejections_per_s
+        return True
 
     def forget(self, upstream_ids):
         """Forget upstreams that are gone or have restarted."""
         for upstream_id in upstream_ids:
-            for found in (self._known, self._rejected_ms, self._abandoned):
-                found.pop(upstream_id, None)
+            self._known.forget(upstream_id)
+            self._rejected_ms.pop(upstream_id, None)
+            self._abandoned.pop(upstream_id, None)
 
     def set_share(self, share):
         """Set the share of all bounds that this home may use."""
@@ -96,8 +93,7 @@
 
     def is_brittle(self, upstream_id):
         """Return whether an upstream advertises that it is brittle."""
-        known = self._known.get(upstream_id)
-        return known is not None and known.requests_per_s != NO_LIMIT
+        return self._known.per_s(upstream_id) != NO_LIMIT
 
     def record_rejection(self, upstream_id, now_ms):
         """Record that an upstream turned a request away for want of room."""
@@ -142,7 +138,7 @@
         rejected = self._count_rejected(upstream_id, now_ms)
         if not rejected and not self._may_have_others(now_ms):
             return True
-        tolerated = math.floor(self._known[upstream_id].requests_per_s * self._share)
+        tolerated = math.floor(self._known.per_s(upstream_id) * self._share)
         return rejected + in_doubt < max(1, tolerated)
 
     def _may_have_others(self, now_ms):
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/rate_limits.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/rate_limits.py
@@ -3,9 +3,8 @@
 import math
 import zlib
 
-import msgspec
-
 from hemlockhoist.base import MS_PER_S
+from hemlockhoist.decisions.scheduling.known_limits import KnownLimits
 from hemlockhoist.messages import NO_LIMIT
 
 # Requests may be assigned this long before they are due at a steady rate. It is longer
@@ -18,21 +17,6 @@
 PHASES = 16
 
 
-class KnownLimit(msgspec.Struct, frozen=True):
-    """What a home knows of the limit that one upstream advertises.
-
-    Parameters
-    ==========
-    requests_per_s : float
-        ``NO_LIMIT`` once it was withdrawn.
-    heard_ms : int
-        When an entry host heard it, on this home's clock.
-    """
-
-    requests_per_s: float
-    heard_ms: int
-
-
 class RateLimits:
     """Keeps the requests of all hosts within the limits that upstreams advertise.
 
@@ -62,7 +46,7 @@
     __slots__ = ("_due_ms", "_known", "_share")
 
     def __init__(self):
-        self._known = {}
+        self._known = KnownLimits()
         # For each limited upstream, when a request that is assigned at the steady rate
         # is due: the generic cell rate algorithm (ITU-T I.371).
         self._due_ms = {}
@@ -80,22 +64,18 @@
             When it was heard; what was heard before the known limit is ignored.
         now_ms : int
         """
-        known = self._known.get(upstream_id)
-        if known is None and requests_per_s == NO_LIMIT:
-            return False
-        if known is not None and heard_ms < known.heard_ms:
+        if not self._known.record(upstream_id, requests_per_s, heard_ms):
             return False
-        self._known[upstream_id] = KnownLimit(requests_per_s, heard_ms)
         if requests_per_s == NO_LIMIT:
             self._due_ms.pop(upstream_id, None)
         elif upstream_id not in self._due_ms:
             self._begin(upstream_id, now_ms)
-        return known is None or known.requests_per_s != requests_per_s
+        return True
 
     def forget(self, upstream_ids):
         """Forget upstreams that are gone or have restarted."""
         for upstream_id in upstream_ids:
-            self._known.pop(upstream_id, None)
+            self._known.forget(upstream_id)
             self._due_ms.pop(upstream_id, None)
 
     def set_share(self, share):
@@ -162,7 +142,7 @@
         self._due_ms[upstream_id] = now_ms + BURST_MS + wait_ms
 
     def _interval_ms(self, upstream_id):
-        requests_per_s = self._known[upstream_id].requests_per_s
+        requests_per_s = self._known.per_s(upstream_id)
         interval_ms = MAX_GAP_MS
         if requests_per_s > 0:
             interval_ms = min(MAX_GAP_MS, MS_PER_S / requests_per_s)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_brittle_upstreams.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_brittle_upstreams.py
@@ -7,6 +7,7 @@
     DeclaredSlotsTracker,
     PoolScheduler,
     brittle_upstreams,
+    known_limits,
 )
 from hemlockhoist.decisions.scheduling.brittle_upstreams import (
     MAX_ABANDONED_MS,
@@ -21,7 +22,8 @@
 
 
 def load_tests(loader, tests, pattern):
-    tests.addTests(doctest.DocTestSuite(brittle_upstreams))
+    for module in (brittle_upstreams, known_limits):
+        tests.addTests(doctest.DocTestSuite(module))
     return tests
 
 
--- a/libs/host/src/hemlockhoist/host/home_signals.py
+++ b/libs/host/src/hemlockhoist/host/home_signals.py
@@ -136,32 +136,23 @@
             self._record_back_off(item.upstream_id, sender, item.remaining_ms)
 
     def _record_limit(self, upstream_id, requests_per_s, heard_ms):
-        now_ms = self._clock.now_ms()
-        if not self._scheduler.observe_limit(
-            upstream_id, requests_per_s, heard_ms, now_ms
-        ):
-            return
-        is_lifted = requests_per_s == NO_LIMIT
-        _log.info(
-            "limit_lifted" if is_lifted else "limit_enforced",
-            pool=self._pool,
-            upstream=upstream_id,
-            requests_per_s="" if is_lifted else requests_per_s,
-        )
+        now_ms, scheduler = self._clock.now_ms(), self._scheduler
+        if scheduler.observe_limit(upstream_id, requests_per_s, heard_ms, now_ms):
+            is_over = requests_per_s == NO_LIMIT
+            event = "limit_lifted" if is_over else "limit_enforced"
+            value = "" if is_over else requests_per_s
+            self._log_change(event, upstream_id, requests_per_s=value)
 
     def _record_brittle(self, upstream_id, rejections_per_s, heard_ms):
-        now_ms = self._clock.now_ms()
-        if not self._scheduler.observe_brittle(
-            upstream_id, rejections_per_s, heard_ms, now_ms
-        ):
-            return
-        is_over = rejections_per_s == NO_LIMIT
-        _log.info(
-            "brittle_lifted" if is_over else "brittle_respected",
-            pool=self._pool,
-            upstream=upstream_id,
-            rejections_per_s="" if is_over else rejections_per_s,
-        )
+        now_ms, scheduler = self._clock.now_ms(), self._scheduler
+        if scheduler.observe_brittle(upstream_id, rejections_per_s, heard_ms, now_ms):
+            is_over = rejections_per_s == NO_LIMIT
+            event = "brittle_lifted" if is_over else "brittle_respected"
+            value = "" if is_over else rejections_per_s
+            self._log_change(event, upstream_id, rejections_per_s=value)
+
+    def _log_change(self, event, upstream_id, **values):
+        _log.info(event, pool=self._pool, upstream=upstream_id, **values)
 
     def _record_back_off(self, upstream_id, host, back_off_ms):
         now_ms = self._clock.now_ms()
