Log whence routes came, and answers of readers that come too late

Cause: of a host whose routes are old, no line told from whom it had them, how large they were and how long ago their reader had read them; the answer to a query that had been given up was dropped without a word. So the logs could not tell a reader that is behind from rows that take longer to send than the query waits. Both are logged now; no logic changes.

--- /dev/null
+++ b/libs/entry/src/hemlockhoist/entry/feed_queries.py
@@ -0,0 +1,80 @@
+"""Queries to the hosts that relay the store's tables, and their answers."""
+
+import asyncio
+import collections
+import itertools
+
+from hemlockhoist.base import MS_PER_S, get_logger
+from hemlockhoist.messages import FeedQuestion
+
+_log = get_logger("entry.feeds")
+
+# Transit time allowed for a query on top of its wait.
+TRANSIT_ALLOWANCE_MS = 300
+# Number of queries whose late answers are still recognised.
+MAX_GIVEN_UP = 64
+
+
+class FeedQueries:
+    """Sends queries to other hosts and awaits their answers.
+
+    Parameters
+    ==========
+    context : EntryContext
+    """
+
+    __slots__ = ("_context", "_given_up", "_numbers", "_pending")
+
+    def __init__(self, context):
+        self._context = context
+        self._numbers = itertools.count(1)
+        self._pending = {}
+        # Address, table and time of the queries that were not answered in time.
+        self._given_up = collections.OrderedDict()
+
+    async def send(self, address, table, since_version, wait_ms):
+        """Return a host's ``FeedAnswer``, or None if it did not answer in time."""
+        number = next(self._numbers)
+        future = asyncio.get_running_loop().create_future()
+        self._pending[number] = future
+        sent_ms = self._context.clock.now_ms()
+        query = FeedQuestion(
+            number=number, table=table, since_version=since_version, wait_ms=wait_ms
+        )
+        self._context.bus.send(address, query)
+        try:
+            async with asyncio.timeout((wait_ms + TRANSIT_ALLOWANCE_MS) / MS_PER_S):
+                return await future
+        except TimeoutError:
+            self._give_up(number, (address, table, sent_ms))
+            self._context.bus.reconnect(address)
+            return None
+        finally:
+            del self._pending[number]
+
+    def _give_up(self, number, query):
+        self._given_up[number] = query
+        while len(self._given_up) > MAX_GIVEN_UP:
+            self._given_up.popitem(last=False)
+
+    def on_answer(self, message):
+        """Handle the answer to a query."""
+        future = self._pending.get(message.number)
+        if future is not None and not future.done():
+            future.set_result(message)
+            return
+        self._log_late(message)
+
+    def _log_late(self, message):
+        query = self._given_up.pop(message.number, None)
+        if query is None:
+            return
+        address, table, sent_ms = query
+        _log.info(
+            "reader_answer_late",
+            table=table,
+            reader=address,
+            after_ms=self._context.clock.now_ms() - sent_ms,
+            rows=len(message.rows),
+            row_bytes=sum(len(row.value or b"") for row in message.rows),
+        )
--- a/libs/entry/src/hemlockhoist/entry/feeds.py
+++ b/libs/entry/src/hemlockhoist/entry/feeds.py
@@ -1,11 +1,11 @@
 """The store's tables, read from the store or relayed by another host."""
 
 import asyncio
-import itertools
 
 from hemlockhoist.base import MS_PER_S, PlatformError, get_logger
 from hemlockhoist.decisions.entry import MAX_DIRECT_READERS, TableCopy, reader_for
-from hemlockhoist.messages import FeedAnswer, FeedQuestion, FeedRow, FeedState
+from hemlockhoist.entry.feed_queries import FeedQueries
+from hemlockhoist.messages import FeedAnswer, FeedRow, FeedState
 from hemlockhoist.store import HistoryGone, Reading, RowStore, StoreRow
 
 _log = get_logger("entry.feeds")
@@ -14,8 +14,6 @@
 # a frozen or disconnected reader is detected by its silence, early enough for this host
 # to learn from the store itself in time that an upstream leaves.
 RELAYED_WAIT_MS = 1_000
-# Transit time allowed for a query on top of its wait.
-TRANSIT_ALLOWANCE_MS = 300
 # Retry interval of this host while neither it nor the readers reach the store. Readers
 # retry continuously, and report when the store is back.
 STORE_RETRY_INTERVAL_MS = 1_000
@@ -58,8 +56,7 @@
         "_context",
         "_copies",
         "_failed_readers",
-        "_numbers",
-        "_pending_queries",
+        "_queries",
         "_relayed",
         "_store",
         "_store_due_ms",
@@ -72,10 +69,9 @@
         self._relayed = frozenset(relayed)
         self._copies = {}
         self._waiting_queries = {}
-        self._pending_queries = {}
+        self._queries = FeedQueries(context)
         # Time of the last read of a table's changes from the store.
         self._changes_read_ms = {}
-        self._numbers = itertools.count(1)
         self._failed_readers = {}
         self._store_due_ms = 0
 
@@ -208,7 +204,7 @@
         """Return the reading of one reader, or None if the reader failed."""
         wait_ms = min(wait_ms, RELAYED_WAIT_MS)
         sent_ms = self._context.boot_clock.now_ms()
-        answer = await self._send_query(reader.address, table, since_version, wait_ms)
+        answer = await self._queries.send(reader.address, table, since_version, wait_ms)
         if answer is None or answer.state is FeedState.FAILED:
             now_ms = self._context.clock.now_ms()
             self._failed_readers[reader.address] = now_ms + READER_BACKOFF_MS
@@ -231,6 +227,7 @@
             store_ms=answer.store_ms,
             sent_ms=sent_ms,
             clock_ms=answer.clock_ms,
+            relayed_by=reader.address,
         )
 
     def _check_store_due(self):
@@ -247,28 +244,9 @@
             self._failed_readers.clear()
             raise PlatformError("neither the readers nor this host reach the store")
 
-    async def _send_query(self, address, table, since_version, wait_ms):
-        number = next(self._numbers)
-        future = asyncio.get_running_loop().create_future()
-        self._pending_queries[number] = future
-        query = FeedQuestion(
-            number=number, table=table, since_version=since_version, wait_ms=wait_ms
-        )
-        self._context.bus.send(address, query)
-        try:
-            async with asyncio.timeout((wait_ms + TRANSIT_ALLOWANCE_MS) / MS_PER_S):
-                return await future
-        except TimeoutError:
-            self._context.bus.reconnect(address)
-            return None
-        finally:
-            del self._pending_queries[number]
-
     def on_answer(self, message):
-        """Handle a reader's response; ignored if the query has timed out."""
-        future = self._pending_queries.get(message.number)
-        if future is not None and not future.done():
-            future.set_result(message)
+        """Handle a reader's answer."""
+        self._queries.on_answer(message)
 
     # Queries from other hosts.
 
--- a/libs/entry/src/hemlockhoist/entry/store_view.py
+++ b/libs/entry/src/hemlockhoist/entry/store_view.py
@@ -162,7 +162,7 @@
             if row.value is None:
                 continue
             if row.key == self._platform.config_key:
-                self._apply_routes(row)
+                self._apply_routes(row, reading)
                 continue
             order = self._platform.decode_order(row)
             if order is not None:
@@ -195,7 +195,7 @@
         if self.evacuated.apply(order):
             self._on_domains_changed((failure_domain,))
 
-    def _apply_routes(self, row):
+    def _apply_routes(self, row, reading):
         try:
             table = self._platform.decode_routes(row.value)
         except DeclarationError as error:
@@ -215,7 +215,14 @@
             previous is None or previous.version < table.version,
             f"routes {table.version} after {previous.version if previous else 0}",
         )
-        _log.info("routes_in_force", version=table.version, routes=len(table.routes))
+        _log.info(
+            "routes_in_force",
+            version=table.version,
+            routes=len(table.routes),
+            row_bytes=len(row.value),
+            relayed_by=reading.relayed_by,
+            read_ms_ago=max(0, self.store_now_ms() - reading.store_ms),
+        )
         self._on_routes(table)
         self._update_completed()
 
--- a/libs/entry/src/hemlockhoist/entry/tests/builders.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/builders.py
@@ -62,16 +62,25 @@
     return Reading(rows=tuple(rows), version=version, store_ms=at_ms, sent_ms=at_ms)
 
 
+class EncodedRoutes(bytes):
+    """The value of a row of routes, which carries what it decodes to.
+
+    Attributes
+    ==========
+    decoded : RouteTable or Exception
+    """
+
+
 class FakePlatform:
     """A platform whose rows hold decoded values."""
 
     config_key = "config"
 
     def decode_routes(self, value):
-        """Return the value, or raise it if it is an exception."""
-        if isinstance(value, Exception):
-            raise value
-        return value
+        """Return the routes of a value, or raise the error that it carries."""
+        if isinstance(value.decoded, Exception):
+            raise value.decoded
+        return value.decoded
 
     def decode_upstream(self, row, now_ms):
         """Return the row's upstream."""
@@ -120,7 +129,9 @@
 
     def apply_routes(self, routes, version=1):
         """Apply a row of routes to the store view."""
-        row = StoreRow(key="config", value=routes, version=version)
+        value = EncodedRoutes(b"routes")
+        value.decoded = routes
+        row = StoreRow(key="config", value=value, version=version)
         self.store_view.apply_config_rows(reading([row], version), False)
 
     def apply_evacuation(self, domain, version, is_evacuated=True):
--- /dev/null
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_feed_queries.py
@@ -0,0 +1,37 @@
+import asyncio
+import types
+
+import structlog
+
+from hemlockhoist.base import Clock
+from hemlockhoist.base.testing import PausedTestCase
+from hemlockhoist.entry.feed_queries import FeedQueries
+from hemlockhoist.messages import FeedAnswer, FeedRow
+
+
+class FeedQueriesTests(PausedTestCase):
+    async def asyncSetUp(self):
+        self.sent = []
+        bus = types.SimpleNamespace(
+            send=lambda address, message: self.sent.append(message),
+            reconnect=lambda address: None,
+        )
+        self.queries = FeedQueries(
+            types.SimpleNamespace(bus=bus, clock=Clock.from_running_loop())
+        )
+
+    async def test_answer_that_comes_too_late_is_logged(self):
+        """Guards against rows that never arrive in time without a trace in any log."""
+        with structlog.testing.capture_logs() as events:
+            self.assertIsNone(await self.queries.send("h1", "op", 5, 0))
+            await asyncio.sleep(0.4)
+            row = FeedRow(key="config", value=b"12345", version=6)
+            answer = FeedAnswer(number=self.sent[0].number, rows=(row,), version=6)
+            self.queries.on_answer(answer)
+            self.queries.on_answer(answer)
+        self.assertEqual(len(events), 1)
+        late = events[0]
+        self.assertEqual(late["event"], "reader_answer_late")
+        self.assertEqual((late["table"], late["reader"]), ("op", "h1"))
+        self.assertEqual((late["rows"], late["row_bytes"]), (1, 5))
+        self.assertAlmostEqual(late["after_ms"], 700, delta=2)
--- a/libs/store/src/hemlockhoist/store/rows.py
+++ b/libs/store/src/hemlockhoist/store/rows.py
@@ -39,6 +39,8 @@
     clock_ms : int or None
         For a reading relayed by another host, the store's clock at the time that host
         sent it, or later. None for a reading of this host's own.
+    relayed_by : str
+        Address of the host that relayed it; empty for a reading of this host's own.
     """
 
     rows: tuple[StoreRow, ...]
@@ -46,6 +48,7 @@
     store_ms: int
     sent_ms: int
     clock_ms: int | None = None
+    relayed_by: str = ""
 
 
 class RowChange(msgspec.Struct, frozen=True, kw_only=True):
