Two failing tests of hosts whose configuration is late

What callers of such a host get: answers by routes that were changed or taken away seconds before. (1) A configuration of 1,400 routes, 330 KB, before 72 hosts in four failure domains with links of 10 Mbit/s: a change is not in force everywhere 3 s after it was written. Every query to a reader is given up 300 ms after its wait, while its rows are on the way; each of four readers sends them in turn, and the store at last. (2) A reader that the store rejects, beside another that reaches it: it keeps what it had for as long as the rejection lasts. Bounds are the declared 3 s. The network of the test sends at the rate of the hosts' links now (unlimited but for the new tests).

--- a/libs/entry/src/hemlockhoist/entry/tests/test_feeds.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_feeds.py
@@ -1,6 +1,9 @@
 import asyncio
+import itertools
 import types
 
+import msgspec
+
 from hemlockhoist.base import Clock, PlatformError, SuspendAwareClock
 from hemlockhoist.base.testing import PausedTestCase
 from hemlockhoist.decisions.entry import Freshness
@@ -11,30 +14,37 @@
 
 TABLE = "op"
 UPSTREAMS = "servers"
-HOSTS = 13
+# Declared time from the confirmation of a change until it is in force at every host.
+IN_FORCE_S = 3
 
 
 class CountedStore(MemoryStore):
-    """Counts calls, and can be partitioned from one host."""
+    """Counts one host's calls; its answers use the host's link."""
 
-    def __init__(self, rows):
+    def __init__(self, rows, address, network):
         super().__init__()
         self.shared = rows
+        self.address = address
+        self.network = network
         self.calls = 0
         self.is_partitioned = False
 
     async def read_table(self, table):
         self._count()
-        return await self.shared.read_table(table)
+        reading = await self.shared.read_table(table)
+        await self.network.receive(self.address, reading)
+        return reading
 
     async def read_changes(self, table, since_version, wait_ms):
         self._count()
         try:
             async with asyncio.timeout(wait_ms / 1_000):
-                return await self.shared.read_changes(table, since_version, wait_ms)
+                reading = await self.shared.read_changes(table, since_version, wait_ms)
         except TimeoutError:
             rows = self.shared.rows.values()
-            return self.shared._reading(r for r in rows if r.version > since_version)
+            reading = self.shared._reading(r for r in rows if r.version > since_version)
+        await self.network.receive(self.address, reading)
+        return reading
 
     def _count(self):
         self.calls += 1
@@ -43,16 +53,40 @@
 
 
 class Network:
-    """Delivers messages to the hosts' feed stores after a millisecond."""
+    """Delivers messages to the hosts' feed stores, as fast as the hosts' links allow.
+
+    Attributes
+    ==========
+    bytes_per_s : float
+        Rate of each host's link, in each direction.
+    """
 
     def __init__(self):
         self.feeds = {}
         self.disconnected = set()
+        self.bytes_per_s = float("inf")
+        # When the link of a host is free again, by host and direction.
+        self._free_s = {}
 
     def send(self, sender, address, message):
-        if not self.disconnected & {sender, address}:
-            loop = asyncio.get_running_loop()
-            loop.call_later(0.001, self._deliver, sender, address, message)
+        if self.disconnected & {sender, address}:
+            return
+        loop = asyncio.get_running_loop()
+        size_s = len(msgspec.msgpack.encode(message)) / self.bytes_per_s
+        sent_s = self._occupy((sender, "out"), loop.time(), size_s)
+        arrived_s = self._occupy((address, "in"), sent_s - size_s, size_s) + 0.001
+        loop.call_at(arrived_s, self._deliver, sender, address, message)
+
+    async def receive(self, address, reading):
+        """Wait until a host has received an answer of the store."""
+        size_s = len(msgspec.msgpack.encode(reading)) / self.bytes_per_s
+        now_s = asyncio.get_running_loop().time()
+        await asyncio.sleep(self._occupy((address, "in"), now_s, size_s) - now_s)
+
+    def _occupy(self, link, from_s, size_s):
+        """Return when a message has passed a link that it reaches at a time."""
+        self._free_s[link] = max(from_s, self._free_s.get(link, 0)) + size_s
+        return self._free_s[link]
 
     def _deliver(self, sender, address, message):
         feeds = self.feeds[address]
@@ -72,7 +106,7 @@
     def __init__(self, member, members, store, network):
         self.member = member
         self.known = members
-        self.store = CountedStore(store)
+        self.store = CountedStore(store, member.address, network)
         self.rows = {}
         clock = Clock.from_running_loop()
         self.boot_clock = SuspendAwareClock(lambda: clock.now_ms() * 1_000_000)
@@ -130,13 +164,20 @@
         )
 
 
-class FeedStoreTests(PausedTestCase):
+class FeedFleetCase(PausedTestCase):
+    """Hosts that watch one table."""
+
+    host_count = 13
+    domains = "a"
+
     async def asyncSetUp(self):
         self.store = ClockedStore()
         self.network = Network()
         members = [
-            Member(address=f"h{number}", incarnation="r1", failure_domain="a")
-            for number in range(HOSTS)
+            Member(address=f"h{number}", incarnation="r1", failure_domain=domain)
+            for number, domain in zip(
+                range(self.host_count), itertools.cycle(self.domains), strict=False
+            )
         ]
         self.hosts = [
             FeedHost(member, members, self.store, self.network) for member in members
@@ -159,6 +200,8 @@
         for host in self.hosts:
             self.assertEqual(host.rows["config"], value)
 
+
+class FeedStoreTests(FeedFleetCase):
     async def test_one_host_reads_the_store_for_all(self):
         await asyncio.sleep(10)
         await self.write("v2")
@@ -230,3 +273,52 @@
         await self.write("v2")
         await asyncio.sleep(2.5)
         self.check_all_know("v2")
+
+
+class SlowLinkTests(FeedFleetCase):
+    host_count = 72
+    domains = "abcd"
+
+    async def write_routes(self, version):
+        """Write a configuration of 1,400 routes; return its value."""
+        names = itertools.count(1)
+        routes = [
+            {
+                "name": f"r-{n}",
+                "host": f"h{n * 7919 % 9973}.example",
+                "prefix": f"/{n}/",
+            }
+            | {"kind": "idempotent", "timeout_ms": 900, "target_latency_ms": 170}
+            | {"priority": 2, "service": "halls", "split": [], "max_attempts": 2}
+            | {"anonymous": False, "resumable": False, "allowed_regions": []}
+            for n in itertools.islice(names, 1_400)
+        ]
+        config = {"version": version, "route_table": routes, "services": []}
+        value = msgspec.json.encode(config)
+        await self.write(value)
+        return value
+
+    async def test_large_configuration_reaches_hosts_over_slow_links(self):
+        """Guards against queries that are given up while their rows are on the way."""
+        self.network.bytes_per_s = 10_000_000 / 8
+        for version in range(2, 8):
+            value = await self.write_routes(version)
+            await asyncio.sleep(IN_FORCE_S)
+            self.check_all_know(value)
+
+
+class RejectedHostTests(FeedFleetCase):
+    host_count = 14
+    domains = "ab"
+
+    async def test_reader_without_the_store_follows_another_reader(self):
+        """Guards against old routes at a reader for as long as the store rejects it."""
+        readers = [host for host in self.hosts if host.feeds.is_reader]
+        self.assertEqual(len(readers), 2)
+        rejected = readers[0]
+        rejected.store.is_partitioned = True
+        for number in range(8):
+            await self.write(f"v{number}")
+            await asyncio.sleep(IN_FORCE_S)
+            self.check_all_know(f"v{number}")
+            self.assertLess(rejected.proof_age_ms(), 3 * RELAYED_WAIT_MS)
