--- /dev/null
+++ b/libs/entry/src/hemlockhoist/entry/feed_server.py
@@ -0,0 +1,92 @@
+"""Answers to the hosts that read the store's tables through this one."""
+
+import asyncio
+
+from hemlockhoist.base import MS_PER_S
+from hemlockhoist.messages import FeedAnswer, FeedRow, FeedState
+
+# A reader whose newest proof of the routes is older than this has lost the store, or is
+# about to detect it: the proof is renewed each second.
+MAX_READER_PROOF_AGE_MS = 1_700
+
+
+class FeedServer:
+    """Answers other hosts' queries from this host's copies of the tables.
+
+    Parameters
+    ==========
+    context : EntryContext
+    copies : dict
+        Maps table to ``TableCopy``; updated by its owner.
+    is_reader : callable
+        Returns whether this host reads the store itself.
+    """
+
+    __slots__ = ("_context", "_copies", "_is_reader", "_waiting_queries")
+
+    def __init__(self, context, copies, is_reader):
+        self._context = context
+        self._copies = copies
+        self._is_reader = is_reader
+        self._waiting_queries = {}
+
+    def on_query(self, sender, message):
+        """Answer at once if there are changes, else after a reading or a timeout."""
+        copy = self._copies.get(message.table)
+        if copy is None or not self._is_current():
+            self._send_failure(sender, message)
+            return
+        since = message.since_version
+        if since is None or copy.version > since or not message.wait_ms:
+            self._send_changes(sender, message, copy)
+            return
+        waiting = self._waiting_queries.setdefault(message.table, {})
+        timer = asyncio.get_running_loop().call_later(
+            message.wait_ms / MS_PER_S, self._answer_query, sender, message
+        )
+        waiting[sender, message.number] = (message, timer)
+
+    def _is_current(self):
+        """Return whether this host's copies are current with the store."""
+        if not self._is_reader():
+            return False
+        age_ms = self._context.store_view.proof_age_ms()
+        return age_ms is not None and age_ms < MAX_READER_PROOF_AGE_MS
+
+    def answer_waiting_queries(self, table):
+        """Answer the queries that wait for a change of a table."""
+        for sender, number in list(self._waiting_queries.get(table, ())):
+            self._answer_query(sender, self._waiting_queries[table][sender, number][0])
+
+    def _answer_query(self, sender, message):
+        waiting = self._waiting_queries.get(message.table, {})
+        entry = waiting.pop((sender, message.number), None)
+        if entry is None:
+            return
+        entry[1].cancel()
+        copy = self._copies.get(message.table)
+        if copy is None or not self._is_current():
+            self._send_failure(sender, message)
+        else:
+            self._send_changes(sender, message, copy)
+
+    def _send_failure(self, sender, message):
+        answer = FeedAnswer(number=message.number, state=FeedState.FAILED)
+        self._context.bus.send(sender, answer)
+
+    def _send_changes(self, sender, message, copy):
+        rows = copy.changes(message.since_version)
+        if rows is None:
+            answer = FeedAnswer(number=message.number, state=FeedState.HISTORY_GONE)
+        else:
+            answer = FeedAnswer(
+                number=message.number,
+                rows=tuple(
+                    FeedRow(key=row.key, value=row.value, version=row.version)
+                    for row in rows
+                ),
+                version=copy.version,
+                store_ms=copy.store_ms,
+                clock_ms=self._context.store_view.store_now_ms(),
+            )
+        self._context.bus.send(sender, answer)
--- a/libs/entry/src/hemlockhoist/entry/feeds.py
+++ b/libs/entry/src/hemlockhoist/entry/feeds.py
@@ -5,7 +5,8 @@
 from hemlockhoist.base import MS_PER_S, PlatformError, get_logger
 from hemlockhoist.decisions.entry import MAX_DIRECT_READERS, TableCopy, reader_for
 from hemlockhoist.entry.feed_queries import FeedQueries
-from hemlockhoist.messages import FeedAnswer, FeedRow, FeedState
+from hemlockhoist.entry.feed_server import FeedServer
+from hemlockhoist.messages import FeedState
 from hemlockhoist.store import HistoryGone, Reading, RowStore, StoreRow
 
 _log = get_logger("entry.feeds")
@@ -31,9 +32,6 @@
 # Interval between two reads of the changes of a table that carries no proof of
 # freshness: upstreams that leave, join or warm up together are returned by one read.
 CHANGES_READ_INTERVAL_MS = 200
-# A reader whose newest proof of the routes is older than this has lost the store, or is
-# about to detect it: the proof is renewed each second.
-MAX_READER_PROOF_AGE_MS = 1_700
 
 
 class FeedStore(RowStore):
@@ -58,9 +56,9 @@
         "_failed_readers",
         "_queries",
         "_relayed",
+        "_server",
         "_store",
         "_store_due_ms",
-        "_waiting_queries",
     )
 
     def __init__(self, context, store, relayed):
@@ -68,7 +66,7 @@
         self._store = store
         self._relayed = frozenset(relayed)
         self._copies = {}
-        self._waiting_queries = {}
+        self._server = FeedServer(context, self._copies, lambda: self.is_reader)
         self._queries = FeedQueries(context)
         # Time of the last read of a table's changes from the store.
         self._changes_read_ms = {}
@@ -134,7 +132,7 @@
         if table in self._relayed:
             copy = self._copies[table] = TableCopy()
             copy.replace(reading)
-            self._answer_waiting_queries(table)
+            self._server.answer_waiting_queries(table)
         return reading
 
     async def _read_own_changes(self, table, since_version, wait_ms):
@@ -149,7 +147,7 @@
         copy = self._copies.get(table)
         if copy is not None and copy.version >= since_version:
             copy.apply(reading)
-            self._answer_waiting_queries(table)
+            self._server.answer_waiting_queries(table)
         elif table in self._relayed and self.is_reader:
             # The copy is missing, or lacks changes that other readers relayed to this
             # host meanwhile: read the whole table.
@@ -161,7 +159,7 @@
         if table not in self._relayed:
             return
         self._copies.pop(table, None)
-        self._answer_waiting_queries(table)
+        self._server.answer_waiting_queries(table)
         if not self.is_reader:
             now_ms = self._context.clock.now_ms()
             self._failed_readers.clear()
@@ -244,68 +242,10 @@
             self._failed_readers.clear()
             raise PlatformError("neither the readers nor this host reach the store")
 
+    def on_query(self, sender, message):
+        """Handle another host's query."""
+        self._server.on_query(sender, message)
+
     def on_answer(self, message):
         """Handle a reader's answer."""
         self._queries.on_answer(message)
-
-    # Queries from other hosts.
-
-    def on_query(self, sender, message):
-        """Answer at once if there are changes, else after a reading or a timeout."""
-        copy = self._copies.get(message.table)
-        if copy is None or not self._is_current():
-            self._send_failure(sender, message)
-            return
-        since = message.since_version
-        if since is None or copy.version > since or not message.wait_ms:
-            self._send_changes(sender, message, copy)
-            return
-        waiting = self._waiting_queries.setdefault(message.table, {})
-        timer = asyncio.get_running_loop().call_later(
-            message.wait_ms / MS_PER_S, self._answer_query, sender, message
-        )
-        waiting[sender, message.number] = (message, timer)
-
-    def _is_current(self):
-        """Return whether this host's copies are current with the store."""
-        if not self.is_reader:
-            return False
-        age_ms = self._context.store_view.proof_age_ms()
-        return age_ms is not None and age_ms < MAX_READER_PROOF_AGE_MS
-
-    def _answer_waiting_queries(self, table):
-        for sender, number in list(self._waiting_queries.get(table, ())):
-            self._answer_query(sender, self._waiting_queries[table][sender, number][0])
-
-    def _answer_query(self, sender, message):
-        waiting = self._waiting_queries.get(message.table, {})
-        entry = waiting.pop((sender, message.number), None)
-        if entry is None:
-            return
-        entry[1].cancel()
-        copy = self._copies.get(message.table)
-        if copy is None or not self._is_current():
-            self._send_failure(sender, message)
-        else:
-            self._send_changes(sender, message, copy)
-
-    def _send_failure(self, sender, message):
-        answer = FeedAnswer(number=message.number, state=FeedState.FAILED)
-        self._context.bus.send(sender, answer)
-
-    def _send_changes(self, sender, message, copy):
-        rows = copy.changes(message.since_version)
-        if rows is None:
-            answer = FeedAnswer(number=message.number, state=FeedState.HISTORY_GONE)
-        else:
-            answer = FeedAnswer(
-                number=message.number,
-                rows=tuple(
-                    FeedRow(key=row.key, value=row.value, version=row.version)
-                    for row in rows
-                ),
-                version=copy.version,
-                store_ms=copy.store_ms,
-                clock_ms=self._context.store_view.store_now_ms(),
-            )
-        self._context.bus.send(sender, answer)
