Send changes of a large configuration between hosts in packed form

Cause: a reader sends the whole row, 370 KB, to each of its 17 followers. A query is given up 300 ms after its wait; on a link of 10 Mbit/s the row alone takes 300 ms. So each host asks four readers in turn, each of which sends the row as well, and then the store; grants and probes wait behind these rows on the same connections, and hosts take themselves for the only home.

Ruled out: a load 2.2 times as high without the large configuration (0.55 s).

A host that has another value than its reader supposes asks once more for plain rows. Hosts of the release before ask for, and get, plain rows. Readers keep four earlier values of a large row. Older rows no longer replace newer ones in a copy.

--- a/libs/decisions/src/hemlockhoist/decisions/entry/copies.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/copies.py
@@ -5,6 +5,10 @@
 # Deleted rows that are kept, so that followers learn of the deletions. A fleet replaces
 # some upstreams per minute, and followers request changes every second.
 MAX_DELETED = 1_024
+# Values from this size on keep their predecessors, by which their changes are packed.
+LARGE_VALUE_BYTES = 2_048
+# Followers that lag by more versions of a large value get it whole.
+MAX_PREDECESSORS = 4
 
 
 class TableCopy:
@@ -26,17 +30,23 @@
     ['a']
     """
 
-    __slots__ = ("_deleted", "_oldest", "_rows", "store_ms", "version")
+    __slots__ = ("_deleted", "_oldest", "_predecessors", "_rows", "store_ms", "version")
 
     def __init__(self):
         self._rows = {}
+        # Earlier rows of each key with a large value, oldest first.
+        self._predecessors = {}
         self._deleted = collections.OrderedDict()
         self._oldest = 0
         self.version = 0
         self.store_ms = 0
 
     def replace(self, reading):
-        """Replace all rows by those of a full reading."""
+        """Replace all rows by those of a full reading; an older one is ignored."""
+        if reading.version < self.version:
+            return
+        for row in reading.rows:
+            self._keep_predecessor(row)
         self._rows = {row.key: row for row in reading.rows}
         self._deleted.clear()
         # Deletions before this reading are not known.
@@ -46,18 +56,37 @@
     def apply(self, reading):
         """Apply a reading of changed rows."""
         for row in reading.rows:
-            if row.value is None:
-                self._rows.pop(row.key, None)
-                self._deleted[row.key] = row
-                self._deleted.move_to_end(row.key)
-            else:
-                self._deleted.pop(row.key, None)
-                self._rows[row.key] = row
+            if not self._is_known(row):
+                self._put(row)
         while len(self._deleted) > MAX_DELETED:
             _, row = self._deleted.popitem(last=False)
             self._oldest = max(self._oldest, row.version)
         self._record(reading)
 
+    def _is_known(self, row):
+        """Return whether this copy has a row, or a newer one of its key."""
+        known = self._rows.get(row.key) or self._deleted.get(row.key)
+        return known is not None and known.version >= row.version
+
+    def _put(self, row):
+        self._keep_predecessor(row)
+        if row.value is None:
+            self._rows.pop(row.key, None)
+            self._deleted[row.key] = row
+            self._deleted.move_to_end(row.key)
+        else:
+            self._deleted.pop(row.key, None)
+            self._rows[row.key] = row
+
+    def _keep_predecessor(self, row):
+        """Keep the row that a newer one of its key is about to replace."""
+        known = self._rows.get(row.key)
+        if known is None or known.version == row.version:
+            return
+        if len(known.value) >= LARGE_VALUE_BYTES:
+            empty = collections.deque(maxlen=MAX_PREDECESSORS)
+            self._predecessors.setdefault(row.key, empty).append(known)
+
     def _record(self, reading):
         self.version = max(self.version, reading.version)
         self.store_ms = max(self.store_ms, reading.store_ms)
@@ -77,3 +106,12 @@
         rows = (*self._rows.values(), *self._deleted.values())
         changed = (row for row in rows if row.version > since_version)
         return tuple(sorted(changed, key=lambda row: row.version))
+
+    def row_as_of(self, key, version):
+        """Return the newest known row of a key up to a version, or None.
+
+        Only of large values are earlier rows known, and not all of them.
+        """
+        known = [*self._predecessors.get(key, ()), self._rows.get(key)]
+        found = [row for row in known if row is not None and row.version <= version]
+        return found[-1] if found else None
--- a/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_readers.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_readers.py
@@ -1,6 +1,7 @@
 import unittest
 
 from hemlockhoist.decisions.entry import TableCopy, find_readers, reader_for
+from hemlockhoist.decisions.entry.copies import LARGE_VALUE_BYTES
 from hemlockhoist.messages import Member
 from hemlockhoist.store import Reading, StoreRow
 
@@ -100,3 +101,25 @@
         copy.replace(self.reading(10, a=b"1"))
         copy.apply(self.reading(8))
         self.assertEqual((copy.version, copy.store_ms), (10, 10))
+
+    def test_older_rows_do_not_replace_newer_ones(self):
+        """Guards against routes that come back by an answer that was overtaken."""
+        copy = TableCopy()
+        copy.replace(self.reading(10, a=b"10"))
+        copy.apply(self.reading(14, a=b"14", b=None))
+        copy.apply(self.reading(12, a=b"12", b=b"12"))
+        copy.replace(self.reading(11, a=b"11"))
+        self.assertEqual([row.value for row in copy.changes(None)], [b"14"])
+        self.assertEqual(copy.version, 14)
+
+    def test_earlier_rows_of_a_large_value_are_known(self):
+        copy = TableCopy()
+        large = b"r" * LARGE_VALUE_BYTES
+        for version in range(10, 18):
+            rows = self.reading(version, a=large + bytes([version]), small=b"s")
+            copy.replace(rows) if version == 10 else copy.apply(rows)
+        versions = [copy.row_as_of("a", known) for known in (12, 13, 15, 17, 99)]
+        self.assertEqual(
+            [row and row.version for row in versions], [None, 13, 15, 17, 17]
+        )
+        self.assertIsNone(copy.row_as_of("small", 16))
--- a/libs/entry/src/hemlockhoist/entry/feed_queries.py
+++ b/libs/entry/src/hemlockhoist/entry/feed_queries.py
@@ -32,14 +32,18 @@
         # Address, table and time of the queries that were not answered in time.
         self._given_up = collections.OrderedDict()
 
-    async def send(self, address, table, since_version, wait_ms):
+    async def send(self, address, table, since_version, wait_ms, unpacks=True):
         """Return a host's ``FeedAnswer``, or None if it did not answer in time."""
         number = next(self._numbers)
         future = asyncio.get_running_loop().create_future()
         self._pending[number] = future
         sent_ms = self._context.clock.now_ms()
         query = FeedQuestion(
-            number=number, table=table, since_version=since_version, wait_ms=wait_ms
+            number=number,
+            table=table,
+            since_version=since_version,
+            wait_ms=wait_ms,
+            unpacks=unpacks,
         )
         self._context.bus.send(address, query)
         try:
--- a/libs/entry/src/hemlockhoist/entry/feed_server.py
+++ b/libs/entry/src/hemlockhoist/entry/feed_server.py
@@ -3,7 +3,8 @@
 import asyncio
 
 from hemlockhoist.base import MS_PER_S
-from hemlockhoist.messages import FeedAnswer, FeedRow, FeedState
+from hemlockhoist.entry.row_packer import RowPacker
+from hemlockhoist.messages import FeedAnswer, FeedState
 
 # A reader whose newest proof of the routes is older than this has lost the store, or is
 # about to detect it: the proof is renewed each second.
@@ -20,20 +21,34 @@
         Maps table to ``TableCopy``; updated by its owner.
     is_reader : callable
         Returns whether this host reads the store itself.
+
+    Attributes
+    ==========
+    lost_tables : set of str
+        Tables of which the latest call to the store failed.
     """
 
-    __slots__ = ("_context", "_copies", "_is_reader", "_waiting_queries")
+    __slots__ = (
+        "_context",
+        "_copies",
+        "_is_reader",
+        "_packer",
+        "_waiting_queries",
+        "lost_tables",
+    )
 
     def __init__(self, context, copies, is_reader):
         self._context = context
         self._copies = copies
         self._is_reader = is_reader
+        self.lost_tables = set()
+        self._packer = RowPacker()
         self._waiting_queries = {}
 
     def on_query(self, sender, message):
         """Answer at once if there are changes, else after a reading or a timeout."""
         copy = self._copies.get(message.table)
-        if copy is None or not self._is_current():
+        if copy is None or not self._is_current(message.table):
             self._send_failure(sender, message)
             return
         since = message.since_version
@@ -46,9 +61,9 @@
         )
         waiting[sender, message.number] = (message, timer)
 
-    def _is_current(self):
-        """Return whether this host's copies are current with the store."""
-        if not self._is_reader():
+    def _is_current(self, table):
+        """Return whether this host's copy of a table is current with the store."""
+        if table in self.lost_tables or not self._is_reader():
             return False
         age_ms = self._context.store_view.proof_age_ms()
         return age_ms is not None and age_ms < MAX_READER_PROOF_AGE_MS
@@ -65,7 +80,7 @@
             return
         entry[1].cancel()
         copy = self._copies.get(message.table)
-        if copy is None or not self._is_current():
+        if copy is None or not self._is_current(message.table):
             self._send_failure(sender, message)
         else:
             self._send_changes(sender, message, copy)
@@ -81,10 +96,7 @@
         else:
             answer = FeedAnswer(
                 number=message.number,
-                rows=tuple(
-                    FeedRow(key=row.key, value=row.value, version=row.version)
-                    for row in rows
-                ),
+                rows=tuple(self._packer.wire_row(row, copy, message) for row in rows),
                 version=copy.version,
                 store_ms=copy.store_ms,
                 clock_ms=self._context.store_view.store_now_ms(),
--- a/libs/entry/src/hemlockhoist/entry/feeds.py
+++ b/libs/entry/src/hemlockhoist/entry/feeds.py
@@ -2,12 +2,13 @@
 
 import asyncio
 
-from hemlockhoist.base import MS_PER_S, PlatformError, get_logger
+from hemlockhoist.base import MS_PER_S, PeerError, PlatformError, get_logger
 from hemlockhoist.decisions.entry import MAX_DIRECT_READERS, TableCopy, reader_for
 from hemlockhoist.entry.feed_queries import FeedQueries
 from hemlockhoist.entry.feed_server import FeedServer
+from hemlockhoist.entry.row_packer import read_row
 from hemlockhoist.messages import FeedState
-from hemlockhoist.store import HistoryGone, Reading, RowStore, StoreRow
+from hemlockhoist.store import HistoryGone, Reading, RowStore
 
 _log = get_logger("entry.feeds")
 
@@ -129,10 +130,7 @@
 
     async def _read_own_table(self, table):
         reading = await self._store.read_table(table)
-        if table in self._relayed:
-            copy = self._copies[table] = TableCopy()
-            copy.replace(reading)
-            self._server.answer_waiting_queries(table)
+        self._update_copy(table, reading, None)
         return reading
 
     async def _read_own_changes(self, table, since_version, wait_ms):
@@ -144,21 +142,37 @@
         except PlatformError:
             self._on_store_lost(table)
             raise
-        copy = self._copies.get(table)
-        if copy is not None and copy.version >= since_version:
-            copy.apply(reading)
-            self._server.answer_waiting_queries(table)
-        elif table in self._relayed and self.is_reader:
+        is_updated = self._update_copy(table, reading, since_version)
+        if not is_updated and table in self._relayed and self.is_reader:
             # The copy is missing, or lacks changes that other readers relayed to this
             # host meanwhile: read the whole table.
             await self._read_own_table(table)
         return reading
 
+    def _update_copy(self, table, reading, since_version):
+        """Apply a reading to this host's copy; return False if the copy lacks rows.
+
+        Each host keeps a copy of the routes, by which readers pack their changes.
+        """
+        if table not in self._relayed:
+            return False
+        copy = self._copies.get(table)
+        if since_version is None:
+            copy = self._copies.setdefault(table, TableCopy())
+            copy.replace(reading)
+        elif copy is None or copy.version < since_version:
+            return False
+        else:
+            copy.apply(reading)
+        self._server.lost_tables.discard(table)
+        self._server.answer_waiting_queries(table)
+        return True
+
     def _on_store_lost(self, table):
         """Notify the hosts that wait for a table that this host has lost the store."""
         if table not in self._relayed:
             return
-        self._copies.pop(table, None)
+        self._server.lost_tables.add(table)
         self._server.answer_waiting_queries(table)
         if not self.is_reader:
             now_ms = self._context.clock.now_ms()
@@ -198,11 +212,13 @@
             wait_ms = 0
         return None
 
-    async def _query_reader(self, reader, table, since_version, wait_ms):
+    async def _query_reader(self, reader, table, since_version, wait_ms, unpacks=True):
         """Return the reading of one reader, or None if the reader failed."""
         wait_ms = min(wait_ms, RELAYED_WAIT_MS)
         sent_ms = self._context.boot_clock.now_ms()
-        answer = await self._queries.send(reader.address, table, since_version, wait_ms)
+        answer = await self._queries.send(
+            reader.address, table, since_version, wait_ms, unpacks
+        )
         if answer is None or answer.state is FeedState.FAILED:
             now_ms = self._context.clock.now_ms()
             self._failed_readers[reader.address] = now_ms + READER_BACKOFF_MS
@@ -215,11 +231,17 @@
             return None
         if answer.state is FeedState.HISTORY_GONE:
             raise HistoryGone(f"{reader.address} has no history of {table}")
-        rows = tuple(
-            StoreRow(key=row.key, value=row.value, version=row.version)
-            for row in answer.rows
-        )
-        return Reading(
+        copy = self._copies.get(table)
+        try:
+            rows = tuple(read_row(row, copy) for row in answer.rows)
+        except PeerError as error:
+            _log.warning("rows_not_unpacked", table=table, reason=error.message)
+            if not unpacks:
+                return None
+            return await self._query_reader(
+                reader, table, since_version, 0, unpacks=False
+            )
+        reading = Reading(
             rows=rows,
             version=answer.version,
             store_ms=answer.store_ms,
@@ -227,6 +249,9 @@
             clock_ms=answer.clock_ms,
             relayed_by=reader.address,
         )
+        if table == self._context.platform.config_table:
+            self._update_copy(table, reading, since_version)
+        return reading
 
     def _check_store_due(self):
         """Refuse a read shortly after the store was unreachable.
--- a/libs/messages/src/hemlockhoist/messages/__init__.py
+++ b/libs/messages/src/hemlockhoist/messages/__init__.py
@@ -72,6 +72,7 @@
     ProbeRequest,
 )
 from hemlockhoist.messages.moves import MoveAnnounced, StreamTaken, VersionHalted
+from hemlockhoist.messages.packing import MIN_PACKED_BYTES, pack_value, unpack_value
 from hemlockhoist.messages.registry import MESSAGE_TYPES
 from hemlockhoist.messages.relays import (
     RelayedHead,
@@ -85,6 +86,7 @@
 
 __all__ = [
     "MAX_FRAME_BYTES",
+    "MIN_PACKED_BYTES",
     "MESSAGE_TYPES",
     "NO_LIMIT",
     "WIRE_VERSION",
@@ -154,4 +156,6 @@
     "UpstreamReached",
     "UpstreamSignals",
     "VersionHalted",
+    "pack_value",
+    "unpack_value",
 ]
--- a/libs/messages/src/hemlockhoist/messages/feeds.py
+++ b/libs/messages/src/hemlockhoist/messages/feeds.py
@@ -26,11 +26,17 @@
     value : bytes or None
         None if the row was dropped.
     version : int
+    is_packed : bool
+        Whether the value is in packed form.
+    base_version : int
+        Version of the row's earlier value by which it was packed; 0 for none.
     """
 
     key: str
     value: bytes | None
     version: int
+    is_packed: bool = False
+    base_version: int = 0
 
 
 class LeftUpstream(
@@ -98,12 +104,15 @@
         None requests all rows.
     wait_ms : int
         Longest time that the answer may wait for a change.
+    unpacks : bool
+        Whether the sender can read packed values.
     """
 
     number: int
     table: str
     since_version: int | None
     wait_ms: int
+    unpacks: bool = False
 
 
 class FeedAnswer(
