Let a reader that the store rejects ask another reader

Cause: FeedStore asked another host only if this host was no reader by rank. Its followers moved to another reader at once; the reader itself had only the store.

Evidence: the failing test, 14 hosts in two failure domains, one reader's store calls fail: it kept the first of eight changes throughout. After the fix each is in force within the declared 3 s, and the proof stays below 3 s. Why it works: while its own calls fail it reads as a follower does, and tries the store again each 2 s without a wait, so that a store that leaves it without an answer holds it for 1.5 s at most. A full read of a table that fails counts like a failed long poll.

--- a/libs/decisions/src/hemlockhoist/decisions/entry/readers.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/readers.py
@@ -44,10 +44,11 @@
     own : Member
     avoid : collection of str, optional
         Addresses of readers that have recently failed; if the reader of the host's own
-        domain is among them, that of another domain is used.
+        domain is among them, that of another domain is used. The host itself is among
+        them while the store rejects it.
     """
     readers = find_readers(members)
-    if not readers or own in readers.values():
+    if not readers or (own in readers.values() and own.address not in avoid):
         return None
     available = {
         domain: member
--- a/libs/entry/src/hemlockhoist/entry/feeds.py
+++ b/libs/entry/src/hemlockhoist/entry/feeds.py
@@ -19,6 +19,8 @@
 # Retry interval of this host while neither it nor the readers reach the store. Readers
 # retry continuously, and report when the store is back.
 STORE_RETRY_INTERVAL_MS = 1_000
+# How long a reader that has lost the store asks other readers before its next call.
+READER_RETRY_INTERVAL_MS = 2_000
 # How long a failed reader is skipped; the next reader or the store is read instead.
 READER_BACKOFF_MS = 4_000
 # Limit on waiting for the list of hosts, from which a starting host learns the readers.
@@ -55,6 +57,7 @@
         "_context",
         "_copies",
         "_failed_readers",
+        "_own_due_ms",
         "_queries",
         "_relayed",
         "_server",
@@ -73,12 +76,15 @@
         self._changes_read_ms = {}
         self._failed_readers = {}
         self._store_due_ms = 0
+        # For each table that the store did not return to this reader, when it is
+        # called again.
+        self._own_due_ms = {}
 
     # Reads and writes of this host.
 
     async def read_table(self, table):
         """Return a ``Reading`` of all rows of a table."""
-        await self._wait_for_reader()
+        await self._wait_for_reader(table)
         reading = await self._relayed_reading(table, None, 0)
         if reading is not None:
             return reading
@@ -93,7 +99,7 @@
         await self._pace_changes_read(table)
         return await self._read_own_changes(table, since_version, wait_ms)
 
-    async def _wait_for_reader(self):
+    async def _wait_for_reader(self, table):
         """Wait briefly until a reader is known, if another host may be one.
 
         Load prevented: hosts of a large fleet that are restarted one after the other
@@ -103,17 +109,17 @@
         fleet, clock = self._context.fleet, self._context.clock
         await fleet.wait_introduced(FIRST_LIST_WAIT_MS)
         until_ms = clock.now_ms() + FIRST_READER_WAIT_MS
-        while self._may_have_reader() and clock.now_ms() < until_ms:
+        while self._may_have_reader(table) and clock.now_ms() < until_ms:
             await asyncio.sleep(READER_CHECK_INTERVAL_MS / MS_PER_S)
 
-    def _may_have_reader(self):
+    def _may_have_reader(self, table):
         """Return whether a reader that is not known yet may serve this host."""
         fleet = self._context.fleet
         is_small = len(fleet.live_hosts()) <= MAX_DIRECT_READERS
         return (
             not is_small
             and not fleet.is_high_capacity
-            and self._current_reader() is None
+            and self._current_reader(table) is None
         )
 
     async def _pace_changes_read(self, table):
@@ -129,7 +135,12 @@
         return await self._store.commit(changes)
 
     async def _read_own_table(self, table):
-        reading = await self._store.read_table(table)
+        try:
+            reading = await self._store.read_table(table)
+        except PlatformError:
+            self._on_store_lost(table)
+            raise
+        self._own_due_ms.pop(table, None)
         self._update_copy(table, reading, None)
         return reading
 
@@ -137,11 +148,15 @@
         if self.is_reader and table == self._context.platform.config_table:
             # The proof is renewed as often as the other hosts query this reader.
             wait_ms = min(wait_ms, RELAYED_WAIT_MS)
+        if table in self._own_due_ms:
+            # A store that rejects this host may leave the call unanswered.
+            wait_ms = 0
         try:
             reading = await self._store.read_changes(table, since_version, wait_ms)
         except PlatformError:
             self._on_store_lost(table)
             raise
+        self._own_due_ms.pop(table, None)
         is_updated = self._update_copy(table, reading, since_version)
         if not is_updated and table in self._relayed and self.is_reader:
             # The copy is missing, or lacks changes that other readers relayed to this
@@ -174,22 +189,31 @@
             return
         self._server.lost_tables.add(table)
         self._server.answer_waiting_queries(table)
-        if not self.is_reader:
-            now_ms = self._context.clock.now_ms()
+        now_ms = self._context.clock.now_ms()
+        if self.is_reader:
+            self._own_due_ms[table] = now_ms + READER_RETRY_INTERVAL_MS
+        else:
             self._failed_readers.clear()
             self._store_due_ms = now_ms + STORE_RETRY_INTERVAL_MS
 
     # Queries to readers.
 
-    def _current_reader(self):
-        """Return the host to query, or None to read the store."""
+    def _current_reader(self, table):
+        """Return the host to query for a table, or None to read the store.
+
+        Failure prevented: the store rejects a reader and serves the other hosts, and
+        the reader keeps old routes for as long as that lasts.
+        """
         now_ms = self._context.clock.now_ms()
         failed_readers = self._failed_readers.items()
         self._failed_readers = {
             host: until for host, until in failed_readers if until > now_ms
         }
         own, members = self._context.fleet.stable_members()
-        return reader_for(members, own, self._failed_readers)
+        avoid = set(self._failed_readers)
+        if self._own_due_ms.get(table, 0) > now_ms:
+            avoid.add(own.address)
+        return reader_for(members, own, avoid)
 
     @property
     def is_reader(self):
@@ -200,7 +224,7 @@
     async def _relayed_reading(self, table, since_version, wait_ms):
         """Return a reading relayed by a reader, or None to read the store instead."""
         while table in self._relayed:
-            reader = self._current_reader()
+            reader = self._current_reader(table)
             if reader is None:
                 self._check_store_due()
                 return None
