Let a host that is behind read the routes from whoever has newer ones

Cause, and class: a change reached a host only by its own call or its reader, one at a time, and no message told a host that it was behind; what a follower read from the store stayed with it, since nobody takes it for a reader.

Change: messages carry the version of the sender's newest change and the store's time of its reading (with the first message after a change, else once a second a link). A host that lacks the change 150 ms later, or whose reading is 2 s older, asks the sender; any host answers from its copy of the routes. A follower that reads a change from the store itself tells the readers at once. An answer that comes after its query was given up is used. Rows that came by one way are not passed on again by another.

Why the proof stays true: the time that an answer carries is that of a reading of the store, and each host's estimate of the store's clock is an upper bound, over any number of hosts.

--- a/libs/decisions/src/hemlockhoist/decisions/entry/copies.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/copies.py
@@ -14,6 +14,15 @@
 class TableCopy:
     """Holds the rows of a table as of the newest reading.
 
+    Attributes
+    ==========
+    version : int
+        Version of the store at the newest reading.
+    changed_version : int
+        Version of the newest change of the table that is known.
+    store_ms : int
+        Time of the newest reading on the store's clock.
+
     Examples
     ========
     >>> from hemlockhoist.decisions.entry import TableCopy
@@ -30,7 +39,15 @@
     ['a']
     """
 
-    __slots__ = ("_deleted", "_oldest", "_predecessors", "_rows", "store_ms", "version")
+    __slots__ = (
+        "_deleted",
+        "_oldest",
+        "_predecessors",
+        "_rows",
+        "changed_version",
+        "store_ms",
+        "version",
+    )
 
     def __init__(self):
         self._rows = {}
@@ -39,6 +56,7 @@
         self._deleted = collections.OrderedDict()
         self._oldest = 0
         self.version = 0
+        self.changed_version = 0
         self.store_ms = 0
 
     def replace(self, reading):
@@ -90,6 +108,8 @@
     def _record(self, reading):
         self.version = max(self.version, reading.version)
         self.store_ms = max(self.store_ms, reading.store_ms)
+        changed = (row.version for row in reading.rows)
+        self.changed_version = max(self.changed_version, *changed, 0)
 
     def changes(self, since_version):
         """Return the rows changed since a version, or None if they are not known.
--- /dev/null
+++ b/libs/entry/src/hemlockhoist/entry/catch_up.py
@@ -0,0 +1,115 @@
+"""Reading of the routes from any host that is known to have newer ones."""
+
+import asyncio
+
+from hemlockhoist.base import MS_PER_S, get_logger
+from hemlockhoist.entry.row_packer import read_answer
+from hemlockhoist.messages import FeedState, StoreNews
+
+_log = get_logger("entry.feeds")
+
+# Time for a change to arrive by the usual way: readers relay it within some tens of
+# milliseconds.
+GRACE_MS = 150
+# A host whose reading of the routes is older than another's by this much asks that one.
+# Readings that are relayed each second differ by less.
+MAX_PROOF_LAG_MS = 2_000
+
+
+class CatchUp:
+    """Reads the routes from a host that tells that it knows more.
+
+    Failure prevented: the store rejects this host and its readers, or a call hangs, and
+    this host keeps old routes although hosts beside it have newer ones.
+
+    Load prevented: each message may tell of a change; one host is asked at a time.
+
+    Parameters
+    ==========
+    context : EntryContext
+    copies : dict
+        Maps table to ``TableCopy``.
+    queries : FeedQueries
+    update_copy : callable
+        ``update_copy(table, reading, since_version)`` is called with each reading that
+        was applied.
+    """
+
+    __slots__ = ("_context", "_copies", "_offer", "_queries", "_task", "_update_copy")
+
+    def __init__(self, context, copies, queries, update_copy):
+        self._context = context
+        self._copies = copies
+        self._queries = queries
+        self._update_copy = update_copy
+        self._offer = lambda reading, since_version: False
+        self._task = None
+
+    async def close(self):
+        """Stop reading."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def set_offer(self, offer):
+        """Set the handler of readings, see ``FeedStore.set_offer``."""
+        self._offer = offer
+
+    @property
+    def _table(self):
+        return self._context.platform.config_table
+
+    def news(self):
+        """Return what this host tells the others, or None before its first reading."""
+        copy = self._copies.get(self._table)
+        if copy is None:
+            return None
+        return StoreNews(changed_version=copy.changed_version, read_ms=copy.store_ms)
+
+    def on_news(self, sender, news):
+        """Handle what another host knows."""
+        is_running = self._task is not None and not self._task.done()
+        if not is_running and self._is_behind(news):
+            self._task = asyncio.create_task(self._run(sender, news))
+
+    def _is_behind(self, news):
+        """Return whether another host has changes, or a proof, that this one lacks."""
+        copy = self._copies.get(self._table)
+        if copy is None:
+            return False
+        has_change = news.changed_version > copy.version
+        return has_change or news.read_ms - copy.store_ms > MAX_PROOF_LAG_MS
+
+    async def _run(self, sender, news):
+        await asyncio.sleep(GRACE_MS / MS_PER_S)
+        if self._is_behind(news):
+            await self._read_from(sender)
+
+    async def _read_from(self, address):
+        since_version = self._copies[self._table].version
+        for unpacks in (True, False):
+            sent_ms = self._context.boot_clock.now_ms()
+            answer = await self._queries.send(
+                address, self._table, since_version, 0, unpacks
+            )
+            if answer is None or self._apply(address, since_version, answer, sent_ms):
+                return
+
+    def on_late_answer(self, query, answer):
+        """Use an answer whose query was given up: its rows are as true as any."""
+        if query.table == self._table and query.since_version is not None:
+            self._apply(query.address, query.since_version, answer, query.sent_ms)
+
+    def _apply(self, address, since_version, answer, sent_ms):
+        """Apply an answer; return False if its rows cannot be unpacked."""
+        if answer.state is not FeedState.OK:
+            return True
+        copy = self._copies.get(self._table)
+        reading = read_answer(answer, address, copy, sent_ms)
+        if reading is None:
+            return False
+        if self._offer(reading, since_version):
+            self._update_copy(self._table, reading, since_version)
+            if reading.rows:
+                _log.info("caught_up", host=address, version=reading.version)
+        return True
--- a/libs/entry/src/hemlockhoist/entry/feed_queries.py
+++ b/libs/entry/src/hemlockhoist/entry/feed_queries.py
@@ -4,6 +4,8 @@
 import collections
 import itertools
 
+import msgspec
+
 from hemlockhoist.base import MS_PER_S, get_logger
 from hemlockhoist.messages import FeedQuestion
 
@@ -15,21 +17,43 @@
 MAX_GIVEN_UP = 64
 
 
+class SentQuery(msgspec.Struct, frozen=True, kw_only=True):
+    """A query as its sender remembers it.
+
+    Parameters
+    ==========
+    address : str
+        The host that was asked.
+    table : str
+    since_version : int or None
+    sent_ms : int
+        When it was sent, on the clock that includes suspensions.
+    """
+
+    address: str
+    table: str
+    since_version: int | None
+    sent_ms: int
+
+
 class FeedQueries:
     """Sends queries to other hosts and awaits their answers.
 
     Parameters
     ==========
     context : EntryContext
+    on_late : callable
+        ``on_late(query, message)`` is called with a ``SentQuery`` and its answer when
+        the answer comes after the query was given up.
     """
 
-    __slots__ = ("_context", "_given_up", "_numbers", "_pending")
+    __slots__ = ("_context", "_given_up", "_numbers", "_on_late", "_pending")
 
-    def __init__(self, context):
+    def __init__(self, context, on_late):
         self._context = context
+        self._on_late = on_late
         self._numbers = itertools.count(1)
         self._pending = {}
-        # Address, table and time of the queries that were not answered in time.
         self._given_up = collections.OrderedDict()
 
     async def send(self, address, table, since_version, wait_ms, unpacks=True):
@@ -37,7 +61,12 @@
         number = next(self._numbers)
         future = asyncio.get_running_loop().create_future()
         self._pending[number] = future
-        sent_ms = self._context.clock.now_ms()
+        sent = SentQuery(
+            address=address,
+            table=table,
+            since_version=since_version,
+            sent_ms=self._context.boot_clock.now_ms(),
+        )
         query = FeedQuestion(
             number=number,
             table=table,
@@ -50,7 +79,7 @@
             async with asyncio.timeout((wait_ms + TRANSIT_ALLOWANCE_MS) / MS_PER_S):
                 return await future
         except TimeoutError:
-            self._give_up(number, (address, table, sent_ms))
+            self._give_up(number, sent)
             self._context.bus.reconnect(address)
             return None
         finally:
@@ -67,18 +96,17 @@
         if future is not None and not future.done():
             future.set_result(message)
             return
-        self._log_late(message)
-
-    def _log_late(self, message):
         query = self._given_up.pop(message.number, None)
-        if query is None:
-            return
-        address, table, sent_ms = query
+        if query is not None:
+            self._log_late(query, message)
+            self._on_late(query, message)
+
+    def _log_late(self, query, message):
         _log.info(
             "reader_answer_late",
-            table=table,
-            reader=address,
-            after_ms=self._context.clock.now_ms() - sent_ms,
+            table=query.table,
+            reader=query.address,
+            after_ms=self._context.boot_clock.now_ms() - query.sent_ms,
             rows=len(message.rows),
             row_bytes=sum(len(row.value or b"") for row in message.rows),
         )
--- a/libs/entry/src/hemlockhoist/entry/feed_server.py
+++ b/libs/entry/src/hemlockhoist/entry/feed_server.py
@@ -47,13 +47,10 @@
 
     def on_query(self, sender, message):
         """Answer at once if there are changes, else after a reading or a timeout."""
-        copy = self._copies.get(message.table)
-        if copy is None or not self._is_current(message.table):
-            self._send_failure(sender, message)
-            return
-        since = message.since_version
-        if since is None or copy.version > since or not message.wait_ms:
-            self._send_changes(sender, message, copy)
+        copy, since = self._copies.get(message.table), message.since_version
+        is_behind = since is None or (copy is not None and copy.version > since)
+        if is_behind or not message.wait_ms or not self._is_current(message.table):
+            self._answer(sender, message)
             return
         waiting = self._waiting_queries.setdefault(message.table, {})
         timer = asyncio.get_running_loop().call_later(
@@ -62,8 +59,12 @@
         waiting[sender, message.number] = (message, timer)
 
     def _is_current(self, table):
-        """Return whether this host's copy of a table is current with the store."""
-        if table in self.lost_tables or not self._is_reader():
+        """Return whether this host's copy of a table is current with the store.
+
+        Each host has the routes; of other tables only readers have a current copy.
+        """
+        is_kept = table == self._context.platform.config_table or self._is_reader()
+        if table not in self._copies or table in self.lost_tables or not is_kept:
             return False
         age_ms = self._context.store_view.proof_age_ms()
         return age_ms is not None and age_ms < MAX_READER_PROOF_AGE_MS
@@ -79,11 +80,21 @@
         if entry is None:
             return
         entry[1].cancel()
-        copy = self._copies.get(message.table)
-        if copy is None or not self._is_current(message.table):
-            self._send_failure(sender, message)
-        else:
+        self._answer(sender, message)
+
+    def _answer(self, sender, message):
+        """Send what this host has, unless it is neither new to the sender nor current.
+
+        Changes that the sender lacks are true, however long ago they were read.
+        """
+        copy, since = self._copies.get(message.table), message.since_version
+        has_changes = (
+            copy is not None and since is not None and copy.changed_version > since
+        )
+        if has_changes or self._is_current(message.table):
             self._send_changes(sender, message, copy)
+        else:
+            self._send_failure(sender, message)
 
     def _send_failure(self, sender, message):
         answer = FeedAnswer(number=message.number, state=FeedState.FAILED)
--- a/libs/entry/src/hemlockhoist/entry/feeds.py
+++ b/libs/entry/src/hemlockhoist/entry/feeds.py
@@ -2,13 +2,19 @@
 
 import asyncio
 
-from hemlockhoist.base import MS_PER_S, PeerError, PlatformError, get_logger
-from hemlockhoist.decisions.entry import MAX_DIRECT_READERS, TableCopy, reader_for
+from hemlockhoist.base import MS_PER_S, PlatformError, get_logger
+from hemlockhoist.decisions.entry import (
+    MAX_DIRECT_READERS,
+    TableCopy,
+    find_readers,
+    reader_for,
+)
+from hemlockhoist.entry.catch_up import CatchUp
 from hemlockhoist.entry.feed_queries import FeedQueries
 from hemlockhoist.entry.feed_server import FeedServer
-from hemlockhoist.entry.row_packer import read_row
-from hemlockhoist.messages import FeedState
-from hemlockhoist.store import HistoryGone, Reading, RowStore
+from hemlockhoist.entry.row_packer import read_answer
+from hemlockhoist.messages import FeedAnnouncement, FeedState
+from hemlockhoist.store import HistoryGone, RowStore
 
 _log = get_logger("entry.feeds")
 
@@ -53,6 +59,7 @@
     """
 
     __slots__ = (
+        "_catch_up",
         "_changes_read_ms",
         "_context",
         "_copies",
@@ -71,7 +78,10 @@
         self._relayed = frozenset(relayed)
         self._copies = {}
         self._server = FeedServer(context, self._copies, lambda: self.is_reader)
-        self._queries = FeedQueries(context)
+        self._queries = FeedQueries(context, self._on_late_answer)
+        self._catch_up = CatchUp(
+            context, self._copies, self._queries, self._update_copy
+        )
         # Time of the last read of a table's changes from the store.
         self._changes_read_ms = {}
         self._failed_readers = {}
@@ -80,6 +90,20 @@
         # called again.
         self._own_due_ms = {}
 
+    async def close(self):
+        """Stop reading from hosts that have newer rows."""
+        await self._catch_up.close()
+
+    def set_offer(self, offer):
+        """Set the handler of readings of the routes that no call of a watch awaits.
+
+        Parameters
+        ==========
+        offer : callable
+            ``offer(reading, since_version)``, see ``TableWatch.offer``.
+        """
+        self._catch_up.set_offer(offer)
+
     # Reads and writes of this host.
 
     async def read_table(self, table):
@@ -158,6 +182,8 @@
             raise
         self._own_due_ms.pop(table, None)
         is_updated = self._update_copy(table, reading, since_version)
+        if table == self._context.platform.config_table:
+            self._announce(reading)
         if not is_updated and table in self._relayed and self.is_reader:
             # The copy is missing, or lacks changes that other readers relayed to this
             # host meanwhile: read the whole table.
@@ -255,28 +281,40 @@
             return None
         if answer.state is FeedState.HISTORY_GONE:
             raise HistoryGone(f"{reader.address} has no history of {table}")
-        copy = self._copies.get(table)
-        try:
-            rows = tuple(read_row(row, copy) for row in answer.rows)
-        except PeerError as error:
-            _log.warning("rows_not_unpacked", table=table, reason=error.message)
-            if not unpacks:
-                return None
+        reading = read_answer(answer, reader.address, self._copies.get(table), sent_ms)
+        if reading is None and unpacks:
             return await self._query_reader(
                 reader, table, since_version, 0, unpacks=False
             )
-        reading = Reading(
-            rows=rows,
-            version=answer.version,
-            store_ms=answer.store_ms,
-            sent_ms=sent_ms,
-            clock_ms=answer.clock_ms,
-            relayed_by=reader.address,
-        )
-        if table == self._context.platform.config_table:
+        if reading is not None and table == self._context.platform.config_table:
             self._update_copy(table, reading, since_version)
         return reading
 
+    def _on_late_answer(self, query, answer):
+        self._catch_up.on_late_answer(query, answer)
+
+    def _announce(self, reading):
+        """Tell the readers of a change that this host has read from the store itself.
+
+        Failure prevented: the store rejects all readers, and what the other hosts read
+        stays with them.
+        """
+        _, members = self._context.fleet.stable_members()
+        if not reading.rows or self.is_reader:
+            return
+        for reader in find_readers(members).values():
+            self._context.bus.send(reader.address, FeedAnnouncement())
+
+    # What other hosts know.
+
+    def news(self):
+        """Return the ``StoreNews`` of this host, or None."""
+        return self._catch_up.news()
+
+    def on_news(self, sender, news):
+        """Handle what another host knows of the routes."""
+        self._catch_up.on_news(sender, news)
+
     def _check_store_due(self):
         """Refuse a read shortly after the store was unreachable.
 
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -181,6 +181,8 @@
             context.clock,
             message_router.on_message,
             message_router.on_connection_lost,
+            message_router.news,
+            message_router.on_news,
         )
         await self._open(context.bus)
         context.identity = HostIdentity(
@@ -295,6 +297,7 @@
             self._on_reading,
             self._on_store_failure,
         )
+        context.feeds.set_offer(routes.offer)
         upstreams = TableWatch(
             context.feeds,
             platform.upstream_table,
@@ -302,6 +305,7 @@
             store_view.apply_upstream_rows,
             retry_delay=SLOW_RETRY,
         )
+        self._closers.push_async_callback(context.feeds.close)
         self._host_registry = HostRegistry(context)
         self._watches = (upstreams, self._host_registry)
         for component in (routes, upstreams, self._host_registry):
--- a/libs/entry/src/hemlockhoist/entry/row_packer.py
+++ b/libs/entry/src/hemlockhoist/entry/row_packer.py
@@ -2,9 +2,11 @@
 
 import functools
 
-from hemlockhoist.base import PeerError, ResultCode
+from hemlockhoist.base import PeerError, ResultCode, get_logger
 from hemlockhoist.messages import MIN_PACKED_BYTES, FeedRow, pack_value, unpack_value
-from hemlockhoist.store import StoreRow
+from hemlockhoist.store import Reading, StoreRow
+
+_log = get_logger("entry.feeds")
 
 # All followers ask for the newest change, most of them from the version before it.
 MAX_KEPT_FORMS = 4
@@ -47,6 +49,34 @@
         )
 
 
+def read_answer(answer, address, copy, sent_ms):
+    """Return the ``Reading`` in an answer, or None if it cannot be unpacked.
+
+    Parameters
+    ==========
+    answer : FeedAnswer
+    address : str
+        The host that sent it.
+    copy : TableCopy or None
+        What this host has of the table.
+    sent_ms : int
+        When the query was sent, on the clock that includes suspensions.
+    """
+    try:
+        rows = tuple(read_row(row, copy) for row in answer.rows)
+    except PeerError as error:
+        _log.warning("rows_not_unpacked", reader=address, reason=error.message)
+        return None
+    return Reading(
+        rows=rows,
+        version=answer.version,
+        store_ms=answer.store_ms,
+        sent_ms=sent_ms,
+        clock_ms=answer.clock_ms,
+        relayed_by=address,
+    )
+
+
 def read_row(row, copy):
     """Return the ``StoreRow`` of a ``FeedRow``.
 
--- a/libs/entry/src/hemlockhoist/entry/tests/test_feed_queries.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_feed_queries.py
@@ -11,13 +11,14 @@
 
 class FeedQueriesTests(PausedTestCase):
     async def asyncSetUp(self):
-        self.sent = []
+        self.sent, self.late = [], []
         bus = types.SimpleNamespace(
             send=lambda address, message: self.sent.append(message),
             reconnect=lambda address: None,
         )
         self.queries = FeedQueries(
-            types.SimpleNamespace(bus=bus, clock=Clock.from_running_loop())
+            types.SimpleNamespace(bus=bus, boot_clock=Clock.from_running_loop()),
+            lambda query, message: self.late.append((query.since_version, message)),
         )
 
     async def test_answer_that_comes_too_late_is_logged(self):
@@ -35,3 +36,4 @@
         self.assertEqual((late["table"], late["reader"]), ("op", "h1"))
         self.assertEqual((late["rows"], late["row_bytes"]), (1, 5))
         self.assertAlmostEqual(late["after_ms"], 700, delta=2)
+        self.assertEqual(self.late, [(5, answer)])
--- a/libs/entry/src/hemlockhoist/entry/tests/test_feeds.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_feeds.py
@@ -1,5 +1,6 @@
 import asyncio
 import itertools
+import random
 import types
 
 import msgspec
@@ -9,13 +10,22 @@
 from hemlockhoist.decisions.entry import Freshness
 from hemlockhoist.entry.feeds import RELAYED_WAIT_MS, FeedStore
 from hemlockhoist.entry.tests.test_host_registry import MemoryStore
-from hemlockhoist.messages import FeedAnswer, FeedQuestion, Member
+from hemlockhoist.messages import (
+    FeedAnnouncement,
+    FeedAnswer,
+    FeedQuestion,
+    Member,
+)
 from hemlockhoist.store import RowChange, TableWatch
 
 TABLE = "op"
 UPSTREAMS = "servers"
 # Declared time from the confirmation of a change until it is in force at every host.
 IN_FORCE_S = 3
+# Declared time after which a key may not be accepted without a newer proof.
+REVOCATION_MS = 4_750
+# How long a call to a store that does not answer takes beyond its wait.
+CALL_TIMEOUT_MS = 1_500
 
 
 class CountedStore(MemoryStore):
@@ -28,15 +38,16 @@
         self.network = network
         self.calls = 0
         self.is_partitioned = False
+        self.is_silent = False
 
     async def read_table(self, table):
-        self._count()
+        await self._count()
         reading = await self.shared.read_table(table)
         await self.network.receive(self.address, reading)
         return reading
 
     async def read_changes(self, table, since_version, wait_ms):
-        self._count()
+        await self._count(wait_ms)
         try:
             async with asyncio.timeout(wait_ms / 1_000):
                 reading = await self.shared.read_changes(table, since_version, wait_ms)
@@ -46,8 +57,11 @@
         await self.network.receive(self.address, reading)
         return reading
 
-    def _count(self):
+    async def _count(self, wait_ms=0):
         self.calls += 1
+        if self.is_silent:
+            await asyncio.sleep((wait_ms + CALL_TIMEOUT_MS) / 1_000)
+            raise PlatformError("the store does not answer")
         if self.is_partitioned:
             raise PlatformError("the store is unreachable")
 
@@ -75,7 +89,15 @@
         size_s = len(msgspec.msgpack.encode(message)) / self.bytes_per_s
         sent_s = self._occupy((sender, "out"), loop.time(), size_s)
         arrived_s = self._occupy((address, "in"), sent_s - size_s, size_s) + 0.001
-        loop.call_at(arrived_s, self._deliver, sender, address, message)
+        news = self.feeds[sender].news()
+        loop.call_at(arrived_s, self._deliver, sender, address, message, news)
+
+    async def probe(self, rng):
+        """Let each host send a message to another one each second."""
+        while True:
+            await asyncio.sleep(1 / len(self.feeds))
+            sender, address = rng.sample(sorted(self.feeds), 2)
+            self.send(sender, address, FeedAnnouncement())
 
     async def receive(self, address, reading):
         """Wait until a host has received an answer of the store."""
@@ -88,8 +110,10 @@
         self._free_s[link] = max(from_s, self._free_s.get(link, 0)) + size_s
         return self._free_s[link]
 
-    def _deliver(self, sender, address, message):
+    def _deliver(self, sender, address, message, news):
         feeds = self.feeds[address]
+        if news is not None:
+            feeds.on_news(sender, news)
         if isinstance(message, FeedQuestion):
             feeds.on_query(sender, message)
         elif isinstance(message, FeedAnswer):
@@ -137,6 +161,7 @@
         self.watch = TableWatch(
             self.feeds, TABLE, 2_400, self.apply_rows, self.record_reading
         )
+        self.feeds.set_offer(self.watch.offer)
 
     def proof_age_ms(self):
         return self.freshness.age_ms(self.boot_clock.now_ms())
@@ -185,6 +210,7 @@
         await self.write("v1")
         for host in self.hosts:
             await host.watch.start()
+            self.addAsyncCleanup(host.feeds.close)
             self.addAsyncCleanup(host.watch.close)
         await asyncio.sleep(5)
         self.reader = next(host for host in self.hosts if host.feeds.is_reader)
@@ -200,6 +226,21 @@
         for host in self.hosts:
             self.assertEqual(host.rows["config"], value)
 
+    async def start_probes(self):
+        task = asyncio.create_task(self.network.probe(random.Random(3)))
+        self.addAsyncCleanup(asyncio.gather, task, return_exceptions=True)
+        self.addCleanup(task.cancel)
+
+    async def check_changes_with_one_host_at_the_store(self, only, count):
+        for host in self.hosts:
+            host.store.is_partitioned = host is not only
+        for number in range(count):
+            await self.write(f"v{number}")
+            await asyncio.sleep(IN_FORCE_S)
+            self.check_all_know(f"v{number}")
+            for host in self.hosts:
+                self.assertLess(host.proof_age_ms(), REVOCATION_MS)
+
 
 class FeedStoreTests(FeedFleetCase):
     async def test_one_host_reads_the_store_for_all(self):
@@ -275,7 +316,7 @@
         self.check_all_know("v2")
 
 
-class SlowLinkTests(FeedFleetCase):
+class LargeFleetTests(FeedFleetCase):
     host_count = 72
     domains = "abcd"
 
@@ -306,6 +347,12 @@
             await asyncio.sleep(IN_FORCE_S)
             self.check_all_know(value)
 
+    async def test_changes_arrive_where_the_store_serves_one_follower(self):
+        """Guards against changes that stay with the hosts that the store serves."""
+        await self.start_probes()
+        only = next(host for host in self.hosts if not host.feeds.is_reader)
+        await self.check_changes_with_one_host_at_the_store(only, 3)
+
 
 class RejectedHostTests(FeedFleetCase):
     host_count = 14
@@ -322,3 +369,19 @@
             await asyncio.sleep(IN_FORCE_S)
             self.check_all_know(f"v{number}")
             self.assertLess(rejected.proof_age_ms(), 3 * RELAYED_WAIT_MS)
+
+    async def test_changes_arrive_where_the_store_serves_one_reader(self):
+        await self.start_probes()
+        await self.check_changes_with_one_host_at_the_store(self.reader, 8)
+
+    async def test_changes_arrive_while_calls_hang(self):
+        """Guards against a host that hears nothing while it waits for one call."""
+        await self.start_probes()
+        for host in self.hosts:
+            if not host.feeds.is_reader:
+                continue
+            host.store.is_silent = True
+        for number in range(8):
+            await self.write(f"v{number}")
+            await asyncio.sleep(IN_FORCE_S)
+            self.check_all_know(f"v{number}")
--- a/libs/host/src/hemlockhoist/host/message_router.py
+++ b/libs/host/src/hemlockhoist/host/message_router.py
@@ -11,6 +11,7 @@
     ConfigurationSummary,
     ConfigurationSummaryRequest,
     EvacuatedDomain,
+    FeedAnnouncement,
     FeedAnswer,
     FeedQuestion,
     FirstToken,
@@ -69,6 +70,15 @@
         if self._context is not None:
             _handle(message, self._context, sender, late_ms)
 
+    def news(self):
+        """Return what this host knows of the store's tables, or None."""
+        return self._context.feeds.news() if self._context is not None else None
+
+    def on_news(self, sender, news):
+        """Handle what a peer knows of the store's tables."""
+        if self._context is not None:
+            self._context.feeds.on_news(sender, news)
+
     def on_connection_lost(self, host_id):
         """Handle the end of a connection to a peer."""
         if self._context is not None:
@@ -157,6 +167,12 @@
     context.feeds.on_answer(message)
 
 
+@_handle.register
+def _(message: FeedAnnouncement, context, sender, late_ms):
+    # The envelope told what the sender knows.
+    return
+
+
 @_handle.register
 def _(message: LeftUpstream, context, sender, late_ms):
     context.store_view.on_upstream_left(message.upstream_id, message.version)
--- a/libs/messages/src/hemlockhoist/messages/__init__.py
+++ b/libs/messages/src/hemlockhoist/messages/__init__.py
@@ -6,6 +6,7 @@
     Codec,
     Envelope,
     Message,
+    StoreNews,
 )
 from hemlockhoist.messages.configuration import (
     ConfigurationAck,
@@ -20,6 +21,7 @@
 from hemlockhoist.messages.feeds import (
     ColdUpstream,
     EvacuatedDomain,
+    FeedAnnouncement,
     FeedAnswer,
     FeedQuestion,
     FeedRow,
@@ -101,6 +103,7 @@
     "ConfigurationSummaryRequest",
     "Envelope",
     "EvacuatedDomain",
+    "FeedAnnouncement",
     "FeedAnswer",
     "FeedQuestion",
     "FeedRow",
@@ -151,6 +154,7 @@
     "RelaySend",
     "RelayedHead",
     "RequestBrief",
+    "StoreNews",
     "StoredAnswer",
     "StreamTaken",
     "UpstreamReached",
--- a/libs/messages/src/hemlockhoist/messages/codec.py
+++ b/libs/messages/src/hemlockhoist/messages/codec.py
@@ -32,6 +32,21 @@
 Message = functools.reduce(operator.or_, MESSAGE_TYPES)
 
 
+class StoreNews(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """How much a host knows of the store's table of routes and orders.
+
+    Parameters
+    ==========
+    changed_version : int
+        Version of the newest change that it has; 0 if it has read nothing yet.
+    read_ms : int
+        Time on the store's clock up to which it knows all changes.
+    """
+
+    changed_version: int = 0
+    read_ms: int = 0
+
+
 class Envelope(msgspec.Struct, frozen=True, kw_only=True):
     """Messages from one incarnation of a host to another host.
 
@@ -48,6 +63,8 @@
         Time of sending on the sender's clock, from which the receiver computes the
         delay.
     messages : list
+    news : StoreNews or None
+        What the sender knows of the store; None if this envelope doesn't say.
     """
 
     sender: str
@@ -56,6 +73,7 @@
     sequence: int
     sent_ms: int
     messages: list[Message]
+    news: StoreNews | None = None
 
 
 class _WireEnvelope(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -69,6 +87,7 @@
     sequence: int
     sent_ms: int
     messages: list[Message]
+    news: StoreNews | None = None
 
 
 class Codec:
@@ -107,6 +126,7 @@
             sequence=envelope.sequence,
             sent_ms=envelope.sent_ms,
             messages=envelope.messages,
+            news=envelope.news,
         )
         body = self._encoder.encode(wire)
         return _VERSION_BYTE + self._digest(envelope.receiver, body) + body
@@ -151,6 +171,7 @@
             sequence=wire.sequence,
             sent_ms=wire.sent_ms,
             messages=wire.messages,
+            news=wire.news,
         )
 
     def _digest(self, receiver, body):
--- a/libs/messages/src/hemlockhoist/messages/registry.py
+++ b/libs/messages/src/hemlockhoist/messages/registry.py
@@ -17,6 +17,7 @@
 from hemlockhoist.messages.feeds import (
     ColdUpstream,
     EvacuatedDomain,
+    FeedAnnouncement,
     FeedAnswer,
     FeedQuestion,
     LeftUpstream,
@@ -75,6 +76,7 @@
     ConfigurationSummaryRequest,
     ColdUpstream,
     EvacuatedDomain,
+    FeedAnnouncement,
     FeedAnswer,
     FeedQuestion,
     FirstToken,
--- a/libs/peers/src/hemlockhoist/peers/bus.py
+++ b/libs/peers/src/hemlockhoist/peers/bus.py
@@ -30,6 +30,10 @@
         measured by ``Inbox``.
     on_connection_lost : callable, optional
         ``on_connection_lost(address)`` is called when the connection to a peer ends.
+    news : callable, optional
+        Returns the ``StoreNews`` of this host, or None; sent with messages.
+    on_news : callable, optional
+        ``on_news(sender, news)`` is called when a peer tells what it knows.
     """
 
     __slots__ = (
@@ -41,7 +45,9 @@
         "_incarnation",
         "_links",
         "_listener",
+        "_news",
         "_on_connection_lost",
+        "_on_news",
         "address",
         "bytes_received",
         "rejected_count",
@@ -56,8 +62,12 @@
         clock,
         handler,
         on_connection_lost=lambda address: None,
+        news=lambda: None,
+        on_news=lambda sender, news: None,
     ):
         self._on_connection_lost = on_connection_lost
+        self._news = news
+        self._on_news = on_news
         self._incarnation = incarnation
         self._listener = PeerListener(listen, self._on_frame, self._reject)
         self._advertise = advertise
@@ -133,6 +143,7 @@
             self._incarnation,
             address,
             self._on_connection_lost,
+            self._news,
         )
         link.start()
         return link
@@ -155,6 +166,8 @@
         if self._inbox.is_new_incarnation(envelope.sender):
             # The connection leads to the previous incarnation and may hang.
             self.reconnect(envelope.sender)
+        if envelope.news is not None:
+            self._on_news(envelope.sender, envelope.news)
         for message in envelope.messages:
             self._deliver(envelope.sender, message, late_ms)
 
--- a/libs/peers/src/hemlockhoist/peers/link.py
+++ b/libs/peers/src/hemlockhoist/peers/link.py
@@ -28,6 +28,9 @@
 # requests a reconnection with each repeated request.
 MIN_RECONNECT_INTERVAL_MS = 400
 FLUSH_POLL_INTERVAL_MS = 5
+# Interval at which a peer is told again what this host knows of the store, with
+# messages that are sent anyway.
+NEWS_INTERVAL_MS = 1_000
 
 
 class PeerLink:
@@ -43,6 +46,8 @@
         ``IP:port`` of the peer.
     on_connection_lost : callable
         ``on_connection_lost(address)`` is called when an open connection has ended.
+    news : callable
+        Returns the ``StoreNews`` of this host, or None.
     """
 
     __slots__ = (
@@ -51,6 +56,9 @@
         "_codec",
         "_connection",
         "_incarnation",
+        "_news",
+        "_news_sent_ms",
+        "_news_version",
         "_on_connection_lost",
         "_queue",
         "_reachable",
@@ -64,8 +72,13 @@
         "dropped_count",
     )
 
-    def __init__(self, codec, clock, sender, incarnation, address, on_connection_lost):
+    def __init__(
+        self, codec, clock, sender, incarnation, address, on_connection_lost, news
+    ):
         self._on_connection_lost = on_connection_lost
+        self._news = news
+        self._news_version = 0
+        self._news_sent_ms = 0
         self._codec = codec
         self._clock = clock
         self._sender = sender
@@ -220,6 +233,7 @@
             sequence=self._sequence,
             sent_ms=self._clock.now_ms(),
             messages=batch,
+            news=self._due_news(),
         )
         # A message that cannot be encoded is an error of this program and must not end
         # the task: the peer would receive nothing more from a host that looks alive to
@@ -232,6 +246,20 @@
             _log.error("peer_encode_failed", kinds=kinds, reason=str(error))
             return None
 
+    def _due_news(self):
+        """Return what this host knows of the store, or None if the peer was just told.
+
+        A new change is told at once, with the next message.
+        """
+        news, now_ms = self._news(), self._clock.now_ms()
+        if news is None:
+            return None
+        is_new = news.changed_version > self._news_version
+        if not is_new and now_ms - self._news_sent_ms < NEWS_INTERVAL_MS:
+            return None
+        self._news_version, self._news_sent_ms = news.changed_version, now_ms
+        return news
+
     def _set_reachable(self, reachable, reason=""):
         """Record whether the peer is reachable, and log only changes."""
         if reachable == self._reachable:
--- a/libs/peers/src/hemlockhoist/peers/tests/test_bus.py
+++ b/libs/peers/src/hemlockhoist/peers/tests/test_bus.py
@@ -7,7 +7,7 @@
 import unittest.mock
 
 from hemlockhoist.base import Clock, PeerError
-from hemlockhoist.messages import Codec, Envelope, GrantCancel
+from hemlockhoist.messages import Codec, Envelope, GrantCancel, StoreNews
 from hemlockhoist.peers import Inbox, PeerBus, frames, inbox
 from hemlockhoist.peers.connection import Connection
 from hemlockhoist.peers.frames import encode_frame
@@ -101,6 +101,26 @@
             sender, message = await asyncio.wait_for(self.received.get(), WAIT_S)
             self.assertEqual((sender, message), (self.a.address, _message(number)))
 
+    async def test_messages_carry_what_their_sender_knows_of_the_store(self):
+        """Guards against hosts that never hear that their routes are old."""
+        known, heard = StoreNews(changed_version=7, read_ms=100), asyncio.Queue()
+        teller = PeerBus(
+            "1", "127.0.0.1:0", None, b"k", self.clock, self._take, news=lambda: known
+        )
+        await teller.start()
+        self.addAsyncCleanup(teller.close)
+        self.b._on_news = lambda sender, news: heard.put_nowait((sender, news))
+        for number in range(3):
+            teller.send(self.b.address, _message(number))
+            await asyncio.wait_for(self.received.get(), WAIT_S)
+        self.assertEqual(heard.get_nowait(), (teller.address, known))
+        # Told once, and again as soon as there is a newer change.
+        self.assertTrue(heard.empty())
+        known = StoreNews(changed_version=8, read_ms=200)
+        teller.send(self.b.address, _message(4))
+        await asyncio.wait_for(self.received.get(), WAIT_S)
+        self.assertEqual(heard.get_nowait(), (teller.address, known))
+
     async def test_message_to_the_host_itself_needs_no_link(self):
         """A host that is its own home sends messages like any other host."""
         self.a.send(self.a.address, _message(1))
@@ -266,6 +286,7 @@
                     "1",
                     f"127.0.0.1:{address[1]}",
                     lambda peer: None,
+                    lambda: None,
                 )
                 link.start()
                 link.send(_message(1))
--- a/libs/store/src/hemlockhoist/store/tests/test_watch.py
+++ b/libs/store/src/hemlockhoist/store/tests/test_watch.py
@@ -112,3 +112,25 @@
         self.addAsyncCleanup(watch.close)
         await asyncio.sleep(2.5)
         self.assertEqual(self.store.calls.count("changes"), 3)
+
+    def reading(self, version, *row_versions):
+        rows = [StoreRow(key=f"k{v}", value=b"", version=v) for v in row_versions]
+        return Reading(rows=tuple(rows), version=version, store_ms=0, sent_ms=0)
+
+    async def test_reading_that_came_another_way_is_applied_once(self):
+        """Guards against a change that waits for a call which nobody answers."""
+        self.store.version = 10
+        await self.start()
+        await asyncio.sleep(0.5)
+        self.assertTrue(self.watch.offer(self.reading(12, 11, 12), 10))
+        self.assertTrue(self.watch.offer(self.reading(13, 11, 12, 13), 10))
+        keys = [[row.key for row in rows] for rows, _ in self.applied]
+        self.assertEqual(keys, [[], ["k11", "k12"], ["k13"]])
+
+    async def test_reading_that_leaves_out_changes_is_not_applied(self):
+        self.store.version = 10
+        await self.start()
+        self.assertFalse(self.watch.offer(self.reading(12, 12), 10))
+        await asyncio.sleep(0.5)
+        self.assertFalse(self.watch.offer(self.reading(14, 14), 12))
+        self.assertEqual(len(self.applied), 1)
--- a/libs/store/src/hemlockhoist/store/watch.py
+++ b/libs/store/src/hemlockhoist/store/watch.py
@@ -112,6 +112,25 @@
         if self._task is not None:
             self._restart.set()
 
+    def offer(self, reading, since_version):
+        """Apply a reading that came by another way than this watch's own calls.
+
+        Parameters
+        ==========
+        reading : Reading
+        since_version : int
+            The reading holds all changes since this version.
+
+        Returns
+        =======
+        bool
+            False if changes before the reading are missing here.
+        """
+        if self._version is None or since_version > self._version:
+            return False
+        self._pass_on(reading, is_snapshot=False)
+        return True
+
     async def _run(self):
         while True:
             try:
@@ -164,11 +183,19 @@
         if self._failures:
             _log.info("store_regained", table=self._table, failed_calls=self._failures)
         self._failures = 0
-        is_snapshot = self._version is None
+        self._pass_on(reading, is_snapshot=self._version is None)
+
+    def _pass_on(self, reading, is_snapshot):
+        """Pass on the rows that are new here, and the reading."""
+        rows = reading.rows
+        if not is_snapshot:
+            # Another way may have brought some of them before.
+            rows = tuple(row for row in rows if row.version > self._version)
+            reading = msgspec.structs.replace(reading, rows=rows)
         # A handler that fails on a row must not end the watch: the host would never
         # receive another change.
         try:
-            if reading.rows or is_snapshot:
+            if rows or is_snapshot:
                 self._on_rows(reading, is_snapshot)
             self._record_version(reading)
             self._on_reading(reading)
