Do not apply a full reading that is older than what is known

What callers could see: an order to move or evacuate that had been replaced comes back, or a removed upstream is listed again. Cause: after the store drops its history a table is read in full, from a reader that may be up to 1.7 s behind what this host had from another one; routes compare versions, the orders of moves do not. The test failed before: a reading of version 10 was applied after 12. Such a reading counts as a failed call now, and the table is read again.

--- a/libs/store/src/hemlockhoist/store/tests/test_watch.py
+++ b/libs/store/src/hemlockhoist/store/tests/test_watch.py
@@ -134,3 +134,18 @@
         await asyncio.sleep(0.5)
         self.assertFalse(self.watch.offer(self.reading(14, 14), 12))
         self.assertEqual(len(self.applied), 1)
+
+    async def test_rows_older_than_those_known_are_not_applied(self):
+        """Guards against orders that come back after the store dropped its history."""
+        self.store.version = 10
+        self.store.script = [None, None, HistoryGone("")]
+        await self.start()
+        await asyncio.sleep(0.5)
+        self.watch.offer(self.reading(12, 12), 10)
+        await asyncio.sleep(1)
+        self.assertEqual(
+            [is_snapshot for _, is_snapshot in self.applied], [True, False]
+        )
+        self.store.version = 12
+        await asyncio.sleep(1)
+        self.assertEqual(self.applied[-1], ((), True))
--- a/libs/store/src/hemlockhoist/store/watch.py
+++ b/libs/store/src/hemlockhoist/store/watch.py
@@ -54,6 +54,7 @@
     __slots__ = (
         "_backoff",
         "_failures",
+        "_newest_version",
         "_on_failure",
         "_on_reading",
         "_on_rows",
@@ -88,7 +89,9 @@
             retry_delay.min_ms, retry_delay.max_ms, rng or random.Random()
         )
         self._failures = 0
+        # Version of the last reading; None if the table has to be read in full.
         self._version = None
+        self._newest_version = 0
         self._task = None
         self._restart = asyncio.Event()
 
@@ -142,8 +145,14 @@
             except PlatformError as error:
                 await self._record_failure(error)
                 continue
-            if reading is not None:
-                self._apply(reading)
+            if reading is None:
+                continue
+            if self._version is None and reading.version < self._newest_version:
+                # Deletions and orders since then would be undone.
+                error = PlatformError("the rows are older than those that are known")
+                await self._record_failure(error)
+                continue
+            self._apply(reading)
 
     async def _read(self):
         """Return a reading, or None if the call was abandoned by ``read_again``."""
@@ -206,3 +215,4 @@
     def _record_version(self, reading):
         """Advance to a reading's version; a relayed reading may be an older one."""
         self._version = max(self._version or 0, reading.version)
+        self._newest_version = max(self._newest_version, self._version)
