Apply the routes of a reading whatever happens to the orders beside them

What callers could see: a change of the configuration is not in force at a host until the next one. Cause: rows of one reading were applied in one go; an order of a move or evacuation whose handling failed ended it, and the watch went on from the reading's version, since it must not repeat a bad row for ever. The test failed before (routes None). Routes, evacuations and orders are applied one after the other now, and an error in one is logged as rows_failed.

--- a/libs/entry/src/hemlockhoist/entry/store_view.py
+++ b/libs/entry/src/hemlockhoist/entry/store_view.py
@@ -8,6 +8,7 @@
     MS_PER_S,
     DeclarationError,
     Property,
+    PropertyViolation,
     Refused,
     ResultCode,
     UpstreamCold,
@@ -157,12 +158,31 @@
 
     def apply_config_rows(self, reading, is_snapshot):
         """Apply rows of the table that holds the routes and the operators' orders."""
-        self._apply_domain_orders(reading, is_snapshot)
+        self._apply_part(self._apply_routes_row, reading)
+        self._apply_part(self._apply_domain_orders, reading, is_snapshot)
+        self._apply_part(self._apply_move_orders, reading)
+
+    def _apply_part(self, apply, reading, *options):
+        """Apply one kind of rows; log an error, and go on with the other kinds.
+
+        Failure prevented: an order that can't be handled, read together with the
+        routes, keeps the host on its old routes until the next change.
+        """
+        try:
+            apply(reading, *options)
+        except PropertyViolation:
+            raise
+        except Exception:
+            _log.error("rows_failed", kind=apply.__name__, exc_info=True)
+
+    def _apply_routes_row(self, reading):
         for row in reading.rows:
-            if row.value is None:
-                continue
-            if row.key == self._platform.config_key:
+            if row.key == self._platform.config_key and row.value is not None:
                 self._apply_routes(row, reading)
+
+    def _apply_move_orders(self, reading):
+        for row in reading.rows:
+            if row.key == self._platform.config_key or row.value is None:
                 continue
             order = self._platform.decode_order(row)
             if order is not None:
--- a/libs/entry/src/hemlockhoist/entry/tests/builders.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/builders.py
@@ -71,6 +71,13 @@
     """
 
 
+def encoded(routes):
+    """Return the value of a row that decodes to these routes, or to this error."""
+    value = EncodedRoutes(b"routes")
+    value.decoded = routes
+    return value
+
+
 class FakePlatform:
     """A platform whose rows hold decoded values."""
 
@@ -129,9 +136,7 @@
 
     def apply_routes(self, routes, version=1):
         """Apply a row of routes to the store view."""
-        value = EncodedRoutes(b"routes")
-        value.decoded = routes
-        row = StoreRow(key="config", value=value, version=version)
+        row = StoreRow(key="config", value=encoded(routes), version=version)
         self.store_view.apply_config_rows(reading([row], version), False)
 
     def apply_evacuation(self, domain, version, is_evacuated=True):
--- a/libs/entry/src/hemlockhoist/entry/tests/test_store_view.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_store_view.py
@@ -17,10 +17,12 @@
 from hemlockhoist.entry.tests.builders import (
     HostFixture,
     customer,
+    encoded,
     reading,
     route,
     table,
 )
+from hemlockhoist.store import StoreRow
 
 LIMIT_MS = FleetBounds().revocation_ms - PROOF_MARGIN_MS
 
@@ -72,6 +74,19 @@
             self.fail("a repeated reading was treated as an older version")
         self.assertEqual(len(self.host.tables), 1)
 
+    async def test_order_that_fails_does_not_hold_back_the_routes(self):
+        """Guards against routes that are skipped for a bad row beside them."""
+        rows = [
+            StoreRow(key="move/halls", value=b"order", version=8),
+            StoreRow(key="config", value=encoded(table(version=9)), version=9),
+        ]
+        self.store_view._on_order = self.fail_with_an_error
+        self.store_view.apply_config_rows(reading(rows, 9), False)
+        self.assertEqual(self.store_view.routes.version, 9)
+
+    def fail_with_an_error(self, order):
+        raise ValueError("an order that nobody expected")
+
 
 class FreshnessTests(PausedTestCase):
     async def test_suspension_ages_the_proof(self):
