Let the published soak's store reject single hosts, and check the routes in force

Change: the store stand-in rejects single hosts (503, 429, reset, silence; long polls too); quick changes in a row; declarations that grow by 1,400 routes. Each version has a route of its own without a key, and callers ask for those of the last twelve versions at every host: one that was dropped 3 s before is not served, one that was declared 3 s before is found, and none comes back. The store that rejects a host is no excuse while another host has it.

--- a/libs/standins/src/hemlockhoist/standins/published/soak/__main__.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/__main__.py
@@ -7,12 +7,12 @@
 
 import click
 
-from hemlockhoist.standins.published.soak.run import SoakRun
+from hemlockhoist.standins.published.soak.run import HOST_COUNT, SoakRun
 
 
-async def run_seed(seed, seconds, folder, fault_names):
+async def run_seed(seed, seconds, folder, fault_names, host_count):
     """Run one seed and print its result; return whether it is green."""
-    run = SoakRun(seed, folder, fault_names)
+    run = SoakRun(seed, folder, fault_names, host_count)
     result = await run.run(seconds)
     is_green = not result.violations
     click.echo(
@@ -35,14 +35,15 @@
 )
 @click.option("--logs", default=None, help="Folder that keeps the hosts' logs.")
 @click.option("--fault", "faults", multiple=True, help="Draw only from such faults.")
-def main(seed, seeds, seconds, logs, faults):
+@click.option("--hosts", default=HOST_COUNT, help="Number of entry hosts.")
+def main(seed, seeds, seconds, logs, faults, hosts):
     """Run entry hosts as processes under random faults, and check their answers."""
     red_seeds = []
     for number in range(seed, seed + seeds):
         with tempfile.TemporaryDirectory() as scratch:
             folder = pathlib.Path(logs or scratch, f"seed-{number}")
             folder.mkdir(parents=True, exist_ok=True)
-            if not asyncio.run(run_seed(number, seconds, folder, faults)):
+            if not asyncio.run(run_seed(number, seconds, folder, faults, hosts)):
                 red_seeds.append(number)
     click.echo(f"{seeds} seeds, {len(red_seeds)} red: {red_seeds}")
     sys.exit(1 if red_seeds else 0)
--- a/libs/standins/src/hemlockhoist/standins/published/soak/callers.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/callers.py
@@ -11,6 +11,8 @@
 from hemlockhoist.standins.published.site import HOST_NAME
 
 MAX_REQUEST_GAP_S = 0.03
+# One in this many requests only tests whether a route is in force.
+PROBE_EVERY = 4
 # One in this many requests is abandoned by its caller before the answer is complete.
 DISCONNECT_EVERY = 25
 DISCONNECT_AFTER_S = 0.03
@@ -93,6 +95,8 @@
         self.calls = []
         self.keys = keys
         self.revoked_keys = []
+        # The paths of routes that were added lately.
+        self.probe_paths = []
         self._hosts = hosts
         self._count = count
         self._rng = rng
@@ -137,8 +141,9 @@
             "Host": HOST_NAME,
             "Attempt-Id": call.attempt_id,
             "Deadline-Ms": "2500",
-            "Authorization": f"Bearer {call.key}",
         }
+        if call.key:
+            headers["Authorization"] = f"Bearer {call.key}"
         url = f"http://{call.host}/{call.kind.path}/{call.attempt_id}"
         timeout_s = DISCONNECT_AFTER_S if call.disconnects else 10.0
         try:
@@ -162,9 +167,15 @@
         keys = self.keys
         if self.revoked_keys and number % 5 == 0:
             keys = self.revoked_keys
+        kind = rng.choice(REQUEST_KINDS)
+        if self.probe_paths and number % PROBE_EVERY == 1:
+            path = rng.choice(self.probe_paths)
+            kind = RequestKind(path, "GET", "reservas", True, False)
+            # Without a key, a host serves it however old its routes are.
+            keys = [""]
         return Call(
             attempt_id=f"c{number}",
-            kind=rng.choice(REQUEST_KINDS),
+            kind=kind,
             key=rng.choice(keys),
             host=rng.choice(hosts),
             sent_s=now_s(),
--- a/libs/standins/src/hemlockhoist/standins/published/soak/checks.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/checks.py
@@ -4,6 +4,9 @@
 
 from hemlockhoist.base import MS_PER_S
 from hemlockhoist.standins.published.soak.callers import elapsed_ms
+from hemlockhoist.standins.published.soak.config_checks import (
+    find_declaration_violations,
+)
 from hemlockhoist.standins.published.soak.cut_checks import find_cut_violations
 from hemlockhoist.standins.published.soak.fall_checks import find_fall_violations
 from hemlockhoist.standins.published.soak.limit_checks import find_limit_violations
@@ -125,6 +128,25 @@
         self.violations += find_fall_violations(spans)
         self.check_counts["times of brittle replicas"] += len(spans)
 
+    def check_declarations(self, declared, store_spans, outages, hosts):
+        """Check that each version was in force in time, and no older one afterwards.
+
+        Parameters
+        ==========
+        declared : list of DeclaredVersion
+        store_spans : list of (str, float, float)
+            Host, begin and end of each time in which the store did not serve it.
+        outages : list of (str, float, float)
+            Host, begin and end of each time in which it did not run normally.
+        hosts : list of str
+        """
+        calls = list(self._calls.values())
+        violations, checked = find_declaration_violations(
+            calls, declared, store_spans, outages, hosts
+        )
+        self.violations += violations
+        self.check_counts["routes in force"] += checked
+
     def check(self, revoked, revocation_ms, tenants, stops, disturbances):
         """Run all checks, adding to ``violations`` and ``check_counts``.
 
--- a/libs/standins/src/hemlockhoist/standins/published/soak/faults.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/faults.py
@@ -8,7 +8,8 @@
 from hemlockhoist.standins.published.soak.cut_checks import CutSpan
 from hemlockhoist.standins.published.soak.fall_checks import BrittleSpan
 from hemlockhoist.standins.published.soak.limit_checks import LimitSpan
-from hemlockhoist.standins.published.soak.proxy import Cut, Mode
+from hemlockhoist.standins.published.soak.proxy import Cut
+from hemlockhoist.standins.published.soak.store_faults import StoreFaultKinds
 
 # The services whose replicas have faults in common.
 SERVICES = ("asistente", "reservas")
@@ -28,7 +29,7 @@
 )
 
 
-class SoakFaults:
+class SoakFaults(StoreFaultKinds):
     """Injects faults one after the other; most have a duration and overlap.
 
     Parameters
@@ -45,6 +46,8 @@
     limit_spans : list of LimitSpan
     cut_spans : list of CutSpan
     brittle_spans : list of BrittleSpan
+    store_spans : list of (str, float, float)
+        Host, begin and end of each time in which the store did not serve it.
     """
 
     def __init__(self, run, rng, names=()):
@@ -57,6 +60,7 @@
         self.limit_spans = []
         self.cut_spans = []
         self.brittle_spans = []
+        self.store_spans = []
         self._has_cut = False
         self.stops = []
         self.counts = {}
@@ -72,6 +76,7 @@
             self.stop_hosts_in_turn,
             self.reload_host,
             self.cut_host_from_store,
+            self.reject_hosts_at_store,
             self.reset_connections,
             self.delay_store,
             self.fail_store,
@@ -89,6 +94,8 @@
             self.announce_leaving,
             self.revoke_key,
             self.change_routes,
+            self.change_routes_quickly,
+            self.grow_declarations,
             self.order_rollout,
         )
         if not self._names:
@@ -217,61 +224,6 @@
             host.send(signal.SIGHUP)
             host.send(signal.SIGHUP)
 
-    # The store.
-
-    async def cut_host_from_store(self):
-        """Cut one host from the store, in one of three modes."""
-        begin_s = now_s()
-        proxy = self._rng.choice(self._run.store_proxies)
-        proxy.mode = self._rng.choice(
-            (Mode.BLACKHOLE, Mode.BLACKHOLE_REPLIES, Mode.REFUSE)
-        )
-        if proxy.mode is Mode.REFUSE:
-            proxy.reset_all()
-        await self._sleep_between(0.5, 7.0)
-        proxy.heal()
-        self._record_disturbance(begin_s)
-
-    async def reset_connections(self):
-        """Reset all connections of one host to the store, or of one replica."""
-        begin_s = now_s()
-        proxies = [*self._run.store_proxies, *self._run.replica_proxies()]
-        self._rng.choice(proxies).reset_all()
-        self._record_disturbance(begin_s)
-
-    async def delay_store(self):
-        """Delay the traffic between one host and the store."""
-        begin_s = now_s()
-        proxy = self._rng.choice(self._run.store_proxies)
-        proxy.delay_ms = self._rng.choice((50, 200, 800))
-        await self._sleep_between(0.5, 4.0)
-        proxy.heal()
-        self._record_disturbance(begin_s)
-
-    async def fail_store(self):
-        """Make the store hang, or answer every call with an error."""
-        begin_s = now_s()
-        faults = self._run.store.faults
-        faults.status = self._rng.choice((None, 503, 429))
-        faults.hangs = faults.status is None
-        await self._sleep_between(0.5, 5.0)
-        faults.heal()
-        self._record_disturbance(begin_s)
-
-    async def lose_store_answers(self):
-        """Let the store apply writes without answering them."""
-        begin_s = now_s()
-        self._run.store.faults.loses_answers = True
-        await self._sleep_between(0.5, 3.0)
-        self._run.store.faults.loses_answers = False
-        self._record_disturbance(begin_s)
-
-    async def truncate_history(self):
-        """Let the store drop its change history."""
-        begin_s = now_s()
-        self._run.store.truncate_history()
-        self._record_disturbance(begin_s)
-
     # Replicas.
 
     async def make_replica_faulty(self):
@@ -393,6 +345,16 @@
         """Write a new version of the routes."""
         await self._run.declare()
 
+    async def change_routes_quickly(self):
+        """Write several new versions of the routes, one shortly after the other."""
+        for _ in range(self._rng.randint(3, 8)):
+            await self._run.declare()
+            await self._sleep_between(0.2, 0.8)
+
+    async def grow_declarations(self):
+        """Declare many more routes, or take them away again."""
+        await self._run.grow_declarations()
+
     async def order_rollout(self):
         """Order the move of a service to another version."""
         await self._run.order_rollout()
--- a/libs/standins/src/hemlockhoist/standins/published/soak/run.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/run.py
@@ -12,6 +12,7 @@
 from hemlockhoist.standins.published.site import route
 from hemlockhoist.standins.published.soak.callers import Callers, now_s
 from hemlockhoist.standins.published.soak.checks import RunChecker
+from hemlockhoist.standins.published.soak.config_checks import DeclaredVersion
 from hemlockhoist.standins.published.soak.faults import SoakFaults
 from hemlockhoist.standins.published.soak.hosts import START_TIMEOUT_S, HostProcess
 from hemlockhoist.standins.published.soak.proxy import Proxy
@@ -26,6 +27,10 @@
 # With fewer slots than callers, some requests wait for a slot, or are refused.
 SLOT_COUNT = 2
 KEY_COUNT = 12
+# Versions whose own routes are asked for: those of some seconds of quick changes.
+PROBED_COUNT = 12
+# As many as make the declarations some hundred KB large.
+EXTRA_ROUTE_COUNT = 1_400
 REVOCATION_MS = 3_000
 DRAIN_MS = 2_000
 FAULT_INTERVAL_S = (0.1, 0.9)
@@ -76,11 +81,14 @@
         Folder for settings and logs.
     fault_names : sequence of str, optional
         The faults to draw from, of ``SoakFaults``; by default all.
+    host_count : int, optional
+        From 13 hosts on, one host of each failure domain reads the store for all.
     """
 
     default_delay_ms = 15
 
-    def __init__(self, seed, folder, fault_names=()):
+    def __init__(self, seed, folder, fault_names=(), host_count=HOST_COUNT):
+        self._host_count = host_count
         self.store = StoreStandin()
         self.store_proxies = []
         self.hosts = []
@@ -90,6 +98,9 @@
         self._ended_replicas = []
         self._numbers = itertools.count(1)
         self._version = 0
+        # Routes that are declared beside the usual ones, to make the declarations large.
+        self._extra_routes = []
+        self._declared = []
         self._keys = [f"key-{number}" for number in range(KEY_COUNT)]
         self._revoked = {}
         self._exit_stack = contextlib.AsyncExitStack()
@@ -118,12 +129,13 @@
 
     async def _start(self):
         await self._open(self.store)
+        self.store.sender_of = self._store_sender
         for service, events in SERVICES.items():
             for _ in range(REPLICA_COUNT):
                 await self._add_replica(service, events)
         await self.declare()
         bounds = {"revocation_ms": REVOCATION_MS, "drain_ms": DRAIN_MS}
-        for number in range(HOST_COUNT):
+        for number in range(self._host_count):
             proxy = await self._open(Proxy(self.store.address))
             self.store_proxies.append(proxy)
             host = HostProcess(number, proxy.address, self._folder, bounds)
@@ -145,6 +157,11 @@
     def _addresses(self):
         return [host.address for host in self.hosts]
 
+    def _store_sender(self, port):
+        """Return the IP address of the host whose calls come from a proxy's port."""
+        found = (proxy.sender(port) for proxy in self.store_proxies)
+        return next((ip for ip in found if ip is not None), None)
+
     def _host_address(self, ip):
         found = (host.address for host in self.hosts if host.ip == ip)
         return next(found, "")
@@ -214,9 +231,17 @@
     # Operators.
 
     async def declare(self):
-        """Write a new version of the declarations, without the revoked keys."""
+        """Write a new version of the declarations, without the revoked keys.
+
+        Each version has a route of its own, which the next one drops.
+        """
         self._version += self._rng.randint(1, 4)
-        added = route(f"added-{self._version}", "reservas")
+        declared = DeclaredVersion(f"added-{self._version}", begun_s=now_s())
+        self._declared.append(declared)
+        self.callers.probe_paths = [
+            item.path for item in self._declared[-PROBED_COUNT:]
+        ]
+        added = route(declared.path, "reservas", anonymous=True)
         tenants = [
             {"name": self._tenant(key), "api_keys": [key], "priority": 1}
             for key in self._keys
@@ -224,7 +249,7 @@
         ]
         body = {
             "version": self._version,
-            "route_table": [*ROUTES, added],
+            "route_table": [*ROUTES, added, *self._extra_routes],
             "services": [
                 {"name": name, "health_path": "/healthz", "max_connections": 100}
                 for name in ("reservas", "asistente")
@@ -233,6 +258,13 @@
             "tenants": tenants,
         }
         await self.store.put("op", "config", body)
+        declared.confirmed_s = now_s()
+
+    async def grow_declarations(self):
+        """Declare many more routes, or as few as at the start."""
+        grown = [route(f"extra-{n}", "reservas") for n in range(EXTRA_ROUTE_COUNT)]
+        self._extra_routes = [] if self._extra_routes else grown
+        await self.declare()
 
     def _tenant(self, key):
         return f"customer-of-{key}"
@@ -272,6 +304,9 @@
         checker.check_rests(replicas, faults.outages, DRAIN_MS)
         checker.check_cuts(faults.cut_spans, faults.outages)
         checker.check_falls(faults.brittle_spans)
+        checker.check_declarations(
+            self._declared, faults.store_spans, faults.outages, self._addresses()
+        )
         if not recovered:
             checker.violations.append(
                 "a host was not ready after all faults were removed"
--- a/libs/standins/src/hemlockhoist/standins/published/soak/tests/test_checks.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/tests/test_checks.py
@@ -1,8 +1,16 @@
 import unittest
 
 from hemlockhoist.standins.published.replica import ReceivedRequest, Replica
-from hemlockhoist.standins.published.soak.callers import REQUEST_KINDS, Call
+from hemlockhoist.standins.published.soak.callers import (
+    REQUEST_KINDS,
+    Call,
+    RequestKind,
+)
 from hemlockhoist.standins.published.soak.checks import RunChecker
+from hemlockhoist.standins.published.soak.config_checks import (
+    DeclaredVersion,
+    find_declaration_violations,
+)
 from hemlockhoist.standins.published.soak.cut_checks import CutSpan
 from hemlockhoist.standins.published.soak.fall_checks import BrittleSpan
 from hemlockhoist.standins.published.soak.limit_checks import LimitSpan
@@ -238,3 +246,53 @@
         self.assertEqual(
             self.violations_of(cut, {}, stops=[stop], disturbances=[(2.0, 2.5)]), []
         )
+
+
+class DeclarationCheckTests(unittest.TestCase):
+    """Version 1 is confirmed at 10 s, and version 2 at 20 s."""
+
+    def setUp(self):
+        self.declared = [
+            DeclaredVersion("v1", 9.9, 10.0),
+            DeclaredVersion("v2", 19.9, 20.0),
+        ]
+
+    def violations_of(self, *probes, store_spans=(), outages=()):
+        calls = [
+            call(
+                RequestKind(path, "GET", "reservas", True, False),
+                status=status,
+                sent_s=sent_s,
+                ended_s=sent_s + 0.1,
+            )
+            for path, status, sent_s in probes
+        ]
+        violations, checked = find_declaration_violations(
+            calls, self.declared, store_spans, outages, ["h", "h2"]
+        )
+        self.assertEqual(checked, len(probes))
+        return violations
+
+    def test_route_that_is_served_long_after_it_was_dropped(self):
+        self.assertEqual(len(self.violations_of(("v1", 200, 23.1))), 1)
+        self.assertEqual(self.violations_of(("v1", 200, 22.9)), [])
+
+    def test_route_that_is_not_found_long_after_it_was_declared(self):
+        self.assertEqual(len(self.violations_of(("v2", 404, 23.1))), 1)
+        self.assertEqual(self.violations_of(("v2", 404, 22.9)), [])
+        self.assertEqual(self.violations_of(("v1", 404, 19.95)), [])
+
+    def test_route_that_comes_back(self):
+        probes = (("v2", 200, 20.5), ("v1", 200, 21.5))
+        self.assertEqual(len(self.violations_of(*probes)), 1)
+        restart = [("h", 20.7, 20.9)]
+        self.assertEqual(self.violations_of(*probes, outages=restart), [])
+
+    def test_store_that_serves_another_host_is_no_excuse(self):
+        late = ("v1", 200, 24.0)
+        one = [("h", 15.0, 30.0)]
+        self.assertEqual(len(self.violations_of(late, store_spans=one)), 1)
+        both = [*one, ("h2", 15.0, 30.0)]
+        self.assertEqual(self.violations_of(late, store_spans=both), [])
+        stopped = [("h2", 15.0, 30.0)]
+        self.assertEqual(self.violations_of(late, store_spans=one, outages=stopped), [])
--- a/libs/standins/src/hemlockhoist/standins/published/store.py
+++ b/libs/standins/src/hemlockhoist/standins/published/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import enum
 import json
 
 import msgspec
@@ -10,6 +11,15 @@
 from hemlockhoist.base import MS_PER_S
 
 
+class Rejection(enum.Enum):
+    """What the store does with the calls of a host that it rejects."""
+
+    BUSY = 503
+    TOO_MANY_CALLS = 429
+    RESET = "reset"
+    SILENT = "silent"
+
+
 class StoreFaults:
     """The faults that the store injects.
 
@@ -23,9 +33,11 @@
         Whether connections are closed without an answer once a commit is done.
     delay_ms : int
         Delay before each answer.
+    rejections : dict of str to Rejection
+        By the IP address of a host, what is done with its calls.
     """
 
-    __slots__ = ("delay_ms", "hangs", "loses_answers", "status")
+    __slots__ = ("delay_ms", "hangs", "loses_answers", "rejections", "status")
 
     def __init__(self):
         self.heal()
@@ -36,6 +48,7 @@
         self.hangs = False
         self.loses_answers = False
         self.delay_ms = 0
+        self.rejections = {}
 
 
 class _Row(msgspec.Struct):
@@ -54,12 +67,15 @@
     faults : StoreFaults
     calls : list of str
         The paths of all calls, in order.
+    sender_of : callable
+        Returns the IP address of the host whose calls come from a port.
     """
 
     def __init__(self):
         self.address = ""
         self.faults = StoreFaults()
         self.calls = []
+        self.sender_of = lambda port: None
         self._rows = {}
         self._history = []
         self._oldest_version = 0
@@ -126,7 +142,13 @@
             await asyncio.Event().wait()
         if faults.status is not None:
             return web.Response(status=faults.status)
-        response = await handler(request)
+        sender = self.sender_of(request.transport.get_extra_info("peername")[1])
+        response = None
+        if sender not in faults.rejections:
+            response = await handler(request)
+        # A call that waits for a change is rejected too.
+        if sender in faults.rejections:
+            return await _reject(request, faults.rejections[sender])
         if faults.delay_ms:
             await asyncio.sleep(faults.delay_ms / MS_PER_S)
         if faults.loses_answers and request.method == "POST":
@@ -208,3 +230,13 @@
     if row.value is None:
         return {**wire, "deleted": True}
     return {**wire, "value": row.value}
+
+
+async def _reject(request, rejection):
+    """Return the answer to a host that is rejected; a silent store never returns."""
+    if rejection is Rejection.SILENT:
+        await asyncio.Event().wait()
+    if rejection is Rejection.RESET:
+        request.transport.abort()
+        return web.Response()
+    return web.Response(status=rejection.value)
