--- a/libs/base/src/hemlockhoist/base/metrics_table.py
+++ b/libs/base/src/hemlockhoist/base/metrics_table.py
@@ -247,6 +247,13 @@
     "Calls of the store that were answered.",
     "Calls are charged for; about one per second and host is usual.",
 )
+STORE_CHANGES = Metric(
+    "store.changes",
+    _C,
+    "way",
+    "Readings with changes of the routes or of orders: by store, reader or other host.",
+    "If other hosts grow, the store rejects this host and its readers, or calls hang.",
+)
 STORE_FAILURES = Metric(
     "store.failures",
     _C,
--- a/libs/entry/src/hemlockhoist/entry/catch_up.py
+++ b/libs/entry/src/hemlockhoist/entry/catch_up.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from hemlockhoist.base import MS_PER_S, get_logger
+from hemlockhoist.base.metrics_table import STORE_CHANGES
 from hemlockhoist.entry.row_packer import read_answer
 from hemlockhoist.messages import FeedState, StoreNews
 
@@ -14,6 +15,8 @@
 # A host whose reading of the routes is older than another's by this much asks that one.
 # Readings that are relayed each second differ by less.
 MAX_PROOF_LAG_MS = 2_000
+# Label of a metric for changes that came this way.
+BY_OTHER_HOST = "other host"
 
 
 class CatchUp:
@@ -82,8 +85,17 @@
 
     async def _run(self, sender, news):
         await asyncio.sleep(GRACE_MS / MS_PER_S)
-        if self._is_behind(news):
-            await self._read_from(sender)
+        if not self._is_behind(news):
+            return
+        copy = self._copies[self._table]
+        _log.info(
+            "routes_behind",
+            host=sender,
+            version=copy.version,
+            newest=news.changed_version,
+            read_ms_later=news.read_ms - copy.store_ms,
+        )
+        await self._read_from(sender)
 
     async def _read_from(self, address):
         since_version = self._copies[self._table].version
@@ -111,5 +123,6 @@
         if self._offer(reading, since_version):
             self._update_copy(self._table, reading, since_version)
             if reading.rows:
+                self._context.metrics.count(STORE_CHANGES, BY_OTHER_HOST)
                 _log.info("caught_up", host=address, version=reading.version)
         return True
--- a/libs/entry/src/hemlockhoist/entry/feeds.py
+++ b/libs/entry/src/hemlockhoist/entry/feeds.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from hemlockhoist.base import MS_PER_S, PlatformError, get_logger
+from hemlockhoist.base.metrics_table import STORE_CHANGES
 from hemlockhoist.decisions.entry import (
     MAX_DIRECT_READERS,
     TableCopy,
@@ -43,6 +44,11 @@
 CHANGES_READ_INTERVAL_MS = 200
 
 
+# Ways by which changes of the routes come, as labels of a metric.
+BY_STORE = "store"
+BY_READER = "reader"
+
+
 class FeedStore(RowStore):
     """Reads tables from the store, or from another host that reads it.
 
@@ -182,8 +188,9 @@
             raise
         self._own_due_ms.pop(table, None)
         is_updated = self._update_copy(table, reading, since_version)
-        if table == self._context.platform.config_table:
-            self._announce(reading)
+        if table == self._context.platform.config_table and reading.rows:
+            self._context.metrics.count(STORE_CHANGES, BY_STORE)
+            self._announce()
         if not is_updated and table in self._relayed and self.is_reader:
             # The copy is missing, or lacks changes that other readers relayed to this
             # host meanwhile: read the whole table.
@@ -288,19 +295,21 @@
             )
         if reading is not None and table == self._context.platform.config_table:
             self._update_copy(table, reading, since_version)
+            if reading.rows:
+                self._context.metrics.count(STORE_CHANGES, BY_READER)
         return reading
 
     def _on_late_answer(self, query, answer):
         self._catch_up.on_late_answer(query, answer)
 
-    def _announce(self, reading):
+    def _announce(self):
         """Tell the readers of a change that this host has read from the store itself.
 
         Failure prevented: the store rejects all readers, and what the other hosts read
         stays with them.
         """
         _, members = self._context.fleet.stable_members()
-        if not reading.rows or self.is_reader:
+        if self.is_reader:
             return
         for reader in find_readers(members).values():
             self._context.bus.send(reader.address, FeedAnnouncement())
--- a/libs/entry/src/hemlockhoist/entry/tests/test_feeds.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_feeds.py
@@ -1,4 +1,5 @@
 import asyncio
+import collections
 import itertools
 import random
 import types
@@ -132,12 +133,16 @@
         self.known = members
         self.store = CountedStore(store, member.address, network)
         self.rows = {}
+        self.ways = collections.Counter()
         clock = Clock.from_running_loop()
         self.boot_clock = SuspendAwareClock(lambda: clock.now_ms() * 1_000_000)
         self.freshness = Freshness()
         context = types.SimpleNamespace(
             clock=clock,
             boot_clock=self.boot_clock,
+            metrics=types.SimpleNamespace(
+                count=lambda metric, way: self.ways.update([way])
+            ),
             platform=types.SimpleNamespace(config_table=TABLE),
             fleet=types.SimpleNamespace(
                 stable_members=lambda: (member, self.known),
@@ -249,6 +254,8 @@
         await asyncio.sleep(0.1)
         self.check_all_know("v2")
         self.assertEqual({host.store.calls for host in self.others}, {0})
+        self.assertEqual({host.ways["reader"] for host in self.others}, {1})
+        self.assertEqual(self.reader.ways["store"], 1)
         for host in self.hosts:
             self.assertLess(host.proof_age_ms(), 2 * RELAYED_WAIT_MS)
 
