Let the own soak's platform reject single hosts, and check declarations in force

Cause: the platform stand-in of the own interface failed for all hosts or none, and nothing asked whether accepted declarations were in force at every host. Both soaks share what a rejected host meets.

--- a/libs/standins/src/hemlockhoist/standins/fleet.py
+++ b/libs/standins/src/hemlockhoist/standins/fleet.py
@@ -216,6 +216,19 @@
         async with self.session.post(url, json=faults) as response:
             response.raise_for_status()
 
+    async def reject_at_platform(self, rejections):
+        """Let the platform reject hosts with addresses of their own.
+
+        Parameters
+        ==========
+        rejections : dict of str to Rejection
+            By name of a host; replaces the earlier ones.
+        """
+        body = {self.host_ip(name): item.value for name, item in rejections.items()}
+        url = self.platform.url + "/-/rejections"
+        async with self.session.post(url, json=body) as response:
+            response.raise_for_status()
+
     async def cut_links(self, member, host_names, duration_ms, is_open_cut):
         """Cut hosts with addresses of their own off from an upstream, for a time."""
         body = {
--- a/libs/standins/src/hemlockhoist/standins/platform/app.py
+++ b/libs/standins/src/hemlockhoist/standins/platform/app.py
@@ -11,6 +11,7 @@
 from hemlockhoist.standins.platform.faults import PlatformFaults
 from hemlockhoist.standins.platform.stores import ObjectStore, RateLimit
 from hemlockhoist.standins.platform.tables import TableStore, VersionMismatch
+from hemlockhoist.standins.rejections import Rejection, reject
 
 _MS_PER_S = 1000
 _MAX_BODY_BYTES = 16 * 1024 * 1024
@@ -35,6 +36,7 @@
         "_frozen_hosts",
         "_hosts",
         "_objects",
+        "_rejections",
         "_weights",
         "_weights_rate",
         "faults",
@@ -52,6 +54,8 @@
         self._weights = ObjectStore()
         self._weights_rate = RateLimit(weights_per_second, now_ms)
         self.faults = PlatformFaults()
+        # By IP address of a host, what is done with its requests.
+        self._rejections = {}
         self.host_lists_sent = 0
         # Set by the code that serves the application.
         self.server = None
@@ -82,6 +86,7 @@
                 web.put("/-/weights/{name:.+}", self._put_weights),
                 web.get("/-/counts", self._counts),
                 web.post("/-/faults", self._set_faults),
+                web.post("/-/rejections", self._set_rejections),
             ]
         )
         return app
@@ -96,6 +101,8 @@
             return _drop(request)
         if self.faults.outage:
             return web.json_response({"error": "injected outage"}, status=503)
+        if request.remote in self._rejections:
+            return await reject(request, self._rejections[request.remote])
         response = await handler(request)
         is_write = request.method != "GET" and response.status < 300
         if is_write and self.faults.lose_answers > 0:
@@ -197,6 +204,12 @@
         self.faults = faults
         return web.json_response(msgspec.to_builtins(faults))
 
+    async def _set_rejections(self, request):
+        """Replace the hosts that are rejected, given as ``{IP: rejection}``."""
+        body = await request.json()
+        self._rejections = {ip: Rejection(text) for ip, text in body.items()}
+        return web.json_response(body)
+
 
 def _condition(headers):
     """Return the row version that a write requires, or None for any version."""
--- a/libs/standins/src/hemlockhoist/standins/process_faults.py
+++ b/libs/standins/src/hemlockhoist/standins/process_faults.py
@@ -9,6 +9,8 @@
 from hemlockhoist.base import MS_PER_S, Clock
 from hemlockhoist.declarations import parse_declarations
 from hemlockhoist.standins.operator_client import OperatorRequestFailed
+from hemlockhoist.standins.rejections import Rejection
+from hemlockhoist.standins.versions_in_force import VersionsInForce
 
 MODEL = "assistant"
 SERVICE = "reservations"
@@ -20,6 +22,7 @@
 REFUSE_MS = 2_000
 CUT_MS = (1_000, 6_000)
 SILENCE_S = (0.5, 1.3)
+REJECTION_S = (1.0, 6.0)
 LINK_FAULT_INTERVAL_S = (0.5, 3.0)
 # A busy machine delays the moment at which an upstream listens again.
 LISTEN_TIMEOUT_S = 10.0
@@ -46,6 +49,8 @@
     ==========
     events : list of str
         What was injected, with the time since the first fault in seconds.
+    in_force : VersionsInForce
+        Whether the accepted declarations are in force in time.
     """
 
     __slots__ = (
@@ -62,6 +67,7 @@
         "_text",
         "counts",
         "events",
+        "in_force",
         "moves",
         "version",
     )
@@ -83,6 +89,7 @@
         self.events = []
         self.moves = 0
         self.version = 1
+        self.in_force = VersionsInForce(fleet, operator)
 
     @property
     def kinds(self):
@@ -147,7 +154,14 @@
 
     async def _repeat_link_faults(self):
         while True:
-            fault = self._link_rng.choice((self.cut_links, self.silence_upstream))
+            fault = self._link_rng.choice(
+                (
+                    self.cut_links,
+                    self.silence_upstream,
+                    self.reject_hosts,
+                    self.change_beside_rejections,
+                )
+            )
             name = fault.__name__
             self.counts[name] = self.counts.get(name, 0) + 1
             await fault()
@@ -162,6 +176,7 @@
             await self._link_faults
         for member in self._fleet.upstreams():
             self._fleet.process(member["id"]).signal(signal.SIGCONT)
+        await self._fleet.reject_at_platform({})
         await asyncio.sleep(CUT_MS[1] / MS_PER_S)
 
     async def heal(self):
@@ -303,6 +318,17 @@
             with contextlib.suppress(aiohttp.ClientError):
                 await self._fleet.cut_links(member, hosts, duration_ms, is_open_cut)
 
+    async def reject_hosts(self):
+        """Let the platform reject some hosts, and serve at least one."""
+        rng = self._link_rng
+        names = self._running_hosts()
+        rejection = rng.choice(tuple(Rejection))
+        names = rng.sample(names, rng.randint(1, max(1, len(names) - 1)))
+        self._record(f"the platform rejects {names}: {rejection.value}")
+        await self._fleet.reject_at_platform(dict.fromkeys(names, rejection))
+        await asyncio.sleep(rng.uniform(*REJECTION_S))
+        await self._fleet.reject_at_platform({})
+
     async def silence_upstream(self):
         """Suspend an upstream's process for about a second; it loses nothing."""
         member = self._link_rng.choice(self._fleet.upstreams())
@@ -387,15 +413,23 @@
 
     async def change_configuration(self):
         """Apply changed declarations."""
-        await self._apply("operator-a")
+        await self._apply("operator-a", self._rng)
+
+    async def change_beside_rejections(self):
+        """Apply changed declarations while the platform rejects some hosts."""
+        await asyncio.gather(
+            self.reject_hosts(), self._apply("operator-c", self._link_rng)
+        )
 
     async def race_configurations(self):
         """Apply changed declarations as two operators concurrently."""
-        await asyncio.gather(self._apply("operator-a"), self._apply("operator-b"))
+        await asyncio.gather(
+            self._apply("operator-a", self._rng), self._apply("operator-b", self._rng)
+        )
 
-    async def _apply(self, author):
+    async def _apply(self, author, rng):
         """Apply a random change; it is not retried after a conflict or an outage."""
-        share = self._rng.randint(11, 45)
+        share = rng.randint(11, 45)
         text = self._text.replace(
             "first_share_permille: 10", f"first_share_permille: {share}"
         )
@@ -405,6 +439,7 @@
         )
         if version is not None:
             self.version = max(self.version, version)
+            self.in_force.follow(version)
 
     async def move_version(self):
         """Start a move to the new version; a refusal is a valid answer too."""
--- a/libs/standins/src/hemlockhoist/standins/published/soak/store_faults.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/store_faults.py
@@ -2,7 +2,7 @@
 
 from hemlockhoist.standins.published.soak.callers import now_s
 from hemlockhoist.standins.published.soak.proxy import Mode
-from hemlockhoist.standins.published.store import Rejection
+from hemlockhoist.standins.rejections import Rejection
 
 
 class StoreFaultKinds:
--- a/libs/standins/src/hemlockhoist/standins/published/store.py
+++ b/libs/standins/src/hemlockhoist/standins/published/store.py
@@ -2,22 +2,13 @@
 
 import asyncio
 import base64
-import enum
 import json
 
 import msgspec
 from aiohttp import web
 
 from hemlockhoist.base import MS_PER_S
-
-
-class Rejection(enum.Enum):
-    """What the store does with the calls of a host that it rejects."""
-
-    BUSY = 503
-    TOO_MANY_CALLS = 429
-    RESET = "reset"
-    SILENT = "silent"
+from hemlockhoist.standins.rejections import reject
 
 
 class StoreFaults:
@@ -148,7 +139,7 @@
             response = await handler(request)
         # A call that waits for a change is rejected too.
         if sender in faults.rejections:
-            return await _reject(request, faults.rejections[sender])
+            return await reject(request, faults.rejections[sender])
         if faults.delay_ms:
             await asyncio.sleep(faults.delay_ms / MS_PER_S)
         if faults.loses_answers and request.method == "POST":
@@ -230,13 +221,3 @@
     if row.value is None:
         return {**wire, "deleted": True}
     return {**wire, "value": row.value}
-
-
-async def _reject(request, rejection):
-    """Return the answer to a host that is rejected; a silent store never returns."""
-    if rejection is Rejection.SILENT:
-        await asyncio.Event().wait()
-    if rejection is Rejection.RESET:
-        request.transport.abort()
-        return web.Response()
-    return web.Response(status=rejection.value)
--- a/libs/standins/src/hemlockhoist/standins/soak_processes.py
+++ b/libs/standins/src/hemlockhoist/standins/soak_processes.py
@@ -107,6 +107,7 @@
         try:
             await self._inject_faults(seconds)
             await self.faults.heal()
+            await self.faults.in_force.finish()
             await asyncio.sleep(SETTLE_S)
             # Ensures that "not run" is reported, and checked, in every run.
             await self.faults.bad_requests()
@@ -133,7 +134,9 @@
         findings = check_consistency(
             records, RunCounts(reports), MAX_WORK_AFTER_LEAVING_MS, unknown_allowed=True
         )
-        violations = [str(item) for item in findings]
+        in_force = self.faults.in_force
+        violations = [*map(str, findings), *in_force.violations]
+        self.checks["declarations in force"] = in_force.checked_count
         for address in self._fleet.host_addresses():
             status = await self._operator.status(address)
             for name, count in status["checks"].items():
