Tell readers of a change with a query, which hosts of the last release can read

Cause: the announcement was a message of a new type; a host of the release before rejects the whole envelope that holds it, and with it the messages beside it. A query of the routes does as well: its envelope tells what the sender has.

--- a/libs/entry/src/hemlockhoist/entry/feed_queries.py
+++ b/libs/entry/src/hemlockhoist/entry/feed_queries.py
@@ -85,6 +85,13 @@
         finally:
             del self._pending[number]
 
+    def tell(self, address, table, version):
+        """Send a query whose answer is not awaited, for the news in its envelope."""
+        query = FeedQuestion(
+            number=next(self._numbers), table=table, since_version=version, wait_ms=0
+        )
+        self._context.bus.send(address, query)
+
     def _give_up(self, number, query):
         self._given_up[number] = query
         while len(self._given_up) > MAX_GIVEN_UP:
--- a/libs/entry/src/hemlockhoist/entry/feeds.py
+++ b/libs/entry/src/hemlockhoist/entry/feeds.py
@@ -14,7 +14,7 @@
 from hemlockhoist.entry.feed_queries import FeedQueries
 from hemlockhoist.entry.feed_server import FeedServer
 from hemlockhoist.entry.row_packer import read_answer
-from hemlockhoist.messages import FeedAnnouncement, FeedState
+from hemlockhoist.messages import FeedState
 from hemlockhoist.store import HistoryGone, RowStore
 
 _log = get_logger("entry.feeds")
@@ -190,7 +190,7 @@
         is_updated = self._update_copy(table, reading, since_version)
         if table == self._context.platform.config_table and reading.rows:
             self._context.metrics.count(STORE_CHANGES, BY_STORE)
-            self._announce()
+            self._announce(table, reading.version)
         if not is_updated and table in self._relayed and self.is_reader:
             # The copy is missing, or lacks changes that other readers relayed to this
             # host meanwhile: read the whole table.
@@ -302,7 +302,7 @@
     def _on_late_answer(self, query, answer):
         self._catch_up.on_late_answer(query, answer)
 
-    def _announce(self):
+    def _announce(self, table, version):
         """Tell the readers of a change that this host has read from the store itself.
 
         Failure prevented: the store rejects all readers, and what the other hosts read
@@ -312,7 +312,7 @@
         if self.is_reader:
             return
         for reader in find_readers(members).values():
-            self._context.bus.send(reader.address, FeedAnnouncement())
+            self._queries.tell(reader.address, table, version)
 
     # What other hosts know.
 
--- a/libs/entry/src/hemlockhoist/entry/tests/test_feeds.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_feeds.py
@@ -12,7 +12,6 @@
 from hemlockhoist.entry.feeds import RELAYED_WAIT_MS, FeedStore
 from hemlockhoist.entry.tests.test_host_registry import MemoryStore
 from hemlockhoist.messages import (
-    FeedAnnouncement,
     FeedAnswer,
     FeedQuestion,
     Member,
@@ -98,7 +97,7 @@
         while True:
             await asyncio.sleep(1 / len(self.feeds))
             sender, address = rng.sample(sorted(self.feeds), 2)
-            self.send(sender, address, FeedAnnouncement())
+            self.send(sender, address, FeedAnswer(number=0))
 
     async def receive(self, address, reading):
         """Wait until a host has received an answer of the store."""
--- a/libs/host/src/hemlockhoist/host/message_router.py
+++ b/libs/host/src/hemlockhoist/host/message_router.py
@@ -11,7 +11,6 @@
     ConfigurationSummary,
     ConfigurationSummaryRequest,
     EvacuatedDomain,
-    FeedAnnouncement,
     FeedAnswer,
     FeedQuestion,
     FirstToken,
@@ -167,12 +166,6 @@
     context.feeds.on_answer(message)
 
 
-@_handle.register
-def _(message: FeedAnnouncement, context, sender, late_ms):
-    # The envelope told what the sender knows.
-    return
-
-
 @_handle.register
 def _(message: LeftUpstream, context, sender, late_ms):
     context.store_view.on_upstream_left(message.upstream_id, message.version)
--- a/libs/messages/src/hemlockhoist/messages/__init__.py
+++ b/libs/messages/src/hemlockhoist/messages/__init__.py
@@ -21,7 +21,6 @@
 from hemlockhoist.messages.feeds import (
     ColdUpstream,
     EvacuatedDomain,
-    FeedAnnouncement,
     FeedAnswer,
     FeedQuestion,
     FeedRow,
@@ -103,7 +102,6 @@
     "ConfigurationSummaryRequest",
     "Envelope",
     "EvacuatedDomain",
-    "FeedAnnouncement",
     "FeedAnswer",
     "FeedQuestion",
     "FeedRow",
--- a/libs/messages/src/hemlockhoist/messages/codes.py
+++ b/libs/messages/src/hemlockhoist/messages/codes.py
@@ -58,7 +58,6 @@
     "RelayedHead": 50,
     "RelayFailure": 51,
     "UpstreamReached": 52,
-    "FeedAnnouncement": 53,
 }
 
 
--- a/libs/messages/src/hemlockhoist/messages/feeds.py
+++ b/libs/messages/src/hemlockhoist/messages/feeds.py
@@ -140,12 +140,3 @@
     version: int = 0
     store_ms: int = 0
     clock_ms: int = 0
-
-
-class FeedAnnouncement(
-    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
-):
-    """Tells a reader that the sender has read a change from the store itself.
-
-    What the sender knows stands in the envelope.
-    """
--- a/libs/messages/src/hemlockhoist/messages/registry.py
+++ b/libs/messages/src/hemlockhoist/messages/registry.py
@@ -17,7 +17,6 @@
 from hemlockhoist.messages.feeds import (
     ColdUpstream,
     EvacuatedDomain,
-    FeedAnnouncement,
     FeedAnswer,
     FeedQuestion,
     LeftUpstream,
@@ -76,7 +75,6 @@
     ConfigurationSummaryRequest,
     ColdUpstream,
     EvacuatedDomain,
-    FeedAnnouncement,
     FeedAnswer,
     FeedQuestion,
     FirstToken,
