Ask another reader for upstreams too while the store is silent to this one

What callers could see: requests to upstreams that have left, from a reader to which the store says nothing, for as long as that lasts. Cause: loss of the store was kept by table; the call for the upstreams, which waits 20 s, was abandoned each time the routes came another way, so that it never failed and was sent to the silent store again. Beside it, such a reader would have answered its followers from an old list, since its proof of the routes stays young now. A loss holds for all tables of a host, and only a host that has the store answers for other tables than the routes.

--- a/libs/entry/src/hemlockhoist/entry/feed_server.py
+++ b/libs/entry/src/hemlockhoist/entry/feed_server.py
@@ -19,8 +19,8 @@
     context : EntryContext
     copies : dict
         Maps table to ``TableCopy``; updated by its owner.
-    is_reader : callable
-        Returns whether this host reads the store itself.
+    reads_store : callable
+        Returns whether this host reads the store itself, and can do so now.
 
     Attributes
     ==========
@@ -31,16 +31,16 @@
     __slots__ = (
         "_context",
         "_copies",
-        "_is_reader",
+        "_reads_store",
         "_packer",
         "_waiting_queries",
         "lost_tables",
     )
 
-    def __init__(self, context, copies, is_reader):
+    def __init__(self, context, copies, reads_store):
         self._context = context
         self._copies = copies
-        self._is_reader = is_reader
+        self._reads_store = reads_store
         self.lost_tables = set()
         self._packer = RowPacker()
         self._waiting_queries = {}
@@ -61,9 +61,10 @@
     def _is_current(self, table):
         """Return whether this host's copy of a table is current with the store.
 
-        Each host has the routes; of other tables only readers have a current copy.
+        Each host has the routes; of other tables only those that read the store have a
+        current copy.
         """
-        is_kept = table == self._context.platform.config_table or self._is_reader()
+        is_kept = table == self._context.platform.config_table or self._reads_store()
         if table not in self._copies or table in self.lost_tables or not is_kept:
             return False
         age_ms = self._context.store_view.proof_age_ms()
--- a/libs/entry/src/hemlockhoist/entry/feeds.py
+++ b/libs/entry/src/hemlockhoist/entry/feeds.py
@@ -83,7 +83,7 @@
         self._store = store
         self._relayed = frozenset(relayed)
         self._copies = {}
-        self._server = FeedServer(context, self._copies, lambda: self.is_reader)
+        self._server = FeedServer(context, self._copies, self._reads_store)
         self._queries = FeedQueries(context, self._on_late_answer)
         self._catch_up = CatchUp(
             context, self._copies, self._queries, self._update_copy
@@ -92,9 +92,8 @@
         self._changes_read_ms = {}
         self._failed_readers = {}
         self._store_due_ms = 0
-        # For each table that the store did not return to this reader, when it is
-        # called again.
-        self._own_due_ms = {}
+        # When this reader, which lost the store, calls it again; None if it has it.
+        self._own_due_ms = None
 
     async def close(self):
         """Stop reading from hosts that have newer rows."""
@@ -114,7 +113,7 @@
 
     async def read_table(self, table):
         """Return a ``Reading`` of all rows of a table."""
-        await self._wait_for_reader(table)
+        await self._wait_for_reader()
         reading = await self._relayed_reading(table, None, 0)
         if reading is not None:
             return reading
@@ -129,7 +128,7 @@
         await self._pace_changes_read(table)
         return await self._read_own_changes(table, since_version, wait_ms)
 
-    async def _wait_for_reader(self, table):
+    async def _wait_for_reader(self):
         """Wait briefly until a reader is known, if another host may be one.
 
         Load prevented: hosts of a large fleet that are restarted one after the other
@@ -139,17 +138,17 @@
         fleet, clock = self._context.fleet, self._context.clock
         await fleet.wait_introduced(FIRST_LIST_WAIT_MS)
         until_ms = clock.now_ms() + FIRST_READER_WAIT_MS
-        while self._may_have_reader(table) and clock.now_ms() < until_ms:
+        while self._may_have_reader() and clock.now_ms() < until_ms:
             await asyncio.sleep(READER_CHECK_INTERVAL_MS / MS_PER_S)
 
-    def _may_have_reader(self, table):
+    def _may_have_reader(self):
         """Return whether a reader that is not known yet may serve this host."""
         fleet = self._context.fleet
         is_small = len(fleet.live_hosts()) <= MAX_DIRECT_READERS
         return (
             not is_small
             and not fleet.is_high_capacity
-            and self._current_reader(table) is None
+            and self._current_reader() is None
         )
 
     async def _pace_changes_read(self, table):
@@ -170,7 +169,7 @@
         except PlatformError:
             self._on_store_lost(table)
             raise
-        self._own_due_ms.pop(table, None)
+        self._own_due_ms = None
         self._update_copy(table, reading, None)
         return reading
 
@@ -178,7 +177,7 @@
         if self.is_reader and table == self._context.platform.config_table:
             # The proof is renewed as often as the other hosts query this reader.
             wait_ms = min(wait_ms, RELAYED_WAIT_MS)
-        if table in self._own_due_ms:
+        if self._own_due_ms is not None:
             # A store that rejects this host may leave the call unanswered.
             wait_ms = 0
         try:
@@ -186,7 +185,7 @@
         except PlatformError:
             self._on_store_lost(table)
             raise
-        self._own_due_ms.pop(table, None)
+        self._own_due_ms = None
         is_updated = self._update_copy(table, reading, since_version)
         if table == self._context.platform.config_table and reading.rows:
             self._context.metrics.count(STORE_CHANGES, BY_STORE)
@@ -224,15 +223,15 @@
         self._server.answer_waiting_queries(table)
         now_ms = self._context.clock.now_ms()
         if self.is_reader:
-            self._own_due_ms[table] = now_ms + READER_RETRY_INTERVAL_MS
+            self._own_due_ms = now_ms + READER_RETRY_INTERVAL_MS
         else:
             self._failed_readers.clear()
             self._store_due_ms = now_ms + STORE_RETRY_INTERVAL_MS
 
     # Queries to readers.
 
-    def _current_reader(self, table):
-        """Return the host to query for a table, or None to read the store.
+    def _current_reader(self):
+        """Return the host to query, or None to read the store.
 
         Failure prevented: the store rejects a reader and serves the other hosts, and
         the reader keeps old routes for as long as that lasts.
@@ -244,7 +243,7 @@
         }
         own, members = self._context.fleet.stable_members()
         avoid = set(self._failed_readers)
-        if self._own_due_ms.get(table, 0) > now_ms:
+        if self._own_due_ms is not None and self._own_due_ms > now_ms:
             avoid.add(own.address)
         return reader_for(members, own, avoid)
 
@@ -254,10 +253,14 @@
         own, members = self._context.fleet.stable_members()
         return reader_for(members, own) is None
 
+    def _reads_store(self):
+        """Return whether this host is a reader, and has the store."""
+        return self.is_reader and self._own_due_ms is None
+
     async def _relayed_reading(self, table, since_version, wait_ms):
         """Return a reading relayed by a reader, or None to read the store instead."""
         while table in self._relayed:
-            reader = self._current_reader(table)
+            reader = self._current_reader()
             if reader is None:
                 self._check_store_due()
                 return None
--- a/libs/entry/src/hemlockhoist/entry/tests/test_feeds.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_feeds.py
@@ -16,7 +16,7 @@
     FeedQuestion,
     Member,
 )
-from hemlockhoist.store import RowChange, TableWatch
+from hemlockhoist.store import SLOW_RETRY, RowChange, TableWatch
 
 TABLE = "op"
 UPSTREAMS = "servers"
@@ -31,9 +31,9 @@
 class CountedStore(MemoryStore):
     """Counts one host's calls; its answers use the host's link."""
 
-    def __init__(self, rows, address, network):
+    def __init__(self, tables, address, network):
         super().__init__()
-        self.shared = rows
+        self.tables = tables
         self.address = address
         self.network = network
         self.calls = 0
@@ -42,18 +42,19 @@
 
     async def read_table(self, table):
         await self._count()
-        reading = await self.shared.read_table(table)
+        reading = await self.tables[table].read_table(table)
         await self.network.receive(self.address, reading)
         return reading
 
     async def read_changes(self, table, since_version, wait_ms):
         await self._count(wait_ms)
+        shared = self.tables[table]
         try:
             async with asyncio.timeout(wait_ms / 1_000):
-                reading = await self.shared.read_changes(table, since_version, wait_ms)
+                reading = await shared.read_changes(table, since_version, wait_ms)
         except TimeoutError:
-            rows = self.shared.rows.values()
-            reading = self.shared._reading(r for r in rows if r.version > since_version)
+            rows = shared.rows.values()
+            reading = shared._reading(r for r in rows if r.version > since_version)
         await self.network.receive(self.address, reading)
         return reading
 
@@ -160,10 +161,26 @@
                 reconnect=lambda address: None,
             ),
         )
-        self.feeds = FeedStore(context, self.store, (TABLE,))
+        self.feeds = FeedStore(context, self.store, (TABLE, UPSTREAMS))
         network.feeds[member.address] = self.feeds
         self.watch = TableWatch(
-            self.feeds, TABLE, 2_400, self.apply_rows, self.record_reading
+            self.feeds,
+            TABLE,
+            2_400,
+            self.apply_rows,
+            self.record_reading,
+            self.record_failure,
+        )
+        self.has_failed = False
+        self.upstreams = {}
+        self.upstreams_watch = TableWatch(
+            self.feeds,
+            UPSTREAMS,
+            20_000,
+            lambda reading, is_snapshot: self.upstreams.update(
+                {row.key: row.value for row in reading.rows}
+            ),
+            retry_delay=SLOW_RETRY,
         )
         self.feeds.set_offer(self.watch.offer)
 
@@ -173,7 +190,13 @@
     def apply_rows(self, reading, is_snapshot):
         self.rows.update({row.key: row.value for row in reading.rows})
 
+    def record_failure(self):
+        self.has_failed = True
+
     def record_reading(self, reading):
+        if self.has_failed:
+            self.has_failed = False
+            self.upstreams_watch.read_again()
         if reading.clock_ms is None:
             self.freshness.record(reading.sent_ms, reading.store_ms)
         else:
@@ -200,7 +223,7 @@
     domains = "a"
 
     async def asyncSetUp(self):
-        self.store = ClockedStore()
+        self.store = {TABLE: ClockedStore(), UPSTREAMS: ClockedStore()}
         self.network = Network()
         members = [
             Member(address=f"h{number}", incarnation="r1", failure_domain=domain)
@@ -214,6 +237,8 @@
         await self.write("v1")
         for host in self.hosts:
             await host.watch.start()
+            await host.upstreams_watch.start()
+            self.addAsyncCleanup(host.upstreams_watch.close)
             self.addAsyncCleanup(host.feeds.close)
             self.addAsyncCleanup(host.watch.close)
         await asyncio.sleep(5)
@@ -222,9 +247,9 @@
         for host in self.hosts:
             host.store.calls = 0
 
-    async def write(self, value):
-        change = RowChange(table=TABLE, key="config", value=value)
-        await self.store.commit((change,))
+    async def write(self, value, table=TABLE):
+        change = RowChange(table=table, key="config", value=value)
+        await self.store[table].commit((change,))
 
     def check_all_know(self, value):
         for host in self.hosts:
@@ -391,3 +416,13 @@
             await self.write(f"v{number}")
             await asyncio.sleep(IN_FORCE_S)
             self.check_all_know(f"v{number}")
+
+    async def test_reader_of_a_silent_store_hears_of_upstreams(self):
+        """Guards against requests to upstreams that left while one call hangs."""
+        readers = [host for host in self.hosts if host.feeds.is_reader]
+        readers[0].store.is_silent = True
+        for number in range(5):
+            await self.write(f"u{number}", UPSTREAMS)
+            await asyncio.sleep(IN_FORCE_S)
+            for host in self.hosts:
+                self.assertEqual(host.upstreams["config"], f"u{number}")
