Give all rows to a host whose changes cannot be told apart

The host was rejected by the store with 503 for 4.9 s; it knew that it was behind (routes_behind at 44.0, 45.0 and 45.9 s) and asked the host that told it, in vain.

Cause: that host had been killed with all others and had read the table in full after its start. It does not know what was deleted before, and answered that the history is gone; the host that asked left it at that. Now it asks for all rows, and any host gives its copy of the routes in full, whose age the answer tells; a full reading older than what is known is not applied.

The tests of one host at the store wait until calls in progress have ended, which had brought the first change.

--- a/libs/entry/src/hemlockhoist/entry/catch_up.py
+++ b/libs/entry/src/hemlockhoist/entry/catch_up.py
@@ -98,14 +98,26 @@
         await self._read_from(sender)
 
     async def _read_from(self, address):
+        """Read the changes from a host, or all rows if it has not got their history.
+
+        A host that has started lately does not know what was deleted before.
+        """
         since_version = self._copies[self._table].version
+        if await self._ask(address, since_version) is FeedState.HISTORY_GONE:
+            await self._ask(address, None)
+
+    async def _ask(self, address, since_version):
+        """Ask a host and apply its answer; return the answer's state, or None."""
         for unpacks in (True, False):
             sent_ms = self._context.boot_clock.now_ms()
             answer = await self._queries.send(
                 address, self._table, since_version, 0, unpacks
             )
-            if answer is None or self._apply(address, since_version, answer, sent_ms):
-                return
+            if answer is None:
+                return None
+            if self._apply(address, since_version, answer, sent_ms):
+                return answer.state
+        return None
 
     def on_late_answer(self, query, answer):
         """Use an answer whose query was given up: its rows are as true as any."""
--- a/libs/entry/src/hemlockhoist/entry/feed_server.py
+++ b/libs/entry/src/hemlockhoist/entry/feed_server.py
@@ -84,19 +84,23 @@
         self._answer(sender, message)
 
     def _answer(self, sender, message):
-        """Send what this host has, unless it is neither new to the sender nor current.
-
-        Changes that the sender lacks are true, however long ago they were read.
-        """
-        copy, since = self._copies.get(message.table), message.since_version
-        has_changes = (
-            copy is not None and since is not None and copy.changed_version > since
-        )
-        if has_changes or self._is_current(message.table):
+        """Send what this host has, unless it is neither new to the sender nor current."""
+        copy = self._copies.get(message.table)
+        is_known = copy is not None and self._is_news(copy, message)
+        if is_known or self._is_current(message.table):
             self._send_changes(sender, message, copy)
         else:
             self._send_failure(sender, message)
 
+    def _is_news(self, copy, message):
+        """Return whether a copy has rows that the sender of a query may lack.
+
+        They are true, however long ago they were read; the answer says how long.
+        """
+        if message.since_version is None:
+            return message.table == self._context.platform.config_table
+        return copy.changed_version > message.since_version
+
     def _send_failure(self, sender, message):
         answer = FeedAnswer(number=message.number, state=FeedState.FAILED)
         self._context.bus.send(sender, answer)
--- a/libs/entry/src/hemlockhoist/entry/tests/test_feeds.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_feeds.py
@@ -263,6 +263,7 @@
     async def check_changes_with_one_host_at_the_store(self, only, count):
         for host in self.hosts:
             host.store.is_partitioned = host is not only
+        await asyncio.sleep(2)
         for number in range(count):
             await self.write(f"v{number}")
             await asyncio.sleep(IN_FORCE_S)
@@ -426,3 +427,18 @@
             await asyncio.sleep(IN_FORCE_S)
             for host in self.hosts:
                 self.assertEqual(host.upstreams["config"], f"u{number}")
+
+    async def test_changes_arrive_from_a_host_that_has_just_started(self):
+        """Guards against a host that cannot tell what was dropped before its start."""
+        await self.start_probes()
+        for host in self.hosts:
+            host.store.is_partitioned = True
+        await asyncio.sleep(2)
+        await self.write("v2")
+        member = Member(address="late", incarnation="r1", failure_domain="a")
+        late = FeedHost(member, [member], self.store, self.network)
+        await late.watch.start()
+        self.addAsyncCleanup(late.watch.close)
+        self.addAsyncCleanup(late.feeds.close)
+        await asyncio.sleep(IN_FORCE_S)
+        self.check_all_know("v2")
--- a/libs/store/src/hemlockhoist/store/watch.py
+++ b/libs/store/src/hemlockhoist/store/watch.py
@@ -121,17 +121,20 @@
         Parameters
         ==========
         reading : Reading
-        since_version : int
-            The reading holds all changes since this version.
+        since_version : int or None
+            The reading holds all changes since this version; None if it holds all rows.
 
         Returns
         =======
         bool
-            False if changes before the reading are missing here.
+            False if changes before the reading are missing here, or it is an old one.
         """
-        if self._version is None or since_version > self._version:
+        is_snapshot = since_version is None
+        if is_snapshot and reading.version < self._newest_version:
             return False
-        self._pass_on(reading, is_snapshot=False)
+        if not is_snapshot and (self._version is None or since_version > self._version):
+            return False
+        self._pass_on(reading, is_snapshot)
         return True
 
     async def _run(self):
