Leave the second implementation of zstandard out of the binary

It ships two compiled implementations of 12 MB each, and the hosts' memory holds the unpacked files.

--- a/tools/build_binary.py
+++ b/tools/build_binary.py
@@ -31,6 +31,9 @@
 # The sources of compiled libraries are not needed at run time.
 _EXCLUDED_SUFFIXES = {".c", ".h", ".proto", ".pxd", ".pxi", ".pyi", ".pyx"}
 
+# The second implementation that zstandard ships, for interpreters without its first.
+_EXCLUDED_PREFIXES = ("zstandard/_cffi.", "zstandard/backend_cffi.")
+
 
 def product_libraries():
     """Return the folders of the workspace libraries that are part of the product."""
@@ -87,6 +90,7 @@
         and "__pycache__" not in path.parts
         and path.name not in _EXCLUDED_NAMES
         and path.suffix not in _EXCLUDED_SUFFIXES
+        and not path.as_posix().startswith(_EXCLUDED_PREFIXES)
     )
 
 
