Use no answer, and give none, without the time of the store's clock

What callers could see: a key that was taken away is accepted for as long as the host runs. Cause: since any host answers from its copy of the routes, one that starts may do so between the update of its copy and the record of its first proof; it then gives 0 for the store's clock, and the host that asks takes its proof for one that never grows old. Found by reading the change, not seen.

--- a/libs/entry/src/hemlockhoist/entry/feed_server.py
+++ b/libs/entry/src/hemlockhoist/entry/feed_server.py
@@ -95,8 +95,11 @@
     def _is_news(self, copy, message):
         """Return whether a copy has rows that the sender of a query may lack.
 
-        They are true, however long ago they were read; the answer says how long.
+        They are true, however long ago they were read; the answer says how long, for
+        which this host has to know the store's clock.
         """
+        if self._context.store_view.proof_age_ms() is None:
+            return False
         if message.since_version is None:
             return message.table == self._context.platform.config_table
         return copy.changed_version > message.since_version
--- a/libs/entry/src/hemlockhoist/entry/feeds.py
+++ b/libs/entry/src/hemlockhoist/entry/feeds.py
@@ -280,14 +280,7 @@
             reader.address, table, since_version, wait_ms, unpacks
         )
         if answer is None or answer.state is FeedState.FAILED:
-            now_ms = self._context.clock.now_ms()
-            self._failed_readers[reader.address] = now_ms + READER_BACKOFF_MS
-            _log.info(
-                "reader_failed",
-                table=table,
-                reader=reader.address,
-                timed_out=answer is None,
-            )
+            self._skip_reader(reader, table, timed_out=answer is None)
             return None
         if answer.state is FeedState.HISTORY_GONE:
             raise HistoryGone(f"{reader.address} has no history of {table}")
@@ -296,12 +289,21 @@
             return await self._query_reader(
                 reader, table, since_version, 0, unpacks=False
             )
-        if reading is not None and table == self._context.platform.config_table:
+        if reading is None:
+            self._skip_reader(reader, table, timed_out=False)
+        elif table == self._context.platform.config_table:
             self._update_copy(table, reading, since_version)
             if reading.rows:
                 self._context.metrics.count(STORE_CHANGES, BY_READER)
         return reading
 
+    def _skip_reader(self, reader, table, timed_out):
+        now_ms = self._context.clock.now_ms()
+        self._failed_readers[reader.address] = now_ms + READER_BACKOFF_MS
+        _log.info(
+            "reader_failed", table=table, reader=reader.address, timed_out=timed_out
+        )
+
     def _on_late_answer(self, query, answer):
         self._catch_up.on_late_answer(query, answer)
 
--- a/libs/entry/src/hemlockhoist/entry/row_packer.py
+++ b/libs/entry/src/hemlockhoist/entry/row_packer.py
@@ -50,7 +50,10 @@
 
 
 def read_answer(answer, address, copy, sent_ms):
-    """Return the ``Reading`` in an answer, or None if it cannot be unpacked.
+    """Return the ``Reading`` in an answer, or None if it cannot be used.
+
+    Failure prevented: with a time of the store's clock that is too early, a key that
+    was taken away would be accepted for ever.
 
     Parameters
     ==========
@@ -62,6 +65,9 @@
     sent_ms : int
         When the query was sent, on the clock that includes suspensions.
     """
+    if answer.clock_ms < answer.store_ms:
+        _log.warning("answer_without_clock", reader=address, clock_ms=answer.clock_ms)
+        return None
     try:
         rows = tuple(read_row(row, copy) for row in answer.rows)
     except PeerError as error:
--- a/libs/entry/src/hemlockhoist/entry/tests/test_row_packer.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_row_packer.py
@@ -2,8 +2,8 @@
 
 from hemlockhoist.base import PeerError
 from hemlockhoist.decisions.entry import TableCopy
-from hemlockhoist.entry.row_packer import RowPacker, read_row
-from hemlockhoist.messages import FeedQuestion
+from hemlockhoist.entry.row_packer import RowPacker, read_answer, read_row
+from hemlockhoist.messages import FeedAnswer, FeedQuestion
 from hemlockhoist.store import Reading, StoreRow
 
 VALUE = b"{name: r-%d, prefix: /%d/}," * 200
@@ -66,3 +66,10 @@
             row = StoreRow(key="config", value=value, version=9)
             wire = self.packer.wire_row(row, self.copy, query(5))
             self.assertEqual((wire.is_packed, wire.value), (False, value))
+
+    def test_answer_without_the_time_of_the_store_is_not_used(self):
+        """Guards against a proof of the routes that never grows old."""
+        for clock_ms, is_used in ((0, False), (899, False), (900, True)):
+            answer = FeedAnswer(number=1, version=9, store_ms=900, clock_ms=clock_ms)
+            reading = read_answer(answer, "h1", None, sent_ms=0)
+            self.assertEqual(reading is not None, is_used)
