--- a/libs/peers/src/hemlockhoist/peers/tests/test_bus.py
+++ b/libs/peers/src/hemlockhoist/peers/tests/test_bus.py
@@ -3,6 +3,7 @@
 import doctest
 import itertools
 import socket
+import types
 import unittest
 import unittest.mock
 
@@ -104,8 +105,9 @@
     async def test_messages_carry_what_their_sender_knows_of_the_store(self):
         """Guards against hosts that never hear that their routes are old."""
         known, heard = StoreNews(changed_version=7, read_ms=100), asyncio.Queue()
+        stopped = types.SimpleNamespace(now_ms=lambda: 5_000)
         teller = PeerBus(
-            "1", "127.0.0.1:0", None, b"k", self.clock, self._take, news=lambda: known
+            "1", "127.0.0.1:0", None, b"k", stopped, self._take, news=lambda: known
         )
         await teller.start()
         self.addAsyncCleanup(teller.close)
