--- a/libs/standins/src/hemlockhoist/standins/process_faults.py
+++ b/libs/standins/src/hemlockhoist/standins/process_faults.py
@@ -1,29 +1,22 @@
 """Faults that the randomised soak test injects into real processes."""
 
 import asyncio
-import contextlib
 import signal
 
 import aiohttp
 
 from hemlockhoist.base import MS_PER_S, Clock
 from hemlockhoist.declarations import parse_declarations
+from hemlockhoist.standins.link_faults import MODEL, SERVICE, LinkFaults
 from hemlockhoist.standins.operator_client import OperatorRequestFailed
-from hemlockhoist.standins.rejections import Rejection
 from hemlockhoist.standins.versions_in_force import VersionsInForce
 
-MODEL = "assistant"
-SERVICE = "reservations"
 FREEZE_DURATION_S = (0.3, 8.0)
 MIN_HOSTS = 3
 DRAIN_TIMEOUT_S = 30.0
 MOVE_DURATION_MS = 10_000
 OPERATOR_TIMEOUT_S = 10.0
 REFUSE_MS = 2_000
-CUT_MS = (1_000, 6_000)
-SILENCE_S = (0.5, 1.3)
-REJECTION_S = (1.0, 6.0)
-LINK_FAULT_INTERVAL_S = (0.5, 3.0)
 # A busy machine delays the moment at which an upstream listens again.
 LISTEN_TIMEOUT_S = 10.0
 LISTEN_CHECK_S = 0.05
@@ -33,7 +26,7 @@
     """An upstream did not accept the faults that it was to have."""
 
 
-class ProcessFaults:
+class ProcessFaults(LinkFaults):
     """Injects randomly drawn faults into a fleet; several may be active at once.
 
     Parameters
@@ -148,37 +141,6 @@
             self._record(f"not set: {text}")
             raise FaultNotSet(text) from error
 
-    def start_link_faults(self):
-        """Begin to cut links and to silence upstreams, beside the other faults."""
-        self._link_faults = asyncio.create_task(self._repeat_link_faults())
-
-    async def _repeat_link_faults(self):
-        while True:
-            fault = self._link_rng.choice(
-                (
-                    self.cut_links,
-                    self.silence_upstream,
-                    self.reject_hosts,
-                    self.change_beside_rejections,
-                )
-            )
-            name = fault.__name__
-            self.counts[name] = self.counts.get(name, 0) + 1
-            await fault()
-            await asyncio.sleep(self._link_rng.uniform(*LINK_FAULT_INTERVAL_S))
-
-    async def _stop_link_faults(self):
-        if self._link_faults is None:
-            return
-        if not self._link_faults.done():
-            self._link_faults.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await self._link_faults
-        for member in self._fleet.upstreams():
-            self._fleet.process(member["id"]).signal(signal.SIGCONT)
-        await self._fleet.reject_at_platform({})
-        await asyncio.sleep(CUT_MS[1] / MS_PER_S)
-
     async def heal(self):
         """Wait for the faults that are in progress, then clear all faults."""
         await self._stop_link_faults()
@@ -303,41 +265,6 @@
             else:
                 return
 
-    async def cut_links(self):
-        """Cut one or two hosts from one upstream, or from all of a pool."""
-        rng = self._link_rng
-        members = self._fleet.upstreams(rng.choice((MODEL, SERVICE)))
-        if rng.random() < 0.5:
-            members = [rng.choice(members)]
-        names = self._running_hosts()
-        hosts = rng.sample(names, min(len(names), rng.choice((1, 2))))
-        duration_ms, is_open_cut = rng.randint(*CUT_MS), rng.random() < 0.5
-        for member in members:
-            self._record(f"{member['id']} is cut from {hosts} for {duration_ms} ms")
-            # It may have ended, or refuse connections on command.
-            with contextlib.suppress(aiohttp.ClientError):
-                await self._fleet.cut_links(member, hosts, duration_ms, is_open_cut)
-
-    async def reject_hosts(self):
-        """Let the platform reject some hosts, and serve at least one."""
-        rng = self._link_rng
-        names = self._running_hosts()
-        rejection = rng.choice(tuple(Rejection))
-        names = rng.sample(names, rng.randint(1, max(1, len(names) - 1)))
-        self._record(f"the platform rejects {names}: {rejection.value}")
-        await self._fleet.reject_at_platform(dict.fromkeys(names, rejection))
-        await asyncio.sleep(rng.uniform(*REJECTION_S))
-        await self._fleet.reject_at_platform({})
-
-    async def silence_upstream(self):
-        """Suspend an upstream's process for about a second; it loses nothing."""
-        member = self._link_rng.choice(self._fleet.upstreams())
-        process = self._fleet.process(member["id"])
-        self._record(f"{member['id']} is silent")
-        process.signal(signal.SIGSTOP)
-        await asyncio.sleep(self._link_rng.uniform(*SILENCE_S))
-        process.signal(signal.SIGCONT)
-
     async def drop_calls_after_running(self):
         """Make a service drop the connection of calls after running them."""
         await self._set_upstream_faults(SERVICE, {"drop_after": 2})
@@ -415,12 +342,6 @@
         """Apply changed declarations."""
         await self._apply("operator-a", self._rng)
 
-    async def change_beside_rejections(self):
-        """Apply changed declarations while the platform rejects some hosts."""
-        await asyncio.gather(
-            self.reject_hosts(), self._apply("operator-c", self._link_rng)
-        )
-
     async def race_configurations(self):
         """Apply changed declarations as two operators concurrently."""
         await asyncio.gather(
--- a/libs/standins/src/hemlockhoist/standins/soak_processes.py
+++ b/libs/standins/src/hemlockhoist/standins/soak_processes.py
@@ -19,8 +19,9 @@
 from hemlockhoist.standins.callers import tier_table
 from hemlockhoist.standins.consistency import RunCounts, check_consistency
 from hemlockhoist.standins.fleet import Fleet, FleetConfig
+from hemlockhoist.standins.link_faults import MODEL, SERVICE
 from hemlockhoist.standins.operator_client import OperatorClient
-from hemlockhoist.standins.process_faults import MODEL, SERVICE, ProcessFaults
+from hemlockhoist.standins.process_faults import ProcessFaults
 from hemlockhoist.standins.traffic import Traffic, example_callers
 
 WORKERS = 4
