Log whether the upstream of a broken answer is gone, and the parts of its prompt

The logs of the incident could not tell a request whose answer was lost from one whose upstream had ended, nor what the prompts of the latter have in common. attempt_ended now has upstream_lost= and, where that is true, parts=. A host whose answer broke off probes the upstream already; the result is kept, also by a host that is alone, and where several hosts lose the same upstream at once and can't tell each other whose fault it is. The probe's verdict on the link is as before. A relayed request that broke off is checked through other hosts.

Beside it: refusals of relaying hosts that arrived together with a final one were never read, and logged as exceptions that nobody had retrieved.

--- a/libs/entry/src/hemlockhoist/entry/attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt.py
@@ -35,6 +35,7 @@
         "is_link_at_fault",
         "is_misdirected",
         "is_reachable",
+        "is_upstream_lost",
         "kind",
         "longest_gap_ms",
         "number",
@@ -59,6 +60,8 @@
         self.is_reachable = True
         # Whether this host's links, or a host that relayed, are at fault for a failure.
         self.is_link_at_fault = False
+        # Whether the upstream was gone when its answer had broken off.
+        self.is_upstream_lost = False
         self.grant_outdated = False
         self.is_misdirected = False
         self.first_ms = None
--- a/libs/entry/src/hemlockhoist/entry/attempt_records.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt_records.py
@@ -46,7 +46,7 @@
         metrics.count(REQUESTS_GOOD, admitted.tier)
 
 
-def log_attempt(request_id, attempt, outcome):
+def log_attempt(request_id, attempt, outcome, block_names=()):
     """Log the end of an attempt.
 
     Parameters
@@ -54,6 +54,8 @@
     request_id : str
     attempt : Attempt
     outcome : Outcome
+    block_names : sequence of str, optional
+        The parts of its prompt, which are logged if its upstream was lost.
     """
     hold = attempt.hold
     went_well = outcome.kind in (OutcomeKind.SUCCESS, OutcomeKind.CANCELLED)
@@ -76,5 +78,7 @@
         limit_per_s=attempt.limit_text,
         back_off_ms=attempt.back_off_text,
         leaving=attempt.leaving_text,
+        upstream_lost="true" if attempt.is_upstream_lost else "",
+        parts=",".join(block_names) if attempt.is_upstream_lost else "",
         reason=attempt.reason,
     )
--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -281,20 +281,21 @@
         paths, hold = self._context.upstreams, attempt.hold
         if attempt.kind is OutcomeKind.TIMEOUT:
             attempt.is_link_at_fault = paths.links.is_lost(hold.pool, hold.upstream_id)
-        if attempt.kind is OutcomeKind.BROKE_OFF and not attempt.guard.relay:
+        if attempt.kind is OutcomeKind.BROKE_OFF:
             call = self._sender.upstream_call(attempt)
             report = functools.partial(self._report, attempt)
-            paths.check_link(call, report)
+            paths.check_link(call, report, bool(attempt.guard.relay))
             return
         self._report(attempt, attempt.is_link_at_fault)
 
-    def _report(self, attempt, is_link_at_fault):
+    def _report(self, attempt, is_link_at_fault, is_upstream_lost=False):
         attempt.is_link_at_fault = is_link_at_fault
+        attempt.is_upstream_lost = is_upstream_lost
         outcome = attempt.outcome()
         signals = attempt.unreported_signals
         self._context.grants.release(attempt.hold, outcome, signals)
         count_attempt(self._context.metrics, attempt, outcome)
-        log_attempt(self.request_id, attempt, outcome)
+        log_attempt(self.request_id, attempt, outcome, self._admitted.call.block_names)
 
     def _record_failure(self, attempt, end):
         """Record why an attempt failed; avoid its upstream while there are others."""
--- a/libs/entry/src/hemlockhoist/entry/wire.py
+++ b/libs/entry/src/hemlockhoist/entry/wire.py
@@ -54,6 +54,11 @@
     last_event_id: int | None = None
     prefix_blocks: tuple[tuple[str, int], ...] = ()
 
+    @property
+    def block_names(self):
+        """Names of its prompt's prefix blocks, in order."""
+        return tuple(name for name, _ in self.prefix_blocks)
+
     @property
     def path(self):
         """The path without the query."""
--- a/libs/relays/src/hemlockhoist/relays/paths.py
+++ b/libs/relays/src/hemlockhoist/relays/paths.py
@@ -248,10 +248,12 @@
                         running |= done - {task}
                         return task.result()
                     if not isinstance(error, RelayRefused):
+                        running |= done - {task}
                         raise error
                     refusal = error
                     self._on_refused(call, error)
                     if error.cause is RelayCause.UNREACHABLE:
+                        running |= done - {task}
                         raise error
         finally:
             for task in running:
@@ -346,32 +348,54 @@
             if is_pool_lost or watched_id == upstream_id:
                 on_lost()
 
-    def check_link(self, call, report):
-        """Find out whether a lost connection was the fault of this host's links.
+    def check_link(self, call, report, is_relayed=False):
+        """Find out why a connection was lost: its link, its upstream, or neither.
 
         Parameters
         ==========
         call : UpstreamCall
             Whose connection was lost.
         report : callable
-            ``report(is_link_at_fault)`` is called once that is known.
+            ``report(is_link_at_fault, is_upstream_lost)`` is called once that is known.
+            An upstream that no host reaches any more has been lost.
+        is_relayed : bool, optional
+            Whether another host passed the request on.
         """
-        self._start(self._check_link(call, report))
+        self._start(self._check_link(call, report, is_relayed))
 
-    async def _check_link(self, call, report):
-        is_at_fault = False
+    async def _check_link(self, call, report, is_relayed):
+        is_at_fault = is_upstream_lost = False
         try:
-            is_at_fault = await self._is_link_at_fault(call)
+            if is_relayed:
+                is_upstream_lost = await self._verify(call) is RelayCause.UNREACHABLE
+            else:
+                is_at_fault, is_upstream_lost = await self._find_fault(call)
         finally:
-            report(is_at_fault)
+            report(is_at_fault, is_upstream_lost)
 
-    async def _is_link_at_fault(self, call):
+    async def _find_fault(self, call):
+        """Return whether the link is at fault, and whether the upstream is lost."""
         if self.links.is_lost(call.pool, call.upstream_id):
-            return True
-        if not self._relay_members(call.regions) or await self._probe(call):
-            return False
+            return True, self._seems_gone(call)
+        if await self._probe(call):
+            return False, False
+        if not self._relay_members(call.regions):
+            return False, True
         self._on_failed(call)
-        return await self._verify(call) is not RelayCause.UNREACHABLE
+        cause = await self._verify(call)
+        if cause is RelayCause.UNREACHABLE:
+            return False, True
+        return True, cause is not None and self._seems_gone(call)
+
+    def _seems_gone(self, call):
+        """Return whether no host is known to reach an upstream, but others of its pool.
+
+        Several hosts lose the same upstream at the same moment: none of them can tell
+        the others whose fault it is, as each has just lost its own link.
+        """
+        link = self.links.link(call.upstream_id)
+        is_alone = link is not None and not link.is_confirmed
+        return is_alone and not self.links.is_pool_lost(call.pool)
 
     async def _verify(self, call):
         """Let other hosts try to reach an upstream; return the cause if none does."""
