Two failing tests of prompts that crash the upstreams that answer them

Replicas of the published protocol's stand-in can end as they begin to answer a prompt that holds some part, before the head of the answer, after it, or inside the first event, and start again at their address under a new id; their streams may have neither a length nor chunks.

--- a/libs/standins/src/hemlockhoist/standins/published/replica.py
+++ b/libs/standins/src/hemlockhoist/standins/published/replica.py
@@ -27,6 +27,14 @@
     EXTRA_RESPONSE = "sends a second answer after the first"
 
 
+class CrashMoment(enum.Enum):
+    """How far a replica gets with the answer that crashes it."""
+
+    BEFORE_HEAD = "before the head of its answer"
+    BEFORE_EVENT = "after the head, before the first event"
+    IN_EVENT = "in the middle of the first event"
+
+
 class ReceivedRequest(msgspec.Struct):
     """A request as a replica received it."""
 
@@ -78,6 +86,16 @@
         For how long it is down after a fall.
     falls : list of float
         When it fell over.
+    crashing_parts : set of str
+        Parts of prompts on which it ends as it begins to answer; not if one is last.
+    crash_moment : CrashMoment
+    crashes : list of float
+        When it ended on such a part.
+    on_restart : coroutine function
+        Called after it has started again at its address.
+    is_unframed : bool
+        Whether its streams have neither a length nor chunks, and end with their
+        connection.
     is_silent : bool
         Whether it sends nothing for the time being, although it works.
     sender_of : callable
@@ -100,6 +118,11 @@
         self.brittle_at = None
         self.down_s = 1.0
         self.falls = []
+        self.crashing_parts = set()
+        self.crash_moment = CrashMoment.BEFORE_HEAD
+        self.crashes = []
+        self.on_restart = None
+        self.is_unframed = False
         self.is_silent = False
         self.sender_of = lambda port: ""
         self._running = set()
@@ -130,8 +153,12 @@
             writer.transport.abort()
 
     def _fall_over(self):
-        """End all connections, and listen again at the same address after a while."""
+        """End on too many requests that were turned away."""
         self.falls.append(asyncio.get_running_loop().time())
+        self.crash()
+
+    def crash(self):
+        """End all connections, and listen again at the same address after a while."""
         self._turned_away_s.clear()
         for task in self._running:
             task.cancel()
@@ -142,6 +169,28 @@
         await asyncio.sleep(self.down_s)
         host, _, port = self.address.rpartition(":")
         self._server = await asyncio.start_server(self._serve, host, int(port))
+        if self.on_restart is not None:
+            await self.on_restart()
+
+    def _is_crashed_by(self, received):
+        *shared, _ = received.headers.get("prefix-hash", "").split(",")
+        names = {part.partition(":")[0] for part in shared}
+        return not names.isdisjoint(self.crashing_parts)
+
+    async def _crash_on(self, received, writer):
+        """End as it begins to answer a request that holds a crashing part."""
+        self.crashes.append(asyncio.get_running_loop().time())
+        if self.crash_moment is not CrashMoment.BEFORE_HEAD:
+            framing = "Content-Type: text/event-stream\r\nConnection: close\r\n"
+            writer.write(self._head(received, "200 OK", framing))
+            if self.crash_moment is CrashMoment.IN_EVENT:
+                writer.write(b"id: 1\nda")
+            await writer.drain()
+            writer.close()
+            await writer.wait_closed()
+        self.crash()
+        # The task has been cancelled, with all others.
+        await asyncio.sleep(0)
 
     def announce_leaving(self):
         """Say in all answers from now on that it leaves."""
@@ -240,6 +289,9 @@
 
     async def _respond(self, received, writer):
         await self._wait_until_heard()
+        if self._is_crashed_by(received):
+            await self._crash_on(received, writer)
+            return
         if self.behaviour is Behaviour.HANGS:
             await self._wait_disconnected(received)
             return
@@ -291,7 +343,11 @@
         await writer.drain()
 
     async def _send_events(self, received, writer):
-        framing = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+        framing = "Content-Type: text/event-stream\r\n"
+        if self.is_unframed:
+            framing += "Connection: close\r\n"
+        else:
+            framing += "Transfer-Encoding: chunked\r\n"
         writer.write(self._head(received, "200 OK", framing))
         start = int(received.headers.get("last-event-id", 0)) + 1
         for number in range(start, self.events + 1):
@@ -306,12 +362,16 @@
                 self.behaviour is Behaviour.STOPS_MID_EVENT
                 and number == self.events // 2
             ):
-                half = event[: len(event) // 2]
-                writer.write(b"%x\r\n" % len(half) + half + b"\r\n")
+                writer.write(self._framed(event[: len(event) // 2]))
                 await writer.drain()
                 return
-            writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
+            writer.write(self._framed(event))
             await writer.drain()
             await asyncio.sleep(self.event_ms / MS_PER_S)
-        writer.write(b"0\r\n\r\n")
+        if not self.is_unframed:
+            writer.write(b"0\r\n\r\n")
         await writer.drain()
+
+    def _framed(self, data):
+        """Return a part of a stream as it is sent, as a chunk or as it is."""
+        return data if self.is_unframed else b"%x\r\n" % len(data) + data + b"\r\n"
--- /dev/null
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_crashing_prompts.py
@@ -0,0 +1,152 @@
+"""End-to-end tests of prompts that crash each replica that begins to answer them."""
+
+import asyncio
+import itertools
+import unittest
+
+from hemlockhoist.standins.published import CrashMoment, Replica, Site, route
+
+EVENTS = 4
+HOSTS = 3
+REPLICAS = 6
+DOWN_S = 0.8
+GUILTY = "bad0"
+SOUND_GAP_S = 0.04
+GUILTY_GAP_S = 0.15
+TRAFFIC_S = 3.6
+# Crashes after which the part must be known, and how many more may reach replicas.
+KNOWN_AFTER = 5
+ALLOWED_LATER = 3
+# From then on sound requests have to be served.
+SETTLED_S = 1.5
+REPORT = route("report", "asistente", "streaming", resumable=True, timeout_ms=2_000)
+SUMMARY = route("summary", "minuta", "streaming", resumable=True, timeout_ms=2_000)
+
+
+class CrashSite(Site):
+    """A site whose replicas crash on a part, and start again under new ids."""
+
+    def __init__(self, services=("asistente",), replicas=REPLICAS, **kwargs):
+        self._replica_ids = itertools.count(1)
+        pools = {
+            name: [self._new_replica(name) for _ in range(replicas)]
+            for name in services
+        }
+        super().__init__(pools, [REPORT, SUMMARY][: len(services)], HOSTS, **kwargs)
+
+    def _new_replica(self, service):
+        replica = Replica(f"i-{next(self._replica_ids)}", EVENTS)
+        replica.delay_ms = 30
+        replica.event_ms = 10
+        replica.down_s = DOWN_S
+        replica.crashing_parts.add(GUILTY)
+
+        async def rename():
+            old_id = replica.replica_id
+            replica.replica_id = f"i-{next(self._replica_ids)}"
+            await self.register_replica(service, replica)
+            await self.store.put("servers", old_id, None)
+
+        replica.on_restart = rename
+        return replica
+
+    def all_replicas(self):
+        """Return the replicas of all services."""
+        return [item for pool in self.replicas.values() for item in pool]
+
+    def set_crash_moment(self, moment):
+        """Set how far replicas get with an answer that crashes them."""
+        for replica in self.all_replicas():
+            replica.crash_moment = moment
+
+    def count_crashes(self):
+        """Return how often replicas crashed on the part."""
+        return sum(len(replica.crashes) for replica in self.all_replicas())
+
+
+def now_s():
+    return asyncio.get_running_loop().time()
+
+
+class Traffic:
+    """Sound and guilty requests to all hosts in turn, and their answers."""
+
+    def __init__(self, site, path="report"):
+        self.site = site
+        self.path = path
+        self.sound = []
+        self.guilty = []
+        self.hosts = list(range(HOSTS))
+        self._numbers = itertools.count(1)
+
+    async def run(self, seconds, guilty_from_s=0.8):
+        """Send for a time; the guilty part appears after a while."""
+        tasks, end_s = [], now_s() + seconds
+        guilty_due_s = now_s() + guilty_from_s
+        while now_s() < end_s:
+            number = next(self._numbers)
+            shared = f"c0de:60,5e5510{number % 3}:200"
+            tasks.append(self.start(self.sound, f"{shared},a{number:x}:90"))
+            if now_s() >= guilty_due_s:
+                guilty_due_s += GUILTY_GAP_S
+                parts = f"c0de:60,{GUILTY}:{50 + number},b{number:x}:70"
+                tasks.append(self.start(self.guilty, parts))
+            await asyncio.sleep(SOUND_GAP_S)
+        await asyncio.gather(*tasks)
+
+    def start(self, answers, parts):
+        """Start to send one request."""
+        return asyncio.create_task(self.send(answers, parts))
+
+    async def send(self, answers, parts):
+        """Send one request and record its status, events and Retry-After."""
+        number = next(self._numbers)
+        host = self.hosts[number % len(self.hosts)]
+        sent_s, status, events, retry_after = now_s(), 0, 0, None
+        headers = {"Prefix_Hash": parts, "Token_Usage": "400,40"}
+        call = self.site.call(
+            f"/{self.path}/{number}", host, Attempt_Id=f"p{number}", **headers
+        )
+        try:
+            async with call as answer:
+                status = answer.status
+                retry_after = answer.headers.get("Retry-After")
+                events = (await answer.read()).count(b"\n\n")
+        except OSError:
+            status = 0
+        except Exception as error:
+            if "payload" not in str(error).lower():
+                raise
+            status = 0
+        answers.append((sent_s, status, events, retry_after))
+
+    def served_share(self, from_s):
+        """Return the share of sound requests sent later that were served whole."""
+        sent = [item for item in self.sound if item[0] >= from_s]
+        whole = sum(item[1] == 200 and item[2] == EVENTS for item in sent)
+        return whole / len(sent)
+
+
+class CrashingPromptTests(unittest.IsolatedAsyncioTestCase):
+    def check(self, site, traffic, from_s):
+        self.assertLessEqual(site.count_crashes(), KNOWN_AFTER + ALLOWED_LATER)
+        self.assertGreater(traffic.served_share(from_s), 0.5)
+        self.assertFalse(any(item[1] == 200 for item in traffic.guilty))
+
+    async def test_part_that_crashes_replicas_reaches_few_of_them(self):
+        """Guards against prompts that crash one upstream after the other."""
+        async with CrashSite() as site:
+            traffic = Traffic(site)
+            from_s = now_s() + 0.8 + SETTLED_S
+            await traffic.run(TRAFFIC_S)
+        self.check(site, traffic, from_s)
+
+    async def test_unframed_stream_without_an_event_is_not_whole(self):
+        """Guards against an empty answer of a crashed replica that looks complete."""
+        for moment in (CrashMoment.BEFORE_EVENT, CrashMoment.IN_EVENT):
+            async with CrashSite(replicas=2) as site:
+                site.set_crash_moment(moment)
+                traffic = Traffic(site)
+                await traffic.send(traffic.guilty, f"c0de:60,{GUILTY}:50,b1:70")
+            with self.subTest(moment=moment):
+                self.assertNotEqual(traffic.guilty[0][1], 200)
