Take an unframed answer that never begins for a broken one

Callers saw status 200 with an empty body, which looks complete, for a stream whose upstream crashed after the head of its answer, and the answer counted as a success of upstream and version.

Cause: an answer with neither a length nor chunks ends with its connection, and the HTTP library reports such an end as a normal one. Nothing had arrived, so the check for an end inside an event did not apply.

Now a body without a length or chunks of which nothing arrives is a broken answer, for streams, other answers and relayed ones alike; not with statuses that have no body, nor to HEAD. Answers that end inside an event were broken before; one that ends between two events can't be told from a complete one.

--- a/libs/relays/src/hemlockhoist/relays/client.py
+++ b/libs/relays/src/hemlockhoist/relays/client.py
@@ -194,7 +194,7 @@
         guard.begin_dispatch()
         self._permission.set_result(frame)
         head = await self._read_head()
-        answer = _RelayedAnswer(head, self.response)
+        answer = _RelayedAnswer(head, self.response, call.method)
         return UpstreamResponse(answer, self._request_id_header)
 
     async def _read_head(self):
@@ -220,10 +220,11 @@
 class _RelayedAnswer:
     """The upstream's answer, in the form that ``UpstreamResponse`` reads."""
 
-    __slots__ = ("_response", "headers", "status")
+    __slots__ = ("_response", "headers", "method", "status")
 
-    def __init__(self, head, response):
+    def __init__(self, head, response, method):
         self._response = response
+        self.method = method
         self.status = head.status
         self.headers = CIMultiDict(head.headers)
 
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_crashing_prompts.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_crashing_prompts.py
@@ -4,7 +4,13 @@
 import itertools
 import unittest
 
-from hemlockhoist.standins.published import CrashMoment, Replica, Site, route
+from hemlockhoist.standins.published import (
+    Behaviour,
+    CrashMoment,
+    Replica,
+    Site,
+    route,
+)
 
 EVENTS = 4
 HOSTS = 3
@@ -150,3 +156,15 @@
                 await traffic.send(traffic.guilty, f"c0de:60,{GUILTY}:50,b1:70")
             with self.subTest(moment=moment):
                 self.assertNotEqual(traffic.guilty[0][1], 200)
+
+    async def test_unframed_streams_are_whole_if_they_end_between_events(self):
+        """Guards against complete streams without chunks that are taken for broken."""
+        async with CrashSite(replicas=2) as site:
+            for replica in site.all_replicas():
+                replica.is_unframed = True
+            traffic = Traffic(site)
+            await traffic.send(traffic.sound, "c0de:60,5e5510:200,a1:90")
+            site.all_replicas()[0].behaviour = Behaviour.STOPS_MID_EVENT
+            for number in range(4):
+                await traffic.send(traffic.sound, f"c0de:60,5e5510:200,b{number}:90")
+        self.assertEqual([item[1:3] for item in traffic.sound], [(200, EVENTS)] * 5)
--- a/libs/upstreams/src/hemlockhoist/upstreams/client.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/client.py
@@ -71,9 +71,19 @@
     regions: tuple[str, ...] = ()
 
 
+# Either of these tells where the body of a response ends.
+_FRAMING_HEADERS = ("Content-Length", "Transfer-Encoding")
+# Statuses of responses that have no body.
+_BODILESS_STATUSES = frozenset({204, 205, 304})
+
+
 class UpstreamResponse:
     """Response of an upstream, whose body is not read yet.
 
+    A body with neither a length nor chunks ends with its connection. If nothing of it
+    arrived, the upstream ended before it began its answer. If the connection ends
+    later, the end of such a body can't be told from a break.
+
     Parameters
     ==========
     response : aiohttp.ClientResponse
@@ -127,6 +137,7 @@
         if not self._first_data:
             with _dispatch_errors():
                 self._first_data = await self._response.content.readany()
+            self._check_begun(bool(self._first_data))
 
     async def chunks(self):
         """Yield the body in chunks as they arrive.
@@ -134,14 +145,30 @@
         Raises
         ======
         DispatchError
-            When the body breaks off, or no data arrives within the idle timeout.
+            When the body breaks off or, without a length or chunks, never begins, or no
+            data arrives within the idle timeout.
         """
         first, self._first_data = self._first_data, b""
+        has_begun = bool(first)
         if first:
             yield first
         with _dispatch_errors():
             async for chunk in self._response.content.iter_any():
+                has_begun = True
                 yield chunk
+        self._check_begun(has_begun)
+
+    def _check_begun(self, has_begun):
+        if not has_begun and self._ends_with_connection:
+            text = "the connection ended before the answer began"
+            raise DispatchError(text, ResultCode.UPSTREAM_BROKE_OFF)
+
+    @property
+    def _ends_with_connection(self):
+        """Whether the response has a body, and nothing else tells where it ends."""
+        if self._response.method == "HEAD" or self.status in _BODILESS_STATUSES:
+            return False
+        return not any(name in self.headers for name in _FRAMING_HEADERS)
 
     async def read(self, max_bytes):
         """Return the complete body.
--- a/libs/upstreams/src/hemlockhoist/upstreams/tests/test_client.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/tests/test_client.py
@@ -163,6 +163,36 @@
             await self._dispatch(upstream.address, self._guard(), "POST")
         self.assertIs(caught.exception.code, ResultCode.UPSTREAM_BROKE_OFF)
 
+    async def test_an_unframed_body_that_never_begins_is_an_error(self):
+        """Guards against a crashed upstream whose empty answer looks complete."""
+        upstream = await self._upstream(b"HTTP/1.1 200 OK\r\n\r\n")
+        with self.assertRaises(DispatchError) as caught:
+            await self._dispatch(upstream.address, self._guard())
+        self.assertIs(caught.exception.code, ResultCode.UPSTREAM_BROKE_OFF)
+
+    async def test_an_unframed_body_ends_with_its_connection(self):
+        upstream = await self._upstream(b"HTTP/1.1 200 OK\r\n\r\nwhole")
+        result = await self._dispatch(upstream.address, self._guard())
+        self.assertEqual(result, (200, b"whole"))
+
+    async def test_empty_bodies_that_are_complete_are_read(self):
+        """Guards against complete answers without a body that are taken for broken."""
+        heads = (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            b"HTTP/1.1 204 No Content\r\n\r\n",
+        )
+        for head in heads:
+            upstream = await self._upstream(head)
+            _, body = await self._dispatch(upstream.address, self._guard())
+            with self.subTest(head=head):
+                self.assertEqual(body, b"")
+
+    async def test_head_response_without_a_length_is_complete(self):
+        upstream = await self._upstream(b"HTTP/1.1 200 OK\r\n\r\n")
+        result = await self._dispatch(upstream.address, self._guard(), "HEAD")
+        self.assertEqual(result, (200, b""))
+
     async def test_a_redirect_is_not_followed(self):
         """Following a redirect would be a second dispatch."""
         upstream = await self._upstream(
