Keep requests back whose prompts crash the upstreams that answer them

What callers saw: requests with one part in their prompts ended one upstream after the other, two each, for as long as they came; with the upstreams went the streams of other callers, and four times in ten seconds over a tenth of all prompts was not served.

Cause: what is learnt of failures was kept by upstream, version and link, and nothing by what requests have in common. A request that had ended its upstream was sent to the next as if that were a fault of the upstream, an upstream that came back got the next such request, and a part of a prompt could not even be recognised: the hashes that hosts told each other are chained to the parts before.

Evidence: in the incident's logs each end has a request without a first event, and all eight of them that were sent again ended the next upstream. With the parts logged, the failing test shows the same part in all.

Change: requests tell the home the hash of each part by itself. A host tells it with the outcome whether the upstream was gone before it had begun to answer, and whether an answer began and went on. The home charges a crash to the parts for which no answer speaks, and takes the one with most crashes in the fewest requests for the cause: after two crashes it is sent to one upstream at a time and not a second time, after three it is blocked, at all hosts and pools. An answer withdraws all evidence; a single request tries a blocked part after ten minutes, then after twice as long. Evidence goes to all hosts by message and to the store, from which hosts read it before they serve.

--- a/libs/base/src/hemlockhoist/base/caller_results.py
+++ b/libs/base/src/hemlockhoist/base/caller_results.py
@@ -177,6 +177,22 @@
         "This host lost its link to the upstream, and no other host relayed the request.",
         "Come back after Retry-After, or ask another host.",
     ),
+    (
+        _C.PART_SUSPECTED,
+        503,
+        _NO,
+        True,
+        "Upstreams crashed under requests with a part of this prompt; one is tried.",
+        "Come back after Retry-After: another answer may have cleared the part.",
+    ),
+    (
+        _C.PART_BLOCKED,
+        503,
+        _NO,
+        False,
+        "A part of this prompt crashes the upstreams that answer it; it is not sent.",
+        "Leave the part out, or have an operator lift it once upstreams bear it.",
+    ),
     (
         _C.LEAVING,
         503,
--- a/libs/base/src/hemlockhoist/base/fleet_results.py
+++ b/libs/base/src/hemlockhoist/base/fleet_results.py
@@ -32,6 +32,14 @@
         "Cancel it first, or wait till it ends.",
     ),
     (_C.MOVE_UNKNOWN, 404, _NO, False, "There is no such move.", "See 'move list'."),
+    (
+        _C.PART_UNKNOWN,
+        404,
+        _NO,
+        False,
+        "There is no evidence against such a part of prompts.",
+        "See 'part list'.",
+    ),
     (
         _C.OPERATOR_KEY_WRONG,
         401,
--- a/libs/base/src/hemlockhoist/base/metrics_table.py
+++ b/libs/base/src/hemlockhoist/base/metrics_table.py
@@ -335,6 +335,21 @@
     "A few at each change of the list are normal. If they are continuous, the home "
     "cannot reach the store.",
 )
+REQUESTS_KEPT_BACK = Metric(
+    "requests.kept_back",
+    _C,
+    "cause",
+    "Requests that were refused as a part of their prompts crashes upstreams "
+    "(part_blocked), or may do so (part_suspected).",
+    "Search the log for part_blocked and part_suspected; see parts.blocked.",
+)
+PARTS_BLOCKED = Metric(
+    "parts.blocked",
+    _G,
+    "",
+    "Parts of prompts whose requests are not sent, as they crash upstreams.",
+    "List them, and lift one once upstreams bear it.",
+)
 GRANTS_HELD_BACK = Metric(
     "grants.held_back",
     _C,
--- /dev/null
+++ b/libs/decisions/src/hemlockhoist/decisions/quarantine/crash_log.py
@@ -0,0 +1,74 @@
+"""The latest crashes of upstreams, with the parts of prompts that may explain them."""
+
+import collections
+
+import xxhash
+
+MAX_CRASHES = 64
+# All reports of one crash arrive within this time. An upstream that crashed takes
+# longer to start again.
+SAME_CRASH_MS = 1_500
+
+
+class Crash:
+    """The end of an upstream.
+
+    Attributes
+    ==========
+    crash_id : int
+    at_ms : int
+    positions : dict of int to int
+        Parts of the prompts that it had not begun to answer, with the last position of
+        each in a prompt.
+    charged : set of int
+        Those that are held responsible.
+    """
+
+    __slots__ = ("at_ms", "charged", "crash_id", "positions")
+
+    def __init__(self, crash_id, at_ms):
+        self.crash_id = crash_id
+        self.at_ms = at_ms
+        self.positions = {}
+        self.charged = set()
+
+    def add(self, parts):
+        """Add the parts of a prompt, in order; return whether any of them is new."""
+        count_before = len(self.positions)
+        for position, part in enumerate(parts):
+            self.positions[part] = max(position, self.positions.get(part, 0))
+        return len(self.positions) > count_before
+
+
+class CrashLog:
+    """Collects what several requests report of each crash.
+
+    Parameters
+    ==========
+    host : str
+        Distinguishes the crashes that different hosts record.
+    """
+
+    __slots__ = ("_by_upstream", "_crashes", "_host")
+
+    def __init__(self, host=""):
+        self._host = host
+        self._crashes = collections.deque(maxlen=MAX_CRASHES)
+        self._by_upstream = collections.OrderedDict()
+
+    def __iter__(self):
+        return iter(self._crashes)
+
+    def crash_of(self, upstream_id, now_ms):
+        """Return the ``Crash`` that a report of an upstream's end is about."""
+        crash = self._by_upstream.get(upstream_id)
+        if crash is not None and now_ms - crash.at_ms < SAME_CRASH_MS:
+            return crash
+        text = f"{self._host}/{upstream_id}/{now_ms}"
+        crash = Crash(xxhash.xxh64_intdigest(text.encode()), now_ms)
+        self._crashes.append(crash)
+        self._by_upstream[upstream_id] = crash
+        self._by_upstream.move_to_end(upstream_id)
+        if len(self._by_upstream) > MAX_CRASHES:
+            self._by_upstream.popitem(last=False)
+        return crash
--- /dev/null
+++ b/libs/decisions/src/hemlockhoist/decisions/quarantine/quarantine.py
@@ -0,0 +1,304 @@
+"""Which parts of prompts crash upstreams, and which requests are kept back for them."""
+
+import msgspec
+
+from hemlockhoist.base import MS_PER_S, ResultCode
+from hemlockhoist.decisions.quarantine.crash_log import CrashLog
+from hemlockhoist.decisions.quarantine.part_counts import PartCounts
+from hemlockhoist.decisions.quarantine.part_table import MAX_CRASH_IDS, PartTable
+from hemlockhoist.messages import PartState
+
+# Crashes under a part that was never answered: one may be chance; at three of three,
+# with single requests at the end, chance is out of the question.
+SUSPECTED_CRASHES = 2
+BLOCKED_CRASHES = 3
+# How many more crashes it takes for each answer that speaks for the part.
+CRASHES_PER_ANSWER = 2
+# Retry-After of a request that waits for another one with the same suspected part.
+SUSPECT_RETRY_AFTER_MS = 500
+# A single request tries a blocked part after this time, then after twice as long, and
+# so on: a part that still crashes upstreams costs one of them each time.
+FIRST_TRY_MS = 600 * MS_PER_S
+MAX_TRY_INTERVAL_MS = 86_400 * MS_PER_S
+
+
+class KeptBack(msgspec.Struct, frozen=True):
+    """A refusal of a request for a part of its prompt; it has not been sent.
+
+    Parameters
+    ==========
+    code : ResultCode
+    part : int
+    crashes : int
+        Crashes that the part is held responsible for.
+    retry_after_ms : int
+        0 if the request will not be sent later either.
+    """
+
+    code: ResultCode
+    part: int
+    crashes: int
+    retry_after_ms: int = 0
+
+
+class Quarantine:
+    """Finds parts of prompts that crash upstreams, and keeps their requests back.
+
+    Load: each upstream that begins to answer a prompt with some part ends, and takes
+    with it all that runs there. Requests with that part come steadily, at any host,
+    with other parts that sound requests share. Sent as usual, and again after each
+    crash, they end all upstreams of a pool, again and again.
+
+    A crash is charged to those parts of the unanswered prompts at the upstream for
+    which no answer speaks, of these to the part that has most crashes and that the
+    fewest requests hold. Parts that have been answered are charged only if nothing else
+    explains a crash, and need more of them. A part under two crashes is sent to one
+    upstream at a time, under three it is blocked. Crashes that a blocked part explains
+    count against no other part, and an answer withdraws all evidence against a part.
+
+    Parameters
+    ==========
+    host : str, optional
+        Distinguishes the crashes that different hosts record.
+
+    Examples
+    ========
+    >>> from hemlockhoist.decisions.quarantine import Quarantine
+    >>> quarantine = Quarantine()
+    >>> quarantine.on_answer([1], now_ms=0)
+    ()
+    >>> for number in range(3):
+    ...     changed = quarantine.on_crash(f"u{number}", [1, 2], now_ms=number)
+    >>> [(record.part, record.state) for record in changed]
+    [(2, <PartState.BLOCKED: 2>)]
+    >>> quarantine.kept_back([2], False, lambda part: False, now_ms=10).part
+    2
+    >>> quarantine.kept_back([1], False, lambda part: False, now_ms=10) is None
+    True
+    """
+
+    __slots__ = ("_counts", "_crashes", "_table", "_try_due_ms")
+
+    def __init__(self, host=""):
+        self._counts = PartCounts()
+        self._crashes = CrashLog(host)
+        self._table = PartTable()
+        # When a single request may try each blocked part.
+        self._try_due_ms = {}
+
+    def records(self):
+        """Return the records of all parts with evidence against them."""
+        return tuple(self._table)
+
+    def record_of(self, part):
+        """Return the record of a part; an empty one without evidence."""
+        return self._table.get(part)
+
+    def state(self, part):
+        """Return the ``PartState`` of a part."""
+        return self._table.state(part)
+
+    # Requests.
+
+    def on_request(self, parts):
+        """Count a request that came for the first time."""
+        self._counts.on_request(parts)
+
+    def kept_back(self, parts, is_retry, is_busy, now_ms):
+        """Return why a request must not be sent now, or None.
+
+        Parameters
+        ==========
+        parts : sequence of int
+        is_retry : bool
+            Whether an upstream may have run the request before.
+        is_busy : callable
+            ``is_busy(part)`` returns whether another request with a part waits, or is
+            at an upstream.
+        now_ms : int
+
+        Returns
+        =======
+        KeptBack or None
+        """
+        for part in parts:
+            state = self._table.state(part)
+            if state is PartState.BLOCKED and not self._may_try(part, is_busy, now_ms):
+                return self._kept_back(part, ResultCode.PART_BLOCKED, 0)
+            if state is PartState.SUSPECTED and (is_retry or is_busy(part)):
+                code = ResultCode.PART_SUSPECTED
+                return self._kept_back(part, code, SUSPECT_RETRY_AFTER_MS)
+        return None
+
+    def _kept_back(self, part, code, retry_after_ms):
+        crashes = len(self._table.get(part).crashes)
+        return KeptBack(code, part, crashes, retry_after_ms)
+
+    def _may_try(self, part, is_busy, now_ms):
+        due_ms = self._try_due_ms.get(part)
+        return due_ms is not None and now_ms >= due_ms and not is_busy(part)
+
+    def on_sent(self, parts, now_ms):
+        """Record that a request is sent; return the changed records.
+
+        A request with a blocked part is the single one that tries it.
+        """
+        changed = []
+        for part in parts:
+            record = self._table.get(part)
+            if record.state == PartState.BLOCKED:
+                tried = msgspec.structs.replace(record, tries=record.tries + 1)
+                self._table.put(tried, now_ms)
+                self._schedule_try(tried, now_ms)
+                changed.append(tried)
+        return tuple(changed)
+
+    def _schedule_try(self, record, now_ms):
+        interval_ms = FIRST_TRY_MS << min(record.tries, MAX_CRASH_IDS)
+        self._try_due_ms[record.part] = now_ms + min(interval_ms, MAX_TRY_INTERVAL_MS)
+
+    # Evidence.
+
+    def on_answer(self, parts, now_ms):
+        """Count an answer that an upstream began and went on with.
+
+        Returns
+        =======
+        tuple of PartRecord
+            The changed records.
+        """
+        self._counts.on_answer(parts, now_ms)
+        return self._withdraw(parts, now_ms)
+
+    def _withdraw(self, parts, now_ms):
+        changed = []
+        for part in parts:
+            record = self._table.get(part)
+            if record.crashes or record.state != PartState.CLEAR:
+                changed.append(self._table.withdraw(part, now_ms))
+                self._try_due_ms.pop(part, None)
+        return tuple(changed)
+
+    def lift(self, part, now_ms):
+        """Withdraw the evidence against a part by an operator's command."""
+        return self._withdraw((part,), now_ms)
+
+    def on_crash(self, upstream_id, parts, now_ms):
+        """Record that an upstream ended before it began to answer a prompt.
+
+        Parameters
+        ==========
+        upstream_id : str
+        parts : sequence of int
+            The parts of that prompt, in order; others at the upstream are reported
+            separately.
+        now_ms : int
+
+        Returns
+        =======
+        tuple of PartRecord
+            The changed records.
+        """
+        crash = self._crashes.crash_of(upstream_id, now_ms)
+        if not crash.add(parts):
+            return ()
+        changed = {}
+        if any(self._is_blocked(part) for part in crash.positions):
+            self._explain(crash, changed, now_ms)
+        else:
+            self._charge(crash, changed, now_ms)
+        return tuple(changed.values())
+
+    def _is_blocked(self, part):
+        return self._table.state(part) is PartState.BLOCKED
+
+    def _charge(self, crash, changed, now_ms):
+        unanswered = {
+            part for part in crash.positions if not self._counts.answers(part, now_ms)
+        }
+        charged = unanswered or set(crash.positions)
+        for part in crash.charged - charged:
+            self._discharge(part, crash, changed, now_ms)
+        for part in charged - crash.charged:
+            record = self._table.get(part)
+            crashes = tuple(sorted({*record.crashes, crash.crash_id}))[:MAX_CRASH_IDS]
+            self._put(msgspec.structs.replace(record, crashes=crashes), changed, now_ms)
+        crash.charged = charged
+        self._raise_state(self._leader(crash), changed, now_ms)
+
+    def _discharge(self, part, crash, changed, now_ms):
+        left = set(self._table.get(part).crashes) - {crash.crash_id}
+        changed[part] = self._table.withdraw(part, now_ms, left)
+
+    def _leader(self, crash):
+        """Return the part with most crashes, of these the one in the fewest requests.
+
+        Several parts are in all requests that crash an upstream. Those that other
+        requests hold too must not be blocked with the one that does it, also while
+        nothing has been answered yet. Parts at the front of prompts are shared by most.
+        """
+
+        def rank(part):
+            crashes = len(self._table.get(part).crashes)
+            return -crashes, self._counts.requests(part), -crash.positions[part]
+
+        return min(crash.charged, key=rank)
+
+    def _raise_state(self, part, changed, now_ms):
+        record = self._table.get(part)
+        answers = self._counts.answers(part, now_ms)
+        count = len(record.crashes) - CRASHES_PER_ANSWER * answers
+        state = PartState.CLEAR
+        if count >= BLOCKED_CRASHES:
+            state = PartState.BLOCKED
+        elif count >= SUSPECTED_CRASHES:
+            state = PartState.SUSPECTED
+        if state <= record.state:
+            return
+        raised = msgspec.structs.replace(record, state=state)
+        if self._put(raised, changed, now_ms) and state is PartState.BLOCKED:
+            self._schedule_try(raised, now_ms)
+            for crash in self._crashes:
+                if part in crash.positions:
+                    self._explain(crash, changed, now_ms)
+
+    def _explain(self, crash, changed, now_ms):
+        """Charge a crash to no part but those that are blocked."""
+        for part in crash.charged:
+            if not self._is_blocked(part):
+                self._discharge(part, crash, changed, now_ms)
+        crash.charged = {part for part in crash.charged if self._is_blocked(part)}
+
+    def _put(self, record, changed, now_ms):
+        is_stored = self._table.put(record, now_ms)
+        if is_stored:
+            changed[record.part] = record
+        return is_stored
+
+    # Other hosts.
+
+    def merge(self, records, now_ms):
+        """Merge the records of another host or of the store.
+
+        Returns
+        =======
+        tuple of PartRecord
+            Those that changed something here.
+        """
+        merged = []
+        for record in records:
+            was_blocked = self._is_blocked(record.part)
+            tries = self._table.get(record.part).tries
+            if not self._table.merge(record, now_ms):
+                continue
+            known = self._table.get(record.part)
+            merged.append(known)
+            if known.state != PartState.BLOCKED:
+                self._try_due_ms.pop(record.part, None)
+            elif not was_blocked or known.tries > tries:
+                self._schedule_try(known, now_ms)
+        return tuple(merged)
+
+    def expire(self, now_ms):
+        """Withdraw old evidence against parts that are not blocked."""
+        return tuple(self._table.expire(now_ms))
--- a/libs/decisions/src/hemlockhoist/decisions/work.py
+++ b/libs/decisions/src/hemlockhoist/decisions/work.py
@@ -57,6 +57,8 @@
         Upstreams on which an earlier attempt failed.
     regions : tuple of str
         Regions in which the upstream must be; empty for any region.
+    parts : tuple of int
+        Hashes of the parts of its prompt that other requests may share.
     """
 
     request_id: str
@@ -81,6 +83,7 @@
     max_gap_ms: int = 0
     prefix_tokens: tuple[int, ...] = ()
     regions: tuple[str, ...] = ()
+    parts: tuple[int, ...] = ()
 
 
 class UpstreamState(enum.Enum):
@@ -225,6 +228,10 @@
     relay : str
         Host through which the upstream was reached, or that could not reach it either;
         empty if the entry host used its own link.
+    is_crash_suspect : bool
+        Whether the upstream ended before it had begun to answer the request.
+    is_answered : bool
+        Whether the upstream began an answer and went on with it.
     """
 
     kind: OutcomeKind
@@ -234,6 +241,8 @@
     cached_tokens: int = 0
     token_us: int = -1
     relay: str = ""
+    is_crash_suspect: bool = False
+    is_answered: bool = False
 
     def for_home(self):
         """Return the outcome in the kinds that homes of earlier releases know.
@@ -244,7 +253,9 @@
         if self.kind is OutcomeKind.LINK_FAILED:
             return Outcome(kind=OutcomeKind.NOT_SENT)
         if self.kind is OutcomeKind.LINK_LOST:
-            return Outcome(kind=OutcomeKind.CANCELLED)
+            return Outcome(
+                kind=OutcomeKind.CANCELLED, is_crash_suspect=self.is_crash_suspect
+            )
         return self
 
 
--- a/libs/entry/src/hemlockhoist/entry/admission.py
+++ b/libs/entry/src/hemlockhoist/entry/admission.py
@@ -4,6 +4,7 @@
 
 from hemlockhoist.base import BadRequest, ResultCode
 from hemlockhoist.decisions.entry import chained_hashes
+from hemlockhoist.decisions.quarantine import part_hashes
 from hemlockhoist.declarations import KeyedCustomer, Route
 from hemlockhoist.entry.wire import CallerCall
 
@@ -43,6 +44,14 @@
     waits_until_ms: int
     prefix_hashes: tuple[int, ...] = ()
 
+    @property
+    def parts(self):
+        """Hashes of the prompt's parts that other requests may share.
+
+        The last part is the request's own, or its session's.
+        """
+        return part_hashes(self.call.block_names[:-1])
+
     @property
     def prefix_tokens(self):
         """Token count of each prefix block."""
--- a/libs/entry/src/hemlockhoist/entry/attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt.py
@@ -13,6 +13,12 @@
 }
 
 
+# An upstream that lives on for this long after the first data of an answer did not
+# crash as it began the answer.
+BEGUN_AFTER_MS = 100
+_FIRST_ERROR_STATUS = 300
+
+
 class Attempt:
     """State of one attempt to send a request.
 
@@ -28,6 +34,7 @@
 
     __slots__ = (
         "ended_ms",
+        "event_count",
         "first_ms",
         "grant_outdated",
         "guard",
@@ -45,6 +52,7 @@
         "signals_are_reported",
         "silent_ms",
         "started_unix_ms",
+        "status",
         "token_us",
         "waited_ms",
     )
@@ -66,6 +74,10 @@
         self.is_misdirected = False
         self.first_ms = None
         self.output_tokens = 0
+        # Events of a stream that were relayed in this attempt.
+        self.event_count = 0
+        # Status of the answer; 0 before any.
+        self.status = 0
         self.longest_gap_ms = 0
         # Time between the last data of a stream and the attempt's end; -1 if it had none.
         self.silent_ms = -1
@@ -109,7 +121,8 @@
             Number of events that were relayed before this attempt.
         tokens_per_event : int
         """
-        self.output_tokens = (relay.event_count - earlier_events) * tokens_per_event
+        self.event_count = relay.event_count - earlier_events
+        self.output_tokens = self.event_count * tokens_per_event
         self.longest_gap_ms = relay.longest_gap_ms
         self.silent_ms = relay.silent_ms()
         event_us = relay.median_event_us()
@@ -132,8 +145,24 @@
             output_tokens=self.output_tokens,
             token_us=self.token_us,
             relay=self.guard.relay,
+            is_crash_suspect=self._is_crash_suspect,
+            is_answered=self._is_answered,
         )
 
+    @property
+    def _is_answered(self):
+        """Whether the upstream began an answer, and went on with it."""
+        if self.event_count > 1:
+            return True
+        return self.kind is OutcomeKind.SUCCESS and self.status < _FIRST_ERROR_STATUS
+
+    @property
+    def _is_crash_suspect(self):
+        """Whether the upstream ended before it had begun to answer this request."""
+        if not self.is_upstream_lost or self.event_count > 1:
+            return False
+        return self.first_ms is None or self.ended_ms - self.first_ms < BEGUN_AFTER_MS
+
     @property
     def _unsent_kind(self):
         if self.is_link_at_fault:
--- a/libs/entry/src/hemlockhoist/entry/attempt_sender.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt_sender.py
@@ -169,6 +169,7 @@
         wire = self._context.platform.wire
         head = wire.read_response_head(response.status, response.headers)
         opened.head = head
+        attempt.status = head.status
         self.signals.record(head, attempt, self._request_id)
         if head.is_misdirected:
             # The listed process has been replaced by another one: equivalent to a
--- a/libs/entry/src/hemlockhoist/entry/context.py
+++ b/libs/entry/src/hemlockhoist/entry/context.py
@@ -8,6 +8,7 @@
     ==========
     settings : EntrySettings
     platform : Platform
+    quarantine : QuarantineService
     identity : HostIdentity
     clock : Clock
     boot_clock : SuspendAwareClock
@@ -62,6 +63,7 @@
         "moves",
         "open_requests",
         "platform",
+        "quarantine",
         "refuses_requests",
         "relay_address",
         "register",
--- a/libs/entry/src/hemlockhoist/entry/platform.py
+++ b/libs/entry/src/hemlockhoist/entry/platform.py
@@ -18,6 +18,9 @@
         The hosts' own table, in which they register.
     usage_table : str
         The hosts' own table, in which homes record the usage of customers.
+    quarantine_table : str
+        The hosts' own table, in which homes record parts of prompts that crash
+        upstreams.
     readiness_path, directory_path : str
     """
 
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -50,6 +50,8 @@
 from hemlockhoist.host.homes import HomeService
 from hemlockhoist.host.identity import HostIdentity, new_incarnation
 from hemlockhoist.host.message_router import MessageRouter
+from hemlockhoist.host.quarantine import QuarantineService
+from hemlockhoist.host.quarantine_recorder import QuarantineRecorder
 from hemlockhoist.peers import PeerBus
 from hemlockhoist.relays import RelayFrames, RelayServer, UpstreamPaths
 from hemlockhoist.store import SLOW_RETRY, TableWatch, TypedRows
@@ -155,6 +157,15 @@
         message_router.open(context)
         await self._open(context.upstreams)
         await self._open(context.fleet)
+        await self._open(
+            QuarantineRecorder(
+                context.quarantine,
+                TypedRows(self._platform.store),
+                self._platform.quarantine_table,
+                context.clock,
+                context.homes,
+            )
+        )
         await self._open_watches(context)
         await self._open(context.moves)
         await self._open(UsageRecorder(context))
@@ -221,6 +232,14 @@
         context.brittle_limits = AdvertisedLimits()
         context.back_offs = BackOffs()
         context.gate = QuotaGate(self.settings.bounds)
+        context.quarantine = QuarantineService(
+            context.clock,
+            context.identity.incarnation,
+            context.bus.send,
+            self._other_hosts,
+            context.metrics,
+        )
+        context.quarantine.on_changed = self._on_quarantine_changed
         context.moves = OrderedMoveService(
             context, TypedRows(self._platform.store), context.bus.send
         )
@@ -242,6 +261,7 @@
             new_tracker=self._new_tracker,
             experiments=self.settings.experiments,
             on_leaving=context.store_view.on_upstream_leaving,
+            quarantine=context.quarantine,
         )
         context.grants = GrantClient(
             context.clock,
@@ -255,6 +275,7 @@
             context.advertised_limits,
             context.back_offs,
             context.brittle_limits,
+            context.quarantine,
         )
         context.feeds = FeedStore(
             context,
@@ -373,6 +394,14 @@
         context.upstreams.links.set_listed({item.upstream_id for item in upstreams})
         context.homes.set_upstreams(upstreams)
 
+    def _other_hosts(self):
+        context = self.context
+        own_id = context.identity.host_id
+        return [host for host in context.fleet.live_hosts() if host != own_id]
+
+    def _on_quarantine_changed(self, records):
+        self.context.homes.review_queues()
+
     def _on_unresponsive(self, host_id):
         self.context.fleet.on_unresponsive(host_id)
 
--- a/libs/entry/src/hemlockhoist/entry/request_grants.py
+++ b/libs/entry/src/hemlockhoist/entry/request_grants.py
@@ -125,6 +125,7 @@
             prefix_hashes=admitted.prefix_hashes,
             prefix_tokens=admitted.prefix_tokens,
             regions=admitted.regions,
+            parts=admitted.parts,
         )
 
     def _unreachable_upstreams(self):
--- a/libs/host/src/hemlockhoist/host/context.py
+++ b/libs/host/src/hemlockhoist/host/context.py
@@ -30,6 +30,8 @@
         Cancels streams whose callers disconnect and do not resume them.
     leaving : bool
         Whether a planned stop has begun.
+    quarantine : QuarantineService
+        Keeps requests back whose prompts crash upstreams.
     open_requests : int
         The number of callers' requests whose answer is not complete.
     relay_address : str
@@ -54,6 +56,7 @@
         "metrics",
         "moves",
         "open_requests",
+        "quarantine",
         "relay_address",
         "operators",
         "settings",
--- a/libs/host/src/hemlockhoist/host/fleet.py
+++ b/libs/host/src/hemlockhoist/host/fleet.py
@@ -284,6 +284,7 @@
 def _(event: MemberJoined, context):
     _log.info("host_joined", host=event.member.address)
     context.homes.on_host_joined(event.member.address)
+    context.quarantine.send_to(event.member.address)
 
 
 @_handle.register
--- a/libs/host/src/hemlockhoist/host/grants.py
+++ b/libs/host/src/hemlockhoist/host/grants.py
@@ -48,6 +48,8 @@
 # converge within one or two probes.
 NOT_HOME_DELAY_MS = 50
 RETRY_AFTER_MS = 1_000
+# Parts that a host reports to a new home; the store has those that matter.
+MAX_REPORTED_PARTS = 32
 
 
 # Put into a waiter's inbox in place of a reply to have its request checked and sent
@@ -110,6 +112,8 @@
         The rejections that brittle upstreams bear, as they advertised to this host.
     incarnation : str, optional
         This host's incarnation.
+    quarantine : QuarantineService, optional
+        The evidence against parts of prompts that crash upstreams.
     """
 
     __slots__ = (
@@ -123,6 +127,7 @@
         "_incarnation",
         "_on_unresponsive",
         "_own_id",
+        "_quarantine",
         "_reconnect",
         "_refusal",
         "_send",
@@ -144,7 +149,9 @@
         advertised_limits=None,
         back_offs=None,
         brittle_limits=None,
+        quarantine=None,
     ):
+        self._quarantine = quarantine
         self._back_offs = back_offs
         self._brittle_limits = brittle_limits
         self._advertised_limits = advertised_limits
@@ -444,6 +451,8 @@
             token_us=outcome.token_us if outcome else -1,
             signals=signals,
             relay=outcome.relay if outcome else "",
+            is_crash_suspect=outcome.is_crash_suspect if outcome else False,
+            is_answered=outcome.is_answered if outcome else False,
         )
         self._notify_homes(hold, message)
 
@@ -498,6 +507,9 @@
         brittle = ()
         if self._brittle_limits is not None:
             brittle = self._brittle_limits.report(pool, now_ms)
+        part_records = ()
+        if self._quarantine is not None:
+            part_records = self._quarantine.records()[:MAX_REPORTED_PARTS]
         usage_by_customer = ()
         if self._usage_log is not None:
             usage_by_customer = self._usage_log.report(pool, home_incarnation, now_ms)
@@ -511,6 +523,7 @@
             limits=limits,
             back_offs=back_offs,
             brittle=brittle,
+            part_records=part_records,
         )
 
     def send_held_ids(self, pools):
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -1,5 +1,7 @@
 """The home side of grants: runs one pool's scheduler on behalf of the entry hosts."""
 
+import itertools
+
 import msgspec
 
 from hemlockhoist.base import get_logger
@@ -15,6 +17,7 @@
 )
 from hemlockhoist.host.gates import AllowAllGate
 from hemlockhoist.host.home_signals import HomeSignals
+from hemlockhoist.host.quarantine import QuarantineService
 from hemlockhoist.host.takeover import HolderQueries
 from hemlockhoist.host.work_requests import work_request
 from hemlockhoist.messages import (
@@ -69,6 +72,8 @@
     on_leaving : callable, optional
         ``on_leaving(upstream_id, started_unix_ms)`` is called when an upstream has
         announced to an entry host that it is about to stop.
+    quarantine : QuarantineService, optional
+        Keeps requests back whose prompts crash upstreams.
     """
 
     __slots__ = (
@@ -80,6 +85,7 @@
         "_identity",
         "_last_request_ms",
         "_metrics",
+        "_quarantine",
         "_queued",
         "_reconnect",
         "_send",
@@ -107,7 +113,9 @@
         gate=None,
         reconnect=lambda host_id: None,
         on_leaving=lambda upstream_id, started_unix_ms: None,
+        quarantine=None,
     ):
+        self._quarantine = quarantine or QuarantineService(clock)
         self._reconnect = reconnect
         self.pool = pool
         self.declared = declared
@@ -196,6 +204,9 @@
             return
         now_ms = self._last_request_ms = self._clock.now_ms()
         request = work_request(brief, sender, now_ms - late_ms)
+        self._quarantine.on_request(request)
+        if self._keep_back(request):
+            return
         refusal = self._gate.refusal(self.pool, request, now_ms)
         if refusal is not None:
             self._refuse(request, refusal.code, refusal.retry_after_ms, refusal.reason)
@@ -215,6 +226,42 @@
         if not is_decided:
             self._notify_queued(request)
 
+    def _keep_back(self, request):
+        """Refuse a request whose prompt may crash its upstream; return whether it is."""
+        kept_back = self._quarantine.kept_back(
+            request, lambda part: self._is_busy_with(part, request)
+        )
+        if kept_back is None:
+            return False
+        reason = f"part {kept_back.part:016x} crashes {kept_back.crashes}"
+        code, retry_after_ms = kept_back.code, kept_back.retry_after_ms
+        self._refuse(request, code, retry_after_ms, reason)
+        return True
+
+    def _is_busy_with(self, part, request):
+        """Return whether another request with a part waits, or is at an upstream."""
+        waiting = (queued.request for queued in self._queued.values())
+        granted = (
+            self.scheduler.in_flight_grant(grant.grant_id)
+            for grant, _ in self._granted.values()
+        )
+        running = (held.request for held in granted if held is not None)
+        return any(
+            part in other.parts and other.request_id != request.request_id
+            for other in itertools.chain(waiting, running)
+        )
+
+    def review_queue(self):
+        """Refuse queued requests that must not be sent any more."""
+        now_ms = self._clock.now_ms()
+        for queued in list(self._queued.values()):
+            request = queued.request
+            if request.parts and self._keep_back(request):
+                self._remove_queued(request.request_id, now_ms)
+                self._end_span(request.request_id, cancelled=True)
+                decisions = self.scheduler.cancel(request.request_id, now_ms)
+                self._emit(decisions, now_ms)
+
     def _notify_queued(self, request):
         _log.info(
             "request_queued",
@@ -278,8 +325,19 @@
             relay=message.relay,
         )
         now_ms = self._clock.now_ms()
+        # Before the release, which may give the slot to another such request.
+        held = self.scheduler.in_flight_grant(message.grant_id)
+        if held is not None and held.request.parts:
+            self._record_evidence(held, message)
         self._release(message.grant_id, message.request_id, outcome, now_ms)
 
+    def _record_evidence(self, held, message):
+        parts = held.request.parts
+        if message.is_answered:
+            self._quarantine.on_answer(parts)
+        elif message.is_crash_suspect:
+            self._quarantine.on_crash(held.grant.upstream_id, parts)
+
     def on_upstream_reached(self, upstream_id):
         """Record that a host reaches an upstream to which another could not connect."""
         now_ms = self._clock.now_ms()
@@ -323,6 +381,7 @@
             self._granted[request.request_id] = (grant, sender)
             self._emit(self.scheduler.adopt(request, grant, now_ms), now_ms)
         self._signals.adopt(sender, message)
+        self._quarantine.merge(message.part_records)
         if self._holders.is_pending(sender):
             self._gate.on_usage_report(sender, message, now_ms)
             if self._holders.discard(sender):
@@ -435,6 +494,7 @@
         if has_waited:
             self._log_granted(decision)
         self._granted[grant.request_id] = (grant, entry_host)
+        self._quarantine.on_sent(decision.request)
         cached = self.scheduler.cached_elsewhere(decision.request, grant.upstream_id)
         if cached:
             self._cached_elsewhere_tokens[grant.request_id] = cached
--- a/libs/host/src/hemlockhoist/host/homes.py
+++ b/libs/host/src/hemlockhoist/host/homes.py
@@ -41,6 +41,8 @@
     on_leaving : callable, optional
         ``on_leaving(upstream_id, started_unix_ms)`` is called when an upstream has
         announced to an entry host that it is about to stop.
+    quarantine : QuarantineService, optional
+        Keeps requests back whose prompts crash upstreams.
     """
 
     __slots__ = (
@@ -52,6 +54,7 @@
         "_homes",
         "_new_tracker",
         "_on_leaving",
+        "_quarantine",
         "_send",
         "_standbys",
         "_upstreams",
@@ -66,7 +69,9 @@
         new_tracker=_no_tracker,
         experiments=None,
         on_leaving=lambda upstream_id, started_unix_ms: None,
+        quarantine=None,
     ):
+        self._quarantine = quarantine
         self._on_leaving = on_leaving
         self._experiments = experiments or Experiments()
         self._new_tracker = new_tracker
@@ -130,6 +135,8 @@
             policy = self._context.moves.open_standby(pool)
             self._standbys[name] = home = self._new_home(pool, policy)
             home.start((self._context.identity.host_id,))
+            if self._quarantine is not None:
+                self._quarantine.on_alone()
         return self._standbys.get(name)
 
     def _new_home(self, pool, policy):
@@ -154,6 +161,7 @@
             self._gate,
             self._context.bus.reconnect,
             self._on_leaving,
+            self._quarantine,
         )
         scheduler.set_share(self._fleet_share)
         home.set_upstreams(self._upstreams.get(pool.name, ()))
@@ -216,6 +224,16 @@
             return self._standbys[pool]
         return self._homes.get(pool)
 
+    def review_queues(self):
+        """Refuse queued requests that must not be sent any more."""
+        for _, home in self._all():
+            home.review_queue()
+
+    @property
+    def is_alone(self):
+        """Whether this host grants requests of its own, as no home answers."""
+        return bool(self._standbys)
+
     def set_upstreams(self, upstreams):
         """Set the upstreams of all pools, as the platform lists them."""
         by_pool = {}
--- a/libs/host/src/hemlockhoist/host/message_router.py
+++ b/libs/host/src/hemlockhoist/host/message_router.py
@@ -34,6 +34,7 @@
     MembersRequest,
     MoveAnnounced,
     NotHome,
+    PartRecords,
     Probe,
     ProbeAck,
     ProbeRequest,
@@ -192,6 +193,11 @@
     context.moves.on_halted(message)
 
 
+@_handle.register
+def _(message: PartRecords, context, sender, late_ms):
+    context.quarantine.merge(message.records)
+
+
 @_handle.register
 def _(message: StreamTaken, context, sender, late_ms):
     context.stream_readers.on_message(message)
--- a/libs/host/src/hemlockhoist/host/process.py
+++ b/libs/host/src/hemlockhoist/host/process.py
@@ -43,6 +43,8 @@
 from hemlockhoist.host.moves import MoveService
 from hemlockhoist.host.operator_declarations import OperatorDeclarations
 from hemlockhoist.host.operators import OperatorHandlers
+from hemlockhoist.host.quarantine import QuarantineService
+from hemlockhoist.host.quarantine_recorder import QuarantineRecorder
 from hemlockhoist.host.server import HttpServer
 from hemlockhoist.host.services import ServiceHandlers
 from hemlockhoist.host.stream_readers import StreamReaders
@@ -66,6 +68,7 @@
 
 _log = get_logger("host.process")
 
+QUARANTINE_TABLE = "crashing_parts"
 HOME_TICK_INTERVAL_MS = 50
 HELD_REPORT_INTERVAL_MS = 10_000
 GAUGE_INTERVAL_MS = 1_000
@@ -120,6 +123,15 @@
         await self._start_serving(context, tables)
         message_router.open(context)
         await self._open(context.fleet)
+        await self._open(
+            QuarantineRecorder(
+                context.quarantine,
+                tables,
+                QUARANTINE_TABLE,
+                context.clock,
+                context.homes,
+            )
+        )
         members = HostListClient.from_config(transport)
         interval_ms = self.settings.host_list_poll_ms
         await self._open(HostListWatch(members, interval_ms, self._on_host_list))
@@ -175,13 +187,22 @@
         context.declarations = Declarations()
         context.callers = CallerDirectory(context.declarations)
         context.tokens = StreamTokens(self.settings.peer_key.encode())
-        context.homes = HomeService(context, send)
+        context.quarantine = QuarantineService(
+            clock,
+            context.identity.incarnation,
+            send,
+            self._other_hosts,
+            context.metrics,
+        )
+        context.homes = HomeService(context, send, quarantine=context.quarantine)
+        context.quarantine.on_changed = self._on_quarantine_changed
         context.grants = GrantClient(
             clock,
             send,
             context.homes.home_of,
             self._on_unresponsive,
             context.bus.reconnect,
+            quarantine=context.quarantine,
         )
         context.dispatcher = Dispatcher(
             context.grants, clock, context.invariants, context.traces, context.metrics
@@ -199,6 +220,14 @@
             self._find_host,
         )
 
+    def _other_hosts(self):
+        context = self.context
+        own_id = context.identity.host_id
+        return [host for host in context.fleet.live_hosts() if host != own_id]
+
+    def _on_quarantine_changed(self, records):
+        self.context.homes.review_queues()
+
     def _on_unresponsive(self, host_id):
         self.context.fleet.on_unresponsive(host_id)
 
--- a/libs/host/src/hemlockhoist/host/work_requests.py
+++ b/libs/host/src/hemlockhoist/host/work_requests.py
@@ -34,4 +34,5 @@
         avoid=brief.avoid,
         is_new=brief.is_new,
         regions=brief.regions,
+        parts=brief.parts,
     )
--- a/libs/messages/src/hemlockhoist/messages/__init__.py
+++ b/libs/messages/src/hemlockhoist/messages/__init__.py
@@ -74,6 +74,7 @@
 )
 from hemlockhoist.messages.moves import MoveAnnounced, StreamTaken, VersionHalted
 from hemlockhoist.messages.packing import MIN_PACKED_BYTES, pack_value, unpack_value
+from hemlockhoist.messages.quarantine import PartRecord, PartRecords, PartState
 from hemlockhoist.messages.registry import MESSAGE_TYPES
 from hemlockhoist.messages.relays import (
     RelayedHead,
@@ -142,6 +143,9 @@
     "Message",
     "MoveAnnounced",
     "NotHome",
+    "PartRecord",
+    "PartRecords",
+    "PartState",
     "Probe",
     "ProbeAck",
     "ProbeRequest",
--- a/libs/messages/src/hemlockhoist/messages/codes.py
+++ b/libs/messages/src/hemlockhoist/messages/codes.py
@@ -58,6 +58,7 @@
     "RelayedHead": 50,
     "RelayFailure": 51,
     "UpstreamReached": 52,
+    "PartRecords": 53,
 }
 
 
--- a/libs/messages/src/hemlockhoist/messages/grants.py
+++ b/libs/messages/src/hemlockhoist/messages/grants.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from hemlockhoist.messages.codes import code_of
+from hemlockhoist.messages.quarantine import PartRecord
 
 # Request rate limit of an upstream that advertises none.
 NO_LIMIT = math.inf
@@ -52,6 +53,9 @@
         size.
     regions : tuple of str
         Regions in which the upstream must be; empty for any region.
+    parts : tuple of int
+        Hashes of the parts of its prompt that other requests may share, by which those
+        that crash upstreams are recognised.
     """
 
     request_id: str
@@ -76,6 +80,7 @@
     max_gap_ms: int = 0
     prefix_tokens: tuple[int, ...] = ()
     regions: tuple[str, ...] = ()
+    parts: tuple[int, ...] = ()
 
 
 class GrantRequest(
@@ -193,6 +198,8 @@
     ``signals`` is what the upstream's answer said about the upstream, or None if that
     is no news. ``relay`` is the host through which the upstream was reached, or that
     could not reach it either; empty if the entry host used its own link.
+    ``is_crash_suspect`` states whether the upstream ended before it had begun to answer
+    the request, ``is_answered`` whether it began an answer and went on with it.
     """
 
     pool: str
@@ -207,6 +214,8 @@
     is_alone: bool = False
     signals: UpstreamSignals | None = None
     relay: str = ""
+    is_crash_suspect: bool = False
+    is_answered: bool = False
 
 
 class FirstToken(
@@ -281,7 +290,8 @@
     with the units. ``incarnation`` is that of the sender. ``up_ms`` is how long it has
     run, which limits how far back its usage reaches. ``limits`` are those that the
     pool's upstreams advertised to the sender, ``back_offs`` the upstreams that want no
-    requests from it, ``brittle`` the rejections that brittle upstreams bear.
+    requests from it, ``brittle`` the rejections that brittle upstreams bear, and
+    ``part_records`` the evidence against parts of prompts that crash upstreams.
     """
 
     pool: str
@@ -293,6 +303,7 @@
     limits: tuple[HeardLimit, ...] = ()
     back_offs: tuple[BackedOffUpstream, ...] = ()
     brittle: tuple[HeardLimit, ...] = ()
+    part_records: tuple[PartRecord, ...] = ()
 
 
 class HeldGrantIds(
--- a/libs/messages/src/hemlockhoist/messages/registry.py
+++ b/libs/messages/src/hemlockhoist/messages/registry.py
@@ -56,6 +56,7 @@
     ProbeRequest,
 )
 from hemlockhoist.messages.moves import MoveAnnounced, StreamTaken, VersionHalted
+from hemlockhoist.messages.quarantine import PartRecords
 from hemlockhoist.messages.relays import (
     RelayedHead,
     RelayFailure,
@@ -105,6 +106,7 @@
     MembersRequest,
     MoveAnnounced,
     NotHome,
+    PartRecords,
     Probe,
     ProbeAck,
     ProbeRequest,
--- a/libs/relays/src/hemlockhoist/relays/paths.py
+++ b/libs/relays/src/hemlockhoist/relays/paths.py
@@ -369,12 +369,23 @@
             if is_relayed:
                 is_upstream_lost = await self._verify(call) is RelayCause.UNREACHABLE
             else:
-                is_at_fault, is_upstream_lost = await self._find_fault(call)
+                is_at_fault, is_upstream_lost = await self.find_fault(call)
         finally:
             report(is_at_fault, is_upstream_lost)
 
-    async def _find_fault(self, call):
-        """Return whether the link is at fault, and whether the upstream is lost."""
+    async def find_fault(self, call):
+        """Return whether this host's link, and whether the upstream, has been lost.
+
+        Parameters
+        ==========
+        call : UpstreamCall
+            Whose connection was lost.
+
+        Returns
+        =======
+        (bool, bool)
+            Both may be true if none of several hosts reaches the upstream.
+        """
         if self.links.is_lost(call.pool, call.upstream_id):
             return True, self._seems_gone(call)
         if await self._probe(call):
--- a/libs/standins/src/hemlockhoist/standins/published/replica.py
+++ b/libs/standins/src/hemlockhoist/standins/published/replica.py
@@ -89,8 +89,10 @@
     crashing_parts : set of str
         Parts of prompts on which it ends as it begins to answer; not if one is last.
     crash_moment : CrashMoment
-    crashes : list of float
-        When it ended on such a part.
+    crashes : list of (float, str)
+        When it ended on such a part, and on which.
+    on_crash : callable
+        Called without arguments when it ends.
     on_restart : coroutine function
         Called after it has started again at its address.
     is_unframed : bool
@@ -121,6 +123,7 @@
         self.crashing_parts = set()
         self.crash_moment = CrashMoment.BEFORE_HEAD
         self.crashes = []
+        self.on_crash = lambda: None
         self.on_restart = None
         self.is_unframed = False
         self.is_silent = False
@@ -163,6 +166,7 @@
         for task in self._running:
             task.cancel()
         self._stop()
+        self.on_crash()
         self._restart = asyncio.create_task(self._listen_again())
 
     async def _listen_again(self):
@@ -172,14 +176,15 @@
         if self.on_restart is not None:
             await self.on_restart()
 
-    def _is_crashed_by(self, received):
+    def _crashing_part(self, received):
+        """Return the part on which it ends, or None."""
         *shared, _ = received.headers.get("prefix-hash", "").split(",")
-        names = {part.partition(":")[0] for part in shared}
-        return not names.isdisjoint(self.crashing_parts)
+        names = (part.partition(":")[0] for part in shared)
+        return next((name for name in names if name in self.crashing_parts), None)
 
-    async def _crash_on(self, received, writer):
+    async def _crash_on(self, part, received, writer):
         """End as it begins to answer a request that holds a crashing part."""
-        self.crashes.append(asyncio.get_running_loop().time())
+        self.crashes.append((asyncio.get_running_loop().time(), part))
         if self.crash_moment is not CrashMoment.BEFORE_HEAD:
             framing = "Content-Type: text/event-stream\r\nConnection: close\r\n"
             writer.write(self._head(received, "200 OK", framing))
@@ -289,8 +294,9 @@
 
     async def _respond(self, received, writer):
         await self._wait_until_heard()
-        if self._is_crashed_by(received):
-            await self._crash_on(received, writer)
+        part = self._crashing_part(received)
+        if part is not None:
+            await self._crash_on(part, received, writer)
             return
         if self.behaviour is Behaviour.HANGS:
             await self._wait_disconnected(received)
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_crashing_prompts.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_crashing_prompts.py
@@ -147,6 +147,74 @@
             await traffic.run(TRAFFIC_S)
         self.check(site, traffic, from_s)
 
+    async def test_part_stays_blocked_when_the_home_is_lost(self):
+        """Guards against a new home that begins from nothing."""
+        async with CrashSite() as site:
+            traffic = Traffic(site)
+            await traffic.run(1.6)
+            home = site.hosts[0].context.homes.home_of("asistente")
+            lost = next(
+                number
+                for number, host in enumerate(site.hosts)
+                if host.context.identity.host_id == home
+            )
+            await site.hosts[lost].close()
+            traffic.hosts.remove(lost)
+            from_s = now_s() + SETTLED_S
+            await traffic.run(TRAFFIC_S - 1.0, guilty_from_s=0)
+        self.check(site, traffic, from_s)
+
+    async def test_part_stays_blocked_when_all_hosts_are_replaced(self):
+        """Guards against hosts that start again and know nothing."""
+        async with CrashSite() as site:
+            traffic = Traffic(site)
+            await traffic.run(1.6)
+            before = site.count_crashes()
+            for host in site.hosts:
+                await host.close()
+            for number in range(HOSTS):
+                await site.add_host(HOSTS + number)
+            site.hosts = site.hosts[HOSTS:]
+            await site.wait_ready()
+            from_s = now_s() + SETTLED_S
+            await traffic.run(TRAFFIC_S - 1.0, guilty_from_s=0)
+        self.check(site, traffic, from_s)
+        self.assertEqual(site.count_crashes(), before)
+
+    async def test_part_in_prompts_of_two_pools_is_counted_once(self):
+        """Guards against a bound that holds for each pool by itself."""
+        async with CrashSite(("asistente", "minuta"), replicas=4) as site:
+            both = [Traffic(site), Traffic(site, "summary")]
+            from_s = now_s() + 0.8 + SETTLED_S
+            await asyncio.gather(*(item.run(TRAFFIC_S) for item in both))
+        for traffic in both:
+            self.check(site, traffic, from_s)
+
+    async def test_requests_kept_back_are_told_not_to_come_back(self):
+        """Guards against callers who repeat what will never be sent."""
+        async with CrashSite() as site:
+            traffic = Traffic(site)
+            await traffic.run(2.0)
+            begun = sum(len(replica.ran) for replica in site.all_replicas())
+            await traffic.send(traffic.guilty, f"c0de:60,{GUILTY}:50,b1:70")
+            ran = sum(len(replica.ran) for replica in site.all_replicas())
+        self.assertEqual(ran, begun)
+        _, status, _, retry_after = traffic.guilty[-1]
+        self.assertEqual((status, retry_after), (503, None))
+
+    async def test_crashes_for_other_reasons_block_no_part(self):
+        """Guards against sound requests that are blamed for a crash beside them."""
+        async with CrashSite() as site:
+            traffic = Traffic(site)
+            running = asyncio.create_task(traffic.run(TRAFFIC_S, guilty_from_s=9))
+            for replica in site.all_replicas():
+                await asyncio.sleep(0.4)
+                replica.crash()
+            await running
+            records = site.hosts[0].context.quarantine.records()
+        self.assertEqual([item for item in records if item.state], [])
+        self.assertGreater(traffic.served_share(0), 0.9)
+
     async def test_unframed_stream_without_an_event_is_not_whole(self):
         """Guards against an empty answer of a crashed replica that looks complete."""
         for moment in (CrashMoment.BEFORE_EVENT, CrashMoment.IN_EVENT):
