Keep chat requests back whose prompts crash engines, on the own interface too

The same fault as on the platform: a chat request whose prompt crashes its engine ended with 'outcome unknown', and the caller's next one, or another caller's with the same document, crashed the next engine. Parts of a prompt are here blocks of 1,024 characters from the begin of each message. Whether the engine is gone is looked at before the stream is asked for again, as it may be back by the end of that.

Engine stand-ins can crash on a text, losing all streams and connections. test_prompt_that_crashes_engines_is_not_sent_any_more failed while the check came after the attempts to resume (the last of 5 requests was sent again), and passes now.

--- a/libs/host/src/hemlockhoist/host/chat.py
+++ b/libs/host/src/hemlockhoist/host/chat.py
@@ -13,6 +13,7 @@
 )
 from hemlockhoist.base.traces import Hop
 from hemlockhoist.decisions import OutcomeKind
+from hemlockhoist.decisions.quarantine import part_hashes
 from hemlockhoist.declarations import PoolKind
 from hemlockhoist.host.body import read_body
 from hemlockhoist.host.completions import parse_chat, prefix_hashes, prompt_tokens
@@ -110,6 +111,7 @@
             prompt_tokens=prompt_tokens(prompt),
             output_tokens=chat.output_tokens(pool.expected_output_tokens),
             prefix_hashes=prefix_hashes(prompt),
+            parts=part_hashes(chat.part_names()),
             arrived_ms=now_ms,
             deadline_ms=now_ms + tier.deadline_ms,
             first_token_by_ms=now_ms + tier.first_token_target_ms,
@@ -260,6 +262,9 @@
             # The connection broke after the request was sent and before any event
             # arrived, or it carried the answer to another request. If the engine has
             # the stream, resuming it still gives the caller its own answer.
+            if not report.guard.relay:
+                call = self._call(hold)
+                _, report.is_upstream_lost = await client.find_fault(call)
             await self._resume_from_start(error)
 
     async def _resume_from_start(self, error):
--- a/libs/host/src/hemlockhoist/host/completions.py
+++ b/libs/host/src/hemlockhoist/host/completions.py
@@ -15,6 +15,9 @@
 BLOCK_TOKENS = 64
 MAX_PREFIX_BLOCKS = 32
 MAX_TOKENS_LIMIT = 1_000_000
+# Blocks of a message by which parts of prompts that crash engines are recognised: a
+# document is found again at the begin of a message, whatever is asked about it.
+PART_BYTES = 1_024
 
 
 class ChatMessage(msgspec.Struct, frozen=True):
@@ -41,6 +44,15 @@
         lines = [f"{item.role}:{_content_text(item.content)}" for item in self.messages]
         return "\n".join(lines).encode()
 
+    def part_names(self):
+        """Return the blocks of each message, whatever stands before the message."""
+        names = []
+        for item in self.messages:
+            text = f"{item.role}:{_content_text(item.content)}"
+            starts = range(0, len(text), PART_BYTES)
+            names += [text[start : start + PART_BYTES] for start in starts]
+        return names
+
     def output_tokens(self, default):
         """Return the limit on output tokens, ``default`` if the request sets none."""
         limit = self.max_completion_tokens or self.max_tokens
--- a/libs/host/src/hemlockhoist/host/dispatcher.py
+++ b/libs/host/src/hemlockhoist/host/dispatcher.py
@@ -44,6 +44,8 @@
     idempotent : bool
     prompt_tokens, output_tokens : int
     prefix_hashes : tuple of int
+    parts : tuple of int
+        Hashes of the parts of its prompt, see ``RequestBrief``.
     arrived_ms, deadline_ms, first_token_by_ms : int
         On this host's clock.
     failure_domain : str
@@ -64,6 +66,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     prefix_hashes: tuple[int, ...] = ()
+    parts: tuple[int, ...] = ()
     failure_domain: str = ""
 
     def brief(self, now_ms):
@@ -83,6 +86,7 @@
             first_token_in_ms=self.first_token_by_ms - now_ms,
             failure_domain=self.failure_domain,
             trace=context_to_text(),
+            parts=self.parts,
         )
 
 
@@ -101,12 +105,22 @@
         Time on the host's clock at which the answer began; None before.
     output_tokens, cached_tokens : int
         Counts for the outcome.
+    is_upstream_lost : bool
+        Whether the upstream was gone when its answer had broken off.
     """
 
-    __slots__ = ("cached_tokens", "first_ms", "guard", "kind", "output_tokens")
+    __slots__ = (
+        "cached_tokens",
+        "first_ms",
+        "guard",
+        "is_upstream_lost",
+        "kind",
+        "output_tokens",
+    )
 
     def __init__(self, guard):
         self.guard = guard
+        self.is_upstream_lost = False
         self.kind = OutcomeKind.NOT_SENT
         self.first_ms = None
         self.output_tokens = 0
@@ -129,6 +143,8 @@
             output_tokens=self.output_tokens,
             cached_tokens=self.cached_tokens,
             relay=relay,
+            is_crash_suspect=self.is_upstream_lost and self.output_tokens < 2,
+            is_answered=self.kind is OutcomeKind.SUCCESS or self.output_tokens > 1,
         )
 
 
@@ -288,5 +304,6 @@
         sent=report.guard.dispatched,
         first_ms=outcome.first_token_ms,
         total_ms=outcome.total_ms,
+        upstream_lost="true" if report.is_upstream_lost else "",
         reason=reason,
     )
--- a/libs/standins/src/hemlockhoist/standins/engine/app.py
+++ b/libs/standins/src/hemlockhoist/standins/engine/app.py
@@ -54,10 +54,11 @@
     core : EngineCore
     """
 
-    __slots__ = ("core", "server")
+    __slots__ = ("core", "crash_count", "server")
 
     def __init__(self, core):
         self.core = core
+        self.crash_count = 0
         # Set by the code that serves the application; needed to refuse connections.
         self.server = None
 
@@ -113,6 +114,10 @@
             stream = self.core.begin(request_id, model_name, prompt, max_tokens)
         except EngineRequestFailed:
             return self._error(request_id, 500, "injected engine failure")
+        if self.core.faults.crash_text and self.core.faults.crash_text in prompt:
+            await stream.wait_for_more(0)
+            await self._crash()
+            return _abort(request, web.Response())
         if body.get("stream"):
             return await self._send(request, stream, 0, self._next_crossing(stream))
         await stream.wait_for_more(len(stream.pieces))
@@ -121,6 +126,15 @@
         headers = self._headers(stream.request_id, stream.version)
         return web.json_response(wire.completion(stream), headers=headers)
 
+    async def _crash(self):
+        """Lose all streams and connections, and refuse new ones for a time."""
+        self.crash_count += 1
+        for stream in self.core.streams.unfinished():
+            self.core.cancel(stream)
+        if self.server is not None:
+            down_ms = self.core.faults.crash_down_ms
+            await self.server.refuse_connections_for(down_ms, aborts_open=True)
+
     async def _resume(self, request):
         request_id = request.match_info["request_id"]
         stream = self.core.streams.get(request_id)
@@ -218,6 +232,7 @@
     async def _runs(self, _request):
         counts = self.core.runs.as_json()
         counts["begun_after_leaving_ms"] = self.core.begun_after_leaving_ms
+        counts["crashes"] = self.crash_count
         return web.json_response(counts)
 
     async def _set_faults(self, request):
--- a/libs/standins/src/hemlockhoist/standins/engine/faults.py
+++ b/libs/standins/src/hemlockhoist/standins/engine/faults.py
@@ -32,6 +32,11 @@
         request too.
     refuse_ms : int
         How long new connections are refused.
+    crash_text : str
+        The engine crashes as it begins to answer a prompt with this text; empty for
+        none ...
+    crash_down_ms : int
+        ... and is back after this time, without its streams.
     state : str
         ``live`` or ``leaving``.
     load_lag_ms, cache_lag_ms : int
@@ -50,6 +55,8 @@
     cross_streams: int = 0
     cross_at_piece: int = 0
     refuse_ms: int = 0
+    crash_text: str = ""
+    crash_down_ms: int = 0
     state: str = "live"
     load_lag_ms: int = 0
     cache_lag_ms: int = 0
--- a/libs/standins/src/hemlockhoist/standins/engine/streams.py
+++ b/libs/standins/src/hemlockhoist/standins/engine/streams.py
@@ -92,6 +92,10 @@
         """Return the stream of a request, or None."""
         return self._streams.get(request_id)
 
+    def unfinished(self):
+        """Return the streams that are still generated."""
+        return [item for item in self._streams.values() if item.ended_ms is None]
+
     def newest_except(self, request_id):
         """Return the newest stream of any other request, or None."""
         for stream in reversed(self._streams.values()):
--- a/libs/standins/src/hemlockhoist/standins/serving.py
+++ b/libs/standins/src/hemlockhoist/standins/serving.py
@@ -93,16 +93,22 @@
                 await self._reopen
         await self._runner.cleanup()
 
-    async def refuse_connections_for(self, duration_ms):
+    async def refuse_connections_for(self, duration_ms, aborts_open=False):
         """Refuse new connections for a time; close the idle ones.
 
         Parameters
         ==========
         duration_ms : int
+        aborts_open : bool, optional
+            Whether connections with a request are aborted.
         """
-        await self._site.stop()
-        self._site = None
+        if self._site is None:
+            return
+        site, self._site = self._site, None
+        await site.stop()
         for connection in self._runner.server.connections:
+            if aborts_open and connection.transport is not None:
+                connection.transport.abort()
             connection.close()
         self._reopen = asyncio.create_task(self._listen_after(duration_ms))
 
--- a/libs/standins/src/hemlockhoist/standins/tests/test_end_to_end.py
+++ b/libs/standins/src/hemlockhoist/standins/tests/test_end_to_end.py
@@ -84,6 +84,24 @@
                 await self.fleet.set_faults(self.engine, faults)
                 await self._assert_complete_answer(stream)
 
+    def test_prompt_that_crashes_engines_is_not_sent_any_more(self):
+        """Guards against prompts that crash one engine after the other."""
+        self.runner.run(self._crash_engine())
+
+    async def _crash_engine(self):
+        faults = {"crash_text": "poisoned", "crash_down_ms": 900}
+        await self.fleet.set_faults(self.engine, faults)
+        document = "poisoned ".ljust(1_100, "x")
+        for number in range(5):
+            record = await self.caller.chat(_MODEL, f"{document}{number}", 8)
+            self.assertIsNot(record.outcome, CallOutcome.WHOLE)
+            await asyncio.sleep(1.0)
+        self.assertIs(record.outcome, CallOutcome.REFUSED, record)
+        counts = await self.fleet.run_counts(self.engine)
+        self.assertLessEqual(counts["crashes"], 5)
+        await self.fleet.set_faults(self.engine, {})
+        await self._assert_complete_answer()
+
     def test_broken_streams_are_resumed(self):
         """
         Guards against cut or repeated output when the connection to an engine breaks
