--- a/libs/standins/src/hemlockhoist/standins/published/soak/callers.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/callers.py
@@ -16,6 +16,9 @@
 # One in this many requests is abandoned by its caller before the answer is complete.
 DISCONNECT_EVERY = 25
 DISCONNECT_AFTER_S = 0.03
+# One in this many requests has the part that crashes replicas, if it is a stream.
+GUILTY_EVERY = 9
+SUBJECT_COUNT = 20
 
 
 class RequestKind(msgspec.Struct, frozen=True):
@@ -60,6 +63,10 @@
         Whether the answer was received to its end.
     disconnects : bool
         Whether the caller abandons the request early.
+    parts : str
+        The parts of its prompt and their tokens, as in its header; empty for none.
+    is_guilty : bool
+        Whether one of them crashes replicas.
     """
 
     attempt_id: str
@@ -73,6 +80,8 @@
     body: bytes = b""
     is_complete: bool = False
     disconnects: bool = False
+    parts: str = ""
+    is_guilty: bool = False
 
 
 class Callers:
@@ -95,6 +104,8 @@
         self.calls = []
         self.keys = keys
         self.revoked_keys = []
+        # A part of prompts that crashes replicas, and is sent now and then, or None.
+        self.guilty_part = None
         # The paths of routes that were added lately.
         self.probe_paths = []
         self._hosts = hosts
@@ -144,6 +155,8 @@
         }
         if call.key:
             headers["Authorization"] = f"Bearer {call.key}"
+        if call.parts:
+            headers["Prefix-Hash"] = call.parts
         url = f"http://{call.host}/{call.kind.path}/{call.attempt_id}"
         timeout_s = DISCONNECT_AFTER_S if call.disconnects else 10.0
         try:
@@ -173,7 +186,10 @@
             kind = RequestKind(path, "GET", "reservas", True, False)
             # Without a key, a host serves it however old its routes are.
             keys = [""]
+        is_guilty = self.guilty_part is not None and number % GUILTY_EVERY == 0
         return Call(
+            parts=self._parts(number, is_guilty) if kind.is_stream else "",
+            is_guilty=is_guilty and kind.is_stream,
             attempt_id=f"c{number}",
             kind=kind,
             key=rng.choice(keys),
@@ -182,6 +198,13 @@
             disconnects=number % DISCONNECT_EVERY == 0,
         )
 
+    def _parts(self, number, is_guilty):
+        """Return the parts of a prompt: common, of a subject, and its own."""
+        subject = f"5e55{number % SUBJECT_COUNT:02x}"
+        if is_guilty:
+            subject = self.guilty_part
+        return f"c0de:60,{subject}:200,{number:x}:90"
+
 
 def now_s():
     """Return the time on the clock of the event loop."""
--- a/libs/standins/src/hemlockhoist/standins/published/soak/checks.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/checks.py
@@ -7,6 +7,10 @@
 from hemlockhoist.standins.published.soak.config_checks import (
     find_declaration_violations,
 )
+from hemlockhoist.standins.published.soak.crash_checks import (
+    find_blocked_innocents,
+    find_crash_violations,
+)
 from hemlockhoist.standins.published.soak.cut_checks import find_cut_violations
 from hemlockhoist.standins.published.soak.fall_checks import find_fall_violations
 from hemlockhoist.standins.published.soak.limit_checks import find_limit_violations
@@ -104,6 +108,24 @@
         self.violations += violations
         self.check_counts["announced ends"] += checked
 
+    def check_crashes(self, spans, replicas, outages, rows):
+        """Check that prompts which crash replicas reached few, and no other is blocked.
+
+        Parameters
+        ==========
+        spans : list of CrashSpan
+        replicas : list of Replica
+        outages : list of (str, float, float)
+            Host, begin and end of each time in which it did not run normally.
+        rows : list
+            The records of parts in the store.
+        """
+        host_of = {key: call.host for key, call in self._calls.items()}
+        violations, checked = find_crash_violations(spans, replicas, host_of, outages)
+        self.violations += violations + find_blocked_innocents(spans, rows)
+        self.check_counts["crashing parts"] += checked
+        self.check_counts["spans of crashing parts"] += len(spans)
+
     def check_cuts(self, spans, outages):
         """Check that hosts without links to replicas served like the others.
 
@@ -113,7 +135,7 @@
         outages : list of (str, float, float)
             Host, begin and end of each time in which it did not run normally.
         """
-        calls = list(self._calls.values())
+        calls = [call for call in self._calls.values() if not call.is_guilty]
         violations, checked = find_cut_violations(calls, spans, outages)
         self.violations += violations
         self.check_counts["calls of cut hosts"] += checked
--- a/libs/standins/src/hemlockhoist/standins/published/soak/faults.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/faults.py
@@ -3,8 +3,9 @@
 import asyncio
 import signal
 
-from hemlockhoist.standins.published.replica import Behaviour
+from hemlockhoist.standins.published.replica import Behaviour, CrashMoment
 from hemlockhoist.standins.published.soak.callers import now_s
+from hemlockhoist.standins.published.soak.crash_checks import CrashSpan
 from hemlockhoist.standins.published.soak.cut_checks import CutSpan
 from hemlockhoist.standins.published.soak.fall_checks import BrittleSpan
 from hemlockhoist.standins.published.soak.limit_checks import LimitSpan
@@ -15,6 +16,8 @@
 SERVICES = ("asistente", "reservas")
 # The effects of a fault, such as a lost host, last up to this long after its end.
 SETTLE_S = 2.0
+# Fraction of the runs in which replicas crash on parts of prompts.
+CRASHING_RUNS = 0.5
 _FAULTY_BEHAVIOURS = (
     Behaviour.FAILS,
     Behaviour.SHEDS,
@@ -48,9 +51,12 @@
     brittle_spans : list of BrittleSpan
     store_spans : list of (str, float, float)
         Host, begin and end of each time in which the store did not serve it.
+    crash_spans : list of CrashSpan
     """
 
-    def __init__(self, run, rng, names=()):
+    def __init__(self, run, rng, names=(), crash_rng=None):
+        self._crash_rng = crash_rng
+        self.crash_spans = []
         self._names = frozenset(names)
         self._run = run
         self._rng = rng
@@ -105,6 +111,10 @@
     async def inject(self, seconds, interval_s):
         """Inject random faults for ``seconds``, at intervals drawn from a range."""
         end_s = now_s() + seconds
+        if self._has_crashing_parts():
+            self._tasks.add(asyncio.create_task(self.crash_on_parts(end_s)))
+        if not self.fault_kinds:
+            await asyncio.sleep(seconds)
         while now_s() < end_s:
             kind = self._rng.choice(self.fault_kinds)
             name = kind.__name__
@@ -113,6 +123,15 @@
             self._tasks.add(task)
             await asyncio.sleep(self._rng.uniform(*interval_s))
 
+    def _has_crashing_parts(self):
+        """Return whether replicas crash on parts of prompts in this run.
+
+        Not in all: while they do, no planned stop is without another fault beside it.
+        """
+        if self._names:
+            return self.crash_on_parts.__name__ in self._names
+        return self._crash_rng.random() < CRASHING_RUNS
+
     async def heal(self):
         """Wait for the faults in progress, and remove all that is left of them."""
         await asyncio.gather(*self._tasks)
@@ -280,6 +299,23 @@
             replica.brittle_at = None
         self.brittle_spans.append(BrittleSpan(tuple(replicas), begin_s, now_s()))
 
+    async def crash_on_parts(self, end_s):
+        """Let all replicas crash on one part of prompts after the other until a time."""
+        run, rng = self._run, self._crash_rng
+        while now_s() < end_s:
+            await asyncio.sleep(rng.uniform(0.5, 2.0))
+            part, begin_s = f"bad{len(self.crash_spans)}", now_s()
+            for replica in run.live_replicas():
+                replica.crash_moment = rng.choice(tuple(CrashMoment))
+                replica.down_s = rng.uniform(1.0, 2.5)
+                replica.is_unframed = rng.random() < 0.5
+            run.crashing_parts.add(part)
+            run.callers.guilty_part = part
+            await asyncio.sleep(rng.uniform(5.0, 9.0))
+            run.callers.guilty_part = None
+            self.crash_spans.append(CrashSpan(part, begin_s, now_s()))
+            self._record_disturbance(begin_s)
+
     async def cut_links(self):
         """Cut one or two hosts from one replica, from a service's or from all."""
         if self._has_cut:
--- a/libs/standins/src/hemlockhoist/standins/published/soak/limit_checks.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/limit_checks.py
@@ -67,7 +67,7 @@
         item.started_s
         for item in received
         if span.from_s + BINDING_AFTER_S <= item.started_s < span.until_s
-        and not _is_excused(sender_of(item, host_of), item.started_s, outages)
+        and not is_excused(sender_of(item, host_of), item.started_s, outages)
     )
 
 
@@ -84,7 +84,8 @@
     return item.sender or host_of.get(item.headers.get("attempt-id"), "")
 
 
-def _is_excused(host, at_s, outages):
+def is_excused(host, at_s, outages):
+    """Return whether a host was not running normally at a time, or shortly before."""
     return any(
         name == host and begin_s <= at_s < end_s + EXCUSED_S
         for name, begin_s, end_s in outages
--- a/libs/standins/src/hemlockhoist/standins/published/soak/proxy.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/proxy.py
@@ -73,6 +73,22 @@
         ip, port = self._server.sockets[0].getsockname()
         self.address = f"{ip}:{port}"
 
+    @property
+    def is_listening(self):
+        """Whether it accepts connections."""
+        return self._server.is_serving()
+
+    def stop_listening(self):
+        """Refuse connections, and reset the open ones."""
+        self._server.close()
+        self.reset_all()
+
+    async def listen_again(self):
+        """Accept connections at the same address."""
+        ip, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, ip, int(port))
+        self._apply_cuts()
+
     async def close(self):
         """Stop listening and end all connections."""
         self._server.close()
--- a/libs/standins/src/hemlockhoist/standins/published/soak/run.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/run.py
@@ -107,7 +107,10 @@
         self.callers = Callers(
             self._addresses, list(self._keys), CALLER_COUNT, self._rng
         )
-        self.faults = SoakFaults(self, self._rng, fault_names)
+        crash_rng = random.Random(f"crashes of {seed}")
+        self.faults = SoakFaults(self, self._rng, fault_names, crash_rng)
+        # Parts of prompts on which replicas that start crash too.
+        self.crashing_parts = set()
 
     async def run(self, seconds):
         """Run the seed, with faults for ``seconds``, and return the ``SoakResult``."""
@@ -192,11 +195,28 @@
         proxy = target
         if proxy is None:
             proxy = await self._open(Proxy(replica.address))
+        if not proxy.is_listening:
+            await proxy.listen_again()
         proxy.target = replica.address
         replica.sender_of = lambda port: self._host_address(proxy.sender(port))
+        replica.crashing_parts = self.crashing_parts
+        replica.on_crash = proxy.stop_listening
+        replica.on_restart = lambda: self._rename_replica(replica)
         self._replicas[replica.replica_id] = (replica, proxy, (service, version))
         await self._register(replica)
 
+    async def _rename_replica(self, replica):
+        """Register a replica that started again at its address under a new id."""
+        old_id = replica.replica_id
+        entry = self._replicas.pop(old_id, None)
+        if entry is None:
+            return
+        await entry[1].listen_again()
+        replica.replica_id = f"i-{next(self._numbers)}"
+        self._replicas[replica.replica_id] = entry
+        await self._register(replica)
+        await self.store.put("servers", old_id, None)
+
     async def _register(self, replica, **fields):
         _, proxy, (service, version) = self._replicas[replica.replica_id]
         row = replica.row(service, version=version, **fields)
@@ -304,6 +324,12 @@
         checker.check_rests(replicas, faults.outages, DRAIN_MS)
         checker.check_cuts(faults.cut_spans, faults.outages)
         checker.check_falls(faults.brittle_spans)
+        checker.check_crashes(
+            faults.crash_spans,
+            replicas,
+            faults.outages,
+            self.store.payloads("crashing_parts"),
+        )
         checker.check_declarations(
             self._declared, faults.store_spans, faults.outages, self._addresses()
         )
--- a/libs/standins/src/hemlockhoist/standins/published/store.py
+++ b/libs/standins/src/hemlockhoist/standins/published/store.py
@@ -108,6 +108,11 @@
             return None
         return json.loads(base64.b64decode(row.value))
 
+    def payloads(self, table):
+        """Return the decoded JSON payloads of all rows of a table."""
+        found = (self.payload(name, key) for name, key in self._rows if name == table)
+        return [payload for payload in found if payload is not None]
+
     def truncate_history(self):
         """Drop the change history, so that feed readers must read all rows again."""
         self._oldest_version = self._version
