Show operators the parts of prompts that crash upstreams, and lift one

Code 407 for a part without evidence. The test blocks a part in the store, and sees two hosts that start afterwards show it, one lift it, and the other show none.

--- a/libs/cli/src/hemlockhoist/cli/client.py
+++ b/libs/cli/src/hemlockhoist/cli/client.py
@@ -13,12 +13,14 @@
     DRAIN_PATH,
     HISTORY_PATH,
     MOVES_PATH,
+    PARTS_PATH,
     STATUS_PATH,
     ChangeResult,
     DeclarationsView,
     HistoryView,
     MovesView,
     MoveView,
+    PartsView,
 )
 
 CONNECT_TIMEOUT_MS = 2_000
@@ -116,6 +118,16 @@
         path = f"{MOVES_PATH}/{urllib.parse.quote(move_id, safe='')}?{query}"
         return await self._call("DELETE", path, MoveView)
 
+    async def parts(self):
+        """Return the ``PartsView`` of a host."""
+        return await self._call("GET", PARTS_PATH, PartsView)
+
+    async def lift_part(self, part, reason, author):
+        """Withdraw the evidence against a part; return the ``PartsView``."""
+        query = urllib.parse.urlencode({"reason": reason, "author": author})
+        path = f"{PARTS_PATH}/{urllib.parse.quote(part, safe='')}?{query}"
+        return await self._call("DELETE", path, PartsView)
+
     async def _call(self, method, path, result_type, body=None):
         data = None if body is None else msgspec.json.encode(body)
         failures, sent = [], False
--- a/libs/cli/src/hemlockhoist/cli/main.py
+++ b/libs/cli/src/hemlockhoist/cli/main.py
@@ -8,6 +8,7 @@
 from hemlockhoist.cli.host import host
 from hemlockhoist.cli.load_command import load_command
 from hemlockhoist.cli.move import move
+from hemlockhoist.cli.part import part
 from hemlockhoist.cli.status import status
 
 
@@ -23,6 +24,7 @@
     host,
     declare,
     move,
+    part,
     status,
     codes,
     explain_command,
--- a/libs/host/src/hemlockhoist/host/operator_messages.py
+++ b/libs/host/src/hemlockhoist/host/operator_messages.py
@@ -3,12 +3,14 @@
 import msgspec
 
 from hemlockhoist.declarations import Declarations, HistoryEntry
+from hemlockhoist.messages import PartState
 
 STATUS_PATH = "/-/status"
 DRAIN_PATH = "/-/drain"
 DECLARATIONS_PATH = "/-/declarations"
 HISTORY_PATH = "/-/declarations/history"
 MOVES_PATH = "/-/moves"
+PARTS_PATH = "/-/parts"
 
 
 class DeclarationChange(msgspec.Struct, frozen=True, kw_only=True):
@@ -115,6 +117,43 @@
     author: str = ""
 
 
+class PartView(msgspec.Struct, frozen=True, kw_only=True):
+    """One part of prompts in the answer to ``GET /-/parts``.
+
+    Parameters
+    ==========
+    part : str
+        The hash by which log lines name it.
+    state : str
+        ``clear``, ``suspected`` or ``blocked``.
+    crashes : int
+        Crashes of upstreams that it is held responsible for.
+    tries : int
+        Single requests that were sent since it was blocked.
+    """
+
+    part: str
+    state: str
+    crashes: int
+    tries: int
+
+
+class PartsView(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer to ``GET /-/parts``: the parts with evidence against them."""
+
+    parts: tuple[PartView, ...]
+
+
+def part_view(record):
+    """Return the view of a ``PartRecord`` for operators."""
+    return PartView(
+        part=f"{record.part:016x}",
+        state=PartState(record.state).name.lower(),
+        crashes=len(record.crashes),
+        tries=record.tries,
+    )
+
+
 class MovesView(msgspec.Struct, frozen=True, kw_only=True):
     """Answer to ``GET /-/moves``: the latest move of each pool."""
 
--- a/libs/host/src/hemlockhoist/host/operators.py
+++ b/libs/host/src/hemlockhoist/host/operators.py
@@ -13,6 +13,7 @@
     DRAIN_PATH,
     HISTORY_PATH,
     MOVES_PATH,
+    PARTS_PATH,
     STATUS_PATH,
     DeclarationChange,
     DeclarationsView,
@@ -20,6 +21,8 @@
     HostVersion,
     MovesView,
     MoveView,
+    PartsView,
+    part_view,
 )
 from hemlockhoist.host.responses import result_headers
 
@@ -60,6 +63,9 @@
             MOVES_PATH + "/{move_id}", self._require_key(self._cancel_move)
         )
 
+        router.add_get(PARTS_PATH, self._require_key(self._parts))
+        router.add_delete(PARTS_PATH + "/{part}", self._require_key(self._lift_part))
+
     def _require_key(self, handler):
         """Return a handler that checks the operator's key before ``handler`` runs."""
 
@@ -130,6 +136,26 @@
         row = await self._context.moves.cancel(move_id, reason, author)
         return _json_response(move_view(row))
 
+    async def _parts(self, request):
+        return _json_response(self._parts_view())
+
+    def _parts_view(self):
+        records = self._context.quarantine.records()
+        known = (item for item in records if item.crashes or item.state)
+        return PartsView(parts=tuple(part_view(record) for record in known))
+
+    async def _lift_part(self, request):
+        """Withdraw the evidence against a part, so that its requests are sent again."""
+        text = request.match_info["part"]
+        parts = {item.part for item in self._parts_view().parts}
+        if text not in parts:
+            raise BadRequest(f"no evidence against {text!r}", ResultCode.PART_UNKNOWN)
+        author = request.query.get("author", "operator")
+        reason = request.query.get("reason", "")
+        _log.info("part_lifted", part=text, author=author, reason=reason)
+        self._context.quarantine.lift(int(text, 16))
+        return _json_response(self._parts_view())
+
     async def _decode(self, request, kind):
         timeout_ms = self._context.settings.body_timeout_ms
         body = await read_body(request, MAX_BODY_BYTES, timeout_ms)
@@ -176,6 +202,11 @@
         "pools": [_pool_status(context, pool) for pool in context.declarations.pools],
         "upstreams": [_upstream_status(item) for item in context.homes.upstreams()],
         "tiers": [_tier_status(tier) for tier in context.declarations.tiers],
+        "parts": [
+            msgspec.to_builtins(part_view(record))
+            for record in context.quarantine.records()
+            if record.state
+        ],
         "leases": context.moves.leases(),
         "moves": list(context.moves.events),
         "checks": {p.name: n for p, n in context.invariants.checks.items()},
--- a/libs/standins/src/hemlockhoist/standins/tests/test_operator_commands.py
+++ b/libs/standins/src/hemlockhoist/standins/tests/test_operator_commands.py
@@ -9,7 +9,9 @@
 import aiohttp
 
 from hemlockhoist.cli.exit_codes import ExitCode
+from hemlockhoist.messages import PartRecord, PartState
 from hemlockhoist.standins.launcher import ProcessGroup
+from hemlockhoist.store import PlatformConfig, PlatformTransport, TableClient
 
 WORKSPACE = pathlib.Path(__file__).parents[6]
 EXAMPLE = WORKSPACE / "examples" / "declarations.yaml"
@@ -63,16 +65,9 @@
             "HEMLOCKHOIST_PLATFORM_ADDRESS": self.platform.address,
             "HEMLOCKHOIST_STATSD_ADDRESS": self.metrics.address,
         }
-        starts = (
-            self.group.start(
-                f"host-{number}",
-                *("hemlockhoist.cli", "host", "run", "--host-id", f"host-{number}"),
-                environment=environment,
-            )
-            for number in range(HOSTS)
-        )
+        self.environment = environment
+        starts = (self.start_host(number) for number in range(HOSTS))
         self.hosts = await asyncio.gather(*starts)
-        self.addAsyncCleanup(self.kill_hosts, *self.hosts)
         await self.publish_hosts()
 
     async def start_statsd(self):
@@ -238,6 +233,45 @@
         self.assertEqual(self.metric_lines("moves.started"), started)
         self.assertTrue(self.metric_lines("declarations.version:1|g"))
 
+    async def start_host(self, number):
+        words = ("hemlockhoist.cli", "host", "run", "--host-id", f"host-{number}")
+        host = await self.group.start(
+            f"host-{number}", *words, environment=self.environment
+        )
+        self.addAsyncCleanup(self.kill_hosts, host)
+        return host
+
+    async def block_part(self, part):
+        """Record in the store that a part is blocked, as a host does."""
+        config = PlatformConfig(url=f"http://{self.platform.address}")
+        transport = PlatformTransport.from_config(config)
+        await transport.start()
+        record = PartRecord(part=part, crashes=(1, 2, 3), state=PartState.BLOCKED)
+        tables = TableClient.from_config(transport)
+        await tables.put("crashing_parts", f"{part:016x}", record, 0)
+        await transport.close()
+
+    async def test_parts_of_prompts_are_listed_and_lifted(self):
+        """A part that hosts block is shown, and lifted, also for hosts to come."""
+        await self.run_command("declare", "apply", EXAMPLE)
+        await self.block_part(0xBAD)
+        name = f"{0xBAD:016x}"
+        hosts = [await self.start_host(HOSTS), await self.start_host(HOSTS + 1)]
+        for host in hosts:
+            words = ("--host", host.address, "--json")
+            shown = json.loads((await self.run_command("part", "list", *words)).stdout)
+            (part,) = shown["parts"]
+            self.assertEqual((part["part"], part["state"]), (name, "blocked"))
+        words = (name, "--reason", "Mended engines.", "--host", hosts[0].address)
+        result = await self.run_command("part", "lift", *words)
+        self.assertEqual(result.exit_code, ExitCode.OK, result)
+        self.assertIn("no part is suspected", result.stdout)
+        result = await self.run_command("part", "lift", *words)
+        self.assertIn("error 407", result.stderr, result)
+        words = ("--host", hosts[1].address)
+        result = await self.run_command("part", "list", *words)
+        self.assertIn("no part is suspected", result.stdout)
+
     async def test_drain_waits_for_the_host_to_stop(self):
         """Drain waits for the host's exit; the other hosts no longer list it."""
         await self.run_command("declare", "apply", EXAMPLE)
