Do not hold a prompt's crashes against versions, and clear long answers early

Two faults found by reading the change. A new version whose first upstreams a guilty prompt crashed counted the broken answers as its own, and a good version could be rolled back for a prompt; the end of an upstream that a suspected or blocked part explains now tells the version's evidence nothing. And requests with a suspected part waited for the end of the answer that tries it, many seconds for a long one; it counts as answered once it has gone on for 500 ms.

Tests of the home, of the service and of the record in the store on a paused clock.

--- a/libs/decisions/src/hemlockhoist/decisions/quarantine/crash_log.py
+++ b/libs/decisions/src/hemlockhoist/decisions/quarantine/crash_log.py
@@ -59,10 +59,17 @@
     def __iter__(self):
         return iter(self._crashes)
 
+    def latest(self, upstream_id, now_ms):
+        """Return the ``Crash`` that just ended an upstream, or None."""
+        crash = self._by_upstream.get(upstream_id)
+        if crash is None or now_ms - crash.at_ms >= SAME_CRASH_MS:
+            return None
+        return crash
+
     def crash_of(self, upstream_id, now_ms):
         """Return the ``Crash`` that a report of an upstream's end is about."""
-        crash = self._by_upstream.get(upstream_id)
-        if crash is not None and now_ms - crash.at_ms < SAME_CRASH_MS:
+        crash = self.latest(upstream_id, now_ms)
+        if crash is not None:
             return crash
         text = f"{self._host}/{upstream_id}/{now_ms}"
         crash = Crash(xxhash.xxh64_intdigest(text.encode()), now_ms)
--- a/libs/decisions/src/hemlockhoist/decisions/quarantine/quarantine.py
+++ b/libs/decisions/src/hemlockhoist/decisions/quarantine/quarantine.py
@@ -275,6 +275,14 @@
             changed[record.part] = record
         return is_stored
 
+    def explains_crash(self, upstream_id, now_ms):
+        """Return whether a prompt is taken for the cause of an upstream's last end."""
+        crash = self._crashes.latest(upstream_id, now_ms)
+        if crash is None:
+            return False
+        states = (self._table.state(part) for part in crash.positions)
+        return any(state is not PartState.CLEAR for state in states)
+
     # Other hosts.
 
     def merge(self, records, now_ms):
--- a/libs/decisions/src/hemlockhoist/decisions/quarantine/tests/test_quarantine.py
+++ b/libs/decisions/src/hemlockhoist/decisions/quarantine/tests/test_quarantine.py
@@ -131,6 +131,15 @@
         self.crash_often(3, [GUILTY])
         self.assertIs(self.state(GUILTY), PartState.BLOCKED)
 
+    def test_crash_under_a_suspected_part_is_explained(self):
+        """Guards against a good version that is rolled back for a prompt."""
+        self.crash([GUILTY])
+        self.assertFalse(self.quarantine.explains_crash("u1", self.now_ms))
+        self.crash([GUILTY])
+        self.assertTrue(self.quarantine.explains_crash("u2", self.now_ms))
+        self.assertFalse(self.quarantine.explains_crash("u3", self.now_ms))
+        self.assertFalse(self.quarantine.explains_crash("u2", self.now_ms + 5_000))
+
 
 class KeptBackTests(QuarantineCase):
     def test_suspected_part_is_sent_to_one_upstream_at_a_time(self):
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -17,7 +17,7 @@
 from hemlockhoist.decisions.scheduling.queue import QueuedRequest, RequestQueue
 from hemlockhoist.decisions.scheduling.shard_upstreams import ShardUpstreams
 from hemlockhoist.decisions.scheduling.shedding import Shedder
-from hemlockhoist.decisions.work import Granted, OutcomeKind
+from hemlockhoist.decisions.work import Granted, Outcome, OutcomeKind
 
 # A grant is dropped this long after its request's deadline. Where the message that
 # carried its release was lost, the slot would otherwise stay occupied permanently.
@@ -195,12 +195,21 @@
         self._queue.remove(request_id)
         return []
 
-    def release(self, grant_id, outcome, now_ms):
-        """Release a grant with its outcome; return the decisions that follow."""
+    def release(self, grant_id, outcome, now_ms, is_prompt_at_fault=False):
+        """Release a grant with its outcome; return the decisions that follow.
+
+        Parameters
+        ==========
+        grant_id : str
+        outcome : Outcome
+        now_ms : int
+        is_prompt_at_fault : bool, optional
+            Whether a prompt crashed the upstream, which says nothing of its version.
+        """
         held = self._grants.remove(grant_id)
         if held is None:
             return []
-        self._record_outcome(held, outcome, now_ms)
+        self._record_outcome(held, outcome, now_ms, is_prompt_at_fault)
         return self._decide(now_ms, held.grant.upstream_id)
 
     def observe_first_token(self, grant_id, first_token_ms, now_ms, relay=""):
@@ -481,7 +490,7 @@
             self._upstreams.tracker.forget(held, now_ms)
             self._policy.on_forget(held.request, held.grant.version, now_ms)
 
-    def _record_outcome(self, held, outcome, now_ms):
+    def _record_outcome(self, held, outcome, now_ms, is_prompt_at_fault):
         request = held.request
         outcome = self._upstreams.attributed(held, outcome, now_ms)
         hold_ms = now_ms - held.granted_ms
@@ -492,6 +501,9 @@
         if outcome.kind not in _NOT_SENT:
             self._grants.record_ended(request.request_id, now_ms)
         grant = held.grant
+        if is_prompt_at_fault:
+            # The kind of failures that say nothing about the upstream.
+            outcome = Outcome(kind=OutcomeKind.LINK_LOST)
         self._policy.on_outcome(
             request, grant.version, outcome, now_ms, grant.upstream_id
         )
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -34,6 +34,8 @@
 # was never used: a list already in transit when the grant was issued would have
 # arrived before.
 LOST_GRANT_MS = 5_000
+# An answer that goes on for so long after it began has not crashed its upstream.
+ANSWER_WENT_ON_MS = 500
 
 
 class QueueEntry(msgspec.Struct, frozen=True):
@@ -77,6 +79,7 @@
     """
 
     __slots__ = (
+        "_begun",
         "_cached_elsewhere_tokens",
         "_clock",
         "_gate",
@@ -129,6 +132,8 @@
         self._holders = HolderQueries(pool, identity.incarnation, clock, send)
         self._signals = HomeSignals(pool, scheduler, clock, self._metrics, on_leaving)
         self._cached_elsewhere_tokens = {}
+        # When the answers to requests with a suspected part began, by grant.
+        self._begun = {}
         self._queued = {}
         self._granted = {}
         self._spans = {}
@@ -310,8 +315,25 @@
         decisions = self.scheduler.observe_first_token(
             message.grant_id, message.first_token_ms, now_ms, message.relay
         )
+        held = self.scheduler.in_flight_grant(message.grant_id)
+        if held is not None and self._quarantine.is_suspect(held.request):
+            self._begun[message.grant_id] = now_ms
         self._emit(decisions, now_ms)
 
+    def _clear_answered(self, now_ms):
+        """Count suspects' answers that have gone on for a while.
+
+        Load: sound requests with a part that was suspected wait for the one that tries
+        it, whose answer may take many seconds.
+        """
+        for grant_id, begun_ms in list(self._begun.items()):
+            if now_ms - begun_ms < ANSWER_WENT_ON_MS:
+                continue
+            del self._begun[grant_id]
+            held = self.scheduler.in_flight_grant(grant_id)
+            if held is not None:
+                self._quarantine.on_answer(held.request.parts)
+
     def on_release(self, message):
         """Release a grant and record its outcome."""
         self._signals.observe(message)
@@ -349,7 +371,15 @@
             del self._granted[request_id]
             self._count_wasted(request_id, outcome)
         held = self.scheduler.in_flight_grant(grant_id)
-        decisions = self.scheduler.release(grant_id, outcome, now_ms)
+        is_prompt_at_fault = (
+            held is not None
+            and outcome.kind is OutcomeKind.BROKE_OFF
+            and self._quarantine.explains_crash(held.grant.upstream_id)
+        )
+        decisions = self.scheduler.release(
+            grant_id, outcome, now_ms, is_prompt_at_fault
+        )
+        self._begun.pop(grant_id, None)
         self._signals.log_changes(held, outcome.kind)
         self._emit(decisions, now_ms)
 
@@ -428,6 +458,8 @@
         """Do the periodic work: repeat unanswered queries, let the scheduler tick."""
         now_ms = self._clock.now_ms()
         self._holders.resend_if_due()
+        if self._begun:
+            self._clear_answered(now_ms)
         self._emit(self.scheduler.tick(now_ms), now_ms)
 
     def set_upstreams(self, upstreams):
--- a/libs/host/src/hemlockhoist/host/quarantine.py
+++ b/libs/host/src/hemlockhoist/host/quarantine.py
@@ -121,6 +121,16 @@
         now_ms = self._clock.now_ms()
         self._publish(self._quarantine.on_crash(upstream_id, parts, now_ms))
 
+    def explains_crash(self, upstream_id):
+        """Return whether a prompt is taken for the cause of an upstream's last end."""
+        now_ms = self._clock.now_ms()
+        return self._quarantine.explains_crash(upstream_id, now_ms)
+
+    def is_suspect(self, request):
+        """Return whether a part of a request's prompt is suspected or blocked."""
+        states = (self._quarantine.state(part) for part in request.parts)
+        return any(state is not PartState.CLEAR for state in states)
+
     def lift(self, part):
         """Withdraw the evidence against a part by an operator's command."""
         self._publish(self._quarantine.lift(part, self._clock.now_ms()))
--- /dev/null
+++ b/libs/host/src/hemlockhoist/host/tests/test_home_quarantine.py
@@ -0,0 +1,278 @@
+import asyncio
+
+import msgspec
+
+from hemlockhoist.base import Clock, PlatformError, ResultCode, StoreConflict
+from hemlockhoist.base.testing import PausedTestCase
+from hemlockhoist.base.traces import Traces
+from hemlockhoist.decisions import Upstream
+from hemlockhoist.decisions.scheduling import PoolScheduler
+from hemlockhoist.declarations import Pool, PoolKind, Tier
+from hemlockhoist.host.home import ANSWER_WENT_ON_MS, PoolHome
+from hemlockhoist.host.identity import HostIdentity
+from hemlockhoist.host.quarantine import QuarantineService
+from hemlockhoist.host.quarantine_recorder import QuarantineRecorder
+from hemlockhoist.messages import (
+    FirstToken,
+    GrantRefusal,
+    GrantRelease,
+    GrantReply,
+    GrantRequest,
+    HeldGrants,
+    PartRecord,
+    PartRecords,
+    PartState,
+    RequestBrief,
+)
+from hemlockhoist.store import Row
+
+POOL = Pool(
+    name="chat", kind=PoolKind.MODEL, stable_version="v1", max_in_flight_per_upstream=1
+)
+TIERS = (Tier(name="t", rank=0, deadline_ms=60_000, first_token_target_ms=60_000),)
+ENTRY = "entry"
+GUILTY = 7
+UPSTREAMS = ("a", "b", "c", "d")
+
+
+class HomeCase(PausedTestCase):
+    async def asyncSetUp(self):
+        self.clock = Clock(asyncio.get_running_loop())
+        self.sent, self.told = [], []
+        self.quarantine = QuarantineService(
+            self.clock,
+            "i",
+            lambda host, message: self.told.append((host, message)),
+            lambda: ["other"],
+        )
+        identity = HostIdentity(
+            name="home",
+            incarnation="i",
+            address="127.0.0.1:2",
+            host_id="127.0.0.1:3",
+            failure_domain="a",
+        )
+        self.home = PoolHome(
+            "chat",
+            PoolScheduler.from_config(POOL, TIERS, "i"),
+            identity,
+            self.clock,
+            lambda host, message: self.sent.append(message),
+            (POOL, TIERS),
+            Traces.from_config(None, 0, "home"),
+            quarantine=self.quarantine,
+        )
+        self.quarantine.on_changed = lambda records: self.home.review_queue()
+        self.set_upstreams(*UPSTREAMS)
+        self.home.start([ENTRY])
+        held = HeldGrants(pool="chat", home_incarnation="i", grants=())
+        self.home.on_held_grants(ENTRY, held)
+
+    def set_upstreams(self, *names):
+        self.home.set_upstreams(
+            Upstream(upstream_id=n, pool="chat", version="v1", address="127.0.0.1:1")
+            for n in names
+        )
+
+    def request(self, request_id, attempt=1):
+        """Ask for a grant for a prompt with the guilty part; return the reply."""
+        brief = RequestBrief(
+            request_id=request_id,
+            route="chat",
+            customer="one",
+            tier_rank=0,
+            deadline_in_ms=60_000,
+            first_token_in_ms=60_000,
+            attempt=attempt,
+            parts=(GUILTY,),
+        )
+        message = GrantRequest(pool="chat", brief=brief)
+        self.home.on_request(ENTRY, message, 0)
+        return self.sent[-1]
+
+    def release(self, grant, **fields):
+        self.home.on_release(
+            GrantRelease(
+                pool="chat",
+                request_id=grant.request_id,
+                grant_id=grant.grant_id,
+                **{"outcome": "broke_off", "total_ms": 50, **fields},
+            )
+        )
+
+    async def crash(self, count):
+        """Let upstreams end under single requests."""
+        for number in range(count):
+            grant = self.request(f"g{number}")
+            self.assertIsInstance(grant, GrantReply)
+            self.release(grant, is_crash_suspect=True)
+            await asyncio.sleep(2)
+
+
+class HomeTests(HomeCase):
+    async def test_blocked_part_is_refused_and_told_to_all_hosts(self):
+        await self.crash(3)
+        refusal = self.request("late")
+        self.assertIsInstance(refusal, GrantRefusal)
+        self.assertEqual(refusal.code, ResultCode.PART_BLOCKED)
+        self.assertEqual(refusal.retry_after_ms, 0)
+        host, message = self.told[-1]
+        self.assertEqual((host, message.records[0].state), ("other", PartState.BLOCKED))
+
+    async def test_queued_requests_are_refused_once_their_part_is_blocked(self):
+        """Guards against a wave of queued requests that are granted one by one."""
+        self.set_upstreams("a")
+        first = self.request("first")
+        self.assertNotIsInstance(self.request("queued"), GrantReply)
+        self.quarantine.merge([PartRecord(part=GUILTY, state=PartState.BLOCKED)])
+        refusals = [item for item in self.sent if isinstance(item, GrantRefusal)]
+        self.assertEqual([item.request_id for item in refusals], ["queued"])
+        self.release(first, outcome="success", is_answered=True)
+        self.assertEqual(self.quarantine.record_of(GUILTY).state, PartState.CLEAR)
+
+    async def test_suspected_part_waits_for_the_request_that_tries_it(self):
+        await self.crash(2)
+        self.assertIsInstance(self.request("trial"), GrantReply)
+        refusal = self.request("waiting")
+        self.assertEqual(refusal.code, ResultCode.PART_SUSPECTED)
+        self.assertGreater(refusal.retry_after_ms, 0)
+
+    async def test_request_that_ended_an_upstream_gets_no_second_one_if_suspected(self):
+        await self.crash(2)
+        self.assertEqual(
+            self.request("again", attempt=2).code, ResultCode.PART_SUSPECTED
+        )
+
+    async def test_long_answer_clears_its_part_before_it_ends(self):
+        """Guards against requests that wait many seconds for a sound answer's end."""
+        await self.crash(2)
+        trial = self.request("trial")
+        message = FirstToken(pool="chat", grant_id=trial.grant_id, first_token_ms=30)
+        self.home.on_first_token(message)
+        self.home.tick()
+        self.assertIsInstance(self.request("waiting"), GrantRefusal)
+        await asyncio.sleep(ANSWER_WENT_ON_MS / 1_000)
+        self.home.tick()
+        self.assertIsInstance(self.request("next"), GrantReply)
+
+
+class TablesStandin:
+    """A table of the store, which may fail."""
+
+    def __init__(self):
+        self.rows = {}
+        self.is_down = False
+
+    async def list(self, table, value_type):
+        if self.is_down:
+            raise PlatformError("down")
+        return tuple(self.rows.values())
+
+    async def put(self, table, key, value, if_version):
+        if self.is_down:
+            raise PlatformError("down")
+        row = self.rows.get(key)
+        if if_version != (row.version if row else 0):
+            raise StoreConflict("changed")
+        self.rows[key] = Row(
+            key=key, value=encoded(value), version=if_version + 1, change_id="c"
+        )
+        return self.rows[key]
+
+
+def encoded(record):
+
+    return msgspec.json.encode(record)
+
+
+class HomesStandin:
+    is_alone = False
+
+    def active(self):
+        return {}
+
+
+class RecorderTests(PausedTestCase):
+    async def start(self, tables, incarnation="i"):
+        clock = Clock(asyncio.get_running_loop())
+        quarantine = QuarantineService(clock, incarnation)
+        recorder = QuarantineRecorder(
+            quarantine, tables, "parts", clock, HomesStandin()
+        )
+        await recorder.start()
+        self.addAsyncCleanup(recorder.close)
+        return quarantine
+
+    def crash(self, quarantine, count):
+        for number in range(count):
+            quarantine.on_crash(f"u{number}", (GUILTY,))
+
+    async def test_blocked_part_is_read_by_a_host_that_starts(self):
+        """Guards against a loss of all hosts after which nobody knows the part."""
+        tables = TablesStandin()
+        self.crash(await self.start(tables), 3)
+        await asyncio.sleep(1)
+        successor = await self.start(tables)
+        self.assertEqual(successor.record_of(GUILTY).state, PartState.BLOCKED)
+
+    async def test_part_is_recorded_once_the_store_is_back(self):
+        tables = TablesStandin()
+        quarantine = await self.start(tables)
+        tables.is_down = True
+        self.crash(quarantine, 3)
+        await asyncio.sleep(3)
+        self.assertEqual(tables.rows, {})
+        tables.is_down = False
+        await asyncio.sleep(1)
+        self.assertEqual(len(tables.rows), 1)
+
+    async def test_two_hosts_that_write_at_once_add_their_crashes_up(self):
+        tables = TablesStandin()
+        first = await self.start(tables, "i1")
+        second = await self.start(tables, "i2")
+        self.crash(first, 2)
+        self.crash(second, 2)
+        await asyncio.sleep(2)
+        successor = await self.start(tables)
+        self.assertGreater(len(successor.record_of(GUILTY).crashes), 2)
+
+    async def test_withdrawn_evidence_is_recorded_too(self):
+        tables = TablesStandin()
+        quarantine = await self.start(tables)
+        self.crash(quarantine, 3)
+        await asyncio.sleep(1)
+        quarantine.lift(GUILTY)
+        await asyncio.sleep(1)
+        successor = await self.start(tables)
+        self.assertEqual(successor.record_of(GUILTY).state, PartState.CLEAR)
+
+    async def test_row_that_cannot_be_read_is_left_out(self):
+        tables = TablesStandin()
+        self.crash(await self.start(tables), 3)
+        await asyncio.sleep(1)
+        tables.rows["bad"] = Row(key="bad", value=b'"x"', version=1, change_id="c")
+        successor = await self.start(tables)
+        self.assertEqual(successor.record_of(GUILTY).state, PartState.BLOCKED)
+
+    async def test_part_under_one_crash_is_not_recorded(self):
+        """Guards against a call to the store for each crash of an upstream."""
+        tables = TablesStandin()
+        self.crash(await self.start(tables), 1)
+        await asyncio.sleep(1)
+        self.assertEqual(tables.rows, {})
+
+
+class ServiceTests(PausedTestCase):
+    async def test_host_that_joins_is_told_of_all_evidence(self):
+        told = []
+        clock = Clock(asyncio.get_running_loop())
+        quarantine = QuarantineService(
+            clock, "i", lambda host, message: told.append((host, message))
+        )
+        quarantine.send_to("new")
+        self.assertEqual(told, [])
+        quarantine.merge([PartRecord(part=GUILTY, state=PartState.BLOCKED)])
+        quarantine.send_to("new")
+        ((host, message),) = told
+        self.assertEqual(host, "new")
+        self.assertIsInstance(message, PartRecords)
