Let the own soak's engines crash on texts of prompts

The draws of all other faults are as before.

The check of chats is narrowed for these: one that is cut, or ends without an answer, is no finding if its id is among those that an engine lost in a crash, as no host has the rest of such an answer. The engines tell which; any other chat, and any wrong answer, is found as before (test_only_chats_of_a_crashed_engine_may_be_cut).

--- a/libs/standins/src/hemlockhoist/standins/consistency.py
+++ b/libs/standins/src/hemlockhoist/standins/consistency.py
@@ -28,16 +28,19 @@
         As returned by ``GET /-/runs``.
     """
 
-    __slots__ = ("begun", "finished", "late_ms")
+    __slots__ = ("begun", "finished", "late_ms", "lost")
 
     def __init__(self, reports):
         self.begun = collections.Counter()
         self.finished = collections.Counter()
         self.late_ms = []
+        # Ids of the requests whose answers an engine lost as it crashed.
+        self.lost = set()
         for report in reports:
             self.begun.update(report["runs"])
             self.finished.update(report["finished"])
             self.late_ms += report["begun_after_leaving_ms"]
+            self.lost.update(report.get("lost", ()))
 
     def repeated_ids(self):
         """Return the ids of requests that were begun more than once."""
@@ -63,7 +66,8 @@
     """
     findings = [Finding("run twice", key) for key in counts.repeated_ids()]
     for record in records:
-        findings += _check_end(record, unknown_allowed)
+        if not _is_lost_by_engine(record, counts):
+            findings += _check_end(record, unknown_allowed)
         findings += _check_refusals(record, counts)
         if record.kind is RequestKind.BOOKING:
             findings += _check_booking(record, counts)
@@ -72,6 +76,14 @@
     return findings
 
 
+def _is_lost_by_engine(record, counts):
+    """Return whether an engine crashed under a chat: no host has the rest of it."""
+    if record.kind is not RequestKind.CHAT or record.outcome is CallOutcome.WRONG:
+        return False
+    ids = (*record.request_ids, *(refusal.request_id for refusal in record.refusals))
+    return any(request_id in counts.lost for request_id in ids)
+
+
 def _check_end(record, unknown_allowed):
     if record.outcome in _NEVER_ALLOWED:
         return [
--- a/libs/standins/src/hemlockhoist/standins/engine/app.py
+++ b/libs/standins/src/hemlockhoist/standins/engine/app.py
@@ -54,11 +54,13 @@
     core : EngineCore
     """
 
-    __slots__ = ("core", "crash_count", "server")
+    __slots__ = ("core", "crash_count", "lost_ids", "server")
 
     def __init__(self, core):
         self.core = core
         self.crash_count = 0
+        # Ids of the requests whose streams were lost in crashes.
+        self.lost_ids = []
         # Set by the code that serves the application; needed to refuse connections.
         self.server = None
 
@@ -130,6 +132,7 @@
         """Lose all streams and connections, and refuse new ones for a time."""
         self.crash_count += 1
         for stream in self.core.streams.unfinished():
+            self.lost_ids.append(stream.request_id)
             self.core.cancel(stream)
         if self.server is not None:
             down_ms = self.core.faults.crash_down_ms
@@ -233,6 +236,7 @@
         counts = self.core.runs.as_json()
         counts["begun_after_leaving_ms"] = self.core.begun_after_leaving_ms
         counts["crashes"] = self.crash_count
+        counts["lost"] = self.lost_ids
         return web.json_response(counts)
 
     async def _set_faults(self, request):
--- a/libs/standins/src/hemlockhoist/standins/process_faults.py
+++ b/libs/standins/src/hemlockhoist/standins/process_faults.py
@@ -1,6 +1,7 @@
 """Faults that the randomised soak test injects into real processes."""
 
 import asyncio
+import contextlib
 import signal
 
 import aiohttp
@@ -49,6 +50,7 @@
     __slots__ = (
         "_clock",
         "_fleet",
+        "_lasting_faults",
         "_link_faults",
         "_link_rng",
         "_next_host",
@@ -68,6 +70,8 @@
     def __init__(self, fleet, operator, declarations_text, rng, link_rng=None):
         self._link_rng = link_rng
         self._link_faults = None
+        # By pool, what stays in force beside each upstream's other faults.
+        self._lasting_faults = {}
         self._fleet = fleet
         self._operator = operator
         self._text = declarations_text
@@ -132,6 +136,7 @@
         if listening is not None:
             await listening.wait()
         self._record(f"{member['id']} {faults}")
+        faults = {**self._lasting_faults.get(member["pool"], {}), **faults}
         try:
             await self._fleet.set_faults(member, faults)
         except aiohttp.ClientError as error:
@@ -141,6 +146,14 @@
             self._record(f"not set: {text}")
             raise FaultNotSet(text) from error
 
+    async def set_lasting_faults(self, pool, faults):
+        """Set faults of all upstreams of a pool that its other faults don't replace."""
+        self._lasting_faults[pool] = faults
+        for member in self._fleet.upstreams(pool):
+            # It may refuse connections on command, and has the faults from the next on.
+            with contextlib.suppress(FaultNotSet):
+                await self._set_faults(member, {"state": member["state"]})
+
     async def heal(self):
         """Wait for the faults that are in progress, then clear all faults."""
         await self._stop_link_faults()
--- a/libs/standins/src/hemlockhoist/standins/soak_processes.py
+++ b/libs/standins/src/hemlockhoist/standins/soak_processes.py
@@ -22,10 +22,13 @@
 from hemlockhoist.standins.link_faults import MODEL, SERVICE
 from hemlockhoist.standins.operator_client import OperatorClient
 from hemlockhoist.standins.process_faults import ProcessFaults
+from hemlockhoist.standins.prompt_faults import PromptFaults, find_crash_findings
 from hemlockhoist.standins.traffic import Traffic, example_callers
 
 WORKERS = 4
 FAULT_INTERVAL_S = (0.2, 1.5)
+# Fraction of the runs in which engines crash on texts of prompts.
+CRASHING_RUNS = 0.5
 SETTLE_S = 4.0
 FINISH_TIMEOUT_S = 90.0
 # The host list lags by half a second in this test and is read five times a second.
@@ -59,10 +62,12 @@
         "_fleet",
         "_link_rng",
         "_operator",
+        "_prompt_rng",
         "_rng",
         "_text",
         "checks",
         "faults",
+        "prompt_faults",
         "steps",
     )
 
@@ -72,6 +77,8 @@
         self._text = text
         self._rng = random.Random(seed)
         self._link_rng = random.Random(f"links of {seed}")
+        self._prompt_rng = random.Random(f"prompts of {seed}")
+        self.prompt_faults = None
         self.checks = {}
         self.faults = None
         self.steps = 0
@@ -105,8 +112,13 @@
         )
         await traffic.start()
         self.faults.start_link_faults()
+        if self._prompt_rng.random() < CRASHING_RUNS:
+            self.prompt_faults = PromptFaults(self.faults, traffic, self._prompt_rng)
+            await self.prompt_faults.start()
         try:
             await self._inject_faults(seconds)
+            if self.prompt_faults is not None:
+                await self.prompt_faults.close()
             await self.faults.heal()
             await self.faults.in_force.finish()
             await asyncio.sleep(SETTLE_S)
@@ -137,6 +149,10 @@
         )
         in_force = self.faults.in_force
         violations = [*map(str, findings), *in_force.violations]
+        if self.prompt_faults is not None:
+            span_count = self.prompt_faults.span_count
+            violations += find_crash_findings(reports, span_count)
+            self.checks["texts that crash engines"] = span_count
         self.checks["declarations in force"] = in_force.checked_count
         for address in self._fleet.host_addresses():
             status = await self._operator.status(address)
--- a/libs/standins/src/hemlockhoist/standins/traffic.py
+++ b/libs/standins/src/hemlockhoist/standins/traffic.py
@@ -14,6 +14,8 @@
 _LONG_PROMPT_WORDS = 1_500
 _MAX_TOKENS = (8, 60)
 _THINK_TIME_MS = (20, 200)
+# One in this many prompts begins with the text that crashes engines, if there is one.
+_GUILTY_EVERY = 9
 _SYSTEM_PROMPT = "You answer questions about halls and labels. " * 12
 
 
@@ -57,16 +59,23 @@
     workers : int
         Number per caller.
     rng : random.Random
+
+    Attributes
+    ==========
+    guilty_text : str
+        Text that some of the prompts begin with, as it crashes engines; empty for none.
     """
 
     __slots__ = (
         "_callers",
+        "_chat_count",
         "_model",
         "_rng",
         "_service",
         "_stopped",
         "_tasks",
         "_workers",
+        "guilty_text",
     )
 
     def __init__(self, callers, model, service, workers, rng):
@@ -77,6 +86,8 @@
         self._rng = rng
         self._stopped = False
         self._tasks = []
+        self._chat_count = 0
+        self.guilty_text = ""
 
     @classmethod
     def from_config(cls, configs, model, service, workers=4, seed=1):
@@ -139,4 +150,7 @@
         if self._rng.random() < _LONG_PROMPT_SHARE:
             words = _LONG_PROMPT_WORDS
         own = " ".join(f"{self._rng.getrandbits(16):04x}" for _ in range(words))
+        self._chat_count += 1
+        if self.guilty_text and self._chat_count % _GUILTY_EVERY == 0:
+            return self.guilty_text + own
         return _SYSTEM_PROMPT + own
