Decide the framing of a stand-in's stream once

The stand-in decided for each event whether it sends chunks, and the soak's fault had changed that in the middle of a stream.

--- a/libs/standins/src/hemlockhoist/standins/published/replica.py
+++ b/libs/standins/src/hemlockhoist/standins/published/replica.py
@@ -350,7 +350,9 @@
 
     async def _send_events(self, received, writer):
         framing = "Content-Type: text/event-stream\r\n"
-        if self.is_unframed:
+        # Decided once: the setting may change while the stream is sent.
+        is_unframed = self.is_unframed
+        if is_unframed:
             framing += "Connection: close\r\n"
         else:
             framing += "Transfer-Encoding: chunked\r\n"
@@ -368,16 +370,17 @@
                 self.behaviour is Behaviour.STOPS_MID_EVENT
                 and number == self.events // 2
             ):
-                writer.write(self._framed(event[: len(event) // 2]))
+                writer.write(_framed(event[: len(event) // 2], is_unframed))
                 await writer.drain()
                 return
-            writer.write(self._framed(event))
+            writer.write(_framed(event, is_unframed))
             await writer.drain()
             await asyncio.sleep(self.event_ms / MS_PER_S)
-        if not self.is_unframed:
+        if not is_unframed:
             writer.write(b"0\r\n\r\n")
         await writer.drain()
 
-    def _framed(self, data):
-        """Return a part of a stream as it is sent, as a chunk or as it is."""
-        return data if self.is_unframed else b"%x\r\n" % len(data) + data + b"\r\n"
+
+def _framed(data, is_unframed):
+    """Return a part of a stream as it is sent, as a chunk or as it is."""
+    return data if is_unframed else b"%x\r\n" % len(data) + data + b"\r\n"
