Keep what a home does about prompts that crash upstreams in a class of its own

PromptChecks holds what is kept back, what answers and ends say about prompts, and which ends a prompt explains. No change of behaviour: the tests of the home on a paused clock are the same.

--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -1,7 +1,5 @@
 """The home side of grants: runs one pool's scheduler on behalf of the entry hosts."""
 
-import itertools
-
 import msgspec
 
 from hemlockhoist.base import get_logger
@@ -17,6 +15,7 @@
 )
 from hemlockhoist.host.gates import AllowAllGate
 from hemlockhoist.host.home_signals import HomeSignals
+from hemlockhoist.host.prompt_checks import PromptChecks
 from hemlockhoist.host.quarantine import QuarantineService
 from hemlockhoist.host.takeover import HolderQueries
 from hemlockhoist.host.work_requests import work_request
@@ -34,8 +33,6 @@
 # was never used: a list already in transit when the grant was issued would have
 # arrived before.
 LOST_GRANT_MS = 5_000
-# An answer that goes on for so long after it began has not crashed its upstream.
-ANSWER_WENT_ON_MS = 500
 
 
 class QueueEntry(msgspec.Struct, frozen=True):
@@ -79,7 +76,6 @@
     """
 
     __slots__ = (
-        "_begun",
         "_cached_elsewhere_tokens",
         "_clock",
         "_gate",
@@ -88,7 +84,7 @@
         "_identity",
         "_last_request_ms",
         "_metrics",
-        "_quarantine",
+        "_prompts",
         "_queued",
         "_reconnect",
         "_send",
@@ -118,7 +114,8 @@
         on_leaving=lambda upstream_id, started_unix_ms: None,
         quarantine=None,
     ):
-        self._quarantine = quarantine or QuarantineService(clock)
+        quarantine = quarantine or QuarantineService(clock)
+        self._prompts = PromptChecks(quarantine, scheduler, clock)
         self._reconnect = reconnect
         self.pool = pool
         self.declared = declared
@@ -132,8 +129,6 @@
         self._holders = HolderQueries(pool, identity.incarnation, clock, send)
         self._signals = HomeSignals(pool, scheduler, clock, self._metrics, on_leaving)
         self._cached_elsewhere_tokens = {}
-        # When the answers to requests with a suspected part began, by grant.
-        self._begun = {}
         self._queued = {}
         self._granted = {}
         self._spans = {}
@@ -209,7 +204,7 @@
             return
         now_ms = self._last_request_ms = self._clock.now_ms()
         request = work_request(brief, sender, now_ms - late_ms)
-        self._quarantine.on_request(request)
+        self._prompts.on_request(request)
         if self._keep_back(request):
             return
         refusal = self._gate.refusal(self.pool, request, now_ms)
@@ -233,8 +228,8 @@
 
     def _keep_back(self, request):
         """Refuse a request whose prompt may crash its upstream; return whether it is."""
-        kept_back = self._quarantine.kept_back(
-            request, lambda part: self._is_busy_with(part, request)
+        kept_back = self._prompts.kept_back(
+            request, self._waiting_requests, self._issued_grants
         )
         if kept_back is None:
             return False
@@ -243,18 +238,11 @@
         self._refuse(request, code, retry_after_ms, reason)
         return True
 
-    def _is_busy_with(self, part, request):
-        """Return whether another request with a part waits, or is at an upstream."""
-        waiting = (queued.request for queued in self._queued.values())
-        granted = (
-            self.scheduler.in_flight_grant(grant.grant_id)
-            for grant, _ in self._granted.values()
-        )
-        running = (held.request for held in granted if held is not None)
-        return any(
-            part in other.parts and other.request_id != request.request_id
-            for other in itertools.chain(waiting, running)
-        )
+    def _waiting_requests(self):
+        return [queued.request for queued in self._queued.values()]
+
+    def _issued_grants(self):
+        return [grant for grant, _ in self._granted.values()]
 
     def review_queue(self):
         """Refuse queued requests that must not be sent any more."""
@@ -315,25 +303,9 @@
         decisions = self.scheduler.observe_first_token(
             message.grant_id, message.first_token_ms, now_ms, message.relay
         )
-        held = self.scheduler.in_flight_grant(message.grant_id)
-        if held is not None and self._quarantine.is_suspect(held.request):
-            self._begun[message.grant_id] = now_ms
+        self._prompts.on_first_token(message.grant_id)
         self._emit(decisions, now_ms)
 
-    def _clear_answered(self, now_ms):
-        """Count suspects' answers that have gone on for a while.
-
-        Load: sound requests with a part that was suspected wait for the one that tries
-        it, whose answer may take many seconds.
-        """
-        for grant_id, begun_ms in list(self._begun.items()):
-            if now_ms - begun_ms < ANSWER_WENT_ON_MS:
-                continue
-            del self._begun[grant_id]
-            held = self.scheduler.in_flight_grant(grant_id)
-            if held is not None:
-                self._quarantine.on_answer(held.request.parts)
-
     def on_release(self, message):
         """Release a grant and record its outcome."""
         self._signals.observe(message)
@@ -348,18 +320,9 @@
         )
         now_ms = self._clock.now_ms()
         # Before the release, which may give the slot to another such request.
-        held = self.scheduler.in_flight_grant(message.grant_id)
-        if held is not None and held.request.parts:
-            self._record_evidence(held, message)
+        self._prompts.on_release(message)
         self._release(message.grant_id, message.request_id, outcome, now_ms)
 
-    def _record_evidence(self, held, message):
-        parts = held.request.parts
-        if message.is_answered:
-            self._quarantine.on_answer(parts)
-        elif message.is_crash_suspect:
-            self._quarantine.on_crash(held.grant.upstream_id, parts)
-
     def on_upstream_reached(self, upstream_id):
         """Record that a host reaches an upstream to which another could not connect."""
         now_ms = self._clock.now_ms()
@@ -371,15 +334,10 @@
             del self._granted[request_id]
             self._count_wasted(request_id, outcome)
         held = self.scheduler.in_flight_grant(grant_id)
-        is_prompt_at_fault = (
-            held is not None
-            and outcome.kind is OutcomeKind.BROKE_OFF
-            and self._quarantine.explains_crash(held.grant.upstream_id)
-        )
+        is_prompt_at_fault = self._prompts.explains(held, outcome.kind)
         decisions = self.scheduler.release(
             grant_id, outcome, now_ms, is_prompt_at_fault
         )
-        self._begun.pop(grant_id, None)
         self._signals.log_changes(held, outcome.kind)
         self._emit(decisions, now_ms)
 
@@ -411,7 +369,7 @@
             self._granted[request.request_id] = (grant, sender)
             self._emit(self.scheduler.adopt(request, grant, now_ms), now_ms)
         self._signals.adopt(sender, message)
-        self._quarantine.merge(message.part_records)
+        self._prompts.on_held_grants(message)
         if self._holders.is_pending(sender):
             self._gate.on_usage_report(sender, message, now_ms)
             if self._holders.discard(sender):
@@ -458,8 +416,7 @@
         """Do the periodic work: repeat unanswered queries, let the scheduler tick."""
         now_ms = self._clock.now_ms()
         self._holders.resend_if_due()
-        if self._begun:
-            self._clear_answered(now_ms)
+        self._prompts.tick()
         self._emit(self.scheduler.tick(now_ms), now_ms)
 
     def set_upstreams(self, upstreams):
@@ -526,7 +483,7 @@
         if has_waited:
             self._log_granted(decision)
         self._granted[grant.request_id] = (grant, entry_host)
-        self._quarantine.on_sent(decision.request)
+        self._prompts.on_sent(decision.request)
         cached = self.scheduler.cached_elsewhere(decision.request, grant.upstream_id)
         if cached:
             self._cached_elsewhere_tokens[grant.request_id] = cached
--- a/libs/host/src/hemlockhoist/host/tests/test_home_quarantine.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_home_quarantine.py
@@ -8,8 +8,9 @@
 from hemlockhoist.decisions import Upstream
 from hemlockhoist.decisions.scheduling import PoolScheduler
 from hemlockhoist.declarations import Pool, PoolKind, Tier
-from hemlockhoist.host.home import ANSWER_WENT_ON_MS, PoolHome
+from hemlockhoist.host.home import PoolHome
 from hemlockhoist.host.identity import HostIdentity
+from hemlockhoist.host.prompt_checks import ANSWER_WENT_ON_MS
 from hemlockhoist.host.quarantine import QuarantineService
 from hemlockhoist.host.quarantine_recorder import QuarantineRecorder
 from hemlockhoist.messages import (
