Suspect prompts whose answer broke off in its first event, however late

A host that is busy sees the end of an upstream late: an answer of which half an event had come more than 100 ms before counted as begun, and the crash as none of its prompt's. Without a whole event an answer has not begun; test_answer_that_broke_off_in_its_first_event_is_suspect failed on the code before (not suspect). The 100 ms hold where one event had come.

Also: the gauge of blocked parts is set with the others, as a gauge that is not set for a while ages; the number of doublings of a try's interval has a constant of its own.

--- a/libs/decisions/src/hemlockhoist/decisions/quarantine/quarantine.py
+++ b/libs/decisions/src/hemlockhoist/decisions/quarantine/quarantine.py
@@ -20,6 +20,7 @@
 # so on: a part that still crashes upstreams costs one of them each time.
 FIRST_TRY_MS = 600 * MS_PER_S
 MAX_TRY_INTERVAL_MS = 86_400 * MS_PER_S
+MAX_DOUBLINGS = 8
 
 
 class KeptBack(msgspec.Struct, frozen=True):
@@ -50,11 +51,12 @@
     crash, they end all upstreams of a pool, again and again.
 
     A crash is charged to those parts of the unanswered prompts at the upstream for
-    which no answer speaks, of these to the part that has most crashes and that the
-    fewest requests hold. Parts that have been answered are charged only if nothing else
-    explains a crash, and need more of them. A part under two crashes is sent to one
-    upstream at a time, under three it is blocked. Crashes that a blocked part explains
-    count against no other part, and an answer withdraws all evidence against a part.
+    which no answer speaks. The one of them with most crashes, and in the fewest
+    requests, is taken for the cause: after two crashes it is sent to one upstream at a
+    time, after three it is blocked. Parts that have been answered are charged only if
+    nothing else explains a crash, and need more of them. Crashes that a blocked part
+    explains count against no other part, and an answer withdraws all evidence against
+    a part.
 
     Parameters
     ==========
@@ -154,7 +156,7 @@
         return tuple(changed)
 
     def _schedule_try(self, record, now_ms):
-        interval_ms = FIRST_TRY_MS << min(record.tries, MAX_CRASH_IDS)
+        interval_ms = FIRST_TRY_MS << min(record.tries, MAX_DOUBLINGS)
         self._try_due_ms[record.part] = now_ms + min(interval_ms, MAX_TRY_INTERVAL_MS)
 
     # Evidence.
--- a/libs/entry/src/hemlockhoist/entry/attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt.py
@@ -13,7 +13,7 @@
 }
 
 
-# An upstream that lives on for this long after the first data of an answer did not
+# An upstream that lives on for this long after the first event of an answer did not
 # crash as it began the answer.
 BEGUN_AFTER_MS = 100
 _FIRST_ERROR_STATUS = 300
@@ -161,7 +161,9 @@
         """Whether the upstream ended before it had begun to answer this request."""
         if not self.is_upstream_lost or self.event_count > 1:
             return False
-        return self.first_ms is None or self.ended_ms - self.first_ms < BEGUN_AFTER_MS
+        if self.event_count == 0:
+            return True
+        return self.ended_ms - self.first_ms < BEGUN_AFTER_MS
 
     @property
     def _unsent_kind(self):
--- a/libs/entry/src/hemlockhoist/entry/gauges.py
+++ b/libs/entry/src/hemlockhoist/entry/gauges.py
@@ -28,6 +28,7 @@
     metrics = context.metrics
     metrics.gauge(REQUESTS_OPEN, context.open_requests)
     metrics.gauge(HOSTS_LIVE, len(context.fleet.live_hosts()))
+    context.quarantine.update_gauges()
     _update_store_gauges(context)
     _update_upstream_gauges(context)
     for prop, count in context.invariants.violations.items():
--- /dev/null
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_attempt.py
@@ -0,0 +1,48 @@
+import types
+import unittest
+
+from hemlockhoist.decisions import OutcomeKind
+from hemlockhoist.entry.attempt import BEGUN_AFTER_MS, Attempt
+
+ENDED_MS = 5_000
+
+
+def outcome(kind=OutcomeKind.BROKE_OFF, **fields):
+    guard = types.SimpleNamespace(dispatched_ms=1_000, relay="")
+    attempt = Attempt(hold=None, guard=guard, waited_ms=0, number=1)
+    attempt.kind = kind
+    attempt.ended_ms = ENDED_MS
+    attempt.is_upstream_lost = True
+    attempt.status = 200
+    for name, value in fields.items():
+        setattr(attempt, name, value)
+    return attempt.outcome()
+
+
+class CrashSuspectTests(unittest.TestCase):
+    def test_answer_without_an_event_is_suspect(self):
+        self.assertTrue(outcome().is_crash_suspect)
+
+    def test_answer_that_broke_off_in_its_first_event_is_suspect(self):
+        """Guards against evidence that is lost as a busy host sees the end late."""
+        first_ms = ENDED_MS - 10 * BEGUN_AFTER_MS
+        self.assertTrue(outcome(first_ms=first_ms).is_crash_suspect)
+
+    def test_answer_that_had_begun_is_no_suspect(self):
+        first_ms = ENDED_MS - BEGUN_AFTER_MS
+        self.assertFalse(outcome(first_ms=first_ms, event_count=1).is_crash_suspect)
+        late = outcome(first_ms=ENDED_MS - 1, event_count=1)
+        self.assertTrue(late.is_crash_suspect)
+
+    def test_answer_of_an_upstream_that_lives_is_no_suspect(self):
+        self.assertFalse(outcome(is_upstream_lost=False).is_crash_suspect)
+
+    def test_two_events_or_a_complete_answer_speak_for_a_prompt(self):
+        self.assertTrue(outcome(first_ms=ENDED_MS, event_count=2).is_answered)
+        self.assertFalse(outcome(first_ms=ENDED_MS, event_count=1).is_answered)
+        self.assertTrue(outcome(OutcomeKind.SUCCESS, first_ms=ENDED_MS).is_answered)
+
+    def test_rejection_of_a_request_does_not_speak_for_its_prompt(self):
+        """Guards against an upstream's status 400 that clears a guilty part."""
+        rejected = outcome(OutcomeKind.SUCCESS, first_ms=ENDED_MS, status=400)
+        self.assertFalse(rejected.is_answered)
--- a/libs/host/src/hemlockhoist/host/process.py
+++ b/libs/host/src/hemlockhoist/host/process.py
@@ -336,6 +336,7 @@
         context.metrics.gauge(HOSTS_LIVE, len(context.fleet.live_hosts()))
         context.metrics.gauge(DECLARATIONS_VERSION, context.declarations.version)
         context.metrics.gauge(LEDGER_IN_PROGRESS, context.ledger.in_progress)
+        context.quarantine.update_gauges()
         for pool, count in context.upstreams.links.count_by_pool().items():
             context.metrics.gauge(LINKS_LOST, count, pool)
         for prop, count in context.invariants.violations.items():
--- a/libs/host/src/hemlockhoist/host/quarantine.py
+++ b/libs/host/src/hemlockhoist/host/quarantine.py
@@ -79,6 +79,11 @@
         """Return the records of all parts with evidence against them."""
         return self._quarantine.records()
 
+    def update_gauges(self):
+        """Set the gauges of this host."""
+        blocked = sum(item.state == PartState.BLOCKED for item in self.records())
+        self._metrics.gauge(PARTS_BLOCKED, blocked)
+
     def record_of(self, part):
         """Return the record of a part; an empty one without evidence."""
         return self._quarantine.record_of(part)
@@ -163,8 +168,6 @@
             return
         for record in records:
             self._log_state(record)
-        blocked = sum(item.state == PartState.BLOCKED for item in self.records())
-        self._metrics.gauge(PARTS_BLOCKED, blocked)
         self.on_changed(records)
 
     def _log_state(self, record):
