Read the record of crashing parts only where it can be of use

Every host read the record as it started, and only those of high capacity can become homes.

Hosts that can't become home read it when they begin to decide alone; homes every 60 s in place of 30.

--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -157,6 +157,7 @@
         message_router.open(context)
         await self._open(context.upstreams)
         await self._open(context.fleet)
+        await self._open_watches(context)
         await self._open(
             QuarantineRecorder(
                 context.quarantine,
@@ -164,9 +165,9 @@
                 self._platform.quarantine_table,
                 context.clock,
                 context.homes,
+                context.fleet,
             )
         )
-        await self._open_watches(context)
         await self._open(context.moves)
         await self._open(UsageRecorder(context))
         self.status = await self._open(StatusServer(context))
--- a/libs/host/src/hemlockhoist/host/homes.py
+++ b/libs/host/src/hemlockhoist/host/homes.py
@@ -119,6 +119,8 @@
         policy = self._context.moves.open_pool(pool)
         home = self._homes[pool.name] = self._new_home(pool, policy)
         home.start(self._context.fleet.live_hosts())
+        if self._quarantine is not None:
+            self._quarantine.on_deciding()
 
     def _standby(self, name):
         """Return the standby home for this host's own requests, or None.
@@ -136,7 +138,7 @@
             self._standbys[name] = home = self._new_home(pool, policy)
             home.start((self._context.identity.host_id,))
             if self._quarantine is not None:
-                self._quarantine.on_alone()
+                self._quarantine.on_deciding()
         return self._standbys.get(name)
 
     def _new_home(self, pool, policy):
--- a/libs/host/src/hemlockhoist/host/process.py
+++ b/libs/host/src/hemlockhoist/host/process.py
@@ -123,6 +123,9 @@
         await self._start_serving(context, tables)
         message_router.open(context)
         await self._open(context.fleet)
+        members = HostListClient.from_config(transport)
+        interval_ms = self.settings.host_list_poll_ms
+        await self._open(HostListWatch(members, interval_ms, self._on_host_list))
         await self._open(
             QuarantineRecorder(
                 context.quarantine,
@@ -130,11 +133,9 @@
                 QUARANTINE_TABLE,
                 context.clock,
                 context.homes,
+                context.fleet,
             )
         )
-        members = HostListClient.from_config(transport)
-        interval_ms = self.settings.host_list_poll_ms
-        await self._open(HostListWatch(members, interval_ms, self._on_host_list))
         await self._open(context.configuration)
         await self._open(context.moves)
         watch = LoadWatch(context.upstreams, context.homes, self.settings.load_poll_ms)
--- a/libs/host/src/hemlockhoist/host/quarantine.py
+++ b/libs/host/src/hemlockhoist/host/quarantine.py
@@ -40,8 +40,8 @@
     on_decided : callable
         ``on_decided(records)`` is called with those that changed by evidence of this
         host, or by its operators.
-    on_alone : callable
-        Called when this host begins to grant its own requests alone.
+    on_deciding : callable
+        Called when this host begins to schedule a pool, as its home or alone.
     """
 
     __slots__ = (
@@ -51,9 +51,9 @@
         "_quarantine",
         "_send",
         "_states",
-        "on_alone",
         "on_changed",
         "on_decided",
+        "on_deciding",
     )
 
     def __init__(
@@ -73,7 +73,7 @@
         self._states = {}
         self.on_changed = lambda records: None
         self.on_decided = lambda records: None
-        self.on_alone = lambda: None
+        self.on_deciding = lambda: None
 
     def records(self):
         """Return the records of all parts with evidence against them."""
--- a/libs/host/src/hemlockhoist/host/quarantine_recorder.py
+++ b/libs/host/src/hemlockhoist/host/quarantine_recorder.py
@@ -23,7 +23,7 @@
 # A host that grants alone hears nothing from the others; the store may still have it.
 ALONE_READ_INTERVAL_MS = 1_000
 # For parts that an operator lifts in the store.
-READ_INTERVAL_MS = 30_000
+READ_INTERVAL_MS = 60_000
 
 
 class QuarantineRecorder:
@@ -39,12 +39,14 @@
     table : str
     clock : Clock
     homes : HomeService
+    fleet : Fleet
     """
 
     __slots__ = (
         "_clock",
         "_due",
         "_failed",
+        "_fleet",
         "_homes",
         "_quarantine",
         "_read_ms",
@@ -54,7 +56,8 @@
         "_versions",
     )
 
-    def __init__(self, quarantine, tables, table, clock, homes):
+    def __init__(self, quarantine, tables, table, clock, homes, fleet):
+        self._fleet = fleet
         self._quarantine = quarantine
         self._tables = tables
         self._table = table
@@ -68,12 +71,18 @@
         self._failed = False
 
     async def start(self):
-        """Read the record, for a limited time, and start recording."""
+        """Read the record, for a limited time, and start recording.
+
+        Only high-capacity hosts read it. The other hosts of a fleet cannot become home,
+        and each of their calls to the store would be a cost without a use.
+        """
         self._quarantine.on_decided = self.record
-        self._quarantine.on_alone = self._task.wake
+        self._quarantine.on_deciding = self._task.wake
         try:
             async with asyncio.timeout(FIRST_READ_LIMIT_MS / MS_PER_S):
-                await self._read()
+                await self._fleet.wait_introduced(FIRST_READ_LIMIT_MS)
+                if self._fleet.is_high_capacity:
+                    await self._read()
         except (TimeoutError, PlatformError) as error:
             self._log_failure(error)
         await self._task.start()
@@ -91,7 +100,7 @@
             self._task.wake()
 
     def _interval_ms(self):
-        if self._due:
+        if self._due or (self._read_ms is None and self._homes.is_scheduling):
             return WRITE_RETRY_MS
         return ALONE_READ_INTERVAL_MS if self._homes.is_alone else IDLE_INTERVAL_MS
 
@@ -112,12 +121,13 @@
         self._failed = True
 
     def _is_read_due(self):
+        if not self._homes.is_scheduling:
+            return False
         if self._read_ms is None:
             return True
-        age_ms = self._clock.now_ms() - self._read_ms
-        if self._homes.is_alone:
-            return age_ms >= ALONE_READ_INTERVAL_MS
-        return bool(self._homes.active()) and age_ms >= READ_INTERVAL_MS
+        is_alone = self._homes.is_alone
+        interval_ms = ALONE_READ_INTERVAL_MS if is_alone else READ_INTERVAL_MS
+        return self._clock.now_ms() - self._read_ms >= interval_ms
 
     async def _read(self):
         rows = await self._tables.list(self._table, msgspec.Raw)
--- a/libs/host/src/hemlockhoist/host/tests/test_home_quarantine.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_home_quarantine.py
@@ -187,18 +187,30 @@
 
 
 class HomesStandin:
+    """The homes at a host, which has none, or decides alone."""
+
     is_alone = False
+    is_scheduling = False
+
+
+class FleetStandin:
+    """A fleet that knows its hosts."""
+
+    def __init__(self, is_high_capacity):
+        self.is_high_capacity = is_high_capacity
 
-    def active(self):
-        return {}
+    async def wait_introduced(self, limit_ms):
+        """Return at once."""
 
 
 class RecorderTests(PausedTestCase):
-    async def start(self, tables, incarnation="i"):
+    async def start(self, tables, incarnation="i", is_high_capacity=True):
         clock = Clock(asyncio.get_running_loop())
         quarantine = QuarantineService(clock, incarnation)
+        self.homes = HomesStandin()
+        fleet = FleetStandin(is_high_capacity)
         recorder = QuarantineRecorder(
-            quarantine, tables, "parts", clock, HomesStandin()
+            quarantine, tables, "parts", clock, self.homes, fleet
         )
         await recorder.start()
         self.addAsyncCleanup(recorder.close)
@@ -255,6 +267,19 @@
         successor = await self.start(tables)
         self.assertEqual(successor.record_of(GUILTY).state, PartState.BLOCKED)
 
+    async def test_host_that_cannot_be_home_reads_once_it_decides_alone(self):
+        """Guards against a call to the store by each of 1,300 hosts that start."""
+        tables = TablesStandin()
+        self.crash(await self.start(tables), 3)
+        await asyncio.sleep(1)
+        small = await self.start(tables, "i2", is_high_capacity=False)
+        await asyncio.sleep(10)
+        self.assertEqual(small.record_of(GUILTY).state, PartState.CLEAR)
+        self.homes.is_alone = self.homes.is_scheduling = True
+        small.on_deciding()
+        await asyncio.sleep(0.1)
+        self.assertEqual(small.record_of(GUILTY).state, PartState.BLOCKED)
+
     async def test_part_under_one_crash_is_not_recorded(self):
         """Guards against a call to the store for each crash of an upstream."""
         tables = TablesStandin()
