Read the record of crashing parts again if the first reading failed

Cause, of: waiting for the list of hosts and reading the record shared one limit of 500 ms; where the list took that long the record was not read, and then not until the host became a home, also by hosts that can.

Each has a limit of its own now, 300 and 500 ms, and a host that can become a home tries again every 250 ms until it has read. The record may so be there a moment after the start; the test waits for a part to be shown, and checks the same of it. New: test_record_is_read_later_if_the_store_was_away_at_the_start.

--- a/libs/host/src/hemlockhoist/host/quarantine_recorder.py
+++ b/libs/host/src/hemlockhoist/host/quarantine_recorder.py
@@ -20,6 +20,8 @@
 # Callers wait for the first reading, so that no part is sent that the store has as
 # blocked. A store that answers does so within some tens of milliseconds.
 FIRST_READ_LIMIT_MS = 500
+# The list of hosts tells whether this one can become a home.
+INTRODUCED_LIMIT_MS = 300
 # A host that grants alone hears nothing from the others; the store may still have it.
 ALONE_READ_INTERVAL_MS = 1_000
 # For parts that an operator lifts in the store.
@@ -78,9 +80,9 @@
         """
         self._quarantine.on_decided = self.record
         self._quarantine.on_deciding = self._task.wake
+        await self._fleet.wait_introduced(INTRODUCED_LIMIT_MS)
         try:
             async with asyncio.timeout(FIRST_READ_LIMIT_MS / MS_PER_S):
-                await self._fleet.wait_introduced(FIRST_READ_LIMIT_MS)
                 if self._fleet.is_high_capacity:
                     await self._read()
         except (TimeoutError, PlatformError) as error:
@@ -100,7 +102,7 @@
             self._task.wake()
 
     def _interval_ms(self):
-        if self._due or (self._read_ms is None and self._homes.is_scheduling):
+        if self._due or (self._read_ms is None and self._may_decide):
             return WRITE_RETRY_MS
         return ALONE_READ_INTERVAL_MS if self._homes.is_alone else IDLE_INTERVAL_MS
 
@@ -120,11 +122,16 @@
             _log.warning("parts_not_recorded", reason=reason, due=len(self._due))
         self._failed = True
 
+    @property
+    def _may_decide(self):
+        """Whether this host schedules a pool, or can become the home of one."""
+        return self._homes.is_scheduling or self._fleet.is_high_capacity
+
     def _is_read_due(self):
+        if self._read_ms is None:
+            return self._may_decide
         if not self._homes.is_scheduling:
             return False
-        if self._read_ms is None:
-            return True
         is_alone = self._homes.is_alone
         interval_ms = ALONE_READ_INTERVAL_MS if is_alone else READ_INTERVAL_MS
         return self._clock.now_ms() - self._read_ms >= interval_ms
--- a/libs/host/src/hemlockhoist/host/tests/test_home_quarantine.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_home_quarantine.py
@@ -267,6 +267,18 @@
         successor = await self.start(tables)
         self.assertEqual(successor.record_of(GUILTY).state, PartState.BLOCKED)
 
+    async def test_record_is_read_later_if_the_store_was_away_at_the_start(self):
+        """Guards against a host that becomes home and has not read the record."""
+        tables = TablesStandin()
+        self.crash(await self.start(tables), 3)
+        await asyncio.sleep(1)
+        tables.is_down = True
+        successor = await self.start(tables, "i2")
+        self.assertEqual(successor.record_of(GUILTY).state, PartState.CLEAR)
+        tables.is_down = False
+        await asyncio.sleep(0.3)
+        self.assertEqual(successor.record_of(GUILTY).state, PartState.BLOCKED)
+
     async def test_host_that_cannot_be_home_reads_once_it_decides_alone(self):
         """Guards against a call to the store by each of 1,300 hosts that start."""
         tables = TablesStandin()
--- a/libs/standins/src/hemlockhoist/standins/tests/test_operator_commands.py
+++ b/libs/standins/src/hemlockhoist/standins/tests/test_operator_commands.py
@@ -251,6 +251,15 @@
         await tables.put("crashing_parts", f"{part:016x}", record, 0)
         await transport.close()
 
+    async def listed_parts(self, host):
+        """Return the parts that a host shows, once it shows any."""
+        words = ("part", "list", "--host", host.address, "--json")
+        async with asyncio.timeout(COMMAND_TIMEOUT_S):
+            while True:
+                shown = json.loads((await self.run_command(*words)).stdout)
+                if shown["parts"]:
+                    return shown["parts"]
+
     async def test_parts_of_prompts_are_listed_and_lifted(self):
         """A part that hosts block is shown, and lifted, also for hosts to come."""
         await self.run_command("declare", "apply", EXAMPLE)
@@ -258,9 +267,7 @@
         name = f"{0xBAD:016x}"
         hosts = [await self.start_host(HOSTS), await self.start_host(HOSTS + 1)]
         for host in hosts:
-            words = ("--host", host.address, "--json")
-            shown = json.loads((await self.run_command("part", "list", *words)).stdout)
-            (part,) = shown["parts"]
+            (part,) = await self.listed_parts(host)
             self.assertEqual((part["part"], part["state"]), (name, "blocked"))
         words = (name, "--reason", "Mended engines.", "--host", hosts[0].address)
         result = await self.run_command("part", "lift", *words)
