Log whole readings of tables, and count the bytes read from the store

Only a changed configuration had a line. table_read tells it for each whole reading, and store.row_bytes counts what came from the store. No decision changes.

--- a/libs/base/src/hemlockhoist/base/metrics_table.py
+++ b/libs/base/src/hemlockhoist/base/metrics_table.py
@@ -254,6 +254,13 @@
     "Readings with changes of the routes or of orders: by store, reader or other host.",
     "If other hosts grow, the store rejects this host and its readers, or calls hang.",
 )
+STORE_ROW_BYTES = Metric(
+    "store.row_bytes",
+    _C,
+    "table",
+    "Bytes of values that this host read from the store, without their encoding.",
+    "If many hosts count megabytes, they read whole tables; see table_read in the log.",
+)
 STORE_FAILURES = Metric(
     "store.failures",
     _C,
--- a/libs/entry/src/hemlockhoist/entry/feeds.py
+++ b/libs/entry/src/hemlockhoist/entry/feeds.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from hemlockhoist.base import MS_PER_S, PlatformError, get_logger
-from hemlockhoist.base.metrics_table import STORE_CHANGES
+from hemlockhoist.base.metrics_table import STORE_CHANGES, STORE_ROW_BYTES
 from hemlockhoist.decisions.entry import (
     MAX_DIRECT_READERS,
     TableCopy,
@@ -113,11 +113,20 @@
 
     async def read_table(self, table):
         """Return a ``Reading`` of all rows of a table."""
+        begun_ms = self._context.clock.now_ms()
         await self._wait_for_reader()
         reading = await self._relayed_reading(table, None, 0)
-        if reading is not None:
-            return reading
-        return await self._read_own_table(table)
+        if reading is None:
+            reading = await self._read_own_table(table)
+        _log.info(
+            "table_read",
+            table=table,
+            rows=len(reading.rows),
+            row_bytes=count_bytes(reading),
+            relayed_by=reading.relayed_by,
+            after_ms=self._context.clock.now_ms() - begun_ms,
+        )
+        return reading
 
     async def read_changes(self, table, since_version, wait_ms):
         """Return a ``Reading`` of the rows changed since a version."""
@@ -169,10 +178,14 @@
         except PlatformError:
             self._on_store_lost(table)
             raise
-        self._own_due_ms = None
+        self._on_own_reading(table, reading)
         self._update_copy(table, reading, None)
         return reading
 
+    def _on_own_reading(self, table, reading):
+        self._own_due_ms = None
+        self._context.metrics.count(STORE_ROW_BYTES, table, count_bytes(reading))
+
     async def _read_own_changes(self, table, since_version, wait_ms):
         if self.is_reader and table == self._context.platform.config_table:
             # The proof is renewed as often as the other hosts query this reader.
@@ -185,7 +198,7 @@
         except PlatformError:
             self._on_store_lost(table)
             raise
-        self._own_due_ms = None
+        self._on_own_reading(table, reading)
         is_updated = self._update_copy(table, reading, since_version)
         if table == self._context.platform.config_table and reading.rows:
             self._context.metrics.count(STORE_CHANGES, BY_STORE)
@@ -350,3 +363,8 @@
     def on_answer(self, message):
         """Handle a reader's answer."""
         self._queries.on_answer(message)
+
+
+def count_bytes(reading):
+    """Return the number of bytes of the values of a ``Reading``."""
+    return sum(len(row.value or b"") for row in reading.rows)
--- a/libs/entry/src/hemlockhoist/entry/tests/test_feeds.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_feeds.py
@@ -5,6 +5,7 @@
 import types
 
 import msgspec
+import structlog
 
 from hemlockhoist.base import Clock, PlatformError, SuspendAwareClock
 from hemlockhoist.base.testing import PausedTestCase
@@ -141,7 +142,7 @@
             clock=clock,
             boot_clock=self.boot_clock,
             metrics=types.SimpleNamespace(
-                count=lambda metric, way: self.ways.update([way])
+                count=lambda metric, label, value=1: self.ways.update({label: value})
             ),
             platform=types.SimpleNamespace(config_table=TABLE),
             fleet=types.SimpleNamespace(
@@ -306,6 +307,17 @@
         """Guards against callers that wait for a reader as all hosts start at once."""
         self.assertGreater(await self.start_one(is_known_after_ms=1_000), 0)
 
+    async def test_whole_readings_are_logged(self):
+        """Guards against a storm of whole readings that no line of a log tells of."""
+        with structlog.testing.capture_logs() as events:
+            await self.start_one(is_known_after_ms=20)
+            await self.start_one(is_known_after_ms=1_000)
+        read = [event for event in events if event["event"] == "table_read"]
+        self.assertEqual(
+            [(event["relayed_by"], event["row_bytes"]) for event in read],
+            [(self.reader.member.address, 2), ("", 2)],
+        )
+
     async def test_changes_arrive_despite_an_unresponsive_reader(self):
         """Guards against requests to a leaving upstream while the reader is frozen."""
         self.network.disconnected.add(self.reader.member.address)
