--- a/libs/store/src/hemlockhoist/store/__init__.py
+++ b/libs/store/src/hemlockhoist/store/__init__.py
@@ -1,5 +1,6 @@
 """Clients of the platform's table service and host list."""
 
+from hemlockhoist.store.calls import CALL_TIMEOUT_MS, StoreCalls
 from hemlockhoist.store.config import PlatformConfig
 from hemlockhoist.store.hosts import (
     HostListClient,
@@ -27,12 +28,14 @@
 from hemlockhoist.store.watch import SLOW_RETRY, RetryDelay, TableWatch
 
 __all__ = [
+    "CALL_TIMEOUT_MS",
     "SLOW_RETRY",
     "HistoryGone",
     "Reading",
     "RowChange",
     "RetryDelay",
     "RowStore",
+    "StoreCalls",
     "StoreRow",
     "TableWatch",
     "ABSENT",
