Three failing tests of hosts beside a slow store that loses its history

72 and 7 hosts with the real feeds and watches on the paused clock, links of 10 Mbit/s, a configuration of 1,400 routes. A store whose answers take 1.36 s drops its history, and takes a change two seconds later.

What callers would see on this code: every host refuses requests with keys from 4.75 s on, as its proof grows 8.9 s old (8.4 at 7 hosts), until the store is well again. A whole reading takes 1.36 s for the answer and 0.35 s for its bytes, and a call is given 1.5 s: it is begun again and again. Meanwhile 20 whole readings of the routes and 63 of the upstreams are begun; with answers of 1.04 s and no lost history, all hosts take the store for lost by their readers, and read each change themselves: 191 MB in 7 s.

--- /dev/null
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_feed_recovery.py
@@ -0,0 +1,85 @@
+import asyncio
+import collections
+
+from hemlockhoist.entry.tests.feed_fleet import (
+    IN_FORCE_S,
+    REVOCATION_MS,
+    TABLE,
+    UPSTREAMS,
+    FeedFleetCase,
+)
+
+# Time of an answer of a store that is 340 times slower than usual, and of a transaction.
+SLOW_ANSWER_MS = 1_360
+SLOW_COMMIT_S = 3.1
+SETTLE_S = 2
+LINK_BYTES_PER_S = 10_000_000 / 8
+
+
+class RecoveryCase(FeedFleetCase):
+    """Hosts with a large configuration, behind links that take 0.3 s for it."""
+
+    domains = "abcd"
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.network.bytes_per_s = LINK_BYTES_PER_S
+        await self.start_probes()
+        await self.write_routes(2)
+        await asyncio.sleep(IN_FORCE_S)
+        self.whole_reads = collections.Counter()
+        self.max_proof_age_ms = 0
+        for host in self.hosts:
+            host.store.whole_reads = self.whole_reads
+            host.store.answer_bytes = 0
+        task = asyncio.create_task(self._watch_proof())
+        self.addAsyncCleanup(asyncio.gather, task, return_exceptions=True)
+        self.addCleanup(task.cancel)
+
+    async def _watch_proof(self):
+        while True:
+            await asyncio.sleep(0.05)
+            ages_ms = [host.proof_age_ms() for host in self.hosts]
+            self.max_proof_age_ms = max(self.max_proof_age_ms, *ages_ms)
+
+    async def lose_history_of_slow_store(self):
+        """Let a slow store drop its history and take one change, then be well again."""
+        self.conditions.answer_ms = SLOW_ANSWER_MS
+        await asyncio.sleep(SETTLE_S)
+        for table in (TABLE, UPSTREAMS):
+            await self.store[table].drop_history()
+        await asyncio.sleep(SETTLE_S)
+        value = await self.write_routes(3)
+        await asyncio.sleep(SLOW_COMMIT_S + IN_FORCE_S)
+        self.check_all_know(value)
+        self.conditions.answer_ms = 4
+
+    async def check_proof_stays_fresh(self):
+        await self.lose_history_of_slow_store()
+        await asyncio.sleep(1)
+        self.assertLess(self.max_proof_age_ms, REVOCATION_MS)
+
+
+class LargeFleetRecoveryTests(RecoveryCase):
+    host_count = 72
+
+    async def test_lost_history_is_read_again_by_one_host_a_domain(self):
+        """Guards against hosts that all read everything again, over callers' links."""
+        await self.lose_history_of_slow_store()
+        for table in (TABLE, UPSTREAMS):
+            self.assertLessEqual(self.whole_reads[table], len(self.domains))
+        readers = {host for host in self.hosts if host.feeds.is_reader}
+        for host in set(self.hosts) - readers:
+            self.assertEqual(host.store.answer_bytes, 0)
+
+    async def test_proof_stays_fresh_beside_a_slow_store(self):
+        """Guards against callers refused for readings that are begun again for ever."""
+        await self.check_proof_stays_fresh()
+
+
+class SmallFleetRecoveryTests(RecoveryCase):
+    host_count = 7
+
+    async def test_proof_stays_fresh_beside_a_slow_store(self):
+        """Guards against callers refused for readings that are begun again for ever."""
+        await self.check_proof_stays_fresh()
