Read the answers of a slow store to their end

Callers saw: while the store is slow, every host refuses requests with keys (code of old configuration) and keeps old routes, at seven hosts as at 72, and for as long as it lasts.

Cause: a call was given 1.5 s for the answer and its bytes, whatever the store's pace, the row's size and the link. At 1.36 s an answer and 0.35 s of the link no whole reading ever ended; each try cost the link its bytes. Ruled out: backoff (60 to 400 ms), and the reading's size alone (0.35 s).

Change: a read is sent again beside the first call after 1.5 s without an answer, or twice what answers lately take, three calls in all; the first answer is read while its bytes arrive. A read that was answered only when sent again makes the others in progress do the same, as their connections may be silent too. A reading that is late goes on while other hosts are asked; its rows are used when they come. The wait of a poll shrinks as answers grow slow, so that the next proof comes before the last one is too old.

Why it works: what is on its way is no longer given up, and what is lost is no longer waited for: the two were one limit.

--- a/libs/entry/src/hemlockhoist/entry/feeds.py
+++ b/libs/entry/src/hemlockhoist/entry/feeds.py
@@ -13,6 +13,7 @@
 from hemlockhoist.entry.catch_up import CatchUp
 from hemlockhoist.entry.feed_queries import FeedQueries
 from hemlockhoist.entry.feed_server import FeedServer
+from hemlockhoist.entry.own_readings import OwnReadings, StoreLate
 from hemlockhoist.entry.row_packer import read_answer
 from hemlockhoist.messages import FeedState
 from hemlockhoist.store import HistoryGone, RowStore
@@ -39,6 +40,8 @@
 FIRST_LIST_WAIT_MS = 100
 FIRST_READER_WAIT_MS = 60
 READER_CHECK_INTERVAL_MS = 5
+# The next proof of the routes is to arrive this long before the previous one is too old.
+PROOF_RESERVE_MS = 750
 # Interval between two reads of the changes of a table that carries no proof of
 # freshness: upstreams that leave, join or warm up together are returned by one read.
 CHANGES_READ_INTERVAL_MS = 200
@@ -70,6 +73,8 @@
         "_context",
         "_copies",
         "_failed_readers",
+        "_offers",
+        "_own",
         "_own_due_ms",
         "_queries",
         "_relayed",
@@ -90,24 +95,31 @@
         )
         # Time of the last read of a table's changes from the store.
         self._changes_read_ms = {}
+        self._own = OwnReadings(store, self._on_late_end)
+        # Handlers of readings that no call of a watch awaits, by table.
+        self._offers = {}
         self._failed_readers = {}
         self._store_due_ms = 0
         # When this reader, which lost the store, calls it again; None if it has it.
         self._own_due_ms = None
 
     async def close(self):
-        """Stop reading from hosts that have newer rows."""
+        """Stop reading."""
         await self._catch_up.close()
+        await self._own.close()
 
-    def set_offer(self, offer):
-        """Set the handler of readings of the routes that no call of a watch awaits.
+    def set_offer(self, table, offer):
+        """Set the handler of readings of a table that no call of a watch awaits.
 
         Parameters
         ==========
+        table : str
         offer : callable
             ``offer(reading, since_version)``, see ``TableWatch.offer``.
         """
-        self._catch_up.set_offer(offer)
+        self._offers[table] = offer
+        if table == self._context.platform.config_table:
+            self._catch_up.set_offer(offer)
 
     # Reads and writes of this host.
 
@@ -115,9 +127,11 @@
         """Return a ``Reading`` of all rows of a table."""
         begun_ms = self._context.clock.now_ms()
         await self._wait_for_reader()
-        reading = await self._relayed_reading(table, None, 0)
-        if reading is None:
-            reading = await self._read_own_table(table)
+        reading = None
+        while reading is None:
+            reading = await self._relayed_reading(table, None, 0)
+            if reading is None:
+                reading = await self._unless_late(self._read_own_table(table))
         _log.info(
             "table_read",
             table=table,
@@ -131,11 +145,28 @@
     async def read_changes(self, table, since_version, wait_ms):
         """Return a ``Reading`` of the rows changed since a version."""
         await self._context.fleet.wait_introduced(INTRODUCED_WAIT_MS)
-        reading = await self._relayed_reading(table, since_version, wait_ms)
-        if reading is not None:
-            return reading
-        await self._pace_changes_read(table)
-        return await self._read_own_changes(table, since_version, wait_ms)
+        while True:
+            reading = await self._relayed_reading(table, since_version, wait_ms)
+            if reading is not None:
+                return reading
+            await self._pace_changes_read(table)
+            reading = await self._unless_late(
+                self._read_own_changes(table, since_version, wait_ms)
+            )
+            if reading is not None:
+                return reading
+
+    async def _unless_late(self, own_reading):
+        """Return a reading of this host's own, or None if another host can be asked.
+
+        Failure prevented: the store is silent to this host only, which hears of no
+        change until its call has ended.
+        """
+        try:
+            return await own_reading
+        except StoreLate as error:
+            _log.info("store_late", reason=error.message)
+            return None
 
     async def _wait_for_reader(self):
         """Wait briefly until a reader is known, if another host may be one.
@@ -174,41 +205,76 @@
 
     async def _read_own_table(self, table):
         try:
-            reading = await self._store.read_table(table)
+            reading = await self._own.read_table(table, self._has_other_reader)
+        except StoreLate:
+            raise
         except PlatformError:
             self._on_store_lost(table)
             raise
-        self._on_own_reading(table, reading)
-        self._update_copy(table, reading, None)
+        self._on_own_reading(table, reading, None)
         return reading
 
-    def _on_own_reading(self, table, reading):
-        self._own_due_ms = None
-        self._context.metrics.count(STORE_ROW_BYTES, table, count_bytes(reading))
-
     async def _read_own_changes(self, table, since_version, wait_ms):
-        if self.is_reader and table == self._context.platform.config_table:
-            # The proof is renewed as often as the other hosts query this reader.
-            wait_ms = min(wait_ms, RELAYED_WAIT_MS)
-        if self._own_due_ms is not None:
-            # A store that rejects this host may leave the call unanswered.
-            wait_ms = 0
+        wait_ms = self._own_wait_ms(table, wait_ms)
         try:
-            reading = await self._store.read_changes(table, since_version, wait_ms)
+            reading = await self._own.read_changes(
+                table, since_version, wait_ms, self._has_other_reader
+            )
+        except StoreLate:
+            raise
         except PlatformError:
             self._on_store_lost(table)
             raise
-        self._on_own_reading(table, reading)
-        is_updated = self._update_copy(table, reading, since_version)
-        if table == self._context.platform.config_table and reading.rows:
-            self._context.metrics.count(STORE_CHANGES, BY_STORE)
-            self._announce(table, reading.version)
+        is_updated = self._on_own_reading(table, reading, since_version)
         if not is_updated and table in self._relayed and self.is_reader:
             # The copy is missing, or lacks changes that other readers relayed to this
             # host meanwhile: read the whole table.
             await self._read_own_table(table)
         return reading
 
+    def _own_wait_ms(self, table, wait_ms):
+        """Return how long the store may wait for a change before it answers."""
+        if self._own_due_ms is not None:
+            # A store that rejects this host may leave the call unanswered.
+            return 0
+        if table != self._context.platform.config_table:
+            return wait_ms
+        if self.is_reader:
+            # The proof is renewed as often as the other hosts query this reader.
+            wait_ms = min(wait_ms, RELAYED_WAIT_MS)
+        # The answer shows the time at which it was sent, and the next one has to arrive
+        # before that is too long ago.
+        revocation_ms = self._context.settings.bounds.revocation_ms
+        spare_ms = revocation_ms - PROOF_RESERVE_MS - 2 * self._store.answer_ms
+        return max(0, min(wait_ms, spare_ms))
+
+    def _on_own_reading(self, table, reading, since_version):
+        """Use a reading of this host's own; return False if the copy lacks rows."""
+        self._own_due_ms = None
+        self._context.metrics.count(STORE_ROW_BYTES, table, count_bytes(reading))
+        is_updated = self._update_copy(table, reading, since_version)
+        is_config = table == self._context.platform.config_table
+        if is_config and reading.rows and since_version is not None:
+            self._context.metrics.count(STORE_CHANGES, BY_STORE)
+            self._announce(table, reading.version)
+        return is_updated
+
+    def _on_late_end(self, table, since_version, reading, error):
+        """Use a reading whose caller went on without it."""
+        if error is not None:
+            self._on_store_lost(table)
+            return
+        self._on_own_reading(table, reading, since_version)
+        if table in self._offers:
+            self._offers[table](reading, since_version)
+
+    @property
+    def _has_other_reader(self):
+        """Whether another host relays the tables, and has not just failed to."""
+        own, members = self._context.fleet.stable_members()
+        avoid = {own.address, *self._failed_readers}
+        return reader_for(members, own, avoid) is not None
+
     def _update_copy(self, table, reading, since_version):
         """Apply a reading to this host's copy; return False if the copy lacks rows.
 
@@ -256,7 +322,8 @@
         }
         own, members = self._context.fleet.stable_members()
         avoid = set(self._failed_readers)
-        if self._own_due_ms is not None and self._own_due_ms > now_ms:
+        is_lost = self._own_due_ms is not None and self._own_due_ms > now_ms
+        if is_lost or self._own.is_late:
             avoid.add(own.address)
         return reader_for(members, own, avoid)
 
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -319,7 +319,6 @@
             self._on_reading,
             self._on_store_failure,
         )
-        context.feeds.set_offer(routes.offer)
         upstreams = TableWatch(
             context.feeds,
             platform.upstream_table,
@@ -327,6 +326,8 @@
             store_view.apply_upstream_rows,
             retry_delay=SLOW_RETRY,
         )
+        context.feeds.set_offer(platform.config_table, routes.offer)
+        context.feeds.set_offer(platform.upstream_table, upstreams.offer)
         self._closers.push_async_callback(context.feeds.close)
         self._host_registry = HostRegistry(context)
         self._watches = (upstreams, self._host_registry)
--- a/libs/entry/src/hemlockhoist/entry/tests/feed_fleet.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/feed_fleet.py
@@ -65,21 +65,30 @@
         self.is_partitioned = False
         self.is_silent = False
 
+    @property
+    def answer_ms(self):
+        return self.limits.answer_ms
+
     async def read_table(self, table):
         self.whole_reads[table] += 1
-        return await self._limited(lambda: self._read_table(table))
+        return await self.limits.read(
+            lambda progress, wait_ms: self._read_table(table, progress)
+        )
 
-    async def _read_table(self, table):
+    async def _read_table(self, table, progress):
         await self._begin()
         reading = await self.tables[table].read_table(table)
-        return await self._receive(reading)
+        return await self._receive(reading, progress)
 
     async def read_changes(self, table, since_version, wait_ms):
-        return await self._limited(
-            lambda: self._read_changes(table, since_version, wait_ms), wait_ms
+        return await self.limits.read(
+            lambda progress, wait_ms: self._read_changes(
+                table, since_version, wait_ms, progress
+            ),
+            wait_ms,
         )
 
-    async def _read_changes(self, table, since_version, wait_ms):
+    async def _read_changes(self, table, since_version, wait_ms, progress):
         await self._begin()
         shared = self.tables[table]
         try:
@@ -87,13 +96,7 @@
                 reading = await shared.read_changes(table, since_version, wait_ms)
         except TimeoutError:
             reading = shared.changes_since(since_version)
-        return await self._receive(reading)
-
-    async def _limited(self, call, wait_ms=0):
-        try:
-            return await self.limits.run(call, wait_ms)
-        except TimeoutError as error:
-            raise PlatformError("the store does not answer") from error
+        return await self._receive(reading, progress)
 
     async def _begin(self):
         self.calls += 1
@@ -102,10 +105,12 @@
         if self.is_partitioned:
             raise PlatformError("the store is unreachable")
 
-    async def _receive(self, reading):
+    async def _receive(self, reading, progress):
         await asyncio.sleep(self.conditions.answer_ms / 1_000)
+        progress.on_bytes()
         self.answer_bytes += encoded_bytes(reading)
         await self.network.receive(self.address, reading)
+        progress.on_bytes()
         return reading
 
 
@@ -193,6 +198,9 @@
                 count=lambda metric, label, value=1: self.ways.update({label: value})
             ),
             platform=types.SimpleNamespace(config_table=TABLE),
+            settings=types.SimpleNamespace(
+                bounds=types.SimpleNamespace(revocation_ms=5_000)
+            ),
             fleet=types.SimpleNamespace(
                 stable_members=lambda: (member, self.known),
                 live_hosts=lambda: [item.address for item in members],
@@ -231,7 +239,8 @@
             ),
             retry_delay=SLOW_RETRY,
         )
-        self.feeds.set_offer(self.watch.offer)
+        self.feeds.set_offer(TABLE, self.watch.offer)
+        self.feeds.set_offer(UPSTREAMS, self.upstreams_watch.offer)
 
     def proof_age_ms(self):
         return self.freshness.age_ms(self.boot_clock.now_ms())
--- a/libs/entry/src/hemlockhoist/entry/tests/test_usage_recorder.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_usage_recorder.py
@@ -7,7 +7,7 @@
 from hemlockhoist.entry.gate import QuotaGate
 from hemlockhoist.entry.settings import FleetBounds
 from hemlockhoist.entry.tests.builders import customer
-from hemlockhoist.entry.tests.test_feeds import ClockedStore, return_at_once
+from hemlockhoist.entry.tests.feed_fleet import ClockedStore, return_at_once
 from hemlockhoist.entry.usage_recorder import UsageRecorder
 from hemlockhoist.messages import HeldGrants
 
--- a/libs/store/src/hemlockhoist/store/__init__.py
+++ b/libs/store/src/hemlockhoist/store/__init__.py
@@ -1,6 +1,6 @@
 """Clients of the platform's table service and host list."""
 
-from hemlockhoist.store.calls import CALL_TIMEOUT_MS, StoreCalls
+from hemlockhoist.store.calls import CallProgress, StoreCalls, read_body
 from hemlockhoist.store.config import PlatformConfig
 from hemlockhoist.store.hosts import (
     HostListClient,
@@ -28,8 +28,8 @@
 from hemlockhoist.store.watch import SLOW_RETRY, RetryDelay, TableWatch
 
 __all__ = [
-    "CALL_TIMEOUT_MS",
     "SLOW_RETRY",
+    "CallProgress",
     "HistoryGone",
     "Reading",
     "RowChange",
@@ -52,4 +52,5 @@
     "TableClient",
     "TypedRows",
     "new_change_id",
+    "read_body",
 ]
--- a/libs/store/src/hemlockhoist/store/rows.py
+++ b/libs/store/src/hemlockhoist/store/rows.py
@@ -74,7 +74,15 @@
 
 
 class RowStore(abc.ABC):
-    """A store of small rows in tables, with transactions and a change feed."""
+    """A store of small rows in tables, with transactions and a change feed.
+
+    Attributes
+    ==========
+    answer_ms : int
+        How long the store has recently taken for an answer; 0 if that is not known.
+    """
+
+    answer_ms = 0
 
     @abc.abstractmethod
     async def read_table(self, table):
