Wait for a reader that waits for a slow store

Callers saw: while the store is slow, hosts are slow too, and refuse for old proof; the links of small hosts are full of the configuration's rows.

Cause: a reader whose proof of the routes is older than 1.7 s told its followers that it had failed. With lost history each of them read both tables whole as well. Ruled out: the readers' own calls, which end in time now.

Change: a reader that is waiting for the store says so and answers as its reading comes; what counts as current follows the time that the store takes. When the history is gone, a reader keeps its rows, reads the table whole once, and gives its followers the changes. All hosts keep copies of all relayed tables, so that a new reader does not need to begin anew.

New fields of messages have defaults: hosts of the last release read them as a failed reader's.

--- a/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
@@ -28,6 +28,7 @@
 from hemlockhoist.decisions.entry.prefixes import chained_hashes
 from hemlockhoist.decisions.entry.readers import (
     MAX_DIRECT_READERS,
+    ReaderTable,
     find_readers,
     reader_for,
 )
@@ -55,6 +56,7 @@
     "MoveOrder",
     "MoveOrderState",
     "PoolChooser",
+    "ReaderTable",
     "RelayCandidate",
     "RelayCause",
     "RelayPeers",
--- a/libs/decisions/src/hemlockhoist/decisions/entry/readers.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/readers.py
@@ -43,19 +43,54 @@
     members : sequence of Member
     own : Member
     avoid : collection of str, optional
-        Addresses of readers that have recently failed; if the reader of the host's own
-        domain is among them, that of another domain is used. The host itself is among
-        them while the store rejects it.
+        As of ``ReaderTable.reader``.
     """
-    readers = find_readers(members)
-    if not readers or (own in readers.values() and own.address not in avoid):
-        return None
-    available = {
-        domain: member
-        for domain, member in readers.items()
-        if member.address not in avoid
-    }
-    if not available:
-        return None
-    local_reader = available.get(own.failure_domain)
-    return local_reader or rank_members(available.values(), own.address)[0]
+    return ReaderTable(members, own).reader(avoid)
+
+
+class ReaderTable:
+    """The hosts that read the store, as one host of a fleet sees them.
+
+    It is kept for as long as the fleet's members are the same: ranking them takes a
+    millisecond at 1,300 hosts.
+
+    Parameters
+    ==========
+    members : sequence of Member
+        Members that are not gone.
+    own : Member
+        The host itself.
+    """
+
+    __slots__ = ("_own", "_readers")
+
+    def __init__(self, members, own):
+        self._own = own
+        self._readers = find_readers(members)
+
+    @property
+    def is_reader(self):
+        """Whether the host reads the store itself while it has it."""
+        return not self._readers or self._own in self._readers.values()
+
+    def reader(self, avoid=frozenset()):
+        """Return the reader that the host uses, or None if it reads the store itself.
+
+        Parameters
+        ==========
+        avoid : collection of str, optional
+            Addresses of readers that have recently failed; if the reader of the host's
+            own domain is among them, that of another domain is used. The host itself is
+            among them while the store rejects it.
+        """
+        if self.is_reader and (not self._readers or self._own.address not in avoid):
+            return None
+        available = {
+            domain: member
+            for domain, member in self._readers.items()
+            if member.address not in avoid
+        }
+        if not available:
+            return None
+        local_reader = available.get(self._own.failure_domain)
+        return local_reader or rank_members(available.values(), self._own.address)[0]
--- a/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_readers.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_readers.py
@@ -1,6 +1,10 @@
 import unittest
 
-from hemlockhoist.decisions.entry import TableCopy, find_readers, reader_for
+from hemlockhoist.decisions.entry import (
+    TableCopy,
+    find_readers,
+    reader_for,
+)
 from hemlockhoist.decisions.entry.copies import LARGE_VALUE_BYTES
 from hemlockhoist.messages import Member
 from hemlockhoist.store import Reading, StoreRow
--- a/libs/entry/src/hemlockhoist/entry/feed_server.py
+++ b/libs/entry/src/hemlockhoist/entry/feed_server.py
@@ -6,8 +6,9 @@
 from hemlockhoist.entry.row_packer import RowPacker
 from hemlockhoist.messages import FeedAnswer, FeedState
 
-# A reader whose newest proof of the routes is older than this has lost the store, or is
-# about to detect it: the proof is renewed each second.
+# A reader whose newest proof of the routes is older than this, and than two answers of
+# the store take, has lost the store, or is about to detect it: the proof is renewed each
+# second.
 MAX_READER_PROOF_AGE_MS = 1_700
 
 
@@ -20,7 +21,9 @@
     copies : dict
         Maps table to ``TableCopy``; updated by its owner.
     reads_store : callable
-        Returns whether this host reads the store itself, and can do so now.
+        Returns whether this host reads the store itself, and has not lost it.
+    answer_ms : callable, optional
+        Returns how long the store has recently taken for an answer to this host.
 
     Attributes
     ==========
@@ -29,15 +32,17 @@
     """
 
     __slots__ = (
+        "_answer_ms",
         "_context",
         "_copies",
-        "_reads_store",
         "_packer",
+        "_reads_store",
         "_waiting_queries",
         "lost_tables",
     )
 
-    def __init__(self, context, copies, reads_store):
+    def __init__(self, context, copies, reads_store, answer_ms=lambda: 0):
+        self._answer_ms = answer_ms
         self._context = context
         self._copies = copies
         self._reads_store = reads_store
@@ -46,10 +51,12 @@
         self._waiting_queries = {}
 
     def on_query(self, sender, message):
-        """Answer at once if there are changes, else after a reading or a timeout."""
-        copy, since = self._copies.get(message.table), message.since_version
-        is_behind = since is None or (copy is not None and copy.version > since)
-        if is_behind or not message.wait_ms or not self._is_current(message.table):
+        """Answer at once if there are changes, else after a reading or a timeout.
+
+        Load prevented: the store is slow, and all hosts that read through this one take
+        it for lost and read the store themselves.
+        """
+        if not message.wait_ms or self._is_answerable(message):
             self._answer(sender, message)
             return
         waiting = self._waiting_queries.setdefault(message.table, {})
@@ -58,6 +65,14 @@
         )
         waiting[sender, message.number] = (message, timer)
 
+    def _is_answerable(self, message):
+        """Return whether there is no use in waiting for this host's next reading."""
+        copy, since = self._copies.get(message.table), message.since_version
+        if copy is None or not self._is_current(message.table):
+            has_news = copy is not None and self._is_news(copy, message)
+            return has_news or message.table in self.lost_tables
+        return since is None or copy.version > since
+
     def _is_current(self, table):
         """Return whether this host's copy of a table is current with the store.
 
@@ -68,7 +83,8 @@
         if table not in self._copies or table in self.lost_tables or not is_kept:
             return False
         age_ms = self._context.store_view.proof_age_ms()
-        return age_ms is not None and age_ms < MAX_READER_PROOF_AGE_MS
+        limit_ms = MAX_READER_PROOF_AGE_MS + 2 * self._answer_ms()
+        return age_ms is not None and age_ms < limit_ms
 
     def answer_waiting_queries(self, table):
         """Answer the queries that wait for a change of a table."""
@@ -105,7 +121,12 @@
         return copy.changed_version > message.since_version
 
     def _send_failure(self, sender, message):
-        answer = FeedAnswer(number=message.number, state=FeedState.FAILED)
+        answer = FeedAnswer(
+            number=message.number,
+            state=FeedState.FAILED,
+            is_reading=self._reads_store() and message.table not in self.lost_tables,
+            answer_ms=self._answer_ms(),
+        )
         self._context.bus.send(sender, answer)
 
     def _send_changes(self, sender, message, copy):
--- a/libs/entry/src/hemlockhoist/entry/feeds.py
+++ b/libs/entry/src/hemlockhoist/entry/feeds.py
@@ -2,35 +2,26 @@
 
 import asyncio
 
+import msgspec
+
 from hemlockhoist.base import MS_PER_S, PlatformError, get_logger
 from hemlockhoist.base.metrics_table import STORE_CHANGES, STORE_ROW_BYTES
-from hemlockhoist.decisions.entry import (
-    MAX_DIRECT_READERS,
-    TableCopy,
-    find_readers,
-    reader_for,
-)
+from hemlockhoist.decisions.entry import TableCopy, find_readers
 from hemlockhoist.entry.catch_up import CatchUp
 from hemlockhoist.entry.feed_queries import FeedQueries
 from hemlockhoist.entry.feed_server import FeedServer
 from hemlockhoist.entry.own_readings import OwnReadings, StoreLate
-from hemlockhoist.entry.row_packer import read_answer
-from hemlockhoist.messages import FeedState
+from hemlockhoist.entry.reader_choice import ReaderChoice
+from hemlockhoist.entry.relayed_readings import RELAYED_WAIT_MS, RelayedReadings
 from hemlockhoist.store import HistoryGone, RowStore
 
 _log = get_logger("entry.feeds")
 
-# Longest wait of a query. A response without changes is sent after this time, so that
-# a frozen or disconnected reader is detected by its silence, early enough for this host
-# to learn from the store itself in time that an upstream leaves.
-RELAYED_WAIT_MS = 1_000
 # Retry interval of this host while neither it nor the readers reach the store. Readers
 # retry continuously, and report when the store is back.
 STORE_RETRY_INTERVAL_MS = 1_000
 # How long a reader that has lost the store asks other readers before its next call.
 READER_RETRY_INTERVAL_MS = 2_000
-# How long a failed reader is skipped; the next reader or the store is read instead.
-READER_BACKOFF_MS = 4_000
 # Limit on waiting for the list of hosts, from which a starting host learns the readers.
 # The list is read within some tens of milliseconds if the store answers.
 INTRODUCED_WAIT_MS = 500
@@ -40,16 +31,20 @@
 FIRST_LIST_WAIT_MS = 100
 FIRST_READER_WAIT_MS = 60
 READER_CHECK_INTERVAL_MS = 5
+# Time without an answer, beyond the wait, after which this reader asks other readers
+# beside its own call. A store that answers slowly is late only if it is slower than
+# before by the factor.
+MIN_LATE_MS = 1_500
+LATE_FACTOR = 2
+# Likewise for a host that has called the store as a reader kept it waiting.
+IMPATIENT_LATE_MS = 300
 # The next proof of the routes is to arrive this long before the previous one is too old.
 PROOF_RESERVE_MS = 750
 # Interval between two reads of the changes of a table that carries no proof of
 # freshness: upstreams that leave, join or warm up together are returned by one read.
 CHANGES_READ_INTERVAL_MS = 200
-
-
-# Ways by which changes of the routes come, as labels of a metric.
+# Label of a metric for changes that came from the store.
 BY_STORE = "store"
-BY_READER = "reader"
 
 
 class FeedStore(RowStore):
@@ -70,14 +65,16 @@
     __slots__ = (
         "_catch_up",
         "_changes_read_ms",
+        "_choice",
         "_context",
         "_copies",
-        "_failed_readers",
+        "_late_readings",
         "_offers",
         "_own",
         "_own_due_ms",
         "_queries",
         "_relayed",
+        "_relayed_readings",
         "_server",
         "_store",
         "_store_due_ms",
@@ -88,7 +85,9 @@
         self._store = store
         self._relayed = frozenset(relayed)
         self._copies = {}
-        self._server = FeedServer(context, self._copies, self._reads_store)
+        self._server = FeedServer(
+            context, self._copies, self._reads_store, lambda: store.answer_ms
+        )
         self._queries = FeedQueries(context, self._on_late_answer)
         self._catch_up = CatchUp(
             context, self._copies, self._queries, self._update_copy
@@ -96,9 +95,14 @@
         # Time of the last read of a table's changes from the store.
         self._changes_read_ms = {}
         self._own = OwnReadings(store, self._on_late_end)
+        # The readings that ended after their callers had gone on, by table.
+        self._late_readings = {}
         # Handlers of readings that no call of a watch awaits, by table.
         self._offers = {}
-        self._failed_readers = {}
+        self._choice = ReaderChoice(context.clock, context.fleet)
+        self._relayed_readings = RelayedReadings(
+            context, self._copies, self._queries, self._choice, self._update_copy
+        )
         self._store_due_ms = 0
         # When this reader, which lost the store, calls it again; None if it has it.
         self._own_due_ms = None
@@ -132,6 +136,10 @@
             reading = await self._relayed_reading(table, None, 0)
             if reading is None:
                 reading = await self._unless_late(self._read_own_table(table))
+        self._log_whole(table, reading, begun_ms)
+        return reading
+
+    def _log_whole(self, table, reading, begun_ms):
         _log.info(
             "table_read",
             table=table,
@@ -140,12 +148,14 @@
             relayed_by=reading.relayed_by,
             after_ms=self._context.clock.now_ms() - begun_ms,
         )
-        return reading
 
     async def read_changes(self, table, since_version, wait_ms):
         """Return a ``Reading`` of the rows changed since a version."""
         await self._context.fleet.wait_introduced(INTRODUCED_WAIT_MS)
         while True:
+            reading = self._take_late(table, since_version)
+            if reading is not None:
+                return reading
             reading = await self._relayed_reading(table, since_version, wait_ms)
             if reading is not None:
                 return reading
@@ -178,19 +188,9 @@
         fleet, clock = self._context.fleet, self._context.clock
         await fleet.wait_introduced(FIRST_LIST_WAIT_MS)
         until_ms = clock.now_ms() + FIRST_READER_WAIT_MS
-        while self._may_have_reader() and clock.now_ms() < until_ms:
+        while self._choice.may_have_reader() and clock.now_ms() < until_ms:
             await asyncio.sleep(READER_CHECK_INTERVAL_MS / MS_PER_S)
 
-    def _may_have_reader(self):
-        """Return whether a reader that is not known yet may serve this host."""
-        fleet = self._context.fleet
-        is_small = len(fleet.live_hosts()) <= MAX_DIRECT_READERS
-        return (
-            not is_small
-            and not fleet.is_high_capacity
-            and self._current_reader() is None
-        )
-
     async def _pace_changes_read(self, table):
         """Wait briefly if the changes of a table have just been read."""
         now_ms = self._context.clock.now_ms()
@@ -205,7 +205,7 @@
 
     async def _read_own_table(self, table):
         try:
-            reading = await self._own.read_table(table, self._has_other_reader)
+            reading = await self._own.read_table(table, self._late_ms())
         except StoreLate:
             raise
         except PlatformError:
@@ -217,9 +217,14 @@
     async def _read_own_changes(self, table, since_version, wait_ms):
         wait_ms = self._own_wait_ms(table, wait_ms)
         try:
+            if self._own.reads_table(table):
+                return await self._read_missing(table, since_version)
             reading = await self._own.read_changes(
-                table, since_version, wait_ms, self._has_other_reader
+                table, since_version, wait_ms, self._late_ms()
             )
+        except HistoryGone:
+            _log.warning("store_history_gone", table=table)
+            return await self._read_missing(table, since_version)
         except StoreLate:
             raise
         except PlatformError:
@@ -227,21 +232,45 @@
             raise
         is_updated = self._on_own_reading(table, reading, since_version)
         if not is_updated and table in self._relayed and self.is_reader:
-            # The copy is missing, or lacks changes that other readers relayed to this
-            # host meanwhile: read the whole table.
+            # The copy is missing: the other hosts need all rows.
             await self._read_own_table(table)
         return reading
 
+    async def _read_missing(self, table, since_version):
+        """Return the changes since a version as found by reading the whole table.
+
+        Failure prevented: the store has dropped its history, and hosts drop the rows
+        that they know, to read all of them again.
+
+        Raises
+        ======
+        HistoryGone
+            If this host does not know the rows of that version.
+        """
+        copy = self._copies.get(table)
+        if copy is None or copy.version < since_version:
+            raise HistoryGone(f"the rows of {table} are not known here")
+        begun_ms = self._context.clock.now_ms()
+        whole = await self._read_own_table(table)
+        self._log_whole(table, whole, begun_ms)
+        rows = copy.changes(since_version)
+        if rows is None:
+            raise HistoryGone(f"the changes of {table} are not known here")
+        return msgspec.structs.replace(whole, rows=rows)
+
     def _own_wait_ms(self, table, wait_ms):
         """Return how long the store may wait for a change before it answers."""
         if self._own_due_ms is not None:
             # A store that rejects this host may leave the call unanswered.
             return 0
+        if not self.is_reader and self._choice.choose() is not None:
+            # A reader is up and waits for the store, as this host does now.
+            return 0
         if table != self._context.platform.config_table:
             return wait_ms
         if self.is_reader:
             # The proof is renewed as often as the other hosts query this reader.
-            wait_ms = min(wait_ms, RELAYED_WAIT_MS)
+            wait_ms = max(0, RELAYED_WAIT_MS - self._store.answer_ms)
         # The answer shows the time at which it was sent, and the next one has to arrive
         # before that is too long ago.
         revocation_ms = self._context.settings.bounds.revocation_ms
@@ -260,25 +289,30 @@
         return is_updated
 
     def _on_late_end(self, table, since_version, reading, error):
-        """Use a reading whose caller went on without it."""
+        """Use a reading that its caller does not wait for."""
+        if isinstance(error, HistoryGone):
+            return  # The next reading of changes finds it too.
         if error is not None:
             self._on_store_lost(table)
             return
         self._on_own_reading(table, reading, since_version)
+        self._late_readings[table] = reading
         if table in self._offers:
             self._offers[table](reading, since_version)
 
-    @property
-    def _has_other_reader(self):
-        """Whether another host relays the tables, and has not just failed to."""
-        own, members = self._context.fleet.stable_members()
-        avoid = {own.address, *self._failed_readers}
-        return reader_for(members, own, avoid) is not None
+    def _take_late(self, table, since_version):
+        """Return the changes of a late reading that has ended, or None."""
+        reading, copy = self._late_readings.pop(table, None), self._copies.get(table)
+        if reading is None or copy is None or reading.version <= since_version:
+            return None
+        rows = copy.changes(since_version)
+        return None if rows is None else msgspec.structs.replace(reading, rows=rows)
 
     def _update_copy(self, table, reading, since_version):
         """Apply a reading to this host's copy; return False if the copy lacks rows.
 
-        Each host keeps a copy of the routes, by which readers pack their changes.
+        Each host keeps copies, as it may become a reader: the hosts that read through
+        it then need changes only.
         """
         if table not in self._relayed:
             return False
@@ -304,86 +338,49 @@
         if self.is_reader:
             self._own_due_ms = now_ms + READER_RETRY_INTERVAL_MS
         else:
-            self._failed_readers.clear()
+            self._choice.forgive()
             self._store_due_ms = now_ms + STORE_RETRY_INTERVAL_MS
 
     # Queries to readers.
 
-    def _current_reader(self):
-        """Return the host to query, or None to read the store.
-
-        Failure prevented: the store rejects a reader and serves the other hosts, and
-        the reader keeps old routes for as long as that lasts.
-        """
-        now_ms = self._context.clock.now_ms()
-        failed_readers = self._failed_readers.items()
-        self._failed_readers = {
-            host: until for host, until in failed_readers if until > now_ms
-        }
-        own, members = self._context.fleet.stable_members()
-        avoid = set(self._failed_readers)
-        is_lost = self._own_due_ms is not None and self._own_due_ms > now_ms
-        if is_lost or self._own.is_late:
-            avoid.add(own.address)
-        return reader_for(members, own, avoid)
-
     @property
     def is_reader(self):
         """Whether this host reads the store itself."""
-        own, members = self._context.fleet.stable_members()
-        return reader_for(members, own) is None
+        return self._choice.is_reader
 
     def _reads_store(self):
-        """Return whether this host is a reader, and has the store."""
+        """Return whether this host reads the store itself, and has not lost it."""
         return self.is_reader and self._own_due_ms is None
 
+    @property
+    def _avoids_own(self):
+        """Whether to ask other hosts though this one is a reader."""
+        now_ms = self._context.clock.now_ms()
+        is_lost = self._own_due_ms is not None and self._own_due_ms > now_ms
+        return is_lost or self._own.is_late
+
+    def _late_ms(self):
+        """Return after what time other hosts are asked beside this one's call, or None.
+
+        None is returned if no other host reads the store, or all have just failed.
+        """
+        if self._choice.choose(avoids_own=True) is None:
+            return None
+        if self.is_reader:
+            return max(MIN_LATE_MS, LATE_FACTOR * self._store.answer_ms)
+        return IMPATIENT_LATE_MS
+
     async def _relayed_reading(self, table, since_version, wait_ms):
         """Return a reading relayed by a reader, or None to read the store instead."""
-        while table in self._relayed:
-            reader = self._current_reader()
-            if reader is None:
-                self._check_store_due()
-                return None
-            reading = await self._query_reader(reader, table, since_version, wait_ms)
-            if reading is not None:
-                return reading
-            # The next reader is queried without a wait: a host that is cut off from all
-            # readers has to read the store itself before its proof is too old.
-            wait_ms = 0
-        return None
-
-    async def _query_reader(self, reader, table, since_version, wait_ms, unpacks=True):
-        """Return the reading of one reader, or None if the reader failed."""
-        wait_ms = min(wait_ms, RELAYED_WAIT_MS)
-        sent_ms = self._context.boot_clock.now_ms()
-        answer = await self._queries.send(
-            reader.address, table, since_version, wait_ms, unpacks
-        )
-        if answer is None or answer.state is FeedState.FAILED:
-            self._skip_reader(reader, table, timed_out=answer is None)
+        if table not in self._relayed:
             return None
-        if answer.state is FeedState.HISTORY_GONE:
-            raise HistoryGone(f"{reader.address} has no history of {table}")
-        reading = read_answer(answer, reader.address, self._copies.get(table), sent_ms)
-        if reading is None and unpacks:
-            return await self._query_reader(
-                reader, table, since_version, 0, unpacks=False
-            )
+        reading = await self._relayed_readings.read(
+            table, since_version, wait_ms, self._avoids_own
+        )
         if reading is None:
-            self._skip_reader(reader, table, timed_out=False)
-        elif table == self._context.platform.config_table:
-            self._update_copy(table, reading, since_version)
-            if reading.rows:
-                self._context.metrics.count(STORE_CHANGES, BY_READER)
+            self._check_store_due()
         return reading
 
-    def _skip_reader(self, reader, table, timed_out):
-        now_ms = self._context.clock.now_ms()
-        self._failed_readers[reader.address] = now_ms + READER_BACKOFF_MS
-        _log.info(
-            "reader_failed", table=table, reader=reader.address, timed_out=timed_out
-        )
-
     def _on_late_answer(self, query, answer):
         self._catch_up.on_late_answer(query, answer)
 
@@ -419,8 +416,9 @@
         ======
         PlatformError
         """
-        if self._failed_readers and self._context.clock.now_ms() < self._store_due_ms:
-            self._failed_readers.clear()
+        is_early = self._context.clock.now_ms() < self._store_due_ms
+        if self._choice.has_skipped and is_early:
+            self._choice.forgive()
             raise PlatformError("neither the readers nor this host reach the store")
 
     def on_query(self, sender, message):
--- a/libs/entry/src/hemlockhoist/entry/own_readings.py
+++ b/libs/entry/src/hemlockhoist/entry/own_readings.py
@@ -4,11 +4,6 @@
 
 from hemlockhoist.base import MS_PER_S, PlatformError
 
-# Time without an answer, beyond the wait, after which a reading is late.
-MIN_LATE_MS = 1_500
-# A store that answers slowly is late only if it is slower than before by this factor.
-LATE_FACTOR = 2
-
 
 class StoreLate(PlatformError):
     """The store has not answered yet; the call goes on."""
@@ -49,14 +44,19 @@
         """Whether a reading is late and goes on."""
         return any(call.is_late for call in self._calls.values())
 
-    async def read_table(self, table, may_be_late):
+    def reads_table(self, table):
+        """Return whether a whole reading of a table is in progress."""
+        call = self._calls.get(table)
+        return call is not None and call.since_version is None
+
+    async def read_table(self, table, late_ms=None):
         """Return a ``Reading`` of all rows; join one that is in progress.
 
         Parameters
         ==========
         table : str
-        may_be_late : bool
-            Whether to raise ``StoreLate`` if there is no answer in time.
+        late_ms : int or None, optional
+            Time after which the reading is late; None to wait until it has ended.
 
         Raises
         ======
@@ -64,16 +64,29 @@
             The reading goes on; ``on_late_end`` is called when it has ended.
         PlatformError
         """
-        call = self._calls.get(table)
-        if call is None or call.since_version is not None:
-            call = self._begin(table, None, 0, self._store.read_table(table))
-        return await self._result(call, 0, may_be_late)
+        if not self.reads_table(table):
+            self._begin(table, None, 0, self._store.read_table(table))
+        call = self._calls[table]
+        try:
+            return await self._result(call, late_ms)
+        except asyncio.CancelledError:
+            call.is_left = True
+            raise
 
-    async def read_changes(self, table, since_version, wait_ms, may_be_late):
+    async def read_changes(self, table, since_version, wait_ms, late_ms=None):
         """Return a ``Reading`` of the rows changed since a version.
 
         A late reading of changes is joined. It may repeat rows that are known.
 
+        Parameters
+        ==========
+        table : str
+        since_version : int
+        wait_ms : int
+            How long the store may wait for a change before it answers.
+        late_ms : int or None, optional
+            Time beyond the wait after which the reading is late.
+
         Raises
         ======
         StoreLate
@@ -85,7 +98,8 @@
             reading = self._store.read_changes(table, since_version, wait_ms)
             call = self._begin(table, since_version, wait_ms, reading)
         try:
-            return await self._result(call, wait_ms, may_be_late)
+            limit_ms = None if late_ms is None else wait_ms + late_ms
+            return await self._result(call, limit_ms)
         except asyncio.CancelledError:
             # The caller does not expect an answer on this connection any more.
             if not call.is_late:
@@ -100,13 +114,15 @@
         call.task.add_done_callback(lambda task: self._on_end(call))
         return call
 
-    async def _result(self, call, wait_ms, may_be_late):
-        limit_s = None
-        if may_be_late:
-            late_ms = max(MIN_LATE_MS, LATE_FACTOR * self._store.answer_ms)
-            limit_s = (wait_ms + late_ms) / MS_PER_S
-        waits = (call.task, call.suspected) if may_be_late else (call.task,)
-        await asyncio.wait(waits, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED)
+    async def _result(self, call, limit_ms):
+        if limit_ms is None:
+            await asyncio.wait((call.task,))
+        else:
+            await asyncio.wait(
+                (call.task, call.suspected),
+                timeout=limit_ms / MS_PER_S,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
         if not call.task.done():
             self._set_late(call)
             raise StoreLate(f"no answer of the store on {call.table} yet")
@@ -140,7 +156,7 @@
         error = call.task.exception()
         if error is None:
             self._end_suspected(call)
-        if call.is_late:
+        if call.is_late or call.is_left:
             reading = None if error is not None else call.task.result()
             self._on_late_end(call.table, call.since_version, reading, error)
 
@@ -157,10 +173,20 @@
     suspected : asyncio.Future
         Done when another reading is late, so that this one may not be answered either.
     is_late : bool
+    is_left : bool
+        Whether its caller was cancelled.
     task : asyncio.Task
     """
 
-    __slots__ = ("is_late", "since_version", "suspected", "table", "task", "waits")
+    __slots__ = (
+        "is_late",
+        "is_left",
+        "since_version",
+        "suspected",
+        "table",
+        "task",
+        "waits",
+    )
 
     def __init__(self, table, since_version, wait_ms, reading):
         self.table = table
@@ -168,6 +194,7 @@
         self.waits = wait_ms > 0
         self.suspected = asyncio.get_running_loop().create_future()
         self.is_late = False
+        self.is_left = False
         self.task = asyncio.ensure_future(reading)
 
     def has_changes_since(self, version):
--- a/libs/entry/src/hemlockhoist/entry/reader_choice.py
+++ b/libs/entry/src/hemlockhoist/entry/reader_choice.py
@@ -1,13 +1,9 @@
 """Which host's readings this host uses, and when it reads the store itself."""
 
-from hemlockhoist.decisions.entry import MAX_DIRECT_READERS, reader_for
+from hemlockhoist.decisions.entry import MAX_DIRECT_READERS, ReaderTable
 
-# How long a reader that did not answer is skipped; the next reader or the store is read
-# instead.
-SILENT_READER_BACKOFF_MS = 4_000
-# How long a reader that reported a failure is skipped: to ask it again costs a round
-# trip, and until then each change is read from the store, whole, by this host too.
-FAILED_READER_BACKOFF_MS = 1_000
+# How long a failed reader is skipped; the next reader or the store is read instead.
+READER_BACKOFF_MS = 4_000
 
 
 class ReaderChoice:
@@ -19,19 +15,27 @@
     fleet : Fleet
     """
 
-    __slots__ = ("_clock", "_fleet", "_skipped")
+    __slots__ = ("_clock", "_fleet", "_members", "_readers", "_skipped")
 
     def __init__(self, clock, fleet):
         self._clock = clock
         self._fleet = fleet
         # Until when a reader is skipped, by address.
         self._skipped = {}
+        # The members for which the table of readers was made.
+        self._members = None
+        self._readers = None
+
+    def _table(self):
+        own, members = self._fleet.stable_members()
+        if members is not self._members:
+            self._members, self._readers = members, ReaderTable(members, own)
+        return self._readers
 
     @property
     def is_reader(self):
         """Whether this host reads the store itself."""
-        own, members = self._fleet.stable_members()
-        return reader_for(members, own) is None
+        return self._table().is_reader
 
     def choose(self, passed=(), avoids_own=False):
         """Return the host to query, or None to read the store.
@@ -46,16 +50,14 @@
         avoids_own : bool, optional
             Whether to query another host though this one is a reader.
         """
-        own, members = self._fleet.stable_members()
-        avoid = {*self._skipped_now(), *passed}
+        table, avoid = self._table(), set(self._skipped_now())
         if avoids_own:
-            avoid.add(own.address)
-        return reader_for(members, own, avoid)
+            avoid.add(self._fleet.stable_members()[0].address)
+        return table.reader({*avoid, *passed})
 
-    def skip(self, address, is_silent):
-        """Skip a reader for a while, longer if it did not answer."""
-        backoff_ms = SILENT_READER_BACKOFF_MS if is_silent else FAILED_READER_BACKOFF_MS
-        self._skipped[address] = self._clock.now_ms() + backoff_ms
+    def skip(self, address):
+        """Skip a reader for a while."""
+        self._skipped[address] = self._clock.now_ms() + READER_BACKOFF_MS
 
     @property
     def has_skipped(self):
--- a/libs/messages/src/hemlockhoist/messages/feeds.py
+++ b/libs/messages/src/hemlockhoist/messages/feeds.py
@@ -132,6 +132,10 @@
         Time of that reading on the store's clock.
     clock_ms : int
         Upper bound of the time on the store's clock when the answer was sent.
+    is_reading : bool
+        Whether the reader, though it has no newer reading, is waiting for the store.
+    answer_ms : int
+        How long the store has recently taken for an answer to the reader.
     """
 
     number: int
@@ -140,3 +144,5 @@
     version: int = 0
     store_ms: int = 0
     clock_ms: int = 0
+    is_reading: bool = False
+    answer_ms: int = 0
