Let one host a domain read whole tables where the readers have failed

Callers would see: the store rejects its readers and drops its history, and every host reads whole tables, over the links that their requests need.

Cause: a host without a reader read the store for itself only, all at one moment. Now the next host of the failure domain, in the order of readers, reads for the others, two such deputies at most; and a host whose changes the store has dropped reads a whole table only in its turn, a second and two answers of the store after the one before. What it has read reaches the others through it, or by what messages tell. Calls for changes are still made by any host whose readers have failed, as the store may serve only one of all.

The ranking of members is kept while they are the same: it was made two to four times for each query.

--- a/libs/decisions/src/hemlockhoist/decisions/entry/readers.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/readers.py
@@ -6,6 +6,8 @@
 # per minute; at twelve hosts they cost less than the latency that relaying would add.
 MAX_DIRECT_READERS = 12
 READER_RANK = "store readers"
+# Hosts of a failure domain that are asked after its reader, before the store is.
+MAX_DEPUTIES = 2
 
 
 def find_readers(members):
@@ -62,11 +64,13 @@
         The host itself.
     """
 
-    __slots__ = ("_own", "_readers")
+    __slots__ = ("_members", "_order", "_own", "_readers")
 
     def __init__(self, members, own):
+        self._members = members
         self._own = own
         self._readers = find_readers(members)
+        self._order = None
 
     @property
     def is_reader(self):
@@ -94,3 +98,47 @@
             return None
         local_reader = available.get(self._own.failure_domain)
         return local_reader or rank_members(available.values(), self._own.address)[0]
+
+    def deputy(self, avoid):
+        """Return the host that reads the store in place of failed readers, or None.
+
+        Load it is made for: the store rejects the readers, and all hosts of a failure
+        domain would read each change from it, whole.
+
+        None is returned if that is the host itself, or if several deputies have failed
+        too, as the store then rejects most hosts, or is away.
+
+        Parameters
+        ==========
+        avoid : collection of str
+            Addresses of readers and deputies that have recently failed.
+        """
+        left = self._takeover_order(avoid)
+        failed_count = len(self._order) - len(left)
+        if not self._readers or failed_count > MAX_DEPUTIES or not left:
+            return None
+        return None if left[0] == self._own else left[0]
+
+    def takeover_rank(self, avoid=frozenset()):
+        """Return how many hosts of its failure domain are to read all rows before it.
+
+        Load it is made for: the readers have failed, the store has dropped its history,
+        and each of the other hosts would read whole tables at the same moment.
+
+        Parameters
+        ==========
+        avoid : collection of str, optional
+            As of ``deputy``.
+        """
+        left = self._takeover_order(avoid)
+        return left.index(self._own) if self._own in left else len(left)
+
+    def _takeover_order(self, avoid):
+        """Return the members of the host's failure domain, first those with capacity."""
+        if self._order is None:
+            capable = {item.address for item in high_capacity_members(self._members)}
+            domain = self._own.failure_domain
+            local = [item for item in self._members if item.failure_domain == domain]
+            self._order = rank_members(local, READER_RANK)
+            self._order.sort(key=lambda member: member.address not in capable)
+        return [member for member in self._order if member.address not in avoid]
--- a/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_readers.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_readers.py
@@ -1,6 +1,7 @@
 import unittest
 
 from hemlockhoist.decisions.entry import (
+    ReaderTable,
     TableCopy,
     find_readers,
     reader_for,
@@ -58,6 +59,54 @@
         failed = {member.address for member in readers.values()}
         self.assertIsNone(reader_for(members, own, failed))
 
+    def test_hosts_of_a_domain_take_over_one_after_the_other(self):
+        """Guards against all hosts that read whole tables as their readers fail."""
+        members = fleet(60)
+        readers = find_readers(members)
+        for domain, reader in readers.items():
+            local = [item for item in members if item.failure_domain == domain]
+            ranks = {
+                item.address: ReaderTable(members, item).takeover_rank()
+                for item in local
+            }
+            self.assertEqual(sorted(ranks.values()), list(range(len(local))))
+            self.assertEqual(ranks[reader.address], 0)
+            avoid = {reader.address}
+            ranks = [ReaderTable(members, item).takeover_rank(avoid) for item in local]
+            self.assertEqual(sorted(ranks)[:3], [0, 1, 2])
+
+    def test_deputy_reads_for_a_domain_whose_readers_have_failed(self):
+        """Guards against changes that all hosts read from the store, whole."""
+        members = fleet(60)
+        readers = find_readers(members)
+        avoid = {member.address for member in readers.values()}
+        for domain, reader in readers.items():
+            local = [item for item in members if item.failure_domain == domain]
+            local.remove(reader)
+            found = {ReaderTable(members, item).deputy(avoid) for item in local}
+            (deputy,) = found - {None}
+            self.assertIsNone(ReaderTable(members, deputy).deputy(avoid))
+
+    def test_store_is_read_where_deputies_have_failed_too(self):
+        members = fleet(60)
+        local = [item for item in members if item.failure_domain == "d0"]
+        avoid = {member.address for member in find_readers(members).values()}
+        for _ in range(2):
+            deputy = ReaderTable(members, local[0]).deputy(avoid)
+            avoid.add(deputy.address if deputy else local[0].address)
+        self.assertEqual(
+            {ReaderTable(members, item).deputy(avoid) for item in local}, {None}
+        )
+
+    def test_small_fleet_has_no_deputy(self):
+        members = fleet(8)
+        self.assertIsNone(ReaderTable(members, members[0]).deputy({members[1].address}))
+
+    def test_hosts_of_high_capacity_take_over_first(self):
+        members = [*fleet(40), *(member(100 + n, n % 4, 2_000) for n in range(8))]
+        ranks = [ReaderTable(members, item).takeover_rank() for item in members]
+        self.assertEqual(sorted(ranks[40:]), [0, 0, 0, 0, 1, 1, 1, 1])
+
     def test_another_host_becomes_reader_when_the_reader_is_gone(self):
         members = fleet(60)
         previous = find_readers(members)["d0"]
--- a/libs/entry/src/hemlockhoist/entry/feeds.py
+++ b/libs/entry/src/hemlockhoist/entry/feeds.py
@@ -38,6 +38,9 @@
 LATE_FACTOR = 2
 # Likewise for a host that has called the store as a reader kept it waiting.
 IMPATIENT_LATE_MS = 300
+# Time for a host to read a whole table, and to tell the others, before the next one
+# does; an answer of the store comes on top, twice.
+TAKEOVER_STEP_MS = 1_000
 # The next proof of the routes is to arrive this long before the previous one is too old.
 PROOF_RESERVE_MS = 750
 # Interval between two reads of the changes of a table that carries no proof of
@@ -68,7 +71,9 @@
         "_choice",
         "_context",
         "_copies",
+        "_has_read_store",
         "_late_readings",
+        "_missing_since_ms",
         "_offers",
         "_own",
         "_own_due_ms",
@@ -97,6 +102,10 @@
         self._own = OwnReadings(store, self._on_late_end)
         # The readings that ended after their callers had gone on, by table.
         self._late_readings = {}
+        # Whether the newest reading of this host was its own.
+        self._has_read_store = False
+        # Since when this host lacks rows whose changes the store has dropped, by table.
+        self._missing_since_ms = {}
         # Handlers of readings that no call of a watch awaits, by table.
         self._offers = {}
         self._choice = ReaderChoice(context.clock, context.fleet)
@@ -215,6 +224,7 @@
         return reading
 
     async def _read_own_changes(self, table, since_version, wait_ms):
+        self._check_turn(table)
         wait_ms = self._own_wait_ms(table, wait_ms)
         try:
             if self._own.reads_table(table):
@@ -250,6 +260,8 @@
         copy = self._copies.get(table)
         if copy is None or copy.version < since_version:
             raise HistoryGone(f"the rows of {table} are not known here")
+        self._missing_since_ms.setdefault(table, self._context.clock.now_ms())
+        self._check_turn(table)
         begun_ms = self._context.clock.now_ms()
         whole = await self._read_own_table(table)
         self._log_whole(table, whole, begun_ms)
@@ -258,6 +270,24 @@
             raise HistoryGone(f"the changes of {table} are not known here")
         return msgspec.structs.replace(whole, rows=rows)
 
+    def _check_turn(self, table):
+        """Refuse to read a whole table before the hosts that are to do so first.
+
+        Load prevented: the readers fail as the store drops its history, and all hosts
+        read whole tables, on the links that their callers use.
+
+        Raises
+        ======
+        PlatformError
+        """
+        since_ms = self._missing_since_ms.get(table)
+        if since_ms is None or self.is_reader:
+            return
+        step_ms = TAKEOVER_STEP_MS + 2 * self._store.answer_ms
+        due_ms = since_ms + self._choice.takeover_rank() * step_ms
+        if self._context.clock.now_ms() < due_ms:
+            raise PlatformError(f"another host is to read all rows of {table}")
+
     def _own_wait_ms(self, table, wait_ms):
         """Return how long the store may wait for a change before it answers."""
         if self._own_due_ms is not None:
@@ -280,6 +310,7 @@
     def _on_own_reading(self, table, reading, since_version):
         """Use a reading of this host's own; return False if the copy lacks rows."""
         self._own_due_ms = None
+        self._has_read_store = True
         self._context.metrics.count(STORE_ROW_BYTES, table, count_bytes(reading))
         is_updated = self._update_copy(table, reading, since_version)
         is_config = table == self._context.platform.config_table
@@ -324,6 +355,7 @@
             return False
         else:
             copy.apply(reading)
+        self._missing_since_ms.pop(table, None)
         self._server.lost_tables.discard(table)
         self._server.answer_waiting_queries(table)
         return True
@@ -332,6 +364,7 @@
         """Notify the hosts that wait for a table that this host has lost the store."""
         if table not in self._relayed:
             return
+        self._has_read_store = False
         self._server.lost_tables.add(table)
         self._server.answer_waiting_queries(table)
         now_ms = self._context.clock.now_ms()
@@ -350,7 +383,9 @@
 
     def _reads_store(self):
         """Return whether this host reads the store itself, and has not lost it."""
-        return self.is_reader and self._own_due_ms is None
+        if self.is_reader:
+            return self._own_due_ms is None
+        return self._has_read_store or self._own.is_reading
 
     @property
     def _avoids_own(self):
@@ -379,6 +414,8 @@
         )
         if reading is None:
             self._check_store_due()
+        else:
+            self._has_read_store = False
         return reading
 
     def _on_late_answer(self, query, answer):
--- a/libs/entry/src/hemlockhoist/entry/own_readings.py
+++ b/libs/entry/src/hemlockhoist/entry/own_readings.py
@@ -44,6 +44,11 @@
         """Whether a reading is late and goes on."""
         return any(call.is_late for call in self._calls.values())
 
+    @property
+    def is_reading(self):
+        """Whether any reading is in progress."""
+        return bool(self._calls)
+
     def reads_table(self, table):
         """Return whether a whole reading of a table is in progress."""
         call = self._calls.get(table)
--- a/libs/entry/src/hemlockhoist/entry/reader_choice.py
+++ b/libs/entry/src/hemlockhoist/entry/reader_choice.py
@@ -37,6 +37,11 @@
         """Whether this host reads the store itself."""
         return self._table().is_reader
 
+    @property
+    def has_reader(self):
+        """Whether a reader has not recently failed."""
+        return self._table().reader(self._skipped_now()) is not None
+
     def choose(self, passed=(), avoids_own=False):
         """Return the host to query, or None to read the store.
 
@@ -53,12 +58,18 @@
         table, avoid = self._table(), set(self._skipped_now())
         if avoids_own:
             avoid.add(self._fleet.stable_members()[0].address)
-        return table.reader({*avoid, *passed})
+        if table.reader(avoid) is not None:
+            return table.reader({*avoid, *passed})
+        return None if table.is_reader else table.deputy({*avoid, *passed})
 
     def skip(self, address):
         """Skip a reader for a while."""
         self._skipped[address] = self._clock.now_ms() + READER_BACKOFF_MS
 
+    def takeover_rank(self):
+        """Return how many hosts are to read all rows before this one."""
+        return self._table().takeover_rank(self._skipped_now())
+
     @property
     def has_skipped(self):
         """Whether readers are skipped now."""
--- a/libs/entry/src/hemlockhoist/entry/tests/test_feed_recovery.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_feed_recovery.py
@@ -76,6 +76,20 @@
         """Guards against callers refused for readings that are begun again for ever."""
         await self.check_proof_stays_fresh()
 
+    async def test_hosts_take_over_in_turn_where_the_readers_are_rejected(self):
+        """Guards against whole readings by all hosts once their readers have failed."""
+        for host in self.hosts:
+            host.store.is_partitioned = host.feeds.is_reader
+        await asyncio.sleep(SETTLE_S)
+        self.whole_reads.clear()
+        for table in (TABLE, UPSTREAMS):
+            await self.store[table].drop_history()
+        value = await self.write_routes(3)
+        await asyncio.sleep(IN_FORCE_S)
+        self.check_all_know(value)
+        for table in (TABLE, UPSTREAMS):
+            self.assertLessEqual(self.whole_reads[table], 2 * len(self.domains))
+
 
 class SmallFleetRecoveryTests(RecoveryCase):
     host_count = 7
