Take the fleet from the context when readers are chosen

Every process of a host ended at its start with an AttributeError: the choice of readers asked the context for its fleet before there is one.

--- a/libs/entry/src/hemlockhoist/entry/feeds.py
+++ b/libs/entry/src/hemlockhoist/entry/feeds.py
@@ -108,7 +108,7 @@
         self._missing_since_ms = {}
         # Handlers of readings that no call of a watch awaits, by table.
         self._offers = {}
-        self._choice = ReaderChoice(context.clock, context.fleet)
+        self._choice = ReaderChoice(context)
         self._relayed_readings = RelayedReadings(
             context, self._copies, self._queries, self._choice, self._update_copy
         )
--- a/libs/entry/src/hemlockhoist/entry/reader_choice.py
+++ b/libs/entry/src/hemlockhoist/entry/reader_choice.py
@@ -11,15 +11,14 @@
 
     Parameters
     ==========
-    clock : Clock
-    fleet : Fleet
+    context : EntryContext
+        Its fleet may be set later.
     """
 
-    __slots__ = ("_clock", "_fleet", "_members", "_readers", "_skipped")
+    __slots__ = ("_context", "_members", "_readers", "_skipped")
 
-    def __init__(self, clock, fleet):
-        self._clock = clock
-        self._fleet = fleet
+    def __init__(self, context):
+        self._context = context
         # Until when a reader is skipped, by address.
         self._skipped = {}
         # The members for which the table of readers was made.
@@ -27,7 +26,7 @@
         self._readers = None
 
     def _table(self):
-        own, members = self._fleet.stable_members()
+        own, members = self._context.fleet.stable_members()
         if members is not self._members:
             self._members, self._readers = members, ReaderTable(members, own)
         return self._readers
@@ -57,14 +56,14 @@
         """
         table, avoid = self._table(), set(self._skipped_now())
         if avoids_own:
-            avoid.add(self._fleet.stable_members()[0].address)
+            avoid.add(self._context.fleet.stable_members()[0].address)
         if table.reader(avoid) is not None:
             return table.reader({*avoid, *passed})
         return None if table.is_reader else table.deputy({*avoid, *passed})
 
     def skip(self, address):
         """Skip a reader for a while."""
-        self._skipped[address] = self._clock.now_ms() + READER_BACKOFF_MS
+        self._skipped[address] = self._context.clock.now_ms() + READER_BACKOFF_MS
 
     def takeover_rank(self):
         """Return how many hosts are to read all rows before this one."""
@@ -81,11 +80,12 @@
 
     def may_have_reader(self):
         """Return whether a reader that is not known yet may serve this host."""
-        is_small = len(self._fleet.live_hosts()) <= MAX_DIRECT_READERS
-        return not is_small and not self._fleet.is_high_capacity and not self.choose()
+        fleet = self._context.fleet
+        is_small = len(fleet.live_hosts()) <= MAX_DIRECT_READERS
+        return not is_small and not fleet.is_high_capacity and not self.choose()
 
     def _skipped_now(self):
-        now_ms = self._clock.now_ms()
+        now_ms = self._context.clock.now_ms()
         self._skipped = {
             address: until_ms
             for address, until_ms in self._skipped.items()
