Halt a bad version without waiting for the store's answers

Callers would see: a new version that turns bad goes on getting requests for as long as the store takes for the answers to a lease, a reading and a write.

Cause: a home evaluated its moves and wrote their rows in one loop; while the store was slow, nothing was evaluated. Now the evaluation goes on, and one task a pool writes.

--- a/libs/host/src/hemlockhoist/host/moves.py
+++ b/libs/host/src/hemlockhoist/host/moves.py
@@ -1,5 +1,6 @@
 """Runs version moves at the homes of their pools: rows, leases and announcements."""
 
+import asyncio
 import collections
 
 import msgspec
@@ -73,6 +74,7 @@
         "_send",
         "_tables",
         "_tasks",
+        "_writing",
         "events",
     )
 
@@ -84,6 +86,8 @@
         self._announced = {}
         self._leases = {}
         self._backoff_until_ms = 0
+        # The task that advances a pool's move, by pool.
+        self._writing = {}
         self._tasks = (
             PeriodicTask(self._tick_ms, self._tick_all),
             PeriodicTask(READ_INTERVAL_MS, self._read_all),
@@ -100,6 +104,10 @@
         """Stop, and release the leases."""
         for task in self._tasks:
             await task.close()
+        writing = list(self._writing.values())
+        for task in writing:
+            task.cancel()
+        await asyncio.gather(*writing, return_exceptions=True)
         for lease in self._leases.values():
             try:
                 if lease.held():
@@ -180,16 +188,32 @@
             else IDLE_TICK_INTERVAL_MS
         )
 
-    async def _tick_all(self):
+    def _tick_all(self):
         for pool, controller in list(self._controllers.items()):
-            await self._tick(pool, controller)
+            self._tick(pool, controller)
 
-    async def _tick(self, pool, controller):
+    def _tick(self, pool, controller):
+        """Evaluate a pool's move, and start to write what follows.
+
+        Failure prevented: the store takes seconds for an answer, and a version that
+        turns bad meanwhile is not halted before the answer comes.
+        """
         for event in controller.tick(self._context.clock.now_ms()):
             self._record_event(event)
         self._announce_halts(pool, controller)
-        if self._context.clock.now_ms() < self._backoff_until_ms:
-            return
+        is_waiting = self._context.clock.now_ms() < self._backoff_until_ms
+        if pool not in self._writing and not is_waiting:
+            task = asyncio.create_task(self._advance(pool, controller))
+            self._writing[pool] = task
+            task.add_done_callback(lambda done: self._on_written(pool, done))
+
+    def _on_written(self, pool, task):
+        del self._writing[pool]
+        if not task.cancelled() and task.exception() is not None:
+            _log.error("move_failed", pool=pool, exc_info=task.exception())
+
+    async def _advance(self, pool, controller):
+        """Write the next row of a running move, under the lease on the pool's moves."""
         fencing = (
             await self._fencing_token(pool) if self._is_running(controller) else None
         )
--- a/libs/host/src/hemlockhoist/host/tests/test_moves.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_moves.py
@@ -31,10 +31,11 @@
     def __init__(self):
         self.rows = {}
         self.unavailable = False
+        self.answer_s = 0.002
         self.failed_reads = 0
 
     async def read(self, table, key, value_type):
-        await asyncio.sleep(0.002)
+        await asyncio.sleep(self.answer_s)
         if self.unavailable:
             self.failed_reads += 1
             raise PlatformError("unavailable")
@@ -44,7 +45,7 @@
         return tuple(row for (name, _), row in self.rows.items() if name == table)
 
     async def put(self, table, key, value, if_version, change_id=None):
-        await asyncio.sleep(0.002)
+        await asyncio.sleep(self.answer_s)
         if self.unavailable:
             raise PlatformError("unavailable")
         row = self.rows.get((table, key))
@@ -58,7 +59,7 @@
 class MoveServiceTests(PausedTestCase):
     async def asyncSetUp(self):
         self.tables = FakeTables()
-        self.sent = []
+        self.sent, self.halted_s = [], []
         self.service = self._service("h1")
         self.policy = self.service.open_pool(POOL)
         await self.service.start()
@@ -78,11 +79,12 @@
                 halt=lambda *args: None, is_halted=lambda *args: False
             ),
         )
-        return MoveService(
-            context,
-            self.tables,
-            lambda host, message: self.sent.append((host, message)),
-        )
+        return MoveService(context, self.tables, self._send)
+
+    def _send(self, host, message):
+        self.sent.append((host, message))
+        if isinstance(message, VersionHalted):
+            self.halted_s.append(asyncio.get_running_loop().time())
 
     async def _order(self, moved_by_ms=MOVE_MS, move_id="m1"):
         unix_ms = self.service._context.clock.unix_ms()
@@ -136,6 +138,15 @@
         await self._traffic(2 * MOVE_MS, lambda version: GOOD)
         self.assertIs(self._row().state, MoveState.FINISHED)
 
+    async def test_bad_version_is_halted_while_the_store_is_slow(self):
+        """Guards against a halt that waits for the store's answer to a write."""
+        await self._order()
+        await self._traffic(MOVE_MS // 2, lambda version: GOOD)
+        self.tables.answer_s = 3.0
+        begun_s = asyncio.get_running_loop().time()
+        await self._traffic(10_000, {"v1": GOOD, "v2": BAD}.get)
+        self.assertLess(self.halted_s[0] - begun_s, self.tables.answer_s)
+
     async def test_bad_version_is_rolled_back_while_the_store_is_unavailable(self):
         """A new version fails every answer while the store is unavailable.
 
