Wait for the answer to a commit as long as for a reading

Callers would see moves, records of usage and of crashing parts that are written again and again while the store is slow: an answer that takes 2.34 s was taken for lost after 1.5 s, and its outcome for unknown. A commit is still sent once, and given 4.5 s.

A planned stop removed its row first, and waited for that; it goes on beside it now, and the row is left to the other hosts if no answer comes before the stop.

Without this, test_commit_is_sent_once_and_waited_for fails on an answer after 3.5 s (the limit was 1.5 s).

--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -459,7 +459,8 @@
         context.leaving = True
         context.fleet.leave()
         context.homes.close()
-        await self._host_registry.leave()
+        # A planned stop does not wait for a slow store.
+        leaving = asyncio.create_task(self._host_registry.leave())
         await asyncio.sleep(LISTEN_AFTER_STOP_MS / MS_PER_S)
         await self._caller_server.stop_listening()
         context.refuses_requests = True
@@ -469,6 +470,10 @@
                     ResultCode.LEAVING, LEAVING_RETRY_AFTER_MS
                 )
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_MS / MS_PER_S)
+        if not leaving.done():
+            _log.warning("host_row_not_dropped", reason="the store has not answered")
+            leaving.cancel()
+        await asyncio.gather(leaving, return_exceptions=True)
         await context.bus.flush(FLUSH_TIMEOUT_MS)
         _log.info("drain_ended", open_requests=context.open_requests)
         self.finished.set()
--- a/libs/store/src/hemlockhoist/store/calls.py
+++ b/libs/store/src/hemlockhoist/store/calls.py
@@ -17,7 +17,7 @@
 MAX_REPEAT_MS = 4_000
 MAX_ATTEMPTS = 3
 # A commit is sent once only: its outcome is unknown until it is answered.
-COMMIT_TIMEOUT_MS = 1_500
+COMMIT_TIMEOUT_MS = MAX_ATTEMPTS * MIN_REPEAT_MS
 # An answer that has begun is read for as long as its bytes arrive.
 STALLED_MS = 1_500
 # Answers that take this long are logged, when they begin to and when they no longer do.
--- a/libs/store/src/hemlockhoist/store/tests/test_calls.py
+++ b/libs/store/src/hemlockhoist/store/tests/test_calls.py
@@ -1,9 +1,10 @@
 import asyncio
 
-from hemlockhoist.base import PlatformError
+from hemlockhoist.base import PlatformError, StoreAnswerLost
 from hemlockhoist.base.testing import PausedTestCase
 from hemlockhoist.store import StoreCalls
 from hemlockhoist.store.calls import (
+    COMMIT_TIMEOUT_MS,
     MAX_ATTEMPTS,
     MIN_REPEAT_MS,
     STALLED_MS,
@@ -141,3 +142,17 @@
 
         await self.calls.read(change, 2_000)
         self.assertEqual(self.calls.answer_ms, 0)
+
+
+class CommitTests(PausedTestCase):
+    async def test_commit_is_sent_once_and_waited_for(self):
+        """Guards against writes that are taken for lost, and leases with them."""
+        store = FakeStore(answer_s=3.5)
+        self.assertEqual(await StoreCalls().commit(store.call), 1)
+        store = FakeStore(silent_count=1)
+        with self.assertRaises(StoreAnswerLost):
+            await StoreCalls().commit(store.call)
+        self.assertEqual(store.waits_ms, [0])
+        self.assertEqual(store.open_count, 0)
+        elapsed_s = asyncio.get_running_loop().time() - 1000
+        self.assertAlmostEqual(elapsed_s, 3.5 + COMMIT_TIMEOUT_MS / 1_000, places=2)
