Let leases last longer while the store's writes are slow

Callers would see: a move of versions stands still for as long as the store is slow, and is late or never reported.

Cause: on the platform a lease lasts 2 s from when its write is sent; at 260 times the usual time the write is answered after 2.34 s, so the lease has ended before its holder knows of it. Each tick took it anew. Now it lasts for three writes at least, 15 s at most, by what writes have lately taken, and is renewed at half of what is in its row. Other hosts go by the duration in the row, as before.

Three new tests, writes of 2.4 s: on the commit before, the lease is held at no time, and the second one ends with an error; now it is held without a gap for 20 s. The randomised test of several holders is unchanged and green.

--- a/libs/host/src/hemlockhoist/host/moves.py
+++ b/libs/host/src/hemlockhoist/host/moves.py
@@ -278,7 +278,7 @@
         try:
             if not lease.held():
                 await lease.acquire()
-            elif lease.remaining_ms() < self.lease_ms // 2:
+            elif lease.needs_renewal:
                 await lease.renew()
         except PlatformError:
             # The store is unavailable or another host holds the lease. Neither changes
--- a/libs/store/src/hemlockhoist/store/lease.py
+++ b/libs/store/src/hemlockhoist/store/lease.py
@@ -9,6 +9,10 @@
 # Tolerated difference between the clock rates of two hosts during a lease.
 _DRIFT_PERMILLE = 20
 _NO_HOLDER = ""
+# A lease lasts for at least so many writes: one to take it, one to renew it, and time in
+# which it is of use. Upper bound, as other hosts wait for the end of a lost host's lease.
+MIN_WRITES = 3
+MAX_DURATION_MS = 15_000
 
 
 class LeaseRow(msgspec.Struct, frozen=True, kw_only=True):
@@ -46,6 +50,7 @@
     holder : str
         Identifier of this incarnation of the host.
     duration_ms : int
+        The lease lasts longer while writes take a large part of this.
     """
 
     TABLE = "leases"
@@ -60,6 +65,8 @@
         "_seen_version",
         "_tables",
         "_version",
+        "_write_ms",
+        "_written_duration_ms",
         "fencing",
     )
 
@@ -73,6 +80,9 @@
         self._first_seen_ms = None
         self._seen_version = None
         self._version = ABSENT
+        # How long writes have recently taken, and the duration in the row.
+        self._write_ms = 0
+        self._written_duration_ms = duration_ms
         self.fencing = 0
 
     @classmethod
@@ -94,6 +104,11 @@
             return 0
         return max(0, self._ends_ms - self._clock.now_ms())
 
+    @property
+    def needs_renewal(self):
+        """Whether less than half of the lease is left."""
+        return self.remaining_ms() < self._written_duration_ms // 2
+
     async def acquire(self):
         """Acquire the lease if it is free.
 
@@ -180,7 +195,9 @@
         return True
 
     async def _write(self, holder, fencing, version):
-        row = LeaseRow(holder=holder, fencing=fencing, duration_ms=self._duration_ms)
+        row = LeaseRow(
+            holder=holder, fencing=fencing, duration_ms=self._next_duration()
+        )
         sent_ms = self._clock.now_ms()
         try:
             written = await self._tables.put(
@@ -189,10 +206,23 @@
         except StoreConflict as error:
             self._ends_ms = None
             raise LeaseLost(f"{self._key}: lease acquired by another host") from error
+        finally:
+            elapsed_ms = self._clock.now_ms() - sent_ms
+            self._write_ms = max(elapsed_ms, self._write_ms // 2)
         self._version = written.version
         if holder != _NO_HOLDER:
+            self._written_duration_ms = row.duration_ms
             self._ends_ms = sent_ms + row.duration_ms - _drift_ms(row)
 
+    def _next_duration(self):
+        """Return the duration of the lease that is written next, in milliseconds.
+
+        Failure prevented: writes take longer than the lease lasts, so that no host ever
+        holds it, and what needs it stands still.
+        """
+        wanted_ms = min(MIN_WRITES * self._write_ms, MAX_DURATION_MS)
+        return max(self._duration_ms, wanted_ms)
+
 
 def _drift_ms(row):
     return row.duration_ms * _DRIFT_PERMILLE // _PERMILLE
--- a/libs/store/src/hemlockhoist/store/tests/test_lease.py
+++ b/libs/store/src/hemlockhoist/store/tests/test_lease.py
@@ -28,6 +28,7 @@
     def __init__(self, store, rng=None):
         self._store = store
         self._rng = rng
+        self.delay_s = 0.0
         self.lose_answers = 0
 
     async def read(self, table, key, _value_type):
@@ -52,6 +53,8 @@
     async def _delay(self):
         if self._rng is not None:
             await asyncio.sleep(self._rng.choice((0.0, 0.01, 0.5, 3.0)))
+        elif self.delay_s:
+            await asyncio.sleep(self.delay_s)
 
 
 def _lease(store, holder, rate=1.0, rng=None):
@@ -177,3 +180,46 @@
         with self.assertRaises(LeaseLost):
             await one.renew()
         self.assertFalse(one.held())
+
+
+class SlowStoreTests(PausedTestCase):
+    async def asyncSetUp(self):
+        self.store = TableStore()
+
+    def lease(self, holder, delay_s):
+        lease = Lease.from_config(_Tables(self.store), _Clock(), "move", holder, 2_000)
+        lease._tables.delay_s = delay_s
+        return lease
+
+    async def test_lease_is_held_though_writes_take_longer_than_it_lasts(self):
+        """Guards against a move that stands still for as long as the store is slow."""
+        one = self.lease("one", delay_s=1.2)
+        for _ in range(2):
+            if not one.held():
+                await one.acquire()
+        self.assertTrue(one.held())
+        for _ in range(100):
+            await asyncio.sleep(0.2)
+            if one.needs_renewal:
+                await one.renew()
+            self.assertTrue(one.held())
+
+    async def test_long_lease_ends_for_its_holder_first(self):
+        """Guards against two holders, as one of them counts with the usual duration."""
+        one, two = self.lease("one", delay_s=1.2), self.lease("two", delay_s=0.0)
+        for _ in range(2):
+            await one.acquire()
+        while one.held():
+            with self.assertRaises(LeaseLost):
+                await two.acquire()
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(8)
+        self.assertGreater(await two.acquire(), one.fencing)
+
+    async def test_lease_is_short_again_once_writes_are_quick(self):
+        one = self.lease("one", delay_s=1.2)
+        await one.acquire()
+        one._tables.delay_s = 0.0
+        for _ in range(6):
+            await one.acquire()
+        self.assertLessEqual(one.remaining_ms(), 2_000)
