Let hosts that start wait for a reader that reads

Callers would see: after a loss of power beside a slow store, every host reads all tables itself before it serves anyone.

Cause: a host that starts waited half a second and two answers of the store for a reader, by the reader's own measure, of which a reader that starts has none. A reading without an answer shows that the store takes longer than that; it counts now. The wait ends after 4.5 s, when the reader's own reading would have.

--- a/libs/entry/src/hemlockhoist/entry/feeds.py
+++ b/libs/entry/src/hemlockhoist/entry/feeds.py
@@ -90,8 +90,9 @@
         self._store = store
         self._relayed = frozenset(relayed)
         self._copies = {}
+        self._own = OwnReadings(context.clock, store, self._on_late_end)
         self._server = FeedServer(
-            context, self._copies, self._reads_store, lambda: store.answer_ms
+            context, self._copies, self._reads_store, self._own.answer_ms
         )
         self._queries = FeedQueries(context, self._on_late_answer)
         self._catch_up = CatchUp(
@@ -99,7 +100,6 @@
         )
         # Time of the last read of a table's changes from the store.
         self._changes_read_ms = {}
-        self._own = OwnReadings(store, self._on_late_end)
         # The readings that ended after their callers had gone on, by table.
         self._late_readings = {}
         # Whether the newest reading of this host was its own.
--- a/libs/entry/src/hemlockhoist/entry/own_readings.py
+++ b/libs/entry/src/hemlockhoist/entry/own_readings.py
@@ -17,6 +17,7 @@
 
     Parameters
     ==========
+    clock : Clock
     store : RowStore
         Started and closed by its owner.
     on_late_end : callable
@@ -24,9 +25,10 @@
         reading has ended, with None for the ``Reading`` or the exception.
     """
 
-    __slots__ = ("_calls", "_on_late_end", "_store")
+    __slots__ = ("_calls", "_clock", "_on_late_end", "_store")
 
-    def __init__(self, store, on_late_end):
+    def __init__(self, clock, store, on_late_end):
+        self._clock = clock
         self._store = store
         self._on_late_end = on_late_end
         # The readings in progress, by table.
@@ -44,6 +46,16 @@
         """Whether a reading is late and goes on."""
         return any(call.is_late for call in self._calls.values())
 
+    def answer_ms(self):
+        """Return how long the store takes for an answer, as far as this is known.
+
+        A reading that waits for no change, and has no answer yet, shows that it takes
+        longer than that.
+        """
+        now_ms = self._clock.now_ms()
+        open_ms = (now_ms - c.begun_ms for c in self._calls.values() if not c.waits)
+        return max(self._store.answer_ms, *open_ms, 0)
+
     @property
     def is_reading(self):
         """Whether any reading is in progress."""
@@ -115,7 +127,8 @@
         previous = self._calls.get(table)
         if previous is not None:
             previous.task.cancel()
-        call = self._calls[table] = _Call(table, since_version, wait_ms, reading)
+        call = _Call(table, since_version, wait_ms, reading, self._clock.now_ms())
+        self._calls[table] = call
         call.task.add_done_callback(lambda task: self._on_end(call))
         return call
 
@@ -173,6 +186,7 @@
     ==========
     table : str
     since_version : int or None
+    begun_ms : int
     waits : bool
         Whether the store may wait for changes before it answers.
     suspected : asyncio.Future
@@ -184,6 +198,7 @@
     """
 
     __slots__ = (
+        "begun_ms",
         "is_late",
         "is_left",
         "since_version",
@@ -193,7 +208,8 @@
         "waits",
     )
 
-    def __init__(self, table, since_version, wait_ms, reading):
+    def __init__(self, table, since_version, wait_ms, reading, begun_ms):
+        self.begun_ms = begun_ms
         self.table = table
         self.since_version = since_version
         self.waits = wait_ms > 0
--- a/libs/entry/src/hemlockhoist/entry/relayed_readings.py
+++ b/libs/entry/src/hemlockhoist/entry/relayed_readings.py
@@ -22,8 +22,10 @@
 # a few of them find out whether the store serves others than the readers, and tell.
 MIN_PATIENCE_MS = 2_600
 PATIENCE_SPREAD_MS = 1_000
-# A host that starts has no rows to serve callers with, and reads the store soon.
+# A host that starts has no rows to serve callers with. It waits for as long as a reader
+# may need for an answer of the store and for its bytes.
 START_PATIENCE_MS = 500
+MAX_START_PATIENCE_MS = 4_500
 # Label of a metric for changes that came this way.
 BY_READER = "reader"
 
@@ -125,7 +127,8 @@
         age_ms = self._context.store_view.proof_age_ms()
         if age_ms is None:
             waited_ms = self._context.clock.now_ms() - begun_ms
-            return waited_ms < START_PATIENCE_MS + 2 * round_.answer_ms
+            limit_ms = START_PATIENCE_MS + 2 * round_.answer_ms
+            return waited_ms < min(limit_ms, MAX_START_PATIENCE_MS)
         if self._patience_ms is None:
             share = random.Random(self._context.identity.host_id).random()
             self._patience_ms = MIN_PATIENCE_MS + share * PATIENCE_SPREAD_MS
--- a/libs/entry/src/hemlockhoist/entry/tests/feed_fleet.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/feed_fleet.py
@@ -318,11 +318,16 @@
 
     host_count = 13
     domains = "a"
+    # Time of an answer of the store as the hosts start, and the rate of their links.
+    start_answer_ms = 0
+    start_bytes_per_s = float("inf")
 
     async def asyncSetUp(self):
         self.store = {TABLE: ClockedStore(), UPSTREAMS: ClockedStore()}
         self.network = Network()
+        self.network.bytes_per_s = self.start_bytes_per_s
         self.conditions = StoreConditions()
+        self.conditions.answer_ms = self.start_answer_ms
         members = [
             Member(address=f"h{number}", incarnation="r1", failure_domain=domain)
             for number, domain in zip(
@@ -333,7 +338,8 @@
             FeedHost(member, members, self.store, self.network, self.conditions)
             for member in members
         ]
-        await self.write("v1")
+        self.first_value = await self.write_first()
+        self.started_s = asyncio.get_running_loop().time()
         for host in self.hosts:
             await host.watch.start()
             await host.upstreams_watch.start()
@@ -347,6 +353,11 @@
             host.store.calls = 0
             host.ways.clear()
 
+    async def write_first(self):
+        """Write what is in force as the hosts start; return its value."""
+        await self.write("v1")
+        return "v1"
+
     async def write(self, value, table=TABLE):
         change = RowChange(table=table, key="config", value=value)
         await self.store[table].commit((change,))
--- a/libs/entry/src/hemlockhoist/entry/tests/test_feed_recovery.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_feed_recovery.py
@@ -97,3 +97,24 @@
     async def test_proof_stays_fresh_beside_a_slow_store(self):
         """Guards against callers refused for readings that are begun again for ever."""
         await self.check_proof_stays_fresh()
+
+
+class SlowStartTests(FeedFleetCase):
+    """All hosts start at once, beside a slow store with a large configuration."""
+
+    host_count = 72
+    domains = "abcd"
+    start_answer_ms = SLOW_ANSWER_MS
+    start_bytes_per_s = LINK_BYTES_PER_S
+
+    async def write_first(self):
+        return await self.write_routes(1)
+
+    async def test_hosts_start_with_one_whole_reading_a_domain(self):
+        """Guards against all hosts that read everything after a loss of power."""
+        for host in self.hosts:
+            started_s = host.in_force_s[self.first_value] - self.started_s
+            self.assertLess(started_s, SLOW_ANSWER_MS / 1_000 + 1)
+        for table in (TABLE, UPSTREAMS):
+            count = sum(host.store.whole_reads[table] for host in self.hosts)
+            self.assertLessEqual(count, len(self.domains))
--- a/libs/entry/src/hemlockhoist/entry/tests/test_own_readings.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_own_readings.py
@@ -1,6 +1,6 @@
 import asyncio
 
-from hemlockhoist.base import PlatformError
+from hemlockhoist.base import Clock, PlatformError
 from hemlockhoist.base.testing import PausedTestCase
 from hemlockhoist.entry.own_readings import OwnReadings, StoreLate
 
@@ -10,6 +10,7 @@
 
     def __init__(self):
         self.answer_s = 2.0
+        self.answer_ms = 0
         self.is_lost = False
         self.calls = []
 
@@ -32,7 +33,10 @@
     async def asyncSetUp(self):
         self.store = SlowStore()
         self.ended = []
-        self.readings = OwnReadings(self.store, lambda *end: self.ended.append(end))
+        clock = Clock.from_running_loop()
+        self.readings = OwnReadings(
+            clock, self.store, lambda *end: self.ended.append(end)
+        )
         self.addAsyncCleanup(self.readings.close)
 
     async def test_late_reading_goes_on_and_is_handed_over(self):
@@ -51,6 +55,13 @@
             await self.readings.read_changes("op", 5, 0, late_ms=300)
         self.assertEqual(await self.readings.read_changes("op", 7, 0), 1)
 
+    async def test_reading_without_an_answer_shows_that_the_store_is_slow(self):
+        reading = asyncio.create_task(self.readings.read_table("op"))
+        await asyncio.sleep(1.3)
+        self.assertEqual(self.readings.answer_ms(), 1_300)
+        await reading
+        self.assertEqual(self.readings.answer_ms(), 0)
+
     async def test_failure_of_a_late_reading_is_handed_over(self):
         self.store.is_lost = True
         with self.assertRaises(StoreLate):
