--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,7 +1,8 @@
 """Run the tests of all libraries and print a summary.
 
-Each test module runs in a separate interpreter, several in parallel, so that modules
-share no event loop or counters. Tests listed in ``KNOWN-RED.txt`` are also run; their
+Each test module runs in a separate interpreter, so that modules share no event loop or
+counters: a few at a time of those that start processes, and beside them those that need
+one core only. Tests listed in ``KNOWN-RED.txt`` are also run; their
 failures are printed, but do not fail the run.
 
 Usage: ``python tools/run_tests.py [pattern]``, where ``pattern`` selects the modules
@@ -18,8 +19,12 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
-# Modules that start processes use several cores each.
-MAX_PARALLEL = max(2, min(6, (os.cpu_count() or 2) // 2))
+_CORES = os.cpu_count() or 2
+# Modules that start processes use several cores each, and measure time.
+MAX_WITH_PROCESSES = max(1, min(6, _CORES // 2))
+MAX_ON_ONE_CORE = 1 if _CORES < 8 else 2
+# Of the modules with stand-ins, those without processes.
+_ON_ONE_CORE = re.compile(r"\.standins\.(randomised|measure)\.")
 MODULE_TIMEOUT_S = 150
 _RESULT = re.compile(r"^(?P<id>test\w+) \((?P<path>[\w.]+)\).*$")
 _MAX_KNOWN_RED = 9
@@ -79,6 +84,23 @@
     return ModuleResult(name, int(match.group(1)), failures, output, seconds)
 
 
+def starts_processes(name):
+    """Return whether a test module starts processes, or servers with clients."""
+    return ".standins." in name and not _ON_ONE_CORE.search(name)
+
+
+def run_modules(names):
+    """Run test modules and yield each ``ModuleResult`` as it ends."""
+    pool_type = concurrent.futures.ThreadPoolExecutor
+    with pool_type(MAX_WITH_PROCESSES) as large, pool_type(MAX_ON_ONE_CORE) as small:
+        runs = [
+            (large if starts_processes(name) else small).submit(run_module, name)
+            for name in names
+        ]
+        for run in concurrent.futures.as_completed(runs):
+            yield run.result()
+
+
 def run_one(name):
     """Run a test module in this process and print a summary line for the parent."""
     import unittest
@@ -114,16 +136,15 @@
     known_red = read_known_red()
     names = find_modules(pattern)
     passed, failed, red = 0, [], []
-    with concurrent.futures.ThreadPoolExecutor(MAX_PARALLEL) as pool:
-        for result in pool.map(run_module, names):
-            passed += result.passed
-            red += [item for item in result.failures if item in known_red]
-            new = [item for item in result.failures if item not in known_red]
-            failed += new
-            verdict = "FAIL" if new else "ok"
-            print(f"{verdict:4} {result.seconds:6.1f}s {result.name}", flush=True)
-            if new:
-                print(result.output)
+    for result in run_modules(names):
+        passed += result.passed
+        red += [item for item in result.failures if item in known_red]
+        new = [item for item in result.failures if item not in known_red]
+        failed += new
+        verdict = "FAIL" if new else "ok"
+        print(f"{verdict:4} {result.seconds:6.1f}s {result.name}", flush=True)
+        if new:
+            print(result.output)
     for item in red:
         print(f"known red: {item}")
     for item in failed:
