Wait for the slow store of the own interface too

The same fault as on the platform: a call to the table service or the host list was given 1 s with its body, whatever its pace, so that beside a store that takes 1.04 s for an answer no host reads anything, and each write is of unknown outcome. Its calls go by the same class now: a read is sent again beside the first one, and read while bytes arrive; a write is waited for three times as long. A read that got no answer at all is not retried beyond that, as three calls have been made.

test_slow_answers_are_waited_for fails on the commit before (answer lost).

--- a/libs/store/src/hemlockhoist/store/calls.py
+++ b/libs/store/src/hemlockhoist/store/calls.py
@@ -16,8 +16,6 @@
 REPEAT_FACTOR = 2
 MAX_REPEAT_MS = 4_000
 MAX_ATTEMPTS = 3
-# A commit is sent once only: its outcome is unknown until it is answered.
-COMMIT_TIMEOUT_MS = MAX_ATTEMPTS * MIN_REPEAT_MS
 # An answer that has begun is read for as long as its bytes arrive.
 STALLED_MS = 1_500
 # Answers that take this long are logged, when they begin to and when they no longer do.
@@ -100,6 +98,12 @@
     again, the link carries the same bytes over and over, and no change arrives for as
     long as the store is slow.
 
+    Parameters
+    ==========
+    min_repeat_ms : int, optional
+        Time without an answer after which a read is sent again, if the store is not
+        known to be slow.
+
     Attributes
     ==========
     answer_ms : int
@@ -116,9 +120,10 @@
     'rows'
     """
 
-    __slots__ = ("_is_slow", "_suspicions", "answer_ms")
+    __slots__ = ("_is_slow", "_min_repeat_ms", "_suspicions", "answer_ms")
 
-    def __init__(self):
+    def __init__(self, min_repeat_ms=MIN_REPEAT_MS):
+        self._min_repeat_ms = min_repeat_ms
         self.answer_ms = 0
         self._is_slow = False
         # For each read in progress, a future that is done when its connection may have
@@ -129,7 +134,12 @@
     def repeat_ms(self):
         """Time without an answer, beyond the wait, after which a read is repeated."""
         expected_ms = REPEAT_FACTOR * self.answer_ms
-        return min(MAX_REPEAT_MS, max(MIN_REPEAT_MS, expected_ms))
+        return min(MAX_REPEAT_MS, max(self._min_repeat_ms, expected_ms))
+
+    @property
+    def commit_timeout_ms(self):
+        """Time after which a commit without an answer is given up."""
+        return MAX_ATTEMPTS * self._min_repeat_ms
 
     async def read(self, call, wait_ms=0):
         """Return the result of a read, sent again while no answer has begun.
@@ -187,7 +197,8 @@
         """
         attempt = _Attempt(call, 0)
         try:
-            async with asyncio.timeout(COMMIT_TIMEOUT_MS / MS_PER_S):
+            # A commit is sent once only: its outcome is unknown until it is answered.
+            async with asyncio.timeout(self.commit_timeout_ms / MS_PER_S):
                 return await attempt.task
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise PlatformError(f"cannot connect to the store: {error}") from error
--- a/libs/store/src/hemlockhoist/store/config.py
+++ b/libs/store/src/hemlockhoist/store/config.py
@@ -11,7 +11,8 @@
     url : str
         ``http://IP:port``.
     timeout_ms : int
-        Timeout of one attempt, from connecting to the last byte.
+        Time without an answer after which a read is sent again beside the first call,
+        three in all; a commit is given three times this. See ``StoreCalls``.
     connect_timeout_ms : int
     max_attempts : int
         Maximum number of attempts of one call, including the first.
--- a/libs/store/src/hemlockhoist/store/transport.py
+++ b/libs/store/src/hemlockhoist/store/transport.py
@@ -11,6 +11,7 @@
     StoreAnswerLost,
     StoreConflict,
 )
+from hemlockhoist.store.calls import StoreCalls, read_body
 from hemlockhoist.store.retries import Backoff, RetryBudget
 
 _NOT_MODIFIED = 304
@@ -50,12 +51,13 @@
     backoff : Backoff
     """
 
-    __slots__ = ("_backoff", "_budget", "_config", "_session")
+    __slots__ = ("_backoff", "_budget", "_calls", "_config", "_session")
 
     def __init__(self, config, budget, backoff):
         self._config = config
         self._budget = budget
         self._backoff = backoff
+        self._calls = StoreCalls(config.timeout_ms)
         self._session = None
 
     @classmethod
@@ -74,7 +76,7 @@
     async def start(self):
         """Open the session; connections are made on demand."""
         timeout = aiohttp.ClientTimeout(
-            total=self._config.timeout_ms / MS_PER_S,
+            total=None,
             sock_connect=self._config.connect_timeout_ms / MS_PER_S,
         )
         self._session = aiohttp.ClientSession(
@@ -131,8 +133,9 @@
         while True:
             try:
                 return await self._fetch_once(path, etag)
-            except PlatformError:
-                if not await self.wait_before_retry(attempt):
+            except PlatformError as error:
+                is_silent = isinstance(error.__cause__, TimeoutError)
+                if is_silent or not await self.wait_before_retry(attempt):
                     raise
             attempt += 1
 
@@ -162,19 +165,17 @@
         PlatformError
             When the write was not applied.
         """
-        try:
-            async with self._session.post(
-                self._config.url + path,
-                data=body,
-                headers={"Content-Type": "application/json"},
-            ) as response:
-                answer = await response.read()
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise PlatformError(f"cannot connect to the platform: {error}") from error
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise StoreAnswerLost(f"no response to POST {path}: {error!r}") from error
+        options = {"data": body, "headers": {"Content-Type": "application/json"}}
+        response, answer = await self._calls.commit(
+            lambda progress, _: self._call(progress, "POST", path, **options)
+        )
         return self._check_write(path, response.status, answer)
 
+    async def _call(self, progress, method, path, **options):
+        url = self._config.url + path
+        async with self._session.request(method, url, **options) as response:
+            return response, await read_body(response, progress)
+
     def on_call(self):
         """Add the fraction of a retry that one call earns, whatever its attempts."""
         self._budget.on_call()
@@ -194,12 +195,9 @@
 
     async def _fetch_once(self, path, etag):
         headers = {"If-None-Match": etag} if etag else {}
-        url = self._config.url + path
-        try:
-            async with self._session.get(url, headers=headers) as response:
-                answer = await response.read()
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise PlatformError(f"GET {path} failed: {error!r}") from error
+        response, answer = await self._calls.read(
+            lambda progress, _: self._call(progress, "GET", path, headers=headers)
+        )
         if response.status == _NOT_FOUND:
             return FetchResult(None)
         if response.status == _NOT_MODIFIED:
