Let both soaks' stores be slow, and drop their history beside it

Its rate of a link is new in the proxy. The own soak's platform takes up to 1.7 s for an answer, and takes declarations meanwhile.

--- a/libs/standins/src/hemlockhoist/standins/process_faults.py
+++ b/libs/standins/src/hemlockhoist/standins/process_faults.py
@@ -18,6 +18,8 @@
 MOVE_DURATION_MS = 10_000
 OPERATOR_TIMEOUT_S = 10.0
 REFUSE_MS = 2_000
+# Time of an answer of a slow platform: up to more than a call is waited for at first.
+SLOW_ANSWERS_MS = (700, 1_300, 1_700)
 # A busy machine delays the moment at which an upstream listens again.
 LISTEN_TIMEOUT_S = 10.0
 LISTEN_CHECK_S = 0.05
@@ -336,8 +338,12 @@
         await self._set_temporary_platform_faults({"unreachable": True})
 
     async def platform_slow(self):
-        """Make the platform slow for a few seconds."""
-        await self._set_temporary_platform_faults({"delay_ms": 700})
+        """Make the platform slow for a few seconds, while the declarations change."""
+        delay_ms = self._rng.choice(SLOW_ANSWERS_MS)
+        await asyncio.gather(
+            self._set_temporary_platform_faults({"delay_ms": delay_ms}),
+            self._apply("operator-a", self._rng),
+        )
 
     async def lose_store_answers(self):
         """Make the table service lose its answers to the next writes."""
--- a/libs/standins/src/hemlockhoist/standins/published/soak/checks.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/checks.py
@@ -13,6 +13,9 @@
 )
 from hemlockhoist.standins.published.soak.cut_checks import find_cut_violations
 from hemlockhoist.standins.published.soak.fall_checks import find_fall_violations
+from hemlockhoist.standins.published.soak.history_checks import (
+    find_history_violations,
+)
 from hemlockhoist.standins.published.soak.limit_checks import find_limit_violations
 from hemlockhoist.standins.published.soak.rest_checks import (
     find_leaving_violations,
@@ -169,6 +172,20 @@
         self.violations += violations
         self.check_counts["routes in force"] += checked
 
+    def check_history(self, spans, whole_reads, disturbances, reader_count):
+        """Check that lost history was read again by few hosts.
+
+        Parameters
+        ==========
+        spans, whole_reads, disturbances, reader_count
+            As of ``find_history_violations``.
+        """
+        violations, counted = find_history_violations(
+            spans, whole_reads, disturbances, reader_count
+        )
+        self.violations += violations
+        self.check_counts["whole readings"] += counted
+
     def check(self, revoked, revocation_ms, tenants, stops, disturbances):
         """Run all checks, adding to ``violations`` and ``check_counts``.
 
--- a/libs/standins/src/hemlockhoist/standins/published/soak/faults.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/faults.py
@@ -51,6 +51,10 @@
     brittle_spans : list of BrittleSpan
     store_spans : list of (str, float, float)
         Host, begin and end of each time in which the store did not serve it.
+    history_spans : list of HistorySpan
+        The times in which a slow store had dropped its history.
+    truncations_s : list of float
+        When a store of the usual pace dropped its history.
     crash_spans : list of CrashSpan
     """
 
@@ -67,6 +71,8 @@
         self.cut_spans = []
         self.brittle_spans = []
         self.store_spans = []
+        self.history_spans = []
+        self.truncations_s = []
         self._has_cut = False
         self.stops = []
         self.counts = {}
@@ -88,6 +94,7 @@
             self.fail_store,
             self.lose_store_answers,
             self.truncate_history,
+            self.slow_store_without_history,
             self.make_replica_faulty,
             self.crash_replica,
             self.drain_replica,
--- a/libs/standins/src/hemlockhoist/standins/published/soak/hosts.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/hosts.py
@@ -48,6 +48,7 @@
     def __init__(self, number, store_address, folder, bounds):
         self.name = f"h{number}"
         self.ip = f"127.0.7.{number + 1}"
+        self.failure_domain = f"z{number % 2}"
         self.process = None
         self.is_paused = False
         # Whether the process was killed or told to stop, and not started again since.
@@ -61,7 +62,7 @@
         text = _SETTINGS.format(
             name=self.name,
             ip=self.ip,
-            zone=f"z{number % 2}",
+            zone=self.failure_domain,
             port=ports[0],
             ready_port=ports[1],
             peer_port=peer_port,
--- a/libs/standins/src/hemlockhoist/standins/published/soak/proxy.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/proxy.py
@@ -52,6 +52,9 @@
     mode : Mode
     delay_ms : int
         Delay of each chunk, in both directions.
+    bytes_per_s : float or None
+        Rate of the link that all connections share, in each direction; None for a link
+        without a limit.
     """
 
     def __init__(self, target):
@@ -59,6 +62,9 @@
         self.address = ""
         self.mode = Mode.PASS
         self.delay_ms = 0
+        self.bytes_per_s = None
+        # When the link is free again, by direction.
+        self._free_s = {}
         # The cuts in force, as (IP, Cut), possibly several of the same kind.
         self._cuts = []
         # For each open connection to the target, the IP that it is forwarded for.
@@ -101,6 +107,7 @@
         """Remove all faults; connections that were blocked stay blocked."""
         self.mode = Mode.PASS
         self.delay_ms = 0
+        self.bytes_per_s = None
         self._cuts.clear()
         self._apply_cuts()
 
@@ -169,12 +176,22 @@
             self._writers.discard(side)
             side.close()
 
+    async def _pass_link(self, size_bytes, direction):
+        """Wait until the link has carried so many bytes after those before them."""
+        if self.bytes_per_s is None:
+            return
+        now_s = asyncio.get_running_loop().time()
+        begin_s = max(now_s, self._free_s.get(direction, 0))
+        self._free_s[direction] = begin_s + size_bytes / self.bytes_per_s
+        await asyncio.sleep(self._free_s[direction] - now_s)
+
     async def _forward(self, reader, writer, blocking_mode, replies_to=""):
         """Forward bytes in one direction until a side closes or the mode blocks."""
         try:
             while chunk := await reader.read(CHUNK_BYTES):
                 if self.delay_ms:
                     await asyncio.sleep(self.delay_ms / MS_PER_S)
+                await self._pass_link(len(chunk), blocking_mode)
                 if self.mode in (Mode.BLACKHOLE, blocking_mode):
                     # Blocked permanently: bytes in transit during a cut are lost with
                     # their connection, which never closes by itself.
--- a/libs/standins/src/hemlockhoist/standins/published/soak/run.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/run.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from hemlockhoist.decisions.entry import MAX_DIRECT_READERS
 from hemlockhoist.standins.published.replica import Replica
 from hemlockhoist.standins.published.site import route
 from hemlockhoist.standins.published.soak.callers import Callers, now_s
@@ -333,6 +334,12 @@
         checker.check_declarations(
             self._declared, faults.store_spans, faults.outages, self._addresses()
         )
+        checker.check_history(
+            faults.history_spans,
+            self.store.whole_reads,
+            self._other_disturbances(),
+            self._reader_count,
+        )
         if not recovered:
             checker.violations.append(
                 "a host was not ready after all faults were removed"
@@ -348,6 +355,27 @@
             served=served,
         )
 
+    def _other_disturbances(self):
+        """Return what may cause whole readings besides a dropped history."""
+        faults = self.faults
+        spans = {(span.begin_s, span.end_s) for span in faults.history_spans}
+        outages = {(begin_s, end_s) for _, begin_s, end_s in faults.outages}
+        store = {(begin_s, end_s) for _, begin_s, end_s in faults.store_spans}
+        of_spans = {
+            (a, b)
+            for a, b in store
+            if any(a <= begin_s and end_s <= b for begin_s, end_s in spans)
+        }
+        truncations = {(at_s, at_s) for at_s in faults.truncations_s}
+        return list(outages | (store - of_spans) | truncations)
+
+    @property
+    def _reader_count(self):
+        """The number of hosts that read the store, by the design's own rule."""
+        if self._host_count <= MAX_DIRECT_READERS:
+            return self._host_count
+        return len({host.failure_domain for host in self.hosts})
+
     def _forbidden_lines(self):
         lines = []
         for host in self.hosts:
--- a/libs/standins/src/hemlockhoist/standins/published/soak/store_faults.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/store_faults.py
@@ -1,9 +1,13 @@
 """The faults of the store in a soak run, for all hosts or for some of them."""
 
 from hemlockhoist.standins.published.soak.callers import now_s
+from hemlockhoist.standins.published.soak.history_checks import HistorySpan
 from hemlockhoist.standins.published.soak.proxy import Mode
 from hemlockhoist.standins.rejections import Rejection
 
+# The links of small hosts, of 10 Mbit/s.
+SLOW_LINK_BYTES_PER_S = 1_250_000
+
 
 class StoreFaultKinds:
     """The kinds of faults of ``SoakFaults`` that concern the store."""
@@ -81,8 +85,31 @@
         self._run.store.faults.loses_answers = False
         self._record_disturbance(begin_s)
 
+    async def slow_store_without_history(self):
+        """Let a slow store drop its history beside a large change, over slow links."""
+        run, faults = self._run, self._run.store.faults
+        if faults.delay_ms:
+            return
+        begin_s = now_s()
+        faults.delay_ms = self._rng.choice((300, 700, 1_200))
+        for proxy in run.store_proxies:
+            proxy.bytes_per_s = SLOW_LINK_BYTES_PER_S
+        await run.grow_declarations()
+        await self._sleep_between(0.5, 1.5)
+        run.store.truncate_history()
+        dropped_s = now_s()
+        await run.declare()
+        await self._sleep_between(2.0, 4.0)
+        faults.delay_ms = 0
+        for proxy in run.store_proxies:
+            proxy.bytes_per_s = None
+        self.history_spans.append(HistorySpan(dropped_s, now_s()))
+        self._record_disturbance(begin_s)
+        self._record_store_span(run.hosts, begin_s)
+
     async def truncate_history(self):
         """Let the store drop its change history."""
         begin_s = now_s()
         self._run.store.truncate_history()
+        self.truncations_s.append(begin_s)
         self._record_disturbance(begin_s)
--- a/libs/standins/src/hemlockhoist/standins/published/soak/tests/test_soak.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/tests/test_soak.py
@@ -14,6 +14,12 @@
 CRASH_FAULTS = ("crash_on_parts", "crash_replica", "kill_host")
 
 
+# From 13 hosts on, one host of each failure domain reads the store for all.
+LARGE_HOST_COUNT = 14
+HISTORY_SECONDS = 5
+HISTORY_FAULTS = ("slow_store_without_history",)
+
+
 class SoakTests(unittest.IsolatedAsyncioTestCase):
     async def test_parts_that_crash_replicas_reach_few_of_them(self):
         with tempfile.TemporaryDirectory() as folder:
@@ -23,6 +29,15 @@
         self.assertGreater(result.served, 50)
         self.assertGreater(result.check_counts["spans of crashing parts"], 0)
 
+    async def test_history_lost_by_a_slow_store_is_read_again_by_few_hosts(self):
+        with tempfile.TemporaryDirectory() as folder:
+            run = SoakRun(SEED, folder, HISTORY_FAULTS, LARGE_HOST_COUNT)
+            result = await run.run(HISTORY_SECONDS)
+        self.assertEqual(result.violations, [])
+        self.assertGreater(result.served, 50)
+        self.assertGreater(result.check_counts["whole readings"], 0)
+        self.assertGreater(result.check_counts["routes in force"], 10)
+
     async def test_short_run_has_no_violations(self):
         with tempfile.TemporaryDirectory() as folder:
             result = await SoakRun(SEED, pathlib.Path(folder)).run(SECONDS)
--- a/libs/standins/src/hemlockhoist/standins/published/store.py
+++ b/libs/standins/src/hemlockhoist/standins/published/store.py
@@ -58,6 +58,9 @@
     faults : StoreFaults
     calls : list of str
         The paths of all calls, in order.
+    whole_reads : list of (float, str, str or None)
+        For each whole reading of a table that was answered: when, on the clock of the
+        event loop, the table, and the IP address of the host.
     sender_of : callable
         Returns the IP address of the host whose calls come from a port.
     """
@@ -66,6 +69,7 @@
         self.address = ""
         self.faults = StoreFaults()
         self.calls = []
+        self.whole_reads = []
         self.sender_of = lambda port: None
         self._rows = {}
         self._history = []
@@ -154,6 +158,10 @@
     async def _get(self, request):
         table = request.query["table"]
         start = request.query.get("from", "")
+        if not start:
+            port = request.transport.get_extra_info("peername")[1]
+            now_s = asyncio.get_running_loop().time()
+            self.whole_reads.append((now_s, table, self.sender_of(port)))
         limit = int(request.query.get("limit", 500))
         found = sorted(
             (row for row in self._rows.values() if row.table == table),
