Let the own soak wait for an engine that crashed on a prompt

It is waited for now, as one that refuses connections on command; one that does not crash fails the run at once, as before.

--- a/libs/standins/src/hemlockhoist/standins/process_faults.py
+++ b/libs/standins/src/hemlockhoist/standins/process_faults.py
@@ -139,14 +139,21 @@
             await listening.wait()
         self._record(f"{member['id']} {faults}")
         faults = {**self._lasting_faults.get(member["pool"], {}), **faults}
-        try:
-            await self._fleet.set_faults(member, faults)
-        except aiohttp.ClientError as error:
-            process = self._fleet.process(member["id"])
-            state = "running" if process.running else "ended"
-            text = f"{member['id']} ({state}, pid {process.pid}) {faults}: {error!r}"
-            self._record(f"not set: {text}")
-            raise FaultNotSet(text) from error
+        until_s = self._clock.now_ms() / MS_PER_S + LISTEN_TIMEOUT_S
+        while True:
+            try:
+                return await self._fleet.set_faults(member, faults)
+            except aiohttp.ClientError as error:
+                process = self._fleet.process(member["id"])
+                # An engine that crashed on a prompt is back after some seconds.
+                is_back_soon = process.running and "crash_text" in faults
+                if is_back_soon and self._clock.now_ms() / MS_PER_S < until_s:
+                    await asyncio.sleep(LISTEN_CHECK_S)
+                    continue
+                state = "running" if process.running else "ended"
+                text = f"{member['id']} ({state}, pid {process.pid}) {faults}"
+                self._record(f"not set: {text}: {error!r}")
+                raise FaultNotSet(f"{text}: {error!r}") from error
 
     async def set_lasting_faults(self, pool, faults):
         """Set faults of all upstreams of a pool that its other faults don't replace."""
