Say in explanations which large tables a host read meanwhile

A request that was slow or refused as its host's link carried a table of 0.3 MB had no line that said so.

--- a/libs/cli/src/hemlockhoist/cli/explain.py
+++ b/libs/cli/src/hemlockhoist/cli/explain.py
@@ -6,7 +6,7 @@
 import click
 import msgspec
 
-from hemlockhoist.base import RESULTS, ResultCode
+from hemlockhoist.base import MS_PER_S, RESULTS, ResultCode
 from hemlockhoist.cli.errors import report_errors
 from hemlockhoist.cli.log_lines import read_lines
 from hemlockhoist.cli.options import json_option, log_option
@@ -21,6 +21,7 @@
         "brittle_lifted",
         "brittle_respected",
         "brittle_withdrawn",
+        "caught_up",
         "deciding_alone",
         "domain_evacuated",
         "domain_taken_back",
@@ -39,9 +40,16 @@
         "lines_left_out",
         "links_lost",
         "links_regained",
+        "reader_failed",
+        "routes_behind",
         "routes_in_force",
+        "store_history_gone",
+        "store_late",
         "store_lost",
+        "store_quick",
         "store_regained",
+        "store_slow",
+        "table_read",
         "upstream_cold",
         "upstream_gone",
         "upstream_leaving",
@@ -50,8 +58,11 @@
         "upstream_listed",
         "upstream_resumed",
         "upstream_suspended",
+        "waits_for_reader",
     }
 )
+# Rows of this size occupy a link of 10 Mbit/s for 50 ms, and requests wait behind them.
+LARGE_ROWS_BYTES = 64_000
 # The context covers this time before a request's first line and after its last line.
 CONTEXT_S = 3
 _END_EVENTS = frozenset(
@@ -101,7 +112,7 @@
         raise LookupError(f"no line names the request {request_id}")
     return Explanation(
         request=request_id,
-        verdict=_verdict(request_lines),
+        verdict=_verdict(request_lines) + _rows_meanwhile(request_lines, lines),
         lines=[_format_line(line) for line in request_lines],
         around=[_format_line(line) for line in _context(request_lines, lines)],
     )
@@ -128,6 +139,29 @@
     return "No line reports its end: its host stopped, or lines were dropped."
 
 
+def _rows_meanwhile(request_lines, lines):
+    """Return a sentence on each large table that a host of the request read meanwhile.
+
+    A request that takes long, or is refused, may have waited behind its rows.
+    """
+    hosts = {line.host for line in request_lines}
+    first, last = _time_s(request_lines[0]), _time_s(request_lines[-1])
+    texts = []
+    for line in lines:
+        if line.event != "table_read" or line.host not in hosts:
+            continue
+        row_bytes, after_ms = int(line.get("row_bytes")), int(line.get("after_ms"))
+        end_s = _time_s(line)
+        is_meanwhile = end_s - after_ms / MS_PER_S <= last and first <= end_s
+        if row_bytes >= LARGE_ROWS_BYTES and is_meanwhile:
+            origin = line.get("relayed_by") or "the store"
+            texts.append(
+                f" Meanwhile {line.host} read {row_bytes} B of the table "
+                f"{line.get('table')} from {origin}, in {after_ms} ms."
+            )
+    return "".join(texts)
+
+
 def _was_cut(request_lines):
     return any(line.event == "stream_cut" for line in request_lines)
 
--- a/libs/cli/src/hemlockhoist/cli/tests/test_explain.py
+++ b/libs/cli/src/hemlockhoist/cli/tests/test_explain.py
@@ -42,3 +42,36 @@
 
     def test_line_without_a_readable_time_is_not_related(self):
         self.assertEqual(self.around(line("soon", "store_lost")), [])
+
+
+class RowsMeanwhileTests(unittest.TestCase):
+    ADMITTED = line("2026-03-02T10:00:00.200000Z", "request_admitted", request="a1")
+    ENDED = line("2026-03-02T10:00:00.900000Z", "request_ended", request="a1")
+
+    def verdict(self, timestamp, host="h1", row_bytes=300_000, after_ms=400):
+        read = line(
+            timestamp,
+            "table_read",
+            host,
+            table="op",
+            row_bytes=row_bytes,
+            relayed_by="",
+            after_ms=after_ms,
+        )
+        return explain("a1", [self.ADMITTED, self.ENDED, read]).verdict
+
+    def test_large_rows_that_a_request_waited_behind_are_named(self):
+        """Guards against slow requests that no line explains."""
+        for timestamp in ("2026-03-02T10:00:00.500Z", "2026-03-02T10:00:01.200Z"):
+            text = self.verdict(timestamp)
+            self.assertIn("read 300000 B of the table op from the store", text)
+
+    def test_other_readings_are_not_named(self):
+        during = "2026-03-02T10:00:00.500000Z"
+        for text in (
+            self.verdict(during, host="h2"),
+            self.verdict(during, row_bytes=900),
+            self.verdict("2026-03-02T10:00:00.100000Z"),
+            self.verdict("2026-03-02T10:00:01.400000Z"),
+        ):
+            self.assertNotIn("Meanwhile", text)
