Allow queries between hosts as long as the last answers took

Load prevented: a small host's link is full for half a second, and each query to its reader is given up after 300 ms and made to the next one, with the same rows. The allowance is now twice what the last answers of a host took, late ones too, 300 ms at least and 1 s at most, so that a silent reader is still noticed in time.

--- a/libs/entry/src/hemlockhoist/entry/feed_queries.py
+++ b/libs/entry/src/hemlockhoist/entry/feed_queries.py
@@ -11,8 +11,11 @@
 
 _log = get_logger("entry.feeds")
 
-# Transit time allowed for a query on top of its wait.
-TRANSIT_ALLOWANCE_MS = 300
+# Transit time allowed for a query on top of its wait: twice what the last answers of the
+# host took, within these bounds. A host that does not answer has to be noticed in time
+# to learn elsewhere that an upstream leaves.
+MIN_TRANSIT_MS = 300
+MAX_TRANSIT_MS = 1_000
 # Number of queries whose late answers are still recognised.
 MAX_GIVEN_UP = 64
 
@@ -26,6 +29,7 @@
         The host that was asked.
     table : str
     since_version : int or None
+    wait_ms : int
     sent_ms : int
         When it was sent, on the clock that includes suspensions.
     """
@@ -33,6 +37,7 @@
     address: str
     table: str
     since_version: int | None
+    wait_ms: int
     sent_ms: int
 
 
@@ -47,7 +52,14 @@
         the answer comes after the query was given up.
     """
 
-    __slots__ = ("_context", "_given_up", "_numbers", "_on_late", "_pending")
+    __slots__ = (
+        "_context",
+        "_given_up",
+        "_numbers",
+        "_on_late",
+        "_pending",
+        "_transit_ms",
+    )
 
     def __init__(self, context, on_late):
         self._context = context
@@ -55,6 +67,8 @@
         self._numbers = itertools.count(1)
         self._pending = {}
         self._given_up = collections.OrderedDict()
+        # How long recent answers took beyond the wait of their queries, by address.
+        self._transit_ms = {}
 
     async def send(self, address, table, since_version, wait_ms, unpacks=True):
         """Return a host's ``FeedAnswer``, or None if it did not answer in time."""
@@ -65,6 +79,7 @@
             address=address,
             table=table,
             since_version=since_version,
+            wait_ms=wait_ms,
             sent_ms=self._context.boot_clock.now_ms(),
         )
         query = FeedQuestion(
@@ -75,9 +90,12 @@
             unpacks=unpacks,
         )
         self._context.bus.send(address, query)
+        limit_ms = wait_ms + self._allowance_ms(address)
         try:
-            async with asyncio.timeout((wait_ms + TRANSIT_ALLOWANCE_MS) / MS_PER_S):
-                return await future
+            async with asyncio.timeout(limit_ms / MS_PER_S):
+                answer = await future
+            self._record_transit(sent)
+            return answer
         except TimeoutError:
             self._give_up(number, sent)
             self._context.bus.reconnect(address)
@@ -85,6 +103,22 @@
         finally:
             del self._pending[number]
 
+    def _allowance_ms(self, address):
+        """Return how long an answer may take beyond the wait of its query.
+
+        Load prevented: a link is full for a moment, its queries are given up one after
+        the other, and the same rows are asked for elsewhere.
+        """
+        expected_ms = 2 * self._transit_ms.get(address, 0)
+        return min(MAX_TRANSIT_MS, max(MIN_TRANSIT_MS, expected_ms))
+
+    def _record_transit(self, query):
+        elapsed_ms = self._context.boot_clock.now_ms() - query.sent_ms
+        # A query that waits may be answered early.
+        transit_ms = max(0, elapsed_ms - query.wait_ms)
+        known_ms = self._transit_ms.get(query.address, 0)
+        self._transit_ms[query.address] = max(transit_ms, known_ms // 2)
+
     def tell(self, address, table, version):
         """Send a query whose answer is not awaited, for the news in its envelope."""
         query = FeedQuestion(
@@ -105,6 +139,7 @@
             return
         query = self._given_up.pop(message.number, None)
         if query is not None:
+            self._record_transit(query)
             self._log_late(query, message)
             self._on_late(query, message)
 
