--- a/libs/entry/src/hemlockhoist/entry/tests/test_feed_recovery.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_feed_recovery.py
@@ -42,6 +42,14 @@
             ages_ms = [host.proof_age_ms() for host in self.hosts]
             self.max_proof_age_ms = max(self.max_proof_age_ms, *ages_ms)
 
+    async def time_change(self, version):
+        """Return after how many seconds the last host has a change in force."""
+        written_s = asyncio.get_running_loop().time()
+        value = await self.write_routes(version)
+        await asyncio.sleep(IN_FORCE_S)
+        self.check_all_know(value)
+        return max(host.in_force_s[value] for host in self.hosts) - written_s
+
     async def lose_history_of_slow_store(self):
         """Let a slow store drop its history and take one change, then be well again."""
         self.conditions.answer_ms = SLOW_ANSWER_MS
@@ -76,6 +84,14 @@
         """Guards against callers refused for readings that are begun again for ever."""
         await self.check_proof_stays_fresh()
 
+    async def test_changes_arrive_as_usual_once_the_store_is_well_again(self):
+        """Guards against a storm of readings that outlives the slow store."""
+        usual_s = await self.time_change(10)
+        await self.lose_history_of_slow_store()
+        for version in (11, 12, 13):
+            await asyncio.sleep(1)
+            self.assertLess(await self.time_change(version), usual_s + 0.05)
+
     async def test_hosts_take_over_in_turn_where_the_readers_are_rejected(self):
         """Guards against whole readings by all hosts once their readers have failed."""
         for host in self.hosts:
