Bound heads and framing of upstreams' answers in size and time

Ruled out: a limit on the whole time to the head, as upstreams may work for long before it. Change: connections count the bytes that are no body; a head that has begun must end within an eighth of the remaining time, 0.5 to 2 s. A connection whose request was not sent in full is aborted, as its rest would stay in memory. Reading of responses moves to its own module.

--- a/libs/entry/src/hemlockhoist/entry/events.py
+++ b/libs/entry/src/hemlockhoist/entry/events.py
@@ -7,6 +7,8 @@
 # Events have a few hundred bytes. This much data without an event's end is no event
 # stream, and must not exhaust the memory.
 MAX_EVENT_BYTES = 262_144
+# More digits are no number of an event, and ``int`` refuses to read thousands of them.
+_MAX_NUMBER_DIGITS = 18
 _SEPARATOR = b"\n\n"
 _ID = b"id:"
 
@@ -93,7 +95,8 @@
     for line in part.split(b"\n"):
         if line.startswith(_ID):
             text = line[len(_ID) :].strip()
-            return int(text) if text.isdigit() else None
+            is_number = text.isdigit() and len(text) <= _MAX_NUMBER_DIGITS
+            return int(text) if is_number else None
     return None
 
 
--- a/libs/upstreams/src/hemlockhoist/upstreams/__init__.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/__init__.py
@@ -1,11 +1,9 @@
 """Clients of model engines and plain services."""
 
+from hemlockhoist.upstreams.bounds import part_limit_ms
 from hemlockhoist.upstreams.client import (
-    REQUEST_ID_HEADER,
-    VERSION_HEADER,
     UpstreamCall,
     UpstreamClient,
-    UpstreamResponse,
     cancel_stream,
 )
 from hemlockhoist.upstreams.connections import (
@@ -21,6 +19,11 @@
     StreamGapWithEvents,
 )
 from hemlockhoist.upstreams.guard import DispatchRegister, SendGuard
+from hemlockhoist.upstreams.response import (
+    REQUEST_ID_HEADER,
+    VERSION_HEADER,
+    UpstreamResponse,
+)
 from hemlockhoist.upstreams.response_ids import ResponseIdChecker, ResponseIdTracker
 
 __all__ = [
@@ -41,5 +44,6 @@
     "UpstreamClient",
     "cancel_stream",
     "enable_tcp_keepalive",
+    "part_limit_ms",
     "DirectConnector",
 ]
--- /dev/null
+++ b/libs/upstreams/src/hemlockhoist/upstreams/bounds.py
@@ -0,0 +1,135 @@
+"""Bounds on what a connection to an upstream receives beside the body of an answer."""
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+
+from hemlockhoist.base import MS_PER_S
+
+# The HTTP library bounds the status line and each header by 8 KB, and the number of
+# headers by 128. It bounds neither their sum nor what it skips: empty lines and interim
+# responses before a head, blanks before a header's value, extensions of chunks.
+MAX_HEAD_BYTES = 65_536
+# Bytes received in a row without a byte of the body: sizes and extensions of chunks,
+# trailers, and what follows a complete answer. Usual framing has some 10 bytes a chunk.
+MAX_FRAMING_BYTES = 65_536
+# An upstream sends a head or an event at once. A lost packet of it is sent again within
+# some 0.5 s.
+MIN_PART_MS = 500
+MAX_PART_MS = 2_000
+# Fraction of a request's remaining time that a head or an event may take from its first
+# byte, so that another upstream has the rest.
+PART_TIME_FRACTION = 0.125
+_FIRST_FINAL_STATUS = 200
+_SWITCHING_PROTOCOLS = 101
+
+
+class DataWithoutEnd(aiohttp.ClientPayloadError):  # noqa: N818
+    """An upstream sent more than a bound permits, or took too long for a head."""
+
+
+def part_limit_ms(remaining_ms):
+    """Return the time within which a head or an event that has begun has to end.
+
+    Parameters
+    ==========
+    remaining_ms : float
+        Time that the request has left.
+
+    Examples
+    ========
+    >>> from hemlockhoist.upstreams.bounds import part_limit_ms
+    >>> part_limit_ms(12_600), part_limit_ms(2_700), part_limit_ms(60_000)
+    (1575.0, 500, 2000)
+    """
+    return max(MIN_PART_MS, min(MAX_PART_MS, PART_TIME_FRACTION * remaining_ms))
+
+
+class BoundedHandler(ResponseHandler):
+    """Closes a connection over which an upstream sends data without end.
+
+    Failure prevented: a head that never ends holds its request until the deadline,
+    while a repeatable one could be sent to another upstream. The body itself is bounded
+    by its readers.
+
+    A connection that is closed with a part of its request unsent is aborted. Otherwise
+    an upstream that does not read would keep the request's body in this host's memory.
+    """
+
+    def __init__(self, loop):
+        super().__init__(loop)
+        self._body = None
+        self._body_bytes = 0
+        self._unbounded_bytes = 0
+        self._head_timer = None
+
+    def set_response_params(self, **params):
+        """Prepare for the response to the next request of the connection."""
+        self._body = None
+        self._body_bytes = self._unbounded_bytes = 0
+        super().set_response_params(**params)
+
+    def feed_data(self, data, size=0):
+        """Take a parsed head and its body from the parser."""
+        message, body = data
+        if message.code >= _FIRST_FINAL_STATUS or message.code == _SWITCHING_PROTOCOLS:
+            self._body = body
+            self._body_bytes = self._unbounded_bytes = 0
+            self._stop_head_timer()
+        super().feed_data(data, size)
+
+    def data_received(self, data):
+        """Parse bytes of the upstream, and check the bounds."""
+        super().data_received(data)
+        if self.transport is None:
+            return
+        if self._body is None:
+            self._check_head(len(data))
+        elif self._body.total_bytes > self._body_bytes:
+            self._body_bytes = self._body.total_bytes
+            self._unbounded_bytes = 0
+        else:
+            self._unbounded_bytes += len(data)
+            if self._unbounded_bytes > MAX_FRAMING_BYTES:
+                self._end(f"{self._unbounded_bytes} bytes outside of its body")
+
+    def _check_head(self, byte_count):
+        self._unbounded_bytes += byte_count
+        if self._unbounded_bytes > MAX_HEAD_BYTES:
+            self._end(f"a head of more than {MAX_HEAD_BYTES} bytes")
+        elif self._head_timer is None and self._unbounded_bytes:
+            remaining_ms = (self.read_timeout or MAX_PART_MS) * MS_PER_S
+            limit_ms = part_limit_ms(remaining_ms)
+            self._head_timer = self._loop.call_later(
+                limit_ms / MS_PER_S,
+                self._end,
+                f"a head that did not end within {limit_ms:.0f} ms",
+            )
+
+    def _end(self, text):
+        """Abort the connection, and report the answer as broken."""
+        self._stop_head_timer()
+        error = DataWithoutEnd(f"the upstream sent {text}")
+        transport = self.transport
+        if self._body is not None and not self._body.is_eof():
+            self._body.set_exception(error)
+        self.set_exception(error)
+        if transport is not None:
+            transport.abort()
+
+    def _stop_head_timer(self):
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def close(self):
+        """Close the connection; abort it if its request was not sent in full."""
+        self._stop_head_timer()
+        transport = self.transport
+        if transport is not None and transport.get_write_buffer_size():
+            transport.abort()
+        super().close()
+
+    def connection_lost(self, exc):
+        """Handle the end of the connection; ``exc`` is None for an orderly one."""
+        self._stop_head_timer()
+        super().connection_lost(exc)
--- a/libs/upstreams/src/hemlockhoist/upstreams/client.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/client.py
@@ -14,16 +14,21 @@
     Refused,
     ResultCode,
 )
+from hemlockhoist.upstreams.bounds import BoundedHandler
 from hemlockhoist.upstreams.connections import (
     DirectConnector,
     ResetDetectingConnector,
     dispatch_guard,
 )
 from hemlockhoist.upstreams.guard import RepeatedDispatch
+from hemlockhoist.upstreams.response import (
+    REQUEST_ID_HEADER,
+    UpstreamResponse,
+    describe_error,
+    dispatch_errors,
+)
 from hemlockhoist.upstreams.response_ids import ResponseIdTracker
 
-REQUEST_ID_HEADER = "X-Request-Id"
-VERSION_HEADER = "X-Upstream-Version"
 # Three times the round trip to the farthest region, and less than the lifetime of a
 # grant. An upstream that takes longer to connect is treated as dead.
 CONNECT_TIMEOUT_MS = 1_000
@@ -71,139 +76,6 @@
     regions: tuple[str, ...] = ()
 
 
-# Either of these tells where the body of a response ends.
-_FRAMING_HEADERS = ("Content-Length", "Transfer-Encoding")
-# Statuses of responses that have no body.
-_BODILESS_STATUSES = frozenset({204, 205, 304})
-
-
-class UpstreamResponse:
-    """Response of an upstream, whose body is not read yet.
-
-    A body with neither a length nor chunks ends with its connection. If nothing of it
-    arrived, the upstream ended before it began its answer. If the connection ends
-    later, the end of such a body can't be told from a break.
-
-    Parameters
-    ==========
-    response : aiohttp.ClientResponse
-    request_id_header : str, optional
-        Header in which upstreams echo the request's id.
-    """
-
-    __slots__ = ("_first_data", "_request_id_header", "_response")
-
-    def __init__(self, response, request_id_header=REQUEST_ID_HEADER):
-        self._first_data = b""
-        self._response = response
-        self._request_id_header = request_id_header
-
-    @property
-    def status(self):
-        """The HTTP status code."""
-        return self._response.status
-
-    @property
-    def headers(self):
-        """The response's headers, a multi-valued mapping."""
-        return self._response.headers
-
-    @property
-    def version(self):
-        """The version that the upstream reports to run; empty if it reports none."""
-        return self._response.headers.get(VERSION_HEADER, "")
-
-    def matches_request(self, request_id):
-        """Return whether the response belongs to the request.
-
-        A response without an echoed request id is accepted, as its connection carried
-        only one request.
-        """
-        echoed = self._response.headers.get(self._request_id_header)
-        return echoed is None or echoed == request_id
-
-    def close(self):
-        """Close the connection; a pending read raises an error."""
-        self._response.close()
-
-    async def wait_for_data(self):
-        """Wait until the body has begun; ``chunks`` yields what has arrived.
-
-        Raises
-        ======
-        DispatchError
-            As in ``chunks``.
-        """
-        if not self._first_data:
-            with _dispatch_errors():
-                self._first_data = await self._response.content.readany()
-            self._check_begun(bool(self._first_data))
-
-    async def chunks(self):
-        """Yield the body in chunks as they arrive.
-
-        Raises
-        ======
-        DispatchError
-            When the body breaks off or, without a length or chunks, never begins, or no
-            data arrives within the idle timeout.
-        """
-        first, self._first_data = self._first_data, b""
-        has_begun = bool(first)
-        if first:
-            yield first
-        with _dispatch_errors():
-            async for chunk in self._response.content.iter_any():
-                has_begun = True
-                yield chunk
-        self._check_begun(has_begun)
-
-    def _check_begun(self, has_begun):
-        if not has_begun and self._ends_with_connection:
-            text = "the connection ended before the answer began"
-            raise DispatchError(text, ResultCode.UPSTREAM_BROKE_OFF)
-
-    @property
-    def _ends_with_connection(self):
-        """Whether the response has a body, and nothing else tells where it ends."""
-        if self._response.method == "HEAD" or self.status in _BODILESS_STATUSES:
-            return False
-        return not any(name in self.headers for name in _FRAMING_HEADERS)
-
-    async def read(self, max_bytes):
-        """Return the complete body.
-
-        Raises
-        ======
-        DispatchError
-            As in ``chunks``, and when the body is longer than ``max_bytes``.
-        """
-        parts = []
-        size = 0
-        async for chunk in self.chunks():
-            parts.append(chunk)
-            size += len(chunk)
-            if size > max_bytes:
-                text = f"response body longer than {max_bytes} bytes"
-                raise DispatchError(text, ResultCode.UPSTREAM_BROKE_OFF)
-        return b"".join(parts)
-
-
-@contextlib.contextmanager
-def _dispatch_errors():
-    """Convert errors of the HTTP library after a dispatch to ``DispatchError``."""
-    try:
-        yield
-    except (TimeoutError, aiohttp.ServerTimeoutError) as error:
-        text = "no data from the upstream within the idle timeout"
-        raise DispatchError(text, ResultCode.UPSTREAM_TIMEOUT) from error
-    except aiohttp.ClientPayloadError as error:
-        text = "the answer broke off before its end"
-        raise DispatchError(text, ResultCode.UPSTREAM_BROKE_OFF) from error
-    except (aiohttp.ClientError, OSError, ValueError) as error:
-        raise DispatchError(repr(error), ResultCode.UPSTREAM_BROKE_OFF) from error
-
-
 class UpstreamClient:
     """Sends requests to upstreams, each over a connection of its own.
 
@@ -247,7 +119,7 @@
         self._session = _open_session(connector)
         # Requests for load reports change nothing and are frequent: they may use a
         # kept-alive connection, and the library may resend them.
-        connector = DirectConnector(limit=0, limit_per_host=1)
+        connector = DirectConnector(BoundedHandler, limit=0, limit_per_host=1)
         self._fetch_session = _open_session(connector)
 
     @property
@@ -340,7 +212,7 @@
         DispatchError
             When no complete response arrived.
         """
-        with _dispatch_errors():
+        with dispatch_errors():
             response = await self._send(call, _NoGuard(), self._fetch_session)
         async with response:
             upstream_response = UpstreamResponse(response)
@@ -351,7 +223,7 @@
     @contextlib.asynccontextmanager
     async def attach(self, call):
         """Resume a stream, which is not a dispatch; yield the response."""
-        with _dispatch_errors():
+        with dispatch_errors():
             response = await self._send(call, _NoGuard())
         try:
             yield UpstreamResponse(response)
@@ -388,8 +260,9 @@
 def _classify(guard, error, code):
     """Return the error to raise: ``Refused`` as long as nothing was sent."""
     if guard.dispatched:
-        return DispatchError(repr(error), code)
-    return Refused(f"connection failed: {error!r}", ResultCode.CONNECT_FAILED)
+        return DispatchError(describe_error(error), code)
+    text = f"connection failed: {describe_error(error)}"
+    return Refused(text, ResultCode.CONNECT_FAILED)
 
 
 async def cancel_stream(client, address, request_id):
--- a/libs/upstreams/src/hemlockhoist/upstreams/connections.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/connections.py
@@ -9,6 +9,8 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from hemlockhoist.upstreams.bounds import BoundedHandler
+
 # A machine that lost power or is behind a network partition does not answer, and a
 # connection to it hangs while the kernel retransmits, for many minutes. With these
 # options the connection ends within about three seconds, sending or idle: where the
@@ -34,7 +36,7 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
 
 
-class _ResetDetectingHandler(ResponseHandler):
+class _ResetDetectingHandler(BoundedHandler):
     """Reports a response as broken off when its connection was reset.
 
     A response without a length ends with its connection. The HTTP library treats a
--- a/libs/upstreams/src/hemlockhoist/upstreams/events.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/events.py
@@ -8,6 +8,8 @@
 # An event takes a few hundred bytes. A stream that sends this much without the end of
 # an event is malformed, and must not exhaust the memory.
 MAX_EVENT_BYTES = 262_144
+# More digits are no offset, and ``int`` refuses to read thousands of them.
+_MAX_OFFSET_DIGITS = 18
 _SEPARATOR = b"\n\n"
 _DONE = b"data: [DONE]"
 _ID = b"id:"
@@ -99,7 +101,7 @@
     raw = part + _SEPARATOR
     if part.startswith(_ID):
         head = part[len(_ID) : part.find(b"\n")].strip()
-        if head.isdigit():
+        if head.isdigit() and len(head) <= _MAX_OFFSET_DIGITS:
             return StreamEvent(int(head), raw)
     if part.endswith(_DONE):
         return StreamEvent(-1, raw)
