Add the memory budget of an entry host, its result code and metrics

Cause: a host over its memory limit is killed with all its requests, and nothing bounds the sum of what requests buffer. max_memory_mb was read by nobody. Ruled out: equal shares for all tiers, as the highest could then be refused first; a share from a list of the declared tiers, as ranks are known without one. Change: MemoryBudget accounts bytes by purpose. Each tier may use a smaller share than the next higher one, the lowest half. 64 MB are left to the process, and a quarter of the rest is a margin: 72 MB of 160, 102 MB of 200. The row type of the metrics moves to its own module.

--- a/libs/base/src/hemlockhoist/base/caller_results.py
+++ b/libs/base/src/hemlockhoist/base/caller_results.py
@@ -281,6 +281,14 @@
         "The upstream of a grant leaves, turned cold, or is in an evacuated domain.",
         "Come back after Retry-After.",
     ),
+    (
+        _C.MEMORY_FULL,
+        503,
+        _NO,
+        True,
+        "This host has no memory for the request's body now.",
+        "Come back after Retry-After, or ask another host.",
+    ),
     (
         _C.UPSTREAM_FAILED,
         502,
--- a/libs/base/src/hemlockhoist/base/metrics_table.py
+++ b/libs/base/src/hemlockhoist/base/metrics_table.py
@@ -1,45 +1,8 @@
 """The table of all metrics: name, kind, label and meaning."""
 
-import enum
-
-import msgspec
-
-PREFIX = "hemlockhoist"
-
-
-class MetricKind(enum.Enum):
-    """The statsd type of a metric."""
-
-    COUNTER = "counter"
-    GAUGE = "gauge"
-    TIMER = "timer"
-
-
-class Metric(msgspec.Struct, frozen=True):
-    """A row of the table of metrics.
-
-    Parameters
-    ==========
-    name : str
-        The name without ``PREFIX`` and without the label's value, which is appended.
-    kind : MetricKind
-    label : str
-        The name of the label; empty if there is none.
-    help : str
-        The meaning of the metric.
-    remedy : str
-        How to react to unusual values.
-    unit : str
-        The unit of the values; empty for a count.
-    """
-
-    name: str
-    kind: MetricKind
-    label: str
-    help: str
-    remedy: str
-    unit: str = ""
+from hemlockhoist.base.metric import PREFIX, Metric, MetricKind
 
+__all__ = ["METRICS", "PREFIX", "Metric", "MetricKind"]
 
 _C, _G, _T = MetricKind.COUNTER, MetricKind.GAUGE, MetricKind.TIMER
 
@@ -91,10 +54,27 @@
     _C,
     "cause",
     "Streams that were cut after their first event: their upstream was silent, broke "
-    "off or failed and no other continued them, their deadline passed, or this host "
-    "refused to continue them.",
+    "off or failed and no other continued them, their deadline passed, this host "
+    "refused to continue them, or their caller took nothing for seconds (slow_reader; "
+    "long whole answers that nobody takes count as well).",
     "Search the stream_cut log lines for the cause; deadline means slow upstreams.",
 )
+MEMORY_USED = Metric(
+    "memory.used",
+    _G,
+    "purpose",
+    "Memory that requests use on this host, by purpose: bodies being read, bodies kept "
+    "for another attempt, whole answers, and what callers have not taken of streams.",
+    "If it comes near the limit, callers or upstreams read slowly, or hosts are missing.",
+    "bytes",
+)
+MEMORY_REFUSED = Metric(
+    "memory.refused",
+    _C,
+    "tier",
+    "Requests that were refused as this host had no memory for their bodies.",
+    "Compare memory.used by purpose: callers that read slowly, or too many bodies.",
+)
 PROMPT_TOKENS = Metric(
     "prefill.prompt_tokens",
     _C,
--- a/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
@@ -17,6 +17,7 @@
 from hemlockhoist.decisions.entry.halted import HaltedOrders
 from hemlockhoist.decisions.entry.listing import UpstreamListing
 from hemlockhoist.decisions.entry.locality import nearby_members
+from hemlockhoist.decisions.entry.memory_budget import MemoryBudget, MemoryPurpose
 from hemlockhoist.decisions.entry.move_orders import (
     MoveOrder,
     MoveOrderState,
@@ -53,6 +54,8 @@
     "Freshness",
     "HaltedOrders",
     "LostLink",
+    "MemoryBudget",
+    "MemoryPurpose",
     "MoveOrder",
     "MoveOrderState",
     "PoolChooser",
--- a/libs/decisions/src/hemlockhoist/decisions/entry/attempts.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/attempts.py
@@ -30,6 +30,7 @@
     FAILED = "failed"
     DEADLINE = "deadline"
     REFUSED = "refused"
+    SLOW_READER = "slow_reader"
 
     @classmethod
     def after(cls, end):
--- /dev/null
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/memory_budget.py
@@ -0,0 +1,142 @@
+"""The memory that an entry host may use for data of requests."""
+
+import enum
+
+BYTES_PER_MB = 1_048_576
+# What a process takes without requests: the interpreter, the libraries and the tables.
+PROCESS_BASE_MB = 64
+# Fraction kept free, for what is not accounted: objects of requests, buffers of the
+# HTTP library and of sockets, and copies while a body is put together.
+MARGIN_FRACTION = 0.25
+# A limit near the base of the process is no use; this much still serves usual bodies.
+MIN_BUDGET_BYTES = 8 * BYTES_PER_MB
+# Fraction that the lowest tier may use.
+LOWEST_SHARE = 0.5
+# Ranks of a route below those of a customer, see ``AdmittedCall.rank``.
+_ROUTE_RANKS = 1_000
+
+
+class MemoryPurpose(enum.Enum):
+    """What memory is used for, as in metrics."""
+
+    BODIES_READ = "bodies_read"
+    BODIES_KEPT = "bodies_kept"
+    RESPONSES = "responses"
+    STREAM_BUFFERS = "stream_buffers"
+
+
+class MemoryBudget:
+    """Accounts the bytes that requests use on one host, by purpose.
+
+    Load: many large bodies at once, while callers and upstreams read slowly. A host
+    that exceeds its limit is killed with all its requests, so a request whose body does
+    not fit is refused instead. Each tier may use a smaller share than the next higher
+    one. So there is always room left that only higher tiers may use, and the highest
+    is refused last.
+
+    Parameters
+    ==========
+    limit_bytes : int
+        0 for no limit.
+
+    Examples
+    ========
+    >>> from hemlockhoist.decisions.entry import MemoryBudget, MemoryPurpose
+    >>> budget = MemoryBudget(1_000)
+    >>> budget.try_reserve(MemoryPurpose.BODIES_READ, 700, tier_rank=0)
+    True
+    >>> budget.try_reserve(MemoryPurpose.BODIES_READ, 200, tier_rank=1_000)
+    False
+    >>> budget.try_reserve(MemoryPurpose.BODIES_READ, 200, tier_rank=0)
+    True
+    >>> budget.release(MemoryPurpose.BODIES_READ, 900)
+    >>> budget.used_bytes
+    0
+    """
+
+    __slots__ = ("_used_by_purpose", "limit_bytes", "used_bytes")
+
+    def __init__(self, limit_bytes):
+        self.limit_bytes = limit_bytes
+        self.used_bytes = 0
+        self._used_by_purpose = dict.fromkeys(MemoryPurpose, 0)
+
+    @classmethod
+    def from_max_memory_mb(cls, max_memory_mb):
+        """Return the budget of a host that may use this much; 0 for no limit.
+
+        Examples
+        ========
+        >>> from hemlockhoist.decisions.entry import MemoryBudget
+        >>> for max_memory_mb in (0, 60, 160, 200, 552):
+        ...     budget = MemoryBudget.from_max_memory_mb(max_memory_mb)
+        ...     print(max_memory_mb, budget.limit_bytes // 1_048_576)
+        0 0
+        60 8
+        160 72
+        200 102
+        552 366
+        """
+        if not max_memory_mb:
+            return cls(0)
+        free_bytes = (max_memory_mb - PROCESS_BASE_MB) * BYTES_PER_MB
+        budget_bytes = int((1.0 - MARGIN_FRACTION) * free_bytes)
+        return cls(max(MIN_BUDGET_BYTES, budget_bytes))
+
+    def used_by(self, purpose):
+        """Return the bytes in use for a ``MemoryPurpose``."""
+        return self._used_by_purpose[purpose]
+
+    def try_reserve(self, purpose, byte_count, tier_rank):
+        """Reserve memory if it fits into the tier's share; return whether it did.
+
+        Parameters
+        ==========
+        purpose : MemoryPurpose
+        byte_count : int
+        tier_rank : int
+            0 is the highest.
+        """
+        if not self.fits(byte_count, tier_rank):
+            return False
+        self.used_bytes += byte_count
+        self._used_by_purpose[purpose] += byte_count
+        return True
+
+    def fits(self, byte_count, tier_rank):
+        """Return whether this much more fits into the tier's share."""
+        if not self.limit_bytes:
+            return True
+        return self.used_bytes + byte_count <= self._limit_of(tier_rank)
+
+    def move(self, source, target, byte_count):
+        """Account reserved memory for another purpose."""
+        self._used_by_purpose[source] -= byte_count
+        self._used_by_purpose[target] += byte_count
+
+    def release(self, purpose, byte_count):
+        """Return reserved memory."""
+        self.used_bytes -= byte_count
+        self._used_by_purpose[purpose] -= byte_count
+
+    def _limit_of(self, tier_rank):
+        if not tier_rank:
+            return self.limit_bytes
+        return int(self.limit_bytes * tier_share(tier_rank))
+
+
+def tier_share(tier_rank):
+    """Return the fraction of the budget that a tier may use.
+
+    It falls with each rank of a customer, and with each rank of a route among the
+    requests of customers of one rank.
+
+    Examples
+    ========
+    >>> from hemlockhoist.decisions.entry.memory_budget import tier_share
+    >>> [round(tier_share(rank), 2) for rank in (0, 1, 2, 1_000, 1_001, 9_000)]
+    [1.0, 0.83, 0.8, 0.75, 0.7, 0.55]
+    """
+    customer_rank, route_rank = divmod(tier_rank, _ROUTE_RANKS)
+    position = customer_rank + route_rank / (route_rank + 1)
+    return 1.0 - (1.0 - LOWEST_SHARE) * position / (position + 1)
