--- a/libs/entry/src/hemlockhoist/entry/attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt.py
@@ -39,6 +39,7 @@
         "grant_outdated",
         "guard",
         "hold",
+        "is_given_up",
         "is_link_at_fault",
         "is_misdirected",
         "is_reachable",
@@ -68,6 +69,8 @@
         self.is_reachable = True
         # Whether this host's links, or a host that relayed, are at fault for a failure.
         self.is_link_at_fault = False
+        # Whether this host did not read the answer to its end, for want of memory.
+        self.is_given_up = False
         # Whether the upstream was gone when its answer had broken off.
         self.is_upstream_lost = False
         self.grant_outdated = False
@@ -131,7 +134,10 @@
 
     def record_end(self, end):
         """Set the outcome kind from how the attempt ended; None means success."""
-        self.kind = OutcomeKind.SUCCESS if end is None else _OUTCOMES[end]
+        if self.is_given_up:
+            self.kind = OutcomeKind.CANCELLED
+        else:
+            self.kind = OutcomeKind.SUCCESS if end is None else _OUTCOMES[end]
 
     def outcome(self):
         """Return the ``Outcome`` of the attempt, which has ended."""
--- /dev/null
+++ b/libs/entry/src/hemlockhoist/entry/attempt_reporter.py
@@ -0,0 +1,53 @@
+"""Reports of ended attempts to the pool's home, the metrics and the log."""
+
+import functools
+
+from hemlockhoist.decisions import OutcomeKind
+from hemlockhoist.entry.attempt_records import count_attempt, log_attempt
+
+
+class AttemptReporter:
+    """Reports the attempts of one request.
+
+    Parameters
+    ==========
+    context : EntryContext
+    admitted : AdmittedCall
+    request_id : str
+    upstream_call : callable
+        ``upstream_call(attempt)`` returns the request as it was sent.
+    """
+
+    __slots__ = ("_admitted", "_context", "_request_id", "_upstream_call")
+
+    def __init__(self, context, admitted, request_id, upstream_call):
+        self._context = context
+        self._admitted = admitted
+        self._request_id = request_id
+        self._upstream_call = upstream_call
+
+    def release(self, attempt):
+        """Report the outcome of an attempt, once it is known whose fault it was."""
+        now_ms = self._context.clock.now_ms()
+        is_past_deadline = now_ms >= self._admitted.deadline_ms
+        if is_past_deadline and attempt.kind is OutcomeKind.CANCELLED:
+            attempt.kind = OutcomeKind.TIMEOUT
+        attempt.ended_ms = now_ms
+        paths, hold = self._context.upstreams, attempt.hold
+        if attempt.kind is OutcomeKind.TIMEOUT:
+            attempt.is_link_at_fault = paths.links.is_lost(hold.pool, hold.upstream_id)
+        if attempt.kind is OutcomeKind.BROKE_OFF:
+            call = self._upstream_call(attempt)
+            report = functools.partial(self._report, attempt)
+            paths.check_link(call, report, bool(attempt.guard.relay))
+            return
+        self._report(attempt, attempt.is_link_at_fault)
+
+    def _report(self, attempt, is_link_at_fault, is_upstream_lost=False):
+        attempt.is_link_at_fault = is_link_at_fault
+        attempt.is_upstream_lost = is_upstream_lost
+        outcome = attempt.outcome()
+        signals = attempt.unreported_signals
+        self._context.grants.release(attempt.hold, outcome, signals)
+        count_attempt(self._context.metrics, attempt, outcome)
+        log_attempt(self._request_id, attempt, outcome, self._admitted.call.block_names)
--- a/libs/entry/src/hemlockhoist/entry/attempt_sender.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt_sender.py
@@ -12,6 +12,7 @@
 from hemlockhoist.base.metrics_table import GRANTS_OUTDATED
 from hemlockhoist.decisions.entry import AttemptEnd
 from hemlockhoist.entry.attempt import Attempt
+from hemlockhoist.entry.memory import AnswerNotRead
 from hemlockhoist.entry.opened_attempt import OpenedAttempt
 from hemlockhoist.entry.signals import SignalRecorder
 from hemlockhoist.entry.wire import UpstreamDirectives
@@ -133,6 +134,7 @@
             opened.end = AttemptEnd.NOT_SENT
         except DispatchError as error:
             attempt.reason = error.message
+            attempt.is_given_up = isinstance(error, AnswerNotRead)
             is_silent = error.code is ResultCode.UPSTREAM_TIMEOUT
             opened.end = AttemptEnd.TIMED_OUT if is_silent else AttemptEnd.BROKEN
 
--- /dev/null
+++ b/libs/entry/src/hemlockhoist/entry/caller_buffer.py
@@ -0,0 +1,153 @@
+"""What a host buffers for a caller that reads its answer slowly."""
+
+import asyncio
+import fcntl
+import struct
+import termios
+
+from hemlockhoist.base import MS_PER_S, HemlockhoistError, ResultCode
+
+# Events of an ordinary stream take less in total, so that its upstream is read on to
+# the end however slow the caller is. An upstream cuts off an answer that stays unread.
+MAX_BUFFER_BYTES = 262_144
+# Not accounted, and not waited for: what an answer holds for a moment before it leaves.
+FREE_BUFFER_BYTES = 16_384
+# A caller that takes nothing for this long, with its buffer full or its answer
+# complete, has gone or hangs. A lost packet is sent again within far less.
+UNREAD_TIMEOUT_MS = 5_000
+# Interval of the checks while a caller is waited for. There is no notice of progress
+# above the transport's own limit.
+CHECK_INTERVAL_MS = 20
+# Limit above which the HTTP library itself waits for the caller, without a limit in
+# time: above all that is written before a check of this module.
+TRANSPORT_LIMIT_BYTES = 16_777_216
+_INT = struct.Struct("i")
+
+
+class SlowReader(HemlockhoistError):
+    """A caller took nothing of its answer for too long."""
+
+    code = ResultCode.CANCELLED
+
+
+class CallerBuffer:
+    """Bounds what is buffered for one caller, and accounts it.
+
+    Load: callers that read slowly, or not at all. Failure prevented: their answers fill
+    the memory that all requests need. Only the answer of the slow caller is cut.
+
+    Parameters
+    ==========
+    transport : asyncio.Transport or None
+        The caller's connection; None if it has been lost.
+    memory : RequestMemory
+    clock : Clock
+    """
+
+    __slots__ = ("_clock", "_is_accounted", "_memory", "_transport")
+
+    def __init__(self, transport, memory, clock):
+        self._transport = transport
+        self._memory = memory
+        self._clock = clock
+        self._is_accounted = False
+        if transport is not None:
+            transport.set_write_buffer_limits(high=TRANSPORT_LIMIT_BYTES)
+
+    async def wait_below_limit(self, on_wait=None):
+        """Account what is buffered, and wait until that is within the bounds.
+
+        Parameters
+        ==========
+        on_wait : callable, optional
+            Called without arguments again and again while the caller is waited for.
+
+        Raises
+        ======
+        SlowReader
+        """
+        buffered_bytes = self._buffered_bytes()
+        if buffered_bytes <= FREE_BUFFER_BYTES and not self._is_accounted:
+            return
+        if not self._fits(buffered_bytes, MAX_BUFFER_BYTES):
+            await self._wait(lambda size: self._fits(size, MAX_BUFFER_BYTES), on_wait)
+
+    async def flush(self):
+        """Wait until the caller has taken a complete answer, up to a small rest.
+
+        Raises
+        ======
+        SlowReader
+        """
+        if self._buffered_bytes() > FREE_BUFFER_BYTES:
+            await self._wait(self._is_flushed)
+
+    def abort(self):
+        """End the connection at once, and drop what is buffered."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close(self):
+        """End the connection once the caller has taken what is buffered, or soon."""
+        if self._transport is None:
+            return
+        self._transport.close()
+        if self._buffered_bytes():
+            asyncio.get_running_loop().call_later(
+                UNREAD_TIMEOUT_MS / MS_PER_S, self._transport.abort
+            )
+
+    def _buffered_bytes(self):
+        return self._transport.get_write_buffer_size() if self._transport else 0
+
+    def _fits(self, buffered_bytes, max_bytes):
+        """Account what is buffered; return whether nothing has to be waited for."""
+        if buffered_bytes <= FREE_BUFFER_BYTES:
+            self._is_accounted = False
+            return self._memory.set_stream_buffer(0)
+        self._is_accounted = True
+        has_memory = self._memory.set_stream_buffer(buffered_bytes)
+        return has_memory and buffered_bytes <= max_bytes
+
+    def _is_flushed(self, buffered_bytes):
+        self._fits(buffered_bytes, MAX_BUFFER_BYTES)
+        return buffered_bytes <= FREE_BUFFER_BYTES
+
+    def _untaken_bytes(self):
+        """Return the bytes in this process and in the kernel that the caller lacks.
+
+        The kernel takes further bytes only once a large part of its buffer is free. A
+        caller that reads a few kilobytes a second would seem to take nothing for
+        minutes.
+        """
+        return self._buffered_bytes() + _queued_bytes(self._transport)
+
+    async def _wait(self, is_done, on_wait=None):
+        lowest_bytes = self._untaken_bytes()
+        progress_ms = self._clock.now_ms()
+        while not is_done(self._buffered_bytes()):
+            if self._transport.is_closing():
+                return
+            await asyncio.sleep(CHECK_INTERVAL_MS / MS_PER_S)
+            if on_wait is not None:
+                on_wait()
+            untaken_bytes, now_ms = self._untaken_bytes(), self._clock.now_ms()
+            if untaken_bytes < lowest_bytes:
+                lowest_bytes, progress_ms = untaken_bytes, now_ms
+            elif now_ms - progress_ms >= UNREAD_TIMEOUT_MS:
+                text = (
+                    f"the caller took nothing for {now_ms - progress_ms} ms, "
+                    f"{self._buffered_bytes()} bytes are buffered"
+                )
+                raise SlowReader(text)
+
+
+def _queued_bytes(transport):
+    """Return the bytes in a socket's send queue that are not acknowledged yet."""
+    sock = transport.get_extra_info("socket")
+    try:
+        packed = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, _INT.pack(0))
+    except (AttributeError, OSError):
+        # The connection has just been lost.
+        return 0
+    return _INT.unpack(packed)[0]
--- a/libs/entry/src/hemlockhoist/entry/context.py
+++ b/libs/entry/src/hemlockhoist/entry/context.py
@@ -1,5 +1,7 @@
 """The shared components of an entry host."""
 
+from hemlockhoist.entry.memory import HostMemory
+
 
 class EntryContext:
     """The components of one entry host.
@@ -25,6 +27,8 @@
     gate : QuotaGate
     homes : HomeService
     grants : GrantClient
+    memory : HostMemory
+        The memory that requests use on this host.
     moves : OrderedMoveService
     advertised_limits : AdvertisedLimits
         The limits that upstreams advertised in answers to this host.
@@ -59,6 +63,7 @@
         "identity",
         "invariants",
         "leaving",
+        "memory",
         "metrics",
         "moves",
         "open_requests",
@@ -79,6 +84,7 @@
         self.clock = clock
         self.boot_clock = boot_clock
         self.invariants = invariants
+        self.memory = HostMemory.from_settings(settings)
         self.leaving = False
         self.refuses_requests = False
         self.open_requests = 0
--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -1,7 +1,6 @@
 """Execution of one admitted request: grants, attempts and the final response."""
 
 import asyncio
-import functools
 
 from hemlockhoist.base import (
     MS_PER_S,
@@ -13,15 +12,12 @@
 )
 from hemlockhoist.base.metrics_table import STREAMS_CUT
 from hemlockhoist.base.traces import Hop
-from hemlockhoist.decisions import OutcomeKind
 from hemlockhoist.decisions.entry import AttemptEnd, CutCause, Step, next_step
 from hemlockhoist.declarations import CallKind
-from hemlockhoist.entry.attempt_records import (
-    count_attempt,
-    count_success,
-    log_attempt,
-)
+from hemlockhoist.entry.attempt_records import count_success
+from hemlockhoist.entry.attempt_reporter import AttemptReporter
 from hemlockhoist.entry.attempt_sender import AttemptSender
+from hemlockhoist.entry.caller_buffer import SlowReader
 from hemlockhoist.entry.request_grants import RequestGrants
 from hemlockhoist.entry.responses import upstream_response
 from hemlockhoist.entry.stream import StreamRelay
@@ -48,6 +44,8 @@
     body : bytes
     admission : Admission
         Queried again just before each send, as the key may have been revoked.
+    memory : RequestMemory
+    buffer : CallerBuffer
     """
 
     __slots__ = (
@@ -57,16 +55,19 @@
         "_cut_cause",
         "_failed_response",
         "_grants",
+        "_memory",
         "_reason",
         "_relay",
         "_replacement",
+        "_reporter",
         "_sender",
         "_sent_count",
         "_unsent_count",
     )
 
-    def __init__(self, context, request, admitted, body, admission):
+    def __init__(self, context, request, admitted, body, admission, memory, buffer):
         self._context = context
+        self._memory = memory
         self._admitted = admitted
         self._attempts = 0
         self._sent_count = 0
@@ -84,6 +85,9 @@
             self.request_id,
             self._last_event_id,
         )
+        self._reporter = AttemptReporter(
+            context, admitted, self.request_id, self._sender.upstream_call
+        )
         # An attempt whose upstream continues the stream of a silent one.
         self._replacement = None
         self._relay = None
@@ -92,6 +96,7 @@
                 request,
                 admitted,
                 context.clock,
+                buffer,
                 is_leaving=lambda: context.leaving,
                 find_replacement=self._find_replacement,
             )
@@ -112,6 +117,8 @@
                 return await self._run_attempts()
         except TimeoutError:
             return self._deadline_result()
+        except SlowReader as error:
+            return self._abort_stream(CutCause.SLOW_READER, error.message)
         except HemlockhoistError as error:
             if not self.response_started:
                 raise
@@ -271,31 +278,7 @@
     def _end_attempt(self, attempt):
         self._grants.on_attempt_ended(attempt)
         self._record_dispatch(attempt)
-        if self._is_past_deadline and attempt.kind is OutcomeKind.CANCELLED:
-            attempt.kind = OutcomeKind.TIMEOUT
-        self._release(attempt)
-
-    def _release(self, attempt):
-        """Report the outcome of an attempt, once it is known whose fault it was."""
-        attempt.ended_ms = self._context.clock.now_ms()
-        paths, hold = self._context.upstreams, attempt.hold
-        if attempt.kind is OutcomeKind.TIMEOUT:
-            attempt.is_link_at_fault = paths.links.is_lost(hold.pool, hold.upstream_id)
-        if attempt.kind is OutcomeKind.BROKE_OFF:
-            call = self._sender.upstream_call(attempt)
-            report = functools.partial(self._report, attempt)
-            paths.check_link(call, report, bool(attempt.guard.relay))
-            return
-        self._report(attempt, attempt.is_link_at_fault)
-
-    def _report(self, attempt, is_link_at_fault, is_upstream_lost=False):
-        attempt.is_link_at_fault = is_link_at_fault
-        attempt.is_upstream_lost = is_upstream_lost
-        outcome = attempt.outcome()
-        signals = attempt.unreported_signals
-        self._context.grants.release(attempt.hold, outcome, signals)
-        count_attempt(self._context.metrics, attempt, outcome)
-        log_attempt(self.request_id, attempt, outcome, self._admitted.call.block_names)
+        self._reporter.release(attempt)
 
     def _record_failure(self, attempt, end):
         """Record why an attempt failed; avoid its upstream while there are others."""
@@ -332,7 +315,7 @@
 
     async def _read_full_response(self, opened):
         attempt, head = opened.attempt, opened.head
-        body = await opened.response.read(MAX_RESPONSE_BYTES)
+        body = await self._read_body(opened.response)
         attempt.first_ms = self._context.clock.now_ms()
         if self._relay is not None and self._relay.started:
             opened.end = AttemptEnd.FAILED_ANSWER
@@ -345,6 +328,14 @@
         opened.end = AttemptEnd.FAILED_ANSWER
         return None
 
+    async def _read_body(self, response):
+        try:
+            reserve = self._memory.reserve_response
+            return await response.read(MAX_RESPONSE_BYTES, reserve)
+        except DispatchError:
+            self._memory.drop_response()
+            raise
+
     async def _relay_stream(self, opened):
         attempt = opened.attempt
         grants = self._context.grants
@@ -419,12 +410,7 @@
             last_event=self._relay.last_event_id,
             reason=reason,
         )
-        return self._relay.abort()
-
-    @property
-    def _is_past_deadline(self):
-        """Whether the deadline of the request has passed."""
-        return self._context.clock.now_ms() >= self._admitted.deadline_ms
+        return self._relay.abort(at_once=cause is CutCause.SLOW_READER)
 
     @property
     def request_id(self):
--- a/libs/entry/src/hemlockhoist/entry/gauges.py
+++ b/libs/entry/src/hemlockhoist/entry/gauges.py
@@ -7,6 +7,7 @@
     HOSTS_LIVE,
     INVARIANT_VIOLATIONS,
     LINKS_LOST,
+    MEMORY_USED,
     PROOF_AGE_MS,
     QUEUE_LENGTH,
     REQUESTS_OPEN,
@@ -16,6 +17,7 @@
     UPSTREAMS_LIMITED,
     UPSTREAMS_LISTED,
 )
+from hemlockhoist.decisions.entry import MemoryPurpose
 
 
 def update_gauges(context):
@@ -28,6 +30,9 @@
     metrics = context.metrics
     metrics.gauge(REQUESTS_OPEN, context.open_requests)
     metrics.gauge(HOSTS_LIVE, len(context.fleet.live_hosts()))
+    for purpose in MemoryPurpose:
+        used_bytes = context.memory.budget.used_by(purpose)
+        metrics.gauge(MEMORY_USED, used_bytes, purpose.value)
     context.quarantine.update_gauges()
     _update_store_gauges(context)
     _update_upstream_gauges(context)
--- /dev/null
+++ b/libs/entry/src/hemlockhoist/entry/memory.py
@@ -0,0 +1,210 @@
+"""The memory of requests on an entry host: waiting for it, and returning it."""
+
+import asyncio
+import heapq
+import itertools
+
+from hemlockhoist.base import MS_PER_S, DispatchError, Refused, ResultCode, get_logger
+from hemlockhoist.decisions.entry import MemoryBudget, MemoryPurpose
+
+_log = get_logger("entry.memory")
+
+# A body that does not fit waits for this long, about a third of the time within which
+# the most urgent callers expect a first event.
+BODY_WAIT_MS = 300
+# An answer has run, and its upstream waits for as long before it cuts it off.
+RESPONSE_WAIT_MS = 2_000
+RETRY_AFTER_MS = 500
+# Rank of data whose request has run: before all that has not begun.
+STARTED_RANK = 0
+
+
+class AnswerNotRead(DispatchError):  # noqa: N818
+    """This host gave up an answer, for which its upstream is not at fault."""
+
+
+class HostMemory:
+    """Reserves memory of the host's budget; what does not fit waits, by tier.
+
+    Parameters
+    ==========
+    budget : MemoryBudget
+    """
+
+    __slots__ = ("_is_short", "_numbers", "_waiting", "budget")
+
+    def __init__(self, budget):
+        self.budget = budget
+        self._numbers = itertools.count()
+        # (tier rank, number, purpose, byte count, future), the next to serve first.
+        self._waiting = []
+        self._is_short = False
+
+    @classmethod
+    def from_settings(cls, settings):
+        """Return the memory of a host with these ``EntrySettings``."""
+        return cls(MemoryBudget.from_max_memory_mb(settings.max_memory_mb))
+
+    def try_reserve(self, purpose, byte_count, tier_rank):
+        """Reserve memory if no request of this tier or a higher one waits for some."""
+        if not self.fits(byte_count, tier_rank):
+            return False
+        return self.budget.try_reserve(purpose, byte_count, tier_rank)
+
+    def fits(self, byte_count, tier_rank):
+        """Return whether ``try_reserve`` would succeed."""
+        if self._waiting and self._waiting[0][0] <= tier_rank:
+            return False
+        return self.budget.fits(byte_count, tier_rank)
+
+    async def reserve(self, purpose, byte_count, tier_rank, wait_ms):
+        """Reserve memory, waiting for it if need be; return whether there was enough.
+
+        Parameters
+        ==========
+        purpose : MemoryPurpose
+        byte_count : int
+        tier_rank : int
+        wait_ms : int
+        """
+        if self.try_reserve(purpose, byte_count, tier_rank):
+            return True
+        self._log_short(purpose)
+        future = asyncio.get_running_loop().create_future()
+        entry = (tier_rank, next(self._numbers), purpose, byte_count, future)
+        heapq.heappush(self._waiting, entry)
+        try:
+            await asyncio.wait([future], timeout=wait_ms / MS_PER_S)
+        except asyncio.CancelledError:
+            if future.done():
+                self.release(purpose, byte_count)
+            raise
+        finally:
+            if not future.done():
+                self._waiting.remove(entry)
+                heapq.heapify(self._waiting)
+                self._serve_waiting()
+        return future.done()
+
+    def move(self, source, target, byte_count):
+        """Account reserved memory for another purpose."""
+        self.budget.move(source, target, byte_count)
+
+    def release(self, purpose, byte_count):
+        """Return reserved memory, and give it to what waits for some."""
+        self.budget.release(purpose, byte_count)
+        if self._waiting:
+            self._serve_waiting()
+
+    def _serve_waiting(self):
+        while self._waiting:
+            tier_rank, _, purpose, byte_count, future = self._waiting[0]
+            if not self.budget.try_reserve(purpose, byte_count, tier_rank):
+                return
+            heapq.heappop(self._waiting)
+            future.set_result(None)
+        self._is_short = False
+
+    def _log_short(self, purpose):
+        """Log the begin of a time in which memory is waited for."""
+        if self._is_short:
+            return
+        self._is_short = True
+        _log.warning(
+            "memory_short",
+            purpose=purpose.value,
+            used_bytes=self.budget.used_bytes,
+            limit_bytes=self.budget.limit_bytes,
+        )
+
+
+class RequestMemory:
+    """The memory that one request has reserved; all of it is returned at its end.
+
+    Parameters
+    ==========
+    host_memory : HostMemory
+    tier_rank : int
+    """
+
+    __slots__ = ("_host_memory", "_reserved", "_tier_rank")
+
+    def __init__(self, host_memory, tier_rank):
+        self._host_memory = host_memory
+        self._tier_rank = tier_rank
+        # Byte counts by purpose.
+        self._reserved = {}
+
+    async def reserve_body(self, byte_count):
+        """Reserve memory for a body, or a part of it, before it is read.
+
+        Raises
+        ======
+        Refused
+            ``MEMORY_FULL``: the body does not fit.
+        """
+        purpose = MemoryPurpose.BODIES_READ
+        if not await self._host_memory.reserve(
+            purpose, byte_count, self._tier_rank, BODY_WAIT_MS
+        ):
+            text = f"no memory for {byte_count} bytes of a body"
+            raise Refused(text, ResultCode.MEMORY_FULL, RETRY_AFTER_MS)
+        self._add(purpose, byte_count)
+
+    def keep_body(self, byte_count):
+        """Account a body that has been read, and is kept for another attempt.
+
+        Parameters
+        ==========
+        byte_count : int
+            Its actual length.
+        """
+        read, kept = MemoryPurpose.BODIES_READ, MemoryPurpose.BODIES_KEPT
+        reserved = self._reserved.pop(read, 0)
+        kept_bytes = min(byte_count, reserved)
+        self._host_memory.move(read, kept, kept_bytes)
+        self._add(kept, kept_bytes)
+        self._host_memory.release(read, reserved - kept_bytes)
+
+    async def reserve_response(self, byte_count):
+        """Reserve memory for a part of a whole answer that has been read.
+
+        Raises
+        ======
+        DispatchError
+            ``OUTCOME_UNKNOWN``: the rest does not fit.
+        """
+        purpose = MemoryPurpose.RESPONSES
+        if not await self._host_memory.reserve(
+            purpose, byte_count, STARTED_RANK, RESPONSE_WAIT_MS
+        ):
+            text = "no memory for the rest of an answer"
+            raise AnswerNotRead(text, ResultCode.OUTCOME_UNKNOWN)
+        self._add(purpose, byte_count)
+
+    def drop_response(self):
+        """Return the memory of an answer that is not used."""
+        self._release(MemoryPurpose.RESPONSES)
+
+    def set_stream_buffer(self, byte_count):
+        """Account what is buffered for the caller now; return whether it fits."""
+        purpose = MemoryPurpose.STREAM_BUFFERS
+        change = byte_count - self._reserved.get(purpose, 0)
+        if change > 0:
+            if not self._host_memory.try_reserve(purpose, change, STARTED_RANK):
+                return False
+        elif change < 0:
+            self._host_memory.release(purpose, -change)
+        self._reserved[purpose] = byte_count
+        return True
+
+    def close(self):
+        """Return all memory of the request."""
+        for purpose in tuple(self._reserved):
+            self._release(purpose)
+
+    def _add(self, purpose, byte_count):
+        self._reserved[purpose] = self._reserved.get(purpose, 0) + byte_count
+
+    def _release(self, purpose):
+        self._host_memory.release(purpose, self._reserved.pop(purpose, 0))
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -41,8 +41,8 @@
 from hemlockhoist.entry.servers import (
     LEAVING_RETRY_AFTER_MS,
     CallerServer,
-    StatusServer,
 )
+from hemlockhoist.entry.status_server import StatusServer
 from hemlockhoist.entry.store_view import StoreView
 from hemlockhoist.entry.usage_recorder import UsageRecorder
 from hemlockhoist.host.fleet import Fleet
--- a/libs/entry/src/hemlockhoist/entry/relay_rules.py
+++ b/libs/entry/src/hemlockhoist/entry/relay_rules.py
@@ -2,10 +2,14 @@
 
 from multidict import CIMultiDict
 
-from hemlockhoist.decisions.entry import RelayCause
+from hemlockhoist.decisions.entry import MemoryPurpose, RelayCause
 from hemlockhoist.entry.signals import SignalRecorder, SignalSource
 from hemlockhoist.relays import RelayRules
 
+# Rank of relayed requests in the memory budget, so that helping other hosts leaves
+# memory for the requests of this host's own callers.
+RELAYED_RANK = 1_000
+
 
 class EntryRelayRules(RelayRules):
     """The rules of an entry host, which knows upstreams, back-offs and version moves.
@@ -18,17 +22,32 @@
     context : EntryContext
     """
 
-    __slots__ = ("_signals",)
+    __slots__ = ("_memory", "_signals")
 
     def __init__(self, context):
         super().__init__(context)
+        self._memory = context.memory
         self._signals = SignalRecorder(context)
 
     def refusal(self, offer):
         """Return the ``RelayCause`` for which a request is not relayed, or None."""
         if not self._context.store_view.is_complete:
             return RelayCause.NOT_ALLOWED
-        return super().refusal(offer)
+        cause = super().refusal(offer)
+        if cause is None and not self._memory.fits(offer.body_bytes, RELAYED_RANK):
+            return RelayCause.BUSY
+        return cause
+
+    def on_begin(self, offer):
+        """Count a relayed request, and account its body."""
+        super().on_begin(offer)
+        purpose = MemoryPurpose.BODIES_KEPT
+        self._memory.try_reserve(purpose, offer.body_bytes, RELAYED_RANK)
+
+    def on_end(self, offer):
+        """Stop counting a relayed request."""
+        super().on_end(offer)
+        self._memory.release(MemoryPurpose.BODIES_KEPT, offer.body_bytes)
 
     def check_send(self, offer):
         """Check that a request may be sent to its upstream now."""
--- a/libs/entry/src/hemlockhoist/entry/servers.py
+++ b/libs/entry/src/hemlockhoist/entry/servers.py
@@ -1,11 +1,10 @@
-"""HTTP servers of an entry host: callers, readiness, and the directory of hosts."""
+"""HTTP server of an entry host for callers."""
 
 import asyncio
 
 from aiohttp import web
 
 from hemlockhoist.base import (
-    BadRequest,
     HemlockhoistError,
     Property,
     Ran,
@@ -13,36 +12,35 @@
     ResultCode,
     get_logger,
 )
-from hemlockhoist.base.exposition import exposition
 from hemlockhoist.base.metrics_table import (
     CALLERS_DISCONNECTED,
     CALLERS_DISCONNECTED_MS,
+    MEMORY_REFUSED,
     REQUESTS_ARRIVED,
     REQUESTS_ENDED,
+    STREAMS_CUT,
 )
 from hemlockhoist.base.traces import Hop, parent_from_headers
-from hemlockhoist.decisions.entry import PoolChooser, nearby_members
+from hemlockhoist.decisions.entry import CutCause, PoolChooser
 from hemlockhoist.declarations import RequestLimits
 from hemlockhoist.entry.admission import Admission
+from hemlockhoist.entry.caller_buffer import (
+    FREE_BUFFER_BYTES,
+    CallerBuffer,
+    SlowReader,
+)
 from hemlockhoist.entry.exchange import Exchange
+from hemlockhoist.entry.listeners import listen
+from hemlockhoist.entry.memory import RequestMemory
 from hemlockhoist.entry.responses import CODE_HEADER, error_response
 from hemlockhoist.host.body import read_body
 
 _log = get_logger("entry.surface")
 
-# Time to live of a directory response: short, so that no new caller uses a host that
-# left or failed for longer than a few seconds.
-ADDRESS_TTL_MS = 2_000
-MAX_ADDRESSES = 64
-METRICS_PATH = "/metrics"
-METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 # Longer than any declared idle time, so that callers close idle connections, not the
 # host. A request sent while the host closes the connection is lost, and its caller
 # cannot tell whether it ran.
 KEEP_ALIVE_S = 75.0
-# The servers close after open requests have been waited for. Failure prevented: waiting
-# again here, with a stream still open, makes the process outlast its planned stop.
-SHUTDOWN_TIMEOUT_S = 0.05
 # A host that has just started reads the routes and upstreams within about 20 ms if the
 # store answers. Its first callers wait for that, as a refusal would use up one of their
 # few retries.
@@ -51,6 +49,8 @@
 LEAVING_RETRY_AFTER_MS = 1
 # Customary status for a connection closed by the caller; never sent.
 CLIENT_CLOSED_STATUS = 499
+# Bytes of a body that are read ahead of its request's admission. Usual bodies fit.
+READ_BUFFER_BYTES = 32_768
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # In force until the declared ones are known.
 _DEFAULT_LIMITS = RequestLimits()
@@ -85,6 +85,7 @@
             max_line_size=limits.max_header_bytes,
             max_field_size=limits.max_header_bytes,
             auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
         )
         address = self._context.settings.caller_address
         self._runner = await listen(server, address, self._listener)
@@ -117,10 +118,7 @@
         finally:
             context.open_requests -= 1
         context.metrics.count(REQUESTS_ENDED, code)
-        if context.leaving and not response.prepared:
-            # A caller that keeps its connection would reuse it while this host is
-            # about to close it, and lose the request.
-            response.force_close()
+        self._close_if_leaving(response)
         return response
 
     async def _respond(self, request):
@@ -156,11 +154,23 @@
         admitted = self._admission.admit(call, arrived_ms)
         self._context.metrics.count(REQUESTS_ARRIVED, admitted.tier)
         self._log_admitted(admitted)
-        body = await self._read_body(request)
-        exchange = Exchange(self._context, request, admitted, body, self._admission)
+        memory = RequestMemory(self._context.memory, admitted.rank)
+        try:
+            return await self._exchange(request, admitted, memory)
+        finally:
+            memory.close()
+
+    async def _exchange(self, request, admitted, memory):
+        context, arrived_ms = self._context, admitted.arrived_ms
+        body = await self._read_body(request, admitted, memory)
+        buffer = CallerBuffer(request.transport, memory, context.clock)
+        exchange = Exchange(
+            context, request, admitted, body, self._admission, memory, buffer
+        )
         try:
             response = await exchange.run()
             self._log_ended(exchange, response, arrived_ms)
+            await self._flush(exchange, request, response, buffer)
             return response
         except asyncio.CancelledError:
             self._record_disconnect(exchange, admitted.tier, arrived_ms)
@@ -195,11 +205,61 @@
         if self._context.refuses_requests:
             raise Refused("", ResultCode.LEAVING, LEAVING_RETRY_AFTER_MS)
 
-    async def _read_body(self, request):
-        if request.headers.get("Expect", "").lower() == "100-continue":
-            await request.writer.write(_CONTINUE)
+    async def _flush(self, exchange, request, response, buffer):
+        """Wait until the caller has taken a long answer, whose memory is accounted.
+
+        The upstream has been released. A caller that takes nothing is cut off.
+        """
+        if not response.prepared and (response.content_length > FREE_BUFFER_BYTES):
+            self._close_if_leaving(response)
+            await response.prepare(request)
+            await response.write_eof()
+        try:
+            await buffer.flush()
+        except SlowReader as error:
+            buffer.abort()
+            self._context.metrics.count(STREAMS_CUT, CutCause.SLOW_READER.value)
+            _log.warning(
+                "answer_cut",
+                request=exchange.request_id,
+                cause=CutCause.SLOW_READER.value,
+                reason=error.message,
+            )
+
+    def _close_if_leaving(self, response):
+        """Have the caller close its connection if this host is about to close it.
+
+        A caller that keeps it would reuse it, and lose the request.
+        """
+        if self._context.leaving and not response.prepared:
+            response.force_close()
+
+    async def _read_body(self, request, admitted, memory):
         limits = self._limits
-        return await read_body(request, limits.max_body_bytes, limits.header_timeout_ms)
+
+        async def on_ready():
+            if request.headers.get("Expect", "").lower() == "100-continue":
+                await request.writer.write(_CONTINUE)
+
+        try:
+            body = await read_body(
+                request,
+                limits.max_body_bytes,
+                limits.header_timeout_ms,
+                memory.reserve_body,
+                on_ready,
+            )
+        except Refused as error:
+            self._context.metrics.count(MEMORY_REFUSED, admitted.tier)
+            _log.warning(
+                "memory_refused",
+                request=admitted.call.request_id,
+                rank=admitted.rank,
+                reason=error.message,
+            )
+            raise
+        memory.keep_body(len(body))
+        return body
 
     def _log_admitted(self, admitted):
         store_view = self._context.store_view
@@ -237,95 +297,6 @@
         )
 
 
-class StatusServer:
-    """Serves readiness checks, the directory of hosts, and metrics.
-
-    Parameters
-    ==========
-    context : EntryContext
-    """
-
-    __slots__ = ("_context", "_runners")
-
-    def __init__(self, context):
-        self._context = context
-        self._runners = []
-
-    async def start(self):
-        """Listen on the addresses of the settings."""
-        settings = self._context.settings
-        addresses = {
-            settings.readiness_address,
-            settings.directory_address,
-            settings.operator_address,
-            settings.metrics_address,
-        }
-        for address in sorted(filter(None, addresses)):
-            server = web.Server(self._handle, access_log=None)
-            self._runners.append(await listen(server, address))
-
-    @property
-    def addresses(self):
-        """The addresses listened on, with the actual ports chosen by the kernel."""
-        found = (address for item in self._runners for address in item.addresses)
-        return [f"{ip}:{port}" for ip, port in found]
-
-    async def close(self):
-        """Close all connections."""
-        for runner in self._runners:
-            await runner.cleanup()
-
-    async def _handle(self, request):
-        platform = self._context.platform
-        if request.path == platform.readiness_path:
-            return web.Response(status=200 if self.is_ready() else 503)
-        if request.path == platform.directory_path:
-            return self._directory(platform.parse_directory_query(request.query))
-        if request.path == METRICS_PATH:
-            body = exposition(self._context.metrics)
-            return web.Response(body=body, headers={"Content-Type": METRICS_TYPE})
-        error = BadRequest("", ResultCode.NOT_FOUND)
-        return error_response(platform.wire, None, error)
-
-    def is_ready(self):
-        """Return whether this host can serve callers."""
-        context = self._context
-        if context.leaving or not context.store_view.is_complete:
-            return False
-        routes = context.store_view.routes
-        return not routes.requires_keys or context.store_view.is_fresh()
-
-    def _directory(self, directory_query):
-        context = self._context
-        members = nearby_members(
-            context.fleet.advertised_members(),
-            context.settings.regions_by_domain,
-            directory_query.region,
-            context.store_view.regions_of(directory_query.host),
-        )
-        addresses = [member.caller_address for member in members]
-        own = self._context.identity.address
-        if not self.is_ready() and len(addresses) > 1:
-            addresses = [item for item in addresses if item != own]
-        ttl_ms = min(ADDRESS_TTL_MS, self._context.settings.bounds.address_ttl_ms)
-        body = self._context.platform.directory_body(addresses[:MAX_ADDRESSES], ttl_ms)
-        status = 200 if addresses else 503
-        return web.Response(status=status, body=body, content_type="application/json")
-
-
-async def listen(server, address, listener=None):
-    """Return the started runner of a server on ``IP:port`` or an open socket."""
-    runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
-    await runner.setup()
-    if listener is not None:
-        site = web.SockSite(runner, listener)
-    else:
-        ip, _, port = address.rpartition(":")
-        site = web.TCPSite(runner, ip, int(port), reuse_address=True)
-    await site.start()
-    return runner
-
-
 def check_not_run(invariants, exchange, error):
     """Check the invariant that a request refused as "not run" has not run."""
     if error.info.ran is not Ran.NO:
--- a/libs/entry/src/hemlockhoist/entry/stream.py
+++ b/libs/entry/src/hemlockhoist/entry/stream.py
@@ -8,6 +8,7 @@
 from hemlockhoist.entry.events import EventReader
 from hemlockhoist.entry.responses import add_headers
 from hemlockhoist.entry.stalls import StallWatchdog, always_replaced
+from hemlockhoist.upstreams import part_limit_ms
 
 US_PER_MS = 1_000
 # Silence after which another upstream is sought for a resumable stream. It detects an
@@ -35,6 +36,7 @@
     request : aiohttp.web.BaseRequest
     admitted : AdmittedCall
     clock : Clock
+    buffer : CallerBuffer
     is_leaving : callable, optional
         Whether this host is about to close its callers' connections.
     find_replacement : callable, optional
@@ -43,8 +45,10 @@
 
     __slots__ = (
         "_admitted",
+        "_buffer",
         "_caller_response",
         "_clock",
+        "_event_begin_ms",
         "_event_gaps_us",
         "_find_replacement",
         "_is_leaving",
@@ -63,9 +67,11 @@
         request,
         admitted,
         clock,
+        buffer,
         is_leaving=lambda: False,
         find_replacement=always_replaced,
     ):
+        self._buffer = buffer
         self._is_leaving = is_leaving
         self._find_replacement = find_replacement
         self._request = request
@@ -73,6 +79,7 @@
         self._clock = clock
         self._reader = EventReader(admitted.call.last_event_id)
         self._caller_response = None
+        self._event_begin_ms = None
         self._event_gaps_us = []
         self._last_data_ms = None
         self._last_event_ms = None
@@ -118,6 +125,7 @@
             If the stream broke off, or stalled and can be resumed elsewhere.
         """
         self._reader.restart()
+        self._event_begin_ms = None
         self._event_gaps_us = []
         self._last_data_ms = None
         self._last_event_ms = None
@@ -137,7 +145,9 @@
                     first = False
                 self._last_data_ms = self._clock.now_ms()
                 watchdog.on_progress(self._stall_limit_ms())
-                await self._write_events(head, self._reader.feed(chunk))
+                events = self._reader.feed(chunk)
+                self._check_event_time(events)
+                await self._write_events(head, events)
                 if self._reader.error is not None:
                     raise self._reader.error
         except DispatchError as error:
@@ -166,16 +176,43 @@
             limit_ms = min(limit_ms, MAX_STALL_SHARE * route.caller_wait_limit_ms)
         return limit_ms
 
+    def _check_event_time(self, events):
+        """Check that an event that has begun ends in time.
+
+        Failure prevented: an event that trickles without end counts as progress, and
+        holds its stream until the deadline.
+
+        Raises
+        ======
+        DispatchError
+        """
+        if self._reader.is_between_events:
+            self._event_begin_ms = None
+        elif events or self._event_begin_ms is None:
+            self._event_begin_ms = self._last_data_ms
+        else:
+            remaining_ms = self._admitted.deadline_ms - self._event_begin_ms
+            limit_ms = part_limit_ms(remaining_ms)
+            if self._last_data_ms - self._event_begin_ms > limit_ms:
+                text = f"an event that did not end within {limit_ms:.0f} ms"
+                raise DispatchError(text, ResultCode.UPSTREAM_BROKE_OFF)
+
     async def _write_events(self, head, events):
         if not events:
             return
         if self._caller_response is None:
             await self._start_response(head)
         await self._caller_response.write(b"".join(event.raw for event in events))
+        await self._buffer.wait_below_limit(self._on_caller_waits)
         self.passed_ms = self._clock.now_ms()
         self.event_count += len(events)
         self._record_gap(len(events))
 
+    def _on_caller_waits(self):
+        """Keep a slow caller from looking like a silent upstream."""
+        if self._watchdog is not None:
+            self._watchdog.on_progress(self._stall_limit_ms())
+
     def _record_gap(self, count):
         now_ms = self._clock.now_ms()
         if self._last_event_ms is not None:
@@ -220,13 +257,19 @@
         await self._caller_response.write_eof()
         return self._caller_response
 
-    def abort(self):
+    def abort(self, at_once=False):
         """Abort a response that cannot be finished, so that it does not look complete.
 
         The last chunk is omitted and the connection closed: the caller detects the
         broken stream and may resume it after its last event.
+
+        Parameters
+        ==========
+        at_once : bool, optional
+            Whether to drop what the caller has not taken yet.
         """
-        transport = self._request.transport
-        if transport is not None:
-            transport.close()
+        if at_once:
+            self._buffer.abort()
+        else:
+            self._buffer.close()
         return self._caller_response
--- /dev/null
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_memory.py
@@ -0,0 +1,184 @@
+import asyncio
+
+from hemlockhoist.base import Clock, Refused, ResultCode
+from hemlockhoist.base.testing import PausedTestCase
+from hemlockhoist.decisions.entry import MemoryBudget, MemoryPurpose
+from hemlockhoist.entry.caller_buffer import (
+    FREE_BUFFER_BYTES,
+    MAX_BUFFER_BYTES,
+    UNREAD_TIMEOUT_MS,
+    CallerBuffer,
+    SlowReader,
+)
+from hemlockhoist.entry.memory import (
+    BODY_WAIT_MS,
+    AnswerNotRead,
+    HostMemory,
+    RequestMemory,
+)
+
+LIMIT_BYTES = 1_000_000
+LOW_RANK = 1_000
+
+
+class MemoryCase(PausedTestCase):
+    async def asyncSetUp(self):
+        self.host_memory = HostMemory(MemoryBudget(LIMIT_BYTES))
+
+    def request(self, rank=0):
+        memory = RequestMemory(self.host_memory, rank)
+        self.addCleanup(self.check_returned)
+        self.addCleanup(memory.close)
+        return memory
+
+    def check_returned(self):
+        budget = self.host_memory.budget
+        counts = [budget.used_by(purpose) for purpose in MemoryPurpose]
+        if not any(counts):
+            self.assertEqual(budget.used_bytes, 0)
+
+
+class RequestMemoryTests(MemoryCase):
+    async def test_body_that_does_not_fit_waits_shortly_and_is_refused(self):
+        await self.request().reserve_body(900_000)
+        begin_s = asyncio.get_running_loop().time()
+        with self.assertRaises(Refused) as caught:
+            await self.request().reserve_body(200_000)
+        waited_s = asyncio.get_running_loop().time() - begin_s
+        self.assertIs(caught.exception.code, ResultCode.MEMORY_FULL)
+        self.assertAlmostEqual(waited_s, BODY_WAIT_MS / 1_000)
+        self.assertEqual(self.host_memory.budget.used_bytes, 900_000)
+
+    async def test_highest_tier_gets_free_memory_first(self):
+        """Guards against a lower tier that is served while a higher one waits."""
+        holder, order = self.request(), []
+        await holder.reserve_body(950_000)
+
+        async def wait(rank, byte_count):
+            await self.request(rank).reserve_body(byte_count)
+            order.append(rank)
+
+        async with asyncio.TaskGroup() as group:
+            for rank, byte_count in ((LOW_RANK, 100), (0, 300_000), (LOW_RANK, 100)):
+                group.create_task(wait(rank, byte_count))
+                await asyncio.sleep(0)
+            holder.close()
+        self.assertEqual(order[0], 0)
+
+    async def test_cancelled_wait_holds_nothing(self):
+        """Guards against memory that is lost as a caller leaves while it waits."""
+        holder = self.request()
+        await holder.reserve_body(1_000_000)
+        for is_granted in (False, True):
+            waiting = asyncio.create_task(self.request().reserve_body(10))
+            await asyncio.sleep(0)
+            if is_granted:
+                holder.close()
+            waiting.cancel()
+            await asyncio.gather(waiting, return_exceptions=True)
+            self.assertTrue(waiting.cancelled())
+        self.assertEqual(self.host_memory.budget.used_bytes, 0)
+
+    async def test_body_is_accounted_by_its_length_once_it_was_read(self):
+        memory = self.request()
+        await memory.reserve_body(500)
+        memory.keep_body(400)
+        budget = self.host_memory.budget
+        self.assertEqual(budget.used_by(MemoryPurpose.BODIES_KEPT), 400)
+        self.assertEqual(budget.used_bytes, 400)
+
+    async def test_answer_that_does_not_fit_is_given_up(self):
+        memory = self.request(LOW_RANK)
+        await memory.reserve_response(900_000)
+        with self.assertRaises(AnswerNotRead):
+            await memory.reserve_response(200_000)
+        memory.drop_response()
+        self.assertEqual(self.host_memory.budget.used_bytes, 0)
+
+
+class FakeTransport:
+    """A transport whose buffer is filled and taken by the test."""
+
+    def __init__(self):
+        self.size = 0
+        self.is_aborted = False
+
+    def get_write_buffer_size(self):
+        return self.size
+
+    def set_write_buffer_limits(self, high):
+        pass
+
+    def get_extra_info(self, name):
+        return None
+
+    def is_closing(self):
+        return self.is_aborted
+
+    def abort(self):
+        self.is_aborted = True
+
+    def close(self):
+        pass
+
+
+class CallerBufferTests(MemoryCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.transport = FakeTransport()
+        self.memory = self.request()
+        self.clock = Clock.from_running_loop()
+        self.buffer = CallerBuffer(self.transport, self.memory, self.clock)
+
+    def used_bytes(self):
+        return self.host_memory.budget.used_by(MemoryPurpose.STREAM_BUFFERS)
+
+    async def test_buffer_is_accounted_and_not_waited_for_below_its_limit(self):
+        """Guards against an upstream that is left unread as its caller is slow."""
+        begin_ms = self.clock.now_ms()
+        for self.transport.size in (100, FREE_BUFFER_BYTES + 1, MAX_BUFFER_BYTES):
+            await self.buffer.wait_below_limit()
+        self.assertEqual(self.used_bytes(), MAX_BUFFER_BYTES)
+        self.assertEqual(self.clock.now_ms(), begin_ms)
+        self.transport.size = 0
+        await self.buffer.wait_below_limit()
+        self.assertEqual(self.used_bytes(), 0)
+
+    async def test_caller_that_takes_nothing_is_cut(self):
+        """Guards against a buffer that is held for a caller that has gone."""
+        self.transport.size = MAX_BUFFER_BYTES + 1
+        begin_ms, waits = self.clock.now_ms(), []
+        with self.assertRaises(SlowReader):
+            await self.buffer.wait_below_limit(lambda: waits.append(1))
+        waited_ms = self.clock.now_ms() - begin_ms
+        self.assertAlmostEqual(waited_ms, UNREAD_TIMEOUT_MS, delta=50)
+        self.assertGreater(len(waits), 100)
+
+    async def test_slow_caller_that_goes_on_reading_is_not_cut(self):
+        self.transport.size = MAX_BUFFER_BYTES + 20
+        waiting = asyncio.create_task(self.buffer.wait_below_limit())
+        for _ in range(20):
+            await asyncio.sleep(0.8 * UNREAD_TIMEOUT_MS / 1_000)
+            self.assertFalse(waiting.done())
+            self.transport.size -= 1
+        await waiting
+
+    async def test_buffer_without_memory_is_waited_for(self):
+        """Guards against a buffer that grows although the host has no memory."""
+        other = self.request()
+        await other.reserve_body(LIMIT_BYTES)
+        self.transport.size = 2 * FREE_BUFFER_BYTES
+        waiting = asyncio.create_task(self.buffer.wait_below_limit())
+        await asyncio.sleep(1.0)
+        self.assertFalse(waiting.done())
+        other.close()
+        await waiting
+        self.assertEqual(self.used_bytes(), 2 * FREE_BUFFER_BYTES)
+
+    async def test_closed_connection_does_not_keep_what_is_unread(self):
+        """Guards against memory of a cut stream that its caller never reads."""
+        self.transport.size = 100
+        self.buffer.close()
+        self.assertFalse(self.transport.is_aborted)
+        await asyncio.sleep(1.1 * UNREAD_TIMEOUT_MS / 1_000)
+        self.assertTrue(self.transport.is_aborted)
--- a/libs/host/src/hemlockhoist/host/body.py
+++ b/libs/host/src/hemlockhoist/host/body.py
@@ -5,13 +5,18 @@
 from hemlockhoist.base import MS_PER_S, BadRequest, ResultCode
 
 
-async def read_body(request, max_bytes, timeout_ms):
+async def read_body(request, max_bytes, timeout_ms, reserve=None, on_ready=None):
     """Return the complete body of a request.
 
     Parameters
     ==========
     request : aiohttp.web.Request
     max_bytes, timeout_ms : int
+    reserve : coroutine function, optional
+        ``reserve(byte_count)`` is awaited before that much is read, if the length is
+        known, or else before more is read. What it raises ends the reading.
+    on_ready : coroutine function, optional
+        Awaited without arguments before the first read.
 
     Raises
     ======
@@ -23,6 +28,10 @@
     length = request.content_length
     if length is not None and length > max_bytes:
         raise _too_large(max_bytes)
+    if reserve is not None and length:
+        await reserve(length)
+    if on_ready is not None:
+        await on_ready()
     chunks = []
     size = 0
     try:
@@ -32,6 +41,8 @@
                 size += len(chunk)
                 if size > max_bytes:
                     raise _too_large(max_bytes)
+                if reserve is not None and length is None:
+                    await reserve(len(chunk))
     except TimeoutError as error:
         text = f"request body did not arrive within {timeout_ms} ms"
         raise BadRequest(text, ResultCode.BODY_TOO_SLOW) from error
--- a/libs/relays/src/hemlockhoist/relays/rules.py
+++ b/libs/relays/src/hemlockhoist/relays/rules.py
@@ -46,10 +46,22 @@
         head : RelayedHead
         """
 
-    def on_begin(self):
-        """Count a relayed request among those that a planned stop waits for."""
+    def on_begin(self, offer):
+        """Count a relayed request among those that a planned stop waits for.
+
+        Called in the same iteration of the event loop as ``refusal``.
+
+        Parameters
+        ==========
+        offer : RelayOffer
+        """
         self._context.open_requests += 1
 
-    def on_end(self):
-        """Stop counting a relayed request."""
+    def on_end(self, offer):
+        """Stop counting a relayed request.
+
+        Parameters
+        ==========
+        offer : RelayOffer
+        """
         self._context.open_requests -= 1
--- a/libs/relays/src/hemlockhoist/relays/server.py
+++ b/libs/relays/src/hemlockhoist/relays/server.py
@@ -141,7 +141,7 @@
             return
         started_ms = self._context.clock.now_ms()
         self.relayed_count += 1
-        self.rules.on_begin()
+        self.rules.on_begin(offer)
         result = "abandoned"
         try:
             async with asyncio.timeout(offer.remaining_ms / MS_PER_S):
@@ -151,7 +151,7 @@
             answer.abort()
         finally:
             self.relayed_count -= 1
-            self.rules.on_end()
+            self.rules.on_end(offer)
             self._context.metrics.count(RELAYS_CARRIED, result)
             _log.info(
                 "relay_ended",
--- /dev/null
+++ b/libs/upstreams/src/hemlockhoist/upstreams/tests/test_bounds.py
@@ -0,0 +1,184 @@
+import asyncio
+import contextlib
+import doctest
+import time
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hemlockhoist.base import Clock, DispatchError, InvariantLog
+from hemlockhoist.upstreams import (
+    DispatchRegister,
+    SendGuard,
+    UpstreamCall,
+    UpstreamClient,
+    bounds,
+)
+from hemlockhoist.upstreams.response import MAX_REASON_CHARACTERS
+
+BODY_LIMIT_BYTES = 100_000
+# Pieces of valid and invalid responses, in any order.
+PIECES = st.sampled_from(
+    (
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 102 Processing\r\n\r\n",
+        b"Content-Length: 5\r\n",
+        b"Transfer-Encoding: chunked\r\n",
+        b"\r\n",
+        b"5\r\nhello\r\n",
+        b"0\r\n\r\n",
+        b"X: " + b" " * 9_000,
+        b"x" * 9_000,
+    )
+)
+
+
+class Upstream:
+    """Sends given chunks to each connection, and then repeats the last one or ends."""
+
+    def __init__(self, chunks, is_endless=False, reads=True):
+        self.chunks, self.is_endless, self.reads = chunks, is_endless, reads
+        self.address = ""
+        self.sent_bytes = 0
+        self.connection_lost = asyncio.Event()
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self._server.close()
+        await self._server.wait_closed()
+
+    async def _serve(self, reader, writer):
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            if not self.reads:
+                writer.transport.pause_reading()
+                await asyncio.sleep(0.5)
+                writer.transport.resume_reading()
+                while await reader.read(1 << 20):
+                    pass
+            await reader.readuntil(b"\r\n\r\n")
+            for chunk in self.chunks:
+                await self._send(writer, chunk)
+            while self.is_endless:
+                await self._send(writer, self.chunks[-1])
+        self.connection_lost.set()
+        writer.close()
+
+    async def _send(self, writer, chunk):
+        writer.write(chunk)
+        self.sent_bytes += len(chunk)
+        await writer.drain()
+        await asyncio.sleep(0)
+
+
+async def fetch(address, body=b"", timeout_ms=2_000, headers=()):
+    """Dispatch a request and return the status and body of its response."""
+    client, clock = UpstreamClient(), Clock.from_running_loop()
+    await client.start()
+    guard = SendGuard(
+        clock,
+        clock.now_ms() + 60_000,
+        DispatchRegister(InvariantLog(fatal=True)),
+        "r1",
+    )
+    call = UpstreamCall(
+        address=address,
+        method="POST",
+        path="/x",
+        body=body,
+        headers=headers,
+        request_id="r1",
+        idle_timeout_ms=timeout_ms,
+    )
+    try:
+        async with client.dispatch(call, guard) as response:
+            return response.status, await response.read(BODY_LIMIT_BYTES)
+    finally:
+        await client.close()
+
+
+class GarbageTests(unittest.TestCase):
+    @settings(deadline=None, max_examples=60)
+    @given(
+        st.lists(st.one_of(PIECES, st.binary(max_size=200)), min_size=1, max_size=8),
+        st.booleans(),
+    )
+    def test_garbage_ends_in_a_response_or_a_broken_one(self, chunks, is_endless):
+        """Guards against bytes of an upstream that raise an error nobody expects."""
+
+        async def run():
+            async with Upstream(chunks, is_endless and bool(chunks[-1])) as upstream:
+                try:
+                    async with asyncio.timeout(5):
+                        status, body = await fetch(upstream.address, timeout_ms=300)
+                except DispatchError as error:
+                    # "connection failed", as nothing else, may have a longer reason.
+                    self.assertLessEqual(len(error.message), MAX_REASON_CHARACTERS)
+                else:
+                    self.assertLessEqual(len(body), BODY_LIMIT_BYTES)
+                    self.assertGreaterEqual(status, 100)
+
+        asyncio.run(run())
+
+    def test_examples_run(self):
+        self.assertEqual(doctest.testmod(bounds).failed, 0)
+
+
+class BoundTests(unittest.IsolatedAsyncioTestCase):
+    async def check_broken(self, *chunks, is_endless=True):
+        begin_s = time.monotonic()
+        async with Upstream(chunks, is_endless) as upstream:
+            with self.assertRaises(DispatchError) as caught:
+                await fetch(upstream.address, timeout_ms=20_000)
+            async with asyncio.timeout(1):
+                await upstream.connection_lost.wait()
+        self.assertLess(time.monotonic() - begin_s, 2.5)
+        return caught.exception.message
+
+    async def test_head_is_bounded_in_bytes(self):
+        """Guards against a head that the HTTP library skips without end."""
+        for part in (b"\r\n" * 500, b"HTTP/1.1 102 Processing\r\n\r\n"):
+            with self.subTest(part=part[:30]):
+                message = await self.check_broken(part)
+                self.assertIn("head of more than", message)
+
+    async def test_bytes_between_those_of_a_body_are_bounded(self):
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;"
+        message = await self.check_broken(head, b"x" * 1_000)
+        self.assertIn("outside of its body", message)
+
+    async def test_head_that_has_begun_is_bounded_in_time(self):
+        """Guards against a head that stops half-way until the deadline."""
+
+        class Halting(Upstream):
+            async def _send(self, writer, chunk):
+                await super()._send(writer, chunk)
+                await self.connection_lost.wait()
+
+        begin_s = time.monotonic()
+        async with Halting([b"HTTP/1.1 200 OK\r\nX: "]) as upstream:
+            with self.assertRaises(DispatchError) as caught:
+                await fetch(upstream.address, timeout_ms=4_000)
+            upstream.connection_lost.set()
+        self.assertIn("did not end within 500 ms", caught.exception.message)
+        self.assertLess(time.monotonic() - begin_s, 1.0)
+
+    async def test_request_that_an_upstream_does_not_read_is_dropped(self):
+        """Guards against a body that stays in memory after its request has ended."""
+
+        async def body():
+            for _ in range(40):
+                yield bytes(1_000_000)
+
+        headers = (("Content-Length", "40000000"),)
+        async with Upstream([], reads=False) as upstream:
+            with self.assertRaises(TimeoutError):
+                async with asyncio.timeout(0.2):
+                    await fetch(upstream.address, body(), headers=headers)
+            async with asyncio.timeout(2):
+                await upstream.connection_lost.wait()
