Let stand-in replicas send data without end, and test its bounds

Cause: nothing showed what a host does with an upstream that sends without end. Change: 13 behaviours of the replica: status line, header line, headers, blanks, empty lines, interim responses, a trickled head; a body, a chunk's extension, bytes that are no event, an event, a trickled event; data after a complete answer. The soak draws them like other faults. Behaviours move to their own module. Replicas can send long answers. Ruled out: that a whole answer with data behind it always counts: the HTTP library drops both if they arrive together, and the caller of a booking is told that its outcome is unknown, which is true.

--- a/libs/standins/src/hemlockhoist/standins/published/replica.py
+++ b/libs/standins/src/hemlockhoist/standins/published/replica.py
@@ -2,51 +2,15 @@
 
 import asyncio
 import contextlib
-import enum
-
-import msgspec
 
 from hemlockhoist.base import MS_PER_S
-
-
-class Behaviour(enum.Enum):
-    """How a replica responds to requests."""
-
-    NORMAL = "normal"
-    FAILS = "answers 500"
-    SHEDS = "reports that it did not run the request"
-    MISDIRECTED = "reports that it is another instance"
-    NO_RECEIPT = "answers without a receipt"
-    WRONG_ATTEMPT_ID = "answers with the id of another request"
-    TRUNCATED = "closes before its answer is complete"
-    RESETS = "runs the request and resets the connection"
-    HANGS = "runs the request and never answers"
-    STOPS_MID_EVENT = "closes in the middle of an event"
-    SKIPS_EVENT = "omits an event"
-    STALLS = "sends nothing more after half of its events"
-    EXTRA_RESPONSE = "sends a second answer after the first"
-
-
-class CrashMoment(enum.Enum):
-    """How far a replica gets with the answer that crashes it."""
-
-    BEFORE_HEAD = "before the head of its answer"
-    BEFORE_EVENT = "after the head, before the first event"
-    IN_EVENT = "in the middle of the first event"
-
-
-class ReceivedRequest(msgspec.Struct):
-    """A request as a replica received it."""
-
-    method: str
-    target: str
-    headers: dict[str, str]
-    body: bytes
-    closed: bool = False
-    replica_id: str = ""
-    started_s: float = 0.0
-    # Address of the host that sent it, if the replica can tell.
-    sender: str = ""
+from hemlockhoist.standins.published import endless
+from hemlockhoist.standins.published.behaviours import (
+    ENDLESS_DATA,
+    Behaviour,
+    CrashMoment,
+    ReceivedRequest,
+)
 
 
 class Replica:
@@ -98,6 +62,8 @@
     is_unframed : bool
         Whether its streams have neither a length nor chunks, and end with their
         connection.
+    filler_bytes : int
+        Bytes that are added to each event of its streams, or to a plain body.
     is_silent : bool
         Whether it sends nothing for the time being, although it works.
     sender_of : callable
@@ -126,6 +92,7 @@
         self.on_crash = lambda: None
         self.on_restart = None
         self.is_unframed = False
+        self.filler_bytes = 0
         self.is_silent = False
         self.sender_of = lambda port: ""
         self._running = set()
@@ -155,6 +122,11 @@
         for writer in self._writers:
             writer.transport.abort()
 
+    @property
+    def open_count(self):
+        """Number of open connections."""
+        return len(self._writers)
+
     def _fall_over(self):
         """End on too many requests that were turned away."""
         self.falls.append(asyncio.get_running_loop().time())
@@ -304,6 +276,10 @@
         if self.behaviour is Behaviour.RESETS:
             writer.transport.abort()
             return
+        data = ENDLESS_DATA.get(self.behaviour)
+        if data is not None:
+            await self._send_without_end(data, received, writer)
+            return
         if self.behaviour is Behaviour.FAILS or not self.events:
             await self._send_body(received, writer)
         else:
@@ -336,8 +312,33 @@
             lines += f"Server-Brittle: {self.brittle_at}\r\n"
         return lines
 
+    async def _send_without_end(self, data, received, writer):
+        """Answer with data that goes on until the host closes the connection."""
+        if data.place is endless.Place.HEAD:
+            await data.send(writer)
+        if data.place is endless.Place.AFTER_ANSWER:
+            await self._send_complete(received, writer)
+            await data.send(writer)
+        framing = "Transfer-Encoding: chunked\r\n"
+        if self.is_unframed:
+            framing = "Connection: close\r\n"
+        writer.write(self._head(received, "200 OK", framing))
+        is_body = data is not endless.CHUNK_EXTENSION
+        if data.place is endless.Place.EVENTS and self.events:
+            number = int(received.headers.get("last-event-id", 0)) + 1
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            writer.write(_framed(event, self.is_unframed))
+        await data.send(writer, on_body=is_body and not self.is_unframed)
+
+    async def _send_complete(self, received, writer):
+        if self.events:
+            await self._send_events(received, writer)
+        else:
+            await self._send_body(received, writer)
+
     async def _send_body(self, received, writer):
         body = f"answer of {self.replica_id} to {received.target}".encode()
+        body += b"x" * self.filler_bytes
         failed = self.behaviour is Behaviour.FAILS
         status = "500 Internal Server Error" if failed else "200 OK"
         head = self._head(received, status, f"Content-Length: {len(body)}\r\n")
@@ -365,7 +366,8 @@
             if self.behaviour is Behaviour.STALLS and number > self.events // 2:
                 await self._wait_disconnected(received)
                 return
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            filler = "x" * self.filler_bytes
+            event = f"id: {number}\ndata: piece {number}{filler}\n\n".encode()
             if (
                 self.behaviour is Behaviour.STOPS_MID_EVENT
                 and number == self.events // 2
@@ -383,4 +385,4 @@
 
 def _framed(data, is_unframed):
     """Return a part of a stream as it is sent, as a chunk or as it is."""
-    return data if is_unframed else b"%x\r\n" % len(data) + data + b"\r\n"
+    return data if is_unframed else endless.chunk(data)
--- a/libs/standins/src/hemlockhoist/standins/published/soak/faults.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/faults.py
@@ -3,7 +3,11 @@
 import asyncio
 import signal
 
-from hemlockhoist.standins.published.replica import Behaviour, CrashMoment
+from hemlockhoist.standins.published.behaviours import (
+    FAULTY_BEHAVIOURS,
+    Behaviour,
+    CrashMoment,
+)
 from hemlockhoist.standins.published.soak.callers import now_s
 from hemlockhoist.standins.published.soak.crash_checks import CrashSpan
 from hemlockhoist.standins.published.soak.cut_checks import CutSpan
@@ -18,18 +22,6 @@
 SETTLE_S = 2.0
 # Fraction of the runs in which replicas crash on parts of prompts.
 CRASHING_RUNS = 0.5
-_FAULTY_BEHAVIOURS = (
-    Behaviour.FAILS,
-    Behaviour.SHEDS,
-    Behaviour.WRONG_ATTEMPT_ID,
-    Behaviour.NO_RECEIPT,
-    Behaviour.TRUNCATED,
-    Behaviour.RESETS,
-    Behaviour.HANGS,
-    Behaviour.STOPS_MID_EVENT,
-    Behaviour.SKIPS_EVENT,
-    Behaviour.EXTRA_RESPONSE,
-)
 
 
 class SoakFaults(StoreFaultKinds):
@@ -256,7 +248,7 @@
         """Give a replica a faulty behaviour for a while."""
         begin_s = now_s()
         replica = self._rng.choice(self._run.live_replicas())
-        replica.behaviour = self._rng.choice(_FAULTY_BEHAVIOURS)
+        replica.behaviour = self._rng.choice(FAULTY_BEHAVIOURS)
         await self._sleep_between(0.3, 2.0)
         replica.behaviour = Behaviour.NORMAL
         self._record_disturbance(begin_s)
