Bound the tokens that an engine with declared memory holds

Cause: an engine crashes if its requests exceed its memory; its slots say nothing about the length of their prompts. Ruled out: refusing a request that is longer than the whole memory, as nobody knows that it would crash the engine alone; counting no more what was given up, as an engine works on it for up to 500 ms. Change: the home counts prompt and expected output tokens in flight by upstream and grants one no request that exceeds the declared memory with them, unless nothing is in flight. The bound on prefill and the pace of an answer move out of the tracker's module; a test finds the constant where it is now.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/candidates.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/candidates.py
@@ -157,3 +157,32 @@
 
 
 NO_GAP_BOUND_MS = math.inf
+# Fraction of a declared maximum gap that prefill may take; the rest is for decoding.
+PROMPT_GAP_FRACTION = 0.8
+
+
+def longest_prefill_ms(work, upstreams, max_gaps_ms, now_ms):
+    """Return how long prefill may keep an upstream busy, for its token gaps.
+
+    The bound follows from the shortest maximum gap that a route of the pool declares;
+    without one there is no bound. There is none either for a prompt that no upstream
+    computes within it: engines compute such prompts in chunks, and the bound would send
+    it to an idle slow engine, where it is late.
+
+    Parameters
+    ==========
+    work : RequestWork
+    upstreams : iterable of DeclaredSlotsUpstream
+        Those that may be assigned work.
+    max_gaps_ms : iterable of int
+        By route.
+    now_ms : int
+    """
+    gap_ms = min(max_gaps_ms, default=None)
+    if gap_ms is None:
+        return NO_GAP_BOUND_MS
+    limit_ms = PROMPT_GAP_FRACTION * gap_ms
+    for tracked in upstreams:
+        if tracked.prompts_ms(work) <= limit_ms and tracked.allows_request(now_ms):
+            return limit_ms
+    return NO_GAP_BOUND_MS
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
@@ -1,16 +1,17 @@
 """Tracker of upstreams that declare how many requests they work on at once."""
 
 from hemlockhoist.decisions.scheduling.candidates import (
-    NO_GAP_BOUND_MS,
     CandidateSelector,
     PlacementCandidate,
     cache_saving_ms,
     cost_ms,
+    longest_prefill_ms,
     risk_ms,
 )
 from hemlockhoist.decisions.scheduling.declared_slots_upstream import (
     DeclaredSlotsUpstream,
 )
+from hemlockhoist.decisions.scheduling.engine_memory import EngineMemory
 from hemlockhoist.decisions.scheduling.intake import UpstreamIntake
 from hemlockhoist.decisions.scheduling.pace import PoolPace
 from hemlockhoist.decisions.scheduling.prompt_cache import PromptCache
@@ -18,12 +19,9 @@
 from hemlockhoist.decisions.scheduling.upstream_tracker import UpstreamTracker
 from hemlockhoist.decisions.work import OutcomeKind
 
-US_PER_MS = 1_000
 # A request waits for a better upstream only if its first token is expected there within
 # this fraction of the remaining time, as the waiting time is an estimate.
 IN_TIME_FRACTION = 0.8
-# Fraction of a declared maximum gap that prefill may take; the rest is for decoding.
-PROMPT_GAP_FRACTION = 0.8
 # Number of requests that an upstream turns away in a row before it is suspended.
 MIN_REJECTIONS = 2
 _FAILURES = frozenset({OutcomeKind.FAILED, OutcomeKind.BROKE_OFF, OutcomeKind.TIMEOUT})
@@ -48,13 +46,15 @@
     Parameters
     ==========
     cache_tokens : int, optional
-        Capacity of the prompt cache of one upstream; 0 if that is not declared.
+        Memory of one upstream for the tokens of its requests, and of prompts that it
+        keeps cached; 0 if that is not declared.
     warmup : Warmup, optional
         Limits the requests that cold upstreams get.
     """
 
     __slots__ = (
         "_cache",
+        "_engine_memory",
         "_intake",
         "_max_gaps_ms",
         "_pace",
@@ -68,6 +68,7 @@
     def __init__(self, cache_tokens=0, warmup=None):
         self._intake = UpstreamIntake(warmup)
         self._cache = PromptCache(cache_tokens)
+        self._engine_memory = EngineMemory(cache_tokens)
         self._tracked = {}
         # The tracked upstreams that may be assigned work.
         self._usable = {}
@@ -89,11 +90,11 @@
             tracked = previous.get(item.upstream_id)
             if tracked is None or tracked.started_unix_ms != item.started_unix_ms:
                 tracked = DeclaredSlotsUpstream(item, self._pace)
-                self._cache.forget(item.upstream_id)
+                self._forget_contents(item.upstream_id)
             tracked.limit.slots = item.slot_count
             self._tracked[item.upstream_id] = tracked
         for upstream_id in previous.keys() - self._tracked.keys():
-            self._cache.forget(upstream_id)
+            self._forget_contents(upstream_id)
         self._suspended = {
             key: may_be_new
             for key, may_be_new in self._suspended.items()
@@ -101,6 +102,11 @@
         }
         self._intake.set_listed(upstreams, now_ms)
 
+    def _forget_contents(self, upstream_id):
+        """Forget what an upstream holds that has restarted or is gone."""
+        self._cache.forget(upstream_id)
+        self._engine_memory.forget(upstream_id)
+
     def set_usable(self, upstreams, now_ms):
         """Set the upstreams that may be assigned work."""
         self._usable = {
@@ -183,6 +189,7 @@
     def on_adopt(self, held, now_ms):
         """Record a grant of a previous home."""
         self._intake.warmup.record_grant(held.grant.upstream_id, now_ms)
+        self._record_tokens(held)
 
     def with_free_slot(self, upstreams, in_flight, now_ms):
         """Return those of the given upstreams that may be assigned one more request.
@@ -254,8 +261,12 @@
 
     def choose(self, request, choices, in_flight, now_ms, ahead=0, closed=()):
         """Return the upstream for a request, or None if it should wait."""
+        tokens = request.prompt_tokens + request.output_tokens
+        choices = self._engine_memory.fitting(choices, tokens, in_flight, now_ms)
         work = self._pace.work(request)
-        max_prompts_ms = self._max_prompts_ms(work, now_ms)
+        max_prompts_ms = longest_prefill_ms(
+            work, self._usable.values(), self._max_gaps_ms.values(), now_ms
+        )
         best = self._candidates(
             request, work, choices, in_flight, max_prompts_ms, now_ms
         ).select(work.first_token_by_ms - now_ms)
@@ -336,25 +347,6 @@
         wait_ms = (1 + ahead) / slots_per_ms
         return earliest_ms + wait_ms <= within_ms
 
-    def _max_prompts_ms(self, work, now_ms):
-        """Return how long prefill may keep an upstream busy, for its token gaps.
-
-        The bound follows from the shortest maximum gap that a route of the pool
-        declares; without one there is no bound. There is none either for a prompt that
-        no upstream computes within it: engines compute such prompts in chunks, and the
-        bound would send it to an idle slow engine, where it is late.
-        """
-        gap_ms = min(self._max_gaps_ms.values(), default=None)
-        if gap_ms is None:
-            return NO_GAP_BOUND_MS
-        max_prompts_ms = PROMPT_GAP_FRACTION * gap_ms
-        for tracked in self._usable.values():
-            if tracked.prompts_ms(work) <= max_prompts_ms and tracked.allows_request(
-                now_ms
-            ):
-                return max_prompts_ms
-        return NO_GAP_BOUND_MS
-
     def _failure_counts(self, now_ms):
         """Return the decayed counts of failures and answers of all upstreams."""
         failures = answers = 0.0
@@ -372,6 +364,7 @@
         upstream_id = held.grant.upstream_id
         tracked = self._tracked[upstream_id]
         self._intake.record_grant(upstream_id, now_ms)
+        self._record_tokens(held)
         cached = self._cached_tokens(request).get(upstream_id, 0)
         tracked.on_grant(held, self._pace.work(request), now_ms, cached)
         if len(request.prefix_tokens) == len(request.prefix_hashes):
@@ -379,6 +372,11 @@
                 upstream_id, request.prefix_hashes, request.prefix_tokens
             )
 
+    def _record_tokens(self, held):
+        request, grant = held.request, held.grant
+        tokens = request.prompt_tokens + request.output_tokens
+        self._engine_memory.record_begin(grant.upstream_id, grant.grant_id, tokens)
+
     def on_first_token(self, held, first_token_ms, now_ms):
         """Update the pace from a first token reported before the answer ends."""
         tracked = self._tracked.get(held.grant.upstream_id)
@@ -401,9 +399,13 @@
         if tracked is None:
             return
         tracked.on_prompt_done(held, now_ms)
+        is_abandoned = outcome.kind in _ABANDONED
+        self._engine_memory.record_end(
+            upstream_id, held.grant.grant_id, is_abandoned, now_ms
+        )
         if outcome.kind in _UNSENT:
             self._intake.limits.record_unsent(upstream_id)
-        if outcome.kind in _ABANDONED:
+        if is_abandoned:
             self._intake.brittle.record_abandoned(upstream_id, tracked.hold_ms, now_ms)
         if outcome.kind in _CONNECT_FAILURES:
             tracked.breaker.on_failure(now_ms)
@@ -413,7 +415,7 @@
         elif outcome.kind is OutcomeKind.SUCCESS:
             tracked.on_success(hold_ms, now_ms)
             self._clear_suspended(upstream_id, now_ms)
-            _observe_pace(tracked, outcome)
+            tracked.observe_pace(outcome)
 
     def on_reachable(self, upstream_id, now_ms):
         """Record that an upstream can be reached, though connections to it failed.
@@ -452,6 +454,9 @@
         tracked = self._tracked.get(upstream_id)
         if tracked is not None:
             tracked.on_prompt_done(held, now_ms)
+            self._engine_memory.record_end(
+                upstream_id, held.grant.grant_id, True, now_ms
+            )
             self._intake.brittle.record_abandoned(upstream_id, tracked.hold_ms, now_ms)
 
     def on_tick(self, now_ms):
@@ -462,10 +467,3 @@
         if self.any_limited:
             # Under limits, the count depends on how long requests hold their slots.
             self._slot_count = ((), 0)
-
-
-def _observe_pace(tracked, outcome):
-    if not outcome.output_tokens:
-        tracked.pace.observe_service_call(outcome.total_ms)
-    elif outcome.token_us > 0:
-        tracked.pace.observe_token(outcome.token_us / US_PER_MS)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_bursts.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_bursts.py
@@ -2,7 +2,11 @@
 import unittest
 import unittest.mock
 
-from hemlockhoist.decisions.scheduling import declared_slots_tracker, overtaking_budget
+from hemlockhoist.decisions.scheduling import (
+    candidates,
+    declared_slots_tracker,
+    overtaking_budget,
+)
 from hemlockhoist.decisions.scheduling.client_retries import (
     ClientRetries,
     longest_retry_wait_ms,
@@ -181,5 +185,5 @@
         self.assertLess(assigned["slow"], 0.02 * sum(assigned.values()))
         prompt_ms = 0.0075 * BULLETIN.prompt_tokens * PACES_MS["slow"]
         self.assertGreater(
-            prompt_ms, declared_slots_tracker.PROMPT_GAP_FRACTION * BULLETIN.max_gap_ms
+            prompt_ms, candidates.PROMPT_GAP_FRACTION * BULLETIN.max_gap_ms
         )
