--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/engine_memory.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/engine_memory.py
@@ -20,13 +20,15 @@
     Examples
     ========
     >>> from hemlockhoist.decisions.scheduling.engine_memory import EngineMemory
+    >>> from hemlockhoist.decisions import Upstream
     >>> memory = EngineMemory(1_000)
+    >>> engine = Upstream(upstream_id="u1", pool="p", version="v", address="a")
     >>> memory.record_begin("u1", "g1", 800)
-    >>> memory.fits("u1", 300, in_flight=1, now_ms=0)
-    False
+    >>> len(memory.fitting([engine], 300, in_flight=lambda key: 1, now_ms=0))
+    0
     >>> memory.record_end("u1", "g1", is_abandoned=False, now_ms=0)
-    >>> memory.fits("u1", 300, in_flight=1, now_ms=0)
-    True
+    >>> len(memory.fitting([engine], 300, in_flight=lambda key: 1, now_ms=0))
+    1
     """
 
     __slots__ = ("_abandoned", "_capacity", "_held", "_totals")
@@ -42,6 +44,8 @@
     def fitting(self, upstreams, tokens, in_flight, now_ms):
         """Return the upstreams whose memory holds one more request.
 
+        Hot path: called for each request, mostly while no memory is nearly full.
+
         Parameters
         ==========
         upstreams : list of hemlockhoist.decisions.Upstream
@@ -51,22 +55,18 @@
             Returns the number of grants in flight at an upstream id.
         now_ms : int
         """
-        if not self._capacity or not self._totals:
+        if self._abandoned:
+            self._end_abandoned(now_ms)
+        left_tokens = self._capacity - tokens
+        full = {key for key, total in self._totals.items() if total > left_tokens}
+        if not full:
             return upstreams
         return [
             item
             for item in upstreams
-            if self.fits(item.upstream_id, tokens, in_flight(item.upstream_id), now_ms)
+            if item.upstream_id not in full or not in_flight(item.upstream_id)
         ]
 
-    def fits(self, upstream_id, tokens, in_flight, now_ms):
-        """Return whether an upstream's memory holds one more request."""
-        if self._abandoned:
-            self._end_abandoned(now_ms)
-        if not in_flight or not self._capacity:
-            return True
-        return self._totals.get(upstream_id, 0) + tokens <= self._capacity
-
     def record_begin(self, upstream_id, grant_id, tokens):
         """Record that a request was granted to an upstream."""
         if not self._capacity:
