--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_upstream.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_upstream.py
@@ -2,8 +2,10 @@
 
 from hemlockhoist.decisions.scheduling.limits import DeclaredLimit
 from hemlockhoist.decisions.scheduling.pace import EnginePace, SlowedPace
+from hemlockhoist.decisions.scheduling.present_speeds import sample_factor
 from hemlockhoist.decisions.scheduling.reliability import CircuitBreaker, FailureRate
 
+US_PER_MS = 1_000
 # A request counts as stalled when its first token is overdue by the allowance plus this
 # multiple of the base time to first token.
 STALLED_FACTOR = 3.0
@@ -190,6 +192,28 @@
         self.usual_hold_ms += HOLD_EWMA_WEIGHT * (usual_ms - self.usual_hold_ms)
         self.hold_ms = self.usual_hold_ms * self.slowdown
 
+    def observe_pace(self, outcome, factors):
+        """Add a sample of the usual pace; return the factor by which it was slower.
+
+        Parameters
+        ==========
+        outcome : hemlockhoist.decisions.Outcome
+            Of a complete answer.
+        factors : iterable of float
+            The reported slowdowns during the answer, at least one.
+        """
+        pace = self.usual_pace
+        if not outcome.output_tokens:
+            slowdown = sample_factor(outcome.total_ms, pace.token_ms, factors)
+            pace.observe_service_call(outcome.total_ms / slowdown)
+            return slowdown
+        if outcome.token_us <= 0:
+            return self.slowdown
+        token_ms = outcome.token_us / US_PER_MS
+        slowdown = sample_factor(token_ms, pace.token_ms, factors)
+        pace.observe_token(token_ms / slowdown)
+        return slowdown
+
     def count_stalled(self, now_ms):
         """Count the requests whose first token is long overdue."""
         if not self.pending:
