--- a/libs/upstreams/src/hemlockhoist/upstreams/bounds.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/bounds.py
@@ -80,7 +80,8 @@
     def data_received(self, data):
         """Parse bytes of the upstream, and check the bounds."""
         super().data_received(data)
-        if self.transport is None:
+        if not data or self.transport is None:
+            # The library also calls this to parse on after each read of the body.
             return
         if self._body is None:
             self._check_head(len(data))
