--- a/libs/entry/src/hemlockhoist/entry/__init__.py
+++ b/libs/entry/src/hemlockhoist/entry/__init__.py
@@ -3,7 +3,7 @@
 from hemlockhoist.decisions.entry import DomainOrder, MoveOrder, MoveOrderState
 from hemlockhoist.decisions.scheduling import Experiments
 from hemlockhoist.entry.platform import Platform
-from hemlockhoist.entry.settings import EntrySettings, FleetBounds
+from hemlockhoist.entry.settings import EntrySettings, FleetBounds, MemoryMb
 from hemlockhoist.entry.wire import (
     CallerCall,
     DirectoryQuery,
@@ -22,6 +22,7 @@
     "EntrySettings",
     "Experiments",
     "FleetBounds",
+    "MemoryMb",
     "MoveOrder",
     "MoveOrderState",
     "Platform",
--- a/libs/entry/src/hemlockhoist/entry/settings.py
+++ b/libs/entry/src/hemlockhoist/entry/settings.py
@@ -1,9 +1,14 @@
 """Settings of an entry host, fixed at its start."""
 
+from typing import Annotated
+
 import msgspec
 
 from hemlockhoist.decisions.scheduling import Experiments
 
+# A host's memory limit in MB; 0 for none.
+MemoryMb = Annotated[float, msgspec.Meta(ge=0, lt=1 << 30)]
+
 
 class FleetBounds(msgspec.Struct, frozen=True, kw_only=True):
     """Bounds declared for the whole fleet by the operators of the platform.
