Decide when a slow request gets a second attempt, within a budget

Cause: a few slow responses determine the high quantiles of all. Operators accept extra work against it, within a limit that they set.

--- a/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
@@ -15,6 +15,7 @@
 from hemlockhoist.decisions.entry.evacuation import DomainOrder, EvacuatedDomains
 from hemlockhoist.decisions.entry.freshness import Freshness
 from hemlockhoist.decisions.entry.halted import HaltedOrders
+from hemlockhoist.decisions.entry.hedging import HedgePolicy, HedgeRefusal
 from hemlockhoist.decisions.entry.listing import UpstreamListing
 from hemlockhoist.decisions.entry.locality import nearby_members
 from hemlockhoist.decisions.entry.move_orders import (
@@ -37,6 +38,7 @@
     RelayCause,
     RelayPeers,
 )
+from hemlockhoist.decisions.entry.response_times import ResponseTimes
 from hemlockhoist.decisions.entry.shares import PoolChooser
 from hemlockhoist.decisions.entry.sweep import StaleEntries
 from hemlockhoist.decisions.entry.upstream_links import LostLink, UpstreamLinks
@@ -52,6 +54,8 @@
     "EvacuatedDomains",
     "Freshness",
     "HaltedOrders",
+    "HedgePolicy",
+    "HedgeRefusal",
     "LostLink",
     "MoveOrder",
     "MoveOrderState",
@@ -60,6 +64,7 @@
     "RelayCandidate",
     "RelayCause",
     "RelayPeers",
+    "ResponseTimes",
     "StaleEntries",
     "Step",
     "TableCopy",
