Answer hedges at the home at once, and only from spare capacity

Cause: a second attempt of a slow request must never delay another request.

Ruled out: queueing it at the lowest priority (it would be granted after the first attempt has ended, and must be cancelled with another message); reading the id of the caller's request from the grant's to find the first attempt.

Change: RequestBrief.is_hedge. The home grants a hedge if no request waits and two slots are free, at an upstream that neither has the request nor is suspended, limited or on probation; otherwise it refuses it. It counts as a retry, of which hedges may use half the limit.

--- a/libs/decisions/src/hemlockhoist/decisions/limits/retry_limiter.py
+++ b/libs/decisions/src/hemlockhoist/decisions/limits/retry_limiter.py
@@ -63,8 +63,15 @@
         """Count a first attempt sent by a caller."""
         self._current_bucket(now_ms)[1] += 1
 
-    def acquire(self, now_ms):
-        """Return whether one more retry is allowed, and count it if so."""
+    def acquire(self, now_ms, usable_fraction=1.0):
+        """Return whether one more retry is allowed, and count it if so.
+
+        Parameters
+        ==========
+        now_ms : int
+        usable_fraction : float, optional
+            Fraction of the bound that it may use; the rest is for others.
+        """
         bucket = self._current_bucket(now_ms)
         requests = sum(item[1] for item in self._buckets)
         retries = sum(item[2] for item in self._buckets)
@@ -72,7 +79,7 @@
         bound = USED_FRACTION * self._ratio * requests
         base_share = USED_FRACTION - ASSUMED_FRACTION * unknown
         bound += base_share * (self.share * self._base)
-        if retries + 1 > bound:
+        if retries + 1 > usable_fraction * bound:
             return False
         bucket[2] += 1
         return True
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/assignment.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/assignment.py
@@ -122,6 +122,29 @@
             self._queue.push(waiting, due_ms)
         return decisions
 
+    def assign_hedge(self, waiting, now_ms):
+        """Grant a second attempt a slot that nothing else needs now, or return None.
+
+        It gets neither the last free slot of the pool nor a part of an upstream's
+        advertised limit, and only an upstream that the request has not been sent to.
+        """
+        upstreams, request = self._upstreams, waiting.request
+        if upstreams.recovery.is_active(now_ms):
+            return None
+        free = upstreams.free_upstreams(now_ms)
+        if not upstreams.has_spare_slot(free, now_ms):
+            return None
+        free = [
+            item
+            for item in self._without_limit(free)
+            if item.upstream_id not in request.avoid
+            and not upstreams.tracker.is_probation(item.upstream_id)
+        ]
+        upstream = self._choose_upstream(request, free, 0, now_ms)
+        if upstream is None:
+            return None
+        return self._grant(waiting, upstream, now_ms)
+
     def _eligible(self, waiting, free, changed):
         """Return the free upstreams at which a waiting request is to be tried."""
         if waiting.skipped_round != self._round_number:
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
@@ -124,6 +124,10 @@
             return False
         return not self._tracked[upstream_id].allows_request(now_ms)
 
+    def is_probation(self, upstream_id):
+        """Return whether an upstream gets single requests to find out if it is well."""
+        return upstream_id in self._suspended
+
     def accepts_more(self, upstream_id, now_ms):
         """Return whether an upstream may take a request, apart from free slots."""
         if not self._intake.allows(upstream_id, now_ms):
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -17,7 +17,7 @@
 from hemlockhoist.decisions.scheduling.queue import QueuedRequest, RequestQueue
 from hemlockhoist.decisions.scheduling.shard_upstreams import ShardUpstreams
 from hemlockhoist.decisions.scheduling.shedding import Shedder
-from hemlockhoist.decisions.work import Granted, Outcome, OutcomeKind
+from hemlockhoist.decisions.work import Granted, Outcome, OutcomeKind, Rejected
 
 # A grant is dropped this long after its request's deadline. Where the message that
 # carried its release was lost, the slot would otherwise stay occupied permanently.
@@ -178,7 +178,7 @@
         =======
         list of Granted and Rejected
             None of them is for ``request`` when it is queued. A repeated submit of a
-            granted request returns the same grant.
+            granted request returns the same grant. A hedge is never queued.
         """
         held = self._grants.of_request(request.request_id)
         if held is not None:
@@ -187,6 +187,8 @@
             return []
         if self._grants.has_ended(request.request_id):
             return []
+        if request.is_hedge:
+            return [self._decide_hedge(self._experiments.mask(request), now_ms)]
         decisions = self._admit(self._experiments.mask(request), now_ms)
         return decisions + self._decide(now_ms)
 
@@ -390,6 +392,21 @@
         self._queue.push(waiting, due_ms)
         return decisions
 
+    def _decide_hedge(self, request, now_ms):
+        """Grant a second attempt if capacity is to spare; refuse it otherwise.
+
+        The caller is not told of the refusal, so it counts as none for shedding.
+        """
+        held = self._grants.of_customer(request.customer)
+        granted = None
+        if not len(self._queue) and held < request.max_in_flight:
+            cost_ms = self._estimate.hold_ms(request)
+            waiting = QueuedRequest(request, cost_ms, 0, 0)
+            granted = self._assigner.assign_hedge(waiting, now_ms)
+        if granted is not None:
+            return granted
+        return Rejected(request=request, code=ResultCode.OVERLOADED, retry_after_ms=0)
+
     def _refusal_code(self, request, is_retry, now_ms):
         if not self._upstreams.table.serves(request.regions):
             return ResultCode.NO_UPSTREAM
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
@@ -115,6 +115,16 @@
             return False
         return self.tracker.accepts_more(upstream_id, now_ms)
 
+    def has_spare_slot(self, free, now_ms):
+        """Return whether the given upstreams have more than one free slot together."""
+        spare_count = 0
+        for item in free:
+            slots = self.tracker.slots(item.upstream_id, now_ms)
+            spare_count += slots - self._grants.in_flight(item.upstream_id)
+            if spare_count > 1:
+                return True
+        return False
+
     def slots(self, now_ms):
         """Return the number of slots of all usable upstreams."""
         return self.tracker.count_slots(self.table.usable(), now_ms)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/upstream_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/upstream_tracker.py
@@ -151,6 +151,10 @@
         """Return whether an upstream gets no request now, as others failed there."""
         return False
 
+    def is_probation(self, upstream_id):
+        """Return whether an upstream gets single requests to find out if it is well."""
+        return False
+
     def on_reachable(self, upstream_id, now_ms):
         """Record that an upstream can be reached, though connections to it failed."""
 
--- a/libs/decisions/src/hemlockhoist/decisions/work.py
+++ b/libs/decisions/src/hemlockhoist/decisions/work.py
@@ -59,6 +59,9 @@
         Regions in which the upstream must be; empty for any region.
     parts : tuple of int
         Hashes of the parts of its prompt that other requests may share.
+    is_hedge : bool
+        Whether an earlier attempt is still in progress: it is granted at once or
+        refused, never queued.
     """
 
     request_id: str
@@ -84,6 +87,7 @@
     prefix_tokens: tuple[int, ...] = ()
     regions: tuple[str, ...] = ()
     parts: tuple[int, ...] = ()
+    is_hedge: bool = False
 
 
 class UpstreamState(enum.Enum):
--- a/libs/entry/src/hemlockhoist/entry/gate.py
+++ b/libs/entry/src/hemlockhoist/entry/gate.py
@@ -12,6 +12,9 @@
 # Retry-After of a refused retry: the caller may retry itself once the failed upstream
 # has had time to recover or to be avoided.
 RETRY_AFTER_MS = 300
+# Fraction of the limit on retries that hedges may use. The rest is for requests that
+# have failed and have no attempt in progress.
+HEDGE_RETRY_FRACTION = 0.5
 
 
 class QuotaGate(AllowAllGate):
@@ -54,7 +57,8 @@
         """Return the ``GateRefusal`` of a request, or None."""
         limiter = self._retry_limiter(pool)
         if request.attempt > 1:
-            if limiter.acquire(now_ms):
+            fraction = HEDGE_RETRY_FRACTION if request.is_hedge else 1.0
+            if limiter.acquire(now_ms, fraction):
                 return None
             reason = f"retry {request.attempt} of {pool}"
             return GateRefusal(ResultCode.RETRIES_EXHAUSTED, RETRY_AFTER_MS, reason)
--- a/libs/entry/src/hemlockhoist/entry/tests/test_gate.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_gate.py
@@ -64,6 +64,15 @@
         self.assertEqual(len(refused), 60 - allowed)
         self.assertIs(refused[0], ResultCode.RETRIES_EXHAUSTED)
 
+    def test_hedges_leave_retries_for_requests_that_failed(self):
+        """Guards against failed requests that get no retry because of slow ones."""
+        self.assertEqual(self.refusal_codes(100), [])
+        hedges = self.refusal_codes(60, attempt=2, is_new=False, is_hedge=True)
+        retries = self.refusal_codes(60, attempt=2, is_new=False)
+        allowed = int(retry_limiter.USED_FRACTION * 22)
+        self.assertEqual(60 - len(hedges), allowed // 2)
+        self.assertEqual(60 - len(retries), allowed - allowed // 2)
+
     def test_retry_that_was_not_sent_is_refunded(self):
         """Guards against retries that are refused as others were queued and not sent.
 
--- a/libs/host/src/hemlockhoist/host/grants.py
+++ b/libs/host/src/hemlockhoist/host/grants.py
@@ -64,6 +64,7 @@
         "home_hint",
         "inbox",
         "is_alone",
+        "is_hedge",
         "last_reply_ms",
         "next_request_ms",
         "pool",
@@ -73,9 +74,10 @@
         "unanswered",
     )
 
-    def __init__(self, pool, request_id):
+    def __init__(self, pool, brief):
         self.pool = pool
-        self.request_id = request_id
+        self.request_id = brief.request_id
+        self.is_hedge = brief.is_hedge
         self.queried_home = ""
         self.home_hint = ""
         self.unanswered = 0
@@ -211,7 +213,7 @@
             Nothing was sent to an upstream.
         """
         now_ms = self._clock.now_ms()
-        waiter = _Waiter(pool, brief(now_ms).request_id)
+        waiter = _Waiter(pool, brief(now_ms))
         self._waiters[waiter.request_id] = waiter
         home = ""
         granted = False
@@ -290,6 +292,9 @@
             # A grant that expired in transit has been released; request another one.
             waiter.next_request_ms = now_ms
             return hold
+        if isinstance(message, GrantQueued) and waiter.is_hedge:
+            # A home of an earlier release queues it like any other request.
+            raise Refused("queued", ResultCode.OVERLOADED, RETRY_AFTER_MS)
         if isinstance(message, GrantQueued):
             # The next request only checks that the home still has it queued. If it were
             # sent at once, requests and replies would loop as fast as messages travel.
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -218,7 +218,7 @@
             self._metrics.count(CALLERS_RETRIED, self.pool)
         request_id = request.request_id
         is_decided = any(item.request.request_id == request_id for item in decisions)
-        if not self.scheduler.is_granted(request_id):
+        if not request.is_hedge and not self.scheduler.is_granted(request_id):
             self._signals.count_held_back(request)
         if not is_decided:
             self._queued[request.request_id] = QueueEntry(request, now_ms)
--- a/libs/messages/src/hemlockhoist/messages/grants.py
+++ b/libs/messages/src/hemlockhoist/messages/grants.py
@@ -56,6 +56,9 @@
     parts : tuple of int
         Hashes of the parts of its prompt that other requests may share, by which those
         that crash upstreams are recognised.
+    is_hedge : bool
+        Whether an earlier attempt is still in progress. The home answers with a grant
+        or a refusal at once.
     """
 
     request_id: str
@@ -81,6 +84,7 @@
     prefix_tokens: tuple[int, ...] = ()
     regions: tuple[str, ...] = ()
     parts: tuple[int, ...] = ()
+    is_hedge: bool = False
 
 
 class GrantRequest(
