--- a/libs/entry/src/hemlockhoist/entry/settings.py
+++ b/libs/entry/src/hemlockhoist/entry/settings.py
@@ -82,6 +82,10 @@
         is not configured.
     experiments : Experiments
         Scheduling mechanisms that are disabled; for measurements only.
+    hedge_permille : int
+        Second attempts of slow requests per thousand requests; 0 for none.
+    hedge_excluded_routes : tuple of str
+        Names of routes whose requests get no second attempt while the first runs.
     """
 
     name: str
@@ -102,3 +106,5 @@
     max_descriptors: int = 0
     processor_millicores: int = 0
     experiments: Experiments = msgspec.field(default_factory=Experiments)
+    hedge_permille: int = 0
+    hedge_excluded_routes: tuple[str, ...] = ()
