Hedge slow repeatable requests at the entry host

Cause: a request whose upstream is slow for a moment waits for it, though others are free; with 2 in 100 responses 20 times slower, p99 is 20 times p50.

Ruled out: a task for every first attempt (a cost for each request; now a request costs a timer, and only a slow one a task); closing the first connection as soon as the hedge is sent; counting a loser as a failure or as a success.

Change: Hedge races an attempt against a second one. Whichever first has a usable response claims the caller, and the other is cancelled in the same step of the event loop, before anything is written. The loser is released as cancelled, which changes neither pace nor failures of its upstream. Whether a request may have run is kept for each grant, as attempts may overlap: a first attempt that did not run must not hide a hedge that did. Beginning and ending attempts moves from exchange.py to request_attempts.py, continuing silent streams to replacement.py.

--- a/libs/base/src/hemlockhoist/base/metrics_table.py
+++ b/libs/base/src/hemlockhoist/base/metrics_table.py
@@ -86,6 +86,32 @@
     "Sends to upstreams by what came of them.",
     "For failures of one upstream, search the attempt_ended log lines for its id.",
 )
+HEDGES_SENT = Metric(
+    "hedges.sent",
+    _C,
+    "pool",
+    "Hedges: second attempts that were granted while the first one was slow.",
+    "Compare with requests.arrived and HEMLOCKHOIST_HEDGE_PERMILLE.",
+)
+HEDGES_ENDED = Metric(
+    "hedges.ended",
+    _C,
+    "result",
+    "Hedges by their result: they answered first (won), the first attempt did or the "
+    "caller left (lost), or they failed.",
+    "If few are won, exclude the routes whose answers vary by nature, or turn hedges "
+    "off.",
+)
+HEDGES_REFUSED = Metric(
+    "hedges.refused",
+    _C,
+    "cause",
+    "Slow requests without a hedge: the budget is spent (budget), the pool's home has "
+    "no capacity to spare (home) or had none shortly before (paused), or too little "
+    "time is left (too_late).",
+    "Continuous refusals by the home show a pool without free slots, where hedges do "
+    "not help.",
+)
 STREAMS_CUT = Metric(
     "streams.cut",
     _C,
--- a/libs/entry/src/hemlockhoist/entry/attempt_sender.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt_sender.py
@@ -36,8 +36,6 @@
     Attributes
     ==========
     signals : SignalRecorder
-    may_have_run : bool
-        Whether any attempt so far may have run the request.
     unsent_error : Refused
         Why the latest attempt was not sent; None if none was.
     """
@@ -49,7 +47,7 @@
         "_context",
         "_last_event_id",
         "_request_id",
-        "may_have_run",
+        "_sent_grants",
         "signals",
         "unsent_error",
     )
@@ -62,9 +60,18 @@
         self._request_id = request_id
         self._last_event_id = last_event_id
         self.signals = SignalRecorder(context)
-        self.may_have_run = False
+        # The grants under which the request may have run.
+        self._sent_grants = set()
         self.unsent_error = None
 
+    @property
+    def may_have_run(self):
+        """Whether any attempt so far may have run the request.
+
+        Attempts may overlap: one that did not run says nothing about another.
+        """
+        return bool(self._sent_grants)
+
     def new_attempt(self, hold, waited_ms, number):
         """Return an attempt under a grant, in which nothing has been sent yet.
 
@@ -101,12 +108,12 @@
         DispatchError
             The request may have run.
         """
-        attempt, may_have_run = opened.attempt, self.may_have_run
+        attempt = opened.attempt
         call = self.upstream_call(attempt)
         await opened.open(self._context.upstreams.dispatch(call, attempt.guard))
         opened.end = self._read_head(opened)
         if opened.end is AttemptEnd.NOT_RUN:
-            self.may_have_run = may_have_run
+            self._sent_grants.discard(attempt.hold.grant_id)
             if attempt.is_misdirected:
                 opened.end = AttemptEnd.NOT_SENT
 
@@ -216,4 +223,4 @@
             self._admitted.route.is_repeatable or not self.may_have_run,
             f"{self._request_id} is sent again although it may have run",
         )
-        self.may_have_run = True
+        self._sent_grants.add(hold.grant_id)
--- a/libs/entry/src/hemlockhoist/entry/context.py
+++ b/libs/entry/src/hemlockhoist/entry/context.py
@@ -23,6 +23,8 @@
     store_view : StoreView
         The routes and upstreams, and the age of their proof.
     gate : QuotaGate
+    hedging : HedgePolicy
+        The second attempts of this host's slow requests.
     homes : HomeService
     grants : GrantClient
     moves : OrderedMoveService
@@ -55,6 +57,7 @@
         "fleet",
         "gate",
         "grants",
+        "hedging",
         "homes",
         "identity",
         "invariants",
--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -1,7 +1,6 @@
 """Execution of one admitted request: grants, attempts and the final response."""
 
 import asyncio
-import functools
 
 from hemlockhoist.base import (
     MS_PER_S,
@@ -12,25 +11,19 @@
     get_logger,
 )
 from hemlockhoist.base.metrics_table import STREAMS_CUT
-from hemlockhoist.base.traces import Hop
-from hemlockhoist.decisions import OutcomeKind
 from hemlockhoist.decisions.entry import AttemptEnd, CutCause, Step, next_step
 from hemlockhoist.declarations import CallKind
-from hemlockhoist.entry.attempt_records import (
-    count_attempt,
-    count_success,
-    log_attempt,
-)
+from hemlockhoist.entry.attempt_records import count_success
 from hemlockhoist.entry.attempt_sender import AttemptSender
+from hemlockhoist.entry.hedge import Hedge
+from hemlockhoist.entry.replacement import StreamReplacement
+from hemlockhoist.entry.request_attempts import RequestAttempts
 from hemlockhoist.entry.request_grants import RequestGrants
-from hemlockhoist.entry.responses import upstream_response
+from hemlockhoist.entry.responses import MAX_RESPONSE_BYTES, upstream_response
 from hemlockhoist.entry.stream import StreamRelay
 
 _log = get_logger("entry.exchange")
 
-# Full responses are buffered before anything is sent to the caller, so that a failed
-# attempt never leaves the caller with part of a response that cannot be restarted.
-MAX_RESPONSE_BYTES = 8_388_608
 _OK = 200
 _SERVER_ERROR = 500
 # Retry-After of requests that are refused as no upstream responded.
@@ -54,27 +47,16 @@
         "_admitted",
         "_attempts",
         "_context",
-        "_cut_cause",
-        "_failed_response",
         "_grants",
-        "_reason",
+        "_hedge",
         "_relay",
         "_replacement",
         "_sender",
-        "_sent_count",
-        "_unsent_count",
     )
 
     def __init__(self, context, request, admitted, body, admission):
         self._context = context
         self._admitted = admitted
-        self._attempts = 0
-        self._sent_count = 0
-        self._unsent_count = 0
-        self._failed_response = None
-        self._reason = ""
-        # Why a started stream would be cut if no other upstream can continue it.
-        self._cut_cause = CutCause.REFUSED
         self._grants = RequestGrants(context, admitted, self._waits_until_ms)
         self._sender = AttemptSender(
             context,
@@ -84,8 +66,10 @@
             self.request_id,
             self._last_event_id,
         )
-        # An attempt whose upstream continues the stream of a silent one.
-        self._replacement = None
+        parts = (context, admitted, self._sender, self._grants)
+        self._attempts = RequestAttempts(*parts)
+        self._replacement = StreamReplacement(*parts, self._attempts)
+        self._hedge = Hedge(*parts, self._attempts, self._waits_until_ms)
         self._relay = None
         if admitted.route.kind is CallKind.STREAM:
             self._relay = StreamRelay(
@@ -120,8 +104,8 @@
             # upstream, and the refusal would be written into the started response.
             return self._abort_stream(CutCause.REFUSED, error.message)
         finally:
-            if self._replacement is not None:
-                await self._discard(self._replacement)
+            await self._hedge.close()
+            await self._replacement.close()
 
     async def _run_attempts(self):
         while True:
@@ -132,12 +116,14 @@
             response, end = await self._attempt(opened)
             if response is not None:
                 return response
+            if self._hedge.is_pending and await self._hedge.finish():
+                continue
             step = next_step(
                 end,
                 self._admitted.route,
                 self._sender.may_have_run,
-                self._sent_count,
-                self._unsent_count,
+                self._attempts.sent_count,
+                self._attempts.unsent_count,
             )
             if step is not Step.TRY_ANOTHER:
                 return self._final_result(step, end)
@@ -161,159 +147,39 @@
             return self._admitted.call.last_event_id
         return self._relay.last_event_id
 
-    # Continuing the stream of a silent upstream.
-
     async def _find_replacement(self):
         """Have another upstream continue the current stream; return success."""
-        step = next_step(
-            AttemptEnd.TIMED_OUT,
-            self._admitted.route,
-            self._sender.may_have_run,
-            self._sent_count + 1,
-            self._unsent_count,
-        )
-        if step is not Step.TRY_ANOTHER or self._context.grants.is_refusing:
+        if self._hedge.is_pending:
             return False
-        try:
-            hold, waited_ms = await self._grants.acquire()
-        except Refused as error:
-            self._log_kept(error.message)
-            return False
-        self._attempts += 1
-        opened = self._sender.new_attempt(hold, waited_ms, self._attempts)
-        if await self._open_replacement(opened):
-            self._replacement = opened
-            return True
-        self._log_kept(opened.attempt.reason)
-        return False
-
-    async def _open_replacement(self, opened):
-        """Send to another upstream; return whether it has begun to answer.
-
-        The silent upstream is read meanwhile, so that its stream goes on if it is the
-        first to send something, or if the other one fails.
-        """
-        attempt, has_begun = opened.attempt, False
-        try:
-            with self._span(attempt), self._sender.failure_recorded(opened):
-                await self._open_in_time(opened)
-            has_begun = opened.end is None
-        except Refused as error:
-            attempt.reason = error.message
-            opened.end = AttemptEnd.NOT_SENT
-        finally:
-            if not has_begun:
-                await self._discard(opened)
-        return has_begun
-
-    async def _discard(self, opened):
-        """Close an attempt that was to continue a stream, and is of no use."""
-        await opened.close()
-        if opened.end is not None:
-            opened.attempt.record_end(opened.end)
-            self._record_failure(opened.attempt, opened.end)
-        self._end_attempt(opened.attempt)
-
-    async def _open_in_time(self, opened):
-        limit_ms = self._relay.first_data_limit_ms
-        try:
-            async with asyncio.timeout(limit_ms / MS_PER_S):
-                await self._sender.open(opened)
-                if opened.end is None and opened.head.status != _OK:
-                    opened.attempt.reason = f"status {opened.head.status}"
-                    opened.end = AttemptEnd.FAILED_ANSWER
-                if opened.end is None:
-                    await opened.response.wait_for_data()
-        except TimeoutError as error:
-            text = "the upstream sent no data within the stall limit"
-            raise DispatchError(text, ResultCode.UPSTREAM_TIMEOUT) from error
-
-    def _log_kept(self, reason):
-        _log.info(
-            "stream_kept",
-            request=self.request_id,
-            upstream=self._grants.current.hold.upstream_id,
-            silent_ms=self._relay.silent_ms(),
-            reason=reason,
-        )
+        self._hedge.forbid()
+        return await self._replacement.find(self._relay)
 
     # One attempt.
 
     async def _next_attempt(self):
-        if self._replacement is not None:
-            opened, self._replacement = self._replacement, None
-            return opened
-        self._attempts += 1
-        hold, waited_ms = await self._grants.acquire()
-        return self._sender.new_attempt(hold, waited_ms, self._attempts)
+        opened = self._hedge.take() or self._replacement.take()
+        return opened or await self._attempts.begin()
 
     async def _attempt(self, opened):
-        """Run one attempt; return ``(response, None)`` or ``(None, AttemptEnd)``."""
+        """Run one attempt; return ``(response, None)`` or ``(None, AttemptEnd)``.
+
+        Both are None if the hedge has overtaken it.
+        """
         attempt = opened.attempt
         self._grants.on_attempt_started(attempt)
         try:
-            with self._span(attempt):
-                response = await self._send(opened)
+            with self._attempts.span(attempt):
+                response = await self._hedge.race(opened, self._send)
+            if opened.is_overtaken:
+                return None, None
             attempt.record_end(opened.end)
             if opened.end is None:
                 now_ms = self._context.clock.now_ms()
                 count_success(self._context.metrics, self._admitted, attempt, now_ms)
-            self._record_failure(attempt, opened.end)
+            self._attempts.record_failure(attempt, opened.end)
             return response, opened.end
         finally:
-            self._end_attempt(attempt)
-
-    def _span(self, attempt):
-        return self._context.traces.span(
-            Hop.UPSTREAM, upstream=attempt.hold.upstream_id
-        )
-
-    def _end_attempt(self, attempt):
-        self._grants.on_attempt_ended(attempt)
-        self._record_dispatch(attempt)
-        if self._is_past_deadline and attempt.kind is OutcomeKind.CANCELLED:
-            attempt.kind = OutcomeKind.TIMEOUT
-        self._release(attempt)
-
-    def _release(self, attempt):
-        """Report the outcome of an attempt, once it is known whose fault it was."""
-        attempt.ended_ms = self._context.clock.now_ms()
-        paths, hold = self._context.upstreams, attempt.hold
-        if attempt.kind is OutcomeKind.TIMEOUT:
-            attempt.is_link_at_fault = paths.links.is_lost(hold.pool, hold.upstream_id)
-        if attempt.kind is OutcomeKind.BROKE_OFF:
-            call = self._sender.upstream_call(attempt)
-            report = functools.partial(self._report, attempt)
-            paths.check_link(call, report, bool(attempt.guard.relay))
-            return
-        self._report(attempt, attempt.is_link_at_fault)
-
-    def _report(self, attempt, is_link_at_fault, is_upstream_lost=False):
-        attempt.is_link_at_fault = is_link_at_fault
-        attempt.is_upstream_lost = is_upstream_lost
-        outcome = attempt.outcome()
-        signals = attempt.unreported_signals
-        self._context.grants.release(attempt.hold, outcome, signals)
-        count_attempt(self._context.metrics, attempt, outcome)
-        log_attempt(self.request_id, attempt, outcome, self._admitted.call.block_names)
-
-    def _record_failure(self, attempt, end):
-        """Record why an attempt failed; avoid its upstream while there are others."""
-        self._reason = attempt.reason
-        if end is None:
-            return
-        self._cut_cause = CutCause.after(end)
-        is_reached = attempt.is_reachable and not (
-            attempt.grant_outdated or attempt.is_link_at_fault
-        )
-        if end is not AttemptEnd.NOT_SENT or not is_reached:
-            self._grants.avoid(attempt.hold.upstream_id)
-
-    def _record_dispatch(self, attempt):
-        if attempt.is_misdirected or not attempt.guard.dispatched:
-            self._unsent_count += 1
-        else:
-            self._sent_count += 1
+            self._attempts.end(attempt)
 
     async def _send(self, opened):
         """Return the response for the caller, or None if the attempt failed."""
@@ -332,24 +198,25 @@
 
     async def _read_full_response(self, opened):
         attempt, head = opened.attempt, opened.head
-        body = await opened.response.read(MAX_RESPONSE_BYTES)
+        body = opened.body
+        if body is None:
+            body = await opened.response.read(MAX_RESPONSE_BYTES)
         attempt.first_ms = self._context.clock.now_ms()
         if self._relay is not None and self._relay.started:
             opened.end = AttemptEnd.FAILED_ANSWER
             return None
-        caller_response = upstream_response(head, body)
-        if head.status < _SERVER_ERROR:
-            return caller_response
-        self._failed_response = caller_response
-        attempt.reason = f"the upstream answered with status {head.status}"
-        opened.end = AttemptEnd.FAILED_ANSWER
-        return None
+        if head.status >= _SERVER_ERROR:
+            self._attempts.record_failed_answer(opened, body)
+            return None
+        self._hedge.claim(opened)
+        return upstream_response(head, body)
 
     async def _relay_stream(self, opened):
         attempt = opened.attempt
         grants = self._context.grants
 
         def on_first():
+            self._hedge.claim(opened)
             attempt.first_ms = self._context.clock.now_ms()
             first_ms = attempt.first_ms - attempt.guard.dispatched_ms
             grants.report_first_token(
@@ -376,20 +243,22 @@
 
     def _end_without_grant(self, error):
         """Return or raise the final result when no further grant is issued."""
-        if self._failed_response is not None and not self.response_started:
-            return self._failed_response
+        if self._attempts.failed_response is not None and not self.response_started:
+            return self._attempts.failed_response
         if self.response_started:
             reason = f"no further grant: {error.message}"
-            return self._abort_stream(self._cut_cause, reason)
+            return self._abort_stream(self._attempts.cut_cause, reason)
         if self._sender.may_have_run:
             raise DispatchError(error.message, ResultCode.OUTCOME_UNKNOWN)
         raise error
 
     def _final_result(self, step, end):
         if self.response_started:
-            return self._abort_stream(self._cut_cause, self._reason or end.value)
-        if step is Step.ANSWER and self._failed_response is not None:
-            return self._failed_response
+            return self._abort_stream(
+                self._attempts.cut_cause, self._attempts.reason or end.value
+            )
+        if step is Step.ANSWER and self._attempts.failed_response is not None:
+            return self._attempts.failed_response
         if step is Step.REFUSE:
             code, retry_after_ms = ResultCode.CONNECT_FAILED, RETRY_AFTER_MS
             error = self._sender.unsent_error
@@ -397,11 +266,11 @@
                 code, retry_after_ms = error.code, error.retry_after_ms or 0
             back_off_ms = self._sender.signals.back_off_wait_ms(self._admitted.pool)
             retry_after_ms = max(RETRY_AFTER_MS, retry_after_ms, back_off_ms)
-            raise Refused(self._reason or end.value, code, retry_after_ms)
+            raise Refused(self._attempts.reason or end.value, code, retry_after_ms)
         code = ResultCode.OUTCOME_UNKNOWN
         if end is AttemptEnd.TIMED_OUT:
             code = ResultCode.UPSTREAM_TIMEOUT
-        raise DispatchError(self._reason or end.value, code)
+        raise DispatchError(self._attempts.reason or end.value, code)
 
     def _deadline_result(self):
         if self.response_started:
@@ -421,11 +290,6 @@
         )
         return self._relay.abort()
 
-    @property
-    def _is_past_deadline(self):
-        """Whether the deadline of the request has passed."""
-        return self._context.clock.now_ms() >= self._admitted.deadline_ms
-
     @property
     def request_id(self):
         """The caller's id of the request, or one of this host."""
@@ -434,7 +298,7 @@
     @property
     def attempts(self):
         """Number of attempts begun so far."""
-        return self._attempts
+        return self._attempts.count
 
     @property
     def may_have_run(self):
--- a/libs/entry/src/hemlockhoist/entry/opened_attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/opened_attempt.py
@@ -19,9 +19,21 @@
         None likewise.
     end : AttemptEnd
         How the attempt ended without a usable answer; None if it has not.
+    body : bytes
+        The whole body of the response; None as long as it has not been read.
+    is_overtaken : bool
+        Whether it was cancelled because another attempt had a usable response first.
     """
 
-    __slots__ = ("_stack", "attempt", "end", "head", "response")
+    __slots__ = (
+        "_stack",
+        "attempt",
+        "body",
+        "end",
+        "head",
+        "is_overtaken",
+        "response",
+    )
 
     def __init__(self, attempt):
         self._stack = contextlib.AsyncExitStack()
@@ -29,6 +41,8 @@
         self.end = None
         self.head = None
         self.response = None
+        self.body = None
+        self.is_overtaken = False
 
     async def open(self, dispatch):
         """Send the request and wait for the head of its response.
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -27,7 +27,7 @@
     STORE_FAILURES,
 )
 from hemlockhoist.base.traces import Traces
-from hemlockhoist.decisions.entry import AdvertisedLimits, BackOffs
+from hemlockhoist.decisions.entry import AdvertisedLimits, BackOffs, HedgePolicy
 from hemlockhoist.decisions.limits import UsageLog, partition_share
 from hemlockhoist.decisions.scheduling import ColdStartLimit, Warmup
 from hemlockhoist.declarations import Declarations, Pool, PoolKind, VersionRules
@@ -232,6 +232,9 @@
         context.advertised_limits = AdvertisedLimits()
         context.brittle_limits = AdvertisedLimits()
         context.back_offs = BackOffs()
+        context.hedging = HedgePolicy(
+            self.settings.hedge_permille, self.settings.hedge_excluded_routes
+        )
         context.gate = QuotaGate(self.settings.bounds)
         context.quarantine = QuarantineService(
             context.clock,
--- a/libs/entry/src/hemlockhoist/entry/request_grants.py
+++ b/libs/entry/src/hemlockhoist/entry/request_grants.py
@@ -57,9 +57,15 @@
         self.current = None
         self.request_id = admitted.call.request_id or f"r{self._number}"
 
-    async def acquire(self):
+    async def acquire(self, is_hedge=False):
         """Return the grant of the next attempt, and the time spent waiting for it.
 
+        Parameters
+        ==========
+        is_hedge : bool, optional
+            Whether the attempt in progress goes on, so that the home should refuse this
+            one unless it has capacity to spare.
+
         Returns
         =======
         (GrantHold, int)
@@ -72,9 +78,10 @@
         admitted, clock = self._admitted, self._context.clock
         self._request_count += 1
         requested_ms = clock.now_ms()
+        brief = self._hedge_brief if is_hedge else self._brief
         with self._context.traces.span(Hop.GRANT, pool=admitted.pool):
             hold = await self._context.grants.acquire(
-                admitted.pool, self._brief, admitted.deadline_ms
+                admitted.pool, brief, admitted.deadline_ms
             )
         waited_ms = clock.now_ms() - requested_ms
         self._context.metrics.time(QUEUE_WAIT_MS, waited_ms, admitted.tier)
@@ -95,10 +102,17 @@
         self._avoided_upstreams.append(upstream_id)
 
     def _brief(self, now_ms):
+        return self._new_brief(now_ms, False)
+
+    def _hedge_brief(self, now_ms):
+        return self._new_brief(now_ms, True)
+
+    def _new_brief(self, now_ms, is_hedge):
         admitted = self._admitted
         dispatch_count, avoid = self._dispatch_count, tuple(self._avoided_upstreams)
         if self.current is not None:
-            dispatch_count += self.current.guard.dispatched
+            # An attempt that has waited long for its connection may still be sent.
+            dispatch_count += is_hedge or self.current.guard.dispatched
             avoid += (self.current.hold.upstream_id,)
         avoid += self._unreachable_upstreams()
         return RequestBrief(
@@ -126,6 +140,7 @@
             prefix_tokens=admitted.prefix_tokens,
             regions=admitted.regions,
             parts=admitted.parts,
+            is_hedge=is_hedge,
         )
 
     def _unreachable_upstreams(self):
--- a/libs/entry/src/hemlockhoist/entry/responses.py
+++ b/libs/entry/src/hemlockhoist/entry/responses.py
@@ -5,6 +5,9 @@
 from hemlockhoist.base import Ran
 
 CODE_HEADER = "X-Result-Code"
+# Full responses are buffered before anything is sent to the caller, so that a failed
+# attempt never leaves the caller with part of a response that cannot be restarted.
+MAX_RESPONSE_BYTES = 8_388_608
 _NOT_RUN_STATUS = 503
 # Callers conclude from these statuses that the request did not run.
 _NOT_RUN_STATUSES = frozenset({429, 503})
--- a/libs/standins/src/hemlockhoist/standins/published/replica.py
+++ b/libs/standins/src/hemlockhoist/standins/published/replica.py
@@ -246,9 +246,9 @@
         task = asyncio.current_task()
         self._running.add(task)
         try:
-            await asyncio.sleep(self.delay_ms / MS_PER_S)
             watcher = asyncio.create_task(self._detect_disconnect(reader, received))
             try:
+                await asyncio.sleep(self.delay_ms / MS_PER_S)
                 await self._respond(received, writer)
             finally:
                 watcher.cancel()
