Run every second seed of the published soak with hedges

Cause: faults overlap in ways that no single test covers, and a hedge adds a second attempt to each of them.

Change: even seeds run with 100 hedges per thousand requests. Repeatable requests may run twice, as before; that no other request is hedged, and none twice, is checked by the hosts' logs. A short test with one host and slow, silent and faulty replicas needs some hedges.

--- a/libs/standins/src/hemlockhoist/standins/published/soak/checks.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/checks.py
@@ -13,6 +13,7 @@
 )
 from hemlockhoist.standins.published.soak.cut_checks import find_cut_violations
 from hemlockhoist.standins.published.soak.fall_checks import find_fall_violations
+from hemlockhoist.standins.published.soak.hedge_checks import find_hedge_violations
 from hemlockhoist.standins.published.soak.history_checks import (
     find_history_violations,
 )
@@ -153,6 +154,17 @@
         self.violations += find_fall_violations(spans)
         self.check_counts["times of brittle replicas"] += len(spans)
 
+    def check_hedges(self, lines):
+        """Check that only repeatable requests were hedged, each once at most.
+
+        Parameters
+        ==========
+        lines : list of str
+            The log lines of hedges that were sent.
+        """
+        self.violations += find_hedge_violations(self._calls, lines)
+        self.check_counts["hedges"] += len(lines)
+
     def check_declarations(self, declared, store_spans, outages, hosts):
         """Check that each version was in force in time, and no older one afterwards.
 
--- a/libs/standins/src/hemlockhoist/standins/published/soak/hosts.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/hosts.py
@@ -9,9 +9,11 @@
 import sys
 
 from hemlockhoist.base import MS_PER_S
+from hemlockhoist.entry.hedge_settings import PERMILLE_VARIABLE
 
 START_TIMEOUT_S = 20.0
 STOP_MS = 5_000
+HEDGING = {PERMILLE_VARIABLE: "100"}
 _SETTINGS = """\
 node_name = "{name}"
 ip = "{ip}"
@@ -43,9 +45,12 @@
         Folder for its settings and its log.
     bounds : dict
         ``revocation_ms`` and ``drain_ms``.
+    is_hedging : bool, optional
+        Whether it hedges slow requests.
     """
 
-    def __init__(self, number, store_address, folder, bounds):
+    def __init__(self, number, store_address, folder, bounds, is_hedging=False):
+        self._variables = HEDGING if is_hedging else {}
         self.name = f"h{number}"
         self.ip = f"127.0.7.{number + 1}"
         self.failure_domain = f"z{number % 2}"
@@ -73,6 +78,24 @@
         )
         self._settings_path.write_text(text)
 
+    async def is_ready(self):
+        """Return whether its readiness check says that it serves requests."""
+        ip, _, port = self.ready_address.rpartition(":")
+        try:
+            async with asyncio.timeout(0.5):
+                reader, writer = await asyncio.open_connection(ip, int(port))
+                writer.write(b"GET /v1/readyz HTTP/1.0\r\n\r\n")
+                line = await reader.readline()
+                writer.close()
+        except (OSError, TimeoutError):
+            return False
+        return b" 200 " in line
+
+    def log_lines(self, *texts):
+        """Return the lines of its log that contain any of the texts."""
+        lines = self.log_path.read_text(errors="replace").splitlines()
+        return [line for line in lines if any(text in line for text in texts)]
+
     @property
     def is_running(self):
         """Whether the process was started and has not ended."""
@@ -84,6 +107,7 @@
             **os.environ,
             "HEMLOCKHOIST_SETTINGS": str(self._settings_path),
             "HEMLOCKHOIST_PEER_KEY": "soak",
+            **self._variables,
         }
         with self.log_path.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
--- a/libs/standins/src/hemlockhoist/standins/published/soak/run.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/run.py
@@ -15,6 +15,7 @@
 from hemlockhoist.standins.published.soak.checks import RunChecker
 from hemlockhoist.standins.published.soak.config_checks import DeclaredVersion
 from hemlockhoist.standins.published.soak.faults import SoakFaults
+from hemlockhoist.standins.published.soak.hedge_checks import HEDGE_LOG_TEXT
 from hemlockhoist.standins.published.soak.hosts import START_TIMEOUT_S, HostProcess
 from hemlockhoist.standins.published.soak.proxy import Proxy
 from hemlockhoist.standins.published.store import StoreStandin
@@ -35,6 +36,8 @@
 REVOCATION_MS = 3_000
 DRAIN_MS = 2_000
 FAULT_INTERVAL_S = (0.1, 0.9)
+# Every second seed runs with hedges.
+HEDGING_EVERY = 2
 # Time after the last fault in which leases and backoffs expire and all hosts get ready.
 RECOVERY_TIMEOUT_S = 20.0
 # Texts of log lines that fail a run: violated invariants and unexpected errors.
@@ -90,6 +93,7 @@
 
     def __init__(self, seed, folder, fault_names=(), host_count=HOST_COUNT):
         self._host_count = host_count
+        self._is_hedging = seed % HEDGING_EVERY == 0
         self.store = StoreStandin()
         self.store_proxies = []
         self.hosts = []
@@ -142,7 +146,9 @@
         for number in range(self._host_count):
             proxy = await self._open(Proxy(self.store.address))
             self.store_proxies.append(proxy)
-            host = HostProcess(number, proxy.address, self._folder, bounds)
+            host = HostProcess(
+                number, proxy.address, self._folder, bounds, self._is_hedging
+            )
             self.hosts.append(await self._open(host))
         self._exit_stack.push_async_callback(self.faults.close)
         if not await self._wait_ready():
@@ -152,7 +158,7 @@
         """Wait until all hosts are ready; return whether they became so."""
         end_s = now_s() + max(RECOVERY_TIMEOUT_S, START_TIMEOUT_S)
         while now_s() < end_s:
-            ready = await asyncio.gather(*(_is_ready(host) for host in self.hosts))
+            ready = await asyncio.gather(*(host.is_ready() for host in self.hosts))
             if all(ready):
                 return True
             await asyncio.sleep(0.1)
@@ -344,6 +350,8 @@
             checker.violations.append(
                 "a host was not ready after all faults were removed"
             )
+        for host in self.hosts:
+            checker.check_hedges(host.log_lines(HEDGE_LOG_TEXT))
         checker.violations += self._forbidden_lines()
         calls = self.callers.calls
         served = sum(call.status == 200 and call.is_complete for call in calls)
@@ -377,22 +385,8 @@
         return len({host.failure_domain for host in self.hosts})
 
     def _forbidden_lines(self):
-        lines = []
-        for host in self.hosts:
-            for line in host.log_path.read_text(errors="replace").splitlines():
-                if any(text in line for text in FORBIDDEN_LOG_TEXTS):
-                    lines.append(f"log of {host.name}: {line[:300]}")
-        return lines
-
-
-async def _is_ready(host):
-    ip, _, port = host.ready_address.rpartition(":")
-    try:
-        async with asyncio.timeout(0.5):
-            reader, writer = await asyncio.open_connection(ip, int(port))
-            writer.write(b"GET /v1/readyz HTTP/1.0\r\n\r\n")
-            line = await reader.readline()
-            writer.close()
-    except (OSError, TimeoutError):
-        return False
-    return b" 200 " in line
+        return [
+            f"log of {host.name}: {line[:300]}"
+            for host in self.hosts
+            for line in host.log_lines(*FORBIDDEN_LOG_TEXTS)
+        ]
--- a/libs/standins/src/hemlockhoist/standins/published/soak/tests/test_checks.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/tests/test_checks.py
@@ -13,6 +13,7 @@
 )
 from hemlockhoist.standins.published.soak.cut_checks import CutSpan
 from hemlockhoist.standins.published.soak.fall_checks import BrittleSpan
+from hemlockhoist.standins.published.soak.hedge_checks import find_hedge_violations
 from hemlockhoist.standins.published.soak.limit_checks import LimitSpan
 
 LOOKUP, BOOKING, REPORT, _ = REQUEST_KINDS
@@ -49,6 +50,20 @@
     return instance
 
 
+class HedgeCheckTests(unittest.TestCase):
+    def violations(self, kind, count=1):
+        lines = ["event=hedge_sent request=c1 attempt=2"] * count
+        found = find_hedge_violations({"c1": call(kind)}, lines)
+        return [text.partition(":")[0] for text in found]
+
+    def test_hedges_of_requests_that_run_once_and_second_hedges_are_found(self):
+        self.assertEqual(self.violations(LOOKUP), [])
+        self.assertEqual(self.violations(REPORT), [])
+        found = self.violations(BOOKING)
+        self.assertEqual(found, ["hedged a request that runs once"])
+        self.assertEqual(self.violations(LOOKUP, 2), ["hedged 2 times"])
+
+
 class RunCheckerTests(unittest.TestCase):
     """Each check is given a record that violates it, so that none passes trivially."""
 
--- a/libs/standins/src/hemlockhoist/standins/published/soak/tests/test_soak.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/tests/test_soak.py
@@ -7,6 +7,10 @@
 # Long enough for about 10 overlapping faults.
 SECONDS = 5
 SEED = 1
+# Long enough for hosts that run on to know the usual times of a route.
+HEDGING_SEED = 2
+HEDGE_SECONDS = 9
+HEDGE_FAULTS = ("slow_replica", "silence_replica", "make_replica_faulty")
 
 
 # Long enough for a part that crashes replicas to be known, and to be sent after that.
@@ -38,6 +42,15 @@
         self.assertGreater(result.check_counts["whole readings"], 0)
         self.assertGreater(result.check_counts["routes in force"], 10)
 
+    async def test_short_run_with_hedges_has_no_violations(self):
+        with tempfile.TemporaryDirectory() as folder:
+            run = SoakRun(HEDGING_SEED, folder, HEDGE_FAULTS, host_count=1)
+            result = await run.run(HEDGE_SECONDS)
+        self.assertEqual(result.violations, [])
+        self.assertGreater(result.served, 50)
+        self.assertGreater(result.check_counts["hedges"], 0)
+        self.assertGreater(result.check_counts["at most once"], 10)
+
     async def test_short_run_has_no_violations(self):
         with tempfile.TemporaryDirectory() as folder:
             result = await SoakRun(SEED, pathlib.Path(folder)).run(SECONDS)
