Learn the pace of an upstream also from attempts that a hedge overtook

Cause: an attempt that lost against its hedge is released as cancelled, which changes no pace. An upstream whose slow answers are all overtaken keeps the pace of its quick ones, and goes on to get its share.

Ruled out: counting the elapsed time of each cancelled attempt (callers that leave early would change the pace with hedges turned off), a new kind of outcome (homes of an earlier release reject it).

Change: GrantRelease.is_overtaken, appended. The elapsed time is a lower bound, so that it counts only if it is longer than expected.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
@@ -418,6 +418,9 @@
             tracked.on_success(hold_ms, now_ms)
             self._clear_suspended(upstream_id, now_ms)
             _observe_pace(tracked, outcome)
+        elif outcome.is_overtaken and held.prompt_wait_ms <= 0:
+            prompt_tokens = held.request.prompt_tokens
+            tracked.pace.observe_overtaken(prompt_tokens, outcome.total_ms)
 
     def on_reachable(self, upstream_id, now_ms):
         """Record that an upstream can be reached, though connections to it failed.
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/pace.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/pace.py
@@ -190,6 +190,20 @@
         if self._updates_pool:
             self._pool.observe_first_token(prompt_tokens, first_ms / self.token_ms)
 
+    def observe_overtaken(self, prompt_tokens, elapsed_ms):
+        """Add the time for which an answer had not begun when it was cancelled.
+
+        It is a lower bound, so it counts only if it is longer than expected. Without
+        it, an upstream whose slow answers are all overtaken would keep its pace.
+        """
+        expected_ms = self.prompt_ms(prompt_tokens) + self.base_ms()
+        if self._token_ms is None or elapsed_ms <= expected_ms:
+            return
+        if not prompt_tokens:
+            self.observe_service_call(elapsed_ms)
+        elif elapsed_ms > SLOW_FIRST_TOKEN_RATIO * expected_ms:
+            self.observe_first_token(prompt_tokens, elapsed_ms)
+
     def prompt_ms(self, prompt_tokens):
         """Return the prefill time of a prompt."""
         return self.token_ms * self._pool.prompt_token_cost * prompt_tokens
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_hedges.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_hedges.py
@@ -80,6 +80,30 @@
         self.scheduler.begin_recovery(0)
         self.assertIsNone(self.hedge())
 
+    def pace_after(self, sent_ms, request=None, **fields):
+        """Return the pace of an upstream before and after an outcome."""
+        self.set_upstreams("u0")
+        tracked = self.scheduler._upstreams.tracker.get("u0")
+        for _ in range(10):
+            tracked.pace.observe_service_call(40)
+        request = request or b.request(prompt_tokens=0, output_tokens=0)
+        (decision,) = self.scheduler.submit(request, 0)
+        before = tracked.pace.token_ms
+        outcome = Outcome(kind=OutcomeKind.CANCELLED, total_ms=sent_ms, **fields)
+        self.scheduler.release(decision.grant.grant_id, outcome, sent_ms)
+        return before, tracked.pace.token_ms
+
+    def test_overtaken_attempt_is_evidence_of_its_time_so_far(self):
+        """Guards against a slow upstream that seems quick as its losers don't count."""
+        before, after = self.pace_after(400, is_overtaken=True)
+        self.assertGreater(after, 2 * before)
+        self.assertLessEqual(after, 400)
+
+    def test_attempt_overtaken_early_is_no_evidence(self):
+        """Guards against an upstream that seems quick as it was cancelled early."""
+        before, after = self.pace_after(30, is_overtaken=True)
+        self.assertEqual(after, before)
+
     def test_cancelled_attempt_says_nothing_about_its_upstream(self):
         """Guards against an upstream that is avoided or preferred as it lost a race."""
         self.set_upstreams("u0")
--- a/libs/decisions/src/hemlockhoist/decisions/work.py
+++ b/libs/decisions/src/hemlockhoist/decisions/work.py
@@ -236,6 +236,8 @@
         Whether the upstream ended before it had begun to answer the request.
     is_answered : bool
         Whether the upstream began an answer and went on with it.
+    is_overtaken : bool
+        Whether it was cancelled without any data because a hedge answered first.
     """
 
     kind: OutcomeKind
@@ -247,6 +249,7 @@
     relay: str = ""
     is_crash_suspect: bool = False
     is_answered: bool = False
+    is_overtaken: bool = False
 
     def for_home(self):
         """Return the outcome in the kinds that homes of earlier releases know.
--- a/libs/entry/src/hemlockhoist/entry/attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt.py
@@ -41,6 +41,7 @@
         "hold",
         "is_link_at_fault",
         "is_misdirected",
+        "is_overtaken",
         "is_reachable",
         "is_upstream_lost",
         "kind",
@@ -72,6 +73,8 @@
         self.is_upstream_lost = False
         self.grant_outdated = False
         self.is_misdirected = False
+        # Whether a hedge had a usable response first, so that it was cancelled.
+        self.is_overtaken = False
         self.first_ms = None
         self.output_tokens = 0
         # Events of a stream that were relayed in this attempt.
@@ -147,6 +150,7 @@
             relay=self.guard.relay,
             is_crash_suspect=self._is_crash_suspect,
             is_answered=self._is_answered,
+            is_overtaken=self.is_overtaken,
         )
 
     @property
--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -170,7 +170,7 @@
         try:
             with self._attempts.span(attempt):
                 response = await self._hedge.race(opened, self._send)
-            if opened.is_overtaken:
+            if attempt.is_overtaken:
                 return None, None
             attempt.record_end(opened.end)
             if opened.end is None:
--- a/libs/entry/src/hemlockhoist/entry/hedge.py
+++ b/libs/entry/src/hemlockhoist/entry/hedge.py
@@ -120,7 +120,7 @@
         except (FirstAttemptOvertaken, TimeoutError):
             if self._winner is None:
                 raise
-            opened.is_overtaken = True
+            opened.attempt.is_overtaken = True
             self._observe()
             return None
         finally:
--- a/libs/entry/src/hemlockhoist/entry/opened_attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/opened_attempt.py
@@ -21,8 +21,6 @@
         How the attempt ended without a usable answer; None if it has not.
     body : bytes
         The whole body of the response; None as long as it has not been read.
-    is_overtaken : bool
-        Whether it was cancelled because another attempt had a usable response first.
     """
 
     __slots__ = (
@@ -31,7 +29,6 @@
         "body",
         "end",
         "head",
-        "is_overtaken",
         "response",
     )
 
@@ -42,7 +39,6 @@
         self.head = None
         self.response = None
         self.body = None
-        self.is_overtaken = False
 
     async def open(self, dispatch):
         """Send the request and wait for the head of its response.
--- a/libs/host/src/hemlockhoist/host/grants.py
+++ b/libs/host/src/hemlockhoist/host/grants.py
@@ -458,6 +458,7 @@
             relay=outcome.relay if outcome else "",
             is_crash_suspect=outcome.is_crash_suspect if outcome else False,
             is_answered=outcome.is_answered if outcome else False,
+            is_overtaken=outcome.is_overtaken if outcome else False,
         )
         self._notify_homes(hold, message)
 
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -317,6 +317,7 @@
             cached_tokens=message.cached_tokens,
             token_us=message.token_us,
             relay=message.relay,
+            is_overtaken=message.is_overtaken,
         )
         now_ms = self._clock.now_ms()
         # Before the release, which may give the slot to another such request.
--- a/libs/messages/src/hemlockhoist/messages/grants.py
+++ b/libs/messages/src/hemlockhoist/messages/grants.py
@@ -204,6 +204,7 @@
     could not reach it either; empty if the entry host used its own link.
     ``is_crash_suspect`` states whether the upstream ended before it had begun to answer
     the request, ``is_answered`` whether it began an answer and went on with it.
+    ``is_overtaken`` states whether it was cancelled as a hedge answered first.
     """
 
     pool: str
@@ -220,6 +221,7 @@
     relay: str = ""
     is_crash_suspect: bool = False
     is_answered: bool = False
+    is_overtaken: bool = False
 
 
 class FirstToken(
