--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
@@ -17,6 +17,7 @@
 from hemlockhoist.decisions.scheduling.pace_samples import (
     add_answer_sample,
     add_first_token_sample,
+    add_overtaken_sample,
 )
 from hemlockhoist.decisions.scheduling.present_speeds import PresentSpeeds
 from hemlockhoist.decisions.scheduling.prompt_cache import PromptCache
@@ -139,6 +140,10 @@
             return False
         return not self._tracked[upstream_id].allows_request(now_ms)
 
+    def is_probation(self, upstream_id):
+        """Return whether an upstream gets single requests to find out if it is well."""
+        return upstream_id in self._suspended
+
     def accepts_more(self, upstream_id, now_ms):
         """Return whether an upstream may take a request, apart from free slots."""
         if not self._intake.allows(upstream_id, now_ms):
@@ -449,6 +454,8 @@
             slowdown = add_answer_sample(tracked, held, outcome)
             tracked.on_success(hold_ms, slowdown, now_ms)
             self._clear_suspended(upstream_id, now_ms)
+        elif outcome.is_overtaken and held.prompt_wait_ms <= 0:
+            add_overtaken_sample(tracked, held, outcome.total_ms)
 
     def on_reachable(self, upstream_id, now_ms):
         """Record that an upstream can be reached, though connections to it failed.
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/pace_samples.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/pace_samples.py
@@ -71,3 +71,20 @@
     slowdown = sample_factor(token_ms, pace.token_ms, factors)
     pace.observe_token(token_ms / slowdown)
     return slowdown
+
+
+def add_overtaken_sample(tracked, held, elapsed_ms):
+    """Add the time for which an answer had not begun when its hedge overtook it.
+
+    What a reported slowdown explains of it is not held against the usual pace.
+
+    Parameters
+    ==========
+    tracked : DeclaredSlotsUpstream
+    held : InFlightGrant
+    elapsed_ms : int
+    """
+    slowdown = max((tracked.slowdown, *held.slowdowns))
+    tracked.usual_pace.observe_overtaken(
+        held.request.prompt_tokens, elapsed_ms / slowdown
+    )
--- a/libs/decisions/src/hemlockhoist/decisions/work.py
+++ b/libs/decisions/src/hemlockhoist/decisions/work.py
@@ -59,6 +59,9 @@
         Regions in which the upstream must be; empty for any region.
     parts : tuple of int
         Hashes of the parts of its prompt that other requests may share.
+    is_hedge : bool
+        Whether an earlier attempt is still in progress: it is granted at once or
+        refused, never queued.
     """
 
     request_id: str
@@ -84,6 +87,7 @@
     prefix_tokens: tuple[int, ...] = ()
     regions: tuple[str, ...] = ()
     parts: tuple[int, ...] = ()
+    is_hedge: bool = False
 
 
 class UpstreamState(enum.Enum):
@@ -232,6 +236,8 @@
         Whether the upstream ended before it had begun to answer the request.
     is_answered : bool
         Whether the upstream began an answer and went on with it.
+    is_overtaken : bool
+        Whether it was cancelled without any data because a hedge answered first.
     """
 
     kind: OutcomeKind
@@ -243,6 +249,7 @@
     relay: str = ""
     is_crash_suspect: bool = False
     is_answered: bool = False
+    is_overtaken: bool = False
 
     def for_home(self):
         """Return the outcome in the kinds that homes of earlier releases know.
--- a/libs/entry/src/hemlockhoist/entry/attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt.py
@@ -45,6 +45,7 @@
         "is_given_up",
         "is_link_at_fault",
         "is_misdirected",
+        "is_overtaken",
         "is_reachable",
         "is_upstream_lost",
         "kind",
@@ -78,6 +79,8 @@
         self.is_upstream_lost = False
         self.grant_outdated = False
         self.is_misdirected = False
+        # Whether a hedge had a usable response first, so that it was cancelled.
+        self.is_overtaken = False
         # When the head of the answer came.
         self.head_ms = None
         self.first_ms = None
@@ -170,6 +173,7 @@
             relay=self.guard.relay,
             is_crash_suspect=self._is_crash_suspect,
             is_answered=self._is_answered,
+            is_overtaken=self.is_overtaken,
         )
 
     @property
--- a/libs/entry/src/hemlockhoist/entry/attempt_reporter.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt_reporter.py
@@ -26,11 +26,18 @@
         self._request_id = request_id
         self._upstream_call = upstream_call
 
-    def release(self, attempt):
-        """Report the outcome of an attempt, once it is known whose fault it was."""
+    def release(self, attempt, times_out=True):
+        """Report the outcome of an attempt, once it is known whose fault it was.
+
+        Parameters
+        ==========
+        attempt : Attempt
+        times_out : bool, optional
+            Whether it counts as timed out if the deadline has passed.
+        """
         now_ms = self._context.clock.now_ms()
         is_past_deadline = now_ms >= self._admitted.deadline_ms
-        if is_past_deadline and attempt.kind is OutcomeKind.CANCELLED:
+        if times_out and is_past_deadline and attempt.kind is OutcomeKind.CANCELLED:
             attempt.kind = OutcomeKind.TIMEOUT
         attempt.ended_ms = now_ms
         paths, hold = self._context.upstreams, attempt.hold
--- a/libs/entry/src/hemlockhoist/entry/context.py
+++ b/libs/entry/src/hemlockhoist/entry/context.py
@@ -25,6 +25,8 @@
     store_view : StoreView
         The routes and upstreams, and the age of their proof.
     gate : QuotaGate
+    hedging : HedgePolicy
+        The second attempts of this host's slow requests.
     homes : HomeService
     grants : GrantClient
     memory : HostMemory
@@ -59,6 +61,7 @@
         "fleet",
         "gate",
         "grants",
+        "hedging",
         "homes",
         "identity",
         "invariants",
--- a/libs/entry/src/hemlockhoist/entry/opened_attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/opened_attempt.py
@@ -19,9 +19,18 @@
         None likewise.
     end : AttemptEnd
         How the attempt ended without a usable answer; None if it has not.
+    body : bytes
+        The whole body of the response; None as long as it has not been read.
     """
 
-    __slots__ = ("_stack", "attempt", "end", "head", "response")
+    __slots__ = (
+        "_stack",
+        "attempt",
+        "body",
+        "end",
+        "head",
+        "response",
+    )
 
     def __init__(self, attempt):
         self._stack = contextlib.AsyncExitStack()
@@ -29,6 +38,7 @@
         self.end = None
         self.head = None
         self.response = None
+        self.body = None
 
     async def open(self, dispatch):
         """Send the request and wait for the head of its response.
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -218,7 +218,7 @@
             self._metrics.count(CALLERS_RETRIED, self.pool)
         request_id = request.request_id
         is_decided = any(item.request.request_id == request_id for item in decisions)
-        if not self.scheduler.is_granted(request_id):
+        if not request.is_hedge and not self.scheduler.is_granted(request_id):
             self._signals.count_held_back(request)
         if not is_decided:
             self._queued[request.request_id] = QueueEntry(request, now_ms)
@@ -317,6 +317,7 @@
             cached_tokens=message.cached_tokens,
             token_us=message.token_us,
             relay=message.relay,
+            is_overtaken=message.is_overtaken,
         )
         now_ms = self._clock.now_ms()
         # Before the release, which may give the slot to another such request.
--- a/libs/messages/src/hemlockhoist/messages/grants.py
+++ b/libs/messages/src/hemlockhoist/messages/grants.py
@@ -58,6 +58,9 @@
     parts : tuple of int
         Hashes of the parts of its prompt that other requests may share, by which those
         that crash upstreams are recognised.
+    is_hedge : bool
+        Whether an earlier attempt is still in progress. The home answers with a grant
+        or a refusal at once.
     """
 
     request_id: str
@@ -83,6 +86,7 @@
     prefix_tokens: tuple[int, ...] = ()
     regions: tuple[str, ...] = ()
     parts: tuple[int, ...] = ()
+    is_hedge: bool = False
 
 
 class GrantRequest(
@@ -209,6 +213,7 @@
     could not reach it either; empty if the entry host used its own link.
     ``is_crash_suspect`` states whether the upstream ended before it had begun to answer
     the request, ``is_answered`` whether it began an answer and went on with it.
+    ``is_overtaken`` states whether it was cancelled as a hedge answered first.
     """
 
     pool: str
@@ -225,6 +230,7 @@
     relay: str = ""
     is_crash_suspect: bool = False
     is_answered: bool = False
+    is_overtaken: bool = False
 
 
 class FirstToken(
--- a/libs/standins/src/hemlockhoist/standins/published/replica.py
+++ b/libs/standins/src/hemlockhoist/standins/published/replica.py
@@ -223,9 +223,9 @@
         task = asyncio.current_task()
         self._running.add(task)
         try:
-            await self._work(self.delay_ms)
             watcher = asyncio.create_task(self._detect_disconnect(reader, received))
             try:
+                await self._work(self.delay_ms)
                 await self._respond(received, writer)
             finally:
                 watcher.cancel()
