Decide placement by the slowdowns that upstreams report

Cause: at any moment 15 in 100 upstreams of a shared machine pool take 2.5 times longer, and every 600 ms these are others. The learned pace follows too late, and stays distorted after the slowdown is over.

PresentSpeeds gives the upstreams a slowed pace, so that nothing is computed for pools without reports. Samples are added as of the usual speed.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
@@ -13,6 +13,10 @@
 )
 from hemlockhoist.decisions.scheduling.intake import UpstreamIntake
 from hemlockhoist.decisions.scheduling.pace import PoolPace
+from hemlockhoist.decisions.scheduling.present_speeds import (
+    PresentSpeeds,
+    sample_factor,
+)
 from hemlockhoist.decisions.scheduling.prompt_cache import PromptCache
 from hemlockhoist.decisions.scheduling.recovery import DECLARED_RECOVERY_MS
 from hemlockhoist.decisions.scheduling.upstream_tracker import UpstreamTracker
@@ -51,6 +55,7 @@
         Capacity of the prompt cache of one upstream; 0 if that is not declared.
     warmup : Warmup, optional
         Limits the requests that cold upstreams get.
+    slowdowns : ReportedSlowdowns, optional
     """
 
     __slots__ = (
@@ -59,13 +64,15 @@
         "_max_gaps_ms",
         "_pace",
         "_slot_count",
+        "_speeds",
         "_tracked",
         "_suspended",
         "_usable",
     )
     recovery_ms = DECLARED_RECOVERY_MS
 
-    def __init__(self, cache_tokens=0, warmup=None):
+    def __init__(self, cache_tokens=0, warmup=None, slowdowns=None):
+        self._speeds = PresentSpeeds(slowdowns)
         self._intake = UpstreamIntake(warmup)
         self._cache = PromptCache(cache_tokens)
         self._tracked = {}
@@ -90,10 +97,12 @@
             if tracked is None or tracked.started_unix_ms != item.started_unix_ms:
                 tracked = DeclaredSlotsUpstream(item, self._pace)
                 self._cache.forget(item.upstream_id)
+                self._speeds.forget(item.upstream_id)
             tracked.limit.slots = item.slot_count
             self._tracked[item.upstream_id] = tracked
         for upstream_id in previous.keys() - self._tracked.keys():
             self._cache.forget(upstream_id)
+            self._speeds.forget(upstream_id)
         self._suspended = {
             key: may_be_new
             for key, may_be_new in self._suspended.items()
@@ -167,6 +176,24 @@
         """Return whether an upstream advertises that it is brittle."""
         return self._intake.brittle.is_brittle(upstream_id)
 
+    def observe_slowdown(self, upstream_id, percent, measured_ms, now_ms):
+        """Record how slow an upstream says it is; return whether it is its first word."""
+        tracked = self._tracked.get(upstream_id)
+        if tracked is None:
+            return False
+        return self._speeds.observe(upstream_id, tracked, percent, measured_ms, now_ms)
+
+    @property
+    def slowed_count(self):
+        """Number of upstreams that are slower or faster than usual, by their reports."""
+        return self._speeds.affected_count
+
+    def pool_slowdown(self, now_ms):
+        """Return the pool's present processing time as a multiple of the usual one."""
+        if self._speeds.any_reported:
+            self._speeds.refresh(self._usable, now_ms)
+        return self._speeds.pool_factor
+
     @property
     def any_limited(self):
         """Whether any upstream advertises a limit on its request rate."""
@@ -242,7 +269,7 @@
 
     def hold_ms(self, request):
         """Return how long a request is expected to hold a slot at the pool's pace."""
-        return self._pace.hold_ms(request)
+        return self._pace.hold_ms(request) * self._speeds.pool_factor
 
     def sort_key_ms(self, arrived_ms, cost_ms, due_ms):
         """Return the key by which the requests of one customer are ordered.
@@ -254,6 +281,8 @@
 
     def choose(self, request, choices, in_flight, now_ms, ahead=0, closed=()):
         """Return the upstream for a request, or None if it should wait."""
+        if self._speeds.any_reported:
+            self._speeds.refresh(self._usable, now_ms)
         work = self._pace.work(request)
         max_prompts_ms = self._max_prompts_ms(work, now_ms)
         best = self._candidates(
@@ -371,6 +400,8 @@
             self._max_gaps_ms[request.route] = request.max_gap_ms
         upstream_id = held.grant.upstream_id
         tracked = self._tracked[upstream_id]
+        if self._speeds.any_reported:
+            held.slowdowns = (tracked.slowdown,)
         self._intake.record_grant(upstream_id, now_ms)
         cached = self._cached_tokens(request).get(upstream_id, 0)
         tracked.on_grant(held, self._pace.work(request), now_ms, cached)
@@ -385,6 +416,8 @@
         if tracked is None or held.first_token_reported:
             return
         held.first_token_reported = True
+        if self._speeds.any_reported:
+            held.slowdowns = (*held.slowdowns, tracked.slowdown)
         tracked.on_prompt_done(held, now_ms)
         tracked.breaker.on_reachable()
         self._clear_suspended(held.grant.upstream_id, now_ms)
@@ -392,7 +425,16 @@
         if held.prompt_wait_ms <= 0 and is_uncached:
             # The cached part of a prompt is only presumed, so that the first token of a
             # prompt with one gives no estimate of an engine's pace.
-            tracked.pace.observe_first_token(held.request.prompt_tokens, first_token_ms)
+            self._observe_first_token(tracked, held, first_token_ms)
+
+    def _observe_first_token(self, tracked, held, first_token_ms):
+        pace, prompt_tokens = tracked.usual_pace, held.request.prompt_tokens
+        usual_ms = pace.prompt_ms(prompt_tokens) + pace.base_ms()
+        slowdown = sample_factor(first_token_ms, usual_ms, held.slowdowns)
+        is_reported = self._speeds.has_reported(held.grant.upstream_id)
+        pace.observe_first_token(
+            prompt_tokens, first_token_ms / slowdown, may_jump=not is_reported
+        )
 
     def on_outcome(self, held, outcome, hold_ms, predicted_ms, now_ms):
         """Update pace, failures and reachability from a released grant."""
@@ -411,9 +453,9 @@
         elif outcome.kind in _FAILURES:
             tracked.failures.observe(True, now_ms)
         elif outcome.kind is OutcomeKind.SUCCESS:
-            tracked.on_success(hold_ms, now_ms)
+            slowdown = _observe_pace(tracked, held, outcome)
+            tracked.on_success(hold_ms, slowdown, now_ms)
             self._clear_suspended(upstream_id, now_ms)
-            _observe_pace(tracked, outcome)
 
     def on_reachable(self, upstream_id, now_ms):
         """Record that an upstream can be reached, though connections to it failed.
@@ -464,8 +506,16 @@
             self._slot_count = ((), 0)
 
 
-def _observe_pace(tracked, outcome):
+def _observe_pace(tracked, held, outcome):
+    """Add a sample of the usual pace; return the factor by which it was slower."""
+    pace, factors = tracked.usual_pace, (*held.slowdowns, tracked.slowdown)
     if not outcome.output_tokens:
-        tracked.pace.observe_service_call(outcome.total_ms)
-    elif outcome.token_us > 0:
-        tracked.pace.observe_token(outcome.token_us / US_PER_MS)
+        slowdown = sample_factor(outcome.total_ms, pace.token_ms, factors)
+        pace.observe_service_call(outcome.total_ms / slowdown)
+        return slowdown
+    if outcome.token_us <= 0:
+        return tracked.slowdown
+    token_ms = outcome.token_us / US_PER_MS
+    slowdown = sample_factor(token_ms, pace.token_ms, factors)
+    pace.observe_token(token_ms / slowdown)
+    return slowdown
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_upstream.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_upstream.py
@@ -1,7 +1,7 @@
 """State of one upstream that declares its slots, as known to a home."""
 
 from hemlockhoist.decisions.scheduling.limits import DeclaredLimit
-from hemlockhoist.decisions.scheduling.pace import EnginePace
+from hemlockhoist.decisions.scheduling.pace import EnginePace, SlowedPace
 from hemlockhoist.decisions.scheduling.reliability import CircuitBreaker, FailureRate
 
 # A request counts as stalled when its first token is overdue by the allowance plus this
@@ -37,8 +37,11 @@
         "prompts_done_ms",
         "region",
         "rejections",
+        "slowdown",
         "stalled",
         "started_unix_ms",
+        "usual_hold_ms",
+        "usual_pace",
         "warm_pace",
     )
 
@@ -47,7 +50,9 @@
         self.region = upstream.region
         self.started_unix_ms = upstream.started_unix_ms
         self.limit = DeclaredLimit(upstream.slot_count)
-        self.pace = EnginePace(pool_pace)
+        # The learned pace of the machine at its usual speed, and that at its present one.
+        self.usual_pace = self.pace = EnginePace(pool_pace)
+        self.slowdown = 1.0
         # The pace of the warm upstream, kept while it is cold.
         self.warm_pace = None
         self.breaker = CircuitBreaker()
@@ -55,7 +60,8 @@
         # Requests that it turned away since its last success.
         self.rejections = 0
         self.prompts_done_ms = 0.0
-        self.hold_ms = INITIAL_HOLD_MS
+        # How long requests hold a slot at the usual and at the present speed.
+        self.usual_hold_ms = self.hold_ms = INITIAL_HOLD_MS
         # Prompts without a first token, by grant id: tokens, expected first token time.
         self.pending = {}
         self.pending_tokens = 0
@@ -64,10 +70,29 @@
     def set_cold(self, is_cold):
         """Switch between the paces of the cold and the warm upstream."""
         if is_cold and self.warm_pace is None:
-            self.warm_pace = self.pace
-            self.pace = self.warm_pace.cold_copy()
+            self.warm_pace = self.usual_pace
+            self.usual_pace = self.warm_pace.cold_copy()
+            self._set_pace()
         elif not is_cold and self.warm_pace is not None:
-            self.pace, self.warm_pace = self.warm_pace, None
+            self.usual_pace, self.warm_pace = self.warm_pace, None
+            self._set_pace()
+
+    def set_slowdown(self, factor, now_ms):
+        """Set the present processing time as a multiple of the usual one.
+
+        The pending prompts are computed at the present speed from now on.
+        """
+        changed = factor / self.slowdown
+        self.slowdown = factor
+        self.hold_ms = self.usual_hold_ms * factor
+        left_ms = self.prompts_done_ms - now_ms
+        if left_ms > 0:
+            self.prompts_done_ms = now_ms + left_ms * changed
+        self._set_pace()
+
+    def _set_pace(self):
+        usual, factor = self.usual_pace, self.slowdown
+        self.pace = usual if factor == 1.0 else SlowedPace(usual, factor)
 
     def allows_request(self, now_ms):
         """Return whether the upstream may take a request, apart from free slots."""
@@ -148,12 +173,22 @@
         remaining_ms = self.pace.prompt_ms(self.pending_tokens)
         self.prompts_done_ms = min(self.prompts_done_ms, now_ms + remaining_ms)
 
-    def on_success(self, hold_ms, now_ms):
-        """Record a complete answer and how long it held its slot."""
+    def on_success(self, hold_ms, slowdown, now_ms):
+        """Record a complete answer and how long it held its slot.
+
+        Parameters
+        ==========
+        hold_ms : int
+        slowdown : float
+            Processing time in that time, as a multiple of the usual one.
+        now_ms : int
+        """
         self.rejections = 0
         self.breaker.on_reachable()
         self.failures.observe(False, now_ms)
-        self.hold_ms += HOLD_EWMA_WEIGHT * (hold_ms - self.hold_ms)
+        usual_ms = hold_ms / slowdown
+        self.usual_hold_ms += HOLD_EWMA_WEIGHT * (usual_ms - self.usual_hold_ms)
+        self.hold_ms = self.usual_hold_ms * self.slowdown
 
     def count_stalled(self, now_ms):
         """Count the requests whose first token is long overdue."""
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/estimates.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/estimates.py
@@ -84,13 +84,21 @@
 
 
 class ServiceEstimate:
-    """Predicts how long a request holds a slot and its time to first token."""
+    """Predicts how long a request holds a slot and its time to first token.
 
-    __slots__ = ("_first_token", "_hold")
+    Attributes
+    ==========
+    slowdown : float
+        Present processing time of the pool as a multiple of the usual one; 1.0 without
+        reports. Outcomes are learned as at the usual speed.
+    """
+
+    __slots__ = ("_first_token", "_hold", "slowdown")
 
     def __init__(self):
         self._hold = LinearEstimate(INITIAL_MS_PER_UNIT)
         self._first_token = LinearEstimate(0.0)
+        self.slowdown = 1.0
 
     @property
     def has_samples(self):
@@ -99,11 +107,11 @@
 
     def hold_ms(self, request):
         """Return how long a request is expected to hold a slot."""
-        return max(1.0, self._hold.predict(work_units(request)))
+        return max(1.0, self.slowdown * self._hold.predict(work_units(request)))
 
     def first_token_ms(self, request):
         """Return the expected time from dispatch to first token."""
-        return self._first_token.predict(request.prompt_tokens)
+        return self.slowdown * self._first_token.predict(request.prompt_tokens)
 
     def observe(self, request, hold_ms, first_token_ms):
         """Add the outcome of a request that was answered.
@@ -116,6 +124,7 @@
         first_token_ms : int
             From dispatch; -1 if there was none.
         """
-        self._hold.add(work_units(request), hold_ms)
+        self._hold.add(work_units(request), hold_ms / self.slowdown)
         if first_token_ms >= 0:
-            self._first_token.add(request.prompt_tokens, first_token_ms)
+            first_ms = first_token_ms / self.slowdown
+            self._first_token.add(request.prompt_tokens, first_ms)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/experiments.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/experiments.py
@@ -10,6 +10,7 @@
     DeclaredSlotsTracker,
 )
 from hemlockhoist.decisions.scheduling.overtaking_budget import OvertakingBudget
+from hemlockhoist.decisions.scheduling.slowdown import NoSlowdowns, ReportedSlowdowns
 
 
 class Mechanism(enum.Enum):
@@ -22,6 +23,7 @@
     CALLER_WAIT_LIMIT = "patience"
     TOKEN_GAPS = "pauses"
     CLIENT_RETRIES = "returns"
+    REPORTED_SLOWDOWNS = "slowdown"
 
 
 class Experiments:
@@ -95,9 +97,11 @@
 
     def declared_slots_tracker(self, cache_tokens=0, warmup=None):
         """Return a tracker of upstreams that declare their slots."""
+        is_ignored = Mechanism.REPORTED_SLOWDOWNS in self.disabled
+        slowdowns = NoSlowdowns() if is_ignored else ReportedSlowdowns()
         if Mechanism.DEFERRAL in self.disabled:
-            return NoDeferralTracker(cache_tokens, warmup)
-        return DeclaredSlotsTracker(cache_tokens, warmup)
+            return NoDeferralTracker(cache_tokens, warmup, slowdowns)
+        return DeclaredSlotsTracker(cache_tokens, warmup, slowdowns)
 
 
 class NoOvertaking(OvertakingBudget):
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/grants.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/grants.py
@@ -7,6 +7,7 @@
 ENDED_TTL_MS = 10_000
 # Bound on the number of these ids, for a burst of requests of a few milliseconds each.
 MAX_ENDED = 20_000
+USUAL_SPEED = (1.0,)
 
 
 class InFlightGrant:
@@ -29,6 +30,9 @@
         Prompt tokens that its upstream still has to compute, as far as known.
     expected_blocks : int
         Leading prompt blocks that were expected in the upstream's prefix cache.
+    slowdowns : tuple of float
+        Processing time of its upstream as a multiple of the usual one, at its grant and
+        at its first token, as far as reported.
     """
 
     __slots__ = (
@@ -41,6 +45,7 @@
         "pending_tokens",
         "prompt_wait_ms",
         "request",
+        "slowdowns",
     )
 
     def __init__(self, request, grant, granted_ms, cost_ms):
@@ -53,6 +58,7 @@
         self.pending_tokens = 0
         self.first_token_reported = False
         self.expected_blocks = 0
+        self.slowdowns = USUAL_SPEED
 
 
 class GrantTable:
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/pace.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/pace.py
@@ -180,12 +180,22 @@
         self._pool.base_cost = 1.0
         self.observe_token(total_ms)
 
-    def observe_first_token(self, prompt_tokens, first_ms):
-        """Add the time to a first token without queueing."""
+    def observe_first_token(self, prompt_tokens, first_ms, may_jump=True):
+        """Add the time to a first token without queueing.
+
+        Parameters
+        ==========
+        prompt_tokens : int
+        first_ms : float
+        may_jump : bool, optional
+            Whether a first token that took far too long changes the pace at once. An
+            upstream that reports its slowdowns states such a change itself.
+        """
         expected_ms = self.prompt_ms(prompt_tokens) + self.base_ms()
         ratio = first_ms / max(1.0, expected_ms)
         if self._token_ms is not None and ratio > SLOW_FIRST_TOKEN_RATIO:
-            self._token_ms *= min(MAX_FIRST_TOKEN_FACTOR, ratio)
+            if may_jump:
+                self._token_ms *= min(MAX_FIRST_TOKEN_FACTOR, ratio)
             return
         if self._updates_pool:
             self._pool.observe_first_token(prompt_tokens, first_ms / self.token_ms)
@@ -201,3 +211,48 @@
     def decode_ms(self, output_tokens):
         """Return the decoding time of an answer."""
         return self.token_ms * output_tokens
+
+
+class SlowedPace:
+    """Speed of an engine that reports that it is now slower or faster than usual.
+
+    Samples are added to the usual pace, as of the usual speed.
+
+    Parameters
+    ==========
+    usual : EnginePace
+    factor : float
+        Present processing time as a multiple of the usual one.
+
+    Examples
+    ========
+    >>> from hemlockhoist.decisions.scheduling.pace import (
+    ...     EnginePace, PoolPace, SlowedPace
+    ... )
+    >>> usual = EnginePace(PoolPace(), token_ms=4.0)
+    >>> SlowedPace(usual, 2.5).token_ms
+    10.0
+    """
+
+    __slots__ = ("factor", "usual")
+
+    def __init__(self, usual, factor):
+        self.usual = usual
+        self.factor = factor
+
+    @property
+    def token_ms(self):
+        """The present time per output token."""
+        return self.usual.token_ms * self.factor
+
+    def prompt_ms(self, prompt_tokens):
+        """Return the present prefill time of a prompt."""
+        return self.usual.prompt_ms(prompt_tokens) * self.factor
+
+    def base_ms(self):
+        """Return the fixed part of the time to first token at the present speed."""
+        return self.usual.base_ms() * self.factor
+
+    def decode_ms(self, output_tokens):
+        """Return the decoding time of an answer at the present speed."""
+        return self.usual.decode_ms(output_tokens) * self.factor
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -273,6 +273,20 @@
         """Record that an upstream turned a request away for want of room."""
         self._upstreams.tracker.observe_rejection(upstream_id, now_ms)
 
+    def observe_slowdown(self, upstream_id, percent, measured_ms, now_ms):
+        """Record how slow an upstream says it is; return whether it is its first word.
+
+        Parameters as of ``UpstreamTracker.observe_slowdown``. Decisions that follow are
+        made with those on the answer that carried the report.
+        """
+        tracker = self._upstreams.tracker
+        return tracker.observe_slowdown(upstream_id, percent, measured_ms, now_ms)
+
+    @property
+    def slowed_count(self):
+        """Number of upstreams that are slower or faster than usual, by their reports."""
+        return self._upstreams.tracker.slowed_count
+
     def observe_reachable(self, upstream_id, now_ms):
         """Record that another host reaches an upstream that one could not."""
         self._upstreams.on_reachable(upstream_id, now_ms)
@@ -356,6 +370,7 @@
 
         To be called about every 100 ms, and at ``next_due_ms``.
         """
+        self._update_slowdown(now_ms)
         self._grants.forget_ended(now_ms)
         self._queue.forget_idle()
         self._upstreams.on_tick(self._estimate, now_ms)
@@ -368,6 +383,7 @@
         return self._queue.next_due_ms()
 
     def _admit(self, request, now_ms):
+        self._update_slowdown(now_ms)
         is_retry = self._client_retries.take(request, now_ms)
         code = self._refusal_code(request, is_retry, now_ms)
         if code is ResultCode.OVERLOADED:
@@ -390,6 +406,9 @@
         self._queue.push(waiting, due_ms)
         return decisions
 
+    def _update_slowdown(self, now_ms):
+        self._estimate.slowdown = self._upstreams.tracker.pool_slowdown(now_ms)
+
     def _refusal_code(self, request, is_retry, now_ms):
         if not self._upstreams.table.serves(request.regions):
             return ResultCode.NO_UPSTREAM
@@ -497,6 +516,7 @@
         predicted_ms = self._estimate.hold_ms(request)
         self._upstreams.tracker.on_outcome(held, outcome, hold_ms, predicted_ms, now_ms)
         if outcome.kind is OutcomeKind.SUCCESS:
+            self._update_slowdown(now_ms)
             self._estimate.observe(request, hold_ms, outcome.first_token_ms)
         if outcome.kind not in _NOT_SENT:
             self._grants.record_ended(request.request_id, now_ms)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/upstream_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/upstream_tracker.py
@@ -143,6 +143,29 @@
         """Return whether an upstream advertises that it is brittle."""
         return False
 
+    def observe_slowdown(self, upstream_id, percent, measured_ms, now_ms):
+        """Record how slow an upstream says it is; return whether it is its first word.
+
+        Parameters
+        ==========
+        upstream_id : str
+        percent : int
+            Processing time in percent of the usual one.
+        measured_ms : int
+            When it was true, on this home's clock.
+        now_ms : int
+        """
+        return False
+
+    @property
+    def slowed_count(self):
+        """Number of upstreams that are slower or faster than usual, by their reports."""
+        return 0
+
+    def pool_slowdown(self, now_ms):
+        """Return the pool's present processing time as a multiple of the usual one."""
+        return 1.0
+
     def limit_wait_ms(self, upstream_id, now_ms):
         """Return when an advertised limit allows the next request, as time from now."""
         return 0
