Carry the slowdown that an upstream reports to its pool's home

Cause: the fourth figure of Server-Load was read by nobody.

UpstreamSignals carries it with its age in FirstToken and GrantRelease, the home subtracts the delay of the message. Log line slowdown_reported, slowdown_percent in attempt_ended, gauge upstreams.slowed. Half-lives of more than 800 ms are left out: in the test with stand-ins an upstream that had recovered got 6 of 60 requests in 1.5 s.

--- a/libs/base/src/hemlockhoist/base/metrics_table.py
+++ b/libs/base/src/hemlockhoist/base/metrics_table.py
@@ -297,6 +297,14 @@
     "Upstreams that announced in their answers that they are about to stop.",
     "No action is needed; if they stay, they do not stop: see upstream_leaving.",
 )
+UPSTREAMS_SLOWED = Metric(
+    "upstreams.slowed",
+    _G,
+    "pool",
+    "Upstreams that get work as slower or faster ones than usual, as they said so in "
+    "recent answers; at the pool's home.",
+    "No action is needed; if it is most of them, see what else runs on their machines.",
+)
 UPSTREAMS_BACKED_OFF = Metric(
     "upstreams.backed_off",
     _G,
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/slowdown.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/slowdown.py
@@ -9,9 +9,10 @@
 USUAL_PERCENT = 100
 # A decayed report within this of the usual value no longer counts.
 MIN_EXCESS = 0.02
-# Half-lives of the excess among which the best predictor is selected: from less than the
-# time between two answers to longer than any slowdown that is worth predicting.
-HALF_LIVES_MS = tuple(25.0 * 2**step for step in range(12))
+# Half-lives of the excess among which the best predictor is selected: 25 to 800 ms. With
+# longer ones, an upstream that has recovered but gets no work would be avoided for many
+# seconds. One that stays slow gets a request now and then, which costs less.
+HALF_LIVES_MS = tuple(25.0 * 2**step for step in range(6))
 # The half-life until successive reports tell more: 200 ms.
 INITIAL_STEP = 3
 # Initial error of the other half-lives for each step away from that one.
@@ -52,8 +53,8 @@
     200.0
     >>> for _ in range(100):
     ...     half_life.observe(older=2.5, newer=2.5, gap_ms=1_000)
-    >>> half_life.half_life_ms > 5_000
-    True
+    >>> half_life.half_life_ms
+    800.0
     """
 
     __slots__ = ("_errors", "half_life_ms")
--- a/libs/entry/src/hemlockhoist/entry/attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt.py
@@ -1,5 +1,7 @@
 """One attempt to send a request, and the outcome reported to the pool's home."""
 
+import msgspec
+
 from hemlockhoist.decisions import Outcome, OutcomeKind
 from hemlockhoist.decisions.entry import AttemptEnd
 from hemlockhoist.messages import NO_LIMIT
@@ -38,6 +40,7 @@
         "first_ms",
         "grant_outdated",
         "guard",
+        "head_ms",
         "hold",
         "is_link_at_fault",
         "is_misdirected",
@@ -72,6 +75,8 @@
         self.is_upstream_lost = False
         self.grant_outdated = False
         self.is_misdirected = False
+        # When the head of the answer came.
+        self.head_ms = None
         self.first_ms = None
         self.output_tokens = 0
         # Events of a stream that were relayed in this attempt.
@@ -89,10 +94,16 @@
         # Start time of the upstream's process as listed; None if it is not listed.
         self.started_unix_ms = None
 
-    @property
-    def unreported_signals(self):
-        """The signals, or None if the home was told of them with the first token."""
-        return None if self.signals_are_reported else self.signals
+    def signals_at(self, now_ms):
+        """Return the signals as they are sent at a time, with their age, or None."""
+        signals = self.signals
+        if signals is None or signals.slowdown_percent is None:
+            return signals
+        return msgspec.structs.replace(signals, slowdown_age_ms=now_ms - self.head_ms)
+
+    def unreported_signals(self, now_ms):
+        """Return the signals, or None if the home was told with the first token."""
+        return None if self.signals_are_reported else self.signals_at(now_ms)
 
     @property
     def limit_text(self):
@@ -105,6 +116,12 @@
         """The back-off that the upstream asked for, for logs; empty if none."""
         return self.signals.back_off_ms or "" if self.signals else ""
 
+    @property
+    def slowdown_text(self):
+        """The slowdown that the upstream reported, for logs; empty if none."""
+        percent = self.signals.slowdown_percent if self.signals else None
+        return "" if percent is None else percent
+
     @property
     def leaving_text(self):
         """Whether the upstream announced that it is about to stop, for logs."""
--- a/libs/entry/src/hemlockhoist/entry/attempt_records.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt_records.py
@@ -78,6 +78,7 @@
         limit_per_s=attempt.limit_text,
         back_off_ms=attempt.back_off_text,
         leaving=attempt.leaving_text,
+        slowdown_percent=attempt.slowdown_text,
         upstream_lost="true" if attempt.is_upstream_lost else "",
         parts=",".join(block_names) if attempt.is_upstream_lost else "",
         reason=attempt.reason,
--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -292,7 +292,7 @@
         attempt.is_link_at_fault = is_link_at_fault
         attempt.is_upstream_lost = is_upstream_lost
         outcome = attempt.outcome()
-        signals = attempt.unreported_signals
+        signals = attempt.unreported_signals(self._context.clock.now_ms())
         self._context.grants.release(attempt.hold, outcome, signals)
         count_attempt(self._context.metrics, attempt, outcome)
         log_attempt(self.request_id, attempt, outcome, self._admitted.call.block_names)
@@ -352,8 +352,9 @@
         def on_first():
             attempt.first_ms = self._context.clock.now_ms()
             first_ms = attempt.first_ms - attempt.guard.dispatched_ms
+            signals = attempt.signals_at(attempt.first_ms)
             grants.report_first_token(
-                attempt.hold, first_ms, attempt.signals, attempt.guard.relay
+                attempt.hold, first_ms, signals, attempt.guard.relay
             )
             attempt.signals_are_reported = True
 
--- a/libs/entry/src/hemlockhoist/entry/gauges.py
+++ b/libs/entry/src/hemlockhoist/entry/gauges.py
@@ -15,6 +15,7 @@
     UPSTREAMS_LEAVING,
     UPSTREAMS_LIMITED,
     UPSTREAMS_LISTED,
+    UPSTREAMS_SLOWED,
 )
 
 
@@ -37,6 +38,7 @@
         queued, granted = home.counts()
         metrics.gauge(QUEUE_LENGTH, queued, pool)
         metrics.gauge(GRANTS_IN_FLIGHT, granted, pool)
+        metrics.gauge(UPSTREAMS_SLOWED, home.scheduler.slowed_count, pool)
 
 
 def _update_store_gauges(context):
--- a/libs/entry/src/hemlockhoist/entry/signals.py
+++ b/libs/entry/src/hemlockhoist/entry/signals.py
@@ -48,6 +48,7 @@
         request_id : str
         """
         hold = attempt.hold
+        attempt.head_ms = self._context.clock.now_ms()
         source = SignalSource(hold.pool, hold.upstream_id, attempt.started_unix_ms)
         attempt.signals = self.apply(head, source, request_id) or attempt.signals
 
@@ -81,6 +82,7 @@
             leaving_started_unix_ms=started_unix_ms,
             rejections_per_s=head.rejections_per_s,
             is_rejection=head.is_rejection and head.rejections_per_s != NO_LIMIT,
+            slowdown_percent=head.slowdown_percent,
         )
 
     def _record_limit(self, head, source, request_id):
--- a/libs/entry/src/hemlockhoist/entry/tests/test_attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_attempt.py
@@ -1,8 +1,11 @@
+import doctest
 import types
 import unittest
 
 from hemlockhoist.decisions import OutcomeKind
+from hemlockhoist.entry import reported_load
 from hemlockhoist.entry.attempt import BEGUN_AFTER_MS, Attempt
+from hemlockhoist.messages import UpstreamSignals
 
 ENDED_MS = 5_000
 
@@ -19,6 +22,21 @@
     return attempt.outcome()
 
 
+class SignalsTests(unittest.TestCase):
+    def test_slowdown_is_sent_with_its_age(self):
+        """Guards against a report that a long call makes look new."""
+        attempt = Attempt(hold=None, guard=None, waited_ms=0, number=1)
+        attempt.head_ms = 1_000
+        attempt.signals = UpstreamSignals(slowdown_percent=250)
+        sent = attempt.unreported_signals(1_400)
+        self.assertEqual((sent.slowdown_percent, sent.slowdown_age_ms), (250, 400))
+        attempt.signals = UpstreamSignals()
+        self.assertEqual(attempt.unreported_signals(1_400), UpstreamSignals())
+
+    def test_examples(self):
+        self.assertEqual(doctest.testmod(reported_load).failed, 0)
+
+
 class CrashSuspectTests(unittest.TestCase):
     def test_answer_without_an_event_is_suspect(self):
         self.assertTrue(outcome().is_crash_suspect)
--- a/libs/entry/src/hemlockhoist/entry/wire.py
+++ b/libs/entry/src/hemlockhoist/entry/wire.py
@@ -130,6 +130,9 @@
         for want of room; ``NO_LIMIT`` if it is not brittle, None if it can't be read.
     is_rejection : bool
         Whether the upstream turned the request away for want of room.
+    slowdown_percent : int or None
+        The upstream's processing time in percent of the usual one, in
+        ``SLOWDOWN_PERCENTS``; None if it is not reported or can't be read.
     """
 
     status: int
@@ -144,6 +147,7 @@
     is_leaving: bool = False
     rejections_per_s: float | None = NO_LIMIT
     is_rejection: bool = False
+    slowdown_percent: int | None = None
 
 
 class WireFormat(abc.ABC):
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -296,19 +296,19 @@
         if queued is not None:
             self._gate.on_not_run(self.pool, queued.request, queued.since_ms, now_ms)
 
-    def on_first_token(self, message):
+    def on_first_token(self, message, late_ms=0):
         """Record the time to first token of an answer that is still in progress."""
         now_ms = self._clock.now_ms()
-        self._signals.observe(message)
+        self._signals.observe(message, late_ms)
         decisions = self.scheduler.observe_first_token(
             message.grant_id, message.first_token_ms, now_ms, message.relay
         )
         self._prompts.on_first_token(message.grant_id)
         self._emit(decisions, now_ms)
 
-    def on_release(self, message):
+    def on_release(self, message, late_ms=0):
         """Release a grant and record its outcome."""
-        self._signals.observe(message)
+        self._signals.observe(message, late_ms)
         outcome = Outcome(
             kind=OutcomeKind(message.outcome),
             first_token_ms=message.first_token_ms,
--- a/libs/host/src/hemlockhoist/host/home_signals.py
+++ b/libs/host/src/hemlockhoist/host/home_signals.py
@@ -93,12 +93,14 @@
             request=held.request.request_id,
         )
 
-    def observe(self, message):
+    def observe(self, message, late_ms=0):
         """Record the signals in a message about a grant that is still in flight.
 
         Parameters
         ==========
         message : FirstToken or GrantRelease
+        late_ms : int, optional
+            Time since the message was sent.
         """
         held = self._scheduler.in_flight_grant(message.grant_id)
         signals = message.signals
@@ -111,6 +113,10 @@
             self._record_brittle(upstream_id, signals.rejections_per_s, now_ms)
         if signals.is_rejection:
             self._scheduler.observe_rejection(upstream_id, now_ms)
+        if signals.slowdown_percent is not None:
+            measured_ms = now_ms - late_ms - signals.slowdown_age_ms
+            percent = signals.slowdown_percent
+            self._record_slowdown(upstream_id, percent, measured_ms)
         if signals.back_off_ms:
             host = held.request.entry_host
             self._record_back_off(upstream_id, host, signals.back_off_ms)
@@ -151,6 +157,15 @@
             value = "" if is_over else rejections_per_s
             self._log_change(event, upstream_id, rejections_per_s=value)
 
+    def _record_slowdown(self, upstream_id, percent, measured_ms):
+        """Pass a slowdown on; log the first one of an upstream.
+
+        It changes many times a second, so each answer's is in its ``attempt_ended``.
+        """
+        now_ms, scheduler = self._clock.now_ms(), self._scheduler
+        if scheduler.observe_slowdown(upstream_id, percent, measured_ms, now_ms):
+            self._log_change("slowdown_reported", upstream_id, percent=percent)
+
     def _log_change(self, event, upstream_id, **values):
         _log.info(event, pool=self._pool, upstream=upstream_id, **values)
 
--- a/libs/host/src/hemlockhoist/host/message_router.py
+++ b/libs/host/src/hemlockhoist/host/message_router.py
@@ -115,14 +115,14 @@
 def _(message: FirstToken, context, sender, late_ms):
     home = context.homes.find(message.pool, message.is_alone)
     if home is not None:
-        home.on_first_token(message)
+        home.on_first_token(message, late_ms)
 
 
 @_handle.register
 def _(message: GrantRelease, context, sender, late_ms):
     home = context.homes.find(message.pool, message.is_alone)
     if home is not None:
-        home.on_release(message)
+        home.on_release(message, late_ms)
 
 
 @_handle.register
--- a/libs/messages/src/hemlockhoist/messages/__init__.py
+++ b/libs/messages/src/hemlockhoist/messages/__init__.py
@@ -29,6 +29,7 @@
 )
 from hemlockhoist.messages.grants import (
     NO_LIMIT,
+    SLOWDOWN_PERCENTS,
     BackedOffUpstream,
     FirstToken,
     GrantCancel,
@@ -91,6 +92,7 @@
     "MIN_PACKED_BYTES",
     "MESSAGE_TYPES",
     "NO_LIMIT",
+    "SLOWDOWN_PERCENTS",
     "WIRE_VERSION",
     "BackedOffUpstream",
     "Codec",
--- a/libs/messages/src/hemlockhoist/messages/grants.py
+++ b/libs/messages/src/hemlockhoist/messages/grants.py
@@ -13,6 +13,8 @@
 
 # Request rate limit of an upstream that advertises none.
 NO_LIMIT = math.inf
+# Processing times that upstreams may report, in percent of the usual one.
+SLOWDOWN_PERCENTS = range(10, 10_001)
 
 
 class RequestBrief(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -180,6 +182,11 @@
         it is no longer brittle, None if there is no news.
     is_rejection : bool
         Whether a brittle upstream turned the request away for want of room.
+    slowdown_percent : int or None
+        Its processing time in percent of the usual one, in ``SLOWDOWN_PERCENTS``; None
+        if it does not report it.
+    slowdown_age_ms : int
+        Time from the arrival of the head to the sending of the message.
     """
 
     limit_per_s: float | None = None
@@ -187,6 +194,8 @@
     leaving_started_unix_ms: int | None = None
     rejections_per_s: float | None = None
     is_rejection: bool = False
+    slowdown_percent: int | None = None
+    slowdown_age_ms: int = 0
 
 
 class GrantRelease(
--- a/libs/standins/src/hemlockhoist/standins/published/replica.py
+++ b/libs/standins/src/hemlockhoist/standins/published/replica.py
@@ -75,6 +75,10 @@
         The rest that it asks for when it turns a request away; None for none.
     rests : list of (ReceivedRequest, float)
         The rejected requests for which it asked for rest, and for how long, in seconds.
+    slowdown_percent : int or str, optional
+        How long it takes in percent of ``delay_ms`` and ``event_ms``, and the fourth
+        figure of its load. It takes the usual time with a text, which it reports as it
+        is, and with None, when it reports nothing.
     is_leaving : bool
         Whether it says in its answers that it leaves.
     leaving_s : float or None
@@ -115,6 +119,7 @@
         self.limit_per_s = None
         self.rest_s = None
         self.rests = []
+        self.slowdown_percent = None
         self.is_leaving = False
         self.leaving_s = None
         self.brittle_at = None
@@ -246,7 +251,7 @@
         task = asyncio.current_task()
         self._running.add(task)
         try:
-            await asyncio.sleep(self.delay_ms / MS_PER_S)
+            await self._work(self.delay_ms)
             watcher = asyncio.create_task(self._detect_disconnect(reader, received))
             try:
                 await self._respond(received, writer)
@@ -255,6 +260,11 @@
         finally:
             self._running.discard(task)
 
+    async def _work(self, usual_ms):
+        percent = self.slowdown_percent
+        factor = percent / 100 if isinstance(percent, int) else 1.0
+        await asyncio.sleep(factor * usual_ms / MS_PER_S)
+
     async def _detect_disconnect(self, reader, received):
         with contextlib.suppress(OSError):
             await reader.read(1)
@@ -320,9 +330,12 @@
         receipt = f"Response-Signature: receipt-of-{self.replica_id}\r\n"
         if self.behaviour is Behaviour.NO_RECEIPT:
             receipt = ""
+        percent = self.slowdown_percent
+        slowdown = "" if percent is None else f",{percent}"
         return (
             f"HTTP/1.1 {status}\r\nAttempt-Id: {attempt}\r\n{receipt}"
-            f"Server-Load: 1,0,{self.slots}\r\n{self._condition()}{framing}\r\n"
+            f"Server-Load: 1,0,{self.slots}{slowdown}\r\n"
+            f"{self._condition()}{framing}\r\n"
         ).encode()
 
     def _condition(self):
@@ -375,7 +388,7 @@
                 return
             writer.write(_framed(event, is_unframed))
             await writer.drain()
-            await asyncio.sleep(self.event_ms / MS_PER_S)
+            await self._work(self.event_ms)
         if not is_unframed:
             writer.write(b"0\r\n\r\n")
         await writer.drain()
