Keep samples of the pace in a module of their own

Ruled out: leaving the pool's factor to the next refresh, which is skipped without reports.

Change: pace_samples.py, PresentSpeeds.note_factors; the factor is 1.0 once no upstream is off the usual speed; a report is never newer than its arrival.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
@@ -13,16 +13,16 @@
 )
 from hemlockhoist.decisions.scheduling.intake import UpstreamIntake
 from hemlockhoist.decisions.scheduling.pace import PoolPace
-from hemlockhoist.decisions.scheduling.present_speeds import (
-    PresentSpeeds,
-    sample_factor,
+from hemlockhoist.decisions.scheduling.pace_samples import (
+    add_answer_sample,
+    add_first_token_sample,
 )
+from hemlockhoist.decisions.scheduling.present_speeds import PresentSpeeds
 from hemlockhoist.decisions.scheduling.prompt_cache import PromptCache
 from hemlockhoist.decisions.scheduling.recovery import DECLARED_RECOVERY_MS
 from hemlockhoist.decisions.scheduling.upstream_tracker import UpstreamTracker
 from hemlockhoist.decisions.work import OutcomeKind
 
-US_PER_MS = 1_000
 # A request waits for a better upstream only if its first token is expected there within
 # this fraction of the remaining time, as the waiting time is an estimate.
 IN_TIME_FRACTION = 0.8
@@ -400,8 +400,7 @@
             self._max_gaps_ms[request.route] = request.max_gap_ms
         upstream_id = held.grant.upstream_id
         tracked = self._tracked[upstream_id]
-        if self._speeds.any_reported:
-            held.slowdowns = self._speeds.possible_factors(upstream_id, now_ms)
+        self._speeds.note_factors(held, now_ms)
         self._intake.record_grant(upstream_id, now_ms)
         cached = self._cached_tokens(request).get(upstream_id, 0)
         tracked.on_grant(held, self._pace.work(request), now_ms, cached)
@@ -416,7 +415,7 @@
         if tracked is None or held.first_token_reported:
             return
         held.first_token_reported = True
-        self._add_slowdown(held, now_ms)
+        self._speeds.note_factors(held, now_ms)
         tracked.on_prompt_done(held, now_ms)
         tracked.breaker.on_reachable()
         self._clear_suspended(held.grant.upstream_id, now_ms)
@@ -424,21 +423,8 @@
         if held.prompt_wait_ms <= 0 and is_uncached:
             # The cached part of a prompt is only presumed, so that the first token of a
             # prompt with one gives no estimate of an engine's pace.
-            self._observe_first_token(tracked, held, first_token_ms)
-
-    def _add_slowdown(self, held, now_ms):
-        if self._speeds.any_reported:
-            factors = self._speeds.possible_factors(held.grant.upstream_id, now_ms)
-            held.slowdowns += factors
-
-    def _observe_first_token(self, tracked, held, first_token_ms):
-        pace, prompt_tokens = tracked.usual_pace, held.request.prompt_tokens
-        usual_ms = pace.prompt_ms(prompt_tokens) + pace.base_ms()
-        slowdown = sample_factor(first_token_ms, usual_ms, held.slowdowns)
-        is_reported = self._speeds.has_reported(held.grant.upstream_id)
-        pace.observe_first_token(
-            prompt_tokens, first_token_ms / slowdown, may_jump=not is_reported
-        )
+            may_jump = not self._speeds.has_reported(held.grant.upstream_id)
+            add_first_token_sample(tracked, held, first_token_ms, may_jump)
 
     def on_outcome(self, held, outcome, hold_ms, predicted_ms, now_ms):
         """Update pace, failures and reachability from a released grant."""
@@ -457,8 +443,8 @@
         elif outcome.kind in _FAILURES:
             tracked.failures.observe(True, now_ms)
         elif outcome.kind is OutcomeKind.SUCCESS:
-            self._add_slowdown(held, now_ms)
-            slowdown = _observe_pace(tracked, held, outcome)
+            self._speeds.note_factors(held, now_ms)
+            slowdown = add_answer_sample(tracked, held, outcome)
             tracked.on_success(hold_ms, slowdown, now_ms)
             self._clear_suspended(upstream_id, now_ms)
 
@@ -509,18 +495,3 @@
         if self.any_limited:
             # Under limits, the count depends on how long requests hold their slots.
             self._slot_count = ((), 0)
-
-
-def _observe_pace(tracked, held, outcome):
-    """Add a sample of the usual pace; return the factor by which it was slower."""
-    pace, factors = tracked.usual_pace, held.slowdowns
-    if not outcome.output_tokens:
-        slowdown = sample_factor(outcome.total_ms, pace.token_ms, factors)
-        pace.observe_service_call(outcome.total_ms / slowdown)
-        return slowdown
-    if outcome.token_us <= 0:
-        return tracked.slowdown
-    token_ms = outcome.token_us / US_PER_MS
-    slowdown = sample_factor(token_ms, pace.token_ms, factors)
-    pace.observe_token(token_ms / slowdown)
-    return slowdown
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/grants.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/grants.py
@@ -7,7 +7,6 @@
 ENDED_TTL_MS = 10_000
 # Bound on the number of these ids, for a burst of requests of a few milliseconds each.
 MAX_ENDED = 20_000
-USUAL_SPEED = (1.0,)
 
 
 class InFlightGrant:
@@ -58,7 +57,7 @@
         self.pending_tokens = 0
         self.first_token_reported = False
         self.expected_blocks = 0
-        self.slowdowns = USUAL_SPEED
+        self.slowdowns = ()
 
 
 class GrantTable:
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/present_speeds.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/present_speeds.py
@@ -7,8 +7,6 @@
 # Reports decay by a few percent in this time. Renewing the factors at each request
 # would cost a home of hundreds of upstreams as much as placing the request does.
 REFRESH_INTERVAL_MS = 10
-# Times below the resolution of the measurements.
-MIN_SAMPLE_MS = 0.001
 
 
 class PresentSpeeds:
@@ -52,9 +50,12 @@
         """Return whether an upstream has reported its slowdown."""
         return self._slowdowns.has_reported(upstream_id)
 
-    def possible_factors(self, upstream_id, now_ms):
-        """Return the factors that an upstream may have: as reported, and as usual."""
-        return self._slowdowns.possible_factors(upstream_id, now_ms)
+    def note_factors(self, held, now_ms):
+        """Add the factors that its upstream may have now to a grant."""
+        if not self._slowdowns.any_reported:
+            return
+        upstream_id = held.grant.upstream_id
+        held.slowdowns += self._slowdowns.possible_factors(upstream_id, now_ms)
 
     @property
     def affected_count(self):
@@ -121,28 +122,5 @@
         """Forget an upstream that is gone or has restarted."""
         self._slowdowns.forget(upstream_id)
         self._affected.pop(upstream_id, None)
-
-
-def sample_factor(sample_ms, usual_ms, factors):
-    """Return the factor by which a sample of an answer was slower than usual.
-
-    A slowdown may begin and end within an answer, and reports say only how slow the
-    upstream was at single moments of it. Of these the one counts that explains the
-    sample best.
-
-    Parameters
-    ==========
-    sample_ms : float
-    usual_ms : float
-        Expected at the usual speed.
-    factors : iterable of float
-        The possible factors at moments of the answer, at least one.
-
-    Examples
-    ========
-    >>> from hemlockhoist.decisions.scheduling.present_speeds import sample_factor
-    >>> sample_factor(10.2, 4.0, (2.5, 1.0)), sample_factor(4.1, 4.0, (2.5, 1.0))
-    (2.5, 1.0)
-    """
-    ratio = max(sample_ms, MIN_SAMPLE_MS) / max(usual_ms, MIN_SAMPLE_MS)
-    return min(factors, key=lambda factor: abs(math.log(ratio / factor)))
+        if not self._affected:
+            self.pool_factor = 1.0
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_present_speeds.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_present_speeds.py
@@ -108,10 +108,13 @@
     def test_restarted_upstream_has_no_report(self):
         sender = learned("a")
         report(sender, SLOW, "a")
+        sender.sched.tick(sender.now_ms)
         restarted = [upstream("a", started_unix_ms=7)]
         sender.sched.set_upstreams(restarted, sender.now_ms)
         tracked = sender.sched._upstreams.tracker.get("a")
         self.assertEqual(tracked.pace, tracked.usual_pace)
+        tracker = sender.sched._upstreams.tracker
+        self.assertEqual(tracker.pool_slowdown(sender.now_ms), 1.0)
 
 
 class AdmissionTests(unittest.TestCase):
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_slowdown.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_slowdown.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hemlockhoist.decisions.scheduling import present_speeds, slowdown
+from hemlockhoist.decisions.scheduling import pace_samples, slowdown
 from hemlockhoist.decisions.scheduling.slowdown import ReportedSlowdowns
 from hemlockhoist.messages import SLOWDOWN_PERCENTS
 
@@ -54,7 +54,7 @@
         self.assertFalse(slowdowns.any_reported)
 
     def test_examples(self):
-        for module in (slowdown, present_speeds):
+        for module in (slowdown, pace_samples):
             self.assertEqual(doctest.testmod(module).failed, 0)
 
 
--- a/libs/host/src/hemlockhoist/host/home_signals.py
+++ b/libs/host/src/hemlockhoist/host/home_signals.py
@@ -114,7 +114,7 @@
         if signals.is_rejection:
             self._scheduler.observe_rejection(upstream_id, now_ms)
         if signals.slowdown_percent is not None:
-            measured_ms = now_ms - late_ms - signals.slowdown_age_ms
+            measured_ms = now_ms - max(0, late_ms + signals.slowdown_age_ms)
             percent = signals.slowdown_percent
             self._record_slowdown(upstream_id, percent, measured_ms)
         if signals.back_off_ms:
