Account both copies of a whole answer, and bound what waits for memory

An answer is held twice, in parts and joined, then in its response and its connection; what waits holds what was read ahead; and glibc's allocator keeps freed blocks of megabytes. Ruled out: a smaller receive buffer of sockets, as it limits the pace over long links. Change: answers reserve both copies, at once where their length is stated; at most 64 wait, the lowest tier leaves the line first; the allocator returns freed blocks from 128 KB on. A deadline that passes while a slow caller is waited for is not its upstream's timeout.

--- a/libs/entry/src/hemlockhoist/entry/attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt.py
@@ -69,7 +69,8 @@
         self.is_reachable = True
         # Whether this host's links, or a host that relayed, are at fault for a failure.
         self.is_link_at_fault = False
-        # Whether this host did not read the answer to its end, for want of memory.
+        # Whether this host did not read the answer to its end, for want of memory or as
+        # its caller was slow.
         self.is_given_up = False
         # Whether the upstream was gone when its answer had broken off.
         self.is_upstream_lost = False
--- a/libs/entry/src/hemlockhoist/entry/attempt_reporter.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt_reporter.py
@@ -30,7 +30,8 @@
         """Report the outcome of an attempt, once it is known whose fault it was."""
         now_ms = self._context.clock.now_ms()
         is_past_deadline = now_ms >= self._admitted.deadline_ms
-        if is_past_deadline and attempt.kind is OutcomeKind.CANCELLED:
+        is_silent = is_past_deadline and not attempt.is_given_up
+        if is_silent and attempt.kind is OutcomeKind.CANCELLED:
             attempt.kind = OutcomeKind.TIMEOUT
         attempt.ended_ms = now_ms
         paths, hold = self._context.upstreams, attempt.hold
--- a/libs/entry/src/hemlockhoist/entry/caller_buffer.py
+++ b/libs/entry/src/hemlockhoist/entry/caller_buffer.py
@@ -42,15 +42,21 @@
         The caller's connection; None if it has been lost.
     memory : RequestMemory
     clock : Clock
+
+    Attributes
+    ==========
+    is_waiting : bool
+        Whether the caller is waited for, or was when its answer ended.
     """
 
-    __slots__ = ("_clock", "_is_accounted", "_memory", "_transport")
+    __slots__ = ("_clock", "_is_accounted", "_memory", "_transport", "is_waiting")
 
     def __init__(self, transport, memory, clock):
         self._transport = transport
         self._memory = memory
         self._clock = clock
         self._is_accounted = False
+        self.is_waiting = False
         if transport is not None:
             transport.set_write_buffer_limits(high=TRANSPORT_LIMIT_BYTES)
 
@@ -123,6 +129,7 @@
         return self._buffered_bytes() + _queued_bytes(self._transport)
 
     async def _wait(self, is_done, on_wait=None):
+        self.is_waiting = True
         lowest_bytes = self._untaken_bytes()
         progress_ms = self._clock.now_ms()
         while not is_done(self._buffered_bytes()):
@@ -140,6 +147,7 @@
                     f"{self._buffered_bytes()} bytes are buffered"
                 )
                 raise SlowReader(text)
+        self.is_waiting = False
 
 
 def _queued_bytes(transport):
--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -361,6 +361,7 @@
             engine = pool.engine if pool is not None else None
             tokens_per_event = engine.tokens_per_event if engine else 1
             attempt.record_stream(self._relay, before, tokens_per_event)
+            attempt.is_given_up = self._relay.is_caller_slow
         return caller_response
 
     # Final responses.
--- a/libs/entry/src/hemlockhoist/entry/memory.py
+++ b/libs/entry/src/hemlockhoist/entry/memory.py
@@ -1,6 +1,7 @@
 """The memory of requests on an entry host: waiting for it, and returning it."""
 
 import asyncio
+import ctypes
 import heapq
 import itertools
 
@@ -15,10 +16,36 @@
 # An answer has run, and its upstream waits for as long before it cuts it off.
 RESPONSE_WAIT_MS = 2_000
 RETRY_AFTER_MS = 500
+# What waits holds what the HTTP library reads ahead, which is not accounted: up to
+# 0.4 MB at a time.
+MAX_WAITING = 64
+# An answer is held twice: in parts and put together, then in its response and in the
+# caller's connection.
+RESPONSE_COPIES = 2
 # Rank of data whose request has run: before all that has not begun.
 STARTED_RANK = 0
 
 
+# Parameters of glibc's allocator, with their numbers in its ``mallopt``.
+_M_TRIM_THRESHOLD, _M_MMAP_THRESHOLD = -1, -3
+_ALLOCATOR_THRESHOLD_BYTES = 131_072
+
+
+def return_freed_memory():
+    """Have the allocator return the memory of large bodies to the system when freed.
+
+    By default glibc raises its thresholds with the largest freed block, and bodies of
+    some megabytes leave holes in the heap, which count as memory of the process.
+    """
+    try:
+        mallopt = ctypes.CDLL(None).mallopt
+    except AttributeError:
+        # Another C library, without these parameters.
+        return
+    mallopt(_M_MMAP_THRESHOLD, _ALLOCATOR_THRESHOLD_BYTES)
+    mallopt(_M_TRIM_THRESHOLD, _ALLOCATOR_THRESHOLD_BYTES)
+
+
 class AnswerNotRead(DispatchError):  # noqa: N818
     """This host gave up an answer, for which its upstream is not at fault."""
 
@@ -70,13 +97,15 @@
         if self.try_reserve(purpose, byte_count, tier_rank):
             return True
         self._log_short(purpose)
+        if not self._make_room(tier_rank):
+            return False
         future = asyncio.get_running_loop().create_future()
         entry = (tier_rank, next(self._numbers), purpose, byte_count, future)
         heapq.heappush(self._waiting, entry)
         try:
             await asyncio.wait([future], timeout=wait_ms / MS_PER_S)
         except asyncio.CancelledError:
-            if future.done():
+            if future.done() and future.result():
                 self.release(purpose, byte_count)
             raise
         finally:
@@ -84,7 +113,19 @@
                 self._waiting.remove(entry)
                 heapq.heapify(self._waiting)
                 self._serve_waiting()
-        return future.done()
+        return future.done() and future.result()
+
+    def _make_room(self, tier_rank):
+        """Return whether one more may wait; if need be, one of a lower tier may not."""
+        if len(self._waiting) < MAX_WAITING:
+            return True
+        lowest = max(self._waiting, key=lambda entry: entry[:2])
+        if lowest[0] <= tier_rank:
+            return False
+        self._waiting.remove(lowest)
+        heapq.heapify(self._waiting)
+        lowest[-1].set_result(False)
+        return True
 
     def move(self, source, target, byte_count):
         """Account reserved memory for another purpose."""
@@ -102,7 +143,7 @@
             if not self.budget.try_reserve(purpose, byte_count, tier_rank):
                 return
             heapq.heappop(self._waiting)
-            future.set_result(None)
+            future.set_result(True)
         self._is_short = False
 
     def _log_short(self, purpose):
@@ -167,7 +208,7 @@
         self._host_memory.release(read, reserved - kept_bytes)
 
     async def reserve_response(self, byte_count):
-        """Reserve memory for a part of a whole answer that has been read.
+        """Reserve memory for a whole answer, or a part of it.
 
         Raises
         ======
@@ -175,6 +216,7 @@
             ``OUTCOME_UNKNOWN``: the rest does not fit.
         """
         purpose = MemoryPurpose.RESPONSES
+        byte_count *= RESPONSE_COPIES
         if not await self._host_memory.reserve(
             purpose, byte_count, STARTED_RANK, RESPONSE_WAIT_MS
         ):
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -36,12 +36,10 @@
 from hemlockhoist.entry.gate import QuotaGate
 from hemlockhoist.entry.gauges import update_gauges
 from hemlockhoist.entry.host_registry import HostRegistry
+from hemlockhoist.entry.memory import return_freed_memory
 from hemlockhoist.entry.moves import OrderedMoveService
 from hemlockhoist.entry.relay_rules import EntryRelayRules
-from hemlockhoist.entry.servers import (
-    LEAVING_RETRY_AFTER_MS,
-    CallerServer,
-)
+from hemlockhoist.entry.servers import LEAVING_RETRY_AFTER_MS, CallerServer
 from hemlockhoist.entry.status_server import StatusServer
 from hemlockhoist.entry.store_view import StoreView
 from hemlockhoist.entry.usage_recorder import UsageRecorder
@@ -539,6 +537,7 @@
     listener : socket.socket, optional
         Already listens for callers.
     """
+    return_freed_memory()
     writer = LineWriter(sys.stdout)
     writer.start()
     try:
--- a/libs/entry/src/hemlockhoist/entry/stream.py
+++ b/libs/entry/src/hemlockhoist/entry/stream.py
@@ -104,6 +104,11 @@
         """The id of the last event that the caller has received, or None."""
         return self._reader.last_number
 
+    @property
+    def is_caller_slow(self):
+        """Whether the caller is waited for, or was when its stream ended."""
+        return self._buffer.is_waiting
+
     async def relay(self, response, head, on_first):
         """Relay an upstream's events until the end of its stream.
 
--- a/libs/upstreams/src/hemlockhoist/upstreams/response.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/response.py
@@ -107,36 +107,59 @@
     @property
     def _ends_with_connection(self):
         """Whether the response has a body, and nothing else tells where it ends."""
-        if self._response.method == "HEAD" or self.status in _BODILESS_STATUSES:
+        if self._is_bodiless:
             return False
         return not any(name in self.headers for name in _FRAMING_HEADERS)
 
-    async def read(self, max_bytes, on_chunk=None):
+    async def read(self, max_bytes, reserve=None):
         """Return the complete body.
 
         Parameters
         ==========
         max_bytes : int
-        on_chunk : coroutine function, optional
-            ``on_chunk(byte_count)`` is awaited for each chunk before the next is read.
+        reserve : coroutine function, optional
+            ``reserve(byte_count)`` is awaited before that much is read, if the length
+            is known, or else for each chunk before the next is read.
 
         Raises
         ======
         DispatchError
             As in ``chunks``, and when the body is longer than ``max_bytes``.
         """
+        length = self._stated_length
+        if length is not None and length > max_bytes:
+            raise _too_long(max_bytes)
+        if reserve is not None and length:
+            await reserve(length)
         parts = []
         size = 0
         async for chunk in self.chunks():
             parts.append(chunk)
             size += len(chunk)
             if size > max_bytes:
-                text = f"response body longer than {max_bytes} bytes"
-                raise DispatchError(text, ResultCode.UPSTREAM_BROKE_OFF)
-            if on_chunk is not None:
-                await on_chunk(len(chunk))
+                raise _too_long(max_bytes)
+            if reserve is not None and length is None:
+                await reserve(len(chunk))
         return b"".join(parts)
 
+    @property
+    def _is_bodiless(self):
+        """Whether the response has no body, whatever its headers say."""
+        return self._response.method == "HEAD" or self.status in _BODILESS_STATUSES
+
+    @property
+    def _stated_length(self):
+        """The stated length of the body; None if it is not stated or has none."""
+        if self._is_bodiless or "Transfer-Encoding" in self.headers:
+            return None
+        text = self.headers.get("Content-Length", "")
+        return int(text) if text.isdecimal() else None
+
+
+def _too_long(max_bytes):
+    text = f"response body longer than {max_bytes} bytes"
+    return DispatchError(text, ResultCode.UPSTREAM_BROKE_OFF)
+
 
 @contextlib.contextmanager
 def dispatch_errors():
