Keep a fifth of the memory budget for requests that have run

Cause: bodies of the highest tier could take the whole budget. Answers then found none, and were given up after their requests had run. Change: bodies use 0.8 of the budget at most, lower tiers less down to half as before.

--- a/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
@@ -17,7 +17,11 @@
 from hemlockhoist.decisions.entry.halted import HaltedOrders
 from hemlockhoist.decisions.entry.listing import UpstreamListing
 from hemlockhoist.decisions.entry.locality import nearby_members
-from hemlockhoist.decisions.entry.memory_budget import MemoryBudget, MemoryPurpose
+from hemlockhoist.decisions.entry.memory_budget import (
+    STARTED_RANK,
+    MemoryBudget,
+    MemoryPurpose,
+)
 from hemlockhoist.decisions.entry.move_orders import (
     MoveOrder,
     MoveOrderState,
@@ -44,6 +48,7 @@
 
 __all__ = [
     "MAX_DIRECT_READERS",
+    "STARTED_RANK",
     "AdvertisedLimit",
     "AdvertisedLimits",
     "AttemptEnd",
--- a/libs/decisions/src/hemlockhoist/decisions/entry/memory_budget.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/memory_budget.py
@@ -10,8 +10,12 @@
 MARGIN_FRACTION = 0.25
 # A limit near the base of the process is no use; this much still serves usual bodies.
 MIN_BUDGET_BYTES = 8 * BYTES_PER_MB
-# Fraction that the lowest tier may use.
+# Fractions that bodies of the highest and of the lowest tier may use. The rest is for
+# answers: a request whose answer does not fit has run, and may not be run again.
+HIGHEST_SHARE = 0.8
 LOWEST_SHARE = 0.5
+# Rank of what belongs to a request that has run, for which the whole budget is there.
+STARTED_RANK = -1
 # Ranks of a route below those of a customer, see ``AdmittedCall.rank``.
 _ROUTE_RANKS = 1_000
 
@@ -32,7 +36,7 @@
     that exceeds its limit is killed with all its requests, so a request whose body does
     not fit is refused instead. Each tier may use a smaller share than the next higher
     one. So there is always room left that only higher tiers may use, and the highest
-    is refused last.
+    is refused last. Only what belongs to requests that have run may use the whole.
 
     Parameters
     ==========
@@ -43,13 +47,13 @@
     ========
     >>> from hemlockhoist.decisions.entry import MemoryBudget, MemoryPurpose
     >>> budget = MemoryBudget(1_000)
-    >>> budget.try_reserve(MemoryPurpose.BODIES_READ, 700, tier_rank=0)
+    >>> budget.try_reserve(MemoryPurpose.BODIES_READ, 600, tier_rank=0)
     True
     >>> budget.try_reserve(MemoryPurpose.BODIES_READ, 200, tier_rank=1_000)
     False
     >>> budget.try_reserve(MemoryPurpose.BODIES_READ, 200, tier_rank=0)
     True
-    >>> budget.release(MemoryPurpose.BODIES_READ, 900)
+    >>> budget.release(MemoryPurpose.BODIES_READ, 800)
     >>> budget.used_bytes
     0
     """
@@ -95,7 +99,8 @@
         purpose : MemoryPurpose
         byte_count : int
         tier_rank : int
-            0 is the highest.
+            0 is the highest; ``STARTED_RANK`` for what belongs to a request that has
+            run.
         """
         if not self.fits(byte_count, tier_rank):
             return False
@@ -120,13 +125,13 @@
         self._used_by_purpose[purpose] -= byte_count
 
     def _limit_of(self, tier_rank):
-        if not tier_rank:
+        if tier_rank == STARTED_RANK:
             return self.limit_bytes
         return int(self.limit_bytes * tier_share(tier_rank))
 
 
 def tier_share(tier_rank):
-    """Return the fraction of the budget that a tier may use.
+    """Return the fraction of the budget that bodies of a tier may use.
 
     It falls with each rank of a customer, and with each rank of a route among the
     requests of customers of one rank.
@@ -135,8 +140,8 @@
     ========
     >>> from hemlockhoist.decisions.entry.memory_budget import tier_share
     >>> [round(tier_share(rank), 2) for rank in (0, 1, 2, 1_000, 1_001, 9_000)]
-    [1.0, 0.83, 0.8, 0.75, 0.7, 0.55]
+    [0.8, 0.7, 0.68, 0.65, 0.62, 0.53]
     """
     customer_rank, route_rank = divmod(tier_rank, _ROUTE_RANKS)
     position = customer_rank + route_rank / (route_rank + 1)
-    return 1.0 - (1.0 - LOWEST_SHARE) * position / (position + 1)
+    return HIGHEST_SHARE - (HIGHEST_SHARE - LOWEST_SHARE) * position / (position + 1)
--- a/libs/entry/src/hemlockhoist/entry/memory.py
+++ b/libs/entry/src/hemlockhoist/entry/memory.py
@@ -6,7 +6,7 @@
 import itertools
 
 from hemlockhoist.base import MS_PER_S, DispatchError, Refused, ResultCode, get_logger
-from hemlockhoist.decisions.entry import MemoryBudget, MemoryPurpose
+from hemlockhoist.decisions.entry import STARTED_RANK, MemoryBudget, MemoryPurpose
 
 _log = get_logger("entry.memory")
 
@@ -22,8 +22,6 @@
 # An answer is held twice: in parts and put together, then in its response and in the
 # caller's connection.
 RESPONSE_COPIES = 2
-# Rank of data whose request has run: before all that has not begun.
-STARTED_RANK = 0
 
 
 # Parameters of glibc's allocator, with their numbers in its ``mallopt``.
