--- a/libs/entry/src/hemlockhoist/entry/attempt_reporter.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt_reporter.py
@@ -37,7 +37,8 @@
         """
         now_ms = self._context.clock.now_ms()
         is_past_deadline = now_ms >= self._admitted.deadline_ms
-        if times_out and is_past_deadline and attempt.kind is OutcomeKind.CANCELLED:
+        is_silent = times_out and is_past_deadline and not attempt.is_given_up
+        if is_silent and attempt.kind is OutcomeKind.CANCELLED:
             attempt.kind = OutcomeKind.TIMEOUT
         attempt.ended_ms = now_ms
         paths, hold = self._context.upstreams, attempt.hold
