Test the race of two attempts on virtual time

Cause: with sockets, no test meets the moment in which the first response arrives after the hedge has won and before the first attempt is cancelled.

Change: a property over times, failures and callers that leave: at most one response goes to the caller, and no attempt is left. One test puts both responses into the same step of the event loop. Hedge.failed_end is removed, as nothing reads it.

Measured: each of three mutations of hedge.py (the claim does not raise, the first attempt is not cancelled, a loser is not discarded) fails these tests.

--- a/libs/entry/src/hemlockhoist/entry/hedge.py
+++ b/libs/entry/src/hemlockhoist/entry/hedge.py
@@ -42,11 +42,6 @@
     attempts : RequestAttempts
     waits_until_ms : callable
         Returns when the caller disconnects if it receives nothing until then.
-
-    Attributes
-    ==========
-    failed_end : AttemptEnd or None
-        How the hedge failed; None if it did not.
     """
 
     __slots__ = (
@@ -64,7 +59,6 @@
         "_waits_until_ms",
         "_watched",
         "_winner",
-        "failed_end",
     )
 
     def __init__(self, context, admitted, sender, grants, attempts, waits_until_ms):
@@ -85,7 +79,6 @@
         self._watched = None
         # The hedge once it has a usable response, until it is taken.
         self._winner = None
-        self.failed_end = None
 
     @property
     def is_pending(self):
@@ -253,7 +246,6 @@
         except Refused as error:
             opened.attempt.reason = error.message
             opened.end = AttemptEnd.NOT_SENT
-        self.failed_end = opened.end
         if opened.end is not None:
             return
         self._winner = opened
--- /dev/null
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_hedge.py
@@ -0,0 +1,137 @@
+import asyncio
+import contextlib
+import types
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hemlockhoist.base import MS_PER_S, Clock
+from hemlockhoist.base.metrics import Metrics
+from hemlockhoist.base.testing import PausedEventLoop
+from hemlockhoist.decisions.entry import AttemptEnd, HedgePolicy
+from hemlockhoist.entry.hedge import Hedge
+from hemlockhoist.entry.tests.builders import route
+
+# A bound of the policy's histogram, so that it is the delay.
+USUAL_MS = 4
+
+
+class FakeAttempts:
+    """Attempts whose responses take given times, or fail after them."""
+
+    sent_count = 0
+
+    def __init__(self, hedge_ms, is_failing):
+        self._hedge_ms = hedge_ms
+        self._is_failing = is_failing
+        self.hedges = []
+        self.discarded = []
+        self.opened = asyncio.Event()
+
+    async def begin_beside(self, is_hedge):
+        self.hedges.append(new_attempt())
+        return self.hedges[-1]
+
+    def span(self, attempt):
+        return contextlib.nullcontext()
+
+    async def discard(self, opened, times_out):
+        self.discarded.append(opened)
+
+    # As of ``AttemptSender``.
+
+    def failure_recorded(self, opened):
+        return contextlib.nullcontext()
+
+    async def open(self, opened):
+        await asyncio.sleep(self._hedge_ms / MS_PER_S)
+        self.opened.set()
+        if self._is_failing:
+            opened.end = AttemptEnd.BROKEN
+        opened.response = types.SimpleNamespace(read=self._read)
+
+    async def _read(self, limit):
+        return b"hedge"
+
+
+def new_attempt():
+    attempt = types.SimpleNamespace(
+        number=2,
+        is_overtaken=False,
+        reason="",
+        hold=types.SimpleNamespace(upstream_id="u"),
+        guard=types.SimpleNamespace(dispatched=True),
+    )
+    head = types.SimpleNamespace(status=200)
+    return types.SimpleNamespace(
+        attempt=attempt, head=head, response=None, end=None, body=None
+    )
+
+
+class HedgeRaceTests(unittest.TestCase):
+    @given(*[st.integers(0, 12)] * 2, *[st.booleans()] * 2, st.integers(0, 30))
+    def test_one_response_at_most_goes_to_the_caller(
+        self, first_ms, hedge_ms, first_fails, hedge_fails, leaves_ms
+    ):
+        """Guards against two responses for one caller, and attempts that go on."""
+        race = self.race(first_ms, hedge_ms, first_fails, hedge_fails, leaves_ms)
+        with asyncio.Runner(loop_factory=PausedEventLoop) as runner:
+            claims, attempts, won, after_ms = runner.run(race)
+        self.assertLessEqual(len(claims) + won, 1)
+        self.assertEqual(len(attempts.discarded) + won, len(attempts.hedges))
+        is_left = leaves_ms <= max(first_ms, 20)
+        is_hedge_usable = attempts.hedges and not hedge_fails
+        if not is_left and (not first_fails or is_hedge_usable):
+            self.assertEqual(len(claims) + won, 1)
+        if won and not first_fails:
+            self.assertLess(after_ms, USUAL_MS + hedge_ms + 1)
+
+    def test_first_response_arrives_in_the_step_in_which_the_hedge_wins(self):
+        """Guards against a first attempt that writes before it is cancelled."""
+        with asyncio.Runner(loop_factory=PausedEventLoop) as runner:
+            race = self.race(None, 5, False, False, 100)
+            claims, _, won, _ = runner.run(race)
+        self.assertEqual((claims, won), ([], True))
+
+    async def race(self, first_ms, hedge_ms, first_fails, hedge_fails, leaves_ms):
+        clock, claims, won = Clock.from_running_loop(), [], False
+        attempts = FakeAttempts(hedge_ms, hedge_fails)
+        policy = HedgePolicy(200)
+        for _ in range(100):
+            policy.count_request()
+            policy.observe("check", USUAL_MS, clock.now_ms())
+        context = types.SimpleNamespace(
+            hedging=policy,
+            clock=clock,
+            metrics=Metrics(None),
+            grants=types.SimpleNamespace(is_refusing=False),
+        )
+        deadline_ms = clock.now_ms() + 1_000
+        admitted = types.SimpleNamespace(
+            route=route(max_attempts=2), pool="halls", deadline_ms=deadline_ms
+        )
+        grants = types.SimpleNamespace(request_id="a1")
+        hedge = Hedge(
+            context, admitted, attempts, grants, attempts, lambda: deadline_ms
+        )
+        first, begun_ms = new_attempt(), clock.now_ms()
+
+        async def send(opened):
+            if first_ms is None:
+                await attempts.opened.wait()
+            else:
+                await asyncio.sleep(first_ms / MS_PER_S)
+            if not first_fails:
+                hedge.claim(opened)
+                claims.append(opened)
+
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(leaves_ms / MS_PER_S):
+                await hedge.race(first, send)
+                if hedge.is_pending and await hedge.finish():
+                    won = hedge.take() is not None
+        after_ms = clock.now_ms() - begun_ms
+        await hedge.close()
+        self.assertEqual(len(asyncio.all_tasks()), 1)
+        return claims, attempts, won, after_ms
