Report told retries to a new home, and log and count reservations

Cause: a home that is lost takes its reservations with it, and callers return to a successor that does not know what they were told.

Ruled out: a token in the refusal, which callers of this protocol do not send back; a row in the store for each refusal.

Change: refusals carry the reserved slot time. The home logs sums at most once a second and counts metrics.

--- a/libs/base/src/hemlockhoist/base/metrics_table.py
+++ b/libs/base/src/hemlockhoist/base/metrics_table.py
@@ -193,6 +193,35 @@
     "If it is far below the refusals with Retry-After, callers give up or retry "
     "elsewhere.",
 )
+RESERVATIONS_MADE = Metric(
+    "reservations.made",
+    _C,
+    "pool",
+    "Refused requests for whose retry the pool's home reserved capacity.",
+    "If it is far below the refusals of the pool, bursts last longer than callers wait.",
+)
+RESERVATIONS_USED = Metric(
+    "reservations.used",
+    _C,
+    "pool",
+    "Requests that came back when told and claimed reserved capacity.",
+    "Compare with reservations.lapsed.",
+)
+RESERVATIONS_LAPSED = Metric(
+    "reservations.lapsed",
+    _C,
+    "pool",
+    "Reservations that nobody claimed in time; waiting requests used the capacity.",
+    "If most lapse, callers do not honour Retry-After, or retry elsewhere.",
+)
+RESERVATIONS_MOVED = Metric(
+    "reservations.moved",
+    _C,
+    "pool",
+    "Claimed reservations that were moved to a later time, as higher tiers needed the "
+    "capacity.",
+    "If it is high, the capacity does not suffice for the lower tiers.",
+)
 CALLERS_DISCONNECTED = Metric(
     "callers.left",
     _C,
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -4,7 +4,7 @@
 
 from hemlockhoist.base import get_logger
 from hemlockhoist.base.metrics import Metrics
-from hemlockhoist.base.metrics_table import CALLERS_RETRIED, WASTED_TOKENS
+from hemlockhoist.base.metrics_table import WASTED_TOKENS
 from hemlockhoist.base.traces import Hop, parent_from_text
 from hemlockhoist.decisions import (
     Grant,
@@ -14,6 +14,7 @@
     WorkRequest,
 )
 from hemlockhoist.host.gates import AllowAllGate
+from hemlockhoist.host.home_retries import HomeRetries
 from hemlockhoist.host.home_signals import HomeSignals
 from hemlockhoist.host.prompt_checks import PromptChecks
 from hemlockhoist.host.quarantine import QuarantineService
@@ -87,6 +88,7 @@
         "_prompts",
         "_queued",
         "_reconnect",
+        "_retries",
         "_send",
         "_signals",
         "_spans",
@@ -128,6 +130,7 @@
         self._gate = gate or AllowAllGate()
         self._holders = HolderQueries(pool, identity.incarnation, clock, send)
         self._signals = HomeSignals(pool, scheduler, clock, self._metrics, on_leaving)
+        self._retries = HomeRetries(pool, scheduler, self._metrics)
         self._cached_elsewhere_tokens = {}
         self._queued = {}
         self._granted = {}
@@ -212,10 +215,8 @@
             self._refuse(request, refusal.code, refusal.retry_after_ms, refusal.reason)
             return
         self._begin_span(brief)
-        retries_before = self.scheduler.client_retry_count
         decisions = self.scheduler.submit(request, now_ms)
-        if self.scheduler.client_retry_count > retries_before:
-            self._metrics.count(CALLERS_RETRIED, self.pool)
+        self._retries.on_submitted()
         request_id = request.request_id
         is_decided = any(item.request.request_id == request_id for item in decisions)
         if not self.scheduler.is_granted(request_id):
@@ -369,6 +370,7 @@
             self._granted[request.request_id] = (grant, sender)
             self._emit(self.scheduler.adopt(request, grant, now_ms), now_ms)
         self._signals.adopt(sender, message)
+        self._retries.adopt(sender, message, now_ms)
         self._prompts.on_held_grants(message)
         if self._holders.is_pending(sender):
             self._gate.on_usage_report(sender, message, now_ms)
@@ -417,6 +419,7 @@
         now_ms = self._clock.now_ms()
         self._holders.resend_if_due()
         self._prompts.tick()
+        self._retries.tick(now_ms)
         self._emit(self.scheduler.tick(now_ms), now_ms)
 
     def set_upstreams(self, upstreams):
@@ -457,9 +460,12 @@
         self._gate.on_not_run(self.pool, request, since_ms, now_ms)
         reason = f"queued {len(self._queued)} granted {len(self._granted)}"
         reason += self._signals.refusal_text(request)
-        self._refuse(request, code, decision.retry_after_ms, reason)
+        reserved_ms = int(decision.reserved_ms)
+        if reserved_ms:
+            reason += f" reserved {reserved_ms} ms"
+        self._refuse(request, code, decision.retry_after_ms, reason, reserved_ms)
 
-    def _refuse(self, request, code, retry_after_ms, reason):
+    def _refuse(self, request, code, retry_after_ms, reason, reserved_ms=0):
         """Send a refusal; the entry host logs it with its reason."""
         refusal = GrantRefusal(
             pool=self.pool,
@@ -467,6 +473,7 @@
             code=int(code),
             retry_after_ms=retry_after_ms,
             reason=reason,
+            reserved_ms=reserved_ms,
         )
         self._send(request.entry_host, refusal)
 
--- /dev/null
+++ b/libs/host/src/hemlockhoist/host/home_retries.py
@@ -0,0 +1,121 @@
+"""Client retries at a pool's home: their reservations in logs, metrics and reports."""
+
+import msgspec
+
+from hemlockhoist.base import MS_PER_S, get_logger
+from hemlockhoist.base.metrics_table import (
+    CALLERS_RETRIED,
+    RESERVATIONS_LAPSED,
+    RESERVATIONS_MADE,
+    RESERVATIONS_MOVED,
+    RESERVATIONS_USED,
+)
+
+_log = get_logger("host.home")
+
+# The lines about reservations are written at most this often, with counts: in a burst,
+# a home refuses thousands of requests a second.
+LOG_INTERVAL_MS = MS_PER_S
+_METRICS = {
+    "made": RESERVATIONS_MADE,
+    "used": RESERVATIONS_USED,
+    "lapsed": RESERVATIONS_LAPSED,
+    "moved": RESERVATIONS_MOVED,
+}
+_EVENTS = {
+    "made": "retries_reserved",
+    "used": "reservations_used",
+    "lapsed": "reservations_lapsed",
+    "moved": "reservations_moved",
+}
+
+
+class HomeRetries:
+    """Counts and logs what a pool's scheduler does with client retries.
+
+    Parameters
+    ==========
+    pool : str
+    scheduler : PoolScheduler
+    metrics : Metrics
+    """
+
+    __slots__ = (
+        "_counted",
+        "_logged",
+        "_logged_ms",
+        "_metrics",
+        "_pool",
+        "_reporters",
+        "_retry_count",
+        "_scheduler",
+    )
+
+    def __init__(self, pool, scheduler, metrics):
+        self._pool = pool
+        self._scheduler = scheduler
+        self._metrics = metrics
+        self._reporters = set()
+        self._retry_count = 0
+        self._counted = self._logged = self._counts()
+        self._logged_ms = None
+
+    def _counts(self):
+        reservations = self._scheduler.reservations
+        return (
+            {} if reservations is None else msgspec.structs.asdict(reservations.counts)
+        )
+
+    def on_submitted(self):
+        """Count a request that its client retried, if the last one was one."""
+        if self._scheduler.client_retry_count > self._retry_count:
+            self._retry_count = self._scheduler.client_retry_count
+            self._metrics.count(CALLERS_RETRIED, self._pool)
+
+    def adopt(self, sender, report, now_ms):
+        """Pass the retries that an entry host told its callers to the scheduler.
+
+        Only its first report counts: requests without a size are counted and not
+        identified, so a repeated report would reserve twice for them.
+
+        Parameters
+        ==========
+        sender : str
+        report : HeldGrants
+        now_ms : int
+        """
+        reservations = self._scheduler.reservations
+        if reservations is None or sender in self._reporters:
+            return
+        self._reporters.add(sender)
+        adopted = sum(reservations.adopt(item, now_ms) for item in report.told_retries)
+        if adopted:
+            _log.info(
+                "reservations_adopted",
+                pool=self._pool,
+                reported_by=sender,
+                count=adopted,
+            )
+
+    def tick(self, now_ms):
+        """Count and log the reservations made, used, lapsed and moved meanwhile."""
+        counts = self._counts()
+        for name, count in counts.items():
+            if count > self._counted[name]:
+                metric = _METRICS[name]
+                self._metrics.count(metric, self._pool, count - self._counted[name])
+        self._counted = counts
+        is_due = self._logged_ms is None or now_ms - self._logged_ms >= LOG_INTERVAL_MS
+        if counts == self._logged or not is_due:
+            return
+        outstanding = self._scheduler.reservations.outstanding
+        for name, count in counts.items():
+            if count > self._logged[name]:
+                _log.info(
+                    _EVENTS[name],
+                    pool=self._pool,
+                    count=count - self._logged[name],
+                    outstanding=outstanding,
+                )
+        self._logged = counts
+        self._logged_ms = now_ms
--- a/libs/host/src/hemlockhoist/host/homes.py
+++ b/libs/host/src/hemlockhoist/host/homes.py
@@ -43,6 +43,8 @@
         announced to an entry host that it is about to stop.
     quarantine : QuarantineService, optional
         Keeps requests back whose prompts crash upstreams.
+    reserves_retries : bool, optional
+        Whether capacity is reserved for refused requests that clients retry.
     """
 
     __slots__ = (
@@ -55,6 +57,7 @@
         "_new_tracker",
         "_on_leaving",
         "_quarantine",
+        "_reserves_retries",
         "_send",
         "_standbys",
         "_upstreams",
@@ -70,8 +73,10 @@
         experiments=None,
         on_leaving=lambda upstream_id, started_unix_ms: None,
         quarantine=None,
+        reserves_retries=False,
     ):
         self._quarantine = quarantine
+        self._reserves_retries = reserves_retries
         self._on_leaving = on_leaving
         self._experiments = experiments or Experiments()
         self._new_tracker = new_tracker
@@ -150,6 +155,7 @@
             self._context.invariants,
             self._new_tracker(pool.name),
             self._experiments,
+            self._reserves_retries,
         )
         home = PoolHome(
             pool.name,
--- a/libs/host/src/hemlockhoist/host/tests/test_grants.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_grants.py
@@ -86,6 +86,7 @@
     upstreams = (UPSTREAM,)
     advertised_limits = None
     back_offs = None
+    reserves_retries = False
 
     async def asyncSetUp(self):
         self.clock = Clock(asyncio.get_running_loop())
@@ -110,6 +111,7 @@
             name,
             invariants=InvariantLog(fatal=True),
             tracker=self._new_tracker(),
+            reserves_retries=self.reserves_retries,
         )
         identity = HostIdentity(
             name=name, incarnation=name, address="", host_id=name, failure_domain=""
