--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -263,6 +263,7 @@
             experiments=self.settings.experiments,
             on_leaving=context.store_view.on_upstream_leaving,
             quarantine=context.quarantine,
+            reserves_retries=self.settings.reserves_retries,
         )
         context.grants = GrantClient(
             context.clock,
--- a/libs/entry/src/hemlockhoist/entry/settings.py
+++ b/libs/entry/src/hemlockhoist/entry/settings.py
@@ -82,6 +82,8 @@
         is not configured.
     experiments : Experiments
         Scheduling mechanisms that are disabled; for measurements only.
+    reserves_retries : bool
+        Whether homes reserve capacity for refused requests that clients retry.
     """
 
     name: str
@@ -102,3 +104,4 @@
     max_descriptors: int = 0
     processor_millicores: int = 0
     experiments: Experiments = msgspec.field(default_factory=Experiments)
+    reserves_retries: bool = False
