--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/experiments.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/experiments.py
@@ -10,6 +10,7 @@
     DeclaredSlotsTracker,
 )
 from hemlockhoist.decisions.scheduling.overtaking_budget import OvertakingBudget
+from hemlockhoist.decisions.scheduling.retry_reservations import RetryReservations
 from hemlockhoist.decisions.scheduling.slowdown import NoSlowdowns, ReportedSlowdowns
 
 
@@ -24,6 +25,7 @@
     TOKEN_GAPS = "pauses"
     CLIENT_RETRIES = "returns"
     REPORTED_SLOWDOWNS = "slowdown"
+    RESERVATIONS = "reservations"
 
 
 class Experiments:
@@ -87,13 +89,19 @@
             else OvertakingBudget()
         )
 
-    def client_retries(self):
-        """Return the tracker of client retries, or one that recognises none."""
-        return (
-            NoClientRetries()
-            if Mechanism.CLIENT_RETRIES in self.disabled
-            else ClientRetries()
-        )
+    def client_retries(self, reserves=False):
+        """Return the tracker of client retries, or one that recognises none.
+
+        Parameters
+        ==========
+        reserves : bool, optional
+            Whether capacity is reserved for retries.
+        """
+        if Mechanism.CLIENT_RETRIES in self.disabled:
+            return NoClientRetries()
+        if reserves and Mechanism.RESERVATIONS not in self.disabled:
+            return RetryReservations()
+        return ClientRetries()
 
     def declared_slots_tracker(self, cache_tokens=0, warmup=None):
         """Return a tracker of upstreams that declare their slots."""
--- a/libs/entry/src/hemlockhoist/entry/settings.py
+++ b/libs/entry/src/hemlockhoist/entry/settings.py
@@ -91,6 +91,8 @@
         Second attempts of slow requests per thousand requests; 0 for none.
     hedge_excluded_routes : tuple of str
         Names of routes whose requests get no second attempt while the first runs.
+    reserves_retries : bool
+        Whether homes reserve capacity for refused requests that clients retry.
     """
 
     name: str
@@ -113,3 +115,4 @@
     experiments: Experiments = msgspec.field(default_factory=Experiments)
     hedge_permille: int = 0
     hedge_excluded_routes: tuple[str, ...] = ()
+    reserves_retries: bool = False
--- a/libs/messages/src/hemlockhoist/messages/__init__.py
+++ b/libs/messages/src/hemlockhoist/messages/__init__.py
@@ -46,6 +46,7 @@
     HomeTakeover,
     NotHome,
     RequestBrief,
+    ToldRetry,
     UpstreamSignals,
 )
 from hemlockhoist.messages.ledger import (
@@ -162,6 +163,7 @@
     "StoredAnswer",
     "StreamTaken",
     "UpstreamReached",
+    "ToldRetry",
     "UpstreamSignals",
     "VersionHalted",
     "pack_value",
