Keep requests from upstreams that go down and come back by turns

Cause: an upstream that is down and up about each second has all slots free when it is back, gets requests at once and loses them. The circuit breaker opens on failed connections only, closes at the first success, and starts anew where the upstream comes back under another id. Change: the pool's home keeps a decaying penalty by address (FlapDamping); a second loss within some seconds suppresses the upstream for at most HEMLOCKHOIST_FLAP_DAMPING_MAX_MS (0: off, as before). Planned stops, domain outages, lost links and prompts that crash upstreams are no loss.

--- a/libs/base/src/hemlockhoist/base/metrics_table.py
+++ b/libs/base/src/hemlockhoist/base/metrics_table.py
@@ -364,9 +364,25 @@
     "Requests that were queued or refused while an upstream had a free slot that was "
     "not to be given: it advertises a limit on its requests (limit), wants none from "
     "the entry host for a while (back_off), would fail if it had to turn the request "
-    "away (brittle), or requests failed there (suspension).",
+    "away (brittle), requests failed there (suspension), or it went down and came back "
+    "repeatedly (flapping).",
     "If it is continuous, the upstreams can't take the load: see limit_advertised, "
-    "back_off_requested and upstream_suspended.",
+    "back_off_requested, upstream_suspended and upstream_suppressed.",
+)
+UPSTREAMS_SUPPRESSED = Metric(
+    "upstreams.suppressed",
+    _C,
+    "pool",
+    "Upstreams that get no requests for a while, as they went down and came back "
+    "repeatedly, counted at the pool's home.",
+    "Search the log for upstream_suppressed, and find out why the upstream ends.",
+)
+UPSTREAMS_RELEASED = Metric(
+    "upstreams.released",
+    _C,
+    "pool",
+    "Ends of such suppressions.",
+    "If it grows with upstreams.suppressed for long, the same upstreams go on flapping.",
 )
 LEDGER_IN_PROGRESS = Metric(
     "ledger.in_progress",
--- a/libs/cli/src/hemlockhoist/cli/explain.py
+++ b/libs/cli/src/hemlockhoist/cli/explain.py
@@ -56,7 +56,9 @@
         "upstream_link_lost",
         "upstream_link_regained",
         "upstream_listed",
+        "upstream_released",
         "upstream_resumed",
+        "upstream_suppressed",
         "upstream_suspended",
         "waits_for_reader",
     }
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/assignment.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/assignment.py
@@ -170,6 +170,10 @@
         closed = self._upstreams.back_offs.closed_to(request.entry_host, now_ms)
         if closed:
             free = [item for item in free if item.upstream_id not in closed]
+        damping = self._upstreams.damping
+        if damping.any_penalty:
+            closed = self._upstreams.closed_to(request.entry_host, now_ms)
+            free = damping.allowed(request, free, now_ms)
         versions = sorted({item.version for item in free})
         for version in self._policy.candidates(request, versions, now_ms):
             choices = [item for item in free if item.version == version]
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/experiments.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/experiments.py
@@ -9,6 +9,7 @@
 from hemlockhoist.decisions.scheduling.declared_slots_tracker import (
     DeclaredSlotsTracker,
 )
+from hemlockhoist.decisions.scheduling.flap_damping import FlapDamping
 from hemlockhoist.decisions.scheduling.overtaking_budget import OvertakingBudget
 
 
@@ -20,6 +21,7 @@
     OVERTAKING = "out-of-turn"
     DOMAIN_LOCALITY = "own-domain"
     CALLER_WAIT_LIMIT = "patience"
+    FLAP_DAMPING = "flap-damping"
     TOKEN_GAPS = "pauses"
     CLIENT_RETRIES = "returns"
 
@@ -93,6 +95,11 @@
             else ClientRetries()
         )
 
+    def flap_damping(self, max_suppressed_ms):
+        """Return the damping of flapping upstreams, or one that suppresses none."""
+        is_disabled = Mechanism.FLAP_DAMPING in self.disabled
+        return FlapDamping(0 if is_disabled else max_suppressed_ms)
+
     def declared_slots_tracker(self, cache_tokens=0, warmup=None):
         """Return a tracker of upstreams that declare their slots."""
         if Mechanism.DEFERRAL in self.disabled:
--- /dev/null
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/flap_damping.py
@@ -0,0 +1,393 @@
+"""Suppression of upstreams that go down and come back repeatedly."""
+
+import collections
+import math
+
+from hemlockhoist.decisions.scheduling.flap_penalty import (
+    HALF_LIFE_MS,
+    LOSS_PENALTY,
+    SUPPRESS_ABOVE,
+    FlapPenalty,
+)
+
+# Reports of one loss by several hosts, and its failed connections, arrive within this
+# time. Losses of other upstreams within it are simultaneous.
+SAME_LOSS_MS = 100
+# A loss that an entry host reported so long before it turned out to have lost its links
+# is taken back.
+DISTRUST_MS = 1_000
+# Share of the usable upstreams that may be suppressed, rounded up.
+MAX_SUPPRESSED_SHARE = 1 / 3
+# A penalty below this has no effect on the next loss and is forgotten.
+NEGLIGIBLE_PENALTY = 0.05
+# An upstream that is missing from the list for longer is forgotten.
+UNLISTED_TTL_MS = 10_000
+_NONE = frozenset()
+
+
+class _Loss:
+    """A loss that may still turn out to be none."""
+
+    __slots__ = ("at_ms", "domain", "host", "key")
+
+    def __init__(self, key, at_ms, domain, host):
+        self.key = key
+        self.at_ms = at_ms
+        self.domain = domain
+        self.host = host
+
+
+class FlapDamping:
+    """Keeps requests from upstreams that go down and come back repeatedly.
+
+    Load: a few upstreams each go down and come back about once a second for some
+    seconds. Whenever one is back it has all slots free, gets requests at once, and loses
+    them as it goes down. A circuit breaker closes at its first success.
+
+    Each loss adds to a penalty that halves every ``HALF_LIFE_MS``, as in route flap
+    damping (RFC 2439). A loss is the end of an upstream after it had served: all failures
+    until it serves again belong to one loss. The penalty belongs to the address, as a
+    restarted upstream may have another id. It also follows an id to a new address.
+
+    Losses of several upstreams of a failure domain at the same time are taken back, and
+    so are losses reported by a host that turns out to have lost its links.
+
+    Parameters
+    ==========
+    max_suppressed_ms : int
+        Longest suppression; 0 disables the damping.
+
+    Examples
+    ========
+    >>> from hemlockhoist.decisions import Upstream
+    >>> from hemlockhoist.decisions.scheduling.flap_damping import FlapDamping
+    >>> upstreams = [
+    ...     Upstream(upstream_id=name, pool="halls", version="v1", address=f"{name}:1")
+    ...     for name in ("u1", "u2", "u3")
+    ... ]
+    >>> damping = FlapDamping(max_suppressed_ms=10_000)
+    >>> damping.set_listed(upstreams, upstreams, now_ms=0)
+    >>> for now_ms in (1_000, 2_000):
+    ...     damping.record_served("u1", now_ms - 500)
+    ...     damping.record_loss(upstreams[0], now_ms)
+    >>> damping.is_suppressed("u1", 2_000), damping.is_suppressed("u1", 12_000)
+    (True, False)
+    """
+
+    __slots__ = (
+        "_by_address",
+        "_known",
+        "_last_resort",
+        "_lost_ms",
+        "_max_suppressed_ms",
+        "_recent_losses",
+        "_restricted",
+        "_served_ms",
+        "_suppressed",
+        "_suppressed_until_ms",
+        "_unlisted_ms",
+        "_usable",
+    )
+
+    def __init__(self, max_suppressed_ms=0):
+        self._max_suppressed_ms = max_suppressed_ms
+        # The upstreams that are usable, or were until they vanished from the list, by id.
+        self._known = {}
+        self._unlisted_ms = {}
+        self._usable = ()
+        # Only upstreams with a penalty have an entry.
+        self._by_address = {}
+        # When each address last served, and was last lost.
+        self._served_ms = {}
+        self._lost_ms = {}
+        self._recent_losses = collections.deque()
+        self._last_resort = None
+        # The usable upstreams that are or were suppressed, those that are, and until when
+        # none of these is released.
+        self._restricted = _NONE
+        self._suppressed = None
+        self._suppressed_until_ms = 0
+
+    @property
+    def is_enabled(self):
+        """Whether upstreams may be suppressed at all."""
+        return self._max_suppressed_ms > 0
+
+    @property
+    def any_penalty(self):
+        """Whether any upstream has a penalty; otherwise all requests are allowed."""
+        return bool(self._by_address)
+
+    def set_listed(self, upstreams, usable, now_ms):
+        """Set the listed upstreams and those that may be assigned work.
+
+        Parameters
+        ==========
+        upstreams, usable : iterable of hemlockhoist.decisions.Upstream
+        now_ms : int
+        """
+        if not self.is_enabled:
+            return
+        listed = {item.upstream_id for item in upstreams}
+        self._unlisted_ms = {
+            key: self._unlisted_ms.get(key, now_ms)
+            for key in self._known
+            if key not in listed
+        }
+        for key, at_ms in list(self._unlisted_ms.items()):
+            if now_ms - at_ms >= UNLISTED_TTL_MS:
+                del self._unlisted_ms[key], self._known[key]
+        self.set_usable(usable, now_ms)
+        addresses = {item.address for item in self._known.values()}
+        for times_ms in (self._served_ms, self._lost_ms):
+            for address in times_ms.keys() - addresses:
+                del times_ms[address]
+
+    def set_usable(self, usable, now_ms):
+        """Set the upstreams that may be assigned work, among the listed ones."""
+        if not self.is_enabled:
+            return
+        self._usable = tuple(usable)
+        former = self._known
+        self._known = {
+            key: former[key] for key in self._unlisted_ms.keys() & former.keys()
+        }
+        for item in self._usable:
+            known = former.get(item.upstream_id)
+            if known is not None and known.address in self._by_address:
+                found = self._by_address[known.address]
+                self._by_address.setdefault(item.address, found)
+            self._known[item.upstream_id] = item
+        self._release_excess(now_ms)
+
+    def last_usable(self, upstream_id):
+        """Return an upstream that may be assigned work, or vanished from the list.
+
+        None for one that is unknown, or whose end is planned.
+        """
+        return self._known.get(upstream_id)
+
+    def record_served(self, upstream_id, now_ms):
+        """Record that an upstream answered, or accepted a request, at a time."""
+        known = self._known.get(upstream_id)
+        if known is None:
+            return
+        served_ms = self._served_ms.get(known.address, 0)
+        self._served_ms[known.address] = max(now_ms, served_ms)
+        found = self._by_address.get(known.address)
+        if found is None:
+            return
+        found.tried_ms = None
+        if not found.is_suppressed(now_ms):
+            found.end()
+
+    def record_grant(self, upstream_id, now_ms):
+        """Record a grant, which may be the trial of an upstream."""
+        found = self._found(upstream_id)
+        if found is not None and found.until_ms is not None:
+            found.tried_ms = now_ms
+
+    def record_loss(self, upstream, now_ms, host=""):
+        """Record that a connection was refused, or broke as the upstream ended.
+
+        Parameters
+        ==========
+        upstream : hemlockhoist.decisions.Upstream
+        now_ms : int
+        host : str, optional
+            The entry host that reports it.
+        """
+        key = upstream.address
+        lost_ms = self._lost_ms.get(key, -SAME_LOSS_MS)
+        if not self.is_enabled or now_ms - lost_ms < SAME_LOSS_MS:
+            return
+        if self._served_ms.get(key, -SAME_LOSS_MS) <= lost_ms:
+            return
+        self._lost_ms[key] = now_ms
+        if self._is_simultaneous(key, upstream.failure_domain, now_ms):
+            return
+        loss = _Loss(key, now_ms, upstream.failure_domain, host)
+        self._recent_losses.append(loss)
+        found = self._by_address.setdefault(key, FlapPenalty())
+        found.add(LOSS_PENALTY, now_ms)
+        if found.penalty(now_ms) > SUPPRESS_ABOVE:
+            found.suppress(self._max_suppressed_ms, now_ms)
+            self._release_excess(now_ms)
+
+    def retract(self, upstream_id, now_ms):
+        """Take back the latest loss of an upstream that turned out to be reachable."""
+        known = self._known.get(upstream_id)
+        if known is not None:
+            self._retract(lambda loss: loss.key == known.address, now_ms)
+
+    def retract_reports_of(self, host, now_ms):
+        """Take back what a host reported that has lost its own links."""
+        self._retract(lambda loss: loss.host == host, now_ms)
+
+    def is_suppressed(self, upstream_id, now_ms):
+        """Return whether an upstream gets requests only if no other one is free."""
+        found = self._found(upstream_id)
+        return found is not None and found.is_suppressed(now_ms)
+
+    def suppressed(self, now_ms):
+        """Return the ids of the usable upstreams that are suppressed.
+
+        Returns
+        =======
+        frozenset of str
+        """
+        if not self._by_address:
+            return _NONE
+        if self._suppressed is None or now_ms >= self._suppressed_until_ms:
+            restricted = {
+                item.upstream_id: self._by_address[item.address].until_ms
+                for item in self._usable
+                if item.address in self._by_address
+                and self._by_address[item.address].until_ms is not None
+            }
+            found = {key: at for key, at in restricted.items() if now_ms < at}
+            self._restricted = frozenset(restricted)
+            self._suppressed = frozenset(found)
+            self._suppressed_until_ms = min(found.values(), default=math.inf)
+        return self._suppressed
+
+    def allows(self, request, upstream_id, now_ms):
+        """Return whether a request may be sent to an upstream now.
+
+        Parameters
+        ==========
+        request : hemlockhoist.decisions.WorkRequest
+        upstream_id : str
+        now_ms : int
+        """
+        found = self._found(upstream_id)
+        if found is None or found.is_trial_over(now_ms):
+            return True
+        if not request.idempotent:
+            return False
+        if not found.is_suppressed(now_ms):
+            return not found.is_tried(now_ms)
+        if upstream_id != self._last_resort:
+            return False
+        address = self._known[upstream_id].address
+        has_served = self._served_ms.get(address, 0) > self._lost_ms.get(address, 0)
+        return has_served or not found.is_tried(now_ms)
+
+    def allowed(self, request, free, now_ms):
+        """Return those of the free upstreams to which a request may be sent now.
+
+        Hot path: called for each request as long as any upstream has a penalty.
+        """
+        self.suppressed(now_ms)
+        restricted = self._restricted
+        if not restricted:
+            return free
+        return [
+            item
+            for item in free
+            if item.upstream_id not in restricted
+            or self.allows(request, item.upstream_id, now_ms)
+        ]
+
+    def available(self, free, now_ms):
+        """Return the free upstreams without the suppressed ones.
+
+        If all of them are suppressed, the one with the lowest penalty is returned. It
+        gets repeatable requests, one at a time until it has served one since its loss.
+
+        Parameters
+        ==========
+        free : list of hemlockhoist.decisions.Upstream
+        now_ms : int
+        """
+        self._last_resort = None
+        if not self._by_address:
+            return free
+        suppressed = self.suppressed(now_ms)
+        if not suppressed:
+            return free
+        found = [item for item in free if item.upstream_id not in suppressed]
+        if found or not free:
+            return found
+        last = min(free, key=lambda item: self._penalty(item.upstream_id, now_ms))
+        self._last_resort = last.upstream_id
+        return [last]
+
+    def on_tick(self, now_ms):
+        """Forget penalties that have decayed, and losses that stay."""
+        while self._recent_losses:
+            if now_ms - self._recent_losses[0].at_ms < DISTRUST_MS:
+                break
+            self._recent_losses.popleft()
+        for address, found in list(self._by_address.items()):
+            if found.is_trial_over(now_ms) and (
+                found.penalty(now_ms) < NEGLIGIBLE_PENALTY
+            ):
+                del self._by_address[address]
+
+    def _found(self, upstream_id):
+        if not self._by_address:
+            return None
+        known = self._known.get(upstream_id)
+        return self._by_address.get(known.address) if known is not None else None
+
+    def _penalty(self, upstream_id, now_ms):
+        found = self._found(upstream_id)
+        return found.penalty(now_ms) if found is not None else 0.0
+
+    def _is_simultaneous(self, key, domain, now_ms):
+        """Return whether another upstream of the domain was lost at the same time.
+
+        The loss of the other one is taken back.
+        """
+        if not domain:
+            return False
+
+        def is_other(loss):
+            is_same_time = now_ms - loss.at_ms < SAME_LOSS_MS
+            return is_same_time and loss.domain == domain and loss.key != key
+
+        # They stay recorded, so that a third loss is recognised too.
+        others = [loss for loss in self._recent_losses if is_other(loss)]
+        for loss in others:
+            self._take_back(loss, now_ms)
+        if others:
+            self._recent_losses.append(_Loss(None, now_ms, domain, ""))
+        return bool(others)
+
+    def _retract(self, is_wrong, now_ms):
+        wrong = [loss for loss in self._recent_losses if is_wrong(loss)]
+        for loss in wrong:
+            self._take_back(loss, now_ms)
+
+    def _take_back(self, loss, now_ms):
+        """Remove the penalty of a loss, unless it was taken back before."""
+        found = self._by_address.get(loss.key)
+        loss.key = None
+        if found is None:
+            return
+        decayed = math.pow(0.5, (now_ms - loss.at_ms) / HALF_LIFE_MS)
+        found.add(-LOSS_PENALTY * decayed, now_ms)
+        if found.penalty(now_ms) <= SUPPRESS_ABOVE:
+            found.end()
+            self._suppressed = None
+
+    def _release_excess(self, now_ms):
+        """End the suppression of those with the lowest penalties beyond the bound.
+
+        It holds for each region too, since requests may be restricted to one.
+        """
+        self._suppressed = None
+        if not self._by_address:
+            return
+        groups = collections.defaultdict(list)
+        for item in self._usable:
+            groups[item.region].append(item.upstream_id)
+        everywhere = [item.upstream_id for item in self._usable]
+        for members in (everywhere, *groups.values()):
+            suppressed = [key for key in members if self.is_suppressed(key, now_ms)]
+            bound = math.ceil(len(members) * MAX_SUPPRESSED_SHARE)
+            excess = len(suppressed) - min(bound, len(members) - 1)
+            suppressed.sort(key=lambda key: self._penalty(key, now_ms))
+            for upstream_id in suppressed[: max(0, excess)]:
+                self._found(upstream_id).end()
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -51,7 +51,15 @@
     )
 
     def __init__(
-        self, pool, tiers, incarnation, policy, invariants, tracker, experiments
+        self,
+        pool,
+        tiers,
+        incarnation,
+        policy,
+        invariants,
+        tracker,
+        experiments,
+        max_suppressed_ms=0,
     ):
         self._experiments = experiments
         self._policy = policy
@@ -59,7 +67,8 @@
         self._queue = RequestQueue([tier.rank for tier in tiers])
         self._estimate = ServiceEstimate()
         self._grants = GrantTable()
-        self._upstreams = ShardUpstreams(self._grants, tracker)
+        damping = experiments.flap_damping(max_suppressed_ms)
+        self._upstreams = ShardUpstreams(self._grants, tracker, damping)
         overtaking_budget = experiments.overtaking_budget()
         self._client_retries = experiments.client_retries()
         self._overtaking = OvertakingCheck(
@@ -98,6 +107,7 @@
         invariants=None,
         tracker=None,
         experiments=None,
+        max_suppressed_ms=0,
     ):
         """Return a scheduler that has no upstreams yet.
 
@@ -115,6 +125,8 @@
             estimated.
         experiments : Experiments, optional
             The disabled mechanisms.
+        max_suppressed_ms : int, optional
+            Longest suppression of a flapping upstream; 0 for none.
         """
         return cls(
             pool,
@@ -124,6 +136,7 @@
             invariants or InvariantLog(fatal=False),
             tracker or AdaptiveTracker(pool.max_in_flight_per_upstream),
             experiments or Experiments(),
+            max_suppressed_ms,
         )
 
     @property
@@ -289,6 +302,10 @@
             upstream_id, now_ms
         )
 
+    def suppressed_upstreams(self, now_ms):
+        """Return the ids of the upstreams that are suppressed as they flap."""
+        return self._upstreams.damping.suppressed(now_ms)
+
     def trusts_failures_of(self, host):
         """Return whether a host's failed connections count against upstreams."""
         return self._upstreams.trusts_failures_of(host)
@@ -493,6 +510,8 @@
     def _record_outcome(self, held, outcome, now_ms, is_prompt_at_fault):
         request = held.request
         outcome = self._upstreams.attributed(held, outcome, now_ms)
+        if not is_prompt_at_fault:
+            self._upstreams.record_stability(held, outcome, now_ms)
         hold_ms = now_ms - held.granted_ms
         predicted_ms = self._estimate.hold_ms(request)
         self._upstreams.tracker.on_outcome(held, outcome, hold_ms, predicted_ms, now_ms)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from hemlockhoist.decisions.scheduling.connect_failures import ConnectFailures
+from hemlockhoist.decisions.scheduling.flap_damping import FlapDamping
 from hemlockhoist.decisions.scheduling.host_back_offs import HostBackOffs
 from hemlockhoist.decisions.scheduling.recovery import RecoveryPhase
 from hemlockhoist.decisions.scheduling.upstreams import UpstreamTable
@@ -35,12 +36,15 @@
         turned requests away.
     brittle : tuple of str
         Those that would fail if they had to turn it away.
+    flapping : tuple of str
+        Those that are suppressed, as they went down and came back repeatedly.
     """
 
     limited: tuple[str, ...] = ()
     backed_off: tuple[str, ...] = ()
     suspended: tuple[str, ...] = ()
     brittle: tuple[str, ...] = ()
+    flapping: tuple[str, ...] = ()
 
     def __str__(self):
         parts = []
@@ -52,6 +56,8 @@
             parts.append(f"suspended {','.join(self.suspended)}")
         if self.brittle:
             parts.append(f"brittle {','.join(self.brittle)}")
+        if self.flapping:
+            parts.append(f"flapping {','.join(self.flapping)}")
         return " ".join(parts)
 
 
@@ -62,20 +68,28 @@
     ==========
     grants : GrantTable
     tracker : UpstreamTracker
+    damping : FlapDamping, optional
+        Suppresses upstreams that go down and come back; by default none.
     """
 
     __slots__ = (
         "_connect_failures",
         "_grants",
         "_overdue_checked_ms",
+        "_undamped",
         "back_offs",
+        "damping",
         "recovery",
         "table",
         "tracker",
     )
 
-    def __init__(self, grants, tracker):
+    def __init__(self, grants, tracker, damping=None):
         self._grants = grants
+        self.damping = damping or FlapDamping()
+        # The suppressed upstreams and the usable ones that were last compared, and the
+        # usable ones that are not suppressed.
+        self._undamped = (frozenset(), (), ())
         self._connect_failures = ConnectFailures()
         self._overdue_checked_ms = 0
         self.back_offs = HostBackOffs()
@@ -89,6 +103,7 @@
             self.tracker.set_listed(self.table, now_ms)
             self.back_offs.set_listed(self.table, now_ms)
             self.tracker.set_usable(self.table.usable(), now_ms)
+            self.damping.set_listed(self.table, self.table.usable(), now_ms)
 
     def observe(self, report, now_ms):
         """Record an upstream's load report."""
@@ -96,13 +111,17 @@
         self.table.observe(report, now_ms)
         if self.table.is_leaving(report.upstream_id) != was_leaving:
             self.tracker.set_usable(self.table.usable(), now_ms)
+            self.damping.set_usable(self.table.usable(), now_ms)
 
     def free_upstreams(self, now_ms):
         """Return the upstreams that may be assigned one more request."""
         usable = self.table.usable()
         if self.recovery.is_active(now_ms):
-            return [item for item in usable if self.has_free_slot(item, now_ms)]
-        return self.tracker.with_free_slot(usable, self._grants.in_flight, now_ms)
+            free = [item for item in usable if self.has_free_slot(item, now_ms)]
+        else:
+            in_flight = self._grants.in_flight
+            free = self.tracker.with_free_slot(usable, in_flight, now_ms)
+        return self.damping.available(free, now_ms)
 
     def has_free_slot(self, upstream, now_ms):
         """Return whether an upstream may be assigned one more request."""
@@ -117,7 +136,28 @@
 
     def slots(self, now_ms):
         """Return the number of slots of all usable upstreams."""
-        return self.tracker.count_slots(self.table.usable(), now_ms)
+        usable = self.table.usable()
+        suppressed = self.damping.suppressed(now_ms)
+        if suppressed:
+            usable = self._without_suppressed(usable, suppressed)
+        return self.tracker.count_slots(usable, now_ms)
+
+    def _without_suppressed(self, usable, suppressed):
+        """Return the upstreams that are not suppressed, as the same tuple each time."""
+        known = self._undamped
+        if known[0] != suppressed or known[1] is not usable:
+            kept = tuple(i for i in usable if i.upstream_id not in suppressed)
+            self._undamped = known = (suppressed, usable, kept)
+        return known[2]
+
+    def closed_to(self, host, now_ms):
+        """Return the upstreams for which a host's requests need not wait.
+
+        They want no requests from the host, or are suppressed.
+        """
+        closed = self.back_offs.closed_to(host, now_ms)
+        suppressed = self.damping.suppressed(now_ms)
+        return suppressed.union(closed) if suppressed else closed
 
     def on_back_off(self, upstream_id, host, until_ms, now_ms):
         """Record that an upstream wants no requests from a host until a time.
@@ -150,10 +190,39 @@
         )
         for retracted in self._connect_failures.take_retracted():
             self.tracker.on_reachable(retracted, now_ms)
+            self.damping.retract(retracted, now_ms)
         if is_blamed:
             return outcome
         return msgspec.structs.replace(outcome, kind=OutcomeKind.LINK_FAILED)
 
+    def record_stability(self, held, outcome, now_ms):
+        """Record what the outcome of a grant says about whether its upstream is up.
+
+        Parameters
+        ==========
+        held : InFlightGrant
+        outcome : hemlockhoist.decisions.Outcome
+            As attributed to the upstream.
+        now_ms : int
+        """
+        if not self.damping.is_enabled:
+            return
+        host, upstream_id = held.request.entry_host, held.grant.upstream_id
+        if not self.trusts_failures_of(host):
+            self.damping.retract_reports_of(host, now_ms)
+            return
+        upstream = self.damping.last_usable(upstream_id)
+        if upstream is None:
+            return
+        if outcome.kind in _REACHED:
+            self.damping.record_served(upstream_id, now_ms)
+        elif outcome.kind is OutcomeKind.CONNECT_FAILED:
+            self.damping.record_loss(upstream, now_ms, host)
+        elif outcome.kind is OutcomeKind.BROKE_OFF and outcome.is_crash_suspect:
+            # It took the request, so it was up since.
+            self.damping.record_served(upstream_id, held.granted_ms)
+            self.damping.record_loss(upstream, now_ms, host)
+
     def trusts_failures_of(self, host):
         """Return whether a host's failed connections count against upstreams."""
         return self._connect_failures.is_credible(host)
@@ -162,6 +231,8 @@
         """Record the time to first token of an answer that is still in progress."""
         host, upstream_id = held.request.entry_host, held.grant.upstream_id
         self._on_reached(host, upstream_id, relay)
+        if self.damping.is_enabled:
+            self.damping.record_served(upstream_id, now_ms)
         self.tracker.on_first_token(held, first_token_ms, now_ms)
 
     def on_reachable(self, upstream_id, now_ms):
@@ -240,7 +311,15 @@
         )
         suspended = tuple(itertools.islice(suspended, max_count))
         brittle = itertools.islice(self._brittle_without_room(now_ms), max_count)
-        return HeldBack(limited, backed_off, suspended, tuple(brittle))
+        flapping = itertools.islice(self._flapping(now_ms), max_count)
+        return HeldBack(limited, backed_off, suspended, tuple(brittle), tuple(flapping))
+
+    def _flapping(self, now_ms):
+        """Yield the suppressed upstreams with a free slot."""
+        suppressed = self.damping.suppressed(now_ms)
+        for item in self.table.usable() if suppressed else ():
+            if item.upstream_id in suppressed and self.has_free_slot(item, now_ms):
+                yield item.upstream_id
 
     def _brittle_without_room(self, now_ms):
         """Yield the brittle upstreams that get no request in spite of a free slot."""
@@ -269,6 +348,7 @@
         upstream_id = held.grant.upstream_id
         held.in_flight_at_grant = self._grants.in_flight(upstream_id)
         self.tracker.on_grant(held, now_ms)
+        self.damping.record_grant(upstream_id, now_ms)
         self.recovery.record_grant(upstream_id, now_ms)
 
     def on_adopt(self, held, now_ms):
@@ -285,6 +365,7 @@
         An upstream whose grants are held far longer than predicted may be ejected.
         """
         self.tracker.on_tick(now_ms)
+        self.damping.on_tick(now_ms)
         if now_ms - self._overdue_checked_ms < OVERDUE_CHECK_INTERVAL_MS:
             return
         self._overdue_checked_ms = now_ms
--- /dev/null
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_flap_damping.py
@@ -0,0 +1,327 @@
+import doctest
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hemlockhoist.decisions import Outcome, OutcomeKind, Upstream
+from hemlockhoist.decisions.scheduling import (
+    Experiments,
+    Mechanism,
+    PoolScheduler,
+    flap_damping,
+)
+from hemlockhoist.decisions.scheduling.flap_damping import (
+    SAME_LOSS_MS,
+    UNLISTED_TTL_MS,
+    FlapDamping,
+)
+from hemlockhoist.decisions.scheduling.flap_penalty import TRIAL_MS
+from hemlockhoist.decisions.scheduling.tests import builders as b
+from hemlockhoist.decisions.scheduling.tests.flap_simulation import FlapSimulation
+from hemlockhoist.decisions.work import leaving_upstream
+from hemlockhoist.declarations import Pool, PoolKind
+
+CRASH = Outcome(kind=OutcomeKind.BROKE_OFF, is_crash_suspect=True)
+REFUSED = Outcome(kind=OutcomeKind.CONNECT_FAILED)
+
+
+def upstreams(count, domain="", **fields):
+    return [
+        Upstream(
+            upstream_id=f"u{number}",
+            address=f"{number}:1",
+            failure_domain=domain,
+            **{"pool": "halls", "version": "v1", "slot_count": 1} | fields,
+        )
+        for number in range(count)
+    ]
+
+
+def flap(damping, upstream, times_ms, host=""):
+    for now_ms in times_ms:
+        damping.record_served(upstream.upstream_id, now_ms - 300)
+        damping.record_loss(upstream, now_ms, host)
+
+
+class FlapDampingTests(unittest.TestCase):
+    def setUp(self):
+        self.listed = upstreams(6)
+        self.damping = FlapDamping(10_000)
+        self.damping.set_listed(self.listed, self.listed, 0)
+
+    def is_suppressed(self, name, now_ms):
+        return self.damping.is_suppressed(name, now_ms)
+
+    def test_one_loss_does_not_suppress(self):
+        """Guards against losing an upstream for seconds after one quick restart."""
+        flap(self.damping, self.listed[0], [1_000])
+        # Further failures until it serves again belong to the same loss.
+        for now_ms in (1_020, 1_500, 2_500):
+            self.damping.record_loss(self.listed[0], now_ms)
+        self.assertFalse(self.is_suppressed("u0", 2_500))
+
+    def test_suppression_ends_with_the_penalty_and_at_the_longest_time(self):
+        flap(self.damping, self.listed[0], [1_000, 2_000])
+        self.assertTrue(self.is_suppressed("u0", 2_000))
+        self.assertTrue(self.is_suppressed("u0", 6_000))
+        self.assertFalse(self.is_suppressed("u0", 8_000))
+        short = FlapDamping(1_000)
+        short.set_listed(self.listed, self.listed, 0)
+        flap(short, self.listed[0], [1_000, 2_000, 2_900])
+        self.assertTrue(short.is_suppressed("u0", 2_999))
+        self.assertFalse(short.is_suppressed("u0", 3_000))
+
+    def test_refused_connection_before_it_ever_served_is_no_loss(self):
+        """Guards against suppressing upstreams that are listed before they listen."""
+        for now_ms in (1_000, 2_000, 3_000):
+            self.damping.record_loss(self.listed[0], now_ms)
+        self.assertFalse(self.damping.any_penalty)
+
+    def test_penalty_follows_the_address_to_another_id(self):
+        """Guards against a restarted upstream that escapes by its new id."""
+        flap(self.damping, self.listed[0], [1_000])
+        self.damping.set_listed(self.listed[1:], self.listed[1:], 1_500)
+        renamed = Upstream(upstream_id="new", pool="halls", version="v1", address="0:1")
+        listed = [renamed, *self.listed[1:]]
+        self.damping.set_listed(listed, listed, 1_700)
+        flap(self.damping, renamed, [2_100])
+        self.assertTrue(self.is_suppressed("new", 2_100))
+
+    def test_penalty_follows_the_id_to_another_address(self):
+        flap(self.damping, self.listed[0], [1_000, 2_000])
+        moved = Upstream(upstream_id="u0", pool="halls", version="v1", address="9:9")
+        listed = [moved, *self.listed[1:]]
+        self.damping.set_listed(listed, listed, 2_100)
+        self.assertTrue(self.is_suppressed("u0", 2_200))
+
+    def test_simultaneous_losses_in_one_domain_are_none(self):
+        """Guards against suppressing a domain's upstreams when its network flaps."""
+        listed = upstreams(6, domain="d1")
+        self.damping.set_listed(listed, listed, 0)
+        for now_ms in (1_000, 2_000, 3_000):
+            for number in (0, 1, 2):
+                flap(self.damping, listed[number], [now_ms + 10 * number])
+        self.assertFalse(self.damping.suppressed(3_100))
+
+    def test_losses_in_different_domains_count_each(self):
+        listed = [upstreams(6, domain=f"d{n}")[n] for n in range(6)]
+        self.damping.set_listed(listed, listed, 0)
+        for now_ms in (1_000, 2_000):
+            for number in (0, 1):
+                flap(self.damping, listed[number], [now_ms + 10 * number])
+        self.assertEqual(self.damping.suppressed(2_100), {"u0", "u1"})
+
+    def test_reports_of_a_host_that_lost_its_links_are_taken_back(self):
+        """Guards against one partitioned host suppressing a third of the pool."""
+        flap(self.damping, self.listed[0], [1_000], "h1")
+        flap(self.damping, self.listed[0], [1_400], "h2")
+        self.assertTrue(self.is_suppressed("u0", 1_400))
+        self.damping.retract_reports_of("h2", 1_500)
+        self.assertFalse(self.is_suppressed("u0", 1_500))
+
+    def test_at_most_a_third_is_suppressed_and_never_the_last(self):
+        for count, expected in ((1, 0), (2, 1), (3, 1), (4, 2), (45, 15)):
+            with self.subTest(count):
+                listed = upstreams(count)
+                damping = FlapDamping(10_000)
+                damping.set_listed(listed, listed, 0)
+                for at_ms in (1_000, 2_000):
+                    for number, item in enumerate(listed):
+                        flap(damping, item, [at_ms + number])
+                self.assertEqual(len(damping.suppressed(2_100)), expected)
+
+    def test_bound_holds_in_each_region(self):
+        """Guards against a region whose only upstream is suppressed."""
+        here = Upstream(
+            upstream_id="e", pool="halls", version="v1", address="e:1", region="east"
+        )
+        listed = [*upstreams(6), here]
+        self.damping.set_listed(listed, listed, 0)
+        flap(self.damping, here, [1_000, 2_000])
+        self.assertFalse(self.is_suppressed("e", 2_000))
+
+    def test_bound_is_applied_when_other_upstreams_leave(self):
+        for number in (0, 1):
+            flap(self.damping, self.listed[number], [1_000 + number, 2_000 + number])
+        self.assertEqual(len(self.damping.suppressed(2_100)), 2)
+        self.damping.set_usable(self.listed[:2], 2_200)
+        self.assertEqual(len(self.damping.suppressed(2_200)), 1)
+
+    def test_trial_is_one_repeatable_request(self):
+        """Guards against losing the first request after a suppression for good."""
+        flap(self.damping, self.listed[0], [1_000, 2_000])
+        now_ms = 8_000
+        once = b.request(idempotent=False)
+        self.assertFalse(self.damping.allows(once, "u0", now_ms))
+        self.assertTrue(self.damping.allows(b.request(), "u0", now_ms))
+        self.damping.record_grant("u0", now_ms)
+        self.assertFalse(self.damping.allows(b.request(), "u0", now_ms + 10))
+        self.damping.record_served("u0", now_ms + 50)
+        self.assertTrue(self.damping.allows(once, "u0", now_ms + 50))
+
+    def test_trial_ends_without_repeatable_requests(self):
+        """Guards against a pool whose requests all wait for a repeatable one."""
+        flap(self.damping, self.listed[0], [1_000, 2_000])
+        once = b.request(idempotent=False)
+        self.assertTrue(self.damping.allows(once, "u0", 8_000 + TRIAL_MS))
+
+    def test_lost_trial_suppresses_again(self):
+        flap(self.damping, self.listed[0], [1_000, 2_000])
+        flap(self.damping, self.listed[0], [8_000])
+        self.assertTrue(self.is_suppressed("u0", 8_000))
+
+    def test_lowest_penalty_is_used_if_all_free_ones_are_suppressed(self):
+        flap(self.damping, self.listed[0], [1_000, 2_000])
+        flap(self.damping, self.listed[1], [1_500, 2_000, 2_500])
+        free = self.listed[:2]
+        self.assertEqual(self.damping.available(free, 2_600), [self.listed[0]])
+        once = b.request(idempotent=False)
+        self.assertFalse(self.damping.allows(once, "u0", 2_600))
+        self.assertTrue(self.damping.allows(b.request(), "u0", 2_600))
+        self.damping.record_grant("u0", 2_600)
+        self.assertFalse(self.damping.allows(b.request(), "u0", 2_610))
+        self.assertEqual(self.damping.available(self.listed, 2_600), self.listed[2:])
+
+    def test_state_of_upstreams_that_are_gone_is_dropped(self):
+        """Guards against state that grows with each restart under a new address."""
+        flap(self.damping, self.listed[0], [1_000, 2_000])
+        kept = self.listed[1:]
+        self.damping.set_listed(kept, kept, 3_000)
+        self.damping.set_listed(kept, kept, 3_000 + UNLISTED_TTL_MS)
+        self.damping.on_tick(60_000)
+        self.assertFalse(self.damping.any_penalty)
+        self.assertIsNone(self.damping.last_usable("u0"))
+
+    @settings(max_examples=100)
+    @given(
+        st.lists(
+            st.tuples(
+                st.integers(0, 5), st.integers(0, 2_000), st.sampled_from("slrnu")
+            ),
+            max_size=60,
+        )
+    )
+    def test_bound_and_longest_time_hold_for_any_sequence(self, steps):
+        damping = FlapDamping(3_000)
+        listed = upstreams(6)
+        damping.set_listed(listed, listed, 0)
+        now_ms = 0
+        for number, wait_ms, step in steps:
+            now_ms += wait_ms
+            if step == "s":
+                damping.record_served(f"u{number}", now_ms)
+            elif step == "l":
+                flap(damping, listed[number], [now_ms + SAME_LOSS_MS], "h")
+            elif step == "r":
+                damping.retract_reports_of("h", now_ms)
+            elif step == "u":
+                damping.set_usable(listed[: number + 1], now_ms)
+                damping.set_usable(listed, now_ms)
+            else:
+                damping.on_tick(now_ms)
+            found = damping.suppressed(now_ms)
+            self.assertLessEqual(len(found), 2)
+        self.assertFalse(damping.suppressed(now_ms + 3_000 + SAME_LOSS_MS))
+
+    def test_examples(self):
+        self.assertEqual(doctest.testmod(flap_damping).failed, 0)
+
+
+class SchedulerTests(unittest.TestCase):
+    """A pool of three upstreams with a slot each, of which one flaps."""
+
+    def setUp(self):
+        self.scheduler = self.new_scheduler()
+
+    def new_scheduler(self, experiments=None, max_suppressed_ms=10_000):
+        experiments = experiments or Experiments()
+        scheduler = PoolScheduler.from_config(
+            Pool(name="halls", kind=PoolKind.MODEL, stable_version=""),
+            (),
+            "i1",
+            tracker=experiments.declared_slots_tracker(),
+            experiments=experiments,
+            max_suppressed_ms=max_suppressed_ms,
+        )
+        scheduler.set_upstreams(upstreams(3), 0)
+        return scheduler
+
+    def end(self, name, outcome, now_ms, host="host-1", scheduler=None):
+        """Let a request be granted an upstream, and end with an outcome."""
+        scheduler = scheduler or self.scheduler
+        others = tuple(f"u{n}" for n in range(3) if f"u{n}" != name)
+        request = b.request(now_ms=now_ms, avoid=others, entry_host=host)
+        (granted,) = scheduler.submit(request, now_ms)
+        self.assertEqual(granted.grant.upstream_id, name)
+        scheduler.release(granted.grant.grant_id, outcome, now_ms + 20)
+
+    def suppressed(self, now_ms):
+        return self.scheduler.suppressed_upstreams(now_ms)
+
+    def test_crashes_suppress_and_grants_go_elsewhere(self):
+        for now_ms in (1_000, 2_000):
+            self.end("u0", CRASH, now_ms)
+        self.assertEqual(self.suppressed(2_100), {"u0"})
+        self.assertIn("flapping u0", str(self.scheduler.held_back("host-1", 2_100, 5)))
+        for _ in range(2):
+            (granted,) = self.scheduler.submit(b.request(now_ms=2_100), 2_100)
+            self.assertNotEqual(granted.grant.upstream_id, "u0")
+
+    def test_suppressed_upstream_serves_when_no_other_is_free(self):
+        """Guards against requests that wait while a slot is free."""
+        for now_ms in (1_000, 2_000):
+            self.end("u0", CRASH, now_ms)
+        for _ in range(3):
+            decisions = self.scheduler.submit(b.request(now_ms=2_100), 2_100)
+        self.assertEqual(decisions[0].grant.upstream_id, "u0")
+
+    def test_planned_stop_is_no_loss(self):
+        """Guards against a rolling restart that suppresses what it has restarted."""
+        for now_ms in (1_000, 2_000, 3_000):
+            request = b.request(now_ms=now_ms, avoid=("u1", "u2"))
+            (granted,) = self.scheduler.submit(request, now_ms)
+            leaving = upstreams(3)[1:]
+            self.scheduler.set_upstreams(
+                [*leaving, leaving_upstream(upstreams(1)[0])], now_ms + 1
+            )
+            self.scheduler.release(granted.grant.grant_id, CRASH, now_ms + 20)
+            self.scheduler.set_upstreams(upstreams(3), now_ms + 500)
+        self.assertFalse(self.suppressed(3_600))
+
+    def test_prompt_that_crashes_upstreams_is_no_loss(self):
+        """Guards against one bad prompt that suppresses a third of the pool."""
+        for now_ms in (1_000, 2_000):
+            request = b.request(now_ms=now_ms, avoid=("u1", "u2"))
+            (granted,) = self.scheduler.submit(request, now_ms)
+            grant_id = granted.grant.grant_id
+            self.scheduler.release(grant_id, CRASH, now_ms, is_prompt_at_fault=True)
+        self.assertFalse(self.suppressed(2_100))
+
+    def test_connection_failures_of_a_host_without_links_are_no_loss(self):
+        for now_ms in (1_000, 2_000, 3_000):
+            for name in ("u0", "u1", "u2"):
+                self.end(name, b.SUCCESS, now_ms, "host-2")
+            for name in ("u0", "u1"):
+                self.end(name, REFUSED, now_ms + 200, "host-1")
+        self.assertFalse(self.suppressed(3_300))
+
+    def test_off_and_experiment_suppress_nothing(self):
+        """Guards against a change of behaviour where damping is not configured."""
+        disabled = Experiments([Mechanism.FLAP_DAMPING])
+        for scheduler in (
+            self.new_scheduler(max_suppressed_ms=0),
+            self.new_scheduler(disabled),
+        ):
+            for now_ms in (1_000, 2_000, 3_000):
+                self.end("u0", CRASH, now_ms, scheduler=scheduler)
+            self.assertFalse(scheduler.suppressed_upstreams(3_100))
+
+    def test_fewer_requests_are_lost_to_flapping_upstreams(self):
+        """Guards against a mechanism that suppresses too late to help."""
+        usual, damped = (
+            FlapSimulation(20, 4, 0.6, max_ms, 1, True).run().counts
+            for max_ms in (0, 30_000)
+        )
+        self.assertLess(2 * damped["broken"], usual["broken"])
+        self.assertEqual(damped["refused"], 0)
--- a/libs/entry/src/hemlockhoist/entry/__init__.py
+++ b/libs/entry/src/hemlockhoist/entry/__init__.py
@@ -2,6 +2,7 @@
 
 from hemlockhoist.decisions.entry import DomainOrder, MoveOrder, MoveOrderState
 from hemlockhoist.decisions.scheduling import Experiments
+from hemlockhoist.entry.features import read_features
 from hemlockhoist.entry.platform import Platform
 from hemlockhoist.entry.settings import EntrySettings, FleetBounds
 from hemlockhoist.entry.wire import (
@@ -27,4 +28,5 @@
     "Platform",
     "UpstreamDirectives",
     "WireFormat",
+    "read_features",
 ]
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -263,6 +263,7 @@
             experiments=self.settings.experiments,
             on_leaving=context.store_view.on_upstream_leaving,
             quarantine=context.quarantine,
+            max_suppressed_ms=self.settings.flap_damping_max_ms,
         )
         context.grants = GrantClient(
             context.clock,
--- a/libs/entry/src/hemlockhoist/entry/settings.py
+++ b/libs/entry/src/hemlockhoist/entry/settings.py
@@ -82,6 +82,9 @@
         is not configured.
     experiments : Experiments
         Scheduling mechanisms that are disabled; for measurements only.
+    flap_damping_max_ms : int
+        Longest suppression of an upstream that goes down and comes back repeatedly; 0
+        for none.
     """
 
     name: str
@@ -102,3 +105,4 @@
     max_descriptors: int = 0
     processor_millicores: int = 0
     experiments: Experiments = msgspec.field(default_factory=Experiments)
+    flap_damping_max_ms: int = 0
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -317,6 +317,7 @@
             cached_tokens=message.cached_tokens,
             token_us=message.token_us,
             relay=message.relay,
+            is_crash_suspect=message.is_crash_suspect,
         )
         now_ms = self._clock.now_ms()
         # Before the release, which may give the slot to another such request.
@@ -339,6 +340,7 @@
             grant_id, outcome, now_ms, is_prompt_at_fault
         )
         self._signals.log_changes(held, outcome.kind)
+        self._signals.log_suppressions()
         self._emit(decisions, now_ms)
 
     def _count_wasted(self, request_id, outcome):
@@ -418,6 +420,7 @@
         self._holders.resend_if_due()
         self._prompts.tick()
         self._emit(self.scheduler.tick(now_ms), now_ms)
+        self._signals.log_suppressions()
 
     def set_upstreams(self, upstreams):
         """Set the pool's upstreams, as the platform lists them."""
--- a/libs/host/src/hemlockhoist/host/home_signals.py
+++ b/libs/host/src/hemlockhoist/host/home_signals.py
@@ -1,7 +1,11 @@
 """What upstreams said about themselves to entry hosts, as their pool's home uses it."""
 
 from hemlockhoist.base import get_logger
-from hemlockhoist.base.metrics_table import GRANTS_HELD_BACK
+from hemlockhoist.base.metrics_table import (
+    GRANTS_HELD_BACK,
+    UPSTREAMS_RELEASED,
+    UPSTREAMS_SUPPRESSED,
+)
 from hemlockhoist.decisions import OutcomeKind
 from hemlockhoist.messages import NO_LIMIT
 
@@ -17,6 +21,8 @@
 SUSPENSION_CAUSE = "suspension"
 # An upstream fails if it has to turn too many requests away.
 BRITTLE_CAUSE = "brittle"
+# An upstream went down and came back repeatedly.
+FLAPPING_CAUSE = "flapping"
 
 
 class HomeSignals:
@@ -40,6 +46,7 @@
         "_on_leaving",
         "_pool",
         "_scheduler",
+        "_suppressed",
         "_suspended",
     )
 
@@ -50,6 +57,7 @@
         self._metrics = metrics
         self._on_leaving = on_leaving
         self._suspended = set()
+        self._suppressed = frozenset()
         self._distrusted_hosts = set()
 
     def log_changes(self, held, kind):
@@ -73,6 +81,19 @@
             self._suspended.discard(upstream_id)
             self._log_suspension("upstream_resumed", held, kind)
 
+    def log_suppressions(self):
+        """Log and count the upstreams that are newly suppressed or released."""
+        suppressed = self._scheduler.suppressed_upstreams(self._clock.now_ms())
+        if suppressed == self._suppressed:
+            return
+        for upstream_id in sorted(suppressed - self._suppressed):
+            self._metrics.count(UPSTREAMS_SUPPRESSED, self._pool)
+            self._log_change("upstream_suppressed", upstream_id)
+        for upstream_id in sorted(self._suppressed - suppressed):
+            self._metrics.count(UPSTREAMS_RELEASED, self._pool)
+            self._log_change("upstream_released", upstream_id)
+        self._suppressed = suppressed
+
     def _log_trust(self, host):
         """Log that a host seems to have lost its links, or has them again."""
         is_trusted = self._scheduler.trusts_failures_of(host)
@@ -170,6 +191,8 @@
             self._metrics.count(GRANTS_HELD_BACK, SUSPENSION_CAUSE)
         if held_back.brittle:
             self._metrics.count(GRANTS_HELD_BACK, BRITTLE_CAUSE)
+        if held_back.flapping:
+            self._metrics.count(GRANTS_HELD_BACK, FLAPPING_CAUSE)
 
     def held_back_text(self, request):
         """Return which upstreams have a slot that a request may not use, for logs."""
--- a/libs/host/src/hemlockhoist/host/homes.py
+++ b/libs/host/src/hemlockhoist/host/homes.py
@@ -43,6 +43,8 @@
         announced to an entry host that it is about to stop.
     quarantine : QuarantineService, optional
         Keeps requests back whose prompts crash upstreams.
+    max_suppressed_ms : int, optional
+        Longest suppression of a flapping upstream; 0 for none.
     """
 
     __slots__ = (
@@ -52,6 +54,7 @@
         "_gate",
         "_home_key_of",
         "_homes",
+        "_max_suppressed_ms",
         "_new_tracker",
         "_on_leaving",
         "_quarantine",
@@ -70,7 +73,9 @@
         experiments=None,
         on_leaving=lambda upstream_id, started_unix_ms: None,
         quarantine=None,
+        max_suppressed_ms=0,
     ):
+        self._max_suppressed_ms = max_suppressed_ms
         self._quarantine = quarantine
         self._on_leaving = on_leaving
         self._experiments = experiments or Experiments()
@@ -150,6 +155,7 @@
             self._context.invariants,
             self._new_tracker(pool.name),
             self._experiments,
+            self._max_suppressed_ms,
         )
         home = PoolHome(
             pool.name,
--- a/libs/host/src/hemlockhoist/host/tests/test_home_counts.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_home_counts.py
@@ -1,10 +1,15 @@
 import asyncio
 
 import msgspec
+import structlog.testing
 
 from hemlockhoist.base import Clock
 from hemlockhoist.base.metrics import Metrics
-from hemlockhoist.base.metrics_table import WASTED_TOKENS
+from hemlockhoist.base.metrics_table import (
+    UPSTREAMS_RELEASED,
+    UPSTREAMS_SUPPRESSED,
+    WASTED_TOKENS,
+)
 from hemlockhoist.base.testing import PausedTestCase
 from hemlockhoist.base.traces import Traces
 from hemlockhoist.decisions import OutcomeKind, Upstream
@@ -31,12 +36,13 @@
 WASTED = f"{WASTED_TOKENS.name}.chat"
 
 
-def upstream(name):
-    return Upstream(upstream_id=name, pool="chat", version="v1", address="127.0.0.1:1")
+def upstream(name, address="127.0.0.1:1"):
+    return Upstream(upstream_id=name, pool="chat", version="v1", address=address)
 
 
-def brief(request_id):
+def brief(request_id, **fields):
     return RequestBrief(
+        **fields,
         request_id=request_id,
         route="chat",
         customer="one",
@@ -61,6 +67,10 @@
 
 class PoolHomeTests(PausedTestCase):
     async def asyncSetUp(self):
+        self.home = self.new_home()
+
+    def new_home(self, **fields):
+        """Return a home with two upstreams that has recovered."""
         clock = Clock(asyncio.get_running_loop())
         identity = HostIdentity(
             name="home",
@@ -72,9 +82,9 @@
         self.metrics = Metrics(None)
         self.sent = []
         self.gate = RecordingGate()
-        self.home = PoolHome(
+        home = PoolHome(
             "chat",
-            PoolScheduler.from_config(POOL, TIERS, "i"),
+            PoolScheduler.from_config(POOL, TIERS, "i", **fields),
             identity,
             clock,
             lambda host, message: self.sent.append(message),
@@ -83,14 +93,15 @@
             self.metrics,
             self.gate,
         )
-        self.home.set_upstreams([upstream("a"), upstream("b")])
-        self.home.start([ENTRY])
+        home.set_upstreams([upstream("a"), upstream("b", "127.0.0.1:2")])
+        home.start([ENTRY])
         held = HeldGrants(pool="chat", home_incarnation="i", grants=())
-        self.home.on_held_grants(ENTRY, held)
+        home.on_held_grants(ENTRY, held)
+        return home
 
-    def request_grant(self, request_id):
+    def request_grant(self, request_id, **fields):
         self.home.on_request(
-            ENTRY, GrantRequest(pool="chat", brief=brief(request_id)), 0
+            ENTRY, GrantRequest(pool="chat", brief=brief(request_id, **fields)), 0
         )
         return [m for m in self.sent if isinstance(m, GrantReply)][-1]
 
@@ -147,6 +158,31 @@
         tracker._cache.record("a", *half)
         self.assertEqual(tracker.cached_elsewhere(prompt, "a"), 500)
 
+    async def test_suppression_of_a_flapping_upstream_is_logged_and_counted(self):
+        """Guards against an upstream that gets nothing without a line that says why."""
+        self.home = self.new_home(max_suppressed_ms=10_000)
+        with structlog.testing.capture_logs() as events:
+            for number in range(2):
+                grant = self.request_grant(f"r{number}", avoid=("b",))
+                message = GrantRelease(
+                    pool="chat",
+                    request_id=grant.request_id,
+                    grant_id=grant.grant_id,
+                    outcome=OutcomeKind.BROKE_OFF.value,
+                    is_crash_suspect=True,
+                )
+                self.home.on_release(message)
+                await asyncio.sleep(1)
+            await asyncio.sleep(10)
+            self.home.tick()
+        for event, metric in (
+            ("upstream_suppressed", UPSTREAMS_SUPPRESSED),
+            ("upstream_released", UPSTREAMS_RELEASED),
+        ):
+            found = [item for item in events if item["event"] == event]
+            self.assertEqual([item["upstream"] for item in found], ["a"])
+            self.assertEqual(self.metrics.totals[f"{metric.name}.chat"], 1)
+
     async def test_request_that_leaves_the_queue_is_refunded(self):
         """Guards against refusing customers who are within their quota.
 
