--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -63,6 +63,7 @@
         tracker,
         experiments,
         reserves_retries,
+        max_suppressed_ms=0,
     ):
         self._experiments = experiments
         self._policy = policy
@@ -71,7 +72,8 @@
         self._queue = RequestQueue([tier.rank for tier in tiers])
         self._estimate = ServiceEstimate()
         self._grants = GrantTable()
-        self._upstreams = ShardUpstreams(self._grants, tracker)
+        damping = experiments.flap_damping(max_suppressed_ms)
+        self._upstreams = ShardUpstreams(self._grants, tracker, damping)
         overtaking_budget = experiments.overtaking_budget()
         self._forecast = Forecast(
             self._queue,
@@ -116,6 +118,7 @@
         tracker=None,
         experiments=None,
         reserves_retries=False,
+        max_suppressed_ms=0,
     ):
         """Return a scheduler that has no upstreams yet.
 
@@ -135,6 +138,8 @@
             The disabled mechanisms.
         reserves_retries : bool, optional
             Whether capacity is reserved for refused requests that clients retry.
+        max_suppressed_ms : int, optional
+            Longest suppression of a flapping upstream; 0 for none.
         """
         return cls(
             pool,
@@ -145,6 +150,7 @@
             tracker or AdaptiveTracker(pool.max_in_flight_per_upstream),
             experiments or Experiments(),
             reserves_retries,
+            max_suppressed_ms,
         )
 
     @property
@@ -331,6 +337,10 @@
             upstream_id, now_ms
         )
 
+    def suppressed_upstreams(self, now_ms):
+        """Return the ids of the upstreams that are suppressed as they flap."""
+        return self._upstreams.damping.suppressed(now_ms)
+
     def trusts_failures_of(self, host):
         """Return whether a host's failed connections count against upstreams."""
         return self._upstreams.trusts_failures_of(host)
@@ -538,6 +548,8 @@
     def _record_outcome(self, held, outcome, now_ms, is_prompt_at_fault):
         request = held.request
         outcome = self._upstreams.attributed(held, outcome, now_ms)
+        if not is_prompt_at_fault:
+            self._upstreams.record_stability(held, outcome, now_ms)
         hold_ms = now_ms - held.granted_ms
         predicted_ms = self._estimate.hold_ms(request)
         self._upstreams.tracker.on_outcome(held, outcome, hold_ms, predicted_ms, now_ms)
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -265,6 +265,7 @@
             on_leaving=context.store_view.on_upstream_leaving,
             quarantine=context.quarantine,
             reserves_retries=self.settings.reserves_retries,
+            max_suppressed_ms=self.settings.flap_damping_max_ms,
         )
         context.grants = GrantClient(
             context.clock,
--- a/libs/entry/src/hemlockhoist/entry/settings.py
+++ b/libs/entry/src/hemlockhoist/entry/settings.py
@@ -93,6 +93,9 @@
         Names of routes whose requests get no second attempt while the first runs.
     reserves_retries : bool
         Whether homes reserve capacity for refused requests that clients retry.
+    flap_damping_max_ms : int
+        Longest suppression of an upstream that goes down and comes back repeatedly; 0
+        for none.
     """
 
     name: str
@@ -116,3 +119,4 @@
     hedge_permille: int = 0
     hedge_excluded_routes: tuple[str, ...] = ()
     reserves_retries: bool = False
+    flap_damping_max_ms: int = 0
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -319,6 +319,7 @@
             token_us=message.token_us,
             relay=message.relay,
             is_overtaken=message.is_overtaken,
+            is_crash_suspect=message.is_crash_suspect,
         )
         now_ms = self._clock.now_ms()
         # Before the release, which may give the slot to another such request.
@@ -341,6 +342,7 @@
             grant_id, outcome, now_ms, is_prompt_at_fault
         )
         self._signals.log_changes(held, outcome.kind)
+        self._signals.log_suppressions()
         self._emit(decisions, now_ms)
 
     def _count_wasted(self, request_id, outcome):
@@ -422,6 +424,7 @@
         self._prompts.tick()
         self._retries.tick(now_ms)
         self._emit(self.scheduler.tick(now_ms), now_ms)
+        self._signals.log_suppressions()
 
     def set_upstreams(self, upstreams):
         """Set the pool's upstreams, as the platform lists them."""
--- a/libs/host/src/hemlockhoist/host/homes.py
+++ b/libs/host/src/hemlockhoist/host/homes.py
@@ -45,6 +45,8 @@
         Keeps requests back whose prompts crash upstreams.
     reserves_retries : bool, optional
         Whether capacity is reserved for refused requests that clients retry.
+    max_suppressed_ms : int, optional
+        Longest suppression of a flapping upstream; 0 for none.
     """
 
     __slots__ = (
@@ -54,6 +56,7 @@
         "_gate",
         "_home_key_of",
         "_homes",
+        "_max_suppressed_ms",
         "_new_tracker",
         "_on_leaving",
         "_quarantine",
@@ -74,7 +77,9 @@
         on_leaving=lambda upstream_id, started_unix_ms: None,
         quarantine=None,
         reserves_retries=False,
+        max_suppressed_ms=0,
     ):
+        self._max_suppressed_ms = max_suppressed_ms
         self._quarantine = quarantine
         self._reserves_retries = reserves_retries
         self._on_leaving = on_leaving
@@ -156,6 +161,7 @@
             self._new_tracker(pool.name),
             self._experiments,
             self._reserves_retries,
+            self._max_suppressed_ms,
         )
         home = PoolHome(
             pool.name,
