Keep hedges from upstreams that report that they are slow

Cause: hedges and reported slowdowns were built side by side; a hedge could go to an upstream that takes 2.5 times longer just now. Ruled out: weighing it by the expected time alone, as the choice is among few upstreams. The new test fails without the filter (the hedge goes to the slow upstream).

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/adaptive_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/adaptive_tracker.py
@@ -183,9 +183,9 @@
         """Return how many requests an upstream may hold."""
         return self._tracked[upstream_id].slots(now_ms)
 
-    def is_probation(self, upstream_id):
-        """Return whether an upstream gets single requests to find out if it is well."""
-        return self._tracked[upstream_id].health.state is HealthState.PROBING
+    def suits_hedge(self, upstream_id, now_ms):
+        """Return whether a second attempt of a slow request may go to an upstream."""
+        return self._tracked[upstream_id].health.state is not HealthState.PROBING
 
     def accepts_more(self, upstream_id, now_ms):
         """Return whether the pending prompts of an upstream are within their bound."""
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/assignment.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/assignment.py
@@ -126,7 +126,8 @@
         """Grant a second attempt a slot that nothing else needs now, or return None.
 
         It gets neither the last free slot of the pool nor a part of an upstream's
-        advertised limit, and only an upstream that the request has not been sent to.
+        advertised limit, and only an upstream that the request has not been sent to and
+        that is not itself slow or on trial.
         """
         upstreams, request = self._upstreams, waiting.request
         if upstreams.recovery.is_active(now_ms):
@@ -138,7 +139,7 @@
             item
             for item in self._without_limit(free)
             if item.upstream_id not in request.avoid
-            and not upstreams.tracker.is_probation(item.upstream_id)
+            and upstreams.tracker.suits_hedge(item.upstream_id, now_ms)
         ]
         upstream = self._choose_upstream(request, free, 0, now_ms)
         if upstream is None:
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
@@ -28,6 +28,8 @@
 # A request waits for a better upstream only if its first token is expected there within
 # this fraction of the remaining time, as the waiting time is an estimate.
 IN_TIME_FRACTION = 0.8
+# A hedge at an upstream slower than this would often be as late as the first attempt.
+MAX_HEDGE_SLOWDOWN = 1.2
 # Number of requests that an upstream turns away in a row before it is suspended.
 MIN_REJECTIONS = 2
 _FAILURES = frozenset({OutcomeKind.FAILED, OutcomeKind.BROKE_OFF, OutcomeKind.TIMEOUT})
@@ -140,9 +142,12 @@
             return False
         return not self._tracked[upstream_id].allows_request(now_ms)
 
-    def is_probation(self, upstream_id):
-        """Return whether an upstream gets single requests to find out if it is well."""
-        return upstream_id in self._suspended
+    def suits_hedge(self, upstream_id, now_ms):
+        """Return whether a second attempt of a slow request may go to an upstream."""
+        if upstream_id in self._suspended:
+            return False
+        self._speeds.refresh_if_reported(self._usable, now_ms)
+        return self._tracked[upstream_id].slowdown <= MAX_HEDGE_SLOWDOWN
 
     def accepts_more(self, upstream_id, now_ms):
         """Return whether an upstream may take a request, apart from free slots."""
@@ -201,8 +206,7 @@
 
     def pool_slowdown(self, now_ms):
         """Return the pool's present processing time as a multiple of the usual one."""
-        if self._speeds.any_reported:
-            self._speeds.refresh(self._usable, now_ms)
+        self._speeds.refresh_if_reported(self._usable, now_ms)
         return self._speeds.pool_factor
 
     @property
@@ -293,8 +297,7 @@
 
     def choose(self, request, choices, in_flight, now_ms, ahead=0, closed=()):
         """Return the upstream for a request, or None if it should wait."""
-        if self._speeds.any_reported:
-            self._speeds.refresh(self._usable, now_ms)
+        self._speeds.refresh_if_reported(self._usable, now_ms)
         tokens = request.prompt_tokens + request.output_tokens
         choices = self._engine_memory.fitting(choices, tokens, in_flight, now_ms)
         work = self._pace.work(request)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/present_speeds.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/present_speeds.py
@@ -81,6 +81,11 @@
         self._apply(upstream_id, tracked, now_ms)
         return is_first
 
+    def refresh_if_reported(self, usable, now_ms):
+        """Let the reports, if there are any, decay to a time; parameters as below."""
+        if self._slowdowns.any_reported:
+            self.refresh(usable, now_ms)
+
     def refresh(self, usable, now_ms):
         """Let the reports decay to a time.
 
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_hedges.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_hedges.py
@@ -71,6 +71,13 @@
         for now_ms in (1, 60_000):
             self.assertIsNone(self.hedge(tuple(others), now_ms))
 
+    def test_hedge_avoids_an_upstream_that_reports_that_it_is_slow(self):
+        """Guards against a second attempt that is as slow as the first one."""
+        self.scheduler.observe_slowdown("u2", 250, 0, 0)
+        self.assertIsNone(self.hedge(("u0", "u1")))
+        self.scheduler.observe_slowdown("u2", 100, 10, 10)
+        self.assertEqual(self.hedge(("u0", "u1"), 10), "u2")
+
     def test_customer_limit_holds_for_hedges(self):
         self.grants(1)
         self.assertIsNone(self.hedge(max_in_flight=1))
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/upstream_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/upstream_tracker.py
@@ -174,9 +174,13 @@
         """Return whether an upstream gets no request now, as others failed there."""
         return False
 
-    def is_probation(self, upstream_id):
-        """Return whether an upstream gets single requests to find out if it is well."""
-        return False
+    def suits_hedge(self, upstream_id, now_ms):
+        """Return whether a second attempt of a slow request may go to an upstream.
+
+        Not if the upstream reports that it is slow now, or gets single requests to find
+        out whether it is well.
+        """
+        return True
 
     def on_reachable(self, upstream_id, now_ms):
         """Record that an upstream can be reached, though connections to it failed."""
