--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_declared_slots_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_declared_slots_tracker.py
@@ -186,6 +186,36 @@
         self.assertEqual(len(placed), 2 * SLOTS)
 
 
+class ConnectedTests(unittest.TestCase):
+    """Upstreams to which the entry host keeps an idle connection."""
+
+    def test_connected_upstream_is_chosen_among_nearly_equal_ones(self):
+        """Guards against a new connection for each request beside idle ones."""
+        sender = RequestSender(scheduler("a", "b", "c"))
+        for name in ("c", "b", "a"):
+            placed = sender.send(lambda _: success(FAST_US), 3, connected=(name,))
+            self.assertEqual(placed, [name] * 3)
+
+    def test_faster_upstream_is_chosen_before_a_connected_one(self):
+        sender = RequestSender(scheduler("a", "b"))
+        sender.learn({"a": FAST_US, "b": SLOW_US})
+        placed = sender.send(
+            lambda _: success(FAST_US), prompt_tokens=20_000, connected=("b",)
+        )
+        self.assertEqual(placed, ["a"])
+
+    def test_own_failure_domain_goes_first(self):
+        """Guards against traffic between domains, which is charged."""
+        made = scheduler()
+        made.set_upstreams(
+            [upstream(name, failure_domain=name) for name in ("a", "b")], 0
+        )
+        placed = RequestSender(made).send(
+            lambda _: success(FAST_US), failure_domain="a", connected=("b",)
+        )
+        self.assertEqual(placed, ["a"])
+
+
 class StallTests(unittest.TestCase):
     def test_unresponsive_upstream_is_avoided(self):
         """Guards against sending more requests to an engine that hangs.
--- a/libs/standins/src/hemlockhoist/standins/published/soak/hosts.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/hosts.py
@@ -43,9 +43,12 @@
         Folder for its settings and its log.
     bounds : dict
         ``revocation_ms`` and ``drain_ms``.
+    variables : dict of str to str, optional
+        Environment variables that turn on features.
     """
 
-    def __init__(self, number, store_address, folder, bounds):
+    def __init__(self, number, store_address, folder, bounds, variables=None):
+        self._variables = variables or {}
         self.name = f"h{number}"
         self.ip = f"127.0.7.{number + 1}"
         self.failure_domain = f"z{number % 2}"
@@ -84,6 +87,7 @@
             **os.environ,
             "HEMLOCKHOIST_SETTINGS": str(self._settings_path),
             "HEMLOCKHOIST_PEER_KEY": "soak",
+            **self._variables,
         }
         with self.log_path.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
--- a/libs/standins/src/hemlockhoist/standins/published/soak/run.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/run.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from hemlockhoist.decisions.entry import MAX_DIRECT_READERS
+from hemlockhoist.standins.published.keep_alive import KeepAlive
 from hemlockhoist.standins.published.replica import Replica
 from hemlockhoist.standins.published.site import route
 from hemlockhoist.standins.published.soak.callers import Callers, now_s
@@ -35,6 +36,12 @@
 REVOCATION_MS = 3_000
 DRAIN_MS = 2_000
 FAULT_INTERVAL_S = (0.1, 0.9)
+FEATURE_VARIABLES = {
+    "HEMLOCKHOIST_KEPT_CONNECTIONS": "20",
+    "HEMLOCKHOIST_FLAP_DAMPING_MAX_MS": "10000",
+}
+# Share of the replicas that close idle connections earlier than they announce.
+EARLY_CLOSE_SHARE = 0.3
 # Time after the last fault in which leases and backoffs expire and all hosts get ready.
 RECOVERY_TIMEOUT_S = 20.0
 # Texts of log lines that fail a run: violated invariants and unexpected errors.
@@ -95,6 +102,9 @@
         self.hosts = []
         self._folder = pathlib.Path(folder)
         self._rng = random.Random(seed)
+        # The odd seeds run with the features that are off by default.
+        self._has_features = seed % 2 == 1
+        self._feature_rng = random.Random(f"features of {seed}")
         self._replicas = {}
         self._ended_replicas = []
         self._numbers = itertools.count(1)
@@ -142,7 +152,8 @@
         for number in range(self._host_count):
             proxy = await self._open(Proxy(self.store.address))
             self.store_proxies.append(proxy)
-            host = HostProcess(number, proxy.address, self._folder, bounds)
+            variables = FEATURE_VARIABLES if self._has_features else {}
+            host = HostProcess(number, proxy.address, self._folder, bounds, variables)
             self.hosts.append(await self._open(host))
         self._exit_stack.push_async_callback(self.faults.close)
         if not await self._wait_ready():
@@ -192,6 +203,8 @@
         replica = Replica(f"i-{next(self._numbers)}", events, SLOT_COUNT)
         replica.delay_ms = self.default_delay_ms
         replica.event_ms = 5
+        if self._has_features:
+            replica.keep_alive = self._new_keep_alive()
         await self._open(replica)
         proxy = target
         if proxy is None:
@@ -206,6 +219,13 @@
         self._replicas[replica.replica_id] = (replica, proxy, (service, version))
         await self._register(replica)
 
+    def _new_keep_alive(self):
+        """Return how a replica keeps connections, in some as it must not."""
+        keep_alive = KeepAlive(self._feature_rng.randint(1, 3))
+        if self._feature_rng.random() < EARLY_CLOSE_SHARE:
+            keep_alive.closes_after_s = self._feature_rng.uniform(0.05, 0.5)
+        return keep_alive
+
     async def _rename_replica(self, replica):
         """Register a replica that started again at its address under a new id."""
         old_id = replica.replica_id
--- a/libs/upstreams/src/hemlockhoist/upstreams/kept_connector.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/kept_connector.py
@@ -63,6 +63,7 @@
     def __init__(self, connector, loop):
         super().__init__(loop)
         self._connector = connector
+        self._is_limited = False
         self.use = None
         self.idle_timer = None
 
@@ -71,6 +72,14 @@
         """Whether the connection is kept and carries no request."""
         return self.idle_timer is not None
 
+    def limit_unacknowledged(self):
+        """Let the connection end if what is sent on it is not acknowledged soon."""
+        if not self._is_limited:
+            self._is_limited = True
+            sock = self.transport.get_extra_info("socket")
+            option = (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+            sock.setsockopt(socket.IPPROTO_TCP, *option)
+
     def data_received(self, data):
         """Handle bytes; any that arrive while idle end the connection."""
         if self.is_idle:
@@ -152,7 +161,7 @@
                 return None
             _stop_timer(protocol)
             if protocol.is_connected() and not _has_input(protocol.transport):
-                _limit_unacknowledged(protocol.transport)
+                protocol.limit_unacknowledged()
                 return protocol
             protocol.close()
 
@@ -224,8 +233,3 @@
     sock = transport.get_extra_info("socket")
     poll.register(sock.fileno(), select.POLLIN | select.POLLRDHUP)
     return bool(poll.poll(0))
-
-
-def _limit_unacknowledged(transport):
-    sock = transport.get_extra_info("socket")
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
--- a/libs/upstreams/src/hemlockhoist/upstreams/silence.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/silence.py
@@ -20,28 +20,26 @@
     ==========
     probe : coroutine function
         Returns whether a connection can be made.
-
-    Attributes
-    ==========
-    is_unreachable : bool
     """
 
-    __slots__ = ("_limit", "_probe", "_task", "is_unreachable")
+    __slots__ = ("_limit", "_probe", "_task", "_timer")
 
     def __init__(self, probe):
         self._probe = probe
         self._limit = asyncio.timeout(None)
         self._task = None
-        self.is_unreachable = False
+        self._timer = None
 
     def begin(self):
         """Begin to wait for the response."""
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(PROBE_AFTER_MS / MS_PER_S, self._start)
+
+    def _start(self):
         self._task = asyncio.create_task(self._check())
 
     async def _check(self):
-        await asyncio.sleep(PROBE_AFTER_MS / MS_PER_S)
         if not await self._probe():
-            self.is_unreachable = True
             self._limit.reschedule(asyncio.get_running_loop().time())
 
     async def __aenter__(self):
@@ -49,6 +47,8 @@
         return self
 
     async def __aexit__(self, *exc_info):
+        if self._timer is not None:
+            self._timer.cancel()
         if self._task is not None:
             self._task.cancel()
         return await self._limit.__aexit__(*exc_info)
