--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
@@ -4,6 +4,7 @@
     CandidateSelector,
     PlacementCandidate,
     cache_saving_ms,
+    connection_saving_ms,
     cost_ms,
     longest_prefill_ms,
     risk_ms,
@@ -320,6 +321,7 @@
             cached = cached_at.get(item.upstream_id, 0)
             first_ms = tracked.first_token_ms(work, now_ms, cached)
             saving_ms = cache_saving_ms(tracked, cached)
+            saving_ms += connection_saving_ms(request, item.upstream_id)
             is_local = work.failure_domain == tracked.failure_domain
             # The other terms of the cost are not negative.
             if selector.is_dominated(first_ms - saving_ms, is_local):
--- a/libs/entry/src/hemlockhoist/entry/request_grants.py
+++ b/libs/entry/src/hemlockhoist/entry/request_grants.py
@@ -141,8 +141,15 @@
             regions=admitted.regions,
             parts=admitted.parts,
             is_hedge=is_hedge,
+            connected=self._connected(),
         )
 
+    def _connected(self):
+        """Return upstreams to which a connection is kept that the request may use."""
+        if not self._admitted.route.is_repeatable:
+            return ()
+        return self._context.upstreams.connected(self._admitted.pool)
+
     def _unreachable_upstreams(self):
         """Return upstreams to avoid as this host's links to them are lost.
 
