--- a/libs/decisions/src/hemlockhoist/decisions/work.py
+++ b/libs/decisions/src/hemlockhoist/decisions/work.py
@@ -62,6 +62,8 @@
     is_hedge : bool
         Whether an earlier attempt is still in progress: it is granted at once or
         refused, never queued.
+    connected : tuple of str
+        Upstreams to which the entry host keeps an idle connection.
     """
 
     request_id: str
@@ -88,6 +90,7 @@
     regions: tuple[str, ...] = ()
     parts: tuple[int, ...] = ()
     is_hedge: bool = False
+    connected: tuple[str, ...] = ()
 
 
 class UpstreamState(enum.Enum):
--- a/libs/host/src/hemlockhoist/host/work_requests.py
+++ b/libs/host/src/hemlockhoist/host/work_requests.py
@@ -36,4 +36,5 @@
         regions=brief.regions,
         parts=brief.parts,
         is_hedge=brief.is_hedge,
+        connected=brief.connected,
     )
--- a/libs/standins/src/hemlockhoist/standins/published/soak/hosts.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/hosts.py
@@ -9,11 +9,9 @@
 import sys
 
 from hemlockhoist.base import MS_PER_S
-from hemlockhoist.entry.hedge_settings import PERMILLE_VARIABLE
 
 START_TIMEOUT_S = 20.0
 STOP_MS = 5_000
-HEDGING = {PERMILLE_VARIABLE: "100"}
 _SETTINGS = """\
 node_name = "{name}"
 ip = "{ip}"
@@ -45,12 +43,12 @@
         Folder for its settings and its log.
     bounds : dict
         ``revocation_ms`` and ``drain_ms``.
-    is_hedging : bool, optional
-        Whether it hedges slow requests.
+    variables : dict of str to str, optional
+        Environment variables that turn on features.
     """
 
-    def __init__(self, number, store_address, folder, bounds, is_hedging=False):
-        self._variables = HEDGING if is_hedging else {}
+    def __init__(self, number, store_address, folder, bounds, variables=None):
+        self._variables = variables or {}
         self.name = f"h{number}"
         self.ip = f"127.0.7.{number + 1}"
         self.failure_domain = f"z{number % 2}"
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_hedges.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_hedges.py
@@ -6,6 +6,7 @@
 
 from hemlockhoist.base.metrics_table import HEDGES_ENDED, HEDGES_SENT
 from hemlockhoist.standins.published import Behaviour, Replica, Site, route
+from hemlockhoist.standins.published.keep_alive import KeepAlive
 
 SERVICE = "reservas"
 # Responses after which the quantile of a route is known.
@@ -23,6 +24,9 @@
 
 
 class HedgeTests(unittest.IsolatedAsyncioTestCase):
+    # Idle connections that the hosts keep, and that the replicas permit.
+    kept_connections = 0
+
     @contextlib.asynccontextmanager
     async def site(
         self, *routes, events=0, settings=HEDGING, count=2, usual_ms=USUAL_MS
@@ -31,6 +35,9 @@
         self.replicas = [Replica(f"i-{n}", events) for n in range(count)]
         for replica in self.replicas:
             replica.delay_ms = 5
+            if self.kept_connections:
+                replica.keep_alive = KeepAlive(5)
+        settings = {**settings, "kept_connections": self.kept_connections}
         async with Site({SERVICE: self.replicas}, routes, settings=settings) as site:
             self.policy = site.hosts[0].context.hedging
             now_ms = site.hosts[0].context.clock.now_ms()
@@ -232,6 +239,33 @@
             self.assertEqual(failures, [True, False])
 
 
+class HedgeOverKeptConnectionTests(HedgeTests):
+    """The same, where requests and hedges use kept connections."""
+
+    kept_connections = 10
+
+    async def test_hedge_uses_a_kept_connection(self):
+        """Guards against a loser's connection that is kept, or a hedge's new one."""
+        async with self.site(LOOKUP) as site:
+            for number in range(2):
+                # Of two requests at a time each replica gets one.
+                ids = [f"{number}a", f"{number}b"]
+                calls = [self.call(site, "check", attempt_id) for attempt_id in ids]
+                await asyncio.gather(*calls)
+            for replica in self.replicas:
+                self.assertTrue(replica.ran)
+                replica.ran.clear()
+            counts = [item.connection_count for item in self.replicas]
+            task, first = await self.start_slow(site, "check")
+            self.assertEqual((await task)[0], 200)
+            found = [item.connection_count for item in self.replicas]
+            self.assertEqual(found, counts)
+            await self.check_closed(first)
+            (other,) = self.others(first)
+            names = site.hosts[0].context.upstreams.connected(SERVICE)
+            self.assertEqual(names[:1], (other.replica_id,))
+
+
 def whole_stream():
     events = (b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, EVENTS + 1))
     return b"".join(events)
--- a/libs/upstreams/src/hemlockhoist/upstreams/__init__.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/__init__.py
@@ -1,11 +1,7 @@
 """Clients of model engines and plain services."""
 
 from hemlockhoist.upstreams.bounds import part_limit_ms
-from hemlockhoist.upstreams.client import (
-    UpstreamCall,
-    UpstreamClient,
-    cancel_stream,
-)
+from hemlockhoist.upstreams.client import UpstreamCall, UpstreamClient, cancel_stream
 from hemlockhoist.upstreams.connections import (
     DirectConnector,
     ResetDetectingConnector,
@@ -19,6 +15,7 @@
     StreamGapWithEvents,
 )
 from hemlockhoist.upstreams.guard import DispatchRegister, SendGuard
+from hemlockhoist.upstreams.kept_connections import KeptConnections
 from hemlockhoist.upstreams.response import (
     REQUEST_ID_HEADER,
     VERSION_HEADER,
@@ -46,4 +43,5 @@
     "enable_tcp_keepalive",
     "part_limit_ms",
     "DirectConnector",
+    "KeptConnections",
 ]
--- a/libs/upstreams/src/hemlockhoist/upstreams/client.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 
 import aiohttp
 import msgspec
@@ -21,6 +22,12 @@
     dispatch_guard,
 )
 from hemlockhoist.upstreams.guard import RepeatedDispatch
+from hemlockhoist.upstreams.keep_alive import MAX_BODY_BYTES, ResponseExtent
+from hemlockhoist.upstreams.kept_connector import (
+    ConnectionUse,
+    KeepingConnector,
+    connection_use,
+)
 from hemlockhoist.upstreams.response import (
     REQUEST_ID_HEADER,
     UpstreamResponse,
@@ -28,6 +35,7 @@
     dispatch_errors,
 )
 from hemlockhoist.upstreams.response_ids import ResponseIdTracker
+from hemlockhoist.upstreams.silence import SilenceCheck
 
 # Three times the round trip to the farthest region, and less than the lifetime of a
 # grant. An upstream that takes longer to connect is treated as dead.
@@ -57,6 +65,8 @@
         Whether the grant was given for a cold upstream.
     is_repeatable : bool
         Whether the request may be sent again without an answer to this one.
+    may_keep_connection : bool
+        Whether the connection may be kept for another request.
     regions : tuple of str
         Regions that the body may be sent to; empty for any.
     """
@@ -73,21 +83,27 @@
     version: str = ""
     is_cold: bool = False
     is_repeatable: bool = False
+    may_keep_connection: bool = False
     regions: tuple[str, ...] = ()
 
 
 class UpstreamClient:
-    """Sends requests to upstreams, each over a connection of its own.
+    """Sends requests to upstreams, each over a connection of its own by default.
 
-    A connection is made before the grant is checked, and is used for one request. On a
-    kept-alive connection that the upstream has just closed, a request that never ran
-    would end as "outcome unknown". The cost is one round trip per request, about 3 ms.
+    A connection is made before the grant is checked. On a kept-alive connection that the
+    upstream has just closed, a request that never ran would end as "outcome unknown". So
+    only requests that may be repeated use one. The cost of a new connection is one round
+    trip, about 3 ms, and its processor time on both sides.
 
     Parameters
     ==========
     request_id_header : str, optional
         Header in which a request carries its id, and its response echoes it.
     connect_timeout_ms : int, optional
+    kept : KeptConnections, optional
+        Idle connections; by default none is kept.
+    count : callable, optional
+        ``count(metric, label)``.
 
     Attributes
     ==========
@@ -96,7 +112,9 @@
 
     __slots__ = (
         "_connect_timeout_ms",
+        "_count",
         "_fetch_session",
+        "_kept",
         "_request_id_header",
         "_session",
         "response_ids",
@@ -106,7 +124,11 @@
         self,
         request_id_header=REQUEST_ID_HEADER,
         connect_timeout_ms=CONNECT_TIMEOUT_MS,
+        kept=None,
+        count=lambda metric, label: None,
     ):
+        self._kept = kept
+        self._count = count
         self._request_id_header = request_id_header
         self._connect_timeout_ms = connect_timeout_ms
         self._session = None
@@ -115,7 +137,10 @@
 
     async def start(self):
         """Open the sessions."""
-        connector = ResetDetectingConnector(force_close=True, limit=0)
+        if self._kept is None:
+            connector = ResetDetectingConnector(force_close=True, limit=0)
+        else:
+            connector = KeepingConnector(self._kept, self._count)
         self._session = _open_session(connector)
         # Requests for load reports change nothing and are frequent: they may use a
         # kept-alive connection, and the library may resend them.
@@ -149,12 +174,66 @@
         DispatchError
             When the request may have been sent.
         """
-        response = await self._send(call, guard)
+        use = None
+        if self._kept is None or not call.upstream_id:
+            response = await self._send(call, guard)
+        else:
+            use, response = await self._send_over_kept(call, guard)
         try:
-            yield UpstreamResponse(response, self._request_id_header)
+            is_reused = use is not None and use.is_reused
+            yield UpstreamResponse(response, self._request_id_header, is_reused)
         finally:
             response.close()
 
+    def connected(self, pool):
+        """Return the upstreams of a pool to which an idle connection is kept."""
+        if self._kept is None or self._session is None:
+            return ()
+        return self._kept.connected(pool, self.connector.now_ms())
+
+    def set_usable(self, addresses):
+        """Close kept connections to other upstreams than these.
+
+        Parameters
+        ==========
+        addresses : mapping of str to str
+            Address of each upstream that may be assigned work, by id.
+        """
+        if self._kept is not None:
+            self._kept.set_usable(addresses)
+
+    async def _send_over_kept(self, call, guard):
+        """Send a request, over a kept connection if it may use one.
+
+        Returns
+        =======
+        (ConnectionUse, aiohttp.ClientResponse)
+        """
+        is_short = isinstance(call.body, bytes) and len(call.body) <= MAX_BODY_BYTES
+        check = SilenceCheck(functools.partial(self.probe, call.address))
+        use = ConnectionUse(
+            pool=call.pool,
+            upstream_id=call.upstream_id,
+            address=call.address,
+            may_reuse=call.is_repeatable,
+            may_keep=is_short and call.may_keep_connection and call.method != "HEAD",
+            extent=ResponseExtent(call.request_id, self._request_id_header),
+            on_reused=check.begin,
+        )
+        token = connection_use.set(use)
+        try:
+            async with check:
+                return use, await self._send(call, guard)
+        except (DispatchError, TimeoutError) as error:
+            if use.is_reused and not use.extent.has_begun:
+                self.connector.count_lost_request(use, call.request_id, str(error))
+            if not isinstance(error, TimeoutError):
+                raise
+            text = "the upstream of a kept connection can't be reached any more"
+            raise DispatchError(text, ResultCode.OUTCOME_UNKNOWN) from error
+        finally:
+            connection_use.reset(token)
+
     async def _send(self, call, guard, session=None):
         timeout = aiohttp.ClientTimeout(
             total=None,
