Merge connection pooling to upstreams

Resolutions where both sides had changed the same code:

- UpstreamResponse and its errors stay in upstreams/response.py, with the accounting of memory. is_reused and is_of_another_request move there, and upstreams/responses.py is removed.
- ResetDetectingHandler derives from BoundedHandler, so that kept connections have the bounds on heads, framing and data without end too.
They start anew with each request.
Bytes on an idle connection close it.
- A grant counts as not run after a refusal on a kept connection only if the response carries the request's id.
A late refusal of an earlier request says nothing about this one.
- Hedges may use kept connections.
The connection of an attempt that is cancelled before its response is whole is closed.
- RequestBrief and WorkRequest get is_hedge first and connected last.
Settings have the fields of both sides.
- The pace of upstreams is learned by add_answer_sample; observe_pace, which pooling had moved into DeclaredSlotsUpstream, is removed.
- Stand-ins: behaviours.py stays, behaviour.py is removed; Site has one parameter for further settings (settings).

Found while merging, and mended here: when a reader took the rest of a large response from the library's buffer, the library found its end, made the connection idle, and then started a read time-out, which ended a later request on that connection. Reservations of memory delay such reads. An idle connection has no read time-out now, and one on which an error was set is not used.

New tests: the bounds on kept connections, the connection of a cancelled request, the case above (it failed before the change), all tests of hedges with kept connections too, and the certainty of refusals.

Two tests of hemlockhoist.entry.tests.test_hedge fail here.

--- a/libs/messages/src/hemlockhoist/messages/grants.py
+++ b/libs/messages/src/hemlockhoist/messages/grants.py
@@ -61,6 +61,8 @@
     is_hedge : bool
         Whether an earlier attempt is still in progress. The home answers with a grant
         or a refusal at once.
+    connected : tuple of str
+        Upstreams to which the entry host keeps an idle connection, at most 8.
     """
 
     request_id: str
@@ -87,6 +89,7 @@
     regions: tuple[str, ...] = ()
     parts: tuple[int, ...] = ()
     is_hedge: bool = False
+    connected: tuple[str, ...] = ()
 
 
 class GrantRequest(
--- a/libs/standins/src/hemlockhoist/standins/published/replica.py
+++ b/libs/standins/src/hemlockhoist/standins/published/replica.py
@@ -70,6 +70,10 @@
         Bytes that are added to each event of its streams, or to a plain body.
     is_silent : bool
         Whether it sends nothing for the time being, although it works.
+    keep_alive : KeepAlive or None
+        How it keeps connections open after its answers; None if it closes them.
+    connection_count : int
+        Connections that it accepted.
     sender_of : callable
         Takes the port of a connection, and returns the address of the host that it is
         of, or an empty text.
@@ -99,6 +103,9 @@
         self.is_unframed = False
         self.filler_bytes = 0
         self.is_silent = False
+        self.is_dark = False
+        self.keep_alive = None
+        self.connection_count = 0
         self.sender_of = lambda port: ""
         self._running = set()
         self._turned_away_s = []
@@ -119,6 +126,7 @@
         """Stop listening and abort all connections."""
         if self._restart is not None:
             self._restart.cancel()
+        self.is_dark = False
         self._stop()
         await self._server.wait_closed()
 
@@ -195,14 +203,29 @@
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
+        self.connection_count += 1
         ended = (asyncio.IncompleteReadError, asyncio.CancelledError, OSError)
         with contextlib.suppress(*ended):
-            await self._answer(reader, writer)
+            pushed_back = await self._answer(reader, writer)
+            while self.keep_alive is not None and not self.is_dark:
+                if not pushed_back:
+                    pushed_back = await self.keep_alive.wait_for_request(reader, writer)
+                if not pushed_back:
+                    break
+                pushed_back = await self._answer(reader, writer, pushed_back)
+            while self.is_dark:
+                await asyncio.sleep(0.01)
         self._writers.discard(writer)
         writer.close()
 
-    async def _answer(self, reader, writer):
-        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    def go_dark(self):
+        """Accept no new connections, and neither read nor send on the open ones."""
+        self.is_dark = True
+        self._server.close()
+
+    async def _answer(self, reader, writer, begun=b""):
+        """Answer the next request; return what was read of the one after it."""
+        head = (begun + await reader.readuntil(b"\r\n\r\n")).decode()
         first, *lines = head.rstrip().split("\r\n")
         method, target, _ = first.split(" ")
         headers = {k.lower(): v for k, v in (line.split(": ", 1) for line in lines)}
@@ -218,7 +241,7 @@
             sender=self.sender_of(writer.get_extra_info("peername")[1]),
         )
         if await self._reject(received, writer):
-            return
+            return b""
         self.ran.append(received)
         task = asyncio.current_task()
         self._running.add(task)
@@ -229,8 +252,10 @@
                 await self._respond(received, writer)
             finally:
                 watcher.cancel()
+            await asyncio.wait([watcher])
         finally:
             self._running.discard(task)
+        return b"" if watcher.cancelled() else watcher.result()
 
     async def _work(self, usual_ms):
         percent = self.slowdown_percent
@@ -238,9 +263,11 @@
         await asyncio.sleep(factor * usual_ms / MS_PER_S)
 
     async def _detect_disconnect(self, reader, received):
+        data = b""
         with contextlib.suppress(OSError):
-            await reader.read(1)
-        received.closed = True
+            data = await reader.read(1)
+        received.closed = not data
+        return data
 
     async def _reject(self, received, writer):
         expected = received.headers.get("expected-instance", self.replica_id)
@@ -323,6 +350,8 @@
             lines += "Server-Leaving: 1\r\n"
         if self.brittle_at is not None:
             lines += f"Server-Brittle: {self.brittle_at}\r\n"
+        if self.keep_alive is not None:
+            lines += self.keep_alive.header
         return lines
 
     async def _send_without_end(self, data, received, writer):
--- a/libs/upstreams/src/hemlockhoist/upstreams/response.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/response.py
@@ -30,11 +30,14 @@
     response : aiohttp.ClientResponse
     request_id_header : str, optional
         Header in which upstreams echo the request's id.
+    is_reused : bool, optional
+        Whether its connection carried another request before.
     """
 
-    __slots__ = ("_first_data", "_request_id_header", "_response")
+    __slots__ = ("_first_data", "_request_id_header", "_response", "is_reused")
 
-    def __init__(self, response, request_id_header=REQUEST_ID_HEADER):
+    def __init__(self, response, request_id_header=REQUEST_ID_HEADER, is_reused=False):
+        self.is_reused = is_reused
         self._first_data = b""
         self._response = response
         self._request_id_header = request_id_header
@@ -57,11 +60,19 @@
     def matches_request(self, request_id):
         """Return whether the response belongs to the request.
 
-        A response without an echoed request id is accepted, as its connection carried
+        A response without an echoed request id is accepted if its connection carried
         only one request.
         """
         echoed = self._response.headers.get(self._request_id_header)
-        return echoed is None or echoed == request_id
+        if echoed is None:
+            return not self.is_reused
+        return echoed == request_id
+
+    def is_of_another_request(self, request_id):
+        """Return whether the response carries the id of another request."""
+        return self._response.headers.get(self._request_id_header, request_id) != (
+            request_id
+        )
 
     def close(self):
         """Close the connection; a pending read raises an error."""
