Give the stand-in of the hedge tests its read_body

Hedge reads bodies through RequestAttempts.read_body since memory is accounted. FakeAttempts had no such method, so each hedge of the race tests failed with an AttributeError that was only logged, and two tests failed. What they assert is unchanged.

--- a/libs/entry/src/hemlockhoist/entry/tests/test_hedge.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_hedge.py
@@ -11,6 +11,7 @@
 from hemlockhoist.base.testing import PausedEventLoop
 from hemlockhoist.decisions.entry import AttemptEnd, HedgePolicy
 from hemlockhoist.entry.hedge import Hedge
+from hemlockhoist.entry.responses import MAX_RESPONSE_BYTES
 from hemlockhoist.entry.tests.builders import route
 
 # A bound of the policy's histogram, so that it is the delay.
@@ -36,6 +37,9 @@
     def span(self, attempt):
         return contextlib.nullcontext()
 
+    async def read_body(self, response):
+        return await response.read(MAX_RESPONSE_BYTES)
+
     async def discard(self, opened, times_out):
         self.discarded.append(opened)
 
