--- a/libs/upstreams/src/hemlockhoist/upstreams/kept_connector.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/kept_connector.py
@@ -174,6 +174,9 @@
             return
         self._release_acquired(key, protocol)
         use, protocol.use = protocol.use, None
+        # Otherwise the library would start the read time-out when the rest of a large
+        # response is taken from its buffer, and it would end a later request.
+        protocol.read_timeout = None
         timer = self._loop.call_later(idle_ms / MS_PER_S, self._on_idle_timeout)
         protocol.idle_timer = timer
         until_ms = self.now_ms() + idle_ms
--- a/libs/upstreams/src/hemlockhoist/upstreams/tests/test_kept_connector.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/tests/test_kept_connector.py
@@ -353,8 +353,8 @@
     async def test_response_that_waits_for_memory_spoils_no_later_request(self):
         """Guards against a read time-out of one request that ends the next one.
 
-        The HTTP library starts this time-out as the rest of a large body is read, also
-        when its connection is idle again by then.
+        The HTTP library starts this time-out as a reader takes the rest of a large body
+        from the buffer, although the connection is idle by then.
         """
         size = 140_000
         upstream = await self._upstream(
@@ -385,3 +385,4 @@
                 body = await response.read(1_000_000, reserve)
             self.assertEqual(len(body), size)
             await asyncio.sleep(0.5)
+        self.assertEqual(len(upstream.connections), 1)
