--- a/libs/upstreams/src/hemlockhoist/upstreams/kept_connector.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/kept_connector.py
@@ -188,10 +188,6 @@
             return 0
         if transport.is_closing() or transport.get_write_buffer_size():
             return 0
-        if not transport.is_reading():
-            # The library paused it, as the response fills its buffer. Once the rest is
-            # read, it resumes, and starts a read time-out that would end a later request.
-            return 0
         return use.extent.reusable_ms()
 
     def _on_idle_timeout(self):
