Do not count suspended upstreams as usable in flap damping

A suppressed upstream stayed closed to non-repeatable requests while the circuit breakers of all others were open: 0 of 45 calls were served.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/flap_damping.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/flap_damping.py
@@ -25,6 +25,10 @@
 _NONE = frozenset()
 
 
+def _never_suspended(upstream_id, now_ms):
+    return False
+
+
 class _Loss:
     """A loss that may still turn out to be none."""
 
@@ -52,11 +56,19 @@
     Losses of several upstreams of a failure domain at the same time are taken back, and
     so are losses reported by a host that turns out to have lost its links.
 
+    Upstreams whose circuit breaker is open do not count as usable where the suppressed
+    share is bounded: a suppressed upstream may be the only one that is up.
+
     Parameters
     ==========
     max_suppressed_ms : int
         Longest suppression; 0 disables the damping.
 
+    Attributes
+    ==========
+    is_suspended : callable
+        Returns for an upstream id and a time whether its circuit breaker is open.
+
     Examples
     ========
     >>> from hemlockhoist.decisions import Upstream
@@ -87,10 +99,12 @@
         "_suppressed_until_ms",
         "_unlisted_ms",
         "_usable",
+        "is_suspended",
     )
 
     def __init__(self, max_suppressed_ms=0):
         self._max_suppressed_ms = max_suppressed_ms
+        self.is_suspended = _never_suspended
         # The upstreams that are usable, or were until they vanished from the list, by id.
         self._known = {}
         self._unlisted_ms = {}
@@ -289,6 +303,19 @@
             or self.allows(request, item.upstream_id, now_ms)
         ]
 
+    def ensure_usable(self, now_ms):
+        """Release a suppressed upstream for all requests if no other one is usable.
+
+        Hot path: called for each request as long as any upstream has a penalty.
+        """
+        suppressed = self.suppressed(now_ms)
+        if suppressed and not any(
+            item.upstream_id not in suppressed
+            and not self.is_suspended(item.upstream_id, now_ms)
+            for item in self._usable
+        ):
+            self._release_excess(now_ms)
+
     def available(self, free, now_ms):
         """Return the free upstreams without the suppressed ones.
 
@@ -303,6 +330,7 @@
         self._last_resort = None
         if not self._by_address:
             return free
+        self.ensure_usable(now_ms)
         suppressed = self.suppressed(now_ms)
         if not suppressed:
             return free
@@ -314,7 +342,10 @@
         return [last]
 
     def on_tick(self, now_ms):
-        """Forget penalties that have decayed, and losses that stay."""
+        """Forget penalties that have decayed, and losses that stay.
+
+        The bound is applied again, as circuit breakers may have opened.
+        """
         while self._recent_losses:
             if now_ms - self._recent_losses[0].at_ms < DISTRUST_MS:
                 break
@@ -324,6 +355,8 @@
                 found.penalty(now_ms) < NEGLIGIBLE_PENALTY
             ):
                 del self._by_address[address]
+        if self.suppressed(now_ms):
+            self._release_excess(now_ms)
 
     def _found(self, upstream_id):
         if not self._by_address:
@@ -381,9 +414,11 @@
         if not self._by_address:
             return
         groups = collections.defaultdict(list)
+        everywhere = []
         for item in self._usable:
-            groups[item.region].append(item.upstream_id)
-        everywhere = [item.upstream_id for item in self._usable]
+            if not self.is_suspended(item.upstream_id, now_ms):
+                groups[item.region].append(item.upstream_id)
+                everywhere.append(item.upstream_id)
         for members in (everywhere, *groups.values()):
             suppressed = [key for key in members if self.is_suppressed(key, now_ms)]
             bound = math.ceil(len(members) * MAX_SUPPRESSED_SHARE)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
@@ -87,6 +87,7 @@
     def __init__(self, grants, tracker, damping=None):
         self._grants = grants
         self.damping = damping or FlapDamping()
+        self.damping.is_suspended = tracker.is_suspended
         # The suppressed upstreams and the usable ones that were last compared, and the
         # usable ones that are not suppressed.
         self._undamped = (frozenset(), (), ())
@@ -147,6 +148,7 @@
     def slots(self, now_ms):
         """Return the number of slots of all usable upstreams."""
         usable = self.table.usable()
+        self.damping.ensure_usable(now_ms)
         suppressed = self.damping.suppressed(now_ms)
         if suppressed:
             usable = self._without_suppressed(usable, suppressed)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_flap_damping.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_flap_damping.py
@@ -141,6 +141,15 @@
         flap(self.damping, here, [1_000, 2_000])
         self.assertFalse(self.is_suppressed("e", 2_000))
 
+    def test_suspended_upstreams_are_not_usable_for_the_bound(self):
+        """Guards against suppressing most of those that accept connections."""
+        for number in (0, 1):
+            flap(self.damping, self.listed[number], [1_000 + number, 2_000 + number])
+        self.assertEqual(len(self.damping.suppressed(2_100)), 2)
+        self.damping.is_suspended = lambda name, now_ms: name in ("u3", "u4", "u5")
+        self.damping.on_tick(2_200)
+        self.assertEqual(self.damping.suppressed(2_200), {"u1"})
+
     def test_bound_is_applied_when_other_upstreams_leave(self):
         for number in (0, 1):
             flap(self.damping, self.listed[number], [1_000 + number, 2_000 + number])
@@ -276,6 +285,35 @@
             decisions = self.scheduler.submit(b.request(now_ms=2_100), 2_100)
         self.assertEqual(decisions[0].grant.upstream_id, "u0")
 
+    def test_only_upstream_that_is_up_serves_all_requests(self):
+        """Guards against refusing non-repeatable calls while an upstream is up."""
+        for now_ms in (1_000, 2_000):
+            self.end("u0", CRASH, now_ms, "host-2")
+        # Another host failed to connect too, so that the upstream is at fault.
+        refused = Outcome(kind=OutcomeKind.CONNECT_FAILED, relay="host-2")
+        served = 0
+        for now_ms in range(2_100, 6_600, 100):
+            avoid = ()
+            for attempt in range(1, 4):
+                request = b.request(
+                    now_ms=now_ms, idempotent=False, avoid=avoid, attempt=attempt
+                )
+                found = self.scheduler.submit(request, now_ms)
+                if not found or not hasattr(found[0], "grant"):
+                    self.scheduler.cancel(request.request_id, now_ms)
+                    break
+                grant = found[0].grant
+                is_up = grant.upstream_id == "u0"
+                outcome = b.SUCCESS if is_up else refused
+                self.scheduler.release(grant.grant_id, outcome, now_ms + 1)
+                if is_up:
+                    served += 1
+                    break
+                avoid = (*avoid, grant.upstream_id)
+            self.scheduler.tick(now_ms + 50)
+        self.assertEqual(served, 45)
+        self.assertGreater(self.scheduler._upstreams.slots(6_600), 0)
+
     def test_planned_stop_is_no_loss(self):
         """Guards against a rolling restart that suppresses what it has restarted."""
         for now_ms in (1_000, 2_000, 3_000):
