Count only requests granted after a loss as served since it

An answer reported after a crash, but granted before it, made the next refused connection a second loss, so that one crash suppressed its upstream.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/flap_damping.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/flap_damping.py
@@ -181,11 +181,25 @@
         """
         return self._known.get(upstream_id)
 
-    def record_served(self, upstream_id, now_ms):
-        """Record that an upstream answered, or accepted a request, at a time."""
+    def record_served(self, upstream_id, now_ms, granted_ms=None):
+        """Record that an upstream answered, or accepted a request, at a time.
+
+        Parameters
+        ==========
+        upstream_id : str
+        now_ms : int
+        granted_ms : int, optional
+            When the request was granted; by default now. An answer to a request granted
+            before the last loss does not show that the upstream is back: it may have
+            been sent before the loss and reported after it.
+        """
         known = self._known.get(upstream_id)
         if known is None:
             return
+        granted_ms = now_ms if granted_ms is None else granted_ms
+        lost_ms = self._lost_ms.get(known.address)
+        if lost_ms is not None and granted_ms <= lost_ms:
+            return
         served_ms = self._served_ms.get(known.address, 0)
         self._served_ms[known.address] = max(now_ms, served_ms)
         found = self._by_address.get(known.address)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
@@ -227,7 +227,7 @@
         if upstream is None:
             return
         if outcome.kind in _REACHED:
-            self.damping.record_served(upstream_id, now_ms)
+            self.damping.record_served(upstream_id, now_ms, held.granted_ms)
         elif outcome.kind is OutcomeKind.CONNECT_FAILED:
             self.damping.record_loss(upstream, now_ms, host)
         elif outcome.kind is OutcomeKind.BROKE_OFF and outcome.is_crash_suspect:
@@ -244,7 +244,7 @@
         host, upstream_id = held.request.entry_host, held.grant.upstream_id
         self._on_reached(host, upstream_id, relay)
         if self.damping.is_enabled:
-            self.damping.record_served(upstream_id, now_ms)
+            self.damping.record_served(upstream_id, now_ms, held.granted_ms)
         self.tracker.on_first_token(held, first_token_ms, now_ms)
 
     def on_reachable(self, upstream_id, now_ms):
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_flap_damping.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_flap_damping.py
@@ -327,6 +327,28 @@
             self.scheduler.set_upstreams(upstreams(3), now_ms + 500)
         self.assertFalse(self.suppressed(3_600))
 
+    def test_answer_to_a_request_before_the_loss_does_not_count_as_served(self):
+        """Guards against one crash that counts as two losses, and so suppresses."""
+        listed = upstreams(3, slot_count=4)
+        for reports_first_token in (False, True):
+            scheduler = self.new_scheduler()
+            scheduler.set_upstreams(listed, 0)
+            grants = []
+            for now_ms in (900, 910, 1_100):
+                request = b.request(now_ms=now_ms, avoid=("u1", "u2"))
+                (granted,) = scheduler.submit(request, now_ms)
+                self.assertEqual(granted.grant.upstream_id, "u0")
+                grants.append(granted.grant.grant_id)
+                if now_ms == 910:
+                    scheduler.release(grants[0], CRASH, 1_000)
+                    if reports_first_token:
+                        scheduler.observe_first_token(grants[1], 50, 1_040)
+                    else:
+                        scheduler.release(grants[1], b.SUCCESS, 1_040)
+            scheduler.release(grants[2], REFUSED, 1_150)
+            with self.subTest(reports_first_token):
+                self.assertFalse(scheduler.suppressed_upstreams(1_150))
+
     def test_prompt_that_crashes_upstreams_is_no_loss(self):
         """Guards against one bad prompt that suppresses a third of the pool."""
         for now_ms in (1_000, 2_000):
