--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/assignment.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/assignment.py
@@ -127,12 +127,16 @@
 
         It gets neither the last free slot of the pool nor a part of an upstream's
         advertised limit, and only an upstream that the request has not been sent to and
-        that is not itself slow or on trial.
+        that is not itself slow, suppressed or on trial.
         """
         upstreams, request = self._upstreams, waiting.request
         if upstreams.recovery.is_active(now_ms):
             return None
-        free = upstreams.free_upstreams(now_ms)
+        free = [
+            item
+            for item in upstreams.free_upstreams(now_ms)
+            if not upstreams.damping.is_restricted(item.upstream_id, now_ms)
+        ]
         if not upstreams.has_spare_slot(free, now_ms):
             return None
         free = [
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/flap_damping.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/flap_damping.py
@@ -257,6 +257,11 @@
         found = self._found(upstream_id)
         return found is not None and found.is_suppressed(now_ms)
 
+    def is_restricted(self, upstream_id, now_ms):
+        """Return whether an upstream is suppressed, or on trial after that."""
+        found = self._found(upstream_id)
+        return found is not None and not found.is_trial_over(now_ms)
+
     def suppressed(self, now_ms):
         """Return the ids of the usable upstreams that are suppressed.
 
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_flap_damping.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_flap_damping.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from hemlockhoist.decisions import Outcome, OutcomeKind, Upstream
+from hemlockhoist.decisions import Outcome, OutcomeKind, Rejected, Upstream
 from hemlockhoist.decisions.scheduling import (
     Experiments,
     Mechanism,
@@ -285,6 +285,23 @@
             decisions = self.scheduler.submit(b.request(now_ms=2_100), 2_100)
         self.assertEqual(decisions[0].grant.upstream_id, "u0")
 
+    def test_hedge_avoids_suppressed_upstreams_and_those_on_trial(self):
+        """Guards against a second attempt that a flapping upstream loses."""
+        for now_ms, busy_count in ((2_100, 4), (7_300, 0)):
+            scheduler = self.new_scheduler()
+            scheduler.set_upstreams(upstreams(3, slot_count=2), 0)
+            for at_ms in (1_000, 2_000):
+                self.end("u0", CRASH, at_ms, scheduler=scheduler)
+            for _ in range(busy_count):
+                (granted,) = scheduler.submit(b.request(now_ms=now_ms), now_ms)
+                self.assertNotEqual(granted.grant.upstream_id, "u0")
+            hedge = b.request(
+                now_ms=now_ms, is_hedge=True, attempt=2, avoid=("u1", "u2")
+            )
+            with self.subTest(now_ms):
+                (decision,) = scheduler.submit(hedge, now_ms)
+                self.assertIsInstance(decision, Rejected)
+
     def test_only_upstream_that_is_up_serves_all_requests(self):
         """Guards against refusing non-repeatable calls while an upstream is up."""
         for now_ms in (1_000, 2_000):
