Try repeatable requests behind non-repeatable ones at flapping upstreams

Where all free upstreams were suppressed or on trial, 16 non-repeatable requests ended the pass over the queue, and repeatable ones behind them waited beside a free slot.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/assignment.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/assignment.py
@@ -11,6 +11,9 @@
 # over the queue. Then the pass ends, since a lower tier must not overtake requests of a
 # higher one that have not been tried.
 MAX_SKIPPED = 16
+# Bound on the non-repeatable requests that are skipped without a choice of upstream, as
+# the free ones take only repeatable requests. Each costs only a step of the queue.
+MAX_NOT_REPEATABLE_SKIPPED = 128
 
 
 class SlotAssigner:
@@ -99,14 +102,24 @@
         free = self._upstreams.free_upstreams(now_ms)
         decisions = self._grant_overtaking(free, changed, now_ms)
         skipped = []
+        barred_count = 0
+        damping = self._upstreams.damping
+        takes_only_repeatable = damping.are_restricted(free, now_ms)
         for rank in self._queue.ranks:
-            while free and len(skipped) < MAX_SKIPPED:
+            while free and len(skipped) - barred_count < MAX_SKIPPED:
+                if barred_count >= MAX_NOT_REPEATABLE_SKIPPED:
+                    break
                 taken = self._queue.take(rank)
                 if taken is None:
                     break
                 waiting = taken[0]
+                if takes_only_repeatable and not waiting.request.idempotent:
+                    waiting.skipped_round = self._round_number
+                    skipped.append(taken)
+                    barred_count += 1
+                    continue
                 eligible = self._eligible(waiting, free, changed)
-                ahead = len(skipped)
+                ahead = len(skipped) - barred_count
                 upstream = self._choose_upstream(
                     waiting.request, eligible, ahead, now_ms
                 )
@@ -118,6 +131,7 @@
                 decisions.append(self._grant(waiting, upstream, now_ms))
                 if not self._upstreams.has_free_slot(upstream, now_ms):
                     free.remove(upstream)
+                    takes_only_repeatable = damping.are_restricted(free, now_ms)
         for waiting, due_ms in skipped:
             self._queue.push(waiting, due_ms)
         return decisions
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/flap_damping.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/flap_damping.py
@@ -262,6 +262,12 @@
         found = self._found(upstream_id)
         return found is not None and not found.is_trial_over(now_ms)
 
+    def are_restricted(self, upstreams, now_ms):
+        """Return whether none of the given upstreams takes non-repeatable requests."""
+        if not self._by_address:
+            return False
+        return all(self.is_restricted(item.upstream_id, now_ms) for item in upstreams)
+
     def suppressed(self, now_ms):
         """Return the ids of the usable upstreams that are suppressed.
 
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_flap_damping.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_flap_damping.py
@@ -11,6 +11,10 @@
     PoolScheduler,
     flap_damping,
 )
+from hemlockhoist.decisions.scheduling.assignment import (
+    MAX_NOT_REPEATABLE_SKIPPED,
+    MAX_SKIPPED,
+)
 from hemlockhoist.decisions.scheduling.flap_damping import (
     SAME_LOSS_MS,
     UNLISTED_TTL_MS,
@@ -302,6 +306,25 @@
                 (decision,) = scheduler.submit(hedge, now_ms)
                 self.assertIsInstance(decision, Rejected)
 
+    def test_repeatable_request_behind_many_others_is_served(self):
+        """Guards against an idle slot that no request before the bound may use."""
+        for count, is_served in (
+            (MAX_SKIPPED, True),
+            (MAX_NOT_REPEATABLE_SKIPPED, False),
+        ):
+            scheduler = self.new_scheduler()
+            for now_ms in (1_000, 2_000):
+                self.end("u0", CRASH, now_ms, scheduler=scheduler)
+            for _ in range(2):
+                self.assertTrue(scheduler.submit(b.request(now_ms=2_100), 2_100))
+            for _ in range(count):
+                once = b.request(now_ms=2_100, idempotent=False)
+                self.assertEqual(scheduler.submit(once, 2_100), [])
+            request = b.request(now_ms=2_100)
+            with self.subTest(count):
+                found = b.granted(scheduler.submit(request, 2_100))
+                self.assertEqual(found, [request.request_id] if is_served else [])
+
     def test_only_upstream_that_is_up_serves_all_requests(self):
         """Guards against refusing non-repeatable calls while an upstream is up."""
         for now_ms in (1_000, 2_000):
