Reserve nothing for retries that cannot come in time

The longest wait is raised to the shortest Retry-After, so capacity was reserved also where a client accepts less, or no time is left after the answer.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/client_retries.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/client_retries.py
@@ -111,9 +111,20 @@
         How long its answer takes at a typical upstream.
     now_ms : int
     """
+    return int(
+        max(MIN_RETRY_AFTER_MS, accepted_retry_wait_ms(request, hold_ms, now_ms))
+    )
+
+
+def accepted_retry_wait_ms(request, hold_ms, now_ms):
+    """Return the wait that a client accepts and that leaves time for a whole answer.
+
+    No retry comes in time if it is less than ``MIN_RETRY_AFTER_MS``, also negative.
+    Parameters as of ``longest_retry_wait_ms``.
+    """
     left_ms = request.deadline_ms - now_ms
     spare_ms = left_ms - ANSWER_TIME_FACTOR * hold_ms
-    return int(max(MIN_RETRY_AFTER_MS, min(RETRY_WAIT_FRACTION * left_ms, spare_ms)))
+    return min(RETRY_WAIT_FRACTION * left_ms, spare_ms)
 
 
 def retry_key(request):
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/retry_reservations.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/retry_reservations.py
@@ -14,6 +14,7 @@
     EARLY_TOLERANCE_MS,
     LATE_TOLERANCE_MS,
     ClientRetries,
+    accepted_retry_wait_ms,
     longest_retry_wait_ms,
     retry_key,
 )
@@ -178,7 +179,9 @@
         )
         was_moved = self._claimed.pop(request.request_id, None)
         is_full = len(self._outstanding) >= MAX_RESERVATIONS
-        if was_moved or wait_ms > longest_ms or is_full:
+        accepted_ms = accepted_retry_wait_ms(request, cost_ms, now_ms)
+        is_too_late = wait_ms > longest_ms or accepted_ms < MIN_RETRY_AFTER_MS
+        if was_moved or is_too_late or is_full:
             return min(MAX_RETRY_AFTER_MS, wait_ms), 0.0
         rank, weight, due_ms = request.tier_rank, request.weight, now_ms + wait_ms
         is_moved = was_moved is not None
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_retry_reservations.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_retry_reservations.py
@@ -2,6 +2,7 @@
 
 from hemlockhoist.base import ResultCode
 from hemlockhoist.decisions.scheduling import Experiments, Mechanism
+from hemlockhoist.decisions.scheduling.admission import MIN_RETRY_AFTER_MS
 from hemlockhoist.decisions.scheduling.retry_reservations import (
     MAX_RESERVATIONS,
     RetryReservations,
@@ -51,6 +52,15 @@
         self.assertEqual(self.refuse(queued_ms=20_000), (20_000, 0.0))
         self.assertFalse(self.take(20_000))
 
+    def test_nothing_is_reserved_for_a_retry_that_cannot_come_in_time(self):
+        """Guards against capacity kept for callers with hardly any time left."""
+        # A third of the time is too short, or none is left after the answer.
+        for left_ms, cost_ms in ((500, 10.0), (2_500, COST_MS)):
+            request = b.request(deadline_ms=left_ms, prompt_tokens=left_ms)
+            told = self.retries.reserve(request, cost_ms, 0.0, 1.0, 1.0, 0)
+            self.assertEqual(told, (MIN_RETRY_AFTER_MS, 0.0))
+        self.assertEqual(self.retries.outstanding, 0)
+
     def test_time_is_late_while_new_requests_take_all_slots(self):
         """Guards against retries that only make the home refuse new requests."""
         for now_ms in range(0, 6_000, 100):
