--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/retry_reservations.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/retry_reservations.py
@@ -109,7 +109,7 @@
     tiers needed the slots, gets one that is moved to a later time, once. One that is
     sent again before its time gets no second one.
 
-    A retry for which nothing could be reserved is treated as by ``ClientRetries``.
+    A retry for which nothing could be reserved is treated as a new request.
 
     Attributes
     ==========
