--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -422,6 +422,10 @@
 
     def _admit(self, request, now_ms):
         self._update_slowdown(now_ms)
+        # Before a reservation is claimed: capacity does not help against these refusals.
+        code = self._unservable_code(request)
+        if code is not None:
+            return [self._shedder.reject(request, code, now_ms)]
         cost_ms = self._estimate.hold_ms(request)
         is_retry = self._client_retries.take(request, now_ms, cost_ms)
         code = self._refusal_code(request, is_retry, now_ms)
@@ -468,13 +472,17 @@
             return granted
         return Rejected(request=request, code=ResultCode.OVERLOADED, retry_after_ms=0)
 
-    def _refusal_code(self, request, is_retry, now_ms):
+    def _unservable_code(self, request):
+        """Return the code of a refusal that does not depend on the load, or None."""
         if not self._upstreams.table.serves(request.regions):
             return ResultCode.NO_UPSTREAM
         held = self._grants.of_customer(request.customer)
         held += self._queue.of_customer(request.customer)
         if held >= request.max_in_flight:
             return ResultCode.CUSTOMER_LIMIT
+        return None
+
+    def _refusal_code(self, request, is_retry, now_ms):
         if self._queue.count_above(request.tier_rank) and self._overtaking.may_overtake(
             request, now_ms
         ):
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_retry_reservations.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_retry_reservations.py
@@ -204,6 +204,23 @@
 
 
 class AdmissionTests(unittest.TestCase):
+    def test_a_refusal_that_capacity_does_not_change_claims_no_reservation(self):
+        """Guards against a reservation that is used up though its request can't run."""
+        scheduler = SchedulerSimulation(
+            {"e": 2.0}, slots=1, reserves_retries=True
+        ).scheduler
+        request = b.request()
+        scheduler.reservations.reserve(request, COST_MS, 0.0, 1.0, 1.0, 0)
+        for fields, code in (
+            ({"max_in_flight": 0}, ResultCode.CUSTOMER_LIMIT),
+            ({"regions": ("nowhere",)}, ResultCode.NO_UPSTREAM),
+        ):
+            refused = scheduler.submit(b.request(**fields), 200)
+            self.assertEqual(b.codes(refused), [code])
+        self.assertEqual(scheduler.reservations.outstanding, 1)
+        scheduler.submit(b.request(), 200)
+        self.assertEqual(scheduler.reservations.counts.used, 1)
+
     def test_a_retry_precedes_later_requests_and_they_are_refused_for_it(self):
         """Guards against arrivals that take the capacity promised to earlier ones."""
         simulation = SchedulerSimulation({"e": 2.0}, slots=1, reserves_retries=True)
