Do not prefer a local upstream that reports that it is slow

Within a tenth of the remaining time an upstream of the own failure domain was preferred even if it reported 2.5 times the usual processing time.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/candidates.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/candidates.py
@@ -26,6 +26,10 @@
 LOCALITY_FRACTION = 0.1
 # A request leaves its domain for one with an expected failure cost lower by this much.
 LOCALITY_RISK_MS = 60.0
+# A request also leaves its domain if the upstream there reports that it is this many
+# times slower than the best one: the time to the first event covers only a part of what
+# a slow upstream costs.
+LOCALITY_SLOWDOWN = 1.2
 
 
 class PlacementCandidate:
@@ -42,16 +46,19 @@
         The part of it that covers failures, stalls and long gaps.
     is_local : bool
         Whether the upstream is in the failure domain of the request's entry host.
+    slowdown : float, optional
+        Its reported processing time as a multiple of the usual one.
     """
 
-    __slots__ = ("cost_ms", "first_ms", "is_local", "risk_ms", "upstream")
+    __slots__ = ("cost_ms", "first_ms", "is_local", "risk_ms", "slowdown", "upstream")
 
-    def __init__(self, upstream, first_ms, cost_ms, risk_ms, is_local):
+    def __init__(self, upstream, first_ms, cost_ms, risk_ms, is_local, slowdown=1.0):
         self.upstream = upstream
         self.first_ms = first_ms
         self.cost_ms = cost_ms
         self.risk_ms = risk_ms
         self.is_local = is_local
+        self.slowdown = slowdown
 
 
 class CandidateSelector:
@@ -104,6 +111,8 @@
         return True
     if local.risk_ms - best.risk_ms > LOCALITY_RISK_MS or local.first_ms > left_ms:
         return False
+    if local.slowdown > LOCALITY_SLOWDOWN * best.slowdown:
+        return False
     return local.first_ms - best.first_ms <= LOCALITY_FRACTION * max(0.0, left_ms)
 
 
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
@@ -330,7 +330,10 @@
             held = in_flight(item.upstream_id)
             risk = risk_ms(work, tracked, held, counts, max_prompts_ms, now_ms)
             cost = cost_ms(work, tracked, first_ms, held, now_ms) + risk - saving_ms
-            selector.add(PlacementCandidate(item, first_ms, cost, risk, is_local))
+            slowdown = tracked.slowdown
+            selector.add(
+                PlacementCandidate(item, first_ms, cost, risk, is_local, slowdown)
+            )
         return selector
 
     def _cached_tokens(self, request):
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_candidates.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_candidates.py
@@ -52,6 +52,47 @@
         self.assertIsNone(self.selected())
 
 
+class ReportedSlowdownTests(unittest.TestCase):
+    """A pool with an idle upstream in each failure domain."""
+
+    def setUp(self):
+        pool = Pool(name="halls", kind=PoolKind.MODEL, stable_version="")
+        self.scheduler = PoolScheduler.from_config(
+            pool, (), "i1", tracker=DeclaredSlotsTracker()
+        )
+        upstreams = [
+            Upstream(
+                upstream_id=domain,
+                pool="halls",
+                version="v1",
+                address=f"{domain}:1",
+                slot_count=4,
+                failure_domain=domain,
+            )
+            for domain in DOMAINS
+        ]
+        self.scheduler.set_upstreams(upstreams, 0)
+
+    def placed(self, percent=None):
+        """Return where a request of domain a goes if the upstream there reports."""
+        if percent is not None:
+            self.scheduler.observe_slowdown("a", percent, 1_000, 1_000)
+        request = b.request(
+            now_ms=1_000, failure_domain="a", first_token_by_ms=20_000, prompt_tokens=64
+        )
+        (granted,) = self.scheduler.submit(request, 1_000)
+        return granted.grant.upstream_id
+
+    def test_upstream_that_reports_that_it_is_slow_is_not_preferred(self):
+        """Guards against waiting at a slow upstream of the domain beside idle ones."""
+        self.assertNotEqual(self.placed(250), "a")
+
+    def test_small_slowdown_and_none_do_not_affect_locality(self):
+        """Guards against traffic between domains for each fluctuation of a report."""
+        for percent in (None, 100, 115):
+            self.assertEqual(self.placed(percent), "a")
+
+
 class FailureRateTests(unittest.TestCase):
     def excess(self, failures_in_order, others_rate=0.05):
         rate, now_ms = FailureRate(), 50 * len(failures_in_order)
