--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/slowdown.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/slowdown.py
@@ -17,6 +17,9 @@
 INITIAL_STEP = 3
 # Initial error of the other half-lives for each step away from that one.
 PRIOR_ERROR = 0.5
+# A pair of reports tells nothing if the older one is within this of the usual value: the
+# ratio of the newer one's excess to so small an excess is arbitrary.
+MIN_TELLING_EXCESS = 0.1
 # Factor by which earlier errors decay with each pair of reports: about 200 pairs count.
 ERROR_DECAY = 0.995
 # The ratio of two reports' excesses counts at most so far from the range 0 to 1, so that
@@ -73,9 +76,9 @@
             Processing times as multiples of the usual one.
         gap_ms : int
             Time between them. A pair at the same time or whose older report says that
-            all is as usual tells nothing.
+            all is about as usual tells nothing.
         """
-        if gap_ms <= 0 or abs(older - 1.0) < MIN_EXCESS:
+        if gap_ms <= 0 or abs(older - 1.0) <= MIN_TELLING_EXCESS:
             return
         ratio = math.log(newer) / math.log(older)
         ratio = min(1.0 + MAX_RATIO_OVERSHOOT, max(-MAX_RATIO_OVERSHOOT, ratio))
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_slowdown.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_slowdown.py
@@ -1,4 +1,5 @@
 import doctest
+import itertools
 import random
 import unittest
 
@@ -46,6 +47,22 @@
                 self.assertGreaterEqual(slowdowns.half_life_ms, period_ms / 4)
                 self.assertLessEqual(slowdowns.half_life_ms, 2 * period_ms)
 
+    def test_half_life_does_not_depend_on_small_fluctuations(self):
+        """Guards against a half-life that reports of 98 to 103 percent determine."""
+        for seed, jitter in itertools.product(range(3), (0, 5)):
+            rng, slowdowns = random.Random(seed), ReportedSlowdowns()
+            slow = {}
+            for now_ms in range(0, 60_000, 20):
+                name = f"u{rng.randrange(10)}"
+                is_slow = slow.setdefault(
+                    (name, now_ms // PERIOD_MS), rng.random() < 0.15
+                )
+                percent = 250 if is_slow else 100
+                percent += rng.randint(-jitter, jitter)
+                slowdowns.observe(name, percent, now_ms)
+            with self.subTest(seed=seed, jitter=jitter):
+                self.assertEqual(slowdowns.half_life_ms, 400.0)
+
     def test_restarted_upstream_has_the_usual_speed(self):
         slowdowns = ReportedSlowdowns()
         slowdowns.observe("u", 250, 0)
