--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
@@ -193,7 +193,10 @@
         return self._intake.brittle.is_brittle(upstream_id)
 
     def observe_slowdown(self, upstream_id, percent, measured_ms, now_ms):
-        """Record how slow an upstream says it is; return whether it is its first word."""
+        """Record how slow an upstream says it is.
+
+        Return whether it is the upstream's first report.
+        """
         tracked = self._tracked.get(upstream_id)
         if tracked is None:
             return False
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -308,7 +308,9 @@
         self._upstreams.tracker.observe_rejection(upstream_id, now_ms)
 
     def observe_slowdown(self, upstream_id, percent, measured_ms, now_ms):
-        """Record how slow an upstream says it is; return whether it is its first word.
+        """Record how slow an upstream says it is.
+
+        Return whether it is the upstream's first report.
 
         Parameters as of ``UpstreamTracker.observe_slowdown``. Decisions that follow are
         made with those on the answer that carried the report.
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/upstream_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/upstream_tracker.py
@@ -144,7 +144,9 @@
         return False
 
     def observe_slowdown(self, upstream_id, percent, measured_ms, now_ms):
-        """Record how slow an upstream says it is; return whether it is its first word.
+        """Record how slow an upstream says it is.
+
+        Return whether it is the upstream's first report.
 
         Parameters
         ==========
--- a/libs/entry/src/hemlockhoist/entry/features.py
+++ b/libs/entry/src/hemlockhoist/entry/features.py
@@ -37,8 +37,8 @@
     }
 
 
-def read_integer(environment, variable, maximum):
-    """Return the value of a variable, from 0 to a maximum; 0 if it is not set.
+def read_integer(environment, variable, maximum, minimum=0):
+    """Return the value of a variable in its range; 0 if it is not set.
 
     Raises
     ======
@@ -49,7 +49,7 @@
         return 0
     # Digits of other scripts, which int accepts, are more likely a mistake.
     is_number = text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
-    if not is_number or int(text) > maximum:
-        message = f"{variable} is {text!r}, not a whole number from 0 to {maximum:,}"
-        raise SettingError(message)
+    if not is_number or not minimum <= int(text) <= maximum:
+        allowed = f"a whole number from {minimum} to {maximum:,}"
+        raise SettingError(f"{variable} is {text!r}, not {allowed}")
     return int(text)
--- a/libs/entry/src/hemlockhoist/entry/variables.py
+++ b/libs/entry/src/hemlockhoist/entry/variables.py
@@ -2,11 +2,12 @@
 
 from hemlockhoist.base import SettingError
 from hemlockhoist.decisions.scheduling import Experiments
+from hemlockhoist.entry.features import read_integer
 
 METRICS_PORT_VARIABLE = "HEMLOCKHOIST_METRICS_PORT"
 EXPERIMENTS_VARIABLE = "HEMLOCKHOIST_EXPERIMENTS"
 RESERVE_RETRIES_VARIABLE = "HEMLOCKHOIST_RESERVE_RETRIES"
-PORT_COUNT = 65_536
+MAX_PORT = 65_535
 _SWITCH = {"on": True, "off": False}
 
 
@@ -18,10 +19,9 @@
     SettingError
         If it is not a port.
     """
-    port = environment.get(METRICS_PORT_VARIABLE, "")
-    if port and not (port.isdigit() and 0 < int(port) < PORT_COUNT):
-        raise SettingError(f"{METRICS_PORT_VARIABLE} is {port!r}, not a valid port")
-    return port
+    if not environment.get(METRICS_PORT_VARIABLE, ""):
+        return ""
+    return str(read_integer(environment, METRICS_PORT_VARIABLE, MAX_PORT, minimum=1))
 
 
 def read_experiments(environment):
