--- a/libs/entry/src/hemlockhoist/entry/__init__.py
+++ b/libs/entry/src/hemlockhoist/entry/__init__.py
@@ -2,7 +2,7 @@
 
 from hemlockhoist.decisions.entry import DomainOrder, MoveOrder, MoveOrderState
 from hemlockhoist.decisions.scheduling import Experiments
-from hemlockhoist.entry.features import read_features
+from hemlockhoist.entry.environment import read_features
 from hemlockhoist.entry.platform import Platform
 from hemlockhoist.entry.settings import EntrySettings, FleetBounds, MemoryMb
 from hemlockhoist.entry.wire import (
--- a/libs/entry/src/hemlockhoist/entry/tests/test_hedge_settings.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_hedge_settings.py
@@ -5,8 +5,8 @@
 from hypothesis import strategies as st
 
 from hemlockhoist.base import SettingError
-from hemlockhoist.entry import hedge_settings
-from hemlockhoist.entry.hedge_settings import (
+from hemlockhoist.entry import environment
+from hemlockhoist.entry.environment import (
     EXCLUDED_VARIABLE,
     MAX_PERMILLE,
     PERMILLE_VARIABLE,
@@ -15,7 +15,7 @@
 
 
 def load_tests(loader, tests, pattern):
-    tests.addTests(doctest.DocTestSuite(hedge_settings))
+    tests.addTests(doctest.DocTestSuite(environment))
     return tests
 
 
--- a/libs/standins/src/hemlockhoist/standins/published/soak/hosts.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/hosts.py
@@ -9,7 +9,7 @@
 import sys
 
 from hemlockhoist.base import MS_PER_S
-from hemlockhoist.entry.hedge_settings import PERMILLE_VARIABLE
+from hemlockhoist.entry.environment import PERMILLE_VARIABLE
 
 START_TIMEOUT_S = 20.0
 STOP_MS = 5_000
