--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
@@ -194,7 +194,10 @@
         return self._intake.brittle.is_brittle(upstream_id)
 
     def observe_slowdown(self, upstream_id, percent, measured_ms, now_ms):
-        """Record how slow an upstream says it is; return whether it is its first word."""
+        """Record how slow an upstream says it is.
+
+        Return whether it is the upstream's first report.
+        """
         tracked = self._tracked.get(upstream_id)
         if tracked is None:
             return False
@@ -332,7 +335,10 @@
             held = in_flight(item.upstream_id)
             risk = risk_ms(work, tracked, held, counts, max_prompts_ms, now_ms)
             cost = cost_ms(work, tracked, first_ms, held, now_ms) + risk - saving_ms
-            selector.add(PlacementCandidate(item, first_ms, cost, risk, is_local))
+            slowdown = tracked.slowdown
+            selector.add(
+                PlacementCandidate(item, first_ms, cost, risk, is_local, slowdown)
+            )
         return selector
 
     def _cached_tokens(self, request):
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/flap_damping.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/flap_damping.py
@@ -25,6 +25,10 @@
 _NONE = frozenset()
 
 
+def _never_suspended(upstream_id, now_ms):
+    return False
+
+
 class _Loss:
     """A loss that may still turn out to be none."""
 
@@ -52,11 +56,19 @@
     Losses of several upstreams of a failure domain at the same time are taken back, and
     so are losses reported by a host that turns out to have lost its links.
 
+    Upstreams whose circuit breaker is open do not count as usable where the suppressed
+    share is bounded: a suppressed upstream may be the only one that is up.
+
     Parameters
     ==========
     max_suppressed_ms : int
         Longest suppression; 0 disables the damping.
 
+    Attributes
+    ==========
+    is_suspended : callable
+        Returns for an upstream id and a time whether its circuit breaker is open.
+
     Examples
     ========
     >>> from hemlockhoist.decisions import Upstream
@@ -87,10 +99,12 @@
         "_suppressed_until_ms",
         "_unlisted_ms",
         "_usable",
+        "is_suspended",
     )
 
     def __init__(self, max_suppressed_ms=0):
         self._max_suppressed_ms = max_suppressed_ms
+        self.is_suspended = _never_suspended
         # The upstreams that are usable, or were until they vanished from the list, by id.
         self._known = {}
         self._unlisted_ms = {}
@@ -167,11 +181,25 @@
         """
         return self._known.get(upstream_id)
 
-    def record_served(self, upstream_id, now_ms):
-        """Record that an upstream answered, or accepted a request, at a time."""
+    def record_served(self, upstream_id, now_ms, granted_ms=None):
+        """Record that an upstream answered, or accepted a request, at a time.
+
+        Parameters
+        ==========
+        upstream_id : str
+        now_ms : int
+        granted_ms : int, optional
+            When the request was granted; by default now. An answer to a request granted
+            before the last loss does not show that the upstream is back: it may have
+            been sent before the loss and reported after it.
+        """
         known = self._known.get(upstream_id)
         if known is None:
             return
+        granted_ms = now_ms if granted_ms is None else granted_ms
+        lost_ms = self._lost_ms.get(known.address)
+        if lost_ms is not None and granted_ms <= lost_ms:
+            return
         served_ms = self._served_ms.get(known.address, 0)
         self._served_ms[known.address] = max(now_ms, served_ms)
         found = self._by_address.get(known.address)
@@ -229,6 +257,17 @@
         found = self._found(upstream_id)
         return found is not None and found.is_suppressed(now_ms)
 
+    def is_restricted(self, upstream_id, now_ms):
+        """Return whether an upstream is suppressed, or on trial after that."""
+        found = self._found(upstream_id)
+        return found is not None and not found.is_trial_over(now_ms)
+
+    def are_restricted(self, upstreams, now_ms):
+        """Return whether none of the given upstreams takes non-repeatable requests."""
+        if not self._by_address:
+            return False
+        return all(self.is_restricted(item.upstream_id, now_ms) for item in upstreams)
+
     def suppressed(self, now_ms):
         """Return the ids of the usable upstreams that are suppressed.
 
@@ -289,6 +328,19 @@
             or self.allows(request, item.upstream_id, now_ms)
         ]
 
+    def ensure_usable(self, now_ms):
+        """Release a suppressed upstream for all requests if no other one is usable.
+
+        Hot path: called for each request as long as any upstream has a penalty.
+        """
+        suppressed = self.suppressed(now_ms)
+        if suppressed and not any(
+            item.upstream_id not in suppressed
+            and not self.is_suspended(item.upstream_id, now_ms)
+            for item in self._usable
+        ):
+            self._release_excess(now_ms)
+
     def available(self, free, now_ms):
         """Return the free upstreams without the suppressed ones.
 
@@ -303,6 +355,7 @@
         self._last_resort = None
         if not self._by_address:
             return free
+        self.ensure_usable(now_ms)
         suppressed = self.suppressed(now_ms)
         if not suppressed:
             return free
@@ -314,7 +367,10 @@
         return [last]
 
     def on_tick(self, now_ms):
-        """Forget penalties that have decayed, and losses that stay."""
+        """Forget penalties that have decayed, and losses that stay.
+
+        The bound is applied again, as circuit breakers may have opened.
+        """
         while self._recent_losses:
             if now_ms - self._recent_losses[0].at_ms < DISTRUST_MS:
                 break
@@ -324,6 +380,8 @@
                 found.penalty(now_ms) < NEGLIGIBLE_PENALTY
             ):
                 del self._by_address[address]
+        if self.suppressed(now_ms):
+            self._release_excess(now_ms)
 
     def _found(self, upstream_id):
         if not self._by_address:
@@ -381,9 +439,11 @@
         if not self._by_address:
             return
         groups = collections.defaultdict(list)
+        everywhere = []
         for item in self._usable:
-            groups[item.region].append(item.upstream_id)
-        everywhere = [item.upstream_id for item in self._usable]
+            if not self.is_suspended(item.upstream_id, now_ms):
+                groups[item.region].append(item.upstream_id)
+                everywhere.append(item.upstream_id)
         for members in (everywhere, *groups.values()):
             suppressed = [key for key in members if self.is_suppressed(key, now_ms)]
             bound = math.ceil(len(members) * MAX_SUPPRESSED_SHARE)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_flap_damping.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_flap_damping.py
@@ -4,13 +4,17 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from hemlockhoist.decisions import Outcome, OutcomeKind, Upstream
+from hemlockhoist.decisions import Outcome, OutcomeKind, Rejected, Upstream
 from hemlockhoist.decisions.scheduling import (
     Experiments,
     Mechanism,
     PoolScheduler,
     flap_damping,
 )
+from hemlockhoist.decisions.scheduling.assignment import (
+    MAX_NOT_REPEATABLE_SKIPPED,
+    MAX_SKIPPED,
+)
 from hemlockhoist.decisions.scheduling.flap_damping import (
     SAME_LOSS_MS,
     UNLISTED_TTL_MS,
@@ -141,6 +145,15 @@
         flap(self.damping, here, [1_000, 2_000])
         self.assertFalse(self.is_suppressed("e", 2_000))
 
+    def test_suspended_upstreams_are_not_usable_for_the_bound(self):
+        """Guards against suppressing most of those that accept connections."""
+        for number in (0, 1):
+            flap(self.damping, self.listed[number], [1_000 + number, 2_000 + number])
+        self.assertEqual(len(self.damping.suppressed(2_100)), 2)
+        self.damping.is_suspended = lambda name, now_ms: name in ("u3", "u4", "u5")
+        self.damping.on_tick(2_200)
+        self.assertEqual(self.damping.suppressed(2_200), {"u1"})
+
     def test_bound_is_applied_when_other_upstreams_leave(self):
         for number in (0, 1):
             flap(self.damping, self.listed[number], [1_000 + number, 2_000 + number])
@@ -276,6 +289,71 @@
             decisions = self.scheduler.submit(b.request(now_ms=2_100), 2_100)
         self.assertEqual(decisions[0].grant.upstream_id, "u0")
 
+    def test_hedge_avoids_suppressed_upstreams_and_those_on_trial(self):
+        """Guards against a second attempt that a flapping upstream loses."""
+        for now_ms, busy_count in ((2_100, 4), (7_300, 0)):
+            scheduler = self.new_scheduler()
+            scheduler.set_upstreams(upstreams(3, slot_count=2), 0)
+            for at_ms in (1_000, 2_000):
+                self.end("u0", CRASH, at_ms, scheduler=scheduler)
+            for _ in range(busy_count):
+                (granted,) = scheduler.submit(b.request(now_ms=now_ms), now_ms)
+                self.assertNotEqual(granted.grant.upstream_id, "u0")
+            hedge = b.request(
+                now_ms=now_ms, is_hedge=True, attempt=2, avoid=("u1", "u2")
+            )
+            with self.subTest(now_ms):
+                (decision,) = scheduler.submit(hedge, now_ms)
+                self.assertIsInstance(decision, Rejected)
+
+    def test_repeatable_request_behind_many_others_is_served(self):
+        """Guards against an idle slot that no request before the bound may use."""
+        for count, is_served in (
+            (MAX_SKIPPED, True),
+            (MAX_NOT_REPEATABLE_SKIPPED, False),
+        ):
+            scheduler = self.new_scheduler()
+            for now_ms in (1_000, 2_000):
+                self.end("u0", CRASH, now_ms, scheduler=scheduler)
+            for _ in range(2):
+                self.assertTrue(scheduler.submit(b.request(now_ms=2_100), 2_100))
+            for _ in range(count):
+                once = b.request(now_ms=2_100, idempotent=False)
+                self.assertEqual(scheduler.submit(once, 2_100), [])
+            request = b.request(now_ms=2_100)
+            with self.subTest(count):
+                found = b.granted(scheduler.submit(request, 2_100))
+                self.assertEqual(found, [request.request_id] if is_served else [])
+
+    def test_only_upstream_that_is_up_serves_all_requests(self):
+        """Guards against refusing non-repeatable calls while an upstream is up."""
+        for now_ms in (1_000, 2_000):
+            self.end("u0", CRASH, now_ms, "host-2")
+        # Another host failed to connect too, so that the upstream is at fault.
+        refused = Outcome(kind=OutcomeKind.CONNECT_FAILED, relay="host-2")
+        served = 0
+        for now_ms in range(2_100, 6_600, 100):
+            avoid = ()
+            for attempt in range(1, 4):
+                request = b.request(
+                    now_ms=now_ms, idempotent=False, avoid=avoid, attempt=attempt
+                )
+                found = self.scheduler.submit(request, now_ms)
+                if not found or not hasattr(found[0], "grant"):
+                    self.scheduler.cancel(request.request_id, now_ms)
+                    break
+                grant = found[0].grant
+                is_up = grant.upstream_id == "u0"
+                outcome = b.SUCCESS if is_up else refused
+                self.scheduler.release(grant.grant_id, outcome, now_ms + 1)
+                if is_up:
+                    served += 1
+                    break
+                avoid = (*avoid, grant.upstream_id)
+            self.scheduler.tick(now_ms + 50)
+        self.assertEqual(served, 45)
+        self.assertGreater(self.scheduler._upstreams.slots(6_600), 0)
+
     def test_planned_stop_is_no_loss(self):
         """Guards against a rolling restart that suppresses what it has restarted."""
         for now_ms in (1_000, 2_000, 3_000):
@@ -289,6 +367,28 @@
             self.scheduler.set_upstreams(upstreams(3), now_ms + 500)
         self.assertFalse(self.suppressed(3_600))
 
+    def test_answer_to_a_request_before_the_loss_does_not_count_as_served(self):
+        """Guards against one crash that counts as two losses, and so suppresses."""
+        listed = upstreams(3, slot_count=4)
+        for reports_first_token in (False, True):
+            scheduler = self.new_scheduler()
+            scheduler.set_upstreams(listed, 0)
+            grants = []
+            for now_ms in (900, 910, 1_100):
+                request = b.request(now_ms=now_ms, avoid=("u1", "u2"))
+                (granted,) = scheduler.submit(request, now_ms)
+                self.assertEqual(granted.grant.upstream_id, "u0")
+                grants.append(granted.grant.grant_id)
+                if now_ms == 910:
+                    scheduler.release(grants[0], CRASH, 1_000)
+                    if reports_first_token:
+                        scheduler.observe_first_token(grants[1], 50, 1_040)
+                    else:
+                        scheduler.release(grants[1], b.SUCCESS, 1_040)
+            scheduler.release(grants[2], REFUSED, 1_150)
+            with self.subTest(reports_first_token):
+                self.assertFalse(scheduler.suppressed_upstreams(1_150))
+
     def test_prompt_that_crashes_upstreams_is_no_loss(self):
         """Guards against one bad prompt that suppresses a third of the pool."""
         for now_ms in (1_000, 2_000):
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_retry_reservations.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_retry_reservations.py
@@ -2,6 +2,7 @@
 
 from hemlockhoist.base import ResultCode
 from hemlockhoist.decisions.scheduling import Experiments, Mechanism
+from hemlockhoist.decisions.scheduling.admission import MIN_RETRY_AFTER_MS
 from hemlockhoist.decisions.scheduling.retry_reservations import (
     MAX_RESERVATIONS,
     RetryReservations,
@@ -51,6 +52,15 @@
         self.assertEqual(self.refuse(queued_ms=20_000), (20_000, 0.0))
         self.assertFalse(self.take(20_000))
 
+    def test_nothing_is_reserved_for_a_retry_that_cannot_come_in_time(self):
+        """Guards against capacity kept for callers with hardly any time left."""
+        # A third of the time is too short, or none is left after the answer.
+        for left_ms, cost_ms in ((500, 10.0), (2_500, COST_MS)):
+            request = b.request(deadline_ms=left_ms, prompt_tokens=left_ms)
+            told = self.retries.reserve(request, cost_ms, 0.0, 1.0, 1.0, 0)
+            self.assertEqual(told, (MIN_RETRY_AFTER_MS, 0.0))
+        self.assertEqual(self.retries.outstanding, 0)
+
     def test_time_is_late_while_new_requests_take_all_slots(self):
         """Guards against retries that only make the home refuse new requests."""
         for now_ms in range(0, 6_000, 100):
@@ -194,6 +204,23 @@
 
 
 class AdmissionTests(unittest.TestCase):
+    def test_a_refusal_that_capacity_does_not_change_claims_no_reservation(self):
+        """Guards against a reservation that is used up though its request can't run."""
+        scheduler = SchedulerSimulation(
+            {"e": 2.0}, slots=1, reserves_retries=True
+        ).scheduler
+        request = b.request()
+        scheduler.reservations.reserve(request, COST_MS, 0.0, 1.0, 1.0, 0)
+        for fields, code in (
+            ({"max_in_flight": 0}, ResultCode.CUSTOMER_LIMIT),
+            ({"regions": ("nowhere",)}, ResultCode.NO_UPSTREAM),
+        ):
+            refused = scheduler.submit(b.request(**fields), 200)
+            self.assertEqual(b.codes(refused), [code])
+        self.assertEqual(scheduler.reservations.outstanding, 1)
+        scheduler.submit(b.request(), 200)
+        self.assertEqual(scheduler.reservations.counts.used, 1)
+
     def test_a_retry_precedes_later_requests_and_they_are_refused_for_it(self):
         """Guards against arrivals that take the capacity promised to earlier ones."""
         simulation = SchedulerSimulation({"e": 2.0}, slots=1, reserves_retries=True)
--- a/libs/standins/src/hemlockhoist/standins/published/soak/run.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/run.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from hemlockhoist.decisions.entry import MAX_DIRECT_READERS
-from hemlockhoist.entry.hedge_settings import PERMILLE_VARIABLE
+from hemlockhoist.entry.environment import PERMILLE_VARIABLE
 from hemlockhoist.standins.published.keep_alive import KeepAlive
 from hemlockhoist.standins.published.replica import Replica
 from hemlockhoist.standins.published.site import route
