Cut off slow callers soon only while memory is short

Cause: a receiver with a full window announces space only after a large part has been read, so a caller that reads 8 to 50 KB/s seemed to take nothing for 5 s. The limit is now 30 s, and 5 s while something waits for memory or the buffer's reservation failed.

--- a/libs/entry/src/hemlockhoist/entry/caller_buffer.py
+++ b/libs/entry/src/hemlockhoist/entry/caller_buffer.py
@@ -12,9 +12,13 @@
 MAX_BUFFER_BYTES = 262_144
 # Not accounted, and not waited for: what an answer holds for a moment before it leaves.
 FREE_BUFFER_BYTES = 16_384
-# A caller that takes nothing for this long, with its buffer full or its answer
-# complete, has gone or hangs. A lost packet is sent again within far less.
+# While memory is short, a caller that takes nothing for this long, with its buffer full
+# or its answer complete, is cut off. A lost packet is sent again within far less.
 UNREAD_TIMEOUT_MS = 5_000
+# The same while there is memory. A receiver whose window was full announces space only
+# after its application has read a large part of its buffer, so a caller that reads 8 to
+# 50 KB/s seems to take nothing for longer than the limit above.
+UNREAD_WITH_MEMORY_TIMEOUT_MS = 30_000
 # Interval of the checks while a caller is waited for. There is no notice of progress
 # above the transport's own limit.
 CHECK_INTERVAL_MS = 20
@@ -49,12 +53,21 @@
         Whether the caller is waited for, or was when its answer ended.
     """
 
-    __slots__ = ("_clock", "_is_accounted", "_memory", "_transport", "is_waiting")
+    __slots__ = (
+        "_clock",
+        "_has_memory",
+        "_is_accounted",
+        "_memory",
+        "_transport",
+        "is_waiting",
+    )
 
     def __init__(self, transport, memory, clock):
         self._transport = transport
         self._memory = memory
         self._clock = clock
+        # Whether the latest reservation for the buffer fitted.
+        self._has_memory = True
         self._is_accounted = False
         self.is_waiting = False
         if transport is not None:
@@ -110,10 +123,11 @@
         """Account what is buffered; return whether nothing has to be waited for."""
         if buffered_bytes <= FREE_BUFFER_BYTES:
             self._is_accounted = False
-            return self._memory.set_stream_buffer(0)
+            self._has_memory = self._memory.set_stream_buffer(0)
+            return self._has_memory
         self._is_accounted = True
-        has_memory = self._memory.set_stream_buffer(buffered_bytes)
-        return has_memory and buffered_bytes <= max_bytes
+        self._has_memory = self._memory.set_stream_buffer(buffered_bytes)
+        return self._has_memory and buffered_bytes <= max_bytes
 
     def _is_flushed(self, buffered_bytes):
         self._fits(buffered_bytes, MAX_BUFFER_BYTES)
@@ -128,6 +142,12 @@
         """
         return self._buffered_bytes() + _queued_bytes(self._transport)
 
+    def _unread_limit_ms(self):
+        """Return the time without progress after which the caller is cut off."""
+        if self._has_memory and not self._memory.is_host_short:
+            return UNREAD_WITH_MEMORY_TIMEOUT_MS
+        return UNREAD_TIMEOUT_MS
+
     async def _wait(self, is_done, on_wait=None):
         self.is_waiting = True
         lowest_bytes = self._untaken_bytes()
@@ -141,7 +161,7 @@
             untaken_bytes, now_ms = self._untaken_bytes(), self._clock.now_ms()
             if untaken_bytes < lowest_bytes:
                 lowest_bytes, progress_ms = untaken_bytes, now_ms
-            elif now_ms - progress_ms >= UNREAD_TIMEOUT_MS:
+            elif now_ms - progress_ms >= self._unread_limit_ms():
                 text = (
                     f"the caller took nothing for {now_ms - progress_ms} ms, "
                     f"{self._buffered_bytes()} bytes are buffered"
--- a/libs/entry/src/hemlockhoist/entry/memory.py
+++ b/libs/entry/src/hemlockhoist/entry/memory.py
@@ -70,6 +70,11 @@
         """Return the memory of a host with these ``EntrySettings``."""
         return cls(MemoryBudget.from_max_memory_mb(settings.max_memory_mb))
 
+    @property
+    def is_waited_for(self):
+        """Whether any request waits for memory."""
+        return bool(self._waiting)
+
     def try_reserve(self, purpose, byte_count, tier_rank):
         """Reserve memory if no request of this tier or a higher one waits for some."""
         if not self.fits(byte_count, tier_rank):
@@ -226,6 +231,11 @@
         """Return the memory of an answer that is not used."""
         self._release(MemoryPurpose.RESPONSES)
 
+    @property
+    def is_host_short(self):
+        """Whether any request of the host waits for memory."""
+        return self._host_memory.is_waited_for
+
     def set_stream_buffer(self, byte_count):
         """Account what is buffered for the caller now; return whether it fits."""
         purpose = MemoryPurpose.STREAM_BUFFERS
