Do not blame an upstream that aborts its unread response

Cause: while a host waits for a slow caller, its upstream may abort the response. The caller is no longer waited for when the error is read, so the attempt counted as broken off; and failure_recorded set is_given_up to False again. A break right after a wait of 1 s or more, with no data between, now counts as given up.

--- a/libs/entry/src/hemlockhoist/entry/attempt_sender.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt_sender.py
@@ -141,7 +141,8 @@
             opened.end = AttemptEnd.NOT_SENT
         except DispatchError as error:
             attempt.reason = error.message
-            attempt.is_given_up = isinstance(error, AnswerNotRead)
+            # A stream's relay may have set it.
+            attempt.is_given_up |= isinstance(error, AnswerNotRead)
             is_silent = error.code is ResultCode.UPSTREAM_TIMEOUT
             opened.end = AttemptEnd.TIMED_OUT if is_silent else AttemptEnd.BROKEN
 
--- a/libs/entry/src/hemlockhoist/entry/stream.py
+++ b/libs/entry/src/hemlockhoist/entry/stream.py
@@ -26,6 +26,8 @@
 # millisecond.
 MIN_FIRST_STALL_MS = 2_500
 SLOWEST_TOKENS_PER_MS = 8
+# An upstream may abort a response that its host has not read for this long.
+LONG_WAIT_MS = 1_000
 
 
 class StreamRelay:
@@ -51,6 +53,8 @@
         "_event_begin_ms",
         "_event_gaps_us",
         "_find_replacement",
+        "_has_waited_long",
+        "_is_aborted_unread",
         "_is_leaving",
         "_last_data_ms",
         "_last_event_ms",
@@ -85,6 +89,10 @@
         self._last_event_ms = None
         self._longest_gap_ms = 0
         self._watchdog = None
+        # Whether the caller was waited for since the upstream's last data, for so long
+        # that the upstream may have aborted its response.
+        self._has_waited_long = False
+        self._is_aborted_unread = False
         self.event_count = 0
         # When the caller was last sent something; None before the response began.
         self.passed_ms = None
@@ -106,8 +114,12 @@
 
     @property
     def is_caller_slow(self):
-        """Whether the caller is waited for, or was when its stream ended."""
-        return self._buffer.is_waiting
+        """Whether the caller is waited for, or was when its stream ended.
+
+        Also whether the upstream broke off right after the caller was waited for, as an
+        upstream aborts a response that stays unread.
+        """
+        return self._buffer.is_waiting or self._is_aborted_unread
 
     async def relay(self, response, head, on_first):
         """Relay an upstream's events until the end of its stream.
@@ -135,6 +147,7 @@
         self._last_data_ms = None
         self._last_event_ms = None
         self._longest_gap_ms = 0
+        self._has_waited_long = self._is_aborted_unread = False
         first = True
         limit_ms = (
             self.first_data_limit_ms if self._admitted.route.is_resumable else None
@@ -149,6 +162,7 @@
                     on_first()
                     first = False
                 self._last_data_ms = self._clock.now_ms()
+                self._has_waited_long = False
                 watchdog.on_progress(self._stall_limit_ms())
                 events = self._reader.feed(chunk)
                 self._check_event_time(events)
@@ -156,7 +170,11 @@
                 if self._reader.error is not None:
                     raise self._reader.error
         except DispatchError as error:
-            raise watchdog.classify_error(error) from error
+            classified = watchdog.classify_error(error)
+            is_break = classified.code is ResultCode.UPSTREAM_BROKE_OFF
+            if is_break and error is not self._reader.error:
+                self._is_aborted_unread = self._has_waited_long
+            raise classified from error
         finally:
             watchdog.close()
             self._watchdog = None
@@ -208,8 +226,10 @@
         if self._caller_response is None:
             await self._start_response(head)
         await self._caller_response.write(b"".join(event.raw for event in events))
+        begin_ms = self._clock.now_ms()
         await self._buffer.wait_below_limit(self._on_caller_waits)
         self.passed_ms = self._clock.now_ms()
+        self._has_waited_long = self.passed_ms - begin_ms >= LONG_WAIT_MS
         self.event_count += len(events)
         self._record_gap(len(events))
 
