Return the memory of an unused answer by what its attempt reserved

Cause: two attempts share one RequestMemory; the failure of one released what the other still held, and a cancelled attempt's memory stayed until the end of the request. read_body counts what it reserved and returns exactly that on any exception. The new test fails before in both cases.

--- a/libs/entry/src/hemlockhoist/entry/memory.py
+++ b/libs/entry/src/hemlockhoist/entry/memory.py
@@ -227,9 +227,18 @@
             raise AnswerNotRead(text, ResultCode.OUTCOME_UNKNOWN)
         self._add(purpose, byte_count)
 
-    def drop_response(self):
-        """Return the memory of an answer that is not used."""
-        self._release(MemoryPurpose.RESPONSES)
+    def drop_response(self, byte_count):
+        """Return the memory of an answer that is not used.
+
+        Parameters
+        ==========
+        byte_count : int
+            What was reserved for it. Another attempt may hold an answer as well.
+        """
+        purpose = MemoryPurpose.RESPONSES
+        byte_count *= RESPONSE_COPIES
+        self._add(purpose, -byte_count)
+        self._host_memory.release(purpose, byte_count)
 
     @property
     def is_host_short(self):
--- a/libs/entry/src/hemlockhoist/entry/request_attempts.py
+++ b/libs/entry/src/hemlockhoist/entry/request_attempts.py
@@ -1,6 +1,5 @@
 """The attempts of one request: their grants, their number and their ends."""
 
-from hemlockhoist.base import DispatchError
 from hemlockhoist.base.traces import Hop
 from hemlockhoist.decisions.entry import AttemptEnd, CutCause
 from hemlockhoist.entry.attempt_reporter import AttemptReporter
@@ -101,11 +100,18 @@
         ======
         DispatchError
         """
+        reserved_bytes = 0
+
+        async def reserve(byte_count):
+            nonlocal reserved_bytes
+            await self._memory.reserve_response(byte_count)
+            reserved_bytes += byte_count
+
         try:
-            reserve = self._memory.reserve_response
             return await response.read(MAX_RESPONSE_BYTES, reserve)
-        except DispatchError:
-            self._memory.drop_response()
+        except BaseException:
+            # Also when cancelled, as an attempt is once another one has won.
+            self._memory.drop_response(reserved_bytes)
             raise
 
     def record_failure(self, attempt, end):
--- a/libs/entry/src/hemlockhoist/entry/tests/test_memory.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_memory.py
@@ -1,6 +1,7 @@
 import asyncio
+import unittest.mock
 
-from hemlockhoist.base import Clock, Refused, ResultCode
+from hemlockhoist.base import Clock, DispatchError, Refused, ResultCode
 from hemlockhoist.base.testing import PausedTestCase
 from hemlockhoist.decisions.entry import MemoryBudget, MemoryPurpose
 from hemlockhoist.entry.caller_buffer import (
@@ -19,11 +20,14 @@
     HostMemory,
     RequestMemory,
 )
+from hemlockhoist.entry.request_attempts import RequestAttempts
 
 LIMIT_BYTES = 1_000_000
 # What bodies of the highest tier may use of it.
 BODIES_BYTES = 800_000
 LOW_RANK = 1_000
+# No error at the end of a response.
+WHOLE = object()
 
 
 class MemoryCase(PausedTestCase):
@@ -123,9 +127,44 @@
         self.assertEqual(self.host_memory.budget.used_bytes, 900_000)
         with self.assertRaises(AnswerNotRead):
             await memory.reserve_response(200_000 // RESPONSE_COPIES)
-        memory.drop_response()
+        memory.drop_response(900_000 // RESPONSE_COPIES)
         self.assertEqual(self.host_memory.budget.used_bytes, 0)
 
+    async def test_attempt_returns_the_memory_of_its_own_answer_only(self):
+        """Guards against an answer that is not accounted as another attempt failed."""
+        memory = self.request()
+        sender, grants = unittest.mock.Mock(), unittest.mock.Mock()
+        attempts = RequestAttempts(None, None, sender, grants, memory)
+        for error in (DispatchError("", ResultCode.OUTCOME_UNKNOWN), None):
+            with self.subTest(error=error):
+                await attempts.read_body(FakeResponse(1_000))
+                failing = FakeResponse(500, error)
+                other = asyncio.create_task(attempts.read_body(failing))
+                await failing.is_reserved.wait()
+                if error is None:
+                    other.cancel()
+                await asyncio.gather(other, return_exceptions=True)
+                used_bytes = self.host_memory.budget.used_by(MemoryPurpose.RESPONSES)
+                self.assertEqual(used_bytes, RESPONSE_COPIES * 1_000)
+                memory.close()
+
+
+class FakeResponse:
+    """A response that reserves memory, and then fails, or hangs unless it is whole."""
+
+    def __init__(self, byte_count, error=WHOLE):
+        self._byte_count, self._error = byte_count, error
+        self.is_reserved = asyncio.Event()
+
+    async def read(self, max_bytes, reserve):
+        await reserve(self._byte_count)
+        self.is_reserved.set()
+        if self._error is WHOLE:
+            return bytes(self._byte_count)
+        if self._error is not None:
+            raise self._error
+        return await asyncio.Event().wait()
+
 
 class FakeTransport:
     """A transport whose buffer is filled and taken by the test."""
