Bound the time to the first data of a stream's hedge

Cause: a silent hedge of a stream went on until the deadline. Meanwhile no replacement was sought, and finish() waited for it after the first attempt had failed. The limit is that of a replacement, first_data_limit_ms of the relay. The new test fails without the limit.

--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -72,7 +72,12 @@
         parts = (context, admitted, self._sender, self._grants)
         self._attempts = RequestAttempts(*parts, memory)
         self._replacement = StreamReplacement(*parts, self._attempts)
-        self._hedge = Hedge(*parts, self._attempts, self._waits_until_ms)
+        self._hedge = Hedge(
+            *parts,
+            self._attempts,
+            self._waits_until_ms,
+            lambda: self._relay.first_data_limit_ms,
+        )
         self._relay = None
         if admitted.route.kind is CallKind.STREAM:
             self._relay = StreamRelay(
--- a/libs/entry/src/hemlockhoist/entry/hedge.py
+++ b/libs/entry/src/hemlockhoist/entry/hedge.py
@@ -2,7 +2,13 @@
 
 import asyncio
 
-from hemlockhoist.base import MS_PER_S, Refused, get_logger
+from hemlockhoist.base import (
+    MS_PER_S,
+    DispatchError,
+    Refused,
+    ResultCode,
+    get_logger,
+)
 from hemlockhoist.base.metrics_table import (
     HEDGES_ENDED,
     HEDGES_REFUSED,
@@ -40,12 +46,15 @@
     attempts : RequestAttempts
     waits_until_ms : callable
         Returns when the caller disconnects if it receives nothing until then.
+    first_data_limit_ms : callable
+        Returns the time within which a stream's first data should arrive.
     """
 
     __slots__ = (
         "_admitted",
         "_attempts",
         "_context",
+        "_first_data_limit_ms",
         "_grants",
         "_is_allowed",
         "_policy",
@@ -59,13 +68,23 @@
         "_winner",
     )
 
-    def __init__(self, context, admitted, sender, grants, attempts, waits_until_ms):
+    def __init__(
+        self,
+        context,
+        admitted,
+        sender,
+        grants,
+        attempts,
+        waits_until_ms,
+        first_data_limit_ms,
+    ):
         self._context = context
         self._admitted = admitted
         self._sender = sender
         self._grants = grants
         self._attempts = attempts
         self._waits_until_ms = waits_until_ms
+        self._first_data_limit_ms = first_data_limit_ms
         self._policy = context.hedging
         self._is_allowed = self._policy.allows(admitted.route)
         self._policy.count_request()
@@ -240,7 +259,7 @@
         attempts = self._attempts
         try:
             with attempts.span(opened.attempt), self._sender.failure_recorded(opened):
-                await self._read(opened)
+                await self._read_in_time(opened)
         except Refused as error:
             opened.attempt.reason = error.message
             opened.end = AttemptEnd.NOT_SENT
@@ -251,6 +270,22 @@
         if self._scope is not None:
             self._scope.reschedule(asyncio.get_running_loop().time())
 
+    async def _read_in_time(self, opened):
+        """Read until the response is usable, a stream's within its limit.
+
+        Failure prevented: a silent hedge of a stream goes on until the deadline, and
+        meanwhile no replacement of the first attempt is sought.
+        """
+        limit_s = None
+        if self._admitted.route.kind is CallKind.STREAM:
+            limit_s = self._first_data_limit_ms() / MS_PER_S
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._read(opened)
+        except TimeoutError as error:
+            text = "the upstream sent no data within the stall limit"
+            raise DispatchError(text, ResultCode.UPSTREAM_TIMEOUT) from error
+
     async def _read(self, opened):
         """Read until the response is usable; ``end`` is set if it never is."""
         await self._sender.open(opened)
--- a/libs/entry/src/hemlockhoist/entry/tests/test_hedge.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_hedge.py
@@ -6,15 +6,17 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hemlockhoist.base import MS_PER_S, Clock
+from hemlockhoist.base import MS_PER_S, Clock, DispatchError
 from hemlockhoist.base.metrics import Metrics
 from hemlockhoist.base.testing import PausedEventLoop
 from hemlockhoist.decisions.entry import AttemptEnd, HedgePolicy
+from hemlockhoist.declarations import CallKind
 from hemlockhoist.entry.hedge import Hedge
 from hemlockhoist.entry.tests.builders import route
 
 # A bound of the policy's histogram, so that it is the delay.
 USUAL_MS = 4
+FIRST_DATA_LIMIT_MS = 100
 
 
 class FakeAttempts:
@@ -42,8 +44,12 @@
 
     # As of ``AttemptSender``.
 
+    @contextlib.contextmanager
     def failure_recorded(self, opened):
-        return contextlib.nullcontext()
+        try:
+            yield
+        except DispatchError:
+            opened.end = AttemptEnd.TIMED_OUT
 
     async def open(self, opened):
         await asyncio.sleep(self._hedge_ms / MS_PER_S)
@@ -51,7 +57,7 @@
         if self._is_failing:
             opened.end = AttemptEnd.BROKEN
         opened.head.status = self._status
-        opened.response = types.SimpleNamespace()
+        opened.response = types.SimpleNamespace(wait_for_data=asyncio.Event().wait)
 
     # As of ``RequestAttempts``.
 
@@ -111,8 +117,27 @@
                 self.assertEqual((len(claims), won), (1, False))
                 self.assertEqual(attempts.discarded, attempts.hedges)
 
+    def test_silent_hedge_of_a_stream_ends_within_its_limit(self):
+        """Guards against a silent hedge that its request waits for without bound."""
+        with asyncio.Runner(loop_factory=PausedEventLoop) as runner:
+            race = self.race(
+                20, 5, True, False, 900, kind=CallKind.STREAM, is_resumable=True
+            )
+            _, attempts, won, after_ms = runner.run(race)
+        self.assertFalse(won)
+        self.assertEqual(len(attempts.discarded), 1)
+        self.assertIs(attempts.hedges[0].end, AttemptEnd.TIMED_OUT)
+        self.assertAlmostEqual(after_ms, USUAL_MS + FIRST_DATA_LIMIT_MS, delta=2)
+
     async def race(
-        self, first_ms, hedge_ms, first_fails, hedge_fails, leaves_ms, status=200
+        self,
+        first_ms,
+        hedge_ms,
+        first_fails,
+        hedge_fails,
+        leaves_ms,
+        status=200,
+        **route_fields,
     ):
         clock, claims, won = Clock.from_running_loop(), [], False
         attempts = FakeAttempts(hedge_ms, hedge_fails, status)
@@ -128,11 +153,19 @@
         )
         deadline_ms = clock.now_ms() + 1_000
         admitted = types.SimpleNamespace(
-            route=route(max_attempts=2), pool="halls", deadline_ms=deadline_ms
+            route=route(max_attempts=2, **route_fields),
+            pool="halls",
+            deadline_ms=deadline_ms,
         )
         grants = types.SimpleNamespace(request_id="a1")
         hedge = Hedge(
-            context, admitted, attempts, grants, attempts, lambda: deadline_ms
+            context,
+            admitted,
+            attempts,
+            grants,
+            attempts,
+            lambda: deadline_ms,
+            lambda: FIRST_DATA_LIMIT_MS,
         )
         first, begun_ms = new_attempt(), clock.now_ms()
 
