Give the final head of a response its own time, and end no silent one

Cause: an interim response started the head timer, which ended a final head that was in time. The time now begins again after each complete head; bytes are counted on. A head is ended only when bytes arrive after its limit, as silence is left to the read timeout.

--- a/libs/upstreams/src/hemlockhoist/upstreams/bounds.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/bounds.py
@@ -49,7 +49,7 @@
 
     Failure prevented: a head that never ends holds its request until the deadline,
     while a repeatable one could be sent to another upstream. The body itself is bounded
-    by its readers.
+    by its readers. Silence is left to the read timeout, also after a part of a head.
 
     A connection that is closed with a part of its request unsent is aborted. Otherwise
     an upstream that does not read would keep the request's body in this host's memory.
@@ -60,12 +60,14 @@
         self._body = None
         self._body_bytes = 0
         self._unbounded_bytes = 0
-        self._head_timer = None
+        # When the first bytes of a head came, in seconds of the loop; None before them.
+        self._head_begin_s = None
 
     def set_response_params(self, **params):
         """Prepare for the response to the next request of the connection."""
         self._body = None
         self._body_bytes = self._unbounded_bytes = 0
+        self._head_begin_s = None
         super().set_response_params(**params)
 
     def feed_data(self, data, size=0):
@@ -74,11 +76,14 @@
         if message.code >= _FIRST_FINAL_STATUS or message.code == _SWITCHING_PROTOCOLS:
             self._body = body
             self._body_bytes = self._unbounded_bytes = 0
-            self._stop_head_timer()
+        # The final head may follow an interim one at any later time.
+        self._head_begin_s = None
         super().feed_data(data, size)
 
     def data_received(self, data):
         """Parse bytes of the upstream, and check the bounds."""
+        if data and self._body is None and self._head_begin_s is None:
+            self._head_begin_s = self._loop.time()
         super().data_received(data)
         if not data or self.transport is None:
             # The library also calls this to parse on after each read of the body.
@@ -97,18 +102,14 @@
         self._unbounded_bytes += byte_count
         if self._unbounded_bytes > MAX_HEAD_BYTES:
             self._end(f"a head of more than {MAX_HEAD_BYTES} bytes")
-        elif self._head_timer is None and self._unbounded_bytes:
+        elif self._head_begin_s is not None:
             remaining_ms = (self.read_timeout or MAX_PART_MS) * MS_PER_S
             limit_ms = part_limit_ms(remaining_ms)
-            self._head_timer = self._loop.call_later(
-                limit_ms / MS_PER_S,
-                self._end,
-                f"a head that did not end within {limit_ms:.0f} ms",
-            )
+            if (self._loop.time() - self._head_begin_s) * MS_PER_S > limit_ms:
+                self._end(f"a head that did not end within {limit_ms:.0f} ms")
 
     def _end(self, text):
         """Abort the connection, and report the answer as broken."""
-        self._stop_head_timer()
         error = DataWithoutEnd(f"the upstream sent {text}")
         transport = self.transport
         if self._body is not None and not self._body.is_eof():
@@ -117,20 +118,9 @@
         if transport is not None:
             transport.abort()
 
-    def _stop_head_timer(self):
-        if self._head_timer is not None:
-            self._head_timer.cancel()
-            self._head_timer = None
-
     def close(self):
         """Close the connection; abort it if its request was not sent in full."""
-        self._stop_head_timer()
         transport = self.transport
         if transport is not None and transport.get_write_buffer_size():
             transport.abort()
         super().close()
-
-    def connection_lost(self, exc):
-        """Handle the end of the connection; ``exc`` is None for an orderly one."""
-        self._stop_head_timer()
-        super().connection_lost(exc)
