Refuse what can never fit into the memory of its tier at once

Cause: a reservation larger than its tier's limit waited although it could never fit, and blocked others meanwhile. The new test fails before.

--- a/libs/decisions/src/hemlockhoist/decisions/entry/memory_budget.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/memory_budget.py
@@ -114,6 +114,10 @@
             return True
         return self.used_bytes + byte_count <= self._limit_of(tier_rank)
 
+    def exceeds_limit(self, byte_count, tier_rank):
+        """Return whether this much never fits into the tier's share."""
+        return bool(self.limit_bytes) and byte_count > self._limit_of(tier_rank)
+
     def move(self, source, target, byte_count):
         """Account reserved memory for another purpose."""
         self._used_by_purpose[source] -= byte_count
--- a/libs/entry/src/hemlockhoist/entry/memory.py
+++ b/libs/entry/src/hemlockhoist/entry/memory.py
@@ -99,6 +99,9 @@
         """
         if self.try_reserve(purpose, byte_count, tier_rank):
             return True
+        if self.budget.exceeds_limit(byte_count, tier_rank):
+            # It would only keep others waiting.
+            return False
         self._log_short(purpose)
         if not self._make_room(tier_rank):
             return False
--- a/libs/entry/src/hemlockhoist/entry/tests/test_memory.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_memory.py
@@ -58,6 +58,13 @@
         self.assertAlmostEqual(waited_s, BODY_WAIT_MS / 1_000)
         self.assertEqual(self.host_memory.budget.used_bytes, 700_000)
 
+    async def test_body_larger_than_its_tiers_limit_is_refused_at_once(self):
+        """Guards against a body that can never fit and blocks others as it waits."""
+        begin_s = asyncio.get_running_loop().time()
+        with self.assertRaises(Refused):
+            await self.request().reserve_body(BODIES_BYTES + 1)
+        self.assertEqual(asyncio.get_running_loop().time(), begin_s)
+
     async def test_highest_tier_gets_free_memory_first(self):
         """Guards against a lower tier that is served while a higher one waits."""
         holder, order = self.request(), []
