--- a/libs/base/src/hemlockhoist/base/metrics_table.py
+++ b/libs/base/src/hemlockhoist/base/metrics_table.py
@@ -70,8 +70,8 @@
     _C,
     "cause",
     "Slow requests without a hedge: the budget is spent (budget), the pool's home has "
-    "no capacity to spare (home) or had none shortly before (paused), or too little "
-    "time is left (too_late).",
+    "no capacity to spare (home) or had none shortly before (paused), this host waits "
+    "for memory (memory), or too little time is left (too_late).",
     "Continuous refusals by the home show a pool without free slots, where hedges do "
     "not help.",
 )
--- a/libs/decisions/src/hemlockhoist/decisions/entry/hedging.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/hedging.py
@@ -27,6 +27,7 @@
     PAUSED = "paused"
     TOO_LATE = "too_late"
     HOME = "home"
+    MEMORY = "memory"
 
 
 class HedgePolicy:
--- a/libs/entry/src/hemlockhoist/entry/hedge.py
+++ b/libs/entry/src/hemlockhoist/entry/hedge.py
@@ -207,6 +207,11 @@
         self.forbid()
         if self._context.grants.is_refusing:
             return
+        if self._context.memory.is_waited_for:
+            # The hedge's answer would take memory as well.
+            refusal = HedgeRefusal.MEMORY.value
+            self._context.metrics.count(HEDGES_REFUSED, refusal)
+            return
         now_ms = self._context.clock.now_ms()
         route, pool = self._admitted.route.name, self._admitted.pool
         left_ms = min(self._waits_until_ms(), self._admitted.deadline_ms) - now_ms
--- a/libs/entry/src/hemlockhoist/entry/tests/test_hedge.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_hedge.py
@@ -83,6 +83,8 @@
 
 
 class HedgeRaceTests(unittest.TestCase):
+    is_memory_short = False
+
     @given(*[st.integers(0, 12)] * 2, *[st.booleans()] * 2, st.integers(0, 30))
     def test_one_response_at_most_goes_to_the_caller(
         self, first_ms, hedge_ms, first_fails, hedge_fails, leaves_ms
@@ -117,6 +119,14 @@
                 self.assertEqual((len(claims), won), (1, False))
                 self.assertEqual(attempts.discarded, attempts.hedges)
 
+    def test_no_hedge_while_the_host_waits_for_memory(self):
+        """Guards against a second answer in memory that is short already."""
+        self.is_memory_short = True
+        with asyncio.Runner(loop_factory=PausedEventLoop) as runner:
+            race = self.race(20, 5, False, False, 100)
+            claims, attempts, _, _ = runner.run(race)
+        self.assertEqual((len(claims), attempts.hedges), (1, []))
+
     def test_silent_hedge_of_a_stream_ends_within_its_limit(self):
         """Guards against a silent hedge that its request waits for without bound."""
         with asyncio.Runner(loop_factory=PausedEventLoop) as runner:
@@ -150,6 +160,7 @@
             clock=clock,
             metrics=Metrics(None),
             grants=types.SimpleNamespace(is_refusing=False),
+            memory=types.SimpleNamespace(is_waited_for=self.is_memory_short),
         )
         deadline_ms = clock.now_ms() + 1_000
         admitted = types.SimpleNamespace(
