--- a/libs/entry/src/hemlockhoist/entry/hedge.py
+++ b/libs/entry/src/hemlockhoist/entry/hedge.py
@@ -2,7 +2,13 @@
 
 import asyncio
 
-from hemlockhoist.base import MS_PER_S, Refused, get_logger
+from hemlockhoist.base import (
+    MS_PER_S,
+    DispatchError,
+    Refused,
+    ResultCode,
+    get_logger,
+)
 from hemlockhoist.base.metrics_table import (
     HEDGES_ENDED,
     HEDGES_REFUSED,
@@ -18,7 +24,6 @@
 GRANT_TIMEOUT_MS = 100
 _OK = 200
 _FIRST_ERROR_STATUS = 300
-_SERVER_ERROR = 500
 
 
 class FirstAttemptOvertaken(Exception):  # noqa: N818
@@ -41,12 +46,15 @@
     attempts : RequestAttempts
     waits_until_ms : callable
         Returns when the caller disconnects if it receives nothing until then.
+    first_data_limit_ms : callable
+        Returns the time within which a stream's first data should arrive.
     """
 
     __slots__ = (
         "_admitted",
         "_attempts",
         "_context",
+        "_first_data_limit_ms",
         "_grants",
         "_is_allowed",
         "_policy",
@@ -60,13 +68,23 @@
         "_winner",
     )
 
-    def __init__(self, context, admitted, sender, grants, attempts, waits_until_ms):
+    def __init__(
+        self,
+        context,
+        admitted,
+        sender,
+        grants,
+        attempts,
+        waits_until_ms,
+        first_data_limit_ms,
+    ):
         self._context = context
         self._admitted = admitted
         self._sender = sender
         self._grants = grants
         self._attempts = attempts
         self._waits_until_ms = waits_until_ms
+        self._first_data_limit_ms = first_data_limit_ms
         self._policy = context.hedging
         self._is_allowed = self._policy.allows(admitted.route)
         self._policy.count_request()
@@ -189,6 +207,11 @@
         self.forbid()
         if self._context.grants.is_refusing:
             return
+        if self._context.memory.is_waited_for:
+            # The hedge's answer would take memory as well.
+            refusal = HedgeRefusal.MEMORY.value
+            self._context.metrics.count(HEDGES_REFUSED, refusal)
+            return
         now_ms = self._context.clock.now_ms()
         route, pool = self._admitted.route.name, self._admitted.pool
         left_ms = min(self._waits_until_ms(), self._admitted.deadline_ms) - now_ms
@@ -241,7 +264,7 @@
         attempts = self._attempts
         try:
             with attempts.span(opened.attempt), self._sender.failure_recorded(opened):
-                await self._read(opened)
+                await self._read_in_time(opened)
         except Refused as error:
             opened.attempt.reason = error.message
             opened.end = AttemptEnd.NOT_SENT
@@ -252,6 +275,22 @@
         if self._scope is not None:
             self._scope.reschedule(asyncio.get_running_loop().time())
 
+    async def _read_in_time(self, opened):
+        """Read until the response is usable, a stream's within its limit.
+
+        Failure prevented: a silent hedge of a stream goes on until the deadline, and
+        meanwhile no replacement of the first attempt is sought.
+        """
+        limit_s = None
+        if self._admitted.route.kind is CallKind.STREAM:
+            limit_s = self._first_data_limit_ms() / MS_PER_S
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._read(opened)
+        except TimeoutError as error:
+            text = "the upstream sent no data within the stall limit"
+            raise DispatchError(text, ResultCode.UPSTREAM_TIMEOUT) from error
+
     async def _read(self, opened):
         """Read until the response is usable; ``end`` is set if it never is."""
         await self._sender.open(opened)
@@ -262,7 +301,9 @@
             await opened.response.wait_for_data()
             return
         opened.body = await self._attempts.read_body(opened.response)
-        if opened.head.status >= _SERVER_ERROR:
+        # The second copy of a request may get an error, such as a conflict, because of
+        # the first one, whose answer is the sound one.
+        if opened.head.status >= _FIRST_ERROR_STATUS:
             self._attempts.record_failed_answer(opened, opened.body)
 
     def _log_end(self, event, opened, result):
--- a/libs/entry/src/hemlockhoist/entry/memory.py
+++ b/libs/entry/src/hemlockhoist/entry/memory.py
@@ -70,6 +70,11 @@
         """Return the memory of a host with these ``EntrySettings``."""
         return cls(MemoryBudget.from_max_memory_mb(settings.max_memory_mb))
 
+    @property
+    def is_waited_for(self):
+        """Whether any request waits for memory."""
+        return bool(self._waiting)
+
     def try_reserve(self, purpose, byte_count, tier_rank):
         """Reserve memory if no request of this tier or a higher one waits for some."""
         if not self.fits(byte_count, tier_rank):
@@ -94,6 +99,9 @@
         """
         if self.try_reserve(purpose, byte_count, tier_rank):
             return True
+        if self.budget.exceeds_limit(byte_count, tier_rank):
+            # It would only keep others waiting.
+            return False
         self._log_short(purpose)
         if not self._make_room(tier_rank):
             return False
@@ -222,9 +230,23 @@
             raise AnswerNotRead(text, ResultCode.OUTCOME_UNKNOWN)
         self._add(purpose, byte_count)
 
-    def drop_response(self):
-        """Return the memory of an answer that is not used."""
-        self._release(MemoryPurpose.RESPONSES)
+    def drop_response(self, byte_count):
+        """Return the memory of an answer that is not used.
+
+        Parameters
+        ==========
+        byte_count : int
+            What was reserved for it. Another attempt may hold an answer as well.
+        """
+        purpose = MemoryPurpose.RESPONSES
+        byte_count *= RESPONSE_COPIES
+        self._add(purpose, -byte_count)
+        self._host_memory.release(purpose, byte_count)
+
+    @property
+    def is_host_short(self):
+        """Whether any request of the host waits for memory."""
+        return self._host_memory.is_waited_for
 
     def set_stream_buffer(self, byte_count):
         """Account what is buffered for the caller now; return whether it fits."""
--- a/libs/entry/src/hemlockhoist/entry/tests/test_hedge.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_hedge.py
@@ -6,16 +6,18 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hemlockhoist.base import MS_PER_S, Clock
+from hemlockhoist.base import MS_PER_S, Clock, DispatchError
 from hemlockhoist.base.metrics import Metrics
 from hemlockhoist.base.testing import PausedEventLoop
 from hemlockhoist.decisions.entry import AttemptEnd, HedgePolicy
+from hemlockhoist.declarations import CallKind
 from hemlockhoist.entry.hedge import Hedge
 from hemlockhoist.entry.responses import MAX_RESPONSE_BYTES
 from hemlockhoist.entry.tests.builders import route
 
 # A bound of the policy's histogram, so that it is the delay.
 USUAL_MS = 4
+FIRST_DATA_LIMIT_MS = 100
 
 
 class FakeAttempts:
@@ -23,8 +25,9 @@
 
     sent_count = 0
 
-    def __init__(self, hedge_ms, is_failing):
+    def __init__(self, hedge_ms, is_failing, status=200):
         self._hedge_ms = hedge_ms
+        self._status = status
         self._is_failing = is_failing
         self.hedges = []
         self.discarded = []
@@ -45,19 +48,29 @@
 
     # As of ``AttemptSender``.
 
+    @contextlib.contextmanager
     def failure_recorded(self, opened):
-        return contextlib.nullcontext()
+        try:
+            yield
+        except DispatchError:
+            opened.end = AttemptEnd.TIMED_OUT
 
     async def open(self, opened):
         await asyncio.sleep(self._hedge_ms / MS_PER_S)
         self.opened.set()
         if self._is_failing:
             opened.end = AttemptEnd.BROKEN
-        opened.response = types.SimpleNamespace(read=self._read)
+        opened.head.status = self._status
+        opened.response = types.SimpleNamespace(wait_for_data=asyncio.Event().wait)
+
+    # As of ``RequestAttempts``.
 
-    async def _read(self, limit):
+    async def read_body(self, response):
         return b"hedge"
 
+    def record_failed_answer(self, opened, body):
+        opened.end = AttemptEnd.FAILED_ANSWER
+
 
 def new_attempt():
     attempt = types.SimpleNamespace(
@@ -74,6 +87,8 @@
 
 
 class HedgeRaceTests(unittest.TestCase):
+    is_memory_short = False
+
     @given(*[st.integers(0, 12)] * 2, *[st.booleans()] * 2, st.integers(0, 30))
     def test_one_response_at_most_goes_to_the_caller(
         self, first_ms, hedge_ms, first_fails, hedge_fails, leaves_ms
@@ -98,9 +113,48 @@
             claims, _, won, _ = runner.run(race)
         self.assertEqual((claims, won), ([], True))
 
-    async def race(self, first_ms, hedge_ms, first_fails, hedge_fails, leaves_ms):
+    def test_hedge_with_an_error_does_not_replace_a_sound_first_answer(self):
+        """Guards against a conflict of the second copy that its caller gets."""
+        for status in (300, 409, 500):
+            with self.subTest(status=status):
+                with asyncio.Runner(loop_factory=PausedEventLoop) as runner:
+                    race = self.race(20, 5, False, False, 100, status)
+                    claims, attempts, won, _ = runner.run(race)
+                self.assertEqual((len(claims), won), (1, False))
+                self.assertEqual(attempts.discarded, attempts.hedges)
+
+    def test_no_hedge_while_the_host_waits_for_memory(self):
+        """Guards against a second answer in memory that is short already."""
+        self.is_memory_short = True
+        with asyncio.Runner(loop_factory=PausedEventLoop) as runner:
+            race = self.race(20, 5, False, False, 100)
+            claims, attempts, _, _ = runner.run(race)
+        self.assertEqual((len(claims), attempts.hedges), (1, []))
+
+    def test_silent_hedge_of_a_stream_ends_within_its_limit(self):
+        """Guards against a silent hedge that its request waits for without bound."""
+        with asyncio.Runner(loop_factory=PausedEventLoop) as runner:
+            race = self.race(
+                20, 5, True, False, 900, kind=CallKind.STREAM, is_resumable=True
+            )
+            _, attempts, won, after_ms = runner.run(race)
+        self.assertFalse(won)
+        self.assertEqual(len(attempts.discarded), 1)
+        self.assertIs(attempts.hedges[0].end, AttemptEnd.TIMED_OUT)
+        self.assertAlmostEqual(after_ms, USUAL_MS + FIRST_DATA_LIMIT_MS, delta=2)
+
+    async def race(
+        self,
+        first_ms,
+        hedge_ms,
+        first_fails,
+        hedge_fails,
+        leaves_ms,
+        status=200,
+        **route_fields,
+    ):
         clock, claims, won = Clock.from_running_loop(), [], False
-        attempts = FakeAttempts(hedge_ms, hedge_fails)
+        attempts = FakeAttempts(hedge_ms, hedge_fails, status)
         policy = HedgePolicy(200)
         for _ in range(100):
             policy.count_request()
@@ -110,14 +164,23 @@
             clock=clock,
             metrics=Metrics(None),
             grants=types.SimpleNamespace(is_refusing=False),
+            memory=types.SimpleNamespace(is_waited_for=self.is_memory_short),
         )
         deadline_ms = clock.now_ms() + 1_000
         admitted = types.SimpleNamespace(
-            route=route(max_attempts=2), pool="halls", deadline_ms=deadline_ms
+            route=route(max_attempts=2, **route_fields),
+            pool="halls",
+            deadline_ms=deadline_ms,
         )
         grants = types.SimpleNamespace(request_id="a1")
         hedge = Hedge(
-            context, admitted, attempts, grants, attempts, lambda: deadline_ms
+            context,
+            admitted,
+            attempts,
+            grants,
+            attempts,
+            lambda: deadline_ms,
+            lambda: FIRST_DATA_LIMIT_MS,
         )
         first, begun_ms = new_attempt(), clock.now_ms()
 
--- a/libs/entry/src/hemlockhoist/entry/tests/test_memory.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_memory.py
@@ -1,12 +1,14 @@
 import asyncio
+import unittest.mock
 
-from hemlockhoist.base import Clock, Refused, ResultCode
+from hemlockhoist.base import Clock, DispatchError, Refused, ResultCode
 from hemlockhoist.base.testing import PausedTestCase
 from hemlockhoist.decisions.entry import MemoryBudget, MemoryPurpose
 from hemlockhoist.entry.caller_buffer import (
     FREE_BUFFER_BYTES,
     MAX_BUFFER_BYTES,
     UNREAD_TIMEOUT_MS,
+    UNREAD_WITH_MEMORY_TIMEOUT_MS,
     CallerBuffer,
     SlowReader,
 )
@@ -18,11 +20,14 @@
     HostMemory,
     RequestMemory,
 )
+from hemlockhoist.entry.request_attempts import RequestAttempts
 
 LIMIT_BYTES = 1_000_000
 # What bodies of the highest tier may use of it.
 BODIES_BYTES = 800_000
 LOW_RANK = 1_000
+# No error at the end of a response.
+WHOLE = object()
 
 
 class MemoryCase(PausedTestCase):
@@ -53,6 +58,13 @@
         self.assertAlmostEqual(waited_s, BODY_WAIT_MS / 1_000)
         self.assertEqual(self.host_memory.budget.used_bytes, 700_000)
 
+    async def test_body_larger_than_its_tiers_limit_is_refused_at_once(self):
+        """Guards against a body that can never fit and blocks others as it waits."""
+        begin_s = asyncio.get_running_loop().time()
+        with self.assertRaises(Refused):
+            await self.request().reserve_body(BODIES_BYTES + 1)
+        self.assertEqual(asyncio.get_running_loop().time(), begin_s)
+
     async def test_highest_tier_gets_free_memory_first(self):
         """Guards against a lower tier that is served while a higher one waits."""
         holder, order = self.request(), []
@@ -122,9 +134,44 @@
         self.assertEqual(self.host_memory.budget.used_bytes, 900_000)
         with self.assertRaises(AnswerNotRead):
             await memory.reserve_response(200_000 // RESPONSE_COPIES)
-        memory.drop_response()
+        memory.drop_response(900_000 // RESPONSE_COPIES)
         self.assertEqual(self.host_memory.budget.used_bytes, 0)
 
+    async def test_attempt_returns_the_memory_of_its_own_answer_only(self):
+        """Guards against an answer that is not accounted as another attempt failed."""
+        memory = self.request()
+        sender, grants = unittest.mock.Mock(), unittest.mock.Mock()
+        attempts = RequestAttempts(None, None, sender, grants, memory)
+        for error in (DispatchError("", ResultCode.OUTCOME_UNKNOWN), None):
+            with self.subTest(error=error):
+                await attempts.read_body(FakeResponse(1_000))
+                failing = FakeResponse(500, error)
+                other = asyncio.create_task(attempts.read_body(failing))
+                await failing.is_reserved.wait()
+                if error is None:
+                    other.cancel()
+                await asyncio.gather(other, return_exceptions=True)
+                used_bytes = self.host_memory.budget.used_by(MemoryPurpose.RESPONSES)
+                self.assertEqual(used_bytes, RESPONSE_COPIES * 1_000)
+                memory.close()
+
+
+class FakeResponse:
+    """A response that reserves memory, and then fails, or hangs unless it is whole."""
+
+    def __init__(self, byte_count, error=WHOLE):
+        self._byte_count, self._error = byte_count, error
+        self.is_reserved = asyncio.Event()
+
+    async def read(self, max_bytes, reserve):
+        await reserve(self._byte_count)
+        self.is_reserved.set()
+        if self._error is WHOLE:
+            return bytes(self._byte_count)
+        if self._error is not None:
+            raise self._error
+        return await asyncio.Event().wait()
+
 
 class FakeTransport:
     """A transport whose buffer is filled and taken by the test."""
@@ -181,9 +228,41 @@
         with self.assertRaises(SlowReader):
             await self.buffer.wait_below_limit(lambda: waits.append(1))
         waited_ms = self.clock.now_ms() - begin_ms
-        self.assertAlmostEqual(waited_ms, UNREAD_TIMEOUT_MS, delta=50)
+        self.assertAlmostEqual(waited_ms, UNREAD_WITH_MEMORY_TIMEOUT_MS, delta=50)
         self.assertGreater(len(waits), 100)
 
+    async def test_caller_that_takes_nothing_is_cut_soon_while_memory_is_short(self):
+        """Guards against memory that a hanging caller keeps while others need it."""
+        for is_refused in (True, False):
+            with self.subTest(is_refused=is_refused):
+                other = self.request()
+                self.transport.size = 2 * MAX_BUFFER_BYTES
+                self.assertTrue(self.memory.set_stream_buffer(0))
+                used_bytes = LIMIT_BYTES - (0 if is_refused else self.transport.size)
+                await other.reserve_response(used_bytes // RESPONSE_COPIES)
+                begin_ms, waiting = self.clock.now_ms(), []
+                cut = asyncio.create_task(self.buffer.wait_below_limit())
+                while not cut.done():
+                    if not is_refused and not self.host_memory.is_waited_for:
+                        body = self.request().reserve_body(100)
+                        waiting.append(asyncio.create_task(body))
+                    await asyncio.sleep(0.01)
+                self.assertIsInstance(cut.exception(), SlowReader)
+                waited_ms = self.clock.now_ms() - begin_ms
+                self.assertAlmostEqual(waited_ms, UNREAD_TIMEOUT_MS, delta=100)
+                await asyncio.gather(*waiting, return_exceptions=True)
+                other.close()
+
+    async def test_caller_whose_window_is_full_for_long_is_not_cut(self):
+        """Guards against a slow caller that is cut between two of its windows."""
+        self.transport.size = MAX_BUFFER_BYTES + 20
+        waiting = asyncio.create_task(self.buffer.wait_below_limit())
+        for _ in range(20):
+            await asyncio.sleep(4 * UNREAD_TIMEOUT_MS / 1_000)
+            self.assertFalse(waiting.done())
+            self.transport.size -= 1
+        await waiting
+
     async def test_slow_caller_that_goes_on_reading_is_not_cut(self):
         self.transport.size = MAX_BUFFER_BYTES + 20
         waiting = asyncio.create_task(self.buffer.wait_below_limit())
