Let reports of slowdowns age towards what is typical of their upstream

The figure includes the hardware's speed, which does not change. Reports decayed to 100 percent, so that an idle slow engine looked three times as fast as it is after its last report, and a fast one slower.

Change: the median of an upstream's reports, half a second apart, is what its report ages to.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/slowdown.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/slowdown.py
@@ -1,13 +1,15 @@
 """How much slower than usual upstreams say that they are now, and for how long it holds."""
 
+import collections
 import math
+import statistics
 
 import msgspec
 
 from hemlockhoist.messages import SLOWDOWN_PERCENTS
 
 USUAL_PERCENT = 100
-# A decayed report within this of the usual value no longer counts.
+# A decayed report within this of the typical value no longer counts.
 MIN_EXCESS = 0.02
 # Half-lives of the excess among which the best predictor is selected: 25 to 800 ms. With
 # longer ones, an upstream that has recovered but gets no work would be avoided for many
@@ -17,14 +19,23 @@
 INITIAL_STEP = 3
 # Initial error of the other half-lives for each step away from that one.
 PRIOR_ERROR = 0.5
-# A pair of reports tells nothing if the older one is within this of the usual value: the
-# ratio of the newer one's excess to so small an excess is arbitrary.
+# A pair of reports tells nothing if the older one is within this of the typical value:
+# the ratio of the newer one's excess to so small an excess is arbitrary.
 MIN_TELLING_EXCESS = 0.1
 # Factor by which earlier errors decay with each pair of reports: about 200 pairs count.
 ERROR_DECAY = 0.995
 # The ratio of two reports' excesses counts at most so far from the range 0 to 1, so that
 # one extreme figure does not determine the half-life.
 MAX_RATIO_OVERSHOOT = 1.0
+# Reports of one upstream count towards its typical value at this interval, so that many
+# answers within one slowdown count as few.
+TYPICAL_INTERVAL_MS = 500
+# Number of these reports, and the number below which the typical value is not known.
+MAX_TYPICAL_REPORTS = 15
+MIN_TYPICAL_REPORTS = 6
+# Without a report for this long, an upstream may have changed for good: it is tried again
+# as one of the usual speed.
+TYPICAL_TTL_MS = 10_000
 
 
 class SlowdownReport(msgspec.Struct, frozen=True):
@@ -89,14 +100,38 @@
         self.half_life_ms = HALF_LIVES_MS[self._errors.index(min(self._errors))]
 
 
+class TypicalFactor:
+    """The factor that an upstream reports most of the time: the median of its reports.
+
+    Upstreams of slower hardware may always report more than 100 percent. A report that
+    ages then loses its value towards what is typical of its upstream.
+    """
+
+    __slots__ = ("_factors", "_sampled_ms", "value")
+
+    def __init__(self):
+        self._factors = collections.deque(maxlen=MAX_TYPICAL_REPORTS)
+        self._sampled_ms = -math.inf
+        self.value = 1.0
+
+    def observe(self, factor, measured_ms):
+        """Add a report."""
+        if measured_ms - self._sampled_ms < TYPICAL_INTERVAL_MS:
+            return
+        self._sampled_ms = measured_ms
+        self._factors.append(factor)
+        if len(self._factors) >= MIN_TYPICAL_REPORTS:
+            self.value = statistics.median_low(self._factors)
+
+
 class ReportedSlowdowns:
     """The latest slowdown that each upstream of a pool has reported.
 
     Load: upstreams share their machines with other workloads. At any moment some take
     several times longer, and a fraction of a second later these are others. Their
     learned pace follows too late for that. Reports arrive with answers only, so that
-    the report of an upstream without work ages: its excess over the usual value halves
-    in a time that is learned from the reports of all upstreams of the pool.
+    the report of an upstream without work ages: its excess over the upstream's typical
+    value halves in a time that is learned from the reports of all upstreams of the pool.
 
     Examples
     ========
@@ -114,11 +149,12 @@
     1.0
     """
 
-    __slots__ = ("_half_life", "_reports")
+    __slots__ = ("_half_life", "_reports", "_typical")
 
     def __init__(self):
         self._half_life = ReportHalfLife()
         self._reports = {}
+        self._typical = {}
 
     @property
     def any_reported(self):
@@ -127,13 +163,18 @@
 
     @property
     def half_life_ms(self):
-        """The time in which the excess of a report over the usual value halves."""
+        """The time in which the excess of a report over the typical value halves."""
         return self._half_life.half_life_ms
 
     def has_reported(self, upstream_id):
         """Return whether an upstream has reported how slow it is."""
         return upstream_id in self._reports
 
+    def typical_factor(self, upstream_id):
+        """Return the factor that an upstream reports most of the time; 1 if unknown."""
+        typical = self._typical.get(upstream_id)
+        return 1.0 if typical is None else typical.value
+
     def observe(self, upstream_id, percent, measured_ms):
         """Record a report; return whether it is used.
 
@@ -154,34 +195,45 @@
             gap_ms = measured_ms - known.measured_ms
             if gap_ms < 0:
                 return False
-            self._half_life.observe(known.factor, factor, gap_ms)
+            typical = self.typical_factor(upstream_id)
+            self._half_life.observe(known.factor / typical, factor / typical, gap_ms)
         self._reports[upstream_id] = SlowdownReport(factor, measured_ms)
+        typical = self._typical.setdefault(upstream_id, TypicalFactor())
+        typical.observe(factor, measured_ms)
         return True
 
     def factor(self, upstream_id, now_ms):
         """Return the expected processing time of an upstream, as a multiple of usual."""
         known = self._reports.get(upstream_id)
-        if known is None or known.factor == 1.0:
+        if known is None:
             return 1.0
         age_ms = max(0, now_ms - known.measured_ms)
-        excess = (known.factor - 1.0) * 0.5 ** (age_ms / self.half_life_ms)
-        return 1.0 + excess if abs(excess) >= MIN_EXCESS else 1.0
+        is_recent = age_ms <= TYPICAL_TTL_MS
+        typical = self.typical_factor(upstream_id) if is_recent else 1.0
+        weight = 0.5 ** (age_ms / self.half_life_ms)
+        if weight * abs(known.factor - typical) < MIN_EXCESS:
+            return typical
+        factor = weight * known.factor + (1.0 - weight) * typical
+        # Rounding must not lead beyond what was reported.
+        low, high = sorted((known.factor, typical))
+        return min(high, max(low, factor))
 
     def possible_factors(self, upstream_id, now_ms):
-        """Return the factors that an upstream may have: as reported, and as usual.
+        """Return the factors that an upstream may have: as reported, and as typical.
 
-        A report that is more likely true than not excludes the usual value.
+        A report that is more likely true than not excludes the typical value.
         """
         known = self._reports.get(upstream_id)
         if known is None:
             return (1.0,)
         if now_ms - known.measured_ms <= self.half_life_ms:
             return (known.factor,)
-        return (known.factor, 1.0)
+        return (known.factor, self.typical_factor(upstream_id))
 
     def forget(self, upstream_id):
         """Forget an upstream that is gone or has restarted."""
         self._reports.pop(upstream_id, None)
+        self._typical.pop(upstream_id, None)
 
 
 class NoSlowdowns(ReportedSlowdowns):
