Report calls whose key is being handed over as in progress, not as unknown

Cause: a leaving host still serves calls. From the first part of its ledger until the successor's confirmation, a call with an unused key found neither a range nor a successor and ended as "outcome unknown", although it never ran. Lookups by other hosts in that time, and keys of calls refused during the handover, ended likewise. Change: the ledger knows which keys are in transit. The leaver's calls wait for the confirmation, lookups get no reply and are sent again, and a host whose open lookup is settled by a handover begins again. Without a confirmation within 2 s the answer is "in progress".

--- a/libs/decisions/src/hemlockhoist/decisions/ledger/handover.py
+++ b/libs/decisions/src/hemlockhoist/decisions/ledger/handover.py
@@ -50,6 +50,7 @@
         "_last_update",
         "_refused",
         "_released",
+        "_released_updates",
         "_unacknowledged",
         "successor",
     )
@@ -60,11 +61,25 @@
         self._unacknowledged = {}
         self._changed = {}
         self._released = []
+        # Number of the update that carries each released record, by id.
+        self._released_updates = {}
         self._last_update = 0
         self._incoming_parts = {}
         self._applied_updates = {}
         self._refused = set()
 
+    def is_range_in_transit(self, incarnation):
+        """Return whether the keys of an incarnation were sent and not yet confirmed."""
+        return incarnation in self._handed_ranges and self._is_unconfirmed(0)
+
+    def is_record_in_transit(self, record):
+        """Return whether a record was released to a successor that did not confirm."""
+        update = self._released_updates.get(record.id)
+        return update is not None and self._is_unconfirmed(update)
+
+    def _is_unconfirmed(self, update):
+        return any(number == update for number, _ in self._unacknowledged)
+
     def record_change(self, record):
         """Record that a record changed after the handover began."""
         if self.successor:
@@ -85,7 +100,7 @@
             self._reclaim(ledger)
             return
         self._unacknowledged.pop((ack.update, ack.part), None)
-        if not any(update == 0 for update, _ in self._unacknowledged):
+        if not self._is_unconfirmed(0):
             ledger.successors.register(ledger.incarnation, self.successor)
 
     def adopt(self, ledger, message, now_ms):
@@ -127,7 +142,7 @@
         ranges = tuple(_export_range(item) for item in self._handed_ranges.values())
         records = [_export_record(ledger, record) for record in ledger.table]
         for record in ledger.table:
-            self._release_right(record)
+            self._release_right(record, 0)
         groups = _split(records)
         for part, group in enumerate(groups):
             self._unacknowledged[(0, part)] = Handover(
@@ -139,12 +154,13 @@
                 records=tuple(group),
             )
 
-    def _release_right(self, record):
+    def _release_right(self, record, update):
         if record.state is RecordState.IDLE:
             record.state = RecordState.ELSEWHERE
             record.holder = self.successor
             record.query_number = 0
             self._released.append(record)
+            self._released_updates[record.id] = update
 
     def _collect_updates(self, ledger):
         for record in list(self._changed.values()):
@@ -152,8 +168,8 @@
                 continue
             del self._changed[record.id]
             handed = _export_record(ledger, record)
-            self._release_right(record)
             self._last_update += 1
+            self._release_right(record, self._last_update)
             self._unacknowledged[(self._last_update, 0)] = Handover(
                 leaver=ledger.incarnation,
                 successor=self.successor,
@@ -175,6 +191,7 @@
         ledger.ranges.update(self._handed_ranges)
         self.successor = ""
         self._released.clear()
+        self._released_updates.clear()
         self._unacknowledged.clear()
         self._changed.clear()
 
--- a/libs/decisions/src/hemlockhoist/decisions/ledger/ledger.py
+++ b/libs/decisions/src/hemlockhoist/decisions/ledger/ledger.py
@@ -24,6 +24,7 @@
     Attempt,
     Expired,
     Full,
+    HandingOver,
     InProgress,
     NeverMinted,
     OutcomeUnknown,
@@ -131,8 +132,8 @@
 
         Returns
         =======
-        Proceed, Replay, InProgress, OutcomeUnknown, AnswerNotKept, OwnedBy, \
-        WithdrawnTo, Expired, NeverMinted, Reused or Full
+        Proceed, Replay, InProgress, HandingOver, OutcomeUnknown, AnswerNotKept, \
+        OwnedBy, WithdrawnTo, Expired, NeverMinted, Reused or Full
             After ``Proceed`` the attempt must be ended by ``mark_not_run``,
             ``mark_finished`` or ``mark_unknown``, even if the caller has disconnected.
         """
@@ -140,6 +141,8 @@
         record = self.table.get(customer, key.text)
         if record is not None:
             return self._handle_repeat(record, fingerprint)
+        if self.is_range_in_transit(key.incarnation):
+            return HandingOver()
         key_range = self.ranges.get(key.incarnation)
         validity = (
             KeyValidity.VALID if key_range is None else key_range.validity(key.epoch)
@@ -228,7 +231,10 @@
         return OutcomeUnknown()
 
     def on_lookup(self, lookup, now_ms):
-        """Return the reply to another host's ``KeyLookup``."""
+        """Return the reply to another host's ``KeyLookup``; None while there is none.
+
+        The other host sends its lookup again.
+        """
         self.advance(now_ms)
         return lookups.answer_lookup(self, lookup)
 
@@ -270,6 +276,30 @@
         """Process a ``HandoverAck`` of the successor."""
         self._handover.on_ack(self, ack)
 
+    def is_range_in_transit(self, incarnation):
+        """Return whether the keys of an incarnation are in transit to the successor.
+
+        Until the successor has confirmed them, neither host can dispatch them, and the
+        successor treats a lookup of them as one of keys that it never had.
+        """
+        return self._handover.is_range_in_transit(incarnation)
+
+    def is_record_in_transit(self, record):
+        """Return whether a single key is in transit to the successor."""
+        return self._handover.is_record_in_transit(record)
+
+    def awaits_reply(self, lookup):
+        """Return whether a lookup of this host is still open.
+
+        It is closed when the key arrives otherwise, as by the handover of its holder.
+        """
+        record = self.table.get(lookup.customer, lookup.key)
+        return (
+            record is not None
+            and record.state is RecordState.ELSEWHERE
+            and record.query_number == lookup.query_number
+        )
+
     def record_change(self, record):
         """Record that a record changed, so that the successor is sent the change."""
         self._handover.record_change(record)
@@ -339,14 +369,17 @@
 
     def query_holder(self, record):
         """Return the lookup to send to the holder of the dispatch right."""
+        holder = record.holder
+        if not record.direct:
+            holder = self.successors.resolve(holder)
+        if self.is_record_in_transit(record) or self.is_range_in_transit(holder):
+            record.sent_number = 0
+            return HandingOver()
         if not record.query_number:
             self._query_number += 1
             record.query_number = self._query_number
         self._sent_number += 1
         record.sent_number = self._sent_number
-        holder = record.holder
-        if not record.direct:
-            holder = self.successors.resolve(holder)
         if holder == self.incarnation:
             # The right was lost in transit: each host names the other as the holder.
             record.sent_number = 0
--- a/libs/decisions/src/hemlockhoist/decisions/ledger/lookups.py
+++ b/libs/decisions/src/hemlockhoist/decisions/ledger/lookups.py
@@ -36,6 +36,8 @@
 def answer_lookup(ledger, lookup):
     """Return the reply to a lookup; transfer the dispatch right if it is available.
 
+    There is no reply (None) while the key is in transit to this host's successor.
+
     Parameters
     ==========
     ledger : KeyLedger
@@ -66,6 +68,8 @@
     key = parse_key(lookup.key)
     key_range = ledger.ranges.get(key.incarnation)
     if key_range is None:
+        if ledger.is_range_in_transit(key.incarnation):
+            return None
         successor = ledger.successors.resolve(ledger.incarnation)
         if successor != ledger.incarnation:
             return _reply(ledger, lookup, messages.LookupMoved, holder=successor)
@@ -99,6 +103,8 @@
     query = (lookup.requester, lookup.query_number)
     if query == (record.granted_to, record.granted_query_number):
         return _reply(ledger, lookup, messages.LookupGranted)
+    if ledger.is_record_in_transit(record):
+        return None
     if holder in (lookup.requester, ledger.incarnation):
         # The requester had the right and has already dropped the outcome.
         return _reply(ledger, lookup, messages.LookupUnknown)
--- a/libs/decisions/src/hemlockhoist/decisions/ledger/results.py
+++ b/libs/decisions/src/hemlockhoist/decisions/ledger/results.py
@@ -42,6 +42,15 @@
     code: ClassVar[ResultCode] = ResultCode.IN_PROGRESS
 
 
+class HandingOver(msgspec.Struct, frozen=True):
+    """The key goes to this host's successor, which has not confirmed it yet.
+
+    The caller waits, and ``KeyLedger.begin`` is called again.
+    """
+
+    code: ClassVar[ResultCode] = ResultCode.IN_PROGRESS
+
+
 class OutcomeUnknown(msgspec.Struct, frozen=True):
     """It is unknown whether the request ran."""
 
--- a/libs/host/src/hemlockhoist/host/ledger_service.py
+++ b/libs/host/src/hemlockhoist/host/ledger_service.py
@@ -16,6 +16,7 @@
 )
 from hemlockhoist.decisions.ledger import (
     Attempt,
+    HandingOver,
     KeyLedger,
     OwnedBy,
     Proceed,
@@ -44,6 +45,8 @@
 LOOKUP_TIMEOUT_MS = 2_000
 MAX_LOOKUP_HOPS = 4
 HANDOVER_RESEND_MS = 200
+# A successor confirms a ledger within milliseconds.
+HANDOVER_CHECK_MS = 20
 HANDOVER_TIMEOUT_MS = 3_000
 RETRY_AFTER_MS = 1_000
 
@@ -118,17 +121,28 @@
             The call ran, is running or may have run.
         """
         key = parse_key(key_text)
-        now_ms = self._clock.now_ms()
-        result = self._ledger.begin(customer, key, fingerprint, now_ms)
+        result = await self._begin(customer, key, fingerprint)
         for _ in range(MAX_LOOKUP_HOPS):
             if not isinstance(result, OwnedBy | WithdrawnTo):
                 return _claim_from_result(result)
-            result = await self._look_up(customer, key, result)
+            result = await self._look_up(customer, key, fingerprint, result)
+            if isinstance(result, HandingOver):
+                result = await self._begin(customer, key, fingerprint)
         return _claim_from_result(
             self._ledger.abandon_lookup(customer, key, self._clock.now_ms())
         )
 
-    async def _look_up(self, customer, key, pending):
+    async def _begin(self, customer, key, fingerprint):
+        """Begin a call, after waiting for a handover of its key from this host."""
+        deadline_ms = self._clock.now_ms() + LOOKUP_TIMEOUT_MS
+        while True:
+            now_ms = self._clock.now_ms()
+            result = self._ledger.begin(customer, key, fingerprint, now_ms)
+            if not isinstance(result, HandingOver) or now_ms >= deadline_ms:
+                return result
+            await asyncio.sleep(HANDOVER_CHECK_MS / MS_PER_S)
+
+    async def _look_up(self, customer, key, fingerprint, pending):
         """Query the holder of a key until it answers or the lookup times out."""
         lookup = pending.lookup
         future = asyncio.get_running_loop().create_future()
@@ -143,6 +157,9 @@
                 done, _ = await asyncio.wait([future], timeout=LOOKUP_RESEND_MS / 1000)
                 if done:
                     return future.result()
+                if not self._ledger.awaits_reply(lookup):
+                    now_ms = self._clock.now_ms()
+                    return self._ledger.begin(customer, key, fingerprint, now_ms)
         except asyncio.CancelledError:
             # The caller has disconnected. If its record kept waiting, it would be
             # granted the key later and stay "in progress" forever.
--- a/libs/host/src/hemlockhoist/host/tests/test_ledger_service.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_ledger_service.py
@@ -156,6 +156,49 @@
         self.assertEqual(await self._book(self.b, key), ANSWER)
         self.assertEqual(self.runs, 1)
 
+    async def test_call_during_a_handover_runs(self):
+        """Guards against "outcome unknown" for a call that never ran.
+
+        The call reaches the leaver while its ledger is in transit. The first copy of
+        the ledger is lost, so the confirmation comes with the next one.
+        """
+        key = self.a.mint_prefix() + ".1"
+        deliver, lost = self._deliver, []
+
+        def lose_first(sender, host, message):
+            if isinstance(message, Handover) and not lost:
+                lost.append(message)
+                return
+            deliver(sender, host, message)
+
+        self._deliver = lose_first
+        handover = asyncio.create_task(self.a.hand_over("b"))
+        await asyncio.sleep(0)
+        self.assertEqual(await self._book(self.a, key), ANSWER)
+        self.assertTrue(await handover)
+        self.assertEqual(await self._book(self.b, key), ANSWER)
+        self.assertEqual((self.runs, len(lost)), (1, 1))
+
+    async def test_call_at_the_successor_during_a_handover_runs(self):
+        """Guards against a lookup that waits for a key that has already arrived."""
+        key = self.a.mint_prefix() + ".1"
+        self.delay_ms = 5
+        handover = asyncio.create_task(self.a.hand_over("b"))
+        await asyncio.sleep(0)
+        self.assertEqual(await self._book(self.b, key), ANSWER)
+        self.assertTrue(await handover)
+        self.assertEqual(self.runs, 1)
+
+    async def test_call_at_a_leaver_without_a_successor_is_in_progress(self):
+        """The successor is dead: the caller is told to repeat the call, not "unknown"."""
+        key = self.a.mint_prefix() + ".1"
+        handover = asyncio.create_task(self.a.hand_over("b"))
+        self._deliver = lambda sender, host, message: None
+        await asyncio.sleep(0)
+        await self._assert_code(ResultCode.IN_PROGRESS, self._book(self.a, key))
+        self.assertFalse(await handover)
+        self.assertEqual(self.runs, 0)
+
     async def test_lookup_of_an_ended_incarnation_is_unknown(self):
         """A lookup sent to the incarnation before a restart never yields "unused"."""
         key = self.a.mint_prefix() + ".1"
--- a/libs/standins/src/hemlockhoist/standins/randomised/call.py
+++ b/libs/standins/src/hemlockhoist/standins/randomised/call.py
@@ -21,9 +21,14 @@
     customer : str
     key : IdempotencyKey
     body : bytes
+
+    Attributes
+    ==========
+    lookup : KeyLookup or None
+        The lookup that the call waits for; None if it waits for a handover.
     """
 
-    __slots__ = ("attempt", "begun_ms", "body", "customer", "key", "phase")
+    __slots__ = ("attempt", "begun_ms", "body", "customer", "key", "lookup", "phase")
 
     def __init__(self, customer, key, body):
         self.customer = customer
@@ -32,6 +37,7 @@
         self.attempt = None
         self.phase = CallPhase.ADMITTED
         self.begun_ms = 0
+        self.lookup = None
 
     @property
     def id(self):
