Give the replicas of the soak with hedges enough slots for hedges

Cause: hedges use only free slots. Change: the run with hedges has four slots a replica; the checks are as before.

--- a/libs/standins/src/hemlockhoist/standins/published/soak/run.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/run.py
@@ -96,12 +96,22 @@
         The faults to draw from, of ``SoakFaults``; by default all.
     host_count : int, optional
         From 13 hosts on, one host of each failure domain reads the store for all.
+    slot_count : int, optional
+        Slots of each replica.
     """
 
     default_delay_ms = 15
 
-    def __init__(self, seed, folder, fault_names=(), host_count=HOST_COUNT):
+    def __init__(
+        self,
+        seed,
+        folder,
+        fault_names=(),
+        host_count=HOST_COUNT,
+        slot_count=SLOT_COUNT,
+    ):
         self._host_count = host_count
+        self._slot_count = slot_count
         self.store = StoreStandin()
         self.store_proxies = []
         self.hosts = []
@@ -204,7 +214,7 @@
         ]
 
     async def _add_replica(self, service, events, version="v1", target=None):
-        replica = Replica(f"i-{next(self._numbers)}", events, SLOT_COUNT)
+        replica = Replica(f"i-{next(self._numbers)}", events, self._slot_count)
         replica.delay_ms = self.default_delay_ms
         replica.event_ms = 5
         if self._has_features:
--- a/libs/standins/src/hemlockhoist/standins/published/soak/tests/test_soak.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/tests/test_soak.py
@@ -10,6 +10,9 @@
 # Long enough for hosts that run on to know the usual times of a route.
 HEDGING_SEED = 2
 HEDGE_SECONDS = 9
+# Enough for all callers at two of the three replicas: only free slots are used for hedges,
+# and one replica may be slow or ejected at a time.
+HEDGE_SLOT_COUNT = 4
 HEDGE_FAULTS = ("slow_replica", "silence_replica", "make_replica_faulty")
 
 
@@ -44,7 +47,13 @@
 
     async def test_short_run_with_hedges_has_no_violations(self):
         with tempfile.TemporaryDirectory() as folder:
-            run = SoakRun(HEDGING_SEED, folder, HEDGE_FAULTS, host_count=1)
+            run = SoakRun(
+                HEDGING_SEED,
+                folder,
+                HEDGE_FAULTS,
+                host_count=1,
+                slot_count=HEDGE_SLOT_COUNT,
+            )
             result = await run.run(HEDGE_SECONDS)
         self.assertEqual(result.violations, [])
         self.assertGreater(result.served, 50)
