Give I/O that was ready during a pause of the process time to be processed

Cause: where a host gets no processor time for longer than a time limit, the event loop cancels a connection attempt before it processes that the connection was made. Peers and upstreams are then taken for unreachable. Traced in test_crashing_prompts beside eight busy loops, with pauses of up to 0.37 s: ten peers of four hosts unreachable. Change: io_timeout adds 50 ms if its timer fires late; connections to upstreams, peers and relays use it.

--- a/libs/base/src/hemlockhoist/base/__init__.py
+++ b/libs/base/src/hemlockhoist/base/__init__.py
@@ -22,6 +22,7 @@
     UpstreamLeft,
 )
 from hemlockhoist.base.invariants import InvariantLog, Property
+from hemlockhoist.base.io_timeout import io_timeout
 from hemlockhoist.base.log_rate_limiter import LogRateLimiter
 from hemlockhoist.base.log_writer import LineWriter
 from hemlockhoist.base.logs import configure_logs, get_logger
@@ -61,5 +62,6 @@
     "LogRateLimiter",
     "configure_logs",
     "get_logger",
+    "io_timeout",
     "result_info",
 ]
--- a/libs/peers/src/hemlockhoist/peers/link.py
+++ b/libs/peers/src/hemlockhoist/peers/link.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 
-from hemlockhoist.base import MS_PER_S, get_logger
+from hemlockhoist.base import MS_PER_S, get_logger, io_timeout
 from hemlockhoist.messages import Envelope
 from hemlockhoist.peers.connection import Connection
 
@@ -192,7 +192,7 @@
     async def _connect_once(self, timeout_ms):
         ip, _, port = self.address.rpartition(":")
         loop = asyncio.get_running_loop()
-        async with asyncio.timeout(timeout_ms / MS_PER_S):
+        async with io_timeout(timeout_ms):
             _, connection = await loop.create_connection(
                 lambda: Connection(self._on_lost), ip.strip("[]"), int(port)
             )
--- a/libs/relays/src/hemlockhoist/relays/client.py
+++ b/libs/relays/src/hemlockhoist/relays/client.py
@@ -5,7 +5,7 @@
 import aiohttp
 from multidict import CIMultiDict
 
-from hemlockhoist.base import MS_PER_S, DispatchError, PeerError, ResultCode
+from hemlockhoist.base import MS_PER_S, DispatchError, PeerError, ResultCode, io_timeout
 from hemlockhoist.decisions.entry import RelayCause
 from hemlockhoist.messages import (
     RelayedHead,
@@ -124,7 +124,7 @@
         )
         url = f"http://{relayed.candidate.address}{RELAY_PATH}"
         try:
-            async with asyncio.timeout(READY_TIMEOUT_MS / MS_PER_S):
+            async with io_timeout(READY_TIMEOUT_MS):
                 relayed.response = await self._session.post(
                     url, data=relayed.body(offer), timeout=timeout
                 )
--- a/libs/upstreams/src/hemlockhoist/upstreams/client.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/client.py
@@ -14,6 +14,7 @@
     DispatchError,
     Refused,
     ResultCode,
+    io_timeout,
 )
 from hemlockhoist.upstreams.bounds import BoundedHandler
 from hemlockhoist.upstreams.connections import (
@@ -269,7 +270,7 @@
         """Return whether a connection to an address can be made; close it again."""
         ip, _, port = address.rpartition(":")
         try:
-            async with asyncio.timeout(self._connect_timeout_ms / MS_PER_S):
+            async with io_timeout(self._connect_timeout_ms):
                 transport, _ = await self.connector.open(
                     asyncio.Protocol, ip, int(port)
                 )
--- a/libs/upstreams/src/hemlockhoist/upstreams/connections.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/connections.py
@@ -1,6 +1,5 @@
 """Connectors that detect dead peers, and responses that end with a reset."""
 
-import asyncio
 import contextvars
 import functools
 import os
@@ -9,6 +8,7 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from hemlockhoist.base import MS_PER_S, io_timeout
 from hemlockhoist.upstreams.bounds import BoundedHandler
 
 # A machine that lost power or is behind a network partition does not answer, and a
@@ -108,7 +108,7 @@
 
     async def _create_connection(self, req, traces, timeout):
         try:
-            async with asyncio.timeout(timeout.sock_connect):
+            async with io_timeout(timeout.sock_connect * MS_PER_S):
                 transport, protocol = await self.open(
                     self._factory, req.url.host, req.url.port
                 )
