Grant hedges no slots that are reserved for client retries

Cause: the home granted a hedge on any two free slots, also on those that a refused caller was promised for its retry, which then waited for the end of the hedge.

Change: a hedge needs two slots more than there are reservations, of any tier, that fall due before it is expected to end. Each counts as one slot, whatever share of them is usually claimed. Without reservations the count is 0, and hedges are decided as before.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/assignment.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/assignment.py
@@ -136,12 +136,24 @@
             self._queue.push(waiting, due_ms)
         return decisions
 
-    def assign_hedge(self, waiting, now_ms):
+    def assign_hedge(self, waiting, reserved_slots, now_ms):
         """Grant a second attempt a slot that nothing else needs now, or return None.
 
-        It gets neither the last free slot of the pool nor a part of an upstream's
-        advertised limit, and only an upstream that the request has not been sent to and
-        that is not itself slow, suppressed or on trial.
+        It gets neither the last free slot of the pool, nor one that is reserved for a
+        client retry, nor a part of an upstream's advertised limit, and only an upstream
+        that the request has not been sent to and that is not itself slow, suppressed or
+        on trial.
+
+        Parameters
+        ==========
+        waiting : QueuedRequest
+        reserved_slots : int
+            Slots that client retries need before the attempt is expected to end.
+        now_ms : int
+
+        Returns
+        =======
+        Granted or None
         """
         upstreams, request = self._upstreams, waiting.request
         if upstreams.recovery.is_active(now_ms):
@@ -151,7 +163,7 @@
             for item in upstreams.free_upstreams(now_ms)
             if not upstreams.damping.is_restricted(item.upstream_id, now_ms)
         ]
-        if not upstreams.has_spare_slot(free, now_ms):
+        if not upstreams.has_spare_slot(free, reserved_slots, now_ms):
             return None
         free = [
             item
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/client_retries.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/client_retries.py
@@ -89,6 +89,10 @@
         """Return False: no capacity is reserved."""
         return False
 
+    def reserved_slots(self, hold_ms, now_ms):
+        """Return 0: no capacity is reserved."""
+        return 0
+
     def _forget_expired(self, now_ms):
         while self._due:
             key, due_ms = next(iter(self._due.items()))
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/reserved_work.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/reserved_work.py
@@ -83,6 +83,16 @@
             del tier.customers[reservation.customer]
             tier.weight -= weight
 
+    def count_until(self, until_ms):
+        """Return the number of reservations of all tiers that are due until a time."""
+        last = until_ms // BUCKET_MS
+        return sum(
+            found.count
+            for tier in self._tiers.values()
+            for bucket, found in tier.buckets.items()
+            if bucket <= last
+        )
+
     def ahead_ms(self, request, cost_ms):
         """Return the reserved work that precedes one more reservation.
 
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/retry_reservations.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/retry_reservations.py
@@ -238,6 +238,21 @@
         self._advance(now_ms)
         return self._work.wait_ms(request, cost_ms, ahead_ms, slots, max_ms, now_ms)
 
+    def reserved_slots(self, hold_ms, now_ms):
+        """Return how many slots retries need while another request holds one.
+
+        Each reservation that falls due in that time counts, whatever its tier, and
+        however many are expected to be claimed: a request without a claim of its own
+        must not take the slot of one that is.
+
+        Parameters
+        ==========
+        hold_ms : float
+        now_ms : int
+        """
+        self._advance(now_ms)
+        return self._work.count_until(int(now_ms + hold_ms) + EARLY_TOLERANCE_MS)
+
     def adopt(self, told, now_ms):
         """Add a reservation that a previous home made; return whether it was added.
 
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -469,7 +469,8 @@
         if not len(self._queue) and held < request.max_in_flight:
             cost_ms = self._estimate.hold_ms(request)
             waiting = QueuedRequest(request, cost_ms, 0, 0)
-            granted = self._assigner.assign_hedge(waiting, now_ms)
+            reserved_slots = self._client_retries.reserved_slots(cost_ms, now_ms)
+            granted = self._assigner.assign_hedge(waiting, reserved_slots, now_ms)
         if granted is not None:
             return granted
         return Rejected(request=request, code=ResultCode.OVERLOADED, retry_after_ms=0)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
@@ -135,9 +135,17 @@
             return False
         return self.tracker.accepts_more(upstream_id, now_ms)
 
-    def has_spare_slot(self, free, now_ms):
-        """Return whether the given upstreams have more than one free slot together."""
-        spare_count = 0
+    def has_spare_slot(self, free, reserved_slots, now_ms):
+        """Return whether one of the free slots is neither reserved nor the last one.
+
+        Parameters
+        ==========
+        free : iterable of hemlockhoist.decisions.Upstream
+            Those with a free slot.
+        reserved_slots : int
+        now_ms : int
+        """
+        spare_count = -reserved_slots
         for item in free:
             slots = self.tracker.slots(item.upstream_id, now_ms)
             spare_count += slots - self._grants.in_flight(item.upstream_id)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_hedges.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_hedges.py
@@ -11,19 +11,26 @@
 
 class HedgeTests(unittest.TestCase):
     def setUp(self):
+        self.scheduler = self.new_scheduler()
+
+    def new_scheduler(self, **settings):
+        """Return a scheduler with three upstreams."""
         pool = Pool(name="halls", kind=PoolKind.MODEL, stable_version="")
         tier = Tier(name="t", rank=0, deadline_ms=30_000, first_token_target_ms=2_000)
-        tracker = DeclaredSlotsTracker()
-        self.scheduler = PoolScheduler.from_config(pool, (tier,), "i", tracker=tracker)
-        self.set_upstreams("u0", "u1", "u2")
+        settings = {"tracker": DeclaredSlotsTracker()} | settings
+        scheduler = PoolScheduler.from_config(pool, (tier,), "i", **settings)
+        scheduler.set_upstreams(self.upstreams("u0", "u1", "u2"), 0)
+        return scheduler
 
-    def set_upstreams(self, *names):
+    def upstreams(self, *names):
         values = {"pool": "halls", "version": "v1", "address": "127.0.0.1:1"}
-        upstreams = [
+        return [
             Upstream(upstream_id=name, region=name, slot_count=SLOTS, **values)
             for name in names
         ]
-        self.scheduler.set_upstreams(upstreams, 0)
+
+    def set_upstreams(self, *names):
+        self.scheduler.set_upstreams(self.upstreams(*names), 0)
 
     def grants(self, count, now_ms=0):
         found = []
@@ -87,6 +94,28 @@
         self.scheduler.begin_recovery(0)
         self.assertIsNone(self.hedge())
 
+    def reserve(self, count, now_ms, ahead_ms=0.0):
+        """Reserve capacity for retries of refused requests of the lowest tier."""
+        for number in range(count):
+            request = b.request(rank=2, prompt_tokens=1_000 + number, now_ms=now_ms)
+            self.scheduler.reservations.reserve(request, 1.0, ahead_ms, 6, 6, now_ms)
+
+    def test_hedge_takes_no_slot_that_is_reserved_for_a_client_retry(self):
+        """Guards against a promised retry that waits for the end of a hedge."""
+        for ahead_ms, now_ms, is_reserved in ((0.0, 0, True), (30_000.0, 0, False)):
+            self.scheduler = self.new_scheduler(reserves_retries=True)
+            self.reserve(4, now_ms, ahead_ms)
+            with self.subTest(ahead_ms):
+                self.assertIsNotNone(self.hedge())
+                self.assertEqual(self.hedge() is None, is_reserved)
+
+    def test_reserved_slots_are_spare_once_nobody_claims_them(self):
+        """Guards against reservations that keep hedges away after they lapsed."""
+        self.scheduler = self.new_scheduler(reserves_retries=True)
+        self.reserve(5, 0)
+        self.assertIsNone(self.hedge())
+        self.assertIsNotNone(self.hedge(now_ms=600))
+
     def pace_after(self, sent_ms, request=None, **fields):
         """Return the pace of an upstream before and after an outcome."""
         self.set_upstreams("u0")
