Count attempts at silent upstreams as timed out, also if hedges overtake them

Cause: an upstream that accepts requests and sends nothing had each request overtaken by a hedge and cancelled within some hundred milliseconds. None of them stalled or timed out, so the upstream kept its place and cost a hedge for each request. Its pace is raised by overtaken attempts only if it had answered before, and locality outweighs that.

Change: the home counts an overtaken attempt as timed out if it took longer than is usual at that upstream, it is the third or later one since the upstream last sent anything to any host, and the upstream has been silent since one of these was granted for as long as makes a request stalled. One attempt does not show whether an upstream is silent or slow, so the first ones count for nothing. A host whose link to the upstream is lost, or that used a relay, no longer reports an attempt as overtaken, as with time-outs. State is kept only for upstreams with overtaken attempts, which do not exist without hedges.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/adaptive_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/adaptive_tracker.py
@@ -187,6 +187,13 @@
         """Return whether a second attempt of a slow request may go to an upstream."""
         return self._tracked[upstream_id].health.state is not HealthState.PROBING
 
+    def usual_first_ms(self, held, estimate):
+        """Return the usual time until a listed upstream begins to answer a request."""
+        request = held.request
+        first_ms = estimate.first_token_ms(request) or estimate.hold_ms(request)
+        slowness = self._tracked[held.grant.upstream_id].health.slowness
+        return held.prompt_wait_ms + max(1.0, slowness) * first_ms
+
     def accepts_more(self, upstream_id, now_ms):
         """Return whether the pending prompts of an upstream are within their bound."""
         waiting_ms = self._tracked[upstream_id].prompts_done_ms - now_ms
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
@@ -150,6 +150,12 @@
         self._speeds.refresh_if_reported(self._usable, now_ms)
         return self._tracked[upstream_id].slowdown <= MAX_HEDGE_SLOWDOWN
 
+    def usual_first_ms(self, held, estimate):
+        """Return the usual time until a listed upstream begins to answer a request."""
+        pace = self._tracked[held.grant.upstream_id].pace
+        prompt_ms = pace.prompt_ms(held.request.prompt_tokens)
+        return held.prompt_wait_ms + prompt_ms + pace.base_ms()
+
     def accepts_more(self, upstream_id, now_ms):
         """Return whether an upstream may take a request, apart from free slots."""
         if not self._intake.allows(upstream_id, now_ms):
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -558,7 +558,7 @@
 
     def _record_outcome(self, held, outcome, now_ms, is_prompt_at_fault):
         request = held.request
-        outcome = self._upstreams.attributed(held, outcome, now_ms)
+        outcome = self._upstreams.attributed(held, outcome, self._estimate, now_ms)
         if not is_prompt_at_fault:
             self._upstreams.record_stability(held, outcome, now_ms)
         hold_ms = now_ms - held.granted_ms
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
@@ -9,6 +9,7 @@
 from hemlockhoist.decisions.scheduling.flap_damping import FlapDamping
 from hemlockhoist.decisions.scheduling.host_back_offs import HostBackOffs
 from hemlockhoist.decisions.scheduling.recovery import RecoveryPhase
+from hemlockhoist.decisions.scheduling.silent_upstreams import SilentUpstreams
 from hemlockhoist.decisions.scheduling.upstreams import UpstreamTable
 from hemlockhoist.decisions.work import OutcomeKind
 
@@ -76,6 +77,7 @@
         "_connect_failures",
         "_grants",
         "_overdue_checked_ms",
+        "_silent",
         "_undamped",
         "back_offs",
         "damping",
@@ -93,6 +95,7 @@
         self._undamped = (frozenset(), (), ())
         self._connect_failures = ConnectFailures()
         self._overdue_checked_ms = 0
+        self._silent = SilentUpstreams()
         self.back_offs = HostBackOffs()
         self.table = UpstreamTable()
         self.tracker = tracker
@@ -103,6 +106,7 @@
         if self.table.replace(upstreams):
             self.tracker.set_listed(self.table, now_ms)
             self.back_offs.set_listed(self.table, now_ms)
+            self._silent.set_listed(self.table, now_ms)
             self.tracker.set_usable(self.table.usable(), now_ms)
             self.damping.set_listed(self.table, self.table.usable(), now_ms)
 
@@ -191,18 +195,24 @@
             self.tracker.on_turned_away(upstream_id, now_ms)
         self.back_offs.record(upstream_id, host, until_ms)
 
-    def attributed(self, held, outcome, now_ms):
-        """Return an outcome, with its kind changed if its host's links are at fault.
+    def attributed(self, held, outcome, estimate, now_ms):
+        """Return an outcome as it counts for or against its upstream.
+
+        Its kind is changed if the links of its host are at fault, or if a hedge
+        overtook it at an upstream that sends nothing.
 
         Parameters
         ==========
         held : InFlightGrant
         outcome : hemlockhoist.decisions.Outcome
+        estimate : ServiceEstimate
         now_ms : int
         """
         host, upstream_id = held.request.entry_host, held.grant.upstream_id
         if outcome.kind in _REACHED:
-            self._on_reached(host, upstream_id, outcome.relay)
+            self._on_reached(host, upstream_id, outcome.relay, now_ms)
+        if outcome.is_overtaken and self._is_timed_out(held, outcome, estimate, now_ms):
+            return msgspec.structs.replace(outcome, kind=OutcomeKind.TIMEOUT)
         if outcome.kind is not OutcomeKind.CONNECT_FAILED:
             return outcome
         is_blamed = self._connect_failures.record(
@@ -215,6 +225,16 @@
             return outcome
         return msgspec.structs.replace(outcome, kind=OutcomeKind.LINK_FAILED)
 
+    def _is_timed_out(self, held, outcome, estimate, now_ms):
+        """Return whether an attempt that a hedge overtook counts as timed out."""
+        upstream_id = held.grant.upstream_id
+        if self.tracker.get(upstream_id) is None:
+            return False
+        usual_ms = self.tracker.usual_first_ms(held, estimate)
+        return self._silent.record_overtaken(
+            upstream_id, held.granted_ms, outcome.total_ms, usual_ms, now_ms
+        )
+
     def record_stability(self, held, outcome, now_ms):
         """Record what the outcome of a grant says about whether its upstream is up.
 
@@ -250,7 +270,7 @@
     def on_first_token(self, held, first_token_ms, now_ms, relay=""):
         """Record the time to first token of an answer that is still in progress."""
         host, upstream_id = held.request.entry_host, held.grant.upstream_id
-        self._on_reached(host, upstream_id, relay)
+        self._on_reached(host, upstream_id, relay, now_ms)
         if self.damping.is_enabled:
             self.damping.record_served(upstream_id, now_ms, held.granted_ms)
         self.tracker.on_first_token(held, first_token_ms, now_ms)
@@ -260,7 +280,8 @@
         self._connect_failures.record_reached("", upstream_id)
         self.tracker.on_reachable(upstream_id, now_ms)
 
-    def _on_reached(self, host, upstream_id, relay):
+    def _on_reached(self, host, upstream_id, relay, now_ms):
+        self._silent.record_answer(upstream_id, now_ms)
         self._connect_failures.record_reached("" if relay else host, upstream_id)
 
     def forget_host(self, host):
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/upstream_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/upstream_tracker.py
@@ -184,6 +184,17 @@
         """
         return True
 
+    def usual_first_ms(self, held, estimate):
+        """Return the usual time until a listed upstream begins to answer a request.
+
+        Parameters
+        ==========
+        held : hemlockhoist.decisions.scheduling.grants.InFlightGrant
+        estimate : hemlockhoist.decisions.scheduling.estimates.ServiceEstimate
+            For trackers that do not learn it of each upstream.
+        """
+        raise NotImplementedError
+
     def on_reachable(self, upstream_id, now_ms):
         """Record that an upstream can be reached, though connections to it failed."""
 
--- a/libs/entry/src/hemlockhoist/entry/attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt.py
@@ -174,7 +174,7 @@
             relay=self.guard.relay,
             is_crash_suspect=self._is_crash_suspect,
             is_answered=self._is_answered,
-            is_overtaken=self.is_overtaken,
+            is_overtaken=self.is_overtaken and not self._is_path_suspect,
         )
 
     @property
@@ -202,6 +202,9 @@
     @property
     def _sent_kind(self):
         is_lost = self.kind in (OutcomeKind.BROKE_OFF, OutcomeKind.TIMEOUT)
-        if is_lost and (self.is_link_at_fault or self.guard.relay):
-            return OutcomeKind.LINK_LOST
-        return self.kind
+        return OutcomeKind.LINK_LOST if is_lost and self._is_path_suspect else self.kind
+
+    @property
+    def _is_path_suspect(self):
+        """Whether silence may be the fault of a link, or of a host that relayed."""
+        return self.is_link_at_fault or bool(self.guard.relay)
--- a/libs/entry/src/hemlockhoist/entry/attempt_reporter.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt_reporter.py
@@ -42,7 +42,7 @@
             attempt.kind = OutcomeKind.TIMEOUT
         attempt.ended_ms = now_ms
         paths, hold = self._context.upstreams, attempt.hold
-        if attempt.kind is OutcomeKind.TIMEOUT:
+        if attempt.kind is OutcomeKind.TIMEOUT or attempt.is_overtaken:
             attempt.is_link_at_fault = paths.links.is_lost(hold.pool, hold.upstream_id)
         if attempt.kind is OutcomeKind.BROKE_OFF:
             call = self._upstream_call(attempt)
--- a/libs/entry/src/hemlockhoist/entry/tests/test_attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_attempt.py
@@ -1,10 +1,13 @@
 import doctest
+import math
 import types
 import unittest
 
+from hemlockhoist.base.metrics import Metrics
 from hemlockhoist.decisions import OutcomeKind
 from hemlockhoist.entry import reported_load
 from hemlockhoist.entry.attempt import BEGUN_AFTER_MS, Attempt
+from hemlockhoist.entry.attempt_reporter import AttemptReporter
 from hemlockhoist.messages import UpstreamSignals
 
 ENDED_MS = 5_000
@@ -37,6 +40,38 @@
         self.assertEqual(doctest.testmod(reported_load).failed, 0)
 
 
+class OvertakenTests(unittest.TestCase):
+    def test_attempt_without_a_link_to_its_upstream_does_not_count(self):
+        """Guards against upstreams that count as silent as a host lost its links."""
+        fields = {"kind": OutcomeKind.CANCELLED, "is_overtaken": True}
+        self.assertTrue(outcome(**fields).is_overtaken)
+        self.assertFalse(outcome(is_link_at_fault=True, **fields).is_overtaken)
+        guard = types.SimpleNamespace(dispatched_ms=1_000, relay="host-2")
+        self.assertFalse(outcome(guard=guard, **fields).is_overtaken)
+
+    def test_link_of_an_overtaken_attempt_is_looked_up(self):
+        """Guards against a lost link that is considered only at a time-out."""
+        released = []
+        grants = types.SimpleNamespace(release=lambda *values: released.append(values))
+        links = types.SimpleNamespace(is_lost=lambda pool, upstream_id: True)
+        context = types.SimpleNamespace(
+            clock=types.SimpleNamespace(now_ms=lambda: ENDED_MS),
+            upstreams=types.SimpleNamespace(links=links),
+            grants=grants,
+            metrics=Metrics(None),
+        )
+        call = types.SimpleNamespace(block_names=())
+        admitted = types.SimpleNamespace(deadline_ms=math.inf, call=call)
+        hold = types.SimpleNamespace(
+            pool="halls", upstream_id="u1", version="v1", home="host-1"
+        )
+        guard = types.SimpleNamespace(dispatched_ms=0, dispatched=True, relay="")
+        attempt = Attempt(hold, guard, waited_ms=0, number=1)
+        attempt.is_overtaken = True
+        AttemptReporter(context, admitted, "r1", None).release(attempt)
+        self.assertFalse(released[0][1].is_overtaken)
+
+
 class CrashSuspectTests(unittest.TestCase):
     def test_answer_without_an_event_is_suspect(self):
         self.assertTrue(outcome().is_crash_suspect)
