Forget hosts that reported their callers' retries once they are gone

Cause: a home kept the id of each host that ever reported, so that a second report reserves nothing twice for requests without a size. The set never shrank.

Change: a host that has been gone for the longest time to retry, 60 s, is forgotten, since it can report no retry twice any more. One that comes back sooner still counts as having reported. Where nothing is reserved, the set was and is empty.

--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -158,6 +158,7 @@
 
     def on_host_joined(self, host_id):
         """Query a host that was not known before for the grants that it holds."""
+        self._retries.on_host_joined(host_id)
         self._holders.add(host_id)
 
     def on_predecessor_closed(self):
@@ -398,6 +399,7 @@
         """Drop the requests, grants and pending report of a host that is gone."""
         now_ms = self._clock.now_ms()
         self._emit(self.scheduler.forget_entry_host(host_id, now_ms), now_ms)
+        self._retries.on_host_gone(host_id, now_ms)
         waiting = [queued.request for queued in self._queued.values()]
         gone = [request for request in waiting if request.entry_host == host_id]
         for request in gone:
--- a/libs/host/src/hemlockhoist/host/home_retries.py
+++ b/libs/host/src/hemlockhoist/host/home_retries.py
@@ -10,12 +10,16 @@
     RESERVATIONS_MOVED,
     RESERVATIONS_USED,
 )
+from hemlockhoist.decisions.scheduling.admission import MAX_RETRY_AFTER_MS
 
 _log = get_logger("host.home")
 
 # The lines about reservations are written at most this often, with counts: in a burst,
 # a home refuses thousands of requests a second.
 LOG_INTERVAL_MS = MS_PER_S
+# Time after which a host that is gone is no longer known to have reported: no retry that
+# it could report a second time is still to come.
+GONE_REPORTER_TTL_MS = MAX_RETRY_AFTER_MS
 _METRICS = {
     "made": RESERVATIONS_MADE,
     "used": RESERVATIONS_USED,
@@ -55,7 +59,8 @@
         self._pool = pool
         self._scheduler = scheduler
         self._metrics = metrics
-        self._reporters = set()
+        # The hosts that have reported, and when they were gone; None for those present.
+        self._reporters = {}
         self._retry_count = 0
         self._counted = self._logged = self._counts()
         self._logged_ms = None
@@ -76,7 +81,8 @@
         """Pass the retries that an entry host told its callers to the scheduler.
 
         Only its first report counts: requests without a size are counted and not
-        identified, so a repeated report would reserve twice for them.
+        identified, so a repeated report would reserve twice for them. A host that was
+        gone for ``GONE_REPORTER_TTL_MS`` counts as new.
 
         Parameters
         ==========
@@ -87,7 +93,7 @@
         reservations = self._scheduler.reservations
         if reservations is None or sender in self._reporters:
             return
-        self._reporters.add(sender)
+        self._reporters[sender] = None
         adopted = sum(reservations.adopt(item, now_ms) for item in report.told_retries)
         if adopted:
             _log.info(
@@ -97,8 +103,19 @@
                 count=adopted,
             )
 
+    def on_host_gone(self, host, now_ms):
+        """Record that an entry host is gone."""
+        if host in self._reporters:
+            self._reporters[host] = now_ms
+
+    def on_host_joined(self, host):
+        """Record that an entry host is present, possibly again."""
+        if host in self._reporters:
+            self._reporters[host] = None
+
     def tick(self, now_ms):
         """Count and log the reservations made, used, lapsed and moved meanwhile."""
+        self._forget_gone(now_ms)
         counts = self._counts()
         for name, count in counts.items():
             if count > self._counted[name]:
@@ -119,3 +136,9 @@
                 )
         self._logged = counts
         self._logged_ms = now_ms
+
+    def _forget_gone(self, now_ms):
+        before_ms = now_ms - GONE_REPORTER_TTL_MS
+        for host, gone_ms in list(self._reporters.items()):
+            if gone_ms is not None and gone_ms <= before_ms:
+                del self._reporters[host]
--- a/libs/host/src/hemlockhoist/host/tests/test_told_retries.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_told_retries.py
@@ -2,6 +2,7 @@
 import unittest
 
 import hypothesis.strategies as st
+import msgspec
 import structlog.testing
 from hypothesis import given
 
@@ -15,7 +16,7 @@
 from hemlockhoist.host.tests import test_grants
 from hemlockhoist.host.told_retries import MAX_REPORTED, ToldRetries
 from hemlockhoist.host.work_requests import work_request
-from hemlockhoist.messages import GrantRefusal, RequestBrief, ToldRetry
+from hemlockhoist.messages import GrantRefusal, HeldGrants, RequestBrief, ToldRetry
 
 ENTRY = test_grants.ENTRY
 
@@ -71,6 +72,52 @@
         await self._acquire("r4")
         self.assertEqual(reservations.counts.used, 1)
 
+    async def test_host_that_comes_back_reports_once(self):
+        """Guards against retries that are reserved twice as their host was gone."""
+        told = ToldRetry(
+            customer="c",
+            route="r",
+            tier_rank=0,
+            prompt_tokens=0,
+            output_tokens=0,
+            reserved_ms=100,
+            remaining_ms=9_000,
+        )
+        report = self.client.report_held("chat", "h2", "h2")
+        report = msgspec.structs.replace(report, told_retries=(told,))
+        home = self._add_home("h2")
+        home.on_held_grants(ENTRY, report)
+        # Gone for a short time, then present, then gone for long.
+        for is_gone, wait_s, outstanding in (
+            (True, 5, 1),
+            (False, 99, 0),
+            (True, 60, 1),
+        ):
+            if is_gone:
+                home.forget_host(ENTRY)
+            await asyncio.sleep(wait_s)
+            home.tick()
+            home.on_host_joined(ENTRY)
+            home.on_held_grants(ENTRY, report)
+            reservations = home.scheduler.reservations
+            # Drops those that lapsed.
+            reservations.reserved_slots(0, self.clock.now_ms())
+            self.assertEqual(reservations.outstanding, outstanding)
+
+    async def test_reporters_that_are_gone_are_forgotten(self):
+        """Guards against a home whose memory grows with each host that ever reported."""
+        home = self._add_home("h2")
+        report = HeldGrants(pool="chat", home_incarnation="h2", grants=())
+        for number in range(100):
+            host = f"host-{number}"
+            home.on_host_joined(host)
+            home.on_held_grants(host, report)
+            home.forget_host(host)
+        await asyncio.sleep(60)
+        home.tick()
+        # The entry host of the harness is present, and answers all queries.
+        self.assertEqual(set(home._retries._reporters), {ENTRY})
+
     async def test_homes_without_the_switch_ignore_the_report(self):
         """Guards against hosts of mixed settings that fail at a takeover."""
         await self._refuse_one()
