Use a suppressed upstream for requests that all others refuse

Cause: whether a suppressed upstream is needed was decided for the pool as a whole. Where the two others of three upstreams refused the connections of one host, or wanted no requests of it, they counted as usable, and each request of that host failed or waited beside a suppressed upstream that was up.

Change: an upstream is usable for a request if it is in the request's regions, the request has not failed there, it wants requests of its host, and its circuit breaker is closed. A request without such an upstream that is not suppressed gets the suppressed one with the lowest penalty, whether it may be repeated or not, one at a time until it has served one since its loss. Only looked up while an upstream is suppressed, for requests that failed once or whose host was asked to back off; never where damping is off.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/assignment.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/assignment.py
@@ -113,12 +113,12 @@
                 if taken is None:
                     break
                 waiting = taken[0]
-                if takes_only_repeatable and not waiting.request.idempotent:
+                if takes_only_repeatable and self._is_barred(waiting.request, now_ms):
                     waiting.skipped_round = self._round_number
                     skipped.append(taken)
                     barred_count += 1
                     continue
-                eligible = self._eligible(waiting, free, changed)
+                eligible = self._eligible(waiting, free, changed, now_ms)
                 ahead = len(skipped) - barred_count
                 upstream = self._choose_upstream(
                     waiting.request, eligible, ahead, now_ms
@@ -130,7 +130,7 @@
                 self._check_tier_order(waiting.request)
                 decisions.append(self._grant(waiting, upstream, now_ms))
                 if not self._upstreams.has_free_slot(upstream, now_ms):
-                    free.remove(upstream)
+                    _discard(free, upstream)
                     takes_only_repeatable = damping.are_restricted(free, now_ms)
         for waiting, due_ms in skipped:
             self._queue.push(waiting, due_ms)
@@ -176,8 +176,18 @@
             return None
         return self._grant(waiting, upstream, now_ms)
 
-    def _eligible(self, waiting, free, changed):
+    def _is_barred(self, request, now_ms):
+        """Return whether upstreams that take only repeatable requests do not take it.
+
+        They do take one that is not repeatable if all others have refused it.
+        """
+        if request.idempotent:
+            return False
+        return not self._upstreams.is_refused_elsewhere(request, now_ms)
+
+    def _eligible(self, waiting, free, changed, now_ms):
         """Return the free upstreams at which a waiting request is to be tried."""
+        free = self._upstreams.free_for(waiting.request, free, now_ms)
         if waiting.skipped_round != self._round_number:
             return free
         return [item for item in free if item.upstream_id == changed]
@@ -192,7 +202,8 @@
                     first.request, now_ms
                 ):
                     break
-                eligible = self._without_limit(self._eligible(first, free, changed))
+                eligible = self._eligible(first, free, changed, now_ms)
+                eligible = self._without_limit(eligible)
                 if not eligible:
                     break
                 waiting, due_ms = self._queue.take(rank)
@@ -206,7 +217,7 @@
                 )
                 decisions.append(self._grant(waiting, upstream, now_ms))
                 if not self._upstreams.has_free_slot(upstream, now_ms):
-                    free.remove(upstream)
+                    _discard(free, upstream)
         return decisions
 
     def _without_limit(self, upstreams):
@@ -226,8 +237,8 @@
             free = [item for item in free if item.upstream_id not in closed]
         damping = self._upstreams.damping
         if damping.any_penalty:
+            free = damping.allowed(request, free, now_ms, closed)
             closed = self._upstreams.closed_to(request.entry_host, now_ms)
-            free = damping.allowed(request, free, now_ms)
         versions = sorted({item.version for item in free})
         for version in self._policy.candidates(request, versions, now_ms):
             choices = [item for item in free if item.version == version]
@@ -282,6 +293,12 @@
         )
 
 
+def _discard(free, upstream):
+    """Remove an upstream from the free ones; a suppressed one may not be among them."""
+    if upstream in free:
+        free.remove(upstream)
+
+
 def _in_allowed_regions(request, choices):
     """Return the choices in the regions to which a request is restricted.
 
@@ -290,7 +307,7 @@
     """
     if not request.regions:
         return choices
-    return [item for item in choices if item.region in request.regions]
+    return [item for item in choices if request.allows_region(item.region)]
 
 
 def _untried(request, choices):
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/flap_damping.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/flap_damping.py
@@ -290,7 +290,43 @@
             self._suppressed_until_ms = min(found.values(), default=math.inf)
         return self._suppressed
 
-    def allows(self, request, upstream_id, now_ms):
+    def is_refused_elsewhere(self, request, closed, now_ms):
+        """Return whether only suppressed upstreams are left for a request.
+
+        Each other one that is usable has refused it, or wants no requests of its host.
+
+        Parameters
+        ==========
+        request : hemlockhoist.decisions.WorkRequest
+        closed : frozenset of str
+            Upstreams that want no requests of its host.
+        now_ms : int
+        """
+        suppressed = self.suppressed(now_ms)
+        if not suppressed or not (request.avoid or closed):
+            return False
+        excluded = suppressed.union(closed, request.avoid)
+        return not any(
+            item.upstream_id not in excluded
+            and request.allows_region(item.region)
+            and not self.is_suspended(item.upstream_id, now_ms)
+            for item in self._usable
+        )
+
+    def last_resort(self, request, closed, now_ms):
+        """Return the suppressed upstreams left for a request, lowest penalty first.
+
+        Parameters as of ``is_refused_elsewhere``.
+        """
+        suppressed = self.suppressed(now_ms).difference(closed, request.avoid)
+        found = [
+            item
+            for item in self._usable
+            if item.upstream_id in suppressed and request.allows_region(item.region)
+        ]
+        return sorted(found, key=lambda item: self._penalty(item.upstream_id, now_ms))
+
+    def allows(self, request, upstream_id, now_ms, closed=_NONE):
         """Return whether a request may be sent to an upstream now.
 
         Parameters
@@ -298,24 +334,28 @@
         request : hemlockhoist.decisions.WorkRequest
         upstream_id : str
         now_ms : int
+        closed : frozenset of str, optional
+            Upstreams that want no requests of its host.
         """
         found = self._found(upstream_id)
         if found is None or found.is_trial_over(now_ms):
             return True
-        if not request.idempotent:
-            return False
         if not found.is_suppressed(now_ms):
-            return not found.is_tried(now_ms)
-        if upstream_id != self._last_resort:
+            return request.idempotent and not found.is_tried(now_ms)
+        is_last_resort = request.idempotent and upstream_id == self._last_resort
+        if not is_last_resort and not self.is_refused_elsewhere(
+            request, closed, now_ms
+        ):
             return False
         address = self._known[upstream_id].address
         has_served = self._served_ms.get(address, 0) > self._lost_ms.get(address, 0)
         return has_served or not found.is_tried(now_ms)
 
-    def allowed(self, request, free, now_ms):
+    def allowed(self, request, free, now_ms, closed=_NONE):
         """Return those of the free upstreams to which a request may be sent now.
 
         Hot path: called for each request as long as any upstream has a penalty.
+        Parameters as of ``allows``.
         """
         self.suppressed(now_ms)
         restricted = self._restricted
@@ -325,7 +365,7 @@
             item
             for item in free
             if item.upstream_id not in restricted
-            or self.allows(request, item.upstream_id, now_ms)
+            or self.allows(request, item.upstream_id, now_ms, closed)
         ]
 
     def ensure_usable(self, now_ms):
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
@@ -128,6 +128,36 @@
             free = self.tracker.with_free_slot(usable, in_flight, now_ms)
         return self.damping.available(free, now_ms)
 
+    def free_for(self, request, free, now_ms):
+        """Return the free upstreams for a request that some may have refused.
+
+        If all that are not suppressed refuse this request, or requests of its host, it
+        is the suppressed one with the lowest penalty.
+
+        Hot path: called for each request, mostly while no upstream has a penalty.
+
+        Parameters
+        ==========
+        request : hemlockhoist.decisions.WorkRequest
+        free : list of hemlockhoist.decisions.Upstream
+            As of ``free_upstreams``.
+        now_ms : int
+        """
+        if not self.is_refused_elsewhere(request, now_ms):
+            return free
+        closed = self.back_offs.closed_to(request.entry_host, now_ms)
+        for item in self.damping.last_resort(request, closed, now_ms):
+            if self.has_free_slot(item, now_ms):
+                return [item]
+        return free
+
+    def is_refused_elsewhere(self, request, now_ms):
+        """Return whether only suppressed upstreams are left for a request."""
+        if not self.damping.any_penalty:
+            return False
+        closed = self.back_offs.closed_to(request.entry_host, now_ms)
+        return self.damping.is_refused_elsewhere(request, closed, now_ms)
+
     def has_free_slot(self, upstream, now_ms):
         """Return whether an upstream may be assigned one more request."""
         upstream_id = upstream.upstream_id
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_flap_damping.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_flap_damping.py
@@ -354,6 +354,69 @@
         self.assertEqual(served, 45)
         self.assertGreater(self.scheduler._upstreams.slots(6_600), 0)
 
+    def serve(self, outcomes, now_ms, **fields):
+        """Send a request until it is served; return the upstreams that it was sent to.
+
+        Parameters
+        ==========
+        outcomes : dict
+            Of upstreams that do not serve it.
+        now_ms : int
+        """
+        tried = ()
+        for attempt in range(1, 4):
+            request = b.request(now_ms=now_ms, avoid=tried, attempt=attempt, **fields)
+            found = self.scheduler.submit(request, now_ms)
+            if not b.granted(found):
+                self.scheduler.cancel(request.request_id, now_ms)
+                break
+            grant = found[0].grant
+            outcome = outcomes.get(grant.upstream_id, b.SUCCESS)
+            self.scheduler.release(grant.grant_id, outcome, now_ms + 1)
+            tried = (*tried, grant.upstream_id)
+            if outcome is b.SUCCESS:
+                break
+        return tried
+
+    def test_suppressed_upstream_serves_a_request_that_all_others_refuse(self):
+        """Guards against a host whose requests fail though one upstream takes them."""
+        for now_ms in (1_000, 2_000):
+            self.end("u0", CRASH, now_ms, "host-2")
+        refusing = {"u1": REFUSED, "u2": REFUSED}
+        for idempotent in (True, False):
+            for now_ms in range(2_100, 4_500, 300):
+                self.assertNotIn("u0", self.serve({}, now_ms, entry_host="host-2"))
+                sent = self.serve(refusing, now_ms + 100, idempotent=idempotent)
+                with self.subTest(idempotent=idempotent, now_ms=now_ms):
+                    self.assertEqual(sent[-1], "u0")
+                self.scheduler.tick(now_ms + 200)
+        self.assertEqual(self.suppressed(4_600), {"u0"})
+
+    def test_suppressed_upstream_serves_a_host_to_which_all_others_are_closed(self):
+        """Guards against requests that wait for the end of a back-off beside a slot."""
+        for now_ms in (1_000, 2_000):
+            self.end("u0", CRASH, now_ms, "host-2")
+        for name in ("u1", "u2"):
+            self.scheduler.observe_back_off(name, "host-1", 9_000, 2_050)
+        for idempotent in (True, False):
+            sent = self.serve({}, 2_100, idempotent=idempotent)
+            self.assertEqual(sent, ("u0",))
+        other = self.serve({}, 2_100, idempotent=False, entry_host="host-2")
+        self.assertNotEqual(other, ("u0",))
+
+    def test_request_that_all_others_refuse_waits_for_a_busy_suppressed_one(self):
+        """Guards against several requests lost at an upstream that is not up yet."""
+        self.scheduler.set_upstreams(upstreams(3, slot_count=4), 0)
+        for now_ms in (1_000, 2_000):
+            self.end("u0", CRASH, now_ms, "host-2")
+        fields = {"now_ms": 2_100, "avoid": ("u1", "u2"), "idempotent": False}
+        first, second = b.request(**fields), b.request(**fields)
+        (granted,) = self.scheduler.submit(first, 2_100)
+        self.assertEqual(granted.grant.upstream_id, "u0")
+        self.assertEqual(self.scheduler.submit(second, 2_100), [])
+        found = self.scheduler.release(granted.grant.grant_id, b.SUCCESS, 2_300)
+        self.assertEqual(b.granted(found), [second.request_id])
+
     def test_planned_stop_is_no_loss(self):
         """Guards against a rolling restart that suppresses what it has restarted."""
         for now_ms in (1_000, 2_000, 3_000):
--- a/libs/decisions/src/hemlockhoist/decisions/work.py
+++ b/libs/decisions/src/hemlockhoist/decisions/work.py
@@ -92,6 +92,10 @@
     is_hedge: bool = False
     connected: tuple[str, ...] = ()
 
+    def allows_region(self, region):
+        """Return whether an upstream in a region may get the request."""
+        return not self.regions or region in self.regions
+
 
 class UpstreamState(enum.Enum):
     """State of an upstream according to the platform's list, itself or an operator.
