Let any request be the trial of an upstream where no repeatable one arrives

Cause: an upstream whose suppression had ended was closed to requests that are not repeatable for one second or until it had served a repeatable one, also where none arrives. A request waited for that second beside a free slot.

Change: repeatable requests are waited for only if one arrived at the pool within the last second, as long as a trial lasts. Otherwise the trial is the next request, and still one at a time. A test of trials with a repeatable request now lets one arrive first.

Result: with the rule of before, both new tests fail (the request waits 1,000 ms in place of 0); decisions.scheduling passes.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/flap_damping.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/flap_damping.py
@@ -7,6 +7,7 @@
     HALF_LIFE_MS,
     LOSS_PENALTY,
     SUPPRESS_ABOVE,
+    TRIAL_MS,
     FlapPenalty,
 )
 
@@ -93,6 +94,7 @@
         "_lost_ms",
         "_max_suppressed_ms",
         "_recent_losses",
+        "_repeatable_ms",
         "_restricted",
         "_served_ms",
         "_suppressed",
@@ -115,6 +117,8 @@
         self._served_ms = {}
         self._lost_ms = {}
         self._recent_losses = collections.deque()
+        # When the latest repeatable request arrived.
+        self._repeatable_ms = -math.inf
         self._last_resort = None
         # The usable upstreams that are or were suppressed, those that are, and until when
         # none of these is released.
@@ -209,6 +213,11 @@
         if not found.is_suppressed(now_ms):
             found.end()
 
+    def record_arrival(self, request, now_ms):
+        """Record a new request: repeatable ones are expected while they arrive."""
+        if request.idempotent:
+            self._repeatable_ms = now_ms
+
     def record_grant(self, upstream_id, now_ms):
         """Record a grant, which may be the trial of an upstream."""
         found = self._found(upstream_id)
@@ -262,11 +271,18 @@
         found = self._found(upstream_id)
         return found is not None and not found.is_trial_over(now_ms)
 
-    def are_restricted(self, upstreams, now_ms):
+    def take_only_repeatable(self, upstreams, now_ms):
         """Return whether none of the given upstreams takes non-repeatable requests."""
         if not self._by_address:
             return False
-        return all(self.is_restricted(item.upstream_id, now_ms) for item in upstreams)
+        is_closed = self.is_suppressed
+        if self._expects_repeatable(now_ms):
+            is_closed = self.is_restricted
+        return all(is_closed(item.upstream_id, now_ms) for item in upstreams)
+
+    def _expects_repeatable(self, now_ms):
+        """Return whether a repeatable request is likely to come within a trial."""
+        return now_ms - self._repeatable_ms < TRIAL_MS
 
     def suppressed(self, now_ms):
         """Return the ids of the usable upstreams that are suppressed.
@@ -341,7 +357,8 @@
         if found is None or found.is_trial_over(now_ms):
             return True
         if not found.is_suppressed(now_ms):
-            return request.idempotent and not found.is_tried(now_ms)
+            is_awaited = not request.idempotent and self._expects_repeatable(now_ms)
+            return not is_awaited and not found.is_tried(now_ms)
         is_last_resort = request.idempotent and upstream_id == self._last_resort
         if not is_last_resort and not self.is_refused_elsewhere(
             request, closed, now_ms
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/flap_penalty.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/flap_penalty.py
@@ -10,8 +10,8 @@
 # Suppression ends below this penalty.
 REUSE_BELOW = 0.75
 HALF_LIFE_MS = 4_000
-# For this long after its suppression an upstream gets only repeatable requests, one at a
-# time, until it has served one. A pool without repeatable requests waits no longer.
+# For this long after its suppression an upstream gets one request at a time, until it has
+# served one. The first is a repeatable one if any arrived within as long before.
 TRIAL_MS = 1_000
 
 
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -428,6 +428,7 @@
         code = self._unservable_code(request)
         if code is not None:
             return [self._shedder.reject(request, code, now_ms)]
+        self._upstreams.damping.record_arrival(request, now_ms)
         cost_ms = self._estimate.hold_ms(request)
         is_retry = self._client_retries.take(request, now_ms, cost_ms)
         code = self._refusal_code(request, is_retry, now_ms)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_flap_damping.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_flap_damping.py
@@ -166,6 +166,8 @@
         flap(self.damping, self.listed[0], [1_000, 2_000])
         now_ms = 8_000
         once = b.request(idempotent=False)
+        self.damping.record_arrival(b.request(), now_ms - TRIAL_MS + 1)
+        self.damping.record_arrival(once, now_ms)
         self.assertFalse(self.damping.allows(once, "u0", now_ms))
         self.assertTrue(self.damping.allows(b.request(), "u0", now_ms))
         self.damping.record_grant("u0", now_ms)
@@ -177,8 +179,21 @@
         """Guards against a pool whose requests all wait for a repeatable one."""
         flap(self.damping, self.listed[0], [1_000, 2_000])
         once = b.request(idempotent=False)
+        self.damping.record_arrival(b.request(), 7_900 + TRIAL_MS)
         self.assertTrue(self.damping.allows(once, "u0", 8_000 + TRIAL_MS))
 
+    def test_trial_is_any_request_where_no_repeatable_one_arrives(self):
+        """Guards against requests that wait a second for a repeatable one in vain."""
+        flap(self.damping, self.listed[0], [1_000, 2_000])
+        now_ms = 8_000
+        once = b.request(idempotent=False)
+        self.damping.record_arrival(b.request(), now_ms - TRIAL_MS)
+        self.assertTrue(self.damping.allows(once, "u0", now_ms))
+        self.damping.record_grant("u0", now_ms)
+        self.assertFalse(self.damping.allows(once, "u0", now_ms + 10))
+        self.damping.record_served("u0", now_ms + 50)
+        self.assertTrue(self.damping.allows(once, "u0", now_ms + 50))
+
     def test_lost_trial_suppresses_again(self):
         flap(self.damping, self.listed[0], [1_000, 2_000])
         flap(self.damping, self.listed[0], [8_000])
@@ -417,6 +432,30 @@
         found = self.scheduler.release(granted.grant.grant_id, b.SUCCESS, 2_300)
         self.assertEqual(b.granted(found), [second.request_id])
 
+    def test_trial_serves_a_waiting_request_where_no_repeatable_one_arrives(self):
+        """Guards against a slot that is idle for a second while a request waits."""
+        for arrives, expected_ms in ((False, 0), (True, TRIAL_MS)):
+            self.scheduler = self.new_scheduler()
+            for now_ms in (1_000, 2_000):
+                self.end("u0", CRASH, now_ms)
+            fields = {"idempotent": False, "first_token_by_ms": 20_000}
+            for now_ms in (5_000, 5_000, 5_010):
+                found = self.scheduler.submit(
+                    b.request(now_ms=now_ms, **fields), now_ms
+                )
+            self.assertEqual(found, [])
+            released_ms = None
+            for now_ms in range(5_100, 9_000, 50):
+                if arrives:
+                    damping = self.scheduler._upstreams.damping
+                    damping.record_arrival(b.request(now_ms=now_ms), now_ms)
+                if released_ms is None and not self.suppressed(now_ms):
+                    released_ms = now_ms
+                if b.granted(self.scheduler.tick(now_ms)):
+                    break
+            with self.subTest(arrives=arrives):
+                self.assertEqual(now_ms - released_ms, expected_ms)
+
     def test_planned_stop_is_no_loss(self):
         """Guards against a rolling restart that suppresses what it has restarted."""
         for now_ms in (1_000, 2_000, 3_000):
