Let a kept connection count where a request may stay in its domain

Cause: of the upstreams in a request's failure domain only the cheapest was compared with a better remote one, by the time to the first token alone. A kept connection made an upstream the cheapest that is some milliseconds slower. If these were too many, the request left its domain, and neither the connection was used nor the upstream that would have kept it there.

Change: the 5 ms that a connection saves also count in the time that a request may lose to stay. If the cheapest local upstream is still not preferred, the cheapest one without regard to connections is compared. Without connections both are the same, and so is the bound by which candidates are left out.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/candidates.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/candidates.py
@@ -52,37 +52,80 @@
         Whether the upstream is in the failure domain of the request's entry host.
     slowdown : float, optional
         Its reported processing time as a multiple of the usual one.
+    connection_ms : float, optional
+        What a kept connection saves, which the cost takes into account and the time to
+        first token does not.
     """
 
-    __slots__ = ("cost_ms", "first_ms", "is_local", "risk_ms", "slowdown", "upstream")
+    __slots__ = (
+        "connection_ms",
+        "cost_ms",
+        "first_ms",
+        "is_local",
+        "risk_ms",
+        "slowdown",
+        "upstream",
+    )
 
-    def __init__(self, upstream, first_ms, cost_ms, risk_ms, is_local, slowdown=1.0):
+    def __init__(
+        self,
+        upstream,
+        first_ms,
+        cost_ms,
+        risk_ms,
+        is_local,
+        slowdown=1.0,
+        connection_ms=0.0,
+    ):
         self.upstream = upstream
         self.first_ms = first_ms
         self.cost_ms = cost_ms
         self.risk_ms = risk_ms
         self.is_local = is_local
         self.slowdown = slowdown
+        self.connection_ms = connection_ms
+
+    @property
+    def unconnected_cost_ms(self):
+        """The cost without a kept connection."""
+        return self.cost_ms + self.connection_ms
 
 
 class CandidateSelector:
     """Keeps the best candidate overall and the best in the request's failure domain.
 
+    Of the latter also the best without regard to kept connections: a connection must
+    not make a request leave its domain, as the connected candidate is a little slower
+    than one that would keep it there.
+
     Under hundreds of long prompts a second over four failure domains, with mostly idle
     engines, always selecting an upstream that is a few milliseconds faster sends three
     of four request bodies to another domain, and that traffic is charged by the byte.
     """
 
-    __slots__ = ("_best", "_local")
+    __slots__ = ("_best", "_local", "_unconnected_local")
 
     def __init__(self):
         self._best = None
         self._local = None
+        self._unconnected_local = None
+
+    def is_dominated(self, lower_bound_ms, is_local, connection_ms=0.0):
+        """Return whether a candidate of at least this cost cannot be selected.
 
-    def is_dominated(self, lower_bound_ms, is_local):
-        """Return whether a candidate of at least this cost cannot be selected."""
-        current = self._local if is_local else self._best
-        return current is not None and lower_bound_ms >= current.cost_ms
+        Parameters
+        ==========
+        lower_bound_ms : float
+        is_local : bool
+        connection_ms : float, optional
+            What a kept connection saves, which the bound takes into account.
+        """
+        if not is_local:
+            return self._best is not None and lower_bound_ms >= self._best.cost_ms
+        if self._local is None or lower_bound_ms < self._local.cost_ms:
+            return False
+        unconnected_ms = lower_bound_ms + connection_ms
+        return unconnected_ms >= self._unconnected_local.unconnected_cost_ms
 
     def add(self, candidate):
         """Add a candidate."""
@@ -92,6 +135,9 @@
             return
         if self._local is None or candidate.cost_ms < self._local.cost_ms:
             self._local = candidate
+        current, cost_ms = self._unconnected_local, candidate.unconnected_cost_ms
+        if current is None or cost_ms < current.unconnected_cost_ms:
+            self._unconnected_local = candidate
 
     def select(self, left_ms):
         """Return the upstream of the selected candidate, or None without candidates.
@@ -101,11 +147,12 @@
         left_ms : float
             Time left to the first token target.
         """
-        best, local = self._best, self._local
+        best = self._best
         if best is None:
             return None
-        if local is not None and _prefers_local(local, best, left_ms):
-            return local.upstream
+        for local in (self._local, self._unconnected_local):
+            if local is not None and _prefers_local(local, best, left_ms):
+                return local.upstream
         return best.upstream
 
 
@@ -117,7 +164,8 @@
         return False
     if local.slowdown > LOCALITY_SLOWDOWN * best.slowdown:
         return False
-    return local.first_ms - best.first_ms <= LOCALITY_FRACTION * max(0.0, left_ms)
+    lost_ms = local.first_ms - local.connection_ms - best.first_ms
+    return lost_ms <= LOCALITY_FRACTION * max(0.0, left_ms)
 
 
 def cost_ms(work, tracked, first_ms, held, now_ms):
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
@@ -332,18 +332,25 @@
             tracked = self._tracked[item.upstream_id]
             cached = cached_at.get(item.upstream_id, 0)
             first_ms = tracked.first_token_ms(work, now_ms, cached)
-            saving_ms = cache_saving_ms(tracked, cached)
-            saving_ms += connection_saving_ms(request, item.upstream_id)
+            connection_ms = connection_saving_ms(request, item.upstream_id)
+            saving_ms = cache_saving_ms(tracked, cached) + connection_ms
             is_local = work.failure_domain == tracked.failure_domain
             # The other terms of the cost are not negative.
-            if selector.is_dominated(first_ms - saving_ms, is_local):
+            if selector.is_dominated(first_ms - saving_ms, is_local, connection_ms):
                 continue
             held = in_flight(item.upstream_id)
             risk = risk_ms(work, tracked, held, counts, max_prompts_ms, now_ms)
             cost = cost_ms(work, tracked, first_ms, held, now_ms) + risk - saving_ms
-            slowdown = tracked.slowdown
             selector.add(
-                PlacementCandidate(item, first_ms, cost, risk, is_local, slowdown)
+                PlacementCandidate(
+                    item,
+                    first_ms,
+                    cost,
+                    risk,
+                    is_local,
+                    tracked.slowdown,
+                    connection_ms,
+                )
             )
         return selector
 
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_candidates.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_candidates.py
@@ -1,8 +1,13 @@
+import itertools
 import unittest
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from hemlockhoist.decisions import Granted, Outcome, OutcomeKind, Upstream
 from hemlockhoist.decisions.scheduling import DeclaredSlotsTracker, PoolScheduler
 from hemlockhoist.decisions.scheduling.candidates import (
+    KEPT_CONNECTION_SAVING_MS,
     LOCALITY_FRACTION,
     CandidateSelector,
     PlacementCandidate,
@@ -21,6 +26,15 @@
     )
 
 
+def connected(first_ms, slowdown=1.0):
+    """Return a local candidate to which a connection is kept."""
+    saving_ms = KEPT_CONNECTION_SAVING_MS
+    cost_ms = first_ms - saving_ms
+    return PlacementCandidate(
+        "connected", first_ms, cost_ms, 0.0, True, slowdown, saving_ms
+    )
+
+
 class CandidateSelectorTests(unittest.TestCase):
     def selected(self, *added, left_ms=LEFT_MS):
         selector = CandidateSelector()
@@ -36,6 +50,41 @@
         remote = self.selected(candidate(50, False), candidate(51 + extra_ms, True))
         self.assertEqual(remote, "remote")
 
+    def test_kept_connection_is_used_at_a_small_loss_of_time(self):
+        """Guards against a connection that is not used since a remote one is quicker."""
+        extra_ms = LOCALITY_FRACTION * LEFT_MS
+        remote, local = candidate(50, False), candidate(49 + extra_ms, True)
+        nearly_equal = connected(53 + extra_ms)
+        for added in itertools.permutations((remote, local, nearly_equal)):
+            self.assertEqual(self.selected(*added), "connected")
+        slower = connected(56 + extra_ms)
+        self.assertEqual(self.selected(remote, local, slower), "local")
+
+    def test_kept_connection_does_not_make_a_request_leave_its_domain(self):
+        """Guards against traffic between domains, as the connected one is too slow."""
+        remote, local = candidate(50, False), candidate(60, True)
+        for added in itertools.permutations((remote, local, connected(61, 1.3))):
+            self.assertEqual(self.selected(*added), "local")
+
+    @given(
+        st.lists(st.tuples(st.integers(0, 300), st.booleans(), st.integers(0, 99))),
+        st.integers(-100, 2_000),
+    )
+    def test_bound_excludes_no_candidate_that_would_be_selected(self, values, left_ms):
+        """Guards against a connected candidate that hides a better one."""
+        selectors = CandidateSelector(), CandidateSelector()
+        for number, (first_ms, is_local, risk_ms) in enumerate(values):
+            saving_ms = KEPT_CONNECTION_SAVING_MS * (number % 2)
+            cost_ms = first_ms + risk_ms - saving_ms
+            item = PlacementCandidate(
+                number, first_ms, cost_ms, risk_ms, is_local, 1.0, saving_ms
+            )
+            selectors[0].add(item)
+            bound_ms = first_ms - saving_ms
+            if not selectors[1].is_dominated(bound_ms, is_local, saving_ms):
+                selectors[1].add(item)
+        self.assertEqual(*[selector.select(left_ms) for selector in selectors])
+
     def test_request_leaves_its_domain_if_it_would_be_late_or_fail(self):
         self.assertEqual(
             self.selected(candidate(0, False), candidate(99, True, 400.0)), "remote"
