Say once whose reserved work precedes a request

Cause: the forecast for a new reservation and that for a new request each selected the tiers above, the own tier and the fair share; the key of a retry and the bound on reservations stood twice too. Change: one method each.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/client_retries.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/client_retries.py
@@ -132,7 +132,12 @@
 
 
 def retry_key(request):
-    """Return the customer, route and size by which a retry is recognised."""
+    """Return the customer, route and size by which a retry is recognised.
+
+    Parameters
+    ==========
+    request : hemlockhoist.decisions.WorkRequest or hemlockhoist.messages.ToldRetry
+    """
     return (
         request.customer,
         request.route,
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/reserved_work.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/reserved_work.py
@@ -38,6 +38,9 @@
         self.weight = 0
 
 
+_NO_WORK = _TierWork()
+
+
 class ReservedWork:
     """Sums of reserved work, so that a forecast does not visit each reservation.
 
@@ -99,14 +102,9 @@
         This is all of its tier and above, or less where the fair share of its customer
         lets it be served earlier.
         """
-        rank = request.tier_rank
-        ahead_ms = sum(
-            tier.total.cost_ms for r, tier in self._tiers.items() if r < rank
-        )
-        if rank in self._tiers:
-            tier = self._tiers[rank]
-            ahead_ms += min(tier.total.cost_ms, _share_ms(tier, request, cost_ms))
-        return self.share * ahead_ms
+        higher, own, share_ms = self._ahead(request, cost_ms)
+        higher_ms = sum(tier.total.cost_ms for tier in higher)
+        return self.share * (higher_ms + min(own.total.cost_ms, share_ms))
 
     def wait_ms(self, request, cost_ms, ahead_ms, slots, max_ms, now_ms):
         """Return how long a new request waits, exactly only up to about ``max_ms``.
@@ -130,27 +128,37 @@
         all_ms = (ahead_ms + self.ahead_ms(request, cost_ms)) / slots
         if all_ms <= max_ms:
             return all_ms
-        rank = request.tier_rank
-        higher = [tier.buckets for r, tier in self._tiers.items() if r < rank]
-        own, share_ms = {}, 0.0
-        if rank in self._tiers:
-            own = self._tiers[rank].buckets
-            share_ms = _share_ms(self._tiers[rank], request, cost_ms)
+        higher, own, share_ms = self._ahead(request, cost_ms)
+        higher_buckets, own_buckets = [tier.buckets for tier in higher], own.buckets
         wait_ms = ahead_ms / slots
         higher_ms = own_ms = 0.0
         first = (now_ms - EXPECTED_LATE_MS) // BUCKET_MS
         for bucket in range(first, int(now_ms + max_ms) // BUCKET_MS + 1):
-            for buckets in higher:
+            for buckets in higher_buckets:
                 if bucket in buckets:
                     higher_ms += buckets[bucket].cost_ms
-            if bucket in own:
-                own_ms += own[bucket].cost_ms
+            if bucket in own_buckets:
+                own_ms += own_buckets[bucket].cost_ms
             reserved_ms = self.share * (higher_ms + min(own_ms, share_ms))
             wait_ms = (ahead_ms + reserved_ms) / slots
             if wait_ms <= (bucket + 1) * BUCKET_MS - now_ms:
                 break
         return wait_ms
 
+    def _ahead(self, request, cost_ms):
+        """Return whose reserved work precedes a request.
+
+        Returns
+        =======
+        tuple of (list of _TierWork, _TierWork, float)
+            The tiers above its own, its own, and the bound on the work of the latter by
+            the fair share of its customer.
+        """
+        rank = request.tier_rank
+        higher = [tier for r, tier in self._tiers.items() if r < rank]
+        own = self._tiers.get(rank, _NO_WORK)
+        return higher, own, _share_ms(own, request, cost_ms)
+
 
 def _share_ms(tier, request, cost_ms):
     """Return the work that precedes a request by the fair share of its customer."""
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/retry_reservations.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/retry_reservations.py
@@ -178,10 +178,9 @@
             request, cost_ms, ahead_ms, slots, pool_slots, now_ms
         )
         was_moved = self._claimed.pop(request.request_id, None)
-        is_full = len(self._outstanding) >= MAX_RESERVATIONS
         accepted_ms = accepted_retry_wait_ms(request, cost_ms, now_ms)
         is_too_late = wait_ms > longest_ms or accepted_ms < MIN_RETRY_AFTER_MS
-        if was_moved or is_too_late or is_full:
+        if was_moved or is_too_late or self._is_full:
             return min(MAX_RETRY_AFTER_MS, wait_ms), 0.0
         rank, weight, due_ms = request.tier_rank, request.weight, now_ms + wait_ms
         is_moved = was_moved is not None
@@ -262,10 +261,10 @@
         now_ms : int
         """
         self._advance(now_ms)
-        key = told.customer, told.route, told.prompt_tokens, told.output_tokens
+        key = retry_key(told)
         if told.prompt_tokens and key in self._by_key:
             return False
-        if len(self._outstanding) >= MAX_RESERVATIONS:
+        if self._is_full:
             return False
         due_ms = now_ms + min(MAX_RETRY_AFTER_MS, told.remaining_ms)
         if due_ms + EXPECTED_LATE_MS < now_ms:
@@ -274,6 +273,10 @@
         self._add(Reservation(key, told.tier_rank, told.weight, due_ms, cost_ms))
         return True
 
+    @property
+    def _is_full(self):
+        return len(self._outstanding) >= MAX_RESERVATIONS
+
     def _add(self, reservation):
         self._sequence += 1
         entry = reservation.due_ms, self._sequence, reservation
