Rename what claims or announces retries, and mend comments of the parts

Cause: `take` hid that a retry uses up its reservation, and "told retries" and "tried" read badly. Change: names of classes, methods, modules and attributes, and comments; no behaviour. Names of messages and their fields, settings, log events and metrics stay.

--- a/libs/decisions/src/hemlockhoist/decisions/entry/hedging.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/hedging.py
@@ -8,14 +8,14 @@
 DELAY_QUANTILE = 0.95
 # A second attempt is useless if it can't be expected to answer in the remaining time.
 EXPECTED_QUANTILE = 0.5
-# Weight of the recent responses below which a route's quantile is not known.
+# Weight of the recent responses from which on a route's quantile is used.
 MIN_WEIGHT = 50.0
-# Attempts that a host saves up at most: a quiet hour must not pay for a burst.
+# Bound on the saved budget: the requests of an hour must not pay for hedges of a burst.
 MAX_SAVED_HEDGES = 10
 # Time for which a pool is not asked again after its home refused a second attempt. Under
 # saturation each host then sends a few requests a second in vain.
 REFUSED_PAUSE_MS = 250
-# Routes of which times are kept; declarations may replace all their routes often.
+# Bound on the routes of which times are kept: declarations may replace them often.
 MAX_ROUTES = 2_048
 PERMILLE = 1_000
 
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/assignment.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/assignment.py
@@ -104,7 +104,7 @@
         skipped = []
         barred_count = 0
         damping = self._upstreams.damping
-        takes_only_repeatable = damping.take_only_repeatable(free, now_ms)
+        takes_only_repeatable = damping.allow_only_repeatable(free, now_ms)
         for rank in self._queue.ranks:
             while free and len(skipped) - barred_count < MAX_SKIPPED:
                 if barred_count >= MAX_NOT_REPEATABLE_SKIPPED:
@@ -131,7 +131,7 @@
                 decisions.append(self._grant(waiting, upstream, now_ms))
                 if not self._upstreams.has_free_slot(upstream, now_ms):
                     _discard(free, upstream)
-                    takes_only_repeatable = damping.take_only_repeatable(free, now_ms)
+                    takes_only_repeatable = damping.allow_only_repeatable(free, now_ms)
         for waiting, due_ms in skipped:
             self._queue.push(waiting, due_ms)
         return decisions
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/client_retries.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/client_retries.py
@@ -72,10 +72,16 @@
             return None
         return longest_retry_wait_ms(request, hold_ms, now_ms)
 
-    def take(self, request, now_ms, cost_ms=0.0):
-        """Return whether a request is a retry made after the stated time.
+    def claim(self, request, now_ms, cost_ms=0.0):
+        """Return whether a request is a retry made after the stated time, once.
 
-        Its predicted cost does not matter.
+        Parameters
+        ==========
+        request : hemlockhoist.decisions.WorkRequest
+        now_ms : int
+        cost_ms : float, optional
+            Predicted time for which it will hold a slot; only used where capacity is
+            reserved.
         """
         due_ms = self._due.get(retry_key(request))
         if due_ms is None or now_ms < due_ms - EARLY_TOLERANCE_MS:
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/flap_damping.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/flap_damping.py
@@ -31,12 +31,12 @@
 
 
 class _Loss:
-    """A loss that may still turn out to be none."""
+    """A recent loss, which may still be taken back."""
 
-    __slots__ = ("at_ms", "domain", "host", "key")
+    __slots__ = ("address", "at_ms", "domain", "host")
 
-    def __init__(self, key, at_ms, domain, host):
-        self.key = key
+    def __init__(self, address, at_ms, domain, host):
+        self.address = address
         self.at_ms = at_ms
         self.domain = domain
         self.host = host
@@ -88,7 +88,7 @@
     """
 
     __slots__ = (
-        "_by_address",
+        "_penalties",
         "_known",
         "_last_resort",
         "_lost_ms",
@@ -112,7 +112,7 @@
         self._unlisted_ms = {}
         self._usable = ()
         # Only upstreams with a penalty have an entry.
-        self._by_address = {}
+        self._penalties = {}
         # When each address last served, and was last lost.
         self._served_ms = {}
         self._lost_ms = {}
@@ -120,8 +120,8 @@
         # When the latest repeatable request arrived.
         self._repeatable_ms = -math.inf
         self._last_resort = None
-        # The usable upstreams that are or were suppressed, those that are, and until when
-        # none of these is released.
+        # The usable upstreams that are suppressed or on trial, those that are suppressed,
+        # and the first time at which one of the latter is released.
         self._restricted = _NONE
         self._suppressed = None
         self._suppressed_until_ms = 0
@@ -134,7 +134,7 @@
     @property
     def any_penalty(self):
         """Whether any upstream has a penalty; otherwise all requests are allowed."""
-        return bool(self._by_address)
+        return bool(self._penalties)
 
     def set_listed(self, upstreams, usable, now_ms):
         """Set the listed upstreams and those that may be assigned work.
@@ -172,13 +172,13 @@
         }
         for item in self._usable:
             known = former.get(item.upstream_id)
-            if known is not None and known.address in self._by_address:
-                found = self._by_address[known.address]
-                self._by_address.setdefault(item.address, found)
+            if known is not None and known.address in self._penalties:
+                found = self._penalties[known.address]
+                self._penalties.setdefault(item.address, found)
             self._known[item.upstream_id] = item
         self._release_excess(now_ms)
 
-    def last_usable(self, upstream_id):
+    def known_upstream(self, upstream_id):
         """Return an upstream that may be assigned work, or vanished from the list.
 
         None for one that is unknown, or whose end is planned.
@@ -206,10 +206,10 @@
             return
         served_ms = self._served_ms.get(known.address, 0)
         self._served_ms[known.address] = max(now_ms, served_ms)
-        found = self._by_address.get(known.address)
+        found = self._penalties.get(known.address)
         if found is None:
             return
-        found.tried_ms = None
+        found.trial_granted_ms = None
         if not found.is_suppressed(now_ms):
             found.end()
 
@@ -220,9 +220,9 @@
 
     def record_grant(self, upstream_id, now_ms):
         """Record a grant, which may be the trial of an upstream."""
-        found = self._found(upstream_id)
+        found = self._flap_penalty(upstream_id)
         if found is not None and found.until_ms is not None:
-            found.tried_ms = now_ms
+            found.trial_granted_ms = now_ms
 
     def record_loss(self, upstream, now_ms, host=""):
         """Record that a connection was refused, or broke as the upstream ended.
@@ -234,18 +234,18 @@
         host : str, optional
             The entry host that reports it.
         """
-        key = upstream.address
-        lost_ms = self._lost_ms.get(key, -SAME_LOSS_MS)
+        address = upstream.address
+        lost_ms = self._lost_ms.get(address, -SAME_LOSS_MS)
         if not self.is_enabled or now_ms - lost_ms < SAME_LOSS_MS:
             return
-        if self._served_ms.get(key, -SAME_LOSS_MS) <= lost_ms:
+        if self._served_ms.get(address, -SAME_LOSS_MS) <= lost_ms:
             return
-        self._lost_ms[key] = now_ms
-        if self._is_simultaneous(key, upstream.failure_domain, now_ms):
+        self._lost_ms[address] = now_ms
+        if self._is_simultaneous(address, upstream.failure_domain, now_ms):
             return
-        loss = _Loss(key, now_ms, upstream.failure_domain, host)
+        loss = _Loss(address, now_ms, upstream.failure_domain, host)
         self._recent_losses.append(loss)
-        found = self._by_address.setdefault(key, FlapPenalty())
+        found = self._penalties.setdefault(address, FlapPenalty())
         found.add(LOSS_PENALTY, now_ms)
         if found.penalty(now_ms) > SUPPRESS_ABOVE:
             found.suppress(self._max_suppressed_ms, now_ms)
@@ -255,7 +255,7 @@
         """Take back the latest loss of an upstream that turned out to be reachable."""
         known = self._known.get(upstream_id)
         if known is not None:
-            self._retract(lambda loss: loss.key == known.address, now_ms)
+            self._retract(lambda loss: loss.address == known.address, now_ms)
 
     def retract_reports_of(self, host, now_ms):
         """Take back what a host reported that has lost its own links."""
@@ -263,17 +263,17 @@
 
     def is_suppressed(self, upstream_id, now_ms):
         """Return whether an upstream gets requests only if no other one is free."""
-        found = self._found(upstream_id)
+        found = self._flap_penalty(upstream_id)
         return found is not None and found.is_suppressed(now_ms)
 
     def is_restricted(self, upstream_id, now_ms):
         """Return whether an upstream is suppressed, or on trial after that."""
-        found = self._found(upstream_id)
+        found = self._flap_penalty(upstream_id)
         return found is not None and not found.is_trial_over(now_ms)
 
-    def take_only_repeatable(self, upstreams, now_ms):
+    def allow_only_repeatable(self, upstreams, now_ms):
         """Return whether none of the given upstreams takes non-repeatable requests."""
-        if not self._by_address:
+        if not self._penalties:
             return False
         is_closed = self.is_suppressed
         if self._expects_repeatable(now_ms):
@@ -291,14 +291,14 @@
         =======
         frozenset of str
         """
-        if not self._by_address:
+        if not self._penalties:
             return _NONE
         if self._suppressed is None or now_ms >= self._suppressed_until_ms:
             restricted = {
-                item.upstream_id: self._by_address[item.address].until_ms
+                item.upstream_id: self._penalties[item.address].until_ms
                 for item in self._usable
-                if item.address in self._by_address
-                and self._by_address[item.address].until_ms is not None
+                if item.address in self._penalties
+                and self._penalties[item.address].until_ms is not None
             }
             found = {key: at for key, at in restricted.items() if now_ms < at}
             self._restricted = frozenset(restricted)
@@ -353,12 +353,12 @@
         closed : frozenset of str, optional
             Upstreams that want no requests of its host.
         """
-        found = self._found(upstream_id)
+        found = self._flap_penalty(upstream_id)
         if found is None or found.is_trial_over(now_ms):
             return True
         if not found.is_suppressed(now_ms):
             is_awaited = not request.idempotent and self._expects_repeatable(now_ms)
-            return not is_awaited and not found.is_tried(now_ms)
+            return not is_awaited and not found.is_trial_pending(now_ms)
         is_last_resort = request.idempotent and upstream_id == self._last_resort
         if not is_last_resort and not self.is_refused_elsewhere(
             request, closed, now_ms
@@ -366,7 +366,7 @@
             return False
         address = self._known[upstream_id].address
         has_served = self._served_ms.get(address, 0) > self._lost_ms.get(address, 0)
-        return has_served or not found.is_tried(now_ms)
+        return has_served or not found.is_trial_pending(now_ms)
 
     def allowed(self, request, free, now_ms, closed=_NONE):
         """Return those of the free upstreams to which a request may be sent now.
@@ -410,7 +410,7 @@
         now_ms : int
         """
         self._last_resort = None
-        if not self._by_address:
+        if not self._penalties:
             return free
         self.ensure_usable(now_ms)
         suppressed = self.suppressed(now_ms)
@@ -432,25 +432,25 @@
             if now_ms - self._recent_losses[0].at_ms < DISTRUST_MS:
                 break
             self._recent_losses.popleft()
-        for address, found in list(self._by_address.items()):
+        for address, found in list(self._penalties.items()):
             if found.is_trial_over(now_ms) and (
                 found.penalty(now_ms) < NEGLIGIBLE_PENALTY
             ):
-                del self._by_address[address]
+                del self._penalties[address]
         if self.suppressed(now_ms):
             self._release_excess(now_ms)
 
-    def _found(self, upstream_id):
-        if not self._by_address:
+    def _flap_penalty(self, upstream_id):
+        if not self._penalties:
             return None
         known = self._known.get(upstream_id)
-        return self._by_address.get(known.address) if known is not None else None
+        return self._penalties.get(known.address) if known is not None else None
 
     def _penalty(self, upstream_id, now_ms):
-        found = self._found(upstream_id)
+        found = self._flap_penalty(upstream_id)
         return found.penalty(now_ms) if found is not None else 0.0
 
-    def _is_simultaneous(self, key, domain, now_ms):
+    def _is_simultaneous(self, address, domain, now_ms):
         """Return whether another upstream of the domain was lost at the same time.
 
         The loss of the other one is taken back.
@@ -460,9 +460,9 @@
 
         def is_other(loss):
             is_same_time = now_ms - loss.at_ms < SAME_LOSS_MS
-            return is_same_time and loss.domain == domain and loss.key != key
+            return is_same_time and loss.domain == domain and loss.address != address
 
-        # They stay recorded, so that a third loss is recognised too.
+        # Losses that are taken back stay recorded, so that a third one is recognised too.
         others = [loss for loss in self._recent_losses if is_other(loss)]
         for loss in others:
             self._take_back(loss, now_ms)
@@ -477,8 +477,8 @@
 
     def _take_back(self, loss, now_ms):
         """Remove the penalty of a loss, unless it was taken back before."""
-        found = self._by_address.get(loss.key)
-        loss.key = None
+        found = self._penalties.get(loss.address)
+        loss.address = None
         if found is None:
             return
         decayed = math.pow(0.5, (now_ms - loss.at_ms) / HALF_LIFE_MS)
@@ -493,7 +493,7 @@
         It holds for each region too, since requests may be restricted to one.
         """
         self._suppressed = None
-        if not self._by_address:
+        if not self._penalties:
             return
         groups = collections.defaultdict(list)
         everywhere = []
@@ -507,4 +507,4 @@
             excess = len(suppressed) - min(bound, len(members) - 1)
             suppressed.sort(key=lambda key: self._penalty(key, now_ms))
             for upstream_id in suppressed[: max(0, excess)]:
-                self._found(upstream_id).end()
+                self._flap_penalty(upstream_id).end()
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/flap_penalty.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/flap_penalty.py
@@ -22,18 +22,18 @@
     ==========
     since_ms, until_ms : int or None
         Start and end of the suppression; None if there is neither one nor a trial.
-    tried_ms : int or None
+    trial_granted_ms : int or None
         When the request of the trial under way was granted.
     """
 
-    __slots__ = ("_penalty", "_updated_ms", "since_ms", "tried_ms", "until_ms")
+    __slots__ = ("_penalty", "_updated_ms", "since_ms", "trial_granted_ms", "until_ms")
 
     def __init__(self):
         self._penalty = 0.0
         self._updated_ms = 0
         self.since_ms = None
         self.until_ms = None
-        self.tried_ms = None
+        self.trial_granted_ms = None
 
     def penalty(self, now_ms):
         """Return the decayed penalty."""
@@ -52,19 +52,22 @@
         half_lives = math.log2(self.penalty(now_ms) / REUSE_BELOW)
         wait_ms = math.ceil(HALF_LIFE_MS * half_lives)
         self.until_ms = min(now_ms + wait_ms, self.since_ms + max_ms)
-        self.tried_ms = None
+        self.trial_granted_ms = None
 
     def end(self):
         """End the suppression and the trial."""
-        self.since_ms = self.until_ms = self.tried_ms = None
+        self.since_ms = self.until_ms = self.trial_granted_ms = None
 
     def is_suppressed(self, now_ms):
         """Return whether the suppression has not ended."""
         return self.until_ms is not None and now_ms < self.until_ms
 
-    def is_tried(self, now_ms):
-        """Return whether a trial is under way."""
-        return self.tried_ms is not None and now_ms - self.tried_ms < TRIAL_MS
+    def is_trial_pending(self, now_ms):
+        """Return whether a trial was granted lately, and has not been answered."""
+        return (
+            self.trial_granted_ms is not None
+            and now_ms - self.trial_granted_ms < TRIAL_MS
+        )
 
     def is_trial_over(self, now_ms):
         """Return whether the upstream may be used like any other."""
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/reserved_work.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/reserved_work.py
@@ -7,8 +7,8 @@
 EXPECTED_LATE_MS = 300
 
 
-class _Sum:
-    """A sum of work over reservations."""
+class _WorkSum:
+    """Number and total work of some reservations."""
 
     __slots__ = ("cost_ms", "count")
 
@@ -34,7 +34,7 @@
     def __init__(self):
         self.buckets = {}
         self.customers = {}
-        self.total = _Sum()
+        self.total = _WorkSum()
         self.weight = 0
 
 
@@ -49,15 +49,15 @@
 
     Attributes
     ==========
-    share : float
+    claimed_share : float
         Fraction of the reserved work that is expected to be claimed.
     """
 
-    __slots__ = ("_tiers", "share")
+    __slots__ = ("_tiers", "claimed_share")
 
     def __init__(self):
         self._tiers = {}
-        self.share = 1.0
+        self.claimed_share = 1.0
 
     def add(self, reservation):
         """Add the work of a reservation."""
@@ -65,9 +65,9 @@
         cost_ms = reservation.cost_ms
         tier.total.add(cost_ms)
         bucket = reservation.due_ms // BUCKET_MS
-        tier.buckets.setdefault(bucket, _Sum()).add(cost_ms)
+        tier.buckets.setdefault(bucket, _WorkSum()).add(cost_ms)
         if reservation.customer not in tier.customers:
-            tier.customers[reservation.customer] = (_Sum(), reservation.weight)
+            tier.customers[reservation.customer] = (_WorkSum(), reservation.weight)
             tier.weight += reservation.weight
         tier.customers[reservation.customer][0].add(cost_ms)
 
@@ -102,9 +102,9 @@
         This is all of its tier and above, or less where the fair share of its customer
         lets it be served earlier.
         """
-        higher, own, share_ms = self._ahead(request, cost_ms)
+        higher, own, fair_share_ms = self._ahead(request, cost_ms)
         higher_ms = sum(tier.total.cost_ms for tier in higher)
-        return self.share * (higher_ms + min(own.total.cost_ms, share_ms))
+        return self.claimed_share * (higher_ms + min(own.total.cost_ms, fair_share_ms))
 
     def wait_ms(self, request, cost_ms, ahead_ms, slots, max_ms, now_ms):
         """Return how long a new request waits, exactly only up to about ``max_ms``.
@@ -128,7 +128,7 @@
         all_ms = (ahead_ms + self.ahead_ms(request, cost_ms)) / slots
         if all_ms <= max_ms:
             return all_ms
-        higher, own, share_ms = self._ahead(request, cost_ms)
+        higher, own, fair_share_ms = self._ahead(request, cost_ms)
         higher_buckets, own_buckets = [tier.buckets for tier in higher], own.buckets
         wait_ms = ahead_ms / slots
         higher_ms = own_ms = 0.0
@@ -139,7 +139,7 @@
                     higher_ms += buckets[bucket].cost_ms
             if bucket in own_buckets:
                 own_ms += own_buckets[bucket].cost_ms
-            reserved_ms = self.share * (higher_ms + min(own_ms, share_ms))
+            reserved_ms = self.claimed_share * (higher_ms + min(own_ms, fair_share_ms))
             wait_ms = (ahead_ms + reserved_ms) / slots
             if wait_ms <= (bucket + 1) * BUCKET_MS - now_ms:
                 break
@@ -155,12 +155,12 @@
             the fair share of its customer.
         """
         rank = request.tier_rank
-        higher = [tier for r, tier in self._tiers.items() if r < rank]
+        higher = [tier for above, tier in self._tiers.items() if above < rank]
         own = self._tiers.get(rank, _NO_WORK)
-        return higher, own, _share_ms(own, request, cost_ms)
+        return higher, own, _fair_share_ms(own, request, cost_ms)
 
 
-def _share_ms(tier, request, cost_ms):
+def _fair_share_ms(tier, request, cost_ms):
     """Return the work that precedes a request by the fair share of its customer."""
     weight = max(1, request.weight)
     if request.customer not in tier.customers:
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/retry_reservations.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/retry_reservations.py
@@ -28,10 +28,11 @@
 # Time constant of the measured work of new requests. It covers the pauses between the
 # requests of small pools, and is shorter than bursts.
 ARRIVAL_WINDOW_MS = 2_000
-# Weight of one reservation in the observed share that is claimed.
+# Weight of one reservation in the observed share of those that are claimed.
 SHARE_EWMA_WEIGHT = 0.01
-# Bounds overbooking: at most two reservations are made for the capacity of one.
-MIN_SHARE = 0.5
+# Least assumed share, which bounds overbooking: at most two reservations are made for the
+# capacity of one.
+MIN_CLAIMED_SHARE = 0.5
 
 
 class ReservationCounts(msgspec.Struct):
@@ -50,9 +51,12 @@
     ==========
     key : tuple
         Customer, route and size, by which the retry is recognised.
-    rank, weight : int
+    rank : int
+        Of its tier.
+    weight : int
+        Of its customer.
     due_ms : int
-        When its client was told to retry.
+        The time to retry that its client was given.
     cost_ms : float
         Predicted time for which it will hold a slot.
     is_moved : bool, optional
@@ -96,12 +100,12 @@
     """Reserves capacity for refused requests until their clients retry.
 
     Load: a burst of some seconds on a pool without free slots. A client retries once,
-    at the time that it was told. Without a reservation it competes then with the new
-    requests of the same burst.
+    at the stated time. Without a reservation it competes then with the new requests of
+    the same burst.
 
-    The time told is the earliest at which the slots that new requests leave free have
-    done the queued and the reserved work, and at most the longest that the client
-    accepts: retries at the expense of new requests would only refuse these instead.
+    The stated time is the earliest at which the slots that new requests leave free have
+    done the queued and the reserved work, and at most the longest wait that the client
+    accepts: serving retries earlier would only refuse new requests in their place.
     The reserved work is that of the tier and the tiers above. New requests are admitted
     only if they can be served after the reserved work that falls due before them.
 
@@ -207,13 +211,16 @@
             wait_ms = work_ms / free_slots
         return int(max(earliest_ms, wait_ms)), longest_ms
 
-    def take(self, request, now_ms, cost_ms=0.0):
-        """Return whether a request is a retry; one that claims a reservation uses it."""
+    def claim(self, request, now_ms, cost_ms=0.0):
+        """Return whether a request is a retry, and use up its reservation if any.
+
+        Parameters as of ``ClientRetries.claim``.
+        """
         self._advance(now_ms)
         key = retry_key(request)
         reservations = self._by_key.get(key)
         if not reservations or now_ms < reservations[0][0] - EARLY_TOLERANCE_MS:
-            is_retry = super().take(request, now_ms)
+            is_retry = super().claim(request, now_ms)
             if not is_retry:
                 self._arrivals.add(request.tier_rank, cost_ms, now_ms)
             return is_retry
@@ -252,25 +259,27 @@
         self._advance(now_ms)
         return self._work.count_until(int(now_ms + hold_ms) + EARLY_TOLERANCE_MS)
 
-    def adopt(self, told, now_ms):
+    def adopt(self, announced, now_ms):
         """Add a reservation that a previous home made; return whether it was added.
 
         Parameters
         ==========
-        told : hemlockhoist.messages.ToldRetry
+        announced : hemlockhoist.messages.ToldRetry
         now_ms : int
         """
         self._advance(now_ms)
-        key = retry_key(told)
-        if told.prompt_tokens and key in self._by_key:
+        key = retry_key(announced)
+        if announced.prompt_tokens and key in self._by_key:
             return False
         if self._is_full:
             return False
-        due_ms = now_ms + min(MAX_RETRY_AFTER_MS, told.remaining_ms)
+        due_ms = now_ms + min(MAX_RETRY_AFTER_MS, announced.remaining_ms)
         if due_ms + EXPECTED_LATE_MS < now_ms:
             return False
-        cost_ms = max(1.0, told.reserved_ms)
-        self._add(Reservation(key, told.tier_rank, told.weight, due_ms, cost_ms))
+        cost_ms = max(1.0, announced.reserved_ms)
+        self._add(
+            Reservation(key, announced.tier_rank, announced.weight, due_ms, cost_ms)
+        )
         return True
 
     @property
@@ -315,6 +324,6 @@
             self._work.remove(reservation)
 
     def _observe(self, is_claimed):
-        share = self._work.share
+        share = self._work.claimed_share
         share += SHARE_EWMA_WEIGHT * (is_claimed - share)
-        self._work.share = max(MIN_SHARE, share)
+        self._work.claimed_share = max(MIN_CLAIMED_SHARE, share)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -430,7 +430,7 @@
             return [self._shedder.reject(request, code, now_ms)]
         self._upstreams.damping.record_arrival(request, now_ms)
         cost_ms = self._estimate.hold_ms(request)
-        is_retry = self._client_retries.take(request, now_ms, cost_ms)
+        is_retry = self._client_retries.claim(request, now_ms, cost_ms)
         code = self._refusal_code(request, is_retry, now_ms)
         if code is ResultCode.OVERLOADED:
             return self._shedder.shed(request, code, now_ms)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
@@ -281,7 +281,7 @@
         if not self.trusts_failures_of(host):
             self.damping.retract_reports_of(host, now_ms)
             return
-        upstream = self.damping.last_usable(upstream_id)
+        upstream = self.damping.known_upstream(upstream_id)
         if upstream is None:
             return
         if outcome.kind in _REACHED:
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_bursts.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_bursts.py
@@ -149,19 +149,19 @@
     def test_a_retry_after_the_stated_time_is_recognised(self):
         retries = ClientRetries()
         retries.record_refusal(b.request(), 3_000, now_ms=0)
-        self.assertTrue(retries.take(b.request(), now_ms=3_050))
-        self.assertFalse(retries.take(b.request(), now_ms=3_060))
+        self.assertTrue(retries.claim(b.request(), now_ms=3_050))
+        self.assertFalse(retries.claim(b.request(), now_ms=3_060))
 
     def test_an_early_retry_is_not_recognised(self):
         """Clients that retry repeatedly before the stated time gain nothing."""
         retries = ClientRetries()
         retries.record_refusal(b.request(), 3_000, now_ms=0)
-        self.assertFalse(retries.take(b.request(), now_ms=500))
+        self.assertFalse(retries.claim(b.request(), now_ms=500))
 
     def test_requests_without_a_size_are_not_recognised(self):
         retries = ClientRetries()
         retries.record_refusal(b.request(prompt_tokens=0), 1_000, now_ms=0)
-        self.assertFalse(retries.take(b.request(prompt_tokens=0), now_ms=1_000))
+        self.assertFalse(retries.claim(b.request(prompt_tokens=0), now_ms=1_000))
 
     def test_retry_wait_leaves_time_for_an_answer(self):
         request = b.request(deadline_ms=9_000)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_flap_damping.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_flap_damping.py
@@ -219,7 +219,7 @@
         self.damping.set_listed(kept, kept, 3_000 + UNLISTED_TTL_MS)
         self.damping.on_tick(60_000)
         self.assertFalse(self.damping.any_penalty)
-        self.assertIsNone(self.damping.last_usable("u0"))
+        self.assertIsNone(self.damping.known_upstream("u0"))
 
     @settings(max_examples=100)
     @given(
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_hedges.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_hedges.py
@@ -101,7 +101,7 @@
             self.scheduler.reservations.reserve(request, 1.0, ahead_ms, 6, 6, now_ms)
 
     def test_hedge_takes_no_slot_that_is_reserved_for_a_client_retry(self):
-        """Guards against a promised retry that waits for the end of a hedge."""
+        """Guards against a retry with a reservation that waits for the end of a hedge."""
         for ahead_ms, now_ms, is_reserved in ((0.0, 0, True), (30_000.0, 0, False)):
             self.scheduler = self.new_scheduler(reserves_retries=True)
             self.reserve(4, now_ms, ahead_ms)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_retry_reservations.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_retry_reservations.py
@@ -39,42 +39,44 @@
         request = b.request(now_ms=now_ms, **fields)
         return self.retries.reserve(request, COST_MS, queued_ms, slots, slots, now_ms)
 
-    def take(self, now_ms, **fields):
-        return self.retries.take(b.request(now_ms=now_ms, **fields), now_ms)
+    def claim(self, now_ms, **fields):
+        return self.retries.claim(b.request(now_ms=now_ms, **fields), now_ms)
 
-    def test_times_told_follow_the_order_of_first_arrivals(self):
+    def test_stated_times_follow_the_order_of_first_arrivals(self):
         """Guards against retries that all come at the end of the queued work."""
-        told = [self.refuse(queued_ms=2_000, prompt_tokens=n)[0] for n in (1, 2, 3)]
-        self.assertEqual(told, [2_000, 3_000, 4_000])
+        announced = [
+            self.refuse(queued_ms=2_000, prompt_tokens=n)[0] for n in (1, 2, 3)
+        ]
+        self.assertEqual(announced, [2_000, 3_000, 4_000])
 
     def test_nothing_is_reserved_beyond_the_time_that_a_client_accepts(self):
-        """Guards against a promise that no client waits for; it is told the truth."""
+        """Guards against a reservation for which no client waits."""
         self.assertEqual(self.refuse(queued_ms=20_000), (20_000, 0.0))
-        self.assertFalse(self.take(20_000))
+        self.assertFalse(self.claim(20_000))
 
     def test_nothing_is_reserved_for_a_retry_that_cannot_come_in_time(self):
         """Guards against capacity kept for callers with hardly any time left."""
         # A third of the time is too short, or none is left after the answer.
         for left_ms, cost_ms in ((500, 10.0), (2_500, COST_MS)):
             request = b.request(deadline_ms=left_ms, prompt_tokens=left_ms)
-            told = self.retries.reserve(request, cost_ms, 0.0, 1.0, 1.0, 0)
-            self.assertEqual(told, (MIN_RETRY_AFTER_MS, 0.0))
+            announced = self.retries.reserve(request, cost_ms, 0.0, 1.0, 1.0, 0)
+            self.assertEqual(announced, (MIN_RETRY_AFTER_MS, 0.0))
         self.assertEqual(self.retries.outstanding, 0)
 
     def test_time_is_late_while_new_requests_take_all_slots(self):
         """Guards against retries that only make the home refuse new requests."""
         for now_ms in range(0, 6_000, 100):
-            self.retries.take(b.request(now_ms=now_ms), now_ms, cost_ms=200.0)
+            self.retries.claim(b.request(now_ms=now_ms), now_ms, cost_ms=200.0)
         self.assertEqual(self.refuse(6_000, queued_ms=500)[0], 10_000)
         self.assertEqual(self.refuse(20_000, queued_ms=500, prompt_tokens=9)[0], 500)
 
     def test_early_and_repeated_returns_gain_nothing(self):
         """Guards against clients that take capacity by asking often."""
         self.assertEqual(self.refuse(queued_ms=2_000), (2_000, COST_MS))
-        self.assertFalse(self.take(500))
+        self.assertFalse(self.claim(500))
         self.assertEqual(self.refuse(500, queued_ms=100), (1_500, 0.0))
-        self.assertTrue(self.take(1_950))
-        self.assertFalse(self.take(1_960))
+        self.assertTrue(self.claim(1_950))
+        self.assertFalse(self.claim(1_960))
         self.assertEqual(self.retries.counts.made, 1)
 
     def test_unclaimed_work_is_released_soon_and_lowers_the_expected_share(self):
@@ -98,8 +100,8 @@
         """Guards against one reservation that serves all requests of a customer."""
         for _ in range(2):
             self.refuse(slots=10.0, prompt_tokens=0)
-        taken = [self.take(300, prompt_tokens=0) for _ in range(3)]
-        self.assertEqual(taken, [True, True, False])
+        claimed = [self.claim(300, prompt_tokens=0) for _ in range(3)]
+        self.assertEqual(claimed, [True, True, False])
 
     def test_reservations_of_one_customer_are_bounded_by_its_share(self):
         """Guards against a customer whose burst delays the retries of all others."""
@@ -120,10 +122,10 @@
         """Guards against a retry that a higher tier displaces without a new time."""
         request = b.request()
         for now_ms, expected_ms in ((0, 200), (200, 200), (400, 200)):
-            told = self.retries.reserve(request, COST_MS, 0.0, 1.0, 1.0, now_ms)
-            self.assertEqual(told, (200, COST_MS if now_ms < 400 else 0.0))
+            announced = self.retries.reserve(request, COST_MS, 0.0, 1.0, 1.0, now_ms)
+            self.assertEqual(announced, (200, COST_MS if now_ms < 400 else 0.0))
             self.assertEqual(
-                self.retries.take(request, now_ms + expected_ms), now_ms < 400
+                self.retries.claim(request, now_ms + expected_ms), now_ms < 400
             )
         self.assertEqual(self.retries.counts.moved, 1)
 
@@ -135,22 +137,22 @@
         self.refuse(10_000, prompt_tokens=1)
         self.assertEqual(self.retries.outstanding, 1)
 
-    def test_a_new_home_knows_what_clients_were_told(self):
+    def test_a_new_home_knows_the_announced_retries(self):
         """Guards against retries that a lost home leaves without capacity."""
         fields = {"customer": "aulas", "route": "/v1/chat/completions"}
         fields |= {"prompt_tokens": 64, "output_tokens": 50}
         for remaining_ms, is_added in ((1_000, True), (1_000, False), (-900, False)):
-            told = ToldRetry(
+            announced = ToldRetry(
                 tier_rank=0, reserved_ms=700, remaining_ms=remaining_ms, **fields
             )
-            self.assertEqual(self.retries.adopt(told, 0), is_added)
+            self.assertEqual(self.retries.adopt(announced, 0), is_added)
         self.assertEqual(self.refuse(0, prompt_tokens=1)[0], 700)
-        self.assertTrue(self.take(1_000))
+        self.assertTrue(self.claim(1_000))
 
 
 class BurstTests(unittest.TestCase):
     def test_retries_are_served_in_time_in_a_burst(self):
-        """Clients that return when told are served, at nobody else's expense.
+        """Clients that return at the stated time are served, at nobody else's expense.
 
         Failure prevented: in bursts of 5 s, 12 of 100 callers were refused twice or
         served late after their return.
@@ -162,7 +164,7 @@
         self.assertLess(share(after, "refused_twice", "retry_late"), 0.6 * broken)
 
     def test_other_customers_are_served_beside_a_hot_one(self):
-        """Guards against one customer's promises that take the shares of the others."""
+        """Guards against reservations of one customer in the shares of the others."""
         simulation = simulate(1.9, 4_000, skew=8, reserves_retries=True)
         others = simulation.totals(lambda rank, customer: customer != "c0")
         self.assertGreater(share(others, *IN_TIME), 95)
@@ -181,7 +183,7 @@
             served.append(share(ends, "late", "retry_late", *IN_TIME))
         self.assertGreater(served[1], served[0] - 0.5)
 
-    def test_a_slow_upstream_breaks_few_promises(self):
+    def test_few_reservations_are_missed_beside_a_slow_upstream(self):
         """Guards against a forecast that is wrong after an upstream turns slow."""
         broken = []
         for reserves in (False, True):
@@ -222,7 +224,7 @@
         self.assertEqual(scheduler.reservations.counts.used, 1)
 
     def test_a_retry_precedes_later_requests_and_they_are_refused_for_it(self):
-        """Guards against arrivals that take the capacity promised to earlier ones."""
+        """Guards against new requests that get the capacity reserved for earlier ones."""
         simulation = SchedulerSimulation({"e": 2.0}, slots=1, reserves_retries=True)
         scheduler = simulation.scheduler
         simulation.send_at_rate(NOTICE, 700, 0, 2_000)
--- a/libs/host/src/hemlockhoist/host/told_retries.py
+++ b/libs/host/src/hemlockhoist/host/announced_retries.py
@@ -1,4 +1,4 @@
-"""The times to retry that an entry host told its callers, for the next home."""
+"""The times to retry that an entry host announced to its callers."""
 
 import collections
 
@@ -6,24 +6,24 @@
 
 from hemlockhoist.messages import ToldRetry
 
-# Number of told retries that a host reports to a new home.
+# Number of announced retries that a host reports to a new home.
 MAX_REPORTED = 64
-# Number that it remembers, of all pools: in a burst, those told first are past when a
-# home is lost some seconds later.
+# Number that it remembers, of all pools: in a burst, the first ones are past when a home
+# is lost some seconds later.
 MAX_REMEMBERED = 1_024
 
 
-class ToldRetries:
+class AnnouncedRetries:
     """Remembers for which retries a home has reserved capacity.
 
     A home is lost with its reservations, during the burst in which it made them. Its
     successor learns of those whose time has not passed.
     """
 
-    __slots__ = ("_told",)
+    __slots__ = ("_announced",)
 
     def __init__(self):
-        self._told = collections.deque(maxlen=MAX_REMEMBERED)
+        self._announced = collections.deque(maxlen=MAX_REMEMBERED)
 
     def record(self, brief, refusal, now_ms):
         """Record a refusal with a reservation.
@@ -36,7 +36,7 @@
         """
         if not refusal.reserved_ms:
             return
-        told = ToldRetry(
+        announced = ToldRetry(
             customer=brief.customer,
             route=brief.route,
             tier_rank=brief.tier_rank,
@@ -46,7 +46,9 @@
             remaining_ms=refusal.retry_after_ms,
             weight=brief.weight,
         )
-        self._told.append((refusal.pool, now_ms + refusal.retry_after_ms, told))
+        self._announced.append(
+            (refusal.pool, now_ms + refusal.retry_after_ms, announced)
+        )
 
     def report(self, pool, now_ms):
         """Return the retries of a pool that are still to come.
@@ -58,10 +60,10 @@
         =======
         tuple of ToldRetry
         """
-        told = [
+        coming = [
             msgspec.structs.replace(item, remaining_ms=due_ms - now_ms)
-            for of_pool, due_ms, item in self._told
+            for of_pool, due_ms, item in self._announced
             if of_pool == pool and due_ms > now_ms
         ]
-        told.sort(key=lambda item: (item.tier_rank, item.remaining_ms))
-        return tuple(told[:MAX_REPORTED])
+        coming.sort(key=lambda item: (item.tier_rank, item.remaining_ms))
+        return tuple(coming[:MAX_REPORTED])
--- a/libs/host/src/hemlockhoist/host/grants.py
+++ b/libs/host/src/hemlockhoist/host/grants.py
@@ -6,6 +6,7 @@
 
 from hemlockhoist.base import MS_PER_S, Refused, ResultCode
 from hemlockhoist.decisions import granting_incarnation
+from hemlockhoist.host.announced_retries import AnnouncedRetries
 from hemlockhoist.host.grant_hold import (
     GrantHold,
     held_grant_message,
@@ -13,7 +14,6 @@
     signals_for_home,
 )
 from hemlockhoist.host.outdated import outdated_message
-from hemlockhoist.host.told_retries import ToldRetries
 from hemlockhoist.messages import (
     FirstToken,
     GrantCancel,
@@ -135,7 +135,7 @@
         "_refusal",
         "_send",
         "_started_ms",
-        "_told_retries",
+        "_announced_retries",
         "_usage_log",
         "_waiters",
     )
@@ -168,7 +168,7 @@
         self._send = send
         self._home_of = home_of
         self._started_ms = clock.now_ms()
-        self._told_retries = ToldRetries()
+        self._announced_retries = AnnouncedRetries()
         self._waiters = {}
         self._held = {}
         # For each grant id, the homes to which the grant was reported on takeover.
@@ -289,7 +289,7 @@
         waiter.last_reply_ms = now_ms
         waiter.timeouts_since_reply = 0
         if isinstance(message, GrantRefusal):
-            self._told_retries.record(brief(now_ms), message, now_ms)
+            self._announced_retries.record(brief(now_ms), message, now_ms)
             raise Refused(message.reason, message.code, message.retry_after_ms)
         if isinstance(message, GrantReply):
             hold = self._accept_grant(waiter, message, brief(now_ms), late_ms)
@@ -534,7 +534,7 @@
             back_offs=back_offs,
             brittle=brittle,
             part_records=part_records,
-            told_retries=self._told_retries.report(pool, now_ms),
+            told_retries=self._announced_retries.report(pool, now_ms),
         )
 
     def send_held_ids(self, pools):
--- a/libs/host/src/hemlockhoist/host/home_retries.py
+++ b/libs/host/src/hemlockhoist/host/home_retries.py
@@ -78,7 +78,7 @@
             self._metrics.count(CALLERS_RETRIED, self._pool)
 
     def adopt(self, sender, report, now_ms):
-        """Pass the retries that an entry host told its callers to the scheduler.
+        """Pass the retries that an entry host announced to its callers to the scheduler.
 
         Only its first report counts: requests without a size are counted and not
         identified, so a repeated report would reserve twice for them. A host that was
--- a/libs/host/src/hemlockhoist/host/tests/test_told_retries.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_announced_retries.py
@@ -12,9 +12,9 @@
 from hemlockhoist.decisions import Outcome, OutcomeKind
 from hemlockhoist.decisions.scheduling import PoolScheduler
 from hemlockhoist.decisions.scheduling.retry_reservations import RetryReservations
+from hemlockhoist.host.announced_retries import MAX_REPORTED, AnnouncedRetries
 from hemlockhoist.host.home_retries import HomeRetries
 from hemlockhoist.host.tests import test_grants
-from hemlockhoist.host.told_retries import MAX_REPORTED, ToldRetries
 from hemlockhoist.host.work_requests import work_request
 from hemlockhoist.messages import GrantRefusal, HeldGrants, RequestBrief, ToldRetry
 
@@ -54,7 +54,7 @@
         return hold, caught.exception
 
     async def test_retry_of_a_caller_is_served_by_the_next_home(self):
-        """Guards against callers whose promise is lost together with the home."""
+        """Guards against reservations that are lost together with the home."""
         hold, refusal = await self._refuse_one()
         self.assertEqual(refusal.code, ResultCode.OVERLOADED)
         self.assertIn("reserved", refusal.message)
@@ -129,9 +129,9 @@
         self.assertIsNone(home.scheduler.reservations)
 
 
-class ToldRetriesTests(unittest.TestCase):
+class AnnouncedRetriesTests(unittest.TestCase):
     def setUp(self):
-        self.told = ToldRetries()
+        self.announced = AnnouncedRetries()
 
     def record(self, tier_rank, retry_after_ms, reserved_ms=100):
         refusal = GrantRefusal(
@@ -141,13 +141,13 @@
             retry_after_ms=retry_after_ms,
             reserved_ms=reserved_ms,
         )
-        self.told.record(brief(tier_rank=tier_rank), refusal, 0)
+        self.announced.record(brief(tier_rank=tier_rank), refusal, 0)
 
     def test_report_is_bounded_and_prefers_higher_tiers(self):
         """Guards against takeovers that take long because of large reports."""
         for number in range(200):
             self.record(number % 2, 1_000 + number)
-        report = self.told.report("chat", 500)
+        report = self.announced.report("chat", 500)
         self.assertEqual(len(report), MAX_REPORTED)
         self.assertEqual({item.tier_rank for item in report}, {0})
         self.assertEqual(report[0].remaining_ms, 500)
@@ -156,8 +156,8 @@
         self.record(0, 1_000, reserved_ms=0)
         self.record(0, 400)
         self.record(0, 2_000)
-        self.assertEqual(len(self.told.report("chat", 500)), 1)
-        self.assertEqual(self.told.report("other", 500), ())
+        self.assertEqual(len(self.announced.report("chat", 500)), 1)
+        self.assertEqual(self.announced.report("other", 500), ())
 
 
 class HomeRetriesTests(unittest.TestCase):
