--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/assignment.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/assignment.py
@@ -104,7 +104,7 @@
         skipped = []
         barred_count = 0
         damping = self._upstreams.damping
-        takes_only_repeatable = damping.are_restricted(free, now_ms)
+        takes_only_repeatable = damping.allow_only_repeatable(free, now_ms)
         for rank in self._queue.ranks:
             while free and len(skipped) - barred_count < MAX_SKIPPED:
                 if barred_count >= MAX_NOT_REPEATABLE_SKIPPED:
@@ -113,12 +113,12 @@
                 if taken is None:
                     break
                 waiting = taken[0]
-                if takes_only_repeatable and not waiting.request.idempotent:
+                if takes_only_repeatable and self._is_barred(waiting.request, now_ms):
                     waiting.skipped_round = self._round_number
                     skipped.append(taken)
                     barred_count += 1
                     continue
-                eligible = self._eligible(waiting, free, changed)
+                eligible = self._eligible(waiting, free, changed, now_ms)
                 ahead = len(skipped) - barred_count
                 upstream = self._choose_upstream(
                     waiting.request, eligible, ahead, now_ms
@@ -130,18 +130,30 @@
                 self._check_tier_order(waiting.request)
                 decisions.append(self._grant(waiting, upstream, now_ms))
                 if not self._upstreams.has_free_slot(upstream, now_ms):
-                    free.remove(upstream)
-                    takes_only_repeatable = damping.are_restricted(free, now_ms)
+                    _discard(free, upstream)
+                    takes_only_repeatable = damping.allow_only_repeatable(free, now_ms)
         for waiting, due_ms in skipped:
             self._queue.push(waiting, due_ms)
         return decisions
 
-    def assign_hedge(self, waiting, now_ms):
+    def assign_hedge(self, waiting, reserved_slots, now_ms):
         """Grant a second attempt a slot that nothing else needs now, or return None.
 
-        It gets neither the last free slot of the pool nor a part of an upstream's
-        advertised limit, and only an upstream that the request has not been sent to and
-        that is not itself slow, suppressed or on trial.
+        It gets neither the last free slot of the pool, nor one that is reserved for a
+        client retry, nor a part of an upstream's advertised limit, and only an upstream
+        that the request has not been sent to and that is not itself slow, suppressed or
+        on trial.
+
+        Parameters
+        ==========
+        waiting : QueuedRequest
+        reserved_slots : int
+            Slots that client retries need before the attempt is expected to end.
+        now_ms : int
+
+        Returns
+        =======
+        Granted or None
         """
         upstreams, request = self._upstreams, waiting.request
         if upstreams.recovery.is_active(now_ms):
@@ -151,7 +163,7 @@
             for item in upstreams.free_upstreams(now_ms)
             if not upstreams.damping.is_restricted(item.upstream_id, now_ms)
         ]
-        if not upstreams.has_spare_slot(free, now_ms):
+        if not upstreams.has_spare_slot(free, reserved_slots, now_ms):
             return None
         free = [
             item
@@ -164,8 +176,18 @@
             return None
         return self._grant(waiting, upstream, now_ms)
 
-    def _eligible(self, waiting, free, changed):
+    def _is_barred(self, request, now_ms):
+        """Return whether upstreams that take only repeatable requests do not take it.
+
+        They do take one that is not repeatable if all others have refused it.
+        """
+        if request.idempotent:
+            return False
+        return not self._upstreams.is_refused_elsewhere(request, now_ms)
+
+    def _eligible(self, waiting, free, changed, now_ms):
         """Return the free upstreams at which a waiting request is to be tried."""
+        free = self._upstreams.free_for(waiting.request, free, now_ms)
         if waiting.skipped_round != self._round_number:
             return free
         return [item for item in free if item.upstream_id == changed]
@@ -180,7 +202,8 @@
                     first.request, now_ms
                 ):
                     break
-                eligible = self._without_limit(self._eligible(first, free, changed))
+                eligible = self._eligible(first, free, changed, now_ms)
+                eligible = self._without_limit(eligible)
                 if not eligible:
                     break
                 waiting, due_ms = self._queue.take(rank)
@@ -194,7 +217,7 @@
                 )
                 decisions.append(self._grant(waiting, upstream, now_ms))
                 if not self._upstreams.has_free_slot(upstream, now_ms):
-                    free.remove(upstream)
+                    _discard(free, upstream)
         return decisions
 
     def _without_limit(self, upstreams):
@@ -214,8 +237,8 @@
             free = [item for item in free if item.upstream_id not in closed]
         damping = self._upstreams.damping
         if damping.any_penalty:
+            free = damping.allowed(request, free, now_ms, closed)
             closed = self._upstreams.closed_to(request.entry_host, now_ms)
-            free = damping.allowed(request, free, now_ms)
         versions = sorted({item.version for item in free})
         for version in self._policy.candidates(request, versions, now_ms):
             choices = [item for item in free if item.version == version]
@@ -270,6 +293,12 @@
         )
 
 
+def _discard(free, upstream):
+    """Remove an upstream from the free ones; a suppressed one may not be among them."""
+    if upstream in free:
+        free.remove(upstream)
+
+
 def _in_allowed_regions(request, choices):
     """Return the choices in the regions to which a request is restricted.
 
@@ -278,7 +307,7 @@
     """
     if not request.regions:
         return choices
-    return [item for item in choices if item.region in request.regions]
+    return [item for item in choices if request.allows_region(item.region)]
 
 
 def _untried(request, choices):
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
@@ -150,6 +150,12 @@
         self._speeds.refresh_if_reported(self._usable, now_ms)
         return self._tracked[upstream_id].slowdown <= MAX_HEDGE_SLOWDOWN
 
+    def usual_first_ms(self, held, estimate):
+        """Return the usual time until a listed upstream begins to answer a request."""
+        pace = self._tracked[held.grant.upstream_id].pace
+        prompt_ms = pace.prompt_ms(held.request.prompt_tokens)
+        return held.prompt_wait_ms + prompt_ms + pace.base_ms()
+
     def accepts_more(self, upstream_id, now_ms):
         """Return whether an upstream may take a request, apart from free slots."""
         if not self._intake.allows(upstream_id, now_ms):
@@ -326,18 +332,25 @@
             tracked = self._tracked[item.upstream_id]
             cached = cached_at.get(item.upstream_id, 0)
             first_ms = tracked.first_token_ms(work, now_ms, cached)
-            saving_ms = cache_saving_ms(tracked, cached)
-            saving_ms += connection_saving_ms(request, item.upstream_id)
+            connection_ms = connection_saving_ms(request, item.upstream_id)
+            saving_ms = cache_saving_ms(tracked, cached) + connection_ms
             is_local = work.failure_domain == tracked.failure_domain
             # The other terms of the cost are not negative.
-            if selector.is_dominated(first_ms - saving_ms, is_local):
+            if selector.is_dominated(first_ms - saving_ms, is_local, connection_ms):
                 continue
             held = in_flight(item.upstream_id)
             risk = risk_ms(work, tracked, held, counts, max_prompts_ms, now_ms)
             cost = cost_ms(work, tracked, first_ms, held, now_ms) + risk - saving_ms
-            slowdown = tracked.slowdown
             selector.add(
-                PlacementCandidate(item, first_ms, cost, risk, is_local, slowdown)
+                PlacementCandidate(
+                    item,
+                    first_ms,
+                    cost,
+                    risk,
+                    is_local,
+                    tracked.slowdown,
+                    connection_ms,
+                )
             )
         return selector
 
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -428,8 +428,9 @@
         code = self._unservable_code(request)
         if code is not None:
             return [self._shedder.reject(request, code, now_ms)]
+        self._upstreams.damping.record_arrival(request, now_ms)
         cost_ms = self._estimate.hold_ms(request)
-        is_retry = self._client_retries.take(request, now_ms, cost_ms)
+        is_retry = self._client_retries.claim(request, now_ms, cost_ms)
         code = self._refusal_code(request, is_retry, now_ms)
         if code is ResultCode.OVERLOADED:
             return self._shedder.shed(request, code, now_ms)
@@ -469,7 +470,8 @@
         if not len(self._queue) and held < request.max_in_flight:
             cost_ms = self._estimate.hold_ms(request)
             waiting = QueuedRequest(request, cost_ms, 0, 0)
-            granted = self._assigner.assign_hedge(waiting, now_ms)
+            reserved_slots = self._client_retries.reserved_slots(cost_ms, now_ms)
+            granted = self._assigner.assign_hedge(waiting, reserved_slots, now_ms)
         if granted is not None:
             return granted
         return Rejected(request=request, code=ResultCode.OVERLOADED, retry_after_ms=0)
@@ -557,7 +559,7 @@
 
     def _record_outcome(self, held, outcome, now_ms, is_prompt_at_fault):
         request = held.request
-        outcome = self._upstreams.attributed(held, outcome, now_ms)
+        outcome = self._upstreams.attributed(held, outcome, self._estimate, now_ms)
         if not is_prompt_at_fault:
             self._upstreams.record_stability(held, outcome, now_ms)
         hold_ms = now_ms - held.granted_ms
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_flap_damping.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_flap_damping.py
@@ -166,6 +166,8 @@
         flap(self.damping, self.listed[0], [1_000, 2_000])
         now_ms = 8_000
         once = b.request(idempotent=False)
+        self.damping.record_arrival(b.request(), now_ms - TRIAL_MS + 1)
+        self.damping.record_arrival(once, now_ms)
         self.assertFalse(self.damping.allows(once, "u0", now_ms))
         self.assertTrue(self.damping.allows(b.request(), "u0", now_ms))
         self.damping.record_grant("u0", now_ms)
@@ -177,8 +179,21 @@
         """Guards against a pool whose requests all wait for a repeatable one."""
         flap(self.damping, self.listed[0], [1_000, 2_000])
         once = b.request(idempotent=False)
+        self.damping.record_arrival(b.request(), 7_900 + TRIAL_MS)
         self.assertTrue(self.damping.allows(once, "u0", 8_000 + TRIAL_MS))
 
+    def test_trial_is_any_request_where_no_repeatable_one_arrives(self):
+        """Guards against requests that wait a second for a repeatable one in vain."""
+        flap(self.damping, self.listed[0], [1_000, 2_000])
+        now_ms = 8_000
+        once = b.request(idempotent=False)
+        self.damping.record_arrival(b.request(), now_ms - TRIAL_MS)
+        self.assertTrue(self.damping.allows(once, "u0", now_ms))
+        self.damping.record_grant("u0", now_ms)
+        self.assertFalse(self.damping.allows(once, "u0", now_ms + 10))
+        self.damping.record_served("u0", now_ms + 50)
+        self.assertTrue(self.damping.allows(once, "u0", now_ms + 50))
+
     def test_lost_trial_suppresses_again(self):
         flap(self.damping, self.listed[0], [1_000, 2_000])
         flap(self.damping, self.listed[0], [8_000])
@@ -204,7 +219,7 @@
         self.damping.set_listed(kept, kept, 3_000 + UNLISTED_TTL_MS)
         self.damping.on_tick(60_000)
         self.assertFalse(self.damping.any_penalty)
-        self.assertIsNone(self.damping.last_usable("u0"))
+        self.assertIsNone(self.damping.known_upstream("u0"))
 
     @settings(max_examples=100)
     @given(
@@ -354,6 +369,93 @@
         self.assertEqual(served, 45)
         self.assertGreater(self.scheduler._upstreams.slots(6_600), 0)
 
+    def serve(self, outcomes, now_ms, **fields):
+        """Send a request until it is served; return the upstreams that it was sent to.
+
+        Parameters
+        ==========
+        outcomes : dict
+            Of upstreams that do not serve it.
+        now_ms : int
+        """
+        tried = ()
+        for attempt in range(1, 4):
+            request = b.request(now_ms=now_ms, avoid=tried, attempt=attempt, **fields)
+            found = self.scheduler.submit(request, now_ms)
+            if not b.granted(found):
+                self.scheduler.cancel(request.request_id, now_ms)
+                break
+            grant = found[0].grant
+            outcome = outcomes.get(grant.upstream_id, b.SUCCESS)
+            self.scheduler.release(grant.grant_id, outcome, now_ms + 1)
+            tried = (*tried, grant.upstream_id)
+            if outcome is b.SUCCESS:
+                break
+        return tried
+
+    def test_suppressed_upstream_serves_a_request_that_all_others_refuse(self):
+        """Guards against a host whose requests fail though one upstream takes them."""
+        for now_ms in (1_000, 2_000):
+            self.end("u0", CRASH, now_ms, "host-2")
+        refusing = {"u1": REFUSED, "u2": REFUSED}
+        for idempotent in (True, False):
+            for now_ms in range(2_100, 4_500, 300):
+                self.assertNotIn("u0", self.serve({}, now_ms, entry_host="host-2"))
+                sent = self.serve(refusing, now_ms + 100, idempotent=idempotent)
+                with self.subTest(idempotent=idempotent, now_ms=now_ms):
+                    self.assertEqual(sent[-1], "u0")
+                self.scheduler.tick(now_ms + 200)
+        self.assertEqual(self.suppressed(4_600), {"u0"})
+
+    def test_suppressed_upstream_serves_a_host_to_which_all_others_are_closed(self):
+        """Guards against requests that wait for the end of a back-off beside a slot."""
+        for now_ms in (1_000, 2_000):
+            self.end("u0", CRASH, now_ms, "host-2")
+        for name in ("u1", "u2"):
+            self.scheduler.observe_back_off(name, "host-1", 9_000, 2_050)
+        for idempotent in (True, False):
+            sent = self.serve({}, 2_100, idempotent=idempotent)
+            self.assertEqual(sent, ("u0",))
+        other = self.serve({}, 2_100, idempotent=False, entry_host="host-2")
+        self.assertNotEqual(other, ("u0",))
+
+    def test_request_that_all_others_refuse_waits_for_a_busy_suppressed_one(self):
+        """Guards against several requests lost at an upstream that is not up yet."""
+        self.scheduler.set_upstreams(upstreams(3, slot_count=4), 0)
+        for now_ms in (1_000, 2_000):
+            self.end("u0", CRASH, now_ms, "host-2")
+        fields = {"now_ms": 2_100, "avoid": ("u1", "u2"), "idempotent": False}
+        first, second = b.request(**fields), b.request(**fields)
+        (granted,) = self.scheduler.submit(first, 2_100)
+        self.assertEqual(granted.grant.upstream_id, "u0")
+        self.assertEqual(self.scheduler.submit(second, 2_100), [])
+        found = self.scheduler.release(granted.grant.grant_id, b.SUCCESS, 2_300)
+        self.assertEqual(b.granted(found), [second.request_id])
+
+    def test_trial_serves_a_waiting_request_where_no_repeatable_one_arrives(self):
+        """Guards against a slot that is idle for a second while a request waits."""
+        for arrives, expected_ms in ((False, 0), (True, TRIAL_MS)):
+            self.scheduler = self.new_scheduler()
+            for now_ms in (1_000, 2_000):
+                self.end("u0", CRASH, now_ms)
+            fields = {"idempotent": False, "first_token_by_ms": 20_000}
+            for now_ms in (5_000, 5_000, 5_010):
+                found = self.scheduler.submit(
+                    b.request(now_ms=now_ms, **fields), now_ms
+                )
+            self.assertEqual(found, [])
+            released_ms = None
+            for now_ms in range(5_100, 9_000, 50):
+                if arrives:
+                    damping = self.scheduler._upstreams.damping
+                    damping.record_arrival(b.request(now_ms=now_ms), now_ms)
+                if released_ms is None and not self.suppressed(now_ms):
+                    released_ms = now_ms
+                if b.granted(self.scheduler.tick(now_ms)):
+                    break
+            with self.subTest(arrives=arrives):
+                self.assertEqual(now_ms - released_ms, expected_ms)
+
     def test_planned_stop_is_no_loss(self):
         """Guards against a rolling restart that suppresses what it has restarted."""
         for now_ms in (1_000, 2_000, 3_000):
