Do not report a request as not run if its retry is refused

Cause: the routes became too old, or the key was revoked, between two attempts. The refusal of the second attempt went to the caller as 503 or 401, although the first one had run. Change: such a refusal ends the request like one without a further grant: the first attempt's answer, or an unknown outcome.

--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -109,7 +109,10 @@
             return self._abort_stream(CutCause.SLOW_READER, error.message)
         except HemlockhoistError as error:
             if not self.response_started:
-                raise
+                # Failure prevented: the first attempt fails, and before the second is
+                # sent the routes are too old or the key is revoked. Said as it is, that
+                # would mean that the request has not run.
+                return self._end_without_grant(error)
             # Failure prevented: a host resumes from a suspension in the middle of a
             # stream. Its proof of the routes is too old to continue at another
             # upstream, and the refusal would be written into the started response.
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_site.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_site.py
@@ -7,7 +7,8 @@
 import aiohttp
 from aiohttp import web
 
-from hemlockhoist.entry import FleetBounds, process, stream
+from hemlockhoist.base import BadRequest, Refused, ResultCode
+from hemlockhoist.entry import FleetBounds, admission, process, store_view, stream
 from hemlockhoist.standins.published import (
     Behaviour,
     Replica,
@@ -125,6 +126,41 @@
                 self.assertEqual(status, 502)
                 self.assertEqual(sum(len(item.ran) for item in replicas), 1)
 
+    async def test_refusal_before_a_retry_does_not_say_that_nothing_ran(self):
+        """Guards against "not run" for a request whose first attempt ran.
+
+        The routes become too old, or the caller's key is revoked, between two attempts.
+        """
+        stale = Refused("", ResultCode.CONFIGURATION_STALE, 300)
+        revoked = BadRequest("", ResultCode.UNKNOWN_KEY)
+        cases = (
+            (Behaviour.FAILS, store_view.StoreView, "check_fresh", stale, 500),
+            (Behaviour.RESETS, store_view.StoreView, "check_fresh", stale, 502),
+            (Behaviour.RESETS, admission.Admission, "customer_of", revoked, 502),
+        )
+        for behaviour, owner, name, error, expected in cases:
+            replicas = services("s1", "s2")
+            check = getattr(owner, name)
+
+            def check_until_run(*values, check=check, replicas=replicas, error=error):
+                if any(replica.ran for replica in replicas["reservas"]):
+                    raise error
+                return check(*values)
+
+            for replica in replicas["reservas"]:
+                replica.behaviour = behaviour
+            with (
+                self.subTest(behaviour=behaviour, error=error),
+                unittest.mock.patch.object(owner, name, check_until_run),
+            ):
+                async with (
+                    Site(replicas, [LOOKUP]) as site,
+                    site.call("/check-free/1") as answer,
+                ):
+                    await answer.read()
+                self.assertEqual(answer.status, expected)
+                self.assertEqual(sum(len(r.ran) for r in replicas["reservas"]), 1)
+
     async def test_lookup_is_retried_at_another_replica(self):
         for behaviour in (
             Behaviour.FAILS,
