Let the times of a pool stand in for those of a rare route in hedging

Cause: a host of a large fleet sees each route about once a second, so that the 50 responses that a hedge needs take most of a minute. Change: until a route has 50 responses, the delay is the quantile of its pool's, or of the few of the route if that is longer.

--- a/libs/decisions/src/hemlockhoist/decisions/entry/hedging.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/hedging.py
@@ -15,7 +15,8 @@
 # Time for which a pool is not asked again after its home refused a second attempt. Under
 # saturation each host then sends a few requests a second in vain.
 REFUSED_PAUSE_MS = 250
-# Bound on the routes of which times are kept: declarations may replace them often.
+# Bound on the routes and on the pools of which times are kept: declarations may replace
+# them often.
 MAX_ROUTES = 2_048
 PERMILLE = 1_000
 
@@ -35,7 +36,9 @@
 
     It is made for loads in which a few responses take far longer than the rest, as
     their upstreams are slow for a short time. A second attempt is considered once a
-    request has taken longer than most recent ones of its route. The extra work is
+    request has taken longer than most recent ones of its route. A host of a large fleet
+    sees few requests of each route, so that it knows the times of the route's pool long
+    before. They stand in, unless those known of the route are longer. The extra work is
     bounded by a budget that requests pay into: over all hosts it is at most the
     configured share of the requests, as each host spends only what its own requests
     paid. If a whole pool turns slow, the quantile follows within some dozen responses,
@@ -54,19 +57,27 @@
     >>> policy = HedgePolicy(permille=20)
     >>> for _ in range(100):
     ...     policy.count_request()
-    ...     policy.observe("check", 10, now_ms=0)
-    >>> policy.delay_ms("check")
+    ...     policy.observe("check", "halls", 10, now_ms=0)
+    >>> policy.delay_ms("check", "halls")
     11.31
     >>> [policy.acquire("check", "halls", 1_000, now_ms=0) for _ in range(3)]
     [None, None, <HedgeRefusal.BUDGET: 'budget'>]
     """
 
-    __slots__ = ("_excluded", "_paused_until_ms", "_permille", "_saved", "_times")
+    __slots__ = (
+        "_excluded",
+        "_paused_until_ms",
+        "_permille",
+        "_pool_times",
+        "_route_times",
+        "_saved",
+    )
 
     def __init__(self, permille, excluded_routes=()):
         self._permille = permille
         self._excluded = frozenset(excluded_routes)
-        self._times = {}
+        self._route_times = {}
+        self._pool_times = {}
         # Budget in thousandths of an attempt.
         self._saved = 0
         self._paused_until_ms = {}
@@ -95,7 +106,7 @@
         limit = MAX_SAVED_HEDGES * PERMILLE
         self._saved = min(limit, self._saved + self._permille)
 
-    def observe(self, route_name, duration_ms, now_ms):
+    def observe(self, route_name, pool, duration_ms, now_ms):
         """Record how long a first attempt took.
 
         The time of an attempt that was given up for the second one is its time so far.
@@ -104,27 +115,27 @@
 
         Parameters
         ==========
-        route_name : str
+        route_name, pool : str
         duration_ms : int
             Until the first data of a stream, or until the end of a whole response.
         now_ms : int
         """
-        times = self._times.get(route_name)
-        if times is None:
-            if len(self._times) >= MAX_ROUTES:
-                del self._times[next(iter(self._times))]
-            times = self._times[route_name] = ResponseTimes()
-        times.observe(duration_ms, now_ms)
-
-    def delay_ms(self, route_name):
+        _times_of(self._route_times, route_name).observe(duration_ms, now_ms)
+        _times_of(self._pool_times, pool).observe(duration_ms, now_ms)
+
+    def delay_ms(self, route_name, pool):
         """Return the time after which a second attempt is considered, or None.
 
         None as long as too few recent responses are known.
         """
-        times = self._times.get(route_name)
+        times = self._route_times.get(route_name)
+        delay_ms = _quantile_ms(times, DELAY_QUANTILE)
+        if times is not None and times.weight >= MIN_WEIGHT:
+            return delay_ms
+        times = self._pool_times.get(pool)
         if times is None or times.weight < MIN_WEIGHT:
             return None
-        return times.quantile_ms(DELAY_QUANTILE)
+        return max(delay_ms or 0, times.quantile_ms(DELAY_QUANTILE))
 
     def acquire(self, route_name, pool, left_ms, now_ms):
         """Spend one attempt of the budget; return why that is not allowed, or None.
@@ -140,8 +151,8 @@
         =======
         HedgeRefusal or None
         """
-        times = self._times.get(route_name)
-        expected_ms = times.quantile_ms(EXPECTED_QUANTILE) if times else None
+        times = self._route_times.get(route_name) or self._pool_times.get(pool)
+        expected_ms = _quantile_ms(times, EXPECTED_QUANTILE)
         if expected_ms is None or left_ms < expected_ms:
             return HedgeRefusal.TOO_LATE
         if now_ms < self._paused_until_ms.get(pool, now_ms):
@@ -159,3 +170,16 @@
     def on_refused(self, pool, now_ms):
         """Stop asking a pool's home for a while, as it has no capacity to spare."""
         self._paused_until_ms[pool] = now_ms + REFUSED_PAUSE_MS
+
+
+def _times_of(table, name):
+    times = table.get(name)
+    if times is None:
+        if len(table) >= MAX_ROUTES:
+            del table[next(iter(table))]
+        times = table[name] = ResponseTimes()
+    return times
+
+
+def _quantile_ms(times, fraction):
+    return None if times is None else times.quantile_ms(fraction)
--- a/libs/decisions/src/hemlockhoist/decisions/entry/tests/hedging_simulation.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/tests/hedging_simulation.py
@@ -124,7 +124,9 @@
             self._send(now_ms, call)
             if self._mode is Mode.TWO_AT_ONCE and self._has_other(call):
                 self._hedge(now_ms, call)
-            delay_ms = self.policy.delay_ms(ROUTE) if self._mode is Mode.HEDGE else None
+            delay_ms = (
+                self.policy.delay_ms(ROUTE, POOL) if self._mode is Mode.HEDGE else None
+            )
             if delay_ms is not None:
                 self._at(now_ms + delay_ms, self._consider, call)
 
@@ -165,7 +167,7 @@
             return
         call.is_done = True
         first_ms = now_ms - call.first_ms
-        self.policy.observe(ROUTE, first_ms, now_ms)
+        self.policy.observe(ROUTE, POOL, first_ms, now_ms)
         self._result.durations_ms.append(now_ms - call.arrived_ms)
         for other, started_ms in call.attempts.items():
             self._free[other] += 1
--- a/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_hedging.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_hedging.py
@@ -43,7 +43,7 @@
         for _ in range(requests):
             policy.count_request()
         for _ in range(responses):
-            policy.observe(ROUTE, 40, now_ms=0)
+            policy.observe(ROUTE, POOL, 40, now_ms=0)
         return policy
 
     def test_only_repeatable_requests_with_an_attempt_left_are_hedged(self):
@@ -63,8 +63,24 @@
 
     def test_without_enough_responses_nothing_is_hedged(self):
         policy = self.policy(responses=int(MIN_WEIGHT) - 1)
-        self.assertIsNone(policy.delay_ms(ROUTE))
-        self.assertIsNone(policy.delay_ms("another"))
+        self.assertIsNone(policy.delay_ms(ROUTE, POOL))
+        self.assertIsNone(policy.delay_ms("another", POOL))
+
+    def test_times_of_the_pool_stand_in_for_those_of_a_rare_route(self):
+        """Guards against a large fleet in which no host ever hedges.
+
+        Each host sees few requests of each route. What it knows of the route may only
+        make the delay longer.
+        """
+        policy = self.policy()
+        usual_ms = policy.delay_ms(ROUTE, POOL)
+        self.assertEqual(policy.delay_ms("rare", POOL), usual_ms)
+        self.assertIsNone(policy.delay_ms("rare", "other"))
+        self.assertIsNone(policy.acquire("rare", POOL, 1_000, 0))
+        policy.observe("rare", POOL, 10, now_ms=0)
+        self.assertEqual(policy.delay_ms("rare", POOL), usual_ms)
+        policy.observe("rare", POOL, 900, now_ms=0)
+        self.assertGreaterEqual(policy.delay_ms("rare", POOL), 900)
 
     def test_budget_is_spent_by_own_requests_only_and_not_saved_up(self):
         """Guards against a quiet night that pays for a storm of hedges."""
@@ -92,8 +108,8 @@
         """Guards against memory that grows with each changed declaration."""
         policy = self.policy()
         for number in range(MAX_ROUTES):
-            policy.observe(f"route-{number}", 40, now_ms=0)
-        self.assertIsNone(policy.delay_ms(ROUTE))
+            policy.observe(f"route-{number}", f"pool-{number}", 40, now_ms=0)
+        self.assertIsNone(policy.delay_ms(ROUTE, POOL))
 
 
 class HedgingLoadTests(unittest.TestCase):
--- a/libs/entry/src/hemlockhoist/entry/hedge.py
+++ b/libs/entry/src/hemlockhoist/entry/hedge.py
@@ -185,7 +185,7 @@
 
     def _schedule(self):
         route = self._admitted.route
-        delay_ms = self._policy.delay_ms(route.name)
+        delay_ms = self._policy.delay_ms(route.name, self._admitted.pool)
         # Both attempts count.
         has_attempts = self._attempts.sent_count + 2 <= route.max_attempts
         if delay_ms is not None and has_attempts:
@@ -199,8 +199,8 @@
 
     def _observe(self):
         now_ms = self._context.clock.now_ms()
-        name = self._admitted.route.name
-        self._policy.observe(name, now_ms - self._started_ms, now_ms)
+        route, pool = self._admitted.route.name, self._admitted.pool
+        self._policy.observe(route, pool, now_ms - self._started_ms, now_ms)
 
     def _start(self):
         """Start the hedge, if the budget allows it."""
--- a/libs/entry/src/hemlockhoist/entry/tests/test_hedge.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_hedge.py
@@ -154,7 +154,7 @@
         policy = HedgePolicy(200)
         for _ in range(100):
             policy.count_request()
-            policy.observe("check", USUAL_MS, clock.now_ms())
+            policy.observe("check", "halls", USUAL_MS, clock.now_ms())
         context = types.SimpleNamespace(
             hedging=policy,
             clock=clock,
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_hedges.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_hedges.py
@@ -45,7 +45,7 @@
                 await self.call(site, item["name"], "w")
                 for _ in range(RESPONSES):
                     self.policy.count_request()
-                    self.policy.observe(item["name"], usual_ms, now_ms)
+                    self.policy.observe(item["name"], item["service"], usual_ms, now_ms)
             await self.check_nothing_is_held(site)
             for replica in self.replicas:
                 replica.ran.clear()
