Keep connections to upstreams by default where capacity is declared scarce

Change: with that contract 200 idle connections are kept a host; the variable overrides it. All other deployments keep none, as before.

--- a/libs/entry/src/hemlockhoist/entry/environment.py
+++ b/libs/entry/src/hemlockhoist/entry/environment.py
@@ -13,6 +13,8 @@
 MAX_PORT = 65_535
 MAX_FLAP_DAMPING_MS = 60_000
 MAX_KEPT_CONNECTIONS = 1_000
+# Four to each of 50 upstreams, the most that are kept to one. They take 1 MB.
+SCARCE_KEPT_CONNECTIONS = 200
 MAX_PERMILLE = 200
 # Longer numbers are invalid, whatever their value.
 MAX_DIGITS = 9
@@ -76,16 +78,20 @@
     return _SWITCH[value]
 
 
-def read_features(environment):
+def read_features(environment, is_capacity_scarce=False):
     """Return the fields of ``EntrySettings`` that variables determine.
 
     Parameters
     ==========
     environment : mapping of str to str
+    is_capacity_scarce : bool, optional
+        Whether the deployment declares that its callers compete for too little
+        capacity. Features that save capacity are then on unless a variable says
+        otherwise.
 
     Returns
     =======
-    dict of str to int
+    dict of str to int or bool
 
     Raises
     ======
@@ -97,13 +103,21 @@
     >>> found = read_features({"HEMLOCKHOIST_FLAP_DAMPING_MAX_MS": "30000"})
     >>> found["flap_damping_max_ms"]
     30000
+    >>> read_features({}, is_capacity_scarce=True)["kept_connections"]
+    200
     """
     return {
+        "reserves_retries": read_switch(
+            environment, RESERVE_RETRIES_VARIABLE, default=is_capacity_scarce
+        ),
         "flap_damping_max_ms": read_integer(
             environment, FLAP_DAMPING_VARIABLE, MAX_FLAP_DAMPING_MS
         ),
         "kept_connections": read_integer(
-            environment, KEPT_CONNECTIONS_VARIABLE, MAX_KEPT_CONNECTIONS
+            environment,
+            KEPT_CONNECTIONS_VARIABLE,
+            MAX_KEPT_CONNECTIONS,
+            default=SCARCE_KEPT_CONNECTIONS if is_capacity_scarce else 0,
         ),
     }
 
@@ -141,8 +155,10 @@
     }
 
 
-def read_integer(environment, variable, maximum, minimum=0, max_digits=MAX_DIGITS):
-    """Return the value of a variable in its range; 0 if it is not set.
+def read_integer(
+    environment, variable, maximum, minimum=0, max_digits=MAX_DIGITS, default=0
+):
+    """Return the value of a variable in its range; ``default`` if it is not set.
 
     Raises
     ======
@@ -150,7 +166,7 @@
     """
     text = environment.get(variable, "")
     if not text:
-        return 0
+        return default
     # Digits of other scripts, which int accepts, are more likely a mistake.
     is_number = text.isascii() and text.isdigit() and len(text) <= max_digits
     if not is_number or not minimum <= int(text) <= maximum:
