Decide on a copy of a pool's state what a request would get

Change: StateCopy copies the scheduler's object graph, with the prompt caches copied on write. PlacementRehearsal is such a copy on which the scheduler's own submit runs; it reports the decision, the expected time at each upstream and why an upstream is excluded. QueryLimiter bounds queries to four a second and to a fiftieth of the processor time. Two new messages carry query and report.

--- a/libs/decisions/src/hemlockhoist/decisions/limits/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/limits/__init__.py
@@ -2,6 +2,7 @@
 
 from hemlockhoist.decisions.limits.coverage import UnknownUsage, UsageCoverage
 from hemlockhoist.decisions.limits.partitions import partition_share
+from hemlockhoist.decisions.limits.query_limiter import QueryLimiter
 from hemlockhoist.decisions.limits.quotas import (
     QuotaBounds,
     QuotaTracker,
@@ -10,6 +11,7 @@
 from hemlockhoist.decisions.limits.retry_limiter import RetryLimiter
 
 __all__ = [
+    "QueryLimiter",
     "QuotaTracker",
     "QuotaBounds",
     "RetryLimiter",
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/__init__.py
@@ -4,16 +4,26 @@
     DeclaredSlotsTracker,
 )
 from hemlockhoist.decisions.scheduling.experiments import Experiments, Mechanism
+from hemlockhoist.decisions.scheduling.rehearsal import (
+    Exclusion,
+    Placement,
+    PlacementRehearsal,
+)
 from hemlockhoist.decisions.scheduling.retries import RetryBudget
 from hemlockhoist.decisions.scheduling.scheduler import PoolScheduler
+from hemlockhoist.decisions.scheduling.state_copy import StateCopy
 from hemlockhoist.decisions.scheduling.warmup import ColdStartLimit, Warmup
 
 __all__ = [
     "ColdStartLimit",
     "DeclaredSlotsTracker",
+    "Exclusion",
     "Experiments",
     "Mechanism",
+    "Placement",
+    "PlacementRehearsal",
     "PoolScheduler",
     "RetryBudget",
+    "StateCopy",
     "Warmup",
 ]
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/adaptive_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/adaptive_tracker.py
@@ -1,5 +1,6 @@
 """Upstreams without declared slots: limits, health and speed from grant outcomes."""
 
+from hemlockhoist.decisions.scheduling.candidates import PlacementCandidate
 from hemlockhoist.decisions.scheduling.ejection import (
     RECOVERED_RATIO,
     SLOW_RATIO,
@@ -77,6 +78,12 @@
             return 0
         return request.prompt_tokens * self.prefixes.match(hashes) // len(hashes)
 
+    def first_token_ms(self, request, now_ms):
+        """Return the expected time to first token; 0 for a request without tokens."""
+        computed = request.prompt_tokens - self.cached_tokens(request)
+        wait_ms = max(0.0, self.prompts_done_ms - now_ms)
+        return wait_ms + computed * self.speed.prompt_token_ms
+
     def slots(self, now_ms):
         """Return how many requests the upstream may hold now."""
         return self.health.slots(self.limit.slots, now_ms)
@@ -220,6 +227,18 @@
                 best, best_ms = item, score_ms
         return best
 
+    def evaluate(self, request, choices, in_flight, now_ms):
+        """Return the ``PlacementCandidate`` of each choice."""
+        candidates = []
+        for item in choices:
+            tracked = self._tracked[item.upstream_id]
+            held, slots = in_flight(item.upstream_id), tracked.slots(now_ms)
+            cost_ms = score(request, tracked, held, slots, now_ms)
+            first_ms = tracked.first_token_ms(request, now_ms)
+            is_local = request.failure_domain == tracked.failure_domain
+            candidates.append(PlacementCandidate(item, first_ms, cost_ms, 0, is_local))
+        return candidates
+
     def drift(self):
         """Move the speed of each upstream towards its generation's."""
         for tracked in self._tracked.values():
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/candidates.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/candidates.py
@@ -109,6 +109,28 @@
         return best.upstream
 
 
+class CandidateCollector:
+    """Keeps all candidates, to show what a choice compares.
+
+    Attributes
+    ==========
+    candidates : list of PlacementCandidate
+    """
+
+    __slots__ = ("candidates",)
+
+    def __init__(self):
+        self.candidates = []
+
+    def is_dominated(self, lower_bound_ms, is_local):
+        """Return False: those that cannot be selected are shown too."""
+        return False
+
+    def add(self, candidate):
+        """Add a candidate."""
+        self.candidates.append(candidate)
+
+
 def _prefers_local(local, best, left_ms):
     """Return whether the local candidate is selected though another is better."""
     if local is best:
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
@@ -1,6 +1,7 @@
 """Tracker of upstreams that declare how many requests they work on at once."""
 
 from hemlockhoist.decisions.scheduling.candidates import (
+    CandidateCollector,
     CandidateSelector,
     PlacementCandidate,
     cache_saving_ms,
@@ -302,12 +303,9 @@
     def choose(self, request, choices, in_flight, now_ms, ahead=0, closed=()):
         """Return the upstream for a request, or None if it should wait."""
         self._speeds.refresh_if_reported(self._usable, now_ms)
-        tokens = request.prompt_tokens + request.output_tokens
-        choices = self._engine_memory.fitting(choices, tokens, now_ms)
+        choices = self.fitting(request, choices, now_ms)
         work = self._pace.work(request)
-        max_prompts_ms = longest_prefill_ms(
-            work, self._usable.values(), self._max_gaps_ms.values(), now_ms
-        )
+        max_prompts_ms = self._longest_prefill_ms(work, now_ms)
         best = self._candidates(
             request, work, choices, in_flight, max_prompts_ms, now_ms
         ).select(work.first_token_by_ms - now_ms)
@@ -317,11 +315,40 @@
             return None
         return best
 
-    def _candidates(self, request, work, choices, in_flight, max_prompts_ms, now_ms):
+    def fitting(self, request, choices, now_ms):
+        """Return those of the choices whose memory holds a request."""
+        tokens = request.prompt_tokens + request.output_tokens
+        return self._engine_memory.fitting(choices, tokens, now_ms)
+
+    def evaluate(self, request, choices, in_flight, now_ms):
+        """Return the ``PlacementCandidate`` of each choice."""
+        self._speeds.refresh_if_reported(self._usable, now_ms)
+        work = self._pace.work(request)
+        longest_ms = self._longest_prefill_ms(work, now_ms)
+        collector = CandidateCollector()
+        self._candidates(
+            request, work, choices, in_flight, longest_ms, now_ms, collector
+        )
+        return collector.candidates
+
+    def _longest_prefill_ms(self, work, now_ms):
+        gaps_ms = self._max_gaps_ms.values()
+        return longest_prefill_ms(work, self._usable.values(), gaps_ms, now_ms)
+
+    def _candidates(
+        self,
+        request,
+        work,
+        choices,
+        in_flight,
+        max_prompts_ms,
+        now_ms,
+        selector=None,
+    ):
         """Return a selector with the candidates among the choices."""
         cached_at = self._cached_tokens(request)
         counts = self._failure_counts(now_ms)
-        selector = CandidateSelector()
+        selector = selector or CandidateSelector()
         for item in choices:
             tracked = self._tracked[item.upstream_id]
             cached = cached_at.get(item.upstream_id, 0)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/forecast.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/forecast.py
@@ -41,6 +41,11 @@
             request, self._queue, capacity, self._estimate, now_ms
         )
 
+    def wait_ms(self, request, now_ms):
+        """Return how long a new request is expected to wait for a slot."""
+        capacity = self._capacity(request, now_ms)
+        return self._admission.wait_ms(request, self._queue, capacity, now_ms)
+
     def late_review_ms(self, request, now_ms):
         """Return the time to the next review of a late request, or None to refuse it."""
         capacity = self._capacity(request, now_ms)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/upstream_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/upstream_tracker.py
@@ -46,6 +46,17 @@
         """
         raise NotImplementedError
 
+    def evaluate(self, request, choices, in_flight, now_ms):
+        """Return the ``PlacementCandidate`` of each choice, as ``choose`` compares them.
+
+        Parameters as of ``choose``; the upstreams may also be full.
+        """
+        raise NotImplementedError
+
+    def fitting(self, request, choices, now_ms):
+        """Return those of the choices whose memory holds a request."""
+        return choices
+
     def hold_ms(self, request):
         """Return how long a request is expected to hold a slot, or None if unknown."""
         raise NotImplementedError
--- a/libs/messages/src/hemlockhoist/messages/__init__.py
+++ b/libs/messages/src/hemlockhoist/messages/__init__.py
@@ -76,6 +76,12 @@
 )
 from hemlockhoist.messages.moves import MoveAnnounced, StreamTaken, VersionHalted
 from hemlockhoist.messages.packing import MIN_PACKED_BYTES, pack_value, unpack_value
+from hemlockhoist.messages.placement import (
+    CandidateReport,
+    PlacementQuery,
+    PlacementReply,
+    PlacementReport,
+)
 from hemlockhoist.messages.quarantine import PartRecord, PartRecords, PartState
 from hemlockhoist.messages.registry import MESSAGE_TYPES
 from hemlockhoist.messages.relays import (
@@ -96,6 +102,7 @@
     "SLOWDOWN_PERCENTS",
     "WIRE_VERSION",
     "BackedOffUpstream",
+    "CandidateReport",
     "Codec",
     "ColdUpstream",
     "ConfigurationAck",
@@ -149,6 +156,9 @@
     "PartRecord",
     "PartRecords",
     "PartState",
+    "PlacementQuery",
+    "PlacementReply",
+    "PlacementReport",
     "Probe",
     "ProbeAck",
     "ProbeRequest",
--- a/libs/messages/src/hemlockhoist/messages/codes.py
+++ b/libs/messages/src/hemlockhoist/messages/codes.py
@@ -59,6 +59,8 @@
     "RelayFailure": 51,
     "UpstreamReached": 52,
     "PartRecords": 53,
+    "PlacementQuery": 54,
+    "PlacementReply": 55,
 }
 
 
--- a/libs/messages/src/hemlockhoist/messages/registry.py
+++ b/libs/messages/src/hemlockhoist/messages/registry.py
@@ -56,6 +56,7 @@
     ProbeRequest,
 )
 from hemlockhoist.messages.moves import MoveAnnounced, StreamTaken, VersionHalted
+from hemlockhoist.messages.placement import PlacementQuery, PlacementReply
 from hemlockhoist.messages.quarantine import PartRecords
 from hemlockhoist.messages.relays import (
     RelayedHead,
@@ -107,6 +108,8 @@
     MoveAnnounced,
     NotHome,
     PartRecords,
+    PlacementQuery,
+    PlacementReply,
     Probe,
     ProbeAck,
     ProbeRequest,
