Answer operators where a request would go, by 'hemlockhoist where'

Cause: part F of docs/design/hard-load.md: an operator cannot see why a request would be queued, refused or sent to a certain upstream.

Change: POST /-/where describes a request from the declarations, and asks the pool's home by PlacementQuery; PoolHome.rehearse runs quarantine, gate and scheduler without an effect. The command prints text or JSON.

--- a/libs/base/src/hemlockhoist/base/fleet_results.py
+++ b/libs/base/src/hemlockhoist/base/fleet_results.py
@@ -40,6 +40,14 @@
         "There is no evidence against such a part of prompts.",
         "See 'part list'.",
     ),
+    (
+        _C.QUERY_TOO_FREQUENT,
+        429,
+        _NO,
+        True,
+        "A pool's home answers only a few such queries a second.",
+        "Ask again after Retry-After.",
+    ),
     (
         _C.OPERATOR_KEY_WRONG,
         401,
--- a/libs/cli/src/hemlockhoist/cli/client.py
+++ b/libs/cli/src/hemlockhoist/cli/client.py
@@ -22,6 +22,7 @@
     MoveView,
     PartsView,
 )
+from hemlockhoist.host.where_messages import WHERE_PATH, WhereView
 
 CONNECT_TIMEOUT_MS = 2_000
 CALL_TIMEOUT_MS = 15_000
@@ -128,7 +129,13 @@
         path = f"{PARTS_PATH}/{urllib.parse.quote(part, safe='')}?{query}"
         return await self._call("DELETE", path, PartsView)
 
-    async def _call(self, method, path, result_type, body=None):
+    async def where(self, question):
+        """Ask where a request would go; return the ``WhereView``."""
+        return await self._call(
+            "POST", WHERE_PATH, WhereView, question, is_change=False
+        )
+
+    async def _call(self, method, path, result_type, body=None, is_change=True):
         data = None if body is None else msgspec.json.encode(body)
         failures, sent = [], False
         for host in self._hosts:
@@ -138,7 +145,7 @@
                 failures.append(f"{host}: {error.strerror or error}")
             except (TimeoutError, aiohttp.ClientError, OSError) as error:
                 failures.append(f"{host}: {error or type(error).__name__}")
-                sent = sent or method != "GET"
+                sent = sent or (is_change and method != "GET")
         raise HostUnreachable("no host answered: " + "; ".join(failures), sent)
 
     async def _call_host(self, host, method, path, result_type, data):
--- a/libs/cli/src/hemlockhoist/cli/exit_codes.py
+++ b/libs/cli/src/hemlockhoist/cli/exit_codes.py
@@ -33,6 +33,7 @@
     ResultCode.UNKNOWN_KEY: ExitCode.KEY_REFUSED,
     ResultCode.STORE_ANSWER_LOST: ExitCode.OUTCOME_UNKNOWN,
     ResultCode.OUTCOME_UNKNOWN: ExitCode.OUTCOME_UNKNOWN,
+    ResultCode.HOME_UNREACHABLE: ExitCode.UNREACHABLE,
 }
 
 
--- a/libs/cli/src/hemlockhoist/cli/main.py
+++ b/libs/cli/src/hemlockhoist/cli/main.py
@@ -10,6 +10,7 @@
 from hemlockhoist.cli.move import move
 from hemlockhoist.cli.part import part
 from hemlockhoist.cli.status import status
+from hemlockhoist.cli.where import where
 
 
 @click.group()
@@ -26,6 +27,7 @@
     move,
     part,
     status,
+    where,
     codes,
     explain_command,
     load_command,
--- a/libs/cli/src/hemlockhoist/cli/tests/fake_host.py
+++ b/libs/cli/src/hemlockhoist/cli/tests/fake_host.py
@@ -24,6 +24,7 @@
 )
 from hemlockhoist.host.responses import error_response
 from hemlockhoist.host.tests.test_operator_declarations import FakeClock, FakeTables
+from hemlockhoist.host.where_messages import WhereQuestion
 
 KEY = "operator-key-of-the-test"
 
@@ -45,6 +46,9 @@
         self.move_ends_as = "running"
         self.listings = 0
         self.drained = False
+        # The answer to a query of a placement, or the error; and the queries so far.
+        self.placement = None
+        self.questions = []
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever)
 
@@ -73,6 +77,7 @@
         app.router.add_get("/-/moves", self._list_moves)
         app.router.add_post("/-/moves", self._start_move)
         app.router.add_delete("/-/moves/{move_id}", self._cancel_move)
+        app.router.add_post("/-/where", self._where)
         self._runner = web.AppRunner(app, access_log=None)
         await self._runner.setup()
         site = web.TCPSite(self._runner, "127.0.0.1", 0)
@@ -151,3 +156,12 @@
                 reason = request.query["reason"]
                 return msgspec.structs.replace(move, state="cancelled", reason=reason)
         raise HemlockhoistError(code=ResultCode.MOVE_UNKNOWN)
+
+    async def _where(self, request):
+        if self.drop_connection:
+            request.transport.close()
+        question = msgspec.json.decode(await request.read(), type=WhereQuestion)
+        self.questions.append(question)
+        if isinstance(self.placement, HemlockhoistError):
+            raise self.placement
+        return self.placement
--- a/libs/entry/src/hemlockhoist/entry/context.py
+++ b/libs/entry/src/hemlockhoist/entry/context.py
@@ -45,6 +45,8 @@
     refuses_requests : bool
         Whether new requests are refused because the host is about to stop.
     open_requests : int
+    placements : PlacementQueries
+        Answers operators' queries at the home of a pool.
     relay_address : str
         Address at which this host relays for others; empty if it does not.
     """
@@ -70,6 +72,7 @@
         "metrics",
         "moves",
         "open_requests",
+        "placements",
         "platform",
         "quarantine",
         "refuses_requests",
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -49,6 +49,7 @@
 from hemlockhoist.host.homes import HomeService
 from hemlockhoist.host.identity import HostIdentity, new_incarnation
 from hemlockhoist.host.message_router import MessageRouter
+from hemlockhoist.host.placement_queries import PlacementQueries
 from hemlockhoist.host.quarantine import QuarantineService
 from hemlockhoist.host.quarantine_recorder import QuarantineRecorder
 from hemlockhoist.peers import PeerBus
@@ -268,6 +269,7 @@
             reserves_retries=self.settings.reserves_retries,
             max_suppressed_ms=self.settings.flap_damping_max_ms,
         )
+        context.placements = PlacementQueries(context, context.bus.send)
         context.grants = GrantClient(
             context.clock,
             context.bus.send,
--- a/libs/entry/src/hemlockhoist/entry/tests/test_gate.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_gate.py
@@ -2,10 +2,12 @@
 
 from hemlockhoist.base import ResultCode
 from hemlockhoist.decisions.limits import quotas, retry_limiter
+from hemlockhoist.decisions.scheduling import StateCopy
 from hemlockhoist.decisions.work import WorkRequest
 from hemlockhoist.entry.gate import QuotaGate
 from hemlockhoist.entry.settings import FleetBounds
 from hemlockhoist.entry.tests.builders import customer
+from hemlockhoist.host.gates import AllowAllGate
 
 BOUNDS = FleetBounds(
     retry_ratio=0.2,
@@ -45,6 +47,19 @@
         self.assertGreater(refused[0].retry_after_ms, 0)
         self.assertEqual(refused[0].reason, "aulas asks for 1 units of 0 left")
 
+    def test_copy_decides_alike_and_spends_nothing(self):
+        """Guards against an operator's query that uses up a customer's quota."""
+        self.gate.quotas.declare([customer(units_per_s=10)])
+        for code in (None, ResultCode.ALLOWANCE_SPENT):
+            copied = StateCopy((AllowAllGate,)).of(self.gate)
+            for _ in range(2):
+                found = copied.refusal("halls", request(units=FULL_WINDOW), 0)
+                copied.refusal("other", request(attempt=2), 0)
+            self.assertIs(found.code, ResultCode.ALLOWANCE_SPENT)
+            refusal = self.gate.refusal("halls", request(units=FULL_WINDOW), 0)
+            self.assertEqual(refusal and refusal.code, code)
+        self.assertEqual(self.gate._retry_limiters.keys(), {"halls"})
+
     def test_request_that_did_not_run_is_refunded(self):
         self.gate.quotas.declare([customer(units_per_s=10)])
         self.assertEqual(self.refusal_codes(FULL_WINDOW), [])
--- a/libs/host/src/hemlockhoist/host/context.py
+++ b/libs/host/src/hemlockhoist/host/context.py
@@ -30,6 +30,8 @@
         Cancels streams whose callers disconnect and do not resume them.
     leaving : bool
         Whether a planned stop has begun.
+    placements : PlacementQueries
+        Answers operators where requests would go.
     quarantine : QuarantineService
         Keeps requests back whose prompts crash upstreams.
     open_requests : int
@@ -56,6 +58,7 @@
         "metrics",
         "moves",
         "open_requests",
+        "placements",
         "quarantine",
         "relay_address",
         "operators",
--- /dev/null
+++ b/libs/host/src/hemlockhoist/host/home_rehearsal.py
@@ -0,0 +1,40 @@
+"""What a pool's home would answer to a request, from all that it checks."""
+
+from hemlockhoist.decisions.scheduling import Placement, PlacementRehearsal, StateCopy
+from hemlockhoist.host.gates import AllowAllGate
+from hemlockhoist.messages import PlacementReport
+
+
+def rehearse_request(request, pool, scheduler, gate, kept_back, now_ms):
+    """Return the ``PlacementReport`` of a request, without any effect.
+
+    The steps are those of ``PoolHome.on_request``. The gate and the scheduler decide on
+    copies of their state.
+
+    Parameters
+    ==========
+    request : WorkRequest
+        With an id that no other request has.
+    pool : str
+    scheduler : PoolScheduler
+    gate : AllowAllGate
+    kept_back : KeptBack or None
+        Why the request must not be sent for a part of its prompt.
+    now_ms : int
+    """
+    if kept_back is not None:
+        reason = f"part {kept_back.part:016x} crashes {kept_back.crashes}"
+        return _refused(kept_back.code, kept_back.retry_after_ms, reason)
+    refusal = StateCopy((AllowAllGate,)).of(gate).refusal(pool, request, now_ms)
+    if refusal is not None:
+        return _refused(refusal.code, refusal.retry_after_ms, refusal.reason)
+    return PlacementRehearsal.from_scheduler(scheduler).rehearse(request, now_ms)
+
+
+def _refused(code, retry_after_ms, reason):
+    return PlacementReport(
+        outcome=Placement.REFUSED.value,
+        code=int(code),
+        retry_after_ms=retry_after_ms,
+        reason=reason,
+    )
--- a/libs/host/src/hemlockhoist/host/message_router.py
+++ b/libs/host/src/hemlockhoist/host/message_router.py
@@ -35,6 +35,8 @@
     MoveAnnounced,
     NotHome,
     PartRecords,
+    PlacementQuery,
+    PlacementReply,
     Probe,
     ProbeAck,
     ProbeRequest,
@@ -198,6 +200,16 @@
     context.quarantine.merge(message.records)
 
 
+@_handle.register
+def _(message: PlacementQuery, context, sender, late_ms):
+    context.placements.on_query(sender, message, late_ms)
+
+
+@_handle.register
+def _(message: PlacementReply, context, sender, late_ms):
+    context.placements.on_reply(message)
+
+
 @_handle.register
 def _(message: StreamTaken, context, sender, late_ms):
     context.stream_readers.on_message(message)
--- a/libs/host/src/hemlockhoist/host/operators.py
+++ b/libs/host/src/hemlockhoist/host/operators.py
@@ -25,6 +25,8 @@
     part_view,
 )
 from hemlockhoist.host.responses import result_headers
+from hemlockhoist.host.where import AskedRequest
+from hemlockhoist.host.where_messages import WHERE_PATH, WhereQuestion
 
 _log = get_logger("host.operators")
 
@@ -65,6 +67,7 @@
 
         router.add_get(PARTS_PATH, self._require_key(self._parts))
         router.add_delete(PARTS_PATH + "/{part}", self._require_key(self._lift_part))
+        router.add_post(WHERE_PATH, self._require_key(self._where))
 
     def _require_key(self, handler):
         """Return a handler that checks the operator's key before ``handler`` runs."""
@@ -156,6 +159,16 @@
         self._context.quarantine.lift(int(text, 16))
         return _json_response(self._parts_view())
 
+    async def _where(self, request):
+        """Answer where a request would go, without sending it."""
+        context = self._context
+        question = await self._decode(request, WhereQuestion)
+        asked = AskedRequest(question, context.declarations)
+        identity = context.identity
+        brief = asked.brief(identity.new_request_id(), identity.failure_domain)
+        home, report = await context.placements.ask(asked.pool.name, brief)
+        return _json_response(asked.view(home, report))
+
     async def _decode(self, request, kind):
         timeout_ms = self._context.settings.body_timeout_ms
         body = await read_body(request, MAX_BODY_BYTES, timeout_ms)
--- a/libs/host/src/hemlockhoist/host/process.py
+++ b/libs/host/src/hemlockhoist/host/process.py
@@ -43,6 +43,7 @@
 from hemlockhoist.host.moves import MoveService
 from hemlockhoist.host.operator_declarations import OperatorDeclarations
 from hemlockhoist.host.operators import OperatorHandlers
+from hemlockhoist.host.placement_queries import PlacementQueries
 from hemlockhoist.host.quarantine import QuarantineService
 from hemlockhoist.host.quarantine_recorder import QuarantineRecorder
 from hemlockhoist.host.server import HttpServer
@@ -196,6 +197,7 @@
             context.metrics,
         )
         context.homes = HomeService(context, send, quarantine=context.quarantine)
+        context.placements = PlacementQueries(context, send)
         context.quarantine.on_changed = self._on_quarantine_changed
         context.grants = GrantClient(
             clock,
--- a/libs/host/src/hemlockhoist/host/prompt_checks.py
+++ b/libs/host/src/hemlockhoist/host/prompt_checks.py
@@ -50,8 +50,15 @@
         grants : callable
             Returns the grants that the home has issued.
         """
-        if not request.parts:
-            return None
+        is_busy = self._is_busy(request, waiting, grants)
+        return self._quarantine.kept_back(request, is_busy)
+
+    def check(self, request, waiting, grants):
+        """Return the same as ``kept_back`` for a request that is not sent."""
+        return self._quarantine.check(request, self._is_busy(request, waiting, grants))
+
+    def _is_busy(self, request, waiting, grants):
+        """Return a predicate that says whether another request with a part is open."""
 
         def is_busy(part):
             held = (self._scheduler.in_flight_grant(g.grant_id) for g in grants())
@@ -61,7 +68,7 @@
                 for other in itertools.chain(waiting(), running)
             )
 
-        return self._quarantine.kept_back(request, is_busy)
+        return is_busy
 
     def on_first_token(self, grant_id):
         """Record that the answer under a grant has begun."""
--- a/libs/host/src/hemlockhoist/host/quarantine.py
+++ b/libs/host/src/hemlockhoist/host/quarantine.py
@@ -102,14 +102,18 @@
         is_busy : callable
             See ``Quarantine.kept_back``.
         """
+        kept_back = self.check(request, is_busy)
+        if kept_back is not None:
+            self._metrics.count(REQUESTS_KEPT_BACK, kept_back.code.name.lower())
+        return kept_back
+
+    def check(self, request, is_busy):
+        """Return the same as ``kept_back``, without counting the request."""
         if not request.parts:
             return None
-        kept_back = self._quarantine.kept_back(
+        return self._quarantine.kept_back(
             request.parts, request.attempt > 1, is_busy, self._clock.now_ms()
         )
-        if kept_back is not None:
-            self._metrics.count(REQUESTS_KEPT_BACK, kept_back.code.name.lower())
-        return kept_back
 
     def on_sent(self, request):
         """Record that a request is sent to an upstream."""
