Answer placement queries at entry hosts of a platform, and document them

Cause: upstreams that are cold, suppressed or short of engine memory exist only at the entry hosts of a platform, whose operators had no answer yet.

Change: an entry host answers POST /-/where at its operator address if HEMLOCKHOIST_OPERATOR_KEY is set, by the declared route and customer.

--- a/libs/cli/src/hemlockhoist/cli/where.py
+++ b/libs/cli/src/hemlockhoist/cli/where.py
@@ -28,7 +28,8 @@
     "--prefix",
     multiple=True,
     metavar="ROLE:TEXT",
-    help="A message at the start of the prompt; may be repeated, in order.",
+    help="A message at the start of the prompt; may be repeated, in order. At entry "
+    "hosts of a platform NAME:TOKENS, a block of the prompt.",
 )
 @host_options
 @json_option
@@ -40,7 +41,7 @@
     """Show where a request for ROUTE would go now, and why, without sending it.
 
     ROUTE is the name of a model, or method and path of a call to a plain service, such
-    as "GET /services/halls/free".
+    as "GET /services/halls/free"; at entry hosts of a platform, the name of a route.
     """
     _check_texts(route=route, customer=customer, tier=tier, prefix="".join(prefix))
     for name, text in (("route", route), ("customer", customer), ("tier", tier)):
--- a/libs/entry/src/hemlockhoist/entry/environment.py
+++ b/libs/entry/src/hemlockhoist/entry/environment.py
@@ -2,6 +2,7 @@
 
 from hemlockhoist.base import SettingError
 from hemlockhoist.decisions.scheduling import Experiments
+from hemlockhoist.host.settings_kinds import Secret, describe, parse_value
 
 METRICS_PORT_VARIABLE = "HEMLOCKHOIST_METRICS_PORT"
 EXPERIMENTS_VARIABLE = "HEMLOCKHOIST_EXPERIMENTS"
@@ -10,6 +11,7 @@
 KEPT_CONNECTIONS_VARIABLE = "HEMLOCKHOIST_KEPT_CONNECTIONS"
 PERMILLE_VARIABLE = "HEMLOCKHOIST_HEDGE_PERMILLE"
 EXCLUDED_VARIABLE = "HEMLOCKHOIST_HEDGE_EXCLUDED_ROUTES"
+OPERATOR_KEY_VARIABLE = "HEMLOCKHOIST_OPERATOR_KEY"
 MAX_PORT = 65_535
 MAX_FLAP_DAMPING_MS = 60_000
 MAX_KEPT_CONNECTIONS = 1_000
@@ -33,6 +35,27 @@
     return str(read_integer(environment, METRICS_PORT_VARIABLE, MAX_PORT, minimum=1))
 
 
+def read_operator_key(environment):
+    """Return the operators' key, empty for none.
+
+    Raises
+    ======
+    SettingError
+        If it is too short, or its file cannot be read. The value is not shown.
+    """
+    text = environment.get(OPERATOR_KEY_VARIABLE, "")
+    if not text:
+        return ""
+    kind = Secret()
+    try:
+        return parse_value(kind, text)
+    except (ValueError, OSError):
+        allowed = describe(kind)
+        raise SettingError(
+            f"{OPERATOR_KEY_VARIABLE}: is ***; allowed: {allowed}"
+        ) from None
+
+
 def read_experiments(environment):
     """Return the ``Experiments``.
 
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -33,6 +33,7 @@
 from hemlockhoist.decisions.scheduling import ColdStartLimit, Warmup
 from hemlockhoist.declarations import Declarations, Pool, PoolKind, VersionRules
 from hemlockhoist.entry.context import EntryContext
+from hemlockhoist.entry.environment import read_operator_key
 from hemlockhoist.entry.feeds import FeedStore
 from hemlockhoist.entry.gate import QuotaGate
 from hemlockhoist.entry.gauges import update_gauges
@@ -136,6 +137,8 @@
         self._watches = ()
         self._store_failed = False
         self._share_update_due_ms = 0
+        # An invalid key ends the start before anything listens.
+        self._operator_key = read_operator_key(os.environ)
 
     async def start(self):
         """Start all components; the host serves when this returns."""
@@ -170,7 +173,7 @@
         )
         await self._open(context.moves)
         await self._open(UsageRecorder(context))
-        self.status = await self._open(StatusServer(context))
+        self.status = await self._open(StatusServer(context, self._operator_key))
         self._caller_server = await self._open(CallerServer(context, self._listener))
         await self._open(PeriodicTask(self._tick_ms, self._tick))
         await self._open(
--- a/libs/entry/src/hemlockhoist/entry/status_server.py
+++ b/libs/entry/src/hemlockhoist/entry/status_server.py
@@ -7,6 +7,8 @@
 from hemlockhoist.decisions.entry import nearby_members
 from hemlockhoist.entry.listeners import listen
 from hemlockhoist.entry.responses import error_response
+from hemlockhoist.entry.where import WhereHandler
+from hemlockhoist.host.where_messages import WHERE_PATH
 
 # Time to live of a directory response: short, so that no new caller uses a host that
 # left or failed for longer than a few seconds.
@@ -22,12 +24,15 @@
     Parameters
     ==========
     context : EntryContext
+    operator_key : str, optional
+        Without it, and without an operator address, operators' queries are not served.
     """
 
-    __slots__ = ("_context", "_runners")
+    __slots__ = ("_context", "_runners", "_where")
 
-    def __init__(self, context):
+    def __init__(self, context, operator_key=""):
         self._context = context
+        self._where = WhereHandler(context, operator_key) if operator_key else None
         self._runners = []
 
     async def start(self):
@@ -40,7 +45,9 @@
             settings.metrics_address,
         }
         for address in sorted(filter(None, addresses)):
-            server = web.Server(self._handle, access_log=None)
+            is_operators = address == settings.operator_address
+            handler = self._handle_operator if is_operators else self._handle
+            server = web.Server(handler, access_log=None)
             self._runners.append(await listen(server, address))
 
     @property
@@ -54,6 +61,11 @@
         for runner in self._runners:
             await runner.cleanup()
 
+    async def _handle_operator(self, request):
+        if request.path == WHERE_PATH and self._where is not None:
+            return await self._where.handle(request)
+        return await self._handle(request)
+
     async def _handle(self, request):
         platform = self._context.platform
         if request.path == platform.readiness_path:
--- /dev/null
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_where.py
@@ -0,0 +1,107 @@
+import types
+import unittest
+from unittest import mock
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hemlockhoist.base import BadRequest, SettingError
+from hemlockhoist.declarations import CallKind, PoolShare, RouteTable
+from hemlockhoist.entry.environment import OPERATOR_KEY_VARIABLE, read_operator_key
+from hemlockhoist.entry.request_grants import RequestGrants
+from hemlockhoist.entry.tests.builders import customer, route, table
+from hemlockhoist.entry.where import asked_brief, asked_call
+from hemlockhoist.host.where_messages import WhereQuestion
+
+SHARES = (PoolShare(pool="small", weight=1), PoolShare(pool="large", weight=3))
+TABLE = table(
+    routes=[
+        route(regions=("north", "south"), rank=2, max_gap_ms=40),
+        route("book", kind=CallKind.NON_IDEMPOTENT, caller_wait_limit_ms=200),
+        route("split", shares=SHARES),
+    ],
+    customers=[customer(units_per_s=5, regions=("north",), rank=1)],
+)
+words = st.text(max_size=8)
+
+
+def asked(name="check", **fields):
+    return asked_call(WhereQuestion(route=name, **fields), TABLE)
+
+
+class AskedCallTests(unittest.TestCase):
+    @given(
+        st.sampled_from(["check", "book", "split"]),
+        st.sampled_from(["", "aulas"]),
+        st.none() | st.integers(500, 9_000),
+        st.none() | st.integers(0, 900),
+        st.lists(st.integers(0, 120), max_size=4),
+    )
+    def test_brief_is_that_of_a_caller_s_request(
+        self, name, customer_name, prompt_tokens, max_tokens, blocks
+    ):
+        """Guards against an answer about another request than the one asked about."""
+        admitted = asked(
+            name,
+            customer=customer_name,
+            prompt_tokens=prompt_tokens,
+            max_tokens=max_tokens,
+            prefix=tuple(f"block-{n}:{count}" for n, count in enumerate(blocks)),
+        )
+        context = types.SimpleNamespace(
+            identity=types.SimpleNamespace(failure_domain="a", incarnation="i"),
+            traces=types.SimpleNamespace(context_for_peer=lambda: ""),
+        )
+        grants = RequestGrants(context, admitted, lambda: admitted.waits_until_ms)
+        grants._request_count = 1
+        with (
+            mock.patch.object(grants.__class__, "_unreachable_upstreams", lambda _: ()),
+            mock.patch.object(grants.__class__, "_connected", lambda _: ()),
+        ):
+            expected = grants._brief(0)
+        brief = asked_brief(admitted, expected.request_id, "a")
+        self.assertEqual(brief, expected)
+
+    def test_defaults_follow_from_route_and_customer(self):
+        admitted = asked(customer="aulas", prefix=("a:30", "b:12"))
+        brief = asked_brief(admitted, "q", "a")
+        self.assertEqual(brief.regions, ("north",))
+        self.assertEqual((brief.tier_rank, brief.units), (1_002, 1))
+        self.assertEqual(brief.prefix_tokens, (30, 12))
+        self.assertEqual(brief.prompt_tokens, 42)
+        self.assertEqual(asked_brief(asked("book"), "q", "a").max_wait_ms, 200)
+        self.assertEqual(asked("split").pool, "large")
+
+    @given(words, words, words, st.lists(words | words.map("a:".__add__), max_size=3))
+    def test_any_question_is_described_or_a_fault(
+        self, name, customer_name, tier, prefix
+    ):
+        """Guards against an internal error for what an operator may type."""
+        fields = {"customer": customer_name, "tier": tier, "prefix": tuple(prefix)}
+        for route_name in ("check", name):
+            try:
+                admitted = asked(route_name, **fields)
+            except BadRequest as error:
+                self.assertIn("; allowed: ", error.message)
+            else:
+                msgspec.msgpack.encode(asked_brief(admitted, "q", "a"))
+
+    def test_long_lists_of_names_are_cut(self):
+        """Guards against an error of thousands of names."""
+        routes = [route(f"r{number:03}") for number in range(50)]
+        with self.assertRaises(BadRequest) as caught:
+            asked_call(WhereQuestion(route="x"), RouteTable(1, routes))
+        self.assertIn("r009 and 40 more", caught.exception.message)
+
+
+class OperatorKeyTests(unittest.TestCase):
+    def test_key_is_read_and_never_shown(self):
+        key = "operator-key-of-the-test"
+        self.assertEqual(read_operator_key({}), "")
+        self.assertEqual(read_operator_key({OPERATOR_KEY_VARIABLE: key}), key)
+        for text in ("short", "@/no/such/file"):
+            with self.assertRaises(SettingError) as caught:
+                read_operator_key({OPERATOR_KEY_VARIABLE: text})
+            self.assertIn(f"{OPERATOR_KEY_VARIABLE}: is ***", caught.exception.message)
+            self.assertNotIn(text, caught.exception.message)
--- /dev/null
+++ b/libs/entry/src/hemlockhoist/entry/where.py
@@ -0,0 +1,194 @@
+"""Operators' query where a request would go, at an entry host of a platform."""
+
+import hmac
+
+import msgspec
+from aiohttp import web
+
+from hemlockhoist.base import BadRequest, HemlockhoistError, ResultCode, get_logger
+from hemlockhoist.decisions.entry import chained_hashes
+from hemlockhoist.declarations import CallKind
+from hemlockhoist.entry.admission import DEFAULT_MAX_WAIT_MS, AdmittedCall
+from hemlockhoist.entry.wire import CallerCall
+from hemlockhoist.host.body import read_body
+from hemlockhoist.host.responses import error_response
+from hemlockhoist.host.where import placement_view
+from hemlockhoist.host.where_messages import MAX_TOKENS, WhereQuestion
+from hemlockhoist.messages import RequestBrief
+
+_log = get_logger("entry.where")
+
+MAX_BODY_BYTES = 1_048_576
+BODY_TIMEOUT_MS = 3_000
+# Names that an error lists; a site may have thousands of routes and customers.
+MAX_NAMED = 10
+
+
+class WhereHandler:
+    """Answers ``POST /-/where``.
+
+    Parameters
+    ==========
+    context : EntryContext
+    key : str
+        The operators' key.
+    """
+
+    __slots__ = ("_context", "_key")
+
+    def __init__(self, context, key):
+        self._context = context
+        self._key = key
+
+    async def handle(self, request):
+        """Return the response to a request for ``WHERE_PATH``."""
+        try:
+            view = await self._view(request)
+        except HemlockhoistError as error:
+            return error_response(error)
+        except Exception as error:
+            _log.error("query_failed", exc_info=True)
+            code = ResultCode.INTERNAL_ERROR
+            return error_response(HemlockhoistError(repr(error), code))
+        body = msgspec.json.format(msgspec.json.encode(view), indent=2) + b"\n"
+        return web.Response(body=body, content_type="application/json")
+
+    async def _view(self, request):
+        text = request.headers.get("Authorization", "").removeprefix("Bearer ")
+        if not hmac.compare_digest(text.encode(errors="replace"), self._key.encode()):
+            raise BadRequest("", ResultCode.OPERATOR_KEY_WRONG)
+        if request.method != "POST":
+            raise BadRequest("method not allowed", ResultCode.NOT_FOUND)
+        body = await read_body(request, MAX_BODY_BYTES, BODY_TIMEOUT_MS)
+        try:
+            question = msgspec.json.decode(body, type=WhereQuestion)
+        except (msgspec.MsgspecError, UnicodeError) as error:
+            raise BadRequest(str(error)) from error
+        context = self._context
+        context.store_view.check_complete()
+        admitted = asked_call(question, context.store_view.routes)
+        request_id = context.identity.new_request_id()
+        brief = asked_brief(admitted, request_id, context.identity.failure_domain)
+        home, report = await context.placements.ask(admitted.pool, brief)
+        return placement_view(
+            home,
+            report,
+            route=admitted.route.name,
+            pool=admitted.pool,
+            customer=question.customer,
+            tier=admitted.tier,
+            prompt_tokens=admitted.call.prompt_tokens,
+            output_tokens=admitted.output_tokens,
+        )
+
+
+def asked_call(question, table):
+    """Return the ``AdmittedCall`` that a question describes, arriving at time 0.
+
+    Of a route with several pools, the one with the largest share is meant.
+
+    Parameters
+    ==========
+    question : WhereQuestion
+    table : RouteTable
+
+    Raises
+    ======
+    BadRequest
+        With all faults of the question.
+    """
+    faults = []
+    routes = {item.name: item for item in table.routes if item.shares}
+    route = routes.get(question.route)
+    if route is None:
+        faults.append(_fault("route", question.route, _names(routes)))
+    customer = table.customer(question.customer)
+    if customer is None and question.customer:
+        names = [item.name for item in table.customers]
+        faults.append(_fault("customer", question.customer, _names(names)))
+    if question.tier:
+        faults.append(_fault("tier", question.tier, "none; the customer and route"))
+    blocks = []
+    for part in question.prefix:
+        name, _, count = part.rpartition(":")
+        if not name or not _is_count(count):
+            faults.append(_fault("prefix", part, f"NAME:TOKENS, up to {MAX_TOKENS}"))
+        else:
+            blocks.append((name, int(count)))
+    total = sum(count for _, count in blocks)
+    prompt_tokens = question.prompt_tokens
+    if prompt_tokens is not None and prompt_tokens < total:
+        faults.append(_fault("prompt_tokens", prompt_tokens, f"at least {total}"))
+    if faults:
+        raise BadRequest("\n".join(faults))
+    tokens = (prompt_tokens, question.max_tokens)
+    call = CallerCall(
+        request_id="",
+        method="",
+        target=route.prefix,
+        host=route.host,
+        prompt_tokens=total if prompt_tokens is None else prompt_tokens,
+        max_output_tokens=question.max_tokens or 0,
+        states_tokens=any(item is not None for item in tokens) or bool(total),
+        prefix_blocks=tuple(blocks),
+    )
+    deadline_ms = min(DEFAULT_MAX_WAIT_MS, route.timeout_ms)
+    return AdmittedCall(
+        call=call,
+        route=route,
+        customer=customer,
+        pool=max(route.shares, key=lambda share: share.weight).pool,
+        arrived_ms=0,
+        deadline_ms=deadline_ms,
+        target_by_ms=route.target_ms,
+        waits_until_ms=min(deadline_ms, route.caller_wait_limit_ms or deadline_ms),
+        prefix_hashes=chained_hashes(name for name, _ in blocks),
+    )
+
+
+def asked_brief(admitted, request_id, failure_domain):
+    """Return the description of an asked request, as of one that has just arrived.
+
+    Parameters
+    ==========
+    admitted : AdmittedCall
+    request_id : str
+        Of the query; no other request may have it.
+    failure_domain : str
+    """
+    return RequestBrief(
+        request_id=request_id,
+        route=admitted.route.name,
+        customer=admitted.customer.name if admitted.customer else "",
+        tier_rank=admitted.rank,
+        idempotent=admitted.route.kind is not CallKind.NON_IDEMPOTENT,
+        prompt_tokens=admitted.call.prompt_tokens,
+        output_tokens=admitted.output_tokens,
+        deadline_in_ms=admitted.deadline_ms,
+        first_token_in_ms=admitted.target_by_ms,
+        max_wait_ms=admitted.waits_until_ms,
+        max_gap_ms=admitted.route.max_gap_ms,
+        failure_domain=failure_domain,
+        units=admitted.units,
+        prefix_hashes=admitted.prefix_hashes,
+        prefix_tokens=admitted.prefix_tokens,
+        regions=admitted.regions,
+        parts=admitted.parts,
+    )
+
+
+def _fault(name, value, allowed):
+    return f"{name}: is {value!r}; allowed: {allowed}"
+
+
+def _names(names):
+    names = sorted(names)
+    more = f" and {len(names) - MAX_NAMED} more" if len(names) > MAX_NAMED else ""
+    return (", ".join(names[:MAX_NAMED]) or "none declared") + more
+
+
+def _is_count(text):
+    is_number = (
+        text.isascii() and text.isdecimal() and len(text) <= len(str(MAX_TOKENS))
+    )
+    return is_number and int(text) <= MAX_TOKENS
--- a/libs/host/src/hemlockhoist/host/where.py
+++ b/libs/host/src/hemlockhoist/host/where.py
@@ -156,30 +156,47 @@
         home : str
         report : PlacementReport
         """
-        chosen = {c.upstream_id: c.first_token_ms for c in report.candidates}
-        return WhereView(
+        return placement_view(
+            home,
+            report,
             route=self.route,
             pool=self.pool.name,
             customer=self._question.customer,
             tier=self.tier.name,
             prompt_tokens=self.prompt_tokens,
             output_tokens=self.output_tokens,
-            home=home,
-            outcome=report.outcome,
-            upstream=report.upstream_id,
-            version=report.version,
-            first_token_ms=chosen.get(report.upstream_id),
-            ahead=report.ahead_count,
-            expected_wait_ms=report.wait_ms,
-            code=report.code,
-            code_name=_code_name(report.code),
-            reason=report.reason,
-            retry_after_ms=report.retry_after_ms,
-            candidates=tuple(_candidate_view(item) for item in report.candidates),
-            omitted=report.omitted_count,
         )
 
 
+def placement_view(home, report, **asked):
+    """Return the ``WhereView`` of a home's report.
+
+    Parameters
+    ==========
+    home : str
+    report : PlacementReport
+    **asked
+        The fields that describe the request.
+    """
+    chosen = {c.upstream_id: c.first_token_ms for c in report.candidates}
+    return WhereView(
+        home=home,
+        outcome=report.outcome,
+        upstream=report.upstream_id,
+        version=report.version,
+        first_token_ms=chosen.get(report.upstream_id),
+        ahead=report.ahead_count,
+        expected_wait_ms=report.wait_ms,
+        code=report.code,
+        code_name=_code_name(report.code),
+        reason=report.reason,
+        retry_after_ms=report.retry_after_ms,
+        candidates=tuple(_candidate_view(item) for item in report.candidates),
+        omitted=report.omitted_count,
+        **asked,
+    )
+
+
 def _route_names(declarations):
     for pool in declarations.pools:
         is_model = pool.kind is PoolKind.MODEL
--- a/libs/host/src/hemlockhoist/host/where_messages.py
+++ b/libs/host/src/hemlockhoist/host/where_messages.py
@@ -24,7 +24,7 @@
     ==========
     route : str
         The name of a model, or method and path of a call to a plain service, such as
-        ``GET /services/halls/free``.
+        ``GET /services/halls/free``. At entry hosts of a platform, the name of a route.
     prompt_tokens : int or None
         By default estimated from ``prefix``.
     max_tokens : int or None
@@ -32,9 +32,11 @@
     customer : str
         By default none, so that no limit of a customer applies.
     tier : str
-        By default the highest one that the customer may request.
+        By default the highest one that the customer may request. Not at entry hosts
+        of a platform, where customer and route decide it.
     prefix : tuple of str
-        The first messages of the prompt, each as ``ROLE:TEXT``.
+        The first messages of the prompt, each as ``ROLE:TEXT``. At entry hosts of a
+        platform the first blocks of the prompt, each as ``NAME:TOKENS``.
     """
 
     route: _Name
