Check that placement queries count in no metric

Cause: the tests of the home's answers did not look at its metrics. Change: two assertions; a constant of a test is named as the others. Result: test_placement_queries and test_rehearsal pass.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_rehearsal.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_rehearsal.py
@@ -85,7 +85,7 @@
             for step in drawn:
                 drive.apply(step)
                 if is_asked:
-                    rehearse(drive, build_request(request_fields_example, drive.now_ms))
+                    rehearse(drive, build_request(EXAMPLE_FIELDS, drive.now_ms))
             decisions = []
             for fields in later:
                 request = build_request(fields, drive.now_ms)
@@ -97,7 +97,7 @@
         self.assertEqual(*found)
 
 
-request_fields_example = {
+EXAMPLE_FIELDS = {
     "rank": 0,
     "customer": "aulas",
     "prompt_tokens": 600,
@@ -123,7 +123,7 @@
 
     def request(self, **fields):
         now_ms = self.drive.now_ms
-        return build_request(request_fields_example | fields, now_ms)
+        return build_request(EXAMPLE_FIELDS | fields, now_ms)
 
     def reasons(self, **fields):
         report = rehearse(self.drive, self.request(**fields))
--- a/libs/host/src/hemlockhoist/host/tests/test_placement_queries.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_placement_queries.py
@@ -96,6 +96,7 @@
         self.assertIsNone(self.home.first_grant_ms)
         self.assertTrue(self.home.is_idle(0))
         self.assertFalse(self.home._spans)
+        self.assertFalse(self.home._metrics.totals)
 
     def work(self, request_id):
         return work_request(self.brief(request_id), OTHER, self.clock.now_ms())
@@ -107,6 +108,8 @@
         self.assertEqual(report.outcome, "refused")
         self.assertIn(report.code, (ResultCode.PART_BLOCKED, ResultCode.PART_SUSPECTED))
         self.assertIn(f"{GUILTY:016x}", report.reason)
+        # Only requests that are sent are counted.
+        self.assertFalse(self.quarantine._metrics.totals)
 
     async def test_queries_are_bounded(self):
         """Guards against an operator's loop at the cost of callers' requests."""
