Adapt the placement query to kept connections and flap damping as merged

Cause: the parts were built beside each other; CandidateCollector and a test had the signatures of before.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/candidates.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/candidates.py
@@ -169,7 +169,7 @@
     def __init__(self):
         self.candidates = []
 
-    def is_dominated(self, lower_bound_ms, is_local):
+    def is_dominated(self, lower_bound_ms, is_local, connection_ms=0.0):
         """Return False: those that cannot be selected are shown too."""
         return False
 
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_rehearsal.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_rehearsal.py
@@ -178,7 +178,7 @@
         warmup.record_grant("u0", self.drive.now_ms)
         self.assertEqual(self.reasons()["u0"], Exclusion.COLD.value)
         damping = self.drive.scheduler._upstreams.damping
-        upstream = damping.last_usable("u1")
+        upstream = damping.known_upstream("u1")
         for _ in range(2):
             self.drive.now_ms += 500
             damping.record_served("u1", self.drive.now_ms - 200)
