Bound the wait and the cost of keys in transit

A test of io_timeout could not fail. Change: one deadline for a call's waits for handovers; a count of unconfirmed parts by update; the test collects errors of the loop. HandingOver is called InTransit. Result: ledger, service and mutation tests pass; the test of io_timeout fails without the cancellation of its timer.

--- a/libs/base/src/hemlockhoist/base/io_timeout.py
+++ b/libs/base/src/hemlockhoist/base/io_timeout.py
@@ -6,9 +6,10 @@
 from hemlockhoist.base.clock import MS_PER_S
 
 # A timer of an idle event loop fires within a few milliseconds.
-LATE_MS = 10
-# Time for the event loop to process what its sockets received meanwhile.
-GRACE_MS = 50
+LATE_TIMER_MS = 10
+# Time for the event loop to process what its sockets received meanwhile. A new
+# connection needs a few passes of the loop, of some milliseconds each under load.
+GRACE_PERIOD_MS = 50
 
 
 @contextlib.asynccontextmanager
@@ -17,7 +18,7 @@
 
     Failure prevented: this process gets no processor time for longer than the limit.
     When it runs again, the event loop cancels the operation before it processes the
-    events that ended it, so that the peer is taken for unreachable. If the timer fires
+    events that ended it, so that the peer is reported as unreachable. If the timer fires
     late, the operation gets a short time more, in which these events are processed.
 
     Parameters
@@ -33,8 +34,8 @@
 
     def expire():
         now_s = loop.time()
-        is_late = now_s - limit_s > LATE_MS / MS_PER_S
-        scope.reschedule(now_s + (GRACE_MS / MS_PER_S if is_late else 0))
+        is_late = now_s - limit_s > LATE_TIMER_MS / MS_PER_S
+        scope.reschedule(now_s + (GRACE_PERIOD_MS / MS_PER_S if is_late else 0))
 
     async with asyncio.timeout(None) as scope:
         timer = loop.call_at(limit_s, expire)
--- a/libs/base/src/hemlockhoist/base/tests/test_io_timeout.py
+++ b/libs/base/src/hemlockhoist/base/tests/test_io_timeout.py
@@ -43,9 +43,13 @@
 
     async def test_timer_ends_with_the_operation(self):
         """Guards against a timer that cancels what the task does later."""
+        errors = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: errors.append(context))
         async with io_timeout(LIMIT_MS):
             await asyncio.sleep(0)
         await asyncio.sleep(2 * LIMIT_MS / MS_PER_S)
+        self.assertEqual(errors, [])
 
     async def test_cancellation_is_no_timeout(self):
         """Guards against a cancelled operation that is reported as timed out."""
--- a/libs/decisions/src/hemlockhoist/decisions/ledger/handover.py
+++ b/libs/decisions/src/hemlockhoist/decisions/ledger/handover.py
@@ -8,6 +8,8 @@
 acknowledgement is no refusal.
 """
 
+import collections
+
 from hemlockhoist.decisions.ledger.keys import parse_key
 from hemlockhoist.decisions.ledger.record import (
     EPOCHS_KEPT,
@@ -52,6 +54,7 @@
         "_released",
         "_released_updates",
         "_unacknowledged",
+        "_unconfirmed_counts",
         "successor",
     )
 
@@ -59,6 +62,8 @@
         self.successor = ""
         self._handed_ranges = {}
         self._unacknowledged = {}
+        # Number of messages of each update that are not acknowledged.
+        self._unconfirmed_counts = collections.Counter()
         self._changed = {}
         self._released = []
         # Number of the update that carries each released record, by id.
@@ -78,7 +83,7 @@
         return update is not None and self._is_unconfirmed(update)
 
     def _is_unconfirmed(self, update):
-        return any(number == update for number, _ in self._unacknowledged)
+        return update in self._unconfirmed_counts
 
     def record_change(self, record):
         """Record that a record changed after the handover began."""
@@ -99,7 +104,10 @@
         if not ack.accepted:
             self._reclaim(ledger)
             return
-        self._unacknowledged.pop((ack.update, ack.part), None)
+        if self._unacknowledged.pop((ack.update, ack.part), None) is not None:
+            self._unconfirmed_counts[ack.update] -= 1
+            if not self._unconfirmed_counts[ack.update]:
+                del self._unconfirmed_counts[ack.update]
         if not self._is_unconfirmed(0):
             ledger.successors.register(ledger.incarnation, self.successor)
 
@@ -144,6 +152,7 @@
         for record in ledger.table:
             self._release_right(record, 0)
         groups = _split(records)
+        self._unconfirmed_counts[0] = len(groups)
         for part, group in enumerate(groups):
             self._unacknowledged[(0, part)] = Handover(
                 leaver=ledger.incarnation,
@@ -170,6 +179,7 @@
             handed = _export_record(ledger, record)
             self._last_update += 1
             self._release_right(record, self._last_update)
+            self._unconfirmed_counts[self._last_update] = 1
             self._unacknowledged[(self._last_update, 0)] = Handover(
                 leaver=ledger.incarnation,
                 successor=self.successor,
@@ -193,6 +203,7 @@
         self._released.clear()
         self._released_updates.clear()
         self._unacknowledged.clear()
+        self._unconfirmed_counts.clear()
         self._changed.clear()
 
     def _complete(self, ledger, message, now_ms):
--- a/libs/decisions/src/hemlockhoist/decisions/ledger/ledger.py
+++ b/libs/decisions/src/hemlockhoist/decisions/ledger/ledger.py
@@ -24,8 +24,8 @@
     Attempt,
     Expired,
     Full,
-    HandingOver,
     InProgress,
+    InTransit,
     NeverMinted,
     OutcomeUnknown,
     OwnedBy,
@@ -132,7 +132,7 @@
 
         Returns
         =======
-        Proceed, Replay, InProgress, HandingOver, OutcomeUnknown, AnswerNotKept, \
+        Proceed, Replay, InProgress, InTransit, OutcomeUnknown, AnswerNotKept, \
         OwnedBy, WithdrawnTo, Expired, NeverMinted, Reused or Full
             After ``Proceed`` the attempt must be ended by ``mark_not_run``,
             ``mark_finished`` or ``mark_unknown``, even if the caller has disconnected.
@@ -142,7 +142,7 @@
         if record is not None:
             return self._handle_repeat(record, fingerprint)
         if self.is_range_in_transit(key.incarnation):
-            return HandingOver()
+            return InTransit()
         key_range = self.ranges.get(key.incarnation)
         validity = (
             KeyValidity.VALID if key_range is None else key_range.validity(key.epoch)
@@ -231,9 +231,9 @@
         return OutcomeUnknown()
 
     def on_lookup(self, lookup, now_ms):
-        """Return the reply to another host's ``KeyLookup``; None while there is none.
+        """Return the reply to another host's ``KeyLookup``.
 
-        The other host sends its lookup again.
+        None while the key is in transit; the other host sends its lookup again.
         """
         self.advance(now_ms)
         return lookups.answer_lookup(self, lookup)
@@ -291,7 +291,7 @@
     def awaits_reply(self, lookup):
         """Return whether a lookup of this host is still open.
 
-        It is closed when the key arrives otherwise, as by the handover of its holder.
+        It ends without a reply if the key arrives by a handover.
         """
         record = self.table.get(lookup.customer, lookup.key)
         return (
@@ -374,7 +374,7 @@
             holder = self.successors.resolve(holder)
         if self.is_record_in_transit(record) or self.is_range_in_transit(holder):
             record.sent_number = 0
-            return HandingOver()
+            return InTransit()
         if not record.query_number:
             self._query_number += 1
             record.query_number = self._query_number
--- a/libs/decisions/src/hemlockhoist/decisions/ledger/results.py
+++ b/libs/decisions/src/hemlockhoist/decisions/ledger/results.py
@@ -42,10 +42,11 @@
     code: ClassVar[ResultCode] = ResultCode.IN_PROGRESS
 
 
-class HandingOver(msgspec.Struct, frozen=True):
-    """The key goes to this host's successor, which has not confirmed it yet.
+class InTransit(msgspec.Struct, frozen=True):
+    """The key was handed over to this host's successor, which has not confirmed it yet.
 
-    The caller waits, and ``KeyLedger.begin`` is called again.
+    The call waits, and ``KeyLedger.begin`` is called again. It ends as in progress if
+    the successor does not confirm in time.
     """
 
     code: ClassVar[ResultCode] = ResultCode.IN_PROGRESS
--- a/libs/decisions/src/hemlockhoist/decisions/ledger/tests/test_handover.py
+++ b/libs/decisions/src/hemlockhoist/decisions/ledger/tests/test_handover.py
@@ -3,8 +3,8 @@
 from hemlockhoist.base import Refused
 from hemlockhoist.decisions.ledger import (
     Expired,
-    HandingOver,
     InProgress,
+    InTransit,
     OutcomeUnknown,
     OwnedBy,
     Proceed,
@@ -63,7 +63,7 @@
         reaches the leaver now must not run concurrently with one at the successor.
         """
         messages = self.a.handover("s", 0)
-        self.assertEqual(begin(self.a, self.key), HandingOver())
+        self.assertEqual(begin(self.a, self.key), InTransit())
         for message in messages:
             self.s.adopt_handover(message, 0)
         self.assertIsInstance(begin(self.s, self.key), Proceed)
@@ -90,7 +90,7 @@
         self.a.mark_not_run(proceed.attempt, 0)
         messages = self.a.handover("s", 0)
         for key in (self.key, refused):
-            self.assertEqual(begin(self.a, key), HandingOver())
+            self.assertEqual(begin(self.a, key), InTransit())
         for message in messages:
             self.a.on_handover_ack(self.s.adopt_handover(message, 0), 0)
         for key in (self.key, refused):
@@ -103,7 +103,7 @@
         hand_over(self.a, self.s)
         self.a.mark_not_run(attempt, 0)
         (update,) = self.a.handover("s", 0)
-        self.assertEqual(begin(self.a, self.key), HandingOver())
+        self.assertEqual(begin(self.a, self.key), InTransit())
         self.a.on_handover_ack(self.s.adopt_handover(update, 0), 0)
         pending = begin(self.a, self.key)
         self.assertIsInstance(look_up(self.a, self.s, pending.lookup), Proceed)
--- a/libs/host/src/hemlockhoist/host/ledger_service.py
+++ b/libs/host/src/hemlockhoist/host/ledger_service.py
@@ -16,7 +16,7 @@
 )
 from hemlockhoist.decisions.ledger import (
     Attempt,
-    HandingOver,
+    InTransit,
     KeyLedger,
     OwnedBy,
     Proceed,
@@ -45,7 +45,8 @@
 LOOKUP_TIMEOUT_MS = 2_000
 MAX_LOOKUP_HOPS = 4
 HANDOVER_RESEND_MS = 200
-# A successor confirms a ledger within milliseconds.
+# Interval at which a call checks whether the handover of its key is confirmed, which
+# takes milliseconds.
 HANDOVER_CHECK_MS = 20
 HANDOVER_TIMEOUT_MS = 3_000
 RETRY_AFTER_MS = 1_000
@@ -121,24 +122,24 @@
             The call ran, is running or may have run.
         """
         key = parse_key(key_text)
-        result = await self._begin(customer, key, fingerprint)
+        deadline_ms = self._clock.now_ms() + LOOKUP_TIMEOUT_MS
+        result = await self._begin(customer, key, fingerprint, deadline_ms)
         for _ in range(MAX_LOOKUP_HOPS):
             if not isinstance(result, OwnedBy | WithdrawnTo):
                 return _claim_from_result(result)
             result = await self._look_up(customer, key, fingerprint, result)
-            if isinstance(result, HandingOver):
-                result = await self._begin(customer, key, fingerprint)
+            if isinstance(result, InTransit):
+                result = await self._begin(customer, key, fingerprint, deadline_ms)
         return _claim_from_result(
             self._ledger.abandon_lookup(customer, key, self._clock.now_ms())
         )
 
-    async def _begin(self, customer, key, fingerprint):
+    async def _begin(self, customer, key, fingerprint, deadline_ms):
         """Begin a call, after waiting for a handover of its key from this host."""
-        deadline_ms = self._clock.now_ms() + LOOKUP_TIMEOUT_MS
         while True:
             now_ms = self._clock.now_ms()
             result = self._ledger.begin(customer, key, fingerprint, now_ms)
-            if not isinstance(result, HandingOver) or now_ms >= deadline_ms:
+            if not isinstance(result, InTransit) or now_ms >= deadline_ms:
                 return result
             await asyncio.sleep(HANDOVER_CHECK_MS / MS_PER_S)
 
--- a/libs/standins/src/hemlockhoist/standins/randomised/host.py
+++ b/libs/standins/src/hemlockhoist/standins/randomised/host.py
@@ -7,7 +7,7 @@
 from hemlockhoist.base import Property
 from hemlockhoist.decisions.configuration import ConfigurationState
 from hemlockhoist.decisions.ledger import (
-    HandingOver,
+    InTransit,
     KeyLedger,
     OwnedBy,
     Proceed,
@@ -95,7 +95,7 @@
             call.attempt = result.attempt
             self.calls.append(call)
             return []
-        if isinstance(result, HandingOver):
+        if isinstance(result, InTransit):
             call.lookup = None
             self.pending_lookups[call.id] = call
             return []
@@ -198,7 +198,7 @@
 
     def _abandon(self, call, now_ms):
         if call.lookup is None:
-            return HandingOver()
+            return InTransit()
         return self.ledger.abandon_lookup(call.customer, call.key, now_ms)
 
     def _hand_over(self, now_ms):
