Use the times of a rare route for hedges from ten responses on

Cause (found in review): one slow response of a rare route made its hedges too late, and times of an earlier hour counted until the next response. Change: the pool's times stand in until the route has ten recent ones; reading decays. Result: test_hedging 14 pass; the new assertions fail before.

--- a/libs/decisions/src/hemlockhoist/decisions/entry/hedging.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/hedging.py
@@ -10,6 +10,9 @@
 EXPECTED_QUANTILE = 0.5
 # Weight of the recent responses from which on a route's quantile is used.
 MIN_WEIGHT = 50.0
+# Weight from which on a route's own times may lengthen the delay of its pool. A single
+# slow response would otherwise end the hedges of a rare route.
+MIN_OWN_WEIGHT = 10.0
 # Bound on the saved budget: the requests of an hour must not pay for hedges of a burst.
 MAX_SAVED_HEDGES = 10
 # Time for which a pool is not asked again after its home refused a second attempt. Under
@@ -38,7 +41,7 @@
     their upstreams are slow for a short time. A second attempt is considered once a
     request has taken longer than most recent ones of its route. A host of a large fleet
     sees few requests of each route, so that it knows the times of the route's pool long
-    before. They stand in, unless those known of the route are longer. The extra work is
+    before. They stand in, unless the few known of the route are longer. The extra work is
     bounded by a budget that requests pay into: over all hosts it is at most the
     configured share of the requests, as each host spends only what its own requests
     paid. If a whole pool turns slow, the quantile follows within some dozen responses,
@@ -58,7 +61,7 @@
     >>> for _ in range(100):
     ...     policy.count_request()
     ...     policy.observe("check", "halls", 10, now_ms=0)
-    >>> policy.delay_ms("check", "halls")
+    >>> policy.delay_ms("check", "halls", now_ms=0)
     11.31
     >>> [policy.acquire("check", "halls", 1_000, now_ms=0) for _ in range(3)]
     [None, None, <HedgeRefusal.BUDGET: 'budget'>]
@@ -123,19 +126,28 @@
         _times_of(self._route_times, route_name).observe(duration_ms, now_ms)
         _times_of(self._pool_times, pool).observe(duration_ms, now_ms)
 
-    def delay_ms(self, route_name, pool):
+    def delay_ms(self, route_name, pool, now_ms):
         """Return the time after which a second attempt is considered, or None.
 
         None as long as too few recent responses are known.
         """
-        times = self._route_times.get(route_name)
-        delay_ms = _quantile_ms(times, DELAY_QUANTILE)
-        if times is not None and times.weight >= MIN_WEIGHT:
-            return delay_ms
-        times = self._pool_times.get(pool)
-        if times is None or times.weight < MIN_WEIGHT:
+        times = self._times(route_name, pool, now_ms)
+        if times is None:
             return None
-        return max(delay_ms or 0, times.quantile_ms(DELAY_QUANTILE))
+        delay_ms = times.quantile_ms(DELAY_QUANTILE)
+        own = self._route_times.get(route_name)
+        if own is not None and own.weight >= MIN_OWN_WEIGHT:
+            delay_ms = max(delay_ms, own.quantile_ms(DELAY_QUANTILE))
+        return delay_ms
+
+    def _times(self, route_name, pool, now_ms):
+        """Return the times of the route, or of its pool if few are known; or None."""
+        for times in (self._route_times.get(route_name), self._pool_times.get(pool)):
+            if times is not None:
+                times.decay(now_ms)
+                if times.weight >= MIN_WEIGHT:
+                    return times
+        return None
 
     def acquire(self, route_name, pool, left_ms, now_ms):
         """Spend one attempt of the budget; return why that is not allowed, or None.
@@ -151,9 +163,8 @@
         =======
         HedgeRefusal or None
         """
-        times = self._route_times.get(route_name) or self._pool_times.get(pool)
-        expected_ms = _quantile_ms(times, EXPECTED_QUANTILE)
-        if expected_ms is None or left_ms < expected_ms:
+        times = self._times(route_name, pool, now_ms)
+        if times is None or left_ms < times.quantile_ms(EXPECTED_QUANTILE):
             return HedgeRefusal.TOO_LATE
         if now_ms < self._paused_until_ms.get(pool, now_ms):
             return HedgeRefusal.PAUSED
@@ -179,7 +190,3 @@
             del table[next(iter(table))]
         times = table[name] = ResponseTimes()
     return times
-
-
-def _quantile_ms(times, fraction):
-    return None if times is None else times.quantile_ms(fraction)
--- a/libs/decisions/src/hemlockhoist/decisions/entry/response_times.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/response_times.py
@@ -40,7 +40,7 @@
         """Add the time of one response."""
         if self._halved_ms is None:
             self._halved_ms = now_ms
-        self._decay(now_ms)
+        self.decay(now_ms)
         self._counts[bisect.bisect_left(BOUNDS_MS, duration_ms)] += 1
         self.weight += 1
 
@@ -56,7 +56,8 @@
                 return bound_ms
         return BOUNDS_MS[-1]
 
-    def _decay(self, now_ms):
+    def decay(self, now_ms):
+        """Halve the counts once for each half-life that has passed."""
         while self.weight >= MAX_WEIGHT or (
             self.weight >= 1 and now_ms - self._halved_ms >= HALF_LIFE_MS
         ):
--- a/libs/decisions/src/hemlockhoist/decisions/entry/tests/hedging_simulation.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/tests/hedging_simulation.py
@@ -125,7 +125,9 @@
             if self._mode is Mode.TWO_AT_ONCE and self._has_other(call):
                 self._hedge(now_ms, call)
             delay_ms = (
-                self.policy.delay_ms(ROUTE, POOL) if self._mode is Mode.HEDGE else None
+                self.policy.delay_ms(ROUTE, POOL, now_ms)
+                if self._mode is Mode.HEDGE
+                else None
             )
             if delay_ms is not None:
                 self._at(now_ms + delay_ms, self._consider, call)
--- a/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_hedging.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_hedging.py
@@ -5,6 +5,7 @@
 from hemlockhoist.decisions.entry.hedging import (
     MAX_ROUTES,
     MAX_SAVED_HEDGES,
+    MIN_OWN_WEIGHT,
     MIN_WEIGHT,
     REFUSED_PAUSE_MS,
 )
@@ -63,8 +64,8 @@
 
     def test_without_enough_responses_nothing_is_hedged(self):
         policy = self.policy(responses=int(MIN_WEIGHT) - 1)
-        self.assertIsNone(policy.delay_ms(ROUTE, POOL))
-        self.assertIsNone(policy.delay_ms("another", POOL))
+        self.assertIsNone(policy.delay_ms(ROUTE, POOL, 0))
+        self.assertIsNone(policy.delay_ms("another", POOL, 0))
 
     def test_times_of_the_pool_stand_in_for_those_of_a_rare_route(self):
         """Guards against a large fleet in which no host ever hedges.
@@ -73,14 +74,21 @@
         make the delay longer.
         """
         policy = self.policy()
-        usual_ms = policy.delay_ms(ROUTE, POOL)
-        self.assertEqual(policy.delay_ms("rare", POOL), usual_ms)
-        self.assertIsNone(policy.delay_ms("rare", "other"))
+        usual_ms = policy.delay_ms(ROUTE, POOL, 0)
+        self.assertEqual(policy.delay_ms("rare", POOL, 0), usual_ms)
+        self.assertIsNone(policy.delay_ms("rare", "other", 0))
         self.assertIsNone(policy.acquire("rare", POOL, 1_000, 0))
-        policy.observe("rare", POOL, 10, now_ms=0)
-        self.assertEqual(policy.delay_ms("rare", POOL), usual_ms)
         policy.observe("rare", POOL, 900, now_ms=0)
-        self.assertGreaterEqual(policy.delay_ms("rare", POOL), 900)
+        self.assertEqual(policy.delay_ms("rare", POOL, 0), usual_ms)
+        self.assertIsNone(policy.acquire("rare", POOL, 500, 0))
+        for _ in range(int(MIN_OWN_WEIGHT)):
+            policy.observe("rare", POOL, 900, now_ms=0)
+        self.assertGreaterEqual(policy.delay_ms("rare", POOL, 0), 900)
+
+    def test_times_of_an_earlier_hour_do_not_count(self):
+        """Guards against a delay from responses that are no longer typical."""
+        policy = self.policy()
+        self.assertIsNone(policy.delay_ms(ROUTE, POOL, 3_600_000))
 
     def test_budget_is_spent_by_own_requests_only_and_not_saved_up(self):
         """Guards against a quiet night that pays for a storm of hedges."""
@@ -109,7 +117,7 @@
         policy = self.policy()
         for number in range(MAX_ROUTES):
             policy.observe(f"route-{number}", f"pool-{number}", 40, now_ms=0)
-        self.assertIsNone(policy.delay_ms(ROUTE, POOL))
+        self.assertIsNone(policy.delay_ms(ROUTE, POOL, 0))
 
 
 class HedgingLoadTests(unittest.TestCase):
--- a/libs/entry/src/hemlockhoist/entry/hedge.py
+++ b/libs/entry/src/hemlockhoist/entry/hedge.py
@@ -185,7 +185,9 @@
 
     def _schedule(self):
         route = self._admitted.route
-        delay_ms = self._policy.delay_ms(route.name, self._admitted.pool)
+        delay_ms = self._policy.delay_ms(
+            route.name, self._admitted.pool, self._started_ms
+        )
         # Both attempts count.
         has_attempts = self._attempts.sent_count + 2 <= route.max_attempts
         if delay_ms is not None and has_attempts:
