--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_hedges.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_hedges.py
@@ -247,11 +247,16 @@
     async def test_hedge_uses_a_kept_connection(self):
         """Guards against a loser's connection that is kept, or a hedge's new one."""
         async with self.site(LOOKUP) as site:
-            for number in range(2):
-                # Of two requests at a time each replica gets one.
+            upstreams = site.hosts[0].context.upstreams
+            for number in range(20):
+                # Of two requests at a time each replica gets one. Beside load they are
+                # hedged too, and the connection of the loser is closed.
                 ids = [f"{number}a", f"{number}b"]
                 calls = [self.call(site, "check", attempt_id) for attempt_id in ids]
                 await asyncio.gather(*calls)
+                if len(upstreams.connected(SERVICE)) == len(self.replicas):
+                    break
+            self.assertEqual(len(upstreams.connected(SERVICE)), len(self.replicas))
             for replica in self.replicas:
                 self.assertTrue(replica.ran)
                 replica.ran.clear()
@@ -262,7 +267,7 @@
             self.assertEqual(found, counts)
             await self.check_closed(first)
             (other,) = self.others(first)
-            names = site.hosts[0].context.upstreams.connected(SERVICE)
+            names = upstreams.connected(SERVICE)
             self.assertEqual(names[:1], (other.replica_id,))
 
 
