Record no disconnect without a response after a whole answer was written

Cause: the wait for a caller that takes a long whole answer ran inside the try that records callers that left without a response. One that closed just after its answer had been relayed counted as such. return_freed_memory ran also where no memory is limited.

Change: a caller that leaves while it is waited for, after the answer was written, is logged and not counted, as with a stream that has begun. The allocator's thresholds are set only where max_memory_mb is.

--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -552,7 +552,8 @@
     listener : socket.socket, optional
         Already listens for callers.
     """
-    return_freed_memory()
+    if settings.max_memory_mb:
+        return_freed_memory()
     writer = LineWriter(sys.stdout)
     writer.start()
     try:
--- a/libs/entry/src/hemlockhoist/entry/servers.py
+++ b/libs/entry/src/hemlockhoist/entry/servers.py
@@ -170,16 +170,23 @@
         try:
             response = await exchange.run()
             self._log_ended(exchange, response, arrived_ms)
-            await self._flush(exchange, request, response, buffer)
-            return response
+            await self._write_long(request, response)
         except asyncio.CancelledError:
-            self._record_disconnect(exchange, admitted.tier, arrived_ms)
+            is_answered = exchange.response_started
+            self._record_disconnect(exchange, admitted.tier, arrived_ms, is_answered)
             raise
         except HemlockhoistError as error:
             check_not_run(self._context.invariants, exchange, error)
             raise
+        try:
+            await self._flush(exchange, buffer)
+        except asyncio.CancelledError:
+            self._record_disconnect(exchange, admitted.tier, arrived_ms, True)
+            raise
+        return response
 
-    def _record_disconnect(self, exchange, tier, arrived_ms):
+    def _record_disconnect(self, exchange, tier, arrived_ms, is_answered):
+        """Record a caller that left, and whether any of its response was written."""
         after_ms = self._context.clock.now_ms() - arrived_ms
         _log.info(
             "caller_left",
@@ -187,7 +194,7 @@
             after_ms=after_ms,
             attempts=exchange.attempts,
         )
-        if not exchange.response_started:
+        if not is_answered:
             self._context.metrics.count(CALLERS_DISCONNECTED, tier)
             self._context.metrics.time(CALLERS_DISCONNECTED_MS, after_ms, tier)
 
@@ -205,15 +212,18 @@
         if self._context.refuses_requests:
             raise Refused("", ResultCode.LEAVING, LEAVING_RETRY_AFTER_MS)
 
-    async def _flush(self, exchange, request, response, buffer):
-        """Wait until the caller has taken a long answer, whose memory is accounted.
-
-        The upstream has been released. A caller that takes nothing is cut off.
-        """
+    async def _write_long(self, request, response):
+        """Write a long whole answer; the HTTP server writes shorter ones."""
         if not response.prepared and (response.content_length > FREE_BUFFER_BYTES):
             self._close_if_leaving(response)
             await response.prepare(request)
             await response.write_eof()
+
+    async def _flush(self, exchange, buffer):
+        """Wait until the caller has taken a long answer, whose memory is accounted.
+
+        The upstream has been released. A caller that takes nothing is cut off.
+        """
         try:
             await buffer.flush()
         except SlowReader as error:
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_memory.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_memory.py
@@ -228,3 +228,25 @@
             await self.open(site, "/check-free/1")
             await self.wait_cut(site)
             self.assertEqual(self.totals(site)["attempts.ended.success"], 1)
+
+    async def test_caller_that_closes_after_its_answer_was_relayed_had_a_response(self):
+        """Guards against disconnects without a response that are none."""
+        services = replicas(reservas=0)
+        replica = services["reservas"][0]
+        replica.filler_bytes = LONG_BYTES
+        async with self.site(services, [LOOKUP]) as site:
+            for behaviour in (Behaviour.NORMAL, Behaviour.HANGS):
+                replica.behaviour = behaviour
+                sock = await self.open(site, "/check-free/1")
+                async with asyncio.timeout(2):
+                    while len(replica.ran) < 1 + (behaviour is Behaviour.HANGS):
+                        await asyncio.sleep(0.01)
+                await asyncio.sleep(0.3)
+                sock.close()
+                async with asyncio.timeout(2):
+                    while site.hosts[0].context.open_requests:
+                        await asyncio.sleep(0.01)
+                is_counted = int(behaviour is Behaviour.HANGS)
+                counted = self.totals(site)["callers.left.1-0"]
+                self.assertEqual(counted, is_counted, behaviour)
+            self.assertEqual(self.totals(site)["attempts.ended.success"], 1)
