Keep no data of a request in memory beyond its accounting

It was not the read-ahead of the HTTP library, which was at most 27 MB: 171 answers of 2 MB, 342 MB, were the responses of idle connections, which the HTTP server keeps until the next request, after their memory had been returned. Request bodies, incomplete events and data read ahead stayed as well, kept by reference cycles and by timers that hold the context of a dispatch.

Change: a whole response drops its body once it is written; the exchange drops bodies and incomplete events at its end; a closed response drops what was read ahead; a guard drops its callback once it has been called. A long answer is accounted until its last byte is taken. The HTTP library reads 32 KB ahead instead of 128 KB, plus one read. A stream's upstream is paused while its caller is waited for, and what is held beside the caller's buffer is accounted, also beyond the limit; long events are written in parts of 32 KB.

--- a/libs/decisions/src/hemlockhoist/decisions/entry/memory_budget.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/memory_budget.py
@@ -104,9 +104,13 @@
         """
         if not self.fits(byte_count, tier_rank):
             return False
+        self.add(purpose, byte_count)
+        return True
+
+    def add(self, purpose, byte_count):
+        """Account memory that is in use already, whether or not it fits."""
         self.used_bytes += byte_count
         self._used_by_purpose[purpose] += byte_count
-        return True
 
     def fits(self, byte_count, tier_rank):
         """Return whether this much more fits into the tier's share."""
--- a/libs/entry/src/hemlockhoist/entry/attempt_sender.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt_sender.py
@@ -73,6 +73,10 @@
         """
         return bool(self._sent_grants)
 
+    def drop_body(self):
+        """Drop the request's body once nothing more is sent."""
+        self._body = b""
+
     def new_attempt(self, hold, waited_ms, number):
         """Return an attempt under a grant, in which nothing has been sent yet.
 
--- a/libs/entry/src/hemlockhoist/entry/caller_buffer.py
+++ b/libs/entry/src/hemlockhoist/entry/caller_buffer.py
@@ -73,26 +73,35 @@
         if transport is not None:
             transport.set_write_buffer_limits(high=TRANSPORT_LIMIT_BYTES)
 
-    async def wait_below_limit(self, on_wait=None):
+    @property
+    def needs_check(self):
+        """Whether so much is buffered, or was, that ``wait_below_limit`` has to run."""
+        return self._is_accounted or self._buffered_bytes() > FREE_BUFFER_BYTES
+
+    async def wait_below_limit(self, on_wait=None, held_bytes=None):
         """Account what is buffered, and wait until that is within the bounds.
 
         Parameters
         ==========
         on_wait : callable, optional
-            Called without arguments again and again while the caller is waited for.
+            Called without arguments as the caller begins to be waited for, and again and
+            again meanwhile.
+        held_bytes : callable, optional
+            Returns the size of what else is held for the caller until it has taken
+            what is buffered. It is accounted as well.
 
         Raises
         ======
         SlowReader
         """
-        buffered_bytes = self._buffered_bytes()
-        if buffered_bytes <= FREE_BUFFER_BYTES and not self._is_accounted:
-            return
-        if not self._fits(buffered_bytes, MAX_BUFFER_BYTES):
-            await self._wait(lambda size: self._fits(size, MAX_BUFFER_BYTES), on_wait)
+        if self.needs_check and not self._fits(self._buffered_bytes(), held_bytes):
+            await self._wait(lambda size: self._fits(size, held_bytes), on_wait)
 
     async def flush(self):
-        """Wait until the caller has taken a complete answer, up to a small rest.
+        """Wait until the caller has taken a complete answer, unless little is left.
+
+        A long one is waited for to its end: the event loop keeps the whole of what was
+        written at a time until the last byte of it has left.
 
         Raises
         ======
@@ -119,19 +128,21 @@
     def _buffered_bytes(self):
         return self._transport.get_write_buffer_size() if self._transport else 0
 
-    def _fits(self, buffered_bytes, max_bytes):
+    def _fits(self, buffered_bytes, held_bytes=None):
         """Account what is buffered; return whether nothing has to be waited for."""
         if buffered_bytes <= FREE_BUFFER_BYTES:
             self._is_accounted = False
             self._has_memory = self._memory.set_stream_buffer(0)
             return self._has_memory
         self._is_accounted = True
+        if held_bytes is not None:
+            buffered_bytes += held_bytes()
         self._has_memory = self._memory.set_stream_buffer(buffered_bytes)
-        return self._has_memory and buffered_bytes <= max_bytes
+        return self._has_memory and buffered_bytes <= MAX_BUFFER_BYTES
 
     def _is_flushed(self, buffered_bytes):
-        self._fits(buffered_bytes, MAX_BUFFER_BYTES)
-        return buffered_bytes <= FREE_BUFFER_BYTES
+        self._fits(buffered_bytes)
+        return not buffered_bytes
 
     def _untaken_bytes(self):
         """Return the bytes in this process and in the kernel that the caller lacks.
@@ -152,6 +163,8 @@
         self.is_waiting = True
         lowest_bytes = self._untaken_bytes()
         progress_ms = self._clock.now_ms()
+        if on_wait is not None:
+            on_wait()
         while not is_done(self._buffered_bytes()):
             if self._transport.is_closing():
                 return
--- a/libs/entry/src/hemlockhoist/entry/events.py
+++ b/libs/entry/src/hemlockhoist/entry/events.py
@@ -62,6 +62,11 @@
         """Whether no incomplete event is buffered."""
         return not self._incomplete
 
+    @property
+    def incomplete_bytes(self):
+        """Size of the incomplete event that is buffered."""
+        return len(self._incomplete)
+
     def restart(self):
         """Discard an incomplete event, which another upstream will send again."""
         self._incomplete = b""
--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -117,6 +117,18 @@
         finally:
             await self._hedge.close()
             await self._replacement.close()
+            self._drop_data()
+
+    def _drop_data(self):
+        """Drop all data of the request, whose memory is returned at its end.
+
+        The parts of an exchange refer to one another, so they exist until the garbage
+        collector finds them, which may take minutes.
+        """
+        self._sender.drop_body()
+        self._attempts.failed_response = None
+        if self._relay is not None:
+            self._relay.drop_data()
 
     async def _run_attempts(self):
         while True:
--- a/libs/entry/src/hemlockhoist/entry/memory.py
+++ b/libs/entry/src/hemlockhoist/entry/memory.py
@@ -17,7 +17,7 @@
 RESPONSE_WAIT_MS = 2_000
 RETRY_AFTER_MS = 500
 # What waits holds what the HTTP library reads ahead, which is not accounted: up to
-# 0.4 MB at a time.
+# 0.3 MB at a time.
 MAX_WAITING = 64
 # An answer is held twice: in parts and put together, then in its response and in the
 # caller's connection.
@@ -249,16 +249,20 @@
         return self._host_memory.is_waited_for
 
     def set_stream_buffer(self, byte_count):
-        """Account what is buffered for the caller now; return whether it fits."""
+        """Account what is buffered for the caller now; return whether it fits.
+
+        It is there already, so it is accounted also beyond the limit, and others wait
+        until it is gone.
+        """
         purpose = MemoryPurpose.STREAM_BUFFERS
         change = byte_count - self._reserved.get(purpose, 0)
-        if change > 0:
-            if not self._host_memory.try_reserve(purpose, change, STARTED_RANK):
-                return False
-        elif change < 0:
-            self._host_memory.release(purpose, -change)
         self._reserved[purpose] = byte_count
-        return True
+        if change < 0:
+            self._host_memory.release(purpose, -change)
+            return not byte_count or self._host_memory.fits(0, STARTED_RANK)
+        fits = self._host_memory.fits(change, STARTED_RANK)
+        self._host_memory.budget.add(purpose, change)
+        return fits
 
     def close(self):
         """Return all memory of the request."""
--- a/libs/entry/src/hemlockhoist/entry/responses.py
+++ b/libs/entry/src/hemlockhoist/entry/responses.py
@@ -17,6 +17,22 @@
 DEFAULT_RETRY_AFTER_MS = 500
 
 
+class WholeResponse(web.Response):
+    """A whole response that drops its body once it has been written.
+
+    Failure prevented: the HTTP server keeps the response of a connection until the next
+    request arrives on it. Idle connections would keep bodies of megabytes, which are not
+    accounted any more.
+    """
+
+    async def write_eof(self, data=b""):
+        """Write the body, and drop it."""
+        try:
+            await super().write_eof(data)
+        finally:
+            self.body = None
+
+
 def upstream_response(head, body):
     """Return the response that passes an upstream's full response on unchanged.
 
@@ -25,7 +41,7 @@
     head : ResponseHead
     body : bytes
     """
-    response = web.Response(status=head.status, body=body)
+    response = WholeResponse(status=head.status, body=body)
     add_headers(response, head.headers)
     return response
 
--- a/libs/entry/src/hemlockhoist/entry/stream.py
+++ b/libs/entry/src/hemlockhoist/entry/stream.py
@@ -1,5 +1,6 @@
 """Relaying of a stream's events to the caller, from one upstream or several."""
 
+import asyncio
 import statistics
 
 from aiohttp import web
@@ -28,6 +29,10 @@
 SLOWEST_TOKENS_PER_MS = 8
 # An upstream may abort a response that its host has not read for this long.
 LONG_WAIT_MS = 1_000
+# Long events are written in parts of this size. The event loop keeps the whole of what
+# was written at a time until the last byte of it has left, while only the rest counts as
+# buffered. Usual events are far shorter.
+PART_BYTES = 32_768
 
 
 class StreamRelay:
@@ -56,11 +61,14 @@
         "_has_waited_long",
         "_is_aborted_unread",
         "_is_leaving",
+        "_is_paused",
         "_last_data_ms",
         "_last_event_ms",
         "_longest_gap_ms",
         "_reader",
         "_request",
+        "_response",
+        "_unwritten",
         "_watchdog",
         "event_count",
         "passed_ms",
@@ -83,6 +91,11 @@
         self._clock = clock
         self._reader = EventReader(admitted.call.last_event_id)
         self._caller_response = None
+        # The upstream's response that is relayed now.
+        self._response = None
+        self._is_paused = False
+        # Parts of complete events, the next to be written last.
+        self._unwritten = []
         self._event_begin_ms = None
         self._event_gaps_us = []
         self._last_data_ms = None
@@ -142,6 +155,8 @@
             If the stream broke off, or stalled and can be resumed elsewhere.
         """
         self._reader.restart()
+        self._response = response
+        self._is_paused = False
         self._event_begin_ms = None
         self._event_gaps_us = []
         self._last_data_ms = None
@@ -166,7 +181,14 @@
                 watchdog.on_progress(self._stall_limit_ms())
                 events = self._reader.feed(chunk)
                 self._check_event_time(events)
-                await self._write_events(head, events)
+                count = len(events)
+                if count:
+                    self._unwritten = _parts(events)
+                # Otherwise they would be kept while the caller is waited for, beside
+                # what is accounted.
+                del chunk, events
+                if count:
+                    await self._write(head, count)
                 if self._reader.error is not None:
                     raise self._reader.error
         except DispatchError as error:
@@ -220,26 +242,58 @@
                 text = f"an event that did not end within {limit_ms:.0f} ms"
                 raise DispatchError(text, ResultCode.UPSTREAM_BROKE_OFF)
 
-    async def _write_events(self, head, events):
-        if not events:
-            return
+    async def _write(self, head, count):
+        """Send events to the caller, and wait for it if it does not take them.
+
+        Parameters
+        ==========
+        head : ResponseHead
+        count : int
+            Number of the events.
+        """
         if self._caller_response is None:
             await self._start_response(head)
-        await self._caller_response.write(b"".join(event.raw for event in events))
-        begin_ms = self._clock.now_ms()
-        await self._buffer.wait_below_limit(self._on_caller_waits)
+        await self._caller_response.write(self._unwritten.pop())
+        self.passed_ms = self._clock.now_ms()
+        if self._unwritten or self._buffer.needs_check:
+            await self._write_rest()
+        self.event_count += count
+        self._record_gap(count)
+
+    async def _write_rest(self):
+        """Wait for the caller, and send it the other parts of long events."""
+        begin_ms = self.passed_ms
+        await self._buffer.wait_below_limit(self._on_caller_waits, self._held_bytes)
+        while self._unwritten:
+            # The event loop writes before the next part, and so apart from it.
+            await asyncio.sleep(0)
+            await self._caller_response.write(self._unwritten.pop())
+            await self._buffer.wait_below_limit(self._on_caller_waits, self._held_bytes)
+        if self._is_paused:
+            self._is_paused = False
+            self._response.resume()
         self.passed_ms = self._clock.now_ms()
         self._has_waited_long = self.passed_ms - begin_ms >= LONG_WAIT_MS
-        self.event_count += len(events)
-        self._record_gap(len(events))
+
+    def _held_bytes(self):
+        """Return the size of what the upstream sent that is not written yet."""
+        unwritten_bytes = sum(map(len, self._unwritten))
+        incomplete_bytes = self._reader.incomplete_bytes
+        return unwritten_bytes + incomplete_bytes + self._response.unread_bytes
 
     def _on_caller_waits(self):
-        """Keep a slow caller from looking like a silent upstream."""
+        """Stop reading the upstream, and keep it from looking like a silent one.
+
+        The HTTP library by itself would read on, up to some 300 KB for each stream.
+        """
+        if not self._is_paused:
+            self._is_paused = True
+            self._response.pause()
         if self._watchdog is not None:
             self._watchdog.on_progress(self._stall_limit_ms())
 
     def _record_gap(self, count):
-        now_ms = self._clock.now_ms()
+        now_ms = self.passed_ms
         if self._last_event_ms is not None:
             gap_ms = now_ms - self._last_event_ms
             self._longest_gap_ms = max(self._longest_gap_ms, gap_ms)
@@ -282,6 +336,12 @@
         await self._caller_response.write_eof()
         return self._caller_response
 
+    def drop_data(self):
+        """Drop what was not passed on once the stream has ended."""
+        self._reader.restart()
+        self._unwritten.clear()
+        self._response = None
+
     def abort(self, at_once=False):
         """Abort a response that cannot be finished, so that it does not look complete.
 
@@ -298,3 +358,15 @@
         else:
             self._buffer.close()
         return self._caller_response
+
+
+def _parts(events):
+    """Return the parts in which events are written, the first one last."""
+    if len(events) == 1:
+        data = events[0].raw
+    else:
+        data = b"".join([event.raw for event in events])
+    if len(data) <= PART_BYTES:
+        return [data]
+    begins = range(0, len(data), PART_BYTES)
+    return [data[begin : begin + PART_BYTES] for begin in reversed(begins)]
--- a/libs/entry/src/hemlockhoist/entry/tests/test_memory.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_memory.py
@@ -3,7 +3,7 @@
 
 from hemlockhoist.base import Clock, DispatchError, Refused, ResultCode
 from hemlockhoist.base.testing import PausedTestCase
-from hemlockhoist.decisions.entry import MemoryBudget, MemoryPurpose
+from hemlockhoist.decisions.entry import STARTED_RANK, MemoryBudget, MemoryPurpose
 from hemlockhoist.entry.caller_buffer import (
     FREE_BUFFER_BYTES,
     MAX_BUFFER_BYTES,
@@ -284,6 +284,39 @@
         await waiting
         self.assertEqual(self.used_bytes(), 2 * FREE_BUFFER_BYTES)
 
+    async def test_what_is_held_beside_the_buffer_is_accounted_beyond_the_limit(self):
+        """Guards against others that get memory which slow streams have taken."""
+        other = self.request()
+        await other.reserve_response((LIMIT_BYTES - 100_000) // RESPONSE_COPIES)
+        self.transport.size, held = 50_000, [300_000]
+        waits = []
+        waiting = asyncio.create_task(
+            self.buffer.wait_below_limit(lambda: waits.append(1), lambda: held[0])
+        )
+        await asyncio.sleep(0)
+        # The upstream is paused at once, not with the first check.
+        self.assertEqual(len(waits), 1)
+        self.assertEqual(self.used_bytes(), 350_000)
+        self.assertFalse(self.host_memory.fits(1, STARTED_RANK))
+        self.transport.size, held[0] = 30_000, 100_000
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.used_bytes(), 130_000)
+        self.assertFalse(waiting.done())
+        self.transport.size = FREE_BUFFER_BYTES
+        await waiting
+        self.assertEqual(self.used_bytes(), 0)
+
+    async def test_long_answer_is_accounted_until_it_is_taken_to_its_end(self):
+        """Guards against answers that the event loop keeps for their last bytes."""
+        self.transport.size = 2 * FREE_BUFFER_BYTES
+        flush = asyncio.create_task(self.buffer.flush())
+        await asyncio.sleep(0.1)
+        self.transport.size = 100
+        await asyncio.sleep(0.1)
+        self.assertFalse(flush.done())
+        self.transport.size = 0
+        await flush
+
     async def test_closed_connection_does_not_keep_what_is_unread(self):
         """Guards against memory of a cut stream that its caller never reads."""
         self.transport.size = 100
--- a/libs/relays/src/hemlockhoist/relays/client.py
+++ b/libs/relays/src/hemlockhoist/relays/client.py
@@ -228,6 +228,11 @@
         self.status = head.status
         self.headers = CIMultiDict(head.headers)
 
+    @property
+    def connection(self):
+        """The connection to the relaying host; None once its answer has ended."""
+        return self._response.connection
+
     @property
     def content(self):
         """The rest of the relaying host's body."""
--- a/libs/relays/src/hemlockhoist/relays/tests/test_relaying.py
+++ b/libs/relays/src/hemlockhoist/relays/tests/test_relaying.py
@@ -176,6 +176,24 @@
         self.assertIn(b"X-Customer: aulas\r\n", head)
         self.assertEqual(body, b"body")
 
+    async def test_relayed_answer_is_not_read_while_its_caller_is_waited_for(self):
+        """Guards against a slow caller's stream that ends as it comes over a relay."""
+        head, body = ANSWER.rsplit(b"\r\n\r\n", 1)
+        head = head.replace(b"Content-Length: 4", b"Content-Length: 400000")
+        self.upstream.answer = head + b"\r\n\r\n" + 100_000 * body
+        relayed = await self.entry.client.open(self.helper.candidate, self.offer())
+        try:
+            response = await relayed.send(self.call(), self.guard())
+            response.pause()
+            unread_bytes = response.unread_bytes
+            await asyncio.sleep(0.3)
+            self.assertEqual(response.unread_bytes, unread_bytes)
+            response.resume()
+            self.assertEqual(len(await response.read(1_000_000)), 400_000)
+            self.assertEqual(response.unread_bytes, 0)
+        finally:
+            relayed.close()
+
     async def test_nothing_is_sent_under_a_grant_that_no_longer_holds(self):
         """Guards against a key that was revoked while another host connected."""
 
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_memory.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_memory.py
@@ -1,6 +1,8 @@
 import asyncio
 import contextlib
+import gc
 import socket
+import tracemalloc
 import unittest
 import unittest.mock
 
@@ -84,6 +86,69 @@
             self.assertIsNotNone(used)
 
 
+class ReturnTests(MemoryCase):
+    """Checks that what is no longer accounted is not in memory any more either."""
+
+    def setUp(self):
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+
+    def count_blocks(self, *sizes):
+        """Return how many blocks of about these sizes there are, by size."""
+        traces = tracemalloc.take_snapshot().traces
+        return {
+            size: sum(0 <= trace.size - size < 1_000 for trace in traces)
+            for size in sizes
+        }
+
+    async def test_idle_connections_keep_neither_bodies_nor_answers(self):
+        """Guards against 433 MB in a process with a limit of 160 MB.
+
+        The HTTP server keeps the response of a connection until the next request, and
+        the timers of a dispatch kept the whole request.
+        """
+        services = replicas(reservas=0)
+        replica, body = services["reservas"][0], bytes(350_000)
+        replica.filler_bytes = 500_000
+
+        async def call(site, status):
+            async with site.call("/check-free/1", method="POST", body=body) as answer:
+                self.assertEqual(answer.status, status)
+                await answer.read()
+
+        async with self.site(services, [LOOKUP]) as site:
+            self.addCleanup(gc.enable)
+            gc.collect()
+            gc.disable()
+            for behaviour, status in ((Behaviour.NORMAL, 200), (Behaviour.FAILS, 500)):
+                replica.behaviour = behaviour
+                await asyncio.gather(*(call(site, status) for _ in range(3)))
+                async with asyncio.timeout(2):
+                    while site.hosts[0].context.open_requests:
+                        await asyncio.sleep(0.01)
+                # The stand-in records what it ran, and the test has its own body.
+                replica.ran.clear()
+                await asyncio.sleep(0.1)
+                counts = self.count_blocks(500_000, 350_000)
+                self.assertEqual(counts, {500_000: 0, 350_000: 1}, behaviour)
+
+    async def test_broken_stream_keeps_no_incomplete_event(self):
+        """Guards against 100 MB of 200 broken streams that stay for minutes."""
+        services = replicas(asistente=4)
+        replica = services["asistente"][0]
+        replica.behaviour, replica.filler_bytes = Behaviour.STOPS_MID_EVENT, 220_000
+        async with self.site(services, [REPORT]) as site:
+            self.addCleanup(gc.enable)
+            gc.collect()
+            gc.disable()
+            for _ in range(3):
+                with contextlib.suppress(aiohttp.ClientPayloadError):
+                    async with site.call("/conflict-report/1") as answer:
+                        await answer.read()
+            await asyncio.sleep(0.1)
+            self.assertEqual(self.count_blocks(110_000), {110_000: 0})
+
+
 class RefusalTests(MemoryCase):
     async def test_body_that_does_not_fit_is_refused_as_not_run(self):
         services = replicas(reservas=0)
--- a/libs/upstreams/src/hemlockhoist/upstreams/bounds.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/bounds.py
@@ -82,16 +82,19 @@
 
     def data_received(self, data):
         """Parse bytes of the upstream, and check the bounds."""
-        if data and self._body is None and self._head_begin_s is None:
+        if self._body is None and data and self._head_begin_s is None:
             self._head_begin_s = self._loop.time()
         super().data_received(data)
         if not data or self.transport is None:
             # The library also calls this to parse on after each read of the body.
             return
-        if self._body is None:
+        body = self._body
+        if body is None:
             self._check_head(len(data))
-        elif self._body.total_bytes > self._body_bytes:
-            self._body_bytes = self._body.total_bytes
+            return
+        body_bytes = body.total_bytes
+        if body_bytes > self._body_bytes:
+            self._body_bytes = body_bytes
             self._unbounded_bytes = 0
         else:
             self._unbounded_bytes += len(data)
--- a/libs/upstreams/src/hemlockhoist/upstreams/client.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/client.py
@@ -41,7 +41,7 @@
 # grant. An upstream that takes longer to connect is treated as dead.
 CONNECT_TIMEOUT_MS = 1_000
 # Bound on the bytes that are read ahead of a slow caller for one stream.
-READ_BUFFER_BYTES = 65_536
+READ_BUFFER_BYTES = 16_384
 
 
 class UpstreamCall(msgspec.Struct, frozen=True, kw_only=True):
@@ -179,11 +179,12 @@
             response = await self._send(call, guard)
         else:
             use, response = await self._send_over_kept(call, guard)
+        is_reused = use is not None and use.is_reused
+        opened = UpstreamResponse(response, self._request_id_header, is_reused)
         try:
-            is_reused = use is not None and use.is_reused
-            yield UpstreamResponse(response, self._request_id_header, is_reused)
+            yield opened
         finally:
-            response.close()
+            opened.close()
 
     def connected(self, pool):
         """Return the upstreams of a pool to which an idle connection is kept."""
--- a/libs/upstreams/src/hemlockhoist/upstreams/guard.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/guard.py
@@ -149,6 +149,9 @@
         if self._on_dispatch is not None:
             self._on_dispatch()
         self.dispatched_ms = now_ms
+        # Timers made while a request is sent keep its guard for as long as they exist,
+        # which must not keep the caller's request as well.
+        self._on_dispatch = None
         self._register.record(self.request_id)
 
 
--- a/libs/upstreams/src/hemlockhoist/upstreams/response.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/response.py
@@ -75,8 +75,35 @@
         )
 
     def close(self):
-        """Close the connection; a pending read raises an error."""
+        """Close the connection, and drop what is unread; a pending read raises an error.
+
+        The HTTP library's objects refer to one another, so they exist until the garbage
+        collector finds them, which may take minutes.
+        """
         self._response.close()
+        content = self._response.content
+        if content.total_bytes:
+            content._buffer.clear()
+
+    @property
+    def unread_bytes(self):
+        """Bytes of the body that the HTTP library has read ahead of its reader."""
+        # The library has no public interface for it. A response without a body has no
+        # size.
+        content = self._response.content
+        return content._size if content.total_bytes else 0
+
+    def pause(self):
+        """Read nothing more from the connection until ``resume`` is called."""
+        connection = self._response.connection
+        if connection is not None and connection.transport is not None:
+            connection.transport.pause_reading()
+
+    def resume(self):
+        """Read from the connection again."""
+        connection = self._response.connection
+        if connection is not None and connection.transport is not None:
+            connection.transport.resume_reading()
 
     async def wait_for_data(self):
         """Wait until the body has begun; ``chunks`` yields what has arrived.
@@ -100,14 +127,21 @@
             When the body breaks off or, without a length or chunks, never begins, or no
             data arrives within the idle timeout.
         """
-        first, self._first_data = self._first_data, b""
-        has_begun = bool(first)
-        if first:
-            yield first
+        content = self._response.content
+        # A list, from which each chunk is taken: a name would keep it in memory for as
+        # long as the reader waits for its caller.
+        chunks = [self._first_data]
+        self._first_data = b""
+        has_begun = bool(chunks[0])
+        if has_begun:
+            yield chunks.pop()
         with dispatch_errors():
-            async for chunk in self._response.content.iter_any():
+            while True:
+                chunks = [await content.readany()]
+                if not chunks[0]:
+                    break
                 has_begun = True
-                yield chunk
+                yield chunks.pop()
         self._check_begun(has_begun)
 
     def _check_begun(self, has_begun):
--- a/libs/upstreams/src/hemlockhoist/upstreams/tests/test_bounds.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/tests/test_bounds.py
@@ -15,6 +15,7 @@
     UpstreamClient,
     bounds,
 )
+from hemlockhoist.upstreams.client import READ_BUFFER_BYTES
 from hemlockhoist.upstreams.response import MAX_REASON_CHARACTERS
 
 BODY_LIMIT_BYTES = 100_000
@@ -90,8 +91,9 @@
         closed.cancel()
 
 
-async def fetch(address, body=b"", timeout_ms=2_000, headers=()):
-    """Dispatch a request and return the status and body of its response."""
+@contextlib.asynccontextmanager
+async def dispatched(address, body=b"", timeout_ms=2_000, headers=()):
+    """Dispatch a request and yield its response."""
     client, clock = UpstreamClient(), Clock.from_running_loop()
     await client.start()
     guard = SendGuard(
@@ -111,11 +113,17 @@
     )
     try:
         async with client.dispatch(call, guard) as response:
-            return response.status, await response.read(BODY_LIMIT_BYTES)
+            yield response
     finally:
         await client.close()
 
 
+async def fetch(address, **options):
+    """Dispatch a request and return the status and body of its response."""
+    async with dispatched(address, **options) as response:
+        return response.status, await response.read(BODY_LIMIT_BYTES)
+
+
 class GarbageTests(unittest.TestCase):
     @settings(deadline=None, max_examples=60)
     @given(
@@ -204,6 +212,58 @@
         async with Upstream([], reads=False) as upstream:
             with self.assertRaises(TimeoutError):
                 async with asyncio.timeout(0.2):
-                    await fetch(upstream.address, body(), headers=headers)
+                    await fetch(upstream.address, body=body(), headers=headers)
             async with asyncio.timeout(2):
                 await upstream.connection_lost.wait()
+
+
+class ReadAheadTests(unittest.IsolatedAsyncioTestCase):
+    CHUNK_BYTES = 5_000
+    CHUNKS = 24
+
+    def upstream(self):
+        body = [bytes(self.CHUNK_BYTES)] * self.CHUNKS
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % sum(map(len, body))
+        return Slow([head, *body], pause_s=0.005)
+
+    async def test_little_is_read_ahead_of_a_reader_that_waits(self):
+        """Guards against answers in memory that is not reserved for them yet."""
+        async with (
+            self.upstream() as upstream,
+            dispatched(upstream.address) as response,
+        ):
+            await asyncio.sleep(0.5)
+            most_bytes = 2 * READ_BUFFER_BYTES + self.CHUNK_BYTES
+            self.assertLess(READ_BUFFER_BYTES, response.unread_bytes)
+            self.assertLessEqual(response.unread_bytes, most_bytes)
+            body = await response.read(1_000_000)
+            self.assertEqual(len(body), self.CHUNK_BYTES * self.CHUNKS)
+            self.assertEqual(response.unread_bytes, 0)
+
+    async def test_nothing_is_read_while_the_reader_pauses(self):
+        """Guards against what is read ahead of each of hundreds of slow callers."""
+        async with (
+            self.upstream() as upstream,
+            dispatched(upstream.address) as response,
+        ):
+            chunks, sizes = response.chunks(), []
+            sizes.append(len(await anext(chunks)))
+            response.pause()
+            unread_bytes = response.unread_bytes
+            await asyncio.sleep(0.3)
+            self.assertEqual(response.unread_bytes, unread_bytes)
+            response.resume()
+            sizes.extend([len(chunk) async for chunk in chunks])
+            self.assertEqual(sum(sizes), self.CHUNK_BYTES * self.CHUNKS)
+            # The connection may have ended.
+            response.pause()
+            response.resume()
+
+    async def test_closed_response_keeps_nothing_that_was_read_ahead(self):
+        """Guards against 116 MB of 400 streams that were cut, until they are collected."""
+        async with self.upstream() as upstream:
+            async with dispatched(upstream.address) as response:
+                await asyncio.sleep(0.3)
+                content = response._response.content
+                self.assertGreater(sum(map(len, content._buffer)), READ_BUFFER_BYTES)
+            self.assertEqual(len(content._buffer), 0)
