--- a/libs/upstreams/src/hemlockhoist/upstreams/client.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/client.py
@@ -40,7 +40,8 @@
 # Three times the round trip to the farthest region, and less than the lifetime of a
 # grant. An upstream that takes longer to connect is treated as dead.
 CONNECT_TIMEOUT_MS = 1_000
-# Bound on the bytes that are read ahead of a slow caller for one stream.
+# Half of what is read ahead of a slow reader, to which the last read adds up to 256 KB.
+# It is not accounted before an answer's memory is reserved, so it is small.
 READ_BUFFER_BYTES = 16_384
 
 
