--- a/libs/entry/src/hemlockhoist/entry/tests/test_exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_exchange.py
@@ -24,7 +24,9 @@
     found._relay = None
     found._admitted = types.SimpleNamespace(deadline_ms=math.inf)
     found._hedge = found._replacement = types.SimpleNamespace(close=close)
-    found._sender = types.SimpleNamespace(may_have_run=may_have_run)
+    found._sender = types.SimpleNamespace(
+        may_have_run=may_have_run, drop_body=lambda: None
+    )
     found._attempts = types.SimpleNamespace(failed_response=failed_response)
     return found
 
