Send placement queries in frames of their own

Cause: a home of the release before rejects a frame with a message of an unknown type as a whole. A placement query shared its frame with up to 255 other messages, and with the news of the store, which then were lost.

Change: the types in UNBATCHED_TYPES (placement query and reply) get a frame with no other message and without the news. The order of messages is kept.

Result: with a receiver that does not know the query, the messages queued before, between and after four queries arrive, and exactly four frames are rejected.

--- a/libs/messages/src/hemlockhoist/messages/__init__.py
+++ b/libs/messages/src/hemlockhoist/messages/__init__.py
@@ -83,7 +83,7 @@
     PlacementReport,
 )
 from hemlockhoist.messages.quarantine import PartRecord, PartRecords, PartState
-from hemlockhoist.messages.registry import MESSAGE_TYPES
+from hemlockhoist.messages.registry import MESSAGE_TYPES, UNBATCHED_TYPES
 from hemlockhoist.messages.relays import (
     RelayedHead,
     RelayFailure,
@@ -100,6 +100,7 @@
     "MESSAGE_TYPES",
     "NO_LIMIT",
     "SLOWDOWN_PERCENTS",
+    "UNBATCHED_TYPES",
     "WIRE_VERSION",
     "BackedOffUpstream",
     "CandidateReport",
--- a/libs/messages/src/hemlockhoist/messages/registry.py
+++ b/libs/messages/src/hemlockhoist/messages/registry.py
@@ -123,3 +123,8 @@
     UpstreamReached,
     VersionHalted,
 )
+
+# Types that hosts of the release before do not know. They reject a frame with such a
+# message as a whole, so it is sent in a frame of its own, without the sender's news of
+# the store.
+UNBATCHED_TYPES = frozenset({PlacementQuery, PlacementReply})
--- a/libs/peers/src/hemlockhoist/peers/link.py
+++ b/libs/peers/src/hemlockhoist/peers/link.py
@@ -4,7 +4,7 @@
 import collections
 
 from hemlockhoist.base import MS_PER_S, get_logger, io_timeout
-from hemlockhoist.messages import Envelope
+from hemlockhoist.messages import UNBATCHED_TYPES, Envelope
 from hemlockhoist.peers.connection import Connection
 
 _log = get_logger("peers.link")
@@ -217,15 +217,31 @@
             # It ended or was replaced while this task was waiting.
             return
         self._drop_stale()
-        count = min(MAX_BATCH, len(self._queue))
-        batch = [self._queue.popleft()[1] for _ in range(count)]
+        batch = self._next_batch()
         frame = self._encode(batch) if batch else None
         if frame is not None:
             connection.write(frame)
             self.bytes_sent += len(frame)
 
+    def _next_batch(self):
+        """Remove and return the queued messages for the next envelope, in order.
+
+        Failure prevented: a peer of the release before rejects a frame with a message
+        of an unknown type, and with it the requests and releases in the same frame.
+        """
+        batch, queue = [], self._queue
+        while queue and len(batch) < MAX_BATCH:
+            is_unbatched = type(queue[0][1]) in UNBATCHED_TYPES
+            if is_unbatched and batch:
+                break
+            batch.append(queue.popleft()[1])
+            if is_unbatched:
+                break
+        return batch
+
     def _encode(self, batch):
         self._sequence += 1
+        is_unbatched = type(batch[0]) in UNBATCHED_TYPES
         envelope = Envelope(
             sender=self._sender,
             incarnation=self._incarnation,
@@ -233,7 +249,7 @@
             sequence=self._sequence,
             sent_ms=self._clock.now_ms(),
             messages=batch,
-            news=self._due_news(),
+            news=None if is_unbatched else self._due_news(),
         )
         # A message that cannot be encoded is an error of this program and must not end
         # the task: the peer would receive nothing more from a host that looks alive to
--- a/libs/peers/src/hemlockhoist/peers/tests/test_bus.py
+++ b/libs/peers/src/hemlockhoist/peers/tests/test_bus.py
@@ -7,8 +7,17 @@
 import unittest
 import unittest.mock
 
+import msgspec
+
 from hemlockhoist.base import Clock, PeerError
-from hemlockhoist.messages import Codec, Envelope, GrantCancel, StoreNews
+from hemlockhoist.messages import (
+    Codec,
+    Envelope,
+    GrantCancel,
+    PlacementQuery,
+    RequestBrief,
+    StoreNews,
+)
 from hemlockhoist.peers import Inbox, PeerBus, frames, inbox
 from hemlockhoist.peers.connection import Connection
 from hemlockhoist.peers.frames import encode_frame
@@ -32,6 +41,20 @@
     )
 
 
+def _earlier_decoder():
+    """Return the decoder of a host that only knows the type of ``_message``."""
+    fields = [
+        ("sender", bytes),
+        ("incarnation", bytes),
+        ("sequence", int),
+        ("sent_ms", int),
+        ("messages", list[GrantCancel]),
+        ("news", StoreNews | None, None),
+    ]
+    kind = msgspec.defstruct("EarlierEnvelope", fields, array_like=True)
+    return msgspec.msgpack.Decoder(kind)
+
+
 class InboxTests(unittest.TestCase):
     def test_envelope_is_accepted_once(self):
         """The second delivery of the same envelope is rejected."""
@@ -123,6 +146,39 @@
         await asyncio.wait_for(self.received.get(), WAIT_S)
         self.assertEqual(heard.get_nowait(), (teller.address, known))
 
+    async def test_peer_of_an_earlier_release_loses_only_the_unknown_message(self):
+        """Guards against an operator's query that costs callers their requests.
+
+        Hosts of the release before reject a frame with a placement query as a whole,
+        with up to 255 other messages and the news of the store.
+        """
+        known, heard = StoreNews(changed_version=7, read_ms=100), []
+        sender = PeerBus(
+            "1", "127.0.0.1:0", None, b"k", self.clock, self._take, news=lambda: known
+        )
+        await sender.start()
+        self.addAsyncCleanup(sender.close)
+        self.b._codec._decoder = _earlier_decoder()
+        self.b._on_news = lambda host, news: heard.append(news)
+        brief = RequestBrief(
+            request_id="q",
+            route="r",
+            customer="c",
+            tier_rank=0,
+            deadline_in_ms=1,
+            first_token_in_ms=1,
+        )
+        query = PlacementQuery(pool="chat", query_id="q", brief=brief)
+        sender.send(self.b.address, query)
+        for number in range(3):
+            sender.send(self.b.address, _message(number))
+            sender.send(self.b.address, query)
+        for number in range(3):
+            _, message = await asyncio.wait_for(self.received.get(), WAIT_S)
+            self.assertEqual(message, _message(number))
+        await self._wait_rejected(4)
+        self.assertEqual(heard, [known])
+
     async def test_message_to_the_host_itself_needs_no_link(self):
         """A host that is its own home sends messages like any other host."""
         self.a.send(self.a.address, _message(1))
