Report the chosen upstream as not excluded if it is suppressed

Cause: the exclusions of a placement report left out ShardUpstreams.free_for, by which a suppressed upstream gets a request if all others want none of its host. The report then named it as chosen and as suppressed.

Change: the exclusions start from free_for as the slot assigner does.

Result: the new example test fails without the change (u1 is reported as suppressed) and passes with it. test_rehearsal passes.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/rehearsal.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/rehearsal.py
@@ -175,7 +175,10 @@
         """
         upstreams = self._upstreams
         found = {}
-        free = {item.upstream_id: item for item in upstreams.free_upstreams(now_ms)}
+        listed = upstreams.free_upstreams(now_ms)
+        # May add a suppressed one, as the only one, if all others refuse the request.
+        usable = upstreams.free_for(request, listed, now_ms) if listed else []
+        free = {item.upstream_id: item for item in [*listed, *usable]}
         for item in upstreams.table:
             if item.upstream_id not in free:
                 found[item.upstream_id] = self._reason_not_free(item, now_ms)
@@ -188,6 +191,7 @@
                 found.setdefault(upstream_id, exclusion)
                 del free[upstream_id]
 
+        keep(usable, Exclusion.BACKED_OFF)
         closed = upstreams.back_offs.closed_to(request.entry_host, now_ms)
         open_items = [i for i in free.values() if i.upstream_id not in closed]
         keep(open_items, Exclusion.BACKED_OFF)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_rehearsal.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_rehearsal.py
@@ -182,13 +182,34 @@
         warmup.assume_cold("u0", self.drive.now_ms)
         warmup.record_grant("u0", self.drive.now_ms)
         self.assertEqual(self.reasons()["u0"], Exclusion.COLD.value)
+        self.suppress("u1")
+        self.assertEqual(self.reasons()["u1"], Exclusion.SUPPRESSED.value)
+
+    def suppress(self, name):
         damping = self.drive.scheduler._upstreams.damping
-        upstream = damping.known_upstream("u1")
+        upstream = damping.known_upstream(name)
         for _ in range(2):
             self.drive.now_ms += 500
-            damping.record_served("u1", self.drive.now_ms - 200)
+            damping.record_served(name, self.drive.now_ms - 200)
             damping.record_loss(upstream, self.drive.now_ms)
-        self.assertEqual(self.reasons()["u1"], Exclusion.SUPPRESSED.value)
+
+    def test_suppressed_upstream_that_is_chosen_is_not_excluded(self):
+        """Guards against a report that excludes the upstream it names as chosen.
+
+        A suppressed upstream gets the request if all others want none of its host.
+        """
+        self.suppress("u1")
+        for name in ("u0", "u2", "u3"):
+            back_offs = self.scheduler._upstreams.back_offs
+            back_offs.record(name, "host-1", self.drive.now_ms + 5_000)
+        report = rehearse(self.drive, self.request())
+        self.assertEqual((report.outcome, report.upstream_id), (GRANTED, "u1"))
+        reasons = {item.upstream_id: item.exclusion for item in report.candidates}
+        backed_off = Exclusion.BACKED_OFF.value
+        expected = {"u0": backed_off, "u1": "", "u2": backed_off, "u3": backed_off}
+        self.assertEqual(reasons, expected)
+        decision = self.drive.submit(self.request())[0]
+        self.assertEqual(decision.grant.upstream_id, "u1")
 
     def test_position_is_that_in_the_queue(self):
         """Guards against a position that ignores tiers, or counts lower ones."""
