Take the customer of a placement query as admission does

Cause: on a route that requires keys, a query without a customer was answered as if its request were admitted, while a real one gets UNKNOWN_KEY. On a route that allows anonymous requests the query applied the customer's regions, rank and quota, which admission ignores.

Change: both use requires_key. A missing customer is a fault that names the option; where no key is needed, the customer is only checked to exist, and the answer names none.

--- a/libs/entry/src/hemlockhoist/entry/admission.py
+++ b/libs/entry/src/hemlockhoist/entry/admission.py
@@ -94,6 +94,11 @@
         return int(OUTPUT_FRACTION * self.call.max_output_tokens)
 
 
+def requires_key(route, table):
+    """Return whether requests for a route of a table need a customer's key."""
+    return table.requires_keys and not route.allows_anonymous
+
+
 def common_regions(first, second):
     """Return the regions allowed by two declarations; empty for any.
 
@@ -144,7 +149,7 @@
         if route is None:
             self._refuse_permanently("no route", ResultCode.NOT_FOUND)
         customer = None
-        if table.requires_keys and not route.allows_anonymous:
+        if requires_key(route, table):
             customer = self.customer_of(call)
         max_wait_ms = call.max_wait_ms
         if max_wait_ms is None:
--- a/libs/entry/src/hemlockhoist/entry/where.py
+++ b/libs/entry/src/hemlockhoist/entry/where.py
@@ -8,7 +8,11 @@
 from hemlockhoist.base import BadRequest, HemlockhoistError, ResultCode, get_logger
 from hemlockhoist.decisions.entry import chained_hashes
 from hemlockhoist.declarations import CallKind
-from hemlockhoist.entry.admission import DEFAULT_MAX_WAIT_MS, AdmittedCall
+from hemlockhoist.entry.admission import (
+    DEFAULT_MAX_WAIT_MS,
+    AdmittedCall,
+    requires_key,
+)
 from hemlockhoist.entry.wire import CallerCall
 from hemlockhoist.host.body import read_body
 from hemlockhoist.host.responses import error_response
@@ -75,7 +79,7 @@
             report,
             route=admitted.route.name,
             pool=admitted.pool,
-            customer=question.customer,
+            customer=admitted.customer.name if admitted.customer else "",
             tier=admitted.tier,
             prompt_tokens=admitted.call.prompt_tokens,
             output_tokens=admitted.output_tokens,
@@ -85,7 +89,8 @@
 def asked_call(question, table):
     """Return the ``AdmittedCall`` that a question describes, arriving at time 0.
 
-    Of a route with several pools, the one with the largest share is meant.
+    Of a route with several pools, the one with the largest share is meant. On a route
+    that needs no key, the customer is ignored as by ``Admission``.
 
     Parameters
     ==========
@@ -103,9 +108,12 @@
     if route is None:
         faults.append(_fault("route", question.route, _names(routes)))
     customer = table.customer(question.customer)
-    if customer is None and question.customer:
-        names = [item.name for item in table.customers]
-        faults.append(_fault("customer", question.customer, _names(names)))
+    needs_customer = route is not None and requires_key(route, table)
+    if customer is None and (question.customer or needs_customer):
+        allowed = _names(item.name for item in table.customers)
+        if not question.customer:
+            allowed += "; requests for this route need a customer's key"
+        faults.append(_fault("customer", question.customer, allowed))
     if question.tier:
         faults.append(_fault("tier", question.tier, "none; the customer and route"))
     blocks = []
@@ -136,7 +144,7 @@
     return AdmittedCall(
         call=call,
         route=route,
-        customer=customer,
+        customer=customer if needs_customer else None,
         pool=max(route.shares, key=lambda share: share.weight).pool,
         arrived_ms=0,
         deadline_ms=deadline_ms,
