Treat a placement reply without code and report as an error of the home

Cause: PlacementReply(code=0, report=None) was accepted and ended in an AttributeError at the asking host.

Change: such a reply is treated like one with an unknown code, INTERNAL_ERROR.

Result: the new test failed before (AttributeError) and passes; test_placement_queries passes.

--- a/libs/host/src/hemlockhoist/host/placement_queries.py
+++ b/libs/host/src/hemlockhoist/host/placement_queries.py
@@ -59,7 +59,7 @@
         if home == self._context.identity.host_id:
             return home, self._report(pool, brief, home, 0)
         reply = await self._reply_of(home, pool, brief)
-        if reply.code:
+        if reply.code or reply.report is None:
             _raise_refusal(home, pool, reply.code, reply.retry_after_ms)
         return home, reply.report
 
@@ -130,9 +130,12 @@
 
 
 def _raise_refusal(home, pool, code, retry_after_ms):
-    """Raise the refusal in a reply; one with a code of a later release as well."""
+    """Raise the refusal in a reply; one with a code of a later release as well.
+
+    A reply with neither a code nor a report is treated like one with an unknown code.
+    """
     try:
-        code = ResultCode(code)
+        code = ResultCode(code) or ResultCode.INTERNAL_ERROR
     except ValueError:
         code = ResultCode.INTERNAL_ERROR
     text = ""
--- a/libs/host/src/hemlockhoist/host/tests/test_placement_queries.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_placement_queries.py
@@ -149,8 +149,18 @@
         self.assertIs(code, ResultCode.QUERY_TOO_COSTLY)
 
     async def test_code_of_a_later_release_is_an_error(self):
+        reply = PlacementReply(query_id="q", code=99_999)
+        self.assertIs(await self.code_after(reply), ResultCode.INTERNAL_ERROR)
+
+    async def test_reply_without_code_and_report_is_an_error(self):
+        """Guards against an AttributeError instead of a result code."""
+        reply = PlacementReply(query_id="q")
+        self.assertIs(await self.code_after(reply), ResultCode.INTERNAL_ERROR)
+
+    async def code_after(self, reply):
+        """Return the code of a query to which a home sends a reply."""
         self.answering = None
         asked = asyncio.create_task(self.code_of(self.asking))
         await asyncio.sleep(0)
-        self.asking.on_reply(PlacementReply(query_id="q", code=99_999))
-        self.assertIs(await asked, ResultCode.INTERNAL_ERROR)
+        self.asking.on_reply(reply)
+        return await asked
