Bound the prefix of a placement query at entry hosts by MAX_TOKENS

Cause: only each part of the prefix was bounded, so that 64 parts could make a prompt of 64 million tokens.

Change: the sum is bounded as prompt_tokens is.

Result: the new test fails without the change; test_where of entry passes.

--- a/libs/entry/src/hemlockhoist/entry/tests/test_where.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_where.py
@@ -14,7 +14,7 @@
 from hemlockhoist.entry.request_grants import RequestGrants
 from hemlockhoist.entry.tests.builders import KEY, call, customer, route, table
 from hemlockhoist.entry.where import asked_brief, asked_call
-from hemlockhoist.host.where_messages import WhereQuestion
+from hemlockhoist.host.where_messages import MAX_TOKENS, WhereQuestion
 
 SHARES = (PoolShare(pool="small", weight=1), PoolShare(pool="large", weight=3))
 TABLE = table(
@@ -121,6 +121,14 @@
         with self.assertRaisesRegex(BadRequest, "customer: is 'x'"):
             asked("open", customer="x")
 
+    def test_prefix_of_too_many_tokens_is_a_fault(self):
+        """Guards against a prompt of 64 million tokens, longer than any that is sent."""
+        most = (f"a:{MAX_TOKENS - 1}", "b:1")
+        admitted = asked("open", prefix=most)
+        self.assertEqual(admitted.call.prompt_tokens, MAX_TOKENS)
+        with self.assertRaisesRegex(BadRequest, f"prefix: .* up to {MAX_TOKENS}"):
+            asked("open", prefix=(*most, "c:1"))
+
     def test_long_lists_of_names_are_cut(self):
         """Guards against an error of thousands of names."""
         routes = [route(f"r{number:03}") for number in range(50)]
--- a/libs/entry/src/hemlockhoist/entry/where.py
+++ b/libs/entry/src/hemlockhoist/entry/where.py
@@ -124,6 +124,9 @@
         else:
             blocks.append((name, int(count)))
     total = sum(count for _, count in blocks)
+    if total > MAX_TOKENS:
+        allowed = f"parts of up to {MAX_TOKENS} tokens in all"
+        faults.append(_fault("prefix", f"{total} tokens", allowed))
     prompt_tokens = question.prompt_tokens
     if prompt_tokens is not None and prompt_tokens < total:
         faults.append(_fault("prompt_tokens", prompt_tokens, f"at least {total}"))
