Test that placement queries count in no metric with a counter that changes

Cause: the check that the home's totals stay empty could not fail, as they stay empty after a granted request as well.

Change: a request that all upstreams' back-offs hold back first changes grants.held_back; the query for the same request then leaves the totals as they are. Likewise a request that is kept back changes the counters of the quarantine, which a query does not.

--- a/libs/host/src/hemlockhoist/host/tests/test_placement_queries.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_placement_queries.py
@@ -3,9 +3,11 @@
 from unittest import mock
 
 from hemlockhoist.base import Refused, ResultCode
+from hemlockhoist.base.metrics_table import GRANTS_HELD_BACK
 from hemlockhoist.host.home import PoolHome
+from hemlockhoist.host.home_signals import BACK_OFF_CAUSE
 from hemlockhoist.host.placement_queries import ANSWER_TIMEOUT_MS, PlacementQueries
-from hemlockhoist.host.tests.test_home_quarantine import GUILTY, HomeCase
+from hemlockhoist.host.tests.test_home_quarantine import GUILTY, UPSTREAMS, HomeCase
 from hemlockhoist.host.work_requests import work_request
 from hemlockhoist.messages import (
     GrantReply,
@@ -96,7 +98,21 @@
         self.assertIsNone(self.home.first_grant_ms)
         self.assertTrue(self.home.is_idle(0))
         self.assertFalse(self.home._spans)
-        self.assertFalse(self.home._metrics.totals)
+
+    async def test_query_counts_in_no_metric(self):
+        """Guards against metrics that count operators' queries as callers' requests."""
+        now_ms, scheduler = self.clock.now_ms(), self.home.scheduler
+        for name in UPSTREAMS:
+            scheduler.observe_back_off(name, OTHER, now_ms + 5_000, now_ms)
+        totals = self.home._metrics.totals
+        counted = f"{GRANTS_HELD_BACK.name}.{BACK_OFF_CAUSE}"
+        request = GrantRequest(pool="chat", brief=self.brief("r"))
+        self.home.on_request(OTHER, request, 0)
+        self.assertEqual(totals[counted], 1)
+        before = dict(totals)
+        report = self.home.rehearse(self.work("q"))
+        self.assertNotEqual(report.outcome, "granted")
+        self.assertEqual(totals, before)
 
     def work(self, request_id):
         return work_request(self.brief(request_id), OTHER, self.clock.now_ms())
@@ -110,6 +126,9 @@
         self.assertIn(f"{GUILTY:016x}", report.reason)
         # Only requests that are sent are counted.
         self.assertFalse(self.quarantine._metrics.totals)
+        brief = self.brief("r", parts=(GUILTY,))
+        self.home.on_request(OTHER, GrantRequest(pool="chat", brief=brief), 0)
+        self.assertTrue(self.quarantine._metrics.totals)
 
     async def test_queries_are_bounded(self):
         """Guards against an operator's loop at the cost of callers' requests."""
