--- a/libs/cli/src/hemlockhoist/cli/client.py
+++ b/libs/cli/src/hemlockhoist/cli/client.py
@@ -22,7 +22,7 @@
     MoveView,
     PartsView,
 )
-from hemlockhoist.host.where_messages import WHERE_PATH, WhereView
+from hemlockhoist.host.where_messages import WHERE_PATH, PlacementView
 
 CONNECT_TIMEOUT_MS = 2_000
 CALL_TIMEOUT_MS = 15_000
@@ -129,10 +129,13 @@
         path = f"{PARTS_PATH}/{urllib.parse.quote(part, safe='')}?{query}"
         return await self._call("DELETE", path, PartsView)
 
-    async def where(self, question):
-        """Ask where a request would go; return the ``WhereView``."""
+    async def where(self, body):
+        """Ask to which upstream a request would be assigned.
+
+        Returns the ``PlacementView``.
+        """
         return await self._call(
-            "POST", WHERE_PATH, WhereView, question, is_change=False
+            "POST", WHERE_PATH, PlacementView, body, is_change=False
         )
 
     async def _call(self, method, path, result_type, body=None, is_change=True):
--- a/libs/cli/src/hemlockhoist/cli/tests/fake_host.py
+++ b/libs/cli/src/hemlockhoist/cli/tests/fake_host.py
@@ -24,7 +24,7 @@
 )
 from hemlockhoist.host.responses import error_response
 from hemlockhoist.host.tests.test_operator_declarations import FakeClock, FakeTables
-from hemlockhoist.host.where_messages import WhereQuestion
+from hemlockhoist.host.where_messages import PlacementRequestBody
 
 KEY = "operator-key-of-the-test"
 
@@ -48,7 +48,7 @@
         self.drained = False
         # The answer to a query of a placement, or the error; and the queries so far.
         self.placement = None
-        self.questions = []
+        self.placement_requests = []
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever)
 
@@ -160,8 +160,8 @@
     async def _where(self, request):
         if self.drop_connection:
             request.transport.close()
-        question = msgspec.json.decode(await request.read(), type=WhereQuestion)
-        self.questions.append(question)
+        body = msgspec.json.decode(await request.read(), type=PlacementRequestBody)
+        self.placement_requests.append(body)
         if isinstance(self.placement, HemlockhoistError):
             raise self.placement
         return self.placement
--- a/libs/cli/src/hemlockhoist/cli/tests/test_where.py
+++ b/libs/cli/src/hemlockhoist/cli/tests/test_where.py
@@ -7,7 +7,11 @@
 from hemlockhoist.cli.tests.fake_host import FakeHost
 from hemlockhoist.cli.tests.test_commands import CommandTestCase
 from hemlockhoist.cli.where import describe_placement
-from hemlockhoist.host.where_messages import CandidateView, WhereQuestion, WhereView
+from hemlockhoist.host.where_messages import (
+    CandidateView,
+    PlacementRequestBody,
+    PlacementView,
+)
 
 CHOSEN = CandidateView(
     upstream="e-1",
@@ -19,7 +23,7 @@
     excluded="",
 )
 FULL = msgspec.structs.replace(CHOSEN, upstream="e-2", excluded="full")
-GRANTED = WhereView(
+GRANTED = PlacementView(
     route="POST /v1/chat/completions",
     pool="assistant",
     customer="aulas",
@@ -65,9 +69,9 @@
         options += ("--tier", "standard", "--prefix", "system:a", "--prefix", "user:b")
         result = self.where("assistant", *options, "--json")
         self.assertEqual(result.exit_code, ExitCode.OK, result.output)
-        shown = msgspec.json.decode(result.stdout, type=WhereView, strict=True)
+        shown = msgspec.json.decode(result.stdout, type=PlacementView, strict=True)
         self.assertEqual(shown, GRANTED)
-        expected = WhereQuestion(
+        expected = PlacementRequestBody(
             route="assistant",
             prompt_tokens=40,
             max_tokens=8,
@@ -75,7 +79,7 @@
             tier="standard",
             prefix=("system:a", "user:b"),
         )
-        self.assertEqual(self.host.questions, [expected])
+        self.assertEqual(self.host.placement_requests, [expected])
 
     def test_text_names_outcome_and_candidates(self):
         text = self.where("assistant").stdout
--- a/libs/cli/src/hemlockhoist/cli/where.py
+++ b/libs/cli/src/hemlockhoist/cli/where.py
@@ -1,4 +1,7 @@
-"""The command ``hemlockhoist where``, which shows where a request would go now."""
+"""The command ``hemlockhoist where``.
+
+Operator query: to which upstream a request would be assigned.
+"""
 
 import click
 import msgspec
@@ -11,7 +14,7 @@
     MAX_NAME_CHARACTERS,
     MAX_PREFIX_PARTS,
     MAX_TOKENS,
-    WhereQuestion,
+    PlacementRequestBody,
 )
 
 GRANTED, QUEUED = "granted", "queued"
@@ -52,7 +55,7 @@
         raise SettingError(
             f"prefix: has {len(prefix)} parts; allowed: at most {MAX_PREFIX_PARTS}"
         )
-    question = WhereQuestion(
+    body = PlacementRequestBody(
         route=route,
         prompt_tokens=prompt_tokens,
         max_tokens=max_tokens,
@@ -60,7 +63,7 @@
         tier=tier,
         prefix=prefix,
     )
-    view = await client.where(question)
+    view = await client.where(body)
     print_output(view, as_json, describe_placement(view))
 
 
@@ -74,17 +77,17 @@
 
 
 def describe_placement(view):
-    """Return the readable text of a ``WhereView``.
+    """Return the readable text of a ``PlacementView``.
 
     Parameters
     ==========
-    view : WhereView
+    view : PlacementView
     """
-    asked = f"{view.route}, pool {view.pool}, tier {view.tier}"
+    described = f"{view.route}, pool {view.pool}, tier {view.tier}"
     if view.customer:
-        asked += f", customer {view.customer}"
-    asked += f", {view.prompt_tokens} + {view.output_tokens} tokens"
-    lines = [asked, f"home: {view.home or '-'}", _describe_outcome(view)]
+        described += f", customer {view.customer}"
+    described += f", {view.prompt_tokens} + {view.output_tokens} tokens"
+    lines = [described, f"home: {view.home or '-'}", _describe_outcome(view)]
     if view.candidates:
         rows = [msgspec.to_builtins(item) for item in view.candidates]
         lines += ["", format_table(rows)]
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/__init__.py
@@ -3,12 +3,12 @@
 from hemlockhoist.decisions.scheduling.declared_slots_tracker import (
     DeclaredSlotsTracker,
 )
-from hemlockhoist.decisions.scheduling.experiments import Experiments, Mechanism
-from hemlockhoist.decisions.scheduling.rehearsal import (
+from hemlockhoist.decisions.scheduling.dry_run import (
     Exclusion,
     Placement,
-    PlacementRehearsal,
+    PlacementDryRun,
 )
+from hemlockhoist.decisions.scheduling.experiments import Experiments, Mechanism
 from hemlockhoist.decisions.scheduling.retries import RetryBudget
 from hemlockhoist.decisions.scheduling.scheduler import PoolScheduler
 from hemlockhoist.decisions.scheduling.state_copy import StateCopy
@@ -21,7 +21,7 @@
     "Experiments",
     "Mechanism",
     "Placement",
-    "PlacementRehearsal",
+    "PlacementDryRun",
     "PoolScheduler",
     "RetryBudget",
     "StateCopy",
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/rehearsal.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/dry_run.py
@@ -47,12 +47,12 @@
     OTHER_VERSION = "another version"
 
 
-class PlacementRehearsal(PoolScheduler):
-    """A copy of a pool's scheduler, on which one request is tried.
+class PlacementDryRun(PoolScheduler):
+    """A copy of a pool's scheduler, which decides on one request without any effect.
 
     It decides with the scheduler's own code on its state, and leaves the scheduler, its
     queue, what it has learned and the counts of its checks as they are. Load: operators
-    ask where requests would go while a home is loaded. Copying costs some time for each
+    ask to which upstreams requests would be assigned while a home is loaded. Copying costs some time for each
     upstream and each waiting request, so the copied objects are bounded by ``StateCopy``,
     and queries by ``QueryLimiter``.
     """
@@ -75,8 +75,10 @@
         """
         return (state_copy or StateCopy()).into(cls, scheduler)
 
-    def rehearse(self, request, now_ms):
-        """Return the ``PlacementReport`` of a request; to be called once.
+    def run(self, request, now_ms):
+        """Return the ``PlacementReport`` of a request.
+
+        Changes this copy, so call it once per copy.
 
         Parameters
         ==========
@@ -84,8 +86,8 @@
             With an id that no other request has.
         now_ms : int
         """
-        # All that is read before ``submit`` is brought to the present by it as well, and
-        # a second time at the same moment changes nothing.
+        # Reading applies the same time-dependent updates as ``submit``; they are
+        # idempotent for equal ``now_ms``.
         self._update_slowdown(now_ms)
         candidates = self._candidates(self._experiments.mask(request), now_ms)
         wait_ms = self._forecast.wait_ms(request, now_ms)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/rehearsal_drive.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/scheduler_driver.py
@@ -1,4 +1,4 @@
-"""Drives a scheduler into drawn states, and compares states."""
+"""Drives a scheduler into generated states, and compares states."""
 
 import io
 import pickle
@@ -99,7 +99,7 @@
 
 
 def build_request(fields, now_ms):
-    """Return the request with drawn fields that arrives at a time."""
+    """Return the request with generated fields that arrives at a time."""
     fields = dict(fields)
     prefix, waits = fields.pop("prefix"), fields.pop("waits")
     deadline_in_ms = fields.pop("deadline_in_ms")
@@ -150,8 +150,8 @@
     )
 
 
-class Drive:
-    """Applies drawn steps to a scheduler.
+class SchedulerDriver:
+    """Applies generated steps to a scheduler.
 
     Parameters
     ==========
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_rehearsal.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_dry_run.py
@@ -12,11 +12,11 @@
 from hemlockhoist.decisions.scheduling import (
     Exclusion,
     Placement,
-    PlacementRehearsal,
+    PlacementDryRun,
     StateCopy,
     state_copy,
 )
-from hemlockhoist.decisions.scheduling import rehearsal as module
+from hemlockhoist.decisions.scheduling import dry_run as module
 from hemlockhoist.decisions.scheduling.prefixes import PrefixMap
 from hemlockhoist.decisions.scheduling.prompt_cache import PromptCache
 from hemlockhoist.decisions.scheduling.retry_reservations import (
@@ -25,8 +25,8 @@
     RetryReservations,
 )
 from hemlockhoist.decisions.scheduling.tests import builders as b
-from hemlockhoist.decisions.scheduling.tests.rehearsal_drive import (
-    Drive,
+from hemlockhoist.decisions.scheduling.tests.scheduler_driver import (
+    SchedulerDriver,
     UpstreamState,
     build_request,
     request_fields,
@@ -37,26 +37,25 @@
 QUEUED, GRANTED = Placement.QUEUED.value, Placement.GRANTED.value
 
 
-def rehearse(drive, request):
-    rehearsal = PlacementRehearsal.from_scheduler(drive.scheduler)
-    return rehearsal.rehearse(request, drive.now_ms)
+def dry_run(driver, request):
+    return PlacementDryRun.from_scheduler(driver.scheduler).run(request, driver.now_ms)
 
 
-class DrawnStatesTests(unittest.TestCase):
+class GeneratedStatesTests(unittest.TestCase):
     @settings(max_examples=300)
     @given(st.booleans(), st.booleans(), st.booleans(), steps(), request_fields())
-    def test_rehearsal_changes_nothing_and_is_what_the_request_then_gets(
-        self, has_declared_slots, has_move, reserves_retries, drawn, fields
+    def test_dry_run_changes_nothing_and_is_what_the_request_then_gets(
+        self, has_declared_slots, has_move, reserves_retries, generated, fields
     ):
         """Guards against a query with an effect, and against one that misleads."""
-        drive = Drive(has_declared_slots, has_move, reserves_retries)
-        for step in drawn:
-            drive.apply(step)
-        request = build_request(fields, drive.now_ms)
-        before = state_of(drive.scheduler)
-        report = rehearse(drive, request)
-        self.assertEqual(state_of(drive.scheduler), before)
-        decisions = drive.submit(request)
+        driver = SchedulerDriver(has_declared_slots, has_move, reserves_retries)
+        for step in generated:
+            driver.apply(step)
+        request = build_request(fields, driver.now_ms)
+        before = state_of(driver.scheduler)
+        report = dry_run(driver, request)
+        self.assertEqual(state_of(driver.scheduler), before)
+        decisions = driver.submit(request)
         own = [d for d in decisions if d.request.request_id == request.request_id]
         self.check(report, own[0] if own else None)
 
@@ -81,22 +80,22 @@
         st.booleans(), st.booleans(), steps(), st.lists(request_fields(), max_size=6)
     )
     def test_decisions_after_queries_are_those_without_them(
-        self, has_declared_slots, reserves_retries, drawn, later
+        self, has_declared_slots, reserves_retries, generated, later
     ):
         """Guards against state that a query shares with the scheduler unseen."""
         found = []
         for is_asked in (False, True):
-            drive = Drive(has_declared_slots, True, reserves_retries)
-            for step in drawn:
-                drive.apply(step)
+            driver = SchedulerDriver(has_declared_slots, True, reserves_retries)
+            for step in generated:
+                driver.apply(step)
                 if is_asked:
-                    rehearse(drive, build_request(EXAMPLE_FIELDS, drive.now_ms))
+                    dry_run(driver, build_request(EXAMPLE_FIELDS, driver.now_ms))
             decisions = []
             for fields in later:
-                request = build_request(fields, drive.now_ms)
+                request = build_request(fields, driver.now_ms)
                 decisions += [
                     (type(d), getattr(d, "grant", None) and d.grant.upstream_id)
-                    for d in drive.submit(request)
+                    for d in driver.submit(request)
                 ]
             found.append(decisions)
         self.assertEqual(*found)
@@ -123,23 +122,23 @@
     """The reasons that exclude upstreams of a pool with declared slots."""
 
     def setUp(self):
-        self.drive = Drive(True, False, False)
-        self.scheduler = self.drive.scheduler
+        self.driver = SchedulerDriver(True, False, False)
+        self.scheduler = self.driver.scheduler
 
     def request(self, **fields):
-        now_ms = self.drive.now_ms
+        now_ms = self.driver.now_ms
         return build_request(EXAMPLE_FIELDS | fields, now_ms)
 
     def reasons(self, **fields):
-        report = rehearse(self.drive, self.request(**fields))
+        report = dry_run(self.driver, self.request(**fields))
         return {item.upstream_id: item.exclusion for item in report.candidates}
 
     def hold(self, **fields):
-        (decision,) = self.drive.submit(self.request(**fields))
+        (decision,) = self.driver.submit(self.request(**fields))
         return decision.grant
 
     def test_idle_upstreams_are_candidates_with_their_times(self):
-        report = rehearse(self.drive, self.request())
+        report = dry_run(self.driver, self.request())
         self.assertEqual(set(self.reasons().values()), {""})
         costs = [item.cost_ms for item in report.candidates[1:]]
         self.assertEqual(costs, sorted(costs))
@@ -147,9 +146,9 @@
 
     def test_each_reason_is_named(self):
         """Guards against a reason that hides the one to act on."""
-        scheduler, now_ms = self.scheduler, self.drive.now_ms
-        self.drive.apply(("state", 1, UpstreamState.EVACUATED))
-        self.drive.apply(("state", 2, UpstreamState.LEAVING))
+        scheduler, now_ms = self.scheduler, self.driver.now_ms
+        self.driver.apply(("state", 1, UpstreamState.EVACUATED))
+        self.driver.apply(("state", 2, UpstreamState.LEAVING))
         reasons = self.reasons(regions=("south",))
         self.assertEqual(reasons["u0"], Exclusion.OTHER_REGION.value)
         self.assertEqual(reasons["u1"], Exclusion.EVACUATED.value)
@@ -166,7 +165,7 @@
         self.assertEqual(self.reasons()["u0"], Exclusion.FULL.value)
         outcome = Outcome(kind=OutcomeKind.CONNECT_FAILED)
         held = next(grant for grant in grants if grant.upstream_id == "u0")
-        self.scheduler.release(held.grant_id, outcome, self.drive.now_ms)
+        self.scheduler.release(held.grant_id, outcome, self.driver.now_ms)
         self.assertEqual(self.reasons()["u0"], Exclusion.EJECTED.value)
 
     def test_engine_memory(self):
@@ -177,21 +176,21 @@
         self.assertNotIn(Exclusion.ENGINE_MEMORY.value, reasons.values())
 
     def test_cold_and_suppressed_upstreams(self):
-        self.drive = Drive(True, False, False)
-        warmup = self.drive.scheduler._upstreams.tracker._intake.warmup
-        warmup.assume_cold("u0", self.drive.now_ms)
-        warmup.record_grant("u0", self.drive.now_ms)
+        self.driver = SchedulerDriver(True, False, False)
+        warmup = self.driver.scheduler._upstreams.tracker._intake.warmup
+        warmup.assume_cold("u0", self.driver.now_ms)
+        warmup.record_grant("u0", self.driver.now_ms)
         self.assertEqual(self.reasons()["u0"], Exclusion.COLD.value)
         self.suppress("u1")
         self.assertEqual(self.reasons()["u1"], Exclusion.SUPPRESSED.value)
 
     def suppress(self, name):
-        damping = self.drive.scheduler._upstreams.damping
+        damping = self.driver.scheduler._upstreams.damping
         upstream = damping.known_upstream(name)
         for _ in range(2):
-            self.drive.now_ms += 500
-            damping.record_served(name, self.drive.now_ms - 200)
-            damping.record_loss(upstream, self.drive.now_ms)
+            self.driver.now_ms += 500
+            damping.record_served(name, self.driver.now_ms - 200)
+            damping.record_loss(upstream, self.driver.now_ms)
 
     def test_suppressed_upstream_that_is_chosen_is_not_excluded(self):
         """Guards against a report that excludes the upstream it names as chosen.
@@ -201,14 +200,14 @@
         self.suppress("u1")
         for name in ("u0", "u2", "u3"):
             back_offs = self.scheduler._upstreams.back_offs
-            back_offs.record(name, "host-1", self.drive.now_ms + 5_000)
-        report = rehearse(self.drive, self.request())
+            back_offs.record(name, "host-1", self.driver.now_ms + 5_000)
+        report = dry_run(self.driver, self.request())
         self.assertEqual((report.outcome, report.upstream_id), (GRANTED, "u1"))
         reasons = {item.upstream_id: item.exclusion for item in report.candidates}
         backed_off = Exclusion.BACKED_OFF.value
         expected = {"u0": backed_off, "u1": "", "u2": backed_off, "u3": backed_off}
         self.assertEqual(reasons, expected)
-        decision = self.drive.submit(self.request())[0]
+        decision = self.driver.submit(self.request())[0]
         self.assertEqual(decision.grant.upstream_id, "u1")
 
     def test_position_is_that_in_the_queue(self):
@@ -217,16 +216,16 @@
             self.hold(prompt_tokens=0)
         for rank, count in ((1, 2), (2, 1)):
             for _ in range(count):
-                self.assertEqual(self.drive.submit(self.request(rank=rank)), [])
+                self.assertEqual(self.driver.submit(self.request(rank=rank)), [])
         for rank, ahead_count in ((0, 0), (1, 2), (2, 3)):
-            report = rehearse(self.drive, self.request(rank=rank))
+            report = dry_run(self.driver, self.request(rank=rank))
             self.assertEqual(
                 (report.outcome, report.ahead_count), (QUEUED, ahead_count)
             )
         self.assertGreater(report.wait_ms, 0)
 
     def test_refusal_has_code_time_and_waiting_requests(self):
-        report = rehearse(self.drive, self.request(regions=("nowhere",)))
+        report = dry_run(self.driver, self.request(regions=("nowhere",)))
         self.assertEqual(report.code, ResultCode.NO_UPSTREAM)
         self.assertGreater(report.retry_after_ms, 0)
 
@@ -234,7 +233,7 @@
         """Guards against a reply that is too large for the hosts' connection."""
         count = module.MAX_CANDIDATES + 5
         self.scheduler.set_upstreams(b.upstreams(count, slot_count=1), 1_000)
-        report = rehearse(self.drive, self.request())
+        report = dry_run(self.driver, self.request())
         self.assertEqual(len(report.candidates), module.MAX_CANDIDATES)
         self.assertEqual(report.omitted_count, 5)
 
@@ -276,14 +275,14 @@
 
     def test_state_with_too_many_objects_is_refused(self):
         """Guards against a query that blocks a home in proportion to its pool."""
-        drive = Drive(True, False, True)
-        drive.scheduler.set_upstreams(b.upstreams(2_000, slot_count=1), 1_000)
-        before = state_of(drive.scheduler)
+        driver = SchedulerDriver(True, False, True)
+        driver.scheduler.set_upstreams(b.upstreams(2_000, slot_count=1), 1_000)
+        before = state_of(driver.scheduler)
         with self.assertRaises(Refused) as caught:
-            rehearse(drive, build_request(EXAMPLE_FIELDS, 1_000))
+            dry_run(driver, build_request(EXAMPLE_FIELDS, 1_000))
         self.assertIs(caught.exception.code, ResultCode.QUERY_TOO_COSTLY)
         self.assertIn(str(state_copy.MAX_OBJECTS), caught.exception.message)
-        self.assertEqual(state_of(drive.scheduler), before)
+        self.assertEqual(state_of(driver.scheduler), before)
 
     @given(
         st.lists(
--- a/libs/entry/src/hemlockhoist/entry/context.py
+++ b/libs/entry/src/hemlockhoist/entry/context.py
@@ -45,7 +45,7 @@
     refuses_requests : bool
         Whether new requests are refused because the host is about to stop.
     open_requests : int
-    placements : PlacementQueries
+    placement_queries : PlacementQueries
         Answers operators' queries at the home of a pool.
     relay_address : str
         Address at which this host relays for others; empty if it does not.
@@ -72,7 +72,7 @@
         "metrics",
         "moves",
         "open_requests",
-        "placements",
+        "placement_queries",
         "platform",
         "quarantine",
         "refuses_requests",
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -272,7 +272,7 @@
             reserves_retries=self.settings.reserves_retries,
             max_suppressed_ms=self.settings.flap_damping_max_ms,
         )
-        context.placements = PlacementQueries(context, context.bus.send)
+        context.placement_queries = PlacementQueries(context, context.bus.send)
         context.grants = GrantClient(
             context.clock,
             context.bus.send,
--- a/libs/entry/src/hemlockhoist/entry/tests/test_where.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_where.py
@@ -13,8 +13,8 @@
 from hemlockhoist.entry.environment import OPERATOR_KEY_VARIABLE, read_operator_key
 from hemlockhoist.entry.request_grants import RequestGrants
 from hemlockhoist.entry.tests.builders import KEY, call, customer, route, table
-from hemlockhoist.entry.where import asked_brief, asked_call
-from hemlockhoist.host.where_messages import MAX_TOKENS, WhereQuestion
+from hemlockhoist.entry.where import described_brief, described_call
+from hemlockhoist.host.where_messages import MAX_TOKENS, PlacementRequestBody
 
 SHARES = (PoolShare(pool="small", weight=1), PoolShare(pool="large", weight=3))
 TABLE = table(
@@ -29,11 +29,11 @@
 words = st.text(max_size=8)
 
 
-def asked(name="check", **fields):
-    return asked_call(WhereQuestion(route=name, **fields), TABLE)
+def described(name="check", **fields):
+    return described_call(PlacementRequestBody(route=name, **fields), TABLE)
 
 
-class AskedCallTests(unittest.TestCase):
+class DescribedCallTests(unittest.TestCase):
     @given(
         st.sampled_from(["check", "book", "split", "open"]),
         st.none() | st.integers(500, 9_000),
@@ -44,7 +44,7 @@
         self, name, prompt_tokens, max_tokens, blocks
     ):
         """Guards against an answer about another request than the one asked about."""
-        admitted = asked(
+        admitted = described(
             name,
             customer="aulas",
             prompt_tokens=prompt_tokens,
@@ -62,34 +62,33 @@
             mock.patch.object(grants.__class__, "_connected", lambda _: ()),
         ):
             expected = grants._brief(0)
-        brief = asked_brief(admitted, expected.request_id, "a")
+        brief = described_brief(admitted, expected.request_id, "a")
         self.assertEqual(brief, expected)
 
     def test_defaults_follow_from_route_and_customer(self):
-        admitted = asked(customer="aulas", prefix=("a:30", "b:12"))
-        brief = asked_brief(admitted, "q", "a")
+        admitted = described(customer="aulas", prefix=("a:30", "b:12"))
+        brief = described_brief(admitted, "q", "a")
         self.assertEqual(brief.regions, ("north",))
         self.assertEqual((brief.tier_rank, brief.units), (1_002, 1))
         self.assertEqual(brief.prefix_tokens, (30, 12))
         self.assertEqual(brief.prompt_tokens, 42)
         self.assertEqual(
-            asked_brief(asked("book", customer="aulas"), "q", "a").max_wait_ms, 200
+            described_brief(described("book", customer="aulas"), "q", "a").max_wait_ms,
+            200,
         )
-        self.assertEqual(asked("split", customer="aulas").pool, "large")
+        self.assertEqual(described("split", customer="aulas").pool, "large")
 
     @given(words, words, words, st.lists(words | words.map("a:".__add__), max_size=3))
-    def test_any_question_is_described_or_a_fault(
-        self, name, customer_name, tier, prefix
-    ):
+    def test_any_body_is_described_or_a_fault(self, name, customer_name, tier, prefix):
         """Guards against an internal error for what an operator may type."""
         fields = {"customer": customer_name, "tier": tier, "prefix": tuple(prefix)}
         for route_name in ("check", "open", name):
             try:
-                admitted = asked(route_name, **fields)
+                admitted = described(route_name, **fields)
             except BadRequest as error:
                 self.assertIn("; allowed: ", error.message)
             else:
-                msgspec.msgpack.encode(asked_brief(admitted, "q", "a"))
+                msgspec.msgpack.encode(described_brief(admitted, "q", "a"))
 
     def test_customer_is_taken_as_admission_takes_it(self):
         """Guards against an answer for a request that would not be admitted.
@@ -112,28 +111,28 @@
                         with self.assertRaisesRegex(
                             BadRequest, "customer: is ''; allowed: aulas"
                         ):
-                            asked(name, customer=customer_name)
+                            described(name, customer=customer_name)
                     else:
-                        found = asked(name, customer=customer_name)
+                        found = described(name, customer=customer_name)
                         self.assertEqual(found.customer, expected.customer)
 
     def test_unknown_customer_is_a_fault_also_where_none_is_needed(self):
         with self.assertRaisesRegex(BadRequest, "customer: is 'x'"):
-            asked("open", customer="x")
+            described("open", customer="x")
 
     def test_prefix_of_too_many_tokens_is_a_fault(self):
         """Guards against a prompt of 64 million tokens, longer than any that is sent."""
         most = (f"a:{MAX_TOKENS - 1}", "b:1")
-        admitted = asked("open", prefix=most)
+        admitted = described("open", prefix=most)
         self.assertEqual(admitted.call.prompt_tokens, MAX_TOKENS)
         with self.assertRaisesRegex(BadRequest, f"prefix: .* up to {MAX_TOKENS}"):
-            asked("open", prefix=(*most, "c:1"))
+            described("open", prefix=(*most, "c:1"))
 
     def test_long_lists_of_names_are_cut(self):
         """Guards against an error of thousands of names."""
         routes = [route(f"r{number:03}") for number in range(50)]
         with self.assertRaises(BadRequest) as caught:
-            asked_call(WhereQuestion(route="x"), RouteTable(1, routes))
+            described_call(PlacementRequestBody(route="x"), RouteTable(1, routes))
         self.assertIn("r009 and 40 more", caught.exception.message)
 
 
--- a/libs/entry/src/hemlockhoist/entry/where.py
+++ b/libs/entry/src/hemlockhoist/entry/where.py
@@ -1,4 +1,7 @@
-"""Operators' query where a request would go, at an entry host of a platform."""
+"""Operator query: to which upstream a request would be assigned.
+
+The query at an entry host of a platform.
+"""
 
 import hmac
 
@@ -17,7 +20,7 @@
 from hemlockhoist.host.body import read_body
 from hemlockhoist.host.responses import error_response
 from hemlockhoist.host.where import placement_view
-from hemlockhoist.host.where_messages import MAX_TOKENS, WhereQuestion
+from hemlockhoist.host.where_messages import MAX_TOKENS, PlacementRequestBody
 from hemlockhoist.messages import RequestBrief
 
 _log = get_logger("entry.where")
@@ -63,17 +66,17 @@
             raise BadRequest("", ResultCode.OPERATOR_KEY_WRONG)
         if request.method != "POST":
             raise BadRequest("method not allowed", ResultCode.NOT_FOUND)
-        body = await read_body(request, MAX_BODY_BYTES, BODY_TIMEOUT_MS)
+        data = await read_body(request, MAX_BODY_BYTES, BODY_TIMEOUT_MS)
         try:
-            question = msgspec.json.decode(body, type=WhereQuestion)
+            body = msgspec.json.decode(data, type=PlacementRequestBody)
         except (msgspec.MsgspecError, UnicodeError) as error:
             raise BadRequest(str(error)) from error
         context = self._context
         context.store_view.check_complete()
-        admitted = asked_call(question, context.store_view.routes)
+        admitted = described_call(body, context.store_view.routes)
         request_id = context.identity.new_request_id()
-        brief = asked_brief(admitted, request_id, context.identity.failure_domain)
-        home, report = await context.placements.ask(admitted.pool, brief)
+        brief = described_brief(admitted, request_id, context.identity.failure_domain)
+        home, report = await context.placement_queries.ask(admitted.pool, brief)
         return placement_view(
             home,
             report,
@@ -86,60 +89,85 @@
         )
 
 
-def asked_call(question, table):
-    """Return the ``AdmittedCall`` that a question describes, arriving at time 0.
+def described_call(body, table):
+    """Return the ``AdmittedCall`` that a query describes, arriving at time 0.
 
     Of a route with several pools, the one with the largest share is meant. On a route
     that needs no key, the customer is ignored as by ``Admission``.
 
     Parameters
     ==========
-    question : WhereQuestion
+    body : PlacementRequestBody
     table : RouteTable
 
     Raises
     ======
     BadRequest
-        With all faults of the question.
+        With all faults of the body.
     """
-    faults = []
-    routes = {item.name: item for item in table.routes if item.shares}
-    route = routes.get(question.route)
+    blocks, faults = _prefix_blocks(body.prefix)
+    total = sum(count for _, count in blocks)
+    faults = [*_route_faults(body, table), *faults, *_token_faults(body, total)]
+    if faults:
+        raise BadRequest("\n".join(faults))
+    return _admitted(body, table, blocks, total)
+
+
+def _routes_by_name(table):
+    return {item.name: item for item in table.routes if item.shares}
+
+
+def _route_faults(body, table):
+    """Yield the faults of route, customer and tier."""
+    routes = _routes_by_name(table)
+    route = routes.get(body.route)
     if route is None:
-        faults.append(_fault("route", question.route, _names(routes)))
-    customer = table.customer(question.customer)
+        yield _fault("route", body.route, _names(routes))
     needs_customer = route is not None and requires_key(route, table)
-    if customer is None and (question.customer or needs_customer):
+    is_missing = needs_customer and not body.customer
+    if is_missing or (body.customer and table.customer(body.customer) is None):
         allowed = _names(item.name for item in table.customers)
-        if not question.customer:
+        if is_missing:
             allowed += "; requests for this route need a customer's key"
-        faults.append(_fault("customer", question.customer, allowed))
-    if question.tier:
-        faults.append(_fault("tier", question.tier, "none; the customer and route"))
-    blocks = []
-    for part in question.prefix:
+        yield _fault("customer", body.customer, allowed)
+    if body.tier:
+        yield _fault("tier", body.tier, "none; the customer and route")
+
+
+def _prefix_blocks(parts):
+    """Return the named blocks of a prefix with their token counts, and its faults."""
+    blocks, faults = [], []
+    for part in parts:
         name, _, count = part.rpartition(":")
         if not name or not _is_count(count):
             faults.append(_fault("prefix", part, f"NAME:TOKENS, up to {MAX_TOKENS}"))
         else:
             blocks.append((name, int(count)))
-    total = sum(count for _, count in blocks)
+    return blocks, faults
+
+
+def _token_faults(body, total):
+    """Yield the faults of the token counts, ``total`` being that of the prefix."""
     if total > MAX_TOKENS:
         allowed = f"parts of up to {MAX_TOKENS} tokens in all"
-        faults.append(_fault("prefix", f"{total} tokens", allowed))
-    prompt_tokens = question.prompt_tokens
+        yield _fault("prefix", f"{total} tokens", allowed)
+    prompt_tokens = body.prompt_tokens
     if prompt_tokens is not None and prompt_tokens < total:
-        faults.append(_fault("prompt_tokens", prompt_tokens, f"at least {total}"))
-    if faults:
-        raise BadRequest("\n".join(faults))
-    tokens = (prompt_tokens, question.max_tokens)
+        yield _fault("prompt_tokens", prompt_tokens, f"at least {total}")
+
+
+def _admitted(body, table, blocks, total):
+    """Return the ``AdmittedCall`` of a body without faults."""
+    route = _routes_by_name(table)[body.route]
+    customer = table.customer(body.customer) if requires_key(route, table) else None
+    tokens = (body.prompt_tokens, body.max_tokens)
     call = CallerCall(
         request_id="",
         method="",
         target=route.prefix,
         host=route.host,
-        prompt_tokens=total if prompt_tokens is None else prompt_tokens,
-        max_output_tokens=question.max_tokens or 0,
+        prompt_tokens=total if body.prompt_tokens is None else body.prompt_tokens,
+        max_output_tokens=body.max_tokens or 0,
         states_tokens=any(item is not None for item in tokens) or bool(total),
         prefix_blocks=tuple(blocks),
     )
@@ -147,7 +175,7 @@
     return AdmittedCall(
         call=call,
         route=route,
-        customer=customer if needs_customer else None,
+        customer=customer,
         pool=max(route.shares, key=lambda share: share.weight).pool,
         arrived_ms=0,
         deadline_ms=deadline_ms,
@@ -157,8 +185,8 @@
     )
 
 
-def asked_brief(admitted, request_id, failure_domain):
-    """Return the description of an asked request, as of one that has just arrived.
+def described_brief(admitted, request_id, failure_domain):
+    """Return the ``RequestBrief`` of a described call that has just arrived.
 
     Parameters
     ==========
--- a/libs/host/src/hemlockhoist/host/context.py
+++ b/libs/host/src/hemlockhoist/host/context.py
@@ -30,7 +30,7 @@
         Cancels streams whose callers disconnect and do not resume them.
     leaving : bool
         Whether a planned stop has begun.
-    placements : PlacementQueries
+    placement_queries : PlacementQueries
         Answers operators where requests would go.
     quarantine : QuarantineService
         Keeps requests back whose prompts crash upstreams.
@@ -58,7 +58,7 @@
         "metrics",
         "moves",
         "open_requests",
-        "placements",
+        "placement_queries",
         "quarantine",
         "relay_address",
         "operators",
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -14,7 +14,7 @@
     WorkRequest,
 )
 from hemlockhoist.host.gates import AllowAllGate
-from hemlockhoist.host.home_rehearsal import rehearse_request
+from hemlockhoist.host.home_dry_run import dry_run_request
 from hemlockhoist.host.home_retries import HomeRetries
 from hemlockhoist.host.home_signals import HomeSignals
 from hemlockhoist.host.prompt_checks import PromptChecks
@@ -241,12 +241,12 @@
         self._refuse(request, code, retry_after_ms, reason)
         return True
 
-    def rehearse(self, request):
+    def dry_run(self, request):
         """Return the ``PlacementReport`` of a request, which has no effect."""
         checks = self._prompts
         kept_back = checks.check(request, self._waiting_requests, self._issued_grants)
         scheduler, now_ms = self.scheduler, self._clock.now_ms()
-        return rehearse_request(
+        return dry_run_request(
             request, self.pool, scheduler, self._gate, kept_back, now_ms
         )
 
--- a/libs/host/src/hemlockhoist/host/home_rehearsal.py
+++ b/libs/host/src/hemlockhoist/host/home_dry_run.py
@@ -1,11 +1,11 @@
 """What a pool's home would answer to a request, from all that it checks."""
 
-from hemlockhoist.decisions.scheduling import Placement, PlacementRehearsal, StateCopy
+from hemlockhoist.decisions.scheduling import Placement, PlacementDryRun, StateCopy
 from hemlockhoist.host.gates import AllowAllGate
 from hemlockhoist.messages import PlacementReport
 
 
-def rehearse_request(request, pool, scheduler, gate, kept_back, now_ms):
+def dry_run_request(request, pool, scheduler, gate, kept_back, now_ms):
     """Return the ``PlacementReport`` of a request, without any effect.
 
     The steps are those of ``PoolHome.on_request``. The gate and the scheduler decide on
@@ -33,8 +33,8 @@
     refusal = state_copy.of(gate).refusal(pool, request, now_ms)
     if refusal is not None:
         return _refused(refusal.code, refusal.retry_after_ms, refusal.reason)
-    rehearsal = PlacementRehearsal.from_scheduler(scheduler, state_copy)
-    return rehearsal.rehearse(request, now_ms)
+    dry_run = PlacementDryRun.from_scheduler(scheduler, state_copy)
+    return dry_run.run(request, now_ms)
 
 
 def _refused(code, retry_after_ms, reason):
--- a/libs/host/src/hemlockhoist/host/message_router.py
+++ b/libs/host/src/hemlockhoist/host/message_router.py
@@ -202,12 +202,12 @@
 
 @_handle.register
 def _(message: PlacementQuery, context, sender, late_ms):
-    context.placements.on_query(sender, message, late_ms)
+    context.placement_queries.on_query(sender, message, late_ms)
 
 
 @_handle.register
 def _(message: PlacementReply, context, sender, late_ms):
-    context.placements.on_reply(message)
+    context.placement_queries.on_reply(message)
 
 
 @_handle.register
--- a/libs/host/src/hemlockhoist/host/operators.py
+++ b/libs/host/src/hemlockhoist/host/operators.py
@@ -25,8 +25,8 @@
     part_view,
 )
 from hemlockhoist.host.responses import result_headers
-from hemlockhoist.host.where import AskedRequest
-from hemlockhoist.host.where_messages import WHERE_PATH, WhereQuestion
+from hemlockhoist.host.where import DescribedRequest
+from hemlockhoist.host.where_messages import WHERE_PATH, PlacementRequestBody
 
 _log = get_logger("host.operators")
 
@@ -160,14 +160,14 @@
         return _json_response(self._parts_view())
 
     async def _where(self, request):
-        """Answer where a request would go, without sending it."""
+        """Answer to which upstream a request would be assigned."""
         context = self._context
-        question = await self._decode(request, WhereQuestion)
-        asked = AskedRequest(question, context.declarations)
+        body = await self._decode(request, PlacementRequestBody)
+        described = DescribedRequest(body, context.declarations)
         identity = context.identity
-        brief = asked.brief(identity.new_request_id(), identity.failure_domain)
-        home, report = await context.placements.ask(asked.pool.name, brief)
-        return _json_response(asked.view(home, report))
+        brief = described.brief(identity.new_request_id(), identity.failure_domain)
+        home, report = await context.placement_queries.ask(described.pool.name, brief)
+        return _json_response(described.view(home, report))
 
     async def _decode(self, request, kind):
         timeout_ms = self._context.settings.body_timeout_ms
--- a/libs/host/src/hemlockhoist/host/placement_queries.py
+++ b/libs/host/src/hemlockhoist/host/placement_queries.py
@@ -1,4 +1,7 @@
-"""Operators' queries where a request would go, between a host and the pool's home."""
+"""Operator query: to which upstream a request would be assigned.
+
+The messages between the host that is asked and the pool's home.
+"""
 
 import asyncio
 
@@ -124,7 +127,7 @@
             raise Refused("", ResultCode.QUERY_TOO_FREQUENT, wait_ms)
         try:
             now_ms = context.clock.now_ms()
-            return home.rehearse(work_request(brief, entry_host, now_ms - late_ms))
+            return home.dry_run(work_request(brief, entry_host, now_ms - late_ms))
         finally:
             self._limiter.end(context.clock.now_ms())
 
--- a/libs/host/src/hemlockhoist/host/process.py
+++ b/libs/host/src/hemlockhoist/host/process.py
@@ -197,7 +197,7 @@
             context.metrics,
         )
         context.homes = HomeService(context, send, quarantine=context.quarantine)
-        context.placements = PlacementQueries(context, send)
+        context.placement_queries = PlacementQueries(context, send)
         context.quarantine.on_changed = self._on_quarantine_changed
         context.grants = GrantClient(
             clock,
--- a/libs/host/src/hemlockhoist/host/tests/test_placement_queries.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_placement_queries.py
@@ -91,7 +91,7 @@
     async def test_query_has_no_effect_on_the_home(self):
         """Guards against queue entries, messages and spans that a query leaves."""
         sent = len(self.sent)
-        report = self.home.rehearse(self.work("q"))
+        report = self.home.dry_run(self.work("q"))
         self.assertEqual(report.outcome, "granted")
         self.assertEqual(len(self.sent), sent)
         self.assertEqual(self.home.counts(), (0, 0))
@@ -110,7 +110,7 @@
         self.home.on_request(OTHER, request, 0)
         self.assertEqual(totals[counted], 1)
         before = dict(totals)
-        report = self.home.rehearse(self.work("q"))
+        report = self.home.dry_run(self.work("q"))
         self.assertNotEqual(report.outcome, "granted")
         self.assertEqual(totals, before)
 
@@ -157,7 +157,7 @@
 
     async def test_failure_at_the_home_is_reported_at_once(self):
         """Guards against an error that looks like a home that is unreachable."""
-        with mock.patch.object(PoolHome, "rehearse", side_effect=TypeError("no rule")):
+        with mock.patch.object(PoolHome, "dry_run", side_effect=TypeError("no rule")):
             code = await self.code_of(self.asking)
         self.assertIs(code, ResultCode.INTERNAL_ERROR)
 
--- a/libs/host/src/hemlockhoist/host/tests/test_where.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_where.py
@@ -17,8 +17,8 @@
 )
 from hemlockhoist.host.chat import ROUTE
 from hemlockhoist.host.completions import parse_chat, prefix_hashes
-from hemlockhoist.host.where import AskedRequest
-from hemlockhoist.host.where_messages import WhereQuestion, WhereView
+from hemlockhoist.host.where import DescribedRequest
+from hemlockhoist.host.where_messages import PlacementRequestBody, PlacementView
 from hemlockhoist.messages import CandidateReport, PlacementReport
 
 DECLARATIONS = Declarations(
@@ -42,33 +42,33 @@
 )
 
 
-def asked(route="assistant", **fields):
-    return AskedRequest(WhereQuestion(route=route, **fields), DECLARATIONS)
+def described(route="assistant", **fields):
+    return DescribedRequest(PlacementRequestBody(route=route, **fields), DECLARATIONS)
 
 
-class AskedRequestTests(unittest.TestCase):
+class DescribedRequestTests(unittest.TestCase):
     def faults(self, **fields):
         with self.assertRaises(BadRequest) as caught:
-            asked(**fields)
+            described(**fields)
         return caught.exception.message
 
     def test_request_is_described_as_a_caller_s(self):
         """Guards against an answer about another request than the one asked about."""
-        brief = asked(customer="aulas", max_tokens=9).brief("q", "domain-a")
+        brief = described(customer="aulas", max_tokens=9).brief("q", "domain-a")
         self.assertEqual((brief.route, brief.customer), (ROUTE, "aulas"))
         self.assertEqual((brief.weight, brief.max_in_flight), (3, 5))
         self.assertEqual((brief.tier_rank, brief.deadline_in_ms), (1, 8_000))
         self.assertEqual((brief.first_token_in_ms, brief.output_tokens), (800, 9))
         self.assertEqual(brief.failure_domain, "domain-a")
         self.assertTrue(brief.idempotent)
-        self.assertEqual(asked().tier.name, "high")
-        self.assertEqual(asked(customer="aulas", tier="low").tier.name, "low")
+        self.assertEqual(described().tier.name, "high")
+        self.assertEqual(described(customer="aulas", tier="low").tier.name, "low")
 
     def test_calls_of_services_have_their_route_and_kind(self):
-        free = asked("GET /services/halls/free/7").brief("q", "")
+        free = described("GET /services/halls/free/7").brief("q", "")
         self.assertEqual(free.route, "GET /services/halls/free")
         self.assertTrue(free.idempotent)
-        booking = asked("POST /services/halls/bookings").brief("q", "")
+        booking = described("POST /services/halls/bookings").brief("q", "")
         self.assertFalse(booking.idempotent)
         self.assertEqual(booking.output_tokens, 0)
 
@@ -77,8 +77,8 @@
         text = "long " * 400
         body = {"model": "assistant", "messages": [{"role": "system", "content": text}]}
         chat = parse_chat(json.dumps(body).encode())
-        question = asked(prefix=(f"system:{text}",))
-        brief = question.brief("q", "")
+        found = described(prefix=(f"system:{text}",))
+        brief = found.brief("q", "")
         self.assertEqual(brief.prefix_hashes, prefix_hashes(chat.prompt_bytes()))
         self.assertGreater(len(brief.prefix_hashes), 5)
         self.assertEqual(brief.prompt_tokens, len(chat.prompt_bytes()) // 4)
@@ -118,21 +118,21 @@
             st.text(max_size=9).map(lambda t: "user:" + t) | st.text(), max_size=3
         ),
     )
-    def test_any_question_is_described_or_a_fault(
+    def test_any_body_is_described_or_a_fault(
         self, route, customer, tier, prompt_tokens, max_tokens, prefix
     ):
         """Guards against an internal error for what an operator may type."""
         fields = {"customer": customer, "tier": tier, "prefix": tuple(prefix)}
         fields |= {"prompt_tokens": prompt_tokens, "max_tokens": max_tokens}
         try:
-            question = WhereQuestion(route=route, **fields)
+            body = PlacementRequestBody(route=route, **fields)
             sent = msgspec.json.decode(
-                msgspec.json.encode(question), type=WhereQuestion
+                msgspec.json.encode(body), type=PlacementRequestBody
             )
         except (UnicodeEncodeError, msgspec.ValidationError):
             return
         try:
-            request = AskedRequest(sent, DECLARATIONS)
+            request = DescribedRequest(sent, DECLARATIONS)
         except BadRequest as error:
             self.assertIn("; allowed: ", error.message)
             return
@@ -145,7 +145,7 @@
         """Guards against an internal error for an arbitrary body."""
         for text in (body, b'{"route": "a", "max_tokens": ' + body + b"}"):
             try:
-                msgspec.json.decode(text, type=WhereQuestion)
+                msgspec.json.decode(text, type=PlacementRequestBody)
             except (msgspec.MsgspecError, UnicodeError):
                 continue
 
@@ -154,17 +154,19 @@
             for value in (-1, 1_000_001, "7", 1.5):
                 body = msgspec.json.encode({"route": "assistant", field: value})
                 with self.assertRaises(msgspec.ValidationError):
-                    msgspec.json.decode(body, type=WhereQuestion)
+                    msgspec.json.decode(body, type=PlacementRequestBody)
 
     def test_view_has_names_for_all_figures(self):
         candidate = CandidateReport(upstream_id="u", version="v1", first_token_ms=7)
         report = PlacementReport(
             outcome="refused", code=200, retry_after_ms=5, candidates=(candidate,)
         )
-        view = asked().view("home", report)
+        view = described().view("home", report)
         self.assertEqual((view.code_name, view.home), ("overloaded", "home"))
         self.assertEqual(view.candidates[0].first_token_ms, 7)
-        later = asked().view("home", PlacementReport(outcome="refused", code=77_777))
+        later = described().view(
+            "home", PlacementReport(outcome="refused", code=77_777)
+        )
         self.assertEqual(later.code_name, "")
         text = msgspec.json.encode(view)
-        self.assertEqual(msgspec.json.decode(text, type=WhereView), view)
+        self.assertEqual(msgspec.json.decode(text, type=PlacementView), view)
--- a/libs/host/src/hemlockhoist/host/where.py
+++ b/libs/host/src/hemlockhoist/host/where.py
@@ -1,4 +1,4 @@
-"""The request that an operator asks about, and the view of the home's report."""
+"""The request that a placement query describes, and the view of the home's report."""
 
 import re
 
@@ -12,7 +12,7 @@
     prefix_hashes,
     prompt_tokens,
 )
-from hemlockhoist.host.where_messages import CandidateView, WhereView
+from hemlockhoist.host.where_messages import CandidateView, PlacementView
 from hemlockhoist.messages import RequestBrief
 
 _CALL = re.compile(r"([A-Z]{1,20}) /services/([^/\s]+)(/\S*)?\Z")
@@ -20,26 +20,26 @@
 _NO_CUSTOMER = {"weight": 1, "max_in_flight": 1_000_000}
 
 
-class AskedRequest:
-    """The request that a ``WhereQuestion`` describes, under the declarations in force.
+class DescribedRequest:
+    """The request that a ``PlacementRequestBody`` describes, by the declarations in force.
 
     Parameters
     ==========
-    question : WhereQuestion
+    body : PlacementRequestBody
     declarations : hemlockhoist.declarations.Declarations
 
     Raises
     ======
     BadRequest
-        With all faults of the question.
+        With all faults of the body.
     """
 
     __slots__ = (
+        "_body",
         "_customer",
         "_faults",
         "_idempotent",
         "_prompt",
-        "_question",
         "output_tokens",
         "pool",
         "prompt_tokens",
@@ -47,12 +47,13 @@
         "tier",
     )
 
-    def __init__(self, question, declarations):
-        self._question = question
+    def __init__(self, body, declarations):
+        self._body = body
         self._faults = []
-        self._set_route(question.route, declarations)
-        self._set_tier(question, declarations)
-        self._set_tokens(question)
+        self._set_route(body.route, declarations)
+        self._set_tier(body, declarations)
+        self._set_prompt(body)
+        self._set_tokens(body)
         if self._faults:
             raise BadRequest("\n".join(self._faults))
 
@@ -71,46 +72,54 @@
         else:
             self.route, self._idempotent = chat.ROUTE, True
 
-    def _set_tier(self, question, declarations):
-        customer = self._customer = declarations.customer(question.customer)
-        if customer is None and question.customer:
+    def _set_tier(self, body, declarations):
+        customer = self._customer = declarations.customer(body.customer)
+        if customer is None and body.customer:
             names = (item.name for item in declarations.customers)
-            self._add_fault("customer", question.customer, ", ".join(names))
+            self._add_fault("customer", body.customer, ", ".join(names))
         ranked = sorted(declarations.tiers, key=lambda tier: tier.rank)
         if customer is not None:
             highest = declarations.tier(customer.highest_tier)
             ranked = [tier for tier in ranked if tier.rank >= highest.rank]
-        named = [tier for tier in ranked if question.tier in ("", tier.name)]
+        named = [tier for tier in ranked if body.tier in ("", tier.name)]
         if not named:
             names = ", ".join(tier.name for tier in ranked) or "none declared"
-            self._add_fault("tier", question.tier, names)
+            self._add_fault("tier", body.tier, names)
         self.tier = named[0] if named else None
 
-    def _set_tokens(self, question):
+    def _set_prompt(self, body):
         messages = []
-        for part in question.prefix:
+        for part in body.prefix:
             role, colon, content = part.partition(":")
             if not colon:
                 self._add_fault("prefix", part, "ROLE:TEXT")
             messages.append(ChatMessage(role=role, content=content))
         self._prompt = ChatRequest(model="", messages=messages)
+
+    def _set_tokens(self, body):
         self.prompt_tokens = self.output_tokens = 0
         if self.pool is None:
             return
         if self.pool.kind is PoolKind.MODEL:
-            estimated = prompt_tokens(self._prompt.prompt_bytes())
-            given = question.prompt_tokens
-            self.prompt_tokens = estimated if given is None else given
-            if messages and self.prompt_tokens < estimated:
-                allowed = f"at least the {estimated} of the prefix"
-                self._add_fault("prompt_tokens", given, allowed)
-            self.output_tokens = self.pool.expected_output_tokens
-            if question.max_tokens is not None:
-                self.output_tokens = question.max_tokens
-            return
+            self._set_model_tokens(body)
+        else:
+            self._check_no_tokens(body)
+
+    def _set_model_tokens(self, body):
+        estimated = prompt_tokens(self._prompt.prompt_bytes())
+        given = body.prompt_tokens
+        self.prompt_tokens = estimated if given is None else given
+        if body.prefix and self.prompt_tokens < estimated:
+            allowed = f"at least the {estimated} of the prefix"
+            self._add_fault("prompt_tokens", given, allowed)
+        self.output_tokens = self.pool.expected_output_tokens
+        if body.max_tokens is not None:
+            self.output_tokens = body.max_tokens
+
+    def _check_no_tokens(self, body):
         for name in ("prompt_tokens", "max_tokens", "prefix"):
-            if getattr(question, name):
-                self._add_fault(name, getattr(question, name), "only for a model")
+            if getattr(body, name):
+                self._add_fault(name, getattr(body, name), "only for a model")
 
     def _add_fault(self, name, value, allowed):
         self._faults.append(f"{name}: is {value!r}; allowed: {allowed}")
@@ -135,7 +144,7 @@
         return RequestBrief(
             request_id=request_id,
             route=self.route,
-            customer=self._question.customer,
+            customer=self._body.customer,
             tier_rank=tier.rank,
             idempotent=self._idempotent,
             prompt_tokens=self.prompt_tokens,
@@ -149,7 +158,7 @@
         )
 
     def view(self, home, report):
-        """Return the ``WhereView`` of a home's report.
+        """Return the ``PlacementView`` of a home's report.
 
         Parameters
         ==========
@@ -161,25 +170,25 @@
             report,
             route=self.route,
             pool=self.pool.name,
-            customer=self._question.customer,
+            customer=self._body.customer,
             tier=self.tier.name,
             prompt_tokens=self.prompt_tokens,
             output_tokens=self.output_tokens,
         )
 
 
-def placement_view(home, report, **asked):
-    """Return the ``WhereView`` of a home's report.
+def placement_view(home, report, **described):
+    """Return the ``PlacementView`` of a home's report.
 
     Parameters
     ==========
     home : str
     report : PlacementReport
-    **asked
+    **described
         The fields that describe the request.
     """
     chosen = {c.upstream_id: c.first_token_ms for c in report.candidates}
-    return WhereView(
+    return PlacementView(
         home=home,
         outcome=report.outcome,
         upstream=report.upstream_id,
@@ -193,7 +202,7 @@
         retry_after_ms=report.retry_after_ms,
         candidates=tuple(_candidate_view(item) for item in report.candidates),
         omitted=report.omitted_count,
-        **asked,
+        **described,
     )
 
 
--- a/libs/host/src/hemlockhoist/host/where_messages.py
+++ b/libs/host/src/hemlockhoist/host/where_messages.py
@@ -1,4 +1,4 @@
-"""JSON of the operators' query where a request would go."""
+"""Operator query: to which upstream a request would be assigned. Its JSON."""
 
 from typing import Annotated
 
@@ -15,7 +15,7 @@
 _Prefix = Annotated[tuple[str, ...], msgspec.Meta(max_length=MAX_PREFIX_PARTS)]
 
 
-class WhereQuestion(
+class PlacementRequestBody(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
     """Body of ``POST /-/where``: a request that is not sent.
@@ -48,7 +48,7 @@
 
 
 class CandidateView(msgspec.Struct, frozen=True, kw_only=True):
-    """One upstream in a ``WhereView``; fields as of ``CandidateReport``."""
+    """One upstream in a ``PlacementView``; fields as of ``CandidateReport``."""
 
     upstream: str
     version: str
@@ -59,7 +59,7 @@
     excluded: str
 
 
-class WhereView(msgspec.Struct, frozen=True, kw_only=True):
+class PlacementView(msgspec.Struct, frozen=True, kw_only=True):
     """Answer to ``POST /-/where``.
 
     Parameters
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_where.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_where.py
@@ -1,4 +1,7 @@
-"""Operators' query where a request would go, at entry hosts of the platform."""
+"""Operator query: to which upstream a request would be assigned.
+
+The query at entry hosts of the platform.
+"""
 
 import asyncio
 import os
@@ -7,7 +10,7 @@
 
 import msgspec
 
-from hemlockhoist.host.where_messages import WHERE_PATH, WhereView
+from hemlockhoist.host.where_messages import WHERE_PATH, PlacementView
 from hemlockhoist.standins.published.replica import Replica
 from hemlockhoist.standins.published.site import Site, route
 
@@ -51,7 +54,7 @@
     async def where(self, host=0, **question):
         status, body = await self.ask(host, **question)
         self.assertEqual(status, 200, body)
-        return msgspec.json.decode(body, type=WhereView)
+        return msgspec.json.decode(body, type=PlacementView)
 
     async def call(self, path, host, attempt_id):
         async with self.site.call(path, host, Attempt_Id=attempt_id) as response:
