Copy the usage of one customer only for a placement query

Cause: the copy of the gate held the usage of all customers, 18 objects each after 3 s of requests. With the bound of 8,000 objects, a site of some 440 customers with quotas would have got no answer whatever the size of the pool.

Change: the usage of a customer is copied when it is first read.

The new test in test_gate fails without the rule; test_gate passes.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/state_copy.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/state_copy.py
@@ -11,6 +11,7 @@
 from sortedcontainers import SortedList
 
 from hemlockhoist.base import InvariantLog, Refused, ResultCode
+from hemlockhoist.decisions.limits import QuotaTracker
 from hemlockhoist.decisions.scheduling.prefixes import PrefixMap
 from hemlockhoist.decisions.scheduling.prompt_cache import PromptCache
 from hemlockhoist.decisions.scheduling.retry_reservations import RetryReservations
@@ -210,6 +211,24 @@
             self._is_shared = False
 
 
+class _UsageCopies:
+    """The usage of customers by name, each copied when it is first read.
+
+    A request concerns one customer of perhaps thousands. Only ``get`` is supported, so
+    that reading the usage in another way is an error instead of finding none.
+    """
+
+    __slots__ = ("_original", "_state_copy")
+
+    def __init__(self, original, state_copy):
+        self._original = original
+        self._state_copy = state_copy
+
+    def get(self, customer):
+        """Return the copied usage of a customer, or None."""
+        return self._state_copy.of(self._original.get(customer))
+
+
 @functools.cache
 def _slot_names(kind):
     names = []
@@ -348,3 +367,9 @@
     heaps = value._by_key
     state_copy.remember(heaps, {key: heap.copy() for key, heap in heaps.items()})
     return state_copy.copy_object(value)
+
+
+@_copied.register
+def _(value: QuotaTracker, state_copy):
+    state_copy.remember(value._usage, _UsageCopies(value._usage, state_copy))
+    return state_copy.copy_object(value)
--- a/libs/entry/src/hemlockhoist/entry/tests/test_gate.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_gate.py
@@ -60,6 +60,19 @@
             self.assertEqual(refusal and refusal.code, code)
         self.assertEqual(self.gate._retry_limiters.keys(), {"halls"})
 
+    def test_copy_does_not_grow_with_the_customers(self):
+        """Guards against a site of many customers that gets no answer to its queries."""
+        customers = [customer(f"c{n}", f"k{n}", units_per_s=10) for n in range(2_000)]
+        self.gate.quotas.declare([*customers, customer(units_per_s=10)])
+        for item in customers:
+            self.gate.quotas.acquire(item.name, 1, 0)
+        state_copy = StateCopy((AllowAllGate,))
+        copied = state_copy.of(self.gate)
+        self.assertIsNone(copied.refusal("halls", request(units=FULL_WINDOW), 0))
+        self.assertIsNotNone(copied.refusal("halls", request(), 0))
+        self.assertIsNone(self.gate.refusal("halls", request(), 0))
+        self.assertLess(state_copy.object_count, 100)
+
     def test_request_that_did_not_run_is_refunded(self):
         self.gate.quotas.declare([customer(units_per_s=10)])
         self.assertEqual(self.refusal_codes(FULL_WINDOW), [])
