--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/rehearsal.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/dry_run.py
@@ -47,24 +47,38 @@
     OTHER_VERSION = "another version"
 
 
-class PlacementRehearsal(PoolScheduler):
-    """A copy of a pool's scheduler, on which one request is tried.
+class PlacementDryRun(PoolScheduler):
+    """A copy of a pool's scheduler, which decides on one request without any effect.
 
     It decides with the scheduler's own code on its state, and leaves the scheduler, its
     queue, what it has learned and the counts of its checks as they are. Load: operators
-    ask where requests would go while a home is loaded. Copying costs some time for each
-    upstream and each waiting request, so queries are bounded by ``QueryLimiter``.
+    ask to which upstreams requests would be assigned while a home is loaded. Copying costs some time for each
+    upstream and each waiting request, so the copied objects are bounded by ``StateCopy``,
+    and queries by ``QueryLimiter``.
     """
 
     __slots__ = ()
 
     @classmethod
-    def from_scheduler(cls, scheduler):
-        """Return a copy of a ``PoolScheduler``."""
-        return StateCopy().into(cls, scheduler)
+    def from_scheduler(cls, scheduler, state_copy=None):
+        """Return a copy of a ``PoolScheduler``.
 
-    def rehearse(self, request, now_ms):
-        """Return the ``PlacementReport`` of a request; to be called once.
+        Parameters
+        ==========
+        scheduler : PoolScheduler
+        state_copy : StateCopy, optional
+            With what is copied already, which counts towards its bound.
+
+        Raises
+        ======
+        StateTooLarge
+        """
+        return (state_copy or StateCopy()).into(cls, scheduler)
+
+    def run(self, request, now_ms):
+        """Return the ``PlacementReport`` of a request.
+
+        Changes this copy, so call it once per copy.
 
         Parameters
         ==========
@@ -72,8 +86,8 @@
             With an id that no other request has.
         now_ms : int
         """
-        # All that is read before ``submit`` is brought to the present by it as well, and
-        # a second time at the same moment changes nothing.
+        # Reading applies the same time-dependent updates as ``submit``; they are
+        # idempotent for equal ``now_ms``.
         self._update_slowdown(now_ms)
         candidates = self._candidates(self._experiments.mask(request), now_ms)
         wait_ms = self._forecast.wait_ms(request, now_ms)
@@ -163,7 +177,10 @@
         """
         upstreams = self._upstreams
         found = {}
-        free = {item.upstream_id: item for item in upstreams.free_upstreams(now_ms)}
+        listed = upstreams.free_upstreams(now_ms)
+        # May add a suppressed one, as the only one, if all others refuse the request.
+        usable = upstreams.free_for(request, listed, now_ms) if listed else []
+        free = {item.upstream_id: item for item in [*listed, *usable]}
         for item in upstreams.table:
             if item.upstream_id not in free:
                 found[item.upstream_id] = self._reason_not_free(item, now_ms)
@@ -176,6 +193,7 @@
                 found.setdefault(upstream_id, exclusion)
                 del free[upstream_id]
 
+        keep(usable, Exclusion.BACKED_OFF)
         closed = upstreams.back_offs.closed_to(request.entry_host, now_ms)
         open_items = [i for i in free.values() if i.upstream_id not in closed]
         keep(open_items, Exclusion.BACKED_OFF)
--- a/libs/host/src/hemlockhoist/host/placement_queries.py
+++ b/libs/host/src/hemlockhoist/host/placement_queries.py
@@ -1,4 +1,7 @@
-"""Operators' queries where a request would go, between a host and the pool's home."""
+"""Operator query: to which upstream a request would be assigned.
+
+The messages between the host that is asked and the pool's home.
+"""
 
 import asyncio
 
@@ -49,7 +52,8 @@
         Raises
         ======
         Refused
-            No home is known or it does not answer, or it was asked too often.
+            No home is known or it does not answer, it was asked too often, or the
+            pool's state is too large.
         """
         home = self._context.homes.home_of(pool)
         if not home:
@@ -58,7 +62,7 @@
         if home == self._context.identity.host_id:
             return home, self._report(pool, brief, home, 0)
         reply = await self._reply_of(home, pool, brief)
-        if reply.code:
+        if reply.code or reply.report is None:
             _raise_refusal(home, pool, reply.code, reply.retry_after_ms)
         return home, reply.report
 
@@ -123,20 +127,25 @@
             raise Refused("", ResultCode.QUERY_TOO_FREQUENT, wait_ms)
         try:
             now_ms = context.clock.now_ms()
-            return home.rehearse(work_request(brief, entry_host, now_ms - late_ms))
+            return home.dry_run(work_request(brief, entry_host, now_ms - late_ms))
         finally:
             self._limiter.end(context.clock.now_ms())
 
 
 def _raise_refusal(home, pool, code, retry_after_ms):
-    """Raise the refusal in a reply; one with a code of a later release as well."""
+    """Raise the refusal in a reply; one with a code of a later release as well.
+
+    A reply with neither a code nor a report is treated like one with an unknown code.
+    """
     try:
-        code = ResultCode(code)
+        code = ResultCode(code) or ResultCode.INTERNAL_ERROR
     except ValueError:
         code = ResultCode.INTERNAL_ERROR
     text = ""
     if code is ResultCode.HOME_UNREACHABLE:
         text = f"{home} is not the home of {pool} any more"
+    elif code is ResultCode.QUERY_TOO_COSTLY:
+        text = f"{home} would copy too many objects of {pool}"
     elif code is ResultCode.INTERNAL_ERROR:
         text = f"the home of {pool}, {home}, failed to answer; see its log"
     raise Refused(text, code, retry_after_ms)
--- a/libs/host/src/hemlockhoist/host/tests/test_placement_queries.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_placement_queries.py
@@ -3,9 +3,11 @@
 from unittest import mock
 
 from hemlockhoist.base import Refused, ResultCode
+from hemlockhoist.base.metrics_table import GRANTS_HELD_BACK
 from hemlockhoist.host.home import PoolHome
+from hemlockhoist.host.home_signals import BACK_OFF_CAUSE
 from hemlockhoist.host.placement_queries import ANSWER_TIMEOUT_MS, PlacementQueries
-from hemlockhoist.host.tests.test_home_quarantine import GUILTY, HomeCase
+from hemlockhoist.host.tests.test_home_quarantine import GUILTY, UPSTREAMS, HomeCase
 from hemlockhoist.host.work_requests import work_request
 from hemlockhoist.messages import (
     GrantReply,
@@ -89,14 +91,28 @@
     async def test_query_has_no_effect_on_the_home(self):
         """Guards against queue entries, messages and spans that a query leaves."""
         sent = len(self.sent)
-        report = self.home.rehearse(self.work("q"))
+        report = self.home.dry_run(self.work("q"))
         self.assertEqual(report.outcome, "granted")
         self.assertEqual(len(self.sent), sent)
         self.assertEqual(self.home.counts(), (0, 0))
         self.assertIsNone(self.home.first_grant_ms)
         self.assertTrue(self.home.is_idle(0))
         self.assertFalse(self.home._spans)
-        self.assertFalse(self.home._metrics.totals)
+
+    async def test_query_counts_in_no_metric(self):
+        """Guards against metrics that count operators' queries as callers' requests."""
+        now_ms, scheduler = self.clock.now_ms(), self.home.scheduler
+        for name in UPSTREAMS:
+            scheduler.observe_back_off(name, OTHER, now_ms + 5_000, now_ms)
+        totals = self.home._metrics.totals
+        counted = f"{GRANTS_HELD_BACK.name}.{BACK_OFF_CAUSE}"
+        request = GrantRequest(pool="chat", brief=self.brief("r"))
+        self.home.on_request(OTHER, request, 0)
+        self.assertEqual(totals[counted], 1)
+        before = dict(totals)
+        report = self.home.dry_run(self.work("q"))
+        self.assertNotEqual(report.outcome, "granted")
+        self.assertEqual(totals, before)
 
     def work(self, request_id):
         return work_request(self.brief(request_id), OTHER, self.clock.now_ms())
@@ -110,6 +126,9 @@
         self.assertIn(f"{GUILTY:016x}", report.reason)
         # Only requests that are sent are counted.
         self.assertFalse(self.quarantine._metrics.totals)
+        brief = self.brief("r", parts=(GUILTY,))
+        self.home.on_request(OTHER, GrantRequest(pool="chat", brief=brief), 0)
+        self.assertTrue(self.quarantine._metrics.totals)
 
     async def test_queries_are_bounded(self):
         """Guards against an operator's loop at the cost of callers' requests."""
@@ -138,13 +157,29 @@
 
     async def test_failure_at_the_home_is_reported_at_once(self):
         """Guards against an error that looks like a home that is unreachable."""
-        with mock.patch.object(PoolHome, "rehearse", side_effect=TypeError("no rule")):
+        with mock.patch.object(PoolHome, "dry_run", side_effect=TypeError("no rule")):
             code = await self.code_of(self.asking)
         self.assertIs(code, ResultCode.INTERNAL_ERROR)
 
+    async def test_pool_that_is_too_large_is_reported(self):
+        """Guards against a refusal that looks like a failure of the home."""
+        self.set_upstreams(*(f"u{number}" for number in range(2_000)))
+        code = await self.code_of(self.asking)
+        self.assertIs(code, ResultCode.QUERY_TOO_COSTLY)
+
     async def test_code_of_a_later_release_is_an_error(self):
+        reply = PlacementReply(query_id="q", code=99_999)
+        self.assertIs(await self.code_after(reply), ResultCode.INTERNAL_ERROR)
+
+    async def test_reply_without_code_and_report_is_an_error(self):
+        """Guards against an AttributeError instead of a result code."""
+        reply = PlacementReply(query_id="q")
+        self.assertIs(await self.code_after(reply), ResultCode.INTERNAL_ERROR)
+
+    async def code_after(self, reply):
+        """Return the code of a query to which a home sends a reply."""
         self.answering = None
         asked = asyncio.create_task(self.code_of(self.asking))
         await asyncio.sleep(0)
-        self.asking.on_reply(PlacementReply(query_id="q", code=99_999))
-        self.assertIs(await asked, ResultCode.INTERNAL_ERROR)
+        self.asking.on_reply(reply)
+        return await asked
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_where.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_where.py
@@ -1,4 +1,7 @@
-"""Operators' query where a request would go, at entry hosts of the platform."""
+"""Operator query: to which upstream a request would be assigned.
+
+The query at entry hosts of the platform.
+"""
 
 import asyncio
 import os
@@ -7,7 +10,7 @@
 
 import msgspec
 
-from hemlockhoist.host.where_messages import WHERE_PATH, WhereView
+from hemlockhoist.host.where_messages import WHERE_PATH, PlacementView
 from hemlockhoist.standins.published.replica import Replica
 from hemlockhoist.standins.published.site import Site, route
 
@@ -41,7 +44,7 @@
         """Return status and body of a query, not sooner than it is answered."""
         await asyncio.sleep(QUERY_PAUSE_S)
         (address,) = self.site.hosts[host].status.addresses
-        body = {"route": "check", **question}
+        body = {"route": "check", "customer": "aulas", **question}
         headers = {"Authorization": f"Bearer {key}"}
         async with self.site.session.post(
             f"http://{address}{WHERE_PATH}", json=body, headers=headers
@@ -51,7 +54,7 @@
     async def where(self, host=0, **question):
         status, body = await self.ask(host, **question)
         self.assertEqual(status, 200, body)
-        return msgspec.json.decode(body, type=WhereView)
+        return msgspec.json.decode(body, type=PlacementView)
 
     async def call(self, path, host, attempt_id):
         async with self.site.call(path, host, Attempt_Id=attempt_id) as response:
@@ -101,6 +104,9 @@
             route="nope", customer="x", tier="t", prefix=["a", "b:-1"]
         )
         self.assertEqual(status, 400)
+        status, missing = await self.ask(customer="")
+        self.assertEqual(status, 400)
+        self.assertIn("customer: is ''; allowed: aulas", missing.decode())
         for text in (
             "route: is 'nope'; allowed: chat, check",
             "customer: is 'x'; allowed: aulas",
