Expect whole answers no earlier than after decoding when a hedge overtakes them

Cause: whether an overtaken attempt took longer than usual was judged by the usual time to first token, also for requests that are not streams. Nothing of such an answer arrives before the whole, so that slow hardware in a pool with streams counted as timed out within its usual time. The same attempts made its pace seem slower than it is.

Change: the brief of a request says whether it is a stream (`is_stream`, a new last field of `RequestBrief`). For all others, the declared-slots tracker and the adaptive one use the hold time predicted for the request, times how much longer than predicted the upstream's answers take. The pace doesn't give that time, as answers that are no streams report no output tokens. The new `hold_ratio` of an upstream is used for overtaken attempts only.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/adaptive_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/adaptive_tracker.py
@@ -197,7 +197,8 @@
     def usual_first_ms(self, held, estimate):
         """Return the usual time until a listed upstream begins to answer a request."""
         request = held.request
-        first_ms = estimate.first_token_ms(request) or estimate.hold_ms(request)
+        first_ms = estimate.first_token_ms(request) if request.is_stream else 0.0
+        first_ms = first_ms or estimate.hold_ms(request)
         slowness = self._tracked[held.grant.upstream_id].health.slowness
         return held.prompt_wait_ms + max(1.0, slowness) * first_ms
 
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
@@ -153,9 +153,12 @@
 
     def usual_first_ms(self, held, estimate):
         """Return the usual time until a listed upstream begins to answer a request."""
-        pace = self._tracked[held.grant.upstream_id].pace
-        prompt_ms = pace.prompt_ms(held.request.prompt_tokens)
-        return held.prompt_wait_ms + prompt_ms + pace.base_ms()
+        tracked, request = self._tracked[held.grant.upstream_id], held.request
+        pace = tracked.pace
+        first_ms = pace.prompt_ms(request.prompt_tokens) + pace.base_ms()
+        if not request.is_stream:
+            first_ms = max(first_ms, tracked.whole_ms(estimate.hold_ms(request)))
+        return held.prompt_wait_ms + first_ms
 
     def accepts_more(self, upstream_id, now_ms):
         """Return whether an upstream may take a request, apart from free slots."""
@@ -504,9 +507,12 @@
             self._speeds.note_factors(held, now_ms)
             slowdown = add_answer_sample(tracked, held, outcome)
             tracked.on_success(hold_ms, slowdown, now_ms)
+            tracked.observe_hold_ratio(hold_ms / max(1.0, predicted_ms))
             self._clear_suspended(upstream_id, now_ms)
         elif outcome.is_overtaken and held.prompt_wait_ms <= 0:
-            add_overtaken_sample(tracked, held, outcome.total_ms)
+            whole_ms = tracked.whole_ms(predicted_ms)
+            if held.request.is_stream or outcome.total_ms > whole_ms:
+                add_overtaken_sample(tracked, held, outcome.total_ms)
 
     def on_reachable(self, upstream_id, now_ms):
         """Record that an upstream can be reached, though connections to it failed.
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_upstream.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_upstream.py
@@ -30,6 +30,7 @@
         "failure_domain",
         "failures",
         "hold_ms",
+        "hold_ratio",
         "limit",
         "pace",
         "pending",
@@ -62,6 +63,9 @@
         self.prompts_done_ms = 0.0
         # How long requests hold a slot at the usual and at the present speed.
         self.usual_hold_ms = self.hold_ms = INITIAL_HOLD_MS
+        # Holding times as a multiple of those predicted for the pool; None before the
+        # first answer.
+        self.hold_ratio = None
         # Prompts without a first token, by grant id: tokens, expected first token time.
         self.pending = {}
         self.pending_tokens = 0
@@ -190,6 +194,25 @@
         self.usual_hold_ms += HOLD_EWMA_WEIGHT * (usual_ms - self.usual_hold_ms)
         self.hold_ms = self.usual_hold_ms * self.slowdown
 
+    def observe_hold_ratio(self, ratio):
+        """Add how long an answer held its slot, as a multiple of the predicted time."""
+        if self.hold_ratio is None:
+            self.hold_ratio = ratio
+        self.hold_ratio += HOLD_EWMA_WEIGHT * (ratio - self.hold_ratio)
+
+    def whole_ms(self, predicted_ms):
+        """Return the usual time of a whole answer here.
+
+        The pace does not give it: answers that are no streams report no output tokens,
+        so that their whole time counts as that of one token.
+
+        Parameters
+        ==========
+        predicted_ms : float
+            As predicted for the pool.
+        """
+        return predicted_ms * max(1.0, self.hold_ratio or 1.0)
+
     def count_stalled(self, now_ms):
         """Count the requests whose first token is long overdue."""
         if not self.pending:
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/upstream_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/upstream_tracker.py
@@ -198,11 +198,14 @@
     def usual_first_ms(self, held, estimate):
         """Return the usual time until a listed upstream begins to answer a request.
 
+        Of an answer that is no stream nothing arrives before the whole, so its usual
+        time includes decoding.
+
         Parameters
         ==========
         held : hemlockhoist.decisions.scheduling.grants.InFlightGrant
         estimate : hemlockhoist.decisions.scheduling.estimates.ServiceEstimate
-            For trackers that do not learn it of each upstream.
+            For what trackers do not learn of each upstream.
         """
         raise NotImplementedError
 
--- a/libs/decisions/src/hemlockhoist/decisions/work.py
+++ b/libs/decisions/src/hemlockhoist/decisions/work.py
@@ -64,6 +64,9 @@
         refused, never queued.
     connected : tuple of str
         Upstreams to which the entry host keeps an idle connection.
+    is_stream : bool
+        Whether the answer is sent in parts; otherwise nothing of it arrives before the
+        whole.
     """
 
     request_id: str
@@ -91,6 +94,7 @@
     parts: tuple[int, ...] = ()
     is_hedge: bool = False
     connected: tuple[str, ...] = ()
+    is_stream: bool = False
 
     def allows_region(self, region):
         """Return whether an upstream in a region may get the request."""
--- a/libs/entry/src/hemlockhoist/entry/request_grants.py
+++ b/libs/entry/src/hemlockhoist/entry/request_grants.py
@@ -142,6 +142,7 @@
             parts=admitted.parts,
             is_hedge=is_hedge,
             connected=self._connected(),
+            is_stream=admitted.route.kind is CallKind.STREAM,
         )
 
     def _connected(self):
--- a/libs/host/src/hemlockhoist/host/work_requests.py
+++ b/libs/host/src/hemlockhoist/host/work_requests.py
@@ -37,4 +37,5 @@
         parts=brief.parts,
         is_hedge=brief.is_hedge,
         connected=brief.connected,
+        is_stream=brief.is_stream,
     )
--- a/libs/messages/src/hemlockhoist/messages/grants.py
+++ b/libs/messages/src/hemlockhoist/messages/grants.py
@@ -63,6 +63,9 @@
         or a refusal at once.
     connected : tuple of str
         Upstreams to which the entry host keeps an idle connection, at most 8.
+    is_stream : bool
+        Whether the answer is sent in parts; otherwise nothing of it arrives before the
+        whole.
     """
 
     request_id: str
@@ -90,6 +93,7 @@
     parts: tuple[int, ...] = ()
     is_hedge: bool = False
     connected: tuple[str, ...] = ()
+    is_stream: bool = False
 
 
 class GrantRequest(
