Forget hosts whose retry report arrives after they are gone

Cause: HomeRetries recorded each host that reported as present. If the report came after the host was gone, nothing recorded its end any more, so that its entry stayed for as long as the home.

Change: the home says whether the sender is a host that it knows (HolderQueries.queried).

--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -384,7 +384,8 @@
             self._granted[request.request_id] = (grant, sender)
             self._emit(self.scheduler.adopt(request, grant, now_ms), now_ms)
         self._signals.adopt(sender, message)
-        self._retries.adopt(sender, message, now_ms)
+        is_present = sender in self._holders.queried
+        self._retries.adopt(sender, message, now_ms, is_present)
         self._prompts.on_held_grants(message)
         if self._holders.is_pending(sender):
             self._gate.on_usage_report(sender, message, now_ms)
--- a/libs/host/src/hemlockhoist/host/home_retries.py
+++ b/libs/host/src/hemlockhoist/host/home_retries.py
@@ -59,7 +59,8 @@
         self._pool = pool
         self._scheduler = scheduler
         self._metrics = metrics
-        # The hosts that have reported, and when they were gone; None for those present.
+        # The hosts that have reported, and when they were gone, or reported after that;
+        # None for those present.
         self._reporters = {}
         self._retry_count = 0
         self._counted = self._logged = self._counts()
@@ -77,7 +78,7 @@
             self._retry_count = self._scheduler.client_retry_count
             self._metrics.count(CALLERS_RETRIED, self._pool)
 
-    def adopt(self, sender, report, now_ms):
+    def adopt(self, sender, report, now_ms, is_present):
         """Pass the retries that an entry host announced to its callers to the scheduler.
 
         Only its first report counts: requests without a size are counted and not
@@ -89,11 +90,13 @@
         sender : str
         report : HeldGrants
         now_ms : int
+        is_present : bool
+            Whether the sender is not gone: its report may arrive after that is known.
         """
         reservations = self._scheduler.reservations
         if reservations is None or sender in self._reporters:
             return
-        self._reporters[sender] = None
+        self._reporters[sender] = None if is_present else now_ms
         adopted = sum(reservations.adopt(item, now_ms) for item in report.told_retries)
         if adopted:
             _log.info(
--- a/libs/host/src/hemlockhoist/host/takeover.py
+++ b/libs/host/src/hemlockhoist/host/takeover.py
@@ -21,7 +21,7 @@
     Attributes
     ==========
     queried : set of str
-        The hosts that were asked.
+        The hosts that were asked and are not gone.
     """
 
     __slots__ = ("_clock", "_message", "_pending", "_resend_ms", "_send", "queried")
--- a/libs/host/src/hemlockhoist/host/tests/test_announced_retries.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_announced_retries.py
@@ -107,6 +107,7 @@
     async def test_reporters_that_are_gone_are_forgotten(self):
         """Guards against a home whose memory grows with each host that ever reported."""
         home = self._add_home("h2")
+        home.start((ENTRY,))
         report = HeldGrants(pool="chat", home_incarnation="h2", grants=())
         for number in range(100):
             host = f"host-{number}"
@@ -118,6 +119,21 @@
         # The entry host of the harness is present, and answers all queries.
         self.assertEqual(set(home._retries._reporters), {ENTRY})
 
+    async def test_reporter_that_was_gone_before_its_report_is_forgotten(self):
+        """Guards against late reports that a home remembers for ever."""
+        home = self._add_home("h2")
+        home.start((ENTRY, "late", "back"))
+        report = HeldGrants(pool="chat", home_incarnation="h2", grants=())
+        for host in ("late", "back"):
+            home.forget_host(host)
+            home.on_held_grants(host, report)
+        await asyncio.sleep(1)
+        home.on_host_joined("back")
+        await asyncio.sleep(60)
+        home.tick()
+        # A host that is present again is not forgotten.
+        self.assertEqual(set(home._retries._reporters), {ENTRY, "back"})
+
     async def test_homes_without_the_switch_ignore_the_report(self):
         """Guards against hosts of mixed settings that fail at a takeover."""
         await self._refuse_one()
