Name back-offs, retractions and announced retries by one term each

Cause: "closed" meant upstreams that want no requests of a host, and means the opposite beside circuit breakers; two verbs stood for retracting a loss, of which an address of None was the mark; "told" and "silence" were terms of this project only.

Change: closed_to becomes backed_off_from (HostBackOffs) and backed_off_or_suppressed (ShardUpstreams), closed becomes backed_off; _is_barred and barred_count become _is_held_for_repeatable and not_repeatable_count; _take_back becomes _retract_loss, with a field is_retracted; _Silence becomes _OvertakenRun; ToldRetry and told_retries become AnnouncedRetry and announced_retries. In rehearsal.py only the name of backed_off_from changes. No change of behaviour.

Result: the structs are array-like, so names are not on the wire: a report with an announced retry encodes to the same 29 bytes as before, which a new codec test holds.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/adaptive_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/adaptive_tracker.py
@@ -215,7 +215,7 @@
         """Return the key by which the requests of one customer are ordered."""
         return short_first_ms(arrived_ms, cost_ms)
 
-    def choose(self, request, choices, in_flight, now_ms, ahead=0, closed=()):
+    def choose(self, request, choices, in_flight, now_ms, ahead=0, backed_off=()):
         """Return the upstream for a request, or None if only probes are possible.
 
         A non-idempotent request is never sent as a probe.
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/assignment.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/assignment.py
@@ -102,24 +102,26 @@
         free = self._upstreams.free_upstreams(now_ms)
         decisions = self._grant_overtaking(free, changed, now_ms)
         skipped = []
-        barred_count = 0
+        not_repeatable_count = 0
         damping = self._upstreams.damping
         takes_only_repeatable = damping.allow_only_repeatable(free, now_ms)
         for rank in self._queue.ranks:
-            while free and len(skipped) - barred_count < MAX_SKIPPED:
-                if barred_count >= MAX_NOT_REPEATABLE_SKIPPED:
+            while free and len(skipped) - not_repeatable_count < MAX_SKIPPED:
+                if not_repeatable_count >= MAX_NOT_REPEATABLE_SKIPPED:
                     break
                 taken = self._queue.take(rank)
                 if taken is None:
                     break
                 waiting = taken[0]
-                if takes_only_repeatable and self._is_barred(waiting.request, now_ms):
+                if takes_only_repeatable and self._is_held_for_repeatable(
+                    waiting.request, now_ms
+                ):
                     waiting.skipped_round = self._round_number
                     skipped.append(taken)
-                    barred_count += 1
+                    not_repeatable_count += 1
                     continue
                 eligible = self._eligible(waiting, free, changed, now_ms)
-                ahead = len(skipped) - barred_count
+                ahead = len(skipped) - not_repeatable_count
                 upstream = self._choose_upstream(
                     waiting.request, eligible, ahead, now_ms
                 )
@@ -176,10 +178,10 @@
             return None
         return self._grant(waiting, upstream, now_ms)
 
-    def _is_barred(self, request, now_ms):
-        """Return whether upstreams that take only repeatable requests do not take it.
+    def _is_held_for_repeatable(self, request, now_ms):
+        """Return whether slots that are held for repeatable requests are not for it.
 
-        They do take one that is not repeatable if all others have refused it.
+        They are for one that is not repeatable if all other upstreams have refused it.
         """
         if request.idempotent:
             return False
@@ -232,19 +234,23 @@
     def _choose_upstream(self, request, free, ahead, now_ms):
         if not free:
             return None
-        closed = self._upstreams.back_offs.closed_to(request.entry_host, now_ms)
-        if closed:
-            free = [item for item in free if item.upstream_id not in closed]
+        backed_off = self._upstreams.back_offs.backed_off_from(
+            request.entry_host, now_ms
+        )
+        if backed_off:
+            free = [item for item in free if item.upstream_id not in backed_off]
         damping = self._upstreams.damping
         if damping.any_penalty:
-            free = damping.allowed(request, free, now_ms, closed)
-            closed = self._upstreams.closed_to(request.entry_host, now_ms)
+            free = damping.allowed(request, free, now_ms, backed_off)
+            backed_off = self._upstreams.backed_off_or_suppressed(
+                request.entry_host, now_ms
+            )
         versions = sorted({item.version for item in free})
         for version in self._policy.candidates(request, versions, now_ms):
             choices = [item for item in free if item.version == version]
             choices = _untried(request, _in_allowed_regions(request, choices))
             upstream = self._upstreams.tracker.choose(
-                request, choices, self._grants.in_flight, now_ms, ahead, closed
+                request, choices, self._grants.in_flight, now_ms, ahead, backed_off
             )
             if upstream is not None:
                 return upstream
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/client_retries.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/client_retries.py
@@ -142,7 +142,7 @@
 
     Parameters
     ==========
-    request : hemlockhoist.decisions.WorkRequest or hemlockhoist.messages.ToldRetry
+    request : hemlockhoist.decisions.WorkRequest or hemlockhoist.messages.AnnouncedRetry
     """
     return (
         request.customer,
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
@@ -309,7 +309,7 @@
         """
         return due_ms
 
-    def choose(self, request, choices, in_flight, now_ms, ahead=0, closed=()):
+    def choose(self, request, choices, in_flight, now_ms, ahead=0, backed_off=()):
         """Return the upstream for a request, or None if it should wait."""
         self._speeds.refresh_if_reported(self._usable, now_ms)
         choices = self.fitting(request, choices, now_ms)
@@ -319,7 +319,7 @@
             request, work, choices, in_flight, max_prompts_ms, now_ms
         ).select(work.first_token_by_ms - now_ms)
         if best is None or self._should_wait(
-            work, best, max_prompts_ms, ahead, closed, now_ms
+            work, best, max_prompts_ms, ahead, backed_off, now_ms
         ):
             return None
         return best
@@ -398,7 +398,7 @@
         cached_at = self._cached_tokens(request)
         return max(cached_at.values(), default=0) - cached_at.get(upstream_id, 0)
 
-    def _should_wait(self, work, best, max_prompts_ms, ahead, closed, now_ms):
+    def _should_wait(self, work, best, max_prompts_ms, ahead, backed_off, now_ms):
         """Return whether a request should wait for an upstream that is full.
 
         In a burst of long prompts on engines of different speed, the first free slot is
@@ -418,7 +418,7 @@
         slots_per_ms = 0.0
         earliest_ms = None
         for upstream_id, tracked in self._usable.items():
-            if upstream_id in closed or tracked is here:
+            if upstream_id in backed_off or tracked is here:
                 continue
             if not work.allows_region(tracked.region):
                 continue
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/experiments.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/experiments.py
@@ -147,5 +147,5 @@
 
     __slots__ = ()
 
-    def _should_wait(self, work, best, max_prompts_ms, ahead, closed, now_ms):
+    def _should_wait(self, work, best, max_prompts_ms, ahead, backed_off, now_ms):
         return False
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/flap_damping.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/flap_damping.py
@@ -15,7 +15,7 @@
 # time. Losses of other upstreams within it are simultaneous.
 SAME_LOSS_MS = 100
 # A loss that an entry host reported so long before it turned out to have lost its links
-# is taken back.
+# is retracted.
 DISTRUST_MS = 1_000
 # Share of the usable upstreams that may be suppressed, rounded up.
 MAX_SUPPRESSED_SHARE = 1 / 3
@@ -31,15 +31,16 @@
 
 
 class _Loss:
-    """A recent loss, which may still be taken back."""
+    """A recent loss, which may still be retracted."""
 
-    __slots__ = ("address", "at_ms", "domain", "host")
+    __slots__ = ("address", "at_ms", "domain", "host", "is_retracted")
 
-    def __init__(self, address, at_ms, domain, host):
+    def __init__(self, address, at_ms, domain, host, is_retracted=False):
         self.address = address
         self.at_ms = at_ms
         self.domain = domain
         self.host = host
+        self.is_retracted = is_retracted
 
 
 class FlapDamping:
@@ -54,7 +55,7 @@
     until it serves again belong to one loss. The penalty belongs to the address, as a
     restarted upstream may have another id. It also follows an id to a new address.
 
-    Losses of several upstreams of a failure domain at the same time are taken back, and
+    Losses of several upstreams of a failure domain at the same time are retracted, and
     so are losses reported by a host that turns out to have lost its links.
 
     Upstreams whose circuit breaker is open do not count as usable where the suppressed
@@ -252,13 +253,13 @@
             self._release_excess(now_ms)
 
     def retract(self, upstream_id, now_ms):
-        """Take back the latest loss of an upstream that turned out to be reachable."""
+        """Retract the latest loss of an upstream that turned out to be reachable."""
         known = self._known.get(upstream_id)
         if known is not None:
             self._retract(lambda loss: loss.address == known.address, now_ms)
 
     def retract_reports_of(self, host, now_ms):
-        """Take back what a host reported that has lost its own links."""
+        """Retract what a host reported that has lost its own links."""
         self._retract(lambda loss: loss.host == host, now_ms)
 
     def is_suppressed(self, upstream_id, now_ms):
@@ -275,10 +276,10 @@
         """Return whether none of the given upstreams takes non-repeatable requests."""
         if not self._penalties:
             return False
-        is_closed = self.is_suppressed
+        is_excluded = self.is_suppressed
         if self._expects_repeatable(now_ms):
-            is_closed = self.is_restricted
-        return all(is_closed(item.upstream_id, now_ms) for item in upstreams)
+            is_excluded = self.is_restricted
+        return all(is_excluded(item.upstream_id, now_ms) for item in upstreams)
 
     def _expects_repeatable(self, now_ms):
         """Return whether a repeatable request is likely to come within a trial."""
@@ -306,7 +307,7 @@
             self._suppressed_until_ms = min(found.values(), default=math.inf)
         return self._suppressed
 
-    def is_refused_elsewhere(self, request, closed, now_ms):
+    def is_refused_elsewhere(self, request, backed_off, now_ms):
         """Return whether only suppressed upstreams are left for a request.
 
         Each other one that is usable has refused it, or wants no requests of its host.
@@ -314,14 +315,14 @@
         Parameters
         ==========
         request : hemlockhoist.decisions.WorkRequest
-        closed : frozenset of str
+        backed_off : frozenset of str
             Upstreams that want no requests of its host.
         now_ms : int
         """
         suppressed = self.suppressed(now_ms)
-        if not suppressed or not (request.avoid or closed):
+        if not suppressed or not (request.avoid or backed_off):
             return False
-        excluded = suppressed.union(closed, request.avoid)
+        excluded = suppressed.union(backed_off, request.avoid)
         return not any(
             item.upstream_id not in excluded
             and request.allows_region(item.region)
@@ -329,12 +330,12 @@
             for item in self._usable
         )
 
-    def last_resort(self, request, closed, now_ms):
+    def last_resort(self, request, backed_off, now_ms):
         """Return the suppressed upstreams left for a request, lowest penalty first.
 
         Parameters as of ``is_refused_elsewhere``.
         """
-        suppressed = self.suppressed(now_ms).difference(closed, request.avoid)
+        suppressed = self.suppressed(now_ms).difference(backed_off, request.avoid)
         found = [
             item
             for item in self._usable
@@ -342,7 +343,7 @@
         ]
         return sorted(found, key=lambda item: self._penalty(item.upstream_id, now_ms))
 
-    def allows(self, request, upstream_id, now_ms, closed=_NONE):
+    def allows(self, request, upstream_id, now_ms, backed_off=_NONE):
         """Return whether a request may be sent to an upstream now.
 
         Parameters
@@ -350,7 +351,7 @@
         request : hemlockhoist.decisions.WorkRequest
         upstream_id : str
         now_ms : int
-        closed : frozenset of str, optional
+        backed_off : frozenset of str, optional
             Upstreams that want no requests of its host.
         """
         found = self._flap_penalty(upstream_id)
@@ -361,14 +362,14 @@
             return not is_awaited and not found.is_trial_pending(now_ms)
         is_last_resort = request.idempotent and upstream_id == self._last_resort
         if not is_last_resort and not self.is_refused_elsewhere(
-            request, closed, now_ms
+            request, backed_off, now_ms
         ):
             return False
         address = self._known[upstream_id].address
         has_served = self._served_ms.get(address, 0) > self._lost_ms.get(address, 0)
         return has_served or not found.is_trial_pending(now_ms)
 
-    def allowed(self, request, free, now_ms, closed=_NONE):
+    def allowed(self, request, free, now_ms, backed_off=_NONE):
         """Return those of the free upstreams to which a request may be sent now.
 
         Hot path: called for each request as long as any upstream has a penalty.
@@ -382,7 +383,7 @@
             item
             for item in free
             if item.upstream_id not in restricted
-            or self.allows(request, item.upstream_id, now_ms, closed)
+            or self.allows(request, item.upstream_id, now_ms, backed_off)
         ]
 
     def ensure_usable(self, now_ms):
@@ -453,32 +454,35 @@
     def _is_simultaneous(self, address, domain, now_ms):
         """Return whether another upstream of the domain was lost at the same time.
 
-        The loss of the other one is taken back.
+        The loss of the other one is retracted.
         """
         if not domain:
             return False
 
         def is_other(loss):
-            is_same_time = now_ms - loss.at_ms < SAME_LOSS_MS
-            return is_same_time and loss.domain == domain and loss.address != address
+            if now_ms - loss.at_ms >= SAME_LOSS_MS or loss.domain != domain:
+                return False
+            return loss.is_retracted or loss.address != address
 
-        # Losses that are taken back stay recorded, so that a third one is recognised too.
+        # Losses that are retracted stay recorded, so that a third one is recognised too.
         others = [loss for loss in self._recent_losses if is_other(loss)]
         for loss in others:
-            self._take_back(loss, now_ms)
+            self._retract_loss(loss, now_ms)
         if others:
-            self._recent_losses.append(_Loss(None, now_ms, domain, ""))
+            self._recent_losses.append(_Loss(address, now_ms, domain, "", True))
         return bool(others)
 
     def _retract(self, is_wrong, now_ms):
         wrong = [loss for loss in self._recent_losses if is_wrong(loss)]
         for loss in wrong:
-            self._take_back(loss, now_ms)
+            self._retract_loss(loss, now_ms)
 
-    def _take_back(self, loss, now_ms):
-        """Remove the penalty of a loss, unless it was taken back before."""
+    def _retract_loss(self, loss, now_ms):
+        """Remove the penalty of a loss, unless it was retracted before."""
+        if loss.is_retracted:
+            return
+        loss.is_retracted = True
         found = self._penalties.get(loss.address)
-        loss.address = None
         if found is None:
             return
         decayed = math.pow(0.5, (now_ms - loss.at_ms) / HALF_LIFE_MS)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/host_back_offs.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/host_back_offs.py
@@ -49,7 +49,7 @@
         """Whether any upstream wants no requests from some host, or recently did."""
         return bool(self._until_ms)
 
-    def closed_to(self, host, now_ms):
+    def backed_off_from(self, host, now_ms):
         """Return the ids of the upstreams that want no requests from a host now.
 
         Hot path: called for each request, mostly while no upstream wants rest.
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/rehearsal.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/rehearsal.py
@@ -176,7 +176,7 @@
                 found.setdefault(upstream_id, exclusion)
                 del free[upstream_id]
 
-        closed = upstreams.back_offs.closed_to(request.entry_host, now_ms)
+        closed = upstreams.back_offs.backed_off_from(request.entry_host, now_ms)
         open_items = [i for i in free.values() if i.upstream_id not in closed]
         keep(open_items, Exclusion.BACKED_OFF)
         damping = upstreams.damping
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/retry_reservations.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/retry_reservations.py
@@ -264,7 +264,7 @@
 
         Parameters
         ==========
-        announced : hemlockhoist.messages.ToldRetry
+        announced : hemlockhoist.messages.AnnouncedRetry
         now_ms : int
         """
         self._advance(now_ms)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
@@ -145,8 +145,8 @@
         """
         if not self.is_refused_elsewhere(request, now_ms):
             return free
-        closed = self.back_offs.closed_to(request.entry_host, now_ms)
-        for item in self.damping.last_resort(request, closed, now_ms):
+        backed_off = self.back_offs.backed_off_from(request.entry_host, now_ms)
+        for item in self.damping.last_resort(request, backed_off, now_ms):
             if self.has_free_slot(item, now_ms):
                 return [item]
         return free
@@ -155,8 +155,8 @@
         """Return whether only suppressed upstreams are left for a request."""
         if not self.damping.any_penalty:
             return False
-        closed = self.back_offs.closed_to(request.entry_host, now_ms)
-        return self.damping.is_refused_elsewhere(request, closed, now_ms)
+        backed_off = self.back_offs.backed_off_from(request.entry_host, now_ms)
+        return self.damping.is_refused_elsewhere(request, backed_off, now_ms)
 
     def has_free_slot(self, upstream, now_ms):
         """Return whether an upstream may be assigned one more request."""
@@ -204,14 +204,14 @@
             self._undamped = known = (suppressed, usable, kept)
         return known[2]
 
-    def closed_to(self, host, now_ms):
+    def backed_off_or_suppressed(self, host, now_ms):
         """Return the upstreams for which a host's requests need not wait.
 
         They want no requests from the host, or are suppressed.
         """
-        closed = self.back_offs.closed_to(host, now_ms)
+        backed_off = self.back_offs.backed_off_from(host, now_ms)
         suppressed = self.damping.suppressed(now_ms)
-        return suppressed.union(closed) if suppressed else closed
+        return suppressed.union(backed_off) if suppressed else backed_off
 
     def on_back_off(self, upstream_id, host, until_ms, now_ms):
         """Record that an upstream wants no requests from a host until a time.
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/silent_upstreams.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/silent_upstreams.py
@@ -8,13 +8,13 @@
     STALLED_FACTOR,
 )
 
-# If 2 in 100 responses are slow, 8 in a million upstreams are taken for silent after as
-# many overtaken attempts in a row; after two it would be 4 in 10,000.
+# If 2 in 100 responses are slow, 8 in a million upstreams are classified as unresponsive
+# after as many overtaken attempts in a row; after two it would be 4 in 10,000.
 MIN_OVERTAKEN = 3
 
 
-class _Silence:
-    """The overtaken attempts at one upstream since it last sent anything."""
+class _OvertakenRun:
+    """The run of overtaken attempts at one upstream since it last sent anything."""
 
     __slots__ = ("answered_ms", "attempt_count", "overdue_ms")
 
@@ -23,7 +23,7 @@
         self.end()
 
     def end(self):
-        """Forget the attempts, as the upstream has sent something."""
+        """End the run, as the upstream has sent something."""
         self.attempt_count = 0
         self.overdue_ms = math.inf
 
@@ -35,16 +35,16 @@
     hedges. Each request there is overtaken after some hundred milliseconds and
     cancelled, so that none is stalled or times out, and the upstream gets the next one.
 
-    A single attempt does not show whether the upstream is silent or only slow, as it is
-    cancelled long before its time limit. So an attempt counts as timed out only if
+    A single attempt does not show whether the upstream is unresponsive or only slow, as
+    it is cancelled long before its time limit. So an attempt counts as timed out only if
 
     - it took longer than is usual at this upstream,
     - it is at least the third such attempt since the upstream last sent anything, and
     - the upstream has sent nothing since one of these was granted, for so long that a
       request without a hedge would be stalled.
 
-    Anything that the upstream sends to any host ends its silence. A slow response, and
-    an upstream that is slow by nature, therefore count for nothing.
+    Anything that the upstream sends to any host ends the run. A slow response, and an
+    upstream that is slow by nature, therefore count for nothing.
 
     Examples
     ========
@@ -73,10 +73,10 @@
 
     def record_answer(self, upstream_id, now_ms):
         """Record that an upstream began or ended any answer."""
-        silence = self._by_upstream.get(upstream_id)
-        if silence is not None:
-            silence.answered_ms = now_ms
-            silence.end()
+        run = self._by_upstream.get(upstream_id)
+        if run is not None:
+            run.answered_ms = now_ms
+            run.end()
 
     def record_overtaken(self, upstream_id, granted_ms, elapsed_ms, usual_ms, now_ms):
         """Record an overtaken attempt; return whether it counts as timed out.
@@ -94,10 +94,10 @@
         """
         if elapsed_ms <= usual_ms:
             return False
-        silence = self._by_upstream.setdefault(upstream_id, _Silence())
-        if granted_ms < silence.answered_ms:
+        run = self._by_upstream.setdefault(upstream_id, _OvertakenRun())
+        if granted_ms < run.answered_ms:
             return False
-        silence.attempt_count += 1
+        run.attempt_count += 1
         stalled_ms = STALLED_ALLOWANCE_MS + (1 + STALLED_FACTOR) * usual_ms
-        silence.overdue_ms = min(silence.overdue_ms, granted_ms + stalled_ms)
-        return silence.attempt_count >= MIN_OVERTAKEN and now_ms >= silence.overdue_ms
+        run.overdue_ms = min(run.overdue_ms, granted_ms + stalled_ms)
+        return run.attempt_count >= MIN_OVERTAKEN and now_ms >= run.overdue_ms
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_flap_damping.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_flap_damping.py
@@ -407,7 +407,7 @@
                 self.scheduler.tick(now_ms + 200)
         self.assertEqual(self.suppressed(4_600), {"u0"})
 
-    def test_suppressed_upstream_serves_a_host_to_which_all_others_are_closed(self):
+    def test_suppressed_upstream_serves_a_host_that_is_backed_off_from_all_others(self):
         """Guards against requests that wait for the end of a back-off beside a slot."""
         for now_ms in (1_000, 2_000):
             self.end("u0", CRASH, now_ms, "host-2")
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_host_back_offs.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_host_back_offs.py
@@ -33,7 +33,7 @@
         back_offs.record("u1", "h1", 1_000)
         back_offs.record("u1", "h2", 2_000)
         back_offs.forget_passed(1_500)
-        self.assertEqual(back_offs.closed_to("h2", 1_500), {"u1"})
+        self.assertEqual(back_offs.backed_off_from("h2", 1_500), {"u1"})
         back_offs.forget_host("h2")
         self.assertFalse(back_offs.any_recorded)
 
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_retry_reservations.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_retry_reservations.py
@@ -13,7 +13,7 @@
     NOTICE,
     SchedulerSimulation,
 )
-from hemlockhoist.messages import ToldRetry
+from hemlockhoist.messages import AnnouncedRetry
 
 IN_TIME = ("in_time", "retry_in_time")
 COST_MS = 1_000.0
@@ -142,7 +142,7 @@
         fields = {"customer": "aulas", "route": "/v1/chat/completions"}
         fields |= {"prompt_tokens": 64, "output_tokens": 50}
         for remaining_ms, is_added in ((1_000, True), (1_000, False), (-900, False)):
-            announced = ToldRetry(
+            announced = AnnouncedRetry(
                 tier_rank=0, reserved_ms=700, remaining_ms=remaining_ms, **fields
             )
             self.assertEqual(self.retries.adopt(announced, 0), is_added)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/upstream_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/upstream_tracker.py
@@ -28,7 +28,7 @@
         """Return how many requests an upstream may hold."""
         raise NotImplementedError
 
-    def choose(self, request, choices, in_flight, now_ms, ahead=0, closed=()):
+    def choose(self, request, choices, in_flight, now_ms, ahead=0, backed_off=()):
         """Return the upstream for a request, or None if it should wait.
 
         Parameters
@@ -41,8 +41,9 @@
         now_ms : int
         ahead : int, optional
             Number of requests before this one that wait for a better upstream.
-        closed : collection of str, optional
-            Upstreams that want no requests from the request's entry host.
+        backed_off : collection of str, optional
+            Upstreams that want no requests from the request's entry host, or are
+            suppressed.
         """
         raise NotImplementedError
 
--- a/libs/host/src/hemlockhoist/host/announced_retries.py
+++ b/libs/host/src/hemlockhoist/host/announced_retries.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from hemlockhoist.messages import ToldRetry
+from hemlockhoist.messages import AnnouncedRetry
 
 # Number of announced retries that a host reports to a new home.
 MAX_REPORTED = 64
@@ -36,7 +36,7 @@
         """
         if not refusal.reserved_ms:
             return
-        announced = ToldRetry(
+        announced = AnnouncedRetry(
             customer=brief.customer,
             route=brief.route,
             tier_rank=brief.tier_rank,
@@ -58,7 +58,7 @@
 
         Returns
         =======
-        tuple of ToldRetry
+        tuple of AnnouncedRetry
         """
         coming = [
             msgspec.structs.replace(item, remaining_ms=due_ms - now_ms)
--- a/libs/host/src/hemlockhoist/host/grants.py
+++ b/libs/host/src/hemlockhoist/host/grants.py
@@ -534,7 +534,7 @@
             back_offs=back_offs,
             brittle=brittle,
             part_records=part_records,
-            told_retries=self._announced_retries.report(pool, now_ms),
+            announced_retries=self._announced_retries.report(pool, now_ms),
         )
 
     def send_held_ids(self, pools):
--- a/libs/host/src/hemlockhoist/host/home_retries.py
+++ b/libs/host/src/hemlockhoist/host/home_retries.py
@@ -97,7 +97,9 @@
         if reservations is None or sender in self._reporters:
             return
         self._reporters[sender] = None if is_present else now_ms
-        adopted = sum(reservations.adopt(item, now_ms) for item in report.told_retries)
+        adopted = sum(
+            reservations.adopt(item, now_ms) for item in report.announced_retries
+        )
         if adopted:
             _log.info(
                 "reservations_adopted",
--- a/libs/host/src/hemlockhoist/host/tests/test_announced_retries.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_announced_retries.py
@@ -16,7 +16,7 @@
 from hemlockhoist.host.home_retries import HomeRetries
 from hemlockhoist.host.tests import test_grants
 from hemlockhoist.host.work_requests import work_request
-from hemlockhoist.messages import GrantRefusal, HeldGrants, RequestBrief, ToldRetry
+from hemlockhoist.messages import AnnouncedRetry, GrantRefusal, HeldGrants, RequestBrief
 
 ENTRY = test_grants.ENTRY
 
@@ -74,7 +74,7 @@
 
     async def test_host_that_comes_back_reports_once(self):
         """Guards against retries that are reserved twice as their host was gone."""
-        told = ToldRetry(
+        told = AnnouncedRetry(
             customer="c",
             route="r",
             tier_rank=0,
@@ -84,7 +84,7 @@
             remaining_ms=9_000,
         )
         report = self.client.report_held("chat", "h2", "h2")
-        report = msgspec.structs.replace(report, told_retries=(told,))
+        report = msgspec.structs.replace(report, announced_retries=(told,))
         home = self._add_home("h2")
         home.on_held_grants(ENTRY, report)
         # Gone for a short time, then present, then gone for long.
@@ -198,7 +198,7 @@
 
     @given(
         st.builds(
-            ToldRetry,
+            AnnouncedRetry,
             customer=st.text(max_size=3),
             route=st.text(max_size=3),
             tier_rank=st.integers(),
--- a/libs/messages/src/hemlockhoist/messages/__init__.py
+++ b/libs/messages/src/hemlockhoist/messages/__init__.py
@@ -30,6 +30,7 @@
 from hemlockhoist.messages.grants import (
     NO_LIMIT,
     SLOWDOWN_PERCENTS,
+    AnnouncedRetry,
     BackedOffUpstream,
     FirstToken,
     GrantCancel,
@@ -46,7 +47,6 @@
     HomeTakeover,
     NotHome,
     RequestBrief,
-    ToldRetry,
     UpstreamSignals,
 )
 from hemlockhoist.messages.ledger import (
@@ -101,6 +101,7 @@
     "NO_LIMIT",
     "SLOWDOWN_PERCENTS",
     "WIRE_VERSION",
+    "AnnouncedRetry",
     "BackedOffUpstream",
     "CandidateReport",
     "Codec",
@@ -173,7 +174,6 @@
     "StoredAnswer",
     "StreamTaken",
     "UpstreamReached",
-    "ToldRetry",
     "UpstreamSignals",
     "VersionHalted",
     "pack_value",
--- a/libs/messages/src/hemlockhoist/messages/grants.py
+++ b/libs/messages/src/hemlockhoist/messages/grants.py
@@ -288,8 +288,8 @@
     remaining_ms: int
 
 
-class ToldRetry(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """A time to retry of which a caller was told, with capacity reserved for it.
+class AnnouncedRetry(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A time to retry that was announced to a caller, with capacity reserved for it.
 
     Parameters
     ==========
@@ -340,7 +340,7 @@
     pool's upstreams advertised to the sender, ``back_offs`` the upstreams that want no
     requests from it, ``brittle`` the rejections that brittle upstreams bear,
     ``part_records`` the evidence against parts of prompts that crash upstreams, and
-    ``told_retries`` the times to retry that the sender told its callers.
+    ``announced_retries`` the times to retry that the sender announced to its callers.
     """
 
     pool: str
@@ -353,7 +353,7 @@
     back_offs: tuple[BackedOffUpstream, ...] = ()
     brittle: tuple[HeardLimit, ...] = ()
     part_records: tuple[PartRecord, ...] = ()
-    told_retries: tuple[ToldRetry, ...] = ()
+    announced_retries: tuple[AnnouncedRetry, ...] = ()
 
 
 class HeldGrantIds(
--- a/libs/messages/src/hemlockhoist/messages/tests/test_codec.py
+++ b/libs/messages/src/hemlockhoist/messages/tests/test_codec.py
@@ -9,9 +9,11 @@
 from hemlockhoist.messages import (
     MESSAGE_TYPES,
     WIRE_VERSION,
+    AnnouncedRetry,
     Codec,
     Envelope,
     GrantCancel,
+    HeldGrants,
     codec,
 )
 
@@ -46,6 +48,25 @@
         frame = bytes([WIRE_VERSION + 1]) + _frame()[1:]
         self.assertIs(self._code(frame), ResultCode.PEER_VERSION)
 
+    def test_announced_retries_are_encoded_as_by_earlier_releases(self):
+        """Guards against reservations that are lost while hosts are being updated."""
+        retry = AnnouncedRetry(
+            customer="c",
+            route="r",
+            tier_rank=1,
+            prompt_tokens=2,
+            output_tokens=3,
+            reserved_ms=4,
+            remaining_ms=5,
+            weight=6,
+        )
+        report = HeldGrants(
+            pool="chat", home_incarnation="h", grants=(), announced_retries=(retry,)
+        )
+        encoded = msgspec.msgpack.encode(report).hex()
+        expected = "9c16a463686174a168909000a0909090909198a163a172010203040506"
+        self.assertEqual(encoded, expected)
+
     @given(st.integers(min_value=0, max_value=len(_frame()) - 1))
     def test_truncated_frame_is_rejected(self, length):
         """No proper prefix of a frame is accepted as a frame."""
