Move the choice for one waiting request out of SlotAssigner.assign

Cause: the loop over the waiting requests was nested three deep, with counters that its steps shared.

Change: _assign_one assigns a slot to one request; _AssignmentPass holds the state of a pass. No change of behaviour.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/assignment.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/assignment.py
@@ -16,6 +16,57 @@
 MAX_NOT_REPEATABLE_SKIPPED = 128
 
 
+class _AssignmentPass:
+    """State of one pass over the waiting requests.
+
+    Parameters
+    ==========
+    free : list of hemlockhoist.decisions.Upstream
+        Those with a free slot.
+    changed : str
+        The only upstream for requests that were skipped in this round; empty for any.
+    takes_only_repeatable : bool
+        Whether the free slots are held for repeatable requests.
+    now_ms : int
+
+    Attributes
+    ==========
+    skipped : list of tuple
+        Requests that got no slot, with their due times.
+    not_repeatable_count : int
+        Number of these that got none as they are not repeatable.
+    """
+
+    __slots__ = (
+        "changed",
+        "free",
+        "not_repeatable_count",
+        "now_ms",
+        "skipped",
+        "takes_only_repeatable",
+    )
+
+    def __init__(self, free, changed, takes_only_repeatable, now_ms):
+        self.free = free
+        self.changed = changed
+        self.takes_only_repeatable = takes_only_repeatable
+        self.now_ms = now_ms
+        self.skipped = []
+        self.not_repeatable_count = 0
+
+    @property
+    def ahead(self):
+        """Number of skipped requests that wait for a better upstream."""
+        return len(self.skipped) - self.not_repeatable_count
+
+    @property
+    def is_over(self):
+        """Whether no further request is tried."""
+        if not self.free or self.ahead >= MAX_SKIPPED:
+            return True
+        return self.not_repeatable_count >= MAX_NOT_REPEATABLE_SKIPPED
+
+
 class SlotAssigner:
     """Assigns free slots tier by tier, and lets short requests overtake.
 
@@ -101,43 +152,47 @@
         """
         free = self._upstreams.free_upstreams(now_ms)
         decisions = self._grant_overtaking(free, changed, now_ms)
-        skipped = []
-        not_repeatable_count = 0
-        damping = self._upstreams.damping
-        takes_only_repeatable = damping.allow_only_repeatable(free, now_ms)
+        takes_only_repeatable = self._takes_only_repeatable(free, now_ms)
+        current = _AssignmentPass(free, changed, takes_only_repeatable, now_ms)
         for rank in self._queue.ranks:
-            while free and len(skipped) - not_repeatable_count < MAX_SKIPPED:
-                if not_repeatable_count >= MAX_NOT_REPEATABLE_SKIPPED:
-                    break
+            while not current.is_over:
                 taken = self._queue.take(rank)
                 if taken is None:
                     break
-                waiting = taken[0]
-                if takes_only_repeatable and self._is_held_for_repeatable(
-                    waiting.request, now_ms
-                ):
-                    waiting.skipped_round = self._round_number
-                    skipped.append(taken)
-                    not_repeatable_count += 1
-                    continue
-                eligible = self._eligible(waiting, free, changed, now_ms)
-                ahead = len(skipped) - not_repeatable_count
-                upstream = self._choose_upstream(
-                    waiting.request, eligible, ahead, now_ms
-                )
-                if upstream is None:
-                    waiting.skipped_round = self._round_number
-                    skipped.append(taken)
+                granted = self._assign_one(taken[0], current)
+                if granted is not None:
+                    decisions.append(granted)
                     continue
-                self._check_tier_order(waiting.request)
-                decisions.append(self._grant(waiting, upstream, now_ms))
-                if not self._upstreams.has_free_slot(upstream, now_ms):
-                    _discard(free, upstream)
-                    takes_only_repeatable = damping.allow_only_repeatable(free, now_ms)
-        for waiting, due_ms in skipped:
+                taken[0].skipped_round = self._round_number
+                current.skipped.append(taken)
+        for waiting, due_ms in current.skipped:
             self._queue.push(waiting, due_ms)
         return decisions
 
+    def _assign_one(self, waiting, current):
+        """Assign a free slot to a waiting request; return None if it gets none."""
+        request, now_ms = waiting.request, current.now_ms
+        if current.takes_only_repeatable and self._is_held_for_repeatable(
+            request, now_ms
+        ):
+            current.not_repeatable_count += 1
+            return None
+        eligible = self._eligible(waiting, current.free, current.changed, now_ms)
+        upstream = self._choose_upstream(request, eligible, current.ahead, now_ms)
+        if upstream is None:
+            return None
+        self._check_tier_order(request)
+        granted = self._grant(waiting, upstream, now_ms)
+        if not self._upstreams.has_free_slot(upstream, now_ms):
+            _discard(current.free, upstream)
+            current.takes_only_repeatable = self._takes_only_repeatable(
+                current.free, now_ms
+            )
+        return granted
+
+    def _takes_only_repeatable(self, free, now_ms):
+        return self._upstreams.damping.allow_only_repeatable(free, now_ms)
+
     def assign_hedge(self, waiting, reserved_slots, now_ms):
         """Grant a second attempt a slot that nothing else needs now, or return None.
 
