Test the pace after overtaken whole answers with more streams than others

Cause: with as many whole answers as streams, the pace before was so slow that the overtaken attempts gave no sample, so that the test of the pace failed for the failure count only.

Change: three streams for each whole answer.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_silent_upstreams.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_silent_upstreams.py
@@ -176,7 +176,7 @@
 
 
 class _WholeResponseRun:
-    """Requests of 50 output tokens, one at a time, streams and others in turn.
+    """Requests of 50 output tokens, one at a time, streams and others mixed.
 
     Parameters
     ==========
@@ -198,7 +198,7 @@
         self._tracker_type = type(tracker)
 
     def warm_up(self):
-        """Let each upstream complete 40 requests, half of them streams."""
+        """Let each upstream complete 80 requests, three in four of them streams."""
         for _ in range(20):
             for name in ("u0", "u1", "u2", "u3"):
                 token_ms = 8 if name == "u0" else 2
@@ -211,9 +211,10 @@
                     token_us=1_000 * token_ms,
                 )
                 whole = Outcome(kind=OutcomeKind.SUCCESS, total_ms=total_ms)
-                # The pace follows the stream, as the later one.
+                # The pace follows the streams, as they are more and later.
                 self._run(name, whole, total_ms)
-                self._run(name, stream, total_ms, is_stream=True)
+                for _ in range(3):
+                    self._run(name, stream, total_ms, is_stream=True)
 
     def overtake(self, elapsed_ms):
         """Cancel a whole response at ``u0``; return whether it counts as timed out."""
