--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/adaptive_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/adaptive_tracker.py
@@ -197,7 +197,8 @@
     def usual_first_ms(self, held, estimate):
         """Return the usual time until a listed upstream begins to answer a request."""
         request = held.request
-        first_ms = estimate.first_token_ms(request) or estimate.hold_ms(request)
+        first_ms = estimate.first_token_ms(request) if request.is_stream else 0.0
+        first_ms = first_ms or estimate.hold_ms(request)
         slowness = self._tracked[held.grant.upstream_id].health.slowness
         return held.prompt_wait_ms + max(1.0, slowness) * first_ms
 
@@ -214,7 +215,7 @@
         """Return the key by which the requests of one customer are ordered."""
         return short_first_ms(arrived_ms, cost_ms)
 
-    def choose(self, request, choices, in_flight, now_ms, ahead=0, closed=()):
+    def choose(self, request, choices, in_flight, now_ms, ahead=0, backed_off=()):
         """Return the upstream for a request, or None if only probes are possible.
 
         A non-idempotent request is never sent as a probe.
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
@@ -153,9 +153,12 @@
 
     def usual_first_ms(self, held, estimate):
         """Return the usual time until a listed upstream begins to answer a request."""
-        pace = self._tracked[held.grant.upstream_id].pace
-        prompt_ms = pace.prompt_ms(held.request.prompt_tokens)
-        return held.prompt_wait_ms + prompt_ms + pace.base_ms()
+        tracked, request = self._tracked[held.grant.upstream_id], held.request
+        pace = tracked.pace
+        first_ms = pace.prompt_ms(request.prompt_tokens) + pace.base_ms()
+        if not request.is_stream:
+            first_ms = max(first_ms, tracked.whole_ms(estimate.hold_ms(request)))
+        return held.prompt_wait_ms + first_ms
 
     def accepts_more(self, upstream_id, now_ms):
         """Return whether an upstream may take a request, apart from free slots."""
@@ -306,7 +309,7 @@
         """
         return due_ms
 
-    def choose(self, request, choices, in_flight, now_ms, ahead=0, closed=()):
+    def choose(self, request, choices, in_flight, now_ms, ahead=0, backed_off=()):
         """Return the upstream for a request, or None if it should wait."""
         self._speeds.refresh_if_reported(self._usable, now_ms)
         choices = self.fitting(request, choices, now_ms)
@@ -316,7 +319,7 @@
             request, work, choices, in_flight, max_prompts_ms, now_ms
         ).select(work.first_token_by_ms - now_ms)
         if best is None or self._should_wait(
-            work, best, max_prompts_ms, ahead, closed, now_ms
+            work, best, max_prompts_ms, ahead, backed_off, now_ms
         ):
             return None
         return best
@@ -395,7 +398,7 @@
         cached_at = self._cached_tokens(request)
         return max(cached_at.values(), default=0) - cached_at.get(upstream_id, 0)
 
-    def _should_wait(self, work, best, max_prompts_ms, ahead, closed, now_ms):
+    def _should_wait(self, work, best, max_prompts_ms, ahead, backed_off, now_ms):
         """Return whether a request should wait for an upstream that is full.
 
         In a burst of long prompts on engines of different speed, the first free slot is
@@ -415,7 +418,7 @@
         slots_per_ms = 0.0
         earliest_ms = None
         for upstream_id, tracked in self._usable.items():
-            if upstream_id in closed or tracked is here:
+            if upstream_id in backed_off or tracked is here:
                 continue
             if not work.allows_region(tracked.region):
                 continue
@@ -504,9 +507,12 @@
             self._speeds.note_factors(held, now_ms)
             slowdown = add_answer_sample(tracked, held, outcome)
             tracked.on_success(hold_ms, slowdown, now_ms)
+            tracked.observe_hold_ratio(hold_ms / max(1.0, predicted_ms))
             self._clear_suspended(upstream_id, now_ms)
         elif outcome.is_overtaken and held.prompt_wait_ms <= 0:
-            add_overtaken_sample(tracked, held, outcome.total_ms)
+            whole_ms = tracked.whole_ms(predicted_ms)
+            if held.request.is_stream or outcome.total_ms > whole_ms:
+                add_overtaken_sample(tracked, held, outcome.total_ms)
 
     def on_reachable(self, upstream_id, now_ms):
         """Record that an upstream can be reached, though connections to it failed.
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/dry_run.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/dry_run.py
@@ -194,12 +194,12 @@
                 del free[upstream_id]
 
         keep(usable, Exclusion.BACKED_OFF)
-        closed = upstreams.back_offs.closed_to(request.entry_host, now_ms)
-        open_items = [i for i in free.values() if i.upstream_id not in closed]
+        backed_off = upstreams.back_offs.backed_off_from(request.entry_host, now_ms)
+        open_items = [i for i in free.values() if i.upstream_id not in backed_off]
         keep(open_items, Exclusion.BACKED_OFF)
         damping = upstreams.damping
         if damping.any_penalty:
-            allowed = damping.allowed(request, list(free.values()), now_ms, closed)
+            allowed = damping.allowed(request, list(free.values()), now_ms, backed_off)
             keep(allowed, Exclusion.ON_TRIAL)
         versions = sorted({item.version for item in free.values()})
         versions = self._policy.candidates(request, versions, now_ms)
--- a/libs/host/src/hemlockhoist/host/tests/test_announced_retries.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_announced_retries.py
@@ -16,7 +16,7 @@
 from hemlockhoist.host.home_retries import HomeRetries
 from hemlockhoist.host.tests import test_grants
 from hemlockhoist.host.work_requests import work_request
-from hemlockhoist.messages import GrantRefusal, HeldGrants, RequestBrief, ToldRetry
+from hemlockhoist.messages import AnnouncedRetry, GrantRefusal, HeldGrants, RequestBrief
 
 ENTRY = test_grants.ENTRY
 
@@ -74,7 +74,7 @@
 
     async def test_host_that_comes_back_reports_once(self):
         """Guards against retries that are reserved twice as their host was gone."""
-        told = ToldRetry(
+        told = AnnouncedRetry(
             customer="c",
             route="r",
             tier_rank=0,
@@ -84,7 +84,7 @@
             remaining_ms=9_000,
         )
         report = self.client.report_held("chat", "h2", "h2")
-        report = msgspec.structs.replace(report, told_retries=(told,))
+        report = msgspec.structs.replace(report, announced_retries=(told,))
         home = self._add_home("h2")
         home.on_held_grants(ENTRY, report)
         # Gone for a short time, then present, then gone for long.
@@ -107,6 +107,7 @@
     async def test_reporters_that_are_gone_are_forgotten(self):
         """Guards against a home whose memory grows with each host that ever reported."""
         home = self._add_home("h2")
+        home.start((ENTRY,))
         report = HeldGrants(pool="chat", home_incarnation="h2", grants=())
         for number in range(100):
             host = f"host-{number}"
@@ -118,6 +119,21 @@
         # The entry host of the harness is present, and answers all queries.
         self.assertEqual(set(home._retries._reporters), {ENTRY})
 
+    async def test_reporter_that_was_gone_before_its_report_is_forgotten(self):
+        """Guards against late reports that a home remembers for ever."""
+        home = self._add_home("h2")
+        home.start((ENTRY, "late", "back"))
+        report = HeldGrants(pool="chat", home_incarnation="h2", grants=())
+        for host in ("late", "back"):
+            home.forget_host(host)
+            home.on_held_grants(host, report)
+        await asyncio.sleep(1)
+        home.on_host_joined("back")
+        await asyncio.sleep(60)
+        home.tick()
+        # A host that is present again is not forgotten.
+        self.assertEqual(set(home._retries._reporters), {ENTRY, "back"})
+
     async def test_homes_without_the_switch_ignore_the_report(self):
         """Guards against hosts of mixed settings that fail at a takeover."""
         await self._refuse_one()
@@ -182,7 +198,7 @@
 
     @given(
         st.builds(
-            ToldRetry,
+            AnnouncedRetry,
             customer=st.text(max_size=3),
             route=st.text(max_size=3),
             tier_rank=st.integers(),
