--- a/libs/entry/src/hemlockhoist/entry/tests/test_request_grants.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_request_grants.py
@@ -4,8 +4,8 @@
 from hemlockhoist.declarations import CallKind
 from hemlockhoist.entry.request_grants import RequestGrants
 from hemlockhoist.entry.tests.builders import route, table
-from hemlockhoist.entry.where import asked_call
-from hemlockhoist.host.where_messages import WhereQuestion
+from hemlockhoist.entry.where import described_call
+from hemlockhoist.host.where_messages import PlacementRequestBody
 from hemlockhoist.host.work_requests import work_request
 
 
@@ -19,8 +19,9 @@
             upstreams=types.SimpleNamespace(links=links, connected=lambda _: ()),
         )
         for kind in CallKind:
-            admitted = asked_call(
-                WhereQuestion(route="check"), table(routes=[route(kind=kind)])
+            admitted = described_call(
+                PlacementRequestBody(route="check", customer="aulas"),
+                table(routes=[route(kind=kind)]),
             )
             grants = RequestGrants(context, admitted, lambda: 1_000)
             request = work_request(grants._brief(0), "h1", 0)
--- a/libs/entry/src/hemlockhoist/entry/where.py
+++ b/libs/entry/src/hemlockhoist/entry/where.py
@@ -213,6 +213,7 @@
         prefix_tokens=admitted.prefix_tokens,
         regions=admitted.regions,
         parts=admitted.parts,
+        is_stream=admitted.route.kind is CallKind.STREAM,
     )
 
 
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_hedges.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_hedges.py
@@ -246,13 +246,14 @@
 
     async def test_hedge_uses_a_kept_connection(self):
         """Guards against a loser's connection that is kept, or a hedge's new one."""
-        async with self.site(LOOKUP) as site:
+        # Requests with one attempt are not hedged, and may use kept connections.
+        single = route("single", SERVICE, max_attempts=1)
+        async with self.site(LOOKUP, single) as site:
             upstreams = site.hosts[0].context.upstreams
             for number in range(20):
-                # Of two requests at a time each replica gets one. Beside load they are
-                # hedged too, and the connection of the loser is closed.
-                ids = [f"{number}a", f"{number}b"]
-                calls = [self.call(site, "check", attempt_id) for attempt_id in ids]
+                # More at a time than one replica has slots.
+                ids = [f"{number}-{index}" for index in range(8)]
+                calls = [self.call(site, "single", attempt_id) for attempt_id in ids]
                 await asyncio.gather(*calls)
                 if len(upstreams.connected(SERVICE)) == len(self.replicas):
                     break
