--- a/libs/standins/src/hemlockhoist/standins/published/behaviours.py
+++ b/libs/standins/src/hemlockhoist/standins/published/behaviours.py
@@ -62,6 +62,15 @@
     BEFORE_HEAD = "before the head of its answer"
     BEFORE_EVENT = "after the head, before the first event"
     IN_EVENT = "in the middle of the first event"
+    AFTER_EVENTS = "after some events, or in the middle of a plain body"
+
+
+# How far a replica gets with an answer that it ends as it begins.
+BEGIN_MOMENTS = (
+    CrashMoment.BEFORE_HEAD,
+    CrashMoment.BEFORE_EVENT,
+    CrashMoment.IN_EVENT,
+)
 
 
 class ReceivedRequest(msgspec.Struct):
--- a/libs/standins/src/hemlockhoist/standins/published/replica.py
+++ b/libs/standins/src/hemlockhoist/standins/published/replica.py
@@ -56,9 +56,13 @@
         When it fell over.
     crashing_parts : set of str
         Parts of prompts on which it ends as it begins to answer; not if one is last.
+    crashing_targets : set of str
+        Targets of requests on which it ends whenever it runs one.
     crash_moment : CrashMoment
+    crash_after_events : int
+        Number of events that it sends first, with ``CrashMoment.AFTER_EVENTS``.
     crashes : list of (float, str)
-        When it ended on such a part, and on which.
+        When it ended on such a part or target, and on which.
     on_crash : callable
         Called without arguments when it ends.
     on_restart : coroutine function
@@ -96,6 +100,8 @@
         self.down_s = 1.0
         self.falls = []
         self.crashing_parts = set()
+        self.crashing_targets = set()
+        self.crash_after_events = 3
         self.crash_moment = CrashMoment.BEFORE_HEAD
         self.crashes = []
         self.on_crash = lambda: None
@@ -161,16 +167,20 @@
         if self.on_restart is not None:
             await self.on_restart()
 
-    def _crashing_part(self, received):
-        """Return the part on which it ends, or None."""
+    def _crash_cause(self, received):
+        """Return the target or the part on which it ends, or None."""
+        if received.target in self.crashing_targets:
+            return received.target
         *shared, _ = received.headers.get("prefix-hash", "").split(",")
         names = (part.partition(":")[0] for part in shared)
         return next((name for name in names if name in self.crashing_parts), None)
 
-    async def _crash_on(self, part, received, writer):
-        """End as it begins to answer a request that holds a crashing part."""
-        self.crashes.append((asyncio.get_running_loop().time(), part))
-        if self.crash_moment is not CrashMoment.BEFORE_HEAD:
+    async def _crash_on(self, cause, received, writer):
+        """End while it answers a request that crashes it."""
+        if self.crash_moment is CrashMoment.AFTER_EVENTS:
+            await self._send_begin(received, writer)
+        self.crashes.append((asyncio.get_running_loop().time(), cause))
+        if self.crash_moment in (CrashMoment.BEFORE_EVENT, CrashMoment.IN_EVENT):
             framing = "Content-Type: text/event-stream\r\nConnection: close\r\n"
             writer.write(self._head(received, "200 OK", framing))
             if self.crash_moment is CrashMoment.IN_EVENT:
@@ -182,6 +192,24 @@
         # The task has been cancelled, with all others.
         await asyncio.sleep(0)
 
+    async def _send_begin(self, received, writer):
+        """Send some events of a stream, or a part of a plain body."""
+        if not self.events:
+            framing = "Content-Length: 100\r\n"
+            writer.write(self._head(received, "200 OK", framing) + b"begun")
+        else:
+            framing = "Content-Type: text/event-stream\r\n"
+            framing += "Transfer-Encoding: chunked\r\n"
+            writer.write(self._head(received, "200 OK", framing))
+            start = int(received.headers.get("last-event-id", 0)) + 1
+            for number in range(start, start + self.crash_after_events):
+                event = f"id: {number}\ndata: piece {number}\n\n".encode()
+                writer.write(_framed(event, is_unframed=False))
+                await self._work(self.event_ms)
+        await writer.drain()
+        # Until the host has read it.
+        await self._work(self.event_ms)
+
     def announce_leaving(self):
         """Say in all answers from now on that it leaves."""
         self.is_leaving = True
@@ -303,9 +331,9 @@
 
     async def _respond(self, received, writer):
         await self._wait_until_heard()
-        part = self._crashing_part(received)
-        if part is not None:
-            await self._crash_on(part, received, writer)
+        cause = self._crash_cause(received)
+        if cause is not None:
+            await self._crash_on(cause, received, writer)
             return
         if self.behaviour is Behaviour.HANGS:
             await self._wait_disconnected(received)
--- a/libs/standins/src/hemlockhoist/standins/published/soak/faults.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/faults.py
@@ -4,9 +4,9 @@
 import signal
 
 from hemlockhoist.standins.published.behaviours import (
+    BEGIN_MOMENTS,
     FAULTY_BEHAVIOURS,
     Behaviour,
-    CrashMoment,
 )
 from hemlockhoist.standins.published.soak.callers import now_s
 from hemlockhoist.standins.published.soak.crash_checks import CrashSpan
@@ -299,7 +299,7 @@
             await asyncio.sleep(rng.uniform(0.5, 2.0))
             part, begin_s = f"bad{len(self.crash_spans)}", now_s()
             for replica in run.live_replicas():
-                replica.crash_moment = rng.choice(tuple(CrashMoment))
+                replica.crash_moment = rng.choice(BEGIN_MOMENTS)
                 replica.down_s = rng.uniform(1.0, 2.5)
                 replica.is_unframed = rng.random() < 0.5
             run.crashing_parts.add(part)
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_crashing_prompts.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_crashing_prompts.py
@@ -4,13 +4,8 @@
 import itertools
 import unittest
 
-from hemlockhoist.standins.published import (
-    Behaviour,
-    CrashMoment,
-    Replica,
-    Site,
-    route,
-)
+from hemlockhoist.standins.published import Behaviour, CrashMoment, route
+from hemlockhoist.standins.published.crash_site import CrashSite, now_s
 
 EVENTS = 4
 HOSTS = 3
@@ -31,49 +26,15 @@
 SUMMARY = route("summary", "minuta", "streaming", resumable=True, timeout_ms=2_000)
 
 
-class CrashSite(Site):
-    """A site whose replicas crash on a part, and start again under new ids."""
-
-    def __init__(self, services=("asistente",), replicas=REPLICAS, **kwargs):
-        self._replica_ids = itertools.count(1)
-        pools = {
-            name: [self._new_replica(name) for _ in range(replicas)]
-            for name in services
-        }
-        super().__init__(pools, [REPORT, SUMMARY][: len(services)], HOSTS, **kwargs)
-
-    def _new_replica(self, service):
-        replica = Replica(f"i-{next(self._replica_ids)}", EVENTS)
-        replica.delay_ms = 30
-        replica.event_ms = 10
-        replica.down_s = DOWN_S
-        replica.crashing_parts.add(GUILTY)
-
-        async def rename():
-            old_id = replica.replica_id
-            replica.replica_id = f"i-{next(self._replica_ids)}"
-            await self.register_replica(service, replica)
-            await self.store.put("servers", old_id, None)
-
-        replica.on_restart = rename
-        return replica
-
-    def all_replicas(self):
-        """Return the replicas of all services."""
-        return [item for pool in self.replicas.values() for item in pool]
-
-    def set_crash_moment(self, moment):
-        """Set how far replicas get with an answer that crashes them."""
-        for replica in self.all_replicas():
-            replica.crash_moment = moment
-
-    def crashes_s(self):
-        """Return when replicas crashed on the part, sorted."""
-        return sorted(at_s for item in self.all_replicas() for at_s, _ in item.crashes)
-
-
-def now_s():
-    return asyncio.get_running_loop().time()
+def crash_site(services=("asistente",), replicas=REPLICAS):
+    """Return a site whose replicas crash on a part of prompts."""
+    return CrashSite(
+        [REPORT, SUMMARY][: len(services)],
+        dict.fromkeys(services, (replicas, EVENTS)),
+        lambda replica: replica.crashing_parts.add(GUILTY),
+        DOWN_S,
+        hosts=HOSTS,
+    )
 
 
 class Traffic:
@@ -146,7 +107,7 @@
 
     async def test_part_that_crashes_replicas_reaches_few_of_them(self):
         """Guards against prompts that crash one upstream after the other."""
-        async with CrashSite() as site:
+        async with crash_site() as site:
             traffic = Traffic(site)
             from_s = now_s() + 0.8 + SETTLED_S
             await traffic.run(TRAFFIC_S)
@@ -154,15 +115,10 @@
 
     async def test_part_stays_blocked_when_the_home_is_lost(self):
         """Guards against a new home that begins from nothing."""
-        async with CrashSite() as site:
+        async with crash_site() as site:
             traffic = Traffic(site)
             await traffic.run(1.6)
-            home = site.hosts[0].context.homes.home_of("asistente")
-            lost = next(
-                number
-                for number, host in enumerate(site.hosts)
-                if host.context.identity.host_id == home
-            )
+            lost = site.home_number("asistente")
             await site.hosts[lost].close()
             traffic.hosts.remove(lost)
             from_s = now_s() + SETTLED_S
@@ -171,7 +127,7 @@
 
     async def test_part_stays_blocked_when_all_hosts_are_replaced(self):
         """Guards against hosts that start again and know nothing."""
-        async with CrashSite() as site:
+        async with crash_site() as site:
             traffic = Traffic(site)
             await traffic.run(1.6)
             before_s = site.crashes_s()
@@ -188,7 +144,7 @@
 
     async def test_part_in_prompts_of_two_pools_is_counted_once(self):
         """Guards against a bound that holds for each pool by itself."""
-        async with CrashSite(("asistente", "minuta"), replicas=4) as site:
+        async with crash_site(("asistente", "minuta"), replicas=4) as site:
             both = [Traffic(site), Traffic(site, "summary")]
             from_s = now_s() + 0.8 + SETTLED_S
             await asyncio.gather(*(item.run(TRAFFIC_S) for item in both))
@@ -197,7 +153,7 @@
 
     async def test_requests_kept_back_are_told_not_to_come_back(self):
         """Guards against callers who repeat what will never be sent."""
-        async with CrashSite() as site:
+        async with crash_site() as site:
             traffic = Traffic(site)
             await traffic.run(2.0)
             begun = sum(len(replica.ran) for replica in site.all_replicas())
@@ -209,7 +165,7 @@
 
     async def test_crashes_for_other_reasons_block_no_part(self):
         """Guards against sound requests that are blamed for a crash beside them."""
-        async with CrashSite() as site:
+        async with crash_site() as site:
             traffic = Traffic(site)
             running = asyncio.create_task(traffic.run(TRAFFIC_S, guilty_from_s=9))
             for replica in site.all_replicas():
@@ -223,7 +179,7 @@
     async def test_unframed_stream_without_an_event_is_not_whole(self):
         """Guards against an empty answer of a crashed replica that looks complete."""
         for moment in (CrashMoment.BEFORE_EVENT, CrashMoment.IN_EVENT):
-            async with CrashSite(replicas=2) as site:
+            async with crash_site(replicas=2) as site:
                 site.set_crash_moment(moment)
                 traffic = Traffic(site)
                 await traffic.send(traffic.guilty, f"c0de:60,{GUILTY}:50,b1:70")
@@ -232,7 +188,7 @@
 
     async def test_unframed_streams_are_whole_if_they_end_between_events(self):
         """Guards against complete streams without chunks that are taken for broken."""
-        async with CrashSite(replicas=2) as site:
+        async with crash_site(replicas=2) as site:
             for replica in site.all_replicas():
                 replica.is_unframed = True
             traffic = Traffic(site)
