--- a/libs/base/src/hemlockhoist/base/metrics_table.py
+++ b/libs/base/src/hemlockhoist/base/metrics_table.py
@@ -398,15 +398,16 @@
     "requests.kept_back",
     _C,
     "cause",
-    "Requests that were refused as a part of their prompts crashes upstreams "
+    "Requests that were refused as they, or a part of their prompts, crash upstreams "
     "(part_blocked), or may do so (part_suspected).",
-    "Search the log for part_blocked and part_suspected; see parts.blocked.",
+    "Search the log for part_blocked, request_blocked, part_suspected and "
+    "request_suspected; see parts.blocked.",
 )
 PARTS_BLOCKED = Metric(
     "parts.blocked",
     _G,
     "",
-    "Parts of prompts whose requests are not sent, as they crash upstreams.",
+    "Requests, and parts of prompts, that are not sent as they crash upstreams.",
     "List them, and lift one once upstreams bear it.",
 )
 GRANTS_HELD_BACK = Metric(
--- a/libs/cli/src/hemlockhoist/cli/part.py
+++ b/libs/cli/src/hemlockhoist/cli/part.py
@@ -1,4 +1,4 @@
-"""The command ``hemlockhoist part``, for parts of prompts that crash upstreams."""
+"""The command ``hemlockhoist part``, for what crashes upstreams."""
 
 import click
 
@@ -14,7 +14,7 @@
 
 @click.group()
 def part():
-    """Show and lift parts of prompts that crash upstreams."""
+    """Show and lift parts of prompts, and requests, that crash upstreams."""
 
 
 @part.command(name="list")
@@ -23,7 +23,7 @@
 @report_errors
 @with_client
 async def list_parts(client, as_json):
-    """Show the parts with evidence against them."""
+    """Show the parts and requests with evidence against them."""
     view = await client.parts()
     print_output(view, as_json, describe_parts(view))
 
@@ -37,20 +37,21 @@
 @report_errors
 @with_client
 async def lift(client, name, reason, author, as_json):
-    """Withdraw the evidence against part NAME; its requests are sent again."""
+    """Withdraw the evidence against part or request NAME, which is sent again."""
     view = await client.lift_part(name, reason, author)
     print_output(view, as_json, f"lifted {name}; left: {describe_parts(view)}")
 
 
 def describe_parts(view):
-    """Return one line for each part.
+    """Return one line for each part and request.
 
     Parameters
     ==========
     view : PartsView
     """
     lines = [
-        f"part {item.part}: {item.state}, {item.crashes} crashes, {item.tries} tries"
+        f"{item.kind} {item.part}: {item.state}, {item.crashes} crashes, "
+        f"{item.tries} tries"
         for item in view.parts
     ]
-    return "\n".join(lines) or "no part is suspected"
+    return "\n".join(lines) or "no part is suspected, and no request"
--- a/libs/decisions/src/hemlockhoist/decisions/quarantine/crash_log.py
+++ b/libs/decisions/src/hemlockhoist/decisions/quarantine/crash_log.py
@@ -22,22 +22,45 @@
         each in a prompt.
     charged : set of int
         Those that are held responsible.
+    fingerprints : set of int
+        The requests that it had not answered whole.
+    charged_requests : set of int
+        Those of them that are held responsible.
     """
 
-    __slots__ = ("at_ms", "charged", "crash_id", "positions")
+    __slots__ = (
+        "at_ms",
+        "charged",
+        "charged_requests",
+        "crash_id",
+        "fingerprints",
+        "positions",
+    )
 
     def __init__(self, crash_id, at_ms):
         self.crash_id = crash_id
         self.at_ms = at_ms
         self.positions = {}
         self.charged = set()
-
-    def add(self, parts):
-        """Add the parts of a prompt, in order; return whether any of them is new."""
-        count_before = len(self.positions)
+        self.fingerprints = set()
+        self.charged_requests = set()
+
+    def add(self, parts, fingerprint=0):
+        """Add a request; return whether it, or a part of its prompt, is new.
+
+        Parameters
+        ==========
+        parts : sequence of int
+            The parts of its prompt, in order, if it had not begun to be answered.
+        fingerprint : int, optional
+            0 if it is not known.
+        """
+        count_before = len(self.positions) + len(self.fingerprints)
         for position, part in enumerate(parts):
             self.positions[part] = max(position, self.positions.get(part, 0))
-        return len(self.positions) > count_before
+        if fingerprint:
+            self.fingerprints.add(fingerprint)
+        return len(self.positions) + len(self.fingerprints) > count_before
 
 
 class CrashLog:
--- a/libs/decisions/src/hemlockhoist/decisions/quarantine/part_table.py
+++ b/libs/decisions/src/hemlockhoist/decisions/quarantine/part_table.py
@@ -4,7 +4,7 @@
 
 from hemlockhoist.messages import PartRecord, PartState
 
-# Parts with evidence against them. Suspected ones are dropped for new ones beyond this;
+# Parts with evidence against them. Others are dropped for new ones beyond this;
 # blocked ones are not, so that made-up parts can't push them out.
 MAX_RECORDS = 512
 MAX_BLOCKED = 256
@@ -15,11 +15,29 @@
 
 
 class PartTable:
-    """Holds one ``PartRecord`` for each part with evidence against it."""
-
-    __slots__ = ("_changed_ms", "_records")
+    """Holds one ``PartRecord`` for each part or request with evidence against it.
+
+    Parameters
+    ==========
+    max_records, max_blocked : int, optional
+    is_request : bool, optional
+        Whether the records are of whole requests, not of parts.
+    """
+
+    __slots__ = (
+        "_changed_ms",
+        "_is_request",
+        "_max_blocked",
+        "_max_records",
+        "_records",
+    )
 
-    def __init__(self):
+    def __init__(
+        self, max_records=MAX_RECORDS, max_blocked=MAX_BLOCKED, is_request=False
+    ):
+        self._max_records = max_records
+        self._max_blocked = max_blocked
+        self._is_request = is_request
         self._records = {}
         self._changed_ms = {}
 
@@ -28,7 +46,8 @@
 
     def get(self, part):
         """Return the record of a part; an empty one without evidence."""
-        return self._records.get(part) or PartRecord(part=part)
+        known = self._records.get(part)
+        return known or PartRecord(part=part, is_request=self._is_request)
 
     def state(self, part):
         """Return the ``PartState`` of a part."""
@@ -55,18 +74,21 @@
         known = self._records.get(record.part)
         if record.state == PartState.BLOCKED:
             was_blocked = known is not None and known.state == PartState.BLOCKED
-            return was_blocked or self.count_blocked() < MAX_BLOCKED
-        if known is not None or len(self._records) < MAX_RECORDS:
+            return was_blocked or self.count_blocked() < self._max_blocked
+        if known is not None or len(self._records) < self._max_records:
             return True
         oldest = min(
-            (part for part in self._records if self._is_dropped_first(part)),
-            key=self._changed_ms.get,
+            (part for part in self._records if not self._is_blocked(part)),
+            key=self._age_rank,
         )
         self._drop(oldest)
         return True
 
-    def _is_dropped_first(self, part):
-        return self._records[part].state != PartState.BLOCKED
+    def _is_blocked(self, part):
+        return self._records[part].state == PartState.BLOCKED
+
+    def _age_rank(self, part):
+        return self._records[part].state, self._changed_ms[part]
 
     def _drop(self, part):
         del self._records[part]
@@ -91,7 +113,10 @@
         """Withdraw the evidence against a part but for some crashes."""
         record = self.get(part)
         changed = PartRecord(
-            part=part, epoch=record.epoch + 1, crashes=tuple(sorted(crashes))
+            part=part,
+            epoch=record.epoch + 1,
+            crashes=tuple(sorted(crashes)),
+            is_request=self._is_request,
         )
         self.put(changed, now_ms)
         return changed
--- a/libs/decisions/src/hemlockhoist/decisions/quarantine/quarantine.py
+++ b/libs/decisions/src/hemlockhoist/decisions/quarantine/quarantine.py
@@ -1,49 +1,27 @@
-"""Which parts of prompts crash upstreams, and which requests are kept back for them."""
+"""What crashes upstreams, parts of prompts or requests, and what is kept back for it."""
 
 import msgspec
 
-from hemlockhoist.base import MS_PER_S, ResultCode
+from hemlockhoist.base import ResultCode
 from hemlockhoist.decisions.quarantine.crash_log import CrashLog
+from hemlockhoist.decisions.quarantine.crashing_requests import CrashingRequests
+from hemlockhoist.decisions.quarantine.limits import (
+    BLOCKED_CRASHES,
+    SUSPECT_RETRY_AFTER_MS,
+    SUSPECTED_CRASHES,
+    KeptBack,
+)
 from hemlockhoist.decisions.quarantine.part_counts import PartCounts
 from hemlockhoist.decisions.quarantine.part_table import MAX_CRASH_IDS, PartTable
+from hemlockhoist.decisions.quarantine.try_schedule import TrySchedule
 from hemlockhoist.messages import PartState
 
-# Crashes under a part that was never answered: one may be chance; at three of three,
-# with single requests at the end, chance is out of the question.
-SUSPECTED_CRASHES = 2
-BLOCKED_CRASHES = 3
 # How many more crashes it takes for each answer that speaks for the part.
 CRASHES_PER_ANSWER = 2
-# Retry-After of a request that waits for another one with the same suspected part.
-SUSPECT_RETRY_AFTER_MS = 500
-# A single request tries a blocked part after this time, then after twice as long, and
-# so on: a part that still crashes upstreams costs one of them each time.
-FIRST_TRY_MS = 600 * MS_PER_S
-MAX_TRY_INTERVAL_MS = 86_400 * MS_PER_S
-MAX_DOUBLINGS = 8
-
-
-class KeptBack(msgspec.Struct, frozen=True):
-    """A refusal of a request for a part of its prompt; it has not been sent.
-
-    Parameters
-    ==========
-    code : ResultCode
-    part : int
-    crashes : int
-        Crashes that the part is held responsible for.
-    retry_after_ms : int
-        0 if the request will not be sent later either.
-    """
-
-    code: ResultCode
-    part: int
-    crashes: int
-    retry_after_ms: int = 0
 
 
 class Quarantine:
-    """Finds parts of prompts that crash upstreams, and keeps their requests back.
+    """Finds what crashes upstreams, and keeps its requests back.
 
     Load: each upstream that begins to answer a prompt with some part ends, and takes
     with it all that runs there. Requests with that part come steadily, at any host,
@@ -58,6 +36,11 @@
     explains count against no other part, and an answer withdraws all evidence against
     a part.
 
+    A request that is sent again is held against itself, see ``CrashingRequests``. Which
+    of the two it was shows by who else crashes upstreams: a part is blocked only for
+    more crashes than any single request that was there has. Once a request is blocked,
+    its crashes count as one against its parts.
+
     Parameters
     ==========
     host : str, optional
@@ -77,20 +60,24 @@
     2
     >>> quarantine.kept_back([1], False, lambda part: False, now_ms=10) is None
     True
+
+    Attributes
+    ==========
+    requests : CrashingRequests
     """
 
-    __slots__ = ("_counts", "_crashes", "_table", "_try_due_ms")
+    __slots__ = ("_counts", "_crashes", "_table", "_tries", "requests")
 
     def __init__(self, host=""):
         self._counts = PartCounts()
         self._crashes = CrashLog(host)
         self._table = PartTable()
-        # When a single request may try each blocked part.
-        self._try_due_ms = {}
+        self._tries = TrySchedule()
+        self.requests = CrashingRequests()
 
     def records(self):
-        """Return the records of all parts with evidence against them."""
-        return tuple(self._table)
+        """Return the records of all parts and requests with evidence against them."""
+        return (*self._table, *self.requests.records())
 
     def record_of(self, part):
         """Return the record of a part; an empty one without evidence."""
@@ -137,8 +124,7 @@
         return KeptBack(code, part, crashes, retry_after_ms)
 
     def _may_try(self, part, is_busy, now_ms):
-        due_ms = self._try_due_ms.get(part)
-        return due_ms is not None and now_ms >= due_ms and not is_busy(part)
+        return self._tries.is_due(part, now_ms) and not is_busy(part)
 
     def on_sent(self, parts, now_ms):
         """Record that a request is sent; return the changed records.
@@ -151,14 +137,10 @@
             if record.state == PartState.BLOCKED:
                 tried = msgspec.structs.replace(record, tries=record.tries + 1)
                 self._table.put(tried, now_ms)
-                self._schedule_try(tried, now_ms)
+                self._tries.schedule(tried, now_ms)
                 changed.append(tried)
         return tuple(changed)
 
-    def _schedule_try(self, record, now_ms):
-        interval_ms = FIRST_TRY_MS << min(record.tries, MAX_DOUBLINGS)
-        self._try_due_ms[record.part] = now_ms + min(interval_ms, MAX_TRY_INTERVAL_MS)
-
     # Evidence.
 
     def on_answer(self, parts, now_ms):
@@ -178,23 +160,25 @@
             record = self._table.get(part)
             if record.crashes or record.state != PartState.CLEAR:
                 changed.append(self._table.withdraw(part, now_ms))
-                self._try_due_ms.pop(part, None)
+                self._tries.cancel(part)
         return tuple(changed)
 
     def lift(self, part, now_ms):
-        """Withdraw the evidence against a part by an operator's command."""
-        return self._withdraw((part,), now_ms)
+        """Withdraw the evidence against a part or request by an operator's command."""
+        return self._withdraw((part,), now_ms) + self.requests.withdraw(part, now_ms)
 
-    def on_crash(self, upstream_id, parts, now_ms):
-        """Record that an upstream ended before it began to answer a prompt.
+    def on_crash(self, upstream_id, parts, now_ms, fingerprint=0):
+        """Record that an upstream ended before it had answered a request whole.
 
         Parameters
         ==========
         upstream_id : str
         parts : sequence of int
-            The parts of that prompt, in order; others at the upstream are reported
-            separately.
+            The parts of its prompt, in order, if it had not begun to be answered;
+            others at the upstream are reported separately.
         now_ms : int
+        fingerprint : int, optional
+            The request, 0 if it is not known.
 
         Returns
         =======
@@ -202,7 +186,7 @@
             The changed records.
         """
         crash = self._crashes.crash_of(upstream_id, now_ms)
-        if not crash.add(parts):
+        if not crash.add(parts, fingerprint):
             return ()
         changed = {}
         if any(self._is_blocked(part) for part in crash.positions):
@@ -215,6 +199,14 @@
         return self._table.state(part) is PartState.BLOCKED
 
     def _charge(self, crash, changed, now_ms):
+        is_explained = any(map(self.requests.is_blocked, crash.fingerprints))
+        blocked_requests = self.requests.charge(crash, changed, now_ms)
+        if crash.positions and not is_explained:
+            self._charge_parts(crash, changed, now_ms)
+        for fingerprint in blocked_requests:
+            self._explain_by_request(fingerprint, changed, now_ms)
+
+    def _charge_parts(self, crash, changed, now_ms):
         unanswered = {
             part for part in crash.positions if not self._counts.answers(part, now_ms)
         }
@@ -226,7 +218,8 @@
             crashes = tuple(sorted({*record.crashes, crash.crash_id}))[:MAX_CRASH_IDS]
             self._put(msgspec.structs.replace(record, crashes=crashes), changed, now_ms)
         crash.charged = charged
-        self._raise_state(self._leader(crash), changed, now_ms)
+        most = max(map(self.requests.crash_count, crash.charged_requests), default=0)
+        self._raise_state(self._leader(crash), most, changed, now_ms)
 
     def _discharge(self, part, crash, changed, now_ms):
         left = set(self._table.get(part).crashes) - {crash.crash_id}
@@ -246,12 +239,17 @@
 
         return min(crash.charged, key=rank)
 
-    def _raise_state(self, part, changed, now_ms):
+    def _raise_state(self, part, request_crashes, changed, now_ms):
+        """Raise the state of a part as its crashes demand.
+
+        Where a single request has as many, either may be the cause: the part is
+        suspected only.
+        """
         record = self._table.get(part)
         answers = self._counts.answers(part, now_ms)
         count = len(record.crashes) - CRASHES_PER_ANSWER * answers
         state = PartState.CLEAR
-        if count >= BLOCKED_CRASHES:
+        if count >= BLOCKED_CRASHES and len(record.crashes) > request_crashes:
             state = PartState.BLOCKED
         elif count >= SUSPECTED_CRASHES:
             state = PartState.SUSPECTED
@@ -259,13 +257,29 @@
             return
         raised = msgspec.structs.replace(record, state=state)
         if self._put(raised, changed, now_ms) and state is PartState.BLOCKED:
-            self._schedule_try(raised, now_ms)
+            self._tries.schedule(raised, now_ms)
             for crash in self._crashes:
                 if part in crash.positions:
                     self._explain(crash, changed, now_ms)
 
+    def _explain_by_request(self, fingerprint, changed, now_ms):
+        """Charge the crashes under a blocked request to no part.
+
+        Its parts keep the first of them: a part that crashes upstreams does so in many
+        requests, each of which may be sent again until it is blocked. Other requests
+        keep all, as they may have ended the upstream too; their next whole answer
+        clears them.
+        """
+        crashes = [item for item in self._crashes if fingerprint in item.fingerprints]
+        for crash in crashes[1:]:
+            self._explain_to_parts(crash, changed, now_ms)
+
     def _explain(self, crash, changed, now_ms):
-        """Charge a crash to no part but those that are blocked."""
+        """Charge a crash to no part or request but those that are blocked."""
+        self.requests.discharge(crash, changed, now_ms)
+        self._explain_to_parts(crash, changed, now_ms)
+
+    def _explain_to_parts(self, crash, changed, now_ms):
         for part in crash.charged:
             if not self._is_blocked(part):
                 self._discharge(part, crash, changed, now_ms)
@@ -278,11 +292,12 @@
         return is_stored
 
     def explains_crash(self, upstream_id, now_ms):
-        """Return whether a prompt is taken for the cause of an upstream's last end."""
+        """Return whether a request is taken for the cause of an upstream's last end."""
         crash = self._crashes.latest(upstream_id, now_ms)
         if crash is None:
             return False
-        states = (self._table.state(part) for part in crash.positions)
+        states = [self._table.state(part) for part in crash.positions]
+        states += [self.requests.state(item) for item in crash.fingerprints]
         return any(state is not PartState.CLEAR for state in states)
 
     # Other hosts.
@@ -297,6 +312,11 @@
         """
         merged = []
         for record in records:
+            if record.is_request:
+                known = self.requests.merge(record, now_ms)
+                if known is not None:
+                    merged.append(known)
+                continue
             was_blocked = self._is_blocked(record.part)
             tries = self._table.get(record.part).tries
             if not self._table.merge(record, now_ms):
@@ -304,11 +324,11 @@
             known = self._table.get(record.part)
             merged.append(known)
             if known.state != PartState.BLOCKED:
-                self._try_due_ms.pop(record.part, None)
+                self._tries.cancel(record.part)
             elif not was_blocked or known.tries > tries:
-                self._schedule_try(known, now_ms)
+                self._tries.schedule(known, now_ms)
         return tuple(merged)
 
     def expire(self, now_ms):
-        """Withdraw old evidence against parts that are not blocked."""
-        return tuple(self._table.expire(now_ms))
+        """Withdraw old evidence against what is not blocked."""
+        return (*self._table.expire(now_ms), *self.requests.expire(now_ms))
--- /dev/null
+++ b/libs/decisions/src/hemlockhoist/decisions/quarantine/tests/test_crashing_requests.py
@@ -0,0 +1,229 @@
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hemlockhoist.base import ResultCode
+from hemlockhoist.decisions.quarantine import Quarantine
+from hemlockhoist.decisions.quarantine.crashing_requests import (
+    MAX_RECORDS,
+    RECENT_ANSWER_MS,
+)
+from hemlockhoist.decisions.quarantine.limits import BLOCKED_CRASHES
+from hemlockhoist.decisions.quarantine.part_table import EVIDENCE_TTL_MS
+from hemlockhoist.decisions.quarantine.try_schedule import FIRST_TRY_MS
+from hemlockhoist.messages import PartRecord, PartState
+
+BAD, SOUND, OTHER = 101, 102, 103
+PART = 7
+
+
+class RequestCase(unittest.TestCase):
+    def setUp(self):
+        self.quarantine = Quarantine("h1")
+        self.requests = self.quarantine.requests
+        self.now_ms = 10_000
+        self.number = 0
+
+    def crash(self, *fingerprints, parts=()):
+        """Let an upstream end under requests that all have the same parts."""
+        self.number += 1
+        self.now_ms += 100
+        for fingerprint in fingerprints:
+            self.quarantine.on_crash(f"u{self.number}", parts, self.now_ms, fingerprint)
+
+    def crash_often(self, count, *fingerprints, parts=()):
+        for _ in range(count):
+            self.crash(*fingerprints, parts=parts)
+
+    def kept_back(self, fingerprint=BAD, open_count=0, **fields):
+        values = {"is_repeated": False, "is_alone": False, **fields}
+        return self.requests.kept_back(
+            fingerprint, **values, count_open=lambda: open_count, now_ms=self.now_ms
+        )
+
+
+class ChargeTests(RequestCase):
+    def test_request_is_suspected_and_then_blocked(self):
+        for expected in (PartState.CLEAR, PartState.SUSPECTED, PartState.BLOCKED):
+            self.crash(BAD)
+            self.assertIs(self.requests.state(BAD), expected)
+
+    def test_reports_of_one_crash_count_once(self):
+        self.crash(BAD, BAD, SOUND)
+        self.assertEqual(self.requests.crash_count(BAD), 1)
+
+    def test_whole_answer_clears_at_once(self):
+        self.crash_often(2, SOUND)
+        self.requests.on_answer(SOUND, self.now_ms)
+        self.assertIs(self.requests.state(SOUND), PartState.CLEAR)
+        self.assertIsNone(self.kept_back(SOUND, open_count=9))
+
+    def test_popular_request_is_not_blamed_where_it_is_in_flight(self):
+        """Guards against a request that is blocked as it is at whatever ends."""
+        self.requests.on_answer(SOUND, self.now_ms)
+        self.crash_often(BLOCKED_CRASHES, SOUND, OTHER)
+        self.assertIsNone(self.kept_back(SOUND))
+        self.assertIsNotNone(self.kept_back(OTHER))
+
+    def test_request_that_begins_to_crash_upstreams_is_found(self):
+        """Guards against an old answer that speaks for a request for ever."""
+        self.requests.on_answer(BAD, self.now_ms)
+        self.now_ms += RECENT_ANSWER_MS
+        self.crash_often(BLOCKED_CRASHES, BAD)
+        self.assertTrue(self.requests.is_blocked(BAD))
+
+    def test_two_requests_at_the_same_upstreams_are_both_blocked(self):
+        """Guards against a request that hides behind another one."""
+        self.crash_often(BLOCKED_CRASHES, BAD, OTHER)
+        self.assertTrue(self.requests.is_blocked(BAD))
+        self.assertTrue(self.requests.is_blocked(OTHER))
+
+    def test_request_beside_the_one_that_is_blocked_is_not(self):
+        self.crash(BAD)
+        self.crash_often(2, BAD, SOUND)
+        self.assertTrue(self.requests.is_blocked(BAD))
+        self.assertIs(self.requests.state(SOUND), PartState.CLEAR)
+
+    def test_evidence_lapses(self):
+        self.crash_often(2, BAD)
+        self.quarantine.expire(self.now_ms + EVIDENCE_TTL_MS)
+        self.assertIs(self.requests.state(BAD), PartState.CLEAR)
+
+    def test_blocked_requests_are_not_pushed_out(self):
+        """Guards against a caller who makes up requests to have one forgotten."""
+        self.crash_often(BLOCKED_CRASHES, BAD)
+        for fingerprint in range(1_000, 1_000 + MAX_RECORDS + 10):
+            self.crash(fingerprint)
+        self.assertTrue(self.requests.is_blocked(BAD))
+        self.assertLessEqual(len(self.requests.records()), MAX_RECORDS)
+
+    def test_requests_do_not_push_parts_out(self):
+        """Guards against parts that are forgotten for chance crashes of requests."""
+        self.crash_often(2, BAD, parts=[PART])
+        for fingerprint in range(1_000, 1_600):
+            self.crash(fingerprint)
+        self.assertIs(self.quarantine.state(PART), PartState.SUSPECTED)
+
+
+class SendTests(RequestCase):
+    def test_crashes_and_copies_together_never_exceed_three(self):
+        """Guards against copies at several hosts before the first end is known."""
+        self.assertIsNone(self.kept_back(open_count=9))
+        self.crash(BAD)
+        self.assertIsNone(self.kept_back(open_count=1))
+        self.assertIsNotNone(self.kept_back(open_count=2))
+        self.crash(BAD)
+        self.assertIsNone(self.kept_back(open_count=0))
+        self.assertIsNotNone(self.kept_back(open_count=1))
+
+    def test_suspected_request_gets_one_upstream(self):
+        self.crash_often(2, BAD)
+        found = self.kept_back(is_repeated=True)
+        self.assertIs(found.code, ResultCode.PART_SUSPECTED)
+        self.assertGreater(found.retry_after_ms, 0)
+        self.assertIsNone(self.kept_back())
+
+    def test_host_that_decides_alone_sends_nothing_that_ended_an_upstream(self):
+        """Guards against copies of which hosts that are cut off know nothing."""
+        self.assertIsNone(self.kept_back(is_alone=True))
+        self.crash(BAD)
+        self.assertIsNotNone(self.kept_back(is_alone=True))
+
+    def test_blocked_request_is_told_not_to_come_back(self):
+        self.crash_often(BLOCKED_CRASHES, BAD)
+        found = self.kept_back()
+        self.assertIs(found.code, ResultCode.PART_BLOCKED)
+        self.assertEqual(found.retry_after_ms, 0)
+        self.assertEqual(found.reason, f"request {BAD:016x} crashes 3")
+
+    def test_blocked_request_is_tried_by_one_after_a_time(self):
+        self.crash_often(BLOCKED_CRASHES, BAD)
+        self.now_ms += FIRST_TRY_MS
+        self.assertIsNotNone(self.kept_back(open_count=1))
+        self.assertIsNone(self.kept_back())
+        (record,) = self.requests.on_sent(BAD, self.now_ms)
+        self.assertEqual(record.tries, 1)
+        self.assertIsNotNone(self.kept_back())
+
+    def test_operator_lifts_a_request(self):
+        self.crash_often(BLOCKED_CRASHES, BAD)
+        (record,) = self.quarantine.lift(BAD, self.now_ms)
+        self.assertTrue(record.is_request)
+        self.assertIsNone(self.kept_back())
+
+
+class PartTests(RequestCase):
+    def test_parts_of_a_request_that_is_sent_again_are_not_blocked(self):
+        """Guards against sound requests that share a part with the blocked one."""
+        self.crash_often(BLOCKED_CRASHES, BAD, parts=[PART])
+        self.assertTrue(self.requests.is_blocked(BAD))
+        self.assertIs(self.quarantine.state(PART), PartState.CLEAR)
+        self.assertEqual(len(self.quarantine.record_of(PART).crashes), 1)
+
+    def test_part_is_blocked_if_several_requests_with_it_crash(self):
+        """Guards against a part that hides behind the requests that hold it."""
+        for fingerprint in (BAD, SOUND, OTHER):
+            self.crash(fingerprint, parts=[PART])
+        self.assertIs(self.quarantine.state(PART), PartState.BLOCKED)
+        self.assertIs(self.requests.state(BAD), PartState.CLEAR)
+
+    def test_part_is_blocked_though_each_request_is_sent_until_it_is(self):
+        """Guards against a part whose requests come one after the other."""
+        crashes = 0
+        for fingerprint in range(1, 20):
+            while not self.requests.is_blocked(fingerprint):
+                if self.quarantine.state(PART) is PartState.BLOCKED:
+                    break
+                self.crash(fingerprint, parts=[PART])
+                crashes += 1
+        self.assertIs(self.quarantine.state(PART), PartState.BLOCKED)
+        self.assertLessEqual(crashes, 5)
+
+    def test_crash_in_the_middle_of_an_answer_is_held_against_no_part(self):
+        self.quarantine.on_crash("u1", (), 0, BAD)
+        self.assertEqual(self.quarantine.record_of(PART).crashes, ())
+        self.assertEqual(self.requests.crash_count(BAD), 1)
+
+    def test_end_that_a_request_explains_is_no_evidence_on_versions(self):
+        self.crash(BAD)
+        self.assertFalse(self.quarantine.explains_crash("u1", self.now_ms))
+        self.crash(BAD)
+        self.assertTrue(self.quarantine.explains_crash("u2", self.now_ms))
+
+
+class MergeTests(RequestCase):
+    def test_crashes_of_two_homes_add_up(self):
+        """Guards against a new home, or another pool's, that begins from nothing."""
+        other = Quarantine("h2")
+        other.on_crash("v1", (), 0, BAD)
+        self.crash_often(2, BAD)
+        self.quarantine.merge(other.records(), self.now_ms)
+        self.assertIs(self.requests.state(BAD), PartState.BLOCKED)
+        self.assertEqual(self.kept_back().retry_after_ms, 0)
+
+    def test_answer_elsewhere_clears(self):
+        self.crash_often(2, SOUND)
+        other = Quarantine("h2")
+        other.merge(self.quarantine.records(), 0)
+        cleared = other.requests.on_answer(SOUND, 0)
+        self.quarantine.merge(cleared, self.now_ms)
+        self.assertIsNone(self.kept_back(SOUND, open_count=5))
+
+    @given(st.permutations(range(4)), st.integers(-5, 9), st.integers(0, 2**64 - 1))
+    def test_records_merge_to_the_same_in_any_order(self, order, state, fingerprint):
+        records = [
+            PartRecord(part=fingerprint, crashes=(number,), is_request=True)
+            for number in range(3)
+        ]
+        records.append(
+            PartRecord(part=fingerprint, epoch=1, state=state, is_request=True)
+        )
+        quarantine = Quarantine("h")
+        # A withdrawal is not kept where nothing is known of the request.
+        quarantine.merge([records[0]], 0)
+        for number in order:
+            quarantine.merge([records[number]], 0)
+        known = quarantine.requests.record_of(fingerprint)
+        self.assertEqual(known.epoch, 1)
+        self.assertEqual(known.crashes, ())
--- a/libs/decisions/src/hemlockhoist/decisions/quarantine/tests/test_quarantine.py
+++ b/libs/decisions/src/hemlockhoist/decisions/quarantine/tests/test_quarantine.py
@@ -8,7 +8,7 @@
     MAX_BLOCKED,
     MAX_RECORDS,
 )
-from hemlockhoist.decisions.quarantine.quarantine import FIRST_TRY_MS
+from hemlockhoist.decisions.quarantine.try_schedule import FIRST_TRY_MS
 from hemlockhoist.messages import PartRecord, PartState
 
 SHARED, GUILTY, RARE = 1, 2, 3
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -229,7 +229,7 @@
         self._queue.remove(request_id)
         return []
 
-    def release(self, grant_id, outcome, now_ms, is_prompt_at_fault=False):
+    def release(self, grant_id, outcome, now_ms, is_request_at_fault=False):
         """Release a grant with its outcome; return the decisions that follow.
 
         Parameters
@@ -237,13 +237,13 @@
         grant_id : str
         outcome : Outcome
         now_ms : int
-        is_prompt_at_fault : bool, optional
+        is_request_at_fault : bool, optional
             Whether a prompt crashed the upstream, which says nothing of its version.
         """
         held = self._grants.remove(grant_id)
         if held is None:
             return []
-        self._record_outcome(held, outcome, now_ms, is_prompt_at_fault)
+        self._record_outcome(held, outcome, now_ms, is_request_at_fault)
         return self._decide(now_ms, held.grant.upstream_id)
 
     def observe_first_token(self, grant_id, first_token_ms, now_ms, relay=""):
@@ -557,10 +557,10 @@
             self._upstreams.tracker.forget(held, now_ms)
             self._policy.on_forget(held.request, held.grant.version, now_ms)
 
-    def _record_outcome(self, held, outcome, now_ms, is_prompt_at_fault):
+    def _record_outcome(self, held, outcome, now_ms, is_request_at_fault):
         request = held.request
         outcome = self._upstreams.attributed(held, outcome, self._estimate, now_ms)
-        if not is_prompt_at_fault:
+        if not is_request_at_fault:
             self._upstreams.record_stability(held, outcome, now_ms)
         hold_ms = now_ms - held.granted_ms
         predicted_ms = self._estimate.hold_ms(request)
@@ -571,7 +571,7 @@
         if outcome.kind not in _NOT_SENT:
             self._grants.record_ended(request.request_id, now_ms)
         grant = held.grant
-        if is_prompt_at_fault:
+        if is_request_at_fault:
             # The kind of failures that say nothing about the upstream.
             outcome = Outcome(kind=OutcomeKind.LINK_LOST)
         self._policy.on_outcome(
--- a/libs/decisions/src/hemlockhoist/decisions/work.py
+++ b/libs/decisions/src/hemlockhoist/decisions/work.py
@@ -59,6 +59,8 @@
         Regions in which the upstream must be; empty for any region.
     parts : tuple of int
         Hashes of the parts of its prompt that other requests may share.
+    fingerprint : int
+        Identifies the request if its caller sends it again; 0 if it is not known.
     is_hedge : bool
         Whether an earlier attempt is still in progress: it is granted at once or
         refused, never queued.
@@ -92,6 +94,7 @@
     prefix_tokens: tuple[int, ...] = ()
     regions: tuple[str, ...] = ()
     parts: tuple[int, ...] = ()
+    fingerprint: int = 0
     is_hedge: bool = False
     connected: tuple[str, ...] = ()
     is_stream: bool = False
@@ -245,6 +248,8 @@
         empty if the entry host used its own link.
     is_crash_suspect : bool
         Whether the upstream ended before it had begun to answer the request.
+    is_upstream_lost : bool
+        Whether the upstream ended before it had answered the request whole.
     is_answered : bool
         Whether the upstream began an answer and went on with it.
     is_overtaken : bool
@@ -259,6 +264,7 @@
     token_us: int = -1
     relay: str = ""
     is_crash_suspect: bool = False
+    is_upstream_lost: bool = False
     is_answered: bool = False
     is_overtaken: bool = False
 
@@ -272,7 +278,9 @@
             return Outcome(kind=OutcomeKind.NOT_SENT)
         if self.kind is OutcomeKind.LINK_LOST:
             return Outcome(
-                kind=OutcomeKind.CANCELLED, is_crash_suspect=self.is_crash_suspect
+                kind=OutcomeKind.CANCELLED,
+                is_crash_suspect=self.is_crash_suspect,
+                is_upstream_lost=self.is_upstream_lost,
             )
         return self
 
--- a/libs/entry/src/hemlockhoist/entry/attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt.py
@@ -173,6 +173,7 @@
             token_us=self.token_us,
             relay=self.guard.relay,
             is_crash_suspect=self._is_crash_suspect,
+            is_upstream_lost=self.is_upstream_lost,
             is_answered=self._is_answered,
             is_overtaken=self.is_overtaken and not self._is_path_suspect,
         )
--- a/libs/entry/src/hemlockhoist/entry/attempt_reporter.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt_reporter.py
@@ -1,10 +1,16 @@
 """Reports of ended attempts to the pool's home, the metrics and the log."""
 
+import asyncio
+import contextlib
 import functools
 
-from hemlockhoist.decisions import OutcomeKind
+from hemlockhoist.base import MS_PER_S
+from hemlockhoist.decisions import OutcomeKind, UpstreamState
 from hemlockhoist.entry.attempt_records import count_attempt, log_attempt
 
+# An upstream that still runs, or has ended, is found out within some milliseconds.
+MAX_REPORT_WAIT_MS = 1_000
+
 
 class AttemptReporter:
     """Reports the attempts of one request.
@@ -18,13 +24,34 @@
         ``upstream_call(attempt)`` returns the request as it was sent.
     """
 
-    __slots__ = ("_admitted", "_context", "_request_id", "_upstream_call")
+    __slots__ = (
+        "_admitted",
+        "_context",
+        "_reported",
+        "_request_id",
+        "_unreported_count",
+        "_upstream_call",
+    )
 
     def __init__(self, context, admitted, request_id, upstream_call):
         self._context = context
         self._admitted = admitted
         self._request_id = request_id
         self._upstream_call = upstream_call
+        self._unreported_count = 0
+        self._reported = asyncio.Event()
+
+    async def wait_reported(self):
+        """Wait, for a limited time, until all ended attempts have been reported.
+
+        Failure prevented: the request has just ended its upstream, and is sent to the
+        next one before its home knows.
+        """
+        if not self._unreported_count:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(MAX_REPORT_WAIT_MS / MS_PER_S):
+                await self._reported.wait()
 
     def release(self, attempt, times_out=True):
         """Report the outcome of an attempt, once it is known whose fault it was.
@@ -46,11 +73,26 @@
             attempt.is_link_at_fault = paths.links.is_lost(hold.pool, hold.upstream_id)
         if attempt.kind is OutcomeKind.BROKE_OFF:
             call = self._upstream_call(attempt)
-            report = functools.partial(self._report, attempt)
+            report = functools.partial(self._report_checked, attempt)
+            self._unreported_count += 1
+            self._reported.clear()
             paths.check_link(call, report, bool(attempt.guard.relay))
             return
         self._report(attempt, attempt.is_link_at_fault)
 
+    def _report_checked(self, attempt, is_link_at_fault, is_upstream_lost):
+        is_crash = is_upstream_lost and not self._was_leaving(attempt.hold)
+        self._report(attempt, is_link_at_fault, is_crash)
+        self._unreported_count -= 1
+        if not self._unreported_count:
+            self._reported.set()
+
+    def _was_leaving(self, hold):
+        """Return whether the end of an upstream was planned."""
+        listing, now_ms = self._context.store_view.listing, self._context.clock.now_ms()
+        upstream = listing.get(hold.upstream_id, now_ms)
+        return upstream is None or upstream.state is not UpstreamState.LIVE
+
     def _report(self, attempt, is_link_at_fault, is_upstream_lost=False):
         attempt.is_link_at_fault = is_link_at_fault
         attempt.is_upstream_lost = is_upstream_lost
--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -157,6 +157,7 @@
             )
             if step is not Step.TRY_ANOTHER:
                 return self._final_result(step, end)
+            await self._attempts.wait_reported()
 
     def _waits_until_ms(self):
         """Return when the caller disconnects if it receives nothing more until then.
--- a/libs/entry/src/hemlockhoist/entry/request_attempts.py
+++ b/libs/entry/src/hemlockhoist/entry/request_attempts.py
@@ -71,6 +71,10 @@
         hold, waited_ms = await self._grants.acquire()
         return self._sender.new_attempt(hold, waited_ms, self.count)
 
+    async def wait_reported(self):
+        """Wait until the home knows how the attempts so far have ended."""
+        await self._reporter.wait_reported()
+
     async def begin_beside(self, is_hedge=False):
         """Likewise, while another attempt is in progress.
 
--- a/libs/entry/src/hemlockhoist/entry/request_grants.py
+++ b/libs/entry/src/hemlockhoist/entry/request_grants.py
@@ -143,6 +143,7 @@
             is_hedge=is_hedge,
             connected=self._connected(),
             is_stream=admitted.route.kind is CallKind.STREAM,
+            fingerprint=admitted.fingerprint,
         )
 
     def _connected(self):
--- a/libs/host/src/hemlockhoist/host/chat.py
+++ b/libs/host/src/hemlockhoist/host/chat.py
@@ -78,7 +78,7 @@
         if len(body) > pool.max_body_bytes:
             text = f"request body exceeds {pool.max_body_bytes} bytes"
             raise BadRequest(text, ResultCode.BODY_TOO_LARGE)
-        work = self._entry_request(request["request_id"], caller, pool, chat)
+        work = self._entry_request(request["request_id"], caller, pool, chat, body)
         sink = EventSink(request, work.request_id) if chat.stream else CollectSink()
         exchange = _ChatExchange(self._context, work, body, chat.stream, sink)
         return await self._answer(request, work, exchange, sink)
@@ -94,15 +94,17 @@
             raise BadRequest(f"unknown model {model!r}", ResultCode.UNKNOWN_MODEL)
         return pool
 
-    def _entry_request(self, request_id, caller, pool, chat):
+    def _entry_request(self, request_id, caller, pool, chat, body):
         now_ms = self._context.clock.now_ms()
         prompt = chat.prompt_bytes()
+        customer = caller.customer.name
+        fingerprints = self._context.fingerprints
         tier = caller.tier
         return EntryRequest(
             request_id=request_id,
             pool=pool.name,
             route=ROUTE,
-            customer=caller.customer.name,
+            customer=customer,
             tier=tier.name,
             tier_rank=tier.rank,
             weight=caller.customer.weight,
@@ -112,6 +114,7 @@
             output_tokens=chat.output_tokens(pool.expected_output_tokens),
             prefix_hashes=prefix_hashes(prompt),
             parts=part_hashes(chat.part_names()),
+            fingerprint=fingerprints.of(customer, "POST", CHAT_PATH, body),
             arrived_ms=now_ms,
             deadline_ms=now_ms + tier.deadline_ms,
             first_token_by_ms=now_ms + tier.first_token_target_ms,
@@ -257,16 +260,25 @@
                     await self._raise_status(answer)
                 await self.relay.run(answer)
         except DispatchError as error:
+            report.is_upstream_lost = await self._has_ended(hold, report, error)
             if error.code not in _RESUMABLE or self.relay.event_count:
                 raise
             # The connection broke after the request was sent and before any event
             # arrived, or it carried the answer to another request. If the engine has
             # the stream, resuming it still gives the caller its own answer.
-            if not report.guard.relay:
-                call = self._call(hold)
-                _, report.is_upstream_lost = await client.find_fault(call)
             await self._resume_from_start(error)
 
+    async def _has_ended(self, hold, report, error):
+        """Return whether the engine has ended, also if it has started again since."""
+        if self.relay.event_count and error.code is ResultCode.UNKNOWN_STREAM:
+            # The engine has lost what it had begun: it is another process now.
+            return True
+        if error.code not in _RESUMABLE or report.guard.relay:
+            return False
+        client = self._context.upstreams
+        is_link_at_fault, is_lost = await client.find_fault(self._call(hold))
+        return is_lost or (self.relay.was_refused and not is_link_at_fault)
+
     async def _resume_from_start(self, error):
         try:
             await self.relay.run(None)
--- a/libs/host/src/hemlockhoist/host/context.py
+++ b/libs/host/src/hemlockhoist/host/context.py
@@ -33,7 +33,9 @@
     placement_queries : PlacementQueries
         Answers operators where requests would go.
     quarantine : QuarantineService
-        Keeps requests back whose prompts crash upstreams.
+        Keeps requests back that crash upstreams.
+    fingerprints : RequestFingerprints
+        Identifies requests that are sent again.
     open_requests : int
         The number of callers' requests whose answer is not complete.
     relay_address : str
@@ -47,6 +49,7 @@
         "configuration",
         "declarations",
         "dispatcher",
+        "fingerprints",
         "fleet",
         "grants",
         "handover",
--- a/libs/host/src/hemlockhoist/host/dispatcher.py
+++ b/libs/host/src/hemlockhoist/host/dispatcher.py
@@ -46,6 +46,8 @@
     prefix_hashes : tuple of int
     parts : tuple of int
         Hashes of the parts of its prompt, see ``RequestBrief``.
+    fingerprint : int
+        Identifies the request if its caller sends it again.
     arrived_ms, deadline_ms, first_token_by_ms : int
         On this host's clock.
     failure_domain : str
@@ -67,6 +69,7 @@
     output_tokens: int = 0
     prefix_hashes: tuple[int, ...] = ()
     parts: tuple[int, ...] = ()
+    fingerprint: int = 0
     failure_domain: str = ""
 
     def brief(self, now_ms):
@@ -87,6 +90,7 @@
             failure_domain=self.failure_domain,
             trace=context_to_text(),
             parts=self.parts,
+            fingerprint=self.fingerprint,
         )
 
 
@@ -144,6 +148,7 @@
             cached_tokens=self.cached_tokens,
             relay=relay,
             is_crash_suspect=self.is_upstream_lost and self.output_tokens < 2,
+            is_upstream_lost=self.is_upstream_lost,
             is_answered=self.kind is OutcomeKind.SUCCESS or self.output_tokens > 1,
         )
 
@@ -305,5 +310,6 @@
         first_ms=outcome.first_token_ms,
         total_ms=outcome.total_ms,
         upstream_lost="true" if report.is_upstream_lost else "",
+        fingerprint=f"{work.fingerprint:016x}" if report.is_upstream_lost else "",
         reason=reason,
     )
--- a/libs/host/src/hemlockhoist/host/grants.py
+++ b/libs/host/src/hemlockhoist/host/grants.py
@@ -49,8 +49,6 @@
 # converge within one or two probes.
 NOT_HOME_DELAY_MS = 50
 RETRY_AFTER_MS = 1_000
-# Parts that a host reports to a new home; the store has those that matter.
-MAX_REPORTED_PARTS = 32
 
 
 # Put into a waiter's inbox in place of a reply to have its request checked and sent
@@ -461,6 +459,7 @@
             signals=signals,
             relay=outcome.relay if outcome else "",
             is_crash_suspect=outcome.is_crash_suspect if outcome else False,
+            is_upstream_lost=outcome.is_upstream_lost if outcome else False,
             is_answered=outcome.is_answered if outcome else False,
             is_overtaken=outcome.is_overtaken if outcome else False,
         )
@@ -519,7 +518,7 @@
             brittle = self._brittle_limits.report(pool, now_ms)
         part_records = ()
         if self._quarantine is not None:
-            part_records = self._quarantine.records()[:MAX_REPORTED_PARTS]
+            part_records = self._quarantine.reported_records()
         usage_by_customer = ()
         if self._usage_log is not None:
             usage_by_customer = self._usage_log.report(pool, home_incarnation, now_ms)
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -13,11 +13,11 @@
     OutcomeKind,
     WorkRequest,
 )
+from hemlockhoist.host.crash_checks import CrashChecks
 from hemlockhoist.host.gates import AllowAllGate
 from hemlockhoist.host.home_dry_run import dry_run_request
 from hemlockhoist.host.home_retries import HomeRetries
 from hemlockhoist.host.home_signals import HomeSignals
-from hemlockhoist.host.prompt_checks import PromptChecks
 from hemlockhoist.host.quarantine import QuarantineService
 from hemlockhoist.host.takeover import HolderQueries
 from hemlockhoist.host.work_requests import work_request
@@ -74,11 +74,14 @@
         ``on_leaving(upstream_id, started_unix_ms)`` is called when an upstream has
         announced to an entry host that it is about to stop.
     quarantine : QuarantineService, optional
-        Keeps requests back whose prompts crash upstreams.
+        Keeps requests back that crash upstreams.
+    is_alone : bool, optional
+        Whether it decides for this host only, as no home answers.
     """
 
     __slots__ = (
         "_cached_elsewhere_tokens",
+        "_crash_checks",
         "_clock",
         "_gate",
         "_granted",
@@ -86,7 +89,6 @@
         "_identity",
         "_last_request_ms",
         "_metrics",
-        "_prompts",
         "_queued",
         "_reconnect",
         "_retries",
@@ -116,9 +118,16 @@
         reconnect=lambda host_id: None,
         on_leaving=lambda upstream_id, started_unix_ms: None,
         quarantine=None,
+        is_alone=False,
     ):
-        quarantine = quarantine or QuarantineService(clock)
-        self._prompts = PromptChecks(quarantine, scheduler, clock)
+        self._crash_checks = CrashChecks(
+            quarantine or QuarantineService(clock),
+            scheduler,
+            clock,
+            self._waiting_requests,
+            self._issued_grants,
+            is_alone,
+        )
         self._reconnect = reconnect
         self.pool = pool
         self.declared = declared
@@ -209,7 +218,7 @@
             return
         now_ms = self._last_request_ms = self._clock.now_ms()
         request = work_request(brief, sender, now_ms - late_ms)
-        self._prompts.on_request(request)
+        self._crash_checks.on_request(request)
         if self._keep_back(request):
             return
         refusal = self._gate.refusal(self.pool, request, now_ms)
@@ -230,21 +239,17 @@
             self._notify_queued(request)
 
     def _keep_back(self, request):
-        """Refuse a request whose prompt may crash its upstream; return whether it is."""
-        kept_back = self._prompts.kept_back(
-            request, self._waiting_requests, self._issued_grants
-        )
+        """Refuse a request that may crash its upstream; return whether it is refused."""
+        kept_back = self._crash_checks.kept_back(request)
         if kept_back is None:
             return False
-        reason = f"part {kept_back.part:016x} crashes {kept_back.crashes}"
         code, retry_after_ms = kept_back.code, kept_back.retry_after_ms
-        self._refuse(request, code, retry_after_ms, reason)
+        self._refuse(request, code, retry_after_ms, kept_back.reason)
         return True
 
     def dry_run(self, request):
         """Return the ``PlacementReport`` of a request, which has no effect."""
-        checks = self._prompts
-        kept_back = checks.check(request, self._waiting_requests, self._issued_grants)
+        kept_back = self._crash_checks.check(request)
         scheduler, now_ms = self.scheduler, self._clock.now_ms()
         return dry_run_request(
             request, self.pool, scheduler, self._gate, kept_back, now_ms
@@ -261,7 +266,7 @@
         now_ms = self._clock.now_ms()
         for queued in list(self._queued.values()):
             request = queued.request
-            if request.parts and self._keep_back(request):
+            if self._keep_back(request):
                 self._remove_queued(request.request_id, now_ms)
                 self._end_span(request.request_id, cancelled=True)
                 decisions = self.scheduler.cancel(request.request_id, now_ms)
@@ -315,7 +320,7 @@
         decisions = self.scheduler.observe_first_token(
             message.grant_id, message.first_token_ms, now_ms, message.relay
         )
-        self._prompts.on_first_token(message.grant_id)
+        self._crash_checks.on_first_token(message.grant_id)
         self._emit(decisions, now_ms)
 
     def on_release(self, message, late_ms=0):
@@ -331,10 +336,11 @@
             relay=message.relay,
             is_overtaken=message.is_overtaken,
             is_crash_suspect=message.is_crash_suspect,
+            is_upstream_lost=message.is_upstream_lost,
         )
         now_ms = self._clock.now_ms()
         # Before the release, which may give the slot to another such request.
-        self._prompts.on_release(message)
+        self._crash_checks.on_release(message)
         self._release(message.grant_id, message.request_id, outcome, now_ms)
 
     def on_upstream_reached(self, upstream_id):
@@ -348,9 +354,9 @@
             del self._granted[request_id]
             self._count_wasted(request_id, outcome)
         held = self.scheduler.in_flight_grant(grant_id)
-        is_prompt_at_fault = self._prompts.explains(held, outcome.kind)
+        is_request_at_fault = self._crash_checks.explains(held, outcome.kind)
         decisions = self.scheduler.release(
-            grant_id, outcome, now_ms, is_prompt_at_fault
+            grant_id, outcome, now_ms, is_request_at_fault
         )
         self._signals.log_changes(held, outcome.kind)
         self._signals.log_suppressions()
@@ -386,7 +392,7 @@
         self._signals.adopt(sender, message)
         is_present = sender in self._holders.queried
         self._retries.adopt(sender, message, now_ms, is_present)
-        self._prompts.on_held_grants(message)
+        self._crash_checks.on_held_grants(message)
         if self._holders.is_pending(sender):
             self._gate.on_usage_report(sender, message, now_ms)
             if self._holders.discard(sender):
@@ -434,7 +440,7 @@
         """Do the periodic work: repeat unanswered queries, let the scheduler tick."""
         now_ms = self._clock.now_ms()
         self._holders.resend_if_due()
-        self._prompts.tick()
+        self._crash_checks.tick()
         self._retries.tick(now_ms)
         self._emit(self.scheduler.tick(now_ms), now_ms)
         self._signals.log_suppressions()
@@ -507,7 +513,7 @@
         if has_waited:
             self._log_granted(decision)
         self._granted[grant.request_id] = (grant, entry_host)
-        self._prompts.on_sent(decision.request)
+        self._crash_checks.on_sent(decision.request)
         cached = self.scheduler.cached_elsewhere(decision.request, grant.upstream_id)
         if cached:
             self._cached_elsewhere_tokens[grant.request_id] = cached
--- a/libs/host/src/hemlockhoist/host/home_dry_run.py
+++ b/libs/host/src/hemlockhoist/host/home_dry_run.py
@@ -27,8 +27,7 @@
     StateTooLarge
     """
     if kept_back is not None:
-        reason = f"part {kept_back.part:016x} crashes {kept_back.crashes}"
-        return _refused(kept_back.code, kept_back.retry_after_ms, reason)
+        return _refused(kept_back.code, kept_back.retry_after_ms, kept_back.reason)
     state_copy = StateCopy((AllowAllGate,))
     refusal = state_copy.of(gate).refusal(pool, request, now_ms)
     if refusal is not None:
--- a/libs/host/src/hemlockhoist/host/homes.py
+++ b/libs/host/src/hemlockhoist/host/homes.py
@@ -145,13 +145,14 @@
             _log.warning("deciding_alone", pool=name)
             self._context.metrics.count(DECISIONS_ALONE, name)
             policy = self._context.moves.open_standby(pool)
-            self._standbys[name] = home = self._new_home(pool, policy)
+            home = self._new_home(pool, policy, is_alone=True)
+            self._standbys[name] = home
             home.start((self._context.identity.host_id,))
             if self._quarantine is not None:
                 self._quarantine.on_deciding()
         return self._standbys.get(name)
 
-    def _new_home(self, pool, policy):
+    def _new_home(self, pool, policy, is_alone=False):
         scheduler = PoolScheduler.from_config(
             pool,
             self._context.declarations.tiers,
@@ -176,6 +177,7 @@
             self._context.bus.reconnect,
             self._on_leaving,
             self._quarantine,
+            is_alone,
         )
         scheduler.set_share(self._fleet_share)
         home.set_upstreams(self._upstreams.get(pool.name, ()))
--- a/libs/host/src/hemlockhoist/host/operator_messages.py
+++ b/libs/host/src/hemlockhoist/host/operator_messages.py
@@ -118,28 +118,31 @@
 
 
 class PartView(msgspec.Struct, frozen=True, kw_only=True):
-    """One part of prompts in the answer to ``GET /-/parts``.
+    """One part of prompts, or one request, in the answer to ``GET /-/parts``.
 
     Parameters
     ==========
     part : str
-        The hash by which log lines name it.
+        The hash by which log lines name it; the fingerprint of a request.
     state : str
         ``clear``, ``suspected`` or ``blocked``.
     crashes : int
         Crashes of upstreams that it is held responsible for.
     tries : int
         Single requests that were sent since it was blocked.
+    kind : str
+        ``part`` or ``request``.
     """
 
     part: str
     state: str
     crashes: int
     tries: int
+    kind: str = "part"
 
 
 class PartsView(msgspec.Struct, frozen=True, kw_only=True):
-    """Answer to ``GET /-/parts``: the parts with evidence against them."""
+    """Answer to ``GET /-/parts``: the parts and requests with evidence against them."""
 
     parts: tuple[PartView, ...]
 
@@ -151,6 +154,7 @@
         state=PartState(record.state).name.lower(),
         crashes=len(record.crashes),
         tries=record.tries,
+        kind="request" if record.is_request else "part",
     )
 
 
--- a/libs/host/src/hemlockhoist/host/operators.py
+++ b/libs/host/src/hemlockhoist/host/operators.py
@@ -148,7 +148,7 @@
         return PartsView(parts=tuple(part_view(record) for record in known))
 
     async def _lift_part(self, request):
-        """Withdraw the evidence against a part, so that its requests are sent again."""
+        """Withdraw the evidence against a part or request, so that it is sent again."""
         text = request.match_info["part"]
         parts = {item.part for item in self._parts_view().parts}
         if text not in parts:
--- a/libs/host/src/hemlockhoist/host/process.py
+++ b/libs/host/src/hemlockhoist/host/process.py
@@ -28,6 +28,7 @@
     REQUESTS_OPEN,
 )
 from hemlockhoist.base.traces import Traces
+from hemlockhoist.decisions.quarantine import RequestFingerprints
 from hemlockhoist.declarations import Declarations
 from hemlockhoist.host.callers import CallerDirectory
 from hemlockhoist.host.chat import ChatHandlers
@@ -188,7 +189,9 @@
         clock, send = context.clock, context.bus.send
         context.declarations = Declarations()
         context.callers = CallerDirectory(context.declarations)
-        context.tokens = StreamTokens(self.settings.peer_key.encode())
+        peer_key = self.settings.peer_key.encode()
+        context.tokens = StreamTokens(peer_key)
+        context.fingerprints = RequestFingerprints(peer_key)
         context.quarantine = QuarantineService(
             clock,
             context.identity.incarnation,
--- a/libs/host/src/hemlockhoist/host/quarantine.py
+++ b/libs/host/src/hemlockhoist/host/quarantine.py
@@ -1,4 +1,4 @@
-"""Parts of prompts that crash upstreams: what this host knows, and tells the others."""
+"""What crashes upstreams, as far as this host knows, and what it tells the others."""
 
 from hemlockhoist.base import get_logger
 from hemlockhoist.base.metrics import Metrics
@@ -9,18 +9,23 @@
 _log = get_logger("host.quarantine")
 
 _EVENTS = {
-    PartState.CLEAR: "part_cleared",
-    PartState.SUSPECTED: "part_suspected",
-    PartState.BLOCKED: "part_blocked",
+    PartState.CLEAR: "cleared",
+    PartState.SUSPECTED: "suspected",
+    PartState.BLOCKED: "blocked",
 }
+# Hosts that are told of a first crash under a request. New homes ask all hosts.
+MAX_TOLD_OF_FIRST_CRASH = 16
+# Records that a host reports to a new home; the store has the parts that matter.
+MAX_REPORTED_PARTS = 32
+MAX_REPORTED_REQUESTS = 64
 
 
 class QuarantineService:
-    """Applies the evidence against parts of prompts, and tells other hosts of changes.
+    """Applies the evidence against parts and requests, and tells others of changes.
 
     Each host holds all of it, so that none begins from nothing when it becomes the home
-    of a pool, or grants its own requests alone. Crashes are rare, and a message about
-    one is sent only if no answer speaks for a part of the prompts concerned.
+    of a pool, or grants its own requests alone. Crashes are rare. Of a first crash
+    under a request, which is mostly chance, few hosts are told.
 
     Parameters
     ==========
@@ -93,45 +98,89 @@
         if request.is_new:
             self._quarantine.on_request(request.parts)
 
-    def kept_back(self, request, is_busy):
+    def reported_records(self):
+        """Return the records for a new home, the latest requests among them."""
+        records = self.records()
+        parts = [item for item in records if not item.is_request]
+        requests = [item for item in records if item.is_request and item.crashes]
+        reported = parts[:MAX_REPORTED_PARTS] + requests[-MAX_REPORTED_REQUESTS:]
+        return tuple(reported)
+
+    def kept_back(self, request, open_requests, is_alone=False):
         """Return the ``KeptBack`` of a request that must not be sent now, or None.
 
         Parameters
         ==========
         request : WorkRequest
-        is_busy : callable
-            See ``Quarantine.kept_back``.
+        open_requests : callable
+            Returns all other requests that wait, or are at an upstream.
+        is_alone : bool, optional
+            Whether a host decides without knowing what the others send.
         """
-        kept_back = self.check(request, is_busy)
+        kept_back = self.check(request, open_requests, is_alone)
         if kept_back is not None:
             self._metrics.count(REQUESTS_KEPT_BACK, kept_back.code.name.lower())
         return kept_back
 
-    def check(self, request, is_busy):
+    def check(self, request, open_requests, is_alone=False):
         """Return the same as ``kept_back``, without counting the request."""
-        if not request.parts:
-            return None
-        return self._quarantine.kept_back(
-            request.parts, request.attempt > 1, is_busy, self._clock.now_ms()
+        now_ms, is_retry = self._clock.now_ms(), request.attempt > 1
+        kept_back = None
+        if request.parts:
+            kept_back = self._quarantine.kept_back(
+                request.parts,
+                is_retry,
+                lambda part: any(part in other.parts for other in open_requests()),
+                now_ms,
+            )
+        if kept_back is not None or not request.fingerprint:
+            return kept_back
+        fingerprint = request.fingerprint
+        return self._quarantine.requests.kept_back(
+            fingerprint,
+            is_retry or request.is_hedge,
+            is_alone,
+            lambda: sum(item.fingerprint == fingerprint for item in open_requests()),
+            now_ms,
         )
 
     def on_sent(self, request):
         """Record that a request is sent to an upstream."""
+        now_ms = self._clock.now_ms()
         if request.parts:
-            now_ms = self._clock.now_ms()
             self._publish(self._quarantine.on_sent(request.parts, now_ms))
+        if request.fingerprint:
+            requests = self._quarantine.requests
+            self._publish(requests.on_sent(request.fingerprint, now_ms))
+
+    def on_parts_answered(self, parts):
+        """Record that an upstream began to answer a prompt, and went on."""
+        if parts:
+            self._publish(self._quarantine.on_answer(parts, self._clock.now_ms()))
+
+    def on_answered_whole(self, fingerprint):
+        """Record that an upstream answered a request whole."""
+        if fingerprint:
+            now_ms = self._clock.now_ms()
+            self._publish(self._quarantine.requests.on_answer(fingerprint, now_ms))
 
-    def on_answer(self, parts):
-        """Record that an upstream answered a prompt."""
-        self._publish(self._quarantine.on_answer(parts, self._clock.now_ms()))
+    def on_crash(self, upstream_id, parts, fingerprint=0):
+        """Record that an upstream ended before it had answered a request whole.
 
-    def on_crash(self, upstream_id, parts):
-        """Record that an upstream ended before it had begun to answer a prompt."""
+        Parameters
+        ==========
+        upstream_id : str
+        parts : sequence of int
+            Empty if it had begun to answer.
+        fingerprint : int, optional
+            0 if the entry host did not tell it.
+        """
         now_ms = self._clock.now_ms()
-        self._publish(self._quarantine.on_crash(upstream_id, parts, now_ms))
+        changed = self._quarantine.on_crash(upstream_id, parts, now_ms, fingerprint)
+        self._publish(changed)
 
     def explains_crash(self, upstream_id):
-        """Return whether a prompt is taken for the cause of an upstream's last end."""
+        """Return whether a request is taken for the cause of an upstream's last end."""
         now_ms = self._clock.now_ms()
         return self._quarantine.explains_crash(upstream_id, now_ms)
 
@@ -141,7 +190,7 @@
         return any(state is not PartState.CLEAR for state in states)
 
     def lift(self, part):
-        """Withdraw the evidence against a part by an operator's command."""
+        """Withdraw the evidence against a part or request by an operator's command."""
         self._publish(self._quarantine.lift(part, self._clock.now_ms()))
 
     def merge(self, records):
@@ -161,12 +210,23 @@
     def _publish(self, records):
         if not records:
             return
-        message = PartRecords(records=tuple(records))
-        for host_id in self._other_hosts():
-            self._send(host_id, message)
+        hosts = self._other_hosts()
+        urgent = tuple(item for item in records if self._is_urgent(item))
+        self._tell(hosts[:MAX_TOLD_OF_FIRST_CRASH], tuple(records))
+        self._tell(hosts[MAX_TOLD_OF_FIRST_CRASH:], urgent)
         self._on_changed(records)
         self.on_decided(records)
 
+    def _is_urgent(self, record):
+        """Return whether a record changes what other hosts send."""
+        return not record.is_request or record.state or record.part in self._states
+
+    def _tell(self, hosts, records):
+        if records:
+            message = PartRecords(records=records)
+            for host_id in hosts:
+                self._send(host_id, message)
+
     def _on_changed(self, records):
         if not records:
             return
@@ -182,9 +242,11 @@
             del self._states[record.part]
         else:
             self._states[record.part] = state
+        kind = "request" if record.is_request else "part"
+        name = "fingerprint" if record.is_request else "part"
         _log.warning(
-            _EVENTS[state],
-            part=f"{record.part:016x}",
+            f"{kind}_{_EVENTS[state]}",
+            **{name: f"{record.part:016x}"},
             crashes=len(record.crashes),
             tries=record.tries,
         )
--- a/libs/host/src/hemlockhoist/host/relay.py
+++ b/libs/host/src/hemlockhoist/host/relay.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import aiohttp
+
 from hemlockhoist.base import (
     MS_PER_S,
     DispatchError,
@@ -62,6 +64,7 @@
         "first_event_ms",
         "last_event",
         "request_id",
+        "was_refused",
     )
 
     def __init__(
@@ -91,6 +94,8 @@
         self.address = address
         self.request_id = request_id
         self.first_event_ms = None
+        # Whether the engine refused a connection after the stream broke off.
+        self.was_refused = False
         self.last_event = None
 
     @property
@@ -181,6 +186,8 @@
         except (DispatchError, Refused) as error:
             if error.code in (ResultCode.UNKNOWN_STREAM, ResultCode.ANSWER_MISMATCH):
                 raise
+            cause = error.__cause__
+            self.was_refused |= isinstance(cause, aiohttp.ClientConnectorError)
             _log.warning("resume_failed", request=self.request_id, reason=error.message)
         if not self._checker.done:
             await asyncio.sleep(RESUME_BACKOFF_MS * self._resume_attempts / MS_PER_S)
--- a/libs/host/src/hemlockhoist/host/services.py
+++ b/libs/host/src/hemlockhoist/host/services.py
@@ -2,7 +2,7 @@
 
 from aiohttp import web
 
-from hemlockhoist.base import BadRequest, ResultCode
+from hemlockhoist.base import BadRequest, DispatchError, ResultCode
 from hemlockhoist.base.traces import TRACEPARENT
 from hemlockhoist.decisions import OutcomeKind
 from hemlockhoist.decisions.ledger import fingerprint_request
@@ -21,6 +21,8 @@
 # so that a caller never holds part of a response that cannot be fetched again.
 MAX_RESPONSE_BYTES = 8_388_608
 _SERVER_ERROR = 500
+# Errors after which it is looked up whether the upstream has ended.
+_BROKEN = frozenset({ResultCode.OUTCOME_UNKNOWN, ResultCode.UPSTREAM_BROKE_OFF})
 
 # Hop-by-hop headers of RFC 9110, section 7.6.1, and those that describe this hop or are
 # set again for the next one.
@@ -70,7 +72,7 @@
         body = await read_body(
             request, pool.max_body_bytes, context.settings.body_timeout_ms
         )
-        work = self._entry_request(request, caller, pool, path, idempotent)
+        work = self._entry_request(request, caller, pool, path, idempotent, body)
         exchange = _ServiceExchange(context, work, request, body)
         if idempotent:
             answer = await context.dispatcher.run(work, exchange.consume)
@@ -84,7 +86,7 @@
             raise BadRequest(f"unknown service {name!r}", ResultCode.UNKNOWN_SERVICE)
         return pool
 
-    def _entry_request(self, request, caller, pool, path, idempotent):
+    def _entry_request(self, request, caller, pool, path, idempotent, body):
         now_ms = self._context.clock.now_ms()
         tier = caller.tier
         return EntryRequest(
@@ -97,6 +99,9 @@
             weight=caller.customer.weight,
             max_in_flight=caller.customer.max_in_flight,
             idempotent=idempotent,
+            fingerprint=self._context.fingerprints.of(
+                caller.customer.name, request.method, request.rel_url.raw_path_qs, body
+            ),
             arrived_ms=now_ms,
             deadline_ms=now_ms + tier.deadline_ms,
             first_token_by_ms=now_ms + tier.first_token_target_ms,
@@ -159,6 +164,15 @@
 
     async def consume(self, hold, report):
         """Send the call and return its complete answer."""
+        try:
+            return await self._exchange(hold, report)
+        except DispatchError as error:
+            if error.code in _BROKEN and not report.guard.relay:
+                client, call = self._context.upstreams, self._call(hold)
+                _, report.is_upstream_lost = await client.find_fault(call)
+            raise
+
+    async def _exchange(self, hold, report):
         client = self._context.upstreams
         async with client.dispatch(self._call(hold), report.guard) as answer:
             check_response(answer, self._work.request_id)
--- a/libs/host/src/hemlockhoist/host/work_requests.py
+++ b/libs/host/src/hemlockhoist/host/work_requests.py
@@ -35,6 +35,7 @@
         is_new=brief.is_new,
         regions=brief.regions,
         parts=brief.parts,
+        fingerprint=brief.fingerprint,
         is_hedge=brief.is_hedge,
         connected=brief.connected,
         is_stream=brief.is_stream,
--- a/libs/messages/src/hemlockhoist/messages/grants.py
+++ b/libs/messages/src/hemlockhoist/messages/grants.py
@@ -66,6 +66,9 @@
     is_stream : bool
         Whether the answer is sent in parts; otherwise nothing of it arrives before the
         whole.
+    fingerprint : int
+        Identifies the request if its caller sends it again, by which those that crash
+        upstreams are recognised; 0 if it is not known.
     """
 
     request_id: str
@@ -94,6 +97,7 @@
     is_hedge: bool = False
     connected: tuple[str, ...] = ()
     is_stream: bool = False
+    fingerprint: int = 0
 
 
 class GrantRequest(
@@ -223,6 +227,7 @@
     ``is_crash_suspect`` states whether the upstream ended before it had begun to answer
     the request, ``is_answered`` whether it began an answer and went on with it.
     ``is_overtaken`` states whether it was cancelled as a hedge answered first.
+    ``is_upstream_lost`` states whether the upstream ended at any place of the answer.
     """
 
     pool: str
@@ -240,6 +245,7 @@
     is_crash_suspect: bool = False
     is_answered: bool = False
     is_overtaken: bool = False
+    is_upstream_lost: bool = False
 
 
 class FirstToken(
@@ -339,7 +345,7 @@
     run, which limits how far back its usage reaches. ``limits`` are those that the
     pool's upstreams advertised to the sender, ``back_offs`` the upstreams that want no
     requests from it, ``brittle`` the rejections that brittle upstreams bear,
-    ``part_records`` the evidence against parts of prompts that crash upstreams, and
+    ``part_records`` the evidence against what crashes upstreams, and
     ``announced_retries`` the times to retry that the sender announced to its callers.
     """
 
--- a/libs/messages/src/hemlockhoist/messages/quarantine.py
+++ b/libs/messages/src/hemlockhoist/messages/quarantine.py
@@ -1,4 +1,4 @@
-"""Messages between hosts about parts of prompts that crash upstreams."""
+"""Messages between hosts about parts of prompts and requests that crash upstreams."""
 
 import enum
 
@@ -8,7 +8,7 @@
 
 
 class PartState(enum.IntEnum):
-    """What hosts do with requests that hold a part of a prompt."""
+    """What hosts do with a request, or with those that hold a part of a prompt."""
 
     CLEAR = 0
     # Sent to one upstream at a time, and not a second time.
@@ -18,7 +18,7 @@
 
 
 class PartRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """The evidence against one part of prompts.
+    """The evidence against one part of prompts, or against one request.
 
     Records of one part are merged: the higher epoch counts, and within an epoch all
     crashes, the higher state and the higher number of tries.
@@ -26,7 +26,7 @@
     Parameters
     ==========
     part : int
-        Hash of the part's name.
+        Hash of the part's name, or the fingerprint of the request.
     epoch : int
         Incremented whenever evidence is withdrawn.
     crashes : tuple of int
@@ -35,6 +35,8 @@
         A ``PartState``.
     tries : int
         Single requests that were sent since it was blocked.
+    is_request : bool
+        Whether it is about a whole request.
     """
 
     part: int
@@ -42,11 +44,12 @@
     crashes: tuple[int, ...] = ()
     state: int = PartState.CLEAR
     tries: int = 0
+    is_request: bool = False
 
 
 class PartRecords(
     msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
 ):
-    """Tells another host of changed evidence against parts of prompts."""
+    """Tells another host of changed evidence against parts of prompts and requests."""
 
     records: tuple[PartRecord, ...]
--- a/libs/relays/src/hemlockhoist/relays/paths.py
+++ b/libs/relays/src/hemlockhoist/relays/paths.py
@@ -51,6 +51,7 @@
     __slots__ = (
         "_client",
         "_context",
+        "_fault_checks",
         "_lost_pools",
         "_on_reachable",
         "_peers",
@@ -74,6 +75,8 @@
         self._on_reachable = on_reachable
         self._prober = None
         self._tasks = set()
+        # Checks of broken connections in progress, by upstream.
+        self._fault_checks = {}
         # What to call when the link to an upstream is lost, by pool.
         self._watchers = {}
         # Pools whose loss has been logged, with the time.
@@ -393,7 +396,21 @@
         =======
         (bool, bool)
             Both may be true if none of several hosts reaches the upstream.
+
+        Notes
+        =====
+        Connections that an upstream's end breaks at the same moment share one answer.
+        Failure prevented: the first of them finds the link lost, and takes that for the
+        state in which the second one finds it.
         """
+        upstream_id = call.upstream_id
+        task = self._fault_checks.get(upstream_id)
+        if task is None:
+            task = self._fault_checks[upstream_id] = self._start(self._find_fault(call))
+            task.add_done_callback(lambda _: self._fault_checks.pop(upstream_id, None))
+        return await asyncio.shield(task)
+
+    async def _find_fault(self, call):
         if self.links.is_lost(call.pool, call.upstream_id):
             return True, self._seems_gone(call)
         if await self._probe(call):
@@ -456,6 +473,7 @@
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     def _now_ms(self):
         return self._context.clock.now_ms()
