Match waiting requests anew if their route changes before they are sent

Cause found by reading and reproduced: a request is matched with its route as it arrives. While it waits for a slot, or its host for processor time, its route is dropped or gets another service; the host has the new routes in force and sends the request by the old one, up to its time limit. Keys, upstreams, regions and versions were checked again at sending, the route and the time limit were not. Change: just before the first send the route is matched again if the version has changed. A request whose route is gone or different is admitted anew, with the time that it has left; another share of the traffic is no difference. What is past its time limit is not sent. Measured: test_changed_routes, before: a request on a dropped route was served (200, 404 asked), one on a changed route ran at the previous service; 3 passed after.

--- a/libs/base/src/hemlockhoist/base/errors.py
+++ b/libs/base/src/hemlockhoist/base/errors.py
@@ -43,6 +43,12 @@
     code = ResultCode.OVERLOADED
 
 
+class RouteChanged(Refused):
+    """The route of a request changed before any byte of it was sent."""
+
+    code = ResultCode.CONFIGURATION_STALE
+
+
 class GrantOutdated(Refused):
     """This host has newer information than the home had at the grant; nothing was sent.
 
--- a/libs/entry/src/hemlockhoist/entry/admission.py
+++ b/libs/entry/src/hemlockhoist/entry/admission.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from hemlockhoist.base import BadRequest, ResultCode
+from hemlockhoist.base import BadRequest, ResultCode, RouteChanged
 from hemlockhoist.decisions.entry import chained_hashes
 from hemlockhoist.decisions.quarantine import part_hashes
 from hemlockhoist.declarations import KeyedCustomer, Route
@@ -142,6 +142,16 @@
     return tuple(item for item in first if item in second) or ("",)
 
 
+def _allows(route, admitted):
+    """Return whether a route still sends an admitted request as it was to be sent.
+
+    Its pool may have another share of the traffic.
+    """
+    previous = msgspec.structs.replace(admitted.route, shares=route.shares)
+    pools = (share.pool for share in route.shares if share.weight)
+    return route == previous and admitted.pool in pools
+
+
 class Admission:
     """Determines route and customer of a request, or refuses the request.
 
@@ -197,6 +207,27 @@
             routes_version=table.version,
         )
 
+    def check_route(self, admitted):
+        """Refuse to send a request by a route that has changed since its admission.
+
+        Failure prevented: a request waits for a slot, or its host for processor time,
+        while its route is dropped or gets another service. It is sent by the old route
+        although the host has the new one.
+
+        Raises
+        ======
+        RouteChanged
+        """
+        table = self._store_view.routes
+        if table.version == admitted.routes_version:
+            return
+        route = table.match(admitted.call.host, admitted.call.path)
+        if route is None or not _allows(route, admitted):
+            raise RouteChanged(
+                f"admitted by routes {admitted.routes_version}, changed in a version "
+                f"up to {table.version}"
+            )
+
     def customer_of(self, call):
         """Return the customer that holds the key of a request now.
 
--- a/libs/entry/src/hemlockhoist/entry/attempt_sender.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt_sender.py
@@ -8,6 +8,7 @@
     Property,
     Refused,
     ResultCode,
+    RouteChanged,
 )
 from hemlockhoist.base.metrics_table import GRANTS_OUTDATED
 from hemlockhoist.decisions.entry import AttemptEnd
@@ -132,6 +133,8 @@
         attempt = opened.attempt
         try:
             yield
+        except RouteChanged:
+            raise
         except GrantOutdated as error:
             attempt.reason = error.message
             attempt.grant_outdated = True
@@ -226,10 +229,14 @@
         """Check all preconditions again, and mark the request as possibly run.
 
         An error is raised before anything has been sent. Failure prevented: while a
-        request waits for a slot, its customer's key is revoked, its upstream leaves or
-        the host is suspended. The checks at admission no longer hold then, and no later
-        step would detect it.
+        request waits for a slot, its customer's key is revoked, its route changes, its
+        time limit passes, its upstream leaves or the host is suspended. The checks at
+        admission no longer hold then, and no later step would detect it.
         """
+        if self._context.clock.now_ms() >= self._admitted.deadline_ms:
+            raise Refused("", ResultCode.DEADLINE_PASSED)
+        if not self.may_have_run:
+            self._admission.check_route(self._admitted)
         if self._admitted.customer is not None:
             self._admission.customer_of(self._admitted.call)
         self._context.store_view.check_upstream(hold.upstream_id, hold.is_cold)
--- a/libs/entry/src/hemlockhoist/entry/servers.py
+++ b/libs/entry/src/hemlockhoist/entry/servers.py
@@ -10,6 +10,7 @@
     Ran,
     Refused,
     ResultCode,
+    RouteChanged,
     get_logger,
 )
 from hemlockhoist.base.metrics_table import (
@@ -164,6 +165,20 @@
         context, arrived_ms = self._context, admitted.arrived_ms
         body = await self._read_body(request, admitted, memory)
         admitted = admitted.identified(context.fingerprints, body)
+        while True:
+            try:
+                return await self._run_exchange(request, admitted, body, memory)
+            except RouteChanged as error:
+                _log.info(
+                    "request_readmitted",
+                    request=admitted.call.request_id,
+                    reason=error.message,
+                )
+                admitted = self._admission.admit(admitted.call, arrived_ms)
+                admitted = admitted.identified(context.fingerprints, body)
+
+    async def _run_exchange(self, request, admitted, body, memory):
+        context, arrived_ms = self._context, admitted.arrived_ms
         buffer = CallerBuffer(request.transport, memory, context.clock)
         exchange = Exchange(
             context, request, admitted, body, self._admission, memory, buffer
--- a/libs/entry/src/hemlockhoist/entry/tests/test_attempt_sender.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_attempt_sender.py
@@ -3,7 +3,7 @@
 import unittest
 from unittest import mock
 
-from hemlockhoist.base import InvariantLog
+from hemlockhoist.base import InvariantLog, Refused, ResultCode
 from hemlockhoist.decisions.entry import AttemptEnd
 from hemlockhoist.entry.attempt_sender import AttemptSender
 from hemlockhoist.upstreams import (
@@ -19,7 +19,7 @@
 class RefusalTests(unittest.IsolatedAsyncioTestCase):
     """Refusals that say that an upstream did not run the request."""
 
-    async def open(self, headers, is_reused):
+    async def open(self, headers, is_reused, deadline_ms=EXPIRES_MS):
         """Send a request that is refused; return its sender and the attempt."""
         raw = types.SimpleNamespace(status=503, headers=headers, method="GET")
 
@@ -35,7 +35,7 @@
         context.platform.wire.read_response_head.return_value = types.SimpleNamespace(
             status=503, is_misdirected=False, is_not_run=True, has_signature=False
         )
-        admitted.deadline_ms = EXPIRES_MS
+        admitted.deadline_ms = deadline_ms
         admitted.call.request_id = REQUEST_ID
         sender = AttemptSender(
             context, admitted, b"", mock.MagicMock(), REQUEST_ID, lambda: None
@@ -47,6 +47,12 @@
             await sender.open(opened)
         return sender, opened
 
+    async def test_nothing_is_sent_after_the_time_limit(self):
+        """Guards against a host that is behind and sends what nobody waits for."""
+        with self.assertRaises(Refused) as caught:
+            await self.open({}, False, deadline_ms=0)
+        self.assertIs(caught.exception.code, ResultCode.DEADLINE_PASSED)
+
     async def test_refusal_on_a_kept_connection_counts_only_with_the_own_id(self):
         """Guards against a late refusal of an earlier request that is believed."""
         own, other = {REQUEST_ID_HEADER: REQUEST_ID}, {REQUEST_ID_HEADER: "r0"}
--- /dev/null
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_changed_routes.py
@@ -0,0 +1,63 @@
+"""End-to-end tests of routes that change while their requests wait."""
+
+import asyncio
+import unittest
+
+from hemlockhoist.standins.published import Replica, Site, route
+
+RUN_MS = 500
+WAIT_MS = 4_000
+SEARCH = route("search", "halls", timeout_ms=WAIT_MS)
+OTHER = route("other", "halls", timeout_ms=WAIT_MS)
+
+
+class ChangedRouteTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.first, self.second = Replica("i-1", slots=1), Replica("i-2", slots=1)
+        self.first.delay_ms = RUN_MS
+        replicas = {"halls": [self.first], "rooms": [self.second]}
+        self.site = Site(replicas, [SEARCH, OTHER], hosts=2)
+        await self.enterAsyncContext(self.site)
+
+    async def declare(self, *routes):
+        """Change the routes, and wait until all hosts have them in force."""
+        await self.site.declare(list(routes))
+        version = self.site.store.payloads("op")[0]["version"]
+        while any(
+            host.context.store_view.routes.version < version for host in self.site.hosts
+        ):
+            await asyncio.sleep(0.01)
+
+    async def send(self, name):
+        headers = {"Attempt_Id": name, "Deadline_Ms": str(WAIT_MS)}
+        async with self.site.call(f"/search/{name}", **headers) as answer:
+            await answer.read()
+            return answer.status
+
+    async def send_beside_change(self, *routes):
+        """Return the statuses of a request that runs, and of one that waits for it."""
+        running = asyncio.create_task(self.send("running"))
+        await asyncio.sleep(0.1)
+        waiting = asyncio.create_task(self.send("waiting"))
+        await asyncio.sleep(0.1)
+        await self.declare(*routes)
+        return await running, await waiting
+
+    async def test_request_that_waits_is_not_sent_by_a_dropped_route(self):
+        """Guards against a route that is followed after the host knows it is gone."""
+        statuses = await self.send_beside_change(OTHER)
+        self.assertEqual(statuses, (200, 404))
+        self.assertEqual([item.target for item in self.first.ran], ["/search/running"])
+
+    async def test_request_that_waits_is_sent_by_the_changed_route(self):
+        """Guards against the previous service of a route that got a new one."""
+        changed = route("search", "rooms", timeout_ms=WAIT_MS)
+        statuses = await self.send_beside_change(changed, OTHER)
+        self.assertEqual(statuses, (200, 200))
+        self.assertEqual([item.target for item in self.second.ran], ["/search/waiting"])
+
+    async def test_request_that_waits_is_sent_once_if_another_route_changes(self):
+        """Guards against requests that lose their place for each change."""
+        statuses = await self.send_beside_change(SEARCH)
+        self.assertEqual(statuses, (200, 200))
+        self.assertEqual(len(self.first.ran), 2)
