Let both checks of the published soak end replicas on requests sent again

Cause: no soak had a request that ends each replica that runs it, and comes again at other hosts under another id. Change: in the runs without crashing parts, one request after the other, of any kind, is sent again as every seventh of all; replicas end on it before the head, before, in or after events, or in a plain body, and are back after 1 to 2.5 s. Checked: three ends a request, one more for each time beside it in which a host did not run normally, and that no other request is blocked in the store.

--- a/libs/standins/src/hemlockhoist/standins/published/soak/callers.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/callers.py
@@ -18,6 +18,9 @@
 DISCONNECT_AFTER_S = 0.03
 # One in this many requests has the part that crashes replicas, if it is a stream.
 GUILTY_EVERY = 9
+# One in this many is the request that ends replicas, sent again.
+REPEATED_EVERY = 7
+BODY = b"x" * 200
 SUBJECT_COUNT = 20
 
 
@@ -66,7 +69,9 @@
     parts : str
         The parts of its prompt and their tokens, as in its header; empty for none.
     is_guilty : bool
-        Whether one of them crashes replicas.
+        Whether it, or one of them, crashes replicas.
+    name : str
+        The rest of its path; empty for the id.
     """
 
     attempt_id: str
@@ -82,6 +87,7 @@
     disconnects: bool = False
     parts: str = ""
     is_guilty: bool = False
+    name: str = ""
 
 
 class Callers:
@@ -106,6 +112,8 @@
         self.revoked_keys = []
         # A part of prompts that crashes replicas, and is sent now and then, or None.
         self.guilty_part = None
+        # A ``RepeatedRequest`` that ends replicas, and is sent again, or None.
+        self.repeated = None
         # The paths of routes that were added lately.
         self.probe_paths = []
         self._hosts = hosts
@@ -157,13 +165,13 @@
             headers["Authorization"] = f"Bearer {call.key}"
         if call.parts:
             headers["Prefix-Hash"] = call.parts
-        url = f"http://{call.host}/{call.kind.path}/{call.attempt_id}"
+        url = f"http://{call.host}/{call.kind.path}/{call.name or call.attempt_id}"
         timeout_s = DISCONNECT_AFTER_S if call.disconnects else 10.0
         try:
             async with (
                 asyncio.timeout(timeout_s),
                 session.request(
-                    call.kind.method, url, headers=headers, data=b"x" * 200
+                    call.kind.method, url, headers=headers, data=BODY
                 ) as answer,
             ):
                 call.status = answer.status
@@ -187,6 +195,9 @@
             # Without a key, a host serves it however old its routes are.
             keys = [""]
         is_guilty = self.guilty_part is not None and number % GUILTY_EVERY == 0
+        repeated = self.repeated
+        if repeated is not None and number % REPEATED_EVERY == 0:
+            return self._repeated_call(repeated, number, rng.choice(hosts))
         return Call(
             parts=self._parts(number, is_guilty) if kind.is_stream else "",
             is_guilty=is_guilty and kind.is_stream,
@@ -198,6 +209,19 @@
             disconnects=number % DISCONNECT_EVERY == 0,
         )
 
+    def _repeated_call(self, repeated, number, host):
+        kinds = {kind.path: kind for kind in REQUEST_KINDS}
+        return Call(
+            parts=repeated.parts,
+            is_guilty=True,
+            attempt_id=f"c{number}",
+            kind=kinds[repeated.path],
+            key=repeated.key,
+            host=host,
+            sent_s=now_s(),
+            name=repeated.name,
+        )
+
     def _parts(self, number, is_guilty):
         """Return the parts of a prompt: common, of a subject, and its own."""
         subject = f"5e55{number % SUBJECT_COUNT:02x}"
--- a/libs/standins/src/hemlockhoist/standins/published/soak/checks.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/checks.py
@@ -17,7 +17,12 @@
 from hemlockhoist.standins.published.soak.history_checks import (
     find_history_violations,
 )
+from hemlockhoist.standins.published.soak.hosts import PEER_KEY
 from hemlockhoist.standins.published.soak.limit_checks import find_limit_violations
+from hemlockhoist.standins.published.soak.repeat_checks import (
+    find_blocked_others,
+    find_repeat_violations,
+)
 from hemlockhoist.standins.published.soak.rest_checks import (
     find_leaving_violations,
     find_rest_violations,
@@ -130,6 +135,19 @@
         self.check_counts["crashing parts"] += checked
         self.check_counts["spans of crashing parts"] += len(spans)
 
+    def check_repeats(self, requests, replicas, outages, rows):
+        """Check that requests which are sent again ended few replicas.
+
+        Parameters
+        ==========
+        requests : list of RepeatedRequest
+        replicas, outages, rows : list
+            As of ``check_crashes``.
+        """
+        self.violations += find_repeat_violations(requests, replicas, outages)
+        self.violations += find_blocked_others(requests, rows, PEER_KEY.encode())
+        self.check_counts["requests that end replicas"] += len(requests)
+
     def check_cuts(self, spans, outages):
         """Check that hosts without links to replicas served like the others.
 
--- a/libs/standins/src/hemlockhoist/standins/published/soak/crash_checks.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/crash_checks.py
@@ -98,5 +98,7 @@
     return [
         f"part {record.part:016x} is blocked, on which no replica crashed"
         for record in records
-        if record.state == PartState.BLOCKED and record.part not in guilty
+        if record.state == PartState.BLOCKED
+        and not record.is_request
+        and record.part not in guilty
     ]
--- a/libs/standins/src/hemlockhoist/standins/published/soak/faults.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/faults.py
@@ -7,13 +7,15 @@
     BEGIN_MOMENTS,
     FAULTY_BEHAVIOURS,
     Behaviour,
+    CrashMoment,
 )
-from hemlockhoist.standins.published.soak.callers import now_s
+from hemlockhoist.standins.published.soak.callers import BODY, REQUEST_KINDS, now_s
 from hemlockhoist.standins.published.soak.crash_checks import CrashSpan
 from hemlockhoist.standins.published.soak.cut_checks import CutSpan
 from hemlockhoist.standins.published.soak.fall_checks import BrittleSpan
 from hemlockhoist.standins.published.soak.limit_checks import LimitSpan
 from hemlockhoist.standins.published.soak.proxy import Cut
+from hemlockhoist.standins.published.soak.repeat_checks import RepeatedRequest
 from hemlockhoist.standins.published.soak.slowdown_faults import SlowdownFaultKinds
 from hemlockhoist.standins.published.soak.store_faults import StoreFaultKinds
 
@@ -49,11 +51,14 @@
     truncations_s : list of float
         When a store of the usual pace dropped its history.
     crash_spans : list of CrashSpan
+    repeated : list of RepeatedRequest
+        Requests that ended each replica that ran them.
     """
 
     def __init__(self, run, rng, names=(), crash_rng=None):
         self._crash_rng = crash_rng
         self.crash_spans = []
+        self.repeated = []
         self._names = frozenset(names)
         self._run = run
         self._rng = rng
@@ -114,6 +119,8 @@
         end_s = now_s() + seconds
         if self._has_crashing_parts():
             self._tasks.add(asyncio.create_task(self.crash_on_parts(end_s)))
+        elif self._has_crashing_requests():
+            self._tasks.add(asyncio.create_task(self.crash_on_requests(end_s)))
         if not self.fault_kinds:
             await asyncio.sleep(seconds)
         while now_s() < end_s:
@@ -133,6 +140,10 @@
             return self.crash_on_parts.__name__ in self._names
         return self._crash_rng.random() < CRASHING_RUNS
 
+    def _has_crashing_requests(self):
+        """Return whether replicas crash on requests that are sent again in this run."""
+        return not self._names or self.crash_on_requests.__name__ in self._names
+
     async def heal(self):
         """Wait for the faults in progress, and remove all that is left of them."""
         await asyncio.gather(*self._tasks)
@@ -309,6 +320,35 @@
             self.crash_spans.append(CrashSpan(part, begin_s, now_s()))
             self._record_disturbance(begin_s)
 
+    async def crash_on_requests(self, end_s):
+        """Let all replicas crash on one request after the other until a time."""
+        run, rng = self._run, self._crash_rng
+        while now_s() < end_s:
+            await asyncio.sleep(rng.uniform(0.5, 2.0))
+            kind, begin_s = rng.choice(REQUEST_KINDS), now_s()
+            key = rng.choice(run.callers.keys)
+            name = f"bad{len(self.repeated)}"
+            request = RepeatedRequest(
+                path=kind.path,
+                method=kind.method,
+                name=name,
+                customer=run.tenant(key),
+                key=key,
+                body=BODY,
+                parts=f"c0de:60,5e5500:200,{name}:90" if kind.is_stream else "",
+                from_s=begin_s,
+            )
+            for replica in run.live_replicas():
+                replica.crash_moment = rng.choice(tuple(CrashMoment))
+                replica.crash_after_events = rng.randint(1, 3)
+                replica.down_s = rng.uniform(1.0, 2.5)
+            run.crashing_targets.add(request.target)
+            self.repeated.append(request)
+            run.callers.repeated = request
+            await asyncio.sleep(rng.uniform(4.0, 7.0))
+            run.callers.repeated = None
+            self._record_disturbance(begin_s)
+
     async def cut_links(self):
         """Cut one or two hosts from one replica, from a service's or from all."""
         if self._has_cut:
--- a/libs/standins/src/hemlockhoist/standins/published/soak/hosts.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/hosts.py
@@ -12,6 +12,7 @@
 
 START_TIMEOUT_S = 20.0
 STOP_MS = 5_000
+PEER_KEY = "soak"
 _SETTINGS = """\
 node_name = "{name}"
 ip = "{ip}"
@@ -104,7 +105,7 @@
         environment = {
             **os.environ,
             "HEMLOCKHOIST_SETTINGS": str(self._settings_path),
-            "HEMLOCKHOIST_PEER_KEY": "soak",
+            "HEMLOCKHOIST_PEER_KEY": PEER_KEY,
             **self._variables,
         }
         with self.log_path.open("ab") as log:
--- a/libs/standins/src/hemlockhoist/standins/published/soak/run.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/run.py
@@ -136,6 +136,8 @@
         self.faults = SoakFaults(self, self._rng, fault_names, crash_rng)
         # Parts of prompts on which replicas that start crash too.
         self.crashing_parts = set()
+        # Targets of requests on which they crash.
+        self.crashing_targets = set()
 
     async def run(self, seconds):
         """Run the seed, with faults for ``seconds``, and return the ``SoakResult``."""
@@ -228,6 +230,7 @@
         proxy.target = replica.address
         replica.sender_of = lambda port: self._host_address(proxy.sender(port))
         replica.crashing_parts = self.crashing_parts
+        replica.crashing_targets = self.crashing_targets
         replica.on_crash = proxy.stop_listening
         replica.on_restart = lambda: self._rename_replica(replica)
         self._replicas[replica.replica_id] = (replica, proxy, (service, version))
@@ -298,7 +301,7 @@
         ]
         added = route(declared.path, "reservas", anonymous=True)
         tenants = [
-            {"name": self._tenant(key), "api_keys": [key], "priority": 1}
+            {"name": self.tenant(key), "api_keys": [key], "priority": 1}
             for key in self._keys
             if key not in self._revoked
         ]
@@ -321,7 +324,8 @@
         self._extra_routes = [] if self._extra_routes else grown
         await self.declare()
 
-    def _tenant(self, key):
+    def tenant(self, key):
+        """Return the customer that holds a key."""
         return f"customer-of-{key}"
 
     async def revoke_key(self):
@@ -350,7 +354,7 @@
     def _evaluate(self, recovered):
         replicas = [*self.live_replicas(), *self._ended_replicas]
         checker = RunChecker(self.callers.calls, replicas, EVENT_COUNT)
-        tenants = {key: self._tenant(key) for key in self._keys}
+        tenants = {key: self.tenant(key) for key in self._keys}
         faults = self.faults
         checker.check(
             self._revoked, REVOCATION_MS, tenants, faults.stops, faults.disturbances
@@ -365,6 +369,12 @@
             faults.outages,
             self.store.payloads("crashing_parts"),
         )
+        checker.check_repeats(
+            faults.repeated,
+            replicas,
+            faults.outages,
+            self.store.payloads("crashing_parts"),
+        )
         checker.check_declarations(
             self._declared, faults.store_spans, faults.outages, self._addresses()
         )
