Compare the pace of versions over all routes of a pool

Cause: evidence is collected by route. Each of three routes has to know the old version's pace at each load (24 answers) before it compares, and then to see enough slow answers of its own: of the new version's 66 answers on three routes, 11 had been compared on the route that decided. Change: the time per token is also compared over all routes together, since it depends on the engine and its load. The same test, limits and attribution to one upstream; a suspicion holds all shares to half.

--- a/libs/decisions/src/hemlockhoist/decisions/versions/controller.py
+++ b/libs/decisions/src/hemlockhoist/decisions/versions/controller.py
@@ -348,7 +348,7 @@
         end_ms = row.moved_by_unix_ms - self._unix_offset_ms
         self._row = row
         self._lanes = LaneTable(row, rules, now_ms)
-        self._evaluator = VersionEvaluator(row, self._lanes)
+        self._evaluator = VersionEvaluator(row, self._lanes, rules)
         self._planner = Planner(rules, Schedule(rules, start_ms, end_ms))
         self._delays = DelayMonitor(row, self._planner)
         self._planned_ms = now_ms - PLAN_INTERVAL_MS
--- a/libs/decisions/src/hemlockhoist/decisions/versions/evaluator.py
+++ b/libs/decisions/src/hemlockhoist/decisions/versions/evaluator.py
@@ -3,11 +3,16 @@
 import itertools
 
 from hemlockhoist.decisions.versions.events import TakenBack, UpstreamSetApart
+from hemlockhoist.decisions.versions.evidence import Measure
 from hemlockhoist.decisions.versions.fault_attribution import single_bad_upstream
 from hemlockhoist.decisions.versions.loads import VersionLoads
+from hemlockhoist.decisions.versions.pace import PaceEvidence
 from hemlockhoist.decisions.versions.sequential import Verdict
 from hemlockhoist.decisions.work import OutcomeKind
 
+# Stands for the route where the answers on all of them were compared together.
+ALL_ROUTES = "all routes"
+
 
 class VersionEvaluator:
     """Collects evidence on the lanes of a move and decides if the version is bad.
@@ -16,6 +21,7 @@
     ==========
     row : Move
     lanes : LaneTable
+    rules : hemlockhoist.declarations.VersionRules
     """
 
     __slots__ = (
@@ -23,13 +29,15 @@
         "_last_report_ms",
         "_move_id",
         "_new_version",
+        "_pace",
         "_pool",
         "excluded",
         "loads",
         "verdict",
     )
 
-    def __init__(self, row, lanes):
+    def __init__(self, row, lanes, rules):
+        self._pace = PaceEvidence(rules)
         self._move_id = row.move_id
         self._pool = row.pool
         self._new_version = row.to_version
@@ -42,7 +50,9 @@
     def observe_old(self, lane, outcome, version, now_ms):
         """Record an answer of the old version and return the resulting events."""
         lane.old_outstanding = max(0, lane.old_outstanding - 1)
-        lane.evidence.observe_old(outcome, self.loads.load(version, now_ms))
+        load = self.loads.load(version, now_ms)
+        lane.evidence.observe_old(outcome, load)
+        self._pace.observe_old(outcome, load)
         return self._evaluate(lane, now_ms) if lane.is_suspect else []
 
     def observe_new(self, lane, request_id, outcome, upstream_id, now_ms):
@@ -57,6 +67,7 @@
         load = self.loads.load(self._new_version, now_ms)
         overdue = held is not None and held.is_overdue
         lane.evidence.observe_new(outcome, upstream_id, load, overdue)
+        self._pace.observe_new(outcome, upstream_id, load)
         return self._evaluate(lane, now_ms)
 
     def record_report(self, entry_host, now_ms):
@@ -88,21 +99,31 @@
         if self.verdict is not None:
             return []
         verdict, measure = lane.evidence.verdict()
-        lane.is_suspect = verdict is Verdict.SUSPECT
-        if verdict is not Verdict.BAD:
-            return []
-        recent = itertools.chain(*(item.evidence.recent for item in self._lanes))
-        reference = lane.evidence.tests[measure].reference
-        upstream_id = single_bad_upstream(recent, measure, reference)
+        pace = self._pace.verdict()
+        lane.is_suspect = Verdict.SUSPECT in (verdict, pace)
+        if verdict is Verdict.BAD:
+            recent = itertools.chain(*(item.evidence.recent for item in self._lanes))
+            test = lane.evidence.tests[measure]
+            return self._condemn(lane.route, measure, test, recent, now_ms)
+        if pace is Verdict.BAD:
+            measure, evidence = Measure.TIME_PER_TOKEN, self._pace
+            test, recent = evidence.test, evidence.recent
+            return self._condemn(ALL_ROUTES, measure, test, recent, now_ms)
+        return []
+
+    def _condemn(self, route, measure, test, recent, now_ms):
+        """Set one bad upstream apart, or take the version back."""
+        upstream_id = single_bad_upstream(recent, measure, test.reference)
         # A single upstream may be faulty on its own. If a second one is bad as well,
         # the fault is attributed to the version that they share.
         if upstream_id and not self.excluded:
-            return [self._exclude(lane, upstream_id, measure, now_ms)]
-        self.verdict = self._roll_back(lane, measure, now_ms)
+            return [self._exclude(route, upstream_id, measure, now_ms)]
+        self.verdict = self._roll_back(route, measure, test, now_ms)
         return [self.verdict]
 
-    def _exclude(self, lane, upstream_id, measure, now_ms):
+    def _exclude(self, route, upstream_id, measure, now_ms):
         self.excluded.add(upstream_id)
+        self._pace.discard_upstream(upstream_id)
         for item in self._lanes:
             item.evidence.discard_upstream(upstream_id)
             item.is_suspect = False
@@ -113,20 +134,19 @@
             at_ms=now_ms,
             upstream_id=upstream_id,
             reason=(
-                f"{lane.route}: answers of this upstream {measure.value}, "
+                f"{route}: answers of this upstream {measure.value}, "
                 "those of the version's other upstreams did not"
             ),
         )
 
-    def _roll_back(self, lane, measure, now_ms):
-        test = lane.evidence.tests[measure]
+    def _roll_back(self, route, measure, test, now_ms):
         risky = [item for item in self._lanes if not item.idempotent]
         return TakenBack(
             move_id=self._move_id,
             pool=self._pool,
             version=self._new_version,
             at_ms=now_ms,
-            route=lane.route,
+            route=route,
             measure=measure.value,
             bad_count=test.bad_count,
             answer_count=test.count,
--- a/libs/decisions/src/hemlockhoist/decisions/versions/evidence.py
+++ b/libs/decisions/src/hemlockhoist/decisions/versions/evidence.py
@@ -38,20 +38,20 @@
 # version that fails one time in twenty; the coarse one proves a good version within
 # some 13 answers, for routes with little traffic.
 _FAILURE_EFFECTS = (0.04, 0.12, 0.3)
-_SLOW_EFFECTS = (0.12, 0.25, 0.45)
+SLOW_EFFECTS = (0.12, 0.25, 0.45)
 EFFECT_COUNT = len(_FAILURE_EFFECTS)
 # How many latencies of the new version are compared for each one of the old version.
 # Without this limit, when the new version has nearly all traffic and load rises, its
 # many slow answers would be compared with a reference measured before the rise.
-_COMPARED_PER_REFERENCE = 4
-_MAX_COMPARISON_CREDIT = 16
+COMPARED_PER_REFERENCE = 4
+MAX_COMPARISON_CREDIT = 16
 # When the new version has all traffic, there are no simultaneous answers of the old
 # one. Its latencies are compared with the last known thresholds times this factor.
 FULL_SHARE_SLOW_FACTOR = 1.5
 # With fewer answers of the old version, there is no reference to compare with.
 _MIN_OLD_ANSWERS = 8
 # Number of latest answers kept for attributing a fault to an upstream.
-_MAX_RECENT = 48
+MAX_RECENT = 48
 
 
 class LaneEvidence:
@@ -74,14 +74,14 @@
         self.reference = Reference()
         self.tests = {
             measure: SequentialTest.from_error_rates(
-                _FAILURE_EFFECTS if measure is Measure.FAILURES else _SLOW_EFFECTS,
+                _FAILURE_EFFECTS if measure is Measure.FAILURES else SLOW_EFFECTS,
                 rules.false_alarm_permille,
                 rules.missed_permille,
             )
             for measure in Measure
         }
-        self.recent = collections.deque(maxlen=_MAX_RECENT)
-        self._comparison_credit = _MAX_COMPARISON_CREDIT
+        self.recent = collections.deque(maxlen=MAX_RECENT)
+        self._comparison_credit = MAX_COMPARISON_CREDIT
         self.has_all_traffic = False
 
     @property
@@ -96,11 +96,11 @@
         reference = self.reference
         is_overdue = outcome.total_ms > reference.overdue_ms(load)
         reference.failures.observe(outcome.kind in FAILED_KINDS or is_overdue)
-        credit = self._comparison_credit + _COMPARED_PER_REFERENCE
-        self._comparison_credit = min(_MAX_COMPARISON_CREDIT, credit)
+        credit = self._comparison_credit + COMPARED_PER_REFERENCE
+        self._comparison_credit = min(MAX_COMPARISON_CREDIT, credit)
         if outcome.kind is OutcomeKind.SUCCESS:
             reference.observe_longest(outcome.total_ms, load)
-        for measure, value in _latencies(outcome):
+        for measure, value in latencies(outcome):
             _profile(reference, measure).observe(value, load)
 
     def observe_new(self, outcome, upstream_id, load, was_overdue=False):
@@ -181,7 +181,7 @@
             test.restart_alarm()
             test.restart_proof()
         kept = [item for item in self.recent if item[0] != upstream_id]
-        self.recent = collections.deque(kept, maxlen=_MAX_RECENT)
+        self.recent = collections.deque(kept, maxlen=MAX_RECENT)
 
     def _rates(self, measure):
         if measure is Measure.FAILURES:
@@ -196,7 +196,7 @@
         if not self._use_comparison_credit():
             return
         factor = FULL_SHARE_SLOW_FACTOR if self.has_all_traffic else 1.0
-        for measure, value in _latencies(outcome):
+        for measure, value in latencies(outcome):
             profile = _profile(self.reference, measure)
             slow_ms = profile.slow_ms(load) * factor
             if slow_ms == math.inf:
@@ -245,7 +245,7 @@
     return reference.duration
 
 
-def _latencies(outcome):
+def latencies(outcome):
     """Return pairs of measure and latency of an answer."""
     if outcome.kind is OutcomeKind.CANCELLED:
         return ((Measure.DURATION, float(outcome.total_ms)),)
