Let the own soak send one chat again that crashes engines in its answer

Cause: its chats that crash engines all differ, and crash them as they begin. Change: half of the texts are one chat, sent again, on which engines crash after up to three pieces. The bound of eight crashes a text stays.

--- a/libs/standins/src/hemlockhoist/standins/prompt_faults.py
+++ b/libs/standins/src/hemlockhoist/standins/prompt_faults.py
@@ -1,4 +1,4 @@
-"""Prompts that crash the engines which begin to answer them, in the soak of processes."""
+"""Prompts that crash the engines which answer them, in the soak of processes."""
 
 import asyncio
 import contextlib
@@ -10,8 +10,12 @@
 DOWN_MS = (1_500, 3_000)
 PAUSE_S = (1.0, 3.0)
 SPAN_S = (6.0, 9.0)
-# Five crashes, after which the part has to be known, and three more.
+# Five crashes, after which the part has to be known, and three more. For a chat that
+# is sent again by several callers, copies that are on their way as it first crashes one.
 ALLOWED_CRASHES = 8
+# Fraction of the texts that are one chat, sent again.
+REPEATED_SHARE = 0.5
+MAX_PIECES = 3
 
 
 class PromptFaults:
@@ -58,6 +62,9 @@
             self.span_count += 1
             text = f"guilty document {self.span_count} ".ljust(DOCUMENT_BYTES, "x")
             crash = {"crash_text": text, "crash_down_ms": self._rng.randint(*DOWN_MS)}
+            self._traffic.repeats_guilty = self._rng.random() < REPEATED_SHARE
+            if self._traffic.repeats_guilty:
+                crash["crash_after_pieces"] = self._rng.randint(0, MAX_PIECES)
             await self._faults.set_lasting_faults(MODEL, crash)
             self._traffic.guilty_text = text
             await asyncio.sleep(self._rng.uniform(*SPAN_S))
--- a/libs/standins/src/hemlockhoist/standins/traffic.py
+++ b/libs/standins/src/hemlockhoist/standins/traffic.py
@@ -64,6 +64,8 @@
     ==========
     guilty_text : str
         Text that some of the prompts begin with, as it crashes engines; empty for none.
+    repeats_guilty : bool
+        Whether such a chat is always the same one, sent again.
     """
 
     __slots__ = (
@@ -76,6 +78,7 @@
         "_tasks",
         "_workers",
         "guilty_text",
+        "repeats_guilty",
     )
 
     def __init__(self, callers, model, service, workers, rng):
@@ -88,6 +91,7 @@
         self._tasks = []
         self._chat_count = 0
         self.guilty_text = ""
+        self.repeats_guilty = False
 
     @classmethod
     def from_config(cls, configs, model, service, workers=4, seed=1):
@@ -136,8 +140,10 @@
         draw = self._rng.random()
         if draw < _CHAT_SHARE:
             stream = self._rng.random() >= _UNSTREAMED_SHARE
-            max_tokens = self._rng.randint(*_MAX_TOKENS)
-            await caller.chat(self._model, self._prompt(), max_tokens, stream)
+            max_tokens, prompt = self._rng.randint(*_MAX_TOKENS), self._prompt()
+            if self.repeats_guilty and prompt == self.guilty_text:
+                max_tokens = _MAX_TOKENS[0]
+            await caller.chat(self._model, prompt, max_tokens, stream)
         elif draw < _CHAT_SHARE + _LOOKUP_SHARE:
             hall = self._rng.randint(1, 20)
             await caller.lookup(self._service, f"/availability?hall={hall}")
@@ -152,5 +158,5 @@
         own = " ".join(f"{self._rng.getrandbits(16):04x}" for _ in range(words))
         self._chat_count += 1
         if self.guilty_text and self._chat_count % _GUILTY_EVERY == 0:
-            return self.guilty_text + own
+            return self.guilty_text + ("" if self.repeats_guilty else own)
         return _SYSTEM_PROMPT + own
