Block a part only with two crashes more than any single request

Cause: a part keeps one crash of each blocked request. With the second request's two crashes it had three, more than that request, and was taken for the cause. Change: it needs two more than any single request that was there.

--- a/libs/decisions/src/hemlockhoist/decisions/quarantine/quarantine.py
+++ b/libs/decisions/src/hemlockhoist/decisions/quarantine/quarantine.py
@@ -18,6 +18,8 @@
 
 # How many more crashes it takes for each answer that speaks for the part.
 CRASHES_PER_ANSWER = 2
+# How many more crashes a blocked part has than each request that was there.
+BLOCKED_LEAD = 2
 
 
 class Quarantine:
@@ -37,8 +39,8 @@
     a part.
 
     A request that is sent again is held against itself, see ``CrashingRequests``. Which
-    of the two it was shows by who else crashes upstreams: a part is blocked only for
-    more crashes than any single request that was there has. Once a request is blocked,
+    of the two it was shows by who else crashes upstreams: a part is blocked only with
+    two crashes more than any single request that was there. Once a request is blocked,
     its crashes count as one against its parts.
 
     Parameters
@@ -242,14 +244,16 @@
     def _raise_state(self, part, request_crashes, changed, now_ms):
         """Raise the state of a part as its crashes demand.
 
-        Where a single request has as many, either may be the cause: the part is
-        suspected only.
+        Where a single request has nearly as many, either may be the cause: the part is
+        suspected only. One crash that the part has in advance may be of another request
+        that crashes upstreams by itself.
         """
         record = self._table.get(part)
         answers = self._counts.answers(part, now_ms)
         count = len(record.crashes) - CRASHES_PER_ANSWER * answers
         state = PartState.CLEAR
-        if count >= BLOCKED_CRASHES and len(record.crashes) > request_crashes:
+        lead = len(record.crashes) - request_crashes
+        if count >= BLOCKED_CRASHES and lead >= BLOCKED_LEAD:
             state = PartState.BLOCKED
         elif count >= SUSPECTED_CRASHES:
             state = PartState.SUSPECTED
--- a/libs/standins/src/hemlockhoist/standins/published/replica.py
+++ b/libs/standins/src/hemlockhoist/standins/published/replica.py
@@ -101,6 +101,7 @@
         self.falls = []
         self.crashing_parts = set()
         self.crashing_targets = set()
+        self._targets_of_end = set()
         self.crash_after_events = 3
         self.crash_moment = CrashMoment.BEFORE_HEAD
         self.crashes = []
@@ -162,6 +163,7 @@
 
     async def _listen_again(self):
         await asyncio.sleep(self.down_s)
+        self._targets_of_end.clear()
         host, _, port = self.address.rpartition(":")
         self._server = await asyncio.start_server(self._serve, host, int(port))
         if self.on_restart is not None:
@@ -179,7 +181,11 @@
         """End while it answers a request that crashes it."""
         if self.crash_moment is CrashMoment.AFTER_EVENTS:
             await self._send_begin(received, writer)
-        self.crashes.append((asyncio.get_running_loop().time(), cause))
+        # Copies of one request that run here end the replica once.
+        if cause not in self._targets_of_end:
+            self.crashes.append((asyncio.get_running_loop().time(), cause))
+        if cause in self.crashing_targets:
+            self._targets_of_end.add(cause)
         if self.crash_moment in (CrashMoment.BEFORE_EVENT, CrashMoment.IN_EVENT):
             framing = "Content-Type: text/event-stream\r\nConnection: close\r\n"
             writer.write(self._head(received, "200 OK", framing))
