Log what a host that decides alone knows of the home, and what was given up

The hypotheses of the incident can't be told apart without them: deciding_alone names the home and the time since its last message, attempt_ended names the request (its fingerprint) whenever an attempt was sent and not answered whole, not only where its upstream was found lost.

--- a/libs/entry/src/hemlockhoist/entry/attempt_records.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt_records.py
@@ -55,7 +55,8 @@
     attempt : Attempt
     outcome : Outcome
     admitted : AdmittedCall
-        Its fingerprint and the parts of its prompt are logged if its upstream was lost.
+        Its fingerprint is logged if it was sent and not answered whole, the parts of
+        its prompt if its upstream was lost.
     routes_version : int
         The version of the routes that are in force at the end of the attempt.
     """
@@ -63,6 +64,7 @@
     parts = ",".join(admitted.call.block_names)
     went_well = outcome.kind in (OutcomeKind.SUCCESS, OutcomeKind.CANCELLED)
     log = _log.info if went_well else _log.warning
+    is_unanswered = attempt.guard.dispatched and outcome.kind is not OutcomeKind.SUCCESS
     log(
         "attempt_ended",
         request=request_id,
@@ -83,7 +85,7 @@
         leaving=attempt.leaving_text,
         slowdown_percent=attempt.slowdown_text,
         upstream_lost="true" if attempt.is_upstream_lost else "",
-        fingerprint=f"{admitted.fingerprint:016x}" if attempt.is_upstream_lost else "",
+        fingerprint=f"{admitted.fingerprint:016x}" if is_unanswered else "",
         parts=parts if attempt.is_upstream_lost else "",
         admitted_by=admitted.routes_version,
         routes_version=routes_version,
--- a/libs/host/src/hemlockhoist/host/homes.py
+++ b/libs/host/src/hemlockhoist/host/homes.py
@@ -142,12 +142,16 @@
         """
         pool = self._context.declarations.pool(name)
         if pool is not None and name not in self._standbys:
-            _log.warning("deciding_alone", pool=name)
+            home = self.home_of(name)
+            silent_ms = self._context.bus.silent_ms(home)
+            _log.warning(
+                "deciding_alone", pool=name, home=home, home_silent_ms=silent_ms
+            )
             self._context.metrics.count(DECISIONS_ALONE, name)
             policy = self._context.moves.open_standby(pool)
-            home = self._new_home(pool, policy, is_alone=True)
-            self._standbys[name] = home
-            home.start((self._context.identity.host_id,))
+            standby = self._new_home(pool, policy, is_alone=True)
+            self._standbys[name] = standby
+            standby.start((self._context.identity.host_id,))
             if self._quarantine is not None:
                 self._quarantine.on_deciding()
         return self._standbys.get(name)
--- a/libs/peers/src/hemlockhoist/peers/bus.py
+++ b/libs/peers/src/hemlockhoist/peers/bus.py
@@ -124,10 +124,15 @@
             link = self._links[address] = self._connect(address)
         link.send(message)
 
+    def silent_ms(self, address):
+        """Return the time since the last message of a peer, or None without any."""
+        last_ms = self._inbox.last_received_ms(address)
+        return None if last_ms is None else self._clock.now_ms() - last_ms
+
     def received_within(self, address, within_ms):
         """Return whether a message of a peer arrived in the last ``within_ms``."""
-        last_ms = self._inbox.last_received_ms(address)
-        return last_ms is not None and self._clock.now_ms() - last_ms <= within_ms
+        silent_ms = self.silent_ms(address)
+        return silent_ms is not None and silent_ms <= within_ms
 
     def reconnect(self, address):
         """Replace the connection to a peer that seems not to receive messages."""
