--- a/libs/standins/src/hemlockhoist/standins/published/replica.py
+++ b/libs/standins/src/hemlockhoist/standins/published/replica.py
@@ -61,6 +61,11 @@
     crash_moment : CrashMoment
     crash_after_events : int
         Number of events that it sends first, with ``CrashMoment.AFTER_EVENTS``.
+    crash_delay_ms : int
+        Delay before the end on a target, besides ``delay_ms``.
+    is_spared : callable
+        ``is_spared(received)`` returns whether a run on one of ``crashing_targets``
+        ends well.
     crashes : list of (float, str)
         When it ended on such a part or target, and on which.
     on_crash : callable
@@ -103,6 +108,8 @@
         self.crashing_targets = set()
         self._targets_of_end = set()
         self.crash_after_events = 3
+        self.crash_delay_ms = 0
+        self.is_spared = lambda received: False
         self.crash_moment = CrashMoment.BEFORE_HEAD
         self.crashes = []
         self.on_crash = lambda: None
@@ -172,13 +179,14 @@
     def _crash_cause(self, received):
         """Return the target or the part on which it ends, or None."""
         if received.target in self.crashing_targets:
-            return received.target
+            return None if self.is_spared(received) else received.target
         *shared, _ = received.headers.get("prefix-hash", "").split(",")
         names = (part.partition(":")[0] for part in shared)
         return next((name for name in names if name in self.crashing_parts), None)
 
     async def _crash_on(self, cause, received, writer):
         """End while it answers a request that crashes it."""
+        await self._work(self.crash_delay_ms)
         if self.crash_moment is CrashMoment.AFTER_EVENTS:
             await self._send_begin(received, writer)
         # Copies of one request that run here end the replica once.
