--- a/libs/host/src/hemlockhoist/host/tests/test_grants.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_grants.py
@@ -211,6 +211,19 @@
         new_home.on_held_grants(ENTRY, report)
         self.assertFalse(new_home.recovering)
 
+    async def test_recovery_ends_once(self):
+        """Guards against a recovery that reads as 22 s as a host joined by then."""
+        home = self.home("h2", [])
+        home.start((ENTRY,))
+        await asyncio.sleep(0.3)
+        report = HeldGrants(pool="chat", home_incarnation="h2", grants=())
+        home.on_held_grants(ENTRY, report)
+        self.assertEqual(home.recovered_ms, 300)
+        await asyncio.sleep(20)
+        home.on_host_joined("late")
+        home.on_held_grants("late", report)
+        self.assertEqual(home.recovered_ms, 300)
+
 
 class UsageReportTests(PausedTestCase):
     async def test_restarted_home_is_sent_the_usage_under_its_predecessor(self):
--- a/libs/peers/src/hemlockhoist/peers/tests/test_bus.py
+++ b/libs/peers/src/hemlockhoist/peers/tests/test_bus.py
@@ -56,6 +56,15 @@
 
 
 class InboxTests(unittest.TestCase):
+    def test_envelope_that_arrives_late_is_accepted_once(self):
+        """Guards against messages lost as they were sent on the previous connection."""
+        box = Inbox("b")
+        for sequence in (1, 4, 3, 2):
+            box.accept(_envelope(sequence), 10)
+        for sequence in (1, 2, 3, 4):
+            with self.subTest(sequence=sequence), self.assertRaises(PeerError):
+                box.accept(_envelope(sequence), 10)
+
     def test_envelope_is_accepted_once(self):
         """The second delivery of the same envelope is rejected."""
         box = Inbox("b")
