Log the end of a home's recovery once

Operators read a recovery of up to 25 s that took 0.3 s: home_ready was logged again whenever a host that had joined later reported what it holds, or was lost.

--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -432,8 +432,10 @@
             self._end_recovery(now_ms)
 
     def _end_recovery(self, now_ms):
-        self.recovered_ms = now_ms - self._started_ms
-        _log.info("home_ready", pool=self.pool, recovered_ms=self.recovered_ms)
+        """Decide by all grants; hosts that join later are asked beside that."""
+        if self.recovered_ms is None:
+            self.recovered_ms = now_ms - self._started_ms
+            _log.info("home_ready", pool=self.pool, recovered_ms=self.recovered_ms)
         self._emit(self.scheduler.end_recovery(now_ms), now_ms)
 
     def tick(self):
