Accept envelopes of a peer in any order, each once

On links that lose packets, requests for grants, grants, releases and probes were lost that had in fact arrived: a host that misses a reply replaces its connection to the peer, and what it had written to the old one arrives after what it writes to the new one. The receiver took every number below the highest for a duplicate.

The receiver keeps a window of the last 1,024 numbers of each sender, and accepts each number in it once. Nothing is accepted twice, nor from a past incarnation.

--- a/libs/peers/src/hemlockhoist/peers/inbox.py
+++ b/libs/peers/src/hemlockhoist/peers/inbox.py
@@ -5,6 +5,10 @@
 # Number of past incarnations remembered for each sender. A host restarts less than
 # once a day, and a frame of an earlier process is not delayed for days.
 MAX_PAST_INCARNATIONS = 16
+# Envelopes behind the latest one that are still accepted. What a sender wrote before it
+# replaced its connection arrives up to some seconds after what it wrote next.
+WINDOW_SIZE = 1_024
+_WINDOW_MASK = (1 << WINDOW_SIZE) - 1
 
 
 class _SenderState:
@@ -16,18 +20,37 @@
         "min_offset_ms",
         "past_incarnations",
         "sequence",
+        "_window",
     )
 
     def __init__(self, incarnation, past_incarnations):
         self.incarnation = incarnation
         self.past_incarnations = past_incarnations
         self.sequence = 0
+        # Bit n is set if the envelope n places before the latest one has arrived.
+        self._window = 0
         self.min_offset_ms = None
         self.last_received_ms = None
 
+    def take(self, sequence):
+        """Record an envelope; return whether it has not arrived before.
+
+        Older ones than the window holds count as arrived.
+        """
+        if sequence > self.sequence:
+            shift = min(sequence - self.sequence, WINDOW_SIZE)
+            self._window = (self._window << shift | 1) & _WINDOW_MASK
+            self.sequence = sequence
+            return True
+        behind = self.sequence - sequence
+        if sequence < 1 or behind >= WINDOW_SIZE or self._window >> behind & 1:
+            return False
+        self._window |= 1 << behind
+        return True
+
 
 class Inbox:
-    """Accepts each envelope once and measures its delay.
+    """Accepts each envelope once, in any order, and measures its delay.
 
     A grant that waited in the socket buffer of a suspended process looks new when it
     is read. The delay is the difference between the times of arrival and sending, less
@@ -75,10 +98,9 @@
             text = f"envelope is addressed to {envelope.receiver}"
             raise PeerError(text, ResultCode.PEER_UNAUTHENTIC)
         state = self._update_state(envelope)
-        if envelope.sequence <= state.sequence:
+        if not state.take(envelope.sequence):
             text = f"envelope {envelope.sequence} of {envelope.sender} is a duplicate"
             raise PeerError(text, ResultCode.PEER_UNAUTHENTIC)
-        state.sequence = envelope.sequence
         state.last_received_ms = now_ms
         offset_ms = now_ms - envelope.sent_ms
         if state.min_offset_ms is None or offset_ms < state.min_offset_ms:
