Wait longer for a home that has just been heard

A reply behind one lost packet takes a retransmission, 0.2 s or more.

A host decides alone after 0.36 s only if it has heard nothing of the home for 2 s, else after 0.96 s. A home that was heard within 0.24 s isn't reported as unresponsive either. Four tests of the bounds.

--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -291,6 +291,7 @@
             context.back_offs,
             context.brittle_limits,
             context.quarantine,
+            context.bus.silent_ms,
         )
         context.feeds = FeedStore(
             context,
--- a/libs/host/src/hemlockhoist/host/grants.py
+++ b/libs/host/src/hemlockhoist/host/grants.py
@@ -42,6 +42,10 @@
 # host turns to its own standby home. With RESEND_MS, a caller then waits less than half
 # a second for a home that is frozen or partitioned, whatever its state at other hosts.
 STANDBY_AFTER_TIMEOUTS = 3
+# A home that was heard within this time is reached late, not lost: a host that decides
+# alone beside it gets only a part of each upstream. A request waits for it for longer.
+HEARD_WITHIN_MS = 2_000
+STANDBY_AFTER_TIMEOUTS_IF_HEARD = 8
 # Time without a reply from any home after which a request is refused. Membership
 # detects a dead host within about two seconds, and the next home replies at once.
 HOME_TIMEOUT_MS = 5_000
@@ -115,6 +119,9 @@
         This host's incarnation.
     quarantine : QuarantineService, optional
         The evidence against parts of prompts that crash upstreams.
+    silent_ms : callable, optional
+        ``silent_ms(host_id)`` returns the time since the last message of a host, or
+        None if there was none.
     """
 
     __slots__ = (
@@ -132,6 +139,7 @@
         "_reconnect",
         "_refusal",
         "_send",
+        "_silent_ms",
         "_started_ms",
         "_announced_retries",
         "_usage_log",
@@ -152,7 +160,9 @@
         back_offs=None,
         brittle_limits=None,
         quarantine=None,
+        silent_ms=lambda host_id: None,
     ):
+        self._silent_ms = silent_ms
         self._quarantine = quarantine
         self._back_offs = back_offs
         self._brittle_limits = brittle_limits
@@ -255,10 +265,7 @@
 
     def _send_request(self, waiter, brief):
         now_ms = self._clock.now_ms()
-        waiter.is_alone = (
-            waiter.timeouts_since_reply >= STANDBY_AFTER_TIMEOUTS
-            and bool(self._own_id())
-        )
+        waiter.is_alone = bool(self._own_id()) and self._is_home_lost(waiter)
         if waiter.is_alone:
             waiter.queried_home = self._own_id()
         else:
@@ -271,6 +278,23 @@
             )
             self._send(waiter.queried_home, message)
 
+    def _is_home_lost(self, waiter):
+        """Return whether a request has waited for its home for long enough.
+
+        Load: beside links that lose packets, replies come after a retransmission or
+        two, while the home serves the fleet.
+        """
+        timeouts = waiter.timeouts_since_reply
+        if timeouts < STANDBY_AFTER_TIMEOUTS:
+            return False
+        if timeouts >= STANDBY_AFTER_TIMEOUTS_IF_HEARD:
+            return True
+        return not self._was_heard(self._home_of(waiter.pool), HEARD_WITHIN_MS)
+
+    def _was_heard(self, host, within_ms):
+        silent_ms = self._silent_ms(host)
+        return silent_ms is not None and silent_ms < within_ms
+
     def _handle_reply(self, waiter, brief, message, late_ms):
         """Return the grant that a reply carries, or None to keep waiting.
 
@@ -314,7 +338,8 @@
             self._reconnect(waiter.queried_home)
         if waiter.queried_home and waiter.unanswered == MAX_UNANSWERED:
             waiter.unanswered = 0
-            self._on_unresponsive(waiter.queried_home)
+            if not self._was_heard(waiter.queried_home, MAX_UNANSWERED * RESEND_MS):
+                self._on_unresponsive(waiter.queried_home)
 
     async def _next_reply(self, waiter, until_ms):
         wait_s = max(0, until_ms - self._clock.now_ms()) / MS_PER_S
--- a/libs/host/src/hemlockhoist/host/process.py
+++ b/libs/host/src/hemlockhoist/host/process.py
@@ -209,6 +209,7 @@
             self._on_unresponsive,
             context.bus.reconnect,
             quarantine=context.quarantine,
+            silent_ms=context.bus.silent_ms,
         )
         context.dispatcher = Dispatcher(
             context.grants, clock, context.invariants, context.traces, context.metrics
--- a/libs/host/src/hemlockhoist/host/tests/test_grants.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_grants.py
@@ -7,7 +7,7 @@
 from hemlockhoist.decisions.limits import UsageLog
 from hemlockhoist.decisions.scheduling import PoolScheduler
 from hemlockhoist.declarations import Pool, PoolKind, Tier
-from hemlockhoist.host.grants import GrantClient
+from hemlockhoist.host.grants import HEARD_WITHIN_MS, GrantClient
 from hemlockhoist.host.home import PoolHome
 from hemlockhoist.host.identity import HostIdentity
 from hemlockhoist.messages import (
@@ -276,6 +276,72 @@
         self.assertEqual((customer, sum(units for _, units in parts)), ("port", 500))
 
 
+class LateHomeTests(GrantHarness):
+    """Requests for grants at a home that is reached late, or not at all."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.last_heard_ms = None
+        self.client = GrantClient(
+            self.clock,
+            self.network.from_entry,
+            lambda pool: self.home,
+            self.unresponsive.append,
+            own_id=lambda: "own",
+            silent_ms=self._silent_ms,
+        )
+        self.network.client = self.client
+
+    def _silent_ms(self, host):
+        if self.last_heard_ms is None:
+            return None
+        return self.clock.now_ms() - self.last_heard_ms
+
+    async def _alone_after_ms(self):
+        """Return when the first request to the host itself is sent, or None."""
+        started_ms = self.clock.now_ms()
+        task = asyncio.create_task(self._acquire("r1", wait_ms=4_000))
+        while not task.done():
+            await asyncio.sleep(0.01)
+            if any(getattr(item, "is_alone", False) for item in self.network.sent):
+                break
+        else:
+            return None
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return self.clock.now_ms() - started_ms
+
+    async def test_home_that_answers_late_is_waited_for(self):
+        """Guards against a host that decides alone as its link loses packets."""
+        self.last_heard_ms = self.clock.now_ms()
+        self.network.delay_ms = 500
+        self.assertIsNone(await self._alone_after_ms())
+
+    async def test_home_that_is_silent_is_not_waited_for(self):
+        """Guards against callers who wait for a home that is frozen or cut off."""
+        for heard_ms_ago in (None, HEARD_WITHIN_MS):
+            with self.subTest(heard_ms_ago=heard_ms_ago):
+                self.network.sent.clear()
+                self.network.homes.clear()
+                if heard_ms_ago is not None:
+                    self.last_heard_ms = self.clock.now_ms() - heard_ms_ago
+                self.assertLess(await self._alone_after_ms(), 400)
+
+    async def test_home_that_is_heard_and_never_answers_is_not_waited_for_long(self):
+        """Guards against a link that is dead in one direction."""
+        self.network.homes.clear()
+        self.last_heard_ms = self.clock.now_ms()
+        self.assertLess(await self._alone_after_ms(), 1_000)
+
+    async def test_home_that_was_just_heard_is_not_reported(self):
+        """Guards against a pool that changes its home at each lost packet."""
+        self.network.homes.clear()
+        self.last_heard_ms = self.clock.now_ms() + 150
+        await self._alone_after_ms()
+        # After 480 ms and 720 ms, and not after 240 ms.
+        self.assertEqual(self.unresponsive, ["h1", "h1"])
+
+
 class GrantTests(GrantHarness):
     async def test_repeated_request_after_a_lost_reply_gets_the_same_grant(self):
         """The home's reply is lost; the repeated request gets the same grant."""
