Accept connections through all errors, by an acceptor of the project's own

A host that says ready refused each new connection, without a line in its log: the event loop takes most errors of accept for fatal to the server, and closes its socket for good. On Linux accept hands on errors of the network that the new connection has met.

All listeners of a host (callers, readiness, directory, relays, peers, the own interface) use one acceptor. Readiness is 503 while connections are not accepted, and callers are accepted before it is first said.

--- a/libs/entry/src/hemlockhoist/entry/context.py
+++ b/libs/entry/src/hemlockhoist/entry/context.py
@@ -42,6 +42,8 @@
     register : DispatchRegister
     fingerprints : RequestFingerprints
     loop_lag : LoopLag
+    callers : CallerServer
+        None before it listens.
     leaving : bool
         Whether a graceful shutdown has begun.
     refuses_requests : bool
@@ -59,6 +61,7 @@
         "boot_clock",
         "brittle_limits",
         "bus",
+        "callers",
         "clock",
         "declarations",
         "feeds",
@@ -95,6 +98,7 @@
         self.boot_clock = boot_clock
         self.invariants = invariants
         self.memory = HostMemory.from_settings(settings)
+        self.callers = None
         self.leaving = False
         self.refuses_requests = False
         self.open_requests = 0
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -133,7 +133,6 @@
         self._platform = platform
         self._boot_clock = boot_clock
         self._closers = contextlib.AsyncExitStack()
-        self._caller_server = None
         self._drain_task = None
         self._host_registry = None
         self._watches = ()
@@ -175,8 +174,9 @@
         )
         await self._open(context.moves)
         await self._open(UsageRecorder(context))
+        # Callers are accepted before the host says that it takes them.
+        context.callers = await self._open(CallerServer(context, self._listener))
         self.status = await self._open(StatusServer(context, self._operator_key))
-        self._caller_server = await self._open(CallerServer(context, self._listener))
         await self._open(context.loop_lag)
         await self._open(PeriodicTask(self._tick_ms, self._tick))
         await self._open(
@@ -486,7 +486,7 @@
         # A planned stop does not wait for a slow store.
         leaving = asyncio.create_task(self._host_registry.leave())
         await asyncio.sleep(LISTEN_AFTER_STOP_MS / MS_PER_S)
-        await self._caller_server.stop_listening()
+        await context.callers.stop_listening()
         context.refuses_requests = True
         while context.open_requests and context.clock.now_ms() < end_ms:
             if context.clock.now_ms() >= queue_end_ms:
--- a/libs/entry/src/hemlockhoist/entry/servers.py
+++ b/libs/entry/src/hemlockhoist/entry/servers.py
@@ -31,10 +31,10 @@
     SlowReader,
 )
 from hemlockhoist.entry.exchange import Exchange
-from hemlockhoist.entry.listeners import listen
 from hemlockhoist.entry.memory import RequestMemory
 from hemlockhoist.entry.responses import CODE_HEADER, error_response
 from hemlockhoist.host.body import read_body
+from hemlockhoist.listeners import HttpListener
 
 _log = get_logger("entry.surface")
 
@@ -67,13 +67,13 @@
         Already listens for callers.
     """
 
-    __slots__ = ("_admission", "_context", "_listener", "_runner")
+    __slots__ = ("_admission", "_context", "_http", "_listener")
 
     def __init__(self, context, listener=None):
         self._context = context
         self._listener = listener
         self._admission = Admission(context.store_view, PoolChooser())
-        self._runner = None
+        self._http = None
 
     async def start(self):
         """Listen for callers."""
@@ -88,18 +88,27 @@
             auto_decompress=False,
             read_bufsize=READ_BUFFER_BYTES,
         )
-        address = self._context.settings.caller_address
-        self._runner = await listen(server, address, self._listener)
+        self._http = HttpListener.from_server(
+            "callers",
+            server,
+            self._context.settings.caller_address,
+            listener=self._listener,
+        )
+        await self._http.start()
 
     async def close(self):
         """Close all connections."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        if self._http is not None:
+            await self._http.close()
 
     async def stop_listening(self):
         """Accept no new connections; open ones are served further."""
-        for site in list(self._runner.sites):
-            await site.stop()
+        await self._http.stop_listening()
+
+    @property
+    def takes_callers(self):
+        """Whether a new caller is accepted within a moment."""
+        return self._http is not None and self._http.acceptor.is_accepting
 
     @property
     def _limits(self):
--- a/libs/entry/src/hemlockhoist/entry/status_server.py
+++ b/libs/entry/src/hemlockhoist/entry/status_server.py
@@ -5,10 +5,10 @@
 from hemlockhoist.base import BadRequest, ResultCode
 from hemlockhoist.base.exposition import exposition
 from hemlockhoist.decisions.entry import nearby_members
-from hemlockhoist.entry.listeners import listen
 from hemlockhoist.entry.responses import error_response
 from hemlockhoist.entry.where import WhereHandler
 from hemlockhoist.host.where_messages import WHERE_PATH
+from hemlockhoist.listeners import HttpListener
 
 # Time to live of a directory response: short, so that no new caller uses a host that
 # left or failed for longer than a few seconds.
@@ -28,12 +28,12 @@
         Without it, and without an operator address, operators' queries are not served.
     """
 
-    __slots__ = ("_context", "_runners", "_where")
+    __slots__ = ("_context", "_listeners", "_where")
 
     def __init__(self, context, operator_key=""):
         self._context = context
         self._where = WhereHandler(context, operator_key) if operator_key else None
-        self._runners = []
+        self._listeners = []
 
     async def start(self):
         """Listen on the addresses of the settings."""
@@ -48,18 +48,19 @@
             is_operators = address == settings.operator_address
             handler = self._handle_operator if is_operators else self._handle
             server = web.Server(handler, access_log=None)
-            self._runners.append(await listen(server, address))
+            listener = HttpListener.from_server("status", server, address)
+            self._listeners.append(listener)
+            await listener.start()
 
     @property
     def addresses(self):
         """The addresses listened on, with the actual ports chosen by the kernel."""
-        found = (address for item in self._runners for address in item.addresses)
-        return [f"{ip}:{port}" for ip, port in found]
+        return [item.address for item in self._listeners]
 
     async def close(self):
         """Close all connections."""
-        for runner in self._runners:
-            await runner.cleanup()
+        for listener in self._listeners:
+            await listener.close()
 
     async def _handle_operator(self, request):
         if request.path == WHERE_PATH and self._where is not None:
@@ -83,9 +84,16 @@
         context = self._context
         if context.leaving or not context.store_view.is_complete:
             return False
+        if not self._takes_callers():
+            return False
         routes = context.store_view.routes
         return not routes.requires_keys or context.store_view.is_fresh()
 
+    def _takes_callers(self):
+        """Return whether a new caller is accepted within a moment."""
+        callers = self._context.callers
+        return callers is not None and callers.takes_callers
+
     def _directory(self, directory_query):
         context = self._context
         members = nearby_members(
--- a/libs/host/src/hemlockhoist/host/server.py
+++ b/libs/host/src/hemlockhoist/host/server.py
@@ -18,6 +18,7 @@
 from hemlockhoist.host.chat import CHAT_PATH
 from hemlockhoist.host.responses import CODE_HEADER, error_response
 from hemlockhoist.host.services import SERVICES_PREFIX
+from hemlockhoist.listeners import HttpListener
 
 _log = get_logger("host.server")
 
@@ -45,7 +46,7 @@
     operators : OperatorHandlers
     """
 
-    __slots__ = ("_context", "_runner", "_site", "address")
+    __slots__ = ("_context", "_http", "_runner", "address")
 
     def __init__(self, context, chat, services, operators):
         self._context = context
@@ -67,32 +68,29 @@
             max_field_size=limit,
             auto_decompress=False,
         )
-        self._site = None
+        self._http = None
         self.address = ""
 
     async def start(self):
         """Start to listen; sets ``address`` with the port in use."""
         settings = self._context.settings
-        await self._runner.setup()
-        endpoint = settings.listen_address
-        self._site = web.TCPSite(
+        self._http = HttpListener(
+            "callers",
             self._runner,
-            endpoint.ip,
-            endpoint.port,
+            str(settings.listen_address),
             ssl_context=_tls_context(settings),
-            reuse_address=True,
         )
-        await self._site.start()
-        port = self._runner.addresses[0][1]
-        self.address = str(type(endpoint)(endpoint.ip, port))
+        await self._http.start()
+        self.address = self._http.address
 
     async def stop_listening(self):
         """Stop accepting connections; open ones continue."""
-        await self._site.stop()
+        await self._http.stop_listening()
 
     async def close(self):
         """Close all connections."""
-        await self._runner.cleanup()
+        if self._http is not None:
+            await self._http.close()
 
     @web.middleware
     async def _process(self, request, handler):
--- a/libs/peers/src/hemlockhoist/peers/listener.py
+++ b/libs/peers/src/hemlockhoist/peers/listener.py
@@ -3,13 +3,12 @@
 import asyncio
 
 from hemlockhoist.base import PeerError, get_logger
+from hemlockhoist.listeners import Acceptor
 from hemlockhoist.peers.frames import FrameReader
 
 _log = get_logger("peers.listener")
 
 READ_BYTES = 65_536
-# Covers the connections of a whole fleet that starts at the same time.
-BACKLOG = 1_024
 
 
 class PeerListener:
@@ -26,33 +25,34 @@
         because of malformed input.
     """
 
-    __slots__ = ("_on_frame", "_on_rejected", "_server", "_tasks", "address")
+    __slots__ = ("_acceptor", "_on_frame", "_on_rejected", "_tasks", "address")
 
     def __init__(self, address, on_frame, on_rejected):
         self._on_frame = on_frame
         self._on_rejected = on_rejected
-        self._server = None
+        self._acceptor = None
         self._tasks = set()
         self.address = address
 
     async def start(self):
         """Start listening for peers."""
-        ip, _, port = self.address.rpartition(":")
-        self._server = await asyncio.start_server(
-            self._serve, ip.strip("[]"), int(port), backlog=BACKLOG
-        )
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f"{ip}:{port}"
+        self._acceptor = Acceptor("peers", self._make_protocol, self.address)
+        await self._acceptor.start()
+        self.address = self._acceptor.address
 
     async def close(self):
         """Stop listening and close all connections."""
-        if self._server is not None:
-            self._server.close()
+        if self._acceptor is not None:
+            await self._acceptor.close()
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _make_protocol(self):
+        reader = asyncio.StreamReader()
+        return asyncio.StreamReaderProtocol(reader, self._serve)
+
     async def _serve(self, reader, writer):
         task = asyncio.current_task()
         self._tasks.add(task)
--- a/libs/relays/src/hemlockhoist/relays/server.py
+++ b/libs/relays/src/hemlockhoist/relays/server.py
@@ -17,6 +17,7 @@
 from hemlockhoist.base.metrics_table import RELAYS_CARRIED
 from hemlockhoist.base.traces import Hop, parent_from_text
 from hemlockhoist.decisions.entry import RelayCause
+from hemlockhoist.listeners import HttpListener
 from hemlockhoist.messages import (
     RelayedHead,
     RelayFailure,
@@ -34,7 +35,6 @@
 MAX_RELAYED = 64
 # The offer and the permission are sent without waiting for anything.
 FRAME_TIMEOUT_MS = 500
-SHUTDOWN_TIMEOUT_S = 0.05
 _NONCE_BYTES = 8
 _BAD_REQUEST = 400
 
@@ -66,8 +66,8 @@
         "_boot_clock",
         "_context",
         "_frames",
+        "_http",
         "_register",
-        "_runner",
         "address",
         "client",
         "links",
@@ -84,7 +84,7 @@
         self._register = register
         self.relayed_count = 0
         self.max_relayed = MAX_RELAYED
-        self._runner = None
+        self._http = None
         # Set before the first request arrives, by ``serve``.
         self.client = self.links = self.rules = None
 
@@ -105,18 +105,14 @@
     async def start(self):
         """Start listening."""
         server = web.Server(self._handle, handler_cancellation=True, access_log=None)
-        self._runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
-        await self._runner.setup()
-        ip, _, port = self.address.rpartition(":")
-        site = web.TCPSite(self._runner, ip, int(port), reuse_address=True)
-        await site.start()
-        port = self._runner.addresses[0][1]
-        self.address = f"{ip}:{port}"
+        self._http = HttpListener.from_server("relays", server, self.address)
+        await self._http.start()
+        self.address = self._http.address
 
     async def close(self):
         """Close all connections."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        if self._http is not None:
+            await self._http.close()
 
     async def _handle(self, request):
         try:
--- a/libs/relays/src/hemlockhoist/relays/tests/test_relaying.py
+++ b/libs/relays/src/hemlockhoist/relays/tests/test_relaying.py
@@ -272,7 +272,7 @@
 
         class WithdrawingRules(RelayRules):
             def refusal(self, offer):
-                for connection in server._runner.server.connections:
+                for connection in server._http.connections:
                     connection.transport.abort()
                 return RelayCause.LEAVING
 
