--- a/libs/decisions/src/hemlockhoist/decisions/quarantine/crash_log.py
+++ b/libs/decisions/src/hemlockhoist/decisions/quarantine/crash_log.py
@@ -26,6 +26,8 @@
         The requests that it had not answered whole.
     charged_requests : set of int
         Those of them that are held responsible.
+    excused_requests : set of int
+        Those that are not, as they are mostly answered whole.
     """
 
     __slots__ = (
@@ -33,6 +35,7 @@
         "charged",
         "charged_requests",
         "crash_id",
+        "excused_requests",
         "fingerprints",
         "positions",
     )
@@ -44,6 +47,7 @@
         self.charged = set()
         self.fingerprints = set()
         self.charged_requests = set()
+        self.excused_requests = set()
 
     def add(self, parts, fingerprint=0):
         """Add a request; return whether it, or a part of its prompt, is new.
--- a/libs/decisions/src/hemlockhoist/decisions/quarantine/crashing_requests.py
+++ b/libs/decisions/src/hemlockhoist/decisions/quarantine/crashing_requests.py
@@ -1,10 +1,8 @@
 """Which requests crash upstreams, recognised however often they are sent again."""
 
-import collections
-
 import msgspec
 
-from hemlockhoist.base import MS_PER_S, ResultCode
+from hemlockhoist.base import ResultCode
 from hemlockhoist.decisions.quarantine.limits import (
     BLOCKED_CRASHES,
     SUSPECT_RETRY_AFTER_MS,
@@ -13,16 +11,13 @@
 )
 from hemlockhoist.decisions.quarantine.part_table import MAX_CRASH_IDS, PartTable
 from hemlockhoist.decisions.quarantine.try_schedule import TrySchedule
+from hemlockhoist.decisions.quarantine.whole_runs import WholeRuns
 from hemlockhoist.messages import PartState
 
 # One record for each request that was at an upstream as that ended. Those with one
 # crash are dropped first.
 MAX_RECORDS = 4_096
 MAX_BLOCKED = 256
-# A request that was answered whole shortly before is not to blame for a crash: it is
-# sent so often that it is in flight wherever an upstream ends.
-RECENT_ANSWER_MS = 2 * MS_PER_S
-MAX_RECENT_ANSWERS = 8_192
 
 
 class CrashingRequests:
@@ -34,17 +29,20 @@
 
     The crashes that are known and the copies that are on their way together never
     exceed three: after one crash two copies may be on their way, after two one, and
-    none after three. Requests that were at an upstream by chance are cleared by their
-    next whole answer.
+    none after three. A copy that was given up is on its way until it is known whether
+    its upstream has ended. So no more than three copies of a request that has not been
+    answered whole lately are sent at once.
+
+    Whole runs speak for a request by their number, see ``WholeRuns``: one alone does
+    not outweigh a crash.
     """
 
-    __slots__ = ("_answered_ms", "_table", "_tries")
+    __slots__ = ("_table", "_tries", "_whole_runs")
 
     def __init__(self):
         self._table = PartTable(MAX_RECORDS, MAX_BLOCKED, is_request=True)
         self._tries = TrySchedule()
-        # When requests were last answered whole, the latest last.
-        self._answered_ms = collections.OrderedDict()
+        self._whole_runs = WholeRuns()
 
     def records(self):
         """Return the records of all requests with evidence against them."""
@@ -94,16 +92,22 @@
             return KeptBack(
                 ResultCode.PART_BLOCKED, fingerprint, crashes, is_request=True
             )
-        if not crashes:
+        if not crashes and self._whole_runs.is_proven(fingerprint, now_ms):
             return None
         is_suspected = state is PartState.SUSPECTED
         if (
-            is_alone
+            (is_alone and crashes)
             or (is_suspected and is_repeated)
             or crashes + count_open() >= BLOCKED_CRASHES
         ):
-            code, retry_after_ms = ResultCode.PART_SUSPECTED, SUSPECT_RETRY_AFTER_MS
-            return KeptBack(code, fingerprint, crashes, retry_after_ms, is_request=True)
+            return KeptBack(
+                ResultCode.PART_SUSPECTED,
+                fingerprint,
+                crashes,
+                SUSPECT_RETRY_AFTER_MS,
+                is_request=True,
+                may_pass=not (is_suspected or is_repeated or is_alone),
+            )
         return None
 
     def on_sent(self, fingerprint, now_ms):
@@ -118,13 +122,27 @@
 
     # Evidence.
 
+    def trust(self, fingerprint, now_ms):
+        """Take a request for one that was answered whole just before."""
+        self._whole_runs.add(fingerprint, now_ms)
+
     def on_answer(self, fingerprint, now_ms):
-        """Withdraw all evidence against a request that was answered whole."""
-        self._answered_ms[fingerprint] = now_ms
-        self._answered_ms.move_to_end(fingerprint)
-        if len(self._answered_ms) > MAX_RECENT_ANSWERS:
-            self._answered_ms.popitem(last=False)
-        return self.withdraw(fingerprint, now_ms)
+        """Count a whole run, and withdraw a crash that enough of them outweigh.
+
+        A single try of a blocked request that is whole withdraws one at once.
+        """
+        self._whole_runs.add(fingerprint, now_ms)
+        record = self._table.get(fingerprint)
+        if not record.crashes:
+            return ()
+        if not record.tries and not self._whole_runs.take(fingerprint, now_ms):
+            return ()
+        self._tries.cancel(fingerprint)
+        changed = {}
+        left = record.crashes[1:]
+        changed[fingerprint] = self._table.withdraw(fingerprint, now_ms, left)
+        self._raise_state(fingerprint, changed, now_ms)
+        return tuple(changed.values())
 
     def withdraw(self, fingerprint, now_ms):
         """Withdraw all evidence against a request; return the changed records."""
@@ -149,10 +167,13 @@
         tuple of int
             The requests that are blocked now.
         """
-        for fingerprint in crash.fingerprints - crash.charged_requests:
-            if not self._was_answered(fingerprint, now_ms):
-                crash.charged_requests.add(fingerprint)
-                self._add_crash(fingerprint, crash.crash_id, changed, now_ms)
+        new = crash.fingerprints - crash.charged_requests - crash.excused_requests
+        for fingerprint in new:
+            if self._whole_runs.excuse(fingerprint, now_ms):
+                crash.excused_requests.add(fingerprint)
+                continue
+            crash.charged_requests.add(fingerprint)
+            self._add_crash(fingerprint, crash.crash_id, changed, now_ms)
         most = max(map(self.crash_count, crash.charged_requests), default=0)
         blocked = []
         for fingerprint in crash.charged_requests:
@@ -162,10 +183,6 @@
                 blocked.append(fingerprint)
         return tuple(blocked)
 
-    def _was_answered(self, fingerprint, now_ms):
-        answered_ms = self._answered_ms.get(fingerprint)
-        return answered_ms is not None and now_ms - answered_ms <= RECENT_ANSWER_MS
-
     def _add_crash(self, fingerprint, crash_id, changed, now_ms):
         record = self._table.get(fingerprint)
         crashes = tuple(sorted({*record.crashes, crash_id}))[:MAX_CRASH_IDS]
--- a/libs/decisions/src/hemlockhoist/decisions/quarantine/limits.py
+++ b/libs/decisions/src/hemlockhoist/decisions/quarantine/limits.py
@@ -27,6 +27,8 @@
         0 if the request will not be sent later either.
     is_request : bool
         Whether it is kept back for the whole request, not for a part.
+    may_pass : bool
+        Whether the outcome of another copy may allow it within moments.
     """
 
     code: ResultCode
@@ -34,6 +36,7 @@
     crashes: int
     retry_after_ms: int = 0
     is_request: bool = False
+    may_pass: bool = False
 
     @property
     def reason(self):
--- a/libs/decisions/src/hemlockhoist/decisions/quarantine/quarantine.py
+++ b/libs/decisions/src/hemlockhoist/decisions/quarantine/quarantine.py
@@ -295,6 +295,11 @@
             changed[record.part] = record
         return is_stored
 
+    def has_crashed_since(self, upstream_id, since_ms, now_ms):
+        """Return whether an upstream has just ended, and not before ``since_ms``."""
+        crash = self._crashes.latest(upstream_id, now_ms)
+        return crash is not None and crash.at_ms >= since_ms
+
     def explains_crash(self, upstream_id, now_ms):
         """Return whether a request is taken for the cause of an upstream's last end."""
         crash = self._crashes.latest(upstream_id, now_ms)
--- a/libs/decisions/src/hemlockhoist/decisions/quarantine/tests/test_crashing_requests.py
+++ b/libs/decisions/src/hemlockhoist/decisions/quarantine/tests/test_crashing_requests.py
@@ -1,3 +1,4 @@
+import random
 import unittest
 
 from hypothesis import given
@@ -5,13 +6,20 @@
 
 from hemlockhoist.base import ResultCode
 from hemlockhoist.decisions.quarantine import Quarantine
+from hemlockhoist.decisions.quarantine.crash_log import Crash
 from hemlockhoist.decisions.quarantine.crashing_requests import (
     MAX_RECORDS,
-    RECENT_ANSWER_MS,
+    CrashingRequests,
 )
 from hemlockhoist.decisions.quarantine.limits import BLOCKED_CRASHES
 from hemlockhoist.decisions.quarantine.part_table import EVIDENCE_TTL_MS
 from hemlockhoist.decisions.quarantine.try_schedule import FIRST_TRY_MS
+from hemlockhoist.decisions.quarantine.whole_runs import (
+    MAX_WHOLE_RUNS,
+    RECENT_MS,
+    SAME_MOMENT_MS,
+    WHOLE_RUNS_PER_CRASH,
+)
 from hemlockhoist.messages import PartRecord, PartState
 
 BAD, SOUND, OTHER = 101, 102, 103
@@ -39,6 +47,14 @@
         for _ in range(count):
             self.crash(*fingerprints, parts=parts)
 
+    def answer(self, fingerprint, count=1):
+        """Let a request be answered whole; return the records that changed last."""
+        changed = ()
+        for _ in range(count):
+            self.now_ms += 10
+            changed = self.requests.on_answer(fingerprint, self.now_ms)
+        return changed
+
     def kept_back(self, fingerprint=BAD, open_count=0, **fields):
         values = {"is_repeated": False, "is_alone": False, **fields}
         return self.requests.kept_back(
@@ -56,26 +72,94 @@
         self.crash(BAD, BAD, SOUND)
         self.assertEqual(self.requests.crash_count(BAD), 1)
 
-    def test_whole_answer_clears_at_once(self):
+    def test_whole_runs_clear_one_crash_after_the_other(self):
         self.crash_often(2, SOUND)
-        self.requests.on_answer(SOUND, self.now_ms)
+        self.answer(SOUND, WHOLE_RUNS_PER_CRASH - 1)
+        self.assertEqual(self.requests.crash_count(SOUND), 2)
+        self.answer(SOUND)
+        self.assertEqual(self.requests.crash_count(SOUND), 1)
+        self.answer(SOUND, WHOLE_RUNS_PER_CRASH)
         self.assertIs(self.requests.state(SOUND), PartState.CLEAR)
         self.assertIsNone(self.kept_back(SOUND, open_count=9))
 
+    def test_one_whole_run_does_not_clear_a_crash(self):
+        """Guards against a request that is answered whole now and then."""
+        for _ in range(BLOCKED_CRASHES):
+            self.answer(BAD)
+            self.crash(BAD)
+        self.assertTrue(self.requests.is_blocked(BAD))
+
+    def test_request_that_ends_most_runs_is_blocked_on_many_seeds(self):
+        """Guards against chance that clears a request which is mostly not whole."""
+        ends = [self.ends_until_blocked(seed, 1 / 3) for seed in range(1_000)]
+        self.assertGreaterEqual(sum(count <= BLOCKED_CRASHES for count in ends), 990)
+
+    def ends_until_blocked(self, seed, whole_share):
+        """Return how many upstreams end under a request that is sent one at a time."""
+        rng, requests, now_ms, ends = random.Random(seed), CrashingRequests(), 0, 0
+        while not requests.is_blocked(BAD):
+            now_ms += 300
+            if rng.random() < whole_share:
+                requests.on_answer(BAD, now_ms)
+                continue
+            ends += 1
+            crash = Crash(ends, now_ms)
+            crash.add((), BAD)
+            requests.charge(crash, {}, now_ms)
+        return ends
+
     def test_popular_request_is_not_blamed_where_it_is_in_flight(self):
         """Guards against a request that is blocked as it is at whatever ends."""
-        self.requests.on_answer(SOUND, self.now_ms)
-        self.crash_often(BLOCKED_CRASHES, SOUND, OTHER)
-        self.assertIsNone(self.kept_back(SOUND))
+        for _ in range(10 * BLOCKED_CRASHES):
+            self.answer(SOUND, WHOLE_RUNS_PER_CRASH)
+            self.crash(SOUND, OTHER)
+        self.assertIsNone(self.kept_back(SOUND, open_count=9))
         self.assertIsNotNone(self.kept_back(OTHER))
 
+    def test_popular_request_is_kept_back_on_no_seed(self):
+        """Plays a request in flight at each of 16 upstreams, of which some end."""
+        for seed in range(200):
+            with self.subTest(seed=seed):
+                self.assertEqual(self.play_popular(random.Random(seed)), 0)
+
+    def play_popular(self, rng):
+        """Return how many requests are kept back: 60 a second, ends for no reason."""
+        quarantine, kept_back, now_ms = Quarantine("h1"), 0, 0
+        requests = quarantine.requests
+        for step in range(2_000):
+            now_ms += 17
+            requests.on_answer(SOUND, now_ms)
+            if step > 2 * WHOLE_RUNS_PER_CRASH and rng.random() < 0.03:
+                quarantine.on_crash(f"u{step}", (), now_ms, SOUND)
+            found = requests.kept_back(SOUND, False, False, lambda: 6, now_ms)
+            kept_back += found is not None
+        return kept_back
+
+    def test_upstreams_that_end_together_count_once_for_a_popular_request(self):
+        """Guards against a request that is blamed for the loss of a failure domain."""
+        self.answer(SOUND, WHOLE_RUNS_PER_CRASH)
+        for number in range(5):
+            self.quarantine.on_crash(f"d{number}", (), self.now_ms + number, SOUND)
+        self.assertEqual(self.requests.crash_count(SOUND), 0)
+        late_ms = self.now_ms + SAME_MOMENT_MS + 10
+        self.quarantine.on_crash("d9", (), late_ms, SOUND)
+        self.assertEqual(self.requests.crash_count(SOUND), 1)
+
     def test_request_that_begins_to_crash_upstreams_is_found(self):
-        """Guards against an old answer that speaks for a request for ever."""
-        self.requests.on_answer(BAD, self.now_ms)
-        self.now_ms += RECENT_ANSWER_MS
+        """Guards against old answers that speak for a request for ever."""
+        self.answer(BAD, 10 * MAX_WHOLE_RUNS)
+        self.now_ms += RECENT_MS
         self.crash_often(BLOCKED_CRASHES, BAD)
         self.assertTrue(self.requests.is_blocked(BAD))
 
+    def test_many_whole_runs_excuse_few_crashes(self):
+        """Guards against a popular request that begins to crash upstreams."""
+        self.answer(BAD, 10 * MAX_WHOLE_RUNS)
+        for _ in range(MAX_WHOLE_RUNS // WHOLE_RUNS_PER_CRASH + BLOCKED_CRASHES):
+            self.now_ms += SAME_MOMENT_MS
+            self.crash(BAD)
+        self.assertTrue(self.requests.is_blocked(BAD))
+
     def test_two_requests_at_the_same_upstreams_are_both_blocked(self):
         """Guards against a request that hides behind another one."""
         self.crash_often(BLOCKED_CRASHES, BAD, OTHER)
@@ -112,7 +196,8 @@
 class SendTests(RequestCase):
     def test_crashes_and_copies_together_never_exceed_three(self):
         """Guards against copies at several hosts before the first end is known."""
-        self.assertIsNone(self.kept_back(open_count=9))
+        self.assertIsNone(self.kept_back(open_count=2))
+        self.assertIsNotNone(self.kept_back(open_count=3))
         self.crash(BAD)
         self.assertIsNone(self.kept_back(open_count=1))
         self.assertIsNotNone(self.kept_back(open_count=2))
@@ -133,6 +218,11 @@
         self.crash(BAD)
         self.assertIsNotNone(self.kept_back(is_alone=True))
 
+    def test_request_that_was_whole_lately_is_sent_as_often_as_it_comes(self):
+        """Guards against a popular request that is kept back for its copies."""
+        self.answer(SOUND)
+        self.assertIsNone(self.kept_back(SOUND, open_count=99))
+
     def test_blocked_request_is_told_not_to_come_back(self):
         self.crash_often(BLOCKED_CRASHES, BAD)
         found = self.kept_back()
@@ -149,6 +239,18 @@
         self.assertEqual(record.tries, 1)
         self.assertIsNotNone(self.kept_back())
 
+    def test_try_that_is_whole_allows_one_copy_at_a_time(self):
+        """Guards against a blocked request that stays so, or is free, for one run."""
+        self.crash_often(BLOCKED_CRASHES, BAD)
+        self.now_ms += FIRST_TRY_MS
+        self.requests.on_sent(BAD, self.now_ms)
+        self.answer(BAD)
+        self.assertIs(self.requests.state(BAD), PartState.SUSPECTED)
+        self.assertIsNone(self.kept_back())
+        self.assertIsNotNone(self.kept_back(open_count=1))
+        self.crash(BAD)
+        self.assertTrue(self.requests.is_blocked(BAD))
+
     def test_operator_lifts_a_request(self):
         self.crash_often(BLOCKED_CRASHES, BAD)
         (record,) = self.quarantine.lift(BAD, self.now_ms)
@@ -212,13 +314,15 @@
         self.assertIs(self.requests.state(BAD), PartState.BLOCKED)
         self.assertEqual(self.kept_back().retry_after_ms, 0)
 
-    def test_answer_elsewhere_clears(self):
+    def test_answers_elsewhere_clear(self):
         self.crash_often(2, SOUND)
         other = Quarantine("h2")
         other.merge(self.quarantine.records(), 0)
-        cleared = other.requests.on_answer(SOUND, 0)
-        self.quarantine.merge(cleared, self.now_ms)
-        self.assertIsNone(self.kept_back(SOUND, open_count=5))
+        for number in range(2 * WHOLE_RUNS_PER_CRASH):
+            cleared = other.requests.on_answer(SOUND, number)
+            self.quarantine.merge(cleared, self.now_ms)
+        self.assertEqual(self.requests.crash_count(SOUND), 0)
+        self.assertIsNone(self.kept_back(SOUND, open_count=2))
 
     @given(st.permutations(range(4)), st.integers(-5, 9), st.integers(0, 2**64 - 1))
     def test_records_merge_to_the_same_in_any_order(self, order, state, fingerprint):
--- a/libs/decisions/src/hemlockhoist/decisions/work.py
+++ b/libs/decisions/src/hemlockhoist/decisions/work.py
@@ -254,6 +254,8 @@
         Whether the upstream began an answer and went on with it.
     is_overtaken : bool
         Whether it was cancelled without any data because a hedge answered first.
+    is_continued : bool
+        Whether the upstream was asked for the rest of an answer only.
     """
 
     kind: OutcomeKind
@@ -267,6 +269,7 @@
     is_upstream_lost: bool = False
     is_answered: bool = False
     is_overtaken: bool = False
+    is_continued: bool = False
 
     def for_home(self):
         """Return the outcome in the kinds that homes of earlier releases know.
--- a/libs/entry/src/hemlockhoist/entry/attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt.py
@@ -42,6 +42,7 @@
         "guard",
         "head_ms",
         "hold",
+        "is_continued",
         "is_given_up",
         "is_link_at_fault",
         "is_misdirected",
@@ -76,6 +77,8 @@
         # Whether this host did not read the answer to its end, for want of memory or as
         # its caller was slow.
         self.is_given_up = False
+        # Whether the upstream was asked for the rest of an answer only.
+        self.is_continued = False
         # Whether the upstream was gone when its answer had broken off.
         self.is_upstream_lost = False
         self.grant_outdated = False
@@ -176,6 +179,7 @@
             is_upstream_lost=self.is_upstream_lost,
             is_answered=self._is_answered,
             is_overtaken=self.is_overtaken and not self._is_path_suspect,
+            is_continued=self.is_continued,
         )
 
     @property
--- a/libs/entry/src/hemlockhoist/entry/attempt_reporter.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt_reporter.py
@@ -5,11 +5,12 @@
 import functools
 
 from hemlockhoist.base import MS_PER_S
-from hemlockhoist.decisions import OutcomeKind, UpstreamState
+from hemlockhoist.decisions import OutcomeKind
 from hemlockhoist.entry.attempt_records import count_attempt, log_attempt
 
 # An upstream that still runs, or has ended, is found out within some milliseconds.
 MAX_REPORT_WAIT_MS = 1_000
+_GIVEN_UP = frozenset({OutcomeKind.CANCELLED, OutcomeKind.TIMEOUT})
 
 
 class AttemptReporter:
@@ -79,20 +80,27 @@
             paths.check_link(call, report, bool(attempt.guard.relay))
             return
         self._report(attempt, attempt.is_link_at_fault)
+        self._watch_upstream(attempt)
+
+    def _watch_upstream(self, attempt):
+        """Look at the upstream of a run that was given up, as it may end on it."""
+        is_sent = attempt.guard.dispatched and not attempt.is_misdirected
+        if is_sent and attempt.kind in _GIVEN_UP:
+            call = self._upstream_call(attempt)
+            is_relayed = bool(attempt.guard.relay)
+            self._context.abandoned_checks.add(
+                attempt.hold, call, attempt.first_ms is not None, is_relayed
+            )
 
     def _report_checked(self, attempt, is_link_at_fault, is_upstream_lost):
-        is_crash = is_upstream_lost and not self._was_leaving(attempt.hold)
+        is_crash = is_upstream_lost and not self._context.store_view.was_leaving(
+            attempt.hold.upstream_id
+        )
         self._report(attempt, is_link_at_fault, is_crash)
         self._unreported_count -= 1
         if not self._unreported_count:
             self._reported.set()
 
-    def _was_leaving(self, hold):
-        """Return whether the end of an upstream was planned."""
-        listing, now_ms = self._context.store_view.listing, self._context.clock.now_ms()
-        upstream = listing.get(hold.upstream_id, now_ms)
-        return upstream is None or upstream.state is not UpstreamState.LIVE
-
     def _report(self, attempt, is_link_at_fault, is_upstream_lost=False):
         attempt.is_link_at_fault = is_link_at_fault
         attempt.is_upstream_lost = is_upstream_lost
--- a/libs/entry/src/hemlockhoist/entry/attempt_sender.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt_sender.py
@@ -115,6 +115,7 @@
             The request may have run.
         """
         attempt = opened.attempt
+        attempt.is_continued = bool(self._last_event_id())
         call = self.upstream_call(attempt)
         await opened.open(self._context.upstreams.dispatch(call, attempt.guard))
         opened.end = self._read_head(opened)
--- a/libs/entry/src/hemlockhoist/entry/context.py
+++ b/libs/entry/src/hemlockhoist/entry/context.py
@@ -32,6 +32,8 @@
     memory : HostMemory
         The memory that requests use on this host.
     moves : OrderedMoveService
+    abandoned_checks : AbandonedChecks
+        Looks at upstreams after runs that were given up.
     advertised_limits : AdvertisedLimits
         The limits that upstreams advertised in answers to this host.
     brittle_limits : AdvertisedLimits
@@ -56,6 +58,7 @@
     """
 
     __slots__ = (
+        "abandoned_checks",
         "advertised_limits",
         "back_offs",
         "boot_clock",
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -47,6 +47,7 @@
 from hemlockhoist.entry.status_server import StatusServer
 from hemlockhoist.entry.store_view import StoreView
 from hemlockhoist.entry.usage_recorder import UsageRecorder
+from hemlockhoist.host.abandoned_checks import AbandonedChecks
 from hemlockhoist.host.fleet import Fleet
 from hemlockhoist.host.grants import GrantClient
 from hemlockhoist.host.homes import HomeService
@@ -160,6 +161,13 @@
         self._build(context)
         message_router.open(context)
         await self._open(context.upstreams)
+        context.abandoned_checks = await self._open(
+            AbandonedChecks(
+                context.upstreams.check_link,
+                context.grants.report_lost,
+                context.store_view.was_leaving,
+            )
+        )
         await self._open(context.fleet)
         await self._open_watches(context)
         await self._open(
--- a/libs/entry/src/hemlockhoist/entry/store_view.py
+++ b/libs/entry/src/hemlockhoist/entry/store_view.py
@@ -364,6 +364,11 @@
         upstream = self.listing.get(upstream_id, self._clock.now_ms())
         return None if upstream is None else upstream.started_unix_ms
 
+    def was_leaving(self, upstream_id):
+        """Return whether the end of an upstream was planned."""
+        upstream = self.listing.get(upstream_id, self._clock.now_ms())
+        return upstream is None or upstream.state is not UpstreamState.LIVE
+
     def on_upstream_left(self, upstream_id, version):
         """Apply another host's report that an upstream left, if it is newer."""
         if self.listing.mark_removed(upstream_id, version, self._clock.now_ms()):
--- a/libs/entry/src/hemlockhoist/entry/tests/test_attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_attempt.py
@@ -51,7 +51,7 @@
 
     def test_link_of_an_overtaken_attempt_is_looked_up(self):
         """Guards against a lost link that is considered only at a time-out."""
-        released = []
+        released, watched = [], []
         grants = types.SimpleNamespace(release=lambda *values: released.append(values))
         links = types.SimpleNamespace(is_lost=lambda pool, upstream_id: True)
         context = types.SimpleNamespace(
@@ -59,6 +59,9 @@
             upstreams=types.SimpleNamespace(links=links),
             grants=grants,
             metrics=Metrics(None),
+            abandoned_checks=types.SimpleNamespace(
+                add=lambda *values: watched.append(values)
+            ),
             store_view=types.SimpleNamespace(routes=types.SimpleNamespace(version=3)),
         )
         call = types.SimpleNamespace(block_names=())
@@ -71,8 +74,11 @@
         guard = types.SimpleNamespace(dispatched_ms=0, dispatched=True, relay="")
         attempt = Attempt(hold, guard, waited_ms=0, number=1)
         attempt.is_overtaken = True
-        AttemptReporter(context, admitted, "r1", None).release(attempt)
+        reporter = AttemptReporter(context, admitted, "r1", lambda attempt: "call")
+        reporter.release(attempt)
         self.assertFalse(released[0][1].is_overtaken)
+        # Its upstream may go on with it, and end.
+        self.assertEqual(watched, [(hold, "call", False, False)])
 
 
 class CrashSuspectTests(unittest.TestCase):
--- a/libs/host/src/hemlockhoist/host/chat.py
+++ b/libs/host/src/hemlockhoist/host/chat.py
@@ -243,6 +243,7 @@
             raise
         except StreamHandedOver:
             report.kind = OutcomeKind.SUCCESS
+            report.is_continued = True
             raise
         finally:
             self._fill_report(report)
@@ -253,8 +254,9 @@
 
     async def _exchange(self, hold, report):
         client = self._context.upstreams
+        report.call = self._call(hold)
         try:
-            async with client.dispatch(self._call(hold), report.guard) as answer:
+            async with client.dispatch(report.call, report.guard) as answer:
                 check_response(answer, self._work.request_id)
                 if answer.status != 200:
                     await self._raise_status(answer)
--- a/libs/host/src/hemlockhoist/host/context.py
+++ b/libs/host/src/hemlockhoist/host/context.py
@@ -8,6 +8,8 @@
 
     Attributes
     ==========
+    abandoned_checks : AbandonedChecks
+        Looks at upstreams after runs that were given up.
     settings : Settings
     identity : HostIdentity
     clock : Clock
@@ -43,6 +45,7 @@
     """
 
     __slots__ = (
+        "abandoned_checks",
         "bus",
         "callers",
         "clock",
--- a/libs/host/src/hemlockhoist/host/dispatcher.py
+++ b/libs/host/src/hemlockhoist/host/dispatcher.py
@@ -22,6 +22,7 @@
 _log = get_logger("host.dispatcher")
 
 _LOST_KINDS = frozenset({OutcomeKind.BROKE_OFF, OutcomeKind.TIMEOUT})
+_GIVEN_UP = frozenset({OutcomeKind.CANCELLED, OutcomeKind.TIMEOUT})
 _OUTCOME_KINDS = {
     ResultCode.CONNECT_FAILED: OutcomeKind.CONNECT_FAILED,
     ResultCode.LINK_LOST: OutcomeKind.LINK_FAILED,
@@ -111,12 +112,18 @@
         Counts for the outcome.
     is_upstream_lost : bool
         Whether the upstream was gone when its answer had broken off.
+    is_continued : bool
+        Whether the answer did not come to its end here.
+    call : UpstreamCall or None
+        The request as it was sent.
     """
 
     __slots__ = (
         "cached_tokens",
+        "call",
         "first_ms",
         "guard",
+        "is_continued",
         "is_upstream_lost",
         "kind",
         "output_tokens",
@@ -124,6 +131,8 @@
 
     def __init__(self, guard):
         self.guard = guard
+        self.call = None
+        self.is_continued = False
         self.is_upstream_lost = False
         self.kind = OutcomeKind.NOT_SENT
         self.first_ms = None
@@ -150,8 +159,14 @@
             is_crash_suspect=self.is_upstream_lost and self.output_tokens < 2,
             is_upstream_lost=self.is_upstream_lost,
             is_answered=self.kind is OutcomeKind.SUCCESS or self.output_tokens > 1,
+            is_continued=self.is_continued,
         )
 
+    @property
+    def is_given_up(self):
+        """Whether its upstream may go on with a request that nobody waits for."""
+        return self.call is not None and self.kind in _GIVEN_UP
+
 
 class Dispatcher:
     """Dispatches requests under grants and releases the grants with their outcome.
@@ -163,9 +178,11 @@
     invariants : InvariantLog
     traces : Traces
     metrics : Metrics
+    abandoned_checks : AbandonedChecks
     """
 
     __slots__ = (
+        "_abandoned_checks",
         "_budgets",
         "_clock",
         "_grants",
@@ -175,7 +192,8 @@
         "register",
     )
 
-    def __init__(self, grants, clock, invariants, traces, metrics):
+    def __init__(self, grants, clock, invariants, traces, metrics, abandoned_checks):
+        self._abandoned_checks = abandoned_checks
         self._traces = traces
         self._metrics = metrics
         self._grants = grants
@@ -254,6 +272,9 @@
             del self._guards[hold.grant_id]
             outcome = report.outcome(self._clock.now_ms())
             self._grants.release(hold, outcome)
+            if guard.dispatched and report.is_given_up:
+                is_begun, is_relayed = report.first_ms is not None, bool(guard.relay)
+                self._abandoned_checks.add(hold, report.call, is_begun, is_relayed)
             self._record_metrics(work, report)
             _log_attempt(work, hold, report, outcome, reason)
 
--- a/libs/host/src/hemlockhoist/host/grants.py
+++ b/libs/host/src/hemlockhoist/host/grants.py
@@ -25,6 +25,7 @@
     HeldGrantIds,
     HeldGrants,
     NotHome,
+    UpstreamLost,
     UpstreamReached,
 )
 
@@ -407,6 +408,25 @@
         )
         self._notify_homes(hold, message)
 
+    def report_lost(self, hold, parts):
+        """Report that an upstream ended shortly after a run had been given up.
+
+        Parameters
+        ==========
+        hold : GrantHold
+            Has been released.
+        parts : tuple of int
+            The parts of the prompt if none of the answer had come.
+        """
+        message = UpstreamLost(
+            pool=hold.pool,
+            grant_id=hold.grant_id,
+            upstream_id=hold.upstream_id,
+            fingerprint=hold.brief.fingerprint,
+            parts=parts,
+        )
+        self._notify_homes(hold, message)
+
     def report_outdated(self, hold, error):
         """Report to the home that issued a grant why the grant is outdated.
 
@@ -487,6 +507,7 @@
             is_upstream_lost=outcome.is_upstream_lost if outcome else False,
             is_answered=outcome.is_answered if outcome else False,
             is_overtaken=outcome.is_overtaken if outcome else False,
+            is_continued=outcome.is_continued if outcome else False,
         )
         self._notify_homes(hold, message)
 
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -14,6 +14,7 @@
     WorkRequest,
 )
 from hemlockhoist.host.crash_checks import CrashChecks
+from hemlockhoist.host.deferred_requests import MAX_WAIT_MS, DeferredRequests
 from hemlockhoist.host.gates import AllowAllGate
 from hemlockhoist.host.home_dry_run import dry_run_request
 from hemlockhoist.host.home_retries import HomeRetries
@@ -83,6 +84,7 @@
         "_cached_elsewhere_tokens",
         "_crash_checks",
         "_clock",
+        "_deferred",
         "_gate",
         "_granted",
         "_holders",
@@ -142,6 +144,7 @@
         self._signals = HomeSignals(pool, scheduler, clock, self._metrics, on_leaving)
         self._retries = HomeRetries(pool, scheduler, self._metrics)
         self._cached_elsewhere_tokens = {}
+        self._deferred = DeferredRequests()
         self._queued = {}
         self._granted = {}
         self._spans = {}
@@ -185,8 +188,8 @@
         """Stop issuing grants and refer queued requests to the new home."""
         if new_home:
             self._send(new_home, HomeClosed(pool=self.pool))
-        for queued in list(self._queued.values()):
-            request = queued.request
+        for waiting in (*self._queued.values(), *self._deferred.clear()):
+            request = waiting.request
             self._send_not_home(request.entry_host, request.request_id, new_home)
         self._queued.clear()
         for span in self._spans.values():
@@ -213,14 +216,36 @@
             self._reconnect(sender)
             self._resend(sender, granted[0])
             return
-        if brief.request_id in self._queued:
+        if brief.request_id in self._queued or brief.request_id in self._deferred:
             self._send(sender, self._queued_message(brief.request_id))
             return
         now_ms = self._last_request_ms = self._clock.now_ms()
         request = work_request(brief, sender, now_ms - late_ms)
         self._crash_checks.on_request(request)
-        if self._keep_back(request):
-            return
+        kept_back = self._crash_checks.kept_back(request)
+        if kept_back is None:
+            self._submit(brief, request, now_ms)
+        elif kept_back.may_pass and self._deferred.add(brief, request, now_ms):
+            self._send(sender, self._queued_message(brief.request_id))
+        else:
+            self._refuse_kept_back(request, kept_back)
+
+    def _review_deferred(self, now_ms):
+        """Submit the deferred requests that may be sent now, refuse those that can't."""
+        for item in self._deferred:
+            request = item.request
+            kept_back = self._crash_checks.kept_back(request)
+            is_due = now_ms - item.since_ms >= MAX_WAIT_MS
+            if kept_back is not None and kept_back.may_pass and not is_due:
+                continue
+            self._deferred.remove(request.request_id)
+            if kept_back is None:
+                self._submit(item.brief, request, now_ms)
+            else:
+                self._refuse_kept_back(request, kept_back)
+
+    def _submit(self, brief, request, now_ms):
+        """Let the gate and the scheduler decide on a request."""
         refusal = self._gate.refusal(self.pool, request, now_ms)
         if refusal is not None:
             self._refuse(request, refusal.code, refusal.retry_after_ms, refusal.reason)
@@ -243,9 +268,12 @@
         kept_back = self._crash_checks.kept_back(request)
         if kept_back is None:
             return False
+        self._refuse_kept_back(request, kept_back)
+        return True
+
+    def _refuse_kept_back(self, request, kept_back):
         code, retry_after_ms = kept_back.code, kept_back.retry_after_ms
         self._refuse(request, code, retry_after_ms, kept_back.reason)
-        return True
 
     def dry_run(self, request):
         """Return the ``PlacementReport`` of a request, which has no effect."""
@@ -299,6 +327,7 @@
     def on_cancel(self, message):
         """Drop a request whose caller has disconnected."""
         now_ms = self._clock.now_ms()
+        self._deferred.remove(message.request_id)
         self._remove_queued(message.request_id, now_ms)
         self._end_span(message.request_id, cancelled=True)
         self._emit(self.scheduler.cancel(message.request_id, now_ms), now_ms)
@@ -311,6 +340,7 @@
         """Drop a queued request and report to the gate that it did not run."""
         queued = self._queued.pop(request_id, None)
         if queued is not None:
+            self._crash_checks.on_ended(queued.request)
             self._gate.on_not_run(self.pool, queued.request, queued.since_ms, now_ms)
 
     def on_first_token(self, message, late_ms=0):
@@ -342,6 +372,11 @@
         # Before the release, which may give the slot to another such request.
         self._crash_checks.on_release(message)
         self._release(message.grant_id, message.request_id, outcome, now_ms)
+        self._review_deferred(now_ms)
+
+    def on_upstream_lost(self, message):
+        """Record that an upstream ended shortly after a run had been given up."""
+        self._crash_checks.on_upstream_lost(message)
 
     def on_upstream_reached(self, upstream_id):
         """Record that a host reaches an upstream to which another could not connect."""
@@ -389,6 +424,7 @@
             )
             self._granted[request.request_id] = (grant, sender)
             self._emit(self.scheduler.adopt(request, grant, now_ms), now_ms)
+            self._crash_checks.on_adopted(request)
         self._signals.adopt(sender, message)
         is_present = sender in self._holders.queried
         self._retries.adopt(sender, message, now_ms, is_present)
@@ -415,6 +451,8 @@
     def forget_host(self, host_id):
         """Drop the requests, grants and pending report of a host that is gone."""
         now_ms = self._clock.now_ms()
+        self._crash_checks.on_host_lost(self._grants_of(host_id))
+        self._deferred.forget_host(host_id)
         self._emit(self.scheduler.forget_entry_host(host_id, now_ms), now_ms)
         self._retries.on_host_gone(host_id, now_ms)
         waiting = [queued.request for queued in self._queued.values()]
@@ -431,6 +469,9 @@
         if self._holders.forget(host_id):
             self._end_recovery(now_ms)
 
+    def _grants_of(self, host_id):
+        return [grant for grant, host in self._granted.values() if host == host_id]
+
     def _end_recovery(self, now_ms):
         """Decide by all grants; hosts that join later are asked beside that."""
         if self.recovered_ms is None:
@@ -443,6 +484,7 @@
         now_ms = self._clock.now_ms()
         self._holders.resend_if_due()
         self._crash_checks.tick()
+        self._review_deferred(now_ms)
         self._retries.tick(now_ms)
         self._emit(self.scheduler.tick(now_ms), now_ms)
         self._signals.log_suppressions()
@@ -450,6 +492,8 @@
     def set_upstreams(self, upstreams):
         """Set the pool's upstreams, as the platform lists them."""
         now_ms = self._clock.now_ms()
+        upstreams = tuple(upstreams)
+        self._crash_checks.on_upstreams(upstreams)
         self._emit(self.scheduler.set_upstreams(upstreams, now_ms), now_ms)
 
     def observe_load(self, report):
@@ -459,7 +503,7 @@
 
     def is_idle(self, idle_ms):
         """Return whether no request is open and none came within ``idle_ms``."""
-        if self._queued or self._granted:
+        if self._queued or self._granted or len(self._deferred):
             return False
         return self._clock.now_ms() - self._last_request_ms >= idle_ms
 
@@ -492,6 +536,7 @@
 
     def _refuse(self, request, code, retry_after_ms, reason, reserved_ms=0):
         """Send a refusal; the entry host logs it with its reason."""
+        self._crash_checks.on_ended(request)
         refusal = GrantRefusal(
             pool=self.pool,
             request_id=request.request_id,
--- a/libs/host/src/hemlockhoist/host/message_router.py
+++ b/libs/host/src/hemlockhoist/host/message_router.py
@@ -41,6 +41,7 @@
     ProbeAck,
     ProbeRequest,
     StreamTaken,
+    UpstreamLost,
     UpstreamReached,
     VersionHalted,
 )
@@ -127,6 +128,13 @@
         home.on_release(message, late_ms)
 
 
+@_handle.register
+def _(message: UpstreamLost, context, sender, late_ms):
+    home = context.homes.find(message.pool, message.is_alone)
+    if home is not None:
+        home.on_upstream_lost(message)
+
+
 @_handle.register
 def _(message: UpstreamReached, context, sender, late_ms):
     for home in context.homes.all_for_pool(message.pool):
--- a/libs/host/src/hemlockhoist/host/process.py
+++ b/libs/host/src/hemlockhoist/host/process.py
@@ -30,6 +30,7 @@
 from hemlockhoist.base.traces import Traces
 from hemlockhoist.decisions.quarantine import RequestFingerprints
 from hemlockhoist.declarations import Declarations
+from hemlockhoist.host.abandoned_checks import AbandonedChecks
 from hemlockhoist.host.callers import CallerDirectory
 from hemlockhoist.host.chat import ChatHandlers
 from hemlockhoist.host.configuration import ConfigurationService
@@ -211,8 +212,17 @@
             quarantine=context.quarantine,
             silent_ms=context.bus.silent_ms,
         )
+        context.abandoned_checks = AbandonedChecks(
+            lambda *call: context.upstreams.check_link(*call),
+            context.grants.report_lost,
+        )
         context.dispatcher = Dispatcher(
-            context.grants, clock, context.invariants, context.traces, context.metrics
+            context.grants,
+            clock,
+            context.invariants,
+            context.traces,
+            context.metrics,
+            context.abandoned_checks,
         )
         context.moves = MoveService(context, tables, send)
         context.configuration = ConfigurationService(
@@ -280,6 +290,7 @@
     async def _start_serving(self, context, tables):
         """Start to listen for callers, which determines this host's address."""
         await self._open(context.upstreams)
+        await self._open(context.abandoned_checks)
         chat = ChatHandlers(context)
         context.stream_readers = StreamReaders(context)
         self._exit_stack.push_async_callback(context.stream_readers.close)
--- a/libs/host/src/hemlockhoist/host/quarantine.py
+++ b/libs/host/src/hemlockhoist/host/quarantine.py
@@ -3,7 +3,11 @@
 from hemlockhoist.base import get_logger
 from hemlockhoist.base.metrics import Metrics
 from hemlockhoist.base.metrics_table import PARTS_BLOCKED, REQUESTS_KEPT_BACK
-from hemlockhoist.decisions.quarantine import Quarantine
+from hemlockhoist.decisions.quarantine import (
+    BLOCKED_CRASHES,
+    OpenCopies,
+    Quarantine,
+)
 from hemlockhoist.messages import PartRecords, PartState
 
 _log = get_logger("host.quarantine")
@@ -51,6 +55,7 @@
 
     __slots__ = (
         "_clock",
+        "_copies",
         "_metrics",
         "_other_hosts",
         "_quarantine",
@@ -74,6 +79,7 @@
         self._other_hosts = other_hosts
         self._metrics = metrics or Metrics(None)
         self._quarantine = Quarantine(host)
+        self._copies = OpenCopies()
         # The state of each part that was logged last.
         self._states = {}
         self.on_changed = lambda records: None
@@ -93,6 +99,10 @@
         """Return the record of a part; an empty one without evidence."""
         return self._quarantine.record_of(part)
 
+    def record_of_request(self, fingerprint):
+        """Return the record of a request; an empty one without evidence."""
+        return self._quarantine.requests.record_of(fingerprint)
+
     def on_request(self, request):
         """Count a request that came for the first time."""
         if request.is_new:
@@ -140,10 +150,45 @@
             fingerprint,
             is_retry or request.is_hedge,
             is_alone,
-            lambda: sum(item.fingerprint == fingerprint for item in open_requests()),
+            lambda: self._count_copies(request, open_requests),
             now_ms,
         )
 
+    def _count_copies(self, request, open_requests):
+        """Return how many other copies of a request wait, or are at an upstream.
+
+        Most requests have none, for which not all that is open is looked through.
+        """
+        fingerprint = request.fingerprint
+        if not self._copies.count(fingerprint):
+            return 0
+        copies = {
+            item.request_id
+            for item in open_requests()
+            if item.fingerprint == fingerprint
+        }
+        self._copies.set(fingerprint, copies)
+        return len(copies)
+
+    def on_admitted(self, request):
+        """Count a request that waits from now on, or is at an upstream."""
+        if request.fingerprint:
+            self._copies.add(request.fingerprint, request.request_id)
+
+    def on_adopted(self, request):
+        """Count a request that a previous home has sent.
+
+        One with more copies than an unknown request may have was known to that home.
+        """
+        self.on_admitted(request)
+        if self._copies.count(request.fingerprint) > BLOCKED_CRASHES:
+            now_ms = self._clock.now_ms()
+            self._quarantine.requests.trust(request.fingerprint, now_ms)
+
+    def on_ended(self, request):
+        """Count a request no longer, as it was refused or has ended."""
+        self._copies.discard(request.fingerprint, request.request_id)
+
     def on_sent(self, request):
         """Record that a request is sent to an upstream."""
         now_ms = self._clock.now_ms()
@@ -159,7 +204,7 @@
             self._publish(self._quarantine.on_answer(parts, self._clock.now_ms()))
 
     def on_answered_whole(self, fingerprint):
-        """Record that an upstream answered a request whole."""
+        """Record that an upstream answered a request whole, from its begin."""
         if fingerprint:
             now_ms = self._clock.now_ms()
             self._publish(self._quarantine.requests.on_answer(fingerprint, now_ms))
@@ -179,6 +224,11 @@
         changed = self._quarantine.on_crash(upstream_id, parts, now_ms, fingerprint)
         self._publish(changed)
 
+    def has_crashed_since(self, upstream_id, since_ms):
+        """Return whether an upstream has just ended, and not before ``since_ms``."""
+        now_ms = self._clock.now_ms()
+        return self._quarantine.has_crashed_since(upstream_id, since_ms, now_ms)
+
     def explains_crash(self, upstream_id):
         """Return whether a request is taken for the cause of an upstream's last end."""
         now_ms = self._clock.now_ms()
--- a/libs/host/src/hemlockhoist/host/services.py
+++ b/libs/host/src/hemlockhoist/host/services.py
@@ -174,7 +174,8 @@
 
     async def _exchange(self, hold, report):
         client = self._context.upstreams
-        async with client.dispatch(self._call(hold), report.guard) as answer:
+        report.call = self._call(hold)
+        async with client.dispatch(report.call, report.guard) as answer:
             check_response(answer, self._work.request_id)
             report.first_ms = self._context.clock.now_ms()
             body = await answer.read(MAX_RESPONSE_BYTES)
--- a/libs/host/src/hemlockhoist/host/tests/test_home_quarantine.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_home_quarantine.py
@@ -5,10 +5,13 @@
 from hemlockhoist.base import Clock, PlatformError, ResultCode, StoreConflict
 from hemlockhoist.base.testing import PausedTestCase
 from hemlockhoist.base.traces import Traces
-from hemlockhoist.decisions import Upstream
+from hemlockhoist.decisions import OutcomeKind, Upstream
+from hemlockhoist.decisions.quarantine.abandoned_runs import MAX_AGE_MS, UNKNOWN_MS
+from hemlockhoist.decisions.quarantine.whole_runs import WHOLE_RUNS_PER_CRASH
 from hemlockhoist.decisions.scheduling import PoolScheduler
 from hemlockhoist.declarations import Pool, PoolKind, Tier
 from hemlockhoist.host.crash_checks import ANSWER_WENT_ON_MS
+from hemlockhoist.host.deferred_requests import MAX_WAIT_MS
 from hemlockhoist.host.home import PoolHome
 from hemlockhoist.host.identity import HostIdentity
 from hemlockhoist.host.quarantine import (
@@ -18,15 +21,19 @@
 from hemlockhoist.host.quarantine_recorder import QuarantineRecorder
 from hemlockhoist.messages import (
     FirstToken,
+    GrantCancel,
+    GrantQueued,
     GrantRefusal,
     GrantRelease,
     GrantReply,
     GrantRequest,
+    HeldGrant,
     HeldGrants,
     PartRecord,
     PartRecords,
     PartState,
     RequestBrief,
+    UpstreamLost,
 )
 from hemlockhoist.store import Row
 
@@ -148,9 +155,61 @@
         first, second = self.send("a"), self.send("b")
         self.release(first, is_upstream_lost=True)
         self.assertIsInstance(self.send("c"), GrantReply)
-        self.assertIsInstance(self.send("d"), GrantRefusal)
+        self.assertIsInstance(self.send("d"), GrantQueued)
         self.release(second, outcome="success")
-        self.assertIsInstance(self.send("e"), GrantReply)
+        self.assertIsInstance(self.sent[-1], GrantReply)
+        self.assertEqual(self.sent[-1].request_id, "d")
+        self.assertIsInstance(self.send("e"), GrantQueued)
+
+    async def test_copies_are_refused_if_the_outcome_of_others_stays_unknown(self):
+        """Guards against callers who wait for the end of a long answer of others."""
+        for number in range(3):
+            self.assertIsInstance(self.send(f"r{number}"), GrantReply)
+        self.assertIsInstance(self.send("late"), GrantQueued)
+        self.assertIsInstance(self.send("left"), GrantQueued)
+        self.home.on_cancel(GrantCancel(pool="chat", request_id="left"))
+        await asyncio.sleep(MAX_WAIT_MS / 1000)
+        count = len(self.sent)
+        self.home.tick()
+        (refusal,) = self.sent[count:]
+        self.assertEqual(refusal.request_id, "late")
+        self.assertEqual(refusal.code, ResultCode.PART_SUSPECTED)
+        self.assertGreater(refusal.retry_after_ms, 0)
+
+    async def test_copies_of_a_sound_request_are_all_sent_after_the_first_answer(self):
+        """Guards against a popular request whose callers are refused at its begin."""
+        first = self.send("r0")
+        for number in range(1, 4):
+            self.send(f"r{number}")
+        self.release(first, outcome="success")
+        self.assertIsInstance(self.sent[-1], GrantReply)
+        self.assertIsInstance(self.send("r5"), GrantReply)
+        self.assertEqual(self.home.counts(), (0, 4))
+
+    async def test_popular_request_is_known_to_a_new_home_by_its_copies(self):
+        """Guards against a change of home that keeps a popular request back."""
+        brief = RequestBrief(
+            request_id="",
+            route="chat",
+            customer="one",
+            tier_rank=0,
+            deadline_in_ms=60_000,
+            first_token_in_ms=60_000,
+            fingerprint=REPEATED,
+        )
+        grants = tuple(
+            HeldGrant(
+                brief=msgspec.structs.replace(brief, request_id=f"r{number}"),
+                grant_id=f"before:chat:{number}",
+                upstream_id="a",
+                address="127.0.0.1:1",
+                version="v1",
+            )
+            for number in range(4)
+        )
+        held = HeldGrants(pool="chat", home_incarnation="i", grants=grants)
+        self.home.on_held_grants(ENTRY, held)
+        self.assertIsInstance(self.send("r5"), GrantReply)
 
     async def test_quota_is_not_charged_for_what_is_kept_back(self):
         await self.end_upstreams(3)
@@ -170,7 +229,8 @@
         quarantine.on_crash("u2", (), REPEATED)
         self.assertEqual(set(told), set(hosts))
         told.clear()
-        quarantine.on_answered_whole(REPEATED)
+        for _ in range(WHOLE_RUNS_PER_CRASH):
+            quarantine.on_answered_whole(REPEATED)
         self.assertEqual(set(told), set(hosts))
 
     async def test_new_home_is_told_of_first_ends(self):
@@ -192,6 +252,100 @@
         self.assertEqual(self.send("late").code, ResultCode.PART_BLOCKED)
 
 
+class AbandonedRunTests(HomeCase):
+    """Runs that were given up, and what becomes of their upstreams."""
+
+    def abandon(self, request_id, kind=OutcomeKind.CANCELLED):
+        """Send a request and give it up; return its grant."""
+        grant = self.request(request_id, parts=(), fingerprint=REPEATED)
+        self.release(grant, kind)
+        return grant
+
+    def release(self, grant, kind, **fields):
+        self.home.on_release(
+            GrantRelease(
+                pool="chat",
+                request_id=grant.request_id,
+                grant_id=grant.grant_id,
+                outcome=kind.value,
+                **fields,
+            )
+        )
+
+    def crash_count(self):
+        return len(self.quarantine.record_of_request(REPEATED).crashes)
+
+    async def test_end_that_another_request_shows_counts_for_given_up_runs(self):
+        """Guards against a caller who leaves before its request ends the upstream."""
+        for kind in (OutcomeKind.CANCELLED, OutcomeKind.TIMEOUT):
+            grant = self.abandon(f"r-{kind.value}", kind)
+            before = self.crash_count()
+            self.release_crash(grant.upstream_id)
+            self.assertEqual(self.crash_count(), before + 1)
+            await asyncio.sleep(2)
+
+    async def test_run_given_up_just_after_the_end_counts_too(self):
+        """Guards against a caller who leaves as the end is found out."""
+        grant = self.request("r1", parts=(), fingerprint=REPEATED)
+        self.quarantine.on_crash(grant.upstream_id, (), 99)
+        self.release(grant, OutcomeKind.CANCELLED)
+        self.assertEqual(self.crash_count(), 1)
+
+    async def test_end_long_after_a_run_was_given_up_does_not_count(self):
+        """Guards against requests that are blamed for what ends later."""
+        grant = self.abandon("r1")
+        await asyncio.sleep((MAX_AGE_MS + 10) / 1000)
+        self.home.tick()
+        self.release_crash(grant.upstream_id)
+        self.assertEqual(self.crash_count(), 0)
+
+    def release_crash(self, upstream_id):
+        message = UpstreamLost(
+            pool="chat", grant_id="another", upstream_id=upstream_id, fingerprint=99
+        )
+        self.home.on_upstream_lost(message)
+
+    async def test_given_up_runs_count_as_copies_until_their_fate_is_known(self):
+        """Guards against copies sent while the ends of the first ones are unknown."""
+        for number in range(3):
+            self.abandon(f"r{number}")
+        reply = self.request("r3", parts=(), fingerprint=REPEATED)
+        self.assertIsInstance(reply, GrantQueued)
+        await asyncio.sleep(MAX_WAIT_MS / 1000)
+        self.home.tick()
+        self.assertEqual(self.sent[-1].code, ResultCode.PART_SUSPECTED)
+        await asyncio.sleep((UNKNOWN_MS + 10) / 1000)
+        self.assertIsInstance(
+            self.request("r4", parts=(), fingerprint=REPEATED), GrantReply
+        )
+
+    async def test_runs_of_a_lost_host_count_as_given_up(self):
+        """Guards against a host that dies with the request that ends its upstream."""
+        grant = self.request("r1", parts=(), fingerprint=REPEATED)
+        self.home.forget_host(ENTRY)
+        self.release_crash(grant.upstream_id)
+        self.assertEqual(self.crash_count(), 1)
+
+    async def test_upstream_that_is_no_longer_listed_has_ended(self):
+        """Guards against an upstream that starts again before anybody looks."""
+        grant = self.abandon("r1")
+        names = [name for name in UPSTREAMS if name != grant.upstream_id]
+        self.set_upstreams(*names)
+        self.assertEqual(self.crash_count(), 1)
+
+    async def test_continuation_is_no_whole_run(self):
+        """Guards against the rest of an answer that speaks for its begin."""
+        self.quarantine.on_crash("a", (), REPEATED)
+        for number in range(2 * WHOLE_RUNS_PER_CRASH):
+            grant = self.request(f"r{number}", parts=(), fingerprint=REPEATED)
+            self.release(grant, OutcomeKind.SUCCESS, is_continued=True)
+        self.assertEqual(self.crash_count(), 1)
+        for number in range(WHOLE_RUNS_PER_CRASH):
+            grant = self.request(f"s{number}", parts=(), fingerprint=REPEATED)
+            self.release(grant, OutcomeKind.SUCCESS)
+        self.assertEqual(self.crash_count(), 0)
+
+
 class HomeTests(HomeCase):
     async def test_blocked_part_is_refused_and_told_to_all_hosts(self):
         await self.crash(3)
--- a/libs/messages/src/hemlockhoist/messages/__init__.py
+++ b/libs/messages/src/hemlockhoist/messages/__init__.py
@@ -47,6 +47,7 @@
     HomeTakeover,
     NotHome,
     RequestBrief,
+    UpstreamLost,
     UpstreamSignals,
 )
 from hemlockhoist.messages.ledger import (
@@ -174,6 +175,7 @@
     "StoreNews",
     "StoredAnswer",
     "StreamTaken",
+    "UpstreamLost",
     "UpstreamReached",
     "UpstreamSignals",
     "VersionHalted",
--- a/libs/messages/src/hemlockhoist/messages/codes.py
+++ b/libs/messages/src/hemlockhoist/messages/codes.py
@@ -61,6 +61,7 @@
     "PartRecords": 53,
     "PlacementQuery": 54,
     "PlacementReply": 55,
+    "UpstreamLost": 56,
 }
 
 
--- a/libs/messages/src/hemlockhoist/messages/grants.py
+++ b/libs/messages/src/hemlockhoist/messages/grants.py
@@ -227,7 +227,8 @@
     ``is_crash_suspect`` states whether the upstream ended before it had begun to answer
     the request, ``is_answered`` whether it began an answer and went on with it.
     ``is_overtaken`` states whether it was cancelled as a hedge answered first.
-    ``is_upstream_lost`` states whether the upstream ended at any place of the answer.
+    ``is_upstream_lost`` states whether the upstream ended at any place of the answer,
+    ``is_continued`` whether it was asked for the rest of an answer only.
     """
 
     pool: str
@@ -246,6 +247,24 @@
     is_answered: bool = False
     is_overtaken: bool = False
     is_upstream_lost: bool = False
+    is_continued: bool = False
+
+
+class UpstreamLost(
+    msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
+):
+    """Reports that an upstream ended shortly after a run of it had been given up.
+
+    ``fingerprint`` identifies the request, ``parts`` are those of its prompt if none of
+    its answer had come.
+    """
+
+    pool: str
+    grant_id: str
+    upstream_id: str
+    fingerprint: int
+    parts: tuple[int, ...] = ()
+    is_alone: bool = False
 
 
 class FirstToken(
--- a/libs/messages/src/hemlockhoist/messages/registry.py
+++ b/libs/messages/src/hemlockhoist/messages/registry.py
@@ -34,6 +34,7 @@
     HomeClosed,
     HomeTakeover,
     NotHome,
+    UpstreamLost,
 )
 from hemlockhoist.messages.ledger import (
     Handover,
@@ -120,6 +121,7 @@
     RelaySend,
     RelayedHead,
     StreamTaken,
+    UpstreamLost,
     UpstreamReached,
     VersionHalted,
 )
@@ -127,4 +129,4 @@
 # Types that hosts of the release before do not know. They reject a frame with such a
 # message as a whole, so it is sent in a frame of its own, without the sender's news of
 # the store.
-UNBATCHED_TYPES = frozenset({PlacementQuery, PlacementReply})
+UNBATCHED_TYPES = frozenset({PlacementQuery, PlacementReply, UpstreamLost})
--- a/libs/standins/src/hemlockhoist/standins/engine/app.py
+++ b/libs/standins/src/hemlockhoist/standins/engine/app.py
@@ -1,11 +1,12 @@
 """HTTP API of the simulated model engine."""
 
+import asyncio
 import uuid
 
 import msgspec
 from aiohttp import web
 
-from hemlockhoist.base import Clock
+from hemlockhoist.base import MS_PER_S, Clock
 from hemlockhoist.standins import answers
 from hemlockhoist.standins.engine import wire
 from hemlockhoist.standins.engine.core import EngineCore, EngineRequestFailed
@@ -138,6 +139,7 @@
             await stream.wait_for_more(offset)
             await response.write(wire.piece_event(stream, offset))
         await stream.wait_for_more(count)
+        await asyncio.sleep(self.core.faults.crash_delay_ms / MS_PER_S)
         await self._crash()
         return _abort(request, response)
 
--- a/libs/standins/src/hemlockhoist/standins/engine/faults.py
+++ b/libs/standins/src/hemlockhoist/standins/engine/faults.py
@@ -36,6 +36,8 @@
         The engine crashes as it answers a prompt with this text; empty for none ...
     crash_after_pieces : int
         ... after this many pieces ...
+    crash_delay_ms : int
+        ... and this time, whether or not anybody reads the answer, ...
     crash_down_ms : int
         ... and is back after this time, without its streams.
     state : str
@@ -58,6 +60,7 @@
     refuse_ms: int = 0
     crash_text: str = ""
     crash_after_pieces: int = 0
+    crash_delay_ms: int = 0
     crash_down_ms: int = 0
     state: str = "live"
     load_lag_ms: int = 0
--- a/libs/standins/src/hemlockhoist/standins/tests/test_end_to_end.py
+++ b/libs/standins/src/hemlockhoist/standins/tests/test_end_to_end.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 import pathlib
 import unittest
 
@@ -125,6 +126,24 @@
         await self.fleet.set_faults(self.engine, {})
         await self._assert_complete_answer()
 
+    def test_chat_whose_caller_leaves_crashes_three_engines_at_most(self):
+        """Guards against ends that nobody looks for once the caller has left."""
+        self.runner.run(self._leave_before_the_crash())
+
+    async def _leave_before_the_crash(self):
+        before = (await self.fleet.run_counts(self.engine))["crashes"]
+        faults = {"crash_text": "hurtful", "crash_delay_ms": 400, "crash_down_ms": 900}
+        await self.fleet.set_faults(self.engine, faults)
+        for _ in range(5):
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(0.2):
+                    await self.caller.chat(_MODEL, "hurtful", 8)
+            await asyncio.sleep(1.6)
+        counts = await self.fleet.run_counts(self.engine)
+        self.assertEqual(counts["crashes"] - before, 3)
+        await self.fleet.set_faults(self.engine, {})
+        await self._assert_complete_answer()
+
     def test_broken_streams_are_resumed(self):
         """
         Guards against cut or repeated output when the connection to an engine breaks
