--- a/libs/cli/src/hemlockhoist/cli/load.py
+++ b/libs/cli/src/hemlockhoist/cli/load.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from hemlockhoist.cli.accepting import AcceptingRow, read_accepting
+
 # A refused caller retries at about the time given by Retry-After. A request this much
 # earlier or later still counts as its retry. The homes use the same tolerances.
 EARLY_TOLERANCE_S = 0.1
@@ -92,6 +94,7 @@
     ranks: list[RankRow]
     upstreams: list[UpstreamRow]
     refusals: list[RefusalRow]
+    accepting: list[AcceptingRow]
 
 
 class _Request:
@@ -142,7 +145,7 @@
     ========
     >>> from hemlockhoist.cli.load import read_load
     >>> read_load([])
-    Load(ranks=[], upstreams=[], refusals=[])
+    Load(ranks=[], upstreams=[], refusals=[], accepting=[])
     """
     lines = sorted(lines, key=lambda line: line.timestamp)
     requests = collections.defaultdict(_Request)
@@ -159,6 +162,7 @@
         ranks=_rank_rows(requests, waits),
         upstreams=[_upstream_row(name, attempts[name]) for name in sorted(attempts)],
         refusals=_refusal_rows(requests.values()),
+        accepting=read_accepting(lines),
     )
 
 
--- a/libs/cli/src/hemlockhoist/cli/load_command.py
+++ b/libs/cli/src/hemlockhoist/cli/load_command.py
@@ -26,6 +26,7 @@
         ("By rank:", load.ranks),
         ("Refused:", load.refusals),
         ("By upstream:", load.upstreams),
+        ("Connections not taken:", load.accepting),
     ):
         text = format_table([_row_cells(row) for row in rows]) if rows else "none"
         parts += [title, text, ""]
--- a/libs/standins/src/hemlockhoist/standins/published/soak/checks.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/checks.py
@@ -7,6 +7,9 @@
 from hemlockhoist.standins.published.soak.config_checks import (
     find_declaration_violations,
 )
+from hemlockhoist.standins.published.soak.contact_checks import (
+    find_contact_violations,
+)
 from hemlockhoist.standins.published.soak.crash_checks import (
     find_blocked_innocents,
     find_crash_violations,
@@ -162,6 +165,19 @@
         self.violations += violations
         self.check_counts["calls of cut hosts"] += checked
 
+    def check_contacts(self, probes, outages):
+        """Check that hosts which said ready took new callers.
+
+        Parameters
+        ==========
+        probes : dict of str to list of ContactProbe
+        outages : list of (str, float, float)
+            Host, begin and end of each time in which it did not run normally.
+        """
+        violations, checked = find_contact_violations(probes, outages)
+        self.violations += violations
+        self.check_counts["contacts"] += checked
+
     def check_falls(self, spans):
         """Check that brittle replicas did not fall over too often.
 
--- a/libs/standins/src/hemlockhoist/standins/published/soak/faults.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/faults.py
@@ -11,6 +11,7 @@
 )
 from hemlockhoist.standins.published.soak.callers import BODY, REQUEST_KINDS, now_s
 from hemlockhoist.standins.published.soak.crash_checks import CrashSpan
+from hemlockhoist.standins.published.soak.crowd import Crowd, CrowdKind
 from hemlockhoist.standins.published.soak.cut_checks import CutSpan
 from hemlockhoist.standins.published.soak.fall_checks import BrittleSpan
 from hemlockhoist.standins.published.soak.limit_checks import LimitSpan
@@ -55,8 +56,9 @@
         Requests that ended each replica that ran them.
     """
 
-    def __init__(self, run, rng, names=(), crash_rng=None):
+    def __init__(self, run, rng, names=(), crash_rng=None, crowd_rng=None):
         self._crash_rng = crash_rng
+        self._crowd_rng = crowd_rng
         self.crash_spans = []
         self.repeated = []
         self._names = frozenset(names)
@@ -121,6 +123,8 @@
             self._tasks.add(asyncio.create_task(self.crash_on_parts(end_s)))
         elif self._has_crashing_requests():
             self._tasks.add(asyncio.create_task(self.crash_on_requests(end_s)))
+        if not self._names or self.crowd_hosts.__name__ in self._names:
+            self._tasks.add(asyncio.create_task(self.crowd_hosts(end_s)))
         if not self.fault_kinds:
             await asyncio.sleep(seconds)
         while now_s() < end_s:
@@ -349,6 +353,16 @@
             run.callers.repeated = None
             self._record_disturbance(begin_s)
 
+    async def crowd_hosts(self, end_s):
+        """Let callers crowd one host after the other with connections, until a time."""
+        rng = self._crowd_rng
+        while now_s() < end_s:
+            await asyncio.sleep(rng.uniform(1.0, 4.0))
+            host = rng.choice(self._run.hosts)
+            crowd = Crowd(host.address, rng.choice(tuple(CrowdKind)))
+            self.counts["crowd_hosts"] = self.counts.get("crowd_hosts", 0) + 1
+            await crowd.stay(rng.uniform(2.0, 6.0))
+
     async def cut_links(self):
         """Cut one or two hosts from one replica, from a service's or from all."""
         if self._has_cut:
--- a/libs/standins/src/hemlockhoist/standins/published/soak/hosts.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/hosts.py
@@ -27,9 +27,13 @@
 grace_s = {stop_s}
 revoke_ms = {revocation_ms}
 drain_ms = {drain_ms}
+[limits]
+file_descriptors = {descriptors}
 [platform]
 address = "{store}"
 """
+# With two thirds of a crowd of callers more, a host has no room.
+DESCRIPTORS = 460
 
 
 class HostProcess:
@@ -73,6 +77,7 @@
             relay_port=peer_port + 1,
             store=store_address,
             stop_s=STOP_MS / MS_PER_S,
+            descriptors=DESCRIPTORS,
             **bounds,
         )
         self._settings_path.write_text(text)
--- a/libs/standins/src/hemlockhoist/standins/published/soak/run.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/run.py
@@ -16,6 +16,7 @@
 from hemlockhoist.standins.published.soak.callers import Callers, now_s
 from hemlockhoist.standins.published.soak.checks import RunChecker
 from hemlockhoist.standins.published.soak.config_checks import DeclaredVersion
+from hemlockhoist.standins.published.soak.contact_checks import ContactProbes
 from hemlockhoist.standins.published.soak.faults import SoakFaults
 from hemlockhoist.standins.published.soak.hedge_checks import HEDGE_LOG_TEXT
 from hemlockhoist.standins.published.soak.hosts import START_TIMEOUT_S, HostProcess
@@ -133,7 +134,11 @@
             self._addresses, list(self._keys), CALLER_COUNT, self._rng
         )
         crash_rng = random.Random(f"crashes of {seed}")
-        self.faults = SoakFaults(self, self._rng, fault_names, crash_rng)
+        crowd_rng = random.Random(f"crowds of {seed}")
+        self.faults = SoakFaults(
+            self, self._rng, fault_names, crash_rng, crowd_rng=crowd_rng
+        )
+        self.contacts = None
         # Parts of prompts on which replicas that start crash too.
         self.crashing_parts = set()
         # Targets of requests on which they crash.
@@ -144,6 +149,7 @@
         async with self._exit_stack:
             await self._start()
             await self._open(self.callers)
+            self.contacts = await self._open(ContactProbes(self.hosts))
             await asyncio.sleep(0.5)
             await self.faults.inject(seconds, FAULT_INTERVAL_S)
             await self.faults.heal()
@@ -363,6 +369,7 @@
         checker.check_rests(replicas, faults.outages, DRAIN_MS)
         checker.check_cuts(faults.cut_spans, faults.outages)
         checker.check_falls(faults.brittle_spans)
+        checker.check_contacts(self.contacts.probes, faults.outages)
         checker.check_crashes(
             faults.crash_spans,
             replicas,
