Close an idle connection only for a caller who has come

Reading the change of descriptors again: a host at its limit of connections closed one idle connection a second, as it looked for room whenever it looked for callers.

--- a/libs/decisions/src/hemlockhoist/decisions/entry/connection_table.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/connection_table.py
@@ -70,7 +70,7 @@
     has_asked : bool
         Whether a whole head has ever come on it.
     is_beyond_limit : bool
-        Whether its requests are refused.
+        Whether there was no room for it when it was accepted.
     """
 
     __slots__ = (
@@ -81,10 +81,10 @@
         "since_ms",
     )
 
-    def __init__(self, address, since_ms, is_beyond_limit):
+    def __init__(self, address, since_ms):
         self.address = address
         self.since_ms = since_ms
-        self.is_beyond_limit = is_beyond_limit
+        self.is_beyond_limit = False
         self.open_requests = 0
         self.has_asked = False
 
@@ -135,10 +135,13 @@
 
     def add(self, key, address, now_ms):
         """Add a connection that was accepted."""
-        is_beyond_limit = bool(self.limit) and len(self) >= self.limit
-        self._connections[key] = CallerConnection(address, now_ms, is_beyond_limit)
+        self._connections[key] = CallerConnection(address, now_ms)
         self._by_address[address] += 1
 
+    def mark_beyond_limit(self, key):
+        """Record that no connection could make room for one that was accepted."""
+        self._connections[key].is_beyond_limit = True
+
     def remove(self, key):
         """Remove a connection that has ended."""
         connection = self._connections.pop(key, None)
@@ -163,14 +166,21 @@
             connection.since_ms = now_ms
 
     @property
-    def has_room(self):
-        """Whether one more connection is within the limit."""
-        return not self.limit or len(self) < self.limit
+    def may_accept(self):
+        """Whether one more connection may be accepted, if only to be refused."""
+        return not self.limit or len(self) < self.limit + MAX_REFUSED
 
     @property
-    def may_refuse(self):
-        """Whether one more connection may be accepted to refuse its requests."""
-        return len(self) < self.limit + MAX_REFUSED
+    def is_over_limit(self):
+        """Whether there are more connections than the limit allows."""
+        return bool(self.limit) and len(self) > self.limit
+
+    def refuses(self, key):
+        """Return whether a request on a connection is refused for want of room."""
+        connection = self._connections.get(key)
+        if connection is None or not connection.is_beyond_limit:
+            return False
+        return self.busy_count > self.limit
 
     def to_close_for_room(self, now_ms):
         """Return the key of the connection that makes room for a new one, or None."""
--- a/libs/entry/src/hemlockhoist/entry/caller_connections.py
+++ b/libs/entry/src/hemlockhoist/entry/caller_connections.py
@@ -67,27 +67,35 @@
         """How many connections callers may hold; 0 for no limit."""
         return self._table.limit
 
-    def has_room(self):
-        """Return whether one more connection may be accepted, closing an idle one."""
+    def may_accept(self):
+        """Return whether one more connection may be accepted, if only to be refused."""
         table = self._table
-        if table.has_room:
+        if table.may_accept:
             return True
         self._drop_ended()
-        if table.has_room:
+        if table.may_accept or self._close_one():
             return True
-        key = table.to_close_for_room(self._context.clock.now_ms())
+        self._update_full()
+        return False
+
+    def _close_one(self):
+        """Close an idle connection to make room; return whether there was one."""
+        key = self._table.to_close_for_room(self._context.clock.now_ms())
         if key is not None:
             self._close(key, _FOR_ROOM)
-            return True
-        self._update_full()
-        return table.may_refuse
+        return key is not None
 
     def on_accepted(self, transport):
-        """Add a connection that was accepted."""
-        peer = transport.get_extra_info("peername")
-        address = peer[0] if peer else ""
-        self._table.add(transport, address, self._context.clock.now_ms())
+        """Add a connection that was accepted, for which an idle one may have to go."""
+        table, peer = self._table, transport.get_extra_info("peername")
+        table.add(transport, peer[0] if peer else "", self._context.clock.now_ms())
         self._context.metrics.count(CALLERS_ACCEPTED)
+        if not table.is_over_limit:
+            return
+        self._drop_ended()
+        if table.is_over_limit and not self._close_one():
+            table.mark_beyond_limit(transport)
+            self._update_full()
 
     def on_accept_error(self, name):
         """Count an error of ``accept``."""
@@ -101,11 +109,6 @@
         """Record that a request has ended."""
         self._table.on_response(transport, self._context.clock.now_ms())
 
-    def is_beyond_limit(self, transport):
-        """Return whether requests on a connection are refused for want of room."""
-        connection = self._table.get(transport)
-        return connection is not None and connection.is_beyond_limit
-
     def check_room(self, transport):
         """Refuse a request on a connection that was accepted beyond the limit.
 
@@ -113,7 +116,7 @@
         ======
         Refused
         """
-        if self.is_beyond_limit(transport):
+        if self._table.refuses(transport):
             raise Refused("", ResultCode.CONNECTIONS_FULL, RETRY_AFTER_MS)
 
     def _sweep(self):
--- a/libs/entry/src/hemlockhoist/entry/servers.py
+++ b/libs/entry/src/hemlockhoist/entry/servers.py
@@ -99,7 +99,7 @@
             server,
             self._context.settings.caller_address,
             listener=self._listener,
-            room=connections.has_room,
+            room=connections.may_accept,
             on_accepted=connections.on_accepted,
             on_error=connections.on_accept_error,
         )
@@ -151,8 +151,6 @@
             self._connections.on_response(transport)
         context.metrics.count(REQUESTS_ENDED, code)
         self._close_if_leaving(response)
-        if self._connections.is_beyond_limit(transport) and not response.prepared:
-            response.force_close()
         return response
 
     async def _respond(self, request):
