Split the waiter and the release message out of the entry side of grants

Copies that wait in the home are called waiting copies, as deferral has another meaning in the glossary. 183 tests of host and messages pass.

--- a/libs/host/src/hemlockhoist/host/grant_hold.py
+++ b/libs/host/src/hemlockhoist/host/grant_hold.py
@@ -2,14 +2,17 @@
 
 import msgspec
 
+from hemlockhoist.decisions import Outcome, OutcomeKind
 from hemlockhoist.messages import (
     NO_LIMIT,
+    GrantRelease,
     HeldGrant,
     RequestBrief,
     UpstreamSignals,
 )
 
 NO_SIGNALS = UpstreamSignals()
+_NOT_SENT = Outcome(kind=OutcomeKind.NOT_SENT)
 
 
 class GrantHold(msgspec.Struct, frozen=True, kw_only=True):
@@ -81,3 +84,36 @@
         expires_ms=0,
         home=home,
     )
+
+
+def release_message(hold, kind, outcome, signals):
+    """Return the message that releases a grant.
+
+    Parameters
+    ==========
+    hold : GrantHold
+    kind : str
+        The value of an ``OutcomeKind``.
+    outcome : hemlockhoist.decisions.Outcome or None
+        None if nothing was sent under the grant.
+    signals : UpstreamSignals or None
+    """
+    outcome = outcome or _NOT_SENT
+    return GrantRelease(
+        pool=hold.pool,
+        request_id=hold.brief.request_id,
+        grant_id=hold.grant_id,
+        outcome=kind,
+        first_token_ms=outcome.first_token_ms,
+        total_ms=outcome.total_ms,
+        output_tokens=outcome.output_tokens,
+        cached_tokens=outcome.cached_tokens,
+        token_us=outcome.token_us,
+        signals=signals,
+        relay=outcome.relay,
+        is_crash_suspect=outcome.is_crash_suspect,
+        is_upstream_lost=outcome.is_upstream_lost,
+        is_answered=outcome.is_answered,
+        is_overtaken=outcome.is_overtaken,
+        is_continued=outcome.is_continued,
+    )
--- a/libs/host/src/hemlockhoist/host/grants.py
+++ b/libs/host/src/hemlockhoist/host/grants.py
@@ -11,15 +11,16 @@
     GrantHold,
     held_grant_message,
     hold_from_reply,
+    release_message,
     signals_for_home,
 )
+from hemlockhoist.host.grant_waiter import RESEND, GrantWaiter
 from hemlockhoist.host.outdated import outdated_message
 from hemlockhoist.messages import (
     FirstToken,
     GrantCancel,
     GrantQueued,
     GrantRefusal,
-    GrantRelease,
     GrantReply,
     GrantRequest,
     HeldGrantIds,
@@ -56,42 +57,6 @@
 RETRY_AFTER_MS = 1_000
 
 
-# Put into a waiter's inbox in place of a reply to have its request checked and sent
-# again at once: the home of its pool has changed, or this host refuses its requests.
-_RESEND = object()
-
-
-class _Waiter:
-    """A request that waits for a grant."""
-
-    __slots__ = (
-        "home_hint",
-        "inbox",
-        "is_alone",
-        "is_hedge",
-        "last_reply_ms",
-        "next_request_ms",
-        "pool",
-        "queried_home",
-        "request_id",
-        "timeouts_since_reply",
-        "unanswered",
-    )
-
-    def __init__(self, pool, brief):
-        self.pool = pool
-        self.request_id = brief.request_id
-        self.is_hedge = brief.is_hedge
-        self.queried_home = ""
-        self.home_hint = ""
-        self.unanswered = 0
-        self.timeouts_since_reply = 0
-        self.is_alone = False
-        self.next_request_ms = 0
-        self.last_reply_ms = 0
-        self.inbox = asyncio.Queue()
-
-
 class GrantClient:
     """Acquires and releases grants for the requests of this host.
 
@@ -202,7 +167,7 @@
         """
         self._refusal = (code, retry_after_ms)
         for waiter in self._waiters.values():
-            waiter.inbox.put_nowait((_RESEND, 0))
+            waiter.inbox.put_nowait((RESEND, 0))
 
     async def acquire(self, pool, brief, deadline_ms):
         """Wait for a grant.
@@ -225,7 +190,7 @@
             Nothing was sent to an upstream.
         """
         now_ms = self._clock.now_ms()
-        waiter = _Waiter(pool, brief(now_ms))
+        waiter = GrantWaiter(pool, brief(now_ms))
         self._waiters[waiter.request_id] = waiter
         home = ""
         granted = False
@@ -306,7 +271,7 @@
         """
         now_ms = self._clock.now_ms()
         waiter.unanswered = 0
-        if message is _RESEND:
+        if message is RESEND:
             waiter.next_request_ms = now_ms
             return None
         waiter.last_reply_ms = now_ms
@@ -491,25 +456,7 @@
         self._send_release(hold, "not_sent", None)
 
     def _send_release(self, hold, kind, outcome, signals=None):
-        message = GrantRelease(
-            pool=hold.pool,
-            request_id=hold.brief.request_id,
-            grant_id=hold.grant_id,
-            outcome=kind,
-            first_token_ms=outcome.first_token_ms if outcome else -1,
-            total_ms=outcome.total_ms if outcome else -1,
-            output_tokens=outcome.output_tokens if outcome else 0,
-            cached_tokens=outcome.cached_tokens if outcome else 0,
-            token_us=outcome.token_us if outcome else -1,
-            signals=signals,
-            relay=outcome.relay if outcome else "",
-            is_crash_suspect=outcome.is_crash_suspect if outcome else False,
-            is_upstream_lost=outcome.is_upstream_lost if outcome else False,
-            is_answered=outcome.is_answered if outcome else False,
-            is_overtaken=outcome.is_overtaken if outcome else False,
-            is_continued=outcome.is_continued if outcome else False,
-        )
-        self._notify_homes(hold, message)
+        self._notify_homes(hold, release_message(hold, kind, outcome, signals))
 
     def on_message(self, message, late_ms, sender=""):
         """Handle a home's reply.
@@ -533,7 +480,7 @@
         """Send requests that wait at a previous home to the new one at once."""
         for waiter in self._waiters.values():
             if waiter.queried_home != self._home_of(waiter.pool):
-                waiter.inbox.put_nowait((_RESEND, 0))
+                waiter.inbox.put_nowait((RESEND, 0))
 
     def report_held(self, pool, home_incarnation, home):
         """Return the grants held here, in reply to a new home's query.
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -14,13 +14,13 @@
     WorkRequest,
 )
 from hemlockhoist.host.crash_checks import CrashChecks
-from hemlockhoist.host.deferred_requests import MAX_WAIT_MS, DeferredRequests
 from hemlockhoist.host.gates import AllowAllGate
 from hemlockhoist.host.home_dry_run import dry_run_request
 from hemlockhoist.host.home_retries import HomeRetries
 from hemlockhoist.host.home_signals import HomeSignals
 from hemlockhoist.host.quarantine import QuarantineService
 from hemlockhoist.host.takeover import HolderQueries
+from hemlockhoist.host.waiting_copies import MAX_WAIT_MS, WaitingCopies
 from hemlockhoist.host.work_requests import work_request
 from hemlockhoist.messages import (
     GrantQueued,
@@ -84,7 +84,7 @@
         "_cached_elsewhere_tokens",
         "_crash_checks",
         "_clock",
-        "_deferred",
+        "_copies",
         "_gate",
         "_granted",
         "_holders",
@@ -144,7 +144,7 @@
         self._signals = HomeSignals(pool, scheduler, clock, self._metrics, on_leaving)
         self._retries = HomeRetries(pool, scheduler, self._metrics)
         self._cached_elsewhere_tokens = {}
-        self._deferred = DeferredRequests()
+        self._copies = WaitingCopies()
         self._queued = {}
         self._granted = {}
         self._spans = {}
@@ -188,7 +188,7 @@
         """Stop issuing grants and refer queued requests to the new home."""
         if new_home:
             self._send(new_home, HomeClosed(pool=self.pool))
-        for waiting in (*self._queued.values(), *self._deferred.clear()):
+        for waiting in (*self._queued.values(), *self._copies.clear()):
             request = waiting.request
             self._send_not_home(request.entry_host, request.request_id, new_home)
         self._queued.clear()
@@ -216,7 +216,7 @@
             self._reconnect(sender)
             self._resend(sender, granted[0])
             return
-        if brief.request_id in self._queued or brief.request_id in self._deferred:
+        if brief.request_id in self._queued or brief.request_id in self._copies:
             self._send(sender, self._queued_message(brief.request_id))
             return
         now_ms = self._last_request_ms = self._clock.now_ms()
@@ -225,20 +225,20 @@
         kept_back = self._crash_checks.kept_back(request)
         if kept_back is None:
             self._submit(brief, request, now_ms)
-        elif kept_back.may_pass and self._deferred.add(brief, request, now_ms):
+        elif kept_back.may_pass and self._copies.add(brief, request, now_ms):
             self._send(sender, self._queued_message(brief.request_id))
         else:
             self._refuse_kept_back(request, kept_back)
 
-    def _review_deferred(self, now_ms):
-        """Submit the deferred requests that may be sent now, refuse those that can't."""
-        for item in self._deferred:
+    def _review_copies(self, now_ms):
+        """Submit the copies that may be sent now, refuse those that have waited long."""
+        for item in self._copies:
             request = item.request
             kept_back = self._crash_checks.kept_back(request)
             is_due = now_ms - item.since_ms >= MAX_WAIT_MS
             if kept_back is not None and kept_back.may_pass and not is_due:
                 continue
-            self._deferred.remove(request.request_id)
+            self._copies.remove(request.request_id)
             if kept_back is None:
                 self._submit(item.brief, request, now_ms)
             else:
@@ -327,7 +327,7 @@
     def on_cancel(self, message):
         """Drop a request whose caller has disconnected."""
         now_ms = self._clock.now_ms()
-        self._deferred.remove(message.request_id)
+        self._copies.remove(message.request_id)
         self._remove_queued(message.request_id, now_ms)
         self._end_span(message.request_id, cancelled=True)
         self._emit(self.scheduler.cancel(message.request_id, now_ms), now_ms)
@@ -372,7 +372,7 @@
         # Before the release, which may give the slot to another such request.
         self._crash_checks.on_release(message)
         self._release(message.grant_id, message.request_id, outcome, now_ms)
-        self._review_deferred(now_ms)
+        self._review_copies(now_ms)
 
     def on_upstream_lost(self, message):
         """Record that an upstream ended shortly after a run had been given up."""
@@ -452,7 +452,7 @@
         """Drop the requests, grants and pending report of a host that is gone."""
         now_ms = self._clock.now_ms()
         self._crash_checks.on_host_lost(self._grants_of(host_id))
-        self._deferred.forget_host(host_id)
+        self._copies.forget_host(host_id)
         self._emit(self.scheduler.forget_entry_host(host_id, now_ms), now_ms)
         self._retries.on_host_gone(host_id, now_ms)
         waiting = [queued.request for queued in self._queued.values()]
@@ -484,7 +484,7 @@
         now_ms = self._clock.now_ms()
         self._holders.resend_if_due()
         self._crash_checks.tick()
-        self._review_deferred(now_ms)
+        self._review_copies(now_ms)
         self._retries.tick(now_ms)
         self._emit(self.scheduler.tick(now_ms), now_ms)
         self._signals.log_suppressions()
@@ -503,7 +503,7 @@
 
     def is_idle(self, idle_ms):
         """Return whether no request is open and none came within ``idle_ms``."""
-        if self._queued or self._granted or len(self._deferred):
+        if self._queued or self._granted or len(self._copies):
             return False
         return self._clock.now_ms() - self._last_request_ms >= idle_ms
 
--- a/libs/host/src/hemlockhoist/host/tests/test_home_quarantine.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_home_quarantine.py
@@ -11,7 +11,6 @@
 from hemlockhoist.decisions.scheduling import PoolScheduler
 from hemlockhoist.declarations import Pool, PoolKind, Tier
 from hemlockhoist.host.crash_checks import ANSWER_WENT_ON_MS
-from hemlockhoist.host.deferred_requests import MAX_WAIT_MS
 from hemlockhoist.host.home import PoolHome
 from hemlockhoist.host.identity import HostIdentity
 from hemlockhoist.host.quarantine import (
@@ -19,6 +18,7 @@
     QuarantineService,
 )
 from hemlockhoist.host.quarantine_recorder import QuarantineRecorder
+from hemlockhoist.host.waiting_copies import MAX_WAIT_MS
 from hemlockhoist.messages import (
     FirstToken,
     GrantCancel,
--- a/libs/host/src/hemlockhoist/host/deferred_requests.py
+++ b/libs/host/src/hemlockhoist/host/waiting_copies.py
@@ -1,4 +1,4 @@
-"""Requests that wait until it is known what copies of them do to upstreams."""
+"""Copies of requests that wait for the outcome of others at upstreams."""
 
 import msgspec
 
@@ -8,10 +8,10 @@
 # A copy that is answered, or ends its upstream, mostly does so within this time. A
 # caller that waits for less than that is better off than one that has to come back.
 MAX_WAIT_MS = 500
-MAX_DEFERRED = 1_024
+MAX_COPIES = 1_024
 
 
-class DeferredRequest(msgspec.Struct, frozen=True):
+class WaitingCopy(msgspec.Struct, frozen=True):
     """A request that is not submitted yet.
 
     Parameters
@@ -27,7 +27,7 @@
     since_ms: int
 
 
-class DeferredRequests:
+class WaitingCopies:
     """Holds copies of requests beside others of which the outcome is not known.
 
     Load: many callers send the same sound request at the same time, which has not been
@@ -50,9 +50,9 @@
 
     def add(self, brief, request, now_ms):
         """Add a request; return whether there was room for it."""
-        if len(self) >= MAX_DEFERRED:
+        if len(self) >= MAX_COPIES:
             return False
-        self._by_id[request.request_id] = DeferredRequest(brief, request, now_ms)
+        self._by_id[request.request_id] = WaitingCopy(brief, request, now_ms)
         return True
 
     def remove(self, request_id):
