Hold an end against a given-up run only as long as its upstream is watched

A run that was given up counted against its request if its upstream ended up to 3 s later. Where upstreams end often for other reasons, that blames requests whose runs are long over: most upstreams drop a run as its connection closes. Now 1.2 s, as long as the entry host looks; that the row of an upstream goes shows later, and keeps 3 s. test_home_quarantine asks for both.

--- a/libs/decisions/src/hemlockhoist/decisions/quarantine/abandoned_runs.py
+++ b/libs/decisions/src/hemlockhoist/decisions/quarantine/abandoned_runs.py
@@ -7,8 +7,8 @@
 # The entry host looks at the upstream twice by then; until then a run counts as a copy
 # that is on its way.
 UNKNOWN_MS = 1_200
-# A run that nobody waits for may go on at its upstream. An end after this long is not
-# held against it.
+# A run that nobody waits for may go on at its upstream: an end within ``UNKNOWN_MS`` is
+# held against it. That an upstream is no longer listed shows later than its end.
 MAX_AGE_MS = 3 * MS_PER_S
 MAX_RUNS = 4_096
 
@@ -73,12 +73,20 @@
         """Remove and return the ``AbandonedRun`` of a grant, or None."""
         return self._runs.pop(grant_id, None)
 
-    def take_at(self, upstream_id):
-        """Remove and return the runs at an upstream that has just ended."""
+    def take_at(self, upstream_id, now_ms, within_ms):
+        """Remove and return the runs at an upstream that were just given up.
+
+        Parameters
+        ==========
+        upstream_id : str
+            It has ended.
+        now_ms, within_ms : int
+            Runs that were given up longer ago are not to blame for it.
+        """
         found = [
             grant_id
             for grant_id, run in self._runs.items()
-            if run.upstream_id == upstream_id
+            if run.upstream_id == upstream_id and now_ms - run.ended_ms <= within_ms
         ]
         return [self._runs.pop(grant_id) for grant_id in found]
 
--- a/libs/host/src/hemlockhoist/host/crash_checks.py
+++ b/libs/host/src/hemlockhoist/host/crash_checks.py
@@ -4,6 +4,7 @@
 
 from hemlockhoist.decisions import OutcomeKind, UpstreamState
 from hemlockhoist.decisions.quarantine import AbandonedRuns
+from hemlockhoist.decisions.quarantine.abandoned_runs import MAX_AGE_MS, UNKNOWN_MS
 
 # An answer that goes on for so long after it began has not crashed its upstream.
 ANSWER_WENT_ON_MS = 500
@@ -148,7 +149,11 @@
     def _on_crash(self, upstream_id, parts, fingerprint):
         """Record that an upstream ended under a request, and under abandoned ones."""
         self._quarantine.on_crash(upstream_id, parts, fingerprint)
-        for run in self._abandoned.take_at(upstream_id):
+        self._charge_abandoned(upstream_id, UNKNOWN_MS)
+
+    def _charge_abandoned(self, upstream_id, within_ms):
+        now_ms = self._clock.now_ms()
+        for run in self._abandoned.take_at(upstream_id, now_ms, within_ms):
             self._charge(run)
 
     def _charge(self, run):
@@ -184,8 +189,7 @@
         if not listed:
             return
         for upstream_id in self._live - listed:
-            for run in self._abandoned.take_at(upstream_id):
-                self._charge(run)
+            self._charge_abandoned(upstream_id, MAX_AGE_MS)
         self._live = frozenset(
             item.upstream_id for item in upstreams if item.state is UpstreamState.LIVE
         )
--- a/libs/host/src/hemlockhoist/host/tests/test_home_quarantine.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_home_quarantine.py
@@ -294,8 +294,7 @@
     async def test_end_long_after_a_run_was_given_up_does_not_count(self):
         """Guards against requests that are blamed for what ends later."""
         grant = self.abandon("r1")
-        await asyncio.sleep((MAX_AGE_MS + 10) / 1000)
-        self.home.tick()
+        await asyncio.sleep((UNKNOWN_MS + 10) / 1000)
         self.release_crash(grant.upstream_id)
         self.assertEqual(self.crash_count(), 0)
 
@@ -328,10 +327,14 @@
 
     async def test_upstream_that_is_no_longer_listed_has_ended(self):
         """Guards against an upstream that starts again before anybody looks."""
-        grant = self.abandon("r1")
-        names = [name for name in UPSTREAMS if name != grant.upstream_id]
-        self.set_upstreams(*names)
-        self.assertEqual(self.crash_count(), 1)
+        for gone_after_ms, expected in ((MAX_AGE_MS - 10, 1), (MAX_AGE_MS + 10, 1)):
+            self.set_upstreams(*UPSTREAMS)
+            grant = self.abandon(f"r{gone_after_ms}")
+            await asyncio.sleep(gone_after_ms / 1000)
+            self.home.tick()
+            names = [name for name in UPSTREAMS if name != grant.upstream_id]
+            self.set_upstreams(*names)
+            self.assertEqual(self.crash_count(), expected)
 
     async def test_continuation_is_no_whole_run(self):
         """Guards against the rest of an answer that speaks for its begin."""
