Let copies wait for up to two seconds for the outcome of others

A sound call whose copies come at once and whose first answer takes over half a second was refused for the fourth copy on. They wait for up to 2 s now, and go with the first whole answer; a copy that ends its upstream still ends the wait at once.

--- a/libs/host/src/hemlockhoist/host/waiting_copies.py
+++ b/libs/host/src/hemlockhoist/host/waiting_copies.py
@@ -5,9 +5,9 @@
 from hemlockhoist.decisions import WorkRequest
 from hemlockhoist.messages import RequestBrief
 
-# A copy that is answered, or ends its upstream, mostly does so within this time. A
+# A call that is answered, or ends its upstream, mostly does so within this time. A
 # caller that waits for less than that is better off than one that has to come back.
-MAX_WAIT_MS = 500
+MAX_WAIT_MS = 2_000
 MAX_COPIES = 1_024
 
 
