Go on trying to open a listener again whose address is in use

Read again: the second try called the event loop with the closed socket and failed with a ValueError, which the periodic check logged each second for ever. The socket is taken off the loop once. test_address_in_use_is_tried_until_it_is_free fails on the code before.

--- a/libs/listeners/src/hemlockhoist/listeners/acceptor.py
+++ b/libs/listeners/src/hemlockhoist/listeners/acceptor.py
@@ -228,10 +228,11 @@
         self._accept_ready()
 
     def _open_again(self, reason):
-        """Replace a socket that no longer listens."""
-        self._pause_reading()
-        self._listener.close()
-        _log.error("listener_lost", listener=self._name, reason=reason)
+        """Replace a socket that no longer listens, which may be closed already."""
+        if self._listener.fileno() >= 0:
+            _log.error("listener_lost", listener=self._name, reason=reason)
+            self._pause_reading()
+            self._listener.close()
         ip, _, port = self._address.rpartition(":")
         try:
             self._listener = open_listener(ip, int(port))
--- a/libs/listeners/src/hemlockhoist/listeners/tests/test_listeners.py
+++ b/libs/listeners/src/hemlockhoist/listeners/tests/test_listeners.py
@@ -68,6 +68,16 @@
         await asyncio.sleep(0.2)
         self.assertTrue(await answered(self.address))
 
+    async def test_address_in_use_is_tried_until_it_is_free(self):
+        """Guards against a listener that is given up as it can't be opened at once."""
+        with socket.socket(fileno=socket.dup(self.listener.fileno())) as other:
+            other.shutdown(socket.SHUT_RD)
+            with socket.create_server(self.address, reuse_port=False):
+                await asyncio.sleep(1.2)
+                self.assertFalse(await answered(self.address))
+        await asyncio.sleep(1.2)
+        self.assertTrue(await answered(self.address))
+
     async def test_queue_for_new_connections_keeps_its_length(self):
         """Guards against callers whose first packet is dropped, and repeated late."""
         state = self.listener.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 104)
