Report a home that was just heard only after four missed replies

A home that was heard within 2 s is reported after four unanswered requests (0.48 s), another one after two, as before. That replaces the check of 0.24 s of silence, which a home with few messages for a host did not pass.

--- a/libs/host/src/hemlockhoist/host/grants.py
+++ b/libs/host/src/hemlockhoist/host/grants.py
@@ -40,6 +40,9 @@
 # it is frozen, partitioned or dead, and the next home should take over the pool. A
 # single message may simply be lost.
 MAX_UNANSWERED = 2
+# ... and of those to a home that was just heard: its replies may be late. A pool that
+# moves to another home grants little until hosts have reported to that.
+MAX_UNANSWERED_IF_HEARD = 4
 # Number of consecutive requests without a reply from any home after which the entry
 # host turns to its own standby home. With RESEND_MS, a caller then waits less than half
 # a second for a home that is frozen or partitioned, whatever its state at other hosts.
@@ -300,12 +303,15 @@
         """Record a missing reply; report the home after several in a row."""
         waiter.unanswered += 1
         waiter.timeouts_since_reply += 1
-        if waiter.queried_home:
-            self._reconnect(waiter.queried_home)
-        if waiter.queried_home and waiter.unanswered == MAX_UNANSWERED:
+        home = waiter.queried_home
+        if not home:
+            return
+        self._reconnect(home)
+        was_heard = self._was_heard(home, HEARD_WITHIN_MS)
+        limit = MAX_UNANSWERED_IF_HEARD if was_heard else MAX_UNANSWERED
+        if waiter.unanswered >= limit:
             waiter.unanswered = 0
-            if not self._was_heard(waiter.queried_home, MAX_UNANSWERED * RESEND_MS):
-                self._on_unresponsive(waiter.queried_home)
+            self._on_unresponsive(home)
 
     async def _next_reply(self, waiter, until_ms):
         wait_s = max(0, until_ms - self._clock.now_ms()) / MS_PER_S
