--- a/libs/listeners/src/hemlockhoist/listeners/acceptor.py
+++ b/libs/listeners/src/hemlockhoist/listeners/acceptor.py
@@ -112,7 +112,14 @@
     @property
     def is_accepting(self):
         """Whether new connections are accepted as they come."""
-        return self._resume is None and not self._is_long and not self._is_stopped
+        if not self._is_open or self._is_stopped:
+            return False
+        return self._resume is None and not self._is_long
+
+    @property
+    def _is_open(self):
+        """Whether there is a socket, which there is not if none could be opened."""
+        return self._listener is not None and self._listener.fileno() >= 0
 
     @property
     def waiting_count(self):
@@ -143,7 +150,8 @@
         if self._listener is None or self._is_stopped:
             return
         await self._checks.close()
-        self._accept_ready()
+        if self._is_open:
+            self._accept_ready()
         self._is_stopped = True
         self._pause_reading()
         if self._resume is not None:
@@ -158,7 +166,8 @@
         await asyncio.gather(*self._connecting, return_exceptions=True)
 
     def _pause_reading(self):
-        self._loop.remove_reader(self._listener)
+        if self._is_open:
+            self._loop.remove_reader(self._listener)
 
     def _accept_ready(self):
         for _ in range(MAX_AT_ONCE):
@@ -224,12 +233,13 @@
 
     def _go_on(self):
         self._resume = None
-        self._loop.add_reader(self._listener, self._accept_ready)
-        self._accept_ready()
+        if self._is_open:
+            self._loop.add_reader(self._listener, self._accept_ready)
+            self._accept_ready()
 
     def _open_again(self, reason):
         """Replace a socket that no longer listens, which may be closed already."""
-        if self._listener.fileno() >= 0:
+        if self._is_open:
             _log.error("listener_lost", listener=self._name, reason=reason)
             self._pause_reading()
             self._listener.close()
--- a/libs/listeners/src/hemlockhoist/listeners/tests/test_listeners.py
+++ b/libs/listeners/src/hemlockhoist/listeners/tests/test_listeners.py
@@ -75,8 +75,19 @@
             with socket.create_server(self.address, reuse_port=False):
                 await asyncio.sleep(1.2)
                 self.assertFalse(await answered(self.address))
+                self.assertFalse(self.http.acceptor.is_accepting)
         await asyncio.sleep(1.2)
         self.assertTrue(await answered(self.address))
+        self.assertTrue(self.http.acceptor.is_accepting)
+
+    async def test_host_stops_without_a_listener(self):
+        """Guards against a planned stop that fails as no listener could be opened."""
+        with socket.socket(fileno=socket.dup(self.listener.fileno())) as other:
+            other.shutdown(socket.SHUT_RD)
+            with socket.create_server(self.address, reuse_port=False):
+                await asyncio.sleep(1.2)
+                await self.http.stop_listening()
+        self.assertFalse(self.http.acceptor.is_accepting)
 
     async def test_queue_for_new_connections_keeps_its_length(self):
         """Guards against callers whose first packet is dropped, and repeated late."""
