Name abandoned runs the same everywhere, and drop a measured rate from a comment

Reading the change as a newcomer: the same runs were called given up in two modules, where is_given_up has another meaning for an attempt, and a constant's comment told a measured rate, which stands on the design page. No change of behaviour; the modules' tests pass.

--- a/libs/decisions/src/hemlockhoist/decisions/quarantine/whole_runs.py
+++ b/libs/decisions/src/hemlockhoist/decisions/quarantine/whole_runs.py
@@ -4,13 +4,12 @@
 
 from hemlockhoist.base import MS_PER_S
 
-# A crash that a sound request was beside by chance is outweighed by so many whole runs.
-# One that ends its upstream in two of three runs has so many before its third crash once
-# in a thousand times.
+# A sound request soon has so many between two crashes that it was beside by chance, one
+# that ends most of its runs hardly ever.
 WHOLE_RUNS_PER_CRASH = 8
-# Beyond this, whole runs of before say nothing: a request may begin to crash upstreams.
+# More whole runs than that do not count: a request may begin to crash upstreams.
 MAX_WHOLE_RUNS = 2 * WHOLE_RUNS_PER_CRASH
-# Whole runs speak for a request for this long after the last one.
+# Whole runs count for a request for this long after the last one.
 RECENT_MS = 2 * MS_PER_S
 # Upstreams of a failure domain that end together end for one reason.
 SAME_MOMENT_MS = 500
--- a/libs/entry/src/hemlockhoist/entry/attempt_reporter.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt_reporter.py
@@ -10,7 +10,7 @@
 
 # An upstream that still runs, or has ended, is found out within some milliseconds.
 MAX_REPORT_WAIT_MS = 1_000
-_GIVEN_UP = frozenset({OutcomeKind.CANCELLED, OutcomeKind.TIMEOUT})
+_ABANDONED = frozenset({OutcomeKind.CANCELLED, OutcomeKind.TIMEOUT})
 
 
 class AttemptReporter:
@@ -85,7 +85,7 @@
     def _watch_upstream(self, attempt):
         """Look at the upstream of a run that was given up, as it may end on it."""
         is_sent = attempt.guard.dispatched and not attempt.is_misdirected
-        if is_sent and attempt.kind in _GIVEN_UP:
+        if is_sent and attempt.kind in _ABANDONED:
             call = self._upstream_call(attempt)
             is_relayed = bool(attempt.guard.relay)
             self._context.abandoned_checks.add(
--- a/libs/host/src/hemlockhoist/host/dispatcher.py
+++ b/libs/host/src/hemlockhoist/host/dispatcher.py
@@ -22,7 +22,7 @@
 _log = get_logger("host.dispatcher")
 
 _LOST_KINDS = frozenset({OutcomeKind.BROKE_OFF, OutcomeKind.TIMEOUT})
-_GIVEN_UP = frozenset({OutcomeKind.CANCELLED, OutcomeKind.TIMEOUT})
+_ABANDONED = frozenset({OutcomeKind.CANCELLED, OutcomeKind.TIMEOUT})
 _OUTCOME_KINDS = {
     ResultCode.CONNECT_FAILED: OutcomeKind.CONNECT_FAILED,
     ResultCode.LINK_LOST: OutcomeKind.LINK_FAILED,
@@ -163,9 +163,9 @@
         )
 
     @property
-    def is_given_up(self):
+    def is_abandoned(self):
         """Whether its upstream may go on with a request that nobody waits for."""
-        return self.call is not None and self.kind in _GIVEN_UP
+        return self.call is not None and self.kind in _ABANDONED
 
 
 class Dispatcher:
@@ -272,7 +272,7 @@
             del self._guards[hold.grant_id]
             outcome = report.outcome(self._clock.now_ms())
             self._grants.release(hold, outcome)
-            if guard.dispatched and report.is_given_up:
+            if guard.dispatched and report.is_abandoned:
                 is_begun, is_relayed = report.first_ms is not None, bool(guard.relay)
                 self._abandoned_checks.add(hold, report.call, is_begun, is_relayed)
             self._record_metrics(work, report)
