--- a/libs/decisions/src/hemlockhoist/decisions/quarantine/tests/test_crashing_requests.py
+++ b/libs/decisions/src/hemlockhoist/decisions/quarantine/tests/test_crashing_requests.py
@@ -117,7 +117,7 @@
         self.assertIsNotNone(self.kept_back(OTHER))
 
     def test_popular_request_is_kept_back_on_no_seed(self):
-        """Plays a request in flight at each of 16 upstreams, of which some end."""
+        """Plays a request with six other copies open, whose upstreams end now and then."""
         for seed in range(200):
             with self.subTest(seed=seed):
                 self.assertEqual(self.play_popular(random.Random(seed)), 0)
