Count only attempts that may have run as earlier ones of a request

The number of the attempt, which only the evidence on crashes reads, counted all that was sent. Likewise what an upstream refused as not run.

Ruled out: hosts that decide alone (the home of the log stands), the load on the callers alone (the refusal is by the number).

Change: an attempt that the upstream says for certain that it did not run isn't counted.

--- a/libs/entry/src/hemlockhoist/entry/attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt.py
@@ -46,6 +46,7 @@
         "is_given_up",
         "is_link_at_fault",
         "is_misdirected",
+        "is_not_run",
         "is_overtaken",
         "is_reachable",
         "is_upstream_lost",
@@ -83,6 +84,8 @@
         self.is_upstream_lost = False
         self.grant_outdated = False
         self.is_misdirected = False
+        # Whether the upstream said for certain that it did not run the request.
+        self.is_not_run = False
         # Whether a hedge had a usable response first, so that it was cancelled.
         self.is_overtaken = False
         # When the head of the answer came.
@@ -104,6 +107,11 @@
         # Start time of the upstream's process as listed; None if it is not listed.
         self.started_unix_ms = None
 
+    @property
+    def may_have_run(self):
+        """Whether the upstream may have run the request."""
+        return self.guard.dispatched and not self.is_not_run
+
     def signals_at(self, now_ms):
         """Return the signals as they are sent at a time, with their age, or None."""
         signals = self.signals
--- a/libs/entry/src/hemlockhoist/entry/attempt_sender.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt_sender.py
@@ -124,6 +124,7 @@
                 opened.response.matches_request(call.request_id)
             )
             if is_certain:
+                attempt.is_not_run = True
                 self._sent_grants.discard(attempt.hold.grant_id)
             if attempt.is_misdirected:
                 opened.end = AttemptEnd.NOT_SENT
--- a/libs/entry/src/hemlockhoist/entry/request_grants.py
+++ b/libs/entry/src/hemlockhoist/entry/request_grants.py
@@ -38,9 +38,9 @@
         "_admitted",
         "_avoided_upstreams",
         "_context",
-        "_dispatch_count",
         "_number",
         "_request_count",
+        "_run_count",
         "_waits_until_ms",
         "current",
         "request_id",
@@ -52,7 +52,7 @@
         self._admitted = admitted
         self._number = next(self._numbers)
         self._request_count = 0
-        self._dispatch_count = 0
+        self._run_count = 0
         self._avoided_upstreams = []
         self.current = None
         self.request_id = admitted.call.request_id or f"r{self._number}"
@@ -93,7 +93,7 @@
 
     def on_attempt_ended(self, attempt):
         """Record the end of an attempt, which may not have been the one in progress."""
-        self._dispatch_count += attempt.guard.dispatched
+        self._run_count += attempt.may_have_run
         if attempt is self.current:
             self.current = None
 
@@ -109,10 +109,10 @@
 
     def _new_brief(self, now_ms, is_hedge):
         admitted = self._admitted
-        dispatch_count, avoid = self._dispatch_count, tuple(self._avoided_upstreams)
+        run_count, avoid = self._run_count, tuple(self._avoided_upstreams)
         if self.current is not None:
             # An attempt that has waited long for its connection may still be sent.
-            dispatch_count += is_hedge or self.current.guard.dispatched
+            run_count += is_hedge or self.current.may_have_run
             avoid += (self.current.hold.upstream_id,)
         avoid += self._unreachable_upstreams()
         return RequestBrief(
@@ -130,7 +130,7 @@
             max_gap_ms=admitted.route.max_gap_ms,
             failure_domain=self._context.identity.failure_domain,
             trace=self._context.traces.context_for_peer(),
-            attempt=1 + dispatch_count,
+            attempt=1 + run_count,
             # Charged once: a request whose upstream was unreachable requests another
             # grant without being counted again.
             units=admitted.units if self._request_count == 1 else 0,
--- a/libs/entry/src/hemlockhoist/entry/tests/test_attempt_sender.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_attempt_sender.py
@@ -66,4 +66,5 @@
             with self.subTest(headers=headers, is_reused=is_reused):
                 sender, opened = await self.open(headers, is_reused)
                 self.assertIs(sender.may_have_run, may_have_run)
+                self.assertIs(opened.attempt.may_have_run, may_have_run)
                 self.assertIs(opened.end, end)
--- a/libs/messages/src/hemlockhoist/messages/grants.py
+++ b/libs/messages/src/hemlockhoist/messages/grants.py
@@ -36,7 +36,7 @@
         Trace context of the caller's request, in the format of a ``traceparent``
         header.
     attempt : int
-        Number of the attempt; 1 for the first dispatch of the request.
+        1 until an upstream may have run the request; one more for each that may have.
     units : int
         Units that the request consumes of its customer's quota; 0 if an earlier grant
         has already consumed them.
