--- a/libs/standins/src/hemlockhoist/standins/published/site.py
+++ b/libs/standins/src/hemlockhoist/standins/published/site.py
@@ -41,13 +41,12 @@
     """A monotonic clock that can be advanced at will.
 
     It simulates a suspension of the machine, during which the clock of the event loop
-    does not advance. It is created on the running loop.
+    does not advance. Besides, it follows that clock.
     """
 
-    __slots__ = ("_loop", "_skipped_ns")
+    __slots__ = ("_skipped_ns",)
 
     def __init__(self):
-        self._loop = asyncio.get_running_loop()
         self._skipped_ns = 0
 
     def skip_s(self, seconds):
@@ -56,7 +55,8 @@
 
     def read_ns(self):
         """Return the time in nanoseconds."""
-        return int(self._loop.time() * NS_PER_S) + self._skipped_ns
+        now_s = asyncio.get_running_loop().time()
+        return int(now_s * NS_PER_S) + self._skipped_ns
 
 
 class Site:
