--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -5,7 +5,6 @@
 from hemlockhoist.base import get_logger
 from hemlockhoist.base.metrics import Metrics
 from hemlockhoist.base.metrics_table import WASTED_TOKENS
-from hemlockhoist.base.traces import Hop, parent_from_text
 from hemlockhoist.decisions import (
     Grant,
     Granted,
@@ -16,19 +15,15 @@
 from hemlockhoist.host.crash_checks import CrashChecks
 from hemlockhoist.host.gates import AllowAllGate
 from hemlockhoist.host.home_dry_run import dry_run_request
+from hemlockhoist.host.home_replies import HomeReplies
 from hemlockhoist.host.home_retries import HomeRetries
 from hemlockhoist.host.home_signals import HomeSignals
+from hemlockhoist.host.home_spans import HomeSpans
 from hemlockhoist.host.quarantine import QuarantineService
 from hemlockhoist.host.takeover import HolderQueries
 from hemlockhoist.host.waiting_copies import MAX_WAIT_MS, WaitingCopies
 from hemlockhoist.host.work_requests import work_request
-from hemlockhoist.messages import (
-    GrantQueued,
-    GrantRefusal,
-    GrantReply,
-    HomeClosed,
-    NotHome,
-)
+from hemlockhoist.messages import HomeClosed
 
 _log = get_logger("host.home")
 
@@ -93,12 +88,12 @@
         "_metrics",
         "_queued",
         "_reconnect",
+        "_replies",
         "_retries",
         "_send",
         "_signals",
         "_spans",
         "_started_ms",
-        "_traces",
         "declared",
         "first_grant_ms",
         "pool",
@@ -137,7 +132,6 @@
         self._identity = identity
         self._clock = clock
         self._send = send
-        self._traces = traces
         self._metrics = metrics or Metrics(None)
         self._gate = gate or AllowAllGate()
         self._holders = HolderQueries(pool, identity.incarnation, clock, send)
@@ -147,7 +141,8 @@
         self._copies = WaitingCopies()
         self._queued = {}
         self._granted = {}
-        self._spans = {}
+        self._replies = HomeReplies(pool, send)
+        self._spans = HomeSpans(pool, traces)
         self._started_ms = 0
         self._last_request_ms = clock.now_ms()
         self.first_grant_ms = None
@@ -190,11 +185,9 @@
             self._send(new_home, HomeClosed(pool=self.pool))
         for waiting in (*self._queued.values(), *self._copies.clear()):
             request = waiting.request
-            self._send_not_home(request.entry_host, request.request_id, new_home)
+            self._replies.not_home(request.entry_host, request.request_id, new_home)
         self._queued.clear()
-        for span in self._spans.values():
-            span.end()
-        self._spans.clear()
+        self._spans.close()
         _log.info("home_closed", pool=self.pool, new_home=new_home)
 
     @property
@@ -217,7 +210,7 @@
             self._resend(sender, granted[0])
             return
         if brief.request_id in self._queued or brief.request_id in self._copies:
-            self._send(sender, self._queued_message(brief.request_id))
+            self._replies.queued(sender, brief.request_id)
             return
         now_ms = self._last_request_ms = self._clock.now_ms()
         request = work_request(brief, sender, now_ms - late_ms)
@@ -226,7 +219,7 @@
         if kept_back is None:
             self._submit(brief, request, now_ms)
         elif kept_back.may_pass and self._copies.add(brief, request, now_ms):
-            self._send(sender, self._queued_message(brief.request_id))
+            self._replies.queued(sender, brief.request_id)
         else:
             self._refuse_kept_back(request, kept_back)
 
@@ -250,7 +243,7 @@
         if refusal is not None:
             self._refuse(request, refusal.code, refusal.retry_after_ms, refusal.reason)
             return
-        self._begin_span(brief)
+        self._spans.begin(brief)
         decisions = self.scheduler.submit(request, now_ms)
         self._retries.on_submitted()
         request_id = request.request_id
@@ -296,7 +289,7 @@
             request = queued.request
             if self._keep_back(request):
                 self._remove_queued(request.request_id, now_ms)
-                self._end_span(request.request_id, cancelled=True)
+                self._spans.end(request.request_id, cancelled=True)
                 decisions = self.scheduler.cancel(request.request_id, now_ms)
                 self._emit(decisions, now_ms)
 
@@ -310,26 +303,14 @@
             granted=len(self._granted),
             held_back=self._signals.held_back_text(request),
         )
-        self._send(request.entry_host, self._queued_message(request.request_id))
-
-    def _begin_span(self, brief):
-        parent = parent_from_text(brief.trace)
-        self._spans[brief.request_id] = self._traces.start_span(
-            Hop.HOME, parent, pool=self.pool, tier=brief.tier_rank
-        )
-
-    def _end_span(self, request_id, **attributes):
-        span = self._spans.pop(request_id, None)
-        if span is not None:
-            span.set_attributes(attributes)
-            span.end()
+        self._replies.queued(request.entry_host, request.request_id)
 
     def on_cancel(self, message):
         """Drop a request whose caller has disconnected."""
         now_ms = self._clock.now_ms()
         self._copies.remove(message.request_id)
         self._remove_queued(message.request_id, now_ms)
-        self._end_span(message.request_id, cancelled=True)
+        self._spans.end(message.request_id, cancelled=True)
         self._emit(self.scheduler.cancel(message.request_id, now_ms), now_ms)
         granted = self._granted.get(message.request_id)
         if granted is not None:
@@ -459,7 +440,7 @@
         gone = [request for request in waiting if request.entry_host == host_id]
         for request in gone:
             self._remove_queued(request.request_id, now_ms)
-            self._end_span(request.request_id, cancelled=True)
+            self._spans.end(request.request_id, cancelled=True)
         # The scheduler has already dropped these grants. Kept here, they would be
         # reported as granted and use memory for as long as this host is home.
         lost = [r for r, (_, host) in self._granted.items() if host == host_id]
@@ -525,7 +506,7 @@
 
     def _reject(self, decision, since_ms, now_ms):
         request, code = decision.request, decision.code
-        self._end_span(request.request_id, code=int(code))
+        self._spans.end(request.request_id, code=int(code))
         self._gate.on_not_run(self.pool, request, since_ms, now_ms)
         reason = f"queued {len(self._queued)} granted {len(self._granted)}"
         reason += self._signals.refusal_text(request)
@@ -535,23 +516,15 @@
         self._refuse(request, code, decision.retry_after_ms, reason, reserved_ms)
 
     def _refuse(self, request, code, retry_after_ms, reason, reserved_ms=0):
-        """Send a refusal; the entry host logs it with its reason."""
+        """Count a request no longer, and send a refusal."""
         self._crash_checks.on_ended(request)
-        refusal = GrantRefusal(
-            pool=self.pool,
-            request_id=request.request_id,
-            code=int(code),
-            retry_after_ms=retry_after_ms,
-            reason=reason,
-            reserved_ms=reserved_ms,
-        )
-        self._send(request.entry_host, refusal)
+        self._replies.refusal(request, code, retry_after_ms, reason, reserved_ms)
 
     def _send_grant(self, decision, has_waited, now_ms):
         grant = decision.grant
         if self.first_grant_ms is None:
             self.first_grant_ms = now_ms - self._started_ms
-        self._end_span(
+        self._spans.end(
             grant.request_id, upstream=grant.upstream_id, version=grant.version
         )
         entry_host = decision.request.entry_host
@@ -564,7 +537,7 @@
         cached = self.scheduler.cached_elsewhere(decision.request, grant.upstream_id)
         if cached:
             self._cached_elsewhere_tokens[grant.request_id] = cached
-        self._send(decision.request.entry_host, self._reply(grant, now_ms))
+        self._replies.grant(entry_host, grant, now_ms)
 
     def _log_granted(self, decision):
         _log.info(
@@ -581,30 +554,10 @@
     def _resend(self, sender, grant):
         now_ms = self._clock.now_ms()
         if grant.expires_ms > now_ms:
-            self._send(sender, self._reply(grant, now_ms))
+            self._replies.grant(sender, grant, now_ms)
             return
         # The entry host repeats its request, so it has not used the grant, and can no
         # longer use it.
         outcome = Outcome(kind=OutcomeKind.NOT_SENT)
         self._release(grant.grant_id, grant.request_id, outcome, now_ms)
-        self._send(sender, self._queued_message(grant.request_id))
-
-    def _reply(self, grant, now_ms):
-        return GrantReply(
-            pool=self.pool,
-            request_id=grant.request_id,
-            grant_id=grant.grant_id,
-            upstream_id=grant.upstream_id,
-            address=grant.address,
-            version=grant.version,
-            expires_in_ms=grant.expires_ms - now_ms,
-            is_cold=grant.is_cold,
-            is_limited=grant.is_limited,
-        )
-
-    def _queued_message(self, request_id):
-        return GrantQueued(pool=self.pool, request_id=request_id)
-
-    def _send_not_home(self, host, request_id, new_home):
-        message = NotHome(pool=self.pool, request_id=request_id, home_host=new_home)
-        self._send(host, message)
+        self._replies.queued(sender, grant.request_id)
