Don't blame an upstream for the time-out of a hedge that the request's limit ends

What was seen: on virtual time test_deadline_ends_both_attempts was red in 1 of 5 runs of its module beside load and in 1 of 20 alone; both upstreams counted a failure, one allowed. Cause: the hedge's connection waits as long as the request has left, so its time-out and the request's limit fall on the same moment. If the former is first, the hedge ends as timed out, and discard() recorded that, although it is told that a time-out says nothing against an upstream that was asked late. On the machine's clock the window is a millisecond. Change: such an end is not recorded. Ruled out: the loop (the log shows the time-out of the socket at the request's limit).

Red before: test_request_attempts (TIMEOUT, CANCELLED asked). After: 60 of 60 runs of the first test; tests of entry 318 passed.

--- a/libs/entry/src/hemlockhoist/entry/request_attempts.py
+++ b/libs/entry/src/hemlockhoist/entry/request_attempts.py
@@ -149,7 +149,8 @@
         """
         await opened.close()
         if opened.end is not None:
-            opened.attempt.record_end(opened.end)
+            if times_out or opened.end is not AttemptEnd.TIMED_OUT:
+                opened.attempt.record_end(opened.end)
             self.record_failure(opened.attempt, opened.end)
         self.end(opened.attempt, times_out)
 
