Run five more modules of whole sites on virtual time

Change: test_relays, test_hedges, test_changed_routes, test_where and test_kept_ connections use PausedSocketTestCase. Nothing else in them changes.

--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_changed_routes.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_changed_routes.py
@@ -1,8 +1,8 @@
 """End-to-end tests of routes that change while their requests wait."""
 
 import asyncio
-import unittest
 
+from hemlockhoist.base.testing import PausedSocketTestCase
 from hemlockhoist.standins.published import Replica, Site, route
 
 RUN_MS = 500
@@ -11,7 +11,7 @@
 OTHER = route("other", "halls", timeout_ms=WAIT_MS)
 
 
-class ChangedRouteTests(unittest.IsolatedAsyncioTestCase):
+class ChangedRouteTests(PausedSocketTestCase):
     async def asyncSetUp(self):
         self.first, self.second = Replica("i-1", slots=1), Replica("i-2", slots=1)
         self.first.delay_ms = RUN_MS
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_hedges.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_hedges.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import contextlib
-import unittest
 
 from hemlockhoist.base.metrics_table import HEDGES_ENDED, HEDGES_SENT
+from hemlockhoist.base.testing import PausedSocketTestCase
 from hemlockhoist.standins.published import Behaviour, Replica, Site, route
 from hemlockhoist.standins.published.keep_alive import KeepAlive
 
@@ -23,7 +23,7 @@
 REPORT = route("report", SERVICE, "streaming", resumable=True)
 
 
-class HedgeTests(unittest.IsolatedAsyncioTestCase):
+class HedgeTests(PausedSocketTestCase):
     # Idle connections that the hosts keep, and that the replicas permit.
     kept_connections = 0
 
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_kept_connections.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_kept_connections.py
@@ -1,6 +1,6 @@
 import asyncio
-import unittest
 
+from hemlockhoist.base.testing import PausedSocketTestCase
 from hemlockhoist.standins.published.keep_alive import KeepAlive
 from hemlockhoist.standins.published.replica import Behaviour, Replica
 from hemlockhoist.standins.published.site import Site, route
@@ -12,7 +12,7 @@
 ]
 
 
-class KeptConnectionTests(unittest.IsolatedAsyncioTestCase):
+class KeptConnectionTests(PausedSocketTestCase):
     """A host that keeps connections, and two replicas of a plain service."""
 
     async def asyncSetUp(self):
@@ -138,7 +138,7 @@
         self.assertEqual(self.connection_count(), 3)
 
 
-class SwitchedOffTests(unittest.IsolatedAsyncioTestCase):
+class SwitchedOffTests(PausedSocketTestCase):
     async def test_nothing_is_kept_by_default(self):
         """Guards against a change of behaviour where nothing is set."""
         replica = Replica("s1")
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_relays.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_relays.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import contextlib
-import unittest
 
+from hemlockhoist.base.testing import PausedSocketTestCase
 from hemlockhoist.standins.published import Behaviour, Replica, Site, route
 from hemlockhoist.standins.published.links import HostLinks, LinkMode
 
@@ -65,7 +65,7 @@
         ]
 
 
-class RelayedRequestTests(unittest.IsolatedAsyncioTestCase):
+class RelayedRequestTests(PausedSocketTestCase):
     async def test_booking_runs_once_with_its_body_and_customer(self):
         """Guards against a relayed booking that runs twice, or for another customer."""
         async with CutSite() as cut:
@@ -145,7 +145,7 @@
             self.assertLessEqual(len(replica.rejected), 2)
 
 
-class LostLinkTests(unittest.IsolatedAsyncioTestCase):
+class LostLinkTests(PausedSocketTestCase):
     async def test_callers_are_refused_at_once_where_no_host_has_links(self):
         """Guards against callers that wait for a way that nobody has."""
         loop = asyncio.get_running_loop()
@@ -204,7 +204,7 @@
             self.assertFalse(links.is_pool_lost("reservas"))
 
 
-class RunningRequestTests(unittest.IsolatedAsyncioTestCase):
+class RunningRequestTests(PausedSocketTestCase):
     async def begin_stream(self, cut, path):
         """Begin a slow stream at the cut host; return a task with its body."""
         for replica in cut.replicas["asistente"]:
@@ -281,7 +281,7 @@
             self.assertEqual(await task, WHOLE)
 
 
-class HelperTests(unittest.IsolatedAsyncioTestCase):
+class HelperTests(PausedSocketTestCase):
     async def test_helper_that_is_cut_itself_is_passed_over(self):
         async with CutSite() as cut:
             await cut.cut()
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_where.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_where.py
@@ -5,11 +5,11 @@
 
 import asyncio
 import os
-import unittest
 from unittest import mock
 
 import msgspec
 
+from hemlockhoist.base.testing import PausedSocketTestCase
 from hemlockhoist.host.where_messages import WHERE_PATH, PlacementView
 from hemlockhoist.standins.published.replica import Replica
 from hemlockhoist.standins.published.site import Site, route
@@ -24,7 +24,7 @@
 QUERY_PAUSE_S = 0.4
 
 
-class WhereTests(unittest.IsolatedAsyncioTestCase):
+class WhereTests(PausedSocketTestCase):
     """Two entry hosts, one of which is home, and replicas of two slots each."""
 
     async def open_site(self, variables=VARIABLES):
