--- a/libs/standins/src/hemlockhoist/standins/published/site.py
+++ b/libs/standins/src/hemlockhoist/standins/published/site.py
@@ -41,7 +41,7 @@
     """A monotonic clock that can be advanced at will.
 
     It simulates a suspension of the machine, during which the clock of the event loop
-    does not advance. Besides, it follows that clock.
+    does not advance. Otherwise it follows that clock.
     """
 
     __slots__ = ("_skipped_ns",)
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_back_offs.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_back_offs.py
@@ -15,8 +15,10 @@
 ALLOWED = 2
 TRAFFIC_S = 4.0
 REQUEST_GAP_S = 0.04
-# At this time for each request, an upstream with four slots is busy.
-BUSY_MS = 170
+# At this time for each request, an upstream with four slots is nearly busy.
+BUSY_MS = 160
+# At this time, it has no slot for some of them.
+OVERLOADED_MS = 170
 HOSTS = 3
 # More requests at once than two upstreams have slots.
 BURST = 10
@@ -137,7 +139,7 @@
     async def test_garbled_rest_changes_nothing(self):
         """Guards against a garbled time that closes an upstream for ever."""
         resting, other = Replica("s1"), Replica("s2")
-        other.delay_ms = BUSY_MS
+        other.delay_ms = OVERLOADED_MS
         resting.behaviour, resting.rest_s = Behaviour.SHEDS, "in a while"
         async with Site({"reservas": [resting, other]}, [LOOKUP]) as site:
             await send_steadily(site, 1.0, [0])
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_rollout.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_rollout.py
@@ -28,7 +28,7 @@
 
     async def register_replica(self, service, replica, **fields):
         """Register a replica with the version that its id belongs to."""
-        replica.delay_ms = 30
+        replica.delay_ms = 10
         version = "v2" if replica.replica_id in NEW else "v1"
         await super().register_replica(service, replica, version=version, **fields)
 
