Bound a run of the hedges' soak by requests, not by seconds alone

Cause: the run lasts 9 s of the machine's clock. A starved machine answers a third of the requests in that time, too few to know the usual times of a route and then to have slow requests. Reproduced with 24 runs at once on five cores: 0 hedges in 3 of 46, a median of 3, 440 answers each (1,333 with nothing beside). Ruled out: a change of the hedges themselves. 55 runs alone, beside 8 and 25 busy loops and eight at once had 4 to 28 hedges.

The faults now go on until 1,500 requests were sent, 60 s at most; the time and all checks are as before, and no bound is lower.

--- a/libs/standins/src/hemlockhoist/standins/published/soak/faults.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/faults.py
@@ -24,6 +24,8 @@
 SERVICES = ("asistente", "reservas")
 # The effects of a fault, such as a lost host, last up to this long after its end.
 SETTLE_S = 2.0
+# Longest time in which faults go on for a number of requests.
+MAX_INJECT_S = 60.0
 # Fraction of the runs in which replicas crash on parts of prompts.
 CRASHING_RUNS = 0.5
 
@@ -116,9 +118,13 @@
             return kinds
         return tuple(kind for kind in kinds if kind.__name__ in self._names)
 
-    async def inject(self, seconds, interval_s):
-        """Inject random faults for ``seconds``, at intervals drawn from a range."""
-        end_s = now_s() + seconds
+    async def inject(self, seconds, interval_s, min_calls=0):
+        """Inject random faults for ``seconds``, at intervals drawn from a range.
+
+        They go on until ``min_calls`` requests were sent, ``MAX_INJECT_S`` at most.
+        """
+        begin_s = now_s()
+        end_s = begin_s + seconds
         if self._has_crashing_parts():
             self._tasks.add(asyncio.create_task(self.crash_on_parts(end_s)))
         elif self._has_crashing_requests():
@@ -127,7 +133,10 @@
             self._tasks.add(asyncio.create_task(self.crowd_hosts(end_s)))
         if not self.fault_kinds:
             await asyncio.sleep(seconds)
-        while now_s() < end_s:
+        calls = self._run.callers.calls
+        while now_s() < end_s or (
+            len(calls) < min_calls and now_s() < begin_s + MAX_INJECT_S
+        ):
             kind = self._rng.choice(self.fault_kinds)
             name = kind.__name__
             self.counts[name] = self.counts.get(name, 0) + 1
--- a/libs/standins/src/hemlockhoist/standins/published/soak/run.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/run.py
@@ -144,14 +144,22 @@
         # Targets of requests on which they crash.
         self.crashing_targets = set()
 
-    async def run(self, seconds):
-        """Run the seed, with faults for ``seconds``, and return the ``SoakResult``."""
+    async def run(self, seconds, min_calls=0):
+        """Run the seed, and return the ``SoakResult``.
+
+        Parameters
+        ==========
+        seconds : float
+            Time with faults.
+        min_calls : int, optional
+            Requests without which the faults go on, as a busy machine sends few a second.
+        """
         async with self._exit_stack:
             await self._start()
             await self._open(self.callers)
             self.contacts = await self._open(ContactProbes(self.hosts))
             await asyncio.sleep(0.5)
-            await self.faults.inject(seconds, FAULT_INTERVAL_S)
+            await self.faults.inject(seconds, FAULT_INTERVAL_S, min_calls)
             await self.faults.heal()
             recovered = await self._wait_ready()
             await asyncio.sleep(0.5)
--- a/libs/standins/src/hemlockhoist/standins/published/soak/tests/test_soak.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/tests/test_soak.py
@@ -7,9 +7,10 @@
 # Long enough for about 10 overlapping faults.
 SECONDS = 5
 SEED = 1
-# Long enough for hosts that run on to know the usual times of a route.
 HEDGING_SEED = 2
 HEDGE_SECONDS = 9
+# Enough for a host to know the usual times of a route, and to have some slow requests.
+HEDGE_CALLS = 1_500
 # Enough for all callers at two of the three replicas: only free slots are used for hedges,
 # and one replica may be slow or ejected at a time.
 HEDGE_SLOT_COUNT = 4
@@ -54,7 +55,7 @@
                 host_count=1,
                 slot_count=HEDGE_SLOT_COUNT,
             )
-            result = await run.run(HEDGE_SECONDS)
+            result = await run.run(HEDGE_SECONDS, HEDGE_CALLS)
         self.assertEqual(result.violations, [])
         self.assertGreater(result.served, 50)
         self.assertGreater(result.check_counts["hedges"], 0)
