Read the list of hosts without waiting for an unanswered registration

Cause: hosts that started while the store hung registered themselves before they read the list of hosts. That commit is sent once and given up after 4.5 s, while routes and upstreams were read long before; so each host served alone and decided for all pools, with limits, evidence and quotas of its own, for 3 to 4 s after the store had come back. Ruled out: replicas that forgot what they announced, lost or late probes (the postmortem). Change: the list waits half a second for the registration; an unanswered one is sent again once a later read is answered, and the list is read again after it; the end of an outage ends both. Three of the four new tests are red before.

--- a/libs/entry/src/hemlockhoist/entry/host_registry.py
+++ b/libs/entry/src/hemlockhoist/entry/host_registry.py
@@ -1,8 +1,11 @@
 """Registration of this host in the store, and discovery of the other hosts."""
 
+import asyncio
+
 import msgspec
 
 from hemlockhoist.base import (
+    MS_PER_S,
     PeriodicTask,
     PlatformError,
     StoreConflict,
@@ -24,6 +27,9 @@
 # A host that is alone in the list reads again soon. Of two hosts that start together,
 # the later reader finds the other one, as each registers itself before it reads.
 ALONE_READ_INTERVAL_MS = 2_000
+# How long the list waits for this host's registration. A commit takes some milliseconds,
+# and one to a store that is silent several seconds, in which a host would serve alone.
+REGISTRATION_WAIT_MS = 500
 # Rows removed in one transaction; the store accepts at least this many.
 MAX_REMOVED_ROWS = 50
 
@@ -59,6 +65,7 @@
         "_is_registered",
         "_listed_hosts",
         "_read_due_ms",
+        "_registration",
         "_stale_entries",
         "_task",
         "_versions",
@@ -72,6 +79,8 @@
         self._is_registered = False
         self._is_introduced = False
         self._read_due_ms = 0
+        # The commit in progress that registers this host, or the last one.
+        self._registration = None
         self._task = PeriodicTask(RETRY_INTERVAL_MS, self._run_once)
 
     async def start(self):
@@ -82,49 +91,93 @@
     async def close(self):
         """Stop; the row of this host stays."""
         await self._task.close()
+        await self._abandon_registration()
 
     def read_again(self):
-        """Read the list soon, after the store was unreachable.
+        """Register and read the list at once, after the store was unreachable.
 
         A host that has registered itself and read the list waits for its regular read:
         hosts that start meanwhile introduce themselves.
         """
         if not (self._is_registered and self._is_introduced):
             self._read_due_ms = 0
+            # Sent to a store that was silent, the commit may never be answered.
+            self._cancel_registration()
+            self._task.wake()
 
     async def _run_once(self):
         """Register this host if needed, then read the list of hosts if due.
 
         Registering comes first, so that any later reader finds this host.
         """
-        await self._register()
+        await self._register_in_time()
         now_ms = self._context.clock.now_ms()
         if now_ms < self._read_due_ms:
             return
+        was_registered, was_alone = self._is_registered, self._is_alone
         try:
             reading = await self._context.platform.store.read_table(self._table)
         except PlatformError as error:
             _log.warning("host_rows_not_read", reason=error.message)
             return
         self._apply_rows(reading.rows)
-        is_alone = len(self._listed_hosts) < 2
-        interval_ms = ALONE_READ_INTERVAL_MS if is_alone else READ_INTERVAL_MS
+        if was_registered and self._context.identity.host_id not in self._versions:
+            # A host that could not reach this one removed its row as stale.
+            self._is_registered = False
+        interval_ms = ALONE_READ_INTERVAL_MS if self._is_alone else READ_INTERVAL_MS
         self._read_due_ms = now_ms + interval_ms
-        if not self._is_introduced:
+        if was_alone:
             self._is_introduced = True
             self._context.fleet.introduce()
+        if not was_registered:
+            self._follow_registration()
         await self._remove_stale_rows()
 
+    async def _register_in_time(self):
+        """Register this host if needed, and wait for it for a limited time."""
+        if self._is_registered or self._context.leaving:
+            return
+        if self._registration is None or self._registration.done():
+            self._registration = asyncio.create_task(self._register())
+        registration = self._registration
+        await asyncio.wait((registration,), timeout=REGISTRATION_WAIT_MS / MS_PER_S)
+        if registration.done() and not registration.cancelled():
+            registration.result()
+
+    def _follow_registration(self):
+        """Read again after a registration, or send one again that is not answered.
+
+        The list was read while this host was not in it: of two such hosts, neither may
+        have found the other.
+        """
+        if self._is_registered:
+            self._read_due_ms = 0
+        else:
+            # The store has answered a later call.
+            self._cancel_registration()
+        self._task.wake()
+
+    def _cancel_registration(self):
+        """Cancel the commit in progress, and return its task or None."""
+        registration, self._registration = self._registration, None
+        if registration is not None:
+            registration.cancel()
+        return registration
+
+    async def _abandon_registration(self):
+        registration = self._cancel_registration()
+        if registration is not None:
+            await asyncio.wait((registration,))
+
     async def leave(self):
         """Remove this host's row."""
+        await self._abandon_registration()
         try:
             await self._context.platform.store.commit((self._change(None),))
         except PlatformError as error:
             _log.warning("host_row_not_dropped", reason=error.message)
 
     async def _register(self):
-        if self._is_registered or self._context.leaving:
-            return
         identity = self._context.identity
         row = HostRow(
             caller_address=identity.address,
@@ -140,11 +193,19 @@
             _log.warning("host_row_not_written", reason=error.message)
             return
         self._is_registered = True
+        if self._is_introduced:
+            self._read_due_ms = 0
+            self._task.wake()
 
     def _change(self, value):
         key = self._context.identity.host_id
         return RowChange(table=self._table, key=key, value=value)
 
+    @property
+    def _is_alone(self):
+        """Whether no other host was in the list when it was last read."""
+        return not self._listed_hosts.keys() - {self._context.identity.host_id}
+
     @property
     def _table(self):
         return self._context.platform.host_table
@@ -184,9 +245,6 @@
         for row in rows:
             if row.value is not None:
                 self._apply_row(row)
-        if self._context.identity.host_id not in self._versions:
-            # A host that could not reach this one removed its row as stale.
-            self._is_registered = False
         self._update_fleet()
 
     def _apply_row(self, row):
--- a/libs/entry/src/hemlockhoist/entry/tests/test_host_registry.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_host_registry.py
@@ -1,12 +1,14 @@
 import asyncio
+import itertools
 import types
 
-from hemlockhoist.base import Clock, PlatformError, StoreConflict
+from hemlockhoist.base import Clock, PlatformError, StoreAnswerLost, StoreConflict
 from hemlockhoist.base.testing import PausedTestCase
 from hemlockhoist.entry.host_registry import HostRegistry
 from hemlockhoist.store import Reading, RowStore, StoreRow
 
 HOUR_S = 3_600
+COMMIT_TIMEOUT_S = 4.5
 
 
 class MemoryStore(RowStore):
@@ -16,6 +18,9 @@
         self.rows = {}
         self.version = 0
         self.fails = False
+        # Whether it answers no commit that arrives now, and applies none of them.
+        self.loses_commits = False
+        self.read_count = 0
         self.changed = asyncio.Condition()
 
     async def start(self):
@@ -25,6 +30,7 @@
         """Nothing to close."""
 
     async def read_table(self, table):
+        self.read_count += 1
         return self._reading(self.rows.values())
 
     async def read_changes(self, table, since_version, wait_ms):
@@ -37,6 +43,9 @@
     async def commit(self, changes):
         if self.fails:
             raise PlatformError("the store is unreachable")
+        if self.loses_commits:
+            await asyncio.sleep(COMMIT_TIMEOUT_S)
+            raise StoreAnswerLost("no answer to a commit")
         for change in changes:
             row = self.rows.get(change.key)
             if change.if_version not in (None, row.version if row else 0):
@@ -114,6 +123,47 @@
         await asyncio.sleep(3)
         self.assertEqual(self.store.names(), ["h1"])
 
+    async def test_host_whose_registration_is_not_answered_finds_the_others(self):
+        """Guards against a host that serves alone while its first commit hangs."""
+        await self.start("h1")
+        self.store.loses_commits = True
+        _, context = await self.start("h2")
+        await asyncio.sleep(0.5)
+        self.assertEqual(context.fleet.listed, ["h1"])
+        self.assertEqual(context.fleet.introductions, 1)
+
+    async def test_hosts_started_while_commits_are_lost_find_each_other(self):
+        """Guards against hosts that stay alone after the store has come back."""
+        self.store.loses_commits = True
+        contexts = [(await self.start(name))[1] for name in ("h1", "h2", "h3")]
+        self.store.loses_commits = False
+        await asyncio.sleep(2.5)
+        names = ["h1", "h2", "h3"]
+        self.assertEqual(self.store.names(), names)
+        await asyncio.sleep(0.5)
+        # Of two hosts, the later reader finds the other one, and introduces itself.
+        lists = dict(zip(names, (item.fleet.listed for item in contexts), strict=True))
+        for one, other in itertools.combinations(names, 2):
+            self.assertTrue(one in lists[other] or other in lists[one], lists)
+
+    async def test_registration_is_sent_again_once_the_store_answers(self):
+        """Guards against a commit sent to a silent store that holds up the next one."""
+        self.store.loses_commits = True
+        host_registry, context = await self.start("h2")
+        self.store.loses_commits = False
+        host_registry.read_again()
+        await asyncio.sleep(0.5)
+        self.assertEqual(self.store.names(), ["h2"])
+        self.assertEqual(context.fleet.listed, ["h2"])
+
+    async def test_registered_host_reads_the_list_once(self):
+        """Guards against a fleet's start that reads the list twice for each host."""
+        await self.start("h1")
+        reads = self.store.read_count
+        await self.start("h2")
+        await asyncio.sleep(1)
+        self.assertEqual(self.store.read_count, reads + 1)
+
     async def test_row_of_a_host_lost_long_ago_is_removed(self):
         """Guards against rows of killed hosts that accumulate and are probed by all."""
         lost, _ = await self.start("h2")
