Suspend an upstream that another process has replaced, whichever host says so

Cause: a misdirected answer was weighed as a failed connection. Those of a host that failed at two upstreams are put down to its links, so the home went on granting the replaced upstream to it. Change: the report says that it was misdirected (a byte a report); such a one counts whoever sends it, and shows that the host has links.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/connect_failures.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/connect_failures.py
@@ -72,6 +72,13 @@
         for failed in self._failed.values():
             failed.pop(upstream_id, None)
 
+    def record_misdirected(self, host):
+        """Record that another upstream answered a host at the address of the listed one.
+
+        The host has links, and what it says of the listed upstream needs no witness.
+        """
+        self._failed.pop(host, None)
+
     def is_credible(self, host):
         """Return whether the failures of a host are taken for those of upstreams."""
         return len(self._failed.get(host, ())) <= 1
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/shard_upstreams.py
@@ -245,6 +245,9 @@
             return msgspec.structs.replace(outcome, kind=OutcomeKind.TIMEOUT)
         if outcome.kind is not OutcomeKind.CONNECT_FAILED:
             return outcome
+        if outcome.is_misdirected:
+            self._connect_failures.record_misdirected(host)
+            return outcome
         is_blamed = self._connect_failures.record(
             host, upstream_id, now_ms, bool(outcome.relay)
         )
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_connect_failures.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_connect_failures.py
@@ -46,6 +46,14 @@
         self.assertTrue(self.failures.is_credible("h1"))
         self.assertEqual(self.record("h1", "u1"), (True, ()))
 
+    def test_host_that_another_upstream_answers_has_links(self):
+        """Guards against doubting a host because upstreams were replaced."""
+        self.record("h1", "u1")
+        self.record("h1", "u2")
+        self.failures.record_misdirected("h1")
+        self.assertTrue(self.failures.is_credible("h1"))
+        self.assertEqual(self.record("h1", "u3"), (True, ()))
+
     def test_old_failure_does_not_make_a_host_doubtful(self):
         """Guards against doubting a host that met two dead upstreams in an hour."""
         self.record("h1", "u1")
--- a/libs/decisions/src/hemlockhoist/decisions/work.py
+++ b/libs/decisions/src/hemlockhoist/decisions/work.py
@@ -256,6 +256,8 @@
         Whether it was cancelled without any data because a hedge answered first.
     is_continued : bool
         Whether the upstream was asked for the rest of an answer only.
+    is_misdirected : bool
+        Whether another upstream answered at the address.
     """
 
     kind: OutcomeKind
@@ -270,6 +272,7 @@
     is_answered: bool = False
     is_overtaken: bool = False
     is_continued: bool = False
+    is_misdirected: bool = False
 
     def for_home(self):
         """Return the outcome in the kinds that homes of earlier releases know.
--- a/libs/entry/src/hemlockhoist/entry/attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt.py
@@ -175,7 +175,11 @@
         """Return the ``Outcome`` of the attempt, which has ended."""
         sent_ms = self.guard.dispatched_ms
         if sent_ms is None or self.is_misdirected:
-            return Outcome(kind=self._unsent_kind, relay=self.guard.relay)
+            return Outcome(
+                kind=self._unsent_kind,
+                relay=self.guard.relay,
+                is_misdirected=self.is_misdirected,
+            )
         return Outcome(
             kind=self._sent_kind,
             first_token_ms=-1 if self.first_ms is None else self.first_ms - sent_ms,
--- a/libs/host/src/hemlockhoist/host/grant_hold.py
+++ b/libs/host/src/hemlockhoist/host/grant_hold.py
@@ -116,4 +116,5 @@
         is_answered=outcome.is_answered,
         is_overtaken=outcome.is_overtaken,
         is_continued=outcome.is_continued,
+        is_misdirected=outcome.is_misdirected,
     )
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -348,6 +348,7 @@
             is_overtaken=message.is_overtaken,
             is_crash_suspect=message.is_crash_suspect,
             is_upstream_lost=message.is_upstream_lost,
+            is_misdirected=message.is_misdirected,
         )
         now_ms = self._clock.now_ms()
         # Before the release, which may give the slot to another such request.
--- a/libs/messages/src/hemlockhoist/messages/grants.py
+++ b/libs/messages/src/hemlockhoist/messages/grants.py
@@ -229,6 +229,7 @@
     ``is_overtaken`` states whether it was cancelled as a hedge answered first.
     ``is_upstream_lost`` states whether the upstream ended at any place of the answer,
     ``is_continued`` whether it was asked for the rest of an answer only.
+    ``is_misdirected`` states whether another upstream answered at the address.
     """
 
     pool: str
@@ -248,6 +249,7 @@
     is_overtaken: bool = False
     is_upstream_lost: bool = False
     is_continued: bool = False
+    is_misdirected: bool = False
 
 
 class UpstreamLost(
