--- a/libs/decisions/src/hemlockhoist/decisions/quarantine/tests/test_crashing_requests.py
+++ b/libs/decisions/src/hemlockhoist/decisions/quarantine/tests/test_crashing_requests.py
@@ -285,6 +285,23 @@
         self.assertIs(self.quarantine.state(PART), PartState.BLOCKED)
         self.assertLessEqual(crashes, KNOWN_AFTER_CRASHES + ALLOWED_LATER)
 
+    def test_shared_part_is_not_blocked_by_the_order_of_reports(self):
+        """Guards against refusing all prompts as a sound one beside is reported first."""
+        shared, of_bad, of_sound = 11, 12, 13
+        reports = {BAD: (shared, of_bad), SOUND: (shared, of_sound)}
+        for order in ((BAD, SOUND), (SOUND, BAD)):
+            with self.subTest(order=order):
+                self.setUp()
+                self.crash_often(2, BAD, parts=reports[BAD])
+                for fingerprint in order:
+                    self.quarantine.on_crash(
+                        "u9", reports[fingerprint], self.now_ms, fingerprint
+                    )
+                self.assertEqual(self.requests.state(BAD), PartState.BLOCKED)
+                for part in (shared, of_bad, of_sound):
+                    state = self.quarantine.state(part)
+                    self.assertNotEqual(state, PartState.BLOCKED)
+
     def test_part_of_two_requests_that_are_sent_again_is_not_blocked(self):
         """Guards against a document that is blocked for two requests about it."""
         for fingerprint in (BAD, OTHER):
