--- a/libs/decisions/src/hemlockhoist/decisions/quarantine/quarantine.py
+++ b/libs/decisions/src/hemlockhoist/decisions/quarantine/quarantine.py
@@ -221,12 +221,20 @@
             self._put(msgspec.structs.replace(record, crashes=crashes), changed, now_ms)
         crash.charged = charged
         leader = self._leader(crash)
-        crashes = self._table.get(leader).crashes
-        # The reports of one crash arrive one by one, that of the cause maybe last.
-        of_requests = map(self.requests.crash_count, crash.charged_requests)
-        most = max((self.requests.most_crashes_among(crashes), *of_requests))
+        most = self._most_of_one_request(leader, crash)
         self._raise_state(leader, most, changed, now_ms)
 
+    def _most_of_one_request(self, part, crash):
+        """Return how many crashes the request with most of them may be the cause of.
+
+        The reports of one crash arrive one by one, that of its cause maybe last.
+        """
+        most = max(map(self.requests.crash_count, crash.charged_requests), default=0)
+        crashes = self._table.get(part).crashes
+        if len(crashes) >= BLOCKED_CRASHES:
+            most = max(most, self.requests.most_crashes_among(crashes))
+        return most
+
     def _discharge(self, part, crash, changed, now_ms):
         left = set(self._table.get(part).crashes) - {crash.crash_id}
         changed[part] = self._table.withdraw(part, now_ms, left)
