Take a host for registered if its own row is in the list

Found in review of, not seen by callers: a host alone in the list whose commit was applied and not answered wrote its row at each reading (5 times in 10 s; once now, and once before until its commit was given up). The row names the process, so a row of an earlier one does not count.

--- a/libs/entry/src/hemlockhoist/entry/host_registry.py
+++ b/libs/entry/src/hemlockhoist/entry/host_registry.py
@@ -254,6 +254,9 @@
             _log.warning("host_row_unreadable", row=row.key, reason=str(error))
             return
         self._versions[row.key] = row.version
+        if host.incarnation == self._context.identity.incarnation:
+            # Also where the answer to the commit was lost.
+            self._is_registered = True
         self._listed_hosts[row.key] = ListedHost(
             address=row.key,
             caller_address=host.caller_address,
--- a/libs/entry/src/hemlockhoist/entry/tests/test_host_registry.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_host_registry.py
@@ -20,6 +20,8 @@
         self.fails = False
         # Whether it answers no commit that arrives now, and applies none of them.
         self.loses_commits = False
+        # Whether it applies commits that arrive now, and answers none of them.
+        self.loses_answers = False
         self.read_count = 0
         self.changed = asyncio.Condition()
 
@@ -57,6 +59,9 @@
             )
         async with self.changed:
             self.changed.notify_all()
+        if self.loses_answers:
+            await asyncio.sleep(COMMIT_TIMEOUT_S)
+            raise StoreAnswerLost("no answer to a commit")
         return self.version
 
     def names(self):
@@ -94,7 +99,10 @@
         )
         platform = types.SimpleNamespace(store=self.store, host_table="hosts")
         identity = types.SimpleNamespace(
-            host_id=name, address=f"{name}:80", failure_domain="a", incarnation="r1"
+            host_id=name,
+            address=f"{name}:80",
+            failure_domain="a",
+            incarnation=f"r-{name}",
         )
         context = types.SimpleNamespace(
             settings=settings,
@@ -156,6 +164,13 @@
         self.assertEqual(self.store.names(), ["h2"])
         self.assertEqual(context.fleet.listed, ["h2"])
 
+    async def test_host_finds_its_own_row_if_the_answer_was_lost(self):
+        """Guards against a host that writes its row again and again."""
+        self.store.loses_answers = True
+        await self.start("h1")
+        await asyncio.sleep(10)
+        self.assertEqual(self.store.version, 1)
+
     async def test_registered_host_reads_the_list_once(self):
         """Guards against a fleet's start that reads the list twice for each host."""
         await self.start("h1")
