Read the list of hosts while a starting host still waits for it

A starting host waits 0.3 s for the list before it says ready; since the list waited 0.5 s for an unanswered registration, so that the host served alone for the rest and a round trip.

--- a/libs/entry/src/hemlockhoist/entry/host_registry.py
+++ b/libs/entry/src/hemlockhoist/entry/host_registry.py
@@ -29,7 +29,8 @@
 ALONE_READ_INTERVAL_MS = 2_000
 # How long the list waits for this host's registration. A commit takes some milliseconds,
 # and one to a store that is silent several seconds, in which a host would serve alone.
-REGISTRATION_WAIT_MS = 500
+# Shorter than a starting host waits for the list before it serves.
+REGISTRATION_WAIT_MS = 200
 # Rows removed in one transaction; the store accepts at least this many.
 MAX_REMOVED_ROWS = 50
 
