--- a/libs/decisions/src/hemlockhoist/decisions/quarantine/crashing_requests.py
+++ b/libs/decisions/src/hemlockhoist/decisions/quarantine/crashing_requests.py
@@ -64,18 +64,6 @@
         """Return the number of crashes that a request is held responsible for."""
         return len(self._table.get(fingerprint).crashes)
 
-    def most_crashes_among(self, crash_ids):
-        """Return for how many of some crashes any single request is held responsible.
-
-        Parameters
-        ==========
-        crash_ids : collection of int
-        """
-        ids = frozenset(crash_ids)
-        return max(
-            (len(ids.intersection(item.crashes)) for item in self._table), default=0
-        )
-
     # Requests.
 
     def kept_back(self, fingerprint, is_repeated, is_alone, count_open, now_ms):
--- a/libs/decisions/src/hemlockhoist/decisions/quarantine/quarantine.py
+++ b/libs/decisions/src/hemlockhoist/decisions/quarantine/quarantine.py
@@ -18,7 +18,7 @@
 
 # How many more crashes it takes for each answer that speaks for the part.
 CRASHES_PER_ANSWER = 2
-# How many more crashes a blocked part has than each request that was at one of them.
+# How many more crashes a blocked part has than each request that was there.
 BLOCKED_LEAD = 2
 
 
@@ -40,7 +40,7 @@
 
     A request that is sent again is held against itself, see ``CrashingRequests``. Which
     of the two it was shows by who else crashes upstreams: a part is blocked only with
-    two crashes more than any single request that was at one of them. Once a request is blocked,
+    two crashes more than any single request that was there. Once a request is blocked,
     its crashes count as one against its parts.
 
     Parameters
@@ -220,20 +220,8 @@
             crashes = tuple(sorted({*record.crashes, crash.crash_id}))[:MAX_CRASH_IDS]
             self._put(msgspec.structs.replace(record, crashes=crashes), changed, now_ms)
         crash.charged = charged
-        leader = self._leader(crash)
-        most = self._most_of_one_request(leader, crash)
-        self._raise_state(leader, most, changed, now_ms)
-
-    def _most_of_one_request(self, part, crash):
-        """Return how many crashes the request with most of them may be the cause of.
-
-        The reports of one crash arrive one by one, that of its cause maybe last.
-        """
         most = max(map(self.requests.crash_count, crash.charged_requests), default=0)
-        crashes = self._table.get(part).crashes
-        if len(crashes) >= BLOCKED_CRASHES:
-            most = max(most, self.requests.most_crashes_among(crashes))
-        return most
+        self._raise_state(self._leader(crash), most, changed, now_ms)
 
     def _discharge(self, part, crash, changed, now_ms):
         left = set(self._table.get(part).crashes) - {crash.crash_id}
