Log what decides a refusal's age, and how often a read of the store is repeated

Cause: the hypotheses on requests refused by an older configuration can't be told apart by the logs. Change, no logic: request_refused says the routes in force, the age of their proof, and for how long the host has known of a change that it lacks (behind_ms; gauge store.behind_ms); store_read_repeated says how often a read was sent again before its answer, and after how long.

--- a/libs/base/src/hemlockhoist/base/metrics_table.py
+++ b/libs/base/src/hemlockhoist/base/metrics_table.py
@@ -318,6 +318,15 @@
     "Above 3 s the store does not answer this host, and callers use other hosts.",
     "milliseconds",
 )
+BEHIND_MS = Metric(
+    "store.behind_ms",
+    _G,
+    "",
+    "Since when other hosts have told of routes that are not in force here; 0 if none.",
+    "Above the time in which a change is to be in force, look for routes_behind in the "
+    "log.",
+    "milliseconds",
+)
 LOOP_LAG_MS = Metric(
     "loop.lag_ms",
     _G,
--- a/libs/entry/src/hemlockhoist/entry/catch_up.py
+++ b/libs/entry/src/hemlockhoist/entry/catch_up.py
@@ -38,7 +38,16 @@
         was applied.
     """
 
-    __slots__ = ("_context", "_copies", "_offer", "_queries", "_task", "_update_copy")
+    __slots__ = (
+        "_behind_since_ms",
+        "_context",
+        "_copies",
+        "_newest_version",
+        "_offer",
+        "_queries",
+        "_task",
+        "_update_copy",
+    )
 
     def __init__(self, context, copies, queries, update_copy):
         self._context = context
@@ -47,6 +56,10 @@
         self._update_copy = update_copy
         self._offer = lambda reading, since_version: False
         self._task = None
+        # The newest change that another host has told of, and since when this host has
+        # known of one that it lacks.
+        self._newest_version = 0
+        self._behind_since_ms = 0
 
     async def close(self):
         """Stop reading."""
@@ -71,10 +84,24 @@
 
     def on_news(self, sender, news):
         """Handle what another host knows."""
+        if news.changed_version > self._newest_version:
+            self._record_newest(news.changed_version)
         is_running = self._task is not None and not self._task.done()
         if not is_running and self._is_behind(news):
             self._task = asyncio.create_task(self._run(sender, news))
 
+    def _record_newest(self, version):
+        if not self.behind_ms():
+            self._behind_since_ms = self._context.clock.now_ms()
+        self._newest_version = version
+
+    def behind_ms(self):
+        """Return for how long this host has known of a change that it lacks, or 0."""
+        copy = self._copies.get(self._table)
+        if copy is None or copy.version >= self._newest_version:
+            return 0
+        return max(1, self._context.clock.now_ms() - self._behind_since_ms)
+
     def _is_behind(self, news):
         """Return whether another host has changes, or a proof, that this one lacks."""
         copy = self._copies.get(self._table)
--- a/libs/entry/src/hemlockhoist/entry/feeds.py
+++ b/libs/entry/src/hemlockhoist/entry/feeds.py
@@ -439,6 +439,10 @@
         """Return the ``StoreNews`` of this host, or None."""
         return self._catch_up.news()
 
+    def behind_ms(self):
+        """Return for how long this host has known of routes that it lacks, or 0."""
+        return self._catch_up.behind_ms()
+
     def on_news(self, sender, news):
         """Handle what another host knows of the routes."""
         self._catch_up.on_news(sender, news)
--- a/libs/entry/src/hemlockhoist/entry/gauges.py
+++ b/libs/entry/src/hemlockhoist/entry/gauges.py
@@ -1,6 +1,7 @@
 """The gauges of an entry host."""
 
 from hemlockhoist.base.metrics_table import (
+    BEHIND_MS,
     DECLARATIONS_VERSION,
     DOMAINS_EVACUATED,
     GRANTS_IN_FLIGHT,
@@ -55,6 +56,7 @@
         metrics.gauge(DECLARATIONS_VERSION, store_view.routes.version)
     if store_view.proof_age_ms() is not None:
         metrics.gauge(PROOF_AGE_MS, store_view.proof_age_ms())
+    metrics.gauge(BEHIND_MS, context.feeds.behind_ms())
     metrics.gauge(DOMAINS_EVACUATED, len(store_view.evacuated.names()))
 
 
--- a/libs/entry/src/hemlockhoist/entry/servers.py
+++ b/libs/entry/src/hemlockhoist/entry/servers.py
@@ -345,6 +345,7 @@
         )
 
     def _log_refused(self, call, request, error):
+        store_view = self._context.store_view
         _log.info(
             "request_refused",
             request=call.request_id if call else "",
@@ -352,6 +353,9 @@
             code=int(error.code),
             reason=error.message,
             retry_after_ms=error.retry_after_ms,
+            routes_version=store_view.routes.version if store_view.routes else None,
+            proof_age_ms=store_view.proof_age_ms(),
+            behind_ms=self._context.feeds.behind_ms(),
         )
 
 
--- a/libs/store/src/hemlockhoist/store/calls.py
+++ b/libs/store/src/hemlockhoist/store/calls.py
@@ -75,6 +75,10 @@
         error = self.task.exception()
         return error is not None and not isinstance(error, PlatformError)
 
+    def elapsed_ms(self):
+        """Return how long ago the call was sent."""
+        return (asyncio.get_running_loop().time() - self._sent_s) * MS_PER_S
+
     def answer_ms(self):
         """Return how long the answer took beyond the wait, or None if unknown."""
         if not self.progress.begun.is_set():
@@ -172,6 +176,7 @@
                 limit_ms = wait_ms + self.repeat_ms
                 answered = await _first_answered(attempts, limit_ms, suspicion)
                 if answered is not None:
+                    _log_repeated(attempts, answered)
                     return await self._finish(answered, attempts)
                 # The repeated call is to find out soon whether the store answers.
                 wait_ms = 0
@@ -244,6 +249,17 @@
             _log.info(event, answer_ms=round(answer_ms), repeat_ms=self.repeat_ms)
 
 
+def _log_repeated(attempts, answered):
+    """Log that a read was answered only after it had been sent again."""
+    if len(attempts) > 1:
+        _log.info(
+            "store_read_repeated",
+            calls=len(attempts),
+            answered=attempts.index(answered) + 1,
+            after_ms=round(attempts[0].elapsed_ms()),
+        )
+
+
 async def _first_answered(attempts, limit_ms, suspicion):
     """Return the first attempt that is answered, or None.
 
