Refuse a request for good only by routes that no change can have replaced

A host that knew from others' messages of newer routes refused for good too.

Change: a refusal is final only if the proof is younger than config_apply_ms less 100 ms and no host has told of newer routes; else 503 with a time. It holds for unknown routes and keys, and for bodies beyond a declared size. A host that lacks a version confirmed that long ago has no younger proof, whatever made it late, as long as the store's answers are true.

Not covered: a request that is served by an older version.

--- a/libs/entry/src/hemlockhoist/entry/admission.py
+++ b/libs/entry/src/hemlockhoist/entry/admission.py
@@ -242,11 +242,6 @@
         return customer
 
     def _refuse_permanently(self, text, code):
-        """Refuse permanently a request that the routes in force do not cover.
-
-        Failure prevented: a host is cut off from the store while a route or a key is
-        added, and permanently refuses what all other hosts serve. Where the routes are
-        not proven fresh, the refusal therefore permits a retry.
-        """
-        self._store_view.check_fresh()
+        """Refuse permanently a request that the routes in force do not cover."""
+        self._store_view.check_final()
         raise BadRequest(text, code)
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -272,6 +272,7 @@
             self._on_routes,
             self._on_upstreams,
             context.moves.receive_order,
+            behind_ms=lambda: context.feeds.behind_ms(),
         )
         context.homes = HomeService(
             context,
--- a/libs/entry/src/hemlockhoist/entry/servers.py
+++ b/libs/entry/src/hemlockhoist/entry/servers.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 
 from hemlockhoist.base import (
+    BadRequest,
     HemlockhoistError,
     Property,
     Ran,
@@ -293,7 +294,7 @@
             response.force_close()
 
     async def _read_body(self, request, admitted, memory):
-        limits = self._limits
+        context, limits = self._context, self._limits
 
         async def on_ready():
             if request.headers.get("Expect", "").lower() == "100-continue":
@@ -308,7 +309,7 @@
                 on_ready,
             )
         except Refused as error:
-            self._context.metrics.count(MEMORY_REFUSED, admitted.tier)
+            context.metrics.count(MEMORY_REFUSED, admitted.tier)
             _log.warning(
                 "memory_refused",
                 request=admitted.call.request_id,
@@ -316,6 +317,10 @@
                 reason=error.message,
             )
             raise
+        except BadRequest as error:
+            if error.code is ResultCode.BODY_TOO_LARGE:
+                context.store_view.check_final()
+            raise
         memory.keep_body(len(body))
         return body
 
--- a/libs/entry/src/hemlockhoist/entry/settings.py
+++ b/libs/entry/src/hemlockhoist/entry/settings.py
@@ -19,6 +19,9 @@
         Time after an upstream announces that it leaves, until it is sent nothing more.
     stop_ms : int
         Time from the stop signal until the process is killed.
+    configuration_ms : int
+        Time after the confirmation of a change of the configuration until it is in
+        force at every host.
     revocation_ms : int
         Time after a key's revocation until nothing newly sent with it may run.
     retry_ratio, retry_base : float
@@ -41,6 +44,7 @@
 
     drain_ms: int = 2_000
     stop_ms: int = 8_000
+    configuration_ms: int = 2_000
     revocation_ms: int = 5_000
     retry_ratio: float = 0.2
     retry_base: float = 50.0
--- a/libs/entry/src/hemlockhoist/entry/store_view.py
+++ b/libs/entry/src/hemlockhoist/entry/store_view.py
@@ -30,6 +30,9 @@
 # minus this margin, which covers the request's transit to its upstream and differences
 # between the clocks' rates.
 PROOF_MARGIN_MS = 250
+# Likewise for the time until a change has to be in force; a request that is refused
+# for good is not on its way to an upstream.
+FINAL_MARGIN_MS = 100
 STALE_RETRY_AFTER_MS = 300
 NOT_READY_RETRY_AFTER_MS = 300
 
@@ -50,9 +53,12 @@
         ``on_upstreams()`` is called after each change of the listing.
     on_order : callable
         ``on_order(order)`` is called for each order to move a pool to a version.
+    behind_ms : callable, optional
+        Returns for how long other hosts have told of routes that this one lacks, or 0.
     """
 
     __slots__ = (
+        "_behind_ms",
         "_boot_clock",
         "_bounds",
         "_clock",
@@ -79,7 +85,9 @@
         on_routes,
         on_upstreams,
         on_order,
+        behind_ms=lambda: 0,
     ):
+        self._behind_ms = behind_ms
         self._on_order = on_order
         self._platform = platform
         self._bounds = bounds
@@ -125,20 +133,46 @@
         return self.freshness.store_ms(self._boot_clock.now_ms())
 
     def is_fresh(self):
-        """Return whether keys may be accepted and requests permanently refused."""
+        """Return whether keys may be accepted."""
+        return self._is_proven_within(self._bounds.revocation_ms - PROOF_MARGIN_MS)
+
+    def _is_proven_within(self, limit_ms):
         age_ms = self.proof_age_ms()
-        limit_ms = self._bounds.revocation_ms - PROOF_MARGIN_MS
         return age_ms is not None and age_ms < limit_ms
 
     def check_fresh(self):
-        """Refuse a decision that must not be based on stale routes.
+        """Refuse to accept a key by stale routes.
 
         Raises
         ======
         Refused
         """
-        if self.is_fresh():
-            return
+        if not self.is_fresh():
+            self._refuse_stale()
+
+    def check_final(self):
+        """Refuse a decision that is final for its caller, if a change may alter it.
+
+        Failure prevented: a route or key is added, this host does not know it yet, and
+        refuses permanently what all other hosts serve. A change that has to be in force
+        by now is younger than the proof, or another host has told of it.
+
+        Raises
+        ======
+        Refused
+        """
+        limit_ms = self._bounds.configuration_ms - FINAL_MARGIN_MS
+        if not self._is_proven_within(limit_ms):
+            self._refuse_stale()
+        behind_ms = self._behind_ms()
+        if behind_ms:
+            raise Refused(
+                f"other hosts have had newer routes for {behind_ms} ms or more",
+                ResultCode.CONFIGURATION_STALE,
+                STALE_RETRY_AFTER_MS,
+            )
+
+    def _refuse_stale(self):
         age_ms = self.proof_age_ms()
         raise Refused(
             f"the routes were last confirmed by the store {age_ms} ms ago",
--- a/libs/entry/src/hemlockhoist/entry/tests/builders.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/builders.py
@@ -116,6 +116,8 @@
     store_view : StoreView
     boot_ms : int
         The clock that counts suspensions.
+    behind_ms : int
+        For how long other hosts have told of newer routes; 0 if none has.
     """
 
     def __init__(self):
@@ -123,6 +125,7 @@
         self.clock = Clock.from_running_loop()
         self.tables = []
         self.orders = []
+        self.behind_ms = 0
         self.store_view = StoreView(
             FakePlatform(),
             FleetBounds(),
@@ -132,6 +135,7 @@
             self.tables.append,
             lambda: None,
             self.orders.append,
+            lambda: self.behind_ms,
         )
 
     def apply_routes(self, routes, version=1):
--- a/libs/entry/src/hemlockhoist/entry/tests/test_admission.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_admission.py
@@ -2,6 +2,8 @@
 from hemlockhoist.base.testing import PausedTestCase
 from hemlockhoist.decisions.entry import PoolChooser
 from hemlockhoist.entry.admission import Admission
+from hemlockhoist.entry.settings import FleetBounds
+from hemlockhoist.entry.store_view import FINAL_MARGIN_MS
 from hemlockhoist.entry.tests.builders import (
     HostFixture,
     call,
@@ -10,6 +12,8 @@
     table,
 )
 
+BOUNDS = FleetBounds()
+
 
 class AdmissionTests(PausedTestCase):
     async def asyncSetUp(self):
@@ -60,6 +64,27 @@
             code = self.refused(made, Refused)
             self.assertIs(code, ResultCode.CONFIGURATION_STALE)
 
+    def check_permanent(self, is_permanent):
+        kind = BadRequest if is_permanent else Refused
+        for made in (call(key="new"), call("/new/1")):
+            self.refused(made, kind)
+
+    async def test_refusal_is_final_only_within_the_bound_of_a_configuration(self):
+        """Guards against final refusals by routes that a change may have replaced."""
+        self.host.apply_all()
+        self.host.boot_ms += BOUNDS.configuration_ms - FINAL_MARGIN_MS - 1
+        self.check_permanent(True)
+        self.host.boot_ms += 1
+        self.check_permanent(False)
+
+    async def test_refusal_is_not_final_at_a_host_that_knows_of_newer_routes(self):
+        """Guards against final refusals by a host that knows that it is behind."""
+        self.host.apply_all()
+        self.host.behind_ms = 1
+        self.check_permanent(False)
+        self.host.behind_ms = 0
+        self.check_permanent(True)
+
     async def test_anonymous_route_is_served_on_stale_routes(self):
         self.host.apply_all(table(routes=[route(allows_anonymous=True)]))
         self.host.boot_ms += 60_000
--- a/libs/entry/src/hemlockhoist/entry/tests/test_where.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_where.py
@@ -97,7 +97,10 @@
         needed, a key that is sent has no effect.
         """
         store_view = types.SimpleNamespace(
-            routes=TABLE, check_complete=lambda: None, check_fresh=lambda: None
+            routes=TABLE,
+            check_complete=lambda: None,
+            check_fresh=lambda: None,
+            check_final=lambda: None,
         )
         admission = Admission(store_view, PoolChooser())
         for name in ("check", "open"):
