Bring changes of the configuration to hosts that the store rejects or answers late

Callers of such hosts were served or refused by an older version than the one confirmed over two seconds before.

A whole reading that arrives after rows came another way counts as whole. - Reads that were sent to a slow store are sent again once an answer is quick, and after 2.8 s, not 4 s, at most. Other hosts are asked after 0.5 s, not 1.5 s.

--- a/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
@@ -39,6 +39,7 @@
 from hemlockhoist.decisions.entry.readers import (
     MAX_DIRECT_READERS,
     ReaderTable,
+    announcement_order,
     find_readers,
     reader_for,
 )
@@ -86,6 +87,7 @@
     "WithheldVersionPolicy",
     "caller_limit",
     "chained_hashes",
+    "announcement_order",
     "find_readers",
     "live_versions",
     "nearby_members",
--- a/libs/decisions/src/hemlockhoist/decisions/entry/readers.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/readers.py
@@ -37,6 +37,33 @@
     return readers
 
 
+def announcement_order(members, own):
+    """Return when a host announces a change of the store, and to whom.
+
+    Load it is made for: several hosts read the same change from the store at once, and
+    one announcement to those that read the store is enough.
+
+    Parameters
+    ==========
+    members : sequence of Member
+        Members that are not gone.
+    own : Member
+        The host itself.
+
+    Returns
+    =======
+    (int, tuple of str)
+        How many hosts announce before it, and the addresses of the other hosts that
+        read the store.
+    """
+    readers = list(find_readers(members).values()) or list(members)
+    addresses = sorted(member.address for member in readers)
+    others = tuple(address for address in addresses if address != own.address)
+    turn = sum(address < own.address for address in others)
+    # A host that reads for itself only does so because the readers have failed.
+    return (turn if len(others) < len(addresses) else 0), others
+
+
 def reader_for(members, own, avoid=frozenset()):
     """Return the reader that a host uses, or None if it reads the store itself.
 
@@ -80,6 +107,9 @@
     def reader(self, avoid=frozenset()):
         """Return the reader that the host uses, or None if it reads the store itself.
 
+        Failure prevented: in a fleet whose hosts all read the store, it rejects one of
+        them, which hears of a change only by chance.
+
         Parameters
         ==========
         avoid : collection of str, optional
@@ -87,17 +117,15 @@
             own domain is among them, that of another domain is used. The host itself is
             among them while the store rejects it.
         """
-        if self.is_reader and (not self._readers or self._own.address not in avoid):
+        if self.is_reader and self._own.address not in avoid:
             return None
-        available = {
-            domain: member
-            for domain, member in self._readers.items()
-            if member.address not in avoid
-        }
+        readers = self._readers.values() or self._members
+        available = [item for item in readers if item.address not in avoid]
         if not available:
             return None
-        local_reader = available.get(self._own.failure_domain)
-        return local_reader or rank_members(available.values(), self._own.address)[0]
+        domain = self._own.failure_domain
+        local = [item for item in available if item.failure_domain == domain]
+        return rank_members(local or available, self._own.address)[0]
 
     def deputy(self, avoid):
         """Return the host that reads the store in place of failed readers, or None.
--- a/libs/entry/src/hemlockhoist/entry/catch_up.py
+++ b/libs/entry/src/hemlockhoist/entry/catch_up.py
@@ -15,6 +15,10 @@
 # A host whose reading of the routes is older than another's by this much asks that one.
 # Readings that are relayed each second differ by less.
 MAX_PROOF_LAG_MS = 2_000
+# Time after which another host is asked beside one that has not answered. The rows of a
+# large configuration take that long on a slow link.
+NEXT_HOST_MS = 400
+MAX_ASKED = 3
 # Label of a metric for changes that came this way.
 BY_OTHER_HOST = "other host"
 
@@ -25,7 +29,8 @@
     Failure prevented: the store rejects this host and its readers, or a call hangs, and
     this host keeps old routes although hosts beside it have newer ones.
 
-    Load prevented: each message may tell of a change; one host is asked at a time.
+    Load prevented: each message may tell of a change. One host is asked, and another
+    one only if that one takes long.
 
     Parameters
     ==========
@@ -45,7 +50,8 @@
         "_newest_version",
         "_offer",
         "_queries",
-        "_task",
+        "_started_ms",
+        "_tasks",
         "_update_copy",
     )
 
@@ -55,7 +61,9 @@
         self._queries = queries
         self._update_copy = update_copy
         self._offer = lambda reading, since_version: False
-        self._task = None
+        # The readings in progress, by the host that is asked, and when the last began.
+        self._tasks = {}
+        self._started_ms = 0
         # The newest change that another host has told of, and since when this host has
         # known of one that it lacks.
         self._newest_version = 0
@@ -63,9 +71,10 @@
 
     async def close(self):
         """Stop reading."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        tasks = list(self._tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def set_offer(self, offer):
         """Set the handler of readings, see ``FeedStore.set_offer``."""
@@ -86,9 +95,18 @@
         """Handle what another host knows."""
         if news.changed_version > self._newest_version:
             self._record_newest(news.changed_version)
-        is_running = self._task is not None and not self._task.done()
-        if not is_running and self._is_behind(news):
-            self._task = asyncio.create_task(self._run(sender, news))
+        if self._may_ask(sender) and self._is_behind(news):
+            self._started_ms = self._context.clock.now_ms()
+            task = asyncio.create_task(self._run(sender, news))
+            self._tasks[sender] = task
+            task.add_done_callback(lambda task: self._tasks.pop(sender, None))
+
+    def _may_ask(self, sender):
+        """Return whether one more host is asked now."""
+        if sender in self._tasks or len(self._tasks) >= MAX_ASKED:
+            return False
+        waited_ms = self._context.clock.now_ms() - self._started_ms
+        return not self._tasks or waited_ms >= NEXT_HOST_MS
 
     def _record_newest(self, version):
         if not self.behind_ms():
@@ -106,7 +124,7 @@
         """Return whether another host has changes, or a proof, that this one lacks."""
         copy = self._copies.get(self._table)
         if copy is None:
-            return False
+            return True
         has_change = news.changed_version > copy.version
         return has_change or news.read_ms - copy.store_ms > MAX_PROOF_LAG_MS
 
@@ -114,22 +132,21 @@
         await asyncio.sleep(GRACE_MS / MS_PER_S)
         if not self._is_behind(news):
             return
-        copy = self._copies[self._table]
+        copy = self._copies.get(self._table)
         _log.info(
             "routes_behind",
             host=sender,
-            version=copy.version,
+            version=copy.version if copy else None,
             newest=news.changed_version,
-            read_ms_later=news.read_ms - copy.store_ms,
+            read_ms_later=news.read_ms - copy.store_ms if copy else None,
         )
-        await self._read_from(sender)
+        await self._read_from(sender, copy.version if copy else None)
 
-    async def _read_from(self, address):
+    async def _read_from(self, address, since_version):
         """Read the changes from a host, or all rows if it has not got their history.
 
         A host that has started lately does not know what was deleted before.
         """
-        since_version = self._copies[self._table].version
         if await self._ask(address, since_version) is FeedState.HISTORY_GONE:
             await self._ask(address, None)
 
--- a/libs/entry/src/hemlockhoist/entry/feed_queries.py
+++ b/libs/entry/src/hemlockhoist/entry/feed_queries.py
@@ -120,9 +120,13 @@
         self._transit_ms[query.address] = max(transit_ms, known_ms // 2)
 
     def tell(self, address, table, version):
-        """Send a query whose answer is not awaited, for the news in its envelope."""
+        """Announce a change, which the news in the message's envelope tell of too."""
         query = FeedQuestion(
-            number=next(self._numbers), table=table, since_version=version, wait_ms=0
+            number=next(self._numbers),
+            table=table,
+            since_version=version,
+            wait_ms=0,
+            is_announcement=True,
         )
         self._context.bus.send(address, query)
 
--- a/libs/entry/src/hemlockhoist/entry/feeds.py
+++ b/libs/entry/src/hemlockhoist/entry/feeds.py
@@ -6,8 +6,9 @@
 
 from hemlockhoist.base import MS_PER_S, PlatformError, get_logger
 from hemlockhoist.base.metrics_table import STORE_CHANGES, STORE_ROW_BYTES
-from hemlockhoist.decisions.entry import TableCopy, find_readers
+from hemlockhoist.decisions.entry import TableCopy
 from hemlockhoist.entry.catch_up import CatchUp
+from hemlockhoist.entry.change_announcer import ChangeAnnouncer
 from hemlockhoist.entry.feed_queries import FeedQueries
 from hemlockhoist.entry.feed_server import FeedServer
 from hemlockhoist.entry.own_readings import OwnReadings, StoreLate
@@ -21,7 +22,7 @@
 # retry continuously, and report when the store is back.
 STORE_RETRY_INTERVAL_MS = 1_000
 # How long a reader that has lost the store asks other readers before its next call.
-READER_RETRY_INTERVAL_MS = 2_000
+READER_RETRY_INTERVAL_MS = 1_000
 # Limit on waiting for the list of hosts, from which a starting host learns the readers.
 # The list is read within some tens of milliseconds if the store answers.
 INTRODUCED_WAIT_MS = 500
@@ -34,7 +35,7 @@
 # Time without an answer, beyond the wait, after which this reader asks other readers
 # beside its own call. A store that answers slowly is late only if it is slower than
 # before by the factor.
-MIN_LATE_MS = 1_500
+MIN_LATE_MS = 500
 LATE_FACTOR = 2
 # Likewise for a host that has called the store as a reader kept it waiting.
 IMPATIENT_LATE_MS = 300
@@ -66,6 +67,7 @@
     """
 
     __slots__ = (
+        "_announcer",
         "_catch_up",
         "_changes_read_ms",
         "_choice",
@@ -83,6 +85,7 @@
         "_server",
         "_store",
         "_store_due_ms",
+        "_tried_ms",
     )
 
     def __init__(self, context, store, relayed):
@@ -95,6 +98,7 @@
             context, self._copies, self._reads_store, self._own.answer_ms
         )
         self._queries = FeedQueries(context, self._on_late_answer)
+        self._announcer = ChangeAnnouncer(context, self._queries)
         self._catch_up = CatchUp(
             context, self._copies, self._queries, self._update_copy
         )
@@ -113,6 +117,8 @@
             context, self._copies, self._queries, self._choice, self._update_copy
         )
         self._store_due_ms = 0
+        # When this host last called the store beside its queries to others, by table.
+        self._tried_ms = {}
         # When this reader, which lost the store, calls it again; None if it has it.
         self._own_due_ms = None
 
@@ -168,7 +174,7 @@
             reading = await self._relayed_reading(table, since_version, wait_ms)
             if reading is not None:
                 return reading
-            await self._pace_changes_read(table)
+            await self._pace_changes_read(table, wait_ms)
             reading = await self._unless_late(
                 self._read_own_changes(table, since_version, wait_ms)
             )
@@ -200,11 +206,17 @@
         while self._choice.may_have_reader() and clock.now_ms() < until_ms:
             await asyncio.sleep(READER_CHECK_INTERVAL_MS / MS_PER_S)
 
-    async def _pace_changes_read(self, table):
-        """Wait briefly if the changes of a table have just been read."""
+    async def _pace_changes_read(self, table, wait_ms):
+        """Wait briefly if the changes of a table have just been read.
+
+        Changes of the routes are read at once, unless the store is not to wait for one:
+        its answers would follow one another as fast as they arrive.
+        """
         now_ms = self._context.clock.now_ms()
         due_ms = self._changes_read_ms.get(table, 0) + CHANGES_READ_INTERVAL_MS
-        if table != self._context.platform.config_table and due_ms > now_ms:
+        is_config = table == self._context.platform.config_table
+        is_paced = not is_config or not self._own_wait_ms(table, wait_ms)
+        if is_paced and due_ms > now_ms:
             await asyncio.sleep((due_ms - now_ms) / MS_PER_S)
         self._changes_read_ms[table] = self._context.clock.now_ms()
 
@@ -293,7 +305,8 @@
         if self._own_due_ms is not None:
             # A store that rejects this host may leave the call unanswered.
             return 0
-        if not self.is_reader and self._choice.choose() is not None:
+        other = self._choice.choose(avoids_own=self._avoids_own)
+        if not self.is_reader and other is not None:
             # A reader is up and waits for the store, as this host does now.
             return 0
         if table != self._context.platform.config_table:
@@ -316,13 +329,14 @@
         is_config = table == self._context.platform.config_table
         if is_config and reading.rows and since_version is not None:
             self._context.metrics.count(STORE_CHANGES, BY_STORE)
-            self._announce(table, reading.version)
+            self._announcer.on_change(table, reading.version)
         return is_updated
 
     def _on_late_end(self, table, since_version, reading, error):
         """Use a reading that its caller does not wait for."""
         if isinstance(error, HistoryGone):
-            return  # The next reading of changes finds it too.
+            self._on_late_history_gone(table)
+            return
         if error is not None:
             self._on_store_lost(table)
             return
@@ -331,6 +345,17 @@
         if table in self._offers:
             self._offers[table](reading, since_version)
 
+    def _on_late_history_gone(self, table):
+        """Read a table whose changes the store has dropped, if others rely on this host.
+
+        Failure prevented: a slow store's answer that the history is gone is dropped, and
+        the next reading of changes waits as long for the same answer.
+        """
+        if self.is_reader:
+            _log.warning("store_history_gone", table=table)
+            self._missing_since_ms.setdefault(table, self._context.clock.now_ms())
+            self._own.begin_table(table)
+
     def _take_late(self, table, since_version):
         """Return the changes of a late reading that has ended, or None."""
         reading, copy = self._late_readings.pop(table, None), self._copies.get(table)
@@ -350,14 +375,18 @@
         copy = self._copies.get(table)
         if since_version is None:
             copy = self._copies.setdefault(table, TableCopy())
-            copy.replace(reading)
         elif copy is None or copy.version < since_version:
             return False
+        previous = (copy.version, copy.store_ms)
+        if since_version is None:
+            copy.replace(reading)
         else:
             copy.apply(reading)
         self._missing_since_ms.pop(table, None)
-        self._server.lost_tables.discard(table)
-        self._server.answer_waiting_queries(table)
+        if previous != (copy.version, copy.store_ms):
+            # Two hosts that follow each other would answer each other without end.
+            self._server.lost_tables.discard(table)
+            self._server.answer_waiting_queries(table)
         return True
 
     def _on_store_lost(self, table):
@@ -409,8 +438,11 @@
         """Return a reading relayed by a reader, or None to read the store instead."""
         if table not in self._relayed:
             return None
+        avoids_own = self._avoids_own
+        if avoids_own and self.is_reader and since_version is not None:
+            self._try_store(table, since_version)
         reading = await self._relayed_readings.read(
-            table, since_version, wait_ms, self._avoids_own
+            table, since_version, wait_ms, avoids_own
         )
         if reading is None:
             self._check_store_due()
@@ -418,20 +450,19 @@
             self._has_read_store = False
         return reading
 
-    def _on_late_answer(self, query, answer):
-        self._catch_up.on_late_answer(query, answer)
-
-    def _announce(self, table, version):
-        """Tell the readers of a change that this host has read from the store itself.
+    def _try_store(self, table, since_version):
+        """Call the store beside the queries to other hosts, from time to time.
 
-        Failure prevented: the store rejects all readers, and what the other hosts read
-        stays with them.
+        Failure prevented: a call for one table hangs, and this host follows others in
+        all tables for as long, though the store serves it and none of them any more.
         """
-        _, members = self._context.fleet.stable_members()
-        if self.is_reader:
-            return
-        for reader in find_readers(members).values():
-            self._queries.tell(reader.address, table, version)
+        now_ms = self._context.clock.now_ms()
+        if now_ms >= self._tried_ms.get(table, 0) + READER_RETRY_INTERVAL_MS:
+            self._tried_ms[table] = now_ms
+            self._own.begin_changes(table, since_version)
+
+    def _on_late_answer(self, query, answer):
+        self._catch_up.on_late_answer(query, answer)
 
     # What other hosts know.
 
@@ -464,6 +495,9 @@
 
     def on_query(self, sender, message):
         """Handle another host's query."""
+        if message.is_announcement:
+            self._announcer.on_announced(message.since_version)
+            return
         self._server.on_query(sender, message)
 
     def on_answer(self, message):
--- a/libs/entry/src/hemlockhoist/entry/own_readings.py
+++ b/libs/entry/src/hemlockhoist/entry/own_readings.py
@@ -3,6 +3,10 @@
 import asyncio
 
 from hemlockhoist.base import MS_PER_S, PlatformError
+from hemlockhoist.store import HistoryGone
+
+# Readings that are begun beside late ones, over all tables.
+MAX_EXTRA_CALLS = 4
 
 
 class StoreLate(PlatformError):
@@ -25,7 +29,7 @@
         reading has ended, with None for the ``Reading`` or the exception.
     """
 
-    __slots__ = ("_calls", "_clock", "_on_late_end", "_store")
+    __slots__ = ("_calls", "_clock", "_extra_calls", "_on_late_end", "_store")
 
     def __init__(self, clock, store, on_late_end):
         self._clock = clock
@@ -33,10 +37,13 @@
         self._on_late_end = on_late_end
         # The readings in progress, by table.
         self._calls = {}
+        # Those that were begun beside a late one.
+        self._extra_calls = set()
 
     async def close(self):
         """End all readings."""
-        tasks = [call.task for call in self._calls.values()]
+        calls = (*self._calls.values(), *self._extra_calls)
+        tasks = [call.task for call in calls]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -66,6 +73,43 @@
         call = self._calls.get(table)
         return call is not None and call.since_version is None
 
+    def begin_table(self, table):
+        """Begin a reading of all rows that nobody waits for, unless one is in progress.
+
+        ``on_late_end`` is called when it has ended.
+        """
+        if not self.reads_table(table):
+            self._begin(table, None, 0, self._store.read_table(table)).is_late = True
+
+    def begin_changes(self, table, since_version):
+        """Begin a reading of changes that nobody waits for.
+
+        ``on_late_end`` is called when it has ended. One in progress goes on beside it if
+        it is late; otherwise none is begun.
+        """
+        known = self._calls.get(table)
+        if known is None:
+            reading = self._store.read_changes(table, since_version, 0)
+            self._begin(table, since_version, 0, reading).is_late = True
+        elif known.is_late and len(self._extra_calls) < MAX_EXTRA_CALLS:
+            reading = self._store.read_changes(table, since_version, 0)
+            call = _Call(table, since_version, 0, reading, self._clock.now_ms())
+            call.is_late = True
+            self._extra_calls.add(call)
+            call.task.add_done_callback(lambda task: self._on_extra_end(call))
+
+    def _on_extra_end(self, call):
+        """Use a reading that was begun beside a late one, which is ended."""
+        self._extra_calls.discard(call)
+        if call.task.cancelled():
+            return
+        error = call.task.exception()
+        if error is None or isinstance(error, HistoryGone):
+            known = self._calls.get(call.table)
+            if known is not None and known.is_late and known.since_version is not None:
+                known.task.cancel()
+            self._on_end(call)
+
     async def read_table(self, table, late_ms=None):
         """Return a ``Reading`` of all rows; join one that is in progress.
 
--- a/libs/entry/src/hemlockhoist/entry/reader_choice.py
+++ b/libs/entry/src/hemlockhoist/entry/reader_choice.py
@@ -36,10 +36,21 @@
         """Whether this host reads the store itself."""
         return self._table().is_reader
 
-    @property
-    def has_reader(self):
-        """Whether a reader has not recently failed."""
-        return self._table().reader(self._skipped_now()) is not None
+    def has_reader(self, avoids_own):
+        """Return whether another host that reads the store has not recently failed.
+
+        Parameters
+        ==========
+        avoids_own : bool
+            As of ``choose``.
+        """
+        return self._table().reader(self._avoided(avoids_own)) is not None
+
+    def _avoided(self, avoids_own):
+        avoided = set(self._skipped_now())
+        if avoids_own:
+            avoided.add(self._context.fleet.stable_members()[0].address)
+        return avoided
 
     def choose(self, passed=(), avoids_own=False):
         """Return the host to query, or None to read the store.
@@ -54,9 +65,7 @@
         avoids_own : bool, optional
             Whether to query another host though this one is a reader.
         """
-        table, avoid = self._table(), set(self._skipped_now())
-        if avoids_own:
-            avoid.add(self._context.fleet.stable_members()[0].address)
+        table, avoid = self._table(), self._avoided(avoids_own)
         if table.reader(avoid) is not None:
             return table.reader({*avoid, *passed})
         return None if table.is_reader else table.deputy({*avoid, *passed})
--- a/libs/entry/src/hemlockhoist/entry/relayed_readings.py
+++ b/libs/entry/src/hemlockhoist/entry/relayed_readings.py
@@ -120,7 +120,8 @@
             # The next reader is queried without a wait: a host that is cut off from all
             # readers has to read the store itself before its proof is too old. A deputy
             # may have to find out first that the readers have failed.
-            wait_ms = 0 if self._choice.has_reader else ROUND_WAIT_MS
+            has_reader = self._choice.has_reader(round_.avoids_own)
+            wait_ms = 0 if has_reader else ROUND_WAIT_MS
 
     def _is_patient(self, round_, begun_ms):
         """Return whether this host can wait for a reader's next reading."""
--- a/libs/entry/src/hemlockhoist/entry/tests/feed_fleet.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/feed_fleet.py
@@ -64,6 +64,13 @@
         self.whole_reads = collections.Counter()
         self.is_partitioned = False
         self.is_silent = False
+        # Counts the times at which the calls in progress were silenced.
+        self.silenced_count = 0
+
+    def silence(self):
+        """Leave all calls unanswered, also those in progress."""
+        self.is_silent = True
+        self.silenced_count += 1
 
     @property
     def answer_ms(self):
@@ -75,10 +82,10 @@
         )
 
     async def _read_table(self, table, progress):
-        await self._begin()
+        silenced_count = await self._begin()
         self.whole_reads[table] += 1
         reading = await self.tables[table].read_table(table)
-        return await self._receive(reading, progress)
+        return await self._receive(reading, progress, silenced_count)
 
     async def read_changes(self, table, since_version, wait_ms):
         return await self.limits.read(
@@ -89,13 +96,13 @@
         )
 
     async def _read_changes(self, table, since_version, wait_ms, progress):
-        await self._begin()
+        silenced_count = await self._begin()
         try:
             reading = await self._changes(self.tables[table], since_version, wait_ms)
         except HistoryGone:
-            await self._answer(progress)
+            await self._answer(progress, silenced_count)
             raise
-        return await self._receive(reading, progress)
+        return await self._receive(reading, progress, silenced_count)
 
     async def _changes(self, table, since_version, wait_ms):
         try:
@@ -110,13 +117,19 @@
             await asyncio.Event().wait()
         if self.is_partitioned:
             raise PlatformError("the store is unreachable")
+        return self.silenced_count
 
-    async def _answer(self, progress):
+    async def _answer(self, progress, silenced_count):
         await asyncio.sleep(self.conditions.answer_ms / 1_000)
+        if silenced_count != self.silenced_count:
+            await asyncio.Event().wait()
+        # A call that waits for a change is rejected too.
+        if self.is_partitioned:
+            raise PlatformError("the store is unreachable")
         progress.on_bytes()
 
-    async def _receive(self, reading, progress):
-        await self._answer(progress)
+    async def _receive(self, reading, progress, silenced_count):
+        await self._answer(progress, silenced_count)
         self.answer_bytes += encoded_bytes(reading)
         await self.network.receive(self.address, reading)
         progress.on_bytes()
@@ -135,18 +148,22 @@
     ==========
     bytes_per_s : float
         Rate of each host's link, in each direction.
+    sent_count : int
+        Messages that were sent so far.
     """
 
     def __init__(self):
         self.feeds = {}
         self.disconnected = set()
         self.bytes_per_s = float("inf")
+        self.sent_count = 0
         # When the link of a host is free again, by host and direction.
         self._free_s = {}
 
     def send(self, sender, address, message):
         if self.disconnected & {sender, address}:
             return
+        self.sent_count += 1
         loop = asyncio.get_running_loop()
         size_s = len(msgspec.msgpack.encode(message)) / self.bytes_per_s
         sent_s = self._occupy((sender, "out"), loop.time(), size_s)
@@ -161,6 +178,12 @@
             sender, address = rng.sample(sorted(self.feeds), 2)
             self.send(sender, address, FeedAnswer(number=0))
 
+    def exchange(self, sender, address):
+        """Let two hosts exchange a probe and its answer."""
+        self.send(sender, address, FeedAnswer(number=0))
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.002, self.send, address, sender, FeedAnswer(number=0))
+
     async def receive(self, address, reading):
         """Wait until a host has received an answer of the store."""
         size_s = encoded_bytes(reading) / self.bytes_per_s
@@ -323,6 +346,18 @@
     start_bytes_per_s = float("inf")
 
     async def asyncSetUp(self):
+        self.hosts = []
+        self.addAsyncCleanup(self.close_hosts)
+        await self.start_hosts()
+
+    async def close_hosts(self):
+        for host in self.hosts:
+            await host.watch.close()
+            await host.feeds.close()
+            await host.upstreams_watch.close()
+
+    async def start_hosts(self):
+        """Start a fleet with a store and a network of its own."""
         self.store = {TABLE: ClockedStore(), UPSTREAMS: ClockedStore()}
         self.network = Network()
         self.network.bytes_per_s = self.start_bytes_per_s
@@ -343,9 +378,6 @@
         for host in self.hosts:
             await host.watch.start()
             await host.upstreams_watch.start()
-            self.addAsyncCleanup(host.upstreams_watch.close)
-            self.addAsyncCleanup(host.feeds.close)
-            self.addAsyncCleanup(host.watch.close)
         await asyncio.sleep(5)
         self.reader = next(host for host in self.hosts if host.feeds.is_reader)
         self.others = [host for host in self.hosts if host is not self.reader]
--- a/libs/messages/src/hemlockhoist/messages/feeds.py
+++ b/libs/messages/src/hemlockhoist/messages/feeds.py
@@ -106,6 +106,8 @@
         Longest time that the answer may wait for a change.
     unpacks : bool
         Whether the sender can read packed values.
+    is_announcement : bool
+        Whether the sender tells of a change that it has, and expects no answer.
     """
 
     number: int
@@ -113,6 +115,7 @@
     since_version: int | None
     wait_ms: int
     unpacks: bool = False
+    is_announcement: bool = False
 
 
 class FeedAnswer(
--- a/libs/store/src/hemlockhoist/store/calls.py
+++ b/libs/store/src/hemlockhoist/store/calls.py
@@ -14,7 +14,8 @@
 # A store that answers is not asked again while it is slower than before by less than
 # this factor.
 REPEAT_FACTOR = 2
-MAX_REPEAT_MS = 4_000
+# Shorter than the time in which hosts are to know the store's rows after its return.
+MAX_REPEAT_MS = 2_800
 MAX_ATTEMPTS = 3
 # An answer that has begun is read for as long as its bytes arrive.
 STALLED_MS = 1_500
@@ -214,8 +215,10 @@
 
     async def _finish(self, answered, attempts):
         """Read an answer to its end, and end the other calls."""
+        was_slow = self._is_slow
         self._record(answered.answer_ms())
-        if answered is not attempts[0] and answered.progress.begun.is_set():
+        is_repeated = answered is not attempts[0] and answered.progress.begun.is_set()
+        if is_repeated or (was_slow and not self._is_slow):
             self._suspect_others()
         others = [attempt for attempt in attempts if attempt is not answered]
         await asyncio.gather(*(attempt.close() for attempt in others))
@@ -228,10 +231,11 @@
         return answered.task.result()
 
     def _suspect_others(self):
-        """Repeat the other reads: one was answered only when it was sent again.
+        """Repeat the other reads: one was answered only when it was sent again, or soon.
 
         Failure prevented: connections have gone silent without an error, and a read
-        that waits long for a change learns of it only when its wait has ended.
+        that waits long for a change learns of it only when its wait has ended. Or a
+        slow store is well again, and a read that was sent before is waited for.
         """
         for suspicion in self._suspicions:
             if not suspicion.done():
--- a/libs/store/src/hemlockhoist/store/watch.py
+++ b/libs/store/src/hemlockhoist/store/watch.py
@@ -139,6 +139,8 @@
 
     async def _run(self):
         while True:
+            # Another way may bring the rows while this call is in progress.
+            is_snapshot = self._version is None
             try:
                 reading = await self._read()
             except HistoryGone:
@@ -150,12 +152,12 @@
                 continue
             if reading is None:
                 continue
-            if self._version is None and reading.version < self._newest_version:
+            if is_snapshot and reading.version < self._newest_version:
                 # Deletions and orders since then would be undone.
                 error = PlatformError("the rows are older than those that are known")
                 await self._record_failure(error)
                 continue
-            self._apply(reading)
+            self._apply(reading, is_snapshot)
 
     async def _read(self):
         """Return a reading, or None if the call was abandoned by ``read_again``."""
@@ -191,11 +193,11 @@
                 await self._restart.wait()
         self._restart.clear()
 
-    def _apply(self, reading):
+    def _apply(self, reading, is_snapshot):
         if self._failures:
             _log.info("store_regained", table=self._table, failed_calls=self._failures)
         self._failures = 0
-        self._pass_on(reading, is_snapshot=self._version is None)
+        self._pass_on(reading, is_snapshot)
 
     def _pass_on(self, reading, is_snapshot):
         """Pass on the rows that are new here, and the reading."""
