Let an odd row of another writer decide over no other row

Change: one set of errors that decoding can raise (DECODE_ERRORS) for rows, peers' messages, tokens, events and host lists; rows by one function, each by itself (decode_row); integers that fit 63 bits, numbers up to 1e12 and addresses of an IP number and a port from 1 to 65535 at the boundary; an address that none can connect to is its upstream's fault (not sent, tried elsewhere); a decoder that raises what nobody expected refuses its row alone, with a line.

Not built: a counter of refused rows, and that a host which starts beside an invalid desired state takes the last valid one from another host.

--- a/libs/base/src/hemlockhoist/base/__init__.py
+++ b/libs/base/src/hemlockhoist/base/__init__.py
@@ -1,6 +1,14 @@
 """Clock, result codes, errors, invariants, logs, metrics and traces."""
 
+from hemlockhoist.base.addresses import is_address
 from hemlockhoist.base.clock import MS_PER_S, Clock, SuspendAwareClock
+from hemlockhoist.base.decoding import (
+    DECODE_ERRORS,
+    MAX_NUMBER,
+    WireInteger,
+    WireNumber,
+    is_count,
+)
 from hemlockhoist.base.errors import (
     BadRequest,
     DeclarationError,
@@ -31,6 +39,8 @@
 from hemlockhoist.base.results import RESULTS, Ran, ResultCode, ResultInfo, result_info
 
 __all__ = [
+    "DECODE_ERRORS",
+    "MAX_NUMBER",
     "MS_PER_S",
     "RESULTS",
     "BadRequest",
@@ -66,4 +76,8 @@
     "get_logger",
     "io_timeout",
     "result_info",
+    "WireInteger",
+    "WireNumber",
+    "is_address",
+    "is_count",
 ]
--- a/libs/entry/src/hemlockhoist/entry/host_registry.py
+++ b/libs/entry/src/hemlockhoist/entry/host_registry.py
@@ -13,7 +13,7 @@
 )
 from hemlockhoist.decisions.entry import StaleEntries
 from hemlockhoist.decisions.membership import ListedHost
-from hemlockhoist.store import RowChange
+from hemlockhoist.store import RowChange, decode_row
 
 _log = get_logger("entry.roster")
 
@@ -249,10 +249,8 @@
         self._update_fleet()
 
     def _apply_row(self, row):
-        try:
-            host = msgspec.json.decode(row.value, type=HostRow)
-        except msgspec.MsgspecError as error:
-            _log.warning("host_row_unreadable", row=row.key, reason=str(error))
+        host = decode_row(row, HostRow, _log, "host_row_unreadable")
+        if host is None:
             return
         self._versions[row.key] = row.version
         if host.incarnation == self._context.identity.incarnation:
--- a/libs/entry/src/hemlockhoist/entry/store_view.py
+++ b/libs/entry/src/hemlockhoist/entry/store_view.py
@@ -209,6 +209,18 @@
         except Exception:
             _log.error("rows_failed", kind=apply.__name__, exc_info=True)
 
+    def _decode(self, decode, row, *options):
+        """Return what a row decodes to, or None with a log line if it can't be.
+
+        Failure prevented: a row of another writer raises what its decoder does not
+        expect, and all other rows that were read with it are never known here.
+        """
+        try:
+            return decode(row, *options)
+        except Exception:
+            _log.error("row_refused", row=row.key, version=row.version, exc_info=True)
+            return None
+
     def _apply_routes_row(self, reading):
         for row in reading.rows:
             if row.key == self._platform.config_key and row.value is not None:
@@ -218,12 +230,13 @@
         for row in reading.rows:
             if row.key == self._platform.config_key or row.value is None:
                 continue
-            order = self._platform.decode_order(row)
+            order = self._decode(self._platform.decode_order, row)
             if order is not None:
                 self._on_order(order)
 
     def _apply_domain_orders(self, reading, is_snapshot):
-        found = (self._platform.decode_domain_order(row) for row in reading.rows)
+        decode = self._platform.decode_domain_order
+        found = (self._decode(decode, row) for row in reading.rows)
         orders = [order for order in found if order is not None]
         if is_snapshot:
             changed = self.evacuated.replace(orders, reading.version)
@@ -294,7 +307,8 @@
         self.has_upstreams = True
         if is_snapshot:
             decode = self._platform.decode_upstream
-            found = [decode(row, now_ms) for row in reading.rows if row.value]
+            rows = [row for row in reading.rows if row.value]
+            found = [self._decode(decode, row, now_ms) for row in rows]
             self.listing.replace([item for item in found if item], now_ms)
         else:
             for row in reading.rows:
@@ -305,7 +319,8 @@
     def _apply_upstream(self, row, now_ms):
         upstream = None
         if row.value is not None:
-            upstream = self._platform.decode_upstream(row, now_ms)
+            decode = self._platform.decode_upstream
+            upstream = self._decode(decode, row, now_ms)
         if upstream is None:
             self.listing.drop(row.key, now_ms, row.version)
             _log.info("upstream_gone", upstream=row.key, version=row.version)
--- a/libs/entry/src/hemlockhoist/entry/tests/test_store_view.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_store_view.py
@@ -84,6 +84,23 @@
         self.store_view.apply_config_rows(reading(rows, 9), False)
         self.assertEqual(self.store_view.routes.version, 9)
 
+    async def test_row_whose_decoder_fails_is_refused_alone(self):
+        """Guards against upstreams that are never known for one row beside theirs."""
+        decode = self.store_view._platform.decode_upstream
+
+        def decode_or_fail(row, now_ms):
+            return self.fail_with_an_error(row) if row.key == "odd" else decode(row, 0)
+
+        self.store_view._platform.decode_upstream = decode_or_fail
+        rows = [
+            StoreRow(key=name, value=upstream(name), version=1)
+            for name in ("u1", "odd", "u2")
+        ]
+        for is_snapshot in (True, False):
+            self.store_view.apply_upstream_rows(reading(rows, 1), is_snapshot)
+            names = {item.upstream_id for item in self.store_view.usable()}
+            self.assertEqual(names, {"u1", "u2"})
+
     def fail_with_an_error(self, order):
         raise ValueError("an order that nobody expected")
 
--- a/libs/entry/src/hemlockhoist/entry/usage_recorder.py
+++ b/libs/entry/src/hemlockhoist/entry/usage_recorder.py
@@ -4,8 +4,13 @@
 
 import msgspec
 
-from hemlockhoist.base import MS_PER_S, PeriodicTask, PlatformError, get_logger
-from hemlockhoist.store import RowChange
+from hemlockhoist.base import (
+    MS_PER_S,
+    PeriodicTask,
+    PlatformError,
+    get_logger,
+)
+from hemlockhoist.store import RowChange, decode_row
 
 _log = get_logger("entry.spending")
 
@@ -199,8 +204,4 @@
 def _decode(row):
     if row.value is None:
         return None
-    try:
-        return msgspec.json.decode(row.value, type=UsageRow)
-    except msgspec.MsgspecError as error:
-        _log.warning("usage_unreadable", row=row.key, reason=str(error))
-        return None
+    return decode_row(row, UsageRow, _log, "usage_unreadable")
--- a/libs/host/src/hemlockhoist/host/quarantine_recorder.py
+++ b/libs/host/src/hemlockhoist/host/quarantine_recorder.py
@@ -12,6 +12,7 @@
     get_logger,
 )
 from hemlockhoist.messages import PartRecord, PartState
+from hemlockhoist.store import decode_row
 
 _log = get_logger("host.quarantine")
 
@@ -141,10 +142,8 @@
         self._read_ms = self._clock.now_ms()
         records = []
         for row in rows:
-            try:
-                record = msgspec.json.decode(row.value, type=PartRecord)
-            except msgspec.MsgspecError as error:
-                _log.warning("part_unreadable", row=row.key, reason=str(error))
+            record = decode_row(row, PartRecord, _log, "part_unreadable")
+            if record is None:
                 continue
             self._versions[record.part] = row.version
             records.append(record)
--- a/libs/host/src/hemlockhoist/host/sinks.py
+++ b/libs/host/src/hemlockhoist/host/sinks.py
@@ -6,7 +6,7 @@
 import msgspec
 from aiohttp import web
 
-from hemlockhoist.base import MS_PER_S, ResultCode
+from hemlockhoist.base import DECODE_ERRORS, MS_PER_S, ResultCode
 from hemlockhoist.host.responses import error_body, result_headers
 
 TOKEN_HEADER = "X-Stream-Token"
@@ -158,7 +158,7 @@
         return None
     try:
         return _chunk_decoder.decode(event.data()).usage
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return None
 
 
--- a/libs/host/src/hemlockhoist/host/tokens.py
+++ b/libs/host/src/hemlockhoist/host/tokens.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from hemlockhoist.base import BadRequest, ResultCode
+from hemlockhoist.base import DECODE_ERRORS, BadRequest, ResultCode
 
 _DIGEST_BYTES = 16
 # Domain separation: a token's digest must not be valid for a peer's frame, which is
@@ -84,7 +84,7 @@
             raise _invalid_token()
         try:
             return self._decoder.decode(body)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             raise _invalid_token() from error
 
     def _digest(self, body):
--- a/libs/messages/src/hemlockhoist/messages/codec.py
+++ b/libs/messages/src/hemlockhoist/messages/codec.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from hemlockhoist.base import PeerError, ResultCode
+from hemlockhoist.base import DECODE_ERRORS, PeerError, ResultCode
 from hemlockhoist.messages.registry import MESSAGE_TYPES
 
 WIRE_VERSION = 4
@@ -162,7 +162,7 @@
             wire = self._decoder.decode(body)
             sender = _unpack_address(wire.sender)
             incarnation = _unpack_hex(wire.incarnation)
-        except (msgspec.MsgspecError, OSError, UnicodeDecodeError) as error:
+        except (*DECODE_ERRORS, OSError) as error:
             raise PeerError(str(error), ResultCode.PEER_MALFORMED) from error
         return Envelope(
             sender=sender,
--- a/libs/store/src/hemlockhoist/store/__init__.py
+++ b/libs/store/src/hemlockhoist/store/__init__.py
@@ -9,6 +9,7 @@
     MemberState,
 )
 from hemlockhoist.store.lease import Lease, LeaseRow
+from hemlockhoist.store.row_values import decode_row
 from hemlockhoist.store.rows import (
     HistoryGone,
     Reading,
@@ -53,4 +54,5 @@
     "TypedRows",
     "new_change_id",
     "read_body",
+    "decode_row",
 ]
--- a/libs/store/src/hemlockhoist/store/hosts.py
+++ b/libs/store/src/hemlockhoist/store/hosts.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from hemlockhoist.base import PlatformError, get_logger
+from hemlockhoist.base import DECODE_ERRORS, PlatformError, get_logger
 
 _log = get_logger("hemlockhoist.store")
 
@@ -113,14 +113,14 @@
 def _decode_list(body):
     try:
         return msgspec.json.decode(body, type=_ListAnswer).members
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return _decode_individually(body)
 
 
 def _decode_individually(body):
     try:
         answer = msgspec.json.decode(body, type=_RawListAnswer)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise PlatformError(f"invalid host list: {error}") from error
     found = (_decode_member(item) for item in answer.members)
     return tuple(member for member in found if member is not None)
@@ -134,6 +134,6 @@
     """
     try:
         return msgspec.json.decode(body, type=ListedMember)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         _log.warning("member_skipped", reason=str(error))
         return None
--- a/libs/store/src/hemlockhoist/store/tables.py
+++ b/libs/store/src/hemlockhoist/store/tables.py
@@ -6,7 +6,12 @@
 
 import msgspec
 
-from hemlockhoist.base import PlatformError, StoreAnswerLost, StoreConflict
+from hemlockhoist.base import (
+    DECODE_ERRORS,
+    PlatformError,
+    StoreAnswerLost,
+    StoreConflict,
+)
 
 ABSENT = 0
 
@@ -253,7 +258,7 @@
 def _decode(body, answer_type):
     try:
         return msgspec.json.decode(body, type=answer_type)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise PlatformError(
             f"invalid response of the table service: {error}"
         ) from error
--- a/libs/store/src/hemlockhoist/store/typed_rows.py
+++ b/libs/store/src/hemlockhoist/store/typed_rows.py
@@ -2,10 +2,12 @@
 
 import msgspec
 
-from hemlockhoist.base import PlatformError
+from hemlockhoist.base import DECODE_ERRORS, PlatformError, get_logger
 from hemlockhoist.store.rows import RowChange
 from hemlockhoist.store.tables import Row, new_change_id
 
+_log = get_logger("store.rows")
+
 
 class TypedRows:
     """Typed access to a ``RowStore``, with the interface of ``TableClient``.
@@ -38,12 +40,13 @@
         PlatformError
             When the store failed, or the value is not of the requested type.
         """
-        for row in await self.list(table, value_type, key):
-            return row
+        for row in await self._rows(table):
+            if row.key == key:
+                return _typed(table, row, value_type)
         return None
 
-    async def list(self, table, value_type, key=None):
-        """Return all rows of a table, or only the row with a given key.
+    async def list(self, table, value_type):
+        """Return all rows of a table but those that are not of the requested type.
 
         Returns
         =======
@@ -53,12 +56,17 @@
         ======
         PlatformError
         """
+        found = []
+        for row in await self._rows(table):
+            try:
+                found.append(_typed(table, row, value_type))
+            except PlatformError as error:
+                _log.warning("row_unreadable", table=table, reason=error.message)
+        return tuple(found)
+
+    async def _rows(self, table):
         reading = await self._store.read_table(table)
-        return tuple(
-            _typed(table, row, value_type)
-            for row in reading.rows
-            if row.value is not None and key in (None, row.key)
-        )
+        return [row for row in reading.rows if row.value is not None]
 
     async def put(self, table, key, value, if_version, change_id=None):
         """Write one row if its version is still ``if_version``.
@@ -90,6 +98,6 @@
 def _typed(table, row, value_type):
     try:
         value = msgspec.json.decode(row.value, type=value_type)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise PlatformError(f"{table}/{row.key} cannot be decoded: {error}") from error
     return Row(key=row.key, value=value, version=row.version, change_id="")
--- a/libs/upstreams/src/hemlockhoist/upstreams/client.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/client.py
@@ -15,6 +15,7 @@
     Refused,
     ResultCode,
     io_timeout,
+    is_address,
 )
 from hemlockhoist.upstreams.bounds import BoundedHandler
 from hemlockhoist.upstreams.connections import (
@@ -238,6 +239,7 @@
             connection_use.reset(token)
 
     async def _send(self, call, guard, session=None):
+        _check_address(call.address)
         timeout = aiohttp.ClientTimeout(
             total=None,
             sock_connect=self._connect_timeout_ms / MS_PER_S,
@@ -339,6 +341,21 @@
         """Do nothing."""
 
 
+def _check_address(address):
+    """Refuse to send to an address that none can connect to.
+
+    Failure prevented: the library rejects the address with an error of the same type as
+    for a caller's malformed header, and the caller is told that its request is invalid.
+
+    Raises
+    ======
+    Refused
+    """
+    if not is_address(address):
+        text = f"upstream address {address[:60]!r} is invalid"
+        raise Refused(text, ResultCode.CONNECT_FAILED)
+
+
 def _classify(guard, error, code):
     """Return the error to raise: ``Refused`` as long as nothing was sent."""
     if guard.dispatched:
--- a/libs/upstreams/src/hemlockhoist/upstreams/events.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/events.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from hemlockhoist.base import DispatchError, ResultCode
+from hemlockhoist.base import DECODE_ERRORS, DispatchError, ResultCode
 from hemlockhoist.upstreams.response_ids import ResponseIdTracker
 
 # An event takes a few hundred bytes. A stream that sends this much without the end of
@@ -43,7 +43,7 @@
         """Return the response id in the event's data, or an empty string."""
         try:
             return _event_decoder.decode(self.data()).id
-        except msgspec.MsgspecError:
+        except DECODE_ERRORS:
             return ""
 
 
--- a/libs/upstreams/src/hemlockhoist/upstreams/tests/test_client.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/tests/test_client.py
@@ -124,6 +124,13 @@
         self.assertIs(caught.exception.code, ResultCode.OUTCOME_UNKNOWN)
         self.assertEqual(len(upstream.heads), 1)
 
+    async def test_address_that_none_can_connect_to_is_its_upstream_s_fault(self):
+        """Guards against callers that are told that their requests are invalid."""
+        for address in ("127.0.0.1:99999", "127.0.0.1:84x", "127.0.0.1", ":80", ""):
+            with self.subTest(address), self.assertRaises(Refused) as caught:
+                await self._dispatch(address, self._guard())
+            self.assertIs(caught.exception.code, ResultCode.CONNECT_FAILED)
+
     async def test_an_expired_grant_sends_nothing(self):
         """A grant that expires while connecting is refused, and no byte is sent."""
         upstream = await self._upstream(b"HTTP/1.1 200 OK\r\n\r\n")
