Repeat other reads of the store only after an answer that shows that it is quick

Cause, of: a read that waits for a change and is answered before its wait has ended by some tenths of a second looks quick, though its answer took long; all other reads, whole tables among them, were then sent again. Ruled out: the time after which other hosts are asked (green with 0.5 and with 1.5 s). Also, a late answer that the history is gone began a whole reading although rows had been read since; mended.

Change: only an answer to a read that does not wait shows a quick store.

--- a/libs/entry/src/hemlockhoist/entry/feeds.py
+++ b/libs/entry/src/hemlockhoist/entry/feeds.py
@@ -335,7 +335,7 @@
     def _on_late_end(self, table, since_version, reading, error):
         """Use a reading that its caller does not wait for."""
         if isinstance(error, HistoryGone):
-            self._on_late_history_gone(table)
+            self._on_late_history_gone(table, since_version)
             return
         if error is not None:
             self._on_store_lost(table)
@@ -345,13 +345,16 @@
         if table in self._offers:
             self._offers[table](reading, since_version)
 
-    def _on_late_history_gone(self, table):
+    def _on_late_history_gone(self, table, since_version):
         """Read a table whose changes the store has dropped, if others rely on this host.
 
         Failure prevented: a slow store's answer that the history is gone is dropped, and
         the next reading of changes waits as long for the same answer.
         """
-        if self.is_reader:
+        copy = self._copies.get(table)
+        # Rows that were read since answer a call that began before.
+        is_missing = copy is None or copy.version <= since_version
+        if self.is_reader and is_missing:
             _log.warning("store_history_gone", table=table)
             self._missing_since_ms.setdefault(table, self._context.clock.now_ms())
             self._own.begin_table(table)
--- a/libs/store/src/hemlockhoist/store/calls.py
+++ b/libs/store/src/hemlockhoist/store/calls.py
@@ -68,6 +68,11 @@
         """Whether an answer has begun, or the call has ended otherwise."""
         return self.task.done() or self.progress.begun.is_set()
 
+    @property
+    def waits(self):
+        """Whether the store may have waited for a change before it answered."""
+        return self._wait_ms > 0
+
     @property
     def is_unanswered(self):
         """Whether the connection ended before an answer began."""
@@ -218,7 +223,8 @@
         was_slow = self._is_slow
         self._record(answered.answer_ms())
         is_repeated = answered is not attempts[0] and answered.progress.begun.is_set()
-        if is_repeated or (was_slow and not self._is_slow):
+        is_well_again = was_slow and not self._is_slow and not answered.waits
+        if is_repeated or is_well_again:
             self._suspect_others()
         others = [attempt for attempt in attempts if attempt is not answered]
         await asyncio.gather(*(attempt.close() for attempt in others))
--- a/libs/store/src/hemlockhoist/store/tests/test_calls.py
+++ b/libs/store/src/hemlockhoist/store/tests/test_calls.py
@@ -99,6 +99,31 @@
         self.assertEqual(await waiting, 2)
         self.assertLess(self.loop.time() - 1000, elapsed_s + 0.1)
 
+    async def calls_beside(self, answered, wait_ms):
+        """Return how often a pending read is sent, as another one is answered."""
+        await self.read(FakeStore(answer_s=1.4))
+        pending = FakeStore(answer_s=2.0)
+        task = asyncio.create_task(self.calls.read(pending.call))
+        await asyncio.sleep(0.01)
+        await self.calls.read(answered, wait_ms)
+        await asyncio.sleep(0.01)
+        count = len(pending.waits_ms)
+        await task
+        return count
+
+    async def test_read_of_a_slow_store_is_repeated_once_it_is_quick_again(self):
+        """Guards against hosts that wait for calls of before the store was well."""
+        self.assertEqual(await self.calls_beside(FakeStore().call, 0), 2)
+
+    async def test_answer_that_a_change_brought_early_does_not_repeat_other_reads(self):
+        """Guards against whole tables that a slow store sends several times."""
+
+        async def change(progress, wait_ms):
+            await asyncio.sleep(1.2)
+            progress.on_bytes()
+
+        self.assertEqual(await self.calls_beside(change, 1_000), 1)
+
     async def test_lost_connection_is_reported_if_no_other_call_is_open(self):
         async def refuse(progress, wait_ms):
             raise ConnectionResetError
