--- a/libs/store/src/hemlockhoist/store/tests/test_watch.py
+++ b/libs/store/src/hemlockhoist/store/tests/test_watch.py
@@ -13,10 +13,12 @@
         self.script = []
         self.calls = []
         self.rows = {}
+        self.answer_s = 0
 
     async def read_table(self, table):
         self.calls.append("table")
         self._fail()
+        await asyncio.sleep(self.answer_s)
         rows = [StoreRow(key=k, value=v, version=1) for k, v in self.rows.items()]
         return self._reading(rows)
 
@@ -63,6 +65,18 @@
         self.assertEqual([is_snapshot for _, is_snapshot in self.applied], [True])
         self.assertEqual(len(self.readings), 3)
 
+    async def test_whole_reading_counts_as_whole_though_rows_came_another_way(self):
+        """Guards against rows that stay, deleted before the reading of a whole table."""
+        self.store.answer_s = 1
+        await self.start()
+        await asyncio.sleep(0.5)
+        row = StoreRow(key="evacuate/a", value=b"{}", version=1)
+        offered = Reading(rows=(row,), version=1, store_ms=0, sent_ms=0)
+        self.assertTrue(self.watch.offer(offered, None))
+        self.store.version = 3
+        await asyncio.sleep(1)
+        self.assertEqual(self.applied, [((row,), True), ((), True)])
+
     async def test_table_is_read_again_after_lost_history(self):
         """Guards against keeping a row whose deletion the feed no longer holds.
 
