--- a/libs/standins/src/hemlockhoist/standins/published/soak/__main__.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/__main__.py
@@ -7,12 +7,16 @@
 
 import click
 
+from hemlockhoist.standins.published.soak.retry_run import (
+    HOST_COUNT as RETRY_HOST_COUNT,
+)
+from hemlockhoist.standins.published.soak.retry_run import RetrySoakRun
 from hemlockhoist.standins.published.soak.run import HOST_COUNT, SoakRun
 
 
-async def run_seed(seed, seconds, folder, fault_names, host_count):
+async def run_seed(seed, seconds, folder, fault_names, host_count, run_type=SoakRun):
     """Run one seed and print its result; return whether it is green."""
-    run = SoakRun(seed, folder, fault_names, host_count)
+    run = run_type(seed, folder, fault_names, host_count)
     result = await run.run(seconds)
     is_green = not result.violations
     click.echo(
@@ -35,15 +39,21 @@
 )
 @click.option("--logs", default=None, help="Folder that keeps the hosts' logs.")
 @click.option("--fault", "faults", multiple=True, help="Draw only from such faults.")
-@click.option("--hosts", default=HOST_COUNT, help="Number of entry hosts.")
-def main(seed, seeds, seconds, logs, faults, hosts):
+@click.option("--hosts", default=0, help="Number of entry hosts.")
+@click.option("--retries", is_flag=True, help="Play what concerns the retry limit.")
+def main(seed, seeds, seconds, logs, faults, hosts, retries):
     """Run entry hosts as processes under random faults, and check their answers."""
     red_seeds = []
+    run_type = RetrySoakRun if retries else SoakRun
+    hosts = hosts or (RETRY_HOST_COUNT if retries else HOST_COUNT)
     for number in range(seed, seed + seeds):
         with tempfile.TemporaryDirectory() as scratch:
             folder = pathlib.Path(logs or scratch, f"seed-{number}")
             folder.mkdir(parents=True, exist_ok=True)
-            if not asyncio.run(run_seed(number, seconds, folder, faults, hosts)):
+            is_green = asyncio.run(
+                run_seed(number, seconds, folder, faults, hosts, run_type)
+            )
+            if not is_green:
                 red_seeds.append(number)
     click.echo(f"{seeds} seeds, {len(red_seeds)} red: {red_seeds}")
     sys.exit(1 if red_seeds else 0)
--- a/libs/standins/src/hemlockhoist/standins/published/soak/callers.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/callers.py
@@ -11,6 +11,8 @@
 from hemlockhoist.standins.published.site import HOST_NAME
 
 MAX_REQUEST_GAP_S = 0.03
+# Time limit that each request names.
+CALLER_DEADLINE_MS = 2_500
 # One in this many requests only tests whether a route is in force.
 PROBE_EVERY = 4
 # One in this many requests is abandoned by its caller before the answer is complete.
@@ -104,9 +106,12 @@
     count : int
         Number of tasks.
     rng : random.Random
+    max_gap_s : float, optional
+        Longest pause of a task between two requests.
     """
 
-    def __init__(self, hosts, keys, count, rng):
+    def __init__(self, hosts, keys, count, rng, max_gap_s=MAX_REQUEST_GAP_S):
+        self._max_gap_s = max_gap_s
         self.calls = []
         self.keys = keys
         self.revoked_keys = []
@@ -148,7 +153,7 @@
         ) as session:
             while not self._stopped:
                 await self._send(session, rng)
-                await asyncio.sleep(MAX_REQUEST_GAP_S * rng.random())
+                await asyncio.sleep(self._max_gap_s * rng.random())
 
     async def _send(self, session, rng):
         hosts = self._hosts()
@@ -159,7 +164,7 @@
         headers = {
             "Host": HOST_NAME,
             "Attempt-Id": call.attempt_id,
-            "Deadline-Ms": "2500",
+            "Deadline-Ms": str(CALLER_DEADLINE_MS),
         }
         if call.key:
             headers["Authorization"] = f"Bearer {call.key}"
--- a/libs/standins/src/hemlockhoist/standins/published/soak/checks.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/checks.py
@@ -31,6 +31,12 @@
     find_rest_violations,
     find_rests,
 )
+from hemlockhoist.standins.published.soak.retry_checks import (
+    find_arrivals,
+    find_attempt_violations,
+    find_retry_violations,
+    find_time_limit_violations,
+)
 
 # Statuses that tell a caller that its request did not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -151,6 +157,28 @@
         self.violations += find_blocked_others(requests, rows, PEER_KEY.encode())
         self.check_counts["requests that end replicas"] += len(requests)
 
+    def check_retries(self, replicas, bounds, max_attempts, ended_ids):
+        """Check what replicas received of requests that were sent more than once.
+
+        Parameters
+        ==========
+        replicas : list of Replica
+        bounds : RetryBounds
+        max_attempts : callable
+        ended_ids : set of str
+            As of ``find_attempt_violations``.
+        """
+        arrivals = find_arrivals(replicas, self._calls)
+        violations, count = find_retry_violations(
+            arrivals, self._calls.values(), bounds
+        )
+        self.violations += violations
+        self.check_counts["repeated arrivals"] += count
+        self.violations += find_attempt_violations(arrivals, max_attempts, ended_ids)
+        violations, count = find_time_limit_violations(arrivals)
+        self.violations += violations
+        self.check_counts["time limits"] += count
+
     def check_cuts(self, spans, outages):
         """Check that hosts without links to replicas served like the others.
 
--- a/libs/standins/src/hemlockhoist/standins/published/soak/faults.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/faults.py
@@ -17,6 +17,7 @@
 from hemlockhoist.standins.published.soak.limit_checks import LimitSpan
 from hemlockhoist.standins.published.soak.proxy import Cut
 from hemlockhoist.standins.published.soak.repeat_checks import RepeatedRequest
+from hemlockhoist.standins.published.soak.service_faults import ServiceFaultKinds
 from hemlockhoist.standins.published.soak.slowdown_faults import SlowdownFaultKinds
 from hemlockhoist.standins.published.soak.store_faults import StoreFaultKinds
 
@@ -30,7 +31,7 @@
 CRASHING_RUNS = 0.5
 
 
-class SoakFaults(SlowdownFaultKinds, StoreFaultKinds):
+class SoakFaults(SlowdownFaultKinds, StoreFaultKinds, ServiceFaultKinds):
     """Injects faults one after the other; most have a duration and overlap.
 
     Parameters
@@ -98,6 +99,7 @@
             self.truncate_history,
             self.slow_store_without_history,
             self.make_replica_faulty,
+            self.fail_service,
             self.crash_replica,
             self.drain_replica,
             self.slow_replica,
--- a/libs/standins/src/hemlockhoist/standins/published/soak/hosts.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/hosts.py
@@ -26,6 +26,9 @@
 [bounds]
 grace_s = {stop_s}
 revoke_ms = {revocation_ms}
+retry_budget_ratio = {retry_ratio}
+retry_allowance = {retry_allowance}
+budget_window_s = {retry_window_s}
 drain_ms = {drain_ms}
 [limits]
 file_descriptors = {descriptors}
@@ -47,7 +50,8 @@
     folder : pathlib.Path
         Folder for its settings and its log.
     bounds : dict
-        ``revocation_ms`` and ``drain_ms``.
+        ``revocation_ms``, ``drain_ms``, ``retry_ratio``, ``retry_allowance`` and
+        ``retry_window_s``.
     variables : dict of str to str, optional
         Environment variables that turn on features.
     """
--- a/libs/standins/src/hemlockhoist/standins/published/soak/run.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/run.py
@@ -13,7 +13,11 @@
 from hemlockhoist.standins.published.keep_alive import KeepAlive
 from hemlockhoist.standins.published.replica import Replica
 from hemlockhoist.standins.published.site import route
-from hemlockhoist.standins.published.soak.callers import Callers, now_s
+from hemlockhoist.standins.published.soak.callers import (
+    MAX_REQUEST_GAP_S,
+    Callers,
+    now_s,
+)
 from hemlockhoist.standins.published.soak.checks import RunChecker
 from hemlockhoist.standins.published.soak.config_checks import DeclaredVersion
 from hemlockhoist.standins.published.soak.contact_checks import ContactProbes
@@ -21,6 +25,7 @@
 from hemlockhoist.standins.published.soak.hedge_checks import HEDGE_LOG_TEXT
 from hemlockhoist.standins.published.soak.hosts import START_TIMEOUT_S, HostProcess
 from hemlockhoist.standins.published.soak.proxy import Proxy
+from hemlockhoist.standins.published.soak.retry_checks import RetryBounds
 from hemlockhoist.standins.published.store import StoreStandin
 
 HOST_COUNT = 3
@@ -102,6 +107,11 @@
     """
 
     default_delay_ms = 15
+    max_request_gap_s = MAX_REQUEST_GAP_S
+    replica_count = REPLICA_COUNT
+    services = tuple(SERVICES)
+    retry_bounds = RetryBounds()
+    routes = ROUTES
 
     def __init__(
         self,
@@ -131,7 +141,11 @@
         self._revoked = {}
         self._exit_stack = contextlib.AsyncExitStack()
         self.callers = Callers(
-            self._addresses, list(self._keys), CALLER_COUNT, self._rng
+            self._addresses,
+            list(self._keys),
+            CALLER_COUNT,
+            self._rng,
+            self.max_request_gap_s,
         )
         crash_rng = random.Random(f"crashes of {seed}")
         crowd_rng = random.Random(f"crowds of {seed}")
@@ -175,10 +189,16 @@
         await self._open(self.store)
         self.store.sender_of = self._store_sender
         for service, events in SERVICES.items():
-            for _ in range(REPLICA_COUNT):
+            for _ in range(self.replica_count):
                 await self._add_replica(service, events)
         await self.declare()
-        bounds = {"revocation_ms": REVOCATION_MS, "drain_ms": DRAIN_MS}
+        bounds = {
+            "revocation_ms": REVOCATION_MS,
+            "drain_ms": DRAIN_MS,
+            "retry_ratio": self.retry_bounds.ratio,
+            "retry_allowance": self.retry_bounds.allowance,
+            "retry_window_s": self.retry_bounds.window_s,
+        }
         for number in range(self._host_count):
             proxy = await self._open(Proxy(self.store.address))
             self.store_proxies.append(proxy)
@@ -321,7 +341,7 @@
         ]
         body = {
             "version": self._version,
-            "route_table": [*ROUTES, added, *self._extra_routes],
+            "route_table": [*self.routes, added, *self._extra_routes],
             "services": [
                 {"name": name, "health_path": "/healthz", "max_connections": 100}
                 for name in ("reservas", "asistente")
@@ -390,6 +410,9 @@
             faults.outages,
             self.store.payloads("crashing_parts"),
         )
+        checker.check_retries(
+            replicas, self.retry_bounds, self._max_attempts, self._ended_ids(replicas)
+        )
         checker.check_declarations(
             self._declared, faults.store_spans, faults.outages, self._addresses()
         )
@@ -416,6 +439,19 @@
             served=served,
         )
 
+    def _max_attempts(self, path):
+        """Return the attempts that a route allows, which added ones have by default."""
+        declared = {item["name"]: item for item in (route("", ""), *self.routes)}
+        return declared.get(path, declared[""])["max_attempts"]
+
+    def _ended_ids(self, replicas):
+        """Return the ids of replicas that ended, or that a host was cut from."""
+        ended = {replica.replica_id for replica in self._ended_replicas}
+        for replica in replicas:
+            if replica.crashes or replica.falls or self.faults.cut_spans:
+                ended |= {item.replica_id for item in replica.ran}
+        return ended
+
     def _other_disturbances(self):
         """Return what may cause whole readings besides a dropped history."""
         faults = self.faults
