Log which retries a home charges, and what is left of their limit

Change: a line retry_charged at the home for each retry that it admits, the counts behind the limit in the reason of a refusal, and a counter retries.allowed by pool. The decision is unchanged.

--- a/libs/base/src/hemlockhoist/base/metrics_table.py
+++ b/libs/base/src/hemlockhoist/base/metrics_table.py
@@ -446,6 +446,13 @@
     "A few at each change of the list are normal. If they are continuous, the home "
     "cannot reach the store.",
 )
+RETRIES_ALLOWED = Metric(
+    "retries.allowed",
+    _C,
+    "pool",
+    "Retries that a home charged to the fleet's limit and admitted.",
+    "Search the log for retry_charged: it says for which request, and what is left.",
+)
 REQUESTS_KEPT_BACK = Metric(
     "requests.kept_back",
     _C,
--- a/libs/decisions/src/hemlockhoist/decisions/limits/retry_limiter.py
+++ b/libs/decisions/src/hemlockhoist/decisions/limits/retry_limiter.py
@@ -73,16 +73,38 @@
             Fraction of the bound that it may use; the rest is for others.
         """
         bucket = self._current_bucket(now_ms)
+        requests, retries = self._counts(now_ms)
+        if retries + 1 > usable_fraction * self._bound(requests, now_ms):
+            return False
+        bucket[2] += 1
+        return True
+
+    def left(self, now_ms):
+        """Return how many more retries would be allowed now."""
+        requests, retries = self._counts(now_ms)
+        return max(0, int(self._bound(requests, now_ms) - retries))
+
+    def describe(self, now_ms):
+        """Return what the limit is made of, as a text for logs."""
+        requests, retries = self._counts(now_ms)
+        unknown = self.unknown_usage.fraction_at(self._window_ms, now_ms)
+        return (
+            f"{retries} retries and {requests} requests in the window, "
+            f"bound {self._bound(requests, now_ms):.1f}, unknown {unknown:.2f}"
+        )
+
+    def _counts(self, now_ms):
+        """Return the requests and the retries of the window."""
+        self._current_bucket(now_ms)
         requests = sum(item[1] for item in self._buckets)
         retries = sum(item[2] for item in self._buckets)
+        return requests, retries
+
+    def _bound(self, requests, now_ms):
         unknown = self.unknown_usage.fraction_at(self._window_ms, now_ms)
         bound = USED_FRACTION * self._ratio * requests
         base_share = USED_FRACTION - ASSUMED_FRACTION * unknown
-        bound += base_share * (self.share * self._base)
-        if retries + 1 > usable_fraction * bound:
-            return False
-        bucket[2] += 1
-        return True
+        return bound + base_share * (self.share * self._base)
 
     def refund(self, acquired_ms):
         """Stop counting a retry that was allowed at ``acquired_ms`` and not sent."""
--- a/libs/entry/src/hemlockhoist/entry/gate.py
+++ b/libs/entry/src/hemlockhoist/entry/gate.py
@@ -60,7 +60,7 @@
             fraction = HEDGE_RETRY_FRACTION if request.is_hedge else 1.0
             if limiter.acquire(now_ms, fraction):
                 return None
-            reason = f"retry {request.attempt} of {pool}"
+            reason = f"retry {request.attempt} of {pool}, {limiter.describe(now_ms)}"
             return GateRefusal(ResultCode.RETRIES_EXHAUSTED, RETRY_AFTER_MS, reason)
         if request.is_new:
             limiter.count_request(now_ms)
@@ -71,6 +71,10 @@
         reason = f"{request.customer} asks for {request.units} units of {left} left"
         return GateRefusal(ResultCode.ALLOWANCE_SPENT, wait_ms, reason)
 
+    def retries_left(self, pool, now_ms):
+        """Return how many more retries would be admitted now."""
+        return self._retry_limiter(pool).left(now_ms)
+
     def set_share(self, share):
         """Set the share of all bounds that this host may use."""
         self.quotas.set_share(share)
--- a/libs/host/src/hemlockhoist/host/gates.py
+++ b/libs/host/src/hemlockhoist/host/gates.py
@@ -1,5 +1,7 @@
 """Gates, which may refuse requests before they reach a pool's scheduler."""
 
+import math
+
 import msgspec
 
 from hemlockhoist.base import ResultCode
@@ -29,6 +31,10 @@
         """Return the ``GateRefusal`` of a request, or None when it is admitted."""
         return
 
+    def retries_left(self, pool, now_ms):
+        """Return how many more retries would be admitted now."""
+        return math.inf
+
     def on_not_run(self, pool, request, since_ms, now_ms):
         """Handle the end of a request, admitted at ``since_ms``, that did not run."""
 
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -4,7 +4,7 @@
 
 from hemlockhoist.base import get_logger
 from hemlockhoist.base.metrics import Metrics
-from hemlockhoist.base.metrics_table import WASTED_TOKENS
+from hemlockhoist.base.metrics_table import RETRIES_ALLOWED, WASTED_TOKENS
 from hemlockhoist.decisions import (
     Grant,
     Granted,
@@ -243,6 +243,8 @@
         if refusal is not None:
             self._refuse(request, refusal.code, refusal.retry_after_ms, refusal.reason)
             return
+        if request.attempt > 1:
+            self._log_retry(request, now_ms)
         self._spans.begin(brief)
         decisions = self.scheduler.submit(request, now_ms)
         self._retries.on_submitted()
@@ -256,6 +258,19 @@
         if not is_decided:
             self._notify_queued(request)
 
+    def _log_retry(self, request, now_ms):
+        """Log a retry that was charged to the fleet's limit."""
+        self._metrics.count(RETRIES_ALLOWED, self.pool)
+        _log.info(
+            "retry_charged",
+            request=request.request_id,
+            pool=self.pool,
+            attempt=request.attempt,
+            hedge=request.is_hedge,
+            left=self._gate.retries_left(self.pool, now_ms),
+            home_started_ms_ago=now_ms - self._started_ms,
+        )
+
     def _keep_back(self, request):
         """Refuse a request that may crash its upstream; return whether it is refused."""
         kept_back = self._crash_checks.kept_back(request)
