Charge what upstreams turned away to the limit on retries

Callers saw upstreams that shed load get each request up to max_attempts times, just when they had the least room.

Cause: one field with two meanings. The number of the attempt leaves out what did not run since, for the evidence on crashes; the gate took the same number for what had arrived, so a retry after a 503 or 421 was charged to nothing.

Change: run_number counts the upstreams that may have run a request, arrival_number those that it may have reached; the evidence on crashes reads the first, the limit the second. Hosts of the previous release state the first only, which still counts.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/flap_simulation.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/flap_simulation.py
@@ -156,7 +156,7 @@
             deadline_ms=deadline_ms,
             first_token_by_ms=now_ms + 1_000,
             avoid=avoid,
-            attempt=attempt,
+            arrival_number=attempt,
             entry_host=f"h{self._random.randrange(30)}",
         )
         self._callers[request.request_id] = (hold_ms, attempt)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_flap_damping.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_flap_damping.py
@@ -315,7 +315,11 @@
                 (granted,) = scheduler.submit(b.request(now_ms=now_ms), now_ms)
                 self.assertNotEqual(granted.grant.upstream_id, "u0")
             hedge = b.request(
-                now_ms=now_ms, is_hedge=True, attempt=2, avoid=("u1", "u2")
+                now_ms=now_ms,
+                is_hedge=True,
+                run_number=2,
+                arrival_number=2,
+                avoid=("u1", "u2"),
             )
             with self.subTest(now_ms):
                 (decision,) = scheduler.submit(hedge, now_ms)
@@ -351,7 +355,7 @@
             avoid = ()
             for attempt in range(1, 4):
                 request = b.request(
-                    now_ms=now_ms, idempotent=False, avoid=avoid, attempt=attempt
+                    now_ms=now_ms, idempotent=False, avoid=avoid, arrival_number=attempt
                 )
                 found = self.scheduler.submit(request, now_ms)
                 if not found or not hasattr(found[0], "grant"):
@@ -380,7 +384,9 @@
         """
         tried = ()
         for attempt in range(1, 4):
-            request = b.request(now_ms=now_ms, avoid=tried, attempt=attempt, **fields)
+            request = b.request(
+                now_ms=now_ms, avoid=tried, arrival_number=attempt, **fields
+            )
             found = self.scheduler.submit(request, now_ms)
             if not b.granted(found):
                 self.scheduler.cancel(request.request_id, now_ms)
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_hedges.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/tests/test_hedges.py
@@ -40,7 +40,9 @@
 
     def hedge(self, avoid=(), now_ms=0, **fields):
         """Submit a hedge; return its upstream, or None if it was refused at once."""
-        request = b.request(attempt=2, is_hedge=True, avoid=avoid, **fields)
+        request = b.request(
+            run_number=2, arrival_number=2, is_hedge=True, avoid=avoid, **fields
+        )
         (decision,) = self.scheduler.submit(request, now_ms)
         self.assertEqual(decision.request.request_id, request.request_id)
         if isinstance(decision, Rejected):
--- a/libs/decisions/src/hemlockhoist/decisions/work.py
+++ b/libs/decisions/src/hemlockhoist/decisions/work.py
@@ -46,8 +46,11 @@
         Id of the host that owns the request.
     failure_domain : str
         Failure domain of the entry host.
-    attempt : int
+    run_number : int
         1 until an upstream may have run the request; one more for each that may have.
+    arrival_number : int
+        1 until the request may have reached an upstream; one more for each that it may
+        have reached, also if that turned it away.
     units : int
         Units that the request consumes of its customer's quota; 0 if an earlier grant
         has already consumed them.
@@ -85,7 +88,8 @@
     first_token_by_ms: int
     entry_host: str = ""
     failure_domain: str = ""
-    attempt: int = 1
+    run_number: int = 1
+    arrival_number: int = 1
     units: int = 0
     avoid: tuple[str, ...] = ()
     is_new: bool = True
@@ -99,6 +103,14 @@
     connected: tuple[str, ...] = ()
     is_stream: bool = False
 
+    @property
+    def is_retry(self):
+        """Whether an upstream may get the request that is not the first one.
+
+        Hosts of the previous release state only the number of runs.
+        """
+        return self.arrival_number > 1 or self.run_number > 1
+
     def allows_region(self, region):
         """Return whether an upstream in a region may get the request."""
         return not self.regions or region in self.regions
--- a/libs/entry/src/hemlockhoist/entry/attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt.py
@@ -107,6 +107,11 @@
         # Start time of the upstream's process as listed; None if it is not listed.
         self.started_unix_ms = None
 
+    @property
+    def may_have_arrived(self):
+        """Whether the request may have reached the upstream, or one at its address."""
+        return self.guard.dispatched
+
     @property
     def may_have_run(self):
         """Whether the upstream may have run the request."""
--- a/libs/entry/src/hemlockhoist/entry/gate.py
+++ b/libs/entry/src/hemlockhoist/entry/gate.py
@@ -56,11 +56,11 @@
     def refusal(self, pool, request, now_ms):
         """Return the ``GateRefusal`` of a request, or None."""
         limiter = self._retry_limiter(pool)
-        if request.attempt > 1:
+        if request.is_retry:
             fraction = HEDGE_RETRY_FRACTION if request.is_hedge else 1.0
             if limiter.acquire(now_ms, fraction):
                 return None
-            reason = f"retry {request.attempt} of {pool}, {limiter.describe(now_ms)}"
+            reason = f"arrival {request.arrival_number} at {pool}, {limiter.describe(now_ms)}"
             return GateRefusal(ResultCode.RETRIES_EXHAUSTED, RETRY_AFTER_MS, reason)
         if request.is_new:
             limiter.count_request(now_ms)
@@ -124,7 +124,7 @@
         """Refund the quota units, or the retry, of a request that did not run."""
         if request.units:
             self.quotas.refund(request.customer, request.units, now_ms)
-        if request.attempt > 1:
+        if request.is_retry:
             self._retry_limiter(pool).refund(since_ms)
 
     def on_dequeued(self, request, since_ms, now_ms):
--- a/libs/entry/src/hemlockhoist/entry/request_grants.py
+++ b/libs/entry/src/hemlockhoist/entry/request_grants.py
@@ -36,6 +36,7 @@
 
     __slots__ = (
         "_admitted",
+        "_arrival_count",
         "_avoided_upstreams",
         "_context",
         "_number",
@@ -52,6 +53,7 @@
         self._admitted = admitted
         self._number = next(self._numbers)
         self._request_count = 0
+        self._arrival_count = 0
         self._run_count = 0
         self._avoided_upstreams = []
         self.current = None
@@ -93,6 +95,7 @@
 
     def on_attempt_ended(self, attempt):
         """Record the end of an attempt, which may not have been the one in progress."""
+        self._arrival_count += attempt.may_have_arrived
         self._run_count += attempt.may_have_run
         if attempt is self.current:
             self.current = None
@@ -109,9 +112,11 @@
 
     def _new_brief(self, now_ms, is_hedge):
         admitted = self._admitted
-        run_count, avoid = self._run_count, tuple(self._avoided_upstreams)
+        arrival_count, run_count = self._arrival_count, self._run_count
+        avoid = tuple(self._avoided_upstreams)
         if self.current is not None:
             # An attempt that has waited long for its connection may still be sent.
+            arrival_count += is_hedge or self.current.may_have_arrived
             run_count += is_hedge or self.current.may_have_run
             avoid += (self.current.hold.upstream_id,)
         avoid += self._unreachable_upstreams()
@@ -130,7 +135,8 @@
             max_gap_ms=admitted.route.max_gap_ms,
             failure_domain=self._context.identity.failure_domain,
             trace=self._context.traces.context_for_peer(),
-            attempt=1 + run_count,
+            run_number=1 + run_count,
+            arrival_number=1 + arrival_count,
             # Charged once: a request whose upstream was unreachable requests another
             # grant without being counted again.
             units=admitted.units if self._request_count == 1 else 0,
--- a/libs/entry/src/hemlockhoist/entry/tests/test_gate.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_gate.py
@@ -54,7 +54,7 @@
             copied = StateCopy((AllowAllGate,)).of(self.gate)
             for _ in range(2):
                 found = copied.refusal("halls", request(units=FULL_WINDOW), 0)
-                copied.refusal("other", request(attempt=2), 0)
+                copied.refusal("other", request(arrival_number=2), 0)
             self.assertIs(found.code, ResultCode.ALLOWANCE_SPENT)
             refusal = self.gate.refusal("halls", request(units=FULL_WINDOW), 0)
             self.assertEqual(refusal and refusal.code, code)
@@ -86,7 +86,7 @@
         capacity is lowest, and more requests fail.
         """
         self.assertEqual(self.refusal_codes(100), [])
-        refused = self.refusal_codes(60, attempt=2, is_new=False)
+        refused = self.refusal_codes(60, arrival_number=2, is_new=False)
         # A fifth of 100 requests, and two in addition.
         allowed = int(retry_limiter.USED_FRACTION * 22)
         self.assertEqual(len(refused), 60 - allowed)
@@ -95,8 +95,8 @@
     def test_hedges_leave_retries_for_requests_that_failed(self):
         """Guards against failed requests that get no retry because of slow ones."""
         self.assertEqual(self.refusal_codes(100), [])
-        hedges = self.refusal_codes(60, attempt=2, is_new=False, is_hedge=True)
-        retries = self.refusal_codes(60, attempt=2, is_new=False)
+        hedges = self.refusal_codes(60, arrival_number=2, is_new=False, is_hedge=True)
+        retries = self.refusal_codes(60, arrival_number=2, is_new=False)
         allowed = int(retry_limiter.USED_FRACTION * 22)
         self.assertEqual(60 - len(hedges), allowed // 2)
         self.assertEqual(60 - len(retries), allowed - allowed // 2)
@@ -109,7 +109,7 @@
         """
         self.refusal_codes(100)
         allowed = int(retry_limiter.USED_FRACTION * 22)
-        retry = request(attempt=2, is_new=False)
+        retry = request(arrival_number=2, is_new=False)
         for _ in range(allowed):
             self.assertIsNone(self.gate.refusal("halls", retry, 0))
         self.assertIsNotNone(self.gate.refusal("halls", retry, 0))
@@ -120,7 +120,7 @@
     def test_repeated_request_that_is_not_new_is_not_counted(self):
         self.refusal_codes(100, is_new=False)
         allowed = int(retry_limiter.USED_FRACTION * 2)
-        refused = self.refusal_codes(10, attempt=2, is_new=False)
+        refused = self.refusal_codes(10, arrival_number=2, is_new=False)
         self.assertEqual(len(refused), 10 - allowed)
 
     def test_host_grants_only_its_share(self):
--- a/libs/entry/src/hemlockhoist/entry/tests/test_request_grants.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_request_grants.py
@@ -32,12 +32,15 @@
             request = work_request(request_grants(kind)._brief(0), "h1", 0)
             self.assertEqual(request.is_stream, kind is CallKind.STREAM)
 
-    def test_attempts_that_did_not_run_are_not_counted(self):
-        """Guards against suspected requests refused as if sent again after a run."""
-        for is_sent, is_not_run, number in (
-            (False, False, 1),
-            (True, True, 1),
-            (True, False, 2),
+    def test_runs_and_arrivals_are_counted_apart(self):
+        """Guards against suspected requests refused as if sent again after a run.
+
+        And against retries of requests that upstreams turned away, which no limit counts.
+        """
+        for is_sent, is_not_run, run_number, arrival_number in (
+            (False, False, 1, 1),
+            (True, True, 1, 2),
+            (True, False, 2, 2),
         ):
             with self.subTest(is_sent=is_sent, is_not_run=is_not_run):
                 grants = request_grants()
@@ -45,7 +48,9 @@
                 attempt = Attempt(None, guard, 0, 1)
                 attempt.is_not_run = is_not_run
                 grants.on_attempt_ended(attempt)
-                self.assertEqual(grants._brief(0).attempt, number)
+                brief = grants._brief(0)
+                self.assertEqual(brief.run_number, run_number)
+                self.assertEqual(brief.arrival_number, arrival_number)
 
 
 if __name__ == "__main__":
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -243,7 +243,7 @@
         if refusal is not None:
             self._refuse(request, refusal.code, refusal.retry_after_ms, refusal.reason)
             return
-        if request.attempt > 1:
+        if request.is_retry:
             self._log_retry(request, now_ms)
         self._spans.begin(brief)
         decisions = self.scheduler.submit(request, now_ms)
@@ -265,7 +265,8 @@
             "retry_charged",
             request=request.request_id,
             pool=self.pool,
-            attempt=request.attempt,
+            arrival=request.arrival_number,
+            run=request.run_number,
             hedge=request.is_hedge,
             left=self._gate.retries_left(self.pool, now_ms),
             home_started_ms_ago=now_ms - self._started_ms,
--- a/libs/host/src/hemlockhoist/host/quarantine.py
+++ b/libs/host/src/hemlockhoist/host/quarantine.py
@@ -134,12 +134,12 @@
 
     def check(self, request, open_requests, is_alone=False):
         """Return the same as ``kept_back``, without counting the request."""
-        now_ms, is_retry = self._clock.now_ms(), request.attempt > 1
+        now_ms, may_have_run = self._clock.now_ms(), request.run_number > 1
         kept_back = None
         if request.parts:
             kept_back = self._quarantine.kept_back(
                 request.parts,
-                is_retry,
+                may_have_run,
                 lambda part: any(part in other.parts for other in open_requests()),
                 now_ms,
             )
@@ -148,7 +148,7 @@
         fingerprint = request.fingerprint
         return self._quarantine.requests.kept_back(
             fingerprint,
-            is_retry or request.is_hedge,
+            may_have_run or request.is_hedge,
             is_alone,
             lambda: self._count_copies(request, open_requests),
             now_ms,
--- a/libs/host/src/hemlockhoist/host/tests/test_grant_hedges.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_grant_hedges.py
@@ -24,7 +24,7 @@
 
         def brief(now_ms):
             return msgspec.structs.replace(
-                usual(now_ms), is_hedge=is_hedge, attempt=1 + is_hedge
+                usual(now_ms), is_hedge=is_hedge, run_number=1 + is_hedge
             )
 
         return brief
--- a/libs/host/src/hemlockhoist/host/tests/test_home_quarantine.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_home_quarantine.py
@@ -86,7 +86,9 @@
             for n in names
         )
 
-    def request(self, request_id, attempt=1, parts=(GUILTY,), fingerprint=0, **fields):
+    def request(
+        self, request_id, run_number=1, parts=(GUILTY,), fingerprint=0, **fields
+    ):
         """Ask for a grant, for a prompt with the guilty part; return the reply."""
         brief = RequestBrief(
             request_id=request_id,
@@ -95,7 +97,7 @@
             tier_rank=0,
             deadline_in_ms=60_000,
             first_token_in_ms=60_000,
-            attempt=attempt,
+            run_number=run_number,
             parts=parts,
             fingerprint=fingerprint,
             **fields,
@@ -145,7 +147,7 @@
 
     async def test_second_attempt_and_hedge_of_a_suspect_are_refused(self):
         await self.end_upstreams(2)
-        for fields in ({"attempt": 2}, {"is_hedge": True}):
+        for fields in ({"run_number": 2}, {"is_hedge": True}):
             refusal = self.send("again", **fields)
             self.assertEqual(refusal.code, ResultCode.PART_SUSPECTED)
             self.assertGreater(refusal.retry_after_ms, 0)
@@ -381,7 +383,7 @@
     async def test_request_that_ended_an_upstream_gets_no_second_one_if_suspected(self):
         await self.crash(2)
         self.assertEqual(
-            self.request("again", attempt=2).code, ResultCode.PART_SUSPECTED
+            self.request("again", run_number=2).code, ResultCode.PART_SUSPECTED
         )
 
     async def test_long_answer_clears_its_part_before_it_ends(self):
--- a/libs/messages/src/hemlockhoist/messages/grants.py
+++ b/libs/messages/src/hemlockhoist/messages/grants.py
@@ -35,7 +35,7 @@
     trace : str
         Trace context of the caller's request, in the format of a ``traceparent``
         header.
-    attempt : int
+    run_number : int
         1 until an upstream may have run the request; one more for each that may have.
     units : int
         Units that the request consumes of its customer's quota; 0 if an earlier grant
@@ -69,6 +69,9 @@
     fingerprint : int
         Identifies the request if its caller sends it again, by which those that crash
         upstreams are recognised; 0 if it is not known.
+    arrival_number : int
+        1 until the request may have reached an upstream; one more for each that it may
+        have reached, also if that turned it away.
     """
 
     request_id: str
@@ -85,7 +88,7 @@
     first_token_in_ms: int
     failure_domain: str = ""
     trace: str = ""
-    attempt: int = 1
+    run_number: int = 1
     units: int = 0
     avoid: tuple[str, ...] = ()
     is_new: bool = True
@@ -98,6 +101,7 @@
     connected: tuple[str, ...] = ()
     is_stream: bool = False
     fingerprint: int = 0
+    arrival_number: int = 1
 
 
 class GrantRequest(
