Hand the count of retries on from home to home

Callers saw failing upstreams get one limit's worth of retries after the other while hosts were stopped in turn, as in a rolling restart.

Cause: a bound over all hosts whose state belonged to one process. A home counted the retries that it allowed; the hosts reported grants and customers' usage to the next one, not retries, so each home began with seven tenths of the allowance, and each start of all hosts with three.

Change: each home has a record of what it counted, with its ages. It comes to the hosts with the retries that it grants, and they report the latest record of each home; a home adds all of them up. So a host that is killed takes along only what its home granted since the last retry of any other host. What nobody knows of, and the first second of a takeover, in which two homes may grant, gets no lump any more but a part that accrues with time, so that any number of lives in a window grants it once.

Weighed: a record in the store (a call for each step, and out of reach when it is needed), a part of its own for each host (195 hosts would have a quarter of a retry each).

--- a/libs/decisions/src/hemlockhoist/decisions/limits/retry_limiter.py
+++ b/libs/decisions/src/hemlockhoist/decisions/limits/retry_limiter.py
@@ -1,17 +1,32 @@
-"""Limit on retries, as a ratio to the requests in a sliding window."""
+"""Limit on retries over all hosts, as a ratio to the requests in a sliding window."""
 
-import collections
+from hemlockhoist.decisions.limits.retry_window import RetryWindow
+from hemlockhoist.messages import RetryRecord
 
-from hemlockhoist.decisions.limits.coverage import UnknownUsage
-
-# The window is divided into this many buckets; each expires as a whole.
-BUCKET_COUNT = 20
-# Fraction of the declared bound that is granted: other hosts may retry as well while
-# their home is unreachable, and a caller's clock differs from this host's.
+# Fraction of the declared bound that the home of a pool grants, by all that it knows.
 USED_FRACTION = 0.7
-# Fraction of the declared bound that is assumed to be used in a window of unknown
-# usage: the grants before and after a restart together stay within the bound.
-ASSUMED_FRACTION = 0.4
+# The rest is for retries that it does not know of: those of hosts that decide alone
+# while they cannot reach it, and those that no host could report.
+UNKNOWN_FRACTION = 1.0 - USED_FRACTION
+# Hosts may disagree for this long on which of two is the home, and both grant.
+OVERLAP_MS = 1_000
+
+
+class _AdoptedRecord:
+    """What another home counted, with times on this host's clock."""
+
+    __slots__ = ("change_count", "counts")
+
+    def __init__(self, record, now_ms):
+        self.change_count = record.change_count
+        self.counts = tuple(
+            (now_ms - age_ms, requests, retries)
+            for age_ms, requests, retries in record.counts
+        )
+
+    def within(self, window_ms, now_ms):
+        """Return what is in the window, as ``(at_ms, requests, retries)``."""
+        return [item for item in self.counts if now_ms - item[0] <= window_ms]
 
 
 class RetryLimiter:
@@ -20,7 +35,10 @@
     Without a limit, when an upstream fails most of its requests or many are full in a
     burst, each request is sent as often as its route allows, and the remaining
     upstreams get several times their load. The ratio and the base are set by the
-    operator and hold over all hosts.
+    operator and hold over all hosts, whichever of them is the home.
+
+    Each home counts what it grants. Its record goes to the hosts with the retries that
+    it grants, and from them to the next home, which adds up the records of all homes.
 
     Parameters
     ==========
@@ -32,6 +50,14 @@
     share : float, optional
         Share of the base that this host grants.
 
+    Attributes
+    ==========
+    is_home : bool
+        Whether this host decides for others. One that decides alone grants of what the
+        home leaves.
+    unknown_usage : UnknownUsage or None
+        What is unknown since this host took over; None if it did not take over.
+
     Examples
     ========
     >>> from hemlockhoist.decisions.limits import RetryLimiter
@@ -41,27 +67,30 @@
     """
 
     __slots__ = (
+        "_adopted",
         "_base",
-        "_bucket_ms",
-        "_buckets",
+        "_own",
         "_ratio",
         "_window_ms",
+        "is_home",
         "share",
         "unknown_usage",
     )
 
     def __init__(self, window_ms, ratio, base, share=1.0):
         self._window_ms = window_ms
-        self._bucket_ms = max(1, window_ms // BUCKET_COUNT)
         self._ratio = ratio
         self._base = base
-        self._buckets = collections.deque()
+        self._own = RetryWindow(window_ms)
+        # By the incarnation of another home.
+        self._adopted = {}
+        self.is_home = True
         self.share = share
-        self.unknown_usage = UnknownUsage()
+        self.unknown_usage = None
 
     def count_request(self, now_ms):
         """Count a first attempt sent by a caller."""
-        self._current_bucket(now_ms)[1] += 1
+        self._own.count_request(now_ms)
 
     def acquire(self, now_ms, usable_fraction=1.0):
         """Return whether one more retry is allowed, and count it if so.
@@ -72,53 +101,117 @@
         usable_fraction : float, optional
             Fraction of the bound that it may use; the rest is for others.
         """
-        bucket = self._current_bucket(now_ms)
-        requests, retries = self._counts(now_ms)
+        requests, retries = self._totals(now_ms)
         if retries + 1 > usable_fraction * self._bound(requests, now_ms):
             return False
-        bucket[2] += 1
+        self._own.count_retry(now_ms)
         return True
 
+    def refund(self, acquired_ms):
+        """Stop counting a retry that was allowed at ``acquired_ms`` and not sent."""
+        self._own.remove_retry(acquired_ms)
+
     def left(self, now_ms):
         """Return how many more retries would be allowed now."""
-        requests, retries = self._counts(now_ms)
+        requests, retries = self._totals(now_ms)
         return max(0, int(self._bound(requests, now_ms) - retries))
 
     def describe(self, now_ms):
         """Return what the limit is made of, as a text for logs."""
-        requests, retries = self._counts(now_ms)
-        unknown = self.unknown_usage.fraction_at(self._window_ms, now_ms)
+        requests, retries = self._totals(now_ms)
         return (
             f"{retries} retries and {requests} requests in the window, "
-            f"bound {self._bound(requests, now_ms):.1f}, unknown {unknown:.2f}"
+            f"bound {self._bound(requests, now_ms):.1f}, "
+            f"unknown {self._unknown_fraction(now_ms):.2f}"
         )
 
-    def _counts(self, now_ms):
-        """Return the requests and the retries of the window."""
-        self._current_bucket(now_ms)
-        requests = sum(item[1] for item in self._buckets)
-        retries = sum(item[2] for item in self._buckets)
+    def adopt(self, records, own_incarnation, now_ms):
+        """Count what other homes counted; of each, the latest record.
+
+        Parameters
+        ==========
+        records : iterable of RetryRecord
+        own_incarnation : str
+        now_ms : int
+        """
+        self._forget(now_ms)
+        for record in records:
+            if record.incarnation == own_incarnation:
+                continue
+            known = self._adopted.get(record.incarnation)
+            if known is None or known.change_count < record.change_count:
+                adopted = _AdoptedRecord(record, now_ms)
+                self._adopted[record.incarnation] = adopted
+
+    def records(self, own_incarnation, now_ms):
+        """Return the records of this host and of the homes whose records it has.
+
+        Returns
+        =======
+        tuple of RetryRecord
+        """
+        self._forget(now_ms)
+        own = RetryRecord(
+            incarnation=own_incarnation,
+            change_count=self._own.change_count,
+            counts=self._own.by_age(now_ms),
+        )
+        adopted = [
+            RetryRecord(
+                incarnation=incarnation,
+                change_count=record.change_count,
+                counts=tuple(
+                    (max(0, now_ms - at_ms), requests, retries)
+                    for at_ms, requests, retries in record.within(
+                        self._window_ms, now_ms
+                    )
+                ),
+            )
+            for incarnation, record in self._adopted.items()
+        ]
+        return tuple(record for record in (own, *adopted) if record.counts)
+
+    def _forget(self, now_ms):
+        for incarnation, record in list(self._adopted.items()):
+            if not record.within(self._window_ms, now_ms):
+                del self._adopted[incarnation]
+
+    def _totals(self, now_ms):
+        """Return the requests and the retries of the window, over all homes."""
+        requests, retries = self._own.totals(now_ms)
+        for record in self._adopted.values():
+            for _, more_requests, more_retries in record.within(
+                self._window_ms, now_ms
+            ):
+                requests += more_requests
+                retries += more_retries
         return requests, retries
 
     def _bound(self, requests, now_ms):
-        unknown = self.unknown_usage.fraction_at(self._window_ms, now_ms)
-        bound = USED_FRACTION * self._ratio * requests
-        base_share = USED_FRACTION - ASSUMED_FRACTION * unknown
-        return bound + base_share * (self.share * self._base)
+        return USED_FRACTION * self._ratio * requests + self._usable_base(now_ms)
 
-    def refund(self, acquired_ms):
-        """Stop counting a retry that was allowed at ``acquired_ms`` and not sent."""
-        number = acquired_ms // self._bucket_ms
-        for bucket in self._buckets:
-            if bucket[0] == number and bucket[2]:
-                bucket[2] -= 1
-
-    def _current_bucket(self, now_ms):
-        """Return the current bucket, after dropping those that left the window."""
-        number = now_ms // self._bucket_ms
-        if not self._buckets or self._buckets[-1][0] != number:
-            self._buckets.append([number, 0, 0])
-        oldest = (now_ms - self._window_ms) // self._bucket_ms
-        while self._buckets[0][0] < oldest:
-            self._buckets.popleft()
-        return self._buckets[-1]
+    def _usable_base(self, now_ms):
+        """Return how much of the base may be granted by now.
+
+        Of the part that belongs to what is unknown, no more is granted than has
+        accrued since the takeover. So homes that follow one another, each without
+        knowing of those before it, grant it once in a window and not once each.
+        """
+        base = self.share * self._base
+        if not self.is_home:
+            return UNKNOWN_FRACTION * base
+        unknown = self._unknown_fraction(now_ms)
+        if not unknown:
+            return USED_FRACTION * base
+        elapsed_ms = now_ms - self.unknown_usage.since_ms
+        accrued = min(1.0, elapsed_ms / self._window_ms)
+        known_part = USED_FRACTION * (1.0 - unknown)
+        return base * (known_part + UNKNOWN_FRACTION * unknown * accrued)
+
+    def _unknown_fraction(self, now_ms):
+        unknown = self.unknown_usage
+        if unknown is None:
+            return 0.0
+        if now_ms - unknown.since_ms < OVERLAP_MS:
+            return 1.0
+        return unknown.fraction_at(self._window_ms, now_ms)
--- a/libs/entry/src/hemlockhoist/entry/gate.py
+++ b/libs/entry/src/hemlockhoist/entry/gate.py
@@ -23,6 +23,8 @@
     Parameters
     ==========
     bounds : FleetBounds
+    incarnation : str, optional
+        This host's incarnation.
 
     Attributes
     ==========
@@ -33,13 +35,17 @@
     __slots__ = (
         "_bounds",
         "_coverage",
+        "_incarnation",
+        "_is_home",
         "_retry_limiters",
         "_share",
         "on_takeover_begun",
         "quotas",
     )
 
-    def __init__(self, bounds):
+    def __init__(self, bounds, incarnation=""):
+        self._incarnation = incarnation
+        self._is_home = True
         self.on_takeover_begun = lambda: None
         self._coverage = None
         self._bounds = bounds
@@ -75,12 +81,21 @@
         """Return how many more retries would be admitted now."""
         return self._retry_limiter(pool).left(now_ms)
 
-    def set_share(self, share):
-        """Set the share of all bounds that this host may use."""
+    def set_share(self, share, is_home=True):
+        """Set the share of all bounds that this host may use.
+
+        Parameters
+        ==========
+        share : float
+        is_home : bool, optional
+            Whether it uses it for all hosts that it reaches, not for itself alone.
+        """
         self.quotas.set_share(share)
         for limiter in self._retry_limiters.values():
             limiter.share = share
+            limiter.is_home = is_home
         self._share = share
+        self._is_home = is_home
 
     def on_takeover(self, hosts, now_ms):
         """Assume that the bounds are used up until the hosts have reported usage."""
@@ -94,6 +109,7 @@
     def on_usage_report(self, host, held, now_ms):
         """Count usage granted by the previous home, as reported by a host."""
         self.quotas.add_reported((held.incarnation, held.pool), held.usage, now_ms)
+        self.adopt_retry_records(held.pool, held.retry_records, now_ms)
         if self._coverage is not None:
             self._coverage.record_report(host, held.up_ms)
             self._apply_unknown_usage()
@@ -127,16 +143,30 @@
         if request.is_retry:
             self._retry_limiter(pool).refund(since_ms)
 
-    def on_dequeued(self, request, since_ms, now_ms):
-        """Charge a request's quota units to the time at which it starts to run.
+    def on_dequeued(self, pool, request, since_ms, now_ms):
+        """Charge a request's quota units, or a retry, to the time at which it is sent.
 
         Failure prevented: requests wait for seconds in a burst. Charged at arrival,
         they left the window before the requests that ran alongside them, and a
-        customer ran more than its bound in one window.
+        customer ran more than its bound in one window. Likewise the retries of a pool.
         """
         if request.units:
             self.quotas.retime(request.customer, request.units, since_ms, now_ms)
 
+    def retry_records(self, pool, now_ms):
+        """Return what this host and other homes counted of a pool's retries."""
+        return self._retry_limiter(pool).records(self._incarnation, now_ms)
+
+    def adopt_retry_records(self, pool, records, now_ms):
+        """Count what other homes counted of a pool's retries.
+
+        Failure prevented: homes that follow one another, as hosts stop in turn, each
+        grant the retries of a whole window.
+        """
+        if records:
+            limiter = self._retry_limiter(pool)
+            limiter.adopt(records, self._incarnation, now_ms)
+
     def _retry_limiter(self, pool):
         limiter = self._retry_limiters.get(pool)
         if limiter is None:
@@ -147,6 +177,7 @@
                 bounds.retry_base,
                 self._share,
             )
+            limiter.is_home = self._is_home
             if self._coverage is not None:
                 limiter.unknown_usage = self._coverage.unknown()
             self._retry_limiters[pool] = limiter
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -251,7 +251,7 @@
         context.hedging = HedgePolicy(
             self.settings.hedge_permille, self.settings.hedge_excluded_routes
         )
-        context.gate = QuotaGate(self.settings.bounds)
+        context.gate = QuotaGate(self.settings.bounds, context.identity.incarnation)
         context.quarantine = QuarantineService(
             context.clock,
             context.identity.incarnation,
@@ -301,6 +301,7 @@
             context.brittle_limits,
             context.quarantine,
             context.bus.silent_ms,
+            context.gate,
         )
         context.feeds = FeedStore(
             context,
@@ -468,7 +469,7 @@
             context.fleet.count_responsive(RESPONSIVE_WINDOW_MS) if is_home else 1
         )
         share = partition_share(responsive_count, known_count, is_home)
-        context.gate.set_share(share)
+        context.gate.set_share(share, is_home)
         context.homes.set_share(share)
 
     def _report_held_grants(self):
--- a/libs/host/src/hemlockhoist/host/gates.py
+++ b/libs/host/src/hemlockhoist/host/gates.py
@@ -38,9 +38,21 @@
     def on_not_run(self, pool, request, since_ms, now_ms):
         """Handle the end of a request, admitted at ``since_ms``, that did not run."""
 
-    def on_dequeued(self, request, since_ms, now_ms):
+    def on_dequeued(self, pool, request, since_ms, now_ms):
         """Handle the grant of an admitted request that was queued at ``since_ms``."""
 
+    def retry_records(self, pool, now_ms):
+        """Return what homes counted against the limit on retries.
+
+        Returns
+        =======
+        tuple of RetryRecord
+        """
+        return ()
+
+    def adopt_retry_records(self, pool, records, now_ms):
+        """Count what other homes counted against the limit on retries."""
+
     def on_takeover(self, hosts, now_ms):
         """Handle the start of a home at this host, which queries ``hosts``."""
 
--- a/libs/host/src/hemlockhoist/host/grants.py
+++ b/libs/host/src/hemlockhoist/host/grants.py
@@ -7,6 +7,7 @@
 from hemlockhoist.base import MS_PER_S, Refused, ResultCode
 from hemlockhoist.decisions import granting_incarnation
 from hemlockhoist.host.announced_retries import AnnouncedRetries
+from hemlockhoist.host.gates import AllowAllGate
 from hemlockhoist.host.grant_hold import (
     GrantHold,
     held_grant_message,
@@ -91,6 +92,8 @@
     silent_ms : callable, optional
         ``silent_ms(host_id)`` returns the time since the last message of a host, or
         None if there was none.
+    gate : AllowAllGate, optional
+        Keeps what homes counted against the limit on retries.
     """
 
     __slots__ = (
@@ -99,6 +102,7 @@
         "_brittle_limits",
         "_claiming_homes",
         "_clock",
+        "_gate",
         "_held",
         "_home_of",
         "_incarnation",
@@ -130,7 +134,9 @@
         brittle_limits=None,
         quarantine=None,
         silent_ms=lambda host_id: None,
+        gate=None,
     ):
+        self._gate = gate or AllowAllGate()
         self._silent_ms = silent_ms
         self._quarantine = quarantine
         self._back_offs = back_offs
@@ -323,6 +329,9 @@
 
     def _accept_grant(self, waiter, message, brief, late_ms):
         """Return the grant, or None when it expired in transit."""
+        self._gate.adopt_retry_records(
+            message.pool, message.retry_records, self._clock.now_ms() - late_ms
+        )
         hold = GrantHold(
             pool=message.pool,
             brief=brief,
@@ -533,6 +542,7 @@
             brittle=brittle,
             part_records=part_records,
             announced_retries=self._announced_retries.report(pool, now_ms),
+            retry_records=self._gate.retry_records(pool, now_ms),
         )
 
     def send_held_ids(self, pools):
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -515,7 +515,7 @@
             queued = self._queued.pop(request.request_id, None)
             if isinstance(decision, Granted):
                 if queued is not None:
-                    self._gate.on_dequeued(request, queued.since_ms, now_ms)
+                    self._gate.on_dequeued(self.pool, request, queued.since_ms, now_ms)
                 self._send_grant(decision, queued is not None, now_ms)
             else:
                 since_ms = now_ms if queued is None else queued.since_ms
@@ -554,7 +554,10 @@
         cached = self.scheduler.cached_elsewhere(decision.request, grant.upstream_id)
         if cached:
             self._cached_elsewhere_tokens[grant.request_id] = cached
-        self._replies.grant(entry_host, grant, now_ms)
+        retry_records = ()
+        if decision.request.is_retry:
+            retry_records = self._gate.retry_records(self.pool, now_ms)
+        self._replies.grant(entry_host, grant, now_ms, retry_records)
 
     def _log_granted(self, decision):
         _log.info(
--- a/libs/host/src/hemlockhoist/host/home_replies.py
+++ b/libs/host/src/hemlockhoist/host/home_replies.py
@@ -19,8 +19,17 @@
         self._pool = pool
         self._send = send
 
-    def grant(self, host_id, grant, now_ms):
-        """Send a grant."""
+    def grant(self, host_id, grant, now_ms, retry_records=()):
+        """Send a grant.
+
+        Parameters
+        ==========
+        host_id : str
+        grant : Grant
+        now_ms : int
+        retry_records : tuple of RetryRecord, optional
+            What homes counted against the limit on retries, with the grant of one.
+        """
         reply = GrantReply(
             pool=self._pool,
             request_id=grant.request_id,
@@ -31,6 +40,7 @@
             expires_in_ms=grant.expires_ms - now_ms,
             is_cold=grant.is_cold,
             is_limited=grant.is_limited,
+            retry_records=retry_records,
         )
         self._send(host_id, reply)
 
--- a/libs/messages/src/hemlockhoist/messages/__init__.py
+++ b/libs/messages/src/hemlockhoist/messages/__init__.py
@@ -94,6 +94,7 @@
     RelaySend,
     UpstreamReached,
 )
+from hemlockhoist.messages.retries import RetryRecord
 
 __all__ = [
     "MAX_FRAME_BYTES",
@@ -172,6 +173,7 @@
     "RelaySend",
     "RelayedHead",
     "RequestBrief",
+    "RetryRecord",
     "StoreNews",
     "StoredAnswer",
     "StreamTaken",
--- a/libs/messages/src/hemlockhoist/messages/grants.py
+++ b/libs/messages/src/hemlockhoist/messages/grants.py
@@ -10,6 +10,7 @@
 
 from hemlockhoist.messages.codes import code_of
 from hemlockhoist.messages.quarantine import PartRecord
+from hemlockhoist.messages.retries import RetryRecord
 
 # Request rate limit of an upstream that advertises none.
 NO_LIMIT = math.inf
@@ -125,6 +126,7 @@
 
     ``is_cold`` states whether the home knows the upstream to be cold, ``is_limited``
     whether it knows that the upstream advertises a limit, or that it is brittle.
+    ``retry_records`` comes with a retry: what homes have counted against its limit.
     """
 
     pool: str
@@ -136,6 +138,7 @@
     expires_in_ms: int
     is_cold: bool = False
     is_limited: bool = False
+    retry_records: tuple[RetryRecord, ...] = ()
 
 
 class GrantRefusal(
@@ -371,7 +374,8 @@
     pool's upstreams advertised to the sender, ``back_offs`` the upstreams that want no
     requests from it, ``brittle`` the rejections that brittle upstreams bear,
     ``part_records`` the evidence against what crashes upstreams, and
-    ``announced_retries`` the times to retry that the sender announced to its callers.
+    ``announced_retries`` the times to retry that the sender announced to its callers,
+    ``retry_records`` what homes counted against the limit on retries.
     """
 
     pool: str
@@ -385,6 +389,7 @@
     brittle: tuple[HeardLimit, ...] = ()
     part_records: tuple[PartRecord, ...] = ()
     announced_retries: tuple[AnnouncedRetry, ...] = ()
+    retry_records: tuple[RetryRecord, ...] = ()
 
 
 class HeldGrantIds(
