Count retries when they are sent, not when they are admitted

Cause: the gate charges a retry as it is admitted; one that waits in the home's queue is sent seconds later, in a window in which as many others are admitted. Customers' units were moved to the time at which they are sent, retries were not.

Change: on_dequeued moves a retry too, and knows the pool for it.

Not seen end to end.

--- a/libs/decisions/src/hemlockhoist/decisions/limits/retry_limiter.py
+++ b/libs/decisions/src/hemlockhoist/decisions/limits/retry_limiter.py
@@ -111,6 +111,11 @@
         """Stop counting a retry that was allowed at ``acquired_ms`` and not sent."""
         self._own.remove_retry(acquired_ms)
 
+    def retime(self, acquired_ms, now_ms):
+        """Count a retry that was allowed at ``acquired_ms`` as one of now."""
+        self._own.remove_retry(acquired_ms)
+        self._own.count_retry(now_ms)
+
     def left(self, now_ms):
         """Return how many more retries would be allowed now."""
         requests, retries = self._totals(now_ms)
--- a/libs/decisions/src/hemlockhoist/decisions/limits/tests/test_retry_limiter.py
+++ b/libs/decisions/src/hemlockhoist/decisions/limits/tests/test_retry_limiter.py
@@ -96,6 +96,19 @@
                     self.granted_ms.append(now_ms)
         self.assertLessEqual(worst_window(self.granted_ms), BOUND)
 
+    def test_retries_that_waited_count_when_they_are_sent(self):
+        """Guards against retries that are sent together after the window has turned."""
+        for wait_ms in (0, 2_000, 4_000, 6_000):
+            with self.subTest(wait_ms=wait_ms):
+                self.granted_ms.clear()
+                limiter = new_limiter()
+                waiting = [4_000 for _ in range(100) if limiter.acquire(4_000)]
+                for acquired_ms in waiting:
+                    limiter.retime(acquired_ms, 4_000 + wait_ms)
+                    self.granted_ms.append(4_000 + wait_ms)
+                self.grant_all(limiter, 4_000 + wait_ms, 16_000)
+                self.assertLessEqual(worst_window(self.granted_ms), BOUND)
+
     def test_a_record_counts_once_however_often_it_comes(self):
         """Guards against retries that are refused as several hosts report a home."""
         home, next_home = new_limiter(), new_limiter()
--- a/libs/entry/src/hemlockhoist/entry/gate.py
+++ b/libs/entry/src/hemlockhoist/entry/gate.py
@@ -152,6 +152,8 @@
         """
         if request.units:
             self.quotas.retime(request.customer, request.units, since_ms, now_ms)
+        if request.is_retry:
+            self._retry_limiter(pool).retime(since_ms, now_ms)
 
     def retry_records(self, pool, now_ms):
         """Return what this host and other homes counted of a pool's retries."""
--- a/libs/entry/src/hemlockhoist/entry/tests/test_gate.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_gate.py
@@ -118,6 +118,18 @@
         self.assertIsNone(self.gate.refusal("halls", retry, 4_000))
         self.assertIsNotNone(self.gate.refusal("halls", retry, 4_000))
 
+    def test_retry_that_waited_counts_when_it_is_sent(self):
+        """Guards against retries that leave the queue after the window has turned."""
+        self.refusal_codes(100)
+        allowed = int(retry_limiter.USED_FRACTION * 22)
+        retry = request(arrival_number=2, is_new=False)
+        for _ in range(allowed):
+            self.assertIsNone(self.gate.refusal("halls", retry, 0))
+        for _ in range(allowed):
+            self.gate.on_dequeued("halls", retry, 0, 6_000)
+        self.assertEqual(self.gate.retries_left("halls", 11_000), 0)
+        self.assertGreater(self.gate.retries_left("halls", 17_000), 0)
+
     def test_reported_retries_count_at_a_new_home(self):
         """Guards against a new home that grants the retries of its predecessor again."""
         self.refusal_codes(100)
