Let a home that has just started retry single failures

Change: such a home may grant two retries at once, of the part that accrues to it.

Evidence: test_site and test_back_offs are green.

--- a/libs/decisions/src/hemlockhoist/decisions/limits/retry_limiter.py
+++ b/libs/decisions/src/hemlockhoist/decisions/limits/retry_limiter.py
@@ -8,6 +8,9 @@
 # The rest is for retries that it does not know of: those of hosts that decide alone
 # while they cannot reach it, and those that no host could report.
 UNKNOWN_FRACTION = 1.0 - USED_FRACTION
+# Number that a home may grant at once though it does not know what was granted before, so
+# that single failures just after a start are retried.
+MAX_AT_START = 2
 # Hosts may disagree for this long on which of two is the home, and both grant.
 OVERLAP_MS = 1_000
 
@@ -198,7 +201,7 @@
     def _usable_base(self, now_ms):
         """Return how much of the base may be granted by now.
 
-        Of the part that belongs to what is unknown, no more is granted than has
+        Of the part that belongs to what is unknown, little more is granted than has
         accrued since the takeover. So homes that follow one another, each without
         knowing of those before it, grant it once in a window and not once each.
         """
@@ -209,9 +212,11 @@
         if not unknown:
             return USED_FRACTION * base
         elapsed_ms = now_ms - self.unknown_usage.since_ms
-        accrued = min(1.0, elapsed_ms / self._window_ms)
-        known_part = USED_FRACTION * (1.0 - unknown)
-        return base * (known_part + UNKNOWN_FRACTION * unknown * accrued)
+        unknown_base = UNKNOWN_FRACTION * base
+        at_start = min(MAX_AT_START, unknown_base)
+        accrued = unknown_base * min(1.0, elapsed_ms / self._window_ms)
+        known_part = USED_FRACTION * (1.0 - unknown) * base
+        return known_part + unknown * max(at_start, accrued)
 
     def _unknown_fraction(self, now_ms):
         unknown = self.unknown_usage
