Keep first attempts from upstreams that shed, while others take requests

Callers were refused though half of the upstreams had room: first attempts went to those that turned nine in ten away, and the limit on retries was spent on them.

Cause: an upstream that turns requests away is set aside only if it asks for rest; any other rejection counted like a failed answer, which costs it little while its slots are free.

Change: entry hosts report that a request was turned away; after two in a row the upstream gets single requests at growing intervals until one succeeds, as those that ask for rest. At most half of the upstreams at once: if more shed, one is as likely to take a request as another.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/declared_slots_tracker.py
@@ -34,6 +34,10 @@
 MAX_HEDGE_SLOWDOWN = 1.2
 # Number of requests that an upstream turns away in a row before it is suspended.
 MIN_REJECTIONS = 2
+# Fraction of the upstreams that are suspended at once for requests that they turned away.
+# If more shed, one is as likely to take a request as another, and requests that wait for
+# a suspension to end would be late.
+MAX_REJECTING_FRACTION = 0.5
 _FAILURES = frozenset({OutcomeKind.FAILED, OutcomeKind.BROKE_OFF, OutcomeKind.TIMEOUT})
 _CONNECT_FAILURES = frozenset({OutcomeKind.CONNECT_FAILED})
 _UNSENT = frozenset(
@@ -503,6 +507,8 @@
             self._suspended[upstream_id] = True
         elif outcome.kind in _FAILURES:
             tracked.failures.observe(True, now_ms)
+            if outcome.is_not_run:
+                self._on_rejection(upstream_id, tracked, now_ms)
         elif outcome.kind is OutcomeKind.SUCCESS:
             self._speeds.note_factors(held, now_ms)
             slowdown = add_answer_sample(tracked, held, outcome)
@@ -538,9 +544,24 @@
         serves the others is worth more than its rest.
         """
         tracked = self._tracked.get(upstream_id)
-        if tracked is None:
-            return
+        if tracked is not None:
+            tracked.rejections += 1
+            self._suspend_if_rejecting(upstream_id, tracked, now_ms)
+
+    def _on_rejection(self, upstream_id, tracked, now_ms):
+        """Count a request that an upstream turned away without asking for rest.
+
+        Load: a part of the upstreams sheds while the others have room. Their slots are
+        free and their refusals quick, so that they would get most first attempts, and
+        the limit on retries would be spent on requests that the others could have had.
+        """
         tracked.rejections += 1
+        others = self._usable.keys() & self._suspended.keys() - {upstream_id}
+        suspended = sum(self.is_suspended(other, now_ms) for other in others)
+        if suspended + 1 <= MAX_REJECTING_FRACTION * len(self._usable):
+            self._suspend_if_rejecting(upstream_id, tracked, now_ms)
+
+    def _suspend_if_rejecting(self, upstream_id, tracked, now_ms):
         if tracked.rejections >= MIN_REJECTIONS:
             tracked.breaker.on_failure(now_ms)
             self._suspended.setdefault(upstream_id, False)
--- a/libs/decisions/src/hemlockhoist/decisions/work.py
+++ b/libs/decisions/src/hemlockhoist/decisions/work.py
@@ -270,6 +270,9 @@
         Whether the upstream was asked for the rest of an answer only.
     is_misdirected : bool
         Whether another upstream answered at the address.
+    is_not_run : bool
+        Whether the upstream turned the request away without running it, and did not
+        ask for rest.
     """
 
     kind: OutcomeKind
@@ -285,6 +288,7 @@
     is_overtaken: bool = False
     is_continued: bool = False
     is_misdirected: bool = False
+    is_not_run: bool = False
 
     def for_home(self):
         """Return the outcome in the kinds that homes of earlier releases know.
--- a/libs/entry/src/hemlockhoist/entry/attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt.py
@@ -197,6 +197,7 @@
             is_answered=self._is_answered,
             is_overtaken=self.is_overtaken and not self._is_path_suspect,
             is_continued=self.is_continued,
+            is_not_run=self.is_not_run,
         )
 
     @property
--- a/libs/host/src/hemlockhoist/host/grant_hold.py
+++ b/libs/host/src/hemlockhoist/host/grant_hold.py
@@ -117,4 +117,5 @@
         is_overtaken=outcome.is_overtaken,
         is_continued=outcome.is_continued,
         is_misdirected=outcome.is_misdirected,
+        is_not_run=outcome.is_not_run,
     )
--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -365,6 +365,7 @@
             is_crash_suspect=message.is_crash_suspect,
             is_upstream_lost=message.is_upstream_lost,
             is_misdirected=message.is_misdirected,
+            is_not_run=message.is_not_run and not _asks_for_rest(message),
         )
         now_ms = self._clock.now_ms()
         # Before the release, which may give the slot to another such request.
@@ -581,3 +582,8 @@
         outcome = Outcome(kind=OutcomeKind.NOT_SENT)
         self._release(grant.grant_id, grant.request_id, outcome, now_ms)
         self._replies.queued(sender, grant.request_id)
+
+
+def _asks_for_rest(message):
+    """Return whether the upstream asked for rest, which counts as a rejection itself."""
+    return message.signals is not None and message.signals.back_off_ms > 0
--- a/libs/messages/src/hemlockhoist/messages/grants.py
+++ b/libs/messages/src/hemlockhoist/messages/grants.py
@@ -236,7 +236,8 @@
     ``is_overtaken`` states whether it was cancelled as a hedge answered first.
     ``is_upstream_lost`` states whether the upstream ended at any place of the answer,
     ``is_continued`` whether it was asked for the rest of an answer only.
-    ``is_misdirected`` states whether another upstream answered at the address.
+    ``is_misdirected`` states whether another upstream answered at the address,
+    ``is_not_run`` whether the upstream turned the request away without running it.
     """
 
     pool: str
@@ -257,6 +258,7 @@
     is_upstream_lost: bool = False
     is_continued: bool = False
     is_misdirected: bool = False
+    is_not_run: bool = False
 
 
 class UpstreamLost(
