End the calls of a read that is cancelled twice

Cause: a read that ends starts one task for each of its calls to end them. If it is cancelled again before these have begun, as a host that stops does, they never run; the call goes on until the session closes under it, and nobody takes its error.

Change: the calls are cancelled at once, before the tasks are waited for.

Evidence: test_read_that_is_cancelled_twice_leaves_no_call was red before (one call left open).

--- a/libs/store/src/hemlockhoist/store/calls.py
+++ b/libs/store/src/hemlockhoist/store/calls.py
@@ -93,10 +93,14 @@
         # A call that waits is answered early if there is a change.
         return elapsed_ms if elapsed_ms > 0 else None
 
-    async def close(self):
-        """End the call."""
+    def cancel(self):
+        """End the call without waiting for it."""
         for part in self.parts:
             part.cancel()
+
+    async def close(self):
+        """End the call."""
+        self.cancel()
         await asyncio.gather(*self.parts, return_exceptions=True)
 
 
@@ -189,6 +193,9 @@
             raise TimeoutError(f"no answer of the store to {len(attempts)} calls")
         finally:
             self._suspicions.discard(suspicion)
+            # At once: if the read is cancelled again, the tasks below may never start.
+            for attempt in attempts:
+                attempt.cancel()
             await asyncio.gather(*(attempt.close() for attempt in attempts))
 
     async def commit(self, call):
--- a/libs/store/src/hemlockhoist/store/tests/test_calls.py
+++ b/libs/store/src/hemlockhoist/store/tests/test_calls.py
@@ -152,6 +152,20 @@
             await self.calls.read(reject)
         self.assertEqual(self.loop.time(), 1000)
 
+    async def test_read_that_is_cancelled_twice_leaves_no_call(self):
+        """Guards against a stopping host that logs the error of an abandoned call."""
+        store = FakeStore(silent_count=9)
+        calls = StoreCalls()
+        for make in (calls.read, calls.commit):
+            task = asyncio.create_task(make(store.call))
+            await asyncio.sleep(0.01)
+            for _ in range(2):
+                task.cancel()
+                await asyncio.sleep(0)
+            await asyncio.wait([task])
+            await asyncio.sleep(0.01)
+            self.assertEqual(store.open_count, 0)
+
     async def test_estimate_follows_the_store(self):
         await self.read(FakeStore(answer_s=1.4))
         self.assertEqual(self.calls.answer_ms, 1_400)
