Let a closing home hand its count of retries to the next one

Cause: a home that leaves or is superseded told the next one only that it had closed. What it granted after the last retry of another host was known to itself alone, and it may be gone when the hosts are asked again.

Evidence: test_closing_home_hands_on_what_it_counted_of_retries (the field is new).

--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -169,7 +169,7 @@
         self._retries.on_host_joined(host_id)
         self._holders.add(host_id)
 
-    def on_predecessor_closed(self):
+    def on_predecessor_closed(self, message):
         """Query all hosts again, since the previous home has only now closed.
 
         Failure prevented: hosts disagree for a second on which of two hosts is home,
@@ -177,12 +177,16 @@
         admitted after this one had sent its queries would never be counted, and a
         customer at its quota would get that much on top.
         """
+        now_ms = self._clock.now_ms()
+        self._gate.adopt_retry_records(self.pool, message.retry_records, now_ms)
         self._holders.restart()
 
     def close(self, new_home):
         """Stop issuing grants and refer queued requests to the new home."""
         if new_home:
-            self._send(new_home, HomeClosed(pool=self.pool))
+            records = self._gate.retry_records(self.pool, self._clock.now_ms())
+            closed = HomeClosed(pool=self.pool, retry_records=records)
+            self._send(new_home, closed)
         for waiting in (*self._queued.values(), *self._copies.clear()):
             request = waiting.request
             self._replies.not_home(request.entry_host, request.request_id, new_home)
--- a/libs/host/src/hemlockhoist/host/message_router.py
+++ b/libs/host/src/hemlockhoist/host/message_router.py
@@ -151,7 +151,7 @@
 def _(message: HomeClosed, context, sender, late_ms):
     home = context.homes.find(message.pool)
     if home is not None:
-        home.on_predecessor_closed()
+        home.on_predecessor_closed(message)
 
 
 @_handle.register
--- a/libs/host/src/hemlockhoist/host/tests/test_home_counts.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_home_counts.py
@@ -25,7 +25,9 @@
     GrantReply,
     GrantRequest,
     HeldGrants,
+    HomeClosed,
     RequestBrief,
+    RetryRecord,
 )
 
 POOL = Pool(
@@ -60,6 +62,14 @@
 
     def __init__(self):
         self.not_run = []
+        self.records = (RetryRecord(incarnation="i", change_count=3),)
+        self.adopted = ()
+
+    def retry_records(self, pool, now_ms):
+        return self.records
+
+    def adopt_retry_records(self, pool, records, now_ms):
+        self.adopted = records
 
     def on_not_run(self, pool, request, since_ms, now_ms):
         self.not_run.append(request.request_id)
@@ -99,6 +109,15 @@
         home.on_held_grants(ENTRY, held)
         return home
 
+    async def test_closing_home_hands_on_what_it_counted_of_retries(self):
+        """Guards against retries that are known to a host that leaves only."""
+        self.home.close("h2")
+        (closed,) = [item for item in self.sent if isinstance(item, HomeClosed)]
+        next_home = self.new_home()
+        next_home.on_predecessor_closed(closed)
+        self.assertEqual(self.gate.adopted, closed.retry_records)
+        self.assertTrue(closed.retry_records)
+
     def request_grant(self, request_id, **fields):
         self.home.on_request(
             ENTRY, GrantRequest(pool="chat", brief=brief(request_id, **fields)), 0
--- a/libs/messages/src/hemlockhoist/messages/grants.py
+++ b/libs/messages/src/hemlockhoist/messages/grants.py
@@ -360,9 +360,13 @@
 class HomeClosed(
     msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
 ):
-    """Notifies the new home of a pool that its predecessor issues no more grants."""
+    """Notifies the new home of a pool that its predecessor issues no more grants.
+
+    ``retry_records`` is what homes counted against the limit on retries until then.
+    """
 
     pool: str
+    retry_records: tuple[RetryRecord, ...] = ()
 
 
 class HeldGrants(
