Let one class build what a host reports to a new home

GrantClient took seven collaborators only to report what they know when a home takes over, and kept their state beside the requests that wait.

--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -50,6 +50,7 @@
 from hemlockhoist.host.abandoned_checks import AbandonedChecks
 from hemlockhoist.host.fleet import Fleet
 from hemlockhoist.host.grants import GrantClient
+from hemlockhoist.host.holder_report import HolderReport
 from hemlockhoist.host.homes import HomeService
 from hemlockhoist.host.identity import HostIdentity, new_incarnation
 from hemlockhoist.host.message_router import MessageRouter
@@ -294,14 +295,17 @@
             self._on_unresponsive,
             context.bus.reconnect,
             lambda: context.identity.host_id,
-            UsageLog(self.settings.bounds.quota_window_ms),
-            context.identity.incarnation,
-            context.advertised_limits,
-            context.back_offs,
-            context.brittle_limits,
-            context.quarantine,
             context.bus.silent_ms,
-            context.gate,
+            HolderReport(
+                context.clock.now_ms(),
+                context.identity.incarnation,
+                UsageLog(self.settings.bounds.quota_window_ms),
+                context.advertised_limits,
+                context.back_offs,
+                context.brittle_limits,
+                context.quarantine,
+                context.gate,
+            ),
         )
         context.feeds = FeedStore(
             context,
--- a/libs/host/src/hemlockhoist/host/grants.py
+++ b/libs/host/src/hemlockhoist/host/grants.py
@@ -5,9 +5,6 @@
 import msgspec
 
 from hemlockhoist.base import MS_PER_S, Refused, ResultCode
-from hemlockhoist.decisions import granting_incarnation
-from hemlockhoist.host.announced_retries import AnnouncedRetries
-from hemlockhoist.host.gates import AllowAllGate
 from hemlockhoist.host.grant_hold import (
     GrantHold,
     held_grant_message,
@@ -16,6 +13,7 @@
     signals_for_home,
 )
 from hemlockhoist.host.grant_waiter import RESEND, GrantWaiter
+from hemlockhoist.host.holder_report import HolderReport
 from hemlockhoist.host.outdated import outdated_message
 from hemlockhoist.messages import (
     FirstToken,
@@ -25,7 +23,6 @@
     GrantReply,
     GrantRequest,
     HeldGrantIds,
-    HeldGrants,
     NotHome,
     UpstreamLost,
     UpstreamReached,
@@ -77,45 +74,25 @@
         ``reconnect(host_id)`` replaces the connection to a home that did not reply.
     own_id : callable, optional
         Returns this host's id if it may act as a standby home, or "", the default.
-    usage_log : UsageLog, optional
-        Records customers' usage.
-    advertised_limits : AdvertisedLimits, optional
-        The limits that upstreams advertised to this host.
-    back_offs : BackOffs, optional
-        The upstreams that want no requests from this host for a while.
-    brittle_limits : AdvertisedLimits, optional
-        The rejections that brittle upstreams bear, as they advertised to this host.
-    incarnation : str, optional
-        This host's incarnation.
-    quarantine : QuarantineService, optional
-        The evidence against parts of prompts that crash upstreams.
     silent_ms : callable, optional
         ``silent_ms(host_id)`` returns the time since the last message of a host, or
         None if there was none.
-    gate : AllowAllGate, optional
-        Keeps what homes counted against the limit on retries.
+    report : HolderReport, optional
+        What this host tells a new home beside its grants.
     """
 
     __slots__ = (
-        "_advertised_limits",
-        "_back_offs",
-        "_brittle_limits",
         "_claiming_homes",
         "_clock",
-        "_gate",
         "_held",
         "_home_of",
-        "_incarnation",
         "_on_unresponsive",
         "_own_id",
-        "_quarantine",
         "_reconnect",
         "_refusal",
+        "_report",
         "_send",
         "_silent_ms",
-        "_started_ms",
-        "_announced_retries",
-        "_usage_log",
         "_waiters",
     )
 
@@ -127,31 +104,17 @@
         on_unresponsive,
         reconnect=lambda host_id: None,
         own_id=lambda: "",
-        usage_log=None,
-        incarnation="",
-        advertised_limits=None,
-        back_offs=None,
-        brittle_limits=None,
-        quarantine=None,
         silent_ms=lambda host_id: None,
-        gate=None,
+        report=None,
     ):
-        self._gate = gate or AllowAllGate()
         self._silent_ms = silent_ms
-        self._quarantine = quarantine
-        self._back_offs = back_offs
-        self._brittle_limits = brittle_limits
-        self._advertised_limits = advertised_limits
-        self._incarnation = incarnation
-        self._usage_log = usage_log
+        self._report = report or HolderReport(clock.now_ms())
         self._own_id = own_id
         self._reconnect = reconnect
         self._on_unresponsive = on_unresponsive
         self._clock = clock
         self._send = send
         self._home_of = home_of
-        self._started_ms = clock.now_ms()
-        self._announced_retries = AnnouncedRetries()
         self._waiters = {}
         self._held = {}
         # For each grant id, the homes to which the grant was reported on takeover.
@@ -286,7 +249,7 @@
         waiter.last_reply_ms = now_ms
         waiter.timeouts_since_reply = 0
         if isinstance(message, GrantRefusal):
-            self._announced_retries.record(brief(now_ms), message, now_ms)
+            self._report.on_refused(brief(now_ms), message, now_ms)
             raise Refused(message.reason, message.code, message.retry_after_ms)
         if isinstance(message, GrantReply):
             hold = self._accept_grant(waiter, message, brief(now_ms), late_ms)
@@ -329,9 +292,7 @@
 
     def _accept_grant(self, waiter, message, brief, late_ms):
         """Return the grant, or None when it expired in transit."""
-        self._gate.adopt_retry_records(
-            message.pool, message.retry_records, self._clock.now_ms() - late_ms
-        )
+        self._report.on_reply(message, self._clock.now_ms() - late_ms)
         hold = GrantHold(
             pool=message.pool,
             brief=brief,
@@ -349,12 +310,7 @@
             self._release_unsent(hold)
             return None
         self._held[hold.grant_id] = hold
-        if self._usage_log is not None:
-            now_ms = self._clock.now_ms()
-            home_incarnation = granting_incarnation(hold.grant_id)
-            self._usage_log.add(
-                hold.pool, home_incarnation, brief.customer, brief.units, now_ms
-            )
+        self._report.on_granted(hold, self._clock.now_ms())
         return hold
 
     def _cancel(self, waiter, home):
@@ -515,35 +471,7 @@
             self._claiming_homes.setdefault(hold.grant_id, set()).add(home)
         grants = tuple(held_grant_message(hold) for hold in held)
         now_ms = self._clock.now_ms()
-        limits = ()
-        if self._advertised_limits is not None:
-            limits = self._advertised_limits.report(pool, now_ms)
-        back_offs = ()
-        if self._back_offs is not None:
-            back_offs = self._back_offs.report(pool, now_ms)
-        brittle = ()
-        if self._brittle_limits is not None:
-            brittle = self._brittle_limits.report(pool, now_ms)
-        part_records = ()
-        if self._quarantine is not None:
-            part_records = self._quarantine.reported_records()
-        usage_by_customer = ()
-        if self._usage_log is not None:
-            usage_by_customer = self._usage_log.report(pool, home_incarnation, now_ms)
-        return HeldGrants(
-            pool=pool,
-            home_incarnation=home_incarnation,
-            grants=grants,
-            usage=usage_by_customer,
-            up_ms=now_ms - self._started_ms,
-            incarnation=self._incarnation,
-            limits=limits,
-            back_offs=back_offs,
-            brittle=brittle,
-            part_records=part_records,
-            announced_retries=self._announced_retries.report(pool, now_ms),
-            retry_records=self._gate.retry_records(pool, now_ms),
-        )
+        return self._report.build(pool, home_incarnation, grants, now_ms)
 
     def send_held_ids(self, pools):
         """Send the ids of the grants that this host still holds to the pools' homes."""
--- a/libs/host/src/hemlockhoist/host/process.py
+++ b/libs/host/src/hemlockhoist/host/process.py
@@ -38,6 +38,7 @@
 from hemlockhoist.host.dispatcher import Dispatcher
 from hemlockhoist.host.fleet import Fleet
 from hemlockhoist.host.grants import GrantClient
+from hemlockhoist.host.holder_report import HolderReport
 from hemlockhoist.host.homes import HomeService
 from hemlockhoist.host.identity import HostIdentity, new_incarnation
 from hemlockhoist.host.ledger_service import LedgerService
@@ -209,8 +210,8 @@
             context.homes.home_of,
             self._on_unresponsive,
             context.bus.reconnect,
-            quarantine=context.quarantine,
             silent_ms=context.bus.silent_ms,
+            report=HolderReport(clock.now_ms(), quarantine=context.quarantine),
         )
         context.abandoned_checks = AbandonedChecks(
             lambda *call: context.upstreams.check_link(*call),
--- a/libs/host/src/hemlockhoist/host/tests/test_grants.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_grants.py
@@ -8,6 +8,7 @@
 from hemlockhoist.decisions.scheduling import PoolScheduler
 from hemlockhoist.declarations import Pool, PoolKind, Tier
 from hemlockhoist.host.grants import HEARD_WITHIN_MS, GrantClient
+from hemlockhoist.host.holder_report import HolderReport
 from hemlockhoist.host.home import PoolHome
 from hemlockhoist.host.identity import HostIdentity
 from hemlockhoist.messages import (
@@ -98,8 +99,11 @@
             self.network.from_entry,
             lambda pool: self.home,
             self.unresponsive.append,
-            advertised_limits=self.advertised_limits,
-            back_offs=self.back_offs,
+            report=HolderReport(
+                self.clock.now_ms(),
+                advertised_limits=self.advertised_limits,
+                back_offs=self.back_offs,
+            ),
         )
         self.network.client = self.client
         self._add_home("h1")
@@ -241,7 +245,7 @@
             lambda host, message: sent.append(message),
             lambda pool: "10.0.0.1:7400",
             lambda host: None,
-            usage_log=UsageLog(8_000),
+            report=HolderReport(clock.now_ms(), usage_log=UsageLog(8_000)),
         )
 
         def brief(now_ms):
