Share the requests from before a cut among the parts of the fleet

Cause (by reading, shown by a test): a host that decides alone, and the home of a smaller part, have the records of the whole fleet. Each counted all its requests from before the cut, and granted retries for them: 1,000 requests in the window before, a home and seven hosts alone, 1,017 retries, 254 allowed.

Change: requests from before count by the share of the fleet that a part has, those that came since in full; a host that decides alone counts its own only.

Evidence: test_partitions_share_the_requests_from_before_the_cut was red before; 168 for a part of five and one of three hosts now.

--- a/libs/decisions/src/hemlockhoist/decisions/limits/retry_limiter.py
+++ b/libs/decisions/src/hemlockhoist/decisions/limits/retry_limiter.py
@@ -51,7 +51,7 @@
     base : float
         Retries allowed in addition to the ratio.
     share : float, optional
-        Share of the base that this host grants.
+        Share of the bound that this host grants.
 
     Attributes
     ==========
@@ -93,7 +93,7 @@
 
     def count_request(self, now_ms):
         """Count a first attempt sent by a caller."""
-        self._own.count_request(now_ms)
+        self._own.count_request(now_ms, is_of_part=self.share < 1.0)
 
     def acquire(self, now_ms, usable_fraction=1.0):
         """Return whether one more retry is allowed, and count it if so.
@@ -128,7 +128,7 @@
         """Return what the limit is made of, as a text for logs."""
         requests, retries = self._totals(now_ms)
         return (
-            f"{retries} retries and {requests} requests in the window, "
+            f"{retries} retries and {requests:.0f} requests in the window, "
             f"bound {self._bound(requests, now_ms):.1f}, "
             f"unknown {self._unknown_fraction(now_ms):.2f}"
         )
@@ -185,13 +185,20 @@
                 del self._adopted[incarnation]
 
     def _totals(self, now_ms):
-        """Return the requests and the retries of the window, over all homes."""
-        requests, retries = self._own.totals(now_ms)
+        """Return the requests and the retries of the window, over all homes.
+
+        While a part of the fleet cannot be reached, both parts know the requests from
+        before, so that each grants retries for its share of them.
+        """
+        requests, of_part, retries = self._own.totals(now_ms)
+        requests = of_part + self.share * (requests - of_part)
+        if not self.is_home:
+            return requests, retries
         for record in self._adopted.values():
             for _, more_requests, more_retries in record.within(
                 self._window_ms, now_ms
             ):
-                requests += more_requests
+                requests += self.share * more_requests
                 retries += more_retries
         return requests, retries
 
--- a/libs/decisions/src/hemlockhoist/decisions/limits/retry_window.py
+++ b/libs/decisions/src/hemlockhoist/decisions/limits/retry_window.py
@@ -7,11 +7,13 @@
 
 
 class _Bucket:
-    __slots__ = ("number", "requests", "retries")
+    __slots__ = ("number", "part_requests", "requests", "retries")
 
     def __init__(self, number):
         self.number = number
         self.requests = 0
+        # Those of them that came while a part of the fleet could not be reached.
+        self.part_requests = 0
         self.retries = 0
 
 
@@ -34,7 +36,7 @@
     >>> window.count_request(now_ms=0)
     >>> window.count_retry(now_ms=4_000)
     >>> window.totals(now_ms=5_000), window.totals(now_ms=12_000)
-    ((1, 1), (0, 1))
+    ((1, 0, 1), (0, 0, 1))
     """
 
     __slots__ = ("_bucket_ms", "_buckets", "_window_ms", "change_count")
@@ -45,9 +47,18 @@
         self._buckets = collections.deque()
         self.change_count = 0
 
-    def count_request(self, now_ms):
-        """Count the first attempt of a request."""
-        self._current_bucket(now_ms).requests += 1
+    def count_request(self, now_ms, is_of_part=False):
+        """Count the first attempt of a request.
+
+        Parameters
+        ==========
+        now_ms : int
+        is_of_part : bool, optional
+            Whether it came while a part of the fleet could not be reached.
+        """
+        bucket = self._current_bucket(now_ms)
+        bucket.requests += 1
+        bucket.part_requests += is_of_part
         self.change_count += 1
 
     def count_retry(self, now_ms):
@@ -66,11 +77,19 @@
         return False
 
     def totals(self, now_ms):
-        """Return the numbers of requests and of retries in the window."""
+        """Return what is in the window.
+
+        Returns
+        =======
+        (int, int, int)
+            The requests, those of them that came while a part of the fleet could not be
+            reached, and the retries.
+        """
         self._expire(now_ms)
         requests = sum(bucket.requests for bucket in self._buckets)
+        of_part = sum(bucket.part_requests for bucket in self._buckets)
         retries = sum(bucket.retries for bucket in self._buckets)
-        return requests, retries
+        return requests, of_part, retries
 
     def by_age(self, now_ms):
         """Return ``(age_ms, requests, retries)`` of the window.
--- a/libs/decisions/src/hemlockhoist/decisions/limits/tests/test_retry_limiter.py
+++ b/libs/decisions/src/hemlockhoist/decisions/limits/tests/test_retry_limiter.py
@@ -96,6 +96,34 @@
                     self.granted_ms.append(now_ms)
         self.assertLessEqual(worst_window(self.granted_ms), BOUND)
 
+    def test_partitions_share_the_requests_from_before_the_cut(self):
+        """Guards against hosts that each grant retries for all requests of the fleet."""
+        home, per_s = new_limiter(), 100
+        for now_ms in range(0, WINDOW_MS, 1_000 // per_s):
+            home.count_request(now_ms)
+        bound = BASE + RATIO * per_s * WINDOW_MS / 1_000
+        records = home.records("home", WINDOW_MS)
+        for reachable in (1, 3):
+            with self.subTest(reachable=reachable):
+                self.granted_ms.clear()
+                is_home = reachable > 1
+                rest = [
+                    new_limiter(partition_share(reachable, 8, is_home))
+                    for _ in range(8 // reachable - 1)
+                ]
+                for limiter in rest:
+                    limiter.is_home = is_home
+                    limiter.adopt(records, "other", WINDOW_MS)
+                majority = new_limiter(partition_share(5, 8, True))
+                majority.adopt(records, "majority", WINDOW_MS)
+                # The previous home is one of the smaller part.
+                rest[0].adopt(records, "home", WINDOW_MS)
+                home.share, home.is_home = rest[0].share, is_home
+                for limiter in (majority, home, *rest[1:]):
+                    granted = sum(limiter.acquire(WINDOW_MS) for _ in range(500))
+                    self.granted_ms += [WINDOW_MS] * granted
+                self.assertLessEqual(len(self.granted_ms), bound)
+
     def test_retries_that_waited_count_when_they_are_sent(self):
         """Guards against retries that are sent together after the window has turned."""
         for wait_ms in (0, 2_000, 4_000, 6_000):
