--- a/libs/decisions/src/hemlockhoist/decisions/limits/retry_limiter.py
+++ b/libs/decisions/src/hemlockhoist/decisions/limits/retry_limiter.py
@@ -18,18 +18,22 @@
 class _AdoptedRecord:
     """What another home counted, with times on this host's clock."""
 
-    __slots__ = ("change_count", "counts")
+    __slots__ = ("_counts", "change_count")
 
     def __init__(self, record, now_ms):
         self.change_count = record.change_count
-        self.counts = tuple(
+        self._counts = tuple(
             (now_ms - age_ms, requests, retries)
             for age_ms, requests, retries in record.counts
         )
 
-    def within(self, window_ms, now_ms):
-        """Return what is in the window, as ``(at_ms, requests, retries)``."""
-        return [item for item in self.counts if now_ms - item[0] <= window_ms]
+    def by_age(self, window_ms, now_ms):
+        """Return ``(age_ms, requests, retries)`` of the window."""
+        return tuple(
+            (max(0, now_ms - at_ms), requests, retries)
+            for at_ms, requests, retries in self._counts
+            if now_ms - at_ms <= window_ms
+        )
 
 
 class RetryLimiter:
@@ -168,12 +172,7 @@
             RetryRecord(
                 incarnation=incarnation,
                 change_count=record.change_count,
-                counts=tuple(
-                    (max(0, now_ms - at_ms), requests, retries)
-                    for at_ms, requests, retries in record.within(
-                        self._window_ms, now_ms
-                    )
-                ),
+                counts=record.by_age(self._window_ms, now_ms),
             )
             for incarnation, record in self._adopted.items()
         ]
@@ -181,7 +180,7 @@
 
     def _forget(self, now_ms):
         for incarnation, record in list(self._adopted.items()):
-            if not record.within(self._window_ms, now_ms):
+            if not record.by_age(self._window_ms, now_ms):
                 del self._adopted[incarnation]
 
     def _totals(self, now_ms):
@@ -195,11 +194,11 @@
         if not self.is_home:
             return requests, retries
         for record in self._adopted.values():
-            for _, more_requests, more_retries in record.within(
+            for _, adopted_requests, adopted_retries in record.by_age(
                 self._window_ms, now_ms
             ):
-                requests += self.share * more_requests
-                retries += more_retries
+                requests += self.share * adopted_requests
+                retries += adopted_retries
         return requests, retries
 
     def _bound(self, requests, now_ms):
