--- a/libs/decisions/src/hemlockhoist/decisions/limits/retry_limiter.py
+++ b/libs/decisions/src/hemlockhoist/decisions/limits/retry_limiter.py
@@ -10,7 +10,7 @@
 UNKNOWN_FRACTION = 1.0 - USED_FRACTION
 # Number that a home may grant at once though it does not know what was granted before, so
 # that single failures just after a start are retried.
-MAX_AT_START = 2
+MAX_AT_START = 3
 # Hosts may disagree for this long on which of two is the home, and both grant.
 OVERLAP_MS = 1_000
 
