Wait for hosts that are being started again before the soak removes its faults

Cause: the faults in progress are awaited as they are listed when the wait begins. Those that stop hosts in turn start one more for each host; such a host was down just then, was started as 'not running', and once more by its own fault. Only the driver is concerned.

Change: faults that are started meanwhile are awaited too.

--- a/libs/standins/src/hemlockhoist/standins/published/soak/faults.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/faults.py
@@ -163,7 +163,7 @@
 
     async def heal(self):
         """Wait for the faults in progress, and remove all that is left of them."""
-        await asyncio.gather(*self._tasks)
+        await self._wait_for_tasks()
         run = self._run
         run.store.faults.heal()
         for proxy in (*run.store_proxies, *run.replica_proxies()):
@@ -180,6 +180,16 @@
             if not host.is_running:
                 await host.start()
 
+    async def _wait_for_tasks(self):
+        """Wait for all faults, also for those that others start meanwhile.
+
+        Otherwise a host that is about to be started again is started twice.
+        """
+        awaited = set()
+        while started := self._tasks - awaited:
+            awaited |= started
+            await asyncio.gather(*started)
+
     async def close(self):
         """Cancel the faults in progress."""
         for task in self._tasks:
