Leave out only the runs that a cut or an end may have lost

Cause: the soak's check of the replicas that run one request left out all replicas of a run in which any host was cut from any, and for the whole run each replica that had ended once: in such runs it could not fail.

Change: a run is left out if a cut lay beside it, or its replica ended within the time for which its caller waits. Stricter, and asked in six cases.

--- a/libs/standins/src/hemlockhoist/standins/published/soak/checks.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/checks.py
@@ -157,7 +157,7 @@
         self.violations += find_blocked_others(requests, rows, PEER_KEY.encode())
         self.check_counts["requests that end replicas"] += len(requests)
 
-    def check_retries(self, replicas, bounds, max_attempts, ended_ids):
+    def check_retries(self, replicas, bounds, max_attempts, outages):
         """Check what replicas received of requests that were sent more than once.
 
         Parameters
@@ -165,7 +165,7 @@
         replicas : list of Replica
         bounds : RetryBounds
         max_attempts : callable
-        ended_ids : set of str
+        outages : ReplicaOutages
             As of ``find_attempt_violations``.
         """
         arrivals = find_arrivals(replicas, self._calls)
@@ -174,7 +174,7 @@
         )
         self.violations += violations
         self.check_counts["repeated arrivals"] += count
-        self.violations += find_attempt_violations(arrivals, max_attempts, ended_ids)
+        self.violations += find_attempt_violations(arrivals, max_attempts, outages)
         violations, count = find_time_limit_violations(arrivals)
         self.violations += violations
         self.check_counts["time limits"] += count
--- a/libs/standins/src/hemlockhoist/standins/published/soak/retry_checks.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/retry_checks.py
@@ -8,6 +8,8 @@
 from hemlockhoist.base import MS_PER_S
 from hemlockhoist.standins.published.soak.callers import CALLER_DEADLINE_MS
 
+# Time in which a run ends, as its caller waits no longer.
+MAX_RUN_S = CALLER_DEADLINE_MS / MS_PER_S
 # How many requests may run at too many replicas.
 MAX_OVERRUN_REQUESTS = 3
 # Tolerance of the time limits that replicas are told, and their allowed exceptions.
@@ -33,6 +35,38 @@
     allowance: float = 56.0
 
 
+class ReplicaOutages(msgspec.Struct, frozen=True, kw_only=True):
+    """When replicas ended, or hosts were cut from them.
+
+    Parameters
+    ==========
+    replaced_ids : set of str
+        Replicas that were replaced by others.
+    ends : list of (str, float)
+        A replica and when it ended, to start again.
+    cuts : list of (float, float)
+        Begin and end of each time in which hosts had no links to some replicas.
+    """
+
+    replaced_ids: frozenset[str] = frozenset()
+    ends: list[tuple[str, float]] = []
+    cuts: list[tuple[float, float]] = []
+
+    def excuses(self, arrival):
+        """Return whether a run may have been lost, so that it does not count."""
+        if arrival.replica_id in self.replaced_ids:
+            return True
+        last_s = arrival.at_s + MAX_RUN_S
+        if any(
+            begin_s <= last_s and arrival.at_s <= end_s for begin_s, end_s in self.cuts
+        ):
+            return True
+        return any(
+            replica_id == arrival.replica_id and arrival.at_s <= end_s <= last_s
+            for replica_id, end_s in self.ends
+        )
+
+
 class Arrival(msgspec.Struct, frozen=True):
     """A request that reached a replica, which ran or rejected it.
 
@@ -144,7 +178,7 @@
     return bisect.bisect_left(times_s, end_s) - bisect.bisect_left(times_s, begin_s)
 
 
-def find_attempt_violations(arrivals, max_attempts, ended_ids):
+def find_attempt_violations(arrivals, max_attempts, outages):
     """Return the requests that ran at more replicas than their route allows.
 
     Parameters
@@ -152,8 +186,8 @@
     arrivals : dict of str to list of Arrival
     max_attempts : callable
         ``max_attempts(path)`` returns the attempts that a route allows.
-    ended_ids : set of str
-        Replicas that ended or were cut off, which do not count.
+    outages : ReplicaOutages
+        Runs beside these do not count.
 
     Returns
     =======
@@ -162,7 +196,11 @@
     """
     overrun = []
     for attempt_id, items in arrivals.items():
-        ran = {item.replica_id for item in items if item.has_run} - ended_ids
+        ran = {
+            item.replica_id
+            for item in items
+            if item.has_run and not outages.excuses(item)
+        }
         allowed = max_attempts(items[0].call.kind.path)
         if len(ran) > allowed:
             overrun.append(
--- a/libs/standins/src/hemlockhoist/standins/published/soak/run.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/run.py
@@ -25,7 +25,10 @@
 from hemlockhoist.standins.published.soak.hedge_checks import HEDGE_LOG_TEXT
 from hemlockhoist.standins.published.soak.hosts import START_TIMEOUT_S, HostProcess
 from hemlockhoist.standins.published.soak.proxy import Proxy
-from hemlockhoist.standins.published.soak.retry_checks import RetryBounds
+from hemlockhoist.standins.published.soak.retry_checks import (
+    ReplicaOutages,
+    RetryBounds,
+)
 from hemlockhoist.standins.published.store import StoreStandin
 
 HOST_COUNT = 3
@@ -411,7 +414,10 @@
             self.store.payloads("crashing_parts"),
         )
         checker.check_retries(
-            replicas, self.retry_bounds, self._max_attempts, self._ended_ids(replicas)
+            replicas,
+            self.retry_bounds,
+            self._max_attempts,
+            self._replica_outages(replicas),
         )
         checker.check_declarations(
             self._declared, faults.store_spans, faults.outages, self._addresses()
@@ -444,13 +450,18 @@
         declared = {item["name"]: item for item in (route("", ""), *self.routes)}
         return declared.get(path, declared[""])["max_attempts"]
 
-    def _ended_ids(self, replicas):
-        """Return the ids of replicas that ended, or that a host was cut from."""
-        ended = {replica.replica_id for replica in self._ended_replicas}
+    def _replica_outages(self, replicas):
+        """Return when replicas ended, or hosts were cut from them."""
+        ends = []
         for replica in replicas:
-            if replica.crashes or replica.falls or self.faults.cut_spans:
-                ended |= {item.replica_id for item in replica.ran}
-        return ended
+            times_s = [*replica.falls, *(at_s for at_s, _ in replica.crashes)]
+            ids = {item.replica_id for item in replica.ran}
+            ends += [(name, at_s) for name in ids for at_s in times_s]
+        return ReplicaOutages(
+            replaced_ids=frozenset(item.replica_id for item in self._ended_replicas),
+            ends=ends,
+            cuts=[(span.from_s, span.until_s) for span in self.faults.cut_spans],
+        )
 
     def _other_disturbances(self):
         """Return what may cause whole readings besides a dropped history."""
--- a/libs/standins/src/hemlockhoist/standins/published/soak/tests/test_retry_checks.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/tests/test_retry_checks.py
@@ -8,6 +8,7 @@
     Call,
 )
 from hemlockhoist.standins.published.soak.retry_checks import (
+    ReplicaOutages,
     RetryBounds,
     find_arrivals,
     find_attempt_violations,
@@ -67,10 +68,17 @@
 
     def test_runs_at_more_replicas_than_allowed_are_found(self):
         self.send(4, (0.0, 0.1, 0.2))
-        found = find_attempt_violations(self.arrivals(), lambda _: 2, set())
-        self.assertEqual(len(found), 4)
-        found = find_attempt_violations(self.arrivals(), lambda _: 2, {"i-0"})
-        self.assertEqual(found, [])
+        for outages, count in (
+            (ReplicaOutages(), 4),
+            (ReplicaOutages(replaced_ids=frozenset({"i-0"})), 0),
+            (ReplicaOutages(ends=[("i-0", 1.0)]), 0),
+            (ReplicaOutages(ends=[("i-0", 9.0), ("i-3", 1.0)]), 4),
+            (ReplicaOutages(cuts=[(1.0, 5.0)]), 0),
+            (ReplicaOutages(cuts=[(5.0, 9.0)]), 4),
+        ):
+            with self.subTest(outages=outages):
+                found = find_attempt_violations(self.arrivals(), lambda _: 2, outages)
+                self.assertEqual(len(found), count)
 
     def test_time_limits_beyond_the_callers_are_found(self):
         for limit_ms in (None, CALLER_DEADLINE_MS + 600):
