Report a deeply nested answer of a host as an unexpected one

Cause: the command decoded hosts' answers and caught the decoder's own errors only; one that is nested too deeply raises RecursionError, and the command ended with a traceback.

Change: what makes a value invalid is caught as everywhere else, DECODE_ERRORS.

Evidence: test_deeply_nested_answer_is_an_error_of_the_host was red before with RecursionError for both kinds of answers, and is green.

--- a/libs/cli/src/hemlockhoist/cli/client.py
+++ b/libs/cli/src/hemlockhoist/cli/client.py
@@ -6,7 +6,7 @@
 import aiohttp
 import msgspec
 
-from hemlockhoist.base import MS_PER_S, ResultCode
+from hemlockhoist.base import DECODE_ERRORS, MS_PER_S, ResultCode
 from hemlockhoist.cli.errors import HostUnreachable, RemoteError
 from hemlockhoist.host.operator_messages import (
     DECLARATIONS_PATH,
@@ -163,7 +163,7 @@
             raise _remote_error(response.status, body)
         try:
             return msgspec.json.decode(body, type=result_type)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             raise RemoteError(
                 f"{host} answered {method} {path} with an unexpected body: {error}",
                 ResultCode.PEER_VERSION,
@@ -175,7 +175,7 @@
     try:
         error = msgspec.json.decode(body, type=_ErrorBody).error
         code = ResultCode(error.code)
-    except (msgspec.DecodeError, ValueError):
+    except DECODE_ERRORS:
         text = body[:200].decode(errors="replace")
         message = f"HTTP status {status}: {text}"
         remedy = "Check that --host names a host's address for callers and operators."
