Move the log lines of a home into a class of their own

Measured: the tests of host, and those that read these lines (test_explained, test_where), are green (22 modules).

--- a/libs/host/src/hemlockhoist/host/home.py
+++ b/libs/host/src/hemlockhoist/host/home.py
@@ -2,9 +2,8 @@
 
 import msgspec
 
-from hemlockhoist.base import get_logger
 from hemlockhoist.base.metrics import Metrics
-from hemlockhoist.base.metrics_table import RETRIES_ALLOWED, WASTED_TOKENS
+from hemlockhoist.base.metrics_table import WASTED_TOKENS
 from hemlockhoist.decisions import (
     Grant,
     Granted,
@@ -15,6 +14,7 @@
 from hemlockhoist.host.crash_checks import CrashChecks
 from hemlockhoist.host.gates import AllowAllGate
 from hemlockhoist.host.home_dry_run import dry_run_request
+from hemlockhoist.host.home_log import HomeLog
 from hemlockhoist.host.home_replies import HomeReplies
 from hemlockhoist.host.home_retries import HomeRetries
 from hemlockhoist.host.home_signals import HomeSignals
@@ -25,8 +25,6 @@
 from hemlockhoist.host.work_requests import work_request
 from hemlockhoist.messages import HomeClosed
 
-_log = get_logger("host.home")
-
 # A grant that expired longer ago than this and is missing from its entry host's list
 # was never used: a list already in transit when the grant was issued would have
 # arrived before.
@@ -85,6 +83,7 @@
         "_holders",
         "_identity",
         "_last_request_ms",
+        "_log",
         "_metrics",
         "_queued",
         "_reconnect",
@@ -142,6 +141,7 @@
         self._queued = {}
         self._granted = {}
         self._replies = HomeReplies(pool, send)
+        self._log = HomeLog(pool, self._metrics)
         self._spans = HomeSpans(pool, traces)
         self._started_ms = 0
         self._last_request_ms = clock.now_ms()
@@ -162,7 +162,7 @@
         self._gate.on_takeover(self._holders.queried, now_ms)
         self._emit(self.scheduler.begin_recovery(now_ms), now_ms)
         self._holders.send()
-        _log.info("home_started", pool=self.pool, asked=self._holders.pending_count)
+        self._log.on_started(self._holders.pending_count)
 
     def on_host_joined(self, host_id):
         """Query a host that was not known before for the grants that it holds."""
@@ -192,7 +192,7 @@
             self._replies.not_home(request.entry_host, request.request_id, new_home)
         self._queued.clear()
         self._spans.close()
-        _log.info("home_closed", pool=self.pool, new_home=new_home)
+        self._log.on_closed(new_home)
 
     @property
     def recovering(self):
@@ -248,7 +248,8 @@
             self._refuse(request, refusal.code, refusal.retry_after_ms, refusal.reason)
             return
         if request.is_retry:
-            self._log_retry(request, now_ms)
+            left = self._gate.retries_left(self.pool, now_ms)
+            self._log.on_retry_charged(request, left, now_ms - self._started_ms)
         self._spans.begin(brief)
         decisions = self.scheduler.submit(request, now_ms)
         self._retries.on_submitted()
@@ -260,21 +261,9 @@
             self._queued[request.request_id] = QueueEntry(request, now_ms)
         self._emit(decisions, now_ms)
         if not is_decided:
-            self._notify_queued(request)
-
-    def _log_retry(self, request, now_ms):
-        """Log a retry that was charged to the fleet's limit."""
-        self._metrics.count(RETRIES_ALLOWED, self.pool)
-        _log.info(
-            "retry_charged",
-            request=request.request_id,
-            pool=self.pool,
-            arrival=request.arrival_number,
-            run=request.run_number,
-            hedge=request.is_hedge,
-            left=self._gate.retries_left(self.pool, now_ms),
-            home_started_ms_ago=now_ms - self._started_ms,
-        )
+            held_back = self._signals.held_back_text(request)
+            self._log.on_queued(request, *self.counts(), held_back)
+            self._replies.queued(request.entry_host, request.request_id)
 
     def _keep_back(self, request):
         """Refuse a request that may crash its upstream; return whether it is refused."""
@@ -313,18 +302,6 @@
                 decisions = self.scheduler.cancel(request.request_id, now_ms)
                 self._emit(decisions, now_ms)
 
-    def _notify_queued(self, request):
-        _log.info(
-            "request_queued",
-            request=request.request_id,
-            pool=self.pool,
-            tier=request.tier_rank,
-            queued=len(self._queued),
-            granted=len(self._granted),
-            held_back=self._signals.held_back_text(request),
-        )
-        self._replies.queued(request.entry_host, request.request_id)
-
     def on_cancel(self, message):
         """Drop a request whose caller has disconnected."""
         now_ms = self._clock.now_ms()
@@ -479,7 +456,7 @@
         """Decide by all grants; hosts that join later are asked beside that."""
         if self.recovered_ms is None:
             self.recovered_ms = now_ms - self._started_ms
-            _log.info("home_ready", pool=self.pool, recovered_ms=self.recovered_ms)
+            self._log.on_ready(self.recovered_ms)
         self._emit(self.scheduler.end_recovery(now_ms), now_ms)
 
     def tick(self):
@@ -553,7 +530,7 @@
         # A grant without a wait appears in the entry host's log line of the attempt.
         # With a hundred upstreams, logging took a fifth of a grant's processor time.
         if has_waited:
-            self._log_granted(decision)
+            self._log.on_granted(decision, *self.counts())
         self._granted[grant.request_id] = (grant, entry_host)
         self._crash_checks.on_sent(decision.request)
         cached = self.scheduler.cached_elsewhere(decision.request, grant.upstream_id)
@@ -564,18 +541,6 @@
             retry_records = self._gate.retry_records(self.pool, now_ms)
         self._replies.grant(entry_host, grant, now_ms, retry_records)
 
-    def _log_granted(self, decision):
-        _log.info(
-            "place_granted",
-            request=decision.grant.request_id,
-            pool=self.pool,
-            tier=decision.request.tier_rank,
-            upstream=decision.grant.upstream_id,
-            version=decision.grant.version,
-            queued=len(self._queued),
-            granted=len(self._granted),
-        )
-
     def _resend(self, sender, grant):
         now_ms = self._clock.now_ms()
         if grant.expires_ms > now_ms:
