--- a/review/build.sh
+++ b/review/build.sh
@@ -1,9 +1,10 @@
 #!/bin/sh
-# Puts the project's stand-ins, which the scripts start, into review/build.
+# Puts the project's stand-ins of the published protocol, of which the scripts start the store, into review/build.
 set -eu
 cd "$(dirname "$0")/.."
+from=libs/standins/src/hemlockhoist/standins
+to=review/build/hemlockhoist/standins
 rm -rf review/build
-mkdir -p review/build
-cp -r libs/standins/src/hemlockhoist review/build/
-find review/build -name tests -type d -prune -exec rm -rf {} +
-find review/build -name __pycache__ -type d -prune -exec rm -rf {} +
+mkdir -p "$to/published"
+cp "$from/__init__.py" "$from/rejections.py" "$to/"
+cp "$from"/published/*.py "$to/published/"
