Log and count how the end of each answer is known

BodyEnd names what marks the end of a body: its length, its last chunk, nothing to read, or only the end of its connection, which proves nothing. attempt_ended and relay_ended carry it as body_end, the metric answers.ended counts whole answers by it, and an end that only the connection shows is logged as answer_end_uncertain: a warning, as the limit on the log's volume drops other lines first. An answer that broke off says how.

No behaviour changes.

--- a/libs/base/src/hemlockhoist/base/metrics_table.py
+++ b/libs/base/src/hemlockhoist/base/metrics_table.py
@@ -49,6 +49,15 @@
     "Sends to upstreams by what came of them.",
     "For failures of one upstream, search the attempt_ended log lines for its id.",
 )
+ANSWERS_ENDED = Metric(
+    "answers.ended",
+    _C,
+    "how",
+    "Whole answers of upstreams by how their end is known: by their length, their last "
+    "chunk, or only by the end of their connection, which proves nothing.",
+    "For connection, search the answer_end_uncertain log lines for the upstream, and "
+    "have it state a length or send chunks.",
+)
 HEDGES_SENT = Metric(
     "hedges.sent",
     _C,
--- a/libs/entry/src/hemlockhoist/entry/attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt.py
@@ -35,6 +35,7 @@
     """
 
     __slots__ = (
+        "body_end",
         "ended_ms",
         "event_count",
         "first_ms",
@@ -96,6 +97,8 @@
         self.event_count = 0
         # Status of the answer; 0 before any.
         self.status = 0
+        # How the end of the answer's body is known; None before any answer.
+        self.body_end = None
         self.longest_gap_ms = 0
         # Time between the last data of a stream and the attempt's end; -1 if it had none.
         self.silent_ms = -1
@@ -145,6 +148,11 @@
         percent = self.signals.slowdown_percent if self.signals else None
         return "" if percent is None else percent
 
+    @property
+    def body_end_text(self):
+        """How the end of the answer's body is known, for logs; empty without answer."""
+        return self.body_end.value if self.body_end else ""
+
     @property
     def leaving_text(self):
         """Whether the upstream announced that it is about to stop, for logs."""
--- a/libs/entry/src/hemlockhoist/entry/attempt_records.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt_records.py
@@ -3,6 +3,7 @@
 from hemlockhoist.base import get_logger
 from hemlockhoist.base.metrics_table import (
     ANSWER_MS,
+    ANSWERS_ENDED,
     ATTEMPTS_ENDED,
     FIRST_TOKEN_MS,
     HOLD_MS,
@@ -28,6 +29,30 @@
         metrics.time(HOLD_MS, outcome.total_ms, attempt.hold.pool)
 
 
+def record_body_end(metrics, request_id, attempt):
+    """Count how the end of a whole answer is known; log an end that proves nothing.
+
+    Parameters
+    ==========
+    metrics : Metrics
+    request_id : str
+    attempt : Attempt
+        Has succeeded.
+    """
+    metrics.count(ANSWERS_ENDED, attempt.body_end.value)
+    if not attempt.body_end.is_certain:
+        # A warning, as lines of less weight are left out first in a burst.
+        _log.warning(
+            "answer_end_uncertain",
+            request=request_id,
+            attempt=attempt.number,
+            upstream=attempt.hold.upstream_id,
+            relay=attempt.guard.relay,
+            status=attempt.status,
+            event_count=attempt.event_count,
+        )
+
+
 def count_success(metrics, admitted, attempt, now_ms):
     """Count a successful response, and whether it met its target time.
 
@@ -84,6 +109,7 @@
         back_off_ms=attempt.back_off_text,
         leaving=attempt.leaving_text,
         slowdown_percent=attempt.slowdown_text,
+        body_end=attempt.body_end_text,
         upstream_lost="true" if attempt.is_upstream_lost else "",
         fingerprint=f"{admitted.fingerprint:016x}" if is_unanswered else "",
         parts=parts if attempt.is_upstream_lost else "",
--- a/libs/entry/src/hemlockhoist/entry/attempt_sender.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt_sender.py
@@ -194,6 +194,7 @@
         head = wire.read_response_head(response.status, response.headers)
         opened.head = head
         attempt.status = head.status
+        attempt.body_end = response.body_end
         self.signals.record(head, attempt, self._request_id)
         if head.is_misdirected:
             # The listed process has been replaced by another one: equivalent to a
--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -14,7 +14,7 @@
 from hemlockhoist.base.metrics_table import STREAMS_CUT
 from hemlockhoist.decisions.entry import AttemptEnd, CutCause, Step, next_step
 from hemlockhoist.declarations import CallKind
-from hemlockhoist.entry.attempt_records import count_success
+from hemlockhoist.entry.attempt_records import count_success, record_body_end
 from hemlockhoist.entry.attempt_sender import AttemptSender
 from hemlockhoist.entry.caller_buffer import SlowReader
 from hemlockhoist.entry.hedge import Hedge
@@ -207,6 +207,7 @@
             if opened.end is None:
                 now_ms = self._context.clock.now_ms()
                 count_success(self._context.metrics, self._admitted, attempt, now_ms)
+                record_body_end(self._context.metrics, self.request_id, attempt)
             self._attempts.record_failure(attempt, opened.end)
             return response, opened.end
         finally:
--- a/libs/relays/src/hemlockhoist/relays/server.py
+++ b/libs/relays/src/hemlockhoist/relays/server.py
@@ -167,6 +167,7 @@
                 upstream=offer.upstream_id,
                 entry_host=answer.receiver,
                 result=result,
+                body_end=answer.body_end.value if answer.body_end else "",
                 total_ms=self._context.clock.now_ms() - started_ms,
             )
 
@@ -256,6 +257,7 @@
         headers = tuple((str(k), str(v)) for k, v in response.headers.items())
         head = RelayedHead(status=response.status, headers=headers)
         self.rules.on_head(offer, head)
+        answer.body_end = response.body_end
         await answer.send(head)
         async for chunk in response.chunks():
             await answer.write(chunk)
@@ -318,11 +320,25 @@
 
 
 class _RelayAnswer:
-    """The answer to the host whose request is relayed."""
+    """The answer to the host whose request is relayed.
 
-    __slots__ = ("_frames", "_has_begun", "_request", "receiver", "response")
+    Attributes
+    ==========
+    body_end : BodyEnd or None
+        How the end of the upstream's body is known; None before its head.
+    """
+
+    __slots__ = (
+        "_frames",
+        "_has_begun",
+        "_request",
+        "body_end",
+        "receiver",
+        "response",
+    )
 
     def __init__(self, frames, request, receiver):
+        self.body_end = None
         self._has_begun = False
         self._frames = frames
         self._request = request
--- a/libs/upstreams/src/hemlockhoist/upstreams/__init__.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/__init__.py
@@ -1,5 +1,6 @@
 """Clients of model engines and plain services."""
 
+from hemlockhoist.upstreams.body_end import BodyEnd
 from hemlockhoist.upstreams.bounds import BoundedHandler, part_limit_ms
 from hemlockhoist.upstreams.client import UpstreamCall, UpstreamClient, cancel_stream
 from hemlockhoist.upstreams.connections import (
@@ -24,6 +25,7 @@
 from hemlockhoist.upstreams.response_ids import ResponseIdChecker, ResponseIdTracker
 
 __all__ = [
+    "BodyEnd",
     "BoundedHandler",
     "ResetDetectingConnector",
     "REQUEST_ID_HEADER",
--- a/libs/upstreams/src/hemlockhoist/upstreams/response.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/response.py
@@ -5,6 +5,7 @@
 import aiohttp
 
 from hemlockhoist.base import DispatchError, ResultCode
+from hemlockhoist.upstreams.body_end import BodyEnd
 from hemlockhoist.upstreams.bounds import DataWithoutEnd
 
 REQUEST_ID_HEADER = "X-Request-Id"
@@ -12,11 +13,6 @@
 # An error of the HTTP library may quote what the upstream sent, at any length.
 MAX_REASON_CHARACTERS = 200
 
-# Either of these tells where the body of a response ends.
-_FRAMING_HEADERS = ("Content-Length", "Transfer-Encoding")
-# Statuses of responses that have no body.
-_BODILESS_STATUSES = frozenset({204, 205, 304})
-
 
 class UpstreamResponse:
     """Response of an upstream, whose body is not read yet.
@@ -32,12 +28,26 @@
         Header in which upstreams echo the request's id.
     is_reused : bool, optional
         Whether its connection carried another request before.
+
+    Attributes
+    ==========
+    body_end : BodyEnd
+        How the end of the body is known, once it has been read without an error.
     """
 
-    __slots__ = ("_first_data", "_request_id_header", "_response", "is_reused")
+    __slots__ = (
+        "_first_data",
+        "_request_id_header",
+        "_response",
+        "body_end",
+        "is_reused",
+    )
 
     def __init__(self, response, request_id_header=REQUEST_ID_HEADER, is_reused=False):
         self.is_reused = is_reused
+        self.body_end = BodyEnd.announced(
+            response.method, response.status, response.headers
+        )
         self._first_data = b""
         self._response = response
         self._request_id_header = request_id_header
@@ -145,17 +155,10 @@
         self._check_begun(has_begun)
 
     def _check_begun(self, has_begun):
-        if not has_begun and self._ends_with_connection:
+        if not has_begun and not self.body_end.is_certain:
             text = "the connection ended before the answer began"
             raise DispatchError(text, ResultCode.UPSTREAM_BROKE_OFF)
 
-    @property
-    def _ends_with_connection(self):
-        """Whether the response has a body, and nothing else tells where it ends."""
-        if self._is_bodiless:
-            return False
-        return not any(name in self.headers for name in _FRAMING_HEADERS)
-
     async def read(self, max_bytes, reserve=None):
         """Return the complete body.
 
@@ -187,15 +190,10 @@
                 await reserve(len(chunk))
         return b"".join(parts)
 
-    @property
-    def _is_bodiless(self):
-        """Whether the response has no body, whatever its headers say."""
-        return self._response.method == "HEAD" or self.status in _BODILESS_STATUSES
-
     @property
     def _stated_length(self):
         """The stated length of the body; None if it is not stated or has none."""
-        if self._is_bodiless or "Transfer-Encoding" in self.headers:
+        if self.body_end is not BodyEnd.LENGTH:
             return None
         text = self.headers.get("Content-Length", "")
         return int(text) if text.isdecimal() else None
@@ -217,7 +215,7 @@
     except DataWithoutEnd as error:
         raise DispatchError(str(error), ResultCode.UPSTREAM_BROKE_OFF) from error
     except aiohttp.ClientPayloadError as error:
-        text = "the answer broke off before its end"
+        text = f"the answer broke off before its end: {error}"[:MAX_REASON_CHARACTERS]
         raise DispatchError(text, ResultCode.UPSTREAM_BROKE_OFF) from error
     except (aiohttp.ClientError, OSError, ValueError) as error:
         text = describe_error(error)
