Finish an uncertain answer only once its upstream is known to live on

Found by reading: the deadline could pass between the orderly end of an answer and the probe of its upstream, and the answer was then passed on although nobody had looked. And an upstream that was asked whether more follows, sent nothing and was gone made the host forget the end that it had: the whole stream was cut, or a third upstream was asked.

Change: an answer counts as unconfirmed once the probe has shown that its upstream lives; further events of a later upstream withdraw that; an upstream that adds nothing changes nothing.

--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -146,6 +146,7 @@
 
     async def _run_attempts(self):
         while True:
+            is_confirming = self._is_end_uncertain
             try:
                 response, end = await self._run_next()
             except Refused as error:
@@ -154,10 +155,10 @@
                 return response
             if self._hedge.is_pending and await self._hedge.finish():
                 continue
+            if is_confirming and self._has_uncertain_answer:
+                return await self._finish_uncertain()
             if end is AttemptEnd.UNCONFIRMED:
                 end = await self._settle_unconfirmed()
-            elif self._is_end_uncertain:
-                return await self._finish_uncertain()
             if self._attempts.unconfirmed_response is not None:
                 return await self._finish_uncertain()
             step = next_step(
@@ -331,6 +332,8 @@
             tokens_per_event = engine.tokens_per_event if engine else 1
             attempt.record_stream(self._relay, before, tokens_per_event)
             attempt.is_given_up = self._relay.is_caller_slow
+            if attempt.event_count:
+                self._attempts.unconfirmed = None
         if caller_response is None:
             opened.end = AttemptEnd.UNCONFIRMED
         return caller_response
@@ -354,7 +357,11 @@
 
     @property
     def _has_uncertain_answer(self):
-        return self._attempts.unconfirmed_response is not None or self._is_end_uncertain
+        """Whether an answer has come in order, and nothing shows that it is whole."""
+        if self._attempts.unconfirmed is None:
+            return False
+        is_plain = self._attempts.unconfirmed_response is not None
+        return is_plain or self._is_end_uncertain
 
     async def _end_without_grant(self, error):
         """Return or raise the final result when no further grant is issued."""
--- a/libs/entry/src/hemlockhoist/entry/request_attempts.py
+++ b/libs/entry/src/hemlockhoist/entry/request_attempts.py
@@ -31,7 +31,7 @@
         The latest whole response with an error of an upstream.
     unconfirmed : Attempt or None
         The latest attempt whose answer has ended in order without proof that it is
-        whole.
+        whole, and whose upstream lives on.
     unconfirmed_response : aiohttp.web.StreamResponse or None
         Its answer, unless it is a stream.
     """
@@ -42,6 +42,7 @@
         "_memory",
         "_reporter",
         "_sender",
+        "_unsettled",
         "count",
         "cut_cause",
         "failed_response",
@@ -66,6 +67,8 @@
         self.reason = ""
         self.cut_cause = CutCause.REFUSED
         self.failed_response = None
+        # The same attempt before it is known whether its upstream has ended.
+        self._unsettled = None
         self.unconfirmed = None
         self.unconfirmed_response = None
 
@@ -95,8 +98,10 @@
         Also if it was lost with the link to it.
         """
         await self._reporter.wait_reported()
-        attempt = self.unconfirmed
-        return attempt.is_upstream_lost or attempt.is_link_at_fault
+        attempt = self._unsettled
+        is_broken = attempt.is_upstream_lost or attempt.is_link_at_fault
+        self.unconfirmed = None if is_broken else attempt
+        return is_broken
 
     async def begin_beside(self, is_hedge=False):
         """Likewise, while another attempt is in progress.
@@ -148,7 +153,7 @@
             return
         self.cut_cause = CutCause.after(end)
         if end is AttemptEnd.UNCONFIRMED:
-            self.unconfirmed = attempt
+            self._unsettled = attempt
         is_reached = attempt.is_reachable and not (
             attempt.grant_outdated or attempt.is_link_at_fault
         )
--- a/libs/entry/src/hemlockhoist/entry/tests/test_exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_exchange.py
@@ -28,7 +28,7 @@
         may_have_run=may_have_run, drop_body=lambda: None
     )
     found._attempts = types.SimpleNamespace(
-        failed_response=failed_response, unconfirmed_response=None
+        failed_response=failed_response, unconfirmed=None
     )
     return found
 
