Let silent connections make room for callers within milliseconds

Cause: with six places, and a silent connection that makes room only after 500 ms, the crowd passes through in 50 rounds. And a kept connection of a caller that had asked before was closed before any silent one. Ruled out: the division among listeners; more places shorten the wait only in proportion, and take descriptors that peers, relays and the store need.

Change: where others wait to be accepted, a connection that has sent no whole head makes room after 25 ms; its head comes with the first packet after those that connect it. One that has been silent for 500 ms goes before kept connections of callers that have asked, a younger one after them. The time that a head has where there is room stays as it was.

The test of the 500 ms is replaced by the same with 25 ms, and by one that keeps younger connections than 500 ms where kept idle ones can go instead.

--- a/libs/decisions/src/hemlockhoist/decisions/entry/connection_table.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/connection_table.py
@@ -36,6 +36,9 @@
 # is. Callers that connect ahead of their requests have this long.
 HEAD_TIMEOUT_MS = 20 * MS_PER_S
 MIN_HEAD_TIMEOUT_MS = 500
+# The same where others wait to be accepted: a caller sends its head with the first packet
+# after those that connect it, some round trips later at most.
+MIN_SILENT_MS = 25
 # An idle connection is kept for longer than any declared idle time by the HTTP server,
 # and for less where the host is fuller than this.
 CROWDED_SHARE = 0.5
@@ -169,7 +172,8 @@
     serves nobody, and can't reach its store, peers and upstreams either.
 
     A connection with a request is never closed. Of the others, the one that has been
-    idle longest goes first, of an address that holds more than its share before all.
+    idle longest goes first: of an address that holds more than its share before all,
+    then those that have been silent since they were opened, but for the youngest.
 
     Attributes
     ==========
@@ -256,13 +260,19 @@
     def to_close_for_room(self, now_ms):
         """Return the key of the connection that makes room for a new one, or None."""
         idle = [
-            (self._is_over_share(item), item.has_asked, now_ms - item.since_ms, key)
+            (self._is_over_share(item), *self._room_rank(item, now_ms), key)
             for key, item in self._connections.items()
             if self._is_idle(item, now_ms)
         ]
         if not idle:
             return None
-        return max(idle, key=lambda entry: entry[:3])[3]
+        return max(idle, key=lambda entry: entry[:-1])[-1]
+
+    def _room_rank(self, connection, now_ms):
+        """Return how soon an idle connection makes room, as a tuple to compare."""
+        idle_ms = now_ms - connection.since_ms
+        is_silent = not connection.has_asked and idle_ms >= MIN_HEAD_TIMEOUT_MS
+        return is_silent, connection.has_asked, idle_ms
 
     def to_close(self, now_ms):
         """Return the keys of the connections that have been kept for long enough."""
@@ -304,7 +314,7 @@
         if connection.is_busy:
             return False
         idle_ms = now_ms - connection.since_ms
-        return connection.has_asked or idle_ms >= MIN_HEAD_TIMEOUT_MS
+        return connection.has_asked or idle_ms >= MIN_SILENT_MS
 
     def _is_over_share(self, connection):
         count = self._by_address[connection.address]
--- a/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_connection_table.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_connection_table.py
@@ -8,10 +8,13 @@
     HEAD_TIMEOUT_MS,
     MAX_REFUSED,
     MIN_HEAD_TIMEOUT_MS,
+    MIN_SILENT_MS,
     ConnectionTable,
 )
 
 LIMIT = 100
+# The places of a process with few descriptors, a crowd, and how long a caller waits.
+FEW, SILENT, PATIENCE_MS = 6, 300, 1_000
 
 
 class TableCase(unittest.TestCase):
@@ -45,8 +48,37 @@
     def test_connections_that_never_asked_make_room_after_a_time(self):
         """Guards against callers that open connections and send nothing."""
         self.add(LIMIT)
-        self.assertIsNone(self.table.to_close_for_room(MIN_HEAD_TIMEOUT_MS - 1))
-        self.assertIsNotNone(self.table.to_close_for_room(MIN_HEAD_TIMEOUT_MS))
+        self.assertIsNone(self.table.to_close_for_room(MIN_SILENT_MS - 1))
+        self.assertIsNotNone(self.table.to_close_for_room(MIN_SILENT_MS))
+
+    def test_kept_connections_stay_where_others_have_been_silent_for_long(self):
+        """Guards against callers whose connections silent ones push out."""
+        self.add(LIMIT // 2, asked_ms=0)
+        silent = self.add(LIMIT // 2, now_ms=1_000, address="c2")
+        now_ms = 1_000 + MIN_HEAD_TIMEOUT_MS
+        self.assertIn(self.table.to_close_for_room(now_ms), silent)
+
+    def test_young_connections_stay_where_others_are_kept_idle(self):
+        """Guards against callers that are cut off as they connect."""
+        kept = self.add(LIMIT // 2, asked_ms=0)
+        self.add(LIMIT // 2, now_ms=1_000, address="c2")
+        now_ms = 1_000 + MIN_HEAD_TIMEOUT_MS - 1
+        self.assertIn(self.table.to_close_for_room(now_ms), kept)
+
+    def test_caller_behind_a_silent_crowd_is_accepted_soon(self):
+        """Guards against few places that silent connections hold one after the other."""
+        table, pause_ms = ConnectionTable(FEW), 50
+        waiting, now_ms = SILENT + 1, 0
+        while waiting:
+            key = table.to_close_for_room(now_ms)
+            if not table.may_accept() and key is None:
+                now_ms += pause_ms
+                continue
+            if not table.may_accept():
+                table.remove(key)
+            table.add(waiting, "c1", now_ms)
+            waiting -= 1
+        self.assertLess(now_ms, PATIENCE_MS)
 
     def test_connection_with_a_request_is_never_closed(self):
         """Guards against requests that are cut to make room for others."""
