Send no request for another customer than holds its key at that moment

Cause: what is looked up at admission is used at dispatch. The last check before the first byte asked only whether any customer holds the key.

Change: the last check compares the customer that holds the key now, by name and regions, and whether the route needs a key at all. A request that has not run is admitted again, for the present holder; one that may have run is not sent again. The quota units and the slot of the first admission go back with its grant, as for a changed route.

The own interface accounts for a customer and sends no name to upstreams; it was not changed.

--- a/libs/entry/src/hemlockhoist/entry/admission.py
+++ b/libs/entry/src/hemlockhoist/entry/admission.py
@@ -152,6 +152,13 @@
     return route == previous and admitted.pool in pools
 
 
+def _is_same_customer(customer, previous):
+    """Return whether a request may be sent for a customer as it was for another one."""
+    if previous is None:
+        return False
+    return (customer.name, customer.regions) == (previous.name, previous.regions)
+
+
 class Admission:
     """Determines route and customer of a request, or refuses the request.
 
@@ -228,6 +235,36 @@
                 f"up to {table.version}"
             )
 
+    def check_customer(self, admitted, may_have_run):
+        """Refuse to send a request for another customer than holds its key now.
+
+        Failure prevented: a request waits for a slot while its key goes to another
+        customer, and is run and accounted for the previous one.
+
+        Parameters
+        ==========
+        admitted : AdmittedCall
+        may_have_run : bool
+            Whether an attempt may have run it, for its customer at that time.
+
+        Raises
+        ======
+        RouteChanged
+            The request has to be admitted again.
+        BadRequest, Refused
+        """
+        if admitted.customer is None and not self._requires_key(admitted.route):
+            return
+        customer = self.customer_of(admitted.call)
+        if _is_same_customer(customer, admitted.customer):
+            return
+        if may_have_run:
+            raise BadRequest("", ResultCode.UNKNOWN_KEY)
+        raise RouteChanged("its key is another customer's than at its admission")
+
+    def _requires_key(self, route):
+        return requires_key(route, self._store_view.routes)
+
     def customer_of(self, call):
         """Return the customer that holds the key of a request now.
 
--- a/libs/entry/src/hemlockhoist/entry/attempt_sender.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt_sender.py
@@ -240,8 +240,7 @@
             raise Refused("", ResultCode.DEADLINE_PASSED)
         if not self.may_have_run:
             self._admission.check_route(self._admitted)
-        if self._admitted.customer is not None:
-            self._admission.customer_of(self._admitted.call)
+        self._admission.check_customer(self._admitted, self.may_have_run)
         self._context.store_view.check_upstream(hold.upstream_id, hold.is_cold)
         self.signals.check_not_backed_off(hold.upstream_id)
         self._context.store_view.check_region(hold.upstream_id, self._admitted.regions)
