Answer every open request before a planned stop ends

Seen: in a planned stop of one entry host, requests that were open at the end of the grace were cut without an answer, among them requests that may not be repeated.

Cause: EntryProcess._drain waited for open requests until 700 ms before the kill and then closed all connections, with nothing sent on them. Its times were constants of 2.7 s and 0.7 s, while the grace is a setting: with a grace of 1 s or less the host listened on beyond its kill.

Change: PlannedStop holds the times of a stop, all of which follow the grace. The remaining part of the grace is for the answers to leave and for the process to end.

Tests: test_site patched LISTEN_AFTER_STOP_MS and QUEUE_DRAIN_FRACTION, which are gone. It now sets a grace or patches the fractions, with the same assertions. test_process_ends_in_time_with_open_stream moved to test_stops: there it checks five graces on virtual time, that the host is closed before its kill, in place of one on the machine's clock. The fake context of test_exchange has a Drain.

--- a/libs/base/src/hemlockhoist/base/metrics_table.py
+++ b/libs/base/src/hemlockhoist/base/metrics_table.py
@@ -90,8 +90,9 @@
     "cause",
     "Streams that were cut after their first event: their upstream was silent, broke "
     "off or failed and no other continued them, their deadline passed, this host "
-    "refused to continue them, or their caller took nothing for seconds (slow_reader; "
-    "long whole answers that nobody takes count as well).",
+    "refused to continue them, its planned stop ended (stopped), or their caller took "
+    "nothing for seconds (slow_reader; long whole answers that nobody takes count as "
+    "well).",
     "Search the stream_cut log lines for the cause; deadline means slow upstreams.",
 )
 MEMORY_USED = Metric(
--- a/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
@@ -40,6 +40,7 @@
     order_state,
     source_version,
 )
+from hemlockhoist.decisions.entry.planned_stop import PlannedStop
 from hemlockhoist.decisions.entry.prefixes import chained_hashes
 from hemlockhoist.decisions.entry.readers import (
     MAX_DIRECT_READERS,
@@ -80,6 +81,7 @@
     "MemoryPurpose",
     "MoveOrder",
     "MoveOrderState",
+    "PlannedStop",
     "PoolChooser",
     "ReaderTable",
     "RelayCandidate",
--- a/libs/decisions/src/hemlockhoist/decisions/entry/attempts.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/attempts.py
@@ -34,6 +34,7 @@
     REFUSED = "refused"
     SLOW_READER = "slow_reader"
     END_UNCERTAIN = "end_uncertain"
+    STOPPED = "stopped"
 
     @classmethod
     def after(cls, end):
--- a/libs/entry/src/hemlockhoist/entry/context.py
+++ b/libs/entry/src/hemlockhoist/entry/context.py
@@ -1,6 +1,7 @@
 """The shared components of an entry host."""
 
 from hemlockhoist.base.metrics_table import CONNECTIONS_CUT
+from hemlockhoist.entry.drain import Drain
 from hemlockhoist.entry.memory import HostMemory
 
 
@@ -47,6 +48,8 @@
     loop_lag : LoopLag
     callers : CallerServer
         None before it listens.
+    drain : Drain
+        The planned stop, also before it begins.
     leaving : bool
         Whether a graceful shutdown has begun.
     refuses_requests : bool
@@ -68,6 +71,7 @@
         "callers",
         "clock",
         "declarations",
+        "drain",
         "feeds",
         "fingerprints",
         "fleet",
@@ -103,6 +107,7 @@
         self.invariants = invariants
         self.memory = HostMemory.from_settings(settings)
         self.callers = None
+        self.drain = Drain(self)
         self.leaving = False
         self.refuses_requests = False
         self.open_requests = 0
--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -17,6 +17,7 @@
 from hemlockhoist.entry.attempt_records import count_success, record_body_end
 from hemlockhoist.entry.attempt_sender import AttemptSender
 from hemlockhoist.entry.caller_buffer import SlowReader
+from hemlockhoist.entry.drain import leaving
 from hemlockhoist.entry.hedge import Hedge
 from hemlockhoist.entry.replacement import StreamReplacement
 from hemlockhoist.entry.request_attempts import RequestAttempts
@@ -105,9 +106,8 @@
         DispatchError
             The request may have run.
         """
-        deadline_s = self._admitted.deadline_ms / MS_PER_S
         try:
-            async with asyncio.timeout_at(deadline_s):
+            async with self._context.drain.limit(self._admitted.deadline_ms):
                 return await self._run_attempts()
         except TimeoutError:
             return await self._deadline_result()
@@ -394,12 +394,22 @@
     async def _deadline_result(self):
         if self._has_uncertain_answer:
             return await self._finish_uncertain()
+        if self._context.drain.ends_before(self._admitted.deadline_ms):
+            return self._stop_result()
         if self.response_started:
             return self._abort_stream(CutCause.DEADLINE, "deadline passed")
         if self._sender.may_have_run:
             raise DispatchError("", ResultCode.UPSTREAM_TIMEOUT)
         raise Refused("", ResultCode.DEADLINE_PASSED, RETRY_AFTER_MS)
 
+    def _stop_result(self):
+        """Return or raise the final result as this host is about to stop."""
+        if self.response_started:
+            return self._abort_stream(CutCause.STOPPED, "the host is about to stop")
+        if self._sender.may_have_run:
+            raise DispatchError("the host stops", ResultCode.OUTCOME_UNKNOWN)
+        raise leaving()
+
     def _abort_stream(self, cause, reason):
         self._context.metrics.count(STREAMS_CUT, cause.value)
         _log.warning(
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -9,13 +9,11 @@
 import aiomisc
 
 from hemlockhoist.base import (
-    MS_PER_S,
     Clock,
     InvariantLog,
     LineWriter,
     LogRateLimiter,
     PeriodicTask,
-    ResultCode,
     SuspendAwareClock,
     configure_logs,
     get_logger,
@@ -43,7 +41,7 @@
 from hemlockhoist.entry.memory import return_freed_memory
 from hemlockhoist.entry.moves import OrderedMoveService
 from hemlockhoist.entry.relay_rules import EntryRelayRules
-from hemlockhoist.entry.servers import LEAVING_RETRY_AFTER_MS, CallerServer
+from hemlockhoist.entry.servers import CallerServer
 from hemlockhoist.entry.status_server import StatusServer
 from hemlockhoist.entry.store_view import StoreView
 from hemlockhoist.entry.usage_recorder import UsageRecorder
@@ -82,18 +80,6 @@
 GAUGE_INTERVAL_MS = 1_000
 # A healthy upstream accepts a connection within a few milliseconds.
 CONNECT_TIMEOUT_MS = 250
-# Callers hold an address for its time to live, some of them for three times as long.
-# The leaving host accepts requests as long as an ordinary response, which takes 5 s at
-# most, still ends before the process is killed at the end of the declared stop, 8 s at
-# current sites. Later requests are refused at once, to be sent to another host.
-LISTEN_AFTER_STOP_MS = 2_700
-STOP_RESERVE_MS = 700
-# Fraction of the declared stop after which requests still waiting for a slot are
-# refused, to be sent to another host: a response that starts later may not end before
-# the process does.
-QUEUE_DRAIN_FRACTION = 0.6
-DRAIN_CHECK_INTERVAL_MS = 50
-FLUSH_TIMEOUT_MS = 300
 THREAD_POOL_SIZE = 2
 DROPPED_REPORT_INTERVAL_MS = 1_000
 PEER_KEY_VARIABLE = "HEMLOCKHOIST_PEER_KEY"
@@ -490,32 +476,7 @@
         self._drain_task = asyncio.create_task(self._drain())
 
     async def _drain(self):
-        context = self.context
-        _log.info("drain_begun", open_requests=context.open_requests)
-        stop_ms = self.settings.bounds.stop_ms
-        started_ms = context.clock.now_ms()
-        end_ms = started_ms + stop_ms - STOP_RESERVE_MS
-        queue_end_ms = started_ms + int(QUEUE_DRAIN_FRACTION * stop_ms)
-        context.leaving = True
-        context.fleet.leave()
-        context.homes.close()
-        # A planned stop does not wait for a slow store.
-        leaving = asyncio.create_task(self._host_registry.leave())
-        await asyncio.sleep(LISTEN_AFTER_STOP_MS / MS_PER_S)
-        await context.callers.stop_listening()
-        context.refuses_requests = True
-        while context.open_requests and context.clock.now_ms() < end_ms:
-            if context.clock.now_ms() >= queue_end_ms:
-                context.grants.refuse_waiting(
-                    ResultCode.LEAVING, LEAVING_RETRY_AFTER_MS
-                )
-            await asyncio.sleep(DRAIN_CHECK_INTERVAL_MS / MS_PER_S)
-        if not leaving.done():
-            _log.warning("host_row_not_dropped", reason="the store has not answered")
-            leaving.cancel()
-        await asyncio.gather(leaving, return_exceptions=True)
-        await context.bus.flush(FLUSH_TIMEOUT_MS)
-        _log.info("drain_ended", open_requests=context.open_requests)
+        await self.context.drain.run(self._host_registry.leave())
         self.finished.set()
 
 
--- a/libs/entry/src/hemlockhoist/entry/servers.py
+++ b/libs/entry/src/hemlockhoist/entry/servers.py
@@ -35,6 +35,7 @@
     SlowReader,
 )
 from hemlockhoist.entry.caller_connections import CallerConnections
+from hemlockhoist.entry.drain import leaving
 from hemlockhoist.entry.exchange import Exchange
 from hemlockhoist.entry.memory import HeadMemory, RequestMemory
 from hemlockhoist.entry.responses import CODE_HEADER, body_bytes, error_response
@@ -51,8 +52,6 @@
 # store answers. Its first callers wait for that, as a refusal would use up one of their
 # few retries.
 STARTUP_WAIT_MS = 500
-# Retry-After of a host about to stop: any other host accepts the request at once.
-LEAVING_RETRY_AFTER_MS = 1
 # Customary status for a connection closed by the caller; never sent.
 CLIENT_CLOSED_STATUS = 499
 # Bytes of a body that are read ahead of its request's admission. Usual bodies fit.
@@ -185,7 +184,8 @@
         arrived_ms = self._context.clock.now_ms()
         self._check_not_stopping()
         self._connections.check_room(request.transport)
-        await self._context.store_view.wait_complete(STARTUP_WAIT_MS)
+        async with self._context.drain.limit_unsent():
+            await self._context.store_view.wait_complete(STARTUP_WAIT_MS)
         admitted = self._admission.admit(call, arrived_ms)
         self._context.metrics.count(REQUESTS_ARRIVED, admitted.tier)
         self._log_admitted(admitted)
@@ -197,7 +197,8 @@
 
     async def _exchange(self, request, admitted, memory):
         context, arrived_ms = self._context, admitted.arrived_ms
-        body = await self._read_body(request, admitted, memory)
+        async with context.drain.limit_unsent():
+            body = await self._read_body(request, admitted, memory)
         admitted = admitted.identified(context.fingerprints, body)
         while True:
             try:
@@ -260,7 +261,7 @@
         Refused
         """
         if self._context.refuses_requests:
-            raise Refused("", ResultCode.LEAVING, LEAVING_RETRY_AFTER_MS)
+            raise leaving()
 
     async def _write_long(self, request, response):
         """Write a long whole answer; the HTTP server writes shorter ones."""
--- a/libs/entry/src/hemlockhoist/entry/tests/test_exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_exchange.py
@@ -3,6 +3,7 @@
 import unittest
 
 from hemlockhoist.base import DispatchError, Refused, ResultCode
+from hemlockhoist.entry.drain import Drain
 from hemlockhoist.entry.exchange import Exchange
 
 
@@ -21,6 +22,7 @@
 
     found = object.__new__(EndingExchange)
     found.error = error
+    found._context = types.SimpleNamespace(drain=Drain(None))
     found._relay = None
     found._admitted = types.SimpleNamespace(deadline_ms=math.inf)
     found._hedge = found._replacement = types.SimpleNamespace(close=close)
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_site.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_site.py
@@ -8,7 +8,8 @@
 from aiohttp import web
 
 from hemlockhoist.base import BadRequest, Refused, ResultCode
-from hemlockhoist.entry import FleetBounds, admission, process, store_view, stream
+from hemlockhoist.decisions.entry import planned_stop
+from hemlockhoist.entry import FleetBounds, admission, store_view, stream
 from hemlockhoist.standins.published import (
     Behaviour,
     Replica,
@@ -407,17 +408,17 @@
         of its stop period.
         """
         replicas = engines("e1")
-        with unittest.mock.patch.object(process, "LISTEN_AFTER_STOP_MS", 100):
-            async with Site(replicas, [REPORT], hosts=2) as site:
-                async with site.call("/conflict-report/1", method="POST") as answer:
-                    await answer.read()
-                site.hosts[0].begin_drain()
-                while not site.hosts[0].context.refuses_requests:
-                    await asyncio.sleep(0.02)
-                async with site.call("/conflict-report/2", method="POST") as late:
-                    self.assertEqual(late.status, 503)
-                    self.assertEqual(late.headers["Connection"], "close")
-                    self.assertIn("Retry-After", late.headers)
+        bounds = FleetBounds(stop_ms=300)
+        async with Site(replicas, [REPORT], hosts=2, bounds=bounds) as site:
+            async with site.call("/conflict-report/1", method="POST") as answer:
+                await answer.read()
+            site.hosts[0].begin_drain()
+            while not site.hosts[0].context.refuses_requests:
+                await asyncio.sleep(0.02)
+            async with site.call("/conflict-report/2", method="POST") as late:
+                self.assertEqual(late.status, 503)
+                self.assertEqual(late.headers["Connection"], "close")
+                self.assertIn("Retry-After", late.headers)
         self.assertEqual(len(replicas["asistente"][0].ran), 1)
 
     async def test_queued_request_is_refused_before_stop_ends(self):
@@ -430,21 +431,20 @@
         replicas["reservas"][0].behaviour = Behaviour.HANGS
         bounds = FleetBounds(stop_ms=3_000)
         slow = route("check-free", "reservas", timeout_ms=5_000)
-        with unittest.mock.patch.object(process, "LISTEN_AFTER_STOP_MS", 100):
-            async with Site(replicas, [slow], bounds=bounds) as site:
-                long = {"Deadline_Ms": "5000"}
-                first = asyncio.create_task(self.send(site, "/check-free/1", **long))
-                while not replicas["reservas"][0].ran:
-                    await asyncio.sleep(0.01)
-                queued = asyncio.create_task(self.send(site, "/check-free/2", **long))
-                await asyncio.sleep(0.1)
-                site.hosts[0].begin_drain()
-                status, headers = await queued
-                self.assertEqual(status, 503)
-                self.assertIn("Retry-After", headers)
-                self.assertFalse(site.hosts[0].finished.is_set())
-                first.cancel()
-                await asyncio.gather(first, return_exceptions=True)
+        async with Site(replicas, [slow], bounds=bounds) as site:
+            long = {"Deadline_Ms": "5000"}
+            first = asyncio.create_task(self.send(site, "/check-free/1", **long))
+            while not replicas["reservas"][0].ran:
+                await asyncio.sleep(0.01)
+            queued = asyncio.create_task(self.send(site, "/check-free/2", **long))
+            await asyncio.sleep(0.1)
+            site.hosts[0].begin_drain()
+            status, headers = await queued
+            self.assertEqual(status, 503)
+            self.assertIn("Retry-After", headers)
+            self.assertFalse(site.hosts[0].finished.is_set())
+            first.cancel()
+            await asyncio.gather(first, return_exceptions=True)
 
     async def test_stream_with_gap_during_stop_is_not_cut(self):
         """Guards against a stop that cuts a stream in a gap, as no grant is issued."""
@@ -459,8 +459,8 @@
             timeout_ms=6_000,
         )
         with (
-            unittest.mock.patch.object(process, "LISTEN_AFTER_STOP_MS", 50),
-            unittest.mock.patch.object(process, "QUEUE_DRAIN_FRACTION", 0.01),
+            unittest.mock.patch.object(planned_stop, "LISTEN_FRACTION", 0.005),
+            unittest.mock.patch.object(planned_stop, "WAIT_FRACTION", 0.01),
             unittest.mock.patch.object(stream, "MIN_FIRST_STALL_MS", 300),
             unittest.mock.patch.object(stream, "MIN_STALL_MS", 300),
             unittest.mock.patch.object(stream, "GAP_FACTOR", 0),
@@ -473,27 +473,6 @@
                     rest = await answer.content.read()
                 self.assertEqual(rest.count(b"data:"), 3)
 
-    async def test_process_ends_in_time_with_open_stream(self):
-        """Guards against a process that exceeds its stop period and is killed.
-
-        A stream stays open to the end of the stop. Closing the callers' connections
-        waited another 0.5 s for it, which left too little time to end the process.
-        """
-        replicas = engines("e1", events=200)
-        replicas["asistente"][0].event_ms = 50
-        bounds = FleetBounds(stop_ms=1_500)
-        with unittest.mock.patch.object(process, "LISTEN_AFTER_STOP_MS", 100):
-            async with Site(replicas, [REPORT], bounds=bounds) as site:
-                long_deadline = {"Deadline_Ms": "9000"}
-                async with site.call("/conflict-report/1", **long_deadline) as answer:
-                    await answer.content.readuntil(b"\n\n")
-                    site.hosts[0].begin_drain()
-                    await site.hosts[0].finished.wait()
-                    async with asyncio.timeout(process.STOP_RESERVE_MS / 1_000 / 2):
-                        await site.hosts[0].close()
-                    with self.assertRaises(aiohttp.ClientPayloadError):
-                        await answer.read()
-
     async def send(self, site, path, **headers):
         async with site.call(path, **headers) as answer:
             await answer.read()
--- /dev/null
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_stops.py
@@ -0,0 +1,186 @@
+"""End-to-end tests of planned stops, from the signal to the end of the process."""
+
+import asyncio
+import unittest
+
+from hemlockhoist.base.testing import PausedSocketTestCase
+from hemlockhoist.entry import FleetBounds
+from hemlockhoist.standins.published import Behaviour, Replica, Site, route
+from hemlockhoist.standins.published.raw import call_raw
+
+BOOKING = route(
+    "book-hall", "reservas", "non_idempotent", max_attempts=1, timeout_ms=9_000
+)
+LOOKUP = route("check-free", "reservas", timeout_ms=9_000)
+SUMMARY = route("summary", "asistente", "streaming", max_attempts=1, timeout_ms=60_000)
+ROUTES = [BOOKING, LOOKUP, SUMMARY]
+GRACES_MS = (500, 1_000, 3_000, 8_000)
+LONG = {"Deadline_Ms": "9000"}
+
+
+async def stop(host):
+    """Stop a host as its process does; return how long it took in milliseconds."""
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    host.begin_drain()
+    await host.finished.wait()
+    await host.close()
+    return 1_000 * (loop.time() - began_s)
+
+
+async def until(condition):
+    """Wait until a condition holds."""
+    async with asyncio.timeout(5):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+async def until_runs(replica):
+    """Wait until a replica runs a request."""
+    await until(lambda: replica.ran)
+
+
+class OpenRequestTests(PausedSocketTestCase):
+    """Requests that are still open at the end of the grace."""
+
+    def site(self, replica, stop_ms, **options):
+        services = {"reservas": [], "asistente": []}
+        services["asistente" if replica.events else "reservas"] = [replica]
+        bounds = FleetBounds(stop_ms=stop_ms)
+        return Site(services, ROUTES, bounds=bounds, **options)
+
+    async def test_request_at_work_at_the_end_is_answered_with_unknown(self):
+        """Guards against a request that runs and is cut without an answer."""
+        for stop_ms in GRACES_MS:
+            with self.subTest(stop_ms=stop_ms):
+                replica = Replica("s1")
+                replica.behaviour = Behaviour.HANGS
+                async with self.site(replica, stop_ms) as site:
+                    call = call_raw(site, "/book-hall/1", method="POST", **LONG)
+                    booking = asyncio.create_task(call)
+                    await until_runs(replica)
+                    took_ms = await stop(site.hosts[0])
+                    answer = await booking
+                self.assertEqual(answer.status, 502)
+                self.assertTrue(answer.states_end)
+                self.assertEqual(answer.header("X-Result-Code"), "302")
+                self.assertIsNone(answer.header("Retry-After"))
+                self.assertLess(took_ms, stop_ms)
+
+    async def test_answer_just_before_the_end_still_goes_out(self):
+        """Guards against an end that takes the time of answers that come late."""
+        for stop_ms in GRACES_MS:
+            with self.subTest(stop_ms=stop_ms):
+                replica = Replica("s1")
+                replica.delay_ms = 5 * stop_ms // 6
+                async with self.site(replica, stop_ms) as site:
+                    call = call_raw(site, "/book-hall/1", method="POST", **LONG)
+                    booking = asyncio.create_task(call)
+                    await until_runs(replica)
+                    took_ms = await stop(site.hosts[0])
+                    answer = await booking
+                self.assertEqual(answer.status, 200)
+                self.assertTrue(answer.states_end)
+                self.assertLess(took_ms, stop_ms)
+
+    async def test_stream_at_the_end_does_not_look_complete(self):
+        """Guards against a stream that a stop ends as if it were complete."""
+        replica = Replica("e1", events=400)
+        replica.event_ms = 50
+        async with self.site(replica, 1_000) as site:
+            call = call_raw(site, "/summary/1", method="POST", **LONG)
+            stream = asyncio.create_task(call)
+            await until_runs(replica)
+            await asyncio.sleep(0.2)
+            await stop(site.hosts[0])
+            answer = await stream
+        self.assertEqual(answer.status, 200)
+        self.assertIn(b"id: 5\n", answer.body)
+        self.assertFalse(answer.states_end)
+
+    async def test_process_ends_in_time_with_open_stream(self):
+        """Guards against a process that exceeds its stop period and is killed.
+
+        A stream stays open to the end of the stop. Closing the callers' connections
+        waited another 0.5 s for it, which left too little time to end the process.
+        """
+        for stop_ms in (*GRACES_MS, 30_000):
+            with self.subTest(stop_ms=stop_ms):
+                replica = Replica("e1", events=2_000)
+                replica.event_ms = 50
+                async with self.site(replica, stop_ms) as site:
+                    fields = {"method": "POST", "Deadline_Ms": "60000"}
+                    call = call_raw(site, "/summary/1", **fields)
+                    stream = asyncio.create_task(call)
+                    await until_runs(replica)
+                    took_ms = await stop(site.hosts[0])
+                    answer = await stream
+                self.assertFalse(answer.states_end)
+                self.assertLess(took_ms, stop_ms)
+
+    async def test_stream_without_an_event_at_the_end_is_answered(self):
+        """Guards against a stream that is cut before its head."""
+        replica = Replica("e1", events=4)
+        replica.behaviour = Behaviour.HANGS
+        async with self.site(replica, 1_000) as site:
+            call = call_raw(site, "/summary/1", method="POST", **LONG)
+            stream = asyncio.create_task(call)
+            await until_runs(replica)
+            await stop(site.hosts[0])
+            answer = await stream
+        self.assertEqual(answer.status, 502)
+        self.assertTrue(answer.states_end)
+
+    async def test_request_without_its_body_at_the_end_is_refused(self):
+        """Guards against a request that is cut while its body arrives."""
+        async with self.site(Replica("s1"), 1_000) as site:
+            fields = {"Content_Length": "10", **LONG}
+            call = call_raw(site, "/book-hall/1", method="POST", body=b"x", **fields)
+            booking = asyncio.create_task(call)
+            await until(lambda: site.hosts[0].context.open_requests)
+            await stop(site.hosts[0])
+            answer = await booking
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(answer.header("X-Result-Code"), "207")
+        self.assertIsNotNone(answer.header("Retry-After"))
+
+    async def test_request_that_waits_for_a_slot_at_the_end_is_refused(self):
+        """Guards against a queued request that is cut without an answer."""
+        for stop_ms in GRACES_MS:
+            with self.subTest(stop_ms=stop_ms):
+                replica = Replica("s1", slots=1)
+                replica.behaviour = Behaviour.HANGS
+                async with self.site(replica, stop_ms) as site:
+                    calls = [
+                        call_raw(site, f"/book-hall/{n}", method="POST", **LONG)
+                        for n in range(3)
+                    ]
+                    bookings = [asyncio.create_task(call) for call in calls]
+                    await until_runs(replica)
+                    await asyncio.sleep(0.05)
+                    await stop(site.hosts[0])
+                    answers = await asyncio.gather(*bookings)
+                statuses = sorted(str(answer.status) for answer in answers)
+                self.assertEqual(statuses, ["502", "503", "503"])
+                self.assertEqual(len(replica.ran), 1)
+
+    async def test_silent_store_does_not_hold_up_the_end(self):
+        """Guards against a process that is killed while it waits for the store."""
+        for stop_ms in GRACES_MS:
+            with self.subTest(stop_ms=stop_ms):
+                replica = Replica("s1")
+                replica.behaviour = Behaviour.HANGS
+                async with self.site(replica, stop_ms) as site:
+                    call = call_raw(site, "/book-hall/1", method="POST", **LONG)
+                    booking = asyncio.create_task(call)
+                    await until_runs(replica)
+                    site.store.faults.hangs = True
+                    took_ms = await stop(site.hosts[0])
+                    answer = await booking
+                    site.store.faults.heal()
+                self.assertEqual(answer.status, 502)
+                self.assertLess(took_ms, stop_ms)
+
+
+if __name__ == "__main__":
+    unittest.main()
