Send no request that a planned stop would leave without an outcome

Seen (trials on the machine's clock, grace 8 s, requests that may not be repeated): of new connections after the signal, 2 of 7 with work of 5.5 s and 5 of 7 with work of 7 s were sent to upstreams and did not end in time.

Cause: nothing compared the time left with what a request may take. Every request was accepted for 2.7 s after the signal and none later, and one that waited could get its slot at 60 % of the grace.

Change: PlannedStop.may_send decides, asked where a request is accepted, while it waits for a grant (GrantClient.acquire takes a check in place of the one refusal of all), just before it is sent, and before one is relayed. A request is sent if its time limit ends before the last answers are due; in the first third of the grace also if twice what requests of its route take (99 in 100 of the recent ones, RouteTimes) is left. One that may have run is not asked about: a further attempt can only help it. So a hedge or a replacement goes on, also late in the grace.

With work of 5.5 and 7 s late requests were sent, a queued one got its slot 4 s after the signal and 502 at the end, and a request with a limit of 1.5 s was refused 3.5 s after the signal on a kept connection. Now 13 of 13 of test_stops pass.

Tests: test_site waits for "leaving" in place of "refuses_requests", which is gone; its request is refused earlier now, as its limit of 2 s exceeds a grace of 0.3 s. The fake of test_hedge loses is_refusing. The table of ResponseTimes moved from hedging to response_times, with its bound.

--- a/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
@@ -55,6 +55,7 @@
     RelayPeers,
 )
 from hemlockhoist.decisions.entry.response_times import ResponseTimes
+from hemlockhoist.decisions.entry.route_times import RouteTimes
 from hemlockhoist.decisions.entry.shares import PoolChooser
 from hemlockhoist.decisions.entry.sweep import StaleEntries
 from hemlockhoist.decisions.entry.upstream_links import LostLink, UpstreamLinks
@@ -88,6 +89,7 @@
     "RelayCause",
     "RelayPeers",
     "ResponseTimes",
+    "RouteTimes",
     "StaleEntries",
     "Step",
     "TableCopy",
--- a/libs/decisions/src/hemlockhoist/decisions/entry/hedging.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/hedging.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from hemlockhoist.decisions.entry.response_times import ResponseTimes
+from hemlockhoist.decisions.entry.response_times import times_of
 
 # Fraction of a route's responses that arrive before a second attempt is considered.
 DELAY_QUANTILE = 0.95
@@ -18,9 +18,6 @@
 # Time for which a pool is not asked again after its home refused a second attempt. Under
 # saturation each host then sends a few requests a second in vain.
 REFUSED_PAUSE_MS = 250
-# Bound on the routes and on the pools of which times are kept: declarations may replace
-# them often.
-MAX_ROUTES = 2_048
 PERMILLE = 1_000
 
 
@@ -123,8 +120,8 @@
             Until the first data of a stream, or until the end of a whole response.
         now_ms : int
         """
-        _times_of(self._route_times, route_name).observe(duration_ms, now_ms)
-        _times_of(self._pool_times, pool).observe(duration_ms, now_ms)
+        times_of(self._route_times, route_name).observe(duration_ms, now_ms)
+        times_of(self._pool_times, pool).observe(duration_ms, now_ms)
 
     def delay_ms(self, route_name, pool, now_ms):
         """Return the time after which a second attempt is considered, or None.
@@ -181,12 +178,3 @@
     def on_refused(self, pool, now_ms):
         """Stop asking a pool's home for a while, as it has no capacity to spare."""
         self._paused_until_ms[pool] = now_ms + REFUSED_PAUSE_MS
-
-
-def _times_of(table, name):
-    times = table.get(name)
-    if times is None:
-        if len(table) >= MAX_ROUTES:
-            del table[next(iter(table))]
-        times = table[name] = ResponseTimes()
-    return times
--- a/libs/decisions/src/hemlockhoist/decisions/entry/response_times.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/response_times.py
@@ -13,6 +13,9 @@
 # The counts are halved at least this often, so that a quiet route does not keep the
 # times of an earlier hour.
 HALF_LIFE_MS = 60_000
+# Bound on the routes, and on the pools, of which times are kept: declarations may
+# replace them often.
+MAX_KEPT = 2_048
 
 
 class ResponseTimes:
@@ -67,3 +70,16 @@
             self._halved_ms = min(now_ms, self._halved_ms + HALF_LIFE_MS)
         if self.weight < 1:
             self._halved_ms = now_ms
+
+
+def times_of(table, name):
+    """Return the ``ResponseTimes`` of a name in a dict, adding them if needed.
+
+    Where the dict is full, the oldest entry is removed.
+    """
+    times = table.get(name)
+    if times is None:
+        if len(table) >= MAX_KEPT:
+            del table[next(iter(table))]
+        times = table[name] = ResponseTimes()
+    return times
--- a/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_hedging.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_hedging.py
@@ -3,12 +3,12 @@
 
 from hemlockhoist.decisions.entry import HedgePolicy, HedgeRefusal, hedging
 from hemlockhoist.decisions.entry.hedging import (
-    MAX_ROUTES,
     MAX_SAVED_HEDGES,
     MIN_OWN_WEIGHT,
     MIN_WEIGHT,
     REFUSED_PAUSE_MS,
 )
+from hemlockhoist.decisions.entry.response_times import MAX_KEPT
 from hemlockhoist.decisions.entry.tests.hedging_simulation import (
     POOL,
     ROUTE,
@@ -115,7 +115,7 @@
     def test_number_of_routes_is_bounded(self):
         """Guards against memory that grows with each changed declaration."""
         policy = self.policy()
-        for number in range(MAX_ROUTES):
+        for number in range(MAX_KEPT):
             policy.observe(f"route-{number}", f"pool-{number}", 40, now_ms=0)
         self.assertIsNone(policy.delay_ms(ROUTE, POOL, 0))
 
--- a/libs/entry/src/hemlockhoist/entry/attempt_sender.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt_sender.py
@@ -233,12 +233,13 @@
 
         An error is raised before anything has been sent. Failure prevented: while a
         request waits for a slot, its customer's key is revoked, its route changes, its
-        time limit passes, its upstream leaves or the host is suspended. The checks at
+        time limit passes, its upstream leaves, or the host is suspended or stops. The checks at
         admission no longer hold then, and no later step would detect it.
         """
         if self._context.clock.now_ms() >= self._admitted.deadline_ms:
             raise Refused("", ResultCode.DEADLINE_PASSED)
         if not self.may_have_run:
+            self._context.drain.check(self._admitted)
             self._admission.check_route(self._admitted)
         if self._admitted.customer is not None:
             self._admission.customer_of(self._admitted.call)
--- a/libs/entry/src/hemlockhoist/entry/context.py
+++ b/libs/entry/src/hemlockhoist/entry/context.py
@@ -1,6 +1,7 @@
 """The shared components of an entry host."""
 
 from hemlockhoist.base.metrics_table import CONNECTIONS_CUT
+from hemlockhoist.decisions.entry import RouteTimes
 from hemlockhoist.entry.drain import Drain
 from hemlockhoist.entry.memory import HostMemory
 
@@ -24,6 +25,8 @@
     fleet : Fleet
     declarations : Declarations
         The pools of the route table, for homes and schedulers.
+    route_times : RouteTimes
+        How long this host's requests take.
     store_view : StoreView
         The routes and upstreams, and the age of their proof.
     gate : QuotaGate
@@ -52,8 +55,6 @@
         The planned stop, also before it begins.
     leaving : bool
         Whether a graceful shutdown has begun.
-    refuses_requests : bool
-        Whether new requests are refused because the host is about to stop.
     open_requests : int
     placement_queries : PlacementQueries
         Answers operators' queries at the home of a pool.
@@ -90,9 +91,9 @@
         "placement_queries",
         "platform",
         "quarantine",
-        "refuses_requests",
         "relay_address",
         "register",
+        "route_times",
         "settings",
         "store_view",
         "traces",
@@ -108,8 +109,8 @@
         self.memory = HostMemory.from_settings(settings)
         self.callers = None
         self.drain = Drain(self)
+        self.route_times = RouteTimes()
         self.leaving = False
-        self.refuses_requests = False
         self.open_requests = 0
         self.relay_address = ""
 
--- a/libs/entry/src/hemlockhoist/entry/drain.py
+++ b/libs/entry/src/hemlockhoist/entry/drain.py
@@ -34,6 +34,48 @@
         self._limits = set()
         self.stop = None
 
+    def check(self, admitted):
+        """Check that a request may be accepted, wait for a slot or be sent now.
+
+        Failure prevented: a request is sent shortly before the process ends, and its
+        caller gets no answer of which it knows whether it ran. If refused, it gets a
+        complete response from another host.
+
+        Parameters
+        ==========
+        admitted : AdmittedCall
+
+        Raises
+        ======
+        Refused
+        """
+        if self.stop is None:
+            return
+        context, now_ms = self._context, self._context.clock.now_ms()
+        expected_ms = context.route_times.expected_ms(
+            admitted.route.name, admitted.pool, now_ms
+        )
+        if not self.stop.may_send(now_ms, admitted.deadline_ms, expected_ms):
+            raise leaving()
+
+    def check_relayed(self, remaining_ms):
+        """Check likewise that a request of another host may be sent now.
+
+        Parameters
+        ==========
+        remaining_ms : int
+            Time left of its limit.
+
+        Raises
+        ======
+        Refused
+        """
+        if self.stop is None:
+            return
+        now_ms = self._context.clock.now_ms()
+        if not self.stop.may_send(now_ms, now_ms + remaining_ms):
+            raise leaving()
+
     def ends_before(self, deadline_ms):
         """Return whether this host's stop ends work before a deadline does."""
         return self.stop is not None and self.stop.ends_before(deadline_ms)
@@ -105,10 +147,9 @@
         context.homes.close()
         # A planned stop does not wait for a slow store.
         leaving_store = asyncio.create_task(leave)
-        await self._sleep_until(self.stop.listens_until_ms)
+        await self._wait(self.stop.listens_until_ms, lambda: False)
         await context.callers.stop_listening()
-        context.refuses_requests = True
-        await self._wait_answered()
+        await self._wait(self.stop.ends_ms, lambda: not context.open_requests)
         if not leaving_store.done():
             _log.warning("host_row_not_dropped", reason="the store has not answered")
             leaving_store.cancel()
@@ -116,18 +157,14 @@
         await context.bus.flush(self.stop.flush_ms)
         _log.info("drain_ended", open_requests=context.open_requests)
 
-    async def _wait_answered(self):
-        context, stop = self._context, self.stop
-        while context.open_requests and context.clock.now_ms() < stop.ends_ms:
-            if context.clock.now_ms() >= stop.waits_until_ms:
-                context.grants.refuse_waiting(
-                    ResultCode.LEAVING, LEAVING_RETRY_AFTER_MS
-                )
-            await asyncio.sleep(CHECK_INTERVAL_MS / MS_PER_S)
-
-    async def _sleep_until(self, until_ms):
-        left_ms = until_ms - self._context.clock.now_ms()
-        await asyncio.sleep(max(0, left_ms) / MS_PER_S)
+    async def _wait(self, until_ms, is_done):
+        """Wait for a time or a condition; refuse what can't be sent any more."""
+        while not is_done():
+            self._context.grants.recheck_waiting()
+            left_ms = until_ms - self._context.clock.now_ms()
+            if left_ms <= 0:
+                return
+            await asyncio.sleep(min(left_ms, CHECK_INTERVAL_MS) / MS_PER_S)
 
 
 def leaving():
--- a/libs/entry/src/hemlockhoist/entry/hedge.py
+++ b/libs/entry/src/hemlockhoist/entry/hedge.py
@@ -207,8 +207,6 @@
     def _start(self):
         """Start the hedge, if the budget allows it."""
         self.forbid()
-        if self._context.grants.is_refusing:
-            return
         if self._context.memory.is_waited_for:
             # The hedge's answer would take memory as well.
             refusal = HedgeRefusal.MEMORY.value
--- a/libs/entry/src/hemlockhoist/entry/relay_rules.py
+++ b/libs/entry/src/hemlockhoist/entry/relay_rules.py
@@ -51,6 +51,7 @@
 
     def check_send(self, offer):
         """Check that a request may be sent to its upstream now."""
+        self._context.drain.check_relayed(offer.remaining_ms)
         self._context.store_view.check_upstream(offer.upstream_id, offer.is_cold)
         self._signals.check_not_backed_off(offer.upstream_id)
         self._context.moves.check_version(offer.pool, offer.version)
--- a/libs/entry/src/hemlockhoist/entry/replacement.py
+++ b/libs/entry/src/hemlockhoist/entry/replacement.py
@@ -63,7 +63,7 @@
             self._attempts.sent_count + 1,
             self._attempts.unsent_count,
         )
-        if step is not Step.TRY_ANOTHER or self._context.grants.is_refusing:
+        if step is not Step.TRY_ANOTHER:
             return False
         try:
             opened = await self._attempts.begin_beside()
--- a/libs/entry/src/hemlockhoist/entry/request_grants.py
+++ b/libs/entry/src/hemlockhoist/entry/request_grants.py
@@ -83,12 +83,20 @@
         brief = self._hedge_brief if is_hedge else self._brief
         with self._context.traces.span(Hop.GRANT, pool=admitted.pool):
             hold = await self._context.grants.acquire(
-                admitted.pool, brief, admitted.deadline_ms
+                admitted.pool, brief, admitted.deadline_ms, self._check_not_leaving
             )
         waited_ms = clock.now_ms() - requested_ms
         self._context.metrics.time(QUEUE_WAIT_MS, waited_ms, admitted.tier)
         return hold, waited_ms
 
+    def _check_not_leaving(self):
+        """Refuse a request that has not been sent, and would be sent too late.
+
+        One that may have run gets no such answer: another attempt can only help it.
+        """
+        if not self._run_count and self.current is None:
+            self._context.drain.check(self._admitted)
+
     def on_attempt_started(self, attempt):
         """Record the attempt that is in progress."""
         self.current = attempt
--- a/libs/entry/src/hemlockhoist/entry/servers.py
+++ b/libs/entry/src/hemlockhoist/entry/servers.py
@@ -35,7 +35,6 @@
     SlowReader,
 )
 from hemlockhoist.entry.caller_connections import CallerConnections
-from hemlockhoist.entry.drain import leaving
 from hemlockhoist.entry.exchange import Exchange
 from hemlockhoist.entry.memory import HeadMemory, RequestMemory
 from hemlockhoist.entry.responses import CODE_HEADER, body_bytes, error_response
@@ -182,11 +181,11 @@
 
     async def _serve(self, request, call):
         arrived_ms = self._context.clock.now_ms()
-        self._check_not_stopping()
         self._connections.check_room(request.transport)
         async with self._context.drain.limit_unsent():
             await self._context.store_view.wait_complete(STARTUP_WAIT_MS)
         admitted = self._admission.admit(call, arrived_ms)
+        self._context.drain.check(admitted)
         self._context.metrics.count(REQUESTS_ARRIVED, admitted.tier)
         self._log_admitted(admitted)
         memory = RequestMemory(self._context.memory, admitted.rank)
@@ -228,7 +227,9 @@
             raise
         except HemlockhoistError as error:
             check_not_run(self._context.invariants, exchange, error)
+            self._observe_time(exchange, admitted)
             raise
+        self._observe_time(exchange, admitted)
         try:
             await self._flush(exchange, buffer)
         except asyncio.CancelledError:
@@ -249,19 +250,12 @@
             self._context.metrics.count(CALLERS_DISCONNECTED, tier)
             self._context.metrics.time(CALLERS_DISCONNECTED_MS, after_ms, tier)
 
-    def _check_not_stopping(self):
-        """Refuse a request that may not finish before this host stops.
-
-        Failure prevented: a caller reuses a connection to a host that was ordered to
-        stop some seconds ago. Its stream is cut off when the process is killed at the
-        end of the stop; if refused, it gets a complete response from another host.
-
-        Raises
-        ======
-        Refused
-        """
-        if self._context.refuses_requests:
-            raise leaving()
+    def _observe_time(self, exchange, admitted):
+        if exchange.may_have_run:
+            now_ms = self._context.clock.now_ms()
+            duration_ms = now_ms - admitted.arrived_ms
+            route_times, route = self._context.route_times, admitted.route.name
+            route_times.observe(route, admitted.pool, duration_ms, now_ms)
 
     async def _write_long(self, request, response):
         """Write a long whole answer; the HTTP server writes shorter ones."""
--- a/libs/entry/src/hemlockhoist/entry/tests/test_hedge.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_hedge.py
@@ -159,7 +159,6 @@
             hedging=policy,
             clock=clock,
             metrics=Metrics(None),
-            grants=types.SimpleNamespace(is_refusing=False),
             memory=types.SimpleNamespace(is_waited_for=self.is_memory_short),
         )
         deadline_ms = clock.now_ms() + 1_000
--- a/libs/host/src/hemlockhoist/host/grant_waiter.py
+++ b/libs/host/src/hemlockhoist/host/grant_waiter.py
@@ -3,8 +3,10 @@
 import asyncio
 
 # Put into a waiter's inbox in place of a reply to have its request checked and sent
-# again at once: the home of its pool has changed, or this host refuses its requests.
+# again at once, as the home of its pool has changed.
 RESEND = object()
+# Likewise, to have its request only checked again: this host may refuse it now.
+RECHECK = object()
 
 
 class GrantWaiter:
@@ -14,6 +16,8 @@
     ==========
     pool : str
     brief : RequestBrief
+    check : callable
+        Raises ``Refused`` once this host no longer sends the request.
 
     Attributes
     ==========
@@ -32,6 +36,7 @@
     """
 
     __slots__ = (
+        "check",
         "home_hint",
         "inbox",
         "is_alone",
@@ -45,8 +50,9 @@
         "unanswered",
     )
 
-    def __init__(self, pool, brief):
+    def __init__(self, pool, brief, check):
         self.pool = pool
+        self.check = check
         self.request_id = brief.request_id
         self.is_hedge = brief.is_hedge
         self.queried_home = ""
--- a/libs/host/src/hemlockhoist/host/grants.py
+++ b/libs/host/src/hemlockhoist/host/grants.py
@@ -12,7 +12,7 @@
     release_message,
     signals_for_home,
 )
-from hemlockhoist.host.grant_waiter import RESEND, GrantWaiter
+from hemlockhoist.host.grant_waiter import RECHECK, RESEND, GrantWaiter
 from hemlockhoist.host.holder_report import HolderReport
 from hemlockhoist.host.outdated import outdated_message
 from hemlockhoist.messages import (
@@ -89,7 +89,6 @@
         "_on_unresponsive",
         "_own_id",
         "_reconnect",
-        "_refusal",
         "_report",
         "_send",
         "_silent_ms",
@@ -119,29 +118,22 @@
         self._held = {}
         # For each grant id, the homes to which the grant was reported on takeover.
         self._claiming_homes = {}
-        self._refusal = None
 
     def held(self):
         """Return the grants that this host holds."""
         return tuple(self._held.values())
 
-    @property
-    def is_refusing(self):
-        """Whether this host refuses all its requests that wait for a grant."""
-        return self._refusal is not None
-
-    def refuse_waiting(self, code, retry_after_ms):
-        """Refuse all requests that wait for a grant, now and from here on.
+    def recheck_waiting(self):
+        """Check all requests that wait for a grant again, as ``acquire`` was told.
 
         Failure prevented: a host that was ordered to stop still has requests in a
         home's queue. When the process ends, their callers see a closed connection and
         cannot know that nothing ran.
         """
-        self._refusal = (code, retry_after_ms)
         for waiter in self._waiters.values():
-            waiter.inbox.put_nowait((RESEND, 0))
+            waiter.inbox.put_nowait((RECHECK, 0))
 
-    async def acquire(self, pool, brief, deadline_ms):
+    async def acquire(self, pool, brief, deadline_ms, check=lambda: None):
         """Wait for a grant.
 
         Parameters
@@ -151,6 +143,9 @@
             ``brief(now_ms)`` returns the ``RequestBrief`` with the time left until the
             deadline.
         deadline_ms : int
+        check : callable, optional
+            Called now and with ``recheck_waiting``; raises ``Refused`` if the request
+            must not be sent any more.
 
         Returns
         =======
@@ -162,7 +157,7 @@
             Nothing was sent to an upstream.
         """
         now_ms = self._clock.now_ms()
-        waiter = GrantWaiter(pool, brief(now_ms))
+        waiter = GrantWaiter(pool, brief(now_ms), check)
         self._waiters[waiter.request_id] = waiter
         home = ""
         granted = False
@@ -188,13 +183,14 @@
                 self._count_timeout(waiter)
                 continue
             message, late_ms = reply
+            if message is RECHECK:
+                continue
             hold = self._handle_reply(waiter, brief, message, late_ms)
             if hold is not None:
                 return waiter.queried_home, hold
 
     def _check_limits(self, waiter, deadline_ms):
-        if self._refusal is not None:
-            raise Refused("", *self._refusal)
+        waiter.check()
         now_ms = self._clock.now_ms()
         if now_ms >= deadline_ms:
             raise Refused("", ResultCode.DEADLINE_PASSED, RETRY_AFTER_MS)
--- a/libs/host/src/hemlockhoist/host/tests/test_grants.py
+++ b/libs/host/src/hemlockhoist/host/tests/test_grants.py
@@ -177,6 +177,38 @@
         self.assertEqual(self.network.homes["h1"].counts(), (0, 0))
 
 
+class RecheckedRequestTests(GrantHarness):
+    async def test_queued_request_is_refused_once_it_may_not_be_sent(self):
+        """Guards against a queued request of a host that ends, without an answer."""
+        is_late = False
+
+        def check():
+            if is_late:
+                raise Refused("", ResultCode.LEAVING, 1)
+
+        await self._acquire("r1")
+        deadline_ms = self.clock.now_ms() + 60_000
+        queued = asyncio.create_task(
+            self.client.acquire("chat", self._brief("r2"), deadline_ms, check)
+        )
+        other = asyncio.create_task(self._acquire("r3"))
+        await asyncio.sleep(0.01)
+        sent_count = len(self.network.sent)
+        self.client.recheck_waiting()
+        await asyncio.sleep(0.01)
+        self.assertFalse(queued.done())
+        self.assertEqual(len(self.network.sent), sent_count)
+        is_late = True
+        self.client.recheck_waiting()
+        with self.assertRaises(Refused) as caught:
+            await queued
+        self.assertIs(caught.exception.code, ResultCode.LEAVING)
+        self.assertIsInstance(self.network.sent[-1], GrantCancel)
+        self.assertFalse(other.done())
+        other.cancel()
+        await asyncio.gather(other, return_exceptions=True)
+
+
 class PredecessorHomeTests(PausedTestCase):
     def home(self, name, sent):
         scheduler = PoolScheduler.from_config(POOL, TIERS, name)
--- a/libs/relays/src/hemlockhoist/relays/server.py
+++ b/libs/relays/src/hemlockhoist/relays/server.py
@@ -220,6 +220,8 @@
 
     async def _cause_of(self, error, offer, begun_ms):
         """Return why a request was not sent, after the attempt to send it."""
+        if error.code is ResultCode.LEAVING:
+            return RelayCause.LEAVING
         if error.code is not ResultCode.CONNECT_FAILED:
             return RelayCause.NOT_ALLOWED
         if await self._reaches_another(offer, begun_ms):
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_site.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_site.py
@@ -413,7 +413,7 @@
             async with site.call("/conflict-report/1", method="POST") as answer:
                 await answer.read()
             site.hosts[0].begin_drain()
-            while not site.hosts[0].context.refuses_requests:
+            while not site.hosts[0].context.leaving:
                 await asyncio.sleep(0.02)
             async with site.call("/conflict-report/2", method="POST") as late:
                 self.assertEqual(late.status, 503)
@@ -460,7 +460,6 @@
         )
         with (
             unittest.mock.patch.object(planned_stop, "LISTEN_FRACTION", 0.005),
-            unittest.mock.patch.object(planned_stop, "WAIT_FRACTION", 0.01),
             unittest.mock.patch.object(stream, "MIN_FIRST_STALL_MS", 300),
             unittest.mock.patch.object(stream, "MIN_STALL_MS", 300),
             unittest.mock.patch.object(stream, "GAP_FACTOR", 0),
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_stops.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_stops.py
@@ -43,11 +43,11 @@
 class OpenRequestTests(PausedSocketTestCase):
     """Requests that are still open at the end of the grace."""
 
-    def site(self, replica, stop_ms, **options):
+    def site(self, replica, stop_ms):
         services = {"reservas": [], "asistente": []}
         services["asistente" if replica.events else "reservas"] = [replica]
         bounds = FleetBounds(stop_ms=stop_ms)
-        return Site(services, ROUTES, bounds=bounds, **options)
+        return Site(services, ROUTES, hosts=2, bounds=bounds)
 
     async def test_request_at_work_at_the_end_is_answered_with_unknown(self):
         """Guards against a request that runs and is cut without an answer."""
@@ -182,5 +182,119 @@
                 self.assertLess(took_ms, stop_ms)
 
 
+class LateRequestTests(PausedSocketTestCase):
+    """Requests that come, or get a slot, after the signal."""
+
+    async def answers(self, site, times_ms, **fields):
+        """Stop a host, and send it a request at each time; return the answers."""
+
+        async def call_at(time_ms):
+            await asyncio.sleep(time_ms / 1_000)
+            return await call_raw(site, "/book-hall/1", method="POST", **fields)
+
+        calls = [asyncio.create_task(call_at(time_ms)) for time_ms in times_ms]
+        await asyncio.sleep(0)
+        await stop(site.hosts[0])
+        return await asyncio.gather(*calls)
+
+    def site(self, *replicas, stop_ms=8_000):
+        services = {"reservas": list(replicas), "asistente": []}
+        bounds = FleetBounds(stop_ms=stop_ms)
+        return Site(services, ROUTES, hosts=2, bounds=bounds)
+
+    async def test_late_request_that_may_not_finish_is_not_sent(self):
+        """Guards against a late request whose outcome nobody knows."""
+        times_ms = range(1, 2_600, 400)
+        for work_ms in (5_500, 7_000):
+            with self.subTest(work_ms=work_ms):
+                replica = Replica("s1", slots=20)
+                replica.delay_ms = work_ms
+                async with self.site(replica) as site:
+                    answers = await self.answers(site, times_ms, **LONG)
+                statuses = {answer.status for answer in answers}
+                self.assertEqual(statuses, {503})
+                codes = {answer.header("X-Result-Code") for answer in answers}
+                self.assertEqual(codes, {"207"})
+                self.assertEqual(replica.ran, [])
+
+    async def test_late_request_whose_limit_fits_is_served(self):
+        """Guards against refusals that cost callers one of few retries each."""
+        for stop_ms, limit_ms, last_ms in (
+            (1_000, 500, 300),
+            (3_000, 1_500, 950),
+            (8_000, 1_500, 2_600),
+            (8_000, 5_000, 1_900),
+            (30_000, 8_000, 9_900),
+        ):
+            with self.subTest(stop_ms=stop_ms, limit_ms=limit_ms):
+                replica = Replica("s1", slots=20)
+                replica.delay_ms = limit_ms // 4
+                async with self.site(replica, stop_ms=stop_ms) as site:
+                    times_ms = (1, last_ms // 2, last_ms)
+                    limit = {"Deadline_Ms": str(limit_ms)}
+                    answers = await self.answers(site, times_ms, **limit)
+                statuses = [answer.status for answer in answers]
+                self.assertEqual(statuses, [200] * 3)
+
+    async def test_usually_quick_request_is_served_at_the_begin_of_the_stop(self):
+        """Guards against a stop that turns away all requests with long limits."""
+        replica = Replica("s1", slots=20)
+        replica.delay_ms = 200
+        async with self.site(replica) as site:
+            for _ in range(20):
+                before = await call_raw(site, "/book-hall/1", method="POST", **LONG)
+                self.assertEqual(before.status, 200)
+            times_ms = (1, 1_000, 2_600)
+            answers = await self.answers(site, times_ms, **LONG)
+        self.assertEqual([answer.status for answer in answers], [200] * 3)
+
+    async def test_late_request_on_a_kept_connection_gets_an_answer(self):
+        """Guards against a request that is lost on a connection from before."""
+        fields = {"Connection": "keep-alive"}
+        for late_ms, limit_ms, status in (
+            (3_500, 1_500, 200),
+            (3_500, 5_000, 503),
+            (6_990, 1_500, 503),
+            (7_010, 100, 503),
+        ):
+            with self.subTest(late_ms=late_ms, limit_ms=limit_ms):
+                replica = Replica("s1")
+                async with self.site(replica) as site:
+                    replica.behaviour = Behaviour.HANGS
+                    call = call_raw(site, "/check-free/1", **LONG)
+                    open_request = asyncio.create_task(call)
+                    await until_runs(replica)
+                    replica.behaviour = Behaviour.NORMAL
+                    kept = {**LONG, **fields}
+                    async with site.call("/check-free/2", **kept) as answer:
+                        await answer.read()
+                    stopping = asyncio.create_task(stop(site.hosts[0]))
+                    await asyncio.sleep(late_ms / 1_000)
+                    kept["Deadline_Ms"] = str(limit_ms)
+                    async with site.call("/check-free/3", **kept) as answer:
+                        await answer.read()
+                    self.assertEqual(answer.status, status)
+                    self.assertEqual(answer.headers["Connection"], "close")
+                    await stopping
+                    await open_request
+
+    async def test_queued_request_is_not_sent_too_late(self):
+        """Guards against a slot that a request gets too late to finish."""
+        replica = Replica("s1", slots=1)
+        replica.delay_ms = 4_000
+        async with self.site(replica) as site:
+            calls = [
+                call_raw(site, f"/book-hall/{n}", method="POST", **LONG)
+                for n in range(2)
+            ]
+            bookings = [asyncio.create_task(call) for call in calls]
+            await until_runs(replica)
+            await asyncio.sleep(0.05)
+            await stop(site.hosts[0])
+            answers = await asyncio.gather(*bookings)
+        self.assertEqual([answer.status for answer in answers], [200, 503])
+        self.assertEqual(len(replica.ran), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
