Accept every connection that waits before a listener closes

Cause: Acceptor.stop accepted at most 64 connections before it closed the listening socket, and the kernel resets what is left in its queue. A crowd that connects as a planned stop ends listening was cut without an answer.

Change: it goes on until none waits, or there is no room.

The new test has 300 connections with a request each in the queue: before, ConnectionResetError; now all 300 get 200. Where there is no room for a connection (limit of callers, no descriptor), it is still reset.

--- a/libs/listeners/src/hemlockhoist/listeners/acceptor.py
+++ b/libs/listeners/src/hemlockhoist/listeners/acceptor.py
@@ -155,8 +155,9 @@
         if self._listener is None or self._is_stopped:
             return
         await self._checks.close()
-        if self._is_open:
-            self._accept_ready()
+        # The kernel resets the connections in its queue as the socket is closed.
+        while self._is_open and self._accept_ready():
+            pass
         self._is_stopped = True
         self._pause_reading()
         if self._resume is not None:
@@ -175,20 +176,22 @@
             self._loop.remove_reader(self._listener)
 
     def _accept_ready(self):
+        """Accept some connections; return whether more may wait."""
         for _ in range(MAX_AT_ONCE):
             if not self._room(len(self._connecting)):
                 self._give_up_oldest()
                 self._pause("no room")
-                return
+                return False
             try:
                 connection, _ = self._listener.accept()
             except _NONE_WAITS:
-                return
+                return False
             except OSError as error:
                 if not self._go_on_after(error):
-                    return
+                    return False
                 continue
             self._accept(connection)
+        return True
 
     def _accept(self, connection):
         self.accepted_count += 1
--- a/libs/listeners/src/hemlockhoist/listeners/tests/test_listeners.py
+++ b/libs/listeners/src/hemlockhoist/listeners/tests/test_listeners.py
@@ -89,6 +89,19 @@
                 await self.http.stop_listening()
         self.assertFalse(self.http.acceptor.is_accepting)
 
+    async def test_all_callers_that_wait_are_served_as_it_stops_listening(self):
+        """Guards against connections that are reset in the queue by a planned stop."""
+        callers = [socket.create_connection(self.address) for _ in range(300)]
+        for caller in callers:
+            self.addCleanup(caller.close)
+            caller.sendall(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+        await self.http.stop_listening()
+        for caller in callers:
+            caller.setblocking(False)
+            reader, writer = await asyncio.open_connection(sock=caller)
+            self.assertIn(b" 200 ", await reader.readline())
+            writer.close()
+
     async def test_queue_for_new_connections_keeps_its_length(self):
         """Guards against callers whose first packet is dropped, and repeated late."""
         state = self.listener.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 104)
