Refuse requests once a planned stop waits for none

Cause: the stop of an entry host ended as soon as no request was open, and went on to close all components. A request on a kept connection that came between was accepted, sent to an upstream and cut some 50 ms later.

The new test sends a request on a kept connection after that look: before, it was sent to the replica (200, as nothing closed the host in the test), now 503 with Connection: close, and nothing is sent.

--- a/libs/entry/src/hemlockhoist/entry/drain.py
+++ b/libs/entry/src/hemlockhoist/entry/drain.py
@@ -26,12 +26,14 @@
         None before the stop begins.
     """
 
-    __slots__ = ("_context", "_limits", "stop")
+    __slots__ = ("_context", "_is_over", "_limits", "stop")
 
     def __init__(self, context):
         self._context = context
         # The time limits of what is in progress.
         self._limits = set()
+        # Nothing waits for open requests any more.
+        self._is_over = False
         self.stop = None
 
     def check(self, admitted):
@@ -55,7 +57,8 @@
         expected_ms = context.route_times.expected_ms(
             admitted.route.name, admitted.pool, now_ms
         )
-        if not self.stop.may_send(now_ms, admitted.deadline_ms, expected_ms):
+        may_send = self.stop.may_send(now_ms, admitted.deadline_ms, expected_ms)
+        if self._is_over or not may_send:
             raise leaving()
 
     def check_relayed(self, remaining_ms):
@@ -73,7 +76,7 @@
         if self.stop is None:
             return
         now_ms = self._context.clock.now_ms()
-        if not self.stop.may_send(now_ms, now_ms + remaining_ms):
+        if self._is_over or not self.stop.may_send(now_ms, now_ms + remaining_ms):
             raise leaving()
 
     def ends_before(self, deadline_ms):
@@ -150,6 +153,7 @@
         await self._wait(self.stop.listens_until_ms, lambda: False)
         await context.callers.stop_listening()
         await self._wait(self.stop.ends_ms, lambda: not context.open_requests)
+        self._is_over = True
         if not leaving_store.done():
             _log.warning("host_row_not_dropped", reason="the store has not answered")
             leaving_store.cancel()
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_stops.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_stops.py
@@ -296,5 +296,28 @@
         self.assertEqual(len(replica.ran), 1)
 
 
+class EndTests(PausedSocketTestCase):
+    """Connections around the end of listening, and of the process."""
+
+    def site(self, replica, stop_ms):
+        bounds = FleetBounds(stop_ms=stop_ms)
+        services = {"reservas": [replica], "asistente": []}
+        return Site(services, ROUTES, hosts=2, bounds=bounds)
+
+    async def test_request_that_comes_once_the_process_ends_is_not_sent(self):
+        """Guards against a request that is sent after the last look at open ones."""
+        replica = Replica("s1")
+        async with self.site(replica, 8_000) as site:
+            kept = {"Connection": "keep-alive", "Deadline_Ms": "1500"}
+            async with site.call("/check-free/1", **kept) as answer:
+                await answer.read()
+            site.hosts[0].begin_drain()
+            await site.hosts[0].finished.wait()
+            async with site.call("/check-free/2", **kept) as answer:
+                self.assertEqual(answer.status, 503)
+                self.assertEqual(answer.headers["Connection"], "close")
+            self.assertEqual(len(replica.ran), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
