Answer connections whose heads come as a planned stop ends listening

Cause: the stop of an entry host looked at the requests that its server had begun to handle. A connection that had been accepted a moment before, or whose head had come in part, counted as idle and was closed, as did one whose answer was still in the event loop's buffer.

Change: the stop also waits, until its end at most, for connections with a part of a head, with an answer that has not left, and for 0.5 s after they were accepted for those on which nothing has come. Idle ones hold up nothing.

--- a/libs/entry/src/hemlockhoist/entry/drain.py
+++ b/libs/entry/src/hemlockhoist/entry/drain.py
@@ -152,7 +152,7 @@
         leaving_store = asyncio.create_task(leave)
         await self._wait(self.stop.listens_until_ms, lambda: False)
         await context.callers.stop_listening()
-        await self._wait(self.stop.ends_ms, lambda: not context.open_requests)
+        await self._wait(self.stop.ends_ms, self._is_answered)
         self._is_over = True
         if not leaving_store.done():
             _log.warning("host_row_not_dropped", reason="the store has not answered")
@@ -161,6 +161,15 @@
         await context.bus.flush(self.stop.flush_ms)
         _log.info("drain_ended", open_requests=context.open_requests)
 
+    def _is_answered(self):
+        """Return whether all requests have been answered, also those that just begin.
+
+        Failure prevented: connections that were accepted shortly before, and whose
+        heads have not been read, are closed as if they were idle.
+        """
+        context = self._context
+        return not context.open_requests and context.callers.is_quiet
+
     async def _wait(self, until_ms, is_done):
         """Wait for a time or a condition; refuse what can't be sent any more."""
         while not is_done():
--- a/libs/entry/src/hemlockhoist/entry/servers.py
+++ b/libs/entry/src/hemlockhoist/entry/servers.py
@@ -116,6 +116,11 @@
         """Accept no new connections; open ones are served further."""
         await self._http.stop_listening()
 
+    @property
+    def is_quiet(self):
+        """Whether no request is being answered, has begun or is about to come."""
+        return self._http.is_quiet
+
     @property
     def takes_callers(self):
         """Whether a new caller is accepted within a moment."""
--- a/libs/listeners/src/hemlockhoist/listeners/acceptor.py
+++ b/libs/listeners/src/hemlockhoist/listeners/acceptor.py
@@ -126,6 +126,11 @@
         """Whether there is a socket, which there is not if none could be opened."""
         return self._listener is not None and self._listener.fileno() >= 0
 
+    @property
+    def pending_count(self):
+        """Number of connections that were accepted and are being set up."""
+        return len(self._connecting)
+
     @property
     def waiting_count(self):
         """Number of connections in the kernel's queue."""
--- a/libs/listeners/src/hemlockhoist/listeners/http.py
+++ b/libs/listeners/src/hemlockhoist/listeners/http.py
@@ -80,6 +80,11 @@
         """The server's sides of the open connections."""
         return self._runner.server.connections
 
+    @property
+    def is_quiet(self):
+        """Whether no request is being answered, has begun or is about to come."""
+        return not self.acceptor.pending_count and self._connections.is_quiet
+
     async def start(self):
         """Start to serve."""
         await self._runner.setup()
--- a/libs/listeners/src/hemlockhoist/listeners/http_connection.py
+++ b/libs/listeners/src/hemlockhoist/listeners/http_connection.py
@@ -259,6 +259,13 @@
             self._is_reading_paused = False
             self._schedule_turn()
 
+    def is_quiet(self, since_ms):
+        """Return whether no request is open, and none is due as it connected later."""
+        if not self._received_bytes:
+            return self.since_ms < since_ms
+        is_begun = self.is_busy or self._head_since_ms is not None
+        return not (is_begun or self._transport.get_write_buffer_size())
+
     async def on_answered(self, keeps_alive):
         """Record that an answer has been written.
 
@@ -291,8 +298,7 @@
         self._begin_discarding()
         self._input_end = self._loop.create_future()
         await asyncio.wait([self._input_end], timeout=LINGER_MS / MS_PER_S)
-        if self._transport is not None:
-            self._transport.close()
+        self._close()
 
     def _end_linger(self):
         if self._input_end is not None and not self._input_end.done():
@@ -367,9 +373,8 @@
         """
         if self._transport is None:
             return False
-        is_head_awaited = self._check_head(now_ms)
-        is_output_awaited = self._check_output(now_ms)
-        return is_head_awaited or is_output_awaited or self._is_discarding
+        awaited = (self._check_head(now_ms), self._check_output(now_ms))
+        return any(awaited) or self._is_discarding
 
     def _check_head(self, now_ms):
         if self._head_since_ms is None or self._has_unread_output():
@@ -387,9 +392,7 @@
 
     def _check_output(self, now_ms):
         untaken_ms = self._unread_output.untaken_ms(self._transport, now_ms)
-        if untaken_ms is None:
-            return False
-        if untaken_ms < UNREAD_TIMEOUT_MS:
-            return True
+        if untaken_ms is None or untaken_ms < UNREAD_TIMEOUT_MS:
+            return untaken_ms is not None
         self.cut("unread_answers")
         return False
--- a/libs/listeners/src/hemlockhoist/listeners/http_connections.py
+++ b/libs/listeners/src/hemlockhoist/listeners/http_connections.py
@@ -14,6 +14,9 @@
 _log = get_logger("listeners.http")
 
 CHECK_INTERVAL_MS = 250
+# A client sends its first request as soon as it is connected. After this time, none is
+# waited for any more.
+FIRST_REQUEST_MS = 500
 # A connection that has been accepted just now is not closed for another one.
 MIN_IDLE_MS = 500
 # Accepted, so that an idle one is closed only if there is another one.
@@ -158,6 +161,12 @@
             **self._options,
         )
 
+    @property
+    def is_quiet(self):
+        """Whether no request is being answered, has begun or is about to come."""
+        since_ms = self.now_ms() - FIRST_REQUEST_MS
+        return all(connection.is_quiet(since_ms) for connection in self._open)
+
     @property
     def read_bytes(self):
         """How much is received at a time."""
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_stops.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_stops.py
@@ -7,6 +7,7 @@
 from hemlockhoist.entry import FleetBounds
 from hemlockhoist.standins.published import Behaviour, Replica, Site, route
 from hemlockhoist.standins.published.raw import call_raw
+from hemlockhoist.standins.published.site import HOST_NAME, KEY
 
 BOOKING = route(
     "book-hall", "reservas", "non_idempotent", max_attempts=1, timeout_ms=9_000
@@ -16,6 +17,15 @@
 ROUTES = [BOOKING, LOOKUP, SUMMARY]
 GRACES_MS = (500, 1_000, 3_000, 8_000)
 LONG = {"Deadline_Ms": "9000"}
+UNAVAILABLE = b"HTTP/1.1 503"
+LATE_HEAD = (
+    "GET /check-free/1 HTTP/1.1\r\n"
+    f"Host: {HOST_NAME}\r\n"
+    "Attempt-Id: a1\r\n"
+    "Deadline-Ms: 9000\r\n"
+    f"Authorization: Bearer {KEY}\r\n"
+    "\r\n"
+)
 
 
 async def stop(host):
@@ -304,6 +314,48 @@
         services = {"reservas": [replica], "asistente": []}
         return Site(services, ROUTES, hosts=2, bounds=bounds)
 
+    async def test_connections_whose_heads_come_late_get_an_answer(self):
+        """Guards against a crowd that connects in the grace and is cut unanswered."""
+        for stop_ms, head_ms in ((500, 100), (1_000, 100), (8_000, 400)):
+            with self.subTest(stop_ms=stop_ms):
+                replica = Replica("s1", slots=200)
+                async with self.site(replica, stop_ms) as site:
+                    address = site.hosts[0].settings.caller_address
+                    stopping = asyncio.create_task(stop(site.hosts[0]))
+                    await asyncio.sleep((stop_ms // 3 - 2) / 1_000)
+                    callers = [
+                        asyncio.create_task(self.call_late(address, head_ms, part))
+                        for part in range(100)
+                    ]
+                    answers = await asyncio.gather(*callers)
+                    took_ms = await stopping
+                self.assertEqual({answer[:12] for answer in answers}, {UNAVAILABLE})
+                self.assertLess(took_ms, stop_ms)
+
+    async def call_late(self, address, head_ms, part):
+        """Connect, send a part of a head at once and the rest later."""
+        ip, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        head = LATE_HEAD.encode()
+        writer.write(head[:part])
+        await asyncio.sleep(head_ms / 1_000)
+        try:
+            writer.write(head[part:])
+            return await reader.read()
+        except OSError:
+            return b""
+        finally:
+            writer.close()
+
+    async def test_stop_does_not_wait_for_a_connection_without_a_request(self):
+        """Guards against idle connections that hold up each stop to its limit."""
+        async with self.site(Replica("s1"), 8_000) as site:
+            address, _, port = site.hosts[0].settings.caller_address.rpartition(":")
+            _, writer = await asyncio.open_connection(address, int(port))
+            await asyncio.sleep(0.1)
+            self.assertLess(await stop(site.hosts[0]), 4_000)
+            writer.close()
+
     async def test_request_that_comes_once_the_process_ends_is_not_sent(self):
         """Guards against a request that is sent after the last look at open ones."""
         replica = Replica("s1")
