--- a/libs/standins/src/hemlockhoist/standins/published/soak/hosts.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/hosts.py
@@ -58,6 +58,8 @@
         Environment variables that turn on features.
     descriptors, memory_mb : int, optional
         Limits of its machine in its settings; 0 for none.
+    stop_ms : int, optional
+        The grace of its planned stops.
     """
 
     def __init__(
@@ -69,8 +71,10 @@
         variables=None,
         descriptors=DESCRIPTORS,
         memory_mb=0,
+        stop_ms=STOP_MS,
     ):
         self._variables = variables or {}
+        self._stop_ms = stop_ms
         self.name = f"h{number}"
         self.ip = f"{_loopback_network()}.{number + 1}"
         self.failure_domain = f"z{number % 2}"
@@ -99,7 +103,7 @@
             peer_port=peer_port,
             relay_port=peer_port + 1,
             store=store_address,
-            stop_s=STOP_MS / MS_PER_S,
+            stop_s=stop_ms / MS_PER_S,
             descriptors=descriptors,
             memory_mb=memory_mb,
             **bounds,
@@ -175,7 +179,7 @@
         self.is_stopping = True
         self.send(signal.SIGTERM)
         try:
-            async with asyncio.timeout(STOP_MS / MS_PER_S):
+            async with asyncio.timeout(self._stop_ms / MS_PER_S):
                 await self.process.wait()
         except TimeoutError:
             await self.kill()
