--- a/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
@@ -40,6 +40,7 @@
     order_state,
     source_version,
 )
+from hemlockhoist.decisions.entry.planned_stop import PlannedStop
 from hemlockhoist.decisions.entry.prefixes import chained_hashes
 from hemlockhoist.decisions.entry.readers import (
     MAX_DIRECT_READERS,
@@ -54,6 +55,7 @@
     RelayPeers,
 )
 from hemlockhoist.decisions.entry.response_times import ResponseTimes
+from hemlockhoist.decisions.entry.route_times import RouteTimes
 from hemlockhoist.decisions.entry.shares import PoolChooser
 from hemlockhoist.decisions.entry.sweep import StaleEntries
 from hemlockhoist.decisions.entry.upstream_links import LostLink, UpstreamLinks
@@ -80,12 +82,14 @@
     "MemoryPurpose",
     "MoveOrder",
     "MoveOrderState",
+    "PlannedStop",
     "PoolChooser",
     "ReaderTable",
     "RelayCandidate",
     "RelayCause",
     "RelayPeers",
     "ResponseTimes",
+    "RouteTimes",
     "StaleEntries",
     "Step",
     "TableCopy",
--- a/libs/entry/src/hemlockhoist/entry/context.py
+++ b/libs/entry/src/hemlockhoist/entry/context.py
@@ -1,6 +1,8 @@
 """The shared components of an entry host."""
 
 from hemlockhoist.base.metrics_table import CONNECTIONS_CUT
+from hemlockhoist.decisions.entry import RouteTimes
+from hemlockhoist.entry.drain import Drain
 from hemlockhoist.entry.memory import HostMemory
 
 
@@ -23,6 +25,8 @@
     fleet : Fleet
     declarations : Declarations
         The pools of the route table, for homes and schedulers.
+    route_times : RouteTimes
+        How long this host's requests take.
     store_view : StoreView
         The routes and upstreams, and the age of their proof.
     gate : QuotaGate
@@ -47,10 +51,10 @@
     loop_lag : LoopLag
     callers : CallerServer
         None before it listens.
+    drain : Drain
+        The planned stop, also before it begins.
     leaving : bool
         Whether a graceful shutdown has begun.
-    refuses_requests : bool
-        Whether new requests are refused because the host is about to stop.
     open_requests : int
     placement_queries : PlacementQueries
         Answers operators' queries at the home of a pool.
@@ -68,6 +72,7 @@
         "callers",
         "clock",
         "declarations",
+        "drain",
         "feeds",
         "fingerprints",
         "fleet",
@@ -86,9 +91,9 @@
         "placement_queries",
         "platform",
         "quarantine",
-        "refuses_requests",
         "relay_address",
         "register",
+        "route_times",
         "settings",
         "store_view",
         "traces",
@@ -103,8 +108,9 @@
         self.invariants = invariants
         self.memory = HostMemory.from_settings(settings)
         self.callers = None
+        self.drain = Drain(self)
+        self.route_times = RouteTimes()
         self.leaving = False
-        self.refuses_requests = False
         self.open_requests = 0
         self.relay_address = ""
 
--- a/libs/entry/src/hemlockhoist/entry/servers.py
+++ b/libs/entry/src/hemlockhoist/entry/servers.py
@@ -51,8 +51,6 @@
 # store answers. Its first callers wait for that, as a refusal would use up one of their
 # few retries.
 STARTUP_WAIT_MS = 500
-# Retry-After of a host about to stop: any other host accepts the request at once.
-LEAVING_RETRY_AFTER_MS = 1
 # Customary status for a connection closed by the caller; never sent.
 CLIENT_CLOSED_STATUS = 499
 # Bytes of a body that are read ahead of its request's admission. Usual bodies fit.
@@ -118,6 +116,11 @@
         """Accept no new connections; open ones are served further."""
         await self._http.stop_listening()
 
+    @property
+    def is_quiet(self):
+        """Whether no request is being answered, has begun or is about to come."""
+        return self._http.is_quiet
+
     @property
     def takes_callers(self):
         """Whether a new caller is accepted within a moment."""
@@ -183,10 +186,11 @@
 
     async def _serve(self, request, call):
         arrived_ms = self._context.clock.now_ms()
-        self._check_not_stopping()
         self._connections.check_room(request.transport)
-        await self._context.store_view.wait_complete(STARTUP_WAIT_MS)
+        async with self._context.drain.limit_unsent():
+            await self._context.store_view.wait_complete(STARTUP_WAIT_MS)
         admitted = self._admission.admit(call, arrived_ms)
+        self._context.drain.check(admitted)
         self._context.metrics.count(REQUESTS_ARRIVED, admitted.tier)
         self._log_admitted(admitted)
         memory = RequestMemory(self._context.memory, admitted.rank)
@@ -197,7 +201,8 @@
 
     async def _exchange(self, request, admitted, memory):
         context, arrived_ms = self._context, admitted.arrived_ms
-        body = await self._read_body(request, admitted, memory)
+        async with context.drain.limit_unsent():
+            body = await self._read_body(request, admitted, memory)
         admitted = admitted.identified(context.fingerprints, body)
         while True:
             try:
@@ -227,7 +232,9 @@
             raise
         except HemlockhoistError as error:
             check_not_run(self._context.invariants, exchange, error)
+            self._observe_time(exchange, admitted)
             raise
+        self._observe_time(exchange, admitted)
         try:
             await self._flush(exchange, buffer)
         except asyncio.CancelledError:
@@ -248,19 +255,12 @@
             self._context.metrics.count(CALLERS_DISCONNECTED, tier)
             self._context.metrics.time(CALLERS_DISCONNECTED_MS, after_ms, tier)
 
-    def _check_not_stopping(self):
-        """Refuse a request that may not finish before this host stops.
-
-        Failure prevented: a caller reuses a connection to a host that was ordered to
-        stop some seconds ago. Its stream is cut off when the process is killed at the
-        end of the stop; if refused, it gets a complete response from another host.
-
-        Raises
-        ======
-        Refused
-        """
-        if self._context.refuses_requests:
-            raise Refused("", ResultCode.LEAVING, LEAVING_RETRY_AFTER_MS)
+    def _observe_time(self, exchange, admitted):
+        if exchange.may_have_run:
+            now_ms = self._context.clock.now_ms()
+            duration_ms = now_ms - admitted.arrived_ms
+            route_times, route = self._context.route_times, admitted.route.name
+            route_times.observe(route, admitted.pool, duration_ms, now_ms)
 
     async def _write_long(self, request, response):
         """Write a long whole answer; the HTTP server writes shorter ones."""
