Vouch for no service's answer whose end it has not stated

What callers saw, on the own interface: a part of a service's answer with a length of this host's own, and after a booking the same part for each repeated call with its key, from the ledger, as the whole answer.

Cause: host/services.py reads an answer that ends with its connection as one that is whole, and the ledger keeps only status, headers and body of it.

Change: StoredAnswer carries whether the end was certain. An uncertain one is written to the caller without a length, also when it is replayed, and is broken (502, the key's outcome is unknown) if the upstream or this host's link to it was lost with it: find_fault, which now takes relayed calls too, as check_link does. The field's default is False, so that an answer which an earlier release stored is replayed without a claim; the cost is a connection that closes.

Ruled out: a default of True, which vouches for parts that earlier releases have stored; asking for the answer again, which runs each request of a service without lengths twice.

--- a/libs/host/src/hemlockhoist/host/services.py
+++ b/libs/host/src/hemlockhoist/host/services.py
@@ -12,6 +12,7 @@
 from hemlockhoist.host.dispatcher import EntryRequest
 from hemlockhoist.host.relay import check_response
 from hemlockhoist.host.responses import result_headers, with_trace_context
+from hemlockhoist.listeners import UnframedResponse
 from hemlockhoist.messages import StoredAnswer
 from hemlockhoist.upstreams import UpstreamCall
 
@@ -163,14 +164,33 @@
         self._body = body
 
     async def consume(self, hold, report):
-        """Send the call and return its complete answer."""
+        """Send the call and return its answer, as whole as can be known."""
         try:
-            return await self._exchange(hold, report)
+            answer = await self._exchange(hold, report)
         except DispatchError as error:
             if error.code in _BROKEN and not report.guard.relay:
                 client, call = self._context.upstreams, self._call(hold)
                 _, report.is_upstream_lost = await client.find_fault(call)
             raise
+        if not answer.is_end_certain:
+            await self._check_end(hold, report)
+        return answer
+
+    async def _check_end(self, hold, report):
+        """Reject an answer of uncertain end that was lost with its upstream or link.
+
+        It is not asked for again: a service that never states a length would run each
+        request twice.
+        """
+        (
+            is_link_at_fault,
+            report.is_upstream_lost,
+        ) = await self._context.upstreams.find_fault(
+            self._call(hold), bool(report.guard.relay)
+        )
+        if is_link_at_fault or report.is_upstream_lost:
+            text = "the upstream was lost at the end of an answer without a stated end"
+            raise DispatchError(text, ResultCode.UPSTREAM_BROKE_OFF)
 
     async def _exchange(self, hold, report):
         client = self._context.upstreams
@@ -182,7 +202,12 @@
             failed = answer.status >= _SERVER_ERROR
             report.kind = OutcomeKind.FAILED if failed else OutcomeKind.SUCCESS
             headers = _end_to_end_headers(answer.headers, _DROPPED_FROM_ANSWERS)
-            return StoredAnswer(status=answer.status, headers=headers, body=body)
+            return StoredAnswer(
+                status=answer.status,
+                headers=headers,
+                body=body,
+                is_end_certain=answer.body_end.is_certain,
+            )
 
     def _call(self, hold):
         now_ms = self._context.clock.now_ms()
@@ -225,7 +250,10 @@
     code = ResultCode.OK
     if answer.status >= _SERVER_ERROR:
         code = ResultCode.UPSTREAM_FAILED
-    response = web.Response(status=answer.status, body=answer.body)
+    if answer.is_end_certain:
+        response = web.Response(status=answer.status, body=answer.body)
+    else:
+        response = UnframedResponse(answer.status, answer.body)
     for name, value in answer.headers:
         if name.lower() == "content-type":
             response.headers[name] = value
--- a/libs/messages/src/hemlockhoist/messages/ledger.py
+++ b/libs/messages/src/hemlockhoist/messages/ledger.py
@@ -6,7 +6,7 @@
 
 
 class StoredAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """An upstream's complete answer, kept for replay to a repeated call.
+    """An upstream's answer, read to its end and kept for replay to a repeated call.
 
     Parameters
     ==========
@@ -14,11 +14,15 @@
         The HTTP status.
     headers : tuple of (str, str)
     body : bytes
+    is_end_certain : bool
+        Whether the upstream stated where the answer ends; not known of answers that an
+        earlier release stored.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
+    is_end_certain: bool = False
 
     def size_bytes(self):
         """Return the approximate memory use of the answer in bytes."""
--- a/libs/messages/src/hemlockhoist/messages/tests/test_codec.py
+++ b/libs/messages/src/hemlockhoist/messages/tests/test_codec.py
@@ -14,6 +14,7 @@
     Envelope,
     GrantCancel,
     HeldGrants,
+    StoredAnswer,
     codec,
 )
 
@@ -70,6 +71,23 @@
         earlier = msgspec.msgpack.decode(bytes.fromhex(f"9c{fields}"), type=HeldGrants)
         self.assertEqual(earlier, report)
 
+    def test_stored_answers_of_neighbouring_releases_are_read(self):
+        """Guards against certainty about the end of an answer that nobody has stated."""
+
+        class EarlierAnswer(msgspec.Struct, kw_only=True):
+            status: int
+            headers: tuple[tuple[str, str], ...] = ()
+            body: bytes = b""
+
+        stored = StoredAnswer(status=200, body=b"booked", is_end_certain=True)
+        encoded = msgspec.msgpack.encode(stored)
+        self.assertEqual(msgspec.msgpack.decode(encoded, type=StoredAnswer), stored)
+        earlier = msgspec.msgpack.decode(encoded, type=EarlierAnswer)
+        self.assertEqual((earlier.status, earlier.body), (200, b"booked"))
+        encoded = msgspec.msgpack.encode(earlier)
+        read = msgspec.msgpack.decode(encoded, type=StoredAnswer)
+        self.assertEqual((read.body, read.is_end_certain), (b"booked", False))
+
     @given(st.integers(min_value=0, max_value=len(_frame()) - 1))
     def test_truncated_frame_is_rejected(self, length):
         """No proper prefix of a frame is accepted as a frame."""
--- a/libs/relays/src/hemlockhoist/relays/paths.py
+++ b/libs/relays/src/hemlockhoist/relays/paths.py
@@ -377,20 +377,19 @@
     async def _check_link(self, call, report, is_relayed):
         is_at_fault = is_upstream_lost = False
         try:
-            if is_relayed:
-                is_upstream_lost = await self._verify(call) is RelayCause.UNREACHABLE
-            else:
-                is_at_fault, is_upstream_lost = await self.find_fault(call)
+            is_at_fault, is_upstream_lost = await self.find_fault(call, is_relayed)
         finally:
             report(is_at_fault, is_upstream_lost)
 
-    async def find_fault(self, call):
+    async def find_fault(self, call, is_relayed=False):
         """Return whether this host's link, and whether the upstream, has been lost.
 
         Parameters
         ==========
         call : UpstreamCall
             Whose connection was lost.
+        is_relayed : bool, optional
+            Whether another host passed the request on.
 
         Returns
         =======
@@ -403,6 +402,8 @@
         Failure prevented: the first of them finds the link lost, and takes that for the
         state in which the second one finds it.
         """
+        if is_relayed:
+            return False, await self._verify(call) is RelayCause.UNREACHABLE
         upstream_id = call.upstream_id
         task = self._fault_checks.get(upstream_id)
         if task is None:
--- a/libs/standins/src/hemlockhoist/standins/engine/app.py
+++ b/libs/standins/src/hemlockhoist/standins/engine/app.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from hemlockhoist.base import MS_PER_S, Clock
+from hemlockhoist.listeners import UnframedResponse
 from hemlockhoist.standins import answers
 from hemlockhoist.standins.engine import wire
 from hemlockhoist.standins.engine.core import EngineCore, EngineRequestFailed
@@ -173,10 +174,9 @@
     async def _send(self, request, stream, offset, crossing=_NO_CROSSING):
         """Send the pieces from ``offset`` on as they are generated, then the end."""
         head = crossing.source(stream, offset)
-        response = web.StreamResponse(
-            headers={**self._headers(head.request_id, head.version), **_SSE_HEADERS}
-        )
+        response = self._stream_response(head)
         break_at = self._break_offset(offset)
+        close_at = self._close_offset(offset)
         await response.prepare(request)
         try:
             while offset < len(stream.pieces):
@@ -184,8 +184,9 @@
                 if stream.cancelled:
                     return _abort(request, response)
                 until = stream.produced
-                if break_at != NO_BREAK:
-                    until = min(until, break_at)
+                for end in (break_at, close_at):
+                    if end != NO_BREAK:
+                        until = min(until, end)
                 events = [
                     wire.piece_event(crossing.source(stream, i), i)
                     for i in range(offset, until)
@@ -194,12 +195,23 @@
                 offset = until
                 if offset == break_at:
                     return _abort(request, response)
+                if offset == close_at:
+                    return response
             await response.write(wire.end_events(stream))
         except ConnectionError:
             # The client disconnected; generation continues and can be resumed.
             return response
         return response
 
+    def _stream_response(self, head):
+        """Return the response for a stream, or for another one's head."""
+        response = web.StreamResponse()
+        if self.core.faults.close_unframed:
+            response = UnframedResponse(200)
+        headers = self._headers(head.request_id, head.version)
+        response.headers.update({**headers, **_SSE_HEADERS})
+        return response
+
     def _next_shift(self):
         """Return by how many pieces a fault shifts the resumed stream."""
         faults = self.core.faults
@@ -216,6 +228,14 @@
         faults.break_streams -= 1
         return offset + faults.break_after_pieces
 
+    def _close_offset(self, offset):
+        """Return the offset at which a fault ends the response, or NO_BREAK."""
+        faults = self.core.faults
+        if faults.close_streams <= 0:
+            return NO_BREAK
+        faults.close_streams -= 1
+        return offset + faults.close_after_pieces
+
     def _next_crossing(self, stream):
         """Return the source of a new stream's pieces as set by the fault."""
         faults = self.core.faults
--- a/libs/standins/src/hemlockhoist/standins/engine/faults.py
+++ b/libs/standins/src/hemlockhoist/standins/engine/faults.py
@@ -20,6 +20,12 @@
         Number of streamed responses whose connection is dropped next ...
     break_after_pieces : int
         ... after this many pieces; generation continues.
+    close_streams : int
+        Number of streamed responses that end in order before their end mark next ...
+    close_after_pieces : int
+        ... after this many pieces; generation continues.
+    close_unframed : bool
+        Whether streamed responses have neither a length nor chunks.
     shift_resumes : int
         Number of resumed streams that start at a wrong offset next ...
     resume_shift : int
@@ -53,6 +59,9 @@
     fail_share: float = 0.0
     break_streams: int = 0
     break_after_pieces: int = 0
+    close_streams: int = 0
+    close_after_pieces: int = 0
+    close_unframed: bool = False
     shift_resumes: int = 0
     resume_shift: int = 0
     cross_streams: int = 0
--- a/libs/standins/src/hemlockhoist/standins/published/raw.py
+++ b/libs/standins/src/hemlockhoist/standins/published/raw.py
@@ -139,10 +139,22 @@
     }
     lines = [f"{method} {path} {version}", *(f"{k}: {v}" for k, v in headers.items())]
     head = "\r\n".join([*lines, "", ""]).encode()
-    address, _, port = site.hosts[host].settings.caller_address.rpartition(":")
-    reader, writer = await asyncio.open_connection(address, int(port))
+    return await exchange_raw(site.hosts[host].settings.caller_address, head + body)
+
+
+async def exchange_raw(address, data):
+    """Send bytes to an address; return the ``RawAnswer`` once the other side closes.
+
+    Parameters
+    ==========
+    address : str
+        ``IP:port``.
+    data : bytes
+    """
+    ip, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(ip, int(port))
     try:
-        writer.write(head + body)
+        writer.write(data)
         return await _read_to_end(reader)
     finally:
         writer.close()
--- a/libs/standins/src/hemlockhoist/standins/service/app.py
+++ b/libs/standins/src/hemlockhoist/standins/service/app.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from hemlockhoist.base import Clock
+from hemlockhoist.listeners import UnframedResponse
 from hemlockhoist.standins.counting import FractionSampler, RunCounter
 from hemlockhoist.standins.delayed_value import DelayedValue
 from hemlockhoist.standins.service.faults import ServiceFaults
@@ -104,7 +105,7 @@
             self.runs.rejected[key] += 1
             return self._answer(500, {"error": "injected failure, not run", "key": key})
         await self._run(key)
-        return self._reply(request, key, body)
+        return await self._reply(request, key, body)
 
     async def _run(self, key):
         self.runs.begun[key] += 1
@@ -120,7 +121,7 @@
         finally:
             self._add_in_flight(-1)
 
-    def _reply(self, request, key, body):
+    async def _reply(self, request, key, body):
         faults = self.faults
         if faults.consume("drop_after"):
             return _drop(request)
@@ -129,14 +130,32 @@
             self.runs.failed[key] += 1
             return self._answer(500, {"error": "injected failure, has run", "key": key})
         reply = expected_reply(request.method, request.path_qs, body)
-        return self._answer(200, {"reply": reply, "key": key})
+        content = {"reply": reply, "key": key}
+        if faults.consume("unframed"):
+            return await self._answer_unframed(content)
+        return self._answer(200, content)
+
+    async def _answer_unframed(self, content):
+        """Return an answer that ends with its connection, or a part of one."""
+        body = msgspec.json.encode(content)
+        if self.faults.consume("close_in_body"):
+            body = body[: len(body) // 2]
+            if self.faults.close_down_ms and self.server is not None:
+                down_ms = self.faults.close_down_ms
+                await self.server.refuse_connections_for(down_ms)
+        response = UnframedResponse(200, body)
+        response.headers.update(self._headers())
+        response.content_type = "application/json"
+        return response
 
     def _answer(self, status, body):
-        headers = {
+        return web.json_response(body, status=status, headers=self._headers())
+
+    def _headers(self):
+        return {
             "X-Upstream-Version": self._version,
             "X-Upstream-State": self.faults.state,
         }
-        return web.json_response(body, status=status, headers=headers)
 
     def _add_in_flight(self, step):
         self._in_flight += step
--- a/libs/standins/src/hemlockhoist/standins/service/faults.py
+++ b/libs/standins/src/hemlockhoist/standins/service/faults.py
@@ -20,6 +20,13 @@
         Number of calls that fail with status 500 next: before or after they run.
     drop_before, drop_after : int
         Number of calls whose connection is dropped next: before or after they run.
+    unframed : int
+        Number of answers that have neither a length nor chunks next.
+    close_in_body : int
+        Number of those whose connection is closed in order in the middle of the body
+        next, as by a killed process ...
+    close_down_ms : int
+        ... and new connections are refused for this time.
     refuse_ms : int
         How long new connections are refused.
     state : str
@@ -36,6 +43,9 @@
     fail_after: int = 0
     drop_before: int = 0
     drop_after: int = 0
+    unframed: int = 0
+    close_in_body: int = 0
+    close_down_ms: int = 0
     refuse_ms: int = 0
     state: str = "live"
     load_lag_ms: int = 0
--- a/libs/standins/src/hemlockhoist/standins/tests/test_host_process.py
+++ b/libs/standins/src/hemlockhoist/standins/tests/test_host_process.py
@@ -355,7 +355,9 @@
     return endpoint.platform_address
 
 
-class CutHostTests(HostCase):
+class CutHostCase(HostCase):
+    """Runs a second host, which alone has links to the upstreams."""
+
     async def asyncSetUp(self):
         await super().asyncSetUp()
         other = HostProcess(self._settings(), self._traces())
@@ -381,6 +383,8 @@
             raise ConnectionRefusedError(111, "Connection refused")
         return await self.open(factory, ip, port)
 
+
+class CutHostTests(CutHostCase):
     async def test_chats_and_calls_are_served_through_another_host(self):
         """Guards against a host that serves nobody, beside one with links."""
         for _ in range(4):
