Take a relayed answer for broken that falls short of its stated length

What callers saw: a part of an answer with status 200 and this host's own length, where a relaying host had ended its answer, with a proper last chunk, before the upstream's stated length.

Cause: the HTTP library compares a body with its length on this host's own connections only. A relayed body comes in the relaying host's chunks, and UpstreamResponse counted nothing.

Change: UpstreamResponse.chunks compares each body that has a stated length with it.

Ruled out: a check in relays/client.py alone, which would not see what is read before.

What held before, over a relay as over an own link: an unframed answer that is closed early is continued if it is a resumable stream, else passed on unframed (a stream that may not be resumed, plain bodies), and broken if its upstream is gone; a body short of its length or last chunk is broken, as is one whose relaying host ends in the middle of it. A body in chunks that a relaying host ends early cannot be told from a whole one: that host's last chunk is all that is known of its end.

--- a/libs/upstreams/src/hemlockhoist/upstreams/response.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/response.py
@@ -138,31 +138,43 @@
         Raises
         ======
         DispatchError
-            When the body breaks off or, without a length or chunks, never begins, or no
-            data arrives within the idle timeout.
+            When the body breaks off, is not as long as stated or, without a length or
+            chunks, never begins, or no data arrives within the idle timeout.
         """
         content = self._response.content
         # A list, from which each chunk is taken: a name would keep it in memory for as
         # long as the reader waits for its caller.
         chunks = [self._first_data]
         self._first_data = b""
-        has_begun = bool(chunks[0])
-        if has_begun:
+        body_bytes = len(chunks[0])
+        if body_bytes:
             yield chunks.pop()
         with dispatch_errors():
             while True:
                 chunks = [await content.readany()]
                 if not chunks[0]:
                     break
-                has_begun = True
+                body_bytes += len(chunks[0])
                 yield chunks.pop()
-        self._check_begun(has_begun)
+        self._check_begun(body_bytes > 0)
+        self._check_length(body_bytes)
 
     def _check_begun(self, has_begun):
         if not has_begun and not self.body_end.is_certain:
             text = "the connection ended before the answer began"
             raise AnswerNotBegun(text, ResultCode.UPSTREAM_BROKE_OFF)
 
+    def _check_length(self, body_bytes):
+        """Compare the size of a body with the one that its head states.
+
+        The HTTP library does so on this host's own connections. A body that another
+        host has passed on comes in that host's chunks.
+        """
+        length = self._stated_length
+        if length is not None and body_bytes != length:
+            text = f"the answer ended after {body_bytes} of {length} bytes"
+            raise DispatchError(text, ResultCode.UPSTREAM_BROKE_OFF)
+
     async def read(self, max_bytes, reserve=None):
         """Return the complete body.
 
