Let no break of a host look like the end of an unframed body

What callers would see: the first part of a plain body and an orderly close, if the host is killed while it sends an answer without a length or chunks: the kernel sends what it has, and closes in order. Streams had been set to be reset since; plain bodies of both interfaces had not.

Change: UnframedResponse itself sets its connection to be reset from before its head until the kernel has all of it. The entry host waits for that as for long answers, so that a caller that takes nothing is cut off as before. body_bytes, which only that place used, is gone.

Ruled out: clearing the reset as soon as the body has been handed to the event loop: what it still buffers would be lost, or be cut in order by a kill, as before.

--- a/libs/entry/src/hemlockhoist/entry/responses.py
+++ b/libs/entry/src/hemlockhoist/entry/responses.py
@@ -1,7 +1,5 @@
 """Responses to callers: those of upstreams, and error responses of this system."""
 
-import functools
-
 from aiohttp import web
 
 from hemlockhoist.base import Ran
@@ -55,17 +53,6 @@
     return response
 
 
-@functools.singledispatch
-def body_bytes(response):
-    """Return the size of the body of a response that is not written yet."""
-    return response.content_length or 0
-
-
-@body_bytes.register
-def _(response: UnframedResponse):
-    return response.body_bytes
-
-
 def add_headers(response, headers):
     """Copy an upstream's headers into the response to the caller."""
     for name, value in headers:
--- a/libs/entry/src/hemlockhoist/entry/servers.py
+++ b/libs/entry/src/hemlockhoist/entry/servers.py
@@ -37,9 +37,9 @@
 from hemlockhoist.entry.caller_connections import CallerConnections
 from hemlockhoist.entry.exchange import Exchange
 from hemlockhoist.entry.memory import HeadMemory, RequestMemory
-from hemlockhoist.entry.responses import CODE_HEADER, body_bytes, error_response
+from hemlockhoist.entry.responses import CODE_HEADER, error_response
 from hemlockhoist.host.body import read_body
-from hemlockhoist.listeners import HttpListener
+from hemlockhoist.listeners import HttpListener, UnframedResponse
 
 _log = get_logger("entry.surface")
 
@@ -220,7 +220,7 @@
         try:
             response = await exchange.run()
             self._log_ended(exchange, response, arrived_ms)
-            await self._write_long(request, response)
+            await self._write_whole(request, response, exchange, buffer)
         except asyncio.CancelledError:
             is_answered = exchange.response_started
             self._record_disconnect(exchange, admitted.tier, arrived_ms, is_answered)
@@ -229,7 +229,7 @@
             check_not_run(self._context.invariants, exchange, error)
             raise
         try:
-            await self._flush(exchange, buffer)
+            await self._flush(exchange, buffer, buffer.flush)
         except asyncio.CancelledError:
             self._record_disconnect(exchange, admitted.tier, arrived_ms, True)
             raise
@@ -262,20 +262,28 @@
         if self._context.refuses_requests:
             raise Refused("", ResultCode.LEAVING, LEAVING_RETRY_AFTER_MS)
 
-    async def _write_long(self, request, response):
-        """Write a long whole answer; the HTTP server writes shorter ones."""
-        if not response.prepared and body_bytes(response) > FREE_BUFFER_BYTES:
-            self._close_if_leaving(response)
-            await response.prepare(request)
-            await response.write_eof()
+    async def _write_whole(self, request, response, exchange, buffer):
+        """Write a long plain answer, or one without a stated end.
 
-    async def _flush(self, exchange, buffer):
+        The HTTP server writes the others.
+        """
+        if response.prepared:
+            return
+        if isinstance(response, UnframedResponse):
+            response.flush = lambda: self._flush(exchange, buffer, buffer.flush_all)
+        elif (response.content_length or 0) <= FREE_BUFFER_BYTES:
+            return
+        self._close_if_leaving(response)
+        await response.prepare(request)
+        await response.write_eof()
+
+    async def _flush(self, exchange, buffer, wait):
         """Wait until the caller has taken a long answer, whose memory is accounted.
 
         The upstream has been released. A caller that takes nothing is cut off.
         """
         try:
-            await buffer.flush()
+            await wait()
         except SlowReader as error:
             buffer.abort()
             self._context.metrics.count(STREAMS_CUT, CutCause.SLOW_READER.value)
--- a/libs/entry/src/hemlockhoist/entry/stream.py
+++ b/libs/entry/src/hemlockhoist/entry/stream.py
@@ -10,7 +10,7 @@
 from hemlockhoist.entry.responses import add_headers
 from hemlockhoist.entry.stalls import StallWatchdog, always_replaced
 from hemlockhoist.entry.stream_end import StreamEnd
-from hemlockhoist.listeners import UnframedResponse, set_reset_on_close
+from hemlockhoist.listeners import UnframedResponse
 from hemlockhoist.upstreams import AnswerNotBegun, part_limit_ms
 
 US_PER_MS = 1_000
@@ -356,8 +356,9 @@
         states_end = self._response.body_end.is_certain
         if states_end and self._request.version >= HttpVersion11:
             return web.StreamResponse(status=self._head.status)
-        set_reset_on_close(self._request.transport, True)
-        return UnframedResponse(self._head.status)
+        response = UnframedResponse(self._head.status)
+        response.flush = self._buffer.flush_all
+        return response
 
     @property
     def _is_unframed(self):
@@ -382,9 +383,6 @@
         if self._caller_response is None:
             await self._start_response()
         await self._caller_response.write_eof()
-        if self._is_unframed:
-            await self._buffer.flush_all()
-            set_reset_on_close(self._request.transport, False)
         return self._caller_response
 
     def drop_data(self):
--- a/libs/listeners/src/hemlockhoist/listeners/unframed.py
+++ b/libs/listeners/src/hemlockhoist/listeners/unframed.py
@@ -1,10 +1,15 @@
 """Responses of which only the end of their connection says that they have ended."""
 
+import asyncio
 import socket
 import struct
 
 from aiohttp import web
 
+from hemlockhoist.base import MS_PER_S
+
+# There is no notice from the transport that its buffer is empty.
+CHECK_INTERVAL_MS = 20
 _LINGER = struct.Struct("ii")
 
 
@@ -12,7 +17,8 @@
     """A response with neither a length nor chunks, which closes its connection.
 
     It is for an answer whose own end is uncertain: a length or a last chunk would
-    state that it is whole.
+    state that it is whole. Until the kernel has all of it, the end of the connection is
+    a reset, so that no break of this process looks like the end of the response.
 
     Parameters
     ==========
@@ -22,8 +28,9 @@
 
     Attributes
     ==========
-    body_bytes : int
-        Size of the body that has not been written.
+    flush : coroutine function or None
+        Waits until the kernel has all that was written, or raises an error; None for a
+        wait without a limit.
     """
 
     # Otherwise the HTTP library sends chunks.
@@ -32,17 +39,30 @@
     def __init__(self, status, body=b""):
         super().__init__(status=status)
         self._rest = body
+        self._transport = None
+        self.flush = None
         self.force_close()
 
-    @property
-    def body_bytes(self):
-        """Size of the body that has not been written."""
-        return len(self._rest)
+    async def prepare(self, request):
+        """Send the head."""
+        if not self.prepared:
+            self._transport = request.transport
+            set_reset_on_close(self._transport, True)
+        return await super().prepare(request)
 
     async def write_eof(self, data=b""):
-        """Write the body, and drop it."""
+        """Write the body, drop it, and wait until the kernel has it."""
         rest, self._rest = self._rest, b""
         await super().write_eof(rest or data)
+        await (self.flush or self._wait_flushed)()
+        set_reset_on_close(self._transport, False)
+
+    async def _wait_flushed(self):
+        transport = self._transport
+        while transport is not None and not transport.is_closing():
+            if not transport.get_write_buffer_size():
+                return
+            await asyncio.sleep(CHECK_INTERVAL_MS / MS_PER_S)
 
 
 def set_reset_on_close(transport, is_reset):
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_answer_ends.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_answer_ends.py
@@ -171,3 +171,15 @@
                 answer = await self.call(path, sends_body(len(BODY)), method=method)
                 self.assertEqual(answer.status, 200)
                 self.assertEqual(answer.body, BODY)
+
+    async def test_whole_long_body_without_a_length_is_served(self):
+        """Guards against a reset that takes the rest of a whole body with it."""
+
+        async def send(received, writer):
+            writer.write(sender.head(received, framing=UNFRAMED) + BODY * 1_000)
+            await writer.drain()
+
+        sender = RawReplica("a", send)
+        answer = await self.call("/check-free/1", sender)
+        self.assertEqual((answer.status, answer.is_reset), (200, False))
+        self.assertEqual(len(answer.body), len(BODY) * 1_000)
