Take only valid status lines for answers, on both HTTP parsers

Cause: what the HTTP library's lenient response parser let through was taken for an answer, and its two parsers differ. Now BoundedHandler checks the bytes of a head itself (answer_head.HeadReader) before a parser sees them: HTTP/1.0 or 1.1, one blank, three digits, 100 to 599, not 101; interim answers are skipped, and checked too. Anything else is InvalidAnswerHead, a DispatchError: the request may have run. It is repeated where it may be, or else answered with 502. Its text, of bounded length and escaped, is the reason in attempt_ended. A head that the parser still refuses gets the same error.

Red before, with the tests of published/tests/test_answer_heads.py: - compiled parser: status 000 and 099 were passed on as "HTTP/1.1 0" and "HTTP/1.1 99", 600 and 101 unchanged, HTTP/0.9 and HTTP/2.0 as 200. - parser in Python, beside these: "HTTP/1.1 200", " HTTP/1.1 200" and HTTP/1.2 as 200, which the compiled one refused; an answer after an empty line was 502, which the compiled one read.

Decided: a status line without a reason, and lines that end without CR, stay answers, as both parsers read them alike. Empty lines before an answer are dropped before the parser.

Ruled out: a check of parsed heads alone. It sees neither blanks in the status line nor folded lines, and heads differ by parser.

--- a/libs/base/src/hemlockhoist/base/testing.py
+++ b/libs/base/src/hemlockhoist/base/testing.py
@@ -5,12 +5,22 @@
 
 import asyncio
 import heapq
+import os
 import selectors
+import subprocess
+import sys
 import unittest
 
 _BEGIN_S = 1_000.0
 # How long to wait at a time, in real time, for work in other threads.
 _THREADS_WAIT_S = 0.001
+_MAX_OUTPUT_CHARACTERS = 8_000
+_WITH_PYTHON_PARSER = """
+import unittest
+from aiohttp import http_parser
+assert http_parser.HttpResponseParser is http_parser.HttpResponseParserPy
+unittest.main(module=None)
+"""
 
 
 class PausedEventLoop(asyncio.SelectorEventLoop):
@@ -130,3 +140,29 @@
     def _setupAsyncioRunner(self):  # noqa: N802 (the name is unittest's)
         assert self._asyncioRunner is None
         self._asyncioRunner = asyncio.Runner(loop_factory=PausedSocketEventLoop)
+
+
+def run_with_python_parser(*names):
+    """Run tests in a process that parses HTTP in Python; return its output.
+
+    The HTTP library takes its other parser only as it is loaded.
+
+    Parameters
+    ==========
+    names : str
+        Dotted names of test classes.
+
+    Raises
+    ======
+    AssertionError
+        If a test fails, or none ran.
+    """
+    command = [sys.executable, "-c", _WITH_PYTHON_PARSER, *names]
+    environment = {**os.environ, "AIOHTTP_NO_EXTENSIONS": "1"}
+    process = subprocess.run(
+        command, capture_output=True, text=True, env=environment, check=False
+    )
+    output = process.stdout + process.stderr
+    if process.returncode or "\nRan 0 tests" in output:
+        raise AssertionError(output[-_MAX_OUTPUT_CHARACTERS:])
+    return output
--- /dev/null
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_answer_heads.py
@@ -0,0 +1,113 @@
+"""End-to-end tests of upstreams whose answers have heads that are none."""
+
+import unittest
+
+from hemlockhoist.base.testing import run_with_python_parser
+from hemlockhoist.standins.published import Replica, Site, route
+from hemlockhoist.standins.published.raw import RawReplica, call_raw
+
+LOOKUP = route("check-free", "reservas")
+BOOKING = route("book-hall", "reservas", "non_idempotent", max_attempts=1)
+REPORT = route("report", "asistente", "streaming", resumable=True, timeout_ms=5_000)
+ROUTES = [LOOKUP, BOOKING, REPORT]
+EVENTS = 4
+PLATFORM_FIELDS = b"Attempt-Id: a1\r\nResponse-Signature: receipt-of-a\r\n"
+LENGTH = b"Content-Length: 4\r\n"
+STATUS_LINES = (
+    b"HTTP/1.1 000 OK",
+    b"HTTP/1.1 099 OK",
+    b"HTTP/1.1 600 OK",
+    b"HTTP/1.1 101 Switching Protocols",
+    b"HTTP/1.1 2000 OK",
+    b"HTTP/1.1  200 OK",
+    b" HTTP/1.1 200 OK",
+    b"HTTP/0.9 200 OK",
+    b"HTTP/1.2 200 OK",
+    b"HTTP/2.0 200 OK",
+)
+
+
+def answer(status_line=b"HTTP/1.1 200 OK", fields=b"", framing=LENGTH, body=b"odd!"):
+    head = status_line + b"\r\n" + PLATFORM_FIELDS + fields + framing
+    return head + b"\r\n" + body
+
+
+def sends(data):
+    """Return a replica that answers with these bytes, and closes the connection."""
+
+    async def send(received, writer):
+        writer.write(data)
+        await writer.drain()
+
+    return RawReplica("a", send)
+
+
+async def call(path, *replicas, **fields):
+    """Send a request to a site with these replicas, the first of which is asked first."""
+    pool = "asistente" if path.startswith("/report") else "reservas"
+    services = {"asistente": [], "reservas": [], pool: list(replicas)}
+    async with Site(services, ROUTES) as site:
+        return await call_raw(site, path, **fields)
+
+
+class HeadTestCase(unittest.IsolatedAsyncioTestCase):
+    async def check_no_answer(self, data):
+        """Check that bytes are no answer, and the request may have run."""
+        with self.subTest(data=data):
+            first, second = sends(data), Replica("b")
+            answered = await call("/check-free/1", first, second)
+            self.assertEqual((len(first.ran), answered.status), (1, 200))
+            self.assertEqual(answered.header("Response-Signature"), "receipt-of-b")
+            first, second = sends(data), Replica("b")
+            answered = await call("/book-hall/1", first, second, method="POST")
+            self.assertEqual((len(first.ran), len(second.ran)), (1, 0))
+            self.assertEqual(answered.status, 502)
+            self.assertNotIn(b"odd!", answered.data)
+
+    async def check_stream_is_sent_by_another(self, data):
+        """Check that a stream does not begin with bytes that are no answer."""
+        with self.subTest(data=data):
+            first, second = sends(data), Replica("b", events=EVENTS)
+            answered = await call("/report/1", first, second, method="POST")
+            self.assertEqual((len(first.ran), answered.status), (1, 200))
+            self.assertEqual(answered.body.count(b"data:"), EVENTS)
+
+    async def check_passed_on(self, data, status=200, **fields):
+        """Check that an answer is passed on with these fields."""
+        with self.subTest(data=data):
+            answered = await call("/check-free/1", sends(data))
+            self.assertEqual((answered.status, answered.body), (status, b"odd!"))
+            for name, value in fields.items():
+                self.assertEqual(answered.header(name.replace("_", "-")), value)
+
+
+class StatusLineTests(HeadTestCase):
+    async def test_answer_with_an_invalid_status_line_is_not_passed_on(self):
+        """Guards against callers that get a status that their library refuses."""
+        for line in STATUS_LINES:
+            await self.check_no_answer(answer(line))
+
+    async def test_bytes_without_a_head_are_not_passed_on(self):
+        """Guards against an error page without a head that is taken for an answer."""
+        for data in (b"odd!", b"<html>\nodd!\n</html>\n\n"):
+            await self.check_no_answer(data)
+
+    async def test_stream_with_an_invalid_status_is_sent_by_another_upstream(self):
+        """Guards against a stream that begins with a head that is none."""
+        for line in STATUS_LINES[:4]:
+            await self.check_stream_is_sent_by_another(answer(line))
+
+    async def test_usual_status_lines_are_passed_on(self):
+        """Guards against sound answers that are lost."""
+        for line in (b"HTTP/1.0 200 OK", b"HTTP/1.1 200", b"HTTP/1.1 200 Tr\xe8s bien"):
+            await self.check_passed_on(answer(line))
+        await self.check_passed_on(answer(b"HTTP/1.1 404 Not Found"), 404)
+        await self.check_passed_on(b"HTTP/1.1 103 Early Hints\r\n\r\n" + answer())
+        await self.check_passed_on(answer().replace(b"\r\n", b"\n"))
+        await self.check_passed_on(b"\r\n" + answer())
+
+
+class OtherParserTests(unittest.TestCase):
+    def test_heads_are_the_same_answers_with_the_parser_in_python(self):
+        """Guards against hosts that take different heads for answers."""
+        run_with_python_parser(f"{__name__}.StatusLineTests")
--- a/libs/upstreams/src/hemlockhoist/upstreams/__init__.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/__init__.py
@@ -1,5 +1,6 @@
 """Clients of model engines and plain services."""
 
+from hemlockhoist.upstreams.answer_head import InvalidAnswerHead
 from hemlockhoist.upstreams.body_end import BodyEnd
 from hemlockhoist.upstreams.bounds import BoundedHandler, part_limit_ms
 from hemlockhoist.upstreams.client import UpstreamCall, UpstreamClient, cancel_stream
@@ -29,6 +30,7 @@
     "AnswerNotBegun",
     "BodyEnd",
     "BoundedHandler",
+    "InvalidAnswerHead",
     "ResetDetectingConnector",
     "REQUEST_ID_HEADER",
     "VERSION_HEADER",
--- /dev/null
+++ b/libs/upstreams/src/hemlockhoist/upstreams/answer_head.py
@@ -0,0 +1,146 @@
+"""Which heads are answers: the one decision for all readers and both parsers."""
+
+import re
+
+import aiohttp
+
+from hemlockhoist.base import DispatchError, ResultCode
+
+# What an error quotes of a head.
+MAX_QUOTED_CHARACTERS = 60
+_HEAD_BEGIN = b"HTTP/1."
+_EMPTY_LINES = re.compile(rb"\A(?:\r?\n)+")
+# The blank before an empty reason is often left out. A later minor version is refused
+# by one of the library's parsers only, and 0.9 has no heads.
+_STATUS_LINE = re.compile(r"HTTP/1\.([01]) ([0-9]{3})(?: (.*))?", re.DOTALL)
+_FIRST_STATUS, _FIRST_FINAL_STATUS, _LAST_STATUS = 100, 200, 599
+_SWITCHING_PROTOCOLS = 101
+
+
+class InvalidAnswerHead(DispatchError, aiohttp.ClientPayloadError):  # noqa: N818
+    """What an upstream sent is no answer; the request may have run.
+
+    It is an error of the HTTP library too, as it is raised through it.
+
+    Parameters
+    ==========
+    text : str
+        What is wrong.
+    quoted : str, optional
+        The part of the head that is; control bytes are escaped.
+    """
+
+    code = ResultCode.UPSTREAM_BROKE_OFF
+
+    def __init__(self, text, quoted=None):
+        if quoted is not None:
+            text = f"{text}: {quoted[:MAX_QUOTED_CHARACTERS]!a}"
+        super().__init__(f"the head of the answer is invalid: {text}")
+
+
+class HeadReader:
+    """Reads the heads of one answer in the bytes of its connection, and checks them.
+
+    Failure prevented: the HTTP library's two parsers let different heads through, and
+    both take some for answers that can't be passed on. So the bytes themselves are
+    checked, before a parser sees them.
+
+    Attributes
+    ==========
+    status : int or None
+        The status of the answer; None until its head has ended.
+
+    Examples
+    ========
+    >>> from hemlockhoist.upstreams.answer_head import HeadReader
+    >>> reader = HeadReader()
+    >>> _ = reader.feed(b"HTTP/1.1 102 Processing\\r\\n\\r\\nHTTP/1.1 200 OK\\r\\n")
+    >>> reader.status
+    >>> reader.feed(b"Content-Length: 2\\r\\n\\r\\nok")
+    b'Content-Length: 2\\r\\n\\r\\nok'
+    >>> reader.status
+    200
+    """
+
+    __slots__ = ("_has_begun", "_incomplete", "_lines", "status")
+
+    def __init__(self):
+        self._has_begun = False
+        self._incomplete = b""
+        self._lines = []
+        self.status = None
+
+    def feed(self, data):
+        """Check the next bytes of the connection; return those for a parser.
+
+        Empty lines before the answer are dropped: one parser skips them, and the other
+        refuses the answer.
+
+        Raises
+        ======
+        InvalidAnswerHead
+        """
+        if not self._has_begun:
+            data = _EMPTY_LINES.sub(b"", self._incomplete + data)
+            self._incomplete = data if data in (b"", b"\r") else b""
+            self._has_begun = not self._incomplete and bool(data)
+        if self._has_begun and self.status is None:
+            self._read_lines(data)
+        return data if self._has_begun else b""
+
+    def _read_lines(self, data):
+        # Lines may end without CR (RFC 9112, section 2.2).
+        *lines, self._incomplete = (self._incomplete + data).split(b"\n")
+        for line in lines:
+            self._add_line(line.removesuffix(b"\r").decode("latin-1"))
+            if self.status is not None:
+                return
+        if not self._lines:
+            self._check_begin()
+
+    def _add_line(self, line):
+        if line or not self._lines:
+            self._lines.append(line)
+            if len(self._lines) == 1:
+                _read_status_line(line)
+            return
+        _, status = _read_status_line(self._lines[0])
+        self._lines = []
+        if status >= _FIRST_FINAL_STATUS:
+            self.status = status
+
+    def _check_begin(self):
+        """Refuse bytes that no longer can become a status line."""
+        begin = self._incomplete[: len(_HEAD_BEGIN)]
+        if not _HEAD_BEGIN.startswith(begin):
+            raise InvalidAnswerHead(
+                "no status line", self._incomplete.decode("latin-1")
+            )
+
+
+def _read_status_line(line):
+    """Return the minor version and the status."""
+    match = _STATUS_LINE.fullmatch(line)
+    if match is None:
+        raise InvalidAnswerHead("no status line", line)
+    status = int(match[2])
+    check_status(status)
+    return int(match[1]), status
+
+
+def check_status(status, is_final=False):
+    """Check that a status has a meaning, and none that nobody asked for.
+
+    Parameters
+    ==========
+    status : int
+    is_final : bool, optional
+        Whether an interim one is refused, too.
+
+    Raises
+    ======
+    InvalidAnswerHead
+    """
+    first = _FIRST_FINAL_STATUS if is_final else _FIRST_STATUS
+    if not first <= status <= _LAST_STATUS or status == _SWITCHING_PROTOCOLS:
+        raise InvalidAnswerHead(f"status {status:03}"[:MAX_QUOTED_CHARACTERS])
--- a/libs/upstreams/src/hemlockhoist/upstreams/bounds.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/bounds.py
@@ -4,6 +4,7 @@
 from aiohttp.client_proto import ResponseHandler
 
 from hemlockhoist.base import MS_PER_S
+from hemlockhoist.upstreams.answer_head import HeadReader, InvalidAnswerHead
 
 # The HTTP library bounds the status line and each header by 8 KB, and the number of
 # headers by 128. It bounds neither their sum nor what it skips: empty lines and interim
@@ -20,7 +21,6 @@
 # byte, so that another upstream has the rest.
 PART_TIME_FRACTION = 0.125
 _FIRST_FINAL_STATUS = 200
-_SWITCHING_PROTOCOLS = 101
 
 
 class DataWithoutEnd(aiohttp.ClientPayloadError):  # noqa: N818
@@ -57,6 +57,7 @@
 
     def __init__(self, loop):
         super().__init__(loop)
+        self._head = HeadReader()
         self._body = None
         self._body_bytes = 0
         self._unbounded_bytes = 0
@@ -65,6 +66,7 @@
 
     def set_response_params(self, **params):
         """Prepare for the response to the next request of the connection."""
+        self._head = HeadReader()
         self._body = None
         self._body_bytes = self._unbounded_bytes = 0
         self._head_begin_s = None
@@ -73,7 +75,10 @@
     def feed_data(self, data, size=0):
         """Take a parsed head and its body from the parser."""
         message, body = data
-        if message.code >= _FIRST_FINAL_STATUS or message.code == _SWITCHING_PROTOCOLS:
+        if message.code >= _FIRST_FINAL_STATUS:
+            if self._body is None and message.code != self._head.status:
+                self._end(InvalidAnswerHead("the parser read another one"))
+                return
             self._body = body
             self._body_bytes = self._unbounded_bytes = 0
         # The final head may follow an interim one at any later time.
@@ -81,39 +86,59 @@
         super().feed_data(data, size)
 
     def data_received(self, data):
-        """Parse bytes of the upstream, and check the bounds."""
-        if self._body is None and data and self._head_begin_s is None:
-            self._head_begin_s = self._loop.time()
-        super().data_received(data)
-        if not data or self.transport is None:
+        """Check and parse bytes of the upstream, and check the bounds."""
+        byte_count = len(data)
+        if self._body is None and data:
+            data = self._checked(data)
+            if data is None:
+                return
+        if data or not byte_count:
+            super().data_received(data)
+        if not byte_count or self.transport is None:
             # The library also calls this to parse on after each read of the body.
             return
         body = self._body
         if body is None:
-            self._check_head(len(data))
+            self._check_head(byte_count)
             return
         body_bytes = body.total_bytes
         if body_bytes > self._body_bytes:
             self._body_bytes = body_bytes
             self._unbounded_bytes = 0
         else:
-            self._unbounded_bytes += len(data)
+            self._unbounded_bytes += byte_count
             if self._unbounded_bytes > MAX_FRAMING_BYTES:
-                self._end(f"{self._unbounded_bytes} bytes outside of its body")
+                text = f"{self._unbounded_bytes} bytes outside of its body"
+                self._end_unbounded(text)
+
+    def _checked(self, data):
+        """Return the bytes of a head to parse; None if they are no answer."""
+        if self._head_begin_s is None:
+            self._head_begin_s = self._loop.time()
+        if self._parser is None:
+            # The library keeps the bytes, and passes them again once it has one.
+            return data
+        try:
+            return self._head.feed(data)
+        except InvalidAnswerHead as error:
+            self._end(error)
+            return None
 
     def _check_head(self, byte_count):
         self._unbounded_bytes += byte_count
         if self._unbounded_bytes > MAX_HEAD_BYTES:
-            self._end(f"a head of more than {MAX_HEAD_BYTES} bytes")
+            self._end_unbounded(f"a head of more than {MAX_HEAD_BYTES} bytes")
         elif self._head_begin_s is not None:
             remaining_ms = (self.read_timeout or MAX_PART_MS) * MS_PER_S
             limit_ms = part_limit_ms(remaining_ms)
             if (self._loop.time() - self._head_begin_s) * MS_PER_S > limit_ms:
-                self._end(f"a head that did not end within {limit_ms:.0f} ms")
+                self._end_unbounded(f"a head that did not end within {limit_ms:.0f} ms")
+
+    def _end_unbounded(self, text):
+        self._end(DataWithoutEnd(f"the other side sent {text}"))
 
-    def _end(self, text):
+    def _end(self, error):
         """Abort the connection, and report the answer as broken."""
-        error = DataWithoutEnd(f"the other side sent {text}")
         transport = self.transport
         if self._body is not None and not self._body.is_eof():
             self._body.set_exception(error)
--- a/libs/upstreams/src/hemlockhoist/upstreams/client.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/client.py
@@ -17,6 +17,7 @@
     io_timeout,
     is_address,
 )
+from hemlockhoist.upstreams.answer_head import InvalidAnswerHead
 from hemlockhoist.upstreams.bounds import BoundedHandler
 from hemlockhoist.upstreams.connections import (
     DirectConnector,
@@ -255,6 +256,11 @@
                 allow_redirects=False,
                 timeout=timeout,
             )
+        except InvalidAnswerHead:
+            raise
+        except aiohttp.ClientResponseError as error:
+            # Its parser stops within the head, which may be before its line has ended.
+            raise InvalidAnswerHead("not readable", error.message) from error
         except RepeatedDispatch as error:
             text = "the connection was lost before a response arrived"
             raise DispatchError(text, ResultCode.OUTCOME_UNKNOWN) from error
--- a/libs/upstreams/src/hemlockhoist/upstreams/response.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/response.py
@@ -5,6 +5,7 @@
 import aiohttp
 
 from hemlockhoist.base import DispatchError, ResultCode
+from hemlockhoist.upstreams.answer_head import InvalidAnswerHead
 from hemlockhoist.upstreams.body_end import BodyEnd
 from hemlockhoist.upstreams.bounds import DataWithoutEnd
 
@@ -213,6 +214,8 @@
     """Convert errors of the HTTP library after a dispatch to ``DispatchError``."""
     try:
         yield
+    except InvalidAnswerHead:
+        raise
     except (TimeoutError, aiohttp.ServerTimeoutError) as error:
         text = "no data from the upstream within the idle timeout"
         raise DispatchError(text, ResultCode.UPSTREAM_TIMEOUT) from error
--- /dev/null
+++ b/libs/upstreams/src/hemlockhoist/upstreams/tests/test_answer_head.py
@@ -0,0 +1,119 @@
+import doctest
+import unittest
+
+from hemlockhoist.base import DispatchError, ResultCode
+from hemlockhoist.base.testing import run_with_python_parser
+from hemlockhoist.upstreams import InvalidAnswerHead, answer_head
+from hemlockhoist.upstreams.tests.test_bounds import Upstream, dispatched
+
+LENGTH = b"Content-Length: 4\r\n"
+MAX_REASON_CHARACTERS = 200
+STATUS_LINES = (
+    b"HTTP/1.1 000 OK",
+    b"HTTP/1.1 099 OK",
+    b"HTTP/1.1 600 OK",
+    b"HTTP/1.1 999 OK",
+    b"HTTP/1.1 101 Switching Protocols",
+    b"HTTP/1.1 20 OK",
+    b"HTTP/1.1 2000 OK",
+    b"HTTP/1.1 +20 OK",
+    b"HTTP/1.1 -20 OK",
+    b"HTTP/1.1 2\xb2 OK",
+    b"HTTP/1.1  200 OK",
+    b"HTTP/1.1\t200 OK",
+    b"HTTP/1.1",
+    b" HTTP/1.1 200 OK",
+    b"HTTP/0.9 200 OK",
+    b"HTTP/1.2 200 OK",
+    b"HTTP/2.0 200 OK",
+    b"HTTP/2 200",
+    b"http/1.1 200 OK",
+    b"ICY 200 OK",
+)
+
+
+def answer(status_line=b"HTTP/1.1 200 OK", fields=b"", framing=LENGTH, body=b"body"):
+    return status_line + b"\r\n" + fields + framing + b"\r\n" + body
+
+
+def cut(data):
+    """Return the ways in which bytes arrive: at once, and one by one."""
+    return [data], [data[n : n + 1] for n in range(len(data))]
+
+
+async def read(chunks):
+    """Return the status, header ``X-A`` and body of an answer, or its error."""
+    async with Upstream(chunks) as upstream:
+        try:
+            async with dispatched(upstream.address) as response:
+                text = response.headers.get("X-A")
+                return response.status, text, await response.read(1_000)
+        except DispatchError as error:
+            return error
+
+
+class HeadTestCase(unittest.IsolatedAsyncioTestCase):
+    async def check_refused(self, data):
+        for chunks in cut(data):
+            with self.subTest(data=data, chunk_count=len(chunks)):
+                error = await read(chunks)
+                self.assertIsInstance(error, InvalidAnswerHead)
+                self.assertEqual(error.code, ResultCode.UPSTREAM_BROKE_OFF)
+                self.assertLess(len(error.message), MAX_REASON_CHARACTERS)
+                self.assertTrue(error.message.isascii() and error.message.isprintable())
+
+    async def check_read(self, data, expected):
+        for chunks in cut(data):
+            with self.subTest(data=data, chunk_count=len(chunks)):
+                self.assertEqual(await read(chunks), expected)
+
+
+class StatusLineTests(HeadTestCase):
+    async def test_invalid_status_lines_are_no_answers(self):
+        """Guards against an upstream's trouble that is passed on as an answer."""
+        for line in STATUS_LINES:
+            await self.check_refused(answer(line))
+
+    async def test_bytes_without_a_head_are_no_answer(self):
+        """Guards against a request that waits for the head in bytes that have none."""
+        for data in (b"hello", b"<html>\n<body>x</body></html>\n", b"H\0", b"\x16\x03"):
+            await self.check_refused(data)
+
+    async def test_interim_answers_are_checked_too(self):
+        """Guards against an answer that begins with an invalid interim one."""
+        for line in STATUS_LINES:
+            await self.check_refused(line + b"\r\n\r\n" + answer())
+        for status in (b"100", b"103", b"199"):
+            data = b"HTTP/1.1 " + status + b" Interim\r\nLink: x\r\n\r\n" + answer()
+            await self.check_read(data, (200, None, b"body"))
+
+    async def test_usual_status_lines_are_read(self):
+        """Guards against sound answers that are lost."""
+        for line in (
+            b"HTTP/1.1 200 OK",
+            b"HTTP/1.0 200 OK",
+            b"HTTP/1.1 200 ",
+            b"HTTP/1.1 200",
+            b"HTTP/1.1 200 Tr\xe8s bien",
+        ):
+            await self.check_read(answer(line), (200, None, b"body"))
+        await self.check_read(b"\r\n\n" + answer(), (200, None, b"body"))
+        for status in (299, 404, 599):
+            line = b"HTTP/1.1 %d X" % status
+            await self.check_read(answer(line), (status, None, b"body"))
+
+    async def test_lines_may_end_without_cr(self):
+        """Guards against sound answers that are lost."""
+        data = answer().replace(b"\r\n", b"\n")
+        await self.check_read(data, (200, None, b"body"))
+
+
+class OtherParserTests(unittest.TestCase):
+    def test_heads_are_the_same_answers_with_the_parser_in_python(self):
+        """Guards against hosts that take different heads for answers."""
+        run_with_python_parser(f"{__name__}.StatusLineTests")
+
+
+def load_tests(loader, tests, pattern):
+    tests.addTests(doctest.DocTestSuite(answer_head))
+    return tests
