Take no answer with control bytes in its head for one

Cause: the library's lenient parsers let control bytes through in values and reasons, and its writer refuses them, so the caller's connection ended without an answer.

Red before (tests of published/tests/test_answer_heads.py): a lookup and a booking whose answer had 0x01 or 0x7f in a value got no bytes at all; of a stream, the caller got 500. With the parser in Python, a CR in the reason was passed on, which the compiled one refuses. Names that are no tokens, NUL and CR in values were 502 on both parsers before; now they are refused by this module on both, with the same reason.

Change: HeadReader checks each field: names are tokens (RFC 9110, section 5.6.2), values and reasons hold no control bytes but tab (section 5.5). Bytes above 0x7f stay allowed.

--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_answer_heads.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_answer_heads.py
@@ -13,6 +13,8 @@
 EVENTS = 4
 PLATFORM_FIELDS = b"Attempt-Id: a1\r\nResponse-Signature: receipt-of-a\r\n"
 LENGTH = b"Content-Length: 4\r\n"
+EVENT = b"id: 1\ndata: odd!\n\n"
+EVENT_LENGTH = b"Content-Length: %d\r\n" % len(EVENT)
 STATUS_LINES = (
     b"HTTP/1.1 000 OK",
     b"HTTP/1.1 099 OK",
@@ -71,6 +73,7 @@
             answered = await call("/report/1", first, second, method="POST")
             self.assertEqual((len(first.ran), answered.status), (1, 200))
             self.assertEqual(answered.body.count(b"data:"), EVENTS)
+            self.assertNotIn(b"odd!", answered.data)
 
     async def check_passed_on(self, data, status=200, **fields):
         """Check that an answer is passed on with these fields."""
@@ -107,7 +110,28 @@
         await self.check_passed_on(b"\r\n" + answer())
 
 
+class FieldTests(HeadTestCase):
+    async def test_answer_with_control_bytes_in_a_field_is_not_passed_on(self):
+        """Guards against a value that the caller's library refuses with its answer."""
+        for line in (b"X-A: b\x01c", b"X-A: b\0c", b"X-A: b\x7f", b"X\x01A: b"):
+            await self.check_no_answer(answer(fields=line + b"\r\n"))
+        await self.check_no_answer(answer(b"HTTP/1.1 200 O\rK"))
+
+    async def test_stream_with_control_bytes_is_sent_by_another_upstream(self):
+        """Guards against a stream that ends as its head can't be written."""
+        for line in (b"X-A: b\x01c\r\n", b"X-A: b\x7f\r\n"):
+            data = answer(fields=line, framing=EVENT_LENGTH, body=EVENT)
+            await self.check_stream_is_sent_by_another(data)
+
+    async def test_usual_values_are_passed_on(self):
+        """Guards against sound answers that are lost."""
+        for value in ("b", "b\tc", "caf\xe9", '!"#();,[]{}'):
+            line = f"X-A: {value}\r\n".encode()
+            await self.check_passed_on(answer(fields=line), X_A=value)
+
+
 class OtherParserTests(unittest.TestCase):
     def test_heads_are_the_same_answers_with_the_parser_in_python(self):
         """Guards against hosts that take different heads for answers."""
-        run_with_python_parser(f"{__name__}.StatusLineTests")
+        names = ("StatusLineTests", "FieldTests")
+        run_with_python_parser(*(f"{__name__}.{name}" for name in names))
--- a/libs/upstreams/src/hemlockhoist/upstreams/answer_head.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/answer_head.py
@@ -13,6 +13,11 @@
 # The blank before an empty reason is often left out. A later minor version is refused
 # by one of the library's parsers only, and 0.9 has no heads.
 _STATUS_LINE = re.compile(r"HTTP/1\.([01]) ([0-9]{3})(?: (.*))?", re.DOTALL)
+# RFC 9110, section 5.6.2.
+_TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+# RFC 9110, section 5.5. Bytes above 0x7f are ordinary; the HTTP library decodes those
+# that are no UTF-8 as surrogates from U+DC80 to U+DCFF. Others can't be written.
+_FORBIDDEN = re.compile("[\x00-\x08\x0a-\x1f\x7f\ud800-\udc7f\udd00-\udfff]")
 _FIRST_STATUS, _FIRST_FINAL_STATUS, _LAST_STATUS = 100, 200, 599
 _SWITCHING_PROTOCOLS = 101
 
@@ -103,6 +108,8 @@
             self._lines.append(line)
             if len(self._lines) == 1:
                 _read_status_line(line)
+            else:
+                _read_field(line)
             return
         _, status = _read_status_line(self._lines[0])
         self._lines = []
@@ -123,11 +130,35 @@
     match = _STATUS_LINE.fullmatch(line)
     if match is None:
         raise InvalidAnswerHead("no status line", line)
+    if _FORBIDDEN.search(line):
+        raise InvalidAnswerHead("control byte in the status line", line)
     status = int(match[2])
     check_status(status)
     return int(match[1]), status
 
 
+def _read_field(line):
+    """Return the name and the value of a field, with blanks around it."""
+    name, colon, value = line.partition(":")
+    if not colon:
+        raise InvalidAnswerHead("line without a colon", line)
+    check_field(name, value)
+    return name, value
+
+
+def check_field(name, value):
+    """Check that a field can be written again, and is read alike by everyone.
+
+    Raises
+    ======
+    InvalidAnswerHead
+    """
+    if not _TOKEN.fullmatch(name):
+        raise InvalidAnswerHead("name of a field", name)
+    if _FORBIDDEN.search(value):
+        raise InvalidAnswerHead(f"control byte in {name[:40]}", value)
+
+
 def check_status(status, is_final=False):
     """Check that a status has a meaning, and none that nobody asked for.
 
--- a/libs/upstreams/src/hemlockhoist/upstreams/tests/test_answer_head.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/tests/test_answer_head.py
@@ -31,6 +31,9 @@
     b"ICY 200 OK",
 )
 
+CONTROL_BYTES = [*range(0x09), *range(0x0B, 0x20), 0x7F]
+NO_TOKENS = (b"", b"X A", b"X ", b" X", b"X\t", b"X(", b"X@", b"X[", b'"X"', b"X\xe9")
+
 
 def answer(status_line=b"HTTP/1.1 200 OK", fields=b"", framing=LENGTH, body=b"body"):
     return status_line + b"\r\n" + fields + framing + b"\r\n" + body
@@ -108,10 +111,42 @@
         await self.check_read(data, (200, None, b"body"))
 
 
+class FieldTests(HeadTestCase):
+    async def test_control_bytes_are_in_no_answer(self):
+        """Guards against a value that the caller's library refuses with its answer."""
+        for number in CONTROL_BYTES:
+            byte = bytes([number])
+            for value in (byte, b"b" + byte + b"c", b"b" + byte * 2):
+                await self.check_refused(answer(fields=b"X-A: %b\r\n" % value))
+            await self.check_refused(answer(b"HTTP/1.1 200 O%bK" % byte))
+
+    async def test_names_of_fields_are_tokens(self):
+        """Guards against a line that each reader takes for another field."""
+        for name in (*NO_TOKENS, *(b"X%cA" % number for number in CONTROL_BYTES)):
+            await self.check_refused(answer(fields=name + b": b\r\n"))
+        await self.check_refused(answer(fields=b"X-A\r\n"))
+
+    async def test_usual_values_are_read(self):
+        """Guards against sound answers that are lost."""
+        for value, text in (
+            (b" b", "b"),
+            (b"b", "b"),
+            (b"\tb \t", "b"),
+            (b" b\tc", "b\tc"),
+            (b" ", ""),
+            (b" caf\xc3\xa9", "caf\xe9"),
+            (b" caf\xe9", "caf\udce9"),
+            (b" !#$%&'*+-.^_`|~:;,\\\"()[]{}", "!#$%&'*+-.^_`|~:;,\\\"()[]{}"),
+        ):
+            data = answer(fields=b"X-A:" + value + b"\r\n")
+            await self.check_read(data, (200, text, b"body"))
+
+
 class OtherParserTests(unittest.TestCase):
     def test_heads_are_the_same_answers_with_the_parser_in_python(self):
         """Guards against hosts that take different heads for answers."""
-        run_with_python_parser(f"{__name__}.StatusLineTests")
+        names = ("StatusLineTests", "FieldTests")
+        run_with_python_parser(*(f"{__name__}.{name}" for name in names))
 
 
 def load_tests(loader, tests, pattern):
