Take no answer with folded lines for one

Cause: both parsers joined a line that begins with a blank to the one before, and the answer was passed on with the joined value. They differ in where they do: the compiled one also after the status line, the one in Python there refuses the answer.

Decided: no folded line is in an answer (RFC 9112, section 5.2, lets a gateway answer with 502). The joined text is not what every reader takes the lines for.

--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_answer_heads.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_answer_heads.py
@@ -123,6 +123,11 @@
             data = answer(fields=line, framing=EVENT_LENGTH, body=EVENT)
             await self.check_stream_is_sent_by_another(data)
 
+    async def test_answer_with_a_folded_line_is_not_passed_on(self):
+        """Guards against a line that one reader takes for a field, another for text."""
+        for lines in (b"X-A: b\r\n c\r\n", b" X-A: b\r\n"):
+            await self.check_no_answer(answer(fields=lines))
+
     async def test_usual_values_are_passed_on(self):
         """Guards against sound answers that are lost."""
         for value in ("b", "b\tc", "caf\xe9", '!"#();,[]{}'):
--- a/libs/upstreams/src/hemlockhoist/upstreams/answer_head.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/answer_head.py
@@ -139,6 +139,10 @@
 
 def _read_field(line):
     """Return the name and the value of a field, with blanks around it."""
+    if line[0] in " \t":
+        # RFC 9112, section 5.2. The parsers differ in where they take a line for the
+        # rest of the one before, and a gateway may refuse them all.
+        raise InvalidAnswerHead("folded line", line)
     name, colon, value = line.partition(":")
     if not colon:
         raise InvalidAnswerHead("line without a colon", line)
--- a/libs/upstreams/src/hemlockhoist/upstreams/tests/test_answer_head.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/tests/test_answer_head.py
@@ -126,6 +126,19 @@
             await self.check_refused(answer(fields=name + b": b\r\n"))
         await self.check_refused(answer(fields=b"X-A\r\n"))
 
+    async def test_folded_lines_are_in_no_answer(self):
+        """Guards against a line that one reader takes for a field, another for text."""
+        for lines in (
+            b"X-A: b\r\n c\r\n",
+            b"X-A: b\r\n\tc\r\n",
+            b"X-A: b\n c\n",
+            b"X-A: b\r\n \r\n",
+            b"X-A:\r\n b\r\n",
+            b" X-A: b\r\n",
+            b"X-A: b\r\n Content-Length: 2\r\n",
+        ):
+            await self.check_refused(answer(fields=lines))
+
     async def test_usual_values_are_read(self):
         """Guards against sound answers that are lost."""
         for value, text in (
