Close a connection on which answers to no request arrive

Cause: the HTTP library parses whatever arrives on a connection, also while it is idle in its pool, and queues the head of each answer. BoundedHandler began its count anew with each of them. So an upstream that answered one load report, and then sent whole answers without end over the kept connection, filled the memory of the host. The client of the users' platform's store has the same handler; it was not measured before the change.

Kept connections of dispatches end with the first bytes while they are idle.

Change: a second final head for one request ends the connection, and is not queued. The first answer is served as before if it was complete.

--- a/libs/upstreams/src/hemlockhoist/upstreams/bounds.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/bounds.py
@@ -51,6 +51,9 @@
     while a repeatable one could be sent to another upstream. The body itself is bounded
     by its readers. Silence is left to the read timeout, also after a part of a head.
 
+    An answer after the one to its request ends a connection. The library would keep the
+    heads of all such answers, also while the connection is idle.
+
     A connection that is closed with a part of its request unsent is aborted. Otherwise
     an upstream that does not read would keep the request's body in this host's memory.
     """
@@ -62,6 +65,7 @@
         self._unbounded_bytes = 0
         # When the first bytes of a head came, in seconds of the loop; None before them.
         self._head_begin_s = None
+        self._has_ended = False
 
     def set_response_params(self, **params):
         """Prepare for the response to the next request of the connection."""
@@ -74,6 +78,10 @@
         """Take a parsed head and its body from the parser."""
         message, body = data
         if message.code >= _FIRST_FINAL_STATUS or message.code == _SWITCHING_PROTOCOLS:
+            if self._body is not None:
+                self._end("a further answer")
+            if self._has_ended:
+                return
             self._body = body
             self._body_bytes = self._unbounded_bytes = 0
         # The final head may follow an interim one at any later time.
@@ -112,7 +120,10 @@
                 self._end(f"a head that did not end within {limit_ms:.0f} ms")
 
     def _end(self, text):
-        """Abort the connection, and report the answer as broken."""
+        """Abort the connection, and report the answer as broken if it is incomplete."""
+        if self._has_ended:
+            return
+        self._has_ended = True
         error = DataWithoutEnd(f"the other side sent {text}")
         transport = self.transport
         if self._body is not None and not self._body.is_eof():
