Bound what a relaying host sends beside the body of its answer

Cause: the session of RelayClient made its connections with the HTTP library's own handler, which bounds neither interim answers nor empty lines before a head, blanks before a value, or sizes and extensions of chunks.

Ruled out: bodies (frames have a greatest length, 1 MB and less read), one field, fields and trailers (bounds of the library).

Change: the connections have the same handler as those to upstreams.

--- a/libs/relays/src/hemlockhoist/relays/client.py
+++ b/libs/relays/src/hemlockhoist/relays/client.py
@@ -14,7 +14,7 @@
     RelayRefusal,
     RelaySend,
 )
-from hemlockhoist.upstreams import DirectConnector, UpstreamResponse
+from hemlockhoist.upstreams import BoundedHandler, DirectConnector, UpstreamResponse
 
 RELAY_PATH = "/relay"
 # Hosts reach one another within a few milliseconds.
@@ -68,7 +68,7 @@
 
     async def start(self):
         """Open the session."""
-        connector = DirectConnector(tcp_keepalive=True, limit=0)
+        connector = DirectConnector(BoundedHandler, tcp_keepalive=True, limit=0)
         self._session = aiohttp.ClientSession(
             connector=connector,
             auto_decompress=False,
