Bound what the store of the own interface sends beside its answers

Cause: the session of PlatformTransport made its connections with the HTTP library's own connector and handler, without the bounds that connections to upstreams and to the store of the users' platform have. Measured by a process that read from a generator in another process, within 4 s: interim answers without end 173 MB and the event loop late by 2.9 s (207 MB and 7.2 s with the parser in Python); after a whole answer, on the idle connection, further answers 411 MB and 3.7 s (33 MB and 2.0 s), answers without a body 402 MB and 3.9 s (217 MB, 8.1 s), interim answers 349 MB and 2.4 s (210 MB, 7.7 s). Empty lines and extensions of chunks took no memory, and held a read for 1.5 to 3.1 s.

Ruled out: one field, fields, trailers, and bytes that are no HTTP (bounds of the library, 4 MB at most).

Change: the connections are those of DirectConnector with BoundedHandler. The store's address is IP:port, as that connector needs.

--- a/libs/store/src/hemlockhoist/store/transport.py
+++ b/libs/store/src/hemlockhoist/store/transport.py
@@ -13,6 +13,7 @@
 )
 from hemlockhoist.store.calls import StoreCalls, read_body
 from hemlockhoist.store.retries import Backoff, RetryBudget
+from hemlockhoist.upstreams import BoundedHandler, DirectConnector
 
 _NOT_MODIFIED = 304
 _NOT_FOUND = 404
@@ -81,7 +82,9 @@
         )
         self._session = aiohttp.ClientSession(
             timeout=timeout,
-            connector=aiohttp.TCPConnector(limit=self._config.max_connections),
+            connector=DirectConnector(
+                BoundedHandler, limit=self._config.max_connections
+            ),
             cookie_jar=aiohttp.DummyCookieJar(),
         )
 
