Admit waiting requests again as soon as their route or key has changed

Cause: a request whose route or customer changes while it waits was found only as its slot came.

Change: the check that a waiting request is subject to, so far only of the planned stop, also compares its route and its customer; newer routes have all waiting requests checked. A request that may have run is left alone.

--- a/libs/entry/src/hemlockhoist/entry/admission.py
+++ b/libs/entry/src/hemlockhoist/entry/admission.py
@@ -154,11 +154,15 @@
 
 def _is_same_customer(customer, previous):
     """Return whether a request may be sent for a customer as it was for another one."""
-    if previous is None:
+    if customer is None or previous is None:
         return False
     return (customer.name, customer.regions) == (previous.name, previous.regions)
 
 
+def _customer_changed():
+    return RouteChanged("its key is another customer's than at its admission")
+
+
 class Admission:
     """Determines route and customer of a request, or refuses the request.
 
@@ -235,6 +239,27 @@
                 f"up to {table.version}"
             )
 
+    def check_unchanged(self, admitted):
+        """Refuse to let a request wait that has to be admitted again.
+
+        Its place among those that wait, and the time that it has left, were found for
+        a route and a customer that are no longer its own.
+
+        Raises
+        ======
+        RouteChanged
+        """
+        table = self._store_view.routes
+        if table.version == admitted.routes_version:
+            return
+        self.check_route(admitted)
+        if admitted.customer is None and not self._requires_key(admitted.route):
+            return
+        if not _is_same_customer(
+            table.customer_of(admitted.call.key), admitted.customer
+        ):
+            raise _customer_changed()
+
     def check_customer(self, admitted, may_have_run):
         """Refuse to send a request for another customer than holds its key now.
 
@@ -260,7 +285,7 @@
             return
         if may_have_run:
             raise BadRequest("", ResultCode.UNKNOWN_KEY)
-        raise RouteChanged("its key is another customer's than at its admission")
+        raise _customer_changed()
 
     def _requires_key(self, route):
         return requires_key(route, self._store_view.routes)
--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -65,7 +65,9 @@
     def __init__(self, context, request, admitted, body, admission, memory, buffer):
         self._context = context
         self._admitted = admitted
-        self._grants = RequestGrants(context, admitted, self._waits_until_ms)
+        self._grants = RequestGrants(
+            context, admitted, self._waits_until_ms, admission.check_unchanged
+        )
         self._sender = AttemptSender(
             context,
             admitted,
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -381,6 +381,7 @@
         context.declarations = declarations_from_table(table)
         context.gate.quotas.declare(table.customers)
         context.homes.redeclare()
+        context.grants.recheck_waiting()
 
     def _new_tracker(self, name):
         """Return the tracker of a pool's upstreams."""
--- a/libs/entry/src/hemlockhoist/entry/request_grants.py
+++ b/libs/entry/src/hemlockhoist/entry/request_grants.py
@@ -23,6 +23,9 @@
     admitted : AdmittedCall
     waits_until_ms : callable
         Returns when the caller disconnects if it receives nothing more until then.
+    check_unchanged : callable, optional
+        ``check_unchanged(admitted)`` raises ``RouteChanged`` if the request has to be
+        admitted again.
 
     Attributes
     ==========
@@ -38,6 +41,7 @@
         "_admitted",
         "_arrival_count",
         "_avoided_upstreams",
+        "_check_unchanged",
         "_context",
         "_number",
         "_request_count",
@@ -47,7 +51,14 @@
         "request_id",
     )
 
-    def __init__(self, context, admitted, waits_until_ms):
+    def __init__(
+        self,
+        context,
+        admitted,
+        waits_until_ms,
+        check_unchanged=lambda admitted: None,
+    ):
+        self._check_unchanged = check_unchanged
         self._waits_until_ms = waits_until_ms
         self._context = context
         self._admitted = admitted
@@ -83,19 +94,20 @@
         brief = self._hedge_brief if is_hedge else self._brief
         with self._context.traces.span(Hop.GRANT, pool=admitted.pool):
             hold = await self._context.grants.acquire(
-                admitted.pool, brief, admitted.deadline_ms, self._check_not_leaving
+                admitted.pool, brief, admitted.deadline_ms, self._check_waiting
             )
         waited_ms = clock.now_ms() - requested_ms
         self._context.metrics.time(QUEUE_WAIT_MS, waited_ms, admitted.tier)
         return hold, waited_ms
 
-    def _check_not_leaving(self):
-        """Refuse a request that has not been sent, and would be sent too late.
+    def _check_waiting(self):
+        """Refuse a request that has not been sent, and can't be sent as admitted.
 
         One that may have run gets no such answer: another attempt can only help it.
         """
         if not self._run_count and self.current is None:
             self._context.drain.check(self._admitted)
+            self._check_unchanged(self._admitted)
 
     def on_attempt_started(self, attempt):
         """Record the attempt that is in progress."""
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_changed_routes.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_changed_routes.py
@@ -74,6 +74,19 @@
         names = [item.headers["tenant"] for item in self.first.ran]
         self.assertEqual(names, ["aulas", "escuelas"])
 
+    async def test_request_that_waits_is_admitted_again_at_once(self):
+        """Guards against one whose change is found as its slot comes, with no time left."""
+        self.first.delay_ms = 4 * RUN_MS
+        tenants = [{"name": "escuelas", "api_keys": ["key-other"], "priority": 1}]
+        running = asyncio.create_task(self.send("running"))
+        await asyncio.sleep(0.1)
+        waiting = asyncio.create_task(self.send("waiting"))
+        await asyncio.sleep(0.1)
+        await self.declare(SEARCH, OTHER, tenants=tenants)
+        self.assertEqual(await waiting, 401)
+        self.assertFalse(running.done())
+        await running
+
     async def test_request_that_was_sent_is_not_sent_again_for_another_holder(self):
         """Guards against a second attempt for a customer that no longer has the key."""
         tenants = [{"name": "escuelas", "api_keys": [KEY], "priority": 1}]
