Break an answer off when this host closes its upstream's connection

What callers see: a part of an answer that ends in order as a host stops that relays it for the caller's host. Streams and bookings alike, where the upstream states no end.

Cause: a host that stops closes its client sessions before its relay server, and its drain waits for callers' requests only. The HTTP library takes its own closing of the connection for the end of a body without a length or chunks. The relaying host then ended its answer to the other host in order (relay_ended result=answered), and the other host's probe found the upstream alive.

Change: closing a connection whose body has not ended breaks that body off.

--- a/libs/upstreams/src/hemlockhoist/upstreams/connections.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/connections.py
@@ -37,7 +37,7 @@
 
 
 class ResetDetectingHandler(BoundedHandler):
-    """Reports a response as broken off when its connection was reset.
+    """Reports a response as broken off if its connection was reset, or closed here.
 
     A response without a length ends with its connection. The HTTP library treats a
     reset as such an end too, and a caller would receive a part of a response that
@@ -46,18 +46,39 @@
 
     The event loop also hides some resets: if one arrives together with the last data,
     libuv reports an orderly end. The socket still holds the error then.
+
+    The library also takes its own closing of the connection for the end of such a
+    body. Failure prevented: a host that stops closes its connections to upstreams, and
+    ends the answers that it relays for other hosts in order.
     """
 
+    def close(self):
+        """Close the connection; a body that has not ended breaks off."""
+        self._break_off("closed by this host")
+        super().close()
+
+    def abort(self):
+        """Close the connection at once; a body that has not ended breaks off."""
+        self._break_off("closed by this host")
+        super().abort()
+
     def connection_lost(self, exc):
         """Handle the end of the connection; ``exc`` is None for an orderly one."""
-        payload = self._payload
-        if payload is not None and not payload.is_eof():
+        if self._has_unended_body:
             exc = exc or _pending_error(self.transport)
             if exc is not None:
-                error = aiohttp.ClientPayloadError(f"connection lost: {exc!r}")
-                payload.set_exception(error)
+                self._break_off(repr(exc))
         super().connection_lost(exc)
 
+    @property
+    def _has_unended_body(self):
+        return self._payload is not None and not self._payload.is_eof()
+
+    def _break_off(self, reason):
+        if self._has_unended_body:
+            error = aiohttp.ClientPayloadError(f"connection lost: {reason}")
+            self._payload.set_exception(error)
+
 
 def _pending_error(transport):
     """Return the pending error of a connection's socket, or None."""
