End no stream in order by the framing of another upstream, or within an event

Two ways in which a stream still ended as more than was known: - A caller resumes a stream after event 5, the first upstream sends nothing new and closes in order without framing, and the one that is asked whether more follows answers in chunks and falls silent. The caller's response had not begun, took the framing of the latter, and got the last chunk: 200, complete, no event. - The upstream that is asked whether more follows sends a part of the next event and falls silent until the deadline.

Change: a response that begins while the end is uncertain states none, and an attempt that is cancelled within an event is recorded as broken off.

--- a/libs/entry/src/hemlockhoist/entry/stream.py
+++ b/libs/entry/src/hemlockhoist/entry/stream.py
@@ -220,6 +220,12 @@
             if is_break and error is not self._reader.error:
                 self._is_aborted_unread = self._has_waited_long
             raise classified from error
+        except asyncio.CancelledError:
+            # Failure prevented: the deadline passes in the middle of an event, and the
+            # stream ends in order after the event before it.
+            if not self._reader.is_between_events:
+                self._end.on_break(True, response.body_end)
+            raise
         finally:
             watchdog.close()
             self._watchdog = None
@@ -353,7 +359,7 @@
 
     def _new_response(self):
         """Return a response that states no more about its end than is known."""
-        states_end = self._response.body_end.is_certain
+        states_end = self._response.body_end.is_certain and not self._end.is_uncertain
         if states_end and self._request.version >= HttpVersion11:
             return web.StreamResponse(status=self._head.status)
         set_reset_on_close(self._request.transport, True)
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_answer_end_breaks.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_answer_end_breaks.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from hemlockhoist.standins.published import route
+from hemlockhoist.standins.published import Site, route
 from hemlockhoist.standins.published.endless import chunk
 from hemlockhoist.standins.published.links import LinkMode
 from hemlockhoist.standins.published.raw import (
@@ -66,6 +66,32 @@
     return [int(line[4:].split()[0]) for line in lines if line.startswith(b"id: ")]
 
 
+class StreamBreakTests(unittest.IsolatedAsyncioTestCase):
+    async def call(self, path, *replicas, **fields):
+        async with Site({"asistente": list(replicas), "reservas": []}, ROUTES) as site:
+            return await call_raw(site, path, method="POST", body=b"x", **fields)
+
+    async def test_resumed_stream_without_new_events_does_not_look_complete(self):
+        """Guards against a last chunk for events that no upstream has sent."""
+        first = sends("a", events(1, 5))
+        second = sends("b", b"", CHUNKED, hold_s=2)
+        answer = await self.call("/report/1", first, second, Last_Event_Id="5")
+        self.assertEqual(answer.status, 200)
+        self.assertFalse(answer.states_end)
+
+    async def test_stream_whose_next_event_had_begun_does_not_end_at_the_deadline(self):
+        """Guards against an orderly end after a part of a further event."""
+        for framing in (UNFRAMED, CHUNKED):
+            rest = b"id: 6\nda"
+            rest = rest if framing == UNFRAMED else chunk(rest)
+            second = sends("b", rest, framing, hold_s=3)
+            with self.subTest(framing=framing):
+                first = sends("a", events(1, 5))
+                answer = await self.call("/report/1", first, second, Deadline_Ms="1200")
+                self.assertEqual(len(second.ran), 1)
+                self.assertTrue(answer.is_reset)
+
+
 class RelayBreakTests(unittest.IsolatedAsyncioTestCase):
     async def call_while_relaying_host_stops(self, path, framing):
         replicas = {
