Wait for slow callers of unframed answers after the request, and reset cut ones

Three faults with callers that read slowly: - A whole stream without chunks (each stream of a caller of HTTP/1.0) was reset at its deadline if the caller had not taken all of it: 22 of 35 events arrived. The wait for the caller ran within the request, under its deadline and with its upstream's grant held. - If that deadline passed, an answer with an uncertain end was counted and logged twice. - A plain unframed body whose caller took nothing for too long was cut, but its connection ended in order after what the kernel had: a part of a body that looks like the whole.

Change: the wait for the kernel to have all of an unframed answer moves to where other answers are waited for, after the exchange; the reset on closing is taken back there. A caller that is cut off is always reset.

--- a/libs/entry/src/hemlockhoist/entry/caller_buffer.py
+++ b/libs/entry/src/hemlockhoist/entry/caller_buffer.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from hemlockhoist.base import MS_PER_S, HemlockhoistError, ResultCode
-from hemlockhoist.listeners import queued_bytes
+from hemlockhoist.listeners import queued_bytes, set_reset_on_close
 
 # Events of an ordinary stream take less in total, so that its upstream is read on to
 # the end however slow the caller is. An upstream cuts off an answer that stays unread.
@@ -117,9 +117,18 @@
         if self._buffered_bytes():
             await self._wait(self._is_flushed)
 
+    def end_in_order(self):
+        """Let the end of the connection be an orderly one, unless it is closing."""
+        set_reset_on_close(self._transport, False)
+
     def abort(self):
-        """End the connection at once, and drop what is buffered."""
+        """Reset the connection, and drop what is buffered.
+
+        Without the reset, the kernel would send what it has and end the connection in
+        order, which looks like the end of an unframed answer.
+        """
         if self._transport is not None:
+            set_reset_on_close(self._transport, True)
             self._transport.abort()
 
     def close(self):
--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -350,10 +350,7 @@
             return self._attempts.unconfirmed_response
         if not self._relay.may_end_uncertain:
             return self._abort_stream(CutCause.END_UNCERTAIN, "the end is uncertain")
-        try:
-            return await self._relay.finish()
-        except SlowReader as error:
-            return self._abort_stream(CutCause.SLOW_READER, error.message)
+        return await self._relay.finish()
 
     @property
     def _has_uncertain_answer(self):
--- a/libs/entry/src/hemlockhoist/entry/servers.py
+++ b/libs/entry/src/hemlockhoist/entry/servers.py
@@ -39,7 +39,7 @@
 from hemlockhoist.entry.memory import HeadMemory, RequestMemory
 from hemlockhoist.entry.responses import CODE_HEADER, body_bytes, error_response
 from hemlockhoist.host.body import read_body
-from hemlockhoist.listeners import HttpListener
+from hemlockhoist.listeners import HttpListener, UnframedResponse
 
 _log = get_logger("entry.surface")
 
@@ -229,7 +229,7 @@
             check_not_run(self._context.invariants, exchange, error)
             raise
         try:
-            await self._flush(exchange, buffer)
+            await self._flush(exchange, response, buffer)
         except asyncio.CancelledError:
             self._record_disconnect(exchange, admitted.tier, arrived_ms, True)
             raise
@@ -269,13 +269,18 @@
             await response.prepare(request)
             await response.write_eof()
 
-    async def _flush(self, exchange, buffer):
+    async def _flush(self, exchange, response, buffer):
         """Wait until the caller has taken a long answer, whose memory is accounted.
 
-        The upstream has been released. A caller that takes nothing is cut off.
+        The upstream has been released. A caller that takes nothing is cut off. A stream
+        without chunks has ended in order once the kernel has all of it.
         """
         try:
-            await buffer.flush()
+            if isinstance(response, UnframedResponse) and response.prepared:
+                await buffer.flush_all()
+                buffer.end_in_order()
+            else:
+                await buffer.flush()
         except SlowReader as error:
             buffer.abort()
             self._context.metrics.count(STREAMS_CUT, CutCause.SLOW_READER.value)
--- a/libs/entry/src/hemlockhoist/entry/stream.py
+++ b/libs/entry/src/hemlockhoist/entry/stream.py
@@ -377,20 +377,15 @@
     async def finish(self):
         """End the response in order.
 
+        An unframed one ends with its connection, once the caller has been sent all.
+
         Returns
         =======
         aiohttp.web.StreamResponse
-
-        Raises
-        ======
-        SlowReader
         """
         if self._caller_response is None:
             await self._start_response()
         await self._caller_response.write_eof()
-        if self._is_unframed:
-            await self._buffer.flush_all()
-            set_reset_on_close(self._request.transport, False)
         return self._caller_response
 
     def drop_data(self):
--- a/libs/standins/src/hemlockhoist/standins/published/raw.py
+++ b/libs/standins/src/hemlockhoist/standins/published/raw.py
@@ -128,6 +128,17 @@
     fields
         Further headers, with underscores for hyphens.
     """
+    address, _, port = site.hosts[host].settings.caller_address.rpartition(":")
+    reader, writer = await asyncio.open_connection(address, int(port))
+    try:
+        writer.write(request_bytes(path, method, body, version, **fields))
+        return await read_to_end(reader)
+    finally:
+        writer.close()
+
+
+def request_bytes(path, method="GET", body=b"", version="HTTP/1.1", **fields):
+    """Return the bytes of a request; the parameters are those of ``call_raw``."""
     headers = {
         "Host": HOST_NAME,
         "Attempt-Id": "a1",
@@ -138,17 +149,11 @@
         **{name.replace("_", "-"): text for name, text in fields.items()},
     }
     lines = [f"{method} {path} {version}", *(f"{k}: {v}" for k, v in headers.items())]
-    head = "\r\n".join([*lines, "", ""]).encode()
-    address, _, port = site.hosts[host].settings.caller_address.rpartition(":")
-    reader, writer = await asyncio.open_connection(address, int(port))
-    try:
-        writer.write(head + body)
-        return await _read_to_end(reader)
-    finally:
-        writer.close()
+    return "\r\n".join([*lines, "", ""]).encode() + body
 
 
-async def _read_to_end(reader):
+async def read_to_end(reader):
+    """Return the ``RawAnswer`` that arrives until the connection ends."""
     received = []
     try:
         while data := await reader.read(_READ_BYTES):
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_answer_end_breaks.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_answer_end_breaks.py
@@ -1,14 +1,20 @@
 """End-to-end tests of breaks that must not look like the end of an answer."""
 
 import asyncio
+import socket
 import unittest
+from unittest import mock
 
+from hemlockhoist.base.metrics_table import ANSWERS_ENDED
+from hemlockhoist.entry import caller_buffer
 from hemlockhoist.standins.published import Site, route
 from hemlockhoist.standins.published.endless import chunk
 from hemlockhoist.standins.published.links import LinkMode
 from hemlockhoist.standins.published.raw import (
     RawReplica,
     call_raw,
+    read_to_end,
+    request_bytes,
 )
 from hemlockhoist.standins.published.tests.test_relays import CutSite
 
@@ -119,3 +125,55 @@
                     answer = await self.call_while_relaying_host_stops(path, framing)
                     is_cut = not answer.states_end and not answer.is_unframed
                     self.assertTrue(answer.is_reset or is_cut or answer.status == 502)
+
+
+class SlowCallerTests(unittest.IsolatedAsyncioTestCase):
+    async def call_slowly(self, site, path, wait_s, version="HTTP/1.1", **fields):
+        """Send a request, read nothing for a while, and then the whole answer."""
+        address, _, port = site.hosts[0].settings.caller_address.rpartition(":")
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, (address, int(port)))
+        reader, writer = await asyncio.open_connection(sock=sock, limit=1_024)
+        writer.write(request_bytes(path, "POST", b"x", version, **fields))
+        await asyncio.sleep(wait_s)
+        try:
+            return await read_to_end(reader)
+        finally:
+            writer.close()
+
+    async def test_cut_of_a_slow_caller_does_not_end_an_unframed_body(self):
+        """Guards against a part of a body whose connection ends in order."""
+        replica = sends("a", b"x" * LONG_BYTES)
+        patch = mock.patch.object(caller_buffer, "UNREAD_WITH_MEMORY_TIMEOUT_MS", 300)
+        with patch:
+            async with Site({"asistente": [], "reservas": [replica]}, ROUTES) as site:
+                answer = await self.call_slowly(site, "/check-free/1", 1)
+        self.assertLess(len(answer.body), LONG_BYTES)
+        self.assertTrue(answer.is_reset)
+
+    async def call_long_stream(self, framing, version):
+        data = b"".join(events(n, n, 200_000) for n in range(1, 36))
+        if framing == CHUNKED:
+            data = chunk(data) + b"0\r\n\r\n"
+        replica = sends("a", data, framing)
+        patch = mock.patch.object(caller_buffer, "MAX_BUFFER_BYTES", 2 * LONG_BYTES)
+        with patch:
+            async with Site({"asistente": [replica], "reservas": []}, ROUTES) as site:
+                answer = await self.call_slowly(
+                    site, "/summary/1", 2, version, Deadline_Ms="1200"
+                )
+                self.totals = dict(site.hosts[0].context.metrics.totals)
+        return answer
+
+    async def test_whole_stream_without_chunks_outlives_its_deadline(self):
+        """Guards against a whole stream that is reset as its caller reads slowly."""
+        answer = await self.call_long_stream(CHUNKED, "HTTP/1.0")
+        self.assertEqual(numbers(answer), list(range(1, 36)))
+        self.assertFalse(answer.is_reset)
+
+    async def test_whole_stream_with_an_uncertain_end_is_counted_once(self):
+        answer = await self.call_long_stream(UNFRAMED, "HTTP/1.1")
+        self.assertEqual(numbers(answer), list(range(1, 36)))
+        self.assertEqual(self.totals[f"{ANSWERS_ENDED.name}.connection"], 1)
