Pass an unframed answer on without waiting for its hedge

What callers see: 504 for a request that has been answered whole. An answer whose end is uncertain waited for the hedge in progress before its own upstream was looked at. A silent hedge held it to the deadline, and it was dropped as nobody had looked. Besides, such answers told the hedge policy no times, so slow calls of a service that never states a length were no longer hedged.

Change: the upstream is looked at first, and the hedge is waited for only if that is gone. The time of an unframed answer is recorded as that of others.

This order also avoids an error found by reading, not reproduced: a hedged stream whose first upstream had answered with an unframed error passed that on after the hedge's stream had broken.

Evidence: the two tests of HedgedEndTests, red before (504; no delay after 60 answers), green after.

--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -153,14 +153,15 @@
                 return await self._end_without_grant(error)
             if response is not None:
                 return response
-            if self._hedge.is_pending and await self._hedge.finish():
-                continue
             if is_confirming and self._has_uncertain_answer:
                 return await self._finish_uncertain()
             if end is AttemptEnd.UNCONFIRMED:
                 end = await self._settle_unconfirmed()
-            if self._attempts.unconfirmed_response is not None:
-                return await self._finish_uncertain()
+                if self._attempts.unconfirmed_response is not None:
+                    # Not after the hedge, which may be silent until the deadline.
+                    return await self._finish_uncertain()
+            if self._hedge.is_pending and await self._hedge.finish():
+                continue
             step = next_step(
                 end,
                 self._admitted.route,
@@ -296,6 +297,8 @@
             return None
         response = upstream_response(head, body, attempt.body_end)
         if not attempt.body_end.is_certain:
+            # Not claimed, as the hedge is needed if the upstream is gone.
+            self._hedge.observe(opened)
             self._attempts.unconfirmed_response = response
             opened.end = AttemptEnd.UNCONFIRMED
             return None
--- a/libs/entry/src/hemlockhoist/entry/hedge.py
+++ b/libs/entry/src/hemlockhoist/entry/hedge.py
@@ -149,13 +149,17 @@
             return
         if self._winner is not None:
             raise FirstAttemptOvertaken
-        if opened.head.status < _FIRST_ERROR_STATUS:
-            self._observe()
+        self.observe(opened)
         self._watched = None
         self.forbid()
         if self._task is not None:
             self._task.cancel()
 
+    def observe(self, opened):
+        """Record how long an attempt took that has a response, if it is watched."""
+        if opened is self._watched and opened.head.status < _FIRST_ERROR_STATUS:
+            self._observe()
+
     def forbid(self):
         """Start no hedge from now on."""
         self._is_allowed = False
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_answer_end_breaks.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_answer_end_breaks.py
@@ -177,3 +177,47 @@
         answer = await self.call_long_stream(UNFRAMED, "HTTP/1.1")
         self.assertEqual(numbers(answer), list(range(1, 36)))
         self.assertEqual(self.totals[f"{ANSWERS_ENDED.name}.connection"], 1)
+
+
+class HedgedEndTests(unittest.IsolatedAsyncioTestCase):
+    def replicas(self, first_s):
+        """Return two replicas of unframed answers, of which the later one is silent."""
+        ran = []
+
+        def make(replica_id):
+            async def send(received, writer):
+                ran.append(replica_id)
+                if len(ran) > 1:
+                    await asyncio.sleep(10)
+                await asyncio.sleep(first_s)
+                writer.write(sender.head(received, framing=UNFRAMED) + b"whole")
+
+            sender = RawReplica(replica_id, send)
+            return sender
+
+        return ran, {"asistente": [], "reservas": [make("a"), make("b")]}
+
+    async def test_silent_hedge_does_not_hold_an_unframed_answer(self):
+        """Guards against a whole answer that is dropped for a second one."""
+        ran, replicas = self.replicas(first_s=0.3)
+        async with Site(replicas, ROUTES, settings={"hedge_permille": 200}) as site:
+            context = site.hosts[0].context
+            now_ms = context.clock.now_ms()
+            for _ in range(60):
+                context.hedging.count_request()
+                context.hedging.observe("check-free", "reservas", 30, now_ms)
+            answer = await call_raw(site, "/check-free/1")
+        self.assertEqual(len(ran), 2)
+        self.assertEqual((answer.status, answer.body), (200, b"whole"))
+
+    async def test_unframed_answers_tell_the_usual_time(self):
+        """Guards against a service without lengths whose slow calls are not hedged."""
+        replica = sends("a", b"whole")
+        replicas = {"asistente": [], "reservas": [replica]}
+        async with Site(replicas, ROUTES, settings={"hedge_permille": 200}) as site:
+            for number in range(60):
+                await call_raw(site, f"/check-free/{number}")
+            context = site.hosts[0].context
+            now_ms = context.clock.now_ms()
+            delay_ms = context.hedging.delay_ms("check-free", "reservas", now_ms)
+        self.assertIsNotNone(delay_ms)
