Take an uncertain answer for broken if its upstream was not looked at in time

An answer whose probe had not ended within MAX_REPORT_WAIT_MS counted as that of an upstream that lives on, which nobody had seen. Usual probes end sooner (connections within 250 ms, other hosts within 450 ms), so this needs a busy host or many lost hosts; no end-to-end run shows it.

Change: only an attempt that has been recorded as a success counts.

Evidence: test_unconfirmed, red before, green after.

--- a/libs/entry/src/hemlockhoist/entry/request_attempts.py
+++ b/libs/entry/src/hemlockhoist/entry/request_attempts.py
@@ -1,6 +1,7 @@
 """The attempts of one request: their grants, their number and their ends."""
 
 from hemlockhoist.base.traces import Hop
+from hemlockhoist.decisions import OutcomeKind
 from hemlockhoist.decisions.entry import AttemptEnd, CutCause
 from hemlockhoist.entry.attempt_reporter import AttemptReporter
 from hemlockhoist.entry.responses import MAX_RESPONSE_BYTES, upstream_response
@@ -95,11 +96,11 @@
     async def is_unconfirmed_broken(self):
         """Return whether the latest unconfirmed answer was lost with its upstream.
 
-        Also if it was lost with the link to it.
+        Also if it was lost with the link to it, or nothing is known in time.
         """
         await self._reporter.wait_reported()
         attempt = self._unsettled
-        is_broken = attempt.is_upstream_lost or attempt.is_link_at_fault
+        is_broken = attempt.kind is not OutcomeKind.SUCCESS
         self.unconfirmed = None if is_broken else attempt
         return is_broken
 
