Read the end of a body from the last of several Transfer-Encoding lines

An answer with "Transfer-Encoding: chunked" and then "Transfer-Encoding: identity" is read to the end of its connection by the HTTP library, but counted as one with a last chunk, and got a length of the host's own. Only the first line was looked at.

--- a/libs/upstreams/src/hemlockhoist/upstreams/body_end.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/body_end.py
@@ -46,8 +46,8 @@
         """
         if method == "HEAD" or status in _BODILESS_STATUSES:
             return cls.NO_BODY
-        codings = headers.get("Transfer-Encoding")
-        if codings is not None:
-            is_chunked = codings.rpartition(",")[2].strip().lower() == _CHUNKED
+        codings = headers.getall("Transfer-Encoding", ())
+        if codings:
+            is_chunked = codings[-1].rpartition(",")[2].strip().lower() == _CHUNKED
             return cls.LAST_CHUNK if is_chunked else cls.CONNECTION
         return cls.LENGTH if "Content-Length" in headers else cls.CONNECTION
--- a/libs/upstreams/src/hemlockhoist/upstreams/tests/test_body_end.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/tests/test_body_end.py
@@ -23,5 +23,16 @@
                 self.assertIs(end, expected)
                 self.assertEqual(end.is_certain, end is not BodyEnd.CONNECTION)
 
+    def test_last_of_several_codings_decides(self):
+        """Guards against a body that is read to the end of its connection, as whole."""
+        for codings, expected in (
+            (("chunked", "identity"), BodyEnd.CONNECTION),
+            (("gzip", "chunked"), BodyEnd.LAST_CHUNK),
+        ):
+            headers = CIMultiDict([("Transfer-Encoding", item) for item in codings])
+            with self.subTest(codings=codings):
+                end = BodyEnd.announced("GET", 200, headers)
+                self.assertIs(end, expected)
+
     def test_examples(self):
         self.assertEqual(doctest.testmod(body_end).failed, 0)
