--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -155,14 +155,15 @@
                 return await self._end_without_grant(error)
             if response is not None:
                 return response
-            if self._hedge.is_pending and await self._hedge.finish():
-                continue
             if is_confirming and self._has_uncertain_answer:
                 return await self._finish_uncertain()
             if end is AttemptEnd.UNCONFIRMED:
                 end = await self._settle_unconfirmed()
-            if self._attempts.unconfirmed_response is not None:
-                return await self._finish_uncertain()
+                if self._attempts.unconfirmed_response is not None:
+                    # Not after the hedge, which may be silent until the deadline.
+                    return await self._finish_uncertain()
+            if self._hedge.is_pending and await self._hedge.finish():
+                continue
             step = next_step(
                 end,
                 self._admitted.route,
@@ -298,6 +299,8 @@
             return None
         response = upstream_response(head, body, attempt.body_end)
         if not attempt.body_end.is_certain:
+            # Not claimed, as the hedge is needed if the upstream is gone.
+            self._hedge.observe(opened)
             self._attempts.unconfirmed_response = response
             opened.end = AttemptEnd.UNCONFIRMED
             return None
@@ -352,10 +355,7 @@
             return self._attempts.unconfirmed_response
         if not self._relay.may_end_uncertain:
             return self._abort_stream(CutCause.END_UNCERTAIN, "the end is uncertain")
-        try:
-            return await self._relay.finish()
-        except SlowReader as error:
-            return self._abort_stream(CutCause.SLOW_READER, error.message)
+        return await self._relay.finish()
 
     @property
     def _has_uncertain_answer(self):
--- a/libs/entry/src/hemlockhoist/entry/responses.py
+++ b/libs/entry/src/hemlockhoist/entry/responses.py
@@ -48,7 +48,7 @@
     if body_end.is_certain:
         response = WholeResponse(status=head.status, body=body)
     else:
-        response = UnframedResponse(head.status, body)
+        response = UnframedResponse(head.status, body, ends_itself=False)
     add_headers(response, head.headers)
     return response
 
--- a/libs/entry/src/hemlockhoist/entry/servers.py
+++ b/libs/entry/src/hemlockhoist/entry/servers.py
@@ -225,7 +225,7 @@
         try:
             response = await exchange.run()
             self._log_ended(exchange, response, arrived_ms)
-            await self._write_whole(request, response, exchange, buffer)
+            await self._write_whole(request, response)
         except asyncio.CancelledError:
             is_answered = exchange.response_started
             self._record_disconnect(exchange, admitted.tier, arrived_ms, is_answered)
@@ -236,7 +236,7 @@
             raise
         self._observe_time(exchange, admitted)
         try:
-            await self._flush(exchange, buffer, buffer.flush)
+            await self._flush(exchange, response, buffer)
         except asyncio.CancelledError:
             self._record_disconnect(exchange, admitted.tier, arrived_ms, True)
             raise
@@ -262,28 +262,32 @@
             route_times, route = self._context.route_times, admitted.route.name
             route_times.observe(route, admitted.pool, duration_ms, now_ms)
 
-    async def _write_whole(self, request, response, exchange, buffer):
+    async def _write_whole(self, request, response):
         """Write a long plain answer, or one without a stated end.
 
         The HTTP server writes the others.
         """
         if response.prepared:
             return
-        if isinstance(response, UnframedResponse):
-            response.flush = lambda: self._flush(exchange, buffer, buffer.flush_all)
-        elif (response.content_length or 0) <= FREE_BUFFER_BYTES:
+        is_long = (response.content_length or 0) > FREE_BUFFER_BYTES
+        if not is_long and not isinstance(response, UnframedResponse):
             return
         self._close_if_leaving(response)
         await response.prepare(request)
         await response.write_eof()
 
-    async def _flush(self, exchange, buffer, wait):
+    async def _flush(self, exchange, response, buffer):
         """Wait until the caller has taken a long answer, whose memory is accounted.
 
-        The upstream has been released. A caller that takes nothing is cut off.
+        The upstream has been released. A caller that takes nothing is cut off. A stream
+        without chunks has ended in order once the kernel has all of it.
         """
         try:
-            await wait()
+            if isinstance(response, UnframedResponse) and response.prepared:
+                await buffer.flush_all()
+                response.end_in_order()
+            else:
+                await buffer.flush()
         except SlowReader as error:
             buffer.abort()
             self._context.metrics.count(STREAMS_CUT, CutCause.SLOW_READER.value)
--- a/libs/entry/src/hemlockhoist/entry/stream.py
+++ b/libs/entry/src/hemlockhoist/entry/stream.py
@@ -220,6 +220,12 @@
             if is_break and error is not self._reader.error:
                 self._is_aborted_unread = self._has_waited_long
             raise classified from error
+        except asyncio.CancelledError:
+            # Failure prevented: the deadline passes in the middle of an event, and the
+            # stream ends in order after the event before it.
+            if not self._reader.is_between_events:
+                self._end.on_break(True, response.body_end)
+            raise
         finally:
             watchdog.close()
             self._watchdog = None
@@ -353,12 +359,10 @@
 
     def _new_response(self):
         """Return a response that states no more about its end than is known."""
-        states_end = self._response.body_end.is_certain
+        states_end = self._response.body_end.is_certain and not self._end.is_uncertain
         if states_end and self._request.version >= HttpVersion11:
             return web.StreamResponse(status=self._head.status)
-        response = UnframedResponse(self._head.status)
-        response.flush = self._buffer.flush_all
-        return response
+        return UnframedResponse(self._head.status, ends_itself=False)
 
     @property
     def _is_unframed(self):
@@ -372,13 +376,11 @@
     async def finish(self):
         """End the response in order.
 
+        An unframed one ends with its connection, once the caller has been sent all.
+
         Returns
         =======
         aiohttp.web.StreamResponse
-
-        Raises
-        ======
-        SlowReader
         """
         if self._caller_response is None:
             await self._start_response()
--- a/libs/listeners/src/hemlockhoist/listeners/unframed.py
+++ b/libs/listeners/src/hemlockhoist/listeners/unframed.py
@@ -25,22 +25,19 @@
     status : int
     body : bytes, optional
         What is written at its end.
-
-    Attributes
-    ==========
-    flush : coroutine function or None
-        Waits until the kernel has all that was written, or raises an error; None for a
-        wait without a limit.
+    ends_itself : bool, optional
+        Whether ``write_eof`` waits until the kernel has all, and lets the connection
+        end in order; if not, ``end_in_order`` has to be called.
     """
 
     # Otherwise the HTTP library sends chunks.
     _length_check = False
 
-    def __init__(self, status, body=b""):
+    def __init__(self, status, body=b"", ends_itself=True):
         super().__init__(status=status)
         self._rest = body
+        self._ends_itself = ends_itself
         self._transport = None
-        self.flush = None
         self.force_close()
 
     async def prepare(self, request):
@@ -51,10 +48,15 @@
         return await super().prepare(request)
 
     async def write_eof(self, data=b""):
-        """Write the body, drop it, and wait until the kernel has it."""
+        """Write the body, and drop it."""
         rest, self._rest = self._rest, b""
         await super().write_eof(rest or data)
-        await (self.flush or self._wait_flushed)()
+        if self._ends_itself:
+            await self._wait_flushed()
+            self.end_in_order()
+
+    def end_in_order(self):
+        """Let the end of the connection be an orderly one, unless it is closing."""
         set_reset_on_close(self._transport, False)
 
     async def _wait_flushed(self):
--- a/libs/standins/src/hemlockhoist/standins/published/raw.py
+++ b/libs/standins/src/hemlockhoist/standins/published/raw.py
@@ -128,6 +128,12 @@
     fields
         Further headers, with underscores for hyphens.
     """
+    data = request_bytes(path, method, body, version, **fields)
+    return await exchange_raw(site.hosts[host].settings.caller_address, data)
+
+
+def request_bytes(path, method="GET", body=b"", version="HTTP/1.1", **fields):
+    """Return the bytes of a request; the parameters are those of ``call_raw``."""
     headers = {
         "Host": HOST_NAME,
         "Attempt-Id": "a1",
@@ -138,8 +144,7 @@
         **{name.replace("_", "-"): text for name, text in fields.items()},
     }
     lines = [f"{method} {path} {version}", *(f"{k}: {v}" for k, v in headers.items())]
-    head = "\r\n".join([*lines, "", ""]).encode()
-    return await exchange_raw(site.hosts[host].settings.caller_address, head + body)
+    return "\r\n".join([*lines, "", ""]).encode() + body
 
 
 async def exchange_raw(address, data):
@@ -155,12 +160,13 @@
     reader, writer = await asyncio.open_connection(ip, int(port))
     try:
         writer.write(data)
-        return await _read_to_end(reader)
+        return await read_to_end(reader)
     finally:
         writer.close()
 
 
-async def _read_to_end(reader):
+async def read_to_end(reader):
+    """Return the ``RawAnswer`` that arrives until the connection ends."""
     received = []
     try:
         while data := await reader.read(_READ_BYTES):
