End a host that is stopped while it starts beside a silent store

Cause: the stop began at once, with the parts that were there. Beside a silent store a start takes 0.3 s or 0.8 s, and callers are served last: once listening had to end before that (a third of the grace), the stop failed with an AttributeError ("'NoneType' object has no attribute 'stop_listening'") that nobody saw. The host served on, said that it was not ready, and was killed with whatever was open.

Change: the stop waits for the end of the start. Its grace counts from the signal.

A start that takes longer than the grace is still not interrupted.

--- a/libs/entry/src/hemlockhoist/entry/drain.py
+++ b/libs/entry/src/hemlockhoist/entry/drain.py
@@ -127,24 +127,25 @@
         if limit.when() is None or limit.when() > due_s:
             limit.reschedule(due_s)
 
-    def begin(self):
-        """Begin the stop."""
-        grace_ms = self._context.settings.bounds.stop_ms
-        self.stop = PlannedStop(self._context.clock.now_ms(), grace_ms)
+    def begin(self, begin_ms):
+        """Begin the stop, which was ordered at a time."""
+        self.stop = PlannedStop(begin_ms, self._context.settings.bounds.stop_ms)
         for limit in self._limits:
             self._shorten(limit)
 
-    async def run(self, leave):
+    async def run(self, begin_ms, leave):
         """Leave the fleet, and wait until all requests are answered.
 
         Parameters
         ==========
+        begin_ms : int
+            When the stop was ordered, maybe while the host started.
         leave : coroutine
             Removes this host's row from the store.
         """
         context = self._context
         _log.info("drain_begun", open_requests=context.open_requests)
-        self.begin()
+        self.begin(begin_ms)
         context.leaving = True
         context.fleet.leave()
         context.homes.close()
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -9,6 +9,7 @@
 import aiomisc
 
 from hemlockhoist.base import (
+    MS_PER_S,
     Clock,
     InvariantLog,
     LineWriter,
@@ -121,6 +122,7 @@
         self._platform = platform
         self._boot_clock = boot_clock
         self._closers = contextlib.AsyncExitStack()
+        self._started = asyncio.Event()
         self._drain_task = None
         self._host_registry = None
         self._watches = ()
@@ -180,6 +182,7 @@
         await self._open(
             PeriodicTask(GAUGE_INTERVAL_MS, lambda: update_gauges(context))
         )
+        self._started.set()
         _log.info(
             "host_started", host=self.settings.name, address=context.identity.address
         )
@@ -476,7 +479,10 @@
         self._drain_task = asyncio.create_task(self._drain())
 
     async def _drain(self):
-        await self.context.drain.run(self._host_registry.leave())
+        ordered_s = asyncio.get_running_loop().time()
+        await self._started.wait()
+        begin_ms = int(ordered_s * MS_PER_S)
+        await self.context.drain.run(begin_ms, self._host_registry.leave())
         self.finished.set()
 
 
--- a/libs/standins/src/hemlockhoist/standins/published/site.py
+++ b/libs/standins/src/hemlockhoist/standins/published/site.py
@@ -165,6 +165,12 @@
 
     async def add_host(self, number):
         """Start an entry host and return it."""
+        host = self.new_host(number)
+        self.hosts.append(await self._open(host))
+        return host
+
+    def new_host(self, number):
+        """Return an entry host that has not been started, and is no part of the site."""
         listener = socket.create_server(("127.0.0.1", 0))
         listener.setblocking(False)
         port = listener.getsockname()[1]
@@ -185,9 +191,7 @@
         boot_clock = self._boot_clock or SkippingClock()
         clock = SuspendAwareClock(boot_clock.read_ns)
         platform = PlatformAdapter(settings, clock)
-        host = EntryProcess(settings, platform, clock, listener)
-        self.hosts.append(await self._open(host))
-        return host
+        return EntryProcess(settings, platform, clock, listener)
 
     async def wait_ready(self):
         """Wait until all hosts are ready and have discovered one another."""
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_stops.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_stops.py
@@ -347,6 +347,20 @@
         finally:
             writer.close()
 
+    async def test_host_that_is_stopped_while_it_starts_ends(self):
+        """Guards against a stop that fails in a start beside a silent store."""
+        # Such a start takes 0.3 s or 0.8 s.
+        async with self.site(Replica("s1"), 850) as site:
+            host = site.new_host(2)
+            site.store.faults.hangs = True
+            starting = asyncio.create_task(host.start())
+            await asyncio.sleep(0.01)
+            stopping = asyncio.create_task(stop(host))
+            await starting
+            async with asyncio.timeout(1):
+                self.assertLess(await stopping, 850)
+            site.store.faults.heal()
+
     async def test_stop_does_not_wait_for_a_connection_without_a_request(self):
         """Guards against idle connections that hold up each stop to its limit."""
         async with self.site(Replica("s1"), 8_000) as site:
