Test the planned stop of a host that relays a booking for another one

Not a fault: on virtual time, with graces of 0.5, 1 and 8 s, a booking that is at work at the end has 502 from its own host, as the relaying host's connection ends, and one that ends in 5/6 of the grace is answered.

--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_stops.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_stops.py
@@ -6,6 +6,7 @@
 from hemlockhoist.base.testing import PausedSocketTestCase
 from hemlockhoist.entry import FleetBounds
 from hemlockhoist.standins.published import Behaviour, Replica, Site, route
+from hemlockhoist.standins.published.links import HostLinks, LinkMode
 from hemlockhoist.standins.published.raw import call_raw
 from hemlockhoist.standins.published.site import HOST_NAME, KEY
 
@@ -385,5 +386,44 @@
             self.assertEqual(len(replica.ran), 1)
 
 
+class RelayingHostTests(PausedSocketTestCase):
+    """Stops of a host that relays requests for one without links to upstreams."""
+
+    async def relayed(self, stop_ms, work_ms):
+        """Stop the relaying host in the middle of a booking; return its answer."""
+        replica = Replica("s1")
+        bounds = FleetBounds(stop_ms=stop_ms)
+        services = {"reservas": [replica], "asistente": []}
+        async with Site(services, ROUTES, hosts=2, bounds=bounds) as site:
+            HostLinks(site.hosts[0]).cut([replica], LinkMode.REFUSED)
+            for number in range(3):
+                await call_raw(site, f"/check-free/{number}", **LONG)
+            learned = len(replica.ran)
+            replica.delay_ms = work_ms
+            call = call_raw(site, "/book-hall/1", method="POST", **LONG)
+            booking = asyncio.create_task(call)
+            await until(lambda: len(replica.ran) > learned)
+            self.assertEqual(site.hosts[1].relay_server.relayed_count, 1)
+            took_ms = await stop(site.hosts[1])
+            answer = await booking
+        self.assertEqual(len(replica.ran), learned + 1)
+        self.assertLess(took_ms, stop_ms)
+        return answer
+
+    async def test_relayed_booking_at_work_at_the_end_is_answered(self):
+        """Guards against a booking without an answer as another host stops."""
+        for stop_ms in (500, 1_000, 8_000):
+            with self.subTest(stop_ms=stop_ms):
+                answer = await self.relayed(stop_ms, work_ms=8_500)
+                self.assertEqual(answer.status, 502)
+
+    async def test_relayed_booking_that_ends_in_the_grace_is_answered(self):
+        """Guards against a stop that does not wait for what it relays."""
+        for stop_ms in (500, 1_000, 8_000):
+            with self.subTest(stop_ms=stop_ms):
+                answer = await self.relayed(stop_ms, work_ms=5 * stop_ms // 6)
+                self.assertEqual(answer.status, 200)
+
+
 if __name__ == "__main__":
     unittest.main()
