Answer calls that the own interface's stop finds open at its end

Cause: the drain of the own interface waits for twice drain_limit_ms, and then closed all connections. Calls that cannot be handed over, such as bookings, were cut without an answer where the limit was shorter than their work, or where they had come late.

Change: AnswerLimits, taken out of the entry host's Drain, limits each dispatch. Once the time is over, a call that was sent gets 302 (outcome unknown, 502) and one that was not 207 (leaving, 503), also one that comes then; the ledger records the outcome as unknown. The drain waits up to 1 s for these answers to leave. A dispatch that is ended this way is reported to the home as cancelled and no more as not sent.

Not changed: requests that come in the drain are still sent whatever their deadline is, as drain_limit_ms has to exceed the longest one.

--- a/libs/entry/src/hemlockhoist/entry/drain.py
+++ b/libs/entry/src/hemlockhoist/entry/drain.py
@@ -5,6 +5,7 @@
 
 from hemlockhoist.base import MS_PER_S, Refused, ResultCode, get_logger
 from hemlockhoist.decisions.entry import PlannedStop
+from hemlockhoist.host.answer_limits import AnswerLimits
 
 _log = get_logger("entry.process")
 
@@ -30,8 +31,7 @@
 
     def __init__(self, context):
         self._context = context
-        # The time limits of what is in progress.
-        self._limits = set()
+        self._limits = AnswerLimits()
         # Nothing waits for open requests any more.
         self._is_over = False
         self.stop = None
@@ -83,27 +83,9 @@
         """Return whether this host's stop ends work before a deadline does."""
         return self.stop is not None and self.stop.ends_before(deadline_ms)
 
-    @contextlib.asynccontextmanager
-    async def limit(self, deadline_ms=None):
-        """Limit work to a deadline, and to the time at which answers are due.
-
-        Parameters
-        ==========
-        deadline_ms : int, optional
-            None for no further limit.
-
-        Raises
-        ======
-        TimeoutError
-        """
-        deadline_s = None if deadline_ms is None else deadline_ms / MS_PER_S
-        async with asyncio.timeout_at(deadline_s) as limit:
-            self._limits.add(limit)
-            try:
-                self._shorten(limit)
-                yield
-            finally:
-                self._limits.discard(limit)
+    def limit(self, deadline_ms=None):
+        """Limit work as ``AnswerLimits.limit`` does."""
+        return self._limits.limit(deadline_ms)
 
     @contextlib.asynccontextmanager
     async def limit_unsent(self):
@@ -120,18 +102,10 @@
         except TimeoutError as error:
             raise leaving() from error
 
-    def _shorten(self, limit):
-        if self.stop is None or limit.expired():
-            return
-        due_s = self.stop.answers_due_ms / MS_PER_S
-        if limit.when() is None or limit.when() > due_s:
-            limit.reschedule(due_s)
-
     def begin(self, begin_ms):
         """Begin the stop, which was ordered at a time."""
         self.stop = PlannedStop(begin_ms, self._context.settings.bounds.stop_ms)
-        for limit in self._limits:
-            self._shorten(limit)
+        self._limits.shorten(self.stop.answers_due_ms)
 
     async def run(self, begin_ms, leave):
         """Leave the fleet, and wait until all requests are answered.
--- a/libs/host/src/hemlockhoist/host/context.py
+++ b/libs/host/src/hemlockhoist/host/context.py
@@ -1,5 +1,6 @@
 """State and services shared within a host process."""
 
+from hemlockhoist.host.answer_limits import AnswerLimits
 from hemlockhoist.host.handover import StreamHandover
 
 
@@ -10,6 +11,8 @@
     ==========
     abandoned_checks : AbandonedChecks
         Looks at upstreams after runs that were given up.
+    answer_limits : AnswerLimits
+        Has requests that a planned stop finds open at its end answered.
     settings : Settings
     identity : HostIdentity
     clock : Clock
@@ -46,6 +49,7 @@
 
     __slots__ = (
         "abandoned_checks",
+        "answer_limits",
         "bus",
         "callers",
         "clock",
@@ -80,6 +84,7 @@
         self.identity = identity
         self.clock = clock
         self.invariants = invariants
+        self.answer_limits = AnswerLimits()
         self.handover = StreamHandover()
         self.leaving = False
         self.open_requests = 0
--- a/libs/host/src/hemlockhoist/host/dispatcher.py
+++ b/libs/host/src/hemlockhoist/host/dispatcher.py
@@ -1,5 +1,7 @@
 """Dispatch of a request: acquires a grant, sends under it and releases it."""
 
+import asyncio
+
 import msgspec
 
 from hemlockhoist.base import DispatchError, Refused, ResultCode, get_logger
@@ -179,10 +181,12 @@
     traces : Traces
     metrics : Metrics
     abandoned_checks : AbandonedChecks
+    answer_limits : AnswerLimits
     """
 
     __slots__ = (
         "_abandoned_checks",
+        "_answer_limits",
         "_budgets",
         "_clock",
         "_grants",
@@ -192,8 +196,18 @@
         "register",
     )
 
-    def __init__(self, grants, clock, invariants, traces, metrics, abandoned_checks):
+    def __init__(
+        self,
+        grants,
+        clock,
+        invariants,
+        traces,
+        metrics,
+        abandoned_checks,
+        answer_limits,
+    ):
         self._abandoned_checks = abandoned_checks
+        self._answer_limits = answer_limits
         self._traces = traces
         self._metrics = metrics
         self._grants = grants
@@ -223,6 +237,19 @@
         DispatchError
             The request may have been sent.
         """
+        limit = None
+        try:
+            async with self._answer_limits.limit() as limit:
+                return await self._run_attempts(work, consume, on_dispatch)
+        except TimeoutError as error:
+            if limit is None or not limit.expired():
+                raise
+            if work.request_id in self.register:
+                text = "the host stops"
+                raise DispatchError(text, ResultCode.OUTCOME_UNKNOWN) from error
+            raise Refused("", ResultCode.LEAVING) from error
+
+    async def _run_attempts(self, work, consume, on_dispatch):
         self._metrics.count(REQUESTS_ARRIVED, work.tier)
         budget = self._budgets.setdefault(work.pool, RetryBudget())
         budget.on_request()
@@ -268,6 +295,10 @@
             report.kind = _OUTCOME_KINDS.get(error.code, OutcomeKind.FAILED)
             reason = error.message
             raise
+        except asyncio.CancelledError:
+            if guard.dispatched:
+                report.kind = OutcomeKind.CANCELLED
+            raise
         finally:
             del self._guards[hold.grant_id]
             outcome = report.outcome(self._clock.now_ms())
--- a/libs/host/src/hemlockhoist/host/process.py
+++ b/libs/host/src/hemlockhoist/host/process.py
@@ -78,6 +78,8 @@
 GAUGE_INTERVAL_MS = 1_000
 DRAIN_CHECK_INTERVAL_MS = 50
 FLUSH_TIMEOUT_MS = 500
+# The last answers of a planned stop leave within this time.
+ANSWER_TIMEOUT_MS = 1_000
 # Little work of this process runs in threads, and the default pool of the service
 # framework is sized for much more memory than a host has.
 THREAD_POOL_SIZE = 2
@@ -224,6 +226,7 @@
             context.traces,
             context.metrics,
             context.abandoned_checks,
+            context.answer_limits,
         )
         context.moves = MoveService(context, tables, send)
         context.configuration = ConfigurationService(
@@ -397,6 +400,9 @@
             # Non-streaming answers and calls of plain services cannot be handed over.
             # They are not cut either, but get the same time again to finish.
             await self._wait_idle(self.settings.drain_limit_ms)
+        # What is open still, or comes now, is answered at once.
+        context.answer_limits.shorten(context.clock.now_ms())
+        await self._wait_idle(ANSWER_TIMEOUT_MS, lambda: self._server.is_quiet)
         await context.bus.flush(FLUSH_TIMEOUT_MS)
         _log.info("drain_ended", open_requests=context.open_requests)
         self.finished.set()
@@ -412,9 +418,9 @@
             _log.error("ledger_not_handed_over", exc_info=True)
             return False
 
-    async def _wait_idle(self, limit_ms):
+    async def _wait_idle(self, limit_ms, is_quiet=lambda: True):
         deadline_ms = self.context.clock.now_ms() + limit_ms
-        while self.context.open_requests:
+        while self.context.open_requests or not is_quiet():
             if self.context.clock.now_ms() >= deadline_ms:
                 return
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_MS / MS_PER_S)
--- a/libs/host/src/hemlockhoist/host/server.py
+++ b/libs/host/src/hemlockhoist/host/server.py
@@ -91,6 +91,11 @@
         await self._http.start()
         self.address = self._http.address
 
+    @property
+    def is_quiet(self):
+        """Whether no request is being answered, has begun or is about to come."""
+        return self._http.is_quiet
+
     async def stop_listening(self):
         """Stop accepting connections; open ones continue."""
         await self._http.stop_listening()
--- a/libs/host/src/hemlockhoist/host/settings_table.py
+++ b/libs/host/src/hemlockhoist/host/settings_table.py
@@ -168,7 +168,7 @@
         "900000",
         "How long a graceful shutdown waits for requests in progress before it is "
         "reported as overrun. Must exceed the longest deadline of any tier, or a "
-        "planned stop would cut requests.",
+        "planned stop would end requests with an unknown outcome.",
     ),
     Setting(
         "host_list_poll_ms",
--- a/libs/standins/src/hemlockhoist/standins/tests/test_host_process.py
+++ b/libs/standins/src/hemlockhoist/standins/tests/test_host_process.py
@@ -330,6 +330,42 @@
             await asyncio.wait_for(self.host.finished.wait(), 10)
 
 
+class DrainEndTests(HostCase):
+    def _settings(self):
+        return super()._settings().replaced(drain_limit_ms=1_000)
+
+    async def _stop(self):
+        self.host.begin_drain()
+        await asyncio.wait_for(self.host.finished.wait(), 10)
+        await self.host.close()
+
+    async def test_calls_open_at_the_end_of_a_drain_are_answered(self):
+        """Guards against a booking that runs and is cut without an answer."""
+        self.service.faults.slow_ms = 60_000
+        headers = await self._key_headers("open")
+        path = "/services/reservations/availability"
+        calls = [
+            asyncio.create_task(self._call("POST", _BOOKINGS, headers, {"hall": 7})),
+            asyncio.create_task(self._call("GET", path, _CALLER)),
+        ]
+        await asyncio.sleep(0.3)
+        await self._stop()
+        for status, code, ran, _ in await asyncio.gather(*calls):
+            self.assertEqual((status, code), (502, ResultCode.OUTCOME_UNKNOWN))
+            self.assertEqual(ran, "outcome unknown")
+
+    async def test_call_that_comes_once_the_process_ends_is_refused(self):
+        """Guards against a call that is sent after the last look at open ones."""
+        path = "/services/reservations/availability"
+        status, *_ = await self._call("GET", path, _CALLER)
+        self.assertEqual(status, 200)
+        self.host.begin_drain()
+        await asyncio.wait_for(self.host.finished.wait(), 10)
+        status, code, ran, _ = await self._call("GET", path, _CALLER)
+        self.assertEqual((status, code), (503, ResultCode.LEAVING))
+        self.assertEqual(ran, "not run")
+
+
 class ReadinessTests(HostCase):
     async def test_host_without_declarations_is_not_ready(self):
         """A host that starts during an outage of the table service is not ready."""
