Take only the end of a planned stop for one

Cause: while a request's body was read, any TimeoutError, such as that of a connection that timed out, was taken for the time at which answers are due, and refused with 207 (leaving) by a host that did not stop.

--- a/libs/entry/src/hemlockhoist/entry/drain.py
+++ b/libs/entry/src/hemlockhoist/entry/drain.py
@@ -97,9 +97,11 @@
             As answers are due.
         """
         try:
-            async with self.limit():
+            async with self.limit() as limit:
                 yield
         except TimeoutError as error:
+            if not limit.expired():
+                raise
             raise leaving() from error
 
     def begin(self, begin_ms):
--- a/libs/host/src/hemlockhoist/host/dispatcher.py
+++ b/libs/host/src/hemlockhoist/host/dispatcher.py
@@ -237,12 +237,11 @@
         DispatchError
             The request may have been sent.
         """
-        limit = None
         try:
             async with self._answer_limits.limit() as limit:
                 return await self._run_attempts(work, consume, on_dispatch)
         except TimeoutError as error:
-            if limit is None or not limit.expired():
+            if not limit.expired():
                 raise
             if work.request_id in self.register:
                 text = "the host stops"
