--- a/libs/standins/src/hemlockhoist/standins/tests/test_host_process.py
+++ b/libs/standins/src/hemlockhoist/standins/tests/test_host_process.py
@@ -13,9 +13,11 @@
 
 from hemlockhoist.base import ResultCode
 from hemlockhoist.base.traces import Hop, Traces
+from hemlockhoist.decisions import OutcomeKind
 from hemlockhoist.declarations import parse_declarations
 from hemlockhoist.host import HostProcess, Settings, stream_readers
 from hemlockhoist.host.fleet import Fleet
+from hemlockhoist.host.grants import GrantClient
 from hemlockhoist.host.ledger_service import LedgerService
 from hemlockhoist.standins.engine.app import EngineStandin
 from hemlockhoist.standins.engine_model import GENERATIONS
@@ -354,6 +356,18 @@
             self.assertEqual((status, code), (502, ResultCode.OUTCOME_UNKNOWN))
             self.assertEqual(ran, "outcome unknown")
 
+    async def test_home_is_not_told_that_an_ended_call_was_not_sent(self):
+        """Guards against a slot that is given again while its upstream works."""
+        self.service.faults.slow_ms = 60_000
+        path = "/services/reservations/availability"
+        call = asyncio.create_task(self._call("GET", path, _CALLER))
+        await asyncio.sleep(0.3)
+        with mock.patch.object(GrantClient, "release", autospec=True) as release:
+            await self._stop()
+            await call
+        kinds = [call.args[2].kind for call in release.mock_calls]
+        self.assertEqual(kinds, [OutcomeKind.CANCELLED])
+
     async def test_call_that_comes_once_the_process_ends_is_refused(self):
         """Guards against a call that is sent after the last look at open ones."""
         path = "/services/reservations/availability"
