Take no answer whose framing contradicts itself for one

Cause: the library decides by its parser what ends a body. Both took a Transfer-Encoding whose last coding is chunked for chunks, whatever else it names, and let an unknown one run to the end of the connection.

Red before, on both parsers: "gzip, chunked" was passed on as the encoded body without its coding; "identity", "chunked, gzip" and "xchunked" as a body with the chunks' framing in it; chunks in HTTP/1.0 as 200. Only with the parser in Python, two Content-Length were passed on (of two differing ones, the first counted), as well as a 204 with a length. With the compiled one, the test of chunks in HTTP/1.0 did not end (stopped after 12 s).

Change: check_framing. A Transfer-Encoding is chunked and nothing else, not in HTTP/1.0, not with Content-Length; there is one Content-Length at most, of ASCII digits; 204 and interim answers have neither, or a length of 0. Two equal Content-Length are refused, since the compiled parser never read them.

--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_answer_heads.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_answer_heads.py
@@ -135,8 +135,27 @@
             await self.check_passed_on(answer(fields=line), X_A=value)
 
 
+class FramingTests(HeadTestCase):
+    async def test_answer_with_invalid_framing_is_not_passed_on(self):
+        """Guards against a body that is not the upstream's."""
+        chunks = b"4\r\nodd!\r\n0\r\n\r\n"
+        for framing, body in (
+            (b"Transfer-Encoding: gzip, chunked\r\n", chunks),
+            (b"Transfer-Encoding: chunked, gzip\r\n", chunks),
+            (b"Transfer-Encoding: identity\r\n", b"odd!"),
+            (b"Content-Length: 4\r\nContent-Length: 4\r\n", b"odd!"),
+        ):
+            await self.check_no_answer(answer(framing=framing, body=body))
+
+    async def test_chunks_in_http_1_0_are_not_passed_on(self):
+        """Guards against a body that is not the upstream's."""
+        framing, body = b"Transfer-Encoding: chunked\r\n", b"4\r\nodd!\r\n0\r\n\r\n"
+        data = answer(b"HTTP/1.0 200 OK", framing=framing, body=body)
+        await self.check_no_answer(data)
+
+
 class OtherParserTests(unittest.TestCase):
     def test_heads_are_the_same_answers_with_the_parser_in_python(self):
         """Guards against hosts that take different heads for answers."""
-        names = ("StatusLineTests", "FieldTests")
+        names = ("StatusLineTests", "FieldTests", "FramingTests")
         run_with_python_parser(*(f"{__name__}.{name}" for name in names))
--- a/libs/upstreams/src/hemlockhoist/upstreams/answer_head.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/answer_head.py
@@ -18,6 +18,9 @@
 # RFC 9110, section 5.5. Bytes above 0x7f are ordinary; the HTTP library decodes those
 # that are no UTF-8 as surrogates from U+DC80 to U+DCFF. Others can't be written.
 _FORBIDDEN = re.compile("[\x00-\x08\x0a-\x1f\x7f\ud800-\udc7f\udd00-\udfff]")
+# Longer numbers overflow one of the library's parsers.
+_LENGTH = re.compile(r"[0-9]{1,18}")
+_NO_CONTENT = 204
 _FIRST_STATUS, _FIRST_FINAL_STATUS, _LAST_STATUS = 100, 200, 599
 _SWITCHING_PROTOCOLS = 101
 
@@ -104,14 +107,19 @@
             self._check_begin()
 
     def _add_line(self, line):
-        if line or not self._lines:
-            self._lines.append(line)
-            if len(self._lines) == 1:
-                _read_status_line(line)
-            else:
-                _read_field(line)
+        if not self._lines:
+            _read_status_line(line)
+        elif not line:
+            self._end_head()
             return
-        _, status = _read_status_line(self._lines[0])
+        else:
+            _read_field(line)
+        self._lines.append(line)
+
+    def _end_head(self):
+        first, *lines = self._lines
+        minor_version, status = _read_status_line(first)
+        check_framing(status, [_read_field(line) for line in lines], minor_version)
         self._lines = []
         if status >= _FIRST_FINAL_STATUS:
             self.status = status
@@ -163,6 +171,44 @@
         raise InvalidAnswerHead(f"control byte in {name[:40]}", value)
 
 
+def check_framing(status, fields, minor_version=1):
+    """Check that the fields of a head say in one way where its body ends.
+
+    Failure prevented: a part of the body, or its framing, is passed on as the whole.
+    Parsers also differ in which of two statements they follow.
+
+    Parameters
+    ==========
+    status : int
+    fields : sequence of (str, str)
+    minor_version : int, optional
+        That of HTTP/1.
+
+    Raises
+    ======
+    InvalidAnswerHead
+    """
+    codings = _values(fields, "transfer-encoding")
+    lengths = _values(fields, "content-length")
+    if codings:
+        # Others were not asked for, and the body would be passed on still encoded.
+        if len(codings) > 1 or codings[0].lower() != "chunked":
+            raise InvalidAnswerHead("Transfer-Encoding", ", ".join(codings))
+        if not minor_version:
+            raise InvalidAnswerHead("Transfer-Encoding in HTTP/1.0")
+        if lengths:
+            raise InvalidAnswerHead("both Transfer-Encoding and Content-Length")
+    if len(lengths) > 1 or not all(_LENGTH.fullmatch(length) for length in lengths):
+        raise InvalidAnswerHead("Content-Length", ", ".join(lengths))
+    has_body = bool(codings) or any(int(length) for length in lengths)
+    if has_body and (status < _FIRST_FINAL_STATUS or status == _NO_CONTENT):
+        raise InvalidAnswerHead(f"body with status {status}")
+
+
+def _values(fields, name):
+    return [value.strip(" \t") for key, value in fields if key.lower() == name]
+
+
 def check_status(status, is_final=False):
     """Check that a status has a meaning, and none that nobody asked for.
 
--- a/libs/upstreams/src/hemlockhoist/upstreams/tests/test_answer_head.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/tests/test_answer_head.py
@@ -34,6 +34,38 @@
 CONTROL_BYTES = [*range(0x09), *range(0x0B, 0x20), 0x7F]
 NO_TOKENS = (b"", b"X A", b"X ", b" X", b"X\t", b"X(", b"X@", b"X[", b'"X"', b"X\xe9")
 
+CHUNKS = b"4\r\nbody\r\n0\r\n\r\n"
+INVALID_LENGTHS = (
+    b"Content-Length: 5\r\nContent-Length: 4\r\n",
+    b"Content-Length: 4\r\nContent-Length: 4\r\n",
+    b"Content-Length: 4, 4\r\n",
+    b"Content-Length: 4, 5\r\n",
+    b"Content-Length: +4\r\n",
+    b"Content-Length: -4\r\n",
+    b"Content-Length: 0x4\r\n",
+    b"Content-Length: 4.0\r\n",
+    b"Content-Length: 4 4\r\n",
+    b"Content-Length:\r\n",
+    b"Content-Length: \xd9\xa4\r\n",
+    b"Content-Length: \xb2\r\n",
+    b"Content-Length: 9999999999999999999999\r\n",
+)
+INVALID_CODINGS = (
+    b"gzip, chunked",
+    b"chunked, gzip",
+    b"chunked, chunked",
+    b"chunked,",
+    b"chunked;q=1",
+    b"chunked\r\nTransfer-Encoding: chunked",
+    b"chunked\r\nTransfer-Encoding: gzip",
+    b"chunked\r\nContent-Length: 4",
+    b"identity",
+    b"xchunked",
+    b"x chunked",
+    b"chun\xe2\x84\xaaed",
+    b"",
+)
+
 
 def answer(status_line=b"HTTP/1.1 200 OK", fields=b"", framing=LENGTH, body=b"body"):
     return status_line + b"\r\n" + fields + framing + b"\r\n" + body
@@ -155,10 +187,51 @@
             await self.check_read(data, (200, text, b"body"))
 
 
+class FramingTests(HeadTestCase):
+    async def test_invalid_lengths_are_in_no_answer(self):
+        """Guards against a part of a body that is taken for the whole."""
+        for framing in INVALID_LENGTHS:
+            await self.check_refused(answer(framing=framing))
+
+    async def test_invalid_transfer_codings_are_in_no_answer(self):
+        """Guards against the framing of a body that is taken for the body."""
+        for codings in INVALID_CODINGS:
+            framing = b"Transfer-Encoding: " + codings + b"\r\n"
+            await self.check_refused(answer(framing=framing, body=CHUNKS))
+
+    async def test_chunks_are_in_no_answer_of_http_1_0(self):
+        """Guards against chunks of an upstream that did not mean any."""
+        framing = b"Transfer-Encoding: chunked\r\n"
+        await self.check_refused(answer(b"HTTP/1.0 200 OK", framing=framing))
+
+    async def test_status_without_a_body_has_none(self):
+        """Guards against a body that is taken for the next answer."""
+        for framing in (LENGTH, b"Transfer-Encoding: chunked\r\n"):
+            for line in (b"HTTP/1.1 204 No Content", b"HTTP/1.1 103 Early Hints"):
+                await self.check_refused(answer(line, framing=framing) + answer())
+
+    async def test_usual_framings_are_read(self):
+        """Guards against sound answers that are lost."""
+        for framing, body in (
+            (b"content-length:4\r\n", b"body"),
+            (b"Content-Length: \t04 \r\n", b"body"),
+            (b"Transfer-Encoding: Chunked\r\n", CHUNKS),
+            (b"transfer-encoding:chunked \r\n", CHUNKS),
+            (b"Connection: close\r\n", b"body"),
+        ):
+            data = answer(framing=framing, body=body)
+            await self.check_read(data, (200, None, b"body"))
+        for framing in (b"", b"Content-Length: 0\r\n"):
+            data = answer(b"HTTP/1.1 204 No Content", framing=framing, body=b"")
+            await self.check_read(data, (204, None, b""))
+        data = answer(b"HTTP/1.1 304 Not Modified", body=b"")
+        await self.check_read(data, (304, None, b""))
+
+
 class OtherParserTests(unittest.TestCase):
     def test_heads_are_the_same_answers_with_the_parser_in_python(self):
         """Guards against hosts that take different heads for answers."""
-        names = ("StatusLineTests", "FieldTests")
+        names = ("StatusLineTests", "FieldTests", "FramingTests")
         run_with_python_parser(*(f"{__name__}.{name}" for name in names))
 
 
