End a body whose chunks can't be read, on both HTTP parsers

Cause: after an invalid chunk in a body that had begun, the compiled parser's error went to the connection and not to the body. The parser in Python gave the body an error that is none of the library's client errors, and it left the upstream client as a TransferEncodingError.

Red before: 4 of 9 subtests with each parser; compiled, each took the whole 1 s that the test gives. Now all are a DispatchError at once (0.15 s and 0.13 s for the test).

Change: BoundedHandler passes the parser's error on to the body; dispatch_errors knows the library's HttpProcessingError.

--- a/libs/upstreams/src/hemlockhoist/upstreams/bounds.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/bounds.py
@@ -94,6 +94,7 @@
                 return
         if data or not byte_count:
             super().data_received(data)
+            self._end_unreadable_body()
         if not byte_count or self.transport is None:
             # The library also calls this to parse on after each read of the body.
             return
@@ -134,6 +135,17 @@
             if (self._loop.time() - self._head_begin_s) * MS_PER_S > limit_ms:
                 self._end_unbounded(f"a head that did not end within {limit_ms:.0f} ms")
 
+    def _end_unreadable_body(self):
+        """End a body whose framing the parser could not read.
+
+        The HTTP library only closes the connection. With its compiled parser, the
+        reader of a body that has begun would then wait without a time limit.
+        """
+        error, body = self._exception, self._body
+        if error is None or body is None or body.is_eof() or body.exception():
+            return
+        body.set_exception(aiohttp.ClientPayloadError(f"unreadable framing: {error!a}"))
+
     def _end_unbounded(self, text):
         self._end(DataWithoutEnd(f"the other side sent {text}"))
 
--- a/libs/upstreams/src/hemlockhoist/upstreams/response.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/response.py
@@ -3,6 +3,7 @@
 import contextlib
 
 import aiohttp
+from aiohttp.http import HttpProcessingError
 
 from hemlockhoist.base import DispatchError, ResultCode
 from hemlockhoist.upstreams.answer_head import InvalidAnswerHead
@@ -224,7 +225,7 @@
     except aiohttp.ClientPayloadError as error:
         text = f"the answer broke off before its end: {error}"[:MAX_REASON_CHARACTERS]
         raise DispatchError(text, ResultCode.UPSTREAM_BROKE_OFF) from error
-    except (aiohttp.ClientError, OSError, ValueError) as error:
+    except (aiohttp.ClientError, HttpProcessingError, OSError, ValueError) as error:
         text = describe_error(error)
         raise DispatchError(text, ResultCode.UPSTREAM_BROKE_OFF) from error
 
--- a/libs/upstreams/src/hemlockhoist/upstreams/tests/test_answer_head.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/tests/test_answer_head.py
@@ -1,3 +1,4 @@
+import asyncio
 import doctest
 import unittest
 
@@ -228,10 +229,28 @@
         await self.check_read(data, (304, None, b""))
 
 
+class BodyFramingTests(HeadTestCase):
+    async def test_unreadable_framing_of_a_body_ends_it(self):
+        """Guards against a reader that waits for a body on a closed connection."""
+        head = answer(framing=b"Transfer-Encoding: chunked\r\n", body=b"")
+        for body in (b"body", b"zz\r\n", b"4\r\nbodyXX\r\n0\r\n\r\n"):
+            for chunks in ([head, body], [head, *cut(body)[1]], cut(head + body)[1]):
+                with self.subTest(body=body, chunk_count=len(chunks)):
+                    async with asyncio.timeout(1):
+                        error = await read(chunks)
+                    self.assertIsInstance(error, DispatchError)
+                    self.assertEqual(error.code, ResultCode.UPSTREAM_BROKE_OFF)
+
+
 class OtherParserTests(unittest.TestCase):
     def test_heads_are_the_same_answers_with_the_parser_in_python(self):
         """Guards against hosts that take different heads for answers."""
-        names = ("StatusLineTests", "FieldTests", "FramingTests")
+        names = (
+            "StatusLineTests",
+            "FieldTests",
+            "FramingTests",
+            "BodyFramingTests",
+        )
         run_with_python_parser(*(f"{__name__}.{name}" for name in names))
 
 
