Take no answer with two receipts or two request ids for one

Cause: of a repeated Response-Signature or request id, the first was read and all of the receipts were passed on, so the caller could not tell which is its answer's.

Red before, on both parsers: a lookup and a booking with a second, different receipt, or a second Attempt-Id, were answered with 200. Repeated equal ones were passed on and still are. Not changed: an empty receipt counts as one.

--- a/libs/entry/src/hemlockhoist/entry/tests/test_attempt_sender.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_attempt_sender.py
@@ -3,6 +3,8 @@
 import unittest
 from unittest import mock
 
+from multidict import CIMultiDict
+
 from hemlockhoist.base import InvariantLog, Refused, ResultCode
 from hemlockhoist.decisions.entry import AttemptEnd
 from hemlockhoist.entry.attempt_sender import AttemptSender
@@ -21,6 +23,7 @@
 
     async def open(self, headers, is_reused, deadline_ms=EXPIRES_MS):
         """Send a request that is refused; return its sender and the attempt."""
+        headers = CIMultiDict(headers)
         raw = types.SimpleNamespace(status=503, headers=headers, method="GET")
 
         @contextlib.asynccontextmanager
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_answer_heads.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_answer_heads.py
@@ -154,6 +154,21 @@
         await self.check_no_answer(data)
 
 
+class RepeatedFieldTests(HeadTestCase):
+    async def test_answer_with_two_receipts_is_not_passed_on(self):
+        """Guards against a receipt that may be another request's."""
+        line = b"Response-Signature: receipt-of-another\r\n"
+        await self.check_no_answer(answer(fields=line))
+
+    async def test_answer_with_two_request_ids_is_not_passed_on(self):
+        """Guards against an answer that may be another request's."""
+        await self.check_no_answer(answer(fields=b"Attempt-Id: another\r\n"))
+
+    async def test_repeated_equal_fields_are_passed_on(self):
+        """Guards against sound answers that are lost."""
+        await self.check_passed_on(answer(fields=PLATFORM_FIELDS))
+
+
 class OtherParserTests(unittest.TestCase):
     def test_heads_are_the_same_answers_with_the_parser_in_python(self):
         """Guards against hosts that take different heads for answers."""
--- a/libs/upstreams/src/hemlockhoist/upstreams/response.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/response.py
@@ -77,18 +77,20 @@
         """Return whether the response belongs to the request.
 
         A response without an echoed request id is accepted if its connection carried
-        only one request.
+        only one request. One with two different ids belongs to none.
         """
-        echoed = self._response.headers.get(self._request_id_header)
-        if echoed is None:
+        echoed = self._echoed_ids
+        if not echoed:
             return not self.is_reused
-        return echoed == request_id
+        return echoed == {request_id}
 
     def is_of_another_request(self, request_id):
         """Return whether the response carries the id of another request."""
-        return self._response.headers.get(self._request_id_header, request_id) != (
-            request_id
-        )
+        return bool(self._echoed_ids - {request_id})
+
+    @property
+    def _echoed_ids(self):
+        return set(self._response.headers.getall(self._request_id_header, ()))
 
     def close(self):
         """Close the connection, and drop what is unread; a pending read raises an error.
