Check the heads that relaying hosts pass on

Cause: a host took the head that a relaying host sent as it came, while that may be of another release, which checks less.

Now each is an InvalidAnswerHead, checked by the same functions as an upstream's bytes.

--- a/libs/relays/src/hemlockhoist/relays/client.py
+++ b/libs/relays/src/hemlockhoist/relays/client.py
@@ -14,7 +14,7 @@
     RelayRefusal,
     RelaySend,
 )
-from hemlockhoist.upstreams import DirectConnector, UpstreamResponse
+from hemlockhoist.upstreams import DirectConnector, UpstreamResponse, check_head
 
 RELAY_PATH = "/relay"
 # Hosts reach one another within a few milliseconds.
@@ -208,6 +208,8 @@
         if not isinstance(message, RelayedHead):
             text = f"the relaying host sent {type(message).__name__}"
             raise DispatchError(text, ResultCode.OUTCOME_UNKNOWN)
+        # The relaying host may be of another release, and check less.
+        check_head(message.status, message.headers)
         return message
 
     def close(self):
--- a/libs/upstreams/src/hemlockhoist/upstreams/__init__.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/__init__.py
@@ -1,6 +1,6 @@
 """Clients of model engines and plain services."""
 
-from hemlockhoist.upstreams.answer_head import InvalidAnswerHead
+from hemlockhoist.upstreams.answer_head import InvalidAnswerHead, check_head
 from hemlockhoist.upstreams.body_end import BodyEnd
 from hemlockhoist.upstreams.bounds import BoundedHandler, part_limit_ms
 from hemlockhoist.upstreams.client import UpstreamCall, UpstreamClient, cancel_stream
@@ -47,6 +47,7 @@
     "UpstreamCall",
     "UpstreamClient",
     "cancel_stream",
+    "check_head",
     "enable_tcp_keepalive",
     "part_limit_ms",
     "DirectConnector",
--- a/libs/upstreams/src/hemlockhoist/upstreams/answer_head.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/answer_head.py
@@ -133,6 +133,24 @@
             )
 
 
+def check_head(status, fields):
+    """Check the final head of an answer that another host has parsed.
+
+    Parameters
+    ==========
+    status : int
+    fields : sequence of (str, str)
+
+    Raises
+    ======
+    InvalidAnswerHead
+    """
+    check_status(status, is_final=True)
+    for name, value in fields:
+        check_field(name, value)
+    check_framing(status, fields)
+
+
 def _read_status_line(line):
     """Return the minor version and the status."""
     match = _STATUS_LINE.fullmatch(line)
