Pass values that are no UTF-8 on byte by byte

Cause: the library decodes bytes above 0x7f that are no UTF-8 as surrogates, and can't write them: its compiled writer leaves them out, its writer in Python raises an error.

Red before: with the compiled parser and writer, "caf\xe9" came through as "caf", "\xc3" as an empty value, in whole and unframed answers and in streams. With those in Python the caller of a lookup got no bytes at all, that of a stream 500.

Change: the responses that carry an upstream's head write it themselves if a value is no UTF-8. Ruled out: decoding such values as Latin-1, which would change the bytes.

--- a/libs/entry/src/hemlockhoist/entry/responses.py
+++ b/libs/entry/src/hemlockhoist/entry/responses.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 
 from hemlockhoist.base import Ran
-from hemlockhoist.listeners import UnframedResponse
+from hemlockhoist.listeners import OpaqueHeaders, UnframedResponse
 
 CODE_HEADER = "X-Result-Code"
 # Full responses are buffered before anything is sent to the caller, so that a failed
@@ -20,7 +20,7 @@
 DEFAULT_RETRY_AFTER_MS = 500
 
 
-class WholeResponse(web.Response):
+class WholeResponse(OpaqueHeaders, web.Response):
     """A whole response that drops its body once it has been written.
 
     Failure prevented: the HTTP server keeps the response of a connection until the next
--- a/libs/entry/src/hemlockhoist/entry/stream.py
+++ b/libs/entry/src/hemlockhoist/entry/stream.py
@@ -3,14 +3,18 @@
 import asyncio
 import statistics
 
-from aiohttp import HttpVersion11, web
+from aiohttp import HttpVersion11
 
 from hemlockhoist.base import DispatchError, ResultCode
 from hemlockhoist.entry.events import EventReader
 from hemlockhoist.entry.responses import add_headers
 from hemlockhoist.entry.stalls import StallWatchdog, always_replaced
 from hemlockhoist.entry.stream_end import StreamEnd
-from hemlockhoist.listeners import UnframedResponse, set_reset_on_close
+from hemlockhoist.listeners import (
+    StreamedResponse,
+    UnframedResponse,
+    set_reset_on_close,
+)
 from hemlockhoist.upstreams import AnswerNotBegun, part_limit_ms
 
 US_PER_MS = 1_000
@@ -355,7 +359,7 @@
         """Return a response that states no more about its end than is known."""
         states_end = self._response.body_end.is_certain
         if states_end and self._request.version >= HttpVersion11:
-            return web.StreamResponse(status=self._head.status)
+            return StreamedResponse(status=self._head.status)
         set_reset_on_close(self._request.transport, True)
         return UnframedResponse(self._head.status)
 
--- a/libs/listeners/src/hemlockhoist/listeners/unframed.py
+++ b/libs/listeners/src/hemlockhoist/listeners/unframed.py
@@ -5,10 +5,12 @@
 
 from aiohttp import web
 
+from hemlockhoist.listeners.opaque_headers import OpaqueHeaders
+
 _LINGER = struct.Struct("ii")
 
 
-class UnframedResponse(web.StreamResponse):
+class UnframedResponse(OpaqueHeaders, web.StreamResponse):
     """A response with neither a length nor chunks, which closes its connection.
 
     It is for an answer whose own end is uncertain: a length or a last chunk would
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_answer_heads.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_answer_heads.py
@@ -154,6 +154,29 @@
         await self.check_no_answer(data)
 
 
+class OpaqueValueTests(HeadTestCase):
+    async def test_values_that_are_no_utf_8_are_passed_on_unchanged(self):
+        """Guards against values that lose bytes, and answers that are lost for them."""
+        for value in (b"caf\xe9", b"\xc3", b"a\xff\x80b", b"caf\xc3\xa9 caf\xe9"):
+            line = b"X-A: " + value
+            for framing in (LENGTH, b"Connection: close\r\n"):
+                data = answer(fields=line + b"\r\n", framing=framing)
+                with self.subTest(data=data):
+                    answered = await call("/check-free/1", sends(data))
+                    self.assertEqual((answered.status, answered.body), (200, b"odd!"))
+                    self.assertIn(line, answered.head.split(b"\r\n"))
+
+    async def test_stream_with_values_that_are_no_utf_8_is_passed_on(self):
+        """Guards against streams that are lost for a byte of a header."""
+        for framing in (EVENT_LENGTH, b"Connection: close\r\n"):
+            data = answer(fields=b"X-A: caf\xe9\r\n", framing=framing, body=EVENT)
+            with self.subTest(data=data):
+                answered = await call("/report/1", sends(data), method="POST")
+                self.assertEqual(answered.status, 200)
+                self.assertIn(EVENT, answered.body)
+                self.assertIn(b"X-A: caf\xe9", answered.head.split(b"\r\n"))
+
+
 class RepeatedFieldTests(HeadTestCase):
     async def test_answer_with_two_receipts_is_not_passed_on(self):
         """Guards against a receipt that may be another request's."""
@@ -172,5 +195,10 @@
 class OtherParserTests(unittest.TestCase):
     def test_heads_are_the_same_answers_with_the_parser_in_python(self):
         """Guards against hosts that take different heads for answers."""
-        names = ("StatusLineTests", "FieldTests", "FramingTests")
+        names = (
+            "StatusLineTests",
+            "FieldTests",
+            "FramingTests",
+            "OpaqueValueTests",
+        )
         run_with_python_parser(*(f"{__name__}.{name}" for name in names))
