Write no head to callers that they can't read, whoever made it

Cause: what was copied into the response to a caller was only as good as its reader: a head of a stored answer, or one of a reader that does not check, was written as it came.

Now add_headers and the services check with check_head before anything is written, and the error is that of a head of an upstream. The services also write values that are no UTF-8 byte by byte; a stored or relayed one can't be encoded yet.

--- a/libs/entry/src/hemlockhoist/entry/responses.py
+++ b/libs/entry/src/hemlockhoist/entry/responses.py
@@ -6,6 +6,7 @@
 
 from hemlockhoist.base import Ran
 from hemlockhoist.listeners import OpaqueHeaders, UnframedResponse
+from hemlockhoist.upstreams import check_head
 
 CODE_HEADER = "X-Result-Code"
 # Full responses are buffered before anything is sent to the caller, so that a failed
@@ -46,6 +47,10 @@
     head : ResponseHead
     body : bytes
     body_end : BodyEnd
+
+    Raises
+    ======
+    InvalidAnswerHead
     """
     if body_end.is_certain:
         response = WholeResponse(status=head.status, body=body)
@@ -67,7 +72,14 @@
 
 
 def add_headers(response, headers):
-    """Copy an upstream's headers into the response to the caller."""
+    """Copy an upstream's headers into the response to the caller.
+
+    Raises
+    ======
+    InvalidAnswerHead
+        If the head is none that a caller can read, whoever made it.
+    """
+    check_head(response.status, headers)
     for name, value in headers:
         if name.lower() == "content-type":
             response.headers[name] = value
--- a/libs/entry/src/hemlockhoist/entry/tests/test_responses.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_responses.py
@@ -1,8 +1,14 @@
 import unittest
 
 from hemlockhoist.base import RESULTS, HemlockhoistError, Ran
-from hemlockhoist.entry.responses import CODE_HEADER, error_response
+from hemlockhoist.entry.responses import (
+    CODE_HEADER,
+    error_response,
+    upstream_response,
+)
 from hemlockhoist.entry.tests.builders import call
+from hemlockhoist.entry.wire import ResponseHead
+from hemlockhoist.upstreams import BodyEnd, InvalidAnswerHead
 
 
 class FakeWire:
@@ -49,3 +55,32 @@
         for code in ERROR_CODES:
             response = error_response(FakeWire(), None, HemlockhoistError("", code))
             self.assertGreaterEqual(response.status, 400)
+
+
+class UpstreamResponseTests(unittest.TestCase):
+    def test_head_that_callers_can_not_read_is_not_written(self):
+        """Guards against a head that no reader of answers has checked."""
+        for status, headers in (
+            (0, ()),
+            (101, ()),
+            (600, ()),
+            (200, (("X A", "b"),)),
+            (200, (("X-A", "b\x01"),)),
+            (200, (("X-A", "b\r\nX-B: c"),)),
+            (200, (("X-A", "\ud800"),)),
+        ):
+            head = ResponseHead(status=status, headers=headers)
+            for body_end in BodyEnd:
+                with (
+                    self.subTest(status=status, headers=headers, body_end=body_end),
+                    self.assertRaises(InvalidAnswerHead),
+                ):
+                    upstream_response(head, b"", body_end)
+
+    def test_usual_head_is_written(self):
+        headers = (("Content-Type", "text/plain"), ("X-A", "caf\udce9"), ("X-A", "b"))
+        head = ResponseHead(status=404, headers=headers)
+        for body_end in BodyEnd:
+            response = upstream_response(head, b"", body_end)
+            self.assertEqual(response.status, 404)
+            self.assertEqual(response.headers.getall("X-A"), ["caf\udce9", "b"])
--- a/libs/host/src/hemlockhoist/host/services.py
+++ b/libs/host/src/hemlockhoist/host/services.py
@@ -12,8 +12,9 @@
 from hemlockhoist.host.dispatcher import EntryRequest
 from hemlockhoist.host.relay import check_response
 from hemlockhoist.host.responses import result_headers, with_trace_context
+from hemlockhoist.listeners import OpaqueHeaders
 from hemlockhoist.messages import StoredAnswer
-from hemlockhoist.upstreams import UpstreamCall
+from hemlockhoist.upstreams import UpstreamCall, check_head
 
 SERVICES_PREFIX = "/services"
 KEY_HEADER = "Idempotency-Key"
@@ -221,11 +222,16 @@
     )
 
 
+class _ServiceResponse(OpaqueHeaders, web.Response):
+    """The answer of a service, for its caller."""
+
+
 def _response(answer, request_id):
     code = ResultCode.OK
     if answer.status >= _SERVER_ERROR:
         code = ResultCode.UPSTREAM_FAILED
-    response = web.Response(status=answer.status, body=answer.body)
+    check_head(answer.status, answer.headers)
+    response = _ServiceResponse(status=answer.status, body=answer.body)
     for name, value in answer.headers:
         if name.lower() == "content-type":
             response.headers[name] = value
