Take no answer of the store with an invalid head for one

Cause: the store's client counted a commit as applied, not applied or lost by a status that the library had let through. The client of the own interface used the library's own connector, so no bound and no check of upstreams held for it.

Now a reading is a PlatformError, and may be repeated, a commit a StoreAnswerLost.

Change: the host's process gives PlatformTransport the connector and handler of upstreams. PlatformStore has had them, and with them the check of answer_head.

--- a/libs/host/src/hemlockhoist/host/process.py
+++ b/libs/host/src/hemlockhoist/host/process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import os
 import signal
 
@@ -68,7 +69,12 @@
     PlatformTransport,
     TableClient,
 )
-from hemlockhoist.upstreams import REQUEST_ID_HEADER, UpstreamClient
+from hemlockhoist.upstreams import (
+    REQUEST_ID_HEADER,
+    BoundedHandler,
+    DirectConnector,
+    UpstreamClient,
+)
 
 _log = get_logger("host.process")
 
@@ -184,7 +190,9 @@
 
     def _transport(self):
         config = PlatformConfig(url=f"http://{self.settings.platform_address}")
-        return PlatformTransport.from_config(config)
+        # Answers of the store are checked as those of upstreams.
+        connector = functools.partial(DirectConnector, BoundedHandler)
+        return PlatformTransport.from_config(config, open_connector=connector)
 
     def _create_components(self, context, tables):
         """Create the components that do not need the address of this host."""
--- a/libs/store/src/hemlockhoist/store/transport.py
+++ b/libs/store/src/hemlockhoist/store/transport.py
@@ -49,11 +49,21 @@
     config : hemlockhoist.store.PlatformConfig
     budget : RetryBudget
     backoff : Backoff
+    open_connector : callable, optional
+        ``open_connector(limit)`` returns the connector of the session.
     """
 
-    __slots__ = ("_backoff", "_budget", "_calls", "_config", "_session")
-
-    def __init__(self, config, budget, backoff):
+    __slots__ = (
+        "_backoff",
+        "_budget",
+        "_calls",
+        "_config",
+        "_open_connector",
+        "_session",
+    )
+
+    def __init__(self, config, budget, backoff, open_connector=aiohttp.TCPConnector):
+        self._open_connector = open_connector
         self._config = config
         self._budget = budget
         self._backoff = backoff
@@ -61,7 +71,7 @@
         self._session = None
 
     @classmethod
-    def from_config(cls, config, rng=None):
+    def from_config(cls, config, rng=None, open_connector=aiohttp.TCPConnector):
         """Return a transport that is not started.
 
         Parameters
@@ -69,9 +79,11 @@
         config : hemlockhoist.store.PlatformConfig
         rng : random.Random, optional
             Source of the random delays between retries.
+        open_connector : callable, optional
+            ``open_connector(limit)`` returns the connector of the session.
         """
         budget = RetryBudget.from_config(config)
-        return cls(config, budget, Backoff.from_config(config, rng))
+        return cls(config, budget, Backoff.from_config(config, rng), open_connector)
 
     async def start(self):
         """Open the session; connections are made on demand."""
@@ -81,7 +93,7 @@
         )
         self._session = aiohttp.ClientSession(
             timeout=timeout,
-            connector=aiohttp.TCPConnector(limit=self._config.max_connections),
+            connector=self._open_connector(limit=self._config.max_connections),
             cookie_jar=aiohttp.DummyCookieJar(),
         )
 
