--- a/libs/entry/src/hemlockhoist/entry/responses.py
+++ b/libs/entry/src/hemlockhoist/entry/responses.py
@@ -3,7 +3,8 @@
 from aiohttp import web
 
 from hemlockhoist.base import Ran
-from hemlockhoist.listeners import UnframedResponse
+from hemlockhoist.listeners import OpaqueHeaders, UnframedResponse
+from hemlockhoist.upstreams import check_head
 
 CODE_HEADER = "X-Result-Code"
 # Full responses are buffered before anything is sent to the caller, so that a failed
@@ -18,7 +19,7 @@
 DEFAULT_RETRY_AFTER_MS = 500
 
 
-class WholeResponse(web.Response):
+class WholeResponse(OpaqueHeaders, web.Response):
     """A whole response that drops its body once it has been written.
 
     Failure prevented: the HTTP server keeps the response of a connection until the next
@@ -44,6 +45,10 @@
     head : ResponseHead
     body : bytes
     body_end : BodyEnd
+
+    Raises
+    ======
+    InvalidAnswerHead
     """
     if body_end.is_certain:
         response = WholeResponse(status=head.status, body=body)
@@ -54,7 +59,14 @@
 
 
 def add_headers(response, headers):
-    """Copy an upstream's headers into the response to the caller."""
+    """Copy an upstream's headers into the response to the caller.
+
+    Raises
+    ======
+    InvalidAnswerHead
+        If the head is none that a caller can read, whoever made it.
+    """
+    check_head(response.status, headers)
     for name, value in headers:
         if name.lower() == "content-type":
             response.headers[name] = value
--- a/libs/listeners/src/hemlockhoist/listeners/unframed.py
+++ b/libs/listeners/src/hemlockhoist/listeners/unframed.py
@@ -7,13 +7,14 @@
 from aiohttp import web
 
 from hemlockhoist.base import MS_PER_S
+from hemlockhoist.listeners.opaque_headers import OpaqueHeaders
 
 # There is no notice from the transport that its buffer is empty.
 CHECK_INTERVAL_MS = 20
 _LINGER = struct.Struct("ii")
 
 
-class UnframedResponse(web.StreamResponse):
+class UnframedResponse(OpaqueHeaders, web.StreamResponse):
     """A response with neither a length nor chunks, which closes its connection.
 
     It is for an answer whose own end is uncertain: a length or a last chunk would
