Free the body of a store's answer that is given up

Cause: an error refers to the frame that raised it, and the frame to the list with the parts of the body. So each of the four attempts of a read kept its body of up to 64 MB until the garbage collector found the cycle.

Change: the list is emptied however the reading ends.

--- a/libs/store/src/hemlockhoist/store/calls.py
+++ b/libs/store/src/hemlockhoist/store/calls.py
@@ -325,12 +325,17 @@
     """
     progress.on_bytes()
     chunks, size = [], 0
-    async for chunk in response.content.iter_any():
-        progress.on_bytes()
-        chunks.append(chunk)
-        size += len(chunk)
-        if size > MAX_ANSWER_BYTES:
-            response.close()
-            text = f"the store sent an answer of more than {MAX_ANSWER_BYTES} bytes"
-            raise aiohttp.ClientPayloadError(text)
-    return b"".join(chunks)
+    try:
+        async for chunk in response.content.iter_any():
+            progress.on_bytes()
+            chunks.append(chunk)
+            size += len(chunk)
+            if size > MAX_ANSWER_BYTES:
+                response.close()
+                text = f"the store sent an answer of more than {MAX_ANSWER_BYTES} bytes"
+                raise aiohttp.ClientPayloadError(text)
+        return b"".join(chunks)
+    finally:
+        # An error keeps the frame, and with it the list, until the garbage collector
+        # finds the references between them.
+        chunks.clear()
--- a/libs/store/src/hemlockhoist/store/tests/test_data_without_end.py
+++ b/libs/store/src/hemlockhoist/store/tests/test_data_without_end.py
@@ -1,12 +1,14 @@
 import asyncio
 import contextlib
+import gc
+import tracemalloc
 import unittest
 import unittest.mock
 
 from aiohttp import client_proto, http_parser
 
 from hemlockhoist.base import PlatformError
-from hemlockhoist.store import PlatformConfig, PlatformTransport
+from hemlockhoist.store import PlatformConfig, PlatformTransport, calls
 
 PARSERS = (http_parser.HttpResponseParser, http_parser.HttpResponseParserPy)
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -22,6 +24,7 @@
 # Raised by the parser in Python.
 OWN_BOUNDS = ("Got more than 8190 bytes", "Bad status line")
 CLOSED_WITHIN_S = 5.0
+MAX_ANSWER_BYTES = 8_000_000
 
 
 class Store:
@@ -65,8 +68,8 @@
 
 
 class DataWithoutEndTests(unittest.IsolatedAsyncioTestCase):
-    async def transport(self, store):
-        config = PlatformConfig(url=store.url, max_attempts=1)
+    async def transport(self, store, max_attempts=1):
+        config = PlatformConfig(url=store.url, max_attempts=max_attempts)
         transport = PlatformTransport.from_config(config)
         await transport.start()
         self.addAsyncCleanup(transport.close)
@@ -106,3 +109,19 @@
                     self.assertEqual(await transport.read("/x"), b"{}")
                     store.idle.set()
                     await self.check_closed(store)
+
+    async def test_answers_that_were_given_up_are_freed(self):
+        """Guards against the bodies of failed attempts that stay until a collection."""
+        part = b"4000\r\n" + bytes(0x4000) + b"\r\n"
+        limit = unittest.mock.patch.object(calls, "MAX_ANSWER_BYTES", MAX_ANSWER_BYTES)
+        async with Store(CHUNKED, part) as store:
+            transport = await self.transport(store, max_attempts=4)
+            gc.collect()
+            gc.disable()
+            self.addCleanup(gc.enable)
+            tracemalloc.start()
+            self.addCleanup(tracemalloc.stop)
+            with limit, self.assertRaises(PlatformError):
+                await transport.fetch("/x")
+            _, peak_bytes = tracemalloc.get_traced_memory()
+        self.assertLess(peak_bytes, 2 * MAX_ANSWER_BYTES)
