Bound all answers of a store that are held at a time

Cause: the bound of 64 MB was one of each answer. A faulty store of the users' platform could send it for each table that a host reads at the same time; and it could say after each page of a table that there is one more, whose rows were all kept, without end.

What passes the bound is given up as an answer that is too long was before, and read again later.

--- a/libs/store/src/hemlockhoist/store/__init__.py
+++ b/libs/store/src/hemlockhoist/store/__init__.py
@@ -1,5 +1,6 @@
 """Clients of the platform's table service and host list."""
 
+from hemlockhoist.store.answer_memory import MAX_ANSWER_BYTES, AnswerMemory
 from hemlockhoist.store.calls import CallProgress, StoreCalls, read_body
 from hemlockhoist.store.config import PlatformConfig
 from hemlockhoist.store.hosts import (
@@ -40,6 +41,8 @@
     "StoreRow",
     "TableWatch",
     "ABSENT",
+    "MAX_ANSWER_BYTES",
+    "AnswerMemory",
     "HostListClient",
     "Lease",
     "LeaseRow",
--- a/libs/store/src/hemlockhoist/store/calls.py
+++ b/libs/store/src/hemlockhoist/store/calls.py
@@ -306,17 +306,14 @@
         )
 
 
-# More than the longest page of rows, each as long as a row may be.
-MAX_ANSWER_BYTES = 67_108_864
-
-
-async def read_body(response, progress):
+async def read_body(response, progress, memory):
     """Return the body of an HTTP response, and report its bytes as they arrive.
 
     Parameters
     ==========
     response : aiohttp.ClientResponse
     progress : CallProgress
+    memory : AnswerMemory
 
     Raises
     ======
@@ -324,18 +321,15 @@
         The answer is longer than any that is asked for.
     """
     progress.on_bytes()
-    chunks, size = [], 0
-    try:
-        async for chunk in response.content.iter_any():
-            progress.on_bytes()
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > MAX_ANSWER_BYTES:
-                response.close()
-                text = f"the store sent an answer of more than {MAX_ANSWER_BYTES} bytes"
-                raise aiohttp.ClientPayloadError(text)
-        return b"".join(chunks)
-    finally:
-        # An error keeps the frame, and with it the list, until the garbage collector
-        # finds the references between them.
-        chunks.clear()
+    chunks = []
+    with memory.holding() as held:
+        try:
+            async for chunk in response.content.iter_any():
+                progress.on_bytes()
+                chunks.append(chunk)
+                held.add(len(chunk))
+            return b"".join(chunks)
+        finally:
+            # An error keeps the frame, and with it the list, until the garbage collector
+            # finds the references between them.
+            chunks.clear()
--- a/libs/store/src/hemlockhoist/store/tests/test_data_without_end.py
+++ b/libs/store/src/hemlockhoist/store/tests/test_data_without_end.py
@@ -8,7 +8,7 @@
 from aiohttp import client_proto, http_parser
 
 from hemlockhoist.base import PlatformError
-from hemlockhoist.store import PlatformConfig, PlatformTransport, calls
+from hemlockhoist.store import PlatformConfig, PlatformTransport, answer_memory
 
 PARSERS = (http_parser.HttpResponseParser, http_parser.HttpResponseParserPy)
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -113,15 +113,18 @@
     async def test_answers_that_were_given_up_are_freed(self):
         """Guards against the bodies of failed attempts that stay until a collection."""
         part = b"4000\r\n" + bytes(0x4000) + b"\r\n"
-        limit = unittest.mock.patch.object(calls, "MAX_ANSWER_BYTES", MAX_ANSWER_BYTES)
+        limit = unittest.mock.patch.object(
+            answer_memory, "MAX_ANSWER_BYTES", MAX_ANSWER_BYTES
+        )
         async with Store(CHUNKED, part) as store:
-            transport = await self.transport(store, max_attempts=4)
+            with limit:
+                transport = await self.transport(store, max_attempts=4)
             gc.collect()
             gc.disable()
             self.addCleanup(gc.enable)
             tracemalloc.start()
             self.addCleanup(tracemalloc.stop)
-            with limit, self.assertRaises(PlatformError):
+            with self.assertRaises(PlatformError):
                 await transport.fetch("/x")
             _, peak_bytes = tracemalloc.get_traced_memory()
         self.assertLess(peak_bytes, 2 * MAX_ANSWER_BYTES)
--- a/libs/store/src/hemlockhoist/store/transport.py
+++ b/libs/store/src/hemlockhoist/store/transport.py
@@ -11,6 +11,8 @@
     StoreAnswerLost,
     StoreConflict,
 )
+from hemlockhoist.store import answer_memory
+from hemlockhoist.store.answer_memory import AnswerMemory
 from hemlockhoist.store.calls import StoreCalls, read_body
 from hemlockhoist.store.retries import Backoff, RetryBudget
 from hemlockhoist.upstreams import BoundedHandler, DirectConnector
@@ -52,13 +54,14 @@
     backoff : Backoff
     """
 
-    __slots__ = ("_backoff", "_budget", "_calls", "_config", "_session")
+    __slots__ = ("_backoff", "_budget", "_calls", "_config", "_memory", "_session")
 
     def __init__(self, config, budget, backoff):
         self._config = config
         self._budget = budget
         self._backoff = backoff
         self._calls = StoreCalls(config.timeout_ms)
+        self._memory = AnswerMemory(answer_memory.MAX_ANSWER_BYTES)
         self._session = None
 
     @classmethod
@@ -177,7 +180,7 @@
     async def _call(self, progress, method, path, **options):
         url = self._config.url + path
         async with self._session.request(method, url, **options) as response:
-            return response, await read_body(response, progress)
+            return response, await read_body(response, progress, self._memory)
 
     def on_call(self):
         """Add the fraction of a retry that one call earns, whatever its attempts."""
