Bound the work that one read of an upstream's connection brings

Cause: a read brings up to 256 KB, which the HTTP library parsed in one step, before the bounds were checked. Interim answers, of which 64 KB in all are allowed, so came 9,700 at a time; and the parser in Python copies the rest of its input for each chunk. Beside that, any byte of a body began the count of framing anew, so that an extension of 4 KB before each byte, or a body in chunks of one byte, was read until the deadline.

Change: what a read brings is parsed in parts of 4 KB of heads and 16 KB of chunks, with the bounds checked after each, and not parsed on while the body's reader is behind. At most 240 interim answers are taken, and framing is bounded to 64 KB and twice the body in all. Bodies with a length, or without framing, are parsed at once as before.

The new tests failed on the code before: 4,740 interim heads were taken, 240 allowed; the body with extensions was read for 31 s, and the one in chunks of one byte until it was too long. That small chunks are read whole, and that a slow reader gets all of a body on both parsers, are checks of the change, green before as well for the former.

--- a/libs/upstreams/src/hemlockhoist/upstreams/bounds.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/bounds.py
@@ -12,6 +12,18 @@
 # Bytes received in a row without a byte of the body: sizes and extensions of chunks,
 # trailers, and what follows a complete answer. Usual framing has some 10 bytes a chunk.
 MAX_FRAMING_BYTES = 65_536
+# Bytes of framing for each byte of a body, beside those above. Chunks of three bytes
+# have two; one byte with its framing takes the parser in Python some 5 us.
+MAX_FRAMING_RATIO = 2
+# An upstream that tells once in 50 ms that it is at work sends no more in 12 s. Each
+# takes 5 us, and 13 us of the parser in Python.
+MAX_INTERIM_ANSWERS = 240
+# What is parsed at a time of heads, before the bounds are checked: most have less. One
+# read may bring 256 KB, and heads in it would hold the event loop for 0.13 s.
+MAX_HEAD_PARSED_BYTES = 4_096
+# Likewise of chunks, whose parser in Python copies the rest of what it was given for
+# each of them.
+MAX_CHUNKS_PARSED_BYTES = 16_384
 # An upstream sends a head or an event at once. A lost packet of it is sent again within
 # some 0.5 s.
 MIN_PART_MS = 500
@@ -63,6 +75,11 @@
         self._body = None
         self._body_bytes = 0
         self._unbounded_bytes = 0
+        self._is_chunked = False
+        # What was received and not given to the parser, as reading is paused.
+        self._unparsed = b""
+        self._received_bytes = 0
+        self._interim_count = 0
         # When the first bytes of a head came, in seconds of the loop; None before them.
         self._head_begin_s = None
         self._has_ended = False
@@ -71,6 +88,8 @@
         """Prepare for the response to the next request of the connection."""
         self._body = None
         self._body_bytes = self._unbounded_bytes = 0
+        self._is_chunked = False
+        self._received_bytes = self._interim_count = 0
         self._head_begin_s = None
         super().set_response_params(**params)
 
@@ -80,34 +99,69 @@
         if message.code >= _FIRST_FINAL_STATUS or message.code == _SWITCHING_PROTOCOLS:
             if self._body is not None:
                 self._end("a further answer")
-            if self._has_ended:
-                return
             self._body = body
-            self._body_bytes = self._unbounded_bytes = 0
+            self._is_chunked = message.chunked
+            self._body_bytes = self._unbounded_bytes = self._received_bytes = 0
+        else:
+            self._interim_count += 1
+            if self._interim_count > MAX_INTERIM_ANSWERS:
+                self._end(f"a head of more than {MAX_INTERIM_ANSWERS} interim answers")
+        if self._has_ended:
+            return
         # The final head may follow an interim one at any later time.
         self._head_begin_s = None
         super().feed_data(data, size)
 
     def data_received(self, data):
-        """Parse bytes of the upstream, and check the bounds."""
+        """Parse bytes of the upstream in parts, and check the bounds after each."""
+        if not data:
+            # The library calls this to parse on after reads of the body.
+            self._parse(data)
+        self._unparsed += data
+        while self._unparsed and not self._reading_paused:
+            if self.transport is None or self._has_ended:
+                self._unparsed = b""
+                return
+            end = self._max_parsed_bytes(len(self._unparsed))
+            part, self._unparsed = self._unparsed[:end], self._unparsed[end:]
+            self._parse(part)
+
+    @property
+    def should_close(self):
+        """Whether the connection can carry no further request."""
+        return bool(self._unparsed) or super().should_close
+
+    def _max_parsed_bytes(self, byte_count):
+        if self._body is None or self._body.is_eof():
+            return MAX_HEAD_PARSED_BYTES
+        return MAX_CHUNKS_PARSED_BYTES if self._is_chunked else byte_count
+
+    def _parse(self, data):
         if self._body is None and data and self._head_begin_s is None:
             self._head_begin_s = self._loop.time()
         super().data_received(data)
-        if not data or self.transport is None:
-            # The library also calls this to parse on after each read of the body.
+        if self.transport is None:
             return
-        body = self._body
-        if body is None:
+        if self._body is not None:
+            self._check_framing(len(data))
+        elif data:
             self._check_head(len(data))
-            return
-        body_bytes = body.total_bytes
+
+    def _check_framing(self, byte_count):
+        body_bytes = self._body.total_bytes
+        self._received_bytes += byte_count
         if body_bytes > self._body_bytes:
             self._body_bytes = body_bytes
             self._unbounded_bytes = 0
         else:
-            self._unbounded_bytes += len(data)
+            self._unbounded_bytes += byte_count
             if self._unbounded_bytes > MAX_FRAMING_BYTES:
                 self._end(f"{self._unbounded_bytes} bytes outside of its body")
+        # The parser keeps a part of what it was given while reading is paused.
+        if self._is_chunked and not self._reading_paused:
+            framing_bytes = self._received_bytes - body_bytes
+            if framing_bytes > MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * body_bytes:
+                self._end(f"{framing_bytes} bytes of framing for its body")
 
     def _check_head(self, byte_count):
         self._unbounded_bytes += byte_count
--- a/libs/upstreams/src/hemlockhoist/upstreams/tests/test_bounds.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/tests/test_bounds.py
@@ -3,7 +3,10 @@
 import doctest
 import time
 import unittest
+import unittest.mock
+from random import Random
 
+from aiohttp import client_proto, http_parser
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -174,6 +177,55 @@
         message = await self.check_broken(head, b"x" * 1_000)
         self.assertIn("outside of its body", message)
 
+    async def test_framing_of_a_body_is_bounded(self):
+        """Guards against a request that a faulty upstream holds until its deadline."""
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for parts in (b"1;%s\r\nx\r\n" % (b"x" * 4_000), b"1\r\nx\r\n" * 200):
+            with self.subTest(parts[:10]):
+                message = await self.check_broken(head, parts)
+                self.assertIn("bytes of framing", message)
+
+    async def test_body_in_small_chunks_is_read(self):
+        """Guards against a stream of short events that is taken for one without end."""
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        chunks = b"3\r\nabc\r\n" * 25_000 + b"1\r\nx\r\n" * 8_000
+        async with Upstream([head + chunks + b"0\r\n\r\n"]) as upstream:
+            status, body = await fetch(upstream.address)
+        self.assertEqual((status, len(body)), (200, 83_000))
+
+    async def test_slow_reader_gets_all_of_a_body(self):
+        """Guards against bytes that are lost or out of order where reading pauses."""
+        random = Random(1)
+        sizes = [random.choice((1, 7, 900, 30_000)) for _ in range(200)]
+        pieces = [random.randbytes(size) for size in sizes]
+        chunks = b"".join(b"%x\r\n%s\r\n" % (len(item), item) for item in pieces)
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        parsers = http_parser.HttpResponseParser, http_parser.HttpResponseParserPy
+        for parser in parsers:
+            name = "HttpResponseParser"
+            with (
+                self.subTest(parser=parser.__module__),
+                unittest.mock.patch.object(client_proto, name, parser),
+            ):
+                async with (
+                    Upstream([head + chunks + b"0\r\n\r\n"]) as upstream,
+                    dispatched(upstream.address) as response,
+                ):
+                    body = b""
+                    async for part in response.chunks():
+                        body += part
+                        if random.random() < 0.1:
+                            await asyncio.sleep(0.002)
+                self.assertEqual(body, b"".join(pieces))
+
+    async def test_few_interim_answers_are_parsed(self):
+        """Guards against an event loop that is held while it parses thousands."""
+        with unittest.mock.patch.object(
+            client_proto.ResponseHandler, "feed_data", autospec=True
+        ) as feed_data:
+            await self.check_broken(b"HTTP/1.1 102 Processing\r\n\r\n" * 9_000)
+        self.assertLessEqual(feed_data.call_count, 240)
+
     async def test_head_that_trickles_is_bounded_in_time(self):
         """Guards against a head of which bytes keep arriving until the deadline."""
         begin_s = time.monotonic()
