Take a relayed uncertain answer for broken if nobody reaches its upstream

What callers see: a part of a body, or of a stream, of a killed upstream as an answer that ended in order, if another host relayed it. Cause: after a relayed answer the other hosts are asked whether they reach the upstream, and only "it is unreachable, others of its pool are not" counted. A host that knows no other upstream of the pool says "no link" instead, which was taken for a living upstream.

Change: a check of a relayed request in which no host reaches the upstream blames the link. For the home this changes nothing: broken relayed attempts count as lost links already.

Evidence: test_relayed_answer_of_an_upstream_that_is_gone_is_not_passed_on: a booking got 200 before and gets 502 after; with an upstream that lives on 200 as before.

--- a/libs/relays/src/hemlockhoist/relays/paths.py
+++ b/libs/relays/src/hemlockhoist/relays/paths.py
@@ -378,7 +378,10 @@
         is_at_fault = is_upstream_lost = False
         try:
             if is_relayed:
-                is_upstream_lost = await self._verify(call) is RelayCause.UNREACHABLE
+                cause = await self._verify(call)
+                is_upstream_lost = cause is RelayCause.UNREACHABLE
+                # Nobody has reached the upstream since, and nobody can tell why.
+                is_at_fault = cause is not None and not is_upstream_lost
             else:
                 is_at_fault, is_upstream_lost = await self.find_fault(call)
         finally:
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_answer_end_breaks.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_answer_end_breaks.py
@@ -126,6 +126,25 @@
                     is_cut = not answer.states_end and not answer.is_unframed
                     self.assertTrue(answer.is_reset or is_cut or answer.status == 502)
 
+    async def test_relayed_answer_of_an_upstream_that_is_gone_is_not_passed_on(self):
+        """Guards against an uncertain end after which nobody reaches the upstream."""
+
+        async def send(received, writer):
+            writer.write(dying.head(received, framing=UNFRAMED) + event(1))
+            await writer.drain()
+            if is_dying:
+                dying.stop_listening()
+
+        for is_dying, status in ((True, 502), (False, 200)):
+            dying = RawReplica("s", send)
+            replicas = {"reservas": [dying], "asistente": []}
+            async with CutSite(replicas=replicas) as cut:
+                cut.links[0].cut([dying], LinkMode.REFUSED)
+                answer = await call_raw(cut.site, "/book-hall/1", method="POST")
+            with self.subTest(is_dying=is_dying):
+                self.assertEqual(len(dying.ran), 1)
+                self.assertEqual(answer.status, status)
+
 
 class SlowCallerTests(unittest.IsolatedAsyncioTestCase):
     async def call_slowly(self, site, path, wait_s, version="HTTP/1.1", **fields):
