--- a/libs/relays/src/hemlockhoist/relays/paths.py
+++ b/libs/relays/src/hemlockhoist/relays/paths.py
@@ -403,7 +403,10 @@
         state in which the second one finds it.
         """
         if is_relayed:
-            return False, await self._verify(call) is RelayCause.UNREACHABLE
+            cause = await self._verify(call)
+            is_lost = cause is RelayCause.UNREACHABLE
+            # Else nobody has reached the upstream since, and nobody can tell why.
+            return cause is not None and not is_lost, is_lost
         upstream_id = call.upstream_id
         task = self._fault_checks.get(upstream_id)
         if task is None:
