Play early ends of answers in the soak, and check what callers are told

Failure guarded against: a part of an answer that looks whole. The soak's checks saw a stream that is complete too early only where its own replicas had sent it whole.

One whose connection was closed in order is a part only if a replica cut it, by an early end or as it ended itself, and begins as its answer; so no break of a host looks like an end. Replicas that keep connections close them after an unframed answer, instead of the idle time later.

--- a/libs/standins/src/hemlockhoist/standins/published/behaviours.py
+++ b/libs/standins/src/hemlockhoist/standins/published/behaviours.py
@@ -85,6 +85,31 @@
     started_s: float = 0.0
     # Address of the host that sent it, if the replica can tell.
     sender: str = ""
+    # Whether the replica ended the answer too early.
+    is_cut: bool = False
+
+
+class EarlyEnds:
+    """Which answers a replica closes in order before their end.
+
+    Parameters
+    ==========
+    is_unframed : bool
+        Whether its answers have neither a length nor chunks; else they have chunks, and
+        those that are cut no last one.
+    every : int
+        One in so many answers is cut.
+    """
+
+    def __init__(self, is_unframed, every):
+        self.is_unframed = is_unframed
+        self._every = every
+        self._count = 0
+
+    def next_is_cut(self):
+        """Return whether the next answer ends too early."""
+        self._count += 1
+        return self._count % self._every == 0
 
 
 # What replicas of a soak run do for a while.
--- a/libs/standins/src/hemlockhoist/standins/published/replica.py
+++ b/libs/standins/src/hemlockhoist/standins/published/replica.py
@@ -4,16 +4,16 @@
 import contextlib
 
 from hemlockhoist.base import MS_PER_S
-from hemlockhoist.standins.published import endless
 from hemlockhoist.standins.published.behaviours import (
     ENDLESS_DATA,
     Behaviour,
     CrashMoment,
     ReceivedRequest,
 )
+from hemlockhoist.standins.published.replica_answers import ReplicaAnswers, framed
 
 
-class Replica:
+class Replica(ReplicaAnswers):
     """An HTTP server that stands in for a replica; needs a running event loop.
 
     Parameters
@@ -75,6 +75,8 @@
     is_unframed : bool
         Whether its streams have neither a length nor chunks, and end with their
         connection.
+    early_ends : EarlyEnds or None
+        Which of its answers it closes before their end.
     filler_bytes : int
         Bytes that are added to each event of its streams, or to a plain body.
     is_silent : bool
@@ -115,13 +117,15 @@
         self.on_crash = lambda: None
         self.on_restart = None
         self.is_unframed = False
+        self.early_ends = None
         self.filler_bytes = 0
         self.is_silent = False
         self.is_dark = False
         self.keep_alive = None
         self.connection_count = 0
         self.sender_of = lambda port: ""
-        self._running = set()
+        # The requests that run, by task.
+        self._running = {}
         self._turned_away_s = []
         self._restart = None
         self.ran = []
@@ -146,6 +150,8 @@
 
     def _stop(self):
         self._server.close()
+        for received in self._running.values():
+            received.is_cut |= not received.closed
         for writer in self._writers:
             writer.transport.abort()
 
@@ -186,6 +192,7 @@
 
     async def _crash_on(self, cause, received, writer):
         """End while it answers a request that crashes it."""
+        received.is_cut = True
         await self._work(self.crash_delay_ms)
         if self.crash_moment is CrashMoment.AFTER_EVENTS:
             await self._send_begin(received, writer)
@@ -218,7 +225,7 @@
             start = int(received.headers.get("last-event-id", 0)) + 1
             for number in range(start, start + self.crash_after_events):
                 event = f"id: {number}\ndata: piece {number}\n\n".encode()
-                writer.write(_framed(event, is_unframed=False))
+                writer.write(framed(event, is_unframed=False))
                 await self._work(self.event_ms)
         await writer.drain()
         # Until the host has read it.
@@ -249,7 +256,7 @@
         ended = (asyncio.IncompleteReadError, asyncio.CancelledError, OSError)
         with contextlib.suppress(*ended):
             pushed_back = await self._answer(reader, writer)
-            while self.keep_alive is not None and not self.is_dark:
+            while self._keeps_open(writer):
                 if not pushed_back:
                     pushed_back = await self.keep_alive.wait_for_request(reader, writer)
                 if not pushed_back:
@@ -260,6 +267,10 @@
         self._writers.discard(writer)
         writer.close()
 
+    def _keeps_open(self, writer):
+        is_kept = self.keep_alive is not None and not self.is_dark
+        return is_kept and not writer.is_closing()
+
     def go_dark(self):
         """Accept no new connections, and neither read nor send on the open ones."""
         self.is_dark = True
@@ -286,7 +297,7 @@
             return b""
         self.ran.append(received)
         task = asyncio.current_task()
-        self._running.add(task)
+        self._running[task] = received
         try:
             watcher = asyncio.create_task(self._detect_disconnect(reader, received))
             try:
@@ -296,7 +307,7 @@
                 watcher.cancel()
             await asyncio.wait([watcher])
         finally:
-            self._running.discard(task)
+            self._running.pop(task, None)
         return b"" if watcher.cancelled() else watcher.result()
 
     async def _work(self, usual_ms):
@@ -367,106 +378,3 @@
     async def _wait_disconnected(self, received):
         while not received.closed:
             await asyncio.sleep(0.01)
-
-    def _head(self, received, status, framing):
-        attempt = received.headers.get("attempt-id", "")
-        if self.behaviour is Behaviour.WRONG_ATTEMPT_ID:
-            attempt = "another"
-        receipt = f"Response-Signature: receipt-of-{self.replica_id}\r\n"
-        if self.behaviour is Behaviour.NO_RECEIPT:
-            receipt = ""
-        percent = self.slowdown_percent
-        slowdown = "" if percent is None else f",{percent}"
-        return (
-            f"HTTP/1.1 {status}\r\nAttempt-Id: {attempt}\r\n{receipt}"
-            f"Server-Load: 1,0,{self.slots}{slowdown}\r\n"
-            f"{self._condition()}{framing}\r\n"
-        ).encode()
-
-    def _condition(self):
-        """Return the header lines in which it tells of its own condition."""
-        lines = ""
-        if self.limit_per_s is not None:
-            lines += f"Server-Limit: {self.limit_per_s}\r\n"
-        if self.is_leaving:
-            lines += "Server-Leaving: 1\r\n"
-        if self.brittle_at is not None:
-            lines += f"Server-Brittle: {self.brittle_at}\r\n"
-        if self.keep_alive is not None:
-            lines += self.keep_alive.header
-        return lines
-
-    async def _send_without_end(self, data, received, writer):
-        """Answer with data that goes on until the host closes the connection."""
-        if data.place is endless.Place.HEAD:
-            await data.send(writer)
-        if data.place is endless.Place.AFTER_ANSWER:
-            await self._send_complete(received, writer)
-            await data.send(writer)
-        framing = "Transfer-Encoding: chunked\r\n"
-        if self.is_unframed:
-            framing = "Connection: close\r\n"
-        writer.write(self._head(received, "200 OK", framing))
-        is_body = data is not endless.CHUNK_EXTENSION
-        if data.place is endless.Place.EVENTS and self.events:
-            number = int(received.headers.get("last-event-id", 0)) + 1
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
-            writer.write(_framed(event, self.is_unframed))
-        await data.send(writer, on_body=is_body and not self.is_unframed)
-
-    async def _send_complete(self, received, writer):
-        if self.events:
-            await self._send_events(received, writer)
-        else:
-            await self._send_body(received, writer)
-
-    async def _send_body(self, received, writer):
-        body = f"answer of {self.replica_id} to {received.target}".encode()
-        body += b"x" * self.filler_bytes
-        failed = self.behaviour is Behaviour.FAILS
-        status = "500 Internal Server Error" if failed else "200 OK"
-        head = self._head(received, status, f"Content-Length: {len(body)}\r\n")
-        if self.behaviour is Behaviour.TRUNCATED:
-            body = body[:5]
-        writer.write(head + body)
-        if self.behaviour is Behaviour.EXTRA_RESPONSE:
-            writer.write(head + b"x" * len(body))
-        await writer.drain()
-
-    async def _send_events(self, received, writer):
-        framing = "Content-Type: text/event-stream\r\n"
-        # Decided once: the setting may change while the stream is sent.
-        is_unframed = self.is_unframed
-        if is_unframed:
-            framing += "Connection: close\r\n"
-        else:
-            framing += "Transfer-Encoding: chunked\r\n"
-        writer.write(self._head(received, "200 OK", framing))
-        start = int(received.headers.get("last-event-id", 0)) + 1
-        for number in range(start, self.events + 1):
-            await self._wait_until_heard()
-            if self.behaviour is Behaviour.SKIPS_EVENT and number == self.events // 2:
-                continue
-            if self.behaviour is Behaviour.STALLS and number > self.events // 2:
-                await self._wait_disconnected(received)
-                return
-            filler = "x" * self.filler_bytes
-            event = f"id: {number}\ndata: piece {number}{filler}\n\n".encode()
-            if (
-                self.behaviour is Behaviour.STOPS_MID_EVENT
-                and number == self.events // 2
-            ):
-                writer.write(_framed(event[: len(event) // 2], is_unframed))
-                await writer.drain()
-                return
-            writer.write(_framed(event, is_unframed))
-            await writer.drain()
-            await self._work(self.event_ms)
-        if not is_unframed:
-            writer.write(b"0\r\n\r\n")
-        await writer.drain()
-
-
-def _framed(data, is_unframed):
-    """Return a part of a stream as it is sent, as a chunk or as it is."""
-    return data if is_unframed else endless.chunk(data)
--- a/libs/standins/src/hemlockhoist/standins/published/soak/callers.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/callers.py
@@ -6,13 +6,17 @@
 
 import aiohttp
 import msgspec
+from aiohttp import HttpVersion10, HttpVersion11
 
 from hemlockhoist.base import MS_PER_S
 from hemlockhoist.standins.published.site import HOST_NAME
+from hemlockhoist.standins.published.soak.answer_ends import AnswerEnd, new_connector
 
 MAX_REQUEST_GAP_S = 0.03
 # Time limit that each request names.
 CALLER_DEADLINE_MS = 2_500
+# One task in so many sends requests of HTTP/1.0, whose streams have no chunks.
+OLD_CALLER_EVERY = 4
 # One in this many requests only tests whether a route is in force.
 PROBE_EVERY = 4
 # One in this many requests is abandoned by its caller before the answer is complete.
@@ -66,6 +70,8 @@
     receipt, body : str and bytes
     is_complete : bool
         Whether the answer was received to its end.
+    end : AnswerEnd
+        How the end of the answer was known.
     disconnects : bool
         Whether the caller abandons the request early.
     parts : str
@@ -90,6 +96,7 @@
     parts: str = ""
     is_guilty: bool = False
     name: str = ""
+    end: AnswerEnd = AnswerEnd.NONE
 
 
 class Callers:
@@ -131,7 +138,8 @@
     async def start(self):
         """Start the tasks."""
         self._tasks = [
-            asyncio.create_task(self._send_repeatedly()) for _ in range(self._count)
+            asyncio.create_task(self._send_repeatedly(number % OLD_CALLER_EVERY == 1))
+            for number in range(self._count)
         ]
 
     async def finish(self):
@@ -145,11 +153,12 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    async def _send_repeatedly(self):
+    async def _send_repeatedly(self, is_old):
         rng = random.Random(self._rng.random())
-        connector = aiohttp.TCPConnector(limit=0)
         async with aiohttp.ClientSession(
-            connector=connector, auto_decompress=False
+            connector=new_connector(),
+            auto_decompress=False,
+            version=HttpVersion10 if is_old else HttpVersion11,
         ) as session:
             while not self._stopped:
                 await self._send(session, rng)
@@ -179,10 +188,11 @@
                     call.kind.method, url, headers=headers, data=BODY
                 ) as answer,
             ):
-                call.status = answer.status
+                call.status, call.end = answer.status, AnswerEnd.BROKEN
                 call.receipt = answer.headers.get("Response-Signature", "")
                 call.body = await answer.read()
                 call.is_complete = True
+                call.end = AnswerEnd.of_whole(answer.headers)
         except (aiohttp.ClientError, TimeoutError, OSError):
             # The checks compare such an outcome with the requests that replicas ran.
             pass
--- a/libs/standins/src/hemlockhoist/standins/published/soak/checks.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/checks.py
@@ -3,6 +3,7 @@
 import collections
 
 from hemlockhoist.base import MS_PER_S
+from hemlockhoist.standins.published.soak.answer_ends import AnswerEnd
 from hemlockhoist.standins.published.soak.callers import elapsed_ms
 from hemlockhoist.standins.published.soak.config_checks import (
     find_declaration_violations,
@@ -15,6 +16,10 @@
     find_crash_violations,
 )
 from hemlockhoist.standins.published.soak.cut_checks import find_cut_violations
+from hemlockhoist.standins.published.soak.end_checks import (
+    find_end_violations,
+    whole_stream,
+)
 from hemlockhoist.standins.published.soak.fall_checks import find_fall_violations
 from hemlockhoist.standins.published.soak.hedge_checks import find_hedge_violations
 from hemlockhoist.standins.published.soak.history_checks import (
@@ -289,6 +294,11 @@
             self._check_answer(call, self._executions.get(call.attempt_id, []))
         for stop in stops:
             self._check_stop(stop, disturbances)
+        violations, counts = find_end_violations(
+            self._calls.values(), self._executions, self._events
+        )
+        self.violations += violations
+        self.check_counts.update(counts)
 
     def _add_violation(self, problem, attempt_id, detail):
         self.violations.append(f"{problem}: {attempt_id}: {detail}")
@@ -350,6 +360,9 @@
             self._add_violation(
                 "success without a valid receipt", call.attempt_id, call.receipt
             )
+        if call.end is AnswerEnd.CLOSED:
+            # It may be a part: ``find_end_violations`` checks when.
+            return
         if call.kind.is_stream:
             self._check_stream(call)
         elif call.attempt_id.encode() not in call.body:
@@ -358,11 +371,7 @@
             )
 
     def _check_stream(self, call):
-        expected = b"".join(
-            b"id: %d\ndata: piece %d\n\n" % (number, number)
-            for number in range(1, self._events + 1)
-        )
-        if call.body != expected:
+        if call.body != whole_stream(self._events):
             problem = "incomplete stream delivered as complete"
             self._add_violation(problem, call.attempt_id, call.body[-60:])
 
--- a/libs/standins/src/hemlockhoist/standins/published/soak/faults.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/faults.py
@@ -13,6 +13,7 @@
 from hemlockhoist.standins.published.soak.crash_checks import CrashSpan
 from hemlockhoist.standins.published.soak.crowd import Crowd, CrowdKind
 from hemlockhoist.standins.published.soak.cut_checks import CutSpan
+from hemlockhoist.standins.published.soak.end_faults import EndFaultKinds
 from hemlockhoist.standins.published.soak.fall_checks import BrittleSpan
 from hemlockhoist.standins.published.soak.limit_checks import LimitSpan
 from hemlockhoist.standins.published.soak.proxy import Cut
@@ -31,7 +32,7 @@
 CRASHING_RUNS = 0.5
 
 
-class SoakFaults(SlowdownFaultKinds, StoreFaultKinds, ServiceFaultKinds):
+class SoakFaults(SlowdownFaultKinds, StoreFaultKinds, ServiceFaultKinds, EndFaultKinds):
     """Injects faults one after the other; most have a duration and overlap.
 
     Parameters
@@ -59,9 +60,12 @@
         Requests that ended each replica that ran them.
     """
 
-    def __init__(self, run, rng, names=(), crash_rng=None, crowd_rng=None):
+    def __init__(
+        self, run, rng, names=(), crash_rng=None, crowd_rng=None, ends_rng=None
+    ):
         self._crash_rng = crash_rng
         self._crowd_rng = crowd_rng
+        self._ends_rng = ends_rng
         self.crash_spans = []
         self.repeated = []
         self._names = frozenset(names)
@@ -135,6 +139,8 @@
             self._tasks.add(asyncio.create_task(self.crash_on_requests(end_s)))
         if not self._names or self.crowd_hosts.__name__ in self._names:
             self._tasks.add(asyncio.create_task(self.crowd_hosts(end_s)))
+        if self._has_closing_replicas():
+            self._tasks.add(asyncio.create_task(self.close_answers(end_s)))
         if not self.fault_kinds:
             await asyncio.sleep(seconds)
         calls = self._run.callers.calls
--- a/libs/standins/src/hemlockhoist/standins/published/soak/run.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/run.py
@@ -153,7 +153,12 @@
         crash_rng = random.Random(f"crashes of {seed}")
         crowd_rng = random.Random(f"crowds of {seed}")
         self.faults = SoakFaults(
-            self, self._rng, fault_names, crash_rng, crowd_rng=crowd_rng
+            self,
+            self._rng,
+            fault_names,
+            crash_rng,
+            crowd_rng=crowd_rng,
+            ends_rng=random.Random(f"ends of {seed}"),
         )
         self.contacts = None
         # Parts of prompts on which replicas that start crash too.
