Relay values that are no UTF-8 unchanged

Cause: the head of a relayed answer is a message, whose texts can't hold the surrogates as which the HTTP library decodes such bytes. The relaying host failed with a UnicodeEncodeError, and the answer was lost.

Red before: of an answer with "X-A: caf\xe9", the other host saw "the relaying host was lost", with unknown outcome (a trial with the compiled parser). Now it gets the same bytes as the upstream sent, on both parsers.

Change: RelayedHead has a further field with the values as bytes, empty while all are UTF-8. Hosts of earlier releases read the texts, in which U+FFFD stands for such bytes.

--- a/libs/messages/src/hemlockhoist/messages/relays.py
+++ b/libs/messages/src/hemlockhoist/messages/relays.py
@@ -96,10 +96,14 @@
 class RelayedHead(
     msgspec.Struct, frozen=True, kw_only=True, tag=code_of, array_like=True
 ):
-    """The head of the upstream's answer; its body follows the frame."""
+    """The head of the upstream's answer; its body follows the frame.
+
+    ``raw_values`` has the values of all headers if one is no UTF-8.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...]
+    raw_values: tuple[bytes, ...] = ()
 
 
 class RelayFailure(
--- a/libs/relays/src/hemlockhoist/relays/client.py
+++ b/libs/relays/src/hemlockhoist/relays/client.py
@@ -14,6 +14,7 @@
     RelayRefusal,
     RelaySend,
 )
+from hemlockhoist.relays.heads import head_fields
 from hemlockhoist.upstreams import DirectConnector, UpstreamResponse, check_head
 
 RELAY_PATH = "/relay"
@@ -209,7 +210,7 @@
             text = f"the relaying host sent {type(message).__name__}"
             raise DispatchError(text, ResultCode.OUTCOME_UNKNOWN)
         # The relaying host may be of another release, and check less.
-        check_head(message.status, message.headers)
+        check_head(message.status, head_fields(message))
         return message
 
     def close(self):
@@ -228,7 +229,7 @@
         self._response = response
         self.method = method
         self.status = head.status
-        self.headers = CIMultiDict(head.headers)
+        self.headers = CIMultiDict(head_fields(head))
 
     @property
     def connection(self):
--- a/libs/relays/src/hemlockhoist/relays/server.py
+++ b/libs/relays/src/hemlockhoist/relays/server.py
@@ -26,6 +26,7 @@
     RelayRefusal,
     RelaySend,
 )
+from hemlockhoist.relays.heads import relayed_head
 from hemlockhoist.upstreams import SendGuard, UpstreamCall
 
 _log = get_logger("relays.server")
@@ -254,8 +255,7 @@
         return guard
 
     async def _pass_on(self, offer, answer, response):
-        headers = tuple((str(k), str(v)) for k, v in response.headers.items())
-        head = RelayedHead(status=response.status, headers=headers)
+        head = relayed_head(response.status, response.headers)
         self.rules.on_head(offer, head)
         answer.body_end = response.body_end
         await answer.send(head)
--- a/libs/relays/src/hemlockhoist/relays/tests/test_answer_heads.py
+++ b/libs/relays/src/hemlockhoist/relays/tests/test_answer_heads.py
@@ -1,4 +1,5 @@
 import contextlib
+import doctest
 import types
 import unittest
 
@@ -6,6 +7,8 @@
 
 from hemlockhoist.base import DispatchError, ResultCode
 from hemlockhoist.base.testing import run_with_python_parser
+from hemlockhoist.messages import RelayedHead
+from hemlockhoist.relays import heads
 from hemlockhoist.relays.tests.test_relaying import RelayingTestCase
 from hemlockhoist.upstreams import BodyEnd
 
@@ -87,6 +90,29 @@
         self.helper.server.client = UncheckedClient(200, headers)
         self.assertEqual(await self.relay(), (200, b"hall"))
 
+    async def test_values_that_are_no_utf_8_are_passed_on_unchanged(self):
+        """Guards against answers that are lost for a byte of a header."""
+        lines = b"X-A: caf\xe9\r\nX-A: b\r\nX-B: caf\xc3\xa9\r\n"
+        self.upstream.answer = b"HTTP/1.1 200 OK\r\n" + lines + b"\r\nhall"
+        relayed = await self.entry.client.open(self.helper.candidate, self.offer())
+        try:
+            response = await relayed.send(self.call(), self.guard())
+            self.assertEqual(response.headers.getall("X-A"), ["caf\udce9", "b"])
+            self.assertEqual(response.headers["X-B"], "caf\xe9")
+            self.assertEqual(await response.read(1_000), b"hall")
+        finally:
+            relayed.close()
+
+
+class HeadMessageTests(unittest.TestCase):
+    def test_examples_run(self):
+        self.assertEqual(doctest.testmod(heads).failed, 0)
+
+    def test_head_of_an_earlier_release_is_read(self):
+        """Guards against hosts that can't help each other during a release."""
+        message = RelayedHead(status=200, headers=(("X-A", "caf\xe9"),))
+        self.assertEqual(heads.head_fields(message), message.headers)
+
 
 class OtherParserTests(unittest.TestCase):
     def test_heads_are_the_same_answers_with_the_parser_in_python(self):
