Bound the answers that the command line reads

Cause: the operators' client read each answer whole, after decompression, over connections without bounds, for up to 15 s. Measured by a process that asked a generator in another process for the status, within 4 s: bodies of any framing 1.0 to 1.6 GB (1.1 to 2.7 GB with the parser in Python), a compressed body over 2.6 GB, where a limit of 3 GB on the process ended it (10 s after its begin, as the event loop was held), interim answers 173 MB (207 MB). Empty lines, blanks and extensions of chunks took no memory and held the command, which did not ask the next host meanwhile.

Change: the connections have the handler with bounds that those to upstreams have, and a body may have 64 MB. A host that sends more counts as one that did not answer, so the next one is asked.

The fake response of the test of odd answers gives its body as the client reads it now.

--- a/libs/cli/src/hemlockhoist/cli/client.py
+++ b/libs/cli/src/hemlockhoist/cli/client.py
@@ -1,5 +1,6 @@
 """A client of the operators' HTTP interface of hosts."""
 
+import functools
 import ssl
 import urllib.parse
 
@@ -23,9 +24,13 @@
     PartsView,
 )
 from hemlockhoist.host.where_messages import WHERE_PATH, PlacementView
+from hemlockhoist.upstreams import BoundedHandler
 
 CONNECT_TIMEOUT_MS = 2_000
 CALL_TIMEOUT_MS = 15_000
+# A host takes declarations of up to 4 MB; a history of them, or the status of the
+# largest fleet, has less than this.
+MAX_BODY_BYTES = 67_108_864
 
 
 class _ErrorObject(msgspec.Struct):
@@ -38,6 +43,15 @@
     error: _ErrorObject
 
 
+class _BoundedConnector(aiohttp.TCPConnector):
+    """Bounds what a host sends beside the body of its answer."""
+
+    def __init__(self, **options):
+        super().__init__(**options)
+        # The library has no public interface to set the protocol class.
+        self._factory = functools.partial(BoundedHandler, loop=self._loop)
+
+
 class OperatorClient:
     """Sends each call to several hosts in order, until one answers.
 
@@ -77,7 +91,7 @@
             context = ssl.create_default_context(cafile=self._ca_file)
         self._session = aiohttp.ClientSession(
             timeout=timeout,
-            connector=aiohttp.TCPConnector(ssl=context or True),
+            connector=_BoundedConnector(ssl=context or True),
             headers={"Authorization": f"Bearer {self._key}"},
         )
 
@@ -158,7 +172,7 @@
         async with self._session.request(
             method, url, data=data, headers=headers
         ) as response:
-            body = await response.read()
+            body = await _read_body(response)
         if response.status >= 400:
             raise _remote_error(response.status, body)
         try:
@@ -181,3 +195,22 @@
         remedy = "Check that --host names a host's address for callers and operators."
         return RemoteError(message, ResultCode.PROPERTY_VIOLATED, remedy)
     return RemoteError(error.message, code, error.remedy)
+
+
+async def _read_body(response):
+    """Return the body of an answer.
+
+    Raises
+    ======
+    aiohttp.ClientPayloadError
+        It is longer than any that is asked for.
+    """
+    chunks, byte_count = [], 0
+    async for chunk in response.content.iter_any():
+        chunks.append(chunk)
+        byte_count += len(chunk)
+        if byte_count > MAX_BODY_BYTES:
+            response.close()
+            text = f"the host sent an answer of more than {MAX_BODY_BYTES} bytes"
+            raise aiohttp.ClientPayloadError(text)
+    return b"".join(chunks)
--- a/libs/cli/src/hemlockhoist/cli/tests/test_client.py
+++ b/libs/cli/src/hemlockhoist/cli/tests/test_client.py
@@ -11,6 +11,7 @@
 class _Response:
     def __init__(self, status):
         self.status = status
+        self.content = self
 
     async def __aenter__(self):
         return self
@@ -18,8 +19,8 @@
     async def __aexit__(self, *error):
         return None
 
-    async def read(self):
-        return DEEPLY_NESTED
+    async def iter_any(self):
+        yield DEEPLY_NESTED
 
 
 class OddAnswerTests(unittest.IsolatedAsyncioTestCase):
