Bound the answers of a store by the memory of the host

Cause: the bound of 64 MB on answers did not depend on how much memory the host has. A host with max_memory_mb 160 has some 58 MB in use once it serves, and a budget of 72 MB for requests; an answer of 64 MB, which is held twice when its parts are put together, does not fit beside them. Measured with the bound of 64 MB by a process that read once: 65 to 67 MB more, the event loop late by 209 to 212 ms where the answer was compressed.

Change: a quarter of the budget, at least 8 MB and at most 64 MB as before; 64 MB where memory is not limited. It comes out of the margin, which is a third of the budget, and is counted beside it.

--- a/libs/decisions/src/hemlockhoist/decisions/entry/memory_budget.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/memory_budget.py
@@ -14,6 +14,9 @@
 # answers: a request whose answer does not fit has run, and may not be run again.
 HIGHEST_SHARE = 0.8
 LOWEST_SHARE = 0.5
+# Fraction of the budget that answers of the store may have in addition: most of the
+# margin, which is a third of the budget. Tables of the largest fleet have some 5 MB.
+STORE_FRACTION = 0.25
 # Rank of what belongs to a request that has run, for which the whole budget is there.
 STARTED_RANK = -1
 # Rank of what comes before a request's customer is known.
@@ -90,6 +93,13 @@
         budget_bytes = int((1.0 - MARGIN_FRACTION) * free_bytes)
         return cls(max(MIN_BUDGET_BYTES, budget_bytes))
 
+    @property
+    def store_answer_bytes(self):
+        """What answers of the store may hold at a time; 0 for no limit."""
+        if not self.limit_bytes:
+            return 0
+        return max(MIN_BUDGET_BYTES, int(STORE_FRACTION * self.limit_bytes))
+
     def used_by(self, purpose):
         """Return the bytes in use for a ``MemoryPurpose``."""
         return self._used_by_purpose[purpose]
--- a/libs/entry/src/hemlockhoist/entry/settings.py
+++ b/libs/entry/src/hemlockhoist/entry/settings.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from hemlockhoist.decisions.entry import MemoryBudget
 from hemlockhoist.decisions.scheduling import Experiments
 
 # A host's memory limit in MB; 0 for none.
@@ -127,3 +128,8 @@
     reserves_retries: bool = False
     flap_damping_max_ms: int = 0
     kept_connections: int = 0
+
+    @property
+    def store_answer_bytes(self):
+        """What answers of the store may hold at a time; 0 for no limit."""
+        return MemoryBudget.from_max_memory_mb(self.max_memory_mb).store_answer_bytes
--- a/libs/store/src/hemlockhoist/store/answer_memory.py
+++ b/libs/store/src/hemlockhoist/store/answer_memory.py
@@ -4,8 +4,12 @@
 
 import aiohttp
 
+from hemlockhoist.base import PlatformError
+
 # More than the longest page of rows, each as long as a row may be.
 MAX_ANSWER_BYTES = 67_108_864
+# What a decoded row takes beside its key and its value: four objects of some 50 bytes.
+ROW_BYTES = 200
 
 
 class AnswerMemory:
@@ -41,6 +45,11 @@
         self.max_bytes = max_bytes
         self.held_bytes = 0
 
+    @classmethod
+    def from_limit(cls, limit_bytes):
+        """Return the memory of a process whose limit leaves this much; 0 for none."""
+        return cls(min(limit_bytes or MAX_ANSWER_BYTES, MAX_ANSWER_BYTES))
+
     @contextlib.contextmanager
     def holding(self):
         """Yield a ``HeldBytes``, whose bytes are released in the end."""
@@ -50,6 +59,31 @@
         finally:
             self.held_bytes -= held.byte_count
 
+    async def read_pages(self, fetch):
+        """Read a table in pages; return the first page and all rows.
+
+        Parameters
+        ==========
+        fetch : coroutine function
+            ``fetch(begin)`` returns a page with ``rows`` and ``has_more``; ``begin``
+            has the field ``from``, except for the first page.
+
+        Raises
+        ======
+        PlatformError
+            The table has more than may be held; and what ``fetch`` raises.
+        """
+        first = page = await fetch({})
+        rows = list(page.rows)
+        with self.holding() as held:
+            while page.has_more and page.rows:
+                held.add_rows(page.rows)
+                # The next key in order: the range begins after the last key that was
+                # read.
+                page = await fetch({"from": page.rows[-1].key + "\0"})
+                rows += page.rows
+        return first, rows
+
 
 class HeldBytes:
     """What one answer or reading holds.
@@ -78,3 +112,22 @@
         if self._memory.held_bytes > self._memory.max_bytes:
             text = f"the store sent more than {self._memory.max_bytes} bytes at a time"
             raise aiohttp.ClientPayloadError(text)
+
+    def add_rows(self, rows):
+        """Account a page of a table of which more pages are read.
+
+        Parameters
+        ==========
+        rows : sequence
+            With the texts ``key`` and ``value``, of which the latter may be None.
+
+        Raises
+        ======
+        PlatformError
+            The table has more than may be held.
+        """
+        lengths = (len(row.key) + len(row.value or "") for row in rows)
+        try:
+            self.add(sum(lengths) + ROW_BYTES * len(rows))
+        except aiohttp.ClientPayloadError as error:
+            raise PlatformError(f"a table without end: {error}") from error
