Let released versions serve once a move has ended

Cause: for as long as the row of the last move is known, its serving version is the only candidate, also when no upstream of it is left. The class: a row of the past that outlives what it speaks of.

Change: where versions are ordered and not declared, versions that are neither of the two of an ended move may serve, after the one left serving; the version that a completed move left behind may once no upstream of the other is listed, a version that was rolled back may not. Ordered versions are withheld until their move begins, and a third one gets nothing while a move runs, as before.

--- a/libs/decisions/src/hemlockhoist/decisions/entry/move_orders.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/move_orders.py
@@ -94,13 +94,17 @@
 
 
 class WithheldVersionPolicy(VersionPolicy):
-    """Withholds requests from a version whose move is ordered but has not begun.
+    """Lets versions serve that were released, but none whose ordered move has not begun.
 
     The new version's upstreams are listed together with the order, while the home needs
     some store calls before the move begins, and a host that decides alone may not have
     learned of the order at all. Without a move in progress every version may serve, and
     a bad one would get its full share of the requests.
 
+    The row of a move stays when its versions are gone. Failure prevented: operators
+    release a further version without an order, and it gets no request for good, as only
+    the version of the last move may serve.
+
     Parameters
     ==========
     controller : MoveController
@@ -108,22 +112,39 @@
         ``order_of()`` returns the pool's current ``MoveOrder``, or None if there is
         none or no other version is left: the row of an order carried out long ago
         remains in the store.
+    live_versions_of : callable, optional
+        ``live_versions_of()`` returns the number of the pool's upstreams by version.
     """
 
-    __slots__ = ("_order_of", "controller")
+    __slots__ = ("_live_versions_of", "_order_of", "controller")
 
-    def __init__(self, controller, order_of):
+    def __init__(self, controller, order_of, live_versions_of=collections.Counter):
         self.controller = controller
         self._order_of = order_of
+        self._live_versions_of = live_versions_of
 
     def candidates(self, request, versions, now_ms):
         """Return the versions that may serve a request, in order of preference."""
         found = self.controller.candidates(request, versions, now_ms)
         order, row = self._order_of(), self.controller.row
+        if row is not None and self.controller.is_over:
+            found += self._released(row, versions)
         if order is None or (row is not None and row.move_id == order.order_id):
             return found
         return tuple(item for item in found if item != order.to_version)
 
+    def _released(self, row, versions):
+        """Return the versions that were released since a move has ended.
+
+        Among them is the one that it moved away from, once the other one is gone.
+        """
+        moved = (row.from_version, row.to_version)
+        found = tuple(item for item in versions if item not in moved)
+        if row.state is not MoveState.FINISHED or row.from_version not in versions:
+            return found
+        is_gone = not self._live_versions_of()[row.to_version]
+        return (*found, row.from_version) if is_gone else found
+
     def on_grant(self, request, version, now_ms, upstream_id=""):
         """Count a grant of a version."""
         self.controller.on_grant(request, version, now_ms, upstream_id)
--- a/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_move_orders.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_move_orders.py
@@ -1,5 +1,7 @@
+import collections
 import unittest
 
+from hemlockhoist.base import InvariantLog
 from hemlockhoist.decisions import Upstream, UpstreamState, VersionPolicy, WorkRequest
 from hemlockhoist.decisions.entry import (
     MoveOrder,
@@ -9,8 +11,15 @@
     order_state,
     source_version,
 )
-from hemlockhoist.decisions.versions import MoveRequest, MoveState, start_move
+from hemlockhoist.decisions.versions import (
+    MoveController,
+    MoveRequest,
+    MoveState,
+    TrialBound,
+    start_move,
+)
 from hemlockhoist.decisions.versions.move import roll_back_move
+from hemlockhoist.declarations import Pool, PoolKind
 
 ORDER = MoveOrder(order_id="halls@7", pool="halls", to_version="v2", duration_ms=12_000)
 REQUEST = WorkRequest(
@@ -94,5 +103,55 @@
         self.assertEqual(policy.candidates(REQUEST, ("v1", "v2"), 0), ("v1", "v2"))
 
 
+class ReleaseTests(unittest.TestCase):
+    """Versions that come without an order, after the move of an earlier one."""
+
+    def candidates(self, row, live, order=ORDER):
+        controller = MoveController.from_config(
+            Pool(name="halls", kind=PoolKind.SERVICE, stable_version=""),
+            row,
+            0,
+            0,
+            InvariantLog(fatal=True),
+            TrialBound(share_permille=100, requests=10),
+            watch_ms=0,
+        )
+        counts = collections.Counter(live)
+        policy = WithheldVersionPolicy(controller, lambda: order, lambda: counts)
+        return policy.candidates(REQUEST, tuple(sorted(counts)), 20_000)
+
+    def ended(self, state):
+        return type(move())(**{**_fields(move()), "state": state, "ended_unix_ms": 0})
+
+    def test_version_released_after_a_move_serves(self):
+        """Guards against a service without answers once its versions were replaced."""
+        finished = self.ended(MoveState.FINISHED)
+        self.assertEqual(self.candidates(finished, ["v3"]), ("v3",))
+        self.assertEqual(self.candidates(finished, ["v2", "v3"]), ("v2", "v3"))
+
+    def test_version_released_after_a_roll_back_serves_and_the_bad_one_does_not(self):
+        """Guards against a bad version that serves again as the good one is replaced."""
+        rolled_back = roll_back_move(move(), ORDER.order_id, "bad", "home")
+        self.assertEqual(self.candidates(rolled_back, ["v2", "v3"]), ("v3",))
+        self.assertEqual(self.candidates(rolled_back, ["v2"]), ())
+
+    def test_version_of_before_serves_only_once_the_new_one_is_gone(self):
+        """Guards against old upstreams that get work after they may be stopped."""
+        finished = self.ended(MoveState.FINISHED)
+        self.assertEqual(self.candidates(finished, ["v1", "v2"]), ("v2",))
+        self.assertEqual(self.candidates(finished, ["v1"]), ("v1",))
+
+    def test_further_ordered_version_is_withheld_until_its_move_begins(self):
+        """Guards against a version that serves without a trial after an earlier move."""
+        finished = self.ended(MoveState.FINISHED)
+        order = MoveOrder(
+            order_id="halls@9", pool="halls", to_version="v3", duration_ms=12_000
+        )
+        self.assertEqual(self.candidates(finished, ["v2", "v3"], order), ("v2",))
+
+    def test_third_version_gets_nothing_while_a_move_runs(self):
+        self.assertNotIn("v3", self.candidates(move(), ["v1", "v2", "v3"]))
+
+
 def _fields(row):
     return {name: getattr(row, name) for name in row.__struct_fields__}
--- a/libs/decisions/src/hemlockhoist/decisions/versions/controller.py
+++ b/libs/decisions/src/hemlockhoist/decisions/versions/controller.py
@@ -134,6 +134,11 @@
         """Latest known row of the move, or None."""
         return self._row
 
+    @property
+    def is_over(self):
+        """Whether the latest known move has ended, and no version is on trial."""
+        return self._row is not None and self._is_over
+
     @property
     def excluded_upstreams(self):
         """Upstreams whose answers are bad while others of their version are good."""
--- a/libs/entry/src/hemlockhoist/entry/moves.py
+++ b/libs/entry/src/hemlockhoist/entry/moves.py
@@ -149,7 +149,11 @@
     def _withhold_until_moved(self, controller, pool):
         if isinstance(controller, WithheldVersionPolicy):
             return controller
-        return WithheldVersionPolicy(controller, lambda: self._pending_order(pool))
+        return WithheldVersionPolicy(
+            controller,
+            lambda: self._pending_order(pool),
+            lambda: self._live_versions(pool),
+        )
 
     def _pending_order(self, pool):
         order = self._orders.get(pool)
