Play upstreams and a store that answer without end against a host process

A generator in a process of its own answers with one kind of data, as upstream of a host with 160 MB beside two good ones, or in place of the store after a while. On both parsers of the HTTP library: the host lives, its memory stays below its limit, requests that may be repeated are answered with 200 and others with 200 or 502.

Bodies without a length, 16 at a time, wait for one another's memory, so that requests that may be repeated end with 504: a real fault, not mended here, as a shorter wait would give up answers of slow callers' requests that may not be repeated.

--- a/libs/standins/src/hemlockhoist/standins/crowds/cases.py
+++ b/libs/standins/src/hemlockhoist/standins/crowds/cases.py
@@ -9,13 +9,20 @@
 
 import aiohttp
 
-from hemlockhoist.standins.crowds.processes import CrowdProcess, peak_memory_mb
+from hemlockhoist.standins.crowds.processes import (
+    AnsweringProcess,
+    CrowdProcess,
+    peak_memory_mb,
+)
 from hemlockhoist.standins.published.replica import Replica
 from hemlockhoist.standins.published.site import HOST_NAME, KEY, route
 from hemlockhoist.standins.published.soak.hosts import HostProcess
 from hemlockhoist.standins.published.store import StoreStandin
 
-ROUTES = [route("check-free", "reservas")]
+ROUTES = [
+    route("check-free", "reservas"),
+    route("book-hall", "reservas", "non_idempotent", max_attempts=1),
+]
 # Of this limit of a host's machine, the process takes about a third when it starts.
 MEMORY_MB = 160
 # In its settings; 200 of them are not for sockets.
@@ -43,27 +50,48 @@
     ==========
     variables : dict of str to str, optional
         Environment variables of the host.
+    store_answers : Answered, optional
+        What the store answers once ``break_store`` was called.
+    retry_allowance : int, optional
+        Retries allowed beside a fraction of the requests.
+    slots : int, optional
+        Of each upstream that is in order.
     """
 
-    def __init__(self, variables=None):
+    def __init__(
+        self,
+        variables=None,
+        store_answers=None,
+        retry_allowance=BOUNDS["retry_allowance"],
+        slots=4,
+    ):
+        self._bounds = {**BOUNDS, "retry_allowance": retry_allowance}
         self._variables = variables or {}
+        self._store_answers = store_answers
+        self._store = None
+        self._store_flag = None
         self._exit_stack = contextlib.AsyncExitStack()
         self._session = None
         self.host = None
-        self.replicas = [Replica("i-1"), Replica("i-2")]
+        self.replicas = [Replica("i-1", slots=slots), Replica("i-2", slots=slots)]
 
     async def __aenter__(self):
-        store = await self._open(StoreStandin())
+        store = self._store = await self._open(StoreStandin())
         for replica in self.replicas:
             await self._open(replica)
             await store.put("servers", replica.replica_id, replica.row("reservas"))
         await store.put("op", "config", _declarations())
         folder = self._exit_stack.enter_context(tempfile.TemporaryDirectory())
+        self._store_flag = pathlib.Path(folder, "store-is-broken")
+        address = store.address
+        if self._store_answers is not None:
+            words = (store.address, str(self._store_flag))
+            address = (await self.answer(self._store_answers, *words)).address
         self.host = HostProcess(
             0,
-            store.address,
+            address,
             pathlib.Path(folder),
-            BOUNDS,
+            self._bounds,
             self._variables,
             DECLARED_DESCRIPTORS,
             MEMORY_MB,
@@ -88,6 +116,38 @@
         self._exit_stack.push_async_callback(part.close)
         return part
 
+    async def answer(self, kind, *words):
+        """Start an ``AnsweringProcess``, which ends with the site."""
+        return await self._open(AnsweringProcess(kind, *words))
+
+    async def register(self, server_id, address):
+        """Have an upstream registered; without an address, it is gone."""
+        row = None
+        if address:
+            replica = Replica(server_id, slots=100)
+            replica.address = address
+            row = replica.row("reservas")
+        await self._store.put("servers", server_id, row)
+
+    async def wait_for_log(self, event, text):
+        """Wait until the host has logged an event with a text.
+
+        Raises
+        ======
+        TimeoutError
+        """
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while not any(text in line for line in self.host.log_lines(event)):
+                await asyncio.sleep(0.05)
+
+    def break_store(self):
+        """Have the store answer without end."""
+        self._store_flag.touch()
+
+    def heal_store(self):
+        """Have the store answer as usual."""
+        self._store_flag.unlink()
+
     async def ask(self):
         """Send one ordinary request, again after a refusal; return its status.
 
@@ -96,20 +156,21 @@
         TimeoutError
         """
         async with asyncio.timeout(ANSWER_TIMEOUT_S):
-            while (status := await self._ask_once()) != 200:
+            while (status := await self.ask_once()) != 200:
                 await asyncio.sleep(RETRY_DELAY_S)
         return status
 
-    async def _ask_once(self):
+    async def ask_once(self, path="/check-free/1", method="GET"):
+        """Send one request; return its status, or 0 if the answer broke off."""
         headers = {
             "Host": HOST_NAME,
             "Attempt-Id": "a1",
             "Deadline-Ms": "2000",
             "Authorization": f"Bearer {KEY}",
         }
-        url = f"http://{self.host.address}/check-free/1"
+        url = f"http://{self.host.address}{path}"
         try:
-            async with self._session.get(url, headers=headers) as answer:
+            async with self._session.request(method, url, headers=headers) as answer:
                 await answer.read()
                 return answer.status
         except aiohttp.ClientError:
--- a/libs/standins/src/hemlockhoist/standins/crowds/processes.py
+++ b/libs/standins/src/hemlockhoist/standins/crowds/processes.py
@@ -82,3 +82,37 @@
         if self._process is not None and self._process.returncode is None:
             self._process.kill()
             await self._process.wait()
+
+
+class AnsweringProcess:
+    """A faulty upstream or store in a process of its own.
+
+    Parameters
+    ==========
+    kind : Answered
+    words : str
+        Further arguments of ``hemlockhoist.standins.crowds.answering``.
+
+    Attributes
+    ==========
+    address : str
+    """
+
+    def __init__(self, kind, *words):
+        self._words = (kind.name, *words)
+        self._process = None
+        self.address = ""
+
+    async def start(self):
+        """Start the process, and wait until it listens."""
+        module = "hemlockhoist.standins.crowds.answering"
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", module, *self._words, stdout=asyncio.subprocess.PIPE
+        )
+        self.address = (await self._process.stdout.readline()).decode().strip()
+
+    async def close(self):
+        """End the process."""
+        if self._process.returncode is None:
+            self._process.kill()
+        await self._process.wait()
