Log what is odd in an event that is passed on, and over which connection it came

The format of events stands in a module of its own, upstreams/event_format.py, with its tests; what is passed on does not change yet.

--- a/libs/entry/src/hemlockhoist/entry/attempt_records.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt_records.py
@@ -88,7 +88,8 @@
     hold = attempt.hold
     parts = ",".join(admitted.call.block_names)
     went_well = outcome.kind in (OutcomeKind.SUCCESS, OutcomeKind.CANCELLED)
-    log = _log.info if went_well else _log.warning
+    is_sound = went_well and not attempt.odd_event_text
+    log = _log.info if is_sound else _log.warning
     is_unanswered = attempt.guard.dispatched and outcome.kind is not OutcomeKind.SUCCESS
     log(
         "attempt_ended",
@@ -110,6 +111,9 @@
         leaving=attempt.leaving_text,
         slowdown_percent=attempt.slowdown_text,
         body_end=attempt.body_end_text,
+        reused="true" if attempt.is_reused else "",
+        continued="true" if attempt.is_continued else "",
+        odd_event=attempt.odd_event_text,
         upstream_lost="true" if attempt.is_upstream_lost else "",
         fingerprint=f"{admitted.fingerprint:016x}" if is_unanswered else "",
         parts=parts if attempt.is_upstream_lost else "",
--- a/libs/entry/src/hemlockhoist/entry/attempt_sender.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt_sender.py
@@ -195,6 +195,7 @@
         opened.head = head
         attempt.status = head.status
         attempt.body_end = response.body_end
+        attempt.is_reused = response.is_reused
         self.signals.record(head, attempt, self._request_id)
         if head.is_misdirected:
             # The listed process has been replaced by another one: equivalent to a
--- a/libs/entry/src/hemlockhoist/entry/events.py
+++ b/libs/entry/src/hemlockhoist/entry/events.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from hemlockhoist.base import DispatchError, ResultCode
+from hemlockhoist.upstreams import InvalidEvent, read_event
 
 # Events have a few hundred bytes. This much data without an event's end is no event
 # stream, and must not exhaust the memory.
@@ -37,6 +38,8 @@
     ==========
     error : DispatchError or None
         Why the stream is broken; the events before that point were returned.
+    odd_text : str
+        What is odd in the latest event that was returned and is none by its format.
 
     Examples
     ========
@@ -50,11 +53,12 @@
     False
     """
 
-    __slots__ = ("_incomplete", "error", "last_number")
+    __slots__ = ("_incomplete", "error", "last_number", "odd_text")
 
     def __init__(self, last_number=None):
         self.last_number = last_number
         self.error = None
+        self.odd_text = ""
         self._incomplete = b""
 
     @property
@@ -71,6 +75,7 @@
         """Discard an incomplete event, which another upstream will send again."""
         self._incomplete = b""
         self.error = None
+        self.odd_text = ""
 
     def feed(self, chunk):
         """Return the events completed by a chunk; check ``error`` afterwards."""
@@ -91,10 +96,17 @@
                     break
             self.last_number = number
             events.append(NumberedEvent(number, part + _SEPARATOR))
+            self._note_odd(events[-1])
         if len(self._incomplete) > MAX_EVENT_BYTES:
             self.error = _stream_error(f"event of more than {MAX_EVENT_BYTES} bytes")
         return events
 
+    def _note_odd(self, event):
+        try:
+            read_event(event.raw)
+        except InvalidEvent as error:
+            self.odd_text = error.message
+
 
 def _event_number(part):
     for line in part.split(b"\n"):
--- a/libs/entry/src/hemlockhoist/entry/stream.py
+++ b/libs/entry/src/hemlockhoist/entry/stream.py
@@ -327,6 +327,11 @@
             self._event_gaps_us.append(gap_ms * US_PER_MS // count)
         self._last_event_ms = now_ms
 
+    @property
+    def odd_event_text(self):
+        """What is odd in an event of this upstream that was passed on; usually empty."""
+        return self._reader.odd_text
+
     @property
     def longest_gap_ms(self):
         """The longest gap between this upstream's events; 0 before the second one."""
--- a/libs/upstreams/src/hemlockhoist/upstreams/__init__.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/__init__.py
@@ -9,6 +9,12 @@
     ResetDetectingConnector,
     enable_tcp_keepalive,
 )
+from hemlockhoist.upstreams.event_format import (
+    BlockSplitter,
+    EventFields,
+    InvalidEvent,
+    read_event,
+)
 from hemlockhoist.upstreams.events import (
     EventSplitter,
     OffsetChecker,
@@ -28,6 +34,7 @@
 
 __all__ = [
     "AnswerNotBegun",
+    "BlockSplitter",
     "BodyEnd",
     "BoundedHandler",
     "InvalidAnswerHead",
@@ -37,7 +44,9 @@
     "ResponseIdChecker",
     "ResponseIdTracker",
     "DispatchRegister",
+    "EventFields",
     "EventSplitter",
+    "InvalidEvent",
     "OffsetChecker",
     "SendGuard",
     "StreamEvent",
@@ -50,6 +59,7 @@
     "check_head",
     "enable_tcp_keepalive",
     "part_limit_ms",
+    "read_event",
     "DirectConnector",
     "KeptConnections",
 ]
--- /dev/null
+++ b/libs/upstreams/src/hemlockhoist/upstreams/event_format.py
@@ -0,0 +1,180 @@
+"""The format of event streams: where an event ends, and what it consists of."""
+
+import re
+
+import msgspec
+
+from hemlockhoist.base import DispatchError, ResultCode
+
+# Events have a few hundred bytes. This much data without an event's end is no event
+# stream, and must not exhaust the memory.
+MAX_EVENT_BYTES = 262_144
+# More digits are no number of an event, and ``int`` refuses to read thousands of them.
+_MAX_NUMBER_DIGITS = 18
+# What an error quotes of a line.
+_MAX_QUOTED_BYTES = 60
+_SEPARATOR = b"\n\n"
+# Atomic, as the two bytes of one line end are not two line ends.
+_ANY_SEPARATOR = re.compile(rb"(?>(\r\n|\n|\r))(?>\r\n|\n|\r)")
+_LINE_END = re.compile(rb"\r\n|\n|\r")
+# Nearly all events: a number, and one line of data.
+_USUAL_EVENT = re.compile(rb"id: ?([0-9]{1,18})\ndata:[^\r\n]*\n\n")
+_FIELDS = frozenset({b"id", b"data", b"event", b"retry"})
+# With CR LF, the end of a status line; see ``_check_line_ends``.
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [^\r\n]*)?\r\n")
+_LF_ONLY = re.compile(rb"(?<!\r)\n")
+
+
+class InvalidEvent(DispatchError):  # noqa: N818
+    """What an upstream sent within a stream is no event.
+
+    Parameters
+    ==========
+    text : str
+        What is wrong.
+    quoted : bytes, optional
+        The line that is.
+    is_begun : bool, optional
+        Whether an event may have begun before the bytes that do not belong to it.
+    """
+
+    def __init__(self, text, quoted=None, is_begun=True):
+        if quoted is not None:
+            text = f"{text}: {quoted[:_MAX_QUOTED_BYTES].decode('latin-1')!a}"
+        super().__init__(text, ResultCode.UPSTREAM_BROKE_OFF)
+        self.is_begun = is_begun
+
+
+class EventFields(msgspec.Struct, frozen=True):
+    """The fields of an event that readers need.
+
+    ``number`` is None if it has no id.
+    """
+
+    number: int | None
+    data: tuple[bytes, ...]
+
+
+class BlockSplitter:
+    """Splits a stream, received in chunks of any size, at its empty lines.
+
+    A line ends with LF, CR or CR LF. If only LF separated blocks here, a caller that
+    reads the stream by its format would see two events where this host sees one.
+
+    Examples
+    ========
+    >>> from hemlockhoist.upstreams.event_format import BlockSplitter
+    >>> splitter = BlockSplitter()
+    >>> splitter.feed(b"id: 1\\r\\ndata: a\\r\\n\\r")
+    []
+    >>> splitter.feed(b"\\nid: 2")
+    [b'id: 1\\r\\ndata: a\\r\\n\\r\\n']
+    >>> splitter.incomplete
+    b'id: 2'
+    """
+
+    __slots__ = ("_has_cr", "incomplete")
+
+    def __init__(self):
+        self.incomplete = b""
+        self._has_cr = False
+
+    def clear(self):
+        """Drop an incomplete block."""
+        self.incomplete = b""
+        self._has_cr = False
+
+    def feed(self, chunk):
+        """Return the blocks that a chunk completes, with the empty lines that end them."""
+        data = self.incomplete + chunk
+        self._has_cr = self._has_cr or b"\r" in chunk
+        if self._has_cr:
+            return self._split_any(data)
+        *parts, self.incomplete = data.split(_SEPARATOR)
+        return [part + _SEPARATOR for part in parts]
+
+    def _split_any(self, data):
+        blocks, begin = [], 0
+        for match in _ANY_SEPARATOR.finditer(data):
+            end = match.end()
+            # The LF of the last CR LF has not arrived yet.
+            if end == len(data) and match[0] == b"\r\n\r":
+                break
+            blocks.append(data[begin:end])
+            begin = end
+        self.incomplete = data[begin:]
+        return blocks
+
+
+def is_blank(block):
+    """Return whether a block consists of empty lines only."""
+    return not block.strip(b"\r\n")
+
+
+def read_event(block, declared_fields=frozenset()):
+    """Return the ``EventFields`` of a block.
+
+    Failure prevented: bytes that belong to no event, such as a second answer of the
+    upstream, are passed on within one. A caller can't tell them from its answer.
+
+    Parameters
+    ==========
+    block : bytes
+        With the empty line that ends it.
+    declared_fields : frozenset of bytes, optional
+        Names of fields that upstreams may send besides those of the format.
+
+    Raises
+    ======
+    InvalidEvent
+        If any line is none of a field or comment, or the id is no number.
+
+    Examples
+    ========
+    >>> from hemlockhoist.upstreams.event_format import read_event
+    >>> read_event(b"id: 7\\nevent: text\\ndata: a\\n\\n")
+    EventFields(number=7, data=(b' a',))
+    """
+    match = _USUAL_EVENT.fullmatch(block)
+    if match is not None:
+        return EventFields(int(match[1]), (block[match.end(1) + 6 : -2],))
+    _check_line_ends(block)
+    numbers, data = [], []
+    is_first = True
+    for line in _LINE_END.split(block):
+        if not line or line.startswith(b":"):
+            continue
+        name, _, value = line.partition(b":")
+        if name == b"id":
+            numbers.append(_read_number(line, value))
+        elif name == b"data":
+            data.append(value)
+        elif name not in _FIELDS and name not in declared_fields:
+            is_begun = not is_first or _may_begin_field(line, declared_fields)
+            raise InvalidEvent("line that is no field of an event", line, is_begun)
+        is_first = False
+    if len(numbers) > 1:
+        raise InvalidEvent("event with several numbers", block)
+    return EventFields(numbers[0] if numbers else None, tuple(data))
+
+
+def _may_begin_field(line, declared_fields):
+    return any(line[0] == name[0] for name in _FIELDS | declared_fields)
+
+
+def _read_number(line, value):
+    text = value.strip(b" \t")
+    if not text.isdigit() or len(text) > _MAX_NUMBER_DIGITS:
+        raise InvalidEvent("event whose id is no number", line)
+    return int(text)
+
+
+def _check_line_ends(block):
+    """Refuse the status line of an answer within a line of an event.
+
+    An ordinary event may hold such text, but all its lines end alike, while a head's
+    lines end with CR LF.
+    """
+    match = _STATUS_LINE.search(block)
+    if match is not None and _LF_ONLY.search(block):
+        raise InvalidEvent("head of an answer within an event", match[0])
