Pass on events only that are events by the format of streams

What callers saw: a piece of a stream that no run made, its id empty, and then nothing until their time limit. Cause: a block of bytes counted as an event if some line of it began with id:, whatever else stood in it, and with neither a length nor chunks all bytes of the connection are the body. So the head of a second answer became the begin of a piece. Class: what the host can't read is passed on as if it had been read.

Change: an event is lines of fields that the format names, or that the wire declares (weight-versions), with one number and data; anything else breaks the stream off before it, and is quoted in attempt_ended. A resumable stream goes on at another upstream. Foreign bytes at the boundary of two events are no sign that more of the stream follows, so an upstream that has nothing to add may end it. What can't become a field is refused at once, not when an empty line follows, as the connection may stay open. Lines end with LF, CR or CR LF, as for the caller's parser; whole streams of CR LF were lost before. Text like a status line within data is refused only where it ends with CR LF in an event whose other lines don't. Empty lines and comments between events are left out.

Weighed: a list of known fields against any name that is a token. The second one takes the head of an answer, whose lines are tokens and values, for fields once its status line stands behind data.

--- a/libs/entry/src/hemlockhoist/entry/attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt.py
@@ -58,7 +58,6 @@
         "kind",
         "longest_gap_ms",
         "number",
-        "odd_event_text",
         "output_tokens",
         "reason",
         "signals",
@@ -87,7 +86,6 @@
         # Whether the upstream was asked for the rest of an answer only.
         self.is_continued = False
         self.is_reused = False
-        self.odd_event_text = ""
         # Whether the upstream was gone when its answer had broken off.
         self.is_upstream_lost = False
         self.grant_outdated = False
@@ -182,7 +180,6 @@
         self.output_tokens = self.event_count * tokens_per_event
         self.longest_gap_ms = relay.longest_gap_ms
         self.silent_ms = relay.silent_ms()
-        self.odd_event_text = relay.odd_event_text
         event_us = relay.median_event_us()
         if event_us > 0:
             self.token_us = event_us // tokens_per_event
--- a/libs/entry/src/hemlockhoist/entry/attempt_records.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt_records.py
@@ -88,8 +88,7 @@
     hold = attempt.hold
     parts = ",".join(admitted.call.block_names)
     went_well = outcome.kind in (OutcomeKind.SUCCESS, OutcomeKind.CANCELLED)
-    is_sound = went_well and not attempt.odd_event_text
-    log = _log.info if is_sound else _log.warning
+    log = _log.info if went_well else _log.warning
     is_unanswered = attempt.guard.dispatched and outcome.kind is not OutcomeKind.SUCCESS
     log(
         "attempt_ended",
@@ -113,7 +112,6 @@
         body_end=attempt.body_end_text,
         reused="true" if attempt.is_reused else "",
         continued="true" if attempt.is_continued else "",
-        odd_event=attempt.odd_event_text,
         upstream_lost="true" if attempt.is_upstream_lost else "",
         fingerprint=f"{admitted.fingerprint:016x}" if is_unanswered else "",
         parts=parts if attempt.is_upstream_lost else "",
--- a/libs/entry/src/hemlockhoist/entry/events.py
+++ b/libs/entry/src/hemlockhoist/entry/events.py
@@ -2,16 +2,15 @@
 
 import msgspec
 
-from hemlockhoist.base import DispatchError, ResultCode
-from hemlockhoist.upstreams import InvalidEvent, read_event
-
-# Events have a few hundred bytes. This much data without an event's end is no event
-# stream, and must not exhaust the memory.
-MAX_EVENT_BYTES = 262_144
-# More digits are no number of an event, and ``int`` refuses to read thousands of them.
-_MAX_NUMBER_DIGITS = 18
-_SEPARATOR = b"\n\n"
-_ID = b"id:"
+from hemlockhoist.upstreams import (
+    MAX_EVENT_BYTES,
+    BlockSplitter,
+    InvalidEvent,
+    check_begin,
+    has_fields,
+    read_event,
+    usual_number,
+)
 
 
 class NumberedEvent(msgspec.Struct, frozen=True):
@@ -25,7 +24,7 @@
     """Splits a stream into complete events and returns each once, in order.
 
     A stream that resumes at another upstream may start with events that the caller
-    already has; they are dropped. A skipped number, an event without a number, and an
+    already has; they are dropped. A skipped number, bytes that are no event and an
     incomplete event at the end mean that the stream is broken: if it were passed on, a
     caller would read a wrong response that looks complete.
 
@@ -33,13 +32,13 @@
     ==========
     last_number : int or None
         Number of the last event that the caller has received; None for none.
+    declared_fields : frozenset of bytes, optional
+        Names of fields that upstreams may send besides those of the format.
 
     Attributes
     ==========
-    error : DispatchError or None
+    error : InvalidEvent or None
         Why the stream is broken; the events before that point were returned.
-    odd_text : str
-        What is odd in the latest event that was returned and is none by its format.
 
     Examples
     ========
@@ -53,69 +52,73 @@
     False
     """
 
-    __slots__ = ("_incomplete", "error", "last_number", "odd_text")
+    __slots__ = ("_declared_fields", "_splitter", "error", "last_number")
 
-    def __init__(self, last_number=None):
+    def __init__(self, last_number=None, declared_fields=frozenset()):
         self.last_number = last_number
         self.error = None
-        self.odd_text = ""
-        self._incomplete = b""
+        self._declared_fields = declared_fields
+        self._splitter = BlockSplitter()
 
     @property
     def is_between_events(self):
         """Whether no incomplete event is buffered."""
-        return not self._incomplete
+        return not self._splitter.incomplete.strip(b"\r\n")
+
+    @property
+    def shows_rest(self):
+        """Whether an event has begun that was not returned."""
+        if self.error is not None:
+            return self.error.is_begun
+        return not self.is_between_events
 
     @property
     def incomplete_bytes(self):
         """Size of the incomplete event that is buffered."""
-        return len(self._incomplete)
+        return len(self._splitter.incomplete)
 
     def restart(self):
         """Discard an incomplete event, which another upstream will send again."""
-        self._incomplete = b""
+        self._splitter.clear()
         self.error = None
-        self.odd_text = ""
 
     def feed(self, chunk):
         """Return the events completed by a chunk; check ``error`` afterwards."""
-        *parts, self._incomplete = (self._incomplete + chunk).split(_SEPARATOR)
         events = []
-        for part in parts:
-            number = _event_number(part)
-            if number is None:
-                self.error = _stream_error("event without a number")
-                break
-            if self.last_number is not None:
-                if number <= self.last_number:
-                    continue
-                if number > self.last_number + 1:
-                    self.error = _stream_error(
-                        f"event {number} after {self.last_number}"
-                    )
-                    break
-            self.last_number = number
-            events.append(NumberedEvent(number, part + _SEPARATOR))
-            self._note_odd(events[-1])
-        if len(self._incomplete) > MAX_EVENT_BYTES:
-            self.error = _stream_error(f"event of more than {MAX_EVENT_BYTES} bytes")
-        return events
-
-    def _note_odd(self, event):
         try:
-            read_event(event.raw)
+            for block in self._splitter.feed(chunk):
+                event = self._read(block)
+                if event is not None:
+                    events.append(event)
+            if self._splitter.incomplete:
+                self._check_incomplete()
         except InvalidEvent as error:
-            self.odd_text = error.message
-
-
-def _event_number(part):
-    for line in part.split(b"\n"):
-        if line.startswith(_ID):
-            text = line[len(_ID) :].strip()
-            is_number = text.isdigit() and len(text) <= _MAX_NUMBER_DIGITS
-            return int(text) if is_number else None
-    return None
-
+            self.error = error
+        return events
 
-def _stream_error(text):
-    return DispatchError(text, ResultCode.UPSTREAM_BROKE_OFF)
+    def _read(self, block):
+        """Return the next event, or None for one that is no new event."""
+        number = usual_number(block)
+        if number is None:
+            if not has_fields(block):
+                return None
+            number = self._read_number(block)
+        last = self.last_number
+        if last is not None and number <= last:
+            return None
+        if last is not None and number > last + 1:
+            raise InvalidEvent(f"event {number} after {last}")
+        self.last_number = number
+        return NumberedEvent(number, block.lstrip(b"\r\n"))
+
+    def _read_number(self, block):
+        fields = read_event(block, self._declared_fields)
+        if fields.number is None or not fields.data:
+            raise InvalidEvent("event without a number or data", block)
+        return fields.number
+
+    def _check_incomplete(self):
+        incomplete = self._splitter.incomplete
+        if len(incomplete) > MAX_EVENT_BYTES:
+            raise InvalidEvent(f"event of more than {MAX_EVENT_BYTES} bytes")
+        check_begin(incomplete, self._declared_fields)
--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -96,6 +96,7 @@
                 buffer,
                 is_leaving=lambda: context.leaving,
                 find_replacement=self._find_replacement,
+                event_fields=context.platform.wire.event_fields,
             )
 
     async def run(self):
--- a/libs/entry/src/hemlockhoist/entry/stream.py
+++ b/libs/entry/src/hemlockhoist/entry/stream.py
@@ -50,6 +50,8 @@
         Whether this host is about to close its callers' connections.
     find_replacement : callable, optional
         See ``StallWatchdog``.
+    event_fields : frozenset of bytes, optional
+        See ``WireFormat``.
     """
 
     __slots__ = (
@@ -86,6 +88,7 @@
         buffer,
         is_leaving=lambda: False,
         find_replacement=always_replaced,
+        event_fields=frozenset(),
     ):
         self._buffer = buffer
         self._is_leaving = is_leaving
@@ -93,7 +96,7 @@
         self._request = request
         self._admitted = admitted
         self._clock = clock
-        self._reader = EventReader(admitted.call.last_event_id)
+        self._reader = EventReader(admitted.call.last_event_id, event_fields)
         self._end = StreamEnd()
         # Of the upstream's response that is relayed now.
         self._head = None
@@ -213,8 +216,7 @@
             if isinstance(error, AnswerNotBegun) and self._end.is_uncertain:
                 # Nothing follows, by an end that proves as little as the one before.
                 return None
-            is_in_event = self._reader.error or not self._reader.is_between_events
-            self._end.on_break(bool(is_in_event), response.body_end)
+            self._end.on_break(self._reader.shows_rest, response.body_end)
             classified = watchdog.classify_error(error)
             is_break = classified.code is ResultCode.UPSTREAM_BROKE_OFF
             if is_break and error is not self._reader.error:
@@ -327,11 +329,6 @@
             self._event_gaps_us.append(gap_ms * US_PER_MS // count)
         self._last_event_ms = now_ms
 
-    @property
-    def odd_event_text(self):
-        """What is odd in an event of this upstream that was passed on; usually empty."""
-        return self._reader.odd_text
-
     @property
     def longest_gap_ms(self):
         """The longest gap between this upstream's events; 0 before the second one."""
--- a/libs/entry/src/hemlockhoist/entry/tests/test_events.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_events.py
@@ -51,6 +51,39 @@
         self.assertEqual(reader.feed(b"data: x\n\n"), [])
         self.assertIsNotNone(reader.error)
 
+    def test_bytes_that_are_no_event_end_the_stream_before_them(self):
+        """Guards against a second answer that is passed on as a piece of a stream."""
+        second = b"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n\r\n" + event(2)
+        for foreign, shows_rest in (
+            (second, False),
+            (b'{"a":1}', False),
+            (b'{"a":1}\n' + event(2), False),
+            (b"id: 2\nda" + second, True),
+            (b"id: 2\n\n", True),
+        ):
+            with self.subTest(foreign=foreign):
+                reader = EventReader()
+                self.assertEqual(len(reader.feed(event(1) + foreign)), 1)
+                self.assertIsNotNone(reader.error)
+                self.assertIs(reader.shows_rest, shows_rest)
+
+    def test_streams_of_any_line_ends_are_passed_on(self):
+        """Guards against whole streams that are lost as their lines end with CR LF."""
+        for end in ("\r", "\r\n"):
+            with self.subTest(end=end):
+                raw = b"".join(event(number) for number in range(1, 4))
+                raw = raw.replace(b"\n", end.encode())
+                reader = EventReader()
+                self.assertEqual(b"".join(e.raw for e in reader.feed(raw)), raw)
+                self.assertTrue(reader.is_between_events)
+
+    def test_empty_lines_and_comments_between_events_are_left_out(self):
+        """Guards against whole streams that are lost to what callers don't read."""
+        reader = EventReader()
+        found = reader.feed(b"\r\n" + event(1) + b"\n: alive\n\n" + event(2))
+        self.assertEqual([e.raw for e in found], [event(1), event(2)])
+        self.assertIsNone(reader.error)
+
     def test_event_size_is_limited(self):
         reader = EventReader()
         reader.feed(b"x" * (MAX_EVENT_BYTES + 1))
--- a/libs/entry/src/hemlockhoist/entry/wire.py
+++ b/libs/entry/src/hemlockhoist/entry/wire.py
@@ -158,6 +158,11 @@
     def request_id_header(self):
         """The header that carries a request's id, and is echoed in responses."""
 
+    @property
+    def event_fields(self):
+        """Names of the fields, as bytes, of events besides those of the format."""
+        return frozenset()
+
     @abc.abstractmethod
     def read_call(self, method, target, headers):
         """Return the ``CallerCall`` of a request's head.
--- a/libs/upstreams/src/hemlockhoist/upstreams/__init__.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/__init__.py
@@ -10,10 +10,14 @@
     enable_tcp_keepalive,
 )
 from hemlockhoist.upstreams.event_format import (
+    MAX_EVENT_BYTES,
     BlockSplitter,
     EventFields,
     InvalidEvent,
+    check_begin,
+    has_fields,
     read_event,
+    usual_number,
 )
 from hemlockhoist.upstreams.events import (
     EventSplitter,
@@ -47,6 +51,7 @@
     "EventFields",
     "EventSplitter",
     "InvalidEvent",
+    "MAX_EVENT_BYTES",
     "OffsetChecker",
     "SendGuard",
     "StreamEvent",
@@ -56,10 +61,13 @@
     "UpstreamCall",
     "UpstreamClient",
     "cancel_stream",
+    "check_begin",
     "check_head",
     "enable_tcp_keepalive",
+    "has_fields",
     "part_limit_ms",
     "read_event",
+    "usual_number",
     "DirectConnector",
     "KeptConnections",
 ]
--- a/libs/upstreams/src/hemlockhoist/upstreams/event_format.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/event_format.py
@@ -22,6 +22,7 @@
 _FIELDS = frozenset({b"id", b"data", b"event", b"retry"})
 # With CR LF, the end of a status line; see ``_check_line_ends``.
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [^\r\n]*)?\r\n")
+_NO_FIELD = "line that is no field of an event"
 _LF_ONLY = re.compile(rb"(?<!\r)\n")
 
 
@@ -106,9 +107,21 @@
         return blocks
 
 
-def is_blank(block):
-    """Return whether a block consists of empty lines only."""
-    return not block.strip(b"\r\n")
+def has_fields(block):
+    """Return whether a block holds more than empty lines and comments."""
+    if block[0] not in b"\r\n:":
+        return True
+    lines = _LINE_END.split(block)
+    return any(line and not line.startswith(b":") for line in lines)
+
+
+def usual_number(block):
+    """Return the number of an event of the usual form, or None for any other block.
+
+    Nearly all events have it, and are read without being split into lines.
+    """
+    match = _USUAL_EVENT.fullmatch(block)
+    return None if match is None else int(match[1])
 
 
 def read_event(block, declared_fields=frozenset()):
@@ -135,31 +148,53 @@
     >>> read_event(b"id: 7\\nevent: text\\ndata: a\\n\\n")
     EventFields(number=7, data=(b' a',))
     """
-    match = _USUAL_EVENT.fullmatch(block)
-    if match is not None:
-        return EventFields(int(match[1]), (block[match.end(1) + 6 : -2],))
+    check_begin(block, declared_fields)
     _check_line_ends(block)
     numbers, data = [], []
-    is_first = True
+    name = colon = b""
     for line in _LINE_END.split(block):
-        if not line or line.startswith(b":"):
-            continue
-        name, _, value = line.partition(b":")
+        if name and not colon and line.startswith(b":"):
+            # A line end has come between the name of a field and its colon.
+            raise InvalidEvent(_NO_FIELD, line)
+        name, colon, value = line.partition(b":")
         if name == b"id":
             numbers.append(_read_number(line, value))
         elif name == b"data":
             data.append(value)
-        elif name not in _FIELDS and name not in declared_fields:
-            is_begun = not is_first or _may_begin_field(line, declared_fields)
-            raise InvalidEvent("line that is no field of an event", line, is_begun)
-        is_first = False
+        elif name and name not in _FIELDS and name not in declared_fields:
+            raise InvalidEvent(_NO_FIELD, line)
     if len(numbers) > 1:
         raise InvalidEvent("event with several numbers", block)
     return EventFields(numbers[0] if numbers else None, tuple(data))
 
 
-def _may_begin_field(line, declared_fields):
-    return any(line[0] == name[0] for name in _FIELDS | declared_fields)
+def check_begin(data, declared_fields=frozenset()):
+    """Check that bytes can be the begin of an event.
+
+    Failure prevented: foreign bytes without an empty line behind them, on a connection
+    that stays open, look like an event that is about to end.
+
+    Parameters
+    ==========
+    data : bytes
+        At least one byte.
+    declared_fields : frozenset of bytes, optional
+        As of ``read_event``.
+
+    Raises
+    ======
+    InvalidEvent
+    """
+    first = _LINE_END.split(data.lstrip(b"\r\n"), maxsplit=1)
+    name, colon, _ = first[0].partition(b":")
+    names = _FIELDS | declared_fields
+    if not name or name in names:
+        return
+    is_unfinished = not colon and len(first) == 1
+    if is_unfinished and any(item.startswith(name) for item in names):
+        return
+    is_begun = any(name[0] == item[0] for item in names)
+    raise InvalidEvent(_NO_FIELD, first[0], is_begun)
 
 
 def _read_number(line, value):
--- a/libs/upstreams/src/hemlockhoist/upstreams/tests/test_event_format.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/tests/test_event_format.py
@@ -62,6 +62,7 @@
             (b"id: 6\nda" + heads, True),
             (b"da" + heads, True),
             (b"id: 6\ndata: pie\nce\n\n", True),
+            (b"id: 6\ndata\r\n: piece\n\n", True),
             (b"id: 6\ndata: pieHTTP/1.1 200 OK\r\n\r\n", True),
             (b"id: 6\nid: 7\ndata: b\n\n", True),
             (b"id: \ndata: b\n\n", True),
