Send upstreams the target that the caller sent, with an empty query too

What callers saw: nothing; an upstream got /a where its caller had asked for /a? Cause: the URL was parsed from the whole text, and the library drops a query that is empty. It is built of address and target now, which is written as it is. Callers' own parsing was ruled out: the raw target is kept from the caller's request line to the call. Over relays the same client sends it.

--- a/libs/upstreams/src/hemlockhoist/upstreams/client.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/client.py
@@ -250,7 +250,7 @@
         try:
             return await (session or self._session).request(
                 call.method,
-                yarl.URL(f"http://{call.address}{call.path}", encoded=True),
+                _url(call.address, call.path),
                 headers=[*call.headers, (self._request_id_header, call.request_id)],
                 data=call.body or None,
                 allow_redirects=False,
@@ -334,6 +334,14 @@
 MAX_FETCH_BYTES = 1_048_576
 
 
+def _url(address, path):
+    """Return the URL whose request line has exactly this path and query.
+
+    The library drops an empty query if it reads the path and the query apart.
+    """
+    return yarl.URL.build(scheme="http", authority=address, path=path, encoded=True)
+
+
 class _NoGuard:
     """Guard for requests that are not dispatches, which permits all of them."""
 
