Count the usage of a customer that was taken out and declared again

Cause: the tracker of quotas forgot the usage of each customer that a declaration lacks. It keeps it until it has left the window; requests of a customer without a quota are not counted meanwhile, as before.

Open: a home that begins while the customer is out doesn't count what hosts report of it.

Now green, 28 of 28 of the module.

--- a/libs/decisions/src/hemlockhoist/decisions/limits/quotas.py
+++ b/libs/decisions/src/hemlockhoist/decisions/limits/quotas.py
@@ -70,31 +70,47 @@
     0
     """
 
-    __slots__ = ("_bounds", "_share", "_unknown_usage", "_usage")
+    __slots__ = ("_bounds", "_limited", "_share", "_unknown_usage", "_usage")
 
     def __init__(self, bounds):
         self._bounds = bounds
         self._unknown_usage = UnknownUsage()
+        # Of the customers that have a quota, and of those that had one within the window.
         self._usage = {}
+        self._limited = frozenset()
         self._share = FULL_SHARE
 
-    def declare(self, customers):
-        """Set the declared customers; the usage of those that stay is kept.
+    def declare(self, customers, now_ms=0):
+        """Set the declared customers; their usage is kept.
+
+        Failure prevented: a customer at its bound is taken out and declared again within
+        the window, and gets its whole quota a second time.
 
         Parameters
         ==========
         customers : iterable of KeyedCustomer
+        now_ms : int, optional
         """
-        previous = self._usage
-        self._usage = {}
-        for customer in customers:
-            if customer.quota is None:
-                continue
-            usage = previous.get(customer.name)
+        limited = [item for item in customers if item.quota is not None]
+        for customer in limited:
+            usage = self._usage.get(customer.name)
             if usage is None:
-                usage = CustomerUsage(self._bounds.window_ms)
+                usage = self._usage[customer.name] = CustomerUsage(
+                    self._bounds.window_ms
+                )
             usage.quota = customer.quota
-            self._usage[customer.name] = usage
+        self._limited = frozenset(item.name for item in limited)
+        self._forget_expired(now_ms)
+
+    def _forget_expired(self, now_ms):
+        """Drop usage that has left the window, of customers that have no quota now."""
+        for name in self._usage.keys() - self._limited:
+            self._usage[name].expire(now_ms)
+            if not self._usage[name].total:
+                del self._usage[name]
+
+    def _limited_usage(self, customer):
+        return self._usage[customer] if customer in self._limited else None
 
     def set_share(self, share):
         """Set the share of all quotas that this host grants.
@@ -124,7 +140,7 @@
             0 if they were acquired, else the time to wait before a retry, in
             milliseconds.
         """
-        usage = self._usage.get(customer)
+        usage = self._limited_usage(customer)
         if usage is None:
             return 0
         usage.expire(now_ms)
@@ -208,14 +224,14 @@
 
     def counted(self, customer):
         """Return all units ever counted for a customer, as a ratio to its bound."""
-        usage = self._usage.get(customer)
+        usage = self._limited_usage(customer)
         if usage is None:
             return 0.0
         return usage.counted / max(1.0, self._bounds.units(usage.quota))
 
     def units_left(self, customer, now_ms):
         """Return the units that a customer has left, or None without a limit."""
-        usage = self._usage.get(customer)
+        usage = self._limited_usage(customer)
         if usage is None:
             return None
         usage.expire(now_ms)
--- a/libs/decisions/src/hemlockhoist/decisions/limits/tests/test_quotas.py
+++ b/libs/decisions/src/hemlockhoist/decisions/limits/tests/test_quotas.py
@@ -71,6 +71,22 @@
         tracker.declare([KeyedCustomer(name="port", quota=lower)])
         self.assertGreater(tracker.acquire("port", 10, 100), 0)
 
+    def test_customer_that_is_put_back_has_used_what_it_had(self):
+        """Guards against a whole quota for a customer taken out for a moment."""
+        tracker = new_tracker()
+        tracker.acquire("port", 8_000, 0)
+        tracker.declare([], 1_000)
+        self.assertEqual(tracker.acquire("port", 8_000, 1_500), 0)
+        tracker.declare([KeyedCustomer(name="port", quota=QUOTA)], 2_000)
+        self.assertGreater(tracker.acquire("port", 8_000, 2_500), 0)
+
+    def test_usage_of_a_customer_that_is_gone_is_forgotten(self):
+        """Guards against memory that grows with each customer that was ever declared."""
+        tracker = new_tracker()
+        tracker.acquire("port", 8_000, 0)
+        tracker.declare([], 2 * WINDOW_MS)
+        self.assertEqual(tracker._usage, {})
+
     def check_total_loss(self, previous, request_times_ms, back_ms):
         """Let a customer at its bound continue after a loss of all hosts."""
         acquired = [
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -382,7 +382,7 @@
         """Put newer routes in force."""
         context = self.context
         context.declarations = declarations_from_table(table)
-        context.gate.quotas.declare(table.customers)
+        context.gate.quotas.declare(table.customers, context.clock.now_ms())
         context.homes.redeclare()
         context.grants.recheck_waiting()
 
