Break an answer off where a second one begins within its body

What callers saw: a body without a length of 260 bytes, with a second answer before, within or behind it, came as a 200 of some 400 bytes, both as one. With a length, the second answer displaced as many bytes of the body's own. With a connection that stays open, callers waited until their time limit (504).

Cause: with neither a length nor chunks all bytes of a connection are the body, with a length all bytes up to it, and no reader looked at what they are.

Change: SecondAnswerFinder decides for all readers of bodies, within UpstreamResponse. A second answer is a status line at any place, followed by fields, among them the one in which upstreams echo the request's id. The bytes before it are returned, then SecondAnswer (UPSTREAM_BROKE_OFF) quotes its begin: the answer is broken, sent again where that is allowed, else 502 and no claim that it did not run.

Weighed: - Serving the bytes before the second answer. Nothing says whether they are whole: the upstream may have been interrupted by it, and bytes of the first may follow. - A status line alone. Bodies that quote HTTP would be lost. A transcript that holds the header of the id still is; nothing in the bytes tells it from an answer. - The whole head, up to its empty line. It is decided at the name of the field, so that less is held. - Comparing the id with the request's. A second answer to another request is as foreign. - One pattern for the whole head. Its search is quadratic in a log whose lines look like fields.

Bytes that may be a head are held back, at most 8 KB; of a longer head the rest is read without being kept.

--- /dev/null
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_second_plain_answers.py
@@ -0,0 +1,172 @@
+"""End-to-end tests of upstreams that send a second answer within a plain body."""
+
+import asyncio
+import unittest
+
+from hemlockhoist.standins.published import Replica, Site, route
+from hemlockhoist.standins.published.endless import chunk
+from hemlockhoist.standins.published.raw import LAST_CHUNK, RawReplica, call_raw
+
+LOOKUP = route("check-free", "reservas")
+BOOKING = route("book-hall", "reservas", "non_idempotent", max_attempts=1)
+ROUTES = [LOOKUP, BOOKING]
+LOOKUP_PATH, BOOKING_PATH = "/check-free/1", "/book-hall/1"
+BODY = b"x" * 260
+MIDDLE, BEHIND = 130, len(BODY)
+PLACES = (0, MIDDLE, BEHIND)
+DEADLINE_MS = "1500"
+UNFRAMED = "Connection: close\r\n"
+LENGTH = f"Content-Length: {len(BODY)}\r\n"
+CHUNKED = "Transfer-Encoding: chunked\r\n"
+OPEN_S = 10.0
+FOREIGN = b'{"a":1}'
+KINDS = ("plain", "no body", "unframed", "chunked")
+
+
+def second_answer(kind, head):
+    """Return the bytes of a second answer.
+
+    Parameters
+    ==========
+    kind : str
+        One of ``KINDS``.
+    head : callable
+        Returns the bytes of a head with further header lines.
+    """
+    if kind == "plain":
+        return head(f"Content-Length: {len(FOREIGN)}\r\n") + FOREIGN
+    if kind == "no body":
+        return head("Content-Length: 0\r\n")
+    if kind == "unframed":
+        return head(UNFRAMED) + FOREIGN
+    return head(CHUNKED) + chunk(FOREIGN) + LAST_CHUNK
+
+
+def sends_second(replica_id, kind, at_byte, framing=UNFRAMED, is_open=False):
+    """Return a replica that sends a second answer at a byte of a plain body.
+
+    Parameters
+    ==========
+    replica_id, kind : str
+    at_byte : int
+    framing : str, optional
+        Header lines of the first answer.
+    is_open : bool, optional
+        Whether the connection is held open behind all that is sent.
+    """
+
+    async def send(received, writer):
+        def head(lines):
+            return sender.head(received, framing=lines)
+
+        second = second_answer(kind, head)
+        for data in (head(framing) + BODY[:at_byte], second, BODY[at_byte:]):
+            writer.write(data)
+            await writer.drain()
+            await asyncio.sleep(0.005)
+        if is_open:
+            await asyncio.sleep(OPEN_S)
+
+    sender = RawReplica(replica_id, send)
+    return sender
+
+
+def sends_body(data, framing):
+    """Return a replica that sends a body in two parts."""
+
+    async def send(received, writer):
+        half = len(data) // 2
+        writer.write(sender.head(received, framing=framing) + data[:half])
+        await writer.drain()
+        await asyncio.sleep(0.005)
+        writer.write(data[half:])
+        await writer.drain()
+
+    sender = RawReplica("a", send)
+    return sender
+
+
+class PlainCase(unittest.IsolatedAsyncioTestCase):
+    async def call(self, path, method, *replicas):
+        async with Site({"reservas": list(replicas)}, ROUTES) as site:
+            return await call_raw(site, path, method=method, Deadline_Ms=DEADLINE_MS)
+
+    async def check_repeatable(self, first):
+        """Check that a lookup gets the whole answer of another replica."""
+        answer = await self.call(LOOKUP_PATH, "GET", first, Replica("b"))
+        whole = b"answer of b to " + LOOKUP_PATH.encode()
+        self.assertEqual((answer.status, answer.body), (200, whole))
+        self.assertFalse(answer.is_reset)
+
+    async def check_booking(self, kind, place, **fields):
+        """Check that a booking fails without a claim that it did not run."""
+        senders = [sends_second(name, kind, place, **fields) for name in "ab"]
+        answer = await self.call(BOOKING_PATH, "POST", *senders)
+        self.assertEqual(answer.status, 502)
+        self.assertIsNone(answer.header("Not-Executed"))
+        self.assertNotIn(FOREIGN, answer.body)
+        self.assertEqual(sum(len(sender.ran) for sender in senders), 1)
+
+
+class SecondPlainAnswerTests(PlainCase):
+    async def test_second_answer_is_no_part_of_a_lookup_without_a_length(self):
+        """Guards against two answers that a caller gets as one."""
+        for kind in KINDS:
+            for place in PLACES:
+                with self.subTest(kind=kind, place=place):
+                    await self.check_repeatable(sends_second("a", kind, place))
+
+    async def test_second_answer_is_no_part_of_a_lookup_with_a_length(self):
+        """Guards against foreign bytes that displace as many of a body's own."""
+        for kind in KINDS:
+            for place in (0, MIDDLE):
+                with self.subTest(kind=kind, place=place):
+                    first = sends_second("a", kind, place, LENGTH)
+                    await self.check_repeatable(first)
+
+    async def test_second_answer_on_an_open_connection_holds_no_lookup_up(self):
+        """Guards against a caller that waits for the end until its time limit."""
+        for kind in KINDS:
+            with self.subTest(kind=kind):
+                first = sends_second("a", kind, BEHIND, is_open=True)
+                await self.check_repeatable(first)
+
+    async def test_second_answer_is_no_part_of_a_booking_without_a_length(self):
+        """Guards against two answers as one, and a second run of a booking."""
+        for kind in KINDS:
+            for place in PLACES:
+                with self.subTest(kind=kind, place=place):
+                    await self.check_booking(kind, place)
+
+    async def test_second_answer_is_no_part_of_a_booking_with_a_length(self):
+        """Guards against displaced bytes, and a second run of a booking."""
+        for kind in KINDS:
+            for place in (0, MIDDLE):
+                with self.subTest(kind=kind, place=place):
+                    await self.check_booking(kind, place, framing=LENGTH)
+
+    async def test_second_answer_on_an_open_connection_holds_no_booking_up(self):
+        """Guards against a broken booking that is reported as a time limit's."""
+        for kind in KINDS:
+            with self.subTest(kind=kind):
+                await self.check_booking(kind, BEHIND, is_open=True)
+
+
+class OrdinaryTextTests(PlainCase):
+    async def test_text_like_an_answer_is_served(self):
+        """Guards against whole bodies that are lost as they quote HTTP."""
+        for text in (
+            b"it said HTTP/1.1 200 OK",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+            b"> GET / HTTP/1.1\r\n< HTTP/1.0 404 Not Found\r\nA: b\r\n",
+            b"HTTP/1.1 200 OK\r\nServer: a\r\n\r\nAttempt-Id: a1\r\n",
+            b"HTTP/1.1 200 OK\r\nthe line\r\nAttempt-Id: a1\r\n",
+            b"HTTP/1.1 200 OK, then Attempt-Id: a1",
+        ):
+            for framing in (UNFRAMED, f"Content-Length: {len(text)}\r\n"):
+                for path, method in ((LOOKUP_PATH, "GET"), (BOOKING_PATH, "POST")):
+                    with self.subTest(text=text, framing=framing, path=path):
+                        sender = sends_body(text, framing)
+                        answer = await self.call(path, method, sender)
+                        self.assertEqual((answer.status, answer.body), (200, text))
+                        self.assertEqual(len(sender.ran), 1)
--- a/libs/upstreams/src/hemlockhoist/upstreams/__init__.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/__init__.py
@@ -35,6 +35,7 @@
     UpstreamResponse,
 )
 from hemlockhoist.upstreams.response_ids import ResponseIdChecker, ResponseIdTracker
+from hemlockhoist.upstreams.second_answer import SecondAnswer
 
 __all__ = [
     "AnswerNotBegun",
@@ -47,6 +48,7 @@
     "VERSION_HEADER",
     "ResponseIdChecker",
     "ResponseIdTracker",
+    "SecondAnswer",
     "DispatchRegister",
     "EventFields",
     "EventSplitter",
--- a/libs/upstreams/src/hemlockhoist/upstreams/response.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/response.py
@@ -9,6 +9,7 @@
 from hemlockhoist.upstreams.answer_head import InvalidAnswerHead
 from hemlockhoist.upstreams.body_end import BodyEnd
 from hemlockhoist.upstreams.bounds import DataWithoutEnd
+from hemlockhoist.upstreams.second_answer import SecondAnswerFinder
 
 REQUEST_ID_HEADER = "X-Request-Id"
 VERSION_HEADER = "X-Upstream-Version"
@@ -42,7 +43,9 @@
     """
 
     __slots__ = (
+        "_finder",
         "_first_data",
+        "_received_bytes",
         "_request_id_header",
         "_response",
         "body_end",
@@ -54,7 +57,9 @@
         self.body_end = BodyEnd.announced(
             response.method, response.status, response.headers
         )
+        self._finder = SecondAnswerFinder(request_id_header)
         self._first_data = b""
+        self._received_bytes = 0
         self._response = response
         self._request_id_header = request_id_header
 
@@ -132,9 +137,8 @@
             As in ``chunks``.
         """
         if not self._first_data:
-            with dispatch_errors():
-                self._first_data = await self._response.content.readany()
-            self._check_begun(bool(self._first_data))
+            self._first_data = await self._next_data()
+            self._check_begun()
 
     async def chunks(self):
         """Yield the body in chunks as they arrive.
@@ -144,27 +148,45 @@
         DispatchError
             When the body breaks off, is not as long as stated or, without a length or
             chunks, never begins, or no data arrives within the idle timeout.
+            ``SecondAnswer`` after the bytes before one.
         """
-        content = self._response.content
         # A list, from which each chunk is taken: a name would keep it in memory for as
         # long as the reader waits for its caller.
         chunks = [self._first_data]
         self._first_data = b""
-        body_bytes = len(chunks[0])
-        if body_bytes:
+        if chunks[0]:
+            yield chunks.pop()
+        while chunks := [await self._next_data()]:
+            if not chunks[0]:
+                break
             yield chunks.pop()
-        with dispatch_errors():
-            while True:
-                chunks = [await content.readany()]
-                if not chunks[0]:
-                    break
-                body_bytes += len(chunks[0])
-                yield chunks.pop()
-        self._check_begun(body_bytes > 0)
-        self._check_length(body_bytes)
-
-    def _check_begun(self, has_begun):
-        if not has_begun and not self.body_end.is_certain:
+        self._check_begun()
+        self._check_length(self._received_bytes)
+
+    async def _next_data(self):
+        """Return the next bytes of the body; none once it has ended.
+
+        Raises
+        ======
+        SecondAnswer
+            If one begins there.
+        DispatchError
+            As in ``chunks``.
+        """
+        finder = self._finder
+        while finder.error is None:
+            with dispatch_errors():
+                received = [await self._response.content.readany()]
+            self._received_bytes += len(received[0])
+            if not received[0]:
+                return finder.finish()
+            data = finder.feed(received.pop())
+            if data:
+                return data
+        raise finder.error
+
+    def _check_begun(self):
+        if not self._received_bytes and not self.body_end.is_certain:
             text = "the connection ended before the answer began"
             raise AnswerNotBegun(text, ResultCode.UPSTREAM_BROKE_OFF)
 
