--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_second_plain_answers.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_second_plain_answers.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from hemlockhoist.base.testing import run_with_python_parser
 from hemlockhoist.standins.published import Replica, Site, route
 from hemlockhoist.standins.published.endless import chunk
 from hemlockhoist.standins.published.raw import LAST_CHUNK, RawReplica, call_raw
@@ -18,6 +19,7 @@
 UNFRAMED = "Connection: close\r\n"
 LENGTH = f"Content-Length: {len(BODY)}\r\n"
 CHUNKED = "Transfer-Encoding: chunked\r\n"
+FAILED = "500 Internal Server Error"
 OPEN_S = 10.0
 FOREIGN = b'{"a":1}'
 KINDS = ("plain", "no body", "unframed", "chunked")
@@ -42,7 +44,9 @@
     return head(CHUNKED) + chunk(FOREIGN) + LAST_CHUNK
 
 
-def sends_second(replica_id, kind, at_byte, framing=UNFRAMED, is_open=False):
+def sends_second(
+    replica_id, kind, at_byte, framing=UNFRAMED, is_open=False, status="200 OK"
+):
     """Return a replica that sends a second answer at a byte of a plain body.
 
     Parameters
@@ -53,14 +57,17 @@
         Header lines of the first answer.
     is_open : bool, optional
         Whether the connection is held open behind all that is sent.
+    status : str, optional
+        Of the first answer.
     """
 
     async def send(received, writer):
         def head(lines):
             return sender.head(received, framing=lines)
 
+        first = sender.head(received, status, framing)
         second = second_answer(kind, head)
-        for data in (head(framing) + BODY[:at_byte], second, BODY[at_byte:]):
+        for data in (first + BODY[:at_byte], second, BODY[at_byte:]):
             writer.write(data)
             await writer.drain()
             await asyncio.sleep(0.005)
@@ -170,3 +177,67 @@
                         answer = await self.call(path, method, sender)
                         self.assertEqual((answer.status, answer.body), (200, text))
                         self.assertEqual(len(sender.ran), 1)
+
+
+class FailedAnswerTests(PlainCase):
+    async def test_second_answer_is_no_part_of_a_failed_lookup(self):
+        """Guards against an error of the upstream that quotes another answer."""
+        for kind in KINDS:
+            for place, framing in ((0, UNFRAMED), (BEHIND, UNFRAMED), (MIDDLE, LENGTH)):
+                with self.subTest(kind=kind, place=place):
+                    senders = [
+                        sends_second(name, kind, place, framing, status=FAILED)
+                        for name in "ab"
+                    ]
+                    answer = await self.call(LOOKUP_PATH, "GET", *senders)
+                    self.assertEqual(answer.status, 502)
+                    self.assertNotIn(FOREIGN, answer.body)
+
+    async def test_second_answer_is_no_part_of_a_failed_booking(self):
+        """Guards against a second run, and a claim that the first one failed."""
+        for kind in KINDS:
+            for place, framing in ((0, UNFRAMED), (BEHIND, UNFRAMED), (MIDDLE, LENGTH)):
+                with self.subTest(kind=kind, place=place):
+                    await self.check_booking(
+                        kind, place, framing=framing, status=FAILED
+                    )
+
+
+class BodilessAnswerTests(PlainCase):
+    async def check_no_body(self, method, status, framing):
+        """Check that what follows an answer without a body is not passed on."""
+        for kind in KINDS:
+            first = sends_second("a", kind, 0, framing, status=status)
+            with self.subTest(kind=kind, method=method, status=status):
+                answer = await self.call(LOOKUP_PATH, method, first)
+                self.assertEqual(answer.status, int(status[:3]))
+                self.assertEqual(answer.body, b"")
+
+    async def test_second_answer_to_head_is_not_passed_on(self):
+        for framing in (UNFRAMED, LENGTH):
+            await self.check_no_body("HEAD", "200 OK", framing)
+
+    async def test_second_answer_behind_a_status_without_a_body_is_not_passed_on(self):
+        for status in ("204 No Content", "304 Not Modified"):
+            await self.check_no_body("GET", status, UNFRAMED)
+
+    async def test_second_answer_behind_a_whole_body_is_not_passed_on(self):
+        for kind in KINDS:
+            for path, method in ((LOOKUP_PATH, "GET"), (BOOKING_PATH, "POST")):
+                first = sends_second("a", kind, BEHIND, LENGTH)
+                with self.subTest(kind=kind, path=path):
+                    answer = await self.call(path, method, first)
+                    self.assertEqual((answer.status, answer.body), (200, BODY))
+                    self.assertEqual(len(first.ran), 1)
+
+
+class OtherParserTests(unittest.TestCase):
+    def test_second_answers_are_found_with_the_parser_in_python(self):
+        """Guards against a parser that hands on other bytes than the compiled one."""
+        names = (
+            "SecondPlainAnswerTests",
+            "OrdinaryTextTests",
+            "FailedAnswerTests",
+            "BodilessAnswerTests",
+        )
+        run_with_python_parser(*(f"{__name__}.{name}" for name in names))
