--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_hedges.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_hedges.py
@@ -17,6 +17,7 @@
 QUICK_S = 1.4
 CLOSE_LIMIT_S = 0.5
 EVENTS = 3
+FOREIGN = b"x" * 20
 HEDGING = {"hedge_permille": 200}
 LOOKUP = route("check", SERVICE)
 BOOKING = route("book", SERVICE, "non_idempotent", max_attempts=1)
@@ -209,6 +210,27 @@
                     self.assertIn(first.replica_id.encode(), body)
                     self.assertEqual(len(other.ran) + len(other.rejected), 1)
 
+    async def test_second_answer_of_a_hedge_is_not_served(self):
+        """Guards against two answers as one because the hedge is the first to end."""
+        for at_byte in (0, 5):
+            with self.subTest(at_byte=at_byte):
+                async with self.site(LOOKUP) as site:
+                    task, first = await self.start_slow(site, "check", slow_ms=500)
+                    (other,) = self.others(first)
+                    send_two_answers(other, at_byte)
+                    expected = f"answer of {first.replica_id} to /check/slow".encode()
+                    self.assertEqual(await task, (200, expected))
+                    self.assertEqual(len(other.ran), 1)
+
+    async def test_second_answer_of_a_hedged_stream_is_not_served(self):
+        """Guards against a hedge that wins with the begin of a second answer."""
+        async with self.site(REPORT, events=EVENTS) as site:
+            task, first = await self.start_slow(site, "report", slow_ms=500)
+            (other,) = self.others(first)
+            send_two_answers(other, 0)
+            self.assertEqual(await task, (200, whole_stream()))
+            self.assertEqual([len(first.ran), len(other.ran)], [1, 1])
+
     async def test_both_attempts_fail_as_without_a_hedge(self):
         """Guards against a failed answer that is lost, or a third attempt."""
         async with self.site(LOOKUP) as site:
@@ -272,6 +294,18 @@
             self.assertEqual(names[:1], (other.replica_id,))
 
 
+def send_two_answers(replica, at_byte):
+    """Let a replica send a second answer within a body without a length."""
+
+    async def respond(received, writer):
+        head = replica._head(received, "200 OK", "Connection: close\r\n")
+        writer.write(head + FOREIGN[:at_byte] + head + FOREIGN)
+        await writer.drain()
+        writer.close()
+
+    replica._respond = respond
+
+
 def whole_stream():
     events = (b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, EVENTS + 1))
     return b"".join(events)
