Find the head of a second answer that a stated length cuts

What callers saw: a body of stated length that ends with the begin of another answer's head, in place of as many bytes of its own, as a whole 200.

Cause: whose the last bytes are shows only in what the connection brings behind the body, and the HTTP library drops that.

Change: BoundedHandler keeps what came together with the end of a body of stated length, and the finder reads on in it if it holds back bytes of the body. A second answer that begins behind the body is no concern of the body's readers, as before.

Weighed: refusing each body of stated length that ends like a head begins. "H" is a common last byte, and something behind a body no proof against it. Not done: waiting for what comes in a later read, which is how a head that the upstream writes in parts can still be missed.

--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_second_plain_answers.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_second_plain_answers.py
@@ -13,6 +13,8 @@
 ROUTES = [LOOKUP, BOOKING]
 LOOKUP_PATH, BOOKING_PATH = "/check-free/1", "/book-hall/1"
 BODY = b"x" * 260
+# Where the length ends within the head of a second answer.
+CUT_PLACES = (len(BODY) - 25, len(BODY) - 14, len(BODY) - 1)
 MIDDLE, BEHIND = 130, len(BODY)
 PLACES = (0, MIDDLE, BEHIND)
 DEADLINE_MS = "1500"
@@ -93,6 +95,21 @@
     return sender
 
 
+def sends_behind(text):
+    """Return a replica that sends an empty line and a second answer behind a body."""
+
+    async def send(received, writer):
+        head = sender.head(received, framing=f"Content-Length: {len(text)}\r\n")
+        writer.write(head + text[:1])
+        await writer.drain()
+        await asyncio.sleep(0.005)
+        writer.write(text[1:] + b"\r\n" + head + text)
+        await writer.drain()
+
+    sender = RawReplica("a", send)
+    return sender
+
+
 class PlainCase(unittest.IsolatedAsyncioTestCase):
     async def call(self, path, method, *replicas):
         async with Site({"reservas": list(replicas)}, ROUTES) as site:
@@ -131,6 +148,21 @@
                     first = sends_second("a", kind, place, LENGTH)
                     await self.check_repeatable(first)
 
+    async def test_head_that_a_length_cuts_is_no_part_of_a_lookup(self):
+        """Guards against a body that ends with the begin of another answer's head."""
+        for kind in KINDS:
+            for place in CUT_PLACES:
+                with self.subTest(kind=kind, place=place):
+                    first = sends_second("a", kind, place, LENGTH)
+                    await self.check_repeatable(first)
+
+    async def test_head_that_a_length_cuts_is_no_part_of_a_booking(self):
+        """Guards against a body that ends with the begin of another answer's head."""
+        for kind in KINDS:
+            for place in CUT_PLACES:
+                with self.subTest(kind=kind, place=place):
+                    await self.check_booking(kind, place, framing=LENGTH)
+
     async def test_second_answer_on_an_open_connection_holds_no_lookup_up(self):
         """Guards against a caller that waits for the end until its time limit."""
         for kind in KINDS:
@@ -178,6 +210,14 @@
                         self.assertEqual((answer.status, answer.body), (200, text))
                         self.assertEqual(len(sender.ran), 1)
 
+    async def test_text_before_a_second_answer_behind_it_is_served(self):
+        """Guards against a whole body that is lost as it ends like a head begins."""
+        for text in (b"PATH", b"HTTP/1.1 200 OK\r\nServer: a\r\nB"):
+            sender = sends_behind(text)
+            with self.subTest(text=text):
+                answer = await self.call(BOOKING_PATH, "POST", sender)
+                self.assertEqual((answer.status, answer.body), (200, text))
+
 
 class FailedAnswerTests(PlainCase):
     async def test_second_answer_is_no_part_of_a_failed_lookup(self):
--- a/libs/upstreams/src/hemlockhoist/upstreams/bounds.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/bounds.py
@@ -79,6 +79,9 @@
         self._body_bytes = 0
         self._unbounded_bytes = 0
         self._is_chunked = False
+        # The body that has ended last, and what came with its end behind it.
+        self._ended_body = None
+        self._bytes_behind = b""
         # What was received and not given to the parser, as reading is paused.
         self._unparsed = b""
         self._received_bytes = 0
@@ -90,7 +93,8 @@
     def set_response_params(self, **params):
         """Prepare for the response to the next request of the connection."""
         self._head = HeadReader()
-        self._body = None
+        self._body = self._ended_body = None
+        self._bytes_behind = b""
         self._body_bytes = self._unbounded_bytes = 0
         self._is_chunked = False
         self._received_bytes = self._interim_count = 0
@@ -151,7 +155,10 @@
             if data is None:
                 return
         if data or not byte_count:
+            body, body_bytes = self._body, self._body_bytes
             super().data_received(data)
+            if body is not None and body.is_eof() and body is not self._ended_body:
+                self._on_body_end(body, data[body.total_bytes - body_bytes :])
             self._end_unreadable_body()
         if self.transport is None:
             return
@@ -160,6 +167,19 @@
         elif byte_count:
             self._check_head(byte_count)
 
+    def bytes_behind(self, body):
+        """Return what came with the last bytes of a body of stated length behind it.
+
+        Parameters
+        ==========
+        body : aiohttp.StreamReader
+        """
+        return self._bytes_behind if body is self._ended_body else b""
+
+    def _on_body_end(self, body, rest):
+        self._ended_body = body
+        self._bytes_behind = b"" if self._is_chunked else rest[:MAX_HEAD_BYTES]
+
     def _check_framing(self, byte_count):
         body_bytes = self._body.total_bytes
         self._received_bytes += byte_count
--- a/libs/upstreams/src/hemlockhoist/upstreams/response.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/response.py
@@ -156,7 +156,8 @@
         self._first_data = b""
         if chunks[0]:
             yield chunks.pop()
-        while chunks := [await self._next_data()]:
+        while True:
+            chunks = [await self._next_data()]
             if not chunks[0]:
                 break
             yield chunks.pop()
@@ -178,13 +179,24 @@
             with dispatch_errors():
                 received = [await self._response.content.readany()]
             self._received_bytes += len(received[0])
-            if not received[0]:
-                return finder.finish()
-            data = finder.feed(received.pop())
-            if data:
+            has_ended = not received[0]
+            if has_ended:
+                data = finder.finish(self._bytes_behind)
+            else:
+                data = finder.feed(received.pop())
+            if data or (has_ended and finder.error is None):
                 return data
         raise finder.error
 
+    @property
+    def _bytes_behind(self):
+        """What its connection brought behind a body of stated length."""
+        content = self._response.content
+        # Bodies that another host has passed on, and empty ones, have none.
+        protocol = getattr(content, "_protocol", None)
+        bytes_behind = getattr(protocol, "bytes_behind", None)
+        return b"" if bytes_behind is None else bytes_behind(content)
+
     def _check_begun(self):
         if not self._received_bytes and not self.body_end.is_certain:
             text = "the connection ended before the answer began"
--- a/libs/upstreams/src/hemlockhoist/upstreams/second_answer.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/second_answer.py
@@ -111,9 +111,23 @@
         self._read -= begin
         return data[:begin]
 
-    def finish(self):
-        """Return what is held back, once the body has ended."""
-        held, self._held = self._held, b""
+    def finish(self, behind=b""):
+        """Return what is held back, once the body has ended; check ``error`` afterwards.
+
+        Parameters
+        ==========
+        behind : bytes, optional
+            What the connection brought behind the body. Only this tells whether a body
+            of stated length ends with the begin of a second answer's head.
+        """
+        held = self._held
+        if held and behind:
+            before = self.feed(behind)
+            if self.error is not None and len(before) < len(held):
+                return before
+            # A second answer behind the body is none of the body's readers' concern.
+            self.error = None
+        self._held = b""
         return held
 
     def _find_held(self, data):
--- a/libs/upstreams/src/hemlockhoist/upstreams/tests/test_second_answer.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/tests/test_second_answer.py
@@ -94,6 +94,29 @@
     def test_other_bodies_are_unchanged(self, body, offsets):
         self.assertEqual(find(split(body, offsets)), (body, None))
 
+    @given(st.binary(max_size=50), st.integers(1, 200), st.integers(0, 9))
+    def test_head_that_the_end_of_the_body_cuts_is_found(self, body, size, held):
+        """Guards against a body that ends with a part of another answer's head."""
+        head = STATUS + b"Server: a\r\nCall-Id: 7\r\n\r\n"
+        raw = body + head
+        end = len(body) + size % len(head)
+        finder = SecondAnswerFinder(ID_HEADER)
+        middle = max(0, end - held)
+        found = finder.feed(raw[:middle]) + finder.feed(raw[middle:end])
+        self.assertEqual(found + finder.finish(raw[end:]), body)
+        is_cut = end > len(body)
+        self.assertEqual(finder.error is not None, is_cut)
+
+    def test_end_of_a_body_is_its_own_unless_a_head_goes_on_behind_it(self):
+        """Guards against a body without its end as something follows it."""
+        head = STATUS + b"Call-Id: 7\r\n\r\n"
+        for body in (b"PATH", b"HTTP/1.1", STATUS, STATUS + b"Server"):
+            for behind in (b"", b"\r\n", b"\r\n" + head, b"x" + head, b"text"):
+                finder = SecondAnswerFinder(ID_HEADER)
+                with self.subTest(body=body, behind=behind):
+                    self.assertEqual(finder.feed(body) + finder.finish(behind), body)
+                    self.assertIsNone(finder.error)
+
     def test_bytes_that_are_held_back_are_bounded(self):
         """Guards against a long head, or a line without end, that is kept in memory."""
         field = b"Server: a\r\n"
