Read engines' streams by the format of events on the own interface

What callers saw: the head of a second answer and its lines within an event, a foreign end mark that made a part of a stream look whole, or a stream of CR LF that was lost.

Cause: an event counted if its first line was id: and digits, or if its block ended with data: [DONE]; the rest was passed on unread. Class: what the host can't read is passed on as if it had been read.

Change: EventSplitter and the platform's EventReader share EventParser, with one bound on an event's size and one check of its lines. The end mark is an event without an id whose only data is [DONE]; one with an id is refused, as a caller would take it for the end. Comments and empty lines are left out. Events of unusual form are passed on with the id first and LF as line end, so a caller's parser can't divide them otherwise. feed returns the events before foreign bytes and keeps the error, as EventReader does: an engine that sends foreign bytes in one read with sound events makes progress at each resume.

Weighed: passing on the engine's bytes as they came, which leaves a promise (the id first) to the engine.

test_an_endless_event_is_refused now expects the error as an attribute, and no event; it is as strict. The entry's test of the bound imports it from upstreams.

--- a/libs/entry/src/hemlockhoist/entry/events.py
+++ b/libs/entry/src/hemlockhoist/entry/events.py
@@ -2,15 +2,7 @@
 
 import msgspec
 
-from hemlockhoist.upstreams import (
-    MAX_EVENT_BYTES,
-    BlockSplitter,
-    InvalidEvent,
-    check_begin,
-    has_fields,
-    read_event,
-    usual_number,
-)
+from hemlockhoist.upstreams import EventParser, InvalidEvent, match_usual
 
 
 class NumberedEvent(msgspec.Struct, frozen=True):
@@ -20,7 +12,7 @@
     raw: bytes
 
 
-class EventReader:
+class EventReader(EventParser):
     """Splits a stream into complete events and returns each once, in order.
 
     A stream that resumes at another upstream may start with events that the caller
@@ -52,57 +44,24 @@
     False
     """
 
-    __slots__ = ("_declared_fields", "_splitter", "error", "last_number")
+    __slots__ = ("last_number",)
 
     def __init__(self, last_number=None, declared_fields=frozenset()):
+        super().__init__(declared_fields)
         self.last_number = last_number
-        self.error = None
-        self._declared_fields = declared_fields
-        self._splitter = BlockSplitter()
-
-    @property
-    def is_between_events(self):
-        """Whether no incomplete event is buffered."""
-        return not self._splitter.incomplete.strip(b"\r\n")
-
-    @property
-    def shows_rest(self):
-        """Whether an event has begun that was not returned."""
-        if self.error is not None:
-            return self.error.is_begun
-        return not self.is_between_events
-
-    @property
-    def incomplete_bytes(self):
-        """Size of the incomplete event that is buffered."""
-        return len(self._splitter.incomplete)
-
-    def restart(self):
-        """Discard an incomplete event, which another upstream will send again."""
-        self._splitter.clear()
-        self.error = None
-
-    def feed(self, chunk):
-        """Return the events completed by a chunk; check ``error`` afterwards."""
-        events = []
-        try:
-            for block in self._splitter.feed(chunk):
-                event = self._read(block)
-                if event is not None:
-                    events.append(event)
-            if self._splitter.incomplete:
-                self._check_incomplete()
-        except InvalidEvent as error:
-            self.error = error
-        return events
 
     def _read(self, block):
         """Return the next event, or None for one that is no new event."""
-        number = usual_number(block)
-        if number is None:
-            if not has_fields(block):
+        match = match_usual(block)
+        if match is not None:
+            number = int(match[1])
+        else:
+            fields = self._read_fields(block)
+            if fields is None:
                 return None
-            number = self._read_number(block)
+            number = fields.number
+        if number is None:
+            raise InvalidEvent("event without a number", block)
         last = self.last_number
         if last is not None and number <= last:
             return None
@@ -110,15 +69,3 @@
             raise InvalidEvent(f"event {number} after {last}")
         self.last_number = number
         return NumberedEvent(number, block.lstrip(b"\r\n"))
-
-    def _read_number(self, block):
-        fields = read_event(block, self._declared_fields)
-        if fields.number is None or not fields.data:
-            raise InvalidEvent("event without a number or data", block)
-        return fields.number
-
-    def _check_incomplete(self):
-        incomplete = self._splitter.incomplete
-        if len(incomplete) > MAX_EVENT_BYTES:
-            raise InvalidEvent(f"event of more than {MAX_EVENT_BYTES} bytes")
-        check_begin(incomplete, self._declared_fields)
--- a/libs/entry/src/hemlockhoist/entry/tests/test_events.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_events.py
@@ -5,7 +5,8 @@
 from hypothesis import strategies as st
 
 from hemlockhoist.entry import events
-from hemlockhoist.entry.events import MAX_EVENT_BYTES, EventReader
+from hemlockhoist.entry.events import EventReader
+from hemlockhoist.upstreams import MAX_EVENT_BYTES
 
 
 def event(number, text="x"):
--- a/libs/host/src/hemlockhoist/host/relay.py
+++ b/libs/host/src/hemlockhoist/host/relay.py
@@ -147,6 +147,8 @@
                 await self._write_events(self._checker.check(splitter.feed(chunk)))
                 if self._checker.done:
                     return
+                if splitter.error is not None:
+                    raise splitter.error
         except StreamGapWithEvents as gap:
             await self._write_events(gap.new_events)
             _log.warning("stream_gap", request=self.request_id, expected=gap.expected)
--- a/libs/upstreams/src/hemlockhoist/upstreams/event_format.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/event_format.py
@@ -14,11 +14,13 @@
 # What an error quotes of a line.
 _MAX_QUOTED_BYTES = 60
 _SEPARATOR = b"\n\n"
+# As a number, which is found in an eighth of the time that a ``bytes`` of one takes.
+_CR = ord("\r")
 # Atomic, as the two bytes of one line end are not two line ends.
 _ANY_SEPARATOR = re.compile(rb"(?>(\r\n|\n|\r))(?>\r\n|\n|\r)")
 _LINE_END = re.compile(rb"\r\n|\n|\r")
 # Nearly all events: a number, and one line of data.
-_USUAL_EVENT = re.compile(rb"id: ?([0-9]{1,18})\ndata:[^\r\n]*\n\n")
+_USUAL_EVENT = re.compile(rb"id: ?([0-9]{1,18})\ndata: ?(.*)\n\n")
 _FIELDS = frozenset({b"id", b"data", b"event", b"retry"})
 # With CR LF, the end of a status line; see ``_check_line_ends``.
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [^\r\n]*)?\r\n")
@@ -88,9 +90,14 @@
     def feed(self, chunk):
         """Return the blocks that a chunk completes, with the empty lines that end them."""
         data = self.incomplete + chunk
-        self._has_cr = self._has_cr or b"\r" in chunk
+        self._has_cr = self._has_cr or _CR in chunk
         if self._has_cr:
             return self._split_any(data)
+        end = data.find(_SEPARATOR) + len(_SEPARATOR)
+        if end == len(data) >= len(_SEPARATOR):
+            # Most reads have one whole event.
+            self.incomplete = b""
+            return [data]
         *parts, self.incomplete = data.split(_SEPARATOR)
         return [part + _SEPARATOR for part in parts]
 
@@ -115,13 +122,18 @@
     return any(line and not line.startswith(b":") for line in lines)
 
 
-def usual_number(block):
-    """Return the number of an event of the usual form, or None for any other block.
+def split_lines(block):
+    """Return the lines of a block, without their ends."""
+    return _LINE_END.split(block)
+
+
+def match_usual(block):
+    """Return a match with number and data for an event of the usual form, or None.
 
     Nearly all events have it, and are read without being split into lines.
     """
-    match = _USUAL_EVENT.fullmatch(block)
-    return None if match is None else int(match[1])
+    # A class without CR in the expression took three times as long as both steps.
+    return None if _CR in block else _USUAL_EVENT.fullmatch(block)
 
 
 def read_event(block, declared_fields=frozenset()):
--- a/libs/upstreams/src/hemlockhoist/upstreams/events.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/events.py
@@ -2,29 +2,31 @@
 
 import msgspec
 
-from hemlockhoist.base import DECODE_ERRORS, DispatchError, ResultCode
+from hemlockhoist.base import DECODE_ERRORS
+from hemlockhoist.upstreams.event_format import (
+    InvalidEvent,
+    match_usual,
+    read_event,
+    split_lines,
+)
+from hemlockhoist.upstreams.event_parser import EventParser
 from hemlockhoist.upstreams.response_ids import ResponseIdTracker
 
-# An event takes a few hundred bytes. A stream that sends this much without the end of
-# an event is malformed, and must not exhaust the memory.
-MAX_EVENT_BYTES = 262_144
-# More digits are no offset, and ``int`` refuses to read thousands of them.
-_MAX_OFFSET_DIGITS = 18
-_SEPARATOR = b"\n\n"
-_DONE = b"data: [DONE]"
-_ID = b"id:"
-# An event that is relayed begins with its id field, so its data is on a later line.
-_DATA = b"\ndata:"
+_DONE = b"[DONE]"
+_DONE_EVENT = b"data: [DONE]\n\n"
 
 
 class StreamEvent(msgspec.Struct, frozen=True):
     """One event: its offset in the stream, and its bytes with the separator.
 
-    ``offset`` is -1 for the final ``[DONE]`` event.
+    ``offset`` is -1 for the final ``[DONE]`` event. The bytes begin with the id field,
+    and their lines end with LF, whatever the engine's end with. ``data_begin`` is where
+    the value of the data begins if the event has the usual form, else -1.
     """
 
     offset: int
     raw: bytes
+    data_begin: int = -1
 
     @property
     def done(self):
@@ -32,12 +34,10 @@
         return self.offset < 0
 
     def data(self):
-        """Return the value of the event's data field, as bytes."""
-        start = self.raw.find(_DATA)
-        if start < 0:
-            return b""
-        start += len(_DATA)
-        return self.raw[start : self.raw.find(b"\n", start)]
+        """Return the event's data, as bytes."""
+        if self.data_begin >= 0:
+            return self.raw[self.data_begin : -2]
+        return _join_data(read_event(self.raw))
 
     def response_id(self):
         """Return the response id in the event's data, or an empty string."""
@@ -63,8 +63,8 @@
         super().__init__(f"expected event {expected}, got {got}")
 
 
-class EventSplitter:
-    """Splits a byte stream, received in chunks of any size, into complete events.
+class EventSplitter(EventParser):
+    """Splits a stream, received in chunks of any size, into complete events.
 
     Examples
     ========
@@ -74,38 +74,54 @@
     []
     >>> [event.offset for event in splitter.feed(b"\\ndata: [DONE]\\n\\n")]
     [0, -1]
+    >>> splitter.feed(b"HTTP/1.1 200 OK\\r\\n")
+    []
+    >>> splitter.error.message
+    "line that is no field of an event: 'HTTP/1.1 200 OK'"
     """
 
-    __slots__ = ("_remainder",)
-
-    def __init__(self):
-        self._remainder = b""
-
-    def feed(self, chunk):
-        """Return the events that ``chunk`` completes.
-
-        Raises
-        ======
-        DispatchError
-            ``UPSTREAM_BROKE_OFF`` when the bytes are not an event stream.
-        """
-        *parts, remainder = (self._remainder + chunk).split(_SEPARATOR)
-        if len(remainder) > MAX_EVENT_BYTES:
-            text = f"event longer than {MAX_EVENT_BYTES} bytes"
-            raise DispatchError(text, ResultCode.UPSTREAM_BROKE_OFF)
-        self._remainder = remainder
-        return [_parse(part) for part in parts if part]
-
-
-def _parse(part):
-    raw = part + _SEPARATOR
-    if part.startswith(_ID):
-        head = part[len(_ID) : part.find(b"\n")].strip()
-        if head.isdigit() and len(head) <= _MAX_OFFSET_DIGITS:
-            return StreamEvent(int(head), raw)
-    if part.endswith(_DONE):
-        return StreamEvent(-1, raw)
-    raise DispatchError("event without an offset", ResultCode.UPSTREAM_BROKE_OFF)
+    __slots__ = ()
+
+    def _read(self, block):
+        match = match_usual(block)
+        if match is None:
+            return self._read_unusual(block)
+        begin, end = match.span(2)
+        if end - begin == len(_DONE) and match[2] == _DONE:
+            raise _numbered_end(block)
+        return StreamEvent(int(match[1]), block, begin)
+
+    def _read_unusual(self, block):
+        fields = self._read_fields(block)
+        if fields is None:
+            return None
+        is_done = _join_data(fields) == _DONE
+        if fields.number is None:
+            if not is_done:
+                raise InvalidEvent("event without an offset", block)
+            return StreamEvent(-1, _DONE_EVENT)
+        if is_done:
+            raise _numbered_end(block)
+        return StreamEvent(fields.number, _with_id_first(fields.number, block))
+
+
+def _numbered_end(block):
+    """Return the error for an end mark that callers see, but that has an offset."""
+    return InvalidEvent("end mark with an offset", block)
+
+
+def _join_data(fields):
+    return b"\n".join(value.removeprefix(b" ") for value in fields.data)
+
+
+def _with_id_first(number, block):
+    """Return an event as callers get it: the id first, no comments, LF as line end."""
+    lines = [
+        line
+        for line in split_lines(block)
+        if line and not line.startswith((b"id:", b":"))
+    ]
+    return b"\n".join([b"id: %d" % number, *lines, b"", b""])
 
 
 class OffsetChecker:
--- a/libs/upstreams/src/hemlockhoist/upstreams/tests/test_events.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/tests/test_events.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hemlockhoist.base import DispatchError
+from hemlockhoist.base import ResultCode
 from hemlockhoist.upstreams import (
     EventSplitter,
     OffsetChecker,
@@ -15,6 +15,17 @@
 
 STREAM = b"".join(b"id: %d\ndata: p%d\n\n" % (n, n) for n in range(12))
 STREAM += b"data: [DONE]\n\n"
+EVENTS = [part + b"\n\n" for part in STREAM.split(b"\n\n")[:-1]]
+LINE_ENDS = (b"\n", b"\r", b"\r\n")
+SECOND_ANSWERS = (
+    b'HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n{"a":1}',
+    b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nid: 3\ndata: a\n\n",
+    b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nid: 0\ndata: a\n\n",
+    b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\ndata: [DONE]\n\n",
+    b"HTTP/1.1 200 OK\r\n\r\n",
+    b"\r\n",
+)
 
 
 def _events_with_id(response_id, first, until):
@@ -86,8 +97,72 @@
 
     def test_an_endless_event_is_refused(self):
         """An upstream that never ends an event does not exhaust the memory."""
-        with self.assertRaises(DispatchError):
-            EventSplitter().feed(b"id: 0\ndata: " + b"x" * 300_000)
+        splitter = EventSplitter()
+        self.assertEqual(splitter.feed(b"id: 0\ndata: " + b"x" * 300_000), [])
+        self.assertEqual(splitter.error.code, ResultCode.UPSTREAM_BROKE_OFF)
+
+    def test_foreign_bytes_anywhere_are_in_no_event(self):
+        """Guards against a second answer that is passed on within an event."""
+        for second in SECOND_ANSWERS:
+            for place in range(len(STREAM)):
+                data = STREAM[:place] + second + STREAM[place:]
+                found = [event.raw for event in EventSplitter().feed(data)]
+                with self.subTest(second=second, place=place):
+                    self.assertEqual(found, EVENTS[: len(found)])
+                    self.assertGreaterEqual(len(found), STREAM[:place].count(b"\n\n"))
+
+    def test_foreign_bytes_are_refused_before_their_end(self):
+        """Guards against a reader that waits for the rest on an open connection."""
+        for second in (b"HTTP/1.1 200 OK\r\n", b'{"a":1}'):
+            splitter = EventSplitter()
+            found = splitter.feed(EVENTS[0] + second)
+            self.assertEqual([event.raw for event in found], EVENTS[:1])
+            self.assertIsNotNone(splitter.error)
+
+    def test_streams_of_any_line_ends_are_read_alike(self):
+        """Guards against callers' parsers that see other events than this host."""
+        for end in LINE_ENDS:
+            for chunk_bytes in (1, 7, len(STREAM)):
+                data = STREAM.replace(b"\n", end)
+                splitter, found = EventSplitter(), []
+                for place in range(0, len(data), chunk_bytes):
+                    found += splitter.feed(data[place : place + chunk_bytes])
+                with self.subTest(end=end, chunk_bytes=chunk_bytes):
+                    self.assertEqual([event.raw for event in found], EVENTS)
+                    self.assertIsNone(splitter.error)
+
+    def test_events_of_unusual_form_begin_with_their_id(self):
+        """Guards against events that are lost, or that callers read otherwise."""
+        for block, raw, data in (
+            (b"data: a\nid: 7\n\n", b"id: 7\ndata: a\n\n", b"a"),
+            (b": note\n\n\r\nid:7\rdata:a\r\r", b"id: 7\ndata:a\n\n", b"a"),
+            (
+                b"event: b\r\nid: 7\r\ndata: a\rdata\n\n",
+                b"id: 7\nevent: b\ndata: a\ndata\n\n",
+                b"a\n",
+            ),
+            (b"retry: 5\ndata:[DONE]\n\n", b"data: [DONE]\n\n", b"[DONE]"),
+        ):
+            with self.subTest(block=block):
+                (event,) = EventSplitter().feed(block)
+                self.assertEqual((event.raw, event.data()), (raw, data))
+
+    def test_events_that_callers_read_otherwise_are_refused(self):
+        """Guards against an end mark or event that only one side counts."""
+        for block in (
+            b"id: 7\ndata: [DONE]\n\n",
+            b"id: 7\nevent: a\ndata:[DONE]\n\n",
+            b"data: a\ndata: [DONE]\n\n",
+            b"data: a\n\n",
+            b"id: 7\n\n",
+            b"id: 7\ndata: a\nid: 8\n\n",
+            b"id: 1" + b"0" * 18 + b"\ndata: a\n\n",
+            b"id: \ndata: a\n\n",
+        ):
+            splitter = EventSplitter()
+            with self.subTest(block=block):
+                self.assertEqual(splitter.feed(block), [])
+                self.assertIsNotNone(splitter.error)
 
     def test_docstring_examples_run(self):
         """The examples in the docstrings run and give the results shown."""
