Take no response id from an event that is not passed on

What callers saw: a stream that fails after four resumes although its engine is sound again. Found by reading, no run of a caller showed it.

Cause: the first event's response id was recorded before its offset was checked. An engine that begins with a later event of another request made that id the expected one, and each event of its own was a gap from then on. Engines whose ids are known to contain the request's id were not affected.

Change: the offset is checked first.

Red before: test_a_skipped_event_does_not_choose_the_response_id.

--- a/libs/upstreams/src/hemlockhoist/upstreams/events.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/events.py
@@ -168,13 +168,15 @@
                 break
             if event.offset < self.expected:
                 continue
-            is_mismatched = not self._id_checker.accepts(event.response_id())
-            if event.offset > self.expected or is_mismatched:
+            if event.offset > self.expected or not self._is_own(event):
                 raise StreamGapWithEvents(new_events, self.expected, event.offset)
             self.expected += 1
             new_events.append(event)
         return new_events
 
+    def _is_own(self, event):
+        return self._id_checker.accepts(event.response_id())
+
 
 class StreamGapWithEvents(StreamGap):
     """A gap, with the new events received before it."""
--- a/libs/upstreams/src/hemlockhoist/upstreams/tests/test_events.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/tests/test_events.py
@@ -111,6 +111,14 @@
                     self.assertEqual(found, EVENTS[: len(found)])
                     self.assertGreaterEqual(len(found), STREAM[:place].count(b"\n\n"))
 
+    def test_a_skipped_event_does_not_choose_the_response_id(self):
+        """Guards against a stream that fails as its own events seem to be another's."""
+        checker = OffsetChecker()
+        with self.assertRaises(StreamGapWithEvents):
+            checker.check(_events_with_id("other", 3, 6))
+        new_events = checker.check(_events_with_id("own", 0, 3))
+        self.assertEqual([event.offset for event in new_events], [0, 1, 2])
+
     def test_foreign_bytes_are_refused_before_their_end(self):
         """Guards against a reader that waits for the rest on an open connection."""
         for second in (b"HTTP/1.1 200 OK\r\n", b'{"a":1}'):
