Resume a stream at an event whose data is no JSON

Without response ids, an event with foreign bytes in its line of data, as JSON behind its own, or the head of an answer where the engine's lines end with CR LF.

Cause: such events are sound by the format of streams. Data that could not be decoded counted as data without a response id, which is refused only if earlier events had one.

Change: data that is no JSON is a gap. Engines answer with JSON, as the collected answer needs it. Data of another shape, such as an id that is null, still counts as data without an id.

Weighed: the same check in the format of events, which the platform's streams with any data share.

The stream of test_events has JSON as data now; its earlier tests expect the same of it.

--- a/libs/upstreams/src/hemlockhoist/upstreams/events.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/events.py
@@ -40,11 +40,19 @@
         return _join_data(read_event(self.raw))
 
     def response_id(self):
-        """Return the response id in the event's data, or an empty string."""
+        """Return the response id in the event's data.
+
+        Returns
+        =======
+        str or None
+            Empty without an id, None if the data is no JSON.
+        """
         try:
             return _event_decoder.decode(self.data()).id
-        except DECODE_ERRORS:
+        except msgspec.ValidationError:
             return ""
+        except DECODE_ERRORS:
+            return None
 
 
 class _EventData(msgspec.Struct):
@@ -134,7 +142,8 @@
     An engine may also mix up two answers after the head of one was sent: the offsets
     continue, but the text belongs to another request. This shows in the response id
     that every event of a completion carries. An event with another id is treated as a
-    gap, so that the stream is resumed with its own events.
+    gap, so that the stream is resumed with its own events. So is one whose data is no
+    JSON: foreign bytes within the line of data leave the format of events intact.
 
     Parameters
     ==========
@@ -157,8 +166,8 @@
         Raises
         ======
         StreamGap
-            When an event is missing or has another response id. The events after the
-            gap are ignored.
+            When an event is missing, has another response id or no JSON as data. The
+            events after the gap are ignored.
         """
         new_events = []
         for event in events:
@@ -175,7 +184,8 @@
         return new_events
 
     def _is_own(self, event):
-        return self._id_checker.accepts(event.response_id())
+        response_id = event.response_id()
+        return response_id is not None and self._id_checker.accepts(response_id)
 
 
 class StreamGapWithEvents(StreamGap):
--- a/libs/upstreams/src/hemlockhoist/upstreams/tests/test_events.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/tests/test_events.py
@@ -1,4 +1,5 @@
 import doctest
+import itertools
 import unittest
 
 from hypothesis import given
@@ -13,7 +14,7 @@
     events,
 )
 
-STREAM = b"".join(b"id: %d\ndata: p%d\n\n" % (n, n) for n in range(12))
+STREAM = b"".join(b'id: %d\ndata: {"p":%d}\n\n' % (n, n) for n in range(12))
 STREAM += b"data: [DONE]\n\n"
 EVENTS = [part + b"\n\n" for part in STREAM.split(b"\n\n")[:-1]]
 LINE_ENDS = (b"\n", b"\r", b"\r\n")
@@ -24,6 +25,9 @@
     b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nid: 0\ndata: a\n\n",
     b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\ndata: [DONE]\n\n",
     b"HTTP/1.1 200 OK\r\n\r\n",
+    b'{"a":1}',
+    b'{"a":1}\n',
+    b'{"a":1}\ndata: [DONE]\n\n',
     b"\r\n",
 )
 
@@ -35,6 +39,15 @@
     return EventSplitter().feed(text.encode())
 
 
+def _passed_on(all_events):
+    """Return the bytes of the events that a caller gets."""
+    try:
+        new_events = OffsetChecker().check(all_events)
+    except StreamGapWithEvents as gap:
+        new_events = gap.new_events
+    return [event.raw for event in new_events]
+
+
 class EventTests(unittest.TestCase):
     @given(st.lists(st.integers(0, len(STREAM)), max_size=20))
     def test_chunk_boundaries_do_not_matter(self, cuts):
@@ -103,13 +116,15 @@
 
     def test_foreign_bytes_anywhere_are_in_no_event(self):
         """Guards against a second answer that is passed on within an event."""
-        for second in SECOND_ANSWERS:
-            for place in range(len(STREAM)):
-                data = STREAM[:place] + second + STREAM[place:]
-                found = [event.raw for event in EventSplitter().feed(data)]
-                with self.subTest(second=second, place=place):
+        for second, end in itertools.product(SECOND_ANSWERS, LINE_ENDS):
+            stream = STREAM.replace(b"\n", end)
+            for place in range(len(stream)):
+                data = stream[:place] + second + stream[place:]
+                found = _passed_on(EventSplitter().feed(data))
+                with self.subTest(second=second, end=end, place=place):
                     self.assertEqual(found, EVENTS[: len(found)])
-                    self.assertGreaterEqual(len(found), STREAM[:place].count(b"\n\n"))
+                    before = stream[:place].count(end + end)
+                    self.assertGreaterEqual(len(found), before)
 
     def test_a_skipped_event_does_not_choose_the_response_id(self):
         """Guards against a stream that fails as its own events seem to be another's."""
