Quote no second answer in the error of an engine

What callers saw: an error whose message is the engine's error and up to 500 bytes of what came behind it, the head and text of a second answer among them.

Cause: the body of an error with neither a length nor chunks ends with the connection, and its begin was quoted whatever it held.

Change: a body of uncertain end is quoted only if it is one JSON value, which engines' errors are. The status is always named.

Weighed: cutting at the begin of a second answer, as for plain bodies.

A whole error of uncertain end is still quoted.

--- a/libs/host/src/hemlockhoist/host/chat.py
+++ b/libs/host/src/hemlockhoist/host/chat.py
@@ -4,6 +4,7 @@
 from aiohttp import web
 
 from hemlockhoist.base import (
+    DECODE_ERRORS,
     BadRequest,
     DispatchError,
     HemlockhoistError,
@@ -289,7 +290,10 @@
 
     async def _raise_status(self, answer):
         body = await answer.read(MAX_ERROR_BYTES)
-        text = f"engine status {answer.status}: {body[:500].decode(errors='replace')}"
+        text = f"engine status {answer.status}"
+        # A second answer may stand behind an error of uncertain end.
+        if answer.body_end.is_certain or _is_json(body):
+            text += f": {body[:500].decode(errors='replace')}"
         raise DispatchError(text, ResultCode.UPSTREAM_FAILED)
 
     def _call(self, hold):
@@ -337,6 +341,14 @@
 )
 
 
+def _is_json(body):
+    try:
+        msgspec.json.decode(body)
+    except DECODE_ERRORS:
+        return False
+    return True
+
+
 def _as_streaming(body):
     """Return the body of a non-streaming request, changed to request a stream.
 
--- a/libs/standins/src/hemlockhoist/standins/engine/app.py
+++ b/libs/standins/src/hemlockhoist/standins/engine/app.py
@@ -346,7 +346,18 @@
     def _error(self, request_id, status, message):
         headers = self._headers(request_id, self.core.version)
         body = {"error": {"message": message}}
-        return web.json_response(body, status=status, headers=headers)
+        response = web.json_response(body, status=status, headers=headers)
+        faults = self.core.faults
+        if faults.insert_streams <= 0:
+            return response
+        faults.insert_streams -= 1
+        data = response.body + faults.insert_text.encode()
+        if faults.close_unframed:
+            response = UnframedResponse(status, data)
+            response.headers.update(headers)
+        else:
+            response.body = data
+        return response
 
 
 def _abort(request, response):
--- a/libs/standins/src/hemlockhoist/standins/tests/test_own_second_answers.py
+++ b/libs/standins/src/hemlockhoist/standins/tests/test_own_second_answers.py
@@ -71,6 +71,7 @@
         """Return the status and the body, with ``REQUEST_ID`` for the request's id."""
         no_faults = {
             "close_unframed": False,
+            "fail_share": 0.0,
             "slowdown_permille": 100,
             "insert_streams": 0,
             "insert_raw": False,
@@ -143,3 +144,35 @@
                     self.assertIn(f"resumed at event {_NEXT}", error)
                     status, body = await self.chat(False, **faults)
                     self.assertEqual(status, 502, body)
+
+    async def test_second_answer_behind_an_error_is_not_quoted(self):
+        """Guards against another request's text within an error's message."""
+        for name, text in _SECOND.items():
+            faults = {
+                "fail_share": 1.0,
+                "close_unframed": True,
+                "insert_streams": _ALWAYS,
+                "insert_text": text,
+            }
+            for is_stream in (True, False):
+                with self.subTest(name=name, is_stream=is_stream):
+                    status, body = await self.chat(is_stream, **faults)
+                    self.assertEqual(status, 502, body)
+                    message = json.loads(body)["error"]["message"]
+                    self.assertIn("engine status 500", message)
+                    for foreign in ("HTTP/1.1", "foreign", "[DONE]", '{"a":1}'):
+                        self.assertNotIn(foreign, message)
+
+    async def test_whole_error_without_a_length_is_quoted(self):
+        """Guards against errors that callers can't read as their end is uncertain."""
+        for is_unframed in (False, True):
+            status, body = await self.chat(
+                True,
+                fail_share=1.0,
+                close_unframed=is_unframed,
+                insert_streams=_ALWAYS,
+                insert_text="\n",
+            )
+            with self.subTest(is_unframed=is_unframed):
+                self.assertEqual(status, 502, body)
+                self.assertIn("injected engine failure", body)
