Test streams that are resumed at another host amid foreign bytes

An engine puts a second answer into an event at each resume: the caller gets an error and resumes at another host behind its last event, or the stream is handed over in the middle of the resumes. The two parts have to make the whole stream.

--- a/libs/standins/src/hemlockhoist/standins/tests/test_own_second_answers.py
+++ b/libs/standins/src/hemlockhoist/standins/tests/test_own_second_answers.py
@@ -1,10 +1,13 @@
 """Tests of engines that send a second answer within a stream of the own interface."""
 
+import asyncio
+import itertools
 import json
 import re
 from unittest import mock
 
-from hemlockhoist.host import relay
+from hemlockhoist.base import MS_PER_S
+from hemlockhoist.host import HostProcess, relay
 from hemlockhoist.standins.tests.test_host_process import HostCase
 
 _CALLER = {"Authorization": "Bearer demo-key-large"}
@@ -60,15 +63,22 @@
 }
 
 
-class SecondAnswerTests(HostCase):
+async def _body(response):
+    request_id = response.headers["X-Request-Id"]
+    return (await response.text()).replace(request_id, "REQUEST_ID")
+
+
+class SecondAnswerCase(HostCase):
+    BACKOFF_MS = 2
+
     async def asyncSetUp(self):
         await super().asyncSetUp()
-        patch = mock.patch.object(relay, "RESUME_BACKOFF_MS", 2)
+        patch = mock.patch.object(relay, "RESUME_BACKOFF_MS", self.BACKOFF_MS)
         patch.start()
         self.addCleanup(patch.stop)
 
-    async def chat(self, is_stream, **faults):
-        """Return the status and the body, with ``REQUEST_ID`` for the request's id."""
+    def set_faults(self, **faults):
+        """Set faults of the engine, and no others."""
         no_faults = {
             "close_unframed": False,
             "fail_share": 0.0,
@@ -78,6 +88,9 @@
         }
         for name, value in {**no_faults, **faults}.items():
             setattr(self.engine.core.faults, name, value)
+
+    def post(self, is_stream):
+        """Return a chat request, to be used as a context manager."""
         question = {
             "model": "assistant",
             "messages": [{"role": "user", "content": "hall?"}],
@@ -85,13 +98,16 @@
             "stream": is_stream,
         }
         url = f"http://{self.host.context.identity.address}{_CHAT}"
-        async with self.session.post(
-            url, headers=_CALLER, data=json.dumps(question)
-        ) as response:
-            body = await response.text()
-            request_id = response.headers["X-Request-Id"]
-        return response.status, body.replace(request_id, "REQUEST_ID")
+        return self.session.post(url, headers=_CALLER, data=json.dumps(question))
+
+    async def chat(self, is_stream, **faults):
+        """Return the status and the body, with ``REQUEST_ID`` for the request's id."""
+        self.set_faults(**faults)
+        async with self.post(is_stream) as response:
+            return response.status, await _body(response)
+
 
+class SecondAnswerTests(SecondAnswerCase):
     async def check_cases(self, is_stream):
         """Compare the answers with foreign bytes to one without."""
         await self.chat(is_stream)
@@ -176,3 +192,72 @@
             with self.subTest(is_unframed=is_unframed):
                 self.assertEqual(status, 502, body)
                 self.assertIn("injected engine failure", body)
+
+
+class ResumedSecondAnswerTests(SecondAnswerCase):
+    # A stream waits between its resumes for long enough to be handed over.
+    BACKOFF_MS = 40
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.other = HostProcess(self._settings(), self._traces())
+        await self.other.start()
+        self.addAsyncCleanup(self.other.close)
+        async with asyncio.timeout(5):
+            while not self.other.context.declarations.pools:
+                await asyncio.sleep(0.02)
+        await self.chat(is_stream=True)
+        _, self.whole = await self.chat(is_stream=True)
+
+    async def resume(self, token, query="", **headers):
+        """Resume a stream at the other host; return its body."""
+        address = self.other.context.identity.address
+        url = f"http://{address}/v1/streams/{token}{query}"
+        headers = {**_CALLER, **headers}
+        async with self.session.get(url, headers=headers) as response:
+            self.assertEqual(response.status, 200)
+            return await _body(response)
+
+    def faults(self, name, byte, count):
+        return {
+            "close_unframed": True,
+            "insert_streams": count,
+            "insert_text": _SECOND[name],
+            "insert_at_event": _NEXT,
+            "insert_at_byte": byte,
+        }
+
+    async def test_stream_that_its_caller_resumes_is_whole(self):
+        """Guards against an event that is lost or sent twice where foreign bytes stood."""
+        for name in _SECOND:
+            if name == "empty line":
+                continue
+            with self.subTest(name=name):
+                self.set_faults(**self.faults(name, 8, _ALWAYS))
+                async with self.post(is_stream=True) as response:
+                    token = response.headers["X-Stream-Token"]
+                    begun, _, error = (await _body(response)).partition("event: error")
+                self.assertIn(f"resumed at event {_NEXT}", error)
+                last = re.findall("(?m)^id: ([0-9]+)", begun)[-1]
+                self.set_faults(**self.faults(name, 8, 1))
+                rest = await self.resume(token, **{"Last-Event-ID": last})
+                self.assertEqual(begun + rest, self.whole)
+
+    async def test_stream_handed_over_amid_foreign_bytes_is_whole(self):
+        """Guards against an offset that counts an event that the caller does not have."""
+        for name, byte in itertools.product(("next event", "line"), (0, 8, 30)):
+            with self.subTest(name=name, byte=byte):
+                self.host.context.handover.begun = False
+                self.set_faults(**self.faults(name, byte, _ALWAYS))
+                async with self.post(is_stream=True) as response:
+                    await response.content.readuntil(b"id: 2\n")
+                    await asyncio.sleep(self.BACKOFF_MS / MS_PER_S)
+                    self.host.context.handover.begin()
+                    _, _, moved = (await response.text()).partition("event: moved\n")
+                target = json.loads(moved.removeprefix("data: "))
+                self.assertEqual(target["offset"], _NEXT)
+                self.set_faults(**self.faults(name, byte, 1))
+                rest = await self.resume(
+                    target["stream_token"], f"?offset={target['offset']}"
+                )
+                self.assertEqual(rest, self.whole[self.whole.index("id: 3\n") :])
