Test that foreign bytes count against an engine as a broken stream does

An engine whose each connection brings foreign bytes ends an attempt as broke_off, one that does so once as a success after a resume. Both are what a dropped connection counts as.

--- a/libs/standins/src/hemlockhoist/standins/tests/test_own_second_answers.py
+++ b/libs/standins/src/hemlockhoist/standins/tests/test_own_second_answers.py
@@ -7,7 +7,9 @@
 from unittest import mock
 
 from hemlockhoist.base import MS_PER_S
+from hemlockhoist.decisions import OutcomeKind
 from hemlockhoist.host import HostProcess, relay
+from hemlockhoist.host.grants import GrantClient
 from hemlockhoist.standins.tests.test_host_process import HostCase
 
 _CALLER = {"Authorization": "Bearer demo-key-large"}
@@ -83,6 +85,7 @@
             "close_unframed": False,
             "fail_share": 0.0,
             "slowdown_permille": 100,
+            "break_streams": 0,
             "insert_streams": 0,
             "insert_raw": False,
         }
@@ -161,6 +164,23 @@
                     status, body = await self.chat(False, **faults)
                     self.assertEqual(status, 502, body)
 
+    async def test_foreign_bytes_count_against_an_engine_as_a_break_does(self):
+        """Guards against an engine that stays in use while it spoils all streams."""
+        second = {"insert_text": _SECOND["plain"], "insert_at_event": _NEXT}
+        for faults, kind in (
+            ({"break_streams": _ALWAYS}, OutcomeKind.BROKE_OFF),
+            ({"insert_streams": _ALWAYS, **second}, OutcomeKind.BROKE_OFF),
+            ({"break_streams": 1}, OutcomeKind.SUCCESS),
+            ({"insert_streams": 1, **second}, OutcomeKind.SUCCESS),
+        ):
+            released = mock.patch.object(
+                GrantClient, "release", autospec=True, side_effect=GrantClient.release
+            )
+            with self.subTest(faults=faults), released as release:
+                await self.chat(True, close_unframed=True, **faults)
+                kinds = [call.args[2].kind for call in release.mock_calls]
+                self.assertEqual(kinds, [kind])
+
     async def test_second_answer_behind_an_error_is_not_quoted(self):
         """Guards against another request's text within an error's message."""
         for name, text in _SECOND.items():
