Answer with the engine's failure where a collected event has another shape

What callers saw: status 500 and "internal error, report it" if an event is JSON but no chunk of a completion, as with an id or choices that are null.

Cause: the collected answer was decoded without a check, after the exchange.

Change: such an event is a failure of the engine, 502, and named with its offset.

Weighed: decoding each event as it arrives, which makes the stream resume at it four times in vain. What callers with streaming get is passed on as before.

--- a/libs/host/src/hemlockhoist/host/sinks.py
+++ b/libs/host/src/hemlockhoist/host/sinks.py
@@ -6,7 +6,7 @@
 import msgspec
 from aiohttp import web
 
-from hemlockhoist.base import DECODE_ERRORS, MS_PER_S, ResultCode
+from hemlockhoist.base import DECODE_ERRORS, MS_PER_S, DispatchError, ResultCode
 from hemlockhoist.host.responses import error_body, result_headers
 
 TOKEN_HEADER = "X-Stream-Token"
@@ -162,6 +162,14 @@
         return None
 
 
+def _read_chunk(event):
+    try:
+        return _chunk_decoder.decode(event.data())
+    except DECODE_ERRORS as error:
+        text = f"event {event.offset} of the engine is no chunk: {error}"
+        raise DispatchError(text, ResultCode.UPSTREAM_FAILED) from error
+
+
 class CollectSink:
     """Collects a stream into one non-streaming answer."""
 
@@ -177,10 +185,16 @@
         self._events += [event for event in events if not event.done]
 
     def completion(self):
-        """Return the collected answer as a ``chat.completion`` object."""
+        """Return the collected answer as a ``chat.completion`` object.
+
+        Raises
+        ======
+        DispatchError
+            ``UPSTREAM_FAILED`` if an event is no chunk of a completion.
+        """
         texts, finish, usage, last = {}, {}, None, _Chunk()
         for event in self._events:
-            last = _chunk_decoder.decode(event.data())
+            last = _read_chunk(event)
             usage = last.usage or usage
             for choice in last.choices:
                 texts.setdefault(choice.index, []).append(choice.delta.content or "")
