Close an engine's broken answer before its stream is resumed

What engines saw: two connections for one stream, as the first stayed open until the request ended. Found by reading; no caller is known to have seen it.

Cause: the answer to a dispatch is closed with its exchange, which the resumes are part of.

Change: an answer that is read no further, after foreign bytes, a gap or a break, is closed at once.

Red before: 3 of 3 cases.

--- a/libs/host/src/hemlockhoist/host/relay.py
+++ b/libs/host/src/hemlockhoist/host/relay.py
@@ -156,6 +156,8 @@
             _log.warning("stream_broke", request=self.request_id, reason=error.message)
         finally:
             self._answer = None
+        # The engine would go on with it while the stream is resumed.
+        answer.close()
 
     async def _write_events(self, events):
         count = len(events)
