--- a/libs/upstreams/src/hemlockhoist/upstreams/event_format.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/event_format.py
@@ -20,7 +20,7 @@
 _ANY_SEPARATOR = re.compile(rb"(?>(\r\n|\n|\r))(?>\r\n|\n|\r)")
 _LINE_END = re.compile(rb"\r\n|\n|\r")
 # Nearly all events: a number, and one line of data.
-_USUAL_EVENT = re.compile(rb"id: ?([0-9]{1,18})\ndata: ?(.*)\n\n")
+_USUAL_EVENT = re.compile(rb"id: ?([0-9]{1,%d})\ndata: ?(.*)\n\n" % _MAX_NUMBER_DIGITS)
 _FIELDS = frozenset({b"id", b"data", b"event", b"retry"})
 # With CR LF, the end of a status line; see ``_check_line_ends``.
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [^\r\n]*)?\r\n")
