--- a/libs/host/src/hemlockhoist/host/relay.py
+++ b/libs/host/src/hemlockhoist/host/relay.py
@@ -147,6 +147,8 @@
                 await self._write_events(self._checker.check(splitter.feed(chunk)))
                 if self._checker.done:
                     return
+                if splitter.error is not None:
+                    raise splitter.error
         except StreamGapWithEvents as gap:
             await self._write_events(gap.new_events)
             _log.warning("stream_gap", request=self.request_id, expected=gap.expected)
@@ -154,6 +156,8 @@
             _log.warning("stream_broke", request=self.request_id, reason=error.message)
         finally:
             self._answer = None
+        # The engine would go on with it while the stream is resumed.
+        answer.close()
 
     async def _write_events(self, events):
         count = len(events)
