--- a/libs/upstreams/src/hemlockhoist/upstreams/event_format.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/event_format.py
@@ -14,7 +14,7 @@
 # What an error quotes of a line.
 _MAX_QUOTED_BYTES = 60
 _SEPARATOR = b"\n\n"
-# As a number, which is found in an eighth of the time that a ``bytes`` of one takes.
+# As a number, which is found faster than a ``bytes`` of one.
 _CR = ord("\r")
 # Atomic, as the two bytes of one line end are not two line ends.
 _ANY_SEPARATOR = re.compile(rb"(?>(\r\n|\n|\r))(?>\r\n|\n|\r)")
@@ -132,7 +132,7 @@
 
     Nearly all events have it, and are read without being split into lines.
     """
-    # A class without CR in the expression took three times as long as both steps.
+    # Both steps are faster than an expression that excludes CR.
     return None if _CR in block else _USUAL_EVENT.fullmatch(block)
 
 
