Stand-in replicas that send second answers within and behind their first ones

Change: a replica sends second answers right or some time behind a whole answer, between two events, and in the middle of an event or a plain body; copies, streams that go on with the next number, plain ones, ones without a body or without the platform's headers, and the answer to a request that ended before. Each received request records what its run sent as its own answer, and the second answers beside it.

--- a/libs/standins/src/hemlockhoist/standins/published/behaviours.py
+++ b/libs/standins/src/hemlockhoist/standins/published/behaviours.py
@@ -87,6 +87,10 @@
     sender: str = ""
     # Whether the replica ended the answer too early.
     is_cut: bool = False
+    # What its run has sent as its own answer: whole events, or a plain body.
+    sent: list[bytes] = []
+    # The second answers that were sent within or behind it, heads included.
+    beside: list[bytes] = []
 
 
 class EarlyEnds:
--- a/libs/standins/src/hemlockhoist/standins/published/replica.py
+++ b/libs/standins/src/hemlockhoist/standins/published/replica.py
@@ -77,6 +77,8 @@
         connection.
     early_ends : EarlyEnds or None
         Which of its answers it closes before their end.
+    second_answers : SecondAnswers or None
+        Which of its answers come with a second one.
     filler_bytes : int
         Bytes that are added to each event of its streams, or to a plain body.
     is_silent : bool
@@ -118,6 +120,9 @@
         self.on_restart = None
         self.is_unframed = False
         self.early_ends = None
+        self.second_answers = None
+        # Those that are sent while their connection takes further requests.
+        self._late_tasks = set()
         self.filler_bytes = 0
         self.is_silent = False
         self.is_dark = False
@@ -217,6 +222,7 @@
         """Send some events of a stream, or a part of a plain body."""
         if not self.events:
             framing = "Content-Length: 100\r\n"
+            received.sent.append(b"begun")
             writer.write(self._head(received, "200 OK", framing) + b"begun")
         else:
             framing = "Content-Type: text/event-stream\r\n"
@@ -224,7 +230,8 @@
             writer.write(self._head(received, "200 OK", framing))
             start = int(received.headers.get("last-event-id", 0)) + 1
             for number in range(start, start + self.crash_after_events):
-                event = f"id: {number}\ndata: piece {number}\n\n".encode()
+                event = self._event(number)
+                received.sent.append(event)
                 writer.write(framed(event, is_unframed=False))
                 await self._work(self.event_ms)
         await writer.drain()
@@ -370,7 +377,12 @@
         if data is not None:
             await self._send_without_end(data, received, writer)
             return
-        if self.behaviour is Behaviour.FAILS or not self.events:
+        second = None
+        if self.second_answers is not None and self.behaviour is Behaviour.NORMAL:
+            second = self.second_answers.next(self.events > 0)
+        if second is not None:
+            await self._send_with_second(second, received, writer)
+        elif self.behaviour is Behaviour.FAILS or not self.events:
             await self._send_body(received, writer)
         else:
             await self._send_events(received, writer)
--- a/libs/standins/src/hemlockhoist/standins/published/replica_answers.py
+++ b/libs/standins/src/hemlockhoist/standins/published/replica_answers.py
@@ -2,11 +2,12 @@
 
 from hemlockhoist.standins.published import endless
 from hemlockhoist.standins.published.behaviours import Behaviour
+from hemlockhoist.standins.published.second_answers import SecondAnswerSender
 
 _LAST_CHUNK = b"0\r\n\r\n"
 
 
-class ReplicaAnswers:
+class ReplicaAnswers(SecondAnswerSender):
     """Sends answers; a base of ``Replica``, whose attributes it uses."""
 
     def _head(self, received, status, framing):
@@ -50,8 +51,8 @@
         writer.write(self._head(received, "200 OK", framing))
         is_body = data is not endless.CHUNK_EXTENSION
         if data.place is endless.Place.EVENTS and self.events:
-            number = int(received.headers.get("last-event-id", 0)) + 1
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            event = self._event(int(received.headers.get("last-event-id", 0)) + 1)
+            received.sent.append(event)
             writer.write(framed(event, self.is_unframed))
         await data.send(writer, on_body=is_body and not self.is_unframed)
 
@@ -74,6 +75,7 @@
         if not is_unframed:
             framing += "Transfer-Encoding: chunked\r\n"
         part = body[: len(body) // 2] if is_cut else body
+        received.sent.append(part)
         head = self._head(received, "200 OK", framing)
         writer.write(head + framed(part, is_unframed))
         if not (is_unframed or is_cut):
@@ -81,9 +83,16 @@
         await writer.drain()
         writer.close()
 
-    async def _send_body(self, received, writer):
+    def _plain_body(self, received):
         body = f"answer of {self.replica_id} to {received.target}".encode()
-        body += b"x" * self.filler_bytes
+        return body + b"x" * self.filler_bytes
+
+    def _event(self, number):
+        filler = "x" * self.filler_bytes
+        return f"id: {number}\ndata: piece {number}{filler}\n\n".encode()
+
+    async def _send_body(self, received, writer):
+        body = self._plain_body(received)
         if self.early_ends is not None and self.behaviour is Behaviour.NORMAL:
             await self._send_closing(body, received, writer)
             return
@@ -92,9 +101,11 @@
         head = self._head(received, status, f"Content-Length: {len(body)}\r\n")
         if self.behaviour is Behaviour.TRUNCATED:
             body = body[:5]
+        received.sent.append(body)
         writer.write(head + body)
         if self.behaviour is Behaviour.EXTRA_RESPONSE:
-            writer.write(head + b"x" * len(body))
+            received.beside.append(head + b"x" * len(body))
+            writer.write(received.beside[-1])
         await writer.drain()
 
     async def _send_events(self, received, writer):
@@ -115,8 +126,7 @@
             if self.behaviour is Behaviour.STALLS and number > self.events // 2:
                 await self._wait_disconnected(received)
                 return
-            filler = "x" * self.filler_bytes
-            event = f"id: {number}\ndata: piece {number}{filler}\n\n".encode()
+            event = self._event(number)
             if (
                 self.behaviour is Behaviour.STOPS_MID_EVENT
                 and number == self.events // 2
@@ -124,6 +134,7 @@
                 writer.write(framed(event[: len(event) // 2], is_unframed))
                 await writer.drain()
                 return
+            received.sent.append(event)
             writer.write(framed(event, is_unframed))
             await writer.drain()
             await self._work(self.event_ms)
