--- a/libs/standins/src/hemlockhoist/standins/published/soak/faults.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/faults.py
@@ -18,6 +18,7 @@
 from hemlockhoist.standins.published.soak.limit_checks import LimitSpan
 from hemlockhoist.standins.published.soak.proxy import Cut
 from hemlockhoist.standins.published.soak.repeat_checks import RepeatedRequest
+from hemlockhoist.standins.published.soak.second_faults import SecondFaultKinds
 from hemlockhoist.standins.published.soak.service_faults import ServiceFaultKinds
 from hemlockhoist.standins.published.soak.slowdown_faults import SlowdownFaultKinds
 from hemlockhoist.standins.published.soak.store_faults import StoreFaultKinds
@@ -32,7 +33,13 @@
 CRASHING_RUNS = 0.5
 
 
-class SoakFaults(SlowdownFaultKinds, StoreFaultKinds, ServiceFaultKinds, EndFaultKinds):
+class SoakFaults(
+    SlowdownFaultKinds,
+    StoreFaultKinds,
+    ServiceFaultKinds,
+    EndFaultKinds,
+    SecondFaultKinds,
+):
     """Injects faults one after the other; most have a duration and overlap.
 
     Parameters
@@ -61,8 +68,16 @@
     """
 
     def __init__(
-        self, run, rng, names=(), crash_rng=None, crowd_rng=None, ends_rng=None
+        self,
+        run,
+        rng,
+        names=(),
+        crash_rng=None,
+        crowd_rng=None,
+        ends_rng=None,
+        second_rng=None,
     ):
+        self._second_rng = second_rng
         self._crash_rng = crash_rng
         self._crowd_rng = crowd_rng
         self._ends_rng = ends_rng
@@ -141,6 +156,8 @@
             self._tasks.add(asyncio.create_task(self.crowd_hosts(end_s)))
         if self._has_closing_replicas():
             self._tasks.add(asyncio.create_task(self.close_answers(end_s)))
+        if self._has_second_answers():
+            self._tasks.add(asyncio.create_task(self.send_second_answers(end_s)))
         if not self.fault_kinds:
             await asyncio.sleep(seconds)
         calls = self._run.callers.calls
--- a/libs/standins/src/hemlockhoist/standins/published/soak/run.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/run.py
@@ -159,6 +159,7 @@
             crash_rng,
             crowd_rng=crowd_rng,
             ends_rng=random.Random(f"ends of {seed}"),
+            second_rng=random.Random(f"second answers of {seed}"),
         )
         self.contacts = None
         # Parts of prompts on which replicas that start crash too.
