Soak: compare each byte that callers got with what a run sent

Cause: callers lost the bytes of answers that broke off or timed out, and no check compared them. Change: callers keep all bytes of a body, how it ended, and bytes on their connections that belong to no answer. A stream is whole events in order from the first, each as a run of the request has sent it; a plain body is that of one run with the answer's receipt, or a begin of it after a visible break or a cut by the replica; a host's own answer holds no head of another. Existing checks are unchanged.

--- a/libs/standins/src/hemlockhoist/standins/published/soak/callers.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/callers.py
@@ -10,7 +10,11 @@
 
 from hemlockhoist.base import MS_PER_S
 from hemlockhoist.standins.published.site import HOST_NAME
-from hemlockhoist.standins.published.soak.answer_ends import AnswerEnd, new_connector
+from hemlockhoist.standins.published.soak.answer_ends import (
+    AnswerEnd,
+    new_connector,
+    read_all,
+)
 
 MAX_REQUEST_GAP_S = 0.03
 # Time limit that each request names.
@@ -68,6 +72,7 @@
     status : int
         0 without an answer.
     receipt, body : str and bytes
+        The body is all that was received of it, also of an answer that broke off.
     is_complete : bool
         Whether the answer was received to its end.
     end : AnswerEnd
@@ -120,6 +125,8 @@
     def __init__(self, hosts, keys, count, rng, max_gap_s=MAX_REQUEST_GAP_S):
         self._max_gap_s = max_gap_s
         self.calls = []
+        # Bytes on callers' connections that belong to no answer.
+        self.surplus = []
         self.keys = keys
         self.revoked_keys = []
         # A part of prompts that crashes replicas, and is sent now and then, or None.
@@ -156,7 +163,7 @@
     async def _send_repeatedly(self, is_old):
         rng = random.Random(self._rng.random())
         async with aiohttp.ClientSession(
-            connector=new_connector(),
+            connector=new_connector(self.surplus.append),
             auto_decompress=False,
             version=HttpVersion10 if is_old else HttpVersion11,
         ) as session:
@@ -181,6 +188,7 @@
             headers["Prefix-Hash"] = call.parts
         url = f"http://{call.host}/{call.kind.path}/{call.name or call.attempt_id}"
         timeout_s = DISCONNECT_AFTER_S if call.disconnects else 10.0
+        received = []
         try:
             async with (
                 asyncio.timeout(timeout_s),
@@ -190,12 +198,16 @@
             ):
                 call.status, call.end = answer.status, AnswerEnd.BROKEN
                 call.receipt = answer.headers.get("Response-Signature", "")
-                call.body = await answer.read()
+                await read_all(answer, received)
                 call.is_complete = True
                 call.end = AnswerEnd.of_whole(answer.headers)
-        except (aiohttp.ClientError, TimeoutError, OSError):
+        except TimeoutError:
+            if call.end is AnswerEnd.BROKEN:
+                call.end = AnswerEnd.ABANDONED
+        except (aiohttp.ClientError, OSError):
             # The checks compare such an outcome with the requests that replicas ran.
             pass
+        call.body = b"".join(received)
         call.ended_s = now_s()
 
     def _new_call(self, rng, hosts):
--- a/libs/standins/src/hemlockhoist/standins/published/soak/checks.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/checks.py
@@ -4,6 +4,7 @@
 
 from hemlockhoist.base import MS_PER_S
 from hemlockhoist.standins.published.soak.answer_ends import AnswerEnd
+from hemlockhoist.standins.published.soak.body_checks import find_body_violations
 from hemlockhoist.standins.published.soak.callers import elapsed_ms
 from hemlockhoist.standins.published.soak.config_checks import (
     find_declaration_violations,
@@ -20,6 +21,7 @@
     find_end_violations,
     whole_stream,
 )
+from hemlockhoist.standins.published.soak.executions import Execution
 from hemlockhoist.standins.published.soak.fall_checks import find_fall_violations
 from hemlockhoist.standins.published.soak.hedge_checks import find_hedge_violations
 from hemlockhoist.standins.published.soak.history_checks import (
@@ -52,27 +54,6 @@
 UNDISTURBED_S = 3.0
 
 
-class Execution:
-    """One execution of a request by a replica.
-
-    Parameters
-    ==========
-    replica : Replica
-    received : ReceivedRequest
-    """
-
-    __slots__ = ("received", "replica")
-
-    def __init__(self, replica, received):
-        self.replica = replica
-        self.received = received
-
-    @property
-    def attempt_id(self):
-        """The attempt id that the caller gave the request."""
-        return self.received.headers.get("attempt-id", "")
-
-
 class RunChecker:
     """Checks the records of a run.
 
@@ -96,6 +77,20 @@
                 execution = Execution(replica, received)
                 self._executions[execution.attempt_id].append(execution)
 
+    def check_bodies(self, surplus):
+        """Check that callers received bytes of runs of their requests only.
+
+        Parameters
+        ==========
+        surplus : list of bytes
+            What arrived on callers' connections and belongs to no answer.
+        """
+        violations, counts = find_body_violations(
+            self._calls.values(), self._executions, surplus
+        )
+        self.violations += violations
+        self.check_counts.update(counts)
+
     def check_limits(self, spans, outages):
         """Check the limits that replicas named.
 
--- a/libs/standins/src/hemlockhoist/standins/published/soak/run.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/run.py
@@ -405,6 +405,7 @@
         checker.check(
             self._revoked, REVOCATION_MS, tenants, faults.stops, faults.disturbances
         )
+        checker.check_bodies(self.callers.surplus)
         checker.check_limits(faults.limit_spans, faults.outages)
         checker.check_rests(replicas, faults.outages, DRAIN_MS)
         checker.check_cuts(faults.cut_spans, faults.outages)
