--- a/libs/standins/src/hemlockhoist/standins/published/soak/run.py
+++ b/libs/standins/src/hemlockhoist/standins/published/soak/run.py
@@ -159,6 +159,7 @@
             crash_rng,
             crowd_rng=crowd_rng,
             ends_rng=random.Random(f"ends of {seed}"),
+            second_rng=random.Random(f"second answers of {seed}"),
         )
         self.contacts = None
         # Parts of prompts on which replicas that start crash too.
@@ -404,6 +405,7 @@
         checker.check(
             self._revoked, REVOCATION_MS, tenants, faults.stops, faults.disturbances
         )
+        checker.check_bodies(self.callers.surplus)
         checker.check_limits(faults.limit_spans, faults.outages)
         checker.check_rests(replicas, faults.outages, DRAIN_MS)
         checker.check_cuts(faults.cut_spans, faults.outages)
