Charge foreign bytes to the upstream that sent them, over relays too

What operators saw: attempt_ended with outcome=link_lost for a second answer that came over another host, so that the upstream went on getting work as if its link had failed. Cause: any break over a relay is taken for the path's. Bytes that are no event, and a second answer, come from the upstream whatever they came over.

Open: where the relaying host finds a second answer itself, the other host sees a break only.

--- a/libs/entry/src/hemlockhoist/entry/attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt.py
@@ -54,6 +54,7 @@
         "is_reachable",
         "is_reused",
         "is_unconfirmed",
+        "is_upstream_at_fault",
         "is_upstream_lost",
         "kind",
         "longest_gap_ms",
@@ -83,6 +84,8 @@
         # Whether this host did not read the answer to its end, for want of memory or as
         # its caller was slow.
         self.is_given_up = False
+        # Whether bytes came from the upstream that are no part of its answer.
+        self.is_upstream_at_fault = False
         # Whether the upstream was asked for the rest of an answer only.
         self.is_continued = False
         self.is_reused = False
@@ -256,7 +259,10 @@
     @property
     def _sent_kind(self):
         is_lost = self.kind in (OutcomeKind.BROKE_OFF, OutcomeKind.TIMEOUT)
-        return OutcomeKind.LINK_LOST if is_lost and self._is_path_suspect else self.kind
+        is_path_lost = is_lost and self._is_path_suspect
+        if is_path_lost and not self.is_upstream_at_fault:
+            return OutcomeKind.LINK_LOST
+        return self.kind
 
     @property
     def _is_path_suspect(self):
--- a/libs/entry/src/hemlockhoist/entry/attempt_sender.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt_sender.py
@@ -17,7 +17,12 @@
 from hemlockhoist.entry.opened_attempt import OpenedAttempt
 from hemlockhoist.entry.signals import SignalRecorder
 from hemlockhoist.entry.wire import UpstreamDirectives
-from hemlockhoist.upstreams import SendGuard, UpstreamCall
+from hemlockhoist.upstreams import (
+    InvalidEvent,
+    SecondAnswer,
+    SendGuard,
+    UpstreamCall,
+)
 
 
 class AttemptSender:
@@ -156,6 +161,8 @@
             attempt.reason = error.message
             # A stream's relay may have set it.
             attempt.is_given_up |= isinstance(error, AnswerNotRead)
+            is_foreign = isinstance(error, (InvalidEvent, SecondAnswer))
+            attempt.is_upstream_at_fault |= is_foreign
             is_silent = error.code is ResultCode.UPSTREAM_TIMEOUT
             opened.end = AttemptEnd.TIMED_OUT if is_silent else AttemptEnd.BROKEN
 
--- a/libs/entry/src/hemlockhoist/entry/tests/test_attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_attempt.py
@@ -40,6 +40,16 @@
         self.assertEqual(doctest.testmod(reported_load).failed, 0)
 
 
+class BrokenOffTests(unittest.TestCase):
+    def test_foreign_bytes_over_a_relay_are_the_fault_of_the_upstream(self):
+        """Guards against second answers that count as breaks of a link."""
+        guard = types.SimpleNamespace(dispatched_ms=1_000, relay="host-2")
+        broken = outcome(guard=guard)
+        self.assertIs(broken.kind, OutcomeKind.LINK_LOST)
+        foreign = outcome(guard=guard, is_upstream_at_fault=True)
+        self.assertIs(foreign.kind, OutcomeKind.BROKE_OFF)
+
+
 class OvertakenTests(unittest.TestCase):
     def test_attempt_without_a_link_to_its_upstream_does_not_count(self):
         """Guards against upstreams that count as silent as a host lost its links."""
