Parse the head of an answer apart from what follows it

Callers got 502 for a whole answer if bytes that are no answer followed it in the same read: the parser in C reports only the error for the whole read, and the message that it had read from the same bytes is dropped. A request that may not be repeated had run.

The head is now given to the parser by itself. Weighed: to cut at the end of the body, which takes a second reading of chunks.

--- a/libs/upstreams/src/hemlockhoist/upstreams/answer_head.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/answer_head.py
@@ -57,6 +57,8 @@
     ==========
     status : int or None
         The status of the answer; None until its head has ended.
+    rest_bytes : int
+        How many of the bytes that were fed last stand behind the head of the answer.
 
     Examples
     ========
@@ -66,17 +68,18 @@
     >>> reader.status
     >>> reader.feed(b"Content-Length: 2\\r\\n\\r\\nok")
     b'Content-Length: 2\\r\\n\\r\\nok'
-    >>> reader.status
-    200
+    >>> reader.status, reader.rest_bytes
+    (200, 2)
     """
 
-    __slots__ = ("_has_begun", "_incomplete", "_lines", "status")
+    __slots__ = ("_has_begun", "_incomplete", "_lines", "rest_bytes", "status")
 
     def __init__(self):
         self._has_begun = False
         self._incomplete = b""
         self._lines = []
         self.status = None
+        self.rest_bytes = 0
 
     def feed(self, data):
         """Check the next bytes of the connection; return those for a parser.
@@ -99,9 +102,13 @@
     def _read_lines(self, data):
         # Lines may end without CR (RFC 9112, section 2.2).
         *lines, self._incomplete = (self._incomplete + data).split(b"\n")
-        for line in lines:
+        for number, line in enumerate(lines, start=1):
             self._add_line(line.removesuffix(b"\r").decode("latin-1"))
             if self.status is not None:
+                rest = lines[number:]
+                self.rest_bytes = (
+                    sum(map(len, rest)) + len(rest) + len(self._incomplete)
+                )
                 return
         if not self._lines:
             self._check_begin()
--- a/libs/upstreams/src/hemlockhoist/upstreams/bounds.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/bounds.py
@@ -150,6 +150,7 @@
             data = self._checked(data)
             if data is None:
                 return
+            data = self._parse_head(data)
         if data or not byte_count:
             super().data_received(data)
             self._end_unreadable_body()
@@ -160,6 +161,18 @@
         elif byte_count:
             self._check_head(byte_count)
 
+    def _parse_head(self, data):
+        """Parse the head of the answer if it ends here; return the bytes behind it.
+
+        Failure prevented: a parser that can't read what follows an answer reports the
+        error only, and a whole answer is lost that it has read from the same bytes.
+        """
+        rest_bytes = self._head.rest_bytes
+        if not rest_bytes or self._parser is None:
+            return data
+        super().data_received(data[:-rest_bytes])
+        return data[-rest_bytes:] if self._body is not None else b""
+
     def _check_framing(self, byte_count):
         body_bytes = self._body.total_bytes
         self._received_bytes += byte_count
