Break off an answer on a kept connection that ends before all of its bytes

Callers got bodies with the bytes of an earlier request's second answer in them, and bodies and streams in chunks that ended at its last chunk, each with status 200.

The framing can't show such bytes, but they move the rest of the body behind its end. On a kept connection, bytes behind the end that begin no further answer now break the answer: such a request may be repeated, and is sent again. Not done on new connections, where by the protocol further bytes do not concern the answer. Ruled out: an error set on the body, as a reader that waits gets the end before it. Left: the rest of the body comes in a later read than its stated end.

--- a/libs/upstreams/src/hemlockhoist/upstreams/client.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/client.py
@@ -31,6 +31,7 @@
     KeepingConnector,
     connection_use,
 )
+from hemlockhoist.upstreams.kept_response import KeptResponse
 from hemlockhoist.upstreams.response import (
     REQUEST_ID_HEADER,
     UpstreamResponse,
@@ -183,8 +184,10 @@
             response = await self._send(call, guard)
         else:
             use, response = await self._send_over_kept(call, guard)
-        is_reused = use is not None and use.is_reused
-        opened = UpstreamResponse(response, self._request_id_header, is_reused)
+        if use is not None and use.is_reused:
+            opened = KeptResponse(response, self._request_id_header, use)
+        else:
+            opened = UpstreamResponse(response, self._request_id_header)
         try:
             yield opened
         finally:
--- a/libs/upstreams/src/hemlockhoist/upstreams/keep_alive.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/keep_alive.py
@@ -135,6 +135,27 @@
         self._is_usable = has_one_end and has_id and has_body and not is_last
         self._idle_ms = idle_ms(",".join(headers.getall("Keep-Alive", [])))
 
+    def has_foreign_end(self, is_readable):
+        """Return whether bytes that begin no further answer follow the body's end.
+
+        The bytes of another answer within a body move the rest of it behind its end.
+
+        Parameters
+        ==========
+        is_readable : bool
+            Whether the parser could read all that has arrived.
+        """
+        if self._message_count != 1 or self._head_bytes is None:
+            return False
+        if self._is_chunked:
+            # Trailers may stand between the last chunk and the empty line.
+            return not (is_readable and self._tail.endswith(_HEAD_END))
+        return self._body_bytes is not None and not self._is_exact
+
+    @property
+    def _is_exact(self):
+        return self._size == self._head_bytes + self._body_bytes
+
     def reusable_ms(self):
         """Return for how long the connection may be kept; 0 if it must be closed."""
         if self._message_count != 1 or not self._is_usable or self._head_bytes is None:
@@ -143,5 +164,4 @@
             return self._idle_ms if self._tail == _LAST_CHUNK else 0
         if self._body_bytes is None:
             return 0
-        is_exact = self._size == self._head_bytes + self._body_bytes
-        return self._idle_ms if is_exact else 0
+        return self._idle_ms if self._is_exact else 0
--- a/libs/upstreams/src/hemlockhoist/upstreams/kept_connector.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/kept_connector.py
@@ -40,6 +40,8 @@
     on_reused : callable
         Called without arguments if a kept connection is used.
     is_reused : bool
+    has_foreign_end : bool
+        Whether the answer on a kept connection ended before all of its bytes.
     """
 
     pool: str
@@ -50,6 +52,7 @@
     extent: ResponseExtent
     on_reused: object
     is_reused: bool = False
+    has_foreign_end: bool = False
 
 
 # The use of the dispatch that opens a connection in this task; None if it must neither
@@ -87,9 +90,18 @@
             if data:
                 self._connector.on_idle_bytes(self, len(data))
             return
-        if self.use is not None:
-            self.use.extent.add(data)
+        use = self.use
+        if use is not None:
+            use.extent.add(data)
         super().data_received(data)
+        if use is not None and use.is_reused:
+            self._check_end(use)
+
+    def _check_end(self, use):
+        body = self._body
+        if body is not None and body.is_eof():
+            is_readable = self._exception is None
+            use.has_foreign_end = use.extent.has_foreign_end(is_readable)
 
     def feed_data(self, data, size=0):
         """Handle the head of a message."""
