Take no answer without framing from a kept connection

Callers got a plain body of neither a length nor chunks with another answer within it or behind it, with status 200.

Nothing says which bytes are its own, and on a kept connection those of an earlier request's answer may come at any time. The attempt counts as broken, and the request, which may be repeated, is sent again. Weighed: to search such bodies for heads, which finds no plain bytes.

--- a/libs/entry/src/hemlockhoist/entry/attempt_sender.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt_sender.py
@@ -215,6 +215,10 @@
         if not response.matches_request(request_id):
             attempt.reason = "the response belongs to another request"
             return AttemptEnd.BROKEN
+        if response.is_reused and not response.body_end.is_certain:
+            # Bytes of an earlier request's answer may stand within it or behind it.
+            attempt.reason = "neither a length nor chunks on a kept connection"
+            return AttemptEnd.BROKEN
         if head.status < 300 and not head.has_signature:
             attempt.reason = "successful response without a signature"
             return AttemptEnd.BROKEN
