Suspend kept connections to upstreams whose answers may be mixed there

Callers got 502: each answer that was not taken from a kept connection left the next connection to be kept, so that about each second request ran twice, until the limit on retries and the upstreams' health stopped them.

An upstream that sends an answer without framing, without the request's id on a kept connection, with bytes of another within it, or bytes on an idle connection, now gets a connection for each request for 60 s. One upstream costs one run more in this time for each connection in use. Weighed: to refuse nothing and search bodies instead, which finds no plain bytes.

--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_second_answers_kept.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_second_answers_kept.py
@@ -82,7 +82,7 @@
     Attributes
     ==========
     name : str
-        Of ``second_answers``.
+        Of ``second_answers``; empty for none.
     moment : str
         One of ``MOMENTS``.
     framing : str
@@ -147,7 +147,7 @@
             line = f"Attempt-Id: {request_id}\r\n".encode() if request_id else b""
             return data.replace(own, line)
 
-        return second_answers(head)[self.name]
+        return second_answers(head)[self.name] if self.name else b""
 
 
 def body_of(answer):
@@ -223,3 +223,46 @@
 
     async def test_next_answer_is_a_stream_without_framing(self):
         await self.check("/chat/1", "unframed")
+
+
+class RepeatedRequestTests(SecondAnswerTestCase):
+    """Guards against a second answer that is taken for that of the same id again."""
+
+    async def check_repeated(self, path, name, whole, **fields):
+        async with self.site("length", "with the next answer", name) as site:
+            first = await call_raw(site, path, Attempt_Id="a1")
+            self.assertEqual(first.status, 200)
+            for request_id in ("a1", "a2", "a1"):
+                answer = await call_raw(site, path, Attempt_Id=request_id, **fields)
+                self.assertEqual((answer.status, body_of(answer)), (200, whole))
+
+    async def test_plain_request_with_the_id_of_an_earlier_one(self):
+        await self.check_repeated("/read/1", "length, same id", OWN)
+
+    async def test_continuation_with_the_id_of_its_stream(self):
+        whole = b"".join(EVENTS[3:])
+        for name in ("events", "length, same id"):
+            with self.subTest(name=name):
+                await self.check_repeated("/chat/1", name, whole, Last_Event_ID="3")
+
+
+class CostTests(SecondAnswerTestCase):
+    """Guards against requests that run twice as their answers can't be told apart."""
+
+    async def count_runs(self, framing, moment="", name=""):
+        """Return how often 30 requests ran."""
+        async with self.site(framing, moment, name) as site:
+            await self.check_answers(site, "/read/1", OWN, count=30)
+            return sum(len(replica.ran) for replica in self.replicas)
+
+    async def test_upstreams_without_framing_cost_one_run_each(self):
+        self.assertLessEqual(await self.count_runs("unframed"), 32)
+
+    async def test_upstreams_with_late_answers_cost_one_run_each(self):
+        for name in ("length, same id", "length, no id"):
+            found = await self.count_runs("length", "with the next answer", name)
+            self.assertLessEqual(found, 32)
+
+    async def test_upstreams_that_mix_answers_cost_one_run_each(self):
+        found = await self.count_runs("length", "in the next body", "plain bytes")
+        self.assertLessEqual(found, 32)
--- a/libs/upstreams/src/hemlockhoist/upstreams/client.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/client.py
@@ -188,6 +188,8 @@
             opened = KeptResponse(response, self._request_id_header, use)
         else:
             opened = UpstreamResponse(response, self._request_id_header)
+        if use is not None and (reason := _doubt(opened, call.request_id)):
+            self.connector.suspend(call.upstream_id, call.address, reason)
         try:
             yield opened
         finally:
@@ -324,6 +326,15 @@
             response.close()
 
 
+def _doubt(response, request_id):
+    """Return why a connection to the upstream should carry one request only; or ""."""
+    if not response.body_end.is_certain:
+        return "an answer with neither a length nor chunks"
+    if response.is_reused and not response.matches_request(request_id):
+        return "an answer without the request's id"
+    return ""
+
+
 def _open_session(connector):
     return aiohttp.ClientSession(
         connector=connector,
--- a/libs/upstreams/src/hemlockhoist/upstreams/kept_connections.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/kept_connections.py
@@ -7,6 +7,12 @@
 MAX_PER_UPSTREAM = 4
 # A grant request names at most so many upstreams; each costs some 10 to 30 bytes.
 MAX_NAMED = 8
+# An upstream whose answers can't be told apart on a kept connection gets one request more
+# for it in this time, and connections of their own for the others.
+SUSPENSION_MS = 60_000
+# At design size, a host uses some thousands of upstreams. One that is dropped here is
+# suspended again by its next such answer.
+MAX_SUSPENDED = 1_024
 
 
 class _Kept(msgspec.Struct, frozen=True):
@@ -45,7 +51,13 @@
     True
     """
 
-    __slots__ = ("_by_connection", "_by_upstream", "_max_count", "_max_per_upstream")
+    __slots__ = (
+        "_by_connection",
+        "_by_upstream",
+        "_max_count",
+        "_max_per_upstream",
+        "_suspended",
+    )
 
     def __init__(self, max_count, max_per_upstream=MAX_PER_UPSTREAM):
         self._max_count = max_count
@@ -53,10 +65,31 @@
         # In the order in which they became idle.
         self._by_connection = {}
         self._by_upstream = {}
+        # When each suspension ends, by upstream and address, the last one begun at the end.
+        self._suspended = {}
 
     def __len__(self):
         return len(self._by_connection)
 
+    def suspend(self, upstream_id, address, now_ms):
+        """Keep no connection to an upstream for a while, and close those that are kept.
+
+        Failure prevented: each request that may be repeated runs twice at an upstream
+        whose answers are not taken from kept connections, up to the limit on retries.
+        """
+        # Another process under the id, or at the address, is another upstream.
+        upstream = (upstream_id, address)
+        self._suspended.pop(upstream, None)
+        self._suspended[upstream] = now_ms + SUSPENSION_MS
+        if len(self._suspended) > MAX_SUSPENDED:
+            del self._suspended[next(iter(self._suspended))]
+        for item in list(self._by_upstream.get(upstream_id, ())):
+            self._close(item)
+
+    def is_suspended(self, upstream_id, address, now_ms):
+        """Return whether no connection to an upstream is to be kept."""
+        return now_ms < self._suspended.get((upstream_id, address), now_ms)
+
     def keep(self, connection, pool, upstream_id, address, until_ms):
         """Keep a connection that has become idle; others may be closed for it.
 
--- a/libs/upstreams/src/hemlockhoist/upstreams/kept_connector.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/kept_connector.py
@@ -68,6 +68,7 @@
         self._connector = connector
         self._is_limited = False
         self.use = None
+        self.upstream_id = self.address = ""
         self.idle_timer = None
 
     @property
@@ -102,6 +103,10 @@
         if body is not None and body.is_eof():
             is_readable = self._exception is None
             use.has_foreign_end = use.extent.has_foreign_end(is_readable)
+            if use.has_foreign_end:
+                self._connector.suspend(
+                    use.upstream_id, use.address, "bytes of another answer"
+                )
 
     def feed_data(self, data, size=0):
         """Handle the head of a message."""
@@ -162,6 +167,7 @@
             self._count(CONNECTIONS_REUSED, use.pool)
             use.on_reused()
         protocol.use = use
+        protocol.upstream_id, protocol.address = use.upstream_id, use.address
         return protocol
 
     def _take(self, use):
@@ -198,6 +204,8 @@
         use, transport = protocol.use, protocol.transport
         if use is None or not use.may_keep or transport is None:
             return 0
+        if self.kept.is_suspended(use.upstream_id, use.address, self.now_ms()):
+            return 0
         if transport.is_closing() or transport.get_write_buffer_size():
             return 0
         return use.extent.reusable_ms()
@@ -205,12 +213,23 @@
     def _on_idle_timeout(self):
         self.kept.expire(self.now_ms())
 
+    def suspend(self, upstream_id, address, reason):
+        """Keep no connection for a while to an upstream whose answers may be mixed."""
+        now_ms = self.now_ms()
+        if not self.kept.is_suspended(upstream_id, address, now_ms):
+            _log.warning("reuse_suspended", upstream=upstream_id, reason=reason)
+        self.kept.suspend(upstream_id, address, now_ms)
+
     def on_idle_bytes(self, protocol, byte_count):
         """Close a connection on which bytes arrived that belong to no request."""
         _stop_timer(protocol)
         self.kept.remove(protocol)
         self._count(CONNECTIONS_LOST, "bytes")
-        _log.warning("idle_connection_bytes", byte_count=byte_count)
+        upstream_id = protocol.upstream_id
+        _log.warning(
+            "idle_connection_bytes", byte_count=byte_count, upstream=upstream_id
+        )
+        self.suspend(upstream_id, protocol.address, "bytes on an idle connection")
         protocol.abort()
 
     def on_idle_end(self, protocol):
--- a/libs/upstreams/src/hemlockhoist/upstreams/tests/test_kept_connections.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/tests/test_kept_connections.py
@@ -7,7 +7,12 @@
 
 from hemlockhoist.upstreams import keep_alive, kept_connections
 from hemlockhoist.upstreams.keep_alive import MAX_IDLE_MS, ResponseExtent, idle_ms
-from hemlockhoist.upstreams.kept_connections import MAX_NAMED, KeptConnections
+from hemlockhoist.upstreams.kept_connections import (
+    MAX_NAMED,
+    MAX_SUSPENDED,
+    SUSPENSION_MS,
+    KeptConnections,
+)
 
 
 class FakeConnection:
@@ -27,6 +32,27 @@
         self.kept.keep(connection, "halls", name, address, until_ms)
         return connection
 
+    def test_suspension_closes_connections_and_ends(self):
+        """Guards against an upstream without reuse for ever, or with too early reuse."""
+        mixed, other = self.keep("u1"), self.keep("u2")
+        self.kept.suspend("u1", "a:1", now_ms=10)
+        self.assertEqual((mixed.is_closed, other.is_closed), (True, False))
+        for name, address, now_ms, found in (
+            ("u1", "a:1", 10, True),
+            ("u1", "a:1", 10 + SUSPENSION_MS - 1, True),
+            ("u1", "a:1", 10 + SUSPENSION_MS, False),
+            ("u1", "a:2", 10, False),
+            ("u2", "a:1", 10, False),
+        ):
+            self.assertIs(self.kept.is_suspended(name, address, now_ms), found)
+
+    def test_suspensions_are_bounded(self):
+        """Guards against memory that grows with each upstream that was ever suspended."""
+        for number in range(MAX_SUSPENDED + 1):
+            self.kept.suspend(f"u{number}", "a:1", now_ms=0)
+        self.assertFalse(self.kept.is_suspended("u0", "a:1", now_ms=0))
+        self.assertTrue(self.kept.is_suspended("u1", "a:1", now_ms=0))
+
     def test_last_used_is_taken_first(self):
         first, second = self.keep("u1"), self.keep("u1")
         self.assertIs(self.kept.take("u1", "a:1", 0), second)
