Use no kept connection that carried a request of the same id

A caller that sent a request again got the second answer to its first one, with status 200: the id is the same, so the check of the echoed id passes. The same holds for a second attempt, and for a stream that a caller continues.

A connection remembers the ids of its requests, and is closed in place of a second use for one of them. So that they are bounded, it carries 64 requests; one new connection in 64 costs less than 1 % of a request. Weighed: new connections for all further attempts, which misses callers that repeat an id.

--- a/libs/upstreams/src/hemlockhoist/upstreams/client.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/client.py
@@ -225,6 +225,7 @@
             pool=call.pool,
             upstream_id=call.upstream_id,
             address=call.address,
+            request_id=call.request_id,
             may_reuse=call.is_repeatable,
             may_keep=is_short and call.may_keep_connection and call.method != "HEAD",
             extent=ResponseExtent(call.request_id, self._request_id_header),
--- a/libs/upstreams/src/hemlockhoist/upstreams/kept_connector.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/kept_connector.py
@@ -24,6 +24,8 @@
 # A request on a kept connection whose upstream does not acknowledge it for so long is
 # lost, as if no new connection could be made. It may be repeated elsewhere.
 UNACKNOWLEDGED_MS = 1_000
+# The ids of all requests of a connection are remembered, some 100 bytes each.
+MAX_REQUESTS = 64
 
 
 class ConnectionUse(msgspec.Struct):
@@ -31,7 +33,7 @@
 
     Parameters
     ==========
-    pool, upstream_id, address : str
+    pool, upstream_id, address, request_id : str
     may_reuse : bool
         Whether the request may be repeated, and so use a kept connection.
     may_keep : bool
@@ -47,6 +49,7 @@
     pool: str
     upstream_id: str
     address: str
+    request_id: str
     may_reuse: bool
     may_keep: bool
     extent: ResponseExtent
@@ -69,6 +72,7 @@
         self._is_limited = False
         self.use = None
         self.upstream_id = self.address = ""
+        self.request_ids = set()
         self.idle_timer = None
 
     @property
@@ -168,17 +172,23 @@
             use.on_reused()
         protocol.use = use
         protocol.upstream_id, protocol.address = use.upstream_id, use.address
+        protocol.request_ids.add(use.request_id)
         return protocol
 
     def _take(self, use):
-        """Return a kept connection that is still open, or None."""
+        """Return a kept connection that is still open, or None.
+
+        One that carried a request of the same id is closed: a late answer to that one,
+        such as an earlier attempt, could not be told from the answer to this one.
+        """
         now_ms = self.now_ms()
         while True:
             protocol = self.kept.take(use.upstream_id, use.address, now_ms)
             if protocol is None:
                 return None
             _stop_timer(protocol)
-            if _is_usable(protocol):
+            is_known = use.request_id in protocol.request_ids
+            if not is_known and _is_usable(protocol):
                 protocol.limit_unacknowledged()
                 return protocol
             protocol.close()
@@ -204,6 +214,8 @@
         use, transport = protocol.use, protocol.transport
         if use is None or not use.may_keep or transport is None:
             return 0
+        if len(protocol.request_ids) >= MAX_REQUESTS:
+            return 0
         if self.kept.is_suspended(use.upstream_id, use.address, self.now_ms()):
             return 0
         if transport.is_closing() or transport.get_write_buffer_size():
--- a/libs/upstreams/src/hemlockhoist/upstreams/tests/test_kept_connector.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/tests/test_kept_connector.py
@@ -13,7 +13,7 @@
     UpstreamClient,
 )
 from hemlockhoist.upstreams.bounds import MAX_FRAMING_BYTES, MAX_HEAD_BYTES
-from hemlockhoist.upstreams.kept_connector import UNACKNOWLEDGED_MS
+from hemlockhoist.upstreams.kept_connector import MAX_REQUESTS, UNACKNOWLEDGED_MS
 
 HOUR_MS = 3_600_000
 
@@ -117,6 +117,14 @@
         self.assertEqual(self.counts["made", "halls"], 1)
         self.assertEqual(self.counts["reused", "halls"], 4)
 
+    async def test_requests_of_a_connection_are_bounded(self):
+        """Guards against ids of requests that are remembered without bound."""
+        upstream = await self._upstream()
+        for number in range(MAX_REQUESTS + 1):
+            self.assertEqual(await self.send(upstream, f"r{number}"), b"ok")
+        used = [connection for _, connection in upstream.requests]
+        self.assertEqual(used, [0] * MAX_REQUESTS + [1])
+
     async def test_without_kept_connections_each_request_makes_one(self):
         """Guards against a change of behaviour where nothing is set."""
         self.client = await self._client(None)
