--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_second_answers_kept.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_second_answers_kept.py
@@ -3,8 +3,9 @@
 import asyncio
 import contextlib
 import itertools
+import unittest
 
-from hemlockhoist.base.testing import PausedSocketTestCase
+from hemlockhoist.base.testing import PausedSocketTestCase, run_with_python_parser
 from hemlockhoist.standins.published.endless import chunk
 from hemlockhoist.standins.published.keep_alive import KeepAlive
 from hemlockhoist.standins.published.raw import LAST_CHUNK, RawReplica, call_raw
@@ -84,7 +85,7 @@
     name : str
         Of ``second_answers``; empty for none.
     moment : str
-        One of ``MOMENTS``.
+        One of ``MOMENTS``, or "first answer at once" for the framing of that one.
     framing : str
         Of the answer to a connection's second request.
     """
@@ -99,18 +100,19 @@
     async def _answer_twice(self, received, writer):
         first = self._first_received.setdefault(writer, received)
         is_next = first is not received
-        framing = self.framing if is_next else "length"
+        at_once = self.moment == "first answer at once"
+        framing = self.framing if is_next or at_once else "length"
         parts = [OWN[:40], OWN[40:]]
         if received.target.startswith("/chat/"):
             start = int(received.headers.get("last-event-id", 0))
             parts = EVENTS[start:]
-            framing = framing if is_next else "chunked"
+            framing = framing if is_next or at_once else "chunked"
         answer = framed(
             lambda lines: self.head(received, "200 OK", lines), framing, parts
         )
         if not is_next:
             writer.write(b"".join(answer))
-            if self.moment == "at once":
+            if at_once or self.moment == "at once":
                 writer.write(self._second(first))
             elif self.moment == "idle":
                 asyncio.get_running_loop().call_later(
@@ -206,7 +208,7 @@
             await asyncio.sleep(2 * PAUSE_S)
 
 
-class NextRequestTests(SecondAnswerTestCase):
+class FramedAnswerTests(SecondAnswerTestCase):
     """Guards against a second answer that the next request of its connection gets."""
 
     async def test_next_answer_with_a_length(self):
@@ -215,16 +217,54 @@
     async def test_next_answer_in_chunks(self):
         await self.check("/read/1", "chunked")
 
-    async def test_next_answer_without_framing(self):
-        await self.check("/read/1", "unframed")
-
     async def test_next_answer_is_a_stream_in_chunks(self):
         await self.check("/chat/1", "chunked")
 
+
+class UnframedAnswerTests(SecondAnswerTestCase):
+    """Guards against a second answer within a body whose end is not stated."""
+
+    async def test_next_answer_without_framing(self):
+        await self.check("/read/1", "unframed")
+
     async def test_next_answer_is_a_stream_without_framing(self):
         await self.check("/chat/1", "unframed")
 
 
+class FollowedAnswerTests(SecondAnswerTestCase):
+    """Guards against a whole answer that is lost, or mixed, as bytes follow it at once."""
+
+    async def check_followed(self, path, method, framing, whole):
+        for name in NAMES:
+            with self.subTest(path=path, framing=framing, name=name):
+                async with self.site(framing, "first answer at once", name) as site:
+                    answer = await call_raw(site, path, method=method)
+                    self.assertEqual((answer.status, body_of(answer)), (200, whole))
+                    self.assertFalse(answer.is_reset)
+                    ran = [len(replica.ran) for replica in self.replicas]
+                    self.assertEqual(sum(ran), 1)
+                    paths = site.hosts[0].context.upstreams
+                    self.assertEqual(paths.connected("reservas"), ())
+
+    async def test_plain_answers(self):
+        for framing in ("length", "chunked"):
+            await self.check_followed("/read/1", "GET", framing, OWN)
+
+    async def test_request_that_may_not_be_repeated(self):
+        for framing in ("length", "chunked"):
+            await self.check_followed("/book/1", "POST", framing, OWN)
+
+    async def test_stream(self):
+        await self.check_followed("/chat/1", "GET", "chunked", b"".join(EVENTS))
+
+
+class OtherParserTests(unittest.TestCase):
+    def test_second_answers_with_the_parser_in_python(self):
+        """Guards against bytes behind an answer that one parser takes for its own."""
+        names = ("FramedAnswerTests", "FollowedAnswerTests")
+        run_with_python_parser(*(f"{__name__}.{name}" for name in names))
+
+
 class RepeatedRequestTests(SecondAnswerTestCase):
     """Guards against a second answer that is taken for that of the same id again."""
 
