Give each call to the store a connection of its own

Hosts took rows of another table, a commit that was not applied for confirmed, and one that was applied for refused, if the store answered an earlier call of the connection a second time where the next answer is expected. The HTTP library's pool hands connections out, and the store's answers repeat nothing of their call.

Weighed: versions that must grow, which tell neither refusals nor tables apart; looking for bytes before a call is sent, which misses those that come just behind. Ruled out by the tests: second answers within or behind an unframed answer, and second heads; no value was taken from them.

--- a/libs/store/src/hemlockhoist/store/transport.py
+++ b/libs/store/src/hemlockhoist/store/transport.py
@@ -78,7 +78,11 @@
         return cls(config, budget, Backoff.from_config(config, rng))
 
     async def start(self):
-        """Open the session; connections are made on demand."""
+        """Open the session; each call makes a connection of its own.
+
+        The service's answers repeat nothing of their call. On a connection that carried
+        another one, a second answer to that could not be told from the own answer.
+        """
         timeout = aiohttp.ClientTimeout(
             total=None,
             sock_connect=self._config.connect_timeout_ms / MS_PER_S,
@@ -86,7 +90,9 @@
         self._session = aiohttp.ClientSession(
             timeout=timeout,
             connector=DirectConnector(
-                BoundedHandler, limit=self._config.max_connections
+                BoundedHandler,
+                limit=self._config.max_connections,
+                force_close=True,
             ),
             cookie_jar=aiohttp.DummyCookieJar(),
         )
