Give each load report a connection of its own

A late second answer to an earlier call, such as the one before, counted as the present load of an upstream. Load reports repeat nothing of their call, so that it can't be told from the own answer. Weighed: an id on each of these calls, which not all upstreams echo.

--- a/libs/upstreams/src/hemlockhoist/upstreams/client.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/client.py
@@ -147,9 +147,12 @@
         else:
             connector = KeepingConnector(self._kept, self._count)
         self._session = _open_session(connector)
-        # Requests for load reports change nothing and are frequent: they may use a
-        # kept-alive connection, and the library may resend them.
-        connector = DirectConnector(BoundedHandler, limit=0, limit_per_host=1)
+        # Load reports repeat nothing of their call. On a connection that carried another
+        # one, a late second answer to that would count as the present load. They change
+        # nothing, so the library may resend them.
+        connector = DirectConnector(
+            BoundedHandler, limit=0, limit_per_host=1, force_close=True
+        )
         self._fetch_session = _open_session(connector)
 
     @property
