Give each call of the command line a connection of its own

A command that makes several calls took a second answer of a host to an earlier one for the answer to the next: a change counted as made, or refused, that was not.

Four of twelve cases on kept connections red before, none after, with both parsers. 20 mixed or unframed answers were no value before either.

--- a/libs/cli/src/hemlockhoist/cli/client.py
+++ b/libs/cli/src/hemlockhoist/cli/client.py
@@ -82,7 +82,11 @@
         return len(self._hosts)
 
     async def start(self):
-        """Open the connection pool."""
+        """Open the session; each call makes a connection of its own.
+
+        On one that carried another call, a second answer to that would be taken for the
+        own answer.
+        """
         timeout = aiohttp.ClientTimeout(
             total=CALL_TIMEOUT_MS / MS_PER_S, sock_connect=CONNECT_TIMEOUT_MS / MS_PER_S
         )
@@ -91,7 +95,7 @@
             context = ssl.create_default_context(cafile=self._ca_file)
         self._session = aiohttp.ClientSession(
             timeout=timeout,
-            connector=_BoundedConnector(ssl=context or True),
+            connector=_BoundedConnector(ssl=context or True, force_close=True),
             headers={"Authorization": f"Bearer {self._key}"},
         )
 
