--- a/libs/upstreams/src/hemlockhoist/upstreams/keep_alive.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/keep_alive.py
@@ -150,11 +150,13 @@
         if self._is_chunked:
             # Trailers may stand between the last chunk and the empty line.
             return not (is_readable and self._tail.endswith(_HEAD_END))
-        return self._body_bytes is not None and not self._is_exact
+        # An answer to HEAD states the length of a body that it does not have.
+        return self._body_bytes is not None and self._behind_bytes > 0
 
     @property
-    def _is_exact(self):
-        return self._size == self._head_bytes + self._body_bytes
+    def _behind_bytes(self):
+        """Bytes behind the stated end; negative as long as some are missing."""
+        return self._size - self._head_bytes - self._body_bytes
 
     def reusable_ms(self):
         """Return for how long the connection may be kept; 0 if it must be closed."""
@@ -164,4 +166,4 @@
             return self._idle_ms if self._tail == _LAST_CHUNK else 0
         if self._body_bytes is None:
             return 0
-        return self._idle_ms if self._is_exact else 0
+        return self._idle_ms if self._behind_bytes == 0 else 0
--- a/libs/upstreams/src/hemlockhoist/upstreams/tests/test_kept_connector.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/tests/test_kept_connector.py
@@ -117,6 +117,22 @@
         self.assertEqual(self.counts["made", "halls"], 1)
         self.assertEqual(self.counts["reused", "halls"], 4)
 
+    async def test_answer_without_the_body_of_its_length_is_used(self):
+        """Guards against answers to HEAD that count as mixed with others."""
+        answers = {
+            "HEAD": lambda headers: whole(headers)[:-2],
+            "GET": lambda headers: whole(headers)[:-2].replace(b"200 OK", b"304 Same"),
+        }
+        for method, answer in answers.items():
+            with self.subTest(method=method):
+                upstream = await self._upstream(
+                    lambda h, n, answer=answer: whole(h) if n == 1 else answer(h)
+                )
+                await self.send(upstream, f"a-{method}")
+                body = await self.send(upstream, f"b-{method}", method=method)
+                self.assertEqual(body, b"")
+                self.assertTrue(self.response.is_reused)
+
     async def test_requests_of_a_connection_are_bounded(self):
         """Guards against ids of requests that are remembered without bound."""
         upstream = await self._upstream()
