--- a/libs/upstreams/src/hemlockhoist/upstreams/client.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/client.py
@@ -31,6 +31,7 @@
     KeepingConnector,
     connection_use,
 )
+from hemlockhoist.upstreams.kept_response import KeptResponse
 from hemlockhoist.upstreams.response import (
     REQUEST_ID_HEADER,
     UpstreamResponse,
@@ -146,9 +147,12 @@
         else:
             connector = KeepingConnector(self._kept, self._count)
         self._session = _open_session(connector)
-        # Requests for load reports change nothing and are frequent: they may use a
-        # kept-alive connection, and the library may resend them.
-        connector = DirectConnector(BoundedHandler, limit=0, limit_per_host=1)
+        # Load reports repeat nothing of their call. On a connection that carried another
+        # one, a late second answer to that would count as the present load. They change
+        # nothing, so the library may resend them.
+        connector = DirectConnector(
+            BoundedHandler, limit=0, limit_per_host=1, force_close=True
+        )
         self._fetch_session = _open_session(connector)
 
     @property
@@ -183,8 +187,12 @@
             response = await self._send(call, guard)
         else:
             use, response = await self._send_over_kept(call, guard)
-        is_reused = use is not None and use.is_reused
-        opened = UpstreamResponse(response, self._request_id_header, is_reused)
+        if use is not None and use.is_reused:
+            opened = KeptResponse(response, self._request_id_header, use)
+        else:
+            opened = UpstreamResponse(response, self._request_id_header)
+        if use is not None and (reason := _doubt(opened, call.request_id)):
+            self.connector.suspend(call.upstream_id, call.address, reason)
         try:
             yield opened
         finally:
@@ -220,6 +228,7 @@
             pool=call.pool,
             upstream_id=call.upstream_id,
             address=call.address,
+            request_id=call.request_id,
             may_reuse=call.is_repeatable,
             may_keep=is_short and call.may_keep_connection and call.method != "HEAD",
             extent=ResponseExtent(call.request_id, self._request_id_header),
@@ -321,6 +330,15 @@
             response.close()
 
 
+def _doubt(response, request_id):
+    """Return why a connection to the upstream should carry one request only; or ""."""
+    if not response.body_end.is_certain:
+        return "an answer with neither a length nor chunks"
+    if response.is_reused and not response.matches_request(request_id):
+        return "an answer without the request's id"
+    return ""
+
+
 def _open_session(connector):
     return aiohttp.ClientSession(
         connector=connector,
--- a/libs/upstreams/src/hemlockhoist/upstreams/kept_connector.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/kept_connector.py
@@ -24,6 +24,8 @@
 # A request on a kept connection whose upstream does not acknowledge it for so long is
 # lost, as if no new connection could be made. It may be repeated elsewhere.
 UNACKNOWLEDGED_MS = 1_000
+# The ids of all requests of a connection are remembered, some 100 bytes each.
+MAX_REQUESTS = 64
 
 
 class ConnectionUse(msgspec.Struct):
@@ -31,7 +33,7 @@
 
     Parameters
     ==========
-    pool, upstream_id, address : str
+    pool, upstream_id, address, request_id : str
     may_reuse : bool
         Whether the request may be repeated, and so use a kept connection.
     may_keep : bool
@@ -40,16 +42,20 @@
     on_reused : callable
         Called without arguments if a kept connection is used.
     is_reused : bool
+    has_foreign_end : bool
+        Whether the answer on a kept connection ended before all of its bytes.
     """
 
     pool: str
     upstream_id: str
     address: str
+    request_id: str
     may_reuse: bool
     may_keep: bool
     extent: ResponseExtent
     on_reused: object
     is_reused: bool = False
+    has_foreign_end: bool = False
 
 
 # The use of the dispatch that opens a connection in this task; None if it must neither
@@ -65,6 +71,8 @@
         self._connector = connector
         self._is_limited = False
         self.use = None
+        self.upstream_id = self.address = ""
+        self.request_ids = set()
         self.idle_timer = None
 
     @property
@@ -87,9 +95,22 @@
             if data:
                 self._connector.on_idle_bytes(self, len(data))
             return
-        if self.use is not None:
-            self.use.extent.add(data)
+        use = self.use
+        if use is not None:
+            use.extent.add(data)
         super().data_received(data)
+        if use is not None and use.is_reused:
+            self._check_end(use)
+
+    def _check_end(self, use):
+        body = self._body
+        if body is not None and body.is_eof():
+            is_readable = self._exception is None
+            use.has_foreign_end = use.extent.has_foreign_end(is_readable)
+            if use.has_foreign_end:
+                self._connector.suspend(
+                    use.upstream_id, use.address, "bytes of another answer"
+                )
 
     def feed_data(self, data, size=0):
         """Handle the head of a message."""
@@ -150,17 +171,24 @@
             self._count(CONNECTIONS_REUSED, use.pool)
             use.on_reused()
         protocol.use = use
+        protocol.upstream_id, protocol.address = use.upstream_id, use.address
+        protocol.request_ids.add(use.request_id)
         return protocol
 
     def _take(self, use):
-        """Return a kept connection that is still open, or None."""
+        """Return a kept connection that is still open, or None.
+
+        One that carried a request of the same id is closed: a late answer to that one,
+        such as an earlier attempt, could not be told from the answer to this one.
+        """
         now_ms = self.now_ms()
         while True:
             protocol = self.kept.take(use.upstream_id, use.address, now_ms)
             if protocol is None:
                 return None
             _stop_timer(protocol)
-            if _is_usable(protocol):
+            is_known = use.request_id in protocol.request_ids
+            if not is_known and _is_usable(protocol):
                 protocol.limit_unacknowledged()
                 return protocol
             protocol.close()
@@ -186,6 +214,10 @@
         use, transport = protocol.use, protocol.transport
         if use is None or not use.may_keep or transport is None:
             return 0
+        if len(protocol.request_ids) >= MAX_REQUESTS:
+            return 0
+        if self.kept.is_suspended(use.upstream_id, use.address, self.now_ms()):
+            return 0
         if transport.is_closing() or transport.get_write_buffer_size():
             return 0
         return use.extent.reusable_ms()
@@ -193,12 +225,23 @@
     def _on_idle_timeout(self):
         self.kept.expire(self.now_ms())
 
+    def suspend(self, upstream_id, address, reason):
+        """Keep no connection for a while to an upstream whose answers may be mixed."""
+        now_ms = self.now_ms()
+        if not self.kept.is_suspended(upstream_id, address, now_ms):
+            _log.warning("reuse_suspended", upstream=upstream_id, reason=reason)
+        self.kept.suspend(upstream_id, address, now_ms)
+
     def on_idle_bytes(self, protocol, byte_count):
         """Close a connection on which bytes arrived that belong to no request."""
         _stop_timer(protocol)
         self.kept.remove(protocol)
         self._count(CONNECTIONS_LOST, "bytes")
-        _log.warning("idle_connection_bytes", byte_count=byte_count)
+        upstream_id = protocol.upstream_id
+        _log.warning(
+            "idle_connection_bytes", byte_count=byte_count, upstream=upstream_id
+        )
+        self.suspend(upstream_id, protocol.address, "bytes on an idle connection")
         protocol.abort()
 
     def on_idle_end(self, protocol):
