End a stream on an open connection once another upstream adds nothing

What callers saw: all 10 events of a resumable unframed stream whose upstream holds its connection open, then nothing until their time limit, and a reset. After the limit on silence another upstream was asked for what follows; it ended an unframed answer in order without a byte. Cause: the search for a replacement took any answer that had not begun for a failure, so nothing was known from it.

Change: such an answer is an uncertain end. If its upstream is probed as alive, the stream ends as after other uncertain ends: in order if the response to the caller is unframed, else it is cut. The silent upstream is kept if the other one was killed, if an event has begun or bytes are unread, if the caller is waited for, or if its own answer comes in chunks or with a length, as it then has more to send.

Weighed: giving up a silent upstream of chunks too. Its caller's response began in chunks in most cases and would only be cut sooner.

--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -156,7 +156,9 @@
                 return await self._end_without_grant(error)
             if response is not None:
                 return response
-            if is_confirming and self._has_uncertain_answer:
+            # A silent upstream's stream ends here if another had nothing to add.
+            is_settled = is_confirming or end is AttemptEnd.TIMED_OUT
+            if is_settled and self._has_uncertain_answer:
                 return await self._finish_uncertain()
             if end is AttemptEnd.UNCONFIRMED:
                 end = await self._settle_unconfirmed()
@@ -338,8 +340,9 @@
             tokens_per_event = engine.tokens_per_event if engine else 1
             attempt.record_stream(self._relay, before, tokens_per_event)
             attempt.is_given_up = self._relay.is_caller_slow
-            if attempt.event_count:
-                self._attempts.unconfirmed = None
+            ended = self._replacement.take_ended()
+            if ended is not None or attempt.event_count:
+                self._attempts.unconfirmed = ended
         if caller_response is None:
             opened.end = AttemptEnd.UNCONFIRMED
         return caller_response
--- a/libs/entry/src/hemlockhoist/entry/replacement.py
+++ b/libs/entry/src/hemlockhoist/entry/replacement.py
@@ -10,6 +10,7 @@
     get_logger,
 )
 from hemlockhoist.decisions.entry import AttemptEnd, Step, next_step
+from hemlockhoist.upstreams import AnswerNotBegun
 
 _log = get_logger("entry.exchange")
 
@@ -28,7 +29,15 @@
     attempts : RequestAttempts
     """
 
-    __slots__ = ("_admitted", "_attempts", "_context", "_grants", "_opened", "_sender")
+    __slots__ = (
+        "_admitted",
+        "_attempts",
+        "_context",
+        "_ended",
+        "_grants",
+        "_opened",
+        "_sender",
+    )
 
     def __init__(self, context, admitted, sender, grants, attempts):
         self._context = context
@@ -37,6 +46,12 @@
         self._grants = grants
         self._attempts = attempts
         self._opened = None
+        self._ended = None
+
+    def take_ended(self):
+        """Return the attempt whose upstream had nothing to add, once, or None."""
+        ended, self._ended = self._ended, None
+        return ended
 
     def take(self):
         """Return the attempt whose upstream has begun to answer, once, or None."""
@@ -52,6 +67,9 @@
     async def find(self, relay):
         """Have another upstream continue the current stream; return success.
 
+        Also if the other one shows, as weakly as an unframed answer can, that nothing
+        follows: it has ended its answer in order without a byte, and lives on.
+
         Parameters
         ==========
         relay : StreamRelay
@@ -70,13 +88,29 @@
         except Refused as error:
             self._log_kept(error.message, relay)
             return False
-        if await self._open(opened, relay.first_data_limit_ms):
+        if await self._open(opened, relay):
             self._opened = opened
             return True
+        if opened.end is AttemptEnd.UNCONFIRMED and await self._has_ended(relay):
+            self._ended = opened.attempt
+            return True
         self._log_kept(opened.attempt.reason, relay)
         return False
 
-    async def _open(self, opened, limit_ms):
+    async def _has_ended(self, relay):
+        """Return whether the stream ends after the other upstream's empty answer.
+
+        It does not if that upstream was killed, or if the silent one has begun to send
+        more.
+        """
+        if not relay.may_have_ended or await self._attempts.is_unconfirmed_broken():
+            return False
+        if not relay.may_have_ended:
+            return False
+        relay.on_nothing_follows()
+        return True
+
+    async def _open(self, opened, relay):
         """Send to another upstream; return whether it has begun to answer.
 
         The silent upstream is read meanwhile, so that its stream goes on if it is the
@@ -85,7 +119,7 @@
         attempt, has_begun = opened.attempt, False
         try:
             with self._attempts.span(attempt), self._sender.failure_recorded(opened):
-                await self._open_in_time(opened, limit_ms)
+                await self._open_in_time(opened, relay)
             has_begun = opened.end is None
         except Refused as error:
             attempt.reason = error.message
@@ -95,19 +129,28 @@
                 await self._attempts.discard(opened)
         return has_begun
 
-    async def _open_in_time(self, opened, limit_ms):
+    async def _open_in_time(self, opened, relay):
         try:
-            async with asyncio.timeout(limit_ms / MS_PER_S):
+            async with asyncio.timeout(relay.first_data_limit_ms / MS_PER_S):
                 await self._sender.open(opened)
                 if opened.end is None and opened.head.status != _OK:
                     opened.attempt.reason = f"status {opened.head.status}"
                     opened.end = AttemptEnd.FAILED_ANSWER
                 if opened.end is None:
-                    await opened.response.wait_for_data()
+                    await self._wait_for_data(opened, relay)
         except TimeoutError as error:
             text = "the upstream sent no data within the stall limit"
             raise DispatchError(text, ResultCode.UPSTREAM_TIMEOUT) from error
 
+    async def _wait_for_data(self, opened, relay):
+        try:
+            await opened.response.wait_for_data()
+        except AnswerNotBegun as error:
+            if not relay.may_have_ended:
+                raise
+            opened.attempt.reason = error.message
+            opened.end = AttemptEnd.UNCONFIRMED
+
     def _log_kept(self, reason, relay):
         _log.info(
             "stream_kept",
--- a/libs/entry/src/hemlockhoist/entry/stream.py
+++ b/libs/entry/src/hemlockhoist/entry/stream.py
@@ -11,7 +11,7 @@
 from hemlockhoist.entry.stalls import StallWatchdog, always_replaced
 from hemlockhoist.entry.stream_end import StreamEnd
 from hemlockhoist.listeners import StreamedResponse, UnframedResponse
-from hemlockhoist.upstreams import AnswerNotBegun, part_limit_ms
+from hemlockhoist.upstreams import AnswerNotBegun, BodyEnd, part_limit_ms
 
 US_PER_MS = 1_000
 # Silence after which another upstream is sought for a resumable stream. It detects an
@@ -144,6 +144,25 @@
         """Take a stream that seemed to have ended for broken off."""
         self._end.reject()
 
+    @property
+    def may_have_ended(self):
+        """Whether a silent upstream may have sent all of its stream.
+
+        Its answer states no end, and all that came of it has been passed on. One that
+        announced a last chunk has more to send.
+        """
+        return (
+            self.event_count > 0
+            and not self._response.body_end.is_certain
+            and self._reader.is_between_events
+            and not (self._is_paused or self._held_bytes())
+            and self._end.may_be_here
+        )
+
+    def on_nothing_follows(self):
+        """Record that another upstream has shown no more events, without proof."""
+        self._end.on_end(False, BodyEnd.CONNECTION)
+
     @property
     def is_caller_slow(self):
         """Whether the caller is waited for, or was when its stream ended.
--- a/libs/entry/src/hemlockhoist/entry/stream_end.py
+++ b/libs/entry/src/hemlockhoist/entry/stream_end.py
@@ -21,6 +21,11 @@
         # Whether an upstream has shown that more follows the events so far.
         self._has_rest = False
 
+    @property
+    def may_be_here(self):
+        """Whether no upstream has shown that more follows the events so far."""
+        return not self._has_rest
+
     def on_events(self):
         """Record further events."""
         self.is_uncertain = self._has_rest = False
