Take a continuation that ends before the caller's last event for broken

What callers saw: a stream that broke after 5 of 10 events got complete with these 5. The upstream that was to go on sent events 1 to 3 and its last chunk. Cause: events that the caller has are dropped without a trace, so such an end looked like one of an upstream that was asked for what follows and has nothing to add.

Change: the reader keeps the number of the present upstream's latest event. An end with a lower number than the caller's last event is a break, whatever the framing: the request goes on at a further upstream if it may, else the stream is cut. An end without any event, or after the caller's last one, counts as before. An uncertain end that came earlier stays one, as it is not refuted.

--- a/libs/entry/src/hemlockhoist/entry/events.py
+++ b/libs/entry/src/hemlockhoist/entry/events.py
@@ -52,11 +52,19 @@
     False
     """
 
-    __slots__ = ("_declared_fields", "_splitter", "error", "last_number")
+    __slots__ = (
+        "_declared_fields",
+        "_splitter",
+        "_upstream_number",
+        "error",
+        "last_number",
+    )
 
     def __init__(self, last_number=None, declared_fields=frozenset()):
         self.last_number = last_number
         self.error = None
+        # Number of the latest event of the present upstream; None before any.
+        self._upstream_number = None
         self._declared_fields = declared_fields
         self._splitter = BlockSplitter()
 
@@ -65,6 +73,15 @@
         """Whether no incomplete event is buffered."""
         return not self._splitter.incomplete.strip(b"\r\n")
 
+    @property
+    def is_behind(self):
+        """Whether the present upstream sent only a part of what the caller has.
+
+        One that sent no event is not: it was asked for those that follow.
+        """
+        number = self._upstream_number
+        return number is not None and number < self.last_number
+
     @property
     def shows_rest(self):
         """Whether an event has begun that was not returned."""
@@ -80,7 +97,7 @@
     def restart(self):
         """Discard an incomplete event, which another upstream will send again."""
         self._splitter.clear()
-        self.error = None
+        self._upstream_number = self.error = None
 
     def feed(self, chunk):
         """Return the events completed by a chunk; check ``error`` afterwards."""
@@ -104,10 +121,11 @@
                 return None
             number = self._read_number(block)
         last = self.last_number
-        if last is not None and number <= last:
-            return None
         if last is not None and number > last + 1:
             raise InvalidEvent(f"event {number} after {last}")
+        self._upstream_number = number
+        if last is not None and number <= last:
+            return None
         self.last_number = number
         return NumberedEvent(number, block.lstrip(b"\r\n"))
 
--- a/libs/entry/src/hemlockhoist/entry/stream.py
+++ b/libs/entry/src/hemlockhoist/entry/stream.py
@@ -250,7 +250,10 @@
         finally:
             watchdog.close()
             self._watchdog = None
-        self._end.on_end(not self._reader.is_between_events, response.body_end)
+        reader = self._reader
+        self._end.on_end(
+            not reader.is_between_events, response.body_end, reader.is_behind
+        )
         return None if self._end.is_uncertain else await self.finish()
 
     @property
--- a/libs/entry/src/hemlockhoist/entry/stream_end.py
+++ b/libs/entry/src/hemlockhoist/entry/stream_end.py
@@ -48,13 +48,16 @@
         """Take the latest end in order for a break."""
         self.is_uncertain = False
 
-    def on_end(self, is_in_event, body_end):
+    def on_end(self, is_in_event, body_end, is_behind=False):
         """Record that an upstream's part has ended in order.
 
         Parameters
         ==========
         is_in_event : bool
         body_end : BodyEnd
+        is_behind : bool, optional
+            Whether it ended before the event that it was asked to go on from, which
+            shows nothing of what follows that.
 
         Raises
         ======
@@ -64,6 +67,8 @@
         if is_in_event:
             self.on_break(is_in_event, body_end)
             raise _broken("the stream ended in the middle of an event")
+        if is_behind:
+            raise _broken("the stream ended before the event that it was to go on from")
         if self._has_rest:
             raise _broken("the stream ended without the rest that had been begun")
         self.is_uncertain = not body_end.is_certain
--- a/libs/entry/src/hemlockhoist/entry/tests/test_stream_end.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_stream_end.py
@@ -36,6 +36,19 @@
                     end.on_events()
                     end.on_end(False, next_end)
 
+    def test_end_before_the_events_so_far_shows_nothing(self):
+        """Guards against an upstream that ends a stream before its own part of it."""
+        for body_end in BodyEnd:
+            for is_uncertain in (False, True):
+                with self.subTest(body_end=body_end, is_uncertain=is_uncertain):
+                    end = StreamEnd()
+                    if is_uncertain:
+                        end.on_end(False, BodyEnd.CONNECTION)
+                    with self.assertRaises(DispatchError):
+                        end.on_end(False, body_end, is_behind=True)
+                    self.assertEqual(end.is_uncertain, is_uncertain)
+                    end.on_end(False, BodyEnd.LAST_CHUNK)
+
     def test_break_after_the_last_chunk_but_one_shows_nothing_of_a_rest(self):
         """Guards against a whole stream that is lost with its last chunk."""
         end = StreamEnd()
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_answer_ends.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_answer_ends.py
@@ -1,18 +1,28 @@
 """End-to-end tests of answers of upstreams whose end only their connection shows."""
 
 import asyncio
+import itertools
 import unittest
 
 from hemlockhoist.listeners import set_reset_on_close
 from hemlockhoist.standins.published import Replica, Site, route
 from hemlockhoist.standins.published.endless import chunk
-from hemlockhoist.standins.published.raw import RawReplica, call_raw
+from hemlockhoist.standins.published.raw import LAST_CHUNK, RawReplica, call_raw
 
 LOOKUP = route("check-free", "reservas")
 BOOKING = route("book-hall", "reservas", "non_idempotent", max_attempts=1)
 REPORT = route("report", "asistente", "streaming", resumable=True, timeout_ms=5_000)
 SUMMARY = route("summary", "asistente", "streaming", timeout_ms=5_000, max_attempts=1)
-ROUTES = [LOOKUP, BOOKING, REPORT, SUMMARY]
+# May be sent to a third upstream.
+SURVEY = route(
+    "survey",
+    "asistente",
+    "streaming",
+    resumable=True,
+    timeout_ms=5_000,
+    max_attempts=3,
+)
+ROUTES = [LOOKUP, BOOKING, REPORT, SUMMARY, SURVEY]
 EVENTS = 10
 BODY = b"x" * 4_000
 UNFRAMED = "Connection: close\r\n"
@@ -44,6 +54,20 @@
     return sender
 
 
+def sends_part(replica_id, begin, last, framing):
+    """Return a replica that sends the same events to all, and ends in order."""
+
+    async def send(received, writer):
+        data = b"".join(event(number) for number in range(begin, last + 1))
+        is_chunked = framing == CHUNKED
+        writer.write(sender.head(received, framing=framing))
+        writer.write(chunk(data) + LAST_CHUNK if is_chunked else data)
+        await writer.drain()
+
+    sender = RawReplica(replica_id, send, events=EVENTS)
+    return sender
+
+
 def sends_body(size):
     """Return a replica that sends so much of a body without a length, and ends."""
 
@@ -104,6 +128,38 @@
                 self.assertTrue(answer.is_reset or not answer.states_end)
                 self.assertTrue(answer.is_reset or not answer.is_unframed)
 
+    async def test_continuation_that_ends_before_its_begin_is_no_end(self):
+        """Guards against a stream that looks complete before its last event."""
+        framings = (UNFRAMED, CHUNKED)
+        for begun, framing, last in itertools.product(framings, framings, (1, 3, 4)):
+            first = sends_events("a", EVENTS // 2, begun)
+            second = sends_part("b", 1, last, framing)
+            with self.subTest(begun=begun, framing=framing, last=last):
+                answer = await self.call("/report/1", first, second)
+                self.assertEqual(len(second.ran), 1)
+                self.assertEqual(numbers(answer), list(range(1, 6)))
+                self.assertFalse(answer.states_end)
+
+    async def test_continuation_that_ends_early_is_followed_by_another(self):
+        """Guards against a stream that is cut though an upstream can finish it."""
+        for framing in (UNFRAMED, CHUNKED):
+            first = sends_events("a", EVENTS // 2, CHUNKED)
+            second = sends_part("b", 1, 3, framing)
+            third = Replica("c", events=EVENTS)
+            with self.subTest(framing=framing):
+                answer = await self.call("/survey/1", first, second, third)
+                self.assertEqual(numbers(answer), list(range(1, EVENTS + 1)))
+
+    async def test_continuation_without_further_events_ends_the_stream(self):
+        """Guards against whole streams that are cut before their last chunk."""
+        for begin in (EVENTS // 2 + 1, EVENTS // 2, 1):
+            first = sends_events("a", EVENTS // 2, CHUNKED)
+            second = sends_part("b", begin, EVENTS // 2, CHUNKED)
+            with self.subTest(begin=begin):
+                answer = await self.call("/report/1", first, second)
+                self.assertEqual(numbers(answer), list(range(1, 6)))
+                self.assertTrue(answer.states_end)
+
     async def test_broken_stream_without_chunks_ends_visibly_broken(self):
         """Guards against a break that becomes an orderly end on the caller's side."""
 
