Bound the reasons of invalid heads with their quotes escaped

What operators saw: reasons of up to 332 characters where 200 are the bound. Cause: 60 characters of a head are quoted, and each control byte takes four once it is escaped.

Change: the escaped text is cut at 100 characters.

--- a/libs/upstreams/src/hemlockhoist/upstreams/answer_head.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/answer_head.py
@@ -8,6 +8,8 @@
 
 # What an error quotes of a head.
 MAX_QUOTED_CHARACTERS = 60
+# The same with its control bytes escaped, which take four characters each.
+MAX_ESCAPED_CHARACTERS = 100
 _HEAD_BEGIN = b"HTTP/1."
 _EMPTY_LINES = re.compile(rb"\A(?:\r?\n)+")
 # The blank before an empty reason is often left out. A later minor version is refused
@@ -42,7 +44,8 @@
 
     def __init__(self, text, quoted=None):
         if quoted is not None:
-            text = f"{text}: {quoted[:MAX_QUOTED_CHARACTERS]!a}"
+            escaped = ascii(quoted[:MAX_QUOTED_CHARACTERS])
+            text = f"{text}: {escaped[:MAX_ESCAPED_CHARACTERS]}"
         super().__init__(f"the head of the answer is invalid: {text}")
 
 
--- a/libs/upstreams/src/hemlockhoist/upstreams/tests/test_answer_head.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/tests/test_answer_head.py
@@ -115,6 +115,17 @@
         for data in (b"hello", b"<html>\n<body>x</body></html>\n", b"H\0", b"\x16\x03"):
             await self.check_refused(data)
 
+    async def test_reason_is_bounded_whatever_it_quotes(self):
+        """Guards against long reasons, as escaped bytes take four characters."""
+        for data in (
+            b"\0" * 60,
+            answer(b"\0" * 60),
+            answer(fields=b"\0" * 60 + b": x"),
+        ):
+            await self.check_refused(data)
+        name = b"x" * 60
+        await self.check_refused(answer(fields=name + b": " + b"\0" * 60 + b"\r\n"))
+
     async def test_interim_answers_are_checked_too(self):
         """Guards against an answer that begins with an invalid interim one."""
         for line in STATUS_LINES:
