Keep a silent upstream until another has sent what the caller lacks

What callers saw: a stream cut after 5 of 10 events. Its upstream was silent for 2.6 s and went on, but was given up before for another one that sent events 1 to 3, or 1 to 5 as it was killed, and ended. Cause: a silent upstream was closed at the first byte of another's answer, whatever it was.

Change: the other answer is read to its first event that the caller lacks, or to its end (ReadAhead); the silent upstream is read meanwhile. An end before the caller's last event, a break and bytes that are no events leave it open. An unframed end without a further event is an uncertain end, as one without a byte. An upstream that begins anew has as long for each read as one had for its first before.

Weighed: reading ahead in UpstreamResponse. It would need a second way to read a body there.

--- a/libs/entry/src/hemlockhoist/entry/exchange.py
+++ b/libs/entry/src/hemlockhoist/entry/exchange.py
@@ -332,7 +332,7 @@
         try:
             with paths.watched(hold.pool, hold.upstream_id, on_lost):
                 caller_response = await self._relay.relay(
-                    opened.response, opened.head, on_first
+                    opened.response, opened.head, on_first, opened.read_ahead
                 )
         finally:
             pool = self._context.store_view.routes.pool(self._admitted.pool)
--- a/libs/entry/src/hemlockhoist/entry/opened_attempt.py
+++ b/libs/entry/src/hemlockhoist/entry/opened_attempt.py
@@ -21,6 +21,8 @@
         How the attempt ended without a usable answer; None if it has not.
     body : bytes
         The whole body of the response; None as long as it has not been read.
+    read_ahead : ReadAhead
+        The body of a stream of which a part has been read; None for others.
     """
 
     __slots__ = (
@@ -29,6 +31,7 @@
         "body",
         "end",
         "head",
+        "read_ahead",
         "response",
     )
 
@@ -39,6 +42,7 @@
         self.head = None
         self.response = None
         self.body = None
+        self.read_ahead = None
 
     async def open(self, dispatch):
         """Send the request and wait for the head of its response.
--- a/libs/entry/src/hemlockhoist/entry/replacement.py
+++ b/libs/entry/src/hemlockhoist/entry/replacement.py
@@ -130,26 +130,46 @@
         return has_begun
 
     async def _open_in_time(self, opened, relay):
+        limit_s = relay.first_data_limit_ms / MS_PER_S
         try:
-            async with asyncio.timeout(relay.first_data_limit_ms / MS_PER_S):
+            async with asyncio.timeout(limit_s) as limit:
                 await self._sender.open(opened)
                 if opened.end is None and opened.head.status != _OK:
                     opened.attempt.reason = f"status {opened.head.status}"
                     opened.end = AttemptEnd.FAILED_ANSWER
                 if opened.end is None:
-                    await self._wait_for_data(opened, relay)
+                    await self._find_event(opened, relay, limit, limit_s)
         except TimeoutError as error:
             text = "the upstream sent no data within the stall limit"
             raise DispatchError(text, ResultCode.UPSTREAM_TIMEOUT) from error
 
-    async def _wait_for_data(self, opened, relay):
+    async def _find_event(self, opened, relay, limit, limit_s):
+        """Read to the first event that the caller lacks, or the end of the stream.
+
+        Failure prevented: the silent upstream is given up for one that repeats some
+        events that the caller has, and ends.
+        """
+        loop = asyncio.get_running_loop()
+        ahead = opened.read_ahead = relay.read_ahead(opened.response)
         try:
-            await opened.response.wait_for_data()
+            if await ahead.find_event(lambda: limit.reschedule(loop.time() + limit_s)):
+                return
         except AnswerNotBegun as error:
             if not relay.may_have_ended:
                 raise
             opened.attempt.reason = error.message
-            opened.end = AttemptEnd.UNCONFIRMED
+        if not ahead.has_reached_caller:
+            text = "the stream ended before the event that it was to go on from"
+            raise DispatchError(text, ResultCode.UPSTREAM_BROKE_OFF)
+        if not opened.response.body_end.is_certain:
+            self._end_uncertain(opened, relay)
+
+    def _end_uncertain(self, opened, relay):
+        """End an attempt that had nothing to add, and proves nothing by that."""
+        if not relay.may_have_ended:
+            text = "the stream ended without the rest that had been begun"
+            raise DispatchError(text, ResultCode.UPSTREAM_BROKE_OFF)
+        opened.end = AttemptEnd.UNCONFIRMED
 
     def _log_kept(self, reason, relay):
         _log.info(
--- a/libs/entry/src/hemlockhoist/entry/stream.py
+++ b/libs/entry/src/hemlockhoist/entry/stream.py
@@ -7,6 +7,7 @@
 
 from hemlockhoist.base import DispatchError, ResultCode
 from hemlockhoist.entry.events import EventReader
+from hemlockhoist.entry.read_ahead import ReadAhead
 from hemlockhoist.entry.responses import add_headers
 from hemlockhoist.entry.stalls import StallWatchdog, always_replaced
 from hemlockhoist.entry.stream_end import StreamEnd
@@ -61,6 +62,7 @@
         "_clock",
         "_end",
         "_event_begin_ms",
+        "_event_fields",
         "_event_gaps_us",
         "_find_replacement",
         "_has_waited_long",
@@ -96,6 +98,7 @@
         self._request = request
         self._admitted = admitted
         self._clock = clock
+        self._event_fields = event_fields
         self._reader = EventReader(admitted.call.last_event_id, event_fields)
         self._end = StreamEnd()
         # Of the upstream's response that is relayed now.
@@ -144,6 +147,11 @@
         """Take a stream that seemed to have ended for broken off."""
         self._end.reject()
 
+    def read_ahead(self, response):
+        """Return a ``ReadAhead`` of a continuation at another upstream."""
+        reader = EventReader(self._reader.last_number, self._event_fields)
+        return ReadAhead(response, reader)
+
     @property
     def may_have_ended(self):
         """Whether a silent upstream may have sent all of its stream.
@@ -172,7 +180,7 @@
         """
         return self._buffer.is_waiting or self._is_aborted_unread
 
-    async def relay(self, response, head, on_first):
+    async def relay(self, response, head, on_first, read_ahead=None):
         """Relay an upstream's events until the end of its stream.
 
         Parameters
@@ -182,6 +190,8 @@
             Head of this upstream's response; the caller gets that of the first one.
         on_first : callable
             Called without arguments when the first data of this upstream arrives.
+        read_ahead : ReadAhead, optional
+            If a part of the response has been read.
 
         Returns
         =======
@@ -212,7 +222,7 @@
         )
         watchdog.start()
         try:
-            async for chunk in response.chunks():
+            async for chunk in (read_ahead or response).chunks():
                 if first:
                     on_first()
                     first = False
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_open_ends.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_open_ends.py
@@ -5,7 +5,7 @@
 
 from hemlockhoist.standins.published import Site, route
 from hemlockhoist.standins.published.endless import chunk
-from hemlockhoist.standins.published.raw import RawReplica, call_raw
+from hemlockhoist.standins.published.raw import LAST_CHUNK, RawReplica, call_raw
 from hemlockhoist.standins.published.tests.test_answer_ends import (
     CHUNKED,
     EVENTS,
@@ -57,6 +57,23 @@
     return sender
 
 
+def sends_slowly(replica_id, framing):
+    """Return a replica that sends all events to each request, in small parts."""
+
+    async def send(received, writer):
+        writer.write(sender.head(received, framing=framing))
+        for begin in range(0, len(WHOLE), 40):
+            data = WHOLE[begin : begin + 40]
+            writer.write(data if framing == UNFRAMED else chunk(data))
+            await writer.drain()
+            await asyncio.sleep(0.02)
+        if framing == CHUNKED:
+            writer.write(LAST_CHUNK)
+
+    sender = RawReplica(replica_id, send, events=EVENTS)
+    return sender
+
+
 def events(first, last):
     return b"".join(event(number) for number in range(first, last + 1))
 
@@ -109,6 +126,24 @@
         """Guards against a stream that ends in its middle as another was killed."""
         await self.check_goes_on(sends("b", b"", is_last=True))
 
+    async def test_silent_upstream_is_not_given_up_for_events_that_the_caller_has(self):
+        """Guards against a stream that ends in its middle as another sent its begin."""
+        for last, is_last in ((3, False), (HALF, True)):
+            with self.subTest(last=last):
+                await self.check_goes_on(sends("b", events(1, last), is_last=is_last))
+        second = sends("b", events(1, 3) + event(4)[:9])
+        await self.check_goes_on(second)
+        await self.check_goes_on(sends_events("b", 3, CHUNKED))
+
+    async def test_upstream_that_begins_anew_continues_a_stalled_stream(self):
+        """Guards against a stream that waits for a dead upstream beside a sound one."""
+        for framing in (UNFRAMED, CHUNKED):
+            with self.subTest(framing=framing):
+                first = sends("a", events(1, HALF), rest=b"")
+                answer, _ = await self.call(first, sends_slowly("b", framing))
+                self.assertEqual(numbers(answer), list(range(1, EVENTS + 1)))
+                self.assertFalse(answer.is_reset)
+
     async def test_silent_upstream_is_not_given_up_in_the_middle_of_an_event(self):
         """Guards against an empty answer that ends a stream whose next event began."""
         await self.check_goes_on(sends("b", b""), event(HALF + 1)[:9])
