--- a/libs/entry/src/hemlockhoist/entry/attempt_sender.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt_sender.py
@@ -161,8 +161,8 @@
             attempt.reason = error.message
             # A stream's relay may have set it.
             attempt.is_given_up |= isinstance(error, AnswerNotRead)
-            is_foreign = isinstance(error, (InvalidEvent, SecondAnswer))
-            attempt.is_upstream_at_fault |= is_foreign
+            if isinstance(error, (InvalidEvent, SecondAnswer)):
+                attempt.is_upstream_at_fault = True
             is_silent = error.code is ResultCode.UPSTREAM_TIMEOUT
             opened.end = AttemptEnd.TIMED_OUT if is_silent else AttemptEnd.BROKEN
 
--- a/libs/entry/src/hemlockhoist/entry/events.py
+++ b/libs/entry/src/hemlockhoist/entry/events.py
@@ -44,11 +44,27 @@
     False
     """
 
-    __slots__ = ("last_number",)
+    __slots__ = ("_upstream_number", "last_number")
 
     def __init__(self, last_number=None, declared_fields=frozenset()):
         super().__init__(declared_fields)
         self.last_number = last_number
+        # Number of the latest event of the present upstream; None before any.
+        self._upstream_number = None
+
+    @property
+    def is_behind(self):
+        """Whether the present upstream sent only a part of what the caller has.
+
+        One that sent no event is not: it was asked for those that follow.
+        """
+        number = self._upstream_number
+        return number is not None and number < self.last_number
+
+    def restart(self):
+        """Discard an incomplete event, which another upstream will send again."""
+        super().restart()
+        self._upstream_number = None
 
     def _read(self, block):
         """Return the next event, or None for one that is no new event."""
@@ -63,9 +79,10 @@
         if number is None:
             raise InvalidEvent("event without a number", block)
         last = self.last_number
-        if last is not None and number <= last:
-            return None
         if last is not None and number > last + 1:
             raise InvalidEvent(f"event {number} after {last}")
+        self._upstream_number = number
+        if last is not None and number <= last:
+            return None
         self.last_number = number
         return NumberedEvent(number, block.lstrip(b"\r\n"))
--- a/libs/upstreams/src/hemlockhoist/upstreams/answer_head.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/answer_head.py
@@ -8,6 +8,8 @@
 
 # What an error quotes of a head.
 MAX_QUOTED_CHARACTERS = 60
+# The same with its control bytes escaped, which take four characters each.
+MAX_ESCAPED_CHARACTERS = 100
 _HEAD_BEGIN = b"HTTP/1."
 _EMPTY_LINES = re.compile(rb"\A(?:\r?\n)+")
 # The blank before an empty reason is often left out. A later minor version is refused
@@ -42,7 +44,8 @@
 
     def __init__(self, text, quoted=None):
         if quoted is not None:
-            text = f"{text}: {quoted[:MAX_QUOTED_CHARACTERS]!a}"
+            escaped = ascii(quoted[:MAX_QUOTED_CHARACTERS])
+            text = f"{text}: {escaped[:MAX_ESCAPED_CHARACTERS]}"
         super().__init__(f"the head of the answer is invalid: {text}")
 
 
@@ -57,8 +60,10 @@
     ==========
     status : int or None
         The status of the answer; None until its head has ended.
-    rest_bytes : int
-        How many of the bytes that were fed last stand behind the head of the answer.
+    is_chunked : bool
+        Whether the head announces chunks.
+    rest : bytes
+        What followed the head in the bytes in which it ended.
 
     Examples
     ========
@@ -68,18 +73,19 @@
     >>> reader.status
     >>> reader.feed(b"Content-Length: 2\\r\\n\\r\\nok")
     b'Content-Length: 2\\r\\n\\r\\nok'
-    >>> reader.status, reader.rest_bytes
-    (200, 2)
+    >>> reader.status, reader.rest
+    (200, b'ok')
     """
 
-    __slots__ = ("_has_begun", "_incomplete", "_lines", "rest_bytes", "status")
+    __slots__ = ("_has_begun", "_incomplete", "_lines", "is_chunked", "rest", "status")
 
     def __init__(self):
         self._has_begun = False
         self._incomplete = b""
         self._lines = []
         self.status = None
-        self.rest_bytes = 0
+        self.is_chunked = False
+        self.rest = b""
 
     def feed(self, data):
         """Check the next bytes of the connection; return those for a parser.
@@ -102,13 +108,10 @@
     def _read_lines(self, data):
         # Lines may end without CR (RFC 9112, section 2.2).
         *lines, self._incomplete = (self._incomplete + data).split(b"\n")
-        for number, line in enumerate(lines, start=1):
+        for number, line in enumerate(lines, 1):
             self._add_line(line.removesuffix(b"\r").decode("latin-1"))
             if self.status is not None:
-                rest = lines[number:]
-                self.rest_bytes = (
-                    sum(map(len, rest)) + len(rest) + len(self._incomplete)
-                )
+                self.rest = b"\n".join([*lines[number:], self._incomplete])
                 return
         if not self._lines:
             self._check_begin()
@@ -126,10 +129,12 @@
     def _end_head(self):
         first, *lines = self._lines
         minor_version, status = _read_status_line(first)
-        check_framing(status, [_read_field(line) for line in lines], minor_version)
+        fields = [_read_field(line) for line in lines]
+        check_framing(status, fields, minor_version)
         self._lines = []
         if status >= _FIRST_FINAL_STATUS:
             self.status = status
+            self.is_chunked = bool(_values(fields, "transfer-encoding"))
 
     def _check_begin(self):
         """Refuse bytes that no longer can become a status line."""
