Decide in one place which headers are forwarded

The lists of headers that concern one connection, and the loop over them, stood twice, in the platform's adapter and in the own interface's services. No change of behaviour: the own interface still drops Host.

--- a/libs/host/src/hemlockhoist/host/services.py
+++ b/libs/host/src/hemlockhoist/host/services.py
@@ -14,7 +14,7 @@
 from hemlockhoist.host.responses import result_headers, with_trace_context
 from hemlockhoist.listeners import OpaqueHeaders, UnframedResponse
 from hemlockhoist.messages import StoredAnswer
-from hemlockhoist.upstreams import UpstreamCall, check_head
+from hemlockhoist.upstreams import UpstreamCall, check_head, end_to_end_headers
 
 SERVICES_PREFIX = "/services"
 KEY_HEADER = "Idempotency-Key"
@@ -25,29 +25,21 @@
 # Errors after which it is looked up whether the upstream has ended.
 _BROKEN = frozenset({ResultCode.OUTCOME_UNKNOWN, ResultCode.UPSTREAM_BROKE_OFF})
 
-# Hop-by-hop headers of RFC 9110, section 7.6.1, and those that describe this hop or are
-# set again for the next one.
-_HOP_BY_HOP = frozenset(
+# Headers that describe this hop, or are set again for the next one.
+# A caller's key is valid for this proxy and must not be forwarded to the upstreams.
+_DROPPED_FROM_REQUESTS = frozenset(
     {
-        "connection",
-        "content-length",
-        "expect",
+        "authorization",
         "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
+        TIER_HEADER.lower(),
+        TRACEPARENT,
+        "tracestate",
+        "x-request-id",
     }
 )
-# A caller's key is valid for this proxy and must not be forwarded to the upstreams.
-_DROPPED_FROM_REQUESTS = frozenset(
-    {"authorization", TIER_HEADER.lower(), TRACEPARENT, "tracestate", "x-request-id"}
+_DROPPED_FROM_ANSWERS = frozenset(
+    {"host", "x-request-id", "x-result-code", "x-request-ran"}
 )
-_DROPPED_FROM_ANSWERS = frozenset({"x-request-id", "x-result-code", "x-request-ran"})
 
 
 class ServiceHandlers:
@@ -201,7 +193,7 @@
             body = await answer.read(MAX_RESPONSE_BYTES)
             failed = answer.status >= _SERVER_ERROR
             report.kind = OutcomeKind.FAILED if failed else OutcomeKind.SUCCESS
-            headers = _end_to_end_headers(answer.headers, _DROPPED_FROM_ANSWERS)
+            headers = end_to_end_headers(answer.headers, _DROPPED_FROM_ANSWERS)
             return StoredAnswer(
                 status=answer.status,
                 headers=headers,
@@ -218,7 +210,7 @@
             method=self._request.method,
             path=path + (f"?{query}" if query else ""),
             headers=with_trace_context(
-                _end_to_end_headers(self._request.headers, _DROPPED_FROM_REQUESTS)
+                end_to_end_headers(self._request.headers, _DROPPED_FROM_REQUESTS)
             ),
             body=self._body,
             request_id=self._work.request_id,
@@ -230,22 +222,6 @@
         )
 
 
-def _end_to_end_headers(headers, removed):
-    """Return the end-to-end headers, without those in ``removed``."""
-    connection_options = {
-        name.strip().lower()
-        for value in headers.getall("Connection", ())
-        for name in value.split(",")
-    }
-    dropped = _HOP_BY_HOP | removed | connection_options
-    # Converted to str, as the HTTP library's own type cannot be sent to another host.
-    return tuple(
-        (str(name), str(value))
-        for name, value in headers.items()
-        if name.lower() not in dropped
-    )
-
-
 class _ServiceResponse(OpaqueHeaders, web.Response):
     """The answer of a service, for its caller."""
 
--- a/libs/upstreams/src/hemlockhoist/upstreams/__init__.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/__init__.py
@@ -9,6 +9,7 @@
     ResetDetectingConnector,
     enable_tcp_keepalive,
 )
+from hemlockhoist.upstreams.end_to_end import end_to_end_headers
 from hemlockhoist.upstreams.event_format import (
     MAX_EVENT_BYTES,
     BlockSplitter,
@@ -66,6 +67,7 @@
     "cancel_stream",
     "check_head",
     "enable_tcp_keepalive",
+    "end_to_end_headers",
     "part_limit_ms",
     "read_event",
     "DirectConnector",
