--- a/libs/upstreams/src/hemlockhoist/upstreams/response.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/response.py
@@ -12,6 +12,8 @@
 from hemlockhoist.upstreams.second_answer import SecondAnswerFinder
 
 REQUEST_ID_HEADER = "X-Request-Id"
+# Types of bodies that hold messages of HTTP themselves.
+_MESSAGE_TYPES = ("message/http", "application/http")
 VERSION_HEADER = "X-Upstream-Version"
 # An error of the HTTP library may quote what the upstream sent, at any length.
 MAX_REASON_CHARACTERS = 200
@@ -64,13 +66,23 @@
         self.body_end = BodyEnd.announced(
             response.method, response.status, response.headers
         )
-        self._finder = _new_finder(
-            request_id_header, self.body_end, is_reused, request_id
-        )
         self._first_data = b""
         self._received_bytes = 0
         self._response = response
         self._request_id_header = request_id_header
+        self._finder = self._new_finder(request_id)
+
+    def _new_finder(self, request_id):
+        """Return what finds second answers, by what is known of the body's bytes."""
+        id_header = self._request_id_header
+        if not self.body_end.is_certain:
+            holds_messages = self.headers.get("Content-Type", "").lower()
+            finds_heads = not holds_messages.startswith(_MESSAGE_TYPES)
+            return SecondAnswerFinder(id_header, finds_heads=finds_heads)
+        if self.is_reused:
+            # A late answer to an earlier request may come within the body.
+            return SecondAnswerFinder(id_header)
+        return SecondAnswerFinder(id_header, own_id=request_id)
 
     @property
     def status(self):
@@ -262,16 +274,6 @@
         return int(text) if text.isdecimal() else None
 
 
-def _new_finder(id_header, body_end, is_reused, request_id):
-    """Return what finds second answers within a body, by what is known of its bytes."""
-    if not body_end.is_certain:
-        return SecondAnswerFinder(id_header, finds_heads=True)
-    if is_reused:
-        # A late answer to an earlier request may come within the body.
-        return SecondAnswerFinder(id_header)
-    return SecondAnswerFinder(id_header, own_id=request_id)
-
-
 def _too_long(max_bytes):
     text = f"response body longer than {max_bytes} bytes"
     return DispatchError(text, ResultCode.UPSTREAM_BROKE_OFF)
