Bound the time of a token from below, as costs are divided by it

The home dropped the message, and with it the time to the first token. Cause: an upstream whose answers take 0 ms has a pace of 0. On a real clock a service's answer within half a millisecond does it.

--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/pace.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/pace.py
@@ -2,6 +2,9 @@
 
 # Initial value, until the first answers: a large model on one accelerator.
 INITIAL_TOKEN_MS = 4.0
+# Costs are relative to the time of a token, so it can't be 0, as the time of a service's
+# answer within a millisecond would be.
+MIN_TOKEN_MS = 0.1
 # Fixed cost of any first token, and cost of a prompt token, both in units of the time
 # of one output token. These ratios depend on the model and hardly differ between the
 # engines of a pool; the time of an output token is specific to an engine.
@@ -101,6 +104,7 @@
 
     def observe_token(self, token_ms):
         """Add the time per output token of one answer of any engine."""
+        token_ms = max(MIN_TOKEN_MS, token_ms)
         if self._token_ms is None:
             self._token_ms = token_ms
         self._token_ms += RATIO_EWMA_WEIGHT * (token_ms - self._token_ms)
@@ -169,6 +173,7 @@
 
     def observe_token(self, token_ms):
         """Add the time per output token of one of the engine's answers."""
+        token_ms = max(MIN_TOKEN_MS, token_ms)
         if self._updates_pool:
             self._pool.observe_token(token_ms)
         if self._token_ms is None:
