Read the usage of limited customers in a copy of the decisions too

A dry run of a placement ended with a TypeError since usage is kept for customers that were taken out: the copy of the tracker supports get only.

--- a/libs/decisions/src/hemlockhoist/decisions/limits/quotas.py
+++ b/libs/decisions/src/hemlockhoist/decisions/limits/quotas.py
@@ -110,7 +110,7 @@
                 del self._usage[name]
 
     def _limited_usage(self, customer):
-        return self._usage[customer] if customer in self._limited else None
+        return self._usage.get(customer) if customer in self._limited else None
 
     def set_share(self, share):
         """Set the share of all quotas that this host grants.
