--- a/libs/host/src/hemlockhoist/host/chat.py
+++ b/libs/host/src/hemlockhoist/host/chat.py
@@ -33,7 +33,7 @@
 )
 from hemlockhoist.host.stream_readers import FIRST_READER
 from hemlockhoist.host.tokens import StreamTicket
-from hemlockhoist.upstreams import UpstreamCall
+from hemlockhoist.upstreams import SecondAnswer, UpstreamCall
 
 _log = get_logger("host.chat")
 
@@ -289,8 +289,11 @@
             raise error from None
 
     async def _raise_status(self, answer):
-        body = await answer.read(MAX_ERROR_BYTES)
         text = f"engine status {answer.status}"
+        try:
+            body = await answer.read(MAX_ERROR_BYTES)
+        except SecondAnswer as error:
+            raise DispatchError(text, ResultCode.UPSTREAM_FAILED) from error
         # A second answer may stand behind an error of uncertain end.
         if answer.body_end.is_certain or _is_json(body):
             text += f": {body[:500].decode(errors='replace')}"
