Compare ids that are no UTF-8 byte by byte

Callers whose request id was no UTF-8 got 500 after their request had run, on each framed answer. Red before: the new test, with a UnicodeEncodeError.

--- a/libs/upstreams/src/hemlockhoist/upstreams/second_answer.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/second_answer.py
@@ -69,7 +69,7 @@
 
     A status line at any place counts, as a body need not end with a line end, if one of
     the fields that follow it is the one in which upstreams echo the request's id. Text
-    that quotes HTTP without this field is a body like any other.
+    that quotes HTTP without this field is a body like any other, but for ``finds_heads``.
 
     Parameters
     ==========
@@ -115,7 +115,10 @@
 
     def __init__(self, id_header, own_id=None, finds_heads=False):
         self.error = None
-        self._own_id = None if own_id is None else own_id.encode()
+        self._own_id = None
+        if own_id is not None:
+            # Bytes that are no UTF-8 are decoded as surrogates.
+            self._own_id = own_id.encode(errors="surrogateescape")
         self._finds_heads = finds_heads
         self._id_name = id_header.lower().encode()
         self._other_fields = _other_fields(id_header)
--- a/libs/upstreams/src/hemlockhoist/upstreams/tests/test_second_answer.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/tests/test_second_answer.py
@@ -150,6 +150,12 @@
                 self.assertIsNotNone(error)
                 self.assertEqual(found, b"a" + other)
 
+    def test_id_that_is_no_utf_8_is_compared_byte_by_byte(self):
+        """Guards against an answer that is lost to the id of its request."""
+        raw = STATUS + b"Call-Id: \xe9\r\n\r\n"
+        self.assertIsNotNone(find([raw], own_id="\udce9")[1])
+        self.assertEqual(find([raw], own_id="e"), (raw, None))
+
     def test_whole_head_without_an_id_is_found_where_nothing_else_tells(self):
         """Guards against an unframed body with a head that echoes no id within it."""
         framings = (b"Content-Length: 7", b"connection: close")
