Take no head into which another answer's status line runs for one

What callers saw: a 200 with the rest of the first head as its body, or with two answers in it, where an interim or a second answer begins within a line of the first one's head. A status line that something runs into is refused; text has a blank or a mark before it. Left: one that begins right behind such a mark.

--- a/libs/upstreams/src/hemlockhoist/upstreams/answer_head.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/answer_head.py
@@ -21,6 +21,8 @@
 # that are no UTF-8 as surrogates from U+DC80 to U+DCFF. Others can't be written.
 _FORBIDDEN = re.compile("[\x00-\x08\x0a-\x1f\x7f\ud800-\udc7f\udd00-\udfff]")
 # Longer numbers overflow one of the library's parsers.
+# A second answer's status line, which begins wherever the first answer had come to.
+_GLUED_STATUS_LINE = re.compile(r"[^\s:=\"'(\[<>,;|]HTTP/1\.[01] [1-5][0-9]{2}(?: |$)")
 _LENGTH = re.compile(r"[0-9]{1,18}")
 _NO_CONTENT = 204
 _FIRST_STATUS, _FIRST_FINAL_STATUS, _LAST_STATUS = 100, 200, 599
@@ -170,6 +172,7 @@
         raise InvalidAnswerHead("no status line", line)
     if _FORBIDDEN.search(line):
         raise InvalidAnswerHead("control byte in the status line", line)
+    _check_not_glued(line)
     status = int(match[2])
     check_status(status)
     return int(match[1]), status
@@ -185,9 +188,20 @@
     if not colon:
         raise InvalidAnswerHead("line without a colon", line)
     check_field(name, value)
+    _check_not_glued(line)
     return name, value
 
 
+def _check_not_glued(line):
+    """Refuse a line of a head into which another answer's status line runs.
+
+    Failure prevented: the two heads are taken for one, and the rest of the first for a
+    part of the body.
+    """
+    if _GLUED_STATUS_LINE.search(line):
+        raise InvalidAnswerHead("status line within a line of the head", line)
+
+
 def check_field(name, value):
     """Check that a field can be written again, and is read alike by everyone.
 
--- a/libs/upstreams/src/hemlockhoist/upstreams/tests/test_answer_head.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/tests/test_answer_head.py
@@ -183,6 +183,12 @@
         ):
             await self.check_refused(answer(fields=lines))
 
+    async def test_status_line_within_a_line_is_in_no_answer(self):
+        """Guards against two answers whose heads are taken for one."""
+        for second in (b"HTTP/1.1 100 Continue", b"HTTP/1.0 503 Busy"):
+            await self.check_refused(answer(fields=b"X-A: val%b\r\n" % second))
+            await self.check_refused(answer(b"HTTP/1.1 200 O" + second))
+
     async def test_usual_values_are_read(self):
         """Guards against sound answers that are lost."""
         for value, text in (
