--- a/libs/entry/src/hemlockhoist/entry/attempt_sender.py
+++ b/libs/entry/src/hemlockhoist/entry/attempt_sender.py
@@ -211,8 +211,9 @@
             attempt.is_reachable = False
             attempt.reason = "another upstream process answers at this address"
         request_id = self._admitted.call.request_id
-        if response.is_reused and response.is_of_another_request(request_id):
-            # A late answer to an earlier request on the connection, whatever it says.
+        if response.is_of_another_request(request_id):
+            # A late answer to an earlier request on the connection, or an answer that
+            # was mixed up. It says nothing of this request, whatever it says.
             attempt.is_misdirected = False
             attempt.reason = "the response belongs to an earlier request"
             return AttemptEnd.BROKEN
--- a/libs/entry/src/hemlockhoist/entry/tests/test_attempt_sender.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_attempt_sender.py
@@ -56,8 +56,8 @@
             await self.open({}, False, deadline_ms=0)
         self.assertIs(caught.exception.code, ResultCode.DEADLINE_PASSED)
 
-    async def test_refusal_on_a_kept_connection_counts_only_with_the_own_id(self):
-        """Guards against a late refusal of an earlier request that is believed."""
+    async def test_refusal_of_another_request_is_not_believed(self):
+        """Guards against a request that runs, and is sent again or refused as not run."""
         own, other = {REQUEST_ID_HEADER: REQUEST_ID}, {REQUEST_ID_HEADER: "r0"}
         for headers, is_reused, may_have_run, end in (
             ({}, False, False, AttemptEnd.NOT_RUN),
@@ -65,6 +65,7 @@
             (own, True, False, AttemptEnd.NOT_RUN),
             ({}, True, True, AttemptEnd.NOT_RUN),
             (other, True, True, AttemptEnd.BROKEN),
+            (other, False, True, AttemptEnd.BROKEN),
         ):
             with self.subTest(headers=headers, is_reused=is_reused):
                 sender, opened = await self.open(headers, is_reused)
