Read long events in short parts in linear time, and refuse what ends like a head

Cause: each part had the whole event searched again. A search begins where the last one ended now.

Red before: 3 new cases of test_event_format; the linear search is checked by the bytes that are searched.

--- a/libs/upstreams/src/hemlockhoist/upstreams/event_format.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/event_format.py
@@ -14,6 +14,9 @@
 # What an error quotes of a line.
 _MAX_QUOTED_BYTES = 60
 _SEPARATOR = b"\n\n"
+_MAX_SEPARATOR_BYTES = len(b"\r\n\r\n")
+# Names of fields are far shorter.
+_MAX_BEGIN_BYTES = 256
 # As a number, which is found faster than a ``bytes`` of one.
 _CR = ord("\r")
 # Atomic, as the two bytes of one line end are not two line ends.
@@ -22,10 +25,14 @@
 # Nearly all events: a number, and one line of data.
 _USUAL_EVENT = re.compile(rb"id: ?([0-9]{1,%d})\ndata: ?(.*)\n\n" % _MAX_NUMBER_DIGITS)
 _FIELDS = frozenset({b"id", b"data", b"event", b"retry"})
-# With CR LF, the end of a status line; see ``_check_line_ends``.
-_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [^\r\n]*)?\r\n")
-_NO_FIELD = "line that is no field of an event"
+_HEAD_BEGIN = b"HTTP/1."
+# A status line that something else runs into, which it is written behind in text.
+_GLUED_STATUS_LINE = re.compile(
+    rb"[^\s:=\"'(\[<>,;|]HTTP/1\.[01] [1-5][0-9]{2}(?: [^\r\n]*)?[\r\n]"
+)
+_HEAD_END = b"\r\n\r\n"
 _LF_ONLY = re.compile(rb"(?<!\r)\n")
+_NO_FIELD = "line that is no field of an event"
 
 
 class InvalidEvent(DispatchError):  # noqa: N818
@@ -89,21 +96,26 @@
 
     def feed(self, chunk):
         """Return the blocks that a chunk completes, with the empty lines that end them."""
+        # What was searched before holds no separator but in its last bytes.
+        searched = max(0, len(self.incomplete) - _MAX_SEPARATOR_BYTES)
         data = self.incomplete + chunk
         self._has_cr = self._has_cr or _CR in chunk
         if self._has_cr:
-            return self._split_any(data)
-        end = data.find(_SEPARATOR) + len(_SEPARATOR)
-        if end == len(data) >= len(_SEPARATOR):
+            return self._split_any(data, searched)
+        end = data.find(_SEPARATOR, searched)
+        if end < 0:
+            self.incomplete = data
+            return []
+        if end + len(_SEPARATOR) == len(data):
             # Most reads have one whole event.
             self.incomplete = b""
             return [data]
         *parts, self.incomplete = data.split(_SEPARATOR)
         return [part + _SEPARATOR for part in parts]
 
-    def _split_any(self, data):
+    def _split_any(self, data, searched):
         blocks, begin = [], 0
-        for match in _ANY_SEPARATOR.finditer(data):
+        for match in _ANY_SEPARATOR.finditer(data, searched):
             end = match.end()
             # The LF of the last CR LF has not arrived yet.
             if end == len(data) and match[0] == b"\r\n\r":
@@ -132,8 +144,10 @@
 
     Nearly all events have it, and are read without being split into lines.
     """
-    # Both steps are faster than an expression that excludes CR.
-    return None if _CR in block else _USUAL_EVENT.fullmatch(block)
+    # These steps are faster than one expression.
+    if _CR in block or _HEAD_BEGIN in block:
+        return None
+    return _USUAL_EVENT.fullmatch(block)
 
 
 def read_event(block, declared_fields=frozenset()):
@@ -161,7 +175,7 @@
     EventFields(number=7, data=(b' a',))
     """
     check_begin(block, declared_fields)
-    _check_line_ends(block)
+    _check_lines(block)
     numbers, data = [], []
     name = colon = b""
     for line in _LINE_END.split(block):
@@ -197,7 +211,8 @@
     ======
     InvalidEvent
     """
-    first = _LINE_END.split(data.lstrip(b"\r\n"), maxsplit=1)
+    begin = data[:_MAX_BEGIN_BYTES].lstrip(b"\r\n")
+    first = _LINE_END.split(begin, maxsplit=1)
     name, colon, _ = first[0].partition(b":")
     names = _FIELDS | declared_fields
     if not name or name in names:
@@ -216,12 +231,15 @@
     return int(text)
 
 
-def _check_line_ends(block):
-    """Refuse the status line of an answer within a line of an event.
+def _check_lines(block):
+    """Refuse the lines of another answer within an event, as far as they show.
 
-    An ordinary event may hold such text, but all its lines end alike, while a head's
-    lines end with CR LF.
+    Text like a status line stands behind a blank or a mark, while a second answer's line
+    begins wherever the first answer had come to. A head ends with two times CR LF, which
+    would end an event whose lines end with LF.
     """
-    match = _STATUS_LINE.search(block)
-    if match is not None and _LF_ONLY.search(block):
+    match = _GLUED_STATUS_LINE.search(block)
+    if match is not None:
         raise InvalidEvent("head of an answer within an event", match[0])
+    if block.endswith(_HEAD_END) and _LF_ONLY.search(block.lstrip(b"\r\n")):
+        raise InvalidEvent("event that ends like a head", block)
--- a/libs/upstreams/src/hemlockhoist/upstreams/tests/test_event_format.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/tests/test_event_format.py
@@ -1,5 +1,6 @@
 import doctest
 import unittest
+import unittest.mock
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -19,6 +20,18 @@
     return [raw[start:end] for start, end in zip(ends, ends[1:], strict=False)]
 
 
+class _CountingPattern:
+    """The pattern of separators, which records how many bytes it searches."""
+
+    def __init__(self, scanned):
+        self._scanned = scanned
+        self._pattern = event_format._ANY_SEPARATOR
+
+    def finditer(self, data, begin):
+        self._scanned.append(len(data) - begin)
+        return self._pattern.finditer(data, begin)
+
+
 class BlockSplitterTests(unittest.TestCase):
     @given(
         st.lists(st.sampled_from(LINE_ENDS), min_size=1, max_size=8),
@@ -64,6 +77,9 @@
             (b"id: 6\ndata: pie\nce\n\n", True),
             (b"id: 6\ndata\r\n: piece\n\n", True),
             (b"id: 6\ndata: pieHTTP/1.1 200 OK\r\n\r\n", True),
+            (b"id: 6\r\ndata: pieHTTP/1.1 100 Continue\r\n\r\n", True),
+            (b"id: 6\ndata: pieHTTP/1.1 103 Hints\n\n", True),
+            (b"id: 6\ndata: pie\r\n\r\n", True),
             (b"id: 6\nid: 7\ndata: b\n\n", True),
             (b"id: \ndata: b\n\n", True),
             (b"Id: 6\ndata: b\n\n", False),
@@ -72,6 +88,19 @@
                 read_event(block)
             self.assertIs(caught.exception.is_begun, is_begun, block)
 
+    def test_long_event_in_short_parts_is_read_in_linear_time(self):
+        """Guards against an event loop held, and an event given up for its time."""
+        raw = b"id: 1\r\ndata: " + b"x" * 200_000 + b"\r\n\r\n"
+        splitter = BlockSplitter()
+        parts = [raw[begin : begin + 64] for begin in range(0, len(raw), 64)]
+        scanned = []
+        with unittest.mock.patch.object(
+            event_format, "_ANY_SEPARATOR", _CountingPattern(scanned)
+        ):
+            blocks = [block for part in parts for block in splitter.feed(part)]
+        self.assertEqual(blocks, [raw])
+        self.assertLess(sum(scanned), 2 * len(raw))
+
     def test_data_may_hold_the_text_of_an_answer(self):
         """Guards against sound events that are taken for a second answer."""
         for end in LINE_ENDS:
