--- a/libs/upstreams/src/hemlockhoist/upstreams/bounds.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/bounds.py
@@ -79,7 +79,7 @@
         self._head = HeadReader()
         # Of the body that the head announces; None for other bodies.
         self._chunks = None
-        # What followed the head in the bytes in which it ended, as given to the parser.
+        # Size of what came behind the head in the same bytes, as a parser gets it.
         self._rest_bytes = 0
         self._body = None
         self._body_bytes = 0
--- a/libs/upstreams/src/hemlockhoist/upstreams/event_format.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/event_format.py
@@ -45,7 +45,8 @@
     quoted : bytes, optional
         The line that is.
     is_begun : bool, optional
-        Whether an event may have begun before the bytes that do not belong to it.
+        Whether an event may have begun before the bytes that do not belong to it. If
+        not, the stream may have ended there.
     """
 
     def __init__(self, text, quoted=None, is_begun=True):
--- a/libs/upstreams/src/hemlockhoist/upstreams/response.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/response.py
@@ -73,7 +73,11 @@
         self._finder = self._new_finder(request_id)
 
     def _new_finder(self, request_id):
-        """Return what finds second answers, by what is known of the body's bytes."""
+        """Return what finds second answers, by what is known of the body's bytes.
+
+        A body with a length or chunks states which bytes are its own, and may hold the
+        head of another answer as text. One without may hold anything.
+        """
         id_header = self._request_id_header
         if not self.body_end.is_certain:
             holds_messages = self.headers.get("Content-Type", "").lower()
--- a/libs/upstreams/src/hemlockhoist/upstreams/second_answer.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/second_answer.py
@@ -69,7 +69,8 @@
 
     A status line at any place counts, as a body need not end with a line end, if one of
     the fields that follow it is the one in which upstreams echo the request's id. Text
-    that quotes HTTP without this field is a body like any other, but for ``finds_heads``.
+    that quotes HTTP without this field is a body like any other, unless ``finds_heads``
+    is set.
 
     Parameters
     ==========
