Check the status of the answer before unrequested ones again

The test of unrequested answers opens its own kept connection since load reports keep none, and had lost the check that the answer's status is 200; the body alone was compared. As strict as before now.

--- a/libs/upstreams/src/hemlockhoist/upstreams/tests/test_unrequested_answers.py
+++ b/libs/upstreams/src/hemlockhoist/upstreams/tests/test_unrequested_answers.py
@@ -64,7 +64,7 @@
         self.addAsyncCleanup(session.close)
         async with Upstream(further) as upstream:
             async with session.get(f"http://{upstream.address}/x") as response:
-                self.assertEqual(await response.read(), b"{}")
+                self.assertEqual((response.status, await response.read()), (200, b"{}"))
             self.assertFalse(upstream.connection_lost.is_set())
             upstream.answer_read.set()
             async with asyncio.timeout(CLOSED_WITHIN_S):
