--- a/libs/decisions/src/hemlockhoist/decisions/entry/move_orders.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/move_orders.py
@@ -2,6 +2,7 @@
 
 import collections
 import enum
+import itertools
 
 import msgspec
 
@@ -125,14 +126,39 @@
 
     def candidates(self, request, versions, now_ms):
         """Return the versions that may serve a request, in order of preference."""
-        found = self.controller.candidates(request, versions, now_ms)
         order, row = self._order_of(), self.controller.row
-        if row is not None and self.controller.is_over:
-            found += self._released(row, versions)
+        if row is None or self.controller.is_over:
+            found = self.controller.candidates(request, versions, now_ms)
+            if row is not None:
+                found += self._released(row, versions)
+        else:
+            found = self._candidates_beside_trial(request, row, versions, now_ms)
         if order is None or (row is not None and row.move_id == order.order_id):
             return found
         return tuple(item for item in found if item != order.to_version)
 
+    def _candidates_beside_trial(self, request, row, versions, now_ms):
+        """Return the candidates while a version is on trial.
+
+        Failure prevented: a release replaces the old version's upstreams, or those of
+        both versions, while the move goes on. It has no end then, and requests would
+        be refused for good beside idle upstreams.
+        """
+        old = row.from_version
+        stand_ins = self._stand_ins(row, versions)
+        known = (old, *versions) if stand_ins else versions
+        found = self.controller.candidates(request, known, now_ms)
+        if not stand_ins:
+            return found
+        expanded = (stand_ins if item == old else (item,) for item in found)
+        return tuple(itertools.chain.from_iterable(expanded))
+
+    def _stand_ins(self, row, versions):
+        """Return the released versions that serve as no old upstream is free."""
+        if row.from_version in versions:
+            return ()
+        return tuple(item for item in versions if item != row.to_version)
+
     def _released(self, row, versions):
         """Return the versions that were released since a move has ended.
 
@@ -147,16 +173,30 @@
 
     def on_grant(self, request, version, now_ms, upstream_id=""):
         """Count a grant of a version."""
+        version = self._counted_version(version)
         self.controller.on_grant(request, version, now_ms, upstream_id)
 
     def on_adopt(self, request, version, now_ms, upstream_id=""):
         """Count a grant of a previous home that is still in flight."""
+        version = self._counted_version(version)
         self.controller.on_adopt(request, version, now_ms, upstream_id)
 
     def on_outcome(self, request, version, outcome, now_ms, upstream_id=""):
         """Record the outcome of a granted request as evidence."""
+        version = self._counted_version(version)
         self.controller.on_outcome(request, version, outcome, now_ms, upstream_id)
 
     def on_forget(self, request, version, now_ms):
         """Stop counting a grant whose outcome will not be reported."""
-        self.controller.on_forget(request, version, now_ms)
+        self.controller.on_forget(request, self._counted_version(version), now_ms)
+
+    def _counted_version(self, version):
+        """Return the version as which a move counts one: all but the new are the old.
+
+        A trial version's share is one of all requests, whichever version serves the
+        others.
+        """
+        row = self.controller.row
+        if row is None or version == row.to_version:
+            return version
+        return row.from_version
--- a/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_move_orders.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_move_orders.py
@@ -1,8 +1,17 @@
 import collections
 import unittest
 
+import msgspec
+
 from hemlockhoist.base import InvariantLog
-from hemlockhoist.decisions import Upstream, UpstreamState, VersionPolicy, WorkRequest
+from hemlockhoist.decisions import (
+    Outcome,
+    OutcomeKind,
+    Upstream,
+    UpstreamState,
+    VersionPolicy,
+    WorkRequest,
+)
 from hemlockhoist.decisions.entry import (
     MoveOrder,
     MoveOrderState,
@@ -31,6 +40,8 @@
     first_token_by_ms=500,
 )
 
+ANSWER = Outcome(kind=OutcomeKind.SUCCESS, first_token_ms=20, total_ms=90)
+
 
 def upstream(name, version, pool="halls", state=UpstreamState.LIVE):
     return Upstream(
@@ -106,7 +117,7 @@
 class ReleaseTests(unittest.TestCase):
     """Versions that come without an order, after the move of an earlier one."""
 
-    def candidates(self, row, live, order=ORDER):
+    def policy(self, row, live, order=ORDER):
         controller = MoveController.from_config(
             Pool(name="halls", kind=PoolKind.SERVICE, stable_version=""),
             row,
@@ -117,8 +128,11 @@
             watch_ms=0,
         )
         counts = collections.Counter(live)
-        policy = WithheldVersionPolicy(controller, lambda: order, lambda: counts)
-        return policy.candidates(REQUEST, tuple(sorted(counts)), 20_000)
+        return WithheldVersionPolicy(controller, lambda: order, lambda: counts)
+
+    def candidates(self, row, live, order=ORDER):
+        policy = self.policy(row, live, order)
+        return policy.candidates(REQUEST, tuple(sorted(set(live))), 20_000)
 
     def ended(self, state):
         return type(move())(**{**_fields(move()), "state": state, "ended_unix_ms": 0})
@@ -149,6 +163,27 @@
         )
         self.assertEqual(self.candidates(finished, ["v2", "v3"], order), ("v2",))
 
+    def test_release_of_both_versions_serves_while_the_move_goes_on(self):
+        """Guards against a service without answers, as no end of its move comes."""
+        self.assertEqual(self.candidates(move(), ["v3"]), ("v3",))
+
+    def test_release_of_the_old_version_serves_beside_the_trial(self):
+        """Guards against requests that are refused, as only the trial version is left."""
+        self.assertEqual(self.candidates(move(), ["v2", "v3"]), ("v3",))
+
+    def test_trial_version_gets_its_share_of_what_a_release_serves(self):
+        """Guards against a trial whose share is not counted beside a release."""
+        policy = self.policy(move(), ["v2", "v3"])
+        granted = collections.Counter()
+        for now_ms in range(1_000, 2_000, 5):
+            request = msgspec.structs.replace(REQUEST, request_id=f"r{now_ms}")
+            version = policy.candidates(request, ("v2", "v3"), now_ms)[0]
+            policy.on_grant(request, version, now_ms, "u")
+            policy.on_outcome(request, version, ANSWER, now_ms, "u")
+            granted[version] += 1
+        # The first share is one in a hundred, of which half counts as granted before.
+        self.assertEqual(granted, {"v2": 2, "v3": 198})
+
     def test_third_version_gets_nothing_while_a_move_runs(self):
         self.assertNotIn("v3", self.candidates(move(), ["v1", "v2", "v3"]))
 
