--- a/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
@@ -35,10 +35,8 @@
 from hemlockhoist.decisions.entry.move_orders import (
     MoveOrder,
     MoveOrderState,
-    WithheldVersionPolicy,
     live_versions,
     order_state,
-    source_version,
 )
 from hemlockhoist.decisions.entry.planned_stop import PlannedStop
 from hemlockhoist.decisions.entry.prefixes import chained_hashes
@@ -95,7 +93,6 @@
     "TableCopy",
     "UpstreamLinks",
     "UpstreamListing",
-    "WithheldVersionPolicy",
     "caller_limit",
     "chained_hashes",
     "directory_limit",
@@ -107,6 +104,5 @@
     "order_state",
     "relay_limit",
     "reader_for",
-    "source_version",
     "unproven_limit",
 ]
--- a/libs/decisions/src/hemlockhoist/decisions/entry/halted.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/halted.py
@@ -32,8 +32,8 @@
         ==========
         pool, version : str
         order_id : str, optional
-            The order in force. If None, because no order is known here, a halt under
-            any order counts.
+            The order in force for this version. If None, because no order is known here
+            or the latest is for another version, a halt under any order counts.
         """
         orders = self._orders.get((pool, version), ())
         return bool(orders) if order_id is None else order_id in orders
--- /dev/null
+++ b/libs/decisions/src/hemlockhoist/decisions/served_versions/__init__.py
@@ -0,0 +1,21 @@
+"""Which versions of a pool serve, where operators order moves and release versions."""
+
+from hemlockhoist.decisions.served_versions.acceptance import (
+    begun_move,
+    source_version,
+)
+from hemlockhoist.decisions.served_versions.policy import ServedVersionPolicy
+from hemlockhoist.decisions.served_versions.roles import (
+    VersionRole,
+    is_pending,
+    role_of,
+)
+
+__all__ = [
+    "ServedVersionPolicy",
+    "VersionRole",
+    "begun_move",
+    "is_pending",
+    "role_of",
+    "source_version",
+]
--- /dev/null
+++ b/libs/decisions/src/hemlockhoist/decisions/served_versions/policy.py
@@ -0,0 +1,108 @@
+"""The version policy of a pool whose versions are ordered and released."""
+
+import collections
+import itertools
+
+from hemlockhoist.decisions.policy import VersionPolicy
+from hemlockhoist.decisions.served_versions.roles import VersionRole, role_of
+
+
+class ServedVersionPolicy(VersionPolicy):
+    """Lets the versions of a pool serve by what is recorded of each.
+
+    A version that is ordered gets nothing until its move has begun: its upstreams are
+    listed together with the order, while the home needs some store calls for the begin,
+    and a host that decides alone may not have learned of the order at all.
+
+    While a move goes on, what the old version serves is served by any version that was
+    released beside it where no upstream of the old one is free. Failure prevented: a
+    release replaces the old version's upstreams, or those of both versions, and
+    requests are refused for good beside idle upstreams.
+
+    Parameters
+    ==========
+    controller : MoveController
+    order_of : callable
+        ``order_of()`` returns the pool's latest ``MoveOrder``, or None.
+    deployed_of : callable, optional
+        ``deployed_of()`` returns the number of the pool's upstreams by version, without
+        leaving ones.
+    """
+
+    __slots__ = ("_deployed_of", "_order_of", "controller")
+
+    def __init__(self, controller, order_of, deployed_of=collections.Counter):
+        self.controller = controller
+        self._order_of = order_of
+        self._deployed_of = deployed_of
+
+    def candidates(self, request, versions, now_ms):
+        """Return the versions that may serve a request, in order of preference."""
+        order, row = self._order_of(), self.controller.row
+        roles = {version: role_of(version, row, order) for version in versions}
+        serving = self._serving(row, order, roles)
+        trial = [item for item in versions if roles[item] is VersionRole.TRIAL]
+        if row is None or not self._is_on_trial(row, order):
+            return serving
+        return self._beside_trial(request, row, serving, trial, now_ms)
+
+    def _is_on_trial(self, row, order):
+        return role_of(row.to_version, row, order) is VersionRole.TRIAL
+
+    def _serving(self, row, order, roles):
+        """Return the versions that serve without a share, the one of the row first.
+
+        The version that a move has replaced serves again once no other is left.
+        """
+        serving = [x for x, role in roles.items() if role is VersionRole.SERVING]
+        if row is not None and row.serving_version in serving:
+            serving.remove(row.serving_version)
+            serving.insert(0, row.serving_version)
+        if serving or self._has_serving(row, order):
+            return tuple(serving)
+        return tuple(x for x, role in roles.items() if role is VersionRole.REPLACED)
+
+    def _has_serving(self, row, order):
+        """Return whether a version that serves is deployed, also if it is busy."""
+        deployed = self._deployed_of()
+        return any(role_of(x, row, order) is VersionRole.SERVING for x in deployed)
+
+    def _beside_trial(self, request, row, serving, trial, now_ms):
+        old = (row.from_version,) if serving else ()
+        found = self.controller.candidates(request, (*old, *trial), now_ms)
+        # Others serve for the old version where that is not free.
+        stand_ins = serving[:1] if row.from_version in serving else serving
+        expanded = (
+            stand_ins if item == row.from_version else (item,) for item in found
+        )
+        return tuple(itertools.chain.from_iterable(expanded))
+
+    def on_grant(self, request, version, now_ms, upstream_id=""):
+        """Count a grant of a version."""
+        version = self._counted_version(version)
+        self.controller.on_grant(request, version, now_ms, upstream_id)
+
+    def on_adopt(self, request, version, now_ms, upstream_id=""):
+        """Count a grant of a previous home that is still in flight."""
+        version = self._counted_version(version)
+        self.controller.on_adopt(request, version, now_ms, upstream_id)
+
+    def on_outcome(self, request, version, outcome, now_ms, upstream_id=""):
+        """Record the outcome of a granted request as evidence."""
+        version = self._counted_version(version)
+        self.controller.on_outcome(request, version, outcome, now_ms, upstream_id)
+
+    def on_forget(self, request, version, now_ms):
+        """Stop counting a grant whose outcome will not be reported."""
+        self.controller.on_forget(request, self._counted_version(version), now_ms)
+
+    def _counted_version(self, version):
+        """Return the version as which a move counts one: all but the new are the old.
+
+        A trial version's share is one of all requests, whichever version serves the
+        others.
+        """
+        row = self.controller.row
+        if row is None or version == row.to_version:
+            return version
+        return row.from_version
--- /dev/null
+++ b/libs/decisions/src/hemlockhoist/decisions/served_versions/tests/test_policy.py
@@ -0,0 +1,175 @@
+import collections
+import unittest
+
+import msgspec
+
+from hemlockhoist.base import InvariantLog
+from hemlockhoist.decisions import Outcome, OutcomeKind, VersionPolicy, WorkRequest
+from hemlockhoist.decisions.served_versions import ServedVersionPolicy
+from hemlockhoist.decisions.served_versions.tests.builders import ORDER, move, order
+from hemlockhoist.decisions.versions import (
+    MoveController,
+    MoveState,
+    TrialBound,
+    cancel_move,
+    finish_move,
+    roll_back_move,
+)
+from hemlockhoist.declarations import Pool, PoolKind
+
+REQUEST = WorkRequest(
+    request_id="r1",
+    route="check",
+    customer="c",
+    tier_rank=0,
+    deadline_ms=1_000,
+    first_token_by_ms=500,
+)
+ANSWER = Outcome(kind=OutcomeKind.SUCCESS, first_token_ms=20, total_ms=90)
+
+
+class NoMove(VersionPolicy):
+    row = None
+
+
+class WithheldVersionTests(unittest.TestCase):
+    def test_ordered_version_gets_no_requests_before_its_move(self):
+        policy = ServedVersionPolicy(NoMove(), lambda: ORDER)
+        self.assertEqual(policy.candidates(REQUEST, ("v1", "v2"), 0), ("v1",))
+        self.assertEqual(policy.candidates(REQUEST, ("v2",), 0), ())
+
+    def test_without_an_order_all_versions_serve(self):
+        policy = ServedVersionPolicy(NoMove(), lambda: None)
+        self.assertEqual(policy.candidates(REQUEST, ("v1", "v2"), 0), ("v1", "v2"))
+
+
+class PolicyTestCase(unittest.TestCase):
+    """Builds policies from rows, orders and the versions that are deployed."""
+
+    def policy(self, row, live, latest=ORDER):
+        controller = MoveController.from_config(
+            Pool(name="halls", kind=PoolKind.SERVICE, stable_version=""),
+            row,
+            0,
+            0,
+            InvariantLog(fatal=True),
+            TrialBound(share_permille=100, requests=10),
+            watch_ms=0,
+        )
+        counts = collections.Counter(live)
+        return ServedVersionPolicy(controller, lambda: latest, lambda: counts)
+
+    def candidates(self, row, live, latest=ORDER):
+        policy = self.policy(row, live, latest)
+        return policy.candidates(REQUEST, tuple(sorted(set(live))), 20_000)
+
+    def granted(self, policy, versions):
+        """Return how many of 200 requests each version is granted."""
+        granted = collections.Counter()
+        for now_ms in range(1_000, 2_000, 5):
+            request = msgspec.structs.replace(REQUEST, request_id=f"r{now_ms}")
+            version = policy.candidates(request, versions, now_ms)[0]
+            policy.on_grant(request, version, now_ms, "u")
+            policy.on_outcome(request, version, ANSWER, now_ms, "u")
+            granted[version] += 1
+        return granted
+
+
+class ReleaseTests(PolicyTestCase):
+    """Versions that come without an order, after the move of an earlier one."""
+
+    def ended(self, state):
+        """Return the row of a move that a host of an earlier release has ended."""
+        return msgspec.structs.replace(move(), state=state, ended_unix_ms=0)
+
+    def test_version_released_after_a_move_serves(self):
+        """Guards against a service without answers once its versions were replaced."""
+        finished = self.ended(MoveState.FINISHED)
+        self.assertEqual(self.candidates(finished, ["v3"]), ("v3",))
+        self.assertEqual(self.candidates(finished, ["v2", "v3"]), ("v2", "v3"))
+
+    def test_version_released_after_a_roll_back_serves_and_the_bad_one_does_not(self):
+        """Guards against a bad version that serves again as the good one is replaced."""
+        rolled_back = roll_back_move(move(), ORDER.order_id, "bad", "home")
+        self.assertEqual(self.candidates(rolled_back, ["v2", "v3"]), ("v3",))
+        self.assertEqual(self.candidates(rolled_back, ["v2"]), ())
+
+    def test_version_of_before_serves_only_once_the_new_one_is_gone(self):
+        """Guards against old upstreams that get work after they may be stopped."""
+        finished = self.ended(MoveState.FINISHED)
+        self.assertEqual(self.candidates(finished, ["v1", "v2"]), ("v2",))
+        self.assertEqual(self.candidates(finished, ["v1"]), ("v1",))
+
+    def test_further_ordered_version_is_withheld_until_its_move_begins(self):
+        """Guards against a version that serves without a trial after an earlier move."""
+        finished = self.ended(MoveState.FINISHED)
+        self.assertEqual(
+            self.candidates(finished, ["v2", "v3"], order(9, "v3")), ("v2",)
+        )
+
+    def test_release_of_both_versions_serves_while_the_move_goes_on(self):
+        """Guards against a service without answers, as no end of its move comes."""
+        self.assertEqual(self.candidates(move(), ["v3"]), ("v3",))
+
+    def test_release_of_the_old_version_serves_beside_the_trial(self):
+        """Guards against requests that are refused, as only the trial version is left."""
+        self.assertEqual(self.candidates(move(), ["v2", "v3"]), ("v3",))
+
+    def test_trial_version_gets_its_share_of_what_a_release_serves(self):
+        """Guards against a trial whose share is not counted beside a release."""
+        policy = self.policy(move(), ["v2", "v3"])
+        granted = self.granted(policy, ("v2", "v3"))
+        # The first share is one in a hundred, of which half counts as granted before.
+        self.assertEqual(granted, {"v2": 2, "v3": 198})
+
+    def test_third_version_gets_nothing_while_a_move_runs(self):
+        self.assertNotIn("v3", self.candidates(move(), ["v1", "v2", "v3"]))
+
+
+class RecordTests(PolicyTestCase):
+    """Versions of which earlier orders have shown something."""
+
+    def setUp(self):
+        self.rolled_back = roll_back_move(move(), ORDER.order_id, "bad", "home")
+
+    def test_version_found_bad_gets_nothing_before_the_next_order_has_begun(self):
+        """Guards against a rolled back version that serves as another is ordered."""
+        found = self.candidates(self.rolled_back, ["v1", "v2", "v3"], order(9, "v3"))
+        self.assertEqual(found, ("v1",))
+
+    def test_version_found_bad_gets_nothing_during_the_next_move(self):
+        """Guards against evidence that is forgotten with the row of its move."""
+        latest = order(9, "v3")
+        row = move("v1", latest, self.rolled_back)
+        self.assertEqual(self.candidates(row, ["v1", "v2", "v3"], latest), ("v1",))
+
+    def test_version_found_bad_gets_nothing_after_further_moves(self):
+        latest = order(9, "v3")
+        row = finish_move(
+            move("v1", latest, self.rolled_back), latest.order_id, "", "", 1, 0
+        )
+        latest = order(12, "v4")
+        row = roll_back_move(move("v3", latest, row), latest.order_id, "bad", "home")
+        versions = ["v1", "v2", "v3", "v4"]
+        self.assertEqual(self.candidates(row, versions, latest), ("v3",))
+
+    def test_version_whose_order_is_replaced_gets_nothing(self):
+        """Guards against an unproven version that serves as a third one is ordered."""
+        latest = order(9, "v3")
+        self.assertEqual(self.candidates(move(), ["v1", "v2", "v3"], latest), ("v1",))
+        row = move("v1", latest, move())
+        self.assertEqual(self.candidates(row, ["v1", "v2", "v3"], latest), ("v1",))
+
+    def test_version_found_bad_is_tried_again_under_a_new_order(self):
+        latest = order(9, "v2")
+        self.assertEqual(
+            self.candidates(self.rolled_back, ["v1", "v2"], latest), ("v1",)
+        )
+        row = move("v1", latest, self.rolled_back)
+        policy = self.policy(row, ["v1", "v2"], latest)
+        self.assertIn("v2", self.granted(policy, ("v1", "v2")))
+
+    def test_row_of_a_move_cancelled_by_an_operator(self):
+        row = cancel_move(move(), ORDER.order_id, "no", "operator")
+        self.assertEqual(self.candidates(row, ["v1", "v2"]), ("v1",))
+        self.assertEqual(self.candidates(row, ["v2"]), ())
--- a/libs/decisions/src/hemlockhoist/decisions/versions/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/versions/__init__.py
@@ -18,11 +18,20 @@
     MoveState,
     cancel_move,
     finish_move,
+    follow_move,
+    known_standings,
     roll_back_move,
     start_move,
     widen_move,
 )
 from hemlockhoist.decisions.versions.orders import Order, OrderState, OrderTracker
+from hemlockhoist.decisions.versions.standings import (
+    Standing,
+    VersionStanding,
+    find_standing,
+    with_standing,
+    without_standing,
+)
 from hemlockhoist.decisions.versions.trial import TrialBound
 
 __all__ = [
@@ -39,13 +48,20 @@
     "Order",
     "OrderState",
     "OrderTracker",
+    "Standing",
     "TakenBack",
     "TrialBound",
     "UpstreamSetApart",
+    "VersionStanding",
     "Widened",
     "cancel_move",
+    "find_standing",
     "finish_move",
+    "follow_move",
+    "known_standings",
     "roll_back_move",
     "start_move",
     "widen_move",
+    "with_standing",
+    "without_standing",
 ]
--- a/libs/decisions/src/hemlockhoist/decisions/versions/move.py
+++ b/libs/decisions/src/hemlockhoist/decisions/versions/move.py
@@ -10,6 +10,12 @@
 import msgspec
 
 from hemlockhoist.base import LeaseLost, MoveError, ResultCode
+from hemlockhoist.decisions.versions.standings import (
+    Standing,
+    VersionStanding,
+    with_standing,
+    without_standing,
+)
 
 FULL_PERMILLE = 1000
 
@@ -79,6 +85,11 @@
         A route that is not listed has the first share of the pool's rules.
     has_idempotent_calls : bool
         Whether the pool got idempotent calls, in this move or an earlier one.
+    standings : tuple of VersionStanding
+        The versions that do not serve without reservation, from this move and earlier
+        ones.
+    revision : int
+        One more for each change of the row, also from move to move.
     """
 
     move_id: str
@@ -95,6 +106,8 @@
     lanes: tuple[LaneShare, ...] = ()
     ended_unix_ms: int = 0
     has_idempotent_calls: bool = False
+    standings: tuple[VersionStanding, ...] = ()
+    revision: int = 0
 
     @property
     def serving_version(self):
@@ -154,7 +167,36 @@
             f"{request.from_version}"
         )
     _check_request(request, unix_ms)
-    return Move(
+    return _first_row(row, request, unix_ms)
+
+
+def follow_move(row, request, unix_ms):
+    """Return the row of a move that replaces whatever move its pool has.
+
+    Unlike with ``start_move``, the pool's upstreams may have been replaced since the
+    row was written, so that the move begins from another version.
+
+    Parameters
+    ==========
+    row : Move or None
+    request : MoveRequest
+    unix_ms : int
+
+    Raises
+    ======
+    MoveError
+        ``DECLARATION_INVALID`` if the request is invalid.
+    """
+    if row is not None and row.state is MoveState.RUNNING:
+        reason = f"replaced by {request.move_id}"
+        row = cancel_move(row, row.move_id, reason, request.author)
+    _check_request(request, unix_ms)
+    return _first_row(row, request, unix_ms)
+
+
+def _first_row(previous, request, unix_ms):
+    """Return the first row of a move, with what is known from the previous one."""
+    row = Move(
         move_id=request.move_id,
         pool=request.pool,
         from_version=request.from_version,
@@ -163,8 +205,15 @@
         moved_by_unix_ms=request.moved_by_unix_ms,
         reason=request.reason,
         author=request.author,
-        fencing=0 if row is None else row.fencing,
-        has_idempotent_calls=row is not None and _has_idempotent_calls(row),
+    )
+    if previous is None:
+        return row
+    return msgspec.structs.replace(
+        row,
+        fencing=previous.fencing,
+        has_idempotent_calls=_has_idempotent_calls(previous),
+        standings=without_standing(known_standings(previous), request.to_version),
+        revision=previous.revision + 1,
     )
 
 
@@ -187,7 +236,8 @@
         return row
     if row.state is not MoveState.RUNNING:
         raise MoveError(f"move {move_id} has ended: {row.state.value}")
-    return _end(row, MoveState.CANCELLED, reason, author)
+    row = _end(row, MoveState.CANCELLED, reason, author)
+    return _with_standing(row, row.to_version, Standing.UNPROVEN)
 
 
 def widen_move(row, move_id, lanes, fencing):
@@ -220,7 +270,11 @@
         raise MoveError(f"move {move_id} has ended: {row.state.value}")
     share = max((lane.share_permille for lane in lanes), default=0)
     return msgspec.structs.replace(
-        row, lanes=lanes, share_permille=share, fencing=fencing
+        row,
+        lanes=lanes,
+        share_permille=share,
+        fencing=fencing,
+        revision=row.revision + 1,
     )
 
 
@@ -241,7 +295,8 @@
     """
     row = widen_move(row, move_id, row.lanes, fencing)
     row = _end(row, MoveState.FINISHED, reason, author)
-    return msgspec.structs.replace(row, ended_unix_ms=unix_ms)
+    row = msgspec.structs.replace(row, ended_unix_ms=unix_ms)
+    return _with_standing(row, row.from_version, Standing.REPLACED)
 
 
 def roll_back_move(row, move_id, reason, author):
@@ -258,21 +313,31 @@
     _check_same(row, move_id)
     if row.state in (MoveState.ROLLED_BACK, MoveState.CANCELLED):
         return row
-    return _end(row, MoveState.ROLLED_BACK, reason, author)
+    row = _end(row, MoveState.ROLLED_BACK, reason, author)
+    standings = without_standing(row.standings, row.from_version)
+    row = msgspec.structs.replace(row, standings=standings)
+    return _with_standing(row, row.to_version, Standing.HALTED)
 
 
 def is_newer(row, previous):
     """Return whether ``row`` is a later state of the same move than ``previous``.
 
     Shares only grow within a move and final states stay final, so rows can be
-    compared in whatever order they arrive.
+    compared in whatever order they arrive. The revision decides where state and shares
+    are equal, and alone it decides nothing: hosts of an earlier release write none.
     """
     if previous.state is not MoveState.RUNNING:
+        if row.state is previous.state:
+            return row.revision > previous.revision
         is_rolled_back = row.state is MoveState.ROLLED_BACK
         return is_rolled_back and previous.state is MoveState.FINISHED
     if row.state is not MoveState.RUNNING:
         return True
-    return (row.fencing, _total(row)) > (previous.fencing, _total(previous))
+    return _progress(row) > _progress(previous)
+
+
+def _progress(row):
+    return row.fencing, _total(row), row.revision
 
 
 def _total(row):
@@ -282,10 +347,37 @@
 def _end(row, state, reason, author):
     share = FULL_PERMILLE if state is MoveState.FINISHED else 0
     return msgspec.structs.replace(
-        row, state=state, share_permille=share, reason=reason, author=author
+        row,
+        state=state,
+        share_permille=share,
+        reason=reason,
+        author=author,
+        revision=row.revision + 1,
     )
 
 
+def _with_standing(row, version, standing):
+    """Return the row with another standing of a version."""
+    if not version:
+        return row
+    item = VersionStanding(version=version, standing=standing, move_id=row.move_id)
+    standings = with_standing(row.standings, item)
+    return msgspec.structs.replace(row, standings=standings)
+
+
+def known_standings(row):
+    """Return the standings of a row, also of one that an earlier release has ended."""
+    if row.revision or row.state is MoveState.RUNNING:
+        return row.standings
+    if row.state is MoveState.FINISHED:
+        version, standing = row.from_version, Standing.REPLACED
+    elif row.state is MoveState.ROLLED_BACK:
+        version, standing = row.to_version, Standing.HALTED
+    else:
+        version, standing = row.to_version, Standing.UNPROVEN
+    return _with_standing(row, version, standing).standings
+
+
 def _check_same(row, move_id):
     if row is None or row.move_id != move_id:
         raise MoveError(f"no move {move_id}", code=ResultCode.MOVE_UNKNOWN)
--- a/libs/entry/src/hemlockhoist/entry/moves.py
+++ b/libs/entry/src/hemlockhoist/entry/moves.py
@@ -12,19 +12,15 @@
 from hemlockhoist.decisions.entry import (
     HaltedOrders,
     MoveOrderState,
-    WithheldVersionPolicy,
     live_versions,
     order_state,
-    source_version,
 )
-from hemlockhoist.decisions.versions import (
-    MoveController,
-    MoveRequest,
-    MoveState,
-    TrialBound,
-    cancel_move,
-    start_move,
+from hemlockhoist.decisions.served_versions import (
+    ServedVersionPolicy,
+    begun_move,
+    source_version,
 )
+from hemlockhoist.decisions.versions import MoveController, TrialBound
 from hemlockhoist.host.moves import IDLE_TICK_INTERVAL_MS, MoveService
 
 _log = get_logger("entry.moves")
@@ -45,7 +41,6 @@
 # schedule alone grant a little on top, and responses in progress when the version is
 # halted count too.
 TRIAL_FRACTION = 0.6
-AUTHOR = "hemlockhoist"
 # Duration of the lease on a pool's moves. An order has to finish within seconds, and a
 # new home widens nothing before its predecessor's lease has expired.
 LEASE_MS = 2_000
@@ -133,23 +128,21 @@
         ======
         Refused
         """
-        if self._halted.has(pool, version, self._current_order_id(pool)):
+        if self._halted.has(pool, version, self._order_id_for(pool, version)):
             raise Refused(f"{version} is halted", ResultCode.GRANT_EXPIRED)
 
     # Overrides for a platform on which versions are not declared but ordered.
 
     def open_pool(self, pool):
         """Return the version policy of a pool whose home is now this host."""
-        return self._withhold_until_moved(super().open_pool(pool), pool.name)
+        return self._serve_by_record(super().open_pool(pool), pool.name)
 
     def open_standby(self, pool):
         """Return the version policy of a pool that this host schedules alone."""
-        return self._withhold_until_moved(super().open_standby(pool), pool.name)
+        return self._serve_by_record(super().open_standby(pool), pool.name)
 
-    def _withhold_until_moved(self, controller, pool):
-        if isinstance(controller, WithheldVersionPolicy):
-            return controller
-        return WithheldVersionPolicy(
+    def _serve_by_record(self, controller, pool):
+        return ServedVersionPolicy(
             controller,
             lambda: self._pending_order(pool),
             lambda: self._live_versions(pool),
@@ -157,10 +150,13 @@
 
     def _pending_order(self, pool):
         order = self._orders.get(pool)
-        if order is None or not source_version(order, self._live_versions(pool)):
+        if order is None or self._is_only_version(order):
             return None
         return order
 
+    def _is_only_version(self, order):
+        return set(self._live_versions(order.pool)) <= {order.to_version}
+
     def _live_versions(self, pool):
         return live_versions(self._context.homes.upstreams(), pool)
 
@@ -199,9 +195,15 @@
     def _revoke(self, message):
         self._halted.record(message.pool, message.version, message.move_id)
 
-    def _current_order_id(self, pool):
+    def _order_id_for(self, pool, version):
+        """Return the id of the order in force, or None if it is for another version.
+
+        Under an order for another version, halts of all earlier ones hold.
+        """
         order = self._orders.get(pool)
-        return order.order_id if order is not None else None
+        if order is None or order.to_version != version:
+            return None
+        return order.order_id
 
     # Orders.
 
@@ -251,39 +253,22 @@
 
     async def _begin_move(self, order):
         """Start the move of an order; return its row, or None while it has to wait."""
-        versions = self._live_versions(order.pool)
-        previous = source_version(order, versions)
-        if not versions[order.to_version]:
+        deployed = self._live_versions(order.pool)
+        if not deployed[order.to_version]:
             return None
-        if not previous:
+        if self._is_only_version(order):
             await self._report_state(order, MoveOrderState.COMPLETED)
             return None
         return await self._update_row(
-            order.pool, lambda row: self._started_row(row, order, previous)
+            order.pool, lambda row: self._begun_row(row, order, deployed)
         )
 
-    def _started_row(self, row, order, previous):
+    def _begun_row(self, row, order, deployed):
         """Return the row of an order's move, which replaces the current row."""
-        if row is not None and row.move_id != order.order_id:
-            if row.state is MoveState.RUNNING:
-                reason = f"replaced by order {order.order_id}"
-                row = cancel_move(row, row.move_id, reason, AUTHOR)
-            if row.serving_version != previous:
-                # The upstreams have been replaced without a move since then.
-                row = None
-        now_ms = self._fleet_time_ms()
+        source = source_version(row, order, deployed)
         waited_ms = self._context.clock.now_ms() - self._received_ms[order.pool]
         remaining_ms = max(1, int(MOVED_FRACTION * order.duration_ms) - waited_ms)
-        request = MoveRequest(
-            move_id=order.order_id,
-            pool=order.pool,
-            from_version=previous,
-            to_version=order.to_version,
-            moved_by_unix_ms=now_ms + remaining_ms,
-            reason="ordered by an operator",
-            author=AUTHOR,
-        )
-        return start_move(row, request, now_ms)
+        return begun_move(row, order, source, self._fleet_time_ms(), remaining_ms)
 
     async def _report_state(self, order, state):
         """Report an order's state to the operators, once for each state."""
--- a/libs/entry/src/hemlockhoist/entry/tests/test_moves.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_moves.py
@@ -42,6 +42,17 @@
         with self.assertRaises(Refused):
             self.moves.check_version("halls", "v2")
 
+    def test_halt_holds_as_another_version_is_ordered(self):
+        """Guards against grants of a bad version that are used after the next order."""
+        self.moves.receive_order(order(8))
+        self.moves._revoke(halt(8))
+        later = MoveOrder(
+            order_id="halls@14", pool="halls", to_version="v3", duration_ms=8_000
+        )
+        self.moves.receive_order(later)
+        with self.assertRaises(Refused):
+            self.moves.check_version("halls", "v2")
+
 
 def move(state):
     """Return the row of the first order's move in the given state."""
