--- a/libs/decisions/src/hemlockhoist/decisions/entry/move_orders.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/move_orders.py
@@ -59,15 +59,15 @@
 def order_state(row, old_in_flight):
     """Return the state of an order to report to operators.
 
-    An order is reported as completed only when the last request on the old version has
-    ended: operators stop its upstreams on that report, and answers in progress there
-    would be lost.
+    An order is reported as completed only when the last request on any other version
+    has ended: operators stop their upstreams on that report, and answers in progress
+    there would be lost.
 
     Parameters
     ==========
     row : hemlockhoist.decisions.versions.Move
     old_in_flight : int
-        Number of requests in flight on the old version's upstreams.
+        Number of requests in flight on the upstreams of other versions.
     """
     if row.state is MoveState.FINISHED:
         return MoveOrderState.IN_PROGRESS if old_in_flight else MoveOrderState.COMPLETED
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/grants.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/grants.py
@@ -120,9 +120,9 @@
         """Return a grant, or None."""
         return self._by_grant.get(grant_id)
 
-    def of_version(self, version):
-        """Return the number of grants in flight at upstreams of a version."""
-        return sum(held.grant.version == version for held in self._by_grant.values())
+    def besides_version(self, version):
+        """Return the number of grants in flight at upstreams of other versions."""
+        return sum(held.grant.version != version for held in self._by_grant.values())
 
     def of_request(self, request_id):
         """Return the grant of a request, or None."""
--- a/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
+++ b/libs/decisions/src/hemlockhoist/decisions/scheduling/scheduler.py
@@ -181,9 +181,9 @@
         """Return the ids of the listed upstreams that leave, sorted."""
         return self._upstreams.table.leaving()
 
-    def in_flight_at(self, version):
-        """Return the number of grants in flight at upstreams of a version."""
-        return self._grants.of_version(version)
+    def in_flight_besides(self, version):
+        """Return the number of grants in flight at upstreams of other versions."""
+        return self._grants.besides_version(version)
 
     def cached_elsewhere(self, request, upstream_id):
         """Return how many prompt tokens are computed here though another holds them.
--- a/libs/decisions/src/hemlockhoist/decisions/served_versions/policy.py
+++ b/libs/decisions/src/hemlockhoist/decisions/served_versions/policy.py
@@ -4,7 +4,11 @@
 import itertools
 
 from hemlockhoist.decisions.policy import VersionPolicy
-from hemlockhoist.decisions.served_versions.roles import VersionRole, role_of
+from hemlockhoist.decisions.served_versions.roles import (
+    VersionRole,
+    role_of,
+    serving_versions,
+)
 
 
 class ServedVersionPolicy(VersionPolicy):
@@ -58,15 +62,10 @@
         if row is not None and row.serving_version in serving:
             serving.remove(row.serving_version)
             serving.insert(0, row.serving_version)
-        if serving or self._has_serving(row, order):
+        if serving or serving_versions(row, order, self._deployed_of()):
             return tuple(serving)
         return tuple(x for x, role in roles.items() if role is VersionRole.REPLACED)
 
-    def _has_serving(self, row, order):
-        """Return whether a version that serves is deployed, also if it is busy."""
-        deployed = self._deployed_of()
-        return any(role_of(x, row, order) is VersionRole.SERVING for x in deployed)
-
     def _beside_trial(self, request, row, serving, trial, now_ms):
         old = (row.from_version,) if serving else ()
         found = self.controller.candidates(request, (*old, *trial), now_ms)
--- a/libs/decisions/src/hemlockhoist/decisions/served_versions/roles.py
+++ b/libs/decisions/src/hemlockhoist/decisions/served_versions/roles.py
@@ -66,3 +66,20 @@
     if is_ordered and version != row.serving_version:
         return VersionRole.WITHHELD
     return VersionRole.SERVING
+
+
+def serving_versions(row, order, deployed):
+    """Return the deployed versions that serve, sorted.
+
+    Parameters
+    ==========
+    row : Move or None
+    order : MoveOrder or None
+    deployed : mapping of str to int
+        Number of the pool's upstreams by version, without leaving ones.
+    """
+    return tuple(
+        version
+        for version in sorted(deployed)
+        if deployed[version] and role_of(version, row, order) is VersionRole.SERVING
+    )
--- a/libs/decisions/src/hemlockhoist/decisions/served_versions/tests/test_acceptance.py
+++ b/libs/decisions/src/hemlockhoist/decisions/served_versions/tests/test_acceptance.py
@@ -1,6 +1,12 @@
+import collections
 import unittest
 
-from hemlockhoist.decisions.served_versions import begun_move, source_version
+from hemlockhoist.decisions.served_versions import (
+    begun_move,
+    confirmed_move,
+    is_served,
+    source_version,
+)
 from hemlockhoist.decisions.served_versions.tests.builders import ORDER, move, order
 from hemlockhoist.decisions.versions import (
     MoveState,
@@ -60,3 +66,40 @@
         row = begun_move(move(), order(9, "v3"), "v1", 5, 10_000)
         self.assertEqual((row.move_id, row.state), ("halls@9", MoveState.RUNNING))
         self.assertEqual((row.from_version, row.to_version), ("v1", "v3"))
+
+
+class ServedVersionTests(unittest.TestCase):
+    """Orders for the version that serves already."""
+
+    def test_order_back_to_the_serving_version_amid_a_move(self):
+        """Guards against a move away from the version on trial, which counts as proven."""
+        back = order(9, "v1")
+        deployed = collections.Counter({"v1": 3, "v2": 3})
+        self.assertTrue(is_served(move(), back, deployed))
+        row = confirmed_move(move(), back, deployed, 5)
+        self.assertIs(row.state, MoveState.FINISHED)
+        self.assertEqual(row.serving_version, "v1")
+        unproven = find_standing(row.standings, "v2")
+        self.assertIs(unproven.standing, Standing.UNPROVEN)
+
+    def test_other_versions_that_served_are_replaced(self):
+        back = order(9, "v1")
+        deployed = collections.Counter({"v1": 3, "v2": 3, "v4": 1})
+        row = confirmed_move(move(), back, deployed, 5)
+        replaced = find_standing(row.standings, "v4")
+        self.assertIs(replaced.standing, Standing.REPLACED)
+
+    def test_order_back_to_a_replaced_version_is_a_move(self):
+        row = finish_move(move(), ORDER.order_id, "", "", 1, 0)
+        deployed = collections.Counter({"v1": 3, "v2": 3})
+        self.assertFalse(is_served(row, order(9, "v1"), deployed))
+
+    def test_order_for_a_replaced_version_that_alone_is_left(self):
+        row = finish_move(move(), ORDER.order_id, "", "", 1, 0)
+        deployed = collections.Counter({"v1": 3})
+        self.assertTrue(is_served(row, order(9, "v1"), deployed))
+
+    def test_order_for_a_rolled_back_version_is_a_move(self):
+        row = roll_back_move(move(), ORDER.order_id, "bad", "home")
+        deployed = collections.Counter({"v1": 3, "v2": 3})
+        self.assertFalse(is_served(row, order(9, "v2"), deployed))
--- a/libs/decisions/src/hemlockhoist/decisions/served_versions/tests/test_policy.py
+++ b/libs/decisions/src/hemlockhoist/decisions/served_versions/tests/test_policy.py
@@ -169,6 +169,11 @@
         policy = self.policy(row, ["v1", "v2"], latest)
         self.assertIn("v2", self.granted(policy, ("v1", "v2")))
 
+    def test_serving_version_serves_on_as_it_is_ordered_again(self):
+        """Guards against requests refused until an order back has begun."""
+        latest = order(9, "v1")
+        self.assertEqual(self.candidates(move(), ["v1", "v2"], latest), ("v1",))
+
     def test_row_of_a_move_cancelled_by_an_operator(self):
         row = cancel_move(move(), ORDER.order_id, "no", "operator")
         self.assertEqual(self.candidates(row, ["v1", "v2"]), ("v1",))
--- a/libs/decisions/src/hemlockhoist/decisions/versions/move.py
+++ b/libs/decisions/src/hemlockhoist/decisions/versions/move.py
@@ -187,11 +187,46 @@
     MoveError
         ``DECLARATION_INVALID`` if the request is invalid.
     """
-    if row is not None and row.state is MoveState.RUNNING:
-        reason = f"replaced by {request.move_id}"
-        row = cancel_move(row, row.move_id, reason, request.author)
     _check_request(request, unix_ms)
-    return _first_row(row, request, unix_ms)
+    return _first_row(_replaced_move(row, request), request, unix_ms)
+
+
+def confirm_move(row, request, unix_ms, replaced=()):
+    """Return the row of a move to the version that serves already: it is over at once.
+
+    Parameters
+    ==========
+    row : Move or None
+        Row that the store holds for the pool; a move that goes on is replaced.
+    request : MoveRequest
+    unix_ms : int
+    replaced : iterable of str, optional
+        Other versions that served until now.
+
+    Raises
+    ======
+    MoveError
+        ``DECLARATION_INVALID`` if the request is invalid.
+    """
+    row = follow_move(row, request, unix_ms)
+    row = _end(row, MoveState.FINISHED, request.reason, request.author)
+    row = msgspec.structs.replace(row, ended_unix_ms=unix_ms)
+    return replace_versions(row, replaced)
+
+
+def replace_versions(row, versions):
+    """Return the row with versions that served until its move finished."""
+    for version in versions:
+        row = _with_standing(row, version, Standing.REPLACED)
+    return row
+
+
+def _replaced_move(row, request):
+    """Return the row of a pool whose move, if one goes on, is replaced."""
+    if row is None or row.state is not MoveState.RUNNING:
+        return row
+    reason = f"replaced by {request.move_id}"
+    return cancel_move(row, row.move_id, reason, request.author)
 
 
 def _first_row(previous, request, unix_ms):
--- a/libs/entry/src/hemlockhoist/entry/moves.py
+++ b/libs/entry/src/hemlockhoist/entry/moves.py
@@ -18,6 +18,8 @@
 from hemlockhoist.decisions.served_versions import (
     ServedVersionPolicy,
     begun_move,
+    confirmed_move,
+    is_served,
     source_version,
 )
 from hemlockhoist.decisions.versions import MoveController, TrialBound
@@ -244,7 +246,7 @@
         in_flight = 0
         home = self._context.homes.find(order.pool)
         if home is not None:
-            in_flight = home.scheduler.in_flight_at(row.from_version)
+            in_flight = home.scheduler.in_flight_besides(row.to_version)
         await self._report_state(order, order_state(row, in_flight))
 
     def _has_reported(self, order):
@@ -265,6 +267,8 @@
 
     def _begun_row(self, row, order, deployed):
         """Return the row of an order's move, which replaces the current row."""
+        if is_served(row, order, deployed):
+            return confirmed_move(row, order, deployed, self._fleet_time_ms())
         source = source_version(row, order, deployed)
         waited_ms = self._context.clock.now_ms() - self._received_ms[order.pool]
         remaining_ms = max(1, int(MOVED_FRACTION * order.duration_ms) - waited_ms)
--- a/libs/standins/src/hemlockhoist/standins/published/tests/test_orders_in_series.py
+++ b/libs/standins/src/hemlockhoist/standins/published/tests/test_orders_in_series.py
@@ -95,3 +95,26 @@
             await site.wait_for("v2", "completed")
             self.assertEqual(len(site.deployed["v2"]), REPLICAS)
             await self.check(site)
+
+    async def test_order_back_to_the_serving_version(self):
+        """Guards against a bad version that counts as proven as it is taken back."""
+        async with VersionSite() as site:
+            await asyncio.sleep(BEGIN_S)
+            await site.order("v2", BAD_PERMILLE)
+            await site.wait_for("v2", "in_progress")
+            await asyncio.sleep(PAUSE_S)
+            await site.order("v1")
+            await site.wait_for("v1", "completed", limit_s=3)
+            await self.check(site, "v2")
+            self.assertGreaterEqual(site.served_ratio(site.orders[0].begin_s), 0.9)
+
+    async def test_order_back_and_bad_version_again(self):
+        async with VersionSite() as site:
+            await asyncio.sleep(BEGIN_S)
+            await site.order("v2", BAD_PERMILLE)
+            await asyncio.sleep(1.8)
+            await site.order("v1")
+            await asyncio.sleep(1.5)
+            await site.order("v2", BAD_PERMILLE)
+            await asyncio.sleep(ORDER_S)
+            await self.check(site, "v2")
