--- a/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/__init__.py
@@ -35,7 +35,6 @@
 from hemlockhoist.decisions.entry.move_orders import (
     MoveOrder,
     MoveOrderState,
-    live_versions,
     order_state,
 )
 from hemlockhoist.decisions.entry.planned_stop import PlannedStop
@@ -98,7 +97,6 @@
     "directory_limit",
     "announcement_order",
     "find_readers",
-    "live_versions",
     "nearby_members",
     "next_step",
     "order_state",
--- a/libs/decisions/src/hemlockhoist/decisions/entry/listing.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/listing.py
@@ -7,9 +7,10 @@
 from hemlockhoist.decisions.work import UpstreamState, leaving_upstream
 
 # An upstream that vanished from the list without announcing that it leaves is used for
-# this much longer if its pool has no other. This covers an outage of the store: all
-# entries expire together, and are listed again within two seconds of its recovery. It
-# is less than the time after which a removed upstream must get no more requests.
+# this much longer if its version has no other. This covers an outage of the store: all
+# entries expire together, and are listed again within two seconds of its recovery, each
+# at another moment. It is less than the time after which a removed upstream must get no
+# more requests.
 VANISHED_GRACE_MS = 1_500
 # Removed entries that are kept with the version of their removal, so that other hosts
 # can be notified. A fleet replaces some upstreams per minute.
@@ -33,7 +34,7 @@
         self._leaving = collections.OrderedDict()
         self._vanished = {}
         self._removed = collections.OrderedDict()
-        # Number of live upstreams of each pool; read before each send.
+        # Number of live upstreams by pool and version; read before each send.
         self._live_counts = collections.Counter()
 
     def __len__(self):
@@ -54,7 +55,8 @@
         self._removed.pop(upstream.upstream_id, None)
         self._remove(upstream.upstream_id)
         self._listed[upstream.upstream_id] = upstream
-        self._live_counts[upstream.pool] += upstream.state is UpstreamState.LIVE
+        is_live = upstream.state is UpstreamState.LIVE
+        self._live_counts[upstream.pool, upstream.version] += is_live
         self._vanished.pop(upstream.upstream_id, None)
 
     def drop(self, upstream_id, now_ms, version=0):
@@ -154,7 +156,8 @@
     def _remove(self, upstream_id):
         upstream = self._listed.pop(upstream_id, None)
         if upstream is not None:
-            self._live_counts[upstream.pool] -= upstream.state is UpstreamState.LIVE
+            is_live = upstream.state is UpstreamState.LIVE
+            self._live_counts[upstream.pool, upstream.version] -= is_live
         return upstream
 
     def replace(self, upstreams, now_ms):
@@ -187,7 +190,7 @@
             if now_ms - at_ms < VANISHED_GRACE_MS
         }
         vanished = [item for item, _ in self._vanished.values()]
-        kept = [item for item in vanished if not self._live_counts[item.pool]]
+        kept = [item for item in vanished if not self._has_live(item)]
         return (*self._listed.values(), *kept)
 
     def get(self, upstream_id, now_ms):
@@ -201,4 +204,8 @@
         upstream, at_ms = self._vanished.get(upstream_id, (None, 0))
         if upstream is None or now_ms - at_ms >= VANISHED_GRACE_MS:
             return None
-        return None if self._live_counts[upstream.pool] else upstream
+        return None if self._has_live(upstream) else upstream
+
+    def _has_live(self, upstream):
+        """Return whether another upstream of the same version is listed as live."""
+        return self._live_counts[upstream.pool, upstream.version] > 0
--- a/libs/decisions/src/hemlockhoist/decisions/entry/move_orders.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/move_orders.py
@@ -1,12 +1,10 @@
 """Version moves that operators order through a row of the store."""
 
-import collections
 import enum
 
 import msgspec
 
 from hemlockhoist.decisions.versions import MoveState
-from hemlockhoist.decisions.work import UpstreamState
 
 
 class MoveOrder(msgspec.Struct, frozen=True, kw_only=True):
@@ -19,12 +17,15 @@
     pool, to_version : str
     duration_ms : int
         Time within which the move must be complete.
+    store_version : int
+        The store's version at which the order was given; 0 if that is not known.
     """
 
     order_id: str
     pool: str
     to_version: str
     duration_ms: int
+    store_version: int = 0
 
 
 class MoveOrderState(enum.Enum):
@@ -35,27 +36,6 @@
     ROLLED_BACK = "rolled back"
 
 
-def live_versions(upstreams, pool):
-    """Return the number of upstreams of each version of a pool, without leaving ones.
-
-    Upstreams of an evacuated failure domain count: their version is still deployed.
-
-    Parameters
-    ==========
-    upstreams : iterable of Upstream
-    pool : str
-
-    Returns
-    =======
-    collections.Counter
-    """
-    return collections.Counter(
-        item.version
-        for item in upstreams
-        if item.pool == pool and item.state is not UpstreamState.LEAVING
-    )
-
-
 def order_state(row, old_in_flight):
     """Return the state of an order to report to operators.
 
--- a/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_listing.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_listing.py
@@ -5,11 +5,18 @@
 from hemlockhoist.decisions.entry.listing import MAX_REMOVED, VANISHED_GRACE_MS
 
 
-def upstream(name, pool="halls", state=UpstreamState.LIVE, listed_version=0, started=1):
+def upstream(
+    name,
+    pool="halls",
+    state=UpstreamState.LIVE,
+    listed_version=0,
+    started=1,
+    version="v1",
+):
     return Upstream(
         upstream_id=name,
         pool=pool,
-        version="v1",
+        version=version,
         address="127.0.0.1:1",
         state=state,
         listed_version=listed_version,
@@ -38,6 +45,14 @@
         self.listing.put(upstream("a"))
         self.assertEqual(names(self.listing, 1_200), ["a"])
 
+    def test_upstreams_of_a_version_stay_usable_as_another_is_back_first(self):
+        """Guards against a version on trial that serves alone right after an outage."""
+        self.listing.replace([], 1_000)
+        self.listing.put(upstream("n", version="v2"))
+        self.assertEqual(names(self.listing, 1_100), ["a", "b", "n"])
+        self.listing.put(upstream("a"))
+        self.assertEqual(names(self.listing, 1_200), ["a", "n"])
+
     def test_upstream_not_listed_again_stops_being_usable(self):
         self.listing.replace([], 1_000)
         self.assertEqual(self.listing.next_change_ms(), 1_000 + VANISHED_GRACE_MS)
--- a/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_move_orders.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_move_orders.py
@@ -1,10 +1,8 @@
 import unittest
 
-from hemlockhoist.decisions import Upstream, UpstreamState
 from hemlockhoist.decisions.entry import (
     MoveOrder,
     MoveOrderState,
-    live_versions,
     order_state,
 )
 from hemlockhoist.decisions.versions import (
@@ -17,17 +15,6 @@
 ORDER = MoveOrder(order_id="halls@7", pool="halls", to_version="v2", duration_ms=12_000)
 
 
-def upstream(name, version, pool="halls", state=UpstreamState.LIVE):
-    return Upstream(
-        upstream_id=name,
-        pool=pool,
-        version=version,
-        address="10.0.0.1:80",
-        failure_domain="a",
-        state=state,
-    )
-
-
 def move(**fields):
     request = MoveRequest(
         move_id=ORDER.order_id,
@@ -41,19 +28,6 @@
     return start_move(None, request, 0)
 
 
-class VersionsTests(unittest.TestCase):
-    def test_leaving_upstreams_and_other_pools_do_not_count(self):
-        found = live_versions(
-            [
-                upstream("a", "v1"),
-                upstream("b", "v1", state=UpstreamState.LEAVING),
-                upstream("c", "v2", pool="other"),
-            ],
-            "halls",
-        )
-        self.assertEqual(found, {"v1": 1})
-
-
 class OrderStateTests(unittest.TestCase):
     def test_completion_is_reported_when_the_old_version_is_idle(self):
         """Guards against stopping old upstreams while answers are in progress."""
--- a/libs/decisions/src/hemlockhoist/decisions/served_versions/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/served_versions/__init__.py
@@ -1,27 +1,26 @@
 """Which versions of a pool serve, where operators order moves and release versions."""
 
 from hemlockhoist.decisions.served_versions.acceptance import (
-    begun_move,
-    confirmed_move,
+    accepted_row,
     is_served,
     source_version,
 )
 from hemlockhoist.decisions.served_versions.policy import ServedVersionPolicy
-from hemlockhoist.decisions.served_versions.roles import (
-    VersionRole,
-    is_pending,
-    role_of,
-    serving_versions,
+from hemlockhoist.decisions.served_versions.presence import (
+    PoolPresence,
+    StoreUptime,
+    VersionPresence,
 )
+from hemlockhoist.decisions.served_versions.roles import VersionRole, VersionRoles
 
 __all__ = [
+    "PoolPresence",
     "ServedVersionPolicy",
+    "StoreUptime",
+    "VersionPresence",
     "VersionRole",
-    "begun_move",
-    "confirmed_move",
-    "is_pending",
+    "VersionRoles",
+    "accepted_row",
     "is_served",
-    "role_of",
-    "serving_versions",
     "source_version",
 ]
--- a/libs/decisions/src/hemlockhoist/decisions/served_versions/policy.py
+++ b/libs/decisions/src/hemlockhoist/decisions/served_versions/policy.py
@@ -1,14 +1,10 @@
 """The version policy of a pool whose versions are ordered and released."""
 
-import collections
 import itertools
 
 from hemlockhoist.decisions.policy import VersionPolicy
-from hemlockhoist.decisions.served_versions.roles import (
-    VersionRole,
-    role_of,
-    serving_versions,
-)
+from hemlockhoist.decisions.served_versions.presence import PoolPresence
+from hemlockhoist.decisions.served_versions.roles import VersionRole, VersionRoles
 
 
 class ServedVersionPolicy(VersionPolicy):
@@ -28,43 +24,40 @@
     controller : MoveController
     order_of : callable
         ``order_of()`` returns the pool's latest ``MoveOrder``, or None.
-    deployed_of : callable, optional
-        ``deployed_of()`` returns the number of the pool's upstreams by version, without
-        leaving ones.
+    presence_of : callable, optional
+        ``presence_of()`` returns the ``PoolPresence``.
     """
 
-    __slots__ = ("_deployed_of", "_order_of", "controller")
+    __slots__ = ("_order_of", "_presence_of", "controller")
 
-    def __init__(self, controller, order_of, deployed_of=collections.Counter):
+    def __init__(self, controller, order_of, presence_of=PoolPresence):
         self.controller = controller
         self._order_of = order_of
-        self._deployed_of = deployed_of
+        self._presence_of = presence_of
 
     def candidates(self, request, versions, now_ms):
         """Return the versions that may serve a request, in order of preference."""
-        order, row = self._order_of(), self.controller.row
-        roles = {version: role_of(version, row, order) for version in versions}
-        serving = self._serving(row, order, roles)
-        trial = [item for item in versions if roles[item] is VersionRole.TRIAL]
-        if row is None or not self._is_on_trial(row, order):
+        row = self.controller.row
+        roles = VersionRoles(row, self._order_of(), self._presence_of())
+        serving = self._serving(roles, versions)
+        trial = roles.trial_version
+        if trial is None:
             return serving
-        return self._beside_trial(request, row, serving, trial, now_ms)
-
-    def _is_on_trial(self, row, order):
-        return role_of(row.to_version, row, order) is VersionRole.TRIAL
+        new = (trial,) if trial in versions else ()
+        return self._beside_trial(request, row, serving, new, now_ms)
 
-    def _serving(self, row, order, roles):
-        """Return the versions that serve without a share, the one of the row first.
+    def _serving(self, roles, versions):
+        """Return the versions that serve without a share, the recorded one first.
 
-        The version that a move has replaced serves again once no other is left.
+        Those that a move has replaced serve again once no other is left.
         """
-        serving = [x for x, role in roles.items() if role is VersionRole.SERVING]
-        if row is not None and row.serving_version in serving:
-            serving.remove(row.serving_version)
-            serving.insert(0, row.serving_version)
-        if serving or serving_versions(row, order, self._deployed_of()):
+        serving = [x for x in versions if roles.of(x) is VersionRole.SERVING]
+        if roles.recorded_version in serving:
+            serving.remove(roles.recorded_version)
+            serving.insert(0, roles.recorded_version)
+        if serving or roles.serving() or roles.may_return():
             return tuple(serving)
-        return tuple(x for x, role in roles.items() if role is VersionRole.REPLACED)
+        return tuple(x for x in versions if roles.of(x) is VersionRole.REPLACED)
 
     def _beside_trial(self, request, row, serving, trial, now_ms):
         old = (row.from_version,) if serving else ()
--- a/libs/decisions/src/hemlockhoist/decisions/served_versions/roles.py
+++ b/libs/decisions/src/hemlockhoist/decisions/served_versions/roles.py
@@ -1,4 +1,4 @@
-"""What part a version of a pool has in serving it, by what is recorded of it."""
+"""What part the versions of a pool have in serving it, by what is recorded of them."""
 
 import enum
 
@@ -34,52 +34,100 @@
 }
 
 
-def is_pending(row, order):
-    """Return whether an order is given whose move has not begun."""
-    return order is not None and (row is None or row.move_id != order.order_id)
-
-
-def role_of(version, row, order):
-    """Return the ``VersionRole`` of a version.
-
-    A version that no order has named serves as soon as it is deployed: operators
-    release versions without orders.
+class VersionRoles:
+    """The roles of a pool's versions at one moment.
 
     Parameters
     ==========
-    version : str
     row : Move or None
         Latest row of the pool's moves.
     order : MoveOrder or None
         Latest order of the pool.
+    presence : PoolPresence
     """
-    pending = is_pending(row, order)
-    is_ordered = pending and version == order.to_version
-    if row is None:
-        return VersionRole.WITHHELD if is_ordered else VersionRole.SERVING
-    if row.state is MoveState.RUNNING and version == row.to_version:
-        # The operator's latest order is for another move, which replaces this one.
-        return VersionRole.UNPROVEN if pending else VersionRole.TRIAL
-    standing = find_standing(known_standings(row), version)
-    if standing is not None:
-        return _ROLES_OF_STANDINGS[standing.standing]
-    if is_ordered and version != row.serving_version:
-        return VersionRole.WITHHELD
-    return VersionRole.SERVING
-
-
-def serving_versions(row, order, deployed):
-    """Return the deployed versions that serve, sorted.
 
-    Parameters
-    ==========
-    row : Move or None
-    order : MoveOrder or None
-    deployed : mapping of str to int
-        Number of the pool's upstreams by version, without leaving ones.
-    """
-    return tuple(
-        version
-        for version in sorted(deployed)
-        if deployed[version] and role_of(version, row, order) is VersionRole.SERVING
-    )
+    __slots__ = ("_order", "_presence", "_row", "_standings")
+
+    def __init__(self, row, order, presence):
+        self._row = row
+        self._order = order
+        self._presence = presence
+        self._standings = () if row is None else known_standings(row)
+
+    @property
+    def is_pending(self):
+        """Whether an order is given whose move has not begun."""
+        if self._order is None:
+            return False
+        return self._row is None or self._row.move_id != self._order.order_id
+
+    @property
+    def trial_version(self):
+        """The version on trial, or None."""
+        if self._row is None or self.is_pending:
+            return None
+        return self._row.to_version if self._row.state is MoveState.RUNNING else None
+
+    @property
+    def recorded_version(self):
+        """The version that the last move left serving, or "" if none is recorded."""
+        return "" if self._row is None else self._row.serving_version
+
+    def of(self, version):
+        """Return the ``VersionRole`` of a version.
+
+        A version that no order has named serves as soon as it is deployed: operators
+        release versions without orders.
+        """
+        if self._is_tried(version):
+            # The latest order is for another move, which replaces the one that goes on.
+            return VersionRole.UNPROVEN if self.is_pending else VersionRole.TRIAL
+        standing = find_standing(self._standings, version)
+        if standing is not None:
+            return _ROLES_OF_STANDINGS[standing.standing]
+        if self._is_withheld(version):
+            return VersionRole.WITHHELD
+        return VersionRole.SERVING
+
+    def _is_tried(self, version):
+        row = self._row
+        if row is None or row.state is not MoveState.RUNNING:
+            return False
+        return version == row.to_version
+
+    def _is_withheld(self, version):
+        """Return whether a version waits for the begin of its move.
+
+        One that was deployed before its order serves until then.
+        """
+        if not self.is_pending or version != self._order.to_version:
+            return False
+        is_older = self._presence.is_older(version, self._order)
+        return not is_older and version != self.recorded_version
+
+    def serving(self):
+        """Return the deployed versions that serve, the recorded one first."""
+        found = sorted(self._having(VersionRole.SERVING, self._presence.deployed))
+        if self.recorded_version in found:
+            found.remove(self.recorded_version)
+            found.insert(0, self.recorded_version)
+        return tuple(found)
+
+    def may_return(self):
+        """Return whether a version that serves is not listed, but may be back."""
+        if any(self._having(VersionRole.SERVING, self._presence.missing)):
+            return True
+        recorded = self.recorded_version
+        if not recorded or self._presence.deployed.get(recorded):
+            return False
+        is_serving = self.of(recorded) is VersionRole.SERVING
+        return is_serving and not self._presence.is_gone(recorded)
+
+    def replaced(self):
+        """Return the deployed versions that a move has replaced, sorted."""
+        return tuple(
+            sorted(self._having(VersionRole.REPLACED, self._presence.deployed))
+        )
+
+    def _having(self, role, versions):
+        return (item for item in versions if self.of(item) is role)
--- a/libs/decisions/src/hemlockhoist/decisions/served_versions/tests/test_policy.py
+++ b/libs/decisions/src/hemlockhoist/decisions/served_versions/tests/test_policy.py
@@ -6,7 +6,12 @@
 from hemlockhoist.base import InvariantLog
 from hemlockhoist.decisions import Outcome, OutcomeKind, VersionPolicy, WorkRequest
 from hemlockhoist.decisions.served_versions import ServedVersionPolicy
-from hemlockhoist.decisions.served_versions.tests.builders import ORDER, move, order
+from hemlockhoist.decisions.served_versions.tests.builders import (
+    ORDER,
+    move,
+    order,
+    presence,
+)
 from hemlockhoist.decisions.versions import (
     MoveController,
     MoveState,
@@ -57,7 +62,12 @@
             watch_ms=0,
         )
         counts = collections.Counter(live)
-        return ServedVersionPolicy(controller, lambda: latest, lambda: counts)
+        # The latest order's version is listed after it, the others before.
+        listed = dict.fromkeys(counts, 1)
+        if latest is not None:
+            listed[latest.to_version] = latest.store_version + 1
+        deployed = presence(counts, listed)
+        return ServedVersionPolicy(controller, lambda: latest, lambda: deployed)
 
     def candidates(self, row, live, latest=ORDER):
         policy = self.policy(row, live, latest)
--- a/libs/entry/src/hemlockhoist/entry/moves.py
+++ b/libs/entry/src/hemlockhoist/entry/moves.py
@@ -12,15 +12,13 @@
 from hemlockhoist.decisions.entry import (
     HaltedOrders,
     MoveOrderState,
-    live_versions,
     order_state,
 )
 from hemlockhoist.decisions.served_versions import (
     ServedVersionPolicy,
-    begun_move,
-    confirmed_move,
-    is_served,
-    source_version,
+    StoreUptime,
+    VersionPresence,
+    accepted_row,
 )
 from hemlockhoist.decisions.versions import MoveController, TrialBound
 from hemlockhoist.host.moves import IDLE_TICK_INTERVAL_MS, MoveService
@@ -81,10 +79,12 @@
     __slots__ = (
         "_halted",
         "_orders",
+        "_presence",
         "_received_ms",
         "_reported",
         "_retry_due_ms",
         "_task",
+        "uptime",
     )
 
     def __init__(self, context, rows, send):
@@ -92,6 +92,8 @@
         self._orders = {}
         self._received_ms = {}
         self._halted = HaltedOrders()
+        self._presence = VersionPresence()
+        self.uptime = StoreUptime()
         self._reported = {}
         self._retry_due_ms = 0
         self._task = PeriodicTask(self._check_interval_ms, self._follow_orders)
@@ -146,21 +148,17 @@
     def _serve_by_record(self, controller, pool):
         return ServedVersionPolicy(
             controller,
-            lambda: self._pending_order(pool),
-            lambda: self._live_versions(pool),
+            lambda: self._orders.get(pool),
+            lambda: self._pool_presence(pool),
         )
 
-    def _pending_order(self, pool):
-        order = self._orders.get(pool)
-        if order is None or self._is_only_version(order):
-            return None
-        return order
-
-    def _is_only_version(self, order):
-        return set(self._live_versions(order.pool)) <= {order.to_version}
+    def observe_upstreams(self, upstreams):
+        """Record the usable upstreams of all pools, leaving ones among them."""
+        self._presence.observe(upstreams, self._context.clock.now_ms())
 
-    def _live_versions(self, pool):
-        return live_versions(self._context.homes.upstreams(), pool)
+    def _pool_presence(self, pool):
+        now_ms = self._context.clock.now_ms()
+        return self._presence.pool(pool, now_ms, self.uptime.stable_ms(now_ms))
 
     def _new_controller(self, pool, row, now_ms):
         return MoveController.from_config(
@@ -241,7 +239,7 @@
         row = controller.row
         if row is None or row.move_id != order.order_id:
             row = await self._begin_move(order)
-        if row is None:
+        if row is None or row.move_id != order.order_id:
             return
         in_flight = 0
         home = self._context.homes.find(order.pool)
@@ -255,24 +253,22 @@
 
     async def _begin_move(self, order):
         """Start the move of an order; return its row, or None while it has to wait."""
-        deployed = self._live_versions(order.pool)
-        if not deployed[order.to_version]:
-            return None
-        if self._is_only_version(order):
-            await self._report_state(order, MoveOrderState.COMPLETED)
+        presence = self._pool_presence(order.pool)
+        if not presence.deployed[order.to_version]:
             return None
         return await self._update_row(
-            order.pool, lambda row: self._begun_row(row, order, deployed)
+            order.pool, lambda row: self._accepted_row(row, order)
         )
 
-    def _begun_row(self, row, order, deployed):
-        """Return the row of an order's move, which replaces the current row."""
-        if is_served(row, order, deployed):
-            return confirmed_move(row, order, deployed, self._fleet_time_ms())
-        source = source_version(row, order, deployed)
+    def _accepted_row(self, row, order):
+        """Return the row with which an order begins, or ``row`` while it has to wait."""
         waited_ms = self._context.clock.now_ms() - self._received_ms[order.pool]
         remaining_ms = max(1, int(MOVED_FRACTION * order.duration_ms) - waited_ms)
-        return begun_move(row, order, source, self._fleet_time_ms(), remaining_ms)
+        presence = self._pool_presence(order.pool)
+        accepted = accepted_row(
+            row, order, presence, self._fleet_time_ms(), remaining_ms
+        )
+        return row if accepted is None else accepted
 
     async def _report_state(self, order, state):
         """Report an order's state to the operators, once for each state."""
--- a/libs/entry/src/hemlockhoist/entry/process.py
+++ b/libs/entry/src/hemlockhoist/entry/process.py
@@ -346,6 +346,7 @@
             platform.upstream_table,
             UPSTREAMS_WAIT_MS,
             store_view.apply_upstream_rows,
+            on_failure=context.moves.uptime.record_failure,
             retry_delay=SLOW_RETRY,
         )
         context.feeds.set_offer(platform.config_table, routes.offer)
@@ -369,6 +370,8 @@
         if reading.clock_ms is None:
             self.context.metrics.count(STORE_CALLS, self._platform.config_table)
         self.context.store_view.record_reading(reading)
+        now_ms = self.context.clock.now_ms()
+        self.context.moves.uptime.record_reading(reading.store_ms, now_ms)
         if self._store_failed:
             self._store_failed = False
             for watch in self._watches:
@@ -376,6 +379,7 @@
 
     def _on_store_failure(self):
         self.context.metrics.count(STORE_FAILURES, self._platform.config_table)
+        self.context.moves.uptime.record_failure()
         self._store_failed = True
 
     def _on_routes(self, table):
@@ -424,6 +428,7 @@
                 if item.state is UpstreamState.LIVE
             }
         )
+        context.moves.observe_upstreams(upstreams)
         context.homes.set_upstreams(upstreams)
 
     def _other_hosts(self):
--- a/libs/standins/src/hemlockhoist/standins/published/version_site.py
+++ b/libs/standins/src/hemlockhoist/standins/published/version_site.py
@@ -33,6 +33,9 @@
 # An entry lapses after three intervals between two pings.
 PING_S = 1.2
 LAPSE_S = 3 * PING_S
+# From the end of an outage until a replica is entered again.
+RETURN_S = (0.0, PING_S)
+LATE_RETURN_S = (1.7, 1.9)
 # What a replica serves after it has announced that it leaves.
 DRAIN_S = 3.0
 # From the report of a rollback until the new replicas leave.
@@ -213,8 +216,9 @@
         await self._open(replica)
         self.all_replicas.append(replica)
         self.deployed[replica.version].append(replica)
+        # The first of several replicas to ping after an outage.
         while self.is_store_down:
-            await asyncio.sleep(PING_S)
+            await asyncio.sleep(0.05)
         if replica in self.deployed[replica.version]:
             await self.register_replica(SERVICE, replica)
 
@@ -299,17 +303,22 @@
         """Whether the store rejects each call."""
         return bool(self.store.faults.rejections)
 
-    async def have_outage(self, duration_s, lapsing=True):
-        """Have the store reject all calls; entries lapse, and come back afterwards."""
+    async def have_outage(self, duration_s, late=()):
+        """Have the store reject all calls; entries lapse, and come back afterwards.
+
+        Parameters
+        ==========
+        duration_s : float
+        late : sequence of str, optional
+            Versions whose entries are back after all others.
+        """
         begin_s = self.now_s
         # All calls come from one address here.
         self.store.faults.rejections = {None: Rejection.BUSY}
-        lapsed = []
-        await asyncio.sleep(min(LAPSE_S - PING_S, duration_s))
-        if lapsing:
-            lapsed = [item for items in self.deployed.values() for item in items]
-            for replica in lapsed:
-                await self.store.put("servers", replica.replica_id, None)
+        await asyncio.sleep(LAPSE_S - PING_S)
+        lapsed = [item for items in self.deployed.values() for item in items]
+        for replica in lapsed:
+            await self.store.put("servers", replica.replica_id, None)
         await asyncio.sleep(duration_s - (self.now_s - begin_s))
         self.store.faults.rejections = {}
         self.out_of_touch.append((begin_s, self.now_s + CONTACT_S))
