Try a version by its own answers where no other can serve (CONFIG)

What callers saw: a move is not proven yet, as its service gets few requests; all upstreams of the old version crash, and every request gets 503 for good beside live upstreams of the ordered version.

Cause: a trial's share is one of all granted requests. Without the old version nothing is granted but the share, and the evidence for a verdict never comes.

Ruled out: raising the share of the move in this case. Each of its steps needs new proof of each route, more than the bound on a bad version allows in total: it would stop at the bound for good.

Change: OwnTrial. Where no serving version is live and none may be back, the ordered version, then unproven ones, get requests within the bound of a trial until their own answers prove them or show them bad. Its answers still count as evidence of the move. A proven one ends its move (MoveController.lone_end); a bad one is halted as by any evidence. An order whose version is all that is deployed is no longer completed at once, unless it was deployed before.

--- a/libs/decisions/src/hemlockhoist/decisions/served_versions/acceptance.py
+++ b/libs/decisions/src/hemlockhoist/decisions/served_versions/acceptance.py
@@ -35,12 +35,12 @@
     if row is not None and row.move_id == order.order_id:
         return row
     roles = VersionRoles(row, order, presence)
-    if is_served(order, roles, presence) or _is_alone(order, roles, presence):
+    if is_served(order, roles, presence):
         others = [item for item in roles.serving() if item != order.to_version]
         request = _request(order, "", now_ms + remaining_ms)
         return confirm_move(row, request, now_ms, others)
     source = source_version(order, roles, presence)
-    if not source:
+    if not source and not _is_alone(order, roles, presence):
         return None
     return follow_move(row, _request(order, source, now_ms + remaining_ms), now_ms)
 
--- a/libs/decisions/src/hemlockhoist/decisions/served_versions/roles.py
+++ b/libs/decisions/src/hemlockhoist/decisions/served_versions/roles.py
@@ -113,6 +113,30 @@
             found.insert(0, self.recorded_version)
         return tuple(found)
 
+    def can_serve(self):
+        """Return whether a version that serves accepts work, or may do so soon."""
+        is_live = any(self._having(VersionRole.SERVING, self._presence.live))
+        return is_live or self.may_return()
+
+    def alone(self):
+        """Return the versions to try as no other can serve, the ordered one first."""
+        if self.can_serve() or any(self.replaced()):
+            return ()
+        ordered = (VersionRole.TRIAL, VersionRole.WITHHELD)
+        roles = {item: self.of(item) for item in sorted(self._presence.live)}
+        first = [item for item, role in roles.items() if role in ordered]
+        others = [x for x, role in roles.items() if role is VersionRole.UNPROVEN]
+        return (*first, *others)
+
+    def trial_id(self, version):
+        """Return the id of the move or order under which a version is tried."""
+        if self._is_tried(version):
+            return self._row.move_id
+        standing = find_standing(self._standings, version)
+        if standing is not None:
+            return standing.move_id
+        return self._order.order_id if self._order is not None else ""
+
     def may_return(self):
         """Return whether a version that serves is not listed, but may be back."""
         if any(self._having(VersionRole.SERVING, self._presence.missing)):
@@ -124,10 +148,8 @@
         return is_serving and not self._presence.is_gone(recorded)
 
     def replaced(self):
-        """Return the deployed versions that a move has replaced, sorted."""
-        return tuple(
-            sorted(self._having(VersionRole.REPLACED, self._presence.deployed))
-        )
+        """Return the versions that a move has replaced and that accept work, sorted."""
+        return tuple(sorted(self._having(VersionRole.REPLACED, self._presence.live)))
 
     def _having(self, role, versions):
         return (item for item in versions if self.of(item) is role)
--- a/libs/decisions/src/hemlockhoist/decisions/served_versions/tests/test_policy.py
+++ b/libs/decisions/src/hemlockhoist/decisions/served_versions/tests/test_policy.py
@@ -1,4 +1,5 @@
 import collections
+import itertools
 import unittest
 
 import msgspec
@@ -15,6 +16,7 @@
 from hemlockhoist.decisions.versions import (
     MoveController,
     MoveState,
+    OwnVerdict,
     TrialBound,
     cancel_move,
     finish_move,
@@ -66,8 +68,13 @@
         listed = dict.fromkeys(counts, 1)
         if latest is not None:
             listed[latest.to_version] = latest.store_version + 1
-        deployed = presence(counts, listed)
-        return ServedVersionPolicy(controller, lambda: latest, lambda: deployed)
+        self.deployed = presence(counts, listed)
+        return ServedVersionPolicy(
+            controller,
+            lambda: latest,
+            lambda: self.deployed,
+            bound=TrialBound(share_permille=60, requests=30),
+        )
 
     def candidates(self, row, live, latest=ORDER):
         policy = self.policy(row, live, latest)
@@ -188,3 +195,90 @@
         row = cancel_move(move(), ORDER.order_id, "no", "operator")
         self.assertEqual(self.candidates(row, ["v1", "v2"]), ("v1",))
         self.assertEqual(self.candidates(row, ["v2"]), ())
+
+
+class LoneVersionTests(PolicyTestCase):
+    """Versions that alone are left."""
+
+    def lose(self, version, **fields):
+        """Have all upstreams of a version vanish."""
+        counts = self.deployed.deployed.copy()
+        del counts[version]
+        self.deployed = presence(counts, self.deployed.listed_versions, **fields)
+
+    def answer(self, policy, kind=OutcomeKind.SUCCESS, versions=("v2",)):
+        """Grant and answer a request; return its version, or None if it waits."""
+        request = msgspec.structs.replace(REQUEST, request_id=f"r{next(self.numbers)}")
+        found = policy.candidates(request, versions, 1_000)
+        if not found:
+            return None
+        policy.on_grant(request, found[0], 1_000, "u")
+        outcome = Outcome(kind=kind, first_token_ms=20, total_ms=90)
+        policy.on_outcome(request, found[0], outcome, 1_000, "u")
+        return found[0]
+
+    def setUp(self):
+        self.numbers = itertools.count()
+
+    def test_version_on_trial_serves_once_the_old_one_is_gone(self):
+        """Guards against requests refused for good beside a live sound version."""
+        policy = self.policy(move(), ["v1", "v2"])
+        self.lose("v1")
+        granted = [self.answer(policy) for _ in range(100)]
+        self.assertEqual(granted, ["v2"] * 100)
+        ((version, trial),) = policy.own_verdicts()
+        self.assertEqual((version, trial.verdict), ("v2", OwnVerdict.PROVEN))
+
+    def test_bad_version_on_trial_gets_its_bound_once_the_old_one_is_gone(self):
+        policy = self.policy(move(), ["v1", "v2"])
+        self.lose("v1")
+        kind = OutcomeKind.FAILED
+        granted = [self.answer(policy, kind) for _ in range(100)]
+        self.assertLessEqual(granted.count("v2"), 32)
+        self.assertTrue(policy.controller.is_halted("v2"))
+
+    def test_version_on_trial_gets_its_share_while_the_old_one_may_return(self):
+        """Guards against a bad version that serves alone right after an outage."""
+        policy = self.policy(move(), ["v1", "v2"])
+        self.lose("v1", missing=frozenset({"v1"}))
+        granted = [self.answer(policy) for _ in range(100)]
+        self.assertLessEqual(granted.count("v2"), 1)
+
+    def test_version_on_trial_gets_its_share_again_as_the_old_one_is_back(self):
+        policy = self.policy(move(), ["v1", "v2"])
+        both = self.deployed
+        self.lose("v1")
+        for _ in range(40):
+            self.answer(policy)
+        self.deployed = both
+        granted = [self.answer(policy, versions=("v1", "v2")) for _ in range(100)]
+        self.assertGreaterEqual(granted.count("v1"), 98)
+
+    def test_unproven_version_serves_once_the_one_on_trial_was_found_bad(self):
+        """Guards against requests refused beside a version that nothing speaks against."""
+        latest = order(9, "v3")
+        row = move("v1", latest, move())
+        policy = self.policy(row, ["v1", "v2", "v3"], latest)
+        self.lose("v1")
+        self.assertEqual(policy.candidates(REQUEST, ("v2", "v3"), 1_000), ("v3", "v2"))
+        policy.controller.halt("v3", "bad", 1_000)
+        self.assertEqual(policy.candidates(REQUEST, ("v2", "v3"), 1_000), ("v2",))
+
+    def test_version_found_bad_does_not_serve_alone(self):
+        rolled_back = roll_back_move(move(), ORDER.order_id, "bad", "home")
+        policy = self.policy(rolled_back, ["v1", "v2"])
+        self.lose("v1")
+        self.assertEqual(policy.candidates(REQUEST, ("v2",), 1_000), ())
+
+    def test_replaced_version_serves_alone_without_a_trial(self):
+        row = finish_move(move(), ORDER.order_id, "", "", 1, 0)
+        policy = self.policy(row, ["v1", "v2"])
+        self.lose("v2")
+        for _ in range(100):
+            self.assertEqual(self.answer(policy, versions=("v1",)), "v1")
+
+    def test_evacuated_old_version_is_no_reason_to_refuse(self):
+        """Guards against requests refused as all old upstreams are evacuated."""
+        policy = self.policy(move(), ["v1", "v2"])
+        self.deployed = msgspec.structs.replace(self.deployed, live=frozenset({"v2"}))
+        self.assertEqual(policy.candidates(REQUEST, ("v2",), 1_000), ("v2",))
--- a/libs/decisions/src/hemlockhoist/decisions/versions/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/versions/__init__.py
@@ -27,6 +27,7 @@
     widen_move,
 )
 from hemlockhoist.decisions.versions.orders import Order, OrderState, OrderTracker
+from hemlockhoist.decisions.versions.own_trial import OwnTrial, OwnVerdict
 from hemlockhoist.decisions.versions.standings import (
     Standing,
     VersionStanding,
@@ -34,7 +35,7 @@
     with_standing,
     without_standing,
 )
-from hemlockhoist.decisions.versions.trial import TrialBound
+from hemlockhoist.decisions.versions.trial import UNBOUNDED, TrialBound
 
 __all__ = [
     "Finished",
@@ -50,8 +51,11 @@
     "Order",
     "OrderState",
     "OrderTracker",
+    "OwnTrial",
+    "OwnVerdict",
     "Standing",
     "TakenBack",
+    "UNBOUNDED",
     "TrialBound",
     "UpstreamSetApart",
     "VersionStanding",
--- a/libs/decisions/src/hemlockhoist/decisions/versions/controller.py
+++ b/libs/decisions/src/hemlockhoist/decisions/versions/controller.py
@@ -207,6 +207,10 @@
         self._evaluator.record_report(request.entry_host, now_ms)
         self._apply_verdict(events, now_ms)
 
+    def is_halted(self, version):
+        """Return whether a version was halted in the latest known move."""
+        return self._row is not None and self._is_halted(version)
+
     def halt(self, version, reason, now_ms):
         """Stop granting the version for the rest of this move, with immediate effect.
 
@@ -257,6 +261,26 @@
         self._evaluator.loads.forget_idle(now_ms)
         return self._wider_row(now_ms, fencing)
 
+    def lone_end(self, now_ms, fencing=None):
+        """Return the row that ends a move whose new version alone can serve, or None.
+
+        Parameters
+        ==========
+        now_ms : int
+        fencing : int, optional
+            As with ``wanted_row``.
+        """
+        row = self._row
+        if row is None or row.state is not MoveState.RUNNING:
+            return None
+        if self._is_halted(row.to_version) or not self._may_widen(fencing):
+            return None
+        if not self._is_tried(now_ms):
+            return None
+        reason = "no other version can serve, and its answers are good"
+        unix_ms = now_ms + self._unix_offset_ms
+        return finish_move(row, row.move_id, reason, AUTHOR, fencing, unix_ms)
+
     def observe_row(self, row, now_ms):
         """Apply a row from the store or from a peer.
 
@@ -413,11 +437,11 @@
 
     def _wider_row(self, now_ms, fencing):
         lanes = tuple(self._lanes)
-        is_tried = (
-            self._planner.schedule.elapsed_fraction(now_ms)
-            >= self._trial.min_end_fraction
-        )
-        if is_tried and lanes and all(x.share_permille >= FULL_PERMILLE for x in lanes):
+        if (
+            self._is_tried(now_ms)
+            and lanes
+            and all(x.share_permille >= FULL_PERMILLE for x in lanes)
+        ):
             reason = "all routes are on the new version"
             unix_ms = now_ms + self._unix_offset_ms
             return finish_move(
@@ -433,6 +457,11 @@
         known |= {(item.route, item.idempotent): item for item in wider}
         return widen_move(row, row.move_id, tuple(known.values()), fencing)
 
+    def _is_tried(self, now_ms):
+        """Return whether the move has lasted for long enough to end."""
+        elapsed = self._planner.schedule.elapsed_fraction(now_ms)
+        return elapsed >= self._trial.min_end_fraction
+
     def _record_time(self, now_ms):
         if now_ms - self._last_time_ms > SUSPENSION_LIMIT_MS:
             self._is_stale = True
--- a/libs/decisions/src/hemlockhoist/decisions/versions/evidence.py
+++ b/libs/decisions/src/hemlockhoist/decisions/versions/evidence.py
@@ -16,7 +16,7 @@
         OutcomeKind.CONNECT_FAILED,
     }
 )
-_UNINFORMATIVE_KINDS = frozenset(
+UNINFORMATIVE_KINDS = frozenset(
     {OutcomeKind.NOT_SENT, OutcomeKind.LINK_FAILED, OutcomeKind.LINK_LOST}
 )
 
@@ -37,9 +37,9 @@
 # Effect sizes of fine, middle and coarse steps, smallest first. The fine one detects a
 # version that fails one time in twenty; the coarse one proves a good version within
 # some 13 answers, for routes with little traffic.
-_FAILURE_EFFECTS = (0.04, 0.12, 0.3)
+FAILURE_EFFECTS = (0.04, 0.12, 0.3)
 SLOW_EFFECTS = (0.12, 0.25, 0.45)
-EFFECT_COUNT = len(_FAILURE_EFFECTS)
+EFFECT_COUNT = len(FAILURE_EFFECTS)
 # How many latencies of the new version are compared for each one of the old version.
 # Without this limit, when the new version has nearly all traffic and load rises, its
 # many slow answers would be compared with a reference measured before the rise.
@@ -74,7 +74,7 @@
         self.reference = Reference()
         self.tests = {
             measure: SequentialTest.from_error_rates(
-                _FAILURE_EFFECTS if measure is Measure.FAILURES else SLOW_EFFECTS,
+                FAILURE_EFFECTS if measure is Measure.FAILURES else SLOW_EFFECTS,
                 rules.false_alarm_permille,
                 rules.missed_permille,
             )
@@ -234,7 +234,7 @@
     """
     if outcome.kind is OutcomeKind.CANCELLED:
         return outcome.total_ms <= reference.duration.slow_ms(load)
-    return outcome.kind in _UNINFORMATIVE_KINDS
+    return outcome.kind in UNINFORMATIVE_KINDS
 
 
 def _profile(reference, measure):
--- a/libs/entry/src/hemlockhoist/entry/moves.py
+++ b/libs/entry/src/hemlockhoist/entry/moves.py
@@ -20,7 +20,7 @@
     VersionPresence,
     accepted_row,
 )
-from hemlockhoist.decisions.versions import MoveController, TrialBound
+from hemlockhoist.decisions.versions import MoveController, OwnVerdict, TrialBound
 from hemlockhoist.host.moves import IDLE_TICK_INTERVAL_MS, MoveService
 
 _log = get_logger("entry.moves")
@@ -79,6 +79,7 @@
     __slots__ = (
         "_halted",
         "_orders",
+        "_policies",
         "_presence",
         "_received_ms",
         "_reported",
@@ -92,6 +93,8 @@
         self._orders = {}
         self._received_ms = {}
         self._halted = HaltedOrders()
+        # Policies of the pools whose home is at this host.
+        self._policies = {}
         self._presence = VersionPresence()
         self.uptime = StoreUptime()
         self._reported = {}
@@ -139,19 +142,50 @@
 
     def open_pool(self, pool):
         """Return the version policy of a pool whose home is now this host."""
-        return self._serve_by_record(super().open_pool(pool), pool.name)
+        policy = self._serve_by_record(super().open_pool(pool), pool)
+        self._policies[pool.name] = policy
+        return policy
+
+    def close_pool(self, pool):
+        """Discard the controller of a pool whose home at this host has closed."""
+        super().close_pool(pool)
+        self._policies.pop(pool, None)
 
     def open_standby(self, pool):
         """Return the version policy of a pool that this host schedules alone."""
-        return self._serve_by_record(super().open_standby(pool), pool.name)
+        return self._serve_by_record(super().open_standby(pool), pool)
 
     def _serve_by_record(self, controller, pool):
         return ServedVersionPolicy(
             controller,
-            lambda: self._orders.get(pool),
-            lambda: self._pool_presence(pool),
+            lambda: self._orders.get(pool.name),
+            lambda: self._pool_presence(pool.name),
+            pool.version_rules,
+            trial_bound(self._context.settings.bounds),
         )
 
+    def _tick(self, pool, controller):
+        """Halt a version that its own answers show to be bad, and go on as usual."""
+        for version, trial in self._own_verdicts(pool):
+            if trial.verdict is OwnVerdict.BAD:
+                now_ms = self._context.clock.now_ms()
+                controller.halt(version, trial.reason, now_ms)
+        super()._tick(pool, controller)
+
+    def _own_verdicts(self, pool):
+        policy = self._policies.get(pool)
+        return policy.own_verdicts() if policy is not None else ()
+
+    def _wanted_row(self, pool, controller, fencing):
+        wanted = super()._wanted_row(pool, controller, fencing)
+        row = controller.row
+        if wanted is not None or row is None:
+            return wanted
+        for version, trial in self._own_verdicts(pool):
+            if version == row.to_version and trial.verdict is OwnVerdict.PROVEN:
+                return controller.lone_end(self._context.clock.now_ms(), fencing)
+        return None
+
     def observe_upstreams(self, upstreams):
         """Record the usable upstreams of all pools, leaving ones among them."""
         self._presence.observe(upstreams, self._context.clock.now_ms())
--- a/libs/host/src/hemlockhoist/host/moves.py
+++ b/libs/host/src/hemlockhoist/host/moves.py
@@ -220,10 +220,14 @@
         basis = controller.row
         # Called once per tick: the controller plans a step at each call, and a second
         # call in the same tick would return none.
-        wanted = controller.wanted_row(self._context.clock.now_ms(), fencing)
+        wanted = self._wanted_row(pool, controller, fencing)
         if wanted is not None:
             await self._write(pool, controller, basis, wanted)
 
+    def _wanted_row(self, pool, controller, fencing):
+        """Return the row to write next, or None."""
+        return controller.wanted_row(self._context.clock.now_ms(), fencing)
+
     def _is_running(self, controller):
         return controller.row is not None and controller.row.state is MoveState.RUNNING
 
