Report nothing of an order after its end, and each state under a condition

What operators saw: completed, and then in progress and completed again, on which the platform stops upstreams that were released since.

Cause: an order's state was worked out from what is in flight now, also after its end, and written without a condition.

Ruled out: deciding by the move's row alone. It is finished before the last request at other versions has ended, and completion has to wait for that.

Change: OrderReports, a module of its own. Nothing after an end; a stored completion stands where the move is over; a report is written under the version of the row read just before it, and after a conflict the move's row is read again; completion only by a home that has recovered.

--- a/libs/entry/src/hemlockhoist/entry/moves.py
+++ b/libs/entry/src/hemlockhoist/entry/moves.py
@@ -6,7 +6,6 @@
     PlatformError,
     Refused,
     ResultCode,
-    StoreConflict,
     get_logger,
 )
 from hemlockhoist.decisions.entry import (
@@ -20,7 +19,13 @@
     VersionPresence,
     accepted_row,
 )
-from hemlockhoist.decisions.versions import MoveController, OwnVerdict, TrialBound
+from hemlockhoist.decisions.versions import (
+    MoveController,
+    MoveState,
+    OwnVerdict,
+    TrialBound,
+)
+from hemlockhoist.entry.order_reports import OrderReports
 from hemlockhoist.host.moves import IDLE_TICK_INTERVAL_MS, MoveService
 
 _log = get_logger("entry.moves")
@@ -44,7 +49,6 @@
 # Duration of the lease on a pool's moves. An order has to finish within seconds, and a
 # new home widens nothing before its predecessor's lease has expired.
 LEASE_MS = 2_000
-_FINAL_STATES = frozenset({MoveOrderState.COMPLETED, MoveOrderState.ROLLED_BACK})
 
 
 def trial_bound(bounds):
@@ -82,7 +86,7 @@
         "_policies",
         "_presence",
         "_received_ms",
-        "_reported",
+        "_reports",
         "_retry_due_ms",
         "_task",
         "uptime",
@@ -97,7 +101,7 @@
         self._policies = {}
         self._presence = VersionPresence()
         self.uptime = StoreUptime()
-        self._reported = {}
+        self._reports = OrderReports(context)
         self._retry_due_ms = 0
         self._task = PeriodicTask(self._check_interval_ms, self._follow_orders)
 
@@ -211,10 +215,7 @@
 
     def _may_have_move(self, pool):
         order = self._orders.get(pool)
-        if order is None:
-            return False
-        reported_id, reported_state = self._reported.get(pool, ("", None))
-        return reported_id != order.order_id or reported_state not in _FINAL_STATES
+        return order is not None and not self._reports.has_ended(order)
 
     def _recipients(self, pool):
         # Any host may have to schedule alone.
@@ -266,7 +267,7 @@
         reported would then be informed that the move is in progress. The store is
         therefore read before the first report.
         """
-        if not self._has_reported(order) and not await self._read(
+        if not self._reports.has_reported(order) and not await self._read(
             order.pool, controller
         ):
             return
@@ -275,15 +276,24 @@
             row = await self._begin_move(order)
         if row is None or row.move_id != order.order_id:
             return
-        in_flight = 0
+        await self._report(order, row)
+
+    async def _report(self, order, row):
+        """Report the state of an order by its row.
+
+        Completion is reported by a home only that knows the grants of all hosts:
+        operators stop the other upstreams on that report.
+        """
         home = self._context.homes.find(order.pool)
+        in_flight = 0
         if home is not None:
             in_flight = home.scheduler.in_flight_besides(row.to_version)
-        await self._report_state(order, order_state(row, in_flight))
-
-    def _has_reported(self, order):
-        reported_id, _ = self._reported.get(order.pool, ("", None))
-        return reported_id == order.order_id
+        state = order_state(row, in_flight)
+        is_recovering = home is not None and home.recovered_ms is None
+        if state is MoveOrderState.COMPLETED and is_recovering:
+            return
+        is_over = row.state is not MoveState.RUNNING
+        await self._reports.report(order, state, is_over)
 
     async def _begin_move(self, order):
         """Start the move of an order; return its row, or None while it has to wait."""
@@ -303,16 +313,3 @@
             row, order, presence, self._fleet_time_ms(), remaining_ms
         )
         return row if accepted is None else accepted
-
-    async def _report_state(self, order, state):
-        """Report an order's state to the operators, once for each state."""
-        reported = (order.order_id, state)
-        if self._reported.get(order.pool) == reported:
-            return
-        platform = self._context.platform
-        try:
-            await platform.store.commit((platform.order_status(order, state),))
-        except StoreConflict as error:
-            raise PlatformError(error.message) from error
-        self._reported[order.pool] = reported
-        _log.info("move_told", pool=order.pool, order=order.order_id, state=state.value)
--- a/libs/entry/src/hemlockhoist/entry/tests/test_moves.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_moves.py
@@ -1,11 +1,17 @@
 import types
 import unittest
 
-from hemlockhoist.base import PlatformError, Refused, SuspendAwareClock
+from hemlockhoist.base import (
+    PlatformError,
+    Refused,
+    StoreConflict,
+    SuspendAwareClock,
+)
 from hemlockhoist.decisions.entry import MoveOrder, MoveOrderState
 from hemlockhoist.decisions.versions import Move, MoveState
 from hemlockhoist.entry.moves import OrderedMoveService
 from hemlockhoist.messages import VersionHalted
+from hemlockhoist.store import Reading, RowChange, StoreRow
 
 
 def order(number):
@@ -89,41 +95,112 @@
         self.row = row
         self.reported = []
         self.fails = False
+        self.status_version = 0
+        # Called before a commit is looked at.
+        self.before_commit = lambda: None
 
     async def read(self, table, key, kind):
         if self.fails:
             raise PlatformError("the store is unreachable")
         return types.SimpleNamespace(value=self.row, version=3)
 
+    async def read_table(self, table):
+        rows = ()
+        if self.status_version:
+            value = self.reported[-1].encode() if self.reported else b""
+            rows = (StoreRow(key="halls", value=value, version=self.status_version),)
+        return Reading(rows=rows, version=9, store_ms=0, sent_ms=0)
+
     async def commit(self, changes):
-        self.reported += changes
+        self.before_commit()
+        (change,) = changes
+        if change.if_version != self.status_version:
+            raise StoreConflict("the status has changed")
+        self.status_version += 5
+        self.reported.append(change.value.decode())
+
+
+def status_change(order, state):
+    return RowChange(table="status", key=order.pool, value=state.value.encode())
 
 
 class ReportTests(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.rows = FakeStore(move(MoveState.FINISHED))
-        platform = types.SimpleNamespace(
-            store=self.rows, order_status=lambda order, state: state
-        )
+        platform = types.SimpleNamespace(store=self.rows, order_status=status_change)
+        self.home = None
         context = types.SimpleNamespace(
             clock=SuspendAwareClock(lambda: 0),
             store_view=types.SimpleNamespace(store_now_ms=lambda: 0),
-            homes=types.SimpleNamespace(find=lambda pool: None),
+            homes=types.SimpleNamespace(find=lambda pool: self.home),
             platform=platform,
         )
         self.moves = OrderedMoveService(context, self.rows, send=None)
         self.moves.receive_order(order(1))
         self.new_home = FakeController(move(MoveState.RUNNING))
 
+    async def follow(self):
+        await self.moves._follow_order(order(1), self.new_home)
+
     async def test_new_home_does_not_reopen_a_completed_move(self):
         """Guards against reporting a completed move as in progress again."""
-        await self.moves._follow_order(order(1), self.new_home)
-        self.assertEqual(self.rows.reported, [MoveOrderState.COMPLETED])
+        await self.follow()
+        self.assertEqual(self.rows.reported, [MoveOrderState.COMPLETED.value])
 
     async def test_new_home_reports_nothing_while_the_store_is_unreachable(self):
         self.rows.fails = True
-        await self.moves._follow_order(order(1), self.new_home)
+        await self.follow()
+        self.assertEqual(self.rows.reported, [])
+
+    async def test_late_report_does_not_replace_the_end(self):
+        """Guards against "in progress" written over an end that another home reported.
+
+        The row of the move is read while it runs; before the report is written, another
+        home ends the move and reports that.
+        """
+        self.rows.row = move(MoveState.RUNNING)
+
+        def report_end():
+            self.rows.row = move(MoveState.FINISHED)
+            self.rows.status_version = 17
+            self.rows.before_commit = lambda: None
+
+        self.rows.before_commit = report_end
+        with self.assertRaises(PlatformError):
+            await self.follow()
+        self.assertEqual(self.rows.reported, [])
+        await self.follow()
+        self.assertEqual(self.rows.reported, [MoveOrderState.COMPLETED.value])
+
+    async def test_completed_order_is_not_reported_as_in_progress(self):
+        """Guards against a second completion, on which released upstreams are stopped.
+
+        After the completion versions are released, and requests are in flight there.
+        """
+        scheduler = types.SimpleNamespace(in_flight_besides=lambda version: 0)
+        self.home = types.SimpleNamespace(scheduler=scheduler, recovered_ms=30)
+        await self.follow()
+        scheduler.in_flight_besides = lambda version: 3
+        await self.follow()
+        other_home = OrderedMoveService(self.moves._context, self.rows, send=None)
+        other_home.receive_order(order(1))
+        await other_home._follow_order(order(1), self.new_home)
+        self.assertEqual(self.rows.reported, [MoveOrderState.COMPLETED.value])
+
+    async def test_state_is_reported_once(self):
+        await self.follow()
+        await self.follow()
+        self.assertEqual(len(self.rows.reported), 1)
+
+    async def test_home_that_does_not_know_all_grants_reports_no_completion(self):
+        """Guards against upstreams that are stopped amid answers to other hosts."""
+        scheduler = types.SimpleNamespace(in_flight_besides=lambda version: 0)
+        self.home = types.SimpleNamespace(scheduler=scheduler, recovered_ms=None)
+        await self.follow()
         self.assertEqual(self.rows.reported, [])
+        self.home.recovered_ms = 30
+        await self.follow()
+        self.assertEqual(self.rows.reported, [MoveOrderState.COMPLETED.value])
 
 
 if __name__ == "__main__":
