Begin an order at once, and grant nothing before the record is read

What callers saw: all hosts are killed between an order and its first upstream, another version is ordered meanwhile, and the first one, which is bad, serves like any other.

Cause: the record of versions was written late (with the first listed upstream) and read late (within a second, at a home only).

Ruled out: keeping superseded orders in memory. It is lost with the hosts.

Change: an order's row is written as soon as its home knows the order. A host that finds an order at its start, or after a gap, has its pool wait for the record, at most 3 s (KnownRecords); the first order of a pool can have none. A home opens with the halts that this host was told of, standby homes hear announcements and halts, and older announcements and orders are ignored.

--- a/libs/decisions/src/hemlockhoist/decisions/served_versions/policy.py
+++ b/libs/decisions/src/hemlockhoist/decisions/served_versions/policy.py
@@ -36,10 +36,13 @@
     rules : hemlockhoist.declarations.VersionRules, optional
     bound : TrialBound, optional
         Limit on the requests of a version that is tried alone.
+    is_known : callable, optional
+        ``is_known()`` returns whether the record of the pool's moves is known here.
     """
 
     __slots__ = (
         "_bound",
+        "_is_known",
         "_order_of",
         "_own_trials",
         "_presence_of",
@@ -54,12 +57,14 @@
         presence_of=PoolPresence,
         rules=None,
         bound=UNBOUNDED,
+        is_known=lambda: True,
     ):
         self.controller = controller
         self._order_of = order_of
         self._presence_of = presence_of
         self._rules = rules or VersionRules()
         self._bound = bound
+        self._is_known = is_known
         # By version and the id of the move or order under which it is tried.
         self._own_trials = collections.OrderedDict()
 
@@ -74,6 +79,8 @@
         """Return the versions that may serve a request, in order of preference."""
         if self._has_no_order():
             return tuple(versions)
+        if not self._is_known():
+            return ()
         roles = self._roles()
         alone = self._alone(roles)
         if alone:
--- a/libs/decisions/src/hemlockhoist/decisions/versions/move.py
+++ b/libs/decisions/src/hemlockhoist/decisions/versions/move.py
@@ -371,6 +371,13 @@
     return _progress(row) > _progress(previous)
 
 
+def is_older(row, known):
+    """Return whether a row is of an earlier move, or an earlier state, than another."""
+    if row.move_id == known.move_id:
+        return is_newer(known, row)
+    return row.started_unix_ms < known.started_unix_ms
+
+
 def _progress(row):
     return row.fencing, _total(row), row.revision
 
--- a/libs/entry/src/hemlockhoist/entry/moves.py
+++ b/libs/entry/src/hemlockhoist/entry/moves.py
@@ -8,11 +8,7 @@
     ResultCode,
     get_logger,
 )
-from hemlockhoist.decisions.entry import (
-    HaltedOrders,
-    MoveOrderState,
-    order_state,
-)
+from hemlockhoist.decisions.entry import HaltedOrders, MoveOrderState, order_state
 from hemlockhoist.decisions.served_versions import (
     ServedVersionPolicy,
     StoreUptime,
@@ -20,13 +16,16 @@
     accepted_row,
 )
 from hemlockhoist.decisions.versions import (
+    Move,
+    MoveAnnouncement,
     MoveController,
     MoveState,
     OwnVerdict,
     TrialBound,
 )
+from hemlockhoist.entry.known_records import KnownRecords
 from hemlockhoist.entry.order_reports import OrderReports
-from hemlockhoist.host.moves import IDLE_TICK_INTERVAL_MS, MoveService
+from hemlockhoist.host.moves import IDLE_TICK_INTERVAL_MS, TABLE, MoveService
 
 _log = get_logger("entry.moves")
 
@@ -82,6 +81,7 @@
 
     __slots__ = (
         "_halted",
+        "_known",
         "_orders",
         "_policies",
         "_presence",
@@ -97,6 +97,7 @@
         self._orders = {}
         self._received_ms = {}
         self._halted = HaltedOrders()
+        self._known = KnownRecords(context.clock)
         # Policies of the pools whose home is at this host.
         self._policies = {}
         self._presence = VersionPresence()
@@ -116,12 +117,16 @@
         await super().close()
 
     def receive_order(self, order):
-        """Accept an operator's order; ignore one that is already known."""
+        """Accept an operator's order; ignore one that is already known, or older."""
         previous = self._orders.get(order.pool)
-        if previous is not None and previous.order_id == order.order_id:
+        if previous is not None and (
+            previous.order_id == order.order_id
+            or previous.store_version > order.store_version
+        ):
             return
         self._orders[order.pool] = order
         self._received_ms[order.pool] = self._context.clock.now_ms()
+        self._want_record(order.pool, is_first=previous is None)
         # A new order retries a version that was halted in an earlier move.
         self._halted.keep_only(order.pool, order.to_version, order.order_id)
         _log.info(
@@ -132,6 +137,18 @@
             duration_ms=order.duration_ms,
         )
 
+    def _want_record(self, pool, is_first):
+        """Have the record of an ordered pool read, unless there can't be one.
+
+        The first order that comes while the store is followed without a gap is the
+        pool's first: earlier ones would have been read with the other orders.
+        """
+        stable_ms = self.uptime.stable_ms(self._context.clock.now_ms())
+        if is_first and stable_ms > 0:
+            self._known.add(pool)
+        self._known.want(pool)
+        self._task.wake()
+
     def check_version(self, pool, version):
         """Refuse to send to a version that was halted since the grant.
 
@@ -166,8 +183,17 @@
             lambda: self._pool_presence(pool.name),
             pool.version_rules,
             trial_bound(self._context.settings.bounds),
+            lambda: self._known.has(pool.name),
         )
 
+    def _open_controller(self, pool):
+        controller = super()._open_controller(pool)
+        row = controller.row
+        if row is not None and self._is_halted(row):
+            now_ms = self._context.clock.now_ms()
+            controller.halt(row.to_version, "halted by another host", now_ms)
+        return controller
+
     def _tick(self, pool, controller):
         """Halt a version that its own answers show to be bad, and go on as usual."""
         for version, trial in self._own_verdicts(pool):
@@ -190,6 +216,23 @@
                 return controller.lone_end(self._context.clock.now_ms(), fencing)
         return None
 
+    def _observe(self, controller, row):
+        super()._observe(controller, row)
+        if row is not None:
+            self._known.add(row.value.pool)
+
+    async def _read(self, pool, controller):
+        """Read and apply the stored row; return whether it could be read."""
+        is_read = await super()._read(pool, controller)
+        if is_read:
+            self._known.add(pool)
+        return is_read
+
+    def on_announced(self, message):
+        """Store a home's announcement of its move and merge it into the controllers."""
+        super().on_announced(message)
+        self._known.add(message.pool)
+
     def observe_upstreams(self, upstreams):
         """Record the usable upstreams of all pools, leaving ones among them."""
         self._presence.observe(upstreams, self._context.clock.now_ms())
@@ -249,6 +292,7 @@
     async def _follow_orders(self):
         if self._context.clock.now_ms() < self._retry_due_ms:
             return
+        await self._read_wanted()
         for pool, order in list(self._orders.items()):
             controller = self._controllers.get(pool)
             if controller is None:
@@ -259,6 +303,26 @@
                 _log.warning("move_order_failed", pool=pool, reason=error.message)
                 self._retry_due_ms = self._context.clock.now_ms() + RETRY_DELAY_MS
 
+    async def _read_wanted(self):
+        """Read the records that are not known yet, also before a pool's home opens."""
+        for pool in self._known.wanted():
+            try:
+                row = await self._tables.read(TABLE, pool, Move)
+            except PlatformError as error:
+                _log.warning("move_not_read", pool=pool, reason=error.message)
+                self._retry_due_ms = self._context.clock.now_ms() + RETRY_DELAY_MS
+                return
+            self._learn(pool, row)
+
+    def _learn(self, pool, row):
+        """Use the record of a pool, or that there is none."""
+        self._known.add(pool)
+        if row is None:
+            return
+        self._announced.setdefault(pool, MoveAnnouncement(row=row.value, halted={}))
+        for controller in self._controllers_of(pool):
+            self._observe(controller, row)
+
     async def _follow_order(self, order, controller):
         """Start an order's move, or report its state to the operators.
 
@@ -296,10 +360,12 @@
         await self._reports.report(order, state, is_over)
 
     async def _begin_move(self, order):
-        """Start the move of an order; return its row, or None while it has to wait."""
-        presence = self._pool_presence(order.pool)
-        if not presence.deployed[order.to_version]:
-            return None
+        """Start the move of an order; return its row, or None while it has to wait.
+
+        It starts before the first upstream of its version is listed. Failure prevented:
+        all hosts are killed before that, another version is ordered meanwhile, and
+        nothing tells any more that the first one was never proven.
+        """
         return await self._update_row(
             order.pool, lambda row: self._accepted_row(row, order)
         )
--- a/libs/entry/src/hemlockhoist/entry/tests/test_moves.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_moves.py
@@ -203,5 +203,52 @@
         self.assertEqual(self.rows.reported, [MoveOrderState.COMPLETED.value])
 
 
+class OrderTests(unittest.TestCase):
+    def setUp(self):
+        self.now_ms = 0
+        clock = SuspendAwareClock(lambda: self.now_ms * 1_000_000)
+        context = types.SimpleNamespace(clock=clock)
+        self.moves = OrderedMoveService(context, rows=None, send=None)
+
+    def receive(self, number, version="v2"):
+        self.moves.receive_order(
+            MoveOrder(
+                order_id=f"halls@{number}",
+                pool="halls",
+                to_version=version,
+                duration_ms=8_000,
+                store_version=number,
+            )
+        )
+
+    def test_older_order_is_ignored(self):
+        """Guards against an order that comes back with an older reading."""
+        self.receive(14, "v3")
+        self.receive(8)
+        self.assertEqual(self.moves._orders["halls"].order_id, "halls@14")
+
+    def test_record_is_wanted_where_an_order_is_found_at_the_start(self):
+        """Guards against versions that serve before the record of a start was read."""
+        self.receive(8)
+        self.assertEqual(self.moves._known.wanted(), ("halls",))
+        self.assertFalse(self.moves._known.has("halls"))
+        self.now_ms = 3_000
+        self.assertTrue(self.moves._known.has("halls"))
+
+    def test_first_order_of_a_pool_has_no_record(self):
+        """Guards against requests that wait for a record that can't be there."""
+        self.moves.uptime.record_reading(0, 0)
+        self.now_ms = 500
+        self.receive(8)
+        self.assertTrue(self.moves._known.has("halls"))
+        self.assertEqual(self.moves._known.wanted(), ())
+
+    def test_order_after_a_gap_may_have_a_record(self):
+        self.moves.uptime.record_reading(0, 0)
+        self.now_ms = 5_000
+        self.receive(8)
+        self.assertFalse(self.moves._known.has("halls"))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/libs/host/src/hemlockhoist/host/moves.py
+++ b/libs/host/src/hemlockhoist/host/moves.py
@@ -26,6 +26,7 @@
     MoveState,
     TakenBack,
     cancel_move,
+    is_older,
     start_move,
 )
 from hemlockhoist.messages import MoveAnnounced, VersionHalted
@@ -72,6 +73,7 @@
         "_controllers",
         "_leases",
         "_send",
+        "_standbys",
         "_tables",
         "_tasks",
         "_writing",
@@ -83,6 +85,8 @@
         self._tables = tables
         self._send = send
         self._controllers = {}
+        # Controllers of the latest standby home of each pool.
+        self._standbys = {}
         self._announced = {}
         self._leases = {}
         self._backoff_until_ms = 0
@@ -126,7 +130,13 @@
         It grants within the shares known at this host and halts versions by its own
         evidence. Only the pool's home widens shares.
         """
-        return self._open_controller(pool)
+        controller = self._standbys[pool.name] = self._open_controller(pool)
+        return controller
+
+    def _controllers_of(self, pool):
+        """Return the controllers of a pool's home and standby home at this host."""
+        found = (self._controllers.get(pool), self._standbys.get(pool))
+        return [controller for controller in found if controller is not None]
 
     def _open_controller(self, pool):
         now_ms = self._context.clock.now_ms()
@@ -352,21 +362,23 @@
                 self._send(host, message)
 
     def on_announced(self, message):
-        """Store a home's announcement of its move and merge it into a controller."""
+        """Store a home's announcement of its move and merge it into the controllers."""
         announcement = msgspec.json.decode(message.row, type=MoveAnnouncement)
-        self._announced[message.pool] = announcement
-        controller = self._controllers.get(message.pool)
-        if controller is not None:
-            controller.observe_announcement(announcement, self._context.clock.now_ms())
+        known = self._announced.get(message.pool)
+        if known is None or not is_older(announcement.row, known.row):
+            self._announced[message.pool] = announcement
+        now_ms = self._context.clock.now_ms()
+        for controller in self._controllers_of(message.pool):
+            controller.observe_announcement(announcement, now_ms)
 
     def on_halted(self, message):
         """Stop issuing and using grants of a version that another host halted."""
         self._revoke(message)
-        controller = self._controllers.get(message.pool)
-        row = controller.row if controller is not None else None
-        if row is not None and row.move_id == message.move_id:
-            now_ms = self._context.clock.now_ms()
-            controller.halt(message.version, message.reason, now_ms)
+        now_ms = self._context.clock.now_ms()
+        for controller in self._controllers_of(message.pool):
+            row = controller.row
+            if row is not None and row.move_id == message.move_id:
+                controller.halt(message.version, message.reason, now_ms)
 
     def leases(self):
         """Return the leases on moves that this host has requested, for ``status``."""
