Settle what is recorded of versions as they are gone, back or proven

What callers saw: a version that was rolled back is mended and released under its name without an order, and every request gets 503 once the last old upstream leaves. A replaced version that is released again is idle until the last step.

Cause: what is recorded of a version is recorded of its name, and only an order for it ended that.

Ruled out: forgetting a bad version as soon as it is gone. Upstreams of a bad version that crash and start again would serve without a trial.

Change: settled_row, a pure function, which the pool's home applies: a replaced version that is gone is forgotten; a halted or unproven one that was gone and is back is unproven, with a new trial by its own answers; such a trial's end is written; a move past its time ends as its version is gone. Hosts drop halts that the record has ended. Versions released beside a move are replaced with the old one as it finishes. A version that is trusted again under the row that took it back is not counted as one on trial.

--- a/libs/decisions/src/hemlockhoist/decisions/entry/halted.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/halted.py
@@ -1,5 +1,7 @@
 """Versions that must get no requests because their move orders were halted."""
 
+from hemlockhoist.decisions.versions import Standing
+
 
 class HaltedOrders:
     """Tracks which versions were halted, and under which operators' orders.
@@ -43,3 +45,16 @@
         orders = self._orders.get((pool, version))
         if orders is not None:
             orders &= {order_id}
+
+    def settle(self, row):
+        """Drop halts of versions that a row of their pool's moves trusts again.
+
+        Parameters
+        ==========
+        row : Move
+        """
+        for item in row.standings:
+            if item.standing is not Standing.HALTED:
+                orders = self._orders.get((row.pool, item.version))
+                if orders is not None:
+                    orders.discard(item.move_id)
--- a/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_halted.py
+++ b/libs/decisions/src/hemlockhoist/decisions/entry/tests/test_halted.py
@@ -1,7 +1,15 @@
 import doctest
 import unittest
 
+import msgspec
+
 from hemlockhoist.decisions.entry import HaltedOrders, halted
+from hemlockhoist.decisions.served_versions.tests.builders import ORDER, move
+from hemlockhoist.decisions.versions import (
+    Standing,
+    roll_back_move,
+    with_row_standing,
+)
 
 
 class HaltedVersionsTests(unittest.TestCase):
@@ -21,6 +29,20 @@
         versions.keep_only("halls", "v2", "halls@14")
         self.assertTrue(versions.has("halls", "v2", "halls@14"))
 
+    def test_halt_ends_as_the_record_trusts_its_version_again(self):
+        """Guards against hosts that refuse a mended version long after its release."""
+        versions = HaltedOrders()
+        versions.record("halls", "v2", "halls@7")
+        versions.record("halls", "v2", "halls@9")
+        row = roll_back_move(move(), ORDER.order_id, "bad", "home")
+        versions.settle(row)
+        self.assertTrue(versions.has("halls", "v2", "halls@7"))
+        (item,) = row.standings
+        item = msgspec.structs.replace(item, standing=Standing.UNPROVEN)
+        versions.settle(with_row_standing(row, item))
+        self.assertFalse(versions.has("halls", "v2", "halls@7"))
+        self.assertTrue(versions.has("halls", "v2", "halls@9"))
+
     def test_examples(self):
         self.assertEqual(doctest.testmod(halted).failed, 0)
 
--- a/libs/decisions/src/hemlockhoist/decisions/served_versions/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/served_versions/__init__.py
@@ -12,6 +12,7 @@
     VersionPresence,
 )
 from hemlockhoist.decisions.served_versions.roles import VersionRole, VersionRoles
+from hemlockhoist.decisions.served_versions.settlement import settled_row
 
 __all__ = [
     "PoolPresence",
@@ -22,5 +23,6 @@
     "VersionRoles",
     "accepted_row",
     "is_served",
+    "settled_row",
     "source_version",
 ]
--- a/libs/decisions/src/hemlockhoist/decisions/served_versions/policy.py
+++ b/libs/decisions/src/hemlockhoist/decisions/served_versions/policy.py
@@ -65,7 +65,7 @@
         self._rules = rules or VersionRules()
         self._bound = bound
         self._is_known = is_known
-        # By version and the id of the move or order under which it is tried.
+        # By version and the trial that it is in.
         self._own_trials = collections.OrderedDict()
 
     def _has_no_order(self):
@@ -95,7 +95,11 @@
 
     def _alone(self, roles):
         """Return the versions that are tried, as no other can serve."""
-        return [x for x in roles.alone() if not self.controller.is_halted(x)]
+        return [x for x in roles.alone() if not self._is_halted(roles, x)]
+
+    def _is_halted(self, roles, version):
+        """Return whether a version on trial is halted, before a row says so."""
+        return roles.is_tried(version) and self.controller.is_halted(version)
 
     def _serving(self, roles, versions):
         """Return the versions that serve without a share, the recorded one first.
@@ -130,16 +134,16 @@
         return trial
 
     def own_verdicts(self):
-        """Return the trials by own answers that have ended, with their versions.
+        """Return the verdicts on the versions that are tried, as no other can serve.
 
         Returns
         =======
-        list of tuple of str and OwnTrial
-            Only those of versions that are tried now, or that no other stands beside.
+        dict
+            ``OwnVerdict`` by version, without those that are undecided.
         """
         roles = self._roles()
-        trials = [(x, self._own_trial(roles, x)) for x in self._alone(roles)]
-        return [x for x in trials if x[1].verdict is not OwnVerdict.UNDECIDED]
+        found = {x: self._own_trial(roles, x).verdict for x in self._alone(roles)}
+        return {x: y for x, y in found.items() if y is not OwnVerdict.UNDECIDED}
 
     def on_grant(self, request, version, now_ms, upstream_id=""):
         """Count a grant of a version."""
@@ -149,7 +153,7 @@
         alone = self._alone(roles)
         if alone or roles.trial_version is not None:
             self._count_own(roles, request, version, alone)
-        if version in alone:
+        if version in alone or roles.is_trusted_again(version):
             return
         counted = self._counted_version(version)
         self.controller.on_grant(request, counted, now_ms, upstream_id)
--- a/libs/decisions/src/hemlockhoist/decisions/served_versions/roles.py
+++ b/libs/decisions/src/hemlockhoist/decisions/served_versions/roles.py
@@ -28,6 +28,7 @@
 
 
 _ROLES_OF_STANDINGS = {
+    Standing.PROVEN: VersionRole.SERVING,
     Standing.REPLACED: VersionRole.REPLACED,
     Standing.UNPROVEN: VersionRole.UNPROVEN,
     Standing.HALTED: VersionRole.HALTED,
@@ -79,7 +80,7 @@
         A version that no order has named serves as soon as it is deployed: operators
         release versions without orders.
         """
-        if self._is_tried(version):
+        if self.is_tried(version):
             # The latest order is for another move, which replaces the one that goes on.
             return VersionRole.UNPROVEN if self.is_pending else VersionRole.TRIAL
         standing = find_standing(self._standings, version)
@@ -89,12 +90,21 @@
             return VersionRole.WITHHELD
         return VersionRole.SERVING
 
-    def _is_tried(self, version):
+    def is_tried(self, version):
+        """Return whether a version is the new one of a move that goes on."""
         row = self._row
         if row is None or row.state is not MoveState.RUNNING:
             return False
         return version == row.to_version
 
+    def is_trusted_again(self, version):
+        """Return whether a version serves that the latest move has taken back."""
+        row = self._row
+        if row is None or version != row.to_version:
+            return False
+        is_taken_back = row.state in (MoveState.ROLLED_BACK, MoveState.CANCELLED)
+        return is_taken_back and self.of(version) is VersionRole.SERVING
+
     def _is_withheld(self, version):
         """Return whether a version waits for the begin of its move.
 
@@ -129,13 +139,20 @@
         return (*first, *others)
 
     def trial_id(self, version):
-        """Return the id of the move or order under which a version is tried."""
-        if self._is_tried(version):
-            return self._row.move_id
+        """Return what distinguishes the present trial of a version from others.
+
+        Returns
+        =======
+        tuple of str and int
+            The move or order under which it is tried, and how often its upstreams have
+            been replaced since.
+        """
+        if self.is_tried(version):
+            return self._row.move_id, 0
         standing = find_standing(self._standings, version)
         if standing is not None:
-            return standing.move_id
-        return self._order.order_id if self._order is not None else ""
+            return standing.move_id, standing.return_count
+        return (self._order.order_id if self._order is not None else "", 0)
 
     def may_return(self):
         """Return whether a version that serves is not listed, but may be back."""
--- a/libs/decisions/src/hemlockhoist/decisions/served_versions/tests/test_presence.py
+++ b/libs/decisions/src/hemlockhoist/decisions/served_versions/tests/test_presence.py
@@ -1,7 +1,12 @@
+import doctest
 import unittest
 
 from hemlockhoist.decisions import Upstream, UpstreamState
-from hemlockhoist.decisions.served_versions import StoreUptime, VersionPresence
+from hemlockhoist.decisions.served_versions import (
+    StoreUptime,
+    VersionPresence,
+    presence,
+)
 from hemlockhoist.decisions.served_versions.tests.builders import ORDER
 
 LONG_MS = 60_000
@@ -129,3 +134,6 @@
         self.assertEqual(self.uptime.stable_ms(10_100), 0)
         self.uptime.record_reading(10_200, 10_200)
         self.assertEqual(self.uptime.stable_ms(10_300), 100)
+
+    def test_examples(self):
+        self.assertEqual(doctest.testmod(presence).failed, 0)
--- a/libs/decisions/src/hemlockhoist/decisions/versions/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/versions/__init__.py
@@ -26,6 +26,8 @@
     roll_back_move,
     start_move,
     widen_move,
+    with_row_standing,
+    without_row_standing,
 )
 from hemlockhoist.decisions.versions.orders import Order, OrderState, OrderTracker
 from hemlockhoist.decisions.versions.own_trial import OwnTrial, OwnVerdict
@@ -33,8 +35,6 @@
     Standing,
     VersionStanding,
     find_standing,
-    with_standing,
-    without_standing,
 )
 from hemlockhoist.decisions.versions.trial import UNBOUNDED, TrialBound
 
@@ -72,6 +72,6 @@
     "roll_back_move",
     "start_move",
     "widen_move",
-    "with_standing",
-    "without_standing",
+    "with_row_standing",
+    "without_row_standing",
 ]
--- a/libs/decisions/src/hemlockhoist/decisions/versions/move.py
+++ b/libs/decisions/src/hemlockhoist/decisions/versions/move.py
@@ -86,8 +86,7 @@
     has_idempotent_calls : bool
         Whether the pool got idempotent calls, in this move or an earlier one.
     standings : tuple of VersionStanding
-        The versions that do not serve without reservation, from this move and earlier
-        ones.
+        The versions of which this move or earlier ones have shown something.
     revision : int
         One more for each change of the row, also from move to move.
     """
@@ -407,6 +406,21 @@
     return msgspec.structs.replace(row, standings=standings)
 
 
+def with_row_standing(row, standing):
+    """Return the row with a ``VersionStanding``, which replaces its version's."""
+    standings = with_standing(row.standings, standing)
+    return _with_standings(row, standings)
+
+
+def without_row_standing(row, version):
+    """Return the row without the standing of a version."""
+    return _with_standings(row, without_standing(row.standings, version))
+
+
+def _with_standings(row, standings):
+    return msgspec.structs.replace(row, standings=standings, revision=row.revision + 1)
+
+
 def known_standings(row):
     """Return the standings of a row, also of one that an earlier release has ended."""
     if row.revision or row.state is MoveState.RUNNING:
--- a/libs/decisions/src/hemlockhoist/decisions/versions/standings.py
+++ b/libs/decisions/src/hemlockhoist/decisions/versions/standings.py
@@ -1,4 +1,4 @@
-"""How the versions of a pool stand that do not serve it without reservation.
+"""How the versions of a pool stand of which an order has shown something.
 
 A version that no order has named serves as soon as it is deployed. What the orders of
 operators have shown of a version is kept with the row of the pool's move, and handed on
@@ -16,8 +16,10 @@
 
 
 class Standing(enum.Enum):
-    """How a version stands that is not on trial and does not serve."""
+    """How a version stands that is not on trial."""
 
+    # It was on trial without an order, as no other could serve, and serves now.
+    PROVEN = "proven"
     # It served until a move to another version finished.
     REPLACED = "replaced"
     # An order for it ended without a verdict.
@@ -36,13 +38,17 @@
     move_id : str
         The move that left it so.
     is_gone : bool
-        Whether no upstream of the version has been deployed since.
+        Whether no upstream of the version has been deployed for a while since.
+    return_count : int
+        How often it was deployed again after that: what is known of the upstreams of
+        before says nothing of those.
     """
 
     version: str
     standing: Standing
     move_id: str
     is_gone: bool = False
+    return_count: int = 0
 
 
 def find_standing(standings, version):
--- a/libs/entry/src/hemlockhoist/entry/moves.py
+++ b/libs/entry/src/hemlockhoist/entry/moves.py
@@ -13,7 +13,9 @@
     ServedVersionPolicy,
     StoreUptime,
     VersionPresence,
+    VersionRoles,
     accepted_row,
+    settled_row,
 )
 from hemlockhoist.decisions.versions import (
     Move,
@@ -22,6 +24,7 @@
     MoveState,
     OwnVerdict,
     TrialBound,
+    replace_versions,
 )
 from hemlockhoist.entry.known_records import KnownRecords
 from hemlockhoist.entry.order_reports import OrderReports
@@ -196,30 +199,42 @@
 
     def _tick(self, pool, controller):
         """Halt a version that its own answers show to be bad, and go on as usual."""
-        for version, trial in self._own_verdicts(pool):
-            if trial.verdict is OwnVerdict.BAD:
-                now_ms = self._context.clock.now_ms()
-                controller.halt(version, trial.reason, now_ms)
+        row = controller.row
+        verdicts = self._own_verdicts(pool)
+        if self._is_running(controller) and verdicts.get(row.to_version) is (
+            OwnVerdict.BAD
+        ):
+            reason = "its own answers are bad, and no other version can serve"
+            controller.halt(row.to_version, reason, self._context.clock.now_ms())
         super()._tick(pool, controller)
 
     def _own_verdicts(self, pool):
         policy = self._policies.get(pool)
-        return policy.own_verdicts() if policy is not None else ()
+        return policy.own_verdicts() if policy is not None else {}
 
     def _wanted_row(self, pool, controller, fencing):
         wanted = super()._wanted_row(pool, controller, fencing)
         row = controller.row
-        if wanted is not None or row is None:
-            return wanted
-        for version, trial in self._own_verdicts(pool):
-            if version == row.to_version and trial.verdict is OwnVerdict.PROVEN:
-                return controller.lone_end(self._context.clock.now_ms(), fencing)
-        return None
+        if wanted is None and row is not None:
+            verdict = self._own_verdicts(pool).get(row.to_version)
+            if verdict is OwnVerdict.PROVEN:
+                now_ms = self._context.clock.now_ms()
+                wanted = controller.lone_end(now_ms, fencing)
+        if wanted is not None and wanted.state is MoveState.FINISHED:
+            return self._with_replaced(pool, wanted)
+        return wanted
+
+    def _with_replaced(self, pool, row):
+        """Return the row of a finished move with all versions that served beside it."""
+        presence = self._pool_presence(pool)
+        serving = VersionRoles(row, self._orders.get(pool), presence).serving()
+        return replace_versions(row, [x for x in serving if x != row.to_version])
 
     def _observe(self, controller, row):
         super()._observe(controller, row)
         if row is not None:
             self._known.add(row.value.pool)
+            self._halted.settle(row.value)
 
     async def _read(self, pool, controller):
         """Read and apply the stored row; return whether it could be read."""
@@ -232,6 +247,7 @@
         """Store a home's announcement of its move and merge it into the controllers."""
         super().on_announced(message)
         self._known.add(message.pool)
+        self._halted.settle(self._announced[message.pool].row)
 
     def observe_upstreams(self, upstreams):
         """Record the usable upstreams of all pools, leaving ones among them."""
@@ -340,8 +356,23 @@
             row = await self._begin_move(order)
         if row is None or row.move_id != order.order_id:
             return
+        row = await self._settle(order.pool, row)
         await self._report(order, row)
 
+    async def _settle(self, pool, row):
+        """Write what has changed of the pool's versions; return the newest row."""
+        verdicts = self._own_verdicts(pool)
+
+        def settled(row):
+            if row is None:
+                return None
+            presence = self._pool_presence(pool)
+            return settled_row(row, presence, verdicts, self._fleet_time_ms())
+
+        if settled(row) == row:
+            return row
+        return await self._update_row(pool, settled)
+
     async def _report(self, order, row):
         """Report the state of an order by its row.
 
