--- a/libs/decisions/src/hemlockhoist/decisions/served_versions/__init__.py
+++ b/libs/decisions/src/hemlockhoist/decisions/served_versions/__init__.py
@@ -13,11 +13,13 @@
 )
 from hemlockhoist.decisions.served_versions.roles import VersionRole, VersionRoles
 from hemlockhoist.decisions.served_versions.settlement import settled_row
+from hemlockhoist.decisions.served_versions.superseded import SupersededOrders
 
 __all__ = [
     "PoolPresence",
     "ServedVersionPolicy",
     "StoreUptime",
+    "SupersededOrders",
     "VersionPresence",
     "VersionRole",
     "VersionRoles",
--- a/libs/decisions/src/hemlockhoist/decisions/served_versions/acceptance.py
+++ b/libs/decisions/src/hemlockhoist/decisions/served_versions/acceptance.py
@@ -1,12 +1,20 @@
 """The row with which the move of an operator's order begins."""
 
 from hemlockhoist.decisions.served_versions.roles import VersionRole, VersionRoles
-from hemlockhoist.decisions.versions import MoveRequest, confirm_move, follow_move
+from hemlockhoist.decisions.versions import (
+    MoveRequest,
+    Standing,
+    VersionStanding,
+    confirm_move,
+    find_standing,
+    follow_move,
+    with_row_standing,
+)
 
 AUTHOR = "hemlockhoist"
 
 
-def accepted_row(row, order, presence, now_ms, remaining_ms):
+def accepted_row(row, order, presence, now_ms, remaining_ms, superseded=None):
     """Return the row with which an order begins, or None while that is not known.
 
     Failure prevented: after an outage of the store, entries of the ordered version are
@@ -23,6 +31,8 @@
         Time shared by all hosts.
     remaining_ms : int
         Time left until all requests are to be on the new version.
+    superseded : mapping of str to str, optional
+        By version, the order for it that was replaced before its row was written.
 
     Returns
     =======
@@ -34,15 +44,29 @@
     """
     if row is not None and row.move_id == order.order_id:
         return row
-    roles = VersionRoles(row, order, presence)
+    roles = VersionRoles(row, order, presence, superseded)
     if is_served(order, roles, presence):
         others = [item for item in roles.serving() if item != order.to_version]
         request = _request(order, "", now_ms + remaining_ms)
-        return confirm_move(row, request, now_ms, others)
+        return _with_superseded(confirm_move(row, request, now_ms, others), superseded)
     source = source_version(order, roles, presence)
     if not source and not _is_alone(order, roles, presence):
         return None
-    return follow_move(row, _request(order, source, now_ms + remaining_ms), now_ms)
+    request = _request(order, source, now_ms + remaining_ms)
+    return _with_superseded(follow_move(row, request, now_ms), superseded)
+
+
+def _with_superseded(row, superseded):
+    """Return the row with the versions whose orders have no row as unproven."""
+    for version, order_id in (superseded or {}).items():
+        is_known = find_standing(row.standings, version) is not None
+        if is_known or version in (row.from_version, row.to_version):
+            continue
+        unproven = VersionStanding(
+            version=version, standing=Standing.UNPROVEN, move_id=order_id
+        )
+        row = with_row_standing(row, unproven)
+    return row
 
 
 def source_version(order, roles, presence):
--- a/libs/decisions/src/hemlockhoist/decisions/served_versions/policy.py
+++ b/libs/decisions/src/hemlockhoist/decisions/served_versions/policy.py
@@ -38,6 +38,8 @@
         Limit on the requests of a version that is tried alone.
     is_known : callable, optional
         ``is_known()`` returns whether the record of the pool's moves is known here.
+    superseded : mapping of str to str, optional
+        As with ``VersionRoles``; it may change.
     """
 
     __slots__ = (
@@ -47,6 +49,7 @@
         "_own_trials",
         "_presence_of",
         "_rules",
+        "_superseded",
         "controller",
     )
 
@@ -58,6 +61,7 @@
         rules=None,
         bound=UNBOUNDED,
         is_known=lambda: True,
+        superseded=None,
     ):
         self.controller = controller
         self._order_of = order_of
@@ -65,6 +69,7 @@
         self._rules = rules or VersionRules()
         self._bound = bound
         self._is_known = is_known
+        self._superseded = superseded
         # By version and the trial that it is in.
         self._own_trials = collections.OrderedDict()
 
@@ -73,7 +78,12 @@
         return self.controller.row is None and self._order_of() is None
 
     def _roles(self):
-        return VersionRoles(self.controller.row, self._order_of(), self._presence_of())
+        return VersionRoles(
+            self.controller.row,
+            self._order_of(),
+            self._presence_of(),
+            self._superseded,
+        )
 
     def candidates(self, request, versions, now_ms):
         """Return the versions that may serve a request, in order of preference."""
--- a/libs/decisions/src/hemlockhoist/decisions/served_versions/roles.py
+++ b/libs/decisions/src/hemlockhoist/decisions/served_versions/roles.py
@@ -45,14 +45,18 @@
     order : MoveOrder or None
         Latest order of the pool.
     presence : PoolPresence
+    superseded : mapping of str to str, optional
+        By version, the order for it that a later one replaced before its row was
+        written.
     """
 
-    __slots__ = ("_order", "_presence", "_row", "_standings")
+    __slots__ = ("_order", "_presence", "_row", "_standings", "_superseded")
 
-    def __init__(self, row, order, presence):
+    def __init__(self, row, order, presence, superseded=None):
         self._row = row
         self._order = order
         self._presence = presence
+        self._superseded = superseded or {}
         self._standings = () if row is None else known_standings(row)
 
     @property
@@ -88,6 +92,8 @@
             return _ROLES_OF_STANDINGS[standing.standing]
         if self._is_withheld(version):
             return VersionRole.WITHHELD
+        if version in self._superseded and version != self.recorded_version:
+            return VersionRole.UNPROVEN
         return VersionRole.SERVING
 
     def is_tried(self, version):
@@ -112,8 +118,10 @@
         """
         if not self.is_pending or version != self._order.to_version:
             return False
+        if version == self.recorded_version:
+            return False
         is_older = self._presence.is_older(version, self._order)
-        return not is_older and version != self.recorded_version
+        return not is_older or version in self._superseded
 
     def serving(self):
         """Return the deployed versions that serve, the recorded one first."""
@@ -152,6 +160,8 @@
         standing = find_standing(self._standings, version)
         if standing is not None:
             return standing.move_id, standing.return_count
+        if version in self._superseded:
+            return self._superseded[version], 0
         return (self._order.order_id if self._order is not None else "", 0)
 
     def may_return(self):
--- a/libs/decisions/src/hemlockhoist/decisions/served_versions/tests/test_acceptance.py
+++ b/libs/decisions/src/hemlockhoist/decisions/served_versions/tests/test_acceptance.py
@@ -1,6 +1,8 @@
 import unittest
 
 from hemlockhoist.decisions.served_versions import (
+    SupersededOrders,
+    VersionRole,
     VersionRoles,
     accepted_row,
     source_version,
@@ -148,3 +150,49 @@
         known = presence(["v1", "v2"], missing=frozenset({"v0"}))
         row = accepted(None, ORDER, known)
         self.assertEqual((row.from_version, row.state), ("v1", MoveState.RUNNING))
+
+
+class SupersededOrderTests(unittest.TestCase):
+    """Orders that a later one replaced before a row told of them."""
+
+    def setUp(self):
+        # Listed after the first order, and before the second.
+        self.known = presence(["v1", "v2"], {"v1": 1, "v2": 8})
+        self.superseded = {"v2": ORDER.order_id}
+
+    def accepted(self, given, superseded):
+        return accepted_row(None, given, self.known, 5, 10_000, superseded)
+
+    def test_version_of_a_superseded_order_is_no_source(self):
+        """Guards against a move away from a version of which no row tells."""
+        row = self.accepted(order(9, "v3"), self.superseded)
+        self.assertEqual((row.from_version, row.to_version), ("v1", "v3"))
+        self.assertIs(standing_of(row, "v2"), Standing.UNPROVEN)
+
+    def test_order_back_to_the_serving_version(self):
+        row = self.accepted(order(9, "v1"), self.superseded)
+        self.assertEqual(row.serving_version, "v1")
+        self.assertIs(standing_of(row, "v2"), Standing.UNPROVEN)
+
+    def test_version_that_is_ordered_again_is_withheld(self):
+        """Guards against a version that serves as its first order has no row."""
+        again = order(9, "v2")
+        roles = VersionRoles(None, again, self.known, self.superseded)
+        self.assertIs(roles.of("v2"), VersionRole.WITHHELD)
+        self.assertIs(roles.of("v1"), VersionRole.SERVING)
+        row = self.accepted(again, self.superseded)
+        self.assertIs(row.state, MoveState.RUNNING)
+
+    def test_orders_are_forgotten_once_a_row_tells_of_their_versions(self):
+        orders = SupersededOrders()
+        orders.replace(ORDER, is_older=False)
+        self.assertEqual(orders.of_pool("halls"), self.superseded)
+        orders.settle(self.accepted(order(9, "v3"), {}))
+        self.assertEqual(orders.of_pool("halls"), self.superseded)
+        orders.settle(self.accepted(order(9, "v3"), self.superseded))
+        self.assertEqual(orders.of_pool("halls"), {})
+
+    def test_version_that_served_before_its_order_is_not_superseded(self):
+        orders = SupersededOrders()
+        orders.replace(ORDER, is_older=True)
+        self.assertEqual(orders.of_pool("halls"), {})
--- a/libs/entry/src/hemlockhoist/entry/moves.py
+++ b/libs/entry/src/hemlockhoist/entry/moves.py
@@ -12,6 +12,7 @@
 from hemlockhoist.decisions.served_versions import (
     ServedVersionPolicy,
     StoreUptime,
+    SupersededOrders,
     VersionPresence,
     VersionRoles,
     accepted_row,
@@ -91,6 +92,7 @@
         "_received_ms",
         "_reports",
         "_retry_due_ms",
+        "_superseded",
         "_task",
         "uptime",
     )
@@ -106,6 +108,7 @@
         self._presence = VersionPresence()
         self.uptime = StoreUptime()
         self._reports = OrderReports(context)
+        self._superseded = SupersededOrders()
         self._retry_due_ms = 0
         self._task = PeriodicTask(self._check_interval_ms, self._follow_orders)
 
@@ -127,6 +130,11 @@
             or previous.store_version > order.store_version
         ):
             return
+        if previous is not None:
+            is_older = self._pool_presence(order.pool).is_older(
+                previous.to_version, previous
+            )
+            self._superseded.replace(previous, is_older)
         self._orders[order.pool] = order
         self._received_ms[order.pool] = self._context.clock.now_ms()
         self._want_record(order.pool, is_first=previous is None)
@@ -187,6 +195,7 @@
             pool.version_rules,
             trial_bound(self._context.settings.bounds),
             lambda: self._known.has(pool.name),
+            self._superseded.of_pool(pool.name),
         )
 
     def _open_controller(self, pool):
@@ -234,7 +243,7 @@
         super()._observe(controller, row)
         if row is not None:
             self._known.add(row.value.pool)
-            self._halted.settle(row.value)
+            self._settle_memory(row.value)
 
     async def _read(self, pool, controller):
         """Read and apply the stored row; return whether it could be read."""
@@ -247,7 +256,12 @@
         """Store a home's announcement of its move and merge it into the controllers."""
         super().on_announced(message)
         self._known.add(message.pool)
-        self._halted.settle(self._announced[message.pool].row)
+        self._settle_memory(self._announced[message.pool].row)
+
+    def _settle_memory(self, row):
+        """Forget what a row of a pool's moves has settled."""
+        self._halted.settle(row)
+        self._superseded.settle(row)
 
     def observe_upstreams(self, upstreams):
         """Record the usable upstreams of all pools, leaving ones among them."""
@@ -407,6 +421,11 @@
         remaining_ms = max(1, int(MOVED_FRACTION * order.duration_ms) - waited_ms)
         presence = self._pool_presence(order.pool)
         accepted = accepted_row(
-            row, order, presence, self._fleet_time_ms(), remaining_ms
+            row,
+            order,
+            presence,
+            self._fleet_time_ms(),
+            remaining_ms,
+            self._superseded.of_pool(order.pool),
         )
         return row if accepted is None else accepted
