Report a rollback once, also by the next home

Cause: a new home reports the state of the latest order at its start. A stored completion stood already, a stored rollback did not.

Ruled out: not reporting at all at a start. A state that was never written would be missing.

Change: where the move is over and the stored state is an end of that order, it stands.

--- a/libs/entry/src/hemlockhoist/entry/order_reports.py
+++ b/libs/entry/src/hemlockhoist/entry/order_reports.py
@@ -41,9 +41,9 @@
     async def report(self, order, state, is_over):
         """Report an order's state to the operators unless this host has done so.
 
-        Nothing is reported after the end. Failure prevented: versions are released
-        after an order was completed, requests are in progress there, and a second
-        completion has operators stop them.
+        Nothing is reported after the end, by this home or the next. Failure prevented:
+        versions are released after an order has ended, and operators stop or drain them
+        on a second report of that end.
 
         Parameters
         ==========
@@ -79,10 +79,19 @@
         reading = await platform.store.read_table(change.table)
         rows = {row.key: row for row in reading.rows if row.value is not None}
         stored = rows.get(change.key)
-        completed = platform.order_status(order, MoveOrderState.COMPLETED)
-        if is_over and stored is not None and stored.value == completed.value:
-            return MoveOrderState.COMPLETED
+        ended = self._stored_end(order, stored) if is_over else None
+        if ended is not None:
+            return ended
         version = 0 if stored is None else stored.version
         change = msgspec.structs.replace(change, if_version=version)
         await platform.store.commit((change,))
         return state
+
+    def _stored_end(self, order, stored):
+        """Return the end of an order that a row of the store reports, or None."""
+        if stored is None:
+            return None
+        for state in _FINAL_STATES:
+            if self._context.platform.order_status(order, state).value == stored.value:
+                return state
+        return None
--- a/libs/entry/src/hemlockhoist/entry/tests/test_moves.py
+++ b/libs/entry/src/hemlockhoist/entry/tests/test_moves.py
@@ -187,6 +187,15 @@
         await other_home._follow_order(order(1), self.new_home)
         self.assertEqual(self.rows.reported, [MoveOrderState.COMPLETED.value])
 
+    async def test_next_home_does_not_report_a_rollback_again(self):
+        """Guards against a mended version that is drained, as its name was rolled back."""
+        self.rows.row = move(MoveState.ROLLED_BACK)
+        await self.follow()
+        next_home = OrderedMoveService(self.moves._context, self.rows, send=None)
+        next_home.receive_order(order(1))
+        await next_home._follow_order(order(1), FakeController(self.rows.row))
+        self.assertEqual(self.rows.reported, [MoveOrderState.ROLLED_BACK.value])
+
     async def test_state_is_reported_once(self):
         await self.follow()
         await self.follow()
